--- /dev/null
+++ b/driftstall/bootstrap.py
@@ -0,0 +1,38 @@
+"""Set an instance up in stages, and run it until its planned stop."""
+
+from __future__ import annotations
+
+import signal
+from typing import Final
+
+import gevent
+
+from driftstall.const import PREFIX_DRAIN, PREFIX_MEMBERSHIP
+from driftstall.daemon.callers import CallersApp
+from driftstall.daemon.http_server import build_server
+from driftstall.daemon.node import Node
+from driftstall.daemon.operators import OperatorsApp
+from driftstall.daemon.settings import Settings
+from driftstall.helpers.log import say, start_log
+
+STOP_CHECK_S: Final = 0.1
+
+
+def run_instance(settings: Settings) -> None:
+    """Run one instance until it has stopped without cutting off a request."""
+    start_log()
+    node = Node(settings)
+    callers = build_server(settings, settings.listen, CallersApp(node))
+    operators = build_server(settings, settings.operator_listen, OperatorsApp(node))
+    node.start()
+    operators.start()
+    callers.start()
+    gevent.signal_handler(signal.SIGTERM, node.ask_stop)
+    gevent.signal_handler(signal.SIGINT, node.ask_stop)
+    say(PREFIX_MEMBERSHIP, f"Instance {settings.instance_id} listens on {settings.listen}")
+    while not node.stopped:
+        gevent.sleep(STOP_CHECK_S)
+    callers.stop(timeout=1)
+    operators.stop(timeout=1)
+    node.hub.links.stop()
+    say(PREFIX_DRAIN, f"Instance {settings.instance_id} has stopped")
--- /dev/null
+++ b/driftstall/cli/__init__.py
@@ -0,0 +1,3 @@
+"""Provide the operators' and callers' command."""
+
+from __future__ import annotations
--- /dev/null
+++ b/driftstall/cli/main.py
@@ -0,0 +1,225 @@
+"""Driftstall: the operators' and callers' command.
+
+Usage:
+  driftstall policy check FILE
+  driftstall policy submit FILE [--base=GEN] [--id=ID] [options]
+  driftstall policy show [options]
+  driftstall policy explain KIND WORKSPACE [--model=M] [--input=N] [--cap=N] [options]
+  driftstall policy try FILE TRACE [--json]
+  driftstall config show [options]
+  driftstall config submit FILE [--base=GEN] [--id=ID] [options]
+  driftstall config settle ID [options]
+  driftstall status [options]
+  driftstall drain [options]
+  driftstall locate [options]
+  driftstall chat TEXT [--kind=KIND] [--model=M] [--cap=N] [--deadline=S] [options]
+  driftstall key KEY
+  driftstall --help
+
+Options:
+  --instance=ADDR  Callers' address of any instance [default: 127.0.0.1:8000].
+  --operator=ADDR  Operators' address of an instance [default: 127.0.0.1:8200].
+  --token=TOKEN    Operator token; DRIFTSTALL_OPERATOR_TOKEN is used without it.
+  --key=KEY        Workspace key; DRIFTSTALL_KEY is used without it.
+  --zone=ZONE      Own availability zone, for locate and chat.
+  --base=GEN       Submit only if this generation is still the newest.
+  --id=ID          Submission id, to ask for its outcome later.
+  --kind=KIND      Request kind [default: chat].
+  --model=M        Model [default: base].
+  --input=N        Prompt tokens [default: 100].
+  --cap=N          Most output tokens [default: 256].
+  --deadline=S     Seconds after which the answer is of no use [default: 120].
+  --json           Print JSON.
+
+Examples:
+  driftstall policy check examples/enrolment.policy
+  driftstall policy submit examples/enrolment.policy --base=3
+  driftstall policy explain summary north --input=4000
+  driftstall chat "When is the deadline?" --key=KEY
+
+Exit codes:
+  0 ok, 1 refused or wrong input, 2 wrong usage, 3 conflict, 4 unknown outcome,
+  5 unreachable.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import os
+import sys
+import uuid
+from pathlib import Path
+from typing import Any, Final
+
+import orjson
+from docopt import DocoptExit, docopt
+
+from driftstall.cli.client import Answer, Caller, ChatEnd, ChatPart, call_json
+from driftstall.cli.tables import print_status
+from driftstall.cli.try_policy import try_policy
+from driftstall.exceptions import PolicyError, UpstreamError
+from driftstall.policy.parse import parse_policy
+
+EXIT_OK: Final = 0
+EXIT_REFUSED: Final = 1
+EXIT_USAGE: Final = 2
+EXIT_CONFLICT: Final = 3
+EXIT_UNKNOWN: Final = 4
+EXIT_UNREACHABLE: Final = 5
+STATUS_EXIT: Final = {200: EXIT_OK, 409: EXIT_CONFLICT, 503: EXIT_UNREACHABLE, 504: EXIT_UNKNOWN}
+STATE_EXIT: Final = {"accepted": EXIT_OK, "conflict": EXIT_CONFLICT}
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run one command and return its exit code."""
+    try:
+        options = docopt(__doc__ or "", argv=argv)
+    except DocoptExit as fault:
+        print(fault, file=sys.stderr)
+        return EXIT_USAGE
+    try:
+        return _run(options)
+    except PolicyError as fault:
+        print(f"driftstall: {options['FILE']}: {fault}", file=sys.stderr)
+        return EXIT_REFUSED
+    except UpstreamError as fault:
+        print(f"driftstall: {fault}", file=sys.stderr)
+        return EXIT_UNKNOWN if fault.sent else EXIT_UNREACHABLE
+    except (OSError, orjson.JSONDecodeError, ValueError) as fault:
+        print(f"driftstall: {fault}", file=sys.stderr)
+        return EXIT_REFUSED
+
+
+def _run(options: dict[str, Any]) -> int:
+    """Find the command and run it."""
+    if options["policy"]:
+        return _policy(options)
+    if options["config"]:
+        return _config(options)
+    if options["status"]:
+        return _status(options)
+    if options["drain"]:
+        return _show(_operator(options, "POST", "/operator/drain", {}))
+    if options["locate"]:
+        print("\n".join(_caller(options).locate()))
+        return EXIT_OK
+    if options["KEY"]:
+        print(hashlib.sha256(options["KEY"].encode()).hexdigest())
+        return EXIT_OK
+    return _chat(options)
+
+
+def _policy(options: dict[str, Any]) -> int:
+    """Run a policy command."""
+    if options["check"]:
+        policy = parse_policy(Path(options["FILE"]).read_text())
+        print(f"{policy.name}: {len(policy.rules)} rules, at most {policy.steps} steps")
+        return EXIT_OK
+    if options["submit"]:
+        text = Path(options["FILE"]).read_text()
+        parse_policy(text)
+        return _submit(options, {"policy": text})
+    if options["show"]:
+        answer = _operator(options, "GET", "/operator/config")
+        print(answer.value["policy"], end="")
+        return EXIT_OK
+    if options["explain"]:
+        return _explain(options)
+    return try_policy(options["FILE"], options["TRACE"], as_json=options["--json"])
+
+
+def _explain(options: dict[str, Any]) -> int:
+    """Tell which rule decides about a request."""
+    facts = {
+        "kind": options["KIND"],
+        "workspace": options["WORKSPACE"],
+        "model": options["--model"],
+        "input_tokens": int(options["--input"]),
+        "max_tokens": int(options["--cap"]),
+    }
+    answer = _operator(options, "POST", "/operator/explain", facts)
+    if answer.status != 200 or options["--json"]:
+        return _show(answer)
+    for check in answer.value["checks"]:
+        word = "holds" if check["held"] else "does not hold"
+        print(f"line {check['line']}, rule {check['rule']}: {check['condition']} {word}")
+    for name, value in answer.value["verdict"].items():
+        print(f"  {name} = {value}")
+    return EXIT_OK
+
+
+def _config(options: dict[str, Any]) -> int:
+    """Run a configuration command."""
+    if options["show"]:
+        return _show(_operator(options, "GET", "/operator/config"))
+    if options["settle"]:
+        answer = _operator(options, "GET", f"/operator/submissions/{options['ID']}")
+        _show(answer)
+        return STATE_EXIT.get(answer.value.get("state"), EXIT_UNKNOWN)
+    return _submit(options, orjson.loads(Path(options["FILE"]).read_bytes()))
+
+
+def _submit(options: dict[str, Any], change: dict[str, Any]) -> int:
+    """Submit a change; the id lets its outcome be asked for later."""
+    change["submission"] = options["--id"] or uuid.uuid4().hex
+    if options["--base"]:
+        change["base_generation"] = int(options["--base"])
+    try:
+        answer = _operator(options, "PUT", "/operator/config", change)
+    except UpstreamError as fault:
+        if not fault.sent:
+            raise
+        settle = f"driftstall config settle {change['submission']}"
+        print(f"driftstall: the outcome is unknown ({fault}); ask: {settle}", file=sys.stderr)
+        return EXIT_UNKNOWN
+    return _show(answer)
+
+
+def _status(options: dict[str, Any]) -> int:
+    """Show what an instance knows."""
+    answer = _operator(options, "GET", "/operator/status")
+    if answer.status != 200 or options["--json"]:
+        return _show(answer)
+    print_status(answer.value)
+    return EXIT_OK
+
+
+def _chat(options: dict[str, Any]) -> int:
+    """Ask once and print the answer as it comes."""
+    body = {
+        "model": options["--model"],
+        "max_tokens": int(options["--cap"]),
+        "messages": [{"role": "user", "content": options["TEXT"]}],
+    }
+    deadline_s = float(options["--deadline"])
+    for part in _caller(options).chat(body, options["--kind"], deadline_s=deadline_s):
+        if isinstance(part, ChatPart):
+            print(part.text, end="", flush=True)
+        elif isinstance(part, ChatEnd) and part.problem is not None:
+            print(f"\ndriftstall: {part.problem['detail']}", file=sys.stderr)
+            known = part.problem.get("ran") == "not run"
+            return EXIT_REFUSED if known else EXIT_UNKNOWN
+    print()
+    return EXIT_OK
+
+
+def _operator(options: dict[str, Any], method: str, path: str, value: Any = None) -> Answer:
+    """Make one call to the operators' listener."""
+    token = options["--token"] or os.environ.get("DRIFTSTALL_OPERATOR_TOKEN", "")
+    return call_json(options["--operator"], method, path, token, value)
+
+
+def _caller(options: dict[str, Any]) -> Caller:
+    """Return a caller for the workspace key."""
+    key = options["--key"] or os.environ.get("DRIFTSTALL_KEY", "")
+    return Caller((options["--instance"],), key, options["--zone"] or "")
+
+
+def _show(answer: Answer) -> int:
+    """Print an answer's JSON and return the exit code that fits."""
+    print(orjson.dumps(answer.value, option=orjson.OPT_INDENT_2).decode())
+    return STATUS_EXIT.get(answer.status, EXIT_REFUSED)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/driftstall/controllers/grants.py
@@ -0,0 +1,573 @@
+"""Grant engines to requests: the state an owner keeps for its group of runners.
+
+Pure: events and the time go in, actions come out. The daemon and the measuring
+driver run this same code. Nothing is kept: a new owner rebuilds the state from
+the entries' announcements.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from dataclasses import dataclass, field
+from functools import singledispatchmethod
+from typing import Final
+
+from driftstall.const import CODE_LIMITED, CODE_NO_RUNNER, CODE_REFUSED
+from driftstall.controllers.grant_messages import (
+    Announce,
+    Ask,
+    CacheEvents,
+    Close,
+    EntryLost,
+    GrantAction,
+    Granted,
+    GrantEvent,
+    Progress,
+    Refused,
+    ResumeAsked,
+    RunnerReport,
+    RunnersChanged,
+    Tick,
+    YieldAsked,
+)
+from driftstall.core import Request, Verdict, Weights
+from driftstall.decisions.comeback import (
+    FLOOR_RATE,
+    GRACE_S,
+    Promises,
+    ServiceRate,
+    forecast_wait,
+    retry_after,
+)
+from driftstall.decisions.fairness import FairQueue, Waiting
+from driftstall.decisions.lengths import LengthModel
+from driftstall.decisions.limits import TokenBucket
+from driftstall.decisions.memory import NOTHING, Hold, hold_of, quantile, total
+from driftstall.decisions.prefixes import PrefixModel
+from driftstall.decisions.routing import PREFILL_TOKENS_PER_S, Choice, RunnerView, choose
+from driftstall.decisions.yielding import Candidate, choose_victim
+
+REFRESH_S: Final = 0.25
+"""How old a runner's memory forecast may get."""
+HEADROOM_S: Final = 2.0
+"""Seconds of first-rank arrivals for which lower ranks leave room."""
+YIELD_WAIT_S: Final = 0.4
+"""How long the first rank waits before a lower rank is asked to yield."""
+YIELD_SPACING_S: Final = 1.0
+"""Seconds between two yields asked of one runner."""
+MAX_PENDING_PREFILL: Final = 16_000
+"""Prefill tokens granted and not done on one runner, in tokens."""
+
+
+@dataclass(slots=True)
+class OpenGrant:
+    """Hold one grant."""
+
+    entry: str
+    request: Request
+    verdict: Verdict
+    runner_id: str
+    since: float
+    uncached: int
+    produced: int = 0
+    yields: int = 0
+    rested_from: float = 0.0
+    paused: bool = False
+    reserved: float = 0.0
+
+
+@dataclass(slots=True)
+class RunnerState:
+    """Hold what the owner knows of one runner."""
+
+    runner_id: str
+    memory: int
+    zone: str
+    grants: dict[str, OpenGrant] = field(default_factory=dict)
+    prefixes: PrefixModel = field(default_factory=PrefixModel)
+    hold: Hold = NOTHING
+    hold_at: float = -1e9
+    pending_prefill: float = 0.0
+    pending_at: float = 0.0
+    first_rank: int = 0
+    yield_at: float = -1e9
+    unexplained: float = 0.0
+    """Memory the runner reports beyond our grants, in tokens."""
+
+    def pending(self, now: float) -> float:
+        """Return the prefill tokens that should still be pending."""
+        done = (now - self.pending_at) * PREFILL_TOKENS_PER_S
+        self.pending_prefill = max(0.0, self.pending_prefill - done)
+        self.pending_at = now
+        return self.pending_prefill
+
+
+class GrantsController:
+    """Admit, queue, place, yield and refuse for one group of runners."""
+
+    def __init__(
+        self,
+        group: str,
+        lengths: LengthModel,
+        source: random.Random,
+        *,
+        weights: Weights | None = None,
+        overflow: float = 0.01,
+        certain: bool = False,
+        admit_from: float = 0.0,
+    ) -> None:
+        """Start without runners.
+
+        certain: the lengths are known or worst-case, so no deviation is added.
+        admit_from: until then (a new owner) grants come only as the runners' own
+        reports allow.
+        """
+        self.group = group
+        self._lengths = lengths
+        self._source = source
+        self._weights = weights or Weights()
+        self._certain = certain
+        self._deviations = 0.0 if certain else quantile(overflow)
+        self._admit_from = admit_from
+        self._runners: dict[str, RunnerState] = {}
+        self._queues: dict[int, FairQueue] = {}
+        self._rates: dict[int, ServiceRate] = {}
+        self._promises: dict[int, Promises] = {}
+        self._waiting: dict[str, Waiting] = {}
+        self._grants: dict[str, OpenGrant] = {}
+        self._paused: dict[str, OpenGrant] = {}
+        self._expiry: list[tuple[float, str]] = []
+        self._buckets: dict[str, TokenBucket] = {}
+        self._first_arrivals = ServiceRate()
+        self._first_held = 1_500.0
+        self._actions: list[GrantAction] = []
+        self._dispatch_at = -1e9
+
+    @property
+    def waiting(self) -> int:
+        """Return how many requests wait."""
+        return len(self._waiting)
+
+    @property
+    def open_grants(self) -> int:
+        """Return how many grants are open."""
+        return len(self._grants)
+
+    @property
+    def runners(self) -> dict[str, RunnerState]:
+        """Return the runners' states by id."""
+        return self._runners
+
+    def configure(self, weights: Weights, overflow: float) -> None:
+        """Take over the weights and the bound of a new policy."""
+        self._weights = weights
+        if not self._certain:
+            self._deviations = quantile(overflow)
+
+    def load(self, now: float) -> float:
+        """Return the forecast share of memory in use, from 0 to 1."""
+        memory = sum(runner.memory for runner in self._runners.values())
+        if not memory:
+            return 1.0
+        used = sum(self._hold(runner, now).means[0] for runner in self._runners.values())
+        return min(1.0, used / memory)
+
+    def handle(self, event: GrantEvent, now: float) -> list[GrantAction]:
+        """Take one event and return the actions it leads to."""
+        self._actions = []
+        self._apply(event, now)
+        self._expire(now)
+        self._dispatch(now)
+        return self._actions
+
+    # Events
+
+    @singledispatchmethod
+    def _apply(self, event: GrantEvent, now: float) -> None:
+        """Apply one event to the state."""
+        raise TypeError(f"no handler for {type(event).__name__}")
+
+    @_apply.register
+    def _(self, event: Ask, now: float) -> None:
+        request, verdict = event.request, event.verdict
+        if request.request_id in self._waiting:
+            return
+        open_grant = self._grants.get(request.request_id)
+        if open_grant is not None:
+            # The answer was lost on the way; asking again must not open a second grant.
+            self._actions.append(
+                Granted(
+                    event.entry,
+                    request.request_id,
+                    open_grant.runner_id,
+                    verdict.rank,
+                    "granted before",
+                )
+            )
+            return
+        cost = request.input_tokens + self._lengths.expected(request)
+        returned = self._promised(verdict.rank).take(event.ticket) if event.ticket else False
+        if not self._runners:
+            self._refuse(event.entry, request, CODE_NO_RUNNER, 2.0, "", "no runner is live")
+            return
+        limited_s = self._reserve(request, verdict, cost, now)
+        if limited_s > 0:
+            reason = f"workspace {request.workspace} is over its token limit"
+            self._refuse(event.entry, request, CODE_LIMITED, limited_s, "", reason)
+            return
+        if verdict.rank == 0:
+            self._count_first(cost, now)
+        wait_s = 0.0 if returned else self._wait(request, verdict, cost, now)
+        if verdict.may_refuse and wait_s > verdict.wait_s:
+            self._settle(request, cost, 0.0)
+            self._turn_away(event.entry, request, verdict, cost, wait_s, now)
+            return
+        item = Waiting(event.entry, request, verdict, cost, now, event.avoid)
+        self._waiting[request.request_id] = item
+        self._queue(verdict.rank).push(item)
+        until = now + verdict.wait_s if verdict.may_refuse else request.deadline
+        heapq.heappush(self._expiry, (min(until, request.deadline), request.request_id))
+
+    @_apply.register
+    def _(self, event: Announce, now: float) -> None:
+        runner = self._runners.get(event.runner_id)
+        if runner is None or event.request.request_id in self._grants:
+            return
+        grant = OpenGrant(event.entry, event.request, event.verdict, event.runner_id, now, 0)
+        grant.produced = event.produced
+        grant.rested_from = now
+        self._open(runner, grant, now)
+
+    @_apply.register
+    def _(self, event: Progress, now: float) -> None:
+        grant = self._grants.get(event.request_id)
+        if grant is None or event.produced <= grant.produced:
+            return
+        self._lengths.progressed(grant.request, grant.produced, event.produced)
+        grant.produced = event.produced
+
+    @_apply.register
+    def _(self, event: Close, now: float) -> None:
+        item = self._waiting.pop(event.request_id, None)
+        if item is not None:
+            self._queue(item.verdict.rank).discard(item)
+            self._settle(item.request, item.cost, 0.0)
+            return
+        grant = self._grants.pop(event.request_id, None)
+        if grant is None:
+            return
+        self._close(grant, event, now)
+
+    @_apply.register
+    def _(self, event: RunnerReport, now: float) -> None:
+        runner = self._runners.get(event.runner_id)
+        if runner is None:
+            return
+        runner.memory = event.memory_tokens or runner.memory
+        known = sum(
+            grant.request.input_tokens + grant.produced
+            for grant in runner.grants.values()
+            if not grant.paused
+        )
+        runner.unexplained = max(0.0, event.used_tokens - known - runner.pending_prefill)
+        if runner.unexplained < 0.1 * runner.memory:
+            runner.unexplained = 0.0
+
+    @_apply.register
+    def _(self, event: CacheEvents, now: float) -> None:
+        runner = self._runners.get(event.runner_id)
+        if runner is None:
+            return
+        for digest in event.evicted:
+            runner.prefixes.evict(digest)
+        for mark in event.stored:
+            runner.prefixes.store((mark,))
+
+    @_apply.register
+    def _(self, event: RunnersChanged, now: float) -> None:
+        wanted = {runner_id for runner_id, _, _ in event.runners}
+        for runner_id in [one for one in self._runners if one not in wanted]:
+            self._runners.pop(runner_id)
+        for runner_id, memory, zone in event.runners:
+            known = self._runners.get(runner_id)
+            if known is None:
+                self._runners[runner_id] = RunnerState(runner_id, memory, zone, pending_at=now)
+
+    @_apply.register
+    def _(self, event: EntryLost, now: float) -> None:
+        lost = [one for one, grant in self._grants.items() if grant.entry == event.entry]
+        lost += [one for one, item in self._waiting.items() if item.entry == event.entry]
+        for request_id in lost:
+            self._apply(Close(self.group, request_id, 0, finished=False), now)
+
+    @_apply.register
+    def _(self, event: Tick, now: float) -> None:
+        """Only let time pass."""
+
+    # Admission
+
+    def _queue(self, rank: int) -> FairQueue:
+        """Return a rank's queue."""
+        if rank not in self._queues:
+            self._queues[rank] = FairQueue()
+        return self._queues[rank]
+
+    def _promised(self, rank: int) -> Promises:
+        """Return a rank's promised places."""
+        if rank not in self._promises:
+            self._promises[rank] = Promises()
+        return self._promises[rank]
+
+    def _rate(self, rank: int) -> ServiceRate:
+        """Return a rank's service rate."""
+        if rank not in self._rates:
+            self._rates[rank] = ServiceRate(FLOOR_RATE)
+        return self._rates[rank]
+
+    def _wait(self, request: Request, verdict: Verdict, cost: float, now: float) -> float:
+        """Forecast the wait of a newcomer, in seconds."""
+        promises = self._promised(verdict.rank)
+        promises.expire(now)
+        queue = self._queue(verdict.rank)
+        if not len(queue) and not promises.cost:
+            return 0.0
+        rate = sum(self._rate(rank).value(now) for rank in self._rates if rank >= verdict.rank)
+        own = queue.cost_of(request.workspace) + promises.cost_of(request.workspace)
+        return forecast_wait(
+            own=own,
+            total=queue.cost + promises.cost,
+            active=max(queue.active, promises.active),
+            cost=cost,
+            rate=max(rate, 1.0),
+        )
+
+    def _turn_away(
+        self, entry: str, request: Request, verdict: Verdict, cost: float, wait_s: float, now: float
+    ) -> None:
+        """Refuse, say when to come back and keep a place until then."""
+        after = retry_after(wait_s, self._source)
+        ticket = request.request_id
+        until = now + after + GRACE_S
+        self._promised(verdict.rank).make(ticket, request.workspace, cost, until)
+        reason = f"{self.waiting} wait, the forecast wait is {wait_s:.1f} s"
+        self._refuse(entry, request, CODE_REFUSED, after, ticket, reason)
+
+    def _refuse(
+        self, entry: str, request: Request, code: str, after: float, ticket: str, reason: str
+    ) -> None:
+        """Add a refusal to the actions."""
+        self._actions.append(Refused(entry, request.request_id, code, after, ticket, reason))
+
+    def _expire(self, now: float) -> None:
+        """Refuse at once what has waited as long as the policy allows."""
+        while self._expiry and self._expiry[0][0] <= now:
+            _, request_id = heapq.heappop(self._expiry)
+            item = self._waiting.pop(request_id, None)
+            if item is None:
+                continue
+            self._queue(item.verdict.rank).discard(item)
+            self._settle(item.request, item.cost, 0.0)
+            wait_s = self._wait(item.request, item.verdict, item.cost, now)
+            self._turn_away(item.entry, item.request, item.verdict, item.cost, wait_s, now)
+
+    def _reserve(self, request: Request, verdict: Verdict, cost: float, now: float) -> float:
+        """Reserve from the workspace's token limit; return the seconds to wait."""
+        if not verdict.limit_tokens_per_s:
+            return 0.0
+        bucket = self._buckets.get(request.workspace)
+        if bucket is None or bucket.rate != verdict.limit_tokens_per_s:
+            bucket = TokenBucket.full(verdict.limit_tokens_per_s, now)
+            self._buckets[request.workspace] = bucket
+        return bucket.reserve(cost, now)
+
+    def _settle(self, request: Request, reserved: float, used: float) -> None:
+        """Give back what a request reserved and did not use."""
+        bucket = self._buckets.get(request.workspace)
+        if bucket is not None:
+            bucket.settle(reserved, used)
+
+    def _count_first(self, cost: float, now: float) -> None:
+        """Learn how much memory the first rank asks for."""
+        self._first_arrivals.add(1.0, now)
+        self._first_held += 0.02 * (cost - self._first_held)
+
+    def _headroom(self, rank: int, now: float) -> float:
+        """Return the memory that a rank leaves free on each runner, in tokens."""
+        if rank == 0 or not self._runners:
+            return 0.0
+        expected = self._first_arrivals.value(now) * HEADROOM_S * self._first_held
+        share = expected / len(self._runners)
+        least = min(runner.memory for runner in self._runners.values())
+        return min(share, 0.15 * least)
+
+    # Placement
+
+    def _hold(self, runner: RunnerState, now: float) -> Hold:
+        """Return a runner's memory forecast, at most REFRESH_S old."""
+        if now - runner.hold_at >= REFRESH_S:
+            runner.hold = total(
+                hold_of(self._lengths, grant.request, grant.produced)
+                for grant in runner.grants.values()
+                if not grant.paused
+            )
+            runner.hold_at = now
+            runner.prefixes.shrink(runner.memory - runner.hold.means[0])
+        return runner.hold
+
+    def _dispatch(self, now: float) -> None:
+        """Grant what has room, best rank first."""
+        if self._paused:
+            self._resume(now)
+        for rank in sorted(self._queues):
+            queue = self._queues[rank]
+            while len(queue) and self._grant_next(queue, now):
+                pass
+            if len(queue):
+                if rank == 0:
+                    self._yield_for(queue, now)
+                return
+
+    def _grant_next(self, queue: FairQueue, now: float) -> bool:
+        """Grant the first request in fair order that has room."""
+        for item in queue.candidates():
+            choice = self._place(item, now)
+            if choice is None:
+                continue
+            queue.serve(item)
+            del self._waiting[item.request.request_id]
+            self._grant(item, choice, now)
+            return True
+        return False
+
+    def _place(self, item: Waiting, now: float) -> Choice | None:
+        """Choose a runner with room, or none."""
+        request, rank = item.request, item.verdict.rank
+        addition = hold_of(self._lengths, request, 0)
+        headroom = self._headroom(rank, now)
+        views = []
+        for runner in self._runners.values():
+            if runner.runner_id in item.avoid and len(self._runners) > len(item.avoid):
+                continue
+            hold = self._hold(runner, now)
+            peak = hold.plus(addition).peak(self._deviations) + runner.unexplained
+            if peak > runner.memory - headroom and (runner.grants or peak > 4 * runner.memory):
+                continue
+            uncached = request.input_tokens - runner.prefixes.match(request.prefix)
+            pending = runner.pending(now)
+            if rank > 0 and pending > 0 and pending + uncached > MAX_PENDING_PREFILL:
+                continue
+            fill = hold.means[0] / runner.memory
+            views.append(
+                RunnerView(
+                    runner.runner_id, uncached, pending, runner.first_rank, fill, remote=False
+                )
+            )
+        return choose(views, self._weights, first_rank=rank == 0)
+
+    def _grant(self, item: Waiting, choice: Choice, now: float) -> None:
+        """Open a grant and tell the entry."""
+        runner = self._runners[choice.runner_id]
+        request = item.request
+        uncached = request.input_tokens - runner.prefixes.touch(request.prefix)
+        grant = OpenGrant(item.entry, request, item.verdict, runner.runner_id, now, uncached)
+        grant.reserved = item.cost
+        grant.rested_from = now
+        self._open(runner, grant, now)
+        runner.pending_prefill = runner.pending(now) + uncached
+        self._rate(item.verdict.rank).add(item.cost, now)
+        reason = (
+            f"cost {choice.cost:.3f} of {len(self._runners)} runners, "
+            f"{uncached} of {request.input_tokens} tokens to prefill"
+        )
+        self._actions.append(
+            Granted(item.entry, request.request_id, runner.runner_id, item.verdict.rank, reason)
+        )
+
+    def _open(self, runner: RunnerState, grant: OpenGrant, now: float) -> None:
+        """Add a grant to a runner's state."""
+        request_id = grant.request.request_id
+        self._grants[request_id] = grant
+        runner.grants[request_id] = grant
+        runner.first_rank += grant.verdict.rank == 0
+        hold = self._hold(runner, now)
+        runner.hold = hold.plus(hold_of(self._lengths, grant.request, grant.produced))
+
+    def _close(self, grant: OpenGrant, event: Close, now: float) -> None:
+        """Free a grant's memory and learn from its length."""
+        self._paused.pop(event.request_id, None)
+        if event.produced > grant.produced:
+            self._lengths.progressed(grant.request, grant.produced, event.produced)
+        if event.finished:
+            self._lengths.finished(grant.request, event.produced)
+        self._settle(grant.request, grant.reserved, grant.request.input_tokens + event.produced)
+        runner = self._runners.get(grant.runner_id)
+        if runner is None or runner.grants.pop(event.request_id, None) is None:
+            return
+        runner.first_rank -= grant.verdict.rank == 0
+        if not grant.paused:
+            runner.hold = runner.hold.minus(hold_of(self._lengths, grant.request, grant.produced))
+        prefix = grant.request.prefix
+        if event.finished:
+            runner.prefixes.store((*prefix, event.reply) if event.reply else prefix)
+
+    # Yielding
+
+    def _yield_for(self, queue: FairQueue, now: float) -> None:
+        """Let a lower rank yield when the first rank has waited too long."""
+        item = next(queue.candidates())
+        if now - item.since < YIELD_WAIT_S:
+            return
+        runners = [one for one in self._runners.values() if now - one.yield_at >= YIELD_SPACING_S]
+        candidates = [
+            self._candidate(grant, now) for one in runners for grant in one.grants.values()
+        ]
+        victim = choose_victim(candidates, item.verdict.rank)
+        if victim is None:
+            return
+        grant = self._grants[victim.grant_id]
+        runner = self._runners[grant.runner_id]
+        runner.yield_at = now
+        grant.paused = True
+        grant.yields += 1
+        runner.hold = runner.hold.minus(hold_of(self._lengths, grant.request, grant.produced))
+        self._paused[victim.grant_id] = grant
+        reason = f"rank {item.verdict.rank} has waited {now - item.since:.1f} s"
+        self._actions.append(YieldAsked(grant.entry, victim.grant_id, grant.runner_id, reason))
+
+    def _candidate(self, grant: OpenGrant, now: float) -> Candidate:
+        """Describe a grant as one that could yield."""
+        held = grant.request.input_tokens + grant.produced
+        ahead = 64
+        chance = self._lengths.keeps_going(grant.request, grant.produced, ahead)
+        remaining = 0.0 if grant.paused else self._lengths.expected(grant.request) * chance
+        return Candidate(
+            grant.request.request_id,
+            grant.verdict.rank,
+            grant.verdict.may_yield and not grant.paused,
+            held,
+            held,
+            max(remaining, ahead * 2.0 * chance),
+            grant.yields,
+            now - grant.rested_from,
+        )
+
+    def _resume(self, now: float) -> None:
+        """Resume paused generations where there is room, best rank and oldest first."""
+        blocked = min((rank for rank, queue in self._queues.items() if len(queue)), default=99)
+        order = sorted(self._paused.items(), key=lambda pair: (pair[1].verdict.rank, pair[1].since))
+        for request_id, grant in order:
+            runner = self._runners.get(grant.runner_id)
+            if runner is None or grant.verdict.rank > blocked:
+                continue
+            addition = hold_of(self._lengths, grant.request, grant.produced)
+            peak = self._hold(runner, now).plus(addition).peak(self._deviations)
+            if peak > runner.memory - self._headroom(grant.verdict.rank, now):
+                continue
+            grant.paused = False
+            grant.rested_from = now
+            runner.hold = runner.hold.plus(addition)
+            runner.pending_prefill = runner.pending(now) + grant.request.input_tokens
+            del self._paused[request_id]
+            reason = "there is room again"
+            self._actions.append(ResumeAsked(grant.entry, request_id, grant.runner_id, reason))
--- /dev/null
+++ b/driftstall/controllers/relay.py
@@ -0,0 +1,227 @@
+"""Relay one generation: each token once, in order, from a single generation.
+
+Pure: one machine for one request. Before the first token is delivered the
+request may start elsewhere; after it, only the same generation goes on, or the
+answer ends with an explicit problem.
+"""
+
+from __future__ import annotations
+
+from functools import singledispatchmethod
+from typing import Final
+
+from driftstall.const import (
+    CODE_DEADLINE,
+    CODE_INCOMPLETE,
+    CODE_RUNNER_FAILED,
+)
+from driftstall.controllers.relay_messages import (
+    AskGrant,
+    CallerGone,
+    CancelStream,
+    CloseGrant,
+    Complete,
+    DeadlinePassed,
+    Deliver,
+    Fail,
+    GrantArrived,
+    GrantRefused,
+    OpenStream,
+    RelayAction,
+    RelayEvent,
+    ResumeStream,
+    Started,
+    StreamEnded,
+    StreamFailed,
+    TakenUp,
+    TokenArrived,
+)
+from driftstall.core import Problem, Ran
+from driftstall.decisions.retry import RetryBudget
+
+MAX_ATTEMPTS: Final = 3
+MAX_RESUMES: Final = 4
+"""Resumes without a token between them."""
+RETRY_AFTER_S: Final = 1.0
+
+
+class RelayMachine:
+    """Hold the state of one relayed generation."""
+
+    def __init__(self, request_id: str, budget: RetryBudget) -> None:
+        """Start before the first grant; the budget is shared by the instance."""
+        self._request_id = request_id
+        self._budget = budget
+        self._attempt = 0
+        self._grant_id = ""
+        self._runner_id = ""
+        self._generation = ""
+        self._next = 0
+        self._delivered = False
+        self._resumes = 0
+        self._maybe_ran = False
+        self._avoid: frozenset[str] = frozenset()
+        self._done = False
+
+    @property
+    def done(self) -> bool:
+        """Tell whether the caller has its final answer."""
+        return self._done
+
+    @property
+    def generation(self) -> str:
+        """Return the current generation, or empty."""
+        return self._generation
+
+    @property
+    def runner_id(self) -> str:
+        """Return the current runner, or empty."""
+        return self._runner_id
+
+    @property
+    def grant_id(self) -> str:
+        """Return the current grant, or empty."""
+        return self._grant_id
+
+    @property
+    def produced(self) -> int:
+        """Return the tokens delivered so far."""
+        return self._next
+
+    def handle(self, event: RelayEvent) -> list[RelayAction]:
+        """Take one event and return the actions it leads to."""
+        if self._done:
+            return self._late(event)
+        return self._on(event)
+
+    def accept(self, generation: str, index: int) -> bool:
+        """Tell whether a token is the next one, and count it: the short way."""
+        if self._done or generation != self._generation or index != self._next:
+            return False
+        self._next += 1
+        self._delivered = True
+        self._resumes = 0
+        return True
+
+    def _late(self, event: RelayEvent) -> list[RelayAction]:
+        """Give back a grant that arrives after the end."""
+        if isinstance(event, GrantArrived):
+            return [CloseGrant(self._grant_id, self._next, finished=False)]
+        return []
+
+    @singledispatchmethod
+    def _on(self, event: RelayEvent) -> list[RelayAction]:
+        """Handle one event."""
+        raise TypeError(f"no handler for {type(event).__name__}")
+
+    @_on.register
+    def _(self, event: Started) -> list[RelayAction]:
+        self._budget.earn()
+        return self._ask()
+
+    @_on.register
+    def _(self, event: TakenUp) -> list[RelayAction]:
+        self._runner_id = event.runner_id
+        self._generation = event.generation
+        self._next = event.next_index
+        self._delivered = True
+        self._maybe_ran = True
+        return [ResumeStream(event.runner_id, event.generation, event.next_index)]
+
+    @_on.register
+    def _(self, event: GrantArrived) -> list[RelayAction]:
+        if self._generation:
+            return []
+        self._runner_id = event.runner_id
+        self._generation = self._grant_id
+        return [OpenStream(event.runner_id, self._generation, event.rank)]
+
+    @_on.register
+    def _(self, event: GrantRefused) -> list[RelayAction]:
+        self._done = True
+        problem = event.problem
+        if self._maybe_ran:
+            problem = self._problem(CODE_RUNNER_FAILED, 502, problem.detail)
+        return [Fail(problem)]
+
+    @_on.register
+    def _(self, event: TokenArrived) -> list[RelayAction]:
+        if event.generation != self._generation or event.index < self._next:
+            return []
+        if event.index > self._next:
+            return self._resume("a token is missing")
+        self.accept(event.generation, event.index)
+        return [Deliver(event.generation, event.index, event.data)]
+
+    @_on.register
+    def _(self, event: StreamEnded) -> list[RelayAction]:
+        if event.generation != self._generation:
+            return []
+        if event.total > self._next:
+            return self._resume("the last tokens are missing")
+        self._done = True
+        return [CloseGrant(self._grant_id, self._next, finished=True), Complete(event.data)]
+
+    @_on.register
+    def _(self, event: StreamFailed) -> list[RelayAction]:
+        if event.generation != self._generation:
+            return []
+        self._maybe_ran = self._maybe_ran or event.sent
+        if self._delivered:
+            if event.gone:
+                return self._end(CODE_INCOMPLETE, 502, event.detail)
+            return self._resume(event.detail)
+        return self._restart(event)
+
+    @_on.register
+    def _(self, event: DeadlinePassed) -> list[RelayAction]:
+        self._maybe_ran = self._maybe_ran or bool(self._generation)
+        return self._end(CODE_DEADLINE, 504, "the deadline passed")
+
+    @_on.register
+    def _(self, event: CallerGone) -> list[RelayAction]:
+        self._done = True
+        return self._drop()
+
+    def _ask(self) -> list[RelayAction]:
+        """Ask for a grant under a new id."""
+        self._attempt += 1
+        self._grant_id = f"{self._request_id}-{self._attempt}"
+        self._generation = ""
+        self._runner_id = ""
+        return [AskGrant(self._grant_id, self._avoid)]
+
+    def _resume(self, detail: str) -> list[RelayAction]:
+        """Take up the same generation again, a bounded number of times."""
+        self._resumes += 1
+        if self._resumes > MAX_RESUMES:
+            return self._end(CODE_INCOMPLETE, 502, detail)
+        return [ResumeStream(self._runner_id, self._generation, self._next)]
+
+    def _restart(self, event: StreamFailed) -> list[RelayAction]:
+        """Start elsewhere, since the caller has seen no token yet."""
+        dropped = self._drop()
+        self._avoid |= {self._runner_id}
+        if self._attempt >= MAX_ATTEMPTS or not self._budget.spend():
+            self._done = True
+            problem = self._problem(CODE_RUNNER_FAILED, 502, event.detail)
+            return [*dropped, Fail(problem)]
+        return [*dropped, *self._ask()]
+
+    def _drop(self) -> list[RelayAction]:
+        """Free what the current attempt holds."""
+        actions: list[RelayAction] = []
+        if self._generation:
+            actions.append(CancelStream(self._runner_id, self._generation))
+        actions.append(CloseGrant(self._grant_id, self._next, finished=False))
+        return actions
+
+    def _end(self, code: str, status: int, detail: str) -> list[RelayAction]:
+        """End with a problem and free what is held."""
+        self._done = True
+        return [*self._drop(), Fail(self._problem(code, status, detail))]
+
+    def _problem(self, code: str, status: int, detail: str) -> Problem:
+        """Describe a failure, saying 'not run' only where it is certain."""
+        ran = Ran.UNKNOWN if self._maybe_ran else Ran.NOT_RUN
+        return Problem(code, status, detail, ran, RETRY_AFTER_S)
--- /dev/null
+++ b/driftstall/daemon/__init__.py
@@ -0,0 +1,3 @@
+"""Run the pure core inside gevent."""
+
+from __future__ import annotations
--- /dev/null
+++ b/driftstall/daemon/callers.py
@@ -0,0 +1,372 @@
+"""Serve callers: locate, generations and plain services."""
+
+from __future__ import annotations
+
+import time
+import uuid
+from collections.abc import Iterable, Iterator
+from typing import Any, Final
+from urllib.parse import parse_qs
+
+import orjson
+
+from driftstall.const import (
+    CODE_BAD_REQUEST,
+    CODE_INTERNAL,
+    CODE_LEAVING,
+    CODE_TOO_LARGE,
+    HEADER_LAST_EVENT_ID,
+    HEADER_TICKET,
+    PREFIX_LOCATE,
+    PREFIX_RELAY,
+)
+from driftstall.controllers.relay_messages import TakenUp
+from driftstall.core import Problem, Ran, Request
+from driftstall.daemon.answers import (
+    EVENT_STREAM,
+    StartResponse,
+    problem_fields,
+    send,
+    send_json,
+    send_problem,
+)
+from driftstall.daemon.http_server import ENVIRON_SOCKET, peer_is_there
+from driftstall.daemon.node import Node
+from driftstall.daemon.relay_service import (
+    Ended,
+    Relay,
+    RelayItem,
+    Token,
+    Whole,
+    fresh_wait,
+    taken_up_request,
+)
+from driftstall.decisions.locate import locate
+from driftstall.filters.apply_policy import ApplyPolicy
+from driftstall.filters.authenticate import Authenticate
+from driftstall.filters.chain import Filter, run_chain
+from driftstall.filters.classify import PATH_CHAT, Classify
+from driftstall.filters.context import RequestContext
+from driftstall.helpers.log import say
+from driftstall.policy.parse import DEFAULT_VERDICT
+from driftstall.util.signing import sign, verify
+
+PATH_LOCATE: Final = "/v1/locate"
+PATH_LIVE: Final = "/live"
+PATH_READY: Final = "/ready"
+STREAM_END: Final = b"data: [DONE]\n\n"
+CALLER_CHECK_S: Final = 0.25
+
+
+class CallersApp:
+    """Answer callers over WSGI."""
+
+    def __init__(self, node: Node) -> None:
+        """Take the instance that serves."""
+        self._node = node
+        self._hub = node.hub
+        self._filters: tuple[Filter, ...] = ()
+        self._filters_for: int = -1
+
+    def __call__(self, environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
+        """Serve one call; an unforeseen fault is answered, not fatal."""
+        path = environ["PATH_INFO"]
+        if path == PATH_LIVE:
+            return send(start, 200, b"live\n", "text/plain")
+        if path == PATH_READY:
+            return self._ready(start)
+        self._hub.stats.requests += 1
+        if self._hub.stats.open_requests >= self._hub.settings.max_requests:
+            detail = "this instance serves as many requests as it may"
+            return send_problem(start, Problem(CODE_LEAVING, 503, detail, Ran.NOT_RUN, 1.0))
+        self._hub.stats.open_requests += 1
+        return self._counted(environ, start)
+
+    def _counted(self, environ: dict[str, Any], start: StartResponse) -> Iterator[bytes]:
+        """Serve one call and count it as open while it lasts."""
+        try:
+            yield from self._serve(environ, start)
+        except (GeneratorExit, OSError):
+            raise
+        except Exception as fault:
+            say(PREFIX_RELAY, f"A request failed with {type(fault).__name__}: {fault}")
+            self._hub.stats.failed += 1
+            detail = "an unforeseen fault; see the instance's log"
+            problem = Problem(CODE_INTERNAL, 500, detail, Ran.UNKNOWN)
+            yield from send_problem(start, problem)
+        finally:
+            self._hub.stats.open_requests -= 1
+
+    def _ready(self, start: StartResponse) -> Iterable[bytes]:
+        """Tell whether this instance may be used."""
+        if self._node.ready:
+            return send(start, 200, b"ready\n", "text/plain")
+        return send(start, 503, b"not ready\n", "text/plain")
+
+    def _serve(self, environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
+        """Run the filter chain, then what the path asks for."""
+        if not self._node.ready:
+            detail = "this instance has no configuration yet"
+            return send_problem(start, Problem(CODE_LEAVING, 503, detail, Ran.NOT_RUN, 1.0))
+        context = self._context(environ)
+        if isinstance(context, Problem):
+            return self._fail(start, context)
+        if context.path == PATH_LOCATE:
+            return self._locate(context, environ, start)
+        if context.path == PATH_CHAT and HEADER_LAST_EVENT_ID.lower() in context.headers:
+            return self._take_up(context, environ, start)
+        result = run_chain(self._chain(), context)
+        if isinstance(result, Problem):
+            return self._fail(start, result)
+        if result.request is not None:
+            return self._generate(result, environ, start)
+        return self._call_service(result, start)
+
+    def _context(self, environ: dict[str, Any]) -> RequestContext | Problem:
+        """Read the request within the limits."""
+        limit = self._hub.settings.max_body
+        length = environ.get("CONTENT_LENGTH") or "0"
+        if not length.isdigit():
+            return Problem(CODE_BAD_REQUEST, 400, "Content-Length is not a number", Ran.NOT_RUN)
+        if int(length) > limit:
+            return _too_large(limit)
+        try:
+            body = environ["wsgi.input"].read(limit + 1)
+        except OSError:
+            return Problem(CODE_BAD_REQUEST, 400, "the body did not arrive", Ran.NOT_RUN)
+        if len(body) > limit:
+            return _too_large(limit)
+        if len(body) < int(length):
+            return Problem(CODE_BAD_REQUEST, 400, "the body ended early", Ran.NOT_RUN)
+        return RequestContext(
+            uuid.uuid4().hex[:16],
+            environ["REQUEST_METHOD"],
+            environ["PATH_INFO"],
+            _headers(environ),
+            body,
+            self._hub.wall(),
+        )
+
+    def _chain(self) -> tuple[Filter, ...]:
+        """Return the filters for the configuration in force."""
+        document, policy = self._node.config.document, self._node.config.policy
+        if document.generation != self._filters_for and policy is not None:
+            keys = {one.key_sha256: one.name for one in document.workspaces}
+            self._filters = (
+                Authenticate(keys),
+                Classify(self._hub.settings.default_deadline),
+                ApplyPolicy(policy, self._node.grants.load),
+            )
+            self._filters_for = document.generation
+        return self._filters
+
+    def _fail(self, start: StartResponse, problem: Problem) -> Iterable[bytes]:
+        """Answer with a problem and count it."""
+        if problem.status == 429:
+            self._hub.stats.refused += 1
+        else:
+            self._hub.stats.failed += 1
+        return send_problem(start, problem)
+
+    def _locate(
+        self, context: RequestContext, environ: dict[str, Any], start: StartResponse
+    ) -> Iterable[bytes]:
+        """Tell a caller which instances to use, best first."""
+        checked = run_chain(self._chain()[:1], context)
+        if isinstance(checked, Problem):
+            return self._fail(start, checked)
+        zone = parse_qs(environ.get("QUERY_STRING", "")).get("zone", [""])[0]
+        workspace = checked.workspace
+        owners = self._node.grants.owners_for(workspace)
+        ranked = locate(workspace, owners, self._node.locatable(), zone)
+        chosen = ranked[0].instance_id if ranked else "none"
+        sentence = f"Workspace {workspace} is sent to {chosen} of {len(ranked)} instances"
+        say(PREFIX_LOCATE, sentence, zone=zone)
+        instances = [{"address": one.address, "zone": one.zone} for one in ranked]
+        keep_s = self._hub.settings.locate_keep
+        return send_json(start, 200, {"instances": instances, "keep_s": keep_s})
+
+    def _take_up(
+        self, context: RequestContext, environ: dict[str, Any], start: StartResponse
+    ) -> Iterable[bytes]:
+        """Go on with a generation from a resume token."""
+        checked = run_chain(self._chain()[:2], replace_body(context))
+        if isinstance(checked, Problem):
+            return self._fail(start, checked)
+        token = checked.headers[HEADER_LAST_EVENT_ID.lower()]
+        place = read_resume_token(self._hub.key, token, checked.workspace)
+        if place is None:
+            detail = f"{HEADER_LAST_EVENT_ID} is not a token given to this workspace"
+            return self._fail(start, Problem(CODE_BAD_REQUEST, 400, detail, Ran.NOT_RUN))
+        request = taken_up_request(
+            checked.workspace, checked.request_id, checked.now, checked.deadline
+        )
+        relay = self._node.relay.take_up(
+            request, DEFAULT_VERDICT, place, _caller_check(environ[ENVIRON_SOCKET])
+        )
+        return self._stream(relay, request, start)
+
+    def _generate(
+        self, context: RequestContext, environ: dict[str, Any], start: StartResponse
+    ) -> Iterable[bytes]:
+        """Serve a generation, streamed or whole."""
+        assert context.request is not None and context.verdict is not None
+        request = context.request
+        ticket, asked_at = read_ticket(
+            self._hub.key, context.headers.get(HEADER_TICKET.lower(), ""), request.workspace
+        )
+        if ticket:
+            request = fresh_wait(request, asked_at)
+        payload = dict(context.payload or {})
+        relay = self._node.relay.begin(
+            request, context.verdict, payload, ticket, _caller_check(environ[ENVIRON_SOCKET])
+        )
+        if payload.get("stream"):
+            return self._stream(relay, request, start)
+        return self._whole(relay, request, start)
+
+    def _stream(self, relay: Relay, request: Request, start: StartResponse) -> Iterator[bytes]:
+        """Answer with server-sent events; headers wait for the first token."""
+        items = iter(relay)
+        first = next(items, None)
+        self._hub.stats.stall.observe({}, self._hub.wall() - request.asked_at)
+        if first is None:
+            return
+        if isinstance(first, Ended):
+            yield from self._fail(start, first.problem)
+            return
+        start("200 OK", [("Content-Type", EVENT_STREAM), ("Cache-Control", "no-store")])
+        yield from self._events(first, items, request.workspace)
+
+    def _events(
+        self, first: RelayItem, items: Iterator[RelayItem], workspace: str
+    ) -> Iterator[bytes]:
+        """Turn tokens into events; each event's id is a resume token."""
+        item: RelayItem | None = first
+        prefix, prefix_for = b"", ""
+        try:
+            while item is not None:
+                if type(item) is Token:
+                    if item.generation != prefix_for:
+                        prefix_for = item.generation
+                        prefix = resume_prefix(self._hub.key, workspace, item.runner_id, prefix_for)
+                    yield b"id: %b~%d\ndata: %b\n\n" % (prefix, item.index, item.data)
+                elif isinstance(item, Whole):
+                    self._hub.stats.completed += 1
+                    yield b"data: " + item.data + b"\n\n" + STREAM_END
+                elif isinstance(item, Ended):
+                    self._hub.stats.failed += 1
+                    fields = orjson.dumps(problem_fields(item.problem))
+                    yield b"event: error\ndata: " + fields + b"\n\n"
+                item = next(items, None)
+        finally:
+            items.close()  # type: ignore[attr-defined]
+
+    def _whole(self, relay: Relay, request: Request, start: StartResponse) -> Iterable[bytes]:
+        """Collect the whole answer and give it at once."""
+        parts: list[str] = []
+        for item in relay:
+            if isinstance(item, Token):
+                if not parts:
+                    self._hub.stats.stall.observe({}, self._hub.wall() - request.asked_at)
+                parts.append(_content(item.data))
+            elif isinstance(item, Ended):
+                return self._fail(start, item.problem)
+            else:
+                self._hub.stats.completed += 1
+                return send_json(start, 200, _completion(item.data, "".join(parts)))
+        return []
+
+    def _call_service(self, context: RequestContext, start: StartResponse) -> Iterable[bytes]:
+        """Serve a call to a plain service."""
+        result = self._node.services.call(context)
+        if isinstance(result, Problem):
+            return self._fail(start, result)
+        self._hub.stats.completed += 1
+        return send(start, result.status, result.body, result.content_type)
+
+
+def replace_body(context: RequestContext) -> RequestContext:
+    """Return a request whose body is a small valid one, for the checks before a resume."""
+    body = b'{"model":"-","messages":[{"role":"user","content":""}]}'
+    return RequestContext(
+        context.request_id, context.method, context.path, context.headers, body, context.now
+    )
+
+
+def resume_prefix(key: bytes, workspace: str, runner_id: str, generation: str) -> bytes:
+    """Return the signed part of a stream's resume tokens."""
+    return sign(key, f"{workspace}|{runner_id}|{generation}").encode()
+
+
+def read_resume_token(key: bytes, token: str, workspace: str) -> TakenUp | None:
+    """Return where a resume token goes on, if it is genuine and of this workspace."""
+    signed, _, index = token.rpartition("~")
+    text = verify(key, signed)
+    parts = text.split("|") if text else []
+    if len(parts) != 3 or parts[0] != workspace or not index.isdigit() or len(index) > 9:
+        return None
+    return TakenUp(parts[1], parts[2], int(index) + 1)
+
+
+def read_ticket(key: bytes, ticket: str, workspace: str) -> tuple[str, float]:
+    """Return a ticket's place and when it was first asked; empty if not genuine."""
+    text = verify(key, ticket) if ticket else None
+    parts = text.split("|") if text else []
+    if len(parts) != 3 or parts[1] != workspace:
+        return "", 0.0
+    return parts[0], float(parts[2])
+
+
+def _too_large(limit: int) -> Problem:
+    """Answer 413."""
+    return Problem(CODE_TOO_LARGE, 413, f"the body is over {limit} bytes", Ran.NOT_RUN)
+
+
+def _headers(environ: dict[str, Any]) -> dict[str, str]:
+    """Return the request's headers, with names in lower case."""
+    headers = {
+        name[5:].replace("_", "-").lower(): value
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    if environ.get("CONTENT_TYPE"):
+        headers["content-type"] = environ["CONTENT_TYPE"]
+    return headers
+
+
+def _caller_check(connection: Any) -> Any:
+    """Return a check whether the caller still waits; it looks a few times a second."""
+    state = [0.0, True]
+
+    def waits() -> bool:
+        now = time.monotonic()
+        if now - state[0] >= CALLER_CHECK_S:
+            state[0], state[1] = now, peer_is_there(connection)
+        return bool(state[1])
+
+    return waits
+
+
+def _content(data: bytes) -> str:
+    """Return the text of one chunk."""
+    choice = orjson.loads(data)["choices"][0]
+    return str(choice["delta"].get("content", ""))
+
+
+def _completion(data: bytes, text: str) -> dict[str, Any]:
+    """Return the whole answer in the chat-completions shape."""
+    last = orjson.loads(data)
+    return {
+        "id": last["id"],
+        "object": "chat.completion",
+        "model": last["model"],
+        "choices": [
+            {
+                "index": 0,
+                "message": {"role": "assistant", "content": text},
+                "finish_reason": last["choices"][0]["finish_reason"],
+            }
+        ],
+        "usage": last.get("usage", {}),
+    }
--- /dev/null
+++ b/driftstall/daemon/claims_service.py
@@ -0,0 +1,170 @@
+"""Run the claims: ask a shard's holder as an entry, and hold shards."""
+
+from __future__ import annotations
+
+import uuid
+from typing import Final
+
+import gevent
+import xxhash
+from gevent.event import AsyncResult
+
+from driftstall.const import KEY_CLAIMS, PREFIX_CLAIMS
+from driftstall.controllers.claims import (
+    SHARDS,
+    ClaimAction,
+    ClaimAnswer,
+    ClaimAnswerKind,
+    ClaimAsked,
+    ClaimEvent,
+    ClaimSettled,
+    ClaimsHolder,
+    FlushDue,
+    ReadDone,
+    ReadFailed,
+    ReadShard,
+    WriteConflicted,
+    WriteDone,
+    WriteRefused,
+    WriteShard,
+    WriteUnknown,
+)
+from driftstall.daemon.hub import Hub
+from driftstall.daemon.membership_service import MembershipService
+from driftstall.daemon.wire import shard_from_json, shard_to_json
+from driftstall.decisions.locate import owner_of
+from driftstall.exceptions import PlatformUnavailable
+from driftstall.helpers.log import say
+from driftstall.platform.client import WriteState
+
+FLUSH_S: Final = 0.03
+CLAIM_TIMEOUT_S: Final = 3.0
+
+
+class ClaimsService:
+    """Claim keys through the holders of their shards."""
+
+    def __init__(self, hub: Hub, members: MembershipService) -> None:
+        """Start holding nothing."""
+        self._hub = hub
+        self._members = members
+        self._unique = uuid.uuid4().hex[:12]
+        self._holders: dict[int, ClaimsHolder] = {}
+        self._pending: dict[str, AsyncResult[ClaimAnswer]] = {}
+        hub.on_message(ClaimAsked, self._holder_event)
+        hub.on_message(ClaimSettled, self._holder_event)
+        hub.on_message(ClaimAnswer, self._answered)
+
+    def start(self) -> None:
+        """Start to write groups of claims."""
+        self._hub.every(FLUSH_S, self._flush, PREFIX_CLAIMS)
+
+    def claim(self, key: str, fingerprint: str, nonce: str) -> ClaimAnswer:
+        """Return the answer to a claim; unavailable if none came in time."""
+        shard = _shard_of(key)
+        result: AsyncResult[ClaimAnswer] = AsyncResult()
+        self._pending[nonce] = result
+        own = self._hub.own.instance_id
+        holder = self._holder_of(shard)
+        sent = bool(holder) and self._hub.send(
+            holder, ClaimAsked(own, shard, key, fingerprint, nonce)
+        )
+        try:
+            answer = result.get(timeout=CLAIM_TIMEOUT_S) if sent else None
+        except gevent.Timeout:
+            answer = None
+        del self._pending[nonce]
+        if answer is None:
+            # The claim may still be stored later: free it, since we shall not run.
+            self.settle(key, nonce, ran=False)
+            answer = ClaimAnswer(own, nonce, ClaimAnswerKind.UNAVAILABLE.value)
+        say(PREFIX_CLAIMS, f"Claim {nonce} is {answer.kind}", shard=shard)
+        return answer
+
+    def settle(
+        self,
+        key: str,
+        nonce: str,
+        *,
+        ran: bool,
+        status: int = 0,
+        content_type: str = "",
+        body: str = "",
+    ) -> None:
+        """Record the outcome of a claimed call, or free the key."""
+        shard = _shard_of(key)
+        holder = self._holder_of(shard)
+        if holder:
+            message = ClaimSettled(shard, key, nonce, ran, status, content_type, body)
+            self._hub.send(holder, message)
+
+    def _holder_of(self, shard: int) -> str:
+        """Return the holder of a shard, or empty."""
+        holder = owner_of(f"claims/{shard}", self._members.live)
+        return holder.instance_id if holder else ""
+
+    def _answered(self, _: str, message: ClaimAnswer) -> None:
+        """Take a holder's answer."""
+        pending = self._pending.get(message.nonce)
+        if pending is not None:
+            pending.set(message)
+        elif message.kind == ClaimAnswerKind.GRANTED:
+            # We gave up on this claim; the key was freed by the settle sent then.
+            say(PREFIX_CLAIMS, f"Claim {message.nonce} was granted too late")
+
+    def _holder_event(self, _: str, message: ClaimAsked | ClaimSettled) -> None:
+        """Take an entry's event as the shard's holder."""
+        holder = self._holders.get(message.shard)
+        if holder is None:
+            unique = f"{self._unique}-{message.shard}"
+            holder = ClaimsHolder(message.shard, self._hub.own.instance_id, unique)
+            self._holders[message.shard] = holder
+        self._run(holder, message)
+
+    def _flush(self) -> None:
+        """Write groups of claims."""
+        for shard, holder in list(self._holders.items()):
+            if self._holder_of(shard) == self._hub.own.instance_id or holder.epoch:
+                self._run(holder, FlushDue())
+
+    def _run(self, holder: ClaimsHolder, event: ClaimEvent) -> None:
+        """Hand an event to a holder and carry out its actions."""
+        for action in holder.handle(event, self._hub.wall()):
+            if isinstance(action, ClaimAnswer):
+                self._hub.send(action.entry, action)
+            else:
+                gevent.spawn(self._carry_out, holder, action)
+
+    def _carry_out(self, holder: ClaimsHolder, action: ClaimAction) -> None:
+        """Read or write a shard's object."""
+        if isinstance(action, ReadShard):
+            self._run(holder, self._read(action.shard))
+        elif isinstance(action, WriteShard):
+            self._run(holder, self._write(action))
+
+    def _read(self, shard: int) -> ClaimEvent:
+        """Read a shard's object."""
+        try:
+            stored = self._hub.platform.get(f"{KEY_CLAIMS}/{shard}")
+        except PlatformUnavailable:
+            return ReadFailed()
+        return ReadDone(stored.version, shard_from_json(stored.value))
+
+    def _write(self, action: WriteShard) -> ClaimEvent:
+        """Write a shard's object."""
+        write_id = action.value.write_id
+        key = f"{KEY_CLAIMS}/{action.shard}"
+        try:
+            result = self._hub.platform.put(key, shard_to_json(action.value), action.expected)
+        except PlatformUnavailable:
+            return WriteRefused(write_id)
+        if result.state is WriteState.DONE:
+            return WriteDone(write_id, result.version)
+        if result.state is WriteState.CONFLICT:
+            return WriteConflicted(write_id)
+        return WriteUnknown(write_id)
+
+
+def _shard_of(key: str) -> int:
+    """Return the shard of a key."""
+    return xxhash.xxh3_64_intdigest(key.encode()) % SHARDS
--- /dev/null
+++ b/driftstall/daemon/config_service.py
@@ -0,0 +1,175 @@
+"""Run the configuration controller: watch the platform, peers and submissions."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import gevent
+
+from driftstall.const import KEY_CONFIG, PREFIX_CONFIGURATION
+from driftstall.controllers.configuration import (
+    ConfigChange,
+    ConfigConflicted,
+    ConfigDocument,
+    ConfigOffer,
+    ConfigRead,
+    ConfigReadFailed,
+    ConfigurationController,
+    ConfigWriteUnknown,
+    ConfigWritten,
+    ReadConfig,
+    Submission,
+    SubmitAction,
+    SubmitEvent,
+    SubmitState,
+)
+from driftstall.daemon.hub import Hub
+from driftstall.daemon.membership_service import MembershipService
+from driftstall.daemon.wire import config_from_json, config_to_json
+from driftstall.exceptions import PlatformUnavailable
+from driftstall.helpers.log import say
+from driftstall.peers.messages import ConfigAsked
+from driftstall.platform.client import WriteState
+from driftstall.policy.model import Policy
+from driftstall.policy.parse import parse_policy
+
+WATCH_PAUSE_S: Final = 0.5
+GOSSIP_PERIOD_S: Final = 1.0
+SETTLE_TRIES: Final = 4
+SETTLE_PAUSE_S: Final = 0.25
+
+
+class ConfigService:
+    """Keep the configuration in force on this instance."""
+
+    def __init__(self, hub: Hub, members: MembershipService) -> None:
+        """Start with no configuration."""
+        self._hub = hub
+        self._members = members
+        self._controller = ConfigurationController()
+        self._policy: Policy | None = None
+        self._platform_read = False
+        self._revision = 0
+        hub.on_message(ConfigOffer, self._offered)
+        hub.on_message(ConfigAsked, self._asked)
+
+    @property
+    def document(self) -> ConfigDocument:
+        """Return the configuration in force."""
+        return self._controller.document
+
+    @property
+    def policy(self) -> Policy | None:
+        """Return the policy in force, once there is one."""
+        return self._policy
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether a configuration is in force."""
+        return self._policy is not None
+
+    def start(self) -> None:
+        """Start to watch the platform and to compare with peers."""
+        gevent.spawn(self._watch)
+        self._hub.every(GOSSIP_PERIOD_S, self._compare, PREFIX_CONFIGURATION)
+
+    def submit(self, change: ConfigChange) -> Submission:
+        """Carry an operator's change to the platform, and tell all peers at once."""
+        submission = Submission(change, self.document)
+        actions = submission.start()
+        tries = 0
+        while actions:
+            event = self._carry_out(actions[0])
+            unsettled = isinstance(event, ConfigReadFailed) and (
+                submission.state is SubmitState.SETTLING
+            )
+            if unsettled and tries < SETTLE_TRIES:
+                tries += 1
+                gevent.sleep(SETTLE_PAUSE_S)
+                continue
+            actions = submission.handle(event)
+        say(
+            PREFIX_CONFIGURATION,
+            f"Submission {change.submission} is {submission.state.value}",
+            generation=submission.current.generation,
+        )
+        if submission.accepted is not None:
+            self._take(submission.accepted)
+            self._pass_on(submission.accepted)
+        return submission
+
+    def find(self, submission_id: str) -> SubmitState:
+        """Tell how an earlier submission ended, as far as it can be known."""
+        if submission_id in self.document.submissions:
+            return SubmitState.ACCEPTED
+        event = self._carry_out(ReadConfig())
+        if not isinstance(event, ConfigRead):
+            return SubmitState.UNKNOWN
+        known = submission_id in event.document.submissions
+        return SubmitState.ACCEPTED if known else SubmitState.CONFLICT
+
+    def _carry_out(self, action: SubmitAction) -> SubmitEvent:
+        """Read or write the stored configuration."""
+        try:
+            if isinstance(action, ReadConfig):
+                stored = self._hub.platform.get(KEY_CONFIG)
+                return ConfigRead(stored.version, config_from_json(stored.value))
+            value = config_to_json(action.document)
+            result = self._hub.platform.put(KEY_CONFIG, value, action.expected)
+        except PlatformUnavailable:
+            return ConfigReadFailed()
+        if result.state is WriteState.DONE:
+            return ConfigWritten()
+        if result.state is WriteState.CONFLICT:
+            return ConfigConflicted()
+        return ConfigWriteUnknown()
+
+    def _watch(self) -> None:
+        """Follow the platform's changes for ever."""
+        while True:
+            try:
+                self._revision, changes = self._hub.platform.watch(KEY_CONFIG, self._revision)
+                for one in changes:
+                    self._take(config_from_json(one.value))
+                self._platform_read = True
+            except PlatformUnavailable:
+                # After an outage the platform may have lost its place: begin anew.
+                self._revision = 0
+                gevent.sleep(WATCH_PAUSE_S)
+
+    def _compare(self) -> None:
+        """Ask a random peer whether it has something newer."""
+        own = self._hub.own.instance_id
+        peers = [one.instance_id for one in self._members.live if one.instance_id != own]
+        if peers:
+            peer = self._hub.source.choice(peers)
+            self._hub.send(peer, ConfigAsked(own, self.document.generation))
+
+    def _asked(self, _: str, message: ConfigAsked) -> None:
+        """Answer a peer that may have something older or newer."""
+        own = self._hub.own.instance_id
+        if message.generation < self.document.generation:
+            self._hub.send(message.sender, ConfigOffer(own, self.document))
+        elif message.generation > self.document.generation:
+            self._hub.send(message.sender, ConfigAsked(own, self.document.generation))
+
+    def _offered(self, _: str, message: ConfigOffer) -> None:
+        """Take a peer's configuration if it is newer."""
+        self._take(message.document)
+
+    def _pass_on(self, document: ConfigDocument) -> None:
+        """Send an accepted configuration to every peer."""
+        own = self._hub.own.instance_id
+        for one in self._members.live:
+            if one.instance_id != own:
+                self._hub.send(one.instance_id, ConfigOffer(own, document))
+
+    def _take(self, document: ConfigDocument) -> None:
+        """Put a newer configuration in force."""
+        before = self.document.policy
+        if not self._controller.offer(document):
+            return
+        if document.policy and (document.policy != before or self._policy is None):
+            self._policy = parse_policy(document.policy)
+        say(PREFIX_CONFIGURATION, f"Generation {document.generation} is in force")
+        self._hub.config_changed(document)
--- /dev/null
+++ b/driftstall/daemon/fleet_service.py
@@ -0,0 +1,187 @@
+"""Know the runners: configured, live, leaving; poll those owned here."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+
+import gevent
+
+from driftstall.const import PREFIX_ROUTING
+from driftstall.controllers.configuration import ConfigDocument
+from driftstall.controllers.grant_messages import CacheEvents, RunnerReport
+from driftstall.core import Runner
+from driftstall.daemon.hub import Hub
+from driftstall.daemon.membership_service import MembershipService
+from driftstall.decisions.locate import groups_of
+from driftstall.exceptions import UpstreamError
+from driftstall.helpers.log import say
+from driftstall.peers.messages import RunnerLeaving
+from driftstall.runners.engine import fetch_cache_events, fetch_report
+
+POLL_PERIOD_S: Final = 0.5
+FAILURES_TO_LEAVE: Final = 2
+"""Polls in a row without an answer after which a runner gets no new work."""
+
+
+class FleetService:
+    """Keep the runners and whether they may get new work."""
+
+    def __init__(self, hub: Hub, members: MembershipService) -> None:
+        """Start without runners."""
+        self._hub = hub
+        self._members = members
+        self._runners: dict[str, Runner] = {}
+        self._groups: dict[str, tuple[Runner, ...]] = {}
+        self._said_leaving: set[str] = set()
+        self._failures: dict[str, int] = {}
+        self._loaded: dict[str, str] = {}
+        self._cache_at: dict[str, int] = {}
+        hub.on_config(self._configured)
+        hub.on_message(RunnerLeaving, self._told)
+
+    @property
+    def runners(self) -> dict[str, Runner]:
+        """Return the configured runners by id."""
+        return self._runners
+
+    @property
+    def groups(self) -> dict[str, tuple[Runner, ...]]:
+        """Return the groups of model runners; leaving ones are in them."""
+        return self._groups
+
+    @property
+    def loaded(self) -> dict[str, str]:
+        """Return the model that each polled runner last reported."""
+        return self._loaded
+
+    def may_get_work(self, runner_id: str) -> bool:
+        """Tell whether a runner may get new work."""
+        return (
+            runner_id in self._runners
+            and runner_id not in self._said_leaving
+            and not self._members.listed_leaving(runner_id)
+            and self._failures.get(runner_id, 0) < FAILURES_TO_LEAVE
+        )
+
+    def groups_for(self, model: str) -> tuple[str, ...]:
+        """Return the groups that serve a model."""
+        return tuple(name for name in self._groups if name.rpartition("/")[0] == model)
+
+    def services(self, name: str) -> tuple[Runner, ...]:
+        """Return the runners of a plain service that may get work."""
+        return tuple(
+            one
+            for one in self._runners.values()
+            if one.service == name and self.may_get_work(one.runner_id)
+        )
+
+    def poll(self, group: str, deliver: Callable[[RunnerReport | CacheEvents], None]) -> None:
+        """Fetch the reports and cache events of a group's runners."""
+        jobs = [
+            gevent.spawn(self._poll_runner, group, runner, deliver)
+            for runner in self._groups.get(group, ())
+        ]
+        gevent.joinall(jobs)
+
+    def poll_services(self) -> None:
+        """Find out which plain services answer."""
+        services = [one for one in self._runners.values() if one.service]
+        gevent.joinall([gevent.spawn(self._poll_service, one) for one in services])
+
+    def failed(self, runner_id: str) -> None:
+        """Learn that a connection to a runner was refused."""
+        self._count_failure(runner_id)
+
+    def _poll_runner(
+        self, group: str, runner: Runner, deliver: Callable[[RunnerReport | CacheEvents], None]
+    ) -> None:
+        """Fetch one runner's report and cache events."""
+        runner_id = runner.runner_id
+        try:
+            report = fetch_report(runner)
+            after = self._cache_at.get(runner_id, 0)
+            position, stored, evicted = fetch_cache_events(runner, after)
+        except UpstreamError:
+            self._count_failure(runner_id)
+            return
+        if self._failures.pop(runner_id, 0) >= FAILURES_TO_LEAVE:
+            self._changed()
+        self._loaded[runner_id] = report.model
+        if report.leaving != (runner_id in self._said_leaving):
+            self._spread_leaving(runner_id, report.leaving)
+        deliver(
+            RunnerReport(
+                group,
+                runner_id,
+                report.used_tokens,
+                report.memory_tokens,
+                report.waiting,
+                self._hub.now(),
+            )
+        )
+        self._cache_at[runner_id] = position
+        if stored or evicted:
+            deliver(CacheEvents(group, runner_id, stored, evicted))
+
+    def _poll_service(self, runner: Runner) -> None:
+        """Find out whether one plain service answers."""
+        try:
+            leaving = fetch_report(runner).leaving
+        except UpstreamError:
+            self._count_failure(runner.runner_id)
+            return
+        self._failures.pop(runner.runner_id, None)
+        if leaving != (runner.runner_id in self._said_leaving):
+            self._spread_leaving(runner.runner_id, leaving)
+
+    def _count_failure(self, runner_id: str) -> None:
+        """Count a poll without an answer."""
+        self._failures[runner_id] = self._failures.get(runner_id, 0) + 1
+        if self._failures[runner_id] == FAILURES_TO_LEAVE:
+            say(PREFIX_ROUTING, f"Runner {runner_id} does not answer and gets no new work")
+            self._changed()
+
+    def _spread_leaving(self, runner_id: str, leaving: bool) -> None:
+        """Take a runner's own word and pass it on to all peers."""
+        self._mark(runner_id, leaving)
+        for one in self._members.live:
+            if one.instance_id != self._hub.own.instance_id:
+                self._hub.send(one.instance_id, RunnerLeaving(runner_id, leaving))
+
+    def _told(self, _: str, message: RunnerLeaving) -> None:
+        """Learn from a peer that a runner is leaving or back."""
+        self._mark(message.runner_id, message.leaving)
+
+    def _mark(self, runner_id: str, leaving: bool) -> None:
+        """Mark a runner as leaving or not."""
+        if leaving == (runner_id in self._said_leaving):
+            return
+        if leaving:
+            self._said_leaving.add(runner_id)
+        else:
+            self._said_leaving.discard(runner_id)
+        word = "is leaving and gets no new work" if leaving else "is back"
+        say(PREFIX_ROUTING, f"Runner {runner_id} {word}")
+        self._changed()
+
+    def _changed(self) -> None:
+        """Tell listeners that runners changed."""
+        self._hub.members_changed()
+
+    def _configured(self, document: ConfigDocument) -> None:
+        """Take over the configured runners."""
+        self._runners = {
+            one.runner_id: Runner(
+                one.runner_id,
+                one.address,
+                one.zone,
+                one.model,
+                one.service,
+                one.memory_tokens,
+                one.checks_fences,
+            )
+            for one in document.runners
+        }
+        self._groups = groups_of(self._runners.values())
+        self._changed()
--- /dev/null
+++ b/driftstall/daemon/hub.py
@@ -0,0 +1,105 @@
+"""Connect the services of one instance: clocks, listeners and peers."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+
+from driftstall.controllers.configuration import ConfigDocument
+from driftstall.core import Instance
+from driftstall.daemon.settings import Settings
+from driftstall.daemon.stats import Stats
+from driftstall.helpers.log import say
+from driftstall.peers.link import PeerLinks
+from driftstall.peers.messages import PeerMessage
+from driftstall.platform.client import PlatformClient
+
+Handler = Callable[[str, Any], None]
+
+
+class Hub:
+    """Hold what all services of one instance share."""
+
+    def __init__(self, settings: Settings) -> None:
+        """Build the links to peers and to the platform."""
+        self.settings = settings
+        self.own = Instance(
+            settings.instance_id, settings.listen, settings.peer_listen, settings.zone
+        )
+        self.source = random.Random()
+        self.platform = PlatformClient(settings.platform, settings.platform_token)
+        self.key = settings.peer_key.encode()
+        self.links = PeerLinks(settings.instance_id, settings.peer_listen, self.key, self._receive)
+        self.stats = Stats()
+        self._handlers: dict[type, Handler] = {}
+        self._config_listeners: list[Callable[[ConfigDocument], None]] = []
+        self._member_listeners: list[Callable[[], None]] = []
+        self._address_of: Callable[[str], str | None] = lambda _: None
+
+    @staticmethod
+    def now() -> float:
+        """Return the monotonic clock, in seconds."""
+        return time.monotonic()
+
+    @staticmethod
+    def wall() -> float:
+        """Return the wall clock, in seconds."""
+        return time.time()
+
+    def on_message(self, kind: type, handler: Handler) -> None:
+        """Register who handles a kind of peer message."""
+        self._handlers[kind] = handler
+
+    def on_config(self, listener: Callable[[ConfigDocument], None]) -> None:
+        """Register who wants to know of a new configuration."""
+        self._config_listeners.append(listener)
+
+    def on_members(self, listener: Callable[[], None]) -> None:
+        """Register who wants to know of changes among instances."""
+        self._member_listeners.append(listener)
+
+    def use_addresses(self, address_of: Callable[[str], str | None]) -> None:
+        """Take over how a peer's address is found."""
+        self._address_of = address_of
+
+    def config_changed(self, document: ConfigDocument) -> None:
+        """Tell listeners of a new configuration."""
+        for listener in self._config_listeners:
+            listener(document)
+
+    def members_changed(self) -> None:
+        """Tell listeners of a change among instances."""
+        for listener in self._member_listeners:
+            listener()
+
+    def send(self, recipient: str, message: PeerMessage) -> bool:
+        """Send to an instance by its id; return whether its address is known."""
+        address = self._address_of(recipient)
+        if address is None:
+            return False
+        self.stats.messages_sent += 1
+        self.links.send(recipient, address, message)
+        return True
+
+    def _receive(self, sender: str, message: PeerMessage) -> None:
+        """Hand a peer's message to its handler."""
+        self.stats.messages_received += 1
+        self._handlers[type(message)](sender, message)
+
+    def every(self, period_s: float, work: Callable[[], None], prefix: str) -> None:
+        """Do something again and again in a greenlet; a fault is logged, not fatal."""
+        gevent.spawn(self._loop, period_s, work, prefix)
+
+    def _loop(self, period_s: float, work: Callable[[], None], prefix: str) -> None:
+        """Run work periodically, with a little jitter."""
+        while True:
+            try:
+                work()
+            except Exception as fault:
+                say(prefix, f"A periodic task failed with {type(fault).__name__}: {fault}")
+                self.stats.task_failures += 1
+            gevent.sleep(period_s * (0.9 + 0.2 * self.source.random()))
--- /dev/null
+++ b/driftstall/daemon/membership_service.py
@@ -0,0 +1,105 @@
+"""Run the membership controller: probes, the platform's list and its own row."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from driftstall.const import PREFIX_MEMBERSHIP
+from driftstall.controllers.membership import (
+    Ack,
+    Leave,
+    MembershipAction,
+    MembershipController,
+    MembershipEvent,
+    Period,
+    Ping,
+    PingRequest,
+    Seeds,
+    SendTo,
+)
+from driftstall.core import Instance
+from driftstall.daemon.hub import Hub
+from driftstall.exceptions import PlatformUnavailable
+from driftstall.helpers.log import say
+from driftstall.platform.client import ListedMember
+
+PERIOD_S: Final = 0.1
+LIST_PERIOD_S: Final = 1.0
+ROLE_ENTRY: Final = "entry"
+ROLE_RUNNER: Final = "runner"
+
+
+class MembershipService:
+    """Keep the member list of this instance."""
+
+    def __init__(self, hub: Hub) -> None:
+        """Build the controller; its incarnation grows with each start."""
+        self._hub = hub
+        incarnation = int(hub.wall() * 1000)
+        self._controller = MembershipController(hub.own, incarnation, hub.source)
+        self._listed_runners: dict[str, bool] = {}
+        hub.use_addresses(self._controller.address_of)
+        for kind in (Ping, Ack, PingRequest):
+            hub.on_message(kind, self._receive)
+
+    @property
+    def live(self) -> tuple[Instance, ...]:
+        """Return the instances that are not dead."""
+        return self._controller.live
+
+    def start(self) -> None:
+        """Start to probe and to read the platform's list."""
+        self._hub.every(PERIOD_S, self._period, PREFIX_MEMBERSHIP)
+        self._hub.every(LIST_PERIOD_S, self._read_list, PREFIX_MEMBERSHIP)
+
+    def leave(self) -> None:
+        """Tell peers that this instance is leaving."""
+        self._apply(Leave())
+
+    def listed_leaving(self, runner_id: str) -> bool:
+        """Tell whether the platform's list shows a runner as leaving."""
+        return self._listed_runners.get(runner_id, False)
+
+    def _period(self) -> None:
+        """Let time pass in the controller."""
+        self._apply(Period())
+
+    def _receive(self, _: str, message: Ping | Ack | PingRequest) -> None:
+        """Take a peer's message."""
+        self._apply(message)
+
+    def _read_list(self) -> None:
+        """Take over what the platform's list shows."""
+        try:
+            listed = self._hub.platform.members()
+        except PlatformUnavailable:
+            return
+        seeds = tuple(_instance(one) for one in listed if one.role == ROLE_ENTRY)
+        self._apply(Seeds(tuple(one for one in seeds if not one.leaving)))
+        runners = {one.member_id: one.leaving for one in listed if one.role == ROLE_RUNNER}
+        if runners != self._listed_runners:
+            self._listed_runners = runners
+            self._hub.members_changed()
+
+    def _apply(self, event: MembershipEvent) -> None:
+        """Hand an event to the controller and carry out its actions."""
+        actions = self._controller.handle(event, self._hub.now())
+        changed = [one for one in actions if not self._carry_out(one)]
+        if changed:
+            self._hub.members_changed()
+
+    def _carry_out(self, action: MembershipAction) -> bool:
+        """Carry out one action; return whether it was a message."""
+        if isinstance(action, SendTo):
+            self._hub.send(action.recipient, action.message)
+            return True
+        if action.instance_id != self._hub.own.instance_id:
+            say(PREFIX_MEMBERSHIP, f"Instance {action.instance_id} is {action.health}")
+        return False
+
+
+def _instance(listed: ListedMember) -> Instance:
+    """Return an instance from a row of the platform's list."""
+    return Instance(
+        listed.member_id, listed.address, listed.peer_address, listed.zone, listed.leaving
+    )
--- /dev/null
+++ b/driftstall/daemon/node.py
@@ -0,0 +1,95 @@
+"""Put the services of one instance together."""
+
+from __future__ import annotations
+
+from driftstall.const import PREFIX_DRAIN, PREFIX_ROUTING
+from driftstall.controllers.drain import (
+    AnnounceLeaving,
+    DrainController,
+    DrainEvent,
+    DrainPeriod,
+    DrainPhase,
+    StopAsked,
+)
+from driftstall.core import Instance
+from driftstall.daemon.claims_service import ClaimsService
+from driftstall.daemon.config_service import ConfigService
+from driftstall.daemon.fleet_service import FleetService
+from driftstall.daemon.grants_service import GrantsService
+from driftstall.daemon.hub import Hub
+from driftstall.daemon.membership_service import MembershipService
+from driftstall.daemon.placement_service import PlacementService
+from driftstall.daemon.relay_service import RelayService
+from driftstall.daemon.service_calls import ServiceCalls
+from driftstall.daemon.settings import Settings
+from driftstall.helpers.log import say
+
+DRAIN_PERIOD_S = 0.2
+SERVICE_POLL_S = 1.0
+
+
+class Node:
+    """Hold the services of one instance."""
+
+    def __init__(self, settings: Settings) -> None:
+        """Build the services; nothing runs yet."""
+        self.hub = Hub(settings)
+        self.members = MembershipService(self.hub)
+        self.config = ConfigService(self.hub, self.members)
+        self.fleet = FleetService(self.hub, self.members)
+        self.grants = GrantsService(self.hub, self.members, self.config, self.fleet)
+        self.claims = ClaimsService(self.hub, self.members)
+        self.placement = PlacementService(self.hub, self.members, self.fleet)
+        self.relay = RelayService(self.hub, self.fleet, self.grants)
+        self.services = ServiceCalls(self.hub, self.fleet, self.claims)
+        self._drain = DrainController(settings.locate_keep)
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether requests can be served."""
+        return self.config.ready
+
+    @property
+    def drain_phase(self) -> DrainPhase:
+        """Return the phase of a planned stop."""
+        return self._drain.phase
+
+    @property
+    def stopped(self) -> bool:
+        """Tell whether a planned stop has come to its end."""
+        return self._drain.phase is DrainPhase.STOPPED
+
+    def start(self) -> None:
+        """Start all services."""
+        self.hub.links.start()
+        self.members.start()
+        self.config.start()
+        self.grants.start()
+        self.claims.start()
+        self.placement.start()
+        self.hub.every(SERVICE_POLL_S, self.fleet.poll_services, PREFIX_ROUTING)
+        self.hub.every(DRAIN_PERIOD_S, self._drain_period, PREFIX_DRAIN)
+
+    def locatable(self) -> tuple[Instance, ...]:
+        """Return the instances that callers may be sent to."""
+        own = self.hub.own.instance_id
+        return tuple(
+            one for one in self.members.live if one.instance_id != own or self._drain.located
+        )
+
+    def ask_stop(self) -> None:
+        """Begin a planned stop."""
+        self._run_drain(StopAsked())
+
+    def _drain_period(self) -> None:
+        """Let time pass in a planned stop."""
+        self._run_drain(DrainPeriod(self.hub.stats.open_requests))
+
+    def _run_drain(self, event: DrainEvent) -> None:
+        """Hand an event to the drain controller and carry out its actions."""
+        for action in self._drain.handle(event, self.hub.now()):
+            if isinstance(action, AnnounceLeaving):
+                say(PREFIX_DRAIN, "This instance is leaving")
+                self.members.leave()
+            else:
+                say(PREFIX_DRAIN, "Nothing is open any more, this instance stops")
--- /dev/null
+++ b/driftstall/daemon/operators.py
@@ -0,0 +1,234 @@
+"""Serve operators on a listener of their own, with a token."""
+
+from __future__ import annotations
+
+import hmac
+import uuid
+from collections.abc import Iterable
+from typing import Any, Final
+
+import orjson
+import voluptuous as vol
+
+from driftstall.const import CODE_BAD_REQUEST, CODE_NOT_FOUND, CODE_UNAUTHENTICATED, VERSION
+from driftstall.controllers.configuration import (
+    ConfigChange,
+    RunnerConfig,
+    SubmitState,
+    WorkspaceConfig,
+)
+from driftstall.core import Problem, Ran
+from driftstall.daemon.answers import StartResponse, send, send_json, send_problem
+from driftstall.daemon.node import Node
+from driftstall.daemon.stats import COUNTERS, render
+from driftstall.daemon.wire import config_to_json
+from driftstall.exceptions import PolicyError
+from driftstall.policy.evaluate import explain
+from driftstall.policy.model import Facts
+from driftstall.policy.parse import parse_policy
+
+MAX_BODY_BYTES: Final = 1_000_000
+SUBMIT_STATUS: Final = {
+    SubmitState.ACCEPTED: 200,
+    SubmitState.CONFLICT: 409,
+    SubmitState.UNKNOWN: 504,
+    SubmitState.UNREACHABLE: 503,
+}
+_TEXT: Final = vol.All(str, vol.Length(max=256))
+WORKSPACE: Final = vol.Schema(
+    {
+        vol.Required("name"): vol.All(_TEXT, vol.Match(r"^[\w.-]+$")),
+        vol.Required("key_sha256"): _TEXT,
+    }
+)
+RUNNER: Final = vol.Schema(
+    {
+        vol.Required("runner_id"): vol.All(_TEXT, vol.Match(r"^[\w.-]+$")),
+        vol.Required("address"): _TEXT,
+        vol.Required("zone"): _TEXT,
+        vol.Optional("model", default=""): _TEXT,
+        vol.Optional("service", default=""): _TEXT,
+        vol.Optional("memory_tokens", default=0): vol.All(int, vol.Range(min=0, max=100_000_000)),
+        vol.Optional("checks_fences", default=True): bool,
+    }
+)
+CHANGE: Final = vol.Schema(
+    {
+        vol.Optional("submission"): vol.All(_TEXT, vol.Match(r"^[\w.-]+$")),
+        vol.Optional("base_generation", default=None): vol.Any(None, int),
+        vol.Optional("policy"): str,
+        vol.Optional("workspaces"): [WORKSPACE],
+        vol.Optional("runners"): [RUNNER],
+    }
+)
+FACTS: Final = vol.Schema(
+    {
+        vol.Required("kind"): _TEXT,
+        vol.Required("workspace"): _TEXT,
+        vol.Optional("model", default=""): _TEXT,
+        vol.Optional("input_tokens", default=0): int,
+        vol.Optional("max_tokens", default=0): int,
+        vol.Optional("load", default=0.0): vol.Coerce(float),
+        vol.Optional("hour", default=12): int,
+    }
+)
+
+
+class OperatorsApp:
+    """Answer operators over WSGI."""
+
+    def __init__(self, node: Node) -> None:
+        """Take the instance that is operated."""
+        self._node = node
+        self._token = node.hub.settings.operator_token
+
+    def __call__(self, environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
+        """Serve one call."""
+        route = f"{environ['REQUEST_METHOD']} {environ['PATH_INFO']}"
+        if route == "GET /metrics":
+            return send(start, 200, render(self._node.hub.stats, self._gauges()), "text/plain")
+        header = environ.get("HTTP_AUTHORIZATION", "")
+        if not hmac.compare_digest(header.encode(), f"Bearer {self._token}".encode()):
+            detail = "send the operator token as 'Authorization: Bearer TOKEN'"
+            return send_problem(start, Problem(CODE_UNAUTHENTICATED, 401, detail, Ran.NOT_RUN))
+        try:
+            return self._route(route, environ, start)
+        except vol.Invalid as invalid:
+            return send_problem(start, _bad(str(invalid)))
+        except PolicyError as fault:
+            return send_problem(start, _bad(str(fault)))
+        except orjson.JSONDecodeError:
+            return send_problem(start, _bad("the body is not JSON"))
+
+    def _route(self, route: str, environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
+        """Serve one authenticated call."""
+        if route == "GET /operator/config":
+            return send_json(start, 200, config_to_json(self._node.config.document))
+        if route == "PUT /operator/config":
+            return self._submit(_body(environ), start)
+        if route.startswith("GET /operator/submissions/"):
+            state = self._node.config.find(route.rpartition("/")[2])
+            return send_json(start, 200, {"state": state.value})
+        if route == "POST /operator/explain":
+            return self._explain(_body(environ), start)
+        if route == "GET /operator/status":
+            return send_json(start, 200, self._status())
+        if route == "POST /operator/drain":
+            self._node.ask_stop()
+            return send_json(start, 200, {"phase": self._node.drain_phase.value})
+        return send_problem(start, Problem(CODE_NOT_FOUND, 404, f"no {route}", Ran.NOT_RUN))
+
+    def _submit(self, raw: Any, start: StartResponse) -> Iterable[bytes]:
+        """Check a change, then carry it to the platform."""
+        checked = CHANGE(raw)
+        if "policy" in checked:
+            parse_policy(checked["policy"])
+        change = ConfigChange(
+            checked.get("submission", uuid.uuid4().hex),
+            checked["base_generation"],
+            checked.get("policy"),
+            _items(WorkspaceConfig, checked.get("workspaces")),
+            _items(RunnerConfig, checked.get("runners")),
+        )
+        submission = self._node.config.submit(change)
+        answer: dict[str, Any] = {
+            "submission": change.submission,
+            "state": submission.state.value,
+            "generation": submission.current.generation,
+        }
+        if submission.accepted is not None:
+            answer["generation"] = submission.accepted.generation
+        if submission.state is SubmitState.CONFLICT:
+            answer["current"] = config_to_json(submission.current)
+        return send_json(start, SUBMIT_STATUS[submission.state], answer)
+
+    def _explain(self, raw: Any, start: StartResponse) -> Iterable[bytes]:
+        """Tell which rule would decide about a request."""
+        policy = self._node.config.policy
+        if policy is None:
+            return send_problem(start, _bad("no policy is in force yet"))
+        return send_json(start, 200, explain(policy, Facts(**FACTS(raw))))
+
+    def _gauges(self) -> dict[str, float]:
+        """Return what is read when metrics are asked for."""
+        node = self._node
+        return {
+            "waiting_requests": sum(one.waiting for one in node.grants.owned.values()),
+            "memory_share": node.grants.load(),
+            "live_instances": len(node.members.live),
+            "config_generation": node.config.document.generation,
+            "peer_dropped_messages": node.hub.links.dropped,
+            "peer_rejected_messages": node.hub.links.rejected,
+            "peer_sent_bytes": node.hub.links.sent_bytes,
+        }
+
+    def _status(self) -> dict[str, Any]:
+        """Describe this instance and what it knows of the others."""
+        node = self._node
+        return {
+            "instance": node.hub.own.instance_id,
+            "version": VERSION,
+            "ready": node.ready,
+            "phase": node.drain_phase.value,
+            "generation": node.config.document.generation,
+            "policy": node.config.policy.name if node.config.policy else "",
+            "counters": {name: getattr(node.hub.stats, name) for name in COUNTERS},
+            "gauges": self._gauges(),
+            "instances": [
+                {
+                    "instance": one.instance_id,
+                    "zone": one.zone,
+                    "address": one.address,
+                    "state": "leaving" if one.leaving else "live",
+                }
+                for one in node.members.live
+            ],
+            "runners": self._runners(),
+            "groups": {
+                name: {
+                    "owner": node.grants.owner_for(name),
+                    "runners": [one.runner_id for one in runners],
+                }
+                for name, runners in node.fleet.groups.items()
+            },
+        }
+
+    def _runners(self) -> list[dict[str, Any]]:
+        """Describe the runners; the forecast is known only to their owner."""
+        node = self._node
+        states = {}
+        for controller in node.grants.owned.values():
+            states.update(controller.runners)
+        rows = []
+        for one in node.fleet.runners.values():
+            state = states.get(one.runner_id)
+            rows.append(
+                {
+                    "runner": one.runner_id,
+                    "zone": one.zone,
+                    "serves": one.model or one.service,
+                    "state": "live" if node.fleet.may_get_work(one.runner_id) else "leaving",
+                    "open": len(state.grants) if state else None,
+                    "memory": one.memory_tokens,
+                    "forecast": round(state.hold.peak(0.0)) if state else None,
+                }
+            )
+        return rows
+
+
+def _body(environ: dict[str, Any]) -> Any:
+    """Read a JSON body within the limit."""
+    raw = environ["wsgi.input"].read(MAX_BODY_BYTES + 1)
+    if len(raw) > MAX_BODY_BYTES:
+        raise vol.Invalid(f"the body is over {MAX_BODY_BYTES} bytes")
+    return orjson.loads(raw)
+
+
+def _bad(detail: str) -> Problem:
+    """Answer 400."""
+    return Problem(CODE_BAD_REQUEST, 400, detail, Ran.NOT_RUN)
+
+
+def _items(kind: Any, raw: list[dict[str, Any]] | None) -> Any:
+    """Build data classes from checked rows; none leaves the part as it is."""
+    return None if raw is None else tuple(kind(**one) for one in raw)
--- /dev/null
+++ b/driftstall/daemon/placement_service.py
@@ -0,0 +1,105 @@
+"""Run the placement controller: hold the lease and order engines."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import gevent
+
+from driftstall.const import KEY_LEASE, PREFIX_PLACEMENT
+from driftstall.controllers.placement import (
+    LeaseLost,
+    LeaseRead,
+    LeaseWritten,
+    OrderLoad,
+    PlacementAction,
+    PlacementController,
+    PlacementEvent,
+    PlacementPeriod,
+    ReadLease,
+    WantedModel,
+    WriteLease,
+)
+from driftstall.daemon.fleet_service import FleetService
+from driftstall.daemon.hub import Hub
+from driftstall.daemon.membership_service import MembershipService
+from driftstall.daemon.wire import lease_from_json, lease_to_json
+from driftstall.decisions.locate import owner_of
+from driftstall.exceptions import PlatformUnavailable, UpstreamError
+from driftstall.helpers.log import say
+from driftstall.platform.client import WriteState
+from driftstall.runners.engine import fetch_report, order_load
+
+PERIOD_S: Final = 1.0
+LEASE_KEY: Final = f"{KEY_LEASE}/placement"
+
+
+class PlacementService:
+    """Order engines to serve the configured models, while the lease holds."""
+
+    def __init__(self, hub: Hub, members: MembershipService, fleet: FleetService) -> None:
+        """Start without the lease."""
+        self._hub = hub
+        self._members = members
+        self._fleet = fleet
+        self._controller = PlacementController(hub.own.instance_id)
+
+    def start(self) -> None:
+        """Start the periodic work."""
+        self._hub.every(PERIOD_S, self._period, PREFIX_PLACEMENT)
+
+    def _period(self) -> None:
+        """Renew the lease and order what differs from the configuration."""
+        first = owner_of("placement", self._members.live)
+        is_first = first is not None and first.instance_id == self._hub.own.instance_id
+        if not is_first and not self._controller.holds(self._hub.now()):
+            return
+        self._run(PlacementPeriod(is_first, self._wanted() if is_first else ()))
+
+    def _wanted(self) -> tuple[WantedModel, ...]:
+        """Return what each model runner is to serve, and what it reports."""
+        wanted = []
+        for one in self._fleet.runners.values():
+            if not one.model:
+                continue
+            try:
+                loaded = fetch_report(one).model
+            except UpstreamError:
+                continue
+            if loaded:
+                wanted.append(WantedModel(one.runner_id, one.model, loaded, one.checks_fences))
+        return tuple(wanted)
+
+    def _run(self, event: PlacementEvent) -> None:
+        """Hand an event to the controller and carry out its actions."""
+        for action in self._controller.handle(event, self._hub.now()):
+            follow_up = self._carry_out(action)
+            if follow_up is not None:
+                self._run(follow_up)
+
+    def _carry_out(self, action: PlacementAction) -> PlacementEvent | None:
+        """Read or write the lease, or send an order."""
+        if isinstance(action, OrderLoad):
+            self._order(action)
+            return None
+        try:
+            if isinstance(action, ReadLease):
+                stored = self._hub.platform.get(LEASE_KEY)
+                return LeaseRead(stored.version, lease_from_json(stored.value))
+            assert isinstance(action, WriteLease)
+            value = lease_to_json(action.lease)
+            result = self._hub.platform.put(LEASE_KEY, value, action.expected)
+        except PlatformUnavailable:
+            return LeaseLost()
+        if result.state is WriteState.DONE:
+            return LeaseWritten(result.version)
+        return LeaseLost()
+
+    def _order(self, order: OrderLoad) -> None:
+        """Send one order, if the lease still holds right before."""
+        runner = self._fleet.runners.get(order.runner_id)
+        if runner is None or self._hub.now() >= order.not_after:
+            return
+        sentence = f"Runner {order.runner_id} is ordered to serve {order.model}"
+        say(PREFIX_PLACEMENT, sentence, fence=order.fence)
+        gevent.spawn(order_load, runner, order.model, order.fence)
--- /dev/null
+++ b/driftstall/daemon/relay_service.py
@@ -0,0 +1,326 @@
+"""Carry one generation's stream between a runner and the caller."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, replace
+from typing import Any, Final
+
+import gevent
+import orjson
+
+from driftstall.const import CODE_NO_RUNNER, PREFIX_RELAY
+from driftstall.controllers.grant_messages import Granted
+from driftstall.controllers.relay import RelayMachine
+from driftstall.controllers.relay_messages import (
+    AskGrant,
+    CallerGone,
+    CancelStream,
+    CloseGrant,
+    Complete,
+    DeadlinePassed,
+    Deliver,
+    Fail,
+    GrantArrived,
+    GrantRefused,
+    OpenStream,
+    RelayAction,
+    RelayEvent,
+    ResumeStream,
+    Started,
+    StreamEnded,
+    StreamFailed,
+    TakenUp,
+    TokenArrived,
+)
+from driftstall.core import PrefixMark, Problem, Ran, Request, Verdict
+from driftstall.daemon.fleet_service import FleetService
+from driftstall.daemon.grants_service import GrantsService, with_id
+from driftstall.daemon.hub import Hub
+from driftstall.decisions.retry import RetryBudget
+from driftstall.exceptions import UpstreamError
+from driftstall.helpers.log import say
+from driftstall.runners.engine import (
+    EngineEnd,
+    EngineEvent,
+    EngineToken,
+    RunnerSaidNo,
+    control,
+    open_stream,
+    resume_stream,
+)
+
+RESUME_PAUSE_S: Final = 0.1
+EngineStream = Iterator[EngineEvent]
+
+
+@dataclass(frozen=True, slots=True)
+class Token:
+    """Give the caller one token."""
+
+    generation: str
+    index: int
+    runner_id: str
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Whole:
+    """Tell the caller that the answer is whole."""
+
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """Tell the caller why the answer is not whole."""
+
+    problem: Problem
+
+
+RelayItem = Token | Whole | Ended
+
+
+class RelayService:
+    """Build relays; they share the retry budget."""
+
+    def __init__(self, hub: Hub, fleet: FleetService, grants: GrantsService) -> None:
+        """Start with a fresh retry budget."""
+        self.hub = hub
+        self.fleet = fleet
+        self.grants = grants
+        self.budget = RetryBudget()
+
+    def begin(
+        self,
+        request: Request,
+        verdict: Verdict,
+        payload: dict[str, Any],
+        ticket: str,
+        caller_waits: Callable[[], bool],
+    ) -> Relay:
+        """Return the relay of a new request."""
+        machine = RelayMachine(request.request_id, self.budget)
+        relay = Relay(self, machine, request, verdict, payload, caller_waits)
+        relay.ticket = ticket
+        relay.first = Started()
+        return relay
+
+    def take_up(
+        self,
+        request: Request,
+        verdict: Verdict,
+        place: TakenUp,
+        caller_waits: Callable[[], bool],
+    ) -> Relay:
+        """Return the relay that goes on with a generation from a resume token."""
+        machine = RelayMachine(request.request_id, self.budget)
+        relay = Relay(self, machine, request, verdict, {}, caller_waits)
+        relay.first = place
+        return relay
+
+
+class Relay:
+    """Carry out one relay machine's actions, as an iterator for the caller."""
+
+    def __init__(
+        self,
+        service: RelayService,
+        machine: RelayMachine,
+        request: Request,
+        verdict: Verdict,
+        payload: dict[str, Any],
+        caller_waits: Callable[[], bool],
+    ) -> None:
+        """Take what describes the request."""
+        self._service = service
+        self._hub = service.hub
+        self._machine = machine
+        self._request = request
+        self._verdict = verdict
+        self._payload = payload
+        self._caller_waits = caller_waits
+        self._stream: EngineStream | None = None
+        self._reply: PrefixMark | None = None
+        self._out: list[RelayItem] = []
+        self._grant_ids: set[str] = set()
+        self.ticket = ""
+        self.first: RelayEvent = Started()
+
+    def __iter__(self) -> Iterator[RelayItem]:
+        """Yield tokens as they come, then one end."""
+        try:
+            self._feed(self.first)
+            yield from self._drain()
+            while not self._machine.done:
+                yield from self._pump()
+                yield from self._drain()
+        finally:
+            self._leave()
+
+    def _leave(self) -> None:
+        """Free everything if the caller vanished."""
+        if not self._machine.done:
+            self._caller_left()
+        self._drop_stream()
+
+    def _caller_left(self) -> None:
+        """Give the request up, since nobody waits for it."""
+        self._hub.stats.callers_gone += 1
+        say(PREFIX_RELAY, f"The caller of request {self._request.request_id} has gone")
+        self._feed(CallerGone())
+
+    def _drain(self) -> Iterator[RelayItem]:
+        """Yield what the actions have put out."""
+        out, self._out = self._out, []
+        yield from out
+
+    def _pump(self) -> Iterator[RelayItem]:
+        """Read the runner's stream until it ends or breaks."""
+        stream = self._stream
+        if stream is None:
+            return
+        machine, request_id = self._machine, self._machine.grant_id
+        runner_id, deadline = machine.runner_id, self._request.deadline
+        grants, stats = self._service.grants, self._hub.stats
+        try:
+            for event in stream:
+                if type(event) is EngineToken:
+                    if machine.accept(event.generation, event.index):
+                        grants.progress(request_id, event.index + 1)
+                        stats.tokens += 1
+                        yield Token(event.generation, event.index, runner_id, event.data)
+                    else:
+                        self._feed(TokenArrived(event.generation, event.index, event.data))
+                elif isinstance(event, EngineEnd):
+                    self._reply = _reply_mark(event.data)
+                    self._feed(StreamEnded(event.generation, event.total, event.data))
+                elif not self._caller_waits():
+                    self._caller_left()
+                    return
+                if self._out or self._stream is not stream or machine.done:
+                    return
+                if time.time() > deadline:
+                    self._feed(DeadlinePassed())
+                    return
+        except UpstreamError as fault:
+            self._broken(fault)
+
+    def _broken(self, fault: UpstreamError) -> None:
+        """Tell the machine that the stream broke."""
+        gone = isinstance(fault, RunnerSaidNo) and fault.gone
+        generation = self._machine.generation
+        say(PREFIX_RELAY, f"The stream of {generation} broke: {fault}")
+        self._drop_stream()
+        self._feed(StreamFailed(generation, fault.sent, gone, str(fault)))
+
+    def _drop_stream(self) -> None:
+        """Close the runner's stream."""
+        stream, self._stream = self._stream, None
+        if stream is not None:
+            stream.close()  # type: ignore[attr-defined]
+
+    def _feed(self, event: RelayEvent) -> None:
+        """Hand an event to the machine and carry out its actions."""
+        for action in self._machine.handle(event):
+            self._carry_out(action)
+
+    def _carry_out(self, action: RelayAction) -> None:
+        """Carry out one action."""
+        match action:
+            case AskGrant():
+                self._ask(action)
+            case OpenStream():
+                self._open(action)
+            case ResumeStream():
+                self._resume(action)
+            case CancelStream():
+                runner = self._service.fleet.runners.get(action.runner_id)
+                if runner is not None:
+                    gevent.spawn(control, runner, action.generation, "cancel")
+            case CloseGrant():
+                self._service.grants.close(
+                    action.grant_id, action.produced, action.finished, self._reply
+                )
+            case Deliver():
+                self._hub.stats.tokens += 1
+                token = Token(action.generation, action.index, self._machine.runner_id, action.data)
+                self._out.append(token)
+            case Complete():
+                self._drop_stream()
+                self._out.append(Whole(action.data))
+            case Fail():
+                self._drop_stream()
+                self._out.append(Ended(action.problem))
+
+    def _ask(self, action: AskGrant) -> None:
+        """Wait for a grant."""
+        if self._grant_ids:
+            self._hub.stats.retries += 1
+        self._grant_ids.add(action.grant_id)
+        request = with_id(self._request, action.grant_id)
+        ticket, self.ticket = self.ticket, ""
+        answer = self._service.grants.acquire(
+            request, self._verdict, ticket, action.avoid, self._keep_waiting
+        )
+        if isinstance(answer, Granted):
+            self._feed(GrantArrived(answer.runner_id, answer.rank))
+        elif isinstance(answer, Problem):
+            self._feed(GrantRefused(answer))
+        elif time.time() > self._request.deadline:
+            self._feed(DeadlinePassed())
+        else:
+            self._caller_left()
+
+    def _keep_waiting(self) -> bool:
+        """Tell whether the caller still waits for a grant."""
+        return time.time() <= self._request.deadline and self._caller_waits()
+
+    def _open(self, action: OpenStream) -> None:
+        """Start the generation on its runner."""
+        runner = self._service.fleet.runners.get(action.runner_id)
+        try:
+            if runner is None:
+                raise UpstreamError("the runner is not configured any more", sent=False)
+            self._stream = open_stream(runner, action.generation, self._payload, action.rank)
+        except UpstreamError as fault:
+            self._service.fleet.failed(action.runner_id)
+            self._broken(fault)
+
+    def _resume(self, action: ResumeStream) -> None:
+        """Take the generation up again on its runner."""
+        self._hub.stats.resumes += 1
+        self._drop_stream()
+        runner = self._service.fleet.runners.get(action.runner_id)
+        sentence = f"Request {action.generation} goes on from token {action.next_index}"
+        say(PREFIX_RELAY, sentence, runner=action.runner_id)
+        if runner is None:
+            detail = "the runner is not configured any more"
+            problem = Problem(CODE_NO_RUNNER, 502, detail, Ran.UNKNOWN)
+            self._feed(GrantRefused(problem))
+            return
+        try:
+            self._stream = resume_stream(runner, action.generation, action.next_index)
+        except UpstreamError as fault:
+            gevent.sleep(RESUME_PAUSE_S)
+            self._broken(fault)
+
+
+def taken_up_request(workspace: str, request_id: str, now: float, deadline: float) -> Request:
+    """Describe a request that goes on with a generation started elsewhere."""
+    return Request(request_id, workspace, "resume", "", 0, 1, (), now, deadline)
+
+
+def fresh_wait(request: Request, asked_at: float) -> Request:
+    """Return a request that keeps the time it was first asked."""
+    return replace(request, asked_at=min(request.asked_at, asked_at))
+
+
+def _reply_mark(data: bytes) -> PrefixMark | None:
+    """Read the prefix that a follow-up will bring from the last event."""
+    try:
+        mark = orjson.loads(data).get("cached_prefix")
+        return PrefixMark(int(mark[0]), int(mark[1])) if mark else None
+    except (ValueError, TypeError, AttributeError, IndexError):
+        return None
--- /dev/null
+++ b/driftstall/daemon/service_calls.py
@@ -0,0 +1,179 @@
+"""Call plain services: at most once for what may not be repeated."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Final
+
+import gevent
+
+from driftstall.const import (
+    CODE_CLAIMED,
+    CODE_NO_RUNNER,
+    CODE_PLATFORM_DOWN,
+    CODE_RUNNER_FAILED,
+    PREFIX_ROUTING,
+)
+from driftstall.controllers.claims import ClaimAnswer, ClaimAnswerKind
+from driftstall.core import Problem, Ran, Runner
+from driftstall.daemon.claims_service import ClaimsService
+from driftstall.daemon.fleet_service import FleetService
+from driftstall.daemon.hub import Hub
+from driftstall.decisions.retry import RetryBudget
+from driftstall.exceptions import UpstreamError
+from driftstall.filters.context import RequestContext
+from driftstall.helpers.log import say
+from driftstall.runners.service import CALL_TIMEOUT_S, ServiceAnswer, call_service
+
+FORWARDED: Final = ("content-type", "accept", "x-call-id")
+HTTP_NOT_RUN: Final = 503
+MAX_TRIES: Final = 3
+RETRY_AFTER_S: Final = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Try:
+    """Hold how one send ended."""
+
+    answer: ServiceAnswer | None
+    sent: bool
+    detail: str
+
+
+class ServiceCalls:
+    """Route calls to plain services."""
+
+    def __init__(self, hub: Hub, fleet: FleetService, claims: ClaimsService) -> None:
+        """Start with a fresh retry budget."""
+        self._hub = hub
+        self._fleet = fleet
+        self._claims = claims
+        self._budget = RetryBudget()
+        self._open: dict[str, int] = {}
+
+    def call(self, context: RequestContext) -> ServiceAnswer | Problem:
+        """Make a call and return its answer."""
+        if not self._fleet.services(context.service):
+            detail = f"no runner of the service {context.service} is live"
+            return Problem(CODE_NO_RUNNER, 503, detail, Ran.NOT_RUN, RETRY_AFTER_S)
+        if context.idempotency_key:
+            return self._claimed(context)
+        return self._tries(context)
+
+    def _claimed(self, context: RequestContext) -> ServiceAnswer | Problem:
+        """Claim the key first; only the claim's holder may run."""
+        key = f"{context.workspace}/{context.service}/{context.idempotency_key}"
+        claim = self._claims.claim(key, _fingerprint(context), context.request_id)
+        if claim.kind != ClaimAnswerKind.GRANTED:
+            return self._not_granted(claim)
+        self._hub.stats.claims_granted += 1
+        result = self._tries(context)
+        if isinstance(result, ServiceAnswer):
+            body = result.body.decode("utf-8", "replace")
+            self._claims.settle(
+                key,
+                context.request_id,
+                ran=True,
+                status=result.status,
+                content_type=result.content_type,
+                body=body,
+            )
+        elif result.ran is Ran.NOT_RUN:
+            self._claims.settle(key, context.request_id, ran=False)
+        return result
+
+    def _not_granted(self, claim: ClaimAnswer) -> ServiceAnswer | Problem:
+        """Answer a call whose claim was not granted."""
+        if claim.kind == ClaimAnswerKind.RECORDED:
+            self._hub.stats.claims_repeated += 1
+            return ServiceAnswer(claim.status, claim.content_type, claim.body.encode())
+        if claim.kind == ClaimAnswerKind.MISMATCH:
+            detail = "this idempotency key was used for another call; take a new key"
+            return Problem(CODE_CLAIMED, 422, detail, Ran.NOT_RUN)
+        if claim.kind == ClaimAnswerKind.UNKNOWN:
+            detail = "a call with this key was sent before and its outcome is not known"
+            return Problem(CODE_CLAIMED, 409, detail, Ran.UNKNOWN, RETRY_AFTER_S)
+        detail = "the claim could not be stored, so the call was not sent"
+        return Problem(CODE_PLATFORM_DOWN, 503, detail, Ran.NOT_RUN, RETRY_AFTER_S)
+
+    def _tries(self, context: RequestContext) -> ServiceAnswer | Problem:
+        """Send once; again only if nothing was sent, or the call is repeatable."""
+        self._budget.earn()
+        avoid: set[str] = set()
+        maybe_ran = False
+        detail = ""
+        for attempt in range(MAX_TRIES):
+            if attempt and not self._budget.spend():
+                break
+            runner = self._choose(context, avoid)
+            if runner is None or context.deadline <= self._hub.wall():
+                break
+            done = self._send(runner, context)
+            if done.answer is not None and done.answer.status != HTTP_NOT_RUN:
+                return done.answer
+            # A published 503 of these services says that the call was not run.
+            maybe_ran = maybe_ran or (done.sent and done.answer is None)
+            detail = done.detail
+            avoid.add(runner.runner_id)
+            if maybe_ran and not context.repeatable:
+                break
+        ran = Ran.UNKNOWN if maybe_ran else Ran.NOT_RUN
+        status = 502 if maybe_ran else 503
+        return Problem(
+            CODE_RUNNER_FAILED, status, detail or "no runner is left", ran, RETRY_AFTER_S
+        )
+
+    def _choose(self, context: RequestContext, avoid: set[str]) -> Runner | None:
+        """Choose the runner with the fewest open calls, the own zone first."""
+        runners = [
+            one for one in self._fleet.services(context.service) if one.runner_id not in avoid
+        ]
+        if not runners:
+            return None
+        zone = self._hub.own.zone
+        chosen = min(
+            runners,
+            key=lambda one: (
+                self._open.get(one.runner_id, 0),
+                one.zone != zone,
+                self._hub.source.random(),
+            ),
+        )
+        sentence = f"Call {context.request_id} goes to {chosen.runner_id}"
+        reason = f"{sentence}: fewest open calls of {len(runners)} runners"
+        say(PREFIX_ROUTING, reason, service=context.service)
+        return chosen
+
+    def _send(self, runner: Runner, context: RequestContext) -> _Try:
+        """Send a call once."""
+        headers = _headers(context.headers)
+        timeout_s = min(CALL_TIMEOUT_S, max(0.1, context.deadline - self._hub.wall()))
+        runner_id = runner.runner_id
+        self._open[runner_id] = self._open.get(runner_id, 0) + 1
+        try:
+            with gevent.Timeout(timeout_s, UpstreamError("the answer is late", sent=True)):
+                answer = call_service(
+                    runner, context.method, context.service_path, headers, context.body, timeout_s
+                )
+            return _Try(answer, True, f"the runner answered {answer.status}")
+        except UpstreamError as fault:
+            if not fault.sent:
+                self._fleet.failed(runner_id)
+            return _Try(None, fault.sent, str(fault))
+        finally:
+            self._open[runner_id] -= 1
+
+
+def _headers(headers: Mapping[str, str]) -> dict[str, str]:
+    """Return the headers that are passed on."""
+    return {name: headers[name] for name in FORWARDED if name in headers}
+
+
+def _fingerprint(context: RequestContext) -> str:
+    """Name a call's content, so that a key is not used for two."""
+    hasher = hashlib.blake2b(digest_size=12)
+    hasher.update(f"{context.method} {context.service_path}\n".encode())
+    hasher.update(context.body)
+    return hasher.hexdigest()
--- /dev/null
+++ b/driftstall/decisions/lengths.py
@@ -0,0 +1,127 @@
+"""Answer how much memory a generation may hold some tokens ahead."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Final, Protocol
+
+from driftstall.core import Request
+from driftstall.decisions.survival import Survival, bucket_of
+
+MAX_CLASSES: Final = 20_000
+"""Classes kept at once; a newcomer beyond it uses its kind's history."""
+
+
+class LengthModel(Protocol):
+    """Forecast lengths; ours, the baselines and the oracle differ only here."""
+
+    def keeps_going(self, request: Request, produced: int, ahead: int) -> float:
+        """Return the chance that the output outlives ahead more tokens."""
+
+    def expected(self, request: Request) -> float:
+        """Return the expected output in tokens."""
+
+    def held(self, request: Request, produced: int, ahead: int) -> float:
+        """Return the memory in tokens held then, if it still runs."""
+
+    def progressed(self, request: Request, before: int, after: int) -> None:
+        """Learn that a running output grew."""
+
+    def finished(self, request: Request, tokens: int) -> None:
+        """Learn that an output ended by itself."""
+
+
+class LearnedLengths:
+    """Forecast from what earlier outputs of the same class did."""
+
+    def __init__(self) -> None:
+        """Start with no history."""
+        self._all = Survival()
+        self._kinds: dict[tuple[str, str], Survival] = {}
+        self._classes: dict[tuple[str, str, str], Survival] = {}
+
+    def _class_of(self, request: Request) -> Survival:
+        """Return the narrowest class of a request."""
+        key = (request.workspace, request.kind, request.model)
+        found = self._classes.get(key)
+        if found is not None:
+            return found
+        kind_key = (request.kind, request.model)
+        kind = self._kinds.get(kind_key)
+        if kind is None:
+            kind = self._kinds[kind_key] = Survival(self._all)
+        if len(self._classes) >= MAX_CLASSES:
+            return kind
+        found = self._classes[key] = Survival(kind)
+        return found
+
+    def keeps_going(self, request: Request, produced: int, ahead: int) -> float:
+        """Return the chance that the output outlives ahead more tokens."""
+        return self._class_of(request).keeps_going(produced, ahead, request.max_tokens)
+
+    def expected(self, request: Request) -> float:
+        """Return the expected output in tokens."""
+        return self._class_of(request).mean(request.max_tokens)
+
+    def held(self, request: Request, produced: int, ahead: int) -> float:
+        """Return the memory in tokens held then, if it still runs."""
+        return request.input_tokens + produced + ahead
+
+    def progressed(self, request: Request, before: int, after: int) -> None:
+        """Count the output as exposed in the buckets it has newly entered."""
+        first = bucket_of(before) + 1 if before else 0
+        last = bucket_of(after)
+        if last >= first:
+            self._class_of(request).enter(first, last)
+
+    def finished(self, request: Request, tokens: int) -> None:
+        """Count an output that ended by itself."""
+        self._class_of(request).finish(tokens)
+
+
+class WorstCaseLengths:
+    """Reserve the input and the whole cap (the related paper's reserve and settle)."""
+
+    def keeps_going(self, request: Request, produced: int, ahead: int) -> float:
+        """Assume that every output runs on."""
+        return 1.0
+
+    def expected(self, request: Request) -> float:
+        """Return the cap."""
+        return float(request.max_tokens)
+
+    def held(self, request: Request, produced: int, ahead: int) -> float:
+        """Return the whole reservation; closing the grant settles it."""
+        return request.input_tokens + request.max_tokens
+
+    def progressed(self, request: Request, before: int, after: int) -> None:
+        """Learn nothing."""
+
+    def finished(self, request: Request, tokens: int) -> None:
+        """Learn nothing."""
+
+
+class KnownLengths:
+    """Know every length beforehand: the limit that a forecast can reach."""
+
+    def __init__(self, lengths: Mapping[str, int]) -> None:
+        """Take the true output length of each request id."""
+        self._lengths = lengths
+
+    def keeps_going(self, request: Request, produced: int, ahead: int) -> float:
+        """Return one until the true end, then zero."""
+        return 1.0 if produced + ahead < self._lengths[request.request_id] else 0.0
+
+    def expected(self, request: Request) -> float:
+        """Return the true length."""
+        return float(self._lengths[request.request_id])
+
+    def held(self, request: Request, produced: int, ahead: int) -> float:
+        """Return the memory in tokens held then, if it still runs."""
+        return request.input_tokens + produced + ahead
+
+    def progressed(self, request: Request, before: int, after: int) -> None:
+        """Learn nothing."""
+
+    def finished(self, request: Request, tokens: int) -> None:
+        """Learn nothing."""
--- /dev/null
+++ b/driftstall/decisions/memory.py
@@ -0,0 +1,77 @@
+"""Forecast an engine's memory as a sum over its open generations.
+
+For each horizon, counted in tokens ahead, a generation either still holds its
+memory or has ended and freed it. The sum of these has a mean and a variance;
+admission asks that mean + z standard deviations stays within the memory at
+every horizon.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+from statistics import NormalDist
+from typing import Final
+
+from driftstall.core import Request
+from driftstall.decisions.lengths import LengthModel
+
+HORIZONS: Final = (0, 64, 256, 768, 1536)
+"""Tokens ahead at which memory is forecast; at 15 ms a token up to 23 s."""
+
+
+def quantile(overflow: float) -> float:
+    """Return the standard deviations that match a chance of overflow."""
+    return NormalDist().inv_cdf(1.0 - overflow)
+
+
+@dataclass(frozen=True, slots=True)
+class Hold:
+    """Hold a memory forecast: mean and variance in tokens, for each horizon."""
+
+    means: tuple[float, ...]
+    variances: tuple[float, ...]
+
+    def plus(self, other: Hold) -> Hold:
+        """Return the forecast of both together."""
+        means = tuple([a + b for a, b in zip(self.means, other.means, strict=True)])
+        variances = tuple([a + b for a, b in zip(self.variances, other.variances, strict=True)])
+        return Hold(means, variances)
+
+    def minus(self, other: Hold) -> Hold:
+        """Return the forecast without the other part."""
+        means = tuple([max(0.0, a - b) for a, b in zip(self.means, other.means, strict=True)])
+        pairs = zip(self.variances, other.variances, strict=True)
+        return Hold(means, tuple([max(0.0, a - b) for a, b in pairs]))
+
+    def peak(self, deviations: float) -> float:
+        """Return the highest mean plus so many standard deviations."""
+        pairs = zip(self.means, self.variances, strict=True)
+        return max([mean + deviations * math.sqrt(var) for mean, var in pairs])
+
+
+NOTHING: Final = Hold((0.0,) * len(HORIZONS), (0.0,) * len(HORIZONS))
+
+
+def hold_of(lengths: LengthModel, request: Request, produced: int) -> Hold:
+    """Forecast the memory that one generation holds."""
+    means = []
+    variances = []
+    for ahead in HORIZONS:
+        chance = lengths.keeps_going(request, produced, ahead) if ahead else 1.0
+        held = lengths.held(request, produced, ahead)
+        means.append(chance * held)
+        variances.append(chance * (1.0 - chance) * held * held)
+    return Hold(tuple(means), tuple(variances))
+
+
+def total(holds: Iterable[Hold]) -> Hold:
+    """Sum forecasts."""
+    means = [0.0] * len(HORIZONS)
+    variances = [0.0] * len(HORIZONS)
+    for hold in holds:
+        for index in range(len(HORIZONS)):
+            means[index] += hold.means[index]
+            variances[index] += hold.variances[index]
+    return Hold(tuple(means), tuple(variances))
--- /dev/null
+++ b/driftstall/decisions/routing.py
@@ -0,0 +1,63 @@
+"""Choose the runner for a request among those with room."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final
+
+from driftstall.core import Weights
+
+PREFILL_TOKENS_PER_S: Final = 11_000.0
+"""Measured on the engine stand-in: 512 tokens in about 45 ms."""
+FILL_WEIGHT: Final = 0.3
+"""Seconds that a full engine is worth, against an empty one."""
+REMOTE_ZONE_S: Final = 0.003
+"""Round trip to another availability zone, in seconds (brief)."""
+
+
+@dataclass(frozen=True, slots=True)
+class RunnerView:
+    """Describe a runner that has room, as one request sees it."""
+
+    runner_id: str
+    uncached: int
+    """Prompt tokens that this runner would have to prefill."""
+    pending_prefill: float
+    """Prefill tokens already granted and not done."""
+    first_rank_streams: int
+    """Open generations of the first rank, which a long prefill stalls."""
+    fill: float
+    """Forecast share of memory in use, from 0 to 1."""
+    remote: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """Tell which runner was chosen, and its costs in weighted seconds."""
+
+    runner_id: str
+    cost: float
+    stall_s: float
+    gap_s: float
+
+
+def choose(views: list[RunnerView], weights: Weights, *, first_rank: bool) -> Choice | None:
+    """Return the runner that costs the policy's measures least."""
+    best: Choice | None = None
+    for view in views:
+        choice = _cost(view, weights, first_rank=first_rank)
+        if best is None or choice.cost < best.cost:
+            best = choice
+    return best
+
+
+def _cost(view: RunnerView, weights: Weights, *, first_rank: bool) -> Choice:
+    """Weigh the wait for prefill against the pauses it makes for others."""
+    stall_s = (view.pending_prefill + view.uncached) / PREFILL_TOKENS_PER_S
+    gap_s = view.uncached * view.first_rank_streams / PREFILL_TOKENS_PER_S
+    if first_rank:
+        gap_s += view.pending_prefill / PREFILL_TOKENS_PER_S
+    if view.remote:
+        stall_s += REMOTE_ZONE_S
+    cost = weights.stall * stall_s + weights.token_gap * gap_s + FILL_WEIGHT * view.fill
+    return Choice(view.runner_id, cost, stall_s, gap_s)
--- /dev/null
+++ b/driftstall/filters/classify.py
@@ -0,0 +1,149 @@
+"""Read a request: what kind it is, how long its prompt, by when it is wanted."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import replace
+from typing import Any, Final
+
+import orjson
+import voluptuous as vol
+
+from driftstall.const import (
+    CODE_BAD_REQUEST,
+    CODE_NOT_FOUND,
+    HEADER_DEADLINE,
+    HEADER_IDEMPOTENCY_KEY,
+    HEADER_KIND,
+    HEADER_REPEATABLE,
+)
+from driftstall.core import PrefixMark, Problem, Ran, Request
+from driftstall.filters.context import FilterResult, RequestContext
+from driftstall.util.tokens import prefix_marks
+
+PATH_CHAT: Final = "/v1/chat/completions"
+PATH_SERVICES: Final = "/services/"
+DEFAULT_KIND: Final = "chat"
+DEFAULT_MAX_TOKENS: Final = 1_024
+MAX_TOKENS: Final = 65_536
+MAX_MESSAGES: Final = 2_000
+MAX_KEY_CHARS: Final = 128
+SAFE_METHODS: Final = frozenset({"GET", "HEAD", "OPTIONS"})
+
+MESSAGE: Final = vol.Schema(
+    {vol.Required("role"): vol.All(str, vol.Length(min=1, max=32)), vol.Required("content"): str},
+    extra=vol.ALLOW_EXTRA,
+)
+BODY: Final = vol.Schema(
+    {
+        vol.Required("model"): vol.All(str, vol.Length(min=1, max=128)),
+        vol.Required("messages"): vol.All([MESSAGE], vol.Length(min=1, max=MAX_MESSAGES)),
+        vol.Optional("max_tokens", default=DEFAULT_MAX_TOKENS): vol.All(
+            int, vol.Range(min=1, max=MAX_TOKENS)
+        ),
+        vol.Optional("stream", default=False): bool,
+    },
+    extra=vol.ALLOW_EXTRA,
+)
+
+
+def _bad(detail: str) -> Problem:
+    """Answer 400."""
+    return Problem(CODE_BAD_REQUEST, 400, detail, Ran.NOT_RUN)
+
+
+class Classify:
+    """Tell generations from plain service calls and read either."""
+
+    def __init__(self, default_deadline_s: float) -> None:
+        """Take the deadline of a request that names none, in seconds."""
+        self._default_deadline_s = default_deadline_s
+
+    def __call__(self, context: RequestContext) -> FilterResult:
+        """Read the request, or answer with what is wrong with it."""
+        deadline = self._deadline(context)
+        if isinstance(deadline, Problem):
+            return deadline
+        context = replace(context, deadline=deadline)
+        if context.path == PATH_CHAT:
+            return self._generation(context)
+        if context.path.startswith(PATH_SERVICES):
+            return self._service(context)
+        detail = f"there is no {context.path}; try {PATH_CHAT} or {PATH_SERVICES}NAME/..."
+        return Problem(CODE_NOT_FOUND, 404, detail, Ran.NOT_RUN)
+
+    def _deadline(self, context: RequestContext) -> float | Problem:
+        """Read the deadline header, in seconds from now."""
+        text = context.headers.get(HEADER_DEADLINE.lower())
+        if text is None:
+            return context.now + self._default_deadline_s
+        try:
+            seconds = float(text)
+        except ValueError:
+            return _bad(f"{HEADER_DEADLINE} is not a number of seconds")
+        if not 0 < seconds <= 86_400:
+            return _bad(f"{HEADER_DEADLINE} must be above 0 and at most 86400 seconds")
+        return context.now + seconds
+
+    def _generation(self, context: RequestContext) -> FilterResult:
+        """Read a request in the chat-completions shape."""
+        if context.method != "POST":
+            return Problem(CODE_BAD_REQUEST, 405, f"use POST on {PATH_CHAT}", Ran.NOT_RUN)
+        payload = _payload(context.body)
+        if isinstance(payload, Problem):
+            return payload
+        kind = context.headers.get(HEADER_KIND.lower(), DEFAULT_KIND)
+        if len(kind) > 64 or not kind.replace("_", "").replace("-", "").isalnum():
+            return _bad(f"{HEADER_KIND} must be up to 64 letters, digits, - or _")
+        messages = [(one["role"], one["content"]) for one in payload["messages"]]
+        marks = _marks(payload["model"], messages)
+        request = Request(
+            context.request_id,
+            context.workspace,
+            kind,
+            payload["model"],
+            marks[-1].tokens,
+            payload["max_tokens"],
+            marks,
+            context.now,
+            context.deadline,
+        )
+        return replace(context, payload=payload, request=request)
+
+    def _service(self, context: RequestContext) -> FilterResult:
+        """Read a call to a plain service."""
+        service, _, rest = context.path.removeprefix(PATH_SERVICES).partition("/")
+        key = context.headers.get(HEADER_IDEMPOTENCY_KEY.lower(), "")
+        if len(key) > MAX_KEY_CHARS:
+            return _bad(f"{HEADER_IDEMPOTENCY_KEY} must be at most {MAX_KEY_CHARS} characters")
+        word = context.headers.get(HEADER_REPEATABLE.lower(), "").lower()
+        if word not in ("", "true", "false"):
+            return _bad(f"{HEADER_REPEATABLE} must be true or false")
+        repeatable = word == "true" or (word == "" and context.method in SAFE_METHODS)
+        return replace(
+            context,
+            service=service,
+            service_path="/" + rest,
+            repeatable=repeatable and not key,
+            idempotency_key=key,
+        )
+
+
+def _payload(body: bytes) -> dict[str, Any] | Problem:
+    """Parse and check a generation's body."""
+    try:
+        raw = orjson.loads(body)
+    except orjson.JSONDecodeError:
+        return _bad("the body is not JSON")
+    try:
+        checked: dict[str, Any] = BODY(raw)
+    except vol.MultipleInvalid as invalid:
+        return _bad("; ".join(str(fault) for fault in invalid.errors[:5]))
+    except RecursionError:
+        return _bad("the body is nested too deeply")
+    return checked
+
+
+def _marks(model: str, messages: Sequence[tuple[str, str]]) -> tuple[PrefixMark, ...]:
+    """Name the prompt's prefixes."""
+    return tuple([PrefixMark(*mark) for mark in prefix_marks(model, messages)])
--- /dev/null
+++ b/driftstall/filters/context.py
@@ -0,0 +1,35 @@
+"""Define what travels along the filter chain."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from driftstall.core import Problem, Request, Verdict
+
+
+@dataclass(frozen=True, slots=True)
+class RequestContext:
+    """Hold one caller's request and what the filters have found out."""
+
+    request_id: str
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    """Names in lower case."""
+    body: bytes
+    now: float
+    """Wall-clock seconds."""
+    workspace: str = ""
+    deadline: float = 0.0
+    payload: Mapping[str, Any] | None = None
+    request: Request | None = None
+    verdict: Verdict | None = None
+    service: str = ""
+    service_path: str = ""
+    repeatable: bool = True
+    idempotency_key: str = ""
+
+
+FilterResult = RequestContext | Problem
--- /dev/null
+++ b/driftstall/helpers/__init__.py
@@ -0,0 +1,3 @@
+"""Hold helpers that know driftstall's objects."""
+
+from __future__ import annotations
--- /dev/null
+++ b/driftstall/peers/__init__.py
@@ -0,0 +1,3 @@
+"""Carry typed messages between instances."""
+
+from __future__ import annotations
--- /dev/null
+++ b/driftstall/peers/link.py
@@ -0,0 +1,162 @@
+"""Carry envelopes between instances over TCP.
+
+Each instance dials its peers and only sends on these connections; answers come
+on the peer's own. A queue is bounded: what does not fit is dropped, as on a
+lossy network, and every protocol above copes with loss.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable
+from typing import Final
+
+import gevent
+from gevent import socket
+from gevent.queue import Empty, Full, Queue
+from gevent.server import StreamServer
+
+from driftstall.exceptions import MessageError
+from driftstall.peers.codec import HEADER, MAX_FRAME_BYTES, decode, encode
+from driftstall.peers.messages import Envelope, PeerMessage
+from driftstall.util.addresses import split_address
+
+_LOGGER = logging.getLogger(__name__)
+
+QUEUE_MESSAGES: Final = 4_096
+CONNECT_TIMEOUT_S: Final = 1.0
+SEND_TIMEOUT_S: Final = 2.0
+IDLE_CLOSE_S: Final = 60.0
+REDIAL_S: Final = 0.2
+MAX_CONNECTIONS: Final = 2_000
+
+Receiver = Callable[[str, PeerMessage], None]
+
+
+class PeerLinks:
+    """Send to peers and receive from them."""
+
+    def __init__(self, own_id: str, listen: str, key: bytes, receiver: Receiver) -> None:
+        """Take the own id, the listening address, the shared key and a receiver."""
+        self._own_id = own_id
+        self._key = key
+        self._receiver = receiver
+        self._queues: dict[str, Queue] = {}
+        self._sequence = time.time_ns()
+        self._last_seen: dict[str, int] = {}
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.dropped = 0
+        self.rejected = 0
+        self._server = StreamServer(split_address(listen), self._serve, spawn=MAX_CONNECTIONS)
+
+    def start(self) -> None:
+        """Start to listen."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop to listen."""
+        self._server.stop(timeout=0)
+
+    def send(self, recipient: str, address: str, message: PeerMessage) -> None:
+        """Queue a message; a message to oneself is handed over at once."""
+        if recipient == self._own_id:
+            self._receiver(self._own_id, message)
+            return
+        queue = self._queues.get(address)
+        if queue is None:
+            queue = self._queues[address] = Queue(QUEUE_MESSAGES)
+            gevent.spawn(self._run_link, address, queue)
+        self._sequence += 1
+        frame = encode(Envelope(self._own_id, recipient, self._sequence, message), self._key)
+        try:
+            queue.put_nowait(frame)
+        except Full:
+            self.dropped += 1
+
+    def _run_link(self, address: str, queue: Queue) -> None:
+        """Send what is queued for one peer until it has long been idle."""
+        connection: socket.socket | None = None
+        while True:
+            try:
+                frame = queue.get(timeout=IDLE_CLOSE_S)
+            except Empty:
+                del self._queues[address]
+                break
+            connection = self._send_frames(address, connection, frame, queue)
+        if connection is not None:
+            connection.close()
+
+    def _send_frames(
+        self, address: str, connection: socket.socket | None, frame: bytes, queue: Queue
+    ) -> socket.socket | None:
+        """Send one frame and those right behind it; return the connection."""
+        frames = [frame]
+        while len(frames) < 64 and not queue.empty():
+            frames.append(queue.get_nowait())
+        data = b"".join(frames)
+        try:
+            if connection is None or _closed(connection):
+                connection = socket.create_connection(split_address(address), CONNECT_TIMEOUT_S)
+                connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                connection.settimeout(SEND_TIMEOUT_S)
+            connection.sendall(data)
+            self.sent_bytes += len(data)
+            return connection
+        except OSError:
+            self.dropped += len(frames)
+            if connection is not None:
+                connection.close()
+            gevent.sleep(REDIAL_S)
+            return None
+
+    def _serve(self, connection: socket.socket, _: tuple[str, int]) -> None:
+        """Receive frames from one peer."""
+        stream = connection.makefile("rb")
+        try:
+            while True:
+                header = stream.read(HEADER.size)
+                if len(header) < HEADER.size:
+                    return
+                (length,) = HEADER.unpack(header)
+                if length > MAX_FRAME_BYTES:
+                    raise MessageError("the message is too long")
+                frame = stream.read(length)
+                if len(frame) < length:
+                    return
+                self.received_bytes += HEADER.size + length
+                self._receive(frame)
+        except MessageError as fault:
+            self.rejected += 1
+            _LOGGER.warning("membership: A peer message was rejected, %s", fault)
+        except OSError:
+            return
+        finally:
+            connection.close()
+
+    def _receive(self, frame: bytes) -> None:
+        """Check one frame and hand its message over."""
+        envelope = decode(frame, self._key)
+        if envelope.recipient != self._own_id:
+            # An address was taken over by another instance; its word is not for us.
+            self.rejected += 1
+            return
+        if envelope.sequence <= self._last_seen.get(envelope.sender, 0):
+            self.rejected += 1
+            return
+        self._last_seen[envelope.sender] = envelope.sequence
+        self._receiver(envelope.sender, envelope.message)
+
+
+def _closed(connection: socket.socket) -> bool:
+    """Tell whether the peer has closed; peers never send on this connection."""
+    try:
+        connection.setblocking(False)
+        return connection.recv(1) == b""
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    finally:
+        connection.settimeout(SEND_TIMEOUT_S)
--- /dev/null
+++ b/driftstall/peers/messages.py
@@ -0,0 +1,76 @@
+"""List the messages between instances, and those that are only of peers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from driftstall.controllers.claims import ClaimAnswer, ClaimAsked, ClaimSettled
+from driftstall.controllers.configuration import ConfigOffer
+from driftstall.controllers.grant_messages import (
+    Announce,
+    Ask,
+    Close,
+    Granted,
+    Progress,
+    Refused,
+    ResumeAsked,
+    YieldAsked,
+)
+from driftstall.controllers.membership import Ack, Ping, PingRequest
+
+
+@dataclass(frozen=True, slots=True)
+class ProgressBatch:
+    """Report the progress of several generations at once."""
+
+    items: tuple[Progress, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigAsked:
+    """Ask a peer for its configuration, if it is newer."""
+
+    sender: str
+    generation: int
+
+
+@dataclass(frozen=True, slots=True)
+class RunnerLeaving:
+    """Tell peers that a runner is leaving, or is back."""
+
+    runner_id: str
+    leaving: bool
+
+
+PeerMessage = (
+    Ask
+    | Announce
+    | ProgressBatch
+    | Close
+    | Granted
+    | Refused
+    | YieldAsked
+    | ResumeAsked
+    | Ping
+    | Ack
+    | PingRequest
+    | ClaimAsked
+    | ClaimSettled
+    | ClaimAnswer
+    | ConfigOffer
+    | ConfigAsked
+    | RunnerLeaving
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Envelope:
+    """Wrap a message with its way and its place in the sender's sequence."""
+
+    sender: str
+    recipient: str
+    sequence: int
+    message: PeerMessage
+
+
+"""Senders start the sequence at a clock reading, so that it grows across restarts."""
--- /dev/null
+++ b/driftstall/peers/schema.capnp
@@ -0,0 +1,93 @@
+@0xd1a5f2c07be94316;
+# Messages between instances. Field names match the dataclasses in camel case.
+
+struct PrefixMark { digest @0 :UInt64; tokens @1 :UInt32; }
+
+struct Request {
+  requestId @0 :Text; workspace @1 :Text; kind @2 :Text; model @3 :Text;
+  inputTokens @4 :UInt32; maxTokens @5 :UInt32; prefix @6 :List(PrefixMark);
+  askedAt @7 :Float64; deadline @8 :Float64;
+}
+
+struct Verdict {
+  rule @0 :Text; line @1 :UInt32; rank @2 :UInt8; waitS @3 :Float64;
+  mayYield @4 :Bool; mayRefuse @5 :Bool; share @6 :Float64; limitTokensPerS @7 :Float64;
+}
+
+struct Ask {
+  group @0 :Text; entry @1 :Text; request @2 :Request; verdict @3 :Verdict; ticket @4 :Text;
+  avoid @5 :List(Text);
+}
+struct Announce {
+  group @0 :Text; entry @1 :Text; request @2 :Request; verdict @3 :Verdict;
+  runnerId @4 :Text; produced @5 :UInt32;
+}
+struct Progress { group @0 :Text; requestId @1 :Text; produced @2 :UInt32; }
+struct ProgressBatch { items @0 :List(Progress); }
+struct Close {
+  group @0 :Text; requestId @1 :Text; produced @2 :UInt32; finished @3 :Bool;
+  reply @4 :PrefixMark; hasReply @5 :Bool;
+}
+struct Granted { entry @0 :Text; requestId @1 :Text; runnerId @2 :Text; rank @3 :UInt8; reason @4 :Text; }
+struct Refused {
+  entry @0 :Text; requestId @1 :Text; code @2 :Text; retryAfterS @3 :Float64;
+  ticket @4 :Text; reason @5 :Text;
+}
+struct YieldAsked { entry @0 :Text; requestId @1 :Text; runnerId @2 :Text; reason @3 :Text; }
+struct ResumeAsked { entry @0 :Text; requestId @1 :Text; runnerId @2 :Text; reason @3 :Text; }
+
+struct Change {
+  instanceId @0 :Text; address @1 :Text; peerAddress @2 :Text; zone @3 :Text;
+  incarnation @4 :UInt64; health @5 :Text;
+}
+struct Ping { sender @0 :Text; number @1 :UInt32; onBehalf @2 :Text; changes @3 :List(Change); }
+struct Ack { sender @0 :Text; number @1 :UInt32; onBehalf @2 :Text; changes @3 :List(Change); }
+struct PingRequest { sender @0 :Text; number @1 :UInt32; target @2 :Text; changes @3 :List(Change); }
+
+struct ClaimAsked { entry @0 :Text; shard @1 :UInt16; key @2 :Text; fingerprint @3 :Text; nonce @4 :Text; }
+struct ClaimSettled {
+  shard @0 :UInt16; key @1 :Text; nonce @2 :Text; ran @3 :Bool; status @4 :UInt16;
+  contentType @5 :Text; body @6 :Text;
+}
+struct ClaimAnswer {
+  entry @0 :Text; nonce @1 :Text; kind @2 :Text; status @3 :UInt16;
+  contentType @4 :Text; body @5 :Text;
+}
+
+struct WorkspaceConfig { name @0 :Text; keySha256 @1 :Text; }
+struct RunnerConfig {
+  runnerId @0 :Text; address @1 :Text; zone @2 :Text; model @3 :Text; service @4 :Text;
+  memoryTokens @5 :UInt32; checksFences @6 :Bool;
+}
+struct ConfigDocument {
+  generation @0 :UInt64; policy @1 :Text; workspaces @2 :List(WorkspaceConfig);
+  runners @3 :List(RunnerConfig); submissions @4 :List(Text);
+}
+struct ConfigOffer { sender @0 :Text; document @1 :ConfigDocument; }
+struct ConfigAsked { sender @0 :Text; generation @1 :UInt64; }
+struct RunnerLeaving { runnerId @0 :Text; leaving @1 :Bool; }
+
+struct Envelope {
+  sender @0 :Text;
+  recipient @1 :Text;
+  sequence @2 :UInt64;
+  union {
+    ask @3 :Ask;
+    announce @4 :Announce;
+    progressBatch @5 :ProgressBatch;
+    close @6 :Close;
+    granted @7 :Granted;
+    refused @8 :Refused;
+    yieldAsked @9 :YieldAsked;
+    resumeAsked @10 :ResumeAsked;
+    ping @11 :Ping;
+    ack @12 :Ack;
+    pingRequest @13 :PingRequest;
+    claimAsked @14 :ClaimAsked;
+    claimSettled @15 :ClaimSettled;
+    claimAnswer @16 :ClaimAnswer;
+    configOffer @17 :ConfigOffer;
+    configAsked @18 :ConfigAsked;
+    runnerLeaving @19 :RunnerLeaving;
+  }
+}
--- /dev/null
+++ b/driftstall/platform/__init__.py
@@ -0,0 +1,3 @@
+"""Talk to the platform's object API."""
+
+from __future__ import annotations
--- /dev/null
+++ b/driftstall/policy/model.py
@@ -0,0 +1,52 @@
+"""Define a checked policy and the facts it is evaluated on."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from driftstall.core import Verdict, Weights
+
+DEFAULT_OVERFLOW = 0.01
+
+
+@dataclass(frozen=True, slots=True)
+class Facts:
+    """Hold what a condition may ask about."""
+
+    kind: str
+    workspace: str
+    model: str
+    input_tokens: int
+    max_tokens: int
+    load: float
+    """The share of engine memory in use, from 0 to 1."""
+    hour: int
+    """The hour of the day, from 0 to 23."""
+
+
+Condition = Callable[[Facts], bool]
+
+
+@dataclass(frozen=True, slots=True)
+class Rule:
+    """Pair a condition with the verdict it leads to."""
+
+    name: str
+    line: int
+    condition: Condition | None
+    text: str
+    verdict: Verdict
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """Hold a checked policy; the first rule that holds decides."""
+
+    name: str
+    weights: Weights
+    overflow: float
+    """The chance of a full engine that admission may accept."""
+    rules: tuple[Rule, ...]
+    steps: int
+    """The most steps that one evaluation takes."""
--- /dev/null
+++ b/driftstall/runners/engine.py
@@ -0,0 +1,189 @@
+"""Talk to a model engine: stream, resume, pause, cancel, reports and orders."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any, Final
+
+import orjson
+
+from driftstall.core import PrefixMark, Runner
+from driftstall.exceptions import UpstreamError
+from driftstall.util.http import Exchange
+
+SILENCE_S: Final = 3.0
+"""An engine sends at least a comment this often; a longer silence is a broken stream."""
+CONTROL_TIMEOUT_S: Final = 1.0
+HTTP_GONE: Final = (404, 410)
+IDLE_COMMENT: Final = b":"
+
+
+@dataclass(frozen=True, slots=True)
+class EngineToken:
+    """Hold one token as the engine sent it."""
+
+    generation: str
+    index: int
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class EngineEnd:
+    """Hold the end of a generation; total counts its tokens."""
+
+    generation: str
+    total: int
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class EngineIdle:
+    """Tell that the engine has nothing to send yet, but is there."""
+
+
+EngineEvent = EngineToken | EngineEnd | EngineIdle
+
+
+@dataclass(frozen=True, slots=True)
+class EngineReport:
+    """Hold an engine's own, lagging report."""
+
+    used_tokens: int
+    memory_tokens: int
+    waiting: int
+    model: str
+    leaving: bool
+
+
+class RunnerSaidNo(UpstreamError):
+    """Report that the runner answered that it did not run the request."""
+
+    def __init__(self, detail: str, *, gone: bool) -> None:
+        """Keep whether the runner does not know the generation."""
+        super().__init__(detail, sent=False)
+        self.gone = gone
+
+
+def open_stream(
+    runner: Runner, generation: str, body: dict[str, Any], priority: int
+) -> Iterator[EngineEvent]:
+    """Start a generation and yield its events; raise UpstreamError on a break."""
+    payload = body | {"stream": True, "priority": priority}
+    headers = {"Content-Type": "application/json", "X-Request-Id": generation}
+    exchange = Exchange.open(
+        runner.address,
+        "POST",
+        "/v1/chat/completions",
+        headers,
+        orjson.dumps(payload),
+        SILENCE_S,
+    )
+    return _events(exchange)
+
+
+def resume_stream(runner: Runner, generation: str, next_index: int) -> Iterator[EngineEvent]:
+    """Take a generation up again from an index."""
+    path = f"/v1/generations/{generation}/stream?from={next_index}"
+    exchange = Exchange.open(runner.address, "GET", path, {}, b"", SILENCE_S)
+    return _events(exchange)
+
+
+def _events(exchange: Exchange) -> Iterator[EngineEvent]:
+    """Yield a stream's events."""
+    if exchange.status != 200:
+        status = exchange.status
+        exchange.close()
+        raise RunnerSaidNo(f"the runner answered {status}", gone=status in HTTP_GONE)
+    try:
+        while True:
+            event = exchange.read_event()
+            if not event:
+                raise UpstreamError("the stream ended early", sent=True)
+            if event.startswith(IDLE_COMMENT):
+                yield EngineIdle()
+                continue
+            parsed = _parse(event)
+            yield parsed
+            if isinstance(parsed, EngineEnd):
+                return
+    finally:
+        exchange.close()
+
+
+def _parse(event: bytes) -> EngineToken | EngineEnd:
+    """Read an event: its id is generation:index, its data is passed on."""
+    try:
+        head, _, data = event.partition(b"\ndata: ")
+        field, _, name = head.rpartition(b"id: ")
+        generation, _, index = name.decode().rpartition(":")
+        number = int(index)
+    except ValueError as fault:
+        raise UpstreamError("the stream is malformed", sent=True) from fault
+    if field.startswith(b"event: end"):
+        return EngineEnd(generation, number, data[:-2])
+    return EngineToken(generation, number, data[:-2])
+
+
+def control(runner: Runner, generation: str, verb: str) -> bool:
+    """Pause, resume or cancel a generation; return whether the engine did."""
+    path = f"/v1/generations/{generation}/{verb}"
+    try:
+        exchange = Exchange.open(runner.address, "POST", path, {}, b"", CONTROL_TIMEOUT_S)
+        status = exchange.status
+        exchange.close()
+    except UpstreamError:
+        return False
+    return status == 200
+
+
+def fetch_report(runner: Runner) -> EngineReport:
+    """Return the engine's report, or raise UpstreamError."""
+    raw = _get_json(runner, "/v1/load")
+    try:
+        return EngineReport(
+            int(raw["used_tokens"]),
+            int(raw["memory_tokens"]),
+            int(raw["waiting"]),
+            str(raw.get("model", "")),
+            bool(raw.get("leaving", False)),
+        )
+    except (KeyError, TypeError, ValueError) as fault:
+        raise UpstreamError("the report is malformed", sent=True) from fault
+
+
+def fetch_cache_events(
+    runner: Runner, after: int
+) -> tuple[int, tuple[PrefixMark, ...], tuple[int, ...]]:
+    """Return the new position, the prefixes stored and those evicted."""
+    raw = _get_json(runner, f"/v1/cache-events?after={after}")
+    try:
+        stored = tuple(PrefixMark(int(digest), int(tokens)) for digest, tokens in raw["stored"])
+        return int(raw["next"]), stored, tuple(int(digest) for digest in raw["evicted"])
+    except (KeyError, TypeError, ValueError) as fault:
+        raise UpstreamError("the cache events are malformed", sent=True) from fault
+
+
+def order_load(runner: Runner, model: str, fence: int) -> bool:
+    """Order an engine to serve a model; return whether it took the order."""
+    body = orjson.dumps({"model": model, "fence": fence})
+    headers = {"Content-Type": "application/json"}
+    try:
+        exchange = Exchange.open(
+            runner.address, "POST", "/v1/orders", headers, body, CONTROL_TIMEOUT_S
+        )
+        status = exchange.status
+        exchange.close()
+    except UpstreamError:
+        return False
+    return status == 200
+
+
+def _get_json(runner: Runner, path: str) -> Any:
+    """Fetch a JSON document."""
+    exchange = Exchange.open(runner.address, "GET", path, {}, b"", CONTROL_TIMEOUT_S)
+    body = exchange.read()
+    try:
+        return orjson.loads(body)
+    except ValueError as fault:
+        raise UpstreamError("the answer is not JSON", sent=True) from fault
--- /dev/null
+++ b/driftstall/util/__init__.py
@@ -0,0 +1,3 @@
+"""Hold helpers that know nothing of driftstall's objects."""
+
+from __future__ import annotations
--- /dev/null
+++ b/driftstall/util/addresses.py
@@ -0,0 +1,16 @@
+"""Read addresses written as IP and port."""
+
+from __future__ import annotations
+
+import ipaddress
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of an address such as 127.0.0.1:8000 or [::1]:8000."""
+    host, _, port = address.rpartition(":")
+    host = host.strip("[]")
+    ipaddress.ip_address(host)
+    number = int(port)
+    if not 0 <= number < 65536:
+        raise ValueError(f"the port {number} is out of range")
+    return host, number
--- /dev/null
+++ b/driftstall/util/http.py
@@ -0,0 +1,107 @@
+"""Make one HTTP exchange on a connection of its own, and never send twice.
+
+The pooled client of the HTTP library sends idempotent methods again by itself
+when a connection breaks. A call that may not be repeated must not go that way,
+so here each exchange has one connection and one send.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Final
+
+from gevent import socket
+from geventhttpclient.response import HTTPConnectionClosed, HTTPParseError, HTTPSocketResponse
+
+from driftstall.exceptions import UpstreamError
+from driftstall.util.addresses import split_address
+
+CONNECT_TIMEOUT_S: Final = 1.0
+READ_FAULTS: Final = (OSError, HTTPConnectionClosed, HTTPParseError, ValueError)
+
+
+class Exchange:
+    """Hold one sent request and its answer."""
+
+    def __init__(self, connection: socket.socket, response: HTTPSocketResponse) -> None:
+        """Take the connection and the answer, whose headers were read."""
+        self._connection = connection
+        self._response = response
+
+    @classmethod
+    def open(
+        cls,
+        address: str,
+        method: str,
+        path: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        timeout_s: float,
+    ) -> Exchange:
+        """Send a request once and read the answer's headers.
+
+        Raises UpstreamError; its sent flag is false only if no byte had left.
+        """
+        try:
+            connection = socket.create_connection(split_address(address), CONNECT_TIMEOUT_S)
+        except OSError as fault:
+            detail = f"no connection to {address}: {type(fault).__name__}"
+            raise UpstreamError(detail, sent=False) from fault
+        try:
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            connection.settimeout(timeout_s)
+            connection.sendall(_head(address, method, path, headers, len(body)) + body)
+            return cls(connection, HTTPSocketResponse(connection, method=method))
+        except READ_FAULTS as fault:
+            connection.close()
+            detail = f"no answer from {address}: {type(fault).__name__}"
+            raise UpstreamError(detail, sent=True) from fault
+
+    @property
+    def status(self) -> int:
+        """Return the answer's status."""
+        return int(self._response.status_code)
+
+    @property
+    def content_type(self) -> str:
+        """Return the answer's content type."""
+        return str(self._response.get("content-type", ""))
+
+    def header(self, name: str) -> str:
+        """Return one of the answer's headers, or empty."""
+        return str(self._response.get(name, ""))
+
+    def read(self) -> bytes:
+        """Return the whole body, or raise UpstreamError."""
+        try:
+            body = bytes(self._response.read())
+            if not self._response.message_complete:
+                raise UpstreamError("the answer ended early", sent=True)
+            return body
+        except READ_FAULTS as fault:
+            raise UpstreamError(f"the answer broke: {type(fault).__name__}", sent=True) from fault
+        finally:
+            self.close()
+
+    def read_event(self) -> bytes:
+        """Return the next server-sent event; empty at the end."""
+        try:
+            return bytes(self._response.readline(b"\n\n"))
+        except READ_FAULTS as fault:
+            raise UpstreamError(f"the stream broke: {type(fault).__name__}", sent=True) from fault
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._connection.close()
+
+
+def _head(address: str, method: str, path: str, headers: Mapping[str, str], length: int) -> bytes:
+    """Return the request's head."""
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {address}", "Connection: close"]
+    if length or method not in ("GET", "HEAD"):
+        lines.append(f"Content-Length: {length}")
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    head = "\r\n".join(lines)
+    if "\n" in head.replace("\r\n", ""):
+        raise UpstreamError("a header holds a line break", sent=False)
+    return (head + "\r\n\r\n").encode("latin-1")
--- /dev/null
+++ b/measures/bench.py
@@ -0,0 +1,264 @@
+"""Start the stand-ins and instances as processes, for demos, tests and measurements."""
+
+from __future__ import annotations
+
+import hashlib
+import itertools
+import os
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, Final
+
+from gevent import socket
+
+from driftstall.cli.client import Answer, call_json
+from driftstall.exceptions import DriftstallError, UpstreamError
+
+OPERATOR_TOKEN: Final = "operator-token-of-the-bench"
+PEER_KEY: Final = "peer-key-of-the-bench"
+ZONES: Final = ("zone-a", "zone-b", "zone-c")
+WAIT_S: Final = 20.0
+
+
+class BenchError(DriftstallError):
+    """Report that the bench could not reach a state in time."""
+
+
+_ports = itertools.count(random.SystemRandom().randrange(20_000, 30_000))
+
+
+def free_port() -> int:
+    """Return a free port outside the range that outgoing connections use."""
+    while True:
+        port = next(_ports)
+        with socket.socket() as probe:
+            if probe.connect_ex(("127.0.0.1", port)) != 0:
+                return port
+
+
+def workspace_key(name: str) -> str:
+    """Return the key of a bench workspace."""
+    return f"key-of-{name}"
+
+
+def wait_until(what: str, check: Callable[[], bool], timeout_s: float = WAIT_S) -> float:
+    """Wait for a condition and return the seconds it took; raise BenchError in vain."""
+    begin = time.monotonic()
+    while time.monotonic() - begin < timeout_s:
+        try:
+            if check():
+                return time.monotonic() - begin
+        except UpstreamError:
+            pass
+        time.sleep(0.02)
+    raise BenchError(f"not reached in {timeout_s:g} s: {what}")
+
+
+@dataclass(slots=True)
+class Process:
+    """Hold one started process and where it listens."""
+
+    name: str
+    address: str
+    popen: subprocess.Popen[bytes]
+    log: Path
+    operator: str = ""
+    zone: str = ""
+
+    @property
+    def running(self) -> bool:
+        """Tell whether the process runs."""
+        return self.popen.poll() is None
+
+    def signal(self, number: int) -> None:
+        """Send a signal."""
+        self.popen.send_signal(number)
+
+    def control(self, script: dict[str, Any]) -> None:
+        """Script a stand-in's faults."""
+        call_json(self.address, "POST", "/control", "", script)
+
+    def stats(self) -> dict[str, Any]:
+        """Return a stand-in's statistics."""
+        value: dict[str, Any] = call_json(self.address, "GET", "/control/stats", "").value
+        return value
+
+
+@dataclass(slots=True)
+class Bench:
+    """Hold a whole small system."""
+
+    folder: Path = field(default_factory=lambda: Path(tempfile.mkdtemp(prefix="driftstall-")))
+    platform: Process | None = None
+    engines: list[Process] = field(default_factory=list)
+    services: list[Process] = field(default_factory=list)
+    instances: list[Process] = field(default_factory=list)
+    runners: list[dict[str, Any]] = field(default_factory=list)
+    extra_settings: tuple[str, ...] = ()
+
+    def __enter__(self) -> Bench:
+        """Return the bench itself."""
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """Stop everything."""
+        self.close()
+
+    def close(self) -> None:
+        """Kill all processes."""
+        for one in self._all():
+            if one.running:
+                one.signal(signal.SIGCONT)
+                one.popen.kill()
+        for one in self._all():
+            one.popen.wait()
+
+    def _all(self) -> list[Process]:
+        """Return all processes."""
+        first = [self.platform] if self.platform else []
+        return [*first, *self.engines, *self.services, *self.instances]
+
+    def _spawn(self, name: str, address: str, module: str, *flags: str) -> Process:
+        """Start one process; its output goes to a file."""
+        log = self.folder / f"{name}.log"
+        command = [sys.executable, "-m", module, *flags]
+        environment = {name: text for name, text in os.environ.items() if "DRIFTSTALL" not in name}
+        with log.open("ab") as output:
+            popen = subprocess.Popen(command, stdout=output, stderr=output, env=environment)
+        return Process(name, address, popen, log)
+
+    def start_platform(self) -> Process:
+        """Start the platform stand-in."""
+        port = free_port()
+        self.platform = self._spawn(
+            "platform", f"127.0.0.1:{port}", "stand_ins.platform", f"--port={port}"
+        )
+        self.wait_listening(self.platform)
+        return self.platform
+
+    def start_engines(
+        self, count: int, *, model: str = "base", memory: int = 48_000, flags: tuple[str, ...] = ()
+    ) -> None:
+        """Start engine stand-ins, spread over the zones."""
+        for _ in range(count):
+            index = len(self.engines)
+            port, name = free_port(), f"engine-{index + 1}"
+            options = (f"--port={port}", f"--id={name}", f"--memory={memory}", f"--model={model}")
+            address = f"127.0.0.1:{port}"
+            process = self._spawn(name, address, "stand_ins.engine", *options, *flags)
+            self.engines.append(process)
+            self.runners.append(
+                {
+                    "runner_id": name,
+                    "address": address,
+                    "zone": ZONES[index % len(ZONES)],
+                    "model": model,
+                    "memory_tokens": memory,
+                    "checks_fences": "--no-fences" not in flags,
+                }
+            )
+
+    def start_services(self, service: str, count: int) -> None:
+        """Start plain-service stand-ins, spread over the zones."""
+        for index in range(count):
+            port, name = free_port(), f"{service}-{index + 1}"
+            address = f"127.0.0.1:{port}"
+            flags = (f"--port={port}", f"--name={name}")
+            self.services.append(self._spawn(name, address, "stand_ins.service", *flags))
+            zone = ZONES[index % len(ZONES)]
+            row = {"runner_id": name, "address": address, "zone": zone, "service": service}
+            self.runners.append(row)
+
+    def start_instance(self, *flags: str) -> Process:
+        """Start one more instance and put it on the platform's list."""
+        assert self.platform is not None
+        index = len(self.instances)
+        name, zone = f"instance-{index + 1}", ZONES[index % len(ZONES)]
+        listen, peer, operator = (f"127.0.0.1:{free_port()}" for _ in range(3))
+        process = self._spawn(
+            name,
+            listen,
+            "driftstall",
+            f"--instance-id={name}",
+            f"--zone={zone}",
+            f"--listen={listen}",
+            f"--peer-listen={peer}",
+            f"--operator-listen={operator}",
+            f"--platform={self.platform.address}",
+            f"--operator-token={OPERATOR_TOKEN}",
+            f"--peer-key={PEER_KEY}",
+            "--locate-keep=2",
+            *self.extra_settings,
+            *flags,
+        )
+        process.operator, process.zone = operator, zone
+        self.instances.append(process)
+        row = {"role": "entry", "address": listen, "peer_address": peer, "zone": zone}
+        self.list_member(name, row | {"state": "live"})
+        return process
+
+    def list_member(self, name: str, row: dict[str, Any]) -> None:
+        """Change a row of the platform's list."""
+        assert self.platform is not None
+        call_json(self.platform.address, "PUT", f"/v1/instances/{name}", "", row)
+
+    def wait_listening(self, process: Process) -> None:
+        """Wait until a process takes connections."""
+
+        def listening() -> bool:
+            if not process.running:
+                raise BenchError(f"{process.name} has ended:\n{process.log.read_text()[-2000:]}")
+            host, port = process.address.split(":")
+            with socket.socket() as probe:
+                return bool(probe.connect_ex((host, int(port))) == 0)
+
+        wait_until(f"{process.name} listens", listening)
+
+    def start(self, instances: int) -> None:
+        """Start instances and wait for everything to listen."""
+        for _ in range(instances):
+            self.start_instance()
+        for one in self._all():
+            self.wait_listening(one)
+
+    def submit(self, policy: str, workspaces: tuple[str, ...], at: int = 0) -> Answer:
+        """Submit a whole configuration through an instance."""
+        rows = [
+            {"name": name, "key_sha256": hashlib.sha256(workspace_key(name).encode()).hexdigest()}
+            for name in workspaces
+        ]
+        change = {"policy": policy, "workspaces": rows, "runners": self.runners}
+        return self.operator(at, "PUT", "/operator/config", change)
+
+    def operator(self, at: int, method: str, path: str, value: Any = None) -> Answer:
+        """Make one operator's call to an instance."""
+        return call_json(self.instances[at].operator, method, path, OPERATOR_TOKEN, value)
+
+    def status(self, at: int) -> dict[str, Any]:
+        """Return what an instance knows."""
+        value: dict[str, Any] = self.operator(at, "GET", "/operator/status").value
+        return value
+
+    def generation_everywhere(self) -> int:
+        """Return the lowest generation in force on a running instance."""
+        running = [index for index, one in enumerate(self.instances) if one.running]
+        return min(int(self.status(index)["generation"]) for index in running)
+
+    def wait_ready(self, members: int) -> None:
+        """Wait until all instances are ready and know one another."""
+        for index, one in enumerate(self.instances):
+            if not one.running:
+                continue
+
+            def ready(at: int = index) -> bool:
+                status = self.status(at)
+                return bool(status["ready"]) and len(status["instances"]) >= members
+
+            wait_until(f"{one.name} is ready", ready)
--- /dev/null
+++ b/stand_ins/http.py
@@ -0,0 +1,39 @@
+"""Serve JSON over gevent's WSGI for the stand-ins."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Any
+from urllib.parse import parse_qs
+
+import orjson
+from gevent.pywsgi import WSGIServer
+
+StartResponse = Callable[..., Any]
+REASONS = {200: "OK", 404: "Not Found", 409: "Conflict", 410: "Gone", 429: "Too Many Requests"}
+
+
+def answer(start: StartResponse, status: int, value: Any) -> Iterable[bytes]:
+    """Answer with JSON."""
+    body = orjson.dumps(value)
+    headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+    start(f"{status} {REASONS.get(status, 'Status')}", headers)
+    return [body]
+
+
+def read_json(environ: dict[str, Any]) -> Any:
+    """Read a JSON body; an empty one is an empty object."""
+    raw = environ["wsgi.input"].read()
+    return orjson.loads(raw) if raw else {}
+
+
+def query(environ: dict[str, Any]) -> dict[str, str]:
+    """Return the first value of each query parameter."""
+    return {name: values[0] for name, values in parse_qs(environ["QUERY_STRING"]).items()}
+
+
+def serve(port: int, app: Callable[..., Iterable[bytes]]) -> WSGIServer:
+    """Return a started server on the loopback address."""
+    server = WSGIServer(("127.0.0.1", port), app, log=None)
+    server.start()
+    return server
--- /dev/null
+++ b/stand_ins/service.py
@@ -0,0 +1,76 @@
+"""Stand in for a plain service: count each run, and fail as scripted.
+
+Usage:
+  service [--port=N] [--name=NAME]
+
+Options:
+  --port=N     Port to serve on [default: 7200].
+  --name=NAME  Name shown in answers [default: portal].
+"""
+
+from __future__ import annotations
+
+from gevent import monkey
+
+monkey.patch_all()
+
+from collections import Counter  # noqa: E402
+from collections.abc import Iterable  # noqa: E402
+from dataclasses import dataclass, field  # noqa: E402
+from typing import Any  # noqa: E402
+
+import gevent  # noqa: E402
+from docopt import docopt  # noqa: E402
+
+from stand_ins.http import StartResponse, answer, read_json, serve  # noqa: E402
+
+
+@dataclass(slots=True)
+class Service:
+    """Count the runs of each call, by the id that the call's body or header carries."""
+
+    name: str
+    runs: Counter[str] = field(default_factory=Counter)
+    late_s: float = 0.0
+    drop_answers: int = 0
+    """Calls that run but whose answer is lost."""
+    refuse: int = 0
+    """Calls answered 503 before they run."""
+
+    def __call__(self, environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
+        """Serve one call."""
+        path = environ["PATH_INFO"]
+        if path == "/control":
+            script = read_json(environ)
+            self.late_s = script.get("late_s", self.late_s)
+            self.drop_answers = script.get("drop_answers", self.drop_answers)
+            self.refuse = script.get("refuse", self.refuse)
+            return answer(start, 200, {})
+        if path == "/control/stats":
+            return answer(start, 200, {"runs": dict(self.runs)})
+        if path == "/v1/load":
+            return answer(start, 200, {"used_tokens": 0, "memory_tokens": 1, "waiting": 0})
+        body = environ["wsgi.input"].read()
+        if self.refuse > 0:
+            self.refuse -= 1
+            return answer(start, 503, {"error": "not run"})
+        call_id = environ.get("HTTP_X_CALL_ID", "") or path
+        self.runs[call_id] += 1
+        if self.late_s:
+            gevent.sleep(self.late_s)
+        if self.drop_answers > 0:
+            self.drop_answers -= 1
+            environ["wsgi.input"].socket.close()
+            raise OSError("answer lost by script")
+        echo = body.decode("utf-8", "replace")[:200]
+        return answer(start, 200, {"service": self.name, "call": call_id, "echo": echo})
+
+
+def main() -> None:
+    """Serve until killed."""
+    options = docopt(__doc__)
+    serve(int(options["--port"]), Service(options["--name"])).serve_forever()
+
+
+if __name__ == "__main__":
+    main()
