--- a/driftstall/controllers/grant_messages.py
+++ b/driftstall/controllers/grant_messages.py
@@ -71,7 +71,8 @@
 
     group: str
     runner_id: str
-    stored: tuple[PrefixMark, ...]
+    stored: tuple[tuple[PrefixMark, ...], ...]
+    """Each with all its prefixes, from short to long."""
     evicted: tuple[int, ...]
 
 
--- a/driftstall/controllers/grants.py
+++ b/driftstall/controllers/grants.py
@@ -41,6 +41,7 @@
     retry_after,
 )
 from driftstall.decisions.fairness import FairQueue, Waiting
+from driftstall.decisions.isolation import LONG_PREFILL, LongPrefillSet, RunnerLoad
 from driftstall.decisions.lengths import LengthModel
 from driftstall.decisions.limits import TokenBucket
 from driftstall.decisions.memory import NOTHING, Hold, hold_of, quantile, total
@@ -69,7 +70,8 @@
     verdict: Verdict
     runner_id: str
     since: float
-    uncached: int
+    shared: int
+    """Prompt tokens that the prefix cache held."""
     produced: int = 0
     yields: int = 0
     rested_from: float = 0.0
@@ -90,8 +92,13 @@
     hold_at: float = -1e9
     pending_prefill: float = 0.0
     pending_at: float = 0.0
+    prefill_rate: ServiceRate = field(default_factory=ServiceRate)
     first_rank: int = 0
+    long_held: float = 0.0
+    """Memory held by long prompts, in tokens of input."""
     yield_at: float = -1e9
+    shared: float = 0.0
+    """Tokens of open grants that the prefix cache holds anyway."""
     unexplained: float = 0.0
     """Memory the runner reports beyond our grants, in tokens."""
 
@@ -141,8 +148,9 @@
         self._buckets: dict[str, TokenBucket] = {}
         self._first_arrivals = ServiceRate()
         self._first_held = 1_500.0
+        self._long_set = LongPrefillSet()
+        self._long_blocked: float | None = None
         self._actions: list[GrantAction] = []
-        self._dispatch_at = -1e9
 
     @property
     def waiting(self) -> int:
@@ -281,8 +289,8 @@
             return
         for digest in event.evicted:
             runner.prefixes.evict(digest)
-        for mark in event.stored:
-            runner.prefixes.store((mark,))
+        for prefix in event.stored:
+            runner.prefixes.store(prefix)
 
     @_apply.register
     def _(self, event: RunnersChanged, now: float) -> None:
@@ -412,11 +420,27 @@
                 if not grant.paused
             )
             runner.hold_at = now
-            runner.prefixes.shrink(runner.memory - runner.hold.means[0])
+            runner.prefixes.shrink(runner.memory - runner.hold.means[0] + runner.shared)
         return runner.hold
 
     def _dispatch(self, now: float) -> None:
         """Grant what has room, best rank first."""
+        self._long_blocked = None
+        self._grant_all(now)
+        if self._resize_long_set(now):
+            self._grant_all(now)
+
+    def _resize_long_set(self, now: float) -> bool:
+        """Let the set of runners for long prefills follow the load."""
+        loads = [
+            RunnerLoad(one.runner_id, one.memory, one.long_held, one.first_rank)
+            for one in self._runners.values()
+        ]
+        waited = None if self._long_blocked is None else now - self._long_blocked
+        return self._long_set.update(loads, waited, self._weights, now)
+
+    def _grant_all(self, now: float) -> None:
+        """Grant in order of rank until one has to wait."""
         if self._paused:
             self._resume(now)
         for rank in sorted(self._queues):
@@ -445,7 +469,9 @@
         request, rank = item.request, item.verdict.rank
         addition = hold_of(self._lengths, request, 0)
         headroom = self._headroom(rank, now)
+        members = self._long_set.members
         views = []
+        isolated = False
         for runner in self._runners.values():
             if runner.runner_id in item.avoid and len(self._runners) > len(item.avoid):
                 continue
@@ -454,27 +480,46 @@
             if peak > runner.memory - headroom and (runner.grants or peak > 4 * runner.memory):
                 continue
             uncached = request.input_tokens - runner.prefixes.match(request.prefix)
+            if rank > 0 and uncached >= LONG_PREFILL and runner.runner_id not in members:
+                isolated = True
+                continue
             pending = runner.pending(now)
             if rank > 0 and pending > 0 and pending + uncached > MAX_PENDING_PREFILL:
                 continue
             fill = hold.means[0] / runner.memory
             views.append(
                 RunnerView(
-                    runner.runner_id, uncached, pending, runner.first_rank, fill, remote=False
+                    runner.runner_id,
+                    uncached,
+                    pending,
+                    runner.first_rank,
+                    fill,
+                    remote=False,
+                    prefill_rate=runner.prefill_rate.value(now),
                 )
             )
-        return choose(views, self._weights, first_rank=rank == 0)
+        if isolated and not views:
+            oldest = min(item.since, now if self._long_blocked is None else self._long_blocked)
+            self._long_blocked = oldest
+        return choose(
+            views,
+            self._weights,
+            first_rank=rank == 0,
+            output=self._lengths.expected(request),
+        )
 
     def _grant(self, item: Waiting, choice: Choice, now: float) -> None:
         """Open a grant and tell the entry."""
         runner = self._runners[choice.runner_id]
         request = item.request
-        uncached = request.input_tokens - runner.prefixes.touch(request.prefix)
-        grant = OpenGrant(item.entry, request, item.verdict, runner.runner_id, now, uncached)
+        shared = runner.prefixes.touch(request.prefix)
+        uncached = request.input_tokens - shared
+        grant = OpenGrant(item.entry, request, item.verdict, runner.runner_id, now, shared)
         grant.reserved = item.cost
         grant.rested_from = now
         self._open(runner, grant, now)
         runner.pending_prefill = runner.pending(now) + uncached
+        runner.prefill_rate.add(uncached, now)
         self._rate(item.verdict.rank).add(item.cost, now)
         reason = (
             f"cost {choice.cost:.3f} of {len(self._runners)} runners, "
@@ -490,6 +535,9 @@
         self._grants[request_id] = grant
         runner.grants[request_id] = grant
         runner.first_rank += grant.verdict.rank == 0
+        runner.shared += grant.shared
+        if _is_long(grant):
+            runner.long_held += grant.request.input_tokens
         hold = self._hold(runner, now)
         runner.hold = hold.plus(hold_of(self._lengths, grant.request, grant.produced))
 
@@ -505,6 +553,9 @@
         if runner is None or runner.grants.pop(event.request_id, None) is None:
             return
         runner.first_rank -= grant.verdict.rank == 0
+        runner.shared -= grant.shared
+        if _is_long(grant):
+            runner.long_held -= grant.request.input_tokens
         if not grant.paused:
             runner.hold = runner.hold.minus(hold_of(self._lengths, grant.request, grant.produced))
         prefix = grant.request.prefix
@@ -571,3 +622,8 @@
             del self._paused[request_id]
             reason = "there is room again"
             self._actions.append(ResumeAsked(grant.entry, request_id, grant.runner_id, reason))
+
+
+def _is_long(grant: OpenGrant) -> bool:
+    """Tell whether a grant was for a long prefill of a lower rank."""
+    return grant.verdict.rank > 0 and grant.request.input_tokens >= LONG_PREFILL
--- a/driftstall/decisions/prefixes.py
+++ b/driftstall/decisions/prefixes.py
@@ -1,63 +1,128 @@
 """Model what an engine's prefix cache holds, from our own grants.
 
-The engine's cache events arrive late and with gaps, so they only correct this
-model; they are never needed for a decision.
+Prefixes form a tree: a conversation's turn extends the turn before, and all
+conversations of a workspace share its instructions. A segment is held as long as
+something longer needs it; the least recently used leaf goes first. The engine's
+cache events arrive late and with gaps, so they only correct this model.
 """
 
 from __future__ import annotations
 
 from collections import OrderedDict
+from dataclasses import dataclass
 
 from driftstall.core import PrefixMark
 
+_ROOT = 0
+
+
+@dataclass(slots=True)
+class _Segment:
+    """Hold the tokens between a prefix and its parent."""
+
+    parent: int
+    own_tokens: int
+    children: int = 0
+    pins: int = 0
+    """Running generations that use this segment."""
+
 
 class PrefixModel:
     """Keep prefixes in the order of use, within a budget of tokens."""
 
     def __init__(self) -> None:
         """Start empty."""
-        self._held: OrderedDict[int, int] = OrderedDict()
+        self._segments: OrderedDict[int, _Segment] = OrderedDict()
         self._tokens = 0
+        self._pinned = 0
+
+    @property
+    def pinned(self) -> int:
+        """Return the tokens of segments that running generations use."""
+        return self._pinned
 
     @property
     def tokens(self) -> int:
-        """Return the tokens of all prefixes held."""
+        """Return the tokens of all segments held."""
         return self._tokens
 
     def match(self, prefix: tuple[PrefixMark, ...]) -> int:
         """Return the tokens of the longest prefix held."""
         for mark in reversed(prefix):
-            if mark.digest in self._held:
+            if mark.digest in self._segments:
                 return mark.tokens
         return 0
 
     def touch(self, prefix: tuple[PrefixMark, ...]) -> int:
         """Mark the longest prefix held as just used; return its tokens."""
+        used = 0
         for mark in reversed(prefix):
-            if mark.digest in self._held:
-                self._held.move_to_end(mark.digest)
-                return mark.tokens
-        return 0
+            if mark.digest in self._segments:
+                used = max(used, mark.tokens)
+                # Parents are moved last, so the oldest segment is always a leaf.
+                self._segments.move_to_end(mark.digest)
+        return used
 
     def store(self, prefix: tuple[PrefixMark, ...]) -> None:
-        """Hold a whole prefix; it takes the place of its shorter forms."""
-        if not prefix:
-            return
+        """Hold a whole prefix, as an extension of what is held of it."""
+        parent, tokens = _ROOT, 0
         for mark in prefix:
-            self.evict(mark.digest)
-        last = prefix[-1]
-        self._held[last.digest] = last.tokens
-        self._tokens += last.tokens
+            if mark.digest not in self._segments:
+                self._segments[mark.digest] = _Segment(parent, mark.tokens - tokens)
+                self._tokens += mark.tokens - tokens
+                if parent in self._segments:
+                    self._segments[parent].children += 1
+            parent, tokens = mark.digest, mark.tokens
+        self.touch(prefix)
 
     def evict(self, digest: int) -> None:
-        """Drop one prefix, if it is held."""
-        self._tokens -= self._held.pop(digest, 0)
+        """Drop one prefix, if it is held and nothing longer needs it."""
+        segment = self._segments.get(digest)
+        if segment is not None and not segment.children and not segment.pins:
+            self._drop(digest)
+
+    def pin(self, prefix: tuple[PrefixMark, ...]) -> int:
+        """Keep the longest prefix held while a generation uses it; return its digest."""
+        for mark in reversed(prefix):
+            if mark.digest in self._segments:
+                self._count_pin(mark.digest, 1)
+                return mark.digest
+        return _ROOT
+
+    def unpin(self, digest: int) -> None:
+        """Let a pinned prefix go again."""
+        self._count_pin(digest, -1)
+
+    def _count_pin(self, digest: int, change: int) -> None:
+        """Count a pin on a segment and on all that it extends."""
+        while digest in self._segments:
+            segment = self._segments[digest]
+            before = segment.pins
+            segment.pins += change
+            if (before == 0) != (segment.pins == 0):
+                self._pinned += change * segment.own_tokens
+            digest = segment.parent
 
     def shrink(self, budget: float) -> list[int]:
-        """Drop the longest unused prefixes down to a budget; return them."""
+        """Drop the longest unused leaves down to a budget; return them."""
         dropped = []
-        while self._tokens > budget and self._held:
-            digest, tokens = self._held.popitem(last=False)
-            self._tokens -= tokens
+        kept = 0
+        while self._tokens > budget and kept < len(self._segments):
+            digest = next(iter(self._segments))
+            segment = self._segments[digest]
+            if segment.children or segment.pins:
+                self._segments.move_to_end(digest)
+                kept += 1
+                continue
+            self._drop(digest)
             dropped.append(digest)
+            kept = 0
         return dropped
+
+    def _drop(self, digest: int) -> None:
+        """Take a leaf out."""
+        segment = self._segments.pop(digest)
+        self._tokens -= segment.own_tokens
+        parent = self._segments.get(segment.parent)
+        if parent is not None:
+            parent.children -= 1
--- a/driftstall/decisions/routing.py
+++ b/driftstall/decisions/routing.py
@@ -11,6 +11,8 @@
 """Measured on the engine stand-in: 512 tokens in about 45 ms."""
 FILL_WEIGHT: Final = 0.3
 """Seconds that a full engine is worth, against an empty one."""
+STEP_S: Final = 0.03
+"""Seconds that a token takes on an engine without prefill."""
 REMOTE_ZONE_S: Final = 0.003
 """Round trip to another availability zone, in seconds (brief)."""
 
@@ -29,6 +31,8 @@
     fill: float
     """Forecast share of memory in use, from 0 to 1."""
     remote: bool
+    prefill_rate: float
+    """Prefill tokens a second that this runner has lately been given."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,22 +45,28 @@
     gap_s: float
 
 
-def choose(views: list[RunnerView], weights: Weights, *, first_rank: bool) -> Choice | None:
-    """Return the runner that costs the policy's measures least."""
+def choose(
+    views: list[RunnerView], weights: Weights, *, first_rank: bool, output: float
+) -> Choice | None:
+    """Return the runner that costs the policy's measures least.
+
+    output: the expected tokens of the answer, for which it shares its engine.
+    """
     best: Choice | None = None
     for view in views:
-        choice = _cost(view, weights, first_rank=first_rank)
+        choice = _cost(view, weights, first_rank=first_rank, output=output)
         if best is None or choice.cost < best.cost:
             best = choice
     return best
 
 
-def _cost(view: RunnerView, weights: Weights, *, first_rank: bool) -> Choice:
+def _cost(view: RunnerView, weights: Weights, *, first_rank: bool, output: float) -> Choice:
     """Weigh the wait for prefill against the pauses it makes for others."""
     stall_s = (view.pending_prefill + view.uncached) / PREFILL_TOKENS_PER_S
     gap_s = view.uncached * view.first_rank_streams / PREFILL_TOKENS_PER_S
     if first_rank:
         gap_s += view.pending_prefill / PREFILL_TOKENS_PER_S
+        gap_s += view.prefill_rate * output * STEP_S / PREFILL_TOKENS_PER_S
     if view.remote:
         stall_s += REMOTE_ZONE_S
     cost = weights.stall * stall_s + weights.token_gap * gap_s + FILL_WEIGHT * view.fill
--- a/driftstall/runners/engine.py
+++ b/driftstall/runners/engine.py
@@ -154,11 +154,14 @@
 
 def fetch_cache_events(
     runner: Runner, after: int
-) -> tuple[int, tuple[PrefixMark, ...], tuple[int, ...]]:
+) -> tuple[int, tuple[tuple[PrefixMark, ...], ...], tuple[int, ...]]:
     """Return the new position, the prefixes stored and those evicted."""
     raw = _get_json(runner, f"/v1/cache-events?after={after}")
     try:
-        stored = tuple(PrefixMark(int(digest), int(tokens)) for digest, tokens in raw["stored"])
+        stored = tuple(
+            tuple(PrefixMark(int(digest), int(tokens)) for digest, tokens in prefix)
+            for prefix in raw["stored"]
+        )
         return int(raw["next"]), stored, tuple(int(digest) for digest in raw["evicted"])
     except (KeyError, TypeError, ValueError) as fault:
         raise UpstreamError("the cache events are malformed", sent=True) from fault
--- /dev/null
+++ b/measures/decisions.py
@@ -0,0 +1,249 @@
+"""Compare the decisions with baselines and the limit on one seeded workload.
+
+Usage:
+  decisions --deployment=NAME --seed=N [options]
+
+Options:
+  --deployment=NAME  enrolment or parcel.
+  --seed=N           Seed of the workload.
+  --rate=R           Generations a second [default: 8].
+  --seconds=N        Seconds of arrivals [default: 120].
+  --engines=N        Model runners [default: 5].
+  --drift=X          Factor on output lengths by the end [default: 1].
+  --flood=R          Extra long prompts a second from one workspace [default: 0].
+  --lag=S            Lag of the runners' reports in seconds [default: 0.5].
+  --cache-gap=X      Share of cache events that are lost [default: 0.1].
+  --methods=LIST     Methods to run [default: first_come,worst_case,forecast,oracle].
+  --json             Print one JSON object.
+
+Stalls run from a request's first ask to its first token, waits between returns
+included. Preemptions count the engines' own and every yield.
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Any, Final
+
+import numpy as np
+import orjson
+from docopt import docopt
+
+from driftstall.core import Verdict
+from driftstall.policy.evaluate import evaluate
+from driftstall.policy.model import Facts, Policy
+from driftstall.policy.parse import parse_policy
+from measures.driver import Driver, Lossy, Served
+from measures.methods import build
+from measures.workload import DEPLOYMENTS, Arrival, Deployment, Twist, WorkloadMaker
+from stand_ins.engine_model import Engine
+
+DRAIN_S: Final = 240.0
+"""Seconds after the last arrival in which requests may still end."""
+FLOOD: Final = "workspace-flood"
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """Hold one method's figures."""
+
+    method: str
+    stall_p50_ms: float
+    stall_p99_ms: float
+    token_gap_p95_ms: float
+    token_gap_p99_ms: float
+    preemptions_per_1000: float
+    refused_share: float
+    """Share of requests that gave up after coming back as told."""
+    completed: int
+    tokens_per_second: float
+    first_stall_p50_ms: float
+    first_stall_p99_ms: float
+    first_gap_p95_ms: float
+    first_gap_p99_ms: float
+    first_refused_share: float
+    long_stall_p50_ms: float
+    long_stall_p99_ms: float
+    long_refused_share: float
+    yields_per_1000: float
+    returns: int
+    returns_refused: int
+    late_refusals: int
+    others_stall_p99_ms: float
+    """Stall of all workspaces but the one that floods."""
+    prefilled_tokens: int
+    decision_us: float
+    """Time of one event in the controller, simulated engines not counted."""
+
+
+class _Timed:
+    """Time a method's handling of events."""
+
+    def __init__(self, inner: Any) -> None:
+        """Wrap a method."""
+        self._inner = inner
+        self.seconds = 0.0
+        self.asks = 0
+
+    def handle(self, event: Any, now: float) -> Any:
+        """Pass an event on and time it."""
+        begin = time.perf_counter()
+        actions = self._inner.handle(event, now)
+        self.seconds += time.perf_counter() - begin
+        self.asks += 1
+        return actions
+
+
+def verdicts(policy: Policy) -> Callable[[Arrival], Verdict]:
+    """Return what the policy says of each arrival."""
+
+    def verdict_of(arrival: Arrival) -> Verdict:
+        facts = Facts(
+            arrival.kind, arrival.workspace, "base", arrival.input_tokens, arrival.max_tokens, 0, 12
+        )
+        return evaluate(policy, facts)
+
+    return verdict_of
+
+
+def run_method(
+    method: str,
+    arrivals: list[Arrival],
+    deployment: Deployment,
+    *,
+    engines: int = 5,
+    seconds: float = 120.0,
+    seed: int = 0,
+    lossy: Lossy | None = None,
+) -> Row:
+    """Run one method over a workload and return its figures."""
+    policy = parse_policy(Path(f"examples/{deployment.name}.policy").read_text())
+    fleet = {f"engine-{index}": Engine() for index in range(engines)}
+    timed = _Timed(build(method, arrivals, policy.weights, policy.overflow, seed))
+    driver = Driver(fleet, timed, verdicts(policy), lossy=lossy, seed=seed)
+    served = driver.run(arrivals, seconds + DRAIN_S)
+    preempted = sum(one.preemptions for one in fleet.values())
+    prefilled = sum(one.prefilled_tokens for one in fleet.values())
+    cost = timed.seconds / max(1, timed.asks) * 1e6
+    return _row(method, served, deployment, preempted, prefilled, cost, seconds)
+
+
+def _percentile(values: list[float], share: float) -> float:
+    """Return a percentile in milliseconds; zero for none."""
+    return round(float(np.percentile(np.array(values), share)) * 1000, 1) if values else 0.0
+
+
+def _stalls(served: list[Served]) -> list[float]:
+    """Return the stalls; one that never began counts as long as it was watched."""
+    return [
+        one.first_token - one.first_asked if one.first_token >= 0 else DRAIN_S
+        for one in served
+        if not one.gave_up
+    ]
+
+
+def _gaps(served: list[Served]) -> list[float]:
+    """Return all token gaps."""
+    return [gap for one in served for gap in one.gaps]
+
+
+def _gave_up(served: list[Served]) -> float:
+    """Return the share that gave up."""
+    return round(sum(one.gave_up for one in served) / max(1, len(served)), 4)
+
+
+def _row(
+    method: str,
+    served: dict[str, Served],
+    deployment: Deployment,
+    preempted: int,
+    prefilled: int,
+    cost: float,
+    seconds: float,
+) -> Row:
+    """Work out the figures."""
+    every = list(served.values())
+    first = [one for one in every if one.arrival.kind == deployment.first_kind]
+    long = [
+        one
+        for one in every
+        if one.arrival.kind == deployment.long_kind and one.arrival.workspace != FLOOD
+    ]
+    others = [one for one in every if one.arrival.workspace != FLOOD]
+    yields = sum(one.yields for one in every)
+    stalls, gaps = _stalls(every), _gaps(every)
+    first_gaps = _gaps(first)
+    per_1000 = 1000.0 / max(1, len(every))
+    tokens = sum(len(one.gaps) + 1 for one in every if one.first_token >= 0)
+    bound_s = 0.05
+    late = sum(one.granted >= 0 and one.granted - one.asked > 60.0 + bound_s for one in every)
+    return Row(
+        method,
+        _percentile(stalls, 50),
+        _percentile(stalls, 99),
+        _percentile(gaps, 95),
+        _percentile(gaps, 99),
+        round((preempted + yields) * per_1000, 2),
+        _gave_up(every),
+        sum(one.finished for one in every),
+        round(tokens / seconds, 1),
+        _percentile(_stalls(first), 50),
+        _percentile(_stalls(first), 99),
+        _percentile(first_gaps, 95),
+        _percentile(first_gaps, 99),
+        _gave_up(first),
+        _percentile(_stalls(long), 50),
+        _percentile(_stalls(long), 99),
+        _gave_up(long),
+        round(yields * per_1000, 2),
+        sum(one.turn for one in every),
+        sum(one.returned_refused for one in every),
+        late,
+        _percentile(_stalls(others), 99),
+        prefilled,
+        round(cost, 1),
+    )
+
+
+def main() -> int:
+    """Run the comparison and print it."""
+    options = docopt(__doc__ or "")
+    deployment = DEPLOYMENTS[options["--deployment"]]
+    seed, rate = int(options["--seed"]), float(options["--rate"])
+    seconds = float(options["--seconds"])
+    twist = Twist(float(options["--drift"]), float(options["--flood"]))
+    lossy = Lossy(float(options["--lag"]), float(options["--cache-gap"]))
+    arrivals = WorkloadMaker(deployment, seed, twist).make(rate, seconds)
+    rows = [
+        run_method(
+            method,
+            arrivals,
+            deployment,
+            engines=int(options["--engines"]),
+            seconds=seconds,
+            seed=seed,
+            lossy=lossy,
+        )
+        for method in options["--methods"].split(",")
+    ]
+    if options["--json"]:
+        table = {
+            "deployment": deployment.name,
+            "seed": seed,
+            "rate": rate,
+            "rows": [asdict(row) for row in rows],
+        }
+        print(orjson.dumps(table).decode())
+        return 0
+    for name in asdict(rows[0]):
+        cells = "".join(f"{getattr(row, name)!s:>13}" for row in rows)
+        print(f"{name:<22}{cells}")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/measures/methods.py
@@ -0,0 +1,61 @@
+"""Build the methods that are compared: two baselines, ours and the limit."""
+
+from __future__ import annotations
+
+import random
+from typing import Final
+
+from driftstall.controllers.grant_messages import (
+    Ask,
+    Close,
+    GrantAction,
+    Granted,
+    GrantEvent,
+    RunnersChanged,
+)
+from driftstall.controllers.grants import GrantsController
+from driftstall.core import Weights
+from driftstall.decisions.lengths import KnownLengths, LearnedLengths, WorstCaseLengths
+from measures.workload import Arrival
+
+METHODS: Final = ("first_come", "worst_case", "forecast", "oracle")
+
+
+class FirstCome:
+    """Grant at once to the least loaded runner: no admission, no queue, no forecast."""
+
+    def __init__(self) -> None:
+        """Start without runners."""
+        self._held: dict[str, int] = {}
+        self._open: dict[str, tuple[str, int]] = {}
+
+    def handle(self, event: GrantEvent, now: float) -> list[GrantAction]:
+        """Take an event and return the actions."""
+        if isinstance(event, RunnersChanged):
+            self._held = {name: 0 for name, _, _ in event.runners}
+        elif isinstance(event, Close):
+            name, tokens = self._open.pop(event.request_id)
+            self._held[name] -= tokens
+        elif isinstance(event, Ask):
+            request = event.request
+            name = min(self._held, key=self._held.__getitem__)
+            self._held[name] += request.input_tokens
+            self._open[request.request_id] = (name, request.input_tokens)
+            rank = event.verdict.rank
+            return [Granted(event.entry, request.request_id, name, rank, "least loaded")]
+        return []
+
+
+def build(
+    method: str, arrivals: list[Arrival], weights: Weights, overflow: float, seed: int
+) -> FirstCome | GrantsController:
+    """Return a method by name."""
+    source = random.Random(seed)
+    if method == "first_come":
+        return FirstCome()
+    if method == "worst_case":
+        return GrantsController("base/0", WorstCaseLengths(), source, weights=weights, certain=True)
+    if method == "oracle":
+        lengths = KnownLengths({one.request_id: one.output_tokens for one in arrivals})
+        return GrantsController("base/0", lengths, source, weights=weights, certain=True)
+    return GrantsController("base/0", LearnedLengths(), source, weights=weights, overflow=overflow)
--- a/stand_ins/engine.py
+++ b/stand_ins/engine.py
@@ -95,7 +95,7 @@
         self._faults = Faults()
         self._leaving = False
         self._report: dict[str, Any] = {}
-        self._cache: deque[tuple[float, int, PrefixMark | None, int]] = deque(maxlen=4_000)
+        self._cache: deque[tuple[float, int, tuple[PrefixMark, ...], int]] = deque(maxlen=4_000)
         self._cache_next = 0
         self._random = random.Random(runner_id)
         self.counts: Counter[str] = Counter()
@@ -146,12 +146,12 @@
     def _note_cache(self, evicted: Iterable[int]) -> None:
         """Keep cache events for later, with gaps."""
         now = time.monotonic()
-        events: list[tuple[PrefixMark | None, int]] = [(None, one) for one in evicted]
-        events += [(mark, 0) for mark in self._engine.take_stored()]
-        for mark, digest in events:
+        events: list[tuple[tuple[PrefixMark, ...], int]] = [((), one) for one in evicted]
+        events += [(prefix, 0) for prefix in self._engine.take_stored()]
+        for prefix, digest in events:
             self._cache_next += 1
             if self._random.random() >= CACHE_GAP:
-                self._cache.append((now + CACHE_LAG_S, self._cache_next, mark, digest))
+                self._cache.append((now + CACHE_LAG_S, self._cache_next, prefix, digest))
 
     def _drop_orphans(self) -> None:
         """Cancel generations that nobody has read for a while."""
@@ -325,8 +325,8 @@
         """Return cache events that are old enough to be shown."""
         after, now = int(query(environ)["after"]), time.monotonic()
         ripe = [one for one in self._cache if one[0] <= now and one[1] > after]
-        stored = [[one[2].digest, one[2].tokens] for one in ripe if one[2] is not None]
-        evicted = [one[3] for one in ripe if one[2] is None]
+        stored = [[[mark.digest, mark.tokens] for mark in one[2]] for one in ripe if one[2]]
+        evicted = [one[3] for one in ripe if not one[2]]
         position = ripe[-1][1] if ripe else after
         return answer(start, 200, {"next": position, "stored": stored, "evicted": evicted})
 
--- a/stand_ins/engine_model.py
+++ b/stand_ins/engine_model.py
@@ -56,6 +56,9 @@
     """Tokens of context whose memory is filled."""
     target: int = 0
     """Tokens of context to fill before decoding goes on."""
+    shared: int = 0
+    """Tokens of the context that the prefix cache holds for it."""
+    pin: int = 0
     preempted: int = 0
 
 
@@ -83,19 +86,19 @@
     prefilled_tokens: int = 0
     _order: int = 0
     _used: int = 0
-    _stored: list[PrefixMark] = field(default_factory=list)
+    _stored: list[tuple[PrefixMark, ...]] = field(default_factory=list)
 
     @property
     def used_tokens(self) -> int:
-        """Return the memory in use by streams, in tokens."""
-        return self._used
+        """Return the memory in use by streams, in tokens; what they share counts once."""
+        return self._used + self.cache.pinned
 
     @property
     def idle(self) -> bool:
         """Tell whether there is nothing to do."""
         return not self.running and not self.waiting
 
-    def take_stored(self) -> tuple[PrefixMark, ...]:
+    def take_stored(self) -> tuple[tuple[PrefixMark, ...], ...]:
         """Return and forget the prefixes stored since the last call."""
         stored = tuple(self._stored)
         self._stored.clear()
@@ -145,10 +148,11 @@
         """Remove a generation from wherever it is."""
         self.paused.pop(generation.generation_id, None)
         if self.running.pop(generation.generation_id, None) is not None:
-            self._used -= generation.filled
+            self._used -= generation.filled - generation.shared
+            self.cache.unpin(generation.pin)
         elif generation in self.waiting:
             self.waiting.remove(generation)
-        generation.filled = 0
+        generation.filled = generation.shared = generation.pin = 0
 
     def step(self) -> Step:
         """Run one step and tell what it did."""
@@ -172,15 +176,16 @@
             generation = self.waiting[0]
             need = generation.input_tokens + generation.produced
             pending = sum(one.target - one.filled for one in self.running.values())
-            if self._used + pending + need > self.shape.memory_tokens:
+            if self.used_tokens + pending + need > self.shape.memory_tokens:
                 if not self._preempt_for(generation):
                     return
                 continue
             self.waiting.pop(0)
             generation.phase = Phase.PREFILL
             generation.target = need
-            generation.filled = min(self.cache.touch(generation.prefix), need - 1)
-            self._used += generation.filled
+            generation.pin = self.cache.pin(generation.prefix)
+            generation.shared = min(self.cache.touch(generation.prefix), need - 1)
+            generation.filled = generation.shared
             self.running[generation.generation_id] = generation
             evicted += self._fit_cache()
 
@@ -207,7 +212,7 @@
 
     def _room(self, need: int, evicted: list[int], preempted: list[Generation]) -> bool:
         """Make room for some tokens; tell whether there is room now."""
-        while self._used + need > self.shape.memory_tokens:
+        while self.used_tokens + need > self.shape.memory_tokens:
             victim = self._victim()
             if victim is None:
                 return False
@@ -267,4 +272,4 @@
             prefix = (*prefix, generation.reply)
         self.cache.store(prefix)
         if prefix:
-            self._stored.append(prefix[-1])
+            self._stored.append(prefix)
