--- a/driftstall/controllers/grants.py
+++ b/driftstall/controllers/grants.py
@@ -41,12 +41,12 @@
     retry_after,
 )
 from driftstall.decisions.fairness import FairQueue, Waiting
-from driftstall.decisions.isolation import LONG_PREFILL, LongPrefillSet, RunnerLoad
 from driftstall.decisions.lengths import LengthModel
 from driftstall.decisions.limits import TokenBucket
 from driftstall.decisions.memory import NOTHING, Hold, hold_of, quantile, total
 from driftstall.decisions.prefixes import PrefixModel
 from driftstall.decisions.routing import PREFILL_TOKENS_PER_S, Choice, RunnerView, choose
+from driftstall.decisions.windows import LONG_PREFILL, PrefillWindows, WindowView
 from driftstall.decisions.yielding import Candidate, choose_victim
 
 REFRESH_S: Final = 0.25
@@ -92,10 +92,7 @@
     hold_at: float = -1e9
     pending_prefill: float = 0.0
     pending_at: float = 0.0
-    prefill_rate: ServiceRate = field(default_factory=ServiceRate)
     first_rank: int = 0
-    long_held: float = 0.0
-    """Memory held by long prompts, in tokens of input."""
     yield_at: float = -1e9
     shared: float = 0.0
     """Tokens of open grants that the prefix cache holds anyway."""
@@ -148,8 +145,10 @@
         self._buckets: dict[str, TokenBucket] = {}
         self._first_arrivals = ServiceRate()
         self._first_held = 1_500.0
-        self._long_set = LongPrefillSet()
-        self._long_blocked: float | None = None
+        self._windows = PrefillWindows()
+        self._long_since: float | None = None
+        self._long_rooms: set[str] = set()
+        self._long_arrivals = ServiceRate()
         self._actions: list[GrantAction] = []
 
     @property
@@ -226,6 +225,8 @@
             return
         if verdict.rank == 0:
             self._count_first(cost, now)
+        elif request.input_tokens >= LONG_PREFILL:
+            self._long_arrivals.add(request.input_tokens, now)
         wait_s = 0.0 if returned else self._wait(request, verdict, cost, now)
         if verdict.may_refuse and wait_s > verdict.wait_s:
             self._settle(request, cost, 0.0)
@@ -425,19 +426,23 @@
 
     def _dispatch(self, now: float) -> None:
         """Grant what has room, best rank first."""
-        self._long_blocked = None
+        self._long_since = None
+        self._long_rooms.clear()
         self._grant_all(now)
-        if self._resize_long_set(now):
+        if self._move_windows(now):
             self._grant_all(now)
 
-    def _resize_long_set(self, now: float) -> bool:
-        """Let the set of runners for long prefills follow the load."""
-        loads = [
-            RunnerLoad(one.runner_id, one.memory, one.long_held, one.first_rank)
+    def _move_windows(self, now: float) -> bool:
+        """Close and open windows for long prefills; return whether one was opened."""
+        views = [
+            WindowView(
+                one.runner_id, one.pending(now), one.first_rank, one.runner_id in self._long_rooms
+            )
             for one in self._runners.values()
         ]
-        waited = None if self._long_blocked is None else now - self._long_blocked
-        return self._long_set.update(loads, waited, self._weights, now)
+        waited = None if self._long_since is None else now - self._long_since
+        demand = self._long_arrivals.value(now) / PREFILL_TOKENS_PER_S
+        return self._windows.update(views, waited, demand, self._weights, now)
 
     def _grant_all(self, now: float) -> None:
         """Grant in order of rank until one has to wait."""
@@ -469,9 +474,10 @@
         request, rank = item.request, item.verdict.rank
         addition = hold_of(self._lengths, request, 0)
         headroom = self._headroom(rank, now)
-        members = self._long_set.members
+        windows = self._windows.open
+        all_open = self._windows.always_open(self._weights)
         views = []
-        isolated = False
+        closed = False
         for runner in self._runners.values():
             if runner.runner_id in item.avoid and len(self._runners) > len(item.avoid):
                 continue
@@ -480,8 +486,10 @@
             if peak > runner.memory - headroom and (runner.grants or peak > 4 * runner.memory):
                 continue
             uncached = request.input_tokens - runner.prefixes.match(request.prefix)
-            if rank > 0 and uncached >= LONG_PREFILL and runner.runner_id not in members:
-                isolated = True
+            is_open = all_open or runner.runner_id in windows
+            if rank > 0 and uncached >= LONG_PREFILL and not is_open:
+                self._long_rooms.add(runner.runner_id)
+                closed = True
                 continue
             pending = runner.pending(now)
             if rank > 0 and pending > 0 and pending + uncached > MAX_PENDING_PREFILL:
@@ -495,12 +503,12 @@
                     runner.first_rank,
                     fill,
                     remote=False,
-                    prefill_rate=runner.prefill_rate.value(now),
+                    long_prefills=runner.runner_id in windows,
                 )
             )
-        if isolated and not views:
-            oldest = min(item.since, now if self._long_blocked is None else self._long_blocked)
-            self._long_blocked = oldest
+        if closed and not views:
+            since = item.since if self._long_since is None else self._long_since
+            self._long_since = min(item.since, since)
         return choose(
             views,
             self._weights,
@@ -519,7 +527,8 @@
         grant.rested_from = now
         self._open(runner, grant, now)
         runner.pending_prefill = runner.pending(now) + uncached
-        runner.prefill_rate.add(uncached, now)
+        if item.verdict.rank > 0 and uncached >= LONG_PREFILL:
+            self._windows.used(runner.runner_id, now)
         self._rate(item.verdict.rank).add(item.cost, now)
         reason = (
             f"cost {choice.cost:.3f} of {len(self._runners)} runners, "
@@ -536,8 +545,6 @@
         runner.grants[request_id] = grant
         runner.first_rank += grant.verdict.rank == 0
         runner.shared += grant.shared
-        if _is_long(grant):
-            runner.long_held += grant.request.input_tokens
         hold = self._hold(runner, now)
         runner.hold = hold.plus(hold_of(self._lengths, grant.request, grant.produced))
 
@@ -554,8 +561,6 @@
             return
         runner.first_rank -= grant.verdict.rank == 0
         runner.shared -= grant.shared
-        if _is_long(grant):
-            runner.long_held -= grant.request.input_tokens
         if not grant.paused:
             runner.hold = runner.hold.minus(hold_of(self._lengths, grant.request, grant.produced))
         prefix = grant.request.prefix
@@ -622,8 +627,3 @@
             del self._paused[request_id]
             reason = "there is room again"
             self._actions.append(ResumeAsked(grant.entry, request_id, grant.runner_id, reason))
-
-
-def _is_long(grant: OpenGrant) -> bool:
-    """Tell whether a grant was for a long prefill of a lower rank."""
-    return grant.verdict.rank > 0 and grant.request.input_tokens >= LONG_PREFILL
