Hold the set of runners for long prefills, follow weights and load

Cause of what the first set missed: it grew to all runners in bursts, so chats stood beside long prefills, lost their cached history there and prefilled it again.

--- a/driftstall/controllers/grants.py
+++ b/driftstall/controllers/grants.py
@@ -41,12 +41,12 @@
     retry_after,
 )
 from driftstall.decisions.fairness import FairQueue, Waiting
+from driftstall.decisions.isolation import LONG_PREFILL, LongPrefillSet, RunnerLoad
 from driftstall.decisions.lengths import LengthModel
 from driftstall.decisions.limits import TokenBucket
 from driftstall.decisions.memory import NOTHING, Hold, hold_of, quantile, total
 from driftstall.decisions.prefixes import PrefixModel
 from driftstall.decisions.routing import PREFILL_TOKENS_PER_S, Choice, RunnerView, choose
-from driftstall.decisions.windows import LONG_PREFILL, PrefillWindows, WindowView
 from driftstall.decisions.yielding import Candidate, choose_victim
 
 REFRESH_S: Final = 0.25
@@ -59,6 +59,8 @@
 """Seconds between two yields asked of one runner."""
 MAX_PENDING_PREFILL: Final = 16_000
 """Prefill tokens granted and not done on one runner, in tokens."""
+LEARNING_EVENTS: Final = (Progress, CacheEvents, RunnerReport)
+"""Events that free nothing; the next tick uses what they taught."""
 
 
 @dataclass(slots=True)
@@ -93,6 +95,8 @@
     pending_prefill: float = 0.0
     pending_at: float = 0.0
     first_rank: int = 0
+    long_held: float = 0.0
+    """Memory held by long prompts of lower ranks, in tokens of input."""
     yield_at: float = -1e9
     shared: float = 0.0
     """Tokens of open grants that the prefix cache holds anyway."""
@@ -145,10 +149,9 @@
         self._buckets: dict[str, TokenBucket] = {}
         self._first_arrivals = ServiceRate()
         self._first_held = 1_500.0
-        self._windows = PrefillWindows()
+        self._long_set = LongPrefillSet()
         self._long_since: float | None = None
-        self._long_rooms: set[str] = set()
-        self._long_arrivals = ServiceRate()
+        self._long_allowed = 0.0
         self._actions: list[GrantAction] = []
 
     @property
@@ -184,8 +187,9 @@
         """Take one event and return the actions it leads to."""
         self._actions = []
         self._apply(event, now)
-        self._expire(now)
-        self._dispatch(now)
+        if not isinstance(event, LEARNING_EVENTS):
+            self._expire(now)
+            self._dispatch(now)
         return self._actions
 
     # Events
@@ -213,7 +217,8 @@
                 )
             )
             return
-        cost = request.input_tokens + self._lengths.expected(request)
+        output = self._lengths.expected(request)
+        cost = request.input_tokens + output
         returned = self._promised(verdict.rank).take(event.ticket) if event.ticket else False
         if not self._runners:
             self._refuse(event.entry, request, CODE_NO_RUNNER, 2.0, "", "no runner is live")
@@ -225,14 +230,13 @@
             return
         if verdict.rank == 0:
             self._count_first(cost, now)
-        elif request.input_tokens >= LONG_PREFILL:
-            self._long_arrivals.add(request.input_tokens, now)
         wait_s = 0.0 if returned else self._wait(request, verdict, cost, now)
         if verdict.may_refuse and wait_s > verdict.wait_s:
             self._settle(request, cost, 0.0)
             self._turn_away(event.entry, request, verdict, cost, wait_s, now)
             return
-        item = Waiting(event.entry, request, verdict, cost, now, event.avoid)
+        hold = hold_of(self._lengths, request, 0)
+        item = Waiting(event.entry, request, verdict, cost, now, output, hold, event.avoid)
         self._waiting[request.request_id] = item
         self._queue(verdict.rank).push(item)
         until = now + verdict.wait_s if verdict.may_refuse else request.deadline
@@ -427,22 +431,26 @@
     def _dispatch(self, now: float) -> None:
         """Grant what has room, best rank first."""
         self._long_since = None
-        self._long_rooms.clear()
         self._grant_all(now)
-        if self._move_windows(now):
+        if self._resize_long_set(now):
             self._grant_all(now)
 
-    def _move_windows(self, now: float) -> bool:
-        """Close and open windows for long prefills; return whether one was opened."""
-        views = [
-            WindowView(
-                one.runner_id, one.pending(now), one.first_rank, one.runner_id in self._long_rooms
+    def _resize_long_set(self, now: float) -> bool:
+        """Let the set of runners for long prefills follow the load; return if it grew."""
+        if not self._long_set.applies(self._weights):
+            return False
+        loads = [
+            RunnerLoad(
+                one.runner_id,
+                one.memory,
+                one.hold.means[0] / max(1, one.memory),
+                one.long_held,
+                one.first_rank,
             )
             for one in self._runners.values()
         ]
         waited = None if self._long_since is None else now - self._long_since
-        demand = self._long_arrivals.value(now) / PREFILL_TOKENS_PER_S
-        return self._windows.update(views, waited, demand, self._weights, now)
+        return self._long_set.update(loads, waited, self._long_allowed, self._weights, now)
 
     def _grant_all(self, now: float) -> None:
         """Grant in order of rank until one has to wait."""
@@ -472,23 +480,20 @@
     def _place(self, item: Waiting, now: float) -> Choice | None:
         """Choose a runner with room, or none."""
         request, rank = item.request, item.verdict.rank
-        addition = hold_of(self._lengths, request, 0)
         headroom = self._headroom(rank, now)
-        windows = self._windows.open
-        all_open = self._windows.always_open(self._weights)
+        members = self._long_set.members
+        isolate = rank > 0 and self._long_set.applies(self._weights)
         views = []
         closed = False
         for runner in self._runners.values():
             if runner.runner_id in item.avoid and len(self._runners) > len(item.avoid):
                 continue
             hold = self._hold(runner, now)
-            peak = hold.plus(addition).peak(self._deviations) + runner.unexplained
-            if peak > runner.memory - headroom and (runner.grants or peak > 4 * runner.memory):
+            limit = runner.memory - headroom - runner.unexplained
+            if runner.grants and not hold.fits(item.hold, self._deviations, limit):
                 continue
             uncached = request.input_tokens - runner.prefixes.match(request.prefix)
-            is_open = all_open or runner.runner_id in windows
-            if rank > 0 and uncached >= LONG_PREFILL and not is_open:
-                self._long_rooms.add(runner.runner_id)
+            if isolate and uncached >= LONG_PREFILL and runner.runner_id not in members:
                 closed = True
                 continue
             pending = runner.pending(now)
@@ -503,17 +508,18 @@
                     runner.first_rank,
                     fill,
                     remote=False,
-                    long_prefills=runner.runner_id in windows,
+                    long_prefills=runner.runner_id in members,
                 )
             )
         if closed and not views:
-            since = item.since if self._long_since is None else self._long_since
-            self._long_since = min(item.since, since)
+            if self._long_since is None or item.since < self._long_since:
+                self._long_since = item.since
+                self._long_allowed = item.verdict.wait_s
         return choose(
             views,
             self._weights,
             first_rank=rank == 0,
-            output=self._lengths.expected(request),
+            output=item.output,
         )
 
     def _grant(self, item: Waiting, choice: Choice, now: float) -> None:
@@ -527,8 +533,6 @@
         grant.rested_from = now
         self._open(runner, grant, now)
         runner.pending_prefill = runner.pending(now) + uncached
-        if item.verdict.rank > 0 and uncached >= LONG_PREFILL:
-            self._windows.used(runner.runner_id, now)
         self._rate(item.verdict.rank).add(item.cost, now)
         reason = (
             f"cost {choice.cost:.3f} of {len(self._runners)} runners, "
@@ -545,6 +549,7 @@
         runner.grants[request_id] = grant
         runner.first_rank += grant.verdict.rank == 0
         runner.shared += grant.shared
+        runner.long_held += _long_tokens(grant)
         hold = self._hold(runner, now)
         runner.hold = hold.plus(hold_of(self._lengths, grant.request, grant.produced))
 
@@ -561,6 +566,7 @@
             return
         runner.first_rank -= grant.verdict.rank == 0
         runner.shared -= grant.shared
+        runner.long_held -= _long_tokens(grant)
         if not grant.paused:
             runner.hold = runner.hold.minus(hold_of(self._lengths, grant.request, grant.produced))
         prefix = grant.request.prefix
@@ -627,3 +633,9 @@
             del self._paused[request_id]
             reason = "there is room again"
             self._actions.append(ResumeAsked(grant.entry, request_id, grant.runner_id, reason))
+
+
+def _long_tokens(grant: OpenGrant) -> int:
+    """Return the prompt tokens of a long prefill of a lower rank, else zero."""
+    tokens = grant.request.input_tokens
+    return tokens if grant.verdict.rank > 0 and tokens >= LONG_PREFILL else 0
--- a/driftstall/decisions/fairness.py
+++ b/driftstall/decisions/fairness.py
@@ -13,6 +13,7 @@
 from typing import Final
 
 from driftstall.core import Request, Verdict
+from driftstall.decisions.memory import Hold
 
 LOOK_AHEAD: Final = 4
 """Workspaces behind a blocked one that may go before it."""
@@ -28,6 +29,10 @@
     cost: float
     """Expected tokens, input and output."""
     since: float
+    output: float
+    """Expected output tokens."""
+    hold: Hold
+    """Forecast memory once it is granted."""
     avoid: tuple[str, ...] = ()
 
 
--- a/driftstall/decisions/memory.py
+++ b/driftstall/decisions/memory.py
@@ -45,6 +45,17 @@
         pairs = zip(self.variances, other.variances, strict=True)
         return Hold(means, tuple([max(0.0, a - b) for a, b in pairs]))
 
+    def fits(self, other: Hold, deviations: float, limit: float) -> bool:
+        """Tell whether both together stay within a limit at every horizon."""
+        for index in range(len(HORIZONS)):
+            mean = self.means[index] + other.means[index]
+            if mean > limit:
+                return False
+            variance = self.variances[index] + other.variances[index]
+            if mean + deviations * math.sqrt(variance) > limit:
+                return False
+        return True
+
     def peak(self, deviations: float) -> float:
         """Return the highest mean plus so many standard deviations."""
         pairs = zip(self.means, self.variances, strict=True)
--- a/driftstall/decisions/routing.py
+++ b/driftstall/decisions/routing.py
@@ -11,8 +11,8 @@
 """Measured on the engine stand-in: 512 tokens in about 45 ms."""
 FILL_WEIGHT: Final = 0.3
 """Seconds that a full engine is worth, against an empty one."""
-WINDOW_STEP_S: Final = 0.03
-"""Seconds by which a full chunk of prefill lengthens a step."""
+BESIDE_LONG_S: Final = 0.006
+"""Seconds that a token takes longer beside long prefills: one step in five has a chunk."""
 REMOTE_ZONE_S: Final = 0.003
 """Round trip to another availability zone, in seconds (brief)."""
 
@@ -32,7 +32,7 @@
     """Forecast share of memory in use, from 0 to 1."""
     remote: bool
     long_prefills: bool
-    """Whether its window for long prefills is open."""
+    """Whether it takes long prefills, which pause its other streams."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,7 +66,7 @@
     gap_s = view.uncached * view.first_rank_streams / PREFILL_TOKENS_PER_S
     if first_rank:
         gap_s += view.pending_prefill / PREFILL_TOKENS_PER_S
-        gap_s += WINDOW_STEP_S * output * view.long_prefills
+        gap_s += BESIDE_LONG_S * output * view.long_prefills
     if view.remote:
         stall_s += REMOTE_ZONE_S
     cost = weights.stall * stall_s + weights.token_gap * gap_s + FILL_WEIGHT * view.fill
