Scale the hold of the long-prefill set with the engines' fill

At 20/s and above the gap target is missed: memory forces long prompts onto more than six runners in ten.

--- a/driftstall/controllers/grants.py
+++ b/driftstall/controllers/grants.py
@@ -512,9 +512,7 @@
                 )
             )
         if closed and not views:
-            if self._long_since is None or item.since < self._long_since:
-                self._long_since = item.since
-                self._long_allowed = item.verdict.wait_s
+            self._note_held(item)
         return choose(
             views,
             self._weights,
@@ -522,6 +520,12 @@
             output=item.output,
         )
 
+    def _note_held(self, item: Waiting) -> None:
+        """Note how long the oldest long prompt has waited for a runner of the set."""
+        if self._long_since is None or item.since < self._long_since:
+            self._long_since = item.since
+            self._long_allowed = item.verdict.wait_s
+
     def _grant(self, item: Waiting, choice: Choice, now: float) -> None:
         """Open a grant and tell the entry."""
         runner = self._runners[choice.runner_id]
--- a/driftstall/decisions/isolation.py
+++ b/driftstall/decisions/isolation.py
@@ -83,7 +83,7 @@
         self._members &= {one.runner_id for one in loads}
         if waited_s is not None:
             held = len(self._members) >= max(1, int(SET_SHARE * len(loads)))
-            if held and waited_s < HOLD_SHARE * allowed_s:
+            if held and waited_s < HOLD_SHARE * allowed_s * _fill(loads) ** 2:
                 self._roomy_since = None
                 return False
             return self._grow(loads, waited_s, weights, now)
@@ -124,5 +124,9 @@
 def _patience(loads: list[RunnerLoad], weights: Weights) -> float:
     """Return how long a long prompt waits before the set grows, in seconds."""
     ratio = weights.token_gap / max(weights.stall, 0.01)
-    fill = min(1.0, sum(one.fill for one in loads) / len(loads))
-    return min(MAX_PATIENCE_S, PATIENCE_S * ratio * fill * fill)
+    return min(MAX_PATIENCE_S, PATIENCE_S * ratio * _fill(loads) ** 2)
+
+
+def _fill(loads: list[RunnerLoad]) -> float:
+    """Return the mean forecast share of memory in use, from 0 to 1."""
+    return min(1.0, sum(one.fill for one in loads) / len(loads))
