--- a/driftstall/controllers/claims.py
+++ b/driftstall/controllers/claims.py
@@ -375,9 +375,7 @@
         if not settled.ran:
             del claims[settled.key]
             return
-        body = settled.body if len(settled.body) <= MAX_OUTCOME_BYTES else ""
-        outcome = Outcome(settled.status, settled.content_type, body)
-        claims[settled.key] = replace(record, outcome=outcome)
+        claims[settled.key] = replace(record, outcome=_outcome(settled))
 
     def _confirm(self, write: _Write, version: int, wall: float) -> None:
         """Grant the claims that a write made durable."""
@@ -428,8 +426,17 @@
                 ClaimSettled(self._shard, ask.key, ask.nonce, False, 0, "", "")
             )
 
+    def _latest(self, known: ClaimRecord) -> ClaimRecord:
+        """Return a record with its outcome, even if that is not stored yet."""
+        settled = self._staged.settled + (self._write.settled if self._write else [])
+        for one in settled:
+            if one.key == known.key and one.nonce == known.nonce and one.ran:
+                return replace(known, outcome=_outcome(one))
+        return known
+
     def _answer_known(self, ask: ClaimAsked, known: ClaimRecord) -> None:
         """Answer a claim whose key is already stored."""
+        known = self._latest(known)
         if known.nonce == ask.nonce and known.outcome is None:
             # An earlier write of this very try took effect although its answer was lost.
             self._answer(ask, ClaimAnswerKind.GRANTED)
@@ -453,3 +460,9 @@
     def _answer(self, ask: ClaimAsked, kind: ClaimAnswerKind) -> None:
         """Add an answer to the actions."""
         self._actions.append(ClaimAnswer(ask.entry, ask.nonce, kind.value))
+
+
+def _outcome(settled: ClaimSettled) -> Outcome:
+    """Return the outcome to record; a long body is left out."""
+    body = settled.body if len(settled.body) <= MAX_OUTCOME_BYTES else ""
+    return Outcome(settled.status, settled.content_type, body)
--- a/features/steps/__init__.py
+++ b/features/steps/__init__.py
@@ -0,0 +1,3 @@
+"""Define the steps of all features."""
+
+from __future__ import annotations
--- a/features/worlds/claims_world.py
+++ b/features/worlds/claims_world.py
@@ -4,7 +4,7 @@
 
 from collections import Counter, deque
 from collections.abc import Callable
-from typing import Final
+from typing import Any, Final
 
 from driftstall.controllers.claims import (
     ClaimAction,
@@ -70,7 +70,7 @@
         self._paused: list[list[ClaimEvent] | None] = [None, None]
         self._paused_left = 0
         self._store: tuple[int, ShardObject | None] = (0, None)
-        self._late: list[Callable[[], None]] = []
+        self._late: list[Callable[[], Any]] = []
         self._down = 0
         self._next_write = ""
         self._pending: set[str] = set()
--- a/stand_ins/engine.py
+++ b/stand_ins/engine.py
@@ -124,9 +124,12 @@
             gevent.sleep(max(0.0, due - time.monotonic()))
             due = max(due, time.monotonic() - 0.1)
             for generation in step.finished:
-                self._finish(self._streams[generation.generation_id])
+                self._finish(generation.generation_id)
             for generation in step.tokens:
-                self._wake(self._streams[generation.generation_id])
+                # A stream may have been cancelled while this step ran.
+                stream = self._streams.get(generation.generation_id)
+                if stream is not None:
+                    self._wake(stream)
             self._note_cache(step.evicted)
             self._drop_orphans()
 
@@ -135,8 +138,11 @@
         stream.changed.set()
         stream.changed.clear()
 
-    def _finish(self, stream: Stream) -> None:
+    def _finish(self, generation_id: str) -> None:
         """Mark a stream as ended and keep it for late resumes."""
+        stream = self._streams.get(generation_id)
+        if stream is None:
+            return
         stream.done = True
         self.counts["finished"] += 1
         self._finished.append(stream.generation.generation_id)
@@ -157,8 +163,8 @@
         """Cancel generations that nobody has read for a while."""
         now = time.monotonic()
         for generation in list(self._engine.running.values()):
-            stream = self._streams[generation.generation_id]
-            if not stream.readers and now - stream.orphan_at > ORPHAN_S:
+            stream = self._streams.get(generation.generation_id)
+            if stream and not stream.readers and now - stream.orphan_at > ORPHAN_S:
                 self._cancel(stream)
 
     def _cancel(self, stream: Stream) -> None:
--- a/stand_ins/http.py
+++ b/stand_ins/http.py
@@ -7,12 +7,32 @@
 from urllib.parse import parse_qs
 
 import orjson
-from gevent.pywsgi import WSGIServer
+from gevent import socket
+from gevent.pywsgi import WSGIHandler, WSGIServer
 
 StartResponse = Callable[..., Any]
 REASONS = {200: "OK", 404: "Not Found", 409: "Conflict", 410: "Gone", 429: "Too Many Requests"}
 
 
+ENVIRON_SOCKET = "stand_in.socket"
+
+
+class _Handler(WSGIHandler):
+    """Show the socket to the app, so that a script can cut it."""
+
+    def get_environ(self) -> dict[str, Any]:
+        """Add the socket to the environment."""
+        environ: dict[str, Any] = super().get_environ()
+        environ[ENVIRON_SOCKET] = self.socket
+        return environ
+
+
+def cut(environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
+    """Lose the answer: close the connection before any byte of it leaves."""
+    environ[ENVIRON_SOCKET].shutdown(socket.SHUT_RDWR)
+    return answer(start, 200, {})
+
+
 def answer(start: StartResponse, status: int, value: Any) -> Iterable[bytes]:
     """Answer with JSON."""
     body = orjson.dumps(value)
@@ -34,6 +54,6 @@
 
 def serve(port: int, app: Callable[..., Iterable[bytes]]) -> WSGIServer:
     """Return a started server on the loopback address."""
-    server = WSGIServer(("127.0.0.1", port), app, log=None)
+    server = WSGIServer(("127.0.0.1", port), app, log=None, error_log=None, handler_class=_Handler)
     server.start()
     return server
--- a/stand_ins/platform.py
+++ b/stand_ins/platform.py
@@ -24,7 +24,7 @@
 from docopt import docopt  # noqa: E402
 from gevent.event import Event  # noqa: E402
 
-from stand_ins.http import StartResponse, answer, query, read_json, serve  # noqa: E402
+from stand_ins.http import StartResponse, answer, cut, query, read_json, serve  # noqa: E402
 
 PREFIX = "/v1/objects/"
 MAX_VALUE_BYTES = 1_000_000
@@ -116,8 +116,7 @@
         self.changed.clear()
         if self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
-            environ["wsgi.input"].socket.close()
-            raise OSError("answer lost by script")
+            return cut(environ, start)
         return answer(start, 200, {"version": current[0] + 1})
 
     def _watch(self, environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
--- a/stand_ins/service.py
+++ b/stand_ins/service.py
@@ -22,7 +22,7 @@
 import gevent  # noqa: E402
 from docopt import docopt  # noqa: E402
 
-from stand_ins.http import StartResponse, answer, read_json, serve  # noqa: E402
+from stand_ins.http import StartResponse, answer, cut, read_json, serve  # noqa: E402
 
 
 @dataclass(slots=True)
@@ -60,8 +60,7 @@
             gevent.sleep(self.late_s)
         if self.drop_answers > 0:
             self.drop_answers -= 1
-            environ["wsgi.input"].socket.close()
-            raise OSError("answer lost by script")
+            return cut(environ, start)
         echo = body.decode("utf-8", "replace")[:200]
         return answer(start, 200, {"service": self.name, "call": call_id, "echo": echo})
 
