Relay tokens that arrived together in one write; record and replay traces

Cause: a profile showed half of the daemon's time in send(): one write a token even where several had arrived.

--- a/driftstall/daemon/callers.py
+++ b/driftstall/daemon/callers.py
@@ -36,7 +36,7 @@
     Ended,
     Relay,
     RelayItem,
-    Token,
+    Tokens,
     Whole,
     fresh_wait,
     taken_up_request,
@@ -246,11 +246,19 @@
         prefix, prefix_for = b"", ""
         try:
             while item is not None:
-                if type(item) is Token:
-                    if item.generation != prefix_for:
-                        prefix_for = item.generation
-                        prefix = resume_prefix(self._hub.key, workspace, item.runner_id, prefix_for)
-                    yield b"id: %b~%d\ndata: %b\n\n" % (prefix, item.index, item.data)
+                if isinstance(item, Tokens):
+                    token = item.tokens[0]
+                    if token.generation != prefix_for:
+                        prefix_for = token.generation
+                        prefix = resume_prefix(
+                            self._hub.key, workspace, token.runner_id, prefix_for
+                        )
+                    yield b"".join(
+                        [
+                            b"id: %b~%d\ndata: %b\n\n" % (prefix, one.position, one.data)
+                            for one in item.tokens
+                        ]
+                    )
                 elif isinstance(item, Whole):
                     self._hub.stats.completed += 1
                     yield b"data: " + item.data + b"\n\n" + STREAM_END
@@ -266,10 +274,10 @@
         """Collect the whole answer and give it at once."""
         parts: list[str] = []
         for item in relay:
-            if isinstance(item, Token):
+            if isinstance(item, Tokens):
                 if not parts:
                     self._hub.stats.stall.observe({}, self._hub.wall() - request.asked_at)
-                parts.append(_content(item.data))
+                parts += [_content(one.data) for one in item.tokens]
             elif isinstance(item, Ended):
                 return self._fail(start, item.problem)
             else:
--- a/driftstall/daemon/grants_service.py
+++ b/driftstall/daemon/grants_service.py
@@ -39,9 +39,9 @@
 from driftstall.daemon.fleet_service import POLL_PERIOD_S, FleetService
 from driftstall.daemon.hub import Hub
 from driftstall.daemon.membership_service import MembershipService
-from driftstall.decisions.lengths import LearnedLengths
 from driftstall.decisions.locate import owner_of, weight
 from driftstall.helpers.log import say
+from driftstall.helpers.trace import TraceRecorder, build_controller
 from driftstall.peers.messages import ProgressBatch
 from driftstall.runners.engine import control
 from driftstall.util.signing import sign
@@ -79,11 +79,13 @@
         self._members = members
         self._config = config
         self._fleet = fleet
-        self._lengths = LearnedLengths()
         self._owned: dict[str, GrantsController] = {}
         self._entry_grants: dict[str, EntryGrant] = {}
         self._known: set[str] = set()
         self._signed_at = 0.0
+        self._trace: TraceRecorder | None = None
+        if hub.settings.trace:
+            self._trace = TraceRecorder.to_path(hub.settings.trace)
         hub.on_config(self._configured)
         hub.on_members(self._reconsider)
         for kind in (Ask, Announce, Close):
@@ -283,7 +285,7 @@
         found = self._owned.get(group)
         if found is not None or group not in self._fleet.groups:
             return found
-        controller = GrantsController(group, self._lengths, self._hub.source)
+        controller = build_controller(group)
         self._owned[group] = controller
         self._set_runners(group, controller)
         self._set_policy(controller)
@@ -304,6 +306,8 @@
         policy = self._config.policy
         if policy is not None:
             controller.configure(policy.weights, policy.overflow)
+            if self._trace is not None:
+                self._trace.configured(controller.group, policy.weights, policy.overflow)
 
     def _configured(self, _: ConfigDocument) -> None:
         """Take over a new policy."""
@@ -362,7 +366,11 @@
 
     def _run(self, controller: GrantsController, event: GrantEvent) -> None:
         """Hand an event to a controller and send what it answers."""
-        for action in controller.handle(event, self._hub.now()):
+        now = self._hub.now()
+        actions = controller.handle(event, now)
+        if self._trace is not None:
+            self._trace.handled(controller.group, event, now, actions)
+        for action in actions:
             self._log(action, controller.group)
             self._hub.send(action.entry, action)
 
--- a/driftstall/daemon/relay_service.py
+++ b/driftstall/daemon/relay_service.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
 import gevent
 import orjson
@@ -52,19 +52,25 @@
 )
 
 RESUME_PAUSE_S: Final = 0.1
-EngineStream = Iterator[EngineEvent]
+EngineStream = Iterator[list[EngineEvent]]
 
 
-@dataclass(frozen=True, slots=True)
-class Token:
-    """Give the caller one token."""
+class Token(NamedTuple):
+    """Give the caller one token; a tuple, since it is made for each token."""
 
     generation: str
-    index: int
+    position: int
     runner_id: str
     data: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class Tokens:
+    """Give the caller the tokens that arrived together, in order."""
+
+    tokens: tuple[Token, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Whole:
     """Tell the caller that the answer is whole."""
@@ -79,7 +85,7 @@
     problem: Problem
 
 
-RelayItem = Token | Whole | Ended
+RelayItem = Tokens | Whole | Ended
 
 
 class RelayService:
@@ -185,20 +191,20 @@
         runner_id, deadline = machine.runner_id, self._request.deadline
         grants, stats = self._service.grants, self._hub.stats
         try:
-            for event in stream:
-                if type(event) is EngineToken:
-                    if machine.accept(event.generation, event.index):
-                        grants.progress(request_id, event.index + 1)
-                        stats.tokens += 1
-                        yield Token(event.generation, event.index, runner_id, event.data)
-                    else:
-                        self._feed(TokenArrived(event.generation, event.index, event.data))
-                elif isinstance(event, EngineEnd):
-                    self._reply = _reply_mark(event.data)
-                    self._feed(StreamEnded(event.generation, event.total, event.data))
-                elif not self._caller_waits():
-                    self._caller_left()
-                    return
+            for events in stream:
+                tokens = []
+                for event in events:
+                    if type(event) is EngineToken and machine.accept(*event[:2]):
+                        tokens.append(Token(*event[:2], runner_id, event.data))
+                        continue
+                    if tokens:
+                        yield Tokens(tuple(tokens))
+                        tokens = []
+                    self._take(event)
+                if tokens:
+                    grants.progress(request_id, machine.produced)
+                    stats.tokens += len(tokens)
+                    yield Tokens(tuple(tokens))
                 if self._out or self._stream is not stream or machine.done:
                     return
                 if time.time() > deadline:
@@ -207,6 +213,16 @@
         except UpstreamError as fault:
             self._broken(fault)
 
+    def _take(self, event: EngineEvent) -> None:
+        """Take an event that is not simply the next token."""
+        if isinstance(event, EngineToken):
+            self._feed(TokenArrived(event.generation, event.position, event.data))
+        elif isinstance(event, EngineEnd):
+            self._reply = _reply_mark(event.data)
+            self._feed(StreamEnded(event.generation, event.total, event.data))
+        elif not self._caller_waits():
+            self._caller_left()
+
     def _broken(self, fault: UpstreamError) -> None:
         """Tell the machine that the stream broke."""
         gone = isinstance(fault, RunnerSaidNo) and fault.gone
@@ -246,7 +262,7 @@
             case Deliver():
                 self._hub.stats.tokens += 1
                 token = Token(action.generation, action.index, self._machine.runner_id, action.data)
-                self._out.append(token)
+                self._out.append(Tokens((token,)))
             case Complete():
                 self._drop_stream()
                 self._out.append(Whole(action.data))
--- /dev/null
+++ b/driftstall/helpers/trace.py
@@ -0,0 +1,111 @@
+"""Record what a grants controller was told and answered, and replay it.
+
+A trace is one JSON object a line: the time, the event with its fields and the
+actions. Replaying the events through a fresh controller must give the same actions;
+'driftstall policy try' reads the same lines.
+"""
+
+from __future__ import annotations
+
+import random
+import typing
+from collections.abc import Iterable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Final, TextIO
+
+import orjson
+
+from driftstall.controllers.grant_messages import Ask, GrantAction, GrantEvent
+from driftstall.controllers.grants import GrantsController
+from driftstall.core import Weights
+from driftstall.decisions.lengths import LearnedLengths
+from driftstall.util.dataclass_json import from_fields, to_fields
+
+_EVENTS: Final = {one.__name__: one for one in typing.get_args(GrantEvent)}
+
+
+@dataclass(frozen=True, slots=True)
+class Difference:
+    """Tell where a replay gave other actions than were recorded."""
+
+    line: int
+    recorded: Any
+    replayed: Any
+
+
+def build_controller(group: str) -> GrantsController:
+    """Return a controller whose answers depend on nothing but its events."""
+    return GrantsController(group, LearnedLengths(), random.Random(group))
+
+
+class TraceRecorder:
+    """Write a trace."""
+
+    def __init__(self, out: TextIO) -> None:
+        """Take an open file."""
+        self._out = out
+
+    @classmethod
+    def to_path(cls, path: str) -> TraceRecorder:
+        """Append to a file for as long as the process runs."""
+        return cls(Path(path).open("a", encoding="utf-8"))  # noqa: SIM115
+
+    def configured(self, group: str, weights: Weights, overflow: float) -> None:
+        """Record that a policy's weights came into force."""
+        self._write({"group": group, "weights": to_fields(weights), "overflow": overflow})
+
+    def handled(
+        self, group: str, event: GrantEvent, now: float, actions: list[GrantAction]
+    ) -> None:
+        """Record one event and its actions."""
+        row: dict[str, Any] = {
+            "group": group,
+            "at": now,
+            "event": type(event).__name__,
+            "fields": to_fields(event),
+            "actions": _actions(actions),
+        }
+        if isinstance(event, Ask):
+            request = event.request
+            row["rule"] = event.verdict.rule
+            row["facts"] = {
+                "kind": request.kind,
+                "workspace": request.workspace,
+                "model": request.model,
+                "input_tokens": request.input_tokens,
+                "max_tokens": request.max_tokens,
+                "load": 0.0,
+                "hour": 12,
+            }
+        self._write(row)
+
+    def _write(self, row: dict[str, Any]) -> None:
+        """Write one line."""
+        self._out.write(orjson.dumps(row).decode() + "\n")
+        self._out.flush()
+
+
+def _actions(actions: list[GrantAction]) -> list[list[Any]]:
+    """Return actions as names and fields."""
+    return [[type(one).__name__, to_fields(one)] for one in actions]
+
+
+def replay(lines: Iterable[str]) -> list[Difference]:
+    """Replay a trace and return where the actions differ."""
+    controllers: dict[str, GrantsController] = {}
+    differences = []
+    for number, line in enumerate(lines, start=1):
+        row = orjson.loads(line)
+        group = row["group"]
+        if group not in controllers:
+            controllers[group] = build_controller(group)
+        controller = controllers[group]
+        if "weights" in row:
+            controller.configure(from_fields(Weights, row["weights"]), row["overflow"])
+            continue
+        event = from_fields(_EVENTS[row["event"]], row["fields"])
+        replayed = orjson.loads(orjson.dumps(_actions(controller.handle(event, row["at"]))))
+        if replayed != row["actions"]:
+            differences.append(Difference(number, row["actions"], replayed))
+    return differences
--- a/driftstall/policy/parse.py
+++ b/driftstall/policy/parse.py
@@ -65,11 +65,11 @@
     """Refuse nesting that would exhaust the stack, before parsing."""
     depth = 0
     for number, line in enumerate(text.splitlines(), start=1):
-        depth += line.count("(") - line.count(")")
-        if depth > MAX_DEPTH or line.count("not ") > MAX_DEPTH:
-            raise PolicyError(
-                number, 1, "the condition is nested too deeply", "split it into rules"
-            )
+        for char in line:
+            depth += (char == "(") - (char == ")")
+            if depth > MAX_DEPTH or line.count("not ") > MAX_DEPTH:
+                cause = "the condition is nested too deeply"
+                raise PolicyError(number, 1, cause, "split it into rules")
 
 
 def _parse_tree(text: str) -> Tree[Token]:
--- a/driftstall/runners/engine.py
+++ b/driftstall/runners/engine.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
 import orjson
 
@@ -19,12 +19,11 @@
 IDLE_COMMENT: Final = b":"
 
 
-@dataclass(frozen=True, slots=True)
-class EngineToken:
-    """Hold one token as the engine sent it."""
+class EngineToken(NamedTuple):
+    """Hold one token as the engine sent it; a tuple, since it is made for each token."""
 
     generation: str
-    index: int
+    position: int
     data: bytes
 
 
@@ -67,7 +66,7 @@
 
 def open_stream(
     runner: Runner, generation: str, body: dict[str, Any], priority: int
-) -> Iterator[EngineEvent]:
+) -> Iterator[list[EngineEvent]]:
     """Start a generation and yield its events; raise UpstreamError on a break."""
     payload = body | {"stream": True, "priority": priority}
     headers = {"Content-Type": "application/json", "X-Request-Id": generation}
@@ -82,47 +81,52 @@
     return _events(exchange)
 
 
-def resume_stream(runner: Runner, generation: str, next_index: int) -> Iterator[EngineEvent]:
+def resume_stream(runner: Runner, generation: str, next_index: int) -> Iterator[list[EngineEvent]]:
     """Take a generation up again from an index."""
     path = f"/v1/generations/{generation}/stream?from={next_index}"
     exchange = Exchange.open(runner.address, "GET", path, {}, b"", SILENCE_S)
     return _events(exchange)
 
 
-def _events(exchange: Exchange) -> Iterator[EngineEvent]:
-    """Yield a stream's events."""
+def _events(exchange: Exchange) -> Iterator[list[EngineEvent]]:
+    """Yield a stream's events, all that have arrived at once."""
     if exchange.status != 200:
         status = exchange.status
         exchange.close()
         raise RunnerSaidNo(f"the runner answered {status}", gone=status in HTTP_GONE)
     try:
         while True:
-            event = exchange.read_event()
-            if not event:
-                raise UpstreamError("the stream ended early", sent=True)
-            if event.startswith(IDLE_COMMENT):
-                yield EngineIdle()
-                continue
-            parsed = _parse(event)
-            yield parsed
-            if isinstance(parsed, EngineEnd):
+            events = [_read(exchange)]
+            while exchange.has_event():
+                events.append(_read(exchange))
+            yield events
+            if isinstance(events[-1], EngineEnd):
                 return
     finally:
         exchange.close()
 
 
-def _parse(event: bytes) -> EngineToken | EngineEnd:
-    """Read an event: its id is generation:index, its data is passed on."""
+def _read(exchange: Exchange) -> EngineEvent:
+    """Read one event: its id is generation:position, its data is passed on."""
+    event = exchange.read_event()
+    if not event:
+        raise UpstreamError("the stream ended early", sent=True)
+    if event.startswith(IDLE_COMMENT):
+        return EngineIdle()
     try:
+        if event.startswith(b"id: "):
+            line = event.index(b"\n")
+            colon = event.rindex(b":", 0, line)
+            name = event[4:colon].decode()
+            return EngineToken(name, int(event[colon + 1 : line]), event[line + 7 : -2])
         head, _, data = event.partition(b"\ndata: ")
-        field, _, name = head.rpartition(b"id: ")
-        generation, _, index = name.decode().rpartition(":")
-        number = int(index)
+        field, _, last = head.rpartition(b"id: ")
+        generation, _, total = last.decode().rpartition(":")
+        if not field.startswith(b"event: end"):
+            raise UpstreamError("the stream is malformed", sent=True)
+        return EngineEnd(generation, int(total), data[:-2])
     except ValueError as fault:
         raise UpstreamError("the stream is malformed", sent=True) from fault
-    if field.startswith(b"event: end"):
-        return EngineEnd(generation, number, data[:-2])
-    return EngineToken(generation, number, data[:-2])
 
 
 def control(runner: Runner, generation: str, verb: str) -> bool:
--- a/driftstall/util/http.py
+++ b/driftstall/util/http.py
@@ -90,6 +90,10 @@
         except READ_FAULTS as fault:
             raise UpstreamError(f"the stream broke: {type(fault).__name__}", sent=True) from fault
 
+    def has_event(self) -> bool:
+        """Tell whether a whole server-sent event has already arrived."""
+        return b"\n\n" in self._response._body_buffer
+
     def close(self) -> None:
         """Close the connection."""
         self._connection.close()
--- /dev/null
+++ b/features/parts/daemon.feature
@@ -0,0 +1,22 @@
+Feature: Settings and the command
+  Every wrong setting is named at once with its fix; exit codes are distinct.
+
+  Scenario: wrong settings
+    When the daemon is started with "--zone=a --listen=nowhere --max-body=5"
+    Then it ends with 2 and names "--instance-id, --listen, --max-body, --operator-token, --peer-key"
+
+  Scenario: an unknown flag
+    When the daemon is started with "--wrong"
+    Then it ends with 2 and names "--help"
+
+  Scenario Outline: exit codes of the command
+    When the command runs "<arguments>"
+    Then it ends with <code> and names "<words>"
+
+    Examples:
+      | arguments | code | words |
+      | policy check examples/parcel.policy | 0 | parcel |
+      | policy check README.md | 1 | column |
+      | nonsense | 2 | Usage |
+      | status --operator=127.0.0.1:1 --token=x | 5 | no connection |
+      | config show --operator=127.0.0.1:1 --token=x | 5 | no connection |
