--- a/driftstall/controllers/claims.py
+++ b/driftstall/controllers/claims.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import json
 from dataclasses import dataclass, field, replace
 from enum import StrEnum
 from functools import singledispatchmethod
@@ -16,10 +17,10 @@
 SHARDS: Final = 32
 WINDOW_S: Final = 24 * 3600.0
 """How long a claim is kept, in seconds."""
-MAX_CLAIMS: Final = 5_000
-"""Claims in one object, so that it stays under the platform's megabyte."""
+MAX_CLAIMS: Final = 3_500
+"""Claims in one object: with 280 bytes each it stays under the platform's megabyte."""
 MAX_OUTCOME_BYTES: Final = 120
-"""The longest recorded answer; a longer one is recorded by its status alone."""
+"""The longest recorded answer, as JSON; a longer one is recorded by its status alone."""
 RELOAD_AFTER_S: Final = 0.5
 
 
@@ -224,6 +225,8 @@
         self._staged = _Staged()
         self._write: _Write | None = None
         self._writes = 0
+        self._doubtful: set[str] = set()
+        """Tries whose claim an unsettled write may have stored."""
         self._actions: list[ClaimAction] = []
 
     @property
@@ -318,7 +321,8 @@
             self._give_up()
 
     def _stage_again(self, write: _Write) -> None:
-        """Put what a write carried back in front of what waits."""
+        """Put what a write carried back in front of what waits; it may be stored already."""
+        self._doubtful |= {ask.nonce for ask in write.asks}
         self._staged.asks = write.asks + self._staged.asks
         self._staged.settled = write.settled + self._staged.settled
         self._write = None
@@ -385,6 +389,7 @@
     def _confirm(self, write: _Write, version: int, wall: float) -> None:
         """Grant the claims that a write made durable."""
         self._write = None
+        self._doubtful.clear()
         self._version = version
         self._claims = {record.key: record for record in write.value.claims}
         self._phase = _Phase.HELD
@@ -415,19 +420,18 @@
 
     def _give_up(self) -> None:
         """Answer all that wait with 'unavailable': none of them was run."""
-        write = self._write
-        lost = write.asks if write else []
-        if write is not None:
-            self._stage_again(write)
+        if self._write is not None:
+            self._stage_again(self._write)
         self._phase = _Phase.COLD
         waiting, self._staged.asks = self._staged.asks, []
         for ask in waiting:
             self._answer(ask, ClaimAnswerKind.UNAVAILABLE)
-        for ask in lost:
-            # The lost write may have stored the claim; free it once the platform answers.
-            self._staged.settled.append(
-                ClaimSettled(self._shard, ask.key, ask.nonce, False, 0, "", "")
-            )
+            if ask.nonce in self._doubtful:
+                # A write may have stored the claim; free it once the platform answers.
+                self._staged.settled.append(
+                    ClaimSettled(self._shard, ask.key, ask.nonce, False, 0, "", "")
+                )
+        self._doubtful.clear()
 
     def _latest(self, known: ClaimRecord) -> ClaimRecord:
         """Return a record with its outcome, even if that is not stored yet."""
@@ -467,5 +471,5 @@
 
 def _outcome(settled: ClaimSettled) -> Outcome:
     """Return the outcome to record; a long body is left out."""
-    body = settled.body if len(settled.body) <= MAX_OUTCOME_BYTES else ""
+    body = settled.body if len(json.dumps(settled.body)) <= MAX_OUTCOME_BYTES else ""
     return Outcome(settled.status, settled.content_type, body)
--- a/driftstall/daemon/membership_service.py
+++ b/driftstall/daemon/membership_service.py
@@ -19,12 +19,18 @@
 )
 from driftstall.core import Instance
 from driftstall.daemon.hub import Hub
+from driftstall.decisions.locate import weight
 from driftstall.exceptions import PlatformUnavailable
 from driftstall.helpers.log import say
+from driftstall.peers.messages import RunnerLeaving
 from driftstall.platform.client import ListedMember
 
 PERIOD_S: Final = 0.1
 LIST_PERIOD_S: Final = 1.0
+ALL_READ_INSTANCES: Final = 16
+"""Up to so many instances all read the platform's list; then only the readers."""
+READERS: Final = 3
+LIST_KEY: Final = "list"
 ROLE_ENTRY: Final = "entry"
 ROLE_RUNNER: Final = "runner"
 
@@ -38,6 +44,7 @@
         incarnation = int(hub.wall() * 1000)
         self._controller = MembershipController(hub.own, incarnation, hub.source)
         self._listed_runners: dict[str, bool] = {}
+        self._read_once = False
         hub.use_addresses(self._controller.address_of)
         for kind in (Ping, Ack, PingRequest):
             hub.on_message(kind, self._receive)
@@ -69,18 +76,42 @@
         self._apply(message)
 
     def _read_list(self) -> None:
-        """Take over what the platform's list shows."""
+        """Take over what the platform's list shows; in a large fleet a few do so for all."""
+        if self._read_once and not self._is_reader():
+            return
         try:
             listed = self._hub.platform.members()
         except PlatformUnavailable:
             return
+        self._read_once = True
         seeds = tuple(_instance(one) for one in listed if one.role == ROLE_ENTRY)
         self._apply(Seeds(tuple(one for one in seeds if not one.leaving)))
         runners = {one.member_id: one.leaving for one in listed if one.role == ROLE_RUNNER}
         if runners != self._listed_runners:
+            self._tell_changes(runners)
             self._listed_runners = runners
             self._hub.members_changed()
 
+    def _is_reader(self) -> bool:
+        """Tell whether this instance reads the list for the fleet."""
+        live = self._controller.live
+        if len(live) <= ALL_READ_INSTANCES:
+            return True
+        own = weight(LIST_KEY, self._hub.own.instance_id)
+        return sum(weight(LIST_KEY, one.instance_id) > own for one in live) < READERS
+
+    def _tell_changes(self, runners: dict[str, bool]) -> None:
+        """Tell those that do not read the list which runners leave or are back."""
+        live = self._controller.live
+        if len(live) <= ALL_READ_INSTANCES:
+            return
+        for runner_id, leaving in runners.items():
+            if leaving == self._listed_runners.get(runner_id, False):
+                continue
+            for one in live:
+                if one.instance_id != self._hub.own.instance_id:
+                    self._hub.send(one.instance_id, RunnerLeaving(runner_id, leaving))
+
     def _apply(self, event: MembershipEvent) -> None:
         """Hand an event to the controller and carry out its actions."""
         actions = self._controller.handle(event, self._hub.now())
--- a/driftstall/daemon/service_calls.py
+++ b/driftstall/daemon/service_calls.py
@@ -64,7 +64,7 @@
 
     def _claimed(self, context: RequestContext) -> ServiceAnswer | Problem:
         """Claim the key first; only the claim's holder may run."""
-        key = f"{context.workspace}/{context.service}/{context.idempotency_key}"
+        key = _claim_key(context)
         claim = self._claims.claim(key, _fingerprint(context), context.request_id)
         if claim.kind != ClaimAnswerKind.GRANTED:
             return self._not_granted(claim)
@@ -171,6 +171,12 @@
     return {name: headers[name] for name in FORWARDED if name in headers}
 
 
+def _claim_key(context: RequestContext) -> str:
+    """Return a key of fixed size, so that the size of a shard is bounded."""
+    text = f"{context.workspace}/{context.service}/{context.idempotency_key}"
+    return hashlib.blake2b(text.encode(), digest_size=16).hexdigest()
+
+
 def _fingerprint(context: RequestContext) -> str:
     """Name a call's content, so that a key is not used for two."""
     hasher = hashlib.blake2b(digest_size=12)
--- a/driftstall/decisions/locate.py
+++ b/driftstall/decisions/locate.py
@@ -9,7 +9,7 @@
 
 from driftstall.core import Instance, Runner
 
-GROUP_RUNNERS: Final = 16
+GROUP_RUNNERS: Final = 8
 """Runners that one owner places at most; one queue serves them all."""
 
 
--- a/features/matrix/claims.feature
+++ b/features/matrix/claims.feature
@@ -13,6 +13,7 @@
       | answer lost |
       | write lost |
       | write arrives late |
+      | sent twice |
       | holder paused |
       | holder dies |
       | all die |
--- a/features/matrix/configuration.feature
+++ b/features/matrix/configuration.feature
@@ -13,6 +13,7 @@
       | answer lost |
       | write lost |
       | write arrives late |
+      | sent twice |
       | operators race |
       | instance dies |
       | all restart |
--- a/features/matrix/relay.feature
+++ b/features/matrix/relay.feature
@@ -16,6 +16,7 @@
       | runner refuses |
       | token twice |
       | token lost |
+      | last token lost |
       | crossed answer |
       | late grant |
       | owner refuses |
--- a/features/parts/decisions.feature
+++ b/features/parts/decisions.feature
@@ -34,6 +34,11 @@
     Given a full runner that refuses with a time to come back
     Then the caller that comes back then is granted
 
+  Scenario: a new lease holder and an engine that checks no fence
+    Given a holder whose lease has lapsed and a new one
+    Then the new one orders the checking engine at once and the other 3 s later
+    And the old one orders nothing, even if it wakes up in between
+
   Scenario: the codec survives greenlets
     When every kind of peer message is encoded in greenlets that switch
     Then all decode to what was sent
--- a/features/steps/part_steps.py
+++ b/features/steps/part_steps.py
@@ -25,6 +25,19 @@
     Tick,
 )
 from driftstall.controllers.grants import GrantsController
+from driftstall.controllers.placement import (
+    LEASE_S,
+    LONGEST_ORDER_S,
+    WIRE_MARGIN_S,
+    LeaseObject,
+    LeaseRead,
+    LeaseWritten,
+    OrderLoad,
+    PlacementController,
+    PlacementPeriod,
+    WantedModel,
+    WriteLease,
+)
 from driftstall.core import PrefixMark, Request, Verdict, Weights
 from driftstall.decisions.fairness import FairQueue, Waiting
 from driftstall.decisions.lengths import LearnedLengths
@@ -296,6 +309,45 @@
     assert granted, "the caller came back and was not granted"
 
 
+@given("a holder whose lease has lapsed and a new one")
+def lease_lapsed(context: Any) -> None:
+    """Let one holder take the lease and another see it from the start."""
+    context.old, context.new = PlacementController("old"), PlacementController("new")
+    context.old.handle(LeaseRead(0, None), 0.0)
+    context.old.handle(LeaseWritten(1), 0.1)
+    lease = LeaseObject("old", 1, LEASE_S)
+    assert context.new.handle(LeaseRead(1, lease), 0.2) == []
+    assert context.new.handle(LeaseRead(1, lease), LEASE_S) == []
+    actions = context.new.handle(LeaseRead(1, lease), LEASE_S + 0.3)
+    assert [type(one) for one in actions] == [WriteLease], actions
+    context.new.handle(LeaseWritten(2), LEASE_S + 0.4)
+
+
+WANTED = (WantedModel("checking", "m2", "m1", True), WantedModel("trusting", "m2", "m1", False))
+
+
+def _ordered(controller: PlacementController, at: float) -> list[str]:
+    """Return which engines a holder orders at a time."""
+    actions = controller.handle(PlacementPeriod(False, WANTED), at)
+    return [one.runner_id for one in actions if isinstance(one, OrderLoad)]
+
+
+@then("the new one orders the checking engine at once and the other 3 s later")
+def orders_in_time(context: Any) -> None:
+    """Compare the orders over time; the old holder's last order may still be on its way."""
+    assert _ordered(context.new, LEASE_S + 0.5) == ["checking"]
+    assert _ordered(context.new, LEASE_S + LONGEST_ORDER_S) == ["checking"]
+    assert _ordered(context.new, LEASE_S + LONGEST_ORDER_S + 0.3) == ["checking", "trusting"]
+
+
+@then("the old one orders nothing, even if it wakes up in between")
+def old_is_quiet(context: Any) -> None:
+    """Check the old holder right before and after its lease has run out."""
+    assert _ordered(context.old, LEASE_S - WIRE_MARGIN_S - 0.1) == ["checking", "trusting"]
+    assert _ordered(context.old, LEASE_S - WIRE_MARGIN_S + 0.1) == []
+    assert _ordered(context.old, LEASE_S + 1.0) == []
+
+
 def sample(hint: Any, depth: int = 0) -> Any:
     """Return some value of a type hint."""
     if dataclasses.is_dataclass(hint) and isinstance(hint, type):
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -303,7 +303,7 @@
         for shard in range(SHARDS):
             answer = call_json(address, "GET", f"/v1/objects/{KEY_CLAIMS}/{shard}", "")
             for claim in answer.value["value"]["claims"] if answer.status == 200 else ():
-                if claim[0].endswith(f"/{key}") and claim[4] is not None:
+                if claim[4] is not None and key in claim[4][2]:
                     return True
         return False
 
--- a/features/worlds/claims_world.py
+++ b/features/worlds/claims_world.py
@@ -46,6 +46,7 @@
     "answer lost",
     "write lost",
     "write arrives late",
+    "sent twice",
     "holder paused",
     "holder dies",
     "all die",
@@ -53,6 +54,15 @@
     "ask times out",
     "asked twice",
 )
+PLATFORM_FAULTS: Final = {
+    "platform down",
+    "answer lost",
+    "write lost",
+    "write arrives late",
+    "sent twice",
+    "asked twice",
+}
+"""With these nobody dies or gives up, so the call must run in the end."""
 TRIES: Final = 4
 DOWN_CALLS: Final = 3
 PAUSE_TURNS: Final = 12
@@ -64,6 +74,7 @@
     def __init__(self, script: Script) -> None:
         """Take the faults that strike."""
         self._script = script
+        self._faults = {one.fault for one in script.strikes}
         self._work: deque[Callable[[], None]] = deque()
         self._holders = [self._fresh(0), self._fresh(1)]
         self._births = 0
@@ -110,8 +121,8 @@
         self._next_write = ""
         self._paused_left = 0
         self._wake()
-        for _ in range(3):
-            self._ask("fresh")
+        for key in ("key", "fresh", "fresh", "fresh"):
+            self._ask(key)
             for _ in range(60):
                 self._turn()
                 if not self._work and self._quiet():
@@ -124,6 +135,8 @@
         assert self.runs["key"] <= 1, f"the call ran {self.runs['key']} times"
         both = self.told_not_run & set(self.ran_nonces)
         assert not both, f"told 'not run', but it was run: {both}"
+        if self._faults <= PLATFORM_FAULTS:
+            assert self.runs["key"] == 1, "nobody died, yet the key is lost"
         assert self.runs["fresh"] == 1, "a fresh key is not granted after all faults"
 
     def _turn(self) -> None:
@@ -176,7 +189,7 @@
         """Let one fault take effect."""
         if fault == "platform down":
             self._down = DOWN_CALLS
-        elif fault in ("answer lost", "write lost", "write arrives late"):
+        elif fault in ("answer lost", "write lost", "write arrives late", "sent twice"):
             self._next_write = fault
         elif fault == "holder paused":
             self._paused[0] = self._paused[0] or []
@@ -241,6 +254,10 @@
             self._late.append(lambda: None)
             self._late.append(lambda: self._apply(action))
             return WriteUnknown(write_id)
+        if fault == "sent twice":
+            # A client that sends a lost write again meets its own first one.
+            self._apply(action)
+            return WriteConflicted(write_id)
         if not self._apply(action):
             return WriteUnknown(write_id) if fault else WriteConflicted(write_id)
         return WriteUnknown(write_id) if fault else WriteDone(write_id, self._store[0])
--- a/features/worlds/config_world.py
+++ b/features/worlds/config_world.py
@@ -37,6 +37,7 @@
     "answer lost",
     "write lost",
     "write arrives late",
+    "sent twice",
     "operators race",
     "instance dies",
     "all restart",
@@ -108,7 +109,7 @@
         for fault in self._script.at(step):
             if fault == "platform down":
                 self._down = 2
-            elif fault in ("answer lost", "write lost", "write arrives late"):
+            elif fault in ("answer lost", "write lost", "write arrives late", "sent twice"):
                 self._next_write = fault
             elif fault == "operators race":
                 self._race()
@@ -168,6 +169,9 @@
             self._late.append(action)
             return ConfigWriteUnknown()
         done = self._apply(action)
+        if fault == "sent twice":
+            # A client that sends a lost write again meets its own first one.
+            return ConfigConflicted()
         if fault:
             return ConfigWriteUnknown()
         return ConfigWritten() if done else ConfigConflicted()
--- a/features/worlds/grants_world.py
+++ b/features/worlds/grants_world.py
@@ -56,6 +56,10 @@
     "clock jumps",
 )
 MEMORY: Final = 4_000
+IN_TIME_S: Final = 0.3
+DELAYED_S: Final = 5.5
+DELAYING: Final = {"clock jumps", "owner dies", "two owners", "answer lost"}
+"""Faults after which a request waits anew at another owner, or time is lost."""
 LEAVING_S: Final = 1.0
 """Within this after its leaving is known, a grant may still be on its way."""
 LENGTH: Final = 120
@@ -70,6 +74,7 @@
     def __init__(self, script: Script) -> None:
         """Take the faults that strike."""
         self._script = script
+        self._delaying = bool(DELAYING & {one.fault for one in script.strikes})
         self._now = 100.0
         self._live = {"engine-1", "engine-2"}
         self._left_at: dict[str, float] = {}
@@ -97,7 +102,7 @@
         """Ask steadily, then let everything drain."""
         for turn in range(160):
             self._now += TURN_S
-            if turn < 60 and turn % 3 == 0:
+            if turn < 40:
                 self._ask(FIRST if turn % 2 else LAST)
             if turn % 10 == 5:
                 self._feed(RunnerReport("g", "engine-1", 500, MEMORY, 0, self._now))
@@ -196,7 +201,8 @@
         gone_s = self._now - self._left_at.get(runner, self._now)
         assert gone_s <= LEAVING_S, f"{runner} is leaving and got new work"
         late = self._now - self._asked_at[name] - self._asks[name].verdict.wait_s
-        assert late <= 3.0, f"{name} waited {late:.1f} s past the bound"
+        slack_s = DELAYED_S if self._delaying else IN_TIME_S
+        assert late <= slack_s, f"{name} waited {late:.1f} s past the bound"
         self._open[name] = (runner, 0)
 
     def _strike(self, step: str, event: GrantEvent) -> None:
--- a/features/worlds/relay_world.py
+++ b/features/worlds/relay_world.py
@@ -59,6 +59,7 @@
     "runner refuses",
     "token twice",
     "token lost",
+    "last token lost",
     "crossed answer",
     "late grant",
     "owner refuses",
@@ -97,13 +98,20 @@
             self._strike(type(event).__name__)
             if self._machine is not machine:
                 continue
-            for action in machine.handle(event):
+            for action in self._handle(machine, event):
                 self._strike(type(action).__name__)
                 if self._machine is not machine:
                     break
                 self._carry_out(action)
         raise AssertionError("the relay does not come to an end")
 
+    @staticmethod
+    def _handle(machine: RelayMachine, event: RelayEvent) -> list[RelayAction]:
+        """Hand an event over as the shell does: the next token takes the short way."""
+        if isinstance(event, TokenArrived) and machine.accept(event.generation, event.index):
+            return [Deliver(event.generation, event.index, event.data)]
+        return machine.handle(event)
+
     def check(self) -> None:
         """Check the promises."""
         generations = {name for name, _ in self.delivered}
@@ -246,7 +254,9 @@
         """Send the tokens from an index, and the end."""
         for index in range(begin, TOKENS):
             fault = self._take_fault("token twice", "token lost")
-            if fault == "token lost":
+            if fault == "token lost" or (
+                index == TOKENS - 1 and self._take_fault("last token lost")
+            ):
                 continue
             self._queue.append(TokenArrived(generation, index, b"x"))
             if fault == "token twice":
--- a/measures/capacity.py
+++ b/measures/capacity.py
@@ -178,11 +178,11 @@
     """Return the stored size of one claim with its outcome."""
     records = tuple(
         ClaimRecord(
-            f"workspace-{index}/portal/{index:032x}",
+            f"{index:032x}",
             "f" * 24,
             f"{index:016x}",
             1.8e9,
-            Outcome(200, "application/json", "{" + "x" * 100 + "}"),
+            Outcome(200, "application/json", "x" * 110),
         )
         for index in range(100)
     )
