Split the grants controller; let what has yielded on a leaving runner go on

Found by reading: a generation that had yielded on a runner which then left was never resumed, and a runner that came back had lost its open grants.

--- /dev/null
+++ b/driftstall/controllers/grant_state.py
@@ -0,0 +1,89 @@
+"""Hold what an owner knows of grants and runners."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from driftstall.core import Request, Verdict
+from driftstall.decisions.isolation import LONG_PREFILL
+from driftstall.decisions.memory import NOTHING, Hold
+from driftstall.decisions.prefixes import PrefixModel
+from driftstall.decisions.routing import PREFILL_TOKENS_PER_S
+
+
+@dataclass(slots=True)
+class OpenGrant:
+    """Hold one grant."""
+
+    entry: str
+    request: Request
+    verdict: Verdict
+    runner_id: str
+    since: float
+    shared: int
+    """Prompt tokens that the prefix cache held."""
+    produced: int = 0
+    yields: int = 0
+    rested_from: float = 0.0
+    heard_at: float = 0.0
+    paused: bool = False
+    reserved: float = 0.0
+    """Tokens reserved from the workspace's limit."""
+
+    @property
+    def held_tokens(self) -> int:
+        """Return the memory that the generation holds while it runs, in tokens."""
+        return self.request.input_tokens + self.produced
+
+    @property
+    def long_tokens(self) -> int:
+        """Return the prompt tokens of a long prefill of a lower rank, else zero."""
+        tokens = self.request.input_tokens
+        return tokens if self.verdict.rank > 0 and tokens >= LONG_PREFILL else 0
+
+
+@dataclass(slots=True)
+class RunnerState:
+    """Hold what the owner knows of one runner."""
+
+    runner_id: str
+    memory: int
+    zone: str
+    grants: dict[str, OpenGrant] = field(default_factory=dict)
+    prefixes: PrefixModel = field(default_factory=PrefixModel)
+    hold: Hold = NOTHING
+    peak: float = 0.0
+    hold_at: float = -1e9
+    pending_prefill: float = 0.0
+    pending_at: float = 0.0
+    first_rank: int = 0
+    long_held: float = 0.0
+    """Memory held by long prompts of lower ranks, in tokens of input."""
+    yield_at: float = -1e9
+    shared: float = 0.0
+    """Tokens of open grants that the prefix cache holds anyway."""
+    unexplained: float = 0.0
+    """Memory the runner reports beyond our grants, in tokens."""
+
+    def pending(self, now: float) -> float:
+        """Return the prefill tokens that should still be pending."""
+        done = (now - self.pending_at) * PREFILL_TOKENS_PER_S
+        self.pending_prefill = max(0.0, self.pending_prefill - done)
+        self.pending_at = now
+        return self.pending_prefill
+
+    def add(self, grant: OpenGrant) -> None:
+        """Count an open grant."""
+        self.grants[grant.request.request_id] = grant
+        self.first_rank += grant.verdict.rank == 0
+        self.shared += grant.shared
+        self.long_held += grant.long_tokens
+
+    def remove(self, grant: OpenGrant) -> bool:
+        """Count a grant out; return whether it was open here."""
+        if self.grants.pop(grant.request.request_id, None) is None:
+            return False
+        self.first_rank -= grant.verdict.rank == 0
+        self.shared -= grant.shared
+        self.long_held -= grant.long_tokens
+        return True
--- a/driftstall/controllers/grants.py
+++ b/driftstall/controllers/grants.py
@@ -7,10 +7,8 @@
 
 from __future__ import annotations
 
-import heapq
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from functools import singledispatchmethod
 from typing import Final
 
@@ -32,22 +30,19 @@
     Tick,
     YieldAsked,
 )
+from driftstall.controllers.grant_state import OpenGrant, RunnerState
+from driftstall.controllers.rank_lines import RankLines, WorkspaceLimits
 from driftstall.core import Request, Verdict, Weights
 from driftstall.decisions.comeback import (
-    FLOOR_RATE,
     GRACE_S,
-    Promises,
     ServiceRate,
-    forecast_wait,
     retry_after,
 )
 from driftstall.decisions.fairness import FairQueue, Waiting
 from driftstall.decisions.isolation import LONG_PREFILL, LongPrefillSet, RunnerLoad
 from driftstall.decisions.lengths import LengthModel
-from driftstall.decisions.limits import TokenBucket
-from driftstall.decisions.memory import NOTHING, Hold, hold_of, quantile, total
-from driftstall.decisions.prefixes import PrefixModel
-from driftstall.decisions.routing import PREFILL_TOKENS_PER_S, Choice, RunnerView, choose
+from driftstall.decisions.memory import Hold, hold_of, quantile, total
+from driftstall.decisions.routing import Choice, RunnerView, choose
 from driftstall.decisions.yielding import Candidate, choose_victim
 
 REFRESH_S: Final = 0.25
@@ -69,56 +64,6 @@
 """Events that free nothing; the next tick uses what they taught."""
 
 
-@dataclass(slots=True)
-class OpenGrant:
-    """Hold one grant."""
-
-    entry: str
-    request: Request
-    verdict: Verdict
-    runner_id: str
-    since: float
-    shared: int
-    """Prompt tokens that the prefix cache held."""
-    produced: int = 0
-    yields: int = 0
-    rested_from: float = 0.0
-    heard_at: float = 0.0
-    paused: bool = False
-    reserved: float = 0.0
-
-
-@dataclass(slots=True)
-class RunnerState:
-    """Hold what the owner knows of one runner."""
-
-    runner_id: str
-    memory: int
-    zone: str
-    grants: dict[str, OpenGrant] = field(default_factory=dict)
-    prefixes: PrefixModel = field(default_factory=PrefixModel)
-    hold: Hold = NOTHING
-    peak: float = 0.0
-    hold_at: float = -1e9
-    pending_prefill: float = 0.0
-    pending_at: float = 0.0
-    first_rank: int = 0
-    long_held: float = 0.0
-    """Memory held by long prompts of lower ranks, in tokens of input."""
-    yield_at: float = -1e9
-    shared: float = 0.0
-    """Tokens of open grants that the prefix cache holds anyway."""
-    unexplained: float = 0.0
-    """Memory the runner reports beyond our grants, in tokens."""
-
-    def pending(self, now: float) -> float:
-        """Return the prefill tokens that should still be pending."""
-        done = (now - self.pending_at) * PREFILL_TOKENS_PER_S
-        self.pending_prefill = max(0.0, self.pending_prefill - done)
-        self.pending_at = now
-        return self.pending_prefill
-
-
 class GrantsController:
     """Admit, queue, place, yield and refuse for one group of runners."""
 
@@ -131,13 +76,10 @@
         weights: Weights | None = None,
         overflow: float = 0.01,
         certain: bool = False,
-        admit_from: float = 0.0,
     ) -> None:
         """Start without runners.
 
         certain: the lengths are known or worst-case, so no deviation is added.
-        admit_from: until then (a new owner) grants come only as the runners' own
-        reports allow.
         """
         self.group = group
         self._lengths = lengths
@@ -145,16 +87,12 @@
         self._weights = weights or Weights()
         self._certain = certain
         self._deviations = 0.0 if certain else quantile(overflow)
-        self._admit_from = admit_from
         self._runners: dict[str, RunnerState] = {}
-        self._queues: dict[int, FairQueue] = {}
-        self._rates: dict[int, ServiceRate] = {}
-        self._promises: dict[int, Promises] = {}
-        self._waiting: dict[str, Waiting] = {}
+        self._leaving: dict[str, RunnerState] = {}
+        self._lines = RankLines()
         self._grants: dict[str, OpenGrant] = {}
         self._paused: dict[str, OpenGrant] = {}
-        self._expiry: list[tuple[float, str]] = []
-        self._buckets: dict[str, TokenBucket] = {}
+        self._limits = WorkspaceLimits()
         self._first_arrivals = ServiceRate()
         self._first_held = 1_500.0
         self._long_set = LongPrefillSet()
@@ -168,7 +106,7 @@
     @property
     def waiting(self) -> int:
         """Return how many requests wait."""
-        return len(self._waiting)
+        return len(self._lines)
 
     @property
     def open_grants(self) -> int:
@@ -213,7 +151,7 @@
     @_apply.register
     def _(self, event: Ask, now: float) -> None:
         request, verdict = event.request, event.verdict
-        if request.request_id in self._waiting:
+        if request.request_id in self._lines:
             return
         open_grant = self._grants.get(request.request_id)
         if open_grant is not None:
@@ -230,28 +168,25 @@
             return
         output = self._lengths.expected(request)
         cost = request.input_tokens + output
-        returned = self._promised(verdict.rank).take(event.ticket) if event.ticket else False
+        returned = self._lines.take_place(verdict.rank, event.ticket)
         if not self._runners:
             self._refuse(event.entry, request, CODE_NO_RUNNER, 2.0, "", "no runner is live")
             return
-        limited_s = self._reserve(request, verdict, cost, now)
+        limited_s = self._limits.reserve(request, verdict, cost, now)
         if limited_s > 0:
             reason = f"workspace {request.workspace} is over its token limit"
             self._refuse(event.entry, request, CODE_LIMITED, limited_s, "", reason)
             return
         if verdict.rank == 0:
             self._count_first(cost, now)
-        wait_s = 0.0 if returned else self._wait(request, verdict, cost, now)
+        wait_s = 0.0 if returned else self._lines.forecast(request, verdict, cost, now)
         if verdict.may_refuse and wait_s > verdict.wait_s:
-            self._settle(request, cost, 0.0)
+            self._limits.settle(request, cost, 0.0)
             self._turn_away(event.entry, request, verdict, cost, wait_s, now)
             return
         hold = hold_of(self._lengths, request, 0)
         item = Waiting(event.entry, request, verdict, cost, now, output, hold, event.avoid)
-        self._waiting[request.request_id] = item
-        self._queue(verdict.rank).push(item)
-        until = now + verdict.wait_s if verdict.may_refuse else request.deadline
-        heapq.heappush(self._expiry, (min(until, request.deadline), request.request_id))
+        self._lines.push(item)
 
     @_apply.register
     def _(self, event: Announce, now: float) -> None:
@@ -277,10 +212,9 @@
 
     @_apply.register
     def _(self, event: Close, now: float) -> None:
-        item = self._waiting.pop(event.request_id, None)
+        item = self._lines.discard(event.request_id)
         if item is not None:
-            self._queue(item.verdict.rank).discard(item)
-            self._settle(item.request, item.cost, 0.0)
+            self._limits.settle(item.request, item.cost, 0.0)
             return
         grant = self._grants.pop(event.request_id, None)
         if grant is None:
@@ -293,11 +227,7 @@
         if runner is None:
             return
         runner.memory = event.memory_tokens or runner.memory
-        known = sum(
-            grant.request.input_tokens + grant.produced
-            for grant in runner.grants.values()
-            if not grant.paused
-        )
+        known = sum(one.held_tokens for one in runner.grants.values() if not one.paused)
         runner.unexplained = max(0.0, event.used_tokens - known - runner.pending_prefill)
         if runner.unexplained < 0.1 * runner.memory:
             runner.unexplained = 0.0
@@ -316,16 +246,26 @@
     def _(self, event: RunnersChanged, now: float) -> None:
         wanted = {runner_id for runner_id, _, _ in event.runners}
         for runner_id in [one for one in self._runners if one not in wanted]:
-            self._runners.pop(runner_id)
+            self._let_leave(self._runners.pop(runner_id))
         for runner_id, memory, zone in event.runners:
-            known = self._runners.get(runner_id)
-            if known is None:
-                self._runners[runner_id] = RunnerState(runner_id, memory, zone, pending_at=now)
+            if runner_id not in self._runners:
+                fresh = RunnerState(runner_id, memory, zone, pending_at=now)
+                self._runners[runner_id] = self._leaving.pop(runner_id, fresh)
+
+    def _let_leave(self, runner: RunnerState) -> None:
+        """Give a leaving runner no new work, but let what has yielded there end."""
+        self._leaving[runner.runner_id] = runner
+        for request_id, grant in runner.grants.items():
+            if grant.paused:
+                grant.paused = False
+                del self._paused[request_id]
+                reason = "its runner is leaving"
+                self._actions.append(ResumeAsked(grant.entry, request_id, grant.runner_id, reason))
 
     @_apply.register
     def _(self, event: EntryLost, now: float) -> None:
         lost = [one for one, grant in self._grants.items() if grant.entry == event.entry]
-        lost += [one for one, item in self._waiting.items() if item.entry == event.entry]
+        lost += self._lines.of_entry(event.entry)
         for request_id in lost:
             self._apply(Close(self.group, request_id, 0, finished=False), now)
 
@@ -344,41 +284,6 @@
 
     # Admission
 
-    def _queue(self, rank: int) -> FairQueue:
-        """Return a rank's queue."""
-        if rank not in self._queues:
-            self._queues[rank] = FairQueue()
-        return self._queues[rank]
-
-    def _promised(self, rank: int) -> Promises:
-        """Return a rank's promised places."""
-        if rank not in self._promises:
-            self._promises[rank] = Promises()
-        return self._promises[rank]
-
-    def _rate(self, rank: int) -> ServiceRate:
-        """Return a rank's service rate."""
-        if rank not in self._rates:
-            self._rates[rank] = ServiceRate(FLOOR_RATE)
-        return self._rates[rank]
-
-    def _wait(self, request: Request, verdict: Verdict, cost: float, now: float) -> float:
-        """Forecast the wait of a newcomer, in seconds."""
-        promises = self._promised(verdict.rank)
-        promises.expire(now)
-        queue = self._queue(verdict.rank)
-        if not len(queue) and not promises.cost:
-            return 0.0
-        rate = sum(self._rate(rank).value(now) for rank in self._rates if rank >= verdict.rank)
-        own = queue.cost_of(request.workspace) + promises.cost_of(request.workspace)
-        return forecast_wait(
-            own=own,
-            total=queue.cost + promises.cost,
-            active=max(queue.active, promises.active),
-            cost=cost,
-            rate=max(rate, 1.0),
-        )
-
     def _turn_away(
         self, entry: str, request: Request, verdict: Verdict, cost: float, wait_s: float, now: float
     ) -> None:
@@ -386,7 +291,7 @@
         after = retry_after(wait_s, self._source)
         ticket = request.request_id
         until = now + after + GRACE_S
-        self._promised(verdict.rank).make(ticket, request.workspace, cost, until)
+        self._lines.keep_place(verdict.rank, ticket, request.workspace, cost, until)
         reason = f"{self.waiting} wait, the forecast wait is {wait_s:.1f} s"
         self._refuse(entry, request, CODE_REFUSED, after, ticket, reason)
 
@@ -398,32 +303,11 @@
 
     def _expire(self, now: float) -> None:
         """Refuse at once what has waited as long as the policy allows."""
-        while self._expiry and self._expiry[0][0] <= now:
-            _, request_id = heapq.heappop(self._expiry)
-            item = self._waiting.pop(request_id, None)
-            if item is None:
-                continue
-            self._queue(item.verdict.rank).discard(item)
-            self._settle(item.request, item.cost, 0.0)
-            wait_s = self._wait(item.request, item.verdict, item.cost, now)
+        for item in self._lines.expired(now):
+            self._limits.settle(item.request, item.cost, 0.0)
+            wait_s = self._lines.forecast(item.request, item.verdict, item.cost, now)
             self._turn_away(item.entry, item.request, item.verdict, item.cost, wait_s, now)
 
-    def _reserve(self, request: Request, verdict: Verdict, cost: float, now: float) -> float:
-        """Reserve from the workspace's token limit; return the seconds to wait."""
-        if not verdict.limit_tokens_per_s:
-            return 0.0
-        bucket = self._buckets.get(request.workspace)
-        if bucket is None or bucket.rate != verdict.limit_tokens_per_s:
-            bucket = TokenBucket.full(verdict.limit_tokens_per_s, now)
-            self._buckets[request.workspace] = bucket
-        return bucket.reserve(cost, now)
-
-    def _settle(self, request: Request, reserved: float, used: float) -> None:
-        """Give back what a request reserved and did not use."""
-        bucket = self._buckets.get(request.workspace)
-        if bucket is not None:
-            bucket.settle(reserved, used)
-
     def _count_first(self, cost: float, now: float) -> None:
         """Learn how much memory the first rank asks for."""
         self._first_arrivals.add(1.0, now)
@@ -488,8 +372,7 @@
         """Grant in order of rank until one has to wait."""
         if self._paused:
             self._resume(now)
-        for rank in sorted(self._queues):
-            queue = self._queues[rank]
+        for rank, queue in self._lines.in_order():
             while len(queue) and self._grant_next(queue, now):
                 pass
             if len(queue):
@@ -503,8 +386,7 @@
             choice = self._place(item, now)
             if choice is None:
                 continue
-            queue.serve(item)
-            del self._waiting[item.request.request_id]
+            self._lines.serve(item, now)
             self._grant(item, choice, now)
             return True
         return False
@@ -572,7 +454,6 @@
         grant.rested_from = now
         self._open(runner, grant, item.hold, now)
         runner.pending_prefill = runner.pending(now) + uncached
-        self._rate(item.verdict.rank).add(item.cost, now)
         reason = (
             f"cost {choice.cost:.3f} of {len(self._runners)} runners, "
             f"{uncached} of {request.input_tokens} tokens to prefill"
@@ -586,10 +467,7 @@
         request_id = grant.request.request_id
         grant.heard_at = now
         self._grants[request_id] = grant
-        runner.grants[request_id] = grant
-        runner.first_rank += grant.verdict.rank == 0
-        runner.shared += grant.shared
-        runner.long_held += _long_tokens(grant)
+        runner.add(grant)
         self._set_hold(runner, self._hold(runner, now).plus(addition))
 
     def _close(self, grant: OpenGrant, event: Close, now: float) -> None:
@@ -599,13 +477,11 @@
             self._lengths.progressed(grant.request, grant.produced, event.produced)
         if event.finished:
             self._lengths.finished(grant.request, event.produced)
-        self._settle(grant.request, grant.reserved, grant.request.input_tokens + event.produced)
-        runner = self._runners.get(grant.runner_id)
-        if runner is None or runner.grants.pop(event.request_id, None) is None:
+        used = grant.request.input_tokens + event.produced
+        self._limits.settle(grant.request, grant.reserved, used)
+        runner = self._runners.get(grant.runner_id) or self._leaving.get(grant.runner_id)
+        if runner is None or not runner.remove(grant):
             return
-        runner.first_rank -= grant.verdict.rank == 0
-        runner.shared -= grant.shared
-        runner.long_held -= _long_tokens(grant)
         if not grant.paused:
             self._set_hold(
                 runner, runner.hold.minus(hold_of(self._lengths, grant.request, grant.produced))
@@ -642,7 +518,7 @@
 
     def _candidate(self, grant: OpenGrant, now: float) -> Candidate:
         """Describe a grant as one that could yield."""
-        held = grant.request.input_tokens + grant.produced
+        held = grant.held_tokens
         ahead = 64
         chance = self._lengths.keeps_going(grant.request, grant.produced, ahead)
         remaining = 0.0 if grant.paused else self._lengths.expected(grant.request) * chance
@@ -659,7 +535,7 @@
 
     def _resume(self, now: float) -> None:
         """Resume paused generations where there is room, best rank and oldest first."""
-        blocked = min((rank for rank, queue in self._queues.items() if len(queue)), default=99)
+        blocked = self._lines.first_waiting_rank
         order = sorted(self._paused.items(), key=lambda pair: (pair[1].verdict.rank, pair[1].since))
         for request_id, grant in order:
             runner = self._runners.get(grant.runner_id)
@@ -676,9 +552,3 @@
             del self._paused[request_id]
             reason = "there is room again"
             self._actions.append(ResumeAsked(grant.entry, request_id, grant.runner_id, reason))
-
-
-def _long_tokens(grant: OpenGrant) -> int:
-    """Return the prompt tokens of a long prefill of a lower rank, else zero."""
-    tokens = grant.request.input_tokens
-    return tokens if grant.verdict.rank > 0 and tokens >= LONG_PREFILL else 0
