--- a/driftstall/controllers/grant_state.py
+++ b/driftstall/controllers/grant_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import Final
 
 from driftstall.core import Request, Verdict
 from driftstall.decisions.isolation import LONG_PREFILL
@@ -10,6 +11,9 @@
 from driftstall.decisions.prefixes import PrefixModel
 from driftstall.decisions.routing import PREFILL_TOKENS_PER_S
 
+UNEXPLAINED_SHARE: Final = 0.1
+"""Share of the memory under which a difference is taken for the report's lag."""
+
 
 @dataclass(slots=True)
 class OpenGrant:
@@ -87,3 +91,10 @@
         self.shared -= grant.shared
         self.long_held -= grant.long_tokens
         return True
+
+    def take_report(self, used: int, memory: int) -> None:
+        """Learn from the runner's own, lagging report what our grants do not explain."""
+        self.memory = memory or self.memory
+        known = sum(one.held_tokens for one in self.grants.values() if not one.paused)
+        unexplained = max(0.0, used - known - self.pending_prefill)
+        self.unexplained = unexplained if unexplained >= UNEXPLAINED_SHARE * self.memory else 0.0
--- a/driftstall/controllers/grants.py
+++ b/driftstall/controllers/grants.py
@@ -32,25 +32,19 @@
 )
 from driftstall.controllers.grant_state import OpenGrant, RunnerState
 from driftstall.controllers.rank_lines import RankLines, WorkspaceLimits
+from driftstall.controllers.runner_book import RunnerBook
 from driftstall.core import Request, Verdict, Weights
 from driftstall.decisions.comeback import (
     GRACE_S,
-    ServiceRate,
     retry_after,
 )
 from driftstall.decisions.fairness import FairQueue, Waiting
 from driftstall.decisions.isolation import LONG_PREFILL, LongPrefillSet, RunnerLoad
 from driftstall.decisions.lengths import LengthModel
-from driftstall.decisions.memory import Hold, hold_of, quantile, total
+from driftstall.decisions.memory import Hold, hold_of, quantile
 from driftstall.decisions.routing import Choice, RunnerView, choose
 from driftstall.decisions.yielding import Candidate, choose_victim
 
-REFRESH_S: Final = 0.25
-"""How old a runner's memory forecast may get."""
-STALE_S: Final = 1.0
-"""An older forecast is renewed even within a decision."""
-HEADROOM_S: Final = 2.0
-"""Seconds of first-rank arrivals for which lower ranks leave room."""
 YIELD_WAIT_S: Final = 0.4
 """How long the first rank waits before a lower rank is asked to yield."""
 YIELD_SPACING_S: Final = 1.0
@@ -86,15 +80,12 @@
         self._source = source
         self._weights = weights or Weights()
         self._certain = certain
-        self._deviations = 0.0 if certain else quantile(overflow)
-        self._runners: dict[str, RunnerState] = {}
-        self._leaving: dict[str, RunnerState] = {}
+        self._book = RunnerBook(lengths, 0.0 if certain else quantile(overflow))
+        self._runners = self._book.runners
         self._lines = RankLines()
         self._grants: dict[str, OpenGrant] = {}
         self._paused: dict[str, OpenGrant] = {}
         self._limits = WorkspaceLimits()
-        self._first_arrivals = ServiceRate()
-        self._first_held = 1_500.0
         self._long_set = LongPrefillSet()
         self._long_since: float | None = None
         self._long_allowed = 0.0
@@ -122,15 +113,11 @@
         """Take over the weights and the bound of a new policy."""
         self._weights = weights
         if not self._certain:
-            self._deviations = quantile(overflow)
+            self._book.deviations = quantile(overflow)
 
     def load(self, now: float) -> float:
         """Return the forecast share of memory in use, from 0 to 1."""
-        memory = sum(runner.memory for runner in self._runners.values())
-        if not memory:
-            return 1.0
-        used = sum(self._hold(runner, now).means[0] for runner in self._runners.values())
-        return min(1.0, used / memory)
+        return self._book.load(now)
 
     def handle(self, event: GrantEvent, now: float) -> list[GrantAction]:
         """Take one event and return the actions it leads to."""
@@ -178,7 +165,7 @@
             self._refuse(event.entry, request, CODE_LIMITED, limited_s, "", reason)
             return
         if verdict.rank == 0:
-            self._count_first(cost, now)
+            self._book.count_first(cost, now)
         wait_s = 0.0 if returned else self._lines.forecast(request, verdict, cost, now)
         if verdict.may_refuse and wait_s > verdict.wait_s:
             self._limits.settle(request, cost, 0.0)
@@ -224,13 +211,8 @@
     @_apply.register
     def _(self, event: RunnerReport, now: float) -> None:
         runner = self._runners.get(event.runner_id)
-        if runner is None:
-            return
-        runner.memory = event.memory_tokens or runner.memory
-        known = sum(one.held_tokens for one in runner.grants.values() if not one.paused)
-        runner.unexplained = max(0.0, event.used_tokens - known - runner.pending_prefill)
-        if runner.unexplained < 0.1 * runner.memory:
-            runner.unexplained = 0.0
+        if runner is not None:
+            runner.take_report(event.used_tokens, event.memory_tokens)
 
     @_apply.register
     def _(self, event: CacheEvents, now: float) -> None:
@@ -246,18 +228,15 @@
     def _(self, event: RunnersChanged, now: float) -> None:
         wanted = {runner_id for runner_id, _, _ in event.runners}
         for runner_id in [one for one in self._runners if one not in wanted]:
-            self._let_leave(self._runners.pop(runner_id))
+            self._let_leave(self._book.let_leave(runner_id), now)
         for runner_id, memory, zone in event.runners:
-            if runner_id not in self._runners:
-                fresh = RunnerState(runner_id, memory, zone, pending_at=now)
-                self._runners[runner_id] = self._leaving.pop(runner_id, fresh)
+            self._book.welcome(runner_id, memory, zone, now)
 
-    def _let_leave(self, runner: RunnerState) -> None:
+    def _let_leave(self, runner: RunnerState, now: float) -> None:
         """Give a leaving runner no new work, but let what has yielded there end."""
-        self._leaving[runner.runner_id] = runner
         for request_id, grant in runner.grants.items():
             if grant.paused:
-                grant.paused = False
+                self._book.go_on(grant, now)
                 del self._paused[request_id]
                 reason = "its runner is leaving"
                 self._actions.append(ResumeAsked(grant.entry, request_id, grant.runner_id, reason))
@@ -272,9 +251,7 @@
     @_apply.register
     def _(self, event: Tick, now: float) -> None:
         """Let time pass: renew forecasts, end grants whose entry has long been silent."""
-        for runner in self._runners.values():
-            if now - runner.hold_at >= REFRESH_S:
-                self._refresh(runner, now)
+        self._book.refresh_due(now)
         if now - self._silence_at < SILENCE_CHECK_S:
             return
         self._silence_at = now
@@ -308,42 +285,8 @@
             wait_s = self._lines.forecast(item.request, item.verdict, item.cost, now)
             self._turn_away(item.entry, item.request, item.verdict, item.cost, wait_s, now)
 
-    def _count_first(self, cost: float, now: float) -> None:
-        """Learn how much memory the first rank asks for."""
-        self._first_arrivals.add(1.0, now)
-        self._first_held += 0.02 * (cost - self._first_held)
-
-    def _headroom(self, rank: int, now: float) -> float:
-        """Return the memory that a rank leaves free on each runner, in tokens."""
-        if rank == 0 or not self._runners:
-            return 0.0
-        expected = self._first_arrivals.value(now) * HEADROOM_S * self._first_held
-        share = expected / len(self._runners)
-        least = min(runner.memory for runner in self._runners.values())
-        return min(share, 0.15 * least)
-
     # Placement
 
-    def _hold(self, runner: RunnerState, now: float) -> Hold:
-        """Return a runner's memory forecast; ticks keep it fresh, not decisions."""
-        if now - runner.hold_at >= STALE_S:
-            self._refresh(runner, now)
-        return runner.hold
-
-    def _set_hold(self, runner: RunnerState, hold: Hold) -> None:
-        """Store a runner's forecast with its peak, which is asked for most."""
-        runner.hold = hold
-        runner.peak = hold.peak(self._deviations)
-
-    def _refresh(self, runner: RunnerState, now: float) -> None:
-        """Forecast a runner's memory anew."""
-        open_grants = (one for one in runner.grants.values() if not one.paused)
-        self._set_hold(
-            runner, total(self._lengths, ((one.request, one.produced) for one in open_grants))
-        )
-        runner.hold_at = now
-        runner.prefixes.shrink(runner.memory - runner.hold.means[0] + runner.shared)
-
     def _dispatch(self, now: float, *, resize: bool) -> None:
         """Grant what has room, best rank first."""
         self._long_since = None
@@ -394,8 +337,8 @@
     def _place(self, item: Waiting, now: float) -> Choice | None:
         """Choose a runner with room, or none."""
         request, rank = item.request, item.verdict.rank
-        headroom = self._headroom(rank, now)
-        own_peak = item.hold.peak(self._deviations)
+        headroom = self._book.headroom(rank, now)
+        own_peak = item.hold.peak(self._book.deviations)
         members = self._long_set.members
         isolate = rank > 0 and self._long_set.applies(self._weights)
         views = []
@@ -403,11 +346,8 @@
         for runner in self._runners.values():
             if runner.runner_id in item.avoid and len(self._runners) > len(item.avoid):
                 continue
-            hold = self._hold(runner, now)
             limit = runner.memory - headroom - runner.unexplained
-            # The peak of a sum is at most the sum of the peaks, which is quick to see.
-            surely = runner.peak + own_peak <= limit
-            if runner.grants and not (surely or hold.fits(item.hold, self._deviations, limit)):
+            if not self._book.has_room(runner, item.hold, own_peak, limit, now):
                 continue
             uncached = request.input_tokens - runner.prefixes.match(request.prefix)
             if isolate and uncached >= LONG_PREFILL and runner.runner_id not in members:
@@ -416,7 +356,7 @@
             pending = runner.pending(now)
             if rank > 0 and pending > 0 and pending + uncached > MAX_PENDING_PREFILL:
                 continue
-            fill = hold.means[0] / runner.memory
+            fill = runner.hold.means[0] / runner.memory
             views.append(
                 RunnerView(
                     runner.runner_id,
@@ -467,8 +407,7 @@
         request_id = grant.request.request_id
         grant.heard_at = now
         self._grants[request_id] = grant
-        runner.add(grant)
-        self._set_hold(runner, self._hold(runner, now).plus(addition))
+        self._book.add(runner, grant, addition, now)
 
     def _close(self, grant: OpenGrant, event: Close, now: float) -> None:
         """Free a grant's memory and learn from its length."""
@@ -479,16 +418,8 @@
             self._lengths.finished(grant.request, event.produced)
         used = grant.request.input_tokens + event.produced
         self._limits.settle(grant.request, grant.reserved, used)
-        runner = self._runners.get(grant.runner_id) or self._leaving.get(grant.runner_id)
-        if runner is None or not runner.remove(grant):
-            return
-        if not grant.paused:
-            self._set_hold(
-                runner, runner.hold.minus(hold_of(self._lengths, grant.request, grant.produced))
-            )
-        prefix = grant.request.prefix
-        if event.finished:
-            runner.prefixes.store((*prefix, event.reply) if event.reply else prefix)
+        reply = (event.reply,) if event.reply else ()
+        self._book.remove(grant, (*grant.request.prefix, *reply) if event.finished else ())
 
     # Yielding
 
@@ -505,13 +436,7 @@
         if victim is None:
             return
         grant = self._grants[victim.grant_id]
-        runner = self._runners[grant.runner_id]
-        runner.yield_at = now
-        grant.paused = True
-        grant.yields += 1
-        self._set_hold(
-            runner, runner.hold.minus(hold_of(self._lengths, grant.request, grant.produced))
-        )
+        self._book.pause(grant, now)
         self._paused[victim.grant_id] = grant
         reason = f"rank {item.verdict.rank} has waited {now - item.since:.1f} s"
         self._actions.append(YieldAsked(grant.entry, victim.grant_id, grant.runner_id, reason))
@@ -542,13 +467,10 @@
             if runner is None or grant.verdict.rank > blocked:
                 continue
             addition = hold_of(self._lengths, grant.request, grant.produced)
-            peak = self._hold(runner, now).plus(addition).peak(self._deviations)
-            if peak > runner.memory - self._headroom(grant.verdict.rank, now):
+            limit = runner.memory - self._book.headroom(grant.verdict.rank, now)
+            if not runner.hold.fits(addition, self._book.deviations, limit):
                 continue
-            grant.paused = False
-            grant.rested_from = now
-            self._set_hold(runner, runner.hold.plus(addition))
-            runner.pending_prefill = runner.pending(now) + grant.request.input_tokens
+            self._book.go_on(grant, now)
             del self._paused[request_id]
             reason = "there is room again"
             self._actions.append(ResumeAsked(grant.entry, request_id, grant.runner_id, reason))
