--- a/driftstall/const.py
+++ b/driftstall/const.py
@@ -47,6 +47,3 @@
 KEY_CONFIG: Final = "driftstall/config"
 KEY_CLAIMS: Final = "driftstall/claims"
 KEY_LEASE: Final = "driftstall/lease"
-
-MAX_OBJECT_BYTES: Final = 1_000_000
-"""The largest value the platform holds, in bytes (brief)."""
--- a/driftstall/controllers/claims.py
+++ b/driftstall/controllers/claims.py
@@ -21,7 +21,6 @@
 """Claims in one object: with 280 bytes each it stays under the platform's megabyte."""
 MAX_OUTCOME_BYTES: Final = 120
 """The longest recorded answer, as JSON; a longer one is recorded by its status alone."""
-RELOAD_AFTER_S: Final = 0.5
 
 
 class ClaimAnswerKind(StrEnum):
--- a/driftstall/daemon/callers.py
+++ b/driftstall/daemon/callers.py
@@ -190,7 +190,7 @@
         self, context: RequestContext, environ: dict[str, Any], start: StartResponse
     ) -> Iterable[bytes]:
         """Go on with a generation from a resume token."""
-        checked = run_chain(self._chain()[:2], replace_body(context))
+        checked = run_chain(self._chain()[:1], context)
         if isinstance(checked, Problem):
             return self._fail(start, checked)
         token = checked.headers[HEADER_LAST_EVENT_ID.lower()]
@@ -198,9 +198,8 @@
         if place is None:
             detail = f"{HEADER_LAST_EVENT_ID} is not a token given to this workspace"
             return self._fail(start, Problem(CODE_BAD_REQUEST, 400, detail, Ran.NOT_RUN))
-        request = taken_up_request(
-            checked.workspace, checked.request_id, checked.now, checked.deadline
-        )
+        deadline = checked.now + self._hub.settings.default_deadline
+        request = taken_up_request(checked.workspace, checked.request_id, checked.now, deadline)
         relay = self._node.relay.take_up(
             request, DEFAULT_VERDICT, place, _caller_check(environ[ENVIRON_SOCKET])
         )
@@ -294,14 +293,6 @@
         return send(start, result.status, result.body, result.content_type)
 
 
-def replace_body(context: RequestContext) -> RequestContext:
-    """Return a request whose body is a small valid one, for the checks before a resume."""
-    body = b'{"model":"-","messages":[{"role":"user","content":""}]}'
-    return RequestContext(
-        context.request_id, context.method, context.path, context.headers, body, context.now
-    )
-
-
 def resume_prefix(key: bytes, workspace: str, runner_id: str, generation: str) -> bytes:
     """Return the signed part of a stream's resume tokens."""
     return sign(key, f"{workspace}|{runner_id}|{generation}").encode()
--- a/features/parts/decisions.feature
+++ b/features/parts/decisions.feature
@@ -30,6 +30,11 @@
   Scenario: a victim is of the lowest rank, has yielded least and is not nearly done
     Then the right generation yields of four candidates
 
+  Scenario: what has yielded on a runner that leaves goes on
+    Given a generation of a low rank has yielded to the first rank
+    When its runner leaves
+    Then the generation is asked to go on at once
+
   Scenario: an asked return is admitted
     Given a full runner that refuses with a time to come back
     Then the caller that comes back then is granted
--- a/features/steps/part_steps.py
+++ b/features/steps/part_steps.py
@@ -21,8 +21,10 @@
     Granted,
     Progress,
     Refused,
+    ResumeAsked,
     RunnersChanged,
     Tick,
+    YieldAsked,
 )
 from driftstall.controllers.grants import GrantsController
 from driftstall.controllers.placement import (
@@ -263,6 +265,35 @@
     assert choose_victim(candidates, 3) is None
 
 
+@given("a generation of a low rank has yielded to the first rank")
+def has_yielded(context: Any) -> None:
+    """Fill a runner with low ranks, then let the first rank wait."""
+    context.controller = GrantsController("g", LearnedLengths(), random.Random(1))
+    context.controller.handle(RunnersChanged("g", (("engine-1", 3_000, "z"),)), 0.0)
+    low = dataclasses.replace(FIRST, rank=3, may_yield=True, wait_s=60.0)
+    for number in range(8):
+        context.controller.handle(Ask("g", "entry", request_of(f"low{number}"), low), 0.0)
+    context.controller.handle(Ask("g", "entry", request_of("first"), FIRST), 6.0)
+    actions = []
+    for step in range(1, 15):
+        actions += context.controller.handle(Tick(), 6.0 + 0.1 * step)
+    context.yielded = [one.request_id for one in actions if isinstance(one, YieldAsked)]
+    assert len(context.yielded) == 1, actions
+
+
+@when("its runner leaves")
+def its_runner_leaves(context: Any) -> None:
+    """Take the runner out of the list."""
+    context.actions = context.controller.handle(RunnersChanged("g", ()), 7.5)
+
+
+@then("the generation is asked to go on at once")
+def goes_on(context: Any) -> None:
+    """Look for the resume."""
+    resumed = [one.request_id for one in context.actions if isinstance(one, ResumeAsked)]
+    assert resumed == context.yielded, context.actions
+
+
 @given("a full runner that refuses with a time to come back")
 def refused(context: Any) -> None:
     """Fill a runner, then ask until one is refused."""
--- a/measures/bench.py
+++ b/measures/bench.py
@@ -246,11 +246,6 @@
         value: dict[str, Any] = self.operator(at, "GET", "/operator/status").value
         return value
 
-    def generation_everywhere(self) -> int:
-        """Return the lowest generation in force on a running instance."""
-        running = [index for index, one in enumerate(self.instances) if one.running]
-        return min(int(self.status(index)["generation"]) for index in running)
-
     def wait_ready(self, members: int) -> None:
         """Wait until all instances are ready and know one another."""
         for index, one in enumerate(self.instances):
--- a/measures/capacity_page.py
+++ b/measures/capacity_page.py
@@ -14,7 +14,6 @@
 RELAY: Final = Path("docs/results/relay.json")
 
 DAEMONS: Final = 410
-RUNNERS: Final = 790
 REQUESTS_PER_S: Final = 5_900.0
 TOKENS_PER_S: Final = 1_500_000.0
 WORKSPACES: Final = 3_500
--- a/measures/driver.py
+++ b/measures/driver.py
@@ -30,7 +30,7 @@
 )
 from driftstall.core import PrefixMark, Request, Verdict
 from measures.workload import Arrival
-from stand_ins.engine_model import Engine, Generation, Phase
+from stand_ins.engine_model import Engine, Generation
 
 GROUP: Final = "base/0"
 HOP_S: Final = 0.0015
@@ -45,14 +45,6 @@
 """How often a refused caller comes back when told."""
 
 
-class Grants:
-    """Describe what the driver needs of a method that gives grants."""
-
-    def handle(self, event: GrantEvent, now: float) -> list[GrantAction]:
-        """Take an event and return the actions."""
-        raise NotImplementedError
-
-
 @dataclass(slots=True)
 class Served:
     """Hold what happened to one request."""
@@ -302,10 +294,3 @@
         if kept or gone:
             event = CacheEvents(GROUP, name, kept, gone)
             self._at(self.now + CACHE_LAG_S, lambda: self._tell(event))
-
-
-def waiting_on_engines(engines: dict[str, Engine]) -> int:
-    """Return how many generations wait inside engines."""
-    return sum(
-        sum(one.phase is Phase.WAITING for one in engine.waiting) for engine in engines.values()
-    )
--- a/script/check_core.py
+++ b/script/check_core.py
@@ -8,7 +8,6 @@
 
 CORE = ("decisions", "policy", "filters", "controllers")
 FORBIDDEN = {"gevent", "geventhttpclient", "socket", "time", "capnp", "threading", "asyncio"}
-READS_ITS_OWN_GRAMMAR = {"pathlib"}
 
 
 def imported(path: Path) -> set[str]:
