Take an engine that sends no token for a stalled one; tell the dead that they are

Cause: comments kept a stream of a frozen engine alive, so it waited until its deadline. Ruled out: the fleet's polls, which such an engine answers. Membership: an ack now carries what is held of a suspected or dead sender, so that it can refute.

--- a/driftstall/controllers/membership.py
+++ b/driftstall/controllers/membership.py
@@ -200,7 +200,9 @@
     @_on.register
     def _(self, event: Ping, now: float) -> None:
         self._learn_all(event.changes, now)
-        ack = Ack(self._own_id, event.number, event.on_behalf, self._news())
+        sender = self._members.get(event.sender)
+        news = self._news(sender.change if sender else None)
+        ack = Ack(self._own_id, event.number, event.on_behalf, news)
         self._actions.append(SendTo(event.sender, ack))
 
     @_on.register
@@ -309,7 +311,8 @@
         limit = SPREAD_FACTOR * max(1, len(self._members).bit_length())
         fresh = sorted(self._spread.items(), key=lambda pair: pair[1])[: MAX_CHANGES - 1]
         news = [self._members[self._own_id].change]
-        if target is not None and target.health == Health.SUSPECT:
+        if target is not None and target.health in (Health.SUSPECT, Health.DEAD):
+            # It can refute only what it hears.
             news.append(target)
         for instance_id, times in fresh:
             if times >= limit or instance_id not in self._members:
--- a/driftstall/daemon/grants_service.py
+++ b/driftstall/daemon/grants_service.py
@@ -200,6 +200,11 @@
         """Return the grant's id."""
         return grant.ask.request.request_id
 
+    def is_paused(self, request_id: str) -> bool:
+        """Tell whether a generation has yielded."""
+        grant = self._entry_grants.get(request_id)
+        return grant is not None and grant.paused
+
     def progress(self, request_id: str, produced: int) -> None:
         """Note how far a generation is; it is reported in batches."""
         grant = self._entry_grants.get(request_id)
--- a/driftstall/daemon/relay_service.py
+++ b/driftstall/daemon/relay_service.py
@@ -52,6 +52,8 @@
 )
 
 RESUME_PAUSE_S: Final = 0.1
+STALLED_S: Final = 8.0
+"""An engine that is there but sends no token for so long, unasked, is taken for stalled."""
 EngineStream = Iterator[list[EngineEvent]]
 
 
@@ -151,6 +153,7 @@
         self._reply: PrefixMark | None = None
         self._out: list[RelayItem] = []
         self._grant_ids: set[str] = set()
+        self._moved_at = 0.0
         self.ticket = ""
         self.first: RelayEvent = Started()
 
@@ -202,6 +205,7 @@
                         tokens = []
                     self._take(event)
                 if tokens:
+                    self._moved_at = self._hub.now()
                     grants.progress(request_id, machine.produced)
                     stats.tokens += len(tokens)
                     yield Tokens(tuple(tokens))
@@ -222,6 +226,10 @@
             self._feed(StreamEnded(event.generation, event.total, event.data))
         elif not self._caller_waits():
             self._caller_left()
+        elif self._service.grants.is_paused(self._machine.grant_id):
+            self._moved_at = self._hub.now()
+        elif self._hub.now() - self._moved_at >= STALLED_S:
+            raise UpstreamError("the engine sends no token", sent=True)
 
     def _broken(self, fault: UpstreamError) -> None:
         """Tell the machine that the stream broke."""
@@ -299,6 +307,7 @@
         try:
             if runner is None:
                 raise UpstreamError("the runner is not configured any more", sent=False)
+            self._moved_at = self._hub.now()
             self._stream = open_stream(runner, action.generation, self._payload, action.rank)
         except UpstreamError as fault:
             self._service.fleet.failed(action.runner_id)
@@ -317,6 +326,7 @@
             self._feed(GrantRefused(problem))
             return
         try:
+            self._moved_at = self._hub.now()
             self._stream = resume_stream(runner, action.generation, action.next_index)
         except UpstreamError as fault:
             gevent.sleep(RESUME_PAUSE_S)
--- a/features/processes/streams.feature
+++ b/features/processes/streams.feature
@@ -20,6 +20,11 @@
     When an engine is told to "hang"
     Then all answers arrive whole, once, in order, each from one generation
 
+  Scenario: an engine freezes but still answers
+    When the first engine freezes but still answers, and 6 callers ask
+    Then all answers arrive whole, once, in order, each from one generation
+    And the frozen engine was asked, and is let go on
+
   Scenario: a caller vanishes
     When a caller asks and vanishes
     Then the engines are soon free again
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -171,6 +171,21 @@
         engine.control(scripts[fault])
 
 
+@when("the first engine freezes but still answers, and {count:d} callers ask")
+def freeze_engine(context: Any, count: int) -> None:
+    """Freeze one engine for long, then ask; some are sent there."""
+    context.bench.engines[0].control({"freeze_s": 45.0})
+    context.answers = [Answer(context.bench, 20) for _ in range(count)]
+
+
+@then("the frozen engine was asked, and is let go on")
+def thaw(context: Any) -> None:
+    """Check that the fault struck, and end it."""
+    engine = context.bench.engines[0]
+    assert engine.stats()["running"] + engine.stats().get("cancelled", 0) > 0
+    engine.control({"freeze_s": 0.0})
+
+
 @when("a caller asks and vanishes")
 def vanish(context: Any) -> None:
     """Open a stream by hand and close the connection."""
--- a/stand_ins/engine.py
+++ b/stand_ins/engine.py
@@ -69,6 +69,8 @@
     """Hold the scripted faults."""
 
     hang_until: float = 0.0
+    frozen_until: float = 0.0
+    """Until then the engine answers and reports, but generates nothing."""
     cut_after: int = 0
     """Cut each new stream after so many tokens, once."""
     duplicate: bool = False
@@ -119,6 +121,10 @@
             if now < self._faults.hang_until:
                 gevent.sleep(self._faults.hang_until - now)
                 due = time.monotonic()
+            if now < self._faults.frozen_until:
+                gevent.sleep(0.1)
+                due = time.monotonic()
+                continue
             step = self._engine.step()
             due += step.seconds / self._speed
             gevent.sleep(max(0.0, due - time.monotonic()))
@@ -364,6 +370,8 @@
         script = read_json(environ)
         if "hang_s" in script:
             self._faults.hang_until = time.monotonic() + script["hang_s"]
+        if "freeze_s" in script:
+            self._faults.frozen_until = time.monotonic() + script["freeze_s"]
         for name in ("cut_after", "duplicate", "skip", "refuse"):
             setattr(self._faults, name, script.get(name, getattr(self._faults, name)))
         self._leaving = script.get("leaving", self._leaving)
