--- a/driftstall/cli/main.py
+++ b/driftstall/cli/main.py
@@ -67,7 +67,7 @@
 EXIT_UNKNOWN: Final = 4
 EXIT_UNREACHABLE: Final = 5
 STATUS_EXIT: Final = {200: EXIT_OK, 409: EXIT_CONFLICT, 503: EXIT_UNREACHABLE, 504: EXIT_UNKNOWN}
-STATE_EXIT: Final = {"accepted": EXIT_OK, "conflict": EXIT_CONFLICT}
+STATE_EXIT: Final = {"accepted": EXIT_OK}
 
 
 def main(argv: list[str] | None = None) -> int:
--- a/driftstall/daemon/config_service.py
+++ b/driftstall/daemon/config_service.py
@@ -100,14 +100,17 @@
         return submission
 
     def find(self, submission_id: str) -> SubmitState:
-        """Tell how an earlier submission ended, as far as it can be known."""
+        """Tell whether an earlier submission was accepted, as far as it can be known.
+
+        One that is not among the newest may be older, or may still arrive: unknown.
+        """
         if submission_id in self.document.submissions:
             return SubmitState.ACCEPTED
         event = self._carry_out(ReadConfig())
         if not isinstance(event, ConfigRead):
             return SubmitState.UNKNOWN
         known = submission_id in event.document.submissions
-        return SubmitState.ACCEPTED if known else SubmitState.CONFLICT
+        return SubmitState.ACCEPTED if known else SubmitState.UNKNOWN
 
     def _carry_out(self, action: SubmitAction) -> SubmitEvent:
         """Read or write the stored configuration."""
--- a/driftstall/peers/link.py
+++ b/driftstall/peers/link.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import logging
 import time
 from collections.abc import Callable
 from typing import Final
@@ -17,13 +16,13 @@
 from gevent.queue import Empty, Full, Queue
 from gevent.server import StreamServer
 
+from driftstall.const import PREFIX_MEMBERSHIP
 from driftstall.exceptions import MessageError
+from driftstall.helpers.log import say
 from driftstall.peers.codec import HEADER, MAX_FRAME_BYTES, decode, encode
 from driftstall.peers.messages import Envelope, PeerMessage
 from driftstall.util.addresses import split_address
 
-_LOGGER = logging.getLogger(__name__)
-
 QUEUE_MESSAGES: Final = 4_096
 CONNECT_TIMEOUT_S: Final = 1.0
 SEND_TIMEOUT_S: Final = 2.0
@@ -129,7 +128,7 @@
                 self._receive(frame)
         except MessageError as fault:
             self.rejected += 1
-            _LOGGER.warning("membership: A peer message was rejected, %s", fault)
+            say(PREFIX_MEMBERSHIP, f"A peer message was rejected: {fault}")
         except OSError:
             return
         finally:
--- a/features/environment.py
+++ b/features/environment.py
@@ -23,7 +23,7 @@
     """Start a small system for features that run on processes."""
     if "processes" not in feature.tags:
         return
-    bench = Bench()
+    bench = feature.bench = Bench()
     bench.start_platform()
     bench.start_engines(ENGINES, flags=("--speed=3",))
     bench.start_services("portal", 2)
@@ -31,7 +31,6 @@
     policy = Path("examples/both.policy").read_text()
     assert bench.submit(policy, WORKSPACES).status == 200
     bench.wait_ready(INSTANCES)
-    feature.bench = bench
 
 
 def before_scenario(context: Any, scenario: Any) -> None:
--- a/features/processes/configuration.feature
+++ b/features/processes/configuration.feature
@@ -9,6 +9,7 @@
     When the platform is told "lose one answer"
     Then the submission is accepted all the same
     And policy "settled" is in force everywhere within 5 s
+    And asking for its id says "accepted", and for another "unknown"
 
   Scenario: the platform fails right after the acceptance and an instance joins
     When policy "outage" is submitted and the platform fails right after
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -407,10 +407,21 @@
     bench = context.bench
     at = bench.instances.index(live(bench)[0])
     policy = Path("examples/both.policy").read_text().replace('"both"', '"settled"')
-    answer = bench.operator(at, "PUT", "/operator/config", {"policy": policy})
+    change = {"policy": policy, "submission": "settled-1"}
+    answer = bench.operator(at, "PUT", "/operator/config", change)
     assert answer.status == 200, answer
 
 
+@then('asking for its id says "{known}", and for another "{other}"')
+def ask_for_ids(context: Any, known: str, other: str) -> None:
+    """Ask how submissions ended; one that is not stored may still arrive."""
+    bench = context.bench
+    at = bench.instances.index(live(bench)[0])
+    for name, state in (("settled-1", known), ("never-sent", other)):
+        answer = bench.operator(at, "GET", f"/operator/submissions/{name}")
+        assert answer.value["state"] == state, (name, answer)
+
+
 GARBAGE = (
     b"\x00\xff" * 400,
     b"GET / HTTP/9.9\r\n\r\n",
