--- a/driftstall/daemon/callers.py
+++ b/driftstall/daemon/callers.py
@@ -177,7 +177,7 @@
             return self._fail(start, checked)
         zone = parse_qs(environ.get("QUERY_STRING", "")).get("zone", [""])[0]
         workspace = checked.workspace
-        owners = self._node.grants.owners_for(workspace)
+        owners = self._node.ownership.owners_for(workspace)
         ranked = locate(workspace, owners, self._node.locatable(), zone)
         chosen = ranked[0].instance_id if ranked else "none"
         sentence = f"Workspace {workspace} is sent to {chosen} of {len(ranked)} instances"
--- a/driftstall/daemon/node.py
+++ b/driftstall/daemon/node.py
@@ -12,12 +12,14 @@
     StopAsked,
 )
 from driftstall.core import Instance
+from driftstall.daemon.asking_service import AskingService
 from driftstall.daemon.claims_service import ClaimsService
 from driftstall.daemon.config_service import ConfigService
 from driftstall.daemon.fleet_service import FleetService
 from driftstall.daemon.grants_service import GrantsService
 from driftstall.daemon.hub import Hub
 from driftstall.daemon.membership_service import MembershipService
+from driftstall.daemon.ownership import Ownership
 from driftstall.daemon.placement_service import PlacementService
 from driftstall.daemon.relay_service import RelayService
 from driftstall.daemon.service_calls import ServiceCalls
@@ -37,10 +39,12 @@
         self.members = MembershipService(self.hub)
         self.config = ConfigService(self.hub, self.members)
         self.fleet = FleetService(self.hub, self.members)
-        self.grants = GrantsService(self.hub, self.members, self.config, self.fleet)
+        self.ownership = Ownership(self.hub, self.members, self.fleet)
+        self.grants = GrantsService(self.hub, self.members, self.config, self.fleet, self.ownership)
+        self.asking = AskingService(self.hub, self.members, self.fleet, self.ownership)
         self.claims = ClaimsService(self.hub, self.members)
         self.placement = PlacementService(self.hub, self.members, self.fleet)
-        self.relay = RelayService(self.hub, self.fleet, self.grants)
+        self.relay = RelayService(self.hub, self.fleet, self.asking)
         self.services = ServiceCalls(self.hub, self.fleet, self.claims)
         self._drain = DrainController(settings.locate_keep)
 
@@ -65,6 +69,7 @@
         self.members.start()
         self.config.start()
         self.grants.start()
+        self.asking.start()
         self.claims.start()
         self.placement.start()
         self.hub.every(SERVICE_POLL_S, self.fleet.poll_services, PREFIX_ROUTING)
--- a/driftstall/daemon/operators.py
+++ b/driftstall/daemon/operators.py
@@ -186,7 +186,7 @@
             "runners": self._runners(),
             "groups": {
                 name: {
-                    "owner": node.grants.owner_for(name),
+                    "owner": node.ownership.owner_for(name),
                     "runners": [one.runner_id for one in runners],
                 }
                 for name, runners in node.fleet.groups.items()
--- a/driftstall/daemon/relay_service.py
+++ b/driftstall/daemon/relay_service.py
@@ -35,8 +35,8 @@
     TokenArrived,
 )
 from driftstall.core import PrefixMark, Problem, Ran, Request, Verdict
+from driftstall.daemon.asking_service import AskingService, with_id
 from driftstall.daemon.fleet_service import FleetService
-from driftstall.daemon.grants_service import GrantsService, with_id
 from driftstall.daemon.hub import Hub
 from driftstall.decisions.retry import RetryBudget
 from driftstall.exceptions import UpstreamError
@@ -93,11 +93,11 @@
 class RelayService:
     """Build relays; they share the retry budget."""
 
-    def __init__(self, hub: Hub, fleet: FleetService, grants: GrantsService) -> None:
+    def __init__(self, hub: Hub, fleet: FleetService, asking: AskingService) -> None:
         """Start with a fresh retry budget."""
         self.hub = hub
         self.fleet = fleet
-        self.grants = grants
+        self.asking = asking
         self.budget = RetryBudget()
 
     def begin(
@@ -192,7 +192,7 @@
             return
         machine, request_id = self._machine, self._machine.grant_id
         runner_id, deadline = machine.runner_id, self._request.deadline
-        grants, stats = self._service.grants, self._hub.stats
+        asking, stats = self._service.asking, self._hub.stats
         try:
             for events in stream:
                 tokens = []
@@ -206,7 +206,7 @@
                     self._take(event)
                 if tokens:
                     self._moved_at = self._hub.now()
-                    grants.progress(request_id, machine.produced)
+                    asking.progress(request_id, machine.produced)
                     stats.tokens += len(tokens)
                     yield Tokens(tuple(tokens))
                 if self._out or self._stream is not stream or machine.done:
@@ -226,7 +226,7 @@
             self._feed(StreamEnded(event.generation, event.total, event.data))
         elif not self._caller_waits():
             self._caller_left()
-        elif self._service.grants.is_paused(self._machine.grant_id):
+        elif self._service.asking.is_paused(self._machine.grant_id):
             self._moved_at = self._hub.now()
         elif self._hub.now() - self._moved_at >= STALLED_S:
             raise UpstreamError("the engine sends no token", sent=True)
@@ -264,7 +264,7 @@
                 if runner is not None:
                     gevent.spawn(control, runner, action.generation, "cancel")
             case CloseGrant():
-                self._service.grants.close(
+                self._service.asking.close(
                     action.grant_id, action.produced, action.finished, self._reply
                 )
             case Deliver():
@@ -285,7 +285,7 @@
         self._grant_ids.add(action.grant_id)
         request = with_id(self._request, action.grant_id)
         ticket, self.ticket = self.ticket, ""
-        answer = self._service.grants.acquire(
+        answer = self._service.asking.acquire(
             request, self._verdict, ticket, action.avoid, self._keep_waiting
         )
         if isinstance(answer, Granted):
