--- a/features/environment.py
+++ b/features/environment.py
@@ -23,7 +23,7 @@
     """Start a small system for features that run on processes."""
     if "processes" not in feature.tags:
         return
-    bench = feature.bench = Bench()
+    bench = feature.bench = Bench(traces=True)
     bench.start_platform()
     bench.start_engines(ENGINES, flags=("--speed=3",))
     bench.start_services("portal", 2)
--- a/features/processes/streams.feature
+++ b/features/processes/streams.feature
@@ -34,6 +34,9 @@
     When the instance that streams is killed
     Then all answers arrive whole, once, in order, each from one generation
 
+  Scenario: what the instances recorded replays to the same grants
+    Then every recorded trace replays without a difference
+
   Scenario: the owner is paused and wakes
     Given 2 long answers are being streamed
     When the owner of the engines is paused for a while
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -17,6 +17,7 @@
 from driftstall.const import KEY_CLAIMS
 from driftstall.controllers.claims import SHARDS
 from driftstall.exceptions import UpstreamError
+from driftstall.helpers.trace import replay
 from driftstall.util.http import Exchange
 from measures.bench import Bench, wait_until, workspace_key
 
@@ -186,6 +187,16 @@
     engine.control({"freeze_s": 0.0})
 
 
+@then("every recorded trace replays without a difference")
+def traces_replay(context: Any) -> None:
+    """Replay what real instances recorded through a fresh core."""
+    paths = sorted(context.bench.folder.glob("*.trace"))
+    lines = {path.name: path.read_text().splitlines() for path in paths}
+    assert sum('"Granted"' in line for one in lines.values() for line in one) >= 10
+    for name, one in lines.items():
+        assert replay(one) == [], name
+
+
 @when("a caller asks and vanishes")
 def vanish(context: Any) -> None:
     """Open a stream by hand and close the connection."""
--- a/measures/bench.py
+++ b/measures/bench.py
@@ -101,7 +101,8 @@
     services: list[Process] = field(default_factory=list)
     instances: list[Process] = field(default_factory=list)
     runners: list[dict[str, Any]] = field(default_factory=list)
-    extra_settings: tuple[str, ...] = ()
+    traces: bool = False
+    """Whether each instance records a trace in the folder."""
 
     def __enter__(self) -> Bench:
         """Return the bench itself."""
@@ -195,7 +196,7 @@
             f"--operator-token={OPERATOR_TOKEN}",
             f"--peer-key={PEER_KEY}",
             "--locate-keep=2",
-            *self.extra_settings,
+            *([f"--trace={self.folder}/{name}.trace"] if self.traces else []),
             *flags,
         )
         process.operator, process.zone = operator, zone
