Ask the dead again: two sides of a cut must join

Found by the random sequences, failing first: two instances that had each held the other for dead never probed each other again, and after a minute had forgotten one another, so a region link cut for an hour would have split the fleet for good. Now each round of probes asks one of the dead, and they are remembered for two hours.

--- a/driftstall/controllers/membership.py
+++ b/driftstall/controllers/membership.py
@@ -20,7 +20,8 @@
 ACK_TIMEOUT_S: Final = 0.3
 SUSPECT_S: Final = 2.0
 """How long a suspected instance has to refute."""
-FORGET_S: Final = 60.0
+FORGET_S: Final = 2 * 3600.0
+"""A cut between regions may last an hour; the dead are asked again until then."""
 HELPERS: Final = 2
 MAX_CHANGES: Final = 10
 """Changes carried by one message."""
@@ -252,10 +253,15 @@
         """Ping the next peer of a shuffled round."""
         while self._round:
             member = self._members.get(self._round.pop())
-            if member is not None and member.change.health != Health.DEAD:
+            if member is not None:
                 self._ping(member.change, now)
                 return
-        self._round = [one for one in self._members if one != self._own_id]
+        others = [one for one in self._members.values() if one.change.instance_id != self._own_id]
+        dead = [one for one in others if one.change.health == Health.DEAD]
+        live = [one for one in others if one.change.health != Health.DEAD]
+        # Two sides of a cut hold each other for dead; only asking again joins them.
+        asked_again = self._source.sample(dead, min(1, len(dead)))
+        self._round = [one.change.instance_id for one in (*live, *asked_again)]
         self._source.shuffle(self._round)
 
     def _ping(self, target: Change, now: float) -> None:
--- a/features/parts/decisions.feature
+++ b/features/parts/decisions.feature
@@ -44,6 +44,10 @@
     Then the new one orders the checking engine at once and the other 3 s later
     And the old one orders nothing, even if it wakes up in between
 
+  Scenario: two sides of a cut hold each other for dead and join again
+    Given two instances that are cut off from each other for an hour
+    Then each holds the other for dead, and for live 5 s after the cut
+
   Scenario: the codec survives greenlets
     When every kind of peer message is encoded in greenlets that switch
     Then all decode to what was sent
--- a/features/steps/part_steps.py
+++ b/features/steps/part_steps.py
@@ -27,6 +27,12 @@
     YieldAsked,
 )
 from driftstall.controllers.grants import GrantsController
+from driftstall.controllers.membership import (
+    MembershipController,
+    Period,
+    Seeds,
+    SendTo,
+)
 from driftstall.controllers.placement import (
     LEASE_S,
     LONGEST_ORDER_S,
@@ -40,7 +46,7 @@
     WantedModel,
     WriteLease,
 )
-from driftstall.core import PrefixMark, Request, Verdict, Weights
+from driftstall.core import Instance, PrefixMark, Request, Verdict, Weights
 from driftstall.decisions.fairness import FairQueue, Waiting
 from driftstall.decisions.lengths import LearnedLengths
 from driftstall.decisions.limits import TokenBucket
@@ -379,6 +385,48 @@
     assert _ordered(context.old, LEASE_S + 1.0) == []
 
 
+def _run_members(
+    nodes: dict[str, MembershipController], begin: float, end: float, cut: bool
+) -> None:
+    """Let members exchange messages, or lose them all."""
+    now = begin
+    while now < end:
+        now += 0.1
+        queue = [
+            one
+            for node in nodes.values()
+            for one in node.handle(Period(), now)
+            if isinstance(one, SendTo)
+        ]
+        while queue and not cut:
+            action = queue.pop(0)
+            answers = nodes[action.recipient].handle(action.message, now)
+            queue += [one for one in answers if isinstance(one, SendTo)]
+
+
+@given("two instances that are cut off from each other for an hour")
+def cut_off(context: Any) -> None:
+    """Let two instances meet, then cut them off."""
+    both = [Instance(name, f"{name}:1", f"{name}:2", "z") for name in ("a", "b")]
+    context.nodes = {
+        one.instance_id: MembershipController(one, 1, random.Random(one.instance_id))
+        for one in both
+    }
+    for node in context.nodes.values():
+        node.handle(Seeds(tuple(both)), 0.0)
+    _run_members(context.nodes, 0.0, 5.0, cut=False)
+    assert all(len(node.live) == 2 for node in context.nodes.values())
+    _run_members(context.nodes, 5.0, 3_605.0, cut=True)
+
+
+@then("each holds the other for dead, and for live 5 s after the cut")
+def join_again(context: Any) -> None:
+    """Compare right after the cut and a little later."""
+    assert all(len(node.live) == 1 for node in context.nodes.values())
+    _run_members(context.nodes, 3_605.0, 3_610.0, cut=False)
+    assert all(len(node.live) == 2 for node in context.nodes.values())
+
+
 def sample(hint: Any, depth: int = 0) -> Any:
     """Return some value of a type hint."""
     if dataclasses.is_dataclass(hint) and isinstance(hint, type):
