Leave the rest of a batch once its stream was given up

Cause, from the instance's log: since tokens that arrive together are handled together, each later token of the old batch asked for one more resume, and four resumes within 20 ms ended the answer as incomplete. Ruled out: ports drawn twice, load.

--- a/driftstall/daemon/relay_service.py
+++ b/driftstall/daemon/relay_service.py
@@ -204,6 +204,9 @@
                         yield Tokens(tuple(tokens))
                         tokens = []
                     self._take(event)
+                    if self._stream is not stream or machine.done:
+                        # What else arrived belongs to a stream that was given up.
+                        return
                 if tokens:
                     self._moved_at = self._hub.now()
                     asking.progress(request_id, machine.produced)
