--- a/driftstall/exceptions.py
+++ b/driftstall/exceptions.py
@@ -52,3 +52,11 @@
         """Keep whether a write may have taken effect."""
         super().__init__(detail)
         self.sent = sent
+
+
+class HistoryGone(PlatformUnavailable):
+    """Report that a watch cannot go on from its revision; list again."""
+
+    def __init__(self) -> None:
+        """Say so; nothing was written."""
+        super().__init__("the history is gone", sent=False)
--- /dev/null
+++ b/driftstall/gateway/admission.py
@@ -0,0 +1,153 @@
+"""Find out what a request is, who sends it and what the policy says of it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from datetime import UTC, datetime
+from typing import Final
+
+from driftstall.const import (
+    CODE_NO_RUNNER,
+    CODE_NOT_FOUND,
+    CODE_UNAUTHENTICATED,
+)
+from driftstall.core import Problem, Ran, Verdict
+from driftstall.filters.chain import run_chain
+from driftstall.gateway.model import CallerMarks, Repeat, Route, Service
+from driftstall.gateway.routes import RouteTable, pick_service
+from driftstall.policy.evaluate import evaluate
+from driftstall.policy.model import Facts, Policy
+from driftstall.policy.parse import DEFAULT_VERDICT
+
+UNSURE_RETRY_S: Final = 0.5
+"""When to come back to an instance whose configuration may be old."""
+
+
+@dataclass(frozen=True, slots=True)
+class Passage:
+    """Hold a request on its way through the filters."""
+
+    host: str
+    path: str
+    marks: CallerMarks
+    started_at: float
+    """Seconds on the steady clock."""
+    route: Route | None = None
+    service: Service | None = None
+    workspace: str = ""
+    rank: int = 0
+    """The configured rank of the route, or of the workspace if it has one."""
+    verdict: Verdict = DEFAULT_VERDICT
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """Hold a request that is to be served."""
+
+    marks: CallerMarks
+    route: Route
+    service: Service
+    workspace: str
+    verdict: Verdict
+    started_at: float
+    ends_at: float
+    """When the caller or the route gives the request up, on the steady clock."""
+
+
+class Admission:
+    """Run the filters with the configuration and the policy in force."""
+
+    def __init__(
+        self,
+        table: RouteTable,
+        policy: Policy,
+        *,
+        chance: Callable[[], float],
+        load: Callable[[str], float],
+        current: Callable[[], bool],
+    ) -> None:
+        """Take what is in force, and readers.
+
+        The chance is from 0 to 1, the load is a service's from 0 to 1, and current
+        tells whether the configuration is known to be the newest.
+        """
+        self._table = table
+        self._policy = policy
+        self._chance = chance
+        self._load = load
+        self._current = current
+        self._filters = (self._find_route, self._authenticate, self._apply_policy)
+
+    def admit(self, passage: Passage, wall: float) -> Admitted | Problem:
+        """Return the admitted request, or the problem to answer with."""
+        hour = datetime.fromtimestamp(wall, UTC).hour
+        self._hour = hour
+        passed = run_chain(self._filters, passage)
+        if isinstance(passed, Problem):
+            return passed
+        assert passed.route is not None and passed.service is not None
+        allowed_s = passed.route.timeout_s
+        if passed.marks.deadline_s is not None:
+            allowed_s = min(allowed_s, passed.marks.deadline_s)
+        return Admitted(
+            passed.marks,
+            passed.route,
+            passed.service,
+            passed.workspace,
+            passed.verdict,
+            passed.started_at,
+            passed.started_at + allowed_s,
+        )
+
+    def _find_route(self, passage: Passage) -> Passage | Problem:
+        """Set the route and one service of its split."""
+        route = self._table.route(passage.host, passage.path)
+        if route is None:
+            return self._unless_old(Problem(CODE_NOT_FOUND, 404, "no such route", Ran.NOT_RUN))
+        service = self._table.service(pick_service(route, self._chance()))
+        if service is None:
+            detail = "the route's service is not configured"
+            return Problem(CODE_NO_RUNNER, 503, detail, Ran.NOT_RUN, UNSURE_RETRY_S)
+        return replace(passage, route=route, service=service, rank=route.rank)
+
+    def _authenticate(self, passage: Passage) -> Passage | Problem:
+        """Set the workspace that the key speaks for."""
+        assert passage.route is not None
+        if not self._table.has_workspaces:
+            return passage
+        workspace = self._table.workspace(passage.marks.key)
+        if workspace is None:
+            if passage.route.anonymous:
+                return passage
+            detail = "the workspace key is not known"
+            return self._unless_old(Problem(CODE_UNAUTHENTICATED, 401, detail, Ran.NOT_RUN))
+        rank = passage.rank if workspace.rank is None else workspace.rank
+        return replace(passage, workspace=workspace.name, rank=rank)
+
+    def _apply_policy(self, passage: Passage) -> Passage | Problem:
+        """Set the verdict of the first rule that holds."""
+        assert passage.route is not None and passage.service is not None
+        facts = Facts(
+            kind=passage.route.repeat.value,
+            workspace=passage.workspace,
+            model=passage.marks.model,
+            input_tokens=passage.marks.input_tokens,
+            max_tokens=passage.marks.max_tokens,
+            load=self._load(passage.service.name),
+            hour=self._hour,
+            route_rank=passage.rank,
+        )
+        return replace(passage, verdict=evaluate(self._policy, facts))
+
+    def _unless_old(self, problem: Problem) -> Problem:
+        """Return the problem, unless a newer configuration may say otherwise."""
+        if self._current():
+            return problem
+        detail = "the configuration here may be old"
+        return Problem(CODE_NO_RUNNER, 503, detail, Ran.NOT_RUN, UNSURE_RETRY_S)
+
+
+def runs_once(route: Route) -> bool:
+    """Tell whether a route's requests may run only once."""
+    return route.repeat is not Repeat.SAFE
--- /dev/null
+++ b/driftstall/gateway/answers.py
@@ -0,0 +1,32 @@
+"""Write the gateway's own answers, and whole answers of upstreams."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import orjson
+
+from driftstall.core import Problem
+from driftstall.daemon.answers import PROBLEM_TYPE, problem_fields
+from driftstall.gateway.ingress import head_bytes
+from driftstall.gateway.model import Headers
+
+MIN_RETRY_S: Final = 0.01
+CLOSE: Final = b"Connection: close"
+KEEP: Final = b"Connection: keep-alive"
+
+
+def whole(status: int, headers: Headers, body: bytes, *, keep: bool) -> bytes:
+    """Return a whole answer."""
+    extra = (b"Content-Length: %d" % len(body), KEEP if keep else CLOSE)
+    return head_bytes(status, headers, extra) + body
+
+
+def problem_answer(problem: Problem, *, keep: bool) -> bytes:
+    """Return the answer that carries a problem; it tells when to come back."""
+    headers: list[tuple[bytes, bytes]] = [(b"Content-Type", PROBLEM_TYPE.encode())]
+    if problem.retry_after_s is not None:
+        seconds = max(MIN_RETRY_S, problem.retry_after_s)
+        headers.append((b"Retry-After", b"%.2f" % seconds))
+    body = orjson.dumps(problem_fields(problem))
+    return whole(problem.status, tuple(headers), body, keep=keep)
--- /dev/null
+++ b/driftstall/gateway/calls.py
@@ -0,0 +1,241 @@
+"""Serve plain calls: one answer, from the upstream with the most free places.
+
+A call that may run only once is sent again only where the upstream says that it did
+not run it, or where no byte was sent. A safe one is sent to another upstream after
+any failure, as far as its route and the common budget allow.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Final
+
+from driftstall.const import (
+    CODE_DEADLINE,
+    CODE_NO_RUNNER,
+    CODE_RUNNER_FAILED,
+    PREFIX_ROUTING,
+)
+from driftstall.core import Problem, Ran
+from driftstall.exceptions import UpstreamError
+from driftstall.gateway.admission import Admitted
+from driftstall.gateway.exchange import End, Head, Piece, UpstreamExchange
+from driftstall.gateway.ingress import CallerRequest
+from driftstall.gateway.loads import Share
+from driftstall.gateway.model import Headers, Repeat, SendMarks, Upstream
+from driftstall.gateway.outcomes import Outcome
+from driftstall.gateway.selection import choose_call
+from driftstall.gateway.state import GatewayState
+from driftstall.helpers.log import say
+
+CONNECT_TIMEOUT_S: Final = 0.35
+"""A connection takes milliseconds; a lost opening packet is sent again after a second."""
+MAX_SENDS: Final = 4
+"""Upstreams tried for one request, those that did not run it included."""
+FULL_RETRY_S: Final = 0.4
+"""When to come back where all upstreams are full: a few calls later."""
+FIRST_SERVER_ERROR: Final = 500
+MAX_ANSWER_BYTES: Final = 16_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """Hold an upstream's whole answer."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """Tell why a send gave no answer."""
+
+    outcome: Outcome
+    may_have_run: bool
+    detail: str
+
+
+@dataclass(slots=True)
+class _Tries:
+    """Hold what was tried for one request."""
+
+    avoid: set[str] = field(default_factory=set)
+    sends: int = 0
+    runs: int = 0
+    """Upstreams that ran the request, or may have."""
+    arrived: bool = False
+    """Whether any upstream has seen the request."""
+    answer: WholeAnswer | None = None
+    """The newest failure that an upstream answered."""
+    failure: Failure | None = None
+
+
+class CallRelay:
+    """Serve one plain call."""
+
+    def __init__(self, state: GatewayState, call: CallerRequest, admitted: Admitted) -> None:
+        """Take the request; the exchange can be closed from outside."""
+        self._state = state
+        self._call = call
+        self._admitted = admitted
+        self._exchange: UpstreamExchange | None = None
+        self._caller_gone = False
+
+    def caller_left(self) -> None:
+        """Give the request up: its upstream stops when the connection closes."""
+        self._caller_gone = True
+        if self._exchange is not None:
+            self._exchange.close()
+
+    def serve(self) -> WholeAnswer | Problem:
+        """Return the answer, or the problem where there is none."""
+        tries = _Tries()
+        while True:
+            problem = self._stop_reason(tries)
+            if problem is not None:
+                return tries.answer or problem
+            option = choose_call(
+                self._state.options(self._admitted.service.name, frozenset(tries.avoid)),
+                self._state.source,
+            )
+            if option is None:
+                return tries.answer or self._unserved(tries)
+            if tries.arrived and not self._budget_allows():
+                return tries.answer or self._unserved(tries)
+            result = self._send(option.upstream, tries)
+            if result is not None:
+                return result
+
+    def _stop_reason(self, tries: _Tries) -> Problem | None:
+        """Return why no further upstream is tried, if so."""
+        if self._caller_gone or self._left() <= 0:
+            detail = "the time for this request is over"
+            ran = Ran.UNKNOWN if tries.runs else Ran.NOT_RUN
+            return Problem(CODE_DEADLINE, 504, detail, ran)
+        repeatable = self._admitted.route.repeat is Repeat.SAFE
+        if tries.runs >= (self._admitted.route.max_upstreams if repeatable else 1):
+            return self._unserved(tries)
+        if tries.sends >= MAX_SENDS:
+            return self._unserved(tries)
+        return None
+
+    def _budget_allows(self) -> bool:
+        """Take one repeat from the common budget."""
+        allowed = self._state.budget(self._admitted.service.name).take(self._state.now())
+        self._state.stats.repeats += allowed
+        return allowed
+
+    def _send(self, upstream: Upstream, tries: _Tries) -> WholeAnswer | None:
+        """Try one upstream; return the final answer, or None to go on."""
+        tries.avoid.add(upstream.upstream_id)
+        tries.sends += 1
+        started = self._state.now()
+        result = self._exchange_with(upstream, tries)
+        seconds = self._state.now() - started
+        outcome = result.outcome if isinstance(result, Failure) else _outcome_of(result)
+        if not self._caller_gone:
+            self._state.saw(upstream.upstream_id, upstream.service, outcome, seconds)
+        self._say(upstream, outcome, seconds, tries)
+        if isinstance(result, Failure):
+            tries.runs += result.may_have_run
+            tries.failure = result
+            return None
+        tries.runs += 1
+        if outcome is Outcome.GOOD or self._admitted.route.repeat is not Repeat.SAFE:
+            return result
+        tries.answer = result
+        return None
+
+    def _exchange_with(self, upstream: Upstream, tries: _Tries) -> WholeAnswer | Failure:
+        """Send the request to one upstream and read its answer."""
+        request_id = self._admitted.marks.request_id
+        share = Share(upstream.upstream_id)
+        self._state.loads.put(request_id, share)
+        self._state.loads_changed.set()
+        try:
+            timeout_s = min(CONNECT_TIMEOUT_S, max(0.001, self._left()))
+            exchange = UpstreamExchange.connect(upstream.address, timeout_s)
+        except UpstreamError as fault:
+            self._state.loads.drop(request_id)
+            return Failure(Outcome.UNREACHABLE, False, str(fault))
+        self._exchange = exchange
+        try:
+            if self._caller_gone:
+                return Failure(Outcome.GOOD, False, "the caller has left")
+            if not tries.arrived:
+                self._state.budget(upstream.service).request(self._state.now())
+            tries.arrived = True
+            return self._read_answer(upstream, exchange)
+        except UpstreamError as fault:
+            return Failure(Outcome.BROKEN, True, str(fault))
+        except TimeoutError as fault:
+            return Failure(Outcome.BROKEN, True, str(fault))
+        finally:
+            exchange.close()
+            self._exchange = None
+            self._state.loads.drop(request_id)
+            self._state.loads_changed.set()
+
+    def _read_answer(self, upstream: Upstream, exchange: UpstreamExchange) -> WholeAnswer | Failure:
+        """Send, then read the answer that carries the request's id."""
+        send = SendMarks(
+            upstream_id=upstream.upstream_id,
+            remaining_s=self._left(),
+            workspace=self._admitted.workspace,
+            rank=self._admitted.verdict.rank if self._admitted.service.engine else None,
+        )
+        headers = self._state.dialect.write_send(self._admitted.marks.passed, send)
+        exchange.send(self._call.method, self._call.target, headers, self._call.body, self._left())
+        head: Head | None = None
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            item = exchange.next(max(0.0, self._left()))
+            if isinstance(item, Head):
+                head, parts, size = item, [], 0
+            elif isinstance(item, Piece):
+                parts.append(item.data)
+                size += len(item.data)
+                if size > MAX_ANSWER_BYTES:
+                    raise UpstreamError("the answer is too large", sent=True)
+            elif isinstance(item, End) and head is not None:
+                marks = self._state.dialect.read_answer(head.headers)
+                if marks.request_id != self._admitted.marks.request_id:
+                    # A surplus answer to another request; our own may still follow.
+                    head = None
+                    continue
+                if marks.not_run:
+                    return Failure(Outcome.FULL, False, f"turned away with {head.status}")
+                return WholeAnswer(head.status, marks.passed, b"".join(parts))
+
+    def _left(self) -> float:
+        """Return the seconds that are left."""
+        return self._admitted.ends_at - self._state.now()
+
+    def _unserved(self, tries: _Tries) -> Problem:
+        """Return the truth about a request that no upstream has answered."""
+        if tries.runs:
+            detail = "no whole answer came; the request may have run"
+            return Problem(CODE_RUNNER_FAILED, 502, detail, Ran.UNKNOWN)
+        detail = tries.failure.detail if tries.failure else "no upstream takes requests"
+        return Problem(CODE_NO_RUNNER, 503, detail, Ran.NOT_RUN, FULL_RETRY_S)
+
+    def _say(self, upstream: Upstream, outcome: Outcome, seconds: float, tries: _Tries) -> None:
+        """Log how one send went; good first sends are left to the counters."""
+        if outcome is Outcome.GOOD and tries.sends == 1:
+            return
+        say(
+            PREFIX_ROUTING,
+            f"Upstream {upstream.upstream_id} was {outcome.value} for a call",
+            request=self._admitted.marks.request_id,
+            route=self._admitted.route.name,
+            seconds=round(seconds, 3),
+            sends=tries.sends,
+            revision=upstream.revision,
+        )
+
+
+def _outcome_of(answer: WholeAnswer) -> Outcome:
+    """Judge a whole answer."""
+    return Outcome.FAILED if answer.status >= FIRST_SERVER_ERROR else Outcome.GOOD
--- /dev/null
+++ b/driftstall/gateway/dialect.py
@@ -0,0 +1,73 @@
+"""Say what the gateway needs from the adapter that knows the platform's formats."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from driftstall.gateway.model import (
+    AnswerMarks,
+    CallerMarks,
+    Headers,
+    RoutingDocument,
+    SendMarks,
+    Upstream,
+)
+
+
+class BadHeaders(ValueError):
+    """Report headers that cannot be read; the request is answered 400."""
+
+
+@dataclass(frozen=True, slots=True)
+class MoveDone:
+    """Tell that a run's memory was copied to another engine."""
+
+    copy_of: str
+    """Names the copy when the run goes on."""
+
+
+@dataclass(frozen=True, slots=True)
+class MoveFailed:
+    """Tell that a run's memory was not copied."""
+
+    no_such_run: bool
+    copy_of: str
+    """Names the memory that the source kept; empty if the run goes on there."""
+    detail: str
+
+
+MoveResult = MoveDone | MoveFailed
+
+
+class Dialect(Protocol):
+    """Translate between the platform's formats and the gateway's own types."""
+
+    def read_caller(self, found: Headers) -> CallerMarks:
+        """Decode a caller's headers, or raise BadHeaders."""
+
+    def write_send(self, passed: Headers, send: SendMarks) -> Headers:
+        """Return the headers of a request to an upstream."""
+
+    def read_answer(self, found: Headers) -> AnswerMarks:
+        """Decode the headers of an upstream's answer."""
+
+    def read_routing(self, text: str) -> RoutingDocument:
+        """Decode a routing document as it is passed between instances."""
+
+    def backup_copy(self, backup: Upstream, request_id: str) -> str:
+        """Name the copy that a backup engine keeps of a run."""
+
+    def move(
+        self, source: Upstream, request_id: str, target: Upstream, *, last: bool
+    ) -> MoveResult:
+        """Copy a run's memory to another engine; with last, the run stops first."""
+
+    def is_ready_path(self, target: str) -> bool:
+        """Tell whether a request asks whether this instance is ready."""
+
+    def located_zone(self, target: str) -> str | None:
+        """Return the zone of a caller that asks where to go; None for other requests."""
+
+    def located_answer(self, addresses: tuple[str, ...], keep_s: float) -> bytes:
+        """Return the body that tells a caller where to go."""
--- /dev/null
+++ b/driftstall/gateway/drain.py
@@ -0,0 +1,58 @@
+"""Stop as planned: take nothing that cannot be finished, finish what was taken."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from driftstall.const import CODE_LEAVING, PREFIX_DRAIN
+from driftstall.core import Problem, Ran
+from driftstall.gateway.admission import Admitted
+from driftstall.gateway.model import Repeat
+from driftstall.gateway.state import GatewayState
+from driftstall.helpers.log import say
+
+STREAMS_TAKEN_SHARE: Final = 0.0
+"""Share of the grace time in which new streams are still taken; most would be cut."""
+CALLS_TAKEN_SHARE: Final = 0.75
+"""Share of the grace time in which new calls are still taken; each takes a second or two."""
+LOCATED_SHARE: Final = 0.8
+"""Share of the grace time that is waited for callers that still have our address."""
+RETRY_ELSEWHERE_S: Final = 0.02
+"""When to come back: at once, to another instance."""
+
+
+class Drain:
+    """Decide what a stopping instance still takes, and when it may end."""
+
+    def __init__(self, state: GatewayState) -> None:
+        """Take the shared state."""
+        self._state = state
+
+    def begin(self) -> None:
+        """Start to stop."""
+        if self._state.stopping_since is None:
+            self._state.stopping_since = self._state.now()
+            say(PREFIX_DRAIN, "A stop was asked for", open=self._state.open_requests)
+
+    def refusal(self, admitted: Admitted) -> Problem | None:
+        """Return why a request is not taken any more, if so."""
+        since = self._state.stopping_since
+        if since is None:
+            return None
+        is_stream = admitted.route.repeat is Repeat.STREAM
+        share = STREAMS_TAKEN_SHARE if is_stream else CALLS_TAKEN_SHARE
+        grace_s = self._state.settings.bounds.grace_s
+        if self._state.now() - since < share * grace_s:
+            return None
+        detail = "this instance is stopping; ask another one"
+        return Problem(CODE_LEAVING, 503, detail, Ran.NOT_RUN, RETRY_ELSEWHERE_S)
+
+    @property
+    def finished(self) -> bool:
+        """Tell whether the process may end: nothing is open and no caller comes any more."""
+        since = self._state.stopping_since
+        if since is None:
+            return False
+        waited = self._state.now() - since
+        located_s = LOCATED_SHARE * self._state.settings.bounds.grace_s
+        return waited >= located_s and self._state.open_requests == 0
--- /dev/null
+++ b/driftstall/gateway/exchange.py
@@ -0,0 +1,192 @@
+"""Send one request to an upstream and read its answer piece by piece.
+
+An exchange has a connection of its own, so no answer can stand in another's place
+and no rested connection can break under a request that may run only once.
+"""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any, Final
+
+import httptools
+from gevent import select, socket
+
+from driftstall.exceptions import UpstreamError
+from driftstall.gateway.model import Header, Headers
+from driftstall.util.addresses import split_address
+from driftstall.util.http import tune
+
+RECEIVE_BYTES: Final = 65_536
+SEND_PIECE_BYTES: Final = 16_384
+BODYLESS: Final = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
+FIRST_FINAL_STATUS: Final = 200
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """Hold the status and headers of an answer."""
+
+    status: int
+    headers: Headers
+    framed: bool
+    """Whether the answer tells where it ends; else it ends with its connection."""
+
+
+@dataclass(frozen=True, slots=True)
+class Piece:
+    """Hold some bytes of an answer's body."""
+
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class End:
+    """Mark the end of an answer that has arrived whole."""
+
+
+Item = Head | Piece | End
+
+
+class _Reader:
+    """Collect what the parser finds; httptools calls these methods."""
+
+    def __init__(self) -> None:
+        """Start before the first answer."""
+        self.items: deque[Item] = deque()
+        self.parser: Any = None
+        self._headers: list[Header] = []
+        self._in_body = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header; what follows the body is no header of the answer."""
+        if not self._in_body:
+            self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Pass on the head, unless it is only an interim one."""
+        status = self.parser.get_status_code()
+        if status < FIRST_FINAL_STATUS:
+            return
+        names = {name.lower() for name, _ in self._headers}
+        framed = bool(names & {b"content-length", b"transfer-encoding"}) or status in BODYLESS
+        self.items.append(Head(status, tuple(self._headers), framed))
+        self._in_body = True
+
+    def on_body(self, data: bytes) -> None:
+        """Pass on a piece of the body."""
+        self.items.append(Piece(data))
+
+    def on_message_complete(self) -> None:
+        """Pass on the end."""
+        if self._in_body:
+            self.items.append(End())
+        self._headers = []
+        self._in_body = False
+
+
+class UpstreamExchange:
+    """Hold one request to an upstream; reading raises UpstreamError when it breaks."""
+
+    def __init__(self, connection: socket.socket) -> None:
+        """Take the open connection."""
+        self._connection = connection
+        self._reader = _Reader()
+        self._parser = httptools.HttpResponseParser(self._reader)
+        self._reader.parser = self._parser
+        self._framed = True
+        self.sent_at = 0.0
+        """When the first byte of the request left, in seconds."""
+
+    @classmethod
+    def connect(cls, address: str, timeout_s: float) -> UpstreamExchange:
+        """Open a connection; raise UpstreamError if it does not come up."""
+        try:
+            connection = socket.create_connection(split_address(address), timeout_s)
+            tune(connection)
+            return cls(connection)
+        except OSError as fault:
+            detail = f"no connection to {address}: {type(fault).__name__}"
+            raise UpstreamError(detail, sent=False) from fault
+
+    def send(
+        self, method: bytes, target: bytes, headers: Headers, body: bytes, timeout_s: float
+    ) -> None:
+        """Send the request; stop early where the upstream already answers."""
+        lines = [method + b" " + target + b" HTTP/1.1"]
+        lines += [name + b": " + value for name, value in headers]
+        if body or method not in (b"GET", b"HEAD", b"DELETE"):
+            lines.append(b"Content-Length: %d" % len(body))
+        lines.append(b"Connection: close")
+        data = b"\r\n".join(lines) + b"\r\n\r\n" + body
+        until = time.monotonic() + timeout_s
+        self.sent_at = time.monotonic()
+        try:
+            self._send_pieces(data, until)
+        except OSError as fault:
+            raise UpstreamError(f"the send broke: {type(fault).__name__}", sent=True) from fault
+
+    def _send_pieces(self, data: bytes, until: float) -> None:
+        """Send piece by piece, unless the answer comes before all is sent."""
+        if len(data) <= SEND_PIECE_BYTES:
+            self._connection.settimeout(max(0.001, until - time.monotonic()))
+            self._connection.sendall(data)
+            return
+        view = memoryview(data)
+        self._connection.settimeout(0.0)
+        while view:
+            left = max(0.0, until - time.monotonic())
+            readable, writable, _ = select.select([self._connection], [self._connection], [], left)
+            if readable:
+                return
+            if not writable:
+                raise TimeoutError("the upstream does not read")
+            view = view[self._connection.send(view[:SEND_PIECE_BYTES]) :]
+
+    def next(self, timeout_s: float) -> Item:
+        """Return the next part of the answer; raise UpstreamError when it breaks.
+
+        A timeout raises TimeoutError and leaves the exchange as it was.
+        """
+        until = time.monotonic() + timeout_s
+        while not self._reader.items:
+            left = until - time.monotonic()
+            if left <= 0:
+                raise TimeoutError("nothing arrived in time")
+            self._connection.settimeout(left)
+            self._receive()
+        item = self._reader.items.popleft()
+        if isinstance(item, Head):
+            self._framed = item.framed
+        return item
+
+    def close(self) -> None:
+        """Close the connection; most upstreams then give the request up."""
+        self._connection.close()
+
+    def _receive(self) -> None:
+        """Read once and parse; TimeoutError passes through."""
+        try:
+            data = self._connection.recv(RECEIVE_BYTES)
+        except TimeoutError:
+            raise
+        except OSError as fault:
+            raise UpstreamError(f"the answer broke: {type(fault).__name__}", sent=True) from fault
+        if not data:
+            self._ended()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as fault:
+            if not self._reader.items:
+                detail = f"the answer is none of the protocol: {type(fault).__name__}"
+                raise UpstreamError(detail, sent=True) from fault
+
+    def _ended(self) -> None:
+        """Take the connection's end for the answer's, where it says no other end."""
+        if self._framed:
+            raise UpstreamError("the answer ended early", sent=True)
+        self._reader.items.append(End())
--- /dev/null
+++ b/driftstall/gateway/feeds.py
@@ -0,0 +1,142 @@
+"""Follow one kind of the platform's objects, through cuts, outages and lost history."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final, Generic, Protocol, TypeVar
+
+import gevent
+
+from driftstall.exceptions import HistoryGone, PlatformUnavailable
+
+WAIT_S: Final = 25.0
+"""How long an idle watch waits; each is one priced call, and 30 s is the most."""
+FIRST_PAUSE_S: Final = 0.05
+LONGEST_PAUSE_S: Final = 0.6
+"""Pause after failed calls; it doubles, so that an outage makes no storm."""
+LOST_AFTER: Final = 2
+"""Calls that fail in a row until the platform counts as lost; one cut watch is usual."""
+
+Item = TypeVar("Item")
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot(Generic[Item]):
+    """Hold all items of a kind, and the revision that a watch goes on from."""
+
+    items: tuple[Item, ...]
+    at: int
+
+
+@dataclass(frozen=True, slots=True)
+class ItemChange(Generic[Item]):
+    """Hold one change of an item."""
+
+    item: Item
+    gone: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Changes(Generic[Item]):
+    """Hold the changes since a revision, in order."""
+
+    changes: tuple[ItemChange[Item], ...]
+    at: int
+
+
+class Feed(Protocol[Item]):
+    """Read one kind of the platform's objects; errors are PlatformUnavailable."""
+
+    def list(self) -> Snapshot[Item]:
+        """Return all items."""
+
+    def watch(self, at: int, wait_s: float) -> Changes[Item]:
+        """Wait for changes after a revision; raise HistoryGone if they are forgotten."""
+
+
+class Listener(Protocol[Item]):
+    """Take in what a follower learns."""
+
+    def listed(self, items: tuple[Item, ...]) -> None:
+        """Take in all items."""
+
+    def changed(self, change: ItemChange[Item]) -> None:
+        """Take in one change."""
+
+    def platform_lost(self, cause: str) -> None:
+        """Learn that calls fail."""
+
+    def platform_back(self) -> None:
+        """Learn that calls are answered again; called before what they brought."""
+
+
+class Follower(Generic[Item]):
+    """List once, then watch for ever; list again only where history is gone."""
+
+    def __init__(
+        self,
+        feed: Feed[Item],
+        listener: Listener[Item],
+        source: random.Random,
+        sleep: Callable[[float], None] = gevent.sleep,
+    ) -> None:
+        """Take the feed, who listens, a random source and how to wait."""
+        self._feed = feed
+        self._listener = listener
+        self._source = source
+        self._sleep = sleep
+        self._at: int | None = None
+        self._failures = 0
+
+    @property
+    def current(self) -> bool:
+        """Tell whether the feed was read and its calls are answered."""
+        return self._at is not None and self._failures < LOST_AFTER
+
+    def run(self) -> None:
+        """Follow the feed for ever."""
+        while True:
+            self.step()
+
+    def step(self) -> None:
+        """Make one call and pass on what it brought."""
+        try:
+            if self._at is None:
+                self._list()
+            else:
+                self._watch(self._at)
+        except HistoryGone:
+            self._at = None
+        except PlatformUnavailable as fault:
+            self._failed(str(fault))
+
+    def _list(self) -> None:
+        """Read the whole list."""
+        snapshot = self._feed.list()
+        self._answered()
+        self._at = snapshot.at
+        self._listener.listed(snapshot.items)
+
+    def _watch(self, at: int) -> None:
+        """Wait for changes."""
+        answer = self._feed.watch(at, WAIT_S)
+        self._answered()
+        self._at = answer.at
+        for change in answer.changes:
+            self._listener.changed(change)
+
+    def _answered(self) -> None:
+        """Note an answered call."""
+        if self._failures >= LOST_AFTER:
+            self._listener.platform_back()
+        self._failures = 0
+
+    def _failed(self, cause: str) -> None:
+        """Note a failed call, and wait a little."""
+        self._failures += 1
+        if self._failures == LOST_AFTER:
+            self._listener.platform_lost(cause)
+        pause = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2**self._failures)
+        self._sleep(pause * (0.5 + self._source.random()))
--- /dev/null
+++ b/driftstall/gateway/fleet.py
@@ -0,0 +1,208 @@
+"""Keep what is known of the upstreams: which take requests and which are leaving.
+
+The platform's list is the source; peers fill in for an instance that the platform
+does not serve. Revisions order what comes from both.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from typing import Final
+
+from driftstall.gateway.model import Upstream, UpstreamState
+
+LAPSE_GRACE_S: Final = 2.2
+"""Entries that lapsed during an outage of the platform are back within two seconds."""
+GONE_KEPT_S: Final = 60.0
+"""How long an upstream that is gone is remembered, so that old news cannot revive it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """Take in the platform's whole list."""
+
+    upstreams: tuple[Upstream, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Changed:
+    """Take in one change of the platform's list."""
+
+    upstream: Upstream
+    gone: bool
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformLost:
+    """Learn that the platform does not answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformBack:
+    """Learn that the platform answers again."""
+
+
+@dataclass(frozen=True, slots=True)
+class Period:
+    """Let time pass."""
+
+
+FleetEvent = Listed | Changed | PlatformLost | PlatformBack | Period
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamJoined:
+    """Tell that an upstream takes requests."""
+
+    upstream: Upstream
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamLeaving:
+    """Tell that an upstream will be gone soon; it gets nothing new."""
+
+    upstream: Upstream
+
+
+FleetAction = UpstreamJoined | UpstreamLeaving
+
+
+@dataclass(slots=True)
+class _Entry:
+    """Hold one upstream."""
+
+    upstream: Upstream
+    leaving_since: float | None = None
+    missing_since: float | None = None
+    """Set while its entry may only have lapsed during an outage."""
+
+
+class FleetController:
+    """Hold the upstreams that one instance knows of."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self._entries: dict[str, _Entry] = {}
+        self._gone: dict[str, tuple[int, float]] = {}
+        self._down = False
+        self._back_at = float("-inf")
+        self._actions: list[FleetAction] = []
+        self._read = False
+
+    @property
+    def known(self) -> bool:
+        """Tell whether the list was ever read."""
+        return self._read
+
+    @property
+    def upstreams(self) -> tuple[Upstream, ...]:
+        """Return all upstreams that are not gone, leaving ones as well."""
+        return tuple(entry.upstream for entry in self._entries.values())
+
+    def ready(self, service: str) -> tuple[Upstream, ...]:
+        """Return the upstreams of a service that take requests."""
+        return tuple(
+            entry.upstream
+            for entry in self._entries.values()
+            if entry.upstream.service == service and entry.leaving_since is None
+        )
+
+    def takes_requests(self, upstream_id: str) -> bool:
+        """Tell whether an upstream is known and not leaving."""
+        entry = self._entries.get(upstream_id)
+        return entry is not None and entry.leaving_since is None
+
+    def handle(self, event: FleetEvent, now: float) -> list[FleetAction]:
+        """Take one event and return what others need to know."""
+        self._actions = []
+        self._on(event, now)
+        return self._actions
+
+    @singledispatchmethod
+    def _on(self, event: FleetEvent, now: float) -> None:
+        """Handle one event."""
+        raise TypeError(f"no handler for {type(event).__name__}")
+
+    @_on.register
+    def _(self, event: Listed, now: float) -> None:
+        self._read = True
+        listed = {one.upstream_id for one in event.upstreams}
+        for upstream in event.upstreams:
+            self._put(upstream, now)
+        for upstream_id in [one for one in self._entries if one not in listed]:
+            self._remove(upstream_id, self._entries[upstream_id].upstream.revision, now)
+
+    @_on.register
+    def _(self, event: Changed, now: float) -> None:
+        upstream = event.upstream
+        if not event.gone:
+            self._put(upstream, now)
+        elif upstream.upstream_id in self._entries:
+            self._remove(upstream.upstream_id, upstream.revision, now)
+        else:
+            self._bury(upstream.upstream_id, upstream.revision, now)
+
+    @_on.register
+    def _(self, event: PlatformLost, now: float) -> None:
+        self._down = True
+
+    @_on.register
+    def _(self, event: PlatformBack, now: float) -> None:
+        if self._down:
+            self._down = False
+            self._back_at = now
+
+    @_on.register
+    def _(self, event: Period, now: float) -> None:
+        for upstream_id, entry in list(self._entries.items()):
+            missing = entry.missing_since
+            if missing is not None and now - max(missing, self._back_at) >= LAPSE_GRACE_S:
+                self._leave(entry, now)
+                self._bury(upstream_id, entry.upstream.revision, now)
+        for upstream_id, (_, at) in list(self._gone.items()):
+            if now - at > GONE_KEPT_S:
+                del self._gone[upstream_id]
+
+    def _put(self, upstream: Upstream, now: float) -> None:
+        """Take in an entry that is newer than what is known."""
+        buried = self._gone.get(upstream.upstream_id)
+        if buried is not None and buried[0] >= upstream.revision:
+            return
+        entry = self._entries.get(upstream.upstream_id)
+        if entry is None:
+            entry = self._entries[upstream.upstream_id] = _Entry(upstream)
+            if upstream.state is UpstreamState.READY:
+                self._actions.append(UpstreamJoined(upstream))
+        elif upstream.revision < entry.upstream.revision:
+            return
+        entry.upstream = upstream
+        entry.missing_since = None
+        if upstream.state is UpstreamState.LEAVING:
+            self._leave(entry, now)
+        elif entry.leaving_since is not None:
+            entry.leaving_since = None
+            self._actions.append(UpstreamJoined(upstream))
+
+    def _remove(self, upstream_id: str, revision: int, now: float) -> None:
+        """Take an upstream for leaving whose entry is no longer there."""
+        entry = self._entries[upstream_id]
+        if revision < entry.upstream.revision:
+            return
+        in_grace = self._down or now - self._back_at < LAPSE_GRACE_S
+        if in_grace and entry.leaving_since is None:
+            entry.missing_since = entry.missing_since or now
+            return
+        self._leave(entry, now)
+        self._bury(upstream_id, revision, now)
+
+    def _leave(self, entry: _Entry, now: float) -> None:
+        """Mark an upstream as leaving and say so once."""
+        if entry.leaving_since is None:
+            entry.leaving_since = now
+            self._actions.append(UpstreamLeaving(entry.upstream))
+
+    def _bury(self, upstream_id: str, revision: int, now: float) -> None:
+        """Forget an upstream, but not that it is gone."""
+        self._entries.pop(upstream_id, None)
+        self._gone[upstream_id] = (revision, now)
--- /dev/null
+++ b/driftstall/gateway/ingress.py
@@ -0,0 +1,306 @@
+"""Read callers' requests from a connection, strictly, and write answers.
+
+The parser refuses what two readers could take for different requests: two lengths,
+a length beside chunks, folded or malformed headers, wrong line ends.
+"""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any, Final
+
+import gevent
+import httptools
+from gevent import socket
+
+from driftstall.gateway.model import Header, Headers, Limits
+
+RECEIVE_BYTES: Final = 65_536
+CHUNKED: Final = b"chunked"
+CONTINUE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
+LAST_CHUNK: Final = b"0\r\n\r\n"
+MIN_BODY_BYTES_PER_S: Final = 10_000.0
+"""A body slower than this is given up, so that slow senders hold no memory."""
+WRITE_TIMEOUT_S: Final = 10.0
+"""A caller that reads nothing for so long is given up."""
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """Hold one whole request of a caller."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    host: str
+    body: bytes
+    keep_alive: bool
+    read_at: float
+    """When its last byte was read, in seconds."""
+
+    @property
+    def path(self) -> str:
+        """Return the path without the query."""
+        return self.target.partition(b"?")[0].decode("latin-1")
+
+
+@dataclass(frozen=True, slots=True)
+class Malformed:
+    """Describe input that is answered with an error, and the connection closed."""
+
+    status: HTTPStatus
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Closed:
+    """Tell that the connection has ended or rests for too long."""
+
+
+class _Collector:
+    """Build requests from what the parser finds; httptools calls the on_ methods."""
+
+    def __init__(self, limits: Limits) -> None:
+        """Start before the first request."""
+        self._limits = limits
+        self.requests: deque[CallerRequest] = deque()
+        self.fault: Malformed | None = None
+        self.parser: Any = None
+        self.wants_continue = False
+        self.begun_at: float | None = None
+        self.head_done = False
+        self._reset()
+
+    def _reset(self) -> None:
+        """Start the next request."""
+        self._target = b""
+        self._headers: list[Header] = []
+        self._head_bytes = 0
+        self._body: list[bytes] = []
+        self.body_bytes = 0
+        self.head_done = False
+        self.begun_at = None
+
+    def on_message_begin(self) -> None:
+        """Note when a request began."""
+        self.begun_at = time.monotonic()
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the target."""
+        self._target += url
+        self._count_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header; trailers are dropped."""
+        self._count_head(len(name) + len(value) + 4)
+        if not self.head_done:
+            self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Check the head."""
+        self.head_done = True
+        values: dict[bytes, list[bytes]] = {}
+        for name, value in self._headers:
+            values.setdefault(name.lower(), []).append(value.strip())
+        if len(values.get(b"host", ())) != 1:
+            self._fail(HTTPStatus.BAD_REQUEST, "one Host header is needed")
+        codings = values.get(b"transfer-encoding", [CHUNKED])
+        if [coding.lower() for coding in codings] != [CHUNKED]:
+            self._fail(HTTPStatus.NOT_IMPLEMENTED, "only the chunked transfer coding is known")
+        length = values.get(b"content-length", [b"0"])[0]
+        if not length.isdigit() or int(length) > self._limits.body_bytes:
+            self._fail(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
+        self.wants_continue = [v.lower() for v in values.get(b"expect", ())] == [b"100-continue"]
+
+    def on_body(self, data: bytes) -> None:
+        """Collect a piece of the body."""
+        self.body_bytes += len(data)
+        if self.body_bytes > self._limits.body_bytes:
+            self._fail(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
+            return
+        self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        """Hand over a whole request."""
+        if self.fault is None:
+            host = next(value for name, value in self._headers if name.lower() == b"host")
+            request = CallerRequest(
+                method=self.parser.get_method(),
+                target=self._target,
+                headers=tuple(self._headers),
+                host=host.strip().decode("latin-1"),
+                body=b"".join(self._body),
+                keep_alive=self.parser.should_keep_alive(),
+                read_at=time.monotonic(),
+            )
+            self.requests.append(request)
+        self.wants_continue = False
+        self._reset()
+
+    def _count_head(self, size: int) -> None:
+        """Bound the head's size."""
+        self._head_bytes += size
+        if self._head_bytes > self._limits.header_bytes:
+            self._fail(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the header is too large")
+
+    def _fail(self, status: HTTPStatus, detail: str) -> None:
+        """Keep the first fault."""
+        self.fault = self.fault or Malformed(status, detail)
+
+
+class CallerConnection:
+    """Read requests from one caller's connection, and write answers to it."""
+
+    def __init__(self, connection: socket.socket, limits: Limits) -> None:
+        """Take the accepted connection."""
+        self._connection = connection
+        self._limits = limits
+        self._collector = _Collector(limits)
+        self._parser = httptools.HttpRequestParser(self._collector)
+        self._collector.parser = self._parser
+        self._broken = False
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    @property
+    def resting(self) -> bool:
+        """Tell whether no byte of a next request has arrived."""
+        return self._collector.begun_at is None and not self._collector.requests
+
+    def next(self) -> CallerRequest | Malformed | Closed:
+        """Wait for the next request."""
+        rest_until = time.monotonic() + self._limits.idle_timeout_s
+        while True:
+            if self._collector.requests:
+                return self._collector.requests.popleft()
+            if self._collector.fault is not None:
+                return self._collector.fault
+            if self._broken:
+                return Closed()
+            self._continue_if_wanted()
+            late = self._wait(rest_until)
+            if late is not None:
+                return late
+
+    def _wait(self, rest_until: float) -> Malformed | Closed | None:
+        """Read once; return why to stop, if so."""
+        until = self._read_until(rest_until)
+        left = until - time.monotonic()
+        if left <= 0:
+            return self._too_slow()
+        self._connection.settimeout(left)
+        try:
+            data = self._connection.recv(RECEIVE_BYTES)
+        except TimeoutError:
+            return self._too_slow()
+        except OSError:
+            return Closed()
+        if not data:
+            return Closed()
+        self._feed(data)
+        return None
+
+    def _read_until(self, rest_until: float) -> float:
+        """Return until when the next bytes must arrive."""
+        begun_at = self._collector.begun_at
+        if begun_at is None:
+            return rest_until
+        until = begun_at + self._limits.header_timeout_s
+        if self._collector.head_done:
+            until += self._collector.body_bytes / MIN_BODY_BYTES_PER_S + WRITE_TIMEOUT_S
+        return until
+
+    def _too_slow(self) -> Malformed | Closed:
+        """Return what a caller gets that sends too slowly."""
+        if self._collector.begun_at is None:
+            return Closed()
+        return Malformed(HTTPStatus.REQUEST_TIMEOUT, "the request did not arrive in time")
+
+    def _feed(self, data: bytes) -> None:
+        """Parse some bytes; a fault counts after the whole requests before it."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # No other protocol is spoken here: the request is answered, the rest is not read.
+            self._broken = True
+        except (httptools.HttpParserError, httptools.HttpParserCallbackError) as fault:
+            known = self._collector.fault
+            detail = f"the request is malformed: {fault}"
+            self._collector.fault = known or Malformed(HTTPStatus.BAD_REQUEST, detail)
+
+    def _continue_if_wanted(self) -> None:
+        """Ask for the body where the caller waits for that."""
+        if self._collector.wants_continue and self._collector.head_done:
+            self._collector.wants_continue = False
+            self.write(CONTINUE)
+
+    def write(self, data: bytes) -> bool:
+        """Write to the caller; return False if it is gone."""
+        try:
+            self._connection.settimeout(WRITE_TIMEOUT_S)
+            self._connection.sendall(data)
+            return True
+        except OSError:
+            return False
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._connection.close()
+
+    def watch(self) -> CallerWatch:
+        """Return a watch on whether the caller leaves."""
+        return CallerWatch(self._connection)
+
+
+class CallerWatch:
+    """Notice that a caller closes its connection while its request is served."""
+
+    def __init__(self, connection: socket.socket) -> None:
+        """Take the caller's connection."""
+        self._connection = connection
+        self._watcher = gevent.get_hub().loop.io(connection.fileno(), 1)
+        self._on_gone: Any = None
+        self.gone = False
+
+    def start(self, on_gone: Any) -> None:
+        """Call a function once when the caller is gone."""
+        self._on_gone = on_gone
+        self._watcher.start(self._readable)
+
+    def stop(self) -> None:
+        """Stop to watch."""
+        self._watcher.stop()
+        self._watcher.close()
+
+    def _readable(self) -> None:
+        """Tell a close from the bytes of a next request."""
+        try:
+            raw = self._connection._sock
+            left = raw.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+        except BlockingIOError:
+            return
+        except OSError:
+            left = True
+        self._watcher.stop()
+        if left:
+            self.gone = True
+            self._on_gone()
+
+
+def head_bytes(status: int, headers: Headers, extra: tuple[bytes, ...]) -> bytes:
+    """Return the head of an answer."""
+    reason = HTTPStatus(status).phrase if status in _KNOWN else "Status"
+    lines = [b"HTTP/1.1 %d %s" % (status, reason.encode())]
+    lines += [name + b": " + value for name, value in headers]
+    lines += extra
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+def chunk(data: bytes) -> bytes:
+    """Return one chunk of a body of unknown length."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+_KNOWN: Final = frozenset(int(status) for status in HTTPStatus)
--- /dev/null
+++ b/driftstall/gateway/listeners.py
@@ -0,0 +1,255 @@
+"""Listen for callers, for checks of readiness and for callers that ask where to go."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+
+from gevent import socket
+from gevent.server import StreamServer
+
+from driftstall.const import CODE_BAD_REQUEST, CODE_LEAVING, PREFIX_LOCATE, PREFIX_RELAY
+from driftstall.core import Instance, Problem, Ran
+from driftstall.daemon.answers import JSON_TYPE
+from driftstall.gateway.admission import Admission, Admitted, Passage
+from driftstall.gateway.answers import problem_answer, whole
+from driftstall.gateway.calls import CallRelay, WholeAnswer
+from driftstall.gateway.dialect import BadHeaders
+from driftstall.gateway.drain import Drain
+from driftstall.gateway.ingress import CallerConnection, CallerRequest, Closed, Malformed
+from driftstall.gateway.model import Limits, Repeat
+from driftstall.gateway.state import GatewayState
+from driftstall.gateway.streams import StreamRelay
+from driftstall.helpers.log import say
+from driftstall.util.addresses import split_address
+
+BACKLOG: Final = 512
+"""Connections that wait to be accepted; a full queue costs its callers seconds."""
+LOCATE_KEEP_S: Final = 2.0
+"""How long callers keep a located address; some keep it three times as long."""
+NEAR_ENOUGH: Final = 2
+"""Ready instances in the caller's zone from which on no other zone is named."""
+MOST_LOCATED: Final = 64
+NOT_READY_RETRY_S: Final = 0.5
+SMALL: Final = Limits(header_bytes=8_192, body_bytes=1_024)
+"""Limits of the listeners that take no requests of callers."""
+
+
+class CallerListener:
+    """Serve callers' requests."""
+
+    def __init__(self, state: GatewayState, drain: Drain, current: Callable[[], bool]) -> None:
+        """Take the shared state; current tells whether the routing is the newest."""
+        self._state = state
+        self._drain = drain
+        self._current = current
+        address = split_address(state.settings.caller_listen)
+        self._server = StreamServer(address, self._serve, backlog=BACKLOG)
+
+    def start(self) -> None:
+        """Start to listen."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Take no new connections."""
+        self._server.close()
+
+    def _serve(self, raw: socket.socket, _: tuple[str, int]) -> None:
+        """Serve one connection until it ends."""
+        table = self._state.table
+        connection = CallerConnection(raw, table.document.limits if table else Limits())
+        try:
+            while True:
+                call = connection.next()
+                if isinstance(call, Closed):
+                    return
+                if isinstance(call, Malformed):
+                    self._refuse(connection, call)
+                    return
+                if not self._answer(connection, call):
+                    return
+        finally:
+            connection.close()
+
+    def _refuse(self, connection: CallerConnection, fault: Malformed) -> None:
+        """Answer input that cannot be read."""
+        self._state.stats.malformed += 1
+        problem = Problem(CODE_BAD_REQUEST, int(fault.status), fault.detail, Ran.NOT_RUN)
+        say(PREFIX_RELAY, f"A request is answered {problem.status}: {problem.detail}")
+        connection.write(problem_answer(problem, keep=False))
+
+    def _answer(self, connection: CallerConnection, call: CallerRequest) -> bool:
+        """Answer one request; return whether the connection is kept."""
+        self._state.stats.requests += 1
+        self._state.open_requests += 1
+        try:
+            return self._answer_counted(connection, call)
+        finally:
+            self._state.open_requests -= 1
+
+    def _answer_counted(self, connection: CallerConnection, call: CallerRequest) -> bool:
+        """Admit one request and serve it."""
+        keep = call.keep_alive and self._state.stopping_since is None
+        admitted = self._admit(call)
+        if isinstance(admitted, Admitted):
+            refusal = self._drain.refusal(admitted)
+            if refusal is None:
+                return self._serve_admitted(connection, call, admitted, keep=keep)
+            admitted = refusal
+        return self._answer_problem(connection, admitted, keep=keep)
+
+    def _admit(self, call: CallerRequest) -> Admitted | Problem:
+        """Find out what the request is."""
+        table = self._state.table
+        if table is None or not self._state.fleet.known:
+            detail = "this instance has no configuration yet"
+            return Problem(CODE_LEAVING, 503, detail, Ran.NOT_RUN, NOT_READY_RETRY_S)
+        try:
+            marks = self._state.dialect.read_caller(call.headers)
+        except BadHeaders as fault:
+            return Problem(CODE_BAD_REQUEST, 400, str(fault), Ran.NOT_RUN)
+        admission = Admission(
+            table,
+            self._state.policy,
+            chance=self._state.source.random,
+            load=self._state.load_of,
+            current=self._current,
+        )
+        passage = Passage(call.host, call.path, marks, call.read_at)
+        return admission.admit(passage, self._state.wall())
+
+    def _serve_admitted(
+        self, connection: CallerConnection, call: CallerRequest, admitted: Admitted, *, keep: bool
+    ) -> bool:
+        """Serve an admitted request while watching whether its caller leaves."""
+        if admitted.route.repeat is Repeat.STREAM:
+            relay = StreamRelay(self._state, connection, call, admitted, keep=keep)
+            return self._watched(connection, relay.caller_left, relay.serve)
+        call_relay = CallRelay(self._state, call, admitted)
+        return self._watched(
+            connection,
+            call_relay.caller_left,
+            lambda: self._answer_call(connection, call_relay.serve(), admitted, keep=keep),
+        )
+
+    def _watched(
+        self, connection: CallerConnection, left: Callable[[], None], serve: Callable[[], bool]
+    ) -> bool:
+        """Serve, and have the request given up when its caller leaves."""
+        watch = connection.watch()
+
+        def gone() -> None:
+            self._state.stats.callers_gone += 1
+            left()
+
+        watch.start(gone)
+        try:
+            return serve() and not watch.gone
+        finally:
+            watch.stop()
+
+    def _answer_call(
+        self,
+        connection: CallerConnection,
+        result: WholeAnswer | Problem,
+        admitted: Admitted,
+        *,
+        keep: bool,
+    ) -> bool:
+        """Write the answer of a plain call."""
+        if isinstance(result, Problem):
+            say(
+                PREFIX_RELAY,
+                f"A call is answered {result.status}: {result.detail}",
+                request=admitted.marks.request_id,
+                route=admitted.route.name,
+                ran=result.ran.value,
+            )
+            return self._answer_problem(connection, result, keep=keep)
+        self._state.stats.completed += 1
+        self._state.stats.answer_s.observe({}, self._state.now() - admitted.started_at)
+        data = whole(result.status, result.headers, result.body, keep=keep)
+        return connection.write(data) and keep
+
+    def _answer_problem(
+        self, connection: CallerConnection, problem: Problem, *, keep: bool
+    ) -> bool:
+        """Write a problem."""
+        if problem.retry_after_s is not None:
+            self._state.stats.refused += 1
+        else:
+            self._state.stats.failed += 1
+        return connection.write(problem_answer(problem, keep=keep)) and keep
+
+
+class SmallListener:
+    """Answer small questions on a listener of their own."""
+
+    def __init__(self, address: str, answer: Callable[[CallerRequest], bytes]) -> None:
+        """Take the address and what answers a request."""
+        self._answer = answer
+        self._server = StreamServer(split_address(address), self._serve, backlog=BACKLOG)
+
+    def start(self) -> None:
+        """Start to listen."""
+        self._server.start()
+
+    def _serve(self, raw: socket.socket, _: tuple[str, int]) -> None:
+        """Serve one connection until it ends."""
+        connection = CallerConnection(raw, SMALL)
+        try:
+            while True:
+                call = connection.next()
+                if not isinstance(call, CallerRequest):
+                    return
+                if not connection.write(self._answer(call)) or not call.keep_alive:
+                    return
+        finally:
+            connection.close()
+
+
+class ReadyAnswers:
+    """Tell the platform whether this instance is ready."""
+
+    def __init__(self, state: GatewayState) -> None:
+        """Take the shared state."""
+        self._state = state
+
+    def __call__(self, call: CallerRequest) -> bytes:
+        """Answer one check."""
+        target = call.target.decode("latin-1")
+        if not self._state.dialect.is_ready_path(target):
+            return whole(404, (), b"", keep=call.keep_alive)
+        status = 200 if self._state.ready else 503
+        return whole(status, (), b"", keep=call.keep_alive)
+
+
+class LocateAnswers:
+    """Tell callers which instances to use."""
+
+    def __init__(self, state: GatewayState, located: Callable[[], tuple[Instance, ...]]) -> None:
+        """Take the shared state and a reader of the instances that callers may use."""
+        self._state = state
+        self._located = located
+
+    def __call__(self, call: CallerRequest) -> bytes:
+        """Answer one question."""
+        zone = self._state.dialect.located_zone(call.target.decode("latin-1"))
+        if zone is None:
+            return whole(404, (), b"", keep=call.keep_alive)
+        chosen = self._choose(zone)
+        if not chosen:
+            detail = "no instance is ready"
+            problem = Problem(CODE_LEAVING, 503, detail, Ran.NOT_RUN, NOT_READY_RETRY_S)
+            return problem_answer(problem, keep=call.keep_alive)
+        keep_s = min(LOCATE_KEEP_S, self._state.settings.bounds.locate_keep_s)
+        body = self._state.dialect.located_answer(tuple(one.address for one in chosen), keep_s)
+        say(PREFIX_LOCATE, f"A caller of {zone} is sent to {len(chosen)} instances")
+        headers = ((b"Content-Type", JSON_TYPE.encode()),)
+        return whole(200, headers, body, keep=call.keep_alive)
+
+    def _choose(self, zone: str) -> tuple[Instance, ...]:
+        """Return the ready instances of the caller's zone if they suffice, else all."""
+        ready = self._located()
+        near = tuple(one for one in ready if one.zone == zone)
+        return (near if len(near) >= NEAR_ENOUGH else ready)[:MOST_LOCATED]
--- /dev/null
+++ b/driftstall/gateway/loads.py
@@ -0,0 +1,123 @@
+"""Add up what runs on each upstream, from here and from what peers tell.
+
+An upstream's own report is old when it arrives; what instances have sent there is
+known at once. So each tells its peers its own sums whenever they change.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from typing import Final
+
+PEER_REPORT_S: Final = 3.0
+"""A peer's sums count for so long; a live peer repeats them each second."""
+
+
+@dataclass(frozen=True, slots=True)
+class Use:
+    """Sum up what runs on one upstream."""
+
+    upstream_id: str
+    running: int = 0
+    """Requests sent and not yet ended."""
+    tokens: int = 0
+    """Engine memory that running requests hold or soon will, in tokens."""
+    copies: int = 0
+    """Engine memory that copies of runs elsewhere hold, in tokens."""
+    prefill: int = 0
+    """Prompt tokens of requests whose first event is not there yet."""
+
+    def plus(self, other: Use) -> Use:
+        """Return both sums together."""
+        return Use(
+            self.upstream_id,
+            self.running + other.running,
+            self.tokens + other.tokens,
+            self.copies + other.copies,
+            self.prefill + other.prefill,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Share:
+    """Hold what one request takes from upstreams."""
+
+    upstream_id: str
+    tokens: int = 0
+    prefill: int = 0
+    backup_id: str = ""
+    """The upstream that holds a copy; empty for none."""
+
+
+@dataclass(slots=True)
+class _PeerSums:
+    """Hold what one peer has told."""
+
+    uses: dict[str, Use]
+    at: float
+
+
+class LoadBook:
+    """Hold the sums of this instance and of its peers."""
+
+    def __init__(self) -> None:
+        """Start with nothing running."""
+        self._shares: dict[str, Share] = {}
+        self._own: dict[str, Use] = {}
+        self._peers: dict[str, _PeerSums] = {}
+
+    @property
+    def own(self) -> tuple[Use, ...]:
+        """Return this instance's sums, for its peers."""
+        return tuple(self._own.values())
+
+    def put(self, request_id: str, share: Share) -> None:
+        """Set what a request takes now."""
+        self.drop(request_id)
+        self._shares[request_id] = share
+        self._add(share, 1)
+
+    def prefilled(self, request_id: str) -> None:
+        """Learn that a request's prompt was read."""
+        share = self._shares.get(request_id)
+        if share is not None and share.prefill:
+            self.put(request_id, replace(share, prefill=0))
+
+    def drop(self, request_id: str) -> None:
+        """Forget a request that has ended."""
+        share = self._shares.pop(request_id, None)
+        if share is not None:
+            self._add(share, -1)
+
+    def told(self, peer: str, uses: Iterable[Use], now: float) -> None:
+        """Take in a peer's sums."""
+        self._peers[peer] = _PeerSums({use.upstream_id: use for use in uses}, now)
+
+    def forget(self, peer: str) -> None:
+        """Forget a peer that is gone."""
+        self._peers.pop(peer, None)
+
+    def use(self, upstream_id: str, now: float) -> Use:
+        """Return all that is known to run on an upstream."""
+        total = self._own.get(upstream_id, Use(upstream_id))
+        for sums in self._peers.values():
+            told = sums.uses.get(upstream_id)
+            if told is not None and now - sums.at <= PEER_REPORT_S:
+                total = total.plus(told)
+        return total
+
+    def _add(self, share: Share, sign: int) -> None:
+        """Add a request's share to the sums, or take it off."""
+        use = Use(share.upstream_id, sign, sign * share.tokens, 0, sign * share.prefill)
+        self._sum(use)
+        if share.backup_id:
+            self._sum(Use(share.backup_id, 0, 0, sign * share.tokens, 0))
+
+    def _sum(self, use: Use) -> None:
+        """Change the sum of one upstream; an empty one is dropped."""
+        total = self._own.get(use.upstream_id, Use(use.upstream_id)).plus(use)
+        if total == Use(use.upstream_id):
+            self._own.pop(use.upstream_id, None)
+        else:
+            self._own[use.upstream_id] = total
--- /dev/null
+++ b/driftstall/gateway/node.py
@@ -0,0 +1,181 @@
+"""Put one gateway instance together and run it until its planned stop."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Final
+
+import gevent
+
+from driftstall.const import PREFIX_CONFIGURATION, PREFIX_DRAIN, PREFIX_MEMBERSHIP
+from driftstall.core import Instance
+from driftstall.exceptions import PlatformUnavailable, SettingsError
+from driftstall.gateway.dialect import Dialect
+from driftstall.gateway.drain import Drain
+from driftstall.gateway.evacuation import Evacuation
+from driftstall.gateway.feeds import Feed, Follower, ItemChange
+from driftstall.gateway.listeners import (
+    CallerListener,
+    LocateAnswers,
+    ReadyAnswers,
+    SmallListener,
+)
+from driftstall.gateway.model import GatewaySettings, PolicyText, RoutingText, Upstream
+from driftstall.gateway.peering import Peering
+from driftstall.gateway.sources import InstanceSource, PolicySource, RoutingSource, UpstreamSource
+from driftstall.gateway.state import GatewayState
+from driftstall.helpers.log import say
+from driftstall.policy.model import Policy
+
+PERIOD_S: Final = 0.1
+REGISTER_PAUSE_S: Final = 0.3
+RELIST_S: Final = 5.0
+"""How often the list of instances is read again while fewer than two are known."""
+SETTINGS_CHECK_S: Final = 0.5
+"""The settings file may change without a signal."""
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformAccess:
+    """Hold what the adapter gives: feeds, own entries, and how the address changes."""
+
+    dialect: Dialect
+    upstreams: Feed[Upstream]
+    routing: Feed[RoutingText]
+    policies: Feed[PolicyText]
+    instances: Feed[Instance]
+    register: Callable[[Instance], None]
+    withdraw: Callable[[str], None]
+    use_address: Callable[[str], None]
+    calls: Callable[[], int]
+    read_settings: Callable[[Path], GatewaySettings]
+
+
+class GatewayNode:
+    """Run one gateway instance."""
+
+    def __init__(
+        self, settings: GatewaySettings, path: Path, access: PlatformAccess, policy: Policy
+    ) -> None:
+        """Take the settings, their file, the platform's access and the default policy."""
+        self._path = path
+        self._access = access
+        self.state = GatewayState(settings, access.dialect, policy)
+        self._routing = RoutingSource(self.state, self._announce)
+        self._upstreams = UpstreamSource(
+            self.state, leaving=Evacuation(self.state).start, pass_on=self._pass_on
+        )
+        self._routing_follower = Follower(access.routing, self._routing, self.state.source)
+        self._upstream_follower = Follower(access.upstreams, self._upstreams, self.state.source)
+        self._policy_follower = Follower(
+            access.policies, PolicySource(self.state), self.state.source
+        )
+        self._peering = Peering(
+            self.state,
+            settings.peer_key.encode(),
+            routing=lambda: (self._routing.version, self._routing.text),
+            take_routing=self._routing.offered,
+            take_news=self._upstreams.told,
+            platform_ok=lambda: self._upstream_follower.current,
+        )
+        self._instances = InstanceSource(self._peering.found)
+        self._drain = Drain(self.state)
+        self._callers = CallerListener(self.state, self._drain, self._is_current)
+        self._ready = SmallListener(settings.ready_listen, ReadyAnswers(self.state))
+        locate = LocateAnswers(self.state, self._peering.located)
+        self._locate = SmallListener(settings.locate_listen, locate)
+        self._settings_seen = self._settings_time()
+
+    def run(self) -> None:
+        """Run until a planned stop has ended."""
+        gevent.signal_handler(signal.SIGTERM, self._drain.begin)
+        gevent.signal_handler(signal.SIGINT, self._drain.begin)
+        gevent.signal_handler(signal.SIGHUP, self._reload)
+        for listener in (self._callers, self._ready, self._locate, self._peering):
+            listener.start()
+        for follower in (self._routing_follower, self._upstream_follower, self._policy_follower):
+            gevent.spawn(follower.run)
+        gevent.spawn(self._keep_registered)
+        say(PREFIX_MEMBERSHIP, f"Instance {self.state.settings.instance_id} has started")
+        self._run_periods()
+        say(PREFIX_DRAIN, f"Instance {self.state.settings.instance_id} has stopped")
+
+    def _run_periods(self) -> None:
+        """Let time pass until the stop has ended."""
+        checked_at = self.state.now()
+        told_stop = False
+        while not self._drain.finished:
+            gevent.sleep(PERIOD_S)
+            self._upstreams.period()
+            self.state.stats.platform_calls = self._access.calls()
+            if self.state.stopping_since is not None and not told_stop:
+                told_stop = True
+                self._leave()
+            if self.state.now() - checked_at >= SETTINGS_CHECK_S:
+                checked_at = self.state.now()
+                if self._settings_time() != self._settings_seen:
+                    self._reload()
+
+    def _leave(self) -> None:
+        """Tell peers and the platform that this instance takes nothing more."""
+        self._peering.report_now()
+        gevent.spawn(self._withdraw)
+
+    def _withdraw(self) -> None:
+        """Remove the own entry; a stale one does no harm, as peers ask who lives."""
+        try:
+            self._access.withdraw(self.state.settings.instance_id)
+        except PlatformUnavailable as fault:
+            say(PREFIX_DRAIN, f"The own entry is left behind: {fault}")
+
+    def _keep_registered(self) -> None:
+        """Write the own entry once, and read those of others until peers are known."""
+        registered = False
+        while self.state.stopping_since is None:
+            try:
+                if not registered:
+                    self._access.register(self._peering.own)
+                    registered = True
+                self._instances.listed(self._access.instances.list().items)
+                if self.state.instances.value > 1:
+                    return
+                gevent.sleep(RELIST_S)
+            except PlatformUnavailable as fault:
+                say(PREFIX_MEMBERSHIP, f"The platform's list of instances is out of reach: {fault}")
+                gevent.sleep(REGISTER_PAUSE_S * (1 + self.state.source.random()))
+
+    def _announce(self) -> None:
+        """Have peers told soon that something has changed."""
+        self.state.loads_changed.set()
+
+    def _pass_on(self, change: ItemChange[Upstream]) -> None:
+        """Tell a change to the peers that the platform does not answer."""
+        self._peering.pass_on(change)
+
+    def _is_current(self) -> bool:
+        """Tell whether the routing in force is the newest, as far as can be known."""
+        newest = self._peering.newest_version
+        return self._routing_follower.current and newest <= self._routing.version
+
+    def _settings_time(self) -> tuple[int, int]:
+        """Return what changes when the settings file does."""
+        try:
+            found = self._path.stat()
+        except OSError:
+            return (0, 0)
+        return (found.st_mtime_ns, found.st_size)
+
+    def _reload(self) -> None:
+        """Read the settings again; wrong ones are logged and the old ones stay."""
+        self._settings_seen = self._settings_time()
+        try:
+            settings = self._access.read_settings(self._path)
+        except SettingsError as fault:
+            say(PREFIX_CONFIGURATION, f"The changed settings are not used: {fault}")
+            return
+        self.state.settings = settings
+        self._access.use_address(settings.platform_address)
+        say(PREFIX_CONFIGURATION, "The settings were read again")
--- /dev/null
+++ b/driftstall/gateway/outcomes.py
@@ -0,0 +1,97 @@
+"""Judge upstreams by how their answers went, and leave bad ones alone for a while."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Final
+
+SMOOTHING: Final = 0.15
+"""Weight of the newest outcome; about a dozen outcomes are remembered."""
+FIRST_REST_S: Final = 0.3
+LONGEST_REST_S: Final = 4.0
+"""An upstream that does not answer rests so long; each failure doubles it."""
+FAILURE_PENALTY: Final = 2.0
+"""How much a failing upstream's load counts as higher, at all answers failed."""
+SLOWNESS_PENALTY: Final = 0.5
+"""How much an upstream's load counts as higher for each time it is slower than usual."""
+USUAL_SMOOTHING: Final = 0.05
+NEVER: Final = float("-inf")
+
+
+class Outcome(StrEnum):
+    """Name how a request to an upstream went."""
+
+    GOOD = "good"
+    FAILED = "failed"
+    """It answered with a failure of its own."""
+    BROKEN = "broken"
+    """It gave no whole answer, or none of the protocol."""
+    UNREACHABLE = "unreachable"
+    """No connection came up."""
+    FULL = "full"
+    """It turned the request away."""
+
+
+@dataclass(slots=True)
+class _Record:
+    """Hold what one upstream's answers were like."""
+
+    failures: float = 0.0
+    """Share of answers that failed, smoothed."""
+    seconds: float | None = None
+    """Time to an answer, smoothed."""
+    rest_until: float = NEVER
+    rest_s: float = FIRST_REST_S
+
+
+class OutcomeBook:
+    """Hold the outcomes of all upstreams, as this instance has seen them."""
+
+    def __init__(self) -> None:
+        """Start without any."""
+        self._records: dict[str, _Record] = {}
+        self._usual: dict[str, float] = {}
+
+    def saw(
+        self, upstream_id: str, service: str, outcome: Outcome, now: float, seconds: float
+    ) -> None:
+        """Take in one outcome and the seconds it took."""
+        record = self._records.setdefault(upstream_id, _Record())
+        failed = outcome in (Outcome.FAILED, Outcome.BROKEN, Outcome.UNREACHABLE)
+        record.failures += SMOOTHING * (float(failed) - record.failures)
+        if outcome is Outcome.GOOD:
+            record.rest_s = FIRST_REST_S
+            self._time(record, service, seconds)
+        elif outcome in (Outcome.UNREACHABLE, Outcome.FULL, Outcome.BROKEN):
+            record.rest_until = now + record.rest_s
+            record.rest_s = min(LONGEST_REST_S, record.rest_s * 2)
+
+    def rests(self, upstream_id: str, now: float) -> bool:
+        """Tell whether an upstream is to be left alone now."""
+        record = self._records.get(upstream_id)
+        return record is not None and now < record.rest_until
+
+    def penalty(self, upstream_id: str, service: str) -> float:
+        """Return how much worse than usual an upstream is; zero if it is not."""
+        record = self._records.get(upstream_id)
+        if record is None:
+            return 0.0
+        slower = 0.0
+        usual = self._usual.get(service)
+        if usual and record.seconds:
+            slower = max(0.0, record.seconds / usual - 1.0)
+        return FAILURE_PENALTY * record.failures + SLOWNESS_PENALTY * slower
+
+    def keep_only(self, upstream_ids: set[str]) -> None:
+        """Forget upstreams that are gone."""
+        for upstream_id in [one for one in self._records if one not in upstream_ids]:
+            del self._records[upstream_id]
+
+    def _time(self, record: _Record, service: str, seconds: float) -> None:
+        """Smooth an upstream's times and what is usual for its service."""
+        old = record.seconds
+        record.seconds = seconds if old is None else old + SMOOTHING * (seconds - old)
+        usual = self._usual.get(service)
+        step = seconds if usual is None else usual + USUAL_SMOOTHING * (seconds - usual)
+        self._usual[service] = step
--- /dev/null
+++ b/driftstall/gateway/routes.py
@@ -0,0 +1,67 @@
+"""Find a request's route, service and workspace in the routing document."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from driftstall.gateway.model import Route, RoutingDocument, Service, Workspace
+
+
+@dataclass(frozen=True, slots=True)
+class RouteTable:
+    """Look up routes, services and keys of one version."""
+
+    version: int
+    document: RoutingDocument
+    _by_host: dict[str, tuple[Route, ...]]
+    _services: dict[str, Service]
+    _by_key: dict[str, Workspace]
+
+    @classmethod
+    def from_document(cls, document: RoutingDocument) -> RouteTable:
+        """Build the tables; the longest prefixes of a host come first."""
+        by_host: dict[str, list[Route]] = {}
+        for route in document.routes:
+            by_host.setdefault(route.host, []).append(route)
+        ordered = {
+            host: tuple(sorted(routes, key=lambda route: -len(route.path_prefix)))
+            for host, routes in by_host.items()
+        }
+        services = {service.name: service for service in document.services}
+        keys = {key: workspace for workspace in document.workspaces for key in workspace.keys}
+        return cls(document.version, document, ordered, services, keys)
+
+    @property
+    def has_workspaces(self) -> bool:
+        """Tell whether requests need a key at all."""
+        return bool(self.document.workspaces)
+
+    def route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of a path."""
+        name = host.lower()
+        routes = self._by_host.get(name)
+        if routes is None:
+            routes = self._by_host.get(name.rpartition(":")[0], ())
+        for route in routes:
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def service(self, name: str) -> Service | None:
+        """Return a service by its name."""
+        return self._services.get(name)
+
+    def workspace(self, key: str) -> Workspace | None:
+        """Return the workspace that a key speaks for."""
+        return self._by_key.get(key)
+
+
+def pick_service(route: Route, chance: float) -> str:
+    """Return the service of a split for a random number from 0 to 1."""
+    total = sum(part.weight for part in route.split)
+    left = chance * total
+    for part in route.split:
+        left -= part.weight
+        if left < 0:
+            return part.service
+    return route.split[-1].service
--- /dev/null
+++ b/driftstall/gateway/runs.py
@@ -0,0 +1,86 @@
+"""Hold the open streams of this instance, by the upstream that each runs on."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from gevent.event import AsyncResult
+
+from driftstall.core import Request
+from driftstall.gateway.admission import Admitted
+from driftstall.gateway.exchange import UpstreamExchange
+from driftstall.gateway.ingress import CallerRequest
+from driftstall.gateway.model import Upstream
+
+
+@dataclass(frozen=True, slots=True)
+class Copy:
+    """Name a copy of a run's memory, and the engine to go on at."""
+
+    upstream: Upstream
+    copy_of: str
+
+
+@dataclass(slots=True)
+class StreamRun:
+    """Hold one open stream, wherever it runs now."""
+
+    call: CallerRequest
+    admitted: Admitted
+    request: Request
+    """The request as the forecasts see it."""
+    upstream: Upstream
+    backup: Upstream | None = None
+    exchange: UpstreamExchange | None = None
+    last_event_id: str = ""
+    events: int = 0
+    tokens: int = 0
+    """Tokens delivered so far."""
+    moving: AsyncResult | None = None
+    """Set while the run's last step to another engine is taken; gives a Copy or None."""
+    copied: Copy | None = None
+    ended: bool = False
+    moves: int = 0
+    last_event_at: float = 0.0
+
+    @property
+    def request_id(self) -> str:
+        """Return the caller's id of the request."""
+        return self.admitted.marks.request_id
+
+    @property
+    def held_tokens(self) -> int:
+        """Return the engine memory that the run holds now, in tokens."""
+        return self.admitted.marks.input_tokens + self.tokens
+
+
+@dataclass(slots=True)
+class RunBook:
+    """Hold all open streams."""
+
+    _runs: dict[str, StreamRun] = field(default_factory=dict)
+
+    def add(self, run: StreamRun) -> None:
+        """Add a stream that was sent."""
+        self._runs[run.request_id] = run
+
+    def drop(self, run: StreamRun) -> None:
+        """Drop a stream that has ended."""
+        if self._runs.get(run.request_id) is run:
+            del self._runs[run.request_id]
+
+    def on(self, upstream_id: str) -> tuple[StreamRun, ...]:
+        """Return the streams that run on an upstream."""
+        return tuple(run for run in self._runs.values() if run.upstream.upstream_id == upstream_id)
+
+    def backed_by(self, upstream_id: str) -> tuple[StreamRun, ...]:
+        """Return the streams whose copy is kept on an upstream."""
+        return tuple(
+            run
+            for run in self._runs.values()
+            if run.backup is not None and run.backup.upstream_id == upstream_id
+        )
+
+    def __len__(self) -> int:
+        """Return how many streams are open."""
+        return len(self._runs)
--- /dev/null
+++ b/driftstall/gateway/sources.py
@@ -0,0 +1,214 @@
+"""Put in force what the platform's feeds bring: routes, policies, upstreams, instances."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from driftstall.const import PREFIX_CONFIGURATION, PREFIX_MEMBERSHIP, PREFIX_ROUTING
+from driftstall.core import Instance
+from driftstall.exceptions import DriftstallError, PolicyError
+from driftstall.gateway.feeds import ItemChange
+from driftstall.gateway.fleet import (
+    Changed,
+    FleetAction,
+    FleetEvent,
+    Listed,
+    Period,
+    PlatformBack,
+    PlatformLost,
+    UpstreamLeaving,
+)
+from driftstall.gateway.model import PolicyText, RoutingText, Upstream
+from driftstall.gateway.routes import RouteTable
+from driftstall.gateway.state import GatewayState
+from driftstall.helpers.log import say
+from driftstall.policy.parse import parse_policy
+
+
+class RoutingSource:
+    """Keep the newest routing document; it only moves forward."""
+
+    def __init__(self, state: GatewayState, announce: Callable[[], None]) -> None:
+        """Take the shared state, and how peers are told."""
+        self._state = state
+        self._announce = announce
+        self._text = ""
+
+    @property
+    def version(self) -> int:
+        """Return the version in force; zero if there is none."""
+        return self._state.table.version if self._state.table else 0
+
+    @property
+    def text(self) -> str:
+        """Return the document in force as it is passed on."""
+        return self._text
+
+    def listed(self, items: tuple[RoutingText, ...]) -> None:
+        """Take in the stored documents."""
+        for item in items:
+            self._take(item, "platform")
+
+    def changed(self, change: ItemChange[RoutingText]) -> None:
+        """Take in a changed document; one that is gone stays in force."""
+        if not change.gone:
+            self._take(change.item, "platform")
+
+    def offered(self, text: str) -> None:
+        """Take in a document from a peer."""
+        try:
+            document = self._state.dialect.read_routing(text)
+        except (DriftstallError, ValueError) as fault:
+            say(PREFIX_CONFIGURATION, f"A peer's routing document cannot be read: {fault}")
+            return
+        self._take(RoutingText(document, text), "peer")
+
+    def platform_lost(self, cause: str) -> None:
+        """Log that the platform does not answer."""
+        say(PREFIX_CONFIGURATION, f"The platform's configuration is out of reach: {cause}")
+
+    def platform_back(self) -> None:
+        """Log that the platform answers again."""
+        say(PREFIX_CONFIGURATION, "The platform's configuration is in reach", version=self.version)
+
+    def _take(self, item: RoutingText, source: str) -> None:
+        """Put a newer document in force."""
+        if item.document.version <= self.version:
+            return
+        before = self.version
+        self._state.table = RouteTable.from_document(item.document)
+        self._text = item.text
+        say(
+            PREFIX_CONFIGURATION,
+            f"Routing version {item.document.version} is in force",
+            before=before,
+            source=source,
+            routes=len(item.document.routes),
+            workspaces=len(item.document.workspaces),
+        )
+        self._announce()
+
+
+class PolicySource:
+    """Keep the newest submitted policy in force; without one the default stays."""
+
+    def __init__(self, state: GatewayState) -> None:
+        """Take the shared state."""
+        self._state = state
+        self._revision = 0
+
+    def listed(self, items: tuple[PolicyText, ...]) -> None:
+        """Take in the stored policies."""
+        for item in items:
+            self._take(item)
+
+    def changed(self, change: ItemChange[PolicyText]) -> None:
+        """Take in a changed policy."""
+        if not change.gone:
+            self._take(change.item)
+
+    def platform_lost(self, cause: str) -> None:
+        """Log that the platform does not answer."""
+        say(PREFIX_CONFIGURATION, f"The platform's policies are out of reach: {cause}")
+
+    def platform_back(self) -> None:
+        """Log that the platform answers again."""
+        say(PREFIX_CONFIGURATION, "The platform's policies are in reach", revision=self._revision)
+
+    def _take(self, item: PolicyText) -> None:
+        """Put a newer policy in force, if it is a right one."""
+        if item.revision <= self._revision:
+            return
+        self._revision = item.revision
+        try:
+            self._state.policy = parse_policy(item.text)
+        except PolicyError as fault:
+            say(PREFIX_CONFIGURATION, f"A stored policy is not used: {fault}")
+            return
+        say(
+            PREFIX_CONFIGURATION,
+            f"Policy {self._state.policy.name!r} is in force",
+            revision=item.revision,
+        )
+
+
+class UpstreamSource:
+    """Keep the fleet as the platform lists it, and tell who leaves."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        *,
+        leaving: Callable[[Upstream], None],
+        pass_on: Callable[[ItemChange[Upstream]], None],
+    ) -> None:
+        """Take the shared state, who moves streams, and how peers are told."""
+        self._state = state
+        self._leaving = leaving
+        self._pass_on = pass_on
+
+    def listed(self, items: tuple[Upstream, ...]) -> None:
+        """Take in the whole list."""
+        self._apply(Listed(items))
+        known = {one.upstream_id for one in self._state.fleet.upstreams}
+        self._state.outcomes.keep_only(known)
+
+    def changed(self, change: ItemChange[Upstream]) -> None:
+        """Take in one change from the platform."""
+        self._apply(Changed(change.item, change.gone))
+        self._pass_on(change)
+
+    def told(self, change: ItemChange[Upstream]) -> None:
+        """Take in one change from a peer."""
+        self._apply(Changed(change.item, change.gone))
+
+    def platform_lost(self, cause: str) -> None:
+        """Learn that the platform does not answer."""
+        say(PREFIX_ROUTING, f"The platform's list of upstreams is out of reach: {cause}")
+        self._apply(PlatformLost())
+
+    def platform_back(self) -> None:
+        """Learn that the platform answers again."""
+        say(PREFIX_ROUTING, "The platform's list of upstreams is in reach")
+        self._apply(PlatformBack())
+
+    def period(self) -> None:
+        """Let time pass."""
+        self._apply(Period())
+
+    def _apply(self, event: FleetEvent) -> None:
+        """Hand an event to the fleet and tell what follows."""
+        actions = self._state.fleet.handle(event, self._state.now())
+        for action in actions:
+            self._tell(action)
+        if actions:
+            self._state.fleet_changed.set()
+            self._state.fleet_changed.clear()
+
+    def _tell(self, action: FleetAction) -> None:
+        """Log one action, and have streams moved."""
+        upstream = action.upstream
+        if isinstance(action, UpstreamLeaving):
+            self._leaving(upstream)
+            return
+        say(
+            PREFIX_ROUTING,
+            f"Upstream {upstream.upstream_id} takes requests",
+            service=upstream.service,
+            address=upstream.address,
+            zone=upstream.zone,
+            revision=upstream.revision,
+        )
+
+
+class InstanceSource:
+    """Tell the member list which instances the platform knows."""
+
+    def __init__(self, found: Callable[[tuple[Instance, ...]], None]) -> None:
+        """Take who wants to know."""
+        self._found = found
+
+    def listed(self, items: tuple[Instance, ...]) -> None:
+        """Take in the whole list."""
+        say(PREFIX_MEMBERSHIP, f"The platform lists {len(items)} instances")
+        self._found(items)
--- /dev/null
+++ b/driftstall/gateway/state.py
@@ -0,0 +1,105 @@
+"""Hold what the parts of one gateway instance share."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import Final
+
+from gevent.event import Event
+
+from driftstall.decisions.lengths import LearnedLengths
+from driftstall.gateway.dialect import Dialect
+from driftstall.gateway.fleet import FleetController
+from driftstall.gateway.loads import LoadBook
+from driftstall.gateway.model import GatewaySettings, Service
+from driftstall.gateway.outcomes import Outcome, OutcomeBook
+from driftstall.gateway.routes import RouteTable
+from driftstall.gateway.runs import RunBook
+from driftstall.gateway.selection import Option
+from driftstall.gateway.shared_budget import InstanceCount, SharedRetryBudget
+from driftstall.gateway.stats import GatewayStats
+from driftstall.policy.model import Policy
+
+NO_LOAD: Final = 0.0
+
+
+class GatewayState:
+    """Share the books, the configuration in force and the clocks."""
+
+    def __init__(self, settings: GatewaySettings, dialect: Dialect, policy: Policy) -> None:
+        """Start with the settings and the default policy, and no configuration."""
+        self.settings = settings
+        self.dialect = dialect
+        self.policy = policy
+        self.table: RouteTable | None = None
+        self.fleet = FleetController()
+        self.loads = LoadBook()
+        self.outcomes = OutcomeBook()
+        self.lengths = LearnedLengths()
+        self.runs = RunBook()
+        self.stats = GatewayStats()
+        self.source = random.Random()
+        self.instances = InstanceCount()
+        self.fleet_changed = Event()
+        self.loads_changed = Event()
+        self.stopping_since: float | None = None
+        self.open_requests = 0
+        self._budgets: dict[str, SharedRetryBudget] = {}
+
+    @staticmethod
+    def now() -> float:
+        """Return the steady clock, in seconds."""
+        return time.monotonic()
+
+    @staticmethod
+    def wall() -> float:
+        """Return the time of day, in seconds."""
+        return time.time()
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether this instance takes requests."""
+        return self.table is not None and self.fleet.known and self.stopping_since is None
+
+    def budget(self, service: str) -> SharedRetryBudget:
+        """Return the retry budget of a service."""
+        found = self._budgets.get(service)
+        if found is None:
+            found = SharedRetryBudget(self.settings.bounds, self.instances)
+            self._budgets[service] = found
+        return found
+
+    def options(self, service: str, avoid: frozenset[str] = frozenset()) -> list[Option]:
+        """Return the upstreams of a service that may be chosen, with what runs there."""
+        now = self.now()
+        return [
+            Option(
+                upstream,
+                self.loads.use(upstream.upstream_id, now),
+                self.outcomes.penalty(upstream.upstream_id, service),
+                self.outcomes.rests(upstream.upstream_id, now),
+            )
+            for upstream in self.fleet.ready(service)
+            if upstream.upstream_id not in avoid
+        ]
+
+    def load_of(self, service_name: str) -> float:
+        """Return the share of a service's engine memory in use, from 0 to 1."""
+        service = self.table.service(service_name) if self.table else None
+        if service is None or service.engine is None:
+            return NO_LOAD
+        return self._memory_share(service)
+
+    def _memory_share(self, service: Service) -> float:
+        """Return the share of engine memory in use."""
+        assert service.engine is not None
+        options = self.options(service.name)
+        total = service.engine.memory_tokens * len(options)
+        if not total:
+            return NO_LOAD
+        return min(1.0, sum(one.use.tokens + one.use.copies for one in options) / total)
+
+    def saw(self, upstream_id: str, service: str, outcome: Outcome, seconds: float) -> None:
+        """Take in how a request to an upstream went."""
+        self.outcomes.saw(upstream_id, service, outcome, self.now(), seconds)
--- /dev/null
+++ b/driftstall/gateway/stats.py
@@ -0,0 +1,85 @@
+"""Count what a gateway instance does, for the metrics page."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, fields
+from typing import Final
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.formats import text
+
+LATENCY_BUCKETS_S: Final = [0.01, 0.03, 0.1, 0.3, 0.6, 1.0, 1.8, 3.0, 6.0, 15.0, float("inf")]
+GAP_BUCKETS_S: Final = [0.02, 0.05, 0.1, 0.18, 0.3, 0.6, 1.0, 2.0, float("inf")]
+
+
+@dataclass(slots=True)
+class GatewayStats:
+    """Count in plain numbers; metrics are made when asked for."""
+
+    requests: int = 0
+    completed: int = 0
+    refused: int = 0
+    failed: int = 0
+    callers_gone: int = 0
+    malformed: int = 0
+    repeats: int = 0
+    streams_moved: int = 0
+    streams_resumed: int = 0
+    streams_broken: int = 0
+    moves_failed: int = 0
+    platform_calls: int = 0
+    registry: Registry = field(default_factory=Registry)
+    answer_s: Histogram = field(init=False)
+    first_event_s: Histogram = field(init=False)
+    gap_s: Histogram = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Register the histograms, which are observed as requests come."""
+        self.answer_s = self._histogram("answer", "Seconds to the answer of a plain call.")
+        self.first_event_s = self._histogram("first_event", "Seconds to a stream's first event.")
+        self.gap_s = Histogram(
+            "driftstall_gateway_gap_seconds",
+            "Longest pause between the events of a stream, in seconds.",
+            registry=self.registry,
+            buckets=GAP_BUCKETS_S,
+        )
+
+    def _histogram(self, name: str, doc: str) -> Histogram:
+        """Register a histogram of seconds."""
+        return Histogram(
+            f"driftstall_gateway_{name}_seconds",
+            doc,
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
+
+
+COUNTED: Final = {
+    "requests": "Requests read from callers.",
+    "completed": "Requests answered with an upstream's answer.",
+    "refused": "Requests refused with a time to come back.",
+    "failed": "Requests that ended with a problem.",
+    "callers_gone": "Callers that left before the end.",
+    "malformed": "Requests that could not be read.",
+    "repeats": "Sends beyond a request's first.",
+    "streams_moved": "Streams moved from an upstream that was leaving.",
+    "streams_resumed": "Streams gone on with from a copy.",
+    "streams_broken": "Streams that broke for good.",
+    "moves_failed": "Copies between engines that failed.",
+    "platform_calls": "Calls to the platform's store.",
+}
+
+
+def render(stats: GatewayStats, gauges: dict[str, float]) -> bytes:
+    """Return all metrics in the Prometheus text format."""
+    registry = Registry()
+    for one in fields(stats):
+        if one.name in COUNTED:
+            name = f"driftstall_gateway_{one.name}_total"
+            counter = Counter(name, COUNTED[one.name], registry=registry)
+            counter.set({}, getattr(stats, one.name))
+    for name, value in gauges.items():
+        gauge = Gauge(f"driftstall_gateway_{name}", name.replace("_", " "), registry=registry)
+        gauge.set({}, value)
+    formatter = text.TextFormatter()
+    return bytes(formatter.marshall(registry) + formatter.marshall(stats.registry))
--- /dev/null
+++ b/driftstall/gateway/streams.py
@@ -0,0 +1,561 @@
+"""Serve event streams, and go on with them where an upstream leaves or breaks.
+
+A stream runs at most once. When its upstream is gone it goes on at a copy of its
+memory, from the last event that the caller got; without a copy it is visibly broken
+off. Events are passed on whole, in order and only once.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final
+
+from gevent.event import AsyncResult
+
+from driftstall.const import (
+    CODE_DEADLINE,
+    CODE_NO_RUNNER,
+    CODE_RUNNER_FAILED,
+    PREFIX_RELAY,
+    PREFIX_ROUTING,
+)
+from driftstall.core import PrefixMark, Problem, Ran, Request
+from driftstall.exceptions import UpstreamError
+from driftstall.gateway.admission import Admitted
+from driftstall.gateway.answers import CLOSE, KEEP, problem_answer, whole
+from driftstall.gateway.calls import CONNECT_TIMEOUT_S, FULL_RETRY_S, MAX_SENDS
+from driftstall.gateway.events import Event, EventOrder, EventSplitter, Order
+from driftstall.gateway.exchange import End, Head, Piece, UpstreamExchange
+from driftstall.gateway.ingress import (
+    LAST_CHUNK,
+    CallerConnection,
+    CallerRequest,
+    chunk,
+    head_bytes,
+)
+from driftstall.gateway.loads import Share
+from driftstall.gateway.model import AnswerMarks, Engine, SendMarks, Upstream
+from driftstall.gateway.outcomes import Outcome
+from driftstall.gateway.runs import Copy, StreamRun
+from driftstall.gateway.selection import Need, choose_backup, choose_stream
+from driftstall.gateway.state import GatewayState
+from driftstall.helpers.log import say
+
+WAIT_FOR_UPSTREAM_S: Final = 0.4
+"""How long a stream waits for an upstream that takes requests; a quarter of its target."""
+MOVE_WAIT_S: Final = 2.0
+"""How long a stopped run waits for the answer of its last move."""
+SILENCE_S: Final = 1.2
+"""A running stream that says nothing for so long goes on at its copy, if it has one."""
+MAX_RESUMES: Final = 8
+"""Upstreams that one stream may go on at; each leaves with a notice of its own."""
+OK: Final = 200
+
+
+@dataclass(frozen=True, slots=True)
+class _Opened:
+    """Hold an answer whose head was read."""
+
+    head: Head
+    marks: AnswerMarks
+
+
+class StreamRelay:
+    """Serve one stream."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        connection: CallerConnection,
+        call: CallerRequest,
+        admitted: Admitted,
+        *,
+        keep: bool,
+    ) -> None:
+        """Take the caller's connection and its request; keep tells whether it may go on."""
+        self._state = state
+        self._connection = connection
+        self._call = call
+        self._admitted = admitted
+        self._request = _request_of(admitted)
+        self._caller_gone = False
+        self._run: StreamRun | None = None
+        self._order = EventOrder()
+        self._head_sent = False
+        self._longest_gap_s = 0.0
+        self._keep = keep
+
+    def caller_left(self) -> None:
+        """Give the stream up: its upstream stops when the connection closes."""
+        self._caller_gone = True
+        run = self._run
+        if run is not None and run.exchange is not None:
+            run.exchange.close()
+
+    def serve(self) -> bool:
+        """Serve the stream; return whether the caller's connection can be kept."""
+        try:
+            opened = self._open()
+            if isinstance(opened, Problem):
+                return self._answer_problem(opened)
+            return self._relay(opened)
+        finally:
+            self._finish()
+
+    # Opening: choose an upstream until one takes the request.
+
+    def _open(self) -> _Opened | Problem:
+        """Send the request to an upstream that takes it, and read the answer's head."""
+        avoid: set[str] = set()
+        arrived = False
+        detail = "no upstream takes requests"
+        for _ in range(MAX_SENDS):
+            if self._left() <= 0 or self._caller_gone:
+                return Problem(CODE_DEADLINE, 504, "the time is over", Ran.NOT_RUN)
+            run = self._place(frozenset(avoid))
+            if run is None:
+                break
+            if arrived and not self._budget_allows(run.upstream):
+                break
+            result = self._try(run, first=not arrived)
+            if isinstance(result, _Opened):
+                if not result.marks.not_run:
+                    return result
+                detail = f"turned away with {result.head.status}"
+                self._saw(run, Outcome.FULL)
+                arrived = True
+            elif result.sent:
+                return self._after_break(run, str(result))
+            else:
+                detail = str(result)
+                self._saw(run, Outcome.UNREACHABLE)
+            self._drop(run)
+            avoid.add(run.upstream.upstream_id)
+        return Problem(CODE_NO_RUNNER, 503, detail, Ran.NOT_RUN, FULL_RETRY_S)
+
+    def _after_break(self, run: StreamRun, detail: str) -> _Opened | Problem:
+        """Go on at a copy after a break before the answer's head."""
+        resumed = self._resume(run, detail)
+        if resumed is not None:
+            return resumed
+        if self._left() <= 0:
+            return Problem(CODE_DEADLINE, 504, "the time is over", Ran.UNKNOWN)
+        detail = "the upstream broke off; the request may have run"
+        return Problem(CODE_RUNNER_FAILED, 502, detail, Ran.UNKNOWN)
+
+    def _place(self, avoid: frozenset[str]) -> StreamRun | None:
+        """Choose the upstream and where its copy is kept; wait a little for one."""
+        engine = self._engine
+        need = self._need()
+        until = self._state.now() + min(WAIT_FOR_UPSTREAM_S, self._admitted.route.target_s / 4)
+        while True:
+            options = self._state.options(self._admitted.service.name, avoid)
+            zone = self._state.settings.zone
+            chosen = choose_stream(options, engine, need, zone, self._state.source)
+            if chosen is not None:
+                break
+            left = until - self._state.now()
+            if left <= 0 or self._caller_gone:
+                return None
+            self._state.fleet_changed.wait(left)
+        run = StreamRun(self._call, self._admitted, self._request, chosen.upstream)
+        run.backup = self._choose_backup(chosen.upstream, need)
+        self._put_share(run, prefill=self._request.input_tokens)
+        self._say_placed(run)
+        return run
+
+    def _choose_backup(self, primary: Upstream, need: Need) -> Upstream | None:
+        """Choose where a copy of the run is kept."""
+        if not self._engine.can_backup or not self._wants_backup():
+            return None
+        options = self._state.options(self._admitted.service.name)
+        chosen = choose_backup(options, self._engine, need, primary, self._state.source)
+        return chosen.upstream if chosen else None
+
+    def _wants_backup(self) -> bool:
+        """Tell whether the output is long enough for a copy to pay."""
+        return self._expected_tokens() >= BACKUP_FROM_TOKENS
+
+    def _try(self, run: StreamRun, *, first: bool) -> _Opened | UpstreamError:
+        """Send the request to the run's upstream and read the answer's head."""
+        if first:
+            self._state.budget(run.upstream.service).request(self._state.now())
+        send = SendMarks(
+            upstream_id=run.upstream.upstream_id,
+            remaining_s=self._left(),
+            workspace=self._admitted.workspace,
+            rank=self._admitted.verdict.rank,
+            backup_address=run.backup.address if run.backup else "",
+            copy_of=run.copied.copy_of if run.copied else "",
+            last_event_id=self._last_event_id(run),
+        )
+        self._run = run
+        self._state.runs.add(run)
+        try:
+            timeout_s = min(CONNECT_TIMEOUT_S, max(0.001, self._left()))
+            run.exchange = UpstreamExchange.connect(run.upstream.address, timeout_s)
+            if self._caller_gone:
+                return UpstreamError("the caller has left", sent=False)
+            headers = self._state.dialect.write_send(self._admitted.marks.passed, send)
+            call = self._call
+            run.exchange.send(call.method, call.target, headers, call.body, self._left())
+            return self._read_head(run.exchange)
+        except UpstreamError as fault:
+            return fault
+        except TimeoutError:
+            return UpstreamError("no answer in time", sent=True)
+
+    def _last_event_id(self, run: StreamRun) -> str:
+        """Return the event that the upstream goes on after."""
+        if run.last_event_id:
+            return run.last_event_id
+        return self._admitted.marks.last_event_id if self._admitted.route.resumable else ""
+
+    def _read_head(self, exchange: UpstreamExchange) -> _Opened:
+        """Read the head of the answer that carries the request's id."""
+        while True:
+            item = exchange.next(max(0.0, self._left()))
+            if not isinstance(item, Head):
+                continue
+            marks = self._state.dialect.read_answer(item.headers)
+            if marks.request_id == self._admitted.marks.request_id:
+                return _Opened(item, marks)
+
+    # Relaying: pass events on until the end.
+
+    def _relay(self, opened: _Opened) -> bool:
+        """Pass the answer on; return whether the caller's connection can be kept."""
+        run = self._run
+        assert run is not None
+        if opened.head.status != OK:
+            return self._relay_failure(run, opened)
+        if not self._head_sent and not self._send_head(opened):
+            return False
+        while True:
+            broken = self._relay_events(run)
+            if broken is None:
+                return self._complete(run)
+            if self._caller_gone:
+                return False
+            resumed = self._resume(run, str(broken))
+            if resumed is None:
+                return self._break_off(run, str(broken))
+            assert self._run is not None
+            run = self._run
+
+    def _relay_failure(self, run: StreamRun, opened: _Opened) -> bool:
+        """Pass on an answer that is no stream."""
+        assert run.exchange is not None
+        parts: list[bytes] = []
+        try:
+            while True:
+                item = run.exchange.next(max(0.0, self._left()))
+                if isinstance(item, End):
+                    break
+                if isinstance(item, Piece):
+                    parts.append(item.data)
+        except (UpstreamError, TimeoutError) as fault:
+            say(PREFIX_RELAY, f"A failure's body broke off: {fault}", request=run.request_id)
+            problem = Problem(CODE_RUNNER_FAILED, 502, "the answer broke off", Ran.UNKNOWN)
+            return self._answer_problem(problem)
+        self._saw(run, Outcome.FAILED)
+        self._state.stats.failed += 1
+        body = b"".join(parts)
+        data = whole(opened.head.status, opened.marks.passed, body, keep=self._keep)
+        return self._connection.write(data) and self._keep
+
+    def _send_head(self, opened: _Opened) -> bool:
+        """Send the answer's head to the caller."""
+        extra = (b"Transfer-Encoding: chunked", KEEP if self._keep else CLOSE)
+        self._head_sent = True
+        return self._connection.write(head_bytes(opened.head.status, opened.marks.passed, extra))
+
+    def _relay_events(self, run: StreamRun) -> Exception | None:
+        """Pass events on; return None at the end, or what broke the stream."""
+        assert run.exchange is not None
+        splitter = EventSplitter()
+        while True:
+            try:
+                item = run.exchange.next(self._patience(run))
+            except (UpstreamError, TimeoutError) as fault:
+                return fault
+            if isinstance(item, Piece):
+                fault_or_none = self._pass_on(run, splitter.feed(item.data))
+                if fault_or_none is not None:
+                    return fault_or_none
+            elif isinstance(item, End):
+                if splitter.inside_event:
+                    return UpstreamError("the stream ended inside an event", sent=True)
+                return None
+
+    def _patience(self, run: StreamRun) -> float:
+        """Return how long to wait for the next event, in seconds."""
+        left = max(0.0, self._left())
+        if run.backup is not None and run.events:
+            return min(left, SILENCE_S)
+        return left
+
+    def _pass_on(self, run: StreamRun, events: list[Event]) -> Exception | None:
+        """Write events to the caller; return what is wrong with them, if anything."""
+        wanted: list[bytes] = []
+        for event in events:
+            order = self._order.check(event)
+            if order is Order.GAP:
+                return UpstreamError("an event is missing", sent=True)
+            if order is Order.NEXT:
+                wanted.append(event.data)
+                run.last_event_id = event.event_id or run.last_event_id
+        if not wanted:
+            return None
+        self._count(run, len(wanted))
+        if not self._connection.write(chunk(b"".join(wanted))):
+            self._caller_gone = True
+            return UpstreamError("the caller has left", sent=True)
+        return None
+
+    def _count(self, run: StreamRun, events: int) -> None:
+        """Take in that events have arrived."""
+        now = self._state.now()
+        if not run.events and run.moves == 0:
+            self._state.loads.prefilled(run.request_id)
+            self._state.loads_changed.set()
+            self._state.stats.first_event_s.observe({}, now - self._admitted.started_at)
+        elif run.last_event_at:
+            self._longest_gap_s = max(self._longest_gap_s, now - run.last_event_at)
+        run.last_event_at = now
+        before = run.tokens
+        run.events += events
+        run.tokens += events * self._engine.event_tokens
+        self._state.lengths.progressed(self._request, before, run.tokens)
+
+    # Going on elsewhere.
+
+    def _resume(self, run: StreamRun, cause: str) -> _Opened | None:
+        """Go on at a copy; return the opened answer, or None where there is no copy."""
+        while run.moves < MAX_RESUMES and self._left() > 0 and not self._caller_gone:
+            if run.exchange is not None:
+                run.exchange.close()
+            copy = self._find_copy(run)
+            if copy is None or not self._budget_allows(copy.upstream):
+                return None
+            next_run = self._next_run(run, copy)
+            result = self._try(next_run, first=False)
+            self._say_resumed(run, next_run, result, cause)
+            if isinstance(result, _Opened) and result.head.status == OK:
+                self._state.stats.streams_resumed += 1
+                return result
+            run = next_run
+            if isinstance(result, _Opened) or not result.sent:
+                run.backup = None
+        return None
+
+    def _find_copy(self, run: StreamRun) -> Copy | None:
+        """Return the copy to go on from: of a move if there is one, else the backup."""
+        if run.moving is not None:
+            moved = self._wait_for_move(run.moving)
+            run.moving = None
+            if moved is not None:
+                return moved
+        backup = run.backup
+        if backup is None:
+            return None
+        return Copy(backup, self._state.dialect.backup_copy(backup, run.request_id))
+
+    def _wait_for_move(self, moving: AsyncResult) -> Copy | None:
+        """Wait for the answer of the last move."""
+        try:
+            moved: Copy | None = moving.get(timeout=min(MOVE_WAIT_S, max(0.0, self._left())))
+            return moved
+        except TimeoutError:
+            return None
+
+    def _next_run(self, run: StreamRun, copy: Copy) -> StreamRun:
+        """Return the run as it goes on at another upstream."""
+        self._state.runs.drop(run)
+        run.ended = True
+        next_run = StreamRun(self._call, self._admitted, self._request, copy.upstream)
+        next_run.copied = copy
+        next_run.last_event_id = run.last_event_id
+        next_run.events = run.events
+        next_run.tokens = run.tokens
+        next_run.moves = run.moves + 1
+        next_run.last_event_at = run.last_event_at
+        need = Need(run.held_tokens, max(0, self._expected_tokens() - run.tokens))
+        next_run.backup = self._choose_backup(copy.upstream, need)
+        self._put_share(next_run, prefill=0)
+        return next_run
+
+    # Ends.
+
+    def _complete(self, run: StreamRun) -> bool:
+        """End a whole stream."""
+        self._saw(run, Outcome.GOOD)
+        self._state.lengths.finished(self._request, run.tokens)
+        self._state.stats.completed += 1
+        self._state.stats.gap_s.observe({}, self._longest_gap_s)
+        return self._connection.write(LAST_CHUNK) and self._keep
+
+    def _break_off(self, run: StreamRun, cause: str) -> bool:
+        """End a stream that cannot go on; without its last chunk it is visibly broken."""
+        self._saw(run, Outcome.BROKEN)
+        self._state.stats.streams_broken += 1
+        say(
+            PREFIX_RELAY,
+            f"A stream broke off for good: {cause}",
+            request=run.request_id,
+            upstream=run.upstream.upstream_id,
+            events=run.events,
+            moves=run.moves,
+            revision=run.upstream.revision,
+        )
+        return False
+
+    def _answer_problem(self, problem: Problem) -> bool:
+        """Answer with a problem; return whether the connection can be kept."""
+        if self._head_sent or self._caller_gone:
+            return False
+        if problem.ran is Ran.NOT_RUN and problem.retry_after_s is not None:
+            self._state.stats.refused += 1
+        else:
+            self._state.stats.failed += 1
+        say(
+            PREFIX_RELAY,
+            f"A stream is answered {problem.status}: {problem.detail}",
+            request=self._admitted.marks.request_id,
+            route=self._admitted.route.name,
+            ran=problem.ran.value,
+        )
+        return self._connection.write(problem_answer(problem, keep=self._keep)) and self._keep
+
+    def _finish(self) -> None:
+        """Let go of all that the stream held."""
+        run = self._run
+        if run is None:
+            return
+        run.ended = True
+        if run.exchange is not None:
+            run.exchange.close()
+        self._drop(run)
+
+    def _drop(self, run: StreamRun) -> None:
+        """Take a run off the books."""
+        if run.exchange is not None:
+            run.exchange.close()
+        self._state.runs.drop(run)
+        self._state.loads.drop(run.request_id)
+        self._state.loads_changed.set()
+
+    # Small helpers.
+
+    @property
+    def _engine(self) -> Engine:
+        """Return the engine of the service; a service without one still streams."""
+        return self._admitted.service.engine or NO_ENGINE
+
+    def _left(self) -> float:
+        """Return the seconds that are left."""
+        return self._admitted.ends_at - self._state.now()
+
+    def _need(self) -> Need:
+        """Forecast what the run will take."""
+        return Need(self._request.input_tokens, self._expected_tokens())
+
+    def _expected_tokens(self) -> int:
+        """Forecast the output, in tokens."""
+        hint = self._admitted.marks.length_hint
+        if hint:
+            return hint
+        return int(self._state.lengths.expected(self._request))
+
+    def _put_share(self, run: StreamRun, *, prefill: int) -> None:
+        """Tell the books what the run takes."""
+        tokens = max(run.held_tokens, self._request.input_tokens + self._expected_tokens())
+        backup_id = run.backup.upstream_id if run.backup else ""
+        share = Share(run.upstream.upstream_id, tokens, prefill, backup_id)
+        self._state.loads.put(run.request_id, share)
+        self._state.loads_changed.set()
+
+    def _budget_allows(self, upstream: Upstream) -> bool:
+        """Take one repeat from the common budget."""
+        allowed = self._state.budget(upstream.service).take(self._state.now())
+        self._state.stats.repeats += allowed
+        return allowed
+
+    def _saw(self, run: StreamRun, outcome: Outcome) -> None:
+        """Take in how the upstream did; the time of a stream says nothing of it."""
+        self._state.saw(run.upstream.upstream_id, run.upstream.service, outcome, 0.0)
+
+    def _say_placed(self, run: StreamRun) -> None:
+        """Log where a stream was placed."""
+        use = self._state.loads.use(run.upstream.upstream_id, self._state.now())
+        say(
+            PREFIX_ROUTING,
+            f"A stream is placed on {run.upstream.upstream_id}",
+            request=run.request_id,
+            route=self._admitted.route.name,
+            rule=self._admitted.verdict.rule,
+            rank=self._admitted.verdict.rank,
+            backup=run.backup.upstream_id if run.backup else "",
+            running=use.running,
+            tokens=use.tokens,
+            copies=use.copies,
+            prefill=use.prefill,
+            revision=run.upstream.revision,
+        )
+
+    def _say_resumed(
+        self, run: StreamRun, next_run: StreamRun, result: _Opened | UpstreamError, cause: str
+    ) -> None:
+        """Log how a stream went on."""
+        outcome = str(result) if isinstance(result, UpstreamError) else str(result.head.status)
+        say(
+            PREFIX_RELAY,
+            f"A stream goes on at {next_run.upstream.upstream_id}: {outcome}",
+            request=run.request_id,
+            cause=cause,
+            left=run.upstream.upstream_id,
+            copy_of=next_run.copied.copy_of if next_run.copied else "",
+            last_event=run.last_event_id,
+            pause_ms=int((self._state.now() - run.last_event_at) * 1000),
+        )
+
+
+BACKUP_FROM_TOKENS: Final = 120
+"""Outputs expected to be shorter end before a copy is of use: about a second of tokens."""
+NO_ENGINE: Final = Engine(
+    slots=1,
+    memory_tokens=1_000_000,
+    token_bytes=0,
+    link_bytes_per_s=0.0,
+    can_move=False,
+    can_backup=False,
+    event_tokens=1,
+)
+
+
+def _request_of(admitted: Admitted) -> Request:
+    """Return the request as the forecasts see it."""
+    marks = admitted.marks
+    prefix = tuple(
+        PrefixMark(int(part.digest, 16) if _is_hex(part.digest) else 0, part.tokens)
+        for part in marks.prompt
+    )
+    return Request(
+        request_id=marks.request_id,
+        workspace=admitted.workspace,
+        kind=admitted.route.name,
+        model=marks.model,
+        input_tokens=marks.input_tokens,
+        max_tokens=max(1, marks.max_tokens),
+        prefix=prefix,
+        asked_at=admitted.started_at,
+        deadline=admitted.ends_at,
+    )
+
+
+def _is_hex(text: str) -> bool:
+    """Tell whether a text is a hexadecimal number."""
+    try:
+        return int(text, 16) >= 0
+    except ValueError:
+        return False
--- a/driftstall/peers/link.py
+++ b/driftstall/peers/link.py
@@ -30,6 +30,9 @@
 REDIAL_S: Final = 0.2
 MAX_CONNECTIONS: Final = 2_000
 
+ANYONE: Final = ""
+"""Stands for whoever listens at an address; used to find the first peers."""
+
 Receiver = Callable[[str, PeerMessage], None]
 
 
@@ -137,7 +140,7 @@
     def _receive(self, frame: bytes) -> None:
         """Check one frame and hand its message over."""
         envelope = decode(frame, self._key)
-        if envelope.recipient != self._own_id:
+        if envelope.recipient not in (self._own_id, ANYONE):
             # An address was taken over by another instance; its word is not for us.
             self.rejected += 1
             return
--- a/driftstall/peers/messages.py
+++ b/driftstall/peers/messages.py
@@ -17,6 +17,7 @@
     YieldAsked,
 )
 from driftstall.controllers.membership import Ack, Ping, PingRequest
+from driftstall.gateway.loads import Use
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +43,50 @@
     leaving: bool
 
 
+@dataclass(frozen=True, slots=True)
+class GatewayReport:
+    """Tell peers what a gateway instance sends where, and what it holds for true."""
+
+    sender: str
+    ready: bool
+    platform_ok: bool
+    """Whether the platform answers this instance."""
+    routing_version: int
+    uses: tuple[Use, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingAsked:
+    """Ask a peer for its routing document, if it is newer than a version."""
+
+    sender: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingOffered:
+    """Pass a routing document on, as the platform holds it."""
+
+    sender: str
+    version: int
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamNews:
+    """Pass a change of an upstream on to a peer that the platform does not answer."""
+
+    sender: str
+    upstream_id: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    leaving: bool
+    revision: int
+    gone: bool
+
+
 PeerMessage = (
     Ask
     | Announce
@@ -60,6 +105,10 @@
     | ConfigOffer
     | ConfigAsked
     | RunnerLeaving
+    | GatewayReport
+    | RoutingAsked
+    | RoutingOffered
+    | UpstreamNews
 )
 
 
--- a/driftstall/peers/schema.capnp
+++ b/driftstall/peers/schema.capnp
@@ -67,6 +67,20 @@
 struct ConfigAsked { sender @0 :Text; generation @1 :UInt64; }
 struct RunnerLeaving { runnerId @0 :Text; leaving @1 :Bool; }
 
+struct Use {
+  upstreamId @0 :Text; running @1 :Int32; tokens @2 :Int32; copies @3 :Int32; prefill @4 :Int32;
+}
+struct GatewayReport {
+  sender @0 :Text; ready @1 :Bool; platformOk @2 :Bool; routingVersion @3 :UInt64;
+  uses @4 :List(Use);
+}
+struct RoutingAsked { sender @0 :Text; version @1 :UInt64; }
+struct RoutingOffered { sender @0 :Text; version @1 :UInt64; text @2 :Text; }
+struct UpstreamNews {
+  sender @0 :Text; upstreamId @1 :Text; service @2 :Text; address @3 :Text; zone @4 :Text;
+  slots @5 :UInt32; leaving @6 :Bool; revision @7 :UInt64; gone @8 :Bool;
+}
+
 struct Envelope {
   sender @0 :Text;
   recipient @1 :Text;
@@ -89,5 +103,9 @@
     configOffer @17 :ConfigOffer;
     configAsked @18 :ConfigAsked;
     runnerLeaving @19 :RunnerLeaving;
+    gatewayReport @20 :GatewayReport;
+    routingAsked @21 :RoutingAsked;
+    routingOffered @22 :RoutingOffered;
+    upstreamNews @23 :UpstreamNews;
   }
 }
--- /dev/null
+++ b/driftstall/platform/__main__.py
@@ -0,0 +1,65 @@
+"""Run a gateway instance on the platform.
+
+Usage:
+  python3 -m driftstall.platform
+"""
+
+from __future__ import annotations
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import os  # noqa: E402
+import sys  # noqa: E402
+from pathlib import Path  # noqa: E402
+from typing import Final  # noqa: E402
+
+from driftstall.exceptions import SettingsError  # noqa: E402
+from driftstall.gateway.model import GatewaySettings  # noqa: E402
+from driftstall.gateway.node import GatewayNode, PlatformAccess  # noqa: E402
+from driftstall.helpers.log import start_log  # noqa: E402
+from driftstall.platform import feeds  # noqa: E402
+from driftstall.platform.dialect import PlatformDialect  # noqa: E402
+from driftstall.platform.settings import read_settings, settings_path  # noqa: E402
+from driftstall.platform.store import Store  # noqa: E402
+from driftstall.policy.parse import parse_policy  # noqa: E402
+
+EXIT_SETTINGS: Final = 2
+DEFAULT_POLICY: Final = Path("deploy/default.policy")
+
+
+def main() -> int:
+    """Read the settings and run; wrong settings are named together."""
+    try:
+        path = settings_path(os.environ)
+        settings = read_settings(path)
+    except SettingsError as error:
+        for fault in error.faults:
+            print(f"driftstall: {fault}", file=sys.stderr)
+        return EXIT_SETTINGS
+    start_log()
+    policy = parse_policy(DEFAULT_POLICY.read_text())
+    GatewayNode(settings, path, platform_access(settings), policy).run()
+    return 0
+
+
+def platform_access(settings: GatewaySettings) -> PlatformAccess:
+    """Return the adapter's parts for one instance."""
+    store = Store(settings.platform_address)
+    return PlatformAccess(
+        dialect=PlatformDialect(),
+        upstreams=feeds.upstream_feed(store),
+        routing=feeds.routing_feed(store),
+        policies=feeds.policy_feed(store),
+        instances=feeds.instance_feed(store),
+        register=lambda instance: feeds.register_instance(store, instance),
+        withdraw=lambda instance_id: feeds.withdraw_instance(store, instance_id),
+        use_address=store.use_address,
+        calls=lambda: store.calls,
+        read_settings=read_settings,
+    )
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/driftstall/platform/dialect.py
@@ -0,0 +1,63 @@
+"""Put the adapter's translations together for the gateway."""
+
+from __future__ import annotations
+
+from urllib.parse import parse_qs, urlsplit
+
+import orjson
+
+from driftstall.gateway.dialect import MoveResult
+from driftstall.gateway.model import (
+    AnswerMarks,
+    CallerMarks,
+    Headers,
+    RoutingDocument,
+    SendMarks,
+    Upstream,
+)
+from driftstall.platform import documents, engine_calls, headers, names
+
+
+class PlatformDialect:
+    """Translate between the platform's formats and the gateway's own types."""
+
+    def read_caller(self, found: Headers) -> CallerMarks:
+        """Decode a caller's headers, or raise BadHeaders."""
+        return headers.read_caller(found)
+
+    def write_send(self, passed: Headers, send: SendMarks) -> Headers:
+        """Return the headers of a request to an upstream."""
+        return headers.write_send(passed, send)
+
+    def read_answer(self, found: Headers) -> AnswerMarks:
+        """Decode the headers of an upstream's answer."""
+        return headers.read_answer(found)
+
+    def read_routing(self, text: str) -> RoutingDocument:
+        """Decode a routing document as it is passed between instances."""
+        return documents.read_routing(orjson.loads(text))
+
+    def backup_copy(self, backup: Upstream, request_id: str) -> str:
+        """Name the copy that a backup engine keeps of a run."""
+        return engine_calls.backup_copy(backup, request_id)
+
+    def move(
+        self, source: Upstream, request_id: str, target: Upstream, *, last: bool
+    ) -> MoveResult:
+        """Copy a run's memory to another engine; with last, the run stops first."""
+        return engine_calls.move(source, request_id, target, last=last)
+
+    def is_ready_path(self, target: str) -> bool:
+        """Tell whether a request asks whether this instance is ready."""
+        return urlsplit(target).path == names.PATH_READY
+
+    def located_zone(self, target: str) -> str | None:
+        """Return the zone of a caller that asks where to go; None for other requests."""
+        parts = urlsplit(target)
+        if parts.path != names.PATH_LOCATE:
+            return None
+        return parse_qs(parts.query).get("zone", [""])[0]
+
+    def located_answer(self, addresses: tuple[str, ...], keep_s: float) -> bytes:
+        """Return the body that tells a caller where to go."""
+        return orjson.dumps({"addresses": addresses, "ttlS": keep_s})
--- /dev/null
+++ b/driftstall/platform/engine_calls.py
@@ -0,0 +1,53 @@
+"""Call a model engine to copy a run's memory to another one."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import Any, Final
+
+import orjson
+
+from driftstall.exceptions import UpstreamError
+from driftstall.gateway.dialect import MoveDone, MoveFailed, MoveResult
+from driftstall.gateway.model import Upstream
+from driftstall.platform import names
+from driftstall.util.http import Exchange
+
+MOVE_TIMEOUT_S: Final = 4.0
+"""Copies queue behind each other on a link; an engine seldom lives longer after its notice."""
+
+
+def move(source: Upstream, request_id: str, target: Upstream, *, last: bool) -> MoveResult:
+    """Copy a run's memory from one engine to another; wait until the copy is whole."""
+    wanted: dict[str, Any] = {"id": request_id, "targetVersion": target.address}
+    if last:
+        wanted["last"] = True
+    headers = {"Content-Type": "application/json"}
+    try:
+        body = orjson.dumps(wanted)
+        exchange = Exchange.open(
+            source.address, "POST", names.PATH_MOVE, headers, body, MOVE_TIMEOUT_S
+        )
+        raw = exchange.read()
+        answer = orjson.loads(raw) if raw else {}
+    except (UpstreamError, orjson.JSONDecodeError) as fault:
+        return MoveFailed(no_such_run=False, copy_of="", detail=str(fault))
+    copy_of = _copy_name(source, answer)
+    if exchange.status == HTTPStatus.OK and copy_of:
+        return MoveDone(copy_of)
+    return MoveFailed(
+        no_such_run=exchange.status == HTTPStatus.NOT_FOUND,
+        copy_of=copy_of if last else "",
+        detail=f"the engine answered {exchange.status}",
+    )
+
+
+def backup_copy(backup: Upstream, request_id: str) -> str:
+    """Name the copy that a backup engine keeps of a run."""
+    return f"{backup.address}/{request_id}"
+
+
+def _copy_name(source: Upstream, answer: Any) -> str:
+    """Name a copy by the source's address and the handle that the source gave."""
+    handle = answer.get("handle") if isinstance(answer, dict) else None
+    return f"{source.address}/{handle}" if handle else ""
--- /dev/null
+++ b/driftstall/platform/feeds.py
@@ -0,0 +1,114 @@
+"""Read the platform's kinds of objects as the gateway's own items."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Generic, TypeVar
+
+import orjson
+
+from driftstall.const import PREFIX_CONFIGURATION
+from driftstall.core import Instance
+from driftstall.gateway.feeds import Changes, ItemChange, Snapshot
+from driftstall.gateway.model import PolicyText, RoutingText, Upstream
+from driftstall.helpers.log import say
+from driftstall.platform import documents, names
+from driftstall.platform.documents import DocumentFault
+from driftstall.platform.store import Store, StoredObject
+
+Item = TypeVar("Item")
+
+
+class KindFeed(Generic[Item]):
+    """Read one kind; objects that cannot be decoded are logged and left out."""
+
+    def __init__(self, store: Store, kind: str, decode: Callable[[StoredObject], Item]) -> None:
+        """Take the store, the kind and how its objects are decoded."""
+        self._store = store
+        self._kind = kind
+        self._decode = decode
+
+    def list(self) -> Snapshot[Item]:
+        """Return all items of the kind."""
+        listing = self._store.list(self._kind)
+        items = [self._item(one) for one in listing.objects]
+        return Snapshot(tuple(item for item in items if item is not None), listing.at)
+
+    def watch(self, at: int, wait_s: float) -> Changes[Item]:
+        """Wait for changes after a revision."""
+        answer = self._store.watch(self._kind, at, wait_s)
+        changes = []
+        for event in answer.events:
+            item = self._item(event.changed)
+            if item is not None:
+                changes.append(ItemChange(item, event.gone))
+        return Changes(tuple(changes), answer.at)
+
+    def _item(self, stored: StoredObject) -> Item | None:
+        """Decode one object."""
+        try:
+            return self._decode(stored)
+        except DocumentFault as fault:
+            say(PREFIX_CONFIGURATION, f"An object is left out: {fault}", kind=self._kind)
+            return None
+
+
+def upstream_feed(store: Store) -> KindFeed[Upstream]:
+    """Return the feed of upstreams."""
+    return KindFeed(
+        store,
+        names.KIND_UPSTREAMS,
+        lambda one: documents.read_upstream(one.name, one.revision, one.spec),
+    )
+
+
+def routing_feed(store: Store) -> KindFeed[RoutingText]:
+    """Return the feed of routing configurations."""
+    return KindFeed(store, names.KIND_CONFIG, _routing_text)
+
+
+def policy_feed(store: Store) -> KindFeed[PolicyText]:
+    """Return the feed of submitted policies."""
+    return KindFeed(store, names.KIND_POLICY, _policy_text)
+
+
+def instance_feed(store: Store) -> KindFeed[Instance]:
+    """Return the feed of this system's own instances."""
+    return KindFeed(store, names.KIND_INSTANCES, _instance)
+
+
+def register_instance(store: Store, instance: Instance) -> None:
+    """Write this instance's own entry, or raise PlatformUnavailable."""
+    spec = {
+        "address": instance.address,
+        "peer_address": instance.peer_address,
+        "zone": instance.zone,
+    }
+    store.put(names.KIND_INSTANCES, instance.instance_id, spec)
+
+
+def withdraw_instance(store: Store, instance_id: str) -> None:
+    """Remove an instance's entry, or raise PlatformUnavailable."""
+    store.delete(names.KIND_INSTANCES, instance_id)
+
+
+def _routing_text(stored: StoredObject) -> RoutingText:
+    """Decode a routing configuration; the text is kept to pass it on."""
+    document = documents.read_routing(stored.spec)
+    return RoutingText(document, orjson.dumps(stored.spec).decode())
+
+
+def _policy_text(stored: StoredObject) -> PolicyText:
+    """Decode a submitted policy."""
+    if not isinstance(stored.spec, dict) or not isinstance(stored.spec.get("text"), str):
+        raise DocumentFault(f"the policy {stored.name} has no text")
+    return PolicyText(stored.revision, stored.spec["text"])
+
+
+def _instance(stored: StoredObject) -> Instance:
+    """Decode an instance's entry."""
+    try:
+        spec = stored.spec
+        return Instance(stored.name, spec["address"], spec["peer_address"], spec["zone"])
+    except (KeyError, TypeError) as fault:
+        raise DocumentFault(f"the entry of instance {stored.name} cannot be read") from fault
--- /dev/null
+++ b/driftstall/platform/names.py
@@ -0,0 +1,75 @@
+"""List the platform's header names and paths, each in one place."""
+
+from __future__ import annotations
+
+from typing import Final
+
+HEADER_REQUEST_ID: Final = b"x-driftstall-request-id"
+HEADER_DEADLINE_MS: Final = b"x-driftstall-deadline-ms"
+HEADER_PROMPT: Final = b"x-driftstall-prompt-prefix"
+HEADER_MODEL: Final = b"x-driftstall-model"
+HEADER_TOKENS: Final = b"x-driftstall-token-count"
+HEADER_WORKSPACE: Final = b"x-driftstall-tenant"
+HEADER_UPSTREAM_ID: Final = b"x-driftstall-expect-instance"
+HEADER_LOAD: Final = b"x-driftstall-server-load"
+HEADER_NOT_RUN: Final = b"x-driftstall-not-executed"
+HEADER_LAST_EVENT_ID: Final = b"last-event-id"
+HEADER_KEY: Final = b"authorization"
+HEADER_RANK: Final = b"priority"
+HEADER_BACKUP: Final = b"kv-backup"
+HEADER_COPY: Final = b"kv-from"
+HEADER_LENGTH_HINT: Final = b"length-hint"
+
+CONNECTION_HEADERS: Final = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+        b"proxy-authorization",
+        b"proxy-authenticate",
+    }
+)
+"""Headers that concern one connection only; lengths are written anew."""
+
+OWN_HEADERS: Final = frozenset(
+    {
+        HEADER_DEADLINE_MS,
+        HEADER_WORKSPACE,
+        HEADER_UPSTREAM_ID,
+        HEADER_LAST_EVENT_ID,
+        HEADER_KEY,
+        HEADER_RANK,
+        HEADER_BACKUP,
+        HEADER_COPY,
+        b"kv-fetch",
+        b"expect-version",
+        b"hold",
+        b"pin-ms",
+        b"wait-ms",
+        HEADER_NOT_RUN,
+        HEADER_LOAD,
+        b"x-driftstall-response-seal",
+        b"x-driftstall-instance-id",
+    }
+)
+"""Headers that only the system may set; what a caller sends in them is dropped."""
+
+PATH_READY: Final = "/api/ready"
+PATH_LOCATE: Final = "/api/resolve"
+PATH_OBJECTS: Final = "/api/objects"
+PATH_MOVE: Final = "/api/kv-move"
+PATH_REPORT: Final = "/api/report"
+PATH_COPY: Final = "/api/kv-handle"
+
+KIND_UPSTREAMS: Final = "servers"
+KIND_CONFIG: Final = "config"
+NAME_CONFIG: Final = "main"
+KIND_INSTANCES: Final = "driftstall-instances"
+KIND_POLICY: Final = "driftstall-policies"
+NAME_POLICY: Final = "current"
--- /dev/null
+++ b/driftstall/platform/settings.py
@@ -0,0 +1,114 @@
+"""Read the settings file that the platform writes for a process."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, Final
+
+import orjson
+import voluptuous as vol
+
+from driftstall.exceptions import SettingsError
+from driftstall.gateway.model import Bounds, GatewaySettings
+from driftstall.util.addresses import split_address
+
+VARIABLE: Final = "DRIFTSTALL_CONFIG"
+PEER_KEY_VARIABLE: Final = "DRIFTSTALL_PEER_KEY"
+DEFAULT_PEER_KEY: Final = "the peers' ports are closed to others"
+"""Used where the deploy file sets no key: it then only tells versions of the program apart."""
+
+
+def _address(value: Any) -> str:
+    """Check an address of IP and port."""
+    try:
+        split_address(str(value))
+    except ValueError as fault:
+        raise vol.Invalid("must be IP:port, such as 127.0.0.1:8000") from fault
+    return str(value)
+
+
+_FRACTION: Final = vol.All(vol.Coerce(float), vol.Range(min=0))
+
+_SCHEMA: Final = vol.Schema(
+    {
+        vol.Required("nodeName"): vol.All(str, vol.Length(min=1)),
+        vol.Required("zone"): str,
+        vol.Required("listen"): vol.Schema(
+            {
+                vol.Required("front"): _address,
+                vol.Required("ready"): _address,
+                vol.Required("directory"): _address,
+                vol.Required("control"): _address,
+            },
+            extra=vol.ALLOW_EXTRA,
+        ),
+        vol.Required("platform"): vol.Schema(
+            {vol.Required("address"): _address}, extra=vol.ALLOW_EXTRA
+        ),
+        vol.Optional("seeds"): vol.Any(None, [_address]),
+        vol.Optional("bounds"): vol.Schema(
+            {
+                vol.Optional("retryBudgetRatio"): _FRACTION,
+                vol.Optional("retryBudgetExtra"): _FRACTION,
+                vol.Optional("budgetExtra"): _FRACTION,
+                vol.Optional("budgetWindowS"): _FRACTION,
+                vol.Optional("graceS"): _FRACTION,
+                vol.Optional("ttl_max_s"): _FRACTION,
+                vol.Optional("drainMs"): _FRACTION,
+            },
+            extra=vol.ALLOW_EXTRA,
+        ),
+    },
+    extra=vol.ALLOW_EXTRA,
+)
+
+
+def settings_path(environ: Mapping[str, str]) -> Path:
+    """Return the path of the settings file; raise SettingsError if none is named."""
+    path = environ.get(VARIABLE, "")
+    if not path:
+        raise SettingsError((f"{VARIABLE}: name the settings file in this variable",))
+    return Path(path)
+
+
+def read_settings(path: Path) -> GatewaySettings:
+    """Read and check the settings file; raise SettingsError naming every fault."""
+    try:
+        raw = _SCHEMA(orjson.loads(path.read_bytes()))
+    except OSError as fault:
+        raise SettingsError((f"{path}: {fault.strerror}",)) from fault
+    except orjson.JSONDecodeError as fault:
+        raise SettingsError((f"{path}: not JSON: {fault}",)) from fault
+    except vol.MultipleInvalid as invalid:
+        faults = sorted(
+            f"{'.'.join(map(str, one.path)) or path}: {one.msg}" for one in invalid.errors
+        )
+        raise SettingsError(tuple(faults)) from invalid
+    listen = raw["listen"]
+    return GatewaySettings(
+        instance_id=raw["nodeName"],
+        zone=raw["zone"],
+        caller_listen=listen["front"],
+        ready_listen=listen["ready"],
+        locate_listen=listen["directory"],
+        peer_listen=listen["control"],
+        platform_address=raw["platform"]["address"],
+        seeds=tuple(raw.get("seeds") or ()),
+        bounds=_bounds(raw.get("bounds") or {}),
+        peer_key=os.environ.get(PEER_KEY_VARIABLE, DEFAULT_PEER_KEY),
+    )
+
+
+def _bounds(raw: dict[str, Any]) -> Bounds:
+    """Decode the site's bounds; what is missing keeps its default."""
+    usual = Bounds()
+    return Bounds(
+        retry_ratio=raw.get("retryBudgetRatio", usual.retry_ratio),
+        retry_extra=raw.get("budgetExtra", usual.retry_extra),
+        retry_window_s=raw.get("budgetWindowS", usual.retry_window_s),
+        grace_s=raw.get("graceS", usual.grace_s),
+        locate_keep_s=raw.get("ttl_max_s", usual.locate_keep_s),
+        drain_s=raw.get("drainMs", usual.drain_s * 1000) / 1000,
+    )
--- /dev/null
+++ b/driftstall/platform/store.py
@@ -0,0 +1,176 @@
+"""Call the platform's object store: lists, conditional writes and watches.
+
+Every call has a connection of its own: after a lost answer a connection says
+nothing more, and a watch may be cut at any time.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any, Final
+from urllib.parse import quote, urlencode
+
+import orjson
+
+from driftstall.exceptions import HistoryGone, PlatformUnavailable, UpstreamError
+from driftstall.platform import names
+from driftstall.util.http import Exchange
+
+CALL_TIMEOUT_S: Final = 1.5
+"""A call takes milliseconds; beyond this the store is taken for silent."""
+WATCH_MARGIN_S: Final = 1.0
+"""Time that the answer of an idle watch may take besides the wait."""
+NOTHING_DONE: Final = frozenset({HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS})
+
+
+@dataclass(frozen=True, slots=True)
+class StoredObject:
+    """Hold one object of the store."""
+
+    name: str
+    revision: int
+    """The store's revision at the object's last change."""
+    spec: Any
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """Hold all objects of a kind."""
+
+    objects: tuple[StoredObject, ...]
+    at: int
+    """The revision from which a watch sees all that follows."""
+
+
+@dataclass(frozen=True, slots=True)
+class WatchEvent:
+    """Hold one change of an object."""
+
+    changed: StoredObject
+    gone: bool
+
+
+@dataclass(frozen=True, slots=True)
+class WatchAnswer:
+    """Hold the changes since a revision, in order."""
+
+    events: tuple[WatchEvent, ...]
+    at: int
+
+
+class Store:
+    """Call the store at one address."""
+
+    def __init__(self, address: str) -> None:
+        """Take the store's address, IP and port."""
+        self._address = address
+        self._calls = 0
+
+    @property
+    def calls(self) -> int:
+        """Return how many calls were made."""
+        return self._calls
+
+    def use_address(self, address: str) -> None:
+        """Call another address from now on."""
+        self._address = address
+
+    def list(self, kind: str) -> Listing:
+        """Return all objects of a kind, or raise PlatformUnavailable."""
+        found: list[StoredObject] = []
+        query: dict[str, str] = {}
+        at: int | None = None
+        while True:
+            body = self._read(_path(kind, query=query))
+            found += [_object(one) for one in body["items"]]
+            # Later pages may be newer; a watch from the first page's revision misses nothing.
+            at = int(body["at"]) if at is None else at
+            if not body.get("more") or not found:
+                return Listing(tuple(found), at)
+            query = {"after": found[-1].name}
+
+    def get(self, kind: str, name: str) -> StoredObject | None:
+        """Return one object, or None if there is none."""
+        status, body = self._call("GET", _path(kind, name))
+        if status == HTTPStatus.NOT_FOUND:
+            return None
+        return _object(_checked(status, body))
+
+    def watch(self, kind: str, at: int, wait_s: float) -> WatchAnswer:
+        """Wait for changes after a revision; raise HistoryGone if they are forgotten."""
+        query = {"watch": str(at), "waitMs": str(int(wait_s * 1000))}
+        body = self._read(_path(kind, query=query), wait_s + WATCH_MARGIN_S)
+        events = tuple(
+            WatchEvent(_object(one["object"]), bool(one["gone"])) for one in body["events"]
+        )
+        return WatchAnswer(events, int(body["at"]))
+
+    def put(self, kind: str, name: str, spec: Any, revision: int | None = None) -> bool:
+        """Make or replace an object; return False where the revision is not the object's.
+
+        Without a revision the object is replaced whatever it is.
+        """
+        metadata: dict[str, Any] = {"name": name}
+        if revision is not None:
+            metadata["revision"] = revision
+        body = {"metadata": metadata, "spec": spec}
+        status, answer = self._call("PUT", _path(kind, name), body)
+        if status == HTTPStatus.NOT_FOUND and not revision:
+            status, answer = self._call("POST", _path(kind), body)
+        if status == HTTPStatus.CONFLICT:
+            return False
+        _checked(status, answer)
+        return True
+
+    def delete(self, kind: str, name: str) -> None:
+        """Remove an object, if it is there."""
+        status, answer = self._call("DELETE", _path(kind, name))
+        if status != HTTPStatus.NOT_FOUND:
+            _checked(status, answer)
+
+    def _read(self, path: str, timeout_s: float = CALL_TIMEOUT_S) -> Any:
+        """Make one reading call and return its body."""
+        return _checked(*self._call("GET", path, timeout_s=timeout_s))
+
+    def _call(
+        self, method: str, path: str, body: Any = None, timeout_s: float = CALL_TIMEOUT_S
+    ) -> tuple[int, Any]:
+        """Make one call; raise PlatformUnavailable where no answer came."""
+        self._calls += 1
+        data = b"" if body is None else orjson.dumps(body)
+        headers = {"Content-Type": "application/json"} if data else {}
+        try:
+            exchange = Exchange.open(self._address, method, path, headers, data, timeout_s)
+            raw = exchange.read()
+            return exchange.status, orjson.loads(raw) if raw else None
+        except UpstreamError as fault:
+            raise PlatformUnavailable(f"no answer: {fault}", sent=fault.sent) from fault
+        except orjson.JSONDecodeError as fault:
+            raise PlatformUnavailable("the answer is not JSON") from fault
+
+
+def _path(kind: str, name: str = "", query: dict[str, str] | None = None) -> str:
+    """Return the path of a kind or of one of its objects."""
+    parts: Iterable[str] = (names.PATH_OBJECTS, quote(kind, safe=""), quote(name, safe=""))
+    path = "/".join(part for part in parts if part)
+    return f"{path}?{urlencode(query)}" if query else path
+
+
+def _checked(status: int, body: Any) -> Any:
+    """Return the body of a good answer, or raise PlatformUnavailable."""
+    if status in (HTTPStatus.OK, HTTPStatus.CREATED, HTTPStatus.NO_CONTENT):
+        return body
+    if status == HTTPStatus.GONE:
+        raise HistoryGone
+    raise PlatformUnavailable(f"the store answered {status}", sent=status not in NOTHING_DONE)
+
+
+def _object(raw: Any) -> StoredObject:
+    """Decode one object."""
+    try:
+        metadata = raw["metadata"]
+        return StoredObject(metadata["name"], int(metadata["revision"]), raw.get("spec"))
+    except (KeyError, TypeError, ValueError) as fault:
+        raise PlatformUnavailable(f"an object cannot be read: {fault!r}") from fault
--- a/driftstall/policy/model.py
+++ b/driftstall/policy/model.py
@@ -23,6 +23,8 @@
     """The share of engine memory in use, from 0 to 1."""
     hour: int
     """The hour of the day, from 0 to 23."""
+    route_rank: int = 5
+    """The rank that the route or the workspace is configured with; zero comes first."""
 
 
 Condition = Callable[[Facts], bool]
--- a/driftstall/util/http.py
+++ b/driftstall/util/http.py
@@ -17,6 +17,11 @@
 from driftstall.util.addresses import split_address
 
 CONNECT_TIMEOUT_S: Final = 1.0
+DEAD_AFTER_MS: Final = 1_500
+"""A peer that acknowledges nothing for so long is given up; a cut link says nothing."""
+PROBE_AFTER_S: Final = 1
+"""A connection that rests for so long is probed, so that a cut is noticed while waiting."""
+PROBES: Final = 2
 READ_FAULTS: Final = (OSError, HTTPConnectionClosed, HTTPParseError, ValueError)
 
 
@@ -48,7 +53,7 @@
             detail = f"no connection to {address}: {type(fault).__name__}"
             raise UpstreamError(detail, sent=False) from fault
         try:
-            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            tune(connection)
             connection.settimeout(timeout_s)
             connection.sendall(_head(address, method, path, headers, len(body)) + body)
             return cls(connection, HTTPSocketResponse(connection, method=method))
@@ -99,6 +104,16 @@
         self._connection.close()
 
 
+def tune(connection: socket.socket) -> None:
+    """Send at once, and notice within seconds that the other end is cut off."""
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER_S)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_AFTER_S)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, DEAD_AFTER_MS)
+
+
 def _head(address: str, method: str, path: str, headers: Mapping[str, str], length: int) -> bytes:
     """Return the request's head."""
     lines = [f"{method} {path} HTTP/1.1", f"Host: {address}", "Connection: close"]
