--- a/driftstall/gateway/evacuation.py
+++ b/driftstall/gateway/evacuation.py
@@ -119,7 +119,7 @@
 
     def _last_step(self, run: StreamRun, source: Upstream, target: Upstream) -> bool:
         """Stop the run and copy what is left; its relay goes on with the result."""
-        if run.ended or run.upstream is not source:
+        if run.ended or run.upstream.upstream_id != source.upstream_id:
             return False
         moving = run.moving = AsyncResult()
         started = self._state.now()
