Count copies from their start, take turns on a leaving engine, keep copies early

Cause: engines filled with copies that no sum showed (an engine's report told 34,445 tokens where our sums told 24,600), so runs were preempted; and all instances copied off a leaving engine at once, so every copy ended late.

--- a/driftstall/gateway/dialect.py
+++ b/driftstall/gateway/dialect.py
@@ -63,6 +63,9 @@
     ) -> MoveResult:
         """Copy a run's memory to another engine; with last, the run stops first."""
 
+    def drop_copy(self, holder: Upstream, copy_of: str) -> None:
+        """Free a copy's memory; where the holder is its source, at both engines."""
+
     def is_ready_path(self, target: str) -> bool:
         """Tell whether a request asks whether this instance is ready."""
 
--- a/driftstall/gateway/evacuation.py
+++ b/driftstall/gateway/evacuation.py
@@ -2,8 +2,9 @@
 
 A run's memory is copied while it goes on, then copied again, which takes only what
 is new; then the run stops and the last step is short. The moves of one upstream
-share its link, so they are taken in turn: finishing some saves these, where copying
-all at once may save none. Runs whose copy is kept elsewhere already need no move.
+share its link, so they are taken in turn, what is nearly copied first: finishing
+some saves these, where copying all at once may save none. Runs whose copy an engine
+keeps up by itself elsewhere need no move.
 """
 
 from __future__ import annotations
@@ -11,23 +12,29 @@
 from typing import Final
 
 import gevent
-from gevent.event import AsyncResult
 
 from driftstall.const import PREFIX_RELAY
-from driftstall.gateway.dialect import MoveDone, MoveFailed
+from driftstall.gateway.dialect import MoveFailed
 from driftstall.gateway.model import Upstream
-from driftstall.gateway.runs import Copy, StreamRun
-from driftstall.gateway.selection import Need, choose_move
+from driftstall.gateway.moves import Mover
+from driftstall.gateway.runs import StreamRun
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import say
 
 COPY_AGAIN_S: Final = 0.06
 """A copy that took longer than this is followed by another, so that the last step is short."""
 MAX_COPIES: Final = 3
+MOST_MEMORY: Final = 1.0
+"""Memory share up to which an engine takes a run that must leave; the sums are a forecast."""
 TARGETS: Final = 3
 """Targets tried for one run; one without room says so at once."""
 RETRY_S: Final = 0.05
 """Pause before a run is tried that the engine does not know yet."""
+COPY_TOKENS_PER_S: Final = 9_000.0
+"""Tokens copied in a second between zones (18 KB each at half of 2.7 Gbit/s)."""
+TURN_MARGIN_S: Final = 0.1
+"""Time of a turn besides its copies: last steps, and the report that it is over."""
+TURN_CHECK_S: Final = 0.01
 GIVE_UP_S: Final = 10.0
 """An upstream that still lives so long after its notice is left to its streams."""
 
@@ -35,9 +42,10 @@
 class Evacuation:
     """Move the streams of this instance off leaving upstreams."""
 
-    def __init__(self, state: GatewayState) -> None:
-        """Take the shared state."""
+    def __init__(self, state: GatewayState, mover: Mover) -> None:
+        """Take the shared state and who takes the steps."""
         self._state = state
+        self._mover = mover
 
     def start(self, upstream: Upstream) -> None:
         """Begin to move the streams off an upstream."""
@@ -52,104 +60,86 @@
             streams=len(self._state.runs.on(upstream.upstream_id)),
             revision=upstream.revision,
         )
+        self._await_turn(upstream)
         tried: set[str] = set()
         while self._state.now() < until:
+            if not self._state.runs.on(upstream.upstream_id):
+                return
             waiting = [run for run in self._movable(upstream) if run.request_id not in tried]
             if not waiting:
-                if not self._state.runs.on(upstream.upstream_id):
-                    return
                 gevent.sleep(RETRY_S)
                 continue
-            run = min(waiting, key=lambda one: one.held_tokens)
-            if not self._move(run, upstream):
+            run = min(waiting, key=self._left_to_copy)
+            if not self._move(run):
                 tried.add(run.request_id)
 
+    def _await_turn(self, upstream: Upstream) -> None:
+        """Wait until the instances before this one have moved their streams.
+
+        The order is the same everywhere; who reports nothing exposed is passed over,
+        and a turn lasts no longer than its copies should take.
+        """
+        own = self._state.settings.instance_id
+        started = self._state.now()
+        exposed = self._state.loads.exposed_at_peers(upstream.upstream_id, started)
+        before = sorted(peer for peer in exposed if peer < own)
+        turn_ends = started
+        for peer in before:
+            turn_ends += exposed[peer] / COPY_TOKENS_PER_S + TURN_MARGIN_S
+            while self._state.now() < turn_ends:
+                now = self._state.now()
+                if peer not in self._state.loads.exposed_at_peers(upstream.upstream_id, now):
+                    break
+                gevent.sleep(TURN_CHECK_S)
+            turn_ends = min(turn_ends, self._state.now())
+
     def _movable(self, upstream: Upstream) -> list[StreamRun]:
         """Return the running streams that have no copy to go on at."""
         return [
             run
             for run in self._state.runs.on(upstream.upstream_id)
-            if run.events and not run.ended and run.moving is None and not self._is_backed(run)
+            if run.events
+            and not run.ended
+            and not run.copying
+            and run.moving is None
+            and not self._is_backed(run)
         ]
 
     def _is_backed(self, run: StreamRun) -> bool:
-        """Tell whether the run's copy is on an upstream that stays."""
+        """Tell whether an engine that stays keeps up a copy of the run."""
         backup = run.backup
         return backup is not None and self._state.fleet.takes_requests(backup.upstream_id)
 
-    def _move(self, run: StreamRun, source: Upstream) -> bool:
+    def _left_to_copy(self, run: StreamRun) -> int:
+        """Return the tokens that are not copied yet."""
+        kept = self._mover.kept(run)
+        return run.held_tokens - (kept.tokens if kept else 0)
+
+    def _move(self, run: StreamRun) -> bool:
         """Copy a run, then take its last step; return whether it moved."""
-        avoid = {source.upstream_id}
+        source = run.upstream
+        avoid: set[str] = set()
         for _ in range(TARGETS):
-            target = self._target(run, source, frozenset(avoid))
+            target = self._mover.choose_target(run, frozenset(avoid), most_memory=MOST_MEMORY)
             if target is None:
                 return False
-            copied = self._copy(run, source, target)
-            if copied is not None and copied.no_such_run:
+            failure = self._copy(run, target)
+            if failure is None:
+                if run.ended or run.upstream.upstream_id != source.upstream_id:
+                    return True
+                return self._mover.take_last_step(run, target)
+            if failure.no_such_run:
                 return False
-            if copied is None:
-                return self._last_step(run, source, target)
             avoid.add(target.upstream_id)
         return False
 
-    def _target(self, run: StreamRun, source: Upstream, avoid: frozenset[str]) -> Upstream | None:
-        """Choose where a run goes on."""
-        engine = run.admitted.service.engine
-        if engine is None or not engine.can_move:
-            return None
-        expected = int(self._state.lengths.expected(run.request))
-        need = Need(run.held_tokens, max(0, expected - run.tokens))
-        options = self._state.options(source.service, avoid)
-        chosen = choose_move(options, engine, need, source, self._state.source)
-        return chosen.upstream if chosen else None
-
-    def _copy(self, run: StreamRun, source: Upstream, target: Upstream) -> MoveFailed | None:
+    def _copy(self, run: StreamRun, target: Upstream) -> MoveFailed | None:
         """Copy while the run goes on, until a copy is quick; return a failure."""
         for _ in range(MAX_COPIES):
             started = self._state.now()
-            result = self._state.dialect.move(source, run.request_id, target, last=False)
-            seconds = self._state.now() - started
-            self._say(run, source, target, "copied", result, seconds)
+            result = self._mover.copy(run, target)
             if isinstance(result, MoveFailed):
-                self._state.stats.moves_failed += 1
                 return result
-            if seconds <= COPY_AGAIN_S or run.ended:
+            if run.ended or self._state.now() - started <= COPY_AGAIN_S:
                 break
         return None
-
-    def _last_step(self, run: StreamRun, source: Upstream, target: Upstream) -> bool:
-        """Stop the run and copy what is left; its relay goes on with the result."""
-        if run.ended or run.upstream.upstream_id != source.upstream_id:
-            return False
-        moving = run.moving = AsyncResult()
-        started = self._state.now()
-        result = self._state.dialect.move(source, run.request_id, target, last=True)
-        self._say(run, source, target, "moved", result, self._state.now() - started)
-        if isinstance(result, MoveDone):
-            self._state.stats.streams_moved += 1
-            moving.set(Copy(target, result.copy_of))
-            return True
-        self._state.stats.moves_failed += 1
-        # The source keeps what it has made: the run goes on there if it still can.
-        moving.set(Copy(source, result.copy_of) if result.copy_of else None)
-        return False
-
-    def _say(
-        self,
-        run: StreamRun,
-        source: Upstream,
-        target: Upstream,
-        step: str,
-        result: MoveDone | MoveFailed,
-        seconds: float,
-    ) -> None:
-        """Log one step of a move."""
-        outcome = result.detail if isinstance(result, MoveFailed) else "done"
-        say(
-            PREFIX_RELAY,
-            f"A stream is {step} to {target.upstream_id}: {outcome}",
-            request=run.request_id,
-            source=source.upstream_id,
-            held_tokens=run.held_tokens,
-            ms=int(seconds * 1000),
-        )
--- a/driftstall/gateway/listeners.py
+++ b/driftstall/gateway/listeners.py
@@ -18,6 +18,7 @@
 from driftstall.gateway.drain import Drain
 from driftstall.gateway.ingress import CallerConnection, CallerRequest, Closed, Malformed
 from driftstall.gateway.model import Limits, Repeat
+from driftstall.gateway.moves import Mover
 from driftstall.gateway.state import GatewayState
 from driftstall.gateway.streams import StreamRelay
 from driftstall.helpers.log import say
@@ -38,9 +39,12 @@
 class CallerListener:
     """Serve callers' requests."""
 
-    def __init__(self, state: GatewayState, drain: Drain, current: Callable[[], bool]) -> None:
+    def __init__(
+        self, state: GatewayState, mover: Mover, drain: Drain, current: Callable[[], bool]
+    ) -> None:
         """Take the shared state; current tells whether the routing is the newest."""
         self._state = state
+        self._mover = mover
         self._drain = drain
         self._current = current
         address = split_address(state.settings.caller_listen)
@@ -123,7 +127,7 @@
     ) -> bool:
         """Serve an admitted request while watching whether its caller leaves."""
         if admitted.route.repeat is Repeat.STREAM:
-            relay = StreamRelay(self._state, connection, call, admitted, keep=keep)
+            relay = StreamRelay(self._state, self._mover, connection, call, admitted, keep=keep)
             return self._watched(connection, relay.caller_left, relay.serve)
         call_relay = CallRelay(self._state, call, admitted)
         return self._watched(
--- a/driftstall/gateway/loads.py
+++ b/driftstall/gateway/loads.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Final
 
 PEER_REPORT_S: Final = 3.0
@@ -27,6 +27,8 @@
     """Engine memory that copies of runs elsewhere hold, in tokens."""
     prefill: int = 0
     """Prompt tokens of requests whose first event is not there yet."""
+    exposed: int = 0
+    """Engine memory of running streams that no other engine has a copy of, in tokens."""
 
     def plus(self, other: Use) -> Use:
         """Return both sums together."""
@@ -36,6 +38,7 @@
             self.tokens + other.tokens,
             self.copies + other.copies,
             self.prefill + other.prefill,
+            self.exposed + other.exposed,
         )
 
 
@@ -48,6 +51,8 @@
     prefill: int = 0
     backup_id: str = ""
     """The upstream that holds a copy; empty for none."""
+    exposed: int = 0
+    """Tokens that would be lost with the upstream."""
 
 
 @dataclass(slots=True)
@@ -78,12 +83,6 @@
         self._shares[request_id] = share
         self._add(share, 1)
 
-    def prefilled(self, request_id: str) -> None:
-        """Learn that a request's prompt was read."""
-        share = self._shares.get(request_id)
-        if share is not None and share.prefill:
-            self.put(request_id, replace(share, prefill=0))
-
     def drop(self, request_id: str) -> None:
         """Forget a request that has ended."""
         share = self._shares.pop(request_id, None)
@@ -94,6 +93,15 @@
         """Take in a peer's sums."""
         self._peers[peer] = _PeerSums({use.upstream_id: use for use in uses}, now)
 
+    def exposed_at_peers(self, upstream_id: str, now: float) -> dict[str, int]:
+        """Return, by peer, the exposed tokens of its streams on an upstream."""
+        found: dict[str, int] = {}
+        for peer, sums in self._peers.items():
+            told = sums.uses.get(upstream_id)
+            if told is not None and told.exposed and now - sums.at <= PEER_REPORT_S:
+                found[peer] = told.exposed
+        return found
+
     def forget(self, peer: str) -> None:
         """Forget a peer that is gone."""
         self._peers.pop(peer, None)
@@ -109,10 +117,16 @@
 
     def _add(self, share: Share, sign: int) -> None:
         """Add a request's share to the sums, or take it off."""
-        use = Use(share.upstream_id, sign, sign * share.tokens, 0, sign * share.prefill)
+        use = Use(
+            share.upstream_id,
+            running=sign,
+            tokens=sign * share.tokens,
+            prefill=sign * share.prefill,
+            exposed=sign * share.exposed,
+        )
         self._sum(use)
         if share.backup_id:
-            self._sum(Use(share.backup_id, 0, 0, sign * share.tokens, 0))
+            self._sum(Use(share.backup_id, copies=sign * share.tokens))
 
     def _sum(self, use: Use) -> None:
         """Change the sum of one upstream; an empty one is dropped."""
--- /dev/null
+++ b/driftstall/gateway/moves.py
@@ -0,0 +1,118 @@
+"""Copy the memory of a run from its engine to another one, one step at a time."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import gevent
+from gevent.event import AsyncResult
+
+from driftstall.const import PREFIX_RELAY
+from driftstall.gateway.dialect import MoveDone, MoveFailed, MoveResult
+from driftstall.gateway.model import Upstream
+from driftstall.gateway.runs import Copy, KeptCopy, StreamRun
+from driftstall.gateway.selection import Need, choose_move
+from driftstall.gateway.state import GatewayState
+from driftstall.helpers.log import say
+
+COPY_KEPT_S: Final = 4.0
+"""A copy is not relied on after this time; engines drop it somewhat later (handleS is 5 s)."""
+
+
+class Mover:
+    """Take single steps of moves; a run has one step at a time."""
+
+    def __init__(self, state: GatewayState) -> None:
+        """Take the shared state."""
+        self._state = state
+
+    def choose_target(
+        self, run: StreamRun, avoid: frozenset[str], *, most_memory: float
+    ) -> Upstream | None:
+        """Choose where a run's memory is copied; where it already is, if that stays.
+
+        An engine whose memory would be fuller than most_memory, from 0 to 1, is not chosen.
+        """
+        kept = self.kept(run)
+        if kept is not None and kept.copy.upstream.upstream_id not in avoid:
+            return kept.copy.upstream
+        engine = run.admitted.service.engine
+        if engine is None or not engine.can_move:
+            return None
+        need = Need(run.held_tokens, 0)
+        options = self._state.options(run.upstream.service, avoid | {run.upstream.upstream_id})
+        chosen = choose_move(
+            options, engine, need, run.upstream, self._state.source, most_memory=most_memory
+        )
+        return chosen.upstream if chosen else None
+
+    def kept(self, run: StreamRun) -> KeptCopy | None:
+        """Return the run's copy if it is young enough and its engine stays."""
+        kept = run.kept
+        if kept is None or self._state.now() - kept.at > COPY_KEPT_S:
+            return None
+        return kept if self._state.fleet.takes_requests(kept.copy.upstream.upstream_id) else None
+
+    def copy(self, run: StreamRun, target: Upstream) -> MoveResult:
+        """Copy a run's memory while it goes on."""
+        tokens = run.held_tokens
+        self._hold(run, target)
+        run.copying = True
+        try:
+            result = self._step(run, target, last=False)
+        finally:
+            run.copying = False
+        if isinstance(result, MoveFailed):
+            self._hold(run, None)
+            return result
+        run.kept = KeptCopy(Copy(target, result.copy_of), self._state.now(), tokens)
+        if run.ended:
+            self.drop_copy(run)
+        return result
+
+    def _hold(self, run: StreamRun, target: Upstream | None) -> None:
+        """Tell the books which engine holds a copy, before others choose the same one."""
+        if run.copy_target is not target and not run.ended:
+            run.copy_target = target
+            self._state.account(run)
+
+    def take_last_step(self, run: StreamRun, target: Upstream) -> bool:
+        """Stop the run and copy what is left; its relay goes on with the result."""
+        moving = run.moving = AsyncResult()
+        result = self._step(run, target, last=True)
+        if isinstance(result, MoveDone):
+            self._state.stats.streams_moved += 1
+            run.kept = None
+            moving.set(Copy(target, result.copy_of))
+            return True
+        # The source keeps what it has made: the run goes on there if it still can.
+        moving.set(Copy(run.upstream, result.copy_of) if result.copy_of else None)
+        return False
+
+    def drop_copy(self, run: StreamRun) -> None:
+        """Free the memory of a copy that is not needed any more."""
+        kept, run.kept = run.kept, None
+        if kept is None:
+            return
+        source_stays = self._state.fleet.takes_requests(run.upstream.upstream_id)
+        holder = run.upstream if source_stays else kept.copy.upstream
+        gevent.spawn(self._state.dialect.drop_copy, holder, kept.copy.copy_of)
+
+    def _step(self, run: StreamRun, target: Upstream, *, last: bool) -> MoveResult:
+        """Take one step and log it."""
+        started = self._state.now()
+        result = self._state.dialect.move(run.upstream, run.request_id, target, last=last)
+        seconds = self._state.now() - started
+        failed = isinstance(result, MoveFailed)
+        self._state.stats.moves_failed += failed
+        outcome = result.detail if isinstance(result, MoveFailed) else "done"
+        step = "moved" if last else "copied"
+        say(
+            PREFIX_RELAY,
+            f"A stream is {step} to {target.upstream_id}: {outcome}",
+            request=run.request_id,
+            source=run.upstream.upstream_id,
+            held_tokens=run.held_tokens,
+            ms=int(seconds * 1000),
+        )
+        return result
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -24,7 +24,9 @@
     SmallListener,
 )
 from driftstall.gateway.model import GatewaySettings, PolicyText, RoutingText, Upstream
+from driftstall.gateway.moves import Mover
 from driftstall.gateway.peering import Peering
+from driftstall.gateway.protection import Protection
 from driftstall.gateway.sources import InstanceSource, PolicySource, RoutingSource, UpstreamSource
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import say
@@ -65,8 +67,10 @@
         self._access = access
         self.state = GatewayState(settings, access.dialect, policy)
         self._routing = RoutingSource(self.state, self._announce)
+        mover = Mover(self.state)
+        self._protection = Protection(self.state, mover)
         self._upstreams = UpstreamSource(
-            self.state, leaving=Evacuation(self.state).start, pass_on=self._pass_on
+            self.state, leaving=Evacuation(self.state, mover).start, pass_on=self._pass_on
         )
         self._routing_follower = Follower(access.routing, self._routing, self.state.source)
         self._upstream_follower = Follower(access.upstreams, self._upstreams, self.state.source)
@@ -83,7 +87,7 @@
         )
         self._instances = InstanceSource(self._peering.found)
         self._drain = Drain(self.state)
-        self._callers = CallerListener(self.state, self._drain, self._is_current)
+        self._callers = CallerListener(self.state, mover, self._drain, self._is_current)
         self._ready = SmallListener(settings.ready_listen, ReadyAnswers(self.state))
         locate = LocateAnswers(self.state, self._peering.located)
         self._locate = SmallListener(settings.locate_listen, locate)
@@ -94,7 +98,7 @@
         gevent.signal_handler(signal.SIGTERM, self._drain.begin)
         gevent.signal_handler(signal.SIGINT, self._drain.begin)
         gevent.signal_handler(signal.SIGHUP, self._reload)
-        for listener in (self._callers, self._ready, self._locate, self._peering):
+        for listener in (self._callers, self._ready, self._locate, self._peering, self._protection):
             listener.start()
         for follower in (self._routing_follower, self._upstream_follower, self._policy_follower):
             gevent.spawn(follower.run)
--- /dev/null
+++ b/driftstall/gateway/protection.py
@@ -0,0 +1,88 @@
+"""Keep a copy of every long stream, so that a short notice or none is enough.
+
+An engine keeps up the copy that it was asked for with the request. Where that copy is
+lost, because its engine left, or was never asked for, this copies the run's memory now
+and then; what is left to copy at a notice is then little.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Final
+
+import gevent
+
+from driftstall.gateway.dialect import MoveFailed
+from driftstall.gateway.moves import Mover
+from driftstall.gateway.runs import StreamRun
+from driftstall.gateway.state import GatewayState
+
+PERIOD_S: Final = 0.2
+REFRESH_S: Final = 2.0
+"""A copy older than this is brought up to date; engines drop one after about five seconds."""
+FAILED_PAUSE_S: Final = 1.0
+"""Pause after a copy that failed for want of room."""
+MOST_MEMORY: Final = 0.55
+"""Memory share up to which copies are made before a notice; runs and new prompts go first."""
+MIN_EVENTS: Final = 6
+"""Events after which a run is worth a copy; many end before."""
+
+
+class Protection:
+    """Keep copies of this instance's streams."""
+
+    def __init__(self, state: GatewayState, mover: Mover) -> None:
+        """Take the shared state and who takes the steps."""
+        self._state = state
+        self._mover = mover
+        self._busy: set[str] = set()
+        self._not_before: dict[str, float] = {}
+
+    def start(self) -> None:
+        """Start to keep copies."""
+        gevent.spawn(self._run)
+
+    def _run(self) -> None:
+        """Copy what needs it, one run at a time on each engine."""
+        while True:
+            gevent.sleep(PERIOD_S)
+            wanting = sorted(self._wanting(), key=lambda run: run.kept is not None)
+            for run in wanting:
+                if run.upstream.upstream_id not in self._busy:
+                    self._busy.add(run.upstream.upstream_id)
+                    gevent.spawn(self._copy, run)
+            self._forget_ended()
+
+    def _wanting(self) -> Iterable[StreamRun]:
+        """Return the runs that have no copy, or an old one."""
+        now = self._state.now()
+        for run in self._state.runs.all:
+            if run.events < MIN_EVENTS or run.ended or run.copying or run.moving is not None:
+                continue
+            if now < self._not_before.get(run.request_id, 0.0):
+                continue
+            if not self._state.fleet.takes_requests(run.upstream.upstream_id):
+                continue
+            backup = run.backup
+            if backup is not None and self._state.fleet.takes_requests(backup.upstream_id):
+                continue
+            kept = self._mover.kept(run)
+            if kept is None or now - kept.at >= REFRESH_S:
+                yield run
+
+    def _copy(self, run: StreamRun) -> None:
+        """Copy one run."""
+        upstream_id = run.upstream.upstream_id
+        try:
+            target = self._mover.choose_target(run, frozenset(), most_memory=MOST_MEMORY)
+            result = self._mover.copy(run, target) if target else None
+            if result is None or isinstance(result, MoveFailed):
+                self._not_before[run.request_id] = self._state.now() + FAILED_PAUSE_S
+        finally:
+            self._busy.discard(upstream_id)
+
+    def _forget_ended(self) -> None:
+        """Forget pauses that are over."""
+        now = self._state.now()
+        for request_id in [one for one, until in self._not_before.items() if until < now]:
+            del self._not_before[request_id]
--- a/driftstall/gateway/runs.py
+++ b/driftstall/gateway/runs.py
@@ -21,6 +21,16 @@
     copy_of: str
 
 
+@dataclass(frozen=True, slots=True)
+class KeptCopy:
+    """Hold a copy of a running run: where it is and how old."""
+
+    copy: Copy
+    at: float
+    tokens: int
+    """Tokens of the run that were copied."""
+
+
 @dataclass(slots=True)
 class StreamRun:
     """Hold one open stream, wherever it runs now."""
@@ -39,6 +49,13 @@
     moving: AsyncResult | None = None
     """Set while the run's last step to another engine is taken; gives a Copy or None."""
     copied: Copy | None = None
+    """The copy that this run has gone on from."""
+    copying: bool = False
+    """Set while a step of a copy is taken; an engine takes one at a time of a run."""
+    copy_target: Upstream | None = None
+    """The engine that a copy is made on, from the first step on."""
+    kept: KeptCopy | None = None
+    """The copy made of the run while it goes on."""
     ended: bool = False
     moves: int = 0
     last_event_at: float = 0.0
@@ -60,6 +77,11 @@
 
     _runs: dict[str, StreamRun] = field(default_factory=dict)
 
+    @property
+    def all(self) -> tuple[StreamRun, ...]:
+        """Return all open streams."""
+        return tuple(self._runs.values())
+
     def add(self, run: StreamRun) -> None:
         """Add a stream that was sent."""
         self._runs[run.request_id] = run
@@ -73,14 +95,6 @@
         """Return the streams that run on an upstream."""
         return tuple(run for run in self._runs.values() if run.upstream.upstream_id == upstream_id)
 
-    def backed_by(self, upstream_id: str) -> tuple[StreamRun, ...]:
-        """Return the streams whose copy is kept on an upstream."""
-        return tuple(
-            run
-            for run in self._runs.values()
-            if run.backup is not None and run.backup.upstream_id == upstream_id
-        )
-
     def __len__(self) -> int:
         """Return how many streams are open."""
         return len(self._runs)
--- a/driftstall/gateway/selection.py
+++ b/driftstall/gateway/selection.py
@@ -103,16 +103,19 @@
     options: Iterable[Option],
     engine: Engine,
     need: Need,
-    source_of: Upstream,
+    primary: Upstream,
     source: random.Random,
+    *,
+    most_memory: float,
 ) -> Option | None:
-    """Return where a run moves that must leave its engine; in the same zone if it can."""
+    """Return where a run's memory is copied; in the same zone if it can."""
+    fitting = [one for one in options if _memory(one.use, engine, need.total) <= most_memory]
 
     def cost(option: Option) -> float:
-        far = FAR_MOVE_PENALTY if option.upstream.zone != source_of.zone else 0.0
+        far = FAR_MOVE_PENALTY if option.upstream.zone != primary.zone else 0.0
         return _memory(option.use, engine, need.total) + far + NOISE * source.random()
 
-    return _least(options, cost)
+    return _least(fitting, cost)
 
 
 def _stream_cost(option: Option, engine: Engine, need: Need, zone: str) -> float:
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -8,20 +8,25 @@
 
 from gevent.event import Event
 
+from driftstall.core import Request
 from driftstall.decisions.lengths import LearnedLengths
 from driftstall.gateway.dialect import Dialect
 from driftstall.gateway.fleet import FleetController
-from driftstall.gateway.loads import LoadBook
+from driftstall.gateway.loads import LoadBook, Share
 from driftstall.gateway.model import GatewaySettings, Service
 from driftstall.gateway.outcomes import Outcome, OutcomeBook
 from driftstall.gateway.routes import RouteTable
-from driftstall.gateway.runs import RunBook
+from driftstall.gateway.runs import RunBook, StreamRun
 from driftstall.gateway.selection import Option
 from driftstall.gateway.shared_budget import InstanceCount, SharedRetryBudget
 from driftstall.gateway.stats import GatewayStats
 from driftstall.policy.model import Policy
 
 NO_LOAD: Final = 0.0
+HINT_WEIGHT: Final = 0.33
+"""Weight of a caller's estimate beside what was learned, on a log scale; it is often well off."""
+GROWTH_SHARE: Final = 0.5
+"""Share of a run's expected growth that is counted: others end while it grows."""
 
 
 class GatewayState:
@@ -84,6 +89,29 @@
             if upstream.upstream_id not in avoid
         ]
 
+    def expected_tokens(self, request: Request, hint: int) -> int:
+        """Forecast the whole output of a request, in tokens."""
+        learned = self.lengths.expected(request)
+        if hint:
+            learned = learned ** (1 - HINT_WEIGHT) * hint**HINT_WEIGHT
+        return int(learned)
+
+    def account(self, run: StreamRun) -> None:
+        """Tell the books, and soon the peers, what a stream takes now."""
+        marks = run.admitted.marks
+        left = max(0, self.expected_tokens(run.request, marks.length_hint) - run.tokens)
+        holder = run.backup or run.copy_target
+        covered = holder is not None and self.fleet.takes_requests(holder.upstream_id)
+        share = Share(
+            run.upstream.upstream_id,
+            run.held_tokens + int(GROWTH_SHARE * left),
+            0 if run.events else marks.input_tokens,
+            holder.upstream_id if holder else "",
+            run.held_tokens if run.events and not covered else 0,
+        )
+        self.loads.put(run.request_id, share)
+        self.loads_changed.set()
+
     def load_of(self, service_name: str) -> float:
         """Return the share of a service's engine memory in use, from 0 to 1."""
         service = self.table.service(service_name) if self.table else None
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -33,8 +33,8 @@
     chunk,
     head_bytes,
 )
-from driftstall.gateway.loads import Share
 from driftstall.gateway.model import AnswerMarks, Engine, SendMarks, Upstream
+from driftstall.gateway.moves import Mover
 from driftstall.gateway.outcomes import Outcome
 from driftstall.gateway.runs import Copy, StreamRun
 from driftstall.gateway.selection import Need, choose_backup, choose_stream
@@ -66,6 +66,7 @@
     def __init__(
         self,
         state: GatewayState,
+        mover: Mover,
         connection: CallerConnection,
         call: CallerRequest,
         admitted: Admitted,
@@ -74,6 +75,7 @@
     ) -> None:
         """Take the caller's connection and its request; keep tells whether it may go on."""
         self._state = state
+        self._mover = mover
         self._connection = connection
         self._call = call
         self._admitted = admitted
@@ -160,7 +162,7 @@
             self._state.fleet_changed.wait(left)
         run = StreamRun(self._call, self._admitted, self._request, chosen.upstream)
         run.backup = self._choose_backup(chosen.upstream, need)
-        self._put_share(run, prefill=self._request.input_tokens)
+        self._state.account(run)
         self._say_placed(run)
         return run
 
@@ -317,8 +319,6 @@
         """Take in that events have arrived."""
         now = self._state.now()
         if not run.events and run.moves == 0:
-            self._state.loads.prefilled(run.request_id)
-            self._state.loads_changed.set()
             self._state.stats.first_event_s.observe({}, now - self._admitted.started_at)
         elif run.last_event_at:
             self._longest_gap_s = max(self._longest_gap_s, now - run.last_event_at)
@@ -327,6 +327,8 @@
         run.events += events
         run.tokens += events * self._engine.event_tokens
         self._state.lengths.progressed(self._request, before, run.tokens)
+        if before == 0 or before // ACCOUNT_TOKENS != run.tokens // ACCOUNT_TOKENS:
+            self._state.account(run)
 
     # Going on elsewhere.
 
@@ -344,9 +346,9 @@
             if isinstance(result, _Opened) and result.head.status == OK:
                 self._state.stats.streams_resumed += 1
                 return result
+            # Another copy of the run as it was may still serve.
+            next_run.kept = next_run.kept or run.kept
             run = next_run
-            if isinstance(result, _Opened) or not result.sent:
-                run.backup = None
         return None
 
     def _find_copy(self, run: StreamRun) -> Copy | None:
@@ -356,10 +358,14 @@
             run.moving = None
             if moved is not None:
                 return moved
-        backup = run.backup
-        if backup is None:
-            return None
-        return Copy(backup, self._state.dialect.backup_copy(backup, run.request_id))
+        backup, run.backup = run.backup, None
+        if backup is not None and self._state.fleet.takes_requests(backup.upstream_id):
+            return Copy(backup, self._state.dialect.backup_copy(backup, run.request_id))
+        kept = self._mover.kept(run)
+        if kept is not None:
+            run.kept = None
+            return kept.copy
+        return None
 
     def _wait_for_move(self, moving: AsyncResult) -> Copy | None:
         """Wait for the answer of the last move."""
@@ -382,7 +388,7 @@
         next_run.last_event_at = run.last_event_at
         need = Need(run.held_tokens, max(0, self._expected_tokens() - run.tokens))
         next_run.backup = self._choose_backup(copy.upstream, need)
-        self._put_share(next_run, prefill=0)
+        self._state.account(next_run)
         return next_run
 
     # Ends.
@@ -435,6 +441,7 @@
         run.ended = True
         if run.exchange is not None:
             run.exchange.close()
+        self._mover.drop_copy(run)
         self._drop(run)
 
     def _drop(self, run: StreamRun) -> None:
@@ -462,18 +469,7 @@
 
     def _expected_tokens(self) -> int:
         """Forecast the output, in tokens."""
-        hint = self._admitted.marks.length_hint
-        if hint:
-            return hint
-        return int(self._state.lengths.expected(self._request))
-
-    def _put_share(self, run: StreamRun, *, prefill: int) -> None:
-        """Tell the books what the run takes."""
-        tokens = max(run.held_tokens, self._request.input_tokens + self._expected_tokens())
-        backup_id = run.backup.upstream_id if run.backup else ""
-        share = Share(run.upstream.upstream_id, tokens, prefill, backup_id)
-        self._state.loads.put(run.request_id, share)
-        self._state.loads_changed.set()
+        return self._state.expected_tokens(self._request, self._admitted.marks.length_hint)
 
     def _budget_allows(self, upstream: Upstream) -> bool:
         """Take one repeat from the common budget."""
@@ -500,6 +496,11 @@
             tokens=use.tokens,
             copies=use.copies,
             prefill=use.prefill,
+            load=round(self._state.load_of(run.upstream.service), 3),
+            ready=len(self._state.fleet.ready(run.upstream.service)),
+            expected=self._expected_tokens(),
+            max_tokens=self._request.max_tokens,
+            hint=self._admitted.marks.length_hint,
             revision=run.upstream.revision,
         )
 
@@ -520,6 +521,8 @@
         )
 
 
+ACCOUNT_TOKENS: Final = 128
+"""Tokens after which the books are told of a run's growth: about once a second."""
 BACKUP_FROM_TOKENS: Final = 120
 """Outputs expected to be shorter end before a copy is of use: about a second of tokens."""
 NO_ENGINE: Final = Engine(
--- a/driftstall/peers/schema.capnp
+++ b/driftstall/peers/schema.capnp
@@ -69,6 +69,7 @@
 
 struct Use {
   upstreamId @0 :Text; running @1 :Int32; tokens @2 :Int32; copies @3 :Int32; prefill @4 :Int32;
+  exposed @5 :Int32;
 }
 struct GatewayReport {
   sender @0 :Text; ready @1 :Bool; platformOk @2 :Bool; routingVersion @3 :UInt64;
--- a/driftstall/platform/dialect.py
+++ b/driftstall/platform/dialect.py
@@ -47,6 +47,10 @@
         """Copy a run's memory to another engine; with last, the run stops first."""
         return engine_calls.move(source, request_id, target, last=last)
 
+    def drop_copy(self, holder: Upstream, copy_of: str) -> None:
+        """Free a copy's memory; where the holder is its source, at both engines."""
+        engine_calls.drop_copy(holder, copy_of)
+
     def is_ready_path(self, target: str) -> bool:
         """Tell whether a request asks whether this instance is ready."""
         return urlsplit(target).path == names.PATH_READY
--- a/driftstall/platform/engine_calls.py
+++ b/driftstall/platform/engine_calls.py
@@ -7,15 +7,19 @@
 
 import orjson
 
+from driftstall.const import PREFIX_RELAY
 from driftstall.exceptions import UpstreamError
 from driftstall.gateway.dialect import MoveDone, MoveFailed, MoveResult
 from driftstall.gateway.model import Upstream
+from driftstall.helpers.log import say
 from driftstall.platform import names
 from driftstall.util.http import Exchange
 
 MOVE_TIMEOUT_S: Final = 4.0
 """Copies queue behind each other on a link; an engine seldom lives longer after its notice."""
 
+DROP_TIMEOUT_S: Final = 1.0
+
 
 def move(source: Upstream, request_id: str, target: Upstream, *, last: bool) -> MoveResult:
     """Copy a run's memory from one engine to another; wait until the copy is whole."""
@@ -47,6 +51,16 @@
     return f"{backup.address}/{request_id}"
 
 
+def drop_copy(holder: Upstream, copy_of: str) -> None:
+    """Free a copy's memory; a call to its source frees it at both engines."""
+    handle = copy_of.rpartition("/")[2]
+    path = f"{names.PATH_COPY}/{handle}"
+    try:
+        Exchange.open(holder.address, "DELETE", path, {}, b"", DROP_TIMEOUT_S).read()
+    except UpstreamError as fault:
+        say(PREFIX_RELAY, f"A copy is left to be freed by time: {fault}")
+
+
 def _copy_name(source: Upstream, answer: Any) -> str:
     """Name a copy by the source's address and the handle that the source gave."""
     handle = answer.get("handle") if isinstance(answer, dict) else None
