Test the gateway before stand-ins; one store client for the published protocol

The product's own documents (configuration, claims, leases) are objects of kinds of ours in the store; the stand-in speaks the published protocol, lost history included. Found by the new scenarios: an unknown transfer coding got 501 where a 4xx is due, and a request with two ids kept its connection.

--- a/driftstall/gateway/ingress.py
+++ b/driftstall/gateway/ingress.py
@@ -109,7 +109,7 @@
             self._fail(HTTPStatus.BAD_REQUEST, "one Host header is needed")
         codings = values.get(b"transfer-encoding", [CHUNKED])
         if [coding.lower() for coding in codings] != [CHUNKED]:
-            self._fail(HTTPStatus.NOT_IMPLEMENTED, "only the chunked transfer coding is known")
+            self._fail(HTTPStatus.BAD_REQUEST, "only the chunked transfer coding is known")
         length = values.get(b"content-length", [b"0"])[0]
         if not length.isdigit() or int(length) > self._limits.body_bytes:
             self._fail(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
--- a/driftstall/gateway/listeners.py
+++ b/driftstall/gateway/listeners.py
@@ -100,6 +100,8 @@
             if refusal is None:
                 return self._serve_admitted(connection, call, admitted, keep=keep)
             admitted = refusal
+        # Where headers contradict themselves, what follows cannot be trusted either.
+        keep = keep and admitted.code != CODE_BAD_REQUEST
         return self._answer_problem(connection, admitted, keep=keep)
 
     def _admit(self, call: CallerRequest) -> Admitted | Problem:
--- a/driftstall/platform/client.py
+++ b/driftstall/platform/client.py
@@ -1,7 +1,7 @@
-"""Talk to the platform's object API over HTTP.
+"""Keep the product's own documents in the platform's object store.
 
-Published protocol: GET, PUT (If-Match with a version, zero to create) and a
-long-poll watch, all with JSON values; and a list of live and leaving instances.
+A key such as driftstall/config or driftstall/claims/7 names an object of a kind of
+ours; a version is the store's revision of the object, and zero stands for none.
 """
 
 from __future__ import annotations
@@ -9,18 +9,15 @@
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Any, Final
-from urllib.parse import quote
-
-import orjson
-from geventhttpclient import HTTPClient
 
 from driftstall.exceptions import PlatformUnavailable
-from driftstall.util.addresses import split_address
+from driftstall.platform import names
+from driftstall.platform.store import Store, WatchEvent
 
-READ_TIMEOUT_S: Final = 2.0
-WATCH_S: Final = 20
-CONNECTIONS: Final = 8
-HTTP_CONFLICT: Final = 409
+WATCH_S: Final = 20.0
+STATE_READY: Final = "ready"
+ONLY_ONE: Final = "main"
+"""The name of the object where a kind has only one."""
 
 
 class WriteState(StrEnum):
@@ -32,8 +29,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StoredObject:
-    """Hold one object; version zero stands for none."""
+class VersionedValue:
+    """Hold one value; version zero stands for none."""
 
     key: str
     version: int
@@ -62,105 +59,75 @@
 
 
 class PlatformClient:
-    """Read, write and watch objects."""
-
-    def __init__(self, address: str, token: str) -> None:
-        """Take the address (IP and port) and the access token."""
-        host, port = split_address(address)
-        self._headers = {"Authorization": f"Bearer {token}", "Content-Type": "application/json"}
-        self._client = _http(host, port, READ_TIMEOUT_S, CONNECTIONS)
-        self._watcher = _http(host, port, WATCH_S + READ_TIMEOUT_S, 2)
+    """Read, write and watch the product's own documents."""
+
+    def __init__(self, address: str, token: str = "") -> None:
+        """Take the store's address (IP and port) and an access token, if it wants one."""
+        self._store = Store(address, token)
         self.reads = 0
         self.writes = 0
 
-    def get(self, key: str) -> StoredObject:
-        """Return an object, or raise PlatformUnavailable."""
+    def get(self, key: str) -> VersionedValue:
+        """Return a value, or raise PlatformUnavailable."""
         self.reads += 1
-        status, body = self._call(self._client, "GET", f"/v1/objects/{quote(key)}")
-        if status == 404:
-            return StoredObject(key, 0, None)
-        if status != 200:
-            raise PlatformUnavailable(f"the platform answered {status}")
-        return StoredObject(key, body["version"], body["value"])
+        stored = self._store.get(*_place(key))
+        if stored is None:
+            return VersionedValue(key, 0, None)
+        return VersionedValue(key, stored.revision, stored.spec)
 
     def put(self, key: str, value: Any, expected: int) -> WriteResult:
-        """Write an object if its version is still the expected one."""
+        """Write a value if its version is still the expected one."""
         self.writes += 1
-        headers = {"If-Match": str(expected)}
-        path = f"/v1/objects/{quote(key)}"
+        kind, name = _place(key)
         try:
-            status, body = self._call(self._client, "PUT", path, orjson.dumps(value), headers)
+            if expected:
+                stored = self._store.replace(kind, name, value, expected)
+            else:
+                stored = self._store.create(kind, name, value)
         except PlatformUnavailable as fault:
             if not fault.sent:
                 raise
             return WriteResult(WriteState.UNKNOWN)
-        if status == 200:
-            return WriteResult(WriteState.DONE, body["version"])
-        if status == HTTP_CONFLICT:
+        if stored is None:
             return WriteResult(WriteState.CONFLICT)
-        if status in (429, 503):
-            # The published protocol: with these the write had no effect.
-            raise PlatformUnavailable(f"the platform answered {status}", sent=False)
-        return WriteResult(WriteState.UNKNOWN)
+        return WriteResult(WriteState.DONE, stored.revision)
 
-    def watch(self, prefix: str, after: int) -> tuple[int, tuple[StoredObject, ...]]:
-        """Wait for changes after a revision; return the new revision and them."""
+    def watch(self, key: str, after: int) -> tuple[int, tuple[VersionedValue, ...]]:
+        """Wait for changes of a key's kind after a revision; zero reads what is there."""
         self.reads += 1
-        path = f"/v1/watch?prefix={quote(prefix)}&after={after}&timeout={WATCH_S}"
-        status, body = self._call(self._watcher, "GET", path)
-        if status != 200:
-            raise PlatformUnavailable(f"the platform answered {status}")
-        changes = [
-            StoredObject(one["key"], one["version"], one["value"]) for one in body["changes"]
-        ]
-        return body["revision"], tuple(changes)
+        kind, _ = _place(key)
+        if not after:
+            listing = self._store.list(kind)
+            values = [VersionedValue(one.name, one.revision, one.spec) for one in listing.objects]
+            return listing.at, tuple(values)
+        answer = self._store.watch(kind, after, WATCH_S)
+        return answer.at, tuple(_value(event) for event in answer.events if not event.gone)
 
     def members(self) -> tuple[ListedMember, ...]:
         """Return the platform's list of instances and runners."""
-        self.reads += 1
-        status, body = self._call(self._client, "GET", "/v1/instances")
-        if status != 200:
-            raise PlatformUnavailable(f"the platform answered {status}")
+        self.reads += 2
+        rows = [("entry", one) for one in self._store.list(names.KIND_INSTANCES).objects]
+        rows += [("runner", one) for one in self._store.list(names.KIND_UPSTREAMS).objects]
         return tuple(
             ListedMember(
-                one["id"],
-                one["role"],
-                one["address"],
-                one.get("peer_address", ""),
-                one.get("zone", ""),
-                one["state"] == "leaving",
+                one.name,
+                role,
+                one.spec["address"],
+                one.spec.get("peer_address", ""),
+                one.spec.get("zone", ""),
+                one.spec.get("state", STATE_READY) != STATE_READY,
             )
-            for one in body["instances"]
+            for role, one in rows
         )
 
-    def _call(
-        self,
-        client: HTTPClient,
-        method: str,
-        path: str,
-        body: bytes = b"",
-        headers: dict[str, str] | None = None,
-    ) -> tuple[int, Any]:
-        """Make one call and read its JSON."""
-        sent = False
-        try:
-            merged = self._headers | (headers or {})
-            sent = True
-            response = client.request(method, path, body=body or None, headers=merged)
-            raw = response.read()
-            return response.status_code, orjson.loads(raw) if raw else None
-        except ConnectionRefusedError as fault:
-            raise PlatformUnavailable("the platform refuses connections", sent=False) from fault
-        except (OSError, ValueError) as fault:
-            raise PlatformUnavailable(f"no answer: {type(fault).__name__}", sent=sent) from fault
-
-
-def _http(host: str, port: int, timeout_s: float, connections: int) -> HTTPClient:
-    """Return an HTTP client for one address."""
-    return HTTPClient(
-        host,
-        port=port,
-        connection_timeout=READ_TIMEOUT_S,
-        network_timeout=timeout_s,
-        concurrency=connections,
-    )
+
+def _place(key: str) -> tuple[str, str]:
+    """Return the kind and the name of the object that holds a key's value."""
+    product, part, *rest = key.split("/", 2)
+    return f"{product}-{part}", rest[0] if rest else ONLY_ONE
+
+
+def _value(event: WatchEvent) -> VersionedValue:
+    """Return the value that a change has brought."""
+    changed = event.changed
+    return VersionedValue(changed.name, changed.revision, changed.spec)
--- a/driftstall/platform/feeds.py
+++ b/driftstall/platform/feeds.py
@@ -84,7 +84,9 @@
         "peer_address": instance.peer_address,
         "zone": instance.zone,
     }
-    store.put(names.KIND_INSTANCES, instance.instance_id, spec)
+    kind, name = names.KIND_INSTANCES, instance.instance_id
+    if store.replace(kind, name, spec) is None:
+        store.create(kind, name, spec)
 
 
 def withdraw_instance(store: Store, instance_id: str) -> None:
--- a/driftstall/platform/store.py
+++ b/driftstall/platform/store.py
@@ -63,9 +63,10 @@
 class Store:
     """Call the store at one address."""
 
-    def __init__(self, address: str) -> None:
-        """Take the store's address, IP and port."""
+    def __init__(self, address: str, token: str = "") -> None:
+        """Take the store's address, IP and port, and an access token if it wants one."""
         self._address = address
+        self._headers = {"Authorization": f"Bearer {token}"} if token else {}
         self._calls = 0
 
     @property
@@ -107,22 +108,23 @@
         )
         return WatchAnswer(events, int(body["at"]))
 
-    def put(self, kind: str, name: str, spec: Any, revision: int | None = None) -> bool:
-        """Make or replace an object; return False where the revision is not the object's.
+    def create(self, kind: str, name: str, spec: Any) -> StoredObject | None:
+        """Make an object; return None where it is there already."""
+        body = {"metadata": {"name": name}, "spec": spec}
+        return _written(*self._call("POST", _path(kind), body))
 
-        Without a revision the object is replaced whatever it is.
+    def replace(
+        self, kind: str, name: str, spec: Any, revision: int | None = None
+    ) -> StoredObject | None:
+        """Replace an object; return None where it is gone, or not at the revision if one is given.
+
+        Raises PlatformUnavailable; its sent flag tells whether the write may have been done.
         """
         metadata: dict[str, Any] = {"name": name}
         if revision is not None:
             metadata["revision"] = revision
         body = {"metadata": metadata, "spec": spec}
-        status, answer = self._call("PUT", _path(kind, name), body)
-        if status == HTTPStatus.NOT_FOUND and not revision:
-            status, answer = self._call("POST", _path(kind), body)
-        if status == HTTPStatus.CONFLICT:
-            return False
-        _checked(status, answer)
-        return True
+        return _written(*self._call("PUT", _path(kind, name), body))
 
     def delete(self, kind: str, name: str) -> None:
         """Remove an object, if it is there."""
@@ -140,7 +142,9 @@
         """Make one call; raise PlatformUnavailable where no answer came."""
         self._calls += 1
         data = b"" if body is None else orjson.dumps(body)
-        headers = {"Content-Type": "application/json"} if data else {}
+        headers = dict(self._headers)
+        if data:
+            headers["Content-Type"] = "application/json"
         try:
             exchange = Exchange.open(self._address, method, path, headers, data, timeout_s)
             raw = exchange.read()
@@ -158,6 +162,13 @@
     return f"{path}?{urlencode(query)}" if query else path
 
 
+def _written(status: int, body: Any) -> StoredObject | None:
+    """Return the object as a write left it, or None where its condition did not hold."""
+    if status in (HTTPStatus.CONFLICT, HTTPStatus.NOT_FOUND):
+        return None
+    return _object(_checked(status, body))
+
+
 def _checked(status: int, body: Any) -> Any:
     """Return the body of a good answer, or raise PlatformUnavailable."""
     if status in (HTTPStatus.OK, HTTPStatus.CREATED, HTTPStatus.NO_CONTENT):
--- /dev/null
+++ b/features/gateway/admission.feature
@@ -0,0 +1,72 @@
+Feature: What the gateway admits
+
+  Background:
+    Given a gateway before two plain upstreams and three engines
+
+  Scenario Outline: requests that the configuration does not allow
+    When a request for "<path>" with key "<key>" is asked as "r1"
+    Then the answer is <status> and tells that nothing ran
+    And "r1" has run on 0 upstreams
+
+    Examples:
+      | path     | key   | status |
+      | /nowhere | right | 404    |
+      | /safe/a  | wrong | 401    |
+      | /safe/a  | none  | 401    |
+
+  Scenario: an open route needs no key
+    When a request for "/open/a" with key "none" is asked as "r1"
+    Then the answer is 200 "whole" with the upstream's seal
+
+  Scenario Outline: an instance that may have an old configuration refuses nobody for good
+    Given the configuration may be old
+    When a request for "<path>" with key "<key>" is asked as "r1"
+    Then the answer is 503 and tells when to come back
+
+    Examples:
+      | path     | key   |
+      | /nowhere | right |
+      | /safe/a  | wrong |
+
+  Scenario: an instance without a configuration refuses nobody for good
+    Given no configuration has been read
+    When "/safe/a" is asked as "r1"
+    Then the answer is 503 and tells when to come back
+
+  Scenario: the longest prefix of the path decides
+    Then "/safe/quick/x" leads to route "quick" and "/safe/x" to "safe"
+
+  Scenario: a split follows its weights
+    Then of 1000 requests on a route split 90 to 10 about 900 go to the first service
+
+  Scenario Outline: malformed input gets a clear answer and loses nothing for others
+    When a caller sends <input>
+    Then it is answered <status> and closed
+    And another caller is served meanwhile
+
+    Examples:
+      | input                            | status |
+      | two lengths                      | 400    |
+      | a length beside chunks           | 400    |
+      | a folded header                  | 400    |
+      | bare line ends                   | 400    |
+      | a bad chunk size                 | 400    |
+      | an unknown transfer coding       | 400    |
+      | a name with a blank before colon | 400    |
+      | no host                          | 400    |
+      | two hosts                        | 400    |
+      | two request ids                  | 400    |
+      | a header of 10000 bytes          | 431    |
+      | a length of 70000 bytes          | 413    |
+      | a chunked body of 70000 bytes    | 413    |
+      | half a header and then nothing   | 408    |
+
+  Scenario: a second request hidden behind the first is a request of its own
+    When two requests come in one packet
+    Then both are answered in order on the same connection
+
+  Scenario: a stopping instance finishes calls and hands streams on
+    Given an open stream and a stop that was asked for
+    Then a new stream is told to come back elsewhere
+    And a new call is still served
+    And the open stream ends whole
--- /dev/null
+++ b/features/gateway/streams.feature
@@ -0,0 +1,76 @@
+Feature: The gateway's streams
+
+  Background:
+    Given a gateway before two plain upstreams and three engines
+
+  Scenario: a stream is passed on whole
+    When stream "s1" is asked
+    Then all 5 events of "s1" came once, in order, and the end
+
+  Scenario: a stream goes on at its copy when its engine breaks off
+    Given the engine of "s1" will break off after 3 events
+    When stream "s1" is asked
+    Then all 5 events of "s1" came once, in order, and the end
+    And "s1" went on from its backup after event 3
+
+  Scenario: half an event is never passed on
+    Given the engine of "s1" will break off inside event 4
+    When stream "s1" is asked
+    Then all 5 events of "s1" came once, in order, and the end
+
+  Scenario: an event that comes twice is passed on once
+    Given the engine of "s1" will repeat event 2
+    When stream "s1" is asked
+    Then all 5 events of "s1" came once, in order, and the end
+
+  Scenario: a missing event is not skipped
+    Given the engine of "s1" will skip event 3
+    When stream "s1" is asked
+    Then all 5 events of "s1" came once, in order, and the end
+
+  Scenario: a stream without a copy is visibly broken off
+    Given the engine of "s1" will break off after 3 events
+    And no engine keeps a copy of "s1"
+    When stream "s1" is asked
+    Then 3 events of "s1" came, in order, and no end
+
+  Scenario: a stream is sent elsewhere when it was turned away
+    Given the first engine of "s1" will turn it away
+    When stream "s1" is asked
+    Then all 5 events of "s1" came once, in order, and the end
+
+  Scenario: a stream that broke before its head is not run a second time
+    Given the engine of "s1" will break off before its answer
+    And no engine keeps a copy of "s1"
+    When stream "s1" is asked
+    Then the answer is 502 and promises nothing
+    And "s1" has run on 1 upstreams
+
+  Scenario: a stream moves off an engine that is leaving
+    Given stream "s1" waits after event 2 and has no backup
+    When its engine gives notice
+    Then all 5 events of "s1" came once, in order, and the end
+    And "s1" went on from its moved memory after event 2
+
+  Scenario Outline: a move that fails leaves the stream to its engine
+    Given stream "s1" waits after event 2 and has no backup
+    And moves will be answered <answer>
+    When its engine gives notice and goes on
+    Then all 5 events of "s1" came once, in order, and the end
+
+    Examples:
+      | answer |
+      | 503    |
+      | 404    |
+      | 409    |
+
+  Scenario: a caller that leaves has its stream given up
+    Given stream "s1" waits after event 2 and has no backup
+    When its caller leaves
+    Then the upstream's connection of "s1" ends within 0.5 s
+
+  Scenario: without engines a stream is told when to come back
+    Given all engines are leaving
+    When stream "s1" is asked
+    Then the answer is 503 and tells when to come back
+    And "s1" has run on 0 upstreams
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -18,6 +18,7 @@
 from driftstall.controllers.claims import SHARDS
 from driftstall.exceptions import UpstreamError
 from driftstall.helpers.trace import replay
+from driftstall.platform.client import PlatformClient
 from driftstall.util.http import Exchange
 from measures.bench import Bench, wait_until, workspace_key
 
@@ -323,12 +324,12 @@
 @when('the outcome of "{key}" is stored')
 def outcome_stored(context: Any, key: str) -> None:
     """Wait until the platform holds the outcome."""
-    address = context.bench.platform.address
+    client = PlatformClient(context.bench.platform.address)
 
     def stored() -> bool:
         for shard in range(SHARDS):
-            answer = call_json(address, "GET", f"/v1/objects/{KEY_CLAIMS}/{shard}", "")
-            for claim in answer.value["value"]["claims"] if answer.status == 200 else ():
+            value = client.get(f"{KEY_CLAIMS}/{shard}").value
+            for claim in value["claims"] if value else ():
                 if claim[4] is not None and key in claim[4][2]:
                     return True
         return False
--- /dev/null
+++ b/features/worlds/gateway_world.py
@@ -0,0 +1,242 @@
+"""Run one gateway inside the test process, before stand-ins of its upstreams."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any, Final
+
+import gevent
+from gevent import socket
+
+from driftstall.gateway.drain import Drain
+from driftstall.gateway.evacuation import Evacuation
+from driftstall.gateway.fleet import Changed, Listed, UpstreamLeaving
+from driftstall.gateway.listeners import CallerListener
+from driftstall.gateway.model import Bounds, GatewaySettings, Upstream, UpstreamState
+from driftstall.gateway.moves import Mover
+from driftstall.gateway.routes import RouteTable
+from driftstall.gateway.state import GatewayState
+from driftstall.platform.dialect import PlatformDialect
+from driftstall.platform.documents import read_routing
+from driftstall.policy.parse import parse_policy
+from measures.bench import free_port
+from stand_ins.routed import RoutedUpstream
+
+HOST: Final = "desk.example"
+KEY: Final = "key-of-north"
+WAIT_S: Final = 5.0
+ENGINE: Final = {
+    "slots": 64,
+    "kvCacheTokens": 34_545,
+    "kvTokenBytes": 18_432,
+    "linkMbps": 2700.0,
+    "moves": True,
+    "backups": True,
+    "stride": 4,
+}
+
+
+def route(name: str, prefix: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
+    """Return a route as the platform holds it."""
+    fields = {
+        "name": name,
+        "hostname": HOST,
+        "pathPrefix": prefix,
+        "kind": kind,
+        "timeoutMs": 3000,
+        "targetLatencyMs": 1500,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 2 if kind == "safe" else 1,
+    }
+    return fields | more
+
+
+def document(version: int = 1, **more: Any) -> dict[str, Any]:
+    """Return a routing document as the platform holds it."""
+    fields = {
+        "version": version,
+        "routes": [
+            route("safe", "/safe/", "safe", "portal"),
+            route("once", "/once/", "unsafe", "portal"),
+            route("quick", "/safe/quick/", "safe", "portal", timeoutMs=150),
+            route("open", "/open/", "safe", "portal", allowAnonymous=True),
+            route("chat", "/stream/", "streaming", "engines", gap_aim_ms=180),
+        ],
+        "services": [{"name": "portal"}, {"name": "engines", "engine": ENGINE}],
+        "tenants": [
+            {"name": "north", "apiKeys": [KEY], "priority": 0},
+            {"name": "plains", "apiKeys": ["key-of-plains"]},
+        ],
+        "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": 65_536, "headerTimeoutMs": 500},
+    }
+    return fields | more
+
+
+@dataclass(frozen=True, slots=True)
+class Received:
+    """Hold what a caller has received."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+    """Whether the answer told its end and came to it."""
+
+
+class GatewayWorld:
+    """Hold one gateway, its upstreams and its callers."""
+
+    def __init__(self) -> None:
+        """Start a gateway with two plain upstreams and three engines."""
+        self.plain = [RoutedUpstream(f"plain-{index}") for index in (1, 2)]
+        self.engines = [RoutedUpstream(f"engine-{index}") for index in (1, 2, 3)]
+        for one in self.engines:
+            one.peers = {other.address: other for other in self.engines}
+        settings = GatewaySettings(
+            instance_id="instance-1",
+            zone="a",
+            caller_listen=f"127.0.0.1:{free_port()}",
+            ready_listen=f"127.0.0.1:{free_port()}",
+            locate_listen=f"127.0.0.1:{free_port()}",
+            peer_listen=f"127.0.0.1:{free_port()}",
+            platform_address="127.0.0.1:1",
+            seeds=(),
+            bounds=Bounds(),
+            peer_key="peer key for tests only",
+        )
+        policy = parse_policy(Path("deploy/default.policy").read_text())
+        self.state = GatewayState(settings, PlatformDialect(), policy)
+        self.current = True
+        self.mover = Mover(self.state)
+        self.evacuation = Evacuation(self.state, self.mover)
+        self.drain = Drain(self.state)
+        self.use(document())
+        self.revision = 0
+        self.list_upstreams()
+        self.listener = CallerListener(self.state, self.mover, self.drain, lambda: self.current)
+        self.listener.start()
+
+    def close(self) -> None:
+        """Stop everything."""
+        self.listener.stop()
+        for one in (*self.plain, *self.engines):
+            one.stop()
+
+    def use(self, raw: dict[str, Any]) -> None:
+        """Put a routing document in force."""
+        self.state.table = RouteTable.from_document(read_routing(raw))
+
+    def entry(self, upstream: RoutedUpstream) -> Upstream:
+        """Return an upstream's entry."""
+        self.revision += 1
+        service = "engines" if upstream in self.engines else "portal"
+        return Upstream(
+            upstream.upstream_id,
+            service,
+            upstream.address,
+            "a",
+            8,
+            UpstreamState.READY,
+            self.revision,
+        )
+
+    def list_upstreams(self) -> None:
+        """Let the fleet know all upstreams."""
+        entries = tuple(self.entry(one) for one in (*self.plain, *self.engines))
+        self.state.fleet.handle(Listed(entries), self.state.now())
+
+    def give_notice(self, upstream: RoutedUpstream) -> None:
+        """Let an upstream be leaving, and have its streams moved."""
+        leaving = replace(self.entry(upstream), state=UpstreamState.LEAVING)
+        for action in self.state.fleet.handle(Changed(leaving, False), self.state.now()):
+            if isinstance(action, UpstreamLeaving):
+                self.evacuation.start(action.upstream)
+
+    def connect(self) -> socket.socket:
+        """Open a caller's connection."""
+        host, port = self.state.settings.caller_listen.split(":")
+        return socket.create_connection((host, int(port)), WAIT_S)
+
+    def ask(self, path: str, request_id: str, **more: str) -> Received:
+        """Send one request on a connection of its own, and read the answer."""
+        connection = self.connect()
+        try:
+            connection.sendall(request_bytes(path, request_id, **more))
+            return read_answer(connection)
+        finally:
+            connection.close()
+
+    def ask_later(self, path: str, request_id: str, **more: str) -> gevent.Greenlet:
+        """Send one request from another greenlet."""
+        return gevent.spawn(self.ask, path, request_id, **more)
+
+
+def request_bytes(path: str, request_id: str, method: str = "POST", **more: str) -> bytes:
+    """Return a request as a caller sends it."""
+    headers = {
+        "Host": HOST,
+        "X-Driftstall-Request-Id": request_id,
+        "X-Driftstall-Deadline-Ms": "3000",
+        "X-Driftstall-Model": "m",
+        "X-Driftstall-Token-Count": "1000,2000",
+        "Authorization": f"Bearer {KEY}",
+        "Content-Length": "4",
+        "Connection": "close",
+    }
+    headers |= {name.replace("_", "-"): value for name, value in more.items()}
+    lines = [f"{method} {path} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers.items() if value]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + b"body"
+
+
+def read_answer(connection: socket.socket) -> Received:
+    """Read one answer up to the connection's end."""
+    data = b""
+    connection.settimeout(WAIT_S)
+    try:
+        while piece := connection.recv(65_536):
+            data += piece
+    except ConnectionError:
+        pass
+    return parse_answer(data)
+
+
+def parse_answer(data: bytes) -> Received:
+    """Take an answer apart."""
+    head, _, body = data.partition(b"\r\n\r\n")
+    first, *lines = head.decode("latin-1").split("\r\n")
+    if not first:
+        return Received(0, {}, b"", whole=False)
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(":")
+        headers[name.lower()] = value.strip()
+    status = int(first.split(" ")[1])
+    if headers.get("transfer-encoding") == "chunked":
+        return Received(status, headers, *_unchunked(body))
+    whole = len(body) == int(headers.get("content-length", "-1"))
+    return Received(status, headers, body, whole)
+
+
+def _unchunked(body: bytes) -> tuple[bytes, bool]:
+    """Return the content of a chunked body, and whether its end was there."""
+    content = b""
+    while body:
+        size_text, _, rest = body.partition(b"\r\n")
+        size = int(size_text, 16)
+        if size == 0:
+            return content, True
+        content, body = content + rest[:size], rest[size + 2 :]
+    return content, False
+
+
+def wait_for(what: str, check: Callable[[], bool]) -> None:
+    """Wait until a condition holds."""
+    until = time.monotonic() + WAIT_S
+    while not check():
+        assert time.monotonic() < until, f"not reached in {WAIT_S:g} s: {what}"
+        gevent.sleep(0.005)
--- a/measures/bench.py
+++ b/measures/bench.py
@@ -20,6 +20,8 @@
 
 from driftstall.cli.client import Answer, call_json
 from driftstall.exceptions import DriftstallError, UpstreamError
+from driftstall.platform.names import KIND_INSTANCES, KIND_UPSTREAMS
+from driftstall.platform.store import Store
 
 OPERATOR_TOKEN: Final = "operator-token-of-the-bench"
 PEER_KEY: Final = "peer-key-of-the-bench"
@@ -206,9 +208,17 @@
         return process
 
     def list_member(self, name: str, row: dict[str, Any]) -> None:
-        """Change a row of the platform's list."""
+        """Change a row of the platform's list; the state is live, leaving or gone."""
         assert self.platform is not None
-        call_json(self.platform.address, "PUT", f"/v1/instances/{name}", "", row)
+        kind = KIND_INSTANCES if row["role"] == "entry" else KIND_UPSTREAMS
+        store = Store(self.platform.address)
+        if row["state"] == "gone":
+            store.delete(kind, name)
+            return
+        state = "draining" if row["state"] == "leaving" else "ready"
+        spec = row | {"state": state, "service": row.get("service", "")}
+        if store.replace(kind, name, spec) is None:
+            store.create(kind, name, spec)
 
     def wait_listening(self, process: Process) -> None:
         """Wait until a process takes connections."""
--- a/stand_ins/platform.py
+++ b/stand_ins/platform.py
@@ -1,12 +1,13 @@
-"""Stand in for the platform: objects, conditional updates, watches and the list.
+"""Stand in for the platform's object store: lists, conditional writes and watches.
 
 Usage:
-  platform [--port=N] [--writes=N] [--reads=N]
+  platform [--port=N] [--writes=N] [--reads=N] [--page=N]
 
 Options:
   --port=N    Port to serve on [default: 7000].
   --writes=N  Writes a second before 429 [default: 100].
   --reads=N   Reads a second before 429 [default: 2000].
+  --page=N    Most objects in one answer [default: 500].
 """
 
 from __future__ import annotations
@@ -26,8 +27,10 @@
 
 from stand_ins.http import StartResponse, answer, cut, query, read_json, serve  # noqa: E402
 
-PREFIX = "/v1/objects/"
-MAX_VALUE_BYTES = 1_000_000
+PREFIX = "/api/objects/"
+MAX_VALUE_BYTES = 1_048_576
+WATCH_CHECK_S = 0.5
+"""How often a waiting watch looks whether the store has gone down."""
 
 
 @dataclass(slots=True)
@@ -35,10 +38,11 @@
     """Hold the scripted faults."""
 
     down_until: float = 0.0
+    silent: bool = False
+    """Whether a store that is down says nothing; else it answers 503."""
     slow_s: float = 0.0
     lose_answers: int = 0
     """Writes that take effect but whose answer is lost."""
-    list_lag_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -60,15 +64,27 @@
         return self.count <= self.limit
 
 
+@dataclass(frozen=True, slots=True)
+class Change:
+    """Hold one change for watches."""
+
+    revision: int
+    kind: str
+    value: dict[str, Any]
+    gone: bool
+
+
 @dataclass(slots=True)
 class Platform:
-    """Serve the object API from memory."""
+    """Serve the object store from memory."""
 
     writes: Counter
     reads: Counter
-    objects: dict[str, tuple[int, Any, int]] = field(default_factory=dict)
-    members: dict[str, dict[str, Any]] = field(default_factory=dict)
-    shown: list[dict[str, Any]] = field(default_factory=list)
+    page: int = 500
+    objects: dict[tuple[str, str], dict[str, Any]] = field(default_factory=dict)
+    history: list[Change] = field(default_factory=list)
+    forgotten: int = 0
+    """The revision up to which the history is gone."""
     revision: int = 0
     faults: Faults = field(default_factory=Faults)
     changed: Event = field(default_factory=Event)
@@ -81,91 +97,127 @@
         if self.faults.slow_s:
             gevent.sleep(self.faults.slow_s)
         if time.monotonic() < self.faults.down_until:
+            if self.faults.silent:
+                gevent.sleep(max(0.0, self.faults.down_until - time.monotonic()))
             return answer(start, 503, {"error": "down"})
-        if method == "PUT":
-            return self._put(environ, start, path)
+        if not path.startswith(PREFIX):
+            return answer(start, 404, {"error": "no such path"})
+        kind, _, name = path.removeprefix(PREFIX).partition("/")
+        if method == "GET":
+            return self._read(environ, start, kind, name)
+        return self._write(environ, start, method, kind, name)
+
+    def _read(
+        self, environ: dict[str, Any], start: StartResponse, kind: str, name: str
+    ) -> Iterable[bytes]:
+        """Serve one reading call."""
         if not self.reads.take():
             return answer(start, 429, {"error": "too many reads"})
-        if path == "/v1/instances":
-            return answer(start, 200, {"instances": self.shown})
-        if path == "/v1/watch":
-            return self._watch(environ, start)
-        found = self.objects.get(path.removeprefix(PREFIX))
-        if found is None:
-            return answer(start, 404, {"error": "no such object"})
-        return answer(start, 200, {"version": found[0], "value": found[1]})
-
-    def _put(self, environ: dict[str, Any], start: StartResponse, path: str) -> Iterable[bytes]:
-        """Write an object conditionally."""
+        if name:
+            found = self.objects.get((kind, name))
+            if found is None:
+                return answer(start, 404, {"error": "no such object"})
+            return answer(start, 200, found)
+        asked = query(environ)
+        if "watch" in asked:
+            return self._watch(start, kind, int(asked["watch"]), float(asked["waitMs"]) / 1000)
+        names = sorted(one for of, one in self.objects if of == kind)
+        names = [one for one in names if one > asked.get("after", "")]
+        items = [self.objects[(kind, one)] for one in names[: self.page]]
+        more = len(names) > self.page
+        return answer(start, 200, {"items": items, "more": more, "at": self.revision})
+
+    def _watch(self, start: StartResponse, kind: str, at: int, wait_s: float) -> Iterable[bytes]:
+        """Answer when something of the kind has changed after a revision."""
+        ends = time.monotonic() + wait_s
+        while True:
+            if at < self.forgotten:
+                return answer(start, 410, {"error": "the history is gone"})
+            if time.monotonic() < self.faults.down_until:
+                return answer(start, 503, {"error": "down"})
+            events = [
+                {"object": one.value, "gone": one.gone}
+                for one in self.history
+                if one.revision > at and one.kind == kind
+            ]
+            left = ends - time.monotonic()
+            if events or left <= 0:
+                return answer(start, 200, {"events": events, "at": self.revision})
+            self.changed.wait(min(left, WATCH_CHECK_S))
+
+    def _write(
+        self, environ: dict[str, Any], start: StartResponse, method: str, kind: str, name: str
+    ) -> Iterable[bytes]:
+        """Serve one writing call."""
         if not self.writes.take():
             return answer(start, 429, {"error": "too many writes"})
-        raw_length = int(environ.get("CONTENT_LENGTH") or 0)
-        if raw_length > MAX_VALUE_BYTES:
+        if int(environ.get("CONTENT_LENGTH") or 0) > MAX_VALUE_BYTES:
             return answer(start, 413, {"error": "too large"})
-        value = read_json(environ)
-        if path.startswith("/v1/instances/"):
-            self._register(path.removeprefix("/v1/instances/"), value)
-            return answer(start, 200, {"version": 0})
-        key = path.removeprefix(PREFIX)
-        current = self.objects.get(key, (0, None, 0))
-        if int(environ.get("HTTP_IF_MATCH", "-1")) != current[0]:
-            return answer(start, 409, {"version": current[0]})
-        self.revision += 1
-        self.objects[key] = (current[0] + 1, value, self.revision)
-        self.changed.set()
-        self.changed.clear()
+        body = read_json(environ)
+        metadata = body.get("metadata") or {}
+        name = name or str(metadata.get("name", ""))
+        current = self.objects.get((kind, name))
+        if method == "POST" and current is not None:
+            return answer(start, 409, current)
+        if method != "POST" and current is None:
+            return answer(start, 404, {"error": "no such object"})
+        wanted = metadata.get("revision")
+        if current is not None and wanted not in (None, current["metadata"]["revision"]):
+            return answer(start, 409, current)
+        stored = self._change(kind, name, body.get("spec"), gone=method == "DELETE")
         if self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
             return cut(environ, start)
-        return answer(start, 200, {"version": current[0] + 1})
-
-    def _watch(self, environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
-        """Answer when something under the prefix has changed."""
-        asked = query(environ)
-        after, prefix = int(asked["after"]), asked["prefix"]
-        ends = time.monotonic() + float(asked.get("timeout", "20"))
-        while True:
-            changes = [
-                {"key": key, "version": version, "value": value}
-                for key, (version, value, revision) in self.objects.items()
-                if revision > after and key.startswith(prefix)
-            ]
-            left = ends - time.monotonic()
-            down = time.monotonic() < self.faults.down_until
-            if down:
-                return answer(start, 503, {"error": "down"})
-            if changes or left <= 0:
-                return answer(start, 200, {"revision": self.revision, "changes": changes})
-            self.changed.wait(min(left, 0.5))
-
-    def _register(self, member_id: str, value: dict[str, Any]) -> None:
-        """Change the list, which readers see after the lag."""
-        self.members[member_id] = value | {"id": member_id}
-        gevent.spawn_later(self.faults.list_lag_s, self._show)
+        return answer(start, 200, stored)
 
-    def _show(self) -> None:
-        """Let readers see the list as it is now."""
-        self.shown = [one for one in self.members.values() if one["state"] != "gone"]
+    def _change(self, kind: str, name: str, spec: Any, *, gone: bool) -> dict[str, Any]:
+        """Make, replace or remove an object, and wake the watches."""
+        current = self.objects.get((kind, name))
+        if current is not None and not gone and current["spec"] == spec:
+            return current
+        self.revision += 1
+        made = current["metadata"]["made"] if current else self.revision
+        metadata = {"name": name, "revision": self.revision, "made": made}
+        metadata |= {"finalizers": [], "deleting": False}
+        stored = {"metadata": metadata, "spec": spec, "status": None}
+        if gone:
+            del self.objects[(kind, name)]
+        else:
+            self.objects[(kind, name)] = stored
+        self.history.append(Change(self.revision, kind, stored, gone))
+        self.changed.set()
+        self.changed.clear()
+        return stored
 
     def _control(self, environ: dict[str, Any], start: StartResponse, path: str) -> Iterable[bytes]:
         """Script faults, and give statistics."""
         if path == "/control/stats":
             counts = {"reads": self.reads.total, "writes": self.writes.total}
-            objects = {key: version for key, (version, _, _) in self.objects.items()}
+            objects = {
+                f"{kind}/{name}": one["metadata"]["revision"]
+                for (kind, name), one in self.objects.items()
+            }
             return answer(start, 200, counts | {"objects": objects})
         script = read_json(environ)
         if "down_s" in script:
             self.faults.down_until = time.monotonic() + script["down_s"]
+        if script.get("forget"):
+            self.forgotten = self.revision
+            self.history.clear()
+            self.changed.set()
+            self.changed.clear()
+        self.faults.silent = script.get("silent", False)
         self.faults.slow_s = script.get("slow_s", self.faults.slow_s)
         self.faults.lose_answers = script.get("lose_answers", self.faults.lose_answers)
-        self.faults.list_lag_s = script.get("list_lag_s", self.faults.list_lag_s)
         return answer(start, 200, {})
 
 
 def main() -> None:
     """Serve until killed."""
     options = docopt(__doc__)
-    platform = Platform(Counter(int(options["--writes"])), Counter(int(options["--reads"])))
+    platform = Platform(
+        Counter(int(options["--writes"])), Counter(int(options["--reads"])), int(options["--page"])
+    )
     serve(int(options["--port"]), platform).serve_forever()
 
 
--- /dev/null
+++ b/stand_ins/routed.py
@@ -0,0 +1,243 @@
+"""Stand in for the upstreams of the gateway: plain calls and streams, with scripted faults.
+
+It runs inside the test process. Each request id may be given a script; without one a
+request is answered whole. Streams count events from one and can be copied to another
+stand-in and gone on with there.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+import orjson
+from gevent import socket
+from gevent.event import Event
+from gevent.server import StreamServer
+
+from driftstall.gateway.ingress import CallerConnection, CallerRequest, chunk, head_bytes
+from driftstall.gateway.model import Limits
+
+STREAM_TYPE: Final = (b"Content-Type", b"text/event-stream")
+SEAL: Final = (b"X-Driftstall-Response-Seal", b"seal")
+RESET: Final = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+"""Linger for no time, so that a close resets the connection."""
+
+
+@dataclass(slots=True)
+class Script:
+    """Say what happens to one request, once."""
+
+    status: int = 200
+    body: bytes = b"whole"
+    not_run: bool = False
+    reset: bool = False
+    """Close without an answer, after the request was read."""
+    hang: bool = False
+    unframed: bool = False
+    """Answer without a length; the answer ends with its connection."""
+    cut_after: int | None = None
+    """Break off after so many bytes of the body."""
+    surplus_before: bool = False
+    """Answer another request first."""
+    surplus_after: bool = False
+    """Send more bytes after the whole answer."""
+    events: int = 5
+    break_after: int | None = None
+    """Break a stream off after so many events."""
+    repeat_event: int | None = None
+    skip_event: int | None = None
+    half_event: bool = False
+    """Break off inside the next event."""
+    pause_after: int | None = None
+    """Wait for the script's gate after so many events."""
+    gate: Event = field(default_factory=Event)
+    ended: Event = field(default_factory=Event)
+    """Set when the request's connection has ended here."""
+
+
+@dataclass(slots=True)
+class Seen:
+    """Hold one request as it arrived."""
+
+    request_id: str
+    headers: dict[str, str]
+    method: str
+    target: str
+    body: bytes
+
+
+class RoutedUpstream:
+    """Serve one upstream at a loopback address."""
+
+    def __init__(self, upstream_id: str) -> None:
+        """Start to listen."""
+        self.upstream_id = upstream_id
+        self.seen: list[Seen] = []
+        self.scripts: dict[str, list[Script]] = defaultdict(list)
+        self.copies: dict[str, int] = {}
+        """Copies held here, by name, with the events that they contain."""
+        self.running: dict[str, int] = {}
+        self.stopped: set[str] = set()
+        self.move_answers: list[Callable[[dict[str, Any]], tuple[int, dict[str, Any]]]] = []
+        self.peers: dict[str, RoutedUpstream] = {}
+        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+
+    @property
+    def address(self) -> str:
+        """Return where it listens."""
+        return f"127.0.0.1:{self._server.server_port}"
+
+    def stop(self) -> None:
+        """Stop to listen."""
+        self._server.stop(timeout=0)
+
+    def runs(self, request_id: str) -> int:
+        """Return how often a request was run here."""
+        return sum(one.request_id == request_id for one in self.seen)
+
+    def _serve(self, raw: socket.socket, _: tuple[str, int]) -> None:
+        """Serve one connection."""
+        connection = CallerConnection(raw, Limits())
+        try:
+            call = connection.next()
+            if isinstance(call, CallerRequest):
+                self._answer(raw, connection, call)
+        except OSError:
+            return
+        finally:
+            connection.close()
+
+    def _answer(
+        self, raw: socket.socket, connection: CallerConnection, call: CallerRequest
+    ) -> None:
+        """Answer one request as its script says."""
+        headers = {k.decode().lower(): v.decode() for k, v in call.headers}
+        if call.path == "/api/kv-move":
+            self._move(connection, orjson.loads(call.body))
+            return
+        if call.path.startswith("/api/kv-handle/"):
+            self.copies.pop(call.path.rpartition("/")[2], None)
+            connection.write(head_bytes(200, (), (b"Content-Length: 2",)) + b"{}")
+            return
+        request_id = headers.get("x-driftstall-request-id", "")
+        if headers.get("x-driftstall-expect-instance", self.upstream_id) != self.upstream_id:
+            self._refuse(connection, request_id, 421)
+            return
+        scripts = self.scripts[request_id]
+        script = scripts.pop(0) if scripts else Script()
+        copy_of = headers.get("kv-from", "").rpartition("/")[2]
+        if script.not_run or (copy_of and copy_of not in self.copies):
+            self._refuse(connection, request_id, 503)
+            return
+        self.copies.pop(copy_of, None)
+        seen = Seen(request_id, headers, call.method.decode(), call.target.decode(), call.body)
+        self.seen.append(seen)
+        try:
+            if call.path.startswith("/stream/"):
+                self._stream(raw, connection, request_id, headers, script)
+            else:
+                self._whole(raw, connection, request_id, script)
+        finally:
+            script.ended.set()
+
+    def _refuse(self, connection: CallerConnection, request_id: str, status: int) -> None:
+        """Turn a request away without running it."""
+        headers = (_id(request_id), (b"X-Driftstall-Not-Executed", b"1"))
+        connection.write(head_bytes(status, headers, (b"Content-Length: 0",)))
+
+    def _whole(
+        self, raw: socket.socket, connection: CallerConnection, request_id: str, script: Script
+    ) -> None:
+        """Answer a plain call."""
+        if script.reset:
+            _reset(raw)
+            return
+        if script.hang:
+            raw.settimeout(None)
+            raw.recv(1)
+            return
+        if script.surplus_before:
+            headers = (_id("another"), SEAL)
+            connection.write(head_bytes(200, headers, (b"Content-Length: 5",)) + b"other")
+        headers = (_id(request_id), SEAL)
+        length = () if script.unframed else (b"Content-Length: %d" % len(script.body),)
+        connection.write(head_bytes(script.status, headers, length))
+        if script.cut_after is not None:
+            connection.write(script.body[: script.cut_after])
+            _reset(raw)
+            return
+        connection.write(script.body + (b"HTTP/1.1 200 OK\r\n" if script.surplus_after else b""))
+
+    def _stream(
+        self,
+        raw: socket.socket,
+        connection: CallerConnection,
+        request_id: str,
+        headers: dict[str, str],
+        script: Script,
+    ) -> None:
+        """Answer with a stream of events, from the one after the last that the caller has."""
+        if script.reset:
+            _reset(raw)
+            return
+        first = int(headers.get("last-event-id") or 0) + 1
+        extra = (b"Transfer-Encoding: chunked",)
+        answer = (_id(request_id), SEAL, STREAM_TYPE)
+        if not connection.write(head_bytes(script.status, answer, extra)):
+            return
+        self.running[request_id] = first - 1
+        backup = self.peers.get(headers.get("kv-backup", ""))
+        for number in range(first, script.events + 1):
+            if number == script.skip_event:
+                continue
+            if not connection.write(chunk(event_bytes(number))):
+                return
+            if number == script.repeat_event:
+                connection.write(chunk(event_bytes(number)))
+            self.running[request_id] = number
+            if backup is not None:
+                backup.copies[request_id] = number
+            if number == script.pause_after:
+                script.gate.wait()
+            if request_id in self.stopped:
+                return
+            if number == script.break_after:
+                if script.half_event:
+                    connection.write(chunk(event_bytes(number + 1)[:4]))
+                return
+        connection.write(b"0\r\n\r\n")
+
+    def _move(self, connection: CallerConnection, wanted: dict[str, Any]) -> None:
+        """Copy a run to another stand-in."""
+        if self.move_answers:
+            status, body = self.move_answers.pop(0)(wanted)
+        elif wanted["id"] not in self.running:
+            status, body = 404, {}
+        else:
+            handle = f"copy-{wanted['id']}"
+            self.peers[wanted["targetVersion"]].copies[handle] = self.running[wanted["id"]]
+            status, body = 200, {"handle": handle, "made": self.running[wanted["id"]]}
+            if wanted.get("last"):
+                self.stopped.add(wanted["id"])
+        data = orjson.dumps(body)
+        connection.write(head_bytes(status, (), (b"Content-Length: %d" % len(data),)) + data)
+
+
+def event_bytes(number: int) -> bytes:
+    """Return one event of a stream."""
+    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
+
+def _id(request_id: str) -> tuple[bytes, bytes]:
+    """Return the header that echoes a request's id."""
+    return (b"X-Driftstall-Request-Id", request_id.encode())
+
+
+def _reset(raw: socket.socket) -> None:
+    """Close a connection with a reset."""
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    raw.close()
