--- a/driftstall/gateway/moves.py
+++ b/driftstall/gateway/moves.py
@@ -94,6 +94,7 @@
         kept, run.kept = run.kept, None
         if kept is None:
             return
+        self._hold(run, None)
         source_stays = self._state.fleet.takes_requests(run.upstream.upstream_id)
         holder = run.upstream if source_stays else kept.copy.upstream
         gevent.spawn(self._state.dialect.drop_copy, holder, kept.copy.copy_of)
--- a/driftstall/gateway/protection.py
+++ b/driftstall/gateway/protection.py
@@ -24,6 +24,8 @@
 """Pause after a copy that failed for want of room."""
 MOST_MEMORY: Final = 0.55
 """Memory share up to which copies are made before a notice; runs and new prompts go first."""
+DROP_MEMORY: Final = 0.85
+"""Memory share from which copies are dropped again."""
 MIN_EVENTS: Final = 6
 """Events after which a run is worth a copy; many end before."""
 
@@ -51,6 +53,7 @@
                 if run.upstream.upstream_id not in self._busy:
                     self._busy.add(run.upstream.upstream_id)
                     gevent.spawn(self._copy, run)
+            self._make_room()
             self._forget_ended()
 
     def _wanting(self) -> Iterable[StreamRun]:
@@ -70,6 +73,17 @@
             if kept is None or now - kept.at >= REFRESH_S:
                 yield run
 
+    def _make_room(self) -> None:
+        """Drop copies on engines whose memory is nearly full; runs go first."""
+        for run in self._state.runs.all:
+            kept, engine = run.kept, run.admitted.service.engine
+            if kept is None or engine is None or run.copying or run.moving is not None:
+                continue
+            use = self._state.loads.use(kept.copy.upstream.upstream_id, self._state.now())
+            if (use.tokens + use.copies) / engine.memory_tokens > DROP_MEMORY:
+                self._mover.drop_copy(run)
+                self._not_before[run.request_id] = self._state.now() + FAILED_PAUSE_S
+
     def _copy(self, run: StreamRun) -> None:
         """Copy one run."""
         upstream_id = run.upstream.upstream_id
--- a/driftstall/gateway/selection.py
+++ b/driftstall/gateway/selection.py
@@ -80,6 +80,12 @@
     return _least(options, cost)
 
 
+def has_room(option: Option, engine: Engine, need: Need) -> bool:
+    """Tell whether a generation fits an engine's memory, as far as can be forecast."""
+    expected = need.prompt_tokens + need.output_tokens // 2
+    return _memory(option.use, engine, expected) <= FULL
+
+
 def choose_backup(
     options: Iterable[Option], engine: Engine, need: Need, primary: Upstream, source: random.Random
 ) -> Option | None:
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -37,12 +37,15 @@
 from driftstall.gateway.moves import Mover
 from driftstall.gateway.outcomes import Outcome
 from driftstall.gateway.runs import Copy, StreamRun
-from driftstall.gateway.selection import Need, choose_backup, choose_stream
+from driftstall.gateway.selection import Need, choose_backup, choose_stream, has_room
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import say
 
 WAIT_FOR_UPSTREAM_S: Final = 0.4
 """How long a stream waits for an upstream that takes requests; a quarter of its target."""
+WAIT_FOR_ROOM_SHARE: Final = 0.4
+"""Share of a stream's target that it waits for room: sent before, it would be preempted."""
+ROOM_CHECK_S: Final = 0.02
 MOVE_WAIT_S: Final = 2.0
 """How long a stopped run waits for the answer of its last move."""
 SILENCE_S: Final = 1.2
@@ -147,25 +150,35 @@
 
     def _place(self, avoid: frozenset[str]) -> StreamRun | None:
         """Choose the upstream and where its copy is kept; wait a little for one."""
-        engine = self._engine
         need = self._need()
-        until = self._state.now() + min(WAIT_FOR_UPSTREAM_S, self._admitted.route.target_s / 4)
-        while True:
-            options = self._state.options(self._admitted.service.name, avoid)
-            zone = self._state.settings.zone
-            chosen = choose_stream(options, engine, need, zone, self._state.source)
-            if chosen is not None:
-                break
-            left = until - self._state.now()
-            if left <= 0 or self._caller_gone:
-                return None
-            self._state.fleet_changed.wait(left)
-        run = StreamRun(self._call, self._admitted, self._request, chosen.upstream)
-        run.backup = self._choose_backup(chosen.upstream, need)
+        chosen = self._wait_for_room(need, avoid)
+        if chosen is None:
+            return None
+        run = StreamRun(self._call, self._admitted, self._request, chosen)
+        run.backup = self._choose_backup(chosen, need)
         self._state.account(run)
         self._say_placed(run)
         return run
 
+    def _wait_for_room(self, need: Need, avoid: frozenset[str]) -> Upstream | None:
+        """Choose the upstream; wait a little for one, and for room in its memory."""
+        engine = self._engine
+        zone = self._state.settings.zone
+        began = self._state.now()
+        target_s = self._admitted.route.target_s
+        upstream_until = began + min(WAIT_FOR_UPSTREAM_S, target_s / 4)
+        room_until = began + min(self._admitted.verdict.wait_s, target_s * WAIT_FOR_ROOM_SHARE)
+        while not self._caller_gone:
+            options = self._state.options(self._admitted.service.name, avoid)
+            chosen = choose_stream(options, engine, need, zone, self._state.source)
+            now = self._state.now()
+            if chosen is None and now >= upstream_until:
+                return None
+            if chosen is not None and (now >= room_until or has_room(chosen, engine, need)):
+                return chosen.upstream
+            self._state.fleet_changed.wait(ROOM_CHECK_S)
+        return None
+
     def _choose_backup(self, primary: Upstream, need: Need) -> Upstream | None:
         """Choose where a copy of the run is kept."""
         if not self._engine.can_backup or not self._wants_backup():
--- a/driftstall/platform/__main__.py
+++ b/driftstall/platform/__main__.py
@@ -12,7 +12,6 @@
 
 import os  # noqa: E402
 import sys  # noqa: E402
-from pathlib import Path  # noqa: E402
 from typing import Final  # noqa: E402
 
 from driftstall.exceptions import SettingsError  # noqa: E402
@@ -23,10 +22,9 @@
 from driftstall.platform.dialect import PlatformDialect  # noqa: E402
 from driftstall.platform.settings import read_settings, settings_path  # noqa: E402
 from driftstall.platform.store import Store  # noqa: E402
-from driftstall.policy.parse import parse_policy  # noqa: E402
+from driftstall.policy.parse import default_policy  # noqa: E402
 
 EXIT_SETTINGS: Final = 2
-DEFAULT_POLICY: Final = Path("deploy/default.policy")
 
 
 def main() -> int:
@@ -39,8 +37,7 @@
             print(f"driftstall: {fault}", file=sys.stderr)
         return EXIT_SETTINGS
     start_log()
-    policy = parse_policy(DEFAULT_POLICY.read_text())
-    GatewayNode(settings, path, platform_access(settings), policy).run()
+    GatewayNode(settings, path, platform_access(settings), default_policy()).run()
     return 0
 
 
--- a/driftstall/policy/parse.py
+++ b/driftstall/policy/parse.py
@@ -50,6 +50,11 @@
     return Lark(grammar, parser="lalr", propagate_positions=True, maybe_placeholders=True)
 
 
+def default_policy() -> Policy:
+    """Return the policy that is in force until an operator submits one."""
+    return parse_policy(Path(__file__).with_name("default.policy").read_text())
+
+
 def parse_policy(text: str) -> Policy:
     """Return the checked policy, or raise PolicyError."""
     if len(text) > MAX_TEXT_CHARS:
--- a/features/worlds/gateway_world.py
+++ b/features/worlds/gateway_world.py
@@ -5,7 +5,6 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, replace
-from pathlib import Path
 from typing import Any, Final
 
 import gevent
@@ -21,7 +20,7 @@
 from driftstall.gateway.state import GatewayState
 from driftstall.platform.dialect import PlatformDialect
 from driftstall.platform.documents import read_routing
-from driftstall.policy.parse import parse_policy
+from driftstall.policy.parse import default_policy
 from measures.bench import free_port
 from stand_ins.routed import RoutedUpstream
 
@@ -108,8 +107,7 @@
             bounds=Bounds(),
             peer_key="peer key for tests only",
         )
-        policy = parse_policy(Path("deploy/default.policy").read_text())
-        self.state = GatewayState(settings, PlatformDialect(), policy)
+        self.state = GatewayState(settings, PlatformDialect(), default_policy())
         self.current = True
         self.mover = Mover(self.state)
         self.evacuation = Evacuation(self.state, self.mover)
