--- a/driftstall/cli/main.py
+++ b/driftstall/cli/main.py
@@ -4,7 +4,8 @@
   driftstall policy check FILE
   driftstall policy submit FILE [--base=GEN] [--id=ID] [options]
   driftstall policy show [options]
-  driftstall policy explain KIND WORKSPACE [--model=M] [--input=N] [--cap=N] [options]
+  driftstall policy explain KIND WORKSPACE [--model=M] [--input=N] [--cap=N]
+                            [--route-rank=N] [--load=SHARE] [options]
   driftstall policy try FILE TRACE [--json]
   driftstall config show [options]
   driftstall config submit FILE [--base=GEN] [--id=ID] [options]
@@ -14,11 +15,16 @@
   driftstall locate [options]
   driftstall chat TEXT [--kind=KIND] [--model=M] [--cap=N] [--deadline=S] [options]
   driftstall key KEY
+  driftstall explain ID [FILE...]
   driftstall --help
 
 Options:
   --instance=ADDR  Callers' address of any instance [default: 127.0.0.1:8000].
   --operator=ADDR  Operators' address of an instance [default: 127.0.0.1:8200].
+  --store=ADDR     Address of the platform's store: policy submit, show and explain, config
+                   show and status then work on the store, without an instance.
+  --route-rank=N   Rank that the route or the workspace is configured with [default: 5].
+  --load=SHARE     Share of engine memory in use, 0 to 1 [default: 0].
   --token=TOKEN    Operator token; DRIFTSTALL_OPERATOR_TOKEN is used without it.
   --key=KEY        Workspace key; DRIFTSTALL_KEY is used without it.
   --zone=ZONE      Own availability zone, for locate and chat.
@@ -36,6 +42,8 @@
   driftstall policy submit examples/enrolment.policy --base=3
   driftstall policy explain summary north --input=4000
   driftstall chat "When is the deadline?" --key=KEY
+  driftstall policy submit examples/enrolment.policy --store=10.200.1.7:8742
+  driftstall explain 9c41d07be2a35f68 logs/*.log
 
 Exit codes:
   0 ok, 1 refused or wrong input, 2 wrong usage, 3 conflict, 4 unknown outcome,
@@ -55,6 +63,8 @@
 from docopt import DocoptExit, docopt
 
 from driftstall.cli.client import Answer, Caller, ChatEnd, ChatPart, call_json
+from driftstall.cli.explain import explain_request
+from driftstall.cli.store_commands import run_on_store
 from driftstall.cli.tables import print_status
 from driftstall.cli.try_policy import try_policy
 from driftstall.exceptions import PolicyError, UpstreamError
@@ -92,6 +102,11 @@
 
 def _run(options: dict[str, Any]) -> int:
     """Find the command and run it."""
+    if options["explain"] and not options["policy"]:
+        return explain_request(options["ID"], options["FILE"])
+    options["FILE"] = options["FILE"][0] if options["FILE"] else None
+    if options["--store"] and not options["check"]:
+        return run_on_store(options)
     if options["policy"]:
         return _policy(options)
     if options["config"]:
--- /dev/null
+++ b/driftstall/cli/store_commands.py
@@ -0,0 +1,96 @@
+"""Run operators' commands against the platform's store, where no instance takes them."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Mapping
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import Any, Final
+
+import orjson
+
+from driftstall.cli.tables import print_table
+from driftstall.exceptions import PlatformUnavailable
+from driftstall.platform.policies import PolicyStore
+from driftstall.policy.evaluate import explain
+from driftstall.policy.model import Facts
+from driftstall.policy.parse import default_policy, default_policy_text, parse_policy
+
+EXIT_OK: Final = 0
+EXIT_REFUSED: Final = 1
+EXIT_CONFLICT: Final = 3
+EXIT_UNKNOWN: Final = 4
+EXIT_UNREACHABLE: Final = 5
+
+
+def run_on_store(options: Mapping[str, Any]) -> int:
+    """Run one command against the store that --store names."""
+    store = PolicyStore(options["--store"])
+    try:
+        if options["policy"] and options["submit"]:
+            return _submit(store, options)
+        if options["policy"] and options["show"]:
+            print(store.text() or default_policy_text(), end="")
+            return EXIT_OK
+        if options["policy"] and options["explain"]:
+            return _explain(store, options)
+        if options["config"] and options["show"]:
+            print(orjson.dumps(store.routing(), option=orjson.OPT_INDENT_2).decode())
+            return EXIT_OK
+        if options["status"]:
+            return _status(store)
+    except PlatformUnavailable as fault:
+        print(f"driftstall: the store: {fault}", file=sys.stderr)
+        return EXIT_UNKNOWN if fault.sent else EXIT_UNREACHABLE
+    print("driftstall: this command needs an instance, not --store", file=sys.stderr)
+    return EXIT_REFUSED
+
+
+def _submit(store: PolicyStore, options: Mapping[str, Any]) -> int:
+    """Check a policy and put it in force everywhere."""
+    text = Path(options["FILE"]).read_text()
+    policy = parse_policy(text)
+    base = int(options["--base"]) if options["--base"] else None
+    revision = store.submit(text, base)
+    if revision is None:
+        print(f"driftstall: revision {store.revision()} is newer than your base", file=sys.stderr)
+        return EXIT_CONFLICT
+    print(f"policy {policy.name!r} is accepted as revision {revision}")
+    return EXIT_OK
+
+
+def _explain(store: PolicyStore, options: Mapping[str, Any]) -> int:
+    """Tell which rule of the policy in force decides about a request."""
+    text = store.text()
+    policy = parse_policy(text) if text else default_policy()
+    facts = Facts(
+        kind=options["KIND"],
+        workspace=options["WORKSPACE"],
+        model=options["--model"],
+        input_tokens=int(options["--input"]),
+        max_tokens=int(options["--cap"]),
+        load=float(options["--load"]),
+        hour=datetime.now(UTC).hour,
+        route_rank=int(options["--route-rank"]),
+    )
+    explanation = explain(policy, facts)
+    for check in explanation.checks:
+        word = "holds" if check.held else "does not hold"
+        print(f"line {check.line}, rule {check.rule}: {check.condition} {word}")
+    verdict = explanation.verdict
+    print(f"  rank = {verdict.rank}\n  wait_s = {verdict.wait_s:g}")
+    print(f"  may_yield = {verdict.may_yield}\n  may_refuse = {verdict.may_refuse}")
+    return EXIT_OK
+
+
+def _status(store: PolicyStore) -> int:
+    """Show what the store tells of instances and upstreams."""
+    print(
+        f"routing version {store.routing().get('version', 0)}, policy revision {store.revision()}"
+    )
+    print()
+    print_table(("INSTANCE", "ZONE", "ADDRESS"), store.instance_rows())
+    print()
+    print_table(("UPSTREAM", "SERVICE", "ZONE", "ADDRESS", "STATE"), store.upstream_rows())
+    return EXIT_OK
--- a/driftstall/gateway/listeners.py
+++ b/driftstall/gateway/listeners.py
@@ -20,6 +20,7 @@
 from driftstall.gateway.model import Limits, Repeat
 from driftstall.gateway.moves import Mover
 from driftstall.gateway.state import GatewayState
+from driftstall.gateway.stats import render
 from driftstall.gateway.streams import StreamRelay
 from driftstall.helpers.log import say
 from driftstall.util.addresses import split_address
@@ -230,6 +231,20 @@
         return whole(status, (), b"", keep=call.keep_alive)
 
 
+class MetricsAnswers:
+    """Show the counters and histograms."""
+
+    def __init__(self, state: GatewayState, gauges: Callable[[], dict[str, float]]) -> None:
+        """Take the shared state and a reader of what has a value now."""
+        self._state = state
+        self._gauges = gauges
+
+    def __call__(self, call: CallerRequest) -> bytes:
+        """Answer one question."""
+        body = render(self._state.stats, self._gauges())
+        return whole(200, ((b"Content-Type", b"text/plain"),), body, keep=call.keep_alive)
+
+
 class LocateAnswers:
     """Tell callers which instances to use."""
 
--- a/driftstall/gateway/model.py
+++ b/driftstall/gateway/model.py
@@ -242,6 +242,7 @@
     ready_listen: str
     locate_listen: str
     peer_listen: str
+    metrics_listen: str
     platform_address: str
     seeds: tuple[str, ...]
     """Peer addresses of some instances, perhaps stale."""
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -20,6 +20,7 @@
 from driftstall.gateway.listeners import (
     CallerListener,
     LocateAnswers,
+    MetricsAnswers,
     ReadyAnswers,
     SmallListener,
 )
@@ -29,7 +30,7 @@
 from driftstall.gateway.protection import Protection
 from driftstall.gateway.sources import InstanceSource, PolicySource, RoutingSource, UpstreamSource
 from driftstall.gateway.state import GatewayState
-from driftstall.helpers.log import say
+from driftstall.helpers.log import BoundedWriter, say
 from driftstall.policy.model import Policy
 
 PERIOD_S: Final = 0.1
@@ -60,9 +61,15 @@
     """Run one gateway instance."""
 
     def __init__(
-        self, settings: GatewaySettings, path: Path, access: PlatformAccess, policy: Policy
+        self,
+        settings: GatewaySettings,
+        path: Path,
+        access: PlatformAccess,
+        policy: Policy,
+        log: BoundedWriter,
     ) -> None:
-        """Take the settings, their file, the platform's access and the default policy."""
+        """Take the settings, their file, the platform's access, the default policy, the log."""
+        self._log = log
         self._path = path
         self._access = access
         self.state = GatewayState(settings, access.dialect, policy)
@@ -91,6 +98,8 @@
         self._ready = SmallListener(settings.ready_listen, ReadyAnswers(self.state))
         locate = LocateAnswers(self.state, self._peering.located)
         self._locate = SmallListener(settings.locate_listen, locate)
+        metrics = MetricsAnswers(self.state, self._gauges)
+        self._metrics = SmallListener(settings.metrics_listen, metrics)
         self._settings_seen = self._settings_time()
 
     def run(self) -> None:
@@ -98,8 +107,15 @@
         gevent.signal_handler(signal.SIGTERM, self._drain.begin)
         gevent.signal_handler(signal.SIGINT, self._drain.begin)
         gevent.signal_handler(signal.SIGHUP, self._reload)
-        for listener in (self._callers, self._ready, self._locate, self._peering, self._protection):
-            listener.start()
+        for part in (
+            self._callers,
+            self._ready,
+            self._locate,
+            self._metrics,
+            self._peering,
+            self._protection,
+        ):
+            part.start()
         for follower in (self._routing_follower, self._upstream_follower, self._policy_follower):
             gevent.spawn(follower.run)
         gevent.spawn(self._keep_registered)
@@ -151,6 +167,18 @@
                 say(PREFIX_MEMBERSHIP, f"The platform's list of instances is out of reach: {fault}")
                 gevent.sleep(REGISTER_PAUSE_S * (1 + self.state.source.random()))
 
+    def _gauges(self) -> dict[str, float]:
+        """Return what has a value now, for the metrics page."""
+        return {
+            "open_requests": self.state.open_requests,
+            "open_streams": len(self.state.runs.all),
+            "routing_version": self._routing.version,
+            "instances": self.state.instances.value,
+            "upstreams": len(self.state.fleet.upstreams),
+            "platform_ok": float(self._upstream_follower.current),
+            "log_lines_dropped": self._log.dropped_in_all,
+        }
+
     def _announce(self) -> None:
         """Have peers told soon that something has changed."""
         self.state.loads_changed.set()
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -412,6 +412,15 @@
         self._state.lengths.finished(self._request, run.tokens)
         self._state.stats.completed += 1
         self._state.stats.gap_s.observe({}, self._longest_gap_s)
+        say(
+            PREFIX_RELAY,
+            "A stream has ended whole",
+            request=run.request_id,
+            upstream=run.upstream.upstream_id,
+            events=run.events,
+            moves=run.moves,
+            longest_gap_ms=int(self._longest_gap_s * 1000),
+        )
         return self._connection.write(LAST_CHUNK) and self._keep
 
     def _break_off(self, run: StreamRun, cause: str) -> bool:
--- a/driftstall/platform/__main__.py
+++ b/driftstall/platform/__main__.py
@@ -36,8 +36,8 @@
         for fault in error.faults:
             print(f"driftstall: {fault}", file=sys.stderr)
         return EXIT_SETTINGS
-    start_log()
-    GatewayNode(settings, path, platform_access(settings), default_policy()).run()
+    log = start_log()
+    GatewayNode(settings, path, platform_access(settings), default_policy(), log).run()
     return 0
 
 
--- a/driftstall/platform/settings.py
+++ b/driftstall/platform/settings.py
@@ -15,6 +15,8 @@
 from driftstall.util.addresses import split_address
 
 VARIABLE: Final = "DRIFTSTALL_CONFIG"
+METRICS_PORT: Final = 9464
+"""As the deploy file names it; the usual port of metrics exporters."""
 PEER_KEY_VARIABLE: Final = "DRIFTSTALL_PEER_KEY"
 DEFAULT_PEER_KEY: Final = "the peers' ports are closed to others"
 """Used where the deploy file sets no key: it then only tells versions of the program apart."""
@@ -35,6 +37,7 @@
     {
         vol.Required("nodeName"): vol.All(str, vol.Length(min=1)),
         vol.Required("zone"): str,
+        vol.Required("ip"): str,
         vol.Required("listen"): vol.Schema(
             {
                 vol.Required("front"): _address,
@@ -94,6 +97,7 @@
         ready_listen=listen["ready"],
         locate_listen=listen["directory"],
         peer_listen=listen["control"],
+        metrics_listen=f"{raw['ip']}:{METRICS_PORT}",
         platform_address=raw["platform"]["address"],
         seeds=tuple(raw.get("seeds") or ()),
         bounds=_bounds(raw.get("bounds") or {}),
--- a/driftstall/policy/parse.py
+++ b/driftstall/policy/parse.py
@@ -52,7 +52,12 @@
 
 def default_policy() -> Policy:
     """Return the policy that is in force until an operator submits one."""
-    return parse_policy(Path(__file__).with_name("default.policy").read_text())
+    return parse_policy(default_policy_text())
+
+
+def default_policy_text() -> str:
+    """Return the text of the default policy."""
+    return Path(__file__).with_name("default.policy").read_text()
 
 
 def parse_policy(text: str) -> Policy:
--- /dev/null
+++ b/features/gateway/parts.feature
@@ -0,0 +1,95 @@
+Feature: The gateway's pure parts
+
+  Scenario: an upstream that gives notice takes nothing new and is told of once
+    Given a fleet of 3 upstreams
+    When upstream "u1" gives notice twice
+    Then it is told once that "u1" is leaving
+    And "u1" takes no requests
+
+  Scenario: an entry that is removed stands for a notice
+    Given a fleet of 3 upstreams
+    When the entry of "u1" is removed
+    Then it is told once that "u1" is leaving
+
+  Scenario: old news cannot bring an upstream back
+    Given a fleet of 3 upstreams
+    When the entry of "u1" is removed
+    And old news say that "u1" is ready
+    Then "u1" takes no requests
+
+  Scenario: an entry that lapsed during an outage has time to come back
+    Given a fleet of 3 upstreams
+    When the platform was away and lists only "u2" and "u3" on its return
+    Then "u1" takes requests
+    And after 2.3 s without its entry "u1" takes no requests
+
+  Scenario: an entry that is back in time was never missed
+    Given a fleet of 3 upstreams
+    When the platform was away and lists only "u2" and "u3" on its return
+    And the entry of "u1" is back after 1.5 s
+    Then after 2.3 s "u1" takes requests
+
+  Scenario: the sums of all instances show what runs where
+    Given a request of 1000 tokens on "u1" with a copy on "u2", and a peer's of 500 on "u1"
+    Then "u1" has 1500 tokens running and "u2" has 1000 tokens of copies
+    And the peer's sums count no more after 4 s
+    And nothing is left once the request has ended
+
+  Scenario: a stream goes to the engine with room
+    Then of an engine with 30000 tokens in use and an empty one the empty one is chosen
+    And a copy is kept on neither the own engine nor a full one
+
+  Scenario: a move stays in its zone where it can
+    Then of a far empty engine and a near one a quarter full the near one takes a move
+
+  Scenario: an upstream that does not answer is left alone for a while
+    When "u1" could not be reached 3 times
+    Then it rests, longer than after the first time, and not for ever
+
+  Scenario: an upstream that fails or is slow counts as fuller
+    When half of the answers of "u1" are failures and those of "u2" take twice as long
+    Then both have a penalty and "u3" has none
+
+  Scenario: all instances together keep the retry budget
+    Given 8 instances that share a budget of 50 repeats and a fifth of the requests
+    When each has 10 requests and wants 100 repeats within 10 s
+    Then at most 66 repeats are made in all
+
+  Scenario: an instance that was killed does not raise the others' part at once
+    Given 8 instances are known and then 1
+    Then the budget is still divided by 8, and by 1 after 31 s
+
+  Scenario: a watch that is cut goes on where it was
+    Given a feed whose watch is cut once
+    Then it is listed once and no outage is told
+
+  Scenario: a watch whose history is gone lists again
+    Given a feed whose history is gone
+    Then it is listed twice and no outage is told
+
+  Scenario: an outage is told once, and its end before what it brings
+    Given a feed that fails 5 times and answers again
+    Then the outage is told once and its end before the next change
+
+  Scenario: settings name every fault at once
+    Given a settings file with a wrong address and without a zone
+    Then reading it names both faults
+
+  Scenario: a document that cannot be read is left out with a reason
+    Given a stored entry without an address and a whole one
+    Then only the whole one is listed
+
+  Scenario: a routing document only moves forward
+    Given routing version 7 is in force
+    When versions 5, 9 and 8 arrive
+    Then version 9 is in force
+
+  Scenario: the log is bounded and never waits
+    Given a log whose reader takes nothing
+    When 50 lines are written
+    Then none has waited and the loss is counted
+    And once the reader takes lines again the next one tells of the loss
+
+  Scenario: one request's story is told from many logs
+    Given logs of two instances that name request "r1"
+    Then explaining "r1" shows its lines in order, and the notice of its upstream
--- a/features/worlds/gateway_world.py
+++ b/features/worlds/gateway_world.py
@@ -102,6 +102,7 @@
             ready_listen=f"127.0.0.1:{free_port()}",
             locate_listen=f"127.0.0.1:{free_port()}",
             peer_listen=f"127.0.0.1:{free_port()}",
+            metrics_listen=f"127.0.0.1:{free_port()}",
             platform_address="127.0.0.1:1",
             seeds=(),
             bounds=Bounds(),
