Wait for the first configuration; let a stop take what it can finish

Cause: after a fault that ends all instances, requests reach an instance some ms before it has read its configuration and were refused; and a stopping instance refused every stream, short ones as well. Ruled out: instances that never became ready.

--- a/driftstall/gateway/admission.py
+++ b/driftstall/gateway/admission.py
@@ -12,9 +12,9 @@
     CODE_NOT_FOUND,
     CODE_UNAUTHENTICATED,
 )
-from driftstall.core import Problem, Ran, Verdict
+from driftstall.core import PrefixMark, Problem, Ran, Request, Verdict
 from driftstall.filters.chain import run_chain
-from driftstall.gateway.model import CallerMarks, Repeat, Route, Service
+from driftstall.gateway.model import CallerMarks, Route, Service
 from driftstall.gateway.routes import RouteTable, pick_service
 from driftstall.policy.evaluate import evaluate
 from driftstall.policy.model import Facts, Policy
@@ -148,6 +148,29 @@
         return Problem(CODE_NO_RUNNER, 503, detail, Ran.NOT_RUN, UNSURE_RETRY_S)
 
 
-def runs_once(route: Route) -> bool:
-    """Tell whether a route's requests may run only once."""
-    return route.repeat is not Repeat.SAFE
+def request_of(admitted: Admitted) -> Request:
+    """Return the request as the forecasts see it."""
+    marks = admitted.marks
+    prefix = tuple(
+        PrefixMark(int(part.digest, 16) if _is_hex(part.digest) else 0, part.tokens)
+        for part in marks.prompt
+    )
+    return Request(
+        request_id=marks.request_id,
+        workspace=admitted.workspace,
+        kind=admitted.route.name,
+        model=marks.model,
+        input_tokens=marks.input_tokens,
+        max_tokens=max(1, marks.max_tokens),
+        prefix=prefix,
+        asked_at=admitted.started_at,
+        deadline=admitted.ends_at,
+    )
+
+
+def _is_hex(text: str) -> bool:
+    """Tell whether a text is a hexadecimal number."""
+    try:
+        return int(text, 16) >= 0
+    except ValueError:
+        return False
--- a/driftstall/gateway/drain.py
+++ b/driftstall/gateway/drain.py
@@ -6,15 +6,17 @@
 
 from driftstall.const import CODE_LEAVING, PREFIX_DRAIN
 from driftstall.core import Problem, Ran
-from driftstall.gateway.admission import Admitted
+from driftstall.gateway.admission import Admitted, request_of
 from driftstall.gateway.model import Repeat
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import say
 
-STREAMS_TAKEN_SHARE: Final = 0.0
-"""Share of the grace time in which new streams are still taken; most would be cut."""
-CALLS_TAKEN_SHARE: Final = 0.75
-"""Share of the grace time in which new calls are still taken; each takes a second or two."""
+CALL_S: Final = 2.0
+"""Time that a call may take: its route's time-out is shorter."""
+FIRST_EVENT_S: Final = 1.0
+"""Time that a stream may take to its first event."""
+TOKEN_S: Final = 0.02
+"""Time that a token may take; twice the usual, so that few of the streams taken are cut."""
 LOCATED_SHARE: Final = 0.8
 """Share of the grace time that is waited for callers that still have our address."""
 RETRY_ELSEWHERE_S: Final = 0.02
@@ -39,14 +41,20 @@
         since = self._state.stopping_since
         if since is None:
             return None
-        is_stream = admitted.route.repeat is Repeat.STREAM
-        share = STREAMS_TAKEN_SHARE if is_stream else CALLS_TAKEN_SHARE
         grace_s = self._state.settings.bounds.grace_s
-        if self._state.now() - since < share * grace_s:
+        if self._state.now() - since + self._expected_s(admitted) < grace_s:
             return None
         detail = "this instance is stopping; ask another one"
         return Problem(CODE_LEAVING, 503, detail, Ran.NOT_RUN, RETRY_ELSEWHERE_S)
 
+    def _expected_s(self, admitted: Admitted) -> float:
+        """Return how long a request may take, in seconds."""
+        if admitted.route.repeat is not Repeat.STREAM:
+            return CALL_S
+        marks = admitted.marks
+        tokens = self._state.expected_tokens(request_of(admitted), marks.length_hint)
+        return FIRST_EVENT_S + TOKEN_S * tokens
+
     @property
     def finished(self) -> bool:
         """Tell whether the process may end: nothing is open and no caller comes any more."""
--- a/driftstall/gateway/listeners.py
+++ b/driftstall/gateway/listeners.py
@@ -33,6 +33,8 @@
 """Ready instances in the caller's zone from which on no other zone is named."""
 MOST_LOCATED: Final = 64
 NOT_READY_RETRY_S: Final = 0.5
+START_WAIT_S: Final = 0.3
+"""How long a request waits for a fresh instance's first configuration; reading it takes less."""
 SMALL: Final = Limits(header_bytes=8_192, body_bytes=1_024)
 """Limits of the listeners that take no requests of callers."""
 
@@ -107,6 +109,7 @@
 
     def _admit(self, call: CallerRequest) -> Admitted | Problem:
         """Find out what the request is."""
+        self._state.configured.wait(START_WAIT_S)
         table = self._state.table
         if table is None or not self._state.fleet.known:
             detail = "this instance has no configuration yet"
--- a/driftstall/gateway/sources.py
+++ b/driftstall/gateway/sources.py
@@ -78,6 +78,7 @@
         before = self.version
         self._state.table = RouteTable.from_document(item.document)
         self._text = item.text
+        self._state.check_configured()
         say(
             PREFIX_CONFIGURATION,
             f"Routing version {item.document.version} is in force",
@@ -150,6 +151,7 @@
     def listed(self, items: tuple[Upstream, ...]) -> None:
         """Take in the whole list."""
         self._apply(Listed(items))
+        self._state.check_configured()
         known = {one.upstream_id for one in self._state.fleet.upstreams}
         self._state.outcomes.keep_only(known)
 
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -47,6 +47,8 @@
         self.source = random.Random()
         self.instances = InstanceCount()
         self.fleet_changed = Event()
+        self.configured = Event()
+        """Set once there is a routing document and a list of upstreams."""
         self.loads_changed = Event()
         self.stopping_since: float | None = None
         self.open_requests = 0
@@ -67,6 +69,11 @@
         """Tell whether this instance takes requests."""
         return self.table is not None and self.fleet.known and self.stopping_since is None
 
+    def check_configured(self) -> None:
+        """Let waiting requests go on once there is something to decide by."""
+        if self.table is not None and self.fleet.known:
+            self.configured.set()
+
     def budget(self, service: str) -> SharedRetryBudget:
         """Return the retry budget of a service."""
         found = self._budgets.get(service)
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -19,9 +19,9 @@
     PREFIX_RELAY,
     PREFIX_ROUTING,
 )
-from driftstall.core import PrefixMark, Problem, Ran, Request
+from driftstall.core import Problem, Ran
 from driftstall.exceptions import UpstreamError
-from driftstall.gateway.admission import Admitted
+from driftstall.gateway.admission import Admitted, request_of
 from driftstall.gateway.answers import CLOSE, KEEP, problem_answer, whole
 from driftstall.gateway.calls import CONNECT_TIMEOUT_S, FULL_RETRY_S, MAX_SENDS
 from driftstall.gateway.events import Event, EventOrder, EventSplitter, Order
@@ -82,7 +82,7 @@
         self._connection = connection
         self._call = call
         self._admitted = admitted
-        self._request = _request_of(admitted)
+        self._request = request_of(admitted)
         self._caller_gone = False
         self._run: StreamRun | None = None
         self._order = EventOrder()
@@ -556,31 +556,3 @@
     can_backup=False,
     event_tokens=1,
 )
-
-
-def _request_of(admitted: Admitted) -> Request:
-    """Return the request as the forecasts see it."""
-    marks = admitted.marks
-    prefix = tuple(
-        PrefixMark(int(part.digest, 16) if _is_hex(part.digest) else 0, part.tokens)
-        for part in marks.prompt
-    )
-    return Request(
-        request_id=marks.request_id,
-        workspace=admitted.workspace,
-        kind=admitted.route.name,
-        model=marks.model,
-        input_tokens=marks.input_tokens,
-        max_tokens=max(1, marks.max_tokens),
-        prefix=prefix,
-        asked_at=admitted.started_at,
-        deadline=admitted.ends_at,
-    )
-
-
-def _is_hex(text: str) -> bool:
-    """Tell whether a text is a hexadecimal number."""
-    try:
-        return int(text, 16) >= 0
-    except ValueError:
-        return False
--- a/features/gateway/admission.feature
+++ b/features/gateway/admission.feature
@@ -33,6 +33,11 @@
     When "/safe/a" is asked as "r1"
     Then the answer is 503 and tells when to come back
 
+  Scenario: a request that comes before the first configuration waits a little
+    Given a first configuration that comes while the request waits
+    When "/safe/a" is asked as "r1"
+    Then the answer is 200 "whole" with the upstream's seal
+
   Scenario: the longest prefix of the path decides
     Then "/safe/quick/x" leads to route "quick" and "/safe/x" to "safe"
 
@@ -67,6 +72,7 @@
 
   Scenario: a stopping instance finishes calls and hands streams on
     Given an open stream and a stop that was asked for
-    Then a new stream is told to come back elsewhere
+    Then a new long stream is told to come back elsewhere
+    And a new short stream is still served
     And a new call is still served
     And the open stream ends whole
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -267,7 +267,23 @@
 @given("no configuration has been read")
 def no_configuration(context: Any) -> None:
     """Take the configuration away."""
-    world_of(context).state.table = None
+    world = world_of(context)
+    world.state.table = None
+    world.state.configured.clear()
+
+
+@given("a first configuration that comes while the request waits")
+def configuration_comes(context: Any) -> None:
+    """Take the configuration away and bring it back soon."""
+    world = world_of(context)
+    no_configuration(context)
+
+    def bring() -> None:
+        wait_for("the request waits", lambda: world.state.open_requests > 0)
+        world.use(document())
+        world.state.check_configured()
+
+    gevent.spawn(bring)
 
 
 @then('"{first}" leads to route "{first_name}" and "{second}" to "{second_name}"')
@@ -526,13 +542,20 @@
     world_of(context).drain.begin()
 
 
-@then("a new stream is told to come back elsewhere")
+@then("a new long stream is told to come back elsewhere")
 def new_stream_refused(context: Any) -> None:
-    """Ask for another stream."""
+    """Ask for a stream that would outlast the grace time."""
     context.answer = world_of(context).ask("/stream/a", "s2")
     come_back(context)
 
 
+@then("a new short stream is still served")
+def short_stream_served(context: Any) -> None:
+    """Ask for a stream that ends well before."""
+    answer = world_of(context).ask("/stream/a", "s3", X_Driftstall_Token_Count="1000,40")
+    assert answer.status == 200 and answer.whole, answer
+
+
 @then("a new call is still served")
 def new_call_served(context: Any) -> None:
     """Ask for a call."""
