--- a/driftstall/gateway/evacuation.py
+++ b/driftstall/gateway/evacuation.py
@@ -1,10 +1,12 @@
-"""Move streams off an upstream that is leaving, one after another.
-
-A run's memory is copied while it goes on, then copied again, which takes only what
-is new; then the run stops and the last step is short. The moves of one upstream
-share its link, so they are taken in turn, what is nearly copied first: finishing
-some saves these, where copying all at once may save none. Runs whose copy an engine
-keeps up by itself elsewhere need no move.
+"""Move streams off an upstream that is leaving.
+
+A run's memory is copied while it goes on, then copied again, which takes only what is
+new; then the run stops and the last step is short. Runs that have a copy already are
+moved first, at once. The others share the engine's link: instances take turns, and each
+finishes one run after another, since finishing some saves these, where copying all at
+once may save none. A run whose engine ends before its last step goes on at its copy and
+reads again what it has made since. Runs whose copy an engine keeps up by itself
+elsewhere need no move.
 """
 
 from __future__ import annotations
@@ -24,6 +26,8 @@
 COPY_AGAIN_S: Final = 0.06
 """A copy that took longer than this is followed by another, so that the last step is short."""
 MAX_COPIES: Final = 3
+COPIED_FIRST_S: Final = 0.1
+"""Head start of the runs that have a copy: what is left of each takes some milliseconds."""
 MOST_MEMORY: Final = 1.0
 """Memory share up to which an engine takes a run that must leave; the sums are a forecast."""
 TARGETS: Final = 3
@@ -49,23 +53,29 @@
 
     def start(self, upstream: Upstream) -> None:
         """Begin to move the streams off an upstream."""
+        self._state.notice_at = self._state.now()
         gevent.spawn(self._run, upstream)
 
     def _run(self, upstream: Upstream) -> None:
         """Move streams until none is left that a move can help."""
-        until = self._state.now() + GIVE_UP_S
         say(
             PREFIX_RELAY,
             f"Upstream {upstream.upstream_id} is leaving",
             streams=len(self._state.runs.on(upstream.upstream_id)),
             revision=upstream.revision,
         )
+        began = self._state.now()
+        for run in self._state.runs.on(upstream.upstream_id):
+            if self._is_movable(run) and self._mover.kept(run) is not None:
+                gevent.spawn(self._move, run)
+        gevent.sleep(COPIED_FIRST_S)
         self._await_turn(upstream)
         tried: set[str] = set()
-        while self._state.now() < until:
-            if not self._state.runs.on(upstream.upstream_id):
+        while self._state.now() < began + GIVE_UP_S:
+            runs = self._state.runs.on(upstream.upstream_id)
+            if not runs:
                 return
-            waiting = [run for run in self._movable(upstream) if run.request_id not in tried]
+            waiting = [run for run in runs if self._is_movable(run) and run.request_id not in tried]
             if not waiting:
                 gevent.sleep(RETRY_S)
                 continue
@@ -93,22 +103,12 @@
                 gevent.sleep(TURN_CHECK_S)
             turn_ends = min(turn_ends, self._state.now())
 
-    def _movable(self, upstream: Upstream) -> list[StreamRun]:
-        """Return the running streams that have no copy to go on at."""
-        return [
-            run
-            for run in self._state.runs.on(upstream.upstream_id)
-            if run.events
-            and not run.ended
-            and not run.copying
-            and run.moving is None
-            and not self._is_backed(run)
-        ]
-
-    def _is_backed(self, run: StreamRun) -> bool:
-        """Tell whether an engine that stays keeps up a copy of the run."""
+    def _is_movable(self, run: StreamRun) -> bool:
+        """Tell whether a running stream has no engine that keeps up a copy."""
+        if not run.events or run.ended or run.copying or run.moving is not None:
+            return False
         backup = run.backup
-        return backup is not None and self._state.fleet.takes_requests(backup.upstream_id)
+        return backup is None or not self._state.fleet.takes_requests(backup.upstream_id)
 
     def _left_to_copy(self, run: StreamRun) -> int:
         """Return the tokens that are not copied yet."""
--- a/driftstall/gateway/peering.py
+++ b/driftstall/gateway/peering.py
@@ -141,6 +141,7 @@
             self._platform_ok(),
             self._routing()[0],
             self._state.loads.own,
+            self._state.repeat_counts(),
         )
         for one in self._members.live:
             if one.instance_id != self.own.instance_id:
@@ -189,6 +190,8 @@
         now = self._state.now()
         self._heard[sender] = _Heard(report, now)
         self._state.loads.told(sender, report.uses, now)
+        for count in report.repeats:
+            self._state.budget(count.service).told(sender, count, now)
         if report.routing_version > self._routing()[0]:
             gevent.spawn_later(
                 ASK_AFTER_S, self._ask, RoutingNotice(sender, report.routing_version)
--- a/driftstall/gateway/protection.py
+++ b/driftstall/gateway/protection.py
@@ -26,6 +26,8 @@
 """Memory share up to which copies are made before a notice; runs and new prompts go first."""
 DROP_MEMORY: Final = 0.85
 """Memory share from which copies are dropped again."""
+NOTICE_S: Final = 2.0
+"""Time after a notice in which no copies are made here: the links are for what must leave."""
 MIN_EVENTS: Final = 6
 """Events after which a run is worth a copy; many end before."""
 
@@ -59,6 +61,8 @@
     def _wanting(self) -> Iterable[StreamRun]:
         """Return the runs that have no copy, or an old one."""
         now = self._state.now()
+        if now - self._state.notice_at < NOTICE_S:
+            return
         for run in self._state.runs.all:
             if run.events < MIN_EVENTS or run.ended or run.copying or run.moving is not None:
                 continue
--- a/driftstall/gateway/shared_budget.py
+++ b/driftstall/gateway/shared_budget.py
@@ -1,23 +1,37 @@
 """Bound the repeats that all instances together send to a service.
 
-Each instance takes its part of the common budget: the share that follows its own
-requests, and an even part of the fixed rest. Instances that are not known make the
-part too large; so a margin is kept, and the number of instances only falls slowly.
+Each instance tells its peers what it has sent, so the common budget is used where the
+repeats are needed. An instance that is not heard of may use an even part of it, and
+takes no more by itself; so both sides of a cut stay within the budget together.
 """
 
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import dataclass
 from typing import Final
 
 from driftstall.gateway.model import Bounds
 
 MARGIN: Final = 0.8
 """The part of the common budget that is used; the rest covers instances not yet known."""
+IN_FLIGHT: Final = 2
+"""Repeats that each other instance may have sent since its last report."""
+HEARD_S: Final = 2.5
+"""A report counts for so long; a live peer repeats it each second."""
 FALL_S: Final = 30.0
 """How long the highest number of instances seen counts; longer than any restart."""
 
 
+@dataclass(frozen=True, slots=True)
+class RepeatCount:
+    """Tell what one instance has sent to a service within the window."""
+
+    service: str
+    requests: int
+    repeats: int
+
+
 class InstanceCount:
     """Hold the highest number of instances seen lately."""
 
@@ -38,15 +52,34 @@
         return self._peak
 
 
+@dataclass(frozen=True, slots=True)
+class _Heard:
+    """Hold a peer's count and when it came."""
+
+    count: RepeatCount
+    at: float
+
+
 class SharedRetryBudget:
     """Count requests and repeats of one service over a sliding window."""
 
-    def __init__(self, bounds: Bounds, instances: InstanceCount) -> None:
+    def __init__(self, service: str, bounds: Bounds, instances: InstanceCount) -> None:
         """Take the common bounds and the number of instances that share them."""
+        self._service = service
         self._bounds = bounds
         self._instances = instances
         self._requests: deque[float] = deque()
         self._repeats: deque[float] = deque()
+        self._peers: dict[str, _Heard] = {}
+
+    def count(self, now: float) -> RepeatCount:
+        """Return what this instance has sent within the window."""
+        self._forget(now)
+        return RepeatCount(self._service, len(self._requests), len(self._repeats))
+
+    def told(self, peer: str, count: RepeatCount, now: float) -> None:
+        """Take in what a peer has sent."""
+        self._peers[peer] = _Heard(count, now)
 
     def request(self, now: float) -> None:
         """Count one request, at its first send."""
@@ -56,13 +89,24 @@
     def take(self, now: float) -> bool:
         """Count one repeat if the budget allows it; return whether it does."""
         self._forget(now)
-        extra = self._bounds.retry_extra * MARGIN / self._instances.value
-        allowed = self._bounds.retry_ratio * MARGIN * len(self._requests) + extra
-        if len(self._repeats) + 1 > allowed:
+        if len(self._repeats) + 1 > self._allowed(now):
             return False
         self._repeats.append(now)
         return True
 
+    def _allowed(self, now: float) -> float:
+        """Return the repeats that this instance may have sent within the window."""
+        bounds = self._bounds
+        heard = [one.count for one in self._peers.values() if now - one.at <= HEARD_S]
+        even_part = bounds.retry_extra / self._instances.value
+        if not heard:
+            return MARGIN * (bounds.retry_ratio * len(self._requests) + even_part)
+        requests = len(self._requests) + sum(count.requests for count in heard)
+        unheard = max(0, self._instances.value - 1 - len(heard))
+        common = bounds.retry_ratio * requests + bounds.retry_extra - unheard * even_part
+        used = sum(count.repeats for count in heard) + IN_FLIGHT * len(heard)
+        return MARGIN * common - used
+
     def _forget(self, now: float) -> None:
         """Drop what lies before the window."""
         oldest = now - self._bounds.retry_window_s
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -18,7 +18,7 @@
 from driftstall.gateway.routes import RouteTable
 from driftstall.gateway.runs import RunBook, StreamRun
 from driftstall.gateway.selection import Option
-from driftstall.gateway.shared_budget import InstanceCount, SharedRetryBudget
+from driftstall.gateway.shared_budget import InstanceCount, RepeatCount, SharedRetryBudget
 from driftstall.gateway.stats import GatewayStats
 from driftstall.policy.model import Policy
 
@@ -51,6 +51,8 @@
         """Set once there is a routing document and a list of upstreams."""
         self.loads_changed = Event()
         self.stopping_since: float | None = None
+        self.notice_at = float("-inf")
+        """When an upstream was last known to be leaving."""
         self.open_requests = 0
         self._budgets: dict[str, SharedRetryBudget] = {}
 
@@ -78,10 +80,15 @@
         """Return the retry budget of a service."""
         found = self._budgets.get(service)
         if found is None:
-            found = SharedRetryBudget(self.settings.bounds, self.instances)
+            found = SharedRetryBudget(service, self.settings.bounds, self.instances)
             self._budgets[service] = found
         return found
 
+    def repeat_counts(self) -> tuple[RepeatCount, ...]:
+        """Return what this instance has sent to each service, for its peers."""
+        now = self.now()
+        return tuple(budget.count(now) for budget in self._budgets.values())
+
     def options(self, service: str, avoid: frozenset[str] = frozenset()) -> list[Option]:
         """Return the upstreams of a service that may be chosen, with what runs there."""
         now = self.now()
--- a/driftstall/peers/messages.py
+++ b/driftstall/peers/messages.py
@@ -18,6 +18,7 @@
 )
 from driftstall.controllers.membership import Ack, Ping, PingRequest
 from driftstall.gateway.loads import Use
+from driftstall.gateway.shared_budget import RepeatCount
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +54,7 @@
     """Whether the platform answers this instance."""
     routing_version: int
     uses: tuple[Use, ...]
+    repeats: tuple[RepeatCount, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/driftstall/peers/schema.capnp
+++ b/driftstall/peers/schema.capnp
@@ -71,9 +71,10 @@
   upstreamId @0 :Text; running @1 :Int32; tokens @2 :Int32; copies @3 :Int32; prefill @4 :Int32;
   exposed @5 :Int32;
 }
+struct RepeatCount { service @0 :Text; requests @1 :UInt32; repeats @2 :UInt32; }
 struct GatewayReport {
   sender @0 :Text; ready @1 :Bool; platformOk @2 :Bool; routingVersion @3 :UInt64;
-  uses @4 :List(Use);
+  uses @4 :List(Use); repeats @5 :List(RepeatCount);
 }
 struct RoutingAsked { sender @0 :Text; version @1 :UInt64; }
 struct RoutingOffered { sender @0 :Text; version @1 :UInt64; text @2 :Text; }
--- a/features/gateway/parts.feature
+++ b/features/gateway/parts.feature
@@ -52,7 +52,18 @@
 
   Scenario: all instances together keep the retry budget
     Given 8 instances that share a budget of 50 repeats and a fifth of the requests
-    When each has 10 requests and wants 100 repeats within 10 s
+    When each has 10 requests and wants 100 repeats within 10 s, and none hears of others
+    Then at most 66 repeats are made in all
+
+  Scenario: one instance may use what the others leave
+    Given 8 instances that share a budget of 50 repeats and a fifth of the requests
+    When each has 10 requests and hears of the others, and one wants 100 repeats
+    Then it makes more than twice its even part
+    And the others, once they hear of it, make no more than the budget in all
+
+  Scenario: both sides of a cut keep the retry budget together
+    Given 8 instances that share a budget of 50 repeats and a fifth of the requests
+    When each half hears only of itself and all want 100 repeats
     Then at most 66 repeats are made in all
 
   Scenario: an instance that was killed does not raise the others' part at once
--- a/features/gateway/streams.feature
+++ b/features/gateway/streams.feature
@@ -52,6 +52,12 @@
     Then all 5 events of "s1" came once, in order, and the end
     And "s1" went on from its moved memory after event 2
 
+  Scenario: a stream goes on at the copy made after the notice when its engine ends early
+    Given stream "s1" waits after event 2 and has no backup
+    When its engine gives notice and ends once a copy was made
+    Then all 5 events of "s1" came once, in order, and the end
+    And "s1" went on from its moved memory after event 2
+
   Scenario Outline: a move that fails leaves the stream to its engine
     Given stream "s1" waits after event 2 and has no backup
     And moves will be answered <answer>
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -492,6 +492,20 @@
     context.script.gate.set()
 
 
+@when("its engine gives notice and ends once a copy was made")
+def notice_and_end(context: Any) -> None:
+    """Give notice; the engine breaks off instead of taking the next step."""
+    world, engine = world_of(context), context.engine
+
+    def copy_and_end(wanted: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        engine.stopped.add("s1")
+        context.script.gate.set()
+        return 409, {}
+
+    engine.move_answers = [engine.copy_run, *[copy_and_end for _ in range(20)]]
+    world.give_notice(engine)
+
+
 @given("moves will be answered {status:d}")
 def moves_fail(context: Any, status: int) -> None:
     """Let every move fail."""
--- a/stand_ins/routed.py
+++ b/stand_ins/routed.py
@@ -212,20 +212,24 @@
         connection.write(b"0\r\n\r\n")
 
     def _move(self, connection: CallerConnection, wanted: dict[str, Any]) -> None:
-        """Copy a run to another stand-in."""
-        if self.move_answers:
-            status, body = self.move_answers.pop(0)(wanted)
-        elif wanted["id"] not in self.running:
-            status, body = 404, {}
-        else:
-            handle = f"copy-{wanted['id']}"
-            self.peers[wanted["targetVersion"]].copies[handle] = self.running[wanted["id"]]
-            status, body = 200, {"handle": handle, "made": self.running[wanted["id"]]}
-            if wanted.get("last"):
-                self.stopped.add(wanted["id"])
+        """Answer a call that copies a run."""
+        answer = self.move_answers.pop(0) if self.move_answers else self.copy_run
+        status, body = answer(wanted)
         data = orjson.dumps(body)
         connection.write(head_bytes(status, (), (b"Content-Length: %d" % len(data),)) + data)
 
+    def copy_run(self, wanted: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        """Copy a run to another stand-in; with last, the run stops."""
+        run_id = wanted["id"]
+        if run_id not in self.running:
+            return 404, {}
+        handle = f"copy-{run_id}"
+        made = self.running[run_id]
+        self.peers[wanted["targetVersion"]].copies[handle] = made
+        if wanted.get("last"):
+            self.stopped.add(run_id)
+        return 200, {"handle": handle, "made": made}
+
 
 def event_bytes(number: int) -> bytes:
     """Return one event of a stream."""
