--- /dev/null
+++ b/driftstall/gateway/placement.py
@@ -0,0 +1,143 @@
+"""Place a stream: on which engine it runs, and where a copy of it is kept."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+
+from driftstall.const import PREFIX_ROUTING
+from driftstall.core import Request
+from driftstall.gateway.admission import Admitted
+from driftstall.gateway.ingress import CallerRequest
+from driftstall.gateway.model import Engine, Upstream
+from driftstall.gateway.runs import Copy, StreamRun
+from driftstall.gateway.selection import Need, choose_backup, choose_stream, has_room
+from driftstall.gateway.state import GatewayState
+from driftstall.helpers.log import say
+
+WAIT_FOR_UPSTREAM_S: Final = 0.4
+"""How long a stream waits for an upstream that takes requests; a quarter of its target."""
+WAIT_FOR_ROOM_SHARE: Final = 0.4
+"""Share of a stream's target that it waits for room: sent before, it would be preempted."""
+ROOM_CHECK_S: Final = 0.02
+BACKUP_FROM_TOKENS: Final = 120
+"""Outputs expected to be shorter end before a copy is of use: about a second of tokens."""
+
+NO_ENGINE: Final = Engine(
+    slots=1,
+    memory_tokens=1_000_000,
+    token_bytes=0,
+    link_bytes_per_s=0.0,
+    can_move=False,
+    can_backup=False,
+    event_tokens=1,
+)
+"""Stands for a service that streams without telling of an engine: room for anything."""
+
+
+class StreamPlacement:
+    """Choose the engines of one stream."""
+
+    def __init__(
+        self, state: GatewayState, call: CallerRequest, admitted: Admitted, request: Request
+    ) -> None:
+        """Take the stream's request as it came, as it was admitted and as it is forecast."""
+        self._state = state
+        self._call = call
+        self._admitted = admitted
+        self._request = request
+
+    @property
+    def engine(self) -> Engine:
+        """Return the engine of the service; a service without one still streams."""
+        return self._admitted.service.engine or NO_ENGINE
+
+    def place(self, avoid: frozenset[str], gone: Callable[[], bool]) -> StreamRun | None:
+        """Choose the upstream and where its copy is kept; wait a little for one."""
+        need = self._need()
+        chosen = self._wait_for_room(need, avoid, gone)
+        if chosen is None:
+            return None
+        run = StreamRun(self._call, self._admitted, self._request, chosen)
+        run.backup = self._choose_backup(chosen, need)
+        self._state.account(run)
+        self._say_placed(run)
+        return run
+
+    def next_run(self, run: StreamRun, copy: Copy) -> StreamRun:
+        """Return the run as it goes on at another upstream."""
+        next_run = StreamRun(self._call, self._admitted, self._request, copy.upstream)
+        next_run.copied = copy
+        next_run.last_event_id = run.last_event_id
+        next_run.events = run.events
+        next_run.tokens = run.tokens
+        next_run.moves = run.moves + 1
+        next_run.last_event_at = run.last_event_at
+        need = Need(run.held_tokens, max(0, self._expected_tokens() - run.tokens))
+        next_run.backup = self._choose_backup(copy.upstream, need)
+        self._state.account(next_run)
+        return next_run
+
+    def _wait_for_room(
+        self, need: Need, avoid: frozenset[str], gone: Callable[[], bool]
+    ) -> Upstream | None:
+        """Choose the upstream; wait a little for one, and for room in its memory."""
+        engine = self.engine
+        zone = self._state.settings.zone
+        began = self._state.now()
+        target_s = self._admitted.route.target_s
+        upstream_until = began + min(WAIT_FOR_UPSTREAM_S, target_s / 4)
+        room_until = began + min(self._admitted.verdict.wait_s, target_s * WAIT_FOR_ROOM_SHARE)
+        while not gone():
+            options = self._state.options(self._admitted.service.name, avoid)
+            chosen = choose_stream(options, engine, need, zone, self._state.source)
+            now = self._state.now()
+            if chosen is None and now >= upstream_until:
+                return None
+            if chosen is not None and (now >= room_until or has_room(chosen, engine, need)):
+                return chosen.upstream
+            self._state.fleet_changed.wait(ROOM_CHECK_S)
+        return None
+
+    def _choose_backup(self, primary: Upstream, need: Need) -> Upstream | None:
+        """Choose where a copy of the run is kept."""
+        if not self.engine.can_backup or not self._wants_backup():
+            return None
+        options = self._state.options(self._admitted.service.name)
+        chosen = choose_backup(options, self.engine, need, primary, self._state.source)
+        return chosen.upstream if chosen else None
+
+    def _wants_backup(self) -> bool:
+        """Tell whether the output is long enough for a copy to pay."""
+        return self._expected_tokens() >= BACKUP_FROM_TOKENS
+
+    def _need(self) -> Need:
+        """Forecast what the run will take."""
+        return Need(self._request.input_tokens, self._expected_tokens())
+
+    def _expected_tokens(self) -> int:
+        """Forecast the output, in tokens."""
+        return self._state.expected_tokens(self._request, self._admitted.marks.length_hint)
+
+    def _say_placed(self, run: StreamRun) -> None:
+        """Log where a stream was placed."""
+        use = self._state.loads.use(run.upstream.upstream_id, self._state.now())
+        say(
+            PREFIX_ROUTING,
+            f"A stream is placed on {run.upstream.upstream_id}",
+            request=run.request_id,
+            route=self._admitted.route.name,
+            rule=self._admitted.verdict.rule,
+            rank=self._admitted.verdict.rank,
+            backup=run.backup.upstream_id if run.backup else "",
+            running=use.running,
+            tokens=use.tokens,
+            copies=use.copies,
+            prefill=use.prefill,
+            load=round(self._state.load_of(run.upstream.service), 3),
+            ready=len(self._state.fleet.ready(run.upstream.service)),
+            expected=self._expected_tokens(),
+            max_tokens=self._request.max_tokens,
+            hint=self._admitted.marks.length_hint,
+            revision=run.upstream.revision,
+        )
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -17,7 +17,6 @@
     CODE_NO_RUNNER,
     CODE_RUNNER_FAILED,
     PREFIX_RELAY,
-    PREFIX_ROUTING,
 )
 from driftstall.core import Problem, Ran
 from driftstall.exceptions import UpstreamError
@@ -33,19 +32,14 @@
     chunk,
     head_bytes,
 )
-from driftstall.gateway.model import AnswerMarks, Engine, SendMarks, Upstream
+from driftstall.gateway.model import AnswerMarks, SendMarks, Upstream
 from driftstall.gateway.moves import Mover
 from driftstall.gateway.outcomes import Outcome
+from driftstall.gateway.placement import StreamPlacement
 from driftstall.gateway.runs import Copy, StreamRun
-from driftstall.gateway.selection import Need, choose_backup, choose_stream, has_room
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import say
 
-WAIT_FOR_UPSTREAM_S: Final = 0.4
-"""How long a stream waits for an upstream that takes requests; a quarter of its target."""
-WAIT_FOR_ROOM_SHARE: Final = 0.4
-"""Share of a stream's target that it waits for room: sent before, it would be preempted."""
-ROOM_CHECK_S: Final = 0.02
 MOVE_WAIT_S: Final = 2.0
 """How long a stopped run waits for the answer of its last move."""
 SILENCE_S: Final = 1.2
@@ -83,6 +77,7 @@
         self._call = call
         self._admitted = admitted
         self._request = request_of(admitted)
+        self._placement = StreamPlacement(state, call, admitted, self._request)
         self._caller_gone = False
         self._run: StreamRun | None = None
         self._order = EventOrder()
@@ -117,7 +112,7 @@
         for _ in range(MAX_SENDS):
             if self._left() <= 0 or self._caller_gone:
                 return Problem(CODE_DEADLINE, 504, "the time is over", Ran.NOT_RUN)
-            run = self._place(frozenset(avoid))
+            run = self._placement.place(frozenset(avoid), lambda: self._caller_gone)
             if run is None:
                 break
             if arrived and not self._budget_allows(run.upstream):
@@ -148,49 +143,6 @@
         detail = "the upstream broke off; the request may have run"
         return Problem(CODE_RUNNER_FAILED, 502, detail, Ran.UNKNOWN)
 
-    def _place(self, avoid: frozenset[str]) -> StreamRun | None:
-        """Choose the upstream and where its copy is kept; wait a little for one."""
-        need = self._need()
-        chosen = self._wait_for_room(need, avoid)
-        if chosen is None:
-            return None
-        run = StreamRun(self._call, self._admitted, self._request, chosen)
-        run.backup = self._choose_backup(chosen, need)
-        self._state.account(run)
-        self._say_placed(run)
-        return run
-
-    def _wait_for_room(self, need: Need, avoid: frozenset[str]) -> Upstream | None:
-        """Choose the upstream; wait a little for one, and for room in its memory."""
-        engine = self._engine
-        zone = self._state.settings.zone
-        began = self._state.now()
-        target_s = self._admitted.route.target_s
-        upstream_until = began + min(WAIT_FOR_UPSTREAM_S, target_s / 4)
-        room_until = began + min(self._admitted.verdict.wait_s, target_s * WAIT_FOR_ROOM_SHARE)
-        while not self._caller_gone:
-            options = self._state.options(self._admitted.service.name, avoid)
-            chosen = choose_stream(options, engine, need, zone, self._state.source)
-            now = self._state.now()
-            if chosen is None and now >= upstream_until:
-                return None
-            if chosen is not None and (now >= room_until or has_room(chosen, engine, need)):
-                return chosen.upstream
-            self._state.fleet_changed.wait(ROOM_CHECK_S)
-        return None
-
-    def _choose_backup(self, primary: Upstream, need: Need) -> Upstream | None:
-        """Choose where a copy of the run is kept."""
-        if not self._engine.can_backup or not self._wants_backup():
-            return None
-        options = self._state.options(self._admitted.service.name)
-        chosen = choose_backup(options, self._engine, need, primary, self._state.source)
-        return chosen.upstream if chosen else None
-
-    def _wants_backup(self) -> bool:
-        """Tell whether the output is long enough for a copy to pay."""
-        return self._expected_tokens() >= BACKUP_FROM_TOKENS
-
     def _try(self, run: StreamRun, *, first: bool) -> _Opened | UpstreamError:
         """Send the request to the run's upstream and read the answer's head."""
         if first:
@@ -338,7 +290,7 @@
         run.last_event_at = now
         before = run.tokens
         run.events += events
-        run.tokens += events * self._engine.event_tokens
+        run.tokens += events * self._placement.engine.event_tokens
         self._state.lengths.progressed(self._request, before, run.tokens)
         if before == 0 or before // ACCOUNT_TOKENS != run.tokens // ACCOUNT_TOKENS:
             self._state.account(run)
@@ -353,7 +305,9 @@
             copy = self._find_copy(run)
             if copy is None or not self._budget_allows(copy.upstream):
                 return None
-            next_run = self._next_run(run, copy)
+            self._state.runs.drop(run)
+            run.ended = True
+            next_run = self._placement.next_run(run, copy)
             result = self._try(next_run, first=False)
             self._say_resumed(run, next_run, result, cause)
             if isinstance(result, _Opened) and result.head.status == OK:
@@ -388,22 +342,6 @@
         except TimeoutError:
             return None
 
-    def _next_run(self, run: StreamRun, copy: Copy) -> StreamRun:
-        """Return the run as it goes on at another upstream."""
-        self._state.runs.drop(run)
-        run.ended = True
-        next_run = StreamRun(self._call, self._admitted, self._request, copy.upstream)
-        next_run.copied = copy
-        next_run.last_event_id = run.last_event_id
-        next_run.events = run.events
-        next_run.tokens = run.tokens
-        next_run.moves = run.moves + 1
-        next_run.last_event_at = run.last_event_at
-        need = Need(run.held_tokens, max(0, self._expected_tokens() - run.tokens))
-        next_run.backup = self._choose_backup(copy.upstream, need)
-        self._state.account(next_run)
-        return next_run
-
     # Ends.
 
     def _complete(self, run: StreamRun) -> bool:
@@ -476,23 +414,10 @@
 
     # Small helpers.
 
-    @property
-    def _engine(self) -> Engine:
-        """Return the engine of the service; a service without one still streams."""
-        return self._admitted.service.engine or NO_ENGINE
-
     def _left(self) -> float:
         """Return the seconds that are left."""
         return self._admitted.ends_at - self._state.now()
 
-    def _need(self) -> Need:
-        """Forecast what the run will take."""
-        return Need(self._request.input_tokens, self._expected_tokens())
-
-    def _expected_tokens(self) -> int:
-        """Forecast the output, in tokens."""
-        return self._state.expected_tokens(self._request, self._admitted.marks.length_hint)
-
     def _budget_allows(self, upstream: Upstream) -> bool:
         """Take one repeat from the common budget."""
         allowed = self._state.budget(upstream.service).take(self._state.now())
@@ -503,29 +428,6 @@
         """Take in how the upstream did; the time of a stream says nothing of it."""
         self._state.saw(run.upstream.upstream_id, run.upstream.service, outcome, 0.0)
 
-    def _say_placed(self, run: StreamRun) -> None:
-        """Log where a stream was placed."""
-        use = self._state.loads.use(run.upstream.upstream_id, self._state.now())
-        say(
-            PREFIX_ROUTING,
-            f"A stream is placed on {run.upstream.upstream_id}",
-            request=run.request_id,
-            route=self._admitted.route.name,
-            rule=self._admitted.verdict.rule,
-            rank=self._admitted.verdict.rank,
-            backup=run.backup.upstream_id if run.backup else "",
-            running=use.running,
-            tokens=use.tokens,
-            copies=use.copies,
-            prefill=use.prefill,
-            load=round(self._state.load_of(run.upstream.service), 3),
-            ready=len(self._state.fleet.ready(run.upstream.service)),
-            expected=self._expected_tokens(),
-            max_tokens=self._request.max_tokens,
-            hint=self._admitted.marks.length_hint,
-            revision=run.upstream.revision,
-        )
-
     def _say_resumed(
         self, run: StreamRun, next_run: StreamRun, result: _Opened | UpstreamError, cause: str
     ) -> None:
@@ -545,14 +447,3 @@
 
 ACCOUNT_TOKENS: Final = 128
 """Tokens after which the books are told of a run's growth: about once a second."""
-BACKUP_FROM_TOKENS: Final = 120
-"""Outputs expected to be shorter end before a copy is of use: about a second of tokens."""
-NO_ENGINE: Final = Engine(
-    slots=1,
-    memory_tokens=1_000_000,
-    token_bytes=0,
-    link_bytes_per_s=0.0,
-    can_move=False,
-    can_backup=False,
-    event_tokens=1,
-)
