Tell a cut-off peer what it has missed; a removal without its content counts

Found by two real processes before the store's stand-in: a peer that has just lost the store was not told of changes until its next report (up to a second), and they were not told again; a removed entry without its content was left out as unreadable, so its upstream stayed in use; and a removal that a peer passed on was held back for 2.2 s as if it might only have lapsed.

--- a/driftstall/gateway/fleet.py
+++ b/driftstall/gateway/fleet.py
@@ -31,6 +31,8 @@
 
     upstream: Upstream
     gone: bool
+    from_peer: bool = False
+    """Whether a peer tells it, whom the platform has answered all the time."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,7 +141,7 @@
         if not event.gone:
             self._put(upstream, now)
         elif upstream.upstream_id in self._entries:
-            self._remove(upstream.upstream_id, upstream.revision, now)
+            self._remove(upstream.upstream_id, upstream.revision, now, certain=event.from_peer)
         else:
             self._bury(upstream.upstream_id, upstream.revision, now)
 
@@ -184,13 +186,15 @@
             entry.leaving_since = None
             self._actions.append(UpstreamJoined(upstream))
 
-    def _remove(self, upstream_id: str, revision: int, now: float) -> None:
+    def _remove(
+        self, upstream_id: str, revision: int, now: float, *, certain: bool = False
+    ) -> None:
         """Take an upstream for leaving whose entry is no longer there."""
         entry = self._entries[upstream_id]
         if revision < entry.upstream.revision:
             return
         in_grace = self._down or now - self._back_at < LAPSE_GRACE_S
-        if in_grace and entry.leaving_since is None:
+        if in_grace and not certain and entry.leaving_since is None:
             entry.missing_since = entry.missing_since or now
             return
         self._leave(entry, now)
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -77,7 +77,10 @@
         mover = Mover(self.state)
         self._protection = Protection(self.state, mover)
         self._upstreams = UpstreamSource(
-            self.state, leaving=Evacuation(self.state, mover).start, pass_on=self._pass_on
+            self.state,
+            leaving=Evacuation(self.state, mover).start,
+            pass_on=self._pass_on,
+            announce=self._announce,
         )
         self._routing_follower = Follower(access.routing, self._routing, self.state.source)
         self._upstream_follower = Follower(access.upstreams, self._upstreams, self.state.source)
--- a/driftstall/gateway/peering.py
+++ b/driftstall/gateway/peering.py
@@ -44,6 +44,8 @@
 """Changes within this time travel together."""
 REPORT_VALID_S: Final = 2.3
 """A peer that has not reported for two periods is not located any more."""
+RECENT_S: Final = 6.0
+"""Changes are told again for so long; a cut is noticed within about four seconds."""
 ASK_AFTER_S: Final = 0.25
 """The platform's own watch brings a new configuration sooner than this, if it works."""
 
@@ -93,6 +95,8 @@
         self._heard: dict[str, _Heard] = {}
         self._asked_at: dict[str, float] = {}
         self._reported_at = float("-inf")
+        self._recent: list[tuple[float, ItemChange[Upstream]]] = []
+        """Changes that a peer may have missed before it noticed that it is cut off."""
 
     def start(self) -> None:
         """Start to listen and to report."""
@@ -128,6 +132,9 @@
 
     def pass_on(self, change: ItemChange[Upstream]) -> None:
         """Tell a change of an upstream to the peers that the platform does not answer."""
+        now = self._state.now()
+        self._recent = [(at, one) for at, one in self._recent if now - at <= RECENT_S]
+        self._recent.append((now, change))
         for peer, heard in self._heard.items():
             if not heard.report.platform_ok:
                 self._send(peer, _news(self.own.instance_id, change))
@@ -188,7 +195,11 @@
     def _take_report(self, sender: str, report: GatewayReport) -> None:
         """Take in a peer's report."""
         now = self._state.now()
+        before = self._heard.get(sender)
         self._heard[sender] = _Heard(report, now)
+        if not report.platform_ok and (before is None or before.report.platform_ok):
+            for _, change in self._recent:
+                self._send(sender, _news(self.own.instance_id, change))
         self._state.loads.told(sender, report.uses, now)
         for count in report.repeats:
             self._state.budget(count.service).told(sender, count, now)
--- a/driftstall/gateway/protection.py
+++ b/driftstall/gateway/protection.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from typing import Final
 
 import gevent
@@ -50,7 +49,7 @@
         """Copy what needs it, one run at a time on each engine."""
         while True:
             gevent.sleep(PERIOD_S)
-            wanting = sorted(self._wanting(), key=lambda run: run.kept is not None)
+            wanting = sorted(self.wanting(), key=lambda run: run.kept is not None)
             for run in wanting:
                 if run.upstream.upstream_id not in self._busy:
                     self._busy.add(run.upstream.upstream_id)
@@ -58,11 +57,12 @@
             self._make_room()
             self._forget_ended()
 
-    def _wanting(self) -> Iterable[StreamRun]:
-        """Return the runs that have no copy, or an old one."""
+    def wanting(self) -> list[StreamRun]:
+        """Return the runs that need a copy now: they have none, or an old one."""
         now = self._state.now()
         if now - self._state.notice_at < NOTICE_S:
-            return
+            return []
+        found: list[StreamRun] = []
         for run in self._state.runs.all:
             if run.events < MIN_EVENTS or run.ended or run.copying or run.moving is not None:
                 continue
@@ -75,7 +75,8 @@
                 continue
             kept = self._mover.kept(run)
             if kept is None or now - kept.at >= REFRESH_S:
-                yield run
+                found.append(run)
+        return found
 
     def _make_room(self) -> None:
         """Drop copies on engines whose memory is nearly full; runs go first."""
--- a/driftstall/gateway/sources.py
+++ b/driftstall/gateway/sources.py
@@ -142,11 +142,13 @@
         *,
         leaving: Callable[[Upstream], None],
         pass_on: Callable[[ItemChange[Upstream]], None],
+        announce: Callable[[], None],
     ) -> None:
         """Take the shared state, who moves streams, and how peers are told."""
         self._state = state
         self._leaving = leaving
         self._pass_on = pass_on
+        self._announce = announce
 
     def listed(self, items: tuple[Upstream, ...]) -> None:
         """Take in the whole list."""
@@ -162,17 +164,19 @@
 
     def told(self, change: ItemChange[Upstream]) -> None:
         """Take in one change from a peer."""
-        self._apply(Changed(change.item, change.gone))
+        self._apply(Changed(change.item, change.gone, from_peer=True))
 
     def platform_lost(self, cause: str) -> None:
         """Learn that the platform does not answer."""
         say(PREFIX_ROUTING, f"The platform's list of upstreams is out of reach: {cause}")
         self._apply(PlatformLost())
+        self._announce()
 
     def platform_back(self) -> None:
         """Learn that the platform answers again."""
         say(PREFIX_ROUTING, "The platform's list of upstreams is in reach")
         self._apply(PlatformBack())
+        self._announce()
 
     def period(self) -> None:
         """Let time pass."""
--- a/driftstall/platform/documents.py
+++ b/driftstall/platform/documents.py
@@ -142,3 +142,16 @@
         )
     except (AttributeError, KeyError, TypeError, ValueError) as fault:
         raise DocumentFault(f"the entry of upstream {name} cannot be read: {fault!r}") from fault
+
+
+def gone_upstream(name: str, revision: int) -> Upstream:
+    """Return what is told of an upstream whose entry was removed: only which one it was."""
+    return Upstream(
+        upstream_id=name,
+        service="",
+        address="",
+        zone="",
+        slots=0,
+        state=UpstreamState.LEAVING,
+        revision=revision,
+    )
--- a/driftstall/platform/feeds.py
+++ b/driftstall/platform/feeds.py
@@ -22,11 +22,21 @@
 class KindFeed(Generic[Item]):
     """Read one kind; objects that cannot be decoded are logged and left out."""
 
-    def __init__(self, store: Store, kind: str, decode: Callable[[StoredObject], Item]) -> None:
-        """Take the store, the kind and how its objects are decoded."""
+    def __init__(
+        self,
+        store: Store,
+        kind: str,
+        decode: Callable[[StoredObject], Item],
+        decode_gone: Callable[[StoredObject], Item] | None = None,
+    ) -> None:
+        """Take the store, the kind and how its objects are decoded.
+
+        What is gone may come without its content, so it may be decoded in another way.
+        """
         self._store = store
         self._kind = kind
         self._decode = decode
+        self._decode_gone = decode_gone or decode
 
     def list(self) -> Snapshot[Item]:
         """Return all items of the kind."""
@@ -39,15 +49,15 @@
         answer = self._store.watch(self._kind, at, wait_s)
         changes = []
         for event in answer.events:
-            item = self._item(event.changed)
+            item = self._item(event.changed, gone=event.gone)
             if item is not None:
                 changes.append(ItemChange(item, event.gone))
         return Changes(tuple(changes), answer.at)
 
-    def _item(self, stored: StoredObject) -> Item | None:
+    def _item(self, stored: StoredObject, *, gone: bool = False) -> Item | None:
         """Decode one object."""
         try:
-            return self._decode(stored)
+            return self._decode_gone(stored) if gone else self._decode(stored)
         except DocumentFault as fault:
             say(PREFIX_CONFIGURATION, f"An object is left out: {fault}", kind=self._kind)
             return None
@@ -59,6 +69,7 @@
         store,
         names.KIND_UPSTREAMS,
         lambda one: documents.read_upstream(one.name, one.revision, one.spec),
+        lambda one: documents.gone_upstream(one.name, one.revision),
     )
 
 
--- a/features/gateway/parts.feature
+++ b/features/gateway/parts.feature
@@ -23,6 +23,11 @@
     Then "u1" takes requests
     And after 2.3 s without its entry "u1" takes no requests
 
+  Scenario: what a peer tells during an outage holds at once
+    Given a fleet of 3 upstreams
+    When the platform is away and a peer tells that "u1" is gone
+    Then "u1" takes no requests
+
   Scenario: an entry that is back in time was never missed
     Given a fleet of 3 upstreams
     When the platform was away and lists only "u2" and "u3" on its return
@@ -90,6 +95,10 @@
     Given a stored entry without an address and a whole one
     Then only the whole one is listed
 
+  Scenario: an entry that is removed without its content still counts as gone
+    Given a watch that tells of a removed entry without its content
+    Then the change says which upstream is gone
+
   Scenario: a routing document only moves forward
     Given routing version 7 is in force
     When versions 5, 9 and 8 arrive
--- a/features/gateway/streams.feature
+++ b/features/gateway/streams.feature
@@ -80,3 +80,20 @@
     When stream "s1" is asked
     Then the answer is 503 and tells when to come back
     And "s1" has run on 0 upstreams
+
+  Scenario: a stream waits a little for room in an engine's memory
+    Given all engines' memory is full for now
+    When stream "s1" is asked, and room is made once it waits
+    Then all 5 events of "s1" came once, in order, and the end
+    And it was placed only after there was room
+
+  Scenario: a copy is made of a long stream before any notice
+    Given stream "s1" waits after event 8 and has no backup
+    When copies are kept
+    Then an engine that "s1" does not run on holds its copy
+    And the copy is dropped when its engine fills
+
+  Scenario: no copies are made beforehand while an engine is leaving
+    Given stream "s1" waits after event 8 and has no backup
+    When a notice was given and copies are kept
+    Then "s1" has no copy
--- /dev/null
+++ b/features/steps/gateway_node_steps.py
@@ -0,0 +1,319 @@
+"""Check the gateway as real processes before the store's stand-in."""
+
+from __future__ import annotations
+
+import signal
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import gevent
+import orjson
+from behave import given, then, when
+from gevent import socket
+from gevent.server import StreamServer
+
+from driftstall.cli.main import main as command
+from driftstall.exceptions import UpstreamError
+from driftstall.platform.names import KIND_CONFIG, KIND_UPSTREAMS, NAME_CONFIG
+from driftstall.platform.store import Store
+from driftstall.util.http import Exchange
+from features.worlds.gateway_world import (
+    HOST,
+    Received,
+    document,
+    read_answer,
+    request_bytes,
+    route,
+    wait_for,
+)
+from measures.bench import Bench, free_port
+from stand_ins.routed import RoutedUpstream
+
+PROCESS_WAIT_S = 15.0
+
+
+class Gate:
+    """Pass connections on to the store until it is shut."""
+
+    def __init__(self, target: str) -> None:
+        """Start to listen."""
+        self._target = target
+        self._open: list[socket.socket] = []
+        self.shut = False
+        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+
+    @property
+    def address(self) -> str:
+        """Return where it listens."""
+        return f"127.0.0.1:{self._server.server_port}"
+
+    def close_gate(self) -> None:
+        """Cut all connections and take no more."""
+        self.shut = True
+        for one in self._open:
+            one.close()
+
+    def stop(self) -> None:
+        """Stop to listen."""
+        self._server.stop(timeout=0)
+
+    def _serve(self, near: socket.socket, _: tuple[str, int]) -> None:
+        """Pass one connection on, both ways."""
+        if self.shut:
+            near.close()
+            return
+        host, port = self._target.split(":")
+        far = socket.create_connection((host, int(port)))
+        self._open += [near, far]
+        back = gevent.spawn(self._copy, far, near)
+        self._copy(near, far)
+        back.join()
+        near.close()
+        far.close()
+
+    @staticmethod
+    def _copy(source: socket.socket, target: socket.socket) -> None:
+        """Copy bytes until the end."""
+        try:
+            while data := source.recv(65_536):
+                target.sendall(data)
+            target.shutdown(socket.SHUT_WR)
+        except OSError:
+            return
+
+
+class Node:
+    """Hold one gateway process and its addresses."""
+
+    def __init__(self, name: str, store: str, folder: Path) -> None:
+        """Start the process."""
+        self.name = name
+        self.listen = {
+            part: f"127.0.0.1:{free_port()}" for part in ("front", "ready", "directory", "control")
+        }
+        self.path = folder / f"{name}.json"
+        self.settings: dict[str, Any] = {
+            "nodeName": name,
+            "zone": "a",
+            "ip": f"127.0.0.{3 + int(name[-1])}",
+            "listen": self.listen,
+            "platform": {"address": store},
+            "seeds": [],
+            "bounds": {"graceS": 2, "ttl_max_s": 1},
+        }
+        self.write(self.settings)
+        self.log = folder / f"{name}.log"
+        with self.log.open("wb") as output:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "driftstall.platform"],
+                env={"DRIFTSTALL_CONFIG": str(self.path), "PATH": "/usr/bin:/bin"},
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+
+    def write(self, settings: dict[str, Any]) -> None:
+        """Write the settings file."""
+        self.path.write_bytes(orjson.dumps(settings))
+
+    def get(self, part: str, path: str) -> tuple[int, bytes]:
+        """Make one call to a listener."""
+        address = self.listen.get(part) or f"{self.settings['ip']}:9464"
+        exchange = Exchange.open(address, "GET", path, {}, b"", 3.0)
+        body = exchange.read()
+        return exchange.status, body
+
+    def ready(self) -> bool:
+        """Tell whether the process says that it is ready."""
+        try:
+            return self.get("ready", "/api/ready")[0] == 200
+        except UpstreamError:
+            return False
+
+    def located(self) -> set[str]:
+        """Return the addresses that the process locates."""
+        try:
+            status, body = self.get("directory", f"/api/resolve?name={HOST}&zone=b")
+        except UpstreamError:
+            return set()
+        return set(orjson.loads(body)["addresses"]) if status == 200 else set()
+
+    def ask(self, path: str, request_id: str) -> Received:
+        """Ask as a caller."""
+        host, port = self.listen["front"].split(":")
+        connection = socket.create_connection((host, int(port)), 3.0)
+        connection.sendall(request_bytes(path, request_id))
+        answer = read_answer(connection)
+        connection.close()
+        return answer
+
+
+def wait_long(what: str, check: Any) -> None:
+    """Wait for what starts processes."""
+    with gevent.Timeout(PROCESS_WAIT_S, AssertionError(f"not reached: {what}")):
+        while not check():
+            gevent.sleep(0.05)
+
+
+@given("the store's stand-in with a routing configuration and 2 upstreams")
+def start_store(context: Any) -> None:
+    """Start the store and fill it."""
+    bench = context.store_bench = Bench()
+    context.add_cleanup(bench.close)
+    address = bench.start_platform().address
+    context.store = Store(address)
+    context.store_address = address
+    context.store.create(KIND_CONFIG, NAME_CONFIG, document(3))
+    context.upstreams = [RoutedUpstream(f"i-{index}") for index in (1, 2)]
+    for one in context.upstreams:
+        context.add_cleanup(one.stop)
+        spec = {"service": "portal", "address": one.address, "zone": "a", "slots": 6}
+        context.store.create(KIND_UPSTREAMS, one.upstream_id, spec | {"state": "ready"})
+    context.nodes = []
+
+
+def start_node(context: Any, store: str) -> None:
+    """Start one more process."""
+    folder = Path(tempfile.mkdtemp(prefix="driftstall-"))
+    node = Node(f"node-{len(context.nodes) + 1}", store, folder)
+    context.nodes.append(node)
+    context.add_cleanup(node.process.wait)
+    context.add_cleanup(node.process.kill)
+
+
+@given("2 gateway processes")
+def start_two(context: Any) -> None:
+    """Start two processes on the store."""
+    for _ in range(2):
+        start_node(context, context.store_address)
+
+
+@given("a gateway process, and one more that reaches the store through a gate")
+def start_gated(context: Any) -> None:
+    """Start two processes, one behind a gate."""
+    context.gate = Gate(context.store_address)
+    context.add_cleanup(context.gate.stop)
+    start_node(context, context.store_address)
+    start_node(context, context.gate.address)
+
+
+@then("both become ready and each is located with the other")
+def both_ready(context: Any) -> None:
+    """Wait for readiness and the directory."""
+    addresses = {node.listen["front"] for node in context.nodes}
+    for node in context.nodes:
+        wait_long(f"{node.name} is ready", node.ready)
+        wait_long(f"{node.name} locates both", lambda one=node: one.located() == addresses)
+
+
+@then("both serve calls and show metrics")
+def both_serve(context: Any) -> None:
+    """Ask both."""
+    for node in context.nodes:
+        answer = node.ask("/once/a", f"r-{node.name}")
+        assert (answer.status, answer.body) == (200, b"whole"), answer
+        status, body = node.get("metrics", "/metrics")
+        assert status == 200 and b"driftstall_gateway_requests_total" in body, body
+
+
+@when("a newer routing configuration is stored")
+def store_newer(context: Any) -> None:
+    """Store a version with one more route."""
+    newer = document(9)
+    newer["routes"].append(route("added", "/added/", "safe", "portal"))
+    assert context.store.replace(KIND_CONFIG, NAME_CONFIG, newer) is not None
+
+
+@when("the gate is shut and a newer routing configuration is stored")
+def shut_and_store(context: Any) -> None:
+    """Cut one process off from the store, then change the configuration."""
+    context.gate.close_gate()
+    store_newer(context)
+
+
+@then("both serve its new route")
+def new_route(context: Any) -> None:
+    """Ask for the route that was added."""
+    for index, node in enumerate(context.nodes):
+        wait_long(
+            f"{node.name} serves the new route",
+            lambda one=node, n=index: one.ask("/added/a", f"added-{n}").status == 200,
+        )
+
+
+@when("a policy is submitted on the store")
+def submit_policy(context: Any) -> None:
+    """Run the operators' command."""
+    arguments = ["policy", "submit", "examples/both.policy", f"--store={context.store_address}"]
+    assert command(arguments) == 0
+
+
+@then("both have it in force")
+def policy_in_force(context: Any) -> None:
+    """Look for the log line."""
+    for node in context.nodes:
+        wait_long(
+            f"{node.name} has the policy",
+            lambda one=node: "Policy 'both' is in force" in one.log.read_text(),
+        )
+
+
+@when("the first one's settings change to wrong ones")
+def wrong_settings(context: Any) -> None:
+    """Write wrong settings and tell the process."""
+    node = context.nodes[0]
+    node.write(node.settings | {"listen": {}})
+    node.process.send_signal(signal.SIGHUP)
+
+
+@then("it says so and serves on")
+def says_so(context: Any) -> None:
+    """Look for the log line and ask."""
+    node = context.nodes[0]
+    wait_long("it says so", lambda: "The changed settings are not used" in node.log.read_text())
+    assert node.ask("/once/a", "after-hup").status == 200
+
+
+@when("the store goes down and the first one is told to stop")
+def down_and_stop(context: Any) -> None:
+    """Take the store down and stop one process."""
+    context.store_bench.platform.control({"down_s": 30.0})
+    context.nodes[0].process.send_signal(signal.SIGTERM)
+
+
+@then("it is not ready at once and the second one locates only itself")
+def not_ready(context: Any) -> None:
+    """Look at both."""
+    first, second = context.nodes
+    wait_for("it is not ready", lambda: not first.ready())
+    wait_long("the second locates itself", lambda: second.located() == {second.listen["front"]})
+
+
+@then("it ends by itself with 0")
+def ends(context: Any) -> None:
+    """Wait for the process."""
+    assert context.nodes[0].process.wait(timeout=PROCESS_WAIT_S) == 0
+
+
+@when("an upstream is removed from the store")
+def remove_upstream(context: Any) -> None:
+    """Remove one entry; the process behind the gate hears of it from its peer."""
+    context.store.delete(KIND_UPSTREAMS, "i-1")
+    for node in context.nodes:
+        wait_long(
+            f"{node.name} knows",
+            lambda one=node: "Upstream i-1 is leaving" in one.log.read_text(),
+        )
+
+
+@then("neither sends it any call within 10 calls")
+def no_calls(context: Any) -> None:
+    """Ask and count."""
+    before = len(context.upstreams[0].seen)
+    for node in context.nodes:
+        for index in range(10):
+            assert node.ask("/once/a", f"late-{node.name}-{index}").status == 200
+    assert len(context.upstreams[0].seen) == before
--- a/features/steps/gateway_part_steps.py
+++ b/features/steps/gateway_part_steps.py
@@ -48,7 +48,7 @@
 from driftstall.platform.documents import read_routing
 from driftstall.platform.feeds import upstream_feed
 from driftstall.platform.settings import read_settings
-from driftstall.platform.store import Listing, Store, StoredObject
+from driftstall.platform.store import Listing, Store, StoredObject, WatchAnswer, WatchEvent
 from features.worlds.gateway_world import GatewayWorld, document
 
 ENGINE = Engine(64, 34_545, 18_432, 337_500_000.0, True, True, 4)
@@ -124,6 +124,13 @@
     context.back_at = 6.0
 
 
+@when('the platform is away and a peer tells that "{name}" is gone')
+def peer_tells(context: Any, name: str) -> None:
+    """Let a peer pass a removal on during an outage."""
+    tell(context, PlatformLost(), 1.0)
+    tell(context, Changed(upstream_of(name, 5), True, from_peer=True), 1.5)
+
+
 @when('the entry of "{name}" is back after {seconds:g} s')
 def entry_back(context: Any, name: str, seconds: float) -> None:
     """List the entry again."""
@@ -476,6 +483,27 @@
     assert [one.upstream_id for one in context.items] == ["b"], context.items
 
 
+class RemovingStore(Store):
+    """Tell of one removed object."""
+
+    def watch(self, kind: str, at: int, wait_s: float) -> WatchAnswer:
+        """Return the removal."""
+        return WatchAnswer((WatchEvent(StoredObject("a", 7, None), True),), 7)
+
+
+@given("a watch that tells of a removed entry without its content")
+def removed_entry(context: Any) -> None:
+    """Watch once."""
+    context.changes = upstream_feed(RemovingStore("127.0.0.1:1")).watch(1, 1.0).changes
+
+
+@then("the change says which upstream is gone")
+def says_which(context: Any) -> None:
+    """Compare the change."""
+    (change,) = context.changes
+    assert change.gone and change.item.upstream_id == "a" and change.item.revision == 7
+
+
 def routing_text(version: int) -> RoutingText:
     """Return a routing document of a version."""
     return RoutingText(read_routing(document(version)), "")
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -10,6 +10,7 @@
 
 from driftstall.gateway.loads import Use
 from driftstall.gateway.model import Route, SplitPart
+from driftstall.gateway.protection import Protection
 from driftstall.gateway.routes import pick_service
 from driftstall.platform.documents import read_routing
 from features.worlds.gateway_world import (
@@ -462,7 +463,7 @@
     """Start a stream that stands still until its gate opens."""
     world = world_of(context)
     world.state.loads.told("peer", full_engines(world), world.state.now())
-    stream_script(context, request_id, Script(pause_after=number))
+    stream_script(context, request_id, Script(pause_after=number, events=max(5, number + 1)))
     context.asked_connection = world.connect()
     context.asked_connection.sendall(request_bytes("/stream/a", request_id))
     context.asked = gevent.spawn(read_answer, context.asked_connection)
@@ -582,3 +583,75 @@
     """Let the stream go on."""
     context.script.gate.set()
     all_events(context, 5, "s1")
+
+
+@given("all engines' memory is full for now")
+def memory_full(context: Any) -> None:
+    """Let a peer tell of full engines."""
+    world = world_of(context)
+    uses = [Use(one.upstream_id, running=5, tokens=34_000) for one in world.engines]
+    world.state.loads.told("peer", uses, world.state.now())
+
+
+@when('stream "{request_id}" is asked, and room is made once it waits')
+def room_is_made(context: Any, request_id: str) -> None:
+    """Ask, and free the engines while the request is open."""
+    world = world_of(context)
+    context.asked = world.ask_later("/stream/a", request_id)
+    wait_for("the request is open", lambda: world.state.open_requests == 1)
+    context.ran_before = len(runs(world, request_id))
+    world.state.loads.forget("peer")
+
+
+@then("it was placed only after there was room")
+def placed_after(context: Any) -> None:
+    """Nothing had run before room was made."""
+    assert context.ran_before == 0
+
+
+@when("copies are kept")
+def copies_kept(context: Any) -> None:
+    """Let copies be made."""
+    world = world_of(context)
+    Protection(world.state, world.mover).start()
+
+
+@then('an engine that "{request_id}" does not run on holds its copy')
+def copy_held(context: Any, request_id: str) -> None:
+    """Wait for the copy."""
+    world = world_of(context)
+    (run,) = world.state.runs.all
+    wait_for("a copy is kept", lambda: run.kept is not None)
+    others = [one for one in world.engines if one is not context.engine]
+    assert any(f"copy-{request_id}" in one.copies for one in others)
+    assert run.kept is not None
+    assert world.state.loads.use(run.kept.copy.upstream.upstream_id, world.state.now()).copies
+
+
+@then("the copy is dropped when its engine fills")
+def copy_dropped(context: Any) -> None:
+    """Fill the engines and wait."""
+    world = world_of(context)
+    (run,) = world.state.runs.all
+    memory_full(context)
+    wait_for("the copy is dropped", lambda: run.kept is None)
+    wait_for("its memory is free", lambda: not any(one.copies for one in world.engines))
+    context.script.gate.set()
+
+
+@when("a notice was given and copies are kept")
+def notice_and_copies(context: Any) -> None:
+    """Make what is needed for copies, right after a notice."""
+    world = world_of(context)
+    world.state.notice_at = world.state.now()
+    context.protection = Protection(world.state, world.mover)
+
+
+@then('"{request_id}" has no copy')
+def no_copy_made(context: Any, request_id: str) -> None:
+    """Ask which runs want a copy: none does so soon after a notice, all do later."""
+    world = world_of(context)
+    assert not context.protection.wanting()
+    world.state.notice_at = float("-inf")
+    assert [run.request_id for run in context.protection.wanting()] == [request_id]
+    context.script.gate.set()
--- a/stand_ins/routed.py
+++ b/stand_ins/routed.py
@@ -120,7 +120,8 @@
             self._move(connection, orjson.loads(call.body))
             return
         if call.path.startswith("/api/kv-handle/"):
-            self.copies.pop(call.path.rpartition("/")[2], None)
+            for one in (self, *self.peers.values()):
+                one.copies.pop(call.path.rpartition("/")[2], None)
             connection.write(head_bytes(200, (), (b"Content-Length: 2",)) + b"{}")
             return
         request_id = headers.get("x-driftstall-request-id", "")
