--- /dev/null
+++ b/features/steps/policy_steps.py
@@ -0,0 +1,68 @@
+"""Check the policy language."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+from behave import given, then, when
+
+from driftstall.exceptions import PolicyError
+from driftstall.policy.evaluate import explain
+from driftstall.policy.model import Facts
+from driftstall.policy.parse import parse_policy
+
+
+@given("the policy text {text}")
+def policy_text(context: Any, text: str) -> None:
+    """Keep a policy's text."""
+    context.policy_text = text
+
+
+@given("a policy with {count:d} nested parentheses")
+def nested_policy(context: Any, count: int) -> None:
+    """Build a policy that nests deeply."""
+    context.policy_text = (
+        'policy "x" { rule a when ' + "(" * count + "load > 1" + ")" * count + " {} }"
+    )
+
+
+@then('it is refused at line {line:d}, column {column:d}, with "{fix}"')
+def policy_refused(context: Any, line: int, column: int, fix: str) -> None:
+    """Compare the fault."""
+    try:
+        parse_policy(context.policy_text)
+    except PolicyError as fault:
+        assert (fault.line, fault.column) == (line, column), str(fault)
+        assert fix in fault.fix, str(fault)
+        return
+    raise AssertionError("the policy was accepted")
+
+
+@then("each shipped policy is accepted and takes at most {steps:d} steps")
+def shipped(context: Any, steps: int) -> None:
+    """Parse the shipped policies."""
+    paths = sorted(Path("examples").glob("*.policy"))
+    assert len(paths) >= 3, paths
+    for path in paths:
+        assert parse_policy(path.read_text()).steps <= steps
+
+
+@given('the shipped policy "{name}"')
+def shipped_policy(context: Any, name: str) -> None:
+    """Load one shipped policy."""
+    context.policy = parse_policy(Path(f"examples/{name}.policy").read_text())
+
+
+@when('a "{kind}" of {tokens:d} tokens is explained')
+def explained(context: Any, kind: str, tokens: int) -> None:
+    """Explain one request."""
+    context.why = explain(context.policy, Facts(kind, "north", "base", tokens, 100, 0.0, 12))
+
+
+@then('rule "{name}" decides with rank {rank:d} after rule "{other}" did not hold')
+def decided(context: Any, name: str, rank: int, other: str) -> None:
+    """Compare the explanation."""
+    checks = [(one.rule, one.held) for one in context.why.checks]
+    assert checks == [(other, False), (name, True)], checks
+    assert context.why.verdict.rank == rank
