--- /dev/null
+++ b/features/steps/gateway_admission_steps.py
@@ -0,0 +1,143 @@
+"""Check what the gateway admits, and how it reads callers' bytes."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import gevent
+from behave import given, then, when
+
+from driftstall.gateway.model import Route, SplitPart
+from driftstall.gateway.routes import pick_service
+from driftstall.platform.documents import read_routing
+from features.worlds.gateway_world import (
+    HOST,
+    document,
+    parse_answer,
+    read_answer,
+    request_bytes,
+    runs,
+    wait_for,
+    world_of,
+)
+
+
+@given("the configuration may be old")
+def may_be_old(context: Any) -> None:
+    """Let the instance be unsure of its configuration."""
+    world_of(context).current = False
+
+
+@given("no configuration has been read")
+def no_configuration(context: Any) -> None:
+    """Take the configuration away."""
+    world = world_of(context)
+    world.state.table = None
+    world.state.configured.clear()
+
+
+@given("a first configuration that comes while the request waits")
+def configuration_comes(context: Any) -> None:
+    """Take the configuration away and bring it back soon."""
+    world = world_of(context)
+    no_configuration(context)
+
+    def bring() -> None:
+        wait_for("the request waits", lambda: world.state.open_requests > 0)
+        world.use(document())
+        world.state.check_configured()
+
+    gevent.spawn(bring)
+
+
+@then('"{first}" leads to route "{first_name}" and "{second}" to "{second_name}"')
+def leads_to(context: Any, first: str, first_name: str, second: str, second_name: str) -> None:
+    """Look two paths up."""
+    table = world_of(context).state.table
+    assert table is not None
+    for path, name in ((first, first_name), (second, second_name)):
+        route = table.route(f"{HOST.upper()}:80", path)
+        assert route is not None and route.name == name, (path, route)
+
+
+@then("of 1000 requests on a route split 90 to 10 about 900 go to the first service")
+def split(context: Any) -> None:
+    """Count over evenly spread chances."""
+    parts = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
+    raw = document()
+    raw["routes"][0] |= {"trafficSplit": parts, "service": None}
+    route: Route = read_routing(raw).routes[0]
+    assert route.split == (SplitPart("a", 90.0), SplitPart("b", 10.0))
+    chosen = [pick_service(route, index / 1000) for index in range(1000)]
+    assert chosen.count("a") == 900
+
+
+HEAD = f"POST /once/a HTTP/1.1\r\nHost: {HOST}\r\nX-Driftstall-Request-Id: bad\r\n".encode()
+INPUTS = {
+    "two lengths": HEAD + b"Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody!",
+    "a length beside chunks": HEAD
+    + b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "a folded header": HEAD + b"A: b\r\n c\r\nContent-Length: 0\r\n\r\n",
+    "bare line ends": HEAD.replace(b"\r\n", b"\n") + b"\n",
+    "a bad chunk size": HEAD + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n\r\n",
+    "an unknown transfer coding": HEAD + b"Transfer-Encoding: gzip\r\n\r\n",
+    "a name with a blank before colon": HEAD + b"Content-Length : 4\r\n\r\nbody",
+    "no host": b"GET /once/a HTTP/1.1\r\n\r\n",
+    "two hosts": HEAD + b"Host: other.example\r\nContent-Length: 0\r\n\r\n",
+    "two request ids": HEAD + b"X-Driftstall-Request-Id: other\r\nContent-Length: 0\r\n\r\n",
+    "a header of 10000 bytes": HEAD + b"A: " + b"a" * 10_000 + b"\r\n\r\n",
+    "a length of 70000 bytes": HEAD + b"Content-Length: 70000\r\n\r\n",
+    "a chunked body of 70000 bytes": HEAD
+    + b"Transfer-Encoding: chunked\r\n\r\n11170\r\n"
+    + b"a" * 70_000
+    + b"\r\n0\r\n\r\n",
+    "half a header and then nothing": HEAD[:-10],
+}
+
+
+@when("a caller sends {what}")
+def send_input(context: Any, what: str) -> None:
+    """Send malformed input and wait for the connection's end."""
+    world = world_of(context)
+    connection = world.connect()
+    connection.sendall(INPUTS[what])
+    context.other = world.ask("/once/a", "other")
+    context.answer = read_answer(connection)
+    connection.close()
+
+
+@then("it is answered {status:d} and closed")
+def answered_closed(context: Any, status: int) -> None:
+    """Compare the answer."""
+    assert context.answer.status == status, context.answer
+    assert context.answer.headers["connection"] == "close"
+
+
+@then("another caller is served meanwhile")
+def others_served(context: Any) -> None:
+    """Look at the other caller, and that nothing of the input has run."""
+    assert context.other.status == 200
+    assert not runs(world_of(context), "bad")
+
+
+@when("two requests come in one packet")
+def two_in_one(context: Any) -> None:
+    """Send two requests at once."""
+    connection = world_of(context).connect()
+    keep = request_bytes("/once/a", "p1", Connection="keep-alive")
+    connection.sendall(keep + request_bytes("/once/b", "p2"))
+    context.both = b""
+    connection.settimeout(5.0)
+    while piece := connection.recv(65_536):
+        context.both += piece
+    connection.close()
+
+
+@then("both are answered in order on the same connection")
+def both_answered(context: Any) -> None:
+    """Take both answers apart."""
+    first, second = context.both.split(b"HTTP/1.1 ")[1:]
+    for part, request_id in ((first, "p1"), (second, "p2")):
+        answer = parse_answer(b"HTTP/1.1 " + part)
+        assert answer.status == 200 and answer.whole, answer
+        assert answer.headers["x-driftstall-request-id"] == request_id, answer
--- /dev/null
+++ b/features/steps/gateway_budget_steps.py
@@ -0,0 +1,104 @@
+"""Check the retry budget that all instances share."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given, then, when
+
+from driftstall.gateway.model import (
+    Bounds,
+)
+from driftstall.gateway.shared_budget import InstanceCount, SharedRetryBudget
+
+
+@given("8 instances that share a budget of 50 repeats and a fifth of the requests")
+def shared_budget(context: Any) -> None:
+    """Start the budgets."""
+    context.budgets = []
+    for _ in range(8):
+        count = InstanceCount()
+        count.seen(8, 0.0)
+        bounds = Bounds(retry_ratio=0.2, retry_extra=50.0, retry_window_s=10.0)
+        context.budgets.append(SharedRetryBudget("s", bounds, count))
+
+
+def send_requests(context: Any) -> None:
+    """Let each instance send ten requests."""
+    for budget in context.budgets:
+        for index in range(10):
+            budget.request(float(index) / 2)
+
+
+def hear(group: list[SharedRetryBudget], now: float) -> None:
+    """Let each of a group hear of the others."""
+    for listener in group:
+        for index, budget in enumerate(group):
+            if budget is not listener:
+                listener.told(f"peer-{index}", budget.count(now), now)
+
+
+@when("each has 10 requests and wants 100 repeats within 10 s, and none hears of others")
+def want_repeats(context: Any) -> None:
+    """Ask for more than is allowed."""
+    send_requests(context)
+    context.made = 0
+    for budget in context.budgets:
+        context.made += sum(budget.take(5.0 + index / 25) for index in range(100))
+
+
+@when("each has 10 requests and hears of the others, and one wants 100 repeats")
+def one_wants(context: Any) -> None:
+    """Let one instance need all repeats."""
+    send_requests(context)
+    hear(context.budgets, 5.0)
+    context.made = sum(context.budgets[0].take(5.1) for _ in range(100))
+
+
+@then("it makes more than twice its even part")
+def more_than_even(context: Any) -> None:
+    """Compare with an eighth of the budget."""
+    assert context.made > 2 * 66 / 8, context.made
+
+
+@then("the others, once they hear of it, make no more than the budget in all")
+def others_keep(context: Any) -> None:
+    """Let the others ask in turn, each hearing of those before."""
+    for budget in context.budgets[1:]:
+        hear(context.budgets, 5.2)
+        context.made += sum(budget.take(5.2) for _ in range(100))
+    assert context.made <= 66, context.made
+
+
+@when("each half hears only of itself and all want 100 repeats")
+def halves(context: Any) -> None:
+    """Cut the instances into two halves; within each, reports come after every repeat."""
+    send_requests(context)
+    context.made = 0
+    for half in (context.budgets[:4], context.budgets[4:]):
+        for index in range(100):
+            for budget in half:
+                hear(half, 5.0 + index / 25)
+                context.made += budget.take(5.0 + index / 25)
+
+
+@then("at most 66 repeats are made in all")
+def repeats_bounded(context: Any) -> None:
+    """Compare with a fifth of 80 requests and 50 besides."""
+    assert 20 <= context.made <= 66, context.made
+
+
+@given("8 instances are known and then 1")
+def fewer_known(context: Any) -> None:
+    """Let seven vanish."""
+    context.count = InstanceCount()
+    context.count.seen(8, 0.0)
+    context.count.seen(1, 1.0)
+
+
+@then("the budget is still divided by 8, and by 1 after 31 s")
+def divided(context: Any) -> None:
+    """Compare at both times."""
+    assert context.count.value == 8
+    context.count.seen(1, 31.0)
+    assert context.count.value == 1
--- /dev/null
+++ b/features/steps/gateway_call_steps.py
@@ -0,0 +1,234 @@
+"""Check the gateway's plain calls before stand-ins of its upstreams."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+from behave import given, then, when
+
+from features.worlds.gateway_world import (
+    KEY,
+    GatewayWorld,
+    assert_told_to_come_back,
+    request_bytes,
+    runs,
+    script_all,
+    wait_for,
+    world_of,
+)
+from stand_ins.routed import Script
+
+FORGED = {
+    "Hold": "h1",
+    "Pin_Ms": "9000",
+    "Kv_Backup": "127.0.0.1:1",
+    "Kv_From": "127.0.0.1:1/x",
+    "Kv_Fetch": "127.0.0.1:1",
+    "Priority": "0",
+    "Expect_Version": "7",
+    "Last_Event_Id": "3",
+    "X_Driftstall_Tenant": "plains",
+    "X_Driftstall_Expect_Instance": "another",
+}
+
+
+@given("a gateway before two plain upstreams and three engines")
+def start_world(context: Any) -> None:
+    """Start the world; it ends with the scenario."""
+    context.world = GatewayWorld()
+    context.add_cleanup(context.world.close)
+
+
+@when('"{path}" is asked as "{request_id}"')
+def ask(context: Any, path: str, request_id: str) -> None:
+    """Ask and keep the answer."""
+    began = time.monotonic()
+    context.answer = world_of(context).ask(path, request_id)
+    context.took = time.monotonic() - began
+
+
+@when('a request for "{path}" with forged headers is asked as "{request_id}"')
+def ask_forged(context: Any, path: str, request_id: str) -> None:
+    """Ask with headers that only the system may set."""
+    context.answer = world_of(context).ask(path, request_id, **FORGED)
+
+
+@when('a request for "{path}" with key "{which}" is asked as "{request_id}"')
+def ask_with_key(context: Any, path: str, request_id: str, which: str) -> None:
+    """Ask with a right, a wrong or no key."""
+    key = {"right": f"Bearer {KEY}", "wrong": "Bearer wrong", "none": ""}[which]
+    context.answer = world_of(context).ask(path, request_id, Authorization=key)
+
+
+@then('the answer is {status:d} "{body}" with the upstream\'s seal')
+def whole_answer(context: Any, status: int, body: str) -> None:
+    """Compare with what the upstream sent."""
+    answer = context.answer
+    assert (answer.status, answer.body, answer.whole) == (status, body.encode(), True), answer
+    assert answer.headers["x-driftstall-response-seal"] == "seal", answer
+
+
+@then("the answer is {status:d} and promises nothing")
+def no_promise(context: Any, status: int) -> None:
+    """Check an answer after which the request may have run."""
+    answer = context.answer
+    assert answer.status == status, answer
+    assert "retry-after" not in answer.headers, answer
+    assert "x-driftstall-response-seal" not in answer.headers, answer
+
+
+@then("the answer is {status:d} and tells that nothing ran")
+def not_run(context: Any, status: int) -> None:
+    """Check a refusal."""
+    assert context.answer.status == status, context.answer
+    assert b'"not run"' in context.answer.body, context.answer
+
+
+@then("the answer is 503 and tells when to come back")
+def come_back(context: Any) -> None:
+    """Check a refusal that names a time."""
+    assert_told_to_come_back(context.answer)
+
+
+@then("it came within {seconds:g} s")
+def came_within(context: Any, seconds: float) -> None:
+    """Compare the time that the answer took."""
+    assert context.took <= seconds, context.took
+
+
+@then('one upstream has run "{request_id}" with method {method}, target "{target}" and its body')
+def passed_on(context: Any, request_id: str, method: str, target: str) -> None:
+    """Look at what the upstream has received."""
+    (upstream,) = runs(world_of(context), request_id)
+    (seen,) = [one for one in upstream.seen if one.request_id == request_id]
+    assert (seen.method, seen.target, seen.body) == (method, target, b"body"), seen
+
+
+@then('"{request_id}" has run on {count:d} upstreams')
+def has_run_on(context: Any, request_id: str, count: int) -> None:
+    """Count runs."""
+    assert len(runs(world_of(context), request_id)) == count
+
+
+@then('no forged header has reached the upstream of "{request_id}"')
+def no_forged(context: Any, request_id: str) -> None:
+    """Look for what the caller must not set."""
+    (upstream,) = runs(world_of(context), request_id)
+    headers = upstream.seen[-1].headers
+    for name, value in FORGED.items():
+        assert headers.get(name.replace("_", "-").lower()) != value, (name, headers)
+
+
+@then('the upstream of "{request_id}" was told workspace "{name}" and its own id, and no key')
+def was_told(context: Any, request_id: str, name: str) -> None:
+    """Look at what the gateway sets."""
+    (upstream,) = runs(world_of(context), request_id)
+    headers = upstream.seen[-1].headers
+    assert headers["x-driftstall-tenant"] == name
+    assert headers["x-driftstall-expect-instance"] == upstream.upstream_id
+    assert 0 < int(headers["x-driftstall-deadline-ms"]) <= 3000
+    assert "authorization" not in headers
+
+
+@given('the first upstream of "{request_id}" will answer 500')
+def one_failure(context: Any, request_id: str) -> None:
+    """Let one upstream fail."""
+    script_all(world_of(context), request_id, [Script(status=500, body=b"failed")])
+
+
+@given('the first 2 upstreams of "{request_id}" will answer 500')
+def two_failures(context: Any, request_id: str) -> None:
+    """Let two upstreams fail."""
+    failures = [Script(status=500, body=b"failed"), Script(status=500, body=b"failed")]
+    script_all(world_of(context), request_id, failures)
+
+
+FAULTS = {
+    "reset": Script(reset=True),
+    "cut its answer short": Script(cut_after=2),
+    "break off inside chunks": Script(unframed=True, cut_after=2),
+    "answer another request first": Script(surplus_before=True),
+    "send more after its answer": Script(surplus_after=True),
+    "answer without a length": Script(unframed=True),
+    "answer without a length and be reset": Script(unframed=True, cut_after=2),
+    "hang": Script(hang=True),
+}
+
+
+@given('the upstream of "{request_id}" will {fault}')
+def will(context: Any, request_id: str, fault: str) -> None:
+    """Script one fault; the script is copied, as it holds the state of one request."""
+    known = FAULTS[fault]
+    script = Script(
+        reset=known.reset,
+        cut_after=known.cut_after,
+        unframed=known.unframed,
+        surplus_before=known.surplus_before,
+        surplus_after=known.surplus_after,
+        hang=known.hang,
+    )
+    context.script = script
+    script_all(world_of(context), request_id, [script])
+
+
+@given('the first upstream of "{request_id}" will turn it away')
+@given('the first engine of "{request_id}" will turn it away')
+def turned_away_once(context: Any, request_id: str) -> None:
+    """Let one upstream turn the request away."""
+    script_all(world_of(context), request_id, [Script(not_run=True)])
+
+
+@given('all upstreams of "{request_id}" will turn it away')
+def turned_away(context: Any, request_id: str) -> None:
+    """Let all upstreams turn the request away."""
+    script_all(world_of(context), request_id, [Script(not_run=True) for _ in range(8)])
+
+
+@when('a caller asks "{path}" as "{request_id}" and leaves once it runs')
+def ask_and_leave(context: Any, path: str, request_id: str) -> None:
+    """Close the caller's connection while the upstream works."""
+    world = world_of(context)
+    connection = world.connect()
+    connection.sendall(request_bytes(path, request_id))
+    wait_for("the request runs", lambda: len(runs(world, request_id)) == 1)
+    connection.close()
+
+
+@then('the upstream\'s connection of "{request_id}" ends within {seconds:g} s')
+def given_up(context: Any, request_id: str, seconds: float) -> None:
+    """Wait for the upstream to see the end."""
+    assert context.script.ended.wait(seconds)
+
+
+@given("the first plain upstream is leaving")
+def plain_leaves(context: Any) -> None:
+    """Give notice of one plain upstream."""
+    world = world_of(context)
+    world.give_notice(world.plain[0])
+
+
+@when("{count:d} calls are asked")
+def ask_many(context: Any, count: int) -> None:
+    """Ask one after another."""
+    world = world_of(context)
+    context.answers = [world.ask("/once/a", f"many-{index}") for index in range(count)]
+    assert all(one.status == 200 for one in context.answers), context.answers
+
+
+@then("the first plain upstream has run none of them")
+def none_run(context: Any) -> None:
+    """Look at the upstream that is leaving."""
+    assert not world_of(context).plain[0].seen
+
+
+@given("the first plain upstream was replaced at its address")
+def replaced(context: Any) -> None:
+    """Let another upstream answer at the address."""
+    world_of(context).plain[0].upstream_id = "another"
+
+
+@then("all are answered 200 and the new one has run none for the old")
+def not_for_the_old(context: Any) -> None:
+    """Look at the upstream that took the address over."""
+    assert not world_of(context).plain[0].seen
--- /dev/null
+++ b/features/steps/gateway_feed_steps.py
@@ -0,0 +1,215 @@
+"""Check how the store is followed, and what is read from it."""
+
+from __future__ import annotations
+
+import random
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import orjson
+from behave import given, then, when
+
+from driftstall.exceptions import HistoryGone, PlatformUnavailable, SettingsError
+from driftstall.gateway.feeds import Changes, Follower, ItemChange, Snapshot
+from driftstall.gateway.model import (
+    RoutingText,
+)
+from driftstall.gateway.sources import RoutingSource
+from driftstall.platform.documents import read_routing
+from driftstall.platform.feeds import upstream_feed
+from driftstall.platform.settings import read_settings
+from driftstall.platform.store import Listing, Store, StoredObject, WatchAnswer, WatchEvent
+from features.worlds.gateway_world import GatewayWorld, document
+
+
+class ScriptedFeed:
+    """Answer with what a script says, step by step."""
+
+    def __init__(self, steps: list[Any]) -> None:
+        """Take the answers; an exception is raised."""
+        self._steps = steps
+
+    def _next(self) -> Any:
+        step = self._steps.pop(0)
+        if isinstance(step, Exception):
+            raise step
+        return step
+
+    def list(self) -> Snapshot[str]:
+        """Return the next answer."""
+        found: Snapshot[str] = self._next()
+        return found
+
+    def watch(self, at: int, wait_s: float) -> Changes[str]:
+        """Return the next answer."""
+        found: Changes[str] = self._next()
+        return found
+
+
+class Recorder:
+    """Record what a follower tells."""
+
+    def __init__(self) -> None:
+        """Start with nothing."""
+        self.told: list[str] = []
+
+    def listed(self, items: tuple[str, ...]) -> None:
+        """Record a list."""
+        self.told.append("listed")
+
+    def changed(self, change: ItemChange[str]) -> None:
+        """Record a change."""
+        self.told.append("changed")
+
+    def platform_lost(self, cause: str) -> None:
+        """Record an outage."""
+        self.told.append("lost")
+
+    def platform_back(self) -> None:
+        """Record an outage's end."""
+        self.told.append("back")
+
+
+LIST = Snapshot(("a",), 5)
+CHANGE = Changes((ItemChange("a", False),), 6)
+
+
+def follow(context: Any, steps: list[Any]) -> None:
+    """Follow a scripted feed to its end."""
+    context.recorder = Recorder()
+    feed = ScriptedFeed(list(steps))
+    follower = Follower(feed, context.recorder, random.Random(1), sleep=lambda _: None)
+    for _ in steps:
+        follower.step()
+
+
+@given("a feed whose watch is cut once")
+def cut_once(context: Any) -> None:
+    """Cut one watch."""
+    follow(context, [LIST, CHANGE, PlatformUnavailable("cut"), CHANGE])
+
+
+@then("it is listed once and no outage is told")
+def listed_once(context: Any) -> None:
+    """Compare what was told."""
+    assert context.recorder.told == ["listed", "changed", "changed"], context.recorder.told
+
+
+@given("a feed whose history is gone")
+def history_gone(context: Any) -> None:
+    """Forget the history."""
+    follow(context, [LIST, HistoryGone(), LIST])
+
+
+@then("it is listed twice and no outage is told")
+def listed_twice(context: Any) -> None:
+    """Compare what was told."""
+    assert context.recorder.told == ["listed", "listed"], context.recorder.told
+
+
+@given("a feed that fails 5 times and answers again")
+def fails_and_answers(context: Any) -> None:
+    """Let an outage begin and end."""
+    failures = [PlatformUnavailable("down") for _ in range(5)]
+    follow(context, [LIST, *failures, CHANGE])
+
+
+@then("the outage is told once and its end before the next change")
+def outage_told(context: Any) -> None:
+    """Compare what was told."""
+    assert context.recorder.told == ["listed", "lost", "back", "changed"], context.recorder.told
+
+
+@given("a settings file with a wrong address and without a zone")
+def wrong_settings(context: Any) -> None:
+    """Write a wrong settings file."""
+    listen = {"front": "nowhere", "ready": "127.0.0.1:1", "directory": "127.0.0.1:2"}
+    listen["control"] = "127.0.0.1:3"
+    raw = {"nodeName": "n", "ip": "127.0.0.1", "listen": listen}
+    raw["platform"] = {"address": "127.0.0.1:4"}
+    context.path = Path(tempfile.mkdtemp()) / "settings.json"
+    context.path.write_bytes(orjson.dumps(raw))
+
+
+@then("reading it names both faults")
+def names_both(context: Any) -> None:
+    """Read the file."""
+    try:
+        read_settings(context.path)
+    except SettingsError as fault:
+        text = "\n".join(fault.faults)
+        assert "listen.front" in text and "zone" in text, text
+        return
+    raise AssertionError("wrong settings were taken")
+
+
+class FixedStore(Store):
+    """Hold a fixed list."""
+
+    def list(self, kind: str) -> Listing:
+        """Return the list."""
+        whole = {"service": "s", "address": "127.0.0.1:1"}
+        return Listing((StoredObject("a", 1, {"service": "s"}), StoredObject("b", 2, whole)), 3)
+
+
+@given("a stored entry without an address and a whole one")
+def one_broken(context: Any) -> None:
+    """Take a list of two."""
+    context.items = upstream_feed(FixedStore("127.0.0.1:1")).list().items
+
+
+@then("only the whole one is listed")
+def only_whole(context: Any) -> None:
+    """Compare the list."""
+    assert [one.upstream_id for one in context.items] == ["b"], context.items
+
+
+class RemovingStore(Store):
+    """Tell of one removed object."""
+
+    def watch(self, kind: str, at: int, wait_s: float) -> WatchAnswer:
+        """Return the removal."""
+        return WatchAnswer((WatchEvent(StoredObject("a", 7, None), True),), 7)
+
+
+@given("a watch that tells of a removed entry without its content")
+def removed_entry(context: Any) -> None:
+    """Watch once."""
+    context.changes = upstream_feed(RemovingStore("127.0.0.1:1")).watch(1, 1.0).changes
+
+
+@then("the change says which upstream is gone")
+def says_which(context: Any) -> None:
+    """Compare the change."""
+    (change,) = context.changes
+    assert change.gone and change.item.upstream_id == "a" and change.item.revision == 7
+
+
+def routing_text(version: int) -> RoutingText:
+    """Return a routing document of a version."""
+    return RoutingText(read_routing(document(version)), "")
+
+
+@given("routing version 7 is in force")
+def version_seven(context: Any) -> None:
+    """Start with a version."""
+    context.world = GatewayWorld()
+    context.add_cleanup(context.world.close)
+    context.world.state.table = None
+    context.routing = RoutingSource(context.world.state, lambda: None)
+    context.routing.listed((routing_text(7),))
+
+
+@when("versions 5, 9 and 8 arrive")
+def versions_arrive(context: Any) -> None:
+    """Let old and new versions arrive."""
+    for version in (5, 9, 8):
+        context.routing.changed(ItemChange(routing_text(version), False))
+
+
+@then("version 9 is in force")
+def version_nine(context: Any) -> None:
+    """Compare the version."""
+    assert context.routing.version == 9
+    assert context.world.state.table.version == 9
--- /dev/null
+++ b/features/steps/gateway_selection_steps.py
@@ -0,0 +1,116 @@
+"""Check the sums, the choice of upstreams and the judgement of their answers."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from behave import given, then, when
+
+from driftstall.gateway.loads import LoadBook, Share, Use
+from driftstall.gateway.outcomes import Outcome, OutcomeBook
+from driftstall.gateway.selection import (
+    Option,
+    choose_backup,
+    choose_move,
+    choose_stream,
+)
+from features.worlds.upstream_samples import ENGINE, NEED, upstream_of
+
+
+@given('a request of 1000 tokens on "u1" with a copy on "u2", and a peer\'s of 500 on "u1"')
+def loads(context: Any) -> None:
+    """Fill a book."""
+    context.loads = LoadBook()
+    context.loads.put("r1", Share("u1", 1000, 600, "u2"))
+    context.loads.told("peer", (Use("u1", 1, 500, 0, 0, 500),), 10.0)
+
+
+@then('"u1" has 1500 tokens running and "u2" has 1000 tokens of copies')
+def sums(context: Any) -> None:
+    """Compare the sums."""
+    assert context.loads.use("u1", 10.5) == Use("u1", 2, 1500, 0, 600, 500)
+    assert context.loads.use("u2", 10.5) == Use("u2", 0, 0, 1000)
+    assert context.loads.exposed_at_peers("u1", 10.5) == {"peer": 500}
+
+
+@then("the peer's sums count no more after 4 s")
+def peer_silent(context: Any) -> None:
+    """Let the report grow old."""
+    assert context.loads.use("u1", 14.1).tokens == 1000
+    assert context.loads.exposed_at_peers("u1", 14.1) == {}
+
+
+@then("nothing is left once the request has ended")
+def all_gone(context: Any) -> None:
+    """End the request."""
+    context.loads.drop("r1")
+    assert context.loads.own == ()
+
+
+def option(name: str, tokens: int, zone: str = "a") -> Option:
+    """Return an engine to choose."""
+    return Option(upstream_of(name, zone=zone), Use(name, 1, tokens), 0.0, False)
+
+
+@then("of an engine with 30000 tokens in use and an empty one the empty one is chosen")
+def with_room(context: Any) -> None:
+    """Choose among two."""
+    chosen = choose_stream(
+        [option("u1", 30_000), option("u2", 0, "b")], ENGINE, NEED, "a", random.Random(1)
+    )
+    assert chosen is not None and chosen.upstream.upstream_id == "u2"
+
+
+@then("a copy is kept on neither the own engine nor a full one")
+def no_copy(context: Any) -> None:
+    """Choose where there is no room."""
+    options = [option("u1", 0), option("u2", 25_000)]
+    chosen = choose_backup(options, ENGINE, NEED, options[0].upstream, random.Random(1))
+    assert chosen is None, chosen
+
+
+@then("of a far empty engine and a near one a quarter full the near one takes a move")
+def near_move(context: Any) -> None:
+    """Choose a move's target."""
+    options = [option("far", 0, "b"), option("near", 8_600)]
+    primary = upstream_of("u1")
+    chosen = choose_move(options, ENGINE, NEED, primary, random.Random(1), most_memory=1.0)
+    assert chosen is not None and chosen.upstream.upstream_id == "near"
+
+
+@when('"{name}" could not be reached {count:d} times')
+def unreachable(context: Any, name: str, count: int) -> None:
+    """Let connections fail."""
+    context.outcomes = OutcomeBook()
+    context.rests = []
+    for index in range(count):
+        at = 100.0 * index
+        context.outcomes.saw(name, "engines", Outcome.UNREACHABLE, at, 0.0)
+        rest = next(n / 100 for n in range(1000) if not context.outcomes.rests(name, at + n / 100))
+        context.rests.append(rest)
+
+
+@then("it rests, longer than after the first time, and not for ever")
+def rests(context: Any) -> None:
+    """Compare the rests."""
+    first, *_, last = context.rests
+    assert 0 < first < last < 5, context.rests
+
+
+@when('half of the answers of "u1" are failures and those of "u2" take twice as long')
+def fail_and_slow(context: Any) -> None:
+    """Let answers come."""
+    context.outcomes = OutcomeBook()
+    for index in range(60):
+        outcome = Outcome.FAILED if index % 2 else Outcome.GOOD
+        context.outcomes.saw("u1", "s", outcome, float(index), 0.1)
+        context.outcomes.saw("u2", "s", Outcome.GOOD, float(index), 0.2)
+        context.outcomes.saw("u3", "s", Outcome.GOOD, float(index), 0.1)
+
+
+@then('both have a penalty and "u3" has none')
+def penalties(context: Any) -> None:
+    """Compare the penalties."""
+    values = [context.outcomes.penalty(name, "s") for name in ("u1", "u2", "u3")]
+    assert values[0] > 0.4 and values[1] > 0.1 and values[2] == 0.0, values
--- /dev/null
+++ b/features/steps/gateway_stream_steps.py
@@ -0,0 +1,299 @@
+"""Check the gateway's streams before stand-ins of its upstreams."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import gevent
+from behave import given, then, when
+
+from driftstall.gateway.loads import Use
+from driftstall.gateway.protection import Protection
+from features.worlds.gateway_world import (
+    GatewayWorld,
+    assert_told_to_come_back,
+    read_answer,
+    request_bytes,
+    runs,
+    script_all,
+    wait_for,
+    world_of,
+)
+from stand_ins.routed import Script, event_bytes
+
+
+def stream_script(context: Any, request_id: str, script: Script) -> None:
+    """Script the engine that gets a stream first."""
+    context.script = script
+    script_all(world_of(context), request_id, [script])
+
+
+@given('the engine of "{request_id}" will break off after {count:d} events')
+def breaks_after(context: Any, request_id: str, count: int) -> None:
+    """Break a stream off between events."""
+    stream_script(context, request_id, Script(break_after=count))
+
+
+@given('the engine of "{request_id}" will break off inside event {number:d}')
+def breaks_inside(context: Any, request_id: str, number: int) -> None:
+    """Break a stream off inside an event."""
+    stream_script(context, request_id, Script(break_after=number - 1, half_event=True))
+
+
+@given('the engine of "{request_id}" will break off before its answer')
+def breaks_before(context: Any, request_id: str) -> None:
+    """Break the connection before the answer's head."""
+    stream_script(context, request_id, Script(reset=True))
+
+
+@given('the engine of "{request_id}" will repeat event {number:d}')
+def repeats(context: Any, request_id: str, number: int) -> None:
+    """Send one event twice."""
+    stream_script(context, request_id, Script(repeat_event=number))
+
+
+@given('the engine of "{request_id}" will skip event {number:d}')
+def skips(context: Any, request_id: str, number: int) -> None:
+    """Leave one event out."""
+    stream_script(context, request_id, Script(skip_event=number))
+
+
+@given('no engine keeps a copy of "{request_id}"')
+def no_copies(context: Any, request_id: str) -> None:
+    """Let engines keep no copies."""
+    for one in world_of(context).engines:
+        one.peers = {}
+
+
+@when('stream "{request_id}" is asked')
+def ask_stream(context: Any, request_id: str) -> None:
+    """Ask for a stream and keep the answer."""
+    context.answer = world_of(context).ask("/stream/a", request_id)
+
+
+@then('all {count:d} events of "{request_id}" came once, in order, and the end')
+def all_events(context: Any, count: int, request_id: str) -> None:
+    """Compare the whole stream."""
+    if hasattr(context, "asked"):
+        context.answer = context.asked.get(timeout=5.0)
+    wanted = b"".join(event_bytes(number) for number in range(1, count + 1))
+    answer = context.answer
+    assert (answer.status, answer.body, answer.whole) == (200, wanted, True), answer
+
+
+@then('{count:d} events of "{request_id}" came, in order, and no end')
+def some_events(context: Any, count: int, request_id: str) -> None:
+    """Compare a stream that was broken off."""
+    wanted = b"".join(event_bytes(number) for number in range(1, count + 1))
+    answer = context.answer
+    assert (answer.status, answer.body, answer.whole) == (200, wanted, False), answer
+
+
+@then('"{request_id}" went on from its backup after event {number:d}')
+def from_backup(context: Any, request_id: str, number: int) -> None:
+    """Look at the second send."""
+    upstreams = runs(world_of(context), request_id)
+    resumed = [one for one in upstreams if "kv-from" in one.seen[-1].headers]
+    assert len(upstreams) == 2 and len(resumed) == 1, upstreams
+    headers = resumed[0].seen[-1].headers
+    assert headers["kv-from"] == f"{resumed[0].address}/{request_id}", headers
+    assert headers["last-event-id"] == str(number), headers
+
+
+@given('stream "{request_id}" waits after event {number:d} and has no backup')
+def waiting_stream(context: Any, request_id: str, number: int) -> None:
+    """Start a stream that stands still until its gate opens."""
+    world = world_of(context)
+    world.state.loads.told("peer", full_engines(world), world.state.now())
+    stream_script(context, request_id, Script(pause_after=number, events=max(5, number + 1)))
+    context.asked_connection = world.connect()
+    context.asked_connection.sendall(request_bytes("/stream/a", request_id))
+    context.asked = gevent.spawn(read_answer, context.asked_connection)
+    wait_for(
+        "events have arrived",
+        lambda: any(run.events >= number for run in world.state.runs.all),
+    )
+    (run,) = world.state.runs.all
+    assert run.backup is None
+    world.state.loads.forget("peer")
+    context.engine = next(
+        one for one in world.engines if one.upstream_id == run.upstream.upstream_id
+    )
+
+
+def full_engines(world: GatewayWorld) -> list[Any]:
+    """Return sums that leave no room for copies."""
+    return [Use(one.upstream_id, copies=30_000) for one in world.engines]
+
+
+@when("its engine gives notice")
+def gives_notice(context: Any) -> None:
+    """Give notice, and let the engine break off once the stream was stopped."""
+    world = world_of(context)
+    world.give_notice(context.engine)
+    wait_for("the run is stopped", lambda: bool(context.engine.stopped))
+    context.script.gate.set()
+
+
+@when("its engine gives notice and ends once a copy was made")
+def notice_and_end(context: Any) -> None:
+    """Give notice; the engine breaks off instead of taking the next step."""
+    world, engine = world_of(context), context.engine
+
+    def copy_and_end(wanted: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        engine.stopped.add("s1")
+        context.script.gate.set()
+        return 409, {}
+
+    engine.move_answers = [engine.copy_run, *[copy_and_end for _ in range(20)]]
+    world.give_notice(engine)
+
+
+@given("moves will be answered {status:d}")
+def moves_fail(context: Any, status: int) -> None:
+    """Let every move fail."""
+    for one in world_of(context).engines:
+        one.move_answers = [lambda _: (status, {}) for _ in range(20)]
+
+
+@when("its engine gives notice and goes on")
+def notice_and_goes_on(context: Any) -> None:
+    """Give notice; the engine lives long enough for the stream to end."""
+    world = world_of(context)
+    world.give_notice(context.engine)
+    wait_for("a move was tried", lambda: len(context.engine.move_answers) < 20)
+    context.script.gate.set()
+
+
+@then('"{request_id}" went on from its moved memory after event {number:d}')
+def from_move(context: Any, request_id: str, number: int) -> None:
+    """Look at the second send."""
+    upstreams = runs(world_of(context), request_id)
+    (resumed,) = [one for one in upstreams if "kv-from" in one.seen[-1].headers]
+    headers = resumed.seen[-1].headers
+    assert headers["kv-from"] == f"{context.engine.address}/copy-{request_id}", headers
+    assert headers["last-event-id"] == str(number), headers
+
+
+@when("its caller leaves")
+def caller_leaves(context: Any) -> None:
+    """Close the caller's connection."""
+    context.asked.kill()
+    context.asked_connection.close()
+    wait_for("it is noticed", lambda: not world_of(context).state.runs.all)
+    context.script.gate.set()
+
+
+@given("all engines are leaving")
+def engines_leave(context: Any) -> None:
+    """Give notice of all engines."""
+    world = world_of(context)
+    for one in world.engines:
+        world.give_notice(one)
+
+
+@given("an open stream and a stop that was asked for")
+def stream_and_stop(context: Any) -> None:
+    """Start a stream, then ask the instance to stop."""
+    waiting_stream(context, "s1", 2)
+    world_of(context).drain.begin()
+
+
+@then("a new long stream is told to come back elsewhere")
+def new_stream_refused(context: Any) -> None:
+    """Ask for a stream that would outlast the grace time."""
+    answer = world_of(context).ask("/stream/a", "s2")
+    assert_told_to_come_back(answer)
+
+
+@then("a new short stream is still served")
+def short_stream_served(context: Any) -> None:
+    """Ask for a stream that ends well before."""
+    answer = world_of(context).ask("/stream/a", "s3", X_Driftstall_Token_Count="1000,40")
+    assert answer.status == 200 and answer.whole, answer
+
+
+@then("a new call is still served")
+def new_call_served(context: Any) -> None:
+    """Ask for a call."""
+    answer = world_of(context).ask("/once/a", "r2")
+    assert answer.status == 200, answer
+
+
+@then("the open stream ends whole")
+def open_stream_ends(context: Any) -> None:
+    """Let the stream go on."""
+    context.script.gate.set()
+    all_events(context, 5, "s1")
+
+
+@given("all engines' memory is full for now")
+def memory_full(context: Any) -> None:
+    """Let a peer tell of full engines."""
+    world = world_of(context)
+    uses = [Use(one.upstream_id, running=5, tokens=34_000) for one in world.engines]
+    world.state.loads.told("peer", uses, world.state.now())
+
+
+@when('stream "{request_id}" is asked, and room is made once it waits')
+def room_is_made(context: Any, request_id: str) -> None:
+    """Ask, and free the engines while the request is open."""
+    world = world_of(context)
+    context.asked = world.ask_later("/stream/a", request_id)
+    wait_for("the request is open", lambda: world.state.open_requests == 1)
+    context.ran_before = len(runs(world, request_id))
+    world.state.loads.forget("peer")
+
+
+@then("it was placed only after there was room")
+def placed_after(context: Any) -> None:
+    """Nothing had run before room was made."""
+    assert context.ran_before == 0
+
+
+@when("copies are kept")
+def copies_kept(context: Any) -> None:
+    """Let copies be made."""
+    world = world_of(context)
+    Protection(world.state, world.mover).start()
+
+
+@then('an engine that "{request_id}" does not run on holds its copy')
+def copy_held(context: Any, request_id: str) -> None:
+    """Wait for the copy."""
+    world = world_of(context)
+    (run,) = world.state.runs.all
+    wait_for("a copy is kept", lambda: run.kept is not None)
+    others = [one for one in world.engines if one is not context.engine]
+    assert any(f"copy-{request_id}" in one.copies for one in others)
+    assert run.kept is not None
+    assert world.state.loads.use(run.kept.copy.upstream.upstream_id, world.state.now()).copies
+
+
+@then("the copy is dropped when its engine fills")
+def copy_dropped(context: Any) -> None:
+    """Fill the engines and wait."""
+    world = world_of(context)
+    (run,) = world.state.runs.all
+    memory_full(context)
+    wait_for("the copy is dropped", lambda: run.kept is None)
+    wait_for("its memory is free", lambda: not any(one.copies for one in world.engines))
+    context.script.gate.set()
+
+
+@when("a notice was given and copies are kept")
+def notice_and_copies(context: Any) -> None:
+    """Make what is needed for copies, right after a notice."""
+    world = world_of(context)
+    world.state.notice_at = world.state.now()
+    context.protection = Protection(world.state, world.mover)
+
+
+@then('"{request_id}" has no copy')
+def no_copy_made(context: Any, request_id: str) -> None:
+    """Ask which runs want a copy: none does so soon after a notice, all do later."""
+    world = world_of(context)
+    assert not context.protection.wanting()
+    world.state.notice_at = float("-inf")
+    assert [run.request_id for run in context.protection.wanting()] == [request_id]
+    context.script.gate.set()
--- a/features/worlds/gateway_world.py
+++ b/features/worlds/gateway_world.py
@@ -22,7 +22,7 @@
 from driftstall.platform.documents import read_routing
 from driftstall.policy.parse import default_policy
 from measures.bench import free_port
-from stand_ins.routed import RoutedUpstream
+from stand_ins.routed import RoutedUpstream, Script
 
 HOST: Final = "desk.example"
 KEY: Final = "key-of-north"
@@ -240,3 +240,27 @@
     while not check():
         assert time.monotonic() < until, f"not reached in {WAIT_S:g} s: {what}"
         gevent.sleep(0.005)
+
+
+def world_of(context: Any) -> GatewayWorld:
+    """Return the scenario's world."""
+    found: GatewayWorld = context.world
+    return found
+
+
+def script_all(world: GatewayWorld, request_id: str, scripts: list[Script]) -> list[Script]:
+    """Give the scripts to whichever upstreams get the request, in turn."""
+    for one in (*world.plain, *world.engines):
+        one.scripts[request_id] = scripts
+    return scripts
+
+
+def runs(world: GatewayWorld, request_id: str) -> list[RoutedUpstream]:
+    """Return the upstreams that have run a request, once for each run."""
+    return [one for one in (*world.plain, *world.engines) for _ in range(one.runs(request_id))]
+
+
+def assert_told_to_come_back(answer: Received) -> None:
+    """Check a refusal that names a time."""
+    assert answer.status == 503, answer
+    assert 0 < float(answer.headers["retry-after"]) < 2, answer
