--- a/driftstall/controllers/membership.py
+++ b/driftstall/controllers/membership.py
@@ -51,6 +51,7 @@
     zone: str
     incarnation: int
     health: str
+    link_mbps: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,6 +154,7 @@
             own.zone,
             incarnation,
             Health.ALIVE.value,
+            own.link_mbps,
         )
         self._members = {own.instance_id: _Member(change, 0.0)}
         self._spread: dict[str, int] = {own.instance_id: 0}
@@ -172,6 +174,7 @@
                 one.change.peer_address,
                 one.change.zone,
                 leaving=one.change.health == Health.LEAVING,
+                link_mbps=one.change.link_mbps,
             )
             for one in self._members.values()
             if one.change.health != Health.DEAD
--- a/driftstall/core.py
+++ b/driftstall/core.py
@@ -103,3 +103,5 @@
     peer_address: str
     zone: str
     leaving: bool = False
+    link_mbps: int = 0
+    """Bandwidth of its machine's link; zero if it is not known."""
--- a/driftstall/gateway/evacuation.py
+++ b/driftstall/gateway/evacuation.py
@@ -17,6 +17,7 @@
 
 from driftstall.const import PREFIX_RELAY
 from driftstall.gateway.dialect import MoveFailed
+from driftstall.gateway.loads import FLEET
 from driftstall.gateway.model import Upstream
 from driftstall.gateway.moves import Mover
 from driftstall.gateway.runs import StreamRun
@@ -87,11 +88,15 @@
         """Wait until the instances before this one have moved their streams.
 
         The order is the same everywhere; who reports nothing exposed is passed over,
-        and a turn lasts no longer than its copies should take.
+        and a turn lasts no longer than its copies should take. Where only the sum of all
+        is known, the turns are drawn by lot.
         """
         own = self._state.settings.instance_id
         started = self._state.now()
         exposed = self._state.loads.exposed_at_peers(upstream.upstream_id, started)
+        in_all = exposed.pop(FLEET, 0)
+        if in_all:
+            gevent.sleep(self._state.source.random() * in_all / COPY_TOKENS_PER_S)
         before = sorted(peer for peer in exposed if peer < own)
         turn_ends = started
         for peer in before:
--- a/driftstall/gateway/listeners.py
+++ b/driftstall/gateway/listeners.py
@@ -91,6 +91,11 @@
         self._state.open_requests += 1
         try:
             return self._answer_counted(connection, call)
+        except Exception as fault:
+            # A defect must not take the connection's other requests with it unseen.
+            say(PREFIX_RELAY, f"A request failed with {type(fault).__name__}: {fault}")
+            self._state.stats.failed += 1
+            return False
         finally:
             self._state.open_requests -= 1
 
--- a/driftstall/gateway/loads.py
+++ b/driftstall/gateway/loads.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+FLEET: Final = "fleet"
+"""Stands for all other instances, where a collector tells their sum."""
 PEER_REPORT_S: Final = 3.0
 """A peer's sums count for so long; a live peer repeats them each second."""
 
@@ -30,6 +32,17 @@
     exposed: int = 0
     """Engine memory of running streams that no other engine has a copy of, in tokens."""
 
+    def minus(self, other: Use) -> Use:
+        """Return this sum without a part of it."""
+        return Use(
+            self.upstream_id,
+            max(0, self.running - other.running),
+            max(0, self.tokens - other.tokens),
+            max(0, self.copies - other.copies),
+            max(0, self.prefill - other.prefill),
+            max(0, self.exposed - other.exposed),
+        )
+
     def plus(self, other: Use) -> Use:
         """Return both sums together."""
         return Use(
@@ -93,6 +106,13 @@
         """Take in a peer's sums."""
         self._peers[peer] = _PeerSums({use.upstream_id: use for use in uses}, now)
 
+    def all_sums(self, now: float) -> tuple[Use, ...]:
+        """Return the sums of this instance and all that it hears of."""
+        ids = set(self._own)
+        for sums in self._peers.values():
+            ids |= sums.uses.keys()
+        return tuple(self.use(upstream_id, now) for upstream_id in sorted(ids))
+
     def exposed_at_peers(self, upstream_id: str, now: float) -> dict[str, int]:
         """Return, by peer, the exposed tokens of its streams on an upstream."""
         found: dict[str, int] = {}
--- a/driftstall/gateway/model.py
+++ b/driftstall/gateway/model.py
@@ -243,6 +243,8 @@
     locate_listen: str
     peer_listen: str
     metrics_listen: str
+    link_mbps: int
+    """Bandwidth of the machine's link."""
     platform_address: str
     seeds: tuple[str, ...]
     """Peer addresses of some instances, perhaps stale."""
--- a/driftstall/gateway/shared_budget.py
+++ b/driftstall/gateway/shared_budget.py
@@ -17,6 +17,8 @@
 """The part of the common budget that is used; the rest covers instances not yet known."""
 IN_FLIGHT: Final = 2
 """Repeats that each other instance may have sent since its last report."""
+IN_FLIGHT_SHARE: Final = 0.25
+"""Share of the budget that is held back for such repeats at the most."""
 HEARD_S: Final = 2.5
 """A report counts for so long; a live peer repeats it each second."""
 FALL_S: Final = 30.0
@@ -54,10 +56,12 @@
 
 @dataclass(frozen=True, slots=True)
 class _Heard:
-    """Hold a peer's count and when it came."""
+    """Hold a count and when it came."""
 
     count: RepeatCount
     at: float
+    instances: int
+    """How many instances it stands for."""
 
 
 class SharedRetryBudget:
@@ -77,9 +81,9 @@
         self._forget(now)
         return RepeatCount(self._service, len(self._requests), len(self._repeats))
 
-    def told(self, peer: str, count: RepeatCount, now: float) -> None:
-        """Take in what a peer has sent."""
-        self._peers[peer] = _Heard(count, now)
+    def told(self, peer: str, count: RepeatCount, now: float, *, instances: int = 1) -> None:
+        """Take in what a peer has sent, or several peers together."""
+        self._peers[peer] = _Heard(count, now, instances)
 
     def request(self, now: float) -> None:
         """Count one request, at its first send."""
@@ -97,15 +101,17 @@
     def _allowed(self, now: float) -> float:
         """Return the repeats that this instance may have sent within the window."""
         bounds = self._bounds
-        heard = [one.count for one in self._peers.values() if now - one.at <= HEARD_S]
+        heard = [one for one in self._peers.values() if now - one.at <= HEARD_S]
         even_part = bounds.retry_extra / self._instances.value
         if not heard:
             return MARGIN * (bounds.retry_ratio * len(self._requests) + even_part)
-        requests = len(self._requests) + sum(count.requests for count in heard)
-        unheard = max(0, self._instances.value - 1 - len(heard))
-        common = bounds.retry_ratio * requests + bounds.retry_extra - unheard * even_part
-        used = sum(count.repeats for count in heard) + IN_FLIGHT * len(heard)
-        return MARGIN * common - used
+        others = sum(one.instances for one in heard)
+        requests = len(self._requests) + sum(one.count.requests for one in heard)
+        unheard = max(0, self._instances.value - 1 - others)
+        whole = bounds.retry_ratio * requests + bounds.retry_extra - unheard * even_part
+        common = MARGIN * whole
+        reserved = min(IN_FLIGHT * others, IN_FLIGHT_SHARE * common)
+        return common - reserved - sum(one.count.repeats for one in heard)
 
     def _forget(self, now: float) -> None:
         """Drop what lies before the window."""
--- a/driftstall/peers/link.py
+++ b/driftstall/peers/link.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 import gevent
@@ -66,12 +66,25 @@
         if recipient == self._own_id:
             self._receiver(self._own_id, message)
             return
+        self._queue(address, self._frame(recipient, message))
+
+    def broadcast(self, addresses: Iterable[str], message: PeerMessage) -> None:
+        """Queue one message for many peers; it is encoded once."""
+        frame = self._frame(ANYONE, message)
+        for address in addresses:
+            self._queue(address, frame)
+
+    def _frame(self, recipient: str, message: PeerMessage) -> bytes:
+        """Encode a message as the next one of the own sequence."""
+        self._sequence += 1
+        return encode(Envelope(self._own_id, recipient, self._sequence, message), self._key)
+
+    def _queue(self, address: str, frame: bytes) -> None:
+        """Queue a frame for an address."""
         queue = self._queues.get(address)
         if queue is None:
             queue = self._queues[address] = Queue(QUEUE_MESSAGES)
             gevent.spawn(self._run_link, address, queue)
-        self._sequence += 1
-        frame = encode(Envelope(self._own_id, recipient, self._sequence, message), self._key)
         try:
             queue.put_nowait(frame)
         except Full:
--- a/driftstall/peers/messages.py
+++ b/driftstall/peers/messages.py
@@ -55,6 +55,28 @@
     routing_version: int
     uses: tuple[Use, ...]
     repeats: tuple[RepeatCount, ...]
+    number: int
+    """Grows with each report of this instance."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReportAck:
+    """Tell which report of an instance a summary has taken in."""
+
+    instance_id: str
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class FleetSummary:
+    """Sum up the reports of a large fleet; sent by a collector to everyone."""
+
+    sender: str
+    routing_version: int
+    ready: tuple[str, ...]
+    uses: tuple[Use, ...]
+    repeats: tuple[RepeatCount, ...]
+    acks: tuple[ReportAck, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,6 +133,7 @@
     | RoutingAsked
     | RoutingOffered
     | UpstreamNews
+    | FleetSummary
 )
 
 
--- a/driftstall/peers/schema.capnp
+++ b/driftstall/peers/schema.capnp
@@ -38,7 +38,7 @@
 
 struct Change {
   instanceId @0 :Text; address @1 :Text; peerAddress @2 :Text; zone @3 :Text;
-  incarnation @4 :UInt64; health @5 :Text;
+  incarnation @4 :UInt64; health @5 :Text; linkMbps @6 :UInt32;
 }
 struct Ping { sender @0 :Text; number @1 :UInt32; onBehalf @2 :Text; changes @3 :List(Change); }
 struct Ack { sender @0 :Text; number @1 :UInt32; onBehalf @2 :Text; changes @3 :List(Change); }
@@ -74,7 +74,12 @@
 struct RepeatCount { service @0 :Text; requests @1 :UInt32; repeats @2 :UInt32; }
 struct GatewayReport {
   sender @0 :Text; ready @1 :Bool; platformOk @2 :Bool; routingVersion @3 :UInt64;
-  uses @4 :List(Use); repeats @5 :List(RepeatCount);
+  uses @4 :List(Use); repeats @5 :List(RepeatCount); number @6 :UInt32;
+}
+struct ReportAck { instanceId @0 :Text; number @1 :UInt32; }
+struct FleetSummary {
+  sender @0 :Text; routingVersion @1 :UInt64; ready @2 :List(Text); uses @3 :List(Use);
+  repeats @4 :List(RepeatCount); acks @5 :List(ReportAck);
 }
 struct RoutingAsked { sender @0 :Text; version @1 :UInt64; }
 struct RoutingOffered { sender @0 :Text; version @1 :UInt64; text @2 :Text; }
@@ -109,5 +114,6 @@
     routingAsked @21 :RoutingAsked;
     routingOffered @22 :RoutingOffered;
     upstreamNews @23 :UpstreamNews;
+    fleetSummary @24 :FleetSummary;
   }
 }
--- a/driftstall/platform/settings.py
+++ b/driftstall/platform/settings.py
@@ -50,6 +50,9 @@
         vol.Required("platform"): vol.Schema(
             {vol.Required("address"): _address}, extra=vol.ALLOW_EXTRA
         ),
+        vol.Optional("limits"): vol.Schema(
+            {vol.Optional("linkMbps"): _FRACTION}, extra=vol.ALLOW_EXTRA
+        ),
         vol.Optional("seeds"): vol.Any(None, [_address]),
         vol.Optional("bounds"): vol.Schema(
             {
@@ -98,6 +101,7 @@
         locate_listen=listen["directory"],
         peer_listen=listen["control"],
         metrics_listen=f"{raw['ip']}:{METRICS_PORT}",
+        link_mbps=int((raw.get("limits") or {}).get("linkMbps") or 0),
         platform_address=raw["platform"]["address"],
         seeds=tuple(raw.get("seeds") or ()),
         bounds=_bounds(raw.get("bounds") or {}),
--- a/features/worlds/gateway_world.py
+++ b/features/worlds/gateway_world.py
@@ -103,6 +103,7 @@
             locate_listen=f"127.0.0.1:{free_port()}",
             peer_listen=f"127.0.0.1:{free_port()}",
             metrics_listen=f"127.0.0.1:{free_port()}",
+            link_mbps=100,
             platform_address="127.0.0.1:1",
             seeds=(),
             bounds=Bounds(),
