--- /dev/null
+++ b/features/worlds/process_world.py
@@ -0,0 +1,89 @@
+"""Ask the instances and upstreams of a small system of real processes."""
+
+from __future__ import annotations
+
+import itertools
+import re
+from typing import Any
+
+import gevent
+
+from driftstall.cli.client import Caller, ChatEnd, ChatPart
+from driftstall.util.http import Exchange
+from measures.bench import Bench, wait_until, workspace_key
+
+TOKEN = re.compile(r"(\S+)#(\d+) ")
+KEY = workspace_key("north")
+NUMBERS = itertools.count()
+
+
+def live(bench: Bench) -> list[Any]:
+    """Return the instances that run."""
+    return [one for one in bench.instances if one.running]
+
+
+class Answer:
+    """Read one streamed answer in a greenlet."""
+
+    def __init__(self, bench: Bench, length: int, kind: str = "chat") -> None:
+        """Start to ask."""
+        seeds = tuple(one.address for one in live(bench))
+        self.caller = Caller(seeds, KEY)
+        self.text = ""
+        self.end: ChatEnd | None = None
+        self.length = length
+        content = f"please number {next(NUMBERS)} [length={length}]"
+        body = {
+            "model": "base",
+            "max_tokens": 4_000,
+            "messages": [{"role": "user", "content": content}],
+        }
+        self.job = gevent.spawn(self._read, body, kind)
+
+    def _read(self, body: dict[str, Any], kind: str) -> None:
+        for part in self.caller.chat(body, kind):
+            if isinstance(part, ChatPart):
+                self.text += part.text
+            else:
+                self.end = part
+
+    def wait_begun(self) -> None:
+        """Wait for the first tokens."""
+        wait_until("the answer has begun", lambda: self.text.count("#") >= 5)
+
+    def check(self) -> None:
+        """Wait for the end and check that the answer is whole, once, of one generation."""
+        self.job.join(timeout=60)
+        assert self.end is not None, "there is no end"
+        assert self.end.problem is None, self.end.problem
+        tokens = TOKEN.findall(self.text)
+        assert len({name for name, _ in tokens}) == 1, "generations are mixed"
+        assert [int(index) for _, index in tokens] == list(range(self.length)), "not whole"
+
+
+def service_call(context: Any, method: str, key: str, **more: str) -> tuple[int, bytes]:
+    """Call a plain service through the first live instance."""
+    headers = {"Authorization": f"Bearer {KEY}", "X-Call-Id": more.pop("call", key)}
+    if key:
+        headers["Idempotency-Key"] = key
+    headers |= {name.replace("_", "-"): value for name, value in more.items()}
+    address = live(context.bench)[0].address
+    exchange = Exchange.open(address, method, "/services/portal/x", headers, b"{}", 30.0)
+    return exchange.status, exchange.read()
+
+
+def runs(bench: Bench, call: str) -> int:
+    """Return how often a call ran, as the upstreams count it."""
+    return sum(one.stats()["runs"].get(call, 0) for one in bench.services)
+
+
+def owner(bench: Bench) -> Any:
+    """Return the instance that owns the engines' group."""
+    name = bench.status(bench.instances.index(live(bench)[0]))["groups"]["base/0"]["owner"]
+    return next(one for one in bench.instances if one.name == name)
+
+
+def received(bench: Bench, name: str) -> int:
+    """Return how many generations an engine was given."""
+    engine = next(one for one in bench.engines if one.name == name)
+    return int(engine.stats().get("received", 0))
