--- a/features/parts/decisions.feature
+++ b/features/parts/decisions.feature
@@ -53,6 +53,10 @@
     Then all decode to what was sent
     And a changed byte is rejected
 
+  Scenario: large peer messages survive greenlets
+    When routing documents of 70000 characters are encoded in greenlets that switch
+    Then all arrive as they were sent
+
   Scenario: a recorded trace replays to the stated outcomes
     Given a trace recorded from a busy group
     Then its replay gives the same actions
--- a/features/steps/controller_steps.py
+++ b/features/steps/controller_steps.py
@@ -41,7 +41,7 @@
 from driftstall.exceptions import MessageError
 from driftstall.helpers.trace import TraceRecorder, build_controller, replay
 from driftstall.peers.codec import HEADER, decode, encode
-from driftstall.peers.messages import Envelope, PeerMessage
+from driftstall.peers.messages import Envelope, PeerMessage, RoutingAsked, RoutingOffered
 from features.worlds.samples import FIRST, KEY, request_of
 
 
@@ -161,6 +161,31 @@
         assert decode(frame[HEADER.size :], KEY).message == message
 
 
+@when("routing documents of {size:d} characters are encoded in greenlets that switch")
+def encode_large(context: Any, size: int) -> None:
+    """Encode large and small messages by turns."""
+    large = RoutingOffered("a", 9, "0123456789" * (size // 10))
+    small = RoutingAsked("a", 8)
+
+    def work() -> list[bool]:
+        same = []
+        for _ in range(20):
+            frames = [encode(Envelope("a", "b", 1, one), KEY) for one in (large, small)]
+            gevent.sleep(0)
+            decoded = [decode(frame[HEADER.size :], KEY).message for frame in frames]
+            same.append(decoded == [large, small])
+        return same
+
+    jobs = [gevent.spawn(work) for _ in range(5)]
+    context.same = [one for job in jobs for one in job.get()]
+
+
+@then("all arrive as they were sent")
+def large_arrived(context: Any) -> None:
+    """Compare."""
+    assert len(context.same) == 100 and all(context.same)
+
+
 @then("a changed byte is rejected")
 def tampered(context: Any) -> None:
     """Change each of some bytes."""
