Let collectors of each zone follow the platform for a large fleet

Change: two collectors a zone; sums cross zones once, between collectors; only collectors watch the store, others rely on the age of its last answer that they tell, and follow by themselves when that grows old or none is heard.

--- a/driftstall/gateway/collectors.py
+++ b/driftstall/gateway/collectors.py
@@ -1,14 +1,17 @@
 """Choose who collects the reports of a large fleet, and sum them up.
 
-In a small fleet everyone reports to everyone. Beyond that the number of messages would
-grow with the square of the fleet, so a few instances collect all reports and send their
-sum to everyone, several times a second.
+In a small fleet everyone reports to everyone and follows the platform by itself. Beyond
+that messages would grow with the square of the fleet, and calls to the platform with the
+fleet. So in each availability zone two instances collect the reports of their zone. They
+exchange the sums of the zones, follow the platform for the others, and pass all of it on
+to their zone several times a second.
 """
 
 from __future__ import annotations
 
 from collections import deque
 from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import Final
 
 from driftstall.core import Instance
@@ -18,25 +21,67 @@
 
 FULL_MESH: Final = 16
 """Up to so many instances all report to all."""
-COLLECTORS: Final = 3
-"""Collectors of a large fleet; any one of them is enough."""
+COLLECTORS: Final = 2
+"""Collectors of an availability zone; either one is enough."""
 MIN_LINK_MBPS: Final = 50
-"""A collector of some hundred instances sends about ten megabits a second."""
+"""A collector sends its zone some megabits a second; a weaker link is chosen last."""
 COLLECTOR_KEY: Final = "collectors"
 KEPT_REPORTS: Final = 40
 """Own reports remembered until a summary has taken them in."""
 
 
+@dataclass(frozen=True, slots=True)
+class Roles:
+    """Tell who collects, as one instance sees the fleet."""
+
+    large: bool = False
+    """Whether the fleet needs collectors."""
+    collects: bool = False
+    """Whether this instance is a collector."""
+    own_collectors: tuple[Instance, ...] = ()
+    """The collectors of this instance's zone, best first, itself left out."""
+    far_collectors: tuple[Instance, ...] = ()
+    """The collectors of the other zones."""
+    zone_members: tuple[Instance, ...] = ()
+    """The other instances of this zone that do not collect."""
+
+    @classmethod
+    def from_fleet(cls, own: Instance, live: Iterable[Instance]) -> Roles:
+        """Return the roles in a fleet; the same everywhere while all know the same fleet."""
+        fleet = tuple(live)
+        if not is_large(fleet):
+            return cls()
+        zones: dict[str, list[Instance]] = {}
+        for one in fleet:
+            zones.setdefault(one.zone, []).append(one)
+        chosen = {zone: _collectors_of(members) for zone, members in zones.items()}
+        of_zone = chosen.get(own.zone, ())
+        ids = {one.instance_id for one in of_zone} | {own.instance_id}
+        return cls(
+            large=True,
+            collects=any(one.instance_id == own.instance_id for one in of_zone),
+            own_collectors=tuple(one for one in of_zone if one.instance_id != own.instance_id),
+            far_collectors=tuple(
+                one for zone, some in sorted(chosen.items()) if zone != own.zone for one in some
+            ),
+            zone_members=tuple(
+                one for one in zones.get(own.zone, ()) if one.instance_id not in ids
+            ),
+        )
+
+
 def is_large(live: Iterable[Instance]) -> bool:
     """Tell whether a fleet needs collectors."""
     return sum(1 for _ in live) > FULL_MESH
 
 
-def collectors_of(live: Iterable[Instance]) -> tuple[Instance, ...]:
-    """Return the collectors of a fleet: the same everywhere, while all know the same fleet."""
-    staying = [one for one in live if not one.leaving]
-    strong = [one for one in staying if one.link_mbps >= MIN_LINK_MBPS]
-    ranked = sorted(strong or staying, key=lambda one: -weight(COLLECTOR_KEY, one.instance_id))
+def _collectors_of(members: list[Instance]) -> tuple[Instance, ...]:
+    """Return the collectors of one zone: strong links first, then by a fixed lot."""
+    staying = [one for one in members if not one.leaving] or members
+    ranked = sorted(
+        staying,
+        key=lambda one: (one.link_mbps < MIN_LINK_MBPS, -weight(COLLECTOR_KEY, one.instance_id)),
+    )
     return tuple(ranked[:COLLECTORS])
 
 
--- a/driftstall/gateway/feeds.py
+++ b/driftstall/gateway/feeds.py
@@ -11,8 +11,8 @@
 
 from driftstall.exceptions import HistoryGone, PlatformUnavailable
 
-WAIT_S: Final = 25.0
-"""How long an idle watch waits; each is one priced call, and 30 s is the most."""
+HOLD_CHECK_S: Final = 0.2
+"""How often a follower that makes no calls looks whether it should."""
 FIRST_PAUSE_S: Final = 0.05
 LONGEST_PAUSE_S: Final = 0.6
 """Pause after failed calls; it doubles, so that an outage makes no storm."""
@@ -72,20 +72,35 @@
         """Learn that calls are answered again; called before what they brought."""
 
 
+class Pace(Protocol):
+    """Tell a follower when to call, and how long a watch may wait."""
+
+    def hold_s(self) -> float:
+        """Return for how long to make no call; zero to go on now."""
+
+    def watch_s(self) -> float:
+        """Return how long an idle watch waits, in seconds."""
+
+    def answered(self) -> None:
+        """Learn that a call was answered."""
+
+
 class Follower(Generic[Item]):
-    """List once, then watch for ever; list again only where history is gone."""
+    """List once, then watch while the pace allows it; list again where history is gone."""
 
     def __init__(
         self,
         feed: Feed[Item],
         listener: Listener[Item],
         source: random.Random,
+        pace: Pace,
         sleep: Callable[[float], None] = gevent.sleep,
     ) -> None:
-        """Take the feed, who listens, a random source and how to wait."""
+        """Take the feed, who listens, a random source, the pace and how to wait."""
         self._feed = feed
         self._listener = listener
         self._source = source
+        self._pace = pace
         self._sleep = sleep
         self._at: int | None = None
         self._failures = 0
@@ -101,7 +116,11 @@
             self.step()
 
     def step(self) -> None:
-        """Make one call and pass on what it brought."""
+        """Make one call and pass on what it brought, or wait where none is to be made."""
+        hold_s = self._pace.hold_s() if self._at is not None else 0.0
+        if hold_s > 0:
+            self._sleep(min(hold_s, HOLD_CHECK_S))
+            return
         try:
             if self._at is None:
                 self._list()
@@ -121,7 +140,7 @@
 
     def _watch(self, at: int) -> None:
         """Wait for changes."""
-        answer = self._feed.watch(at, WAIT_S)
+        answer = self._feed.watch(at, self._pace.watch_s())
         self._answered()
         self._at = answer.at
         for change in answer.changes:
@@ -132,6 +151,7 @@
         if self._failures >= LOST_AFTER:
             self._listener.platform_back()
         self._failures = 0
+        self._pace.answered()
 
     def _failed(self, cause: str) -> None:
         """Note a failed call, and wait a little."""
--- a/driftstall/gateway/fleet.py
+++ b/driftstall/gateway/fleet.py
@@ -10,6 +10,8 @@
 from functools import singledispatchmethod
 from typing import Final
 
+import xxhash
+
 from driftstall.gateway.model import Upstream, UpstreamState
 
 LAPSE_GRACE_S: Final = 2.2
@@ -25,6 +27,15 @@
     upstreams: tuple[Upstream, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Offered:
+    """Take in the list of a peer that follows the platform: all that take requests."""
+
+    upstreams: tuple[Upstream, ...]
+    at: int
+    """The newest revision that the peer has seen; it cannot tell of what is newer."""
+
+
 @dataclass(frozen=True, slots=True)
 class Changed:
     """Take in one change of the platform's list."""
@@ -50,7 +61,7 @@
     """Let time pass."""
 
 
-FleetEvent = Listed | Changed | PlatformLost | PlatformBack | Period
+FleetEvent = Listed | Offered | Changed | PlatformLost | PlatformBack | Period
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,12 +102,34 @@
         self._back_at = float("-inf")
         self._actions: list[FleetAction] = []
         self._read = False
+        self._at = 0
+        self._digest: int | None = None
 
     @property
     def known(self) -> bool:
         """Tell whether the list was ever read."""
         return self._read
 
+    @property
+    def at(self) -> int:
+        """Return the newest revision seen in any entry."""
+        return self._at
+
+    @property
+    def digest(self) -> int:
+        """Return a hash of the set of upstreams that take requests."""
+        if self._digest is None:
+            taking = sorted(one.upstream_id for one in self.taking)
+            self._digest = xxhash.xxh3_64_intdigest("|".join(taking).encode())
+        return self._digest
+
+    @property
+    def taking(self) -> tuple[Upstream, ...]:
+        """Return all upstreams that take requests."""
+        return tuple(
+            entry.upstream for entry in self._entries.values() if entry.leaving_since is None
+        )
+
     @property
     def upstreams(self) -> tuple[Upstream, ...]:
         """Return all upstreams that are not gone, leaving ones as well."""
@@ -119,6 +152,8 @@
         """Take one event and return what others need to know."""
         self._actions = []
         self._on(event, now)
+        if self._actions:
+            self._digest = None
         return self._actions
 
     @singledispatchmethod
@@ -135,9 +170,20 @@
         for upstream_id in [one for one in self._entries if one not in listed]:
             self._remove(upstream_id, self._entries[upstream_id].upstream.revision, now)
 
+    @_on.register
+    def _(self, event: Offered, now: float) -> None:
+        offered = {one.upstream_id for one in event.upstreams}
+        for upstream in event.upstreams:
+            self._put(upstream, now)
+        for entry in list(self._entries.values()):
+            upstream = entry.upstream
+            if upstream.upstream_id not in offered and upstream.revision <= event.at:
+                self._leave(entry, now)
+
     @_on.register
     def _(self, event: Changed, now: float) -> None:
         upstream = event.upstream
+        self._at = max(self._at, upstream.revision)
         if not event.gone:
             self._put(upstream, now)
         elif upstream.upstream_id in self._entries:
@@ -159,7 +205,7 @@
     def _(self, event: Period, now: float) -> None:
         for upstream_id, entry in list(self._entries.items()):
             missing = entry.missing_since
-            if missing is not None and now - max(missing, self._back_at) >= LAPSE_GRACE_S:
+            if missing is not None and not self._in_grace(now):
                 self._leave(entry, now)
                 self._bury(upstream_id, entry.upstream.revision, now)
         for upstream_id, (_, at) in list(self._gone.items()):
@@ -168,6 +214,7 @@
 
     def _put(self, upstream: Upstream, now: float) -> None:
         """Take in an entry that is newer than what is known."""
+        self._at = max(self._at, upstream.revision)
         buried = self._gone.get(upstream.upstream_id)
         if buried is not None and buried[0] >= upstream.revision:
             return
@@ -193,13 +240,16 @@
         entry = self._entries[upstream_id]
         if revision < entry.upstream.revision:
             return
-        in_grace = self._down or now - self._back_at < LAPSE_GRACE_S
-        if in_grace and not certain and entry.leaving_since is None:
+        if self._in_grace(now) and not certain and entry.leaving_since is None:
             entry.missing_since = entry.missing_since or now
             return
         self._leave(entry, now)
         self._bury(upstream_id, revision, now)
 
+    def _in_grace(self, now: float) -> bool:
+        """Tell whether an entry that is missing may only have lapsed during an outage."""
+        return self._down or now - self._back_at < LAPSE_GRACE_S
+
     def _leave(self, entry: _Entry, now: float) -> None:
         """Mark an upstream as leaving and say so once."""
         if entry.leaving_since is None:
--- a/driftstall/gateway/loads.py
+++ b/driftstall/gateway/loads.py
@@ -10,7 +10,9 @@
 from dataclasses import dataclass
 from typing import Final
 
-FLEET: Final = "fleet"
+POOLED: Final = "*"
+"""Begins the name under which the sum of several instances is kept."""
+FLEET: Final = f"{POOLED}fleet"
 """Stands for all other instances, where a collector tells their sum."""
 PEER_REPORT_S: Final = 3.0
 """A peer's sums count for so long; a live peer repeats them each second."""
@@ -106,12 +108,19 @@
         """Take in a peer's sums."""
         self._peers[peer] = _PeerSums({use.upstream_id: use for use in uses}, now)
 
-    def all_sums(self, now: float) -> tuple[Use, ...]:
-        """Return the sums of this instance and all that it hears of."""
-        ids = set(self._own)
-        for sums in self._peers.values():
-            ids |= sums.uses.keys()
-        return tuple(self.use(upstream_id, now) for upstream_id in sorted(ids))
+    def all_sums(self, now: float, *, pooled: bool = True) -> tuple[Use, ...]:
+        """Return the sums of this instance and all that it hears of.
+
+        Without the pooled ones only instances count that report here themselves.
+        """
+        totals = dict(self._own)
+        for peer, sums in self._peers.items():
+            if now - sums.at > PEER_REPORT_S or (not pooled and peer.startswith(POOLED)):
+                continue
+            for upstream_id, told in sums.uses.items():
+                known = totals.get(upstream_id)
+                totals[upstream_id] = told if known is None else known.plus(told)
+        return tuple(totals[upstream_id] for upstream_id in sorted(totals))
 
     def exposed_at_peers(self, upstream_id: str, now: float) -> dict[str, int]:
         """Return, by peer, the exposed tokens of its streams on an upstream."""
@@ -122,9 +131,9 @@
                 found[peer] = told.exposed
         return found
 
-    def forget(self, peer: str) -> None:
-        """Forget a peer that is gone."""
-        self._peers.pop(peer, None)
+    def forget_peers(self) -> None:
+        """Forget what peers have told: it will come from others now, in other sums."""
+        self._peers.clear()
 
     def use(self, upstream_id: str, now: float) -> Use:
         """Return all that is known to run on an upstream."""
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -6,17 +6,19 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Final
+from typing import Any, Final
 
 import gevent
 
 from driftstall.const import PREFIX_CONFIGURATION, PREFIX_DRAIN, PREFIX_MEMBERSHIP
 from driftstall.core import Instance
 from driftstall.exceptions import PlatformUnavailable, SettingsError
+from driftstall.gateway.collectors import Roles
 from driftstall.gateway.dialect import Dialect
 from driftstall.gateway.drain import Drain
 from driftstall.gateway.evacuation import Evacuation
 from driftstall.gateway.feeds import Feed, Follower, ItemChange
+from driftstall.gateway.fleet import FleetAction
 from driftstall.gateway.listeners import (
     CallerListener,
     LocateAnswers,
@@ -28,6 +30,9 @@
 from driftstall.gateway.moves import Mover
 from driftstall.gateway.peering import Peering
 from driftstall.gateway.protection import Protection
+from driftstall.gateway.reliance import FleetPace, Reliance, RevisionPace
+from driftstall.gateway.reports import Standing
+from driftstall.gateway.sharing import Intake
 from driftstall.gateway.sources import InstanceSource, PolicySource, RoutingSource, UpstreamSource
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import BoundedWriter, say
@@ -73,28 +78,36 @@
         self._path = path
         self._access = access
         self.state = GatewayState(settings, access.dialect, policy)
-        self._routing = RoutingSource(self.state, self._announce)
+        self._routing = RoutingSource(self.state, self._pass_routing)
         mover = Mover(self.state)
         self._protection = Protection(self.state, mover)
+        self._policies = PolicySource(self.state)
         self._upstreams = UpstreamSource(
             self.state,
             leaving=Evacuation(self.state, mover).start,
-            pass_on=self._pass_on,
+            pass_change=self._pass_change,
+            pass_action=self._pass_action,
             announce=self._announce,
         )
-        self._routing_follower = Follower(access.routing, self._routing, self.state.source)
-        self._upstream_follower = Follower(access.upstreams, self._upstreams, self.state.source)
-        self._policy_follower = Follower(
-            access.policies, PolicySource(self.state), self.state.source
-        )
-        self._peering = Peering(
-            self.state,
-            settings.peer_key.encode(),
+        reliance = Reliance(self.state.source)
+        intake = Intake(
             routing=lambda: (self._routing.version, self._routing.text),
             take_routing=self._routing.offered,
             take_news=self._upstreams.told,
-            platform_ok=lambda: self._upstream_follower.current,
+            take_fleet=self._upstreams.offered,
+        )
+        self._peering = Peering(self.state, intake, standing=self._standing, reliance=reliance)
+        self._routing_pace = FleetPace(reliance, self._roles, self.state.now)
+        self._upstream_pace = FleetPace(reliance, self._roles, self.state.now)
+        policy_pace = RevisionPace(
+            self._roles, lambda: self._peering.policy_revision > self._policies.revision
         )
+        source = self.state.source
+        self._routing_follower = Follower(access.routing, self._routing, source, self._routing_pace)
+        self._upstream_follower = Follower(
+            access.upstreams, self._upstreams, source, self._upstream_pace
+        )
+        self._policy_follower = Follower(access.policies, self._policies, source, policy_pace)
         self._instances = InstanceSource(self._peering.found)
         self._drain = Drain(self.state)
         self._callers = CallerListener(self.state, mover, self._drain, self._is_current)
@@ -144,7 +157,7 @@
 
     def _leave(self) -> None:
         """Tell peers and the platform that this instance takes nothing more."""
-        self._peering.report_now()
+        self._peering.leave()
         gevent.spawn(self._withdraw)
 
     def _withdraw(self) -> None:
@@ -178,7 +191,8 @@
             "routing_version": self._routing.version,
             "instances": self.state.instances.value,
             "upstreams": len(self.state.fleet.upstreams),
-            "platform_ok": float(self._upstream_follower.current),
+            "platform_ok": float(self._follows(self._upstream_follower, self._upstream_pace)),
+            "collects": float(self._roles().collects),
             "log_lines_dropped": self._log.dropped_in_all,
         }
 
@@ -186,14 +200,41 @@
         """Have peers told soon that something has changed."""
         self.state.loads_changed.set()
 
-    def _pass_on(self, change: ItemChange[Upstream]) -> None:
+    def _pass_routing(self) -> None:
+        """Pass the routing document in force on to peers."""
+        self._peering.pass_routing()
+
+    def _pass_change(self, change: ItemChange[Upstream]) -> None:
         """Tell a change to the peers that the platform does not answer."""
-        self._peering.pass_on(change)
+        self._peering.pass_change(change)
+
+    def _pass_action(self, action: FleetAction, *, from_peer: bool) -> None:
+        """Tell the zone who joined or leaves, if this instance collects for it."""
+        self._peering.pass_action(action, from_peer=from_peer)
+
+    def _roles(self) -> Roles:
+        """Return who collects."""
+        return self._peering.roles
+
+    def _standing(self) -> Standing:
+        """Return what this instance knows of the platform."""
+        return Standing(
+            self._routing.version,
+            self._policies.revision,
+            self._upstream_follower.current,
+            self._upstream_pace.age_s,
+        )
+
+    @staticmethod
+    def _follows(follower: Follower[Any], pace: FleetPace) -> bool:
+        """Tell whether a feed is up to date, by its own watch or a collector's."""
+        return pace.covered or follower.current
 
     def _is_current(self) -> bool:
         """Tell whether the routing in force is the newest, as far as can be known."""
         newest = self._peering.newest_version
-        return self._routing_follower.current and newest <= self._routing.version
+        follows = self._follows(self._routing_follower, self._routing_pace)
+        return follows and newest <= self._routing.version
 
     def _settings_time(self) -> tuple[int, int]:
         """Return what changes when the settings file does."""
--- /dev/null
+++ b/driftstall/gateway/reliance.py
@@ -0,0 +1,133 @@
+"""Decide when an instance follows the platform by itself, and when others do it for it.
+
+In a large fleet the collectors follow the platform and pass on what they learn, with the
+age of the platform's last answer. An instance relies on them while that age is small. If
+it hears no collector it follows at once; if it hears them but the platform answers none,
+it asks now and then, so that an outage makes no storm.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Final
+
+from driftstall.gateway.collectors import Roles
+
+IDLE_WATCH_S: Final = 25.0
+"""How long an idle watch waits in a small fleet; each is one priced call, 30 s is the most."""
+LARGE_WATCH_S: Final = 1.0
+"""The same for a collector: a watch that is silently cut off must be noticed soon."""
+FRESH_S: Final = 1.8
+"""Age of the platform's last answer up to which a collector's word counts: a whole watch
+of a collector, and a slow answer."""
+TRUST_S: Final = 1.0
+"""A collector speaks four times a second; without its word for so long it is given up.
+With a watch of a second this stays below the three seconds in which a change must hold."""
+FIRST_TRY_S: Final = 0.6
+"""An instance's own first question comes within this time once no collector gets an answer:
+the collectors may be cut off where it is not."""
+OUTAGE_PAUSE_S: Final = 4.0
+"""Mean pause between its further questions, so that an outage makes no storm."""
+
+
+class Reliance:
+    """Hold what collectors have last said of the platform."""
+
+    def __init__(self, source: random.Random) -> None:
+        """Start with no word of any collector."""
+        self._source = source
+        self._heard_at = float("-inf")
+        self._good_at = float("-inf")
+        self._next_try = float("-inf")
+        self._in_outage = False
+
+    def heard(self, platform_age_s: float, now: float) -> None:
+        """Take in a collector's word: how long ago the platform answered it, in seconds."""
+        self._heard_at = now
+        if platform_age_s <= FRESH_S:
+            self._good_at = now
+            self._in_outage = False
+
+    def holds(self, now: float) -> bool:
+        """Tell whether a collector follows the platform for this instance."""
+        return now - self._good_at <= TRUST_S
+
+    def hold_s(self, now: float) -> float:
+        """Return for how long to leave the platform alone; zero to ask it now."""
+        if self.holds(now):
+            return self._good_at + TRUST_S - now
+        if now - self._heard_at > TRUST_S:
+            return 0.0
+        if not self._in_outage:
+            self._in_outage = True
+            self._next_try = now + FIRST_TRY_S * self._source.random()
+        if now < self._next_try:
+            return self._next_try - now
+        self._next_try = now + OUTAGE_PAUSE_S * (0.5 + self._source.random())
+        return 0.0
+
+
+class FleetPace:
+    """Pace one feed of the platform by the fleet's size and the collectors' word."""
+
+    def __init__(
+        self, reliance: Reliance, roles: Callable[[], Roles], now: Callable[[], float]
+    ) -> None:
+        """Take the collectors' word, the roles as they are now and the steady clock."""
+        self._reliance = reliance
+        self._roles = roles
+        self._now = now
+        self._answered_at = float("-inf")
+
+    @property
+    def age_s(self) -> float:
+        """Return how long ago the platform last answered this instance, in seconds."""
+        return self._now() - self._answered_at
+
+    @property
+    def covered(self) -> bool:
+        """Tell whether a collector follows the feed for this instance."""
+        return not self._follows_always and self._reliance.holds(self._now())
+
+    def hold_s(self) -> float:
+        """Return for how long to make no call."""
+        if self._follows_always or self.age_s <= FRESH_S and not self.covered:
+            return 0.0
+        return self._reliance.hold_s(self._now())
+
+    def watch_s(self) -> float:
+        """Return how long an idle watch waits."""
+        return LARGE_WATCH_S if self._roles().large else IDLE_WATCH_S
+
+    def answered(self) -> None:
+        """Note that the platform has answered."""
+        self._answered_at = self._now()
+
+    @property
+    def _follows_always(self) -> bool:
+        """Tell whether this instance follows the platform whatever others say."""
+        roles = self._roles()
+        return not roles.large or roles.collects
+
+
+class RevisionPace:
+    """Pace a feed that seldom changes: read again only what peers know to be newer."""
+
+    def __init__(self, roles: Callable[[], Roles], behind: Callable[[], bool]) -> None:
+        """Take the roles as they are now, and a reader of whether a newer one is known of."""
+        self._roles = roles
+        self._behind = behind
+
+    def hold_s(self) -> float:
+        """Return for how long to make no call."""
+        roles = self._roles()
+        follows = not roles.large or roles.collects or self._behind()
+        return 0.0 if follows else TRUST_S
+
+    def watch_s(self) -> float:
+        """Return how long an idle watch waits."""
+        return IDLE_WATCH_S
+
+    def answered(self) -> None:
+        """Note that the platform has answered; nothing depends on when."""
--- /dev/null
+++ b/driftstall/gateway/reports.py
@@ -0,0 +1,275 @@
+"""Tell the other instances what runs where from here, and sum up what they tell.
+
+In a small fleet each instance reports to all. In a large one it reports to the
+collectors of its availability zone; these exchange the sums of their zones and send the
+sum of all to the instances of their own.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Final
+
+import gevent
+
+from driftstall.core import Instance
+from driftstall.gateway.collectors import OwnReports, Roles, summed
+from driftstall.gateway.loads import FLEET, POOLED
+from driftstall.gateway.shared_budget import RepeatCount
+from driftstall.gateway.state import GatewayState
+from driftstall.peers.messages import (
+    FleetSummary,
+    GatewayReport,
+    PeerMessage,
+    ReportAck,
+    ZoneSummary,
+)
+
+REPORT_EVERY_S: Final = 1.0
+REPORT_PAUSE_S: Final = 0.03
+"""Changes within this time travel together."""
+LARGE_PAUSE_S: Final = 0.2
+"""The same in a large fleet, where sums are made several times a second anyway."""
+SUMMARY_EVERY_S: Final = 0.25
+"""How often a collector sends sums."""
+REPORT_VALID_S: Final = 2.3
+"""A peer that has not reported for two periods is not located any more."""
+LONGEST_AGE_S: Final = 60.0
+"""Ages beyond this make no difference."""
+MS: Final = 1000
+
+Broadcast = Callable[[Iterable[Instance], PeerMessage], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Standing:
+    """Hold what this instance knows of the platform, for its reports."""
+
+    routing_version: int
+    policy_revision: int
+    platform_ok: bool
+    platform_age_s: float
+    """How long ago the platform last answered."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Heard:
+    """Hold a peer's newest report."""
+
+    report: GatewayReport
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class _HeardZone:
+    """Hold the newest sum of another zone."""
+
+    summary: ZoneSummary
+    at: float
+
+
+class Reporting:
+    """Report what runs from here, and add up what others report."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        own: Instance,
+        *,
+        roles: Callable[[], Roles],
+        live: Callable[[], tuple[Instance, ...]],
+        standing: Callable[[], Standing],
+        broadcast: Broadcast,
+    ) -> None:
+        """Take the shared state, readers of the fleet and of the standing, and how to send."""
+        self._state = state
+        self._own = own
+        self._roles = roles
+        self._live = live
+        self._standing = standing
+        self._broadcast = broadcast
+        self._heard: dict[str, _Heard] = {}
+        self._zones: dict[str, _HeardZone] = {}
+        self._summary: FleetSummary | None = None
+        self._summary_at = float("-inf")
+        self._reported_at = float("-inf")
+        self._reports = OwnReports()
+
+    def start(self) -> None:
+        """Start to report."""
+        gevent.spawn(self._run_reports)
+        gevent.spawn(self._run_summaries)
+
+    @property
+    def newest_version(self) -> int:
+        """Return the newest routing version that any peer has told of."""
+        versions = [one.report.routing_version for one in self._heard.values()]
+        versions += [one.summary.routing_version for one in self._zones.values()]
+        if self._summary is not None:
+            versions.append(self._summary.routing_version)
+        return max(versions, default=0)
+
+    @property
+    def peers_without_platform(self) -> tuple[str, ...]:
+        """Return the peers that the platform does not answer, as they say."""
+        return tuple(peer for peer, one in self._heard.items() if not one.report.platform_ok)
+
+    def ready_peers(self) -> set[str] | None:
+        """Return the peers that say they are ready; None where nobody can tell."""
+        now = self._state.now()
+        roles = self._roles()
+        if roles.large and not roles.collects:
+            if self._summary is None or now - self._summary_at > REPORT_VALID_S:
+                return None
+            return set(self._summary.ready) - {self._own.instance_id}
+        ready = {one.report.sender for one in self._fresh() if one.report.ready}
+        if roles.large:
+            ready |= {name for zone in self._fresh_zones() for name in zone.ready}
+        return ready
+
+    def report_now(self) -> None:
+        """Report at once."""
+        self._reported_at = self._state.now()
+        uses, repeats = self._state.loads.own, self._state.repeat_counts()
+        number = self._reports.add(uses, repeats)
+        standing = self._standing()
+        report = GatewayReport(
+            self._own.instance_id,
+            self._state.ready,
+            standing.platform_ok,
+            standing.routing_version,
+            uses,
+            repeats,
+            number,
+        )
+        roles = self._roles()
+        self._broadcast(roles.own_collectors if roles.large else self._live(), report)
+
+    def take_report(self, report: GatewayReport) -> bool:
+        """Take in a peer's report; return whether the platform has just been lost to it."""
+        now = self._state.now()
+        before = self._heard.get(report.sender)
+        self._heard[report.sender] = _Heard(report, now)
+        self._state.loads.told(report.sender, report.uses, now)
+        for count in report.repeats:
+            self._state.budget(count.service).told(report.sender, count, now)
+        return not report.platform_ok and (before is None or before.report.platform_ok)
+
+    def take_zone(self, summary: ZoneSummary) -> None:
+        """Take in the sum of another zone."""
+        now = self._state.now()
+        name = f"{POOLED}{summary.zone}"
+        self._zones[summary.zone] = _HeardZone(summary, now)
+        self._state.loads.told(name, summary.uses, now)
+        for count in summary.repeats:
+            budget = self._state.budget(count.service)
+            budget.told(name, count, now, instances=summary.instances)
+
+    def take_summary(self, summary: FleetSummary) -> None:
+        """Take in the sum of all reports; what is ours in it is known better here."""
+        now = self._state.now()
+        self._summary, self._summary_at = summary, now
+        own_id = self._own.instance_id
+        number = next((one.number for one in summary.acks if one.instance_id == own_id), 0)
+        uses, repeats = self._reports.others(number, summary.uses, summary.repeats)
+        self._state.loads.told(FLEET, uses, now)
+        others = max(1, summary.instances - 1)
+        for count in repeats:
+            budget = self._state.budget(count.service)
+            budget.told(FLEET, count, now, instances=others)
+
+    def forget(self) -> None:
+        """Forget the sums: after a change of roles they come from others."""
+        self._heard.clear()
+        self._zones.clear()
+        self._state.forget_peers()
+
+    def _summarize(self) -> None:
+        """Send the zone's sum to other zones and the sum of all to this one."""
+        roles = self._roles()
+        if not roles.collects:
+            return
+        self._broadcast(roles.far_collectors, self._zone_summary())
+        self._broadcast(roles.zone_members, self._fleet_summary())
+
+    def _zone_summary(self) -> ZoneSummary:
+        """Sum up what the instances of this zone report, with the own part."""
+        fresh = self._fresh()
+        standing = self._standing()
+        return ZoneSummary(
+            self._own.instance_id,
+            self._own.zone,
+            standing.routing_version,
+            _milliseconds(standing.platform_age_s),
+            len(fresh) + 1,
+            self._own_ready() + tuple(one.report.sender for one in fresh if one.report.ready),
+            self._state.loads.all_sums(self._state.now(), pooled=False),
+            summed([*self._reported_repeats(fresh), *self._state.repeat_counts()]),
+        )
+
+    def _fleet_summary(self) -> FleetSummary:
+        """Sum up what all instances report, and what the platform says."""
+        fresh, zones = self._fresh(), self._fresh_zones()
+        counts = [*self._reported_repeats(fresh), *self._state.repeat_counts()]
+        counts += [count for zone in zones for count in zone.repeats]
+        ready = self.ready_peers() or set()
+        standing = self._standing()
+        return FleetSummary(
+            self._own.instance_id,
+            standing.routing_version,
+            standing.policy_revision,
+            _milliseconds(self._least_age(standing)),
+            self._state.fleet.digest,
+            len(fresh) + 1 + sum(zone.instances for zone in zones),
+            tuple(sorted(ready.union(self._own_ready()))),
+            self._state.loads.all_sums(self._state.now()),
+            summed(counts),
+            tuple(ReportAck(one.report.sender, one.report.number) for one in fresh),
+        )
+
+    def _least_age(self, standing: Standing) -> float:
+        """Return how long ago the platform last answered any collector, in seconds."""
+        now = self._state.now()
+        ages = [now - one.at + one.summary.platform_age_ms / MS for one in self._zones.values()]
+        return min([standing.platform_age_s, *ages])
+
+    def _own_ready(self) -> tuple[str, ...]:
+        """Return the own name if this instance takes requests."""
+        return (self._own.instance_id,) if self._state.ready else ()
+
+    @staticmethod
+    def _reported_repeats(fresh: Iterable[_Heard]) -> list[RepeatCount]:
+        """Return the repeats that peers have reported."""
+        return [count for one in fresh for count in one.report.repeats]
+
+    def _fresh(self) -> list[_Heard]:
+        """Return the reports that still count."""
+        now = self._state.now()
+        return [one for one in self._heard.values() if now - one.at <= REPORT_VALID_S]
+
+    def _fresh_zones(self) -> list[ZoneSummary]:
+        """Return the sums of other zones that still count."""
+        now = self._state.now()
+        heard = self._zones.values()
+        return [one.summary for one in heard if now - one.at <= REPORT_VALID_S]
+
+    def _run_summaries(self) -> None:
+        """Sum up again and again."""
+        while True:
+            gevent.sleep(SUMMARY_EVERY_S)
+            self._summarize()
+
+    def _run_reports(self) -> None:
+        """Report when something changed, and at least once a period."""
+        while True:
+            left = self._reported_at + REPORT_EVERY_S - self._state.now()
+            self._state.loads_changed.wait(max(0.0, left))
+            gevent.sleep(LARGE_PAUSE_S if self._roles().large else REPORT_PAUSE_S)
+            self._state.loads_changed.clear()
+            self.report_now()
+
+
+def _milliseconds(age_s: float) -> int:
+    """Return an age as it travels."""
+    return int(min(age_s, LONGEST_AGE_S) * MS)
--- a/driftstall/gateway/shared_budget.py
+++ b/driftstall/gateway/shared_budget.py
@@ -85,6 +85,10 @@
         """Take in what a peer has sent, or several peers together."""
         self._peers[peer] = _Heard(count, now, instances)
 
+    def forget_peers(self) -> None:
+        """Forget what peers have told: it will come in other sums, and must not count twice."""
+        self._peers.clear()
+
     def request(self, now: float) -> None:
         """Count one request, at its first send."""
         self._requests.append(now)
--- /dev/null
+++ b/driftstall/gateway/sharing.py
@@ -0,0 +1,237 @@
+"""Pass on to other instances what the platform has told this one.
+
+In a small fleet each instance follows the platform; peers only fill in for one that the
+platform does not answer. In a large fleet the collectors pass everything on: each new
+routing document, and which upstreams take requests. A collector's word carries a hash of
+these upstreams; who holds others asks for the whole list.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Final
+
+import gevent
+
+from driftstall.const import PREFIX_CONFIGURATION, PREFIX_ROUTING
+from driftstall.core import Instance
+from driftstall.gateway.collectors import Roles
+from driftstall.gateway.feeds import ItemChange
+from driftstall.gateway.fleet import FleetAction, UpstreamLeaving
+from driftstall.gateway.model import Upstream, UpstreamState
+from driftstall.gateway.state import GatewayState
+from driftstall.helpers.log import say
+from driftstall.peers.messages import (
+    FleetAsked,
+    FleetOffered,
+    FleetSummary,
+    PeerMessage,
+    RoutingAsked,
+    RoutingOffered,
+    UpstreamEntry,
+    UpstreamNews,
+)
+
+RECENT_S: Final = 6.0
+"""Changes are told again for so long; a cut is noticed within about four seconds."""
+ASK_AFTER_S: Final = 0.25
+"""The platform's own watch, or a collector, brings a newer document sooner, if it works."""
+DIFFERENT_BEFORE_ASKED: Final = 2
+"""Summaries in a row that tell of another fleet before it is asked for: news overtake them."""
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingNotice:
+    """Hold that a peer has a newer routing document."""
+
+    peer: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Intake:
+    """Hold how this instance reads and takes in what is shared."""
+
+    routing: Callable[[], tuple[int, str]]
+    """Return the version in force and its text."""
+    take_routing: Callable[[str], None]
+    take_news: Callable[[ItemChange[Upstream]], None]
+    take_fleet: Callable[[tuple[Upstream, ...], int], None]
+    """Take in all upstreams that take requests, as of a revision."""
+
+
+class Sharing:
+    """Share routing documents and upstreams with peers."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        intake: Intake,
+        *,
+        roles: Callable[[], Roles],
+        send: Callable[[str, PeerMessage], None],
+        broadcast: Callable[[Iterable[Instance], PeerMessage], None],
+    ) -> None:
+        """Take the shared state, how things are taken in, the roles, and how to send."""
+        self._state = state
+        self._intake = intake
+        self._roles = roles
+        self._send = send
+        self._broadcast = broadcast
+        self._own_id = state.settings.instance_id
+        self._asked_at: dict[str, float] = {}
+        self._recent: list[tuple[float, ItemChange[Upstream]]] = []
+        """Changes that a peer may have missed before it noticed that it is cut off."""
+        self._different = 0
+        """Summaries in a row whose upstreams are not those known here."""
+
+    # What this instance passes on.
+
+    def pass_change(self, change: ItemChange[Upstream], peers: Iterable[str]) -> None:
+        """Tell a change from the platform to peers that the platform does not answer."""
+        if self._roles().large:
+            return
+        now = self._state.now()
+        self._recent = [(at, one) for at, one in self._recent if now - at <= RECENT_S]
+        self._recent.append((now, change))
+        for peer in peers:
+            self._send(peer, _news(self._own_id, change))
+
+    def repeat_changes(self, peer: str) -> None:
+        """Tell a peer that has just lost the platform what it may have missed."""
+        for _, change in self._recent:
+            self._send(peer, _news(self._own_id, change))
+
+    def pass_action(self, action: FleetAction, *, from_peer: bool) -> None:
+        """Tell the zone, and other zones if the platform told it, who joined or leaves."""
+        roles = self._roles()
+        if not roles.collects:
+            return
+        leaving = isinstance(action, UpstreamLeaving)
+        news = _news(self._own_id, ItemChange(action.upstream, leaving))
+        self._broadcast((*roles.zone_members, *roles.own_collectors), news)
+        if not from_peer:
+            self._broadcast(roles.far_collectors, news)
+
+    def pass_routing(self) -> None:
+        """Send the routing document in force to the instances of this zone."""
+        roles = self._roles()
+        if roles.collects:
+            version, text = self._intake.routing()
+            self._broadcast(roles.zone_members, RoutingOffered(self._own_id, version, text))
+
+    # What others tell this instance.
+
+    def newer_routing(self, notice: RoutingNotice) -> None:
+        """Ask for a newer document that a peer has, unless it comes by itself."""
+        if notice.version > self._intake.routing()[0]:
+            pause_s = ASK_AFTER_S * (1 + self._state.source.random())
+            gevent.spawn_later(pause_s, self._ask_routing, notice)
+
+    def compare_fleet(self, summary: FleetSummary) -> None:
+        """Ask for a collector's upstreams if they are not those known here."""
+        if summary.fleet_digest == self._state.fleet.digest:
+            self._different = 0
+            return
+        self._different += 1
+        if self._different >= DIFFERENT_BEFORE_ASKED:
+            self._different = 0
+            self._send(summary.sender, FleetAsked(self._own_id))
+
+    def answer_routing(self, asked: RoutingAsked) -> None:
+        """Give a peer the routing document, if it is newer than the peer's."""
+        version, text = self._intake.routing()
+        if version > asked.version:
+            self._send(asked.sender, RoutingOffered(self._own_id, version, text))
+
+    def take_routing(self, offered: RoutingOffered) -> None:
+        """Take in a peer's routing document if it is newer."""
+        if offered.version <= self._intake.routing()[0]:
+            return
+        say(
+            PREFIX_CONFIGURATION,
+            f"A peer passes routing version {offered.version} on",
+            peer=offered.sender,
+        )
+        self._intake.take_routing(offered.text)
+
+    def answer_fleet(self, asked: FleetAsked) -> None:
+        """Give a peer all upstreams that take requests."""
+        entries = tuple(_entry(one) for one in self._state.fleet.taking)
+        offered = FleetOffered(self._own_id, self._state.fleet.at, entries)
+        self._send(asked.sender, offered)
+
+    def take_fleet(self, offered: FleetOffered) -> None:
+        """Take in a collector's upstreams."""
+        upstreams = tuple(_upstream(one) for one in offered.upstreams)
+        say(
+            PREFIX_ROUTING,
+            f"A peer passes {len(upstreams)} upstreams on",
+            peer=offered.sender,
+            revision=offered.at,
+        )
+        self._intake.take_fleet(upstreams, offered.at)
+
+    def take_news(self, news: UpstreamNews) -> None:
+        """Take in one change of an upstream."""
+        self._intake.take_news(_change(news))
+
+    def _ask_routing(self, notice: RoutingNotice) -> None:
+        """Ask for a newer routing document that has not come meanwhile."""
+        now = self._state.now()
+        version = self._intake.routing()[0]
+        if version >= notice.version or now - self._asked_at.get(notice.peer, 0.0) < ASK_AFTER_S:
+            return
+        self._asked_at[notice.peer] = now
+        self._send(notice.peer, RoutingAsked(self._own_id, version))
+
+
+def _news(sender: str, change: ItemChange[Upstream]) -> UpstreamNews:
+    """Return the message that carries a change of an upstream."""
+    upstream = change.item
+    return UpstreamNews(
+        sender,
+        upstream.upstream_id,
+        upstream.service,
+        upstream.address,
+        upstream.zone,
+        upstream.slots,
+        upstream.state is UpstreamState.LEAVING,
+        upstream.revision,
+        change.gone,
+    )
+
+
+def _change(news: UpstreamNews) -> ItemChange[Upstream]:
+    """Return the change that a message carries."""
+    state = UpstreamState.LEAVING if news.leaving else UpstreamState.READY
+    upstream = Upstream(
+        news.upstream_id, news.service, news.address, news.zone, news.slots, state, news.revision
+    )
+    return ItemChange(upstream, news.gone)
+
+
+def _entry(upstream: Upstream) -> UpstreamEntry:
+    """Return the message part that carries an upstream."""
+    return UpstreamEntry(
+        upstream.upstream_id,
+        upstream.service,
+        upstream.address,
+        upstream.zone,
+        upstream.slots,
+        upstream.revision,
+    )
+
+
+def _upstream(entry: UpstreamEntry) -> Upstream:
+    """Return the upstream that a message part carries."""
+    return Upstream(
+        entry.upstream_id,
+        entry.service,
+        entry.address,
+        entry.zone,
+        entry.slots,
+        UpstreamState.READY,
+        entry.revision,
+    )
--- a/driftstall/gateway/sources.py
+++ b/driftstall/gateway/sources.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Protocol
 
 from driftstall.const import PREFIX_CONFIGURATION, PREFIX_MEMBERSHIP, PREFIX_ROUTING
 from driftstall.core import Instance
@@ -13,6 +14,7 @@
     FleetAction,
     FleetEvent,
     Listed,
+    Offered,
     Period,
     PlatformBack,
     PlatformLost,
@@ -25,6 +27,13 @@
 from driftstall.policy.parse import parse_policy
 
 
+class PassAction(Protocol):
+    """Pass on to peers that an upstream joined or leaves."""
+
+    def __call__(self, action: FleetAction, *, from_peer: bool) -> None:
+        """Take what follows for an upstream, and whether a peer told it."""
+
+
 class RoutingSource:
     """Keep the newest routing document; it only moves forward."""
 
@@ -98,6 +107,11 @@
         self._state = state
         self._revision = 0
 
+    @property
+    def revision(self) -> int:
+        """Return the revision in force; zero if none was submitted."""
+        return self._revision
+
     def listed(self, items: tuple[PolicyText, ...]) -> None:
         """Take in the stored policies."""
         for item in items:
@@ -141,13 +155,15 @@
         state: GatewayState,
         *,
         leaving: Callable[[Upstream], None],
-        pass_on: Callable[[ItemChange[Upstream]], None],
+        pass_change: Callable[[ItemChange[Upstream]], None],
+        pass_action: PassAction,
         announce: Callable[[], None],
     ) -> None:
         """Take the shared state, who moves streams, and how peers are told."""
         self._state = state
         self._leaving = leaving
-        self._pass_on = pass_on
+        self._pass_change = pass_change
+        self._pass_action = pass_action
         self._announce = announce
 
     def listed(self, items: tuple[Upstream, ...]) -> None:
@@ -160,11 +176,15 @@
     def changed(self, change: ItemChange[Upstream]) -> None:
         """Take in one change from the platform."""
         self._apply(Changed(change.item, change.gone))
-        self._pass_on(change)
+        self._pass_change(change)
 
     def told(self, change: ItemChange[Upstream]) -> None:
         """Take in one change from a peer."""
-        self._apply(Changed(change.item, change.gone, from_peer=True))
+        self._apply(Changed(change.item, change.gone, from_peer=True), from_peer=True)
+
+    def offered(self, items: tuple[Upstream, ...], at: int) -> None:
+        """Take in a peer's list of all that take requests, as of a revision."""
+        self._apply(Offered(items, at), from_peer=True)
 
     def platform_lost(self, cause: str) -> None:
         """Learn that the platform does not answer."""
@@ -182,10 +202,11 @@
         """Let time pass."""
         self._apply(Period())
 
-    def _apply(self, event: FleetEvent) -> None:
+    def _apply(self, event: FleetEvent, *, from_peer: bool = False) -> None:
         """Hand an event to the fleet and tell what follows."""
         actions = self._state.fleet.handle(event, self._state.now())
         for action in actions:
+            self._pass_action(action, from_peer=from_peer)
             self._tell(action)
         if actions:
             self._state.fleet_changed.set()
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -84,6 +84,12 @@
             self._budgets[service] = found
         return found
 
+    def forget_peers(self) -> None:
+        """Forget what peers have told of their loads and repeats."""
+        self.loads.forget_peers()
+        for budget in self._budgets.values():
+            budget.forget_peers()
+
     def repeat_counts(self) -> tuple[RepeatCount, ...]:
         """Return what this instance has sent to each service, for its peers."""
         now = self.now()
--- a/driftstall/peers/messages.py
+++ b/driftstall/peers/messages.py
@@ -67,12 +67,34 @@
     number: int
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneSummary:
+    """Tell the collectors of other zones the sum of what one zone's instances report."""
+
+    sender: str
+    zone: str
+    routing_version: int
+    platform_age_ms: int
+    """How long ago the platform last answered the sender."""
+    instances: int
+    """How many instances the sums stand for."""
+    ready: tuple[str, ...]
+    uses: tuple[Use, ...]
+    repeats: tuple[RepeatCount, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class FleetSummary:
-    """Sum up the reports of a large fleet; sent by a collector to everyone."""
+    """Tell the instances of a zone the sum of all reports, and what the platform says."""
 
     sender: str
     routing_version: int
+    policy_revision: int
+    platform_age_ms: int
+    """How long ago the platform last answered any collector that the sender hears."""
+    fleet_digest: int
+    """Stands for the set of upstreams that take requests."""
+    instances: int
     ready: tuple[str, ...]
     uses: tuple[Use, ...]
     repeats: tuple[RepeatCount, ...]
@@ -96,9 +118,38 @@
     text: str
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamEntry:
+    """Carry an upstream that takes requests."""
+
+    upstream_id: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class FleetAsked:
+    """Ask a collector for all upstreams that take requests."""
+
+    sender: str
+
+
+@dataclass(frozen=True, slots=True)
+class FleetOffered:
+    """Pass on all upstreams that take requests."""
+
+    sender: str
+    at: int
+    """The newest revision that the sender has seen; what is newer is not in the list."""
+    upstreams: tuple[UpstreamEntry, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamNews:
-    """Pass a change of an upstream on to a peer that the platform does not answer."""
+    """Pass a change of an upstream on to a peer that does not learn it from the platform."""
 
     sender: str
     upstream_id: str
@@ -134,6 +185,9 @@
     | RoutingOffered
     | UpstreamNews
     | FleetSummary
+    | ZoneSummary
+    | FleetAsked
+    | FleetOffered
 )
 
 
--- a/driftstall/peers/schema.capnp
+++ b/driftstall/peers/schema.capnp
@@ -77,10 +77,23 @@
   uses @4 :List(Use); repeats @5 :List(RepeatCount); number @6 :UInt32;
 }
 struct ReportAck { instanceId @0 :Text; number @1 :UInt32; }
+struct ZoneSummary {
+  sender @0 :Text; zone @1 :Text; routingVersion @2 :UInt64; platformAgeMs @3 :UInt32;
+  instances @4 :UInt32; ready @5 :List(Text); uses @6 :List(Use);
+  repeats @7 :List(RepeatCount);
+}
 struct FleetSummary {
-  sender @0 :Text; routingVersion @1 :UInt64; ready @2 :List(Text); uses @3 :List(Use);
-  repeats @4 :List(RepeatCount); acks @5 :List(ReportAck);
+  sender @0 :Text; routingVersion @1 :UInt64; policyRevision @2 :UInt64;
+  platformAgeMs @3 :UInt32; fleetDigest @4 :UInt64; instances @5 :UInt32;
+  ready @6 :List(Text); uses @7 :List(Use); repeats @8 :List(RepeatCount);
+  acks @9 :List(ReportAck);
+}
+struct UpstreamEntry {
+  upstreamId @0 :Text; service @1 :Text; address @2 :Text; zone @3 :Text; slots @4 :UInt32;
+  revision @5 :UInt64;
 }
+struct FleetAsked { sender @0 :Text; }
+struct FleetOffered { sender @0 :Text; at @1 :UInt64; upstreams @2 :List(UpstreamEntry); }
 struct RoutingAsked { sender @0 :Text; version @1 :UInt64; }
 struct RoutingOffered { sender @0 :Text; version @1 :UInt64; text @2 :Text; }
 struct UpstreamNews {
@@ -115,5 +128,8 @@
     routingOffered @22 :RoutingOffered;
     upstreamNews @23 :UpstreamNews;
     fleetSummary @24 :FleetSummary;
+    zoneSummary @25 :ZoneSummary;
+    fleetAsked @26 :FleetAsked;
+    fleetOffered @27 :FleetOffered;
   }
 }
--- a/driftstall/platform/feeds.py
+++ b/driftstall/platform/feeds.py
@@ -96,8 +96,8 @@
         "zone": instance.zone,
     }
     kind, name = names.KIND_INSTANCES, instance.instance_id
-    if store.replace(kind, name, spec) is None:
-        store.create(kind, name, spec)
+    if store.create(kind, name, spec) is None:
+        store.replace(kind, name, spec)
 
 
 def withdraw_instance(store: Store, instance_id: str) -> None:
--- a/features/gateway/parts.feature
+++ b/features/gateway/parts.feature
@@ -113,20 +113,3 @@
   Scenario: one request's story is told from many logs
     Given logs of two instances that name request "r1"
     Then explaining "r1" shows its lines in order, and the notice of its upstream
-
-  Scenario: a small fleet needs no collectors
-    Then 16 instances need no collectors and 17 do
-
-  Scenario: all instances choose the same few strong collectors
-    Given 78 instances, of which a third have links of 100 Mbit/s and the others of 5
-    Then in any order the same 3 of the strong ones collect
-    And when one of them leaves the other two stay
-
-  Scenario: a summary is read without the own part
-    Given an instance that reported 700 tokens on "u1" and then 900
-    When a summary that has taken in its first report tells of 1500 tokens on "u1"
-    Then the others have 800 tokens there
-
-  Scenario: the retry budget of a large fleet is counted in common
-    Given a collector tells that 77 other instances made 20 repeats of a budget of 196
-    Then this instance may make more than its even part, and not all that is left
--- a/features/steps/gateway_feed_steps.py
+++ b/features/steps/gateway_feed_steps.py
@@ -11,10 +11,12 @@
 from behave import given, then, when
 
 from driftstall.exceptions import HistoryGone, PlatformUnavailable, SettingsError
+from driftstall.gateway.collectors import Roles
 from driftstall.gateway.feeds import Changes, Follower, ItemChange, Snapshot
 from driftstall.gateway.model import (
     RoutingText,
 )
+from driftstall.gateway.reliance import FleetPace, Reliance
 from driftstall.gateway.sources import RoutingSource
 from driftstall.platform.documents import read_routing
 from driftstall.platform.feeds import upstream_feed
@@ -79,7 +81,8 @@
     """Follow a scripted feed to its end."""
     context.recorder = Recorder()
     feed = ScriptedFeed(list(steps))
-    follower = Follower(feed, context.recorder, random.Random(1), sleep=lambda _: None)
+    pace = FleetPace(Reliance(random.Random(1)), Roles, lambda: 0.0)
+    follower = Follower(feed, context.recorder, random.Random(1), pace, sleep=lambda _: None)
     for _ in steps:
         follower.step()
 
--- a/features/steps/gateway_stream_steps.py
+++ b/features/steps/gateway_stream_steps.py
@@ -115,7 +115,7 @@
     )
     (run,) = world.state.runs.all
     assert run.backup is None
-    world.state.loads.forget("peer")
+    world.state.loads.forget_peers()
     context.engine = next(
         one for one in world.engines if one.upstream_id == run.upstream.upstream_id
     )
@@ -242,7 +242,7 @@
     context.asked = world.ask_later("/stream/a", request_id)
     wait_for("the request is open", lambda: world.state.open_requests == 1)
     context.ran_before = len(runs(world, request_id))
-    world.state.loads.forget("peer")
+    world.state.loads.forget_peers()
 
 
 @then("it was placed only after there was room")
