Keep a fault soak that runs the real gateway processes

Real processes behind loopback proxies, killed, stopped, paused, cut and reloaded while the store, the upstreams and the configuration change; promises are checked from what callers and upstreams saw. Each check of the soak has a test that fails it.

--- /dev/null
+++ b/features/parts/soak.feature
@@ -0,0 +1,47 @@
+Feature: The checks of the fault soak
+  Each check fails on what it is meant to find, and only on that.
+
+  Scenario: a run in which all was well breaks no promise
+    Given the record of a run in which all was well
+    Then no promise is broken
+
+  Scenario Outline: what is wrong is found
+    Given the record of a run in which all was well
+    When in the record <what>
+    Then a promise is broken: "<line>"
+
+    Examples:
+      | what                                                   | line                                     |
+      | a call that may run once has run twice                 | ran 2 times                              |
+      | a refused call has run                                 | said not to have run, but ran            |
+      | a refusal names no time to come back                   | refused without a time to come back      |
+      | a success has no mark of an upstream                   | a success that no upstream gave          |
+      | a success has another body                             | a success with another body              |
+      | a stream lacks an event                                | events out of order or missing           |
+      | a stream repeats an event                              | events out of order or missing           |
+      | a stream ends as complete too early                    | ended as complete after 2 events         |
+      | a known route is denied                                | denied though every configuration allows |
+      | an upstream has run what nobody asked                  | nobody asked for this                    |
+      | an upstream has run another path                       | nobody asked for this                    |
+      | an upstream got a call 3 s after its notice            | after its notice                         |
+      | an added route is denied by a calm instance            | an added route is not known              |
+      | a dropped route is served by a calm instance           | a dropped route is still served          |
+      | a calm instance gives no answer for 4 s                | no final answer for 4.0 s                |
+      | the last calls were not served                         | of the last                              |
+      | a process has ended by itself                          | ended by itself                          |
+
+  Scenario Outline: what a disturbance explains is not held against it
+    Given the record of a run in which all was well
+    When in the record <what>
+    And its instance was disturbed at that time
+    Then no promise is broken
+
+    Examples:
+      | what                                         |
+      | an upstream got a call 3 s after its notice  |
+      | an added route is denied by a calm instance  |
+      | a dropped route is served by a calm instance |
+      | a calm instance gives no answer for 4 s      |
+
+  Scenario: a seed always gives the same plan, and leaves the end calm
+    Then seed 7 gives one plan of overlapping faults, seed 8 another, both end early
--- a/features/steps/gateway_node_steps.py
+++ b/features/steps/gateway_node_steps.py
@@ -3,23 +3,18 @@
 from __future__ import annotations
 
 import signal
-import subprocess
-import sys
 import tempfile
 from pathlib import Path
 from typing import Any
 
 import gevent
-import orjson
 from behave import given, then, when
 from gevent import socket
 from gevent.server import StreamServer
 
 from driftstall.cli.main import main as command
-from driftstall.exceptions import UpstreamError
 from driftstall.platform.names import KIND_CONFIG, KIND_UPSTREAMS, NAME_CONFIG
 from driftstall.platform.store import Store
-from driftstall.util.http import Exchange
 from features.worlds.gateway_world import (
     HOST,
     Received,
@@ -29,7 +24,8 @@
     route,
     wait_for,
 )
-from measures.bench import Bench, free_port
+from measures.bench import Bench
+from measures.gateway_process import GatewayProcess
 from stand_ins.routed import RoutedUpstream
 
 PROCESS_WAIT_S = 15.0
@@ -86,64 +82,13 @@
             return
 
 
-class Node:
-    """Hold one gateway process and its addresses."""
+class Node(GatewayProcess):
+    """Hold one gateway process that serves short tests."""
 
-    def __init__(self, name: str, store: str, folder: Path) -> None:
+    def __init__(self, number: int, store: str, folder: Path) -> None:
         """Start the process."""
-        self.name = name
-        self.listen = {
-            part: f"127.0.0.1:{free_port()}" for part in ("front", "ready", "directory", "control")
-        }
-        self.path = folder / f"{name}.json"
-        self.settings: dict[str, Any] = {
-            "nodeName": name,
-            "zone": "a",
-            "ip": f"127.0.0.{3 + int(name[-1])}",
-            "listen": self.listen,
-            "platform": {"address": store},
-            "seeds": [],
-            "bounds": {"graceS": 2, "ttl_max_s": 1},
-        }
-        self.write(self.settings)
-        self.log = folder / f"{name}.log"
-        with self.log.open("wb") as output:
-            self.process = subprocess.Popen(
-                [sys.executable, "-m", "driftstall.platform"],
-                env={
-                    "PYTHONFAULTHANDLER": "1",
-                    "DRIFTSTALL_CONFIG": str(self.path),
-                    "PATH": "/usr/bin:/bin",
-                },
-                stdout=output,
-                stderr=subprocess.STDOUT,
-            )
-
-    def write(self, settings: dict[str, Any]) -> None:
-        """Write the settings file."""
-        self.path.write_bytes(orjson.dumps(settings))
-
-    def get(self, part: str, path: str) -> tuple[int, bytes]:
-        """Make one call to a listener."""
-        address = self.listen.get(part) or f"{self.settings['ip']}:9464"
-        exchange = Exchange.open(address, "GET", path, {}, b"", 3.0)
-        body = exchange.read()
-        return exchange.status, body
-
-    def ready(self) -> bool:
-        """Tell whether the process says that it is ready."""
-        try:
-            return self.get("ready", "/api/ready")[0] == 200
-        except UpstreamError:
-            return False
-
-    def located(self) -> set[str]:
-        """Return the addresses that the process locates."""
-        try:
-            status, body = self.get("directory", f"/api/resolve?name={HOST}&zone=b")
-        except UpstreamError:
-            return set()
-        return set(orjson.loads(body)["addresses"]) if status == 200 else set()
+        bounds = {"graceS": 2, "ttl_max_s": 1}
+        super().__init__(f"node-{number}", number, store, folder, {"bounds": bounds})
 
     def ask(self, path: str, request_id: str) -> Received:
         """Ask as a caller."""
@@ -182,7 +127,7 @@
 def start_node(context: Any, store: str) -> None:
     """Start one more process."""
     folder = Path(tempfile.mkdtemp(prefix="driftstall-"))
-    node = Node(f"node-{len(context.nodes) + 1}", store, folder)
+    node = Node(len(context.nodes) + 1, store, folder)
     context.nodes.append(node)
     context.add_cleanup(node.process.wait)
     context.add_cleanup(node.process.kill)
@@ -210,7 +155,7 @@
     addresses = {node.listen["front"] for node in context.nodes}
     for node in context.nodes:
         wait_long(f"{node.name} is ready", node.ready)
-        wait_long(f"{node.name} locates both", lambda one=node: one.located() == addresses)
+        wait_long(f"{node.name} locates both", lambda one=node: one.located(HOST) == addresses)
 
 
 @then("both serve calls and show metrics")
@@ -310,7 +255,7 @@
     """Look at both."""
     first, second = context.nodes
     wait_for("it is not ready", lambda: not first.ready())
-    wait_long("the second locates itself", lambda: second.located() == {second.listen["front"]})
+    wait_long("the second locates itself", lambda: second.located(HOST) == {second.listen["front"]})
 
 
 @then("it ends by itself with 0")
--- /dev/null
+++ b/features/steps/soak_steps.py
@@ -0,0 +1,166 @@
+"""Check that the soak's checks find what they are meant to find."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+from behave import given, then, when
+
+from soak.checks import broken_promises
+from soak.ledger import Arrival, Asked, Ledger, Notice, Sort
+from soak.plan import CALM_LAST_S, draw
+from soak.run import Size, Soak
+
+EVENTS = 3
+START = 1000.0
+LATER = START + 50.0
+"""Well before the last seconds, in which nearly all must be served."""
+
+
+def stream_body(*numbers: int) -> bytes:
+    """Return a stream's body."""
+    return b"".join(b"id: %d\ndata: piece %d\n\n" % (number, number) for number in numbers)
+
+
+def good(ledger: Ledger, name: str, sort: Sort, at: float, path: str = "") -> Asked:
+    """Add a request that was served well."""
+    body = stream_body(1, 2, 3) if sort is Sort.STREAM else b"whole"
+    target = path or f"/{sort}/x"
+    asked = Asked(name, sort, target, "instance-1", at, 2.0, at + 0.1, 200, True, True, body)
+    ledger.asked[name] = asked
+    ledger.arrivals.append(Arrival(name, "u1", target, at + 0.05, False))
+    return asked
+
+
+@given("the record of a run in which all was well")
+def all_well(context: Any) -> None:
+    """Record some requests of each sort."""
+    ledger = context.ledger = Ledger(EVENTS)
+    for index in range(100):
+        sort = (Sort.SAFE, Sort.ONCE, Sort.STREAM)[index % 3]
+        good(ledger, f"r{index}", sort, START + index)
+    context.once = good(ledger, "once", Sort.ONCE, LATER)
+    context.stream = good(ledger, "stream", Sort.STREAM, LATER)
+    refused = good(ledger, "refused", Sort.ONCE, LATER)
+    refused.status, refused.body, refused.sealed = 503, b'{"retry_after_s": 0.4}', False
+    ledger.arrivals.pop()
+    context.refused = refused
+    context.changed = context.once
+
+
+def arrive(context: Any, name: str, upstream: str, target: str, at: float) -> None:
+    """Record one more arrival."""
+    context.ledger.arrivals.append(Arrival(name, upstream, target, at, False))
+
+
+def late_arrival(context: Any) -> None:
+    """Let an upstream get a call long after its notice."""
+    context.ledger.notices["u9"] = Notice("u9", LATER - 3.0)
+    arrive(context, "late", "u9", "/safe/x", LATER)
+    context.ledger.asked["late"] = replace(context.once, request_id="late", sort=Sort.SAFE)
+    context.ledger.asked["late"].path = "/safe/x"
+
+
+def probe(context: Any, sort: Sort, status: int) -> None:
+    """Record a probe of the configuration."""
+    asked = good(context.ledger, "probe", sort, LATER, "/added3/x")
+    asked.status = status
+    asked.sealed = status == 200
+    if status != 200:
+        context.ledger.arrivals.pop()
+
+
+def unanswered(context: Any) -> None:
+    """Let a call wait too long."""
+    context.once.ended_at = context.once.sent_at + 4.0
+
+
+def break_off(context: Any, body: bytes) -> None:
+    """Let the stream break off after a body."""
+    context.stream.body, context.stream.complete = body, False
+
+
+def last_unserved(context: Any) -> None:
+    """Let the last calls break off."""
+    for index in range(97, 100):
+        context.ledger.asked[f"r{index}"].status = 0
+
+
+CHANGES: dict[str, Callable[[Any], Any]] = {
+    "a call that may run once has run twice": lambda c: arrive(
+        c, "once", "u2", "/once/x", LATER + 0.2
+    ),
+    "a refused call has run": lambda c: arrive(c, "refused", "u1", "/once/x", LATER),
+    "a refusal names no time to come back": lambda c: setattr(c.refused, "body", b"{}"),
+    "a success has no mark of an upstream": lambda c: setattr(c.once, "sealed", False),
+    "a success has another body": lambda c: setattr(c.once, "body", b"other"),
+    "a stream lacks an event": lambda c: break_off(c, stream_body(1, 3)),
+    "a stream repeats an event": lambda c: break_off(c, stream_body(1, 2, 2)),
+    "a stream ends as complete too early": lambda c: setattr(c.stream, "body", stream_body(1, 2)),
+    "a known route is denied": lambda c: setattr(c.once, "status", 404),
+    "an upstream has run what nobody asked": lambda c: arrive(c, "x", "u1", "/safe/x", LATER),
+    "an upstream has run another path": lambda c: setattr(c.once, "path", "/once/y"),
+    "an upstream got a call 3 s after its notice": late_arrival,
+    "an added route is denied by a calm instance": lambda c: probe(c, Sort.ADDED, 404),
+    "a dropped route is served by a calm instance": lambda c: probe(c, Sort.DROPPED, 200),
+    "a calm instance gives no answer for 4 s": unanswered,
+    "the last calls were not served": last_unserved,
+    "a process has ended by itself": lambda c: c.ledger.ended.append("x ended by itself with 139"),
+}
+
+
+@when("in the record {what}")
+def change(context: Any, what: str) -> None:
+    """Change the record."""
+    CHANGES[what](context)
+
+
+@when("its instance was disturbed at that time")
+def disturbed(context: Any) -> None:
+    """Record a disturbance."""
+    context.ledger.disturb("instance-1", LATER - 1.0, LATER + 1.0)
+
+
+@then("no promise is broken")
+def none_broken(context: Any) -> None:
+    """Check the record."""
+    assert broken_promises(context.ledger) == []
+
+
+@then('a promise is broken: "{line}"')
+def one_broken(context: Any, line: str) -> None:
+    """Check the record."""
+    found = broken_promises(context.ledger)
+    assert found and all(line in one for one in found), found
+
+
+@then(
+    "seed {first:d} gives one plan of overlapping faults, seed {second:d} another, both end early"
+)
+def plans(context: Any, first: int, second: int) -> None:
+    """Draw plans."""
+    one, again, other = (
+        draw(seed, instances=4, upstreams=5, seconds=60.0) for seed in (first, first, second)
+    )
+    assert one == again and one != other
+    assert all(step.at_s + step.for_s <= 60.0 - CALM_LAST_S + 0.5 for step in (*one, *other))
+    pairs = zip(one, one[1:], strict=False)
+    assert any(after.at_s < before.at_s + before.for_s for before, after in pairs)
+
+
+@given("a soak of seed {seed:d} with {instances:d} instances for {seconds:d} s")
+def short_soak(context: Any, seed: int, instances: int, seconds: int) -> None:
+    """Play one seed."""
+    context.soak = Soak(seed, Size(instances=instances, callers=6, seconds=float(seconds)))
+    context.add_cleanup(context.soak.close)
+
+
+@then("it breaks no promise")
+def breaks_none(context: Any) -> None:
+    """Play it, and look for lines; some requests must have been served under the faults."""
+    broken = context.soak.play()
+    assert not broken, (broken, context.soak.folder)
+    served = [one for one in context.soak.ledger.asked.values() if one.status == 200]
+    assert len(served) > 50, len(served)
--- /dev/null
+++ b/measures/gateway_process.py
@@ -0,0 +1,103 @@
+"""Start one gateway process with its settings file, for tests and the soak."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from driftstall.exceptions import UpstreamError
+from driftstall.util.http import Exchange
+from measures.bench import free_port
+
+CALL_TIMEOUT_S = 3.0
+
+
+class GatewayProcess:
+    """Hold one gateway process and its addresses; a restart keeps them."""
+
+    def __init__(
+        self, name: str, number: int, store: str, folder: Path, settings: dict[str, Any]
+    ) -> None:
+        """Write the settings and start the process.
+
+        Each number of a run has a loopback address of its own for the metrics, whose port
+        is fixed.
+        """
+        self.name = name
+        self.listen = {
+            part: f"127.0.0.1:{free_port()}" for part in ("front", "ready", "directory", "control")
+        }
+        self.settings: dict[str, Any] = {
+            "nodeName": name,
+            "zone": "a",
+            "ip": _loopback(number),
+            "listen": self.listen,
+            "platform": {"address": store},
+            "seeds": [],
+        } | settings
+        self.path = folder / f"{name}.json"
+        self.log = folder / f"{name}.log"
+        self.write(self.settings)
+        self.process = self._spawn()
+
+    def write(self, settings: dict[str, Any]) -> None:
+        """Write the settings file."""
+        self.path.write_bytes(orjson.dumps(settings))
+
+    def restart(self) -> None:
+        """Start the process again after its end."""
+        self.process.wait()
+        self.process = self._spawn()
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to this process, if it still runs."""
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def get(self, part: str, path: str) -> tuple[int, bytes]:
+        """Make one call to a listener; raise UpstreamError in vain."""
+        address = self.listen.get(part) or f"{self.settings['ip']}:9464"
+        exchange = Exchange.open(address, "GET", path, {}, b"", CALL_TIMEOUT_S)
+        body = exchange.read()
+        return exchange.status, body
+
+    def ready(self) -> bool:
+        """Tell whether the process says that it is ready."""
+        try:
+            return self.get("ready", "/api/ready")[0] == 200
+        except UpstreamError:
+            return False
+
+    def located(self, host: str) -> set[str]:
+        """Return the addresses that the process locates."""
+        try:
+            status, body = self.get("directory", f"/api/resolve?name={host}&zone=b")
+        except UpstreamError:
+            return set()
+        return set(orjson.loads(body)["addresses"]) if status == 200 else set()
+
+    def _spawn(self) -> subprocess.Popen[bytes]:
+        """Start the process; its output goes to the log file."""
+        with self.log.open("ab") as output:
+            return subprocess.Popen(
+                [sys.executable, "-m", "driftstall.platform"],
+                env={
+                    "PYTHONFAULTHANDLER": "1",
+                    "DRIFTSTALL_CONFIG": str(self.path),
+                    "PATH": "/usr/bin:/bin",
+                },
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+
+
+def _loopback(number: int) -> str:
+    """Return a loopback address that no other run on this machine uses."""
+    run = os.getpid()
+    return f"127.{run // 256 % 256}.{run % 256}.{1 + number}"
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Run the real gateway processes under random faults and check their promises."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,58 @@
+"""Run the fault soak: real processes, faults from outside, promises checked.
+
+Usage:
+  soak [--seed=N] [--runs=N] [--instances=N] [--callers=N] [--seconds=S]
+
+Options:
+  --seed=N       First seed; without it a fresh one is drawn.
+  --runs=N       Seeds to play, one after another [default: 1].
+  --instances=N  Gateway processes [default: 4].
+  --callers=N    Callers [default: 12].
+  --seconds=S    Seconds of traffic, 10 or more [default: 20].
+
+Each seed that breaks a promise is printed with its lines and the folder of its logs.
+"""
+
+from __future__ import annotations
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import random  # noqa: E402
+import sys  # noqa: E402
+
+from docopt import docopt  # noqa: E402
+
+from soak.run import Size, Soak  # noqa: E402
+
+
+def play(seed: int, size: Size) -> bool:
+    """Play one seed and print what it broke; return whether all promises held."""
+    run = Soak(seed, size)
+    try:
+        broken = run.play()
+    finally:
+        run.close()
+    asked = len(run.ledger.asked)
+    served = sum(one.status == 200 and one.complete for one in run.ledger.asked.values())
+    print(f"seed {seed}: {len(broken)} broken, {served} of {asked} requests served", flush=True)
+    for line in broken:
+        print(f"  {line}")
+    if broken:
+        print(f"  logs in {run.folder}", flush=True)
+    return not broken
+
+
+def main() -> int:
+    """Play the seeds; zero only if none broke a promise."""
+    options = docopt(__doc__)
+    size = Size(int(options["--instances"]), int(options["--callers"]), float(options["--seconds"]))
+    first = int(options["--seed"] or random.SystemRandom().randrange(1_000_000))
+    held = [play(first + number, size) for number in range(int(options["--runs"]))]
+    print(f"{sum(held)} seeds held, {len(held) - sum(held)} broke a promise")
+    return 0 if all(held) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/checks.py
@@ -0,0 +1,132 @@
+"""Check the promises on what callers and upstreams saw; each broken one gives a line."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterator
+from typing import Final
+
+from soak.ledger import STORE, Arrival, Asked, Ledger, Sort
+
+NOT_RUN: Final = frozenset({408, 421, 429, 503})
+"""Statuses that promise that the request has not run and never will."""
+DENIED: Final = frozenset({400, 401, 403, 404, 413, 431})
+CONTACT_S: Final = 4.0
+"""A part that was disturbed counts as calm again after this time (contactMs)."""
+LATE_S: Final = 0.5
+"""How long after its time an answer may come."""
+DRAIN_S: Final = 2.0
+"""An upstream that leaves gets nothing after this time (drainMs)."""
+APPLY_S: Final = 2.0
+"""A configuration is in force after this time (configApplyMs)."""
+RECOVERED_SHARE: Final = 0.9
+"""Share of the requests of the last seconds that must be served."""
+LAST_S: Final = 2.0
+MACHINE_SLACK_S: Final = 0.5
+"""Many processes share few cores here; bounds in time are checked with this much more."""
+
+
+def broken_promises(ledger: Ledger) -> list[str]:
+    """Return a line for each broken promise."""
+    runs: dict[str, list[Arrival]] = defaultdict(list)
+    for arrival in ledger.arrivals:
+        runs[arrival.request_id].append(arrival)
+    found = [*ledger.ended, *ledger.not_ready]
+    for one in ledger.asked.values():
+        found += [f"{line}: {_describe(one)}" for line in _request(ledger, one, runs)]
+    found += list(_unasked(ledger))
+    found += list(_after_notice(ledger))
+    found += list(_recovery(ledger))
+    return found
+
+
+def _request(ledger: Ledger, one: Asked, runs: dict[str, list[Arrival]]) -> Iterator[str]:
+    """Check one request by itself."""
+    ran = [arrival for arrival in runs[one.request_id] if not arrival.goes_on]
+    if one.sort in (Sort.ONCE, Sort.STREAM) and len(ran) > 1:
+        yield f"ran {len(ran)} times"
+    if one.status in NOT_RUN and ran:
+        yield "said not to have run, but ran"
+    if one.status in NOT_RUN and b"retry" not in one.body and one.status == 503:
+        yield "refused without a time to come back"
+    if one.status == 200 and not one.sealed:
+        yield "a success that no upstream gave"
+    if one.sort is Sort.STREAM and one.status == 200:
+        yield from _stream(ledger, one)
+    elif one.status == 200 and one.complete and one.body != b"whole":
+        yield "a success with another body"
+    if one.sort in (Sort.SAFE, Sort.ONCE, Sort.STREAM) and one.status in DENIED:
+        yield "denied though every configuration allows it"
+    yield from _configuration(ledger, one)
+    yield from _in_time(ledger, one)
+
+
+def _stream(ledger: Ledger, one: Asked) -> Iterator[str]:
+    """Check the events of a stream."""
+    events = one.events
+    if events != list(range(1, len(events) + 1)):
+        yield f"events out of order or missing: {events}"
+    if one.complete and len(events) != ledger.events:
+        yield f"ended as complete after {len(events)} events"
+
+
+def _configuration(ledger: Ledger, one: Asked) -> Iterator[str]:
+    """Check what the newest configuration has changed, at calm instances."""
+    if one.sort not in (Sort.ADDED, Sort.DROPPED) or not _calm(ledger, one):
+        return
+    if one.sort is Sort.ADDED and one.status in DENIED:
+        yield "an added route is not known"
+    if one.sort is Sort.DROPPED and one.status == 200:
+        yield "a dropped route is still served"
+
+
+def _in_time(ledger: Ledger, one: Asked) -> Iterator[str]:
+    """Check that the final answer came in time, from a calm instance."""
+    took_s = one.ended_at - one.sent_at
+    if took_s > one.timeout_s + LATE_S + MACHINE_SLACK_S and _calm(ledger, one):
+        yield f"no final answer for {took_s:.1f} s"
+
+
+def _calm(ledger: Ledger, one: Asked) -> bool:
+    """Tell whether the instance and the store were calm around a request."""
+    begins = one.sent_at - CONTACT_S
+    return all(ledger.calm(name, begins, one.ended_at) for name in (one.instance, STORE))
+
+
+def _unasked(ledger: Ledger) -> Iterator[str]:
+    """Check that upstreams saw only what callers have sent."""
+    for arrival in ledger.arrivals:
+        asked = ledger.asked.get(arrival.request_id)
+        if asked is None or asked.path != arrival.target:
+            yield f"nobody asked for this: {arrival}"
+
+
+def _after_notice(ledger: Ledger) -> Iterator[str]:
+    """Check that an upstream that leaves gets nothing from calm instances any more."""
+    for arrival in ledger.arrivals:
+        notice = ledger.notices.get(arrival.upstream_id)
+        if notice is None or arrival.at <= notice.at + DRAIN_S + MACHINE_SLACK_S:
+            continue
+        asked = ledger.asked[arrival.request_id]
+        begins = notice.at - CONTACT_S
+        if all(ledger.calm(name, begins, arrival.at) for name in (asked.instance, STORE)):
+            late = arrival.at - notice.at
+            yield f"sent to {arrival.upstream_id} {late:.1f} s after its notice: {_describe(asked)}"
+
+
+def _recovery(ledger: Ledger) -> Iterator[str]:
+    """Check that nearly all is served once all faults have ended."""
+    usual = [one for one in ledger.asked.values() if one.sort in (Sort.SAFE, Sort.ONCE)]
+    end = max((one.sent_at for one in usual), default=0.0)
+    last = [one for one in usual if one.sent_at >= end - LAST_S]
+    served = sum(one.status == 200 and one.complete for one in last)
+    if served < RECOVERED_SHARE * len(last):
+        yield f"only {served} of the last {len(last)} calls were served"
+
+
+def _describe(one: Asked) -> str:
+    """Return what one needs to look a request up in the logs."""
+    return (
+        f"request {one.request_id} ({one.sort}) to {one.instance} at {one.sent_at:.2f} s, "
+        f"status {one.status}, complete {one.complete}, took {one.ended_at - one.sent_at:.2f} s"
+    )
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,127 @@
+"""Hold the upstreams of a run: stand-ins behind proxies, each listed in the store."""
+
+from __future__ import annotations
+
+import itertools
+import time
+from typing import Any, Final
+
+import gevent
+
+from driftstall.exceptions import PlatformUnavailable
+from driftstall.platform.names import KIND_UPSTREAMS
+from driftstall.platform.store import Store
+from soak.ledger import Arrival, Ledger, Notice
+from soak.proxy import Proxy
+from stand_ins.routed import RoutedUpstream, Script, Seen
+
+EVENTS: Final = 25
+EVENT_PAUSE_S: Final = 0.03
+WORK_S: Final = 0.02
+SERVES_ON_S: Final = 2.5
+"""An upstream serves on so long after its notice (drainMs and a little)."""
+LAPSE_S: Final = 1.5
+"""The entry of one that crashed goes after so long."""
+STORE_RETRY_S: Final = 0.1
+
+
+def usual() -> Script:
+    """Return what upstreams do with a request."""
+    return Script(events=EVENTS, event_pause_s=EVENT_PAUSE_S, work_s=WORK_S)
+
+
+class RecordingUpstream(RoutedUpstream):
+    """Serve as a stand-in, and record when each request arrived."""
+
+    def __init__(self, upstream_id: str, ledger: Ledger) -> None:
+        """Start to listen."""
+        super().__init__(upstream_id, usual)
+        self._ledger = ledger
+
+    def saw(self, seen: Seen) -> None:
+        """Record a request that is run here."""
+        goes_on = "kv-from" in seen.headers
+        self._ledger.arrivals.append(
+            Arrival(seen.request_id, self.upstream_id, seen.target, time.monotonic(), goes_on)
+        )
+
+
+class Listed:
+    """Hold one place of the fleet: a new upstream takes it when the old one goes."""
+
+    def __init__(self, place: int, service: str, store: Store, ledger: Ledger) -> None:
+        """Start the first upstream."""
+        self.place = place
+        self.service = service
+        self._store = store
+        self._ledger = ledger
+        self._starts = itertools.count(1)
+        self.all: list[Listed] = []
+        self._begin()
+
+    def _begin(self) -> None:
+        """Start an upstream with a new id, and list it."""
+        name = f"{self.service}-{self.place}-{next(self._starts)}"
+        self.upstream = RecordingUpstream(name, self._ledger)
+        self.proxy = Proxy(self.upstream.address)
+        self._write(name, self._spec("ready"))
+        for one in self.all:
+            one.upstream.peers = {other.proxy.address: other.upstream for other in self.all}
+
+    def leave(self) -> None:
+        """Say so in the store, serve on for a while and end; another one comes."""
+        old, proxy = self.upstream, self.proxy
+        if self._write(old.upstream_id, self._spec("draining")):
+            self._note(old.upstream_id)
+        self._begin()
+        gevent.spawn_later(SERVES_ON_S, self._end, old, proxy)
+
+    def remove(self) -> None:
+        """Be gone from the store without a word, serve on for a while and end."""
+        old, proxy = self.upstream, self.proxy
+        self._delete(old.upstream_id)
+        self._begin()
+        gevent.spawn_later(SERVES_ON_S, self._end, old, proxy)
+
+    def crash(self) -> None:
+        """End at once; the entry lapses later."""
+        old, proxy = self.upstream, self.proxy
+        self._begin()
+        proxy.stop()
+        gevent.spawn_later(LAPSE_S, self._delete, old.upstream_id)
+        gevent.spawn_later(LAPSE_S, old.stop)
+
+    def _end(self, old: RecordingUpstream, proxy: Proxy) -> None:
+        """End an upstream that has left."""
+        proxy.stop()
+        old.stop()
+        self._delete(old.upstream_id)
+
+    def _spec(self, state: str) -> dict[str, Any]:
+        """Return the entry in the store."""
+        fields = {"service": self.service, "address": self.proxy.address, "zone": "a"}
+        return fields | {"slots": 64, "state": state}
+
+    def _note(self, upstream_id: str) -> None:
+        """Note that the store has acknowledged a notice."""
+        self._ledger.notices.setdefault(upstream_id, Notice(upstream_id, time.monotonic()))
+
+    def _write(self, name: str, spec: dict[str, Any]) -> bool:
+        """Write an entry, again and again while the store is away."""
+        while True:
+            try:
+                if self._store.replace(KIND_UPSTREAMS, name, spec) is None:
+                    self._store.create(KIND_UPSTREAMS, name, spec)
+                return True
+            except PlatformUnavailable:
+                gevent.sleep(STORE_RETRY_S)
+
+    def _delete(self, name: str) -> None:
+        """Delete an entry, again and again while the store is away."""
+        while True:
+            try:
+                self._store.delete(KIND_UPSTREAMS, name)
+                self._note(name)
+                return
+            except PlatformUnavailable:
+                gevent.sleep(STORE_RETRY_S)
--- /dev/null
+++ b/soak/ledger.py
@@ -0,0 +1,99 @@
+"""Record what callers sent and got, what upstreams saw, and what was disturbed when."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+STORE = "store"
+
+
+class Sort(StrEnum):
+    """Name the sort of a request."""
+
+    SAFE = "safe"
+    ONCE = "once"
+    STREAM = "stream"
+    ADDED = "added"
+    """To the route that the newest configuration has added."""
+    DROPPED = "dropped"
+    """To a route that the newest configuration does not hold any more."""
+
+
+@dataclass(slots=True)
+class Asked:
+    """Hold one request of a caller, and how it ended."""
+
+    request_id: str
+    sort: Sort
+    path: str
+    instance: str
+    sent_at: float
+    timeout_s: float
+    ended_at: float = 0.0
+    status: int = 0
+    """Zero if the connection ended without an answer."""
+    sealed: bool = False
+    """Whether the answer carries the mark of an upstream."""
+    complete: bool = False
+    body: bytes = b""
+
+    @property
+    def events(self) -> list[int]:
+        """Return the numbers of the events that arrived whole."""
+        whole = self.body.split(b"\n\n")[:-1]
+        return [int(one.split(b"\n")[0].removeprefix(b"id: ")) for one in whole]
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """Hold one request as it reached an upstream."""
+
+    request_id: str
+    upstream_id: str
+    target: str
+    at: float
+    goes_on: bool
+    """Whether it goes on at a copy of a run."""
+
+
+@dataclass(frozen=True, slots=True)
+class Notice:
+    """Hold when the store acknowledged that an upstream leaves or is gone."""
+
+    upstream_id: str
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Window:
+    """Hold a span of time in which something was disturbed."""
+
+    begins: float
+    ends: float
+
+
+@dataclass(slots=True)
+class Ledger:
+    """Hold everything that the checks look at."""
+
+    events: int
+    """Events of a whole stream."""
+    asked: dict[str, Asked] = field(default_factory=dict)
+    arrivals: list[Arrival] = field(default_factory=list)
+    notices: dict[str, Notice] = field(default_factory=dict)
+    disturbed: dict[str, list[Window]] = field(default_factory=lambda: defaultdict(list))
+    """By name of an instance or an upstream, or STORE."""
+    ended: list[str] = field(default_factory=list)
+    """Processes that ended though nobody told them to."""
+    not_ready: list[str] = field(default_factory=list)
+    """Instances that were not ready at the end."""
+
+    def disturb(self, name: str, begins: float, ends: float) -> None:
+        """Note that something is disturbed for a while."""
+        self.disturbed[name].append(Window(begins, ends))
+
+    def calm(self, name: str, begins: float, ends: float) -> bool:
+        """Tell whether nothing disturbed a part during a span of time."""
+        return all(one.ends < begins or one.begins > ends for one in self.disturbed[name])
--- /dev/null
+++ b/soak/plan.py
@@ -0,0 +1,110 @@
+"""Draw a plan of faults and changes from a seed; the same seed gives the same plan."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Final
+
+CALM_FIRST_S: Final = 1.0
+CALM_LAST_S: Final = 6.0
+"""The last seconds are left without faults, so that recovery can be checked."""
+MEAN_GAP_S: Final = 0.8
+"""Mean time between two steps; faults last longer, so they overlap."""
+SERIES: Final = 3
+"""Signals and changes also come in series of so many."""
+
+
+class Kind(StrEnum):
+    """Name what a step does."""
+
+    KILL = "kill"
+    STOP = "stop"
+    PAUSE = "pause"
+    RELOAD = "reload"
+    STORE_LINK = "store link"
+    UPSTREAM_LINK = "upstream link"
+    STORE_DOWN = "store down"
+    STORE_SILENT = "store silent"
+    STORE_SLOW = "store slow"
+    STORE_FORGETS = "store forgets"
+    STORE_LOSES = "store loses answers"
+    LEAVE = "upstream leaves"
+    REMOVE = "upstream removed"
+    CRASH = "upstream crashes"
+    CONFIGURE = "configuration changes"
+
+
+class Fault(StrEnum):
+    """Name what a link suffers."""
+
+    DELAY = "delay"
+    RESET = "reset"
+    CUT_OUT = "cut out"
+    """What is sent through the link is lost; what comes back passes."""
+    CUT_BACK = "cut back"
+    SILENT = "silent"
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """Hold one step of the plan."""
+
+    at_s: float
+    """Seconds from the start of traffic."""
+    kind: Kind
+    target: int
+    """Number of the instance or upstream, where the kind has one."""
+    for_s: float
+    fault: Fault = Fault.DELAY
+
+
+WEIGHTS: Final[dict[Kind, float]] = {
+    Kind.KILL: 1.0,
+    Kind.STOP: 1.0,
+    Kind.PAUSE: 1.0,
+    Kind.RELOAD: 0.5,
+    Kind.STORE_LINK: 1.5,
+    Kind.UPSTREAM_LINK: 1.5,
+    Kind.STORE_DOWN: 0.5,
+    Kind.STORE_SILENT: 0.4,
+    Kind.STORE_SLOW: 0.4,
+    Kind.STORE_FORGETS: 0.4,
+    Kind.STORE_LOSES: 0.4,
+    Kind.LEAVE: 1.5,
+    Kind.REMOVE: 0.7,
+    Kind.CRASH: 0.7,
+    Kind.CONFIGURE: 1.5,
+}
+"""How often each kind is drawn; all faults that one seldom sees alone are well mixed in."""
+
+
+def draw(seed: int, *, instances: int, upstreams: int, seconds: float) -> tuple[Step, ...]:
+    """Return the steps of a run, in their order."""
+    source = random.Random(seed)
+    steps: list[Step] = []
+    at = CALM_FIRST_S
+    last = seconds - CALM_LAST_S
+    while True:
+        at += source.expovariate(1 / MEAN_GAP_S)
+        if at >= last:
+            return tuple(sorted(steps, key=lambda one: one.at_s))
+        kind = source.choices(list(WEIGHTS), list(WEIGHTS.values()))[0]
+        times = SERIES if source.random() < 0.15 else 1
+        steps += [
+            _step(source, kind, at + 0.1 * index, last, instances, upstreams)
+            for index in range(times)
+        ]
+
+
+def _step(
+    source: random.Random, kind: Kind, at: float, last: float, instances: int, upstreams: int
+) -> Step:
+    """Draw what one step hits, for how long and how."""
+    pick: Callable[[int], int] = source.randrange
+    of_upstream = kind in (Kind.UPSTREAM_LINK, Kind.LEAVE, Kind.REMOVE, Kind.CRASH)
+    target = pick(upstreams if of_upstream else instances)
+    for_s = min(source.uniform(0.2, 3.0), max(0.1, last - at))
+    return Step(at, kind, target, for_s, source.choice(list(Fault)))
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,335 @@
+"""Play one seed: real gateway processes, traffic, the plan's steps, then the checks."""
+
+from __future__ import annotations
+
+import itertools
+import random
+import signal
+import tempfile
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Final
+
+import gevent
+import orjson
+
+from driftstall.exceptions import PlatformUnavailable, UpstreamError
+from driftstall.platform.names import KIND_CONFIG, NAME_CONFIG
+from driftstall.platform.store import Store
+from features.worlds.gateway_world import HOST, document, route
+from measures.bench import Bench, BenchError
+from measures.gateway_process import GatewayProcess
+from soak.caller import CallerConnection
+from soak.checks import APPLY_S, DRAIN_S, broken_promises
+from soak.fleet import EVENTS, Listed
+from soak.ledger import STORE, Asked, Ledger, Sort
+from soak.plan import Kind, Step, draw
+from soak.proxy import Proxy
+
+GRACE_S: Final = 3.0
+"""Time from SIGTERM to SIGKILL (graceS)."""
+TIMEOUTS_S: Final = {Sort.STREAM: 6.0}
+CALL_TIMEOUT_S: Final = 2.0
+LOCATED_S: Final = 1.0
+"""How long a caller keeps located addresses."""
+PROBE_EVERY_S: Final = 0.4
+READY_S: Final = 40.0
+"""Time in which all instances are ready; they share few cores when they start at once."""
+END_S: Final = 12.0
+PORTALS: Final = 2
+ENGINES: Final = 3
+REJECTED_PAUSE_S: Final = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    """Say how large a run is."""
+
+    instances: int = 4
+    callers: int = 12
+    seconds: float = 20.0
+
+
+class Soak:
+    """Play one seed."""
+
+    def __init__(self, seed: int, size: Size) -> None:
+        """Start the store, the upstreams and the instances."""
+        self._seed = seed
+        self._size = size
+        self._source = random.Random(seed)
+        self._numbers = itertools.count(1)
+        self._version = 1
+        self._acked: tuple[int, float] = (1, 0.0)
+        """The newest version that the store has acknowledged, and when."""
+        self._traffic = True
+        self.folder = Path(tempfile.mkdtemp(prefix=f"driftstall-soak-{seed}-"))
+        self.ledger = Ledger(EVENTS)
+        self._bench = Bench(self.folder)
+        address = self._bench.start_platform().address
+        self._store = Store(address)
+        self._store.create(KIND_CONFIG, NAME_CONFIG, self._document())
+        services = ["portal"] * PORTALS + ["engines"] * ENGINES
+        self._fleet = [
+            Listed(place, service, self._store, self.ledger)
+            for place, service in enumerate(services, start=1)
+        ]
+        for one in self._fleet:
+            one.all = [other for other in self._fleet if other.service == one.service]
+            one.upstream.peers = {other.proxy.address: other.upstream for other in one.all}
+        self._links = [Proxy(address) for _ in range(size.instances)]
+        self._instances = [self._start(number) for number in range(1, size.instances + 1)]
+
+    def close(self) -> None:
+        """End all processes that this run has started."""
+        for one in self._instances:
+            one.signal(signal.SIGCONT)
+            one.signal(signal.SIGKILL)
+            one.process.wait()
+        self._bench.close()
+        for proxy in (*self._links, *(one.proxy for one in self._fleet)):
+            proxy.stop()
+        for listed in self._fleet:
+            listed.upstream.stop()
+
+    def play(self) -> list[str]:
+        """Play the plan under traffic and return a line for each broken promise."""
+        self._await_ready()
+        jobs = [gevent.spawn(self._call, number) for number in range(self._size.callers)]
+        jobs.append(gevent.spawn(self._probe))
+        began = time.monotonic()
+        steps = draw(
+            self._seed,
+            instances=self._size.instances,
+            upstreams=len(self._fleet),
+            seconds=self._size.seconds,
+        )
+        for step in steps:
+            gevent.sleep(max(0.0, began + step.at_s - time.monotonic()))
+            self._take(step)
+        gevent.sleep(max(0.0, began + self._size.seconds - time.monotonic()))
+        self._traffic = False
+        gevent.joinall(jobs, timeout=END_S)
+        self._look_at_ends()
+        return broken_promises(self.ledger)
+
+    def _await_ready(self) -> None:
+        """Wait until all instances are ready; the proxies here run meanwhile."""
+        with gevent.Timeout(READY_S, BenchError("the instances do not become ready")):
+            while not all(one.ready() for one in self._instances):
+                gevent.sleep(REJECTED_PAUSE_S)
+
+    def _start(self, number: int) -> GatewayProcess:
+        """Start one instance."""
+        seeds = [one.listen["control"] for one in getattr(self, "_instances", [])[:3]]
+        bounds = {"graceS": GRACE_S, "ttl_max_s": LOCATED_S, "drainMs": DRAIN_S * 1000}
+        settings: dict[str, Any] = {"bounds": bounds, "seeds": seeds}
+        store = self._links[number - 1].address
+        return GatewayProcess(f"instance-{number}", number, store, self.folder, settings)
+
+    # Steps of the plan.
+
+    def _take(self, step: Step) -> None:
+        """Take one step; what ends later does so by itself."""
+        doers: dict[Kind, Callable[[Step], None]] = {
+            Kind.KILL: self._kill,
+            Kind.STOP: self._stop,
+            Kind.PAUSE: self._pause,
+            Kind.RELOAD: self._reload,
+            Kind.STORE_LINK: self._harm_store_link,
+            Kind.UPSTREAM_LINK: self._harm_upstream_link,
+            Kind.STORE_DOWN: lambda one: self._harm_store(one, {"down_s": one.for_s}),
+            Kind.STORE_SILENT: lambda one: self._harm_store(
+                one, {"down_s": one.for_s, "silent": True}
+            ),
+            Kind.STORE_SLOW: self._slow_store,
+            Kind.STORE_FORGETS: lambda one: self._harm_store(one, {"forget": True}),
+            Kind.STORE_LOSES: lambda one: self._harm_store(one, {"lose_answers": 2}),
+            Kind.LEAVE: lambda one: self._change_fleet(one, "leave"),
+            Kind.REMOVE: lambda one: self._change_fleet(one, "remove"),
+            Kind.CRASH: lambda one: self._change_fleet(one, "crash"),
+            Kind.CONFIGURE: lambda _: self._spawn(self._configure),
+        }
+        doers[step.kind](step)
+
+    @staticmethod
+    def _spawn(work: Callable[..., None], *values: Any) -> None:
+        """Let something go on beside the plan."""
+        gevent.spawn(work, *values)
+
+    def _disturb(self, name: str, for_s: float) -> None:
+        """Note that something is disturbed from now on."""
+        now = time.monotonic()
+        self.ledger.disturb(name, now, now + for_s)
+
+    def _kill(self, step: Step) -> None:
+        """Kill an instance and start it again."""
+        instance = self._instances[step.target]
+        self._disturb(instance.name, step.for_s + READY_S / 10)
+        instance.signal(signal.SIGKILL)
+        gevent.spawn_later(step.for_s, self._restart, instance)
+
+    def _stop(self, step: Step) -> None:
+        """Stop an instance as planned, kill it after the grace time, start it again."""
+        instance = self._instances[step.target]
+        self._disturb(instance.name, GRACE_S + READY_S / 10)
+        process = instance.process
+        instance.signal(signal.SIGTERM)
+
+        def end() -> None:
+            if process.poll() is None and instance.process is process:
+                process.kill()
+            self._restart(instance)
+
+        gevent.spawn_later(GRACE_S, end)
+
+    def _restart(self, instance: GatewayProcess) -> None:
+        """Start an instance whose process has ended."""
+        if instance.process.poll() is not None and self._traffic:
+            instance.restart()
+
+    def _pause(self, step: Step) -> None:
+        """Let an instance stand still."""
+        instance = self._instances[step.target]
+        self._disturb(instance.name, step.for_s)
+        instance.signal(signal.SIGSTOP)
+        gevent.spawn_later(step.for_s, instance.signal, signal.SIGCONT)
+
+    def _reload(self, step: Step) -> None:
+        """Change an instance's settings file and tell it."""
+        instance = self._instances[step.target]
+        changed = instance.settings | {"unknown": step.at_s}
+        instance.write(changed)
+        instance.signal(signal.SIGHUP)
+
+    def _harm_store_link(self, step: Step) -> None:
+        """Harm the link between an instance and the store."""
+        self._disturb(self._instances[step.target].name, step.for_s)
+        self._harm_proxy(self._links[step.target], step)
+
+    def _harm_upstream_link(self, step: Step) -> None:
+        """Harm the links of all instances to an upstream."""
+        listed = self._fleet[step.target]
+        for instance in self._instances:
+            self._disturb(instance.name, step.for_s)
+        self._harm_proxy(listed.proxy, step)
+
+    @staticmethod
+    def _harm_proxy(proxy: Proxy, step: Step) -> None:
+        """Harm a proxy for a while."""
+        proxy.harm(step.fault)
+        gevent.spawn_later(step.for_s, proxy.heal)
+
+    def _harm_store(self, step: Step, script: dict[str, Any]) -> None:
+        """Script a fault of the store."""
+        self._disturb(STORE, step.for_s)
+        assert self._bench.platform is not None
+        self._spawn(self._bench.platform.control, script)
+
+    def _slow_store(self, step: Step) -> None:
+        """Slow the store for a while."""
+        self._harm_store(step, {"slow_s": 0.3})
+        assert self._bench.platform is not None
+        gevent.spawn_later(step.for_s, self._bench.platform.control, {"slow_s": 0.0})
+
+    def _change_fleet(self, step: Step, how: str) -> None:
+        """Let an upstream go, in one of the ways; all of them may break its requests."""
+        self._spawn(getattr(self._fleet[step.target], how))
+
+    def _configure(self) -> None:
+        """Store a configuration with one more route and without the last added one."""
+        self._version += 1
+        version = self._version
+        while True:
+            try:
+                self._store.replace(KIND_CONFIG, NAME_CONFIG, self._document())
+                break
+            except PlatformUnavailable:
+                gevent.sleep(REJECTED_PAUSE_S)
+        if version > self._acked[0]:
+            self._acked = (version, time.monotonic())
+
+    def _document(self) -> dict[str, Any]:
+        """Return the configuration of the newest version."""
+        wanted = document(self._version)
+        for one in wanted["routes"]:
+            long = one["kind"] == "streaming"
+            one["timeoutMs"] = (TIMEOUTS_S[Sort.STREAM] if long else CALL_TIMEOUT_S) * 1000
+        added = route("added", f"/added{self._version}/", "safe", "portal")
+        wanted["routes"].append(added | {"timeoutMs": CALL_TIMEOUT_S * 1000})
+        return wanted
+
+    # Traffic.
+
+    def _call(self, number: int) -> None:
+        """Ask again and again as one caller."""
+        source = random.Random(f"{self._seed}-{number}")
+        connection = CallerConnection()
+        located: list[GatewayProcess] = []
+        located_at = float("-inf")
+        while self._traffic:
+            if time.monotonic() - located_at > LOCATED_S or not located:
+                located = self._locate(source) or located
+                located_at = time.monotonic()
+            if not located:
+                gevent.sleep(REJECTED_PAUSE_S)
+                continue
+            sort = source.choice((Sort.SAFE, Sort.ONCE, Sort.ONCE, Sort.STREAM))
+            asked = self._ask(connection, source.choice(located), sort, f"/{sort}/x")
+            gevent.sleep(source.uniform(0.0, 0.2) + (asked.status != 200) * REJECTED_PAUSE_S)
+        connection.close()
+
+    def _locate(self, source: random.Random) -> list[GatewayProcess]:
+        """Ask up to three instances which ones to use."""
+        for one in source.sample(self._instances, min(3, len(self._instances))):
+            try:
+                status, body = one.get("directory", f"/api/resolve?name={HOST}&zone=b")
+            except UpstreamError:
+                continue
+            if status == 200:
+                addresses = orjson.loads(body)["addresses"]
+                return [one for one in self._instances if one.listen["front"] in addresses]
+        return []
+
+    def _ask(
+        self, connection: CallerConnection, instance: GatewayProcess, sort: Sort, path: str
+    ) -> Asked:
+        """Send one request."""
+        timeout_s = TIMEOUTS_S.get(sort, CALL_TIMEOUT_S)
+        request_id = f"s{self._seed}-{next(self._numbers)}"
+        asked = Asked(request_id, sort, path, instance.name, time.monotonic(), timeout_s)
+        self.ledger.asked[request_id] = asked
+        connection.ask(instance.listen["front"], asked)
+        return asked
+
+    def _probe(self) -> None:
+        """Ask each instance for routes that were added or dropped long enough ago."""
+        while self._traffic:
+            gevent.sleep(PROBE_EVERY_S)
+            version, acked_at = self._acked
+            due = time.monotonic() - acked_at > APPLY_S and version == self._version
+            if not due or version == 1:
+                continue
+            jobs = [gevent.spawn(self._probe_one, one, version) for one in self._instances]
+            gevent.joinall(jobs)
+
+    def _probe_one(self, instance: GatewayProcess, version: int) -> None:
+        """Ask one instance for the newest route and for the one dropped last."""
+        for sort, number in ((Sort.ADDED, version), (Sort.DROPPED, version - 1)):
+            if self._version != version:
+                return
+            connection = CallerConnection()
+            self._ask(connection, instance, sort, f"/added{number}/x")
+            connection.close()
+
+    def _look_at_ends(self) -> None:
+        """Note which processes have ended by themselves, or are not ready."""
+        for one in self._instances:
+            code = one.process.poll()
+            expected = (None, 0, -signal.SIGKILL)
+            if code not in expected:
+                self.ledger.ended.append(f"{one.name} ended by itself with {code}")
+            elif not one.ready():
+                self.ledger.not_ready.append(f"{one.name} is not ready at the end")
--- a/stand_ins/routed.py
+++ b/stand_ins/routed.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Final
 
+import gevent
 import orjson
 from gevent import socket
 from gevent.event import Event
@@ -53,6 +54,10 @@
     """Break off inside the next event."""
     pause_after: int | None = None
     """Wait for the script's gate after so many events."""
+    event_pause_s: float = 0.0
+    """Pause before each event."""
+    work_s: float = 0.0
+    """Time before the answer of a plain call."""
     gate: Event = field(default_factory=Event)
     ended: Event = field(default_factory=Event)
     """Set when the request's connection has ended here."""
@@ -72,9 +77,10 @@
 class RoutedUpstream:
     """Serve one upstream at a loopback address."""
 
-    def __init__(self, upstream_id: str) -> None:
-        """Start to listen."""
+    def __init__(self, upstream_id: str, usual: Callable[[], Script] = Script) -> None:
+        """Start to listen; usual makes the script of a request that was given none."""
         self.upstream_id = upstream_id
+        self._usual = usual
         self.seen: list[Seen] = []
         self.scripts: dict[str, list[Script]] = defaultdict(list)
         self.copies: dict[str, int] = {}
@@ -95,6 +101,10 @@
         """Stop to listen."""
         self._server.stop(timeout=0)
 
+    def saw(self, seen: Seen) -> None:
+        """Keep a request that is run here."""
+        self.seen.append(seen)
+
     def runs(self, request_id: str) -> int:
         """Return how often a request was run here."""
         return sum(one.request_id == request_id for one in self.seen)
@@ -129,14 +139,14 @@
             self._refuse(connection, request_id, 421)
             return
         scripts = self.scripts[request_id]
-        script = scripts.pop(0) if scripts else Script()
+        script = scripts.pop(0) if scripts else self._usual()
         copy_of = headers.get("kv-from", "").rpartition("/")[2]
         if script.not_run or (copy_of and copy_of not in self.copies):
             self._refuse(connection, request_id, 503)
             return
         self.copies.pop(copy_of, None)
         seen = Seen(request_id, headers, call.method.decode(), call.target.decode(), call.body)
-        self.seen.append(seen)
+        self.saw(seen)
         try:
             if call.path.startswith("/stream/"):
                 self._stream(raw, connection, request_id, headers, script)
@@ -164,6 +174,7 @@
         if script.surplus_before:
             headers = (_id("another"), SEAL)
             connection.write(head_bytes(200, headers, (b"Content-Length: 5",)) + b"other")
+        gevent.sleep(script.work_s)
         headers = (_id(request_id), SEAL)
         length = () if script.unframed else (b"Content-Length: %d" % len(script.body),)
         connection.write(head_bytes(script.status, headers, length))
@@ -191,10 +202,14 @@
         if not connection.write(head_bytes(script.status, answer, extra)):
             return
         self.running[request_id] = first - 1
+        self.stopped.discard(request_id)
         backup = self.peers.get(headers.get("kv-backup", ""))
         for number in range(first, script.events + 1):
             if number == script.skip_event:
                 continue
+            gevent.sleep(script.event_pause_s)
+            if request_id in self.stopped:
+                return
             if not connection.write(chunk(event_bytes(number))):
                 return
             if number == script.repeat_event:
@@ -226,7 +241,10 @@
             return 404, {}
         handle = f"copy-{run_id}"
         made = self.running[run_id]
-        self.peers[wanted["targetVersion"]].copies[handle] = made
+        target = self.peers.get(wanted["targetVersion"])
+        if target is None:
+            return 503, {}
+        target.copies[handle] = made
         if wanted.get("last"):
             self.stopped.add(run_id)
         return 200, {"handle": handle, "made": made}
