Let three collectors follow the platform, and start without the policy parser

Cause of what is left of the calls: all eight collectors watch upstreams, which change several times a second, and 146 starts make six calls each. Change: only the first collectors of three zones follow; the others rely on their word, as members do. The list of instances is read late and stale where peers are known, policies stale.

--- a/driftstall/cli/store_commands.py
+++ b/driftstall/cli/store_commands.py
@@ -13,9 +13,10 @@
 from driftstall.cli.tables import print_table
 from driftstall.exceptions import PlatformUnavailable
 from driftstall.platform.policies import PolicyStore
+from driftstall.policy.default import default_policy
 from driftstall.policy.evaluate import explain
 from driftstall.policy.model import Facts
-from driftstall.policy.parse import default_policy, default_policy_text, parse_policy
+from driftstall.policy.parse import default_policy_text, parse_policy
 
 EXIT_OK: Final = 0
 EXIT_REFUSED: Final = 1
--- a/driftstall/daemon/callers.py
+++ b/driftstall/daemon/callers.py
@@ -48,7 +48,7 @@
 from driftstall.filters.classify import PATH_CHAT, Classify
 from driftstall.filters.context import RequestContext
 from driftstall.helpers.log import say
-from driftstall.policy.parse import DEFAULT_VERDICT
+from driftstall.policy.model import DEFAULT_VERDICT
 from driftstall.util.signing import sign, verify
 
 PATH_LOCATE: Final = "/v1/locate"
--- a/driftstall/daemon/hub.py
+++ b/driftstall/daemon/hub.py
@@ -14,8 +14,9 @@
 from driftstall.daemon.settings import Settings
 from driftstall.daemon.stats import Stats
 from driftstall.helpers.log import say
+from driftstall.peers.codec import kinds_of
 from driftstall.peers.link import PeerLinks
-from driftstall.peers.messages import PeerMessage
+from driftstall.peers.messages import DaemonMessage
 from driftstall.platform.client import PlatformClient
 
 Handler = Callable[[str, Any], None]
@@ -33,7 +34,10 @@
         self.source = random.Random()
         self.platform = PlatformClient(settings.platform, settings.platform_token)
         self.key = settings.peer_key.encode()
-        self.links = PeerLinks(settings.instance_id, settings.peer_listen, self.key, self._receive)
+        kinds = kinds_of(DaemonMessage)
+        self.links = PeerLinks(
+            settings.instance_id, settings.peer_listen, self.key, kinds, self._receive
+        )
         self.stats = Stats()
         self._handlers: dict[type, Handler] = {}
         self._config_listeners: list[Callable[[ConfigDocument], None]] = []
@@ -76,7 +80,7 @@
         for listener in self._member_listeners:
             listener()
 
-    def send(self, recipient: str, message: PeerMessage) -> bool:
+    def send(self, recipient: str, message: DaemonMessage) -> bool:
         """Send to an instance by its id; return whether its address is known."""
         address = self._address_of(recipient)
         if address is None:
@@ -85,7 +89,7 @@
         self.links.send(recipient, address, message)
         return True
 
-    def _receive(self, sender: str, message: PeerMessage) -> None:
+    def _receive(self, sender: str, message: DaemonMessage) -> None:
         """Hand a peer's message to its handler."""
         self.stats.messages_received += 1
         self._handlers[type(message)](sender, message)
--- a/driftstall/gateway/admission.py
+++ b/driftstall/gateway/admission.py
@@ -17,8 +17,7 @@
 from driftstall.gateway.model import CallerMarks, Route, Service
 from driftstall.gateway.routes import RouteTable, pick_service
 from driftstall.policy.evaluate import evaluate
-from driftstall.policy.model import Facts, Policy
-from driftstall.policy.parse import DEFAULT_VERDICT
+from driftstall.policy.model import DEFAULT_VERDICT, Facts, Policy
 
 UNSURE_RETRY_S: Final = 0.5
 """When to come back to an instance whose configuration may be old."""
--- a/driftstall/gateway/collectors.py
+++ b/driftstall/gateway/collectors.py
@@ -3,8 +3,8 @@
 In a small fleet everyone reports to everyone and follows the platform by itself. Beyond
 that messages would grow with the square of the fleet, and calls to the platform with the
 fleet. So in each availability zone two instances collect the reports of their zone. They
-exchange the sums of the zones, follow the platform for the others, and pass all of it on
-to their zone several times a second.
+exchange the sums of the zones and pass all on to their zone several times a second. Three
+of them, of different zones, follow the platform for all.
 """
 
 from __future__ import annotations
@@ -23,6 +23,9 @@
 """Up to so many instances all report to all."""
 COLLECTORS: Final = 2
 """Collectors of an availability zone; either one is enough."""
+FOLLOWERS: Final = 3
+"""Collectors that follow the platform; each calls it several times a second. With a third
+of all machines cut off from it, all three are in one case of 25; the others notice then."""
 MIN_LINK_MBPS: Final = 50
 """A collector sends its zone some megabits a second; a weaker link is chosen last."""
 COLLECTOR_KEY: Final = "collectors"
@@ -38,6 +41,8 @@
     """Whether the fleet needs collectors."""
     collects: bool = False
     """Whether this instance is a collector."""
+    follows: bool = True
+    """Whether this instance follows the platform whatever others say."""
     own_collectors: tuple[Instance, ...] = ()
     """The collectors of this instance's zone, best first, itself left out."""
     far_collectors: tuple[Instance, ...] = ()
@@ -57,9 +62,12 @@
         chosen = {zone: _collectors_of(members) for zone, members in zones.items()}
         of_zone = chosen.get(own.zone, ())
         ids = {one.instance_id for one in of_zone} | {own.instance_id}
+        firsts = sorted((some[0] for some in chosen.values() if some), key=_rank)
+        followers = {one.instance_id for one in firsts[:FOLLOWERS]}
         return cls(
             large=True,
             collects=any(one.instance_id == own.instance_id for one in of_zone),
+            follows=own.instance_id in followers,
             own_collectors=tuple(one for one in of_zone if one.instance_id != own.instance_id),
             far_collectors=tuple(
                 one for zone, some in sorted(chosen.items()) if zone != own.zone for one in some
@@ -76,13 +84,14 @@
 
 
 def _collectors_of(members: list[Instance]) -> tuple[Instance, ...]:
-    """Return the collectors of one zone: strong links first, then by a fixed lot."""
+    """Return the collectors of one zone."""
     staying = [one for one in members if not one.leaving] or members
-    ranked = sorted(
-        staying,
-        key=lambda one: (one.link_mbps < MIN_LINK_MBPS, -weight(COLLECTOR_KEY, one.instance_id)),
-    )
-    return tuple(ranked[:COLLECTORS])
+    return tuple(sorted(staying, key=_rank)[:COLLECTORS])
+
+
+def _rank(one: Instance) -> tuple[bool, int]:
+    """Return the order in which instances are chosen: strong links first, then by a fixed lot."""
+    return (one.link_mbps < MIN_LINK_MBPS, -weight(COLLECTOR_KEY, one.instance_id))
 
 
 def summed(counts: Iterable[RepeatCount]) -> tuple[RepeatCount, ...]:
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -42,6 +42,10 @@
 REGISTER_PAUSE_S: Final = 0.3
 RELIST_S: Final = 5.0
 """How often the list of instances is read again while fewer than two are known."""
+SEEDS_ANSWER_S: Final = 0.4
+"""Time in which seeds answer that start at about the same moment."""
+LATE_LIST_S: Final = 5.0
+"""When the list is read once more though peers are known; cheaply, as it may be old."""
 SETTINGS_CHECK_S: Final = 0.5
 """The settings file may change without a signal."""
 
@@ -55,6 +59,8 @@
     routing: Feed[RoutingText]
     policies: Feed[PolicyText]
     instances: Feed[Instance]
+    old_instances: Feed[Instance]
+    """The same as it was some seconds ago, at a low price."""
     register: Callable[[Instance], None]
     withdraw: Callable[[str], None]
     use_address: Callable[[str], None]
@@ -168,16 +174,23 @@
             say(PREFIX_DRAIN, f"The own entry is left behind: {fault}")
 
     def _keep_registered(self) -> None:
-        """Write the own entry once, and read those of others until peers are known."""
+        """Write the own entry once, and read those of others until peers are known.
+
+        Seeds usually name the peers at once. A late read all the same joins two parts of
+        a fleet whose seeds do not know each other.
+        """
         registered = False
         while self.state.stopping_since is None:
             try:
                 if not registered:
                     self._access.register(self._peering.own)
                     registered = True
-                self._instances.listed(self._access.instances.list().items)
+                    gevent.sleep(SEEDS_ANSWER_S)
                 if self.state.instances.value > 1:
+                    gevent.sleep(LATE_LIST_S * (0.5 + self.state.source.random()))
+                    self._instances.listed(self._access.old_instances.list().items)
                     return
+                self._instances.listed(self._access.instances.list().items)
                 gevent.sleep(RELIST_S)
             except PlatformUnavailable as fault:
                 say(PREFIX_MEMBERSHIP, f"The platform's list of instances is out of reach: {fault}")
@@ -200,9 +213,9 @@
         """Have peers told soon that something has changed."""
         self.state.loads_changed.set()
 
-    def _pass_routing(self) -> None:
+    def _pass_routing(self, *, from_peer: bool) -> None:
         """Pass the routing document in force on to peers."""
-        self._peering.pass_routing()
+        self._peering.pass_routing(from_peer=from_peer)
 
     def _pass_change(self, change: ItemChange[Upstream]) -> None:
         """Tell a change to the peers that the platform does not answer."""
--- a/driftstall/gateway/peering.py
+++ b/driftstall/gateway/peering.py
@@ -33,18 +33,19 @@
 from driftstall.gateway.sharing import Intake, RoutingNotice, Sharing
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import say
-from driftstall.peers.link import ANYONE, PeerLinks
-from driftstall.peers.messages import (
+from driftstall.peers.codec import kinds_of
+from driftstall.peers.gateway_messages import (
     FleetAsked,
     FleetOffered,
     FleetSummary,
+    GatewayMessage,
     GatewayReport,
-    PeerMessage,
     RoutingAsked,
     RoutingOffered,
     UpstreamNews,
     ZoneSummary,
 )
+from driftstall.peers.link import ANYONE, PeerLinks
 
 PERIOD_S: Final = 0.1
 
@@ -74,7 +75,10 @@
         incarnation = int(state.wall() * MS)
         self._members = MembershipController(self.own, incarnation, state.source)
         key = settings.peer_key.encode()
-        self._links = PeerLinks(settings.instance_id, settings.peer_listen, key, self._receive)
+        kinds = kinds_of(GatewayMessage)
+        self._links = PeerLinks(
+            settings.instance_id, settings.peer_listen, key, kinds, self._receive
+        )
         self._roles = Roles()
         self._reporting = Reporting(
             state,
@@ -141,10 +145,10 @@
         """Pass on who joined or leaves."""
         self._sharing.pass_action(action, from_peer=from_peer)
 
-    def pass_routing(self) -> None:
+    def pass_routing(self, *, from_peer: bool) -> None:
         """Pass the routing document in force on."""
         self._state.loads_changed.set()
-        self._sharing.pass_routing()
+        self._sharing.pass_routing(from_peer=from_peer)
 
     def _run_periods(self) -> None:
         """Let time pass in the member list."""
@@ -173,7 +177,7 @@
         self._state.use_pooled_sums(roles.large)
         self._state.loads_changed.set()
 
-    def _receive(self, sender: str, message: PeerMessage) -> None:
+    def _receive(self, sender: str, message: GatewayMessage) -> None:
         """Take in a peer's message."""
         if isinstance(message, Ping | Ack | PingRequest):
             self._apply(message)
@@ -183,6 +187,7 @@
             self._take_summary(message)
         elif isinstance(message, ZoneSummary):
             self._reporting.take_zone(message)
+            self._reliance.heard(message.platform_age_ms / MS, self._state.now())
             self._sharing.newer_routing(RoutingNotice(sender, message.routing_version))
         elif isinstance(message, RoutingAsked):
             self._sharing.answer_routing(message)
@@ -221,13 +226,13 @@
             elif action.instance_id != self.own.instance_id:
                 say(PREFIX_MEMBERSHIP, f"Instance {action.instance_id} is {action.health}")
 
-    def _send(self, recipient: str, message: PeerMessage) -> None:
+    def _send(self, recipient: str, message: GatewayMessage) -> None:
         """Send to a known instance."""
         address = self._members.address_of(recipient)
         if address is not None:
             self._links.send(recipient, address, message)
 
-    def _broadcast(self, recipients: Iterable[Instance], message: PeerMessage) -> None:
+    def _broadcast(self, recipients: Iterable[Instance], message: GatewayMessage) -> None:
         """Send one message to many."""
         own_id = self.own.instance_id
         addresses = [one.peer_address for one in recipients if one.instance_id != own_id]
--- a/driftstall/gateway/reliance.py
+++ b/driftstall/gateway/reliance.py
@@ -1,9 +1,9 @@
 """Decide when an instance follows the platform by itself, and when others do it for it.
 
-In a large fleet the collectors follow the platform and pass on what they learn, with the
-age of the platform's last answer. An instance relies on them while that age is small. If
-it hears no collector it follows at once; if it hears them but the platform answers none,
-it asks now and then, so that an outage makes no storm.
+In a large fleet a few collectors follow the platform; all collectors pass on what these
+learn, with the age of the platform's last answer. An instance relies on them while that
+age is small. If it hears no collector it follows at once; if it hears them but the platform
+answers none, it asks now and then, so that an outage makes no storm.
 """
 
 from __future__ import annotations
@@ -107,8 +107,7 @@
     @property
     def _follows_always(self) -> bool:
         """Tell whether this instance follows the platform whatever others say."""
-        roles = self._roles()
-        return not roles.large or roles.collects
+        return self._roles().follows
 
 
 class RevisionPace:
@@ -122,8 +121,7 @@
     def hold_s(self) -> float:
         """Return for how long to make no call."""
         roles = self._roles()
-        follows = not roles.large or roles.collects or self._behind()
-        return 0.0 if follows else TRUST_S
+        return 0.0 if roles.follows or self._behind() else TRUST_S
 
     def watch_s(self) -> float:
         """Return how long an idle watch waits."""
--- a/driftstall/gateway/reports.py
+++ b/driftstall/gateway/reports.py
@@ -18,10 +18,10 @@
 from driftstall.gateway.loads import FLEET, POOLED
 from driftstall.gateway.shared_budget import RepeatCount
 from driftstall.gateway.state import GatewayState
-from driftstall.peers.messages import (
+from driftstall.peers.gateway_messages import (
     FleetSummary,
+    GatewayMessage,
     GatewayReport,
-    PeerMessage,
     ReportAck,
     ZoneSummary,
 )
@@ -39,7 +39,7 @@
 """Ages beyond this make no difference."""
 MS: Final = 1000
 
-Broadcast = Callable[[Iterable[Instance], PeerMessage], None]
+Broadcast = Callable[[Iterable[Instance], GatewayMessage], None]
 
 
 @dataclass(frozen=True, slots=True)
--- a/driftstall/gateway/sharing.py
+++ b/driftstall/gateway/sharing.py
@@ -22,11 +22,11 @@
 from driftstall.gateway.model import Upstream, UpstreamState
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import say
-from driftstall.peers.messages import (
+from driftstall.peers.gateway_messages import (
     FleetAsked,
     FleetOffered,
     FleetSummary,
-    PeerMessage,
+    GatewayMessage,
     RoutingAsked,
     RoutingOffered,
     UpstreamEntry,
@@ -70,8 +70,8 @@
         intake: Intake,
         *,
         roles: Callable[[], Roles],
-        send: Callable[[str, PeerMessage], None],
-        broadcast: Callable[[Iterable[Instance], PeerMessage], None],
+        send: Callable[[str, GatewayMessage], None],
+        broadcast: Callable[[Iterable[Instance], GatewayMessage], None],
     ) -> None:
         """Take the shared state, how things are taken in, the roles, and how to send."""
         self._state = state
@@ -114,12 +114,15 @@
         if not from_peer:
             self._broadcast(roles.far_collectors, news)
 
-    def pass_routing(self) -> None:
-        """Send the routing document in force to the instances of this zone."""
+    def pass_routing(self, *, from_peer: bool) -> None:
+        """Send the routing document in force to the zone, and to other collectors if it is new."""
         roles = self._roles()
-        if roles.collects:
-            version, text = self._intake.routing()
-            self._broadcast(roles.zone_members, RoutingOffered(self._own_id, version, text))
+        if not roles.collects:
+            return
+        version, text = self._intake.routing()
+        others = () if from_peer else (*roles.own_collectors, *roles.far_collectors)
+        offered = RoutingOffered(self._own_id, version, text)
+        self._broadcast((*roles.zone_members, *others), offered)
 
     # What others tell this instance.
 
--- a/driftstall/gateway/sources.py
+++ b/driftstall/gateway/sources.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Protocol
+from typing import Final, Protocol
 
 from driftstall.const import PREFIX_CONFIGURATION, PREFIX_MEMBERSHIP, PREFIX_ROUTING
 from driftstall.core import Instance
@@ -24,7 +24,10 @@
 from driftstall.gateway.routes import RouteTable
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import say
-from driftstall.policy.parse import parse_policy
+
+PLATFORM: Final = "platform"
+PEER: Final = "peer"
+"""Where a routing document comes from."""
 
 
 class PassAction(Protocol):
@@ -34,10 +37,17 @@
         """Take what follows for an upstream, and whether a peer told it."""
 
 
+class PassRouting(Protocol):
+    """Pass the routing document in force on to peers."""
+
+    def __call__(self, *, from_peer: bool) -> None:
+        """Take whether a peer gave it."""
+
+
 class RoutingSource:
     """Keep the newest routing document; it only moves forward."""
 
-    def __init__(self, state: GatewayState, announce: Callable[[], None]) -> None:
+    def __init__(self, state: GatewayState, announce: PassRouting) -> None:
         """Take the shared state, and how peers are told."""
         self._state = state
         self._announce = announce
@@ -56,12 +66,12 @@
     def listed(self, items: tuple[RoutingText, ...]) -> None:
         """Take in the stored documents."""
         for item in items:
-            self._take(item, "platform")
+            self._take(item, PLATFORM)
 
     def changed(self, change: ItemChange[RoutingText]) -> None:
         """Take in a changed document; one that is gone stays in force."""
         if not change.gone:
-            self._take(change.item, "platform")
+            self._take(change.item, PLATFORM)
 
     def offered(self, text: str) -> None:
         """Take in a document from a peer."""
@@ -70,7 +80,7 @@
         except (DriftstallError, ValueError) as fault:
             say(PREFIX_CONFIGURATION, f"A peer's routing document cannot be read: {fault}")
             return
-        self._take(RoutingText(document, text), "peer")
+        self._take(RoutingText(document, text), PEER)
 
     def platform_lost(self, cause: str) -> None:
         """Log that the platform does not answer."""
@@ -96,7 +106,7 @@
             routes=len(item.document.routes),
             workspaces=len(item.document.workspaces),
         )
-        self._announce()
+        self._announce(from_peer=source == PEER)
 
 
 class PolicySource:
@@ -134,6 +144,9 @@
         """Put a newer policy in force, if it is a right one."""
         if item.revision <= self._revision:
             return
+        # Loaded only where there is a policy to parse: it would slow each start down.
+        from driftstall.policy.parse import parse_policy
+
         self._revision = item.revision
         try:
             self._state.policy = parse_policy(item.text)
--- a/driftstall/peers/codec.py
+++ b/driftstall/peers/codec.py
@@ -20,7 +20,7 @@
 import types
 import typing
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from functools import cache
 from pathlib import Path
 from typing import Any, Final
@@ -28,7 +28,7 @@
 import capnp
 
 from driftstall.exceptions import MessageError
-from driftstall.peers.messages import Envelope, PeerMessage
+from driftstall.peers.envelope import Envelope
 from driftstall.util.signing import MAC_BYTES, mac
 
 MAX_FRAME_BYTES: Final = 4_000_000
@@ -57,7 +57,13 @@
     return kind.__name__[0].lower() + kind.__name__[1:]
 
 
-_KINDS: Final = {_union_field(kind): kind for kind in typing.get_args(PeerMessage)}
+Kinds = Mapping[str, type]
+"""Message types by their field in the schema's envelope."""
+
+
+def kinds_of(messages: Any) -> Kinds:
+    """Return the kinds of a union of message types."""
+    return {_union_field(kind): kind for kind in typing.get_args(messages)}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -154,8 +160,11 @@
     return HEADER.pack(len(body) + MAC_BYTES) + mac(key, body) + body
 
 
-def decode(frame: bytes, key: bytes) -> Envelope:
-    """Return the envelope of a frame without its length, or raise MessageError."""
+def decode(frame: bytes, key: bytes, kinds: Kinds) -> Envelope:
+    """Return the envelope of a frame without its length, or raise MessageError.
+
+    A message of none of the kinds is malformed.
+    """
     tag, body = frame[:MAC_BYTES], frame[MAC_BYTES:]
     if not hmac.compare_digest(tag, mac(key, body)):
         raise MessageError("the message is not authentic")
@@ -165,7 +174,7 @@
         plain = zlib.decompressobj().decompress(body[len(PROTOCOL) :], MAX_PLAIN_BYTES)
         with _schema.Envelope.from_bytes(plain, traversal_limit_in_words=TRAVERSAL_WORDS) as reader:
             name = str(reader.which())
-            message = _from_wire(_KINDS[name], getattr(reader, name))
+            message = _from_wire(kinds[name], getattr(reader, name))
             return Envelope(reader.sender, reader.recipient, reader.sequence, message)
     except (capnp.KjException, zlib.error, KeyError, ValueError) as fault:
         raise MessageError(f"the message is malformed: {type(fault).__name__}") from fault
--- a/driftstall/peers/link.py
+++ b/driftstall/peers/link.py
@@ -9,7 +9,7 @@
 
 import time
 from collections.abc import Callable, Iterable
-from typing import Final
+from typing import Any, Final
 
 import gevent
 from gevent import socket
@@ -19,8 +19,8 @@
 from driftstall.const import PREFIX_MEMBERSHIP
 from driftstall.exceptions import MessageError
 from driftstall.helpers.log import say
-from driftstall.peers.codec import HEADER, MAX_FRAME_BYTES, decode, encode
-from driftstall.peers.messages import Envelope, PeerMessage
+from driftstall.peers.codec import HEADER, MAX_FRAME_BYTES, Kinds, decode, encode
+from driftstall.peers.envelope import Envelope
 from driftstall.util.addresses import split_address
 
 QUEUE_MESSAGES: Final = 4_096
@@ -33,15 +33,18 @@
 ANYONE: Final = ""
 """Stands for whoever listens at an address; used to find the first peers."""
 
-Receiver = Callable[[str, PeerMessage], None]
+Receiver = Callable[[str, Any], None]
 
 
 class PeerLinks:
     """Send to peers and receive from them."""
 
-    def __init__(self, own_id: str, listen: str, key: bytes, receiver: Receiver) -> None:
-        """Take the own id, the listening address, the shared key and a receiver."""
+    def __init__(
+        self, own_id: str, listen: str, key: bytes, kinds: Kinds, receiver: Receiver
+    ) -> None:
+        """Take the own id, the listening address, the shared key, the kinds and a receiver."""
         self._own_id = own_id
+        self._kinds = kinds
         self._key = key
         self._receiver = receiver
         self._queues: dict[str, Queue] = {}
@@ -61,20 +64,20 @@
         """Stop to listen."""
         self._server.stop(timeout=0)
 
-    def send(self, recipient: str, address: str, message: PeerMessage) -> None:
+    def send(self, recipient: str, address: str, message: Any) -> None:
         """Queue a message; a message to oneself is handed over at once."""
         if recipient == self._own_id:
             self._receiver(self._own_id, message)
             return
         self._queue(address, self._frame(recipient, message))
 
-    def broadcast(self, addresses: Iterable[str], message: PeerMessage) -> None:
+    def broadcast(self, addresses: Iterable[str], message: Any) -> None:
         """Queue one message for many peers; it is encoded once."""
         frame = self._frame(ANYONE, message)
         for address in addresses:
             self._queue(address, frame)
 
-    def _frame(self, recipient: str, message: PeerMessage) -> bytes:
+    def _frame(self, recipient: str, message: Any) -> bytes:
         """Encode a message as the next one of the own sequence."""
         self._sequence += 1
         return encode(Envelope(self._own_id, recipient, self._sequence, message), self._key)
@@ -152,7 +155,7 @@
 
     def _receive(self, frame: bytes) -> None:
         """Check one frame and hand its message over."""
-        envelope = decode(frame, self._key)
+        envelope = decode(frame, self._key, self._kinds)
         if envelope.recipient not in (self._own_id, ANYONE):
             # An address was taken over by another instance; its word is not for us.
             self.rejected += 1
--- a/driftstall/peers/messages.py
+++ b/driftstall/peers/messages.py
@@ -1,4 +1,4 @@
-"""List the messages between instances, and those that are only of peers."""
+"""List the messages between daemons, and those that are only of peers."""
 
 from __future__ import annotations
 
@@ -17,8 +17,6 @@
     YieldAsked,
 )
 from driftstall.controllers.membership import Ack, Ping, PingRequest
-from driftstall.gateway.loads import Use
-from driftstall.gateway.shared_budget import RepeatCount
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,125 +42,7 @@
     leaving: bool
 
 
-@dataclass(frozen=True, slots=True)
-class GatewayReport:
-    """Tell peers what a gateway instance sends where, and what it holds for true."""
-
-    sender: str
-    ready: bool
-    platform_ok: bool
-    """Whether the platform answers this instance."""
-    routing_version: int
-    uses: tuple[Use, ...]
-    repeats: tuple[RepeatCount, ...]
-    number: int
-    """Grows with each report of this instance."""
-
-
-@dataclass(frozen=True, slots=True)
-class ReportAck:
-    """Tell which report of an instance a summary has taken in."""
-
-    instance_id: str
-    number: int
-
-
-@dataclass(frozen=True, slots=True)
-class ZoneSummary:
-    """Tell the collectors of other zones the sum of what one zone's instances report."""
-
-    sender: str
-    zone: str
-    routing_version: int
-    platform_age_ms: int
-    """How long ago the platform last answered the sender."""
-    instances: int
-    """How many instances the sums stand for."""
-    ready: tuple[str, ...]
-    uses: tuple[Use, ...]
-    repeats: tuple[RepeatCount, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class FleetSummary:
-    """Tell the instances of a zone the sum of all reports, and what the platform says."""
-
-    sender: str
-    routing_version: int
-    policy_revision: int
-    platform_age_ms: int
-    """How long ago the platform last answered any collector that the sender hears."""
-    fleet_digest: int
-    """Stands for the set of upstreams that take requests."""
-    instances: int
-    ready: tuple[str, ...]
-    uses: tuple[Use, ...]
-    repeats: tuple[RepeatCount, ...]
-    acks: tuple[ReportAck, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class RoutingAsked:
-    """Ask a peer for its routing document, if it is newer than a version."""
-
-    sender: str
-    version: int
-
-
-@dataclass(frozen=True, slots=True)
-class RoutingOffered:
-    """Pass a routing document on, as the platform holds it."""
-
-    sender: str
-    version: int
-    text: str
-
-
-@dataclass(frozen=True, slots=True)
-class UpstreamEntry:
-    """Carry an upstream that takes requests."""
-
-    upstream_id: str
-    service: str
-    address: str
-    zone: str
-    slots: int
-    revision: int
-
-
-@dataclass(frozen=True, slots=True)
-class FleetAsked:
-    """Ask a collector for all upstreams that take requests."""
-
-    sender: str
-
-
-@dataclass(frozen=True, slots=True)
-class FleetOffered:
-    """Pass on all upstreams that take requests."""
-
-    sender: str
-    at: int
-    """The newest revision that the sender has seen; what is newer is not in the list."""
-    upstreams: tuple[UpstreamEntry, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class UpstreamNews:
-    """Pass a change of an upstream on to a peer that does not learn it from the platform."""
-
-    sender: str
-    upstream_id: str
-    service: str
-    address: str
-    zone: str
-    slots: int
-    leaving: bool
-    revision: int
-    gone: bool
-
-
-PeerMessage = (
+DaemonMessage = (
     Ask
     | Announce
     | ProgressBatch
@@ -180,25 +60,4 @@
     | ConfigOffer
     | ConfigAsked
     | RunnerLeaving
-    | GatewayReport
-    | RoutingAsked
-    | RoutingOffered
-    | UpstreamNews
-    | FleetSummary
-    | ZoneSummary
-    | FleetAsked
-    | FleetOffered
 )
-
-
-@dataclass(frozen=True, slots=True)
-class Envelope:
-    """Wrap a message with its way and its place in the sender's sequence."""
-
-    sender: str
-    recipient: str
-    sequence: int
-    message: PeerMessage
-
-
-"""Senders start the sequence at a clock reading, so that it grows across restarts."""
--- a/driftstall/platform/__main__.py
+++ b/driftstall/platform/__main__.py
@@ -22,7 +22,7 @@
 from driftstall.platform.dialect import PlatformDialect  # noqa: E402
 from driftstall.platform.settings import read_settings, settings_path  # noqa: E402
 from driftstall.platform.store import Store  # noqa: E402
-from driftstall.policy.parse import default_policy  # noqa: E402
+from driftstall.policy.default import default_policy  # noqa: E402
 
 EXIT_SETTINGS: Final = 2
 
@@ -50,6 +50,7 @@
         routing=feeds.routing_feed(store),
         policies=feeds.policy_feed(store),
         instances=feeds.instance_feed(store),
+        old_instances=feeds.instance_feed(store, stale=True),
         register=lambda instance: feeds.register_instance(store, instance),
         withdraw=lambda instance_id: feeds.withdraw_instance(store, instance_id),
         use_address=store.use_address,
--- a/driftstall/platform/feeds.py
+++ b/driftstall/platform/feeds.py
@@ -28,19 +28,23 @@
         kind: str,
         decode: Callable[[StoredObject], Item],
         decode_gone: Callable[[StoredObject], Item] | None = None,
+        *,
+        stale: bool = False,
     ) -> None:
         """Take the store, the kind and how its objects are decoded.
 
         What is gone may come without its content, so it may be decoded in another way.
+        A list that may be some seconds old costs a tenth; a watch from it misses nothing.
         """
         self._store = store
         self._kind = kind
         self._decode = decode
         self._decode_gone = decode_gone or decode
+        self._stale = stale
 
     def list(self) -> Snapshot[Item]:
         """Return all items of the kind."""
-        listing = self._store.list(self._kind)
+        listing = self._store.list(self._kind, stale=self._stale)
         items = [self._item(one) for one in listing.objects]
         return Snapshot(tuple(item for item in items if item is not None), listing.at)
 
@@ -80,12 +84,12 @@
 
 def policy_feed(store: Store) -> KindFeed[PolicyText]:
     """Return the feed of submitted policies."""
-    return KindFeed(store, names.KIND_POLICY, _policy_text)
+    return KindFeed(store, names.KIND_POLICY, _policy_text, stale=True)
 
 
-def instance_feed(store: Store) -> KindFeed[Instance]:
-    """Return the feed of this system's own instances."""
-    return KindFeed(store, names.KIND_INSTANCES, _instance)
+def instance_feed(store: Store, *, stale: bool = False) -> KindFeed[Instance]:
+    """Return the feed of this system's own instances; a stale one is cheap."""
+    return KindFeed(store, names.KIND_INSTANCES, _instance, stale=stale)
 
 
 def register_instance(store: Store, instance: Instance) -> None:
--- a/driftstall/platform/store.py
+++ b/driftstall/platform/store.py
@@ -78,10 +78,14 @@
         """Call another address from now on."""
         self._address = address
 
-    def list(self, kind: str) -> Listing:
-        """Return all objects of a kind, or raise PlatformUnavailable."""
+    def list(self, kind: str, *, stale: bool = False) -> Listing:
+        """Return all objects of a kind, or raise PlatformUnavailable.
+
+        A stale list may be some seconds old, and costs a tenth.
+        """
         found: list[StoredObject] = []
-        query: dict[str, str] = {}
+        fixed = {"stale": "1"} if stale else {}
+        query = dict(fixed)
         at: int | None = None
         while True:
             body = self._read(_path(kind, query=query))
@@ -90,7 +94,7 @@
             at = int(body["at"]) if at is None else at
             if not body.get("more") or not found:
                 return Listing(tuple(found), at)
-            query = {"after": found[-1].name}
+            query = fixed | {"after": found[-1].name}
 
     def get(self, kind: str, name: str) -> StoredObject | None:
         """Return one object, or None if there is none."""
--- /dev/null
+++ b/driftstall/policy/default.py
@@ -0,0 +1,60 @@
+"""Hold the default policy ready built, so that a start need not load the parser.
+
+It says the same as default.policy, which operators read; a test holds the two together.
+The parser and its grammar take about a quarter of the processor time of a start.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Final
+
+from driftstall.core import Verdict, Weights
+from driftstall.policy.model import DEFAULT_OVERFLOW, DEFAULT_VERDICT, Condition, Policy, Rule
+
+LONG_TOKENS: Final = 200
+"""Outputs that may grow longer than this never yield."""
+STEPS: Final = 45
+"""Steps of the checked text; one evaluation takes no more."""
+
+
+def default_policy() -> Policy:
+    """Return the policy that is in force until an operator submits one."""
+    rules = (
+        _rule(
+            "first_long",
+            9,
+            "route_rank == 0 and max_tokens > 200",
+            lambda facts: facts.route_rank == 0 and facts.max_tokens > LONG_TOKENS,
+            replace(DEFAULT_VERDICT, rank=0, wait_s=10.0, may_yield=False),
+        ),
+        _rule(
+            "first",
+            16,
+            "route_rank == 0",
+            lambda facts: facts.route_rank == 0,
+            replace(DEFAULT_VERDICT, rank=2, wait_s=5.0),
+        ),
+        _rule(
+            "soon_long",
+            23,
+            "route_rank == 1 and max_tokens > 200",
+            lambda facts: facts.route_rank == 1 and facts.max_tokens > LONG_TOKENS,
+            replace(DEFAULT_VERDICT, rank=1, wait_s=10.0, may_yield=False),
+        ),
+        _rule(
+            "soon",
+            30,
+            "route_rank == 1",
+            lambda facts: facts.route_rank == 1,
+            replace(DEFAULT_VERDICT, rank=3, wait_s=5.0),
+        ),
+        _rule("others", 37, "always", None, replace(DEFAULT_VERDICT, rank=6, wait_s=5.0)),
+    )
+    weights = Weights(token_gap=4.0, stall=4.0, preemptions=2.0)
+    return Policy("default", weights, DEFAULT_OVERFLOW, rules, STEPS)
+
+
+def _rule(name: str, line: int, text: str, condition: Condition | None, verdict: Verdict) -> Rule:
+    """Return one rule, at its line of the text."""
+    return Rule(name, line, condition, text, replace(verdict, rule=name, line=line))
--- a/driftstall/policy/model.py
+++ b/driftstall/policy/model.py
@@ -4,10 +4,22 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Final
 
 from driftstall.core import Verdict, Weights
 
-DEFAULT_OVERFLOW = 0.01
+DEFAULT_OVERFLOW: Final = 0.01
+DEFAULT_VERDICT: Final = Verdict(
+    rule="default",
+    line=0,
+    rank=5,
+    wait_s=30.0,
+    may_yield=True,
+    may_refuse=True,
+    share=1.0,
+    limit_tokens_per_s=0.0,
+)
+"""What a rule decides where it says nothing."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/driftstall/policy/parse.py
+++ b/driftstall/policy/parse.py
@@ -12,9 +12,16 @@
 from lark import Lark, Token, Tree
 from lark.exceptions import UnexpectedCharacters, UnexpectedEOF, UnexpectedToken
 
-from driftstall.core import Verdict, Weights
+from driftstall.core import Weights
 from driftstall.exceptions import PolicyError
-from driftstall.policy.model import DEFAULT_OVERFLOW, Condition, Facts, Policy, Rule
+from driftstall.policy.model import (
+    DEFAULT_OVERFLOW,
+    DEFAULT_VERDICT,
+    Condition,
+    Facts,
+    Policy,
+    Rule,
+)
 
 MAX_TEXT_CHARS: Final = 64_000
 MAX_STEPS: Final = 2_000
@@ -31,16 +38,6 @@
     "<": operator.lt,
     ">": operator.gt,
 }
-DEFAULT_VERDICT: Final = Verdict(
-    rule="default",
-    line=0,
-    rank=5,
-    wait_s=30.0,
-    may_yield=True,
-    may_refuse=True,
-    share=1.0,
-    limit_tokens_per_s=0.0,
-)
 
 
 @cache
@@ -50,11 +47,6 @@
     return Lark(grammar, parser="lalr", propagate_positions=True, maybe_placeholders=True)
 
 
-def default_policy() -> Policy:
-    """Return the policy that is in force until an operator submits one."""
-    return parse_policy(default_policy_text())
-
-
 def default_policy_text() -> str:
     """Return the text of the default policy."""
     return Path(__file__).with_name("default.policy").read_text()
--- a/features/gateway/large_fleet.feature
+++ b/features/gateway/large_fleet.feature
@@ -7,6 +7,7 @@
   Scenario: all instances choose the same few strong collectors
     Given 78 instances in 3 zones, of which a third have links of 100 Mbit/s and the others of 5
     Then all see the same 2 strong collectors in each zone, whatever the order of their lists
+    And 3 of them follow the platform, of 3 zones
     And each instance is told by a collector of its zone
     And when one collector leaves the other one stays and a third takes its place
 
--- a/features/parts/policy.feature
+++ b/features/parts/policy.feature
@@ -30,3 +30,6 @@
     Given the shipped policy "enrolment"
     When a "summary" of 4000 tokens is explained
     Then rule "long_summaries" decides with rank 3 after rule "chats" did not hold
+
+  Scenario: the default policy that is built says what its text says
+    Then the built default policy and its parsed text agree on every kind of request
--- a/features/steps/controller_steps.py
+++ b/features/steps/controller_steps.py
@@ -40,10 +40,14 @@
 from driftstall.core import Instance, Weights
 from driftstall.exceptions import MessageError
 from driftstall.helpers.trace import TraceRecorder, build_controller, replay
-from driftstall.peers.codec import HEADER, decode, encode
-from driftstall.peers.messages import Envelope, PeerMessage, RoutingAsked, RoutingOffered
+from driftstall.peers.codec import HEADER, decode, encode, kinds_of
+from driftstall.peers.envelope import Envelope
+from driftstall.peers.gateway_messages import GatewayMessage, RoutingAsked, RoutingOffered
+from driftstall.peers.messages import DaemonMessage
 from features.worlds.samples import FIRST, KEY, request_of
 
+KINDS = {**kinds_of(DaemonMessage), **kinds_of(GatewayMessage)}
+
 
 @given("a holder whose lease has lapsed and a new one")
 def lease_lapsed(context: Any) -> None:
@@ -141,7 +145,9 @@
 @when("every kind of peer message is encoded in greenlets that switch")
 def encode_all(context: Any) -> None:
     """Encode from nested calls in many greenlets."""
-    context.sent = [sample(kind) for kind in typing.get_args(PeerMessage)]
+    context.sent = [
+        sample(kind) for kind in {*typing.get_args(DaemonMessage), *typing.get_args(GatewayMessage)}
+    ]
 
     def work(message: Any, deep: int) -> bytes:
         if deep:
@@ -158,7 +164,7 @@
 def decode_all(context: Any) -> None:
     """Decode and compare."""
     for frame, message in zip(context.frames, context.sent * 4, strict=True):
-        assert decode(frame[HEADER.size :], KEY).message == message
+        assert decode(frame[HEADER.size :], KEY, KINDS).message == message
 
 
 @when("routing documents of {size:d} characters are encoded in greenlets that switch")
@@ -172,7 +178,7 @@
         for _ in range(20):
             frames = [encode(Envelope("a", "b", 1, one), KEY) for one in (large, small)]
             gevent.sleep(0)
-            decoded = [decode(frame[HEADER.size :], KEY).message for frame in frames]
+            decoded = [decode(frame[HEADER.size :], KEY, KINDS).message for frame in frames]
             same.append(decoded == [large, small])
         return same
 
@@ -194,7 +200,7 @@
         changed = bytearray(frame)
         changed[at] ^= 1
         try:
-            decode(bytes(changed), KEY)
+            decode(bytes(changed), KEY, KINDS)
         except MessageError:
             continue
         raise AssertionError(f"a change at byte {at} was accepted")
--- a/features/steps/gateway_collector_steps.py
+++ b/features/steps/gateway_collector_steps.py
@@ -57,6 +57,14 @@
         assert all(one.link_mbps == 100 for one in (*roles.own_collectors, *roles.far_collectors))
 
 
+@then("3 of them follow the platform, of 3 zones")
+def three_follow(context: Any) -> None:
+    """Count those that follow."""
+    follow = [one for one in context.fleet if Roles.from_fleet(one, context.fleet).follows]
+    assert len(follow) == 3 and {one.zone for one in follow} == set("abc"), follow
+    assert all(Roles.from_fleet(one, context.fleet).collects for one in follow)
+
+
 @then("each instance is told by a collector of its zone")
 def all_told(context: Any) -> None:
     """Every instance collects or is a member in the eyes of a collector of its zone."""
--- a/features/steps/gateway_feed_steps.py
+++ b/features/steps/gateway_feed_steps.py
@@ -150,7 +150,7 @@
 class FixedStore(Store):
     """Hold a fixed list."""
 
-    def list(self, kind: str) -> Listing:
+    def list(self, kind: str, *, stale: bool = False) -> Listing:
         """Return the list."""
         whole = {"service": "s", "address": "127.0.0.1:1"}
         return Listing((StoredObject("a", 1, {"service": "s"}), StoredObject("b", 2, whole)), 3)
@@ -200,7 +200,7 @@
     context.world = GatewayWorld()
     context.add_cleanup(context.world.close)
     context.world.state.table = None
-    context.routing = RoutingSource(context.world.state, lambda: None)
+    context.routing = RoutingSource(context.world.state, lambda *, from_peer: None)
     context.routing.listed((routing_text(7),))
 
 
--- a/features/steps/gateway_reliance_steps.py
+++ b/features/steps/gateway_reliance_steps.py
@@ -15,8 +15,8 @@
 from features.steps.gateway_fleet_steps import tell
 from features.worlds.upstream_samples import upstream_of
 
-MEMBER = Roles(large=True)
-COLLECTOR = Roles(large=True, collects=True)
+MEMBER = Roles(large=True, follows=False)
+FOLLOWER = Roles(large=True, collects=True, follows=True)
 WORD_EVERY_S = 0.25
 STEP_S = 0.05
 
@@ -148,7 +148,7 @@
 @given("a collector of a large fleet, and an instance of a small one")
 def collector_and_small(context: Any) -> None:
     """Make both."""
-    context.both = [Follows(1, COLLECTOR), Follows(1, Roles())]
+    context.both = [Follows(1, FOLLOWER), Follows(1, Roles())]
 
 
 @then("both may call the platform at any time")
--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -8,9 +8,10 @@
 from behave import given, then, when
 
 from driftstall.exceptions import PolicyError
-from driftstall.policy.evaluate import explain
+from driftstall.policy.default import default_policy
+from driftstall.policy.evaluate import evaluate, explain
 from driftstall.policy.model import Facts
-from driftstall.policy.parse import parse_policy
+from driftstall.policy.parse import default_policy_text, parse_policy
 
 
 @given("the policy text {text}")
@@ -66,3 +67,24 @@
     checks = [(one.rule, one.held) for one in context.why.checks]
     assert checks == [(other, False), (name, True)], checks
     assert context.why.verdict.rank == rank
+
+
+@then("the built default policy and its parsed text agree on every kind of request")
+def built_default(context: Any) -> None:
+    """Compare the rules, and the verdicts over ranks and lengths."""
+    built, parsed = default_policy(), parse_policy(default_policy_text())
+    assert (built.name, built.weights, built.overflow) == (
+        parsed.name,
+        parsed.weights,
+        parsed.overflow,
+    )
+    rows = [
+        [(one.name, one.line, one.text, one.verdict) for one in policy.rules]
+        for policy in (built, parsed)
+    ]
+    assert rows[0] == rows[1], rows
+    assert built.steps == parsed.steps
+    for rank in range(4):
+        for tokens in (1, 200, 201, 5_000):
+            facts = Facts("stream", "w", "m", 10, tokens, 0.5, 12, rank)
+            assert evaluate(built, facts) == evaluate(parsed, facts)
--- a/features/worlds/gateway_world.py
+++ b/features/worlds/gateway_world.py
@@ -20,7 +20,7 @@
 from driftstall.gateway.state import GatewayState
 from driftstall.platform.dialect import PlatformDialect
 from driftstall.platform.documents import read_routing
-from driftstall.policy.parse import default_policy
+from driftstall.policy.default import default_policy
 from measures.bench import free_port
 from stand_ins.routed import RoutedUpstream, Script
 
--- a/measures/capacity.py
+++ b/measures/capacity.py
@@ -31,12 +31,14 @@
 from driftstall.daemon.wire import config_to_json, shard_to_json
 from driftstall.decisions.lengths import LearnedLengths
 from driftstall.decisions.locate import groups_of, owner_of
-from driftstall.peers.codec import decode, encode
-from driftstall.peers.messages import Envelope, ProgressBatch
+from driftstall.peers.codec import decode, encode, kinds_of
+from driftstall.peers.envelope import Envelope
+from driftstall.peers.messages import DaemonMessage, ProgressBatch
 from driftstall.policy.evaluate import evaluate
 from driftstall.policy.model import Facts
 from driftstall.policy.parse import parse_policy
 
+KINDS: Final = kinds_of(DaemonMessage)
 KEY: Final = b"a key for measuring"
 RESULTS: Final = Path("docs/results/capacity.json")
 VERDICT: Final = Verdict("waiting_people", 6, 0, 10.0, False, True, 1.0, 0.0)
@@ -149,7 +151,7 @@
             recipient, message = queue.pop()
             frame = encode(Envelope("instance-1", recipient, 1, message), KEY)
             sent += len(frame)
-            decode(frame[4:], KEY)
+            decode(frame[4:], KEY, KINDS)
             for action in nodes[recipient].handle(message, now):
                 if isinstance(action, SendTo):
                     queue.append((action.recipient, action.message))
@@ -230,7 +232,7 @@
         round(memory_kb(lambda: busy_controller(16, 50, many)) / many, 2),
         {name: time_us(lambda one=one: _encode(one), 2_000) for name, one in sample.items()},  # type: ignore[misc]
         {
-            name: time_us(lambda frame=frame: decode(frame[4:], KEY), 2_000)  # type: ignore[misc]
+            name: time_us(lambda frame=frame: decode(frame[4:], KEY, KINDS), 2_000)  # type: ignore[misc]
             for name, frame in frames.items()
         },
         {name: len(frame) for name, frame in frames.items()},
