Call the platform less often from machines that are cut off

Cause of what is left of the calls: starts (156), three followers, and machines cut off that try twice a second each (reckoned, not counted). Change: others than followers pause up to 1.5 s after failed calls.

--- a/driftstall/gateway/feeds.py
+++ b/driftstall/gateway/feeds.py
@@ -14,8 +14,7 @@
 HOLD_CHECK_S: Final = 0.2
 """How often a follower that makes no calls looks whether it should."""
 FIRST_PAUSE_S: Final = 0.05
-LONGEST_PAUSE_S: Final = 0.6
-"""Pause after failed calls; it doubles, so that an outage makes no storm."""
+"""Pause after a failed call; it doubles up to what the pace allows."""
 LOST_AFTER: Final = 2
 """Calls that fail in a row until the platform counts as lost; one cut watch is usual."""
 
@@ -81,6 +80,9 @@
     def watch_s(self) -> float:
         """Return how long an idle watch waits, in seconds."""
 
+    def longest_pause_s(self) -> float:
+        """Return the longest pause after failed calls, in seconds."""
+
     def answered(self) -> None:
         """Learn that a call was answered."""
 
@@ -158,5 +160,5 @@
         self._failures += 1
         if self._failures == LOST_AFTER:
             self._listener.platform_lost(cause)
-        pause = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2**self._failures)
+        pause = min(self._pace.longest_pause_s(), FIRST_PAUSE_S * 2**self._failures)
         self._sleep(pause * (0.5 + self._source.random()))
--- a/driftstall/gateway/reliance.py
+++ b/driftstall/gateway/reliance.py
@@ -27,6 +27,11 @@
 FIRST_TRY_S: Final = 0.4
 """An instance's own first question comes within this time once no collector gets an answer:
 the collectors may be cut off where it is not."""
+LONGEST_PAUSE_S: Final = 0.6
+"""Longest pause of a follower after failed calls, so that an outage makes no storm."""
+OTHERS_PAUSE_S: Final = 1.5
+"""The same for the others of a large fleet, which call while they are cut off from their
+collectors; a machine has three seconds and more to catch up after a cut."""
 OUTAGE_PAUSE_S: Final = 4.0
 """Mean pause between its further questions, so that an outage makes no storm."""
 
@@ -100,6 +105,10 @@
         """Return how long an idle watch waits."""
         return LARGE_WATCH_S if self._roles().large else IDLE_WATCH_S
 
+    def longest_pause_s(self) -> float:
+        """Return the longest pause after failed calls."""
+        return LONGEST_PAUSE_S if self._follows_always else OTHERS_PAUSE_S
+
     def answered(self) -> None:
         """Note that the platform has answered."""
         self._answered_at = self._now()
@@ -127,5 +136,9 @@
         """Return how long an idle watch waits."""
         return IDLE_WATCH_S
 
+    def longest_pause_s(self) -> float:
+        """Return the longest pause after failed calls."""
+        return OTHERS_PAUSE_S
+
     def answered(self) -> None:
         """Note that the platform has answered; nothing depends on when."""
