--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -122,9 +122,8 @@
 
     def _budget_allows(self) -> bool:
         """Take one repeat from the common budget."""
-        allowed = self._state.budget(self._admitted.service.name).take(self._state.now())
-        self._state.stats.repeats += allowed
-        return allowed
+        marks = self._admitted.marks
+        return self._state.take_repeat(self._admitted.service.name, marks.request_id)
 
     def _send(self, upstream: Upstream, tries: _Tries) -> WholeAnswer | None:
         """Try one upstream; return the final answer, or None to go on."""
--- a/driftstall/gateway/shared_budget.py
+++ b/driftstall/gateway/shared_budget.py
@@ -97,12 +97,12 @@
     def take(self, now: float) -> bool:
         """Count one repeat if the budget allows it; return whether it does."""
         self._forget(now)
-        if len(self._repeats) + 1 > self._allowed(now):
+        if len(self._repeats) + 1 > self.allowed(now):
             return False
         self._repeats.append(now)
         return True
 
-    def _allowed(self, now: float) -> float:
+    def allowed(self, now: float) -> float:
         """Return the repeats that this instance may have sent within the window."""
         bounds = self._bounds
         heard = [one for one in self._peers.values() if now - one.at <= HEARD_S]
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -8,6 +8,7 @@
 
 from gevent.event import Event
 
+from driftstall.const import PREFIX_ROUTING
 from driftstall.core import Request
 from driftstall.decisions.lengths import LearnedLengths
 from driftstall.gateway.dialect import Dialect
@@ -20,6 +21,7 @@
 from driftstall.gateway.selection import DRAWN, Lot, Option
 from driftstall.gateway.shared_budget import InstanceCount, RepeatCount, SharedRetryBudget
 from driftstall.gateway.stats import GatewayStats
+from driftstall.helpers.log import say
 from driftstall.policy.model import Policy
 
 NO_LOAD: Final = 0.0
@@ -100,6 +102,26 @@
         for budget in self._budgets.values():
             budget.forget_peers()
 
+    def take_repeat(self, service: str, request_id: str) -> bool:
+        """Take one repeat from the common budget; a refusal is logged with its inputs."""
+        now = self.now()
+        budget = self.budget(service)
+        if budget.take(now):
+            self.stats.repeats += 1
+            return True
+        own = budget.count(now)
+        say(
+            PREFIX_ROUTING,
+            "The retry budget allows no further send",
+            request=request_id,
+            service=service,
+            own_requests=own.requests,
+            own_repeats=own.repeats,
+            allowed=round(budget.allowed(now), 1),
+            instances=self.instances.value,
+        )
+        return False
+
     def repeat_counts(self) -> tuple[RepeatCount, ...]:
         """Return what this instance has sent to each service, for its peers."""
         now = self.now()
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -420,9 +420,7 @@
 
     def _budget_allows(self, upstream: Upstream) -> bool:
         """Take one repeat from the common budget."""
-        allowed = self._state.budget(upstream.service).take(self._state.now())
-        self._state.stats.repeats += allowed
-        return allowed
+        return self._state.take_repeat(upstream.service, self._admitted.marks.request_id)
 
     def _saw(self, run: StreamRun, outcome: Outcome) -> None:
         """Take in how the upstream did; the time of a stream says nothing of it."""
--- a/features/gateway/calls.feature
+++ b/features/gateway/calls.feature
@@ -25,6 +25,14 @@
     When "/safe/a" is asked as "r1"
     Then the answer is 500 "failed" with the upstream's seal
 
+  Scenario: a repeat that the common budget refuses is logged with what decided it
+    Given the first upstream of "r1" will answer 500
+    And no repeats are left in the common budget
+    When "/safe/a" is asked as "r1"
+    Then the answer is 500 "failed" with the upstream's seal
+    And "r1" has run on 1 upstreams
+    And the log tells that the budget allowed "r1" no further send, and why
+
   Scenario Outline: a call that may run once is not repeated after <fault>
     Given the upstream of "r1" will <fault>
     When "/once/a" is asked as "r1"
--- a/features/gateway/parts.feature
+++ b/features/gateway/parts.feature
@@ -23,6 +23,12 @@
     Then "u1" takes requests
     And after 2.3 s without its entry "u1" takes no requests
 
+  Scenario: an entry that goes late in the grace time is not kept beyond it
+    Given a fleet of 3 upstreams
+    When the platform was away and lists only "u1" and "u2" on its return
+    And the entry of "u2" is removed 2 s after the return
+    Then after 2.3 s without its entry "u2" takes no requests
+
   Scenario: what a peer tells during an outage holds at once
     Given a fleet of 3 upstreams
     When the platform is away and a peer tells that "u1" is gone
--- a/features/steps/gateway_call_steps.py
+++ b/features/steps/gateway_call_steps.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import time
+from dataclasses import replace
 from typing import Any
 
 from behave import given, then, when
+from eliot import add_destinations, remove_destination
 
+from driftstall.gateway.model import Bounds
 from features.worlds.gateway_world import (
     KEY,
     GatewayWorld,
@@ -40,6 +43,24 @@
     context.add_cleanup(context.world.close)
 
 
+@given("no repeats are left in the common budget")
+def no_repeats(context: Any) -> None:
+    """Let the site allow none, and keep what is logged."""
+    state = world_of(context).state
+    state.settings = replace(state.settings, bounds=Bounds(retry_ratio=0.0, retry_extra=0.0))
+    context.logged = []
+    add_destinations(context.logged.append)
+    context.add_cleanup(remove_destination, context.logged.append)
+
+
+@then('the log tells that the budget allowed "{request_id}" no further send, and why')
+def budget_logged(context: Any, request_id: str) -> None:
+    """Look for the line."""
+    lines = [one for one in context.logged if "allows no further send" in one["message"]]
+    assert [one["request"] for one in lines] == [request_id], context.logged
+    assert (lines[0]["own_requests"], lines[0]["allowed"]) == (1, 0.0), lines
+
+
 @when('"{path}" is asked as "{request_id}"')
 def ask(context: Any, path: str, request_id: str) -> None:
     """Ask and keep the answer."""
--- a/features/steps/gateway_fleet_steps.py
+++ b/features/steps/gateway_fleet_steps.py
@@ -97,6 +97,12 @@
     tell(context, Changed(upstream_of(name, 9), False), context.back_at + seconds)
 
 
+@when('the entry of "{name}" is removed {seconds:g} s after the return')
+def removed_late(context: Any, name: str, seconds: float) -> None:
+    """Remove an entry once the platform is back."""
+    tell(context, Changed(upstream_of(name, 5), True), context.back_at + seconds)
+
+
 @then('after {seconds:g} s without its entry "{name}" takes no requests')
 def missed(context: Any, seconds: float, name: str) -> None:
     """Let the grace time pass."""
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -15,6 +15,7 @@
 from soak.proxy import Proxy
 from stand_ins.routed import RoutedUpstream, Script, Seen
 
+ZONES: Final = "abc"
 EVENTS: Final = 25
 EVENT_PAUSE_S: Final = 0.03
 WORK_S: Final = 0.02
@@ -99,8 +100,9 @@
 
     def _spec(self, state: str) -> dict[str, Any]:
         """Return the entry in the store."""
-        fields = {"service": self.service, "address": self.proxy.address, "zone": "a"}
-        return fields | {"slots": 64, "state": state}
+        fields = {"service": self.service, "address": self.proxy.address}
+        zone = ZONES[self.place % len(ZONES)]
+        return fields | {"zone": zone, "slots": 64, "state": state}
 
     def _note(self, upstream_id: str) -> None:
         """Note that the store has acknowledged a notice."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -23,7 +23,7 @@
 from measures.gateway_process import GatewayProcess
 from soak.caller import CallerConnection
 from soak.checks import APPLY_S, DRAIN_S, broken_promises
-from soak.fleet import EVENTS, Listed
+from soak.fleet import EVENTS, ZONES, Listed
 from soak.ledger import STORE, Asked, Ledger, Sort
 from soak.plan import Kind, Step, draw
 from soak.proxy import Proxy
@@ -38,6 +38,7 @@
 READY_S: Final = 40.0
 """Time in which all instances are ready; they share few cores when they start at once."""
 END_S: Final = 12.0
+LINK_MBPS: Final = 100
 PORTALS: Final = 2
 ENGINES: Final = 3
 REJECTED_PAUSE_S: Final = 0.05
@@ -125,7 +126,12 @@
         """Start one instance."""
         seeds = [one.listen["control"] for one in getattr(self, "_instances", [])[:3]]
         bounds = {"graceS": GRACE_S, "ttl_max_s": LOCATED_S, "drainMs": DRAIN_S * 1000}
-        settings: dict[str, Any] = {"bounds": bounds, "seeds": seeds}
+        settings: dict[str, Any] = {
+            "bounds": bounds,
+            "seeds": seeds,
+            "zone": ZONES[number % len(ZONES)],
+            "limits": {"linkMbps": LINK_MBPS},
+        }
         store = self._links[number - 1].address
         return GatewayProcess(f"instance-{number}", number, store, self.folder, settings)
 
@@ -285,7 +291,8 @@
         """Ask up to three instances which ones to use."""
         for one in source.sample(self._instances, min(3, len(self._instances))):
             try:
-                status, body = one.get("directory", f"/api/resolve?name={HOST}&zone=b")
+                zone = source.choice(ZONES)
+                status, body = one.get("directory", f"/api/resolve?name={HOST}&zone={zone}")
             except UpstreamError:
                 continue
             if status == 200:
