Let an instance that starts without the store learn everything from its peers

Cause: only the store's own list made an instance ready, so one that starts while the store turns it away refused all requests until that ended, though its peers know all upstreams.

--- a/driftstall/gateway/fleet.py
+++ b/driftstall/gateway/fleet.py
@@ -107,7 +107,7 @@
 
     @property
     def known(self) -> bool:
-        """Tell whether the list was ever read."""
+        """Tell whether the list was ever read, from the platform or a peer."""
         return self._read
 
     @property
@@ -172,6 +172,7 @@
 
     @_on.register
     def _(self, event: Offered, now: float) -> None:
+        self._read = True
         offered = {one.upstream_id for one in event.upstreams}
         for upstream in event.upstreams:
             self._put(upstream, now)
--- a/driftstall/gateway/peering.py
+++ b/driftstall/gateway/peering.py
@@ -206,6 +206,8 @@
         if self._reporting.take_report(report):
             self._sharing.repeat_changes(report.sender)
         self._sharing.newer_routing(RoutingNotice(report.sender, report.routing_version))
+        if report.platform_ok:
+            self._sharing.ask_unless_known(report.sender)
 
     def _take_summary(self, summary: FleetSummary) -> None:
         """Take in a collector's word."""
--- a/driftstall/gateway/sharing.py
+++ b/driftstall/gateway/sharing.py
@@ -142,6 +142,11 @@
             self._different = 0
             self._send(summary.sender, FleetAsked(self._own_id))
 
+    def ask_unless_known(self, peer: str) -> None:
+        """Ask a peer for the upstreams if the platform has never told this instance any."""
+        if not self._state.fleet.known:
+            self._send(peer, FleetAsked(self._own_id))
+
     def answer_routing(self, asked: RoutingAsked) -> None:
         """Give a peer the routing document, if it is newer than the peer's."""
         version, text = self._intake.routing()
--- a/driftstall/gateway/sources.py
+++ b/driftstall/gateway/sources.py
@@ -198,6 +198,7 @@
     def offered(self, items: tuple[Upstream, ...], at: int) -> None:
         """Take in a peer's list of all that take requests, as of a revision."""
         self._apply(Offered(items, at), from_peer=True)
+        self._state.check_configured()
 
     def platform_lost(self, cause: str) -> None:
         """Learn that the platform does not answer."""
--- a/features/gateway/node.feature
+++ b/features/gateway/node.feature
@@ -32,3 +32,10 @@
     When the gate is shut and a newer routing configuration of 400 routes is stored
     Then both serve its new route
     And both processes still run
+
+  Scenario: an instance that starts while the store does not answer it learns all from its peer
+    Given the store's stand-in with a routing configuration and 2 upstreams
+    And a gateway process
+    And one more that reaches the store through a gate that is shut
+    Then both become ready and each is located with the other
+    And both serve calls and show metrics
--- a/features/steps/gateway_node_steps.py
+++ b/features/steps/gateway_node_steps.py
@@ -127,10 +127,10 @@
     context.nodes = []
 
 
-def start_node(context: Any, store: str) -> None:
+def start_node(context: Any, store: str, **more: Any) -> None:
     """Start one more process."""
     folder = Path(tempfile.mkdtemp(prefix="driftstall-"))
-    node = Node(len(context.nodes) + 1, store, folder)
+    node = Node(len(context.nodes) + 1, store, folder, more)
     context.nodes.append(node)
     context.add_cleanup(node.process.wait)
     context.add_cleanup(node.process.kill)
@@ -152,6 +152,22 @@
     start_node(context, context.gate.address)
 
 
+@given("a gateway process")
+def start_one(context: Any) -> None:
+    """Start one process on the store, and wait until it serves."""
+    start_node(context, context.store_address)
+    wait_long("it is ready", context.nodes[0].ready)
+
+
+@given("one more that reaches the store through a gate that is shut")
+def start_shut(context: Any) -> None:
+    """Start one process that only a seed tells anything."""
+    context.gate = Gate(context.store_address)
+    context.gate.close_gate()
+    context.add_cleanup(context.gate.stop)
+    start_node(context, context.gate.address, seeds=[context.nodes[0].listen["control"]])
+
+
 @then("both become ready and each is located with the other")
 def both_ready(context: Any) -> None:
     """Wait for readiness and the directory."""
--- a/script/check_core.py
+++ b/script/check_core.py
@@ -9,12 +9,14 @@
 CORE = ("decisions", "policy", "filters", "controllers")
 GATEWAY_CORE = (
     "admission",
+    "collectors",
     "dialect",
     "events",
     "fleet",
     "loads",
     "model",
     "outcomes",
+    "reliance",
     "routes",
     "selection",
     "shared_budget",
--- a/soak/run.py
+++ b/soak/run.py
@@ -5,6 +5,7 @@
 import itertools
 import random
 import signal
+import subprocess
 import tempfile
 import time
 from collections.abc import Callable
@@ -174,8 +175,9 @@
         """Kill an instance and start it again."""
         instance = self._instances[step.target]
         self._disturb(instance.name, step.for_s + READY_S / 10)
+        process = instance.process
         instance.signal(signal.SIGKILL)
-        gevent.spawn_later(step.for_s, self._restart, instance)
+        gevent.spawn_later(step.for_s, self._restart, instance, process)
 
     def _stop(self, step: Step) -> None:
         """Stop an instance as planned, kill it after the grace time, start it again."""
@@ -184,17 +186,18 @@
         process = instance.process
         instance.signal(signal.SIGTERM)
 
-        def end() -> None:
-            if process.poll() is None and instance.process is process:
-                process.kill()
-            self._restart(instance)
+        gevent.spawn_later(GRACE_S, self._restart, instance, process)
 
-        gevent.spawn_later(GRACE_S, end)
+    def _restart(self, instance: GatewayProcess, process: subprocess.Popen[bytes]) -> None:
+        """End a process that was told to, if it still runs, and start the instance again.
 
-    def _restart(self, instance: GatewayProcess) -> None:
-        """Start an instance whose process has ended."""
-        if instance.process.poll() is not None and self._traffic:
-            instance.restart()
+        An overlapping step may have done so already.
+        """
+        if instance.process is not process or not self._traffic:
+            return
+        if process.poll() is None:
+            process.kill()
+        instance.restart()
 
     def _pause(self, step: Step) -> None:
         """Let an instance stand still."""
