Keep the copy of a stream whose engine is leaving, however full the engines are

Ruled out: the retry budget (the log would tell now), an old copy (4 s). Test: the copy stays; it fails without the change. Not measured yet.

--- a/driftstall/gateway/protection.py
+++ b/driftstall/gateway/protection.py
@@ -54,7 +54,7 @@
                 if run.upstream.upstream_id not in self._busy:
                     self._busy.add(run.upstream.upstream_id)
                     gevent.spawn(self._copy, run)
-            self._make_room()
+            self.make_room()
             self._forget_ended()
 
     def wanting(self) -> list[StreamRun]:
@@ -78,12 +78,15 @@
                 found.append(run)
         return found
 
-    def _make_room(self) -> None:
+    def make_room(self) -> None:
         """Drop copies on engines whose memory is nearly full; runs go first."""
         for run in self._state.runs.all:
             kept, engine = run.kept, run.admitted.service.engine
             if kept is None or engine is None or run.copying or run.moving is not None:
                 continue
+            if not self._state.fleet.takes_requests(run.upstream.upstream_id):
+                # Its engine is leaving: the copy is where the run goes on soon.
+                continue
             use = self._state.loads.use(kept.copy.upstream.upstream_id, self._state.now())
             if (use.tokens + use.copies) / engine.memory_tokens > DROP_MEMORY:
                 self._mover.drop_copy(run)
--- a/features/gateway/streams.feature
+++ b/features/gateway/streams.feature
@@ -93,6 +93,11 @@
     Then an engine that "s1" does not run on holds its copy
     And the copy is dropped when its engine fills
 
+  Scenario: the copy of a stream whose engine is leaving is kept, however full the engines are
+    Given stream "s1" waits after event 8 and has no backup
+    When a copy of it is made, its engine is leaving and all engines are full
+    Then making room leaves its copy alone
+
   Scenario: no copies are made beforehand while an engine is leaving
     Given stream "s1" waits after event 8 and has no backup
     When a notice was given and copies are kept
--- a/features/steps/gateway_stream_steps.py
+++ b/features/steps/gateway_stream_steps.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Any
 
 import gevent
 from behave import given, then, when
 
+from driftstall.gateway.fleet import Changed
 from driftstall.gateway.loads import Use
+from driftstall.gateway.model import UpstreamState
 from driftstall.gateway.protection import Protection
 from features.worlds.gateway_world import (
     GatewayWorld,
@@ -281,6 +284,29 @@
     context.script.gate.set()
 
 
+@when("a copy of it is made, its engine is leaving and all engines are full")
+def leaving_and_full(context: Any) -> None:
+    """Copy the run, then tell only the books that its engine is leaving."""
+    world = world_of(context)
+    (run,) = world.state.runs.all
+    target = world.mover.choose_target(run, frozenset(), most_memory=1.0)
+    assert target is not None
+    world.mover.copy(run, target)
+    leaving = replace(run.upstream, state=UpstreamState.LEAVING, revision=run.upstream.revision + 1)
+    world.state.fleet.handle(Changed(leaving, False), world.state.now())
+    memory_full(context)
+
+
+@then("making room leaves its copy alone")
+def copy_stays(context: Any) -> None:
+    """Make room as the periods do."""
+    world = world_of(context)
+    (run,) = world.state.runs.all
+    Protection(world.state, world.mover).make_room()
+    assert run.kept is not None
+    context.script.gate.set()
+
+
 @when("a notice was given and copies are kept")
 def notice_and_copies(context: Any) -> None:
     """Make what is needed for copies, right after a notice."""
