Tell all peers who leaves; do not go back and forth between engines that are gone

Ruled out: old news refused by revision (its entry was at 14, the notice at 31). Change: everyone tells all peers once who leaves; an attempt that did not run leaves no backup. Tests: a silent path to the store, both engines gone; both failed before.

--- a/driftstall/gateway/peering.py
+++ b/driftstall/gateway/peering.py
@@ -90,7 +90,12 @@
             broadcast=self._broadcast,
         )
         self._sharing = Sharing(
-            state, intake, roles=lambda: self._roles, send=self._send, broadcast=self._broadcast
+            state,
+            intake,
+            roles=lambda: self._roles,
+            live=lambda: self._members.live,
+            send=self._send,
+            broadcast=self._broadcast,
         )
         self.policy_revision = 0
         """The newest revision of the policy that a collector has told of."""
--- a/driftstall/gateway/sharing.py
+++ b/driftstall/gateway/sharing.py
@@ -70,13 +70,15 @@
         intake: Intake,
         *,
         roles: Callable[[], Roles],
+        live: Callable[[], tuple[Instance, ...]],
         send: Callable[[str, GatewayMessage], None],
         broadcast: Callable[[Iterable[Instance], GatewayMessage], None],
     ) -> None:
-        """Take the shared state, how things are taken in, the roles, and how to send."""
+        """Take the shared state, how things are taken in, the fleet, and how to send."""
         self._state = state
         self._intake = intake
         self._roles = roles
+        self._live = live
         self._send = send
         self._broadcast = broadcast
         self._own_id = state.settings.instance_id
@@ -104,11 +106,20 @@
             self._send(peer, _news(self._own_id, change))
 
     def pass_action(self, action: FleetAction, *, from_peer: bool) -> None:
-        """Tell the zone, and other zones if the platform told it, who joined or leaves."""
+        """Tell who joined or leaves.
+
+        In a large fleet a collector tells its zone, and other zones if the platform told it.
+        In a small one everyone tells all who leaves, once: a peer whose path to the platform
+        has fallen silent does not know so itself for some seconds.
+        """
         roles = self._roles()
+        leaving = isinstance(action, UpstreamLeaving)
+        if not roles.large and leaving and not from_peer:
+            # Peers follow the platform too, which tells them of its removal later.
+            gone = action.upstream.state is UpstreamState.READY
+            self._broadcast(self._live(), _news(self._own_id, ItemChange(action.upstream, gone)))
         if not roles.collects:
             return
-        leaving = isinstance(action, UpstreamLeaving)
         news = _news(self._own_id, ItemChange(action.upstream, leaving))
         self._broadcast((*roles.zone_members, *roles.own_collectors), news)
         if not from_peer:
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -313,7 +313,9 @@
             if isinstance(result, _Opened) and result.head.status == OK:
                 self._state.stats.streams_resumed += 1
                 return result
-            # Another copy of the run as it was may still serve.
+            # It did not run there, so nothing was copied on from there; another copy of the
+            # run as it was may still serve.
+            next_run.backup = None
             next_run.kept = next_run.kept or run.kept
             run = next_run
         return None
--- a/features/gateway/node.feature
+++ b/features/gateway/node.feature
@@ -25,6 +25,14 @@
     When an upstream is removed from the store
     Then neither sends it any call within 10 calls
 
+  Scenario: an instance whose path to the store falls silent learns from its peer who leaves
+    Given the store's stand-in with a routing configuration and 2 upstreams
+    And a gateway process, and one more that reaches the store through a gate
+    Then both become ready and each is located with the other
+    When the gate falls silent
+    And an upstream is removed from the store
+    Then neither sends it any call within 10 calls
+
   Scenario: a large routing configuration passes between instances
     Given the store's stand-in with a routing configuration and 2 upstreams
     And a gateway process, and one more that reaches the store through a gate
--- a/features/gateway/streams.feature
+++ b/features/gateway/streams.feature
@@ -13,6 +13,12 @@
     Then all 5 events of "s1" came once, in order, and the end
     And "s1" went on from its backup after event 3
 
+  Scenario: a stream whose engine and copy are both gone is not sent back and forth
+    Given the engine of "s1" will break off after 3 events, and all others are gone by then
+    When stream "s1" is asked
+    Then 3 events of "s1" came, in order, and no end
+    And one repeat was taken from the budget
+
   Scenario: half an event is never passed on
     Given the engine of "s1" will break off inside event 4
     When stream "s1" is asked
--- a/features/steps/gateway_node_steps.py
+++ b/features/steps/gateway_node_steps.py
@@ -39,6 +39,8 @@
         self._target = target
         self._open: list[socket.socket] = []
         self.shut = False
+        self.silent = False
+        """Whether connections stay open but nothing passes."""
         self._server = StreamServer(("127.0.0.1", 0), self._serve)
         self._server.start()
 
@@ -71,12 +73,12 @@
         near.close()
         far.close()
 
-    @staticmethod
-    def _copy(source: socket.socket, target: socket.socket) -> None:
+    def _copy(self, source: socket.socket, target: socket.socket) -> None:
         """Copy bytes until the end."""
         try:
             while data := source.recv(65_536):
-                target.sendall(data)
+                if not self.silent:
+                    target.sendall(data)
             target.shutdown(socket.SHUT_WR)
         except OSError:
             return
@@ -195,6 +197,12 @@
     assert context.store.replace(KIND_CONFIG, NAME_CONFIG, newer) is not None
 
 
+@when("the gate falls silent")
+def fall_silent(context: Any) -> None:
+    """Let nothing pass, without a word."""
+    context.gate.silent = True
+
+
 @when("the gate is shut and a newer routing configuration is stored")
 def shut_and_store(context: Any) -> None:
     """Cut one process off from the store, then change the configuration."""
--- a/features/steps/gateway_stream_steps.py
+++ b/features/steps/gateway_stream_steps.py
@@ -37,6 +37,29 @@
     stream_script(context, request_id, Script(break_after=count))
 
 
+@given(
+    'the engine of "{request_id}" will break off after 3 events, and all others are gone by then'
+)
+def breaks_and_others_gone(context: Any, request_id: str) -> None:
+    """Let the stream wait after its third event, stop all engines, then break it off."""
+    world = world_of(context)
+    stream_script(context, request_id, Script(pause_after=3, break_after=3))
+
+    def end_all() -> None:
+        wait_for("three events", lambda: any(run.events >= 3 for run in world.state.runs.all))
+        for one in world.engines:
+            one.stop()
+        context.script.gate.set()
+
+    gevent.spawn(end_all)
+
+
+@then("one repeat was taken from the budget")
+def one_repeat(context: Any) -> None:
+    """Count the repeats."""
+    assert world_of(context).state.stats.repeats == 1, world_of(context).state.stats.repeats
+
+
 @given('the engine of "{request_id}" will break off inside event {number:d}')
 def breaks_inside(context: Any, request_id: str, number: int) -> None:
     """Break a stream off inside an event."""
