Let collectors that do not follow the platform check against those that do

Cause, found by reading: a collector that does not follow learns of upstreams only by news. One lost message would have left it, and through it its whole zone, with an upstream that has left, for ever: members compare with their collector only. Change: zone summaries carry the hash of the sender's upstreams; a collector compares with those whose platform has just answered, and asks for the whole list after two that differ. Test: it asks, takes over the list and hands it on; there was nothing to fail before, as the message lacked the field. Also: upstreams travel as the one type that the gateway has, not as two more copies of it. A test was wrong: of 18 processes four are killed and 14 are no large fleet, so 'there are collectors again' held only while the dead still counted as live. It starts 22 now, which stay large, and asks the same.

--- a/driftstall/gateway/peering.py
+++ b/driftstall/gateway/peering.py
@@ -28,7 +28,7 @@
 from driftstall.gateway.feeds import ItemChange
 from driftstall.gateway.fleet import FleetAction
 from driftstall.gateway.model import Upstream
-from driftstall.gateway.reliance import Reliance
+from driftstall.gateway.reliance import FRESH_S, Reliance
 from driftstall.gateway.reports import MS, Reporting, Standing
 from driftstall.gateway.sharing import Intake, RoutingNotice, Sharing
 from driftstall.gateway.state import GatewayState
@@ -192,9 +192,7 @@
         elif isinstance(message, FleetSummary):
             self._take_summary(message)
         elif isinstance(message, ZoneSummary):
-            self._reporting.take_zone(message)
-            self._reliance.heard(message.platform_age_ms / MS, self._state.now())
-            self._sharing.newer_routing(RoutingNotice(sender, message.routing_version))
+            self._take_zone(message)
         elif isinstance(message, RoutingAsked):
             self._sharing.answer_routing(message)
         elif isinstance(message, RoutingOffered):
@@ -214,6 +212,15 @@
         if report.platform_ok:
             self._sharing.ask_unless_known(report.sender)
 
+    def _take_zone(self, summary: ZoneSummary) -> None:
+        """Take in another zone's sum, and what its collector knows if it follows the platform."""
+        age_s = summary.platform_age_ms / MS
+        self._reporting.take_zone(summary)
+        self._reliance.heard(age_s, self._state.now())
+        self._sharing.newer_routing(RoutingNotice(summary.sender, summary.routing_version))
+        if not self._roles.follows and age_s <= FRESH_S:
+            self._sharing.compare_fleet(summary)
+
     def _take_summary(self, summary: FleetSummary) -> None:
         """Take in a collector's word."""
         if self._roles.collects:
--- a/driftstall/gateway/reports.py
+++ b/driftstall/gateway/reports.py
@@ -203,6 +203,7 @@
             self._own.zone,
             standing.routing_version,
             _milliseconds(standing.platform_age_s),
+            self._state.fleet.digest,
             len(fresh) + 1,
             self._own_ready() + tuple(one.report.sender for one in fresh if one.report.ready),
             self._state.loads.all_sums(self._state.now(), pooled=False),
--- a/driftstall/gateway/sharing.py
+++ b/driftstall/gateway/sharing.py
@@ -29,8 +29,8 @@
     GatewayMessage,
     RoutingAsked,
     RoutingOffered,
-    UpstreamEntry,
     UpstreamNews,
+    ZoneSummary,
 )
 
 RECENT_S: Final = 6.0
@@ -100,12 +100,12 @@
         self._recent = [(at, one) for at, one in self._recent if now - at <= RECENT_S]
         self._recent.append((now, change))
         for peer in peers:
-            self._send(peer, _news(self._own_id, change))
+            self._send(peer, UpstreamNews(self._own_id, change.item, change.gone))
 
     def repeat_changes(self, peer: str) -> None:
         """Tell a peer that has just lost the platform what it may have missed."""
         for _, change in self._recent:
-            self._send(peer, _news(self._own_id, change))
+            self._send(peer, UpstreamNews(self._own_id, change.item, change.gone))
 
     def pass_action(self, action: FleetAction, *, from_peer: bool) -> None:
         """Tell who joined or leaves.
@@ -119,10 +119,10 @@
         if not roles.large and leaving and not from_peer:
             # Peers follow the platform too, which tells them of its removal later.
             gone = action.upstream.state is UpstreamState.READY
-            self._broadcast(self._live(), _news(self._own_id, ItemChange(action.upstream, gone)))
+            self._broadcast(self._live(), UpstreamNews(self._own_id, action.upstream, gone))
         if not roles.collects:
             return
-        news = _news(self._own_id, ItemChange(action.upstream, leaving))
+        news = UpstreamNews(self._own_id, action.upstream, leaving)
         self._broadcast((*roles.zone_members, *roles.own_collectors), news)
         if not from_peer:
             self._broadcast(roles.far_collectors, news)
@@ -145,7 +145,7 @@
             pause_s = ASK_AFTER_S * (1 + self._state.source.random())
             gevent.spawn_later(pause_s, self._ask_routing, notice)
 
-    def compare_fleet(self, summary: FleetSummary) -> None:
+    def compare_fleet(self, summary: FleetSummary | ZoneSummary) -> None:
         """Ask for a collector's upstreams if they are not those known here."""
         if summary.fleet_digest == self._state.fleet.digest:
             self._different = 0
@@ -183,24 +183,22 @@
 
     def answer_fleet(self, asked: FleetAsked) -> None:
         """Give a peer all upstreams that take requests."""
-        entries = tuple(_entry(one) for one in self._state.fleet.taking)
-        offered = FleetOffered(self._own_id, self._state.fleet.at, entries)
-        self._send(asked.sender, offered)
+        fleet = self._state.fleet
+        self._send(asked.sender, FleetOffered(self._own_id, fleet.at, fleet.taking))
 
     def take_fleet(self, offered: FleetOffered) -> None:
         """Take in a collector's upstreams."""
-        upstreams = tuple(_upstream(one) for one in offered.upstreams)
         say(
             PREFIX_ROUTING,
-            f"A peer passes {len(upstreams)} upstreams on",
+            f"A peer passes {len(offered.upstreams)} upstreams on",
             peer=offered.sender,
             revision=offered.at,
         )
-        self._intake.take_fleet(upstreams, offered.at)
+        self._intake.take_fleet(offered.upstreams, offered.at)
 
     def take_news(self, news: UpstreamNews) -> None:
         """Take in one change of an upstream."""
-        self._intake.take_news(_change(news))
+        self._intake.take_news(ItemChange(news.upstream, news.gone))
 
     def _ask_routing(self, notice: RoutingNotice) -> None:
         """Ask for a newer routing document that has not come meanwhile."""
@@ -210,53 +208,3 @@
             return
         self._asked_at[notice.peer] = now
         self._send(notice.peer, RoutingAsked(self._own_id, version))
-
-
-def _news(sender: str, change: ItemChange[Upstream]) -> UpstreamNews:
-    """Return the message that carries a change of an upstream."""
-    upstream = change.item
-    return UpstreamNews(
-        sender,
-        upstream.upstream_id,
-        upstream.service,
-        upstream.address,
-        upstream.zone,
-        upstream.slots,
-        upstream.state is UpstreamState.LEAVING,
-        upstream.revision,
-        change.gone,
-    )
-
-
-def _change(news: UpstreamNews) -> ItemChange[Upstream]:
-    """Return the change that a message carries."""
-    state = UpstreamState.LEAVING if news.leaving else UpstreamState.READY
-    upstream = Upstream(
-        news.upstream_id, news.service, news.address, news.zone, news.slots, state, news.revision
-    )
-    return ItemChange(upstream, news.gone)
-
-
-def _entry(upstream: Upstream) -> UpstreamEntry:
-    """Return the message part that carries an upstream."""
-    return UpstreamEntry(
-        upstream.upstream_id,
-        upstream.service,
-        upstream.address,
-        upstream.zone,
-        upstream.slots,
-        upstream.revision,
-    )
-
-
-def _upstream(entry: UpstreamEntry) -> Upstream:
-    """Return the upstream that a message part carries."""
-    return Upstream(
-        entry.upstream_id,
-        entry.service,
-        entry.address,
-        entry.zone,
-        entry.slots,
-        UpstreamState.READY,
-        entry.revision,
-    )
--- a/driftstall/peers/codec.py
+++ b/driftstall/peers/codec.py
@@ -21,6 +21,7 @@
 import typing
 import zlib
 from collections.abc import Callable, Mapping
+from enum import StrEnum
 from functools import cache
 from pathlib import Path
 from typing import Any, Final
@@ -38,7 +39,7 @@
 """The quickest level: messages are small and many."""
 HEADER: Final = struct.Struct(">I")
 TRAVERSAL_WORDS: Final = 2_000_000
-PROTOCOL: Final = b"DRIFT\x04"
+PROTOCOL: Final = b"DRIFT\x05"
 """The protocol and its version."""
 FAR_FUTURE: Final = 1e300
 """Stands for an infinite time on the wire."""
@@ -103,6 +104,8 @@
         return _Field(name, wire, list, tuple, False)
     if dataclasses.is_dataclass(hint):
         return _Field(name, wire, _to_wire, lambda value: _from_wire(hint, value), False)
+    if isinstance(hint, type) and issubclass(hint, StrEnum):
+        return _Field(name, wire, str, hint, False)
     if hint is float:
         return _Field(name, wire, _finite, _infinite, False)
     return _Field(name, wire, _same, _same, False)
--- a/driftstall/peers/gateway_messages.py
+++ b/driftstall/peers/gateway_messages.py
@@ -10,6 +10,7 @@
 
 from driftstall.controllers.membership import Ack, Ping, PingRequest
 from driftstall.gateway.loads import Use
+from driftstall.gateway.model import Upstream
 from driftstall.gateway.shared_budget import RepeatCount
 
 
@@ -45,6 +46,8 @@
     routing_version: int
     platform_age_ms: int
     """How long ago the platform last answered the sender."""
+    fleet_digest: int
+    """Stands for the set of upstreams that take requests."""
     instances: int
     """How many instances the sums stand for."""
     ready: tuple[str, ...]
@@ -87,18 +90,6 @@
     text: str
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamEntry:
-    """Carry an upstream that takes requests."""
-
-    upstream_id: str
-    service: str
-    address: str
-    zone: str
-    slots: int
-    revision: int
-
-
 @dataclass(frozen=True, slots=True)
 class FleetAsked:
     """Ask a collector for all upstreams that take requests."""
@@ -113,7 +104,7 @@
     sender: str
     at: int
     """The newest revision that the sender has seen; what is newer is not in the list."""
-    upstreams: tuple[UpstreamEntry, ...]
+    upstreams: tuple[Upstream, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,13 +112,7 @@
     """Pass a change of an upstream on to a peer that does not learn it from the platform."""
 
     sender: str
-    upstream_id: str
-    service: str
-    address: str
-    zone: str
-    slots: int
-    leaving: bool
-    revision: int
+    upstream: Upstream
     gone: bool
 
 
--- a/driftstall/peers/schema.capnp
+++ b/driftstall/peers/schema.capnp
@@ -79,8 +79,8 @@
 struct ReportAck { instanceId @0 :Text; number @1 :UInt32; }
 struct ZoneSummary {
   sender @0 :Text; zone @1 :Text; routingVersion @2 :UInt64; platformAgeMs @3 :UInt32;
-  instances @4 :UInt32; ready @5 :List(Text); uses @6 :List(Use);
-  repeats @7 :List(RepeatCount);
+  fleetDigest @4 :UInt64; instances @5 :UInt32; ready @6 :List(Text); uses @7 :List(Use);
+  repeats @8 :List(RepeatCount);
 }
 struct FleetSummary {
   sender @0 :Text; routingVersion @1 :UInt64; policyRevision @2 :UInt64;
@@ -88,18 +88,15 @@
   ready @6 :List(Text); uses @7 :List(Use); repeats @8 :List(RepeatCount);
   acks @9 :List(ReportAck);
 }
-struct UpstreamEntry {
+struct Upstream {
   upstreamId @0 :Text; service @1 :Text; address @2 :Text; zone @3 :Text; slots @4 :UInt32;
-  revision @5 :UInt64;
+  state @5 :Text; revision @6 :UInt64;
 }
 struct FleetAsked { sender @0 :Text; }
-struct FleetOffered { sender @0 :Text; at @1 :UInt64; upstreams @2 :List(UpstreamEntry); }
+struct FleetOffered { sender @0 :Text; at @1 :UInt64; upstreams @2 :List(Upstream); }
 struct RoutingAsked { sender @0 :Text; version @1 :UInt64; }
 struct RoutingOffered { sender @0 :Text; version @1 :UInt64; text @2 :Text; }
-struct UpstreamNews {
-  sender @0 :Text; upstreamId @1 :Text; service @2 :Text; address @3 :Text; zone @4 :Text;
-  slots @5 :UInt32; leaving @6 :Bool; revision @7 :UInt64; gone @8 :Bool;
-}
+struct UpstreamNews { sender @0 :Text; upstream @1 :Upstream; gone @2 :Bool; }
 
 struct Envelope {
   sender @0 :Text;
--- a/features/gateway/large_fleet.feature
+++ b/features/gateway/large_fleet.feature
@@ -74,3 +74,11 @@
   Scenario: work stays in its zone while there is room
     Then a generation goes to a far engine only where the near ones are busy
     And a move goes to a far engine only where no near one has room
+
+  Scenario: a collector that missed news of an upstream asks a follower for all of them
+    Given a collector that does not follow the platform and knows 3 upstreams
+    When a follower of another zone tells of other upstreams once
+    Then it asks nobody, as news may be on their way
+    When a follower of another zone tells of other upstreams again
+    Then it asks that follower, and takes over the list that it gets
+    And an answer of its own names the same upstreams
--- a/features/gateway/large_fleet_processes.feature
+++ b/features/gateway/large_fleet_processes.feature
@@ -1,9 +1,9 @@
 Feature: A large fleet of real processes
-  Eighteen instances in two zones before the store's stand-in.
+  Twenty-two instances in two zones before the store's stand-in.
 
   Scenario: a large fleet follows the store through its collectors, and without them
     Given the store's stand-in with a routing configuration and 2 upstreams
-    And 18 gateway processes in 2 zones
+    And 22 gateway processes in 2 zones
     Then all become ready and each is located with the others of its zone
     And 4 of them collect
     And in 3 s without changes the store gets fewer than 30 calls
--- a/features/steps/controller_steps.py
+++ b/features/steps/controller_steps.py
@@ -6,6 +6,7 @@
 import io
 import random
 import typing
+from enum import StrEnum
 from typing import Any
 
 import gevent
@@ -139,6 +140,8 @@
         return tuple(sample(typing.get_args(hint)[0], depth + 1) for _ in range(2))
     if typing.get_args(hint):
         return sample(typing.get_args(hint)[0], depth + 1)
+    if isinstance(hint, type) and issubclass(hint, StrEnum):
+        return next(iter(hint))
     return {str: "some text", int: 7, float: 2.5, bool: True}[hint]
 
 
--- a/features/steps/gateway_reliance_steps.py
+++ b/features/steps/gateway_reliance_steps.py
@@ -10,9 +10,12 @@
 from driftstall.gateway.collectors import Roles
 from driftstall.gateway.fleet import Changed, FleetController, Listed, Offered
 from driftstall.gateway.loads import FLEET, POOLED, LoadBook, Share, Use
-from driftstall.gateway.model import UpstreamState
+from driftstall.gateway.model import Upstream, UpstreamState
 from driftstall.gateway.reliance import FleetPace, Reliance, RevisionPace
+from driftstall.gateway.sharing import Intake, Sharing
+from driftstall.peers.gateway_messages import FleetAsked, FleetOffered, ZoneSummary
 from features.steps.gateway_fleet_steps import tell
+from features.worlds.gateway_world import GatewayWorld
 from features.worlds.upstream_samples import upstream_of
 
 MEMBER = Roles(large=True, follows=False)
@@ -205,6 +208,74 @@
     assert context.other.digest != context.fleet.digest
 
 
+@given("a collector that does not follow the platform and knows 3 upstreams")
+def missed_news(context: Any) -> None:
+    """Put the sharing of one instance together, with what it sends kept."""
+    world = context.world = GatewayWorld()
+    context.add_cleanup(world.close)
+    state = world.state
+    context.sent = []
+    known = tuple(upstream_of(f"u{index}", 3) for index in (1, 2, 3))
+    state.fleet = FleetController()
+    state.fleet.handle(Listed(known), 0.0)
+
+    def take_fleet(upstreams: tuple[Upstream, ...], at: int) -> None:
+        state.fleet.handle(Offered(upstreams, at), 1.0)
+
+    intake = Intake(lambda: (1, ""), lambda _: None, lambda _: None, take_fleet)
+    roles = Roles(large=True, collects=True, follows=False)
+    context.sharing = Sharing(
+        state,
+        intake,
+        roles=lambda: roles,
+        live=lambda: (),
+        send=lambda peer, message: context.sent.append((peer, message)),
+        broadcast=lambda peers, message: None,
+    )
+
+
+def other_zone(context: Any) -> None:
+    """Tell of a fleet that only the follower knows."""
+    context.followers = FleetController()
+    context.followers.handle(Listed((upstream_of("u1", 3), upstream_of("u4", 8))), 0.0)
+    digest = context.followers.digest
+    summary = ZoneSummary("follower", "b", 1, 100, digest, 1, (), (), ())
+    context.sharing.compare_fleet(summary)
+
+
+@when("a follower of another zone tells of other upstreams {times}")
+def tells_of_others(context: Any, times: str) -> None:
+    """Hand over one summary."""
+    other_zone(context)
+
+
+@then("it asks nobody, as news may be on their way")
+def asks_nobody(context: Any) -> None:
+    """Nothing was sent."""
+    assert context.sent == [], context.sent
+
+
+@then("it asks that follower, and takes over the list that it gets")
+def asks_follower(context: Any) -> None:
+    """Look at what was asked, and answer it."""
+    assert context.sent == [("follower", FleetAsked("instance-1"))], context.sent
+    offered = FleetOffered("follower", context.followers.at, context.followers.taking)
+    context.sharing.take_fleet(offered)
+    fleet = context.world.state.fleet
+    assert fleet.digest == context.followers.digest
+    assert not fleet.takes_requests("u2") and fleet.takes_requests("u4")
+
+
+@then("an answer of its own names the same upstreams")
+def own_answer(context: Any) -> None:
+    """Ask it in turn."""
+    context.sent.clear()
+    context.sharing.answer_fleet(FleetAsked("member"))
+    ((peer, offered),) = context.sent
+    names = {one.upstream_id for one in offered.upstreams}
+    assert (peer, names, offered.at) == ("member", {"u1", "u4"}, 8), offered
+
+
 @given("a collector that hears two instances of its zone and the sum of another zone")
 def hears_sums(context: Any) -> None:
     """Fill the book."""
--- a/features/steps/large_fleet_steps.py
+++ b/features/steps/large_fleet_steps.py
@@ -18,7 +18,7 @@
 from features.worlds.gateway_world import HOST, document, route
 
 START_WAIT_S = 60.0
-"""Eighteen processes start on few cores."""
+"""Many processes start on few cores."""
 SLACK_S = 1.0
 """They also share these cores while they are asked one after another."""
 NUMBERS = itertools.count(1)
