Compare far engines as soon as the near ones are not idle

A near engine was taken up to a cost of 0.75, which one of 80% full memory has, though far ones were idle. Change: up to 0.40; beyond, as many far engines are compared. Test: near engines 70% full lose against empty far ones; it fails without the change.

--- a/driftstall/gateway/selection.py
+++ b/driftstall/gateway/selection.py
@@ -37,9 +37,12 @@
 """Upstreams that an instance of a large fleet compares. In a model of 23 engines and 24
 requests a second, sums 0.3 s old, 8.2% of first tokens came later than 1.7 s when all
 were compared, and none with two to six drawn (measures/stale_sums.py)."""
-COMFORT: Final = 0.75
-"""Cost up to which a near engine is taken: about 0.3 s of prompts waiting on one that is
-half full. Beyond it, engines of all zones are compared."""
+COMFORT: Final = 0.40
+"""Cost up to which a near engine is taken without a look at others: one that is less than
+half full and reads no other prompt. Beyond it, as many far ones are compared with it."""
+FAR_STREAM_PENALTY: Final = 0.08
+"""Weight of another zone for a stream of a large fleet: what its bytes between zones cost,
+as seconds of waiting."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,11 +108,17 @@
         return _stream_cost(option, engine, need, zone) + lot.noise()
 
     known = list(options)
-    if lot.drawn is not None:
-        near = _least([one for one in known if one.upstream.zone == zone], cost, lot)
-        if near is not None and not near.rests and cost(near) <= COMFORT:
-            return near
-    return _least(known, cost, lot)
+    if lot.drawn is None:
+        return _least(known, cost, lot)
+    near = _least([one for one in known if one.upstream.zone == zone], cost, lot)
+    if near is not None and not near.rests and cost(near) <= COMFORT:
+        return near
+    far = _least([one for one in known if one.upstream.zone != zone], cost, lot)
+    if near is None or far is None:
+        return near or far
+    if near.rests != far.rests:
+        return far if near.rests else near
+    return near if cost(near) <= cost(far) + FAR_STREAM_PENALTY else far
 
 
 def has_room(option: Option, engine: Engine, need: Need) -> bool:
--- a/features/steps/gateway_selection_steps.py
+++ b/features/steps/gateway_selection_steps.py
@@ -142,7 +142,7 @@
     """Compare near engines that are empty and nearly full, before far ones that are empty."""
     lot = Lot(random.Random(1), DRAWN)
     far = engines_of("bbbb")
-    for tokens, zone in ((9_000, "a"), (30_000, "b")):
+    for tokens, zone in ((9_000, "a"), (24_000, "b"), (30_000, "b")):
         options = [*far, *(option(f"near-{n}", tokens) for n in range(4))]
         found = choose_stream(options, ENGINE, NEED, "a", lot)
         assert found is not None and found.upstream.zone == zone, found
