Let each run on a machine claim its own ports

Ports were counted up from a random start. Now a process claims a slice of 500 by holding a datagram port.

--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import subprocess
+import sys
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
 
 from behave import given, then, when
 
+from measures.bench import FIRST_PORT, SLICE_PORTS, free_port
 from soak.checks import broken_promises
 from soak.ledger import Arrival, Asked, Ledger, Notice, Sort
 from soak.plan import CALM_LAST_S, draw
@@ -150,6 +153,25 @@
     assert any(after.at_s < before.at_s + before.for_s for before, after in pairs)
 
 
+@given("another run that has taken a port")
+def another_run(context: Any) -> None:
+    """Start a process that takes a port and holds on to it."""
+    program = "from measures.bench import free_port; print(free_port(), flush=True); input()"
+    command = [sys.executable, "-c", program]
+    other = subprocess.Popen(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+    context.add_cleanup(other.communicate, b"\n")
+    assert other.stdout is not None
+    context.other_port = int(other.stdout.readline())
+
+
+@then("none of {count:d} ports taken here is of its slice")
+def disjoint(context: Any, count: int) -> None:
+    """Compare the slices."""
+    other = (context.other_port - FIRST_PORT) // SLICE_PORTS
+    own = {(free_port() - FIRST_PORT) // SLICE_PORTS for _ in range(count)}
+    assert len(own) == 1 and other not in own, (own, other)
+
+
 @given("a soak of seed {seed:d} with {instances:d} instances for {seconds:d} s")
 def short_soak(context: Any, seed: int, instances: int, seconds: int) -> None:
     """Play one seed."""
--- a/measures/bench.py
+++ b/measures/bench.py
@@ -11,8 +11,9 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from functools import cache
 from pathlib import Path
 from typing import Any, Final
 
@@ -33,13 +34,41 @@
     """Report that the bench could not reach a state in time."""
 
 
-_ports = itertools.count(random.SystemRandom().randrange(20_000, 30_000))
+FIRST_PORT: Final = 20_000
+"""Ports below the range that outgoing connections use."""
+SLICE_PORTS: Final = 500
+SLICES: Final = 20
+LOCK_PORT: Final = 19_000
+"""A run holds the datagram port of its slice, so that no other run takes ports from it."""
+
+_claimed: list[socket.socket] = []
+
+
+def _claim_slice() -> Iterator[int]:
+    """Return the ports of a slice that this process alone uses, again and again."""
+    for index in random.SystemRandom().sample(range(SLICES), SLICES):
+        lock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            lock.bind(("127.0.0.1", LOCK_PORT + index))
+        except OSError:
+            lock.close()
+            continue
+        _claimed.append(lock)
+        first = FIRST_PORT + index * SLICE_PORTS
+        return itertools.cycle(range(first, first + SLICE_PORTS))
+    raise BenchError("other runs on this machine hold all ports")
+
+
+@cache
+def _ports() -> Iterator[int]:
+    """Return this process's ports; claimed when the first one is asked for."""
+    return _claim_slice()
 
 
 def free_port() -> int:
-    """Return a free port outside the range that outgoing connections use."""
+    """Return a free port that no other run on this machine takes."""
     while True:
-        port = next(_ports)
+        port = next(_ports())
         with socket.socket() as probe:
             if probe.connect_ex(("127.0.0.1", port)) != 0:
                 return port
