--- a/features/gateway/streams.feature
+++ b/features/gateway/streams.feature
@@ -52,6 +52,25 @@
     Then the answer is 502 and promises nothing
     And "s1" has run on 1 upstreams
 
+  # Seen: a stream, which may run once, was run by the same engine again and again. Its first engine broke off
+  # before the first event, so there was nothing that a copy could hold. Its relay went on all the same at the
+  # engine that was to keep the copy, and after a refusal there back at the first one.
+  # Cause: that an engine was asked to keep a copy was taken for the copy itself. A request was sent once more
+  # though it might have run, and only the engines' own check stood against a second run; one that breaks off
+  # does not check. Proof: both scenarios failed with a second run before a copy had to be known.
+  Scenario: a stream that broke before its first event is not sent to the engine that was to keep its copy
+    Given each engine of "s1" will break off before its answer
+    When stream "s1" is asked
+    Then the answer is 502 and promises nothing
+    And "s1" has run on 1 upstreams
+
+  Scenario: a stream that broke again before a new event is not sent back to its first engine
+    Given the engine of "s1" will break off after 3 events, and the next ones before their first event
+    And only one engine has room for a copy of "s1"
+    When stream "s1" is asked
+    Then 3 events of "s1" came, in order, and no end
+    And "s1" was run anew once
+
   Scenario: a stream moves off an engine that is leaving
     Given stream "s1" waits after event 2 and has no backup
     When its engine gives notice
--- a/features/steps/gateway_stream_steps.py
+++ b/features/steps/gateway_stream_steps.py
@@ -72,6 +72,40 @@
     stream_script(context, request_id, Script(reset=True))
 
 
+@given('each engine of "{request_id}" will break off before its answer')
+def all_break_before(context: Any, request_id: str) -> None:
+    """Break every connection before the answer's head."""
+    script_all(world_of(context), request_id, [Script(reset=True) for _ in range(9)])
+
+
+@given(
+    'the engine of "{request_id}" will break off after 3 events, '
+    "and the next ones before their first event"
+)
+def breaks_again(context: Any, request_id: str) -> None:
+    """Break a stream off, then again after the head, then before it."""
+    scripts = [Script(break_after=3), Script(reset_after_head=True)]
+    scripts += [Script(reset=True) for _ in range(7)]
+    script_all(world_of(context), request_id, scripts)
+
+
+@given('only one engine has room for a copy of "{request_id}"')
+def one_has_room(context: Any, request_id: str) -> None:
+    """Fill an engine, so that the two others keep copies for each other."""
+    world = world_of(context)
+    full = Use(world.engines[2].upstream_id, running=5, tokens=34_000)
+    world.state.loads.told("peer", [full], world.state.now())
+
+
+@then('"{request_id}" was run anew once')
+def run_anew_once(context: Any, request_id: str) -> None:
+    """Count the runs that did not go on from a copy."""
+    world = world_of(context)
+    seen = [one for engine in world.engines for one in engine.seen]
+    anew = [one for one in seen if one.request_id == request_id and not one.goes_on]
+    assert len(anew) == 1, [(one.headers.get("kv-from"), one.goes_on) for one in seen]
+
+
 @given('the engine of "{request_id}" will repeat event {number:d}')
 def repeats(context: Any, request_id: str, number: int) -> None:
     """Send one event twice."""
--- a/stand_ins/routed.py
+++ b/stand_ins/routed.py
@@ -35,7 +35,9 @@
     body: bytes = b"whole"
     not_run: bool = False
     reset: bool = False
-    """Close without an answer, after the request was read."""
+    """Close without an answer, after the request was read and before a copy was looked for."""
+    reset_after_head: bool = False
+    """Close a stream after its head, before any event."""
     hang: bool = False
     unframed: bool = False
     """Answer without a length; the answer ends with its connection."""
@@ -72,6 +74,8 @@
     method: str
     target: str
     body: bytes
+    goes_on: bool = False
+    """Whether it goes on from a copy that is here; else it is a run of its own."""
 
 
 class RoutedUpstream:
@@ -141,12 +145,13 @@
         scripts = self.scripts[request_id]
         script = scripts.pop(0) if scripts else self._usual()
         copy_of = headers.get("kv-from", "").rpartition("/")[2]
-        if script.not_run or (copy_of and copy_of not in self.copies):
+        has_copy = copy_of in self.copies
+        if script.not_run or (copy_of and not has_copy and not script.reset):
             self._refuse(connection, request_id, 503)
             return
         self.copies.pop(copy_of, None)
-        seen = Seen(request_id, headers, call.method.decode(), call.target.decode(), call.body)
-        self.saw(seen)
+        method, target = call.method.decode(), call.target.decode()
+        self.saw(Seen(request_id, headers, method, target, call.body, goes_on=has_copy))
         try:
             if call.path.startswith("/stream/"):
                 self._stream(raw, connection, request_id, headers, script)
@@ -201,6 +206,9 @@
         answer = (_id(request_id), SEAL, STREAM_TYPE)
         if not connection.write(head_bytes(script.status, answer, extra)):
             return
+        if script.reset_after_head:
+            _reset(raw)
+            return
         self.running[request_id] = first - 1
         self.stopped.discard(request_id)
         backup = self.peers.get(headers.get("kv-backup", ""))
