End the wait for an answer when its connection has ended

Cause: an answer to another request, without a length, ends with its connection; each further read of the closed connection counted as one more such end, in a loop that gave the processor back to nobody until the request's deadline. Found by reading. Before: 504 after 3 s, all of them at full processor time. After: 502 at once.

--- a/driftstall/gateway/exchange.py
+++ b/driftstall/gateway/exchange.py
@@ -98,6 +98,7 @@
         self._parser = httptools.HttpResponseParser(self._reader)
         self._reader.parser = self._parser
         self._framed = True
+        self._at_end = False
         self.sent_at = 0.0
         """When the first byte of the request left, in seconds."""
 
@@ -186,7 +187,11 @@
                 raise UpstreamError(detail, sent=True) from fault
 
     def _ended(self) -> None:
-        """Take the connection's end for the answer's, where it says no other end."""
-        if self._framed:
+        """Take the connection's end for the answer's, where it says no other end.
+
+        A closed connection is read as empty again and again: it ends only one answer.
+        """
+        if self._framed or self._at_end:
             raise UpstreamError("the answer ended early", sent=True)
+        self._at_end = True
         self._reader.items.append(End())
--- a/features/gateway/calls.feature
+++ b/features/gateway/calls.feature
@@ -57,6 +57,12 @@
     Then the answer is 503 and tells when to come back
     And "r1" has run on 0 upstreams
 
+  Scenario: an answer to another request that ends with the connection ends the wait as well
+    Given the upstream of "r1" will answer another request without a length, and close
+    When "/once/a" is asked as "r1"
+    Then the answer is 502 and promises nothing
+    And "r1" has run on 1 upstreams
+
   Scenario: a surplus answer to another request is dropped
     Given the upstream of "r1" will answer another request first
     When "/once/a" is asked as "r1"
--- a/features/steps/gateway_call_steps.py
+++ b/features/steps/gateway_call_steps.py
@@ -174,21 +174,14 @@
     "answer without a length": Script(unframed=True),
     "answer without a length and be reset": Script(unframed=True, cut_after=2),
     "hang": Script(hang=True),
+    "answer another request without a length, and close": Script(only_another=True),
 }
 
 
 @given('the upstream of "{request_id}" will {fault}')
 def will(context: Any, request_id: str, fault: str) -> None:
     """Script one fault; the script is copied, as it holds the state of one request."""
-    known = FAULTS[fault]
-    script = Script(
-        reset=known.reset,
-        cut_after=known.cut_after,
-        unframed=known.unframed,
-        surplus_before=known.surplus_before,
-        surplus_after=known.surplus_after,
-        hang=known.hang,
-    )
+    script = FAULTS[fault].fresh()
     context.script = script
     script_all(world_of(context), request_id, [script])
 
--- a/stand_ins/routed.py
+++ b/stand_ins/routed.py
@@ -9,7 +9,7 @@
 
 from collections import defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any, Final
 
 import gevent
@@ -45,6 +45,8 @@
     """Break off after so many bytes of the body."""
     surplus_before: bool = False
     """Answer another request first."""
+    only_another: bool = False
+    """Answer another request without a length, and close."""
     surplus_after: bool = False
     """Send more bytes after the whole answer."""
     events: int = 5
@@ -52,6 +54,8 @@
     """Break a stream off after so many events."""
     repeat_event: int | None = None
     skip_event: int | None = None
+    together_from: int | None = None
+    """Send all events of a stream from this one on together."""
     half_event: bool = False
     """Break off inside the next event."""
     pause_after: int | None = None
@@ -60,10 +64,18 @@
     """Pause before each event."""
     work_s: float = 0.0
     """Time before the answer of a plain call."""
+    paused: Event = field(default_factory=Event)
+    """Set when a stream waits for the gate."""
     gate: Event = field(default_factory=Event)
+    late: Event = field(default_factory=Event)
+    """Set when an answer that comes late may be given."""
     ended: Event = field(default_factory=Event)
     """Set when the request's connection has ended here."""
 
+    def fresh(self) -> Script:
+        """Return the same script with events of its own."""
+        return replace(self, gate=Event(), paused=Event(), late=Event(), ended=Event())
+
 
 @dataclass(slots=True)
 class Seen:
@@ -176,6 +188,9 @@
             raw.settimeout(None)
             raw.recv(1)
             return
+        if script.only_another:
+            connection.write(head_bytes(200, (_id("another"), SEAL), ()) + b"other")
+            return
         if script.surplus_before:
             headers = (_id("another"), SEAL)
             connection.write(head_bytes(200, headers, (b"Content-Length: 5",)) + b"other")
@@ -218,6 +233,10 @@
             gevent.sleep(script.event_pause_s)
             if request_id in self.stopped:
                 return
+            if number == script.together_from:
+                rest = [n for n in range(number, script.events + 1) if n != script.skip_event]
+                connection.write(chunk(b"".join(event_bytes(n) for n in rest)))
+                break
             if not connection.write(chunk(event_bytes(number))):
                 return
             if number == script.repeat_event:
@@ -226,6 +245,7 @@
             if backup is not None:
                 backup.copies[request_id] = number
             if number == script.pause_after:
+                script.paused.set()
                 script.gate.wait()
             if request_id in self.stopped:
                 return
