--- a/features/worlds/gateway_world.py
+++ b/features/worlds/gateway_world.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+import os
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -27,6 +29,8 @@
 HOST: Final = "desk.example"
 KEY: Final = "key-of-north"
 WAIT_S: Final = 5.0
+WORLDS: Final = itertools.count(1)
+"""Numbers the worlds of this process."""
 ENGINE: Final = {
     "slots": 64,
     "kvCacheTokens": 34_545,
@@ -91,8 +95,11 @@
 
     def __init__(self) -> None:
         """Start a gateway with two plain upstreams and three engines."""
-        self.plain = [RoutedUpstream(f"plain-{index}") for index in (1, 2)]
-        self.engines = [RoutedUpstream(f"engine-{index}") for index in (1, 2, 3)]
+        # A world elsewhere may take the port of an upstream that has ended here; names of
+        # their own let it turn away what was meant for the other.
+        own = f"{os.getpid()}-{next(WORLDS)}"
+        self.plain = [RoutedUpstream(f"plain-{own}-{index}") for index in (1, 2)]
+        self.engines = [RoutedUpstream(f"engine-{own}-{index}") for index in (1, 2, 3)]
         for one in self.engines:
             one.peers = {other.address: other for other in self.engines}
         settings = GatewaySettings(
