Do not break off a pausing stream whose copy's engine has left

Cause: a stream that had been given a backup was closed after 1.2 s without an event, also where the backup's engine was leaving or could not hold a copy yet; then there was nothing to go on at. Found by reading. Now the short patience holds only while the copy counts. Before: broken off at its first pause. After: whole. The scenario failed before.

--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -267,7 +267,7 @@
     def _patience(self, run: StreamRun) -> float:
         """Return how long to wait for the next event, in seconds."""
         left = max(0.0, self._left())
-        if run.backup is not None and run.events:
+        if self._copies.has_kept_up(run):
             return min(left, SILENCE_S)
         return left
 
--- a/features/gateway/streams.feature
+++ b/features/gateway/streams.feature
@@ -40,6 +40,13 @@
     Then all 5 events of "s1" came once, in order, and the end
     And "s1" went on from its backup after event 3
 
+  Scenario: a pause breaks off no stream whose copy's engine has left
+    Given the engine of "s1" pauses between events for longer than a copy is waited with
+    And the engine that keeps its copy leaves after event 1
+    When stream "s1" is asked
+    Then all 5 events of "s1" came once, in order, and the end
+    And "s1" has run on 1 upstreams
+
   Scenario: a stream without a copy is visibly broken off
     Given the engine of "s1" will break off after 3 events
     And no engine keeps a copy of "s1"
