Go on at the earlier copy when the last step of a move is not answered

Cause: waiting for the step's answer raised the event library's own timeout, which no handler here catches: it ended the request's greenlet, dropped the copy made before and closed the caller's connection. Found by reading, twice.

--- a/driftstall/gateway/resumption.py
+++ b/driftstall/gateway/resumption.py
@@ -62,12 +62,9 @@
         return Copy(backup, copy_of, CopyKind.KEPT_UP)
 
     def _wait_for_move(self, moving: AsyncResult, left_s: float) -> Copy | None:
-        """Wait for the answer of the last move."""
-        try:
-            moved: Copy | None = moving.get(timeout=min(MOVE_WAIT_S, max(0.0, left_s)))
-            return moved
-        except TimeoutError:
-            return None
+        """Wait for the answer of the last move; None where it is late or names no copy."""
+        moved: Copy | None = moving.wait(timeout=min(MOVE_WAIT_S, max(0.0, left_s)))
+        return moved
 
     def say_none(self, run: StreamRun, cause: str) -> None:
         """Log why a stream does not go on elsewhere, with what decided it."""
