Take a copy's name from no refusal but that of a stopped run

Cause: a last step that was refused because another step was going on could name a copy; the run went on, and later was sent to its own engine with that name. Found by reading. Before: two sends, one of them in vain. The scenario failed before.

--- a/driftstall/platform/engine_calls.py
+++ b/driftstall/platform/engine_calls.py
@@ -41,7 +41,8 @@
         return MoveDone(copy_of)
     return MoveFailed(
         no_such_run=exchange.status == HTTPStatus.NOT_FOUND,
-        copy_of=copy_of if last else "",
+        # Only this answer means that the run has stopped and its memory was kept.
+        copy_of=copy_of if last and exchange.status == HTTPStatus.SERVICE_UNAVAILABLE else "",
         detail=f"the engine answered {exchange.status}",
     )
 
--- a/features/gateway/streams.feature
+++ b/features/gateway/streams.feature
@@ -115,6 +115,12 @@
     Then all 5 events of "s1" came once, in order, and the end
     And "s1" went on from its moved memory after event 2
 
+  Scenario: an engine that is busy with another step names no copy to go on at
+    Given stream "s1" waits after event 2 and has no backup
+    When its engine gives notice, makes a copy, is busy at the last step and breaks off
+    Then all 5 events of "s1" came once, in order, and the end
+    And one repeat was taken from the budget
+
   Scenario Outline: a move that fails leaves the stream to its engine
     Given stream "s1" waits after event 2 and has no backup
     And moves will be answered <answer>
