Say 'not run' of a runner's answer only where it refused

Cause: every answer but a stream counted as the runner's word that the request had not run, also a failure of its own after it had begun; a request refused later could then be called 'not run'. Found by reading. After: only 4xx and 503 do.

--- a/driftstall/runners/engine.py
+++ b/driftstall/runners/engine.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Any, Final, NamedTuple
 
 import orjson
@@ -16,6 +17,7 @@
 """An engine sends at least a comment this often; a longer silence is a broken stream."""
 CONTROL_TIMEOUT_S: Final = 1.0
 HTTP_GONE: Final = (404, 410)
+CLIENT_ERRORS: Final = range(400, 500)
 IDLE_COMMENT: Final = b":"
 
 
@@ -56,12 +58,16 @@
 
 
 class RunnerSaidNo(UpstreamError):
-    """Report that the runner answered that it did not run the request."""
+    """Report that the runner answered with something else than a stream."""
 
-    def __init__(self, detail: str, *, gone: bool) -> None:
-        """Keep whether the runner does not know the generation."""
-        super().__init__(detail, sent=False)
-        self.gone = gone
+    def __init__(self, status: int) -> None:
+        """Keep whether the request may have run, and whether the generation is unknown there.
+
+        A refusal says that it did not run; a failure of the runner's own says nothing.
+        """
+        refused = status in CLIENT_ERRORS or status == HTTPStatus.SERVICE_UNAVAILABLE
+        super().__init__(f"the runner answered {status}", sent=not refused)
+        self.gone = status in HTTP_GONE
 
 
 def open_stream(
@@ -91,9 +97,8 @@
 def _events(exchange: Exchange) -> Iterator[list[EngineEvent]]:
     """Yield a stream's events, all that have arrived at once."""
     if exchange.status != 200:
-        status = exchange.status
         exchange.close()
-        raise RunnerSaidNo(f"the runner answered {status}", gone=status in HTTP_GONE)
+        raise RunnerSaidNo(exchange.status)
     try:
         while True:
             events = [_read(exchange)]
