Go on at a named copy only once, and only while it can still be there

Cause: the copy that a last step names was used whatever its age, also at a stopped engine that may be sent nothing more, and a name that had served was not remembered; each such send rests on the engine's refusal alone. A step that ended after its stream had gone on freed its copy even where the stream had gone on at just that one.

--- a/driftstall/decisions/sends.py
+++ b/driftstall/decisions/sends.py
@@ -48,8 +48,8 @@
 
     upstream_id: str
     fate: Fate
-    goes_on: bool
-    """Whether it goes on at a copy; else it begins a run of its own."""
+    copy_of: str
+    """Names the copy at which it goes on; empty where it begins a run of its own."""
 
 
 @dataclass(slots=True)
@@ -73,7 +73,7 @@
     @property
     def runs(self) -> int:
         """Return how many runs the request may have begun."""
-        return sum(send.fate is Fate.MAY_HAVE_RUN and not send.goes_on for send in self._sends)
+        return sum(send.fate is Fate.MAY_HAVE_RUN and not send.copy_of for send in self._sends)
 
     @property
     def ran(self) -> Ran:
@@ -91,12 +91,17 @@
         """Return the upstreams at which the request may have run."""
         return frozenset(send.upstream_id for send in self._sends if send.fate is Fate.MAY_HAVE_RUN)
 
-    def may_go_on(self, kind: CopyKind, upstream_id: str, making_s: float | None) -> bool:
+    def may_go_on(
+        self, kind: CopyKind, upstream_id: str, copy_of: str, making_s: float | None
+    ) -> bool:
         """Tell whether the request may be sent to an upstream to go on at a copy there.
 
         The time for which its run has made events at the engine that it has left is in
         seconds, or None if it has made none there.
         """
+        if any(send.copy_of == copy_of and send.fate is not Fate.UNSENT for send in self._sends):
+            # A copy serves once: it was used, or the engine has said that it is not there.
+            return False
         if not self.has_run_at:
             # Where nothing can have run, there is nothing to go on with.
             return False
@@ -108,11 +113,11 @@
             return False
         return making_s is not None and making_s >= KEPT_UP_AFTER_S
 
-    def begin(self, upstream_id: str, *, goes_on: bool = False) -> None:
+    def begin(self, upstream_id: str, copy_of: str = "") -> None:
         """Take in that the request is being sent; until its end is known it may have run."""
-        self._sends.append(Send(upstream_id, Fate.MAY_HAVE_RUN, goes_on))
+        self._sends.append(Send(upstream_id, Fate.MAY_HAVE_RUN, copy_of))
 
     def end(self, fate: Fate) -> None:
         """Take in what became of the newest send."""
         newest = self._sends.pop()
-        self._sends.append(Send(newest.upstream_id, fate, newest.goes_on))
+        self._sends.append(Send(newest.upstream_id, fate, newest.copy_of))
--- a/driftstall/gateway/fleet.py
+++ b/driftstall/gateway/fleet.py
@@ -148,6 +148,14 @@
         entry = self._entries.get(upstream_id)
         return entry is not None and entry.leaving_since is None
 
+    def serves(self, upstream_id: str, now: float, drain_s: float) -> bool:
+        """Tell whether an upstream may still be sent what has run there or was copied there."""
+        entry = self._entries.get(upstream_id)
+        if entry is not None:
+            return entry.leaving_since is None or now - entry.leaving_since < drain_s
+        gone = self._gone.get(upstream_id)
+        return gone is not None and now - gone[1] < drain_s
+
     def handle(self, event: FleetEvent, now: float) -> list[FleetAction]:
         """Take one event and return what others need to know."""
         self._actions = []
--- a/driftstall/gateway/moves.py
+++ b/driftstall/gateway/moves.py
@@ -49,10 +49,23 @@
     def kept(self, run: StreamRun) -> KeptCopy | None:
         """Return the run's copy if it is young enough and its engine stays."""
         kept = run.kept
-        if kept is None or self._state.now() - kept.at > COPY_KEPT_S:
+        if kept is None or self._is_old(kept):
             return None
         return kept if self._state.fleet.takes_requests(kept.copy.upstream.upstream_id) else None
 
+    def is_usable(self, moved: KeptCopy) -> bool:
+        """Tell whether a stopped run can go on at its copy: nowhere else can it.
+
+        So an engine that is leaving serves as well, for as long as it is to be sent anything.
+        """
+        engine_id, now = moved.copy.upstream.upstream_id, self._state.now()
+        drain_s = self._state.settings.bounds.drain_s
+        return not self._is_old(moved) and self._state.fleet.serves(engine_id, now, drain_s)
+
+    def _is_old(self, kept: KeptCopy) -> bool:
+        """Tell whether an engine may have dropped a copy."""
+        return self._state.now() - kept.at > COPY_KEPT_S
+
     def copy(self, run: StreamRun, target: Upstream) -> MoveResult:
         """Copy a run's memory while it goes on."""
         tokens = run.held_tokens
@@ -67,9 +80,17 @@
             return result
         run.kept = KeptCopy(Copy(target, result.copy_of), self._state.now(), tokens)
         if run.ended:
-            self.drop_copy(run)
+            self._drop_late(run)
         return result
 
+    def _drop_late(self, run: StreamRun) -> None:
+        """Free a copy that was whole only after its run had ended here.
+
+        A further step brings the same copy up to date: its stream may be going on there.
+        """
+        if run.left_for is None or run.kept is None or run.left_for != run.kept.copy:
+            self.drop_copy(run)
+
     def _hold(self, run: StreamRun, target: Upstream | None) -> None:
         """Tell the books which engine holds a copy, before others choose the same one."""
         if run.copy_target is not target and not run.ended:
@@ -83,12 +104,16 @@
         if isinstance(result, MoveDone):
             self._state.stats.streams_moved += 1
             run.kept = None
-            moving.set(Copy(target, result.copy_of))
+            moving.set(self._stopped(target, result.copy_of, run))
             return True
         # The source keeps what it has made: the run goes on there if it still can.
-        moving.set(Copy(run.upstream, result.copy_of) if result.copy_of else None)
+        moving.set(self._stopped(run.upstream, result.copy_of, run) if result.copy_of else None)
         return False
 
+    def _stopped(self, holder: Upstream, copy_of: str, run: StreamRun) -> KeptCopy:
+        """Return the copy of a run that has stopped."""
+        return KeptCopy(Copy(holder, copy_of), self._state.now(), run.held_tokens)
+
     def drop_copy(self, run: StreamRun) -> None:
         """Free the memory of a copy that is not needed any more."""
         kept, run.kept = run.kept, None
--- a/driftstall/gateway/resumption.py
+++ b/driftstall/gateway/resumption.py
@@ -9,7 +9,7 @@
 from driftstall.const import PREFIX_RELAY
 from driftstall.decisions.sends import CopyKind, SendHistory
 from driftstall.gateway.moves import Mover
-from driftstall.gateway.runs import Copy, StreamRun
+from driftstall.gateway.runs import Copy, KeptCopy, StreamRun
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import say
 
@@ -35,17 +35,15 @@
         if run.moving is not None:
             moved = self._wait_for_move(run.moving, left_s)
             run.moving = None
-            if moved is not None:
-                return moved
+            if moved is not None and self._mover.is_usable(moved) and self._allows(moved.copy, run):
+                return moved.copy
         kept_up = self._kept_up(run)
         run.backup = None
         if kept_up is not None:
             return kept_up
         kept = self._mover.kept(run)
-        if kept is not None:
-            run.kept = None
-            return kept.copy
-        return None
+        run.kept = None
+        return kept.copy if kept is not None and self._allows(kept.copy, run) else None
 
     def has_kept_up(self, run: StreamRun) -> bool:
         """Tell whether the copy that the run's engine keeps up is known to be there."""
@@ -56,14 +54,18 @@
         backup = run.backup
         if backup is None or not self._state.fleet.takes_requests(backup.upstream_id):
             return None
-        if not self._history.may_go_on(CopyKind.KEPT_UP, backup.upstream_id, run.making_s):
-            return None
         copy_of = self._state.dialect.backup_copy(backup, run.request_id)
-        return Copy(backup, copy_of, CopyKind.KEPT_UP)
+        copy = Copy(backup, copy_of, CopyKind.KEPT_UP)
+        return copy if self._allows(copy, run) else None
+
+    def _allows(self, copy: Copy, run: StreamRun) -> bool:
+        """Ask whether the request may be sent to go on at a copy, after all that was sent."""
+        engine_id = copy.upstream.upstream_id
+        return self._history.may_go_on(copy.kind, engine_id, copy.copy_of, run.making_s)
 
-    def _wait_for_move(self, moving: AsyncResult, left_s: float) -> Copy | None:
+    def _wait_for_move(self, moving: AsyncResult, left_s: float) -> KeptCopy | None:
         """Wait for the answer of the last move; None where it is late or names no copy."""
-        moved: Copy | None = moving.wait(timeout=min(MOVE_WAIT_S, max(0.0, left_s)))
+        moved: KeptCopy | None = moving.wait(timeout=min(MOVE_WAIT_S, max(0.0, left_s)))
         return moved
 
     def say_none(self, run: StreamRun, cause: str) -> None:
--- a/driftstall/gateway/runs.py
+++ b/driftstall/gateway/runs.py
@@ -49,7 +49,7 @@
     tokens: int = 0
     """Tokens delivered so far."""
     moving: AsyncResult | None = None
-    """Set while the run's last step to another engine is taken; gives a Copy or None."""
+    """Set from the run's last step to another engine on; gives a KeptCopy or None."""
     copied: Copy | None = None
     """The copy that this run has gone on from."""
     copying: bool = False
@@ -59,6 +59,8 @@
     kept: KeptCopy | None = None
     """The copy made of the run while it goes on."""
     ended: bool = False
+    left_for: Copy | None = None
+    """The copy at which the stream has gone on elsewhere."""
     moves: int = 0
     first_event_at: float | None = None
     """When the first event came from this engine."""
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -144,7 +144,8 @@
     def _try(self, run: StreamRun) -> _Opened | UpstreamError:
         """Send the request to the run's upstream, read the answer's head and keep its fate."""
         first = not self._history.arrived
-        self._history.begin(run.upstream.upstream_id, goes_on=run.copied is not None)
+        copy_of = run.copied.copy_of if run.copied else ""
+        self._history.begin(run.upstream.upstream_id, copy_of)
         result = self._send(run, first=first)
         if isinstance(result, UpstreamError):
             self._history.end(Fate.MAY_HAVE_RUN if result.sent else Fate.UNSENT)
@@ -323,6 +324,7 @@
                 return None
             self._state.runs.drop(run)
             run.ended = True
+            run.left_for = copy
             next_run = self._placement.next_run(run, copy, self._history.has_run_at)
             result = self._try(next_run)
             self._say_resumed(run, next_run, result, cause)
--- a/features/gateway/streams.feature
+++ b/features/gateway/streams.feature
@@ -115,6 +115,18 @@
     Then all 5 events of "s1" came once, in order, and the end
     And "s1" went on from its moved memory after event 2
 
+  Scenario: a moved copy is not asked for once its engine may have dropped it
+    Given stream "s1" waits after event 2 and has no backup
+    When its engine gives notice, and ends long after the last step
+    Then 2 events of "s1" came, in order, and no end
+    And no repeat was taken from the budget
+
+  Scenario: a stream does not go back to its stopped engine once that may get nothing more
+    Given stream "s1" waits after event 2 and has no backup
+    When its engine gives notice, keeps the stopped run, and ends after the time to drain
+    Then 2 events of "s1" came, in order, and no end
+    And no repeat was taken from the budget
+
   Scenario: an engine that is busy with another step names no copy to go on at
     Given stream "s1" waits after event 2 and has no backup
     When its engine gives notice, makes a copy, is busy at the last step and breaks off
--- a/features/steps/gateway_stream_steps.py
+++ b/features/steps/gateway_stream_steps.py
@@ -10,10 +10,10 @@
 from behave import given, then, when
 
 from driftstall.decisions.sends import KEPT_UP_AFTER_S
-from driftstall.gateway import streams
+from driftstall.gateway import moves, streams
 from driftstall.gateway.fleet import Changed
 from driftstall.gateway.loads import Use
-from driftstall.gateway.model import UpstreamState
+from driftstall.gateway.model import Bounds, UpstreamState
 from driftstall.gateway.protection import Protection
 from features.worlds.gateway_world import (
     GatewayWorld,
@@ -306,6 +306,43 @@
     world.give_notice(engine)
 
 
+@when("its engine gives notice, and ends long after the last step")
+def ends_long_after(context: Any) -> None:
+    """Let the clock jump between the last step and the end of the stream."""
+    usual = moves.COPY_KEPT_S
+    moves.COPY_KEPT_S = 0.5  # type: ignore[misc]
+    context.add_cleanup(setattr, moves, "COPY_KEPT_S", usual)
+    end_after_last_step(context, after_s=0.6)
+
+
+@when("its engine gives notice, keeps the stopped run, and ends after the time to drain")
+def ends_after_drain(context: Any) -> None:
+    """Let the last step find no room: the run has stopped, and its engine keeps it."""
+    world, engine = world_of(context), context.engine
+    drain_s = 0.5
+    world.state.settings = replace(world.state.settings, bounds=Bounds(drain_s=drain_s))
+
+    def stopped(wanted: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        engine.stopped.add("s1")
+        engine.copies["kept"] = 2
+        return 503, {"handle": "kept"}
+
+    engine.move_answers = [engine.copy_run, stopped]
+    end_after_last_step(context, after_s=drain_s + 0.1, drop_copies=True)
+
+
+def end_after_last_step(context: Any, *, after_s: float, drop_copies: bool = False) -> None:
+    """Give notice, wait for the last step, let time pass, then end the stream."""
+    world = world_of(context)
+    (run,) = world.state.runs.all
+    world.give_notice(context.engine)
+    wait_for("the last step", lambda: run.moving is not None and run.moving.ready())
+    if drop_copies:
+        run.kept = None
+    world.pass_time(after_s)
+    context.script.gate.set()
+
+
 @when("its engine gives notice, makes a copy, is busy at the last step and breaks off")
 def notice_and_busy(context: Any) -> None:
     """Answer the first step; refuse the last one, then end the stream."""
--- a/features/steps/sends_steps.py
+++ b/features/steps/sends_steps.py
@@ -39,6 +39,7 @@
         Draw,
         st.sampled_from(UPSTREAMS),
         st.sampled_from([None, *CopyKind]),
+        st.sampled_from(["x", "y"]),
         st.one_of(st.none(), st.floats(0.0, 1.0)),
         st.sampled_from(list(Word)),
     )
@@ -59,9 +60,8 @@
     """Compare the rules with the table, for a request that may run once."""
     for row in context.table:
         history = SendHistory(1)
-        before = re.fullmatch(r"(\w) (.+)", row["before"])
-        if before is not None:
-            history.begin(before.group(1))
+        for before in re.finditer(r"(\w) ([a-z ]+?)(?: at copy (\w))?(?:, |$)", row["before"]):
+            history.begin(before.group(1), before.group(3) or "")
             history.end(Fate(before.group(2)))
         allowed = _may_follow(history, row["next"])
         assert allowed == (row["may follow"] == "yes"), (row["before"], row["next"], allowed)
@@ -71,12 +71,13 @@
     """Ask the history for a send that the table names."""
     if wanted.startswith("anew"):
         return history.may_run_anew
-    if wanted.startswith("at a named copy"):
-        return history.may_go_on(CopyKind.NAMED, wanted[-1], None)
+    named = re.fullmatch(r"at copy (\w) at (\w)", wanted)
+    if named is not None:
+        return history.may_go_on(CopyKind.NAMED, named.group(2), named.group(1), None)
     found = re.fullmatch(r"kept up at (\w)(?:, no event| after ([\d.]+) s)", wanted)
     assert found is not None, wanted
     making_s = float(found.group(2)) if found.group(2) else None
-    return history.may_go_on(CopyKind.KEPT_UP, found.group(1), making_s)
+    return history.may_go_on(CopyKind.KEPT_UP, found.group(1), "kept", making_s)
 
 
 FAULTS: dict[str, list[Script]] = {
--- a/features/worlds/sends_world.py
+++ b/features/worlds/sends_world.py
@@ -34,6 +34,8 @@
     upstream_id: str
     kind: CopyKind | None
     """The copy to go on at; None for a new run."""
+    name: str
+    """The name of the copy, where an engine names it."""
     making_s: float | None
     """For how long the run before has made events."""
     word: Word
@@ -48,12 +50,14 @@
     """The upstream of each run that was begun."""
     runs_on: bool = False
     """Whether some run has begun that a copy could hold."""
+    used: set[str] = field(default_factory=set)
+    """Names of the copies that a run has gone on from."""
 
     def take(self, draw: Draw) -> None:
         """Send if the history allows it, and check what it says afterwards."""
         if not self._allowed(draw):
             return
-        self.history.begin(draw.upstream_id, goes_on=draw.kind is not None)
+        self.history.begin(draw.upstream_id, _copy_of(draw))
         if draw.word is Word.UNREACHABLE:
             self.history.end(Fate.UNSENT)
         elif draw.word is Word.TURNED_AWAY:
@@ -61,6 +65,8 @@
         elif not self._holds_copy(draw):
             self.truly_run_at.append(draw.upstream_id)
             self.runs_on = True
+        else:
+            self.used.add(_copy_of(draw))
         self.check()
 
     def check(self) -> None:
@@ -74,12 +80,20 @@
         """Ask the history, as a relay does."""
         if draw.kind is None:
             return self.history.may_run_anew
-        return self.history.may_go_on(draw.kind, draw.upstream_id, draw.making_s)
+        return self.history.may_go_on(draw.kind, draw.upstream_id, _copy_of(draw), draw.making_s)
 
     def _holds_copy(self, draw: Draw) -> bool:
         """Tell whether the upstream goes on with the same run."""
+        if draw.kind is None or _copy_of(draw) in self.used:
+            return False
         if draw.kind is CopyKind.NAMED:
             return self.runs_on
         made = draw.making_s is not None and draw.making_s >= KEPT_UP_AFTER_S
-        kept_up = draw.kind is CopyKind.KEPT_UP and made and self.runs_on
-        return kept_up and draw.upstream_id not in self.truly_run_at
+        return made and self.runs_on and draw.upstream_id not in self.truly_run_at
+
+
+def _copy_of(draw: Draw) -> str:
+    """Return the name of the copy that a send goes on at; empty for a new run."""
+    if draw.kind is None:
+        return ""
+    return draw.name if draw.kind is CopyKind.NAMED else f"{draw.upstream_id}/request"
