Move off streams that reach an engine after its notice, too

Cause: the greenlet that moves streams off a leaving engine ended as soon as it found none; one that was placed or moved there just before the notice came later and stayed until the engine ended. The scenario failed before.

--- a/driftstall/gateway/evacuation.py
+++ b/driftstall/gateway/evacuation.py
@@ -58,7 +58,10 @@
         gevent.spawn(self._run, upstream)
 
     def _run(self, upstream: Upstream) -> None:
-        """Move streams until none is left that a move can help."""
+        """Move streams for as long as the upstream may live.
+
+        Some arrive after the notice: they were placed or moved there just before it.
+        """
         say(
             PREFIX_RELAY,
             f"Upstream {upstream.upstream_id} is leaving",
@@ -74,8 +77,6 @@
         tried: set[str] = set()
         while self._state.now() < began + GIVE_UP_S:
             runs = self._state.runs.on(upstream.upstream_id)
-            if not runs:
-                return
             waiting = [run for run in runs if self._is_movable(run) and run.request_id not in tried]
             if not waiting:
                 gevent.sleep(RETRY_S)
--- a/features/gateway/streams.feature
+++ b/features/gateway/streams.feature
@@ -109,6 +109,12 @@
     Then all 5 events of "s1" came once, in order, and the end
     And "s1" went on from its moved memory after event 2
 
+  Scenario: a stream that arrives on an engine after its notice is moved off as well
+    Given stream "s1" waits after event 2 and has no backup
+    When its engine has given notice before the stream was known to run there
+    Then all 5 events of "s1" came once, in order, and the end
+    And "s1" went on from its moved memory after event 2
+
   Scenario: a stream whose last step is not answered goes on at the copy made before
     Given stream "s1" waits after event 2 and has no backup
     When its engine gives notice, makes a copy, and ends without an answer to the last step
--- a/features/steps/gateway_stream_steps.py
+++ b/features/steps/gateway_stream_steps.py
@@ -15,6 +15,7 @@
 from driftstall.gateway.loads import Use
 from driftstall.gateway.model import Bounds, UpstreamState
 from driftstall.gateway.protection import Protection
+from driftstall.gateway.runs import RunBook, StreamRun
 from features.worlds.gateway_world import (
     GatewayWorld,
     assert_told_to_come_back,
@@ -27,10 +28,23 @@
 )
 from stand_ins.routed import Script, event_bytes
 
+LOOKS = 3
+"""Looks for streams at a notice: for its log line, for those with a copy, for the others."""
 PAUSE_S = 0.2
 """Pause between the events of an engine that is slow but well."""
 
 
+class CountingBook(RunBook):
+    """Count how often the streams of an engine are looked for."""
+
+    looked = 0
+
+    def on(self, upstream_id: str) -> tuple[StreamRun, ...]:
+        """Count, then look."""
+        self.looked += 1
+        return super().on(upstream_id)
+
+
 def stream_script(context: Any, request_id: str, script: Script) -> None:
     """Script the engine that gets a stream first."""
     context.script = script
@@ -276,6 +290,19 @@
     context.script.gate.set()
 
 
+@when("its engine has given notice before the stream was known to run there")
+def notice_before(context: Any) -> None:
+    """Take the run off the books until the notice has found none."""
+    world = world_of(context)
+    (run,) = world.state.runs.all
+    world.state.runs = book = CountingBook()
+    world.give_notice(context.engine)
+    wait_for("the notice has found no stream", lambda: book.looked >= LOOKS)
+    book.add(run)
+    wait_for("the run is stopped", lambda: bool(context.engine.stopped))
+    context.script.gate.set()
+
+
 @when("its engine gives notice and ends once a copy was made")
 def notice_and_end(context: Any) -> None:
     """Give notice; the engine breaks off instead of taking the next step."""
