Let the soak's upstreams break requests off, and judge a resumed run by what was there

Why: upstreams of the soak always answered or crashed as a whole, and every arrival that named a copy counted as the same run. Now all upstreams of a service break off half of their requests for a while, before the head, after it, or among the events, and an arrival goes on only where the upstream holds its copy. Plans of seeds kept from before stay as they were.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import itertools
+import random
 import time
+from dataclasses import replace
 from typing import Any, Final
 
 import gevent
@@ -26,6 +28,17 @@
 STORE_RETRY_S: Final = 0.1
 
 
+BROKEN_OFF_SHARE: Final = 0.5
+BREAKS: Final[tuple[dict[str, Any], ...]] = (
+    {"reset": True},
+    {"reset_after_head": True, "cut_after": 0},
+    {"break_after": 1, "cut_after": 2},
+    {"break_after": EVENTS - 2, "cut_after": 2},
+    {"break_after": EVENTS - 2, "half_event": True, "cut_after": 4},
+)
+"""Where a stream, or a plain call's answer, is broken off."""
+
+
 def usual() -> Script:
     """Return what upstreams do with a request."""
     return Script(events=EVENTS, event_pause_s=EVENT_PAUSE_S, work_s=WORK_S)
@@ -34,24 +47,40 @@
 class RecordingUpstream(RoutedUpstream):
     """Serve as a stand-in, and record when each request arrived."""
 
-    def __init__(self, upstream_id: str, ledger: Ledger) -> None:
+    def __init__(self, upstream_id: str, ledger: Ledger, source: random.Random) -> None:
         """Start to listen."""
-        super().__init__(upstream_id, usual)
+        super().__init__(upstream_id, self._script)
         self._ledger = ledger
+        self._source = source
+        self._breaks_off_until = float("-inf")
+
+    def break_off(self, for_s: float) -> None:
+        """Break off some requests for a while."""
+        self._breaks_off_until = time.monotonic() + for_s
+
+    def _script(self) -> Script:
+        """Return what happens to a request that came now."""
+        breaks_off = time.monotonic() < self._breaks_off_until
+        if breaks_off and self._source.random() < BROKEN_OFF_SHARE:
+            return replace(usual(), **self._source.choice(BREAKS))
+        return usual()
 
     def saw(self, seen: Seen) -> None:
         """Record a request that is run here."""
-        goes_on = "kv-from" in seen.headers
+        now = time.monotonic()
         self._ledger.arrivals.append(
-            Arrival(seen.request_id, self.upstream_id, seen.target, time.monotonic(), goes_on)
+            Arrival(seen.request_id, self.upstream_id, seen.target, now, seen.goes_on)
         )
 
 
 class Listed:
     """Hold one place of the fleet: a new upstream takes it when the old one goes."""
 
-    def __init__(self, place: int, service: str, store: Store, ledger: Ledger) -> None:
-        """Start the first upstream."""
+    def __init__(
+        self, place: int, service: str, store: Store, ledger: Ledger, source: random.Random
+    ) -> None:
+        """Start the first upstream; the source draws what it breaks off."""
+        self._source = source
         self.place = place
         self.service = service
         self._store = store
@@ -63,12 +92,17 @@
     def _begin(self) -> None:
         """Start an upstream with a new id, and list it."""
         name = f"{self.service}-{self.place}-{next(self._starts)}"
-        self.upstream = RecordingUpstream(name, self._ledger)
+        self.upstream = RecordingUpstream(name, self._ledger, self._source)
         self.proxy = Proxy(self.upstream.address)
         self._write(name, self._spec("ready"))
         for one in self.all:
             one.upstream.peers = {other.proxy.address: other.upstream for other in self.all}
 
+    def break_off(self, for_s: float) -> None:
+        """Let all upstreams of the service break off some requests for a while."""
+        for one in self.all:
+            one.upstream.break_off(for_s)
+
     def leave(self) -> None:
         """Say so in the store, serve on for a while and end; another one comes."""
         old, proxy = self.upstream, self.proxy
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Final
@@ -35,6 +35,8 @@
     REMOVE = "upstream removed"
     CRASH = "upstream crashes"
     CONFIGURE = "configuration changes"
+    BREAK_OFF = "upstreams break requests off"
+    """All of a service break off some of their requests, wherever these are."""
 
 
 class Fault(StrEnum):
@@ -79,6 +81,8 @@
     Kind.CONFIGURE: 1.5,
 }
 """How often each kind is drawn; all faults that one seldom sees alone are well mixed in."""
+BREAK_OFF_GAP_S: Final = 4.0
+"""Mean time between two steps of that kind, drawn apart: seeds kept from before keep their plan."""
 
 
 def draw(seed: int, *, instances: int, upstreams: int, seconds: float) -> tuple[Step, ...]:
@@ -90,6 +94,7 @@
     while True:
         at += source.expovariate(1 / MEAN_GAP_S)
         if at >= last:
+            steps += _break_offs(seed, last, upstreams)
             return tuple(sorted(steps, key=lambda one: one.at_s))
         kind = source.choices(list(WEIGHTS), list(WEIGHTS.values()))[0]
         times = SERIES if source.random() < 0.15 else 1
@@ -99,6 +104,16 @@
         ]
 
 
+def _break_offs(seed: int, last: float, upstreams: int) -> Iterator[Step]:
+    """Draw the steps at which upstreams break requests off."""
+    source = random.Random(f"{seed} break off")
+    at = CALM_FIRST_S + source.expovariate(1 / BREAK_OFF_GAP_S)
+    while at < last:
+        for_s = min(source.uniform(0.2, 3.0), last - at)
+        yield Step(at, Kind.BREAK_OFF, source.randrange(upstreams), for_s)
+        at += source.expovariate(1 / BREAK_OFF_GAP_S)
+
+
 def _step(
     source: random.Random, kind: Kind, at: float, last: float, instances: int, upstreams: int
 ) -> Step:
--- a/soak/run.py
+++ b/soak/run.py
@@ -75,7 +75,7 @@
         self._store.create(KIND_CONFIG, NAME_CONFIG, self._document())
         services = ["portal"] * PORTALS + ["engines"] * ENGINES
         self._fleet = [
-            Listed(place, service, self._store, self.ledger)
+            Listed(place, service, self._store, self.ledger, self._source)
             for place, service in enumerate(services, start=1)
         ]
         for one in self._fleet:
@@ -157,6 +157,7 @@
             Kind.LEAVE: lambda one: self._change_fleet(one, "leave"),
             Kind.REMOVE: lambda one: self._change_fleet(one, "remove"),
             Kind.CRASH: lambda one: self._change_fleet(one, "crash"),
+            Kind.BREAK_OFF: lambda one: self._fleet[one.target].break_off(one.for_s),
             Kind.CONFIGURE: lambda _: self._spawn(self._configure),
         }
         doers[step.kind](step)
