--- /dev/null
+++ b/driftstall/gateway/sending.py
@@ -0,0 +1,102 @@
+"""Send a stream's request to one upstream and read the head of the answer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from driftstall.decisions.sends import Fate, SendHistory
+from driftstall.exceptions import UpstreamError
+from driftstall.gateway.admission import Admitted
+from driftstall.gateway.calls import CONNECT_TIMEOUT_S
+from driftstall.gateway.exchange import Head, UpstreamExchange
+from driftstall.gateway.ingress import CallerRequest
+from driftstall.gateway.model import AnswerMarks, SendMarks
+from driftstall.gateway.runs import StreamRun
+from driftstall.gateway.state import GatewayState
+
+
+@dataclass(frozen=True, slots=True)
+class Opened:
+    """Hold an answer whose head was read."""
+
+    head: Head
+    marks: AnswerMarks
+
+
+class StreamSender:
+    """Send one stream's request, to one upstream after another."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        call: CallerRequest,
+        admitted: Admitted,
+        history: SendHistory,
+        caller_gone: Callable[[], bool],
+    ) -> None:
+        """Take the request and the history in which the fate of each send is kept."""
+        self._state = state
+        self._call = call
+        self._admitted = admitted
+        self._history = history
+        self._caller_gone = caller_gone
+
+    def send(self, run: StreamRun) -> Opened | UpstreamError:
+        """Send the request to the run's upstream, read the answer's head and keep its fate."""
+        if not self._history.arrived:
+            self._state.budget(run.upstream.service).request(self._state.now())
+        copy_of = run.copied.copy_of if run.copied else ""
+        self._history.begin(run.upstream.upstream_id, copy_of)
+        self._state.runs.add(run)
+        result = self._exchange(run, copy_of)
+        if isinstance(result, UpstreamError):
+            self._history.end(Fate.MAY_HAVE_RUN if result.sent else Fate.UNSENT)
+        elif result.marks.not_run:
+            self._history.end(Fate.TURNED_AWAY)
+        return result
+
+    def _exchange(self, run: StreamRun, copy_of: str) -> Opened | UpstreamError:
+        """Open a connection, send the request and read the answer's head."""
+        marks = SendMarks(
+            upstream_id=run.upstream.upstream_id,
+            remaining_s=self._left(),
+            workspace=self._admitted.workspace,
+            rank=self._admitted.verdict.rank,
+            backup_address=run.backup.address if run.backup else "",
+            copy_of=copy_of,
+            last_event_id=self._last_event_id(run),
+        )
+        try:
+            timeout_s = min(CONNECT_TIMEOUT_S, max(0.001, self._left()))
+            run.exchange = UpstreamExchange.connect(run.upstream.address, timeout_s)
+            if self._caller_gone():
+                return UpstreamError("the caller has left", sent=False)
+            headers = self._state.dialect.write_send(self._admitted.marks.passed, marks)
+            call = self._call
+            run.exchange.send(call.method, call.target, headers, call.body, self._left())
+            return self._read_head(run.exchange)
+        except UpstreamError as fault:
+            return fault
+        except TimeoutError:
+            return UpstreamError("no answer in time", sent=True)
+
+    def _last_event_id(self, run: StreamRun) -> str:
+        """Return the event that the upstream goes on after."""
+        if run.last_event_id:
+            return run.last_event_id
+        return self._admitted.marks.last_event_id if self._admitted.route.resumable else ""
+
+    def _read_head(self, exchange: UpstreamExchange) -> Opened:
+        """Read the head of the answer that carries the request's id."""
+        while True:
+            item = exchange.next(max(0.0, self._left()))
+            if not isinstance(item, Head):
+                continue
+            marks = self._state.dialect.read_answer(item.status, item.headers)
+            if marks.request_id == self._admitted.marks.request_id:
+                return Opened(item, marks)
+
+    def _left(self) -> float:
+        """Return the seconds that are left."""
+        return self._admitted.ends_at - self._state.now()
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Final
 
 from driftstall.const import (
@@ -17,13 +16,13 @@
     PREFIX_RELAY,
 )
 from driftstall.core import Problem, Ran
-from driftstall.decisions.sends import Fate, SendHistory
+from driftstall.decisions.sends import SendHistory
 from driftstall.exceptions import UpstreamError
 from driftstall.gateway.admission import Admitted, request_of
 from driftstall.gateway.answers import CLOSE, KEEP, problem_answer, whole
-from driftstall.gateway.calls import CONNECT_TIMEOUT_S, FULL_RETRY_S, MAX_SENDS
+from driftstall.gateway.calls import FULL_RETRY_S, MAX_SENDS
 from driftstall.gateway.events import Event, EventOrder, EventSplitter, Order
-from driftstall.gateway.exchange import End, Head, Piece, UpstreamExchange
+from driftstall.gateway.exchange import End, Piece
 from driftstall.gateway.ingress import (
     LAST_CHUNK,
     CallerConnection,
@@ -31,12 +30,13 @@
     chunk,
     head_bytes,
 )
-from driftstall.gateway.model import AnswerMarks, SendMarks, Upstream
+from driftstall.gateway.model import Upstream
 from driftstall.gateway.moves import Mover
 from driftstall.gateway.outcomes import Outcome
 from driftstall.gateway.placement import StreamPlacement
 from driftstall.gateway.resumption import CopyFinder
 from driftstall.gateway.runs import StreamRun
+from driftstall.gateway.sending import Opened, StreamSender
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import say
 
@@ -47,14 +47,6 @@
 OK: Final = 200
 
 
-@dataclass(frozen=True, slots=True)
-class _Opened:
-    """Hold an answer whose head was read."""
-
-    head: Head
-    marks: AnswerMarks
-
-
 class StreamRelay:
     """Serve one stream."""
 
@@ -72,11 +64,11 @@
         self._state = state
         self._mover = mover
         self._connection = connection
-        self._call = call
         self._admitted = admitted
         self._request = request_of(admitted)
         self._placement = StreamPlacement(state, call, admitted, self._request)
         self._history = SendHistory(admitted.route.most_runs)
+        self._sender = StreamSender(state, call, admitted, self._history, lambda: self._caller_gone)
         self._copies = CopyFinder(state, mover, self._history)
         self._caller_gone = False
         self._run: StreamRun | None = None
@@ -104,7 +96,7 @@
 
     # Opening: choose an upstream until one takes the request.
 
-    def _open(self) -> _Opened | Problem:
+    def _open(self) -> Opened | Problem:
         """Send the request to an upstream that takes it, and read the answer's head."""
         avoid: set[str] = set()
         detail = "no upstream takes requests"
@@ -116,8 +108,8 @@
                 break
             if self._history.arrived and not self._budget_allows(run.upstream):
                 break
-            result = self._try(run)
-            if isinstance(result, _Opened):
+            result = self._send(run)
+            if isinstance(result, Opened):
                 if not result.marks.not_run:
                     return result
                 detail = f"turned away with {result.head.status}"
@@ -131,7 +123,7 @@
             avoid.add(run.upstream.upstream_id)
         return Problem(CODE_NO_RUNNER, 503, detail, self._history.ran, FULL_RETRY_S)
 
-    def _after_break(self, run: StreamRun, detail: str) -> _Opened | Problem:
+    def _after_break(self, run: StreamRun, detail: str) -> Opened | Problem:
         """Go on at a copy after a break before the answer's head."""
         resumed = self._resume(run, detail)
         if resumed is not None:
@@ -141,66 +133,14 @@
         detail = "the upstream broke off; the request may have run"
         return Problem(CODE_RUNNER_FAILED, 502, detail, self._history.ran)
 
-    def _try(self, run: StreamRun) -> _Opened | UpstreamError:
-        """Send the request to the run's upstream, read the answer's head and keep its fate."""
-        first = not self._history.arrived
-        copy_of = run.copied.copy_of if run.copied else ""
-        self._history.begin(run.upstream.upstream_id, copy_of)
-        result = self._send(run, first=first)
-        if isinstance(result, UpstreamError):
-            self._history.end(Fate.MAY_HAVE_RUN if result.sent else Fate.UNSENT)
-        elif result.marks.not_run:
-            self._history.end(Fate.TURNED_AWAY)
-        return result
-
-    def _send(self, run: StreamRun, *, first: bool) -> _Opened | UpstreamError:
-        """Send the request to the run's upstream and read the answer's head."""
-        if first:
-            self._state.budget(run.upstream.service).request(self._state.now())
-        send = SendMarks(
-            upstream_id=run.upstream.upstream_id,
-            remaining_s=self._left(),
-            workspace=self._admitted.workspace,
-            rank=self._admitted.verdict.rank,
-            backup_address=run.backup.address if run.backup else "",
-            copy_of=run.copied.copy_of if run.copied else "",
-            last_event_id=self._last_event_id(run),
-        )
+    def _send(self, run: StreamRun) -> Opened | UpstreamError:
+        """Send the request to the run's upstream; from now on a leaving caller closes this one."""
         self._run = run
-        self._state.runs.add(run)
-        try:
-            timeout_s = min(CONNECT_TIMEOUT_S, max(0.001, self._left()))
-            run.exchange = UpstreamExchange.connect(run.upstream.address, timeout_s)
-            if self._caller_gone:
-                return UpstreamError("the caller has left", sent=False)
-            headers = self._state.dialect.write_send(self._admitted.marks.passed, send)
-            call = self._call
-            run.exchange.send(call.method, call.target, headers, call.body, self._left())
-            return self._read_head(run.exchange)
-        except UpstreamError as fault:
-            return fault
-        except TimeoutError:
-            return UpstreamError("no answer in time", sent=True)
-
-    def _last_event_id(self, run: StreamRun) -> str:
-        """Return the event that the upstream goes on after."""
-        if run.last_event_id:
-            return run.last_event_id
-        return self._admitted.marks.last_event_id if self._admitted.route.resumable else ""
-
-    def _read_head(self, exchange: UpstreamExchange) -> _Opened:
-        """Read the head of the answer that carries the request's id."""
-        while True:
-            item = exchange.next(max(0.0, self._left()))
-            if not isinstance(item, Head):
-                continue
-            marks = self._state.dialect.read_answer(item.status, item.headers)
-            if marks.request_id == self._admitted.marks.request_id:
-                return _Opened(item, marks)
+        return self._sender.send(run)
 
     # Relaying: pass events on until the end.
 
-    def _relay(self, opened: _Opened) -> bool:
+    def _relay(self, opened: Opened) -> bool:
         """Pass the answer on; return whether the caller's connection can be kept."""
         run = self._run
         assert run is not None
@@ -220,7 +160,7 @@
             assert self._run is not None
             run = self._run
 
-    def _relay_failure(self, run: StreamRun, opened: _Opened) -> bool:
+    def _relay_failure(self, run: StreamRun, opened: Opened) -> bool:
         """Pass on an answer that is no stream."""
         assert run.exchange is not None
         parts: list[bytes] = []
@@ -241,7 +181,7 @@
         data = whole(opened.head.status, opened.marks.passed, body, keep=self._keep)
         return self._connection.write(data) and self._keep
 
-    def _send_head(self, opened: _Opened) -> bool:
+    def _send_head(self, opened: Opened) -> bool:
         """Send the answer's head to the caller."""
         extra = (b"Transfer-Encoding: chunked", KEEP if self._keep else CLOSE)
         self._head_sent = True
@@ -311,7 +251,7 @@
 
     # Going on elsewhere.
 
-    def _resume(self, run: StreamRun, cause: str) -> _Opened | None:
+    def _resume(self, run: StreamRun, cause: str) -> Opened | None:
         """Go on at a copy; return the opened answer, or None where there is no copy."""
         while run.moves < MAX_RESUMES and self._left() > 0 and not self._caller_gone:
             if run.exchange is not None:
@@ -326,9 +266,9 @@
             run.ended = True
             run.left_for = copy
             next_run = self._placement.next_run(run, copy, self._history.has_run_at)
-            result = self._try(next_run)
+            result = self._send(next_run)
             self._say_resumed(run, next_run, result, cause)
-            if isinstance(result, _Opened) and result.head.status == OK:
+            if isinstance(result, Opened) and result.head.status == OK:
                 self._state.stats.streams_resumed += 1
                 return result
             # Nothing was made there that could be copied on; another copy of the run as it
@@ -423,7 +363,7 @@
         self._state.saw(run.upstream.upstream_id, run.upstream.service, outcome, 0.0)
 
     def _say_resumed(
-        self, run: StreamRun, next_run: StreamRun, result: _Opened | UpstreamError, cause: str
+        self, run: StreamRun, next_run: StreamRun, result: Opened | UpstreamError, cause: str
     ) -> None:
         """Log how a stream went on."""
         outcome = str(result) if isinstance(result, UpstreamError) else str(result.head.status)
