Take a stream without framing that was stopped for a move for no whole one

Cause: such a stream ends with its connection, and a run that is stopped for its last step closes it just so; the caller was told that two events of five were the whole. Found by reading. Before: whole after two events. After: the stream goes on, and one whose move came too late is still whole. The first scenario failed before.

--- a/driftstall/gateway/exchange.py
+++ b/driftstall/gateway/exchange.py
@@ -102,6 +102,11 @@
         self.sent_at = 0.0
         """When the first byte of the request left, in seconds."""
 
+    @property
+    def framed(self) -> bool:
+        """Tell whether the answer says where it ends; else it ends with its connection."""
+        return self._framed
+
     @classmethod
     def connect(cls, address: str, timeout_s: float) -> UpstreamExchange:
         """Open a connection; raise UpstreamError if it does not come up."""
--- a/driftstall/gateway/resumption.py
+++ b/driftstall/gateway/resumption.py
@@ -45,6 +45,12 @@
         run.kept = None
         return kept.copy if kept is not None and self._allows(kept.copy, run) else None
 
+    def may_have_stopped(self, run: StreamRun, left_s: float) -> bool:
+        """Tell whether a run may have ended because it was stopped for a move."""
+        if run.moving is None:
+            return False
+        return self._wait_for_move(run.moving, left_s) is not None or not run.moving.ready()
+
     def has_kept_up(self, run: StreamRun) -> bool:
         """Tell whether the copy that the run's engine keeps up is known to be there."""
         return self._kept_up(run) is not None
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -203,6 +203,9 @@
             elif isinstance(item, End):
                 if splitter.inside_event:
                     return UpstreamError("the stream ended inside an event", sent=True)
+                if not run.exchange.framed and self._copies.may_have_stopped(run, self._left()):
+                    # A run that is stopped for a move closes its connection just like this.
+                    return UpstreamError("the stream ended while it was moved", sent=True)
                 return None
 
     def _patience(self, run: StreamRun) -> float:
--- a/features/gateway/streams.feature
+++ b/features/gateway/streams.feature
@@ -109,6 +109,17 @@
     Then all 5 events of "s1" came once, in order, and the end
     And "s1" went on from its moved memory after event 2
 
+  Scenario: a stream without framing that was stopped to be moved is not taken for whole
+    Given stream "s1" without framing waits after event 2 and has no backup
+    When its engine gives notice
+    Then all 5 events of "s1" came once, in order, and the end
+    And "s1" went on from its moved memory after event 2
+
+  Scenario: a stream without framing whose move came too late is whole
+    Given stream "s1" without framing waits after event 2 and has no backup
+    When its engine gives notice, and finds no such run at the last step
+    Then all 5 events of "s1" came once, in order, and the end
+
   Scenario: a stream that arrives on an engine after its notice is moved off as well
     Given stream "s1" waits after event 2 and has no backup
     When its engine has given notice before the stream was known to run there
--- a/features/steps/gateway_stream_steps.py
+++ b/features/steps/gateway_stream_steps.py
@@ -256,11 +256,15 @@
 
 
 @given('stream "{request_id}" waits after event {number:d} and has no backup')
-def waiting_stream(context: Any, request_id: str, number: int) -> None:
+def waiting_stream(context: Any, request_id: str, number: int, *, unframed: bool = False) -> None:
     """Start a stream that stands still until its gate opens."""
     world = world_of(context)
     world.state.loads.told("peer", full_engines(world), world.state.now())
-    stream_script(context, request_id, Script(pause_after=number, events=max(5, number + 1)))
+    stream_script(
+        context,
+        request_id,
+        Script(pause_after=number, events=max(5, number + 1), unframed=unframed),
+    )
     context.asked_connection = world.connect()
     context.asked_connection.sendall(request_bytes("/stream/a", request_id))
     context.asked = gevent.spawn(read_answer, context.asked_connection)
@@ -276,6 +280,12 @@
     )
 
 
+@given('stream "{request_id}" without framing waits after event {number:d} and has no backup')
+def unframed_stream(context: Any, request_id: str, number: int) -> None:
+    """Start a stream whose answer ends with its connection."""
+    waiting_stream(context, request_id, number, unframed=True)
+
+
 def full_engines(world: GatewayWorld) -> list[Any]:
     """Return sums that leave no room for copies."""
     return [Use(one.upstream_id, copies=30_000) for one in world.engines]
@@ -317,6 +327,20 @@
     world.give_notice(engine)
 
 
+@when("its engine gives notice, and finds no such run at the last step")
+def notice_and_no_run(context: Any) -> None:
+    """Let the stream end by itself while the last step is asked for."""
+    world, engine = world_of(context), context.engine
+
+    def end_first(wanted: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        context.script.gate.set()
+        context.script.ended.wait()
+        return 404, {}
+
+    engine.move_answers = [engine.copy_run, end_first]
+    world.give_notice(engine)
+
+
 @when("its engine gives notice, makes a copy, and ends without an answer to the last step")
 def notice_and_silent_step(context: Any) -> None:
     """Answer the first step; at the last one, end the stream and answer too late."""
--- a/stand_ins/routed.py
+++ b/stand_ins/routed.py
@@ -217,7 +217,8 @@
             _reset(raw)
             return
         first = int(headers.get("last-event-id") or 0) + 1
-        extra = (b"Transfer-Encoding: chunked",)
+        extra = () if script.unframed else (b"Transfer-Encoding: chunked",)
+        framed = _as_it_is if script.unframed else chunk
         answer = (_id(request_id), SEAL, STREAM_TYPE)
         if not connection.write(head_bytes(script.status, answer, extra)):
             return
@@ -235,12 +236,12 @@
                 return
             if number == script.together_from:
                 rest = [n for n in range(number, script.events + 1) if n != script.skip_event]
-                connection.write(chunk(b"".join(event_bytes(n) for n in rest)))
+                connection.write(framed(b"".join(event_bytes(n) for n in rest)))
                 break
-            if not connection.write(chunk(event_bytes(number))):
+            if not connection.write(framed(event_bytes(number))):
                 return
             if number == script.repeat_event:
-                connection.write(chunk(event_bytes(number)))
+                connection.write(framed(event_bytes(number)))
             self.running[request_id] = number
             if backup is not None:
                 backup.copies[request_id] = number
@@ -251,9 +252,9 @@
                 return
             if number == script.break_after:
                 if script.half_event:
-                    connection.write(chunk(event_bytes(number + 1)[:4]))
+                    connection.write(framed(event_bytes(number + 1)[:4]))
                 return
-        connection.write(b"0\r\n\r\n")
+        connection.write(b"" if script.unframed else b"0\r\n\r\n")
 
     def _move(self, connection: CallerConnection, wanted: dict[str, Any]) -> None:
         """Answer a call that copies a run."""
@@ -283,6 +284,11 @@
     return b"id: %d\ndata: piece %d\n\n" % (number, number)
 
 
+def _as_it_is(data: bytes) -> bytes:
+    """Return a piece of an answer that ends with its connection."""
+    return data
+
+
 def _id(request_id: str) -> tuple[bytes, bytes]:
     """Return the header that echoes a request's id."""
     return (b"X-Driftstall-Request-Id", request_id.encode())
