--- a/features/parts/soak.feature
+++ b/features/parts/soak.feature
@@ -46,6 +46,11 @@
   Scenario: a seed always gives the same plan, and leaves the end calm
     Then seed 7 gives one plan of overlapping faults, seed 8 another, both end early
 
+  Scenario: two steps that restart an instance at once start it once
+    Given an instance that ends slowly
+    When two steps restart it at once
+    Then it was started once
+
   Scenario: runs on one machine take no ports from each other
     Given another run that has taken a port
     Then none of 600 ports taken here is of its slice
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -6,11 +6,13 @@
 import sys
 from collections.abc import Callable
 from dataclasses import replace
-from typing import Any
+from typing import Any, cast
 
+import gevent
 from behave import given, then, when
 
 from measures.bench import FIRST_PORT, SLICE_PORTS, free_port
+from measures.gateway_process import GatewayProcess
 from soak.checks import broken_promises
 from soak.ledger import Arrival, Asked, Ledger, Notice, Sort
 from soak.plan import CALM_LAST_S, draw
@@ -37,6 +39,45 @@
     return asked
 
 
+class SlowlyEnding:
+    """Stand in for a process that takes a moment to end."""
+
+    def wait(self) -> None:
+        """Let others go on meanwhile."""
+        gevent.sleep(0)
+
+
+class CountingProcess(GatewayProcess):
+    """Count the starts instead of starting."""
+
+    def __init__(self) -> None:
+        """Begin with a process that is about to end."""
+        self.starts = 0
+        self.process = cast(Any, SlowlyEnding())
+
+    def _spawn(self) -> Any:
+        self.starts += 1
+        return SlowlyEnding()
+
+
+@given("an instance that ends slowly")
+def slowly_ending(context: Any) -> None:
+    """Stand in for an instance."""
+    context.instance = CountingProcess()
+
+
+@when("two steps restart it at once")
+def restart_twice(context: Any) -> None:
+    """Restart it from two greenlets."""
+    gevent.joinall([gevent.spawn(context.instance.restart) for _ in range(2)], raise_error=True)
+
+
+@then("it was started once")
+def started_once(context: Any) -> None:
+    """Compare."""
+    assert context.instance.starts == 1, context.instance.starts
+
+
 @given("the record of a run in which all was well")
 def all_well(context: Any) -> None:
     """Record some requests of each sort."""
--- a/measures/gateway_process.py
+++ b/measures/gateway_process.py
@@ -51,9 +51,11 @@
         self.path.write_bytes(orjson.dumps(settings))
 
     def restart(self) -> None:
-        """Start the process again after its end."""
-        self.process.wait()
-        self.process = self._spawn()
+        """Start the process again after its end, unless another caller has done so meanwhile."""
+        ended = self.process
+        ended.wait()
+        if self.process is ended:
+            self.process = self._spawn()
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to this process, if it still runs."""
