Count the time to drain from the first notice

Cause: the removal of a leaving upstream's entry, and each word of it, began the time anew, so a stopped run might be sent back there for two seconds more. The scenario failed before.

--- a/driftstall/gateway/fleet.py
+++ b/driftstall/gateway/fleet.py
@@ -91,13 +91,22 @@
     """Set while its entry may only have lapsed during an outage."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Gone:
+    """Hold what is left of an upstream whose entry is gone."""
+
+    revision: int
+    at: float
+    leaving_since: float
+
+
 class FleetController:
     """Hold the upstreams that one instance knows of."""
 
     def __init__(self) -> None:
         """Start with none."""
         self._entries: dict[str, _Entry] = {}
-        self._gone: dict[str, tuple[int, float]] = {}
+        self._gone: dict[str, _Gone] = {}
         self._down = False
         self._back_at = float("-inf")
         self._actions: list[FleetAction] = []
@@ -154,7 +163,7 @@
         if entry is not None:
             return entry.leaving_since is None or now - entry.leaving_since < drain_s
         gone = self._gone.get(upstream_id)
-        return gone is not None and now - gone[1] < drain_s
+        return gone is not None and now - gone.leaving_since < drain_s
 
     def handle(self, event: FleetEvent, now: float) -> list[FleetAction]:
         """Take one event and return what others need to know."""
@@ -217,15 +226,15 @@
             if missing is not None and not self._in_grace(now):
                 self._leave(entry, now)
                 self._bury(upstream_id, entry.upstream.revision, now)
-        for upstream_id, (_, at) in list(self._gone.items()):
-            if now - at > GONE_KEPT_S:
+        for upstream_id, gone in list(self._gone.items()):
+            if now - gone.at > GONE_KEPT_S:
                 del self._gone[upstream_id]
 
     def _put(self, upstream: Upstream, now: float) -> None:
         """Take in an entry that is newer than what is known."""
         self._at = max(self._at, upstream.revision)
         buried = self._gone.get(upstream.upstream_id)
-        if buried is not None and buried[0] >= upstream.revision:
+        if buried is not None and buried.revision >= upstream.revision:
             return
         entry = self._entries.get(upstream.upstream_id)
         if entry is None:
@@ -267,5 +276,11 @@
 
     def _bury(self, upstream_id: str, revision: int, now: float) -> None:
         """Forget an upstream, but not that it is gone."""
-        self._entries.pop(upstream_id, None)
-        self._gone[upstream_id] = (revision, now)
+        entry = self._entries.pop(upstream_id, None)
+        before = self._gone.get(upstream_id)
+        since = now
+        if entry is not None and entry.leaving_since is not None:
+            since = entry.leaving_since
+        elif before is not None:
+            since = before.leaving_since
+        self._gone[upstream_id] = _Gone(revision, now, since)
--- a/features/gateway/parts.feature
+++ b/features/gateway/parts.feature
@@ -6,6 +6,12 @@
     Then it is told once that "u1" is leaving
     And "u1" takes no requests
 
+  Scenario: the time to drain runs from the notice, not from the end of the entry
+    Given a fleet of 3 upstreams
+    When upstream "u1" gives notice, and 1.5 s later its entry is removed, twice
+    Then 1.9 s after the notice "u1" may be sent what has run there
+    And 2.1 s after the notice "u1" may be sent nothing
+
   Scenario: an entry that is removed stands for a notice
     Given a fleet of 3 upstreams
     When the entry of "u1" is removed
--- a/features/steps/gateway_fleet_steps.py
+++ b/features/steps/gateway_fleet_steps.py
@@ -21,6 +21,9 @@
 )
 from features.worlds.upstream_samples import upstream_of
 
+NOTICE_AT = 1.0
+DRAIN_S = 2.0
+
 
 def tell(context: Any, event: Any, at: float) -> None:
     """Hand the fleet an event and keep what it tells."""
@@ -43,6 +46,27 @@
         tell(context, Changed(leaving, False), 1.0)
 
 
+@when('upstream "{name}" gives notice, and {seconds:g} s later its entry is removed, twice')
+def notice_then_removal(context: Any, name: str, seconds: float) -> None:
+    """Tell of a notice, then of the removal by the platform and by a peer."""
+    tell(context, Changed(upstream_of(name, 5, UpstreamState.LEAVING), False), NOTICE_AT)
+    for revision in (6, 7):
+        gone = Changed(upstream_of(name, revision, UpstreamState.LEAVING), True)
+        tell(context, gone, NOTICE_AT + seconds)
+
+
+@then('{seconds:g} s after the notice "{name}" may be sent what has run there')
+def still_serves(context: Any, seconds: float, name: str) -> None:
+    """Ask within the time to drain."""
+    assert context.fleet.serves(name, NOTICE_AT + seconds, DRAIN_S)
+
+
+@then('{seconds:g} s after the notice "{name}" may be sent nothing')
+def serves_no_more(context: Any, seconds: float, name: str) -> None:
+    """Ask after the time to drain."""
+    assert not context.fleet.serves(name, NOTICE_AT + seconds, DRAIN_S)
+
+
 @when('the entry of "{name}" is removed')
 def entry_removed(context: Any, name: str) -> None:
     """Remove an entry."""
