Stop to move streams off an engine that is ready again

Cause: since streams are waited for after a notice, the loop went on for ten seconds though the engine had come back.

--- a/driftstall/gateway/evacuation.py
+++ b/driftstall/gateway/evacuation.py
@@ -34,7 +34,7 @@
 TARGETS: Final = 3
 """Targets tried for one run; one without room says so at once."""
 RETRY_S: Final = 0.05
-"""Pause before a run is tried that the engine does not know yet."""
+"""Pause before the next look for streams that have come, or begun to make events."""
 COPY_TOKENS_PER_S: Final = 9_000.0
 """Tokens copied in a second between zones (18 KB each at half of 2.7 Gbit/s)."""
 TURN_MARGIN_S: Final = 0.1
@@ -58,7 +58,7 @@
         gevent.spawn(self._run, upstream)
 
     def _run(self, upstream: Upstream) -> None:
-        """Move streams for as long as the upstream may live.
+        """Move streams for as long as the upstream is leaving and may live.
 
         Some arrive after the notice: they were placed or moved there just before it.
         """
@@ -75,8 +75,9 @@
         gevent.sleep(COPIED_FIRST_S)
         self._await_turn(upstream)
         tried: set[str] = set()
-        while self._state.now() < began + GIVE_UP_S:
-            runs = self._state.runs.on(upstream.upstream_id)
+        engine_id, fleet = upstream.upstream_id, self._state.fleet
+        while self._state.now() < began + GIVE_UP_S and not fleet.takes_requests(engine_id):
+            runs = self._state.runs.on(engine_id)
             waiting = [run for run in runs if self._is_movable(run) and run.request_id not in tried]
             if not waiting:
                 gevent.sleep(RETRY_S)
