--- a/driftstall/decisions/sends.py
+++ b/driftstall/decisions/sends.py
@@ -64,7 +64,7 @@
 
     @property
     def sends(self) -> int:
-        """Return how often the request was sent, or nearly."""
+        """Return how often the request was sent, also where no connection came up."""
         return len(self._sends)
 
     @property
--- a/driftstall/gateway/dialect.py
+++ b/driftstall/gateway/dialect.py
@@ -32,6 +32,8 @@
     """Tell that a run's memory was not copied."""
 
     no_such_run: bool
+    may_have_stopped: bool
+    """Whether a last step may have stopped the run all the same."""
     copy_of: str
     """Names the memory that the source kept; empty if the run goes on there."""
     detail: str
--- a/driftstall/gateway/moves.py
+++ b/driftstall/gateway/moves.py
@@ -10,7 +10,7 @@
 from driftstall.const import PREFIX_RELAY
 from driftstall.gateway.dialect import MoveDone, MoveFailed, MoveResult
 from driftstall.gateway.model import Upstream
-from driftstall.gateway.runs import Copy, KeptCopy, StreamRun
+from driftstall.gateway.runs import Copy, KeptCopy, LastStep, StreamRun
 from driftstall.gateway.selection import Need, choose_move
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import say
@@ -79,17 +79,11 @@
             self._hold(run, None)
             return result
         run.kept = KeptCopy(Copy(target, result.copy_of), self._state.now(), tokens)
-        if run.ended:
-            self._drop_late(run)
-        return result
-
-    def _drop_late(self, run: StreamRun) -> None:
-        """Free a copy that was whole only after its run had ended here.
-
-        A further step brings the same copy up to date: its stream may be going on there.
-        """
-        if run.resumed_at is None or run.kept is None or run.resumed_at != run.kept.copy:
+        # A further step brings the same copy up to date: where the stream goes on elsewhere, it
+        # may be just there, or need it yet. What is not needed, engines drop by themselves.
+        if run.ended and not run.goes_on_elsewhere:
             self.drop_copy(run)
+        return result
 
     def _hold(self, run: StreamRun, target: Upstream | None) -> None:
         """Tell the books which engine holds a copy, before others choose the same one."""
@@ -104,10 +98,11 @@
         if isinstance(result, MoveDone):
             self._state.stats.streams_moved += 1
             run.kept = None
-            moving.set(self._stopped(target, result.copy_of, run))
+            moving.set(LastStep(self._stopped(target, result.copy_of, run), True))
             return True
         # The source keeps what it has made: the run goes on there if it still can.
-        moving.set(self._stopped(run.upstream, result.copy_of, run) if result.copy_of else None)
+        kept = self._stopped(run.upstream, result.copy_of, run) if result.copy_of else None
+        moving.set(LastStep(kept, result.may_have_stopped))
         return False
 
     def _stopped(self, holder: Upstream, copy_of: str, run: StreamRun) -> KeptCopy:
--- a/driftstall/gateway/resumption.py
+++ b/driftstall/gateway/resumption.py
@@ -9,7 +9,7 @@
 from driftstall.const import PREFIX_RELAY
 from driftstall.decisions.sends import CopyKind, SendHistory
 from driftstall.gateway.moves import Mover
-from driftstall.gateway.runs import Copy, KeptCopy, StreamRun
+from driftstall.gateway.runs import Copy, LastStep, StreamRun
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import say
 
@@ -33,7 +33,8 @@
         up, then the last one made beforehand.
         """
         if run.moving is not None:
-            moved = self._wait_for_move(run.moving, left_s)
+            step = self._await_last_step(run, run.moving, left_s)
+            moved = step.moved if step is not None else None
             run.moving = None
             if moved is not None and self._mover.is_usable(moved) and self._allows(moved.copy, run):
                 return moved.copy
@@ -49,7 +50,8 @@
         """Tell whether a run may have ended because it was stopped for a move."""
         if run.moving is None:
             return False
-        return self._wait_for_move(run.moving, left_s) is not None or not run.moving.ready()
+        step = self._await_last_step(run, run.moving, left_s)
+        return step is None or step.may_have_stopped
 
     def has_kept_up(self, run: StreamRun) -> bool:
         """Tell whether the copy that the run's engine keeps up is known to be there."""
@@ -69,10 +71,15 @@
         engine_id = copy.upstream.upstream_id
         return self._history.may_go_on(copy.kind, engine_id, copy.copy_of, run.making_s)
 
-    def _wait_for_move(self, moving: AsyncResult, left_s: float) -> KeptCopy | None:
-        """Wait for the answer of the last move; None where it is late or names no copy."""
-        moved: KeptCopy | None = moving.wait(timeout=min(MOVE_WAIT_S, max(0.0, left_s)))
-        return moved
+    def _await_last_step(
+        self, run: StreamRun, moving: AsyncResult, left_s: float
+    ) -> LastStep | None:
+        """Wait for the end of the last step, once for each run; None where it is late."""
+        now = self._state.now()
+        if run.step_awaited_until is None:
+            run.step_awaited_until = now + min(MOVE_WAIT_S, left_s)
+        step: LastStep | None = moving.wait(timeout=max(0.0, run.step_awaited_until - now))
+        return step
 
     def say_none(self, run: StreamRun, cause: str) -> None:
         """Log why a stream does not go on elsewhere, with what decided it."""
--- a/driftstall/gateway/runs.py
+++ b/driftstall/gateway/runs.py
@@ -33,6 +33,16 @@
     """Tokens of the run that were copied."""
 
 
+@dataclass(frozen=True, slots=True)
+class LastStep:
+    """Tell how the last step of a move ended."""
+
+    moved: KeptCopy | None
+    """Where the run goes on, if its engine has told."""
+    may_have_stopped: bool
+    """Whether the run may have been stopped by it; it was not if the engine refused the step."""
+
+
 @dataclass(slots=True)
 class StreamRun:
     """Hold one open stream, wherever it runs now."""
@@ -49,7 +59,9 @@
     tokens: int = 0
     """Tokens delivered so far."""
     moving: AsyncResult | None = None
-    """Set from the run's last step to another engine on; gives a KeptCopy or None."""
+    """Set from the run's last step to another engine on; gives a LastStep."""
+    step_awaited_until: float | None = None
+    """Until when the answer of the last step is waited for, once it is."""
     resumed_from: Copy | None = None
     """The copy that this run has gone on from."""
     copying: bool = False
@@ -59,11 +71,14 @@
     kept: KeptCopy | None = None
     """The copy made of the run while it goes on."""
     ended: bool = False
-    resumed_at: Copy | None = None
-    """The copy at which the stream has gone on elsewhere."""
+    goes_on_elsewhere: bool = False
+    """Whether the stream goes on at another engine; else it has ended with this run."""
     moves: int = 0
-    first_event_at: float | None = None
-    """When the first event came from this engine."""
+    waited_s: float = 0.0
+    """Time for which its relay has waited for the engine since the first event there."""
+    making_s: float | None = None
+    """The part of that up to the last event; None before the first one. Time that a slow
+    caller takes does not count: all its events may have been made in a moment before."""
     last_event_at: float = 0.0
 
     @property
@@ -71,11 +86,6 @@
         """Return the caller's id of the request."""
         return self.admitted.marks.request_id
 
-    @property
-    def making_s(self) -> float | None:
-        """Return the time from the first to the last event of this engine; None without any."""
-        return None if self.first_event_at is None else self.last_event_at - self.first_event_at
-
     @property
     def held_tokens(self) -> int:
         """Return the engine memory that the run holds now, in tokens."""
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -192,10 +192,18 @@
         assert run.exchange is not None
         splitter = EventSplitter()
         while True:
+            waits_since = self._state.now()
             try:
                 item = run.exchange.next(self._patience(run))
-            except (UpstreamError, TimeoutError) as fault:
+            except UpstreamError as fault:
                 return fault
+            except TimeoutError as fault:
+                if self._left() > 0 and not self._copies.has_kept_up(run):
+                    # The copy's engine has left meanwhile: to wait is all there is.
+                    continue
+                return fault
+            finally:
+                run.waited_s += self._state.now() - waits_since
             if isinstance(item, Piece):
                 fault_or_none = self._pass_on(run, splitter.feed(item.data))
                 if fault_or_none is not None:
@@ -238,8 +246,9 @@
     def _count(self, run: StreamRun, events: int) -> None:
         """Take in that events have arrived."""
         now = self._state.now()
-        if run.first_event_at is None:
-            run.first_event_at = now
+        if run.making_s is None:
+            run.waited_s = 0.0
+        run.making_s = run.waited_s
         if not run.events and run.moves == 0:
             self._state.stats.first_event_s.observe({}, now - self._admitted.started_at)
         elif run.last_event_at:
@@ -267,7 +276,7 @@
                 return None
             self._state.runs.drop(run)
             run.ended = True
-            run.resumed_at = copy
+            run.goes_on_elsewhere = True
             next_run = self._placement.next_run(run, copy, self._history.has_run_at)
             result = self._send(next_run)
             self._say_resumed(run, next_run, result, cause)
--- a/driftstall/platform/dialect.py
+++ b/driftstall/platform/dialect.py
@@ -31,7 +31,7 @@
         return headers.write_send(passed, send)
 
     def read_answer(self, status: int, found: Headers) -> AnswerMarks:
-        """Decode the headers of an upstream's answer."""
+        """Decode the status and headers of an upstream's answer."""
         return headers.read_answer(status, found)
 
     def read_routing(self, text: str) -> RoutingDocument:
--- a/driftstall/platform/engine_calls.py
+++ b/driftstall/platform/engine_calls.py
@@ -20,6 +20,9 @@
 
 DROP_TIMEOUT_S: Final = 1.0
 
+NOT_STOPPED: Final = frozenset({HTTPStatus.NOT_FOUND, HTTPStatus.CONFLICT})
+"""Answers to a last step by which the run is not there, or another step is going on."""
+
 
 def move(source: Upstream, request_id: str, target: Upstream, *, last: bool) -> MoveResult:
     """Copy a run's memory from one engine to another; wait until the copy is whole."""
@@ -35,12 +38,18 @@
         raw = exchange.read()
         answer = orjson.loads(raw) if raw else {}
     except (UpstreamError, orjson.JSONDecodeError) as fault:
-        return MoveFailed(no_such_run=False, copy_of="", detail=str(fault))
+        return MoveFailed(
+            no_such_run=False,
+            may_have_stopped=not isinstance(fault, UpstreamError) or fault.sent,
+            copy_of="",
+            detail=str(fault),
+        )
     copy_of = _copy_name(source, answer)
     if exchange.status == HTTPStatus.OK and copy_of:
         return MoveDone(copy_of)
     return MoveFailed(
         no_such_run=exchange.status == HTTPStatus.NOT_FOUND,
+        may_have_stopped=exchange.status not in NOT_STOPPED,
         # Only this answer means that the run has stopped and its memory was kept.
         copy_of=copy_of if last and exchange.status == HTTPStatus.SERVICE_UNAVAILABLE else "",
         detail=f"the engine answered {exchange.status}",
--- a/features/gateway/calls.feature
+++ b/features/gateway/calls.feature
@@ -51,6 +51,12 @@
     Then the answer is 200 "whole" with the upstream's seal
     And "r1" has run on 1 upstreams
 
+  Scenario: a call that is turned away by the status alone is sent elsewhere
+    Given the upstream of "r1" will say by the status alone that it is not the one meant
+    When "/once/a" is asked as "r1"
+    Then the answer is 200 "whole" with the upstream's seal
+    And "r1" has run on 1 upstreams
+
   Scenario: a call that all upstreams turn away is told when to come back
     Given all upstreams of "r1" will turn it away
     When "/once/a" is asked as "r1"
--- a/features/gateway/streams.feature
+++ b/features/gateway/streams.feature
@@ -47,6 +47,20 @@
     Then all 5 events of "s1" came once, in order, and the end
     And "s1" has run on 1 upstreams
 
+  Scenario: a pause breaks off no stream whose copy's engine leaves during it
+    Given the engine of "s1" pauses between events for longer than a copy is waited with
+    And the engine that keeps its copy leaves after event 3, while the fourth is waited for
+    When stream "s1" is asked
+    Then all 5 events of "s1" came once, in order, and the end
+    And "s1" has run on 1 upstreams
+
+  Scenario: time that a slow caller takes does not count for a copy
+    Given the engine of "s1" will break off after 3 events, at once
+    And its caller takes each event late
+    When stream "s1" is asked
+    Then 3 events of "s1" came, in order, and no end
+    And "s1" has run on 1 upstreams
+
   Scenario: a stream without a copy is visibly broken off
     Given the engine of "s1" will break off after 3 events
     And no engine keeps a copy of "s1"
@@ -90,6 +104,7 @@
     When stream "s1" is asked
     Then 6 events of "s1" came, in order, and no end
     And "s1" has run on 2 upstreams
+    And no engine that "s1" has run on was asked to keep its copy
 
   Scenario: a stream that broke before its copy can be there is visibly broken off
     Given the engine of "s1" will break off after 3 events, at once
@@ -115,6 +130,12 @@
     Then all 5 events of "s1" came once, in order, and the end
     And "s1" went on from its moved memory after event 2
 
+  Scenario: a stream without framing whose last step has no answer is not taken for whole
+    Given stream "s1" without framing waits after event 2 and has no backup
+    When its engine gives notice, and stops the run without a word
+    Then all 5 events of "s1" came once, in order, and the end
+    And "s1" went on from its moved memory after event 2
+
   Scenario: a stream without framing whose move came too late is whole
     Given stream "s1" without framing waits after event 2 and has no backup
     When its engine gives notice, and finds no such run at the last step
@@ -150,6 +171,18 @@
     Then all 5 events of "s1" came once, in order, and the end
     And one repeat was taken from the budget
 
+  Scenario: a step that ends after its stream has gone on frees no copy
+    Given stream "s1" waits after event 8 and has no backup
+    When it goes on at its copy while a further step of that copy is being taken
+    Then all 9 events of "s1" came once, in order, and the end
+    And no copy was freed
+
+  Scenario: an engine that is ready again keeps its streams
+    Given stream "s1" waits after event 2 and has no backup
+    When its engine gives notice and takes it back before the stream is moved
+    Then all 5 events of "s1" came once, in order, and the end
+    And "s1" has run on 1 upstreams
+
   Scenario Outline: a move that fails leaves the stream to its engine
     Given stream "s1" waits after event 2 and has no backup
     And moves will be answered <answer>
--- a/features/steps/gateway_call_steps.py
+++ b/features/steps/gateway_call_steps.py
@@ -174,6 +174,7 @@
     "answer without a length": Script(unframed=True),
     "answer without a length and be reset": Script(unframed=True, cut_after=2),
     "hang": Script(hang=True),
+    "say by the status alone that it is not the one meant": Script(misdirected=True),
     "answer another request without a length, and close": Script(only_another=True),
 }
 
--- a/features/steps/gateway_stream_steps.py
+++ b/features/steps/gateway_stream_steps.py
@@ -11,7 +11,9 @@
 
 from driftstall.decisions.sends import KEPT_UP_AFTER_S
 from driftstall.gateway import moves, streams
+from driftstall.gateway.evacuation import RETRY_S
 from driftstall.gateway.fleet import Changed
+from driftstall.gateway.ingress import CallerConnection
 from driftstall.gateway.loads import Use
 from driftstall.gateway.model import Bounds, UpstreamState
 from driftstall.gateway.protection import Protection
@@ -121,6 +123,92 @@
     stream_script(context, request_id, Script(event_pause_s=PAUSE_S))
 
 
+@given("the engine that keeps its copy leaves after event 3, while the fourth is waited for")
+def backup_leaves_meanwhile(context: Any) -> None:
+    """Let the copy count, then give notice of its engine within the wait for an event."""
+    world = world_of(context)
+
+    def leave() -> None:
+        wait_for("three events", lambda: any(run.events >= 3 for run in world.state.runs.all))
+        (run,) = world.state.runs.all
+        assert run.backup is not None and run.making_s is not None
+        backup_id = run.backup.upstream_id
+        (engine,) = [one for one in world.engines if one.upstream_id == backup_id]
+        world.give_notice(engine)
+
+    await_copy(context, 3)
+    gevent.spawn(leave)
+
+
+@given("its caller takes each event late")
+def slow_caller(context: Any) -> None:
+    """Let time pass while an event is written."""
+    world, usual = world_of(context), CallerConnection.write
+
+    def write(connection: CallerConnection, data: bytes) -> bool:
+        if b"piece" in data:
+            world.pass_time(KEPT_UP_AFTER_S / 2)
+        return usual(connection, data)
+
+    CallerConnection.write = write  # type: ignore[method-assign, assignment]
+    context.add_cleanup(setattr, CallerConnection, "write", usual)
+
+
+@then('no engine that "{request_id}" has run on was asked to keep its copy')
+def no_backup_where_run(context: Any, request_id: str) -> None:
+    """Compare where it ran with where its copies were to be kept."""
+    upstreams = set(runs(world_of(context), request_id))
+    asked = {one.seen[-1].headers.get("kv-backup") for one in upstreams}
+    assert len(upstreams) == 2
+    first = next(one for one in upstreams if "kv-from" not in one.seen[-1].headers)
+    second = next(one for one in upstreams if one is not first)
+    assert asked == {second.address, None}, (asked, first.address, second.address)
+
+
+@when("it goes on at its copy while a further step of that copy is being taken")
+def step_in_flight(context: Any) -> None:
+    """Make a copy, hold the next step up, break the stream off, then end the step."""
+    world, engine = world_of(context), context.engine
+    (run,) = world.state.runs.all
+    target = world.mover.choose_target(run, frozenset(), most_memory=1.0)
+    assert target is not None
+    world.mover.copy(run, target)
+
+    def held_up(wanted: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        context.script.late.wait()
+        return 200, {"handle": "copy-s1", "made": 8}
+
+    engine.move_answers = [held_up]
+    step = gevent.spawn(world.mover.copy, run, target)
+    wait_for("the step is taken", lambda: not engine.move_answers)
+    context.script.break_after = 8
+    script_all(world, "s1", [Script(events=9)])
+    context.script.gate.set()
+    context.answer = context.asked.get(timeout=5.0)
+    context.script.late.set()
+    step.get(timeout=5.0)
+    context.left_run = run
+
+
+@then("no copy was freed")
+def nothing_freed(context: Any) -> None:
+    """Look whether the run still holds it."""
+    assert context.left_run.kept is not None
+
+
+@when("its engine gives notice and takes it back before the stream is moved")
+def notice_taken_back(context: Any) -> None:
+    """Take the run off the books, give notice, list the engine as ready, put the run back."""
+    world = world_of(context)
+    (run,) = world.state.runs.all
+    world.state.runs = book = CountingBook()
+    world.give_notice(context.engine)
+    wait_for("the notice has found no stream", lambda: book.looked >= LOOKS)
+    world.state.fleet.handle(Changed(world.entry(context.engine), False), world.state.now())
+    book.add(run)
+    gevent.spawn_later(4 * RETRY_S, context.script.gate.set)
+
+
 @given("the engine that keeps its copy leaves after event 1")
 def backup_leaves(context: Any) -> None:
     """Give notice of it; by then the copy could be there."""
@@ -327,6 +415,20 @@
     world.give_notice(engine)
 
 
+@when("its engine gives notice, and stops the run without a word")
+def notice_and_no_word(context: Any) -> None:
+    """Stop the run at the last step, and answer with bytes that are none of the protocol."""
+    world, engine = world_of(context), context.engine
+
+    def stop_silently(wanted: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        engine.stopped.add("s1")
+        context.script.gate.set()
+        raise ConnectionError("the answer is lost")
+
+    engine.move_answers = [engine.copy_run, stop_silently]
+    world.give_notice(engine)
+
+
 @when("its engine gives notice, and finds no such run at the last step")
 def notice_and_no_run(context: Any) -> None:
     """Let the stream end by itself while the last step is asked for."""
--- a/stand_ins/routed.py
+++ b/stand_ins/routed.py
@@ -34,6 +34,8 @@
     status: int = 200
     body: bytes = b"whole"
     not_run: bool = False
+    misdirected: bool = False
+    """Say by the status alone that another upstream was meant."""
     reset: bool = False
     """Close without an answer, after the request was read and before a copy was looked for."""
     reset_after_head: bool = False
@@ -157,6 +159,9 @@
         scripts = self.scripts[request_id]
         script = scripts.pop(0) if scripts else self._usual()
         copy_of = headers.get("kv-from", "").rpartition("/")[2]
+        if script.misdirected:
+            connection.write(head_bytes(421, (_id(request_id),), (b"Content-Length: 0",)))
+            return
         has_copy = copy_of in self.copies
         if script.not_run or (copy_of and not has_copy and not script.reset):
             self._refuse(connection, request_id, 503)
