--- a/driftstall/gateway/resumption.py
+++ b/driftstall/gateway/resumption.py
@@ -18,7 +18,7 @@
 
 
 class CopyFinder:
-    """Find copies of one stream's runs; only such as are known to be there."""
+    """Find copies of one stream's runs, such as engines have named or must have made by now."""
 
     def __init__(self, state: GatewayState, mover: Mover, history: SendHistory) -> None:
         """Take the shared state, who makes copies, and what became of the request so far."""
@@ -54,11 +54,11 @@
         return step is None or step.may_have_stopped
 
     def has_kept_up(self, run: StreamRun) -> bool:
-        """Tell whether the copy that the run's engine keeps up is known to be there."""
+        """Tell whether the copy that the run's engine keeps up must be there by now."""
         return self._kept_up(run) is not None
 
     def _kept_up(self, run: StreamRun) -> Copy | None:
-        """Return the copy that the run's engine keeps up, if it is known to be there."""
+        """Return the copy that the run's engine keeps up, if it must be there by now."""
         backup = run.backup
         if backup is None or not self._state.fleet.takes_requests(backup.upstream_id):
             return None
