--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -10,6 +10,7 @@
 
 import gevent
 from behave import given, then, when
+from gevent.lock import Semaphore
 
 from measures.bench import FIRST_PORT, SLICE_PORTS, free_port
 from measures.gateway_process import GatewayProcess
@@ -52,11 +53,13 @@
 
     def __init__(self) -> None:
         """Begin with a process that is about to end."""
+        self._starting = Semaphore()
         self.starts = 0
         self.process = cast(Any, SlowlyEnding())
 
     def _spawn(self) -> Any:
         self.starts += 1
+        gevent.sleep(0)
         return SlowlyEnding()
 
 
--- a/measures/gateway_process.py
+++ b/measures/gateway_process.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 import orjson
+from gevent.lock import Semaphore
 
 from driftstall.exceptions import UpstreamError
 from driftstall.util.http import Exchange
@@ -44,6 +45,7 @@
         self.path = folder / f"{name}.json"
         self.log = folder / f"{name}.log"
         self.write(self.settings)
+        self._starting = Semaphore()
         self.process = self._spawn()
 
     def write(self, settings: dict[str, Any]) -> None:
@@ -53,9 +55,11 @@
     def restart(self) -> None:
         """Start the process again after its end, unless another caller has done so meanwhile."""
         ended = self.process
-        ended.wait()
-        if self.process is ended:
-            self.process = self._spawn()
+        # Others go on while the old process ends, and while the new one is being started.
+        with self._starting:
+            ended.wait()
+            if self.process is ended:
+                self.process = self._spawn()
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to this process, if it still runs."""
