Ask engines for their own word while the platform is away or behind

Cause: with the platform's store away, notices do not arrive, and a waiting watch is left open by a store that turns calls away, so the outage itself was not noticed in eight seconds. Streams and copies went on to be placed on engines that had left or had given notice.

Ruled out: refused last steps (there was no notice to move on), full engines, the retry budget.

Now: instances ask engines for their own word while the platform is lost to them, or while an engine counts as gone that it still lists; two instances an engine, of its zone where there are. An engine is asked at once when a stream there breaks off. A bad word holds for four seconds and is told to all. The watch of the upstreams is renewed each 2.5 s in a small fleet.

Seen to fail with the questions taken out: the stream that breaks off, the two real processes.

--- a/driftstall/exceptions.py
+++ b/driftstall/exceptions.py
@@ -39,10 +39,11 @@
 class UpstreamError(DriftstallError):
     """Report a failed exchange with an outside system."""
 
-    def __init__(self, detail: str, *, sent: bool) -> None:
-        """Keep whether any byte of the request may have been seen."""
+    def __init__(self, detail: str, *, sent: bool, refused: bool = False) -> None:
+        """Keep whether any byte may have been seen, and whether nobody listens there."""
         super().__init__(detail)
         self.sent = sent
+        self.refused = refused
 
 
 class PlatformUnavailable(DriftstallError):
--- a/driftstall/gateway/dialect.py
+++ b/driftstall/gateway/dialect.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from driftstall.decisions.engine_words import Word
 from driftstall.gateway.model import (
     AnswerMarks,
     CallerMarks,
@@ -65,6 +66,9 @@
     ) -> MoveResult:
         """Copy a run's memory to another engine; with last, the run stops first."""
 
+    def ask_word(self, engine: Upstream) -> Word:
+        """Ask an engine whether it stays."""
+
     def drop_copy(self, holder: Upstream, copy_of: str) -> None:
         """Free a copy's memory; where the holder is its source, at both engines."""
 
--- a/driftstall/gateway/fleet.py
+++ b/driftstall/gateway/fleet.py
@@ -1,7 +1,8 @@
 """Keep what is known of the upstreams: which take requests and which are leaving.
 
 The platform's list is the source; peers fill in for an instance that the platform
-does not serve. Revisions order what comes from both.
+does not serve. Revisions order what comes from both. While the platform is away, what an
+upstream says of itself counts for some seconds (see engine_words).
 """
 
 from __future__ import annotations
@@ -12,6 +13,7 @@
 
 import xxhash
 
+from driftstall.decisions.engine_words import DOUBTED_S
 from driftstall.gateway.model import Upstream, UpstreamState
 
 LAPSE_GRACE_S: Final = 2.2
@@ -46,6 +48,13 @@
     """Whether a peer tells it, whom the platform has answered all the time."""
 
 
+@dataclass(frozen=True, slots=True)
+class Doubted:
+    """Learn that an upstream says itself that it leaves, or that nobody listens there."""
+
+    upstream_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class PlatformLost:
     """Learn that the platform does not answer."""
@@ -61,7 +70,7 @@
     """Let time pass."""
 
 
-FleetEvent = Listed | Offered | Changed | PlatformLost | PlatformBack | Period
+FleetEvent = Listed | Offered | Changed | Doubted | PlatformLost | PlatformBack | Period
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +85,8 @@
     """Tell that an upstream will be gone soon; it gets nothing new."""
 
     upstream: Upstream
+    doubted: bool = False
+    """Whether its own word tells so, and not the platform."""
 
 
 FleetAction = UpstreamJoined | UpstreamLeaving
@@ -89,6 +100,13 @@
     leaving_since: float | None = None
     missing_since: float | None = None
     """Set while its entry may only have lapsed during an outage."""
+    doubted_until: float | None = None
+    """Set while it counts as leaving by its own word alone."""
+
+    @property
+    def is_listed(self) -> bool:
+        """Tell whether it takes requests by the platform's word."""
+        return self.leaving_since is None or self.doubted_until is not None
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,7 +144,7 @@
 
     @property
     def digest(self) -> int:
-        """Return a hash of the set of upstreams that take requests."""
+        """Return a hash of the set of upstreams that take requests by the platform's word."""
         if self._digest is None:
             taking = sorted(one.upstream_id for one in self.taking)
             self._digest = xxhash.xxh3_64_intdigest("|".join(taking).encode())
@@ -134,16 +152,19 @@
 
     @property
     def taking(self) -> tuple[Upstream, ...]:
-        """Return all upstreams that take requests."""
-        return tuple(
-            entry.upstream for entry in self._entries.values() if entry.leaving_since is None
-        )
+        """Return all upstreams that take requests by the platform's word."""
+        return tuple(entry.upstream for entry in self._entries.values() if entry.is_listed)
 
     @property
     def upstreams(self) -> tuple[Upstream, ...]:
         """Return all upstreams that are not gone, leaving ones as well."""
         return tuple(entry.upstream for entry in self._entries.values())
 
+    @property
+    def doubts_any(self) -> bool:
+        """Tell whether an upstream counts as leaving of which the platform has not told so."""
+        return any(entry.doubted_until is not None for entry in self._entries.values())
+
     def ready(self, service: str) -> tuple[Upstream, ...]:
         """Return the upstreams of a service that take requests."""
         return tuple(
@@ -209,6 +230,16 @@
         else:
             self._bury(upstream.upstream_id, upstream.revision, now)
 
+    @_on.register
+    def _(self, event: Doubted, now: float) -> None:
+        entry = self._entries.get(event.upstream_id)
+        if entry is None or not entry.is_listed:
+            return
+        entry.doubted_until = now + DOUBTED_S
+        if entry.leaving_since is None:
+            entry.leaving_since = now
+            self._actions.append(UpstreamLeaving(entry.upstream, doubted=True))
+
     @_on.register
     def _(self, event: PlatformLost, now: float) -> None:
         self._down = True
@@ -226,6 +257,8 @@
             if missing is not None and not self._in_grace(now):
                 self._leave(entry, now)
                 self._bury(upstream_id, entry.upstream.revision, now)
+            elif entry.doubted_until is not None and now >= entry.doubted_until:
+                self._rejoin(entry)
         for upstream_id, gone in list(self._gone.items()):
             if now - gone.at > GONE_KEPT_S:
                 del self._gone[upstream_id]
@@ -247,9 +280,8 @@
         entry.missing_since = None
         if upstream.state is UpstreamState.LEAVING:
             self._leave(entry, now)
-        elif entry.leaving_since is not None:
-            entry.leaving_since = None
-            self._actions.append(UpstreamJoined(upstream))
+        elif entry.leaving_since is not None and entry.doubted_until is None:
+            self._rejoin(entry)
 
     def _remove(
         self, upstream_id: str, revision: int, now: float, *, certain: bool = False
@@ -270,10 +302,17 @@
 
     def _leave(self, entry: _Entry, now: float) -> None:
         """Mark an upstream as leaving and say so once."""
+        entry.doubted_until = None
         if entry.leaving_since is None:
             entry.leaving_since = now
             self._actions.append(UpstreamLeaving(entry.upstream))
 
+    def _rejoin(self, entry: _Entry) -> None:
+        """Let an upstream take requests again."""
+        entry.leaving_since = None
+        entry.doubted_until = None
+        self._actions.append(UpstreamJoined(entry.upstream))
+
     def _bury(self, upstream_id: str, revision: int, now: float) -> None:
         """Forget an upstream, but not that it is gone."""
         entry = self._entries.pop(upstream_id, None)
--- /dev/null
+++ b/driftstall/gateway/inquiry.py
@@ -0,0 +1,106 @@
+"""Ask engines for their own word while the platform says nothing, and tell the others.
+
+An engine is also asked, whatever the platform says, when a stream there breaks off unexpectedly:
+one that crashed gives no notice, and its entry goes only after some seconds of silence.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import gevent
+
+from driftstall.const import PREFIX_ROUTING
+from driftstall.core import Instance
+from driftstall.decisions.engine_words import ASK_EVERY_S, TOLD_AGAIN_S, Word, asks
+from driftstall.gateway.model import Upstream
+from driftstall.gateway.state import GatewayState
+from driftstall.helpers.log import say
+
+
+class Inquiry:
+    """Ask engines whether they stay."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        own: Instance,
+        *,
+        askers: Callable[[], tuple[Instance, ...]],
+        is_platform_lost: Callable[[], bool],
+        doubt: Callable[[str], None],
+        tell: Callable[[str], None],
+    ) -> None:
+        """Take the shared state, readers of the standing, and what a bad word leads to.
+
+        Askers are the instances that share the questions. Doubt takes an upstream's id here,
+        tell passes it on to all peers.
+        """
+        self._state = state
+        self._own = own
+        self._askers = askers
+        self._is_platform_lost = is_platform_lost
+        self._doubt = doubt
+        self._tell = tell
+        self._asked_at: dict[str, float] = {}
+        self._told_at: dict[str, float] = {}
+
+    def start(self) -> None:
+        """Start to ask when there is cause."""
+        gevent.spawn(self._run)
+
+    def suspect(self, upstream: Upstream) -> None:
+        """Ask an engine at which something has just gone wrong."""
+        gevent.spawn(self._ask, upstream)
+
+    def ask_all(self) -> None:
+        """Ask the engines that fall to this instance."""
+        askers = self._askers()
+        for upstream in self._state.fleet.upstreams:
+            if asks(self._own, askers, upstream.upstream_id, upstream.zone):
+                gevent.spawn(self._ask, upstream)
+
+    def _run(self) -> None:
+        """Ask again and again while the platform is lost, or behind what engines say."""
+        while True:
+            gevent.sleep(ASK_EVERY_S)
+            if self._is_platform_lost() or self._state.fleet.doubts_any:
+                self.ask_all()
+            self._forget_old()
+
+    def _ask(self, upstream: Upstream) -> None:
+        """Ask one engine, unless it was asked just now; take in a bad word."""
+        engine_id, now = upstream.upstream_id, self._state.now()
+        service = self._state.table.service(upstream.service) if self._state.table else None
+        if service is None or service.engine is None:
+            return
+        if now - self._asked_at.get(engine_id, float("-inf")) < ASK_EVERY_S / 2:
+            return
+        self._asked_at[engine_id] = now
+        word = self._state.dialect.ask_word(upstream)
+        if word.is_bad:
+            self._take_bad(upstream, word)
+
+    def _take_bad(self, upstream: Upstream, word: Word) -> None:
+        """Send an engine nothing new for a while, and have the others do the same."""
+        engine_id, now = upstream.upstream_id, self._state.now()
+        self._doubt(engine_id)
+        if now - self._told_at.get(engine_id, float("-inf")) < TOLD_AGAIN_S:
+            return
+        self._told_at[engine_id] = now
+        say(
+            PREFIX_ROUTING,
+            f"Upstream {engine_id} says itself that it {word}"
+            if word is Word.LEAVES
+            else f"Upstream {engine_id} refuses connections",
+            address=upstream.address,
+            revision=upstream.revision,
+        )
+        self._tell(engine_id)
+
+    def _forget_old(self) -> None:
+        """Forget questions that have no effect any more."""
+        oldest = self._state.now() - TOLD_AGAIN_S
+        for times in (self._asked_at, self._told_at):
+            for engine_id in [one for one, at in times.items() if at < oldest]:
+                del times[engine_id]
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -19,6 +19,7 @@
 from driftstall.gateway.evacuation import Evacuation
 from driftstall.gateway.feeds import Feed, Follower, ItemChange
 from driftstall.gateway.fleet import FleetAction
+from driftstall.gateway.inquiry import Inquiry
 from driftstall.gateway.listeners import (
     CallerListener,
     LocateAnswers,
@@ -30,7 +31,13 @@
 from driftstall.gateway.moves import Mover
 from driftstall.gateway.peering import Peering
 from driftstall.gateway.protection import Protection
-from driftstall.gateway.reliance import FleetPace, Reliance, RevisionPace
+from driftstall.gateway.reliance import (
+    FRESH_S,
+    UPSTREAM_WATCH_S,
+    FleetPace,
+    Reliance,
+    RevisionPace,
+)
 from driftstall.gateway.reports import Standing
 from driftstall.gateway.sharing import Intake
 from driftstall.gateway.sources import InstanceSource, PolicySource, RoutingSource, UpstreamSource
@@ -101,11 +108,24 @@
             routing=lambda: (self._routing.version, self._routing.text),
             take_routing=self._routing.offered,
             take_news=self._upstreams.told,
+            take_doubt=self._upstreams.doubted,
             take_fleet=self._upstreams.offered,
         )
         self._peering = Peering(self.state, intake, standing=self._standing, reliance=reliance)
+        self._reliance = reliance
+        self._inquiry = Inquiry(
+            self.state,
+            self._peering.own,
+            askers=self._askers,
+            is_platform_lost=self._is_platform_lost,
+            doubt=self._upstreams.doubted,
+            tell=self._peering.pass_doubt,
+        )
+        self.state.suspect = self._inquiry.suspect
         self._routing_pace = FleetPace(reliance, self._roles, self.state.now)
-        self._upstream_pace = FleetPace(reliance, self._roles, self.state.now)
+        self._upstream_pace = FleetPace(
+            reliance, self._roles, self.state.now, idle_watch_s=UPSTREAM_WATCH_S
+        )
         policy_pace = RevisionPace(
             self._roles, lambda: self._peering.policy_revision > self._policies.revision
         )
@@ -137,6 +157,7 @@
             self._metrics,
             self._peering,
             self._protection,
+            self._inquiry,
         ):
             part.start()
         for follower in (self._routing_follower, self._upstream_follower, self._policy_follower):
@@ -244,6 +265,21 @@
         """Tell whether a feed is up to date, by its own watch or a collector's."""
         return pace.covered or follower.current
 
+    def _is_platform_lost(self) -> bool:
+        """Tell whether the platform answers neither this instance nor who follows it for this."""
+        if self._roles().large:
+            now = self.state.now()
+            return not self._reliance.holds(now) and self._upstream_pace.age_s > FRESH_S
+        return not self._upstream_follower.current
+
+    def _askers(self) -> tuple[Instance, ...]:
+        """Return who shares the questions to engines: in a small fleet, who lacks the platform."""
+        live = self._peering.live
+        if self._roles().large or self._upstream_follower.current:
+            return live
+        lacking = self._peering.peers_without_platform
+        return tuple(one for one in live if one.instance_id in lacking)
+
     def _is_current(self) -> bool:
         """Tell whether the routing in force is the newest, as far as can be known."""
         newest = self._peering.newest_version
--- a/driftstall/gateway/peering.py
+++ b/driftstall/gateway/peering.py
@@ -42,6 +42,7 @@
     GatewayReport,
     RoutingAsked,
     RoutingOffered,
+    UpstreamDoubted,
     UpstreamNews,
     ZoneSummary,
 )
@@ -105,11 +106,21 @@
         """Return who collects, as far as is known."""
         return self._roles
 
+    @property
+    def live(self) -> tuple[Instance, ...]:
+        """Return the instances that live, as far as is known."""
+        return self._members.live
+
     @property
     def newest_version(self) -> int:
         """Return the newest routing version that any peer has told of."""
         return self._reporting.newest_version
 
+    @property
+    def peers_without_platform(self) -> tuple[str, ...]:
+        """Return the peers that the platform does not answer, as they say."""
+        return self._reporting.peers_without_platform
+
     def start(self) -> None:
         """Start to listen and to report."""
         self._links.start()
@@ -151,6 +162,10 @@
         """Pass on who joined or leaves."""
         self._sharing.pass_action(action, from_peer=from_peer)
 
+    def pass_doubt(self, upstream_id: str) -> None:
+        """Tell all that an upstream says itself that it leaves, or that it is gone."""
+        self._broadcast(self._members.live, UpstreamDoubted(self.own.instance_id, upstream_id))
+
     def pass_routing(self, *, from_peer: bool) -> None:
         """Pass the routing document in force on."""
         self._state.loads_changed.set()
@@ -203,6 +218,8 @@
             self._sharing.take_fleet(message)
         elif isinstance(message, UpstreamNews):
             self._sharing.take_news(message)
+        elif isinstance(message, UpstreamDoubted):
+            self._sharing.take_doubt(message)
 
     def _take_report(self, report: GatewayReport) -> None:
         """Take in a peer's report."""
--- a/driftstall/gateway/reliance.py
+++ b/driftstall/gateway/reliance.py
@@ -16,6 +16,10 @@
 
 IDLE_WATCH_S: Final = 25.0
 """How long an idle watch waits in a small fleet; each is one priced call, 30 s is the most."""
+UPSTREAM_WATCH_S: Final = 2.5
+"""The same for the list of upstreams, where engines may leave unseen: a store that turns calls
+away leaves a waiting watch open, so an outage shows only when the watch is renewed. Costs at
+most 0.4 calls a second and instance."""
 LARGE_WATCH_S: Final = 0.8
 """The same for a collector: a watch that is silently cut off must be noticed soon."""
 FRESH_S: Final = 1.5
@@ -77,13 +81,22 @@
     """Pace one feed of the platform by the fleet's size and the collectors' word."""
 
     def __init__(
-        self, reliance: Reliance, roles: Callable[[], Roles], now: Callable[[], float]
+        self,
+        reliance: Reliance,
+        roles: Callable[[], Roles],
+        now: Callable[[], float],
+        *,
+        idle_watch_s: float = IDLE_WATCH_S,
     ) -> None:
-        """Take the collectors' word, the roles as they are now and the steady clock."""
+        """Take the collectors' word, the roles as they are now and the steady clock.
+
+        In a small fleet an idle watch waits for the time given, in seconds.
+        """
         self._reliance = reliance
         self._roles = roles
         self._now = now
         self._answered_at = float("-inf")
+        self._idle_watch_s = idle_watch_s
 
     @property
     def age_s(self) -> float:
@@ -103,7 +116,7 @@
 
     def watch_s(self) -> float:
         """Return how long an idle watch waits."""
-        return LARGE_WATCH_S if self._roles().large else IDLE_WATCH_S
+        return LARGE_WATCH_S if self._roles().large else self._idle_watch_s
 
     def longest_pause_s(self) -> float:
         """Return the longest pause after failed calls."""
--- a/driftstall/gateway/sharing.py
+++ b/driftstall/gateway/sharing.py
@@ -29,6 +29,7 @@
     GatewayMessage,
     RoutingAsked,
     RoutingOffered,
+    UpstreamDoubted,
     UpstreamNews,
     ZoneSummary,
 )
@@ -57,6 +58,7 @@
     """Return the version in force and its text."""
     take_routing: Callable[[str], None]
     take_news: Callable[[ItemChange[Upstream]], None]
+    take_doubt: Callable[[str], None]
     take_fleet: Callable[[tuple[Upstream, ...], int], None]
     """Take in all upstreams that take requests, as of a revision."""
 
@@ -116,6 +118,9 @@
         """
         roles = self._roles()
         leaving = isinstance(action, UpstreamLeaving)
+        if isinstance(action, UpstreamLeaving) and action.doubted:
+            # Who has asked the upstream tells all by itself; this is no word of the platform.
+            return
         if not roles.large and leaving and not from_peer:
             # Peers follow the platform too, which tells them of its removal later.
             gone = action.upstream.state is UpstreamState.READY
@@ -200,6 +205,10 @@
         """Take in one change of an upstream."""
         self._intake.take_news(ItemChange(news.upstream, news.gone))
 
+    def take_doubt(self, told: UpstreamDoubted) -> None:
+        """Take in that a peer has asked an upstream, which leaves or is gone."""
+        self._intake.take_doubt(told.upstream_id)
+
     def _ask_routing(self, notice: RoutingNotice) -> None:
         """Ask for a newer routing document that has not come meanwhile."""
         now = self._state.now()
--- a/driftstall/gateway/sources.py
+++ b/driftstall/gateway/sources.py
@@ -11,6 +11,7 @@
 from driftstall.gateway.feeds import ItemChange
 from driftstall.gateway.fleet import (
     Changed,
+    Doubted,
     FleetAction,
     FleetEvent,
     Listed,
@@ -200,6 +201,10 @@
         self._apply(Offered(items, at), from_peer=True)
         self._state.check_configured()
 
+    def doubted(self, upstream_id: str) -> None:
+        """Take in that an upstream says itself that it leaves, or that it is gone."""
+        self._apply(Doubted(upstream_id))
+
     def platform_lost(self, cause: str) -> None:
         """Learn that the platform does not answer."""
         say(PREFIX_ROUTING, f"The platform's list of upstreams is out of reach: {cause}")
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -4,6 +4,7 @@
 
 import random
 import time
+from collections.abc import Callable
 from typing import Final
 
 from gevent.event import Event
@@ -14,7 +15,7 @@
 from driftstall.gateway.dialect import Dialect
 from driftstall.gateway.fleet import FleetController
 from driftstall.gateway.loads import LoadBook, Share
-from driftstall.gateway.model import GatewaySettings, Service
+from driftstall.gateway.model import GatewaySettings, Service, Upstream
 from driftstall.gateway.outcomes import Outcome, OutcomeBook
 from driftstall.gateway.routes import RouteTable
 from driftstall.gateway.runs import RunBook, StreamRun
@@ -56,6 +57,8 @@
         self.notice_at = float("-inf")
         """When an upstream was last known to be leaving."""
         self.open_requests = 0
+        self.suspect: Callable[[Upstream], None] = _ignore
+        """Takes an engine at which a stream broke off unexpectedly."""
         self.lot = Lot(self.source)
         self._budgets: dict[str, SharedRetryBudget] = {}
 
@@ -183,3 +186,7 @@
     def saw(self, upstream_id: str, service: str, outcome: Outcome, seconds: float) -> None:
         """Take in how a request to an upstream went."""
         self.outcomes.saw(upstream_id, service, outcome, self.now(), seconds)
+
+
+def _ignore(_: Upstream) -> None:
+    """Take an engine that nobody asks about."""
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -119,6 +119,7 @@
             else:
                 detail = str(result)
                 self._saw(run, Outcome.UNREACHABLE)
+                self._state.suspect(run.upstream)
             self._drop(run)
             avoid.add(run.upstream.upstream_id)
         return Problem(CODE_NO_RUNNER, 503, detail, self._history.ran, FULL_RETRY_S)
@@ -154,6 +155,8 @@
                 return self._complete(run)
             if self._caller_gone:
                 return False
+            if run.moving is None:
+                self._state.suspect(run.upstream)
             resumed = self._resume(run, str(broken))
             if resumed is None:
                 return self._break_off(run, str(broken))
--- a/driftstall/peers/gateway_messages.py
+++ b/driftstall/peers/gateway_messages.py
@@ -116,6 +116,14 @@
     gone: bool
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamDoubted:
+    """Tell that an upstream says itself that it leaves, or that nobody listens there."""
+
+    sender: str
+    upstream_id: str
+
+
 GatewayMessage = (
     Ping
     | Ack
@@ -126,6 +134,7 @@
     | RoutingAsked
     | RoutingOffered
     | UpstreamNews
+    | UpstreamDoubted
     | FleetAsked
     | FleetOffered
 )
--- a/driftstall/peers/schema.capnp
+++ b/driftstall/peers/schema.capnp
@@ -98,6 +98,8 @@
 struct RoutingOffered { sender @0 :Text; version @1 :UInt64; text @2 :Text; }
 struct UpstreamNews { sender @0 :Text; upstream @1 :Upstream; gone @2 :Bool; }
 
+struct UpstreamDoubted { sender @0 :Text; upstreamId @1 :Text; }
+
 struct Envelope {
   sender @0 :Text;
   recipient @1 :Text;
@@ -128,5 +130,6 @@
     zoneSummary @25 :ZoneSummary;
     fleetAsked @26 :FleetAsked;
     fleetOffered @27 :FleetOffered;
+    upstreamDoubted @28 :UpstreamDoubted;
   }
 }
--- a/driftstall/platform/dialect.py
+++ b/driftstall/platform/dialect.py
@@ -7,6 +7,7 @@
 import gevent
 import orjson
 
+from driftstall.decisions.engine_words import Word
 from driftstall.gateway.dialect import MoveResult
 from driftstall.gateway.model import (
     AnswerMarks,
@@ -48,6 +49,10 @@
         """Copy a run's memory to another engine; with last, the run stops first."""
         return engine_calls.move(source, request_id, target, last=last)
 
+    def ask_word(self, engine: Upstream) -> Word:
+        """Ask an engine whether it stays."""
+        return engine_calls.ask_word(engine)
+
     def drop_copy(self, holder: Upstream, copy_of: str) -> None:
         """Free a copy's memory; where the holder is its source, at both engines."""
         engine_calls.drop_copy(holder, copy_of)
--- a/driftstall/platform/engine_calls.py
+++ b/driftstall/platform/engine_calls.py
@@ -1,4 +1,4 @@
-"""Call a model engine to copy a run's memory to another one."""
+"""Call a model engine: to copy a run's memory to another one, or to ask whether it stays."""
 
 from __future__ import annotations
 
@@ -8,6 +8,7 @@
 import orjson
 
 from driftstall.const import PREFIX_RELAY
+from driftstall.decisions.engine_words import Word
 from driftstall.exceptions import UpstreamError
 from driftstall.gateway.dialect import MoveDone, MoveFailed, MoveResult
 from driftstall.gateway.model import Upstream
@@ -20,6 +21,12 @@
 
 DROP_TIMEOUT_S: Final = 1.0
 
+WORD_TIMEOUT_S: Final = 0.5
+"""An engine answers in a few milliseconds; one that does not is asked again soon."""
+
+STATES: Final = frozenset({"ready", "draining"})
+"""What engines call their own standing in a report."""
+
 NOT_STOPPED: Final = frozenset({HTTPStatus.NOT_FOUND, HTTPStatus.CONFLICT})
 """Answers to a last step by which the run is not there, or another step is going on."""
 
@@ -56,6 +63,22 @@
     )
 
 
+def ask_word(engine: Upstream) -> Word:
+    """Ask an engine whether it stays; what it says is some hundred milliseconds old."""
+    try:
+        exchange = Exchange.open(engine.address, "GET", names.PATH_REPORT, {}, b"", WORD_TIMEOUT_S)
+        report = orjson.loads(exchange.read())
+    except UpstreamError as fault:
+        return Word.GONE if fault.refused else Word.NONE
+    except orjson.JSONDecodeError:
+        return Word.NONE
+    if not isinstance(report, dict) or report.get("state") not in STATES:
+        return Word.NONE
+    # The time it has left is told only by one whose end is fixed; others drain until the
+    # platform has taken their notice.
+    return Word.LEAVES if report.get("leaves_ms") is not None else Word.STAYS
+
+
 def backup_copy(backup: Upstream, request_id: str) -> str:
     """Name the copy that a backup engine keeps of a run."""
     return f"{backup.address}/{request_id}"
--- a/driftstall/util/http.py
+++ b/driftstall/util/http.py
@@ -51,7 +51,8 @@
             connection = socket.create_connection(split_address(address), CONNECT_TIMEOUT_S)
         except OSError as fault:
             detail = f"no connection to {address}: {type(fault).__name__}"
-            raise UpstreamError(detail, sent=False) from fault
+            refused = isinstance(fault, ConnectionRefusedError)
+            raise UpstreamError(detail, sent=False, refused=refused) from fault
         try:
             tune(connection)
             connection.settimeout(timeout_s)
--- /dev/null
+++ b/features/steps/engine_word_steps.py
@@ -0,0 +1,218 @@
+"""Check what follows from what engines say of themselves."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import gevent
+from behave import given, then, when
+
+from driftstall.core import Instance
+from driftstall.decisions.engine_words import ASKERS, Word, asks
+from driftstall.gateway.fleet import Changed, Doubted, Period, UpstreamLeaving
+from driftstall.gateway.inquiry import Inquiry
+from driftstall.gateway.model import Upstream
+from driftstall.platform.names import KIND_UPSTREAMS
+from features.steps.gateway_fleet_steps import takes_none, takes_some, tell
+from features.steps.gateway_node_steps import wait_long
+from features.worlds.gateway_world import GatewayWorld, wait_for, world_of
+from features.worlds.upstream_samples import upstream_of
+from stand_ins.routed import RoutedUpstream
+
+DOUBTED_AT = 1.0
+ENDS_SOON = {"state": "draining", "leaves_ms": 1200}
+DRAINS = {"state": "draining"}
+OWN = Instance("instance-1", "127.0.0.1:1", "127.0.0.1:2", "a")
+
+
+@when('"{name}" says itself that it leaves')
+def says_itself(context: Any, name: str) -> None:
+    """Tell the fleet twice, as two instances ask."""
+    for _ in range(2):
+        tell(context, Doubted(name), DOUBTED_AT)
+
+
+@when('the platform lists "{name}" as ready, with a newer revision')
+def listed_as_ready(context: Any, name: str) -> None:
+    """Tell an entry that does not know of the notice."""
+    tell(context, Changed(upstream_of(name, 7), False), DOUBTED_AT + 1.0)
+
+
+@then('after {seconds:g} s of silence "{name}" takes requests again')
+def takes_again(context: Any, seconds: float, name: str) -> None:
+    """Let a doubt run out."""
+    tell(context, Period(), DOUBTED_AT + seconds - 0.1)
+    takes_none(context, name)
+    tell(context, Period(), DOUBTED_AT + seconds)
+    takes_some(context, name)
+
+
+@then('after {seconds:g} s of silence "{name}" takes no requests')
+def takes_none_again(context: Any, seconds: float, name: str) -> None:
+    """Let the time of a doubt pass."""
+    tell(context, Period(), DOUBTED_AT + seconds)
+    takes_none(context, name)
+
+
+def askers_of(context: Any, engine_id: str, zone: str) -> list[Instance]:
+    """Return the instances that ask an engine, by what each of them decides alone."""
+    return [one for one in context.fleet if asks(one, reversed(context.fleet), engine_id, zone)]
+
+
+@then("each of 30 engines is asked by 2 instances of its zone, whoever is asked about it")
+def asked_by_two(context: Any) -> None:
+    """Let every instance decide for itself."""
+    for number in range(30):
+        zone = "abc"[number % 3]
+        found = askers_of(context, f"engine-{number}", zone)
+        assert len(found) == ASKERS and {one.zone for one in found} == {zone}, found
+
+
+@then("each of 30 engines of a zone without instances is asked by 2 all the same")
+def asked_from_afar(context: Any) -> None:
+    """Ask for a zone in which nobody lives."""
+    for number in range(30):
+        assert len(askers_of(context, f"engine-{number}", "far")) == ASKERS
+
+
+@then("no instance asks more than 6 of 30 engines")
+def none_asks_all(context: Any) -> None:
+    """Count the engines of each instance."""
+    for one in context.fleet:
+        asked = [n for n in range(30) if asks(one, context.fleet, f"engine-{n}", "abc"[n % 3])]
+        assert len(asked) <= 6, (one, asked)
+
+
+def inquiry_of(world: GatewayWorld) -> Inquiry:
+    """Return who asks the engines, as the only instance."""
+
+    def doubt(upstream_id: str) -> None:
+        for action in world.state.fleet.handle(Doubted(upstream_id), world.state.now()):
+            if isinstance(action, UpstreamLeaving):
+                world.evacuation.start(action.upstream)
+
+    return Inquiry(
+        world.state,
+        OWN,
+        askers=lambda: (OWN,),
+        is_platform_lost=lambda: True,
+        doubt=doubt,
+        tell=lambda _: None,
+    )
+
+
+def takes(world: GatewayWorld, engine: RoutedUpstream) -> bool:
+    """Tell whether an engine takes requests, as far as the gateway knows."""
+    return world.state.fleet.takes_requests(engine.upstream_id)
+
+
+@when("its engine says that it ends soon, and engines are asked")
+def engine_ends_soon(context: Any) -> None:
+    """Ask all engines, of which one will end."""
+    context.engine.report = ENDS_SOON
+    inquiry_of(world_of(context)).ask_all()
+
+
+@when("its run there was stopped")
+def run_stopped(context: Any) -> None:
+    """Let the engine end the run once it was moved."""
+    wait_for("the run is stopped", lambda: bool(context.engine.stopped))
+    context.script.gate.set()
+
+
+@when("an engine says that it drains, and engines are asked")
+def engine_drains(context: Any) -> None:
+    """Ask all engines, of which one has told no time."""
+    world = world_of(context)
+    world.engines[0].report = DRAINS
+    asked: list[str] = []
+    ask = world.state.dialect.ask_word
+
+    def noting(engine: Upstream) -> Word:
+        word = ask(engine)
+        asked.append(engine.upstream_id)
+        return word
+
+    world.state.dialect.ask_word = noting  # type: ignore[method-assign,assignment]
+    inquiry_of(world).ask_all()
+    wait_for("all were asked", lambda: len(asked) == len(world.engines))
+    gevent.idle()
+
+
+@then("all three engines take requests")
+def all_take(context: Any) -> None:
+    """Look at the fleet."""
+    world = world_of(context)
+    assert all(takes(world, one) for one in world.engines)
+
+
+@when("two engines have ended, and engines are asked")
+def two_ended(context: Any) -> None:
+    """Stop two engines without a word to the platform."""
+    world = world_of(context)
+    for one in world.engines[:2]:
+        one.stop()
+    inquiry_of(world).ask_all()
+    wait_for("both are known", lambda: not any(takes(world, one) for one in world.engines[:2]))
+
+
+@then("streams are placed on the third one, without a copy")
+def placed_on_third(context: Any) -> None:
+    """Ask for some streams."""
+    world = world_of(context)
+    for number in range(5):
+        assert world.ask("/stream/a", f"s-{number}").whole
+    assert len(world.engines[2].seen) == 5
+    assert not any("kv-backup" in seen.headers for seen in world.engines[2].seen)
+
+
+@given("engines are asked where a stream breaks off")
+def asked_on_break(context: Any) -> None:
+    """Have the relays' suspicions followed up."""
+    world = world_of(context)
+    world.state.suspect = inquiry_of(world).suspect
+
+
+@then("its engine takes no requests")
+def its_engine_takes_none(context: Any) -> None:
+    """Find the engine that ran the stream, and wait until it is known to be gone."""
+    world = world_of(context)
+    (engine,) = [one for one in world.engines if one.runs("s1")]
+    wait_for("it is known", lambda: not takes(world, engine))
+
+
+@given("two engines in the store")
+def engines_in_store(context: Any) -> None:
+    """Add two engines to the store."""
+    context.engines = [RoutedUpstream(f"engine-{index}") for index in (1, 2)]
+    for one in context.engines:
+        context.add_cleanup(one.stop)
+        spec = {"service": "engines", "address": one.address, "zone": "a", "slots": 64}
+        context.store.create(KIND_UPSTREAMS, one.upstream_id, spec | {"state": "ready"})
+
+
+@when("the store is down, and the first engine says that it ends soon")
+def down_and_ends(context: Any) -> None:
+    """Take the store down for longer than the scenario."""
+    context.store_bench.platform.control({"down_s": 60.0})
+    context.engines[0].report = ENDS_SOON
+
+
+@then("both know that it leaves")
+def both_know(context: Any) -> None:
+    """Look for the log line."""
+    for node in context.nodes:
+        wait_long(
+            f"{node.name} knows",
+            lambda one=node: "Upstream engine-1 is leaving" in one.log.read_text(),
+        )
+
+
+@then("{count:d} streams of each run on the other engine")
+def on_the_other(context: Any, count: int) -> None:
+    """Ask both processes for streams."""
+    before = len(context.engines[0].seen)
+    for node in context.nodes:
+        for index in range(count):
+            assert node.ask("/stream/a", f"{node.name}-{index}").whole
+    assert len(context.engines[0].seen) == before
--- a/features/steps/gateway_reliance_steps.py
+++ b/features/steps/gateway_reliance_steps.py
@@ -222,7 +222,13 @@
     def take_fleet(upstreams: tuple[Upstream, ...], at: int) -> None:
         state.fleet.handle(Offered(upstreams, at), 1.0)
 
-    intake = Intake(lambda: (1, ""), lambda _: None, lambda _: None, take_fleet)
+    intake = Intake(
+        routing=lambda: (1, ""),
+        take_routing=lambda _: None,
+        take_news=lambda _: None,
+        take_doubt=lambda _: None,
+        take_fleet=take_fleet,
+    )
     roles = Roles(large=True, collects=True, follows=False)
     context.sharing = Sharing(
         state,
--- a/stand_ins/routed.py
+++ b/stand_ins/routed.py
@@ -107,6 +107,8 @@
         self.stopped: set[str] = set()
         self.move_answers: list[Callable[[dict[str, Any]], tuple[int, dict[str, Any]]]] = []
         self.peers: dict[str, RoutedUpstream] = {}
+        self.report: dict[str, Any] = {"state": "ready"}
+        """What it says of itself when it is asked."""
         self._server = StreamServer(("127.0.0.1", 0), self._serve)
         self._server.start()
 
@@ -144,6 +146,9 @@
     ) -> None:
         """Answer one request as its script says."""
         headers = {k.decode().lower(): v.decode() for k, v in call.headers}
+        if call.path == "/api/report":
+            _write_json(connection, 200, self.report)
+            return
         if call.path == "/api/kv-move":
             self._move(connection, orjson.loads(call.body))
             return
@@ -264,9 +269,7 @@
     def _move(self, connection: CallerConnection, wanted: dict[str, Any]) -> None:
         """Answer a call that copies a run."""
         answer = self.move_answers.pop(0) if self.move_answers else self.copy_run
-        status, body = answer(wanted)
-        data = orjson.dumps(body)
-        connection.write(head_bytes(status, (), (b"Content-Length: %d" % len(data),)) + data)
+        _write_json(connection, *answer(wanted))
 
     def copy_run(self, wanted: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         """Copy a run to another stand-in; with last, the run stops."""
@@ -289,6 +292,12 @@
     return b"id: %d\ndata: piece %d\n\n" % (number, number)
 
 
+def _write_json(connection: CallerConnection, status: int, body: dict[str, Any]) -> None:
+    """Answer a call of the system's own."""
+    data = orjson.dumps(body)
+    connection.write(head_bytes(status, (), (b"Content-Length: %d" % len(data),)) + data)
+
+
 def _as_it_is(data: bytes) -> bytes:
     """Return a piece of an answer that ends with its connection."""
     return data
