Find out who follows the platform before the first watch

Cause: an instance does not know at its start whether the fleet is large. So each of 195 watched upstreams and routing, and each engine that joined meanwhile woke them all. Ruled out: collectors' watches (three follow; about eight calls a second in all), lists at the start (seven calls an instance, as before). Seen to fail without the wait: the scenario of an instance that starts and hears a collector.

--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -33,6 +33,7 @@
 from driftstall.gateway.protection import Protection
 from driftstall.gateway.reliance import (
     FRESH_S,
+    SETTLE_S,
     UPSTREAM_WATCH_S,
     FleetPace,
     Reliance,
@@ -122,9 +123,13 @@
             tell=self._peering.pass_doubt,
         )
         self.state.suspect = self._inquiry.suspect
-        self._routing_pace = FleetPace(reliance, self._roles, self.state.now)
+        self._routing_pace = FleetPace(reliance, self._roles, self.state.now, settle_s=SETTLE_S)
         self._upstream_pace = FleetPace(
-            reliance, self._roles, self.state.now, idle_watch_s=UPSTREAM_WATCH_S
+            reliance,
+            self._roles,
+            self.state.now,
+            idle_watch_s=UPSTREAM_WATCH_S,
+            settle_s=SETTLE_S,
         )
         policy_pace = RevisionPace(
             self._roles, lambda: self._peering.policy_revision > self._policies.revision
--- a/driftstall/gateway/reliance.py
+++ b/driftstall/gateway/reliance.py
@@ -31,6 +31,11 @@
 FIRST_TRY_S: Final = 0.4
 """An instance's own first question comes within this time once no collector gets an answer:
 the collectors may be cut off where it is not."""
+SETTLE_S: Final = 1.5
+"""How long an instance that has read the list leaves the platform alone after its start. Its seeds
+answer within half a second, and collectors twice a second: by then it knows whether others follow
+the platform for it. A fleet that starts at once, while engines join, would else have each of its
+instances woken by each engine: with 195 instances 4,457 calls a day of 50 s, and 2,805 so."""
 LONGEST_PAUSE_S: Final = 0.6
 """Longest pause of a follower after failed calls, so that an outage makes no storm."""
 OTHERS_PAUSE_S: Final = 1.5
@@ -87,16 +92,19 @@
         now: Callable[[], float],
         *,
         idle_watch_s: float = IDLE_WATCH_S,
+        settle_s: float = 0.0,
     ) -> None:
         """Take the collectors' word, the roles as they are now and the steady clock.
 
-        In a small fleet an idle watch waits for the time given, in seconds.
+        In a small fleet an idle watch waits for the time given, in seconds; so does the first
+        watch of all.
         """
         self._reliance = reliance
         self._roles = roles
         self._now = now
         self._answered_at = float("-inf")
         self._idle_watch_s = idle_watch_s
+        self._settled_at = now() + settle_s
 
     @property
     def age_s(self) -> float:
@@ -110,6 +118,9 @@
 
     def hold_s(self) -> float:
         """Return for how long to make no call."""
+        left_s = self._settled_at - self._now()
+        if left_s > 0:
+            return left_s
         if self._follows_always or self.age_s <= FRESH_S and not self.covered:
             return 0.0
         return self._reliance.hold_s(self._now())
--- a/features/gateway/large_fleet.feature
+++ b/features/gateway/large_fleet.feature
@@ -45,6 +45,12 @@
     Given a collector of a large fleet, and an instance of a small one
     Then both may call the platform at any time
 
+  Scenario: an instance that has just started finds out first who follows the platform
+    Given an instance that starts and hears a collector after 0.8 s
+    Then it makes no call to the platform
+    Given an instance that starts and hears nobody
+    Then its first call comes after 1.5 s
+
   Scenario: a policy is read again only when peers know a newer one
     Given an instance of a large fleet with policy revision 7
     Then it leaves the policies alone until a collector tells of revision 9
--- a/features/steps/gateway_reliance_steps.py
+++ b/features/steps/gateway_reliance_steps.py
@@ -11,7 +11,7 @@
 from driftstall.gateway.fleet import Changed, FleetController, Listed, Offered
 from driftstall.gateway.loads import FLEET, POOLED, LoadBook, Share, Use
 from driftstall.gateway.model import Upstream, UpstreamState
-from driftstall.gateway.reliance import FleetPace, Reliance, RevisionPace
+from driftstall.gateway.reliance import SETTLE_S, FleetPace, Reliance, RevisionPace
 from driftstall.gateway.sharing import Intake, Sharing
 from driftstall.peers.gateway_messages import FleetAsked, FleetOffered, ZoneSummary
 from features.steps.gateway_fleet_steps import tell
@@ -39,11 +39,12 @@
 class Follows:
     """Let one instance follow a feed that gives no answer, step by step."""
 
-    def __init__(self, seed: int, roles: Roles = MEMBER) -> None:
+    def __init__(self, seed: int, roles: Roles = MEMBER, settle_s: float = 0.0) -> None:
         """Start with the first read behind it."""
         self.clock = Clock()
         self.reliance = Reliance(random.Random(seed))
-        self.pace = FleetPace(self.reliance, lambda: roles, self.clock)
+        self.roles = roles
+        self.pace = FleetPace(self.reliance, lambda: self.roles, self.clock, settle_s=settle_s)
         self.calls: list[float] = []
 
     def run(self, seconds: float, platform_age_s: float | None) -> None:
@@ -74,6 +75,30 @@
     assert context.follows.pace.covered
 
 
+@given("an instance that starts and hears a collector after {seconds:g} s")
+def starts_in_large_fleet(context: Any, seconds: float) -> None:
+    """Start without knowing the fleet, then learn of it."""
+    context.follows = Follows(1, roles=Roles(), settle_s=SETTLE_S)
+    context.follows.run(seconds, None)
+    context.follows.roles = MEMBER
+    context.follows.run(5.0, 0.2)
+
+
+@given("an instance that starts and hears nobody")
+def starts_alone(context: Any) -> None:
+    """Start as the only one."""
+    context.follows = Follows(1, roles=Roles(), settle_s=SETTLE_S)
+    context.silent_at = context.follows.clock.now
+    context.follows.run(3.0, None)
+
+
+@then("its first call comes after {seconds:g} s")
+def first_call(context: Any, seconds: float) -> None:
+    """Look at the first call."""
+    waited_s = context.follows.calls[0] - context.silent_at
+    assert seconds <= waited_s < seconds + 2 * STEP_S, waited_s
+
+
 @when("the collector falls silent")
 def falls_silent(context: Any) -> None:
     """Let no word come."""
