--- /dev/null
+++ b/driftstall/gateway/fleet_events.py
@@ -0,0 +1,77 @@
+"""Define what the fleet learns of upstreams, and what follows from it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from driftstall.gateway.model import Upstream
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """Take in the platform's whole list."""
+
+    upstreams: tuple[Upstream, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Offered:
+    """Take in the list of a peer that follows the platform: all that take requests."""
+
+    upstreams: tuple[Upstream, ...]
+    at: int
+    """The newest revision that the peer has seen; it cannot tell of what is newer."""
+
+
+@dataclass(frozen=True, slots=True)
+class Changed:
+    """Take in one change of the platform's list."""
+
+    upstream: Upstream
+    gone: bool
+    from_peer: bool = False
+    """Whether a peer tells it, whom the platform has answered all the time."""
+
+
+@dataclass(frozen=True, slots=True)
+class Doubted:
+    """Learn that an upstream says itself that it leaves, or that nobody listens there."""
+
+    upstream_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformLost:
+    """Learn that the platform does not answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformBack:
+    """Learn that the platform answers again."""
+
+
+@dataclass(frozen=True, slots=True)
+class Period:
+    """Let time pass."""
+
+
+FleetEvent = Listed | Offered | Changed | Doubted | PlatformLost | PlatformBack | Period
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamJoined:
+    """Tell that an upstream takes requests."""
+
+    upstream: Upstream
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamLeaving:
+    """Tell that an upstream will be gone soon; it gets nothing new."""
+
+    upstream: Upstream
+    doubted: bool = False
+    """Whether its own word tells so, and not the platform."""
+
+
+FleetAction = UpstreamJoined | UpstreamLeaving
--- a/driftstall/gateway/inquiry.py
+++ b/driftstall/gateway/inquiry.py
@@ -88,11 +88,10 @@
         if now - self._told_at.get(engine_id, float("-inf")) < TOLD_AGAIN_S:
             return
         self._told_at[engine_id] = now
+        finding = "says itself that it leaves" if word is Word.LEAVES else "refuses connections"
         say(
             PREFIX_ROUTING,
-            f"Upstream {engine_id} says itself that it {word}"
-            if word is Word.LEAVES
-            else f"Upstream {engine_id} refuses connections",
+            f"Upstream {engine_id} {finding}",
             address=upstream.address,
             revision=upstream.revision,
         )
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -18,7 +18,7 @@
 from driftstall.gateway.drain import Drain
 from driftstall.gateway.evacuation import Evacuation
 from driftstall.gateway.feeds import Feed, Follower, ItemChange
-from driftstall.gateway.fleet import FleetAction
+from driftstall.gateway.fleet_events import FleetAction
 from driftstall.gateway.inquiry import Inquiry
 from driftstall.gateway.listeners import (
     CallerListener,
--- a/driftstall/gateway/peering.py
+++ b/driftstall/gateway/peering.py
@@ -27,7 +27,7 @@
 from driftstall.core import Instance
 from driftstall.gateway.collectors import Roles
 from driftstall.gateway.feeds import ItemChange
-from driftstall.gateway.fleet import FleetAction
+from driftstall.gateway.fleet_events import FleetAction
 from driftstall.gateway.model import Upstream
 from driftstall.gateway.reliance import FRESH_S, Reliance
 from driftstall.gateway.reports import MS, Reporting, Standing
--- a/driftstall/gateway/sharing.py
+++ b/driftstall/gateway/sharing.py
@@ -18,7 +18,7 @@
 from driftstall.core import Instance
 from driftstall.gateway.collectors import Roles
 from driftstall.gateway.feeds import ItemChange
-from driftstall.gateway.fleet import FleetAction, UpstreamLeaving
+from driftstall.gateway.fleet_events import FleetAction, UpstreamLeaving
 from driftstall.gateway.model import Upstream, UpstreamState
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import say
--- a/driftstall/gateway/sources.py
+++ b/driftstall/gateway/sources.py
@@ -9,7 +9,7 @@
 from driftstall.core import Instance
 from driftstall.exceptions import DriftstallError, PolicyError
 from driftstall.gateway.feeds import ItemChange
-from driftstall.gateway.fleet import (
+from driftstall.gateway.fleet_events import (
     Changed,
     Doubted,
     FleetAction,
--- a/features/steps/engine_word_steps.py
+++ b/features/steps/engine_word_steps.py
@@ -9,7 +9,7 @@
 
 from driftstall.core import Instance
 from driftstall.decisions.engine_words import ASKERS, Word, asks
-from driftstall.gateway.fleet import Changed, Doubted, Period, UpstreamLeaving
+from driftstall.gateway.fleet_events import Changed, Doubted, Period, UpstreamLeaving
 from driftstall.gateway.inquiry import Inquiry
 from driftstall.gateway.model import Upstream
 from driftstall.platform.names import KIND_UPSTREAMS
--- a/features/steps/gateway_fleet_steps.py
+++ b/features/steps/gateway_fleet_steps.py
@@ -6,10 +6,10 @@
 
 from behave import given, then, when
 
-from driftstall.gateway.fleet import (
+from driftstall.gateway.fleet import FleetController
+from driftstall.gateway.fleet_events import (
     Changed,
     FleetAction,
-    FleetController,
     Listed,
     Period,
     PlatformBack,
--- a/features/steps/gateway_move_steps.py
+++ b/features/steps/gateway_move_steps.py
@@ -10,7 +10,7 @@
 
 from driftstall.gateway import moves
 from driftstall.gateway.evacuation import RETRY_S
-from driftstall.gateway.fleet import Changed
+from driftstall.gateway.fleet_events import Changed
 from driftstall.gateway.model import Bounds, UpstreamState
 from driftstall.gateway.protection import Protection
 from driftstall.gateway.runs import RunBook, StreamRun
--- a/features/steps/gateway_reliance_steps.py
+++ b/features/steps/gateway_reliance_steps.py
@@ -8,7 +8,8 @@
 from behave import given, then, when
 
 from driftstall.gateway.collectors import Roles
-from driftstall.gateway.fleet import Changed, FleetController, Listed, Offered
+from driftstall.gateway.fleet import FleetController
+from driftstall.gateway.fleet_events import Changed, Listed, Offered
 from driftstall.gateway.loads import FLEET, POOLED, LoadBook, Share, Use
 from driftstall.gateway.model import Upstream, UpstreamState
 from driftstall.gateway.reliance import SETTLE_S, FleetPace, Reliance, RevisionPace
--- a/features/steps/zone_placement_steps.py
+++ b/features/steps/zone_placement_steps.py
@@ -10,7 +10,7 @@
 
 from driftstall.decisions.zone_placement import LEFT_OUT_S, PlacerOrder
 from driftstall.gateway.collectors import Roles
-from driftstall.gateway.fleet import Listed
+from driftstall.gateway.fleet_events import Listed
 from driftstall.gateway.loads import Use
 from driftstall.gateway.model import Bounds, GatewaySettings
 from driftstall.gateway.routes import RouteTable
--- a/features/worlds/gateway_world.py
+++ b/features/worlds/gateway_world.py
@@ -14,7 +14,7 @@
 
 from driftstall.gateway.drain import Drain
 from driftstall.gateway.evacuation import Evacuation
-from driftstall.gateway.fleet import Changed, Listed, UpstreamLeaving
+from driftstall.gateway.fleet_events import Changed, Listed, UpstreamLeaving
 from driftstall.gateway.listeners import CallerListener
 from driftstall.gateway.model import Bounds, GatewaySettings, Upstream, UpstreamState
 from driftstall.gateway.moves import Mover
--- a/script/check_core.py
+++ b/script/check_core.py
@@ -13,6 +13,7 @@
     "dialect",
     "events",
     "fleet",
+    "fleet_events",
     "loads",
     "model",
     "outcomes",
