Let the soak see requests at upstreams that have left

It could not: an upstream ended 2.5 s after its notice and arrivals were counted from 2.5 s on, and instance and store had to be calm from 4 s before the notice to the arrival, which steps every 0.8 s never left. Now: a plan of its own (--plan=leaving) in which upstreams serve on for 3 to 12 s and few other things happen; open connections to the store that fall silent for good; the store must be calm at the notice, instance and store for 3.5 s before the request (was 4 s before the notice up to it). The new check's scenario fails on the old check.

--- a/features/parts/soak.feature
+++ b/features/parts/soak.feature
@@ -43,6 +43,21 @@
       | a dropped route is served by a calm instance |
       | a calm instance gives no answer for 4 s      |
 
+  Scenario: a disturbance that is long over explains no request after a notice
+    Given the record of a run in which all was well
+    When in the record an upstream got a call 3 s after its notice
+    And its instance was disturbed 4 s before that
+    Then a promise is broken: "after its notice"
+
+  Scenario: connections that have fallen silent pass nothing on, and new ones do
+    Given a proxy with an open connection
+    When its open connections fall silent
+    Then nothing passes on the open connection, which is not closed either
+    And a new connection passes everything
+
+  Scenario: upstreams that leave are what one plan is about
+    Then seed 7 gives that plan notices, removals and connections that fall silent
+
   Scenario: a seed always gives the same plan, and leaves the end calm
     Then seed 7 gives one plan of overlapping faults, seed 8 another, both end early
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -5,18 +5,23 @@
 import subprocess
 import sys
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import replace
 from typing import Any, cast
 
 import gevent
 from behave import given, then, when
+from gevent import socket
 from gevent.lock import Semaphore
+from gevent.server import StreamServer
 
+from driftstall.util.addresses import split_address
 from measures.bench import FIRST_PORT, SLICE_PORTS, free_port
 from measures.gateway_process import GatewayProcess
 from soak.checks import broken_promises
 from soak.ledger import Arrival, Asked, Ledger, Notice, Sort
-from soak.plan import CALM_LAST_S, draw
+from soak.plan import CALM_LAST_S, Kind, Plan, draw
+from soak.proxy import Proxy
 from soak.run import Size, Soak
 
 EVENTS = 3
@@ -170,6 +175,12 @@
     context.ledger.disturb("instance-1", LATER - 1.0, LATER + 1.0)
 
 
+@when("its instance was disturbed 4 s before that")
+def disturbed_before(context: Any) -> None:
+    """Record a disturbance before the notice was due, and before the call's calm stretch."""
+    context.ledger.disturb("instance-1", LATER - 5.0, LATER - 4.0)
+
+
 @then("no promise is broken")
 def none_broken(context: Any) -> None:
     """Check the record."""
@@ -197,6 +208,68 @@
     assert any(after.at_s < before.at_s + before.for_s for before, after in pairs)
 
 
+@then("seed 7 gives that plan notices, removals and connections that fall silent")
+def leaving_plan(context: Any) -> None:
+    """Draw a plan of a minute."""
+    steps = draw(7, instances=4, upstreams=5, seconds=60.0, plan=Plan.LEAVING)
+    kinds = {step.kind for step in steps}
+    assert {Kind.LEAVE, Kind.REMOVE, Kind.SILENCE} <= kinds, kinds
+    assert all(step.at_s + step.for_s <= 60.0 - CALM_LAST_S + 0.5 for step in steps)
+
+
+def echo(connection: socket.socket, _: tuple[str, int]) -> None:
+    """Send back what comes, until the proxy ends with a reset."""
+    with suppress(ConnectionResetError):
+        while data := connection.recv(100):
+            connection.sendall(data)
+
+
+def passes(connection: socket.socket) -> bool:
+    """Tell whether a byte comes back within a moment."""
+    connection.settimeout(0.3)
+    connection.sendall(b"x")
+    try:
+        return bool(connection.recv(1) == b"x")
+    except TimeoutError:
+        return False
+
+
+@given("a proxy with an open connection")
+def open_proxy(context: Any) -> None:
+    """Open a connection through a proxy, and see that it works."""
+    server = StreamServer(("127.0.0.1", 0), echo)
+    server.start()
+    context.add_cleanup(server.stop, timeout=0)
+    context.proxy = Proxy(f"127.0.0.1:{server.server_port}")
+    context.add_cleanup(context.proxy.stop)
+    context.open = socket.create_connection(split_address(context.proxy.address))
+    assert passes(context.open)
+
+
+@when("its open connections fall silent")
+def silence(context: Any) -> None:
+    """Silence what is open."""
+    context.proxy.silence_open()
+
+
+@then("nothing passes on the open connection, which is not closed either")
+def nothing_passes(context: Any) -> None:
+    """Send a byte; a closed connection would read as empty, which is no time-out."""
+    assert not passes(context.open)
+    context.open.settimeout(0.05)
+    try:
+        closed = context.open.recv(1) == b""
+    except TimeoutError:
+        closed = False
+    assert not closed
+
+
+@then("a new connection passes everything")
+def new_passes(context: Any) -> None:
+    """Open another one."""
+    assert passes(socket.create_connection(split_address(context.proxy.address)))
+
+
 @given("another run that has taken a port")
 def another_run(context: Any) -> None:
     """Start a process that takes a port and holds on to it."""
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,7 +1,7 @@
 """Run the fault soak: real processes, faults from outside, promises checked.
 
 Usage:
-  soak [--seed=N] [--runs=N] [--instances=N] [--callers=N] [--seconds=S]
+  soak [--seed=N] [--runs=N] [--instances=N] [--callers=N] [--seconds=S] [--plan=NAME]
 
 Options:
   --seed=N       First seed; without it a fresh one is drawn.
@@ -9,6 +9,7 @@
   --instances=N  Gateway processes [default: 4].
   --callers=N    Callers [default: 12].
   --seconds=S    Seconds of traffic, 10 or more [default: 20].
+  --plan=NAME    mixed (all kinds of faults) or leaving (upstreams that leave) [default: mixed].
 
 Each seed that breaks a promise is printed with its lines and the folder of its logs.
 """
@@ -24,6 +25,7 @@
 
 from docopt import docopt  # noqa: E402
 
+from soak.plan import Plan  # noqa: E402
 from soak.run import Size, Soak  # noqa: E402
 
 
@@ -47,7 +49,12 @@
 def main() -> int:
     """Play the seeds; zero only if none broke a promise."""
     options = docopt(__doc__)
-    size = Size(int(options["--instances"]), int(options["--callers"]), float(options["--seconds"]))
+    size = Size(
+        int(options["--instances"]),
+        int(options["--callers"]),
+        float(options["--seconds"]),
+        Plan(options["--plan"]),
+    )
     first = int(options["--seed"] or random.SystemRandom().randrange(1_000_000))
     held = [play(first + number, size) for number in range(int(options["--runs"]))]
     print(f"{sum(held)} seeds held, {len(held) - sum(held)} broke a promise")
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -11,7 +11,7 @@
 NOT_RUN: Final = frozenset({408, 421, 429, 503})
 """Statuses that promise that the request has not run and never will."""
 DENIED: Final = frozenset({400, 401, 403, 404, 413, 431})
-CONTACT_S: Final = 4.0
+CONTACT_S: Final = 3.0
 """A part that was disturbed counts as calm again after this time (contactMs)."""
 LATE_S: Final = 0.5
 """How long after its time an answer may come."""
@@ -24,6 +24,7 @@
 LAST_S: Final = 2.0
 MACHINE_SLACK_S: Final = 0.5
 """Many processes share few cores here; bounds in time are checked with this much more."""
+CALM_AFTER_S: Final = CONTACT_S + MACHINE_SLACK_S
 
 
 def broken_promises(ledger: Ledger) -> list[str]:
@@ -87,10 +88,10 @@
         yield f"no final answer for {took_s:.1f} s"
 
 
-def _calm(ledger: Ledger, one: Asked) -> bool:
-    """Tell whether the instance and the store were calm around a request."""
-    begins = one.sent_at - CONTACT_S
-    return all(ledger.calm(name, begins, one.ended_at) for name in (one.instance, STORE))
+def _calm(ledger: Ledger, one: Asked, until: float | None = None) -> bool:
+    """Tell whether the instance and the store were calm around a request, to its end or earlier."""
+    begins, ends = one.sent_at - CALM_AFTER_S, one.ended_at if until is None else until
+    return all(ledger.calm(name, begins, ends) for name in (one.instance, STORE))
 
 
 def _unasked(ledger: Ledger) -> Iterator[str]:
@@ -102,14 +103,18 @@
 
 
 def _after_notice(ledger: Ledger) -> Iterator[str]:
-    """Check that an upstream that leaves gets nothing from calm instances any more."""
+    """Check that an upstream that leaves gets nothing from calm instances any more.
+
+    The store was calm when it took the notice, and store and instance when the request came. What
+    disturbed the instance between the two is no excuse: it has had time to learn of the notice.
+    """
     for arrival in ledger.arrivals:
         notice = ledger.notices.get(arrival.upstream_id)
         if notice is None or arrival.at <= notice.at + DRAIN_S + MACHINE_SLACK_S:
             continue
         asked = ledger.asked[arrival.request_id]
-        begins = notice.at - CONTACT_S
-        if all(ledger.calm(name, begins, arrival.at) for name in (asked.instance, STORE)):
+        stable = ledger.calm(STORE, notice.at - CALM_AFTER_S, notice.at)
+        if stable and _calm(ledger, asked, arrival.at):
             late = arrival.at - notice.at
             yield f"sent to {arrival.upstream_id} {late:.1f} s after its notice: {_describe(asked)}"
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -14,6 +14,7 @@
 from driftstall.platform.names import KIND_UPSTREAMS
 from driftstall.platform.store import Store
 from soak.ledger import Arrival, Ledger, Notice
+from soak.plan import Plan
 from soak.proxy import Proxy
 from stand_ins.routed import RoutedUpstream, Script, Seen
 
@@ -21,8 +22,9 @@
 EVENTS: Final = 25
 EVENT_PAUSE_S: Final = 0.03
 WORK_S: Final = 0.02
-SERVES_ON_S: Final = 2.5
-"""An upstream serves on so long after its notice (drainMs and a little)."""
+SERVES_ON_S: Final = {Plan.MIXED: (2.5, 2.5), Plan.LEAVING: (3.0, 12.0)}
+"""For how long an upstream serves on after its notice: drainMs and a little longer, at times many
+seconds. Only one that serves on shows who still sends to it."""
 LAPSE_S: Final = 1.5
 """The entry of one that crashed goes after so long."""
 STORE_RETRY_S: Final = 0.1
@@ -77,10 +79,17 @@
     """Hold one place of the fleet: a new upstream takes it when the old one goes."""
 
     def __init__(
-        self, place: int, service: str, store: Store, ledger: Ledger, source: random.Random
+        self,
+        place: int,
+        service: str,
+        store: Store,
+        ledger: Ledger,
+        source: random.Random,
+        plan: Plan = Plan.MIXED,
     ) -> None:
         """Start the first upstream; the source draws what it breaks off."""
         self._source = source
+        self._serves_on = SERVES_ON_S[plan]
         self.place = place
         self.service = service
         self._store = store
@@ -109,14 +118,14 @@
         if self._write(old.upstream_id, self._spec("draining")):
             self._note(old.upstream_id)
         self._begin()
-        gevent.spawn_later(SERVES_ON_S, self._end, old, proxy)
+        gevent.spawn_later(self._source.uniform(*self._serves_on), self._end, old, proxy)
 
     def remove(self) -> None:
         """Be gone from the store without a word, serve on for a while and end."""
         old, proxy = self.upstream, self.proxy
         self._delete(old.upstream_id)
         self._begin()
-        gevent.spawn_later(SERVES_ON_S, self._end, old, proxy)
+        gevent.spawn_later(self._source.uniform(*self._serves_on), self._end, old, proxy)
 
     def crash(self) -> None:
         """End at once; the entry lapses later."""
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -37,6 +37,19 @@
     CONFIGURE = "configuration changes"
     BREAK_OFF = "upstreams break requests off"
     """All of a service break off some of their requests, wherever these are."""
+    SILENCE = "open connections to the store fall silent"
+    """For good, and without a reset; new ones work."""
+    SILENCE_ONE = "those of one instance fall silent"
+
+
+class Plan(StrEnum):
+    """Name what a run is to try."""
+
+    MIXED = "mixed"
+    """All kinds of faults, one over another."""
+    LEAVING = "leaving"
+    """Upstreams that leave and serve on for long, with few other faults: an instance must be
+    calm for some seconds until it can be held to what it should know by then."""
 
 
 class Fault(StrEnum):
@@ -85,8 +98,27 @@
 """Mean time between two steps of that kind, drawn apart: seeds kept from before keep their plan."""
 
 
-def draw(seed: int, *, instances: int, upstreams: int, seconds: float) -> tuple[Step, ...]:
+LEAVING_WEIGHTS: Final[dict[Kind, float]] = {
+    Kind.LEAVE: 4.0,
+    Kind.REMOVE: 2.0,
+    Kind.CONFIGURE: 2.0,
+    Kind.SILENCE: 1.0,
+    Kind.SILENCE_ONE: 0.5,
+    Kind.PAUSE: 0.5,
+    Kind.STORE_FORGETS: 0.5,
+    Kind.STORE_LINK: 0.5,
+}
+LEAVING_GAP_S: Final = 1.5
+"""Mean time between two steps of that plan; disturbing ones are some six seconds apart, so most
+notices fall into a calm stretch or right behind a disturbance."""
+
+
+def draw(
+    seed: int, *, instances: int, upstreams: int, seconds: float, plan: Plan = Plan.MIXED
+) -> tuple[Step, ...]:
     """Return the steps of a run, in their order."""
+    if plan is Plan.LEAVING:
+        return tuple(_leaving(seed, instances, upstreams, seconds))
     source = random.Random(seed)
     steps: list[Step] = []
     at = CALM_FIRST_S
@@ -104,6 +136,17 @@
         ]
 
 
+def _leaving(seed: int, instances: int, upstreams: int, seconds: float) -> Iterator[Step]:
+    """Draw the steps of the plan in which upstreams leave."""
+    source = random.Random(f"{seed} leaving")
+    last = seconds - CALM_LAST_S
+    at = CALM_FIRST_S + source.expovariate(1 / LEAVING_GAP_S)
+    while at < last:
+        kind = source.choices(list(LEAVING_WEIGHTS), list(LEAVING_WEIGHTS.values()))[0]
+        yield _step(source, kind, at, last, instances, upstreams)
+        at += source.expovariate(1 / LEAVING_GAP_S)
+
+
 def _break_offs(seed: int, last: float, upstreams: int) -> Iterator[Step]:
     """Draw the steps at which upstreams break requests off."""
     source = random.Random(f"{seed} break off")
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -25,6 +25,8 @@
         self.target = target
         self._fault: Fault | None = None
         self._open: set[socket.socket] = set()
+        self._silent: set[socket.socket] = set()
+        """Connections that pass nothing on any more, and are not closed either."""
         self._server = StreamServer(("127.0.0.1", 0), self._serve)
         self._server.start()
 
@@ -45,11 +47,19 @@
         if was not in (None, Fault.DELAY):
             self.reset_all()
 
+    def silence_open(self) -> None:
+        """Let all open connections fall silent for good, without a reset; new ones work.
+
+        Both ends still find that their bytes are acknowledged, as behind a middlebox.
+        """
+        self._silent |= self._open
+
     def reset_all(self) -> None:
         """Reset all open connections."""
         for one in list(self._open):
             _reset(one)
         self._open.clear()
+        self._silent.clear()
 
     def stop(self) -> None:
         """Stop to listen."""
@@ -73,6 +83,7 @@
         back.join()
         for one in (near, far):
             self._open.discard(one)
+            self._silent.discard(one)
             one.close()
 
     def _copy(self, source: socket.socket, sink: socket.socket, cut: Fault) -> None:
@@ -83,8 +94,10 @@
                     gevent.sleep(DELAY_S)
                 while self._fault in (cut, Fault.SILENT):
                     gevent.sleep(CHECK_S)
-                sink.sendall(data)
-            sink.shutdown(socket.SHUT_WR)
+                if source not in self._silent:
+                    sink.sendall(data)
+            if source not in self._silent:
+                sink.shutdown(socket.SHUT_WR)
         except OSError:
             # The other end is gone, so is this one.
             _reset(sink)
--- a/soak/run.py
+++ b/soak/run.py
@@ -8,7 +8,7 @@
 import subprocess
 import tempfile
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, Final
@@ -23,10 +23,10 @@
 from measures.bench import Bench, BenchError
 from measures.gateway_process import GatewayProcess
 from soak.caller import CallerConnection
-from soak.checks import APPLY_S, DRAIN_S, broken_promises
+from soak.checks import APPLY_S, CONTACT_S, DRAIN_S, broken_promises
 from soak.fleet import EVENTS, ZONES, Listed
 from soak.ledger import STORE, Asked, Ledger, Sort
-from soak.plan import Kind, Step, draw
+from soak.plan import Kind, Plan, Step, draw
 from soak.proxy import Proxy
 
 GRACE_S: Final = 3.0
@@ -52,6 +52,7 @@
     instances: int = 4
     callers: int = 12
     seconds: float = 20.0
+    plan: Plan = Plan.MIXED
 
 
 class Soak:
@@ -75,7 +76,7 @@
         self._store.create(KIND_CONFIG, NAME_CONFIG, self._document())
         services = ["portal"] * PORTALS + ["engines"] * ENGINES
         self._fleet = [
-            Listed(place, service, self._store, self.ledger, self._source)
+            Listed(place, service, self._store, self.ledger, self._source, size.plan)
             for place, service in enumerate(services, start=1)
         ]
         for one in self._fleet:
@@ -107,6 +108,7 @@
             instances=self._size.instances,
             upstreams=len(self._fleet),
             seconds=self._size.seconds,
+            plan=self._size.plan,
         )
         for step in steps:
             gevent.sleep(max(0.0, began + step.at_s - time.monotonic()))
@@ -126,7 +128,12 @@
     def _start(self, number: int) -> GatewayProcess:
         """Start one instance."""
         seeds = [one.listen["control"] for one in getattr(self, "_instances", [])[:3]]
-        bounds = {"graceS": GRACE_S, "ttl_max_s": LOCATED_S, "drainMs": DRAIN_S * 1000}
+        bounds = {
+            "graceS": GRACE_S,
+            "ttl_max_s": LOCATED_S,
+            "drainMs": DRAIN_S * 1000,
+            "contactMs": CONTACT_S * 1000,
+        }
         settings: dict[str, Any] = {
             "bounds": bounds,
             "seeds": seeds,
@@ -159,6 +166,8 @@
             Kind.CRASH: lambda one: self._change_fleet(one, "crash"),
             Kind.BREAK_OFF: lambda one: self._fleet[one.target].break_off(one.for_s),
             Kind.CONFIGURE: lambda _: self._spawn(self._configure),
+            Kind.SILENCE: lambda _: self._silence(range(len(self._instances))),
+            Kind.SILENCE_ONE: lambda one: self._silence([one.target]),
         }
         doers[step.kind](step)
 
@@ -219,6 +228,12 @@
         self._disturb(self._instances[step.target].name, step.for_s)
         self._harm_proxy(self._links[step.target], step)
 
+    def _silence(self, targets: Iterable[int]) -> None:
+        """Let the open connections between some instances and the store fall silent for good."""
+        for target in targets:
+            self._disturb(self._instances[target].name, 0.0)
+            self._links[target].silence_open()
+
     def _harm_upstream_link(self, step: Step) -> None:
         """Harm the links of all instances to an upstream."""
         listed = self._fleet[step.target]
