Log how old the platform's word was when an upstream was taken for leaving

The log could not tell the hypotheses apart: nothing told when an instance learned of a notice, from whom, or that a question had waited on a connection which had long passed nothing on. Now a line each for an upstream that takes no more requests (source, platform_silence_ms), and for the first failed question; and the age of the platform's last answer as a metric. No decision is changed.

--- a/driftstall/gateway/feeds.py
+++ b/driftstall/gateway/feeds.py
@@ -9,7 +9,9 @@
 
 import gevent
 
+from driftstall.const import PREFIX_CONFIGURATION
 from driftstall.exceptions import HistoryGone, PlatformUnavailable
+from driftstall.helpers.log import say
 
 HOLD_CHECK_S: Final = 0.2
 """How often a follower that makes no calls looks whether it should."""
@@ -158,6 +160,8 @@
     def _failed(self, cause: str) -> None:
         """Note a failed call, and wait a little."""
         self._failures += 1
+        if self._failures == 1:
+            say(PREFIX_CONFIGURATION, f"A question to the platform failed: {cause}", at=self._at)
         if self._failures == LOST_AFTER:
             self._listener.platform_lost(cause)
         pause = min(self._pace.longest_pause_s(), FIRST_PAUSE_S * 2**self._failures)
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -39,7 +39,7 @@
     Reliance,
     RevisionPace,
 )
-from driftstall.gateway.reports import Standing
+from driftstall.gateway.reports import LONGEST_AGE_S, Standing
 from driftstall.gateway.sharing import Intake
 from driftstall.gateway.sources import InstanceSource, PolicySource, RoutingSource, UpstreamSource
 from driftstall.gateway.state import GatewayState
@@ -103,6 +103,7 @@
             pass_change=self._pass_change,
             pass_action=self._pass_action,
             announce=self._announce,
+            silence=lambda: self._upstream_pace.silence_s,
         )
         reliance = Reliance(self.state.source)
         intake = Intake(
@@ -231,6 +232,8 @@
             "routing_version": self._routing.version,
             "instances": self.state.instances.value,
             "upstreams": len(self.state.fleet.upstreams),
+            "upstreams_age_seconds": min(LONGEST_AGE_S, self._upstream_pace.age_s),
+            "routing_age_seconds": min(LONGEST_AGE_S, self._routing_pace.age_s),
             "platform_ok": float(self._follows(self._upstream_follower, self._upstream_pace)),
             "collects": float(self._roles().collects),
             "log_lines_dropped": self._log.dropped_in_all,
--- a/driftstall/gateway/reliance.py
+++ b/driftstall/gateway/reliance.py
@@ -103,6 +103,7 @@
         self._roles = roles
         self._now = now
         self._answered_at = float("-inf")
+        self._silence_s = 0.0
         self._idle_watch_s = idle_watch_s
         self._settled_at = now() + settle_s
 
@@ -111,6 +112,14 @@
         """Return how long ago the platform last answered this instance, in seconds."""
         return self._now() - self._answered_at
 
+    @property
+    def silence_s(self) -> float:
+        """Return how long the platform had said nothing before its last answer, in seconds.
+
+        What that answer told may be as old.
+        """
+        return self._silence_s
+
     @property
     def covered(self) -> bool:
         """Tell whether a collector follows the feed for this instance."""
@@ -135,7 +144,10 @@
 
     def answered(self) -> None:
         """Note that the platform has answered."""
-        self._answered_at = self._now()
+        now = self._now()
+        if self._answered_at > float("-inf"):
+            self._silence_s = now - self._answered_at
+        self._answered_at = now
 
     @property
     def _follows_always(self) -> bool:
--- a/driftstall/gateway/sources.py
+++ b/driftstall/gateway/sources.py
@@ -28,7 +28,8 @@
 
 PLATFORM: Final = "platform"
 PEER: Final = "peer"
-"""Where a routing document comes from."""
+UPSTREAM: Final = "upstream"
+"""Who tells of routing documents and upstreams."""
 
 
 class PassAction(Protocol):
@@ -172,13 +173,18 @@
         pass_change: Callable[[ItemChange[Upstream]], None],
         pass_action: PassAction,
         announce: Callable[[], None],
+        silence: Callable[[], float],
     ) -> None:
-        """Take the shared state, who moves streams, and how peers are told."""
+        """Take the shared state, who moves streams, and how peers are told.
+
+        Silence tells for how long the platform had said nothing before its last answer, in seconds.
+        """
         self._state = state
         self._leaving = leaving
         self._pass_change = pass_change
         self._pass_action = pass_action
         self._announce = announce
+        self._silence = silence
 
     def listed(self, items: tuple[Upstream, ...]) -> None:
         """Take in the whole list."""
@@ -226,15 +232,23 @@
         actions = self._state.fleet.handle(event, self._state.now())
         for action in actions:
             self._pass_action(action, from_peer=from_peer)
-            self._tell(action)
+            self._tell(action, from_peer=from_peer)
         if actions:
             self._state.fleet_changed.set()
             self._state.fleet_changed.clear()
 
-    def _tell(self, action: FleetAction) -> None:
+    def _tell(self, action: FleetAction, *, from_peer: bool) -> None:
         """Log one action, and have streams moved."""
         upstream = action.upstream
         if isinstance(action, UpstreamLeaving):
+            say(
+                PREFIX_ROUTING,
+                f"Upstream {upstream.upstream_id} takes no more requests",
+                source=_source_of(action, from_peer=from_peer),
+                # The notice may be as old; requests went there meanwhile.
+                platform_silence_ms=int(self._silence() * 1000),
+                revision=upstream.revision,
+            )
             self._leaving(upstream)
             return
         say(
@@ -247,6 +261,13 @@
         )
 
 
+def _source_of(action: UpstreamLeaving, *, from_peer: bool) -> str:
+    """Return who tells that an upstream leaves."""
+    if action.doubted:
+        return UPSTREAM
+    return PEER if from_peer else PLATFORM
+
+
 class InstanceSource:
     """Tell the member list which instances the platform knows."""
 
