Ask the platform anew before an instance must have caught up

Cause: a question waits for word of a change on a connection that has fallen silent for good, up to 26 s (configuration, policies) or 3.5 s (upstreams); the instance takes that for "nothing has changed".

--- a/driftstall/gateway/model.py
+++ b/driftstall/gateway/model.py
@@ -235,6 +235,8 @@
     """The longest that callers keep a located address."""
     drain_s: float = 2.0
     """An upstream that leaves gets no request after this time."""
+    catch_up_s: float = 3.0
+    """Time after a disturbance in which an instance must know again what holds."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -12,6 +12,7 @@
 
 from driftstall.const import PREFIX_CONFIGURATION, PREFIX_DRAIN, PREFIX_MEMBERSHIP
 from driftstall.core import Instance
+from driftstall.decisions.freshness import longest_wait_s
 from driftstall.exceptions import PlatformUnavailable, SettingsError
 from driftstall.gateway.collectors import Roles
 from driftstall.gateway.dialect import Dialect
@@ -34,7 +35,6 @@
 from driftstall.gateway.reliance import (
     FRESH_S,
     SETTLE_S,
-    UPSTREAM_WATCH_S,
     FleetPace,
     Reliance,
     RevisionPace,
@@ -124,16 +124,12 @@
             tell=self._peering.pass_doubt,
         )
         self.state.suspect = self._inquiry.suspect
-        self._routing_pace = FleetPace(reliance, self._roles, self.state.now, settle_s=SETTLE_S)
-        self._upstream_pace = FleetPace(
-            reliance,
-            self._roles,
-            self.state.now,
-            idle_watch_s=UPSTREAM_WATCH_S,
-            settle_s=SETTLE_S,
-        )
+        self._routing_pace = self._fleet_pace()
+        self._upstream_pace = self._fleet_pace()
         policy_pace = RevisionPace(
-            self._roles, lambda: self._peering.policy_revision > self._policies.revision
+            self._roles,
+            lambda: self._peering.policy_revision > self._policies.revision,
+            self._longest_wait,
         )
         source = self.state.source
         self._routing_follower = Follower(access.routing, self._routing, source, self._routing_pace)
@@ -239,6 +235,20 @@
             "log_lines_dropped": self._log.dropped_in_all,
         }
 
+    def _fleet_pace(self) -> FleetPace:
+        """Return the pace of a feed on which it depends who gets requests."""
+        return FleetPace(
+            self._reliance,
+            self._roles,
+            self.state.now,
+            longest_wait=self._longest_wait,
+            settle_s=SETTLE_S,
+        )
+
+    def _longest_wait(self) -> float:
+        """Return how long a question to the platform may wait, by the settings in force."""
+        return longest_wait_s(self.state.settings.bounds.catch_up_s)
+
     def _announce(self) -> None:
         """Have peers told soon that something has changed."""
         self.state.loads_changed.set()
--- a/driftstall/gateway/reliance.py
+++ b/driftstall/gateway/reliance.py
@@ -14,12 +14,6 @@
 
 from driftstall.gateway.collectors import Roles
 
-IDLE_WATCH_S: Final = 25.0
-"""How long an idle watch waits in a small fleet; each is one priced call, 30 s is the most."""
-UPSTREAM_WATCH_S: Final = 2.5
-"""The same for the list of upstreams, where engines may leave unseen: a store that turns calls
-away leaves a waiting watch open, so an outage shows only when the watch is renewed. Costs at
-most 0.4 calls a second and instance."""
 LARGE_WATCH_S: Final = 0.8
 """The same for a collector: a watch that is silently cut off must be noticed soon."""
 FRESH_S: Final = 1.5
@@ -91,20 +85,20 @@
         roles: Callable[[], Roles],
         now: Callable[[], float],
         *,
-        idle_watch_s: float = IDLE_WATCH_S,
+        longest_wait: Callable[[], float],
         settle_s: float = 0.0,
     ) -> None:
         """Take the collectors' word, the roles as they are now and the steady clock.
 
-        In a small fleet an idle watch waits for the time given, in seconds; so does the first
-        watch of all.
+        Longest wait tells how long an idle watch may wait at the most, in seconds; the first watch
+        of all comes after the time to settle.
         """
         self._reliance = reliance
         self._roles = roles
         self._now = now
         self._answered_at = float("-inf")
         self._silence_s = 0.0
-        self._idle_watch_s = idle_watch_s
+        self._longest_wait = longest_wait
         self._settled_at = now() + settle_s
 
     @property
@@ -136,7 +130,8 @@
 
     def watch_s(self) -> float:
         """Return how long an idle watch waits."""
-        return LARGE_WATCH_S if self._roles().large else self._idle_watch_s
+        longest_s = self._longest_wait()
+        return min(LARGE_WATCH_S, longest_s) if self._roles().large else longest_s
 
     def longest_pause_s(self) -> float:
         """Return the longest pause after failed calls."""
@@ -158,10 +153,19 @@
 class RevisionPace:
     """Pace a feed that seldom changes: read again only what peers know to be newer."""
 
-    def __init__(self, roles: Callable[[], Roles], behind: Callable[[], bool]) -> None:
-        """Take the roles as they are now, and a reader of whether a newer one is known of."""
+    def __init__(
+        self,
+        roles: Callable[[], Roles],
+        behind: Callable[[], bool],
+        longest_wait: Callable[[], float],
+    ) -> None:
+        """Take the roles as they are now, and a reader of whether a newer one is known of.
+
+        Longest wait tells how long an idle watch may wait at the most, in seconds.
+        """
         self._roles = roles
         self._behind = behind
+        self._longest_wait = longest_wait
 
     def hold_s(self) -> float:
         """Return for how long to make no call."""
@@ -170,7 +174,7 @@
 
     def watch_s(self) -> float:
         """Return how long an idle watch waits."""
-        return IDLE_WATCH_S
+        return self._longest_wait()
 
     def longest_pause_s(self) -> float:
         """Return the longest pause after failed calls."""
--- a/driftstall/platform/settings.py
+++ b/driftstall/platform/settings.py
@@ -63,6 +63,7 @@
                 vol.Optional("graceS"): _FRACTION,
                 vol.Optional("ttl_max_s"): _FRACTION,
                 vol.Optional("drainMs"): _FRACTION,
+                vol.Optional("contactMs"): _FRACTION,
             },
             extra=vol.ALLOW_EXTRA,
         ),
@@ -119,4 +120,6 @@
         grace_s=raw.get("graceS", usual.grace_s),
         locate_keep_s=raw.get("ttl_max_s", usual.locate_keep_s),
         drain_s=raw.get("drainMs", usual.drain_s * 1000) / 1000,
+        # How long an instance must have been undisturbed until it can be held to its bounds.
+        catch_up_s=raw.get("contactMs", usual.catch_up_s * 1000) / 1000,
     )
--- a/driftstall/platform/store.py
+++ b/driftstall/platform/store.py
@@ -14,14 +14,13 @@
 
 import orjson
 
+from driftstall.decisions.freshness import ANSWER_MARGIN_S
 from driftstall.exceptions import HistoryGone, PlatformUnavailable, UpstreamError
 from driftstall.platform import names
 from driftstall.util.http import Exchange
 
 CALL_TIMEOUT_S: Final = 1.5
 """A call takes milliseconds; beyond this the store is taken for silent."""
-WATCH_MARGIN_S: Final = 1.0
-"""Time that the answer of an idle watch may take besides the wait."""
 NOTHING_DONE: Final = frozenset({HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS})
 
 
@@ -106,7 +105,7 @@
     def watch(self, kind: str, at: int, wait_s: float) -> WatchAnswer:
         """Wait for changes after a revision; raise HistoryGone if they are forgotten."""
         query = {"watch": str(at), "waitMs": str(int(wait_s * 1000))}
-        body = self._read(_path(kind, query=query), wait_s + WATCH_MARGIN_S)
+        body = self._read(_path(kind, query=query), wait_s + ANSWER_MARGIN_S)
         events = tuple(
             WatchEvent(_object(one["object"]), bool(one["gone"])) for one in body["events"]
         )
--- a/features/gateway/parts.feature
+++ b/features/gateway/parts.feature
@@ -99,6 +99,16 @@
     Given a feed that fails 5 times and answers again
     Then the outage is told once and its end before the next change
 
+  Scenario Outline: a question on a dead connection is asked anew in time
+    Then where an instance must have caught up after <seconds> s it has an answer 0.4 s earlier
+
+    Examples:
+      | seconds |
+      | 2       |
+      | 3       |
+      | 4       |
+      | 8       |
+
   Scenario: settings name every fault at once
     Given a settings file with a wrong address and without a zone
     Then reading it names both faults
--- a/features/steps/gateway_feed_steps.py
+++ b/features/steps/gateway_feed_steps.py
@@ -11,9 +11,10 @@
 import orjson
 from behave import given, then, when
 
+from driftstall.decisions.freshness import ANSWER_MARGIN_S, longest_wait_s
 from driftstall.exceptions import HistoryGone, PlatformUnavailable, SettingsError
 from driftstall.gateway.collectors import Roles
-from driftstall.gateway.feeds import Changes, Follower, ItemChange, Snapshot
+from driftstall.gateway.feeds import FIRST_PAUSE_S, Changes, Follower, ItemChange, Snapshot
 from driftstall.gateway.model import (
     RoutingText,
 )
@@ -75,6 +76,7 @@
         self.told.append("back")
 
 
+SLOW_ANSWER_S = 0.1
 LIST = Snapshot(("a",), 5)
 CHANGE = Changes((ItemChange("a", False),), 6)
 
@@ -83,7 +85,7 @@
     """Follow a scripted feed to its end."""
     context.recorder = Recorder()
     feed = ScriptedFeed(list(steps))
-    pace = FleetPace(Reliance(random.Random(1)), Roles, lambda: 0.0)
+    pace = FleetPace(Reliance(random.Random(1)), Roles, lambda: 0.0, longest_wait=lambda: 1.6)
     follower = Follower(feed, context.recorder, random.Random(1), pace, sleep=lambda _: None)
     for _ in steps:
         follower.step()
@@ -126,6 +128,16 @@
     assert context.recorder.told == ["listed", "lost", "back", "changed"], context.recorder.told
 
 
+@then(
+    "where an instance must have caught up after {seconds:g} s it has an answer {spare:g} s earlier"
+)
+def answered_in_time(context: Any, seconds: float, spare: float) -> None:
+    """Add up what passes until the answer on another connection."""
+    given_up_s = longest_wait_s(seconds) + ANSWER_MARGIN_S
+    longest_pause_s = FIRST_PAUSE_S * 2 * 1.5
+    assert given_up_s + longest_pause_s + SLOW_ANSWER_S <= seconds - spare
+
+
 @given("a settings file with a wrong address and without a zone")
 def wrong_settings(context: Any) -> None:
     """Write a wrong settings file."""
--- a/features/steps/gateway_reliance_steps.py
+++ b/features/steps/gateway_reliance_steps.py
@@ -45,7 +45,13 @@
         self.clock = Clock()
         self.reliance = Reliance(random.Random(seed))
         self.roles = roles
-        self.pace = FleetPace(self.reliance, lambda: self.roles, self.clock, settle_s=settle_s)
+        self.pace = FleetPace(
+            self.reliance,
+            lambda: self.roles,
+            self.clock,
+            longest_wait=lambda: 1.6,
+            settle_s=settle_s,
+        )
         self.calls: list[float] = []
 
     def run(self, seconds: float, platform_age_s: float | None) -> None:
@@ -194,7 +200,9 @@
 def with_policy(context: Any) -> None:
     """Make its pace."""
     context.told_revision = 7
-    context.policy_pace = RevisionPace(lambda: MEMBER, lambda: context.told_revision > 7)
+    context.policy_pace = RevisionPace(
+        lambda: MEMBER, lambda: context.told_revision > 7, lambda: 1.6
+    )
 
 
 @then("it leaves the policies alone until a collector tells of revision 9")
