--- a/features/parts/soak.feature
+++ b/features/parts/soak.feature
@@ -49,6 +49,11 @@
     And its instance was disturbed 4 s before that
     Then a promise is broken: "after its notice"
 
+  Scenario: a notice counts only once the store has taken it
+    Given an upstream of the soak whose entry another step makes just before its notice is written
+    When it leaves
+    Then the store holds its notice
+
   Scenario: connections that have fallen silent pass nothing on, and new ones do
     Given a proxy with an open connection
     When its open connections fall silent
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import subprocess
 import sys
 from collections.abc import Callable
@@ -15,10 +16,12 @@
 from gevent.lock import Semaphore
 from gevent.server import StreamServer
 
+from driftstall.platform.store import Store, StoredObject
 from driftstall.util.addresses import split_address
 from measures.bench import FIRST_PORT, SLICE_PORTS, free_port
 from measures.gateway_process import GatewayProcess
 from soak.checks import broken_promises
+from soak.fleet import Listed
 from soak.ledger import Arrival, Asked, Ledger, Notice, Sort
 from soak.plan import CALM_LAST_S, Kind, Plan, draw
 from soak.proxy import Proxy
@@ -217,6 +220,62 @@
     assert all(step.at_s + step.for_s <= 60.0 - CALM_LAST_S + 0.5 for step in steps)
 
 
+class RacedStore(Store):
+    """Hold entries; another step makes the one that is replaced first, just afterwards."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        super().__init__("127.0.0.1:1")
+        self.entries: dict[str, Any] = {}
+        self.races = False
+
+    def replace(
+        self, kind: str, name: str, spec: Any, revision: int | None = None
+    ) -> StoredObject | None:
+        """Replace an entry, or find none and have it made."""
+        if name not in self.entries:
+            if self.races:
+                self.entries[name] = {"state": "ready"}
+            return None
+        self.entries[name] = spec
+        return StoredObject(name, 1, spec)
+
+    def create(self, kind: str, name: str, spec: Any) -> StoredObject | None:
+        """Make an entry unless it is there."""
+        if name in self.entries:
+            return None
+        self.entries[name] = spec
+        return StoredObject(name, 1, spec)
+
+
+@given("an upstream of the soak whose entry another step makes just before its notice is written")
+def raced_upstream(context: Any) -> None:
+    """Start an upstream, and forget its entry."""
+    context.raced = RacedStore()
+    context.listed = Listed(1, "portal", context.raced, Ledger(EVENTS), random.Random(1))
+    context.name = context.listed.upstream.upstream_id
+    context.add_cleanup(context.listed.upstream.stop)
+    context.raced.entries.clear()
+    context.raced.races = True
+
+
+@when("it leaves")
+def leaves(context: Any) -> None:
+    """Give notice."""
+    old, proxy = context.listed.upstream, context.listed.proxy
+    context.add_cleanup(proxy.stop)
+    context.add_cleanup(old.stop)
+    context.listed.leave()
+    context.add_cleanup(context.listed.upstream.stop)
+    context.add_cleanup(context.listed.proxy.stop)
+
+
+@then("the store holds its notice")
+def holds_notice(context: Any) -> None:
+    """Look at the entry."""
+    assert context.raced.entries[context.name]["state"] == "draining", context.raced.entries
+
+
 def echo(connection: socket.socket, _: tuple[str, int]) -> None:
     """Send back what comes, until the proxy ends with a reset."""
     with suppress(ConnectionResetError):
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -115,8 +115,8 @@
     def leave(self) -> None:
         """Say so in the store, serve on for a while and end; another one comes."""
         old, proxy = self.upstream, self.proxy
-        if self._write(old.upstream_id, self._spec("draining")):
-            self._note(old.upstream_id)
+        self._write(old.upstream_id, self._spec("draining"))
+        self._note(old.upstream_id)
         self._begin()
         gevent.spawn_later(self._source.uniform(*self._serves_on), self._end, old, proxy)
 
@@ -151,13 +151,16 @@
         """Note that the store has acknowledged a notice."""
         self._ledger.notices.setdefault(upstream_id, Notice(upstream_id, time.monotonic()))
 
-    def _write(self, name: str, spec: dict[str, Any]) -> bool:
-        """Write an entry, again and again while the store is away."""
+    def _write(self, name: str, spec: dict[str, Any]) -> None:
+        """Write an entry, again and again until the store has taken it.
+
+        Two steps may write one entry at once: it is there then though it could not be replaced.
+        """
+        kind = KIND_UPSTREAMS
         while True:
             try:
-                if self._store.replace(KIND_UPSTREAMS, name, spec) is None:
-                    self._store.create(KIND_UPSTREAMS, name, spec)
-                return True
+                if self._store.replace(kind, name, spec) or self._store.create(kind, name, spec):
+                    return
             except PlatformUnavailable:
                 gevent.sleep(STORE_RETRY_S)
 
