Add failing tests: other ways in which an instance trusts what it knew before

The same class as questions on dead connections: what is known is trusted without a bound on its age. An upstream stays in use whose entry changes into what cannot be read; one that has left is revived by a peer's older list (known as gone from another peer, or from the own list); an unexpected error ends the greenlet that follows the platform, and the instance goes on to call itself current.

--- a/features/gateway/parts.feature
+++ b/features/gateway/parts.feature
@@ -23,6 +23,17 @@
     And old news say that "u1" is ready
     Then "u1" takes no requests
 
+  Scenario Outline: what has left is not revived by a peer that knows less
+    Given an instance that follows the platform, which lists "u1" and "u2"
+    When it learns that "u1" has left <how>
+    And a peer's older list still holds "u1"
+    Then "u1" takes no requests
+
+    Examples:
+      | how                            |
+      | from the list of another peer  |
+      | from a new list of its own     |
+
   Scenario: an entry that lapsed during an outage has time to come back
     Given a fleet of 3 upstreams
     When the platform was away and lists only "u2" and "u3" on its return
@@ -121,6 +132,26 @@
     Given a watch that tells of a removed entry without its content
     Then the change says which upstream is gone
 
+  Scenario Outline: an upstream whose entry cannot be read any more takes no requests
+    Given an instance that follows the platform, which lists "u1" and "u2"
+    When the entry of "u1" changes into one <flaw>
+    Then "u1" takes no requests
+    And "u2" takes requests
+
+    Examples:
+      | flaw                            |
+      | without an address              |
+      | without a service               |
+      | whose slots are no number       |
+      | without any content             |
+      | that is a text                  |
+
+  Scenario: who follows the platform outlives an unexpected error
+    Given a feed that is listed, fails in a way that nobody expects, and is listed again
+    When it is followed
+    Then it is listed twice and no outage is told
+    And it is current again
+
   Scenario: others go on while a large routing document is decoded
     Then at least 20 turns of another greenlet pass while 1700 routes are decoded
 
--- a/features/steps/gateway_feed_steps.py
+++ b/features/steps/gateway_feed_steps.py
@@ -25,7 +25,7 @@
 from driftstall.platform.feeds import upstream_feed
 from driftstall.platform.settings import read_settings
 from driftstall.platform.store import Listing, Store, StoredObject, WatchAnswer, WatchEvent
-from features.worlds.gateway_world import GatewayWorld, document, route
+from features.worlds.gateway_world import WAIT_S, GatewayWorld, document, route, wait_for
 
 
 class ScriptedFeed:
@@ -91,6 +91,72 @@
         follower.step()
 
 
+class EndingFeed(ScriptedFeed):
+    """Answer with what a script says, then say nothing more."""
+
+    def _next(self) -> Any:
+        if not self._steps:
+            gevent.sleep(WAIT_S)
+        return super()._next()
+
+
+@given("a feed that is listed, fails in a way that nobody expects, and is listed again")
+def fails_unexpectedly(context: Any) -> None:
+    """Script it."""
+    context.steps = [LIST, KeyError("events"), LIST]
+
+
+@when("it is followed")
+def followed(context: Any) -> None:
+    """Follow it in a greenlet of its own, as instances do, until the script is at its end."""
+    context.recorder = Recorder()
+    feed = EndingFeed(context.steps)
+    pace = FleetPace(Reliance(random.Random(1)), Roles, lambda: 0.0, longest_wait=lambda: 1.6)
+    context.follower = Follower(
+        feed, context.recorder, random.Random(1), pace, sleep=lambda _: gevent.sleep(0)
+    )
+    running = gevent.spawn(context.follower.run)
+    context.add_cleanup(running.kill)
+    wait_for("all was read", lambda: len(context.recorder.told) == 2 or running.dead)
+
+
+@then("it is current again")
+def current_again(context: Any) -> None:
+    """Ask it."""
+    assert context.follower.current
+
+
+class AnsweringStore(Store):
+    """Answer every call with one body."""
+
+    def __init__(self, body: Any) -> None:
+        """Take the body."""
+        super().__init__("127.0.0.1:1")
+        self._body = body
+
+    def _call(
+        self, method: str, path: str, body: Any = None, timeout_s: float = 1.0
+    ) -> tuple[int, Any]:
+        return 200, self._body
+
+
+@given("a store that answers {body}")
+def answering(context: Any, body: str) -> None:
+    """Make it."""
+    context.store = AnsweringStore(orjson.loads(body))
+
+
+@then("its list and its watch report that the platform gave no answer")
+def reports_no_answer(context: Any) -> None:
+    """Call both."""
+    for call in (lambda: context.store.list("k"), lambda: context.store.watch("k", 1, 1.0)):
+        try:
+            call()
+        except PlatformUnavailable:
+            continue
+        raise AssertionError("the answer was taken")
+
+
 @given("a feed whose watch is cut once")
 def cut_once(context: Any) -> None:
     """Cut one watch."""
--- /dev/null
+++ b/features/steps/known_upstream_steps.py
@@ -0,0 +1,109 @@
+"""Check what an instance that follows the platform still takes for an upstream's standing."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from behave import given, when
+
+from driftstall.gateway.collectors import Roles
+from driftstall.gateway.feeds import Follower
+from driftstall.gateway.reliance import FleetPace, Reliance
+from driftstall.gateway.sources import UpstreamSource
+from driftstall.platform.feeds import upstream_feed
+from driftstall.platform.store import Listing, Store, StoredObject, WatchAnswer, WatchEvent
+from features.worlds.gateway_world import GatewayWorld
+from features.worlds.upstream_samples import upstream_of
+
+LISTED_AT = 10
+WHOLE = {"service": "engines", "address": "127.0.0.1:1", "slots": 8, "state": "ready"}
+FLAWS: dict[str, Any] = {
+    "without an address": {"service": "engines", "slots": 8, "state": "draining"},
+    "without a service": {"address": "127.0.0.1:1", "slots": 8, "state": "draining"},
+    "whose slots are no number": WHOLE | {"slots": "many", "state": "draining"},
+    "without any content": None,
+    "that is a text": "draining",
+}
+
+
+class TellingStore(Store):
+    """Hold a list, and the changes that the next watch tells of."""
+
+    def __init__(self) -> None:
+        """Start with two whole entries."""
+        super().__init__("127.0.0.1:1")
+        self.listing = Listing(tuple(entry(name, 5) for name in ("u1", "u2")), LISTED_AT)
+        self.events: tuple[WatchEvent, ...] = ()
+
+    def list(self, kind: str, *, stale: bool = False) -> Listing:
+        """Return the list."""
+        return self.listing
+
+    def watch(self, kind: str, at: int, wait_s: float) -> WatchAnswer:
+        """Return the changes."""
+        return WatchAnswer(self.events, at + 1)
+
+
+def entry(name: str, revision: int, spec: Any = WHOLE) -> StoredObject:
+    """Return an upstream's entry as it is stored."""
+    return StoredObject(name, revision, spec)
+
+
+@given('an instance that follows the platform, which lists "u1" and "u2"')
+def follows_platform(context: Any) -> None:
+    """Put together what follows the upstreams, and let it read the list."""
+    world = context.world = GatewayWorld()
+    context.add_cleanup(world.close)
+    context.source = UpstreamSource(
+        world.state,
+        leaving=lambda _: None,
+        pass_change=lambda _: None,
+        pass_action=lambda action, *, from_peer: None,
+        announce=lambda: None,
+        silence=lambda: 0.0,
+    )
+    context.store = TellingStore()
+    context.fleet = world.state.fleet
+    follow_anew(context)
+    assert context.fleet.takes_requests("u1")
+
+
+def follow_anew(context: Any) -> None:
+    """Read the whole list, as at a start or once history is gone."""
+    pace = FleetPace(Reliance(random.Random(1)), Roles, lambda: 0.0, longest_wait=lambda: 1.6)
+    feed = upstream_feed(context.store)
+    context.follower = Follower(feed, context.source, random.Random(1), pace, sleep=lambda _: None)
+    context.follower.step()
+
+
+@when('it learns that "u1" has left from the list of another peer')
+def peer_lacks(context: Any) -> None:
+    """Take in a list without it."""
+    context.source.offered((upstream_of("u2", 5),), LISTED_AT + 1)
+
+
+@when('it learns that "u1" has left from a new list of its own')
+def own_list_lacks(context: Any) -> None:
+    """Start anew, as an instance that never knew it, on a list without it."""
+    follows_platform(context)
+    world = context.world = GatewayWorld()
+    context.add_cleanup(world.close)
+    context.store.listing = Listing((entry("u2", 5),), LISTED_AT + 1)
+    context.source._state = world.state
+    context.fleet = world.state.fleet
+    follow_anew(context)
+    assert context.fleet.find("u1") is None
+
+
+@when('a peer\'s older list still holds "u1"')
+def older_list(context: Any) -> None:
+    """Take in a list of a time when it was there."""
+    context.source.offered((upstream_of("u1", 5), upstream_of("u2", 5)), LISTED_AT)
+
+
+@when('the entry of "u1" changes into one {flaw}')
+def unreadable(context: Any, flaw: str) -> None:
+    """Tell of the change."""
+    context.store.events = (WatchEvent(entry("u1", LISTED_AT + 1, FLAWS[flaw]), False),)
+    context.follower.step()
