Trust nothing that was known before once newer word is there, or none can come

An entry that changes into what cannot be read counts as gone (it was left out: `ready` stayed in force). An upstream that a peer's list lacks is remembered as gone, and what the platform itself has told of is not added again by a peer that knows less. An error that nobody expected is logged and all is read anew, where the greenlet ended and the instance went on to call itself current. An answer without its rows or revision is a failed question, not such an error.

--- a/driftstall/gateway/feeds.py
+++ b/driftstall/gateway/feeds.py
@@ -20,6 +20,9 @@
 LOST_AFTER: Final = 2
 """Calls that fail in a row until the platform counts as lost; one cut watch is usual."""
 
+DEFECT_PAUSE_S: Final = 0.5
+"""Pause after an unexpected error, which may come again at once."""
+
 Item = TypeVar("Item")
 
 
@@ -60,8 +63,8 @@
 class Listener(Protocol[Item]):
     """Take in what a follower learns."""
 
-    def listed(self, items: tuple[Item, ...]) -> None:
-        """Take in all items."""
+    def listed(self, items: tuple[Item, ...], at: int) -> None:
+        """Take in all items, as of a revision."""
 
     def changed(self, change: ItemChange[Item]) -> None:
         """Take in one change."""
@@ -115,9 +118,19 @@
         return self._at is not None and self._failures < LOST_AFTER
 
     def run(self) -> None:
-        """Follow the feed for ever."""
+        """Follow the feed for ever.
+
+        An unexpected error must not end this unseen: the instance would trust what it knows for
+        ever. What it has taken in until then is not known, so all is read anew.
+        """
         while True:
-            self.step()
+            try:
+                self.step()
+            except Exception as defect:
+                self._at = None
+                detail = f"{type(defect).__name__}: {defect}"
+                say(PREFIX_CONFIGURATION, f"What the platform told could not be taken in: {detail}")
+                self._sleep(DEFECT_PAUSE_S)
 
     def step(self) -> None:
         """Make one call and pass on what it brought, or wait where none is to be made."""
@@ -140,7 +153,7 @@
         snapshot = self._feed.list()
         self._answered()
         self._at = snapshot.at
-        self._listener.listed(snapshot.items)
+        self._listener.listed(snapshot.items, snapshot.at)
 
     def _watch(self, at: int) -> None:
         """Wait for changes."""
--- a/driftstall/gateway/fleet.py
+++ b/driftstall/gateway/fleet.py
@@ -73,6 +73,8 @@
         self._actions: list[FleetAction] = []
         self._read = False
         self._at = 0
+        self._told_to = 0
+        """The revision up to which the platform itself has told this instance everything."""
         self._digest: int | None = None
 
     @property
@@ -149,6 +151,7 @@
     @_on.register
     def _(self, event: Listed, now: float) -> None:
         self._read = True
+        self._told_to = max(self._told_to, event.at)
         listed = {one.upstream_id for one in event.upstreams}
         for upstream in event.upstreams:
             self._put(upstream, now)
@@ -160,17 +163,24 @@
         self._read = True
         offered = {one.upstream_id for one in event.upstreams}
         for upstream in event.upstreams:
-            self._put(upstream, now)
+            self._put_told_by_peer(upstream, now)
         for entry in list(self._entries.values()):
             upstream = entry.upstream
             if upstream.upstream_id not in offered and upstream.revision <= event.at:
                 self._leave(entry, now)
+                if upstream.state is UpstreamState.READY:
+                    # Else a list of another peer that is older would revive it.
+                    self._bury(upstream.upstream_id, upstream.revision, now)
 
     @_on.register
     def _(self, event: Changed, now: float) -> None:
         upstream = event.upstream
         self._at = max(self._at, upstream.revision)
-        if not event.gone:
+        if not event.from_peer:
+            self._told_to = max(self._told_to, upstream.revision)
+        if not event.gone and event.from_peer:
+            self._put_told_by_peer(upstream, now)
+        elif not event.gone:
             self._put(upstream, now)
         elif upstream.upstream_id in self._entries:
             self._remove(upstream.upstream_id, upstream.revision, now, certain=event.from_peer)
@@ -210,6 +220,15 @@
             if now - gone.at > GONE_KEPT_S:
                 del self._gone[upstream_id]
 
+    def _put_told_by_peer(self, upstream: Upstream, now: float) -> None:
+        """Take in an entry that a peer knows, unless the platform itself has told of its end.
+
+        The peer's knowledge may be older: an entry of a revision up to which this instance was told
+        everything, and which it does not hold, has gone since.
+        """
+        if upstream.upstream_id in self._entries or upstream.revision > self._told_to:
+            self._put(upstream, now)
+
     def _put(self, upstream: Upstream, now: float) -> None:
         """Take in an entry that is newer than what is known."""
         self._at = max(self._at, upstream.revision)
--- a/driftstall/gateway/fleet_events.py
+++ b/driftstall/gateway/fleet_events.py
@@ -12,6 +12,8 @@
     """Take in the platform's whole list."""
 
     upstreams: tuple[Upstream, ...]
+    at: int = 0
+    """The platform's revision as of which it is the whole list."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/driftstall/gateway/sources.py
+++ b/driftstall/gateway/sources.py
@@ -65,7 +65,7 @@
         """Return the document in force as it is passed on."""
         return self._text
 
-    def listed(self, items: tuple[RoutingText, ...]) -> None:
+    def listed(self, items: tuple[RoutingText, ...], at: int) -> None:
         """Take in the stored documents."""
         for item in items:
             self._take(item, PLATFORM)
@@ -124,7 +124,7 @@
         """Return the revision in force; zero if none was submitted."""
         return self._revision
 
-    def listed(self, items: tuple[PolicyText, ...]) -> None:
+    def listed(self, items: tuple[PolicyText, ...], at: int) -> None:
         """Take in the stored policies."""
         for item in items:
             self._take(item)
@@ -186,9 +186,9 @@
         self._announce = announce
         self._silence = silence
 
-    def listed(self, items: tuple[Upstream, ...]) -> None:
-        """Take in the whole list."""
-        self._apply(Listed(items))
+    def listed(self, items: tuple[Upstream, ...], at: int) -> None:
+        """Take in the whole list, as of a revision."""
+        self._apply(Listed(items, at))
         self._state.check_configured()
         known = {one.upstream_id for one in self._state.fleet.upstreams}
         self._state.outcomes.keep_only(known)
--- a/driftstall/platform/feeds.py
+++ b/driftstall/platform/feeds.py
@@ -15,13 +15,13 @@
 from driftstall.helpers.log import say
 from driftstall.platform import documents, names
 from driftstall.platform.documents import DocumentFault
-from driftstall.platform.store import Store, StoredObject
+from driftstall.platform.store import Store, StoredObject, WatchEvent
 
 Item = TypeVar("Item")
 
 
 class KindFeed(Generic[Item]):
-    """Read one kind; objects that cannot be decoded are logged and left out."""
+    """Read one kind; what cannot be decoded is logged, and never stands for what was known."""
 
     def __init__(
         self,
@@ -34,13 +34,15 @@
     ) -> None:
         """Take the store, the kind and how its objects are decoded.
 
-        What is gone may come without its content, so it may be decoded in another way.
+        What is gone may come without its content, so it may be decoded in another way. So is what
+        has changed into an object that cannot be decoded: it counts as gone, since what was known
+        of it before holds no more. Without the other way such an object is left out.
         A list that may be some seconds old costs a tenth; a watch from it misses nothing.
         """
         self._store = store
         self._kind = kind
         self._decode = decode
-        self._decode_gone = decode_gone or decode
+        self._decode_gone = decode_gone
         self._stale = stale
 
     def list(self) -> Snapshot[Item]:
@@ -52,19 +54,26 @@
     def watch(self, at: int, wait_s: float) -> Changes[Item]:
         """Wait for changes after a revision."""
         answer = self._store.watch(self._kind, at, wait_s)
-        changes = []
-        for event in answer.events:
-            item = self._item(event.changed, gone=event.gone)
-            if item is not None:
-                changes.append(ItemChange(item, event.gone))
-        return Changes(tuple(changes), answer.at)
-
-    def _item(self, stored: StoredObject, *, gone: bool = False) -> Item | None:
+        changes = (self._change(event) for event in answer.events)
+        return Changes(tuple(one for one in changes if one is not None), answer.at)
+
+    def _change(self, event: WatchEvent) -> ItemChange[Item] | None:
+        """Decode one change."""
+        if event.gone and self._decode_gone is not None:
+            return ItemChange(self._decode_gone(event.changed), gone=True)
+        item = self._item(event.changed)
+        if item is not None:
+            return ItemChange(item, event.gone)
+        if self._decode_gone is not None:
+            return ItemChange(self._decode_gone(event.changed), gone=True)
+        return None
+
+    def _item(self, stored: StoredObject) -> Item | None:
         """Decode one object."""
         try:
-            return self._decode_gone(stored) if gone else self._decode(stored)
+            return self._decode(stored)
         except DocumentFault as fault:
-            say(PREFIX_CONFIGURATION, f"An object is left out: {fault}", kind=self._kind)
+            say(PREFIX_CONFIGURATION, f"An object cannot be read: {fault}", kind=self._kind)
             return None
 
 
--- a/driftstall/platform/store.py
+++ b/driftstall/platform/store.py
@@ -88,9 +88,9 @@
         at: int | None = None
         while True:
             body = self._read(_path(kind, query=query))
-            found += [_object(one) for one in body["items"]]
+            found += [_object(one) for one in _rows(body, "items")]
             # Later pages may be newer; a watch from the first page's revision misses nothing.
-            at = int(body["at"]) if at is None else at
+            at = _revision(body) if at is None else at
             if not body.get("more") or not found:
                 return Listing(tuple(found), at)
             query = fixed | {"after": found[-1].name}
@@ -106,10 +106,8 @@
         """Wait for changes after a revision; raise HistoryGone if they are forgotten."""
         query = {"watch": str(at), "waitMs": str(int(wait_s * 1000))}
         body = self._read(_path(kind, query=query), wait_s + ANSWER_MARGIN_S)
-        events = tuple(
-            WatchEvent(_object(one["object"]), bool(one["gone"])) for one in body["events"]
-        )
-        return WatchAnswer(events, int(body["at"]))
+        events = tuple(_event(one) for one in _rows(body, "events"))
+        return WatchAnswer(events, _revision(body))
 
     def create(self, kind: str, name: str, spec: Any) -> StoredObject | None:
         """Make an object; return None where it is there already."""
@@ -181,10 +179,34 @@
     raise PlatformUnavailable(f"the store answered {status}", sent=status not in NOTHING_DONE)
 
 
+def _rows(body: Any, name: str) -> list[Any]:
+    """Return the rows of an answer, or raise PlatformUnavailable."""
+    rows = body.get(name) if isinstance(body, dict) else None
+    if not isinstance(rows, list):
+        raise PlatformUnavailable(f"an answer cannot be read: it has no {name}")
+    return rows
+
+
+def _revision(body: dict[str, Any]) -> int:
+    """Return the revision of an answer, or raise PlatformUnavailable."""
+    try:
+        return int(body["at"])
+    except (KeyError, TypeError, ValueError) as fault:
+        raise PlatformUnavailable(f"an answer cannot be read: {fault!r}") from fault
+
+
+def _event(raw: Any) -> WatchEvent:
+    """Decode one change."""
+    try:
+        return WatchEvent(_object(raw["object"]), bool(raw["gone"]))
+    except (KeyError, TypeError) as fault:
+        raise PlatformUnavailable(f"a change cannot be read: {fault!r}") from fault
+
+
 def _object(raw: Any) -> StoredObject:
     """Decode one object."""
     try:
         metadata = raw["metadata"]
         return StoredObject(metadata["name"], int(metadata["revision"]), raw.get("spec"))
-    except (KeyError, TypeError, ValueError) as fault:
+    except (AttributeError, KeyError, TypeError, ValueError) as fault:
         raise PlatformUnavailable(f"an object cannot be read: {fault!r}") from fault
--- a/features/gateway/parts.feature
+++ b/features/gateway/parts.feature
@@ -146,6 +146,19 @@
       | without any content             |
       | that is a text                  |
 
+  Scenario Outline: an answer of unexpected form is a question that failed
+    Given a store that answers <body>
+    Then its list and its watch report that the platform gave no answer
+
+    Examples:
+      | body                                        |
+      | {}                                          |
+      | []                                          |
+      | null                                        |
+      | {"events": 1, "items": 1, "at": 1}          |
+      | {"events": [{}], "items": [{}], "at": 1}    |
+      | {"events": [], "items": [], "at": "soon"}   |
+
   Scenario: who follows the platform outlives an unexpected error
     Given a feed that is listed, fails in a way that nobody expects, and is listed again
     When it is followed
--- a/features/steps/gateway_feed_steps.py
+++ b/features/steps/gateway_feed_steps.py
@@ -59,7 +59,7 @@
         """Start with nothing."""
         self.told: list[str] = []
 
-    def listed(self, items: tuple[str, ...]) -> None:
+    def listed(self, items: tuple[str, ...], at: int) -> None:
         """Record a list."""
         self.told.append("listed")
 
@@ -300,7 +300,7 @@
     context.add_cleanup(context.world.close)
     context.world.state.table = None
     context.routing = RoutingSource(context.world.state, lambda *, from_peer: None)
-    context.routing.listed((routing_text(7),))
+    context.routing.listed((routing_text(7),), 1)
 
 
 @when("versions 5, 9 and 8 arrive")
