Add failing tests: three more places that trust silence

A notice that was learned late counts from then on; an answer that comes byte by byte is waited for without end (6 s where 2 are allowed); connections between instances that have fallen silent are used for ever (nothing heard for 5 s).

--- a/features/gateway/parts.feature
+++ b/features/gateway/parts.feature
@@ -12,6 +12,12 @@
     Then 1.9 s after the notice "u1" may be sent what has run there
     And 2.1 s after the notice "u1" may be sent nothing
 
+  Scenario: the time to drain of a notice that came late runs from the last word before it
+    Given an instance that follows the platform, which lists "u1" and "u2"
+    When the platform says nothing for 2.3 s, then that "u1" leaves
+    Then "u1" may not be sent what has run there
+    But "u2", which leaves 2.3 s later and is told of at once, may be
+
   Scenario: an entry that is removed stands for a notice
     Given a fleet of 3 upstreams
     When the entry of "u1" is removed
@@ -159,6 +165,15 @@
       | {"events": [{}], "items": [{}], "at": 1}    |
       | {"events": [], "items": [], "at": "soon"}   |
 
+  Scenario: an answer that comes byte by byte is given up in time
+    Given a store that sends one byte every 50 ms
+    Then a call of it fails within 2 s
+
+  Scenario: instances are heard again after their connections have fallen silent
+    Given two instances that exchange messages through a proxy
+    When the open connections between them fall silent
+    Then messages arrive again within 5 s
+
   Scenario: who follows the platform outlives an unexpected error
     Given a feed that is listed, fails in a way that nobody expects, and is listed again
     When it is followed
--- a/features/steps/known_upstream_steps.py
+++ b/features/steps/known_upstream_steps.py
@@ -5,8 +5,9 @@
 import random
 from typing import Any
 
-from behave import given, when
+from behave import given, then, when
 
+from driftstall.exceptions import PlatformUnavailable
 from driftstall.gateway.collectors import Roles
 from driftstall.gateway.feeds import Follower
 from driftstall.gateway.reliance import FleetPace, Reliance
@@ -35,13 +36,16 @@
         super().__init__("127.0.0.1:1")
         self.listing = Listing(tuple(entry(name, 5) for name in ("u1", "u2")), LISTED_AT)
         self.events: tuple[WatchEvent, ...] = ()
+        self.is_silent = False
 
     def list(self, kind: str, *, stale: bool = False) -> Listing:
         """Return the list."""
         return self.listing
 
     def watch(self, kind: str, at: int, wait_s: float) -> WatchAnswer:
-        """Return the changes."""
+        """Return the changes, or no answer."""
+        if self.is_silent:
+            raise PlatformUnavailable("no answer")
         return WatchAnswer(self.events, at + 1)
 
 
@@ -61,7 +65,7 @@
         pass_change=lambda _: None,
         pass_action=lambda action, *, from_peer: None,
         announce=lambda: None,
-        silence=lambda: 0.0,
+        silence=lambda: context.pace.silence_s,
     )
     context.store = TellingStore()
     context.fleet = world.state.fleet
@@ -71,9 +75,12 @@
 
 def follow_anew(context: Any) -> None:
     """Read the whole list, as at a start or once history is gone."""
-    pace = FleetPace(Reliance(random.Random(1)), Roles, lambda: 0.0, longest_wait=lambda: 1.6)
+    reliance, now = Reliance(random.Random(1)), context.world.state.now
+    context.pace = FleetPace(reliance, Roles, now, longest_wait=lambda: 1.6)
     feed = upstream_feed(context.store)
-    context.follower = Follower(feed, context.source, random.Random(1), pace, sleep=lambda _: None)
+    context.follower = Follower(
+        feed, context.source, random.Random(1), context.pace, sleep=lambda _: None
+    )
     context.follower.step()
 
 
@@ -107,3 +114,41 @@
     """Tell of the change."""
     context.store.events = (WatchEvent(entry("u1", LISTED_AT + 1, FLAWS[flaw]), False),)
     context.follower.step()
+
+
+def tell_leaving(context: Any, name: str, revision: int) -> None:
+    """Tell of a notice."""
+    leaving = entry(name, revision, WHOLE | {"state": "draining"})
+    context.store.events = (WatchEvent(leaving, False),)
+    context.follower.step()
+
+
+@when('the platform says nothing for {seconds:g} s, then that "u1" leaves')
+def silent_then_leaving(context: Any, seconds: float) -> None:
+    """Let a question wait in vain, and the next one be answered."""
+    context.seconds = seconds
+    context.store.is_silent = True
+    context.world.pass_time(seconds)
+    context.follower.step()
+    context.store.is_silent = False
+    tell_leaving(context, "u1", LISTED_AT + 1)
+
+
+def serves(context: Any, name: str) -> bool:
+    """Ask whether an upstream may be sent what has run there."""
+    state = context.world.state
+    return bool(context.fleet.serves(name, state.now(), state.settings.bounds.drain_s))
+
+
+@then('"u1" may not be sent what has run there')
+def serves_no_more(context: Any) -> None:
+    """Ask: the notice may be as old as the last word before it."""
+    assert not serves(context, "u1")
+
+
+@then('"u2", which leaves 2.3 s later and is told of at once, may be')
+def serves_still(context: Any) -> None:
+    """Tell of a notice after an idle question, which is no silence."""
+    context.world.pass_time(context.seconds)
+    tell_leaving(context, "u2", LISTED_AT + 2)
+    assert serves(context, "u2")
