Bound the trust in silence between instances, in late notices and in answers that come byte by byte

A notice that is learned after questions have failed counts from the last answer before. The head of a store's answer must come within the call's time as a whole.

--- a/driftstall/gateway/feeds.py
+++ b/driftstall/gateway/feeds.py
@@ -88,8 +88,8 @@
     def longest_pause_s(self) -> float:
         """Return the longest pause after failed calls, in seconds."""
 
-    def answered(self) -> None:
-        """Learn that a call was answered."""
+    def answered(self, *, after_failure: bool) -> None:
+        """Learn that a call was answered, and whether the one before was not."""
 
 
 class Follower(Generic[Item]):
@@ -167,8 +167,8 @@
         """Note an answered call."""
         if self._failures >= LOST_AFTER:
             self._listener.platform_back()
+        self._pace.answered(after_failure=self._failures > 0)
         self._failures = 0
-        self._pace.answered()
 
     def _failed(self, cause: str) -> None:
         """Note a failed call, and wait a little."""
--- a/driftstall/gateway/fleet.py
+++ b/driftstall/gateway/fleet.py
@@ -153,10 +153,12 @@
         self._read = True
         self._told_to = max(self._told_to, event.at)
         listed = {one.upstream_id for one in event.upstreams}
+        since = now - event.unheard_s
         for upstream in event.upstreams:
-            self._put(upstream, now)
+            self._put(upstream, since)
         for upstream_id in [one for one in self._entries if one not in listed]:
-            self._remove(upstream_id, self._entries[upstream_id].upstream.revision, now)
+            revision = self._entries[upstream_id].upstream.revision
+            self._remove(upstream_id, revision, now, since)
 
     @_on.register
     def _(self, event: Offered, now: float) -> None:
@@ -175,15 +177,17 @@
     @_on.register
     def _(self, event: Changed, now: float) -> None:
         upstream = event.upstream
+        since = now - event.unheard_s
         self._at = max(self._at, upstream.revision)
         if not event.from_peer:
             self._told_to = max(self._told_to, upstream.revision)
         if not event.gone and event.from_peer:
             self._put_told_by_peer(upstream, now)
         elif not event.gone:
-            self._put(upstream, now)
+            self._put(upstream, since)
         elif upstream.upstream_id in self._entries:
-            self._remove(upstream.upstream_id, upstream.revision, now, certain=event.from_peer)
+            revision, certain = upstream.revision, event.from_peer
+            self._remove(upstream.upstream_id, revision, now, since, certain=certain)
         else:
             self._bury(upstream.upstream_id, upstream.revision, now)
 
@@ -229,8 +233,8 @@
         if upstream.upstream_id in self._entries or upstream.revision > self._told_to:
             self._put(upstream, now)
 
-    def _put(self, upstream: Upstream, now: float) -> None:
-        """Take in an entry that is newer than what is known."""
+    def _put(self, upstream: Upstream, since: float) -> None:
+        """Take in an entry that is newer than what is known; it may hold since then."""
         self._at = max(self._at, upstream.revision)
         buried = self._gone.get(upstream.upstream_id)
         if buried is not None and buried.revision >= upstream.revision:
@@ -245,32 +249,36 @@
         entry.upstream = upstream
         entry.missing_since = None
         if upstream.state is UpstreamState.LEAVING:
-            self._leave(entry, now)
+            self._leave(entry, since)
         elif entry.leaving_since is not None and entry.doubted_until is None:
             self._rejoin(entry)
 
     def _remove(
-        self, upstream_id: str, revision: int, now: float, *, certain: bool = False
+        self, upstream_id: str, revision: int, now: float, since: float, *, certain: bool = False
     ) -> None:
-        """Take an upstream for leaving whose entry is no longer there."""
+        """Take an upstream for leaving whose entry is no longer there, perhaps since then."""
         entry = self._entries[upstream_id]
         if revision < entry.upstream.revision:
             return
         if self._in_grace(now) and not certain and entry.leaving_since is None:
             entry.missing_since = entry.missing_since or now
             return
-        self._leave(entry, now)
+        self._leave(entry, since)
         self._bury(upstream_id, revision, now)
 
     def _in_grace(self, now: float) -> bool:
         """Tell whether an entry that is missing may only have lapsed during an outage."""
         return self._down or now - self._back_at < LAPSE_GRACE_S
 
-    def _leave(self, entry: _Entry, now: float) -> None:
-        """Mark an upstream as leaving and say so once."""
+    def _leave(self, entry: _Entry, since: float) -> None:
+        """Mark an upstream as leaving and say so once.
+
+        The time to drain runs from the notice, not from when this instance learned of it: what
+        it learns after a silence may be as old as that.
+        """
         entry.doubted_until = None
         if entry.leaving_since is None:
-            entry.leaving_since = now
+            entry.leaving_since = since
             self._actions.append(UpstreamLeaving(entry.upstream))
 
     def _rejoin(self, entry: _Entry) -> None:
--- a/driftstall/gateway/fleet_events.py
+++ b/driftstall/gateway/fleet_events.py
@@ -14,6 +14,8 @@
     upstreams: tuple[Upstream, ...]
     at: int = 0
     """The platform's revision as of which it is the whole list."""
+    unheard_s: float = 0.0
+    """For how long the platform had not answered before; what is new may be as old."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +35,8 @@
     gone: bool
     from_peer: bool = False
     """Whether a peer tells it, whom the platform has answered all the time."""
+    unheard_s: float = 0.0
+    """For how long the platform had not answered before; the change may be as old."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/driftstall/gateway/reliance.py
+++ b/driftstall/gateway/reliance.py
@@ -112,9 +112,9 @@
 
     @property
     def silence_s(self) -> float:
-        """Return how long the platform had said nothing before its last answer, in seconds.
+        """Return for how long questions had failed before the last answer, in seconds.
 
-        What that answer told may be as old.
+        What that answer told may be as old. Zero where the question before was answered.
         """
         return self._silence_s
 
@@ -141,11 +141,11 @@
         """Return the longest pause after failed calls."""
         return LONGEST_PAUSE_S if self._follows_always else OTHERS_PAUSE_S
 
-    def answered(self) -> None:
-        """Note that the platform has answered."""
+    def answered(self, *, after_failure: bool) -> None:
+        """Note that the platform has answered, and whether the question before had failed."""
         now = self._now()
-        if self._answered_at > float("-inf"):
-            self._silence_s = now - self._answered_at
+        answered_before = self._answered_at > float("-inf")
+        self._silence_s = now - self._answered_at if after_failure and answered_before else 0.0
         self._answered_at = now
 
     @property
@@ -175,5 +175,5 @@
         """Return the longest pause after failed calls."""
         return OTHERS_PAUSE_S
 
-    def answered(self) -> None:
+    def answered(self, *, after_failure: bool) -> None:
         """Note that the platform has answered; nothing depends on when."""
--- a/driftstall/gateway/sources.py
+++ b/driftstall/gateway/sources.py
@@ -177,7 +177,7 @@
     ) -> None:
         """Take the shared state, who moves streams, and how peers are told.
 
-        Silence tells for how long the platform had said nothing before its last answer, in seconds.
+        Silence tells for how long the platform had not answered before its last answer, in seconds.
         """
         self._state = state
         self._leaving = leaving
@@ -188,14 +188,14 @@
 
     def listed(self, items: tuple[Upstream, ...], at: int) -> None:
         """Take in the whole list, as of a revision."""
-        self._apply(Listed(items, at))
+        self._apply(Listed(items, at, self._silence()))
         self._state.check_configured()
         known = {one.upstream_id for one in self._state.fleet.upstreams}
         self._state.outcomes.keep_only(known)
 
     def changed(self, change: ItemChange[Upstream]) -> None:
         """Take in one change from the platform."""
-        self._apply(Changed(change.item, change.gone))
+        self._apply(Changed(change.item, change.gone, unheard_s=self._silence()))
         self._pass_change(change)
 
     def told(self, change: ItemChange[Upstream]) -> None:
--- a/driftstall/peers/link.py
+++ b/driftstall/peers/link.py
@@ -9,6 +9,7 @@
 
 import time
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from typing import Any, Final
 
 import gevent
@@ -22,12 +23,17 @@
 from driftstall.peers.codec import HEADER, MAX_FRAME_BYTES, Kinds, decode, encode
 from driftstall.peers.envelope import Envelope
 from driftstall.util.addresses import split_address
+from driftstall.util.http import tune
 
 QUEUE_MESSAGES: Final = 4_096
 CONNECT_TIMEOUT_S: Final = 1.0
 SEND_TIMEOUT_S: Final = 2.0
 IDLE_CLOSE_S: Final = 60.0
 REDIAL_S: Final = 0.2
+LINK_LIFE_S: Final = 3.0
+"""A connection is used for no longer. Nothing ever comes back on it, so one that passes nothing
+on any more looks like any other, and all that is sent there is lost: loads, members, notices. A
+new one takes a round trip, every three seconds for each peer."""
 MAX_CONNECTIONS: Final = 2_000
 
 ANYONE: Final = ""
@@ -36,6 +42,19 @@
 Receiver = Callable[[str, Any], None]
 
 
+@dataclass(frozen=True, slots=True)
+class _Link:
+    """Hold an open connection to a peer."""
+
+    connection: socket.socket
+    opened_at: float
+
+    @property
+    def is_worn(self) -> bool:
+        """Tell whether the next frames are to go on a new connection."""
+        return time.monotonic() - self.opened_at > LINK_LIFE_S or _closed(self.connection)
+
+
 class PeerLinks:
     """Send to peers and receive from them."""
 
@@ -95,42 +114,45 @@
 
     def _run_link(self, address: str, queue: Queue) -> None:
         """Send what is queued for one peer until it has long been idle."""
-        connection: socket.socket | None = None
+        link: _Link | None = None
         while True:
             try:
                 frame = queue.get(timeout=IDLE_CLOSE_S)
             except Empty:
                 del self._queues[address]
                 break
-            connection = self._send_frames(address, connection, frame, queue)
-        if connection is not None:
-            connection.close()
+            link = self._send_frames(address, link, frame, queue)
+        if link is not None:
+            link.connection.close()
 
     def _send_frames(
-        self, address: str, connection: socket.socket | None, frame: bytes, queue: Queue
-    ) -> socket.socket | None:
-        """Send one frame and those right behind it; return the connection."""
+        self, address: str, link: _Link | None, frame: bytes, queue: Queue
+    ) -> _Link | None:
+        """Send one frame and those right behind it; return the link, if it still serves."""
         frames = [frame]
         while len(frames) < 64 and not queue.empty():
             frames.append(queue.get_nowait())
         data = b"".join(frames)
         try:
-            if connection is None or _closed(connection):
-                connection = socket.create_connection(split_address(address), CONNECT_TIMEOUT_S)
-                connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                connection.settimeout(SEND_TIMEOUT_S)
-            connection.sendall(data)
+            if link is not None and link.is_worn:
+                link.connection.close()
+                link = None
+            if link is None:
+                link = _dial(address)
+            link.connection.sendall(data)
             self.sent_bytes += len(data)
-            return connection
+            return link
         except OSError:
             self.dropped += len(frames)
-            if connection is not None:
-                connection.close()
+            if link is not None:
+                link.connection.close()
             gevent.sleep(REDIAL_S)
             return None
 
     def _serve(self, connection: socket.socket, _: tuple[str, int]) -> None:
         """Receive frames from one peer."""
+        # A peer that lives sends sooner, on this connection or on the next.
+        connection.settimeout(IDLE_CLOSE_S + SEND_TIMEOUT_S)
         stream = connection.makefile("rb")
         try:
             while True:
@@ -167,6 +189,14 @@
         self._receiver(envelope.sender, envelope.message)
 
 
+def _dial(address: str) -> _Link:
+    """Open a connection to a peer, or raise OSError."""
+    connection = socket.create_connection(split_address(address), CONNECT_TIMEOUT_S)
+    tune(connection)
+    connection.settimeout(SEND_TIMEOUT_S)
+    return _Link(connection, time.monotonic())
+
+
 def _closed(connection: socket.socket) -> bool:
     """Tell whether the peer has closed; peers never send on this connection."""
     try:
--- a/driftstall/platform/store.py
+++ b/driftstall/platform/store.py
@@ -12,6 +12,7 @@
 from typing import Any, Final
 from urllib.parse import quote, urlencode
 
+import gevent
 import orjson
 
 from driftstall.decisions.freshness import ANSWER_MARGIN_S
@@ -21,6 +22,9 @@
 
 CALL_TIMEOUT_S: Final = 1.5
 """A call takes milliseconds; beyond this the store is taken for silent."""
+BODY_TIMEOUT_S: Final = 10.0
+"""Time for the whole body of an answer: a megabyte, the most that one holds, takes two seconds
+on the weakest links (5 Mbit/s), which it shares with all streams."""
 NOTHING_DONE: Final = frozenset({HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS})
 
 
@@ -147,8 +151,11 @@
         if data:
             headers["Content-Type"] = "application/json"
         try:
-            exchange = Exchange.open(self._address, method, path, headers, data, timeout_s)
-            raw = exchange.read()
+            # The exchange itself bounds each read only, and bytes may come one by one.
+            with gevent.Timeout(timeout_s, UpstreamError("no answer in time", sent=True)):
+                exchange = Exchange.open(self._address, method, path, headers, data, timeout_s)
+            with gevent.Timeout(BODY_TIMEOUT_S, UpstreamError("no whole answer", sent=True)):
+                raw = exchange.read()
             return exchange.status, orjson.loads(raw) if raw else None
         except UpstreamError as fault:
             raise PlatformUnavailable(f"no answer: {fault}", sent=fault.sent) from fault
--- a/driftstall/util/http.py
+++ b/driftstall/util/http.py
@@ -62,6 +62,10 @@
             connection.close()
             detail = f"no answer from {address}: {type(fault).__name__}"
             raise UpstreamError(detail, sent=True) from fault
+        except BaseException:
+            # Whoever called has given the exchange up from outside.
+            connection.close()
+            raise
 
     @property
     def status(self) -> int:
--- a/features/steps/gateway_reliance_steps.py
+++ b/features/steps/gateway_reliance_steps.py
@@ -170,7 +170,7 @@
 @when("the platform answers its own call")
 def answers(context: Any) -> None:
     """Note an answer."""
-    context.follows.pace.answered()
+    context.follows.pace.answered(after_failure=False)
 
 
 @then("its next call follows at once")
