Add failing tests: the same trust in silence on the product's own interface

A stored configuration that cannot be read ends the greenlet that watches for the next; a silent platform is waited for 21 s. Listed as known red.

--- a/features/parts/daemon.feature
+++ b/features/parts/daemon.feature
@@ -20,3 +20,12 @@
       | nonsense | 2 | Usage |
       | status --operator=127.0.0.1:1 --token=x | 5 | no connection |
       | config show --operator=127.0.0.1:1 --token=x | 5 | no connection |
+
+  Scenario: a configuration that cannot be read does not end the watch of the next one
+    Given an instance whose platform stores a configuration that cannot be read, then a whole one
+    When it follows the platform
+    Then the whole one is in force
+
+  Scenario: a platform that has fallen silent is asked anew
+    Given a platform that takes a question and never answers
+    Then a watch of it fails within 3 s
