--- a/driftstall/daemon/config_service.py
+++ b/driftstall/daemon/config_service.py
@@ -28,6 +28,7 @@
 from driftstall.daemon.wire import config_from_json, config_to_json
 from driftstall.exceptions import PlatformUnavailable
 from driftstall.helpers.log import say
+from driftstall.helpers.tasks import keep_running
 from driftstall.peers.messages import ConfigAsked
 from driftstall.platform.client import WriteState
 from driftstall.policy.model import Policy
@@ -71,7 +72,7 @@
 
     def start(self) -> None:
         """Start to watch the platform and to compare with peers."""
-        gevent.spawn(self._watch)
+        keep_running(PREFIX_CONFIGURATION, self._watch)
         self._hub.every(GOSSIP_PERIOD_S, self._compare, PREFIX_CONFIGURATION)
 
     def submit(self, change: ConfigChange) -> Submission:
@@ -132,13 +133,17 @@
         """Follow the platform's changes for ever."""
         while True:
             try:
-                self._revision, changes = self._hub.platform.watch(KEY_CONFIG, self._revision)
+                at, changes = self._hub.platform.watch(KEY_CONFIG, self._revision)
+                # After an outage, or an error below, the platform may have lost its place, or a
+                # change may be half taken in: begin anew.
+                self._revision = 0
                 for one in changes:
                     self._take(config_from_json(one.value))
+                self._revision = at
                 self._platform_read = True
-            except PlatformUnavailable:
-                # After an outage the platform may have lost its place: begin anew.
+            except PlatformUnavailable as fault:
                 self._revision = 0
+                say(PREFIX_CONFIGURATION, f"A question to the platform failed: {fault}")
                 gevent.sleep(WATCH_PAUSE_S)
 
     def _compare(self) -> None:
--- a/driftstall/gateway/inquiry.py
+++ b/driftstall/gateway/inquiry.py
@@ -16,6 +16,7 @@
 from driftstall.gateway.model import Upstream
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import say
+from driftstall.helpers.tasks import keep_running
 
 
 class Inquiry:
@@ -47,7 +48,7 @@
 
     def start(self) -> None:
         """Start to ask when there is cause."""
-        gevent.spawn(self._run)
+        keep_running(PREFIX_ROUTING, self._run)
 
     def suspect(self, upstream: Upstream) -> None:
         """Ask an engine at which something has just gone wrong."""
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -44,6 +44,7 @@
 from driftstall.gateway.sources import InstanceSource, PolicySource, RoutingSource, UpstreamSource
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import BoundedWriter, say
+from driftstall.helpers.tasks import keep_running
 from driftstall.policy.model import Policy
 
 PERIOD_S: Final = 0.2
@@ -162,7 +163,7 @@
             part.start()
         for follower in (self._routing_follower, self._upstream_follower, self._policy_follower):
             gevent.spawn(follower.run)
-        gevent.spawn(self._keep_registered)
+        keep_running(PREFIX_MEMBERSHIP, self._keep_registered)
         say(PREFIX_MEMBERSHIP, f"Instance {self.state.settings.instance_id} has started")
         self._run_periods()
         say(PREFIX_DRAIN, f"Instance {self.state.settings.instance_id} has stopped")
--- a/driftstall/gateway/peering.py
+++ b/driftstall/gateway/peering.py
@@ -35,6 +35,7 @@
 from driftstall.gateway.state import GatewayState
 from driftstall.gateway.zone_placer import ZonePlacer
 from driftstall.helpers.log import say
+from driftstall.helpers.tasks import keep_running
 from driftstall.peers.codec import kinds_of
 from driftstall.peers.gateway_messages import (
     FleetAsked,
@@ -130,7 +131,7 @@
     def start(self) -> None:
         """Start to listen and to report."""
         self._links.start()
-        gevent.spawn(self._run_periods)
+        keep_running(PREFIX_MEMBERSHIP, self._run_periods)
         self._reporting.start()
         for address in self._state.settings.seeds:
             if address != self.own.peer_address:
--- a/driftstall/gateway/protection.py
+++ b/driftstall/gateway/protection.py
@@ -11,10 +11,12 @@
 
 import gevent
 
+from driftstall.const import PREFIX_RELAY
 from driftstall.gateway.dialect import MoveFailed
 from driftstall.gateway.moves import Mover
 from driftstall.gateway.runs import StreamRun
 from driftstall.gateway.state import GatewayState
+from driftstall.helpers.tasks import keep_running
 
 PERIOD_S: Final = 0.2
 REFRESH_S: Final = 2.0
@@ -43,7 +45,7 @@
 
     def start(self) -> None:
         """Start to keep copies."""
-        gevent.spawn(self._run)
+        keep_running(PREFIX_RELAY, self._run)
 
     def _run(self) -> None:
         """Copy what needs it, one run at a time on each engine."""
--- a/driftstall/gateway/reports.py
+++ b/driftstall/gateway/reports.py
@@ -13,11 +13,13 @@
 
 import gevent
 
+from driftstall.const import PREFIX_MEMBERSHIP
 from driftstall.core import Instance
 from driftstall.gateway.collectors import OwnReports, Roles, summed
 from driftstall.gateway.loads import FLEET, POOLED
 from driftstall.gateway.shared_budget import RepeatCount
 from driftstall.gateway.state import GatewayState
+from driftstall.helpers.tasks import keep_running
 from driftstall.peers.gateway_messages import (
     FleetSummary,
     GatewayMessage,
@@ -99,8 +101,8 @@
 
     def start(self) -> None:
         """Start to report."""
-        gevent.spawn(self._run_reports)
-        gevent.spawn(self._run_summaries)
+        keep_running(PREFIX_MEMBERSHIP, self._run_reports)
+        keep_running(PREFIX_MEMBERSHIP, self._run_summaries)
 
     @property
     def newest_version(self) -> int:
--- a/features/parts/daemon.feature
+++ b/features/parts/daemon.feature
@@ -29,3 +29,8 @@
   Scenario: a platform that has fallen silent is asked anew
     Given a platform that takes a question and never answers
     Then a watch of it fails within 3 s
+
+  Scenario: what runs for the life of an instance outlives an unexpected error
+    Given work that fails at first in a way that nobody expects
+    When it is kept running
+    Then it runs again, and the log tells why
--- a/features/steps/daemon_steps.py
+++ b/features/steps/daemon_steps.py
@@ -8,16 +8,18 @@
 
 import gevent
 from behave import given, then, when
+from eliot import add_destinations, remove_destination
 from gevent import socket
 from gevent.server import StreamServer
 
-from driftstall.const import KEY_CONFIG
+from driftstall.const import KEY_CONFIG, PREFIX_MEMBERSHIP
 from driftstall.controllers.configuration import ConfigDocument
 from driftstall.daemon.config_service import ConfigService
 from driftstall.daemon.hub import Hub
 from driftstall.daemon.membership_service import MembershipService
 from driftstall.daemon.wire import config_to_json
 from driftstall.exceptions import PlatformUnavailable
+from driftstall.helpers.tasks import keep_running
 from driftstall.platform.client import PlatformClient, VersionedValue
 from features.worlds.gateway_world import WAIT_S, wait_for
 
@@ -87,3 +89,33 @@
             assert time.monotonic() - began <= seconds
             return
     raise AssertionError("a silent platform was taken for one that answers")
+
+
+@given("work that fails at first in a way that nobody expects")
+def failing_work(context: Any) -> None:
+    """Count the runs, and collect what the log tells."""
+    context.runs = 0
+    context.lines = []
+    add_destinations(context.lines.append)
+    context.add_cleanup(remove_destination, context.lines.append)
+
+    def work() -> None:
+        context.runs += 1
+        if context.runs == 1:
+            raise KeyError("nobody expects this")
+
+    context.work = work
+
+
+@when("it is kept running")
+def kept_running(context: Any) -> None:
+    """Start it."""
+    context.kept = keep_running(PREFIX_MEMBERSHIP, context.work)
+
+
+@then("it runs again, and the log tells why")
+def runs_again(context: Any) -> None:
+    """Wait for its end, and read the log."""
+    context.kept.join(WAIT_S)
+    assert context.runs == 2, context.runs
+    assert any("nobody expects this" in str(line) for line in context.lines), context.lines
