--- a/features/gateway/parts.feature
+++ b/features/gateway/parts.feature
@@ -40,6 +40,9 @@
       | from the list of another peer  |
       | from a new list of its own     |
 
+  Scenario: what is known of upstreams follows the newest word, in whatever order words come
+    Then no drawn order of true words, old and new, revives what has left, from seed 1
+
   Scenario: an entry that lapsed during an outage has time to come back
     Given a fleet of 3 upstreams
     When the platform was away and lists only "u2" and "u3" on its return
--- a/features/processes/soak.feature
+++ b/features/processes/soak.feature
@@ -4,3 +4,7 @@
   Scenario: the promises hold under the faults of one seed
     Given a soak of seed 5 with 3 instances for 12 s
     Then it breaks no promise
+
+  Scenario: nothing is sent to upstreams that have left while connections fall silent
+    Given a soak of the plan "leaving", seed 769, with 4 instances and 8 callers for 18 s
+    Then it breaks no promise
--- a/features/steps/known_upstream_steps.py
+++ b/features/steps/known_upstream_steps.py
@@ -6,6 +6,9 @@
 from typing import Any
 
 from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import seed, settings
+from hypothesis import strategies as st
 
 from driftstall.exceptions import PlatformUnavailable
 from driftstall.gateway.collectors import Roles
@@ -14,9 +17,14 @@
 from driftstall.gateway.sources import UpstreamSource
 from driftstall.platform.feeds import upstream_feed
 from driftstall.platform.store import Listing, Store, StoredObject, WatchAnswer, WatchEvent
+from features.worlds.fleet_world import NAMES, Drawn, FleetWorld, Tell
 from features.worlds.gateway_world import GatewayWorld
 from features.worlds.upstream_samples import upstream_of
 
+ORDERS = 1500
+"""Drawn orders of words; each takes two milliseconds."""
+MOST_WRITES = 6
+MOST_TELLS = 10
 LISTED_AT = 10
 WHOLE = {"service": "engines", "address": "127.0.0.1:1", "slots": 8, "state": "ready"}
 FLAWS: dict[str, Any] = {
@@ -152,3 +160,24 @@
     context.world.pass_time(context.seconds)
     tell_leaving(context, "u2", LISTED_AT + 2)
     assert serves(context, "u2")
+
+
+@then("no drawn order of true words, old and new, revives what has left, from seed {number:d}")
+def drawn_words(context: Any, number: int) -> None:
+    """Draw orders of what the platform, peers and upstreams tell; the same seed draws the same."""
+
+    def draws(tells: list[Tell], most: int) -> st.SearchStrategy[list[Drawn]]:
+        names, booleans = st.sampled_from(NAMES), st.booleans()
+        back, seconds = st.integers(0, MOST_WRITES), st.floats(0.0, 5.0)
+        drawn = st.builds(Drawn, st.sampled_from(tells), names, back, seconds, booleans)
+        return st.lists(drawn, max_size=most)
+
+    @seed(int(context.config.userdata.get("seed", number)))
+    @settings(max_examples=ORDERS, deadline=None, database=None)
+    @for_all(draws([Tell.WRITE], MOST_WRITES), draws(list(Tell), MOST_TELLS), st.booleans())
+    def check(past: list[Drawn], order: list[Drawn], knows_past: bool) -> None:
+        world = FleetWorld(past, knows_past=knows_past)
+        for drawn in order:
+            world.take(drawn)
+
+    check()
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -361,6 +361,18 @@
     context.add_cleanup(context.soak.close)
 
 
+@given(
+    'a soak of the plan "{plan}", seed {seed:d}, with {instances:d} instances and {callers:d} '
+    "callers for {seconds:d} s"
+)
+def planned_soak(
+    context: Any, plan: str, seed: int, instances: int, callers: int, seconds: int
+) -> None:
+    """Play one seed of a plan."""
+    context.soak = Soak(seed, Size(instances, callers, float(seconds), Plan(plan)))
+    context.add_cleanup(context.soak.close)
+
+
 @then("it breaks no promise")
 def breaks_none(context: Any) -> None:
     """Play it, and look for lines; some requests must have been served under the faults."""
