--- a/features/steps/known_upstream_steps.py
+++ b/features/steps/known_upstream_steps.py
@@ -65,8 +65,16 @@
 @given('an instance that follows the platform, which lists "u1" and "u2"')
 def follows_platform(context: Any) -> None:
     """Put together what follows the upstreams, and let it read the list."""
+    context.store = TellingStore()
+    start_instance(context)
+    assert context.fleet.takes_requests("u1")
+
+
+def start_instance(context: Any) -> None:
+    """Start an instance that knows nothing yet, and let it read the platform's list."""
     world = context.world = GatewayWorld()
     context.add_cleanup(world.close)
+    context.fleet = world.state.fleet
     context.source = UpstreamSource(
         world.state,
         leaving=lambda _: None,
@@ -75,16 +83,8 @@
         announce=lambda: None,
         silence=lambda: context.pace.silence_s,
     )
-    context.store = TellingStore()
-    context.fleet = world.state.fleet
-    follow_anew(context)
-    assert context.fleet.takes_requests("u1")
-
-
-def follow_anew(context: Any) -> None:
-    """Read the whole list, as at a start or once history is gone."""
-    reliance, now = Reliance(random.Random(1)), context.world.state.now
-    context.pace = FleetPace(reliance, Roles, now, longest_wait=lambda: 1.6)
+    reliance = Reliance(random.Random(1))
+    context.pace = FleetPace(reliance, Roles, world.state.now, longest_wait=lambda: 1.6)
     feed = upstream_feed(context.store)
     context.follower = Follower(
         feed, context.source, random.Random(1), context.pace, sleep=lambda _: None
@@ -100,14 +100,9 @@
 
 @when('it learns that "u1" has left from a new list of its own')
 def own_list_lacks(context: Any) -> None:
-    """Start anew, as an instance that never knew it, on a list without it."""
-    follows_platform(context)
-    world = context.world = GatewayWorld()
-    context.add_cleanup(world.close)
+    """Start it anew on a list without it: it never knew of it, but the list is newer."""
     context.store.listing = Listing((entry("u2", 5),), LISTED_AT + 1)
-    context.source._state = world.state
-    context.fleet = world.state.fleet
-    follow_anew(context)
+    start_instance(context)
     assert context.fleet.find("u1") is None
 
 
