--- /dev/null
+++ b/features/steps/cordon_steps.py
@@ -0,0 +1,389 @@
+"""Check that nothing new goes to cordoned zones."""
+
+from __future__ import annotations
+
+import itertools
+import time
+from dataclasses import replace
+from typing import Any
+
+import gevent
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import seed, settings
+from hypothesis import strategies as st
+
+from driftstall.gateway.cordons import Cordon, CordonBook, Cordons
+from driftstall.gateway.exchange import UpstreamExchange
+from driftstall.gateway.fleet_events import Cordoned, Listed
+from driftstall.gateway.sources import CordonSource
+from driftstall.platform.feeds import cordon_feed
+from driftstall.platform.names import KIND_CORDONS, KIND_UPSTREAMS
+from driftstall.platform.store import Listing, Store, StoredObject
+from features.steps.gateway_node_steps import Gate, start_node, wait_long
+from features.worlds.gateway_world import (
+    GatewayWorld,
+    assert_told_to_come_back,
+    runs,
+    script_all,
+    wait_for,
+    world_of,
+)
+from features.worlds.upstream_samples import entry_spec
+from stand_ins.routed import Script
+
+ORDERS = 800
+BOOKS = 3
+ZONES = ("a", "b")
+CORDON_S = 5.0
+NUMBERS = itertools.count(1)
+
+
+class CordonWorld:
+    """Hold the platform's cordons at each revision, and some books that learn of them."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self._history: list[dict[str, int]] = [{}, {}]
+        """The cordons by revision, each with the revision at which it was made."""
+        self._books = [CordonBook() for _ in range(BOOKS)]
+        self._read_to = [0] * BOOKS
+
+    def write(self, zone: str) -> None:
+        """Cordon a zone, or lift that."""
+        held = dict(self._history[-1])
+        if held.pop(zone, None) is None:
+            held[zone] = len(self._history)
+        self._history.append(held)
+
+    def list(self, number: int) -> None:
+        """Let a book's instance read the whole list."""
+        at = len(self._history) - 1
+        self._books[number].take(self._told(at))
+        self._read_to[number] = at
+
+    def watch(self, number: int) -> None:
+        """Let it learn of all changes since, if it has read the list."""
+        if not self._read_to[number]:
+            return
+        for at in range(self._read_to[number] + 1, len(self._history)):
+            before, now = self._history[at - 1], self._history[at]
+            for zone in before.keys() ^ now.keys():
+                self._books[number].change(Cordon(zone, at), lifted=zone not in now)
+            self._read_to[number] = at
+
+    def hear(self, number: int, back: int) -> None:
+        """Let it hear of a peer that knows what held some changes ago."""
+        self._books[number].take(self._told(max(1, len(self._history) - 1 - back)))
+
+    def hear_book(self, number: int, other: int) -> None:
+        """Let it hear another book."""
+        self._books[number].take(self._books[other].told)
+
+    def check(self) -> None:
+        """Compare each book with what held at the revision up to which it knows all."""
+        for book in self._books:
+            held = self._history[book.told.at]
+            assert book.zones == held.keys(), (book.told, held)
+
+    def _told(self, at: int) -> Cordons:
+        held = sorted(self._history[at].items())
+        return Cordons(at, tuple(Cordon(zone, revision) for zone, revision in held))
+
+
+@then(
+    "no drawn order of lists, changes and peers' words leaves a wrong cordon, from seed {number:d}"
+)
+def drawn_cordons(context: Any, number: int) -> None:
+    """Draw orders; the same seed draws the same."""
+    books = st.integers(0, BOOKS - 1)
+    steps = st.one_of(
+        st.tuples(st.just("write"), st.sampled_from(ZONES)),
+        st.tuples(st.just("list"), books),
+        st.tuples(st.just("watch"), books),
+        st.tuples(st.just("hear"), books, st.integers(0, 6)),
+        st.tuples(st.just("hear_book"), books, books),
+    )
+
+    @seed(number)
+    @settings(max_examples=ORDERS, deadline=None, database=None)
+    @for_all(st.lists(steps, max_size=14))
+    def check(order: list[tuple[Any, ...]]) -> None:
+        world = CordonWorld()
+        for name, *values in order:
+            getattr(world, name)(*values)
+            world.check()
+
+    check()
+
+
+@given('a book that knows of a cordon of "a" at revision 7')
+def book_with_cordon(context: Any) -> None:
+    """List it."""
+    context.book = CordonBook()
+    context.book.take(Cordons(7, (Cordon("a", 7),)))
+    assert context.book.zones == {"a"}
+
+
+@when("that cordon is told to be gone at revision 7")
+def gone_at_same(context: Any) -> None:
+    """Tell its end with its own revision, as a removed object may carry it."""
+    context.book.change(Cordon("a", 7), lifted=True)
+
+
+@when("a peer still holds it")
+def peer_holds(context: Any) -> None:
+    """Tell what held before."""
+    context.book.take(Cordons(7, (Cordon("a", 7),)))
+
+
+@then("no zone is cordoned")
+def none_cordoned(context: Any) -> None:
+    """Ask."""
+    assert context.book.zones == frozenset()
+
+
+class CordonStore(Store):
+    """List one cordon without content that could be read."""
+
+    def list(self, kind: str, *, stale: bool = False) -> Listing:
+        """Return the list."""
+        return Listing((StoredObject("a", 3, "emptied"),), 5)
+
+
+@given('a store that lists a cordon of "a" whose content is a text')
+def unreadable_cordon(context: Any) -> None:
+    """Read the list."""
+    context.book = CordonBook()
+    listed = cordon_feed(CordonStore("127.0.0.1:1")).list()
+    context.book.take(Cordons(listed.at, listed.items))
+
+
+@then('the zones "a" are cordoned')
+def a_cordoned(context: Any) -> None:
+    """Ask."""
+    assert context.book.zones == {"a"}
+
+
+# One gateway inside the test process.
+
+
+def zone_of(world: GatewayWorld, upstream: Any) -> str:
+    """Return the zone of a stand-in."""
+    return "b" if upstream is world.engines[2] else "a"
+
+
+@given('a gateway whose first two engines stand in zone "a", the third in zone "b"')
+def two_zones(context: Any) -> None:
+    """List the engines anew, with their zones."""
+    world = context.world = GatewayWorld()
+    context.add_cleanup(world.close)
+    everyone = (*world.plain, *world.engines)
+    entries = tuple(replace(world.entry(one), zone=zone_of(world, one)) for one in everyone)
+    world.state.fleet.handle(Listed(entries, world.revision), world.state.now())
+
+
+def cordon(world: GatewayWorld, *zones: str) -> None:
+    """Cordon zones, and no others."""
+    before = world.state.cordons.zones
+    event = Cordoned(frozenset(zones), before - set(zones))
+    world.state.fleet.handle(event, world.state.now())
+
+
+@when('zone "{zone}" is cordoned before it comes')
+def cordoned_before(context: Any, zone: str) -> None:
+    """Cordon at once."""
+    cordon(world_of(context), zone)
+
+
+@when('zone "a" is cordoned while its connection is being opened')
+def cordoned_while_opened(context: Any) -> None:
+    """Cordon after the place is chosen and before the request is sent."""
+    world, usual = world_of(context), UpstreamExchange.connect.__func__  # type: ignore[attr-defined]
+
+    def connect(kind: type[UpstreamExchange], address: str, timeout_s: float) -> UpstreamExchange:
+        opened: UpstreamExchange = usual(kind, address, timeout_s)
+        cordon(world, "a")
+        return opened
+
+    UpstreamExchange.connect = classmethod(connect)  # type: ignore[method-assign, assignment]
+    context.add_cleanup(setattr, UpstreamExchange, "connect", classmethod(usual))
+    # So full that zone "a" is chosen.
+    world.state.loads.put("load", _share(world.engines[2].upstream_id))
+
+
+def _share(upstream_id: str) -> Any:
+    """Return the share of a request that fills most of an engine."""
+    from driftstall.gateway.loads import Share
+
+    return Share(upstream_id, 25_000, 0)
+
+
+@then('a new stream runs in zone "b"')
+def runs_in_b(context: Any) -> None:
+    """Ask for a stream."""
+    world = world_of(context)
+    answer = world.ask("/stream/a", "s1")
+    assert (answer.status, answer.whole) == (200, True), answer
+    assert runs(world, "s1") == [world.engines[2]], runs(world, "s1")
+
+
+@given('a stream in zone "b" whose copy is kept in zone "a"')
+def stream_in_b(context: Any) -> None:
+    """Start a stream while zone "a" has more running, and let its copy count."""
+    from driftstall.decisions.sends import KEPT_UP_AFTER_S
+
+    world = world_of(context)
+    for number, one in enumerate(world.engines[:2]):
+        world.state.loads.put(f"load-{number}", _share(one.upstream_id))
+    (context.script,) = script_all(world, "s1", [Script(events=8, pause_after=4, break_after=4)])
+    context.asked = world.ask_later("/stream/a", "s1", Length_Hint="1500")
+    wait_for("four events", lambda: any(run.events >= 4 for run in world.state.runs.all))
+    (run,) = world.state.runs.all
+    assert run.upstream.zone == "b", run.upstream
+    if run.backup is None:
+        run.backup = world.state.fleet.find(world.engines[0].upstream_id)
+    world.pass_time(KEPT_UP_AFTER_S)
+
+
+@when('zone "a" is cordoned and the engine of the stream breaks off')
+def cordoned_and_broken(context: Any) -> None:
+    """Cordon, then let it break off."""
+    cordon(world_of(context), "a")
+    context.script.gate.set()
+    context.answer = context.asked.get(timeout=5.0)
+
+
+@then('nothing was sent to zone "a"')
+def nothing_to_a(context: Any) -> None:
+    """Look at what the engines there saw."""
+    world = world_of(context)
+    assert [one.seen for one in world.engines[:2]] == [[], []]
+    assert not context.answer.whole
+
+
+@then('a new stream keeps its copy in zone "a"')
+def copy_in_a(context: Any) -> None:
+    """Ask for a long stream, and look where its engine was asked to keep a copy."""
+    world = world_of(context)
+    world.ask("/stream/a", "s1", Length_Hint="1500")
+    (engine,) = runs(world, "s1")
+    kept_at = {one.address for one in world.engines[:2]}
+    (seen,) = engine.seen
+    assert seen.headers["kv-backup"] in kept_at, seen.headers
+
+
+@when('zones "a" and "b" are cordoned')
+def all_cordoned(context: Any) -> None:
+    """Cordon both."""
+    cordon(world_of(context), "a", "b")
+
+
+@then("a new stream is refused within {seconds:g} s with a time to come back")
+def refused_at_once(context: Any, seconds: float) -> None:
+    """Ask for a stream."""
+    world, began = world_of(context), time.monotonic()
+    answer = world.ask("/stream/a", "s1")
+    assert time.monotonic() - began < seconds
+    assert_told_to_come_back(answer)
+
+
+@then('a call is still served once zone "a" is free again')
+def served_again(context: Any) -> None:
+    """Lift the cordon, and ask."""
+    cordon(world_of(context), "b")
+    assert world_of(context).ask("/safe/a", "c1").status == 200
+
+
+@given("an instance of a site with cordons that has read routes and upstreams")
+def fresh_with_cordons(context: Any) -> None:
+    """Let a world's state be that of such a site."""
+    world = context.world = GatewayWorld()
+    context.add_cleanup(world.close)
+    bounds = replace(world.state.settings.bounds, cordon_s=CORDON_S)
+    world.state.settings = replace(world.state.settings, bounds=bounds)
+
+
+@then("it is not ready until a peer tells of cordons")
+def ready_with_word(context: Any) -> None:
+    """Ask before and after."""
+    state = world_of(context).state
+    assert not state.ready
+    applied: list[Any] = []
+    source = CordonSource(state, apply=applied.append, announce=lambda: None)
+    source.heard(Cordons(4, (Cordon("a", 4),)))
+    assert state.ready
+    (changed,) = applied
+    assert changed.cordoned == {"a"}
+
+
+# Real processes.
+
+
+@given("two gateway processes of a site with cordons, the second behind a gate")
+def two_with_cordons(context: Any) -> None:
+    """Move the second upstream to another zone, and start them."""
+    second = context.upstreams[1]
+    spec = entry_spec(second.address, "portal", slots=6, zone="b")
+    assert context.store.replace(KIND_UPSTREAMS, second.upstream_id, spec) is not None
+    context.gate = Gate(context.store_address)
+    context.add_cleanup(context.gate.stop)
+    context.bounds = {"graceS": 2, "ttl_max_s": 1, "evacuateMs": CORDON_S * 1000}
+    start_node(context, context.store_address, bounds=context.bounds)
+    seeds = [context.nodes[0].listen["control"]]
+    start_node(context, context.gate.address, bounds=context.bounds, seeds=seeds)
+    for node in context.nodes:
+        wait_long("it is ready", node.ready)
+        wait_long("it uses both", lambda one=node: used(context, one) == {"i-1", "i-2"})
+
+
+def used(context: Any, node: Any) -> set[str]:
+    """Ask some calls and return which upstreams have run them."""
+    ids = [f"k-{next(NUMBERS)}" for _ in range(8)]
+    gevent.joinall([gevent.spawn(node.ask, "/safe/a", one) for one in ids])
+    return {
+        one.upstream_id for one in context.upstreams for request_id in ids if one.runs(request_id)
+    }
+
+
+@when('the gate falls silent and zone "b" of "i-2" is cordoned')
+def silent_and_cordoned(context: Any) -> None:
+    """Silence, then cordon."""
+    context.gate.silent = True
+    assert context.store.create(KIND_CORDONS, "b", {}) is not None
+    context.changed_at = time.monotonic()
+
+
+def assert_all_use(context: Any, wanted: set[str], seconds: float) -> None:
+    """Ask all again and again until they use just those, in time."""
+    for node in context.nodes:
+        wait_long(f"{node.name} uses {wanted}", lambda one=node: used(context, one) == wanted)
+    took = time.monotonic() - context.changed_at
+    assert took <= seconds, took
+
+
+@then('within {seconds:g} s all send to "i-1" alone')
+def all_use_first(context: Any, seconds: float) -> None:
+    """Ask all."""
+    assert_all_use(context, {"i-1"}, seconds)
+
+
+@then("so does a third one that starts while the store cannot be reached from it")
+def third_starts(context: Any) -> None:
+    """Start one behind a gate that is shut, and ask it alone."""
+    shut = Gate(context.store_address)
+    shut.close_gate()
+    context.add_cleanup(shut.stop)
+    seeds = [context.nodes[0].listen["control"]]
+    start_node(context, shut.address, bounds=context.bounds, seeds=seeds)
+    node = context.nodes[-1]
+    wait_long("it is ready", node.ready)
+    assert used(context, node) == {"i-1"}
+
+
+@then('within {seconds:g} s of the cordon\'s end all send to "i-2" again')
+def lifted_again(context: Any, seconds: float) -> None:
+    """Lift it, and ask all."""
+    context.store.delete(KIND_CORDONS, "b")
+    context.changed_at = time.monotonic()
+    assert_all_use(context, {"i-1", "i-2"}, seconds)
--- a/features/steps/engine_word_steps.py
+++ b/features/steps/engine_word_steps.py
@@ -16,7 +16,7 @@
 from features.steps.gateway_fleet_steps import takes_none, takes_some, tell
 from features.steps.gateway_node_steps import wait_long
 from features.worlds.gateway_world import GatewayWorld, wait_for, world_of
-from features.worlds.upstream_samples import upstream_of
+from features.worlds.upstream_samples import entry_spec, upstream_of
 from stand_ins.routed import RoutedUpstream
 
 DOUBTED_AT = 1.0
@@ -187,8 +187,7 @@
     context.engines = [RoutedUpstream(f"engine-{index}") for index in (1, 2)]
     for one in context.engines:
         context.add_cleanup(one.stop)
-        spec = {"service": "engines", "address": one.address, "zone": "a", "slots": 64}
-        context.store.create(KIND_UPSTREAMS, one.upstream_id, spec | {"state": "ready"})
+        context.store.create(KIND_UPSTREAMS, one.upstream_id, entry_spec(one.address))
 
 
 @when("the store is down, and the first engine says that it ends soon")
--- a/features/steps/gateway_feed_steps.py
+++ b/features/steps/gateway_feed_steps.py
@@ -26,6 +26,7 @@
 from driftstall.platform.settings import read_settings
 from driftstall.platform.store import Listing, Store, StoredObject, WatchAnswer, WatchEvent
 from features.worlds.gateway_world import WAIT_S, GatewayWorld, document, route, wait_for
+from features.worlds.upstream_samples import entry_spec
 
 
 class ScriptedFeed:
@@ -232,8 +233,9 @@
 
     def list(self, kind: str, *, stale: bool = False) -> Listing:
         """Return the list."""
-        whole = {"service": "s", "address": "127.0.0.1:1"}
-        return Listing((StoredObject("a", 1, {"service": "s"}), StoredObject("b", 2, whole)), 3)
+        whole = entry_spec("127.0.0.1:1")
+        without = {name: value for name, value in whole.items() if name != "address"}
+        return Listing((StoredObject("a", 1, without), StoredObject("b", 2, whole)), 3)
 
 
 @then("at least {turns:d} turns of another greenlet pass while {count:d} routes are decoded")
--- a/features/steps/gateway_node_steps.py
+++ b/features/steps/gateway_node_steps.py
@@ -24,6 +24,7 @@
     route,
     wait_for,
 )
+from features.worlds.upstream_samples import entry_spec
 from measures.bench import Bench
 from measures.gateway_process import GatewayProcess
 from stand_ins.routed import RoutedUpstream
@@ -124,8 +125,8 @@
     context.upstreams = [RoutedUpstream(f"i-{index}") for index in (1, 2)]
     for one in context.upstreams:
         context.add_cleanup(one.stop)
-        spec = {"service": "portal", "address": one.address, "zone": "a", "slots": 6}
-        context.store.create(KIND_UPSTREAMS, one.upstream_id, spec | {"state": "ready"})
+        spec = entry_spec(one.address, "portal", slots=6)
+        context.store.create(KIND_UPSTREAMS, one.upstream_id, spec)
     context.nodes = []
 
 
--- a/features/steps/gateway_reliance_steps.py
+++ b/features/steps/gateway_reliance_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 
 from driftstall.gateway.collectors import Roles
+from driftstall.gateway.cordons import Cordons
 from driftstall.gateway.fleet import FleetController
 from driftstall.gateway.fleet_events import Changed, Listed, Offered
 from driftstall.gateway.loads import FLEET, POOLED, LoadBook, Share, Use
@@ -260,6 +261,7 @@
         take_news=lambda _: None,
         take_doubt=lambda _: None,
         take_fleet=take_fleet,
+        take_cordons=lambda _: None,
     )
     roles = Roles(large=True, collects=True, follows=False)
     context.sharing = Sharing(
@@ -277,7 +279,7 @@
     context.followers = FleetController()
     context.followers.handle(Listed((upstream_of("u1", 3), upstream_of("u4", 8))), 0.0)
     digest = context.followers.digest
-    summary = ZoneSummary("follower", "b", 1, 100, digest, 1, (), (), ())
+    summary = ZoneSummary("follower", "b", 1, 100, digest, 1, (), (), (), Cordons())
     context.sharing.compare_fleet(summary)
 
 
--- a/features/steps/known_upstream_steps.py
+++ b/features/steps/known_upstream_steps.py
@@ -19,14 +19,14 @@
 from driftstall.platform.store import Listing, Store, StoredObject, WatchAnswer, WatchEvent
 from features.worlds.fleet_world import NAMES, Drawn, FleetWorld, Tell
 from features.worlds.gateway_world import GatewayWorld
-from features.worlds.upstream_samples import upstream_of
+from features.worlds.upstream_samples import entry_spec, upstream_of
 
 ORDERS = 1500
 """Drawn orders of words; each takes two milliseconds."""
 MOST_WRITES = 6
 MOST_TELLS = 10
 LISTED_AT = 10
-WHOLE = {"service": "engines", "address": "127.0.0.1:1", "slots": 8, "state": "ready"}
+WHOLE = entry_spec("127.0.0.1:1", slots=8)
 FLAWS: dict[str, Any] = {
     "without an address": {"service": "engines", "slots": 8, "state": "draining"},
     "without a service": {"address": "127.0.0.1:1", "slots": 8, "state": "draining"},
--- a/features/worlds/upstream_samples.py
+++ b/features/worlds/upstream_samples.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from driftstall.gateway.model import (
     Engine,
     Upstream,
@@ -15,6 +17,21 @@
 NEED = Need(3_000, 500)
 
 
+def entry_spec(address: str, service: str = "engines", **more: Any) -> dict[str, Any]:
+    """Return all that an upstream says of itself in the store."""
+    fields = {
+        "service": service,
+        "address": address,
+        "zone": "a",
+        "version": "v1",
+        "slots": 64,
+        "state": "ready",
+        "coldRemainingMs": 0,
+        "seq": 1,
+    }
+    return fields | more
+
+
 def upstream_of(
     name: str, revision: int = 1, state: UpstreamState = UpstreamState.READY, zone: str = "a"
 ) -> Upstream:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -13,6 +13,7 @@
 from driftstall.exceptions import PlatformUnavailable
 from driftstall.platform.names import KIND_UPSTREAMS
 from driftstall.platform.store import Store
+from features.worlds.upstream_samples import entry_spec
 from soak.ledger import Arrival, Ledger, Notice
 from soak.plan import Plan
 from soak.proxy import Proxy
@@ -143,9 +144,8 @@
 
     def _spec(self, state: str) -> dict[str, Any]:
         """Return the entry in the store."""
-        fields = {"service": self.service, "address": self.proxy.address}
         zone = ZONES[self.place % len(ZONES)]
-        return fields | {"zone": zone, "slots": 64, "state": state}
+        return entry_spec(self.proxy.address, self.service, zone=zone, state=state)
 
     def _note(self, upstream_id: str) -> None:
         """Note that the store has acknowledged a notice."""
