Check each field of stored objects and coerce none; read cordons, coldness and starts

Cause: voluptuous' Coerce and int() took what was never meant, and a row or an object that could not be decoded stood for the whole answer. Now an entry lacks nothing or names no upstream, a row is passed over, a change that can't be read has the list read again, an answer without one readable row is a question that failed, and each reason is logged once. Only the configuration's and the policy's own objects are read. Ruled out: leaving checks to the code that uses the values (it runs in greenlets that then end).

--- a/driftstall/platform/__main__.py
+++ b/driftstall/platform/__main__.py
@@ -47,6 +47,7 @@
     return PlatformAccess(
         dialect=PlatformDialect(),
         upstreams=feeds.upstream_feed(store),
+        cordons=feeds.cordon_feed(store),
         routing=feeds.routing_feed(store),
         policies=feeds.policy_feed(store),
         instances=feeds.instance_feed(store),
--- a/driftstall/platform/documents.py
+++ b/driftstall/platform/documents.py
@@ -20,6 +20,7 @@
     UpstreamState,
     Workspace,
 )
+from driftstall.platform import checks
 
 MBIT_BYTES: Final = 125_000
 """Bytes in a megabit."""
@@ -27,23 +28,113 @@
 ROUTES_AT_ONCE: Final = 50
 """Routes decoded without a pause: about two milliseconds."""
 STATE_READY: Final = "ready"
+STATE_LEAVING: Final = "draining"
+MS: Final = 1000
 DEFAULT_EVENT_TOKENS: Final = 1
 
+ALLOW_EXTRA: Final = vol.ALLOW_EXTRA
+"""Fields may be added to the platform's documents at any time."""
+
 _ROUTE: Final = vol.Schema(
     {
-        vol.Required("name"): str,
-        vol.Required("hostname"): str,
-        vol.Required("pathPrefix"): str,
+        vol.Required("name"): checks.text,
+        vol.Required("hostname"): checks.text,
+        vol.Required("pathPrefix"): checks.text,
         vol.Required("kind"): vol.In(sorted(REPEATS)),
-        vol.Required("timeoutMs"): vol.Coerce(float),
-        vol.Optional("targetLatencyMs"): vol.Coerce(float),
-        vol.Optional("priority"): vol.Coerce(int),
-        vol.Optional("service"): vol.Any(str, None),
-        vol.Optional("trafficSplit"): vol.Any(None, [dict]),
-        vol.Optional("maxAttempts"): vol.Coerce(int),
+        vol.Required("timeoutMs"): checks.number(),
+        vol.Optional("targetLatencyMs"): checks.or_none(checks.number()),
+        vol.Optional("priority"): checks.or_none(checks.number()),
+        vol.Optional("service"): checks.or_none(checks.text),
+        vol.Optional("trafficSplit"): checks.or_none(
+            [
+                vol.Schema(
+                    {
+                        vol.Required("service"): checks.text,
+                        vol.Required("weight"): checks.number(),
+                    },
+                    extra=ALLOW_EXTRA,
+                )
+            ]
+        ),
+        vol.Optional("maxAttempts"): checks.or_none(checks.number()),
+        vol.Optional("allowAnonymous"): checks.or_none(checks.flag),
+        vol.Optional("streamResume"): checks.or_none(checks.flag),
+        vol.Optional("gap_aim_ms"): checks.or_none(checks.number()),
+    },
+    extra=ALLOW_EXTRA,
+)
+
+_ENGINE: Final = vol.Schema(
+    {
+        vol.Optional("slots"): checks.or_none(checks.number()),
+        vol.Optional("kvCacheTokens"): checks.or_none(checks.number()),
+        vol.Optional("kvTokenBytes"): checks.or_none(checks.number()),
+        vol.Optional("linkMbps"): checks.or_none(checks.number()),
+        vol.Optional("moves"): checks.or_none(checks.flag),
+        vol.Optional("backups"): checks.or_none(checks.flag),
+        vol.Optional("stride"): checks.or_none(checks.number(1)),
+    },
+    extra=ALLOW_EXTRA,
+)
+
+_SERVICE: Final = vol.Schema(
+    {
+        vol.Required("name"): checks.text,
+        vol.Optional("healthPath"): checks.or_none(str),
+        vol.Optional("maxConnections"): checks.or_none(checks.number()),
+        vol.Optional("coldStartS"): checks.or_none(checks.number()),
+        vol.Optional("coldPerS"): checks.or_none(checks.number()),
+        vol.Optional("engine"): checks.or_none(_ENGINE),
+    },
+    extra=ALLOW_EXTRA,
+)
+
+_WORKSPACE: Final = vol.Schema(
+    {
+        vol.Required("name"): checks.text,
+        vol.Optional("apiKeys"): checks.or_none([checks.text]),
+        vol.Optional("priority"): checks.or_none(checks.number()),
+    },
+    extra=ALLOW_EXTRA,
+)
+
+_LIMITS: Final = vol.Schema(
+    {
+        vol.Optional("maxHeaderBytes"): checks.or_none(checks.number()),
+        vol.Optional("maxBodyBytes"): checks.or_none(checks.number()),
+        vol.Optional("headerTimeoutMs"): checks.or_none(checks.number()),
+        vol.Optional("idleTimeoutMs"): checks.or_none(checks.number()),
+    },
+    extra=ALLOW_EXTRA,
+)
+
+_ROUTING: Final = vol.Schema(
+    {
+        vol.Required("version"): checks.whole(),
+        vol.Required("routes"): list,
+        vol.Optional("services"): checks.or_none([_SERVICE]),
+        vol.Optional("tenants"): checks.or_none([_WORKSPACE]),
+        vol.Optional("limits"): checks.or_none(_LIMITS),
+    },
+    extra=ALLOW_EXTRA,
+)
+
+_UPSTREAM: Final = vol.Schema(
+    {
+        vol.Required("service"): checks.text,
+        vol.Required("address"): checks.address,
+        vol.Required("zone"): checks.text,
+        vol.Required("version"): checks.text,
+        vol.Required("slots"): checks.whole(1),
+        vol.Required("state"): vol.In((STATE_READY, STATE_LEAVING)),
+        vol.Required("coldRemainingMs"): checks.number(),
+        vol.Required("seq"): checks.whole(),
+        vol.Optional("born"): checks.whole(1),
     },
-    extra=vol.ALLOW_EXTRA,
+    extra=ALLOW_EXTRA,
 )
+"""What an upstream says of itself, whole: an entry that lacks any of it is from another writer.
+Those of an older kind do not say when they started."""
 
 
 class DocumentFault(DriftstallError):
@@ -57,15 +148,16 @@
     machine. So after some routes a pause is called, in which open streams go on.
     """
     try:
+        found = _ROUTING(spec)
         return RoutingDocument(
-            version=int(spec["version"]),
-            routes=tuple(_routes(spec["routes"], pause)),
-            services=tuple(_service(one) for one in spec.get("services") or ()),
-            workspaces=tuple(_workspace(one) for one in spec.get("tenants") or ()),
-            limits=_limits(spec.get("limits") or {}),
+            version=found["version"],
+            routes=tuple(_routes(found["routes"], pause)),
+            services=tuple(_service(one) for one in found.get("services") or ()),
+            workspaces=tuple(_workspace(one) for one in found.get("tenants") or ()),
+            limits=_limits(found.get("limits") or {}),
         )
-    except (vol.Invalid, KeyError, TypeError, ValueError) as fault:
-        raise DocumentFault(f"the routing configuration cannot be read: {fault!r}") from fault
+    except (vol.Invalid, KeyError) as fault:
+        raise DocumentFault(f"the routing configuration cannot be read: {fault}") from fault
 
 
 def _routes(raw: list[Any], pause: Callable[[], None]) -> Iterator[Route]:
@@ -79,9 +171,9 @@
 def _route(one: dict[str, Any]) -> Route:
     """Decode one route."""
     parts = one.get("trafficSplit") or ()
-    split = tuple(SplitPart(part["service"], float(part["weight"])) for part in parts)
+    split = tuple(SplitPart(part["service"], part["weight"]) for part in parts)
     if not split:
-        split = (SplitPart(one["service"], 1.0),)
+        split = (SplitPart(checks.text(one.get("service")), 1.0),)
     return Route(
         name=one["name"],
         host=one["hostname"].lower(),
@@ -105,6 +197,8 @@
         health_path=one.get("healthPath") or "",
         max_connections=int(one.get("maxConnections") or 0),
         engine=_engine(one["engine"]) if one.get("engine") else None,
+        cold_start_s=one.get("coldStartS") or 0.0,
+        cold_rate=one.get("coldPerS") or 0.0,
     )
 
 
@@ -142,27 +236,29 @@
     )
 
 
-def read_upstream(name: str, revision: int, spec: Any) -> Upstream:
+def read_upstream(upstream_name: str, revision: int, spec: Any) -> Upstream:
     """Decode an upstream's own entry; raise DocumentFault."""
     try:
-        ready = spec.get("state", STATE_READY) == STATE_READY
+        found = _UPSTREAM(spec)
         return Upstream(
-            upstream_id=name,
-            service=spec["service"],
-            address=spec["address"],
-            zone=spec.get("zone") or "",
-            slots=int(spec.get("slots") or 1),
-            state=UpstreamState.READY if ready else UpstreamState.LEAVING,
+            name=checks.name(upstream_name),
+            service=found["service"],
+            address=found["address"],
+            zone=found["zone"],
+            slots=found["slots"],
+            state=UpstreamState.READY if found["state"] == STATE_READY else UpstreamState.LEAVING,
             revision=revision,
+            born=found.get("born", 0),
+            cold_s=found["coldRemainingMs"] / MS,
         )
-    except (AttributeError, KeyError, TypeError, ValueError) as fault:
-        raise DocumentFault(f"the entry of upstream {name} cannot be read: {fault!r}") from fault
+    except vol.Invalid as fault:
+        raise DocumentFault(f"it names no upstream to use: {fault}") from fault
 
 
-def gone_upstream(name: str, revision: int) -> Upstream:
+def gone_upstream(upstream_name: str, revision: int) -> Upstream:
     """Return what is told of an upstream whose entry was removed: only which one it was."""
     return Upstream(
-        upstream_id=name,
+        name=upstream_name,
         service="",
         address="",
         zone="",
--- a/driftstall/platform/engine_calls.py
+++ b/driftstall/platform/engine_calls.py
@@ -74,6 +74,10 @@
         return Word.NONE
     if not isinstance(report, dict) or report.get("state") not in STATES:
         return Word.NONE
+    born = report.get("born")
+    if type(born) is int and engine.born and born != engine.born:
+        # Another start answers there: what was asked for has ended.
+        return Word.GONE
     # The time it has left is told only by one whose end is fixed; others drain until the
     # platform has taken their notice.
     return Word.LEAVES if report.get("leaves_ms") is not None else Word.STAYS
--- a/driftstall/platform/feeds.py
+++ b/driftstall/platform/feeds.py
@@ -3,21 +3,25 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Generic, TypeVar
+from typing import Final, Generic, TypeVar
 
 import gevent
 import orjson
+import voluptuous as vol
 
 from driftstall.const import PREFIX_CONFIGURATION
 from driftstall.core import Instance
+from driftstall.gateway.cordons import Cordon
 from driftstall.gateway.feeds import Changes, ItemChange, Snapshot
 from driftstall.gateway.model import PolicyText, RoutingText, Upstream
 from driftstall.helpers.log import say
-from driftstall.platform import documents, names
+from driftstall.platform import checks, documents, names
 from driftstall.platform.documents import DocumentFault
 from driftstall.platform.store import Store, StoredObject, WatchEvent
 
 Item = TypeVar("Item")
+MOST_LOGGED: Final = 500
+"""Objects remembered that could not be read."""
 
 
 class KindFeed(Generic[Item]):
@@ -30,10 +34,12 @@
         decode: Callable[[StoredObject], Item],
         decode_gone: Callable[[StoredObject], Item] | None = None,
         *,
+        name: str | None = None,
         stale: bool = False,
     ) -> None:
         """Take the store, the kind and how its objects are decoded.
 
+        Where a name is given, objects of other names stand for nothing.
         What is gone may come without its content, so it may be decoded in another way. So is what
         has changed into an object that cannot be decoded: it counts as gone, since what was known
         of it before holds no more. Without the other way such an object is left out.
@@ -43,20 +49,28 @@
         self._kind = kind
         self._decode = decode
         self._decode_gone = decode_gone
+        self._name = name
         self._stale = stale
+        self._logged: dict[str, str] = {}
+        """Why an object could not be read, by its name: it is listed again and again."""
 
     def list(self) -> Snapshot[Item]:
         """Return all items of the kind."""
         listing = self._store.list(self._kind, stale=self._stale)
-        items = [self._item(one) for one in listing.objects]
+        items = [self._item(one) for one in listing.objects if self._is_meant(one)]
         return Snapshot(tuple(item for item in items if item is not None), listing.at)
 
     def watch(self, at: int, wait_s: float) -> Changes[Item]:
         """Wait for changes after a revision."""
         answer = self._store.watch(self._kind, at, wait_s)
-        changes = (self._change(event) for event in answer.events)
+        meant = (event for event in answer.events if self._is_meant(event.changed))
+        changes = (self._change(event) for event in meant)
         return Changes(tuple(one for one in changes if one is not None), answer.at)
 
+    def _is_meant(self, stored: StoredObject) -> bool:
+        """Tell whether an object is one that this feed is of."""
+        return self._name is None or stored.name == self._name
+
     def _change(self, event: WatchEvent) -> ItemChange[Item] | None:
         """Decode one change."""
         if event.gone and self._decode_gone is not None:
@@ -71,10 +85,31 @@
     def _item(self, stored: StoredObject) -> Item | None:
         """Decode one object."""
         try:
-            return self._decode(stored)
+            item = self._decode(stored)
         except DocumentFault as fault:
-            say(PREFIX_CONFIGURATION, f"An object cannot be read: {fault}", kind=self._kind)
+            self._say_unreadable(stored.name, str(fault))
             return None
+        self._logged.pop(stored.name, None)
+        return item
+
+    def _say_unreadable(self, name: str, reason: str) -> None:
+        """Log once why an object is not used."""
+        if self._logged.get(name) == reason:
+            return
+        if len(self._logged) >= MOST_LOGGED:
+            self._logged.clear()
+        self._logged[name] = reason
+        say(PREFIX_CONFIGURATION, f"An object cannot be read: {reason}", kind=self._kind, name=name)
+
+
+_INSTANCE: Final = vol.Schema(
+    {
+        vol.Required("address"): checks.address,
+        vol.Required("peer_address"): checks.address,
+        vol.Required("zone"): checks.text,
+    },
+    extra=vol.ALLOW_EXTRA,
+)
 
 
 def upstream_feed(store: Store) -> KindFeed[Upstream]:
@@ -89,12 +124,17 @@
 
 def routing_feed(store: Store) -> KindFeed[RoutingText]:
     """Return the feed of routing configurations."""
-    return KindFeed(store, names.KIND_CONFIG, _routing_text)
+    return KindFeed(store, names.KIND_CONFIG, _routing_text, name=names.NAME_CONFIG)
+
+
+def cordon_feed(store: Store) -> KindFeed[Cordon]:
+    """Return the feed of cordoned zones; the name of an object is all that counts of it."""
+    return KindFeed(store, names.KIND_CORDONS, _cordon)
 
 
 def policy_feed(store: Store) -> KindFeed[PolicyText]:
     """Return the feed of submitted policies."""
-    return KindFeed(store, names.KIND_POLICY, _policy_text, stale=True)
+    return KindFeed(store, names.KIND_POLICY, _policy_text, name=names.NAME_POLICY, stale=True)
 
 
 def instance_feed(store: Store, *, stale: bool = False) -> KindFeed[Instance]:
@@ -119,6 +159,14 @@
     store.delete(names.KIND_INSTANCES, instance_id)
 
 
+def _cordon(stored: StoredObject) -> Cordon:
+    """Decode a cordon."""
+    try:
+        return Cordon(checks.text(stored.name), stored.revision)
+    except vol.Invalid as fault:
+        raise DocumentFault(f"the cordon {stored.name!r} names no zone") from fault
+
+
 def _routing_text(stored: StoredObject) -> RoutingText:
     """Decode a routing configuration; the text is kept to pass it on."""
     document = documents.read_routing(stored.spec, lambda: gevent.sleep(0))
@@ -135,7 +183,9 @@
 def _instance(stored: StoredObject) -> Instance:
     """Decode an instance's entry."""
     try:
-        spec = stored.spec
-        return Instance(stored.name, spec["address"], spec["peer_address"], spec["zone"])
-    except (KeyError, TypeError) as fault:
-        raise DocumentFault(f"the entry of instance {stored.name} cannot be read") from fault
+        spec = _INSTANCE(stored.spec)
+    except vol.Invalid as fault:
+        raise DocumentFault(
+            f"the entry of instance {stored.name} cannot be read: {fault}"
+        ) from fault
+    return Instance(stored.name, spec["address"], spec["peer_address"], spec["zone"])
--- a/driftstall/platform/headers.py
+++ b/driftstall/platform/headers.py
@@ -48,7 +48,7 @@
     """Return the headers of a request to an upstream."""
     own: list[Header] = [
         (b"X-Driftstall-Deadline-Ms", b"%d" % max(1, int(send.remaining_s * 1000))),
-        (b"X-Driftstall-Expect-Instance", send.upstream_id.encode()),
+        (b"X-Driftstall-Expect-Instance", send.upstream_name.encode()),
     ]
     if send.workspace:
         own.append((b"X-Driftstall-Tenant", send.workspace.encode()))
--- a/driftstall/platform/names.py
+++ b/driftstall/platform/names.py
@@ -68,6 +68,8 @@
 PATH_COPY: Final = "/api/kv-handle"
 
 KIND_UPSTREAMS: Final = "servers"
+KIND_CORDONS: Final = "evacuations"
+"""An object stands for a zone, by its name alone."""
 KIND_CONFIG: Final = "config"
 NAME_CONFIG: Final = "main"
 KIND_INSTANCES: Final = "driftstall-instances"
--- a/driftstall/platform/settings.py
+++ b/driftstall/platform/settings.py
@@ -64,6 +64,7 @@
                 vol.Optional("ttl_max_s"): _FRACTION,
                 vol.Optional("drainMs"): _FRACTION,
                 vol.Optional("contactMs"): _FRACTION,
+                vol.Optional("evacuateMs"): _FRACTION,
             },
             extra=vol.ALLOW_EXTRA,
         ),
@@ -122,4 +123,5 @@
         drain_s=raw.get("drainMs", usual.drain_s * 1000) / 1000,
         # How long an instance must have been undisturbed until it can be held to its bounds.
         catch_up_s=raw.get("contactMs", usual.catch_up_s * 1000) / 1000,
+        cordon_s=raw.get("evacuateMs", usual.cordon_s * 1000) / 1000,
     )
--- a/driftstall/platform/store.py
+++ b/driftstall/platform/store.py
@@ -6,17 +6,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+import json
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from http import HTTPStatus
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 from urllib.parse import quote, urlencode
 
 import gevent
 import orjson
 
+from driftstall.const import PREFIX_CONFIGURATION
 from driftstall.decisions.freshness import ANSWER_MARGIN_S
 from driftstall.exceptions import HistoryGone, PlatformUnavailable, UpstreamError
+from driftstall.helpers.log import say
 from driftstall.platform import names
 from driftstall.util.http import Exchange
 
@@ -25,9 +28,14 @@
 BODY_TIMEOUT_S: Final = 10.0
 """Time for the whole body of an answer: a megabyte, the most that one holds, takes two seconds
 on the weakest links (5 Mbit/s), which it shares with all streams."""
+MOST_SHOWN: Final = 200
+"""Characters of an object that can't be read which are logged."""
 NOTHING_DONE: Final = frozenset({HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS})
 
 
+Item = TypeVar("Item")
+
+
 @dataclass(frozen=True, slots=True)
 class StoredObject:
     """Hold one object of the store."""
@@ -92,12 +100,17 @@
         at: int | None = None
         while True:
             body = self._read(_path(kind, query=query))
-            found += [_object(one) for one in _rows(body, "items")]
+            rows = _rows(body, "items")
+            readable = _readable(rows, _object)
+            if rows and not readable:
+                raise PlatformUnavailable("no row of an answer can be read")
+            found += readable
             # Later pages may be newer; a watch from the first page's revision misses nothing.
             at = _revision(body) if at is None else at
-            if not body.get("more") or not found:
+            last = _last_name(body)
+            if not body.get("more") or not last:
                 return Listing(tuple(found), at)
-            query = fixed | {"after": found[-1].name}
+            query = fixed | {"after": last}
 
     def get(self, kind: str, name: str) -> StoredObject | None:
         """Return one object, or None if there is none."""
@@ -110,8 +123,12 @@
         """Wait for changes after a revision; raise HistoryGone if they are forgotten."""
         query = {"watch": str(at), "waitMs": str(int(wait_s * 1000))}
         body = self._read(_path(kind, query=query), wait_s + ANSWER_MARGIN_S)
-        events = tuple(_event(one) for one in _rows(body, "events"))
-        return WatchAnswer(events, _revision(body))
+        rows, until = _rows(body, "events"), _revision(body)
+        events = tuple(_readable(rows, _event))
+        if len(events) < len(rows):
+            # What is passed over in a list is read again with the next one; a change is not.
+            raise HistoryGone
+        return WatchAnswer(events, until)
 
     def create(self, kind: str, name: str, spec: Any) -> StoredObject | None:
         """Make an object; return None where it is there already."""
@@ -156,13 +173,24 @@
                 exchange = Exchange.open(self._address, method, path, headers, data, timeout_s)
             with gevent.Timeout(BODY_TIMEOUT_S, UpstreamError("no whole answer", sent=True)):
                 raw = exchange.read()
-            return exchange.status, orjson.loads(raw) if raw else None
+            return exchange.status, _decoded(raw) if raw else None
         except UpstreamError as fault:
             raise PlatformUnavailable(f"no answer: {fault}", sent=fault.sent) from fault
-        except orjson.JSONDecodeError as fault:
+        except (ValueError, RecursionError) as fault:
             raise PlatformUnavailable("the answer is not JSON") from fault
 
 
+def _decoded(raw: bytes) -> Any:
+    """Return the content of an answer; raise ValueError or RecursionError where it has none.
+
+    One object with bytes that are no text must not hide all others of a list.
+    """
+    try:
+        return orjson.loads(raw)
+    except orjson.JSONDecodeError:
+        return json.loads(raw.decode("utf-8", "replace"))
+
+
 def _path(kind: str, name: str = "", query: dict[str, str] | None = None) -> str:
     """Return the path of a kind or of one of its objects."""
     parts: Iterable[str] = (names.PATH_OBJECTS, quote(kind, safe=""), quote(name, safe=""))
@@ -194,6 +222,33 @@
     return rows
 
 
+def _readable(rows: list[Any], decode: Callable[[Any], Item]) -> list[Item]:
+    """Decode the rows that can be decoded; the others hold for nothing, and are logged."""
+    found: list[Item] = []
+    for row in rows:
+        try:
+            found.append(decode(row))
+        except PlatformUnavailable as fault:
+            say(PREFIX_CONFIGURATION, f"One row of the platform's answer is passed over: {fault}")
+    return found
+
+
+def _last_name(body: dict[str, Any]) -> str:
+    """Return the last name of a page, after which the next one begins; empty if there is none."""
+    for row in reversed(body["items"]):
+        name = _name(row)
+        if name:
+            return name
+    return ""
+
+
+def _name(row: Any) -> str:
+    """Return the name of an object, also of one that can't be read otherwise."""
+    metadata = row.get("metadata") if isinstance(row, dict) else None
+    name = metadata.get("name") if isinstance(metadata, dict) else None
+    return name if isinstance(name, str) else ""
+
+
 def _revision(body: dict[str, Any]) -> int:
     """Return the revision of an answer, or raise PlatformUnavailable."""
     try:
@@ -204,16 +259,15 @@
 
 def _event(raw: Any) -> WatchEvent:
     """Decode one change."""
-    try:
-        return WatchEvent(_object(raw["object"]), bool(raw["gone"]))
-    except (KeyError, TypeError) as fault:
-        raise PlatformUnavailable(f"a change cannot be read: {fault!r}") from fault
+    if not isinstance(raw, dict) or not isinstance(raw.get("gone"), bool):
+        raise PlatformUnavailable("a change does not tell whether its object is gone")
+    return WatchEvent(_object(raw.get("object")), raw["gone"])
 
 
 def _object(raw: Any) -> StoredObject:
     """Decode one object."""
-    try:
-        metadata = raw["metadata"]
-        return StoredObject(metadata["name"], int(metadata["revision"]), raw.get("spec"))
-    except (AttributeError, KeyError, TypeError, ValueError) as fault:
-        raise PlatformUnavailable(f"an object cannot be read: {fault!r}") from fault
+    name = _name(raw)
+    revision = raw["metadata"].get("revision") if name else None
+    if type(revision) is not int or revision < 0:
+        raise PlatformUnavailable(f"an object cannot be read: {str(raw)[:MOST_SHOWN]}")
+    return StoredObject(name, revision, raw.get("spec"))
--- a/script/check_core.py
+++ b/script/check_core.py
@@ -9,7 +9,9 @@
 CORE = ("decisions", "policy", "filters", "controllers")
 GATEWAY_CORE = (
     "admission",
+    "cold_gate",
     "collectors",
+    "cordons",
     "dialect",
     "events",
     "fleet",
