--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+import gevent
+
 from driftstall.const import (
     CODE_DEADLINE,
     CODE_NO_RUNNER,
@@ -25,7 +27,7 @@
 from driftstall.gateway.loads import Share
 from driftstall.gateway.model import Headers, Repeat, SendMarks, Upstream
 from driftstall.gateway.outcomes import Outcome
-from driftstall.gateway.selection import choose_call
+from driftstall.gateway.selection import Option, choose_call
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import say
 
@@ -35,6 +37,8 @@
 """Upstreams tried for one request, those that did not run it included."""
 FULL_RETRY_S: Final = 0.4
 """When to come back where all upstreams are full: a few calls later."""
+WAIT_FOR_COLD_SHARE: Final = 0.4
+"""Share of a call's target that it waits for its turn at a cold upstream; a call takes a fifth."""
 FIRST_SERVER_ERROR: Final = 500
 MAX_ANSWER_BYTES: Final = 16_000_000
 
@@ -92,18 +96,39 @@
             problem = self._stop_reason(tries)
             if problem is not None:
                 return tries.answer or problem
-            option = choose_call(
-                self._state.options(self._admitted.service.name, frozenset(tries.avoid)),
-                self._state.lot,
-            )
-            if option is None:
-                return tries.answer or self._unserved(tries)
+            option = self._choose(tries)
+            if isinstance(option, Problem):
+                return tries.answer or option
             if tries.history.arrived and not self._budget_allows():
                 return tries.answer or self._unserved(tries)
             result = self._send(option.upstream, tries)
             if result is not None:
                 return result
 
+    def _choose(self, tries: _Tries) -> Option | Problem:
+        """Return the upstream to try; wait a little for one that is cold.
+
+        Where the wait would be longer the caller is told at once when to come back.
+        """
+        gate, service = self._state.cold_gate, self._admitted.service.name
+        options = self._state.options(service, frozenset(tries.avoid))
+        option = choose_call(gate.open(options), self._state.lot)
+        if option is not None:
+            gate.took(option.upstream)
+            return option
+        if not options or tries.history.ran is not Ran.NOT_RUN:
+            return self._unserved(tries)
+        first = min(options, key=lambda one: gate.wait_s(one.upstream))
+        wait_s = gate.wait_s(first.upstream)
+        if wait_s > WAIT_FOR_COLD_SHARE * self._admitted.route.target_s:
+            detail = "all upstreams are cold"
+            retry_s = max(FULL_RETRY_S, wait_s)
+            return Problem(CODE_NO_RUNNER, 503, detail, Ran.NOT_RUN, retry_s)
+        # The turn is taken at once: others that come meanwhile wait for the next one.
+        gate.took(first.upstream)
+        gevent.sleep(wait_s)
+        return first
+
     def _stop_reason(self, tries: _Tries) -> Problem | None:
         """Return why no further upstream is tried, if so."""
         if self._caller_gone or self._left() <= 0:
@@ -155,6 +180,10 @@
         try:
             if self._caller_gone:
                 return Failure(Outcome.GOOD, Fate.UNSENT, "the caller has left")
+            if not self._state.may_send(upstream):
+                detail = "the upstream takes no more requests"
+                return Failure(Outcome.NOT_SENT, Fate.UNSENT, detail)
+            self._state.exchanges.add(upstream.upstream_id, exchange)
             if first:
                 self._state.budget(upstream.service).request(self._state.now())
             return self._read_answer(upstream, exchange)
@@ -171,7 +200,7 @@
     def _read_answer(self, upstream: Upstream, exchange: UpstreamExchange) -> WholeAnswer | Failure:
         """Send, then read the answer that carries the request's id."""
         send = SendMarks(
-            upstream_id=upstream.upstream_id,
+            upstream_name=upstream.name,
             remaining_s=self._left(),
             workspace=self._admitted.workspace,
             rank=self._admitted.verdict.rank if self._admitted.service.engine else None,
--- a/driftstall/gateway/collectors.py
+++ b/driftstall/gateway/collectors.py
@@ -49,6 +49,8 @@
     """The collectors of the other zones."""
     zone_members: tuple[Instance, ...] = ()
     """The other instances of this zone that do not collect."""
+    zones: int = 1
+    """How many availability zones the fleet has."""
     placers: tuple[str, ...] = ()
     """Who places streams for this zone: its collectors, best first, this instance included."""
 
@@ -77,6 +79,7 @@
             zone_members=tuple(
                 one for one in zones.get(own.zone, ()) if one.instance_id not in ids
             ),
+            zones=len(zones),
             placers=tuple(one.instance_id for one in of_zone),
         )
 
--- a/driftstall/gateway/exchange.py
+++ b/driftstall/gateway/exchange.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any, Final
+from weakref import WeakSet
 
 import httptools
 from gevent import select, socket
@@ -200,3 +201,27 @@
             raise UpstreamError("the answer ended early", sent=True)
         self._at_end = True
         self._reader.items.append(End())
+
+
+class OpenExchanges:
+    """Hold the open exchanges by upstream, so that all with one can be given up together."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self._open: dict[str, WeakSet[UpstreamExchange]] = {}
+
+    def add(self, upstream_id: str, exchange: UpstreamExchange) -> None:
+        """Add an exchange; it is forgotten with its last user."""
+        self._open.setdefault(upstream_id, WeakSet()).add(exchange)
+
+    def close_all(self, upstream_id: str) -> int:
+        """Close all exchanges with an upstream, so that their readers go on; return how many."""
+        found = list(self._open.pop(upstream_id, ()))
+        for one in found:
+            one.close()
+        return len(found)
+
+    def forget_ended(self) -> None:
+        """Forget upstreams with which there is no exchange any more."""
+        for upstream_id in [one for one, open_ones in self._open.items() if not open_ones]:
+            del self._open[upstream_id]
--- a/driftstall/gateway/fleet.py
+++ b/driftstall/gateway/fleet.py
@@ -1,8 +1,9 @@
 """Keep what is known of the upstreams: which take requests and which are leaving.
 
 The platform's list is the source; peers fill in for an instance that the platform
-does not serve. Revisions order what comes from both. While the platform is away, what an
-upstream says of itself counts for some seconds (see engine_words).
+does not serve. Revisions order what comes from both. An upstream that has started again under
+its name is another one: of two starts the later counts, whatever the revisions say. While the
+platform is away, what an upstream says of itself counts for some seconds (see engine_words).
 """
 
 from __future__ import annotations
@@ -13,9 +14,11 @@
 
 import xxhash
 
+from driftstall.decisions.cold_starts import UNTOLD_S
 from driftstall.decisions.engine_words import DOUBTED_S
 from driftstall.gateway.fleet_events import (
     Changed,
+    Cordoned,
     Doubted,
     FleetAction,
     FleetEvent,
@@ -24,8 +27,10 @@
     Period,
     PlatformBack,
     PlatformLost,
+    UpstreamCold,
     UpstreamJoined,
     UpstreamLeaving,
+    UpstreamReplaced,
 )
 from driftstall.gateway.model import Upstream, UpstreamState
 
@@ -56,6 +61,9 @@
 class _Gone:
     """Hold what is left of an upstream whose entry is gone."""
 
+    upstream_id: str
+    born: int
+    zone: str
     revision: int
     at: float
     leaving_since: float
@@ -68,6 +76,12 @@
         """Start with none."""
         self._entries: dict[str, _Entry] = {}
         self._gone: dict[str, _Gone] = {}
+        """Both by the upstreams' names."""
+        self._names: dict[str, str] = {}
+        """The names by the ids of the starts that are in force or just gone."""
+        self._replaced: dict[str, float] = {}
+        """When it was learned of a start that a later one has followed."""
+        self._cordoned: frozenset[str] = frozenset()
         self._down = False
         self._back_at = float("-inf")
         self._actions: list[FleetAction] = []
@@ -115,25 +129,56 @@
         return tuple(
             entry.upstream
             for entry in self._entries.values()
-            if entry.upstream.service == service and entry.leaving_since is None
+            if entry.upstream.service == service and self._takes(entry)
         )
 
+    def waits_for_cordons(self, service: str) -> bool:
+        """Tell whether a service has upstreams, and all that stay are in cordoned zones."""
+        staying = [
+            entry.upstream.zone
+            for entry in self._entries.values()
+            if entry.upstream.service == service and entry.leaving_since is None
+        ]
+        return bool(staying) and all(zone in self._cordoned for zone in staying)
+
     def find(self, upstream_id: str) -> Upstream | None:
         """Return an upstream that takes requests, by its id."""
-        entry = self._entries.get(upstream_id)
-        return entry.upstream if entry is not None and entry.leaving_since is None else None
+        entry = self._find(upstream_id)
+        return entry.upstream if entry is not None and self._takes(entry) else None
 
     def takes_requests(self, upstream_id: str) -> bool:
-        """Tell whether an upstream is known and not leaving."""
+        """Tell whether an upstream is known, not leaving and in no cordoned zone."""
         return self.find(upstream_id) is not None
 
+    def stays(self, upstream_id: str) -> bool:
+        """Tell whether an upstream is known and not leaving; its zone may be cordoned."""
+        entry = self._find(upstream_id)
+        return entry is not None and entry.leaving_since is None
+
     def serves(self, upstream_id: str, now: float, drain_s: float) -> bool:
         """Tell whether an upstream may still be sent what has run there or was copied there."""
-        entry = self._entries.get(upstream_id)
+        entry = self._find(upstream_id)
         if entry is not None:
+            if entry.upstream.zone in self._cordoned:
+                return False
             return entry.leaving_since is None or now - entry.leaving_since < drain_s
-        gone = self._gone.get(upstream_id)
-        return gone is not None and now - gone.leaving_since < drain_s
+        gone = self._gone.get(self._names.get(upstream_id, ""))
+        if gone is None or gone.upstream_id != upstream_id or gone.zone in self._cordoned:
+            return False
+        return now - gone.leaving_since < drain_s
+
+    def is_replaced(self, upstream_id: str) -> bool:
+        """Tell whether an upstream has started again since: what it held and named is void."""
+        return upstream_id in self._replaced
+
+    def _find(self, upstream_id: str) -> _Entry | None:
+        """Return the entry of one start."""
+        entry = self._entries.get(self._names.get(upstream_id, ""))
+        return entry if entry is not None and entry.upstream.upstream_id == upstream_id else None
+
+    def _takes(self, entry: _Entry) -> bool:
+        """Tell whether an upstream may be sent something new."""
+        return entry.leaving_since is None and entry.upstream.zone not in self._cordoned
 
     def handle(self, event: FleetEvent, now: float) -> list[FleetAction]:
         """Take one event and return what others need to know."""
@@ -152,27 +197,27 @@
     def _(self, event: Listed, now: float) -> None:
         self._read = True
         self._told_to = max(self._told_to, event.at)
-        listed = {one.upstream_id for one in event.upstreams}
+        listed = {one.name for one in event.upstreams}
         since = now - event.unheard_s
         for upstream in event.upstreams:
-            self._put(upstream, since)
-        for upstream_id in [one for one in self._entries if one not in listed]:
-            revision = self._entries[upstream_id].upstream.revision
-            self._remove(upstream_id, revision, now, since)
+            self._put(upstream, now, since)
+        for name in [one for one in self._entries if one not in listed]:
+            revision = self._entries[name].upstream.revision
+            self._remove(name, revision, now, since)
 
     @_on.register
     def _(self, event: Offered, now: float) -> None:
         self._read = True
-        offered = {one.upstream_id for one in event.upstreams}
+        offered = {one.name for one in event.upstreams}
         for upstream in event.upstreams:
             self._put_told_by_peer(upstream, now)
         for entry in list(self._entries.values()):
             upstream = entry.upstream
-            if upstream.upstream_id not in offered and upstream.revision <= event.at:
+            if upstream.name not in offered and upstream.revision <= event.at:
                 self._leave(entry, now)
                 if upstream.state is UpstreamState.READY:
                     # Else a list of another peer that is older would revive it.
-                    self._bury(upstream.upstream_id, upstream.revision, now)
+                    self._bury(upstream, upstream.revision, now)
 
     @_on.register
     def _(self, event: Changed, now: float) -> None:
@@ -184,16 +229,19 @@
         if not event.gone and event.from_peer:
             self._put_told_by_peer(upstream, now)
         elif not event.gone:
-            self._put(upstream, since)
-        elif upstream.upstream_id in self._entries:
+            self._put(upstream, now, since)
+        elif 0 < upstream.born < self._latest_start(upstream.name):
+            # The end of a start says nothing of the one that has followed it.
+            return
+        elif upstream.name in self._entries:
             revision, certain = upstream.revision, event.from_peer
-            self._remove(upstream.upstream_id, revision, now, since, certain=certain)
+            self._remove(upstream.name, revision, now, since, certain=certain)
         else:
-            self._bury(upstream.upstream_id, upstream.revision, now)
+            self._bury(upstream, upstream.revision, now)
 
     @_on.register
     def _(self, event: Doubted, now: float) -> None:
-        entry = self._entries.get(event.upstream_id)
+        entry = self._find(event.upstream_id)
         if entry is None or not entry.is_listed:
             return
         entry.doubted_until = now + DOUBTED_S
@@ -201,6 +249,15 @@
             entry.leaving_since = now
             self._actions.append(UpstreamLeaving(entry.upstream, doubted=True))
 
+    @_on.register
+    def _(self, event: Cordoned, now: float) -> None:
+        self._cordoned = event.zones
+        for entry in self._entries.values():
+            upstream = entry.upstream
+            if upstream.zone in event.lifted and entry.leaving_since is None:
+                # It may have gone cold with the end of the cordon, and says so later.
+                self._actions.append(UpstreamCold(upstream, UNTOLD_S, is_assumed=True))
+
     @_on.register
     def _(self, event: PlatformLost, now: float) -> None:
         self._down = True
@@ -213,16 +270,14 @@
 
     @_on.register
     def _(self, event: Period, now: float) -> None:
-        for upstream_id, entry in list(self._entries.items()):
+        for entry in list(self._entries.values()):
             missing = entry.missing_since
             if missing is not None and not self._in_grace(now):
                 self._leave(entry, now)
-                self._bury(upstream_id, entry.upstream.revision, now)
+                self._bury(entry.upstream, entry.upstream.revision, now)
             elif entry.doubted_until is not None and now >= entry.doubted_until:
                 self._rejoin(entry)
-        for upstream_id, gone in list(self._gone.items()):
-            if now - gone.at > GONE_KEPT_S:
-                del self._gone[upstream_id]
+        self._forget(now)
 
     def _put_told_by_peer(self, upstream: Upstream, now: float) -> None:
         """Take in an entry that a peer knows, unless the platform itself has told of its end.
@@ -230,22 +285,34 @@
         The peer's knowledge may be older: an entry of a revision up to which this instance was told
         everything, and which it does not hold, has gone since.
         """
-        if upstream.upstream_id in self._entries or upstream.revision > self._told_to:
-            self._put(upstream, now)
+        if upstream.name in self._entries or upstream.revision > self._told_to:
+            self._put(upstream, now, now)
 
-    def _put(self, upstream: Upstream, since: float) -> None:
+    def _put(self, upstream: Upstream, now: float, since: float) -> None:
         """Take in an entry that is newer than what is known; it may hold since then."""
         self._at = max(self._at, upstream.revision)
-        buried = self._gone.get(upstream.upstream_id)
+        buried = self._gone.get(upstream.name)
         if buried is not None and buried.revision >= upstream.revision:
             return
-        entry = self._entries.get(upstream.upstream_id)
+        if upstream.born < self._latest_start(upstream.name):
+            # A late heartbeat of the start before may come after the first one of this.
+            return
+        entry = self._entries.get(upstream.name)
+        if entry is not None and upstream.born > entry.upstream.born:
+            # Whatever the revisions: a late heartbeat may have the newer one.
+            self._replace(entry, now)
+            self._actions.append(UpstreamCold(upstream, UNTOLD_S, is_assumed=True))
+            entry = None
+        if entry is not None and upstream.revision < entry.upstream.revision:
+            return
+        is_newer = entry is None or upstream.revision > entry.upstream.revision
         if entry is None:
-            entry = self._entries[upstream.upstream_id] = _Entry(upstream)
+            entry = self._entries[upstream.name] = _Entry(upstream)
+            self._names[upstream.upstream_id] = upstream.name
             if upstream.state is UpstreamState.READY:
                 self._actions.append(UpstreamJoined(upstream))
-        elif upstream.revision < entry.upstream.revision:
-            return
+        if is_newer and (upstream.cold_s > 0 or entry.upstream.cold_s > 0):
+            self._actions.append(UpstreamCold(upstream, upstream.cold_s))
         entry.upstream = upstream
         entry.missing_since = None
         if upstream.state is UpstreamState.LEAVING:
@@ -253,18 +320,31 @@
         elif entry.leaving_since is not None and entry.doubted_until is None:
             self._rejoin(entry)
 
+    def _latest_start(self, name: str) -> int:
+        """Return the latest start that is known of an upstream; zero if none is."""
+        entry, gone = self._entries.get(name), self._gone.get(name)
+        return max(entry.upstream.born if entry else 0, gone.born if gone else 0)
+
+    def _replace(self, entry: _Entry, now: float) -> None:
+        """Forget a start that a later one has followed."""
+        old = entry.upstream
+        del self._entries[old.name]
+        self._names.pop(old.upstream_id, None)
+        self._replaced[old.upstream_id] = now
+        self._actions.append(UpstreamReplaced(old))
+
     def _remove(
-        self, upstream_id: str, revision: int, now: float, since: float, *, certain: bool = False
+        self, name: str, revision: int, now: float, since: float, *, certain: bool = False
     ) -> None:
         """Take an upstream for leaving whose entry is no longer there, perhaps since then."""
-        entry = self._entries[upstream_id]
+        entry = self._entries[name]
         if revision < entry.upstream.revision:
             return
         if self._in_grace(now) and not certain and entry.leaving_since is None:
             entry.missing_since = entry.missing_since or now
             return
         self._leave(entry, since)
-        self._bury(upstream_id, revision, now)
+        self._bury(entry.upstream, revision, now)
 
     def _in_grace(self, now: float) -> bool:
         """Tell whether an entry that is missing may only have lapsed during an outage."""
@@ -287,13 +367,30 @@
         entry.doubted_until = None
         self._actions.append(UpstreamJoined(entry.upstream))
 
-    def _bury(self, upstream_id: str, revision: int, now: float) -> None:
+    def _bury(self, upstream: Upstream, revision: int, now: float) -> None:
         """Forget an upstream, but not that it is gone."""
-        entry = self._entries.pop(upstream_id, None)
-        before = self._gone.get(upstream_id)
+        entry = self._entries.pop(upstream.name, None)
+        before = self._gone.get(upstream.name)
         since = now
         if entry is not None and entry.leaving_since is not None:
             since = entry.leaving_since
         elif before is not None:
             since = before.leaving_since
-        self._gone[upstream_id] = _Gone(revision, now, since)
+        known = entry.upstream if entry is not None else upstream
+        if entry is None and before is not None:
+            # Of what is gone the platform tells no more than the name.
+            upstream_id, born, zone = before.upstream_id, before.born, before.zone
+        else:
+            upstream_id, born, zone = known.upstream_id, known.born, known.zone
+        self._gone[upstream.name] = _Gone(upstream_id, born, zone, revision, now, since)
+
+    def _forget(self, now: float) -> None:
+        """Forget what is gone for long."""
+        for name, gone in list(self._gone.items()):
+            if now - gone.at > GONE_KEPT_S:
+                del self._gone[name]
+                if self._find(gone.upstream_id) is None:
+                    self._names.pop(gone.upstream_id, None)
+        for upstream_id, at in list(self._replaced.items()):
+            if now - at > GONE_KEPT_S:
+                del self._replaced[upstream_id]
--- a/driftstall/gateway/fleet_events.py
+++ b/driftstall/gateway/fleet_events.py
@@ -56,12 +56,20 @@
     """Learn that the platform answers again."""
 
 
+@dataclass(frozen=True, slots=True)
+class Cordoned:
+    """Learn which availability zones are cordoned now, and of which that has just ended."""
+
+    zones: frozenset[str]
+    lifted: frozenset[str] = frozenset()
+
+
 @dataclass(frozen=True, slots=True)
 class Period:
     """Let time pass."""
 
 
-FleetEvent = Listed | Offered | Changed | Doubted | PlatformLost | PlatformBack | Period
+FleetEvent = Listed | Offered | Changed | Doubted | Cordoned | PlatformLost | PlatformBack | Period
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,4 +88,22 @@
     """Whether its own word tells so, and not the platform."""
 
 
-FleetAction = UpstreamJoined | UpstreamLeaving
+@dataclass(frozen=True, slots=True)
+class UpstreamReplaced:
+    """Tell that an upstream has started again: what ran there before is gone."""
+
+    upstream: Upstream
+    """As it was before."""
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamCold:
+    """Tell that an upstream is cold, or may be: it bears little for a while."""
+
+    upstream: Upstream
+    for_s: float
+    is_assumed: bool = False
+    """Whether it has not said so itself."""
+
+
+FleetAction = UpstreamJoined | UpstreamLeaving | UpstreamReplaced | UpstreamCold
--- a/driftstall/gateway/model.py
+++ b/driftstall/gateway/model.py
@@ -83,6 +83,10 @@
     max_connections: int
     """Connections that one upstream accepts from all callers together."""
     engine: Engine | None
+    cold_start_s: float = 0.0
+    """How long an upstream stays cold after it has started under traffic."""
+    cold_rate: float = 0.0
+    """Requests a second that a cold upstream bears; zero where no bound is told."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,10 +145,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Upstream:
-    """Describe one upstream process."""
+    """Describe one start of an upstream process.
 
-    upstream_id: str
-    """A new one for each start of the process."""
+    A process that starts again holds nothing of before, also where it keeps its name. So
+    all books go by the upstream's id, which is another one for each start.
+    """
+
+    name: str
+    """What the platform calls it; a later start may have the same."""
     service: str
     address: str
     zone: str
@@ -152,6 +160,15 @@
     state: UpstreamState
     revision: int
     """The version of the platform's entry that told so."""
+    born: int = 0
+    """When it started, in milliseconds of the time of day; zero if it does not say so."""
+    cold_s: float = 0.0
+    """How much longer it is cold, in seconds, by its own entry."""
+
+    @property
+    def upstream_id(self) -> str:
+        """Return what tells this start of it from all others."""
+        return f"{self.name}@{self.born}" if self.born else self.name
 
 
 @dataclass(frozen=True, slots=True)
@@ -186,7 +203,7 @@
 class SendMarks:
     """Hold what the gateway itself tells an upstream with a request."""
 
-    upstream_id: str
+    upstream_name: str
     remaining_s: float
     workspace: str
     rank: int | None
@@ -237,6 +254,9 @@
     """An upstream that leaves gets no request after this time."""
     catch_up_s: float = 3.0
     """Time after a disturbance in which an instance must know again what holds."""
+    cordon_s: float = 0.0
+    """Time after which an upstream of a cordoned zone gets nothing; zero if no zones are cordoned
+    at this site."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/driftstall/gateway/moves.py
+++ b/driftstall/gateway/moves.py
@@ -51,7 +51,16 @@
         kept = run.kept
         if kept is None or self._is_old(kept):
             return None
-        return kept if self._state.fleet.takes_requests(kept.copy.upstream.upstream_id) else None
+        return kept if self._takes_on(kept) else None
+
+    def _takes_on(self, kept: KeptCopy) -> bool:
+        """Tell whether a copy's engine takes requests, and the one that named it has not ended.
+
+        A later start of that one counts its names anew: the same name may be another run's copy.
+        """
+        fleet = self._state.fleet
+        is_named = not fleet.is_replaced(kept.copy.named_by)
+        return is_named and fleet.takes_requests(kept.copy.upstream.upstream_id)
 
     def is_usable(self, moved: KeptCopy) -> bool:
         """Tell whether a stopped run can go on at its copy: nowhere else can it.
@@ -60,7 +69,9 @@
         """
         engine_id, now = moved.copy.upstream.upstream_id, self._state.now()
         drain_s = self._state.settings.bounds.drain_s
-        return not self._is_old(moved) and self._state.fleet.serves(engine_id, now, drain_s)
+        if self._is_old(moved) or self._state.fleet.is_replaced(moved.copy.named_by):
+            return False
+        return self._state.fleet.serves(engine_id, now, drain_s)
 
     def _is_old(self, kept: KeptCopy) -> bool:
         """Tell whether an engine may have dropped a copy."""
@@ -78,7 +89,8 @@
         if isinstance(result, MoveFailed):
             self._hold(run, None)
             return result
-        run.kept = KeptCopy(Copy(target, result.copy_of), self._state.now(), tokens)
+        copy = Copy(target, result.copy_of, named_by=run.upstream.upstream_id)
+        run.kept = KeptCopy(copy, self._state.now(), tokens)
         # A further step brings the same copy up to date: where the stream goes on elsewhere, it
         # may be just there, or need it yet. What is not needed, engines drop by themselves.
         if run.ended and not run.goes_on_elsewhere:
@@ -107,7 +119,8 @@
 
     def _stopped(self, holder: Upstream, copy_of: str, run: StreamRun) -> KeptCopy:
         """Return the copy of a run that has stopped."""
-        return KeptCopy(Copy(holder, copy_of), self._state.now(), run.held_tokens)
+        copy = Copy(holder, copy_of, named_by=run.upstream.upstream_id)
+        return KeptCopy(copy, self._state.now(), run.held_tokens)
 
     def drop_copy(self, run: StreamRun) -> None:
         """Free the memory of a copy that is not needed any more."""
@@ -115,7 +128,7 @@
         if kept is None:
             return
         self._hold(run, None)
-        source_stays = self._state.fleet.takes_requests(run.upstream.upstream_id)
+        source_stays = self._state.fleet.stays(run.upstream.upstream_id)
         holder = run.upstream if source_stays else kept.copy.upstream
         gevent.spawn(self._state.dialect.drop_copy, holder, kept.copy.copy_of)
 
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -15,10 +15,11 @@
 from driftstall.decisions.freshness import longest_wait_s
 from driftstall.exceptions import PlatformUnavailable, SettingsError
 from driftstall.gateway.collectors import Roles
+from driftstall.gateway.cordons import Cordon
 from driftstall.gateway.dialect import Dialect
 from driftstall.gateway.drain import Drain
 from driftstall.gateway.evacuation import Evacuation
-from driftstall.gateway.feeds import Feed, Follower, ItemChange
+from driftstall.gateway.feeds import Feed, Follower, ItemChange, Pace
 from driftstall.gateway.fleet_events import FleetAction
 from driftstall.gateway.inquiry import Inquiry
 from driftstall.gateway.listeners import (
@@ -41,7 +42,13 @@
 )
 from driftstall.gateway.reports import LONGEST_AGE_S, Standing
 from driftstall.gateway.sharing import Intake
-from driftstall.gateway.sources import InstanceSource, PolicySource, RoutingSource, UpstreamSource
+from driftstall.gateway.sources import (
+    CordonSource,
+    InstanceSource,
+    PolicySource,
+    RoutingSource,
+    UpstreamSource,
+)
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import BoundedWriter, say
 from driftstall.helpers.tasks import keep_running
@@ -66,6 +73,7 @@
 
     dialect: Dialect
     upstreams: Feed[Upstream]
+    cordons: Feed[Cordon]
     routing: Feed[RoutingText]
     policies: Feed[PolicyText]
     instances: Feed[Instance]
@@ -106,6 +114,11 @@
             announce=self._announce,
             silence=lambda: self._upstream_pace.silence_s,
         )
+        self._cordons = CordonSource(
+            self.state,
+            apply=self._upstreams.cordoned,
+            announce=lambda: self._peering.pass_cordons(),
+        )
         reliance = Reliance(self.state.source)
         intake = Intake(
             routing=lambda: (self._routing.version, self._routing.text),
@@ -113,6 +126,7 @@
             take_news=self._upstreams.told,
             take_doubt=self._upstreams.doubted,
             take_fleet=self._upstreams.offered,
+            take_cordons=self._cordons.heard,
         )
         self._peering = Peering(self.state, intake, standing=self._standing, reliance=reliance)
         self._reliance = reliance
@@ -136,6 +150,9 @@
             access.upstreams, self._upstreams, source, self._upstream_pace
         )
         self._policy_follower = Follower(access.policies, self._policies, source, policy_pace)
+        self._cordon_follower = Follower(
+            access.cordons, self._cordons, source, self._cordon_pace(settings)
+        )
         self._instances = InstanceSource(self._peering.found)
         self._drain = Drain(self.state)
         self._callers = CallerListener(self.state, mover, self._drain, self._is_current)
@@ -161,7 +178,12 @@
             self._inquiry,
         ):
             part.start()
-        for follower in (self._routing_follower, self._upstream_follower, self._policy_follower):
+        for follower in (
+            self._routing_follower,
+            self._upstream_follower,
+            self._cordon_follower,
+            self._policy_follower,
+        ):
             gevent.spawn(follower.run)
         keep_running(PREFIX_MEMBERSHIP, self._keep_registered)
         say(PREFIX_MEMBERSHIP, f"Instance {self.state.settings.instance_id} has started")
@@ -227,6 +249,7 @@
             "routing_version": self._routing.version,
             "instances": self.state.instances.value,
             "upstreams": len(self.state.fleet.upstreams),
+            "cordoned_zones": len(self.state.cordons.zones),
             "upstreams_age_seconds": min(LONGEST_AGE_S, self._upstream_pace.age_s),
             "routing_age_seconds": min(LONGEST_AGE_S, self._routing_pace.age_s),
             "platform_ok": float(self._follows(self._upstream_follower, self._upstream_pace)),
@@ -244,6 +267,15 @@
             settle_s=SETTLE_S,
         )
 
+    def _cordon_pace(self, settings: GatewaySettings) -> Pace:
+        """Return the pace at which cordoned zones are followed.
+
+        Where the site sets no bound for them, none are expected: a look now and then is enough.
+        """
+        if settings.bounds.cordon_s:
+            return self._fleet_pace()
+        return RevisionPace(self._roles, lambda: False)
+
     def _longest_wait(self) -> float:
         """Return how long a question to the platform may wait, by the settings in force."""
         return longest_wait_s(self.state.settings.bounds.catch_up_s)
--- a/driftstall/gateway/outcomes.py
+++ b/driftstall/gateway/outcomes.py
@@ -31,6 +31,8 @@
     """No connection came up."""
     FULL = "full"
     """It turned the request away."""
+    NOT_SENT = "not sent"
+    """It was left alone after all."""
 
 
 @dataclass(slots=True)
--- a/driftstall/gateway/peering.py
+++ b/driftstall/gateway/peering.py
@@ -178,6 +178,10 @@
         self._state.loads_changed.set()
         self._sharing.pass_routing(from_peer=from_peer)
 
+    def pass_cordons(self) -> None:
+        """Pass on which zones are cordoned; with each report and summary it is told again."""
+        self._reporting.tell_now()
+
     def _run_periods(self) -> None:
         """Let time pass in the member list."""
         known: tuple[Instance, ...] = ()
@@ -254,6 +258,7 @@
 
     @_take.register
     def _(self, report: GatewayReport) -> None:
+        self._sharing.take_cordons(report.cordons)
         self._placer.reported(report.sender)
         if self._reporting.take_report(report):
             self._sharing.repeat_changes(report.sender)
@@ -263,6 +268,7 @@
 
     @_take.register
     def _(self, summary: ZoneSummary) -> None:
+        self._sharing.take_cordons(summary.cordons)
         # A follower knows the platform's list better than any other collector.
         age_s = summary.platform_age_ms / MS
         self._reporting.take_zone(summary)
@@ -273,6 +279,7 @@
 
     @_take.register
     def _(self, summary: FleetSummary) -> None:
+        self._sharing.take_cordons(summary.cordons)
         if self._roles.collects:
             # Its sender does not know yet that this instance collects now.
             return
--- a/driftstall/gateway/placement.py
+++ b/driftstall/gateway/placement.py
@@ -110,7 +110,7 @@
             now = self._state.now()
             waited_enough = now >= room_until
             place = self._choose(need, avoid, taken_anyway=waited_enough)
-            if place is None and now >= upstream_until:
+            if place is None and (now >= upstream_until or self._waits_for_cordons()):
                 return None
             if place is not None and (waited_enough or place.has_room):
                 return place
@@ -133,19 +133,30 @@
         given = self._state.place_in_zone(asked)
         upstream = self._state.fleet.find(given.upstream_id) if given else None
         if given is None or upstream is None:
-            return self._choose_here(need, avoid)
+            return self._choose_here(need, avoid, taken_anyway=taken_anyway)
         backup = self._state.fleet.find(given.backup_id)
         return Place(upstream, backup, given.has_room, given.sender)
 
-    def _choose_here(self, need: Need, avoid: frozenset[str]) -> Place | None:
+    def _waits_for_cordons(self) -> bool:
+        """Tell whether all that is there stands in cordoned zones: to wait a little is no use."""
+        return self._state.fleet.waits_for_cordons(self._admitted.service.name)
+
+    def _choose_here(
+        self, need: Need, avoid: frozenset[str], *, taken_anyway: bool
+    ) -> Place | None:
         """Choose by what this instance knows."""
         options = self._state.options(self._admitted.service.name, avoid)
         settings = self._state.settings
-        chosen = choose_stream(options, self.engine, need, settings.zone, self._state.lot)
+        gate = self._state.cold_gate
+        chosen = choose_stream(
+            gate.open(options), self.engine, need, settings.zone, self._state.lot
+        )
         if chosen is None:
             return None
         backup = self._choose_backup(chosen.upstream, need, frozenset())
         room = has_room(chosen, self.engine, need)
+        if room or taken_anyway:
+            gate.took(chosen.upstream)
         return Place(chosen.upstream, backup, room, settings.instance_id)
 
     def _choose_backup(
--- a/driftstall/gateway/protection.py
+++ b/driftstall/gateway/protection.py
@@ -70,7 +70,7 @@
                 continue
             if now < self._not_before.get(run.request_id, 0.0):
                 continue
-            if not self._state.fleet.takes_requests(run.upstream.upstream_id):
+            if not self._state.fleet.stays(run.upstream.upstream_id):
                 continue
             backup = run.backup
             if backup is not None and self._state.fleet.takes_requests(backup.upstream_id):
@@ -86,7 +86,7 @@
             kept, engine = run.kept, run.admitted.service.engine
             if kept is None or engine is None or run.copying or run.moving is not None:
                 continue
-            if not self._state.fleet.takes_requests(run.upstream.upstream_id):
+            if not self._state.fleet.stays(run.upstream.upstream_id):
                 # Its engine is leaving: the copy is where the run goes on soon.
                 continue
             use = self._state.loads.use(kept.copy.upstream.upstream_id, self._state.now())
--- a/driftstall/gateway/reports.py
+++ b/driftstall/gateway/reports.py
@@ -145,10 +145,16 @@
             uses,
             repeats,
             number,
+            self._state.cordons.told,
         )
         roles = self._roles()
         self._broadcast(roles.own_collectors if roles.large else self._live(), report)
 
+    def tell_now(self) -> None:
+        """Tell at once what this instance knows, to all who hear it."""
+        self.report_now()
+        self._summarize()
+
     def take_report(self, report: GatewayReport) -> bool:
         """Take in a peer's report; return whether the platform has just been lost to it."""
         now = self._state.now()
@@ -210,6 +216,7 @@
             self._own_ready() + tuple(one.report.sender for one in fresh if one.report.ready),
             self._state.loads.all_sums(self._state.now(), pooled=False),
             summed([*self._reported_repeats(fresh), *self._state.repeat_counts()]),
+            self._state.cordons.told,
         )
 
     def _fleet_summary(self) -> FleetSummary:
@@ -230,6 +237,7 @@
             self._state.loads.all_sums(self._state.now()),
             summed(counts),
             tuple(ReportAck(one.report.sender, one.report.number) for one in fresh),
+            self._state.cordons.told,
         )
 
     def _least_age(self, standing: Standing) -> float:
--- a/driftstall/gateway/runs.py
+++ b/driftstall/gateway/runs.py
@@ -21,6 +21,8 @@
     upstream: Upstream
     copy_of: str
     kind: CopyKind = CopyKind.NAMED
+    named_by: str = ""
+    """The engine that has named it, where its name does not follow from the request."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/driftstall/gateway/selection.py
+++ b/driftstall/gateway/selection.py
@@ -60,6 +60,8 @@
     """How much worse than usual its answers are."""
     rests: bool
     """Whether it is to be left alone for a while."""
+    cold_s: float = 0.0
+    """How much longer it is cold, in seconds."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,6 +151,7 @@
         for option in options
         if option.upstream.upstream_id != primary.upstream_id
         and not option.rests
+        and not option.cold_s
         and _memory(option.use, engine, need.total) <= BACKUP_FULL
     ]
 
@@ -169,7 +172,12 @@
     most_memory: float,
 ) -> Option | None:
     """Return where a run's memory is copied; in the same zone if it can."""
-    fitting = [one for one in options if _memory(one.use, engine, need.total) <= most_memory]
+    fitting = [
+        one
+        for one in options
+        # What runs at a copy there is a request more to it.
+        if not one.cold_s and _memory(one.use, engine, need.total) <= most_memory
+    ]
 
     def cost(option: Option) -> float:
         far = FAR_MOVE_PENALTY if option.upstream.zone != primary.zone else 0.0
--- a/driftstall/gateway/sending.py
+++ b/driftstall/gateway/sending.py
@@ -59,7 +59,7 @@
     def _exchange(self, run: StreamRun, copy_of: str) -> Opened | UpstreamError:
         """Open a connection, send the request and read the answer's head."""
         marks = SendMarks(
-            upstream_id=run.upstream.upstream_id,
+            upstream_name=run.upstream.name,
             remaining_s=self._left(),
             workspace=self._admitted.workspace,
             rank=self._admitted.verdict.rank,
@@ -72,6 +72,9 @@
             run.exchange = UpstreamExchange.connect(run.upstream.address, timeout_s)
             if self._caller_gone():
                 return UpstreamError("the caller has left", sent=False)
+            if not self._state.may_send(run.upstream):
+                return UpstreamError("the upstream takes no more requests", sent=False)
+            self._state.exchanges.add(run.upstream.upstream_id, run.exchange)
             headers = self._state.dialect.write_send(self._admitted.marks.passed, marks)
             call = self._call
             run.exchange.send(call.method, call.target, headers, call.body, self._left())
--- a/driftstall/gateway/sharing.py
+++ b/driftstall/gateway/sharing.py
@@ -17,8 +17,14 @@
 from driftstall.const import PREFIX_CONFIGURATION, PREFIX_ROUTING
 from driftstall.core import Instance
 from driftstall.gateway.collectors import Roles
+from driftstall.gateway.cordons import Cordons
 from driftstall.gateway.feeds import ItemChange
-from driftstall.gateway.fleet_events import FleetAction, UpstreamLeaving
+from driftstall.gateway.fleet_events import (
+    FleetAction,
+    UpstreamCold,
+    UpstreamLeaving,
+    UpstreamReplaced,
+)
 from driftstall.gateway.model import Upstream, UpstreamState
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import say
@@ -61,6 +67,7 @@
     take_doubt: Callable[[str], None]
     take_fleet: Callable[[tuple[Upstream, ...], int], None]
     """Take in all upstreams that take requests, as of a revision."""
+    take_cordons: Callable[[Cordons], None]
 
 
 class Sharing:
@@ -121,6 +128,13 @@
         if isinstance(action, UpstreamLeaving) and action.doubted:
             # Who has asked the upstream tells all by itself; this is no word of the platform.
             return
+        if (
+            isinstance(action, UpstreamReplaced)
+            or isinstance(action, UpstreamCold)
+            and (action.is_assumed)
+        ):
+            # Follows from what is passed on besides: the later start, or a cordon's end.
+            return
         if not roles.large and leaving and not from_peer:
             # Peers follow the platform too, which tells them of its removal later.
             gone = action.upstream.state is UpstreamState.READY
@@ -201,6 +215,10 @@
         )
         self._intake.take_fleet(offered.upstreams, offered.at)
 
+    def take_cordons(self, told: Cordons) -> None:
+        """Take in which zones a peer knows to be cordoned."""
+        self._intake.take_cordons(told)
+
     def take_news(self, news: UpstreamNews) -> None:
         """Take in one change of an upstream."""
         self._intake.take_news(ItemChange(news.upstream, news.gone))
--- a/driftstall/gateway/sources.py
+++ b/driftstall/gateway/sources.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import singledispatchmethod
 from typing import Final, Protocol
 
 from driftstall.const import PREFIX_CONFIGURATION, PREFIX_MEMBERSHIP, PREFIX_ROUTING
 from driftstall.core import Instance
 from driftstall.exceptions import DriftstallError, PolicyError
+from driftstall.gateway.cordons import Cordon, Cordons, CordonsChanged
 from driftstall.gateway.feeds import ItemChange
 from driftstall.gateway.fleet_events import (
     Changed,
+    Cordoned,
     Doubted,
     FleetAction,
     FleetEvent,
@@ -19,7 +22,10 @@
     Period,
     PlatformBack,
     PlatformLost,
+    UpstreamCold,
+    UpstreamJoined,
     UpstreamLeaving,
+    UpstreamReplaced,
 )
 from driftstall.gateway.model import PolicyText, RoutingText, Upstream
 from driftstall.gateway.routes import RouteTable
@@ -192,6 +198,7 @@
         self._state.check_configured()
         known = {one.upstream_id for one in self._state.fleet.upstreams}
         self._state.outcomes.keep_only(known)
+        self._state.cold_gate.keep_only(known)
 
     def changed(self, change: ItemChange[Upstream]) -> None:
         """Take in one change from the platform."""
@@ -211,6 +218,10 @@
         """Take in that an upstream says itself that it leaves, or that it is gone."""
         self._apply(Doubted(upstream_id))
 
+    def cordoned(self, changed: CordonsChanged) -> None:
+        """Take in which zones are cordoned now."""
+        self._apply(Cordoned(self._state.cordons.zones, changed.lifted))
+
     def platform_lost(self, cause: str) -> None:
         """Learn that the platform does not answer."""
         say(PREFIX_ROUTING, f"The platform's list of upstreams is out of reach: {cause}")
@@ -226,6 +237,8 @@
     def period(self) -> None:
         """Let time pass."""
         self._apply(Period())
+        self._state.cold.forget_ended(self._state.now())
+        self._state.exchanges.forget_ended()
 
     def _apply(self, event: FleetEvent, *, from_peer: bool = False) -> None:
         """Hand an event to the fleet and tell what follows."""
@@ -237,20 +250,27 @@
             self._state.fleet_changed.set()
             self._state.fleet_changed.clear()
 
+    @singledispatchmethod
     def _tell(self, action: FleetAction, *, from_peer: bool) -> None:
-        """Log one action, and have streams moved."""
+        """Log one action, and do what follows from it here."""
+        raise TypeError(f"no handler for {type(action).__name__}")
+
+    @_tell.register
+    def _(self, action: UpstreamLeaving, *, from_peer: bool) -> None:
+        upstream = action.upstream
+        say(
+            PREFIX_ROUTING,
+            f"Upstream {upstream.upstream_id} takes no more requests",
+            source=_source_of(action, from_peer=from_peer),
+            # The notice may be as old; requests went there meanwhile.
+            platform_silence_ms=int(self._silence() * 1000),
+            revision=upstream.revision,
+        )
+        self._leaving(upstream)
+
+    @_tell.register
+    def _(self, action: UpstreamJoined, *, from_peer: bool) -> None:
         upstream = action.upstream
-        if isinstance(action, UpstreamLeaving):
-            say(
-                PREFIX_ROUTING,
-                f"Upstream {upstream.upstream_id} takes no more requests",
-                source=_source_of(action, from_peer=from_peer),
-                # The notice may be as old; requests went there meanwhile.
-                platform_silence_ms=int(self._silence() * 1000),
-                revision=upstream.revision,
-            )
-            self._leaving(upstream)
-            return
         say(
             PREFIX_ROUTING,
             f"Upstream {upstream.upstream_id} takes requests",
@@ -260,6 +280,91 @@
             revision=upstream.revision,
         )
 
+    @_tell.register
+    def _(self, action: UpstreamReplaced, *, from_peer: bool) -> None:
+        # Whoever waits there for an answer waits in vain; it may have run until the new start.
+        upstream = action.upstream
+        given_up = self._state.exchanges.close_all(upstream.upstream_id)
+        say(
+            PREFIX_ROUTING,
+            f"Upstream {upstream.upstream_id} has started again",
+            source=PEER if from_peer else PLATFORM,
+            given_up=given_up,
+            revision=upstream.revision,
+        )
+
+    @_tell.register
+    def _(self, action: UpstreamCold, *, from_peer: bool) -> None:
+        upstream, now = action.upstream, self._state.now()
+        if action.is_assumed:
+            self._state.cold.assume(upstream.upstream_id, action.for_s, now)
+        else:
+            self._state.cold.told(upstream.upstream_id, action.for_s, now)
+        say(
+            PREFIX_ROUTING,
+            f"Upstream {upstream.upstream_id} is cold for {action.for_s:.1f} s",
+            assumed=action.is_assumed,
+            source=PEER if from_peer else PLATFORM,
+            rate=self._state.cold_rate(upstream.service),
+            revision=upstream.revision,
+        )
+
+
+class CordonSource:
+    """Keep which zones are cordoned, and tell the fleet and the peers."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        *,
+        apply: Callable[[CordonsChanged], None],
+        announce: Callable[[], None],
+    ) -> None:
+        """Take the shared state, who applies what has changed, and how peers are told."""
+        self._state = state
+        self._apply = apply
+        self._announce = announce
+
+    def listed(self, items: tuple[Cordon, ...], at: int) -> None:
+        """Take in the whole list, as of a revision."""
+        self._take(self._state.cordons.take(Cordons(at, items)), PLATFORM)
+        self._state.check_configured()
+
+    def changed(self, change: ItemChange[Cordon]) -> None:
+        """Take in one change from the platform."""
+        found = self._state.cordons.change(change.item, lifted=change.gone)
+        self._take(found, PLATFORM)
+
+    def heard(self, told: Cordons) -> None:
+        """Take in what a peer knows."""
+        knew = self._state.cordons.known
+        self._take(self._state.cordons.take(told), PEER)
+        if not knew:
+            self._state.check_configured()
+
+    def platform_lost(self, cause: str) -> None:
+        """Log that the platform does not answer."""
+        say(PREFIX_ROUTING, f"The platform's list of cordoned zones is out of reach: {cause}")
+
+    def platform_back(self) -> None:
+        """Log that the platform answers again."""
+        say(PREFIX_ROUTING, "The platform's list of cordoned zones is in reach")
+
+    def _take(self, changed: CordonsChanged, source: str) -> None:
+        """Put in force what has changed."""
+        if not changed:
+            return
+        say(
+            PREFIX_ROUTING,
+            "The cordoned zones have changed",
+            cordoned=sorted(changed.cordoned),
+            lifted=sorted(changed.lifted),
+            source=source,
+            at=self._state.cordons.told.at,
+        )
+        self._apply(changed)
+        self._announce()
+
 
 def _source_of(action: UpstreamLeaving, *, from_peer: bool) -> str:
     """Return who tells that an upstream leaves."""
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -11,8 +11,12 @@
 
 from driftstall.const import PREFIX_ROUTING
 from driftstall.core import Request
+from driftstall.decisions.cold_starts import QUIET_START_S, UNTOLD_S, ColdPart, ColdStarts
 from driftstall.decisions.lengths import LearnedLengths
+from driftstall.gateway.cold_gate import ColdGate
+from driftstall.gateway.cordons import CordonBook
 from driftstall.gateway.dialect import Dialect
+from driftstall.gateway.exchange import OpenExchanges
 from driftstall.gateway.fleet import FleetController
 from driftstall.gateway.loads import LoadBook, Share
 from driftstall.gateway.model import GatewaySettings, Service, Upstream
@@ -43,6 +47,9 @@
         self.policy = policy
         self.table: RouteTable | None = None
         self.fleet = FleetController()
+        self.cordons = CordonBook()
+        self.cold = ColdStarts()
+        self.exchanges = OpenExchanges()
         self.loads = LoadBook()
         self.outcomes = OutcomeBook()
         self.lengths = LearnedLengths()
@@ -63,6 +70,8 @@
         self.suspect: Callable[[Upstream], None] = _ignore
         """Takes an engine at which a stream broke off unexpectedly."""
         self.lot = Lot(self.source)
+        self._started_at = self.now()
+        self.cold_gate = ColdGate(self.cold, self.source, self._cold_part, lambda: self.now())
         self._budgets: dict[str, SharedRetryBudget] = {}
 
     @staticmethod
@@ -78,11 +87,17 @@
     @property
     def ready(self) -> bool:
         """Tell whether this instance takes requests."""
-        return self.table is not None and self.fleet.known and self.stopping_since is None
+        return self.knows_enough and self.stopping_since is None
+
+    @property
+    def knows_enough(self) -> bool:
+        """Tell whether there is something to decide by."""
+        knows_cordons = self.cordons.known or not self.settings.bounds.cordon_s
+        return self.table is not None and self.fleet.known and knows_cordons
 
     def check_configured(self) -> None:
         """Let waiting requests go on once there is something to decide by."""
-        if self.table is not None and self.fleet.known:
+        if self.knows_enough:
             self.configured.set()
 
     def budget(self, service: str) -> SharedRetryBudget:
@@ -136,16 +151,40 @@
     def options(self, service: str, avoid: frozenset[str] = frozenset()) -> list[Option]:
         """Return the upstreams of a service that may be chosen, with what runs there."""
         now = self.now()
-        return [
-            Option(
-                upstream,
-                self.loads.use(upstream.upstream_id, now),
-                self.outcomes.penalty(upstream.upstream_id, service),
-                self.outcomes.rests(upstream.upstream_id, now),
+        found: list[Option] = []
+        for upstream in self.fleet.ready(service):
+            upstream_id = upstream.upstream_id
+            if upstream_id in avoid:
+                continue
+            found.append(
+                Option(
+                    upstream,
+                    self.loads.use(upstream_id, now),
+                    self.outcomes.penalty(upstream_id, service),
+                    self.outcomes.rests(upstream_id, now),
+                    self.cold.ends_in_s(upstream_id, now),
+                )
             )
-            for upstream in self.fleet.ready(service)
-            if upstream.upstream_id not in avoid
-        ]
+        return found
+
+    def may_send(self, upstream: Upstream) -> bool:
+        """Tell whether an upstream may be sent anything, just before it is."""
+        return self.fleet.serves(upstream.upstream_id, self.now(), self.settings.bounds.drain_s)
+
+    def cold_rate(self, service: str) -> float:
+        """Return the requests a second that a cold upstream bears; zero where none is told."""
+        found = self.table.service(service) if self.table else None
+        return found.cold_rate if found else 0.0
+
+    def _cold_part(self, service: str) -> ColdPart | None:
+        """Return how often this instance may send to a cold upstream; None: unbounded."""
+        rate = self.cold_rate(service)
+        if not rate:
+            return None
+        if self.now() - self._started_at < QUIET_START_S:
+            return ColdPart(0.0)
+        placed = self.lot.drawn is not None
+        return ColdPart.of_instance(rate, self.instances.value, placed=placed)
 
     def expected_tokens(self, request: Request, hint: int) -> int:
         """Forecast the whole output of a request, in tokens."""
@@ -188,6 +227,9 @@
 
     def saw(self, upstream_id: str, service: str, outcome: Outcome, seconds: float) -> None:
         """Take in how a request to an upstream went."""
+        if outcome is Outcome.UNREACHABLE:
+            # It may be starting again, and is cold then before it can say so.
+            self.cold.assume(upstream_id, UNTOLD_S, self.now())
         self.outcomes.saw(upstream_id, service, outcome, self.now(), seconds)
 
 
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -9,6 +9,8 @@
 
 from typing import Final
 
+import gevent
+
 from driftstall.const import (
     CODE_DEADLINE,
     CODE_NO_RUNNER,
@@ -42,6 +44,8 @@
 
 SILENCE_S: Final = 1.2
 """A running stream that says nothing for so long goes on at its copy, if it has one."""
+COLD_WAIT_S: Final = 1.2
+"""How long a stream that could go on waits for an engine that has gone cold."""
 MAX_RESUMES: Final = 8
 """Upstreams that one stream may go on at; each leaves with a notice of its own."""
 OK: Final = 200
@@ -118,8 +122,9 @@
                 return self._after_break(run, str(result))
             else:
                 detail = str(result)
-                self._saw(run, Outcome.UNREACHABLE)
-                self._state.suspect(run.upstream)
+                if self._state.may_send(run.upstream):
+                    self._saw(run, Outcome.UNREACHABLE)
+                    self._state.suspect(run.upstream)
             self._drop(run)
             avoid.add(run.upstream.upstream_id)
         return Problem(CODE_NO_RUNNER, 503, detail, self._history.ran, FULL_RETRY_S)
@@ -275,6 +280,8 @@
             if copy is None:
                 self._copies.say_none(run, cause)
                 return None
+            if not self._await_cold(copy.upstream):
+                continue
             if not self._budget_allows(copy.upstream):
                 return None
             self._state.runs.drop(run)
@@ -293,6 +300,25 @@
             run = next_run
         return None
 
+    def _await_cold(self, upstream: Upstream) -> bool:
+        """Wait for the stream's turn at a copy's engine that has gone cold; return whether it is.
+
+        Callers give a stream up after a pause of two seconds or more.
+        """
+        until = self._state.now() + min(COLD_WAIT_S, self._left())
+        while (wait_s := self._state.cold_gate.wait_s(upstream)) > 0:
+            if self._state.now() + wait_s > until:
+                say(
+                    PREFIX_RELAY,
+                    f"A stream is not gone on with at {upstream.upstream_id}: it is cold",
+                    request=self._admitted.marks.request_id,
+                    wait_ms=int(wait_s * 1000),
+                )
+                return False
+            gevent.sleep(wait_s)
+        self._state.cold_gate.took(upstream)
+        return True
+
     # Ends.
 
     def _complete(self, run: StreamRun) -> bool:
--- a/driftstall/gateway/zone_placer.py
+++ b/driftstall/gateway/zone_placer.py
@@ -12,7 +12,9 @@
 from gevent.event import AsyncResult
 
 from driftstall.const import PREFIX_ROUTING
+from driftstall.decisions.cold_starts import ColdPart
 from driftstall.decisions.zone_placement import PATIENCE_S, PendingPlacements, PlacerOrder
+from driftstall.gateway.cold_gate import ColdGate
 from driftstall.gateway.collectors import Roles
 from driftstall.gateway.loads import Share
 from driftstall.gateway.selection import Need, choose_backup, choose_stream, has_room
@@ -39,6 +41,7 @@
         self._order = PlacerOrder()
         self._pending = PendingPlacements()
         self._waiting: dict[str, AsyncResult] = {}
+        self._cold_gate = ColdGate(state.cold, state.source, self._cold_part, state.now)
 
     def place(self, asked: PlacementAsked) -> PlacementGiven | None:
         """Return where a stream should run; None where this instance is to choose by itself."""
@@ -85,7 +88,7 @@
         lot = replace(self._state.lot, knows_near=True)
         need = Need(asked.prompt_tokens, asked.output_tokens)
         options = self._state.options(asked.service, frozenset(asked.avoid))
-        chosen = choose_stream(options, engine, need, zone, lot)
+        chosen = choose_stream(self._cold_gate.open(options), engine, need, zone, lot)
         if chosen is None:
             return PlacementGiven(self._own_id, asked.request_id, "", "", False)
         backup = None
@@ -99,9 +102,15 @@
             has_room(chosen, engine, need),
         )
         if given.has_room or asked.taken_anyway:
+            self._cold_gate.took(chosen.upstream)
             self._remember(asked, given)
         return given
 
+    def _cold_part(self, service: str) -> ColdPart | None:
+        """Return how often this placer may send others to a cold upstream; None: unbounded."""
+        rate = self._state.cold_rate(service)
+        return ColdPart.of_placer(rate, self._roles().zones) if rate else None
+
     def _remember(self, asked: PlacementAsked, given: PlacementGiven) -> None:
         """Count a choice for others until its instance reports it."""
         if asked.sender == self._own_id:
--- a/driftstall/peers/gateway_messages.py
+++ b/driftstall/peers/gateway_messages.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from driftstall.controllers.membership import Ack, Ping, PingRequest
+from driftstall.gateway.cordons import Cordons
 from driftstall.gateway.loads import Use
 from driftstall.gateway.model import Upstream
 from driftstall.gateway.shared_budget import RepeatCount
@@ -27,6 +28,7 @@
     repeats: tuple[RepeatCount, ...]
     number: int
     """Grows with each report of this instance."""
+    cordons: Cordons
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +55,7 @@
     ready: tuple[str, ...]
     uses: tuple[Use, ...]
     repeats: tuple[RepeatCount, ...]
+    cordons: Cordons
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +74,7 @@
     uses: tuple[Use, ...]
     repeats: tuple[RepeatCount, ...]
     acks: tuple[ReportAck, ...]
+    cordons: Cordons
 
 
 @dataclass(frozen=True, slots=True)
--- a/driftstall/peers/schema.capnp
+++ b/driftstall/peers/schema.capnp
@@ -72,25 +72,27 @@
   exposed @5 :Int32;
 }
 struct RepeatCount { service @0 :Text; requests @1 :UInt32; repeats @2 :UInt32; }
+struct Cordon { zone @0 :Text; revision @1 :UInt64; }
+struct Cordons { at @0 :UInt64; cordons @1 :List(Cordon); }
 struct GatewayReport {
   sender @0 :Text; ready @1 :Bool; platformOk @2 :Bool; routingVersion @3 :UInt64;
-  uses @4 :List(Use); repeats @5 :List(RepeatCount); number @6 :UInt32;
+  uses @4 :List(Use); repeats @5 :List(RepeatCount); number @6 :UInt32; cordons @7 :Cordons;
 }
 struct ReportAck { instanceId @0 :Text; number @1 :UInt32; }
 struct ZoneSummary {
   sender @0 :Text; zone @1 :Text; routingVersion @2 :UInt64; platformAgeMs @3 :UInt32;
   fleetDigest @4 :UInt64; instances @5 :UInt32; ready @6 :List(Text); uses @7 :List(Use);
-  repeats @8 :List(RepeatCount);
+  repeats @8 :List(RepeatCount); cordons @9 :Cordons;
 }
 struct FleetSummary {
   sender @0 :Text; routingVersion @1 :UInt64; policyRevision @2 :UInt64;
   platformAgeMs @3 :UInt32; fleetDigest @4 :UInt64; instances @5 :UInt32;
   ready @6 :List(Text); uses @7 :List(Use); repeats @8 :List(RepeatCount);
-  acks @9 :List(ReportAck);
+  acks @9 :List(ReportAck); cordons @10 :Cordons;
 }
 struct Upstream {
-  upstreamId @0 :Text; service @1 :Text; address @2 :Text; zone @3 :Text; slots @4 :UInt32;
-  state @5 :Text; revision @6 :UInt64;
+  name @0 :Text; service @1 :Text; address @2 :Text; zone @3 :Text; slots @4 :UInt64;
+  state @5 :Text; revision @6 :UInt64; born @7 :UInt64; coldS @8 :Float64;
 }
 struct FleetAsked { sender @0 :Text; }
 struct FleetOffered { sender @0 :Text; at @1 :UInt64; upstreams @2 :List(Upstream); }
