Let the soak cordon zones and start upstreams again, cold

Plan "zones": cordons of 4 to 9 s, upstreams that start again under their name and are cold then, beside a few other faults; seeds of the other plans keep their steps. Checks: nothing arrives in a cordoned zone from a calm instance after the bound, a cold upstream gets no more in a second than it bears, calm or not.

--- a/features/parts/soak.feature
+++ b/features/parts/soak.feature
@@ -24,6 +24,8 @@
       | an upstream has run what nobody asked                  | nobody asked for this                    |
       | an upstream has run another path                       | nobody asked for this                    |
       | an upstream got a call 3 s after its notice            | after its notice                         |
+      | an upstream got a call 3.5 s after its zone was cordoned | its zone was cordoned                  |
+      | a cold upstream got more calls than it bears           | requests within a second                 |
       | an added route is denied by a calm instance            | an added route is not known              |
       | a dropped route is served by a calm instance           | a dropped route is still served          |
       | a calm instance gives no answer for 4 s                | no final answer for 4.0 s                |
@@ -39,6 +41,7 @@
     Examples:
       | what                                         |
       | an upstream got a call 3 s after its notice  |
+      | an upstream got a call 3.5 s after its zone was cordoned |
       | an added route is denied by a calm instance  |
       | a dropped route is served by a calm instance |
       | a calm instance gives no answer for 4 s      |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -20,9 +20,16 @@
 from driftstall.util.addresses import split_address
 from measures.bench import FIRST_PORT, SLICE_PORTS, free_port
 from measures.gateway_process import GatewayProcess
-from soak.checks import broken_promises
+from soak.checks import (
+    COLD_KNOWN_S,
+    COLD_OVER,
+    COLD_RATE,
+    COLD_SLACK,
+    CORDON_S,
+    broken_promises,
+)
 from soak.fleet import Listed
-from soak.ledger import Arrival, Asked, Ledger, Notice, Sort
+from soak.ledger import Arrival, Asked, Ledger, Notice, Sort, Stay, Window
 from soak.plan import CALM_LAST_S, Kind, Plan, draw
 from soak.proxy import Proxy
 from soak.run import Size, Soak
@@ -118,6 +125,26 @@
     context.ledger.asked["late"].path = "/safe/x"
 
 
+def in_cordon(context: Any) -> None:
+    """Let an upstream get a call long after its zone was cordoned."""
+    window = Window(LATER - CORDON_S - 1.0, LATER + 1.0)
+    context.ledger.cordoned.append(Stay("u9", window))
+    arrive(context, "late", "u9", "/safe/x", LATER)
+    context.ledger.asked["late"] = replace(context.once, request_id="late", sort=Sort.SAFE)
+    context.ledger.asked["late"].path = "/safe/x"
+
+
+def cold_burst(context: Any) -> None:
+    """Let a cold upstream get more than it bears within a second."""
+    window = Window(LATER - COLD_KNOWN_S, LATER + 2.0)
+    context.ledger.cold.append(Stay("u9", window))
+    for index in range(int(COLD_RATE * COLD_OVER + COLD_SLACK) + 1):
+        good(context.ledger, f"cold-{index}", Sort.SAFE, LATER)
+        context.ledger.arrivals[-1] = replace(
+            context.ledger.arrivals[-1], upstream_id="u9", at=LATER + index * 0.1
+        )
+
+
 def probe(context: Any, sort: Sort, status: int) -> None:
     """Record a probe of the configuration."""
     asked = good(context.ledger, "probe", sort, LATER, "/added3/x")
@@ -158,6 +185,8 @@
     "an upstream has run what nobody asked": lambda c: arrive(c, "x", "u1", "/safe/x", LATER),
     "an upstream has run another path": lambda c: setattr(c.once, "path", "/once/y"),
     "an upstream got a call 3 s after its notice": late_arrival,
+    "an upstream got a call 3.5 s after its zone was cordoned": in_cordon,
+    "a cold upstream got more calls than it bears": cold_burst,
     "an added route is denied by a calm instance": lambda c: probe(c, Sort.ADDED, 404),
     "a dropped route is served by a calm instance": lambda c: probe(c, Sort.DROPPED, 200),
     "a calm instance gives no answer for 4 s": unanswered,
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,7 +9,8 @@
   --instances=N  Gateway processes [default: 4].
   --callers=N    Callers [default: 12].
   --seconds=S    Seconds of traffic, 10 or more [default: 20].
-  --plan=NAME    mixed (all kinds of faults) or leaving (upstreams that leave) [default: mixed].
+  --plan=NAME    mixed (all kinds of faults), leaving (upstreams that leave) or zones (zones that
+                 are cordoned, upstreams that start again) [default: mixed].
 
 Each seed that breaks a promise is printed with its lines and the folder of its logs.
 """
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -17,6 +17,15 @@
 """How long after its time an answer may come."""
 DRAIN_S: Final = 2.0
 """An upstream that leaves gets nothing after this time (drainMs)."""
+CORDON_S: Final = 2.5
+"""An upstream of a cordoned zone gets nothing after this time (evacuateMs)."""
+COLD_RATE: Final = 3.0
+"""Requests a second that a cold upstream bears (coldPerS)."""
+COLD_OVER: Final = 1.5
+COLD_SLACK: Final = 2.0
+"""It may get COLD_RATE x COLD_OVER + COLD_SLACK in a second (coldOver, coldSlack)."""
+COLD_KNOWN_S: Final = 0.5
+"""The store tells of a cold upstream at once here, and busy processes read it a little later."""
 APPLY_S: Final = 2.0
 """A configuration is in force after this time (configApplyMs)."""
 RECOVERED_SHARE: Final = 0.9
@@ -37,6 +46,8 @@
         found += [f"{line}: {_describe(one)}" for line in _request(ledger, one, runs)]
     found += list(_unasked(ledger))
     found += list(_after_notice(ledger))
+    found += list(_in_cordon(ledger))
+    found += list(_cold(ledger))
     found += list(_recovery(ledger))
     return found
 
@@ -119,6 +130,40 @@
             yield f"sent to {arrival.upstream_id} {late:.1f} s after its notice: {_describe(asked)}"
 
 
+def _in_cordon(ledger: Ledger) -> Iterator[str]:
+    """Check that upstreams of a cordoned zone get nothing from calm instances after the bound."""
+    for stay in ledger.cordoned:
+        since = stay.window.begins
+        if not ledger.calm(STORE, since - CALM_AFTER_S, since):
+            continue
+        for arrival in ledger.arrivals:
+            late = arrival.at - since
+            is_late = late > CORDON_S + MACHINE_SLACK_S and arrival.at <= stay.window.ends
+            if arrival.upstream_id != stay.upstream_id or not is_late:
+                continue
+            asked = ledger.asked[arrival.request_id]
+            if _calm(ledger, asked, arrival.at):
+                told = f"sent to {stay.upstream_id} {late:.1f} s after its zone was cordoned"
+                yield f"{told}: {_describe(asked)}"
+
+
+def _cold(ledger: Ledger) -> Iterator[str]:
+    """Check that all instances together, calm or not, spare cold upstreams."""
+    most = COLD_RATE * COLD_OVER + COLD_SLACK
+    for stay in ledger.cold:
+        times = sorted(
+            one.at
+            for one in ledger.arrivals
+            if one.upstream_id == stay.upstream_id
+            and stay.window.begins + COLD_KNOWN_S <= one.at <= stay.window.ends
+        )
+        for index, at in enumerate(times):
+            count = sum(other < at + 1.0 for other in times[index:])
+            if count > most:
+                yield f"cold {stay.upstream_id} got {count} requests within a second, at {at:.2f}"
+                break
+
+
 def _recovery(ledger: Ledger) -> Iterator[str]:
     """Check that nearly all is served once all faults have ended."""
     usual = [one for one in ledger.asked.values() if one.sort in (Sort.SAFE, Sort.ONCE)]
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -14,7 +14,7 @@
 from driftstall.platform.names import KIND_UPSTREAMS
 from driftstall.platform.store import Store
 from features.worlds.upstream_samples import entry_spec
-from soak.ledger import Arrival, Ledger, Notice
+from soak.ledger import Arrival, Ledger, Notice, Stay, Window
 from soak.plan import Plan
 from soak.proxy import Proxy
 from stand_ins.routed import RoutedUpstream, Script, Seen
@@ -23,9 +23,15 @@
 EVENTS: Final = 25
 EVENT_PAUSE_S: Final = 0.03
 WORK_S: Final = 0.02
-SERVES_ON_S: Final = {Plan.MIXED: (2.5, 2.5), Plan.LEAVING: (3.0, 12.0)}
+SERVES_ON_S: Final = {
+    Plan.MIXED: (2.5, 2.5),
+    Plan.LEAVING: (3.0, 12.0),
+    Plan.ZONES: (3.0, 6.0),
+}
 """For how long an upstream serves on after its notice: drainMs and a little longer, at times many
 seconds. Only one that serves on shows who still sends to it."""
+COLD_S: Final = 2.5
+"""How long an upstream is cold after it has started again."""
 LAPSE_S: Final = 1.5
 """The entry of one that crashed goes after so long."""
 STORE_RETRY_S: Final = 0.1
@@ -95,6 +101,7 @@
         self.service = service
         self._store = store
         self._ledger = ledger
+        self._born = int(time.time() * 1000)
         self._starts = itertools.count(1)
         self.all: list[Listed] = []
         self._begin()
@@ -102,9 +109,14 @@
     def _begin(self) -> None:
         """Start an upstream with a new id, and list it."""
         name = f"{self.service}-{self.place}-{next(self._starts)}"
+        self._born += 1
+        self._open(name)
+        self._write(name, self._spec("ready"))
+
+    def _open(self, name: str) -> None:
+        """Start a process that listens behind a proxy of its own."""
         self.upstream = RecordingUpstream(name, self._ledger, self._source)
         self.proxy = Proxy(self.upstream.address)
-        self._write(name, self._spec("ready"))
         for one in self.all:
             one.upstream.peers = {other.proxy.address: other.upstream for other in self.all}
 
@@ -121,6 +133,23 @@
         self._begin()
         gevent.spawn_later(self._source.uniform(*self._serves_on), self._end, old, proxy)
 
+    def start_again(self) -> None:
+        """End at once and start again under the name, cold; the entry tells of it."""
+        old, proxy = self.upstream, self.proxy
+        proxy.stop()
+        old.stop()
+        self._born += 1
+        self._open(old.upstream_id)
+        now = time.monotonic()
+        self._ledger.cold.append(Stay(old.upstream_id, Window(now, now + COLD_S)))
+        self._write(old.upstream_id, self._spec("ready", cold_s=COLD_S))
+        gevent.spawn_later(COLD_S, self._warm, old.upstream_id, self._born)
+
+    def _warm(self, name: str, born: int) -> None:
+        """Say that it is cold no more, unless another one has its place by now."""
+        if self.upstream.upstream_id == name and self._born == born:
+            self._write(name, self._spec("ready"))
+
     def remove(self) -> None:
         """Be gone from the store without a word, serve on for a while and end."""
         old, proxy = self.upstream, self.proxy
@@ -142,10 +171,21 @@
         old.stop()
         self._delete(old.upstream_id)
 
-    def _spec(self, state: str) -> dict[str, Any]:
+    @property
+    def zone(self) -> str:
+        """Return the zone of this place."""
+        return ZONES[self.place % len(ZONES)]
+
+    def _spec(self, state: str, cold_s: float = 0.0) -> dict[str, Any]:
         """Return the entry in the store."""
-        zone = ZONES[self.place % len(ZONES)]
-        return entry_spec(self.proxy.address, self.service, zone=zone, state=state)
+        return entry_spec(
+            self.proxy.address,
+            self.service,
+            zone=self.zone,
+            state=state,
+            born=self._born,
+            coldRemainingMs=cold_s * 1000,
+        )
 
     def _note(self, upstream_id: str) -> None:
         """Note that the store has acknowledged a notice."""
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -74,6 +74,14 @@
     ends: float
 
 
+@dataclass(frozen=True, slots=True)
+class Stay:
+    """Hold that an upstream was cold, or in a cordoned zone, for a while."""
+
+    upstream_id: str
+    window: Window
+
+
 @dataclass(slots=True)
 class Ledger:
     """Hold everything that the checks look at."""
@@ -83,6 +91,9 @@
     asked: dict[str, Asked] = field(default_factory=dict)
     arrivals: list[Arrival] = field(default_factory=list)
     notices: dict[str, Notice] = field(default_factory=dict)
+    cordoned: list[Stay] = field(default_factory=list)
+    """From the store's acknowledgement until the order to free the zone."""
+    cold: list[Stay] = field(default_factory=list)
     disturbed: dict[str, list[Window]] = field(default_factory=lambda: defaultdict(list))
     """By name of an instance or an upstream, or STORE."""
     ended: list[str] = field(default_factory=list)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -40,6 +40,9 @@
     SILENCE = "open connections to the store fall silent"
     """For good, and without a reset; new ones work."""
     SILENCE_ONE = "those of one instance fall silent"
+    CORDON = "a zone is cordoned"
+    START_AGAIN = "upstream starts again under its name"
+    """It is cold then, and holds nothing of before."""
 
 
 class Plan(StrEnum):
@@ -50,6 +53,8 @@
     LEAVING = "leaving"
     """Upstreams that leave and serve on for long, with few other faults: an instance must be
     calm for some seconds until it can be held to what it should know by then."""
+    ZONES = "zones"
+    """Zones that are cordoned and freed again, and upstreams that start again, with few others."""
 
 
 class Fault(StrEnum):
@@ -113,12 +118,29 @@
 notices fall into a calm stretch or right behind a disturbance."""
 
 
+ZONES_WEIGHTS: Final[dict[Kind, float]] = {
+    Kind.CORDON: 4.0,
+    Kind.START_AGAIN: 4.0,
+    Kind.LEAVE: 1.5,
+    Kind.REMOVE: 0.5,
+    Kind.CRASH: 0.5,
+    Kind.SILENCE: 0.5,
+    Kind.KILL: 0.5,
+    Kind.STORE_FORGETS: 0.5,
+    Kind.STORE_LINK: 0.5,
+    Kind.CONFIGURE: 1.0,
+}
+PLAN_WEIGHTS: Final = {Plan.LEAVING: LEAVING_WEIGHTS, Plan.ZONES: ZONES_WEIGHTS}
+CORDON_FOR_S: Final = (4.0, 9.0)
+"""For how long a zone is cordoned: longer than the time within which all must know."""
+
+
 def draw(
     seed: int, *, instances: int, upstreams: int, seconds: float, plan: Plan = Plan.MIXED
 ) -> tuple[Step, ...]:
     """Return the steps of a run, in their order."""
-    if plan is Plan.LEAVING:
-        return tuple(_leaving(seed, instances, upstreams, seconds))
+    if plan is not Plan.MIXED:
+        return tuple(_sparse(seed, plan, instances, upstreams, seconds))
     source = random.Random(seed)
     steps: list[Step] = []
     at = CALM_FIRST_S
@@ -136,13 +158,16 @@
         ]
 
 
-def _leaving(seed: int, instances: int, upstreams: int, seconds: float) -> Iterator[Step]:
-    """Draw the steps of the plan in which upstreams leave."""
-    source = random.Random(f"{seed} leaving")
+def _sparse(
+    seed: int, plan: Plan, instances: int, upstreams: int, seconds: float
+) -> Iterator[Step]:
+    """Draw the steps of a plan with calm stretches."""
+    source = random.Random(f"{seed} {plan.value}")
+    weights = PLAN_WEIGHTS[plan]
     last = seconds - CALM_LAST_S
     at = CALM_FIRST_S + source.expovariate(1 / LEAVING_GAP_S)
     while at < last:
-        kind = source.choices(list(LEAVING_WEIGHTS), list(LEAVING_WEIGHTS.values()))[0]
+        kind = source.choices(list(weights), list(weights.values()))[0]
         yield _step(source, kind, at, last, instances, upstreams)
         at += source.expovariate(1 / LEAVING_GAP_S)
 
@@ -162,7 +187,14 @@
 ) -> Step:
     """Draw what one step hits, for how long and how."""
     pick: Callable[[int], int] = source.randrange
-    of_upstream = kind in (Kind.UPSTREAM_LINK, Kind.LEAVE, Kind.REMOVE, Kind.CRASH)
+    of_upstream = kind in (
+        Kind.UPSTREAM_LINK,
+        Kind.LEAVE,
+        Kind.REMOVE,
+        Kind.CRASH,
+        Kind.START_AGAIN,
+    )
     target = pick(upstreams if of_upstream else instances)
-    for_s = min(source.uniform(0.2, 3.0), max(0.1, last - at))
+    lasts = CORDON_FOR_S if kind is Kind.CORDON else (0.2, 3.0)
+    for_s = min(source.uniform(*lasts), max(0.1, last - at))
     return Step(at, kind, target, for_s, source.choice(list(Fault)))
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,15 +17,15 @@
 import orjson
 
 from driftstall.exceptions import PlatformUnavailable, UpstreamError
-from driftstall.platform.names import KIND_CONFIG, NAME_CONFIG
+from driftstall.platform.names import KIND_CONFIG, KIND_CORDONS, NAME_CONFIG
 from driftstall.platform.store import Store
 from features.worlds.gateway_world import HOST, document, route
 from measures.bench import Bench, BenchError
 from measures.gateway_process import GatewayProcess
 from soak.caller import CallerConnection
-from soak.checks import APPLY_S, CONTACT_S, DRAIN_S, broken_promises
+from soak.checks import APPLY_S, COLD_RATE, CONTACT_S, CORDON_S, DRAIN_S, broken_promises
 from soak.fleet import EVENTS, ZONES, Listed
-from soak.ledger import STORE, Asked, Ledger, Sort
+from soak.ledger import STORE, Asked, Ledger, Sort, Stay, Window
 from soak.plan import Kind, Plan, Step, draw
 from soak.proxy import Proxy
 
@@ -66,6 +66,7 @@
         self._numbers = itertools.count(1)
         self._version = 1
         self._acked: tuple[int, float] = (1, 0.0)
+        self._cordons: set[str] = set()
         """The newest version that the store has acknowledged, and when."""
         self._traffic = True
         self.folder = Path(tempfile.mkdtemp(prefix=f"driftstall-soak-{seed}-"))
@@ -134,6 +135,8 @@
             "drainMs": DRAIN_S * 1000,
             "contactMs": CONTACT_S * 1000,
         }
+        if self._size.plan is Plan.ZONES:
+            bounds["evacuateMs"] = CORDON_S * 1000
         settings: dict[str, Any] = {
             "bounds": bounds,
             "seeds": seeds,
@@ -166,6 +169,8 @@
             Kind.CRASH: lambda one: self._change_fleet(one, "crash"),
             Kind.BREAK_OFF: lambda one: self._fleet[one.target].break_off(one.for_s),
             Kind.CONFIGURE: lambda _: self._spawn(self._configure),
+            Kind.CORDON: lambda one: self._spawn(self._cordon, one),
+            Kind.START_AGAIN: lambda one: self._change_fleet(one, "start_again"),
             Kind.SILENCE: lambda _: self._silence(range(len(self._instances))),
             Kind.SILENCE_ONE: lambda one: self._silence([one.target]),
         }
@@ -263,6 +268,32 @@
         """Let an upstream go, in one of the ways; all of them may break its requests."""
         self._spawn(getattr(self._fleet[step.target], how))
 
+    def _cordon(self, step: Step) -> None:
+        """Cordon a zone for a while, unless it is."""
+        zone = ZONES[step.target % len(ZONES)]
+        if zone in self._cordons:
+            return
+        self._cordons.add(zone)
+        self._until_taken(lambda: self._store.create(KIND_CORDONS, zone, {}))
+        began = time.monotonic()
+        gevent.sleep(step.for_s)
+        window = Window(began, time.monotonic())
+        # Those that have come meanwhile under other names are cordoned from their start on.
+        ids = {one.upstream.upstream_id for one in self._fleet if one.zone == zone}
+        self.ledger.cordoned += [Stay(one, window) for one in ids]
+        self._until_taken(lambda: self._store.delete(KIND_CORDONS, zone))
+        self._cordons.discard(zone)
+
+    @staticmethod
+    def _until_taken(write: Callable[[], object]) -> None:
+        """Write again and again until the store has taken it."""
+        while True:
+            try:
+                write()
+                return
+            except PlatformUnavailable:
+                gevent.sleep(REJECTED_PAUSE_S)
+
     def _configure(self) -> None:
         """Store a configuration with one more route and without the last added one."""
         self._version += 1
@@ -282,6 +313,8 @@
         for one in wanted["routes"]:
             long = one["kind"] == "streaming"
             one["timeoutMs"] = (TIMEOUTS_S[Sort.STREAM] if long else CALL_TIMEOUT_S) * 1000
+        if self._size.plan is Plan.ZONES:
+            wanted["services"] = [one | {"coldPerS": COLD_RATE} for one in wanted["services"]]
         added = route("added", f"/added{self._version}/", "safe", "portal")
         wanted["routes"].append(added | {"timeoutMs": CALL_TIMEOUT_S * 1000})
         return wanted
