Have one instance place the streams of the whole fleet

Cause: with one placer a zone, placers of different zones put prompts on one engine unseen by each other; of summaries with two or more such prompts beside them most came late. Now the first collectors of three zones are asked in one order by all instances; whoever places compares all engines and knows its own choices for all zones at once; near ones are preferred by what bytes between zones cost. The other two stand in where the first is silent, as before within a zone. Ruled out: each zone's engines given away by its own placer asked from afar was not built; it takes a second hop for a third of the streams and knows no more. The scenario that all of a zone know the same two placers is replaced by a stricter one: all of the fleet know the same three, one of each zone, and each of them collects.

--- a/driftstall/gateway/collectors.py
+++ b/driftstall/gateway/collectors.py
@@ -26,6 +26,8 @@
 FOLLOWERS: Final = 3
 """Collectors that follow the platform; each calls it several times a second. With a third
 of all machines cut off from it, all three are in one case of 25; the others notice then."""
+PLACERS: Final = 3
+"""Instances that may place streams for the fleet; one does, and the others while it is silent."""
 MIN_LINK_MBPS: Final = 50
 """A collector sends its zone some megabits a second; a weaker link is chosen last."""
 COLLECTOR_KEY: Final = "collectors"
@@ -49,10 +51,8 @@
     """The collectors of the other zones."""
     zone_members: tuple[Instance, ...] = ()
     """The other instances of this zone that do not collect."""
-    zones: int = 1
-    """How many availability zones the fleet has."""
     placers: tuple[str, ...] = ()
-    """Who places streams for this zone: its collectors, best first, this instance included."""
+    """Who places streams for the fleet, best first: the first collectors of some zones."""
 
     @classmethod
     def from_fleet(cls, own: Instance, live: Iterable[Instance]) -> Roles:
@@ -79,8 +79,7 @@
             zone_members=tuple(
                 one for one in zones.get(own.zone, ()) if one.instance_id not in ids
             ),
-            zones=len(zones),
-            placers=tuple(one.instance_id for one in of_zone),
+            placers=tuple(one.instance_id for one in firsts[:PLACERS]),
         )
 
 
--- a/driftstall/gateway/placement.py
+++ b/driftstall/gateway/placement.py
@@ -129,6 +129,7 @@
             self.engine.can_backup and self._wants_backup(),
             tuple(avoid),
             taken_anyway,
+            self._state.settings.zone,
         )
         given = self._state.place_in_zone(asked)
         upstream = self._state.fleet.find(given.upstream_id) if given else None
--- a/driftstall/gateway/selection.py
+++ b/driftstall/gateway/selection.py
@@ -86,6 +86,8 @@
     """Options that are compared; None for all."""
     knows_near: bool = False
     """Whether what runs in the own zone is known at once, so that all of it is compared."""
+    far_penalty: float = FAR_PENALTY
+    """Weight of another zone for a stream where all options are compared."""
 
     @property
     def near(self) -> Lot:
@@ -119,7 +121,8 @@
     """Return the upstream for a generation."""
 
     def cost(option: Option) -> float:
-        return _stream_cost(option, engine, need, zone) + lot.noise()
+        far = lot.far_penalty if option.upstream.zone != zone else 0.0
+        return _stream_cost(option, engine, need) + far + lot.noise()
 
     known = list(options)
     if lot.drawn is None:
@@ -186,7 +189,7 @@
     return _least(_near_first(fitting, primary.zone, lot), cost, lot)
 
 
-def _stream_cost(option: Option, engine: Engine, need: Need, zone: str) -> float:
+def _stream_cost(option: Option, engine: Engine, need: Need) -> float:
     """Return what a generation would suffer on an upstream, about in seconds."""
     use = option.use
     memory = _memory(use, engine, need.total)
@@ -195,8 +198,6 @@
     cost += MEMORY_PENALTY * memory * memory
     if memory > FULL:
         cost += OVERFULL_PENALTY * (memory - FULL)
-    if option.upstream.zone != zone:
-        cost += FAR_PENALTY
     return cost + option.penalty
 
 
--- a/driftstall/gateway/zone_placer.py
+++ b/driftstall/gateway/zone_placer.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import replace
 
 from gevent.event import AsyncResult
 
@@ -17,7 +16,14 @@
 from driftstall.gateway.cold_gate import ColdGate
 from driftstall.gateway.collectors import Roles
 from driftstall.gateway.loads import Share
-from driftstall.gateway.selection import Need, choose_backup, choose_stream, has_room
+from driftstall.gateway.selection import (
+    FAR_STREAM_PENALTY,
+    Lot,
+    Need,
+    choose_backup,
+    choose_stream,
+    has_room,
+)
 from driftstall.gateway.state import GROWTH_SHARE, GatewayState
 from driftstall.helpers.log import say
 from driftstall.peers.gateway_messages import GatewayMessage, PlacementAsked, PlacementGiven
@@ -84,16 +90,17 @@
         if service is None or service.engine is None:
             return None
         self._forget_expired()
-        engine, zone = service.engine, self._state.settings.zone
-        lot = replace(self._state.lot, knows_near=True)
+        engine = service.engine
+        # Whoever places for all knows all engines alike.
+        lot = Lot(self._state.source, far_penalty=FAR_STREAM_PENALTY)
         need = Need(asked.prompt_tokens, asked.output_tokens)
         options = self._state.options(asked.service, frozenset(asked.avoid))
-        chosen = choose_stream(self._cold_gate.open(options), engine, need, zone, lot)
+        chosen = choose_stream(self._cold_gate.open(options), engine, need, asked.zone, lot)
         if chosen is None:
             return PlacementGiven(self._own_id, asked.request_id, "", "", False)
         backup = None
         if asked.wants_backup:
-            backup = choose_backup(options, engine, need, chosen.upstream, lot)
+            backup = choose_backup(options, engine, need, chosen.upstream, self._state.lot)
         given = PlacementGiven(
             self._own_id,
             asked.request_id,
@@ -109,7 +116,7 @@
     def _cold_part(self, service: str) -> ColdPart | None:
         """Return how often this placer may send others to a cold upstream; None: unbounded."""
         rate = self._state.cold_rate(service)
-        return ColdPart.of_placer(rate, self._roles().zones) if rate else None
+        return ColdPart.of_placer(rate, len(self._roles().placers)) if rate else None
 
     def _remember(self, asked: PlacementAsked, given: PlacementGiven) -> None:
         """Count a choice for others until its instance reports it."""
--- a/driftstall/peers/gateway_messages.py
+++ b/driftstall/peers/gateway_messages.py
@@ -143,6 +143,8 @@
     """Upstreams that have turned the request away."""
     taken_anyway: bool
     """Whether the answer is taken even where there is no room."""
+    zone: str
+    """The availability zone from which the stream is sent."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/driftstall/peers/schema.capnp
+++ b/driftstall/peers/schema.capnp
@@ -102,7 +102,7 @@
 
 struct PlacementAsked {
   sender @0 :Text; requestId @1 :Text; service @2 :Text; promptTokens @3 :UInt32;
-  outputTokens @4 :UInt32; wantsBackup @5 :Bool; avoid @6 :List(Text); takenAnyway @7 :Bool;
+  outputTokens @4 :UInt32; wantsBackup @5 :Bool; avoid @6 :List(Text); takenAnyway @7 :Bool; zone @8 :Text;
 }
 struct PlacementGiven {
   sender @0 :Text; requestId @1 :Text; upstreamId @2 :Text; backupId @3 :Text; hasRoom @4 :Bool;
--- a/features/gateway/zone_placement.feature
+++ b/features/gateway/zone_placement.feature
@@ -56,9 +56,9 @@
     Then all 5 events of "s1" came once, in order, and the end
     And "s1" did not run on the engine that is leaving
 
-  Scenario: all instances of a zone ask the same ones
+  Scenario: all instances ask the same ones
     Given 78 instances in 3 zones, of which a third have links of 100 Mbit/s and the others of 5
-    Then all instances of a zone know the same two placers in the same order
+    Then all instances know the same three placers in the same order, one of each zone
     And a small fleet has none
 
   Scenario: prompts do not meet on one engine
