Let copies take what runs leave of the engines' memory

Cause: copies took a sixth of the memory on engines on which prompts waited for room; waiting streams were sent all the same, and preempted runs' prompts were read again. The lines up to which an engine takes a copy fall now as runs fill the fleet (decisions/copy_room.py). Failed try, not kept: prompts that wait elsewhere than at an engine until it could read all it was given within half a second.

--- a/driftstall/gateway/protection.py
+++ b/driftstall/gateway/protection.py
@@ -12,9 +12,11 @@
 import gevent
 
 from driftstall.const import PREFIX_RELAY
+from driftstall.decisions.copy_room import ahead_line
 from driftstall.gateway.dialect import MoveFailed
 from driftstall.gateway.moves import Mover
 from driftstall.gateway.runs import StreamRun
+from driftstall.gateway.selection import runs_share
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.tasks import keep_running
 
@@ -23,8 +25,6 @@
 """A copy older than this is brought up to date; engines drop one after about five seconds."""
 FAILED_PAUSE_S: Final = 1.0
 """Pause after a copy that failed for want of room."""
-MOST_MEMORY: Final = 0.55
-"""Memory share up to which copies are made before a notice; runs and new prompts go first."""
 DROP_MEMORY: Final = 0.85
 """Memory share from which copies are dropped again."""
 NOTICE_S: Final = 2.0
@@ -98,13 +98,20 @@
         """Copy one run."""
         upstream_id = run.upstream.upstream_id
         try:
-            target = self._mover.choose_target(run, frozenset(), most_memory=MOST_MEMORY)
+            target = self._mover.choose_target(run, frozenset(), most_memory=self._line(run))
             result = self._mover.copy(run, target) if target else None
             if result is None or isinstance(result, MoveFailed):
                 self._not_before[run.request_id] = self._state.now() + FAILED_PAUSE_S
         finally:
             self._busy.discard(upstream_id)
 
+    def _line(self, run: StreamRun) -> float:
+        """Return the share of memory up to which an engine takes a copy made ahead."""
+        engine = run.admitted.service.engine
+        if engine is None:
+            return 0.0
+        return ahead_line(runs_share(self._state.options(run.upstream.service), engine))
+
     def _forget_ended(self) -> None:
         """Forget pauses that are over."""
         now = self._state.now()
--- a/driftstall/gateway/selection.py
+++ b/driftstall/gateway/selection.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from driftstall.decisions.copy_room import backup_line
 from driftstall.gateway.loads import Use
 from driftstall.gateway.model import Engine, Upstream
 
@@ -30,8 +31,6 @@
 """Chance between upstreams that are about equal."""
 FULL: Final = 0.92
 """Share of memory beyond which a new run would soon be preempted."""
-BACKUP_FULL: Final = 0.70
-"""Share of memory beyond which no copy is put on an engine; runs go first."""
 OVERFULL_PENALTY: Final = 5.0
 DRAWN: Final = 3
 """Upstreams that an instance of a large fleet compares. In a model of 23 engines and 24
@@ -139,6 +138,12 @@
     return near if cost(near) <= cost(far) + FAR_STREAM_PENALTY else far
 
 
+def runs_share(options: Iterable[Option], engine: Engine) -> float:
+    """Return the share of the engines' memory that runs take, without copies."""
+    known = list(options)
+    return sum(one.use.tokens for one in known) / max(1, engine.memory_tokens * len(known))
+
+
 def has_room(option: Option, engine: Engine, need: Need) -> bool:
     """Tell whether a generation fits an engine's memory, as far as can be forecast."""
     expected = need.prompt_tokens + need.output_tokens // 2
@@ -149,13 +154,15 @@
     options: Iterable[Option], engine: Engine, need: Need, primary: Upstream, lot: Lot
 ) -> Option | None:
     """Return the engine that keeps a copy of a run, or None where none has room."""
+    known = list(options)
+    line = backup_line(runs_share(known, engine))
     fitting = [
         option
-        for option in options
+        for option in known
         if option.upstream.upstream_id != primary.upstream_id
         and not option.rests
         and not option.cold_s
-        and _memory(option.use, engine, need.total) <= BACKUP_FULL
+        and _memory(option.use, engine, need.total) <= line
     ]
 
     def cost(option: Option) -> float:
