Leave a silent placer out for longer each time; sum what runs where once for all engines

A placer that is slow or cut off from one instance would cost each of its streams 50 ms a second; now 1, 2, 4, then 8 s pass between tries.

--- a/driftstall/decisions/zone_placement.py
+++ b/driftstall/decisions/zone_placement.py
@@ -25,27 +25,49 @@
 LEFT_OUT_S: Final = 1.0
 """How long one that gave no answer is not asked. About as long as it takes the member list to
 find out that an instance is gone."""
+LONGEST_LEFT_OUT_S: Final = 8.0
+"""The same for one that is silent again and again: it is slow, or cut off from here alone, and each
+question to it costs a stream its patience."""
 PENDING_S: Final = 1.0
 """How long a choice counts that no report confirms: the longest time between two reports."""
 REPORT_HOP_S: Final = 0.01
 """What a choice and a report take on their ways; a report does not tell of later choices."""
 
 
+@dataclass(frozen=True, slots=True)
+class _LeftOut:
+    """Hold until when one is not asked, and how long that is in all."""
+
+    until: float
+    for_s: float
+
+
 class PlacerOrder:
     """Say who of those that may place is asked."""
 
     def __init__(self) -> None:
         """Start with nobody left out."""
-        self._left_out_until: dict[str, float] = {}
+        self._left_out: dict[str, _LeftOut] = {}
 
     def first(self, placers: Iterable[str], now: float) -> str | None:
         """Return the first that is not left out."""
-        asked = (one for one in placers if now >= self._left_out_until.get(one, now))
-        return next(asked, None)
+        return next((one for one in placers if not self._is_left_out(one, now)), None)
 
     def silent(self, placer: str, now: float) -> None:
-        """Leave one out that gave no answer in time."""
-        self._left_out_until[placer] = now + LEFT_OUT_S
+        """Leave one out that gave no answer in time; longer if it has hardly been asked again."""
+        before = self._left_out.get(placer)
+        if before is not None and now < before.until:
+            # One of several questions that it was asked at the same time.
+            return
+        for_s = LEFT_OUT_S
+        if before is not None and now - before.until <= before.for_s:
+            for_s = min(LONGEST_LEFT_OUT_S, 2 * before.for_s)
+        self._left_out[placer] = _LeftOut(now + for_s, for_s)
+
+    def _is_left_out(self, placer: str, now: float) -> bool:
+        """Tell whether one is not asked now."""
+        left_out = self._left_out.get(placer)
+        return left_out is not None and now < left_out.until
 
 
 @dataclass(frozen=True, slots=True)
--- a/driftstall/gateway/loads.py
+++ b/driftstall/gateway/loads.py
@@ -128,13 +128,18 @@
 
         Without the pooled ones only instances count that report here themselves.
         """
+        totals = self.totals(now, pooled=pooled)
+        return tuple(totals[upstream_id] for upstream_id in sorted(totals))
+
+    def totals(self, now: float, *, pooled: bool = True) -> dict[str, Use]:
+        """Return the same sums by upstream; one that is not there has nothing running."""
         totals = dict(self._own)
         _join(totals, self._pending)
         for peer, sums in self._peers.items():
             if now - sums.at > PEER_REPORT_S or (not pooled and peer.startswith(POOLED)):
                 continue
             _join(totals, sums.uses)
-        return tuple(totals[upstream_id] for upstream_id in sorted(totals))
+        return totals
 
     def exposed_at_peers(self, upstream_id: str, now: float) -> dict[str, int]:
         """Return, by peer, the exposed tokens of its streams on an upstream."""
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -18,7 +18,7 @@
 from driftstall.gateway.dialect import Dialect
 from driftstall.gateway.exchange import OpenExchanges
 from driftstall.gateway.fleet import FleetController
-from driftstall.gateway.loads import LoadBook, Share
+from driftstall.gateway.loads import LoadBook, Share, Use
 from driftstall.gateway.model import GatewaySettings, Service, Upstream
 from driftstall.gateway.outcomes import Outcome, OutcomeBook
 from driftstall.gateway.routes import RouteTable
@@ -151,6 +151,8 @@
     def options(self, service: str, avoid: frozenset[str] = frozenset()) -> list[Option]:
         """Return the upstreams of a service that may be chosen, with what runs there."""
         now = self.now()
+        # All sums at once: who places for a fleet hears of a hundred instances.
+        totals = self.loads.totals(now)
         found: list[Option] = []
         for upstream in self.fleet.ready(service):
             upstream_id = upstream.upstream_id
@@ -159,7 +161,7 @@
             found.append(
                 Option(
                     upstream,
-                    self.loads.use(upstream_id, now),
+                    totals.get(upstream_id) or Use(upstream_id),
                     self.outcomes.penalty(upstream_id, service),
                     self.outcomes.rests(upstream_id, now),
                     self.cold.ends_in_s(upstream_id, now),
--- a/features/gateway/zone_placement.feature
+++ b/features/gateway/zone_placement.feature
@@ -41,6 +41,7 @@
   Scenario: who gives no answer is left out for a while
     Given two instances that place for a zone, of which the first is silent
     Then the first is asked, then the second for 1 s, then the first again
+    And it is left out for longer each time that it is silent again, up to 8 s, and not for ever
 
   Scenario: an instance that nobody answers places by itself
     Given a gateway before two plain upstreams and three engines
--- a/features/steps/zone_placement_steps.py
+++ b/features/steps/zone_placement_steps.py
@@ -218,6 +218,22 @@
     assert order.first(placers, 6.5) is None
 
 
+@then("it is left out for longer each time that it is silent again, up to 8 s, and not for ever")
+def left_out_longer(context: Any) -> None:
+    """Let it be silent whenever it is asked, then serve for a while."""
+    order, now, waits = PlacerOrder(), 0.0, []
+    for _ in range(5):
+        order.silent("first", now)
+        order.silent("first", now + 0.01)
+        began = now
+        while order.first(("first",), now) is None:
+            now += 0.1
+        waits.append(round(now - began))
+    assert waits == [1, 2, 4, 8, 8], waits
+    order.silent("first", now + 30.0)
+    assert order.first(("first",), now + 30.0 + LEFT_OUT_S) == "first"
+
+
 @given("its zone's placer gives no answer")
 def silent_placer(context: Any) -> None:
     """Let another instance place for the zone, to which nothing gets through."""
