--- a/driftstall/gateway/placement.py
+++ b/driftstall/gateway/placement.py
@@ -194,6 +194,7 @@
             rank=self._admitted.verdict.rank,
             backup=run.backup.upstream_id if run.backup else "",
             placer=place.placer,
+            waited_ms=int((self._state.now() - self._admitted.started_at) * 1000),
             has_room=place.has_room,
             running=use.running,
             tokens=use.tokens,
