Add a failing test: a later start of an upstream whose entry had lapsed

The start before may still be sent what was copied there, and names that it gave count on: is_replaced is false, as only an entry that is still there is compared.

--- a/features/gateway/later_starts.feature
+++ b/features/gateway/later_starts.feature
@@ -8,6 +8,11 @@
   Scenario: the drawn orders see a fleet that does not compare starts
     Then with starts that are not compared some drawn order lets an older start return, from seed 32
 
+  Scenario: a start is another one also where the entry of the one before had lapsed
+    Given a fleet that knows of the start at 1000 of "u1", whose entry then lapses
+    When "u1" is listed with the start at 2000
+    Then the start at 1000 is replaced, and may be sent nothing even within the time to drain
+
   Scenario: what was learned of the start before does not count for the later one
     Given a gateway with an engine that was started at 1000, and a stream of 8 events there
     When the engine is known to have started again at 2000
--- a/features/steps/later_start_steps.py
+++ b/features/steps/later_start_steps.py
@@ -19,6 +19,7 @@
 from driftstall.gateway.model import Upstream
 from driftstall.gateway.outcomes import Outcome
 from driftstall.platform import engine_calls
+from driftstall.platform.documents import gone_upstream
 from features.worlds.gateway_world import (
     GatewayWorld,
     runs,
@@ -30,6 +31,7 @@
 from stand_ins.routed import RoutedUpstream, Script
 
 ORDERS = 800
+DRAIN_S = 2.0
 FIRST_START, LATER_START = 1000, 2000
 NAME = "u1"
 
@@ -145,6 +147,34 @@
     raise AssertionError("the drawn orders do not tell the difference")
 
 
+@given('a fleet that knows of the start at 1000 of "u1", whose entry then lapses')
+def lapsed(context: Any) -> None:
+    """List it, then remove it; the removal tells only the name."""
+    context.fleet = FleetController()
+    first = replace(upstream_of(NAME, 1), born=FIRST_START)
+    context.fleet.handle(Listed((first,), 1), 0.0)
+    context.fleet.handle(Changed(gone_upstream(NAME, 2), True), 1.0)
+    assert context.fleet.serves(first.upstream_id, 1.5, DRAIN_S)
+
+
+@when('"u1" is listed with the start at 2000')
+def listed_later(context: Any) -> None:
+    """List it."""
+    later = replace(upstream_of(NAME, 3), born=LATER_START)
+    context.told = context.fleet.handle(Listed((later,), 3), 1.5)
+
+
+@then("the start at 1000 is replaced, and may be sent nothing even within the time to drain")
+def replaced(context: Any) -> None:
+    """Ask, and look at what follows."""
+    old_id = f"{NAME}@{FIRST_START}"
+    assert context.fleet.is_replaced(old_id)
+    assert not context.fleet.serves(old_id, 1.6, DRAIN_S)
+    told = [one.upstream.upstream_id for one in context.told if isinstance(one, UpstreamReplaced)]
+    assert told == [old_id], context.told
+    assert context.fleet.takes_requests(f"{NAME}@{LATER_START}")
+
+
 # One gateway inside the test process.
 
 
