Take a later start for another one also where the entry before had lapsed; ask for cordons beside other feeds

Cause: only an entry that still stood was compared with the later start. And in an outage in which collectors get no answer, all feeds of an instance shared one question every four seconds; a third feed would have made the others wait longer.

--- a/driftstall/gateway/fleet.py
+++ b/driftstall/gateway/fleet.py
@@ -61,9 +61,8 @@
 class _Gone:
     """Hold what is left of an upstream whose entry is gone."""
 
-    upstream_id: str
-    born: int
-    zone: str
+    upstream: Upstream
+    """As it was known; only its name where it was not."""
     revision: int
     at: float
     leaving_since: float
@@ -163,7 +162,9 @@
                 return False
             return entry.leaving_since is None or now - entry.leaving_since < drain_s
         gone = self._gone.get(self._names.get(upstream_id, ""))
-        if gone is None or gone.upstream_id != upstream_id or gone.zone in self._cordoned:
+        if gone is None or gone.upstream.upstream_id != upstream_id:
+            return False
+        if self.is_replaced(upstream_id) or gone.upstream.zone in self._cordoned:
             return False
         return now - gone.leaving_since < drain_s
 
@@ -300,9 +301,11 @@
         entry = self._entries.get(upstream.name)
         if entry is not None and upstream.born > entry.upstream.born:
             # Whatever the revisions: a late heartbeat may have the newer one.
-            self._replace(entry, now)
-            self._actions.append(UpstreamCold(upstream, UNTOLD_S, is_assumed=True))
+            del self._entries[upstream.name]
+            self._replace(entry.upstream, upstream, now)
             entry = None
+        elif entry is None and buried is not None and upstream.born > buried.upstream.born:
+            self._replace(buried.upstream, upstream, now)
         if entry is not None and upstream.revision < entry.upstream.revision:
             return
         is_newer = entry is None or upstream.revision > entry.upstream.revision
@@ -323,15 +326,14 @@
     def _latest_start(self, name: str) -> int:
         """Return the latest start that is known of an upstream; zero if none is."""
         entry, gone = self._entries.get(name), self._gone.get(name)
-        return max(entry.upstream.born if entry else 0, gone.born if gone else 0)
+        return max(entry.upstream.born if entry else 0, gone.upstream.born if gone else 0)
 
-    def _replace(self, entry: _Entry, now: float) -> None:
-        """Forget a start that a later one has followed."""
-        old = entry.upstream
-        del self._entries[old.name]
-        self._names.pop(old.upstream_id, None)
-        self._replaced[old.upstream_id] = now
-        self._actions.append(UpstreamReplaced(old))
+    def _replace(self, old: Upstream, later: Upstream, now: float) -> None:
+        """Note that a start was followed by a later one, which may be cold."""
+        if old.upstream_id not in self._replaced:
+            self._replaced[old.upstream_id] = now
+            self._actions.append(UpstreamReplaced(old))
+        self._actions.append(UpstreamCold(later, UNTOLD_S, is_assumed=True))
 
     def _remove(
         self, name: str, revision: int, now: float, since: float, *, certain: bool = False
@@ -376,21 +378,21 @@
             since = entry.leaving_since
         elif before is not None:
             since = before.leaving_since
-        known = entry.upstream if entry is not None else upstream
-        if entry is None and before is not None:
+        known = upstream
+        if entry is not None:
+            known = entry.upstream
+        elif before is not None:
             # Of what is gone the platform tells no more than the name.
-            upstream_id, born, zone = before.upstream_id, before.born, before.zone
-        else:
-            upstream_id, born, zone = known.upstream_id, known.born, known.zone
-        self._gone[upstream.name] = _Gone(upstream_id, born, zone, revision, now, since)
+            known = before.upstream
+        self._gone[upstream.name] = _Gone(known, revision, now, since)
 
     def _forget(self, now: float) -> None:
         """Forget what is gone for long."""
         for name, gone in list(self._gone.items()):
             if now - gone.at > GONE_KEPT_S:
                 del self._gone[name]
-                if self._find(gone.upstream_id) is None:
-                    self._names.pop(gone.upstream_id, None)
+                if self._find(gone.upstream.upstream_id) is None:
+                    self._names.pop(gone.upstream.upstream_id, None)
         for upstream_id, at in list(self._replaced.items()):
             if now - at > GONE_KEPT_S:
                 del self._replaced[upstream_id]
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -63,6 +63,7 @@
 """Time in which seeds answer that start at about the same moment."""
 LATE_LIST_S: Final = 5.0
 """When the list is read once more though peers are known; cheaply, as it may be old."""
+CORDONS: Final = "cordons"
 SETTINGS_CHECK_S: Final = 0.5
 """The settings file may change without a signal."""
 
@@ -257,7 +258,7 @@
             "log_lines_dropped": self._log.dropped_in_all,
         }
 
-    def _fleet_pace(self) -> FleetPace:
+    def _fleet_pace(self, feed: str = "") -> FleetPace:
         """Return the pace of a feed on which it depends who gets requests."""
         return FleetPace(
             self._reliance,
@@ -265,6 +266,7 @@
             self.state.now,
             longest_wait=self._longest_wait,
             settle_s=SETTLE_S,
+            feed=feed,
         )
 
     def _cordon_pace(self, settings: GatewaySettings) -> Pace:
@@ -273,7 +275,8 @@
         Where the site sets no bound for them, none are expected: a look now and then is enough.
         """
         if settings.bounds.cordon_s:
-            return self._fleet_pace()
+            # Beside the others in an outage: three feeds by turns would each wait for too long.
+            return self._fleet_pace(CORDONS)
         return RevisionPace(self._roles, lambda: False)
 
     def _longest_wait(self) -> float:
--- a/driftstall/gateway/reliance.py
+++ b/driftstall/gateway/reliance.py
@@ -51,32 +51,35 @@
         self._source = source
         self._heard_at = float("-inf")
         self._good_at = float("-inf")
-        self._next_try = float("-inf")
-        self._in_outage = False
+        self._next_try: dict[str, float] = {}
+        """When to ask next in an outage, by what is asked for; empty while there is none."""
 
     def heard(self, platform_age_s: float, now: float) -> None:
         """Take in a collector's word: how long ago the platform answered it, in seconds."""
         self._heard_at = now
         if platform_age_s <= FRESH_S:
             self._good_at = now
-            self._in_outage = False
+            self._next_try.clear()
 
     def holds(self, now: float) -> bool:
         """Tell whether a collector follows the platform for this instance."""
         return now - self._good_at <= TRUST_S
 
-    def hold_s(self, now: float) -> float:
-        """Return for how long to leave the platform alone; zero to ask it now."""
+    def hold_s(self, now: float, feed: str = "") -> float:
+        """Return for how long to leave the platform alone; zero to ask it now.
+
+        Feeds of one name share the questions of an outage.
+        """
         if self.holds(now):
             return self._good_at + TRUST_S - now
         if now - self._heard_at > TRUST_S:
             return 0.0
-        if not self._in_outage:
-            self._in_outage = True
-            self._next_try = now + FIRST_TRY_S * self._source.random()
-        if now < self._next_try:
-            return self._next_try - now
-        self._next_try = now + OUTAGE_PAUSE_S * (0.5 + self._source.random())
+        next_try = self._next_try.get(feed)
+        if next_try is None:
+            next_try = self._next_try[feed] = now + FIRST_TRY_S * self._source.random()
+        if now < next_try:
+            return next_try - now
+        self._next_try[feed] = now + OUTAGE_PAUSE_S * (0.5 + self._source.random())
         return 0.0
 
 
@@ -91,12 +94,14 @@
         *,
         longest_wait: Callable[[], float],
         settle_s: float = 0.0,
+        feed: str = "",
     ) -> None:
         """Take the collectors' word, the roles as they are now and the steady clock.
 
         Longest wait tells how long an idle watch may wait at the most, in seconds; the first watch
-        of all comes after the time to settle.
+        of all comes after the time to settle. Feeds of one name share the questions of an outage.
         """
+        self._feed = feed
         self._reliance = reliance
         self._roles = roles
         self._now = now
@@ -130,7 +135,7 @@
             return left_s
         if self._follows_always or self.age_s <= FRESH_S and not self.covered:
             return 0.0
-        return self._reliance.hold_s(self._now())
+        return self._reliance.hold_s(self._now(), self._feed)
 
     def watch_s(self) -> float:
         """Return how long an idle watch waits."""
