--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -15,6 +15,7 @@
 from driftstall.decisions.freshness import longest_wait_s
 from driftstall.exceptions import PlatformUnavailable, SettingsError
 from driftstall.gateway.collectors import Roles
+from driftstall.gateway.cordon_source import CordonSource
 from driftstall.gateway.cordons import Cordon
 from driftstall.gateway.dialect import Dialect
 from driftstall.gateway.drain import Drain
@@ -43,7 +44,6 @@
 from driftstall.gateway.reports import LONGEST_AGE_S, Standing
 from driftstall.gateway.sharing import Intake
 from driftstall.gateway.sources import (
-    CordonSource,
     InstanceSource,
     PolicySource,
     RoutingSource,
--- a/driftstall/gateway/sources.py
+++ b/driftstall/gateway/sources.py
@@ -9,7 +9,7 @@
 from driftstall.const import PREFIX_CONFIGURATION, PREFIX_MEMBERSHIP, PREFIX_ROUTING
 from driftstall.core import Instance
 from driftstall.exceptions import DriftstallError, PolicyError
-from driftstall.gateway.cordons import Cordon, Cordons, CordonsChanged
+from driftstall.gateway.cordons import CordonsChanged
 from driftstall.gateway.feeds import ItemChange
 from driftstall.gateway.fleet_events import (
     Changed,
@@ -310,62 +310,6 @@
         )
 
 
-class CordonSource:
-    """Keep which zones are cordoned, and tell the fleet and the peers."""
-
-    def __init__(
-        self,
-        state: GatewayState,
-        *,
-        apply: Callable[[CordonsChanged], None],
-        announce: Callable[[], None],
-    ) -> None:
-        """Take the shared state, who applies what has changed, and how peers are told."""
-        self._state = state
-        self._apply = apply
-        self._announce = announce
-
-    def listed(self, items: tuple[Cordon, ...], at: int) -> None:
-        """Take in the whole list, as of a revision."""
-        self._take(self._state.cordons.take(Cordons(at, items)), PLATFORM)
-        self._state.check_configured()
-
-    def changed(self, change: ItemChange[Cordon]) -> None:
-        """Take in one change from the platform."""
-        found = self._state.cordons.change(change.item, lifted=change.gone)
-        self._take(found, PLATFORM)
-
-    def heard(self, told: Cordons) -> None:
-        """Take in what a peer knows."""
-        knew = self._state.cordons.known
-        self._take(self._state.cordons.take(told), PEER)
-        if not knew:
-            self._state.check_configured()
-
-    def platform_lost(self, cause: str) -> None:
-        """Log that the platform does not answer."""
-        say(PREFIX_ROUTING, f"The platform's list of cordoned zones is out of reach: {cause}")
-
-    def platform_back(self) -> None:
-        """Log that the platform answers again."""
-        say(PREFIX_ROUTING, "The platform's list of cordoned zones is in reach")
-
-    def _take(self, changed: CordonsChanged, source: str) -> None:
-        """Put in force what has changed."""
-        if not changed:
-            return
-        say(
-            PREFIX_ROUTING,
-            "The cordoned zones have changed",
-            cordoned=sorted(changed.cordoned),
-            lifted=sorted(changed.lifted),
-            source=source,
-            at=self._state.cordons.told.at,
-        )
-        self._apply(changed)
-        self._announce()
-
-
 def _source_of(action: UpstreamLeaving, *, from_peer: bool) -> str:
     """Return who tells that an upstream leaves."""
     if action.doubted:
--- a/features/steps/cordon_steps.py
+++ b/features/steps/cordon_steps.py
@@ -13,10 +13,10 @@
 from hypothesis import seed, settings
 from hypothesis import strategies as st
 
+from driftstall.gateway.cordon_source import CordonSource
 from driftstall.gateway.cordons import Cordon, CordonBook, Cordons
 from driftstall.gateway.exchange import UpstreamExchange
 from driftstall.gateway.fleet_events import Cordoned, Listed
-from driftstall.gateway.sources import CordonSource
 from driftstall.platform.feeds import cordon_feed
 from driftstall.platform.names import KIND_CORDONS, KIND_UPSTREAMS
 from driftstall.platform.store import Listing, Store, StoredObject
