--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -13,6 +13,7 @@
 from driftstall.core import Request
 from driftstall.decisions.cold_starts import QUIET_START_S, UNTOLD_S, ColdPart, ColdStarts
 from driftstall.decisions.lengths import LearnedLengths
+from driftstall.decisions.placers import MOST_COMPARED
 from driftstall.gateway.cold_gate import ColdGate
 from driftstall.gateway.cordons import CordonBook
 from driftstall.gateway.dialect import Dialect
@@ -148,26 +149,38 @@
         now = self.now()
         return tuple(budget.count(now) for budget in self._budgets.values())
 
-    def options(self, service: str, avoid: frozenset[str] = frozenset()) -> list[Option]:
-        """Return the upstreams of a service that may be chosen, with what runs there."""
+    def options(
+        self,
+        service: str,
+        avoid: frozenset[str] = frozenset(),
+        most: int | None = MOST_COMPARED,
+    ) -> list[Option]:
+        """Return the upstreams of a service that may be chosen, with what runs there.
+
+        Where there are more than the most wanted (None: all), so many are drawn by lot.
+        """
         now = self.now()
+        ready = [one for one in self.fleet.ready(service) if one.upstream_id not in avoid]
+        if most is not None and len(ready) > most:
+            drawn = self.source.sample(ready, most)
+            return [self._option(one, self.loads.use(one.upstream_id, now), now) for one in drawn]
         # All sums at once: who places for a fleet hears of a hundred instances.
         totals = self.loads.totals(now)
-        found: list[Option] = []
-        for upstream in self.fleet.ready(service):
-            upstream_id = upstream.upstream_id
-            if upstream_id in avoid:
-                continue
-            found.append(
-                Option(
-                    upstream,
-                    totals.get(upstream_id) or Use(upstream_id),
-                    self.outcomes.penalty(upstream_id, service),
-                    self.outcomes.rests(upstream_id, now),
-                    self.cold.ends_in_s(upstream_id, now),
-                )
-            )
-        return found
+        return [
+            self._option(one, totals.get(one.upstream_id) or Use(one.upstream_id), now)
+            for one in ready
+        ]
+
+    def _option(self, upstream: Upstream, use: Use, now: float) -> Option:
+        """Return what is known of an upstream that may be chosen."""
+        upstream_id = upstream.upstream_id
+        return Option(
+            upstream,
+            use,
+            self.outcomes.penalty(upstream_id, upstream.service),
+            self.outcomes.rests(upstream_id, now),
+            self.cold.ends_in_s(upstream_id, now),
+        )
 
     def may_send(self, upstream: Upstream) -> bool:
         """Tell whether an upstream may be sent anything, just before it is."""
--- a/driftstall/gateway/stream_placer.py
+++ b/driftstall/gateway/stream_placer.py
@@ -13,7 +13,11 @@
 
 from driftstall.const import PREFIX_ROUTING
 from driftstall.decisions.cold_starts import ColdPart
-from driftstall.decisions.placers import PATIENCE_S, PendingPlacements, PlacerOrder
+from driftstall.decisions.placers import (
+    PATIENCE_S,
+    PendingPlacements,
+    PlacerOrder,
+)
 from driftstall.gateway.cold_gate import ColdGate
 from driftstall.gateway.collectors import Roles
 from driftstall.gateway.loads import Share
--- a/features/gateway/placers.feature
+++ b/features/gateway/placers.feature
@@ -57,6 +57,11 @@
     Then all 5 events of "s1" came once, in order, and the end
     And "s1" did not run on the engine that is leaving
 
+  Scenario: of very many engines some are compared, others each time
+    Given an instance that places for its zone, with 5 engines there and 5 in another
+    And 2600 engines more
+    Then 20 questions are answered with at least 15 engines, each from 64 that were compared
+
   Scenario: all instances ask the same ones
     Given 78 instances in 3 zones, of which a third have links of 100 Mbit/s and the others of 5
     Then all instances know the same three placers in the same order, one of each zone
--- a/features/steps/placer_steps.py
+++ b/features/steps/placer_steps.py
@@ -197,6 +197,36 @@
     assert counted == (what == "the place"), counted
 
 
+@given("{count:d} engines more")
+def more_engines(context: Any, count: int) -> None:
+    """List them."""
+    more = tuple(upstream_of(f"more-{index}", 2) for index in range(count))
+    context.state.fleet.handle(Listed(more, 2), context.at)
+    assert len(context.state.options("engines", most=None)) == count
+
+
+@then(
+    "{asks:d} questions are answered with at least {least:d} engines,"
+    " each from 64 that were compared"
+)
+def some_compared(context: Any, asks: int, least: int) -> None:
+    """Ask, and count what was looked at."""
+    compared: list[int] = []
+    usual = context.state.loads.use
+
+    def use(upstream_id: str, now: float) -> Any:
+        compared.append(1)
+        return usual(upstream_id, now)
+
+    context.state.loads.use = use
+    given_to = set()
+    for number in range(asks):
+        given = context.placer.place(asked_by(PLACER, f"many-{number}"))
+        given_to.add(given.upstream_id)
+    assert len(given_to) >= least, given_to
+    assert len(compared) == 64 * asks, len(compared)
+
+
 @given("two instances that place for a zone, of which the first is silent")
 def two_placers(context: Any) -> None:
     """Let the first one be silent now."""
