--- a/driftstall/decisions/placers.py
+++ b/driftstall/decisions/placers.py
@@ -22,9 +22,9 @@
 from typing import Final
 
 MOST_COMPARED: Final = 64
-"""Engines that are compared for one stream: all of a fleet of up to 63, which was played. Beyond,
-as many are drawn by lot: with 2,610 engines and 100 reports a question takes 2.4 ms, and 21.9 ms
-where all are compared (one run of a scratch script)."""
+"""Engines that are compared for one stream: all of them in the fleets played so, of up to 30.
+Beyond 64, as many are drawn by lot: with 2,610 engines and 100 reports a question takes 2.4 ms,
+and 21.9 ms where all are compared (one run of a scratch script)."""
 PATIENCE_S: Final = 0.05
 """How long an answer is waited for: a hop within a zone takes 1.4 ms one way; a stream that
 waits in vain loses a thirtieth of its target of 1.5 s."""
