Log a fingerprint of each request, so that logs tell which requests are the same

Cause: nothing logged told that two requests with ids of their own ask the same; the hypotheses about the request that crashes engines could not be told apart where prompt and hint agree by chance.

--- a/driftstall/gateway/admission.py
+++ b/driftstall/gateway/admission.py
@@ -52,6 +52,8 @@
     started_at: float
     ends_at: float
     """When the caller or the route gives the request up, on the steady clock."""
+    fingerprint: str = ""
+    """Stands for what is asked; the same in each request that asks the same again."""
 
 
 class Admission:
--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -250,6 +250,7 @@
             PREFIX_ROUTING,
             f"Upstream {upstream.upstream_id} was {outcome.value} for a call",
             request=self._admitted.marks.request_id,
+            fingerprint=self._admitted.fingerprint,
             route=self._admitted.route.name,
             seconds=round(seconds, 3),
             sends=tries.history.sends,
--- a/driftstall/gateway/listeners.py
+++ b/driftstall/gateway/listeners.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Final
 
 from gevent import socket
@@ -16,6 +17,7 @@
 from driftstall.gateway.calls import CallRelay, WholeAnswer
 from driftstall.gateway.dialect import BadHeaders
 from driftstall.gateway.drain import Drain
+from driftstall.gateway.fingerprint import fingerprint
 from driftstall.gateway.ingress import CallerConnection, CallerRequest, Closed, Malformed
 from driftstall.gateway.model import Limits, Repeat
 from driftstall.gateway.moves import Mover
@@ -131,7 +133,10 @@
             current=self._current,
         )
         passage = Passage(call.host, call.path, marks, call.read_at)
-        return admission.admit(passage, self._state.wall())
+        admitted = admission.admit(passage, self._state.wall())
+        if isinstance(admitted, Problem):
+            return admitted
+        return replace(admitted, fingerprint=fingerprint(call, admitted.workspace))
 
     def _serve_admitted(
         self, connection: CallerConnection, call: CallerRequest, admitted: Admitted, *, keep: bool
--- a/driftstall/gateway/placement.py
+++ b/driftstall/gateway/placement.py
@@ -189,6 +189,7 @@
             PREFIX_ROUTING,
             f"A stream is placed on {run.upstream.upstream_id}",
             request=run.request_id,
+            fingerprint=self._admitted.fingerprint,
             route=self._admitted.route.name,
             rule=self._admitted.verdict.rule,
             rank=self._admitted.verdict.rank,
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -346,6 +346,7 @@
             PREFIX_RELAY,
             f"A stream broke off for good: {cause}",
             request=run.request_id,
+            fingerprint=self._admitted.fingerprint,
             upstream=run.upstream.upstream_id,
             events=run.events,
             moves=run.moves,
@@ -365,6 +366,7 @@
             PREFIX_RELAY,
             f"A stream is answered {problem.status}: {problem.detail}",
             request=self._admitted.marks.request_id,
+            fingerprint=self._admitted.fingerprint,
             route=self._admitted.route.name,
             ran=problem.ran.value,
         )
@@ -412,6 +414,7 @@
             PREFIX_RELAY,
             f"A stream goes on at {next_run.upstream.upstream_id}: {outcome}",
             request=run.request_id,
+            fingerprint=self._admitted.fingerprint,
             cause=cause,
             left=run.upstream.upstream_id,
             copy_of=next_run.resumed_from.copy_of if next_run.resumed_from else "",
