--- a/stand_ins/routed.py
+++ b/stand_ins/routed.py
@@ -192,7 +192,7 @@
     ) -> None:
         """Answer a plain call."""
         if script.reset:
-            _reset(raw)
+            reset(raw)
             return
         if script.hang:
             raw.settimeout(None)
@@ -210,7 +210,7 @@
         connection.write(head_bytes(script.status, headers, length))
         if script.cut_after is not None:
             connection.write(script.body[: script.cut_after])
-            _reset(raw)
+            reset(raw)
             return
         connection.write(script.body + (b"HTTP/1.1 200 OK\r\n" if script.surplus_after else b""))
 
@@ -224,7 +224,7 @@
     ) -> None:
         """Answer with a stream of events, from the one after the last that the caller has."""
         if script.reset:
-            _reset(raw)
+            reset(raw)
             return
         first = int(headers.get("last-event-id") or 0) + 1
         extra = () if script.unframed else (b"Transfer-Encoding: chunked",)
@@ -233,7 +233,7 @@
         if not connection.write(head_bytes(script.status, answer, extra)):
             return
         if script.reset_after_head:
-            _reset(raw)
+            reset(raw)
             return
         self.running[request_id] = first - 1
         self.stopped.discard(request_id)
@@ -308,7 +308,7 @@
     return (b"X-Driftstall-Request-Id", request_id.encode())
 
 
-def _reset(raw: socket.socket) -> None:
+def reset(raw: socket.socket) -> None:
     """Close a connection with a reset."""
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
     raw.close()
