--- a/driftstall/cli/main.py
+++ b/driftstall/cli/main.py
@@ -16,11 +16,14 @@
   driftstall chat TEXT [--kind=KIND] [--model=M] [--cap=N] [--deadline=S] [options]
   driftstall key KEY
   driftstall explain ID [FILE...]
+  driftstall crashes [--metrics=ADDR] [--json]
+  driftstall crashes clear FINGERPRINT [--metrics=ADDR]
   driftstall --help
 
 Options:
   --instance=ADDR  Callers' address of any instance [default: 127.0.0.1:8000].
   --operator=ADDR  Operators' address of an instance [default: 127.0.0.1:8200].
+  --metrics=ADDR   Metrics address of any instance on the platform [default: 127.0.0.1:9464].
   --store=ADDR     Address of the platform's store: policy submit, show and explain, config
                    show and status then work on the store, without an instance.
   --route-rank=N   Rank that the route or the workspace is configured with [default: 5].
@@ -44,6 +47,7 @@
   driftstall chat "When is the deadline?" --key=KEY
   driftstall policy submit examples/enrolment.policy --store=10.200.1.7:8742
   driftstall explain 9c41d07be2a35f68 logs/*.log
+  driftstall crashes clear 5f1c0a9be2a35f68d0417be2 --metrics=10.1.0.19:9464
 
 Exit codes:
   0 ok, 1 refused or wrong input, 2 wrong usage, 3 conflict, 4 unknown outcome,
@@ -63,6 +67,7 @@
 from docopt import DocoptExit, docopt
 
 from driftstall.cli.client import Answer, Caller, ChatEnd, ChatPart, call_json
+from driftstall.cli.crashes import run_crashes
 from driftstall.cli.explain import explain_request
 from driftstall.cli.store_commands import run_on_store
 from driftstall.cli.tables import print_status
@@ -104,6 +109,8 @@
     """Find the command and run it."""
     if options["explain"] and not options["policy"]:
         return explain_request(options["ID"], options["FILE"])
+    if options["crashes"]:
+        return run_crashes(options)
     options["FILE"] = options["FILE"][0] if options["FILE"] else None
     if options["--store"] and not options["check"]:
         return run_on_store(options)
--- a/driftstall/const.py
+++ b/driftstall/const.py
@@ -29,6 +29,7 @@
 CODE_PLATFORM_DOWN: Final = "platform_unavailable"
 CODE_CLAIMED: Final = "claimed_outcome_unknown"
 CODE_LEAVING: Final = "instance_leaving"
+CODE_CRASHES_RUNNERS: Final = "crashes_runners"
 CODE_INTERNAL: Final = "internal_error"
 
 # Log prefixes, one for each part.
--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -22,11 +22,13 @@
 from driftstall.decisions.sends import Fate, SendHistory
 from driftstall.exceptions import UpstreamError
 from driftstall.gateway.admission import Admitted
+from driftstall.gateway.crash_refusal import crash_refusal
 from driftstall.gateway.exchange import End, Head, Piece, UpstreamExchange
 from driftstall.gateway.ingress import CallerRequest
 from driftstall.gateway.loads import Share
 from driftstall.gateway.model import Headers, Repeat, SendMarks, Upstream
 from driftstall.gateway.outcomes import Outcome
+from driftstall.gateway.runs import BrokenRun
 from driftstall.gateway.selection import Option, choose_call
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import say
@@ -59,6 +61,8 @@
     outcome: Outcome
     fate: Fate
     detail: str
+    broke: bool = False
+    """Whether the connection ended before the answer did."""
 
 
 @dataclass(slots=True)
@@ -96,6 +100,9 @@
             problem = self._stop_reason(tries)
             if problem is not None:
                 return tries.answer or problem
+            refusal = crash_refusal(self._state, self._admitted, tries.history.ran)
+            if refusal is not None:
+                return tries.answer or self._unsent(tries, refusal)
             option = self._choose(tries)
             if isinstance(option, Problem):
                 return tries.answer or option
@@ -157,8 +164,15 @@
         self._say(upstream, outcome, seconds, tries)
         if isinstance(result, Failure):
             tries.history.end(result.fate)
+            if result.broke and not self._caller_gone:
+                run = BrokenRun(
+                    self._admitted.marks.request_id, self._admitted.fingerprint, under_way=False
+                )
+                self._state.broke(upstream, run)
             tries.failure = result
             return None
+        if outcome is Outcome.GOOD:
+            self._state.ended_well(self._admitted.fingerprint)
         if outcome is Outcome.GOOD or self._admitted.route.repeat is not Repeat.SAFE:
             return result
         tries.answer = result
@@ -188,7 +202,7 @@
                 self._state.budget(upstream.service).request(self._state.now())
             return self._read_answer(upstream, exchange)
         except UpstreamError as fault:
-            return Failure(Outcome.BROKEN, Fate.MAY_HAVE_RUN, str(fault))
+            return Failure(Outcome.BROKEN, Fate.MAY_HAVE_RUN, str(fault), broke=True)
         except TimeoutError as fault:
             return Failure(Outcome.BROKEN, Fate.MAY_HAVE_RUN, str(fault))
         finally:
@@ -234,6 +248,10 @@
         """Return the seconds that are left."""
         return self._admitted.ends_at - self._state.now()
 
+    def _unsent(self, tries: _Tries, refusal: Problem) -> Problem:
+        """Return the refusal, unless the request may have run in this attempt already."""
+        return refusal if tries.history.ran is Ran.NOT_RUN else self._unserved(tries)
+
     def _unserved(self, tries: _Tries) -> Problem:
         """Return the truth about a request that no upstream has answered."""
         if tries.history.ran is not Ran.NOT_RUN:
--- /dev/null
+++ b/driftstall/gateway/crash_refusal.py
@@ -0,0 +1,35 @@
+"""Refuse a request that has crashed the upstreams that ran it."""
+
+from __future__ import annotations
+
+from driftstall.const import CODE_CRASHES_RUNNERS, PREFIX_ADMISSION
+from driftstall.core import Problem, Ran
+from driftstall.gateway.admission import Admitted
+from driftstall.gateway.state import GatewayState
+from driftstall.helpers.log import say
+
+
+def crash_refusal(state: GatewayState, admitted: Admitted, ran: Ran) -> Problem | None:
+    """Return the problem to answer with, where the request is to be sent to no upstream now.
+
+    Ran tells what is known of the sends before. Each crash takes a dozen streams of others along,
+    so a request is asked about before each send: first ones, repeats and resumes.
+    """
+    verdict = state.blame.verdict(admitted.fingerprint, state.now())
+    if not verdict.wait_s:
+        return None
+    state.stats.crashing_refused += 1
+    say(
+        PREFIX_ADMISSION,
+        "A request is not sent on: upstreams have crashed under it",
+        request=admitted.marks.request_id,
+        fingerprint=admitted.fingerprint,
+        route=admitted.route.name,
+        workspace=admitted.workspace,
+        upstreams=list(verdict.upstream_ids),
+        weight=verdict.weight,
+        wait_s=round(verdict.wait_s, 1),
+        ran=ran.value,
+    )
+    detail = f"{len(verdict.upstream_ids)} runners have crashed under this request"
+    return Problem(CODE_CRASHES_RUNNERS, 503, detail, ran, verdict.wait_s)
--- /dev/null
+++ b/driftstall/gateway/crash_watch.py
@@ -0,0 +1,152 @@
+"""Find out whether an upstream has crashed, and put that down to what ran there.
+
+A stream or call may break off for many reasons: a cut link, an upstream that spoils answers or ends
+as planned. Only where an upstream that was to stay has stopped to listen has it crashed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+import gevent
+from gevent import socket
+
+from driftstall.const import PREFIX_ROUTING
+from driftstall.decisions.crash_blame import KEPT_S, Crash
+from driftstall.decisions.engine_words import Word
+from driftstall.gateway.calls import CONNECT_TIMEOUT_S
+from driftstall.gateway.model import Upstream
+from driftstall.gateway.runs import BrokenRun
+from driftstall.gateway.state import GatewayState
+from driftstall.helpers.log import say
+from driftstall.util.addresses import split_address
+
+LOOK_AGAIN_S: Final = 0.15
+"""Pause after which an upstream that still listened is asked once more: a process that ends
+closes its connections before or after it stops to listen."""
+SAME_END_S: Final = 1.0
+"""Runs that break off so soon after an upstream was found crashed were beside it. It is back after
+some seconds at the earliest."""
+FORGET_EVERY_S: Final = 60.0
+MOST_LOGGED: Final = 16
+
+
+@dataclass(slots=True)
+class _Doubt:
+    """Hold what broke off at one upstream of which it is not known yet whether it has crashed."""
+
+    upstream: Upstream
+    at: float
+    runs: list[BrokenRun]
+
+
+class CrashWatch:
+    """Look at upstreams where runs have broken off."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        *,
+        gone: Callable[[Upstream], None],
+        changed: Callable[[], None],
+        convicted: Callable[[str], None],
+    ) -> None:
+        """Take the shared state, who sends nothing more to what is gone, and who tells peers.
+
+        Convicted takes the fingerprint of a request that is sent to no upstream from now on.
+        """
+        self._state = state
+        self._gone = gone
+        self._changed = changed
+        self._convicted = convicted
+        self._doubts: dict[str, _Doubt] = {}
+        self._crashed_at: dict[str, float] = {}
+        self._forgot_at = state.now()
+
+    def broke(self, upstream: Upstream, run: BrokenRun) -> None:
+        """Take in a run that broke off unexpectedly."""
+        now, upstream_id = self._state.now(), upstream.upstream_id
+        if now - self._crashed_at.get(upstream_id, float("-inf")) <= SAME_END_S:
+            self._blame(_Doubt(upstream, now, [run]))
+            return
+        known = self._doubts.get(upstream_id)
+        if known is not None:
+            known.runs.append(run)
+            return
+        if self._state.fleet.leaves_as_told(upstream_id):
+            return
+        self._doubts[upstream_id] = _Doubt(upstream, now, [run])
+        gevent.spawn(self._find_out, upstream)
+
+    def _find_out(self, upstream: Upstream) -> None:
+        """Ask an upstream, and once more if it answers."""
+        try:
+            word = self._ask(upstream)
+            if word is not Word.GONE:
+                gevent.sleep(LOOK_AGAIN_S)
+                word = self._ask(upstream)
+        finally:
+            doubt = self._doubts.pop(upstream.upstream_id)
+        if word is not Word.GONE:
+            return
+        self._crashed_at[upstream.upstream_id] = self._state.now()
+        self._blame(doubt)
+        self._gone(upstream)
+
+    def _ask(self, upstream: Upstream) -> Word:
+        """Return what an engine says of itself; of others, whether they listen."""
+        service = self._state.table.service(upstream.service) if self._state.table else None
+        if service is not None and service.engine is not None:
+            return self._state.dialect.ask_word(upstream)
+        try:
+            address = split_address(upstream.address)
+            socket.create_connection(address, CONNECT_TIMEOUT_S).close()
+        except ConnectionRefusedError:
+            return Word.GONE
+        except OSError:
+            return Word.NONE
+        return Word.STAYS
+
+    def _blame(self, doubt: _Doubt) -> None:
+        """Put a crash down to all that ran there, and tell peers."""
+        upstream_id, blame = doubt.upstream.upstream_id, self._state.blame
+        self._state.stats.crashes_seen += 1
+        say(
+            PREFIX_ROUTING,
+            f"Upstream {upstream_id} has crashed with {len(doubt.runs)} runs of this instance",
+            fingerprints=[one.fingerprint for one in doubt.runs[:MOST_LOGGED]],
+            requests=[one.request_id for one in doubt.runs[:MOST_LOGGED]],
+            revision=doubt.upstream.revision,
+        )
+        for run in doubt.runs:
+            if run.fingerprint:
+                blame.crashed(run.fingerprint, Crash(upstream_id, doubt.at, run.under_way))
+                self._say_verdict(run)
+        self._changed()
+        self._forget_old()
+
+    def _say_verdict(self, run: BrokenRun) -> None:
+        """Log what a request has come to, where it is sent on no more."""
+        verdict = self._state.blame.verdict(run.fingerprint, self._state.now())
+        if verdict.wait_s:
+            self._convicted(run.fingerprint)
+            say(
+                PREFIX_ROUTING,
+                f"Request {run.fingerprint} crashes upstreams and is sent to none",
+                request=run.request_id,
+                fingerprint=run.fingerprint,
+                upstreams=list(verdict.upstream_ids),
+                weight=verdict.weight,
+                for_s=round(verdict.wait_s, 1),
+            )
+
+    def _forget_old(self) -> None:
+        """Forget crashes that have no effect any more."""
+        now = self._state.now()
+        if now - self._forgot_at < FORGET_EVERY_S:
+            return
+        self._forgot_at = now
+        self._state.blame.forget_old(now)
+        self._crashed_at = {one: at for one, at in self._crashed_at.items() if now - at < KEPT_S}
--- a/driftstall/gateway/fleet.py
+++ b/driftstall/gateway/fleet.py
@@ -154,6 +154,11 @@
         entry = self._find(upstream_id)
         return entry is not None and entry.leaving_since is None
 
+    def leaves_as_told(self, upstream_id: str) -> bool:
+        """Tell whether an upstream's end was announced, or its entry has gone."""
+        entry = self._find(upstream_id)
+        return entry is None or not entry.is_listed
+
     def serves(self, upstream_id: str, now: float, drain_s: float) -> bool:
         """Tell whether an upstream may still be sent what has run there or was copied there."""
         entry = self._find(upstream_id)
--- a/driftstall/gateway/inquiry.py
+++ b/driftstall/gateway/inquiry.py
@@ -80,9 +80,9 @@
         self._asked_at[engine_id] = now
         word = self._state.dialect.ask_word(upstream)
         if word.is_bad:
-            self._take_bad(upstream, word)
+            self.take_bad(upstream, word)
 
-    def _take_bad(self, upstream: Upstream, word: Word) -> None:
+    def take_bad(self, upstream: Upstream, word: Word) -> None:
         """Send an engine nothing new for a while, and have the others do the same."""
         engine_id, now = upstream.upstream_id, self._state.now()
         self._doubt(engine_id)
--- a/driftstall/gateway/listeners.py
+++ b/driftstall/gateway/listeners.py
@@ -6,10 +6,17 @@
 from dataclasses import replace
 from typing import Final
 
+import orjson
 from gevent import socket
 from gevent.server import StreamServer
 
-from driftstall.const import CODE_BAD_REQUEST, CODE_LEAVING, PREFIX_LOCATE, PREFIX_RELAY
+from driftstall.const import (
+    CODE_BAD_REQUEST,
+    CODE_LEAVING,
+    PREFIX_LOCATE,
+    PREFIX_RELAY,
+    PREFIX_ROUTING,
+)
 from driftstall.core import Instance, Problem, Ran
 from driftstall.daemon.answers import JSON_TYPE
 from driftstall.gateway.admission import Admission, Admitted, Passage
@@ -37,6 +44,7 @@
 NOT_READY_RETRY_S: Final = 0.5
 START_WAIT_S: Final = 0.3
 """How long a request waits for a fresh instance's first configuration; reading it takes less."""
+CRASHES_PATH: Final = "/crashes"
 SMALL: Final = Limits(header_bytes=8_192, body_bytes=1_024)
 """Limits of the listeners that take no requests of callers."""
 
@@ -245,7 +253,10 @@
 
 
 class MetricsAnswers:
-    """Show the counters and histograms."""
+    """Show the counters and histograms, and which requests are refused for crashes.
+
+    An operator clears such a request here: DELETE of the path with its fingerprint.
+    """
 
     def __init__(self, state: GatewayState, gauges: Callable[[], dict[str, float]]) -> None:
         """Take the shared state and a reader of what has a value now."""
@@ -254,9 +265,36 @@
 
     def __call__(self, call: CallerRequest) -> bytes:
         """Answer one question."""
+        if call.path == CRASHES_PATH:
+            return self._crashes(call)
+        if call.path.startswith(f"{CRASHES_PATH}/") and call.method == b"DELETE":
+            return self._clear(call)
         body = render(self._state.stats, self._gauges())
         return whole(200, ((b"Content-Type", b"text/plain"),), body, keep=call.keep_alive)
 
+    def _crashes(self, call: CallerRequest) -> bytes:
+        """Name the requests that are sent to no upstream."""
+        found = self._state.blame.refused(self._state.now())
+        rows = [
+            {
+                "fingerprint": fingerprint,
+                "upstreams": verdict.upstream_ids,
+                "wait_s": round(verdict.wait_s, 1),
+            }
+            for fingerprint, verdict in sorted(found.items())
+        ]
+        headers = ((b"Content-Type", JSON_TYPE.encode()),)
+        return whole(200, headers, orjson.dumps(rows), keep=call.keep_alive)
+
+    def _clear(self, call: CallerRequest) -> bytes:
+        """Hold nothing more against a request, here and at the other instances."""
+        fingerprint = call.path.rpartition("/")[2]
+        is_known = self._state.blame.verdict(fingerprint, self._state.now()).is_convicted
+        if is_known:
+            say(PREFIX_ROUTING, f"Request {fingerprint} is cleared by an operator")
+            self._state.ended_well(fingerprint)
+        return whole(200 if is_known else 404, (), b"", keep=call.keep_alive)
+
 
 class LocateAnswers:
     """Tell callers which instances to use."""
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -12,11 +12,14 @@
 
 from driftstall.const import PREFIX_CONFIGURATION, PREFIX_DRAIN, PREFIX_MEMBERSHIP
 from driftstall.core import Instance
+from driftstall.decisions.engine_words import Word
 from driftstall.decisions.freshness import longest_wait_s
 from driftstall.exceptions import PlatformUnavailable, SettingsError
 from driftstall.gateway.collectors import Roles
 from driftstall.gateway.cordon_source import CordonSource
 from driftstall.gateway.cordons import Cordon
+from driftstall.gateway.crash_keeping import CrashKeeper, KeptCrashes
+from driftstall.gateway.crash_watch import CrashWatch
 from driftstall.gateway.dialect import Dialect
 from driftstall.gateway.drain import Drain
 from driftstall.gateway.evacuation import Evacuation
@@ -80,6 +83,7 @@
     instances: Feed[Instance]
     old_instances: Feed[Instance]
     """The same as it was some seconds ago, at a low price."""
+    crashes: KeptCrashes
     register: Callable[[Instance], None]
     withdraw: Callable[[str], None]
     use_address: Callable[[str], None]
@@ -140,6 +144,16 @@
             tell=self._peering.pass_doubt,
         )
         self.state.suspect = self._inquiry.suspect
+        self._crash_keeper = CrashKeeper(self.state, access.crashes, self._roles)
+        watch = CrashWatch(
+            self.state,
+            gone=lambda upstream: self._inquiry.take_bad(upstream, Word.GONE),
+            changed=self._peering.pass_blame,
+            convicted=self._crash_keeper.convicted,
+        )
+        self.state.crash_cleared = self._crash_keeper.cleared
+        self.state.broke = watch.broke
+        self.state.blame_changed = self._peering.pass_blame
         self._routing_pace = self._fleet_pace()
         self._upstream_pace = self._fleet_pace()
         policy_pace = RevisionPace(
@@ -177,6 +191,7 @@
             self._peering,
             self._protection,
             self._inquiry,
+            self._crash_keeper,
         ):
             part.start()
         for follower in (
@@ -254,6 +269,7 @@
             "upstreams_age_seconds": min(LONGEST_AGE_S, self._upstream_pace.age_s),
             "routing_age_seconds": min(LONGEST_AGE_S, self._routing_pace.age_s),
             "platform_ok": float(self._follows(self._upstream_follower, self._upstream_pace)),
+            "requests_refused_for_crashes": len(self.state.blame.refused(self.state.now())),
             "collects": float(self._roles().collects),
             "log_lines_dropped": self._log.dropped_in_all,
         }
--- a/driftstall/gateway/peering.py
+++ b/driftstall/gateway/peering.py
@@ -25,6 +25,7 @@
     SendTo,
 )
 from driftstall.core import Instance
+from driftstall.gateway.blame_sharing import BlameSharing
 from driftstall.gateway.collectors import Roles
 from driftstall.gateway.feeds import ItemChange
 from driftstall.gateway.fleet_events import FleetAction
@@ -38,6 +39,7 @@
 from driftstall.helpers.tasks import keep_running
 from driftstall.peers.codec import kinds_of
 from driftstall.peers.gateway_messages import (
+    BlamesTold,
     FleetAsked,
     FleetOffered,
     FleetSummary,
@@ -103,6 +105,14 @@
             send=self._send,
             broadcast=self._broadcast,
         )
+        self._blame = BlameSharing(
+            state,
+            self.own.instance_id,
+            roles=lambda: self._roles,
+            live=lambda: self._members.live,
+            send=self._send,
+            broadcast=self._broadcast,
+        )
         self._placer = StreamPlacer(state, roles=lambda: self._roles, send=self._send)
         state.ask_place = self._placer.place
         self.policy_revision = 0
@@ -133,6 +143,7 @@
         self._links.start()
         keep_running(PREFIX_MEMBERSHIP, self._run_periods)
         self._reporting.start()
+        self._blame.start()
         for address in self._state.settings.seeds:
             if address != self.own.peer_address:
                 ping = Ping(self.own.instance_id, 0, "", self._members.changes)
@@ -173,6 +184,10 @@
         """Tell all that an upstream says itself that it leaves, or that it is gone."""
         self._broadcast(self._members.live, UpstreamDoubted(self.own.instance_id, upstream_id))
 
+    def pass_blame(self) -> None:
+        """Tell which requests ran beside crashes."""
+        self._blame.changed()
+
     def pass_routing(self, *, from_peer: bool) -> None:
         """Pass the routing document in force on."""
         self._state.loads_changed.set()
@@ -256,6 +271,10 @@
     def _(self, message: PlacementGiven) -> None:
         self._placer.take_answer(message)
 
+    @_take.register
+    def _(self, message: BlamesTold) -> None:
+        self._blame.take(message)
+
     @_take.register
     def _(self, report: GatewayReport) -> None:
         self._sharing.take_cordons(report.cordons)
--- a/driftstall/gateway/runs.py
+++ b/driftstall/gateway/runs.py
@@ -45,6 +45,16 @@
     """Whether the run may have been stopped by it; it was not if the engine refused the step."""
 
 
+@dataclass(frozen=True, slots=True)
+class BrokenRun:
+    """Hold a run that broke off, not by its caller or on our word."""
+
+    request_id: str
+    fingerprint: str
+    under_way: bool
+    """Whether it had made events at this upstream for a while."""
+
+
 @dataclass(slots=True)
 class StreamRun:
     """Hold one open stream, wherever it runs now."""
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -12,6 +12,7 @@
 from driftstall.const import PREFIX_ROUTING
 from driftstall.core import Request
 from driftstall.decisions.cold_starts import QUIET_START_S, UNTOLD_S, ColdPart, ColdStarts
+from driftstall.decisions.crash_blame import BlameBook
 from driftstall.decisions.lengths import LearnedLengths
 from driftstall.decisions.placers import MOST_COMPARED
 from driftstall.gateway.cold_gate import ColdGate
@@ -23,7 +24,7 @@
 from driftstall.gateway.model import GatewaySettings, Service, Upstream
 from driftstall.gateway.outcomes import Outcome, OutcomeBook
 from driftstall.gateway.routes import RouteTable
-from driftstall.gateway.runs import RunBook, StreamRun
+from driftstall.gateway.runs import BrokenRun, RunBook, StreamRun
 from driftstall.gateway.selection import DRAWN, Lot, Option
 from driftstall.gateway.shared_budget import InstanceCount, RepeatCount, SharedRetryBudget
 from driftstall.gateway.stats import GatewayStats
@@ -55,6 +56,7 @@
         self.outcomes = OutcomeBook()
         self.lengths = LearnedLengths()
         self.runs = RunBook()
+        self.blame = BlameBook()
         self.stats = GatewayStats()
         self.source = random.Random()
         self.instances = InstanceCount()
@@ -70,6 +72,12 @@
         """Asks who places streams for the zone; None where this instance is to choose."""
         self.suspect: Callable[[Upstream], None] = _ignore
         """Takes an engine at which a stream broke off unexpectedly."""
+        self.broke: Callable[[Upstream, BrokenRun], None] = _ignore_run
+        """Takes a run that broke off though its upstream was to stay."""
+        self.blame_changed: Callable[[], None] = _tell_nobody
+        """Has peers told which requests ran beside crashes."""
+        self.crash_cleared: Callable[[str], None] = _ignore_fingerprint
+        """Takes a request that is held to have crashed upstreams no more."""
         self.lot = Lot(self.source)
         self._started_at = self.now()
         self.cold_gate = ColdGate(self.cold, self.source, self._cold_part, lambda: self.now())
@@ -240,6 +248,15 @@
             return NO_LOAD
         return min(1.0, sum(one.use.tokens + one.use.copies for one in options) / total)
 
+    def ended_well(self, fingerprint: str) -> None:
+        """Take in that a request has ended well, which clears it of crashes."""
+        now = self.now()
+        was_convicted = self.blame.verdict(fingerprint, now).is_convicted
+        if fingerprint and self.blame.ended_well(fingerprint, now):
+            self.blame_changed()
+        if was_convicted:
+            self.crash_cleared(fingerprint)
+
     def saw(self, upstream_id: str, service: str, outcome: Outcome, seconds: float) -> None:
         """Take in how a request to an upstream went."""
         if outcome is Outcome.UNREACHABLE:
@@ -252,6 +269,18 @@
     """Take an engine that nobody asks about."""
 
 
+def _ignore_run(_: Upstream, __: BrokenRun) -> None:
+    """Take a run that nobody asks about."""
+
+
+def _ignore_fingerprint(_: str) -> None:
+    """Keep nothing of it."""
+
+
+def _tell_nobody() -> None:
+    """Tell nobody."""
+
+
 def _place_here(_: PlacementAsked) -> PlacementGiven | None:
     """Ask nobody."""
     return None
--- a/driftstall/gateway/stats.py
+++ b/driftstall/gateway/stats.py
@@ -26,6 +26,8 @@
     streams_moved: int = 0
     streams_resumed: int = 0
     streams_broken: int = 0
+    crashes_seen: int = 0
+    crashing_refused: int = 0
     moves_failed: int = 0
     platform_calls: int = 0
     registry: Registry = field(default_factory=Registry)
@@ -65,6 +67,8 @@
     "streams_moved": "Streams moved from an upstream that was leaving.",
     "streams_resumed": "Streams gone on with from a copy.",
     "streams_broken": "Streams that broke for good.",
+    "crashes_seen": "Upstreams found crashed with runs of this instance.",
+    "crashing_refused": "Sends refused as upstreams have crashed under the request.",
     "moves_failed": "Copies between engines that failed.",
     "platform_calls": "Calls to the platform's store.",
 }
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -18,11 +18,13 @@
     PREFIX_RELAY,
 )
 from driftstall.core import Problem, Ran
+from driftstall.decisions.crash_blame import UNDER_WAY_S
 from driftstall.decisions.sends import SendHistory
 from driftstall.exceptions import UpstreamError
 from driftstall.gateway.admission import Admitted, request_of
 from driftstall.gateway.answers import CLOSE, KEEP, problem_answer, whole
 from driftstall.gateway.calls import FULL_RETRY_S, MAX_SENDS
+from driftstall.gateway.crash_refusal import crash_refusal
 from driftstall.gateway.events import Event, EventOrder, EventSplitter, Order
 from driftstall.gateway.exchange import End, Piece
 from driftstall.gateway.ingress import (
@@ -37,7 +39,7 @@
 from driftstall.gateway.outcomes import Outcome
 from driftstall.gateway.placement import StreamPlacement
 from driftstall.gateway.resumption import CopyFinder
-from driftstall.gateway.runs import StreamRun
+from driftstall.gateway.runs import BrokenRun, StreamRun
 from driftstall.gateway.sending import Opened, StreamSender
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import say
@@ -107,9 +109,17 @@
         while self._history.may_run_anew and self._history.sends < MAX_SENDS:
             if self._left() <= 0 or self._caller_gone:
                 return Problem(CODE_DEADLINE, 504, "the time is over", self._history.ran)
+            refusal = self._refusal()
+            if refusal is not None:
+                return refusal
             run = self._placement.place(frozenset(avoid), lambda: self._caller_gone)
             if run is None:
                 break
+            refusal = self._refusal()
+            if refusal is not None:
+                # It was learned while the stream waited for its place.
+                self._drop(run)
+                return refusal
             if self._history.arrived and not self._budget_allows(run.upstream):
                 break
             result = self._send(run)
@@ -129,8 +139,13 @@
             avoid.add(run.upstream.upstream_id)
         return Problem(CODE_NO_RUNNER, 503, detail, self._history.ran, FULL_RETRY_S)
 
+    def _refusal(self) -> Problem | None:
+        """Return why the request is sent to no upstream, if so."""
+        return crash_refusal(self._state, self._admitted, self._history.ran)
+
     def _after_break(self, run: StreamRun, detail: str) -> Opened | Problem:
         """Go on at a copy after a break before the answer's head."""
+        self._broke(run)
         resumed = self._resume(run, detail)
         if resumed is not None:
             return resumed
@@ -160,8 +175,7 @@
                 return self._complete(run)
             if self._caller_gone:
                 return False
-            if run.moving is None:
-                self._state.suspect(run.upstream)
+            self._broke(run, broken)
             resumed = self._resume(run, str(broken))
             if resumed is None:
                 return self._break_off(run, str(broken))
@@ -181,6 +195,7 @@
                     parts.append(item.data)
         except (UpstreamError, TimeoutError) as fault:
             say(PREFIX_RELAY, f"A failure's body broke off: {fault}", request=run.request_id)
+            self._broke(run, fault)
             problem = Problem(CODE_RUNNER_FAILED, 502, "the answer broke off", Ran.UNKNOWN)
             return self._answer_problem(problem)
         self._saw(run, Outcome.FAILED)
@@ -282,7 +297,7 @@
                 return None
             if not self._await_cold(copy.upstream):
                 continue
-            if not self._budget_allows(copy.upstream):
+            if self._refusal() is not None or not self._budget_allows(copy.upstream):
                 return None
             self._state.runs.drop(run)
             run.ended = True
@@ -324,6 +339,9 @@
     def _complete(self, run: StreamRun) -> bool:
         """End a whole stream."""
         self._saw(run, Outcome.GOOD)
+        if run.exchange is not None and run.exchange.framed:
+            # An answer without a length ends with its connection, as a crash does.
+            self._state.ended_well(self._admitted.fingerprint)
         self._state.lengths.finished(self._request, run.tokens)
         self._state.stats.completed += 1
         self._state.stats.gap_s.observe({}, self._longest_gap_s)
@@ -401,6 +419,18 @@
         """Take one repeat from the common budget."""
         return self._state.take_repeat(upstream.service, self._admitted.marks.request_id)
 
+    def _broke(self, run: StreamRun, fault: Exception | None = None) -> None:
+        """Have it found out whether a run broke off because its upstream has crashed."""
+        if self._caller_gone or run.moving is not None:
+            return
+        if isinstance(fault, TimeoutError):
+            # What is silent has not ended; it may leave, or be cut off.
+            self._state.suspect(run.upstream)
+            return
+        under_way = run.making_s is not None and run.making_s >= UNDER_WAY_S
+        broken = BrokenRun(run.request_id, self._admitted.fingerprint, under_way)
+        self._state.broke(run.upstream, broken)
+
     def _saw(self, run: StreamRun, outcome: Outcome) -> None:
         """Take in how the upstream did; the time of a stream says nothing of it."""
         self._state.saw(run.upstream.upstream_id, run.upstream.service, outcome, 0.0)
--- a/driftstall/peers/codec.py
+++ b/driftstall/peers/codec.py
@@ -90,6 +90,8 @@
     wire = _camel(name)
     if typing.get_origin(hint) in (types.UnionType, typing.Union):
         inner = next(arg for arg in typing.get_args(hint) if arg is not types.NoneType)
+        if not dataclasses.is_dataclass(inner):
+            return _Field(name, wire, _same, _same, True)
         return _Field(name, wire, _to_wire, lambda value: _from_wire(inner, value), True)
     if typing.get_origin(hint) is tuple:
         item = typing.get_args(hint)[0]
--- a/driftstall/peers/gateway_messages.py
+++ b/driftstall/peers/gateway_messages.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from driftstall.controllers.membership import Ack, Ping, PingRequest
+from driftstall.decisions.crash_blame import BlameTold
 from driftstall.gateway.cordons import Cordons
 from driftstall.gateway.loads import Use
 from driftstall.gateway.model import Upstream
@@ -161,6 +162,16 @@
     """Whether the stream fits the engine's memory, as far as can be forecast."""
 
 
+@dataclass(frozen=True, slots=True)
+class BlamesTold:
+    """Tell a peer which requests ran beside crashes of upstreams."""
+
+    sender: str
+    records: tuple[BlameTold, ...]
+    asks: bool
+    """Whether the peer is to answer with what it knows besides."""
+
+
 GatewayMessage = (
     Ping
     | Ack
@@ -176,4 +187,5 @@
     | PlacementGiven
     | FleetAsked
     | FleetOffered
+    | BlamesTold
 )
--- a/driftstall/peers/schema.capnp
+++ b/driftstall/peers/schema.capnp
@@ -107,6 +107,11 @@
 struct PlacementGiven {
   sender @0 :Text; requestId @1 :Text; upstreamId @2 :Text; backupId @3 :Text; hasRoom @4 :Bool;
 }
+struct CrashTold { upstreamId @0 :Text; agoMs @1 :UInt32; underWay @2 :Bool; }
+struct BlameTold {
+  fingerprint @0 :Text; crashes @1 :List(CrashTold); wellAgoMs @2 :UInt32; hasWellAgoMs @3 :Bool;
+}
+struct BlamesTold { sender @0 :Text; records @1 :List(BlameTold); asks @2 :Bool; }
 struct UpstreamDoubted { sender @0 :Text; upstreamId @1 :Text; }
 
 struct Envelope {
@@ -142,5 +147,6 @@
     upstreamDoubted @28 :UpstreamDoubted;
     placementAsked @29 :PlacementAsked;
     placementGiven @30 :PlacementGiven;
+    blamesTold @31 :BlamesTold;
   }
 }
--- a/driftstall/platform/__main__.py
+++ b/driftstall/platform/__main__.py
@@ -19,6 +19,7 @@
 from driftstall.gateway.node import GatewayNode, PlatformAccess  # noqa: E402
 from driftstall.helpers.log import start_log  # noqa: E402
 from driftstall.platform import feeds  # noqa: E402
+from driftstall.platform.crashes import StoredCrashes  # noqa: E402
 from driftstall.platform.dialect import PlatformDialect  # noqa: E402
 from driftstall.platform.settings import read_settings, settings_path  # noqa: E402
 from driftstall.platform.store import Store  # noqa: E402
@@ -52,6 +53,7 @@
         policies=feeds.policy_feed(store),
         instances=feeds.instance_feed(store),
         old_instances=feeds.instance_feed(store, stale=True),
+        crashes=StoredCrashes(store),
         register=lambda instance: feeds.register_instance(store, instance),
         withdraw=lambda instance_id: feeds.withdraw_instance(store, instance_id),
         use_address=store.use_address,
--- /dev/null
+++ b/features/gateway/crash_blame.feature
@@ -0,0 +1,62 @@
+Feature: Which request has crashed upstreams
+  Dozens of requests break off in a crash, and one of them is its cause. All come again.
+
+  Scenario Outline: each rule on its own
+    Given a request of which this is known: <known>
+    Then after <seconds> s it <may>
+
+    Examples:
+      | known                                                             | seconds | may                 |
+      | nothing                                                           | 0       | may be sent         |
+      | 0 begun at a                                                      | 0       | may be sent         |
+      | 0 begun at a, 1 begun at b                                        | 1       | waits for 30 s      |
+      | 0 begun at a, 1 begun at b                                        | 30      | waits for 1 s       |
+      | 0 begun at a, 1 begun at b                                        | 32      | may be sent         |
+      | 0 begun at a, 1 begun at b, 40 begun at c                         | 41      | waits for 599 s     |
+      | 0 begun at a, 1 begun at b, 40 begun at c, 700 begun at d         | 700     | waits for 3600 s    |
+      | 0 under way at a, 1 under way at b                                | 1       | may be sent         |
+      | 0 under way at a, 1 under way at b, 2 begun at c                  | 2       | waits for 30 s      |
+      | 0 under way at a, 1 under way at b, 2 under way at c, 3 under way at d | 3  | waits for 30 s      |
+      | 0 begun at a, 1 begun at a                                        | 1       | may be sent         |
+      | 0 begun at a, 5 begun at a                                        | 5       | waits for 30 s      |
+      | 0 under way at a, 1 begun at a, 2 begun at b                      | 2       | waits for 30 s      |
+      | 0 begun at a, 1 begun at b, 2 well                                | 2       | may be sent         |
+      | 0 begun at a, 1 well, 12 begun at b                               | 12      | may be sent         |
+      | 0 well, 5 begun at a, 6 begun at b                                | 6       | may be sent         |
+      | 0 well, 11 begun at a, 12 begun at b                              | 12      | waits for 30 s      |
+      | 0 begun at a, 0 a peer tells of 1 at a 4 s ago                    | 4       | may be sent         |
+      | 0 begun at a, 1 a peer tells of 1 at b 0 s ago                    | 1       | waits for 30 s      |
+      | 0 begun at a, 1 a peer tells of 2 at a 0 s ago                    | 1       | waits for 30 s      |
+      | 0 begun at a, 1 begun at b, 2 a peer tells of well 0 s ago        | 2       | may be sent         |
+      | 0 begun at a, 1 begun at b, 2 well, 3 a peer tells of 2 at a 1 s ago | 3    | may be sent         |
+      | 0 begun at a, 1 begun at b, 2 another was at a b and c            | 2       | may be sent         |
+      | 0 begun at a, 1 begun at b, 2 another was at a and b              | 2       | waits for 29 s      |
+
+  Scenario: what an instance knows takes bounded memory, and the strongest suspicion stays
+    Given a request with two crashes, and 5000 others that callers have made up, with one each
+    Then at most 1000 requests are remembered, and the one with two crashes is still refused
+    And at most 64 are told, it among them
+    And two hours later nothing is remembered
+
+  Scenario Outline: a modelled fleet
+    Given a modelled fleet: <load>
+    Then from seeds 1 to <seeds> no fatal request crashes more than <most> engines in a minute
+    And none is sent more than 3 times later than 3 s after its third crash
+    And at most <wrongly> in 10000 ordinary requests are refused
+
+    Examples:
+      | load                                            | seeds | most | wrongly |
+      | one fatal request                               | 8     | 4    | 10      |
+      | one fatal request, ordinary ones of 2 sorts     | 4     | 4    | 1       |
+      | one fatal request, ordinary ones of 20 sorts    | 4     | 4    | 10      |
+      | one fatal request, an instance killed each 4 s  | 8     | 4    | 10      |
+      | one fatal request, an instance cut off each 5 s | 8     | 5    | 10      |
+      | three fatal requests                            | 4     | 5    | 100     |
+
+  Scenario: the model sees instances that do not tell each other
+    Given a modelled fleet: one fatal request
+    Then with instances that tell each other nothing some seed from 1 to 4 crashes more than 4 engines
+
+  Scenario: the model sees good ends that do not count
+    Given a modelled fleet: one fatal request, ordinary ones of 20 sorts
+    Then with good ends that do not count more than 10 in 10000 ordinary requests are refused
--- /dev/null
+++ b/features/steps/crash_refusal_steps.py
@@ -0,0 +1,357 @@
+"""Check what one gateway does with requests under which upstreams have crashed."""
+
+from __future__ import annotations
+
+import contextlib
+import io
+import time
+from dataclasses import replace
+from typing import Any, Final
+
+from behave import given, then, when
+
+from driftstall.cli.main import main as command
+from driftstall.core import Instance
+from driftstall.decisions.crash_blame import RESTS_S, BlameTold, CrashTold
+from driftstall.gateway import crash_watch
+from driftstall.gateway.blame_sharing import BlameSharing
+from driftstall.gateway.collectors import Roles
+from driftstall.gateway.crash_watch import CrashWatch
+from driftstall.gateway.fingerprint import fingerprint
+from driftstall.gateway.ingress import CallerRequest
+from driftstall.gateway.listeners import MetricsAnswers, SmallListener
+from driftstall.peers.codec import HEADER, decode, encode, kinds_of
+from driftstall.peers.envelope import Envelope
+from driftstall.peers.gateway_messages import BlamesTold, GatewayMessage
+from features.steps.gateway_stream_steps import await_copy, stream_script
+from features.worlds.gateway_world import (
+    HOST,
+    WAIT_S,
+    GatewayWorld,
+    Received,
+    runs,
+    script_all,
+    wait_for,
+    world_of,
+)
+from stand_ins.routed import RoutedUpstream, Script
+
+AT_ONCE_S: Final = 0.2
+BREAKS: Final[dict[str, dict[str, Any]]] = {
+    "break off without an answer": {"reset": True},
+    "break off after the head": {"reset_after_head": True},
+    "break off within the answer": {"cut_after": 2},
+    "answer with a failure": {"status": 500},
+}
+
+
+def fingerprint_of(path: str) -> str:
+    """Return the fingerprint of what the world's caller asks for at a path."""
+    call = CallerRequest(b"POST", path.encode(), (), HOST, b"body", keep_alive=False, read_at=0.0)
+    return fingerprint(call, "north")
+
+
+@given("a gateway that finds out which upstreams have crashed")
+def gateway_with_watch(context: Any) -> None:
+    """Start a gateway whose broken runs are looked into; it tells no peers."""
+    world = context.world = GatewayWorld()
+    context.add_cleanup(world.close)
+    usual = crash_watch.LOOK_AGAIN_S
+    crash_watch.LOOK_AGAIN_S = 0.01  # type: ignore[misc]
+    context.add_cleanup(setattr, crash_watch, "LOOK_AGAIN_S", usual)
+    context.convicted = []
+    watch = CrashWatch(
+        world.state,
+        gone=lambda _: None,
+        changed=lambda: None,
+        convicted=context.convicted.append,
+    )
+    context.watch = watch
+    world.state.broke = watch.broke
+    context.answers = {}
+
+
+@given('the upstreams of "{first}" and "{second}" will crash as they run them')
+def will_crash(context: Any, first: str, second: str) -> None:
+    """Script a crash for each."""
+    for request_id in (first, second):
+        script_all(world_of(context), request_id, [Script(crash=True)])
+
+
+@given('both upstreams that get "{request_id}" will crash as they run it')
+def each_will_crash(context: Any, request_id: str) -> None:
+    """Script a crash for each upstream."""
+    script_all(world_of(context), request_id, [Script(crash=True), Script(crash=True)])
+
+
+@given('the upstreams of "r1", "r2" and "r3" will {end}')
+def will_end(context: Any, end: str) -> None:
+    """Script an end that is no crash; one that was told is given notice before it ends."""
+    world = world_of(context)
+    if end == "end as they had told the platform before":
+        context.ends_as_told = True
+        scripts = [script_all(world, name, [Script(events=8, pause_after=2)])[0] for name in IDS]
+        context.scripts = dict(zip(IDS, scripts, strict=True))
+        return
+    context.ends_as_told = False
+    for name in IDS:
+        script_all(world, name, [Script(**BREAKS[end])])
+
+
+IDS: Final = ("r1", "r2", "r3")
+
+
+def settle(context: Any) -> None:
+    """Wait until each broken run was looked into."""
+    wait_for("all is looked into", lambda: not context.watch._doubts)
+
+
+def ask(context: Any, path: str, request_id: str) -> Received:
+    """Ask, and wait until what broke off was looked into."""
+    began = time.monotonic()
+    answer = world_of(context).ask(path, request_id)
+    context.took_s = time.monotonic() - began
+    context.answers[request_id] = answer
+    settle(context)
+    return answer
+
+
+@when('"{path}" is asked once, as "{request_id}"')
+def asked(context: Any, path: str, request_id: str) -> None:
+    """Ask once."""
+    ask(context, path, request_id)
+
+
+@when('"{path}" is asked twice, as "r1" and then as "r2"')
+def asked_twice(context: Any, path: str) -> None:
+    """Ask twice."""
+    for request_id in IDS[:2]:
+        ask(context, path, request_id)
+
+
+@when('"{path}" is asked three times, as "r1", "r2" and "r3"')
+def asked_thrice(context: Any, path: str) -> None:
+    """Ask three times; where ends were told, each engine gives notice and ends with its run."""
+    world = world_of(context)
+    for name in IDS:
+        if not context.ends_as_told:
+            ask(context, path, name)
+            continue
+        job = world.ask_later(path, name)
+        assert context.scripts[name].paused.wait(WAIT_S), f"{name} does not run"
+        (engine,) = runs(world, name)
+        world.give_notice(engine)
+        engine.stop()
+        engine.stopped.add(name)
+        context.scripts[name].gate.set()
+        job.get()
+        settle(context)
+    if context.ends_as_told:
+        # All three engines have left: others of the service come.
+        world.engines = [RoutedUpstream(f"later-{index}") for index in (1, 2)]
+        world.list_upstreams()
+
+
+@then('"{request_id}" is refused at once: not run, for about {seconds:d} s, by code "{code}"')
+def refused(context: Any, request_id: str, seconds: int, code: str) -> None:
+    """Check the refusal and when it came."""
+    answer = context.answers[request_id]
+    assert answer.status == 503, answer
+    assert f'"code":"{code}"'.encode() in answer.body and b'"ran":"not run"' in answer.body, answer
+    assert seconds - 2 < float(answer.headers["retry-after"]) <= seconds, answer
+    assert context.took_s < AT_ONCE_S, context.took_s
+    assert context.convicted, "it is written down nowhere"
+
+
+@then('no upstream got "{request_id}"')
+def nobody_got(context: Any, request_id: str) -> None:
+    """Look at the upstreams."""
+    assert not runs(world_of(context), request_id)
+
+
+@then('"{path}" asked as "{request_id}" is served whole')
+def served_whole(context: Any, path: str, request_id: str) -> None:
+    """Ask."""
+    answer = ask(context, path, request_id)
+    assert answer.status == 200 and answer.whole, answer
+
+
+@then('"{request_id}" is answered {status:d} and has run twice')
+def has_run_twice(context: Any, request_id: str, status: int) -> None:
+    """Check the answer and the upstreams."""
+    assert context.answers[request_id].status == status, context.answers[request_id]
+    assert len(runs(world_of(context), request_id)) == 2
+
+
+@when("a peer tells that the request has ended well since")
+def told_well(context: Any) -> None:
+    """Take in a peer's word."""
+    state = world_of(context).state
+    state.blame.take([BlameTold(fingerprint_of("/stream/x"), (), 0)], state.now())
+
+
+def tell_crashes(context: Any, ago_s: float = 0.0) -> None:
+    """Take in a peer's word of two crashes."""
+    state, ago_ms = world_of(context).state, int(ago_s * 1000)
+    crashes = tuple(CrashTold(name, ago_ms, under_way=False) for name in ("e-8", "e-9"))
+    state.blame.take([BlameTold(fingerprint_of("/stream/x"), crashes, None)], state.now())
+
+
+@given('a peer tells of two crashes under "/stream/x"')
+def told_crashes(context: Any) -> None:
+    """Take it in now."""
+    tell_crashes(context)
+
+
+@given('the engine of "{request_id}" will break off just after a peer has told of two crashes')
+def told_before_break(context: Any, request_id: str) -> None:
+    """Script the break, at a time when the copy counts, and take the peer's word in before it."""
+    stream_script(context, request_id, Script(break_after=3))
+    await_copy(context, 3, lambda: tell_crashes(context))
+
+
+@then("it ends broken, and no second engine got it")
+def ends_broken(context: Any) -> None:
+    """Check the answer and the engines."""
+    assert not context.answers["r1"].whole, context.answers["r1"]
+    assert len(runs(world_of(context), "r1")) == 1
+
+
+@given('a peer tells of two crashes under "/stream/x", so long ago that it may be tried again')
+def told_old_crashes(context: Any) -> None:
+    """Take it in."""
+    tell_crashes(context, RESTS_S[0] + 1)
+
+
+@given('the upstream of "{request_id}" answers without a length and ends')
+def unframed(context: Any, request_id: str) -> None:
+    """Script an answer that ends with its connection."""
+    stream_script(context, request_id, Script(unframed=True, events=2))
+
+
+@then("the crashes still count")
+def still_count(context: Any) -> None:
+    """Look at the book."""
+    state = world_of(context).state
+    assert context.answers["r1"].status == 200, context.answers["r1"]
+    assert state.blame.verdict(fingerprint_of("/stream/x"), state.now()).is_convicted
+
+
+@then("the metrics page counts one request that is refused")
+def metrics_count(context: Any) -> None:
+    """Serve the page and read it."""
+    state = world_of(context).state
+    page = MetricsAnswers(
+        state, lambda: {"requests_refused_for_crashes": len(state.blame.refused(state.now()))}
+    )
+    listener = SmallListener(state.settings.metrics_listen, page)
+    listener.start()
+    call = CallerRequest(b"GET", b"/metrics", (), HOST, b"", keep_alive=False, read_at=0.0)
+    assert b"requests_refused_for_crashes 1" in page(call)
+    assert b"driftstall_gateway_crashes_seen_total 2" in page(call)
+
+
+def run_command(context: Any, *words: str) -> str:
+    """Run the operators' command and return what it prints."""
+    output = io.StringIO()
+    metrics = world_of(context).state.settings.metrics_listen
+    with contextlib.redirect_stdout(output):
+        assert command([*words, f"--metrics={metrics}"]) == 0, output.getvalue()
+    return output.getvalue()
+
+
+@then('"driftstall crashes" names the request with its upstreams')
+def command_names(context: Any) -> None:
+    """Run the command."""
+    printed = run_command(context, "crashes")
+    ended = [one.upstream_id for name in IDS[:2] for one in runs(world_of(context), name)]
+    assert fingerprint_of("/stream/x") in printed, printed
+    assert all(one in printed for one in ended), (ended, printed)
+
+
+@when('the operator clears it by "driftstall crashes"')
+def command_clears(context: Any) -> None:
+    """Run the command."""
+    printed = run_command(context, "crashes", "clear", fingerprint_of("/stream/x"))
+    assert "may be sent again" in printed, printed
+
+
+def sharing_of(context: Any) -> BlameSharing:
+    """Return what exchanges with peers; what it sends is kept."""
+    context.told = []
+    return BlameSharing(
+        world_of(context).state,
+        "own",
+        roles=Roles,
+        live=lambda: (Instance("peer", "", "", "a"),),
+        send=lambda recipient, message: context.told.append((recipient, message)),
+        broadcast=lambda *_: None,
+    )
+
+
+@when("a peer that knows nothing asks which requests ran beside crashes")
+def peer_asks(context: Any) -> None:
+    """Take its question in."""
+    sharing_of(context).take(BlamesTold("peer", (), asks=True))
+
+
+@when("a peer that knows of both asks")
+def knowing_peer_asks(context: Any) -> None:
+    """Take its question in."""
+    state = world_of(context).state
+    known = replace(BlamesTold("peer", (), asks=True), records=state.blame.told(state.now()))
+    sharing_of(context).take(known)
+
+
+@then("it is told nothing")
+def told_nothing(context: Any) -> None:
+    """Look at what was sent."""
+    assert not context.told, context.told
+
+
+@then("it is told of both crashes")
+def told_both(context: Any) -> None:
+    """Look at what was sent."""
+    ((recipient, message),) = context.told
+    assert recipient == "peer" and not message.asks
+    assert [len(one.crashes) for one in message.records] == [2], message
+
+
+@when('a peer tells of two crashes under "/stream/x", and asks nothing')
+def peer_tells(context: Any) -> None:
+    """Take its word in by the way messages take."""
+    crashes = tuple(CrashTold(name, 0, under_way=False) for name in ("e-8", "e-9"))
+    told = BlameTold(fingerprint_of("/stream/x"), crashes, None)
+    sharing_of(context).take(BlamesTold("peer", (told,), asks=False))
+
+
+@then('it is told of the good end, and "{path}" asked as "{request_id}" is served whole')
+def told_good_end(context: Any, path: str, request_id: str) -> None:
+    """Look at what was sent, then ask."""
+    ((_, message),) = context.told
+    (record,) = message.records
+    assert record.well_ago_ms is not None and record.well_ago_ms < 1000, record
+    served_whole(context, path, request_id)
+
+
+@then("these records arrive as they were sent")
+def records_travel(context: Any) -> None:
+    """Encode and decode them together."""
+    records = tuple(
+        BlameTold(
+            row["fingerprint"],
+            tuple(_crash_told(text) for text in row["crashes"].split(", ") if text),
+            int(row["well ago ms"]) if row["well ago ms"] else None,
+        )
+        for row in context.table
+    )
+    message = BlamesTold("own", records, asks=True)
+    frame = encode(Envelope("own", "peer", 1, message), b"key")
+    arrived = decode(frame[HEADER.size :], b"key", kinds_of(GatewayMessage))
+    assert arrived.message == message, arrived.message
+
+
+def _crash_told(text: str) -> CrashTold:
+    """Read one crash."""
+    upstream_id, ago_ms, how = text.split(" ", 2)
+    return CrashTold(upstream_id, int(ago_ms), how == "under way")
--- a/features/steps/crashing_request_steps.py
+++ b/features/steps/crashing_request_steps.py
@@ -3,19 +3,22 @@
 from __future__ import annotations
 
 import itertools
+import signal
 import time
+from contextlib import suppress
 from typing import Any, Final
 
 import gevent
 from behave import given, then, when
 
-from driftstall.exceptions import UpstreamError
+from driftstall.exceptions import PlatformUnavailable, UpstreamError
 from driftstall.platform.names import KIND_CONFIG, KIND_UPSTREAMS, NAME_CONFIG
 from driftstall.platform.store import Store
 from features.steps.gateway_node_steps import start_node, wait_long
 from features.worlds.gateway_world import HOST, Received, document
 from features.worlds.upstream_samples import entry_spec
 from measures.bench import Bench
+from measures.gateway_process import GatewayProcess
 from stand_ins.crashing import CrashingFleet, CrashingUpstream
 from stand_ins.routed import Script, Seen
 
@@ -23,6 +26,8 @@
 CONTACT_S: Final = 3.0
 ASK_PAUSE_S: Final = 0.25
 """Pause of a caller that comes back after a failure."""
+HEAD_START_S: Final = 2.5
+"""Time in which the first ordinary streams end: each takes a second."""
 NUMBERS: Final = itertools.count(1)
 
 
@@ -52,11 +57,13 @@
 
     def _list(self, upstream: CrashingUpstream) -> None:
         """Write an engine's entry."""
-        self._store.create(KIND_UPSTREAMS, upstream.upstream_id, entry_spec(upstream.address))
+        with suppress(PlatformUnavailable):
+            self._store.create(KIND_UPSTREAMS, upstream.upstream_id, entry_spec(upstream.address))
 
     def _unlist(self, upstream: CrashingUpstream) -> None:
         """Let an engine's entry lapse."""
-        self._store.delete(KIND_UPSTREAMS, upstream.upstream_id)
+        with suppress(PlatformUnavailable):
+            self._store.delete(KIND_UPSTREAMS, upstream.upstream_id)
 
     def _replace(self, crashed: CrashingUpstream) -> None:
         """Note a crash."""
@@ -134,3 +141,96 @@
     for one in refused:
         assert float(one.headers["retry-after"]) > 0, one
         assert b'"ran":"not run"' in one.body, one
+
+
+@when('{count:d} callers ask for "{target}" while one asks for "{fatal}" for {seconds:g} s')
+def ask_beside(context: Any, count: int, target: str, fatal: str, seconds: float) -> None:
+    """Ask for ordinary streams beside the fatal one."""
+    asking = [
+        gevent.spawn(ask_again_and_again, context, target, seconds + HEAD_START_S)
+        for _ in range(count)
+    ]
+    # Of requests that are alike, some have ended well when the fatal one comes.
+    gevent.sleep(HEAD_START_S)
+    context.answers = ask_again_and_again(context, fatal, seconds)
+    gevent.joinall(asking, raise_error=True)
+    context.ordinary = [answer for one in asking for answer in one.value]
+
+
+@then('no answer to "/stream/same" refuses it, and at least {share:d} in 100 are whole')
+def ordinary_served(context: Any, share: int) -> None:
+    """Check the ordinary answers."""
+    refused = [one for one in context.ordinary if b"crashes_runners" in one.body]
+    assert not refused, refused[:2]
+    whole = sum(one.status == 200 and one.whole for one in context.ordinary)
+    assert whole >= share / 100 * len(context.ordinary), (whole, len(context.ordinary))
+
+
+@then("at most {most:d} engines have crashed")
+def few_crashed(context: Any, most: int) -> None:
+    """Count."""
+    assert 0 < len(context.engines.crashes) <= most, len(context.engines.crashes)
+
+
+def refuses(answer: Received) -> bool:
+    """Tell whether an answer refuses a request for its crashes."""
+    return answer.status == 503 and b"crashes_runners" in answer.body
+
+
+@given('"{target}" was asked for until all refuse it')
+def asked_until_refused(context: Any, target: str) -> None:
+    """Ask at each instance until it refuses."""
+    for node in context.nodes:
+        wait_long(
+            f"{node.name} refuses",
+            lambda one=node: refuses(one.ask(target, f"until-{next(NUMBERS)}")),
+        )
+    assert len(context.engines.crashes) <= 3, len(context.engines.crashes)
+
+
+def start_anew(context: Any, nodes: list[GatewayProcess]) -> None:
+    """Kill some instances within a moment and start them again."""
+    context.anew = nodes
+    for node in nodes:
+        node.signal(signal.SIGKILL)
+    for node in nodes:
+        node.restart()
+        context.add_cleanup(node.process.wait)
+        context.add_cleanup(node.process.kill)
+    for node in nodes:
+        wait_long(f"{node.name} is ready again", node.ready)
+
+
+@when("the first instance is killed and starts anew")
+def kill_first(context: Any) -> None:
+    """Kill one."""
+    start_anew(context, context.nodes[:1])
+
+
+@when("all instances are killed at once and start anew")
+def kill_all(context: Any) -> None:
+    """Kill all."""
+    start_anew(context, context.nodes)
+
+
+@then('within {seconds:g} s of being ready it refuses "{target}", and sends it to no engine')
+def refuses_soon(context: Any, seconds: float, target: str) -> None:
+    """Ask once that time has passed: the first one that asked would be a send."""
+    before = len(context.engines.sends_of(target))
+    gevent.sleep(seconds)
+    for node in context.anew:
+        answer = node.ask(target, f"anew-{next(NUMBERS)}")
+        assert refuses(answer), (node.name, answer)
+    assert len(context.engines.sends_of(target)) == before
+
+
+@then('within {seconds:g} s of being ready they refuse "{target}", and send it to no engine')
+def refuse_soon(context: Any, seconds: float, target: str) -> None:
+    """Ask each."""
+    refuses_soon(context, seconds, target)
+
+
+@given("the store is away")
+def store_away(context: Any) -> None:
+    """Take the store down for longer than the scenario."""
+    context.store_bench.platform.control({"down_s": 60.0})
--- a/stand_ins/routed.py
+++ b/stand_ins/routed.py
@@ -40,6 +40,8 @@
     """Close without an answer, after the request was read and before a copy was looked for."""
     reset_after_head: bool = False
     """Close a stream after its head, before any event."""
+    crash: bool = False
+    """Stop to listen, and close without an answer."""
     hang: bool = False
     unframed: bool = False
     """Answer without a length; the answer ends with its connection."""
@@ -174,6 +176,10 @@
         self.copies.pop(copy_of, None)
         method, target = call.method.decode(), call.target.decode()
         self.saw(Seen(request_id, headers, method, target, call.body, goes_on=has_copy))
+        if script.crash:
+            self.stop()
+            reset(raw)
+            return
         try:
             if call.path.startswith("/stream/"):
                 self._stream(raw, connection, request_id, headers, script)
