Go by a steady clock that counts suspensions, and take long waits in pieces

Cause: the monotonic clock and the event loop's timers stand still while a machine is suspended. Class: a clock is trusted to measure time that it does not see. Looked through one by one: deadlines passed on, routes' times, header and idle time-outs, age of the platform's word, of reports and members, rests, cordons, cold parts, the windows of the retry budget, the placement lease, drain and grace times, kept addresses, links between instances, the log's cap: all go by util/clock now. Pauses of up to 2 s and time-outs of single calls (2.3 s at most in the gateway) still run on the event loop's time: each ends by so much after the machine runs again. A suspension is logged.

--- a/driftstall/cli/client.py
+++ b/driftstall/cli/client.py
@@ -11,6 +11,7 @@
 
 from driftstall.const import HEADER_KIND, HEADER_LAST_EVENT_ID, HEADER_TICKET
 from driftstall.exceptions import UpstreamError
+from driftstall.util import clock
 from driftstall.util.http import Exchange
 
 TIMEOUT_S: Final = 30.0
@@ -75,7 +76,7 @@
 
     def locate(self) -> tuple[str, ...]:
         """Return the addresses to use, best first; the answer is kept a while."""
-        now = time.monotonic()
+        now = clock.now()
         if self._kept and now < self._kept_until:
             return self._kept
         for address in (*self._kept, *self._seeds):
--- a/driftstall/daemon/callers.py
+++ b/driftstall/daemon/callers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 import uuid
 from collections.abc import Iterable, Iterator
 from typing import Any, Final
@@ -49,6 +48,7 @@
 from driftstall.filters.context import RequestContext
 from driftstall.helpers.log import say
 from driftstall.policy.model import DEFAULT_VERDICT
+from driftstall.util import clock
 from driftstall.util.signing import sign, verify
 
 PATH_LOCATE: Final = "/v1/locate"
@@ -339,7 +339,7 @@
     state = [0.0, True]
 
     def waits() -> bool:
-        now = time.monotonic()
+        now = clock.now()
         if now - state[0] >= CALLER_CHECK_S:
             state[0], state[1] = now, peer_is_there(connection)
         return bool(state[1])
--- a/driftstall/daemon/hub.py
+++ b/driftstall/daemon/hub.py
@@ -18,6 +18,7 @@
 from driftstall.peers.link import PeerLinks
 from driftstall.peers.messages import DaemonMessage
 from driftstall.platform.client import PlatformClient
+from driftstall.util import clock
 
 Handler = Callable[[str, Any], None]
 
@@ -46,8 +47,8 @@
 
     @staticmethod
     def now() -> float:
-        """Return the monotonic clock, in seconds."""
-        return time.monotonic()
+        """Return the steady clock, in seconds; suspensions count."""
+        return clock.now()
 
     @staticmethod
     def wall() -> float:
--- a/driftstall/gateway/exchange.py
+++ b/driftstall/gateway/exchange.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import time
 from collections import deque
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -18,6 +17,7 @@
 
 from driftstall.exceptions import UpstreamError
 from driftstall.gateway.model import Header, Headers
+from driftstall.util import clock
 from driftstall.util.addresses import split_address
 from driftstall.util.http import tune
 
@@ -129,8 +129,8 @@
             lines.append(b"Content-Length: %d" % len(body))
         lines.append(b"Connection: close")
         data = b"\r\n".join(lines) + b"\r\n\r\n" + body
-        until = time.monotonic() + timeout_s
-        self.sent_at = time.monotonic()
+        until = clock.now() + timeout_s
+        self.sent_at = clock.now()
         try:
             self._send_pieces(data, until)
         except OSError as fault:
@@ -139,18 +139,23 @@
     def _send_pieces(self, data: bytes, until: float) -> None:
         """Send piece by piece, unless the answer comes before all is sent."""
         if len(data) <= SEND_PIECE_BYTES:
-            self._connection.settimeout(max(0.001, until - time.monotonic()))
+            self._connection.settimeout(max(0.001, until - clock.now()))
             self._connection.sendall(data)
             return
         view = memoryview(data)
         self._connection.settimeout(0.0)
         while view:
-            left = max(0.0, until - time.monotonic())
-            readable, writable, _ = select.select([self._connection], [self._connection], [], left)
+            left = until - clock.now()
+            if left <= 0:
+                raise TimeoutError("the upstream does not read")
+            wait_s = min(left, clock.LONGEST_WAIT_S)
+            readable, writable, _ = select.select(
+                [self._connection], [self._connection], [], wait_s
+            )
             if readable:
                 return
             if not writable:
-                raise TimeoutError("the upstream does not read")
+                continue
             view = view[self._connection.send(view[:SEND_PIECE_BYTES]) :]
 
     def next(self, timeout_s: float) -> Item:
@@ -158,12 +163,12 @@
 
         A timeout raises TimeoutError and leaves the exchange as it was.
         """
-        until = time.monotonic() + timeout_s
+        until = clock.now() + timeout_s
         while not self._reader.items:
-            left = until - time.monotonic()
+            left = until - clock.now()
             if left <= 0:
                 raise TimeoutError("nothing arrived in time")
-            self._connection.settimeout(left)
+            self._connection.settimeout(min(left, clock.LONGEST_WAIT_S))
             self._receive()
         item = self._reader.items.popleft()
         if isinstance(item, Head):
@@ -175,11 +180,11 @@
         self._connection.close()
 
     def _receive(self) -> None:
-        """Read once and parse; TimeoutError passes through."""
+        """Read once and parse; nothing may have come in time."""
         try:
             data = self._connection.recv(RECEIVE_BYTES)
         except TimeoutError:
-            raise
+            return
         except OSError as fault:
             raise UpstreamError(f"the answer broke: {type(fault).__name__}", sent=True) from fault
         if not data:
--- a/driftstall/gateway/ingress.py
+++ b/driftstall/gateway/ingress.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import time
 from collections import deque
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -17,6 +16,7 @@
 from gevent import socket
 
 from driftstall.gateway.model import Header, Headers, Limits
+from driftstall.util import clock
 
 RECEIVE_BYTES: Final = 65_536
 CHUNKED: Final = b"chunked"
@@ -86,7 +86,7 @@
 
     def on_message_begin(self) -> None:
         """Note when a request began."""
-        self.begun_at = time.monotonic()
+        self.begun_at = clock.now()
 
     def on_url(self, url: bytes) -> None:
         """Collect the target."""
@@ -134,7 +134,7 @@
                 host=host.strip().decode("latin-1"),
                 body=b"".join(self._body),
                 keep_alive=self.parser.should_keep_alive(),
-                read_at=time.monotonic(),
+                read_at=clock.now(),
             )
             self.requests.append(request)
         self.wants_continue = False
@@ -171,7 +171,7 @@
 
     def next(self) -> CallerRequest | Malformed | Closed:
         """Wait for the next request."""
-        rest_until = time.monotonic() + self._limits.idle_timeout_s
+        rest_until = clock.now() + self._limits.idle_timeout_s
         while True:
             if self._collector.requests:
                 return self._collector.requests.popleft()
@@ -187,7 +187,7 @@
     def _wait(self, rest_until: float) -> Malformed | Closed | None:
         """Read once; return why to stop, if so."""
         until = self._read_until(rest_until)
-        left = until - time.monotonic()
+        left = until - clock.now()
         if left <= 0:
             return self._too_slow()
         self._connection.settimeout(left)
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -56,6 +56,7 @@
 from driftstall.helpers.log import BoundedWriter, say
 from driftstall.helpers.tasks import keep_running
 from driftstall.policy.model import Policy
+from driftstall.util import clock
 
 PERIOD_S: Final = 0.2
 """How often the node looks for what time alone brings; each look is a wake-up."""
@@ -67,6 +68,8 @@
 LATE_LIST_S: Final = 5.0
 """When the list is read once more though peers are known; cheaply, as it may be old."""
 CORDONS: Final = "cordons"
+LOGGED_SUSPENSION_S: Final = 0.1
+"""The two clocks are read one after the other, and differ by some microseconds."""
 SETTINGS_CHECK_S: Final = 0.5
 """The settings file may change without a signal."""
 
@@ -209,10 +212,12 @@
     def _run_periods(self) -> None:
         """Let time pass until the stop has ended."""
         checked_at = self.state.now()
+        suspended_s = clock.suspended_s()
         told_stop = False
         while not self._drain.finished:
             gevent.sleep(PERIOD_S)
             self._upstreams.period()
+            suspended_s = _say_suspended(suspended_s)
             self.state.stats.platform_calls = self._access.calls()
             if self.state.stopping_since is not None and not told_stop:
                 told_stop = True
@@ -373,3 +378,13 @@
         self.state.settings = settings
         self._access.use_address(settings.platform_address)
         say(PREFIX_CONFIGURATION, "The settings were read again")
+
+
+def _say_suspended(before_s: float) -> float:
+    """Log a suspension of the machine since the last look; return all there were, in seconds."""
+    suspended_s = clock.suspended_s()
+    if suspended_s - before_s < LOGGED_SUSPENSION_S:
+        return before_s
+    for_s = round(suspended_s - before_s, 2)
+    say(PREFIX_MEMBERSHIP, f"The machine was suspended for {for_s} s", for_s=for_s)
+    return suspended_s
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -31,6 +31,7 @@
 from driftstall.helpers.log import say
 from driftstall.peers.gateway_messages import PlacementAsked, PlacementGiven
 from driftstall.policy.model import Policy
+from driftstall.util import clock
 
 NO_LOAD: Final = 0.0
 HINT_WEIGHT: Final = 0.33
@@ -85,8 +86,8 @@
 
     @staticmethod
     def now() -> float:
-        """Return the steady clock, in seconds."""
-        return time.monotonic()
+        """Return the steady clock, in seconds; suspensions count."""
+        return clock.now()
 
     @staticmethod
     def wall() -> float:
--- a/driftstall/helpers/log.py
+++ b/driftstall/helpers/log.py
@@ -9,13 +9,14 @@
 import os
 import select
 import sys
-import time
 from collections.abc import Callable
 from typing import Any, Final
 
 import orjson
 from eliot import add_destinations, log_message
 
+from driftstall.util import clock
+
 MAX_LINES_PER_S: Final = 300
 """Far above a quiet day's lines; a flood of refusals stays readable."""
 MAX_LINE_BYTES: Final = 4_096
@@ -29,7 +30,7 @@
     def __init__(
         self,
         descriptor: int,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = clock.now,
         cap: int = MAX_LINES_PER_S,
     ) -> None:
         """Take the descriptor, a clock in seconds and the most lines in a second."""
--- a/driftstall/peers/link.py
+++ b/driftstall/peers/link.py
@@ -22,6 +22,7 @@
 from driftstall.helpers.log import say
 from driftstall.peers.codec import HEADER, MAX_FRAME_BYTES, Kinds, decode, encode
 from driftstall.peers.envelope import Envelope
+from driftstall.util import clock
 from driftstall.util.addresses import split_address
 from driftstall.util.http import tune
 
@@ -52,7 +53,7 @@
     @property
     def is_worn(self) -> bool:
         """Tell whether the next frames are to go on a new connection."""
-        return time.monotonic() - self.opened_at > LINK_LIFE_S or _closed(self.connection)
+        return clock.now() - self.opened_at > LINK_LIFE_S or _closed(self.connection)
 
 
 class PeerLinks:
@@ -194,7 +195,7 @@
     connection = socket.create_connection(split_address(address), CONNECT_TIMEOUT_S)
     tune(connection)
     connection.settimeout(SEND_TIMEOUT_S)
-    return _Link(connection, time.monotonic())
+    return _Link(connection, clock.now())
 
 
 def _closed(connection: socket.socket) -> bool:
--- a/features/worlds/gateway_world.py
+++ b/features/worlds/gateway_world.py
@@ -23,6 +23,7 @@
 from driftstall.platform.dialect import PlatformDialect
 from driftstall.platform.documents import read_routing
 from driftstall.policy.default import default_policy
+from driftstall.util import clock
 from measures.bench import free_port
 from stand_ins.routed import RoutedUpstream, Script
 
@@ -118,7 +119,7 @@
         )
         self.state = GatewayState(settings, PlatformDialect(), default_policy())
         self._ahead_s = 0.0
-        self.state.now = lambda: time.monotonic() + self._ahead_s  # type: ignore[method-assign]
+        self.state.now = lambda: clock.now() + self._ahead_s  # type: ignore[method-assign]
         self.current = True
         self.mover = Mover(self.state)
         self.evacuation = Evacuation(self.state, self.mover)
