Add failing tests: the own interface sends what crashes its runners to one after another

The same cause as at the gateway, looked for elsewhere: 6 of 6 engines and 6 of 6 portals end under one request that is asked six times.

--- /dev/null
+++ b/features/steps/process_crash_steps.py
@@ -0,0 +1,134 @@
+"""Check the own interface with requests that end the runners that run them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+from behave import given, then, when
+
+from driftstall.util.http import Exchange
+from features.worlds.process_world import KEY, Answer
+from measures.bench import Bench, Process, wait_until
+
+WORKSPACES = ("north", "plains")
+CALL_S = 20.0
+PROMPT = {
+    "model": "base",
+    "max_tokens": 100,
+    "stream": True,
+    "messages": [{"role": "user", "content": "never answered [crash] [length=50]"}],
+}
+
+
+@given("3 instances with {engines:d} engines and {portals:d} portals of their own")
+def own_bench(context: Any, engines: int, portals: int) -> None:
+    """Start a system that the scenario may spoil."""
+    bench = context.own = Bench()
+    context.add_cleanup(bench.close)
+    bench.start_platform()
+    bench.start_engines(engines)
+    bench.start_services("portal", portals)
+    bench.start(3)
+    with open("examples/both.policy", encoding="utf-8") as text:
+        assert bench.submit(text.read(), WORKSPACES).status == 200
+    bench.wait_ready(3)
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Hold one answer."""
+
+    status: int
+    retry_after: str
+    body: bytes
+
+
+def post(process: Process, path: str, body: Any) -> Reply:
+    """Make one call of a caller."""
+    headers = {"Authorization": f"Bearer {KEY}", "Content-Type": "application/json"}
+    exchange = Exchange.open(process.address, "POST", path, headers, orjson.dumps(body), CALL_S)
+    return Reply(exchange.status, exchange.header("retry-after"), exchange.read())
+
+
+@when("the same fatal prompt is asked {count:d} times, at the instances by turns")
+def ask_fatal(context: Any, count: int) -> None:
+    """Ask one after the other."""
+    instances = context.own.instances
+    context.replies = [
+        post(instances[index % len(instances)], "/v1/chat/completions", PROMPT)
+        for index in range(count)
+    ]
+
+
+@when("the same fatal call is made {count:d} times, at the instances by turns")
+def call_fatal(context: Any, count: int) -> None:
+    """Call one after the other."""
+    instances = context.own.instances
+    context.replies = [
+        post(instances[index % len(instances)], "/services/portal/crash", {})
+        for index in range(count)
+    ]
+
+
+@then("at most {most:d} engines have ended")
+def engines_ended(context: Any, most: int) -> None:
+    """Count."""
+    ended = sum(not one.running for one in context.own.engines)
+    assert 0 < ended <= most, ended
+
+
+@then("at most {most:d} portals have ended")
+def portals_ended(context: Any, most: int) -> None:
+    """Count."""
+    ended = sum(not one.running for one in context.own.services)
+    assert 0 < ended <= most, ended
+
+
+@then('the last of its answers says "not run" and when to come back')
+def last_refused(context: Any) -> None:
+    """Check it."""
+    last = context.replies[-1]
+    assert last.status == 503 and b"crashes_runners" in last.body, context.replies
+    assert b'"ran":"not run"' in last.body and float(last.retry_after) > 0, last
+
+
+@then("another prompt is answered whole")
+def another_whole(context: Any) -> None:
+    """Ask for something else."""
+    Answer(context.own, 20).check()
+
+
+def refused_at(context: Any, index: int) -> list[dict[str, Any]]:
+    """Return what one instance refuses."""
+    answer = context.own.operator(index, "GET", "/operator/crashes")
+    assert answer.status == 200, answer
+    found: list[dict[str, Any]] = answer.value["crashes"]
+    return found
+
+
+@then("the first instance names one request that is refused, with the engines that have ended")
+def names_one(context: Any) -> None:
+    """Ask the operators' listener."""
+    (one,) = refused_at(context, 0)
+    ended = {engine.name for engine in context.own.engines if not engine.running}
+    assert set(one["upstreams"]) == ended, (one, ended)
+    context.fingerprint = one["fingerprint"]
+
+
+@when("the operator clears it there")
+def clear(context: Any) -> None:
+    """Clear it at the first instance."""
+    path = f"/operator/crashes/{context.fingerprint}"
+    assert context.own.operator(0, "DELETE", path).status == 200
+
+
+@then("no instance names one")
+def none_names(context: Any) -> None:
+    """Ask all."""
+
+    def is_cleared() -> bool:
+        return not any(refused_at(context, index) for index in range(3))
+
+    wait_until("it is cleared everywhere", is_cleared)
--- a/stand_ins/engine.py
+++ b/stand_ins/engine.py
@@ -18,6 +18,7 @@
 
 monkey.patch_all()
 
+import os  # noqa: E402
 import random  # noqa: E402
 import re  # noqa: E402
 import time  # noqa: E402
@@ -44,6 +45,9 @@
 ORPHAN_S = 10.0
 """How long a generation runs on with nobody reading."""
 KEPT_FINISHED = 2_000
+CRASH_TAG = "[crash]"
+"""A prompt with this ends the process that runs it."""
+CRASH_S = 0.05
 LENGTH_TAG = re.compile(r"\[length=(\d+)\]")
 
 
@@ -237,6 +241,8 @@
         self._streams[generation_id] = stream
         self._engine.add(generation)
         self._work.set()
+        if CRASH_TAG in messages[-1][1]:
+            gevent.spawn_later(CRASH_S, os._exit, 1)
         return self._stream(stream, 0, start)
 
     def _length(self, messages: list[tuple[str, str]], cap: int) -> int:
--- a/stand_ins/service.py
+++ b/stand_ins/service.py
@@ -14,6 +14,7 @@
 
 monkey.patch_all()
 
+import os  # noqa: E402
 from collections import Counter  # noqa: E402
 from collections.abc import Iterable  # noqa: E402
 from dataclasses import dataclass, field  # noqa: E402
@@ -24,6 +25,9 @@
 
 from stand_ins.http import StartResponse, answer, cut, read_json, serve  # noqa: E402
 
+CRASH_PATH = "/crash"
+"""A call of this ends the process that runs it."""
+
 
 @dataclass(slots=True)
 class Service:
@@ -56,6 +60,8 @@
             return answer(start, 503, {"error": "not run"})
         call_id = environ.get("HTTP_X_CALL_ID", "") or path
         self.runs[call_id] += 1
+        if path.endswith(CRASH_PATH):
+            os._exit(1)
         if self.late_s:
             gevent.sleep(self.late_s)
         if self.drop_answers > 0:
