--- a/features/gateway/parts.feature
+++ b/features/gateway/parts.feature
@@ -40,6 +40,14 @@
       | from the list of another peer  |
       | from a new list of its own     |
 
+  Scenario: late news do not revive what a peer's newer list lacks
+    Given an instance that follows the platform, which lists "u1" and "u2"
+    When a peer's list as of revision 17 lacks "u1"
+    And a peer's news of revision 15 say that "u1" is ready
+    Then "u1" takes no requests
+    When a peer's list as of revision 18 names "u1" at revision 16
+    Then "u1" takes requests
+
   Scenario: what is known of upstreams follows the newest word, in whatever order words come
     Then no drawn order of true words, old and new, revives what has left, from seed 1
 
--- a/features/steps/known_upstream_steps.py
+++ b/features/steps/known_upstream_steps.py
@@ -12,7 +12,7 @@
 
 from driftstall.exceptions import PlatformUnavailable
 from driftstall.gateway.collectors import Roles
-from driftstall.gateway.feeds import Follower
+from driftstall.gateway.feeds import Follower, ItemChange
 from driftstall.gateway.reliance import FleetPace, Reliance
 from driftstall.gateway.sources import UpstreamSource
 from driftstall.platform.feeds import upstream_feed
@@ -112,6 +112,24 @@
     context.source.offered((upstream_of("u1", 5), upstream_of("u2", 5)), LISTED_AT)
 
 
+@when('a peer\'s list as of revision {at:d} lacks "u1"')
+def list_lacks(context: Any, at: int) -> None:
+    """Take in a newer list without it."""
+    context.source.offered((upstream_of("u2", 5),), at)
+
+
+@when('a peer\'s news of revision {revision:d} say that "u1" is ready')
+def late_news(context: Any, revision: int) -> None:
+    """Take in news that come late."""
+    context.source.told(ItemChange(upstream_of("u1", revision), False))
+
+
+@when('a peer\'s list as of revision {at:d} names "u1" at revision {revision:d}')
+def list_names(context: Any, at: int, revision: int) -> None:
+    """Take in a still newer list, of one that knew more."""
+    context.source.offered((upstream_of("u1", revision), upstream_of("u2", 5)), at)
+
+
 @when('the entry of "u1" changes into one {flaw}')
 def unreadable(context: Any, flaw: str) -> None:
     """Tell of the change."""
