Take no late news of an upstream that a newer list of a peer lacked

Cause: what a peer's list lacks was buried with the revision of what was known here, not with that of the list. Ruled out: that one is buried with the list's revision for good; its sender may not have heard of a start, and the next list that names it is taken.

--- a/driftstall/gateway/fleet.py
+++ b/driftstall/gateway/fleet.py
@@ -88,6 +88,8 @@
         self._at = 0
         self._told_to = 0
         """The revision up to which the platform itself has told this instance everything."""
+        self._offered_to = 0
+        """The newest revision as of which a peer has given its list."""
         self._digest: int | None = None
 
     @property
@@ -215,8 +217,13 @@
     def _(self, event: Offered, now: float) -> None:
         self._read = True
         offered = {one.name for one in event.upstreams}
-        for upstream in event.upstreams:
-            self._put_told_by_peer(upstream, now)
+        if event.at >= self._offered_to:
+            self._offered_to = event.at
+            for upstream in event.upstreams:
+                self._put_told_by_peer(upstream, now)
+        else:
+            for upstream in event.upstreams:
+                self._put_late_word(upstream, now)
         for entry in list(self._entries.values()):
             upstream = entry.upstream
             if upstream.name not in offered and upstream.revision <= event.at:
@@ -233,7 +240,7 @@
         if not event.from_peer:
             self._told_to = max(self._told_to, upstream.revision)
         if not event.gone and event.from_peer:
-            self._put_told_by_peer(upstream, now)
+            self._put_late_word(upstream, now)
         elif not event.gone:
             self._put(upstream, now, since)
         elif 0 < upstream.born < self._latest_start(upstream.name):
@@ -294,6 +301,17 @@
         if upstream.name in self._entries or upstream.revision > self._told_to:
             self._put(upstream, now, now)
 
+    def _put_late_word(self, upstream: Upstream, now: float) -> None:
+        """Take in an entry from a peer's word, unless a newer list of a peer lacked it.
+
+        What it lacked has left by then, and news of before may still be on their way. An upstream
+        that its sender had not heard of comes with the next list: the hash of all differs.
+        """
+        entry = self._entries.get(upstream.name)
+        takes = entry is not None and entry.is_listed
+        if takes or upstream.revision > self._offered_to:
+            self._put_told_by_peer(upstream, now)
+
     def _put(self, upstream: Upstream, now: float, since: float) -> None:
         """Take in an entry that is newer than what is known; it may hold since then."""
         self._at = max(self._at, upstream.revision)
