--- a/driftstall/cli/explain.py
+++ b/driftstall/cli/explain.py
@@ -15,6 +15,8 @@
 )
 NAMES_UPSTREAM: Final = ("upstream", "source", "left")
 """Fields that name an upstream which the request has met."""
+CRASH: Final = "crash"
+"""Stands in each line about an upstream's end under requests."""
 AROUND_S: Final = 0.5
 """Lines about an upstream that the request met are shown from so long before to after it."""
 
@@ -51,11 +53,23 @@
         and begin - AROUND_S <= line.at <= end + AROUND_S
         and any(upstream in line.message for upstream in met)
     ]
-    for line in sorted([*own, *around], key=lambda one: one.at):
+    crashes = [line for line in lines if line not in own and _tells_crash(line, _asked(own))]
+    for line in sorted([*own, *around, *crashes], key=lambda one: one.at):
         print(_shown(line, begin))
     return 0
 
 
+def _asked(lines: Iterable[Line]) -> set[str]:
+    """Return the fingerprints of a request, by which others that ask the same are known."""
+    return {str(line.fields["fingerprint"]) for line in lines if "fingerprint" in line.fields}
+
+
+def _tells_crash(line: Line, fingerprints: set[str]) -> bool:
+    """Tell whether a line tells of a crash under the same request, at any time and instance."""
+    told = {line.fields.get("fingerprint"), *line.fields.get("fingerprints", ())}
+    return CRASH in line.message and bool(told & fingerprints)
+
+
 def _upstreams_met(lines: Iterable[Line]) -> set[str]:
     """Return the upstreams that a request's lines name."""
     met: set[str] = set()
--- a/features/gateway/parts.feature
+++ b/features/gateway/parts.feature
@@ -208,3 +208,7 @@
   Scenario: one request's story is told from many logs
     Given logs of two instances that name request "r1"
     Then explaining "r1" shows its lines in order, and the notice of its upstream
+
+  Scenario: the story of a refused request shows the crashes under those that asked the same
+    Given logs that tell of crashes under "r1" and "r2", and of the refusal of "r3", which asks what "r1" did
+    Then explaining "r3" shows the crashes under "r1" and its own refusal, and nothing of "r2"
--- a/features/parts/soak.feature
+++ b/features/parts/soak.feature
@@ -26,6 +26,8 @@
       | an upstream got a call 3 s after its notice            | after its notice                         |
       | an upstream got a call 3.5 s after its zone was cordoned | its zone was cordoned                  |
       | a cold upstream got more calls than it bears           | requests within a second                 |
+      | a request was sent on after three upstreams had ended under it | was sent on 4 times              |
+      | calls that end nothing are refused for it              | 4 requests refused that end nothing      |
       | an added route is denied by a calm instance            | an added route is not known              |
       | a dropped route is served by a calm instance           | a dropped route is still served          |
       | a calm instance gives no answer for 4 s                | no final answer for 4.0 s                |
@@ -42,6 +44,8 @@
       | what                                         |
       | an upstream got a call 3 s after its notice  |
       | an upstream got a call 3.5 s after its zone was cordoned |
+      | a request was sent on after three upstreams had ended under it |
+      | calls that end nothing are refused for it    |
       | an added route is denied by a calm instance  |
       | a dropped route is served by a calm instance |
       | a calm instance gives no answer for 4 s      |
--- a/features/processes/soak.feature
+++ b/features/processes/soak.feature
@@ -5,6 +5,10 @@
     Given a soak of seed 5 with 3 instances for 12 s
     Then it breaks no promise
 
+  Scenario: what ends each engine is sent on no more, and ordinary streams are served beside it
+    Given a soak of the plan "crashing", seed 31, with 4 instances and 8 callers for 18 s
+    Then it breaks no promise
+
   Scenario: nothing is sent to upstreams that have left while connections fall silent
     Given a soak of the plan "leaving", seed 769, with 4 instances and 8 callers for 18 s
     Then it breaks no promise
--- a/features/steps/engine_word_steps.py
+++ b/features/steps/engine_word_steps.py
@@ -9,6 +9,7 @@
 
 from driftstall.core import Instance
 from driftstall.decisions.engine_words import ASKERS, Word, asks
+from driftstall.gateway.crash_watch import CrashWatch
 from driftstall.gateway.fleet_events import Changed, Doubted, Period, UpstreamLeaving
 from driftstall.gateway.inquiry import Inquiry
 from driftstall.gateway.model import Upstream
@@ -168,9 +169,17 @@
 
 @given("engines are asked where a stream breaks off")
 def asked_on_break(context: Any) -> None:
-    """Have the relays' suspicions followed up."""
+    """Have the relays' suspicions, and what breaks off, followed up."""
     world = world_of(context)
-    world.state.suspect = inquiry_of(world).suspect
+    inquiry = inquiry_of(world)
+    world.state.suspect = inquiry.suspect
+    watch = CrashWatch(
+        world.state,
+        gone=lambda upstream: inquiry.take_bad(upstream, Word.GONE),
+        changed=lambda: None,
+        convicted=lambda _: None,
+    )
+    world.state.broke = watch.broke
 
 
 @then("its engine takes no requests")
--- a/features/steps/gateway_log_steps.py
+++ b/features/steps/gateway_log_steps.py
@@ -77,3 +77,35 @@
     assert len(lines) == 3, lines
     for line, (word, origin) in zip(lines, words, strict=True):
         assert word in line and origin in line, line
+
+
+@given(
+    'logs that tell of crashes under "r1" and "r2", and of the refusal of "r3", which asks what'
+    ' "r1" did'
+)
+def crash_logs(context: Any) -> None:
+    """Write a log."""
+    folder = Path(tempfile.mkdtemp())
+    lines = (
+        {"message": "Upstream u1 has crashed with 2 runs", "fingerprints": ["f1", "f2"]},
+        {"message": "Upstream u2 has crashed with 1 runs", "fingerprints": ["f2"]},
+        {"message": "Request f1 crashes upstreams", "fingerprint": "f1", "request": "r1"},
+        {"message": "Request f2 crashes upstreams", "fingerprint": "f2", "request": "r2"},
+        {"message": "placed", "fingerprint": "f1", "request": "r1"},
+        {"message": "not sent on", "fingerprint": "f1", "request": "r3"},
+    )
+    stamped = (one | {"timestamp": 2.0 + at * 10} for at, one in enumerate(lines))
+    (folder / "a.log").write_bytes(b"\n".join(orjson.dumps(one) for one in stamped))
+    context.files = [str(folder / "a.log")]
+
+
+@then('explaining "r3" shows the crashes under "r1" and its own refusal, and nothing of "r2"')
+def crashes_explained(context: Any) -> None:
+    """Run the command's part."""
+    output = io.StringIO()
+    with contextlib.redirect_stdout(output):
+        assert explain_request("r3", context.files) == 0
+    lines = output.getvalue().splitlines()
+    words = ("Upstream u1 has crashed", "Request f1 crashes", "not sent on")
+    assert len(lines) == len(words), lines
+    assert all(word in line for word, line in zip(words, lines, strict=True)), lines
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -21,15 +21,17 @@
 from measures.bench import FIRST_PORT, SLICE_PORTS, free_port
 from measures.gateway_process import GatewayProcess
 from soak.checks import (
+    BLAMED_WRONGLY,
     COLD_KNOWN_S,
     COLD_OVER,
     COLD_RATE,
     COLD_SLACK,
     CORDON_S,
+    FATAL_SENDS,
     broken_promises,
 )
 from soak.fleet import Listed
-from soak.ledger import Arrival, Asked, Ledger, Notice, Sort, Stay, Window
+from soak.ledger import Arrival, Asked, Ended, Ledger, Notice, Sort, Stay, Window
 from soak.plan import CALM_LAST_S, Kind, Plan, draw
 from soak.proxy import Proxy
 from soak.run import Size, Soak
@@ -145,6 +147,24 @@
         )
 
 
+def sent_on(context: Any) -> None:
+    """Let a request be sent on four times after three upstreams have ended under it."""
+    target = "/stream/fatal-0"
+    context.ledger.ended_under += [Ended(f"u{n}", target, LATER - 9.0 + n) for n in range(3)]
+    for index in range(FATAL_SENDS + 1):
+        at = LATER + index * 0.1
+        asked = good(context.ledger, f"fatal-{index}", Sort.STREAM, at, target)
+        asked.status = 502
+
+
+def refused_wrongly(context: Any) -> None:
+    """Let ordinary calls be refused as if they ended upstreams."""
+    for index in range(BLAMED_WRONGLY + 1):
+        asked = good(context.ledger, f"wrongly-{index}", Sort.SAFE, LATER)
+        asked.status, asked.body = 503, b'{"code":"crashes_runners","retry_after_s":30}'
+        context.ledger.arrivals.pop()
+
+
 def probe(context: Any, sort: Sort, status: int) -> None:
     """Record a probe of the configuration."""
     asked = good(context.ledger, "probe", sort, LATER, "/added3/x")
@@ -187,6 +207,8 @@
     "an upstream got a call 3 s after its notice": late_arrival,
     "an upstream got a call 3.5 s after its zone was cordoned": in_cordon,
     "a cold upstream got more calls than it bears": cold_burst,
+    "a request was sent on after three upstreams had ended under it": sent_on,
+    "calls that end nothing are refused for it": refused_wrongly,
     "an added route is denied by a calm instance": lambda c: probe(c, Sort.ADDED, 404),
     "a dropped route is served by a calm instance": lambda c: probe(c, Sort.DROPPED, 200),
     "a calm instance gives no answer for 4 s": unanswered,
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -28,6 +28,12 @@
 """The store tells of a cold upstream at once here, and busy processes read it a little later."""
 APPLY_S: Final = 2.0
 """A configuration is in force after this time (configApplyMs)."""
+FATAL_ENDS: Final = 3
+FATAL_SENDS: Final = 3
+"""What so many upstreams have ended under may be sent so often again, once all can know."""
+CRASHES: Final = b'"crashes_runners"'
+BLAMED_WRONGLY: Final = 3
+"""Requests that were only beside two crashes, before word of a good end had come."""
 RECOVERED_SHARE: Final = 0.9
 """Share of the requests of the last seconds that must be served."""
 LAST_S: Final = 2.0
@@ -48,6 +54,8 @@
     found += list(_after_notice(ledger))
     found += list(_in_cordon(ledger))
     found += list(_cold(ledger))
+    found += list(_ended_under(ledger))
+    found += list(_blamed(ledger))
     found += list(_recovery(ledger))
     return found
 
@@ -164,6 +172,39 @@
                 break
 
 
+def _ended_under(ledger: Ledger) -> Iterator[str]:
+    """Check that calm instances send on no more what has ended three upstreams."""
+    for target in sorted({one.target for one in ledger.ended_under}):
+        times = sorted(one.at for one in ledger.ended_under if one.target == target)
+        if len(times) < FATAL_ENDS:
+            continue
+        due = times[FATAL_ENDS - 1] + CONTACT_S + MACHINE_SLACK_S
+        late = [
+            one
+            for one in ledger.arrivals
+            if one.target == target
+            and one.at > due
+            and _calm(ledger, ledger.asked[one.request_id], one.at)
+        ]
+        if len(late) > FATAL_SENDS:
+            yield (
+                f"{target} was sent on {len(late)} times after three upstreams had ended under it; "
+                f"{len(times)} ended in all"
+            )
+
+
+def _blamed(ledger: Ledger) -> Iterator[str]:
+    """Check that what ends no upstream is not refused for it, but for a moment."""
+    fatal = {one.target for one in ledger.ended_under}
+    refused = [
+        one
+        for one in ledger.asked.values()
+        if CRASHES in one.body and one.path not in fatal and _calm(ledger, one)
+    ]
+    if len(refused) > BLAMED_WRONGLY:
+        yield f"{len(refused)} requests refused that end nothing: {_describe(refused[0])}"
+
+
 def _recovery(ledger: Ledger) -> Iterator[str]:
     """Check that nearly all is served once all faults have ended."""
     usual = [one for one in ledger.asked.values() if one.sort in (Sort.SAFE, Sort.ONCE)]
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -5,6 +5,7 @@
 import itertools
 import random
 import time
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Any, Final
 
@@ -14,7 +15,7 @@
 from driftstall.platform.names import KIND_UPSTREAMS
 from driftstall.platform.store import Store
 from features.worlds.upstream_samples import entry_spec
-from soak.ledger import Arrival, Ledger, Notice, Stay, Window
+from soak.ledger import Arrival, Ended, Ledger, Notice, Stay, Window
 from soak.plan import Plan
 from soak.proxy import Proxy
 from stand_ins.routed import RoutedUpstream, Script, Seen
@@ -27,6 +28,7 @@
     Plan.MIXED: (2.5, 2.5),
     Plan.LEAVING: (3.0, 12.0),
     Plan.ZONES: (3.0, 6.0),
+    Plan.CRASHING: (2.5, 6.0),
 }
 """For how long an upstream serves on after its notice: drainMs and a little longer, at times many
 seconds. Only one that serves on shows who still sends to it."""
@@ -37,6 +39,11 @@
 STORE_RETRY_S: Final = 0.1
 
 
+FATAL: Final = "/stream/fatal"
+"""Begins the paths of requests that end each upstream that runs them."""
+FATAL_AFTER_S: Final = (0.05, 0.4)
+"""How long after it has begun a request ends its upstream."""
+
 BROKEN_OFF_SHARE: Final = 0.5
 BREAKS: Final[tuple[dict[str, Any], ...]] = (
     {"reset": True},
@@ -56,9 +63,16 @@
 class RecordingUpstream(RoutedUpstream):
     """Serve as a stand-in, and record when each request arrived."""
 
-    def __init__(self, upstream_id: str, ledger: Ledger, source: random.Random) -> None:
-        """Start to listen."""
+    def __init__(
+        self,
+        upstream_id: str,
+        ledger: Ledger,
+        source: random.Random,
+        end: Callable[[RecordingUpstream, str], None],
+    ) -> None:
+        """Start to listen; end is told of a path whose request ends this upstream."""
         super().__init__(upstream_id, self._script)
+        self._end = end
         self._ledger = ledger
         self._source = source
         self._breaks_off_until = float("-inf")
@@ -80,6 +94,9 @@
         self._ledger.arrivals.append(
             Arrival(seen.request_id, self.upstream_id, seen.target, now, seen.goes_on)
         )
+        if seen.target.startswith(FATAL):
+            after_s = self._source.uniform(*FATAL_AFTER_S)
+            gevent.spawn_later(after_s, self._end, self, seen.target)
 
 
 class Listed:
@@ -104,6 +121,8 @@
         self._born = int(time.time() * 1000)
         self._starts = itertools.count(1)
         self.all: list[Listed] = []
+        self._proxies: dict[str, Proxy] = {}
+        """By the upstreams that run, also those that are leaving."""
         self._begin()
 
     def _begin(self) -> None:
@@ -115,8 +134,9 @@
 
     def _open(self, name: str) -> None:
         """Start a process that listens behind a proxy of its own."""
-        self.upstream = RecordingUpstream(name, self._ledger, self._source)
+        self.upstream = RecordingUpstream(name, self._ledger, self._source, self._end_under)
         self.proxy = Proxy(self.upstream.address)
+        self._proxies[name] = self.proxy
         for one in self.all:
             one.upstream.peers = {other.proxy.address: other.upstream for other in self.all}
 
@@ -160,13 +180,29 @@
     def crash(self) -> None:
         """End at once; the entry lapses later."""
         old, proxy = self.upstream, self.proxy
+        self._proxies.pop(old.upstream_id, None)
         self._begin()
         proxy.stop()
         gevent.spawn_later(LAPSE_S, self._delete, old.upstream_id)
         gevent.spawn_later(LAPSE_S, old.stop)
 
+    def _end_under(self, old: RecordingUpstream, target: str) -> None:
+        """End an upstream under a request, with all that runs there; once."""
+        proxy = self._proxies.pop(old.upstream_id, None)
+        if proxy is None:
+            return
+        now = time.monotonic()
+        self._ledger.ended_under.append(Ended(old.upstream_id, target, now))
+        # First: the entry of the next one may have to wait for the store.
+        proxy.stop()
+        if self.upstream is old:
+            self.crash()
+        else:
+            old.stop()
+
     def _end(self, old: RecordingUpstream, proxy: Proxy) -> None:
         """End an upstream that has left."""
+        self._proxies.pop(old.upstream_id, None)
         proxy.stop()
         old.stop()
         self._delete(old.upstream_id)
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -82,6 +82,15 @@
     window: Window
 
 
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """Hold that an upstream has ended under a request that ends each one."""
+
+    upstream_id: str
+    target: str
+    at: float
+
+
 @dataclass(slots=True)
 class Ledger:
     """Hold everything that the checks look at."""
@@ -94,6 +103,7 @@
     cordoned: list[Stay] = field(default_factory=list)
     """From the store's acknowledgement until the order to free the zone."""
     cold: list[Stay] = field(default_factory=list)
+    ended_under: list[Ended] = field(default_factory=list)
     disturbed: dict[str, list[Window]] = field(default_factory=lambda: defaultdict(list))
     """By name of an instance or an upstream, or STORE."""
     ended: list[str] = field(default_factory=list)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -55,6 +55,9 @@
     calm for some seconds until it can be held to what it should know by then."""
     ZONES = "zones"
     """Zones that are cordoned and freed again, and upstreams that start again, with few others."""
+    CRASHING = "crashing"
+    """Requests that end each engine that runs them and come again, beside ordinary streams that are
+    all alike, with few other faults."""
 
 
 class Fault(StrEnum):
@@ -130,7 +133,22 @@
     Kind.STORE_LINK: 0.5,
     Kind.CONFIGURE: 1.0,
 }
-PLAN_WEIGHTS: Final = {Plan.LEAVING: LEAVING_WEIGHTS, Plan.ZONES: ZONES_WEIGHTS}
+CRASHING_WEIGHTS: Final[dict[Kind, float]] = {
+    Kind.KILL: 1.5,
+    Kind.PAUSE: 1.0,
+    Kind.LEAVE: 1.0,
+    Kind.REMOVE: 0.5,
+    Kind.CRASH: 1.0,
+    Kind.BREAK_OFF: 1.0,
+    Kind.STORE_LINK: 0.5,
+    Kind.STORE_DOWN: 0.5,
+    Kind.UPSTREAM_LINK: 0.5,
+}
+PLAN_WEIGHTS: Final = {
+    Plan.LEAVING: LEAVING_WEIGHTS,
+    Plan.ZONES: ZONES_WEIGHTS,
+    Plan.CRASHING: CRASHING_WEIGHTS,
+}
 CORDON_FOR_S: Final = (4.0, 9.0)
 """For how long a zone is cordoned: longer than the time within which all must know."""
 
@@ -193,6 +211,7 @@
         Kind.REMOVE,
         Kind.CRASH,
         Kind.START_AGAIN,
+        Kind.BREAK_OFF,
     )
     target = pick(upstreams if of_upstream else instances)
     lasts = CORDON_FOR_S if kind is Kind.CORDON else (0.2, 3.0)
--- a/soak/run.py
+++ b/soak/run.py
@@ -24,7 +24,7 @@
 from measures.gateway_process import GatewayProcess
 from soak.caller import CallerConnection
 from soak.checks import APPLY_S, COLD_RATE, CONTACT_S, CORDON_S, DRAIN_S, broken_promises
-from soak.fleet import EVENTS, ZONES, Listed
+from soak.fleet import EVENTS, FATAL, ZONES, Listed
 from soak.ledger import STORE, Asked, Ledger, Sort, Stay, Window
 from soak.plan import Kind, Plan, Step, draw
 from soak.proxy import Proxy
@@ -43,6 +43,11 @@
 PORTALS: Final = 2
 ENGINES: Final = 3
 REJECTED_PAUSE_S: Final = 0.05
+FATAL_CALLERS: Final = 2
+"""Callers of requests that end each engine; each asks for one of its own."""
+FATAL_FROM_S: Final = 3.0
+"""By then ordinary streams have ended: these are all alike, and a good end tells them apart."""
+FATAL_PAUSE_S: Final = (0.2, 1.2)
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +108,8 @@
         self._await_ready()
         jobs = [gevent.spawn(self._call, number) for number in range(self._size.callers)]
         jobs.append(gevent.spawn(self._probe))
+        if self._size.plan is Plan.CRASHING:
+            jobs += [gevent.spawn(self._call_fatal, number) for number in range(FATAL_CALLERS)]
         began = time.monotonic()
         steps = draw(
             self._seed,
@@ -339,6 +346,17 @@
             gevent.sleep(source.uniform(0.0, 0.2) + (asked.status != 200) * REJECTED_PAUSE_S)
         connection.close()
 
+    def _call_fatal(self, number: int) -> None:
+        """Ask again and again for what ends each engine, at any instance, as one caller."""
+        source = random.Random(f"{self._seed}-fatal-{number}")
+        gevent.sleep(FATAL_FROM_S)
+        while self._traffic:
+            connection = CallerConnection()
+            instance = source.choice(self._instances)
+            self._ask(connection, instance, Sort.STREAM, f"{FATAL}-{number}")
+            connection.close()
+            gevent.sleep(source.uniform(*FATAL_PAUSE_S))
+
     def _locate(self, source: random.Random) -> list[GatewayProcess]:
         """Ask up to three instances which ones to use."""
         for one in source.sample(self._instances, min(3, len(self._instances))):
