--- a/features/steps/gateway_log_steps.py
+++ b/features/steps/gateway_log_steps.py
@@ -86,7 +86,7 @@
 def crash_logs(context: Any) -> None:
     """Write a log."""
     folder = Path(tempfile.mkdtemp())
-    lines = (
+    lines: tuple[dict[str, Any], ...] = (
         {"message": "Upstream u1 has crashed with 2 runs", "fingerprints": ["f1", "f2"]},
         {"message": "Upstream u2 has crashed with 1 runs", "fingerprints": ["f2"]},
         {"message": "Request f1 crashes upstreams", "fingerprint": "f1", "request": "r1"},
