--- a/features/steps/large_fleet_steps.py
+++ b/features/steps/large_fleet_steps.py
@@ -109,10 +109,16 @@
 @when("the collectors are killed and a further routing configuration is stored at once")
 def kill_collectors(context: Any) -> None:
     """Kill all collectors within milliseconds, then store."""
+    kill_collecting(context)
+    store_route(context, 12, "/further/")
+
+
+@when("the collectors are killed at once")
+def kill_collecting(context: Any) -> None:
+    """Kill all collectors within milliseconds."""
     collecting = [one for one in context.nodes if collects(one)]
     for one in collecting:
         one.process.send_signal(signal.SIGKILL)
-    store_route(context, 12, "/further/")
     context.nodes = [one for one in context.nodes if one not in collecting]
 
 
