Let word of crashes come to rest, and let no good end grow younger on its way

Found by reading: a record of more crashes than are remembered was news to both sides for ever where they had noticed two of them in different order, and collectors pass news on at once; and a good end moved on by each hop's delay, until it cleared the request of crashes long after it. Before: news at the third exchange and at each further one; cleared within 400 words of 50 ms each. After: at rest at the third; refused by both. Each by a test that failed first.

--- a/driftstall/decisions/crash_blame.py
+++ b/driftstall/decisions/crash_blame.py
@@ -258,12 +258,13 @@
         if record is None:
             record = _Record(well_at=self._well_at(told.fingerprint))
         well_at = NEVER if told.well_ago_ms is None else now - told.well_ago_ms / 1000
-        # Ages lose some milliseconds on the way: only what differs by more is news.
+        # Each hop makes a good end look younger by its delay. If that were taken in, it would clear
+        # the request of later and later crashes.
         changed = well_at > record.well_at + WELL_NEWS_S
-        record.well_at = max(record.well_at, well_at)
+        if changed:
+            record.well_at = well_at
         for crash in _more_than(record.crashes, told.crashes, now):
-            self._add(told.fingerprint, record, crash)
-            changed = True
+            changed = self._add(told.fingerprint, record, crash) or changed
         if not record.crashes:
             return False
         if is_new:
@@ -273,10 +274,16 @@
             self._make_room()
         return changed
 
-    def _add(self, fingerprint: str, record: _Record, crash: Crash) -> None:
-        """Add a crash that is not known."""
+    def _add(self, fingerprint: str, record: _Record, crash: Crash) -> bool:
+        """Add a crash that is not known; return whether it is among those remembered.
+
+        What is too old to be is no news: two instances would pass it to and fro for ever.
+        """
         record.crashes = sorted([*record.crashes, crash], key=lambda one: one.at)[-MOST_CRASHES:]
+        if crash not in record.crashes:
+            return False
         self._beside.setdefault(crash.upstream_id, set()).add(fingerprint)
+        return True
 
     def _well_at(self, fingerprint: str) -> float:
         """Return when a request last ended well here."""
--- a/features/gateway/crash_blame.feature
+++ b/features/gateway/crash_blame.feature
@@ -60,3 +60,13 @@
   Scenario: the model sees good ends that do not count
     Given a modelled fleet: one fatal request, ordinary ones of 20 sorts
     Then with good ends that do not count more than 10 in 10000 ordinary requests are refused
+
+  Scenario: two instances that have seen more crashes under a request than are remembered come to rest
+    Given two books with 9 crashes under a request, the first two of them noticed in different order
+    When they tell each other what they know 3 times
+    Then nothing of the third time was news to either
+
+  Scenario: a good end grows no younger as it is told to and fro
+    Given a request with two crashes, which ended well 20 s before them at one of two instances
+    When they tell each other what they know 400 times, each word 50 ms on its way
+    Then both still refuse the request
--- a/features/steps/crash_blame_steps.py
+++ b/features/steps/crash_blame_steps.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-from behave import given, then
+from behave import given, then, when
 
 from driftstall.decisions.crash_blame import (
     KEPT_S,
@@ -189,3 +189,53 @@
     """Play a broken fleet."""
     found = share_refused(played(context, 4, UnclearedBook))
     assert found > most, found
+
+
+@given("two books with 9 crashes under a request, the first two of them noticed in different order")
+def two_books(context: Any) -> None:
+    """Let two instances see crashes some moments apart."""
+    context.books = [BlameBook(), BlameBook()]
+    later = [(f"u{number}", float(number)) for number in range(3, 10)]
+    for book, first in zip(context.books, (("u1", "u2"), ("u2", "u1")), strict=True):
+        for upstream_id, at in [(first[0], 1.0), (first[1], 1.2), *later]:
+            book.crashed(ONE, Crash(upstream_id, at, under_way=False))
+
+
+@when("they tell each other what they know {times:d} times")
+def tell_each_other(context: Any, times: int) -> None:
+    """Exchange, and keep whether anything was news at the last time."""
+    first, second = context.books
+    for number in range(times):
+        now = 20.0 + number
+        context.was_news = [second.take(first.told(now), now), first.take(second.told(now), now)]
+
+
+@then("nothing of the third time was news to either")
+def came_to_rest(context: Any) -> None:
+    """Compare."""
+    assert context.was_news == [False, False], context.was_news
+
+
+@given("a request with two crashes, which ended well 20 s before them at one of two instances")
+def well_before(context: Any) -> None:
+    """Let both know of the crashes."""
+    context.books = [BlameBook(), BlameBook()]
+    context.books[0].ended_well(ONE, 0.0)
+    for book in context.books:
+        for upstream_id in ("a", "b", "c"):
+            book.crashed(ONE, Crash(upstream_id, 20.0, under_way=False))
+
+
+@when("they tell each other what they know {times:d} times, each word 50 ms on its way")
+def tell_with_delay(context: Any, times: int) -> None:
+    """Exchange, in half a minute."""
+    for number in range(times):
+        for teller, hearer in (context.books, reversed(context.books)):
+            told = teller.told(20.0 + number * 0.1)
+            hearer.take(told, 20.0 + number * 0.1 + 0.05)
+
+
+@then("both still refuse the request")
+def both_refuse(context: Any) -> None:
+    """Ask both."""
+    assert all(book.verdict(ONE, 61.0).wait_s for book in context.books)
