Log the limits that upstreams name, and which requests go to such upstreams

Sight, no decision changes: the record could not tell who had sent a call where (good first sends leave no line), nor whether an answer named a limit. Both are logged now, by instance and request, and a gauge counts the upstreams that name one. The header is one for the system and does not go on to callers.

--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -220,6 +220,7 @@
             rank=self._admitted.verdict.rank if self._admitted.service.engine else None,
         )
         headers = self._state.dialect.write_send(self._admitted.marks.passed, send)
+        self._state.rate_limiting.sent(upstream, self._admitted.marks.request_id)
         exchange.send(self._call.method, self._call.target, headers, self._call.body, self._left())
         head: Head | None = None
         parts: list[bytes] = []
@@ -239,6 +240,7 @@
                     # A surplus answer to another request; our own may still follow.
                     head = None
                     continue
+                self._state.rate_limiting.answered(upstream, marks)
                 if marks.not_run:
                     detail = f"turned away with {head.status}"
                     return Failure(Outcome.FULL, Fate.TURNED_AWAY, detail)
--- a/driftstall/gateway/model.py
+++ b/driftstall/gateway/model.py
@@ -231,6 +231,8 @@
     not_run: bool
     """Whether the upstream says that it did not run the request."""
     load: UpstreamLoad | None
+    rate_limit: float | None
+    """Requests a second that the upstream takes from all instances; None where it names none."""
     keep_alive_s: float | None
     """How long the connection may rest; None if the upstream closes it."""
     passed: Headers
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -270,6 +270,7 @@
             "routing_version": self._routing.version,
             "instances": self.state.instances.value,
             "upstreams": len(self.state.fleet.upstreams),
+            "upstreams_with_rate_limit": len(self.state.rate_limiting.limited),
             "cordoned_zones": len(self.state.cordons.zones),
             "upstreams_age_seconds": min(LONGEST_AGE_S, self._upstream_pace.age_s),
             "routing_age_seconds": min(LONGEST_AGE_S, self._routing_pace.age_s),
--- a/driftstall/gateway/sending.py
+++ b/driftstall/gateway/sending.py
@@ -77,8 +77,11 @@
             self._state.exchanges.add(run.upstream.upstream_id, run.exchange)
             headers = self._state.dialect.write_send(self._admitted.marks.passed, marks)
             call = self._call
+            self._state.rate_limiting.sent(run.upstream, run.request_id)
             run.exchange.send(call.method, call.target, headers, call.body, self._left())
-            return self._read_head(run.exchange)
+            opened = self._read_head(run.exchange)
+            self._state.rate_limiting.answered(run.upstream, opened.marks)
+            return opened
         except UpstreamError as fault:
             return fault
         except TimeoutError:
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -23,6 +23,7 @@
 from driftstall.gateway.loads import LoadBook, Share, Use
 from driftstall.gateway.model import GatewaySettings, Service, Upstream
 from driftstall.gateway.outcomes import Outcome, OutcomeBook
+from driftstall.gateway.rate_limiting import RateLimiting
 from driftstall.gateway.routes import RouteTable
 from driftstall.gateway.runs import BrokenRun, RunBook, StreamRun
 from driftstall.gateway.selection import DRAWN, Lot, Option
@@ -59,6 +60,7 @@
         self.runs = RunBook()
         self.blame = BlameBook()
         self.stats = GatewayStats()
+        self.rate_limiting = RateLimiting()
         self.source = random.Random()
         self.instances = InstanceCount()
         self.fleet_changed = Event()
--- a/driftstall/platform/headers.py
+++ b/driftstall/platform/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from http import HTTPStatus
 from typing import Final
@@ -21,6 +22,8 @@
 BEARER: Final = b"bearer "
 ONLY_ONCE: Final = (names.HEADER_REQUEST_ID, names.HEADER_DEADLINE_MS, names.HEADER_KEY)
 CLOSES: Final = b"close"
+FOR_US: Final = frozenset({names.HEADER_LOAD, names.HEADER_NOT_RUN, names.HEADER_RATE_LIMIT})
+"""Headers of an upstream's answer that do not go on to the caller."""
 
 
 def read_caller(headers: Headers) -> CallerMarks:
@@ -70,16 +73,26 @@
     """
     first = {name.lower(): value.strip() for name, value in reversed(headers)}
     listed = _listed(first.get(b"connection", b""))
-    dropped = names.CONNECTION_HEADERS | listed | {names.HEADER_LOAD, names.HEADER_NOT_RUN}
+    dropped = names.CONNECTION_HEADERS | listed | FOR_US
     return AnswerMarks(
         request_id=_text(first.get(names.HEADER_REQUEST_ID, b"")),
         not_run=names.HEADER_NOT_RUN in first or status == HTTPStatus.MISDIRECTED_REQUEST,
         load=_load(first.get(names.HEADER_LOAD, b"")),
+        rate_limit=read_rate_limit(first.get(names.HEADER_RATE_LIMIT, b"")),
         keep_alive_s=None if CLOSES in listed else _keep_alive(first.get(b"keep-alive", b"")),
         passed=tuple([pair for pair in headers if pair[0].lower() not in dropped]),
     )
 
 
+def read_rate_limit(value: bytes) -> float | None:
+    """Return the requests a second that an upstream takes; None where it names no limit."""
+    try:
+        found = float(value)
+    except ValueError:
+        return None
+    return found if math.isfinite(found) and found >= 0 else None
+
+
 def _passed(headers: Headers, first: dict[bytes, bytes]) -> Headers:
     """Return the headers that go on to the upstream."""
     dropped = names.CONNECTION_HEADERS | names.OWN_HEADERS | _listed(first.get(b"connection", b""))
--- a/driftstall/platform/names.py
+++ b/driftstall/platform/names.py
@@ -12,6 +12,8 @@
 HEADER_WORKSPACE: Final = b"x-driftstall-tenant"
 HEADER_UPSTREAM_ID: Final = b"x-driftstall-expect-instance"
 HEADER_LOAD: Final = b"x-driftstall-server-load"
+HEADER_RATE_LIMIT: Final = b"server-limit"
+"""The requests a second that an upstream takes from all instances together."""
 HEADER_NOT_RUN: Final = b"x-driftstall-not-executed"
 HEADER_LAST_EVENT_ID: Final = b"last-event-id"
 HEADER_KEY: Final = b"authorization"
@@ -54,6 +56,7 @@
         b"wait-ms",
         HEADER_NOT_RUN,
         HEADER_LOAD,
+        HEADER_RATE_LIMIT,
         b"x-driftstall-response-seal",
         b"x-driftstall-instance-id",
     }
