--- a/stand_ins/routed.py
+++ b/stand_ins/routed.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import time
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
@@ -111,6 +112,10 @@
         self.peers: dict[str, RoutedUpstream] = {}
         self.report: dict[str, Any] = {"state": "ready"}
         """What it says of itself when it is asked."""
+        self.rate_limit: float | None = None
+        """The requests a second that it names with its answers; None to name none."""
+        self.arrivals: list[float] = []
+        """When callers' requests arrived, by the steady clock; also those turned away."""
         self._server = StreamServer(("127.0.0.1", 0), self._serve)
         self._server.start()
 
@@ -148,6 +153,8 @@
     ) -> None:
         """Answer one request as its script says."""
         headers = {k.decode().lower(): v.decode() for k, v in call.headers}
+        if "x-driftstall-request-id" in headers:
+            self.arrivals.append(time.monotonic())
         if call.path == "/api/report":
             _write_json(connection, 200, self.report)
             return
@@ -167,7 +174,8 @@
         script = scripts.pop(0) if scripts else self._usual()
         copy_of = headers.get("kv-from", "").rpartition("/")[2]
         if script.misdirected:
-            connection.write(head_bytes(421, (_id(request_id),), (b"Content-Length: 0",)))
+            headers_421 = (_id(request_id), *self._named())
+            connection.write(head_bytes(421, headers_421, (b"Content-Length: 0",)))
             return
         has_copy = copy_of in self.copies
         if script.not_run or (copy_of and not has_copy and not script.reset):
@@ -188,9 +196,15 @@
         finally:
             script.ended.set()
 
+    def _named(self) -> tuple[tuple[bytes, bytes], ...]:
+        """Return the header that names the limit, if there is one."""
+        if self.rate_limit is None:
+            return ()
+        return ((b"Server-Limit", f"{self.rate_limit:g}".encode()),)
+
     def _refuse(self, connection: CallerConnection, request_id: str, status: int) -> None:
         """Turn a request away without running it."""
-        headers = (_id(request_id), (b"X-Driftstall-Not-Executed", b"1"))
+        headers = (_id(request_id), (b"X-Driftstall-Not-Executed", b"1"), *self._named())
         connection.write(head_bytes(status, headers, (b"Content-Length: 0",)))
 
     def _whole(
@@ -211,7 +225,7 @@
             headers = (_id("another"), SEAL)
             connection.write(head_bytes(200, headers, (b"Content-Length: 5",)) + b"other")
         gevent.sleep(script.work_s)
-        headers = (_id(request_id), SEAL)
+        headers = (_id(request_id), SEAL, *self._named())
         length = () if script.unframed else (b"Content-Length: %d" % len(script.body),)
         connection.write(head_bytes(script.status, headers, length))
         if script.cut_after is not None:
@@ -235,7 +249,7 @@
         first = int(headers.get("last-event-id") or 0) + 1
         extra = () if script.unframed else (b"Transfer-Encoding: chunked",)
         framed = _as_it_is if script.unframed else chunk
-        answer = (_id(request_id), SEAL, STREAM_TYPE)
+        answer = (_id(request_id), SEAL, STREAM_TYPE, *self._named())
         if not connection.write(head_bytes(script.status, answer, extra)):
             return
         if script.reset_after_head:
