Share what an upstream takes: one instance gives leave for each that names a limit

Cause: a limit named with an answer was read by nobody, so an upstream in need, which is sent little and so is the emptiest one, was chosen by all. Class: what an upstream says of itself with an answer was kept for that request only, and told to nobody. Ruled out by the log of the tests: that only some instances knew (all had been answered), and repeats (none). Conclusion: one that is asked, with permits spaced evenly, a pause after each change of who is asked, and a part of the limit for who hears a part of the fleet.

--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -19,6 +19,7 @@
     PREFIX_ROUTING,
 )
 from driftstall.core import Problem, Ran
+from driftstall.decisions.permits import SendNeed
 from driftstall.decisions.sends import Fate, SendHistory
 from driftstall.exceptions import UpstreamError
 from driftstall.gateway.admission import Admitted
@@ -39,6 +40,9 @@
 """Upstreams tried for one request, those that did not run it included."""
 FULL_RETRY_S: Final = 0.4
 """When to come back where all upstreams are full: a few calls later."""
+WAIT_FOR_TURN_SHARE: Final = 0.4
+"""Share of a call's target, from its arrival, within which it waits for its turn at an upstream
+that names a limit; a call takes a fifth."""
 WAIT_FOR_COLD_SHARE: Final = 0.4
 """Share of a call's target that it waits for its turn at a cold upstream; a call takes a fifth."""
 FIRST_SERVER_ERROR: Final = 500
@@ -119,13 +123,18 @@
         """
         gate, service = self._state.cold_gate, self._admitted.service.name
         options = self._state.options(service, frozenset(tries.avoid))
-        option = choose_call(gate.open(options), self._state.lot)
+        option = self._choose_open(options)
         if option is not None:
             gate.took(option.upstream)
             return option
         if not options or tries.history.ran is not Ran.NOT_RUN:
             return self._unserved(tries)
-        first = min(options, key=lambda one: gate.wait_s(one.upstream))
+        unlimited = [one for one in options if not one.is_limited]
+        if not unlimited:
+            upstreams = [one.upstream for one in options]
+            request_id = self._admitted.marks.request_id
+            return self._state.rate_limiting.refusal(service, upstreams, request_id)
+        first = min(unlimited, key=lambda one: gate.wait_s(one.upstream))
         wait_s = gate.wait_s(first.upstream)
         if wait_s > WAIT_FOR_COLD_SHARE * self._admitted.route.target_s:
             detail = "all upstreams are cold"
@@ -136,6 +145,29 @@
         gevent.sleep(wait_s)
         return first
 
+    def _choose_open(self, options: list[Option]) -> Option | None:
+        """Return an upstream that may be sent the call now, if there is one."""
+        limits = self._state.rate_limiting
+        left = self._state.cold_gate.open(options)
+        while left:
+            upstreams = [one.upstream for one in left]
+            waits_s = limits.patience_s(upstreams, self._patience_s())
+            closed = limits.closed(upstreams, waits_s)
+            left = [one for one in left if one.upstream.upstream_id not in closed]
+            option = choose_call(left, self._state.lot)
+            if option is None:
+                return None
+            need = SendNeed(waits_s, self._admitted.verdict.rank)
+            if limits.take_turn(option.upstream, need, self._admitted.marks.request_id):
+                return option
+            left.remove(option)
+        return None
+
+    def _patience_s(self) -> float:
+        """Return for how long the call can still wait for its turn at an upstream."""
+        until = self._admitted.started_at + WAIT_FOR_TURN_SHARE * self._admitted.route.target_s
+        return until - self._state.now()
+
     def _stop_reason(self, tries: _Tries) -> Problem | None:
         """Return why no further upstream is tried, if so."""
         if self._caller_gone or self._left() <= 0:
@@ -220,7 +252,7 @@
             rank=self._admitted.verdict.rank if self._admitted.service.engine else None,
         )
         headers = self._state.dialect.write_send(self._admitted.marks.passed, send)
-        self._state.rate_limiting.sent(upstream, self._admitted.marks.request_id)
+        sent_at = self._state.now()
         exchange.send(self._call.method, self._call.target, headers, self._call.body, self._left())
         head: Head | None = None
         parts: list[bytes] = []
@@ -240,7 +272,7 @@
                     # A surplus answer to another request; our own may still follow.
                     head = None
                     continue
-                self._state.rate_limiting.answered(upstream, marks)
+                self._state.rate_limiting.answered(upstream, marks, sent_at)
                 if marks.not_run:
                     detail = f"turned away with {head.status}"
                     return Failure(Outcome.FULL, Fate.TURNED_AWAY, detail)
--- a/driftstall/gateway/peering.py
+++ b/driftstall/gateway/peering.py
@@ -25,10 +25,12 @@
     SendTo,
 )
 from driftstall.core import Instance
+from driftstall.decisions.rate_limits import RateLimit
 from driftstall.gateway.collectors import Roles
 from driftstall.gateway.feeds import ItemChange
 from driftstall.gateway.fleet_events import FleetAction
 from driftstall.gateway.model import Upstream
+from driftstall.gateway.permits import Permits
 from driftstall.gateway.reliance import FRESH_S, Reliance
 from driftstall.gateway.reports import MS, Reporting, Standing
 from driftstall.gateway.sharing import Intake, RoutingNotice, Sharing
@@ -45,6 +47,9 @@
     FleetSummary,
     GatewayMessage,
     GatewayReport,
+    PermitAsked,
+    PermitCharged,
+    PermitGiven,
     PlacementAsked,
     PlacementGiven,
     RoutingAsked,
@@ -117,6 +122,10 @@
         )
         self._placer = StreamPlacer(state, roles=lambda: self._roles, send=self._send)
         state.ask_place = self._placer.place
+        self._permits = Permits(state, live=lambda: self._members.live, send=self._send)
+        state.rate_limiting.ask_permit = self._permits.ask
+        state.rate_limiting.charge_permit = self._permits.charge
+        state.rate_limiting.tell = self._reporting.tell_now
         self.policy_revision = 0
         """The newest revision of the policy that a collector has told of."""
 
@@ -213,10 +222,14 @@
         known: tuple[Instance, ...] = ()
         while True:
             self._apply(Period())
+            self._permits.tend()
             live = self._members.live
             self._state.instances.seen(len(live), self._state.now())
             if live is not known:
                 known = live
+                if self._state.rate_limiting.limited:
+                    # One that has just started is to know of the limits before it is ready.
+                    self._state.loads_changed.set()
                 self._take_roles(Roles.from_fleet(self.own, live))
             gevent.sleep(PERIOD_S)
 
@@ -282,12 +295,25 @@
     def _(self, message: PlacementGiven) -> None:
         self._placer.take_answer(message)
 
+    @_take.register
+    def _(self, message: PermitAsked) -> None:
+        self._permits.answer(message)
+
+    @_take.register
+    def _(self, message: PermitGiven) -> None:
+        self._permits.take_answer(message)
+
+    @_take.register
+    def _(self, message: PermitCharged) -> None:
+        self._permits.charged(message)
+
     @_take.register
     def _(self, message: BlamesTold) -> None:
         self._blame.take(message)
 
     @_take.register
     def _(self, report: GatewayReport) -> None:
+        self._take_limits(report.rate_limits)
         self._sharing.take_cordons(report.cordons)
         self._placer.reported(report.sender)
         if self._reporting.take_report(report):
@@ -298,6 +324,7 @@
 
     @_take.register
     def _(self, summary: ZoneSummary) -> None:
+        self._take_limits(summary.rate_limits)
         self._sharing.take_cordons(summary.cordons)
         # A follower knows the platform's list better than any other collector.
         age_s = summary.platform_age_ms / MS
@@ -309,6 +336,7 @@
 
     @_take.register
     def _(self, summary: FleetSummary) -> None:
+        self._take_limits(summary.rate_limits)
         self._sharing.take_cordons(summary.cordons)
         if self._roles.collects:
             # Its sender does not know yet that this instance collects now.
@@ -320,6 +348,11 @@
         if self._reliance.holds(self._state.now()):
             self._sharing.compare_fleet(summary)
 
+    def _take_limits(self, told: tuple[RateLimit, ...]) -> None:
+        """Take in which limits a peer knows; collectors pass on at once what is new."""
+        if self._state.rate_limiting.heard(told) and self._roles.collects:
+            self._reporting.tell_now()
+
     def _apply(self, event: MembershipEvent) -> None:
         """Hand an event to the member list and send what it wants sent."""
         for action in self._members.handle(event, self._state.now()):
--- a/driftstall/gateway/rate_limiting.py
+++ b/driftstall/gateway/rate_limiting.py
@@ -1,46 +1,201 @@
-"""Take in the limits that upstreams name with their answers."""
+"""Send upstreams that name a limit no more than it allows (see decisions/permits)."""
 
 from __future__ import annotations
 
-from driftstall.const import PREFIX_ROUTING
-from driftstall.decisions.rate_limits import RateLimitBook
+from collections.abc import Callable, Iterable
+
+from driftstall.const import CODE_NO_RUNNER, PREFIX_ROUTING
+from driftstall.core import Problem, Ran
+from driftstall.decisions.permits import (
+    LAPSE_S,
+    Denial,
+    DeniedBook,
+    ReturnTimes,
+    SendNeed,
+    Verdict,
+)
+from driftstall.decisions.rate_limits import RateLimit, RateLimitBook
 from driftstall.gateway.model import AnswerMarks, Upstream
+from driftstall.gateway.shared_budget import InstanceCount
+from driftstall.gateway.stats import GatewayStats
 from driftstall.helpers.log import say
 
 
 class RateLimiting:
-    """Hold what is known of limits, and log what it leads to."""
+    """Hold what is known of limits, and ask before a request goes to who names one."""
 
-    def __init__(self) -> None:
-        """Start with no limit known."""
+    def __init__(
+        self,
+        stats: GatewayStats,
+        instances: InstanceCount,
+        *,
+        now: Callable[[], float],
+        pause: Callable[[float], None],
+    ) -> None:
+        """Take the counters, the number of instances, the steady clock, and how to wait."""
+        self._stats = stats
+        self._instances = instances
+        self._now = now
+        self._pause = pause
         self._book = RateLimitBook()
+        self._denied = DeniedBook()
+        self._returns = ReturnTimes()
+        self.ask_permit: Callable[[RateLimit, SendNeed], Verdict] = _nobody_to_ask
+        """Asks who gives leave for an upstream; may wait for the answer."""
+        self.charge_permit: Callable[[RateLimit], None] = _nobody_to_charge
+        """Tells the same one of a call that was not held back."""
+        self.tell: Callable[[], None] = _tell_nobody
+        """Has peers told at once."""
 
     @property
     def limited(self) -> dict[str, float]:
         """Return the limits in force, by upstream, in requests a second."""
         return self._book.limited
 
-    def answered(self, upstream: Upstream, marks: AnswerMarks) -> None:
+    @property
+    def told(self) -> tuple[RateLimit, ...]:
+        """Return all that is known, for peers."""
+        return self._book.told
+
+    def per_s(self, upstream_id: str) -> float | None:
+        """Return the requests a second that an upstream takes; None if it names no limit."""
+        return self._book.per_s(upstream_id)
+
+    def keep_only(self, upstream_ids: set[str]) -> set[str]:
+        """Forget upstreams that are gone; return those that name a limit."""
+        if not self._book.told:
+            return set()
+        self._book.keep_only(upstream_ids, self._now())
+        limited = set(self._book.limited)
+        self._denied.keep_only(limited)
+        return limited
+
+    # What upstreams and peers say.
+
+    def answered(self, upstream: Upstream, marks: AnswerMarks, sent_at: float) -> None:
         """Take in the limit that an answer names, or that it names none."""
-        if not self._book.told(upstream.upstream_id, marks.rate_limit):
+        now, upstream_id = self._now(), upstream.upstream_id
+        if not self._book.answered(upstream_id, marks.rate_limit, sent_at, now):
             return
-        named = "no limit any more" if marks.rate_limit is None else "a limit"
+        self._say_changed(upstream_id, service=upstream.service)
+        self.tell()
+
+    def heard(self, told: Iterable[RateLimit], peer: str = "") -> bool:
+        """Take in what a peer knows; return whether any of it was new."""
+        news = self._book.take(told, self._now())
+        for one in news:
+            self._say_changed(one.upstream_id, peer=peer)
+        return bool(news)
+
+    # Before a request is sent.
+
+    def is_limited(self, upstream_id: str) -> bool:
+        """Tell whether an upstream names a limit."""
+        return self._book.per_s(upstream_id) is not None
+
+    def closed(self, upstreams: Iterable[Upstream], most_wait_s: float) -> frozenset[str]:
+        """Return which upstreams are not to be asked for by a request that can wait so long."""
+        now = self._now()
+        return frozenset(
+            one.upstream_id
+            for one in upstreams
+            if self.is_limited(one.upstream_id)
+            and self._denied.again_s(one.upstream_id, now) > most_wait_s
+        )
+
+    def patience_s(self, upstreams: Iterable[Upstream], most_wait_s: float) -> float:
+        """Return how long a request waits for a turn: not at all where an upstream needs none."""
+        if any(not self.is_limited(one.upstream_id) for one in upstreams):
+            return 0.0
+        return max(0.0, most_wait_s)
+
+    def take_turn(self, upstream: Upstream, need: SendNeed, request_id: str) -> bool:
+        """Get leave for one send, and wait for its turn; return whether it may be sent now."""
+        upstream_id = upstream.upstream_id
+        limit = self._book.find(upstream_id)
+        if limit is None or limit.per_s is None:
+            return True
+        asked_at = self._now()
+        verdict = self.ask_permit(limit, need)
+        if isinstance(verdict, Denial):
+            self._stats.permits_denied += 1
+            self._denied.denied(upstream_id, verdict, self._now())
+            return False
+        if verdict.wait_s:
+            self._pause(verdict.wait_s)
+        took_s = self._now() - asked_at
+        if took_s > verdict.wait_s + LAPSE_S:
+            say(
+                PREFIX_ROUTING,
+                f"A permit for {upstream_id} has lapsed",
+                request=request_id,
+                took_s=round(took_s, 3),
+            )
+            return False
+        self._stats.limited_sends += 1
         say(
             PREFIX_ROUTING,
-            f"Upstream {upstream.upstream_id} names {named}",
+            f"A request goes to {upstream_id}, which names a limit",
+            request=request_id,
             service=upstream.service,
-            per_s=marks.rate_limit,
+            per_s=limit.per_s,
+            number=limit.number,
+            waited_ms=int(took_s * 1000),
         )
+        return True
 
-    def sent(self, upstream: Upstream, request_id: str) -> None:
-        """Log a send to an upstream that names a limit: few, unless the limit is not kept."""
-        per_s = self._book.per_s(upstream.upstream_id)
-        if per_s is None:
-            return
+    def charge(self, upstream: Upstream) -> None:
+        """Count a call of our own to an upstream: it is not held back, but others are."""
+        limit = self._book.find(upstream.upstream_id)
+        if limit is not None and limit.per_s is not None:
+            self.charge_permit(limit)
+
+    def refusal(self, service: str, upstreams: Iterable[Upstream], request_id: str) -> Problem:
+        """Return what to answer where all upstreams that are left take no more now.
+
+        Each caller is told a time of its own: this instance's part of the permits comes one by one.
+        """
+        now = self._now()
+        ids = [one.upstream_id for one in upstreams]
+        first_s = min((self._denied.again_s(one, now) for one in ids), default=0.0)
+        limits = [self._book.per_s(one) or 0.0 for one in ids]
+        part = sum(limits) / max(1, self._instances.value)
+        retry_s = self._returns.next_s(service, first_s, part, now)
+        self._stats.limited_refused += 1
         say(
             PREFIX_ROUTING,
-            f"A request goes to {upstream.upstream_id}, which names a limit",
+            "A request is refused: all upstreams have reached their limits",
             request=request_id,
-            service=upstream.service,
-            per_s=per_s,
+            service=service,
+            limits=limits,
+            instances=self._instances.value,
+            retry_s=round(retry_s, 2),
+        )
+        detail = "all runners have reached the limits that they name"
+        return Problem(CODE_NO_RUNNER, 503, detail, Ran.NOT_RUN, retry_s)
+
+    def _say_changed(self, upstream_id: str, **more: str) -> None:
+        """Log a limit that is new, and by whose word."""
+        limit = self._book.find(upstream_id)
+        assert limit is not None
+        named = "no limit any more" if limit.per_s is None else "a limit"
+        say(
+            PREFIX_ROUTING,
+            f"Upstream {upstream_id} names {named}",
+            per_s=limit.per_s,
+            number=limit.number,
+            **more,
         )
+
+
+def _nobody_to_ask(_: RateLimit, __: SendNeed) -> Verdict:
+    """Get leave from nobody: there are no peers yet, so nobody knows how much is sent."""
+    return Denial(LAPSE_S)
+
+
+def _nobody_to_charge(_: RateLimit) -> None:
+    """Tell nobody."""
+
+
+def _tell_nobody() -> None:
+    """Tell nobody."""
--- a/driftstall/gateway/reports.py
+++ b/driftstall/gateway/reports.py
@@ -146,6 +146,7 @@
             repeats,
             number,
             self._state.cordons.told,
+            self._state.rate_limiting.told,
         )
         roles = self._roles()
         self._broadcast(roles.own_collectors if roles.large else self._live(), report)
@@ -217,6 +218,7 @@
             self._state.loads.all_sums(self._state.now(), pooled=False),
             summed([*self._reported_repeats(fresh), *self._state.repeat_counts()]),
             self._state.cordons.told,
+            self._state.rate_limiting.told,
         )
 
     def _fleet_summary(self) -> FleetSummary:
@@ -238,6 +240,7 @@
             summed(counts),
             tuple(ReportAck(one.report.sender, one.report.number) for one in fresh),
             self._state.cordons.told,
+            self._state.rate_limiting.told,
         )
 
     def _least_age(self, standing: Standing) -> float:
--- a/driftstall/gateway/selection.py
+++ b/driftstall/gateway/selection.py
@@ -56,6 +56,8 @@
     """Whether it is to be left alone for a while."""
     cold_s: float = 0.0
     """How much longer it is cold, in seconds."""
+    is_limited: bool = False
+    """Whether it names how many requests it takes."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,7 +158,7 @@
         far = FAR_PENALTY if option.upstream.zone != primary.zone else 0.0
         return _memory(option.use, engine, need.total) + far + lot.noise()
 
-    return _least(_near_first(fitting, primary.zone, lot), cost, lot)
+    return _least(_near_first(_unlimited(fitting), primary.zone, lot), cost, lot)
 
 
 def choose_move(
@@ -180,7 +182,7 @@
         far = FAR_MOVE_PENALTY if option.upstream.zone != primary.zone else 0.0
         return _memory(option.use, engine, need.total) + far + lot.noise()
 
-    return _least(_near_first(fitting, primary.zone, lot), cost, lot)
+    return _least(_near_first(_unlimited(fitting), primary.zone, lot), cost, lot)
 
 
 def _stream_cost(option: Option, engine: Engine, need: Need) -> float:
@@ -200,6 +202,11 @@
     return (use.tokens + use.copies + added) / max(1, engine.memory_tokens)
 
 
+def _unlimited(options: list[Option]) -> list[Option]:
+    """Return the options that name no limit if there are any: what goes on at a copy is a send."""
+    return [one for one in options if not one.is_limited] or options
+
+
 def _near_first(options: list[Option], zone: str, lot: Lot) -> list[Option]:
     """Return the options of a zone if there are any, where only some are compared."""
     if lot.drawn is None:
--- a/driftstall/gateway/sending.py
+++ b/driftstall/gateway/sending.py
@@ -77,10 +77,10 @@
             self._state.exchanges.add(run.upstream.upstream_id, run.exchange)
             headers = self._state.dialect.write_send(self._admitted.marks.passed, marks)
             call = self._call
-            self._state.rate_limiting.sent(run.upstream, run.request_id)
+            sent_at = self._state.now()
             run.exchange.send(call.method, call.target, headers, call.body, self._left())
             opened = self._read_head(run.exchange)
-            self._state.rate_limiting.answered(run.upstream, opened.marks)
+            self._state.rate_limiting.answered(run.upstream, opened.marks, sent_at)
             return opened
         except UpstreamError as fault:
             return fault
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Final
 
+import gevent
 from gevent.event import Event
 
 from driftstall.const import PREFIX_ROUTING
@@ -60,9 +61,11 @@
         self.runs = RunBook()
         self.blame = BlameBook()
         self.stats = GatewayStats()
-        self.rate_limiting = RateLimiting()
         self.source = random.Random()
         self.instances = InstanceCount()
+        self.rate_limiting = RateLimiting(
+            self.stats, self.instances, now=lambda: self.now(), pause=gevent.sleep
+        )
         self.fleet_changed = Event()
         self.configured = Event()
         """Set once there is a routing document and a list of upstreams."""
@@ -191,6 +194,7 @@
             self.outcomes.penalty(upstream_id, upstream.service),
             self.outcomes.rests(upstream_id, now),
             self.cold.ends_in_s(upstream_id, now),
+            self.rate_limiting.is_limited(upstream_id),
         )
 
     def may_send(self, upstream: Upstream) -> bool:
--- a/driftstall/gateway/stats.py
+++ b/driftstall/gateway/stats.py
@@ -28,6 +28,9 @@
     streams_broken: int = 0
     crashes_seen: int = 0
     crashing_refused: int = 0
+    permits_denied: int = 0
+    limited_sends: int = 0
+    limited_refused: int = 0
     moves_failed: int = 0
     platform_calls: int = 0
     registry: Registry = field(default_factory=Registry)
@@ -69,6 +72,9 @@
     "streams_broken": "Streams that broke for good.",
     "crashes_seen": "Upstreams found crashed with runs of this instance.",
     "crashing_refused": "Sends refused as upstreams have crashed under the request.",
+    "permits_denied": "Sends not allowed now to upstreams that name a limit.",
+    "limited_sends": "Requests sent to upstreams that name a limit.",
+    "limited_refused": "Requests refused as all upstreams have reached their limits.",
     "moves_failed": "Copies between engines that failed.",
     "platform_calls": "Calls to the platform's store.",
 }
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -19,6 +19,7 @@
 )
 from driftstall.core import Problem, Ran
 from driftstall.decisions.crash_blame import UNDER_WAY_S
+from driftstall.decisions.permits import SendNeed
 from driftstall.decisions.sends import SendHistory
 from driftstall.exceptions import UpstreamError
 from driftstall.gateway.admission import Admitted, request_of
@@ -37,7 +38,7 @@
 from driftstall.gateway.model import Upstream
 from driftstall.gateway.moves import Mover
 from driftstall.gateway.outcomes import Outcome
-from driftstall.gateway.placement import StreamPlacement
+from driftstall.gateway.placement import WAIT_FOR_ROOM_SHARE, StreamPlacement
 from driftstall.gateway.resumption import CopyFinder
 from driftstall.gateway.runs import BrokenRun, StreamRun
 from driftstall.gateway.sending import Opened, StreamSender
@@ -48,6 +49,8 @@
 """A running stream that says nothing for so long goes on at its copy, if it has one."""
 COLD_WAIT_S: Final = 1.2
 """How long a stream that could go on waits for an engine that has gone cold."""
+TURN_WAIT_S: Final = 1.2
+"""The same for its turn at an engine that names a limit."""
 MAX_RESUMES: Final = 8
 """Upstreams that one stream may go on at; each leaves with a notice of its own."""
 OK: Final = 200
@@ -72,6 +75,7 @@
         self._connection = connection
         self._admitted = admitted
         self._request = request_of(admitted)
+        self._request_id = admitted.marks.request_id
         self._placement = StreamPlacement(state, call, admitted, self._request)
         self._history = SendHistory(admitted.route.most_runs)
         self._sender = StreamSender(state, call, admitted, self._history, lambda: self._caller_gone)
@@ -105,6 +109,9 @@
     def _open(self) -> Opened | Problem:
         """Send the request to an upstream that takes it, and read the answer's head."""
         avoid: set[str] = set()
+        denied: list[Upstream] = []
+        """Upstreams that take no more now."""
+        limits = self._state.rate_limiting
         detail = "no upstream takes requests"
         while self._history.may_run_anew and self._history.sends < MAX_SENDS:
             if self._left() <= 0 or self._caller_gone:
@@ -112,7 +119,13 @@
             refusal = self._refusal()
             if refusal is not None:
                 return refusal
-            run = self._placement.place(frozenset(avoid), lambda: self._caller_gone)
+            ready = self._ready(avoid)
+            waits_s = limits.patience_s(ready, self._patience_s())
+            closed = limits.closed(ready, waits_s)
+            if len(closed) == len(ready) and (ready or denied):
+                service = self._admitted.service.name
+                return limits.refusal(service, ready or denied, self._request_id)
+            run = self._placement.place(closed.union(avoid), lambda: self._caller_gone)
             if run is None:
                 break
             refusal = self._refusal()
@@ -122,6 +135,11 @@
                 return refusal
             if self._history.arrived and not self._budget_allows(run.upstream):
                 break
+            if not limits.take_turn(run.upstream, self._need(waits_s), self._request_id):
+                self._drop(run)
+                avoid.add(run.upstream.upstream_id)
+                denied.append(run.upstream)
+                continue
             result = self._send(run)
             if isinstance(result, Opened):
                 if not result.marks.not_run:
@@ -139,6 +157,21 @@
             avoid.add(run.upstream.upstream_id)
         return Problem(CODE_NO_RUNNER, 503, detail, self._history.ran, FULL_RETRY_S)
 
+    def _ready(self, avoid: set[str]) -> list[Upstream]:
+        """Return the upstreams that take requests and have not turned this one away."""
+        ready = self._state.fleet.ready(self._admitted.service.name)
+        return [one for one in ready if one.upstream_id not in avoid]
+
+    def _need(self, most_wait_s: float, *, under_way: bool = False) -> SendNeed:
+        """Return what a send needs at an upstream that names a limit."""
+        return SendNeed(most_wait_s, self._admitted.verdict.rank, under_way)
+
+    def _patience_s(self) -> float:
+        """Return for how long the stream can still wait for its turn at an upstream."""
+        most_s = self._admitted.route.target_s * WAIT_FOR_ROOM_SHARE
+        until = self._admitted.started_at + min(self._admitted.verdict.wait_s, most_s)
+        return until - self._state.now()
+
     def _refusal(self) -> Problem | None:
         """Return why the request is sent to no upstream, if so."""
         return crash_refusal(self._state, self._admitted, self._history.ran)
@@ -297,6 +330,9 @@
                 return None
             if not self._await_cold(copy.upstream):
                 continue
+            need = self._need(min(TURN_WAIT_S, self._left()), under_way=True)
+            if not self._state.rate_limiting.take_turn(copy.upstream, need, self._request_id):
+                continue
             if self._refusal() is not None or not self._budget_allows(copy.upstream):
                 return None
             self._state.runs.drop(run)
--- a/driftstall/peers/codec.py
+++ b/driftstall/peers/codec.py
@@ -39,7 +39,7 @@
 """The quickest level: messages are small and many."""
 HEADER: Final = struct.Struct(">I")
 TRAVERSAL_WORDS: Final = 2_000_000
-PROTOCOL: Final = b"DRIFT\x06"
+PROTOCOL: Final = b"DRIFT\x07"
 """The protocol and its version."""
 FAR_FUTURE: Final = 1e300
 """Stands for an infinite time on the wire."""
--- a/driftstall/peers/gateway_messages.py
+++ b/driftstall/peers/gateway_messages.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from driftstall.controllers.membership import Ack, Ping, PingRequest
+from driftstall.decisions.rate_limits import RateLimit
 from driftstall.gateway.cordons import Cordons
 from driftstall.gateway.loads import Use
 from driftstall.gateway.model import Upstream
@@ -30,6 +31,8 @@
     number: int
     """Grows with each report of this instance."""
     cordons: Cordons
+    rate_limits: tuple[RateLimit, ...]
+    """What upstreams have named, as far as the sender knows."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +60,7 @@
     uses: tuple[Use, ...]
     repeats: tuple[RepeatCount, ...]
     cordons: Cordons
+    rate_limits: tuple[RateLimit, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +80,7 @@
     repeats: tuple[RepeatCount, ...]
     acks: tuple[ReportAck, ...]
     cordons: Cordons
+    rate_limits: tuple[RateLimit, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -162,6 +167,41 @@
     """Whether the stream fits the engine's memory, as far as can be forecast."""
 
 
+@dataclass(frozen=True, slots=True)
+class PermitAsked:
+    """Ask who gives leave for an upstream with a limit to send it one request."""
+
+    sender: str
+    number: int
+    """Tells the questions of one sender apart."""
+    limit: RateLimit
+    """What the sender knows of the limit, which may be news."""
+    most_wait_ms: int
+    """How long the request can wait for its turn."""
+    rank: int
+    under_way: bool
+    """Whether it is a stream that can go on nowhere else."""
+
+
+@dataclass(frozen=True, slots=True)
+class PermitGiven:
+    """Answer whether a request may be sent."""
+
+    sender: str
+    number: int
+    allowed: bool
+    wait_ms: int
+    """When it may be sent; where it may not, when to ask again."""
+
+
+@dataclass(frozen=True, slots=True)
+class PermitCharged:
+    """Tell who gives leave for an upstream of a call to it that was not held back."""
+
+    sender: str
+    limit: RateLimit
+
+
 GatewayMessage = (
     Ping
     | Ack
@@ -178,4 +218,7 @@
     | FleetAsked
     | FleetOffered
     | BlamesTold
+    | PermitAsked
+    | PermitGiven
+    | PermitCharged
 )
--- a/driftstall/peers/schema.capnp
+++ b/driftstall/peers/schema.capnp
@@ -74,21 +74,25 @@
 struct RepeatCount { service @0 :Text; requests @1 :UInt32; repeats @2 :UInt32; }
 struct Cordon { zone @0 :Text; revision @1 :UInt64; }
 struct Cordons { at @0 :UInt64; cordons @1 :List(Cordon); }
+struct RateLimit { upstreamId @0 :Text; number @1 :UInt32; perS @2 :Float64; hasPerS @3 :Bool; }
 struct GatewayReport {
   sender @0 :Text; ready @1 :Bool; platformOk @2 :Bool; routingVersion @3 :UInt64;
   uses @4 :List(Use); repeats @5 :List(RepeatCount); number @6 :UInt32; cordons @7 :Cordons;
+  rateLimits @8 :List(RateLimit);
 }
 struct ReportAck { instanceId @0 :Text; number @1 :UInt32; }
 struct ZoneSummary {
   sender @0 :Text; zone @1 :Text; routingVersion @2 :UInt64; platformAgeMs @3 :UInt32;
   fleetDigest @4 :UInt64; instances @5 :UInt32; ready @6 :List(Text); uses @7 :List(Use);
   repeats @8 :List(RepeatCount); cordons @9 :Cordons;
+  rateLimits @10 :List(RateLimit);
 }
 struct FleetSummary {
   sender @0 :Text; routingVersion @1 :UInt64; policyRevision @2 :UInt64;
   platformAgeMs @3 :UInt32; fleetDigest @4 :UInt64; instances @5 :UInt32;
   ready @6 :List(Text); uses @7 :List(Use); repeats @8 :List(RepeatCount);
   acks @9 :List(ReportAck); cordons @10 :Cordons;
+  rateLimits @11 :List(RateLimit);
 }
 struct Upstream {
   name @0 :Text; service @1 :Text; address @2 :Text; zone @3 :Text; slots @4 :UInt64;
@@ -112,6 +116,12 @@
   fingerprint @0 :Text; crashes @1 :List(CrashTold); wellAgoMs @2 :UInt32; hasWellAgoMs @3 :Bool;
 }
 struct BlamesTold { sender @0 :Text; records @1 :List(BlameTold); asks @2 :Bool; }
+struct PermitAsked {
+  sender @0 :Text; number @1 :UInt64; limit @2 :RateLimit; mostWaitMs @3 :UInt32; rank @4 :UInt32;
+  underWay @5 :Bool;
+}
+struct PermitGiven { sender @0 :Text; number @1 :UInt64; allowed @2 :Bool; waitMs @3 :UInt32; }
+struct PermitCharged { sender @0 :Text; limit @1 :RateLimit; }
 struct UpstreamDoubted { sender @0 :Text; upstreamId @1 :Text; }
 
 struct Envelope {
@@ -148,5 +158,8 @@
     placementAsked @29 :PlacementAsked;
     placementGiven @30 :PlacementGiven;
     blamesTold @31 :BlamesTold;
+    permitAsked @32 :PermitAsked;
+    permitGiven @33 :PermitGiven;
+    permitCharged @34 :PermitCharged;
   }
 }
--- a/features/steps/gateway_reliance_steps.py
+++ b/features/steps/gateway_reliance_steps.py
@@ -279,7 +279,7 @@
     context.followers = FleetController()
     context.followers.handle(Listed((upstream_of("u1", 3), upstream_of("u4", 8))), 0.0)
     digest = context.followers.digest
-    summary = ZoneSummary("follower", "b", 1, 100, digest, 1, (), (), (), Cordons())
+    summary = ZoneSummary("follower", "b", 1, 100, digest, 1, (), (), (), Cordons(), ())
     context.sharing.compare_fleet(summary)
 
 
--- a/stand_ins/routed.py
+++ b/stand_ins/routed.py
@@ -174,8 +174,8 @@
         script = scripts.pop(0) if scripts else self._usual()
         copy_of = headers.get("kv-from", "").rpartition("/")[2]
         if script.misdirected:
-            headers_421 = (_id(request_id), *self._named())
-            connection.write(head_bytes(421, headers_421, (b"Content-Length: 0",)))
+            misdirected = (_id(request_id), *self._named())
+            connection.write(head_bytes(421, misdirected, (b"Content-Length: 0",)))
             return
         has_copy = copy_of in self.copies
         if script.not_run or (copy_of and not has_copy and not script.reset):
@@ -222,8 +222,8 @@
             connection.write(head_bytes(200, (_id("another"), SEAL), ()) + b"other")
             return
         if script.surplus_before:
-            headers = (_id("another"), SEAL)
-            connection.write(head_bytes(200, headers, (b"Content-Length: 5",)) + b"other")
+            other = (_id("another"), SEAL)
+            connection.write(head_bytes(200, other, (b"Content-Length: 5",)) + b"other")
         gevent.sleep(script.work_s)
         headers = (_id(request_id), SEAL, *self._named())
         length = () if script.unframed else (b"Content-Length: %d" % len(script.body),)
