--- a/stand_ins/engine.py
+++ b/stand_ins/engine.py
@@ -35,7 +35,7 @@
 from driftstall.core import PrefixMark  # noqa: E402
 from driftstall.util.tokens import prefix_marks  # noqa: E402
 from stand_ins.engine_model import Engine, EngineShape, Generation, Phase  # noqa: E402
-from stand_ins.http import StartResponse, answer, query, read_json, serve  # noqa: E402
+from stand_ins.http import StartResponse, answer, named_limit, query, read_json, serve  # noqa: E402
 
 KEEPALIVE_S = 0.5
 REPORT_LAG_S = 0.5
@@ -100,6 +100,8 @@
         self._work = Event()
         self._faults = Faults()
         self._leaving = False
+        self._rate_limit: float | None = None
+        self._arrivals: list[float] = []
         self._report: dict[str, Any] = {}
         self._cache: deque[tuple[float, int, tuple[PrefixMark, ...], int]] = deque(maxlen=4_000)
         self._cache_next = 0
@@ -219,9 +221,10 @@
         """Start a generation."""
         body = read_json(environ)
         generation_id = environ["HTTP_X_REQUEST_ID"]
+        self._arrivals.append(time.monotonic())
         if self._faults.refuse > 0:
             self._faults.refuse -= 1
-            return answer(start, 503, {"error": "not run"})
+            return answer(start, 503, {"error": "not run"}, self._rate_limit)
         messages = [(one["role"], one["content"]) for one in body["messages"]]
         marks = [PrefixMark(*mark) for mark in prefix_marks(body["model"], messages)]
         length = self._length(messages, int(body["max_tokens"]))
@@ -254,7 +257,8 @@
 
     def _stream(self, stream: Stream, index: int, start: StartResponse) -> Iterable[bytes]:
         """Answer with the stream of events."""
-        start("200 OK", [("Content-Type", "text/event-stream")])
+        headers = [("Content-Type", "text/event-stream"), *named_limit(self._rate_limit)]
+        start("200 OK", headers)
         return self._events(stream, index)
 
     def _events(self, stream: Stream, index: int) -> Iterator[bytes]:
@@ -371,6 +375,7 @@
                 "running": len(self._engine.running) + len(self._engine.waiting),
                 "model": self._model,
                 "stale_orders": self._stale_orders,
+                "arrivals": self._arrivals,
             }
             return answer(start, 200, dict(self.counts) | extra)
         script = read_json(environ)
@@ -381,6 +386,7 @@
         for name in ("cut_after", "duplicate", "skip", "refuse"):
             setattr(self._faults, name, script.get(name, getattr(self._faults, name)))
         self._leaving = script.get("leaving", self._leaving)
+        self._rate_limit = script.get("rate_limit", self._rate_limit)
         return answer(start, 200, {})
 
 
--- a/stand_ins/http.py
+++ b/stand_ins/http.py
@@ -33,10 +33,18 @@
     return answer(start, 200, {})
 
 
-def answer(start: StartResponse, status: int, value: Any) -> Iterable[bytes]:
+def named_limit(per_s: float | None) -> list[tuple[str, str]]:
+    """Return the header that names how many requests a second are taken, if there is a limit."""
+    return [] if per_s is None else [("X-Rate-Limit", f"{per_s:g}")]
+
+
+def answer(
+    start: StartResponse, status: int, value: Any, rate_limit: float | None = None
+) -> Iterable[bytes]:
     """Answer with JSON."""
     body = orjson.dumps(value)
     headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+    headers += named_limit(rate_limit)
     start(f"{status} {REASONS.get(status, 'Status')}", headers)
     return [body]
 
--- a/stand_ins/service.py
+++ b/stand_ins/service.py
@@ -15,6 +15,7 @@
 monkey.patch_all()
 
 import os  # noqa: E402
+import time  # noqa: E402
 from collections import Counter  # noqa: E402
 from collections.abc import Iterable  # noqa: E402
 from dataclasses import dataclass, field  # noqa: E402
@@ -40,6 +41,10 @@
     """Calls that run but whose answer is lost."""
     refuse: int = 0
     """Calls answered 503 before they run."""
+    rate_limit: float | None = None
+    """The requests a second that it names with its answers."""
+    arrivals: list[float] = field(default_factory=list)
+    """When calls arrived, by the machine's steady clock."""
 
     def __call__(self, environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
         """Serve one call."""
@@ -49,15 +54,17 @@
             self.late_s = script.get("late_s", self.late_s)
             self.drop_answers = script.get("drop_answers", self.drop_answers)
             self.refuse = script.get("refuse", self.refuse)
+            self.rate_limit = script.get("rate_limit", self.rate_limit)
             return answer(start, 200, {})
         if path == "/control/stats":
-            return answer(start, 200, {"runs": dict(self.runs)})
+            return answer(start, 200, {"runs": dict(self.runs), "arrivals": self.arrivals})
         if path == "/v1/load":
             return answer(start, 200, {"used_tokens": 0, "memory_tokens": 1, "waiting": 0})
+        self.arrivals.append(time.monotonic())
         body = environ["wsgi.input"].read()
         if self.refuse > 0:
             self.refuse -= 1
-            return answer(start, 503, {"error": "not run"})
+            return answer(start, 503, {"error": "not run"}, self.rate_limit)
         call_id = environ.get("HTTP_X_CALL_ID", "") or path
         self.runs[call_id] += 1
         if path.endswith(CRASH_PATH):
@@ -68,7 +75,8 @@
             self.drop_answers -= 1
             return cut(environ, start)
         echo = body.decode("utf-8", "replace")[:200]
-        return answer(start, 200, {"service": self.name, "call": call_id, "echo": echo})
+        told = {"service": self.name, "call": call_id, "echo": echo}
+        return answer(start, 200, told, self.rate_limit)
 
 
 def main() -> None:
