--- a/driftstall/controllers/grant_messages.py
+++ b/driftstall/controllers/grant_messages.py
@@ -84,6 +84,14 @@
     runners: tuple[tuple[str, int, str], ...]
 
 
+@dataclass(frozen=True, slots=True)
+class RunnersLimited:
+    """Set which runners name a limit: id, and generations a second that may begin there."""
+
+    group: str
+    limits: tuple[tuple[str, float], ...]
+
+
 @dataclass(frozen=True, slots=True)
 class EntryLost:
     """Learn that an entry instance died; what it streamed is over."""
@@ -104,6 +112,7 @@
     | RunnerReport
     | CacheEvents
     | RunnersChanged
+    | RunnersLimited
     | EntryLost
     | Tick
 )
--- a/driftstall/controllers/grant_state.py
+++ b/driftstall/controllers/grant_state.py
@@ -8,6 +8,7 @@
 from driftstall.core import Request, Verdict
 from driftstall.decisions.isolation import LONG_PREFILL
 from driftstall.decisions.memory import NOTHING, Hold
+from driftstall.decisions.permits import Allowance, SendNeed
 from driftstall.decisions.prefixes import PrefixModel
 from driftstall.decisions.routing import PREFILL_TOKENS_PER_S
 
@@ -68,6 +69,28 @@
     """Tokens of open grants that the prefix cache holds anyway."""
     unexplained: float = 0.0
     """Memory the runner reports beyond our grants, in tokens."""
+    per_s: float | None = None
+    """Generations a second that may begin there; None where it names no limit."""
+    allowance: Allowance | None = None
+
+    def limit(self, per_s: float | None, now: float) -> None:
+        """Take in the limit that it names, or that it names none."""
+        self.per_s = per_s
+        if per_s is None:
+            self.allowance = None
+        elif self.allowance is None:
+            self.allowance = Allowance(now)
+
+    def may_begin(self, now: float) -> bool:
+        """Tell whether a generation may begin now, by the limit that it names."""
+        if self.per_s is None or self.allowance is None:
+            return True
+        return not self.allowance.wait_s(self.per_s, now)
+
+    def begins(self, rank: int, now: float) -> None:
+        """Count a generation that begins now."""
+        if self.per_s is not None and self.allowance is not None:
+            self.allowance.ask(SendNeed(0.0, rank), self.per_s, now)
 
     def pending(self, now: float) -> float:
         """Return the prefill tokens that should still be pending."""
--- a/driftstall/controllers/grants.py
+++ b/driftstall/controllers/grants.py
@@ -27,6 +27,7 @@
     ResumeAsked,
     RunnerReport,
     RunnersChanged,
+    RunnersLimited,
     Tick,
     YieldAsked,
 )
@@ -232,6 +233,12 @@
         for runner_id, memory, zone in event.runners:
             self._book.welcome(runner_id, memory, zone, now)
 
+    @_apply.register
+    def _(self, event: RunnersLimited, now: float) -> None:
+        limits = dict(event.limits)
+        for runner in self._runners.values():
+            runner.limit(limits.get(runner.runner_id), now)
+
     def _let_leave(self, runner: RunnerState, now: float) -> None:
         """Give a leaving runner no new work, but let what has yielded there end."""
         for request_id, grant in runner.grants.items():
@@ -346,6 +353,8 @@
         for runner in self._runners.values():
             if runner.runner_id in item.avoid and len(self._runners) > len(item.avoid):
                 continue
+            if not runner.may_begin(now):
+                continue
             limit = runner.memory - headroom - runner.unexplained
             if not self._book.has_room(runner, item.hold, own_peak, limit, now):
                 continue
@@ -393,6 +402,7 @@
         grant.reserved = item.cost
         grant.rested_from = now
         self._open(runner, grant, item.hold, now)
+        runner.begins(item.verdict.rank, now)
         runner.pending_prefill = runner.pending(now) + uncached
         reason = (
             f"cost {choice.cost:.3f} of {len(self._runners)} runners, "
--- a/driftstall/daemon/grants_service.py
+++ b/driftstall/daemon/grants_service.py
@@ -25,6 +25,7 @@
     Refused,
     RunnerReport,
     RunnersChanged,
+    RunnersLimited,
     Tick,
     YieldAsked,
 )
@@ -32,6 +33,7 @@
 from driftstall.daemon.config_service import ConfigService
 from driftstall.daemon.fleet_service import POLL_PERIOD_S, FleetService
 from driftstall.daemon.hub import Hub
+from driftstall.daemon.limit_service import LimitService
 from driftstall.daemon.membership_service import MembershipService
 from driftstall.daemon.ownership import Ownership
 from driftstall.helpers.log import say
@@ -51,8 +53,11 @@
         config: ConfigService,
         fleet: FleetService,
         ownership: Ownership,
+        limits: LimitService,
     ) -> None:
         """Start owning nothing."""
+        self._limits = limits
+        self._told_limits: dict[str, tuple[tuple[str, float], ...]] = {}
         self._hub = hub
         self._members = members
         self._config = config
@@ -92,6 +97,7 @@
             return found
         controller = build_controller(group)
         self._owned[group] = controller
+        self._told_limits.pop(group, None)
         self._set_runners(group, controller)
         self._set_policy(controller)
         say(PREFIX_ADMISSION, f"This instance grants for group {group}")
@@ -135,8 +141,17 @@
     def _tick(self) -> None:
         """Let time pass in all owned groups."""
         for controller in list(self._owned.values()):
+            self._tell_limits(controller)
             self._run(controller, Tick())
 
+    def _tell_limits(self, controller: GrantsController) -> None:
+        """Tell a controller which of its runners name a limit, where that has changed."""
+        found = ((one, self._limits.per_s(one)) for one in sorted(controller.runners))
+        limits = tuple((one, per_s) for one, per_s in found if per_s is not None)
+        if limits != self._told_limits.get(controller.group, ()):
+            self._told_limits[controller.group] = limits
+            self._run(controller, RunnersLimited(controller.group, limits))
+
     def _poll(self) -> None:
         """Fetch reports for all owned groups."""
         jobs = [gevent.spawn(self._fleet.poll, group, self._polled) for group in self._owned]
--- /dev/null
+++ b/driftstall/daemon/limit_service.py
@@ -0,0 +1,85 @@
+"""Send runners that name a limit no more than it allows."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import gevent
+
+from driftstall.const import PREFIX_ROUTING
+from driftstall.daemon.fleet_service import FleetService
+from driftstall.daemon.hub import Hub
+from driftstall.daemon.membership_service import MembershipService
+from driftstall.decisions.instance_count import InstanceCount
+from driftstall.decisions.permits import heard_part
+from driftstall.helpers.permits import Permits
+from driftstall.helpers.rate_limiting import RateLimiting
+from driftstall.peers.permit_messages import (
+    PermitAsked,
+    PermitCharged,
+    PermitGiven,
+    RateLimitsTold,
+)
+
+TEND_S: Final = 0.15
+TELL_S: Final = 1.0
+"""How often what is known of limits is told again: who was cut off, and who has just started, is
+to know within three seconds."""
+
+
+class LimitService:
+    """Know the limits that runners name, here and at peers, and share what they take."""
+
+    def __init__(self, hub: Hub, members: MembershipService, fleet: FleetService) -> None:
+        """Start with no limit known."""
+        self._hub = hub
+        self._members = members
+        self._count = InstanceCount()
+        self.limits = RateLimiting(
+            hub.stats, instances=lambda: self._count.value, now=hub.now, pause=gevent.sleep
+        )
+        self._permits = Permits(
+            hub.own.instance_id,
+            self.limits,
+            now=hub.now,
+            live=lambda: members.live,
+            upstreams=lambda: set(fleet.runners),
+            send=hub.send,
+        )
+        self.limits.ask_permit = self._permits.ask
+        self.limits.charge_permit = self._permits.charge
+        self.limits.tell = self._tell
+        hub.on_message(PermitAsked, lambda _, message: self._permits.answer(message))
+        hub.on_message(PermitGiven, lambda _, message: self._permits.take_answer(message))
+        hub.on_message(PermitCharged, lambda _, message: self._permits.charged(message))
+        hub.on_message(RateLimitsTold, self._told)
+
+    def start(self) -> None:
+        """Start to look after what falls to this instance, and to tell peers."""
+        self._hub.every(TEND_S, self._tend, PREFIX_ROUTING)
+        self._hub.every(TELL_S, self._tell, PREFIX_ROUTING)
+
+    def per_s(self, runner_id: str) -> float | None:
+        """Return what the owner of a runner's group may have it begin in a second."""
+        per_s = self.limits.per_s(runner_id)
+        if per_s is None:
+            return None
+        return heard_part(per_s, len(self._members.live), self._count.value)
+
+    def _tend(self) -> None:
+        """Look at who lives, and for which runners this instance is asked."""
+        self._count.seen(len(self._members.live), self._hub.now())
+        self._permits.tend()
+
+    def _tell(self) -> None:
+        """Tell all peers what is known, if anything is."""
+        told = RateLimitsTold(self._hub.own.instance_id, self.limits.told)
+        if not told.rate_limits:
+            return
+        for one in self._members.live:
+            if one.instance_id != self._hub.own.instance_id:
+                self._hub.send(one.instance_id, told)
+
+    def _told(self, _: str, message: RateLimitsTold) -> None:
+        """Take in what a peer knows."""
+        self.limits.heard(message.rate_limits, message.sender)
--- a/driftstall/daemon/node.py
+++ b/driftstall/daemon/node.py
@@ -19,6 +19,7 @@
 from driftstall.daemon.fleet_service import FleetService
 from driftstall.daemon.grants_service import GrantsService
 from driftstall.daemon.hub import Hub
+from driftstall.daemon.limit_service import LimitService
 from driftstall.daemon.membership_service import MembershipService
 from driftstall.daemon.ownership import Ownership
 from driftstall.daemon.placement_service import PlacementService
@@ -41,13 +42,18 @@
         self.config = ConfigService(self.hub, self.members)
         self.fleet = FleetService(self.hub, self.members)
         self.ownership = Ownership(self.hub, self.members, self.fleet)
-        self.grants = GrantsService(self.hub, self.members, self.config, self.fleet, self.ownership)
+        self.limits = LimitService(self.hub, self.members, self.fleet)
+        self.grants = GrantsService(
+            self.hub, self.members, self.config, self.fleet, self.ownership, self.limits
+        )
         self.asking = AskingService(self.hub, self.members, self.fleet, self.ownership)
         self.claims = ClaimsService(self.hub, self.members)
         self.placement = PlacementService(self.hub, self.members, self.fleet)
         self.blame = BlameService(self.hub, self.members)
-        self.relay = RelayService(self.hub, self.fleet, self.asking, self.blame)
-        self.services = ServiceCalls(self.hub, self.fleet, self.claims, self.blame)
+        self.relay = RelayService(self.hub, self.fleet, self.asking, self.blame, self.limits.limits)
+        self.services = ServiceCalls(
+            self.hub, self.fleet, self.claims, self.blame, self.limits.limits
+        )
         self._drain = DrainController(settings.locate_keep)
 
     @property
@@ -75,6 +81,7 @@
         self.claims.start()
         self.placement.start()
         self.blame.start()
+        self.limits.start()
         self.hub.every(SERVICE_POLL_S, self.fleet.poll_services, PREFIX_ROUTING)
         self.hub.every(DRAIN_PERIOD_S, self._drain_period, PREFIX_DRAIN)
 
--- a/driftstall/daemon/relay_service.py
+++ b/driftstall/daemon/relay_service.py
@@ -43,9 +43,11 @@
 from driftstall.decisions.retry import RetryBudget
 from driftstall.exceptions import UpstreamError
 from driftstall.helpers.log import say
+from driftstall.helpers.rate_limiting import RateLimiting
 from driftstall.runners.engine import (
     EngineEnd,
     EngineEvent,
+    EngineLimit,
     EngineToken,
     RunnerSaidNo,
     control,
@@ -96,9 +98,15 @@
     """Build relays; they share the retry budget."""
 
     def __init__(
-        self, hub: Hub, fleet: FleetService, asking: AskingService, blame: BlameService
+        self,
+        hub: Hub,
+        fleet: FleetService,
+        asking: AskingService,
+        blame: BlameService,
+        limits: RateLimiting,
     ) -> None:
         """Start with a fresh retry budget."""
+        self.limits = limits
         self.blame = blame
         self.hub = hub
         self.fleet = fleet
@@ -231,7 +239,10 @@
 
     def _take(self, event: EngineEvent) -> None:
         """Take an event that is not simply the next token."""
-        if isinstance(event, EngineToken):
+        if isinstance(event, EngineLimit):
+            runner_id = self._machine.runner_id
+            self._service.limits.answered(runner_id, event.per_s, self._opened_at)
+        elif isinstance(event, EngineToken):
             self._feed(TokenArrived(event.generation, event.position, event.data))
         elif isinstance(event, EngineEnd):
             self._reply = _reply_mark(event.data)
--- a/driftstall/daemon/service_calls.py
+++ b/driftstall/daemon/service_calls.py
@@ -22,16 +22,23 @@
 from driftstall.daemon.claims_service import ClaimsService
 from driftstall.daemon.fleet_service import FleetService
 from driftstall.daemon.hub import Hub
+from driftstall.decisions.permits import SendNeed
 from driftstall.decisions.retry import RetryBudget
 from driftstall.exceptions import UpstreamError
 from driftstall.filters.context import RequestContext
 from driftstall.helpers.log import say
+from driftstall.helpers.rate_limiting import RateLimiting
 from driftstall.runners.service import CALL_TIMEOUT_S, ServiceAnswer, call_service
 
 FORWARDED: Final = ("content-type", "accept", "x-call-id")
 HTTP_NOT_RUN: Final = 503
 HTTP_FAILED: Final = 500
 MAX_TRIES: Final = 3
+WAIT_FOR_TURN_S: Final = 0.3
+"""How long a call waits for its turn where all runners name a limit; longer, and its caller is
+better told when to come back."""
+CALL_RANK: Final = 1
+"""Calls of one service are all alike: policies rank generations only."""
 RETRY_AFTER_S: Final = 2.0
 
 
@@ -50,9 +57,15 @@
     """Route calls to plain services."""
 
     def __init__(
-        self, hub: Hub, fleet: FleetService, claims: ClaimsService, blame: BlameService
+        self,
+        hub: Hub,
+        fleet: FleetService,
+        claims: ClaimsService,
+        blame: BlameService,
+        limits: RateLimiting,
     ) -> None:
         """Start with a fresh retry budget."""
+        self._limits = limits
         self._blame = blame
         self._hub = hub
         self._fleet = fleet
@@ -115,6 +128,10 @@
             if attempt and not self._budget.spend():
                 break
             runner = self._choose(context, avoid)
+            if isinstance(runner, Problem):
+                if not maybe_ran:
+                    return runner
+                break
             if runner is None or context.deadline <= self._hub.wall():
                 break
             done = self._send(runner, context)
@@ -136,38 +153,50 @@
             CODE_RUNNER_FAILED, status, detail or "no runner is left", ran, RETRY_AFTER_S
         )
 
-    def _choose(self, context: RequestContext, avoid: set[str]) -> Runner | None:
-        """Choose the runner with the fewest open calls, the own zone first."""
+    def _choose(self, context: RequestContext, avoid: set[str]) -> Runner | Problem | None:
+        """Choose a runner that may be sent the call now; a problem where limits allow none."""
         runners = [
             one for one in self._fleet.services(context.service) if one.runner_id not in avoid
         ]
         if not runners:
             return None
+        need = SendNeed(WAIT_FOR_TURN_S, CALL_RANK)
+        chosen = self._limits.take_one(
+            runners, lambda one: one.runner_id, self._least_busy, need, context.request_id
+        )
+        if chosen is None:
+            ids = [one.runner_id for one in runners]
+            return self._limits.refusal(context.service, ids, context.request_id)
+        sentence = f"Call {context.request_id} goes to {chosen.runner_id}"
+        reason = f"{sentence}: fewest open calls of {len(runners)} runners"
+        say(PREFIX_ROUTING, reason, service=context.service)
+        return chosen
+
+    def _least_busy(self, runners: list[Runner]) -> Runner | None:
+        """Return the runner with the fewest open calls, the own zone first."""
         zone = self._hub.own.zone
-        chosen = min(
+        return min(
             runners,
             key=lambda one: (
                 self._open.get(one.runner_id, 0),
                 one.zone != zone,
                 self._hub.source.random(),
             ),
+            default=None,
         )
-        sentence = f"Call {context.request_id} goes to {chosen.runner_id}"
-        reason = f"{sentence}: fewest open calls of {len(runners)} runners"
-        say(PREFIX_ROUTING, reason, service=context.service)
-        return chosen
 
     def _send(self, runner: Runner, context: RequestContext) -> _Try:
         """Send a call once."""
         headers = _headers(context.headers)
         timeout_s = min(CALL_TIMEOUT_S, max(0.1, context.deadline - self._hub.wall()))
-        runner_id = runner.runner_id
+        runner_id, sent_at = runner.runner_id, self._hub.now()
         self._open[runner_id] = self._open.get(runner_id, 0) + 1
         try:
             with gevent.Timeout(timeout_s, UpstreamError("the answer is late", sent=True)):
                 answer = call_service(
                     runner, context.method, context.service_path, headers, context.body, timeout_s
                 )
+            self._limits.answered(runner_id, answer.rate_limit, sent_at)
             return _Try(answer, True, f"the runner answered {answer.status}")
         except UpstreamError as fault:
             if fault.sent:
--- a/driftstall/daemon/stats.py
+++ b/driftstall/daemon/stats.py
@@ -23,6 +23,9 @@
     tokens: int = 0
     resumes: int = 0
     retries: int = 0
+    permits_denied: int = 0
+    limited_sends: int = 0
+    limited_refused: int = 0
     yields: int = 0
     claims_granted: int = 0
     claims_repeated: int = 0
@@ -50,6 +53,9 @@
     "tokens": "Tokens delivered.",
     "resumes": "Streams taken up again.",
     "retries": "Requests started again on another runner.",
+    "permits_denied": "Calls not allowed now to runners that name a limit.",
+    "limited_sends": "Calls sent to runners that name a limit.",
+    "limited_refused": "Calls refused as all runners have reached their limits.",
     "yields": "Generations paused by a yield.",
     "claims_granted": "Claims granted to calls that may not be repeated.",
     "claims_repeated": "Calls answered from a recorded claim.",
--- a/driftstall/decisions/permits.py
+++ b/driftstall/decisions/permits.py
@@ -105,10 +105,10 @@
     def ask(self, need: SendNeed, per_s: float, now: float) -> Verdict:
         """Give or refuse one permit; per_s is what may be given a second."""
         gap_s = 1 / max(LEAST_PER_S, per_s)
+        wait_s = self.wait_s(per_s, now)
         if now < self._quiet_until:
-            return self._deny(self._quiet_until - now, gap_s, now)
+            return self._deny(wait_s, gap_s, now)
         due_at = max(self._next_at, now - BURST * gap_s)
-        wait_s = max(0.0, due_at - now)
         if need.under_way and wait_s <= DEBT * gap_s:
             self._next_at = due_at + gap_s
             return Permit(0.0)
@@ -119,6 +119,11 @@
         self._note_rank(need, now)
         return Permit(wait_s)
 
+    def wait_s(self, per_s: float, now: float) -> float:
+        """Return how long it is until the next permit, without taking it."""
+        due_at = max(self._next_at, now - BURST / max(LEAST_PER_S, per_s), self._quiet_until)
+        return max(0.0, due_at - now)
+
     def charge(self, per_s: float, now: float) -> None:
         """Count one call that is not held back."""
         gap_s = 1 / max(LEAST_PER_S, per_s)
--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -131,9 +131,9 @@
             return self._unserved(tries)
         unlimited = [one for one in options if not one.is_limited]
         if not unlimited:
-            upstreams = [one.upstream for one in options]
+            ids = [one.upstream.upstream_id for one in options]
             request_id = self._admitted.marks.request_id
-            return self._state.rate_limiting.refusal(service, upstreams, request_id)
+            return self._state.rate_limiting.refusal(service, ids, request_id)
         first = min(unlimited, key=lambda one: gate.wait_s(one.upstream))
         wait_s = gate.wait_s(first.upstream)
         if wait_s > WAIT_FOR_COLD_SHARE * self._admitted.route.target_s:
@@ -147,21 +147,13 @@
 
     def _choose_open(self, options: list[Option]) -> Option | None:
         """Return an upstream that may be sent the call now, if there is one."""
-        limits = self._state.rate_limiting
-        left = self._state.cold_gate.open(options)
-        while left:
-            upstreams = [one.upstream for one in left]
-            waits_s = limits.patience_s(upstreams, self._patience_s())
-            closed = limits.closed(upstreams, waits_s)
-            left = [one for one in left if one.upstream.upstream_id not in closed]
-            option = choose_call(left, self._state.lot)
-            if option is None:
-                return None
-            need = SendNeed(waits_s, self._admitted.verdict.rank)
-            if limits.take_turn(option.upstream, need, self._admitted.marks.request_id):
-                return option
-            left.remove(option)
-        return None
+        return self._state.rate_limiting.take_one(
+            self._state.cold_gate.open(options),
+            lambda one: one.upstream.upstream_id,
+            lambda left: choose_call(left, self._state.lot),
+            SendNeed(self._patience_s(), self._admitted.verdict.rank),
+            self._admitted.marks.request_id,
+        )
 
     def _patience_s(self) -> float:
         """Return for how long the call can still wait for its turn at an upstream."""
@@ -272,7 +264,7 @@
                     # A surplus answer to another request; our own may still follow.
                     head = None
                     continue
-                self._state.rate_limiting.answered(upstream, marks, sent_at)
+                self._state.rate_limiting.answered(upstream.upstream_id, marks.rate_limit, sent_at)
                 if marks.not_run:
                     detail = f"turned away with {head.status}"
                     return Failure(Outcome.FULL, Fate.TURNED_AWAY, detail)
--- a/driftstall/gateway/inquiry.py
+++ b/driftstall/gateway/inquiry.py
@@ -78,7 +78,7 @@
         if now - self._asked_at.get(engine_id, float("-inf")) < ASK_EVERY_S / 2:
             return
         self._asked_at[engine_id] = now
-        self._state.rate_limiting.charge(upstream)
+        self._state.rate_limiting.charge(upstream.upstream_id)
         word = self._state.dialect.ask_word(upstream)
         if word.is_bad:
             self.take_bad(upstream, word)
--- a/driftstall/gateway/moves.py
+++ b/driftstall/gateway/moves.py
@@ -130,13 +130,13 @@
         self._hold(run, None)
         source_stays = self._state.fleet.stays(run.upstream.upstream_id)
         holder = run.upstream if source_stays else kept.copy.upstream
-        self._state.rate_limiting.charge(holder)
+        self._state.rate_limiting.charge(holder.upstream_id)
         gevent.spawn(self._state.dialect.drop_copy, holder, kept.copy.copy_of)
 
     def _step(self, run: StreamRun, target: Upstream, *, last: bool) -> MoveResult:
         """Take one step and log it."""
         started = self._state.now()
-        self._state.rate_limiting.charge(run.upstream)
+        self._state.rate_limiting.charge(run.upstream.upstream_id)
         result = self._state.dialect.move(run.upstream, run.request_id, target, last=last)
         seconds = self._state.now() - started
         failed = isinstance(result, MoveFailed)
--- a/driftstall/gateway/peering.py
+++ b/driftstall/gateway/peering.py
@@ -30,7 +30,6 @@
 from driftstall.gateway.feeds import ItemChange
 from driftstall.gateway.fleet_events import FleetAction
 from driftstall.gateway.model import Upstream
-from driftstall.gateway.permits import Permits
 from driftstall.gateway.reliance import FRESH_S, Reliance
 from driftstall.gateway.reports import MS, Reporting, Standing
 from driftstall.gateway.sharing import Intake, RoutingNotice, Sharing
@@ -38,6 +37,7 @@
 from driftstall.gateway.stream_placer import StreamPlacer
 from driftstall.helpers.blame_sharing import BlameSharing, Fleet
 from driftstall.helpers.log import say
+from driftstall.helpers.permits import Permits
 from driftstall.helpers.tasks import keep_running
 from driftstall.peers.codec import kinds_of
 from driftstall.peers.gateway_messages import (
@@ -47,9 +47,6 @@
     FleetSummary,
     GatewayMessage,
     GatewayReport,
-    PermitAsked,
-    PermitCharged,
-    PermitGiven,
     PlacementAsked,
     PlacementGiven,
     RoutingAsked,
@@ -59,6 +56,7 @@
     ZoneSummary,
 )
 from driftstall.peers.link import ANYONE, PeerLinks
+from driftstall.peers.permit_messages import PermitAsked, PermitCharged, PermitGiven
 
 PERIOD_S: Final = 0.15
 """How often the member list lets time pass: twice within the time for an answer."""
@@ -122,7 +120,14 @@
         )
         self._placer = StreamPlacer(state, roles=lambda: self._roles, send=self._send)
         state.ask_place = self._placer.place
-        self._permits = Permits(state, live=lambda: self._members.live, send=self._send)
+        self._permits = Permits(
+            self.own.instance_id,
+            state.rate_limiting,
+            now=state.now,
+            live=lambda: self._members.live,
+            upstreams=lambda: {one.upstream_id for one in state.fleet.upstreams},
+            send=self._send,
+        )
         state.rate_limiting.ask_permit = self._permits.ask
         state.rate_limiting.charge_permit = self._permits.charge
         state.rate_limiting.tell = self._reporting.tell_now
--- a/driftstall/gateway/sending.py
+++ b/driftstall/gateway/sending.py
@@ -80,7 +80,8 @@
             sent_at = self._state.now()
             run.exchange.send(call.method, call.target, headers, call.body, self._left())
             opened = self._read_head(run.exchange)
-            self._state.rate_limiting.answered(run.upstream, opened.marks, sent_at)
+            limits = self._state.rate_limiting
+            limits.answered(run.upstream.upstream_id, opened.marks.rate_limit, sent_at)
             return opened
         except UpstreamError as fault:
             return fault
--- a/driftstall/gateway/shared_budget.py
+++ b/driftstall/gateway/shared_budget.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from driftstall.decisions.instance_count import InstanceCount
 from driftstall.gateway.model import Bounds
 
 MARGIN: Final = 0.8
@@ -21,8 +22,6 @@
 """Share of the budget that is held back for such repeats at the most."""
 HEARD_S: Final = 2.5
 """A report counts for so long; a live peer repeats it each second."""
-FALL_S: Final = 30.0
-"""How long the highest number of instances seen counts; longer than any restart."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,26 +33,6 @@
     repeats: int
 
 
-class InstanceCount:
-    """Hold the highest number of instances seen lately."""
-
-    def __init__(self) -> None:
-        """Start with oneself."""
-        self._peak = 1
-        self._peak_at = 0.0
-
-    def seen(self, count: int, now: float) -> None:
-        """Take in how many instances are known now."""
-        if count >= self._peak or now - self._peak_at > FALL_S:
-            self._peak = max(1, count)
-            self._peak_at = now
-
-    @property
-    def value(self) -> int:
-        """Return the number to divide by."""
-        return self._peak
-
-
 @dataclass(frozen=True, slots=True)
 class _Heard:
     """Hold a count and when it came."""
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -14,6 +14,7 @@
 from driftstall.core import Request
 from driftstall.decisions.cold_starts import QUIET_START_S, UNTOLD_S, ColdPart, ColdStarts
 from driftstall.decisions.crash_blame import BlameBook
+from driftstall.decisions.instance_count import InstanceCount
 from driftstall.decisions.lengths import LearnedLengths
 from driftstall.decisions.placers import MOST_COMPARED
 from driftstall.gateway.cold_gate import ColdGate
@@ -24,13 +25,13 @@
 from driftstall.gateway.loads import LoadBook, Share, Use
 from driftstall.gateway.model import GatewaySettings, Service, Upstream
 from driftstall.gateway.outcomes import Outcome, OutcomeBook
-from driftstall.gateway.rate_limiting import RateLimiting
 from driftstall.gateway.routes import RouteTable
 from driftstall.gateway.runs import BrokenRun, RunBook, StreamRun
 from driftstall.gateway.selection import DRAWN, Lot, Option
-from driftstall.gateway.shared_budget import InstanceCount, RepeatCount, SharedRetryBudget
+from driftstall.gateway.shared_budget import RepeatCount, SharedRetryBudget
 from driftstall.gateway.stats import GatewayStats
 from driftstall.helpers.log import say
+from driftstall.helpers.rate_limiting import RateLimiting
 from driftstall.peers.gateway_messages import PlacementAsked, PlacementGiven
 from driftstall.policy.model import Policy
 from driftstall.util import clock
@@ -64,7 +65,10 @@
         self.source = random.Random()
         self.instances = InstanceCount()
         self.rate_limiting = RateLimiting(
-            self.stats, self.instances, now=lambda: self.now(), pause=gevent.sleep
+            self.stats,
+            instances=lambda: self.instances.value,
+            now=lambda: self.now(),
+            pause=gevent.sleep,
         )
         self.fleet_changed = Event()
         self.configured = Event()
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -109,7 +109,7 @@
     def _open(self) -> Opened | Problem:
         """Send the request to an upstream that takes it, and read the answer's head."""
         avoid: set[str] = set()
-        denied: list[Upstream] = []
+        denied: list[str] = []
         """Upstreams that take no more now."""
         limits = self._state.rate_limiting
         detail = "no upstream takes requests"
@@ -135,10 +135,12 @@
                 return refusal
             if self._history.arrived and not self._budget_allows(run.upstream):
                 break
-            if not limits.take_turn(run.upstream, self._need(waits_s), self._request_id):
+            if not limits.take_turn(
+                run.upstream.upstream_id, self._need(waits_s), self._request_id
+            ):
                 self._drop(run)
                 avoid.add(run.upstream.upstream_id)
-                denied.append(run.upstream)
+                denied.append(run.upstream.upstream_id)
                 continue
             result = self._send(run)
             if isinstance(result, Opened):
@@ -157,10 +159,10 @@
             avoid.add(run.upstream.upstream_id)
         return Problem(CODE_NO_RUNNER, 503, detail, self._history.ran, FULL_RETRY_S)
 
-    def _ready(self, avoid: set[str]) -> list[Upstream]:
+    def _ready(self, avoid: set[str]) -> list[str]:
         """Return the upstreams that take requests and have not turned this one away."""
         ready = self._state.fleet.ready(self._admitted.service.name)
-        return [one for one in ready if one.upstream_id not in avoid]
+        return [one.upstream_id for one in ready if one.upstream_id not in avoid]
 
     def _need(self, most_wait_s: float, *, under_way: bool = False) -> SendNeed:
         """Return what a send needs at an upstream that names a limit."""
@@ -331,7 +333,8 @@
             if not self._await_cold(copy.upstream):
                 continue
             need = self._need(min(TURN_WAIT_S, self._left()), under_way=True)
-            if not self._state.rate_limiting.take_turn(copy.upstream, need, self._request_id):
+            limits, engine_id = self._state.rate_limiting, copy.upstream.upstream_id
+            if not limits.take_turn(engine_id, need, self._request_id):
                 continue
             if self._refusal() is not None or not self._budget_allows(copy.upstream):
                 return None
--- a/driftstall/gateway/permits.py
+++ b/driftstall/helpers/permits.py
@@ -13,13 +13,13 @@
 from driftstall.decisions.locate import owner_of
 from driftstall.decisions.permits import Allowances, Denial, Permit, SendNeed, Verdict, heard_part
 from driftstall.decisions.rate_limits import RateLimit
-from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import say
-from driftstall.peers.gateway_messages import (
-    GatewayMessage,
+from driftstall.helpers.rate_limiting import RateLimiting
+from driftstall.peers.permit_messages import (
     PermitAsked,
     PermitCharged,
     PermitGiven,
+    PermitMessage,
 )
 
 PATIENCE_S: Final = 0.05
@@ -34,15 +34,23 @@
 
     def __init__(
         self,
-        state: GatewayState,
+        own_id: str,
+        limits: RateLimiting,
         *,
+        now: Callable[[], float],
         live: Callable[[], tuple[Instance, ...]],
-        send: Callable[[str, GatewayMessage], None],
+        upstreams: Callable[[], set[str]],
+        send: Callable[[str, PermitMessage], object],
     ) -> None:
-        """Take the shared state, the instances that live, and how to send."""
-        self._state = state
-        self._own_id = state.settings.instance_id
+        """Take the own name, what is known of limits, and the steady clock.
+
+        Live returns the instances that live, upstreams the ids of all that have not gone.
+        """
+        self._own_id = own_id
+        self._limits = limits
+        self._now = now
         self._live = live
+        self._upstreams = upstreams
         self._send = send
         self._allowances = Allowances()
         self._numbers = itertools.count(1)
@@ -83,14 +91,13 @@
 
     def tend(self) -> None:
         """Find out for which upstreams this instance gives permits; to be called often."""
-        now = self._state.now()
-        upstreams = {one.upstream_id for one in self._state.fleet.upstreams}
-        limited = self._state.rate_limiting.keep_only(upstreams)
-        self._allowances.tend({one for one in limited if self._giver(one) == self._own_id}, now)
+        limited = self._limits.keep_only(self._upstreams)
+        mine = {one for one in limited if self._giver(one) == self._own_id}
+        self._allowances.tend(mine, self._now())
 
     def answer(self, asked: PermitAsked) -> None:
         """Answer another instance."""
-        self._state.rate_limiting.heard((asked.limit,))
+        self._limits.heard((asked.limit,))
         need = SendNeed(asked.most_wait_ms / MS, asked.rank, asked.under_way)
         verdict = self._give(asked.limit.upstream_id, need)
         allowed = isinstance(verdict, Permit)
@@ -106,7 +113,7 @@
 
     def charged(self, told: PermitCharged) -> None:
         """Count a call of another instance."""
-        self._state.rate_limiting.heard((told.limit,))
+        self._limits.heard((told.limit,))
         self._charge(told.limit.upstream_id)
 
     def _giver(self, upstream_id: str) -> str:
@@ -120,17 +127,17 @@
         if per_s is None:
             # The limit has ended; the news of it are on their way.
             return Permit(0.0)
-        return self._allowances.ask(upstream_id, need, per_s, self._state.now())
+        return self._allowances.ask(upstream_id, need, per_s, self._now())
 
     def _charge(self, upstream_id: str) -> None:
         """Count a call."""
         per_s = self._per_s(upstream_id)
         if per_s is not None:
-            self._allowances.charge(upstream_id, per_s, self._state.now())
+            self._allowances.charge(upstream_id, per_s, self._now())
 
     def _per_s(self, upstream_id: str) -> float | None:
         """Return what may be given a second; None where the limit has ended."""
-        per_s = self._state.rate_limiting.per_s(upstream_id)
+        per_s = self._limits.per_s(upstream_id)
         if per_s is None:
             return None
-        return heard_part(per_s, len(self._live()), self._state.instances.value)
+        return heard_part(per_s, len(self._live()), self._limits.instances)
--- a/driftstall/gateway/rate_limiting.py
+++ b/driftstall/helpers/rate_limiting.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from dataclasses import replace
+from typing import Protocol, TypeVar
 
 from driftstall.const import CODE_NO_RUNNER, PREFIX_ROUTING
 from driftstall.core import Problem, Ran
@@ -15,24 +17,31 @@
     Verdict,
 )
 from driftstall.decisions.rate_limits import RateLimit, RateLimitBook
-from driftstall.gateway.model import AnswerMarks, Upstream
-from driftstall.gateway.shared_budget import InstanceCount
-from driftstall.gateway.stats import GatewayStats
 from driftstall.helpers.log import say
 
+Option = TypeVar("Option")
+
+
+class PermitStats(Protocol):
+    """Count what permits lead to."""
+
+    permits_denied: int
+    limited_sends: int
+    limited_refused: int
+
 
 class RateLimiting:
     """Hold what is known of limits, and ask before a request goes to who names one."""
 
     def __init__(
         self,
-        stats: GatewayStats,
-        instances: InstanceCount,
+        stats: PermitStats,
         *,
+        instances: Callable[[], int],
         now: Callable[[], float],
         pause: Callable[[float], None],
     ) -> None:
-        """Take the counters, the number of instances, the steady clock, and how to wait."""
+        """Take the counters, the most instances known lately, the steady clock, and how to wait."""
         self._stats = stats
         self._instances = instances
         self._now = now
@@ -52,6 +61,11 @@
         """Return the limits in force, by upstream, in requests a second."""
         return self._book.limited
 
+    @property
+    def instances(self) -> int:
+        """Return the most instances that were known lately."""
+        return self._instances()
+
     @property
     def told(self) -> tuple[RateLimit, ...]:
         """Return all that is known, for peers."""
@@ -61,24 +75,22 @@
         """Return the requests a second that an upstream takes; None if it names no limit."""
         return self._book.per_s(upstream_id)
 
-    def keep_only(self, upstream_ids: set[str]) -> set[str]:
+    def keep_only(self, upstream_ids: Callable[[], set[str]]) -> set[str]:
         """Forget upstreams that are gone; return those that name a limit."""
         if not self._book.told:
             return set()
-        self._book.keep_only(upstream_ids, self._now())
+        self._book.keep_only(upstream_ids(), self._now())
         limited = set(self._book.limited)
         self._denied.keep_only(limited)
         return limited
 
     # What upstreams and peers say.
 
-    def answered(self, upstream: Upstream, marks: AnswerMarks, sent_at: float) -> None:
-        """Take in the limit that an answer names, or that it names none."""
-        now, upstream_id = self._now(), upstream.upstream_id
-        if not self._book.answered(upstream_id, marks.rate_limit, sent_at, now):
-            return
-        self._say_changed(upstream_id, service=upstream.service)
-        self.tell()
+    def answered(self, upstream_id: str, per_s: float | None, sent_at: float) -> None:
+        """Take in the limit that an answer names, to a request sent then; None for no limit."""
+        if self._book.answered(upstream_id, per_s, sent_at, self._now()):
+            self._say_changed(upstream_id)
+            self.tell()
 
     def heard(self, told: Iterable[RateLimit], peer: str = "") -> bool:
         """Take in what a peer knows; return whether any of it was new."""
@@ -93,25 +105,48 @@
         """Tell whether an upstream names a limit."""
         return self._book.per_s(upstream_id) is not None
 
-    def closed(self, upstreams: Iterable[Upstream], most_wait_s: float) -> frozenset[str]:
+    def closed(self, upstream_ids: Iterable[str], most_wait_s: float) -> frozenset[str]:
         """Return which upstreams are not to be asked for by a request that can wait so long."""
         now = self._now()
         return frozenset(
-            one.upstream_id
-            for one in upstreams
-            if self.is_limited(one.upstream_id)
-            and self._denied.again_s(one.upstream_id, now) > most_wait_s
+            one
+            for one in upstream_ids
+            if self.is_limited(one) and self._denied.again_s(one, now) > most_wait_s
         )
 
-    def patience_s(self, upstreams: Iterable[Upstream], most_wait_s: float) -> float:
+    def patience_s(self, upstream_ids: Iterable[str], most_wait_s: float) -> float:
         """Return how long a request waits for a turn: not at all where an upstream needs none."""
-        if any(not self.is_limited(one.upstream_id) for one in upstreams):
+        if any(not self.is_limited(one) for one in upstream_ids):
             return 0.0
         return max(0.0, most_wait_s)
 
-    def take_turn(self, upstream: Upstream, need: SendNeed, request_id: str) -> bool:
+    def take_one(
+        self,
+        options: Iterable[Option],
+        id_of: Callable[[Option], str],
+        choose: Callable[[list[Option]], Option | None],
+        need: SendNeed,
+        request_id: str,
+    ) -> Option | None:
+        """Choose an option whose upstream may be sent the request now, if there is one.
+
+        Where another one is denied its turn, the next best is chosen.
+        """
+        left = list(options)
+        while left:
+            waits_s = self.patience_s(map(id_of, left), need.most_wait_s)
+            closed = self.closed(map(id_of, left), waits_s)
+            left = [one for one in left if id_of(one) not in closed]
+            option = choose(left)
+            if option is None:
+                return None
+            if self.take_turn(id_of(option), replace(need, most_wait_s=waits_s), request_id):
+                return option
+            left.remove(option)
+        return None
+
+    def take_turn(self, upstream_id: str, need: SendNeed, request_id: str) -> bool:
         """Get leave for one send, and wait for its turn; return whether it may be sent now."""
-        upstream_id = upstream.upstream_id
         limit = self._book.find(upstream_id)
         if limit is None or limit.per_s is None:
             return True
@@ -137,29 +172,28 @@
             PREFIX_ROUTING,
             f"A request goes to {upstream_id}, which names a limit",
             request=request_id,
-            service=upstream.service,
             per_s=limit.per_s,
             number=limit.number,
             waited_ms=int(took_s * 1000),
         )
         return True
 
-    def charge(self, upstream: Upstream) -> None:
+    def charge(self, upstream_id: str) -> None:
         """Count a call of our own to an upstream: it is not held back, but others are."""
-        limit = self._book.find(upstream.upstream_id)
+        limit = self._book.find(upstream_id)
         if limit is not None and limit.per_s is not None:
             self.charge_permit(limit)
 
-    def refusal(self, service: str, upstreams: Iterable[Upstream], request_id: str) -> Problem:
+    def refusal(self, service: str, upstream_ids: Iterable[str], request_id: str) -> Problem:
         """Return what to answer where all upstreams that are left take no more now.
 
         Each caller is told a time of its own: this instance's part of the permits comes one by one.
         """
         now = self._now()
-        ids = [one.upstream_id for one in upstreams]
+        ids = list(upstream_ids)
         first_s = min((self._denied.again_s(one, now) for one in ids), default=0.0)
         limits = [self._book.per_s(one) or 0.0 for one in ids]
-        part = sum(limits) / max(1, self._instances.value)
+        part = sum(limits) / max(1, self.instances)
         retry_s = self._returns.next_s(service, first_s, part, now)
         self._stats.limited_refused += 1
         say(
@@ -168,7 +202,7 @@
             request=request_id,
             service=service,
             limits=limits,
-            instances=self._instances.value,
+            instances=self.instances,
             retry_s=round(retry_s, 2),
         )
         detail = "all runners have reached the limits that they name"
--- a/driftstall/peers/gateway_messages.py
+++ b/driftstall/peers/gateway_messages.py
@@ -15,6 +15,7 @@
 from driftstall.gateway.model import Upstream
 from driftstall.gateway.shared_budget import RepeatCount
 from driftstall.peers.blame_messages import BlamesTold
+from driftstall.peers.permit_messages import PermitAsked, PermitCharged, PermitGiven
 
 
 @dataclass(frozen=True, slots=True)
@@ -167,41 +168,6 @@
     """Whether the stream fits the engine's memory, as far as can be forecast."""
 
 
-@dataclass(frozen=True, slots=True)
-class PermitAsked:
-    """Ask who gives leave for an upstream with a limit to send it one request."""
-
-    sender: str
-    number: int
-    """Tells the questions of one sender apart."""
-    limit: RateLimit
-    """What the sender knows of the limit, which may be news."""
-    most_wait_ms: int
-    """How long the request can wait for its turn."""
-    rank: int
-    under_way: bool
-    """Whether it is a stream that can go on nowhere else."""
-
-
-@dataclass(frozen=True, slots=True)
-class PermitGiven:
-    """Answer whether a request may be sent."""
-
-    sender: str
-    number: int
-    allowed: bool
-    wait_ms: int
-    """When it may be sent; where it may not, when to ask again."""
-
-
-@dataclass(frozen=True, slots=True)
-class PermitCharged:
-    """Tell who gives leave for an upstream of a call to it that was not held back."""
-
-    sender: str
-    limit: RateLimit
-
-
 GatewayMessage = (
     Ping
     | Ack
--- a/driftstall/peers/messages.py
+++ b/driftstall/peers/messages.py
@@ -18,6 +18,12 @@
 )
 from driftstall.controllers.membership import Ack, Ping, PingRequest
 from driftstall.peers.blame_messages import BlamesTold
+from driftstall.peers.permit_messages import (
+    PermitAsked,
+    PermitCharged,
+    PermitGiven,
+    RateLimitsTold,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,4 +68,8 @@
     | ConfigAsked
     | RunnerLeaving
     | BlamesTold
+    | PermitAsked
+    | PermitGiven
+    | PermitCharged
+    | RateLimitsTold
 )
--- a/driftstall/peers/schema.capnp
+++ b/driftstall/peers/schema.capnp
@@ -121,6 +121,7 @@
   underWay @5 :Bool;
 }
 struct PermitGiven { sender @0 :Text; number @1 :UInt64; allowed @2 :Bool; waitMs @3 :UInt32; }
+struct RateLimitsTold { sender @0 :Text; rateLimits @1 :List(RateLimit); }
 struct PermitCharged { sender @0 :Text; limit @1 :RateLimit; }
 struct UpstreamDoubted { sender @0 :Text; upstreamId @1 :Text; }
 
@@ -161,5 +162,6 @@
     permitAsked @32 :PermitAsked;
     permitGiven @33 :PermitGiven;
     permitCharged @34 :PermitCharged;
+    rateLimitsTold @35 :RateLimitsTold;
   }
 }
--- a/driftstall/runners/engine.py
+++ b/driftstall/runners/engine.py
@@ -11,6 +11,7 @@
 
 from driftstall.core import PrefixMark, Runner
 from driftstall.exceptions import UpstreamError
+from driftstall.runners.limits import rate_limit_of
 from driftstall.util.http import Exchange
 
 SILENCE_S: Final = 3.0
@@ -43,7 +44,14 @@
     """Tell that the engine has nothing to send yet, but is there."""
 
 
-EngineEvent = EngineToken | EngineEnd | EngineIdle
+@dataclass(frozen=True, slots=True)
+class EngineLimit:
+    """Tell what limit the engine names with its answer; None for none."""
+
+    per_s: float | None
+
+
+EngineEvent = EngineLimit | EngineToken | EngineEnd | EngineIdle
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +108,7 @@
         exchange.close()
         raise RunnerSaidNo(exchange.status)
     try:
+        yield [EngineLimit(rate_limit_of(exchange))]
         while True:
             events = [_read(exchange)]
             while exchange.has_event():
--- a/features/parts/soak.feature
+++ b/features/parts/soak.feature
@@ -26,6 +26,7 @@
       | an upstream got a call 3 s after its notice            | after its notice                         |
       | an upstream got a call 3.5 s after its zone was cordoned | its zone was cordoned                  |
       | a cold upstream got more calls than it bears           | requests within a second                 |
+      | an upstream got more calls than its limit allows       | takes 2 a second and got 18 requests     |
       | a request was sent on after three upstreams had ended under it | was sent on 4 times              |
       | calls that end nothing are refused for it              | 4 requests refused that end nothing      |
       | an added route is denied by a calm instance            | an added route is not known              |
@@ -44,6 +45,7 @@
       | what                                         |
       | an upstream got a call 3 s after its notice  |
       | an upstream got a call 3.5 s after its zone was cordoned |
+      | an upstream got more calls than its limit allows |
       | a request was sent on after three upstreams had ended under it |
       | calls that end nothing are refused for it    |
       | an added route is denied by a calm instance  |
--- a/features/processes/soak.feature
+++ b/features/processes/soak.feature
@@ -12,3 +12,7 @@
   Scenario: nothing is sent to upstreams that have left while connections fall silent
     Given a soak of the plan "leaving", seed 769, with 4 instances and 8 callers for 18 s
     Then it breaks no promise
+
+  Scenario: upstreams that name a limit get no more than it allows
+    Given a soak of the plan "limited", seed 21, with 4 instances and 12 callers for 24 s
+    Then it breaks no promise
--- a/features/steps/gateway_budget_steps.py
+++ b/features/steps/gateway_budget_steps.py
@@ -6,10 +6,11 @@
 
 from behave import given, then, when
 
+from driftstall.decisions.instance_count import InstanceCount
 from driftstall.gateway.model import (
     Bounds,
 )
-from driftstall.gateway.shared_budget import InstanceCount, SharedRetryBudget
+from driftstall.gateway.shared_budget import SharedRetryBudget
 
 
 @given("8 instances that share a budget of 50 repeats and a fifth of the requests")
--- a/features/steps/gateway_collector_steps.py
+++ b/features/steps/gateway_collector_steps.py
@@ -8,10 +8,11 @@
 from behave import given, then, when
 
 from driftstall.core import Instance
+from driftstall.decisions.instance_count import InstanceCount
 from driftstall.gateway.collectors import OwnReports, Roles, is_large, summed
 from driftstall.gateway.loads import FLEET, Use
 from driftstall.gateway.model import Bounds
-from driftstall.gateway.shared_budget import InstanceCount, RepeatCount, SharedRetryBudget
+from driftstall.gateway.shared_budget import RepeatCount, SharedRetryBudget
 
 
 def instance_of(index: int, link_mbps: int = 100, zone: str = "a") -> Instance:
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -26,12 +26,16 @@
     COLD_OVER,
     COLD_RATE,
     COLD_SLACK,
+    CONTACT_S,
     CORDON_S,
     FATAL_SENDS,
+    LIMIT_OVER,
+    LIMIT_SLACK,
+    LIMIT_WINDOW_S,
     broken_promises,
 )
 from soak.fleet import Listed
-from soak.ledger import Arrival, Asked, Ended, Ledger, Notice, Sort, Stay, Window
+from soak.ledger import Arrival, Asked, Ended, Ledger, Limited, Notice, Sort, Stay, Window
 from soak.plan import CALM_LAST_S, Kind, Plan, draw
 from soak.proxy import Proxy
 from soak.run import Size, Soak
@@ -147,6 +151,17 @@
         )
 
 
+def over_limit(context: Any) -> None:
+    """Let an upstream that names a limit get more than is allowed within four seconds."""
+    window = Window(LATER - CONTACT_S - 1.0, LATER + LIMIT_WINDOW_S)
+    context.ledger.limited.append(Limited("u9", 2.0, window, is_first=True))
+    for index in range(int(2.0 * LIMIT_OVER * LIMIT_WINDOW_S) + LIMIT_SLACK + 1):
+        at = LATER + index * 0.1
+        good(context.ledger, f"limit-{index}", Sort.SAFE, at)
+        arrival = replace(context.ledger.arrivals[-1], upstream_id="u9", at=at)
+        context.ledger.arrivals[-1] = arrival
+
+
 def sent_on(context: Any) -> None:
     """Let a request be sent on four times after three upstreams have ended under it."""
     target = "/stream/fatal-0"
@@ -207,6 +222,7 @@
     "an upstream got a call 3 s after its notice": late_arrival,
     "an upstream got a call 3.5 s after its zone was cordoned": in_cordon,
     "a cold upstream got more calls than it bears": cold_burst,
+    "an upstream got more calls than its limit allows": over_limit,
     "a request was sent on after three upstreams had ended under it": sent_on,
     "calls that end nothing are refused for it": refused_wrongly,
     "an added route is denied by a calm instance": lambda c: probe(c, Sort.ADDED, 404),
--- a/features/worlds/grants_world.py
+++ b/features/worlds/grants_world.py
@@ -19,6 +19,7 @@
     ResumeAsked,
     RunnerReport,
     RunnersChanged,
+    RunnersLimited,
     Tick,
     YieldAsked,
 )
@@ -35,6 +36,7 @@
     "RunnerReport",
     "CacheEvents",
     "RunnersChanged",
+    "RunnersLimited",
     "EntryLost",
     "Tick",
     "Granted",
@@ -107,8 +109,11 @@
             if turn % 10 == 5:
                 self._feed(RunnerReport("g", "engine-1", 500, MEMORY, 0, self._now))
                 self._feed(CacheEvents("g", "engine-1", ((PrefixMark(7, 64),),), (9,)))
+            if turn == 20:
+                self._feed(RunnersLimited("g", (("engine-1", 5.0),)))
             if turn == 40:
                 self._feed(RunnersChanged("g", self._runners()))
+                self._feed(RunnersLimited("g", ()))
             if turn == 50:
                 self._feed(EntryLost("nobody"))
             self._generate()
--- a/features/worlds/permit_world.py
+++ b/features/worlds/permit_world.py
@@ -18,6 +18,7 @@
 
 from driftstall.core import Instance
 from driftstall.decisions.cold_starts import ColdPart, ColdSlots
+from driftstall.decisions.instance_count import InstanceCount
 from driftstall.decisions.locate import owner_of
 from driftstall.decisions.permits import (
     Allowances,
@@ -27,8 +28,7 @@
     Verdict,
     heard_part,
 )
-from driftstall.gateway.permits import SILENT_S
-from driftstall.gateway.shared_budget import InstanceCount
+from driftstall.helpers.permits import SILENT_S
 
 UPSTREAM: Final = "u1"
 HOP_S: Final = (0.0007, 0.004)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,7 +11,8 @@
   --seconds=S    Seconds of traffic, 10 or more [default: 20].
   --plan=NAME    mixed (all kinds of faults), leaving (upstreams that leave) or zones (zones that
                  are cordoned, upstreams that start again) or crashing (requests that end each
-                 engine that runs them, and come again) [default: mixed].
+                 engine that runs them, and come again) or limited (upstreams that name how many
+                 requests they take) [default: mixed].
 
 Each seed that breaks a promise is printed with its lines and the folder of its logs.
 """
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -28,6 +28,12 @@
 """The store tells of a cold upstream at once here, and busy processes read it a little later."""
 APPLY_S: Final = 2.0
 """A configuration is in force after this time (configApplyMs)."""
+LIMIT_WINDOW_S: Final = 4.0
+LIMIT_OVER: Final = 1.5
+LIMIT_SLACK: Final = 5
+"""An upstream that names a limit may get limit x LIMIT_OVER x LIMIT_WINDOW_S + LIMIT_SLACK."""
+FALL_KNOWN_S: Final = 0.5
+"""A limit that falls counts for all after this time; an answer tells of it soon."""
 FATAL_ENDS: Final = 3
 FATAL_SENDS: Final = 3
 """What so many upstreams have ended under may be sent so often again, once all can know."""
@@ -54,6 +60,7 @@
     found += list(_after_notice(ledger))
     found += list(_in_cordon(ledger))
     found += list(_cold(ledger))
+    found += list(_limits(ledger))
     found += list(_ended_under(ledger))
     found += list(_blamed(ledger))
     found += list(_recovery(ledger))
@@ -172,6 +179,37 @@
                 break
 
 
+def _limits(ledger: Ledger) -> Iterator[str]:
+    """Check that calm instances together send upstreams no more than their limits allow.
+
+    The store's troubles are no excuse, nor are those of an instance that ended before.
+    """
+    for one in ledger.limited:
+        most = one.per_s * LIMIT_OVER * LIMIT_WINDOW_S + LIMIT_SLACK
+        known_s = CONTACT_S if one.is_first else FALL_KNOWN_S
+        since = one.window.begins + known_s + MACHINE_SLACK_S
+        times = sorted(
+            arrival.at
+            for arrival in ledger.arrivals
+            if arrival.upstream_id == one.upstream_id
+            and since <= arrival.at <= one.window.ends
+            and _runs_calm(ledger, ledger.asked[arrival.request_id].instance, arrival.at)
+        )
+        for index, at in enumerate(times):
+            count = sum(other < at + LIMIT_WINDOW_S for other in times[index:])
+            if count > most:
+                yield (
+                    f"{one.upstream_id} takes {one.per_s:g} a second and got {count} requests "
+                    f"within {LIMIT_WINDOW_S:g} s, at {at:.2f}"
+                )
+                break
+
+
+def _runs_calm(ledger: Ledger, instance: str, at: float) -> bool:
+    """Tell whether an instance was calm for long enough when it sent something."""
+    return ledger.calm(instance, at - CALM_AFTER_S, at)
+
+
 def _ended_under(ledger: Ledger) -> Iterator[str]:
     """Check that calm instances send on no more what has ended three upstreams."""
     for target in sorted({one.target for one in ledger.ended_under}):
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -15,7 +15,7 @@
 from driftstall.platform.names import KIND_UPSTREAMS
 from driftstall.platform.store import Store
 from features.worlds.upstream_samples import entry_spec
-from soak.ledger import Arrival, Ended, Ledger, Notice, Stay, Window
+from soak.ledger import Arrival, Ended, Ledger, Limited, Notice, Stay, Window
 from soak.plan import Plan
 from soak.proxy import Proxy
 from stand_ins.routed import RoutedUpstream, Script, Seen
@@ -29,9 +29,14 @@
     Plan.LEAVING: (3.0, 12.0),
     Plan.ZONES: (3.0, 6.0),
     Plan.CRASHING: (2.5, 6.0),
+    Plan.LIMITED: (2.5, 6.0),
 }
 """For how long an upstream serves on after its notice: drainMs and a little longer, at times many
 seconds. Only one that serves on shows who still sends to it."""
+LIMITS: Final = (0.5, 1.5, 2.1, 4.0)
+"""Requests a second that upstreams name."""
+FALLS_TO: Final = 0.5
+"""Share of its limit that an upstream names in the second half of that time."""
 COLD_S: Final = 2.5
 """How long an upstream is cold after it has started again."""
 LAPSE_S: Final = 1.5
@@ -145,6 +150,21 @@
         for one in self.all:
             one.upstream.break_off(for_s)
 
+    def limit(self, for_s: float) -> None:
+        """Name a limit with all answers for a while, and a lower one in the second half."""
+        upstream = self.upstream
+        if upstream.rate_limit is not None:
+            return
+        per_s = self._source.choice(LIMITS)
+        for limit, is_first in ((per_s, True), (per_s * FALLS_TO, False)):
+            upstream.rate_limit = limit
+            began = time.monotonic()
+            gevent.sleep(for_s / 2)
+            window = Window(began, time.monotonic())
+            named = Limited(upstream.upstream_id, limit, window, is_first)
+            self._ledger.limited.append(named)
+        upstream.rate_limit = None
+
     def leave(self) -> None:
         """Say so in the store, serve on for a while and end; another one comes."""
         old, proxy = self.upstream, self.proxy
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -82,6 +82,17 @@
     window: Window
 
 
+@dataclass(frozen=True, slots=True)
+class Limited:
+    """Hold how many requests a second an upstream said it takes, and for how long it did."""
+
+    upstream_id: str
+    per_s: float
+    window: Window
+    is_first: bool
+    """Whether it named no limit before; else it named a higher one."""
+
+
 @dataclass(frozen=True, slots=True)
 class Ended:
     """Hold that an upstream has ended under a request that ends each one."""
@@ -103,6 +114,7 @@
     cordoned: list[Stay] = field(default_factory=list)
     """From the store's acknowledgement until the order to free the zone."""
     cold: list[Stay] = field(default_factory=list)
+    limited: list[Limited] = field(default_factory=list)
     ended_under: list[Ended] = field(default_factory=list)
     disturbed: dict[str, list[Window]] = field(default_factory=lambda: defaultdict(list))
     """By name of an instance or an upstream, or STORE."""
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -43,6 +43,8 @@
     CORDON = "a zone is cordoned"
     START_AGAIN = "upstream starts again under its name"
     """It is cold then, and holds nothing of before."""
+    LIMIT = "upstream names a limit"
+    """It tells with its answers how many requests a second it takes; less, after a while."""
 
 
 class Plan(StrEnum):
@@ -58,6 +60,8 @@
     CRASHING = "crashing"
     """Requests that end each engine that runs them and come again, beside ordinary streams that are
     all alike, with few other faults."""
+    LIMITED = "limited"
+    """Upstreams that name for a while how many requests they take, with few other faults."""
 
 
 class Fault(StrEnum):
@@ -144,14 +148,30 @@
     Kind.STORE_DOWN: 0.5,
     Kind.UPSTREAM_LINK: 0.5,
 }
+LIMITED_WEIGHTS: Final[dict[Kind, float]] = {
+    Kind.LIMIT: 5.0,
+    Kind.KILL: 1.0,
+    Kind.STOP: 0.5,
+    Kind.PAUSE: 1.0,
+    Kind.LEAVE: 1.0,
+    Kind.CRASH: 0.5,
+    Kind.BREAK_OFF: 0.5,
+    Kind.STORE_LINK: 0.5,
+    Kind.STORE_DOWN: 0.5,
+}
 PLAN_WEIGHTS: Final = {
+    Plan.LIMITED: LIMITED_WEIGHTS,
     Plan.LEAVING: LEAVING_WEIGHTS,
     Plan.ZONES: ZONES_WEIGHTS,
     Plan.CRASHING: CRASHING_WEIGHTS,
 }
+LIMIT_FOR_S: Final = (8.0, 14.0)
+"""For how long an upstream names a limit: longer than the time within which all must know."""
 CORDON_FOR_S: Final = (4.0, 9.0)
 """For how long a zone is cordoned: longer than the time within which all must know."""
 
+LASTS: Final = {Kind.CORDON: CORDON_FOR_S, Kind.LIMIT: LIMIT_FOR_S}
+
 
 def draw(
     seed: int, *, instances: int, upstreams: int, seconds: float, plan: Plan = Plan.MIXED
@@ -212,8 +232,9 @@
         Kind.CRASH,
         Kind.START_AGAIN,
         Kind.BREAK_OFF,
+        Kind.LIMIT,
     )
     target = pick(upstreams if of_upstream else instances)
-    lasts = CORDON_FOR_S if kind is Kind.CORDON else (0.2, 3.0)
+    lasts = LASTS.get(kind, (0.2, 3.0))
     for_s = min(source.uniform(*lasts), max(0.1, last - at))
     return Step(at, kind, target, for_s, source.choice(list(Fault)))
--- a/soak/run.py
+++ b/soak/run.py
@@ -178,6 +178,7 @@
             Kind.CONFIGURE: lambda _: self._spawn(self._configure),
             Kind.CORDON: lambda one: self._spawn(self._cordon, one),
             Kind.START_AGAIN: lambda one: self._change_fleet(one, "start_again"),
+            Kind.LIMIT: lambda one: self._spawn(self._fleet[one.target].limit, one.for_s),
             Kind.SILENCE: lambda _: self._silence(range(len(self._instances))),
             Kind.SILENCE_ONE: lambda one: self._silence([one.target]),
         }
