Add failing tests: the store comes back from an older copy

The store's stand-in takes copies, comes back from them, names its era and answers 410 to a watch from a revision that it does not have.

--- /dev/null
+++ b/features/steps/store_return_steps.py
@@ -0,0 +1,347 @@
+"""Check on real processes what holds after the store has come back from an older copy."""
+
+from __future__ import annotations
+
+import itertools
+import re
+import time
+from collections.abc import Callable
+from typing import Any, Final
+
+import gevent
+from behave import given, then, when
+
+from driftstall.exceptions import PlatformUnavailable
+from driftstall.platform.names import (
+    KIND_CONFIG,
+    KIND_INSTANCES,
+    KIND_POLICY,
+    KIND_UPSTREAMS,
+    NAME_CONFIG,
+    NAME_POLICY,
+)
+from driftstall.platform.policies import PolicyStore
+from driftstall.platform.store import Store
+from features.steps.gateway_node_steps import start_node, wait_long
+from features.worlds.gateway_world import HOST, document, route
+from features.worlds.upstream_samples import entry_spec
+from measures.bench import Bench
+from stand_ins.routed import RoutedUpstream
+
+CONTACT_S: Final = 3.0
+ASK_PAUSE_S: Final = 0.03
+SETTLED_S: Final = 1.0
+"""Time in which instances have read what the store tells on a calm day."""
+KEPT: Final = ("p-1", "p-2")
+"""Upstreams that stay throughout."""
+NUMBERS: Final = itertools.count(1)
+POLICY: Final = (
+    'policy "later" {\n  rule all {\n    rank 1;\n    wait at most 5s;\n    may refuse;\n  }\n}\n'
+)
+EARLIER: Final = POLICY.replace("later", "earlier")
+
+
+@given("a store that can come back from a copy, with {count:d} upstreams and 4 gateway processes")
+def start_all(context: Any, count: int) -> None:
+    """Start everything; two of the upstreams are not listed yet."""
+    bench = context.store_bench = Bench()
+    context.add_cleanup(bench.close)
+    context.store_address = bench.start_platform().address
+    context.store = Store(context.store_address)
+    context.version = 3
+    context.store.create(KIND_CONFIG, NAME_CONFIG, document(context.version))
+    context.upstreams = {f"p-{n}": RoutedUpstream(f"p-{n}") for n in range(1, count + 1)}
+    for one in context.upstreams.values():
+        context.add_cleanup(one.stop)
+    for name in (*KEPT, "p-3"):
+        put(context, name)
+    context.nodes = []
+    for _ in range(4):
+        seeds = [one.listen["control"] for one in context.nodes]
+        bounds = {"contactMs": CONTACT_S * 1000, "drainMs": 2000, "graceS": 2, "ttl_max_s": 1}
+        start_node(context, context.store_address, seeds=seeds, bounds=bounds)
+    fronts = {one.listen["front"] for one in context.nodes}
+    for node in context.nodes:
+        wait_long(f"{node.name} is ready", node.ready)
+        wait_long(f"{node.name} locates all", lambda one=node: one.located(HOST) == fronts)
+    control(context, {"copy": True})
+
+
+def control(context: Any, script: dict[str, Any]) -> None:
+    """Script the store."""
+    context.store_bench.platform.control(script)
+
+
+def put(context: Any, name: str) -> None:
+    """List a portal."""
+    spec = entry_spec(context.upstreams[name].address, "portal", slots=6)
+    until_taken(lambda: context.store.create(KIND_UPSTREAMS, name, spec))
+
+
+def until_taken(write: Callable[[], Any]) -> None:
+    """Write again and again until the store answers."""
+    until = time.monotonic() + 5.0
+    while True:
+        try:
+            write()
+            return
+        except PlatformUnavailable:
+            assert time.monotonic() < until
+            gevent.sleep(0.02)
+
+
+def configure(context: Any) -> None:
+    """Write the configuration once more, with a newer version."""
+    context.version += 1
+    wanted = document(context.version)
+    wanted["routes"].append(route("added", f"/added{context.version}/", "safe", "portal"))
+    until_taken(lambda: context.store.replace(KIND_CONFIG, NAME_CONFIG, wanted))
+
+
+def arrivals(context: Any, name: str) -> int:
+    """Return how many requests an upstream has got."""
+    return len(context.upstreams[name].arrivals)
+
+
+def ask_all(context: Any, path: str = "/safe/a", times: int = 1) -> list[int]:
+    """Ask each instance; return the statuses."""
+    return [
+        node.ask(path, f"era-{next(NUMBERS)}").status
+        for node in context.nodes
+        for _ in range(times)
+    ]
+
+
+@given("{count:d} changes were made after the copy, a policy and an upstream's among them")
+def changes_made(context: Any, count: int) -> None:
+    """Change objects of another kind, a policy and an entry, and let the instances read on."""
+    for number in range(count):
+        context.store.create("other", f"o-{number}", {})
+    change_entry(context)
+    submit(context, EARLIER)
+    has_policy_in(context, 5.0, "earlier")
+    configure(context)
+    wait_long("it is in force", lambda: in_force(context))
+
+
+def change_entry(context: Any) -> None:
+    """Let an upstream change what it says of itself."""
+    spec = entry_spec(context.upstreams["p-3"].address, "portal", slots=5)
+    until_taken(lambda: context.store.replace(KIND_UPSTREAMS, "p-3", spec))
+
+
+def in_force(context: Any) -> bool:
+    """Tell whether all instances serve the newest route."""
+    return all(one == 200 for one in ask_all(context, f"/added{context.version}/x"))
+
+
+@when("the store comes back from the copy after {away:g} s away")
+def come_back(context: Any, away: float) -> None:
+    """Let it; the configuration is written again as operators do."""
+    control(context, {"come_back": True, "down_s": away})
+    gevent.sleep(away)
+    context.back_at = time.monotonic()
+    context.writes = context.store_bench.platform.stats()["writes"]
+    wanted = document(context.version)
+    wanted["routes"].append(route("added", f"/added{context.version}/", "safe", "portal"))
+    until_taken(lambda: context.store.replace(KIND_CONFIG, NAME_CONFIG, wanted))
+    change_entry(context)
+
+
+@when(
+    "the store comes back from the copy after {away:g} s away, and {count:d} changes are made at"
+    " once"
+)
+def come_back_and_change(context: Any, away: float, count: int) -> None:
+    """Let all revisions that were seen be given out again before anyone can notice."""
+    address = context.upstreams["p-4"].address
+    spec = entry_spec(address, "portal", slots=6)
+    written = [{"kind": KIND_UPSTREAMS, "name": "p-4", "spec": spec}]
+    written += [{"kind": "other", "name": f"again-{n}", "spec": {}} for n in range(count)]
+    control(context, {"come_back": True, "down_s": away, "written_at_once": written})
+    context.back_at = time.monotonic()
+    change_entry(context)
+    gevent.sleep(SETTLED_S)
+
+
+@then("a policy that is submitted then is in force at all instances within {seconds:g} s")
+def policy_then(context: Any, seconds: float) -> None:
+    """Submit one."""
+    gevent.sleep(SETTLED_S)
+    submit(context, POLICY)
+    has_policy_in(context, seconds, "later")
+
+
+def submit(context: Any, text: str) -> None:
+    """Submit a policy."""
+    assert PolicyStore(context.store_address).submit(text, None) is not None
+
+
+def policy_of(node: Any) -> str:
+    """Return the policy that came into force last at an instance."""
+    found = re.findall(r"configuration: Policy '(\w+)' is in force", node.log.read_text())
+    return found[-1] if found else ""
+
+
+def has_policy_in(context: Any, seconds: float, name: str) -> None:
+    """Wait until all have it in force."""
+    until = time.monotonic() + seconds
+    while any(policy_of(node) != name for node in context.nodes):
+        assert time.monotonic() < until, [policy_of(node) for node in context.nodes]
+        gevent.sleep(0.05)
+
+
+@then("a configuration that is written then is in force at all instances within {seconds:g} s")
+def configuration_then(context: Any, seconds: float) -> None:
+    """Write one."""
+    configure(context)
+    until = time.monotonic() + seconds
+    while not in_force(context):
+        assert time.monotonic() < until
+        gevent.sleep(0.05)
+
+
+@then("an upstream that is listed then takes requests at all instances within {seconds:g} s")
+def upstream_then(context: Any, seconds: float) -> None:
+    """List one."""
+    put(context, "p-4")
+    used_by_all(context, "p-4", time.monotonic() + seconds)
+
+
+@then("an upstream that was listed at once takes requests at all instances within {seconds:g} s")
+def upstream_at_once(context: Any, seconds: float) -> None:
+    """Use it."""
+    used_by_all(context, "p-4", context.back_at + seconds)
+
+
+def used_by_all(context: Any, name: str, until: float) -> None:
+    """Wait until each instance has sent it something."""
+    for node in context.nodes:
+        before = arrivals(context, name)
+        while arrivals(context, name) == before:
+            assert time.monotonic() < until, f"{node.name} does not use {name}"
+            node.ask("/safe/a", f"era-{next(NUMBERS)}")
+
+
+@then("an upstream that is removed then gets nothing from {seconds:g} s after that")
+def removal_then(context: Any, seconds: float) -> None:
+    """Remove one, and ask on for some seconds."""
+    until_taken(lambda: context.store.delete(KIND_UPSTREAMS, "p-3"))
+    ask_until(context, time.monotonic() + seconds)
+    gets_nothing(context, "p-3")
+
+
+def ask_until(context: Any, until: float) -> None:
+    """Ask all instances again and again."""
+    while time.monotonic() < until:
+        ask_all(context)
+        gevent.sleep(ASK_PAUSE_S)
+
+
+def gets_nothing(context: Any, name: str) -> None:
+    """Ask for two seconds more, in which an upstream gets nothing."""
+    before = arrivals(context, name)
+    ask_until(context, time.monotonic() + 2.0)
+    assert arrivals(context, name) == before, arrivals(context, name) - before
+
+
+@given("an upstream was removed after the copy")
+def removed_after(context: Any) -> None:
+    """Remove it, and wait until nobody uses it."""
+    context.name = "p-3"
+    context.store.delete(KIND_UPSTREAMS, "p-3")
+    ask_until(context, time.monotonic() + 2.5)
+    context.before = arrivals(context, "p-3")
+
+
+@when("it is removed again {seconds:g} s later")
+def removed_again(context: Any, seconds: float) -> None:
+    """Ask on meanwhile."""
+    ask_until(context, time.monotonic() + seconds)
+    until_taken(lambda: context.store.delete(KIND_UPSTREAMS, context.name))
+
+
+@then("it gets nothing from now on")
+def nothing_since(context: Any) -> None:
+    """Nor has it got anything since it was removed first."""
+    gets_nothing(context, context.name)
+    assert arrivals(context, context.name) == context.before
+
+
+@given("an upstream was listed after the copy")
+def listed_after(context: Any) -> None:
+    """List it, and wait until all use it."""
+    put(context, "p-4")
+    used_by_all(context, "p-4", time.monotonic() + 3.0)
+
+
+@when("it is listed again {seconds:g} s later")
+def listed_again(context: Any, seconds: float) -> None:
+    """Look whether all use it until then."""
+    context.unused = []
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        for node in context.nodes:
+            before = arrivals(context, "p-4")
+            for _ in range(20):
+                node.ask("/safe/a", f"era-{next(NUMBERS)}")
+            if arrivals(context, "p-4") == before:
+                context.unused.append((node.name, time.monotonic() - context.back_at))
+    put(context, "p-4")
+
+
+@then("all instances went on to use it")
+def went_on(context: Any) -> None:
+    """Look at what was found, and ask once more."""
+    assert not context.unused, context.unused
+    ask_until(context, time.monotonic() + 2.0)
+    used_by_all(context, "p-4", time.monotonic() + 1.0)
+
+
+@given("all 4 instances were listed, and a policy submitted, after the copy")
+def copy_before(context: Any) -> None:
+    """Take their entries away from the copy, which is taken anew without them."""
+    names = [node.name for node in context.nodes]
+    for name in names:
+        wait_long(f"{name} is listed", lambda one=name: context.store.get(KIND_INSTANCES, one))
+    specs = {name: context.store.get(KIND_INSTANCES, name).spec for name in names}
+    for name in names:
+        context.store.delete(KIND_INSTANCES, name)
+    control(context, {"copy": True})
+    for name, spec in specs.items():
+        context.store.create(KIND_INSTANCES, name, spec)
+    submit(context, POLICY)
+    has_policy_in(context, 5.0, "later")
+
+
+@then("the store lists {count:d} instances within {seconds:g} s")
+def lists_instances(context: Any, count: int, seconds: float) -> None:
+    """Wait for them."""
+    until = context.back_at + seconds
+    while len(context.store.list(KIND_INSTANCES).objects) < count:
+        assert time.monotonic() < until, context.store.list(KIND_INSTANCES).objects
+        gevent.sleep(0.1)
+
+
+@then("it holds that policy within {seconds:g} s")
+def holds_policy(context: Any, seconds: float) -> None:
+    """Wait for it."""
+    until = context.back_at + seconds
+    while context.store.get(KIND_POLICY, NAME_POLICY) is None:
+        assert time.monotonic() < until, "the policy is not there"
+        gevent.sleep(0.1)
+    spec = context.store.get(KIND_POLICY, NAME_POLICY).spec
+    assert spec == {"text": POLICY}
+
+
+@then("that policy is in force at all instances")
+def still_policy(context: Any) -> None:
+    """Look which one came into force last."""
+    assert all(policy_of(node) == "later" for node in context.nodes)
+
+
+@then("at most {most:d} writes were made meanwhile")
+def few_writes(context: Any, most: int) -> None:
+    """Count."""
+    writes = context.store_bench.platform.stats()["writes"] - context.writes
+    assert writes <= most, writes
--- a/stand_ins/platform.py
+++ b/stand_ins/platform.py
@@ -74,6 +74,16 @@
     gone: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Copy:
+    """Hold what the store held at one moment."""
+
+    objects: dict[tuple[str, str], dict[str, Any]]
+    history: tuple[Change, ...]
+    forgotten: int
+    revision: int
+
+
 @dataclass(slots=True)
 class Platform:
     """Serve the object store from memory."""
@@ -86,6 +96,9 @@
     forgotten: int = 0
     """The revision up to which the history is gone."""
     revision: int = 0
+    era: int = 1
+    """Rises by one each time that the store comes back from a copy."""
+    copy: Copy | None = None
     faults: Faults = field(default_factory=Faults)
     changed: Event = field(default_factory=Event)
 
@@ -94,6 +107,7 @@
         path, method = environ["PATH_INFO"], environ["REQUEST_METHOD"]
         if path.startswith("/control"):
             return self._control(environ, start, path)
+        start = self._naming_era(start)
         if self.faults.slow_s:
             gevent.sleep(self.faults.slow_s)
         if time.monotonic() < self.faults.down_until:
@@ -107,6 +121,33 @@
             return self._read(environ, start, kind, name)
         return self._write(environ, start, method, kind, name)
 
+    def _naming_era(self, start: StartResponse) -> StartResponse:
+        """Have all answers name the era in which they are given."""
+
+        def named(status: str, headers: list[tuple[str, str]]) -> Any:
+            return start(status, [*headers, ("Store-Era", str(self.era))])
+
+        return named
+
+    def _take_copy(self) -> None:
+        """Remember all that is held now."""
+        self.copy = Copy(dict(self.objects), tuple(self.history), self.forgotten, self.revision)
+
+    def _come_back(self, written_at_once: list[dict[str, Any]]) -> None:
+        """Hold what the copy holds; what was written since is gone, and its revisions as well.
+
+        What is written at once is there before any watch has noticed the return.
+        """
+        assert self.copy is not None
+        self.objects = dict(self.copy.objects)
+        self.history = list(self.copy.history)
+        self.forgotten, self.revision = self.copy.forgotten, self.copy.revision
+        self.era += 1
+        for one in written_at_once:
+            self._change(one["kind"], one["name"], one["spec"], gone=False)
+        self.changed.set()
+        self.changed.clear()
+
     def _read(
         self, environ: dict[str, Any], start: StartResponse, kind: str, name: str
     ) -> Iterable[bytes]:
@@ -131,8 +172,8 @@
         """Answer when something of the kind has changed after a revision."""
         ends = time.monotonic() + wait_s
         while True:
-            if at < self.forgotten:
-                return answer(start, 410, {"error": "the history is gone"})
+            if at < self.forgotten or at > self.revision:
+                return answer(start, 410, {"error": "there is no such history"})
             if time.monotonic() < self.faults.down_until:
                 return answer(start, 503, {"error": "down"})
             events = [
@@ -201,6 +242,10 @@
         script = read_json(environ)
         if "down_s" in script:
             self.faults.down_until = time.monotonic() + script["down_s"]
+        if script.get("copy"):
+            self._take_copy()
+        if script.get("come_back"):
+            self._come_back(script.get("written_at_once", []))
         if script.get("forget"):
             self.forgotten = self.revision
             self.history.clear()
