--- a/driftstall/cli/store_commands.py
+++ b/driftstall/cli/store_commands.py
@@ -11,6 +11,7 @@
 import orjson
 
 from driftstall.cli.tables import print_table
+from driftstall.decisions.store_versions import StoreVersion
 from driftstall.exceptions import PlatformUnavailable
 from driftstall.platform.policies import PolicyStore
 from driftstall.policy.default import default_policy
@@ -52,7 +53,7 @@
     """Check a policy and put it in force everywhere."""
     text = Path(options["FILE"]).read_text()
     policy = parse_policy(text)
-    base = int(options["--base"]) if options["--base"] else None
+    base = StoreVersion.parse(options["--base"]) if options["--base"] else None
     revision = store.submit(text, base)
     if revision is None:
         print(f"driftstall: revision {store.revision()} is newer than your base", file=sys.stderr)
--- a/driftstall/gateway/cordon_source.py
+++ b/driftstall/gateway/cordon_source.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from driftstall.const import PREFIX_ROUTING
+from driftstall.decisions.store_versions import StoreVersion
 from driftstall.gateway.cordons import Cordon, Cordons, CordonsChanged
 from driftstall.gateway.feeds import ItemChange
 from driftstall.gateway.sources import PEER, PLATFORM
@@ -27,9 +28,9 @@
         self._apply = apply
         self._announce = announce
 
-    def listed(self, items: tuple[Cordon, ...], at: int) -> None:
+    def listed(self, items: tuple[Cordon, ...], at: StoreVersion) -> None:
         """Take in the whole list, as of a revision."""
-        self._take(self._state.cordons.take(Cordons(at, items)), PLATFORM)
+        self._take(self._state.cordons.take(Cordons(at, items), keeps=self._keeps()), PLATFORM)
         self._state.check_configured()
 
     def changed(self, change: ItemChange[Cordon]) -> None:
@@ -40,7 +41,7 @@
     def heard(self, told: Cordons) -> None:
         """Take in what a peer knows."""
         knew = self._state.cordons.known
-        self._take(self._state.cordons.take(told), PEER)
+        self._take(self._state.cordons.take(told, keeps=self._keeps()), PEER)
         if not knew:
             self._state.check_configured()
 
@@ -52,6 +53,10 @@
         """Log that the platform answers again."""
         say(PREFIX_ROUTING, "The platform's list of cordoned zones is in reach")
 
+    def _keeps(self) -> bool:
+        """Tell whether the store may still lack what operators have written."""
+        return self._state.eras.in_doubt(self._state.now())
+
     def _take(self, changed: CordonsChanged, source: str) -> None:
         """Put in force what has changed."""
         if not changed:
--- a/driftstall/gateway/cordons.py
+++ b/driftstall/gateway/cordons.py
@@ -10,7 +10,9 @@
 from dataclasses import dataclass
 from typing import Final
 
-UNREAD: Final = 0
+from driftstall.decisions.store_versions import NO_VERSION, StoreVersion
+
+UNREAD: Final = NO_VERSION
 """Stands for the revision of a list that was never read."""
 
 
@@ -19,14 +21,14 @@
     """Name a cordoned zone, and the revision at which it was cordoned."""
 
     zone: str
-    revision: int
+    revision: StoreVersion
 
 
 @dataclass(frozen=True, slots=True)
 class Cordons:
     """Hold all cordons as of a revision."""
 
-    at: int = UNREAD
+    at: StoreVersion = UNREAD
     cordons: tuple[Cordon, ...] = ()
 
 
@@ -47,7 +49,7 @@
 
     def __init__(self) -> None:
         """Start without any."""
-        self._revisions: dict[str, int] = {}
+        self._revisions: dict[str, StoreVersion] = {}
         self._at = UNREAD
 
     @property
@@ -66,14 +68,17 @@
         found = sorted(self._revisions.items())
         return Cordons(self._at, tuple(Cordon(zone, revision) for zone, revision in found))
 
-    def take(self, told: Cordons) -> CordonsChanged:
-        """Take in a whole list, of the platform or of a peer; return what has changed."""
+    def take(self, told: Cordons, *, keeps: bool = False) -> CordonsChanged:
+        """Take in a whole list, of the platform or of a peer; return what has changed.
+
+        Where it keeps what is known, the list may lack what still holds.
+        """
         before = self.zones
         for one in told.cordons:
             self._put(one)
         named = {one.zone for one in told.cordons}
         for zone, revision in list(self._revisions.items()):
-            if zone not in named and revision <= told.at:
+            if zone not in named and revision <= told.at and not keeps:
                 del self._revisions[zone]
         self._at = max(self._at, told.at)
         return _difference(before, self.zones)
@@ -95,7 +100,7 @@
         """Keep a cordon, unless it was lifted since by what is known here."""
         known = self._revisions.get(cordon.zone)
         if known is not None or cordon.revision > self._at:
-            self._revisions[cordon.zone] = max(known or 0, cordon.revision)
+            self._revisions[cordon.zone] = max(known or UNREAD, cordon.revision)
 
 
 def _difference(before: frozenset[str], after: frozenset[str]) -> CordonsChanged:
--- a/driftstall/gateway/crash_keeping.py
+++ b/driftstall/gateway/crash_keeping.py
@@ -59,6 +59,11 @@
         """Remove what is kept of a request that has ended well."""
         gevent.spawn(self._try, lambda: self._kept.remove(fingerprint))
 
+    def write_again(self) -> None:
+        """Write down all requests that are sent to no upstream: the store may have lost them."""
+        for fingerprint in self._state.blame.refused(self._state.now()):
+            self.convicted(fingerprint)
+
     def _read(self) -> None:
         """Take in what is kept."""
         roles = self._roles()
--- a/driftstall/gateway/feeds.py
+++ b/driftstall/gateway/feeds.py
@@ -10,6 +10,7 @@
 import gevent
 
 from driftstall.const import PREFIX_CONFIGURATION
+from driftstall.decisions.store_versions import StoreVersion
 from driftstall.exceptions import HistoryGone, PlatformUnavailable
 from driftstall.helpers.log import say
 
@@ -31,7 +32,7 @@
     """Hold all items of a kind, and the revision that a watch goes on from."""
 
     items: tuple[Item, ...]
-    at: int
+    at: StoreVersion
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,7 +48,7 @@
     """Hold the changes since a revision, in order."""
 
     changes: tuple[ItemChange[Item], ...]
-    at: int
+    at: StoreVersion
 
 
 class Feed(Protocol[Item]):
@@ -56,14 +57,14 @@
     def list(self) -> Snapshot[Item]:
         """Return all items."""
 
-    def watch(self, at: int, wait_s: float) -> Changes[Item]:
+    def watch(self, at: StoreVersion, wait_s: float) -> Changes[Item]:
         """Wait for changes after a revision; raise HistoryGone if they are forgotten."""
 
 
 class Listener(Protocol[Item]):
     """Take in what a follower learns."""
 
-    def listed(self, items: tuple[Item, ...], at: int) -> None:
+    def listed(self, items: tuple[Item, ...], at: StoreVersion) -> None:
         """Take in all items, as of a revision."""
 
     def changed(self, change: ItemChange[Item]) -> None:
@@ -109,8 +110,9 @@
         self._source = source
         self._pace = pace
         self._sleep = sleep
-        self._at: int | None = None
+        self._at: StoreVersion | None = None
         self._failures = 0
+        self._lists_next = False
 
     @property
     def current(self) -> bool:
@@ -132,8 +134,14 @@
                 say(PREFIX_CONFIGURATION, f"What the platform told could not be taken in: {detail}")
                 self._sleep(DEFECT_PAUSE_S)
 
+    def list_again(self) -> None:
+        """Read the whole list with the next call."""
+        self._lists_next = True
+
     def step(self) -> None:
         """Make one call and pass on what it brought, or wait where none is to be made."""
+        if self._lists_next:
+            self._at, self._lists_next = None, False
         hold_s = self._pace.hold_s() if self._at is not None else 0.0
         if hold_s > 0:
             self._sleep(min(hold_s, HOLD_CHECK_S))
@@ -155,7 +163,7 @@
         self._at = snapshot.at
         self._listener.listed(snapshot.items, snapshot.at)
 
-    def _watch(self, at: int) -> None:
+    def _watch(self, at: StoreVersion) -> None:
         """Wait for changes."""
         answer = self._feed.watch(at, self._pace.watch_s())
         self._answered()
--- a/driftstall/gateway/fleet.py
+++ b/driftstall/gateway/fleet.py
@@ -16,6 +16,7 @@
 
 from driftstall.decisions.cold_starts import UNTOLD_S
 from driftstall.decisions.engine_words import DOUBTED_S
+from driftstall.decisions.store_versions import DOUBT_S, NO_VERSION, StoreVersion
 from driftstall.gateway.fleet_events import (
     Changed,
     Cordoned,
@@ -27,6 +28,7 @@
     Period,
     PlatformBack,
     PlatformLost,
+    StoreReturned,
     UpstreamCold,
     UpstreamJoined,
     UpstreamLeaving,
@@ -63,7 +65,7 @@
 
     upstream: Upstream
     """As it was known; only its name where it was not."""
-    revision: int
+    revision: StoreVersion
     at: float
     leaving_since: float
 
@@ -83,12 +85,14 @@
         self._cordoned: frozenset[str] = frozenset()
         self._down = False
         self._back_at = float("-inf")
+        self._returned_at = float("-inf")
+        """When the store came back from an older copy, as far as is known."""
         self._actions: list[FleetAction] = []
         self._read = False
-        self._at = 0
-        self._told_to = 0
+        self._at = NO_VERSION
+        self._told_to = NO_VERSION
         """The revision up to which the platform itself has told this instance everything."""
-        self._offered_to = 0
+        self._offered_to = NO_VERSION
         """The newest revision as of which a peer has given its list."""
         self._digest: int | None = None
 
@@ -98,8 +102,8 @@
         return self._read
 
     @property
-    def at(self) -> int:
-        """Return the newest revision seen in any entry."""
+    def at(self) -> StoreVersion:
+        """Return the newest version seen in any entry."""
         return self._at
 
     @property
@@ -281,6 +285,10 @@
             self._down = False
             self._back_at = now
 
+    @_on.register
+    def _(self, event: StoreReturned, now: float) -> None:
+        self._returned_at = now
+
     @_on.register
     def _(self, event: Period, now: float) -> None:
         for entry in list(self._entries.values()):
@@ -318,6 +326,8 @@
         buried = self._gone.get(upstream.name)
         if buried is not None and buried.revision >= upstream.revision:
             return
+        if self._is_of_copy(upstream, now):
+            return
         if upstream.born < self._latest_start(upstream.name):
             # A late heartbeat of the start before may come after the first one of this.
             return
@@ -359,7 +369,7 @@
         self._actions.append(UpstreamCold(later, UNTOLD_S, is_assumed=True))
 
     def _remove(
-        self, name: str, revision: int, now: float, since: float, *, certain: bool = False
+        self, name: str, revision: StoreVersion, now: float, since: float, *, certain: bool = False
     ) -> None:
         """Take an upstream for leaving whose entry is no longer there, perhaps since then."""
         entry = self._entries[name]
@@ -373,7 +383,21 @@
 
     def _in_grace(self, now: float) -> bool:
         """Tell whether an entry that is missing may only have lapsed during an outage."""
-        return self._down or now - self._back_at < LAPSE_GRACE_S
+        return self._down or now - self._back_at < LAPSE_GRACE_S or self._in_doubt(now)
+
+    def _in_doubt(self, now: float) -> bool:
+        """Tell whether the store may still hold less than is true, and what has gone since."""
+        return now - self._returned_at < DOUBT_S
+
+    def _is_of_copy(self, upstream: Upstream, now: float) -> bool:
+        """Tell whether an entry may be a copy's of an upstream that has left since then."""
+        if not self._in_doubt(now) or upstream.state is not UpstreamState.READY:
+            return False
+        entry, gone = self._entries.get(upstream.name), self._gone.get(upstream.name)
+        if entry is not None:
+            left = not entry.is_listed and entry.missing_since is None
+            return left and upstream.revision.era > entry.upstream.revision.era
+        return gone is not None and upstream.revision.era > gone.revision.era
 
     def _leave(self, entry: _Entry, since: float) -> None:
         """Mark an upstream as leaving and say so once.
@@ -392,7 +416,7 @@
         entry.doubted_until = None
         self._actions.append(UpstreamJoined(entry.upstream))
 
-    def _bury(self, upstream: Upstream, revision: int, now: float) -> None:
+    def _bury(self, upstream: Upstream, revision: StoreVersion, now: float) -> None:
         """Forget an upstream, but not that it is gone."""
         entry = self._entries.pop(upstream.name, None)
         before = self._gone.get(upstream.name)
--- a/driftstall/gateway/fleet_events.py
+++ b/driftstall/gateway/fleet_events.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from driftstall.decisions.store_versions import NO_VERSION, StoreVersion
 from driftstall.gateway.model import Upstream
 
 
@@ -12,7 +13,7 @@
     """Take in the platform's whole list."""
 
     upstreams: tuple[Upstream, ...]
-    at: int = 0
+    at: StoreVersion = NO_VERSION
     """The platform's revision as of which it is the whole list."""
     unheard_s: float = 0.0
     """For how long the platform had not answered before; what is new may be as old."""
@@ -23,7 +24,7 @@
     """Take in the list of a peer that follows the platform: all that take requests."""
 
     upstreams: tuple[Upstream, ...]
-    at: int
+    at: StoreVersion
     """The newest revision that the peer has seen; it cannot tell of what is newer."""
 
 
@@ -56,6 +57,11 @@
     """Learn that the platform answers again."""
 
 
+@dataclass(frozen=True, slots=True)
+class StoreReturned:
+    """Learn that the platform's store has come back from an older copy."""
+
+
 @dataclass(frozen=True, slots=True)
 class Cordoned:
     """Learn which availability zones are cordoned now, and of which that has just ended."""
@@ -69,7 +75,17 @@
     """Let time pass."""
 
 
-FleetEvent = Listed | Offered | Changed | Doubted | Cordoned | PlatformLost | PlatformBack | Period
+FleetEvent = (
+    Listed
+    | Offered
+    | Changed
+    | Doubted
+    | Cordoned
+    | StoreReturned
+    | PlatformLost
+    | PlatformBack
+    | Period
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/driftstall/gateway/model.py
+++ b/driftstall/gateway/model.py
@@ -6,6 +6,8 @@
 from enum import StrEnum
 from typing import Final
 
+from driftstall.decisions.store_versions import StoreVersion
+
 Header = tuple[bytes, bytes]
 Headers = tuple[Header, ...]
 
@@ -130,9 +132,9 @@
 
 @dataclass(frozen=True, slots=True)
 class PolicyText:
-    """Hold a submitted policy; revisions only grow."""
+    """Hold a submitted policy."""
 
-    revision: int
+    revision: StoreVersion
     text: str
 
 
@@ -158,7 +160,7 @@
     zone: str
     slots: int
     state: UpstreamState
-    revision: int
+    revision: StoreVersion
     """The version of the platform's entry that told so."""
     born: int = 0
     """When it started, in milliseconds of the time of day; zero if it does not say so."""
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -36,6 +36,7 @@
 from driftstall.gateway.model import GatewaySettings, PolicyText, RoutingText, Upstream
 from driftstall.gateway.moves import Mover
 from driftstall.gateway.peering import Peering
+from driftstall.gateway.policy_keeping import KeptPolicy, PolicyKeeper
 from driftstall.gateway.protection import Protection
 from driftstall.gateway.reliance import (
     FRESH_S,
@@ -53,6 +54,7 @@
     UpstreamSource,
 )
 from driftstall.gateway.state import GatewayState
+from driftstall.gateway.store_return import StoreReturn
 from driftstall.helpers.log import BoundedWriter, say
 from driftstall.helpers.tasks import keep_running
 from driftstall.policy.model import Policy
@@ -87,6 +89,9 @@
     old_instances: Feed[Instance]
     """The same as it was some seconds ago, at a low price."""
     crashes: KeptCrashes
+    policy: KeptPolicy
+    hear_eras: Callable[[Callable[[int], None]], None]
+    """Has somebody told of each new era of the platform's store."""
     register: Callable[[Instance], None]
     withdraw: Callable[[str], None]
     use_address: Callable[[str], None]
@@ -172,6 +177,19 @@
             access.cordons, self._cordons, source, self._cordon_pace(settings)
         )
         self._instances = InstanceSource(self._peering.found)
+        self._store_return = StoreReturn(
+            self.state,
+            own_id=settings.instance_id,
+            live=lambda: self._peering.live,
+            doubts=self._upstreams.store_returned,
+            settled=self._list_again,
+        )
+        self._policy_keeper = PolicyKeeper(self._policies, access.policy)
+        self.state.era_told = self._store_return.seen
+        access.hear_eras(self._store_return.seen)
+        self._store_return.writes_again(lambda: access.register(self._peering.own))
+        self._store_return.one_writes_again("policy", self._policy_keeper.write_again)
+        self._store_return.one_writes_again("crashes", self._crash_keeper.write_again)
         self._drain = Drain(self.state)
         self._callers = CallerListener(self.state, mover, self._drain, self._is_current)
         self._ready = SmallListener(settings.ready_listen, ReadyAnswers(self.state))
@@ -262,6 +280,16 @@
                 say(PREFIX_MEMBERSHIP, f"The platform's list of instances is out of reach: {fault}")
                 gevent.sleep(REGISTER_PAUSE_S * (1 + self.state.source.random()))
 
+    def _list_again(self) -> None:
+        """Read all lists anew: what the store lacks by now is gone."""
+        for follower in (
+            self._routing_follower,
+            self._upstream_follower,
+            self._cordon_follower,
+            self._policy_follower,
+        ):
+            follower.list_again()
+
     def _gauges(self) -> dict[str, float]:
         """Return what has a value now, for the metrics page."""
         return {
@@ -276,6 +304,8 @@
             "routing_age_seconds": min(LONGEST_AGE_S, self._routing_pace.age_s),
             "platform_ok": float(self._follows(self._upstream_follower, self._upstream_pace)),
             "requests_refused_for_crashes": len(self.state.blame.refused(self.state.now())),
+            "store_era": self.state.eras.era,
+            "store_returns": self.state.eras.returns,
             "collects": float(self._roles().collects),
             "log_lines_dropped": self._log.dropped_in_all,
         }
--- a/driftstall/gateway/peering.py
+++ b/driftstall/gateway/peering.py
@@ -26,6 +26,7 @@
 )
 from driftstall.core import Instance
 from driftstall.decisions.rate_limits import RateLimit
+from driftstall.decisions.store_versions import NO_VERSION
 from driftstall.gateway.collectors import Roles
 from driftstall.gateway.feeds import ItemChange
 from driftstall.gateway.fleet_events import FleetAction
@@ -131,7 +132,7 @@
         state.rate_limiting.ask_permit = self._permits.ask
         state.rate_limiting.charge_permit = self._permits.charge
         state.rate_limiting.tell = self._reporting.tell_now
-        self.policy_revision = 0
+        self.policy_revision = NO_VERSION
         """The newest revision of the policy that a collector has told of."""
 
     @property
@@ -318,6 +319,7 @@
 
     @_take.register
     def _(self, report: GatewayReport) -> None:
+        self._state.era_told(report.store_era)
         self._take_limits(report.rate_limits)
         self._sharing.take_cordons(report.cordons)
         self._placer.reported(report.sender)
@@ -329,6 +331,7 @@
 
     @_take.register
     def _(self, summary: ZoneSummary) -> None:
+        self._state.era_told(summary.store_era)
         self._take_limits(summary.rate_limits)
         self._sharing.take_cordons(summary.cordons)
         # A follower knows the platform's list better than any other collector.
@@ -341,6 +344,7 @@
 
     @_take.register
     def _(self, summary: FleetSummary) -> None:
+        self._state.era_told(summary.store_era)
         self._take_limits(summary.rate_limits)
         self._sharing.take_cordons(summary.cordons)
         if self._roles.collects:
--- a/driftstall/gateway/reports.py
+++ b/driftstall/gateway/reports.py
@@ -15,6 +15,7 @@
 
 from driftstall.const import PREFIX_MEMBERSHIP
 from driftstall.core import Instance
+from driftstall.decisions.store_versions import StoreVersion
 from driftstall.gateway.collectors import OwnReports, Roles, summed
 from driftstall.gateway.loads import FLEET, POOLED
 from driftstall.gateway.shared_budget import RepeatCount
@@ -50,7 +51,7 @@
     """Hold what this instance knows of the platform, for its reports."""
 
     routing_version: int
-    policy_revision: int
+    policy_revision: StoreVersion
     platform_ok: bool
     platform_age_s: float
     """How long ago the platform last answered."""
@@ -147,6 +148,7 @@
             number,
             self._state.cordons.told,
             self._state.rate_limiting.told,
+            self._state.eras.era,
         )
         roles = self._roles()
         self._broadcast(roles.own_collectors if roles.large else self._live(), report)
@@ -219,6 +221,7 @@
             summed([*self._reported_repeats(fresh), *self._state.repeat_counts()]),
             self._state.cordons.told,
             self._state.rate_limiting.told,
+            self._state.eras.era,
         )
 
     def _fleet_summary(self) -> FleetSummary:
@@ -241,6 +244,7 @@
             tuple(ReportAck(one.report.sender, one.report.number) for one in fresh),
             self._state.cordons.told,
             self._state.rate_limiting.told,
+            self._state.eras.era,
         )
 
     def _least_age(self, standing: Standing) -> float:
--- a/driftstall/gateway/sharing.py
+++ b/driftstall/gateway/sharing.py
@@ -16,6 +16,7 @@
 
 from driftstall.const import PREFIX_CONFIGURATION, PREFIX_ROUTING
 from driftstall.core import Instance
+from driftstall.decisions.store_versions import StoreVersion
 from driftstall.gateway.collectors import Roles
 from driftstall.gateway.cordons import Cordons
 from driftstall.gateway.feeds import ItemChange
@@ -65,7 +66,7 @@
     take_routing: Callable[[str], None]
     take_news: Callable[[ItemChange[Upstream]], None]
     take_doubt: Callable[[str], None]
-    take_fleet: Callable[[tuple[Upstream, ...], int], None]
+    take_fleet: Callable[[tuple[Upstream, ...], StoreVersion], None]
     """Take in all upstreams that take requests, as of a revision."""
     take_cordons: Callable[[Cordons], None]
 
--- a/driftstall/gateway/sources.py
+++ b/driftstall/gateway/sources.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from functools import singledispatchmethod
 from typing import Final, Protocol
 
 from driftstall.const import PREFIX_CONFIGURATION, PREFIX_MEMBERSHIP, PREFIX_ROUTING
 from driftstall.core import Instance
+from driftstall.decisions.store_versions import NO_VERSION, StoreVersion
 from driftstall.exceptions import DriftstallError, PolicyError
 from driftstall.gateway.cordons import CordonsChanged
 from driftstall.gateway.feeds import ItemChange
@@ -22,6 +24,7 @@
     Period,
     PlatformBack,
     PlatformLost,
+    StoreReturned,
     UpstreamCold,
     UpstreamJoined,
     UpstreamLeaving,
@@ -32,6 +35,8 @@
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import say
 
+EARLIER_KEPT: Final = 8
+"""Policies remembered that others have followed: a copy of the store is some seconds old."""
 PLATFORM: Final = "platform"
 PEER: Final = "peer"
 UPSTREAM: Final = "upstream"
@@ -71,7 +76,7 @@
         """Return the document in force as it is passed on."""
         return self._text
 
-    def listed(self, items: tuple[RoutingText, ...], at: int) -> None:
+    def listed(self, items: tuple[RoutingText, ...], at: StoreVersion) -> None:
         """Take in the stored documents."""
         for item in items:
             self._take(item, PLATFORM)
@@ -123,14 +128,29 @@
     def __init__(self, state: GatewayState) -> None:
         """Take the shared state."""
         self._state = state
-        self._revision = 0
+        self._revision = NO_VERSION
+        self._held: PolicyText | None = None
+        self._earlier: deque[PolicyText] = deque(maxlen=EARLIER_KEPT)
+        """Policies that were in force before; a copy of the store may hold one of them."""
 
     @property
-    def revision(self) -> int:
-        """Return the revision in force; zero if none was submitted."""
+    def held(self) -> PolicyText | None:
+        """Return the submitted policy that holds; None if none was submitted."""
+        return self._held
+
+    def is_earlier(self, item: PolicyText) -> bool:
+        """Tell whether a stored policy is one that another one has followed, from an older copy."""
+        return any(
+            one.text == item.text and one.revision.revision == item.revision.revision
+            for one in self._earlier
+        )
+
+    @property
+    def revision(self) -> StoreVersion:
+        """Return the version in force; zero if none was submitted."""
         return self._revision
 
-    def listed(self, items: tuple[PolicyText, ...], at: int) -> None:
+    def listed(self, items: tuple[PolicyText, ...], at: StoreVersion) -> None:
         """Take in the stored policies."""
         for item in items:
             self._take(item)
@@ -152,6 +172,21 @@
         """Put a newer policy in force, if it is a right one."""
         if item.revision <= self._revision:
             return
+        if self.is_earlier(item):
+            say(
+                PREFIX_CONFIGURATION,
+                "The store holds an earlier policy again; the one in force stays",
+                revision=item.revision,
+                in_force=self._revision,
+            )
+            return
+        if self._held is not None:
+            if self._held.text == item.text:
+                # Written again after the store's return.
+                self._held, self._revision = item, item.revision
+                return
+            self._earlier.append(self._held)
+        self._held = item
         # Loaded only where there is a policy to parse: it would slow each start down.
         from driftstall.policy.parse import parse_policy
 
@@ -192,7 +227,7 @@
         self._announce = announce
         self._silence = silence
 
-    def listed(self, items: tuple[Upstream, ...], at: int) -> None:
+    def listed(self, items: tuple[Upstream, ...], at: StoreVersion) -> None:
         """Take in the whole list, as of a revision."""
         self._apply(Listed(items, at, self._silence()))
         self._state.check_configured()
@@ -209,7 +244,7 @@
         """Take in one change from a peer."""
         self._apply(Changed(change.item, change.gone, from_peer=True), from_peer=True)
 
-    def offered(self, items: tuple[Upstream, ...], at: int) -> None:
+    def offered(self, items: tuple[Upstream, ...], at: StoreVersion) -> None:
         """Take in a peer's list of all that take requests, as of a revision."""
         self._apply(Offered(items, at), from_peer=True)
         self._state.check_configured()
@@ -234,6 +269,11 @@
         self._apply(PlatformBack())
         self._announce()
 
+    def store_returned(self) -> None:
+        """Learn that the store has come back from an older copy."""
+        self._apply(StoreReturned())
+        self._announce()
+
     def period(self) -> None:
         """Let time pass."""
         self._apply(Period())
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -17,6 +17,7 @@
 from driftstall.decisions.instance_count import InstanceCount
 from driftstall.decisions.lengths import LearnedLengths
 from driftstall.decisions.placers import MOST_COMPARED
+from driftstall.decisions.store_versions import StoreEras
 from driftstall.gateway.cold_gate import ColdGate
 from driftstall.gateway.cordons import CordonBook
 from driftstall.gateway.dialect import Dialect
@@ -54,6 +55,7 @@
         self.table: RouteTable | None = None
         self.fleet = FleetController()
         self.cordons = CordonBook()
+        self.eras = StoreEras()
         self.cold = ColdStarts()
         self.exchanges = OpenExchanges()
         self.loads = LoadBook()
@@ -86,6 +88,8 @@
         """Takes a run that broke off though its upstream was to stay."""
         self.blame_changed: Callable[[], None] = _tell_nobody
         """Has peers told which requests ran beside crashes."""
+        self.era_told: Callable[[int], None] = _ignore_era
+        """Takes an era that a peer knows of the platform's store."""
         self.crash_cleared: Callable[[str], None] = _ignore_fingerprint
         """Takes a request that is held to have crashed upstreams no more."""
         self.lot = Lot(self.source)
@@ -288,6 +292,10 @@
     """Keep nothing of it."""
 
 
+def _ignore_era(_: int) -> None:
+    """Take an era that nobody asks about."""
+
+
 def _tell_nobody() -> None:
     """Tell nobody."""
 
--- a/driftstall/helpers/log.py
+++ b/driftstall/helpers/log.py
@@ -15,6 +15,7 @@
 import orjson
 from eliot import add_destinations, log_message
 
+from driftstall.decisions.store_versions import StoreVersion
 from driftstall.util import clock
 
 MAX_LINES_PER_S: Final = 300
@@ -93,6 +94,9 @@
 
 def say(prefix: str, sentence: str, **fields: Any) -> None:
     """Log a sentence; nothing secret goes into it."""
+    for name, value in fields.items():
+        if isinstance(value, StoreVersion):
+            fields[name] = str(value)
     log_message(
         message_type=f"driftstall:{prefix.rstrip(':')}", message=f"{prefix} {sentence}", **fields
     )
--- a/driftstall/peers/codec.py
+++ b/driftstall/peers/codec.py
@@ -28,6 +28,7 @@
 
 import capnp
 
+from driftstall.decisions.store_versions import StoreVersion
 from driftstall.exceptions import MessageError
 from driftstall.peers.envelope import Envelope
 from driftstall.util.signing import MAC_BYTES, mac
@@ -39,7 +40,7 @@
 """The quickest level: messages are small and many."""
 HEADER: Final = struct.Struct(">I")
 TRAVERSAL_WORDS: Final = 2_000_000
-PROTOCOL: Final = b"DRIFT\x07"
+PROTOCOL: Final = b"DRIFT\x08"
 """The protocol and its version."""
 FAR_FUTURE: Final = 1e300
 """Stands for an infinite time on the wire."""
@@ -108,6 +109,8 @@
         return _Field(name, wire, _to_wire, lambda value: _from_wire(hint, value), False)
     if isinstance(hint, type) and issubclass(hint, StrEnum):
         return _Field(name, wire, str, hint, False)
+    if hint is StoreVersion:
+        return _Field(name, wire, int, StoreVersion, False)
     if hint is float:
         return _Field(name, wire, _finite, _infinite, False)
     return _Field(name, wire, _same, _same, False)
--- a/driftstall/peers/gateway_messages.py
+++ b/driftstall/peers/gateway_messages.py
@@ -10,6 +10,7 @@
 
 from driftstall.controllers.membership import Ack, Ping, PingRequest
 from driftstall.decisions.rate_limits import RateLimit
+from driftstall.decisions.store_versions import StoreVersion
 from driftstall.gateway.cordons import Cordons
 from driftstall.gateway.loads import Use
 from driftstall.gateway.model import Upstream
@@ -34,6 +35,8 @@
     cordons: Cordons
     rate_limits: tuple[RateLimit, ...]
     """What upstreams have named, as far as the sender knows."""
+    store_era: int
+    """The newest era of the platform's store that the sender knows."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +65,7 @@
     repeats: tuple[RepeatCount, ...]
     cordons: Cordons
     rate_limits: tuple[RateLimit, ...]
+    store_era: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,7 +74,7 @@
 
     sender: str
     routing_version: int
-    policy_revision: int
+    policy_revision: StoreVersion
     platform_age_ms: int
     """How long ago the platform last answered any collector that the sender hears."""
     fleet_digest: int
@@ -82,6 +86,7 @@
     acks: tuple[ReportAck, ...]
     cordons: Cordons
     rate_limits: tuple[RateLimit, ...]
+    store_era: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,7 +118,7 @@
     """Pass on all upstreams that take requests."""
 
     sender: str
-    at: int
+    at: StoreVersion
     """The newest revision that the sender has seen; what is newer is not in the list."""
     upstreams: tuple[Upstream, ...]
 
--- a/driftstall/peers/schema.capnp
+++ b/driftstall/peers/schema.capnp
@@ -78,21 +78,21 @@
 struct GatewayReport {
   sender @0 :Text; ready @1 :Bool; platformOk @2 :Bool; routingVersion @3 :UInt64;
   uses @4 :List(Use); repeats @5 :List(RepeatCount); number @6 :UInt32; cordons @7 :Cordons;
-  rateLimits @8 :List(RateLimit);
+  rateLimits @8 :List(RateLimit); storeEra @9 :UInt32;
 }
 struct ReportAck { instanceId @0 :Text; number @1 :UInt32; }
 struct ZoneSummary {
   sender @0 :Text; zone @1 :Text; routingVersion @2 :UInt64; platformAgeMs @3 :UInt32;
   fleetDigest @4 :UInt64; instances @5 :UInt32; ready @6 :List(Text); uses @7 :List(Use);
   repeats @8 :List(RepeatCount); cordons @9 :Cordons;
-  rateLimits @10 :List(RateLimit);
+  rateLimits @10 :List(RateLimit); storeEra @11 :UInt32;
 }
 struct FleetSummary {
   sender @0 :Text; routingVersion @1 :UInt64; policyRevision @2 :UInt64;
   platformAgeMs @3 :UInt32; fleetDigest @4 :UInt64; instances @5 :UInt32;
   ready @6 :List(Text); uses @7 :List(Use); repeats @8 :List(RepeatCount);
   acks @9 :List(ReportAck); cordons @10 :Cordons;
-  rateLimits @11 :List(RateLimit);
+  rateLimits @11 :List(RateLimit); storeEra @12 :UInt32;
 }
 struct Upstream {
   name @0 :Text; service @1 :Text; address @2 :Text; zone @3 :Text; slots @4 :UInt64;
--- a/driftstall/platform/__main__.py
+++ b/driftstall/platform/__main__.py
@@ -54,6 +54,8 @@
         instances=feeds.instance_feed(store),
         old_instances=feeds.instance_feed(store, stale=True),
         crashes=StoredCrashes(store),
+        policy=feeds.StoredPolicy(store),
+        hear_eras=store.hear_eras,
         register=lambda instance: feeds.register_instance(store, instance),
         withdraw=lambda instance_id: feeds.withdraw_instance(store, instance_id),
         use_address=store.use_address,
--- a/driftstall/platform/client.py
+++ b/driftstall/platform/client.py
@@ -11,9 +11,10 @@
 from typing import Any, Final
 
 from driftstall.decisions.freshness import longest_wait_s
+from driftstall.decisions.store_versions import StoreVersion
 from driftstall.exceptions import PlatformUnavailable
 from driftstall.platform import names
-from driftstall.platform.store import Store, WatchEvent
+from driftstall.platform.store import Store, StoredObject, WatchEvent
 
 CATCH_UP_S: Final = 3.0
 """How long an instance may go on with what it knew while its connection is dead; an accepted
@@ -77,7 +78,7 @@
         stored = self._store.get(*_place(key))
         if stored is None:
             return VersionedValue(key, 0, None)
-        return VersionedValue(key, stored.revision, stored.spec)
+        return VersionedValue(key, stored.revision.revision, stored.spec)
 
     def put(self, key: str, value: Any, expected: int) -> WriteResult:
         """Write a value if its version is still the expected one."""
@@ -85,7 +86,8 @@
         kind, name = _place(key)
         try:
             if expected:
-                stored = self._store.replace(kind, name, value, expected)
+                at = StoreVersion.of(self._store.era, expected)
+                stored = self._store.replace(kind, name, value, at)
             else:
                 stored = self._store.create(kind, name, value)
         except PlatformUnavailable as fault:
@@ -94,7 +96,7 @@
             return WriteResult(WriteState.UNKNOWN)
         if stored is None:
             return WriteResult(WriteState.CONFLICT)
-        return WriteResult(WriteState.DONE, stored.revision)
+        return WriteResult(WriteState.DONE, stored.revision.revision)
 
     def watch(self, key: str, after: int) -> tuple[int, tuple[VersionedValue, ...]]:
         """Wait for changes of a key's kind after a revision; zero reads what is there."""
@@ -102,10 +104,10 @@
         kind, _ = _place(key)
         if not after:
             listing = self._store.list(kind)
-            values = [VersionedValue(one.name, one.revision, one.spec) for one in listing.objects]
-            return listing.at, tuple(values)
-        answer = self._store.watch(kind, after, WATCH_S)
-        return answer.at, tuple(_value(event) for event in answer.events if not event.gone)
+            values = [_versioned(one) for one in listing.objects]
+            return listing.at.revision, tuple(values)
+        answer = self._store.watch(kind, StoreVersion.of(self._store.era, after), WATCH_S)
+        return answer.at.revision, tuple(_value(event) for event in answer.events if not event.gone)
 
     def members(self) -> tuple[ListedMember, ...]:
         """Return the platform's list of instances and runners."""
@@ -133,5 +135,9 @@
 
 def _value(event: WatchEvent) -> VersionedValue:
     """Return the value that a change has brought."""
-    changed = event.changed
-    return VersionedValue(changed.name, changed.revision, changed.spec)
+    return _versioned(event.changed)
+
+
+def _versioned(stored: StoredObject) -> VersionedValue:
+    """Return an object as one of the product's own values."""
+    return VersionedValue(stored.name, stored.revision.revision, stored.spec)
--- a/driftstall/platform/documents.py
+++ b/driftstall/platform/documents.py
@@ -7,6 +7,7 @@
 
 import voluptuous as vol
 
+from driftstall.decisions.store_versions import StoreVersion
 from driftstall.exceptions import DriftstallError
 from driftstall.gateway.model import (
     Engine,
@@ -236,7 +237,7 @@
     )
 
 
-def read_upstream(upstream_name: str, revision: int, spec: Any) -> Upstream:
+def read_upstream(upstream_name: str, revision: StoreVersion, spec: Any) -> Upstream:
     """Decode an upstream's own entry; raise DocumentFault."""
     try:
         found = _UPSTREAM(spec)
@@ -255,7 +256,7 @@
         raise DocumentFault(f"it names no upstream to use: {fault}") from fault
 
 
-def gone_upstream(upstream_name: str, revision: int) -> Upstream:
+def gone_upstream(upstream_name: str, revision: StoreVersion) -> Upstream:
     """Return what is told of an upstream whose entry was removed: only which one it was."""
     return Upstream(
         name=upstream_name,
--- a/driftstall/platform/feeds.py
+++ b/driftstall/platform/feeds.py
@@ -11,6 +11,7 @@
 
 from driftstall.const import PREFIX_CONFIGURATION
 from driftstall.core import Instance
+from driftstall.decisions.store_versions import StoreVersion
 from driftstall.gateway.cordons import Cordon
 from driftstall.gateway.feeds import Changes, ItemChange, Snapshot
 from driftstall.gateway.model import PolicyText, RoutingText, Upstream
@@ -60,7 +61,7 @@
         items = [self._item(one) for one in listing.objects if self._is_meant(one)]
         return Snapshot(tuple(item for item in items if item is not None), listing.at)
 
-    def watch(self, at: int, wait_s: float) -> Changes[Item]:
+    def watch(self, at: StoreVersion, wait_s: float) -> Changes[Item]:
         """Wait for changes after a revision."""
         answer = self._store.watch(self._kind, at, wait_s)
         meant = (event for event in answer.events if self._is_meant(event.changed))
@@ -142,6 +143,29 @@
     return KindFeed(store, names.KIND_INSTANCES, _instance, stale=stale)
 
 
+class StoredPolicy:
+    """Read and write the submitted policy; each call may raise PlatformUnavailable."""
+
+    def __init__(self, store: Store) -> None:
+        """Take the store."""
+        self._store = store
+
+    def read(self) -> PolicyText | None:
+        """Return what is stored; None where nothing is, or nothing that can be read."""
+        stored = self._store.get(names.KIND_POLICY, names.NAME_POLICY)
+        try:
+            return _policy_text(stored) if stored else None
+        except DocumentFault:
+            return None
+
+    def write(self, text: str, instead_of: PolicyText | None) -> bool:
+        """Store a policy, unless something else is there by now; return whether it is stored."""
+        kind, name, spec = names.KIND_POLICY, names.NAME_POLICY, {"text": text}
+        if instead_of is None:
+            return self._store.create(kind, name, spec) is not None
+        return self._store.replace(kind, name, spec, instead_of.revision) is not None
+
+
 def register_instance(store: Store, instance: Instance) -> None:
     """Write this instance's own entry, or raise PlatformUnavailable."""
     spec = {
--- a/driftstall/platform/names.py
+++ b/driftstall/platform/names.py
@@ -63,6 +63,9 @@
 )
 """Headers that only the system may set; what a caller sends in them is dropped."""
 
+HEADER_ERA: Final = "store-era"
+"""Rises each time that the store has come back from an older copy; in all its answers."""
+
 PATH_READY: Final = "/api/ready"
 PATH_LOCATE: Final = "/api/resolve"
 PATH_OBJECTS: Final = "/api/objects"
--- a/driftstall/platform/policies.py
+++ b/driftstall/platform/policies.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from driftstall.decisions.store_versions import NO_VERSION, StoreVersion
 from driftstall.platform import names
 from driftstall.platform.feeds import instance_feed, upstream_feed
 from driftstall.platform.store import Store
@@ -23,16 +24,16 @@
         stored = self._store.get(names.KIND_POLICY, names.NAME_POLICY)
         return str(stored.spec[TEXT]) if stored else ""
 
-    def revision(self) -> int:
-        """Return the submitted policy's revision; zero if there is none."""
+    def revision(self) -> StoreVersion:
+        """Return the submitted policy's version; zero if there is none."""
         stored = self._store.get(names.KIND_POLICY, names.NAME_POLICY)
-        return stored.revision if stored else 0
+        return stored.revision if stored else NO_VERSION
 
-    def submit(self, text: str, base: int | None) -> int | None:
-        """Store a policy; return its revision, or None if the base is not the newest."""
+    def submit(self, text: str, base: StoreVersion | None) -> StoreVersion | None:
+        """Store a policy; return its version, or None if the base is not the newest."""
         kind, name, spec = names.KIND_POLICY, names.NAME_POLICY, {TEXT: text}
         stored = None
-        if base != 0:
+        if base is None or base:
             stored = self._store.replace(kind, name, spec, base)
         if stored is None and not base:
             stored = self._store.create(kind, name, spec)
--- a/driftstall/platform/store.py
+++ b/driftstall/platform/store.py
@@ -9,6 +9,7 @@
 import json
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from functools import partial
 from http import HTTPStatus
 from typing import Any, Final, TypeVar
 from urllib.parse import quote, urlencode
@@ -18,6 +19,7 @@
 
 from driftstall.const import PREFIX_CONFIGURATION
 from driftstall.decisions.freshness import ANSWER_MARGIN_S
+from driftstall.decisions.store_versions import StoreVersion
 from driftstall.exceptions import HistoryGone, PlatformUnavailable, UpstreamError
 from driftstall.helpers.log import say
 from driftstall.platform import names
@@ -30,6 +32,8 @@
 on the weakest links (5 Mbit/s), which it shares with all streams."""
 MOST_SHOWN: Final = 200
 """Characters of an object that can't be read which are logged."""
+NO_ERA: Final = 0
+"""The era of a store that names none."""
 NOTHING_DONE: Final = frozenset({HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS})
 
 
@@ -41,8 +45,8 @@
     """Hold one object of the store."""
 
     name: str
-    revision: int
-    """The store's revision at the object's last change."""
+    revision: StoreVersion
+    """The store's version at the object's last change."""
     spec: Any
 
 
@@ -51,8 +55,8 @@
     """Hold all objects of a kind."""
 
     objects: tuple[StoredObject, ...]
-    at: int
-    """The revision from which a watch sees all that follows."""
+    at: StoreVersion
+    """The version from which a watch sees all that follows."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,7 +72,16 @@
     """Hold the changes since a revision, in order."""
 
     events: tuple[WatchEvent, ...]
-    at: int
+    at: StoreVersion
+
+
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """Hold one answer of the store."""
+
+    status: int
+    body: Any
+    era: int
 
 
 class Store:
@@ -76,6 +89,8 @@
 
     def __init__(self, address: str, token: str = "") -> None:
         """Take the store's address, IP and port, and an access token if it wants one."""
+        self._era_seen: Callable[[int], None] | None = None
+        self._era: int | None = None
         self._address = address
         self._headers = {"Authorization": f"Bearer {token}"} if token else {}
         self._calls = 0
@@ -85,6 +100,15 @@
         """Return how many calls were made."""
         return self._calls
 
+    @property
+    def era(self) -> int:
+        """Return the newest era that an answer has named; zero where none has."""
+        return self._era or NO_ERA
+
+    def hear_eras(self, era_seen: Callable[[int], None]) -> None:
+        """Have somebody told of each era that an answer is the first to name."""
+        self._era_seen = era_seen
+
     def use_address(self, address: str) -> None:
         """Call another address from now on."""
         self._address = address
@@ -97,16 +121,19 @@
         found: list[StoredObject] = []
         fixed = {"stale": "1"} if stale else {}
         query = dict(fixed)
-        at: int | None = None
+        at: StoreVersion | None = None
         while True:
-            body = self._read(_path(kind, query=query))
+            body, era = self._read(_path(kind, query=query))
+            if at is not None and era != at.era:
+                # The pages are of two eras: no watch from here would miss nothing.
+                raise HistoryGone
             rows = _rows(body, "items")
-            readable = _readable(rows, _object)
+            readable = _readable(rows, partial(_object, era=era))
             if rows and not readable:
                 raise PlatformUnavailable("no row of an answer can be read")
             found += readable
             # Later pages may be newer; a watch from the first page's revision misses nothing.
-            at = _revision(body) if at is None else at
+            at = _revision(body, era) if at is None else at
             last = _last_name(body)
             if not body.get("more") or not last:
                 return Listing(tuple(found), at)
@@ -114,17 +141,23 @@
 
     def get(self, kind: str, name: str) -> StoredObject | None:
         """Return one object, or None if there is none."""
-        status, body = self._call("GET", _path(kind, name))
-        if status == HTTPStatus.NOT_FOUND:
+        answer = self._call("GET", _path(kind, name))
+        if answer.status == HTTPStatus.NOT_FOUND:
             return None
-        return _object(_checked(status, body))
-
-    def watch(self, kind: str, at: int, wait_s: float) -> WatchAnswer:
-        """Wait for changes after a revision; raise HistoryGone if they are forgotten."""
-        query = {"watch": str(at), "waitMs": str(int(wait_s * 1000))}
-        body = self._read(_path(kind, query=query), wait_s + ANSWER_MARGIN_S)
-        rows, until = _rows(body, "events"), _revision(body)
-        events = tuple(_readable(rows, _event))
+        return _object(_checked(answer), era=answer.era)
+
+    def watch(self, kind: str, at: StoreVersion, wait_s: float) -> WatchAnswer:
+        """Wait for changes after a version; raise HistoryGone if they are forgotten.
+
+        So it does where the store has come back meanwhile: the revision may name another change
+        now, and what happened before it is not told.
+        """
+        query = {"watch": str(at.revision), "waitMs": str(int(wait_s * 1000))}
+        body, era = self._read(_path(kind, query=query), wait_s + ANSWER_MARGIN_S)
+        if era != at.era:
+            raise HistoryGone
+        rows, until = _rows(body, "events"), _revision(body, era)
+        events = tuple(_readable(rows, partial(_event, era=era)))
         if len(events) < len(rows):
             # What is passed over in a list is read again with the next one; a change is not.
             raise HistoryGone
@@ -133,34 +166,38 @@
     def create(self, kind: str, name: str, spec: Any) -> StoredObject | None:
         """Make an object; return None where it is there already."""
         body = {"metadata": {"name": name}, "spec": spec}
-        return _written(*self._call("POST", _path(kind), body))
+        return _written(self._call("POST", _path(kind), body))
 
     def replace(
-        self, kind: str, name: str, spec: Any, revision: int | None = None
+        self, kind: str, name: str, spec: Any, revision: StoreVersion | None = None
     ) -> StoredObject | None:
-        """Replace an object; return None where it is gone, or not at the revision if one is given.
+        """Replace an object; return None where it is gone, or not at the version if one is given.
 
         Raises PlatformUnavailable; its sent flag tells whether the write may have been done.
         """
         metadata: dict[str, Any] = {"name": name}
         if revision is not None:
-            metadata["revision"] = revision
+            if revision.era < (self._era or 0):
+                # The same revision may be another change by now.
+                return None
+            metadata["revision"] = revision.revision
         body = {"metadata": metadata, "spec": spec}
-        return _written(*self._call("PUT", _path(kind, name), body))
+        return _written(self._call("PUT", _path(kind, name), body))
 
     def delete(self, kind: str, name: str) -> None:
         """Remove an object, if it is there."""
-        status, answer = self._call("DELETE", _path(kind, name))
-        if status != HTTPStatus.NOT_FOUND:
-            _checked(status, answer)
+        answer = self._call("DELETE", _path(kind, name))
+        if answer.status != HTTPStatus.NOT_FOUND:
+            _checked(answer)
 
-    def _read(self, path: str, timeout_s: float = CALL_TIMEOUT_S) -> Any:
-        """Make one reading call and return its body."""
-        return _checked(*self._call("GET", path, timeout_s=timeout_s))
+    def _read(self, path: str, timeout_s: float = CALL_TIMEOUT_S) -> tuple[Any, int]:
+        """Make one reading call and return its body, and the era it is of."""
+        answer = self._call("GET", path, timeout_s=timeout_s)
+        return _checked(answer), answer.era
 
     def _call(
         self, method: str, path: str, body: Any = None, timeout_s: float = CALL_TIMEOUT_S
-    ) -> tuple[int, Any]:
+    ) -> _Answer:
         """Make one call; raise PlatformUnavailable where no answer came."""
         self._calls += 1
         data = b"" if body is None else orjson.dumps(body)
@@ -173,12 +210,33 @@
                 exchange = Exchange.open(self._address, method, path, headers, data, timeout_s)
             with gevent.Timeout(BODY_TIMEOUT_S, UpstreamError("no whole answer", sent=True)):
                 raw = exchange.read()
-            return exchange.status, _decoded(raw) if raw else None
+            era = self._take_era(exchange.header(names.HEADER_ERA))
+            return _Answer(exchange.status, _decoded(raw) if raw else None, era)
         except UpstreamError as fault:
             raise PlatformUnavailable(f"no answer: {fault}", sent=fault.sent) from fault
         except (ValueError, RecursionError) as fault:
             raise PlatformUnavailable("the answer is not JSON") from fault
 
+    def _take_era(self, told: str) -> int:
+        """Return the era that an answer names, or raise PlatformUnavailable.
+
+        A store that has never named one has none. An answer without one, or of an era that is over,
+        is not believed.
+        """
+        if not told and self._era is None:
+            return NO_ERA
+        known = self._era or NO_ERA
+        if not told.isdecimal() or int(told) < known:
+            detail = f"an answer names the era {told[:MOST_SHOWN]!r} after {known}"
+            say(PREFIX_CONFIGURATION, f"The platform is not believed: {detail}")
+            raise PlatformUnavailable(detail)
+        era = int(told)
+        if era != self._era:
+            self._era = era
+            if self._era_seen is not None:
+                self._era_seen(era)
+        return era
+
 
 def _decoded(raw: bytes) -> Any:
     """Return the content of an answer; raise ValueError or RecursionError where it has none.
@@ -198,15 +256,16 @@
     return f"{path}?{urlencode(query)}" if query else path
 
 
-def _written(status: int, body: Any) -> StoredObject | None:
+def _written(answer: _Answer) -> StoredObject | None:
     """Return the object as a write left it, or None where its condition did not hold."""
-    if status in (HTTPStatus.CONFLICT, HTTPStatus.NOT_FOUND):
+    if answer.status in (HTTPStatus.CONFLICT, HTTPStatus.NOT_FOUND):
         return None
-    return _object(_checked(status, body))
+    return _object(_checked(answer), era=answer.era)
 
 
-def _checked(status: int, body: Any) -> Any:
+def _checked(answer: _Answer) -> Any:
     """Return the body of a good answer, or raise PlatformUnavailable."""
+    status, body = answer.status, answer.body
     if status in (HTTPStatus.OK, HTTPStatus.CREATED, HTTPStatus.NO_CONTENT):
         return body
     if status == HTTPStatus.GONE:
@@ -249,25 +308,25 @@
     return name if isinstance(name, str) else ""
 
 
-def _revision(body: dict[str, Any]) -> int:
-    """Return the revision of an answer, or raise PlatformUnavailable."""
+def _revision(body: dict[str, Any], era: int) -> StoreVersion:
+    """Return the version of an answer, or raise PlatformUnavailable."""
     try:
-        return int(body["at"])
+        return StoreVersion.of(era, int(body["at"]))
     except (KeyError, TypeError, ValueError) as fault:
         raise PlatformUnavailable(f"an answer cannot be read: {fault!r}") from fault
 
 
-def _event(raw: Any) -> WatchEvent:
+def _event(raw: Any, era: int) -> WatchEvent:
     """Decode one change."""
     if not isinstance(raw, dict) or not isinstance(raw.get("gone"), bool):
         raise PlatformUnavailable("a change does not tell whether its object is gone")
-    return WatchEvent(_object(raw.get("object")), raw["gone"])
+    return WatchEvent(_object(raw.get("object"), era), raw["gone"])
 
 
-def _object(raw: Any) -> StoredObject:
+def _object(raw: Any, era: int) -> StoredObject:
     """Decode one object."""
     name = _name(raw)
     revision = raw["metadata"].get("revision") if name else None
     if type(revision) is not int or revision < 0:
         raise PlatformUnavailable(f"an object cannot be read: {str(raw)[:MOST_SHOWN]}")
-    return StoredObject(name, revision, raw.get("spec"))
+    return StoredObject(name, StoreVersion.of(era, revision), raw.get("spec"))
--- a/features/gateway/store_returns.feature
+++ b/features/gateway/store_returns.feature
@@ -23,13 +23,13 @@
 
   Scenario: what left before the return is not revived by the copy
     Given an upstream was removed after the copy
-    When the store comes back from the copy after 0.5 s away
+    When the store comes back from the copy after 0 s away
     And it is removed again 1.5 s later
     Then it gets nothing from now on
 
   Scenario: what joined after the copy goes on to be used until it is listed again
     Given an upstream was listed after the copy
-    When the store comes back from the copy after 0.5 s away
+    When the store comes back from the copy after 0 s away
     And it is listed again 1.5 s later
     Then all instances went on to use it
 
--- a/features/steps/cold_steps.py
+++ b/features/steps/cold_steps.py
@@ -12,6 +12,7 @@
 from behave import given, then, when
 
 from driftstall.decisions.cold_starts import UNTOLD_S, ColdPart, ColdSlots, ColdStarts
+from driftstall.decisions.store_versions import StoreVersion
 from driftstall.gateway.fleet import FleetController
 from driftstall.gateway.fleet_events import Changed, Cordoned, Listed, Offered, UpstreamCold
 from driftstall.gateway.loads import Use
@@ -136,7 +137,7 @@
 def assumed(context: Any, seconds: float) -> None:
     """Lift a cordon, and let it say that it is warm."""
     fleet = FleetController()
-    fleet.handle(Listed((upstream_of("u2", zone="z"), upstream_of("u3")), 1), 0.0)
+    fleet.handle(Listed((upstream_of("u2", zone="z"), upstream_of("u3")), StoreVersion(1)), 0.0)
     fleet.handle(Cordoned(frozenset({"z"})), 0.0)
     (action,) = fleet.handle(Cordoned(frozenset(), frozenset({"z"})), 1.0)
     assert isinstance(action, UpstreamCold) and action.is_assumed, action
@@ -151,7 +152,7 @@
     """Let it tell so, and then that it is warm."""
     context.fleet = FleetController()
     context.entry = replace(upstream_of("u1", 2), cold_s=1.0)
-    told = context.fleet.handle(Listed((context.entry,), 2), 0.0)
+    told = context.fleet.handle(Listed((context.entry,), StoreVersion(2)), 0.0)
     assert any(isinstance(one, UpstreamCold) and one.for_s == 1.0 for one in told), told
     told = context.fleet.handle(Changed(upstream_of("u1", 3), False), 1.0)
     assert any(isinstance(one, UpstreamCold) and one.for_s == 0.0 for one in told), told
@@ -160,7 +161,7 @@
 @when("a peer offers its entry of then once more")
 def offered_again(context: Any) -> None:
     """Offer it."""
-    context.told = context.fleet.handle(Offered((context.entry,), 2), 1.5)
+    context.told = context.fleet.handle(Offered((context.entry,), StoreVersion(2)), 1.5)
 
 
 @then("nobody is told that it is cold")
--- a/features/steps/cordon_steps.py
+++ b/features/steps/cordon_steps.py
@@ -13,6 +13,7 @@
 from hypothesis import seed, settings
 from hypothesis import strategies as st
 
+from driftstall.decisions.store_versions import StoreVersion
 from driftstall.gateway.cordon_source import CordonSource
 from driftstall.gateway.cordons import Cordon, CordonBook, Cordons
 from driftstall.gateway.exchange import UpstreamExchange
@@ -69,7 +70,7 @@
         for at in range(self._read_to[number] + 1, len(self._history)):
             before, now = self._history[at - 1], self._history[at]
             for zone in before.keys() ^ now.keys():
-                self._books[number].change(Cordon(zone, at), lifted=zone not in now)
+                self._books[number].change(Cordon(zone, StoreVersion(at)), lifted=zone not in now)
             self._read_to[number] = at
 
     def hear(self, number: int, back: int) -> None:
@@ -88,7 +89,9 @@
 
     def _told(self, at: int) -> Cordons:
         held = sorted(self._history[at].items())
-        return Cordons(at, tuple(Cordon(zone, revision) for zone, revision in held))
+        return Cordons(
+            StoreVersion(at), tuple(Cordon(zone, StoreVersion(revision)) for zone, revision in held)
+        )
 
 
 @then(
@@ -121,20 +124,20 @@
 def book_with_cordon(context: Any) -> None:
     """List it."""
     context.book = CordonBook()
-    context.book.take(Cordons(7, (Cordon("a", 7),)))
+    context.book.take(Cordons(StoreVersion(7), (Cordon("a", StoreVersion(7)),)))
     assert context.book.zones == {"a"}
 
 
 @when("that cordon is told to be gone at revision 7")
 def gone_at_same(context: Any) -> None:
     """Tell its end with its own revision, as a removed object may carry it."""
-    context.book.change(Cordon("a", 7), lifted=True)
+    context.book.change(Cordon("a", StoreVersion(7)), lifted=True)
 
 
 @when("a peer still holds it")
 def peer_holds(context: Any) -> None:
     """Tell what held before."""
-    context.book.take(Cordons(7, (Cordon("a", 7),)))
+    context.book.take(Cordons(StoreVersion(7), (Cordon("a", StoreVersion(7)),)))
 
 
 @then("no zone is cordoned")
@@ -148,7 +151,7 @@
 
     def list(self, kind: str, *, stale: bool = False) -> Listing:
         """Return the list."""
-        return Listing((StoredObject("a", 3, "emptied"),), 5)
+        return Listing((StoredObject("a", StoreVersion(3), "emptied"),), StoreVersion(5))
 
 
 @given('a store that lists a cordon of "a" whose content is a text')
@@ -180,7 +183,7 @@
     context.add_cleanup(world.close)
     everyone = (*world.plain, *world.engines)
     entries = tuple(replace(world.entry(one), zone=zone_of(world, one)) for one in everyone)
-    world.state.fleet.handle(Listed(entries, world.revision), world.state.now())
+    world.state.fleet.handle(Listed(entries, StoreVersion(world.revision)), world.state.now())
 
 
 def cordon(world: GatewayWorld, *zones: str) -> None:
@@ -311,7 +314,7 @@
     assert not state.ready
     applied: list[Any] = []
     source = CordonSource(state, apply=applied.append, announce=lambda: None)
-    source.heard(Cordons(4, (Cordon("a", 4),)))
+    source.heard(Cordons(StoreVersion(4), (Cordon("a", StoreVersion(4)),)))
     assert state.ready
     (changed,) = applied
     assert changed.cordoned == {"a"}
--- a/features/steps/foreign_entry_steps.py
+++ b/features/steps/foreign_entry_steps.py
@@ -12,6 +12,7 @@
 from hypothesis import seed, settings
 from hypothesis import strategies as st
 
+from driftstall.decisions.store_versions import StoreVersion
 from driftstall.platform import feeds
 from driftstall.platform.documents import DocumentFault, read_routing, read_upstream
 from driftstall.platform.feeds import routing_feed, upstream_feed
@@ -46,7 +47,7 @@
 @then("no drawn change of a whole entry is taken for an upstream, from seed {number:d}")
 def changed_entries(context: Any, number: int) -> None:
     """Leave a field out, or put a value of another kind there."""
-    assert read_upstream("i-1", 1, WHOLE).born == WHOLE["born"]
+    assert read_upstream("i-1", StoreVersion(1), WHOLE).born == WHOLE["born"]
     fields = st.sampled_from(sorted(WHOLE))
 
     @seed(number)
@@ -62,7 +63,7 @@
                 return
             changed[name] = value
         try:
-            found = read_upstream("i-1", 1, changed)
+            found = read_upstream("i-1", StoreVersion(1), changed)
         except DocumentFault:
             return
         raise AssertionError(f"taken for {found}: {changed}")
@@ -72,9 +73,9 @@
 
 def read_document(kind: str, spec: Any) -> None:
     """Decode a document as its feed does."""
-    stored = StoredObject("current", 1, spec)
+    stored = StoredObject("current", StoreVersion(1), spec)
     decoders: dict[str, Any] = {
-        "an upstream": lambda: read_upstream("i-1", 1, spec),
+        "an upstream": lambda: read_upstream("i-1", StoreVersion(1), spec),
         "routes": lambda: read_routing(spec),
         "a policy": lambda: feeds._policy_text(stored),
         "an instance": lambda: feeds._instance(stored),
@@ -136,7 +137,7 @@
 def assert_unused(name: str, spec: Any) -> None:
     """Check that an entry is reported."""
     try:
-        found = read_upstream(name, 1, spec)
+        found = read_upstream(name, StoreVersion(1), spec)
     except DocumentFault:
         return
     raise AssertionError(f"taken for {found}")
@@ -213,7 +214,9 @@
 
     def list(self, kind: str, *, stale: bool = False) -> Listing:
         """Return the list."""
-        return Listing((StoredObject("i-1", 1, WHOLE | {"slots": "6"}),), 2)
+        return Listing(
+            (StoredObject("i-1", StoreVersion(1), WHOLE | {"slots": "6"}),), StoreVersion(2)
+        )
 
 
 @given("a store that lists the same unreadable entry again and again")
@@ -244,8 +247,8 @@
     def list(self, kind: str, *, stale: bool = False) -> Listing:
         """Return the list."""
         assert kind == KIND_CONFIG
-        own = StoredObject(NAME_CONFIG, 1, document(3))
-        return Listing((own, StoredObject("other", 2, document(9))), 2)
+        own = StoredObject(NAME_CONFIG, StoreVersion(1), document(3))
+        return Listing((own, StoredObject("other", StoreVersion(2), document(9))), StoreVersion(2))
 
 
 @given("a store with routes of version 3, and another object with routes of version 9")
--- a/features/steps/gateway_feed_steps.py
+++ b/features/steps/gateway_feed_steps.py
@@ -12,6 +12,7 @@
 from behave import given, then, when
 
 from driftstall.decisions.freshness import ANSWER_MARGIN_S, longest_wait_s
+from driftstall.decisions.store_versions import StoreVersion
 from driftstall.exceptions import HistoryGone, PlatformUnavailable, SettingsError
 from driftstall.gateway.collectors import Roles
 from driftstall.gateway.feeds import FIRST_PAUSE_S, Changes, Follower, ItemChange, Snapshot
@@ -24,7 +25,14 @@
 from driftstall.platform.documents import read_routing
 from driftstall.platform.feeds import upstream_feed
 from driftstall.platform.settings import read_settings
-from driftstall.platform.store import Listing, Store, StoredObject, WatchAnswer, WatchEvent
+from driftstall.platform.store import (
+    Listing,
+    Store,
+    StoredObject,
+    WatchAnswer,
+    WatchEvent,
+    _Answer,
+)
 from features.worlds.gateway_world import WAIT_S, GatewayWorld, document, route, wait_for
 from features.worlds.upstream_samples import entry_spec
 
@@ -78,8 +86,8 @@
 
 
 SLOW_ANSWER_S = 0.1
-LIST = Snapshot(("a",), 5)
-CHANGE = Changes((ItemChange("a", False),), 6)
+LIST = Snapshot(("a",), StoreVersion(5))
+CHANGE = Changes((ItemChange("a", False),), StoreVersion(6))
 
 
 def follow(context: Any, steps: list[Any]) -> None:
@@ -135,10 +143,8 @@
         super().__init__("127.0.0.1:1")
         self._body = body
 
-    def _call(
-        self, method: str, path: str, body: Any = None, timeout_s: float = 1.0
-    ) -> tuple[int, Any]:
-        return 200, self._body
+    def _call(self, method: str, path: str, body: Any = None, timeout_s: float = 1.0) -> _Answer:
+        return _Answer(200, self._body, 0)
 
 
 @given("a store that answers {body}")
@@ -235,7 +241,13 @@
         """Return the list."""
         whole = entry_spec("127.0.0.1:1")
         without = {name: value for name, value in whole.items() if name != "address"}
-        return Listing((StoredObject("a", 1, without), StoredObject("b", 2, whole)), 3)
+        return Listing(
+            (
+                StoredObject("a", StoreVersion(1), without),
+                StoredObject("b", StoreVersion(2), whole),
+            ),
+            StoreVersion(3),
+        )
 
 
 @then("at least {turns:d} turns of another greenlet pass while {count:d} routes are decoded")
@@ -274,13 +286,17 @@
 
     def watch(self, kind: str, at: int, wait_s: float) -> WatchAnswer:
         """Return the removal."""
-        return WatchAnswer((WatchEvent(StoredObject("a", 7, None), True),), 7)
+        return WatchAnswer(
+            (WatchEvent(StoredObject("a", StoreVersion(7), None), True),), StoreVersion(7)
+        )
 
 
 @given("a watch that tells of a removed entry without its content")
 def removed_entry(context: Any) -> None:
     """Watch once."""
-    context.changes = upstream_feed(RemovingStore("127.0.0.1:1")).watch(1, 1.0).changes
+    context.changes = (
+        upstream_feed(RemovingStore("127.0.0.1:1")).watch(StoreVersion(1), 1.0).changes
+    )
 
 
 @then("the change says which upstream is gone")
--- a/features/steps/gateway_move_steps.py
+++ b/features/steps/gateway_move_steps.py
@@ -8,6 +8,7 @@
 import gevent
 from behave import given, then, when
 
+from driftstall.decisions.store_versions import StoreVersion
 from driftstall.gateway import moves
 from driftstall.gateway.evacuation import RETRY_S
 from driftstall.gateway.fleet_events import Changed
@@ -277,7 +278,9 @@
     target = world.mover.choose_target(run, frozenset(), most_memory=1.0)
     assert target is not None
     world.mover.copy(run, target)
-    leaving = replace(run.upstream, state=UpstreamState.LEAVING, revision=run.upstream.revision + 1)
+    leaving = replace(
+        run.upstream, state=UpstreamState.LEAVING, revision=StoreVersion(run.upstream.revision + 1)
+    )
     world.state.fleet.handle(Changed(leaving, False), world.state.now())
     memory_full(context)
 
--- a/features/steps/gateway_reliance_steps.py
+++ b/features/steps/gateway_reliance_steps.py
@@ -7,6 +7,7 @@
 
 from behave import given, then, when
 
+from driftstall.decisions.store_versions import StoreVersion
 from driftstall.gateway.collectors import Roles
 from driftstall.gateway.cordons import Cordons
 from driftstall.gateway.fleet import FleetController
@@ -221,7 +222,7 @@
 @when('a collector that has seen revision {at:d} offers only "{first}" and "{second}"')
 def offers(context: Any, at: int, first: str, second: str) -> None:
     """Take in the collector's list."""
-    tell(context, Offered((upstream_of(first), upstream_of(second)), at), 3.0)
+    tell(context, Offered((upstream_of(first), upstream_of(second)), StoreVersion(at)), 3.0)
 
 
 @then("another fleet that learned of them in another order has the same digest")
@@ -253,7 +254,7 @@
     state.fleet.handle(Listed(known), 0.0)
 
     def take_fleet(upstreams: tuple[Upstream, ...], at: int) -> None:
-        state.fleet.handle(Offered(upstreams, at), 1.0)
+        state.fleet.handle(Offered(upstreams, StoreVersion(at)), 1.0)
 
     intake = Intake(
         routing=lambda: (1, ""),
@@ -279,7 +280,7 @@
     context.followers = FleetController()
     context.followers.handle(Listed((upstream_of("u1", 3), upstream_of("u4", 8))), 0.0)
     digest = context.followers.digest
-    summary = ZoneSummary("follower", "b", 1, 100, digest, 1, (), (), (), Cordons(), ())
+    summary = ZoneSummary("follower", "b", 1, 100, digest, 1, (), (), (), Cordons(), (), 0)
     context.sharing.compare_fleet(summary)
 
 
--- a/features/steps/known_upstream_steps.py
+++ b/features/steps/known_upstream_steps.py
@@ -10,6 +10,7 @@
 from hypothesis import seed, settings
 from hypothesis import strategies as st
 
+from driftstall.decisions.store_versions import StoreVersion
 from driftstall.exceptions import PlatformUnavailable
 from driftstall.gateway.collectors import Roles
 from driftstall.gateway.feeds import Follower, ItemChange
@@ -42,7 +43,9 @@
     def __init__(self) -> None:
         """Start with two whole entries."""
         super().__init__("127.0.0.1:1")
-        self.listing = Listing(tuple(entry(name, 5) for name in ("u1", "u2")), LISTED_AT)
+        self.listing = Listing(
+            tuple(entry(name, 5) for name in ("u1", "u2")), StoreVersion(LISTED_AT)
+        )
         self.events: tuple[WatchEvent, ...] = ()
         self.is_silent = False
 
@@ -54,12 +57,12 @@
         """Return the changes, or no answer."""
         if self.is_silent:
             raise PlatformUnavailable("no answer")
-        return WatchAnswer(self.events, at + 1)
+        return WatchAnswer(self.events, StoreVersion(at + 1))
 
 
 def entry(name: str, revision: int, spec: Any = WHOLE) -> StoredObject:
     """Return an upstream's entry as it is stored."""
-    return StoredObject(name, revision, spec)
+    return StoredObject(name, StoreVersion(revision), spec)
 
 
 @given('an instance that follows the platform, which lists "u1" and "u2"')
@@ -101,7 +104,7 @@
 @when('it learns that "u1" has left from a new list of its own')
 def own_list_lacks(context: Any) -> None:
     """Start it anew on a list without it: it never knew of it, but the list is newer."""
-    context.store.listing = Listing((entry("u2", 5),), LISTED_AT + 1)
+    context.store.listing = Listing((entry("u2", 5),), StoreVersion(LISTED_AT + 1))
     start_instance(context)
     assert context.fleet.find("u1") is None
 
--- a/features/steps/later_start_steps.py
+++ b/features/steps/later_start_steps.py
@@ -13,6 +13,7 @@
 
 from driftstall.decisions.engine_words import Word
 from driftstall.decisions.sends import KEPT_UP_AFTER_S
+from driftstall.decisions.store_versions import StoreVersion
 from driftstall.gateway.fleet import FleetController
 from driftstall.gateway.fleet_events import Changed, Doubted, Listed, Offered, UpstreamReplaced
 from driftstall.gateway.loads import Use
@@ -48,7 +49,7 @@
         self._born = 1
         self._told_born = 1
         self.fleet = FleetController()
-        self.fleet.handle(Listed((self._writes[-1],), 1), 0.0)
+        self.fleet.handle(Listed((self._writes[-1],), StoreVersion(1)), 0.0)
 
     def start(self) -> None:
         """Start again."""
@@ -152,8 +153,8 @@
     """List it, then remove it; the removal tells only the name."""
     context.fleet = FleetController()
     first = replace(upstream_of(NAME, 1), born=FIRST_START)
-    context.fleet.handle(Listed((first,), 1), 0.0)
-    context.fleet.handle(Changed(gone_upstream(NAME, 2), True), 1.0)
+    context.fleet.handle(Listed((first,), StoreVersion(1)), 0.0)
+    context.fleet.handle(Changed(gone_upstream(NAME, StoreVersion(2)), True), 1.0)
     assert context.fleet.serves(first.upstream_id, 1.5, DRAIN_S)
 
 
@@ -161,7 +162,7 @@
 def listed_later(context: Any) -> None:
     """List it."""
     later = replace(upstream_of(NAME, 3), born=LATER_START)
-    context.told = context.fleet.handle(Listed((later,), 3), 1.5)
+    context.told = context.fleet.handle(Listed((later,), StoreVersion(3)), 1.5)
 
 
 @then("the start at 1000 is replaced, and may be sent nothing even within the time to drain")
@@ -185,7 +186,7 @@
         replace(world.entry(one), born=born.get(one.upstream_id, FIRST_START))
         for one in (*world.plain, *world.engines)
     )
-    event = Listed(entries, world.revision)
+    event = Listed(entries, StoreVersion(world.revision))
     for action in world.state.fleet.handle(event, world.state.now()):
         if isinstance(action, UpstreamReplaced):
             world.state.exchanges.close_all(action.upstream.upstream_id)
--- a/features/steps/placer_steps.py
+++ b/features/steps/placer_steps.py
@@ -9,6 +9,7 @@
 from behave import given, then, when
 
 from driftstall.decisions.placers import LEFT_OUT_S, PlacerOrder
+from driftstall.decisions.store_versions import StoreVersion
 from driftstall.gateway.collectors import Roles
 from driftstall.gateway.fleet_events import Listed
 from driftstall.gateway.loads import Use
@@ -201,7 +202,7 @@
 def more_engines(context: Any, count: int) -> None:
     """List them."""
     more = tuple(upstream_of(f"more-{index}", 2) for index in range(count))
-    context.state.fleet.handle(Listed(more, 2), context.at)
+    context.state.fleet.handle(Listed(more, StoreVersion(2)), context.at)
     assert len(context.state.options("engines", most=None)) == count
 
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -16,6 +16,7 @@
 from gevent.lock import Semaphore
 from gevent.server import StreamServer
 
+from driftstall.decisions.store_versions import StoreVersion
 from driftstall.platform.store import Store, StoredObject
 from driftstall.util.addresses import split_address
 from measures.bench import FIRST_PORT, SLICE_PORTS, free_port
@@ -305,14 +306,14 @@
                 self.entries[name] = {"state": "ready"}
             return None
         self.entries[name] = spec
-        return StoredObject(name, 1, spec)
+        return StoredObject(name, StoreVersion(1), spec)
 
     def create(self, kind: str, name: str, spec: Any) -> StoredObject | None:
         """Make an entry unless it is there."""
         if name in self.entries:
             return None
         self.entries[name] = spec
-        return StoredObject(name, 1, spec)
+        return StoredObject(name, StoreVersion(1), spec)
 
 
 @given("an upstream of the soak whose entry another step makes just before its notice is written")
--- a/features/steps/store_return_steps.py
+++ b/features/steps/store_return_steps.py
@@ -26,9 +26,11 @@
 from features.worlds.gateway_world import HOST, document, route
 from features.worlds.upstream_samples import entry_spec
 from measures.bench import Bench
-from stand_ins.routed import RoutedUpstream
+from stand_ins.routed import RoutedUpstream, Script
 
 CONTACT_S: Final = 3.0
+AT_ONCE: Final = 24
+WORK_S: Final = 0.05
 ASK_PAUSE_S: Final = 0.03
 SETTLED_S: Final = 1.0
 """Time in which instances have read what the store tells on a calm day."""
@@ -50,7 +52,8 @@
     context.store = Store(context.store_address)
     context.version = 3
     context.store.create(KIND_CONFIG, NAME_CONFIG, document(context.version))
-    context.upstreams = {f"p-{n}": RoutedUpstream(f"p-{n}") for n in range(1, count + 1)}
+    names = [f"p-{n}" for n in range(1, count + 1)]
+    context.upstreams = {name: RoutedUpstream(name, usual) for name in names}
     for one in context.upstreams.values():
         context.add_cleanup(one.stop)
     for name in (*KEPT, "p-3"):
@@ -98,6 +101,17 @@
     until_taken(lambda: context.store.replace(KIND_CONFIG, NAME_CONFIG, wanted))
 
 
+def usual() -> Script:
+    """Return what upstreams do with a request."""
+    return Script(work_s=WORK_S)
+
+
+def ask_together(node: Any) -> None:
+    """Ask one instance so much at once that it uses all upstreams it knows."""
+    asking = [gevent.spawn(node.ask, "/safe/a", f"era-{next(NUMBERS)}") for _ in range(AT_ONCE)]
+    gevent.joinall(asking, raise_error=True)
+
+
 def arrivals(context: Any, name: str) -> int:
     """Return how many requests an upstream has got."""
     return len(context.upstreams[name].arrivals)
@@ -220,7 +234,7 @@
         before = arrivals(context, name)
         while arrivals(context, name) == before:
             assert time.monotonic() < until, f"{node.name} does not use {name}"
-            node.ask("/safe/a", f"era-{next(NUMBERS)}")
+            ask_together(node)
 
 
 @then("an upstream that is removed then gets nothing from {seconds:g} s after that")
@@ -234,7 +248,8 @@
 def ask_until(context: Any, until: float) -> None:
     """Ask all instances again and again."""
     while time.monotonic() < until:
-        ask_all(context)
+        asking = [gevent.spawn(ask_together, node) for node in context.nodes]
+        gevent.joinall(asking, raise_error=True)
         gevent.sleep(ASK_PAUSE_S)
 
 
@@ -283,8 +298,7 @@
     while time.monotonic() < until:
         for node in context.nodes:
             before = arrivals(context, "p-4")
-            for _ in range(20):
-                node.ask("/safe/a", f"era-{next(NUMBERS)}")
+            ask_together(node)
             if arrivals(context, "p-4") == before:
                 context.unused.append((node.name, time.monotonic() - context.back_at))
     put(context, "p-4")
--- a/features/steps/suspension_steps.py
+++ b/features/steps/suspension_steps.py
@@ -20,6 +20,7 @@
 )
 from driftstall.core import Instance
 from driftstall.daemon.hub import Hub
+from driftstall.decisions.store_versions import StoreVersion
 from driftstall.gateway.collectors import Roles
 from driftstall.gateway.cordons import Cordons
 from driftstall.gateway.reports import Reporting, Standing
@@ -137,10 +138,10 @@
         Instance("instance-1", "", "", "a"),
         roles=Roles,
         live=tuple,
-        standing=lambda: Standing(1, 1, True, 0.0),
+        standing=lambda: Standing(1, StoreVersion(1), True, 0.0),
         broadcast=lambda *_: None,
     )
-    reporting.take_report(GatewayReport("peer", True, True, 1, (), (), 1, Cordons(), ()))
+    reporting.take_report(GatewayReport("peer", True, True, 1, (), (), 1, Cordons(), (), 0))
     assert reporting.ready_peers() == {"peer"}
 
 
--- a/features/worlds/fleet_world.py
+++ b/features/worlds/fleet_world.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from driftstall.decisions.engine_words import DOUBTED_S
+from driftstall.decisions.store_versions import StoreVersion
 from driftstall.gateway.fleet import LAPSE_GRACE_S, FleetController
 from driftstall.gateway.fleet_events import (
     Changed,
@@ -165,7 +166,7 @@
         """Tell the whole list."""
         if self._down:
             return
-        self._handle(Listed(self._entries(self._newest), self._newest))
+        self._handle(Listed(self._entries(self._newest), StoreVersion(self._newest)))
         self._told_to = self._newest
         for name in NAMES:
             held = self._held(name, self._newest)
@@ -194,7 +195,7 @@
         if drawn.other_way:
             # The peer has read this list, and seen no change since.
             at = max((one.revision for one in self._entries(at)), default=0)
-        self._handle(Offered(ready, at))
+        self._handle(Offered(ready, StoreVersion(at)))
         offered = {one.upstream_id: one.revision for one in ready}
         for name in NAMES:
             if name in offered:
--- a/features/worlds/gateway_world.py
+++ b/features/worlds/gateway_world.py
@@ -12,6 +12,7 @@
 import gevent
 from gevent import socket
 
+from driftstall.decisions.store_versions import StoreVersion
 from driftstall.gateway.drain import Drain
 from driftstall.gateway.evacuation import Evacuation
 from driftstall.gateway.fleet_events import Changed, Listed, UpstreamLeaving
@@ -156,7 +157,7 @@
             "a",
             8,
             UpstreamState.READY,
-            self.revision,
+            StoreVersion(self.revision),
         )
 
     def list_upstreams(self) -> None:
--- a/features/worlds/upstream_samples.py
+++ b/features/worlds/upstream_samples.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from driftstall.decisions.store_versions import StoreVersion
 from driftstall.gateway.model import (
     Engine,
     Upstream,
@@ -36,4 +37,4 @@
     name: str, revision: int = 1, state: UpstreamState = UpstreamState.READY, zone: str = "a"
 ) -> Upstream:
     """Return an upstream's entry."""
-    return Upstream(name, "engines", "127.0.0.1:1", zone, 64, state, revision)
+    return Upstream(name, "engines", "127.0.0.1:1", zone, 64, state, StoreVersion(revision))
--- a/measures/stale_sums.py
+++ b/measures/stale_sums.py
@@ -20,6 +20,7 @@
 
 from docopt import docopt
 
+from driftstall.decisions.store_versions import StoreVersion
 from driftstall.gateway.loads import Use
 from driftstall.gateway.model import Engine, Upstream, UpstreamState
 from driftstall.gateway.selection import Lot, Need, Option, choose_stream
@@ -105,7 +106,7 @@
         placed = [one for one in placed if one.ends_at > now - 1.0]
         options = [
             Option(
-                Upstream(str(index), "s", "", "a", 24, UpstreamState.READY, 1),
+                Upstream(str(index), "s", "", "a", 24, UpstreamState.READY, StoreVersion(1)),
                 seen_use(placed, index, now - age_s),
                 0.0,
                 False,
--- a/measures/zone_placement.py
+++ b/measures/zone_placement.py
@@ -23,6 +23,7 @@
 
 from docopt import docopt
 
+from driftstall.decisions.store_versions import StoreVersion
 from driftstall.gateway.model import Upstream, UpstreamState
 from driftstall.gateway.selection import DRAWN, FAR_STREAM_PENALTY, Lot, Need, Option, choose_stream
 from measures.stale_sums import ENGINE, Placed, Row, seen_use
@@ -41,7 +42,9 @@
 """Prompt tokens that an engine reads in a second beside others: each of its steps takes 7 ms and
 reads 112 tokens of one prompt in 8 ms more."""
 UPSTREAMS: Final = tuple(
-    Upstream(str(index), "s", "", ZONES[index % len(ZONES)], 24, UpstreamState.READY, 1)
+    Upstream(
+        str(index), "s", "", ZONES[index % len(ZONES)], 24, UpstreamState.READY, StoreVersion(1)
+    )
     for index in range(ENGINES)
 )
 
