Test eras without a network, play the store's return in the soak; hold what had left for longer

What had left before the return is not used again for 8 s although the copy lists it (2.5 s before): the entry of one that has ended may outlast the return by three heartbeats, and to send there would break the drain's promise. A removal told after the return counts at once. An entry that only looks older is not taken back.

--- a/driftstall/decisions/store_versions.py
+++ b/driftstall/decisions/store_versions.py
@@ -18,6 +18,11 @@
 """How long after its return the store may say less than is true: what operators and upstreams had
 written is there again within about two seconds."""
 
+LEFT_DOUBT_S: Final = 8.0
+"""How long an upstream that had left is not used again though the copy lists it. The entry of one
+that has ended goes after three heartbeats of silence, 3.6 s at the users; one that is still listed
+then lives."""
+
 
 class StoreVersion(int):
     """Hold an era and a revision as one number; a version of a later era is the higher one."""
--- a/driftstall/gateway/fleet.py
+++ b/driftstall/gateway/fleet.py
@@ -16,7 +16,7 @@
 
 from driftstall.decisions.cold_starts import UNTOLD_S
 from driftstall.decisions.engine_words import DOUBTED_S
-from driftstall.decisions.store_versions import DOUBT_S, NO_VERSION, StoreVersion
+from driftstall.decisions.store_versions import DOUBT_S, LEFT_DOUBT_S, NO_VERSION, StoreVersion
 from driftstall.gateway.fleet_events import (
     Changed,
     Cordoned,
@@ -215,7 +215,7 @@
             self._put(upstream, now, since)
         for name in [one for one in self._entries if one not in listed]:
             revision = self._entries[name].upstream.revision
-            self._remove(name, revision, now, since)
+            self._remove(name, revision, now, since, may_lack=self._in_doubt(now))
 
     @_on.register
     def _(self, event: Offered, now: float) -> None:
@@ -293,7 +293,7 @@
     def _(self, event: Period, now: float) -> None:
         for entry in list(self._entries.values()):
             missing = entry.missing_since
-            if missing is not None and not self._in_grace(now):
+            if missing is not None and not (self._in_grace(now) or self._in_doubt(now)):
                 self._leave(entry, now)
                 self._bury(entry.upstream, entry.upstream.revision, now)
             elif entry.doubted_until is not None and now >= entry.doubted_until:
@@ -327,6 +327,8 @@
         if buried is not None and buried.revision >= upstream.revision:
             return
         if self._is_of_copy(upstream, now):
+            if upstream.name in self._entries:
+                self._entries[upstream.name].missing_since = None
             return
         if upstream.born < self._latest_start(upstream.name):
             # A late heartbeat of the start before may come after the first one of this.
@@ -369,13 +371,24 @@
         self._actions.append(UpstreamCold(later, UNTOLD_S, is_assumed=True))
 
     def _remove(
-        self, name: str, revision: StoreVersion, now: float, since: float, *, certain: bool = False
+        self,
+        name: str,
+        revision: StoreVersion,
+        now: float,
+        since: float,
+        *,
+        certain: bool = False,
+        may_lack: bool = False,
     ) -> None:
-        """Take an upstream for leaving whose entry is no longer there, perhaps since then."""
+        """Take an upstream for leaving whose entry is no longer there, perhaps since then.
+
+        Certain tells that it has not only lapsed, may_lack that the store may have lost its entry.
+        """
         entry = self._entries[name]
         if revision < entry.upstream.revision:
             return
-        if self._in_grace(now) and not certain and entry.leaving_since is None:
+        is_doubted = may_lack or (self._in_grace(now) and not certain)
+        if is_doubted and entry.leaving_since is None:
             entry.missing_since = entry.missing_since or now
             return
         self._leave(entry, since)
@@ -383,21 +396,26 @@
 
     def _in_grace(self, now: float) -> bool:
         """Tell whether an entry that is missing may only have lapsed during an outage."""
-        return self._down or now - self._back_at < LAPSE_GRACE_S or self._in_doubt(now)
+        return self._down or now - self._back_at < LAPSE_GRACE_S
 
     def _in_doubt(self, now: float) -> bool:
         """Tell whether the store may still hold less than is true, and what has gone since."""
         return now - self._returned_at < DOUBT_S
 
     def _is_of_copy(self, upstream: Upstream, now: float) -> bool:
-        """Tell whether an entry may be a copy's of an upstream that has left since then."""
-        if not self._in_doubt(now) or upstream.state is not UpstreamState.READY:
+        """Tell whether an entry may be a copy's of an upstream that has left or changed since."""
+        may_have_left = now - self._returned_at < LEFT_DOUBT_S
+        if not may_have_left or upstream.state is not UpstreamState.READY:
             return False
         entry, gone = self._entries.get(upstream.name), self._gone.get(upstream.name)
-        if entry is not None:
-            left = not entry.is_listed and entry.missing_since is None
-            return left and upstream.revision.era > entry.upstream.revision.era
-        return gone is not None and upstream.revision.era > gone.revision.era
+        if entry is None:
+            return gone is not None and upstream.revision.era > gone.revision.era
+        known = entry.upstream
+        if upstream.born != known.born or upstream.revision.era <= known.revision.era:
+            return False
+        if not entry.is_listed:
+            return True
+        return self._in_doubt(now) and upstream.revision.revision <= known.revision.revision
 
     def _leave(self, entry: _Entry, since: float) -> None:
         """Mark an upstream as leaving and say so once.
--- a/driftstall/gateway/store_return.py
+++ b/driftstall/gateway/store_return.py
@@ -14,7 +14,7 @@
 from driftstall.const import PREFIX_CONFIGURATION
 from driftstall.core import Instance
 from driftstall.decisions.locate import weight
-from driftstall.decisions.store_versions import DOUBT_S
+from driftstall.decisions.store_versions import DOUBT_S, LEFT_DOUBT_S
 from driftstall.exceptions import PlatformUnavailable
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import say
@@ -81,7 +81,8 @@
             writes_again=["instance", *self._common_writes],
         )
         self._doubts()
-        gevent.spawn_later(DOUBT_S, self._settled)
+        for after_s in (DOUBT_S, LEFT_DOUBT_S):
+            gevent.spawn_later(after_s, self._settled)
         spread_s = max(SPREAD_S, instances / WRITES_PER_S)
         for write in self._own_writes:
             self._later(SOONEST_S + spread_s * self._state.source.random(), "instance", write)
--- /dev/null
+++ b/features/steps/store_era_steps.py
@@ -0,0 +1,376 @@
+"""Check how what the store tells is ordered, without a network."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+import orjson
+from behave import given, then, when
+
+from driftstall.decisions.store_versions import DOUBT_S, StoreEras, StoreVersion
+from driftstall.exceptions import HistoryGone, PlatformUnavailable
+from driftstall.gateway.cordons import Cordon, CordonBook, Cordons
+from driftstall.gateway.fleet import FleetController
+from driftstall.gateway.fleet_events import (
+    Changed,
+    FleetAction,
+    FleetEvent,
+    Listed,
+    Offered,
+    Period,
+    StoreReturned,
+    UpstreamLeaving,
+)
+from driftstall.gateway.model import PolicyText, Upstream, UpstreamState
+from driftstall.gateway.policy_keeping import PolicyKeeper
+from driftstall.gateway.sources import PolicySource
+from driftstall.platform.names import KIND_POLICY, KIND_UPSTREAMS
+from driftstall.platform.store import Store
+from features.worlds.gateway_world import GatewayWorld
+from features.worlds.upstream_samples import upstream_of
+from stand_ins.http import serve
+
+RETURNED_AT = 100.0
+
+
+def version(text: str) -> StoreVersion:
+    """Return a version as it is shown."""
+    return StoreVersion.parse(text)
+
+
+@then("2.5 follows 1.90, which follows 1.89, and a store without eras counts plainly")
+def ordered(context: Any) -> None:
+    """Compare."""
+    assert version("2.5") > version("1.90") > version("1.89") > version("120") > version("119")
+    assert (version("2.5").era, version("2.5").revision) == (2, 5)
+    eras = StoreEras()
+    assert not eras.seen(3, 1.0) and not eras.seen(3, 2.0) and not eras.in_doubt(2.0)
+    assert eras.seen(4, 3.0) and eras.in_doubt(3.0 + DOUBT_S - 0.1)
+    assert not eras.in_doubt(3.0 + DOUBT_S) and not eras.seen(3, 4.0) and eras.era == 4
+
+
+@then("each version is read again as it is shown")
+def shown(context: Any) -> None:
+    """Show and read."""
+    for text in ("2.5", "1.0", "7", "0", "65000.12345678901234"):
+        assert str(version(text)) == text
+
+
+class NamingStore:
+    """Answer each call with the headers that are set."""
+
+    def __init__(self) -> None:
+        """Start to listen."""
+        self.told: str | None = "3"
+        self.calls = 0
+        self._server = serve(0, self._answer)
+        self.stop = self._server.stop
+
+    @property
+    def address(self) -> str:
+        """Return where it listens."""
+        return f"127.0.0.1:{self._server.server_port}"
+
+    def _answer(self, environ: dict[str, Any], start: Any) -> list[bytes]:
+        """Answer a list or a watch with nothing in it."""
+        self.calls += 1
+        body = orjson.dumps({"items": [], "events": [], "more": False, "at": 40})
+        headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+        if self.told is not None:
+            headers.append(("Store-Era", self.told))
+        start("200 OK", headers)
+        return [body]
+
+
+@given("a store whose answers have named the era 3")
+def naming_store(context: Any) -> None:
+    """Ask once."""
+    context.naming = NamingStore()
+    context.add_cleanup(context.naming.stop)
+    context.store = Store(context.naming.address)
+    assert context.store.list(KIND_UPSTREAMS).at == version("3.40")
+
+
+@when("an answer names the era {told}")
+def names_era(context: Any, told: str) -> None:
+    """Have it named."""
+    context.naming.told = None if told == "none" else told
+
+
+@then("it counts as no answer, and the era stays 3")
+def not_believed(context: Any) -> None:
+    """Ask."""
+    try:
+        context.store.list(KIND_UPSTREAMS)
+    except PlatformUnavailable:
+        assert context.store.era == 3
+        return
+    raise AssertionError("it was believed")
+
+
+@when("a watch from the version 3.40 is answered in the era 4")
+def watch_answered(context: Any) -> None:
+    """Watch."""
+    context.naming.told = "4"
+    context.gone = False
+    try:
+        context.store.watch(KIND_UPSTREAMS, version("3.40"), 0.1)
+    except HistoryGone:
+        context.gone = True
+
+
+@then("its history counts as gone, and the era is 4")
+def history_gone(context: Any) -> None:
+    """Look."""
+    assert context.gone and context.store.era == 4
+
+
+@then("to replace an object at 2.40 is refused, and the store gets no call")
+def refused(context: Any) -> None:
+    """Try it."""
+    calls = context.naming.calls
+    assert context.store.replace(KIND_POLICY, "x", {}, version("2.40")) is None
+    assert context.naming.calls == calls
+
+
+def entry(name: str, at: str, state: UpstreamState = UpstreamState.READY) -> Upstream:
+    """Return an upstream's entry of a version."""
+    return replace(upstream_of(name, state=state), revision=version(at))
+
+
+def feed(context: Any, event: FleetEvent, now: float) -> None:
+    """Hand an event to the fleet."""
+    found: list[FleetAction] = context.fleet.handle(event, now)
+    context.actions += found
+
+
+@given('a fleet that knows "u1" and "u2" as of 1.100')
+def known_fleet(context: Any) -> None:
+    """List them; both entries are young."""
+    context.fleet, context.actions = FleetController(), []
+    entries = (entry("u1", "1.90"), entry("u2", "1.95"))
+    feed(context, Listed(entries, version("1.100")), 1.0)
+
+
+@given('a fleet that knows "u1" and "u2" as of 1.100, and that "u2" has left')
+def one_left(context: Any) -> None:
+    """Remove one."""
+    known_fleet(context)
+    feed(context, Changed(entry("u2", "1.101"), True), 2.0)
+
+
+@when('the store has come back, and lists "u1" alone as of 2.50')
+def lists_one(context: Any) -> None:
+    """Take it in."""
+    context.actions = []
+    feed(context, StoreReturned(), RETURNED_AT)
+    feed(context, Listed((entry("u1", "2.40"),), version("2.50")), RETURNED_AT)
+    feed(context, Period(), RETURNED_AT + 0.5)
+
+
+@when("the store has come back, and lists both as of 2.50")
+def lists_both(context: Any) -> None:
+    """Take it in."""
+    context.actions = []
+    feed(context, StoreReturned(), RETURNED_AT)
+    both = (entry("u1", "2.40"), entry("u2", "2.45"))
+    feed(context, Listed(both, version("2.50")), RETURNED_AT)
+
+
+def taking(context: Any) -> set[str]:
+    """Return the upstreams that take requests."""
+    return {one.name for one in context.fleet.ready("engines")}
+
+
+@then('"u1" and "u2" take requests')
+def both_take(context: Any) -> None:
+    """Look."""
+    assert taking(context) == {"u1", "u2"}, taking(context)
+
+
+@then('3 s later "u2" takes none, if it is not listed by then')
+def goes_later(context: Any) -> None:
+    """List again."""
+    feed(context, Listed((entry("u1", "2.40"),), version("2.60")), RETURNED_AT + 3.0)
+    feed(context, Period(), RETURNED_AT + 3.1)
+    assert taking(context) == {"u1"}, taking(context)
+
+
+@when('1 s later "u2" is listed as of 2.55')
+def listed_again(context: Any) -> None:
+    """Take the change in."""
+    feed(context, Changed(entry("u2", "2.55"), False), RETURNED_AT + 1.0)
+
+
+@then('3 s later "u1" and "u2" take requests, and nobody was told that one leaves')
+def never_gone(context: Any) -> None:
+    """List again."""
+    both = (entry("u1", "2.40"), entry("u2", "2.55"))
+    feed(context, Listed(both, version("2.60")), RETURNED_AT + 3.0)
+    feed(context, Period(), RETURNED_AT + 3.1)
+    both_take(context)
+    assert not [one for one in context.actions if isinstance(one, UpstreamLeaving)]
+
+
+@then('"u1" takes requests, and "u2" none')
+def one_takes(context: Any) -> None:
+    """Look."""
+    assert taking(context) == {"u1"}, taking(context)
+
+
+def list_both_again(context: Any, seconds: float) -> None:
+    """List both as they were, some time after the return."""
+    both = (entry("u1", "2.40"), entry("u2", "2.45"))
+    feed(context, Listed(both, version("2.60")), RETURNED_AT + seconds)
+    feed(context, Period(), RETURNED_AT + seconds + 0.1)
+
+
+@then('3 s later "u2" takes none, though it is still listed then')
+def not_revived(context: Any) -> None:
+    """List again."""
+    list_both_again(context, 3.0)
+    one_takes(context)
+
+
+@then('9 s later "u2" takes requests, if it is still listed then')
+def outlasts(context: Any) -> None:
+    """List again."""
+    list_both_again(context, 9.0)
+    both_take(context)
+
+
+@when('1 s later "u2" is removed as of 2.52')
+def removed(context: Any) -> None:
+    """Take the change in."""
+    feed(context, Changed(entry("u2", "2.52"), True), RETURNED_AT + 1.0)
+
+
+@when('1 s later "u2" says as of 2.52 that it leaves')
+def notice(context: Any) -> None:
+    """Take the change in."""
+    leaving = entry("u2", "2.52", UpstreamState.LEAVING)
+    feed(context, Changed(leaving, False), RETURNED_AT + 1.0)
+
+
+@when('a peer offers "u1" and "u2" as of 1.120')
+def peer_offers(context: Any) -> None:
+    """Take its list and its word in."""
+    both = (entry("u1", "1.90"), entry("u2", "1.119"))
+    feed(context, Offered(both, version("1.120")), RETURNED_AT + 1.1)
+    feed(context, Changed(both[1], False, from_peer=True), RETURNED_AT + 1.2)
+
+
+@then('"u2" takes no requests at once')
+def takes_none(context: Any) -> None:
+    """Look."""
+    one_takes(context)
+
+
+@given('a book that knows zone "a" as cordoned at 1.90 of 1.100')
+def cordoned(context: Any) -> None:
+    """Note it."""
+    context.book = CordonBook()
+    context.book.take(Cordons(version("1.100"), (Cordon("a", version("1.90")),)))
+
+
+@when("the store has come back and its list as of 2.50 names no zone")
+def names_none(context: Any) -> None:
+    """Take it in, in doubt."""
+    context.book.take(Cordons(version("2.50")), keeps=True)
+
+
+@then('zone "a" is cordoned')
+def still_cordoned(context: Any) -> None:
+    """Look."""
+    assert context.book.zones == {"a"}
+
+
+@then("the list after that ends it")
+def lifted(context: Any) -> None:
+    """Take the next one in."""
+    assert context.book.take(Cordons(version("2.50"))).lifted == {"a"}
+
+
+def policy_text(name: str) -> str:
+    """Return a policy."""
+    return f'policy "{name}" {{ rule all {{ rank 1; wait at most 5s; may refuse; }} }}'
+
+
+def stored(name: str, at: str) -> PolicyText:
+    """Return a stored policy."""
+    return PolicyText(version(at), policy_text(name))
+
+
+class KeptHere:
+    """Hold one policy as the store would."""
+
+    def __init__(self, held: PolicyText | None) -> None:
+        """Take what it holds."""
+        self.held = held
+        self.written: list[str] = []
+
+    def read(self) -> PolicyText | None:
+        """Return it."""
+        return self.held
+
+    def write(self, text: str, instead_of: PolicyText | None) -> bool:
+        """Write it, if nothing else is there."""
+        if instead_of != self.held:
+            return False
+        self.written.append(text)
+        return True
+
+
+@given('a policy "first" was in force as of 1.40, and "second" is as of 1.90')
+def two_policies(context: Any) -> None:
+    """Submit both."""
+    context.world = GatewayWorld()
+    context.add_cleanup(context.world.close)
+    context.policies = PolicySource(context.world.state)
+    context.policies.listed((stored("first", "1.40"),), version("1.50"))
+    context.policies.listed((stored("second", "1.90"),), version("1.95"))
+
+
+@when('the store holds "first" as of 2.40')
+def holds_first(context: Any) -> None:
+    """Take it in, and compare."""
+    context.kept = KeptHere(stored("first", "2.40"))
+    context.policies.listed((context.kept.held,), version("2.41"))
+    PolicyKeeper(context.policies, context.kept).write_again()
+
+
+@then('"second" is in force, and is written again in its place')
+def second_holds(context: Any) -> None:
+    """Look."""
+    assert context.world.state.policy.name == "second"
+    assert context.kept.written == [policy_text("second")]
+
+
+@then('"third", submitted as of 2.45, comes into force and is not overwritten')
+def third_holds(context: Any) -> None:
+    """Submit it."""
+    context.kept = KeptHere(stored("third", "2.45"))
+    PolicyKeeper(context.policies, context.kept).write_again()
+    context.policies.listed((context.kept.held,), version("2.46"))
+    assert context.world.state.policy.name == "third"
+    PolicyKeeper(context.policies, context.kept).write_again()
+    assert context.kept.written == []
+
+
+@given('a policy "first" is in force as of 2.40, the first one known here')
+def first_known(context: Any) -> None:
+    """Read it."""
+    context.world = GatewayWorld()
+    context.add_cleanup(context.world.close)
+    context.policies = PolicySource(context.world.state)
+    context.policies.listed((stored("first", "2.40"),), version("2.50"))
+
+
+@then("nothing is written again, whatever the store holds")
+def nothing_written(context: Any) -> None:
+    """Compare with the same one and with another."""
+    for held in (stored("first", "2.40"), stored("other", "2.70")):
+        kept = KeptHere(held)
+        PolicyKeeper(context.policies, kept).write_again()
+        assert kept.written == []
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -30,6 +30,7 @@
     Plan.ZONES: (3.0, 6.0),
     Plan.CRASHING: (2.5, 6.0),
     Plan.LIMITED: (2.5, 6.0),
+    Plan.RETURNING: (3.0, 10.0),
 }
 """For how long an upstream serves on after its notice: drainMs and a little longer, at times many
 seconds. Only one that serves on shows who still sends to it."""
@@ -126,6 +127,10 @@
         self._born = int(time.time() * 1000)
         self._starts = itertools.count(1)
         self.all: list[Listed] = []
+        self._listed: dict[str, dict[str, Any]] = {}
+        """What each entry that is to be there says."""
+        self._unlisted: set[str] = set()
+        """Names of entries that are to be gone."""
         self._proxies: dict[str, Proxy] = {}
         """By the upstreams that run, also those that are leaving."""
         self._begin()
@@ -150,6 +155,16 @@
         for one in self.all:
             one.upstream.break_off(for_s)
 
+    def write_again(self) -> None:
+        """Write all entries again, and delete again what is to be gone: the store was an older one.
+
+        When a notice was taken first is remembered, and counts.
+        """
+        for name, spec in list(self._listed.items()):
+            self._write(name, spec)
+        for name in list(self._unlisted):
+            self._delete(name)
+
     def limit(self, for_s: float) -> None:
         """Name a limit with all answers for a while, and a lower one in the second half."""
         upstream = self.upstream
@@ -253,6 +268,7 @@
         Two steps may write one entry at once: it is there then though it could not be replaced.
         """
         kind = KIND_UPSTREAMS
+        self._listed[name] = spec
         while True:
             try:
                 if self._store.replace(kind, name, spec) or self._store.create(kind, name, spec):
@@ -262,6 +278,8 @@
 
     def _delete(self, name: str) -> None:
         """Delete an entry, again and again while the store is away."""
+        self._listed.pop(name, None)
+        self._unlisted.add(name)
         while True:
             try:
                 self._store.delete(KIND_UPSTREAMS, name)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -43,6 +43,8 @@
     CORDON = "a zone is cordoned"
     START_AGAIN = "upstream starts again under its name"
     """It is cold then, and holds nothing of before."""
+    STORE_RETURNS = "store comes back from an older copy"
+    """Operators and upstreams write theirs again soon after."""
     LIMIT = "upstream names a limit"
     """It tells with its answers how many requests a second it takes; less, after a while."""
 
@@ -60,6 +62,8 @@
     CRASHING = "crashing"
     """Requests that end each engine that runs them and come again, beside ordinary streams that are
     all alike, with few other faults."""
+    RETURNING = "returning"
+    """The store comes back from an older copy now and then, with few other faults."""
     LIMITED = "limited"
     """Upstreams that name for a while how many requests they take, with few other faults."""
 
@@ -159,7 +163,18 @@
     Kind.STORE_LINK: 0.5,
     Kind.STORE_DOWN: 0.5,
 }
+RETURNING_WEIGHTS: Final[dict[Kind, float]] = {
+    Kind.STORE_RETURNS: 2.0,
+    Kind.LEAVE: 2.0,
+    Kind.REMOVE: 2.5,
+    Kind.CONFIGURE: 2.0,
+    Kind.KILL: 0.5,
+    Kind.PAUSE: 0.5,
+    Kind.STORE_LINK: 0.5,
+    Kind.STORE_SLOW: 0.5,
+}
 PLAN_WEIGHTS: Final = {
+    Plan.RETURNING: RETURNING_WEIGHTS,
     Plan.LIMITED: LIMITED_WEIGHTS,
     Plan.LEAVING: LEAVING_WEIGHTS,
     Plan.ZONES: ZONES_WEIGHTS,
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,7 +17,7 @@
 import orjson
 
 from driftstall.exceptions import PlatformUnavailable, UpstreamError
-from driftstall.platform.names import KIND_CONFIG, KIND_CORDONS, NAME_CONFIG
+from driftstall.platform.names import KIND_CONFIG, KIND_CORDONS, KIND_INSTANCES, NAME_CONFIG
 from driftstall.platform.store import Store
 from features.worlds.gateway_world import HOST, document, route
 from measures.bench import Bench, BenchError
@@ -43,6 +43,12 @@
 PORTALS: Final = 2
 ENGINES: Final = 3
 REJECTED_PAUSE_S: Final = 0.05
+COPY_EVERY_S: Final = 2.5
+CHANGED: Final = 200
+"""Revisions given out after each copy for what nobody here reads; they are given out again."""
+LONGEST_AWAY_S: Final = 1.0
+WRITTEN_AGAIN_S: Final = 1.0
+"""Within this, operators and upstreams have written theirs again."""
 FATAL_CALLERS: Final = 2
 """Callers of requests that end each engine; each asks for one of its own."""
 FATAL_FROM_S: Final = 3.0
@@ -108,6 +114,8 @@
         self._await_ready()
         jobs = [gevent.spawn(self._call, number) for number in range(self._size.callers)]
         jobs.append(gevent.spawn(self._probe))
+        if self._size.plan is Plan.RETURNING:
+            gevent.spawn(self._copy_store)
         if self._size.plan is Plan.CRASHING:
             jobs += [gevent.spawn(self._call_fatal, number) for number in range(FATAL_CALLERS)]
         began = time.monotonic()
@@ -178,6 +186,7 @@
             Kind.CONFIGURE: lambda _: self._spawn(self._configure),
             Kind.CORDON: lambda one: self._spawn(self._cordon, one),
             Kind.START_AGAIN: lambda one: self._change_fleet(one, "start_again"),
+            Kind.STORE_RETURNS: lambda one: self._spawn(self._return_store, one),
             Kind.LIMIT: lambda one: self._spawn(self._fleet[one.target].limit, one.for_s),
             Kind.SILENCE: lambda _: self._silence(range(len(self._instances))),
             Kind.SILENCE_ONE: lambda one: self._silence([one.target]),
@@ -272,6 +281,25 @@
         assert self._bench.platform is not None
         gevent.spawn_later(step.for_s, self._bench.platform.control, {"slow_s": 0.0})
 
+    def _copy_store(self) -> None:
+        """Have the store take a copy again and again."""
+        assert self._bench.platform is not None
+        while self._traffic:
+            script = {"copy": True, "without": KIND_INSTANCES, "changed_elsewhere": CHANGED}
+            self._bench.platform.control(script)
+            gevent.sleep(COPY_EVERY_S)
+
+    def _return_store(self, step: Step) -> None:
+        """Let the store come back from its copy, and have all but the instances write again."""
+        assert self._bench.platform is not None
+        away_s = min(step.for_s, LONGEST_AWAY_S)
+        self._disturb(STORE, away_s + WRITTEN_AGAIN_S)
+        self._bench.platform.control({"come_back": True, "down_s": away_s})
+        gevent.sleep(away_s + WRITTEN_AGAIN_S / 2)
+        for listed in self._fleet:
+            self._spawn(listed.write_again)
+        self._until_taken(lambda: self._store.replace(KIND_CONFIG, NAME_CONFIG, self._document()))
+
     def _change_fleet(self, step: Step, how: str) -> None:
         """Let an upstream go, in one of the ways; all of them may break its requests."""
         self._spawn(getattr(self._fleet[step.target], how))
@@ -403,7 +431,8 @@
             connection.close()
 
     def _look_at_ends(self) -> None:
-        """Note which processes have ended by themselves, or are not ready."""
+        """Note which processes have ended by themselves, or are not ready or not listed."""
+        listed = {one.name for one in self._store.list(KIND_INSTANCES).objects}
         for one in self._instances:
             code = one.process.poll()
             expected = (None, 0, -signal.SIGKILL)
@@ -411,3 +440,5 @@
                 self.ledger.ended.append(f"{one.name} ended by itself with {code}")
             elif not one.ready():
                 self.ledger.not_ready.append(f"{one.name} is not ready at the end")
+            elif code is None and one.name not in listed:
+                self.ledger.not_ready.append(f"{one.name} is not listed at the end")
