Add failing tests: the own interface's configuration after the store's return

An accepted policy that the copy lacks is never stored again, and the next change takes it out of force: it rests on what the store holds.

--- a/driftstall/decisions/permits.py
+++ b/driftstall/decisions/permits.py
@@ -30,7 +30,8 @@
 
 BURST: Final = 2.0
 """Permits that add up while none is asked for. Within any time t an upstream gets no more than its
-limit times t and three more: a limit of 0.5 a second is used by requests that come in pairs."""
+limit times t and three more (and what streams under way take ahead): a limit of 0.5 a second is
+used by requests that come in pairs."""
 LEAST_PER_S: Final = 0.1
 """What an upstream is sent that takes nothing, or less than this: only an answer tells that its
 limit has ended. One request in ten seconds."""
--- /dev/null
+++ b/features/steps/process_store_return_steps.py
@@ -0,0 +1,85 @@
+"""Check the own interface's configuration after the store's return from an older copy."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Any, Final
+
+from behave import then, when
+
+from driftstall.platform.store import Store
+from features.steps.process_crash_steps import WORKSPACES
+from measures.bench import Bench, wait_until, workspace_key
+
+KIND: Final = "driftstall-config"
+NAME: Final = "main"
+
+
+def policy(name: str) -> str:
+    """Return a policy's text."""
+    return f'policy "{name}" {{ rule all {{ rank 1; wait at most 9s; may refuse; }} }}'
+
+
+def control(context: Any, script: dict[str, Any]) -> None:
+    """Script the store."""
+    context.own.platform.control(script)
+
+
+def change_workspaces(bench: Bench, names: tuple[str, ...]) -> None:
+    """Submit workspaces alone."""
+    rows = [
+        {"name": name, "key_sha256": hashlib.sha256(workspace_key(name).encode()).hexdigest()}
+        for name in names
+    ]
+    answer = bench.operator(0, "PUT", "/operator/config", {"workspaces": rows})
+    assert answer.status == 200, answer
+
+
+@when('the store takes a copy, and policy "{name}" is accepted after it')
+def accepted_after(context: Any, name: str) -> None:
+    """Submit it."""
+    control(context, {"copy": True})
+    assert context.own.submit(policy(name), WORKSPACES).status == 200
+    wait_until("it is in force", lambda: in_force(context, name))
+
+
+def in_force(context: Any, name: str) -> bool:
+    """Tell whether a policy is in force at all instances."""
+    shown = [context.own.operator(at, "GET", "/operator/config").value for at in (0, 1, 2)]
+    return all(f'policy "{name}"' in one["policy"] for one in shown)
+
+
+@when("the store comes back from the copy")
+def come_back(context: Any) -> None:
+    """Let it, at once."""
+    context.writes = context.own.platform.stats()["writes"]
+    control(context, {"come_back": True})
+
+
+@when("the store comes back from the copy, and the workspaces are changed at once")
+def come_back_and_change(context: Any) -> None:
+    """Let it, and submit before an instance can have noticed."""
+    control(context, {"come_back": True})
+    change_workspaces(context.own, WORKSPACES[:1])
+
+
+@then('within {seconds:g} s the store holds policy "{name}" again, once')
+def holds_again(context: Any, seconds: float, name: str) -> None:
+    """Wait for it; two instances may both try, of which one succeeds."""
+    store = Store(context.own.platform.address)
+
+    def holds() -> bool:
+        stored = store.get(KIND, NAME)
+        return stored is not None and f'policy "{name}"' in stored.spec["policy"]
+
+    wait_until("the store holds it", holds, seconds)
+    assert context.own.platform.stats()["writes"] - context.writes <= 4
+
+
+@then('a change of the workspaces alone keeps policy "{name}" in force everywhere')
+def change_keeps(context: Any, name: str) -> None:
+    """Submit one more."""
+    change_workspaces(context.own, WORKSPACES)
+    wait_until("it is in force", lambda: in_force(context, name))
+    stored = Store(context.own.platform.address).get(KIND, NAME)
+    assert stored is not None and f'policy "{name}"' in stored.spec["policy"], stored
