Store the own interface's configuration again after the store's return, and rest changes on the newest one

Cause: a change was built on what the store holds, which is an older copy then, and nobody wrote the lost one again. Before: the accepted policy stays lost, and the next change takes it out of force.

--- a/driftstall/controllers/configuration.py
+++ b/driftstall/controllers/configuration.py
@@ -188,7 +188,7 @@
 
     @_on.register
     def _(self, event: ConfigRead) -> list[SubmitAction]:
-        self._current = event.document
+        self._current = self._newest(event.document)
         if self._change.submission in event.document.submissions:
             self._written = self._written or event.document
             self._state = SubmitState.ACCEPTED
@@ -198,7 +198,7 @@
             self._state = SubmitState.CONFLICT
             return []
         base = self._change.base_generation
-        if base is not None and base != event.document.generation:
+        if base is not None and base != self._current.generation:
             self._state = SubmitState.CONFLICT
             return []
         return self._write(event)
@@ -227,16 +227,19 @@
 
     def _write(self, read: ConfigRead) -> list[SubmitAction]:
         """Build the next generation on what is stored, and write it."""
-        stored, change = read.document, self._change
-        generation = max(stored.generation, self._known.generation) + 1
-        submissions = (*stored.submissions, change.submission)[-MAX_SUBMISSIONS:]
+        newest, change = self._current, self._change
+        submissions = (*newest.submissions, change.submission)[-MAX_SUBMISSIONS:]
         self._written = ConfigDocument(
-            generation,
-            stored.policy if change.policy is None else change.policy,
-            stored.workspaces if change.workspaces is None else change.workspaces,
-            stored.runners if change.runners is None else change.runners,
+            newest.generation + 1,
+            newest.policy if change.policy is None else change.policy,
+            newest.workspaces if change.workspaces is None else change.workspaces,
+            newest.runners if change.runners is None else change.runners,
             submissions,
         )
         self._expected = read.version
         self._state = SubmitState.WRITING
         return [WriteConfig(read.version, self._written)]
+
+    def _newest(self, stored: ConfigDocument) -> ConfigDocument:
+        """Return what a change rests on: a store that came back from a copy holds an older one."""
+        return stored if stored.generation >= self._known.generation else self._known
--- a/driftstall/daemon/config_service.py
+++ b/driftstall/daemon/config_service.py
@@ -8,6 +8,7 @@
 
 from driftstall.const import KEY_CONFIG, PREFIX_CONFIGURATION
 from driftstall.controllers.configuration import (
+    EMPTY,
     ConfigChange,
     ConfigConflicted,
     ConfigDocument,
@@ -26,17 +27,22 @@
 from driftstall.daemon.hub import Hub
 from driftstall.daemon.membership_service import MembershipService
 from driftstall.daemon.wire import config_from_json, config_to_json
+from driftstall.decisions.locate import weight
 from driftstall.exceptions import PlatformUnavailable
 from driftstall.helpers.log import say
 from driftstall.helpers.tasks import keep_running
 from driftstall.peers.messages import ConfigAsked
-from driftstall.platform.client import WriteState
+from driftstall.platform.client import VersionedValue, WriteState
 from driftstall.policy.model import Policy
 from driftstall.policy.parse import parse_policy
 
 WATCH_PAUSE_S: Final = 0.5
 GOSSIP_PERIOD_S: Final = 1.0
 PASS_ON_PEERS: Final = 16
+KEEPERS: Final = 3
+"""Instances that write again what the store has lost; one is enough."""
+KEEPER_PAUSE_S: Final = 0.5
+"""The longest pause before that: who comes later finds it written."""
 SETTLE_TRIES: Final = 4
 SETTLE_PAUSE_S: Final = 0.25
 
@@ -133,6 +139,7 @@
         """Follow the platform's changes for ever."""
         while True:
             try:
+                lists = not self._revision
                 at, changes = self._hub.platform.watch(KEY_CONFIG, self._revision)
                 # After an outage, or an error below, the platform may have lost its place, or a
                 # change may be half taken in: begin anew.
@@ -141,11 +148,41 @@
                     self._take(config_from_json(one.value))
                 self._revision = at
                 self._platform_read = True
+                if lists:
+                    self._write_again(changes)
             except PlatformUnavailable as fault:
                 self._revision = 0
                 say(PREFIX_CONFIGURATION, f"A question to the platform failed: {fault}")
                 gevent.sleep(WATCH_PAUSE_S)
 
+    def _write_again(self, stored: tuple[VersionedValue, ...]) -> None:
+        """Store the configuration in force where the store holds an older one, or none.
+
+        It has come back from an older copy then. A few instances look, and the first one writes.
+        """
+        found = config_from_json(stored[0].value) if stored else EMPTY
+        if found.generation >= self.document.generation or not self._is_keeper():
+            return
+        gevent.sleep(KEEPER_PAUSE_S * self._hub.source.random())
+        value = config_to_json(self.document)
+        expected = stored[0].version if stored else 0
+        result = self._hub.platform.put(KEY_CONFIG, value, expected)
+        say(
+            PREFIX_CONFIGURATION,
+            f"The configuration in force is written again: {result.state.value}",
+            generation=self.document.generation,
+            stored=found.generation,
+        )
+        if result.state is not WriteState.DONE:
+            # Another one has written, or it is not known: look again.
+            self._revision = 0
+
+    def _is_keeper(self) -> bool:
+        """Tell whether this instance is one of those that write again what the store has lost."""
+        own = weight(KEY_CONFIG, self._hub.own.instance_id)
+        live = self._members.live
+        return sum(weight(KEY_CONFIG, one.instance_id) > own for one in live) < KEEPERS
+
     def _compare(self) -> None:
         """Ask a random peer whether it has something newer."""
         own = self._hub.own.instance_id
