--- a/features/steps/controller_steps.py
+++ b/features/steps/controller_steps.py
@@ -39,6 +39,7 @@
     WriteLease,
 )
 from driftstall.core import Instance, Weights
+from driftstall.decisions.store_versions import StoreVersion
 from driftstall.exceptions import MessageError
 from driftstall.helpers.trace import TraceRecorder, build_controller, replay
 from driftstall.peers.codec import HEADER, decode, encode, kinds_of
@@ -142,6 +143,8 @@
         return sample(typing.get_args(hint)[0], depth + 1)
     if isinstance(hint, type) and issubclass(hint, StrEnum):
         return next(iter(hint))
+    if hint is StoreVersion:
+        return StoreVersion.of(2, 7)
     return {str: "some text", int: 7, float: 2.5, bool: True}[hint]
 
 
--- a/features/steps/gateway_feed_steps.py
+++ b/features/steps/gateway_feed_steps.py
@@ -156,7 +156,10 @@
 @then("its list and its watch report that the platform gave no answer")
 def reports_no_answer(context: Any) -> None:
     """Call both."""
-    for call in (lambda: context.store.list("k"), lambda: context.store.watch("k", 1, 1.0)):
+    for call in (
+        lambda: context.store.list("k"),
+        lambda: context.store.watch("k", StoreVersion(1), 1.0),
+    ):
         try:
             call()
         except PlatformUnavailable:
