Take no upstream for gone that a list could not know of yet

Found on beside a store that came back from a copy: a portal listed at 2.25 was dropped by all instances 4 ms later and never came back. Cause: the whole list of the platform dropped whatever it lacked, also what had joined after the list was read: a peer's news of a later revision overtakes a list that is on its way. The entry was buried at its own revision, so nothing revived it. Ruled out: the watch (a removal with a lower revision than the entry's is passed over) and peers' lists (they compare revisions already). Now a list removes only entries up to its own revision. The scenario in store_eras.feature failed first ('u1' alone took requests). The scenario of an outage gave its list no revision; it has one now.

--- a/driftstall/gateway/fleet.py
+++ b/driftstall/gateway/fleet.py
@@ -215,7 +215,9 @@
             self._put(upstream, now, since)
         for name in [one for one in self._entries if one not in listed]:
             revision = self._entries[name].upstream.revision
-            self._remove(name, revision, now, since, may_lack=self._in_doubt(now))
+            # What a peer told while the list was on its way may have joined after it was read.
+            if revision <= event.at:
+                self._remove(name, revision, now, since, may_lack=self._in_doubt(now))
 
     @_on.register
     def _(self, event: Offered, now: float) -> None:
--- a/features/gateway/store_eras.feature
+++ b/features/gateway/store_eras.feature
@@ -52,6 +52,13 @@
     And 1 s later "u2" is removed as of 2.52
     Then "u2" takes no requests at once
 
+  Scenario: a list that was read before an upstream joined says nothing of it
+    Given a fleet that knows "u1" and "u2" as of 1.100
+    When a peer tells that "u3" has joined as of 1.103
+    And a list as of 1.102 comes after it, with "u1" alone
+    Then "u1" and "u3" take requests
+    But "u3" takes none once a list as of 1.104 lacks it as well
+
   Scenario: a notice that is told after the return counts at once
     Given a fleet that knows "u1" and "u2" as of 1.100
     When the store has come back, and lists both as of 2.50
--- a/features/steps/gateway_fleet_steps.py
+++ b/features/steps/gateway_fleet_steps.py
@@ -6,6 +6,7 @@
 
 from behave import given, then, when
 
+from driftstall.decisions.store_versions import StoreVersion
 from driftstall.gateway.fleet import FleetController
 from driftstall.gateway.fleet_events import (
     Changed,
@@ -104,7 +105,7 @@
     """Let an outage end."""
     tell(context, PlatformLost(), 1.0)
     tell(context, PlatformBack(), 6.0)
-    tell(context, Listed((upstream_of(first), upstream_of(second))), 6.0)
+    tell(context, Listed((upstream_of(first), upstream_of(second)), StoreVersion(9)), 6.0)
     context.back_at = 6.0
 
 
--- a/features/steps/store_era_steps.py
+++ b/features/steps/store_era_steps.py
@@ -240,6 +240,31 @@
     both_take(context)
 
 
+@when('a peer tells that "u3" has joined as of 1.103')
+def peer_tells_of_joined(context: Any) -> None:
+    """Take its word in."""
+    feed(context, Changed(entry("u3", "1.103"), False, from_peer=True), 2.0)
+
+
+@when('a list as of 1.102 comes after it, with "u1" alone')
+def late_list(context: Any) -> None:
+    """Take in what was read before and was on its way meanwhile."""
+    feed(context, Listed((entry("u1", "1.90"),), version("1.102")), 2.004)
+
+
+@then('"u1" and "u3" take requests')
+def joined_takes(context: Any) -> None:
+    """Look."""
+    assert taking(context) == {"u1", "u3"}, taking(context)
+
+
+@then('"u3" takes none once a list as of 1.104 lacks it as well')
+def newer_list(context: Any) -> None:
+    """Take in a list that was read after it had joined."""
+    feed(context, Listed((entry("u1", "1.90"),), version("1.104")), 3.0)
+    assert taking(context) == {"u1"}, taking(context)
+
+
 @when('1 s later "u2" is removed as of 2.52')
 def removed(context: Any) -> None:
     """Take the change in."""
