--- a/driftstall/platform/__main__.py
+++ b/driftstall/platform/__main__.py
@@ -2,28 +2,27 @@
 
 Usage:
   python3 -m driftstall.platform
+
+The standard library is left as it is: all that waits here is gevent's own. To patch it would take as
+long as all other imports, in the seconds after a kill in which callers find nobody.
 """
 
 from __future__ import annotations
 
-from gevent import monkey
-
-monkey.patch_all()
-
-import os  # noqa: E402
-import sys  # noqa: E402
-from typing import Final  # noqa: E402
+import os
+import sys
+from typing import Final
 
-from driftstall.exceptions import SettingsError  # noqa: E402
-from driftstall.gateway.model import GatewaySettings  # noqa: E402
-from driftstall.gateway.node import GatewayNode, PlatformAccess  # noqa: E402
-from driftstall.helpers.log import start_log  # noqa: E402
-from driftstall.platform import feeds  # noqa: E402
-from driftstall.platform.crashes import StoredCrashes  # noqa: E402
-from driftstall.platform.dialect import PlatformDialect  # noqa: E402
-from driftstall.platform.settings import read_settings, settings_path  # noqa: E402
-from driftstall.platform.store import Store  # noqa: E402
-from driftstall.policy.default import default_policy  # noqa: E402
+from driftstall.exceptions import SettingsError
+from driftstall.gateway.model import GatewaySettings
+from driftstall.gateway.node import GatewayNode, PlatformAccess
+from driftstall.helpers.log import start_log
+from driftstall.platform import feeds
+from driftstall.platform.crashes import StoredCrashes
+from driftstall.platform.dialect import PlatformDialect
+from driftstall.platform.settings import read_settings, settings_path
+from driftstall.platform.store import Store
+from driftstall.policy.default import default_policy
 
 EXIT_SETTINGS: Final = 2
 
