--- a/driftstall/decisions/cold_starts.py
+++ b/driftstall/decisions/cold_starts.py
@@ -10,11 +10,6 @@
 up while nothing is sent would let all instances send at once; so a part is a slot now and then, at
 a phase drawn by lot, that lapses unless it is used within a moment. Who places streams for a whole
 zone has half of the rate in even parts of zones; the instances share the other half.
-
-Grounds: of 25 requests a second that a cold upstream bears, fleets of 8 and of 62 that send
-whatever they may send 20 on average, and at most 23 and 28 in any of 400 seconds; 31 after pauses
-in which nothing was sent, 30 where three placers share it with 62 instances (drawn slots, as in
-this module's tests). Upstreams of the users are said to fall over beyond 42.
 """
 
 from __future__ import annotations
--- a/driftstall/decisions/copy_room.py
+++ b/driftstall/decisions/copy_room.py
@@ -7,12 +7,6 @@
 
 So copies take what runs leave. The line up to which an engine's memory may be filled with a copy
 falls as the runs of the fleet fill its engines.
-
-Grounds: on a fleet of 22 to 30 engines whose memory is nearly full (62 instances), the worth of a
-quiet day, one with trouble and one of high load was 0.676, 0.563 and 0.436 at a fixed line of 0.70,
-and 0.761, 0.575 and 0.469 with lines that fall; of all requests 0.870, 0.753 and 0.690 were served,
-and 0.912, 0.765 and 0.701 (one play each, same seeds). Fleets
-whose runs take less than half keep the lines that they were tuned at.
 """
 
 from __future__ import annotations
--- a/driftstall/decisions/crash_blame.py
+++ b/driftstall/decisions/crash_blame.py
@@ -15,15 +15,6 @@
 all it runs, while one that is refused wrongly is one request, for half a minute. Who was beside a
 second one may only have been unlucky twice, so it is tried again after that; a third crash is no
 chance any more.
-
-Grounds: a modelled fleet of 5 engines and 8 instances, 10 ordinary requests a second, a fatal one
-every 0.3 to 4 s, callers who ask again within 2 s, 60 s, 8 seeds. One fatal request crashes 3.0
-engines (the third after the rest of 30 s), 11 of 591 ordinary runs break off, and one in 6,000 is
-refused wrongly. Where three crashes are waited for: 4.1 engines, 16 broken off, none refused. Three
-fatal requests beside 20 ordinary ones a second: 5.9 of 1,186 are refused wrongly; 9.5 where nothing
-is explained by another request, 11.1 where a run under way weighs as much as one that had just
-begun. Ordinary requests of 20 sorts: 0.2 of 1,200 refused attempts, 11.9 where a good end clears
-only what was before it.
 """
 
 from __future__ import annotations
@@ -39,8 +30,8 @@
 UNDER_WAY_WEIGHT: Final = 0.5
 """Weight of a crash of a run that was under way there."""
 UNDER_WAY_S: Final = 1.0
-"""A run is under way once it has made events for so long. Seen: crashes 0.15 to 0.24 s after the
-request was sent; the time in an engine's queue does not count."""
+"""A run is under way once it has made events for so long; the time in an engine's queue does not
+count."""
 RESTS_S: Final = (30.0, 600.0, 3600.0)
 """How long a request is refused after its newest crash, with two, three, and more."""
 WELL_FOR_S: Final = 10.0
--- a/driftstall/decisions/engine_words.py
+++ b/driftstall/decisions/engine_words.py
@@ -8,12 +8,7 @@
 a few instances ask each engine and tell all others.
 
 An engine that only waits for the store to take its notice serves on until the store is back:
-taken for leaving, it was missed. With two such engines of eight left out, the others' memory
-was 0.9 full and five streams more were lost than with no questions at all.
-
-Grounds: on a day of 50 s with the store away for 8 s, 9 streams of 367 were broken off because
-their engine and that of their copy had left unseen; with the questions, 1 (before the outage was
-known).
+taken for leaving, it would be missed where memory is full.
 """
 
 from __future__ import annotations
--- a/driftstall/decisions/freshness.py
+++ b/driftstall/decisions/freshness.py
@@ -8,11 +8,6 @@
 So silence counts as an answer only for a bounded time: a question that waits is given up early
 enough to be asked anew, on another connection, and answered, before an instance must have caught
 up after a disturbance.
-
-Grounds: with questions of 25 s, real instances sent up to 144 requests in 40 s to upstreams that
-had left, and knew a configuration after 26 s; with 2.5 s and a margin of 1 s they knew a notice
-after 3.6 s, where 3 s were allowed. With what stands here: 2.4 s at the most. An idle question
-costs one call, so at 1.6 s an instance makes 0.6 calls a second for each kind that it follows.
 """
 
 from __future__ import annotations
--- a/driftstall/decisions/permits.py
+++ b/driftstall/decisions/permits.py
@@ -14,13 +14,6 @@
 Who is denied is told when to ask again, spread over time, so that an upstream's peers are chosen
 meanwhile and the questions stay about twice as many as the permits. Where nothing else is left, a
 request may wait for its turn; less urgent ones wait for half as long, but for each third permit.
-
-Grounds: modelled fleets of 4 to 410 instances that want far more than limits of 0.5 to 50 requests
-a second send all of them so, and at most the limit times four seconds and three more in any four
-seconds. Even parts with drawn slots would use 0.33 to 0.76 of a limit. With a fault each four
-seconds (kills, pauses, cuts; half of them at the one that is asked) fleets of 4 to 62 use 0.4 to
-0.9 of limits of 2 and more, and the sum stays below one and a half times the limit and five. Three
-seeds each; the tests of this module play such fleets.
 """
 
 from __future__ import annotations
--- a/driftstall/decisions/placers.py
+++ b/driftstall/decisions/placers.py
@@ -6,12 +6,6 @@
 zone they still meet on an engine that has just joined. So one instance places for all, in order;
 it is asked, and asks nobody.
 
-Grounds: on a model of 22 engines in five zones and 29 streams a second (measures/zone_placement),
-the first token comes later than 1.5 s for 14.6% if each instance places by itself and for none so
-(0.9% with one for each zone); the median is 0.70 and 0.42 s. With 62 real processes, 41 streams a
-second and the memory full, a quiet day's worth was 0.685 with one for each of three zones and 0.733
-with one for all (one play each).
-
 Any instance places by itself where nobody answers in time. Who is silent is left out for a while.
 """
 
@@ -22,9 +16,7 @@
 from typing import Final
 
 MOST_COMPARED: Final = 64
-"""Engines that are compared for one stream: all of them in the fleets played so, of up to 30.
-Beyond 64, as many are drawn by lot: with 2,610 engines and 100 reports a question takes 2.4 ms,
-and 21.9 ms where all are compared (one run of a scratch script)."""
+"""Engines that are compared for one stream; where there are more, as many are drawn by lot."""
 PATIENCE_S: Final = 0.05
 """How long an answer is waited for: a hop within a zone takes 1.4 ms one way; a stream that
 waits in vain loses a thirtieth of its target of 1.5 s."""
--- a/driftstall/gateway/reliance.py
+++ b/driftstall/gateway/reliance.py
@@ -16,8 +16,7 @@
 
 SELDOM_WATCH_S: Final = 25.0
 """How long a watch of what seldom changes and has no bound in time waits: policies. Where its
-connection falls silent a policy is in force so much later. With waits of 1.6 s for configurations
-and policies 8 instances made 1,079 calls in 46 s in place of 501, 0.007 of the day's worth."""
+connection falls silent a policy is in force so much later."""
 LARGE_WATCH_S: Final = 0.8
 """The same for a collector: a watch that is silently cut off must be noticed soon."""
 FRESH_S: Final = 1.5
@@ -33,7 +32,7 @@
 """How long an instance that has read the list leaves the platform alone after its start. Its seeds
 answer within half a second, and collectors twice a second: by then it knows whether others follow
 the platform for it. A fleet that starts at once, while engines join, would else have each of its
-instances woken by each engine: with 195 instances 3,409 calls a day of 50 s, and 2,805 so."""
+instances woken by each engine."""
 LONGEST_PAUSE_S: Final = 0.6
 """Longest pause of a follower after failed calls, so that an outage makes no storm."""
 OTHERS_PAUSE_S: Final = 1.5
--- a/driftstall/gateway/reports.py
+++ b/driftstall/gateway/reports.py
@@ -35,8 +35,7 @@
 LARGE_PAUSE_S: Final = 0.2
 """The same in a large fleet, where sums are made several times a second anyway."""
 SUMMARY_EVERY_S: Final = 0.5
-"""How often a collector sends sums; with two collectors a zone hears four a second. Where
-few engines are compared, sums 0.6 s old place as well as fresher ones (measures/stale_sums)."""
+"""How often a collector sends sums; with two collectors a zone hears four a second."""
 REPORT_VALID_S: Final = 2.3
 """A peer that has not reported for two periods is not located any more."""
 LONGEST_AGE_S: Final = 60.0
--- a/driftstall/gateway/selection.py
+++ b/driftstall/gateway/selection.py
@@ -33,9 +33,7 @@
 """Share of memory beyond which a new run would soon be preempted."""
 OVERFULL_PENALTY: Final = 5.0
 DRAWN: Final = 3
-"""Upstreams that an instance of a large fleet compares. In a model of 23 engines and 24
-requests a second, sums 0.3 s old, 8.2% of first tokens came later than 1.7 s when all
-were compared, and none with two to six drawn (measures/stale_sums.py)."""
+"""Upstreams that an instance of a large fleet compares."""
 COMFORT: Final = 0.40
 """Cost up to which a near engine is taken without a look at others: one that is less than
 half full and reads no other prompt. Beyond it, as many far ones are compared with it."""
--- a/driftstall/platform/__main__.py
+++ b/driftstall/platform/__main__.py
@@ -3,8 +3,8 @@
 Usage:
   python3 -m driftstall.platform
 
-The standard library is left as it is: all that waits here is gevent's own. To patch it would take as
-long as all other imports, in the seconds after a kill in which callers find nobody.
+The standard library is left as it is: all that waits here is gevent's own. To patch it would make
+the start half as long again, and after a kill callers find nobody until then.
 """
 
 from __future__ import annotations
