Ask engines for their word after one question without an answer, and where they refuse a copy

Hypothesis: streams that break off at engines' ends do so because the word comes late. All instances' idle questions end together, as the same news wake them. Ruled out: the order of copies at the notice (they take turns already; in what was left of the time none could be done), and no word from the engine (it says when it ends 0.5 s after its notice). Change: one question without an answer, on either feed, is cause to ask engines; an engine that refuses a copy is asked; idle waits are drawn from half of the longest up to it, so a silence is found out sooner by one of all. node.py's reading of the feeds moves to platform_reach.py. The scenarios were written beside the code.

--- a/driftstall/gateway/dialect.py
+++ b/driftstall/gateway/dialect.py
@@ -38,6 +38,8 @@
     copy_of: str
     """Names the memory that the source kept; empty if the run goes on there."""
     detail: str
+    target_refused: bool = False
+    """Whether the target took no copy: it has no room, or is about to leave."""
 
 
 MoveResult = MoveDone | MoveFailed
--- a/driftstall/gateway/feeds.py
+++ b/driftstall/gateway/feeds.py
@@ -119,6 +119,11 @@
         """Tell whether the feed was read and its calls are answered."""
         return self._at is not None and self._failures < LOST_AFTER
 
+    @property
+    def unanswered(self) -> bool:
+        """Tell whether the newest question got no answer; one cut watch is usual."""
+        return self._failures > 0
+
     def run(self) -> None:
         """Follow the feed for ever.
 
--- a/driftstall/gateway/inquiry.py
+++ b/driftstall/gateway/inquiry.py
@@ -1,12 +1,14 @@
 """Ask engines for their own word while the platform says nothing, and tell the others.
 
 An engine is also asked, whatever the platform says, when a stream there breaks off unexpectedly:
-one that crashed gives no notice, and its entry goes only after some seconds of silence.
+one that crashed gives no notice, and its entry goes only after some seconds of silence. The same
+when it refuses a copy: it may be full, or about to leave.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Final
 
 import gevent
 
@@ -18,6 +20,9 @@
 from driftstall.helpers.log import say
 from driftstall.helpers.tasks import keep_running
 
+LOOK_EVERY_S: Final = 0.1
+"""How often it is looked whether there is cause to ask."""
+
 
 class Inquiry:
     """Ask engines whether they stay."""
@@ -28,7 +33,7 @@
         own: Instance,
         *,
         askers: Callable[[], tuple[Instance, ...]],
-        is_platform_lost: Callable[[], bool],
+        is_platform_silent: Callable[[], bool],
         doubt: Callable[[str], None],
         tell: Callable[[str], None],
     ) -> None:
@@ -40,7 +45,7 @@
         self._state = state
         self._own = own
         self._askers = askers
-        self._is_platform_lost = is_platform_lost
+        self._is_platform_silent = is_platform_silent
         self._doubt = doubt
         self._tell = tell
         self._asked_at: dict[str, float] = {}
@@ -62,11 +67,12 @@
                 gevent.spawn(self._ask, upstream)
 
     def _run(self) -> None:
-        """Ask again and again while the platform is lost, or behind what engines say."""
+        """Ask again and again while the platform is silent, or behind what engines say."""
         while True:
-            gevent.sleep(ASK_EVERY_S)
-            if self._is_platform_lost() or self._state.fleet.doubts_any:
+            gevent.sleep(LOOK_EVERY_S)
+            if self._is_platform_silent() or self._state.fleet.doubts_any:
                 self.ask_all()
+                gevent.sleep(ASK_EVERY_S - LOOK_EVERY_S)
             self._forget_old()
 
     def _ask(self, upstream: Upstream) -> None:
--- a/driftstall/gateway/moves.py
+++ b/driftstall/gateway/moves.py
@@ -141,6 +141,8 @@
         seconds = self._state.now() - started
         failed = isinstance(result, MoveFailed)
         self._state.stats.moves_failed += failed
+        if isinstance(result, MoveFailed) and result.target_refused:
+            self._state.suspect(target)
         outcome = result.detail if isinstance(result, MoveFailed) else "done"
         step = "moved" if last else "copied"
         say(
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any, Final
+from typing import Final
 
 import gevent
 
@@ -36,10 +36,10 @@
 from driftstall.gateway.model import GatewaySettings, PolicyText, RoutingText, Upstream
 from driftstall.gateway.moves import Mover
 from driftstall.gateway.peering import Peering
+from driftstall.gateway.platform_reach import FeedReach, PlatformReach
 from driftstall.gateway.policy_keeping import KeptPolicy, PolicyKeeper
 from driftstall.gateway.protection import Protection
 from driftstall.gateway.reliance import (
-    FRESH_S,
     SETTLE_S,
     FleetPace,
     Reliance,
@@ -146,8 +146,8 @@
         self._inquiry = Inquiry(
             self.state,
             self._peering.own,
-            askers=self._askers,
-            is_platform_lost=self._is_platform_lost,
+            askers=lambda: self._reach.askers(),
+            is_platform_silent=lambda: self._reach.is_silent,
             doubt=self._upstreams.doubted,
             tell=self._peering.pass_doubt,
         )
@@ -176,6 +176,17 @@
         self._cordon_follower = Follower(
             access.cordons, self._cordons, source, self._cordon_pace(settings)
         )
+        self._routing_reach = FeedReach(self._routing_follower, self._routing_pace)
+        self._upstream_reach = FeedReach(self._upstream_follower, self._upstream_pace)
+        self._reach = PlatformReach(
+            self._routing_reach,
+            self._upstream_reach,
+            reliance,
+            now=self.state.now,
+            roles=self._roles,
+            live=lambda: self._peering.live,
+            lacking=lambda: self._peering.peers_without_platform,
+        )
         self._instances = InstanceSource(self._peering.found)
         self._store_return = StoreReturn(
             self.state,
@@ -302,7 +313,7 @@
             "cordoned_zones": len(self.state.cordons.zones),
             "upstreams_age_seconds": min(LONGEST_AGE_S, self._upstream_pace.age_s),
             "routing_age_seconds": min(LONGEST_AGE_S, self._routing_pace.age_s),
-            "platform_ok": float(self._follows(self._upstream_follower, self._upstream_pace)),
+            "platform_ok": float(self._upstream_reach.is_followed),
             "requests_refused_for_crashes": len(self.state.blame.refused(self.state.now())),
             "store_era": self.state.eras.era,
             "store_returns": self.state.eras.returns,
@@ -360,35 +371,14 @@
         return Standing(
             self._routing.version,
             self._policies.revision,
-            self._upstream_follower.current,
+            self._reach.is_answered,
             self._upstream_pace.age_s,
         )
 
-    @staticmethod
-    def _follows(follower: Follower[Any], pace: FleetPace) -> bool:
-        """Tell whether a feed is up to date, by its own watch or a collector's."""
-        return pace.covered or follower.current
-
-    def _is_platform_lost(self) -> bool:
-        """Tell whether the platform answers neither this instance nor who follows it for this."""
-        if self._roles().large:
-            now = self.state.now()
-            return not self._reliance.holds(now) and self._upstream_pace.age_s > FRESH_S
-        return not self._upstream_follower.current
-
-    def _askers(self) -> tuple[Instance, ...]:
-        """Return who shares the questions to engines: in a small fleet, who lacks the platform."""
-        live = self._peering.live
-        if self._roles().large or self._upstream_follower.current:
-            return live
-        lacking = self._peering.peers_without_platform
-        return tuple(one for one in live if one.instance_id in lacking)
-
     def _is_current(self) -> bool:
         """Tell whether the routing in force is the newest, as far as can be known."""
         newest = self._peering.newest_version
-        follows = self._follows(self._routing_follower, self._routing_pace)
-        return follows and newest <= self._routing.version
+        return self._routing_reach.is_followed and newest <= self._routing.version
 
     def _settings_time(self) -> tuple[int, int]:
         """Return what changes when the settings file does."""
--- /dev/null
+++ b/driftstall/gateway/platform_reach.py
@@ -0,0 +1,103 @@
+"""Tell how far the platform answers this instance, and whether others follow it instead."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from driftstall.core import Instance
+from driftstall.gateway.collectors import Roles
+from driftstall.gateway.reliance import FRESH_S, Reliance
+
+
+class Followed(Protocol):
+    """Tell how the questions of one feed are answered."""
+
+    @property
+    def current(self) -> bool:
+        """Tell whether the feed was read and its calls are answered."""
+
+    @property
+    def unanswered(self) -> bool:
+        """Tell whether the newest question got no answer."""
+
+
+class Paced(Protocol):
+    """Tell who follows one feed, and how old the platform's last answer is."""
+
+    @property
+    def age_s(self) -> float:
+        """Return how long ago the platform last answered this instance, in seconds."""
+
+    @property
+    def covered(self) -> bool:
+        """Tell whether a collector follows the feed for this instance."""
+
+
+@dataclass(frozen=True, slots=True)
+class FeedReach:
+    """Hold what one feed's standing is read from."""
+
+    follower: Followed
+    pace: Paced
+
+    @property
+    def is_followed(self) -> bool:
+        """Tell whether the feed is up to date, by its own watch or a collector's."""
+        return self.pace.covered or self.follower.current
+
+
+class PlatformReach:
+    """Read from the feeds on which requests depend how far the platform answers."""
+
+    def __init__(
+        self,
+        routing: FeedReach,
+        upstreams: FeedReach,
+        reliance: Reliance,
+        *,
+        now: Callable[[], float],
+        roles: Callable[[], Roles],
+        live: Callable[[], tuple[Instance, ...]],
+        lacking: Callable[[], tuple[str, ...]],
+    ) -> None:
+        """Take the two feeds, the collectors' word, the steady clock and readers of the fleet.
+
+        Lacking names the peers that the platform does not answer, as they say.
+        """
+        self._routing = routing
+        self._upstreams = upstreams
+        self._reliance = reliance
+        self._now = now
+        self._roles = roles
+        self._live = live
+        self._lacking = lacking
+
+    @property
+    def is_answered(self) -> bool:
+        """Tell whether the platform answers this instance, on whichever feed it was asked last."""
+        feeds = (self._routing, self._upstreams)
+        if any(one.follower.unanswered for one in feeds):
+            return False
+        return self._upstreams.follower.current
+
+    @property
+    def is_silent(self) -> bool:
+        """Tell whether the platform may answer neither this instance nor who follows it for this.
+
+        One question without an answer is enough: engines may leave unseen from now on, and a word
+        of theirs costs little.
+        """
+        if self._roles().large:
+            is_relied_on = self._reliance.holds(self._now())
+            return not is_relied_on and self._upstreams.pace.age_s > FRESH_S
+        return not self.is_answered
+
+    def askers(self) -> tuple[Instance, ...]:
+        """Return who shares the questions to engines: in a small fleet, who lacks the platform."""
+        live = self._live()
+        if self._roles().large or self.is_answered:
+            return live
+        lacking = self._lacking()
+        return tuple(one for one in live if one.instance_id in lacking)
--- a/driftstall/gateway/reliance.py
+++ b/driftstall/gateway/reliance.py
@@ -42,6 +42,10 @@
 """Mean pause between its further questions, so that an outage makes no storm."""
 
 
+DRAWN_SHARE: Final = 0.5
+"""Share of an idle watch's wait that is drawn by lot."""
+
+
 class Reliance:
     """Hold what collectors have last said of the platform."""
 
@@ -53,6 +57,11 @@
         self._next_try: dict[str, float] = {}
         """When to ask next in an outage, by what is asked for; empty while there is none."""
 
+    @property
+    def source(self) -> random.Random:
+        """Return the source of chance."""
+        return self._source
+
     def heard(self, platform_age_s: float, now: float) -> None:
         """Take in a collector's word: how long ago the platform answered it, in seconds."""
         self._heard_at = now
@@ -102,6 +111,7 @@
         """
         self._feed = feed
         self._reliance = reliance
+        self._source = reliance.source
         self._roles = roles
         self._now = now
         self._answered_at = float("-inf")
@@ -139,7 +149,11 @@
     def watch_s(self) -> float:
         """Return how long an idle watch waits."""
         longest_s = self._longest_wait()
-        return min(LARGE_WATCH_S, longest_s) if self._roles().large else longest_s
+        if self._roles().large:
+            return min(LARGE_WATCH_S, longest_s)
+        # News wake all instances at once. Were their next questions to end together as well, a
+        # silence that begins meanwhile would be found out by all only then.
+        return longest_s * (1.0 - DRAWN_SHARE * self._source.random())
 
     def longest_pause_s(self) -> float:
         """Return the longest pause after failed calls."""
--- a/driftstall/platform/engine_calls.py
+++ b/driftstall/platform/engine_calls.py
@@ -60,6 +60,7 @@
         # Only this answer means that the run has stopped and its memory was kept.
         copy_of=copy_of if last and exchange.status == HTTPStatus.SERVICE_UNAVAILABLE else "",
         detail=f"the engine answered {exchange.status}",
+        target_refused=exchange.status == HTTPStatus.SERVICE_UNAVAILABLE,
     )
 
 
--- a/features/gateway/engine_words.feature
+++ b/features/gateway/engine_words.feature
@@ -53,6 +53,29 @@
     When stream "s1" is asked
     Then its engine takes no requests
 
+  Scenario: one question without an answer is cause enough to ask engines
+    Given an instance of a small fleet whose feeds are answered
+    Then it asks no engines, and would share the questions with all that live
+    When its newest question for routes gets no answer
+    Then it asks engines by itself, though its list of upstreams is not lost yet
+    When a peer says that the platform does not answer it either
+    Then the two share the questions
+    When its question for routes is answered again
+    Then it asks no engines, and would share the questions with all that live
+
+  Scenario: the idle questions of instances that were answered at one moment end at many
+    Given 6 instances of a small fleet that follow two feeds each
+    When all their questions begin at one moment, 100 times
+    Then the first of them ends after 1.0 s on average, and none later than after 1.6 s
+    But a collector of a large fleet waits for 0.8 s each time
+
+  Scenario: an engine that refuses a copy is asked for its own word
+    Given a gateway before two plain upstreams and three engines
+    And engines are asked where a stream breaks off
+    And stream "s1" waits after event 3 and has no backup
+    When its engine takes no copy to an engine that says that it ends soon
+    Then the engine that refused takes no requests
+
   Scenario: real processes learn during an outage of the platform that an engine leaves
     Given the store's stand-in with a routing configuration and 2 upstreams
     And two engines in the store
--- a/features/steps/engine_word_steps.py
+++ b/features/steps/engine_word_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+from dataclasses import dataclass
 from typing import Any
 
 import gevent
@@ -9,10 +11,14 @@
 
 from driftstall.core import Instance
 from driftstall.decisions.engine_words import ASKERS, Word, asks
+from driftstall.gateway.collectors import Roles
 from driftstall.gateway.crash_watch import CrashWatch
+from driftstall.gateway.dialect import MoveFailed
 from driftstall.gateway.fleet_events import Changed, Doubted, Period, UpstreamLeaving
 from driftstall.gateway.inquiry import Inquiry
 from driftstall.gateway.model import Upstream
+from driftstall.gateway.platform_reach import FeedReach, PlatformReach
+from driftstall.gateway.reliance import FleetPace, Reliance
 from driftstall.platform.names import KIND_UPSTREAMS
 from features.steps.gateway_fleet_steps import takes_none, takes_some, tell
 from features.steps.gateway_node_steps import wait_long
@@ -96,7 +102,7 @@
         world.state,
         OWN,
         askers=lambda: (OWN,),
-        is_platform_lost=lambda: True,
+        is_platform_silent=lambda: True,
         doubt=doubt,
         tell=lambda _: None,
     )
@@ -190,6 +196,129 @@
     wait_for("it is known", lambda: not takes(world, engine))
 
 
+@dataclass
+class Feed:
+    """Stand for a feed's follower and its pace."""
+
+    current: bool = True
+    unanswered: bool = False
+    covered: bool = False
+    age_s: float = 0.0
+
+
+@given("an instance of a small fleet whose feeds are answered")
+def answered_instance(context: Any) -> None:
+    """Let it live with three others."""
+    context.routes, context.list, context.lacking = Feed(), Feed(), ()
+    context.others = tuple(
+        Instance(f"other-{number}", f"127.0.0.1:{number}", f"127.0.0.1:{number + 9}", "a")
+        for number in range(1, 4)
+    )
+    context.reach = PlatformReach(
+        FeedReach(context.routes, context.routes),
+        FeedReach(context.list, context.list),
+        Reliance(random.Random(1)),
+        now=lambda: 0.0,
+        roles=Roles,
+        live=lambda: context.others,
+        lacking=lambda: context.lacking,
+    )
+
+
+@then("it asks no engines, and would share the questions with all that live")
+def asks_none(context: Any) -> None:
+    """Look."""
+    assert not context.reach.is_silent
+    assert context.reach.askers() == context.others
+
+
+@when("its newest question for routes gets no answer")
+def routes_unanswered(context: Any) -> None:
+    """Note it; the feed counts as lost only after the second one."""
+    context.routes.unanswered = True
+
+
+@then("it asks engines by itself, though its list of upstreams is not lost yet")
+def asks_alone(context: Any) -> None:
+    """Look who is to ask."""
+    assert context.list.current and context.routes.current
+    assert context.reach.is_silent
+    assert context.reach.askers() == ()
+
+
+@when("a peer says that the platform does not answer it either")
+def peer_lacks(context: Any) -> None:
+    """Take its word."""
+    context.lacking = ("other-2",)
+
+
+@then("the two share the questions")
+def two_share(context: Any) -> None:
+    """Look who is to ask besides."""
+    assert [one.instance_id for one in context.reach.askers()] == ["other-2"]
+
+
+@when("its question for routes is answered again")
+def routes_answered(context: Any) -> None:
+    """Note it."""
+    context.routes.unanswered = False
+
+
+def pace_of(seed: int, roles: Roles) -> FleetPace:
+    """Return the pace of one feed of one instance."""
+    reliance = Reliance(random.Random(seed))
+    return FleetPace(reliance, lambda: roles, lambda: 0.0, longest_wait=lambda: 1.6)
+
+
+@given("6 instances of a small fleet that follow two feeds each")
+def twelve_feeds(context: Any) -> None:
+    """Make the paces."""
+    context.paces = [pace_of(seed, Roles()) for seed in range(12)]
+
+
+@when("all their questions begin at one moment, 100 times")
+def questions_begin(context: Any) -> None:
+    """Ask each for how long it waits."""
+    context.waits = [[pace.watch_s() for pace in context.paces] for _ in range(100)]
+
+
+@then("the first of them ends after 1.0 s on average, and none later than after 1.6 s")
+def ends_apart(context: Any) -> None:
+    """Look at the first and the last of each moment."""
+    firsts = [min(waits) for waits in context.waits]
+    assert sum(firsts) / len(firsts) < 1.0, firsts
+    assert max(max(waits) for waits in context.waits) <= 1.6
+
+
+@then("a collector of a large fleet waits for 0.8 s each time")
+def collector_waits(context: Any) -> None:
+    """Ask it."""
+    pace = pace_of(1, Roles(large=True, collects=True, follows=True))
+    assert {pace.watch_s() for _ in range(10)} == {0.8}
+
+
+@when("its engine takes no copy to an engine that says that it ends soon")
+def copy_refused(context: Any) -> None:
+    """Let one engine be about to end, and have a copy made there."""
+    world = world_of(context)
+    (run,) = world.state.runs.all
+    context.refusing = next(
+        one for one in world.engines if one.upstream_id != run.upstream.upstream_id
+    )
+    context.refusing.report = ENDS_SOON
+    context.engine.move_answers = [lambda _: (503, {})]
+    result = world.mover.copy(run, world.entry(context.refusing))
+    assert isinstance(result, MoveFailed) and result.target_refused, result
+
+
+@then("the engine that refused takes no requests")
+def refusing_takes_none(context: Any) -> None:
+    """Wait until it is known, and let the stream end."""
+    world = world_of(context)
+    wait_for("it is known", lambda: not takes(world, context.refusing))
+    context.script.gate.set()
+
+
 @given("two engines in the store")
 def engines_in_store(context: Any) -> None:
     """Add two engines to the store."""
--- a/features/steps/start_steps.py
+++ b/features/steps/start_steps.py
@@ -62,9 +62,8 @@
             found += [one.name for one in node.names if one.name in WAITING_MODULES]
         elif isinstance(node, ast.ImportFrom) and node.module in WAITING_MODULES:
             found.append(str(node.module))
-        elif isinstance(node, ast.Attribute) and node.attr == "sleep":
-            if isinstance(node.value, ast.Name) and node.value.id == "time":
-                found.append("time.sleep")
+        elif isinstance(node, ast.Attribute) and ast.unparse(node) == "time.sleep":
+            found.append("time.sleep")
     return found
 
 
