--- /dev/null
+++ b/driftstall/gateway/stream_resuming.py
@@ -0,0 +1,101 @@
+"""Go on with a stream at a copy of its run, where its upstream has left or broken."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import gevent
+
+from driftstall.const import PREFIX_RELAY
+from driftstall.exceptions import UpstreamError
+from driftstall.gateway.model import Upstream
+from driftstall.gateway.runs import StreamRun
+from driftstall.gateway.sending import Opened
+from driftstall.gateway.stream_work import StreamWork
+from driftstall.helpers.log import say
+
+COLD_WAIT_S: Final = 1.2
+"""How long a stream that could go on waits for an engine that has gone cold."""
+TURN_WAIT_S: Final = 1.2
+"""The same for its turn at an engine that names a limit."""
+MAX_RESUMES: Final = 8
+"""Upstreams that one stream may go on at; each leaves with a notice of its own."""
+OK: Final = 200
+
+
+class StreamResuming:
+    """Find a copy of one stream's run, and send the request there."""
+
+    def __init__(self, work: StreamWork) -> None:
+        """Take the stream."""
+        self._work = work
+
+    def resume(self, run: StreamRun, cause: str) -> Opened | None:
+        """Go on at a copy; return the opened answer, or None where there is no copy."""
+        while run.moves < MAX_RESUMES and self._work.left() > 0 and not self._work.caller_gone:
+            if run.exchange is not None:
+                run.exchange.close()
+            copy = self._work.copies.take(run, self._work.left())
+            if copy is None:
+                self._work.copies.say_none(run, cause)
+                return None
+            if not self._await_cold(copy.upstream):
+                continue
+            need = self._work.need(min(TURN_WAIT_S, self._work.left()), under_way=True)
+            limits, engine_id = self._work.state.rate_limiting, copy.upstream.upstream_id
+            if not limits.take_turn(engine_id, need, self._work.request_id):
+                continue
+            if self._work.refusal() is not None or not self._work.budget_allows(copy.upstream):
+                return None
+            self._work.state.runs.drop(run)
+            run.ended = True
+            run.goes_on_elsewhere = True
+            next_run = self._work.placement.next_run(run, copy, self._work.history.has_run_at)
+            result = self._work.send(next_run)
+            self._say_resumed(run, next_run, result, cause)
+            if isinstance(result, Opened) and result.head.status == OK:
+                self._work.state.stats.streams_resumed += 1
+                return result
+            # Nothing was made there that could be copied on; another copy of the run as it
+            # was may still serve.
+            next_run.backup = None
+            next_run.kept = next_run.kept or run.kept
+            run = next_run
+        return None
+
+    def _await_cold(self, upstream: Upstream) -> bool:
+        """Wait for the stream's turn at a copy's engine that has gone cold; return whether it is.
+
+        Callers give a stream up after a pause of two seconds or more.
+        """
+        until = self._work.state.now() + min(COLD_WAIT_S, self._work.left())
+        while (wait_s := self._work.state.cold_gate.wait_s(upstream)) > 0:
+            if self._work.state.now() + wait_s > until:
+                say(
+                    PREFIX_RELAY,
+                    f"A stream is not gone on with at {upstream.upstream_id}: it is cold",
+                    request=self._work.admitted.marks.request_id,
+                    wait_ms=int(wait_s * 1000),
+                )
+                return False
+            gevent.sleep(wait_s)
+        self._work.state.cold_gate.took(upstream)
+        return True
+
+    def _say_resumed(
+        self, run: StreamRun, next_run: StreamRun, result: Opened | UpstreamError, cause: str
+    ) -> None:
+        """Log how a stream went on."""
+        outcome = str(result) if isinstance(result, UpstreamError) else str(result.head.status)
+        say(
+            PREFIX_RELAY,
+            f"A stream goes on at {next_run.upstream.upstream_id}: {outcome}",
+            request=run.request_id,
+            fingerprint=self._work.admitted.fingerprint,
+            cause=cause,
+            left=run.upstream.upstream_id,
+            copy_of=next_run.resumed_from.copy_of if next_run.resumed_from else "",
+            copy=next_run.resumed_from.kind.value if next_run.resumed_from else "",
+            last_event=run.last_event_id,
+            pause_ms=int((self._work.state.now() - run.last_event_at) * 1000),
+        )
--- /dev/null
+++ b/driftstall/gateway/stream_work.py
@@ -0,0 +1,103 @@
+"""Hold one stream while it is served: what was sent of it, where it runs, who has left."""
+
+from __future__ import annotations
+
+from driftstall.core import Problem
+from driftstall.decisions.crash_blame import UNDER_WAY_S
+from driftstall.decisions.permits import SendNeed
+from driftstall.decisions.sends import SendHistory
+from driftstall.exceptions import UpstreamError
+from driftstall.gateway.admission import Admitted, request_of
+from driftstall.gateway.crash_refusal import crash_refusal
+from driftstall.gateway.ingress import CallerRequest
+from driftstall.gateway.model import Upstream
+from driftstall.gateway.moves import Mover
+from driftstall.gateway.outcomes import Outcome
+from driftstall.gateway.placement import StreamPlacement
+from driftstall.gateway.resumption import CopyFinder
+from driftstall.gateway.runs import BrokenRun, StreamRun
+from driftstall.gateway.sending import Opened, StreamSender
+from driftstall.gateway.state import GatewayState
+
+
+class StreamWork:
+    """Share one stream among those who open it, pass it on and go on with it."""
+
+    def __init__(
+        self, state: GatewayState, mover: Mover, call: CallerRequest, admitted: Admitted
+    ) -> None:
+        """Take the shared state, who takes steps of moves, and the request."""
+        self.state = state
+        self.mover = mover
+        self.admitted = admitted
+        self.request = request_of(admitted)
+        self.request_id = admitted.marks.request_id
+        self.placement = StreamPlacement(state, call, admitted, self.request)
+        self.history = SendHistory(admitted.route.most_runs)
+        self.sender = StreamSender(state, call, admitted, self.history, lambda: self.caller_gone)
+        self.copies = CopyFinder(state, mover, self.history)
+        self.caller_gone = False
+        self.run: StreamRun | None = None
+
+    def caller_left(self) -> None:
+        """Give the stream up: its upstream stops when the connection closes."""
+        self.caller_gone = True
+        run = self.run
+        if run is not None and run.exchange is not None:
+            run.exchange.close()
+
+    def send(self, run: StreamRun) -> Opened | UpstreamError:
+        """Send the request to the run's upstream; from now on a leaving caller closes this one."""
+        self.run = run
+        return self.sender.send(run)
+
+    def left(self) -> float:
+        """Return the seconds that are left."""
+        return self.admitted.ends_at - self.state.now()
+
+    def refusal(self) -> Problem | None:
+        """Return why the request is sent to no upstream, if so."""
+        return crash_refusal(self.state, self.admitted, self.history.ran)
+
+    def need(self, most_wait_s: float, *, under_way: bool = False) -> SendNeed:
+        """Return what a send needs at an upstream that names a limit."""
+        return SendNeed(most_wait_s, self.admitted.verdict.rank, under_way)
+
+    def budget_allows(self, upstream: Upstream) -> bool:
+        """Take one repeat from the common budget."""
+        return self.state.take_repeat(upstream.service, self.admitted.marks.request_id)
+
+    def broke(self, run: StreamRun, fault: Exception | None = None) -> None:
+        """Have it found out whether a run broke off because its upstream has crashed."""
+        if self.caller_gone or run.moving is not None:
+            return
+        if isinstance(fault, TimeoutError):
+            # What is silent has not ended; it may leave, or be cut off.
+            self.state.suspect(run.upstream)
+            return
+        under_way = run.making_s is not None and run.making_s >= UNDER_WAY_S
+        broken = BrokenRun(run.request_id, self.admitted.fingerprint, under_way)
+        self.state.broke(run.upstream, broken)
+
+    def saw(self, run: StreamRun, outcome: Outcome) -> None:
+        """Take in how the upstream did; the time of a stream says nothing of it."""
+        self.state.saw(run.upstream.upstream_id, run.upstream.service, outcome, 0.0)
+
+    def drop(self, run: StreamRun) -> None:
+        """Take a run off the books."""
+        if run.exchange is not None:
+            run.exchange.close()
+        self.state.runs.drop(run)
+        self.state.loads.drop(run.request_id)
+        self.state.loads_changed.set()
+
+    def finish(self) -> None:
+        """Let go of all that the stream held."""
+        run = self.run
+        if run is None:
+            return
+        run.ended = True
+        if run.exchange is not None:
+            run.exchange.close()
+        self.mover.drop_copy(run)
+        self.drop(run)
