--- a/measures/played_days.py
+++ b/measures/played_days.py
@@ -49,7 +49,7 @@
 def read_streams(log: Path, ends_s: float | None) -> tuple[PlacedStream, ...]:
     """Return the streams that instances have placed, by their lines.
 
-    One that was open when all instances ended has made no fewer tokens than others made in that time.
+    One that was open when all instances ended has made what others make in that time, or more.
     """
     placed: dict[str, tuple[float, int]] = {}
     ended: dict[str, tuple[float, int]] = {}
