--- a/driftstall/gateway/fleet.py
+++ b/driftstall/gateway/fleet.py
@@ -8,15 +8,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import Final
 
-import xxhash
-
 from driftstall.decisions.cold_starts import UNTOLD_S
 from driftstall.decisions.engine_words import DOUBTED_S
 from driftstall.decisions.store_versions import DOUBT_S, LEFT_DOUBT_S, NO_VERSION, StoreVersion
+from driftstall.gateway.fleet_book import Entry, FleetBook, Gone
 from driftstall.gateway.fleet_events import (
     Changed,
     Cordoned,
@@ -38,159 +36,23 @@
 
 LAPSE_GRACE_S: Final = 2.2
 """Entries that lapsed during an outage of the platform are back within two seconds."""
-GONE_KEPT_S: Final = 60.0
-"""How long an upstream that is gone is remembered, so that old news cannot revive it."""
-
-
-@dataclass(slots=True)
-class _Entry:
-    """Hold one upstream."""
-
-    upstream: Upstream
-    leaving_since: float | None = None
-    missing_since: float | None = None
-    """Set while its entry may only have lapsed during an outage."""
-    doubted_until: float | None = None
-    """Set while it counts as leaving by its own word alone."""
-
-    @property
-    def is_listed(self) -> bool:
-        """Tell whether it takes requests by the platform's word."""
-        return self.leaving_since is None or self.doubted_until is not None
-
-
-@dataclass(frozen=True, slots=True)
-class _Gone:
-    """Hold what is left of an upstream whose entry is gone."""
-
-    upstream: Upstream
-    """As it was known; only its name where it was not."""
-    revision: StoreVersion
-    at: float
-    leaving_since: float
 
 
-class FleetController:
-    """Hold the upstreams that one instance knows of."""
+class FleetController(FleetBook):
+    """Take in what is told of the upstreams."""
 
     def __init__(self) -> None:
         """Start with none."""
-        self._entries: dict[str, _Entry] = {}
-        self._gone: dict[str, _Gone] = {}
-        """Both by the upstreams' names."""
-        self._names: dict[str, str] = {}
-        """The names by the ids of the starts that are in force or just gone."""
-        self._replaced: dict[str, float] = {}
-        """When it was learned of a start that a later one has followed."""
-        self._cordoned: frozenset[str] = frozenset()
+        super().__init__()
         self._down = False
         self._back_at = float("-inf")
         self._returned_at = float("-inf")
         """When the store came back from an older copy, as far as is known."""
         self._actions: list[FleetAction] = []
-        self._read = False
-        self._at = NO_VERSION
         self._told_to = NO_VERSION
         """The revision up to which the platform itself has told this instance everything."""
         self._offered_to = NO_VERSION
         """The newest revision as of which a peer has given its list."""
-        self._digest: int | None = None
-
-    @property
-    def known(self) -> bool:
-        """Tell whether the list was ever read, from the platform or a peer."""
-        return self._read
-
-    @property
-    def at(self) -> StoreVersion:
-        """Return the newest version seen in any entry."""
-        return self._at
-
-    @property
-    def digest(self) -> int:
-        """Return a hash of the set of upstreams that take requests by the platform's word."""
-        if self._digest is None:
-            taking = sorted(one.upstream_id for one in self.taking)
-            self._digest = xxhash.xxh3_64_intdigest("|".join(taking).encode())
-        return self._digest
-
-    @property
-    def taking(self) -> tuple[Upstream, ...]:
-        """Return all upstreams that take requests by the platform's word."""
-        return tuple(entry.upstream for entry in self._entries.values() if entry.is_listed)
-
-    @property
-    def upstreams(self) -> tuple[Upstream, ...]:
-        """Return all upstreams that are not gone, leaving ones as well."""
-        return tuple(entry.upstream for entry in self._entries.values())
-
-    @property
-    def doubts_any(self) -> bool:
-        """Tell whether an upstream counts as leaving of which the platform has not told so."""
-        return any(entry.doubted_until is not None for entry in self._entries.values())
-
-    def ready(self, service: str) -> tuple[Upstream, ...]:
-        """Return the upstreams of a service that take requests."""
-        return tuple(
-            entry.upstream
-            for entry in self._entries.values()
-            if entry.upstream.service == service and self._takes(entry)
-        )
-
-    def waits_for_cordons(self, service: str) -> bool:
-        """Tell whether a service has upstreams, and all that stay are in cordoned zones."""
-        staying = [
-            entry.upstream.zone
-            for entry in self._entries.values()
-            if entry.upstream.service == service and entry.leaving_since is None
-        ]
-        return bool(staying) and all(zone in self._cordoned for zone in staying)
-
-    def find(self, upstream_id: str) -> Upstream | None:
-        """Return an upstream that takes requests, by its id."""
-        entry = self._find(upstream_id)
-        return entry.upstream if entry is not None and self._takes(entry) else None
-
-    def takes_requests(self, upstream_id: str) -> bool:
-        """Tell whether an upstream is known, not leaving and in no cordoned zone."""
-        return self.find(upstream_id) is not None
-
-    def stays(self, upstream_id: str) -> bool:
-        """Tell whether an upstream is known and not leaving; its zone may be cordoned."""
-        entry = self._find(upstream_id)
-        return entry is not None and entry.leaving_since is None
-
-    def leaves_as_told(self, upstream_id: str) -> bool:
-        """Tell whether an upstream's end was announced, or its entry has gone."""
-        entry = self._find(upstream_id)
-        return entry is None or not entry.is_listed
-
-    def serves(self, upstream_id: str, now: float, drain_s: float) -> bool:
-        """Tell whether an upstream may still be sent what has run there or was copied there."""
-        entry = self._find(upstream_id)
-        if entry is not None:
-            if entry.upstream.zone in self._cordoned:
-                return False
-            return entry.leaving_since is None or now - entry.leaving_since < drain_s
-        gone = self._gone.get(self._names.get(upstream_id, ""))
-        if gone is None or gone.upstream.upstream_id != upstream_id:
-            return False
-        if self.is_replaced(upstream_id) or gone.upstream.zone in self._cordoned:
-            return False
-        return now - gone.leaving_since < drain_s
-
-    def is_replaced(self, upstream_id: str) -> bool:
-        """Tell whether an upstream has started again since: what it held and named is void."""
-        return upstream_id in self._replaced
-
-    def _find(self, upstream_id: str) -> _Entry | None:
-        """Return the entry of one start."""
-        entry = self._entries.get(self._names.get(upstream_id, ""))
-        return entry if entry is not None and entry.upstream.upstream_id == upstream_id else None
-
-    def _takes(self, entry: _Entry) -> bool:
-        """Tell whether an upstream may be sent something new."""
-        return entry.leaving_since is None and entry.upstream.zone not in self._cordoned
 
     def handle(self, event: FleetEvent, now: float) -> list[FleetAction]:
         """Take one event and return what others need to know."""
@@ -347,7 +209,7 @@
             return
         is_newer = entry is None or upstream.revision > entry.upstream.revision
         if entry is None:
-            entry = self._entries[upstream.name] = _Entry(upstream)
+            entry = self._entries[upstream.name] = Entry(upstream)
             self._names[upstream.upstream_id] = upstream.name
             if upstream.state is UpstreamState.READY:
                 self._actions.append(UpstreamJoined(upstream))
@@ -360,11 +222,6 @@
         elif entry.leaving_since is not None and entry.doubted_until is None:
             self._rejoin(entry)
 
-    def _latest_start(self, name: str) -> int:
-        """Return the latest start that is known of an upstream; zero if none is."""
-        entry, gone = self._entries.get(name), self._gone.get(name)
-        return max(entry.upstream.born if entry else 0, gone.upstream.born if gone else 0)
-
     def _replace(self, old: Upstream, later: Upstream, now: float) -> None:
         """Note that a start was followed by a later one, which may be cold."""
         if old.upstream_id not in self._replaced:
@@ -419,7 +276,7 @@
             return True
         return self._in_doubt(now) and upstream.revision.revision <= known.revision.revision
 
-    def _leave(self, entry: _Entry, since: float) -> None:
+    def _leave(self, entry: Entry, since: float) -> None:
         """Mark an upstream as leaving and say so once.
 
         The time to drain runs from the notice, not from when this instance learned of it: what
@@ -430,7 +287,7 @@
             entry.leaving_since = since
             self._actions.append(UpstreamLeaving(entry.upstream))
 
-    def _rejoin(self, entry: _Entry) -> None:
+    def _rejoin(self, entry: Entry) -> None:
         """Let an upstream take requests again."""
         entry.leaving_since = None
         entry.doubted_until = None
@@ -451,15 +308,4 @@
         elif before is not None:
             # Of what is gone the platform tells no more than the name.
             known = before.upstream
-        self._gone[upstream.name] = _Gone(known, revision, now, since)
-
-    def _forget(self, now: float) -> None:
-        """Forget what is gone for long."""
-        for name, gone in list(self._gone.items()):
-            if now - gone.at > GONE_KEPT_S:
-                del self._gone[name]
-                if self._find(gone.upstream.upstream_id) is None:
-                    self._names.pop(gone.upstream.upstream_id, None)
-        for upstream_id, at in list(self._replaced.items()):
-            if now - at > GONE_KEPT_S:
-                del self._replaced[upstream_id]
+        self._gone[upstream.name] = Gone(known, revision, now, since)
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -11,10 +11,9 @@
 import gevent
 
 from driftstall.const import PREFIX_CONFIGURATION, PREFIX_DRAIN, PREFIX_MEMBERSHIP
-from driftstall.core import Instance
 from driftstall.decisions.engine_words import Word
 from driftstall.decisions.freshness import longest_wait_s
-from driftstall.exceptions import PlatformUnavailable, SettingsError
+from driftstall.exceptions import SettingsError
 from driftstall.gateway.collectors import Roles
 from driftstall.gateway.cordon_source import CordonSource
 from driftstall.gateway.cordons import Cordon
@@ -39,6 +38,7 @@
 from driftstall.gateway.platform_reach import FeedReach, PlatformReach
 from driftstall.gateway.policy_keeping import KeptPolicy, PolicyKeeper
 from driftstall.gateway.protection import Protection
+from driftstall.gateway.registration import InstanceEntries, Registration
 from driftstall.gateway.reliance import (
     SETTLE_S,
     FleetPace,
@@ -48,7 +48,6 @@
 from driftstall.gateway.reports import LONGEST_AGE_S, Standing
 from driftstall.gateway.sharing import Intake
 from driftstall.gateway.sources import (
-    InstanceSource,
     PolicySource,
     RoutingSource,
     UpstreamSource,
@@ -62,13 +61,6 @@
 
 PERIOD_S: Final = 0.2
 """How often the node looks for what time alone brings; each look is a wake-up."""
-REGISTER_PAUSE_S: Final = 0.3
-RELIST_S: Final = 5.0
-"""How often the list of instances is read again while fewer than two are known."""
-SEEDS_ANSWER_S: Final = 0.4
-"""Time in which seeds answer that start at about the same moment."""
-LATE_LIST_S: Final = 5.0
-"""When the list is read once more though peers are known; cheaply, as it may be old."""
 CORDONS: Final = "cordons"
 LOGGED_SUSPENSION_S: Final = 0.1
 """The two clocks are read one after the other, and differ by some microseconds."""
@@ -85,15 +77,11 @@
     cordons: Feed[Cordon]
     routing: Feed[RoutingText]
     policies: Feed[PolicyText]
-    instances: Feed[Instance]
-    old_instances: Feed[Instance]
-    """The same as it was some seconds ago, at a low price."""
+    instances: InstanceEntries
     crashes: KeptCrashes
     policy: KeptPolicy
     hear_eras: Callable[[Callable[[int], None]], None]
     """Has somebody told of each new era of the platform's store."""
-    register: Callable[[Instance], None]
-    withdraw: Callable[[str], None]
     use_address: Callable[[str], None]
     calls: Callable[[], int]
     read_settings: Callable[[Path], GatewaySettings]
@@ -187,7 +175,9 @@
             live=lambda: self._peering.live,
             lacking=lambda: self._peering.peers_without_platform,
         )
-        self._instances = InstanceSource(self._peering.found)
+        self._registration = Registration(
+            self.state, self._peering.own, access.instances, self._peering.found
+        )
         self._store_return = StoreReturn(
             self.state,
             own_id=settings.instance_id,
@@ -198,7 +188,7 @@
         self._policy_keeper = PolicyKeeper(self._policies, access.policy)
         self.state.era_told = self._store_return.seen
         access.hear_eras(self._store_return.seen)
-        self._store_return.writes_again(lambda: access.register(self._peering.own))
+        self._store_return.writes_again(self._registration.write)
         self._store_return.one_writes_again("policy", self._policy_keeper.write_again)
         self._store_return.one_writes_again("crashes", self._crash_keeper.write_again)
         self._drain = Drain(self.state)
@@ -233,7 +223,7 @@
             self._policy_follower,
         ):
             gevent.spawn(follower.run)
-        keep_running(PREFIX_MEMBERSHIP, self._keep_registered)
+        keep_running(PREFIX_MEMBERSHIP, self._registration.keep)
         say(PREFIX_MEMBERSHIP, f"Instance {self.state.settings.instance_id} has started")
         self._run_periods()
         say(PREFIX_DRAIN, f"Instance {self.state.settings.instance_id} has stopped")
@@ -259,37 +249,7 @@
     def _leave(self) -> None:
         """Tell peers and the platform that this instance takes nothing more."""
         self._peering.leave()
-        gevent.spawn(self._withdraw)
-
-    def _withdraw(self) -> None:
-        """Remove the own entry; a stale one does no harm, as peers ask who lives."""
-        try:
-            self._access.withdraw(self.state.settings.instance_id)
-        except PlatformUnavailable as fault:
-            say(PREFIX_DRAIN, f"The own entry is left behind: {fault}")
-
-    def _keep_registered(self) -> None:
-        """Write the own entry once, and read those of others until peers are known.
-
-        Seeds usually name the peers at once. A late read all the same joins two parts of
-        a fleet whose seeds do not know each other.
-        """
-        registered = False
-        while self.state.stopping_since is None:
-            try:
-                if not registered:
-                    self._access.register(self._peering.own)
-                    registered = True
-                    gevent.sleep(SEEDS_ANSWER_S)
-                if self.state.instances.value > 1:
-                    gevent.sleep(LATE_LIST_S * (0.5 + self.state.source.random()))
-                    self._instances.listed(self._access.old_instances.list().items)
-                    return
-                self._instances.listed(self._access.instances.list().items)
-                gevent.sleep(RELIST_S)
-            except PlatformUnavailable as fault:
-                say(PREFIX_MEMBERSHIP, f"The platform's list of instances is out of reach: {fault}")
-                gevent.sleep(REGISTER_PAUSE_S * (1 + self.state.source.random()))
+        gevent.spawn(self._registration.withdraw)
 
     def _list_again(self) -> None:
         """Read all lists anew: what the store lacks by now is gone."""
--- a/driftstall/platform/__main__.py
+++ b/driftstall/platform/__main__.py
@@ -16,6 +16,7 @@
 from driftstall.exceptions import SettingsError
 from driftstall.gateway.model import GatewaySettings
 from driftstall.gateway.node import GatewayNode, PlatformAccess
+from driftstall.gateway.registration import InstanceEntries
 from driftstall.helpers.log import start_log
 from driftstall.platform import feeds
 from driftstall.platform.crashes import StoredCrashes
@@ -50,13 +51,15 @@
         cordons=feeds.cordon_feed(store),
         routing=feeds.routing_feed(store),
         policies=feeds.policy_feed(store),
-        instances=feeds.instance_feed(store),
-        old_instances=feeds.instance_feed(store, stale=True),
+        instances=InstanceEntries(
+            feeds.instance_feed(store),
+            feeds.instance_feed(store, stale=True),
+            register=lambda instance: feeds.register_instance(store, instance),
+            withdraw=lambda instance_id: feeds.withdraw_instance(store, instance_id),
+        ),
         crashes=StoredCrashes(store),
         policy=feeds.StoredPolicy(store),
         hear_eras=store.hear_eras,
-        register=lambda instance: feeds.register_instance(store, instance),
-        withdraw=lambda instance_id: feeds.withdraw_instance(store, instance_id),
         use_address=store.use_address,
         calls=lambda: store.calls,
         read_settings=read_settings,
