--- a/features/processes/soak.feature
+++ b/features/processes/soak.feature
@@ -13,6 +13,10 @@
     Given a soak of the plan "leaving", seed 769, with 4 instances and 8 callers for 18 s
     Then it breaks no promise
 
+  Scenario: engines that leave in series while the store is silent get nothing new
+    Given a soak of the plan "unseen", seed 801, with 4 instances and 8 callers for 18 s
+    Then it breaks no promise
+
   Scenario: upstreams that name a limit get no more than it allows
     Given a soak of the plan "limited", seed 21, with 4 instances and 12 callers for 24 s
     Then it breaks no promise
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,7 +12,8 @@
   --plan=NAME    mixed (all kinds of faults), leaving (upstreams that leave) or zones (zones that
                  are cordoned, upstreams that start again) or crashing (requests that end each
                  engine that runs them, and come again) or limited (upstreams that name how many
-                 requests they take) or returning (the store comes back from an older copy)
+                 requests they take) or returning (the store comes back from an older copy) or
+                 unseen (engines that leave in series while the store is silent)
                  [default: mixed].
 
 Each seed that breaks a promise is printed with its lines and the folder of its logs.
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -17,6 +17,9 @@
 """How long after its time an answer may come."""
 DRAIN_S: Final = 2.0
 """An upstream that leaves gets nothing after this time (drainMs)."""
+OWN_WORD_KNOWN_S: Final = 2.9
+"""An engine that says itself that it leaves gets nothing new after this time, whatever the store
+says: an idle question (1.6 s), the time to give it up (0.7 s), one to the engine (0.5 s), a hop."""
 CORDON_S: Final = 2.5
 """An upstream of a cordoned zone gets nothing after this time (evacuateMs)."""
 COLD_RATE: Final = 3.0
@@ -58,6 +61,7 @@
         found += [f"{line}: {_describe(one)}" for line in _request(ledger, one, runs)]
     found += list(_unasked(ledger))
     found += list(_after_notice(ledger))
+    found += list(_after_own_word(ledger))
     found += list(_in_cordon(ledger))
     found += list(_cold(ledger))
     found += list(_limits(ledger))
@@ -145,6 +149,22 @@
             yield f"sent to {arrival.upstream_id} {late:.1f} s after its notice: {_describe(asked)}"
 
 
+def _after_own_word(ledger: Ledger) -> Iterator[str]:
+    """Check that an engine gets nothing new once calm instances can know its own word.
+
+    The store is silent then, and is no excuse: the engine tells who asks it.
+    """
+    for arrival in ledger.arrivals:
+        told = ledger.told.get(arrival.upstream_id)
+        if told is None or arrival.goes_on:
+            continue
+        late = arrival.at - told.at
+        asked = ledger.asked[arrival.request_id]
+        calm = ledger.calm(asked.instance, told.at - CALM_AFTER_S, arrival.at)
+        if late > OWN_WORD_KNOWN_S + MACHINE_SLACK_S and calm:
+            yield f"sent to {arrival.upstream_id} {late:.1f} s after its word: {_describe(asked)}"
+
+
 def _in_cordon(ledger: Ledger) -> Iterator[str]:
     """Check that upstreams of a cordoned zone get nothing from calm instances after the bound."""
     for stay in ledger.cordoned:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -31,6 +31,7 @@
     Plan.CRASHING: (2.5, 6.0),
     Plan.LIMITED: (2.5, 6.0),
     Plan.RETURNING: (3.0, 10.0),
+    Plan.UNSEEN: (4.5, 6.5),
 }
 """For how long an upstream serves on after its notice: drainMs and a little longer, at times many
 seconds. Only one that serves on shows who still sends to it."""
@@ -38,6 +39,8 @@
 """Requests a second that upstreams name."""
 FALLS_TO: Final = 0.5
 """Share of its limit that an upstream names in the second half of that time."""
+ENDS_SOON: Final = {"state": "draining", "leaves_ms": 4_000}
+"""What an engine reports that has been told when it ends."""
 COLD_S: Final = 2.5
 """How long an upstream is cold after it has started again."""
 LAPSE_S: Final = 1.5
@@ -188,6 +191,16 @@
         self._begin()
         gevent.spawn_later(self._source.uniform(*self._serves_on), self._end, old, proxy)
 
+    def leave_unseen(self) -> None:
+        """Say so to who asks, serve on for a while and end; the store hears of it when it can."""
+        old, proxy = self.upstream, self.proxy
+        old.report = ENDS_SOON
+        self._ledger.told[old.upstream_id] = Notice(old.upstream_id, time.monotonic())
+        gevent.spawn_later(self._source.uniform(*self._serves_on), self._end, old, proxy)
+        self._write(old.upstream_id, self._spec("draining"))
+        self._note(old.upstream_id)
+        self._begin()
+
     def start_again(self) -> None:
         """End at once and start again under the name, cold; the entry tells of it."""
         old, proxy = self.upstream, self.proxy
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -111,6 +111,8 @@
     asked: dict[str, Asked] = field(default_factory=dict)
     arrivals: list[Arrival] = field(default_factory=list)
     notices: dict[str, Notice] = field(default_factory=dict)
+    told: dict[str, Notice] = field(default_factory=dict)
+    """When upstreams began to say themselves that they leave; the store did not know it then."""
     cordoned: list[Stay] = field(default_factory=list)
     """From the store's acknowledgement until the order to free the zone."""
     cold: list[Stay] = field(default_factory=list)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -45,6 +45,8 @@
     """It is cold then, and holds nothing of before."""
     STORE_RETURNS = "store comes back from an older copy"
     """Operators and upstreams write theirs again soon after."""
+    LEAVE_UNSEEN = "engines leave one after another while the store is silent"
+    """They themselves say so to who asks them; the store takes their notices after its return."""
     LIMIT = "upstream names a limit"
     """It tells with its answers how many requests a second it takes; less, after a while."""
 
@@ -64,6 +66,8 @@
     all alike, with few other faults."""
     RETURNING = "returning"
     """The store comes back from an older copy now and then, with few other faults."""
+    UNSEEN = "unseen"
+    """Engines that leave in series while the store is silent, with few other faults."""
     LIMITED = "limited"
     """Upstreams that name for a while how many requests they take, with few other faults."""
 
@@ -163,6 +167,15 @@
     Kind.STORE_LINK: 0.5,
     Kind.STORE_DOWN: 0.5,
 }
+UNSEEN_WEIGHTS: Final[dict[Kind, float]] = {
+    Kind.LEAVE_UNSEEN: 3.0,
+    Kind.LEAVE: 1.0,
+    Kind.CRASH: 0.5,
+    Kind.KILL: 0.5,
+    Kind.PAUSE: 0.5,
+    Kind.STORE_LINK: 0.5,
+    Kind.CONFIGURE: 1.0,
+}
 RETURNING_WEIGHTS: Final[dict[Kind, float]] = {
     Kind.STORE_RETURNS: 2.0,
     Kind.LEAVE: 2.0,
@@ -175,6 +188,7 @@
 }
 PLAN_WEIGHTS: Final = {
     Plan.RETURNING: RETURNING_WEIGHTS,
+    Plan.UNSEEN: UNSEEN_WEIGHTS,
     Plan.LIMITED: LIMITED_WEIGHTS,
     Plan.LEAVING: LEAVING_WEIGHTS,
     Plan.ZONES: ZONES_WEIGHTS,
@@ -185,7 +199,14 @@
 CORDON_FOR_S: Final = (4.0, 9.0)
 """For how long a zone is cordoned: longer than the time within which all must know."""
 
-LASTS: Final = {Kind.CORDON: CORDON_FOR_S, Kind.LIMIT: LIMIT_FOR_S}
+UNSEEN_FOR_S: Final = (6.0, 9.0)
+"""For how long the store is silent then: longer than the time within which all must know."""
+
+LASTS: Final = {
+    Kind.CORDON: CORDON_FOR_S,
+    Kind.LIMIT: LIMIT_FOR_S,
+    Kind.LEAVE_UNSEEN: UNSEEN_FOR_S,
+}
 
 
 def draw(
--- a/soak/run.py
+++ b/soak/run.py
@@ -49,6 +49,8 @@
 LONGEST_AWAY_S: Final = 1.0
 WRITTEN_AGAIN_S: Final = 1.0
 """Within this, operators and upstreams have written theirs again."""
+UNSEEN_GAP_S: Final = 0.5
+ENGINE_SERVICE: Final = "engines"
 FATAL_CALLERS: Final = 2
 """Callers of requests that end each engine; each asks for one of its own."""
 FATAL_FROM_S: Final = 3.0
@@ -187,6 +189,7 @@
             Kind.CORDON: lambda one: self._spawn(self._cordon, one),
             Kind.START_AGAIN: lambda one: self._change_fleet(one, "start_again"),
             Kind.STORE_RETURNS: lambda one: self._spawn(self._return_store, one),
+            Kind.LEAVE_UNSEEN: lambda one: self._spawn(self._leave_unseen, one),
             Kind.LIMIT: lambda one: self._spawn(self._fleet[one.target].limit, one.for_s),
             Kind.SILENCE: lambda _: self._silence(range(len(self._instances))),
             Kind.SILENCE_ONE: lambda one: self._silence([one.target]),
@@ -304,6 +307,17 @@
         """Let an upstream go, in one of the ways; all of them may break its requests."""
         self._spawn(getattr(self._fleet[step.target], how))
 
+    def _leave_unseen(self, step: Step) -> None:
+        """Silence the store, and let all engines but one leave, one after another."""
+        self._harm_store(step, {"down_s": step.for_s, "silent": True})
+        engines = [one for one in self._fleet if one.service == ENGINE_SERVICE]
+        first = step.target % len(engines)
+        for number in range(1, len(engines)):
+            gevent.sleep(UNSEEN_GAP_S)
+            listed = engines[(first + number) % len(engines)]
+            if listed.upstream.upstream_id not in self.ledger.told:
+                self._spawn(listed.leave_unseen)
+
     def _cordon(self, step: Step) -> None:
         """Cordon a zone for a while, unless it is."""
         zone = ZONES[step.target % len(ZONES)]
