Forget by halves what an upstream was seen to do: one that was slow at first is tried again

Ruled out: a rest (it had none). Half of the penalty goes in 2 s without an outcome, so such a one is tried after some fifteen seconds while the others are idle, sooner while they are busy.

--- a/driftstall/gateway/outcomes.py
+++ b/driftstall/gateway/outcomes.py
@@ -16,6 +16,8 @@
 SLOWNESS_PENALTY: Final = 0.5
 """How much an upstream's load counts as higher for each time it is slower than usual."""
 USUAL_SMOOTHING: Final = 0.05
+HALF_FORGOTTEN_S: Final = 2.0
+"""Time without an outcome in which half of what an upstream was seen to do is forgotten."""
 NEVER: Final = float("-inf")
 
 
@@ -43,6 +45,8 @@
     """Share of answers that failed, smoothed."""
     seconds: float | None = None
     """Time to an answer, smoothed."""
+    seen_at: float = NEVER
+    """When it last answered, or did not."""
     rest_until: float = NEVER
     rest_s: float = FIRST_REST_S
 
@@ -60,6 +64,7 @@
     ) -> None:
         """Take in one outcome and the seconds it took."""
         record = self._records.setdefault(upstream_id, _Record())
+        record.seen_at = now
         failed = outcome in (Outcome.FAILED, Outcome.BROKEN, Outcome.UNREACHABLE)
         record.failures += SMOOTHING * (float(failed) - record.failures)
         if outcome is Outcome.GOOD:
@@ -74,8 +79,12 @@
         record = self._records.get(upstream_id)
         return record is not None and now < record.rest_until
 
-    def penalty(self, upstream_id: str, service: str) -> float:
-        """Return how much worse than usual an upstream is; zero if it is not."""
+    def penalty(self, upstream_id: str, service: str, now: float) -> float:
+        """Return how much worse than usual an upstream is; zero if it is not.
+
+        What was seen counts for less the longer ago it is: else one whose first answers were slow
+        would be sent nothing while others are idle, and could never show that it is fast now.
+        """
         record = self._records.get(upstream_id)
         if record is None:
             return 0.0
@@ -83,7 +92,8 @@
         usual = self._usual.get(service)
         if usual and record.seconds:
             slower = max(0.0, record.seconds / usual - 1.0)
-        return FAILURE_PENALTY * record.failures + SLOWNESS_PENALTY * slower
+        seen_worse = FAILURE_PENALTY * record.failures + SLOWNESS_PENALTY * slower
+        return seen_worse * 0.5 ** (max(0.0, now - record.seen_at) / HALF_FORGOTTEN_S)
 
     def keep_only(self, upstream_ids: set[str]) -> None:
         """Forget upstreams that are gone."""
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -199,7 +199,7 @@
         return Option(
             upstream,
             use,
-            self.outcomes.penalty(upstream_id, upstream.service),
+            self.outcomes.penalty(upstream_id, upstream.service, now),
             self.outcomes.rests(upstream_id, now),
             self.cold.ends_in_s(upstream_id, now),
             self.rate_limiting.is_limited(upstream_id),
--- a/features/gateway/parts.feature
+++ b/features/gateway/parts.feature
@@ -91,6 +91,12 @@
     When "u1" could not be reached 3 times
     Then it rests, longer than after the first time, and not for ever
 
+  Scenario: an upstream whose first answers were slow is tried again
+    Given a book of outcomes in which "u1" and "u2" answer in 30 ms each 0.1 s
+    When "u3" joins, and gives its first two answers after 0.4 s
+    Then no call goes to "u3" for the next 2 s, though the others are busy
+    But one goes there within 20 s, though they are idle
+
   Scenario: an upstream that fails or is slow counts as fuller
     When half of the answers of "u1" are failures and those of "u2" take twice as long
     Then both have a penalty and "u3" has none
--- a/features/steps/gateway_selection_steps.py
+++ b/features/steps/gateway_selection_steps.py
@@ -15,6 +15,7 @@
     Lot,
     Option,
     choose_backup,
+    choose_call,
     choose_move,
     choose_stream,
 )
@@ -101,6 +102,63 @@
     assert 0 < first < last < 5, context.rests
 
 
+@given('a book of outcomes in which "u1" and "u2" answer in 30 ms each 0.1 s')
+def two_fast(context: Any) -> None:
+    """Let them answer for a while."""
+    context.outcomes, context.at = OutcomeBook(), 5.0
+    answer_fast(context, 5.0)
+
+
+def answer_fast(context: Any, seconds: float) -> None:
+    """Let both answer for some time."""
+    for _ in range(round(seconds * 10)):
+        context.at += 0.1
+        for name in ("u1", "u2"):
+            context.outcomes.saw(name, "s", Outcome.GOOD, context.at, 0.03)
+
+
+@when('"u3" joins, and gives its first two answers after 0.4 s')
+def slow_first(context: Any) -> None:
+    """Let it answer."""
+    for _ in range(2):
+        context.outcomes.saw("u3", "s", Outcome.GOOD, context.at, 0.4)
+
+
+def next_call(context: Any, running: int) -> str:
+    """Return where a call goes with so many running at each of the two fast ones."""
+    busy = {"u1": running, "u2": running, "u3": 0}
+    options = [
+        Option(
+            upstream_of(name),
+            Use(name, running=busy[name]),
+            context.outcomes.penalty(name, "s", context.at),
+            False,
+        )
+        for name in busy
+    ]
+    chosen = choose_call(options, Lot(random.Random(int(context.at * 10))))
+    assert chosen is not None
+    return chosen.upstream.name
+
+
+@then('no call goes to "u3" for the next 2 s, though the others are busy')
+def left_alone(context: Any) -> None:
+    """Look at each tenth of a second."""
+    for _ in range(20):
+        answer_fast(context, 0.1)
+        assert next_call(context, running=4) != "u3", context.at
+
+
+@then("one goes there within 20 s, though they are idle")
+def tried_again(context: Any) -> None:
+    """Look until one does."""
+    for _ in range(200):
+        answer_fast(context, 0.1)
+        if next_call(context, running=0) == "u3":
+            return
+    raise AssertionError(context.outcomes.penalty("u3", "s", context.at))
+
+
 @when('half of the answers of "u1" are failures and those of "u2" take twice as long')
 def fail_and_slow(context: Any) -> None:
     """Let answers come."""
@@ -110,12 +168,13 @@
         context.outcomes.saw("u1", "s", outcome, float(index), 0.1)
         context.outcomes.saw("u2", "s", Outcome.GOOD, float(index), 0.2)
         context.outcomes.saw("u3", "s", Outcome.GOOD, float(index), 0.1)
+    context.at = 59.0
 
 
 @then('both have a penalty and "u3" has none')
 def penalties(context: Any) -> None:
     """Compare the penalties."""
-    values = [context.outcomes.penalty(name, "s") for name in ("u1", "u2", "u3")]
+    values = [context.outcomes.penalty(name, "s", context.at) for name in ("u1", "u2", "u3")]
     assert values[0] > 0.4 and values[1] > 0.1 and values[2] == 0.0, values
 
 
