--- a/driftstall/gateway/stream_opening.py
+++ b/driftstall/gateway/stream_opening.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass, field
+
 from driftstall.const import CODE_DEADLINE, CODE_NO_RUNNER, CODE_RUNNER_FAILED
 from driftstall.core import Problem
 from driftstall.gateway.calls import FULL_RETRY_S, MAX_SENDS
@@ -13,6 +15,16 @@
 from driftstall.gateway.stream_work import StreamWork
 
 
+@dataclass(slots=True)
+class _Tries:
+    """Hold what was tried for one request."""
+
+    avoid: set[str] = field(default_factory=set)
+    denied: list[str] = field(default_factory=list)
+    """Upstreams that take no more now."""
+    detail: str = "no upstream takes requests"
+
+
 class StreamOpening:
     """Have one stream taken by an upstream."""
 
@@ -23,56 +35,70 @@
 
     def open(self) -> Opened | Problem:
         """Send the request to an upstream that takes it, and read the answer's head."""
-        avoid: set[str] = set()
-        denied: list[str] = []
-        """Upstreams that take no more now."""
-        limits = self._work.state.rate_limiting
-        detail = "no upstream takes requests"
-        while self._work.history.may_run_anew and self._work.history.sends < MAX_SENDS:
-            if self._work.left() <= 0 or self._work.caller_gone:
-                return Problem(CODE_DEADLINE, 504, "the time is over", self._work.history.ran)
-            refusal = self._work.refusal()
-            if refusal is not None:
-                return refusal
-            ready = self._ready(avoid)
-            waits_s = limits.patience_s(ready, self._patience_s())
-            closed = limits.closed(ready, waits_s)
-            if len(closed) == len(ready) and (ready or denied):
-                service = self._work.admitted.service.name
-                return limits.refusal(service, ready or denied, self._work.request_id)
-            run = self._work.placement.place(closed.union(avoid), lambda: self._work.caller_gone)
-            if run is None:
-                break
-            refusal = self._work.refusal()
-            if refusal is not None:
-                # It was learned while the stream waited for its place.
-                self._work.drop(run)
-                return refusal
-            if self._work.history.arrived and not self._work.budget_allows(run.upstream):
-                break
-            if not limits.take_turn(
-                run.upstream.upstream_id, self._work.need(waits_s), self._work.request_id
-            ):
-                self._work.drop(run)
-                avoid.add(run.upstream.upstream_id)
-                denied.append(run.upstream.upstream_id)
-                continue
-            result = self._work.send(run)
-            if isinstance(result, Opened):
-                if not result.marks.not_run:
-                    return result
-                detail = f"turned away with {result.head.status}"
-                self._work.saw(run, Outcome.FULL)
-            elif result.sent:
-                return self._after_break(run, str(result))
-            else:
-                detail = str(result)
-                if self._work.state.may_send(run.upstream):
-                    self._work.saw(run, Outcome.UNREACHABLE)
-                    self._work.state.suspect(run.upstream)
-            self._work.drop(run)
-            avoid.add(run.upstream.upstream_id)
-        return Problem(CODE_NO_RUNNER, 503, detail, self._work.history.ran, FULL_RETRY_S)
+        tries, history = _Tries(), self._work.history
+        while history.may_run_anew and history.sends < MAX_SENDS:
+            result = self._try_one(tries)
+            if result is not None:
+                return result
+        return self._unserved(tries)
+
+    def _try_one(self, tries: _Tries) -> Opened | Problem | None:
+        """Place the request and send it; return None where another upstream may be tried."""
+        work = self._work
+        if work.left() <= 0 or work.caller_gone:
+            return Problem(CODE_DEADLINE, 504, "the time is over", work.history.ran)
+        refusal = work.refusal()
+        if refusal is not None:
+            return refusal
+        limits = work.state.rate_limiting
+        ready = self._ready(tries.avoid)
+        waits_s = limits.patience_s(ready, self._patience_s())
+        closed = limits.closed(ready, waits_s)
+        if len(closed) == len(ready) and (ready or tries.denied):
+            service = work.admitted.service.name
+            return limits.refusal(service, ready or tries.denied, work.request_id)
+        run = work.placement.place(closed.union(tries.avoid), lambda: work.caller_gone)
+        if run is None:
+            return self._unserved(tries)
+        refusal = work.refusal()
+        if refusal is not None:
+            # It was learned while the stream waited for its place.
+            work.drop(run)
+            return refusal
+        if work.history.arrived and not work.budget_allows(run.upstream):
+            return self._unserved(tries)
+        engine_id = run.upstream.upstream_id
+        if not limits.take_turn(engine_id, work.need(waits_s), work.request_id):
+            work.drop(run)
+            tries.avoid.add(engine_id)
+            tries.denied.append(engine_id)
+            return None
+        return self._send(run, tries)
+
+    def _send(self, run: StreamRun, tries: _Tries) -> Opened | Problem | None:
+        """Send the request where it was placed; return None where that one did not take it."""
+        work = self._work
+        result = work.send(run)
+        if isinstance(result, Opened):
+            if not result.marks.not_run:
+                return result
+            tries.detail = f"turned away with {result.head.status}"
+            work.saw(run, Outcome.FULL)
+        elif result.sent:
+            return self._after_break(run, str(result))
+        else:
+            tries.detail = str(result)
+            if work.state.may_send(run.upstream):
+                work.saw(run, Outcome.UNREACHABLE)
+                work.state.suspect(run.upstream)
+        work.drop(run)
+        tries.avoid.add(run.upstream.upstream_id)
+        return None
+
+    def _unserved(self, tries: _Tries) -> Problem:
+        """Return that no upstream takes the request."""
+        ran = self._work.history.ran
+        return Problem(CODE_NO_RUNNER, 503, tries.detail, ran, FULL_RETRY_S)
 
     def _ready(self, avoid: set[str]) -> list[str]:
         """Return the upstreams that take requests and have not turned this one away."""
