--- a/measures/day_limit.py
+++ b/measures/day_limit.py
@@ -206,7 +206,7 @@
     axes.bar(places, [day.worth for day in known], width=0.5, label="reached")
     axes.set_xticks(list(places), [day.name for day in known], rotation=60, fontsize=8)
     axes.set_ylabel("worth")
-    axes.legend(fontsize=8)
+    axes.legend(fontsize=8, loc="lower left")
     figure.tight_layout()
     figure.savefig(path, dpi=90)
 
