--- a/features/gateway/engine_words.feature
+++ b/features/gateway/engine_words.feature
@@ -63,6 +63,12 @@
     When its question for routes is answered again
     Then it asks no engines, and would share the questions with all that live
 
+  Scenario: who follows the platform for a large fleet asks engines after one question without an answer
+    Given an instance that follows the platform for a large fleet, and whose feeds are answered
+    Then it asks no engines
+    When its newest question for routes gets no answer
+    Then it asks engines at once, though the fleet still relies on what it told
+
   Scenario: the idle questions of instances that were answered at one moment end at many
     Given 6 instances of a small fleet that follow two feeds each
     When all their questions begin at one moment, 100 times
--- a/features/steps/engine_word_steps.py
+++ b/features/steps/engine_word_steps.py
@@ -225,6 +225,35 @@
     )
 
 
+@given("an instance that follows the platform for a large fleet, and whose feeds are answered")
+def large_follower(context: Any) -> None:
+    """Let it be one of three, and all rely on them."""
+    answered_instance(context)
+    reliance = Reliance(random.Random(1))
+    reliance.heard(0.0, 0.0)
+    context.reach = PlatformReach(
+        FeedReach(context.routes, context.routes),
+        FeedReach(context.list, context.list),
+        reliance,
+        now=lambda: 0.1,
+        roles=lambda: Roles(large=True, collects=True, follows=True),
+        live=lambda: context.others,
+        lacking=lambda: (),
+    )
+
+
+@then("it asks no engines")
+def large_asks_none(context: Any) -> None:
+    """Look."""
+    assert not context.reach.is_silent
+
+
+@then("it asks engines at once, though the fleet still relies on what it told")
+def large_asks(context: Any) -> None:
+    """Look."""
+    assert context.reach.is_silent
+
+
 @then("it asks no engines, and would share the questions with all that live")
 def asks_none(context: Any) -> None:
     """Look."""
