Decode what upstreams signal in responses, at one place, and log it

Change: the adapter decodes the headers of every response into typed signals; each exchange hands them over as the head arrives, also of a surplus response, and calls of our own hand theirs over as well. A single handler dispatches on the type. It logs leaving, back-off, values that can't be decoded and names that are not known (each once), and each request that is sent despite a signal. Rate limits take the same way; one named in the response to a call of our own counts now, too. Nothing is decided by the new signals yet.

--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -210,7 +210,7 @@
         self._state.call_changed()
         try:
             timeout_s = min(CONNECT_TIMEOUT_S, max(0.001, self._left()))
-            exchange = UpstreamExchange.connect(upstream.address, timeout_s)
+            exchange = self._state.connect(upstream, timeout_s)
         except UpstreamError as fault:
             self._state.loads.drop(request_id)
             return Failure(Outcome.UNREACHABLE, Fate.UNSENT, str(fault))
@@ -244,7 +244,7 @@
             rank=self._admitted.verdict.rank if self._admitted.service.engine else None,
         )
         headers = self._state.dialect.write_send(self._admitted.marks.passed, send)
-        sent_at = self._state.now()
+        self._state.signals.log_send(upstream, self._admitted.marks.request_id)
         exchange.send(self._call.method, self._call.target, headers, self._call.body, self._left())
         head: Head | None = None
         parts: list[bytes] = []
@@ -264,7 +264,6 @@
                     # A surplus answer to another request; our own may still follow.
                     head = None
                     continue
-                self._state.rate_limiting.answered(upstream.upstream_id, marks.rate_limit, sent_at)
                 if marks.not_run:
                     detail = f"turned away with {head.status}"
                     return Failure(Outcome.FULL, Fate.TURNED_AWAY, detail)
--- a/driftstall/gateway/dialect.py
+++ b/driftstall/gateway/dialect.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
 from driftstall.decisions.engine_words import Word
+from driftstall.decisions.upstream_signals import Signal
 from driftstall.gateway.model import (
     AnswerMarks,
     CallerMarks,
@@ -44,10 +46,20 @@
 
 MoveResult = MoveDone | MoveFailed
 
+SignalObserver = Callable[[Upstream, tuple[Signal, ...], float], None]
+"""Takes an upstream, what it has signalled with a response, and when that request was sent."""
+
+
+def ignore_signals(_: Upstream, __: tuple[Signal, ...], ___: float) -> None:
+    """Take signals that nobody observes."""
+
 
 class Dialect(Protocol):
     """Translate between the platform's formats and the gateway's own types."""
 
+    observe_signals: SignalObserver
+    """Takes what engines signal with responses to the calls below."""
+
     def read_caller(self, found: Headers) -> CallerMarks:
         """Decode a caller's headers, or raise BadHeaders."""
 
--- a/driftstall/gateway/exchange.py
+++ b/driftstall/gateway/exchange.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any, Final
@@ -58,6 +59,8 @@
     def __init__(self) -> None:
         """Start before the first answer."""
         self.items: deque[Item] = deque()
+        self.new_heads: list[Head] = []
+        """Heads that no observer has been given."""
         self.parser: Any = None
         self._headers: list[Header] = []
         self._in_body = False
@@ -74,7 +77,9 @@
             return
         names = {name.lower() for name, _ in self._headers}
         framed = bool(names & {b"content-length", b"transfer-encoding"}) or status in BODYLESS
-        self.items.append(Head(status, tuple(self._headers), framed))
+        head = Head(status, tuple(self._headers), framed)
+        self.items.append(head)
+        self.new_heads.append(head)
         self._in_body = True
 
     def on_body(self, data: bytes) -> None:
@@ -102,6 +107,8 @@
         self._at_end = False
         self.sent_at = 0.0
         """When the first byte of the request left, in seconds."""
+        self.observe: Callable[[Head], None] = _ignore
+        """Takes each head as it arrives, also one of a response that nobody reads."""
 
     @property
     def framed(self) -> bool:
@@ -196,6 +203,10 @@
             if not self._reader.items:
                 detail = f"the answer is none of the protocol: {type(fault).__name__}"
                 raise UpstreamError(detail, sent=True) from fault
+        finally:
+            heads, self._reader.new_heads = self._reader.new_heads, []
+            for head in heads:
+                self.observe(head)
 
     def _ended(self) -> None:
         """Take the connection's end for the answer's, where it says no other end.
@@ -208,6 +219,10 @@
         self._reader.items.append(End())
 
 
+def _ignore(_: Head) -> None:
+    """Take a head that nobody observes."""
+
+
 class OpenExchanges:
     """Hold the open exchanges by upstream, so that all with one can be given up together."""
 
--- a/driftstall/gateway/model.py
+++ b/driftstall/gateway/model.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from driftstall.decisions.store_versions import StoreVersion
+from driftstall.decisions.upstream_signals import Signal
 
 Header = tuple[bytes, bytes]
 Headers = tuple[Header, ...]
@@ -233,8 +234,8 @@
     not_run: bool
     """Whether the upstream says that it did not run the request."""
     load: UpstreamLoad | None
-    rate_limit: float | None
-    """Requests a second that the upstream takes from all instances; None where it names none."""
+    signals: tuple[Signal, ...]
+    """What the upstream signals about itself."""
     keep_alive_s: float | None
     """How long the connection may rest; None if the upstream closes it."""
     passed: Headers
--- a/driftstall/gateway/sending.py
+++ b/driftstall/gateway/sending.py
@@ -69,7 +69,7 @@
         )
         try:
             timeout_s = min(CONNECT_TIMEOUT_S, max(0.001, self._left()))
-            run.exchange = UpstreamExchange.connect(run.upstream.address, timeout_s)
+            run.exchange = self._state.connect(run.upstream, timeout_s)
             if self._caller_gone():
                 return UpstreamError("the caller has left", sent=False)
             if not self._state.may_send(run.upstream):
@@ -77,12 +77,9 @@
             self._state.exchanges.add(run.upstream.upstream_id, run.exchange)
             headers = self._state.dialect.write_send(self._admitted.marks.passed, marks)
             call = self._call
-            sent_at = self._state.now()
+            self._state.signals.log_send(run.upstream, run.request_id)
             run.exchange.send(call.method, call.target, headers, call.body, self._left())
-            opened = self._read_head(run.exchange)
-            limits = self._state.rate_limiting
-            limits.answered(run.upstream.upstream_id, opened.marks.rate_limit, sent_at)
-            return opened
+            return self._read_head(run.exchange)
         except UpstreamError as fault:
             return fault
         except TimeoutError:
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -21,7 +21,7 @@
 from driftstall.gateway.cold_gate import ColdGate
 from driftstall.gateway.cordons import CordonBook
 from driftstall.gateway.dialect import Dialect
-from driftstall.gateway.exchange import OpenExchanges
+from driftstall.gateway.exchange import Head, OpenExchanges, UpstreamExchange
 from driftstall.gateway.fleet import FleetController
 from driftstall.gateway.loads import LoadBook, Share, Use
 from driftstall.gateway.model import GatewaySettings, Service, Upstream
@@ -31,6 +31,7 @@
 from driftstall.gateway.selection import DRAWN, Lot, Option
 from driftstall.gateway.shared_budget import RepeatCount, SharedRetryBudget
 from driftstall.gateway.stats import GatewayStats
+from driftstall.gateway.upstream_signals import UpstreamSignals
 from driftstall.helpers.log import say
 from driftstall.helpers.rate_limiting import RateLimiting
 from driftstall.peers.gateway_messages import PlacementAsked, PlacementGiven
@@ -72,6 +73,8 @@
             now=lambda: self.now(),
             pause=gevent.sleep,
         )
+        self.signals = UpstreamSignals(self.stats, self.rate_limiting, lambda: self.now())
+        dialect.observe_signals = self.signals.handle_own_call
         self.fleet_changed = Event()
         self.configured = Event()
         """Set once there is a routing document and a list of upstreams."""
@@ -205,6 +208,20 @@
             self.rate_limiting.is_limited(upstream_id),
         )
 
+    def connect(self, upstream: Upstream, timeout_s: float) -> UpstreamExchange:
+        """Open a connection to an upstream; raise UpstreamError if it does not come up.
+
+        What the upstream signals with its responses is handled as they arrive.
+        """
+        exchange = UpstreamExchange.connect(upstream.address, timeout_s)
+
+        def observe(head: Head) -> None:
+            signals = self.dialect.read_answer(head.status, head.headers).signals
+            self.signals.handle_response(upstream, signals, exchange.sent_at)
+
+        exchange.observe = observe
+        return exchange
+
     def may_send(self, upstream: Upstream) -> bool:
         """Tell whether an upstream may be sent anything, just before it is."""
         return self.fleet.serves(upstream.upstream_id, self.now(), self.settings.bounds.drain_s)
--- a/driftstall/gateway/stats.py
+++ b/driftstall/gateway/stats.py
@@ -31,6 +31,10 @@
     permits_denied: int = 0
     limited_sends: int = 0
     limited_refused: int = 0
+    leaving_signals: int = 0
+    backoff_signals: int = 0
+    unreadable_signals: int = 0
+    unknown_signals: int = 0
     moves_failed: int = 0
     platform_calls: int = 0
     registry: Registry = field(default_factory=Registry)
@@ -75,6 +79,10 @@
     "permits_denied": "Sends not allowed now to upstreams that name a limit.",
     "limited_sends": "Requests sent to upstreams that name a limit.",
     "limited_refused": "Requests refused as all upstreams have reached their limits.",
+    "leaving_signals": "Responses by which an upstream signals that it leaves.",
+    "backoff_signals": "Responses by which an upstream requests a back-off.",
+    "unreadable_signals": "Signals of upstreams that can't be decoded.",
+    "unknown_signals": "Headers of upstreams that look like signals and are not known.",
     "moves_failed": "Copies between engines that failed.",
     "platform_calls": "Calls to the platform's store.",
 }
--- /dev/null
+++ b/driftstall/gateway/upstream_signals.py
@@ -0,0 +1,126 @@
+"""Handle what upstreams signal about themselves: one place for the responses to all requests."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from functools import singledispatchmethod
+from typing import Final
+
+from driftstall.const import PREFIX_ROUTING
+from driftstall.decisions.upstream_signals import (
+    BackoffSignal,
+    LeavingSignal,
+    RateLimitSignal,
+    Signal,
+    UnknownSignal,
+    UnreadableSignal,
+)
+from driftstall.gateway.model import Upstream
+from driftstall.gateway.stats import GatewayStats
+from driftstall.helpers.log import say
+from driftstall.helpers.rate_limiting import RateLimiting
+
+MAX_UNKNOWN_NAMES: Final = 32
+"""Unknown signals logged by name; an upstream may make names up."""
+
+
+class UpstreamSignals:
+    """Dispatch signals to the parts that decide by them."""
+
+    def __init__(
+        self, stats: GatewayStats, rate_limiting: RateLimiting, now: Callable[[], float]
+    ) -> None:
+        """Take the counters, the rate limits, and the steady clock."""
+        self._stats = stats
+        self._rate_limiting = rate_limiting
+        self._now = now
+        self._leaving_since: dict[str, float] = {}
+        self._backoff_until: dict[str, float] = {}
+        self._unknown: set[str] = set()
+
+    def handle_response(
+        self, upstream: Upstream, signals: Iterable[Signal], sent_at: float
+    ) -> None:
+        """Handle the signals of one response to a request that was sent then."""
+        for signal in signals:
+            self._handle(signal, upstream, sent_at)
+
+    def handle_own_call(
+        self, upstream: Upstream, signals: Iterable[Signal], sent_at: float
+    ) -> None:
+        """Handle the signals of a response to a call of this instance's own.
+
+        Such responses need not repeat a limit, so its absence is no end of it.
+        """
+        ended = RateLimitSignal(None)
+        self.handle_response(upstream, [one for one in signals if one != ended], sent_at)
+
+    def log_send(self, upstream: Upstream, request_id: str) -> None:
+        """Log a request that is sent although its upstream leaves or wants none."""
+        now, upstream_id = self._now(), upstream.upstream_id
+        since, until = self._leaving_since.get(upstream_id), self._backoff_until.get(upstream_id, 0)
+        if since is None and until <= now:
+            return
+        say(
+            PREFIX_ROUTING,
+            f"A request is sent to {upstream_id} despite its signals",
+            request=request_id,
+            leaving_for_ms=None if since is None else int((now - since) * 1000),
+            backoff_left_ms=max(0, int((until - now) * 1000)),
+        )
+
+    @singledispatchmethod
+    def _handle(self, signal: Signal, upstream: Upstream, sent_at: float) -> None:
+        """Handle one signal."""
+        raise TypeError(f"no handler for {type(signal).__name__}")
+
+    @_handle.register
+    def _(self, signal: RateLimitSignal, upstream: Upstream, sent_at: float) -> None:
+        self._rate_limiting.answered(upstream.upstream_id, signal.per_s, sent_at)
+
+    @_handle.register
+    def _(self, signal: LeavingSignal, upstream: Upstream, sent_at: float) -> None:
+        self._stats.leaving_signals += 1
+        if upstream.upstream_id in self._leaving_since:
+            return
+        self._leaving_since[upstream.upstream_id] = self._now()
+        say(
+            PREFIX_ROUTING,
+            f"Upstream {upstream.upstream_id} signals that it leaves",
+            address=upstream.address,
+            state=upstream.state.value,
+            revision=upstream.revision,
+        )
+
+    @_handle.register
+    def _(self, signal: BackoffSignal, upstream: Upstream, sent_at: float) -> None:
+        self._stats.backoff_signals += 1
+        self._backoff_until[upstream.upstream_id] = self._now() + signal.for_s
+        say(
+            PREFIX_ROUTING,
+            f"Upstream {upstream.upstream_id} requests a back-off",
+            for_s=signal.for_s,
+            revision=upstream.revision,
+        )
+
+    @_handle.register
+    def _(self, signal: UnreadableSignal, upstream: Upstream, sent_at: float) -> None:
+        self._stats.unreadable_signals += 1
+        say(
+            PREFIX_ROUTING,
+            f"Upstream {upstream.upstream_id} sends a signal that can't be decoded",
+            header=signal.name,
+            value=signal.value,
+        )
+
+    @_handle.register
+    def _(self, signal: UnknownSignal, upstream: Upstream, sent_at: float) -> None:
+        self._stats.unknown_signals += 1
+        if signal.name in self._unknown or len(self._unknown) >= MAX_UNKNOWN_NAMES:
+            return
+        self._unknown.add(signal.name)
+        say(
+            PREFIX_ROUTING,
+            f"Upstream {upstream.upstream_id} sends a header that is not known",
+            header=signal.name,
+        )
--- a/driftstall/platform/dialect.py
+++ b/driftstall/platform/dialect.py
@@ -8,7 +8,7 @@
 import orjson
 
 from driftstall.decisions.engine_words import Word
-from driftstall.gateway.dialect import MoveResult
+from driftstall.gateway.dialect import MoveResult, SignalObserver, ignore_signals
 from driftstall.gateway.model import (
     AnswerMarks,
     CallerMarks,
@@ -23,6 +23,10 @@
 class PlatformDialect:
     """Translate between the platform's formats and the gateway's own types."""
 
+    def __init__(self) -> None:
+        """Start with nobody who takes signals."""
+        self.observe_signals: SignalObserver = ignore_signals
+
     def read_caller(self, found: Headers) -> CallerMarks:
         """Decode a caller's headers, or raise BadHeaders."""
         return headers.read_caller(found)
@@ -47,15 +51,15 @@
         self, source: Upstream, request_id: str, target: Upstream, *, last: bool
     ) -> MoveResult:
         """Copy a run's memory to another engine; with last, the run stops first."""
-        return engine_calls.move(source, request_id, target, last=last)
+        return engine_calls.move(source, request_id, target, self.observe_signals, last=last)
 
     def ask_word(self, engine: Upstream) -> Word:
         """Ask an engine whether it stays."""
-        return engine_calls.ask_word(engine)
+        return engine_calls.ask_word(engine, self.observe_signals)
 
     def drop_copy(self, holder: Upstream, copy_of: str) -> None:
         """Free a copy's memory; where the holder is its source, at both engines."""
-        engine_calls.drop_copy(holder, copy_of)
+        engine_calls.drop_copy(holder, copy_of, self.observe_signals)
 
     def is_ready_path(self, target: str) -> bool:
         """Tell whether a request asks whether this instance is ready."""
--- a/driftstall/platform/engine_calls.py
+++ b/driftstall/platform/engine_calls.py
@@ -10,10 +10,18 @@
 from driftstall.const import PREFIX_RELAY
 from driftstall.decisions.engine_words import Word
 from driftstall.exceptions import UpstreamError
-from driftstall.gateway.dialect import MoveDone, MoveFailed, MoveResult
+from driftstall.gateway.dialect import (
+    MoveDone,
+    MoveFailed,
+    MoveResult,
+    SignalObserver,
+    ignore_signals,
+)
 from driftstall.gateway.model import Upstream
 from driftstall.helpers.log import say
 from driftstall.platform import names
+from driftstall.platform.headers import read_signals
+from driftstall.util import clock
 from driftstall.util.http import Exchange
 
 MOVE_TIMEOUT_S: Final = 4.0
@@ -31,17 +39,26 @@
 """Answers to a last step by which the run is not there, or another step is going on."""
 
 
-def move(source: Upstream, request_id: str, target: Upstream, *, last: bool) -> MoveResult:
+def move(
+    source: Upstream,
+    request_id: str,
+    target: Upstream,
+    observe: SignalObserver = ignore_signals,
+    *,
+    last: bool,
+) -> MoveResult:
     """Copy a run's memory from one engine to another; wait until the copy is whole."""
     wanted: dict[str, Any] = {"id": request_id, "targetVersion": target.address}
     if last:
         wanted["last"] = True
     headers = {"Content-Type": "application/json"}
+    sent_at = clock.now()
     try:
         body = orjson.dumps(wanted)
         exchange = Exchange.open(
             source.address, "POST", names.PATH_MOVE, headers, body, MOVE_TIMEOUT_S
         )
+        observe(source, read_signals(exchange.status, exchange.headers), sent_at)
         raw = exchange.read()
         answer = orjson.loads(raw) if raw else {}
     except (UpstreamError, orjson.JSONDecodeError) as fault:
@@ -64,8 +81,9 @@
     )
 
 
-def ask_word(engine: Upstream) -> Word:
+def ask_word(engine: Upstream, observe: SignalObserver = ignore_signals) -> Word:
     """Ask an engine whether it stays; what it says is some hundred milliseconds old."""
+    sent_at = clock.now()
     try:
         exchange = Exchange.open(engine.address, "GET", names.PATH_REPORT, {}, b"", WORD_TIMEOUT_S)
         report = orjson.loads(exchange.read())
@@ -73,12 +91,13 @@
         return Word.GONE if fault.refused else Word.NONE
     except orjson.JSONDecodeError:
         return Word.NONE
-    if not isinstance(report, dict) or report.get("state") not in STATES:
-        return Word.NONE
-    born = report.get("born")
+    born = report.get("born") if isinstance(report, dict) else None
     if type(born) is int and engine.born and born != engine.born:
         # Another start answers there: what was asked for has ended.
         return Word.GONE
+    observe(engine, read_signals(exchange.status, exchange.headers), sent_at)
+    if not isinstance(report, dict) or report.get("state") not in STATES:
+        return Word.NONE
     # The time it has left is told only by one whose end is fixed; others drain until the
     # platform has taken their notice.
     return Word.LEAVES if report.get("leaves_ms") is not None else Word.STAYS
@@ -89,12 +108,15 @@
     return f"{backup.address}/{request_id}"
 
 
-def drop_copy(holder: Upstream, copy_of: str) -> None:
+def drop_copy(holder: Upstream, copy_of: str, observe: SignalObserver = ignore_signals) -> None:
     """Free a copy's memory; a call to its source frees it at both engines."""
     handle = copy_of.rpartition("/")[2]
     path = f"{names.PATH_COPY}/{handle}"
+    sent_at = clock.now()
     try:
-        Exchange.open(holder.address, "DELETE", path, {}, b"", DROP_TIMEOUT_S).read()
+        exchange = Exchange.open(holder.address, "DELETE", path, {}, b"", DROP_TIMEOUT_S)
+        observe(holder, read_signals(exchange.status, exchange.headers), sent_at)
+        exchange.read()
     except UpstreamError as fault:
         say(PREFIX_RELAY, f"A copy is left to be freed by time: {fault}")
 
--- a/driftstall/platform/headers.py
+++ b/driftstall/platform/headers.py
@@ -2,11 +2,20 @@
 
 from __future__ import annotations
 
-import math
 from collections import Counter
+from collections.abc import Mapping
 from http import HTTPStatus
 from typing import Final
 
+from driftstall.decisions.upstream_signals import (
+    BackoffSignal,
+    LeavingSignal,
+    RateLimitSignal,
+    Signal,
+    UnknownSignal,
+    UnreadableSignal,
+    parse_seconds,
+)
 from driftstall.gateway.dialect import BadHeaders
 from driftstall.gateway.model import (
     AnswerMarks,
@@ -22,6 +31,9 @@
 BEARER: Final = b"bearer "
 ONLY_ONCE: Final = (names.HEADER_REQUEST_ID, names.HEADER_DEADLINE_MS, names.HEADER_KEY)
 CLOSES: Final = b"close"
+SET: Final = b"1"
+NOT_SET: Final = b"0"
+BACKOFF_STATUSES: Final = frozenset({HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE})
 FOR_US: Final = frozenset({names.HEADER_LOAD, names.HEADER_NOT_RUN, names.HEADER_RATE_LIMIT})
 """Headers of an upstream's answer that do not go on to the caller."""
 
@@ -78,19 +90,42 @@
         request_id=_text(first.get(names.HEADER_REQUEST_ID, b"")),
         not_run=names.HEADER_NOT_RUN in first or status == HTTPStatus.MISDIRECTED_REQUEST,
         load=_load(first.get(names.HEADER_LOAD, b"")),
-        rate_limit=read_rate_limit(first.get(names.HEADER_RATE_LIMIT, b"")),
+        signals=read_signals(status, first),
         keep_alive_s=None if CLOSES in listed else _keep_alive(first.get(b"keep-alive", b"")),
         passed=tuple([pair for pair in headers if pair[0].lower() not in dropped]),
     )
 
 
-def read_rate_limit(value: bytes) -> float | None:
-    """Return the requests a second that an upstream takes; None where it names no limit."""
-    try:
-        found = float(value)
-    except ValueError:
-        return None
-    return found if math.isfinite(found) and found >= 0 else None
+def read_signals(status: int, first: Mapping[bytes, bytes]) -> tuple[Signal, ...]:
+    """Return what an upstream signals about itself, by headers with names in lower case.
+
+    A response of another upstream than the one that was meant signals nothing about that one.
+    """
+    if status == HTTPStatus.MISDIRECTED_REQUEST:
+        return ()
+    limit = parse_seconds(_text(first.get(names.HEADER_RATE_LIMIT, b"")))
+    found: list[Signal] = [RateLimitSignal(limit)]
+    leaving = first.get(names.HEADER_LEAVING)
+    if leaving == SET:
+        found.append(LeavingSignal())
+    elif leaving not in (None, NOT_SET):
+        found.append(_unreadable(names.HEADER_LEAVING, leaving))
+    backoff = first.get(names.HEADER_RETRY_AFTER)
+    if backoff is not None and status in BACKOFF_STATUSES:
+        for_s = parse_seconds(_text(backoff))
+        unreadable = _unreadable(names.HEADER_RETRY_AFTER, backoff)
+        found.append(unreadable if for_s is None else BackoffSignal(for_s))
+    found += [
+        UnknownSignal(_text(name))
+        for name in first
+        if name.startswith(names.SIGNAL_PREFIXES) and name not in names.KNOWN_UPSTREAM_HEADERS
+    ]
+    return tuple(found)
+
+
+def _unreadable(name: bytes, value: bytes) -> UnreadableSignal:
+    """Return a signal whose value can't be decoded."""
+    return UnreadableSignal(_text(name), _text(value))
 
 
 def _passed(headers: Headers, first: dict[bytes, bytes]) -> Headers:
--- a/driftstall/platform/names.py
+++ b/driftstall/platform/names.py
@@ -14,6 +14,10 @@
 HEADER_LOAD: Final = b"x-driftstall-server-load"
 HEADER_RATE_LIMIT: Final = b"server-limit"
 """The requests a second that an upstream takes from all instances together."""
+HEADER_LEAVING: Final = b"server-leaving"
+"""Set to 1 in all responses of an upstream that leaves."""
+HEADER_RETRY_AFTER: Final = b"retry-after"
+"""With 429 and 503: seconds for which the upstream wants no requests from this instance."""
 HEADER_NOT_RUN: Final = b"x-driftstall-not-executed"
 HEADER_LAST_EVENT_ID: Final = b"last-event-id"
 HEADER_KEY: Final = b"authorization"
@@ -39,6 +43,21 @@
 )
 """Headers that concern one connection only; lengths are written anew."""
 
+KNOWN_UPSTREAM_HEADERS: Final = frozenset(
+    {
+        HEADER_REQUEST_ID,
+        HEADER_LOAD,
+        HEADER_RATE_LIMIT,
+        HEADER_LEAVING,
+        HEADER_NOT_RUN,
+        b"x-driftstall-response-seal",
+        b"x-driftstall-instance-id",
+        b"server-timing",
+    }
+)
+"""Headers of responses that begin as signals do and are known."""
+SIGNAL_PREFIXES: Final = (b"server-", b"x-driftstall-")
+
 OWN_HEADERS: Final = frozenset(
     {
         HEADER_DEADLINE_MS,
@@ -57,6 +76,7 @@
         HEADER_NOT_RUN,
         HEADER_LOAD,
         HEADER_RATE_LIMIT,
+        HEADER_LEAVING,
         b"x-driftstall-response-seal",
         b"x-driftstall-instance-id",
     }
--- a/driftstall/util/http.py
+++ b/driftstall/util/http.py
@@ -77,6 +77,14 @@
         """Return the answer's content type."""
         return str(self._response.get("content-type", ""))
 
+    @property
+    def headers(self) -> dict[bytes, bytes]:
+        """Return the answer's headers by their names in lower case."""
+        return {
+            str(name).lower().encode("latin-1"): str(value).strip().encode("latin-1")
+            for name, value in self._response.items()
+        }
+
     def header(self, name: str) -> str:
         """Return one of the answer's headers, or empty."""
         return str(self._response.get(name, ""))
--- a/stand_ins/routed.py
+++ b/stand_ins/routed.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import random
 import time
 from collections import defaultdict
 from collections.abc import Callable
@@ -95,6 +97,17 @@
     """Whether it goes on from a copy that is here; else it is a run of its own."""
 
 
+@dataclass(frozen=True, slots=True)
+class Signalled:
+    """Hold one response by which a stand-in has signalled something about itself."""
+
+    at: float
+    """By the steady clock."""
+    request_id: str
+    for_s: float = 0.0
+    """The back-off that it requested."""
+
+
 class RoutedUpstream:
     """Serve one upstream at a loopback address."""
 
@@ -114,8 +127,19 @@
         """What it says of itself when it is asked."""
         self.rate_limit: float | None = None
         """The requests a second that it names with its answers; None to name none."""
+        self.leaves = False
+        """Whether it signals with all responses that it leaves."""
+        self.backoff = ""
+        """The time of back-off that it requests where it rejects a request, as it is written."""
+        self.rejected_share = 0.0
+        """Share of requests that it rejects."""
+        self.source = random.Random(upstream_id)
+        self.signalled_leaving: list[Signalled] = []
+        self.rejections: list[Signalled] = []
         self.arrivals: list[float] = []
         """When callers' requests arrived, by the steady clock; also those turned away."""
+        self.arrived: list[Signalled] = []
+        """The same with their ids."""
         self._server = StreamServer(("127.0.0.1", 0), self._serve)
         self._server.start()
 
@@ -155,8 +179,10 @@
         headers = {k.decode().lower(): v.decode() for k, v in call.headers}
         if "x-driftstall-request-id" in headers:
             self.arrivals.append(time.monotonic())
+            request_id = headers["x-driftstall-request-id"]
+            self.arrived.append(Signalled(self.arrivals[-1], request_id))
         if call.path == "/api/report":
-            _write_json(connection, 200, self.report)
+            self._write_json(connection, 200, self.report)
             return
         if call.path == "/api/kv-move":
             self._move(connection, orjson.loads(call.body))
@@ -164,18 +190,22 @@
         if call.path.startswith("/api/kv-handle/"):
             for one in (self, *self.peers.values()):
                 one.copies.pop(call.path.rpartition("/")[2], None)
-            connection.write(head_bytes(200, (), (b"Content-Length: 2",)) + b"{}")
+            self._write_json(connection, 200, {})
             return
         request_id = headers.get("x-driftstall-request-id", "")
         if headers.get("x-driftstall-expect-instance", self.upstream_id) != self.upstream_id:
             self._refuse(connection, request_id, 421)
             return
+        if self.source.random() < self.rejected_share:
+            self._reject(connection, request_id)
+            return
         scripts = self.scripts[request_id]
         script = scripts.pop(0) if scripts else self._usual()
         copy_of = headers.get("kv-from", "").rpartition("/")[2]
         if script.misdirected:
             misdirected = (_id(request_id), *self._named())
             connection.write(head_bytes(421, misdirected, (b"Content-Length: 0",)))
+            self._note_leaving(request_id)
             return
         has_copy = copy_of in self.copies
         if script.not_run or (copy_of and not has_copy and not script.reset):
@@ -197,15 +227,35 @@
             script.ended.set()
 
     def _named(self) -> tuple[tuple[bytes, bytes], ...]:
-        """Return the header that names the limit, if there is one."""
-        if self.rate_limit is None:
-            return ()
-        return ((b"Server-Limit", f"{self.rate_limit:g}".encode()),)
-
-    def _refuse(self, connection: CallerConnection, request_id: str, status: int) -> None:
+        """Return the headers by which it signals something about itself."""
+        named = [(b"Server-Leaving", b"1")] if self.leaves else []
+        if self.rate_limit is not None:
+            named.append((b"Server-Limit", f"{self.rate_limit:g}".encode()))
+        return tuple(named)
+
+    def _note_leaving(self, request_id: str) -> None:
+        """Note a response that signals that it leaves."""
+        if self.leaves:
+            self.signalled_leaving.append(Signalled(time.monotonic(), request_id))
+
+    def _reject(self, connection: CallerConnection, request_id: str) -> None:
+        """Turn a request away, and request a back-off."""
+        backoff = ((b"Retry-After", self.backoff.encode()),) if self.backoff else ()
+        self._refuse(connection, request_id, 503, backoff)
+        with contextlib.suppress(ValueError):
+            self.rejections.append(Signalled(time.monotonic(), request_id, float(self.backoff)))
+
+    def _refuse(
+        self,
+        connection: CallerConnection,
+        request_id: str,
+        status: int,
+        more: tuple[tuple[bytes, bytes], ...] = (),
+    ) -> None:
         """Turn a request away without running it."""
-        headers = (_id(request_id), (b"X-Driftstall-Not-Executed", b"1"), *self._named())
+        headers = (_id(request_id), (b"X-Driftstall-Not-Executed", b"1"), *self._named(), *more)
         connection.write(head_bytes(status, headers, (b"Content-Length: 0",)))
+        self._note_leaving(request_id)
 
     def _whole(
         self, raw: socket.socket, connection: CallerConnection, request_id: str, script: Script
@@ -219,15 +269,18 @@
             raw.recv(1)
             return
         if script.only_another:
-            connection.write(head_bytes(200, (_id("another"), SEAL), ()) + b"other")
+            another = (_id("another"), SEAL, *self._named())
+            connection.write(head_bytes(200, another, ()) + b"other")
             return
         if script.surplus_before:
             other = (_id("another"), SEAL)
-            connection.write(head_bytes(200, other, (b"Content-Length: 5",)) + b"other")
+            named = (*other, *self._named())
+            connection.write(head_bytes(200, named, (b"Content-Length: 5",)) + b"other")
         gevent.sleep(script.work_s)
         headers = (_id(request_id), SEAL, *self._named())
         length = () if script.unframed else (b"Content-Length: %d" % len(script.body),)
         connection.write(head_bytes(script.status, headers, length))
+        self._note_leaving(request_id)
         if script.cut_after is not None:
             connection.write(script.body[: script.cut_after])
             reset(raw)
@@ -252,6 +305,7 @@
         answer = (_id(request_id), SEAL, STREAM_TYPE, *self._named())
         if not connection.write(head_bytes(script.status, answer, extra)):
             return
+        self._note_leaving(request_id)
         if script.reset_after_head:
             reset(raw)
             return
@@ -286,10 +340,16 @@
                 return
         connection.write(b"" if script.unframed else b"0\r\n\r\n")
 
+    def _write_json(self, connection: CallerConnection, status: int, body: dict[str, Any]) -> None:
+        """Answer a call of the system's own."""
+        data = orjson.dumps(body)
+        length = (b"Content-Length: %d" % len(data),)
+        connection.write(head_bytes(status, self._named(), length) + data)
+
     def _move(self, connection: CallerConnection, wanted: dict[str, Any]) -> None:
         """Answer a call that copies a run."""
         answer = self.move_answers.pop(0) if self.move_answers else self.copy_run
-        _write_json(connection, *answer(wanted))
+        self._write_json(connection, *answer(wanted))
 
     def copy_run(self, wanted: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         """Copy a run to another stand-in; with last, the run stops."""
@@ -312,12 +372,6 @@
     return b"id: %d\ndata: piece %d\n\n" % (number, number)
 
 
-def _write_json(connection: CallerConnection, status: int, body: dict[str, Any]) -> None:
-    """Answer a call of the system's own."""
-    data = orjson.dumps(body)
-    connection.write(head_bytes(status, (), (b"Content-Length: %d" % len(data),)) + data)
-
-
 def _as_it_is(data: bytes) -> bytes:
     """Return a piece of an answer that ends with its connection."""
     return data
