Add failing tests: upstreams that signal that they leave, or that they want no requests

Real instances before stand-ins that signal with their responses; the entries in the store state ready throughout.

--- a/stand_ins/engine.py
+++ b/stand_ins/engine.py
@@ -35,7 +35,7 @@
 from driftstall.core import PrefixMark  # noqa: E402
 from driftstall.util.tokens import prefix_marks  # noqa: E402
 from stand_ins.engine_model import Engine, EngineShape, Generation, Phase  # noqa: E402
-from stand_ins.http import StartResponse, answer, named_limit, query, read_json, serve  # noqa: E402
+from stand_ins.http import Signals, StartResponse, answer, query, read_json, serve  # noqa: E402
 
 KEEPALIVE_S = 0.5
 REPORT_LAG_S = 0.5
@@ -100,7 +100,7 @@
         self._work = Event()
         self._faults = Faults()
         self._leaving = False
-        self._rate_limit: float | None = None
+        self._signals = Signals()
         self._arrivals: list[float] = []
         self._report: dict[str, Any] = {}
         self._cache: deque[tuple[float, int, tuple[PrefixMark, ...], int]] = deque(maxlen=4_000)
@@ -224,7 +224,9 @@
         self._arrivals.append(time.monotonic())
         if self._faults.refuse > 0:
             self._faults.refuse -= 1
-            return answer(start, 503, {"error": "not run"}, self._rate_limit)
+            return answer(start, 503, {"error": "not run"}, self._signals.headers())
+        if self._signals.backoff_s:
+            return self._signals.reject(start)
         messages = [(one["role"], one["content"]) for one in body["messages"]]
         marks = [PrefixMark(*mark) for mark in prefix_marks(body["model"], messages)]
         length = self._length(messages, int(body["max_tokens"]))
@@ -257,7 +259,7 @@
 
     def _stream(self, stream: Stream, index: int, start: StartResponse) -> Iterable[bytes]:
         """Answer with the stream of events."""
-        headers = [("Content-Type", "text/event-stream"), *named_limit(self._rate_limit)]
+        headers = [("Content-Type", "text/event-stream"), *self._signals.headers()]
         start("200 OK", headers)
         return self._events(stream, index)
 
@@ -376,6 +378,7 @@
                 "model": self._model,
                 "stale_orders": self._stale_orders,
                 "arrivals": self._arrivals,
+                "signalled_at": self._signals.signalled_at,
             }
             return answer(start, 200, dict(self.counts) | extra)
         script = read_json(environ)
@@ -386,7 +389,7 @@
         for name in ("cut_after", "duplicate", "skip", "refuse"):
             setattr(self._faults, name, script.get(name, getattr(self._faults, name)))
         self._leaving = script.get("leaving", self._leaving)
-        self._rate_limit = script.get("rate_limit", self._rate_limit)
+        self._signals.script(script)
         return answer(start, 200, {})
 
 
--- a/stand_ins/http.py
+++ b/stand_ins/http.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import parse_qs
 
@@ -33,18 +35,46 @@
     return answer(start, 200, {})
 
 
-def named_limit(per_s: float | None) -> list[tuple[str, str]]:
-    """Return the header that names how many requests a second are taken, if there is a limit."""
-    return [] if per_s is None else [("X-Rate-Limit", f"{per_s:g}")]
+@dataclass(slots=True)
+class Signals:
+    """Hold what a stand-in signals about itself with its responses."""
+
+    rate_limit: float | None = None
+    """The requests a second that it takes; None to name no limit."""
+    leaves: bool = False
+    backoff_s: float = 0.0
+    """The back-off with which it rejects all requests; zero to reject none."""
+    signalled_at: list[float] = field(default_factory=list)
+    """When it signalled that it leaves, or rejected a request, by the steady clock."""
+
+    def script(self, script: dict[str, Any]) -> None:
+        """Take the parts of a script that are about signals."""
+        self.rate_limit = script.get("rate_limit", self.rate_limit)
+        self.leaves = script.get("leaves", self.leaves)
+        self.backoff_s = script.get("backoff_s", self.backoff_s)
+
+    def headers(self) -> list[tuple[str, str]]:
+        """Return the headers of a response, and note what they signal."""
+        found = [] if self.rate_limit is None else [("X-Rate-Limit", f"{self.rate_limit:g}")]
+        if self.leaves:
+            found.append(("X-Leaving", "1"))
+            self.signalled_at.append(time.monotonic())
+        return found
+
+    def reject(self, start: StartResponse) -> Iterable[bytes]:
+        """Reject a request with the back-off."""
+        self.signalled_at.append(time.monotonic())
+        headers = [*self.headers(), ("Retry-After", f"{self.backoff_s:g}")]
+        return answer(start, 503, {"error": "not run"}, headers)
 
 
 def answer(
-    start: StartResponse, status: int, value: Any, rate_limit: float | None = None
+    start: StartResponse, status: int, value: Any, more: Iterable[tuple[str, str]] = ()
 ) -> Iterable[bytes]:
     """Answer with JSON."""
     body = orjson.dumps(value)
     headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
-    headers += named_limit(rate_limit)
+    headers += more
     start(f"{status} {REASONS.get(status, 'Status')}", headers)
     return [body]
 
--- a/stand_ins/service.py
+++ b/stand_ins/service.py
@@ -24,7 +24,14 @@
 import gevent  # noqa: E402
 from docopt import docopt  # noqa: E402
 
-from stand_ins.http import StartResponse, answer, cut, read_json, serve  # noqa: E402
+from stand_ins.http import (  # noqa: E402
+    Signals,
+    StartResponse,
+    answer,
+    cut,
+    read_json,
+    serve,
+)
 
 CRASH_PATH = "/crash"
 """A call of this ends the process that runs it."""
@@ -41,8 +48,7 @@
     """Calls that run but whose answer is lost."""
     refuse: int = 0
     """Calls answered 503 before they run."""
-    rate_limit: float | None = None
-    """The requests a second that it names with its answers."""
+    signals: Signals = field(default_factory=Signals)
     arrivals: list[float] = field(default_factory=list)
     """When calls arrived, by the machine's steady clock."""
 
@@ -54,17 +60,20 @@
             self.late_s = script.get("late_s", self.late_s)
             self.drop_answers = script.get("drop_answers", self.drop_answers)
             self.refuse = script.get("refuse", self.refuse)
-            self.rate_limit = script.get("rate_limit", self.rate_limit)
+            self.signals.script(script)
             return answer(start, 200, {})
         if path == "/control/stats":
-            return answer(start, 200, {"runs": dict(self.runs), "arrivals": self.arrivals})
+            counts = {"runs": dict(self.runs), "arrivals": self.arrivals}
+            return answer(start, 200, counts | {"signalled_at": self.signals.signalled_at})
         if path == "/v1/load":
             return answer(start, 200, {"used_tokens": 0, "memory_tokens": 1, "waiting": 0})
         self.arrivals.append(time.monotonic())
         body = environ["wsgi.input"].read()
         if self.refuse > 0:
             self.refuse -= 1
-            return answer(start, 503, {"error": "not run"}, self.rate_limit)
+            return answer(start, 503, {"error": "not run"}, self.signals.headers())
+        if self.signals.backoff_s:
+            return self.signals.reject(start)
         call_id = environ.get("HTTP_X_CALL_ID", "") or path
         self.runs[call_id] += 1
         if path.endswith(CRASH_PATH):
@@ -76,7 +85,7 @@
             return cut(environ, start)
         echo = body.decode("utf-8", "replace")[:200]
         told = {"service": self.name, "call": call_id, "echo": echo}
-        return answer(start, 200, told, self.rate_limit)
+        return answer(start, 200, told, self.signals.headers())
 
 
 def main() -> None:
