Send nothing new to an upstream that signals in a response that it leaves

Callers saw nothing; upstreams saw requests after drainMs. Cause: the header was decoded nowhere, so an instance went on choosing the upstream by its entry, which states ready for as long as the store is silent or behind. Class: a response says something of the upstream, and is read only for the request that it answers.

Change: the signal is final for one start of an upstream (decisions/leaving_signals). It sets the time from which the upstream drains; lists, newer entries, peers, the lapse of a probe's finding and the store's return change only whether it is listed. Instances tell each other with reports and summaries, at once and repeatedly, with the age of the first response, so an instance that starts anew learns of it and the time to drain is the same everywhere. What was chosen before the signal and not sent yet is chosen anew. Where all upstreams of a service drain, calls, and streams that end in time, still go there until the time to drain is over; then callers are refused at once.

--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -122,7 +122,10 @@
         Where the wait would be longer the caller is told at once when to come back.
         """
         gate, service = self._state.cold_gate, self._admitted.service.name
-        options = self._state.options(service, frozenset(tries.avoid))
+        avoid = frozenset(tries.avoid)
+        options = self._state.options(service, avoid) or self._state.draining_options(
+            service, avoid
+        )
         option = self._choose_open(options)
         if option is not None:
             gate.took(option.upstream)
@@ -218,7 +221,7 @@
         try:
             if self._caller_gone:
                 return Failure(Outcome.GOOD, Fate.UNSENT, "the caller has left")
-            if not self._state.may_send(upstream):
+            if not self._state.may_begin(upstream):
                 detail = "the upstream takes no more requests"
                 return Failure(Outcome.NOT_SENT, Fate.UNSENT, detail)
             self._state.exchanges.add(upstream.upstream_id, exchange)
--- a/driftstall/gateway/fleet.py
+++ b/driftstall/gateway/fleet.py
@@ -4,6 +4,7 @@
 does not serve. Revisions order what comes from both. An upstream that has started again under
 its name is another one: of two starts the later counts, whatever the revisions say. While the
 platform is away, what an upstream says of itself counts for some seconds (see engine_words).
+What it signals with a response is final (see leaving_signals).
 """
 
 from __future__ import annotations
@@ -13,6 +14,7 @@
 
 from driftstall.decisions.cold_starts import UNTOLD_S
 from driftstall.decisions.engine_words import DOUBTED_S
+from driftstall.decisions.leaving_signals import KEPT_S
 from driftstall.decisions.store_versions import DOUBT_S, LEFT_DOUBT_S, NO_VERSION, StoreVersion
 from driftstall.gateway.fleet_book import Entry, FleetBook, Gone
 from driftstall.gateway.fleet_events import (
@@ -26,6 +28,7 @@
     Period,
     PlatformBack,
     PlatformLost,
+    SignalledLeaving,
     StoreReturned,
     UpstreamCold,
     UpstreamJoined,
@@ -130,6 +133,15 @@
             entry.leaving_since = now
             self._actions.append(UpstreamLeaving(entry.upstream, doubted=True))
 
+    @_on.register
+    def _(self, event: SignalledLeaving, now: float) -> None:
+        entry = self._find(event.upstream_id)
+        if entry is None and event.ago_s > KEPT_S:
+            return
+        since = now - event.ago_s
+        if self._signalled.add(event.upstream_id, since) and entry is not None:
+            self._drain(entry, since)
+
     @_on.register
     def _(self, event: Cordoned, now: float) -> None:
         self._cordoned = event.zones
@@ -211,7 +223,10 @@
         if entry is None:
             entry = self._entries[upstream.name] = Entry(upstream)
             self._names[upstream.upstream_id] = upstream.name
-            if upstream.state is UpstreamState.READY:
+            signalled_since = self._signalled.since(upstream.upstream_id)
+            if signalled_since is not None:
+                self._drain(entry, signalled_since)
+            elif upstream.state is UpstreamState.READY:
                 self._actions.append(UpstreamJoined(upstream))
         if is_newer and (upstream.cold_s > 0 or entry.upstream.cold_s > 0):
             self._actions.append(UpstreamCold(upstream, upstream.cold_s))
@@ -219,7 +234,7 @@
         entry.missing_since = None
         if upstream.state is UpstreamState.LEAVING:
             self._leave(entry, since)
-        elif entry.leaving_since is not None and entry.doubted_until is None:
+        elif not entry.is_listed:
             self._rejoin(entry)
 
     def _replace(self, old: Upstream, later: Upstream, now: float) -> None:
@@ -283,14 +298,25 @@
         it learns after a silence may be as old as that.
         """
         entry.doubted_until = None
+        entry.is_listed = False
         if entry.leaving_since is None:
             entry.leaving_since = since
             self._actions.append(UpstreamLeaving(entry.upstream))
 
+    def _drain(self, entry: Entry, since: float) -> None:
+        """Mark an upstream as leaving by its own signal, whatever the platform's list holds."""
+        entry.doubted_until = None
+        if entry.leaving_since is None:
+            entry.leaving_since = since
+            self._actions.append(UpstreamLeaving(entry.upstream, signalled=True))
+
     def _rejoin(self, entry: Entry) -> None:
-        """Let an upstream take requests again."""
-        entry.leaving_since = None
+        """Let an upstream take requests again, unless it has signalled itself that it leaves."""
         entry.doubted_until = None
+        entry.is_listed = True
+        if self.has_signalled_leaving(entry.upstream.upstream_id):
+            return
+        entry.leaving_since = None
         self._actions.append(UpstreamJoined(entry.upstream))
 
     def _bury(self, upstream: Upstream, revision: StoreVersion, now: float) -> None:
--- a/driftstall/gateway/fleet_book.py
+++ b/driftstall/gateway/fleet_book.py
@@ -7,6 +7,7 @@
 
 import xxhash
 
+from driftstall.decisions.leaving_signals import LeavingRecord, LeavingRegistry
 from driftstall.decisions.store_versions import NO_VERSION, StoreVersion
 from driftstall.gateway.model import Upstream
 
@@ -24,11 +25,8 @@
     """Set while its entry may only have lapsed during an outage."""
     doubted_until: float | None = None
     """Set while it counts as leaving by its own word alone."""
-
-    @property
-    def is_listed(self) -> bool:
-        """Tell whether it takes requests by the platform's word."""
-        return self.leaving_since is None or self.doubted_until is not None
+    is_listed: bool = True
+    """Whether it takes requests by the platform's word."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +52,7 @@
         """The names by the ids of the starts that are in force or just gone."""
         self._replaced: dict[str, float] = {}
         """When it was learned of a start that a later one has followed."""
+        self._signalled = LeavingRegistry()
         self._cordoned: frozenset[str] = frozenset()
         self._at = NO_VERSION
         self._read = False
@@ -126,7 +125,34 @@
     def leaves_as_told(self, upstream_id: str) -> bool:
         """Tell whether an upstream's end was announced, or its entry has gone."""
         entry = self._find(upstream_id)
-        return entry is None or not entry.is_listed
+        return entry is None or not entry.is_listed or self.has_signalled_leaving(upstream_id)
+
+    def leaving_records(self, now: float) -> tuple[LeavingRecord, ...]:
+        """Return which upstreams have signalled that they leave, for peers."""
+        return self._signalled.records(now)
+
+    @property
+    def has_leaving_records(self) -> bool:
+        """Tell whether any upstream has signalled that it leaves."""
+        return bool(self._signalled.upstream_ids)
+
+    def has_signalled_leaving(self, upstream_id: str) -> bool:
+        """Tell whether an upstream has signalled in a response that it leaves."""
+        return self._signalled.since(upstream_id) is not None
+
+    def draining(self, service: str, now: float, drain_s: float) -> tuple[Upstream, ...]:
+        """Return the upstreams of a service that leave and still serve.
+
+        Those that only a probe has found leaving, which may be gone, are left out.
+        """
+        return tuple(
+            entry.upstream
+            for entry in self._entries.values()
+            if entry.upstream.service == service
+            and entry.doubted_until is None
+            and entry.leaving_since is not None
+            and self.serves(entry.upstream.upstream_id, now, drain_s)
+        )
 
     def serves(self, upstream_id: str, now: float, drain_s: float) -> bool:
         """Tell whether an upstream may still be sent what has run there or was copied there."""
@@ -162,6 +188,7 @@
 
     def _forget(self, now: float) -> None:
         """Forget what is gone for long."""
+        self._signalled.forget_old(self._names, now)
         for name, gone in list(self._gone.items()):
             if now - gone.at > GONE_KEPT_S:
                 del self._gone[name]
--- a/driftstall/gateway/fleet_events.py
+++ b/driftstall/gateway/fleet_events.py
@@ -47,6 +47,15 @@
     upstream_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class SignalledLeaving:
+    """Learn that an upstream has signalled in a response that it leaves."""
+
+    upstream_id: str
+    ago_s: float = 0.0
+    """How long ago, where a peer tells it."""
+
+
 @dataclass(frozen=True, slots=True)
 class PlatformLost:
     """Learn that the platform does not answer."""
@@ -80,6 +89,7 @@
     | Offered
     | Changed
     | Doubted
+    | SignalledLeaving
     | Cordoned
     | StoreReturned
     | PlatformLost
@@ -102,6 +112,8 @@
     upstream: Upstream
     doubted: bool = False
     """Whether its own word tells so, and not the platform."""
+    signalled: bool = False
+    """Whether it has signalled so in a response."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -13,6 +13,7 @@
 from driftstall.const import PREFIX_CONFIGURATION, PREFIX_DRAIN, PREFIX_MEMBERSHIP
 from driftstall.decisions.engine_words import Word
 from driftstall.decisions.freshness import longest_wait_s
+from driftstall.decisions.leaving_signals import LeavingRecord
 from driftstall.exceptions import SettingsError
 from driftstall.gateway.collectors import Roles
 from driftstall.gateway.cordon_source import CordonSource
@@ -45,7 +46,7 @@
     Reliance,
     RevisionPace,
 )
-from driftstall.gateway.reports import LONGEST_AGE_S, Standing
+from driftstall.gateway.reports import LONGEST_AGE_S, MS, Standing
 from driftstall.gateway.sharing import Intake
 from driftstall.gateway.sources import (
     PolicySource,
@@ -128,6 +129,7 @@
             take_doubt=self._upstreams.doubted,
             take_fleet=self._upstreams.offered,
             take_cordons=self._cordons.heard,
+            take_leaving=self._take_leaving,
         )
         self._peering = Peering(self.state, intake, standing=self._standing, reliance=reliance)
         self._reliance = reliance
@@ -140,6 +142,7 @@
             tell=self._peering.pass_doubt,
         )
         self.state.suspect = self._inquiry.suspect
+        self.state.signals.leaving = self._signalled_leaving
         self._crash_keeper = CrashKeeper(self.state, access.crashes, self._roles)
         watch = CrashWatch(
             self.state,
@@ -310,6 +313,15 @@
         """Have peers told soon that something has changed."""
         self.state.loads_changed.set()
 
+    def _signalled_leaving(self, upstream_id: str) -> None:
+        """Take in that an upstream has signalled that it leaves, and tell peers at once."""
+        if self._upstreams.signalled_leaving(upstream_id):
+            self._peering.pass_signals()
+
+    def _take_leaving(self, record: LeavingRecord) -> bool:
+        """Take in what an upstream has signalled to a peer; return whether it was new."""
+        return self._upstreams.signalled_leaving(record.upstream_id, record.ago_ms / MS)
+
     def _pass_routing(self, *, from_peer: bool) -> None:
         """Pass the routing document in force on to peers."""
         self._peering.pass_routing(from_peer=from_peer)
--- a/driftstall/gateway/peering.py
+++ b/driftstall/gateway/peering.py
@@ -25,6 +25,7 @@
     SendTo,
 )
 from driftstall.core import Instance
+from driftstall.decisions.leaving_signals import LeavingRecord
 from driftstall.decisions.rate_limits import RateLimit
 from driftstall.decisions.store_versions import NO_VERSION
 from driftstall.gateway.collectors import Roles
@@ -77,6 +78,7 @@
         """Take the shared state, how things are taken in, the standing, and the reliance."""
         settings = state.settings
         self._state = state
+        self._intake = intake
         self._reliance = reliance
         self.own = Instance(
             settings.instance_id,
@@ -201,6 +203,10 @@
         """Tell all that an upstream says itself that it leaves, or that it is gone."""
         self._broadcast(self._members.live, UpstreamDoubted(self.own.instance_id, upstream_id))
 
+    def pass_signals(self) -> None:
+        """Tell at once what an upstream has signalled; each report and summary repeats it."""
+        self._reporting.tell_now()
+
     def pass_blame(self) -> None:
         """Tell which requests ran beside crashes."""
         self._blame.changed()
@@ -233,8 +239,8 @@
             self._state.instances.seen(len(live), self._state.now())
             if live is not known:
                 known = live
-                if self._state.rate_limiting.limited:
-                    # One that has just started is to know of the limits before it is ready.
+                if self._state.rate_limiting.limited or self._state.fleet.has_leaving_records:
+                    # One that has just started is to know what upstreams signal before it is ready.
                     self._state.loads_changed.set()
                 self._take_roles(Roles.from_fleet(self.own, live))
             gevent.sleep(PERIOD_S)
@@ -320,7 +326,7 @@
     @_take.register
     def _(self, report: GatewayReport) -> None:
         self._state.era_told(report.store_era)
-        self._take_limits(report.rate_limits)
+        self._take_signals(report.rate_limits, report.leaving)
         self._sharing.take_cordons(report.cordons)
         self._placer.reported(report.sender)
         if self._reporting.take_report(report):
@@ -332,7 +338,7 @@
     @_take.register
     def _(self, summary: ZoneSummary) -> None:
         self._state.era_told(summary.store_era)
-        self._take_limits(summary.rate_limits)
+        self._take_signals(summary.rate_limits, summary.leaving)
         self._sharing.take_cordons(summary.cordons)
         # A follower knows the platform's list better than any other collector.
         age_s = summary.platform_age_ms / MS
@@ -345,7 +351,7 @@
     @_take.register
     def _(self, summary: FleetSummary) -> None:
         self._state.era_told(summary.store_era)
-        self._take_limits(summary.rate_limits)
+        self._take_signals(summary.rate_limits, summary.leaving)
         self._sharing.take_cordons(summary.cordons)
         if self._roles.collects:
             # Its sender does not know yet that this instance collects now.
@@ -357,9 +363,14 @@
         if self._reliance.holds(self._state.now()):
             self._sharing.compare_fleet(summary)
 
-    def _take_limits(self, told: tuple[RateLimit, ...]) -> None:
-        """Take in which limits a peer knows; collectors pass on at once what is new."""
-        if self._state.rate_limiting.heard(told) and self._roles.collects:
+    def _take_signals(
+        self, limits: tuple[RateLimit, ...], leaving: tuple[LeavingRecord, ...]
+    ) -> None:
+        """Take in what upstreams have signalled to peers; collectors pass news on at once."""
+        has_news = self._state.rate_limiting.heard(limits)
+        for record in leaving:
+            has_news |= self._intake.take_leaving(record)
+        if has_news and self._roles.collects:
             self._reporting.tell_now()
 
     def _apply(self, event: MembershipEvent) -> None:
--- a/driftstall/gateway/placement.py
+++ b/driftstall/gateway/placement.py
@@ -9,6 +9,7 @@
 from driftstall.const import PREFIX_ROUTING
 from driftstall.core import Request
 from driftstall.gateway.admission import Admitted
+from driftstall.gateway.drain import FIRST_EVENT_S, TOKEN_S
 from driftstall.gateway.ingress import CallerRequest
 from driftstall.gateway.model import Engine, Upstream
 from driftstall.gateway.runs import Copy, StreamRun
@@ -146,7 +147,10 @@
         self, need: Need, avoid: frozenset[str], *, taken_anyway: bool
     ) -> Place | None:
         """Choose by what this instance knows."""
-        options = self._state.options(self._admitted.service.name, avoid)
+        service = self._admitted.service.name
+        options = self._state.options(service, avoid) or self._state.draining_options(
+            service, avoid, self._longest_s()
+        )
         settings = self._state.settings
         gate = self._state.cold_gate
         chosen = choose_stream(
@@ -178,6 +182,10 @@
         """Forecast what the run will take."""
         return Need(self._request.input_tokens, self._expected_tokens())
 
+    def _longest_s(self) -> float:
+        """Forecast how long the stream may take, in seconds."""
+        return FIRST_EVENT_S + TOKEN_S * self._expected_tokens()
+
     def _expected_tokens(self) -> int:
         """Forecast the output, in tokens."""
         return self._state.expected_tokens(self._request, self._admitted.marks.length_hint)
--- a/driftstall/gateway/reports.py
+++ b/driftstall/gateway/reports.py
@@ -148,6 +148,7 @@
             self._state.cordons.told,
             self._state.rate_limiting.told,
             self._state.eras.era,
+            self._state.fleet.leaving_records(self._state.now()),
         )
         roles = self._roles()
         self._broadcast(roles.own_collectors if roles.large else self._live(), report)
@@ -221,6 +222,7 @@
             self._state.cordons.told,
             self._state.rate_limiting.told,
             self._state.eras.era,
+            self._state.fleet.leaving_records(self._state.now()),
         )
 
     def _fleet_summary(self) -> FleetSummary:
@@ -244,6 +246,7 @@
             self._state.cordons.told,
             self._state.rate_limiting.told,
             self._state.eras.era,
+            self._state.fleet.leaving_records(self._state.now()),
         )
 
     def _least_age(self, standing: Standing) -> float:
--- a/driftstall/gateway/sending.py
+++ b/driftstall/gateway/sending.py
@@ -72,7 +72,9 @@
             run.exchange = self._state.connect(run.upstream, timeout_s)
             if self._caller_gone():
                 return UpstreamError("the caller has left", sent=False)
-            if not self._state.may_send(run.upstream):
+            state = self._state
+            may_go = state.may_send if copy_of else state.may_begin
+            if not may_go(run.upstream):
                 return UpstreamError("the upstream takes no more requests", sent=False)
             self._state.exchanges.add(run.upstream.upstream_id, run.exchange)
             headers = self._state.dialect.write_send(self._admitted.marks.passed, marks)
--- a/driftstall/gateway/sharing.py
+++ b/driftstall/gateway/sharing.py
@@ -16,6 +16,7 @@
 
 from driftstall.const import PREFIX_CONFIGURATION, PREFIX_ROUTING
 from driftstall.core import Instance
+from driftstall.decisions.leaving_signals import LeavingRecord
 from driftstall.decisions.store_versions import StoreVersion
 from driftstall.gateway.collectors import Roles
 from driftstall.gateway.cordons import Cordons
@@ -69,6 +70,8 @@
     take_fleet: Callable[[tuple[Upstream, ...], StoreVersion], None]
     """Take in all upstreams that take requests, as of a revision."""
     take_cordons: Callable[[Cordons], None]
+    take_leaving: Callable[[LeavingRecord], bool]
+    """Take in that an upstream has signalled that it leaves; return whether it was new."""
 
 
 class Sharing:
@@ -126,8 +129,8 @@
         """
         roles = self._roles()
         leaving = isinstance(action, UpstreamLeaving)
-        if isinstance(action, UpstreamLeaving) and action.doubted:
-            # Who has asked the upstream tells all by itself; this is no word of the platform.
+        if isinstance(action, UpstreamLeaving) and (action.doubted or action.signalled):
+            # No word of the platform: whoever had it from the upstream tells all by itself.
             return
         if (
             isinstance(action, UpstreamReplaced)
--- a/driftstall/gateway/sources.py
+++ b/driftstall/gateway/sources.py
@@ -24,6 +24,7 @@
     Period,
     PlatformBack,
     PlatformLost,
+    SignalledLeaving,
     StoreReturned,
     UpstreamCold,
     UpstreamJoined,
@@ -253,6 +254,17 @@
         """Take in that an upstream says itself that it leaves, or that it is gone."""
         self._apply(Doubted(upstream_id))
 
+    def signalled_leaving(self, upstream_id: str, ago_s: float = 0.0) -> bool:
+        """Take in that an upstream has signalled that it leaves; return whether it was new.
+
+        The age is that of the response, in seconds, where a peer has received it.
+        """
+        fleet = self._state.fleet
+        if fleet.has_signalled_leaving(upstream_id):
+            return False
+        self._apply(SignalledLeaving(upstream_id, ago_s))
+        return fleet.has_signalled_leaving(upstream_id)
+
     def cordoned(self, changed: CordonsChanged) -> None:
         """Take in which zones are cordoned now."""
         self._apply(Cordoned(self._state.cordons.zones, changed.lifted))
@@ -352,7 +364,7 @@
 
 def _source_of(action: UpstreamLeaving, *, from_peer: bool) -> str:
     """Return who tells that an upstream leaves."""
-    if action.doubted:
+    if action.doubted or action.signalled:
         return UPSTREAM
     return PEER if from_peer else PLATFORM
 
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -73,7 +73,9 @@
             now=lambda: self.now(),
             pause=gevent.sleep,
         )
-        self.signals = UpstreamSignals(self.stats, self.rate_limiting, lambda: self.now())
+        self.signals = UpstreamSignals(
+            self.stats, self.rate_limiting, self.fleet, lambda: self.now()
+        )
         dialect.observe_signals = self.signals.handle_own_call
         self.fleet_changed = Event()
         self.configured = Event()
@@ -222,10 +224,33 @@
         exchange.observe = observe
         return exchange
 
+    def draining_options(
+        self, service: str, avoid: frozenset[str], for_s: float = 0.0
+    ) -> list[Option]:
+        """Return the upstreams that leave and serve for so much longer: the last resort."""
+        now, drain_s = self.now(), self.settings.bounds.drain_s
+        return [
+            self._option(one, self.loads.use(one.upstream_id, now), now)
+            for one in self.fleet.draining(service, now + for_s, drain_s)
+            if one.upstream_id not in avoid
+        ]
+
     def may_send(self, upstream: Upstream) -> bool:
         """Tell whether an upstream may be sent anything, just before it is."""
         return self.fleet.serves(upstream.upstream_id, self.now(), self.settings.bounds.drain_s)
 
+    def may_begin(self, upstream: Upstream) -> bool:
+        """Tell whether an upstream may be sent something new, just before it is.
+
+        One that has begun to leave since it was chosen is a last resort.
+        """
+        if not self.may_send(upstream):
+            return False
+        others = frozenset({upstream.upstream_id})
+        return self.fleet.takes_requests(upstream.upstream_id) or not self.options(
+            upstream.service, others
+        )
+
     def cold_rate(self, service: str) -> float:
         """Return the requests a second that a cold upstream bears; zero where none is told."""
         found = self.table.service(service) if self.table else None
--- a/driftstall/gateway/upstream_signals.py
+++ b/driftstall/gateway/upstream_signals.py
@@ -15,6 +15,7 @@
     UnknownSignal,
     UnreadableSignal,
 )
+from driftstall.gateway.fleet_book import FleetBook
 from driftstall.gateway.model import Upstream
 from driftstall.gateway.stats import GatewayStats
 from driftstall.helpers.log import say
@@ -28,13 +29,19 @@
     """Dispatch signals to the parts that decide by them."""
 
     def __init__(
-        self, stats: GatewayStats, rate_limiting: RateLimiting, now: Callable[[], float]
+        self,
+        stats: GatewayStats,
+        rate_limiting: RateLimiting,
+        fleet: FleetBook,
+        now: Callable[[], float],
     ) -> None:
-        """Take the counters, the rate limits, and the steady clock."""
+        """Take the counters, the rate limits, the fleet, and the steady clock."""
         self._stats = stats
         self._rate_limiting = rate_limiting
+        self._fleet = fleet
         self._now = now
-        self._leaving_since: dict[str, float] = {}
+        self.leaving: Callable[[str], None] = _ignore
+        """Takes the id of an upstream that signals that it leaves."""
         self._backoff_until: dict[str, float] = {}
         self._unknown: set[str] = set()
 
@@ -58,14 +65,15 @@
     def log_send(self, upstream: Upstream, request_id: str) -> None:
         """Log a request that is sent although its upstream leaves or wants none."""
         now, upstream_id = self._now(), upstream.upstream_id
-        since, until = self._leaving_since.get(upstream_id), self._backoff_until.get(upstream_id, 0)
-        if since is None and until <= now:
+        is_leaving = self._fleet.has_signalled_leaving(upstream_id)
+        until = self._backoff_until.get(upstream_id, 0)
+        if not is_leaving and until <= now:
             return
         say(
             PREFIX_ROUTING,
             f"A request is sent to {upstream_id} despite its signals",
             request=request_id,
-            leaving_for_ms=None if since is None else int((now - since) * 1000),
+            is_leaving=is_leaving,
             backoff_left_ms=max(0, int((until - now) * 1000)),
         )
 
@@ -81,9 +89,8 @@
     @_handle.register
     def _(self, signal: LeavingSignal, upstream: Upstream, sent_at: float) -> None:
         self._stats.leaving_signals += 1
-        if upstream.upstream_id in self._leaving_since:
+        if self._fleet.has_signalled_leaving(upstream.upstream_id):
             return
-        self._leaving_since[upstream.upstream_id] = self._now()
         say(
             PREFIX_ROUTING,
             f"Upstream {upstream.upstream_id} signals that it leaves",
@@ -91,6 +98,7 @@
             state=upstream.state.value,
             revision=upstream.revision,
         )
+        self.leaving(upstream.upstream_id)
 
     @_handle.register
     def _(self, signal: BackoffSignal, upstream: Upstream, sent_at: float) -> None:
@@ -124,3 +132,7 @@
             f"Upstream {upstream.upstream_id} sends a header that is not known",
             header=signal.name,
         )
+
+
+def _ignore(_: str) -> None:
+    """Take an upstream that nobody asks about."""
--- a/driftstall/peers/gateway_messages.py
+++ b/driftstall/peers/gateway_messages.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from driftstall.controllers.membership import Ack, Ping, PingRequest
+from driftstall.decisions.leaving_signals import LeavingRecord
 from driftstall.decisions.rate_limits import RateLimit
 from driftstall.decisions.store_versions import StoreVersion
 from driftstall.gateway.cordons import Cordons
@@ -37,6 +38,8 @@
     """What upstreams have named, as far as the sender knows."""
     store_era: int
     """The newest era of the platform's store that the sender knows."""
+    leaving: tuple[LeavingRecord, ...]
+    """Upstreams that have signalled that they leave, as far as the sender knows."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +69,7 @@
     cordons: Cordons
     rate_limits: tuple[RateLimit, ...]
     store_era: int
+    leaving: tuple[LeavingRecord, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +91,7 @@
     cordons: Cordons
     rate_limits: tuple[RateLimit, ...]
     store_era: int
+    leaving: tuple[LeavingRecord, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/driftstall/peers/schema.capnp
+++ b/driftstall/peers/schema.capnp
@@ -75,24 +75,25 @@
 struct Cordon { zone @0 :Text; revision @1 :UInt64; }
 struct Cordons { at @0 :UInt64; cordons @1 :List(Cordon); }
 struct RateLimit { upstreamId @0 :Text; number @1 :UInt32; perS @2 :Float64; hasPerS @3 :Bool; }
+struct LeavingRecord { upstreamId @0 :Text; agoMs @1 :UInt32; }
 struct GatewayReport {
   sender @0 :Text; ready @1 :Bool; platformOk @2 :Bool; routingVersion @3 :UInt64;
   uses @4 :List(Use); repeats @5 :List(RepeatCount); number @6 :UInt32; cordons @7 :Cordons;
-  rateLimits @8 :List(RateLimit); storeEra @9 :UInt32;
+  rateLimits @8 :List(RateLimit); storeEra @9 :UInt32; leaving @10 :List(LeavingRecord);
 }
 struct ReportAck { instanceId @0 :Text; number @1 :UInt32; }
 struct ZoneSummary {
   sender @0 :Text; zone @1 :Text; routingVersion @2 :UInt64; platformAgeMs @3 :UInt32;
   fleetDigest @4 :UInt64; instances @5 :UInt32; ready @6 :List(Text); uses @7 :List(Use);
   repeats @8 :List(RepeatCount); cordons @9 :Cordons;
-  rateLimits @10 :List(RateLimit); storeEra @11 :UInt32;
+  rateLimits @10 :List(RateLimit); storeEra @11 :UInt32; leaving @12 :List(LeavingRecord);
 }
 struct FleetSummary {
   sender @0 :Text; routingVersion @1 :UInt64; policyRevision @2 :UInt64;
   platformAgeMs @3 :UInt32; fleetDigest @4 :UInt64; instances @5 :UInt32;
   ready @6 :List(Text); uses @7 :List(Use); repeats @8 :List(RepeatCount);
   acks @9 :List(ReportAck); cordons @10 :Cordons;
-  rateLimits @11 :List(RateLimit); storeEra @12 :UInt32;
+  rateLimits @11 :List(RateLimit); storeEra @12 :UInt32; leaving @13 :List(LeavingRecord);
 }
 struct Upstream {
   name @0 :Text; service @1 :Text; address @2 :Text; zone @3 :Text; slots @4 :UInt64;
--- /dev/null
+++ b/features/gateway/leaving_signals.feature
@@ -0,0 +1,62 @@
+Feature: What an upstream signals of its leaving is final for its start
+  The fleet of one instance, without a network. Each of these was a way in which an instance could
+  have gone on sending to an upstream that had signalled in a response that it leaves.
+
+  Background:
+    Given a fleet of 3 upstreams
+    And "u1" has signalled at 10 s that it leaves
+
+  # Guards against entries, lists and peers that state ready, later or older ones.
+  Scenario Outline: <news> does not end it
+    When the fleet takes in <news> at 10.5 s
+    Then "u1" takes no requests
+    And "u1" may be sent what has run there at 11.9 s, and nothing at 12.1 s
+
+    Examples:
+      | news                           |
+      | a newer entry that is ready    |
+      | the same list again            |
+      | a newer list                   |
+      | a peer's list                  |
+      | a peer's entry                 |
+      | a list after the store's return |
+
+  # Guards against the lapse of what a probe has found.
+  Scenario: the lapse of a probe's finding does not end it
+    When a probe finds "u1" leaving at 10.2 s
+    And time passes until 15 s
+    Then "u1" takes no requests
+
+  # Guards against a later notice, or a removal, that starts the time to drain anew.
+  Scenario Outline: the time to drain runs from the signal, not from <later>
+    When the fleet takes in <later> at 11.5 s
+    Then "u1" may be sent nothing at 12.1 s
+    And it is told once that "u1" is leaving
+
+    Examples:
+      | later                     |
+      | its entry that is leaving |
+      | its entry's removal       |
+
+  # Guards against a signal that is heard before the entry, by an instance that has just started.
+  Scenario: an upstream whose signal was heard before its entry takes no requests
+    Given "u9" has signalled at 10 s that it leaves
+    When the fleet takes in an entry of "u9" at 11 s
+    Then "u9" takes no requests
+    And "u9" may be sent nothing at 12.1 s
+
+  # Guards against a signal that sticks to a later start, or to another one at the address.
+  Scenario: a later start under its name takes requests
+    When a later start of "u1" is listed at 11 s
+    Then the later start takes requests
+
+  # Guards against crashes put down to requests that ran as an upstream ended as announced.
+  Scenario: its end was announced
+    Then the end of "u1" counts as announced, that of "u2" does not
+
+  # Guards against peers that keep telling each other of upstreams that are long gone.
+  Scenario: it is forgotten some time after its entry, and not learned again from a peer
+    When the fleet takes in its entry's removal at 11 s
+    And time passes until 140 s
+    And a peer tells at 140 s of the signal of "u1", 130 s old
+    Then no signal is known
--- a/features/steps/gateway_reliance_steps.py
+++ b/features/steps/gateway_reliance_steps.py
@@ -263,6 +263,7 @@
         take_doubt=lambda _: None,
         take_fleet=take_fleet,
         take_cordons=lambda _: None,
+        take_leaving=lambda _: False,
     )
     roles = Roles(large=True, collects=True, follows=False)
     context.sharing = Sharing(
@@ -280,7 +281,7 @@
     context.followers = FleetController()
     context.followers.handle(Listed((upstream_of("u1", 3), upstream_of("u4", 8))), 0.0)
     digest = context.followers.digest
-    summary = ZoneSummary("follower", "b", 1, 100, digest, 1, (), (), (), Cordons(), (), 0)
+    summary = ZoneSummary("follower", "b", 1, 100, digest, 1, (), (), (), Cordons(), (), 0, ())
     context.sharing.compare_fleet(summary)
 
 
--- /dev/null
+++ b/features/steps/leaving_signal_steps.py
@@ -0,0 +1,121 @@
+"""Check that the fleet holds an upstream's own signal over all other news."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any, Final
+
+from behave import given, then, when
+
+from driftstall.decisions.store_versions import StoreVersion
+from driftstall.gateway.fleet_events import (
+    Changed,
+    Doubted,
+    FleetEvent,
+    Listed,
+    Offered,
+    Period,
+    SignalledLeaving,
+    StoreReturned,
+)
+from driftstall.gateway.model import UpstreamState
+from features.steps.gateway_fleet_steps import DRAIN_S, tell
+from features.worlds.upstream_samples import upstream_of
+
+NAMES: Final = ("u1", "u2", "u3")
+LATER_START: Final = replace(upstream_of("u1", 30), born=30)
+
+
+def listed(revision: int) -> Listed:
+    """Return a list of all upstreams as ready."""
+    entries = tuple(upstream_of(name, revision) for name in NAMES)
+    return Listed(entries, StoreVersion(revision))
+
+
+def events_of(news: str) -> list[FleetEvent]:
+    """Return the events of some news by their name."""
+    found: dict[str, list[FleetEvent]] = {
+        "a newer entry that is ready": [Changed(upstream_of("u1", 20), False)],
+        "the same list again": [listed(1)],
+        "a newer list": [listed(20)],
+        "a peer's list": [Offered(listed(20).upstreams, StoreVersion(20))],
+        "a peer's entry": [Changed(upstream_of("u1", 20), False, from_peer=True)],
+        "a list after the store's return": [StoreReturned(), listed(20)],
+        "its entry that is leaving": [
+            Changed(upstream_of("u1", 20, UpstreamState.LEAVING), False),
+        ],
+        "its entry's removal": [Changed(upstream_of("u1", 20), True)],
+        'an entry of "u9"': [Changed(upstream_of("u9", 20), False)],
+    }
+    return found[news]
+
+
+@given('"{name}" has signalled at {at:g} s that it leaves')
+def has_signalled(context: Any, name: str, at: float) -> None:
+    """Hand over the signal."""
+    tell(context, SignalledLeaving(name), at)
+
+
+@when("the fleet takes in {news} at {at:g} s")
+def takes_in(context: Any, news: str, at: float) -> None:
+    """Hand over the news, and let time pass."""
+    for event in events_of(news):
+        tell(context, event, at)
+    tell(context, Period(), at)
+
+
+@when('a probe finds "{name}" leaving at {at:g} s')
+def probe_finds(context: Any, name: str, at: float) -> None:
+    """Hand over what a probe has found."""
+    tell(context, Doubted(name), at)
+
+
+@when("time passes until {at:g} s")
+def time_passes(context: Any, at: float) -> None:
+    """Let time pass, in steps."""
+    for step in range(1, 5):
+        tell(context, Period(), at - 4 + step)
+
+
+@when('a later start of "u1" is listed at {at:g} s')
+def later_start(context: Any, at: float) -> None:
+    """List a later start under the name."""
+    tell(context, Changed(LATER_START, False), at)
+
+
+@when('a peer tells at {at:g} s of the signal of "{name}", {ago:g} s old')
+def peer_tells(context: Any, at: float, name: str, ago: float) -> None:
+    """Hand over an old signal."""
+    tell(context, SignalledLeaving(name, ago), at)
+
+
+@then('"{name}" may be sent what has run there at {before:g} s, and nothing at {after:g} s')
+def serves_until(context: Any, name: str, before: float, after: float) -> None:
+    """Ask before and after the end of the time to drain."""
+    assert context.fleet.serves(name, before, DRAIN_S)
+    assert not context.fleet.serves(name, after, DRAIN_S)
+
+
+@then('"{name}" may be sent nothing at {at:g} s')
+def serves_nothing(context: Any, name: str, at: float) -> None:
+    """Ask after the end of the time to drain."""
+    assert not context.fleet.serves(name, at, DRAIN_S)
+
+
+@then("the later start takes requests")
+def later_takes(context: Any) -> None:
+    """Look at the fleet."""
+    assert context.fleet.takes_requests(LATER_START.upstream_id)
+
+
+@then('the end of "{name}" counts as announced, that of "{other}" does not')
+def announced(context: Any, name: str, other: str) -> None:
+    """Ask the fleet."""
+    assert context.fleet.leaves_as_told(name)
+    assert not context.fleet.leaves_as_told(other)
+
+
+@then("no signal is known")
+def none_known(context: Any) -> None:
+    """Look at what peers are told."""
+    assert context.fleet.leaving_records(140.0) == (), context.fleet.leaving_records(140.0)
--- a/features/worlds/gateway_world.py
+++ b/features/worlds/gateway_world.py
@@ -15,7 +15,13 @@
 from driftstall.decisions.store_versions import StoreVersion
 from driftstall.gateway.drain import Drain
 from driftstall.gateway.evacuation import Evacuation
-from driftstall.gateway.fleet_events import Changed, Listed, UpstreamLeaving
+from driftstall.gateway.fleet_events import (
+    Changed,
+    FleetEvent,
+    Listed,
+    SignalledLeaving,
+    UpstreamLeaving,
+)
 from driftstall.gateway.listeners import CallerListener
 from driftstall.gateway.model import Bounds, GatewaySettings, Upstream, UpstreamState
 from driftstall.gateway.moves import Mover
@@ -121,6 +127,7 @@
         self.state = GatewayState(settings, PlatformDialect(), default_policy())
         self._ahead_s = 0.0
         self.state.now = lambda: clock.now() + self._ahead_s  # type: ignore[method-assign]
+        self.state.signals.leaving = self.signalled_leaving
         self.current = True
         self.mover = Mover(self.state)
         self.evacuation = Evacuation(self.state, self.mover)
@@ -168,7 +175,15 @@
     def give_notice(self, upstream: RoutedUpstream) -> None:
         """Let an upstream be leaving, and have its streams moved."""
         leaving = replace(self.entry(upstream), state=UpstreamState.LEAVING)
-        for action in self.state.fleet.handle(Changed(leaving, False), self.state.now()):
+        self._tell_fleet(Changed(leaving, False))
+
+    def signalled_leaving(self, upstream_id: str) -> None:
+        """Let the fleet know that an upstream has signalled that it leaves."""
+        self._tell_fleet(SignalledLeaving(upstream_id))
+
+    def _tell_fleet(self, event: FleetEvent) -> None:
+        """Hand the fleet an event, and have streams moved that are to be."""
+        for action in self.state.fleet.handle(event, self.state.now()):
             if isinstance(action, UpstreamLeaving):
                 self.evacuation.start(action.upstream)
 
