Send an upstream nothing within the back-off that it has requested

Upstreams that shed load with 503 and Retry-After got requests of the same instance before the time was over. Also, an ejected upstream is only a worse choice. Class: as with leaving, a response says something of the upstream, and is read only for the request that it answers.

Change: decisions/upstream_backoff keeps the time, per instance and upstream; later responses lengthen it, none shortens it; values that are no time are logged, absurd ones bounded. An upstream that backs off is left out of all choices, and checked again just before each send: first sends, retries, resumes, copies, moves, probes and calls of our own. A question to the placer names it as one to avoid; what backs off from the placer is not left out for others. Where all upstreams of a service back off, callers are refused at once and return staggered from the moment at which the first takes requests again. A stream that must go on takes a copy whose engine takes requests, or waits up to 1.2 s. Back-offs are not shared with peers: the upstream has asked one instance.

--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -285,6 +285,11 @@
         if tries.history.ran is not Ran.NOT_RUN:
             detail = "no whole answer came; the request may have run"
             return Problem(CODE_RUNNER_FAILED, 502, detail, Ran.UNKNOWN)
+        refusal = self._state.backoff_refusal(
+            self._admitted.service.name, self._admitted.marks.request_id, self._left()
+        )
+        if refusal is not None:
+            return refusal
         detail = tries.failure.detail if tries.failure else "no upstream takes requests"
         return Problem(CODE_NO_RUNNER, 503, detail, Ran.NOT_RUN, FULL_RETRY_S)
 
--- a/driftstall/gateway/crash_watch.py
+++ b/driftstall/gateway/crash_watch.py
@@ -99,7 +99,8 @@
     def _ask(self, upstream: Upstream) -> Word:
         """Return what an engine says of itself; of others, whether they listen."""
         service = self._state.table.service(upstream.service) if self._state.table else None
-        if service is not None and service.engine is not None:
+        is_engine = service is not None and service.engine is not None
+        if is_engine and not self._state.backoff_s(upstream):
             return self._state.dialect.ask_word(upstream)
         try:
             address = split_address(upstream.address)
--- a/driftstall/gateway/evacuation.py
+++ b/driftstall/gateway/evacuation.py
@@ -79,7 +79,7 @@
         while self._state.now() < began + GIVE_UP_S and not fleet.stays(engine_id):
             runs = self._state.runs.on(engine_id)
             waiting = [run for run in runs if self._is_movable(run) and run.request_id not in tried]
-            if not waiting:
+            if not waiting or self._state.backoff_s(upstream):
                 gevent.sleep(RETRY_S)
                 continue
             run = min(waiting, key=self._left_to_copy)
--- a/driftstall/gateway/inquiry.py
+++ b/driftstall/gateway/inquiry.py
@@ -83,6 +83,8 @@
             return
         if now - self._asked_at.get(engine_id, float("-inf")) < ASK_EVERY_S / 2:
             return
+        if self._state.backoff_s(upstream):
+            return
         self._asked_at[engine_id] = now
         self._state.rate_limiting.charge(upstream.upstream_id)
         word = self._state.dialect.ask_word(upstream)
--- a/driftstall/gateway/moves.py
+++ b/driftstall/gateway/moves.py
@@ -34,8 +34,9 @@
         An engine whose memory would be fuller than most_memory, from 0 to 1, is not chosen.
         """
         kept = self.kept(run)
-        if kept is not None and kept.copy.upstream.upstream_id not in avoid:
-            return kept.copy.upstream
+        holder = kept.copy.upstream if kept is not None else None
+        if holder and holder.upstream_id not in avoid and not self._state.backoff_s(holder):
+            return holder
         engine = run.admitted.service.engine
         if engine is None or not engine.can_move:
             return None
@@ -130,11 +131,17 @@
         self._hold(run, None)
         source_stays = self._state.fleet.stays(run.upstream.upstream_id)
         holder = run.upstream if source_stays else kept.copy.upstream
+        if self._state.backoff_s(holder):
+            # Engines drop an unused copy by themselves after a while.
+            return
         self._state.rate_limiting.charge(holder.upstream_id)
         gevent.spawn(self._state.dialect.drop_copy, holder, kept.copy.copy_of)
 
     def _step(self, run: StreamRun, target: Upstream, *, last: bool) -> MoveResult:
         """Take one step and log it."""
+        if self._state.backoff_s(run.upstream):
+            detail = "its engine has requested a back-off"
+            return MoveFailed(no_such_run=False, may_have_stopped=False, copy_of="", detail=detail)
         started = self._state.now()
         self._state.rate_limiting.charge(run.upstream.upstream_id)
         result = self._state.dialect.move(run.upstream, run.request_id, target, last=last)
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -273,6 +273,8 @@
             "instances": self.state.instances.value,
             "upstreams": len(self.state.fleet.upstreams),
             "upstreams_with_rate_limit": len(self.state.rate_limiting.limited),
+            "upstreams_leaving_by_signal": len(self.state.fleet.leaving_records(self.state.now())),
+            "upstreams_in_backoff": len(self.state.backoff.active(self.state.now())),
             "cordoned_zones": len(self.state.cordons.zones),
             "upstreams_age_seconds": min(LONGEST_AGE_S, self._upstream_pace.age_s),
             "routing_age_seconds": min(LONGEST_AGE_S, self._routing_pace.age_s),
--- a/driftstall/gateway/placement.py
+++ b/driftstall/gateway/placement.py
@@ -111,7 +111,7 @@
             now = self._state.now()
             waited_enough = now >= room_until
             place = self._choose(need, avoid, taken_anyway=waited_enough)
-            if place is None and (now >= upstream_until or self._waits_for_cordons()):
+            if place is None and (now >= upstream_until or self._waits_in_vain()):
                 return None
             if place is not None and (waited_enough or place.has_room):
                 return place
@@ -128,20 +128,23 @@
             need.prompt_tokens,
             need.output_tokens,
             self.engine.can_backup and self._wants_backup(),
-            tuple(avoid),
+            tuple(avoid | self._state.backoff.active(self._state.now())),
             taken_anyway,
             self._state.settings.zone,
         )
         given = self._state.ask_place(asked)
         upstream = self._state.fleet.find(given.upstream_id) if given else None
-        if given is None or upstream is None:
+        if given is None or upstream is None or self._state.backoff_s(upstream):
             return self._choose_here(need, avoid, taken_anyway=taken_anyway)
         backup = self._state.fleet.find(given.backup_id)
         return Place(upstream, backup, given.has_room, given.sender)
 
-    def _waits_for_cordons(self) -> bool:
-        """Tell whether all that is there stands in cordoned zones: to wait a little is no use."""
-        return self._state.fleet.waits_for_cordons(self._admitted.service.name)
+    def _waits_in_vain(self) -> bool:
+        """Tell whether all upstreams are in cordoned zones, or back off."""
+        fleet, service = self._state.fleet, self._admitted.service.name
+        ready = fleet.ready(service)
+        backs_off = bool(ready) and all(self._state.backoff_s(one) for one in ready)
+        return backs_off or fleet.waits_for_cordons(service)
 
     def _choose_here(
         self, need: Need, avoid: frozenset[str], *, taken_anyway: bool
--- a/driftstall/gateway/protection.py
+++ b/driftstall/gateway/protection.py
@@ -72,6 +72,8 @@
                 continue
             if not self._state.fleet.stays(run.upstream.upstream_id):
                 continue
+            if self._state.backoff_s(run.upstream):
+                continue
             backup = run.backup
             if backup is not None and self._state.fleet.takes_requests(backup.upstream_id):
                 continue
@@ -110,7 +112,9 @@
         engine = run.admitted.service.engine
         if engine is None:
             return 0.0
-        return ahead_line(runs_share(self._state.options(run.upstream.service), engine))
+        return ahead_line(
+            runs_share(self._state.options(run.upstream.service, for_peer=True), engine)
+        )
 
     def _forget_ended(self) -> None:
         """Forget pauses that are over."""
--- a/driftstall/gateway/sources.py
+++ b/driftstall/gateway/sources.py
@@ -290,6 +290,7 @@
         """Let time pass."""
         self._apply(Period())
         self._state.cold.forget_ended(self._state.now())
+        self._state.backoff.forget_ended(self._state.now())
         self._state.exchanges.forget_ended()
 
     def _apply(self, event: FleetEvent, *, from_peer: bool = False) -> None:
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -10,14 +10,19 @@
 import gevent
 from gevent.event import Event
 
-from driftstall.const import PREFIX_ROUTING
-from driftstall.core import Request
+from driftstall.const import CODE_NO_RUNNER, PREFIX_ROUTING
+from driftstall.core import Problem, Ran, Request
 from driftstall.decisions.cold_starts import QUIET_START_S, UNTOLD_S, ColdPart, ColdStarts
 from driftstall.decisions.crash_blame import BlameBook
 from driftstall.decisions.instance_count import InstanceCount
 from driftstall.decisions.lengths import LearnedLengths
 from driftstall.decisions.placers import MOST_COMPARED
 from driftstall.decisions.store_versions import StoreEras
+from driftstall.decisions.upstream_backoff import (
+    CALLS_PER_SLOT_S,
+    StaggeredReturns,
+    UpstreamBackoff,
+)
 from driftstall.gateway.cold_gate import ColdGate
 from driftstall.gateway.cordons import CordonBook
 from driftstall.gateway.dialect import Dialect
@@ -73,8 +78,10 @@
             now=lambda: self.now(),
             pause=gevent.sleep,
         )
+        self.backoff = UpstreamBackoff()
+        self._returns = StaggeredReturns()
         self.signals = UpstreamSignals(
-            self.stats, self.rate_limiting, self.fleet, lambda: self.now()
+            self.stats, self.rate_limiting, self.fleet, self.backoff, lambda: self.now()
         )
         dialect.observe_signals = self.signals.handle_own_call
         self.fleet_changed = Event()
@@ -181,13 +188,17 @@
         service: str,
         avoid: frozenset[str] = frozenset(),
         most: int | None = MOST_COMPARED,
+        *,
+        for_peer: bool = False,
     ) -> list[Option]:
         """Return the upstreams of a service that may be chosen, with what runs there.
 
-        Where there are more than the most wanted (None: all), so many are drawn by lot.
+        Where there are more than the most wanted (None: all), so many are drawn by lot. Those that
+        back off from this instance are left out unless the choice is for a peer.
         """
         now = self.now()
-        ready = [one for one in self.fleet.ready(service) if one.upstream_id not in avoid]
+        left_out = avoid if for_peer else avoid | self.backoff.active(now)
+        ready = [one for one in self.fleet.ready(service) if one.upstream_id not in left_out]
         if most is not None and len(ready) > most:
             drawn = self.source.sample(ready, most)
             return [self._option(one, self.loads.use(one.upstream_id, now), now) for one in drawn]
@@ -232,12 +243,49 @@
         return [
             self._option(one, self.loads.use(one.upstream_id, now), now)
             for one in self.fleet.draining(service, now + for_s, drain_s)
-            if one.upstream_id not in avoid
+            if one.upstream_id not in avoid and not self.backoff_s(one)
         ]
 
+    def backoff_s(self, upstream: Upstream) -> float:
+        """Return for how long an upstream wants no requests of this instance; zero for none."""
+        return self.backoff.remaining_s(upstream.upstream_id, self.now())
+
+    def backoff_refusal(self, service: str, request_id: str, left_s: float) -> Problem | None:
+        """Return what to answer where all upstreams of a service back off; None where one doesn't.
+
+        The request has seconds left until its deadline.
+        """
+        now = self.now()
+        ready = self.fleet.ready(service) or self.fleet.draining(
+            service, now, self.settings.bounds.drain_s
+        )
+        first = min(ready, key=self.backoff_s, default=None)
+        if first is None or not self.backoff_s(first):
+            return None
+        first_s = self.backoff_s(first)
+        part = max(1, first.slots) / max(1, self.instances.value)
+        retry_s = self._returns.next_s(service, first_s, part * CALLS_PER_SLOT_S, now)
+        self.stats.backoff_refused += 1
+        say(
+            PREFIX_ROUTING,
+            "A request is refused: all upstreams back off",
+            request=request_id,
+            service=service,
+            upstreams=len(ready),
+            first=first.upstream_id,
+            first_s=round(first_s, 2),
+            retry_s=round(retry_s, 2),
+            left_s=round(left_s, 2),
+        )
+        detail = "all runners have requested a back-off"
+        if first_s > left_s:
+            detail += " that is longer than the request can wait"
+        return Problem(CODE_NO_RUNNER, 503, detail, Ran.NOT_RUN, retry_s)
+
     def may_send(self, upstream: Upstream) -> bool:
         """Tell whether an upstream may be sent anything, just before it is."""
-        return self.fleet.serves(upstream.upstream_id, self.now(), self.settings.bounds.drain_s)
+        serves = self.fleet.serves(upstream.upstream_id, self.now(), self.settings.bounds.drain_s)
+        return serves and not self.backoff_s(upstream)
 
     def may_begin(self, upstream: Upstream) -> bool:
         """Tell whether an upstream may be sent something new, just before it is.
@@ -299,7 +347,7 @@
     def _memory_share(self, service: Service) -> float:
         """Return the share of engine memory in use."""
         assert service.engine is not None
-        options = self.options(service.name)
+        options = self.options(service.name, for_peer=True)
         total = service.engine.memory_tokens * len(options)
         if not total:
             return NO_LOAD
--- a/driftstall/gateway/stats.py
+++ b/driftstall/gateway/stats.py
@@ -33,6 +33,7 @@
     limited_refused: int = 0
     leaving_signals: int = 0
     backoff_signals: int = 0
+    backoff_refused: int = 0
     unreadable_signals: int = 0
     unknown_signals: int = 0
     moves_failed: int = 0
@@ -81,6 +82,7 @@
     "limited_refused": "Requests refused as all upstreams have reached their limits.",
     "leaving_signals": "Responses by which an upstream signals that it leaves.",
     "backoff_signals": "Responses by which an upstream requests a back-off.",
+    "backoff_refused": "Requests refused as all upstreams have requested a back-off.",
     "unreadable_signals": "Signals of upstreams that can't be decoded.",
     "unknown_signals": "Headers of upstreams that look like signals and are not known.",
     "moves_failed": "Copies between engines that failed.",
--- a/driftstall/gateway/stream_opening.py
+++ b/driftstall/gateway/stream_opening.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from driftstall.const import CODE_DEADLINE, CODE_NO_RUNNER, CODE_RUNNER_FAILED
-from driftstall.core import Problem
+from driftstall.core import Problem, Ran
 from driftstall.gateway.calls import FULL_RETRY_S, MAX_SENDS
 from driftstall.gateway.outcomes import Outcome
 from driftstall.gateway.placement import WAIT_FOR_ROOM_SHARE
@@ -48,6 +48,9 @@
         if work.left() <= 0 or work.caller_gone:
             return Problem(CODE_DEADLINE, 504, "the time is over", work.history.ran)
         refusal = work.refusal()
+        if refusal is not None:
+            return refusal
+        refusal = self._backoff_refusal()
         if refusal is not None:
             return refusal
         limits = work.state.rate_limiting
@@ -98,12 +101,26 @@
     def _unserved(self, tries: _Tries) -> Problem:
         """Return that no upstream takes the request."""
         ran = self._work.history.ran
-        return Problem(CODE_NO_RUNNER, 503, tries.detail, ran, FULL_RETRY_S)
+        return self._backoff_refusal() or Problem(
+            CODE_NO_RUNNER, 503, tries.detail, ran, FULL_RETRY_S
+        )
+
+    def _backoff_refusal(self) -> Problem | None:
+        """Return what to answer where nothing has run and all upstreams back off."""
+        work = self._work
+        if work.history.ran is not Ran.NOT_RUN:
+            return None
+        service = work.admitted.service.name
+        return work.state.backoff_refusal(service, work.request_id, work.left())
 
     def _ready(self, avoid: set[str]) -> list[str]:
         """Return the upstreams that take requests and have not turned this one away."""
         ready = self._work.state.fleet.ready(self._work.admitted.service.name)
-        return [one.upstream_id for one in ready if one.upstream_id not in avoid]
+        return [
+            one.upstream_id
+            for one in ready
+            if one.upstream_id not in avoid and not self._work.state.backoff_s(one)
+        ]
 
     def _patience_s(self) -> float:
         """Return for how long the stream can still wait for its turn at an upstream."""
--- a/driftstall/gateway/stream_resuming.py
+++ b/driftstall/gateway/stream_resuming.py
@@ -9,15 +9,17 @@
 from driftstall.const import PREFIX_RELAY
 from driftstall.exceptions import UpstreamError
 from driftstall.gateway.model import Upstream
-from driftstall.gateway.runs import StreamRun
+from driftstall.gateway.runs import Copy, StreamRun
 from driftstall.gateway.sending import Opened
 from driftstall.gateway.stream_work import StreamWork
 from driftstall.helpers.log import say
 
 COLD_WAIT_S: Final = 1.2
 """How long a stream that could go on waits for an engine that has gone cold."""
+BACKOFF_WAIT_S: Final = 1.2
+"""The same for an engine that has requested a back-off."""
 TURN_WAIT_S: Final = 1.2
-"""The same for its turn at an engine that names a limit."""
+"""The same for its turn at an engine that signals a limit."""
 MAX_RESUMES: Final = 8
 """Upstreams that one stream may go on at; each leaves with a notice of its own."""
 OK: Final = 200
@@ -35,7 +37,7 @@
         while run.moves < MAX_RESUMES and self._work.left() > 0 and not self._work.caller_gone:
             if run.exchange is not None:
                 run.exchange.close()
-            copy = self._work.copies.take(run, self._work.left())
+            copy = self._take_copy(run)
             if copy is None:
                 self._work.copies.say_none(run, cause)
                 return None
@@ -63,6 +65,22 @@
             run = next_run
         return None
 
+    def _take_copy(self, run: StreamRun) -> Copy | None:
+        """Return the copy to go on at; where all engines with one back off, wait for the first."""
+        state, deferred = self._work.state, []
+        while (copy := self._work.copies.take(run, self._work.left())) is not None:
+            if not state.backoff_s(copy.upstream):
+                return copy
+            deferred.append(copy)
+        first = min(deferred, key=lambda one: state.backoff_s(one.upstream), default=None)
+        if first is None:
+            return None
+        wait_s = state.backoff_s(first.upstream)
+        if wait_s > min(BACKOFF_WAIT_S, self._work.left()):
+            return None
+        gevent.sleep(wait_s)
+        return first
+
     def _await_cold(self, upstream: Upstream) -> bool:
         """Wait for the stream's turn at a copy's engine that has gone cold; return whether it is.
 
--- a/driftstall/gateway/upstream_signals.py
+++ b/driftstall/gateway/upstream_signals.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from driftstall.const import PREFIX_ROUTING
+from driftstall.decisions.upstream_backoff import UpstreamBackoff
 from driftstall.decisions.upstream_signals import (
     BackoffSignal,
     LeavingSignal,
@@ -33,16 +34,17 @@
         stats: GatewayStats,
         rate_limiting: RateLimiting,
         fleet: FleetBook,
+        backoff: UpstreamBackoff,
         now: Callable[[], float],
     ) -> None:
-        """Take the counters, the rate limits, the fleet, and the steady clock."""
+        """Take the counters, the rate limits, the fleet, the back-offs, and the steady clock."""
         self._stats = stats
         self._rate_limiting = rate_limiting
         self._fleet = fleet
+        self._backoff = backoff
         self._now = now
         self.leaving: Callable[[str], None] = _ignore
         """Takes the id of an upstream that signals that it leaves."""
-        self._backoff_until: dict[str, float] = {}
         self._unknown: set[str] = set()
 
     def handle_response(
@@ -64,17 +66,17 @@
 
     def log_send(self, upstream: Upstream, request_id: str) -> None:
         """Log a request that is sent although its upstream leaves or wants none."""
-        now, upstream_id = self._now(), upstream.upstream_id
+        upstream_id = upstream.upstream_id
         is_leaving = self._fleet.has_signalled_leaving(upstream_id)
-        until = self._backoff_until.get(upstream_id, 0)
-        if not is_leaving and until <= now:
+        backoff_s = self._backoff.remaining_s(upstream_id, self._now())
+        if not is_leaving and not backoff_s:
             return
         say(
             PREFIX_ROUTING,
             f"A request is sent to {upstream_id} despite its signals",
             request=request_id,
             is_leaving=is_leaving,
-            backoff_left_ms=max(0, int((until - now) * 1000)),
+            backoff_s=round(backoff_s, 3),
         )
 
     @singledispatchmethod
@@ -103,11 +105,12 @@
     @_handle.register
     def _(self, signal: BackoffSignal, upstream: Upstream, sent_at: float) -> None:
         self._stats.backoff_signals += 1
-        self._backoff_until[upstream.upstream_id] = self._now() + signal.for_s
+        left_s = self._backoff.request(upstream.upstream_id, signal.for_s, self._now())
         say(
             PREFIX_ROUTING,
             f"Upstream {upstream.upstream_id} requests a back-off",
             for_s=signal.for_s,
+            left_s=round(left_s, 3),
             revision=upstream.revision,
         )
 
--- /dev/null
+++ b/features/steps/upstream_backoff_steps.py
@@ -0,0 +1,229 @@
+"""Check that the back-offs that upstreams request are kept."""
+
+from __future__ import annotations
+
+import itertools
+import time
+from typing import Any
+
+from behave import given, then, when
+from eliot import add_destinations, remove_destination
+
+from driftstall.core import Instance
+from driftstall.decisions.sends import KEPT_UP_AFTER_S
+from driftstall.decisions.upstream_backoff import StaggeredReturns, UpstreamBackoff
+from driftstall.decisions.upstream_signals import BackoffSignal
+from driftstall.gateway.dialect import MoveFailed
+from driftstall.gateway.inquiry import Inquiry
+from driftstall.gateway.model import Upstream
+from driftstall.gateway.runs import Copy, KeptCopy
+from driftstall.peers.gateway_messages import PlacementAsked
+from features.worlds.gateway_world import runs, script_all, wait_for, world_of
+from stand_ins.routed import Script
+
+
+@given('"{name}" requests a back-off of {for_s:g} s at {at:g} s')
+@when('"{name}" requests a back-off of {for_s:g} s at {at:g} s')
+def requests_backoff(context: Any, name: str, for_s: float, at: float) -> None:
+    """Add a back-off."""
+    if not hasattr(context, "backoff"):
+        context.backoff = UpstreamBackoff()
+    context.backoff.request(name, for_s, at)
+
+
+@then('"{name}" wants no requests for {for_s:g} s at {at:g} s')
+def wants_none(context: Any, name: str, for_s: float, at: float) -> None:
+    """Compare what is left."""
+    assert abs(context.backoff.remaining_s(name, at) - for_s) < 1e-6
+    assert (name in context.backoff.active(at)) == (for_s > 0)
+
+
+@when(
+    "{count:d} callers of a service that serves {per_s:g} calls a second are refused {first_s:g} s"
+    " before it takes calls"
+)
+def callers_refused(context: Any, count: int, per_s: float, first_s: float) -> None:
+    """Give each a time to return, all at the same moment."""
+    returns = context.returns = StaggeredReturns()
+    context.per_s, context.first_s = per_s, first_s
+    context.times = [returns.next_s("portal", first_s, per_s, 10.0) for _ in range(count)]
+
+
+@then("each returns {gap_s:g} s after the one before, the first of them in {first_s:g} s")
+def evenly(context: Any, gap_s: float, first_s: float) -> None:
+    """Compare the times."""
+    gaps = [later - one for one, later in itertools.pairwise(context.times)]
+    assert context.times[0] == first_s
+    assert all(abs(gap - gap_s) < 1e-6 for gap in gaps), context.times
+
+
+@then("{count:d} further callers return within {most_s:g} s of the first")
+def bounded(context: Any, count: int, most_s: float) -> None:
+    """Compare the times of many."""
+    first_s, returns = context.first_s, context.returns
+    times = [returns.next_s("portal", first_s, context.per_s, 10.0) for _ in range(count)]
+    assert first_s <= min(times) and max(times) <= first_s + most_s + 1e-6, times
+
+
+@when('all upstreams reject once with "Retry-After: {value}"')
+def reject_with(context: Any, value: str) -> None:
+    """Reject one call everywhere."""
+    world = world_of(context)
+    context.logged = []
+    add_destinations(context.logged.append)
+    context.add_cleanup(remove_destination, context.logged.append)
+    for one in world.plain:
+        one.backoff, one.rejected_share = value, 1.0
+    context.answer = world.ask("/once/a", "r1")
+
+
+@then('the log names the value "{value}", and no upstream backs off')
+def value_logged(context: Any, value: str) -> None:
+    """Look for the lines."""
+    state = world_of(context).state
+    lines = [one for one in context.logged if one.get("header") == "retry-after"]
+    assert lines and {one["value"] for one in lines} == {value}, context.logged
+    assert state.stats.unreadable_signals == len(lines)
+    assert not state.backoff.active(state.now())
+    assert context.answer.status == 503, context.answer
+
+
+def back_off(context: Any, upstream: Upstream, for_s: float) -> None:
+    """Have an upstream request a back-off with a response to something."""
+    state = world_of(context).state
+    state.signals.handle_response(upstream, (BackoffSignal(for_s),), state.now())
+
+
+def engine_entries(context: Any) -> list[Upstream]:
+    """Return the engines' entries."""
+    fleet = world_of(context).state.fleet
+    return [one for one in fleet.upstreams if one.service == "engines"]
+
+
+def start_stream(context: Any) -> None:
+    """Start a stream and hold it at its fourth event."""
+    world = world_of(context)
+    context.script = script_all(
+        world, "s1", [Script(events=8, pause_after=4, break_after=4), Script(events=8)]
+    )[0]
+    context.asked = world.ask_later("/stream/a", "s1", Length_Hint="1500")
+    wait_for("four events", lambda: any(run.events >= 4 for run in world.state.runs.all))
+    (context.run,) = world.state.runs.all
+    (context.engine,) = runs(world, "s1")
+    context.others = [
+        one
+        for one in engine_entries(context)
+        if one.upstream_id != context.run.upstream.upstream_id
+    ]
+
+
+@when("a stream runs on an engine and all other engines but one back off")
+def others_back_off(context: Any) -> None:
+    """Start a stream without a copy."""
+    start_stream(context)
+    context.run.backup = None
+    context.free, *rest = context.others
+    for one in rest:
+        back_off(context, one, 30.0)
+
+
+@then("copies and moves of the stream go to that one")
+def go_there(context: Any) -> None:
+    """Choose a target often."""
+    mover = world_of(context).mover
+    for _ in range(20):
+        target = mover.choose_target(context.run, frozenset(), most_memory=1.0)
+        assert target == context.free, target
+
+
+@when("the stream's engine backs off, too")
+def source_backs_off(context: Any) -> None:
+    """Have it request a back-off."""
+    back_off(context, context.run.upstream, 30.0)
+
+
+@then("it is asked for no copy, no move and no state")
+def nothing_asked(context: Any) -> None:
+    """Try each, and look whether a connection reaches the engine."""
+    world = world_of(context)
+    calls: list[str] = []
+    dialect = world.state.dialect
+    for name in ("move", "ask_word", "drop_copy"):
+        setattr(dialect, name, lambda *_, name=name, **__: calls.append(name))
+    assert isinstance(world.mover.copy(context.run, context.free), MoveFailed)
+    assert not world.mover.take_last_step(context.run, context.free)
+    context.run.moving = None
+    copy = Copy(context.free, "x/y", named_by=context.run.upstream.upstream_id)
+    context.run.kept = KeptCopy(copy, world.state.now(), 10)
+    world.mover.drop_copy(context.run)
+    inquiry = Inquiry(
+        world.state,
+        Instance("instance-1", "", "", "a"),
+        askers=tuple,
+        is_platform_silent=lambda: True,
+        doubt=lambda _: None,
+        tell=lambda _: None,
+    )
+    inquiry._ask(context.run.upstream)
+    assert not calls, calls
+    context.script.gate.set()
+
+
+@when("a stream breaks off, and its newest copy is on an engine that backs off for {for_s:g} s")
+def copy_backs_off(context: Any, for_s: float) -> None:
+    """Keep up a copy at one engine, another one at a second, and break the stream off."""
+    world = world_of(context)
+    start_stream(context)
+    first, second = context.others
+    context.run.backup = first
+    by_id = {one.upstream_id: one for one in world.engines}
+    by_id[second.upstream_id].copies["named"] = 4
+    copy = Copy(second, f"{second.address}/named", named_by=context.run.upstream.upstream_id)
+    context.run.kept = KeptCopy(copy, world.state.now(), 10)
+    world.pass_time(KEPT_UP_AFTER_S)
+    context.run.making_s = 2 * KEPT_UP_AFTER_S
+    context.run.kept = KeptCopy(copy, world.state.now(), 10)
+    back_off(context, first, for_s)
+    context.began, context.expected = time.monotonic(), by_id[second.upstream_id]
+    context.for_s = for_s
+    context.script.gate.set()
+
+
+@then("it goes on at its other copy at once")
+def goes_on_at_once(context: Any) -> None:
+    """Look where it went on, and when."""
+    answer = context.asked.get(timeout=5.0)
+    took_s = time.monotonic() - context.began
+    assert (answer.status, answer.whole) == (200, True), answer
+    assert context.expected.runs("s1") == 1, runs(world_of(context), "s1")
+    assert took_s < context.for_s, took_s
+
+
+@when("an engine backs off from this instance")
+def one_backs_off(context: Any) -> None:
+    """Have one request a back-off."""
+    context.backing_off = engine_entries(context)[0]
+    back_off(context, context.backing_off, 30.0)
+
+
+@then("it is left out of choices of its own, and is in those for a peer")
+def left_out(context: Any) -> None:
+    """Compare the options."""
+    state = world_of(context).state
+    own = {one.upstream for one in state.options("engines")}
+    peers = {one.upstream for one in state.options("engines", for_peer=True)}
+    assert peers - own == {context.backing_off}, (own, peers)
+
+
+@then("a question to the placer names it as one to avoid")
+def placer_told(context: Any) -> None:
+    """Ask for a stream, and look at the question."""
+    world = world_of(context)
+    questions: list[PlacementAsked] = []
+
+    def ask(asked: PlacementAsked) -> None:
+        questions.append(asked)
+
+    world.state.ask_place = ask
+    assert world.ask("/stream/a", "s1").status == 200
+    assert questions and context.backing_off.upstream_id in questions[0].avoid, questions
