Own interface: heed what runners signal about themselves

A portal got 591 calls and an engine 79 generations from 0.5 s after its first response that signalled leaving; runners that rejected with Retry-After were asked again at once (up to 17149 pairs of rejection and request).

Change: one service handles the signals of calls, streams and refused streams, and dispatches on their type. Leaving is told to peers as signalled, so a report that is older does not undo it; a poll or connection that fails ends it, as another start may answer next. A runner that backs off is left out of calls and grants asked for here; where all do, callers are refused at once, staggered. A stream that goes on at such an engine waits for the end of the back-off.

--- a/driftstall/daemon/fleet_service.py
+++ b/driftstall/daemon/fleet_service.py
@@ -34,6 +34,8 @@
         self._runners: dict[str, Runner] = {}
         self._groups: dict[str, tuple[Runner, ...]] = {}
         self._said_leaving: set[str] = set()
+        self._signalled: set[str] = set()
+        """Those that have signalled so in a response; reports may be older."""
         self._failures: dict[str, int] = {}
         self._loaded: dict[str, str] = {}
         self._cache_at: dict[str, int] = {}
@@ -108,8 +110,7 @@
         if self._failures.pop(runner_id, 0) >= FAILURES_TO_LEAVE:
             self._changed()
         self._loaded[runner_id] = report.model
-        if report.leaving != (runner_id in self._said_leaving):
-            self._spread_leaving(runner_id, report.leaving)
+        self._reported(runner_id, leaving=report.leaving)
         deliver(
             RunnerReport(
                 group,
@@ -132,12 +133,27 @@
             self._count_failure(runner.runner_id)
             return
         self._failures.pop(runner.runner_id, None)
-        if leaving != (runner.runner_id in self._said_leaving):
-            self._spread_leaving(runner.runner_id, leaving)
+        self._reported(runner.runner_id, leaving=leaving)
+
+    def signalled_leaving(self, runner_id: str) -> None:
+        """Take in that a runner has signalled in a response that it leaves."""
+        if runner_id in self._signalled:
+            return
+        self._signalled.add(runner_id)
+        self._spread_leaving(runner_id, True)
+
+    def _reported(self, runner_id: str, *, leaving: bool) -> None:
+        """Take in a runner's report, which may be older than what it has signalled."""
+        if runner_id in self._signalled:
+            return
+        if leaving != (runner_id in self._said_leaving):
+            self._spread_leaving(runner_id, leaving)
 
     def _count_failure(self, runner_id: str) -> None:
         """Count a poll without an answer."""
         self._failures[runner_id] = self._failures.get(runner_id, 0) + 1
+        # What answers next may be another start, which has signalled nothing.
+        self._signalled.discard(runner_id)
         if self._failures[runner_id] == FAILURES_TO_LEAVE:
             say(PREFIX_ROUTING, f"Runner {runner_id} does not answer and gets no new work")
             self._changed()
@@ -147,10 +163,15 @@
         self._mark(runner_id, leaving)
         for one in self._members.live:
             if one.instance_id != self._hub.own.instance_id:
-                self._hub.send(one.instance_id, RunnerLeaving(runner_id, leaving))
+                signalled = runner_id in self._signalled
+                self._hub.send(one.instance_id, RunnerLeaving(runner_id, leaving, signalled))
 
     def _told(self, _: str, message: RunnerLeaving) -> None:
         """Learn from a peer that a runner is leaving or back."""
+        if message.signalled:
+            self._signalled.add(message.runner_id)
+        elif not message.leaving:
+            self._signalled.discard(message.runner_id)
         self._mark(message.runner_id, message.leaving)
 
     def _mark(self, runner_id: str, leaving: bool) -> None:
--- a/driftstall/daemon/node.py
+++ b/driftstall/daemon/node.py
@@ -26,6 +26,7 @@
 from driftstall.daemon.relay_service import RelayService
 from driftstall.daemon.service_calls import ServiceCalls
 from driftstall.daemon.settings import Settings
+from driftstall.daemon.signal_service import SignalService
 from driftstall.helpers.log import say
 
 DRAIN_PERIOD_S = 0.2
@@ -50,9 +51,10 @@
         self.claims = ClaimsService(self.hub, self.members)
         self.placement = PlacementService(self.hub, self.members, self.fleet)
         self.blame = BlameService(self.hub, self.members)
-        self.relay = RelayService(self.hub, self.fleet, self.asking, self.blame, self.limits.limits)
+        self.signals = SignalService(self.hub, self.fleet, self.limits.limits)
+        self.relay = RelayService(self.hub, self.fleet, self.asking, self.blame, self.signals)
         self.services = ServiceCalls(
-            self.hub, self.fleet, self.claims, self.blame, self.limits.limits
+            self.hub, self.fleet, self.claims, self.blame, self.limits.limits, self.signals
         )
         self._drain = DrainController(settings.locate_keep)
 
--- a/driftstall/daemon/relay_service.py
+++ b/driftstall/daemon/relay_service.py
@@ -39,15 +39,16 @@
 from driftstall.daemon.blame_service import BlameService
 from driftstall.daemon.fleet_service import FleetService
 from driftstall.daemon.hub import Hub
+from driftstall.daemon.signal_service import SignalService
 from driftstall.decisions.crash_blame import UNDER_WAY_S
 from driftstall.decisions.retry import RetryBudget
+from driftstall.decisions.upstream_signals import Signal
 from driftstall.exceptions import UpstreamError
 from driftstall.helpers.log import say
-from driftstall.helpers.rate_limiting import RateLimiting
 from driftstall.runners.engine import (
     EngineEnd,
     EngineEvent,
-    EngineLimit,
+    EngineSignals,
     EngineToken,
     RunnerSaidNo,
     control,
@@ -103,10 +104,10 @@
         fleet: FleetService,
         asking: AskingService,
         blame: BlameService,
-        limits: RateLimiting,
+        signals: SignalService,
     ) -> None:
         """Start with a fresh retry budget."""
-        self.limits = limits
+        self.signals = signals
         self.blame = blame
         self.hub = hub
         self.fleet = fleet
@@ -239,9 +240,8 @@
 
     def _take(self, event: EngineEvent) -> None:
         """Take an event that is not simply the next token."""
-        if isinstance(event, EngineLimit):
-            runner_id = self._machine.runner_id
-            self._service.limits.answered(runner_id, event.per_s, self._opened_at)
+        if isinstance(event, EngineSignals):
+            self._handle_signals(event.signals)
         elif isinstance(event, EngineToken):
             self._feed(TokenArrived(event.generation, event.position, event.data))
         elif isinstance(event, EngineEnd):
@@ -254,8 +254,15 @@
         elif self._hub.now() - self._moved_at >= STALLED_S:
             raise UpstreamError("the engine sends no token", sent=True)
 
+    def _handle_signals(self, signals: tuple[Signal, ...]) -> None:
+        """Handle what the runner signals with the head of its response."""
+        runner_id = self._machine.runner_id
+        self._service.signals.handle_response(runner_id, signals, self._opened_at)
+
     def _broken(self, fault: UpstreamError) -> None:
         """Tell the machine that the stream broke."""
+        if isinstance(fault, RunnerSaidNo):
+            self._handle_signals(fault.signals)
         gone = isinstance(fault, RunnerSaidNo) and fault.gone
         generation = self._machine.generation
         say(PREFIX_RELAY, f"The stream of {generation} broke: {fault}")
@@ -319,10 +326,18 @@
         if self._grant_ids:
             self._hub.stats.retries += 1
         self._grant_ids.add(action.grant_id)
+        refusal = self._backoff_refusal()
+        if refusal is not None:
+            self._feed(GrantRefused(refusal))
+            return
         request = with_id(self._request, action.grant_id)
         ticket, self.ticket = self.ticket, ""
         answer = self._service.asking.acquire(
-            request, self._verdict, ticket, action.avoid, self._keep_waiting
+            request,
+            self._verdict,
+            ticket,
+            action.avoid | self._service.signals.backing_off,
+            self._keep_waiting,
         )
         if isinstance(answer, Granted):
             self._feed(GrantArrived(answer.runner_id, answer.rank))
@@ -333,6 +348,16 @@
         else:
             self._caller_left()
 
+    def _backoff_refusal(self) -> Problem | None:
+        """Return what to answer where all engines of the model back off."""
+        fleet, model = self._service.fleet, self._request.model
+        engines = [
+            one
+            for one in fleet.runners.values()
+            if one.model == model and fleet.may_get_work(one.runner_id)
+        ]
+        return self._service.signals.refusal(model, engines, self._request.request_id)
+
     def _keep_waiting(self) -> bool:
         """Tell whether the caller still waits for a grant."""
         return time.time() <= self._request.deadline and self._caller_waits()
@@ -343,6 +368,10 @@
         try:
             if runner is None:
                 raise UpstreamError("the runner is not configured any more", sent=False)
+            if self._service.signals.backoff_s(runner.runner_id):
+                # Requested after this instance had asked for the grant.
+                self._broken(UpstreamError("the runner has requested a back-off", sent=False))
+                return
             self._moved_at = self._opened_at = self._hub.now()
             self._stream = open_stream(runner, action.generation, self._payload, action.rank)
         except UpstreamError as fault:
@@ -362,6 +391,7 @@
             self._feed(GrantRefused(problem))
             return
         try:
+            gevent.sleep(self._service.signals.backoff_s(action.runner_id))
             self._moved_at = self._hub.now()
             self._stream = resume_stream(runner, action.generation, action.next_index)
         except UpstreamError as fault:
--- a/driftstall/daemon/service_calls.py
+++ b/driftstall/daemon/service_calls.py
@@ -22,6 +22,7 @@
 from driftstall.daemon.claims_service import ClaimsService
 from driftstall.daemon.fleet_service import FleetService
 from driftstall.daemon.hub import Hub
+from driftstall.daemon.signal_service import SignalService
 from driftstall.decisions.permits import SendNeed
 from driftstall.decisions.retry import RetryBudget
 from driftstall.exceptions import UpstreamError
@@ -63,9 +64,11 @@
         claims: ClaimsService,
         blame: BlameService,
         limits: RateLimiting,
+        signals: SignalService,
     ) -> None:
         """Start with a fresh retry budget."""
         self._limits = limits
+        self._signals = signals
         self._blame = blame
         self._hub = hub
         self._fleet = fleet
@@ -155,11 +158,11 @@
 
     def _choose(self, context: RequestContext, avoid: set[str]) -> Runner | Problem | None:
         """Choose a runner that may be sent the call now; a problem where limits allow none."""
-        runners = [
-            one for one in self._fleet.services(context.service) if one.runner_id not in avoid
-        ]
+        live = self._fleet.services(context.service)
+        left_out = avoid | self._signals.backing_off
+        runners = [one for one in live if one.runner_id not in left_out]
         if not runners:
-            return None
+            return self._signals.refusal(context.service, live, context.request_id)
         need = SendNeed(WAIT_FOR_TURN_S, CALL_RANK)
         chosen = self._limits.take_one(
             runners, lambda one: one.runner_id, self._least_busy, need, context.request_id
@@ -196,7 +199,7 @@
                 answer = call_service(
                     runner, context.method, context.service_path, headers, context.body, timeout_s
                 )
-            self._limits.answered(runner_id, answer.rate_limit, sent_at)
+            self._signals.handle_response(runner_id, answer.signals, sent_at)
             return _Try(answer, True, f"the runner answered {answer.status}")
         except UpstreamError as fault:
             if fault.sent:
--- a/driftstall/daemon/stats.py
+++ b/driftstall/daemon/stats.py
@@ -26,6 +26,7 @@
     permits_denied: int = 0
     limited_sends: int = 0
     limited_refused: int = 0
+    backoff_refused: int = 0
     yields: int = 0
     claims_granted: int = 0
     claims_repeated: int = 0
@@ -56,6 +57,7 @@
     "permits_denied": "Calls not allowed now to runners that name a limit.",
     "limited_sends": "Calls sent to runners that name a limit.",
     "limited_refused": "Calls refused as all runners have reached their limits.",
+    "backoff_refused": "Requests refused as all runners have requested a back-off.",
     "yields": "Generations paused by a yield.",
     "claims_granted": "Claims granted to calls that may not be repeated.",
     "claims_repeated": "Calls answered from a recorded claim.",
--- a/driftstall/peers/messages.py
+++ b/driftstall/peers/messages.py
@@ -47,6 +47,8 @@
 
     runner_id: str
     leaving: bool
+    signalled: bool = False
+    """Whether it has signalled so in a response: its reports may be older."""
 
 
 DaemonMessage = (
--- a/driftstall/peers/schema.capnp
+++ b/driftstall/peers/schema.capnp
@@ -65,7 +65,7 @@
 }
 struct ConfigOffer { sender @0 :Text; document @1 :ConfigDocument; }
 struct ConfigAsked { sender @0 :Text; generation @1 :UInt64; }
-struct RunnerLeaving { runnerId @0 :Text; leaving @1 :Bool; }
+struct RunnerLeaving { runnerId @0 :Text; leaving @1 :Bool; signalled @2 :Bool; }
 
 struct Use {
   upstreamId @0 :Text; running @1 :Int32; tokens @2 :Int32; copies @3 :Int32; prefill @4 :Int32;
--- a/driftstall/runners/engine.py
+++ b/driftstall/runners/engine.py
@@ -10,8 +10,9 @@
 import orjson
 
 from driftstall.core import PrefixMark, Runner
+from driftstall.decisions.upstream_signals import Signal
 from driftstall.exceptions import UpstreamError
-from driftstall.runners.limits import rate_limit_of
+from driftstall.runners.signals import signals_of
 from driftstall.util.http import Exchange
 
 SILENCE_S: Final = 3.0
@@ -45,13 +46,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class EngineLimit:
-    """Tell what limit the engine names with its answer; None for none."""
+class EngineSignals:
+    """Hold what the engine signals about itself with the head of its response."""
 
-    per_s: float | None
+    signals: tuple[Signal, ...]
 
 
-EngineEvent = EngineLimit | EngineToken | EngineEnd | EngineIdle
+EngineEvent = EngineSignals | EngineToken | EngineEnd | EngineIdle
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,7 +69,7 @@
 class RunnerSaidNo(UpstreamError):
     """Report that the runner answered with something else than a stream."""
 
-    def __init__(self, status: int) -> None:
+    def __init__(self, status: int, signals: tuple[Signal, ...] = ()) -> None:
         """Keep whether the request may have run, and whether the generation is unknown there.
 
         A refusal says that it did not run; a failure of the runner's own says nothing.
@@ -76,6 +77,8 @@
         refused = status in CLIENT_ERRORS or status == HTTPStatus.SERVICE_UNAVAILABLE
         super().__init__(f"the runner answered {status}", sent=not refused)
         self.gone = status in HTTP_GONE
+        self.signals = signals
+        """What the runner signals about itself."""
 
 
 def open_stream(
@@ -106,9 +109,9 @@
     """Yield a stream's events, all that have arrived at once."""
     if exchange.status != 200:
         exchange.close()
-        raise RunnerSaidNo(exchange.status)
+        raise RunnerSaidNo(exchange.status, signals_of(exchange))
     try:
-        yield [EngineLimit(rate_limit_of(exchange))]
+        yield [EngineSignals(signals_of(exchange))]
         while True:
             events = [_read(exchange)]
             while exchange.has_event():
--- a/driftstall/runners/service.py
+++ b/driftstall/runners/service.py
@@ -7,7 +7,8 @@
 from typing import Final
 
 from driftstall.core import Runner
-from driftstall.runners.limits import rate_limit_of
+from driftstall.decisions.upstream_signals import Signal
+from driftstall.runners.signals import signals_of
 from driftstall.util.http import Exchange
 
 CALL_TIMEOUT_S: Final = 10.0
@@ -20,8 +21,8 @@
     status: int
     content_type: str
     body: bytes
-    rate_limit: float | None = None
-    """Calls a second that the runner takes; None where it names no limit."""
+    signals: tuple[Signal, ...] = ()
+    """What the runner signals about itself."""
 
 
 def call_service(
@@ -35,5 +36,5 @@
     """Make the call once; raise UpstreamError if there is no whole answer."""
     exchange = Exchange.open(runner.address, method, path, headers, body, timeout_s)
     status, content_type = exchange.status, exchange.content_type
-    rate_limit = rate_limit_of(exchange)
-    return ServiceAnswer(status, content_type, exchange.read(), rate_limit)
+    signals = signals_of(exchange)
+    return ServiceAnswer(status, content_type, exchange.read(), signals)
