--- a/features/processes/soak.feature
+++ b/features/processes/soak.feature
@@ -20,3 +20,7 @@
   Scenario: upstreams that name a limit get no more than it allows
     Given a soak of the plan "limited", seed 21, with 4 instances and 12 callers for 24 s
     Then it breaks no promise
+
+  Scenario: nothing is sent to upstreams that signal that they leave, or that they want no requests
+    Given a soak of the plan "signalling", seed 901, with 4 instances and 8 callers for 18 s
+    Then it breaks no promise
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,6 +13,7 @@
                  are cordoned, upstreams that start again) or crashing (requests that end each
                  engine that runs them, and come again) or limited (upstreams that name how many
                  requests they take) or returning (the store comes back from an older copy) or
+                 signalling (upstreams that signal that they leave, or request a back-off) or
                  unseen (engines that leave in series while the store is silent)
                  [default: mixed].
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -29,6 +29,8 @@
 """It may get COLD_RATE x COLD_OVER + COLD_SLACK in a second (coldOver, coldSlack)."""
 COLD_KNOWN_S: Final = 0.5
 """The store tells of a cold upstream at once here, and busy processes read it a little later."""
+REJECTED_KNOWN_S: Final = 0.5
+"""What was under way when an upstream rejected a request may arrive within this time."""
 APPLY_S: Final = 2.0
 """A configuration is in force after this time (configApplyMs)."""
 LIMIT_WINDOW_S: Final = 4.0
@@ -62,6 +64,8 @@
     found += list(_unasked(ledger))
     found += list(_after_notice(ledger))
     found += list(_after_own_word(ledger))
+    found += list(_after_signal(ledger))
+    found += list(_in_backoff(ledger))
     found += list(_in_cordon(ledger))
     found += list(_cold(ledger))
     found += list(_limits(ledger))
@@ -165,6 +169,43 @@
             yield f"sent to {arrival.upstream_id} {late:.1f} s after its word: {_describe(asked)}"
 
 
+def _after_signal(ledger: Ledger) -> Iterator[str]:
+    """Check that no instance sends to an upstream that has signalled to it that it leaves.
+
+    Only a stop of the instance since then is an excuse: neither the store nor a link is.
+    """
+    for upstream_id, signals in ledger.signalled_leaving.items():
+        first: dict[str, float] = {}
+        for signal in signals:
+            instance = ledger.asked[signal.request_id].instance
+            first[instance] = min(signal.at, first.get(instance, signal.at))
+        for one in ledger.reached[upstream_id]:
+            asked = ledger.asked[one.request_id]
+            since = first.get(asked.instance)
+            if since is None or one.at <= since + DRAIN_S + MACHINE_SLACK_S:
+                continue
+            if ledger.ran_on(asked.instance, since, one.at):
+                late = one.at - since
+                yield f"sent to {upstream_id} {late:.1f} s after its signal: {_describe(asked)}"
+
+
+def _in_backoff(ledger: Ledger) -> Iterator[str]:
+    """Check that no calm instance sends to an upstream within its back-off."""
+    for upstream_id, rejections in ledger.rejections.items():
+        for rejection in rejections:
+            instance = ledger.asked[rejection.request_id].instance
+            begins = rejection.at + REJECTED_KNOWN_S + MACHINE_SLACK_S
+            for one in ledger.reached[upstream_id]:
+                asked = ledger.asked[one.request_id]
+                is_within = begins < one.at < rejection.at + rejection.for_s
+                if not is_within or asked.instance != instance:
+                    continue
+                if ledger.calm(instance, rejection.at, one.at):
+                    after = one.at - rejection.at
+                    told = f"sent to {upstream_id} {after:.1f} s after a back-off"
+                    yield f"{told} of {rejection.for_s:g} s: {_describe(asked)}"
+
+
 def _in_cordon(ledger: Ledger) -> Iterator[str]:
     """Check that upstreams of a cordoned zone get nothing from calm instances after the bound."""
     for stay in ledger.cordoned:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -32,6 +32,7 @@
     Plan.LIMITED: (2.5, 6.0),
     Plan.RETURNING: (3.0, 10.0),
     Plan.UNSEEN: (4.5, 6.5),
+    Plan.SIGNALLING: (3.0, 10.0),
 }
 """For how long an upstream serves on after its notice: drainMs and a little longer, at times many
 seconds. Only one that serves on shows who still sends to it."""
@@ -39,6 +40,9 @@
 """Requests a second that upstreams name."""
 FALLS_TO: Final = 0.5
 """Share of its limit that an upstream names in the second half of that time."""
+BACKOFFS: Final = ("0.8", "2", "3")
+"""Seconds of back-off that upstreams request."""
+REJECTED_SHARES: Final = (0.5, 1.0)
 ENDS_SOON: Final = {"state": "draining", "leaves_ms": 4_000}
 """What an engine reports that has been told when it ends."""
 COLD_S: Final = 2.5
@@ -81,6 +85,9 @@
     ) -> None:
         """Start to listen; end is told of a path whose request ends this upstream."""
         super().__init__(upstream_id, self._script)
+        self.arrived = ledger.reached[upstream_id]
+        self.signalled_leaving = ledger.signalled_leaving[upstream_id]
+        self.rejections = ledger.rejections[upstream_id]
         self._end = end
         self._ledger = ledger
         self._source = source
@@ -201,6 +208,24 @@
         self._note(old.upstream_id)
         self._begin()
 
+    def leave_signalled(self, for_s: float) -> None:
+        """Signal that it leaves; its entry stays ready until it ends, another one comes soon."""
+        old, proxy = self.upstream, self.proxy
+        if old.leaves:
+            return
+        old.leaves = True
+        gevent.sleep(for_s)
+        self._begin()
+        gevent.spawn_later(self._source.uniform(*self._serves_on), self._end, old, proxy)
+
+    def reject(self, for_s: float) -> None:
+        """Reject all or half of the requests with a back-off for a while."""
+        upstream = self.upstream
+        upstream.backoff = self._source.choice(BACKOFFS)
+        upstream.rejected_share = self._source.choice(REJECTED_SHARES)
+        gevent.sleep(for_s)
+        upstream.rejected_share = 0.0
+
     def start_again(self) -> None:
         """End at once and start again under the name, cold; the entry tells of it."""
         old, proxy = self.upstream, self.proxy
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from stand_ins.routed import Signalled
+
 STORE = "store"
 
 
@@ -117,6 +119,14 @@
     """From the store's acknowledgement until the order to free the zone."""
     cold: list[Stay] = field(default_factory=list)
     limited: list[Limited] = field(default_factory=list)
+    reached: dict[str, list[Signalled]] = field(default_factory=lambda: defaultdict(list))
+    """All requests that reached an upstream, also rejected ones, by its id."""
+    signalled_leaving: dict[str, list[Signalled]] = field(default_factory=lambda: defaultdict(list))
+    """Responses by which an upstream signalled that it leaves."""
+    rejections: dict[str, list[Signalled]] = field(default_factory=lambda: defaultdict(list))
+    """Responses by which an upstream rejected a request with a back-off."""
+    stopped: dict[str, list[Window]] = field(default_factory=lambda: defaultdict(list))
+    """When an instance was killed, stopped or paused, by its name."""
     ended_under: list[Ended] = field(default_factory=list)
     disturbed: dict[str, list[Window]] = field(default_factory=lambda: defaultdict(list))
     """By name of an instance or an upstream, or STORE."""
@@ -129,6 +139,10 @@
         """Note that something is disturbed for a while."""
         self.disturbed[name].append(Window(begins, ends))
 
+    def ran_on(self, name: str, begins: float, ends: float) -> bool:
+        """Tell whether an instance ran without a stop during a span of time."""
+        return all(one.ends < begins or one.begins > ends for one in self.stopped[name])
+
     def calm(self, name: str, begins: float, ends: float) -> bool:
         """Tell whether nothing disturbed a part during a span of time."""
         return all(one.ends < begins or one.begins > ends for one in self.disturbed[name])
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -47,6 +47,10 @@
     """Operators and upstreams write theirs again soon after."""
     LEAVE_UNSEEN = "engines leave one after another while the store is silent"
     """They themselves say so to who asks them; the store takes their notices after its return."""
+    LEAVE_SIGNALLED = "upstream signals with its responses that it leaves"
+    """Its entry in the store stays ready until it ends."""
+    REJECT = "upstream rejects requests with a back-off"
+    REJECT_ALL = "all upstreams of a service do"
     LIMIT = "upstream names a limit"
     """It tells with its answers how many requests a second it takes; less, after a while."""
 
@@ -68,6 +72,9 @@
     """The store comes back from an older copy now and then, with few other faults."""
     UNSEEN = "unseen"
     """Engines that leave in series while the store is silent, with few other faults."""
+    SIGNALLING = "signalling"
+    """Upstreams that signal that they leave, or reject requests with a back-off, one over another
+    and with kills, pauses and a store that is silent."""
     LIMITED = "limited"
     """Upstreams that name for a while how many requests they take, with few other faults."""
 
@@ -176,6 +183,18 @@
     Kind.STORE_LINK: 0.5,
     Kind.CONFIGURE: 1.0,
 }
+SIGNALLING_WEIGHTS: Final[dict[Kind, float]] = {
+    Kind.LEAVE_SIGNALLED: 4.0,
+    Kind.REJECT: 3.0,
+    Kind.REJECT_ALL: 1.0,
+    Kind.LEAVE: 0.5,
+    Kind.CRASH: 0.5,
+    Kind.KILL: 1.0,
+    Kind.PAUSE: 0.7,
+    Kind.STORE_SILENT: 1.0,
+    Kind.STORE_LINK: 0.7,
+    Kind.UPSTREAM_LINK: 0.3,
+}
 RETURNING_WEIGHTS: Final[dict[Kind, float]] = {
     Kind.STORE_RETURNS: 2.0,
     Kind.LEAVE: 2.0,
@@ -190,6 +209,7 @@
     Plan.RETURNING: RETURNING_WEIGHTS,
     Plan.UNSEEN: UNSEEN_WEIGHTS,
     Plan.LIMITED: LIMITED_WEIGHTS,
+    Plan.SIGNALLING: SIGNALLING_WEIGHTS,
     Plan.LEAVING: LEAVING_WEIGHTS,
     Plan.ZONES: ZONES_WEIGHTS,
     Plan.CRASHING: CRASHING_WEIGHTS,
@@ -269,6 +289,9 @@
         Kind.START_AGAIN,
         Kind.BREAK_OFF,
         Kind.LIMIT,
+        Kind.LEAVE_SIGNALLED,
+        Kind.REJECT,
+        Kind.REJECT_ALL,
     )
     target = pick(upstreams if of_upstream else instances)
     lasts = LASTS.get(kind, (0.2, 3.0))
--- a/soak/run.py
+++ b/soak/run.py
@@ -191,11 +191,21 @@
             Kind.STORE_RETURNS: lambda one: self._spawn(self._return_store, one),
             Kind.LEAVE_UNSEEN: lambda one: self._spawn(self._leave_unseen, one),
             Kind.LIMIT: lambda one: self._spawn(self._fleet[one.target].limit, one.for_s),
+            Kind.LEAVE_SIGNALLED: lambda one: self._spawn(
+                self._fleet[one.target].leave_signalled, one.for_s
+            ),
+            Kind.REJECT: lambda one: self._spawn(self._fleet[one.target].reject, one.for_s),
+            Kind.REJECT_ALL: self._reject_all,
             Kind.SILENCE: lambda _: self._silence(range(len(self._instances))),
             Kind.SILENCE_ONE: lambda one: self._silence([one.target]),
         }
         doers[step.kind](step)
 
+    def _reject_all(self, step: Step) -> None:
+        """Let all upstreams of a service reject requests."""
+        for one in self._fleet[step.target].all:
+            self._spawn(one.reject, step.for_s)
+
     @staticmethod
     def _spawn(work: Callable[..., None], *values: Any) -> None:
         """Let something go on beside the plan."""
@@ -206,10 +216,16 @@
         now = time.monotonic()
         self.ledger.disturb(name, now, now + for_s)
 
+    def _halt(self, name: str, for_s: float) -> None:
+        """Note that an instance does not run from now on."""
+        self._disturb(name, for_s)
+        now = time.monotonic()
+        self.ledger.stopped[name].append(Window(now, now + for_s))
+
     def _kill(self, step: Step) -> None:
         """Kill an instance and start it again."""
         instance = self._instances[step.target]
-        self._disturb(instance.name, step.for_s + READY_S / 10)
+        self._halt(instance.name, step.for_s + READY_S / 10)
         process = instance.process
         instance.signal(signal.SIGKILL)
         gevent.spawn_later(step.for_s, self._restart, instance, process)
@@ -217,7 +233,7 @@
     def _stop(self, step: Step) -> None:
         """Stop an instance as planned, kill it after the grace time, start it again."""
         instance = self._instances[step.target]
-        self._disturb(instance.name, GRACE_S + READY_S / 10)
+        self._halt(instance.name, GRACE_S + READY_S / 10)
         process = instance.process
         instance.signal(signal.SIGTERM)
 
@@ -237,7 +253,7 @@
     def _pause(self, step: Step) -> None:
         """Let an instance stand still."""
         instance = self._instances[step.target]
-        self._disturb(instance.name, step.for_s)
+        self._halt(instance.name, step.for_s)
         instance.signal(signal.SIGSTOP)
         gevent.spawn_later(step.for_s, instance.signal, signal.SIGCONT)
 
