Draining upstreams as a last resort: stay clear of the notice, and only what was tried counts

An upstream may have given notice before its first response that signals it, so what is sent there as a last resort ends 0.5 s before the time to drain does, and only where the upstream has signalled itself. A call that has failed at the only other upstream was not sent to one that drains, as the other still counted as taking requests: those tried are left out now (the scenario failed before). The hash of the listed upstreams, by which members of a large fleet see that news were lost, was not renewed where an entry's end follows the signal (failed before).

The soak writes the entry of an upstream that leaves once more as ready, and holds calm instances to what others have received.

--- a/driftstall/decisions/sends.py
+++ b/driftstall/decisions/sends.py
@@ -88,6 +88,11 @@
         """Tell whether the request may be sent to begin a run."""
         return self.runs < self.most_runs
 
+    @property
+    def sent_to(self) -> frozenset[str]:
+        """Return the upstreams to which the request was sent or is being sent."""
+        return frozenset(send.upstream_id for send in self._sends)
+
     @property
     def has_run_at(self) -> frozenset[str]:
         """Return the upstreams at which the request may have run."""
--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -183,7 +183,7 @@
         first = not tries.history.arrived
         tries.history.begin(upstream.upstream_id)
         started = self._state.now()
-        result = self._exchange_with(upstream, first=first)
+        result = self._exchange_with(upstream, tries, first=first)
         seconds = self._state.now() - started
         outcome = result.outcome if isinstance(result, Failure) else _outcome_of(result)
         if not self._caller_gone:
@@ -205,7 +205,9 @@
         tries.answer = result
         return None
 
-    def _exchange_with(self, upstream: Upstream, *, first: bool) -> WholeAnswer | Failure:
+    def _exchange_with(
+        self, upstream: Upstream, tries: _Tries, *, first: bool
+    ) -> WholeAnswer | Failure:
         """Send the request to one upstream and read its answer; first if none has seen it."""
         request_id = self._admitted.marks.request_id
         share = Share(upstream.upstream_id)
@@ -221,7 +223,7 @@
         try:
             if self._caller_gone:
                 return Failure(Outcome.GOOD, Fate.UNSENT, "the caller has left")
-            if not self._state.may_begin(upstream):
+            if not self._state.may_begin(upstream, tries.history.sent_to):
                 detail = "the upstream takes no more requests"
                 return Failure(Outcome.NOT_SENT, Fate.UNSENT, detail)
             self._state.exchanges.add(upstream.upstream_id, exchange)
--- a/driftstall/gateway/fleet.py
+++ b/driftstall/gateway/fleet.py
@@ -61,8 +61,8 @@
         """Take one event and return what others need to know."""
         self._actions = []
         self._on(event, now)
-        if self._actions:
-            self._digest = None
+        # What is listed may change without an action, as of one that has signalled that it leaves.
+        self._digest = None
         return self._actions
 
     @singledispatchmethod
--- a/driftstall/gateway/fleet_book.py
+++ b/driftstall/gateway/fleet_book.py
@@ -141,16 +141,15 @@
         return self._signalled.since(upstream_id) is not None
 
     def draining(self, service: str, now: float, drain_s: float) -> tuple[Upstream, ...]:
-        """Return the upstreams of a service that leave and still serve.
+        """Return the upstreams of a service that have signalled that they leave and still serve.
 
-        Those that only a probe has found leaving, which may be gone, are left out.
+        Those of which only the platform or a probe tells may be gone.
         """
         return tuple(
             entry.upstream
             for entry in self._entries.values()
             if entry.upstream.service == service
-            and entry.doubted_until is None
-            and entry.leaving_since is not None
+            and self.has_signalled_leaving(entry.upstream.upstream_id)
             and self.serves(entry.upstream.upstream_id, now, drain_s)
         )
 
--- a/driftstall/gateway/protection.py
+++ b/driftstall/gateway/protection.py
@@ -113,7 +113,7 @@
         if engine is None:
             return 0.0
         return ahead_line(
-            runs_share(self._state.options(run.upstream.service, for_peer=True), engine)
+            runs_share(self._state.options(run.upstream.service, heeds_backoff=False), engine)
         )
 
     def _forget_ended(self) -> None:
--- a/driftstall/gateway/sending.py
+++ b/driftstall/gateway/sending.py
@@ -11,7 +11,7 @@
 from driftstall.gateway.calls import CONNECT_TIMEOUT_S
 from driftstall.gateway.exchange import Head, UpstreamExchange
 from driftstall.gateway.ingress import CallerRequest
-from driftstall.gateway.model import AnswerMarks, SendMarks
+from driftstall.gateway.model import AnswerMarks, SendMarks, Upstream
 from driftstall.gateway.runs import StreamRun
 from driftstall.gateway.state import GatewayState
 
@@ -72,9 +72,7 @@
             run.exchange = self._state.connect(run.upstream, timeout_s)
             if self._caller_gone():
                 return UpstreamError("the caller has left", sent=False)
-            state = self._state
-            may_go = state.may_send if copy_of else state.may_begin
-            if not may_go(run.upstream):
+            if not self._may_send(run.upstream, copy_of):
                 return UpstreamError("the upstream takes no more requests", sent=False)
             self._state.exchanges.add(run.upstream.upstream_id, run.exchange)
             headers = self._state.dialect.write_send(self._admitted.marks.passed, marks)
@@ -87,6 +85,12 @@
         except TimeoutError:
             return UpstreamError("no answer in time", sent=True)
 
+    def _may_send(self, upstream: Upstream, copy_of: str) -> bool:
+        """Tell whether the request may go there, to begin or to go on at a copy."""
+        if copy_of:
+            return self._state.may_send(upstream)
+        return self._state.may_begin(upstream, self._history.sent_to)
+
     def _last_event_id(self, run: StreamRun) -> str:
         """Return the event that the upstream goes on after."""
         if run.last_event_id:
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -46,6 +46,8 @@
 NO_LOAD: Final = 0.0
 HINT_WEIGHT: Final = 0.33
 """Weight of a caller's estimate beside what was learned, on a log scale; it is often well off."""
+NOTICE_AGE_S: Final = 0.5
+"""An upstream that leaves may have given notice so long before this instance learns of it."""
 GROWTH_SHARE: Final = 0.5
 """Share of a run's expected growth that is counted: others end while it grows."""
 
@@ -189,15 +191,15 @@
         avoid: frozenset[str] = frozenset(),
         most: int | None = MOST_COMPARED,
         *,
-        for_peer: bool = False,
+        heeds_backoff: bool = True,
     ) -> list[Option]:
         """Return the upstreams of a service that may be chosen, with what runs there.
 
         Where there are more than the most wanted (None: all), so many are drawn by lot. Those that
-        back off from this instance are left out unless the choice is for a peer.
+        back off are left out, unless a peer is to send there or memory is summed up.
         """
         now = self.now()
-        left_out = avoid if for_peer else avoid | self.backoff.active(now)
+        left_out = avoid | self.backoff.active(now) if heeds_backoff else avoid
         ready = [one for one in self.fleet.ready(service) if one.upstream_id not in left_out]
         if most is not None and len(ready) > most:
             drawn = self.source.sample(ready, most)
@@ -239,10 +241,10 @@
         self, service: str, avoid: frozenset[str], for_s: float = 0.0
     ) -> list[Option]:
         """Return the upstreams that leave and serve for so much longer: the last resort."""
-        now, drain_s = self.now(), self.settings.bounds.drain_s
+        now = self.now()
         return [
             self._option(one, self.loads.use(one.upstream_id, now), now)
-            for one in self.fleet.draining(service, now + for_s, drain_s)
+            for one in self.fleet.draining(service, now + for_s, self._safe_drain_s)
             if one.upstream_id not in avoid and not self.backoff_s(one)
         ]
 
@@ -256,9 +258,7 @@
         The request has seconds left until its deadline.
         """
         now = self.now()
-        ready = self.fleet.ready(service) or self.fleet.draining(
-            service, now, self.settings.bounds.drain_s
-        )
+        ready = self.fleet.ready(service) or self.fleet.draining(service, now, self._safe_drain_s)
         first = min(ready, key=self.backoff_s, default=None)
         if first is None or not self.backoff_s(first):
             return None
@@ -287,17 +287,24 @@
         serves = self.fleet.serves(upstream.upstream_id, self.now(), self.settings.bounds.drain_s)
         return serves and not self.backoff_s(upstream)
 
-    def may_begin(self, upstream: Upstream) -> bool:
+    def may_begin(self, upstream: Upstream, tried: frozenset[str]) -> bool:
         """Tell whether an upstream may be sent something new, just before it is.
 
-        One that has begun to leave since it was chosen is a last resort.
+        One that leaves is a last resort, where no other one than those tried takes requests.
         """
         if not self.may_send(upstream):
             return False
-        others = frozenset({upstream.upstream_id})
-        return self.fleet.takes_requests(upstream.upstream_id) or not self.options(
-            upstream.service, others
-        )
+        upstream_id = upstream.upstream_id
+        if self.fleet.takes_requests(upstream_id):
+            return True
+        if self.options(upstream.service, tried | {upstream_id}):
+            return False
+        return self.fleet.serves(upstream_id, self.now(), self._safe_drain_s)
+
+    @property
+    def _safe_drain_s(self) -> float:
+        """Return for how long an upstream that leaves is sent something new at most."""
+        return self.settings.bounds.drain_s - NOTICE_AGE_S
 
     def cold_rate(self, service: str) -> float:
         """Return the requests a second that a cold upstream bears; zero where none is told."""
@@ -347,7 +354,7 @@
     def _memory_share(self, service: Service) -> float:
         """Return the share of engine memory in use."""
         assert service.engine is not None
-        options = self.options(service.name, for_peer=True)
+        options = self.options(service.name, heeds_backoff=False)
         total = service.engine.memory_tokens * len(options)
         if not total:
             return NO_LOAD
--- a/driftstall/gateway/stream_placer.py
+++ b/driftstall/gateway/stream_placer.py
@@ -99,7 +99,7 @@
         # Whoever places for all knows all engines alike.
         lot = Lot(self._state.source, far_penalty=FAR_STREAM_PENALTY)
         need = Need(asked.prompt_tokens, asked.output_tokens)
-        options = self._state.options(asked.service, frozenset(asked.avoid), for_peer=True)
+        options = self._state.options(asked.service, frozenset(asked.avoid), heeds_backoff=False)
         chosen = choose_stream(self._cold_gate.open(options), engine, need, asked.zone, lot)
         if chosen is None:
             return PlacementGiven(self._own_id, asked.request_id, "", "", False)
--- a/features/gateway/leaving_signals.feature
+++ b/features/gateway/leaving_signals.feature
@@ -45,6 +45,18 @@
     Then "u9" takes no requests
     And "u9" may be sent nothing at 12.1 s
 
+  # Guards against peers that never learn of its entry's end since the hash of all stays the same.
+  Scenario: its entry's end changes what instances compare
+    When the fleet takes in its entry that is leaving at 11 s
+    Then the hash of the listed upstreams is another one than before
+
+  # Guards against a refusal while an upstream that drains is all that is left to try.
+  Scenario: a call that fails at the only other upstream is tried at one that drains
+    Given a gateway before two plain upstreams and three engines
+    And one plain upstream has signalled that it leaves, and the other one answers 500
+    When "/safe/a" is asked as "r1"
+    Then the answer is 200 "whole" with the upstream's seal
+
   # Guards against a signal that sticks to a later start, or to another one at the address.
   Scenario: a later start under its name takes requests
     When a later start of "u1" is listed at 11 s
--- a/features/gateway/upstream_signals.feature
+++ b/features/gateway/upstream_signals.feature
@@ -41,7 +41,7 @@
   Scenario: where all portals signal that they leave, they serve for the time to drain and no longer
     When 16 callers ask for calls and streams for 8 s, and from 2 s on 3 portals and 0 engines signal that they leave
     Then from 2 s after an instance's first such response nothing reaches that upstream from it
-    And calls are answered whole within 1.5 s of the first such response
+    And calls are answered whole within 1.3 s of the first such response
     And from 3 s after it calls are refused within 0.1 s, and nothing ran
 
   # Guards against requests within the back-off that an upstream has requested.
--- a/features/steps/leaving_signal_steps.py
+++ b/features/steps/leaving_signal_steps.py
@@ -20,7 +20,9 @@
 )
 from driftstall.gateway.model import UpstreamState
 from features.steps.gateway_fleet_steps import DRAIN_S, tell
+from features.worlds.gateway_world import world_of
 from features.worlds.upstream_samples import upstream_of
+from stand_ins.routed import Script
 
 NAMES: Final = ("u1", "u2", "u3")
 LATER_START: Final = replace(upstream_of("u1", 30), born=30)
@@ -54,6 +56,7 @@
 def has_signalled(context: Any, name: str, at: float) -> None:
     """Hand over the signal."""
     tell(context, SignalledLeaving(name), at)
+    context.digest = context.fleet.digest
 
 
 @when("the fleet takes in {news} at {at:g} s")
@@ -119,3 +122,18 @@
 def none_known(context: Any) -> None:
     """Look at what peers are told."""
     assert context.fleet.leaving_records(140.0) == (), context.fleet.leaving_records(140.0)
+
+
+@then("the hash of the listed upstreams is another one than before")
+def hash_changed(context: Any) -> None:
+    """Compare it."""
+    assert context.fleet.digest != context.digest
+
+
+@given("one plain upstream has signalled that it leaves, and the other one answers 500")
+def one_leaves_one_fails(context: Any) -> None:
+    """Let the first leave, and the second fail once."""
+    world = world_of(context)
+    leaving, failing = world.plain
+    world.signalled_leaving(leaving.upstream_id)
+    failing.scripts["r1"] = [Script(status=500, body=b"failed")]
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -172,16 +172,23 @@
 def _after_signal(ledger: Ledger) -> Iterator[str]:
     """Check that no instance sends to an upstream that has signalled to it that it leaves.
 
-    Only a stop of the instance since then is an excuse: neither the store nor a link is.
+    Only a stop of the instance since then is an excuse: neither the store nor a link is. Instances
+    that were calm hear of it from the others.
     """
     for upstream_id, signals in ledger.signalled_leaving.items():
         first: dict[str, float] = {}
+        heard_at = min((one.at for one in signals), default=float("inf")) + CONTACT_S
         for signal in signals:
             instance = ledger.asked[signal.request_id].instance
             first[instance] = min(signal.at, first.get(instance, signal.at))
         for one in ledger.reached[upstream_id]:
             asked = ledger.asked[one.request_id]
             since = first.get(asked.instance)
+            if one.at > heard_at + MACHINE_SLACK_S and ledger.calm(
+                asked.instance, heard_at - CONTACT_S, one.at
+            ):
+                late = one.at - heard_at + CONTACT_S
+                yield f"sent to {upstream_id} {late:.1f} s after any signal: {_describe(asked)}"
             if since is None or one.at <= since + DRAIN_S + MACHINE_SLACK_S:
                 continue
             if ledger.ran_on(asked.instance, since, one.at):
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -209,12 +209,16 @@
         self._begin()
 
     def leave_signalled(self, for_s: float) -> None:
-        """Signal that it leaves; its entry stays ready until it ends, another one comes soon."""
+        """Signal that it leaves; another one comes soon.
+
+        Its entry stays ready until it ends, and is written again with something else changed.
+        """
         old, proxy = self.upstream, self.proxy
         if old.leaves:
             return
         old.leaves = True
         gevent.sleep(for_s)
+        gevent.spawn(self._write, old.upstream_id, self._spec("ready") | {"version": "2"})
         self._begin()
         gevent.spawn_later(self._source.uniform(*self._serves_on), self._end, old, proxy)
 
@@ -307,7 +311,7 @@
         """
         kind = KIND_UPSTREAMS
         self._listed[name] = spec
-        while True:
+        while name not in self._unlisted:
             try:
                 if self._store.replace(kind, name, spec) or self._store.create(kind, name, spec):
                     return
