--- a/driftstall/bootstrap.py
+++ b/driftstall/bootstrap.py
@@ -13,7 +13,7 @@
 from driftstall.daemon.node import Node
 from driftstall.daemon.operators import OperatorsApp
 from driftstall.daemon.settings import Settings
-from driftstall.helpers.log import say, start_log
+from driftstall.helpers.log import log_event, start_log
 
 STOP_CHECK_S: Final = 0.1
 
@@ -29,10 +29,10 @@
     callers.start()
     gevent.signal_handler(signal.SIGTERM, node.ask_stop)
     gevent.signal_handler(signal.SIGINT, node.ask_stop)
-    say(PREFIX_MEMBERSHIP, f"Instance {settings.instance_id} listens on {settings.listen}")
+    log_event(PREFIX_MEMBERSHIP, f"Instance {settings.instance_id} listens on {settings.listen}")
     while not node.stopped:
         gevent.sleep(STOP_CHECK_S)
     callers.stop(timeout=1)
     operators.stop(timeout=1)
     node.hub.links.stop()
-    say(PREFIX_DRAIN, f"Instance {settings.instance_id} has stopped")
+    log_event(PREFIX_DRAIN, f"Instance {settings.instance_id} has stopped")
--- a/driftstall/daemon/asking_service.py
+++ b/driftstall/daemon/asking_service.py
@@ -25,7 +25,7 @@
 from driftstall.daemon.hub import Hub
 from driftstall.daemon.membership_service import MembershipService
 from driftstall.daemon.ownership import Ownership
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 from driftstall.peers.messages import ProgressBatch
 from driftstall.runners.engine import control
 from driftstall.util.signing import sign
@@ -179,7 +179,7 @@
         runner = self._fleet.runners.get(message.runner_id)
         if grant is None or runner is None:
             return
-        say(PREFIX_YIELDING, f"Request {message.request_id} yields: {message.reason}")
+        log_event(PREFIX_YIELDING, f"Request {message.request_id} yields: {message.reason}")
         grant.paused = True
         self._hub.stats.yields += 1
         gevent.spawn(control, runner, message.request_id, "pause")
@@ -189,7 +189,7 @@
         grant = self._entry_grants.get(message.request_id)
         if grant is None:
             return
-        say(PREFIX_YIELDING, f"Request {message.request_id} goes on: {message.reason}")
+        log_event(PREFIX_YIELDING, f"Request {message.request_id} goes on: {message.reason}")
         self._go_on(grant)
 
     def _go_on(self, grant: EntryGrant) -> None:
--- a/driftstall/daemon/blame_service.py
+++ b/driftstall/daemon/blame_service.py
@@ -14,8 +14,8 @@
 from driftstall.decisions.crash_blame import BlameBook, Crash
 from driftstall.exceptions import UpstreamError
 from driftstall.filters.context import RequestContext
-from driftstall.helpers.blame_sharing import BlameSharing, Fleet, say_refused
-from driftstall.helpers.log import say
+from driftstall.helpers.blame_sharing import BlameSharing, Fleet, log_refusal
+from driftstall.helpers.log import log_event
 from driftstall.peers.blame_messages import BlamesTold
 from driftstall.runners.engine import fetch_report
 from driftstall.util.fingerprint import fingerprint
@@ -52,7 +52,7 @@
         verdict = self.book.verdict(fingerprint, self._hub.now())
         if not verdict.wait_s:
             return None
-        say(
+        log_event(
             PREFIX_ROUTING,
             "A request is not sent on: runners have crashed under it",
             fingerprint=fingerprint,
@@ -87,7 +87,7 @@
 
     def _crashed(self, runner: Runner, fingerprint: str, crash: Crash) -> None:
         """Hold a crash against a request, and tell peers."""
-        say(
+        log_event(
             PREFIX_ROUTING,
             f"Runner {runner.runner_id} has crashed with a run of this instance",
             fingerprint=fingerprint,
@@ -95,7 +95,7 @@
         if self.book.crashed(fingerprint, crash):
             verdict = self.book.verdict(fingerprint, self._hub.now())
             if verdict.wait_s:
-                say_refused(fingerprint, verdict)
+                log_refusal(fingerprint, verdict)
             self.book.forget_old(self._hub.now())
             self._sharing.changed()
 
--- a/driftstall/daemon/callers.py
+++ b/driftstall/daemon/callers.py
@@ -47,7 +47,7 @@
 from driftstall.filters.chain import Filter, run_chain
 from driftstall.filters.classify import PATH_CHAT, Classify
 from driftstall.filters.context import RequestContext
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 from driftstall.policy.model import DEFAULT_VERDICT
 from driftstall.util import clock
 from driftstall.util.signing import sign, verify
@@ -90,7 +90,7 @@
         except (GeneratorExit, OSError):
             raise
         except Exception as fault:
-            say(PREFIX_RELAY, f"A request failed with {type(fault).__name__}: {fault}")
+            log_event(PREFIX_RELAY, f"A request failed with {type(fault).__name__}: {fault}")
             self._hub.stats.failed += 1
             detail = "an unforeseen fault; see the instance's log"
             problem = Problem(CODE_INTERNAL, 500, detail, Ran.UNKNOWN)
@@ -185,7 +185,7 @@
         ranked = locate(workspace, owners, self._node.locatable(), zone)
         chosen = ranked[0].instance_id if ranked else "none"
         sentence = f"Workspace {workspace} is sent to {chosen} of {len(ranked)} instances"
-        say(PREFIX_LOCATE, sentence, zone=zone)
+        log_event(PREFIX_LOCATE, sentence, zone=zone)
         instances = [{"address": one.address, "zone": one.zone} for one in ranked]
         keep_s = self._hub.settings.locate_keep
         return send_json(start, 200, {"instances": instances, "keep_s": keep_s})
--- a/driftstall/daemon/claims_service.py
+++ b/driftstall/daemon/claims_service.py
@@ -35,7 +35,7 @@
 from driftstall.decisions.limits import TokenBucket
 from driftstall.decisions.locate import owner_of
 from driftstall.exceptions import PlatformUnavailable
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 from driftstall.platform.client import WriteState
 
 FLUSH_S: Final = 0.03
@@ -83,7 +83,7 @@
             # The claim may still be stored later: free it, since we shall not run.
             self.settle(key, nonce, ran=False)
             answer = ClaimAnswer(own, nonce, ClaimAnswerKind.UNAVAILABLE.value)
-        say(PREFIX_CLAIMS, f"Claim {nonce} is {answer.kind}", shard=shard)
+        log_event(PREFIX_CLAIMS, f"Claim {nonce} is {answer.kind}", shard=shard)
         return answer
 
     def settle(
@@ -115,7 +115,7 @@
             pending.set(message)
         elif message.kind == ClaimAnswerKind.GRANTED:
             # We gave up on this claim; the key was freed by the settle sent then.
-            say(PREFIX_CLAIMS, f"Claim {message.nonce} was granted too late")
+            log_event(PREFIX_CLAIMS, f"Claim {message.nonce} was granted too late")
 
     def _holder_event(self, _: str, message: ClaimAsked | ClaimSettled) -> None:
         """Take an entry's event as the shard's holder."""
--- a/driftstall/daemon/config_service.py
+++ b/driftstall/daemon/config_service.py
@@ -29,7 +29,7 @@
 from driftstall.daemon.wire import config_from_json, config_to_json
 from driftstall.decisions.locate import weight
 from driftstall.exceptions import PlatformUnavailable
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 from driftstall.helpers.tasks import keep_running
 from driftstall.peers.messages import ConfigAsked
 from driftstall.platform.client import VersionedValue, WriteState
@@ -96,7 +96,7 @@
                 gevent.sleep(SETTLE_PAUSE_S)
                 continue
             actions = submission.handle(event)
-        say(
+        log_event(
             PREFIX_CONFIGURATION,
             f"Submission {change.submission} is {submission.state.value}",
             generation=submission.current.generation,
@@ -152,7 +152,7 @@
                     self._write_again(changes)
             except PlatformUnavailable as fault:
                 self._revision = 0
-                say(PREFIX_CONFIGURATION, f"A question to the platform failed: {fault}")
+                log_event(PREFIX_CONFIGURATION, f"A question to the platform failed: {fault}")
                 gevent.sleep(WATCH_PAUSE_S)
 
     def _write_again(self, stored: tuple[VersionedValue, ...]) -> None:
@@ -167,7 +167,7 @@
         value = config_to_json(self.document)
         expected = stored[0].version if stored else 0
         result = self._hub.platform.put(KEY_CONFIG, value, expected)
-        say(
+        log_event(
             PREFIX_CONFIGURATION,
             f"The configuration in force is written again: {result.state.value}",
             generation=self.document.generation,
@@ -220,5 +220,5 @@
             return
         if document.policy and (document.policy != before or self._policy is None):
             self._policy = parse_policy(document.policy)
-        say(PREFIX_CONFIGURATION, f"Generation {document.generation} is in force")
+        log_event(PREFIX_CONFIGURATION, f"Generation {document.generation} is in force")
         self._hub.config_changed(document)
--- a/driftstall/daemon/fleet_service.py
+++ b/driftstall/daemon/fleet_service.py
@@ -15,7 +15,7 @@
 from driftstall.daemon.membership_service import MembershipService
 from driftstall.decisions.locate import groups_of
 from driftstall.exceptions import UpstreamError
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 from driftstall.peers.messages import RunnerLeaving
 from driftstall.runners.engine import fetch_cache_events, fetch_report
 
@@ -155,7 +155,7 @@
         # What answers next may be another start, which has signalled nothing.
         self._signalled.discard(runner_id)
         if self._failures[runner_id] == FAILURES_TO_LEAVE:
-            say(PREFIX_ROUTING, f"Runner {runner_id} does not answer and gets no new work")
+            log_event(PREFIX_ROUTING, f"Runner {runner_id} does not answer and gets no new work")
             self._changed()
 
     def _spread_leaving(self, runner_id: str, leaving: bool) -> None:
@@ -183,7 +183,7 @@
         else:
             self._said_leaving.discard(runner_id)
         word = "is leaving and gets no new work" if leaving else "is back"
-        say(PREFIX_ROUTING, f"Runner {runner_id} {word}")
+        log_event(PREFIX_ROUTING, f"Runner {runner_id} {word}")
         self._changed()
 
     def _changed(self) -> None:
--- a/driftstall/daemon/grants_service.py
+++ b/driftstall/daemon/grants_service.py
@@ -36,7 +36,7 @@
 from driftstall.daemon.limit_service import LimitService
 from driftstall.daemon.membership_service import MembershipService
 from driftstall.daemon.ownership import Ownership
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 from driftstall.helpers.trace import TraceRecorder, build_controller
 from driftstall.peers.messages import ProgressBatch
 
@@ -100,7 +100,7 @@
         self._told_limits.pop(group, None)
         self._set_runners(group, controller)
         self._set_policy(controller)
-        say(PREFIX_ADMISSION, f"This instance grants for group {group}")
+        log_event(PREFIX_ADMISSION, f"This instance grants for group {group}")
         return controller
 
     def _set_runners(self, group: str, controller: GrantsController) -> None:
@@ -204,13 +204,13 @@
         request_id = action.request_id
         if isinstance(action, Granted):
             sentence = f"Request {request_id} goes to {action.runner_id}: {action.reason}"
-            say(PREFIX_ROUTING, sentence, group=group, runner=action.runner_id)
+            log_event(PREFIX_ROUTING, sentence, group=group, runner=action.runner_id)
         elif isinstance(action, Refused):
             sentence = (
                 f"Request {request_id} is refused, back in {action.retry_after_s:.1f} s: "
                 f"{action.reason}"
             )
-            say(PREFIX_ADMISSION, sentence, group=group, code=action.code)
+            log_event(PREFIX_ADMISSION, sentence, group=group, code=action.code)
         else:
             verb = "is asked to yield" if isinstance(action, YieldAsked) else "may go on"
-            say(PREFIX_YIELDING, f"Request {request_id} {verb}: {action.reason}", group=group)
+            log_event(PREFIX_YIELDING, f"Request {request_id} {verb}: {action.reason}", group=group)
--- a/driftstall/daemon/hub.py
+++ b/driftstall/daemon/hub.py
@@ -13,7 +13,7 @@
 from driftstall.core import Instance
 from driftstall.daemon.settings import Settings
 from driftstall.daemon.stats import Stats
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 from driftstall.peers.codec import kinds_of
 from driftstall.peers.link import PeerLinks
 from driftstall.peers.messages import DaemonMessage
@@ -105,6 +105,6 @@
             try:
                 work()
             except Exception as fault:
-                say(prefix, f"A periodic task failed with {type(fault).__name__}: {fault}")
+                log_event(prefix, f"A periodic task failed with {type(fault).__name__}: {fault}")
                 self.stats.task_failures += 1
             gevent.sleep(period_s * (0.9 + 0.2 * self.source.random()))
--- a/driftstall/daemon/membership_service.py
+++ b/driftstall/daemon/membership_service.py
@@ -21,7 +21,7 @@
 from driftstall.daemon.hub import Hub
 from driftstall.decisions.locate import weight
 from driftstall.exceptions import PlatformUnavailable
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 from driftstall.peers.messages import RunnerLeaving
 from driftstall.platform.client import ListedMember
 
@@ -125,7 +125,7 @@
             self._hub.send(action.recipient, action.message)
             return True
         if action.instance_id != self._hub.own.instance_id:
-            say(PREFIX_MEMBERSHIP, f"Instance {action.instance_id} is {action.health}")
+            log_event(PREFIX_MEMBERSHIP, f"Instance {action.instance_id} is {action.health}")
         return False
 
 
--- a/driftstall/daemon/node.py
+++ b/driftstall/daemon/node.py
@@ -27,7 +27,7 @@
 from driftstall.daemon.service_calls import ServiceCalls
 from driftstall.daemon.settings import Settings
 from driftstall.daemon.signal_service import SignalService
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 
 DRAIN_PERIOD_S = 0.2
 SERVICE_POLL_S = 1.0
@@ -106,7 +106,7 @@
         """Hand an event to the drain controller and carry out its actions."""
         for action in self._drain.handle(event, self.hub.now()):
             if isinstance(action, AnnounceLeaving):
-                say(PREFIX_DRAIN, "This instance is leaving")
+                log_event(PREFIX_DRAIN, "This instance is leaving")
                 self.members.leave()
             else:
-                say(PREFIX_DRAIN, "Nothing is open any more, this instance stops")
+                log_event(PREFIX_DRAIN, "Nothing is open any more, this instance stops")
--- a/driftstall/daemon/placement_service.py
+++ b/driftstall/daemon/placement_service.py
@@ -26,7 +26,7 @@
 from driftstall.daemon.wire import lease_from_json, lease_to_json
 from driftstall.decisions.locate import owner_of
 from driftstall.exceptions import PlatformUnavailable, UpstreamError
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 from driftstall.platform.client import WriteState
 from driftstall.runners.engine import fetch_report, order_load
 
@@ -101,5 +101,5 @@
         if runner is None or self._hub.now() >= order.not_after:
             return
         sentence = f"Runner {order.runner_id} is ordered to serve {order.model}"
-        say(PREFIX_PLACEMENT, sentence, fence=order.fence)
+        log_event(PREFIX_PLACEMENT, sentence, fence=order.fence)
         gevent.spawn(order_load, runner, order.model, order.fence)
--- a/driftstall/daemon/relay_service.py
+++ b/driftstall/daemon/relay_service.py
@@ -44,7 +44,7 @@
 from driftstall.decisions.retry import RetryBudget
 from driftstall.decisions.upstream_signals import Signal
 from driftstall.exceptions import UpstreamError
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 from driftstall.runners.engine import (
     EngineEnd,
     EngineEvent,
@@ -195,7 +195,7 @@
     def _caller_left(self) -> None:
         """Give the request up, since nobody waits for it."""
         self._hub.stats.callers_gone += 1
-        say(PREFIX_RELAY, f"The caller of request {self._request.request_id} has gone")
+        log_event(PREFIX_RELAY, f"The caller of request {self._request.request_id} has gone")
         self._feed(CallerGone())
 
     def _drain(self) -> Iterator[RelayItem]:
@@ -265,7 +265,7 @@
             self._handle_signals(fault.signals)
         gone = isinstance(fault, RunnerSaidNo) and fault.gone
         generation = self._machine.generation
-        say(PREFIX_RELAY, f"The stream of {generation} broke: {fault}")
+        log_event(PREFIX_RELAY, f"The stream of {generation} broke: {fault}")
         self._drop_stream()
         barred = fault.sent and self._is_barred()
         self._feed(StreamFailed(generation, fault.sent, gone, str(fault), barred))
@@ -384,7 +384,7 @@
         self._drop_stream()
         runner = self._service.fleet.runners.get(action.runner_id)
         sentence = f"Request {action.generation} goes on from token {action.next_index}"
-        say(PREFIX_RELAY, sentence, runner=action.runner_id)
+        log_event(PREFIX_RELAY, sentence, runner=action.runner_id)
         if runner is None:
             detail = "the runner is not configured any more"
             problem = Problem(CODE_NO_RUNNER, 502, detail, Ran.UNKNOWN)
--- a/driftstall/daemon/service_calls.py
+++ b/driftstall/daemon/service_calls.py
@@ -27,7 +27,7 @@
 from driftstall.decisions.retry import RetryBudget
 from driftstall.exceptions import UpstreamError
 from driftstall.filters.context import RequestContext
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 from driftstall.helpers.rate_limiting import RateLimiting
 from driftstall.runners.service import CALL_TIMEOUT_S, ServiceAnswer, call_service
 
@@ -172,7 +172,7 @@
             return self._limits.refusal(context.service, ids, context.request_id)
         sentence = f"Call {context.request_id} goes to {chosen.runner_id}"
         reason = f"{sentence}: fewest open calls of {len(runners)} runners"
-        say(PREFIX_ROUTING, reason, service=context.service)
+        log_event(PREFIX_ROUTING, reason, service=context.service)
         return chosen
 
     def _least_busy(self, runners: list[Runner]) -> Runner | None:
--- a/driftstall/daemon/signal_service.py
+++ b/driftstall/daemon/signal_service.py
@@ -21,7 +21,7 @@
     Signal,
     UnreadableSignal,
 )
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 from driftstall.helpers.rate_limiting import RateLimiting
 
 
@@ -58,7 +58,7 @@
         now = self._hub.now()
         retry_s = self._returns.next_s(name, min(left), CALLS_PER_SLOT_S, now)
         self._hub.stats.backoff_refused += 1
-        say(
+        log_event(
             PREFIX_ROUTING,
             f"Request {request_id} is refused: all runners back off",
             service=name,
@@ -84,7 +84,7 @@
     @_handle.register
     def _(self, signal: BackoffSignal, runner_id: str, sent_at: float) -> None:
         left_s = self._backoff.request(runner_id, signal.for_s, self._hub.now())
-        say(
+        log_event(
             PREFIX_ROUTING,
             f"Runner {runner_id} requests a back-off",
             for_s=signal.for_s,
@@ -93,7 +93,7 @@
 
     @_handle.register
     def _(self, signal: UnreadableSignal, runner_id: str, sent_at: float) -> None:
-        say(
+        log_event(
             PREFIX_ROUTING,
             f"Runner {runner_id} sends a signal that can't be decoded",
             header=signal.name,
--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -32,7 +32,7 @@
 from driftstall.gateway.runs import BrokenRun
 from driftstall.gateway.selection import Option, choose_call
 from driftstall.gateway.state import GatewayState
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 
 CONNECT_TIMEOUT_S: Final = 0.35
 """A connection takes milliseconds; a lost opening packet is sent again after a second."""
@@ -188,7 +188,7 @@
         outcome = result.outcome if isinstance(result, Failure) else _outcome_of(result)
         if not self._caller_gone:
             self._state.saw(upstream.upstream_id, upstream.service, outcome, seconds)
-        self._say(upstream, outcome, seconds, tries)
+        self._log_send(upstream, outcome, seconds, tries)
         if isinstance(result, Failure):
             tries.history.end(result.fate)
             if result.broke and not self._caller_gone:
@@ -295,11 +295,13 @@
         detail = tries.failure.detail if tries.failure else "no upstream takes requests"
         return Problem(CODE_NO_RUNNER, 503, detail, Ran.NOT_RUN, FULL_RETRY_S)
 
-    def _say(self, upstream: Upstream, outcome: Outcome, seconds: float, tries: _Tries) -> None:
+    def _log_send(
+        self, upstream: Upstream, outcome: Outcome, seconds: float, tries: _Tries
+    ) -> None:
         """Log how one send went; good first sends are left to the counters."""
         if outcome is Outcome.GOOD and tries.history.sends == 1:
             return
-        say(
+        log_event(
             PREFIX_ROUTING,
             f"Upstream {upstream.upstream_id} was {outcome.value} for a call",
             request=self._admitted.marks.request_id,
--- a/driftstall/gateway/cordon_source.py
+++ b/driftstall/gateway/cordon_source.py
@@ -10,7 +10,7 @@
 from driftstall.gateway.feeds import ItemChange
 from driftstall.gateway.sources import PEER, PLATFORM
 from driftstall.gateway.state import GatewayState
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 
 
 class CordonSource:
@@ -47,11 +47,11 @@
 
     def platform_lost(self, cause: str) -> None:
         """Log that the platform does not answer."""
-        say(PREFIX_ROUTING, f"The platform's list of cordoned zones is out of reach: {cause}")
+        log_event(PREFIX_ROUTING, f"The platform's list of cordoned zones is out of reach: {cause}")
 
     def platform_back(self) -> None:
         """Log that the platform answers again."""
-        say(PREFIX_ROUTING, "The platform's list of cordoned zones is in reach")
+        log_event(PREFIX_ROUTING, "The platform's list of cordoned zones is in reach")
 
     def _keeps(self) -> bool:
         """Tell whether the store may still lack what operators have written."""
@@ -61,7 +61,7 @@
         """Put in force what has changed."""
         if not changed:
             return
-        say(
+        log_event(
             PREFIX_ROUTING,
             "The cordoned zones have changed",
             cordoned=sorted(changed.cordoned),
--- a/driftstall/gateway/crash_keeping.py
+++ b/driftstall/gateway/crash_keeping.py
@@ -16,7 +16,7 @@
 from driftstall.exceptions import PlatformUnavailable
 from driftstall.gateway.collectors import Roles
 from driftstall.gateway.state import GatewayState
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 
 READ_AFTER_S: Final = 1.0
 """Time in which the member list is known: in a large fleet the collectors alone read."""
@@ -74,7 +74,9 @@
         """Take in what the platform keeps, and have peers told."""
         told = self._kept.read()
         if self._state.blame.take(told, self._state.now()):
-            say(PREFIX_ROUTING, f"The platform keeps {len(told)} requests that crash upstreams")
+            log_event(
+                PREFIX_ROUTING, f"The platform keeps {len(told)} requests that crash upstreams"
+            )
             self._state.blame_changed()
 
     def _keep(self, fingerprint: str) -> None:
@@ -92,6 +94,6 @@
                 return
             except PlatformUnavailable as fault:
                 if not tried:
-                    say(PREFIX_ROUTING, f"Crashes under requests are not kept yet: {fault}")
+                    log_event(PREFIX_ROUTING, f"Crashes under requests are not kept yet: {fault}")
                 gevent.sleep(TRY_AGAIN_S)
-        say(PREFIX_ROUTING, "Crashes under requests are not kept: the platform stays away")
+        log_event(PREFIX_ROUTING, "Crashes under requests are not kept: the platform stays away")
--- a/driftstall/gateway/crash_refusal.py
+++ b/driftstall/gateway/crash_refusal.py
@@ -6,7 +6,7 @@
 from driftstall.core import Problem, Ran
 from driftstall.gateway.admission import Admitted
 from driftstall.gateway.state import GatewayState
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 
 
 def crash_refusal(state: GatewayState, admitted: Admitted, ran: Ran) -> Problem | None:
@@ -19,7 +19,7 @@
     if not verdict.wait_s:
         return None
     state.stats.crashing_refused += 1
-    say(
+    log_event(
         PREFIX_ADMISSION,
         "A request is not sent on: upstreams have crashed under it",
         request=admitted.marks.request_id,
--- a/driftstall/gateway/crash_watch.py
+++ b/driftstall/gateway/crash_watch.py
@@ -20,8 +20,8 @@
 from driftstall.gateway.model import Upstream
 from driftstall.gateway.runs import BrokenRun
 from driftstall.gateway.state import GatewayState
-from driftstall.helpers.blame_sharing import say_refused
-from driftstall.helpers.log import say
+from driftstall.helpers.blame_sharing import log_refusal
+from driftstall.helpers.log import log_event
 from driftstall.util.addresses import split_address
 
 LOOK_AGAIN_S: Final = 0.15
@@ -115,7 +115,7 @@
         """Put a crash down to all that ran there, and tell peers."""
         upstream_id, blame = doubt.upstream.upstream_id, self._state.blame
         self._state.stats.crashes_seen += 1
-        say(
+        log_event(
             PREFIX_ROUTING,
             f"Upstream {upstream_id} has crashed with {len(doubt.runs)} runs of this instance",
             fingerprints=[one.fingerprint for one in doubt.runs[:MOST_LOGGED]],
@@ -125,16 +125,16 @@
         for run in doubt.runs:
             if run.fingerprint:
                 blame.crashed(run.fingerprint, Crash(upstream_id, doubt.at, run.under_way))
-                self._say_verdict(run)
+                self._log_verdict(run)
         self._changed()
         self._forget_old()
 
-    def _say_verdict(self, run: BrokenRun) -> None:
+    def _log_verdict(self, run: BrokenRun) -> None:
         """Log what a request has come to, where it is sent on no more."""
         verdict = self._state.blame.verdict(run.fingerprint, self._state.now())
         if verdict.wait_s:
             self._convicted(run.fingerprint)
-            say_refused(run.fingerprint, verdict, request=run.request_id)
+            log_refusal(run.fingerprint, verdict, request=run.request_id)
 
     def _forget_old(self) -> None:
         """Forget crashes that have no effect any more."""
--- a/driftstall/gateway/drain.py
+++ b/driftstall/gateway/drain.py
@@ -9,7 +9,7 @@
 from driftstall.gateway.admission import Admitted, request_of
 from driftstall.gateway.model import Repeat
 from driftstall.gateway.state import GatewayState
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 
 CALL_S: Final = 2.0
 """Time that a call may take: its route's time-out is shorter."""
@@ -34,7 +34,7 @@
         """Start to stop."""
         if self._state.stopping_since is None:
             self._state.stopping_since = self._state.now()
-            say(PREFIX_DRAIN, "A stop was asked for", open=self._state.open_requests)
+            log_event(PREFIX_DRAIN, "A stop was asked for", open=self._state.open_requests)
 
     def refusal(self, admitted: Admitted) -> Problem | None:
         """Return why a request is not taken any more, if so."""
--- a/driftstall/gateway/evacuation.py
+++ b/driftstall/gateway/evacuation.py
@@ -22,7 +22,7 @@
 from driftstall.gateway.moves import Mover
 from driftstall.gateway.runs import StreamRun
 from driftstall.gateway.state import GatewayState
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 
 COPY_AGAIN_S: Final = 0.06
 """A copy that took longer than this is followed by another, so that the last step is short."""
@@ -62,7 +62,7 @@
 
         Some arrive after the notice: they were placed or moved there just before it.
         """
-        say(
+        log_event(
             PREFIX_RELAY,
             f"Upstream {upstream.upstream_id} is leaving",
             streams=len(self._state.runs.on(upstream.upstream_id)),
--- a/driftstall/gateway/feeds.py
+++ b/driftstall/gateway/feeds.py
@@ -12,7 +12,7 @@
 from driftstall.const import PREFIX_CONFIGURATION
 from driftstall.decisions.store_versions import StoreVersion
 from driftstall.exceptions import HistoryGone, PlatformUnavailable
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 
 HOLD_CHECK_S: Final = 0.2
 """How often a follower that makes no calls looks whether it should."""
@@ -136,7 +136,9 @@
             except Exception as defect:
                 self._at = None
                 detail = f"{type(defect).__name__}: {defect}"
-                say(PREFIX_CONFIGURATION, f"What the platform told could not be taken in: {detail}")
+                log_event(
+                    PREFIX_CONFIGURATION, f"What the platform told could not be taken in: {detail}"
+                )
                 self._sleep(DEFECT_PAUSE_S)
 
     def list_again(self) -> None:
@@ -187,7 +189,9 @@
         """Note a failed call, and wait a little."""
         self._failures += 1
         if self._failures == 1:
-            say(PREFIX_CONFIGURATION, f"A question to the platform failed: {cause}", at=self._at)
+            log_event(
+                PREFIX_CONFIGURATION, f"A question to the platform failed: {cause}", at=self._at
+            )
         if self._failures == LOST_AFTER:
             self._listener.platform_lost(cause)
         pause = min(self._pace.longest_pause_s(), FIRST_PAUSE_S * 2**self._failures)
--- a/driftstall/gateway/inquiry.py
+++ b/driftstall/gateway/inquiry.py
@@ -17,7 +17,7 @@
 from driftstall.decisions.engine_words import ASK_EVERY_S, TOLD_AGAIN_S, Word, asks
 from driftstall.gateway.model import Upstream
 from driftstall.gateway.state import GatewayState
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 from driftstall.helpers.tasks import keep_running
 
 LOOK_EVERY_S: Final = 0.1
@@ -99,7 +99,7 @@
             return
         self._told_at[engine_id] = now
         finding = "says itself that it leaves" if word is Word.LEAVES else "refuses connections"
-        say(
+        log_event(
             PREFIX_ROUTING,
             f"Upstream {engine_id} {finding}",
             address=upstream.address,
--- a/driftstall/gateway/listeners.py
+++ b/driftstall/gateway/listeners.py
@@ -30,7 +30,7 @@
 from driftstall.gateway.state import GatewayState
 from driftstall.gateway.stats import render
 from driftstall.gateway.streams import StreamRelay
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 from driftstall.util.addresses import split_address
 from driftstall.util.fingerprint import fingerprint
 
@@ -92,7 +92,7 @@
         """Answer input that cannot be read."""
         self._state.stats.malformed += 1
         problem = Problem(CODE_BAD_REQUEST, int(fault.status), fault.detail, Ran.NOT_RUN)
-        say(PREFIX_RELAY, f"A request is answered {problem.status}: {problem.detail}")
+        log_event(PREFIX_RELAY, f"A request is answered {problem.status}: {problem.detail}")
         connection.write(problem_answer(problem, keep=False))
 
     def _answer(self, connection: CallerConnection, call: CallerRequest) -> bool:
@@ -103,7 +103,7 @@
             return self._answer_counted(connection, call)
         except Exception as fault:
             # A defect must not take the connection's other requests with it unseen.
-            say(PREFIX_RELAY, f"A request failed with {type(fault).__name__}: {fault}")
+            log_event(PREFIX_RELAY, f"A request failed with {type(fault).__name__}: {fault}")
             self._state.stats.failed += 1
             return False
         finally:
@@ -186,7 +186,7 @@
     ) -> bool:
         """Write the answer of a plain call."""
         if isinstance(result, Problem):
-            say(
+            log_event(
                 PREFIX_RELAY,
                 f"A call is answered {result.status}: {result.detail}",
                 request=admitted.marks.request_id,
@@ -296,7 +296,7 @@
         fingerprint = call.path.rpartition("/")[2]
         is_known = self._state.blame.verdict(fingerprint, self._state.now()).is_convicted
         if is_known:
-            say(PREFIX_ROUTING, f"Request {fingerprint} is cleared by an operator")
+            log_event(PREFIX_ROUTING, f"Request {fingerprint} is cleared by an operator")
             self._state.ended_well(fingerprint)
         return whole(200 if is_known else 404, (), b"", keep=call.keep_alive)
 
@@ -321,7 +321,7 @@
             return problem_answer(problem, keep=call.keep_alive)
         keep_s = min(LOCATE_KEEP_S, self._state.settings.bounds.locate_keep_s)
         body = self._state.dialect.located_answer(tuple(one.address for one in chosen), keep_s)
-        say(PREFIX_LOCATE, f"A caller of {zone} is sent to {len(chosen)} instances")
+        log_event(PREFIX_LOCATE, f"A caller of {zone} is sent to {len(chosen)} instances")
         headers = ((b"Content-Type", JSON_TYPE.encode()),)
         return whole(200, headers, body, keep=call.keep_alive)
 
--- a/driftstall/gateway/moves.py
+++ b/driftstall/gateway/moves.py
@@ -13,7 +13,7 @@
 from driftstall.gateway.runs import Copy, KeptCopy, LastStep, StreamRun
 from driftstall.gateway.selection import Need, choose_move
 from driftstall.gateway.state import GatewayState
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 
 COPY_KEPT_S: Final = 4.0
 """A copy is not relied on after this time; engines drop it somewhat later (handleS is 5 s)."""
@@ -152,7 +152,7 @@
             self._state.suspect(target)
         outcome = result.detail if isinstance(result, MoveFailed) else "done"
         step = "moved" if last else "copied"
-        say(
+        log_event(
             PREFIX_RELAY,
             f"A stream is {step} to {target.upstream_id}: {outcome}",
             request=run.request_id,
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -55,7 +55,7 @@
 )
 from driftstall.gateway.state import GatewayState
 from driftstall.gateway.store_return import StoreReturn
-from driftstall.helpers.log import BoundedWriter, say
+from driftstall.helpers.log import BoundedWriter, log_event
 from driftstall.helpers.tasks import keep_running
 from driftstall.policy.model import Policy
 from driftstall.util import clock
@@ -227,9 +227,9 @@
         ):
             gevent.spawn(follower.run)
         keep_running(PREFIX_MEMBERSHIP, self._registration.keep)
-        say(PREFIX_MEMBERSHIP, f"Instance {self.state.settings.instance_id} has started")
+        log_event(PREFIX_MEMBERSHIP, f"Instance {self.state.settings.instance_id} has started")
         self._run_periods()
-        say(PREFIX_DRAIN, f"Instance {self.state.settings.instance_id} has stopped")
+        log_event(PREFIX_DRAIN, f"Instance {self.state.settings.instance_id} has stopped")
 
     def _run_periods(self) -> None:
         """Let time pass until the stop has ended."""
@@ -239,7 +239,7 @@
         while not self._drain.finished:
             gevent.sleep(PERIOD_S)
             self._upstreams.period()
-            suspended_s = _say_suspended(suspended_s)
+            suspended_s = _log_suspension(suspended_s)
             self.state.stats.platform_calls = self._access.calls()
             if self.state.stopping_since is not None and not told_stop:
                 told_stop = True
@@ -368,18 +368,18 @@
         try:
             settings = self._access.read_settings(self._path)
         except SettingsError as fault:
-            say(PREFIX_CONFIGURATION, f"The changed settings are not used: {fault}")
+            log_event(PREFIX_CONFIGURATION, f"The changed settings are not used: {fault}")
             return
         self.state.settings = settings
         self._access.use_address(settings.platform_address)
-        say(PREFIX_CONFIGURATION, "The settings were read again")
+        log_event(PREFIX_CONFIGURATION, "The settings were read again")
 
 
-def _say_suspended(before_s: float) -> float:
+def _log_suspension(before_s: float) -> float:
     """Log a suspension of the machine since the last look; return all there were, in seconds."""
     suspended_s = clock.suspended_s()
     if suspended_s - before_s < LOGGED_SUSPENSION_S:
         return before_s
     for_s = round(suspended_s - before_s, 2)
-    say(PREFIX_MEMBERSHIP, f"The machine was suspended for {for_s} s", for_s=for_s)
+    log_event(PREFIX_MEMBERSHIP, f"The machine was suspended for {for_s} s", for_s=for_s)
     return suspended_s
--- a/driftstall/gateway/peering.py
+++ b/driftstall/gateway/peering.py
@@ -38,7 +38,7 @@
 from driftstall.gateway.state import GatewayState
 from driftstall.gateway.stream_placer import StreamPlacer
 from driftstall.helpers.blame_sharing import BlameSharing, Fleet
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 from driftstall.helpers.permits import Permits
 from driftstall.helpers.tasks import keep_running
 from driftstall.peers.codec import kinds_of
@@ -250,7 +250,7 @@
         before, self._roles = self._roles, roles
         if (before.large, before.collects) == (roles.large, roles.collects):
             return
-        say(
+        log_event(
             PREFIX_MEMBERSHIP,
             "This instance collects for its zone" if roles.collects else "This one reports",
             large=roles.large,
@@ -379,7 +379,7 @@
             if isinstance(action, SendTo):
                 self._send(action.recipient, action.message)
             elif action.instance_id != self.own.instance_id:
-                say(PREFIX_MEMBERSHIP, f"Instance {action.instance_id} is {action.health}")
+                log_event(PREFIX_MEMBERSHIP, f"Instance {action.instance_id} is {action.health}")
 
     def _send(self, recipient: str, message: GatewayMessage) -> None:
         """Send to a known instance."""
--- a/driftstall/gateway/placement.py
+++ b/driftstall/gateway/placement.py
@@ -15,7 +15,7 @@
 from driftstall.gateway.runs import Copy, StreamRun
 from driftstall.gateway.selection import Need, choose_backup, choose_stream, has_room
 from driftstall.gateway.state import GatewayState
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 from driftstall.peers.gateway_messages import PlacementAsked
 
 WAIT_FOR_UPSTREAM_S: Final = 0.4
@@ -78,7 +78,7 @@
         run = StreamRun(self._call, self._admitted, self._request, place.upstream)
         run.backup = place.backup
         self._state.account(run)
-        self._say_placed(run, place)
+        self._log_placed(run, place)
         return run
 
     def next_run(self, run: StreamRun, copy: Copy, has_run_at: frozenset[str]) -> StreamRun:
@@ -193,10 +193,10 @@
         """Forecast the output, in tokens."""
         return self._state.expected_tokens(self._request, self._admitted.marks.length_hint)
 
-    def _say_placed(self, run: StreamRun, place: Place) -> None:
+    def _log_placed(self, run: StreamRun, place: Place) -> None:
         """Log where a stream was placed."""
         use = self._state.loads.use(run.upstream.upstream_id, self._state.now())
-        say(
+        log_event(
             PREFIX_ROUTING,
             f"A stream is placed on {run.upstream.upstream_id}",
             request=run.request_id,
--- a/driftstall/gateway/policy_keeping.py
+++ b/driftstall/gateway/policy_keeping.py
@@ -7,7 +7,7 @@
 from driftstall.const import PREFIX_CONFIGURATION
 from driftstall.gateway.model import PolicyText
 from driftstall.gateway.sources import PolicySource
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 
 
 class KeptPolicy(Protocol):
@@ -40,7 +40,7 @@
         if stored is not None and not self._policies.is_earlier(stored):
             return
         done = self._kept.write(held.text, stored)
-        say(
+        log_event(
             PREFIX_CONFIGURATION,
             "The policy in force is written again" if done else "Another policy was stored first",
             revision=held.revision,
--- a/driftstall/gateway/registration.py
+++ b/driftstall/gateway/registration.py
@@ -14,7 +14,7 @@
 from driftstall.gateway.feeds import Feed
 from driftstall.gateway.sources import InstanceSource
 from driftstall.gateway.state import GatewayState
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 
 REGISTER_PAUSE_S: Final = 0.3
 RELIST_S: Final = 5.0
@@ -76,7 +76,9 @@
                 self._instances.listed(self._entries.instances.list().items)
                 gevent.sleep(RELIST_S)
             except PlatformUnavailable as fault:
-                say(PREFIX_MEMBERSHIP, f"The platform's list of instances is out of reach: {fault}")
+                log_event(
+                    PREFIX_MEMBERSHIP, f"The platform's list of instances is out of reach: {fault}"
+                )
                 gevent.sleep(REGISTER_PAUSE_S * (1 + self._state.source.random()))
 
     def withdraw(self) -> None:
@@ -84,4 +86,4 @@
         try:
             self._entries.withdraw(self._own.instance_id)
         except PlatformUnavailable as fault:
-            say(PREFIX_DRAIN, f"The own entry is left behind: {fault}")
+            log_event(PREFIX_DRAIN, f"The own entry is left behind: {fault}")
--- a/driftstall/gateway/resumption.py
+++ b/driftstall/gateway/resumption.py
@@ -11,7 +11,7 @@
 from driftstall.gateway.moves import Mover
 from driftstall.gateway.runs import Copy, LastStep, StreamRun
 from driftstall.gateway.state import GatewayState
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 
 MOVE_WAIT_S: Final = 2.0
 """How long a stopped run waits for the answer of its last move."""
@@ -81,10 +81,10 @@
         step: LastStep | None = moving.wait(timeout=max(0.0, run.step_awaited_until - now))
         return step
 
-    def say_none(self, run: StreamRun, cause: str) -> None:
+    def log_no_copy(self, run: StreamRun, cause: str) -> None:
         """Log why a stream does not go on elsewhere, with what decided it."""
         making_s = run.making_s
-        say(
+        log_event(
             PREFIX_RELAY,
             "No copy of a stream is known to be there",
             request=run.request_id,
--- a/driftstall/gateway/sharing.py
+++ b/driftstall/gateway/sharing.py
@@ -29,7 +29,7 @@
 )
 from driftstall.gateway.model import Upstream, UpstreamState
 from driftstall.gateway.state import GatewayState
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 from driftstall.peers.gateway_messages import (
     FleetAsked,
     FleetOffered,
@@ -193,7 +193,7 @@
         """Take in a peer's routing document if it is newer."""
         if offered.version <= max(self._intake.routing()[0], self._taking):
             return
-        say(
+        log_event(
             PREFIX_CONFIGURATION,
             f"A peer passes routing version {offered.version} on",
             peer=offered.sender,
@@ -211,7 +211,7 @@
 
     def take_fleet(self, offered: FleetOffered) -> None:
         """Take in a collector's upstreams."""
-        say(
+        log_event(
             PREFIX_ROUTING,
             f"A peer passes {len(offered.upstreams)} upstreams on",
             peer=offered.sender,
--- a/driftstall/gateway/sources.py
+++ b/driftstall/gateway/sources.py
@@ -34,7 +34,7 @@
 from driftstall.gateway.model import PolicyText, RoutingText, Upstream
 from driftstall.gateway.routes import RouteTable
 from driftstall.gateway.state import GatewayState
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 
 EARLIER_KEPT: Final = 8
 """Policies remembered that others have followed: a copy of the store is some seconds old."""
@@ -92,17 +92,19 @@
         try:
             document = self._state.dialect.read_routing(text)
         except (DriftstallError, ValueError) as fault:
-            say(PREFIX_CONFIGURATION, f"A peer's routing document cannot be read: {fault}")
+            log_event(PREFIX_CONFIGURATION, f"A peer's routing document cannot be read: {fault}")
             return
         self._take(RoutingText(document, text), PEER)
 
     def platform_lost(self, cause: str) -> None:
         """Log that the platform does not answer."""
-        say(PREFIX_CONFIGURATION, f"The platform's configuration is out of reach: {cause}")
+        log_event(PREFIX_CONFIGURATION, f"The platform's configuration is out of reach: {cause}")
 
     def platform_back(self) -> None:
         """Log that the platform answers again."""
-        say(PREFIX_CONFIGURATION, "The platform's configuration is in reach", version=self.version)
+        log_event(
+            PREFIX_CONFIGURATION, "The platform's configuration is in reach", version=self.version
+        )
 
     def _take(self, item: RoutingText, source: str) -> None:
         """Put a newer document in force."""
@@ -112,7 +114,7 @@
         self._state.table = RouteTable.from_document(item.document)
         self._text = item.text
         self._state.check_configured()
-        say(
+        log_event(
             PREFIX_CONFIGURATION,
             f"Routing version {item.document.version} is in force",
             before=before,
@@ -163,18 +165,20 @@
 
     def platform_lost(self, cause: str) -> None:
         """Log that the platform does not answer."""
-        say(PREFIX_CONFIGURATION, f"The platform's policies are out of reach: {cause}")
+        log_event(PREFIX_CONFIGURATION, f"The platform's policies are out of reach: {cause}")
 
     def platform_back(self) -> None:
         """Log that the platform answers again."""
-        say(PREFIX_CONFIGURATION, "The platform's policies are in reach", revision=self._revision)
+        log_event(
+            PREFIX_CONFIGURATION, "The platform's policies are in reach", revision=self._revision
+        )
 
     def _take(self, item: PolicyText) -> None:
         """Put a newer policy in force, if it is a right one."""
         if item.revision <= self._revision:
             return
         if self.is_earlier(item):
-            say(
+            log_event(
                 PREFIX_CONFIGURATION,
                 "The store holds an earlier policy again; the one in force stays",
                 revision=item.revision,
@@ -195,9 +199,9 @@
         try:
             self._state.policy = parse_policy(item.text)
         except PolicyError as fault:
-            say(PREFIX_CONFIGURATION, f"A stored policy is not used: {fault}")
+            log_event(PREFIX_CONFIGURATION, f"A stored policy is not used: {fault}")
             return
-        say(
+        log_event(
             PREFIX_CONFIGURATION,
             f"Policy {self._state.policy.name!r} is in force",
             revision=item.revision,
@@ -271,13 +275,13 @@
 
     def platform_lost(self, cause: str) -> None:
         """Learn that the platform does not answer."""
-        say(PREFIX_ROUTING, f"The platform's list of upstreams is out of reach: {cause}")
+        log_event(PREFIX_ROUTING, f"The platform's list of upstreams is out of reach: {cause}")
         self._apply(PlatformLost())
         self._announce()
 
     def platform_back(self) -> None:
         """Learn that the platform answers again."""
-        say(PREFIX_ROUTING, "The platform's list of upstreams is in reach")
+        log_event(PREFIX_ROUTING, "The platform's list of upstreams is in reach")
         self._apply(PlatformBack())
         self._announce()
 
@@ -311,7 +315,7 @@
     @_tell.register
     def _(self, action: UpstreamLeaving, *, from_peer: bool) -> None:
         upstream = action.upstream
-        say(
+        log_event(
             PREFIX_ROUTING,
             f"Upstream {upstream.upstream_id} takes no more requests",
             source=_source_of(action, from_peer=from_peer),
@@ -324,7 +328,7 @@
     @_tell.register
     def _(self, action: UpstreamJoined, *, from_peer: bool) -> None:
         upstream = action.upstream
-        say(
+        log_event(
             PREFIX_ROUTING,
             f"Upstream {upstream.upstream_id} takes requests",
             service=upstream.service,
@@ -338,7 +342,7 @@
         # Whoever waits there for an answer waits in vain; it may have run until the new start.
         upstream = action.upstream
         given_up = self._state.exchanges.close_all(upstream.upstream_id)
-        say(
+        log_event(
             PREFIX_ROUTING,
             f"Upstream {upstream.upstream_id} has started again",
             source=PEER if from_peer else PLATFORM,
@@ -353,7 +357,7 @@
             self._state.cold.assume(upstream.upstream_id, action.for_s, now)
         else:
             self._state.cold.told(upstream.upstream_id, action.for_s, now)
-        say(
+        log_event(
             PREFIX_ROUTING,
             f"Upstream {upstream.upstream_id} is cold for {action.for_s:.1f} s",
             assumed=action.is_assumed,
@@ -379,5 +383,5 @@
 
     def listed(self, items: tuple[Instance, ...]) -> None:
         """Take in the whole list."""
-        say(PREFIX_MEMBERSHIP, f"The platform lists {len(items)} instances")
+        log_event(PREFIX_MEMBERSHIP, f"The platform lists {len(items)} instances")
         self._found(items)
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -37,7 +37,7 @@
 from driftstall.gateway.shared_budget import RepeatCount, SharedRetryBudget
 from driftstall.gateway.stats import GatewayStats
 from driftstall.gateway.upstream_signals import UpstreamSignals
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 from driftstall.helpers.rate_limiting import RateLimiting
 from driftstall.peers.gateway_messages import PlacementAsked, PlacementGiven
 from driftstall.policy.model import Policy
@@ -168,7 +168,7 @@
             self.stats.repeats += 1
             return True
         own = budget.count(now)
-        say(
+        log_event(
             PREFIX_ROUTING,
             "The retry budget allows no further send",
             request=request_id,
@@ -266,7 +266,7 @@
         part = max(1, first.slots) / max(1, self.instances.value)
         retry_s = self._returns.next_s(service, first_s, part * CALLS_PER_SLOT_S, now)
         self.stats.backoff_refused += 1
-        say(
+        log_event(
             PREFIX_ROUTING,
             "A request is refused: all upstreams back off",
             request=request_id,
--- a/driftstall/gateway/store_return.py
+++ b/driftstall/gateway/store_return.py
@@ -17,7 +17,7 @@
 from driftstall.decisions.store_versions import DOUBT_S, LEFT_DOUBT_S
 from driftstall.exceptions import PlatformUnavailable
 from driftstall.gateway.state import GatewayState
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 
 WRITES_PER_S: Final = 20.0
 """Entries that all instances together write in a second. Stores of the users take 100 to 400 writes
@@ -72,7 +72,7 @@
         if not self._state.eras.seen(era, self._state.now()):
             return
         instances = self._state.instances.value
-        say(
+        log_event(
             PREFIX_CONFIGURATION,
             "The platform's store has come back from an older copy",
             era=era,
@@ -108,9 +108,9 @@
                 return
             try:
                 write()
-                say(PREFIX_CONFIGURATION, f"Written again to the store: {what}")
+                log_event(PREFIX_CONFIGURATION, f"Written again to the store: {what}")
                 return
             except PlatformUnavailable as fault:
-                say(PREFIX_CONFIGURATION, f"Not written again yet: {what}: {fault}")
+                log_event(PREFIX_CONFIGURATION, f"Not written again yet: {what}: {fault}")
                 gevent.sleep(TRY_AGAIN_S * (0.5 + self._state.source.random()))
-        say(PREFIX_CONFIGURATION, f"Not written again, the store stays away: {what}")
+        log_event(PREFIX_CONFIGURATION, f"Not written again, the store stays away: {what}")
--- a/driftstall/gateway/stream_placer.py
+++ b/driftstall/gateway/stream_placer.py
@@ -30,7 +30,7 @@
     has_room,
 )
 from driftstall.gateway.state import GROWTH_SHARE, GatewayState
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 from driftstall.peers.gateway_messages import GatewayMessage, PlacementAsked, PlacementGiven
 
 
@@ -69,7 +69,7 @@
             del self._waiting[asked.request_id]
         if given is None:
             self._order.silent(placer, self._state.now())
-            say(PREFIX_ROUTING, f"{placer} gives no place in time", request=asked.request_id)
+            log_event(PREFIX_ROUTING, f"{placer} gives no place in time", request=asked.request_id)
         return given
 
     def take_answer(self, given: PlacementGiven) -> None:
--- a/driftstall/gateway/stream_resuming.py
+++ b/driftstall/gateway/stream_resuming.py
@@ -12,7 +12,7 @@
 from driftstall.gateway.runs import Copy, StreamRun
 from driftstall.gateway.sending import Opened
 from driftstall.gateway.stream_work import StreamWork
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 
 COLD_WAIT_S: Final = 1.2
 """How long a stream that could go on waits for an engine that has gone cold."""
@@ -39,7 +39,7 @@
                 run.exchange.close()
             copy = self._take_copy(run)
             if copy is None:
-                self._work.copies.say_none(run, cause)
+                self._work.copies.log_no_copy(run, cause)
                 return None
             if not self._await_cold(copy.upstream):
                 continue
@@ -54,7 +54,7 @@
             run.goes_on_elsewhere = True
             next_run = self._work.placement.next_run(run, copy, self._work.history.has_run_at)
             result = self._work.send(next_run)
-            self._say_resumed(run, next_run, result, cause)
+            self._log_resumed(run, next_run, result, cause)
             if isinstance(result, Opened) and result.head.status == OK:
                 self._work.state.stats.streams_resumed += 1
                 return result
@@ -89,7 +89,7 @@
         until = self._work.state.now() + min(COLD_WAIT_S, self._work.left())
         while (wait_s := self._work.state.cold_gate.wait_s(upstream)) > 0:
             if self._work.state.now() + wait_s > until:
-                say(
+                log_event(
                     PREFIX_RELAY,
                     f"A stream is not gone on with at {upstream.upstream_id}: it is cold",
                     request=self._work.admitted.marks.request_id,
@@ -100,12 +100,12 @@
         self._work.state.cold_gate.took(upstream)
         return True
 
-    def _say_resumed(
+    def _log_resumed(
         self, run: StreamRun, next_run: StreamRun, result: Opened | UpstreamError, cause: str
     ) -> None:
         """Log how a stream went on."""
         outcome = str(result) if isinstance(result, UpstreamError) else str(result.head.status)
-        say(
+        log_event(
             PREFIX_RELAY,
             f"A stream goes on at {next_run.upstream.upstream_id}: {outcome}",
             request=run.request_id,
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -31,7 +31,7 @@
 from driftstall.gateway.stream_opening import StreamOpening
 from driftstall.gateway.stream_resuming import OK, StreamResuming
 from driftstall.gateway.stream_work import StreamWork
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 
 SILENCE_S: Final = 1.2
 """A running stream that says nothing for so long goes on at its copy, if it has one."""
@@ -111,7 +111,7 @@
                 if isinstance(item, Piece):
                     parts.append(item.data)
         except (UpstreamError, TimeoutError) as fault:
-            say(PREFIX_RELAY, f"A failure's body broke off: {fault}", request=run.request_id)
+            log_event(PREFIX_RELAY, f"A failure's body broke off: {fault}", request=run.request_id)
             self._work.broke(run, fault)
             problem = Problem(CODE_RUNNER_FAILED, 502, "the answer broke off", Ran.UNKNOWN)
             return self._answer_problem(problem)
@@ -212,7 +212,7 @@
         self._state.lengths.finished(self._work.request, run.tokens)
         self._state.stats.completed += 1
         self._state.stats.gap_s.observe({}, self._longest_gap_s)
-        say(
+        log_event(
             PREFIX_RELAY,
             "A stream has ended whole",
             request=run.request_id,
@@ -227,7 +227,7 @@
         """End a stream that cannot go on; without its last chunk it is visibly broken."""
         self._work.saw(run, Outcome.BROKEN)
         self._state.stats.streams_broken += 1
-        say(
+        log_event(
             PREFIX_RELAY,
             f"A stream broke off for good: {cause}",
             request=run.request_id,
@@ -247,7 +247,7 @@
             self._state.stats.refused += 1
         else:
             self._state.stats.failed += 1
-        say(
+        log_event(
             PREFIX_RELAY,
             f"A stream is answered {problem.status}: {problem.detail}",
             request=self._admitted.marks.request_id,
--- a/driftstall/gateway/upstream_signals.py
+++ b/driftstall/gateway/upstream_signals.py
@@ -19,7 +19,7 @@
 from driftstall.gateway.fleet_book import FleetBook
 from driftstall.gateway.model import Upstream
 from driftstall.gateway.stats import GatewayStats
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 from driftstall.helpers.rate_limiting import RateLimiting
 
 MAX_UNKNOWN_NAMES: Final = 32
@@ -71,7 +71,7 @@
         backoff_s = self._backoff.remaining_s(upstream_id, self._now())
         if not is_leaving and not backoff_s:
             return
-        say(
+        log_event(
             PREFIX_ROUTING,
             f"A request is sent to {upstream_id} despite its signals",
             request=request_id,
@@ -93,7 +93,7 @@
         self._stats.leaving_signals += 1
         if self._fleet.has_signalled_leaving(upstream.upstream_id):
             return
-        say(
+        log_event(
             PREFIX_ROUTING,
             f"Upstream {upstream.upstream_id} signals that it leaves",
             address=upstream.address,
@@ -106,7 +106,7 @@
     def _(self, signal: BackoffSignal, upstream: Upstream, sent_at: float) -> None:
         self._stats.backoff_signals += 1
         left_s = self._backoff.request(upstream.upstream_id, signal.for_s, self._now())
-        say(
+        log_event(
             PREFIX_ROUTING,
             f"Upstream {upstream.upstream_id} requests a back-off",
             for_s=signal.for_s,
@@ -117,7 +117,7 @@
     @_handle.register
     def _(self, signal: UnreadableSignal, upstream: Upstream, sent_at: float) -> None:
         self._stats.unreadable_signals += 1
-        say(
+        log_event(
             PREFIX_ROUTING,
             f"Upstream {upstream.upstream_id} sends a signal that can't be decoded",
             header=signal.name,
@@ -130,7 +130,7 @@
         if signal.name in self._unknown or len(self._unknown) >= MAX_UNKNOWN_NAMES:
             return
         self._unknown.add(signal.name)
-        say(
+        log_event(
             PREFIX_ROUTING,
             f"Upstream {upstream.upstream_id} sends a header that is not known",
             header=signal.name,
--- a/driftstall/helpers/blame_sharing.py
+++ b/driftstall/helpers/blame_sharing.py
@@ -18,7 +18,7 @@
 from driftstall.const import PREFIX_ROUTING
 from driftstall.core import Instance
 from driftstall.decisions.crash_blame import BlameBook, BlameTold, Verdict
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 from driftstall.helpers.tasks import keep_running
 from driftstall.peers.blame_messages import BlamesTold
 
@@ -85,7 +85,7 @@
         refused = set(book.refused(now))
         if book.take(message.records, now):
             for one in set(book.refused(now)) - refused:
-                say_refused(one, book.verdict(one, now), peer=message.sender)
+                log_refusal(one, book.verdict(one, now), peer=message.sender)
             if self._fleet.passes_on():
                 self.changed()
         if message.asks and _lacks(message.records, known):
@@ -120,9 +120,9 @@
                 self._fleet.send(instance_id, BlamesTold(self._own_id, told, asks=True))
 
 
-def say_refused(fingerprint: str, verdict: Verdict, **more: str) -> None:
+def log_refusal(fingerprint: str, verdict: Verdict, **more: str) -> None:
     """Log that a request is sent to no upstream from now on, and by whose word."""
-    say(
+    log_event(
         PREFIX_ROUTING,
         f"Request {fingerprint} crashes upstreams and is sent to none",
         fingerprint=fingerprint,
--- a/driftstall/helpers/log.py
+++ b/driftstall/helpers/log.py
@@ -92,7 +92,7 @@
     return writer
 
 
-def say(prefix: str, sentence: str, **fields: Any) -> None:
+def log_event(prefix: str, sentence: str, **fields: Any) -> None:
     """Log a sentence; nothing secret goes into it."""
     for name, value in fields.items():
         if isinstance(value, StoreVersion):
--- a/driftstall/helpers/permits.py
+++ b/driftstall/helpers/permits.py
@@ -13,7 +13,7 @@
 from driftstall.decisions.locate import owner_of
 from driftstall.decisions.permits import Allowances, Denial, Permit, SendNeed, Verdict, heard_part
 from driftstall.decisions.rate_limits import RateLimit
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 from driftstall.helpers.rate_limiting import RateLimiting
 from driftstall.peers.permit_messages import (
     PermitAsked,
@@ -72,7 +72,7 @@
         finally:
             del self._waiting[number]
         if given is None:
-            say(
+            log_event(
                 PREFIX_ROUTING,
                 f"{giver} gives no permit in time",
                 upstream=limit.upstream_id,
--- a/driftstall/helpers/rate_limiting.py
+++ b/driftstall/helpers/rate_limiting.py
@@ -17,7 +17,7 @@
     Verdict,
 )
 from driftstall.decisions.rate_limits import RateLimit, RateLimitBook
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 
 Option = TypeVar("Option")
 
@@ -89,14 +89,14 @@
     def answered(self, upstream_id: str, per_s: float | None, sent_at: float) -> None:
         """Take in the limit that an answer names, to a request sent then; None for no limit."""
         if self._book.answered(upstream_id, per_s, sent_at, self._now()):
-            self._say_changed(upstream_id)
+            self._log_changed(upstream_id)
             self.tell()
 
     def heard(self, told: Iterable[RateLimit], peer: str = "") -> bool:
         """Take in what a peer knows; return whether any of it was new."""
         news = self._book.take(told, self._now())
         for one in news:
-            self._say_changed(one.upstream_id, peer=peer)
+            self._log_changed(one.upstream_id, peer=peer)
         return bool(news)
 
     # Before a request is sent.
@@ -160,7 +160,7 @@
             self._pause(verdict.wait_s)
         took_s = self._now() - asked_at
         if took_s > verdict.wait_s + LAPSE_S:
-            say(
+            log_event(
                 PREFIX_ROUTING,
                 f"A permit for {upstream_id} has lapsed",
                 request=request_id,
@@ -168,7 +168,7 @@
             )
             return False
         self._stats.limited_sends += 1
-        say(
+        log_event(
             PREFIX_ROUTING,
             f"A request goes to {upstream_id}, which names a limit",
             request=request_id,
@@ -196,7 +196,7 @@
         part = sum(limits) / max(1, self.instances)
         retry_s = self._returns.next_s(service, first_s, part, now)
         self._stats.limited_refused += 1
-        say(
+        log_event(
             PREFIX_ROUTING,
             "A request is refused: all upstreams have reached their limits",
             request=request_id,
@@ -208,12 +208,12 @@
         detail = "all runners have reached the limits that they name"
         return Problem(CODE_NO_RUNNER, 503, detail, Ran.NOT_RUN, retry_s)
 
-    def _say_changed(self, upstream_id: str, **more: str) -> None:
+    def _log_changed(self, upstream_id: str, **more: str) -> None:
         """Log a limit that is new, and by whose word."""
         limit = self._book.find(upstream_id)
         assert limit is not None
         named = "no limit any more" if limit.per_s is None else "a limit"
-        say(
+        log_event(
             PREFIX_ROUTING,
             f"Upstream {upstream_id} names {named}",
             per_s=limit.per_s,
--- a/driftstall/helpers/tasks.py
+++ b/driftstall/helpers/tasks.py
@@ -7,7 +7,7 @@
 
 import gevent
 
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 
 RESTART_PAUSE_S: Final = 0.5
 """Pause before work that has failed runs again; the error may come again at once."""
@@ -30,5 +30,5 @@
             return
         except Exception as defect:
             detail = f"{type(defect).__name__}: {defect}"
-            say(prefix, f"What runs all the time has failed and begins anew: {detail}")
+            log_event(prefix, f"What runs all the time has failed and begins anew: {detail}")
             gevent.sleep(RESTART_PAUSE_S)
--- a/driftstall/peers/link.py
+++ b/driftstall/peers/link.py
@@ -19,7 +19,7 @@
 
 from driftstall.const import PREFIX_MEMBERSHIP
 from driftstall.exceptions import MessageError
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 from driftstall.peers.codec import HEADER, MAX_FRAME_BYTES, Kinds, decode, encode
 from driftstall.peers.envelope import Envelope
 from driftstall.util import clock
@@ -170,7 +170,7 @@
                 self._receive(frame)
         except MessageError as fault:
             self.rejected += 1
-            say(PREFIX_MEMBERSHIP, f"A peer message was rejected: {fault}")
+            log_event(PREFIX_MEMBERSHIP, f"A peer message was rejected: {fault}")
         except OSError:
             return
         finally:
--- a/driftstall/platform/crashes.py
+++ b/driftstall/platform/crashes.py
@@ -13,7 +13,7 @@
 
 from driftstall.const import PREFIX_CONFIGURATION
 from driftstall.decisions.crash_blame import KEPT_S, BlameTold, CrashTold
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 from driftstall.platform import checks, names
 from driftstall.platform.store import Store, StoredObject
 
@@ -83,7 +83,9 @@
     try:
         spec: dict[str, Any] = _SPEC(stored.spec)
     except vol.Invalid as fault:
-        say(PREFIX_CONFIGURATION, f"What is kept of request {stored.name} is not read: {fault}")
+        log_event(
+            PREFIX_CONFIGURATION, f"What is kept of request {stored.name} is not read: {fault}"
+        )
         return None
     crashes = (
         CrashTold(one["upstream"], max(0, now_ms - one["atMs"]), one["underWay"])
--- a/driftstall/platform/engine_calls.py
+++ b/driftstall/platform/engine_calls.py
@@ -18,7 +18,7 @@
     ignore_signals,
 )
 from driftstall.gateway.model import Upstream
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 from driftstall.platform import names
 from driftstall.platform.headers import read_signals
 from driftstall.util import clock
@@ -118,7 +118,7 @@
         observe(holder, read_signals(exchange.status, exchange.headers), sent_at)
         exchange.read()
     except UpstreamError as fault:
-        say(PREFIX_RELAY, f"A copy is left to be freed by time: {fault}")
+        log_event(PREFIX_RELAY, f"A copy is left to be freed by time: {fault}")
 
 
 def _copy_name(source: Upstream, answer: Any) -> str:
--- a/driftstall/platform/feeds.py
+++ b/driftstall/platform/feeds.py
@@ -15,7 +15,7 @@
 from driftstall.gateway.cordons import Cordon
 from driftstall.gateway.feeds import Changes, ItemChange, Snapshot
 from driftstall.gateway.model import PolicyText, RoutingText, Upstream
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 from driftstall.platform import checks, documents, names
 from driftstall.platform.documents import DocumentFault
 from driftstall.platform.store import Store, StoredObject, WatchEvent
@@ -88,19 +88,21 @@
         try:
             item = self._decode(stored)
         except DocumentFault as fault:
-            self._say_unreadable(stored.name, str(fault))
+            self._log_unreadable(stored.name, str(fault))
             return None
         self._logged.pop(stored.name, None)
         return item
 
-    def _say_unreadable(self, name: str, reason: str) -> None:
+    def _log_unreadable(self, name: str, reason: str) -> None:
         """Log once why an object is not used."""
         if self._logged.get(name) == reason:
             return
         if len(self._logged) >= MOST_LOGGED:
             self._logged.clear()
         self._logged[name] = reason
-        say(PREFIX_CONFIGURATION, f"An object cannot be read: {reason}", kind=self._kind, name=name)
+        log_event(
+            PREFIX_CONFIGURATION, f"An object cannot be read: {reason}", kind=self._kind, name=name
+        )
 
 
 _INSTANCE: Final = vol.Schema(
--- a/driftstall/platform/store.py
+++ b/driftstall/platform/store.py
@@ -21,7 +21,7 @@
 from driftstall.decisions.freshness import ANSWER_MARGIN_S
 from driftstall.decisions.store_versions import StoreVersion
 from driftstall.exceptions import HistoryGone, PlatformUnavailable, UpstreamError
-from driftstall.helpers.log import say
+from driftstall.helpers.log import log_event
 from driftstall.platform import names
 from driftstall.util.http import Exchange
 
@@ -228,7 +228,7 @@
         known = self._era or NO_ERA
         if not told.isdecimal() or int(told) < known:
             detail = f"an answer names the era {told[:MOST_SHOWN]!r} after {known}"
-            say(PREFIX_CONFIGURATION, f"The platform is not believed: {detail}")
+            log_event(PREFIX_CONFIGURATION, f"The platform is not believed: {detail}")
             raise PlatformUnavailable(detail)
         era = int(told)
         if era != self._era:
@@ -288,7 +288,9 @@
         try:
             found.append(decode(row))
         except PlatformUnavailable as fault:
-            say(PREFIX_CONFIGURATION, f"One row of the platform's answer is passed over: {fault}")
+            log_event(
+                PREFIX_CONFIGURATION, f"One row of the platform's answer is passed over: {fault}"
+            )
     return found
 
 
--- a/features/steps/foreign_entry_steps.py
+++ b/features/steps/foreign_entry_steps.py
@@ -229,7 +229,7 @@
 def listed_often(context: Any, times: int) -> None:
     """List, with the log's lines kept."""
     context.lines = []
-    with patch.object(feeds, "say", lambda *values, **fields: context.lines.append(values)):
+    with patch.object(feeds, "log_event", lambda *values, **fields: context.lines.append(values)):
         for _ in range(times):
             assert context.feed.list().items == ()
 
