--- a/driftstall/gateway/fleet.py
+++ b/driftstall/gateway/fleet.py
@@ -16,7 +16,7 @@
 from driftstall.decisions.engine_words import DOUBTED_S
 from driftstall.decisions.leaving_signals import KEPT_S
 from driftstall.decisions.store_versions import DOUBT_S, LEFT_DOUBT_S, NO_VERSION, StoreVersion
-from driftstall.gateway.fleet_book import Entry, FleetBook, Gone
+from driftstall.gateway.fleet_book import Entry, FleetBook, Tombstone
 from driftstall.gateway.fleet_events import (
     Changed,
     Cordoned,
@@ -101,7 +101,7 @@
                 self._leave(entry, now)
                 if upstream.state is UpstreamState.READY:
                     # Else a list of another peer that is older would revive it.
-                    self._bury(upstream, upstream.revision, now)
+                    self._add_tombstone(upstream, upstream.revision, now)
 
     @_on.register
     def _(self, event: Changed, now: float) -> None:
@@ -121,7 +121,7 @@
             revision, certain = upstream.revision, event.from_peer
             self._remove(upstream.name, revision, now, since, certain=certain)
         else:
-            self._bury(upstream, upstream.revision, now)
+            self._add_tombstone(upstream, upstream.revision, now)
 
     @_on.register
     def _(self, event: Doubted, now: float) -> None:
@@ -171,7 +171,7 @@
             missing = entry.missing_since
             if missing is not None and not (self._in_grace(now) or self._in_doubt(now)):
                 self._leave(entry, now)
-                self._bury(entry.upstream, entry.upstream.revision, now)
+                self._add_tombstone(entry.upstream, entry.upstream.revision, now)
             elif entry.doubted_until is not None and now >= entry.doubted_until:
                 self._rejoin(entry)
         self._forget(now)
@@ -199,8 +199,8 @@
     def _put(self, upstream: Upstream, now: float, since: float) -> None:
         """Take in an entry that is newer than what is known; it may hold since then."""
         self._at = max(self._at, upstream.revision)
-        buried = self._gone.get(upstream.name)
-        if buried is not None and buried.revision >= upstream.revision:
+        tombstone = self._tombstones.get(upstream.name)
+        if tombstone is not None and tombstone.revision >= upstream.revision:
             return
         if self._is_of_copy(upstream, now):
             if upstream.name in self._entries:
@@ -215,8 +215,8 @@
             del self._entries[upstream.name]
             self._replace(entry.upstream, upstream, now)
             entry = None
-        elif entry is None and buried is not None and upstream.born > buried.upstream.born:
-            self._replace(buried.upstream, upstream, now)
+        elif entry is None and tombstone is not None and upstream.born > tombstone.upstream.born:
+            self._replace(tombstone.upstream, upstream, now)
         if entry is not None and upstream.revision < entry.upstream.revision:
             return
         is_newer = entry is None or upstream.revision > entry.upstream.revision
@@ -266,7 +266,7 @@
             entry.missing_since = entry.missing_since or now
             return
         self._leave(entry, since)
-        self._bury(entry.upstream, revision, now)
+        self._add_tombstone(entry.upstream, revision, now)
 
     def _in_grace(self, now: float) -> bool:
         """Tell whether an entry that is missing may only have lapsed during an outage."""
@@ -281,9 +281,9 @@
         may_have_left = now - self._returned_at < LEFT_DOUBT_S
         if not may_have_left or upstream.state is not UpstreamState.READY:
             return False
-        entry, gone = self._entries.get(upstream.name), self._gone.get(upstream.name)
+        entry, tombstone = self._entries.get(upstream.name), self._tombstones.get(upstream.name)
         if entry is None:
-            return gone is not None and upstream.revision.era > gone.revision.era
+            return tombstone is not None and upstream.revision.era > tombstone.revision.era
         known = entry.upstream
         if upstream.born != known.born or upstream.revision.era <= known.revision.era:
             return False
@@ -319,10 +319,10 @@
         entry.leaving_since = None
         self._actions.append(UpstreamJoined(entry.upstream))
 
-    def _bury(self, upstream: Upstream, revision: StoreVersion, now: float) -> None:
-        """Forget an upstream, but not that it is gone."""
+    def _add_tombstone(self, upstream: Upstream, revision: StoreVersion, now: float) -> None:
+        """Replace an upstream with its tombstone, so that old news cannot revive it."""
         entry = self._entries.pop(upstream.name, None)
-        before = self._gone.get(upstream.name)
+        before = self._tombstones.get(upstream.name)
         since = now
         if entry is not None and entry.leaving_since is not None:
             since = entry.leaving_since
@@ -334,4 +334,4 @@
         elif before is not None:
             # Of what is gone the platform tells no more than the name.
             known = before.upstream
-        self._gone[upstream.name] = Gone(known, revision, now, since)
+        self._tombstones[upstream.name] = Tombstone(known, revision, now, since)
--- a/driftstall/gateway/fleet_book.py
+++ b/driftstall/gateway/fleet_book.py
@@ -11,7 +11,7 @@
 from driftstall.decisions.store_versions import NO_VERSION, StoreVersion
 from driftstall.gateway.model import Upstream
 
-GONE_KEPT_S: Final = 60.0
+TOMBSTONE_KEPT_S: Final = 60.0
 """How long an upstream that is gone is remembered, so that old news cannot revive it."""
 
 
@@ -30,8 +30,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Gone:
-    """Hold what is left of an upstream whose entry is gone."""
+class Tombstone:
+    """Hold what is known of an upstream whose entry was removed."""
 
     upstream: Upstream
     """As it was known; only its name where it was not."""
@@ -46,7 +46,7 @@
     def __init__(self) -> None:
         """Start with none."""
         self._entries: dict[str, Entry] = {}
-        self._gone: dict[str, Gone] = {}
+        self._tombstones: dict[str, Tombstone] = {}
         """Both by the upstreams' names."""
         self._names: dict[str, str] = {}
         """The names by the ids of the starts that are in force or just gone."""
@@ -160,12 +160,12 @@
             if entry.upstream.zone in self._cordoned:
                 return False
             return entry.leaving_since is None or now - entry.leaving_since < drain_s
-        gone = self._gone.get(self._names.get(upstream_id, ""))
-        if gone is None or gone.upstream.upstream_id != upstream_id:
+        tombstone = self._tombstones.get(self._names.get(upstream_id, ""))
+        if tombstone is None or tombstone.upstream.upstream_id != upstream_id:
             return False
-        if self.is_replaced(upstream_id) or gone.upstream.zone in self._cordoned:
+        if self.is_replaced(upstream_id) or tombstone.upstream.zone in self._cordoned:
             return False
-        return now - gone.leaving_since < drain_s
+        return now - tombstone.leaving_since < drain_s
 
     def is_replaced(self, upstream_id: str) -> bool:
         """Tell whether an upstream has started again since: what it held and named is void."""
@@ -182,17 +182,17 @@
 
     def _latest_start(self, name: str) -> int:
         """Return the latest start that is known of an upstream; zero if none is."""
-        entry, gone = self._entries.get(name), self._gone.get(name)
-        return max(entry.upstream.born if entry else 0, gone.upstream.born if gone else 0)
+        entry, tombstone = self._entries.get(name), self._tombstones.get(name)
+        return max(entry.upstream.born if entry else 0, tombstone.upstream.born if tombstone else 0)
 
     def _forget(self, now: float) -> None:
         """Forget what is gone for long."""
         self._signalled.forget_old(self._names, now)
-        for name, gone in list(self._gone.items()):
-            if now - gone.at > GONE_KEPT_S:
-                del self._gone[name]
-                if self._find(gone.upstream.upstream_id) is None:
-                    self._names.pop(gone.upstream.upstream_id, None)
+        for name, tombstone in list(self._tombstones.items()):
+            if now - tombstone.at > TOMBSTONE_KEPT_S:
+                del self._tombstones[name]
+                if self._find(tombstone.upstream.upstream_id) is None:
+                    self._names.pop(tombstone.upstream.upstream_id, None)
         for upstream_id, at in list(self._replaced.items()):
-            if now - at > GONE_KEPT_S:
+            if now - at > TOMBSTONE_KEPT_S:
                 del self._replaced[upstream_id]
