--- a/driftstall/gateway/outcomes.py
+++ b/driftstall/gateway/outcomes.py
@@ -1,4 +1,4 @@
-"""Judge upstreams by how their answers went, and leave bad ones alone for a while."""
+"""Detect outliers among upstreams by how their responses went, and eject them for a while."""
 
 from __future__ import annotations
 
@@ -8,9 +8,9 @@
 
 SMOOTHING: Final = 0.15
 """Weight of the newest outcome; about a dozen outcomes are remembered."""
-FIRST_REST_S: Final = 0.3
-LONGEST_REST_S: Final = 4.0
-"""An upstream that does not answer rests so long; each failure doubles it."""
+FIRST_EJECTION_S: Final = 0.3
+LONGEST_EJECTION_S: Final = 4.0
+"""An upstream that does not answer is ejected for so long; each failure doubles it."""
 FAILURE_PENALTY: Final = 2.0
 """How much a failing upstream's load counts as higher, at all answers failed."""
 SLOWNESS_PENALTY: Final = 0.5
@@ -47,11 +47,11 @@
     """Time to an answer, smoothed."""
     seen_at: float = NEVER
     """When it last answered, or did not."""
-    rest_until: float = NEVER
-    rest_s: float = FIRST_REST_S
+    ejected_until: float = NEVER
+    ejection_s: float = FIRST_EJECTION_S
 
 
-class OutcomeBook:
+class OutlierDetector:
     """Hold the outcomes of all upstreams, as this instance has seen them."""
 
     def __init__(self) -> None:
@@ -68,16 +68,16 @@
         failed = outcome in (Outcome.FAILED, Outcome.BROKEN, Outcome.UNREACHABLE)
         record.failures += SMOOTHING * (float(failed) - record.failures)
         if outcome is Outcome.GOOD:
-            record.rest_s = FIRST_REST_S
+            record.ejection_s = FIRST_EJECTION_S
             self._time(record, service, seconds)
         elif outcome in (Outcome.UNREACHABLE, Outcome.FULL, Outcome.BROKEN):
-            record.rest_until = now + record.rest_s
-            record.rest_s = min(LONGEST_REST_S, record.rest_s * 2)
+            record.ejected_until = now + record.ejection_s
+            record.ejection_s = min(LONGEST_EJECTION_S, record.ejection_s * 2)
 
-    def rests(self, upstream_id: str, now: float) -> bool:
-        """Tell whether an upstream is to be left alone now."""
+    def is_ejected(self, upstream_id: str, now: float) -> bool:
+        """Tell whether an upstream is avoided now for its failures."""
         record = self._records.get(upstream_id)
-        return record is not None and now < record.rest_until
+        return record is not None and now < record.ejected_until
 
     def penalty(self, upstream_id: str, service: str, now: float) -> float:
         """Return how much worse than usual an upstream is; zero if it is not.
--- a/driftstall/gateway/selection.py
+++ b/driftstall/gateway/selection.py
@@ -50,8 +50,8 @@
     use: Use
     penalty: float
     """How much worse than usual its answers are."""
-    rests: bool
-    """Whether it is to be left alone for a while."""
+    is_ejected: bool
+    """Whether it is avoided for its failures: chosen only where all are."""
     cold_s: float = 0.0
     """How much longer it is cold, in seconds."""
     is_limited: bool = False
@@ -115,13 +115,13 @@
     if lot.drawn is None:
         return _least(known, cost, lot)
     near = _least([one for one in known if one.upstream.zone == zone], cost, lot)
-    if near is not None and not near.rests and cost(near) <= COMFORT:
+    if near is not None and not near.is_ejected and cost(near) <= COMFORT:
         return near
     far = _least([one for one in known if one.upstream.zone != zone], cost, lot)
     if near is None or far is None:
         return near or far
-    if near.rests != far.rests:
-        return far if near.rests else near
+    if near.is_ejected != far.is_ejected:
+        return far if near.is_ejected else near
     return near if cost(near) <= cost(far) + FAR_STREAM_PENALTY else far
 
 
@@ -147,7 +147,7 @@
         option
         for option in known
         if option.upstream.upstream_id != primary.upstream_id
-        and not option.rests
+        and not option.is_ejected
         and not option.cold_s
         and _memory(option.use, engine, need.total) <= line
     ]
@@ -213,7 +213,7 @@
 
 
 def _least(options: Iterable[Option], cost: Callable[[Option], float], lot: Lot) -> Option | None:
-    """Return the cheapest of the options drawn; one that rests only if all do."""
+    """Return the cheapest of the options drawn; an ejected one only if all are."""
     known = list(options)
-    awake = [option for option in known if not option.rests]
+    awake = [option for option in known if not option.is_ejected]
     return min(lot.draw(awake or known), key=cost, default=None)
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -30,7 +30,7 @@
 from driftstall.gateway.fleet import FleetController
 from driftstall.gateway.loads import LoadBook, Share, Use
 from driftstall.gateway.model import GatewaySettings, Service, Upstream
-from driftstall.gateway.outcomes import Outcome, OutcomeBook
+from driftstall.gateway.outcomes import Outcome, OutlierDetector
 from driftstall.gateway.routes import RouteTable
 from driftstall.gateway.runs import BrokenRun, RunBook, StreamRun
 from driftstall.gateway.selection import DRAWN, Lot, Option
@@ -67,7 +67,7 @@
         self.cold = ColdStarts()
         self.exchanges = OpenExchanges()
         self.loads = LoadBook()
-        self.outcomes = OutcomeBook()
+        self.outcomes = OutlierDetector()
         self.lengths = LearnedLengths()
         self.runs = RunBook()
         self.blame = BlameBook()
@@ -218,7 +218,7 @@
             upstream,
             use,
             self.outcomes.penalty(upstream_id, upstream.service, now),
-            self.outcomes.rests(upstream_id, now),
+            self.outcomes.is_ejected(upstream_id, now),
             self.cold.ends_in_s(upstream_id, now),
             self.rate_limiting.is_limited(upstream_id),
         )
--- a/features/steps/gateway_selection_steps.py
+++ b/features/steps/gateway_selection_steps.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 
 from driftstall.gateway.loads import LoadBook, Share, Use
-from driftstall.gateway.outcomes import Outcome, OutcomeBook
+from driftstall.gateway.outcomes import Outcome, OutlierDetector
 from driftstall.gateway.selection import (
     DRAWN,
     Lot,
@@ -86,12 +86,14 @@
 @when('"{name}" could not be reached {count:d} times')
 def unreachable(context: Any, name: str, count: int) -> None:
     """Let connections fail."""
-    context.outcomes = OutcomeBook()
+    context.outcomes = OutlierDetector()
     context.rests = []
     for index in range(count):
         at = 100.0 * index
         context.outcomes.saw(name, "engines", Outcome.UNREACHABLE, at, 0.0)
-        rest = next(n / 100 for n in range(1000) if not context.outcomes.rests(name, at + n / 100))
+        rest = next(
+            n / 100 for n in range(1000) if not context.outcomes.is_ejected(name, at + n / 100)
+        )
         context.rests.append(rest)
 
 
@@ -105,7 +107,7 @@
 @given('a book of outcomes in which "u1" and "u2" answer in 30 ms each 0.1 s')
 def two_fast(context: Any) -> None:
     """Let them answer for a while."""
-    context.outcomes, context.at = OutcomeBook(), 5.0
+    context.outcomes, context.at = OutlierDetector(), 5.0
     answer_fast(context, 5.0)
 
 
@@ -162,7 +164,7 @@
 @when('half of the answers of "u1" are failures and those of "u2" take twice as long')
 def fail_and_slow(context: Any) -> None:
     """Let answers come."""
-    context.outcomes = OutcomeBook()
+    context.outcomes = OutlierDetector()
     for index in range(60):
         outcome = Outcome.FAILED if index % 2 else Outcome.GOOD
         context.outcomes.saw("u1", "s", outcome, float(index), 0.1)
--- a/features/steps/later_start_steps.py
+++ b/features/steps/later_start_steps.py
@@ -256,7 +256,7 @@
         one for one in world.state.options("engines") if one.upstream.upstream_id == later_id
     ]
     assert option.use == Use(later_id), option
-    assert not option.rests and option.penalty == 0.0, option
+    assert not option.is_ejected and option.penalty == 0.0, option
     assert not world.state.fleet.takes_requests(f"{context.engine.upstream_id}@{FIRST_START}")
 
 
