--- a/driftstall/gateway/platform_reach.py
+++ b/driftstall/gateway/platform_reach.py
@@ -8,7 +8,7 @@
 
 from driftstall.core import Instance
 from driftstall.gateway.collectors import Roles
-from driftstall.gateway.reliance import FRESH_S, Reliance
+from driftstall.gateway.reliance import FRESH_S, TRUST_S, Reliance
 
 
 class Followed(Protocol):
@@ -89,15 +89,31 @@
         One question without an answer is enough: engines may leave unseen from now on, and a word
         of theirs costs little.
         """
-        if self._roles().large:
-            is_relied_on = self._reliance.holds(self._now())
-            return not is_relied_on and self._upstreams.pace.age_s > FRESH_S
-        return not self.is_answered
+        if not self._roles().large:
+            return not self.is_answered
+        if self._is_first_to_miss():
+            return True
+        is_relied_on = self._reliance.holds(self._now())
+        return not is_relied_on and self._upstreams.pace.age_s > FRESH_S
+
+    def _is_first_to_miss(self) -> bool:
+        """Tell whether this one follows the platform for others, which may not miss it yet.
+
+        Beyond the age up to which they rely on its word, they are answered by other followers if
+        they still rely on any.
+        """
+        may_be_relied_on = self._upstreams.pace.age_s <= FRESH_S + TRUST_S
+        return self._roles().follows and not self.is_answered and may_be_relied_on
 
     def askers(self) -> tuple[Instance, ...]:
-        """Return who shares the questions to engines: in a small fleet, who lacks the platform."""
+        """Return who shares the questions to engines: in a small fleet, who lacks the platform.
+
+        In a large one all do, once they all miss it; the follower that misses it first asks alone.
+        """
         live = self._live()
-        if self._roles().large or self.is_answered:
+        if self._roles().large:
+            return () if self._is_first_to_miss() else live
+        if self.is_answered:
             return live
         lacking = self._lacking()
         return tuple(one for one in live if one.instance_id in lacking)
--- a/features/gateway/engine_words.feature
+++ b/features/gateway/engine_words.feature
@@ -68,6 +68,9 @@
     Then it asks no engines
     When its newest question for routes gets no answer
     Then it asks engines at once, though the fleet still relies on what it told
+    And it asks all of them by itself
+    When the fleet would have noticed by itself, and still relies on another follower
+    Then it asks no engines
 
   Scenario: the idle questions of instances that were answered at one moment end at many
     Given 6 instances of a small fleet that follow two feeds each
--- a/features/steps/engine_word_steps.py
+++ b/features/steps/engine_word_steps.py
@@ -18,7 +18,7 @@
 from driftstall.gateway.inquiry import Inquiry
 from driftstall.gateway.model import Upstream
 from driftstall.gateway.platform_reach import FeedReach, PlatformReach
-from driftstall.gateway.reliance import FleetPace, Reliance
+from driftstall.gateway.reliance import FRESH_S, TRUST_S, FleetPace, Reliance
 from driftstall.platform.names import KIND_UPSTREAMS
 from features.steps.gateway_fleet_steps import takes_none, takes_some, tell
 from features.steps.gateway_node_steps import wait_long
@@ -254,6 +254,18 @@
     assert context.reach.is_silent
 
 
+@then("it asks all of them by itself")
+def large_asks_alone(context: Any) -> None:
+    """Look who shares the questions."""
+    assert context.reach.askers() == ()
+
+
+@when("the fleet would have noticed by itself, and still relies on another follower")
+def large_noticed(context: Any) -> None:
+    """Let the platform's last answer to this instance be old."""
+    context.list.age_s = FRESH_S + TRUST_S + 0.1
+
+
 @then("it asks no engines, and would share the questions with all that live")
 def asks_none(context: Any) -> None:
     """Look."""
