--- a/driftstall/daemon/relay_service.py
+++ b/driftstall/daemon/relay_service.py
@@ -390,8 +390,12 @@
             problem = Problem(CODE_NO_RUNNER, 502, detail, Ran.UNKNOWN)
             self._feed(GrantRefused(problem))
             return
+        backoff_s = self._service.signals.backoff_s(action.runner_id)
+        if backoff_s > max(0.0, self._request.deadline - time.time()):
+            self._feed(DeadlinePassed())
+            return
+        gevent.sleep(backoff_s)
         try:
-            gevent.sleep(self._service.signals.backoff_s(action.runner_id))
             self._moved_at = self._hub.now()
             self._stream = resume_stream(runner, action.generation, action.next_index)
         except UpstreamError as fault:
--- a/driftstall/daemon/service_calls.py
+++ b/driftstall/daemon/service_calls.py
@@ -137,6 +137,10 @@
                 break
             if runner is None or context.deadline <= self._hub.wall():
                 break
+            if self._signals.backoff_s(runner.runner_id):
+                # Requested while the call waited for its turn.
+                avoid.add(runner.runner_id)
+                continue
             done = self._send(runner, context)
             if done.answer is not None and done.answer.status != HTTP_NOT_RUN:
                 if done.answer.status < HTTP_FAILED:
--- a/features/gateway/upstream_signals.feature
+++ b/features/gateway/upstream_signals.feature
@@ -67,3 +67,10 @@
     When 16 callers ask for calls and streams for 10 s, and from 2 s on 3 portals and 0 engines reject half with a back-off of 3 s
     Then no upstream gets a request from an instance between 0.5 s after it has rejected one and the end of its back-off
     And no call is refused by an instance to which a portal has not just requested a back-off
+
+  # Guards against instances that learn of a signal from the upstream alone, with a request of a caller.
+  Scenario: one instance hears the signal, and all others know of it
+    When a portal signals to one instance that it leaves
+    Then 0.5 s later 20 calls at each of the other instances reach it no more
+    When an instance is killed and has started anew
+    Then 1 s later 20 calls there reach it no more
--- a/features/steps/upstream_signal_steps.py
+++ b/features/steps/upstream_signal_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import signal
 import time
 from collections import defaultdict
 from collections.abc import Iterator
@@ -13,6 +14,7 @@
 from behave import given, then, when
 
 from driftstall.exceptions import UpstreamError
+from features.steps.gateway_node_steps import wait_long
 from features.worlds.gateway_world import Received
 from stand_ins.routed import RoutedUpstream, Signalled
 
@@ -281,3 +283,48 @@
         if not one.is_whole and min(backoff_ends(context, one.instance, ended_at)) < one.at:
             refused[one.instance].append(one)
     assert not refused, refused
+
+
+def ask_node(node: Any, count: int) -> None:
+    """Make calls at one instance."""
+    for _ in range(count):
+        assert node.ask(TARGETS[0], f"signal-{next(NUMBERS)}").status == 200
+
+
+@when("a portal signals to one instance that it leaves")
+def one_hears(context: Any) -> None:
+    """Ask one instance until the portal has answered it."""
+    portal = context.portal = context.portals[0]
+    portal.leaves = True
+    while not portal.signalled_leaving:
+        ask_node(context.nodes[0], 1)
+
+
+@then("{seconds:g} s later 20 calls at each of the other instances reach it no more")
+def others_know(context: Any, seconds: float) -> None:
+    """Ask all others."""
+    gevent.sleep(seconds)
+    before = len(context.portal.arrived)
+    for node in context.nodes[1:]:
+        ask_node(node, 20)
+    assert len(context.portal.arrived) == before, (before, len(context.portal.arrived))
+
+
+@when("an instance is killed and has started anew")
+def started_anew(context: Any) -> None:
+    """Kill the last one and wait until it is ready again."""
+    node = context.nodes[-1]
+    node.signal(signal.SIGKILL)
+    node.restart()
+    context.add_cleanup(node.process.wait)
+    context.add_cleanup(node.process.kill)
+    wait_long(f"{node.name} is ready again", node.ready)
+
+
+@then("{seconds:g} s later 20 calls there reach it no more")
+def fresh_knows(context: Any, seconds: float) -> None:
+    """Ask the instance that has started anew."""
+    gevent.sleep(seconds)
+    before = len(context.portal.arrived)
+    ask_node(context.nodes[-1], 20)
+    assert len(context.portal.arrived) == before, (before, len(context.portal.arrived))
