--- a/driftstall/daemon/relay_service.py
+++ b/driftstall/daemon/relay_service.py
@@ -326,7 +326,8 @@
         if self._grant_ids:
             self._hub.stats.retries += 1
         self._grant_ids.add(action.grant_id)
-        refusal = self._backoff_refusal()
+        signals, model = self._service.signals, self._request.model
+        refusal = signals.engines_refusal(model, self._request.request_id)
         if refusal is not None:
             self._feed(GrantRefused(refusal))
             return
@@ -336,7 +337,7 @@
             request,
             self._verdict,
             ticket,
-            action.avoid | self._service.signals.backing_off,
+            action.avoid | signals.backing_off,
             self._keep_waiting,
         )
         if isinstance(answer, Granted):
@@ -348,16 +349,6 @@
         else:
             self._caller_left()
 
-    def _backoff_refusal(self) -> Problem | None:
-        """Return what to answer where all engines of the model back off."""
-        fleet, model = self._service.fleet, self._request.model
-        engines = [
-            one
-            for one in fleet.runners.values()
-            if one.model == model and fleet.may_get_work(one.runner_id)
-        ]
-        return self._service.signals.refusal(model, engines, self._request.request_id)
-
     def _keep_waiting(self) -> bool:
         """Tell whether the caller still waits for a grant."""
         return time.time() <= self._request.deadline and self._caller_waits()
--- a/driftstall/daemon/signal_service.py
+++ b/driftstall/daemon/signal_service.py
@@ -50,6 +50,15 @@
         for signal in signals:
             self._handle(signal, runner_id, sent_at)
 
+    def engines_refusal(self, model: str, request_id: str) -> Problem | None:
+        """Return what to answer where all engines of a model back off; None where one does not."""
+        engines = [
+            one
+            for one in self._fleet.runners.values()
+            if one.model == model and self._fleet.may_get_work(one.runner_id)
+        ]
+        return self.refusal(model, engines, request_id)
+
     def refusal(self, name: str, runners: Iterable[Runner], request_id: str) -> Problem | None:
         """Return what to answer where all runners back off; None where one does not."""
         left = [self.backoff_s(one.runner_id) for one in runners]
--- /dev/null
+++ b/driftstall/gateway/backoff_refusal.py
@@ -0,0 +1,41 @@
+"""Refuse requests of which all upstreams have requested a back-off."""
+
+from __future__ import annotations
+
+from driftstall.const import CODE_NO_RUNNER, PREFIX_ROUTING
+from driftstall.core import Problem, Ran
+from driftstall.decisions.upstream_backoff import CALLS_PER_SLOT_S
+from driftstall.gateway.admission import Admitted
+from driftstall.gateway.state import GatewayState
+from driftstall.helpers.log import log_event
+
+
+def backoff_refusal(state: GatewayState, admitted: Admitted) -> Problem | None:
+    """Return what to answer where all upstreams of a service back off; None where one does not.
+
+    Nothing of the request may have run.
+    """
+    now, service = state.now(), admitted.service.name
+    ready = state.fleet.ready(service) or state.fleet.draining(service, now, state.safe_drain_s)
+    first = min(ready, key=state.backoff_s, default=None)
+    if first is None or not state.backoff_s(first):
+        return None
+    first_s, left_s = state.backoff_s(first), admitted.ends_at - now
+    part = max(1, first.slots) / max(1, state.instances.value)
+    retry_s = state.returns.next_s(service, first_s, part * CALLS_PER_SLOT_S, now)
+    state.stats.backoff_refused += 1
+    log_event(
+        PREFIX_ROUTING,
+        "A request is refused: all upstreams back off",
+        request=admitted.marks.request_id,
+        service=service,
+        upstreams=len(ready),
+        first=first.upstream_id,
+        first_s=round(first_s, 2),
+        retry_s=round(retry_s, 2),
+        left_s=round(left_s, 2),
+    )
+    detail = "all runners have requested a back-off"
+    if first_s > left_s:
+        detail += " that is longer than the request can wait"
+    return Problem(CODE_NO_RUNNER, 503, detail, Ran.NOT_RUN, retry_s)
--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -23,6 +23,7 @@
 from driftstall.decisions.sends import Fate, SendHistory
 from driftstall.exceptions import UpstreamError
 from driftstall.gateway.admission import Admitted
+from driftstall.gateway.backoff_refusal import backoff_refusal
 from driftstall.gateway.crash_refusal import crash_refusal
 from driftstall.gateway.exchange import End, Head, Piece, UpstreamExchange
 from driftstall.gateway.ingress import CallerRequest
@@ -287,9 +288,7 @@
         if tries.history.ran is not Ran.NOT_RUN:
             detail = "no whole answer came; the request may have run"
             return Problem(CODE_RUNNER_FAILED, 502, detail, Ran.UNKNOWN)
-        refusal = self._state.backoff_refusal(
-            self._admitted.service.name, self._admitted.marks.request_id, self._left()
-        )
+        refusal = backoff_refusal(self._state, self._admitted)
         if refusal is not None:
             return refusal
         detail = tries.failure.detail if tries.failure else "no upstream takes requests"
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -10,19 +10,15 @@
 import gevent
 from gevent.event import Event
 
-from driftstall.const import CODE_NO_RUNNER, PREFIX_ROUTING
-from driftstall.core import Problem, Ran, Request
+from driftstall.const import PREFIX_ROUTING
+from driftstall.core import Request
 from driftstall.decisions.cold_starts import QUIET_START_S, UNTOLD_S, ColdPart, ColdStarts
 from driftstall.decisions.crash_blame import BlameBook
 from driftstall.decisions.instance_count import InstanceCount
 from driftstall.decisions.lengths import LearnedLengths
 from driftstall.decisions.placers import MOST_COMPARED
 from driftstall.decisions.store_versions import StoreEras
-from driftstall.decisions.upstream_backoff import (
-    CALLS_PER_SLOT_S,
-    StaggeredReturns,
-    UpstreamBackoff,
-)
+from driftstall.decisions.upstream_backoff import StaggeredReturns, UpstreamBackoff
 from driftstall.gateway.cold_gate import ColdGate
 from driftstall.gateway.cordons import CordonBook
 from driftstall.gateway.dialect import Dialect
@@ -81,7 +77,8 @@
             pause=gevent.sleep,
         )
         self.backoff = UpstreamBackoff()
-        self._returns = StaggeredReturns()
+        self.returns = StaggeredReturns()
+        """Times at which refused callers of a service return."""
         self.signals = UpstreamSignals(
             self.stats, self.rate_limiting, self.fleet, self.backoff, lambda: self.now()
         )
@@ -244,7 +241,7 @@
         now = self.now()
         return [
             self._option(one, self.loads.use(one.upstream_id, now), now)
-            for one in self.fleet.draining(service, now + for_s, self._safe_drain_s)
+            for one in self.fleet.draining(service, now + for_s, self.safe_drain_s)
             if one.upstream_id not in avoid and not self.backoff_s(one)
         ]
 
@@ -252,36 +249,6 @@
         """Return for how long an upstream wants no requests of this instance; zero for none."""
         return self.backoff.remaining_s(upstream.upstream_id, self.now())
 
-    def backoff_refusal(self, service: str, request_id: str, left_s: float) -> Problem | None:
-        """Return what to answer where all upstreams of a service back off; None where one doesn't.
-
-        The request has seconds left until its deadline.
-        """
-        now = self.now()
-        ready = self.fleet.ready(service) or self.fleet.draining(service, now, self._safe_drain_s)
-        first = min(ready, key=self.backoff_s, default=None)
-        if first is None or not self.backoff_s(first):
-            return None
-        first_s = self.backoff_s(first)
-        part = max(1, first.slots) / max(1, self.instances.value)
-        retry_s = self._returns.next_s(service, first_s, part * CALLS_PER_SLOT_S, now)
-        self.stats.backoff_refused += 1
-        log_event(
-            PREFIX_ROUTING,
-            "A request is refused: all upstreams back off",
-            request=request_id,
-            service=service,
-            upstreams=len(ready),
-            first=first.upstream_id,
-            first_s=round(first_s, 2),
-            retry_s=round(retry_s, 2),
-            left_s=round(left_s, 2),
-        )
-        detail = "all runners have requested a back-off"
-        if first_s > left_s:
-            detail += " that is longer than the request can wait"
-        return Problem(CODE_NO_RUNNER, 503, detail, Ran.NOT_RUN, retry_s)
-
     def may_send(self, upstream: Upstream) -> bool:
         """Tell whether an upstream may be sent anything, just before it is."""
         serves = self.fleet.serves(upstream.upstream_id, self.now(), self.settings.bounds.drain_s)
@@ -299,10 +266,10 @@
             return True
         if self.options(upstream.service, tried | {upstream_id}):
             return False
-        return self.fleet.serves(upstream_id, self.now(), self._safe_drain_s)
+        return self.fleet.serves(upstream_id, self.now(), self.safe_drain_s)
 
     @property
-    def _safe_drain_s(self) -> float:
+    def safe_drain_s(self) -> float:
         """Return for how long an upstream that leaves is sent something new at most."""
         return self.settings.bounds.drain_s - NOTICE_AGE_S
 
--- a/driftstall/gateway/stream_opening.py
+++ b/driftstall/gateway/stream_opening.py
@@ -6,6 +6,7 @@
 
 from driftstall.const import CODE_DEADLINE, CODE_NO_RUNNER, CODE_RUNNER_FAILED
 from driftstall.core import Problem, Ran
+from driftstall.gateway.backoff_refusal import backoff_refusal
 from driftstall.gateway.calls import FULL_RETRY_S, MAX_SENDS
 from driftstall.gateway.outcomes import Outcome
 from driftstall.gateway.placement import WAIT_FOR_ROOM_SHARE
@@ -107,11 +108,9 @@
 
     def _backoff_refusal(self) -> Problem | None:
         """Return what to answer where nothing has run and all upstreams back off."""
-        work = self._work
-        if work.history.ran is not Ran.NOT_RUN:
+        if self._work.history.ran is not Ran.NOT_RUN:
             return None
-        service = work.admitted.service.name
-        return work.state.backoff_refusal(service, work.request_id, work.left())
+        return backoff_refusal(self._work.state, self._work.admitted)
 
     def _ready(self, avoid: set[str]) -> list[str]:
         """Return the upstreams that take requests and have not turned this one away."""
