Move placement and selection into a package, and describe serving under contention

Placing, queueing and refusing get a package of their own; nothing in what the moved modules do has changed. Policies get the clause 'queue', the rank in the queue for engine memory; in the default policy short and long generations of one configured rank are equal there. Routes tell which services queue. Nothing uses either yet.

--- a/driftstall/cli/store_commands.py
+++ b/driftstall/cli/store_commands.py
@@ -82,6 +82,8 @@
         print(f"line {check.line}, rule {check.rule}: {check.condition} {result}")
     verdict = explanation.verdict
     print(f"  rank = {verdict.rank}\n  wait_s = {verdict.wait_s:g}")
+    print(f"  queue_rank = {verdict.waits_at_rank}")
+    print(f"  share = {verdict.share:g}")
     print(f"  may_yield = {verdict.may_yield}\n  may_refuse = {verdict.may_refuse}")
     return EXIT_OK
 
--- a/driftstall/core.py
+++ b/driftstall/core.py
@@ -54,6 +54,13 @@
     share: float
     limit_tokens_per_s: float
     """Tokens a second for the workspace; zero means no limit."""
+    queue_rank: int | None = None
+    """Rank in the queue for engine memory; None for the same as `rank`, which engines use."""
+
+    @property
+    def waits_at_rank(self) -> int:
+        """Return the rank in the queue for engine memory."""
+        return self.rank if self.queue_rank is None else self.queue_rank
 
 
 @dataclass(frozen=True, slots=True)
--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -31,7 +31,7 @@
 from driftstall.gateway.model import Headers, Repeat, SendMetadata, Upstream
 from driftstall.gateway.outcomes import Outcome
 from driftstall.gateway.runs import BrokenRun
-from driftstall.gateway.selection import Option, choose_call
+from driftstall.gateway.scheduling.selection import Option, choose_call
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import log_event
 
--- a/driftstall/gateway/moves.py
+++ b/driftstall/gateway/moves.py
@@ -16,7 +16,7 @@
 from driftstall.gateway.dialect import MoveDone, MoveFailed, MoveResult
 from driftstall.gateway.model import Upstream
 from driftstall.gateway.runs import FinalCopy, Replica, ReplicaRef, StreamRun
-from driftstall.gateway.selection import TokenRequirement, choose_migration_target
+from driftstall.gateway.scheduling.selection import TokenRequirement, choose_migration_target
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import log_event
 
--- a/driftstall/gateway/peering.py
+++ b/driftstall/gateway/peering.py
@@ -33,9 +33,9 @@
 from driftstall.gateway.fleet_events import FleetAction
 from driftstall.gateway.model import Upstream
 from driftstall.gateway.reports import MS_PER_S, PlatformStatus, Reporting
+from driftstall.gateway.scheduling.stream_placer import StreamPlacer
 from driftstall.gateway.sharing import PeerUpdateHandlers, PlatformDataSharing, RoutingNotice
 from driftstall.gateway.state import GatewayState
-from driftstall.gateway.stream_placer import StreamPlacer
 from driftstall.gateway.watch_delegation import MAX_ANSWER_AGE_S, WatchDelegation
 from driftstall.helpers.log import log_event
 from driftstall.helpers.permits import PermitCoordinator
--- a/driftstall/gateway/protection.py
+++ b/driftstall/gateway/protection.py
@@ -16,7 +16,7 @@
 from driftstall.gateway.dialect import MoveFailed
 from driftstall.gateway.moves import Mover
 from driftstall.gateway.runs import StreamRun
-from driftstall.gateway.selection import run_memory_share
+from driftstall.gateway.scheduling.selection import run_memory_share
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.tasks import keep_running
 
--- a/driftstall/gateway/cold_gate.py
+++ b/driftstall/gateway/scheduling/cold_gate.py
@@ -11,7 +11,7 @@
 
 from driftstall.decisions.cold_starts import ColdPart, ColdSlots, ColdStarts
 from driftstall.gateway.model import Upstream
-from driftstall.gateway.selection import Option
+from driftstall.gateway.scheduling.selection import Option
 
 
 class ColdGate:
--- a/driftstall/gateway/placement.py
+++ b/driftstall/gateway/scheduling/placement.py
@@ -18,7 +18,12 @@
 from driftstall.gateway.ingress import CallerRequest
 from driftstall.gateway.model import Engine, Upstream
 from driftstall.gateway.runs import ReplicaRef, StreamRun
-from driftstall.gateway.selection import TokenRequirement, choose_backup, choose_stream, has_room
+from driftstall.gateway.scheduling.selection import (
+    TokenRequirement,
+    choose_backup,
+    choose_stream,
+    has_room,
+)
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import log_event
 from driftstall.peers.gateway_messages import PlacementAsked
--- a/driftstall/gateway/stream_placer.py
+++ b/driftstall/gateway/scheduling/stream_placer.py
@@ -20,10 +20,10 @@
     PendingPlacements,
     PlacerSelector,
 )
-from driftstall.gateway.cold_gate import ColdGate
 from driftstall.gateway.collectors import FleetRoles
 from driftstall.gateway.loads import RequestLoad
-from driftstall.gateway.selection import (
+from driftstall.gateway.scheduling.cold_gate import ColdGate
+from driftstall.gateway.scheduling.selection import (
     CROSS_ZONE_STREAM_PENALTY,
     Sampler,
     TokenRequirement,
--- a/driftstall/gateway/sources.py
+++ b/driftstall/gateway/sources.py
@@ -124,6 +124,7 @@
             source=source,
             routes=len(item.document.routes),
             workspaces=len(item.document.workspaces),
+            queued=sorted(self._state.route_table.queued_services),
         )
         self._announce(from_peer=source == PEER)
 
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -19,7 +19,6 @@
 from driftstall.decisions.poison_detection import PoisonTracker
 from driftstall.decisions.store_versions import StoreEras
 from driftstall.decisions.upstream_backoff import StaggeredRetries, UpstreamBackoff
-from driftstall.gateway.cold_gate import ColdGate
 from driftstall.gateway.cordons import CordonRegistry
 from driftstall.gateway.dialect import Dialect
 from driftstall.gateway.exchange import OpenExchanges, ResponseHead, UpstreamExchange
@@ -29,7 +28,8 @@
 from driftstall.gateway.outcomes import Outcome, OutlierDetector
 from driftstall.gateway.routes import RouteTable
 from driftstall.gateway.runs import BrokenRun, RunRegistry, StreamRun
-from driftstall.gateway.selection import SAMPLE_SIZE, Option, Sampler
+from driftstall.gateway.scheduling.cold_gate import ColdGate
+from driftstall.gateway.scheduling.selection import SAMPLE_SIZE, Option, Sampler
 from driftstall.gateway.shared_budget import RepeatCount, SharedRetryBudget
 from driftstall.gateway.stats import GatewayStats
 from driftstall.gateway.upstream_signals import UpstreamSignals
--- a/driftstall/gateway/stream_context.py
+++ b/driftstall/gateway/stream_context.py
@@ -13,9 +13,9 @@
 from driftstall.gateway.model import Upstream
 from driftstall.gateway.moves import Mover
 from driftstall.gateway.outcomes import Outcome
-from driftstall.gateway.placement import PlacementChooser
 from driftstall.gateway.replica_finder import ReplicaFinder
 from driftstall.gateway.runs import BrokenRun, StreamRun
+from driftstall.gateway.scheduling.placement import PlacementChooser
 from driftstall.gateway.sending import OpenedResponse, StreamSender
 from driftstall.gateway.state import GatewayState
 
--- a/driftstall/gateway/stream_opener.py
+++ b/driftstall/gateway/stream_opener.py
@@ -9,8 +9,8 @@
 from driftstall.gateway.backoff_refusal import backoff_refusal
 from driftstall.gateway.calls import FULL_RETRY_S, MAX_SENDS
 from driftstall.gateway.outcomes import Outcome
-from driftstall.gateway.placement import WAIT_FOR_ROOM_SHARE
 from driftstall.gateway.runs import StreamRun
+from driftstall.gateway.scheduling.placement import WAIT_FOR_ROOM_SHARE
 from driftstall.gateway.sending import OpenedResponse
 from driftstall.gateway.stream_context import StreamContext
 from driftstall.gateway.stream_resumer import StreamResumer
--- a/driftstall/policy/default.py
+++ b/driftstall/policy/default.py
@@ -14,7 +14,7 @@
 
 LONG_OUTPUT_TOKENS: Final = 200
 """Outputs that may become longer than this never yield."""
-STEPS: Final = 45
+STEPS: Final = 49
 """Steps of the checked text, the maximum for one evaluation."""
 
 
@@ -23,33 +23,33 @@
     rules = (
         _rule(
             "first_long",
-            9,
+            10,
             "route_rank == 0 and max_tokens > 200",
             lambda facts: facts.route_rank == 0 and facts.max_tokens > LONG_OUTPUT_TOKENS,
-            replace(DEFAULT_VERDICT, rank=0, wait_s=10.0, may_yield=False),
+            replace(DEFAULT_VERDICT, rank=0, queue_rank=0, wait_s=10.0, may_yield=False),
         ),
         _rule(
             "first",
-            16,
+            18,
             "route_rank == 0",
             lambda facts: facts.route_rank == 0,
-            replace(DEFAULT_VERDICT, rank=2, wait_s=5.0),
+            replace(DEFAULT_VERDICT, rank=2, queue_rank=0, wait_s=5.0),
         ),
         _rule(
             "soon_long",
-            23,
+            26,
             "route_rank == 1 and max_tokens > 200",
             lambda facts: facts.route_rank == 1 and facts.max_tokens > LONG_OUTPUT_TOKENS,
-            replace(DEFAULT_VERDICT, rank=1, wait_s=10.0, may_yield=False),
+            replace(DEFAULT_VERDICT, rank=1, queue_rank=1, wait_s=10.0, may_yield=False),
         ),
         _rule(
             "soon",
-            30,
+            34,
             "route_rank == 1",
             lambda facts: facts.route_rank == 1,
-            replace(DEFAULT_VERDICT, rank=3, wait_s=5.0),
+            replace(DEFAULT_VERDICT, rank=3, queue_rank=1, wait_s=5.0),
         ),
-        _rule("others", 37, "always", None, replace(DEFAULT_VERDICT, rank=6, wait_s=5.0)),
+        _rule("others", 42, "always", None, replace(DEFAULT_VERDICT, rank=6, wait_s=5.0)),
     )
     weights = Weights(token_gap=4.0, stall=4.0, preemptions=2.0)
     return Policy("default", weights, DEFAULT_OVERFLOW, rules, STEPS)
--- a/driftstall/policy/parse.py
+++ b/driftstall/policy/parse.py
@@ -180,6 +180,10 @@
             if "." in value or int(value) > MAX_RANK:
                 _fail(clause, "the rank is out of range", f"choose a whole number, 0 to {MAX_RANK}")
             return {"rank": int(value)}
+        case "queue":
+            if "." in value or int(value) > MAX_RANK:
+                _fail(clause, "the rank is out of range", f"choose a whole number, 0 to {MAX_RANK}")
+            return {"queue_rank": int(value)}
         case "wait":
             return {"wait_s": _parse_duration(value)}
         case "yielding":
--- a/features/steps/cold_steps.py
+++ b/features/steps/cold_steps.py
@@ -22,7 +22,12 @@
     UpstreamsListedByPeer,
 )
 from driftstall.gateway.loads import Use
-from driftstall.gateway.selection import Option, Sampler, choose_backup, choose_migration_target
+from driftstall.gateway.scheduling.selection import (
+    Option,
+    Sampler,
+    choose_backup,
+    choose_migration_target,
+)
 from features.worlds.gateway_world import GatewayWorld, document, world_of
 from features.worlds.upstream_samples import ENGINE, NEED, upstream_of
 
--- a/features/steps/gateway_selection_steps.py
+++ b/features/steps/gateway_selection_steps.py
@@ -10,7 +10,7 @@
 
 from driftstall.gateway.loads import LoadTable, RequestLoad, Use
 from driftstall.gateway.outcomes import Outcome, OutlierDetector
-from driftstall.gateway.selection import (
+from driftstall.gateway.scheduling.selection import (
     SAMPLE_SIZE,
     Option,
     Sampler,
--- a/features/steps/placer_steps.py
+++ b/features/steps/placer_steps.py
@@ -15,8 +15,8 @@
 from driftstall.gateway.loads import Use
 from driftstall.gateway.model import Bounds, GatewaySettings
 from driftstall.gateway.routes import RouteTable
+from driftstall.gateway.scheduling.stream_placer import StreamPlacer
 from driftstall.gateway.state import GROWTH_SHARE, GatewayState
-from driftstall.gateway.stream_placer import StreamPlacer
 from driftstall.peers.gateway_messages import GatewayMessage, PlacementAsked, PlacementGiven
 from driftstall.platform.dialect import PlatformDialect
 from driftstall.platform.documents import read_routing
--- a/features/worlds/upstream_samples.py
+++ b/features/worlds/upstream_samples.py
@@ -10,7 +10,7 @@
     Upstream,
     UpstreamState,
 )
-from driftstall.gateway.selection import (
+from driftstall.gateway.scheduling.selection import (
     TokenRequirement,
 )
 
--- a/measures/stale_sums.py
+++ b/measures/stale_sums.py
@@ -23,7 +23,7 @@
 from driftstall.decisions.store_versions import StoreVersion
 from driftstall.gateway.loads import Use
 from driftstall.gateway.model import Engine, Upstream, UpstreamState
-from driftstall.gateway.selection import Option, Sampler, TokenRequirement, choose_stream
+from driftstall.gateway.scheduling.selection import Option, Sampler, TokenRequirement, choose_stream
 
 ENGINES: Final = 23
 REQUESTS_PER_S: Final = 24.0
--- a/measures/zone_placement.py
+++ b/measures/zone_placement.py
@@ -25,7 +25,7 @@
 
 from driftstall.decisions.store_versions import StoreVersion
 from driftstall.gateway.model import Upstream, UpstreamState
-from driftstall.gateway.selection import (
+from driftstall.gateway.scheduling.selection import (
     CROSS_ZONE_STREAM_PENALTY,
     SAMPLE_SIZE,
     Option,
--- a/script/check_core.py
+++ b/script/check_core.py
@@ -9,7 +9,7 @@
 CORE = ("decisions", "policy", "filters", "controllers")
 GATEWAY_CORE = (
     "admission",
-    "cold_gate",
+    "scheduling/cold_gate",
     "collectors",
     "cordons",
     "dialect",
@@ -23,7 +23,7 @@
     "store_reachability",
     "watch_delegation",
     "routes",
-    "selection",
+    "scheduling/selection",
     "shared_budget",
 )
 """Modules of the gateway that make decisions; the other ones do I/O."""
