Define the messages and types of the queue for engine memory

The schema gets the messages of the queue, of copies off leaving engines, and of following the store, and the loads that upstreams report. No instance sends them yet.

--- a/driftstall/peers/schema.capnp
+++ b/driftstall/peers/schema.capnp
@@ -12,6 +12,7 @@
 struct Verdict {
   rule @0 :Text; line @1 :UInt32; rank @2 :UInt8; waitS @3 :Float64;
   mayYield @4 :Bool; mayRefuse @5 :Bool; share @6 :Float64; limitTokensPerS @7 :Float64;
+  queueRank @8 :UInt8; hasQueueRank @9 :Bool;
 }
 
 struct Ask {
@@ -80,6 +81,7 @@
   sender @0 :Text; ready @1 :Bool; platformOk @2 :Bool; routingVersion @3 :UInt64;
   uses @4 :List(Use); repeats @5 :List(RepeatCount); number @6 :UInt32; cordons @7 :Cordons;
   rateLimits @8 :List(RateLimit); storeEra @9 :UInt32; leaving @10 :List(LeavingRecord);
+  platformAgeMs @11 :UInt32; upstreamLoads @12 :List(ReportedLoad);
 }
 struct ReportAck { instanceId @0 :Text; number @1 :UInt32; }
 struct ZoneSummary {
@@ -87,6 +89,7 @@
   fleetDigest @4 :UInt64; instances @5 :UInt32; ready @6 :List(Text); uses @7 :List(Use);
   repeats @8 :List(RepeatCount); cordons @9 :Cordons;
   rateLimits @10 :List(RateLimit); storeEra @11 :UInt32; leaving @12 :List(LeavingRecord);
+  upstreamLoads @13 :List(ReportedLoad);
 }
 struct FleetSummary {
   sender @0 :Text; routingVersion @1 :UInt64; policyRevision @2 :UInt64;
@@ -94,6 +97,7 @@
   ready @6 :List(Text); uses @7 :List(Use); repeats @8 :List(RepeatCount);
   acks @9 :List(ReportAck); cordons @10 :Cordons;
   rateLimits @11 :List(RateLimit); storeEra @12 :UInt32; leaving @13 :List(LeavingRecord);
+  upstreamLoads @14 :List(ReportedLoad);
 }
 struct Upstream {
   name @0 :Text; service @1 :Text; address @2 :Text; zone @3 :Text; slots @4 :UInt64;
@@ -112,6 +116,39 @@
 struct PlacementGiven {
   sender @0 :Text; requestId @1 :Text; upstreamId @2 :Text; backupId @3 :Text; hasRoom @4 :Bool;
 }
+struct QueueAsked {
+  sender @0 :Text; requestId @1 :Text; service @2 :Text; workspace @3 :Text; rank @4 :UInt32;
+  routeRank @5 :UInt32; share @6 :Float64; promptTokens @7 :UInt32; outputTokens @8 :UInt32;
+  holdS @9 :Float64; zone @10 :Text; avoid @11 :List(Text); wantsBackup @12 :Bool;
+  waitedS @13 :Float64; startByS @14 :Float64; givesUpS @15 :Float64; mayRefuse @16 :Bool;
+  ticket @17 :Text;
+}
+struct QueueAnswered {
+  sender @0 :Text; requestId @1 :Text; outcome @2 :Text; position @3 :UInt32; forecastS @4 :Float64;
+  number @5 :UInt32; upstreamId @6 :Text; backupId @7 :Text; retryAfterS @8 :Float64;
+}
+struct QueueLeft { sender @0 :Text; requestIds @1 :List(Text); }
+struct HeldRun {
+  requestId @0 :Text; upstreamId @1 :Text; heldTokens @2 :UInt32; remainingTokens @3 :UInt32;
+  prefillTokens @4 :UInt32; backupId @5 :Text; rank @6 :UInt32; endsInS @7 :Float64;
+  hasReplica @8 :Bool;
+}
+struct RunsReported {
+  sender @0 :Text; zone @1 :Text; lastGrant @2 :UInt32; runs @3 :List(HeldRun);
+}
+struct EvacuationRequested { sender @0 :Text; upstreamId @1 :Text; noticeAgeS @2 :Float64; }
+struct CopyOrdered {
+  sender @0 :Text; number @1 :UInt32; requestId @2 :Text; upstreamId @3 :Text; targetId @4 :Text;
+}
+struct CopyEnded { sender @0 :Text; number @1 :UInt32; requestId @2 :Text; moved @3 :Bool; }
+struct FollowRequested { sender @0 :Text; number @1 :UInt32; failed @2 :List(Text); }
+struct FollowAnswered {
+  sender @0 :Text; number @1 :UInt32; accepted @2 :Bool; failed @3 :List(Text);
+}
+struct ReportedLoad {
+  upstreamId @0 :Text; running @1 :UInt32; waiting @2 :UInt32; slots @3 :UInt32; pace @4 :Float64;
+  ageMs @5 :UInt32;
+}
 struct CrashTold { upstreamId @0 :Text; agoMs @1 :UInt32; underWay @2 :Bool; }
 struct BlameTold {
   fingerprint @0 :Text; crashes @1 :List(CrashTold); wellAgoMs @2 :UInt32; hasWellAgoMs @3 :Bool;
@@ -164,5 +201,14 @@
     permitGiven @33 :PermitGiven;
     permitCharged @34 :PermitCharged;
     rateLimitsTold @35 :RateLimitsTold;
+    queueAsked @36 :QueueAsked;
+    queueAnswered @37 :QueueAnswered;
+    queueLeft @38 :QueueLeft;
+    runsReported @39 :RunsReported;
+    evacuationRequested @40 :EvacuationRequested;
+    copyOrdered @41 :CopyOrdered;
+    copyEnded @42 :CopyEnded;
+    followRequested @43 :FollowRequested;
+    followAnswered @44 :FollowAnswered;
   }
 }
