Queue generations for engine memory in one order for the fleet

Change: where operators rank short streams before long ones of the same engines, the placer holds a queue: rank, then who can still meet its target, fair shares of workspaces, least slack. Memory is granted by a ledger of all runs that instances report within 30 ms, with a reserve for urgent short work. What cannot start before its caller gives up is refused with a Retry-After from the forecast.

--- a/driftstall/decisions/engine_queue.py
+++ b/driftstall/decisions/engine_queue.py
@@ -1,8 +1,28 @@
-"""Order the requests that wait for engine memory of one service, for the whole fleet."""
+"""Order the requests that wait for engine memory of one service, for the whole fleet.
+
+The load: long generations fill the engines' memory for seconds, and short ones that hold it for
+half a second wait behind them; workspaces that send more take more. Whoever polls at the right
+moment would get the memory that is released.
+
+Requests are ordered by rank. Within a rank, those that can still meet their target come before
+those that no longer can, workspaces get fair shares by tokens (start-time fair queueing), and the
+request with the least slack of a workspace comes first.
+"""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import heapq
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
+from itertools import groupby
+from typing import Final, Protocol
+
+MAX_OVERTAKING: Final = 2.0
+"""Tokens that may overtake a blocked request, relative to its own tokens: small requests fill gaps
+that it can't use, and its wait stays bounded."""
+MAX_ATTEMPTS: Final = 64
+"""Requests that are tried in one pass; memory for more is never released at once."""
+MIN_SHARE: Final = 1e-3
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -45,3 +65,161 @@
     may_refuse: bool
     ticket: str
     """Identifies the workspace and the content of the request, the same when it is retried."""
+
+    @property
+    def tokens(self) -> int:
+        """Return the engine memory that the request is expected to need on average."""
+        return self.prompt_tokens + self.output_tokens // 2
+
+
+class EngineQueue:
+    """Hold the waiting requests of one service."""
+
+    def __init__(self) -> None:
+        """Initialize an empty queue."""
+        self._requests: dict[str, QueuedRequest] = {}
+        self._served: dict[str, float] = {}
+        """Tokens granted to each waiting workspace, divided by its share."""
+        self._virtual_time = 0.0
+        self._overtaken: dict[str, int] = {}
+        """Tokens that have overtaken each blocked request."""
+
+    def __len__(self) -> int:
+        """Return the number of waiting requests."""
+        return len(self._requests)
+
+    def __contains__(self, request_id: str) -> bool:
+        """Return True if a request waits."""
+        return request_id in self._requests
+
+    @property
+    def requests(self) -> tuple[QueuedRequest, ...]:
+        """Return the waiting requests, in no particular order."""
+        return tuple(self._requests.values())
+
+    def put(self, request: QueuedRequest) -> None:
+        """Add a request, or update the one with the same id, which keeps its arrival."""
+        known = self._requests.get(request.request_id)
+        if known is not None:
+            request = replace(request, arrived_at=min(known.arrived_at, request.arrived_at))
+        elif request.workspace not in self._served:
+            self._served[request.workspace] = self._virtual_time
+        self._requests[request.request_id] = request
+
+    def remove(self, request_id: str) -> QueuedRequest | None:
+        """Remove and return a request; None if it does not wait."""
+        request = self._requests.pop(request_id, None)
+        if request is None:
+            return None
+        self._overtaken.pop(request_id, None)
+        if all(other.workspace != request.workspace for other in self._requests.values()):
+            # A workspace without waiting requests saves up no claim to later service.
+            del self._served[request.workspace]
+        return request
+
+    def charge(self, request: QueuedRequest) -> None:
+        """Charge a workspace for a request that is granted."""
+        served = self._served.get(request.workspace, self._virtual_time)
+        self._virtual_time = max(self._virtual_time, served)
+        self._served[request.workspace] = served + _cost(request)
+
+    def in_order(self, now: float) -> list[QueuedRequest]:
+        """Return the waiting requests, the one to be granted next first."""
+
+        def group(request: QueuedRequest) -> tuple[QueueOrder, bool]:
+            return request.order, request.start_by < now
+
+        ordered: list[QueuedRequest] = []
+        for (_, is_late), members in groupby(sorted(self._requests.values(), key=group), group):
+            ordered += self._in_fair_order(members, is_late=is_late)
+        return ordered
+
+    def position(self, request_id: str, now: float) -> int | None:
+        """Return the number of requests before a request; None if it does not wait."""
+        ids = [request.request_id for request in self.in_order(now)]
+        return ids.index(request_id) if request_id in self._requests else None
+
+    def may_overtake(self, request: QueuedRequest, blocked: QueuedRequest) -> bool:
+        """Return True if a request may start before a blocked one that comes first."""
+        overtaken = self._overtaken.get(blocked.request_id, 0)
+        return overtaken + request.tokens <= MAX_OVERTAKING * blocked.tokens
+
+    def record_overtaking(self, request: QueuedRequest, blocked: QueuedRequest) -> None:
+        """Record that a request was granted before a blocked one that comes first."""
+        overtaken = self._overtaken.get(blocked.request_id, 0)
+        self._overtaken[blocked.request_id] = overtaken + request.tokens
+
+    def _in_fair_order(
+        self, requests: Iterable[QueuedRequest], *, is_late: bool
+    ) -> list[QueuedRequest]:
+        """Return requests of one rank, interleaved by the shares of their workspaces."""
+        by_workspace: dict[str, list[QueuedRequest]] = {}
+        for request in requests:
+            by_workspace.setdefault(request.workspace, []).append(request)
+        heads: list[tuple[float, float, str]] = []
+        for workspace, members in by_workspace.items():
+            members.sort(key=lambda member: _urgency(member, is_late=is_late), reverse=True)
+            urgency = _urgency(members[-1], is_late=is_late)
+            heads.append((self._served[workspace], urgency, workspace))
+        heapq.heapify(heads)
+        ordered: list[QueuedRequest] = []
+        while heads:
+            served, _, workspace = heapq.heappop(heads)
+            members = by_workspace[workspace]
+            request = members.pop()
+            ordered.append(request)
+            if members:
+                urgency = _urgency(members[-1], is_late=is_late)
+                heapq.heappush(heads, (served + _cost(request), urgency, workspace))
+        return ordered
+
+
+class FillLimits(Protocol):
+    """Limits up to which requests may fill an engine's memory."""
+
+    def limit(self, order: QueueOrder) -> float:
+        """Return the memory share up to which requests of an order may fill an engine."""
+
+
+PlaceAttempt = Callable[[QueuedRequest, float], bool]
+"""Try to place a request on an engine filled up to a share; return True if it was placed."""
+
+
+def schedule(
+    queue: EngineQueue, place: PlaceAttempt, limits: FillLimits, now: float
+) -> list[QueuedRequest]:
+    """Grant engine memory in order; return the granted requests, which no longer wait.
+
+    If the first request fits nowhere, later ones may fill the gaps that it can't use, within
+    MAX_OVERTAKING; then memory is kept for it.
+    """
+    granted: list[QueuedRequest] = []
+    blocked: QueuedRequest | None = None
+    smallest_blocked: dict[float, int] = {}
+    for request in queue.in_order(now)[:MAX_ATTEMPTS]:
+        limit = limits.limit(request.order)
+        if request.tokens >= smallest_blocked.get(limit, request.tokens + 1):
+            continue
+        if blocked is not None and not queue.may_overtake(request, blocked):
+            break
+        if place(request, limit):
+            queue.charge(request)
+            queue.remove(request.request_id)
+            granted.append(request)
+            if blocked is not None:
+                queue.record_overtaking(request, blocked)
+        else:
+            blocked = blocked or request
+            if not request.avoid:
+                smallest_blocked[limit] = request.tokens
+    return granted
+
+
+def _cost(request: QueuedRequest) -> float:
+    """Return the tokens of a request, divided by its workspace's share."""
+    return request.tokens / max(MIN_SHARE, request.share)
+
+
+def _urgency(request: QueuedRequest, *, is_late: bool) -> float:
+    """Return the sort key within a workspace: least slack, or the oldest of the late ones."""
+    return request.arrived_at if is_late else request.start_by
--- /dev/null
+++ b/driftstall/decisions/overload.py
@@ -0,0 +1,154 @@
+"""Refuse requests that can't start in time, and tell their callers when to retry.
+
+The load: for some seconds more memory is asked for than the engines have. Requests that can't
+start before their callers give up would only make others late, so they are refused at once, with
+the time at which the forecast has room for them. A refused caller that returns in time keeps its
+place; one that returns early, or repeats at once, gains nothing over the others.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, replace
+from typing import Final
+
+from driftstall.decisions.engine_queue import MIN_SHARE, QueuedRequest
+from driftstall.decisions.retry_schedule import MIN_RETRY_S, retry_after
+from driftstall.decisions.room_forecast import RoomForecast
+
+MIN_PATIENCE_S: Final = 2.0
+PATIENCE_TARGETS: Final = 4.0
+"""Multiple of its target for which a caller waits for the first event of a stream."""
+PATIENCE_PAUSES: Final = 8.0
+"""The same as a multiple of the longest pause that the route allows."""
+RESERVATION_GRACE_S: Final = 5.0
+"""Time after its retry time for which a place is reserved."""
+EARLY_TOLERANCE_S: Final = 0.1
+"""A caller that returns this early is in time: clocks and links differ."""
+MAX_REFUSALS: Final = 8
+"""Requests refused in one pass; the forecast is made again after each of them."""
+MIN_BUSY_SHARE: Final = 0.5
+"""Nothing is refused while less memory is in use and nothing waits."""
+
+
+@dataclass(frozen=True, slots=True)
+class RefusedRequest:
+    """Describe a refused request and when its caller may return."""
+
+    request: QueuedRequest
+    retry_after_s: float
+    forecast_s: float
+    """Time until the forecast start; infinite if no memory is expected to be released."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Reservation:
+    """Hold the place of a refused request until its caller returns."""
+
+    request: QueuedRequest
+    first_arrived_at: float
+    due_at: float
+
+
+class OverloadControl:
+    """Decide which waiting requests of one service are refused."""
+
+    def __init__(self, source: random.Random) -> None:
+        """Initialize without reservations; the random source spreads the callers' returns."""
+        self._source = source
+        self._reservations: dict[str, _Reservation] = {}
+
+    @property
+    def reserved(self) -> int:
+        """Return the number of reserved places."""
+        return len(self._reservations)
+
+    def refuse(
+        self, requests: Sequence[QueuedRequest], forecast: RoomForecast, now: float
+    ) -> list[RefusedRequest]:
+        """Return the waiting requests, given in order, that can't start before they give up.
+
+        One is refused after the other, the least urgent and the largest workspace first, because
+        each refusal lets the others start earlier.
+        """
+        self._expire(now)
+        waiting = list(requests)
+        refused: list[RefusedRequest] = []
+        if not waiting or 1.0 - forecast.free_share < MIN_BUSY_SHARE:
+            return refused
+        while len(refused) < MAX_REFUSALS:
+            starts = forecast.starts(self._with_reservations(waiting), now)
+            hopeless = [
+                request
+                for request in waiting
+                if request.may_refuse
+                and request.gives_up_at < starts[request.request_id] < math.inf
+            ]
+            if not hopeless:
+                break
+            backlog = _backlog_by_workspace(waiting)
+            request = max(
+                hopeless,
+                key=lambda item: (item.order, backlog[item.workspace], starts[item.request_id]),
+            )
+            waiting.remove(request)
+            refused.append(self._refuse(request, starts[request.request_id], now))
+        return refused
+
+    def check_return(self, request: QueuedRequest, now: float) -> QueuedRequest | RefusedRequest:
+        """Return a request to be queued, with the place reserved for it if there is one.
+
+        A caller that returns before its time is refused for the time that is left.
+        """
+        self._expire(now)
+        reservation = self._reservations.get(request.ticket)
+        if reservation is None:
+            return request
+        remaining_s = reservation.due_at - now
+        if remaining_s > EARLY_TOLERANCE_S and request.may_refuse:
+            return RefusedRequest(request, remaining_s, remaining_s)
+        del self._reservations[request.ticket]
+        waited_s = max(0.0, now - reservation.first_arrived_at)
+        return replace(
+            request,
+            arrived_at=reservation.first_arrived_at,
+            start_by=max(now, request.start_by - waited_s),
+        )
+
+    def _refuse(self, request: QueuedRequest, starts_at: float, now: float) -> RefusedRequest:
+        """Refuse a request and reserve its place."""
+        forecast_s = starts_at - now
+        wait_s = forecast_s if math.isfinite(forecast_s) else request.gives_up_at - now
+        retry_s = retry_after(max(MIN_RETRY_S, wait_s), self._source)
+        if request.ticket:
+            self._reservations[request.ticket] = _Reservation(
+                request, request.arrived_at, now + retry_s
+            )
+        return RefusedRequest(request, retry_s, forecast_s)
+
+    def _with_reservations(self, waiting: Sequence[QueuedRequest]) -> list[QueuedRequest]:
+        """Return the waiting requests and the reserved places, in order of rank."""
+        reserved = [reservation.request for reservation in self._reservations.values()]
+        return sorted([*reserved, *waiting], key=lambda request: request.order)
+
+    def _expire(self, now: float) -> None:
+        """Discard the places of callers that have not returned."""
+        for ticket, reservation in list(self._reservations.items()):
+            if now > reservation.due_at + RESERVATION_GRACE_S:
+                del self._reservations[ticket]
+
+
+def caller_patience_s(target_s: float, gap_s: float) -> float:
+    """Return how long a caller waits for the first event of a stream, in seconds."""
+    return max(MIN_PATIENCE_S, PATIENCE_TARGETS * target_s, PATIENCE_PAUSES * gap_s)
+
+
+def _backlog_by_workspace(requests: Iterable[QueuedRequest]) -> dict[str, float]:
+    """Return the waiting tokens of each workspace, divided by its share."""
+    backlog: dict[str, float] = {}
+    for request in requests:
+        cost = request.tokens / max(MIN_SHARE, request.share)
+        backlog[request.workspace] = backlog.get(request.workspace, 0.0) + cost
+    return backlog
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -290,6 +290,7 @@
             "requests_refused_for_crashes": len(
                 self.state.poison_tracker.quarantined(self.state.now())
             ),
+            "queue_waiting": self._peering.queue.waiting,
             "store_era": self.state.eras.era,
             "store_returns": self.state.eras.returns,
             "collects": float(self._roles().is_collector),
--- a/driftstall/gateway/peering.py
+++ b/driftstall/gateway/peering.py
@@ -33,6 +33,13 @@
 from driftstall.gateway.fleet_events import FleetAction
 from driftstall.gateway.model import Upstream
 from driftstall.gateway.reports import MS_PER_S, PlatformStatus, Reporting
+from driftstall.gateway.scheduling.memory_queue import MemoryQueue, QueueMessage
+from driftstall.gateway.scheduling.queue_messages import (
+    QueueAnswered,
+    QueueAsked,
+    QueueLeft,
+    RunsReported,
+)
 from driftstall.gateway.scheduling.stream_placer import StreamPlacer
 from driftstall.gateway.sharing import PeerUpdateHandlers, PlatformDataSharing, RoutingNotice
 from driftstall.gateway.state import GatewayState
@@ -123,6 +130,12 @@
         )
         self._placer = StreamPlacer(state, roles=lambda: self._roles, send=self._send)
         state.request_placement = self._placer.place
+        self.queue = MemoryQueue(
+            state,
+            roles=lambda: self._roles,
+            send=self._send,
+            placer_gate=self._placer.cold_gate,
+        )
         self._permits = PermitCoordinator(
             self.own.instance_id,
             state.rate_limiting,
@@ -163,6 +176,7 @@
         keep_running(PREFIX_MEMBERSHIP, self._run_timeouts)
         self._reporting.start()
         self._poison_sharing.start()
+        self.queue.start()
         for address in self._state.settings.seeds:
             if address != self.own.peer_address:
                 ping = Ping(self.own.instance_id, 0, "", self._members.changes)
@@ -313,6 +327,13 @@
     def _(self, message: PlacementGiven) -> None:
         self._placer.handle_placement(message)
 
+    @_handle.register(QueueAsked)
+    @_handle.register(QueueAnswered)
+    @_handle.register(QueueLeft)
+    @_handle.register(RunsReported)
+    def _(self, message: QueueMessage) -> None:
+        self.queue.handle(message)
+
     @_handle.register
     def _(self, message: PermitAsked) -> None:
         self._permits.handle_request(message)
--- /dev/null
+++ b/driftstall/gateway/scheduling/engine_ledger.py
@@ -0,0 +1,131 @@
+"""Keep the runs of all instances on the engines of queued services, as the placer knows them.
+
+Each instance reports its runs with each change, and the placer adds what it has granted since. So
+it knows the memory of all engines some tens of milliseconds after a run has ended.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Final
+
+from driftstall.decisions.room_forecast import Release
+from driftstall.gateway.loads import Use
+from driftstall.gateway.scheduling.queue_messages import HeldRun, RunsReported
+
+REPORT_VALID_S: Final = 3.0
+"""Age at which an instance's report expires; one that has runs repeats it twice a second."""
+GRANT_VALID_S: Final = 1.0
+"""How long a grant counts that no report shows: its instance may have stopped."""
+GROWTH_SHARE: Final = 0.5
+"""Share of a run's expected growth that counts as load: other runs end while it grows."""
+
+
+@dataclass(frozen=True, slots=True)
+class LedgerRun:
+    """Describe a run and the instance that holds its caller's connection."""
+
+    sender: str
+    zone: str
+    run: HeldRun
+
+    @property
+    def tokens(self) -> int:
+        """Return the engine memory that the run is expected to need on average."""
+        return self.run.held_tokens + int(GROWTH_SHARE * self.run.remaining_tokens)
+
+
+@dataclass(frozen=True, slots=True)
+class _Report:
+    """Hold an instance's newest report and its time of arrival."""
+
+    runs: tuple[LedgerRun, ...]
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Grant:
+    """Hold a granted run that no report shows yet."""
+
+    run: LedgerRun
+    at: float
+
+
+class EngineLedger:
+    """Hold the reported and the granted runs."""
+
+    def __init__(self) -> None:
+        """Initialize without runs."""
+        self._reports: dict[str, _Report] = {}
+        self._grants: dict[str, _Grant] = {}
+        self._first_report_at: float | None = None
+
+    @property
+    def first_report_at(self) -> float | None:
+        """Return when the first report arrived; None if there was none."""
+        return self._first_report_at
+
+    def record_report(self, report: RunsReported, now: float) -> None:
+        """Record an instance's runs; the report replaces the previous one."""
+        if self._first_report_at is None:
+            self._first_report_at = now
+        runs = tuple([LedgerRun(report.sender, report.zone, run) for run in report.runs])
+        self._reports[report.sender] = _Report(runs, now)
+        for run in report.runs:
+            self._grants.pop(run.request_id, None)
+
+    def add_grant(self, sender: str, zone: str, run: HeldRun, now: float) -> None:
+        """Count a granted run until its instance reports it."""
+        self._grants[run.request_id] = _Grant(LedgerRun(sender, zone, run), now)
+
+    def remove_grant(self, request_id: str) -> None:
+        """Remove a granted run that is not started, or that is counted otherwise."""
+        self._grants.pop(request_id, None)
+
+    def expire(self, now: float) -> None:
+        """Remove the reports of instances that fell silent, and grants that nobody reports."""
+        for sender, report in list(self._reports.items()):
+            if now - report.at > REPORT_VALID_S:
+                del self._reports[sender]
+        for request_id, grant in list(self._grants.items()):
+            if now - grant.at > GRANT_VALID_S:
+                del self._grants[request_id]
+
+    def runs(self) -> Iterable[tuple[LedgerRun, float]]:
+        """Yield all runs, with the time at which they were reported or granted."""
+        for report in self._reports.values():
+            for run in report.runs:
+                yield run, report.at
+        for grant in self._grants.values():
+            yield grant.run, grant.at
+
+    def runs_on(self, upstream_id: str) -> tuple[LedgerRun, ...]:
+        """Return the runs on one engine."""
+        return tuple(run for run, _ in self.runs() if run.run.upstream_id == upstream_id)
+
+    def uses(self) -> dict[str, Use]:
+        """Return the loads of all engines by upstream id, without idle ones."""
+        sums: dict[str, list[int]] = {}
+        for ledger_run, _ in self.runs():
+            run, tokens = ledger_run.run, ledger_run.tokens
+            total = sums.setdefault(run.upstream_id, [0, 0, 0, 0])
+            total[0] += 1
+            total[1] += tokens
+            total[3] += run.prefill_tokens
+            if run.backup_id:
+                sums.setdefault(run.backup_id, [0, 0, 0, 0])[2] += tokens
+        return {
+            upstream_id: Use(upstream_id, running, tokens, copies, prefill)
+            for upstream_id, (running, tokens, copies, prefill) in sums.items()
+        }
+
+    def releases(self, upstream_ids: frozenset[str]) -> tuple[Release, ...]:
+        """Return when the runs on some engines are expected to release their memory."""
+        return tuple(
+            [
+                Release(at + ledger_run.run.ends_in_s, ledger_run.tokens)
+                for ledger_run, at in self.runs()
+                if ledger_run.run.upstream_id in upstream_ids
+            ]
+        )
--- a/driftstall/gateway/scheduling/placement.py
+++ b/driftstall/gateway/scheduling/placement.py
@@ -13,11 +13,18 @@
 
 from driftstall.const import PREFIX_ROUTING
 from driftstall.core import Request
+from driftstall.decisions.generation_times import expected_hold_s, first_event_s
+from driftstall.decisions.overload import caller_patience_s
 from driftstall.gateway.admission import AdmittedRequest
 from driftstall.gateway.drain import EXPECTED_FIRST_EVENT_S, EXPECTED_TOKEN_S
 from driftstall.gateway.ingress import CallerRequest
 from driftstall.gateway.model import Engine, Upstream
 from driftstall.gateway.runs import ReplicaRef, StreamRun
+from driftstall.gateway.scheduling.queue_messages import (
+    MemoryGranted,
+    MemoryRefused,
+    QueueAsked,
+)
 from driftstall.gateway.scheduling.selection import (
     TokenRequirement,
     choose_backup,
@@ -42,6 +49,9 @@
 """Shorter expected outputs get no backup: about a second of tokens, so they end before a replica
 is of use."""
 
+MAX_GRANTS: Final = 3
+"""Grants that are tried for one stream; engines named by them may have left meanwhile."""
+
 NO_ENGINE: Final = Engine(
     slots=1,
     memory_tokens=1_000_000,
@@ -84,14 +94,23 @@
         """Return the engine of the service, or NO_ENGINE for a service without one."""
         return self._admitted.service.engine or NO_ENGINE
 
-    def place(self, avoid: frozenset[str], is_canceled: Callable[[], bool]) -> StreamRun | None:
-        """Choose the upstream and the backup; wait a short time for an upstream that has room.
+    def place(
+        self, avoid: frozenset[str], is_canceled: Callable[[], bool]
+    ) -> StreamRun | MemoryRefused | None:
+        """Choose the upstream and the backup; wait for an upstream that has room.
 
         Return None if no upstream takes the stream or the caller disconnects.
         """
-        placement = self._wait_for_room(self._requirement(), avoid, is_canceled)
+        requirement = self._requirement()
+        placement: Placement | MemoryRefused | None = None
+        if self._is_queued():
+            placement = self._wait_in_queue(requirement, avoid, is_canceled)
+            if placement is None and (is_canceled() or self._patience_left_s() <= 0):
+                return None
         if placement is None:
-            return None
+            placement = self._wait_for_room(requirement, avoid, is_canceled)
+        if placement is None or isinstance(placement, MemoryRefused):
+            return placement
         run = StreamRun(self._call, self._admitted, self._request, placement.upstream)
         run.backup = placement.backup
         self._state.record_run_load(run)
@@ -120,6 +139,74 @@
         self._state.record_run_load(next_run)
         return next_run
 
+    def _is_queued(self) -> bool:
+        """Return True if the service's streams wait for memory in the fleet's queue."""
+        table, service = self._state.route_table, self._admitted.service
+        if table is None or service.engine is None or not table.queues(service.name):
+            return False
+        return bool(self._state.fleet.ready(service.name))
+
+    def _wait_in_queue(
+        self, requirement: TokenRequirement, avoid: frozenset[str], is_canceled: Callable[[], bool]
+    ) -> Placement | MemoryRefused | None:
+        """Wait for memory in the fleet's queue; return None if no placer grants or refuses it."""
+        request_id = self._admitted.metadata.request_id
+        rejected = set(avoid)
+        for _ in range(MAX_GRANTS):
+            asked = self._queue_request(
+                requirement, frozenset(rejected | self._state.backoff.active(self._state.now()))
+            )
+            outcome = self._state.acquire_memory(
+                asked, lambda: is_canceled() or self._is_wait_futile()
+            )
+            if not isinstance(outcome, MemoryGranted):
+                return outcome
+            upstream = self._state.fleet.find(outcome.upstream_id)
+            if upstream is not None and self._state.can_start_on(upstream, frozenset()):
+                backup = self._state.fleet.find(outcome.backup_id)
+                return Placement(upstream, backup, True, outcome.placer)
+            self._state.leave_queue(request_id)
+            rejected.add(outcome.upstream_id)
+        return None
+
+    def _queue_request(self, requirement: TokenRequirement, avoid: frozenset[str]) -> QueueAsked:
+        """Return the question for engine memory, as of now."""
+        admitted = self._admitted
+        waited_s = self._state.now() - admitted.started_at
+        starts_in_s = first_event_s(requirement.prompt_tokens)
+        return QueueAsked(
+            sender=self._state.settings.instance_id,
+            request_id=admitted.metadata.request_id,
+            service=admitted.service.name,
+            workspace=admitted.workspace,
+            rank=admitted.verdict.waits_at_rank,
+            route_rank=admitted.route.rank,
+            share=admitted.verdict.share,
+            prompt_tokens=requirement.prompt_tokens,
+            output_tokens=requirement.output_tokens,
+            hold_s=expected_hold_s(requirement.prompt_tokens, requirement.output_tokens),
+            zone=self._state.settings.zone,
+            avoid=tuple(sorted(avoid)),
+            wants_backup=self.engine.can_backup and self._wants_backup(),
+            waited_s=waited_s,
+            start_by_s=admitted.route.target_s - starts_in_s - waited_s,
+            gives_up_s=self._patience_left_s() - starts_in_s,
+            may_refuse=admitted.verdict.may_refuse,
+            ticket=f"{admitted.workspace}/{admitted.fingerprint}" if admitted.fingerprint else "",
+        )
+
+    def _patience_left_s(self) -> float:
+        """Return how long the stream may still wait for its first event, in seconds.
+
+        That is until its caller gives up, its deadline, or the policy's longest wait.
+        """
+        admitted = self._admitted
+        patience_s = caller_patience_s(admitted.route.target_s, admitted.route.gap_s)
+        if admitted.verdict.may_refuse:
+            patience_s = min(patience_s, admitted.verdict.wait_s)
+        until = min(admitted.ends_at, admitted.started_at + patience_s)
+        return until - self._state.now()
+
     def _wait_for_room(
         self, requirement: TokenRequirement, avoid: frozenset[str], is_canceled: Callable[[], bool]
     ) -> Placement | None:
--- a/driftstall/gateway/scheduling/queue_messages.py
+++ b/driftstall/gateway/scheduling/queue_messages.py
@@ -61,8 +61,6 @@
     """Place in the queue; zero is the first."""
     forecast_s: float = 0.0
     """Forecast time until the request is granted."""
-    number: int = 0
-    """Number of the grant, increasing for each sender of requests."""
     upstream_id: str = ""
     backup_id: str = ""
     retry_after_s: float = 0.0
@@ -103,6 +101,22 @@
 
     sender: str
     zone: str
-    last_grant: int
-    """Number of the latest grant that the sender has received."""
     runs: tuple[HeldRun, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class MemoryGranted:
+    """Hold the engine whose memory was granted to a request."""
+
+    upstream_id: str
+    backup_id: str
+    placer: str
+
+
+@dataclass(frozen=True, slots=True)
+class MemoryRefused:
+    """Hold why a request is refused: it can't start before its caller gives up."""
+
+    retry_after_s: float
+    forecast_s: float
+    """Time until the forecast start, in seconds."""
--- a/driftstall/gateway/scheduling/selection.py
+++ b/driftstall/gateway/scheduling/selection.py
@@ -14,12 +14,11 @@
 from dataclasses import dataclass
 from typing import Final
 
+from driftstall.decisions.generation_times import PREFILL_TOKENS_PER_S
 from driftstall.decisions.replica_limits import backup_fill_limit
 from driftstall.gateway.loads import Use
 from driftstall.gateway.model import Engine, Upstream
 
-PREFILL_TOKENS_PER_S: Final = 14_000.0
-"""Prompt tokens that an engine prefills per second (from the engines' data sheet)."""
 STREAM_PENALTY: Final = 0.3
 """Cost of a full batch; each running request slows down the tokens of the others."""
 MEMORY_PENALTY: Final = 0.6
@@ -148,10 +147,15 @@
     )
 
 
-def has_room(option: Option, engine: Engine, requirement: TokenRequirement) -> bool:
-    """Return True if a generation is expected to fit into an engine's memory."""
+def has_room(
+    option: Option,
+    engine: Engine,
+    requirement: TokenRequirement,
+    limit: float = MEMORY_FULL_SHARE,
+) -> bool:
+    """Return True if a generation is expected to fit into an engine's memory up to a share."""
     expected = requirement.prompt_tokens + requirement.output_tokens // 2
-    return _memory_share(option.use, engine, expected) <= MEMORY_FULL_SHARE
+    return _memory_share(option.use, engine, expected) <= limit
 
 
 def choose_backup(
--- a/driftstall/gateway/scheduling/stream_placer.py
+++ b/driftstall/gateway/scheduling/stream_placer.py
@@ -56,6 +56,11 @@
         self._pending_replies: dict[str, AsyncResult] = {}
         self._cold_gate = ColdGate(state.cold, state.rng, self._cold_part, state.now)
 
+    @property
+    def cold_gate(self) -> ColdGate:
+        """Return the schedule of this placer's requests to cold upstreams."""
+        return self._cold_gate
+
     def place(self, request: PlacementAsked) -> PlacementGiven | None:
         """Return the placement of a stream; None if this instance has to choose by itself."""
         placer = self._placer_order.select(self._roles().placers, self._state.now())
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -29,6 +29,11 @@
 from driftstall.gateway.routes import RouteTable
 from driftstall.gateway.runs import BrokenRun, RunRegistry, StreamRun
 from driftstall.gateway.scheduling.cold_gate import ColdGate
+from driftstall.gateway.scheduling.queue_messages import (
+    MemoryGranted,
+    MemoryRefused,
+    QueueAsked,
+)
 from driftstall.gateway.scheduling.selection import SAMPLE_SIZE, Option, Sampler
 from driftstall.gateway.shared_budget import RepeatCount, SharedRetryBudget
 from driftstall.gateway.stats import GatewayStats
@@ -39,6 +44,8 @@
 from driftstall.policy.model import Policy
 from driftstall.util import clock
 
+AcquireMemory = Callable[[QueueAsked, Callable[[], bool]], MemoryGranted | MemoryRefused | None]
+"""Waits for engine memory until it is granted or refused, or the given function returns True."""
 NO_LOAD: Final = 0.0
 HINT_WEIGHT: Final = 0.33
 """Weight of the caller's length hint against the learned length, on a log scale.
@@ -90,12 +97,18 @@
         self.configured = Event()
         """Set once there are a routing document, a list of upstreams and the cordons."""
         self.loads_changed = Event()
+        self.runs_changed = Event()
+        """Set when a stream starts, ends, moves or produces its first event."""
         self.stopping_since: float | None = None
         self.notice_at = float("-inf")
         """When an upstream was last reported as leaving, on the monotonic clock."""
         self.open_requests = 0
         self.request_placement: Callable[[PlacementAsked], PlacementGiven | None] = _place_locally
         """Asks the zone's placer for an upstream; returns None if this instance is to choose."""
+        self.acquire_memory: AcquireMemory = _acquire_nothing
+        """Waits for engine memory in the fleet's queue; returns None if no placer answers."""
+        self.leave_queue: Callable[[str], None] = _ignore_request
+        """Called with a request that does not use the engine memory that was granted to it."""
         self.on_upstream_suspected: Callable[[Upstream], None] = _ignore_upstream
         """Called with an upstream at which a stream broke off unexpectedly."""
         self.on_run_broken: Callable[[Upstream, BrokenRun], None] = _ignore_run
@@ -199,12 +212,14 @@
         max_options: int | None = MAX_COMPARED_UPSTREAMS,
         *,
         respects_backoff: bool = True,
+        totals: dict[str, Use] | None = None,
     ) -> list[Option]:
         """Return the upstreams of a service that may be chosen, with their loads.
 
         If there are more than `max_options` (None: no bound), a random sample of that size is
         returned. Upstreams in back-off are excluded unless `respects_backoff` is False, which is
-        for a placer that chooses for a peer and for totals of memory.
+        for a placer that chooses for a peer and for totals of memory. The loads of all upstreams
+        may be given as `totals`; otherwise they are the sums that the instances exchange.
         """
         now = self.now()
         excluded = avoid | self.backoff.active(now) if respects_backoff else avoid
@@ -220,7 +235,8 @@
                 for upstream in sampled
             ]
         # One pass over all peers: a placer of a large fleet has reports of a hundred instances.
-        totals = self.loads.totals(now)
+        if totals is None:
+            totals = self.loads.totals(now)
         return [
             self._option(
                 upstream, totals.get(upstream.upstream_id) or Use(upstream.upstream_id), now
@@ -336,6 +352,7 @@
         )
         self.loads.set_load(run.request_id, load)
         self.loads_changed.set()
+        self.runs_changed.set()
 
     def memory_load(self, service_name: str) -> float:
         """Return the share of a service's engine memory in use, from 0 to 1."""
@@ -372,6 +389,15 @@
         self.outcomes.record_outcome(upstream_id, service, outcome, self.now(), seconds)
 
 
+def _acquire_nothing(_: QueueAsked, __: Callable[[], bool]) -> MemoryGranted | MemoryRefused | None:
+    """Return None: this instance chooses by itself."""
+    return None
+
+
+def _ignore_request(_: str) -> None:
+    """Ignore a request that leaves the queue until peers are connected."""
+
+
 def _ignore_upstream(_: Upstream) -> None:
     """Ignore a suspected upstream until a prober is connected."""
 
--- a/driftstall/gateway/stats.py
+++ b/driftstall/gateway/stats.py
@@ -38,15 +38,22 @@
     unknown_signals: int = 0
     moves_failed: int = 0
     platform_calls: int = 0
+    queue_granted: int = 0
+    queue_refused: int = 0
+    queue_placer_changes: int = 0
     registry: Registry = field(default_factory=Registry)
     answer_s: Histogram = field(init=False)
     first_event_s: Histogram = field(init=False)
     gap_s: Histogram = field(init=False)
+    queue_wait_s: Histogram = field(init=False)
 
     def __post_init__(self) -> None:
         """Register the histograms, which are observed during requests."""
         self.answer_s = self._histogram("answer", "Seconds to the answer of a plain call.")
         self.first_event_s = self._histogram("first_event", "Seconds to a stream's first event.")
+        self.queue_wait_s = self._histogram(
+            "queue_wait", "Seconds that a generation waited for engine memory, by rank."
+        )
         self.gap_s = Histogram(
             "driftstall_gateway_gap_seconds",
             "Longest pause between the events of a stream, in seconds.",
@@ -87,6 +94,9 @@
     "unknown_signals": "Headers of upstreams that look like signals and are not known.",
     "moves_failed": "Copies between engines that failed.",
     "platform_calls": "Calls to the platform's store.",
+    "queue_granted": "Generations granted engine memory by this instance's queue.",
+    "queue_refused": "Generations refused by this instance's queue, with a time to come back.",
+    "queue_placer_changes": "Times that this instance asked another placer, as one gave no answer.",
 }
 
 
--- a/driftstall/gateway/stream_context.py
+++ b/driftstall/gateway/stream_context.py
@@ -98,6 +98,7 @@
         self.state.runs.remove(run)
         self.state.loads.remove_load(run.request_id)
         self.state.loads_changed.set()
+        self.state.runs_changed.set()
 
     def finish(self) -> None:
         """Release everything that the stream holds: exchange, replica and load."""
--- a/driftstall/gateway/stream_opener.py
+++ b/driftstall/gateway/stream_opener.py
@@ -11,6 +11,7 @@
 from driftstall.gateway.outcomes import Outcome
 from driftstall.gateway.runs import StreamRun
 from driftstall.gateway.scheduling.placement import WAIT_FOR_ROOM_SHARE
+from driftstall.gateway.scheduling.queue_messages import MemoryRefused
 from driftstall.gateway.sending import OpenedResponse
 from driftstall.gateway.stream_context import StreamContext
 from driftstall.gateway.stream_resumer import StreamResumer
@@ -66,6 +67,8 @@
         )
         if run is None:
             return self._build_problem(attempts)
+        if isinstance(run, MemoryRefused):
+            return self._build_memory_refusal(run)
         refusal = context.refusal()
         if refusal is not None:
             # The request was quarantined while the stream waited for its placement.
@@ -110,6 +113,12 @@
             CODE_NO_RUNNER, 503, attempts.detail, ran, FULL_RETRY_S
         )
 
+    def _build_memory_refusal(self, refused: MemoryRefused) -> Problem:
+        """Return the refusal of a request that can't start before its caller gives up."""
+        detail = "no engine memory is expected to be free in time"
+        ran = self._context.history.ran
+        return Problem(CODE_NO_RUNNER, 503, detail, ran, refused.retry_after_s)
+
     def _backoff_refusal(self) -> Problem | None:
         """Return a refusal if nothing has run and all upstreams are in back-off, else None."""
         if self._context.history.ran is not Ran.NOT_RUN:
--- a/driftstall/peers/gateway_messages.py
+++ b/driftstall/peers/gateway_messages.py
@@ -15,6 +15,12 @@
 from driftstall.gateway.cordons import Cordons
 from driftstall.gateway.loads import Use
 from driftstall.gateway.model import Upstream
+from driftstall.gateway.scheduling.queue_messages import (
+    QueueAnswered,
+    QueueAsked,
+    QueueLeft,
+    RunsReported,
+)
 from driftstall.gateway.shared_budget import RepeatCount
 from driftstall.peers.blame_messages import BlamesTold
 from driftstall.peers.permit_messages import PermitAsked, PermitCharged, PermitGiven
@@ -198,4 +204,8 @@
     | PermitAsked
     | PermitGiven
     | PermitCharged
+    | QueueAsked
+    | QueueAnswered
+    | QueueLeft
+    | RunsReported
 )
--- a/driftstall/peers/schema.capnp
+++ b/driftstall/peers/schema.capnp
@@ -125,7 +125,7 @@
 }
 struct QueueAnswered {
   sender @0 :Text; requestId @1 :Text; outcome @2 :Text; position @3 :UInt32; forecastS @4 :Float64;
-  number @5 :UInt32; upstreamId @6 :Text; backupId @7 :Text; retryAfterS @8 :Float64;
+  upstreamId @5 :Text; backupId @6 :Text; retryAfterS @7 :Float64;
 }
 struct QueueLeft { sender @0 :Text; requestIds @1 :List(Text); }
 struct HeldRun {
@@ -134,7 +134,7 @@
   hasReplica @8 :Bool;
 }
 struct RunsReported {
-  sender @0 :Text; zone @1 :Text; lastGrant @2 :UInt32; runs @3 :List(HeldRun);
+  sender @0 :Text; zone @1 :Text; runs @2 :List(HeldRun);
 }
 struct EvacuationRequested { sender @0 :Text; upstreamId @1 :Text; noticeAgeS @2 :Float64; }
 struct CopyOrdered {
