Fill engines up to 0.98 of their memory from the queue

Cause: the sums that are compared with the limit already contain half of each run's expected growth, so 0.92 kept generations waiting beside free memory.

Change: limits of 0.98, and 1.02 for the most urgent requests beside less urgent ones.

--- a/driftstall/decisions/room_forecast.py
+++ b/driftstall/decisions/room_forecast.py
@@ -21,9 +21,10 @@
 """Memory reserved for urgent work, relative to what it holds on average."""
 MAX_RESERVE_SHARE: Final = 0.15
 """Largest share of the memory that is reserved for more urgent work."""
-FILL_LIMIT: Final = 0.92
-"""Memory share above which a new run would soon be preempted."""
-URGENT_FILL_LIMIT: Final = 0.97
+FILL_LIMIT: Final = 0.98
+"""Memory share up to which engines are filled: the sums already contain half of the expected
+growth, and a request that waits longer than it has to misses its target just as a preempted one."""
+URGENT_FILL_LIMIT: Final = 1.02
 """The same for the most urgent requests beside less urgent ones, which are preempted first."""
 
 
