Report runs to the placer less often while engines have room

Change: reports wait 0.2 s while less than 0.6 of the engines' memory is in use, and the other placers get them each second.

--- a/driftstall/gateway/scheduling/engine_ledger.py
+++ b/driftstall/gateway/scheduling/engine_ledger.py
@@ -15,7 +15,7 @@
 from driftstall.gateway.scheduling.queue_messages import HeldRun, RunsReported
 
 REPORT_VALID_S: Final = 3.0
-"""Age at which an instance's report expires; one that has runs repeats it twice a second."""
+"""Age at which an instance's report expires; one that has runs repeats it each second."""
 GRANT_VALID_S: Final = 1.0
 """How long a grant counts that no report shows: its instance may have stopped."""
 GROWTH_SHARE: Final = 0.5
--- a/driftstall/gateway/scheduling/queue_client.py
+++ b/driftstall/gateway/scheduling/queue_client.py
@@ -37,8 +37,13 @@
 """How long to wait for the answer to a repeated question. The request does not lose its place by
 waiting a little longer than for the first answer, and a change of placers overfills engines."""
 REPORT_PAUSE_S: Final = 0.03
-"""Changes of runs within this time are sent in one report."""
-REPORT_INTERVAL_S: Final = 0.5
+"""Changes of runs within this time are sent in one report while engines are about to fill up."""
+RELAXED_REPORT_PAUSE_S: Final = 0.2
+"""The same while engines have room: nobody waits for released memory, and traffic between zones is
+billed."""
+BUSY_MEMORY_SHARE: Final = 0.6
+"""Share of the engines' memory in use from which reports are sent without delay."""
+REPORT_INTERVAL_S: Final = 1.0
 """Interval of reports without a change, and of those to the other placers."""
 MIN_MEASURED_TOKENS: Final = 64
 """Tokens from which a run's own pace is used instead."""
@@ -229,10 +234,12 @@
         """Report after each change, and at least once per interval."""
         while True:
             self._state.runs_changed.wait(REPORT_INTERVAL_S)
-            gevent.sleep(REPORT_PAUSE_S)
-            self._state.runs_changed.clear()
             table = self._state.route_table
-            if table is not None and table.queued_services and self._roles().is_large:
+            queued = table.queued_services if table else frozenset()
+            is_busy = any(self._state.memory_load(name) >= BUSY_MEMORY_SHARE for name in queued)
+            gevent.sleep(REPORT_PAUSE_S if is_busy else RELAXED_REPORT_PAUSE_S)
+            self._state.runs_changed.clear()
+            if queued and self._roles().is_large:
                 self._report()
 
     def _report(self) -> None:
--- a/driftstall/gateway/scheduling/queue_service.py
+++ b/driftstall/gateway/scheduling/queue_service.py
@@ -59,7 +59,7 @@
 second."""
 ANSWER_VALID_S: Final = 3.0
 """How long the grant of a request is kept, to answer a repeated question the same."""
-TAKEOVER_S: Final = 0.7
+TAKEOVER_S: Final = 1.2
 """Time after the first report within which all instances with runs have reported them."""
 ASSUMED_HOLD_S: Final = 3.0
 """Assumed remaining time of runs of which only the sums are known."""
