Count a refused caller's place from its time on

Cause: the place reserved for a refused request stood before all waiting ones of its rank in the forecast, from the refusal on. So each refusal made the next request hopeless: of three requests of which two could start in time all three were refused, and of three hopeless ones the later were refused although refusing the first made room. A caller that returned in time counted as late from the next pass on, behind all others, and was in time again when its question was repeated. One that returned early was refused even if nothing waited any more.

Change: the forecast takes expected returns, which need memory from their time on and come before later requests of their rank. Of one workspace the first hopeless request is refused. A returned request counts as due earlier by the time since its first arrival, within its workspace. A request that never fits takes nothing from the forecast of the others. An early return is accepted when nothing waits.

--- a/driftstall/decisions/overload.py
+++ b/driftstall/decisions/overload.py
@@ -14,9 +14,9 @@
 from dataclasses import dataclass, replace
 from typing import Final
 
-from driftstall.decisions.engine_queue import MIN_SHARE, QueuedRequest
-from driftstall.decisions.retry_schedule import MIN_RETRY_S, retry_after
-from driftstall.decisions.room_forecast import RoomForecast
+from driftstall.decisions.engine_queue import MIN_SHARE, QueuedRequest, QueueOrder
+from driftstall.decisions.retry_schedule import retry_after
+from driftstall.decisions.room_forecast import ExpectedReturn, RoomForecast
 
 MIN_PATIENCE_S: Final = 2.0
 PATIENCE_TARGETS: Final = 4.0
@@ -40,7 +40,7 @@
     request: QueuedRequest
     retry_after_s: float
     forecast_s: float
-    """Time until the forecast start; infinite if no memory is expected to be released."""
+    """Time until the forecast start."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,8 +70,10 @@
     ) -> list[RefusedRequest]:
         """Return the waiting requests, given in order, that can't start before they give up.
 
-        One is refused after the other, the least urgent and the largest workspace first, because
-        each refusal lets the others start earlier.
+        A request for which no release makes room, for example while no engines are listed, is
+        left to wait: there is no time to name. One is refused after the other, the least urgent
+        and the largest workspace first, because each refusal lets the others start earlier; of
+        one workspace the first in order, since refusing a later one does not help it.
         """
         self._expire(now)
         waiting = list(requests)
@@ -79,7 +81,7 @@
         if not waiting or 1.0 - forecast.free_share < MIN_BUSY_SHARE:
             return refused
         while len(refused) < MAX_REFUSALS:
-            starts = forecast.starts(self._with_reservations(waiting), now)
+            starts = forecast.starts(waiting, now, self._expected_returns())
             hopeless = [
                 request
                 for request in waiting
@@ -91,47 +93,58 @@
             backlog = _backlog_by_workspace(waiting)
             request = max(
                 hopeless,
-                key=lambda item: (item.order, backlog[item.workspace], starts[item.request_id]),
+                key=lambda item: (
+                    item.order,
+                    backlog[item.order, item.workspace],
+                    -starts[item.request_id],
+                ),
             )
             waiting.remove(request)
             refused.append(self._refuse(request, starts[request.request_id], now))
         return refused
 
-    def check_return(self, request: QueuedRequest, now: float) -> QueuedRequest | RefusedRequest:
+    def check_return(
+        self, request: QueuedRequest, now: float, *, others_wait: bool
+    ) -> QueuedRequest | RefusedRequest:
         """Return a request to be queued, with the place reserved for it if there is one.
 
-        A caller that returns before its time is refused for the time that is left.
+        A caller that returns before its time is refused for the time that is left if others wait.
         """
         self._expire(now)
         reservation = self._reservations.get(request.ticket)
         if reservation is None:
             return request
         remaining_s = reservation.due_at - now
-        if remaining_s > EARLY_TOLERANCE_S and request.may_refuse:
+        if remaining_s > EARLY_TOLERANCE_S and request.may_refuse and others_wait:
             return RefusedRequest(request, remaining_s, remaining_s)
         del self._reservations[request.ticket]
         waited_s = max(0.0, now - reservation.first_arrived_at)
         return replace(
             request,
             arrived_at=reservation.first_arrived_at,
-            start_by=max(now, request.start_by - waited_s),
+            head_start_s=waited_s,
         )
 
     def _refuse(self, request: QueuedRequest, starts_at: float, now: float) -> RefusedRequest:
         """Refuse a request and reserve its place."""
         forecast_s = starts_at - now
-        wait_s = forecast_s if math.isfinite(forecast_s) else request.gives_up_at - now
-        retry_s = retry_after(max(MIN_RETRY_S, wait_s), self._source)
+        retry_s = retry_after(forecast_s, self._source)
         if request.ticket:
             self._reservations[request.ticket] = _Reservation(
                 request, request.arrived_at, now + retry_s
             )
         return RefusedRequest(request, retry_s, forecast_s)
 
-    def _with_reservations(self, waiting: Sequence[QueuedRequest]) -> list[QueuedRequest]:
-        """Return the waiting requests and the reserved places, in order of rank."""
-        reserved = [reservation.request for reservation in self._reservations.values()]
-        return sorted([*reserved, *waiting], key=lambda request: request.order)
+    def _expected_returns(self) -> list[ExpectedReturn]:
+        """Return the refused requests whose places are reserved.
+
+        They need memory from their time on: counted as waiting now, each refusal would make the
+        next request hopeless.
+        """
+        return [
+            ExpectedReturn(reservation.due_at, reservation.request)
+            for reservation in self._reservations.values()
+        ]
 
     def _expire(self, now: float) -> None:
         """Discard the places of callers that have not returned."""
@@ -145,10 +158,13 @@
     return max(MIN_PATIENCE_S, PATIENCE_TARGETS * target_s, PATIENCE_PAUSES * gap_s)
 
 
-def _backlog_by_workspace(requests: Iterable[QueuedRequest]) -> dict[str, float]:
-    """Return the waiting tokens of each workspace, divided by its share."""
-    backlog: dict[str, float] = {}
+def _backlog_by_workspace(
+    requests: Iterable[QueuedRequest],
+) -> dict[tuple[QueueOrder, str], float]:
+    """Return the waiting tokens of each workspace at each rank, divided by its share."""
+    backlog: dict[tuple[QueueOrder, str], float] = {}
     for request in requests:
         cost = request.tokens / max(MIN_SHARE, request.share)
-        backlog[request.workspace] = backlog.get(request.workspace, 0.0) + cost
+        key = (request.order, request.workspace)
+        backlog[key] = backlog.get(key, 0.0) + cost
     return backlog
--- a/driftstall/decisions/room_forecast.py
+++ b/driftstall/decisions/room_forecast.py
@@ -9,7 +9,7 @@
 
 import heapq
 import math
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -35,6 +35,14 @@
     tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class ExpectedReturn:
+    """Describe a refused request whose caller is expected to return."""
+
+    at: float
+    request: QueuedRequest
+
+
 @dataclass(frozen=True, slots=True)
 class RoomForecast:
     """Hold the free memory of a service's engines, and when more is released."""
@@ -49,28 +57,76 @@
         """Return the free share of the memory, from 0 to 1."""
         return self.free_tokens / max(1, self.total_tokens)
 
-    def starts(self, requests: Sequence[QueuedRequest], now: float) -> dict[str, float]:
+    def starts(
+        self,
+        requests: Sequence[QueuedRequest],
+        now: float,
+        returns: Iterable[ExpectedReturn] = (),
+    ) -> dict[str, float]:
         """Return when each request is expected to start; infinity if never.
 
-        The requests are given in the order in which they are granted.
+        The requests are given in the order in which they are granted. A returning caller comes
+        before requests of its rank and later ones that would start after its return.
         """
-        releases = [(max(now, release.at), release.tokens) for release in self.releases]
-        heapq.heapify(releases)
-        free, at = self.free_tokens, now
+        room = _FutureRoom(self, now)
+        expected = sorted(returns, key=lambda item: item.at)
         starts: dict[str, float] = {}
         for request in requests:
-            while free < request.tokens and releases:
-                at, tokens = heapq.heappop(releases)
-                free += tokens
-            if free < request.tokens:
-                at = math.inf
-            else:
-                free -= request.tokens
-                heapq.heappush(releases, (at + request.hold_s, request.tokens))
-            starts[request.request_id] = at
+            if not room.can_hold(request):
+                starts[request.request_id] = math.inf
+                continue
+            room.wait_for(request)
+            while (first := _first_due(expected, request, room.at)) is not None:
+                expected.remove(first)
+                room.take(first.request)
+                room.wait_for(request)
+            room.take(request)
+            starts[request.request_id] = room.at
         return starts
 
 
+class _FutureRoom:
+    """Play the future of the free memory."""
+
+    def __init__(self, forecast: RoomForecast, now: float) -> None:
+        """Initialize with the free memory and the releases of running requests."""
+        self.at = now
+        self._free = forecast.free_tokens
+        self._releases = [(max(now, release.at), release.tokens) for release in forecast.releases]
+        self._capacity = self._free + sum(tokens for _, tokens in self._releases)
+        heapq.heapify(self._releases)
+
+    def can_hold(self, request: QueuedRequest) -> bool:
+        """Return True if a request fits once everything else is released."""
+        return request.tokens <= self._capacity
+
+    def wait_for(self, request: QueuedRequest) -> None:
+        """Advance the time until a request fits."""
+        while self._free < request.tokens:
+            self.at, tokens = heapq.heappop(self._releases)
+            self._free += tokens
+
+    def take(self, request: QueuedRequest) -> None:
+        """Start a request as soon as it fits; it releases its memory at its end."""
+        if not self.can_hold(request):
+            return
+        self.wait_for(request)
+        self._free -= request.tokens
+        heapq.heappush(self._releases, (self.at + request.hold_s, request.tokens))
+
+
+def _first_due(
+    expected: Sequence[ExpectedReturn], request: QueuedRequest, at: float
+) -> ExpectedReturn | None:
+    """Return the first expected return that comes before a request; None if there is none."""
+    for item in expected:
+        if item.at > at:
+            return None
+        if item.request.order <= request.order:
+            return item
+    return None
+
+
 class _ArrivalRate:
     """Estimate the memory that arriving requests of one order hold on average."""
 
--- a/driftstall/gateway/scheduling/queue_service.py
+++ b/driftstall/gateway/scheduling/queue_service.py
@@ -132,7 +132,9 @@
         request = _request_from(asked, now)
         arrival = service.arrivals.get(asked.request_id)
         if arrival is None:
-            checked = service.overload.check_return(request, now)
+            checked = service.overload.check_return(
+                request, now, others_wait=len(service.queue) > 0
+            )
             if isinstance(checked, RefusedRequest):
                 self._refuse(checked, now)
                 return
