Bound the work of one pass over the queue

Cause: with 300 waiting requests, 315 runs and 45 engines a check that refuses 8 took 13.6 ms of processor time, and a pass that grants 64 took 10.8 ms.

Change: the backlog of workspaces is summed once per check, at most 4 requests are refused in a check and at most 32 granted in a pass.

Run: a script over QueueService, 300 waiting, 45 engines with 7 runs each: check with 4 refusals 5.3 to 7.4 ms, blocked pass 1.1 ms, order 0.4 ms; features/parts/engine_queue.feature: 25 pass.

--- a/driftstall/decisions/engine_queue.py
+++ b/driftstall/decisions/engine_queue.py
@@ -22,6 +22,8 @@
 that it can't use, and its wait stays bounded."""
 MAX_ATTEMPTS: Final = 64
 """Requests that are tried in one pass; memory for more is never released at once."""
+MAX_GRANTS: Final = 32
+"""Requests granted in one pass: each takes 0.15 ms on 45 engines, and passes follow at once."""
 MIN_SHARE: Final = 1e-3
 
 
@@ -231,6 +233,8 @@
             granted.append(request)
             if blocked is not None:
                 queue.record_overtaking(request, blocked)
+            if len(granted) == MAX_GRANTS:
+                break
         else:
             blocked = blocked or request
             if not request.avoid:
--- a/driftstall/decisions/overload.py
+++ b/driftstall/decisions/overload.py
@@ -27,8 +27,9 @@
 """Time after its retry time for which a place is reserved."""
 EARLY_TOLERANCE_S: Final = 0.1
 """A caller that returns this early is in time: clocks and links differ."""
-MAX_REFUSALS: Final = 8
-"""Requests refused in one pass; the forecast is made again after each of them."""
+MAX_REFUSALS: Final = 4
+"""Requests refused in one check. The forecast is made again after each of them, which takes 0.6 ms
+for 300 requests; with ten checks a second, this refuses more than a burst brings."""
 MIN_BUSY_SHARE: Final = 0.5
 """Nothing is refused while less memory is in use and nothing waits."""
 
@@ -80,6 +81,7 @@
         refused: list[RefusedRequest] = []
         if not waiting or 1.0 - forecast.free_share < MIN_BUSY_SHARE:
             return refused
+        backlog = _backlog_by_workspace(waiting)
         while len(refused) < MAX_REFUSALS:
             starts = forecast.starts(waiting, now, self._expected_returns())
             hopeless = [
@@ -90,7 +92,6 @@
             ]
             if not hopeless:
                 break
-            backlog = _backlog_by_workspace(waiting)
             request = max(
                 hopeless,
                 key=lambda item: (
@@ -100,6 +101,7 @@
                 ),
             )
             waiting.remove(request)
+            backlog[request.order, request.workspace] -= _cost(request)
             refused.append(self._refuse(request, starts[request.request_id], now))
         return refused
 
@@ -164,7 +166,11 @@
     """Return the waiting tokens of each workspace at each rank, divided by its share."""
     backlog: dict[tuple[QueueOrder, str], float] = {}
     for request in requests:
-        cost = request.tokens / max(MIN_SHARE, request.share)
         key = (request.order, request.workspace)
-        backlog[key] = backlog.get(key, 0.0) + cost
+        backlog[key] = backlog.get(key, 0.0) + _cost(request)
     return backlog
+
+
+def _cost(request: QueuedRequest) -> float:
+    """Return the tokens of a request, divided by its workspace's share."""
+    return request.tokens / max(MIN_SHARE, request.share)
