Let the ledger forget what is no longer reported

Cause: reports expired only in passes, which run while requests wait. So the first request after a quiet time was placed by the runs of instances that had ended, a standby placer kept the reports of all former instances, and an instance that became the placer again took a ledger without reports for complete. Without a complete ledger the reported runs were added to the exchanged sums, which hold them already.

Change: each report lets old ones expire. When no report is left, the ledger counts as incomplete until instances have reported again. Only granted runs are added to the exchanged sums.

--- a/driftstall/gateway/scheduling/engine_ledger.py
+++ b/driftstall/gateway/scheduling/engine_ledger.py
@@ -63,11 +63,12 @@
 
     @property
     def first_report_at(self) -> float | None:
-        """Return when the first report arrived; None if there was none."""
+        """Return since when instances have reported their runs; None if none has lately."""
         return self._first_report_at
 
     def record_report(self, report: RunsReported, now: float) -> None:
         """Record an instance's runs; the report replaces the previous one."""
+        self.expire(now)
         if self._first_report_at is None:
             self._first_report_at = now
         runs = tuple([LedgerRun(report.sender, report.zone, run) for run in report.runs])
@@ -88,6 +89,9 @@
         for sender, report in list(self._reports.items()):
             if now - report.at > REPORT_VALID_S:
                 del self._reports[sender]
+        if not self._reports:
+            # Reports have ended, as another instance is the placer, or nothing runs.
+            self._first_report_at = None
         for request_id, grant in list(self._grants.items()):
             if now - grant.at > GRANT_VALID_S:
                 del self._grants[request_id]
@@ -106,19 +110,11 @@
 
     def uses(self) -> dict[str, Use]:
         """Return the loads of all engines by upstream id, without idle ones."""
-        sums: dict[str, list[int]] = {}
-        for ledger_run, _ in self.runs():
-            run, tokens = ledger_run.run, ledger_run.tokens
-            total = sums.setdefault(run.upstream_id, [0, 0, 0, 0])
-            total[0] += 1
-            total[1] += tokens
-            total[3] += run.prefill_tokens
-            if run.backup_id:
-                sums.setdefault(run.backup_id, [0, 0, 0, 0])[2] += tokens
-        return {
-            upstream_id: Use(upstream_id, running, tokens, copies, prefill)
-            for upstream_id, (running, tokens, copies, prefill) in sums.items()
-        }
+        return _sum_uses(run for run, _ in self.runs())
+
+    def granted_uses(self) -> dict[str, Use]:
+        """Return the loads of the granted runs alone, by upstream id."""
+        return _sum_uses(grant.run for grant in self._grants.values())
 
     def releases(self, upstream_ids: frozenset[str]) -> tuple[Release, ...]:
         """Return when the runs on some engines are expected to release their memory."""
@@ -129,3 +125,20 @@
                 if ledger_run.run.upstream_id in upstream_ids
             ]
         )
+
+
+def _sum_uses(runs: Iterable[LedgerRun]) -> dict[str, Use]:
+    """Return the loads of runs by upstream id."""
+    sums: dict[str, list[int]] = {}
+    for ledger_run in runs:
+        run, tokens = ledger_run.run, ledger_run.tokens
+        total = sums.setdefault(run.upstream_id, [0, 0, 0, 0])
+        total[0] += 1
+        total[1] += tokens
+        total[3] += run.prefill_tokens
+        if run.backup_id:
+            sums.setdefault(run.backup_id, [0, 0, 0, 0])[2] += tokens
+    return {
+        upstream_id: Use(upstream_id, running, tokens, copies, prefill)
+        for upstream_id, (running, tokens, copies, prefill) in sums.items()
+    }
--- a/driftstall/gateway/scheduling/queue_service.py
+++ b/driftstall/gateway/scheduling/queue_service.py
@@ -239,10 +239,11 @@
     def _options(self, service: str) -> list[Option]:
         """Return the engines that take requests, with the loads known here."""
         now = self._state.now()
-        uses = self.ledger.uses()
-        if not self._uses_ledger(now):
-            # Only grants are in the ledger, or not yet all runs: the exchanged sums hold the rest.
-            uses = _sum(self._state.loads.totals(now), uses)
+        if self._uses_ledger(now):
+            uses = self.ledger.uses()
+        else:
+            # The exchanged sums hold all runs, but not what was granted a moment ago.
+            uses = _sum(self._state.loads.totals(now), self.ledger.granted_uses())
         return self._state.options(service, max_options=None, respects_backoff=False, totals=uses)
 
     def _grant(
