Answer only repeated questions with an earlier grant

Cause: a request id that was used again within 3 s of its grant, by a caller that retries a broken stream or at another instance, got the old grant without a check for memory. A placer without the service's configuration answered that the request waits, and never served it. A prompt above the fill limit blocked the queue until its caller gave up. When all healthy engines were full, requests were granted ejected ones.

Change: a question is a repeated one if it is of the same instance and its request arrived before the grant. There is no answer without the configuration, as for placements. An idle engine takes a prompt of any size. Ejected engines are granted only if all are. A question lets old reports expire.

Run: behave features/gateway/memory_queue.feature: 'a request id that is used again waits anew', 'a placer without the service's configuration', 'a prompt larger than the fill limit starts on an idle engine' and 'an ejected engine is not chosen because the healthy ones are full' failed before.

--- a/driftstall/gateway/scheduling/queue_service.py
+++ b/driftstall/gateway/scheduling/queue_service.py
@@ -59,6 +59,9 @@
 second."""
 ANSWER_VALID_S: Final = 3.0
 """How long the grant of a request is kept, to answer a repeated question the same."""
+REPEAT_DELAY_S: Final = 0.1
+"""Network delay up to which a question counts as a repeated one: its request seems to have arrived
+later by this delay."""
 TAKEOVER_S: Final = 0.7
 """Time after the first report within which all instances with runs have reported them."""
 ASSUMED_HOLD_S: Final = 3.0
@@ -76,6 +79,27 @@
     asked_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Grant:
+    """Hold a grant, to answer a repeated question the same."""
+
+    answer: QueueAnswered
+    sender: str
+    """The instance that has asked."""
+    at: float
+
+    def answers(self, asked: QueueAsked, now: float) -> bool:
+        """Return True if a question repeats the one that was granted.
+
+        A request that arrived after the grant is another one: callers use an id again to retry.
+        """
+        return (
+            asked.sender == self.sender
+            and now - asked.waited_s <= self.at + REPEAT_DELAY_S
+            and self.answer.upstream_id not in asked.avoid
+        )
+
+
 @dataclass(slots=True)
 class _ServiceQueue:
     """State of one service's queue."""
@@ -84,7 +108,7 @@
     queue: EngineQueue = field(default_factory=EngineQueue)
     demand: DemandForecast = field(default_factory=DemandForecast)
     arrivals: dict[str, _Arrival] = field(default_factory=dict)
-    grants: dict[str, tuple[QueueAnswered, float]] = field(default_factory=dict)
+    grants: dict[str, _Grant] = field(default_factory=dict)
     positions: dict[str, int] = field(default_factory=dict)
     starts: dict[str, float] = field(default_factory=dict)
     checked_at: float = float("-inf")
@@ -120,13 +144,19 @@
         keep_running(PREFIX_ROUTING, self._run)
 
     def handle_asked(self, asked: QueueAsked) -> None:
-        """Queue a request, or answer a repeated question."""
+        """Queue a request, or answer a repeated question.
+
+        Without the service's configuration there is no answer, and another placer is asked.
+        """
+        if self._engine(asked.service) is None:
+            return
         now = self._state.now()
+        self.ledger.expire(now)
         service = self._service_queue(asked.service)
-        granted = service.grants.get(asked.request_id)
-        if granted is not None:
-            if granted[0].upstream_id not in asked.avoid:
-                self._answer(asked.sender, granted[0])
+        grant = service.grants.get(asked.request_id)
+        if grant is not None:
+            if grant.answers(asked, now):
+                self._answer(asked.sender, grant.answer)
                 return
             self._forget_grant(service, asked.request_id)
         request = _request_from(asked, now)
@@ -181,11 +211,10 @@
 
     def _run_pass(self, name: str, service: _ServiceQueue, now: float) -> None:
         """Grant memory in order, and refuse what can't start in time."""
-        table = self._state.route_table
-        config = table.service(name) if table else None
-        if config is None or config.engine is None:
+        engine = self._engine(name)
+        if engine is None:
             return
-        room = _Room(self._options(name), config.engine)
+        room = _Room(self._options(name), engine)
         limits = service.demand.limits(room.total_tokens, now)
 
         def place(request: QueuedRequest, limit: float) -> bool:
@@ -200,6 +229,12 @@
             service.checked_at = now
             self._check_overload(service, room, limits, now)
 
+    def _engine(self, name: str) -> Engine | None:
+        """Return the engine configuration of a service; None if it has none here."""
+        table = self._state.route_table
+        config = table.service(name) if table else None
+        return config.engine if config else None
+
     def _check_overload(
         self, service: _ServiceQueue, room: _Room, limits: ReservingLimits, now: float
     ) -> None:
@@ -284,7 +319,7 @@
             upstream_id=upstream.upstream_id,
             backup_id=backup_id,
         )
-        service.grants[request.request_id] = (answer, now)
+        service.grants[request.request_id] = _Grant(answer, request.sender, now)
         arrival = service.arrivals.pop(request.request_id, None)
         stats = self._state.stats
         stats.queue_granted += 1
@@ -355,8 +390,8 @@
             if now - arrival.asked_at > ASK_VALID_S:
                 del service.arrivals[request_id]
                 service.queue.remove(request_id)
-        for request_id, (_, granted_at) in list(service.grants.items()):
-            if now - granted_at > ANSWER_VALID_S:
+        for request_id, grant in list(service.grants.items()):
+            if now - grant.at > ANSWER_VALID_S:
                 del service.grants[request_id]
 
     def _service_queue(self, name: str) -> _ServiceQueue:
@@ -410,12 +445,18 @@
     ) -> Option | None:
         """Return the engine for a request, of those that have room up to a fill limit."""
         requirement = _requirement(request)
+        # An ejected engine is idle because it fails; full healthy ones do not make it better.
+        healthy = [option for option in self.options if not option.is_ejected] or self.options
         fitting = [
             option
-            for option in self.options
+            for option in healthy
             if option.upstream.upstream_id not in request.avoid
             and option.use.running < self.engine.slots
-            and has_room(option, self.engine, requirement, limit)
+            and (
+                has_room(option, self.engine, requirement, limit)
+                # A prompt above the limit would block the queue for ever.
+                or not (option.use.running or option.use.copies)
+            )
         ]
         sampler = Sampler(state.rng, cross_zone_penalty=CROSS_ZONE_STREAM_PENALTY)
         return choose_stream(
