Tell every placer that was asked when a request leaves the queue

Cause: only the current placer was told. Another one that had been asked before kept the request for 1.2 s and could grant it memory. A caller's disconnect was noticed after up to 0.5 s. In a small fleet a granted run was counted twice for 1 s: as a grant and in the instance's own loads, so 3 instead of 6 streams started. The report that nothing runs was not sent to standby placers if the last run ended within 0.5 s of their previous report. Of two callers with the same request id the second to finish failed with a KeyError.

Change: each placer that was asked is told, except the one that granted. A waiting request checks for a disconnect each 50 ms and ends when its time is over. In a small fleet the grant leaves the ledger when the run starts to count. An empty report is repeated until all placers have been sent one.

Run: behave features/gateway/memory_queue.feature: 'two placers for a moment', 'the caller disconnects while its request waits', 'a small fleet' and 'the last run has ended' failed before.

--- a/driftstall/gateway/scheduling/placement.py
+++ b/driftstall/gateway/scheduling/placement.py
@@ -165,7 +165,7 @@
             if upstream is not None and self._state.can_start_on(upstream, frozenset()):
                 backup = self._state.fleet.find(outcome.backup_id)
                 return Placement(upstream, backup, True, outcome.placer)
-            self._state.leave_queue(request_id)
+            self._state.leave_queue(request_id, outcome.placer)
             rejected.add(outcome.upstream_id)
         return None
 
--- a/driftstall/gateway/scheduling/queue_client.py
+++ b/driftstall/gateway/scheduling/queue_client.py
@@ -36,6 +36,9 @@
 REPEAT_TIMEOUT_S: Final = 0.15
 """How long to wait for the answer to a repeated question. The request does not lose its place by
 waiting a little longer than for the first answer, and a change of placers overfills engines."""
+CANCEL_CHECK_INTERVAL_S: Final = 0.05
+"""How often a waiting request checks whether its caller has disconnected: until then memory may be
+granted to it in vain."""
 REPORT_PAUSE_S: Final = 0.03
 """Changes of runs within this time are sent in one report."""
 REPORT_INTERVAL_S: Final = 0.5
@@ -78,21 +81,27 @@
         """Wait for engine memory; return None if no placer answers or the request is canceled."""
         answers = self._answers[asked.request_id] = Queue()
         outcome: MemoryGranted | MemoryRefused | None = None
+        placers: set[str] = set()
         try:
-            outcome = self._wait(asked, answers, is_canceled)
+            outcome = self._wait(asked, answers, is_canceled, placers)
         finally:
-            del self._answers[asked.request_id]
-            if not isinstance(outcome, MemoryGranted):
-                self.leave(asked.request_id)
+            if self._answers.get(asked.request_id) is answers:
+                del self._answers[asked.request_id]
+            if isinstance(outcome, MemoryGranted):
+                placers.discard(outcome.placer)
+            for placer in placers:
+                self.leave(asked.request_id, placer)
+        if isinstance(outcome, MemoryGranted) and not self._roles().is_large:
+            # From now on the run counts in this instance's own loads.
+            self._service.ledger.remove_grant(asked.request_id)
         return outcome
 
-    def leave(self, request_id: str) -> None:
-        """Report that a request does not wait any more, or does not use its grant."""
+    def leave(self, request_id: str, placer: str) -> None:
+        """Tell a placer that a request does not wait any more, or does not use its grant."""
         left = QueueLeft(self._own_id, (request_id,))
-        placer = self.placer
         if placer == self._own_id:
             self._service.handle_left(left)
-        elif placer is not None:
+        else:
             self._send(placer, left)
 
     def handle_answer(self, answer: QueueAnswered) -> None:
@@ -101,12 +110,19 @@
         if answers is not None:
             answers.put(answer)
         elif answer.outcome is QueueOutcome.GRANTED and not self._is_running(answer.request_id):
-            self._send_left(answer.sender, answer.request_id)
+            self.leave(answer.request_id, answer.sender)
 
     def _wait(
-        self, asked: QueueAsked, answers: Queue[QueueAnswered], is_canceled: Callable[[], bool]
+        self,
+        asked: QueueAsked,
+        answers: Queue[QueueAnswered],
+        is_canceled: Callable[[], bool],
+        placers: set[str],
     ) -> MemoryGranted | MemoryRefused | None:
-        """Ask, then repeat the question until there is a final answer."""
+        """Ask, then repeat the question until there is a final answer.
+
+        Add the placers that are asked to a set.
+        """
         began = self._state.now()
         is_first, timeout_s = True, PLACEMENT_TIMEOUT_S
         while not is_canceled():
@@ -117,6 +133,7 @@
             placer = self.placer
             if placer is None:
                 return None
+            placers.add(placer)
             self._ask(placer, _after(asked, waited_s))
             answer = self._next_answer(answers, timeout_s)
             if answer is None:
@@ -125,15 +142,20 @@
                 timeout_s = PLACEMENT_TIMEOUT_S
                 continue
             repeat_at = self._state.now() + REPEAT_INTERVAL_S
-            while answer is not None and not is_canceled():
-                if answer.outcome is QueueOutcome.GRANTED:
-                    return MemoryGranted(answer.upstream_id, answer.backup_id, answer.sender)
-                if answer.outcome is QueueOutcome.REFUSED:
-                    return MemoryRefused(answer.retry_after_s, answer.forecast_s)
-                if is_first:
-                    is_first = False
-                    self._log_queued(asked, answer)
-                answer = self._next_answer(answers, repeat_at - self._state.now())
+            while not is_canceled():
+                if answer is not None:
+                    if answer.outcome is QueueOutcome.GRANTED:
+                        return MemoryGranted(answer.upstream_id, answer.backup_id, answer.sender)
+                    if answer.outcome is QueueOutcome.REFUSED:
+                        return MemoryRefused(answer.retry_after_s, answer.forecast_s)
+                    if is_first:
+                        is_first = False
+                        self._log_queued(asked, answer)
+                wait_until = min(repeat_at, began + asked.gives_up_s)
+                remaining_s = wait_until - self._state.now()
+                if answer is None and remaining_s <= 0:
+                    break
+                answer = self._next_answer(answers, min(CANCEL_CHECK_INTERVAL_S, remaining_s))
             timeout_s = REPEAT_TIMEOUT_S
         return None
 
@@ -164,14 +186,6 @@
             next=self.placer or "",
         )
 
-    def _send_left(self, placer: str, request_id: str) -> None:
-        """Tell a placer that its grant is not used."""
-        left = QueueLeft(self._own_id, (request_id,))
-        if placer == self._own_id:
-            self._service.handle_left(left)
-        else:
-            self._send(placer, left)
-
     def _is_running(self, request_id: str) -> bool:
         """Return True if a stream of this instance has been sent to an engine."""
         return any(run.request_id == request_id for run in self._state.runs.all)
@@ -240,12 +254,15 @@
         report = self.build_report()
         if not report.runs and not self._has_reported_runs:
             return
-        self._has_reported_runs = bool(report.runs)
         now = self._state.now()
         recipients = {self._client.placer}
         if now - self._reported_to_all_at >= REPORT_INTERVAL_S:
             self._reported_to_all_at = now
             recipients |= set(self._roles().placers)
+            # All placers have to learn that the last run has ended.
+            self._has_reported_runs = bool(report.runs)
+        elif report.runs:
+            self._has_reported_runs = True
         for recipient in recipients - {None}:
             if recipient == self._state.settings.instance_id:
                 self._service.handle_runs(report)
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -107,8 +107,9 @@
         """Asks the zone's placer for an upstream; returns None if this instance is to choose."""
         self.acquire_memory: AcquireMemory = _acquire_nothing
         """Waits for engine memory in the fleet's queue; returns None if no placer answers."""
-        self.leave_queue: Callable[[str], None] = _ignore_request
-        """Called with a request that does not use the engine memory that was granted to it."""
+        self.leave_queue: Callable[[str, str], None] = _ignore_request
+        """Called with a request that does not use the engine memory that was granted to it, and
+        the placer that granted it."""
         self.on_upstream_suspected: Callable[[Upstream], None] = _ignore_upstream
         """Called with an upstream at which a stream broke off unexpectedly."""
         self.on_run_broken: Callable[[Upstream, BrokenRun], None] = _ignore_run
@@ -394,7 +395,7 @@
     return None
 
 
-def _ignore_request(_: str) -> None:
+def _ignore_request(_: str, __: str) -> None:
     """Ignore a request that leaves the queue until peers are connected."""
 
 
