Do not send a stream to a full engine after its wait in the queue

Cause: the wait in the queue ends one first-event time before the caller gives up. The check that followed compared with the caller's patience itself, so the stream went on to wait for room for 0.4 of its target and was then sent to any engine, for a caller that was about to leave.

Change: both use the same time, unless the policy forbids to refuse the request.

--- a/driftstall/gateway/scheduling/placement.py
+++ b/driftstall/gateway/scheduling/placement.py
@@ -105,7 +105,7 @@
         placement: Placement | MemoryRefused | None = None
         if self._is_queued():
             placement = self._wait_in_queue(requirement, avoid, is_canceled)
-            if placement is None and (is_canceled() or self._patience_left_s() <= 0):
+            if placement is None and (is_canceled() or self._has_given_up(requirement)):
                 return None
         if placement is None:
             placement = self._wait_for_room(requirement, avoid, is_canceled)
@@ -207,6 +207,16 @@
         until = min(admitted.ends_at, admitted.started_at + patience_s)
         return until - self._state.now()
 
+    def _has_given_up(self, requirement: TokenRequirement) -> bool:
+        """Return True if the wait has ended: sent to a full engine, the stream would be in vain.
+
+        A stream that may not be refused is sent as long as its caller waits.
+        """
+        margin_s = 0.0
+        if self._admitted.verdict.may_refuse:
+            margin_s = first_event_s(requirement.prompt_tokens)
+        return self._patience_left_s() <= margin_s
+
     def _wait_for_room(
         self, requirement: TokenRequirement, avoid: frozenset[str], is_canceled: Callable[[], bool]
     ) -> Placement | None:
