Let two callers with one request id wait apart in the queue

Cause: the second caller's question replaced the first one's answers, so the first took the placer for silent and excluded it for the whole instance, and the second to finish failed with a KeyError.

Change: a second wait with the same id gets an id of its own in the queue.

Run: behave features/gateway/memory_queue.feature, 'two callers use the same request id at once': only one waited before; 26 scenarios pass after.

--- a/driftstall/gateway/scheduling/queue_client.py
+++ b/driftstall/gateway/scheduling/queue_client.py
@@ -79,14 +79,17 @@
         self, asked: QueueAsked, is_canceled: Callable[[], bool]
     ) -> MemoryGranted | MemoryRefused | None:
         """Wait for engine memory; return None if no placer answers or the request is canceled."""
+        while asked.request_id in self._answers:
+            # Two callers use the same id. Each waits with an id of its own: of shared answers one
+            # would miss some, and take the placer for silent.
+            asked = replace(asked, request_id=f"{asked.request_id}+")
         answers = self._answers[asked.request_id] = Queue()
         outcome: MemoryGranted | MemoryRefused | None = None
         placers: set[str] = set()
         try:
             outcome = self._wait(asked, answers, is_canceled, placers)
         finally:
-            if self._answers.get(asked.request_id) is answers:
-                del self._answers[asked.request_id]
+            del self._answers[asked.request_id]
             if isinstance(outcome, MemoryGranted):
                 placers.discard(outcome.placer)
             for placer in placers:
--- a/features/gateway/memory_queue.feature
+++ b/features/gateway/memory_queue.feature
@@ -91,6 +91,14 @@
     When "r1" has run and ended, and is sent again while the engine is full
     Then "r1" waits at the first placer
 
+  Scenario: two callers use the same request id at once
+    Given two placers and a member, and an engine for one generation
+    And a generation of another instance holds the engine
+    When the member asks for memory for "r1" of two callers
+    Then both wait at the first placer, and both ask again there
+    When the generation of the other instance ends
+    Then one of the two is granted the engine, and the other one waits
+
   Scenario: a placer without the service's configuration
     Given two placers and a member, and an engine for one generation
     And the first placer has no configuration
--- a/features/steps/memory_queue_steps.py
+++ b/features/steps/memory_queue_steps.py
@@ -354,6 +354,35 @@
     queues.ask(request_id)
 
 
+@when('the member asks for memory for "{request_id}" of two callers')
+def two_callers_ask(context: Any, request_id: str) -> None:
+    """Ask twice with the same id."""
+    queues = queues_of(context)
+    queues.ask(request_id)
+    context.callers = [queues.outcomes[request_id]]
+    queues.ask(request_id)
+    context.callers.append(queues.outcomes[request_id])
+
+
+@then("both wait at the first placer, and both ask again there")
+def both_wait(context: Any) -> None:
+    """Wait for the repeated questions; none of the answers is missed."""
+    queues = queues_of(context)
+    wait_for("both wait", lambda: queues.queues[FIRST].waiting == 2)
+    wait_for("repeats", lambda: len(queues.messages(QueueAsked, FIRST)) >= 4)
+    assert not queues.messages(QueueAsked, SECOND)
+
+
+@then("one of the two is granted the engine, and the other one waits")
+def one_granted(context: Any) -> None:
+    """Check both outcomes."""
+    queues = queues_of(context)
+    wait_for("one outcome", lambda: any(caller.ready() for caller in context.callers))
+    assert queues.queues[FIRST].waiting == 1
+    (granted,) = [caller.get() for caller in context.callers if caller.ready()]
+    assert isinstance(granted, MemoryGranted), granted
+
+
 @given("the first placer has no configuration")
 def no_configuration(context: Any) -> None:
     """Remove the configuration."""
