Keep only the engines free that a blocked request may use

Cause: a request that avoids engines, as they turned it away or are in back-off at its instance, was blocked while one of these had room; once twice its tokens had overtaken it, nothing was granted there either.

Change: after that, later requests may still start on the engines that the blocked one avoids.

Run: behave features/parts/engine_queue.feature, 'engines that a blocked request may not use are not kept free for it': 7 of 9 requests that fit started before, 9 after; 28 scenarios pass.

--- a/driftstall/decisions/engine_queue.py
+++ b/driftstall/decisions/engine_queue.py
@@ -207,8 +207,9 @@
         """Return the memory share up to which requests of an order may fill an engine."""
 
 
-PlaceAttempt = Callable[[QueuedRequest, float], bool]
-"""Try to place a request on an engine filled up to a share; return True if it was placed."""
+PlaceAttempt = Callable[[QueuedRequest, float, frozenset[str] | None], bool]
+"""Try to place a request on an engine filled up to a share, and only on certain engines if given;
+return True if it was placed."""
 
 
 def schedule(
@@ -217,22 +218,25 @@
     """Grant engine memory in order; return the granted requests, which no longer wait.
 
     If the first request fits nowhere, later ones may fill the gaps that it can't use, within
-    MAX_OVERTAKING; then memory is kept for it.
+    MAX_OVERTAKING; then the engines that it may use are kept for it.
     """
     granted: list[QueuedRequest] = []
     blocked: QueuedRequest | None = None
+    only: frozenset[str] | None = None
     smallest_blocked: dict[float, int] = {}
     for request in queue.in_order(now)[:MAX_ATTEMPTS]:
         limit = limits.limit(request.order)
         if request.tokens >= smallest_blocked.get(limit, request.tokens + 1):
             continue
-        if blocked is not None and not queue.may_overtake(request, blocked):
-            break
-        if place(request, limit):
+        if blocked is not None and only is None and not queue.may_overtake(request, blocked):
+            if not blocked.avoid:
+                break
+            only = blocked.avoid
+        if place(request, limit, only):
             queue.charge(request)
             queue.remove(request.request_id)
             granted.append(request)
-            if blocked is not None:
+            if blocked is not None and only is None:
                 queue.record_overtaking(request, blocked)
             if len(granted) == MAX_GRANTS:
                 break
--- a/driftstall/gateway/scheduling/queue_service.py
+++ b/driftstall/gateway/scheduling/queue_service.py
@@ -217,8 +217,8 @@
         room = _Room(self._options(name), engine)
         limits = service.demand.limits(room.total_tokens, now)
 
-        def place(request: QueuedRequest, limit: float) -> bool:
-            option = room.choose(request, limit, self._cold_gate(), self._state)
+        def place(request: QueuedRequest, limit: float, only: frozenset[str] | None) -> bool:
+            option = room.choose(request, limit, only, self._cold_gate(), self._state)
             if option is None:
                 return False
             self._grant(service, request, option, room, now)
@@ -451,7 +451,12 @@
         return tuple(releases)
 
     def choose(
-        self, request: QueuedRequest, limit: float, gate: ColdGate, state: GatewayState
+        self,
+        request: QueuedRequest,
+        limit: float,
+        only: frozenset[str] | None,
+        gate: ColdGate,
+        state: GatewayState,
     ) -> Option | None:
         """Return the engine for a request, of those that have room up to a fill limit."""
         requirement = _requirement(request)
@@ -461,6 +466,7 @@
             option
             for option in healthy
             if option.upstream.upstream_id not in request.avoid
+            and (only is None or option.upstream.upstream_id in only)
             and option.use.running < self.engine.slots
             and (
                 has_room(option, self.engine, requirement, limit)
--- a/features/parts/engine_queue.feature
+++ b/features/parts/engine_queue.feature
@@ -68,6 +68,14 @@
     When one request of 1000 tokens arrives and one ends each 0.1 s, until "long" starts
     Then 8 requests have overtaken "long"
 
+  Scenario: engines that a blocked request may not use are not kept free for it
+    Load: a long generation was turned away by an engine, and waits for another one.
+    Given engines "e-1" with 1500 and "e-2" with 9000 tokens free
+    And a long request of 4000 tokens waits that may not use "e-2"
+    And 20 requests of 1000 tokens and a lower rank wait
+    When memory is granted on these engines until nothing more starts
+    Then "e-1" was given 1 request and "e-2" was given 9
+
   Scenario: one pass does a bounded amount of work
     Load: many requests wait when the memory of many engines becomes free, or when it is lost.
     Given 300 requests of "north" wait
--- a/features/steps/engine_queue_steps.py
+++ b/features/steps/engine_queue_steps.py
@@ -5,7 +5,6 @@
 import heapq
 import math
 import random
-from collections.abc import Callable
 from dataclasses import replace
 from typing import Any, Final
 
@@ -14,6 +13,7 @@
 from driftstall.decisions.engine_queue import (
     EngineQueue,
     FillLimits,
+    PlaceAttempt,
     QueuedRequest,
     QueueOrder,
     schedule,
@@ -106,11 +106,11 @@
     return granted
 
 
-def _limited(count: int) -> Callable[[QueuedRequest, float], bool]:
+def _limited(count: int) -> PlaceAttempt:
     """Return a placing function that has room for a number of requests."""
     left = [count]
 
-    def place(_: QueuedRequest, __: float) -> bool:
+    def place(_: QueuedRequest, __: float, ___: frozenset[str] | None) -> bool:
         left[0] -= 1
         return left[0] >= 0
 
@@ -232,10 +232,11 @@
     context.free = [free]
 
 
-def place_on_engine(context: Any) -> Callable[[QueuedRequest, float], bool]:
+def place_on_engine(context: Any) -> PlaceAttempt:
     """Return a placing function for one engine."""
 
-    def place(request: QueuedRequest, _: float) -> bool:
+    def place(request: QueuedRequest, _: float, only: frozenset[str] | None) -> bool:
+        assert only is None, only
         if request.tokens > context.free[0]:
             return False
         context.free[0] -= request.tokens
@@ -292,6 +293,53 @@
     assert len(schedule(context.queue, _limited(300), FULL, NOW)) == granted
 
 
+@given('engines "{first}" with {free:d} and "{second}" with {more:d} tokens free')
+def two_engines(context: Any, first: str, free: int, second: str, more: int) -> None:
+    """Create two engines."""
+    context.engines = {first: free, second: more}
+
+
+@given('a long request of {tokens:d} tokens waits that may not use "{engine}"')
+def long_avoids(context: Any, tokens: int, engine: str) -> None:
+    """Put a request into a queue."""
+    long = waiting("long", prompt_tokens=tokens, avoid=frozenset({engine}))
+    context.queue = queue_of(long)
+
+
+@given("{count:d} requests of {tokens:d} tokens and a lower rank wait")
+def small_wait(context: Any, count: int, tokens: int) -> None:
+    """Put less urgent requests into the queue."""
+    for number in range(count):
+        low = QueueOrder(1, 0)
+        context.queue.put(waiting(f"s-{number}", order=low, prompt_tokens=tokens))
+
+
+@when("memory is granted on these engines until nothing more starts")
+def granted_on_two(context: Any) -> None:
+    """Run passes; the first engine is tried first."""
+    free = context.engines
+    context.given = dict.fromkeys(free, 0)
+
+    def place(request: QueuedRequest, _: float, only: frozenset[str] | None) -> bool:
+        for name in free:
+            is_allowed = name not in request.avoid and (only is None or name in only)
+            if is_allowed and request.tokens <= free[name]:
+                free[name] -= request.tokens
+                context.given[name] += 1
+                return True
+        return False
+
+    while schedule(context.queue, place, FULL, NOW):
+        pass
+
+
+@then('"{first}" was given {count:d} request and "{second}" was given {more:d}')
+def were_given(context: Any, first: str, count: int, second: str, more: int) -> None:
+    """Compare the numbers of requests."""
+    assert context.given == {first: count, second: more}, context.given
+    assert "long" in context.queue
+
+
 @given(
     "{count:d} short urgent requests of {tokens:d} tokens and {hold:g} s a second"
     " for {seconds:d} s, beside a long one"
@@ -526,7 +574,7 @@
     context.started, context.refusals = [], []
     coming, now = arrivals(engines)[::-1], 0.0
 
-    def place(request: QueuedRequest, limit: float) -> bool:
+    def place(request: QueuedRequest, limit: float, _: frozenset[str] | None) -> bool:
         engine = min(used, key=lambda name: used[name])
         if used[engine] + request.tokens > limit * size:
             return False
