Log the forecast and the age of the reports with each grant

Its position was the number of requests that waited, and the wait of a caller that had returned included the time it was away, in the histogram too.

Change: fields forecast_s, report_age_ms and waiting_at_arrival; the wait counts from the arrival.

--- a/driftstall/gateway/scheduling/engine_ledger.py
+++ b/driftstall/gateway/scheduling/engine_ledger.py
@@ -108,6 +108,10 @@
         """Return the runs on one engine."""
         return tuple(run for run, _ in self.runs() if run.run.upstream_id == upstream_id)
 
+    def oldest_report_s(self, now: float) -> float:
+        """Return the age of the oldest report that counts; zero without reports."""
+        return max((now - report.at for report in self._reports.values()), default=0.0)
+
     def uses(self) -> dict[str, Use]:
         """Return the loads of all engines by upstream id, without idle ones."""
         return _sum_uses(run for run, _ in self.runs())
--- a/driftstall/gateway/scheduling/queue_service.py
+++ b/driftstall/gateway/scheduling/queue_service.py
@@ -75,7 +75,10 @@
 class _Arrival:
     """Record of a waiting request, for its answers and log lines."""
 
-    position: int
+    waiting: int
+    """Number of requests that waited when it arrived."""
+    arrived_at: float
+    """When it arrived at its instance; a returned request has a place of an earlier time."""
     asked_at: float
 
 
@@ -162,6 +165,7 @@
         request = _request_from(asked, now)
         arrival = service.arrivals.get(asked.request_id)
         if arrival is None:
+            arrived_at = request.arrived_at
             checked = service.overload.check_return(
                 request, now, others_wait=len(service.queue) > 0
             )
@@ -170,7 +174,7 @@
                 return
             request = checked
             service.demand.record(request, now)
-            arrival = _Arrival(len(service.queue), now)
+            arrival = _Arrival(len(service.queue), arrived_at, now)
             service.arrivals[asked.request_id] = arrival
         arrival.asked_at = now
         was_empty = not len(service.queue)
@@ -325,10 +329,11 @@
             backup_id=backup_id,
         )
         service.grants[request.request_id] = _Grant(answer, request.sender, now)
-        arrival = service.arrivals.pop(request.request_id, None)
+        arrival = service.arrivals.pop(request.request_id)
+        waited_s = now - arrival.arrived_at
         stats = self._state.stats
         stats.queue_granted += 1
-        stats.queue_wait_s.observe({"rank": str(request.order.rank)}, now - request.arrived_at)
+        stats.queue_wait_s.observe({"rank": str(request.order.rank)}, waited_s)
         log_event(
             PREFIX_ROUTING,
             f"Engine memory on {upstream.upstream_id} is granted",
@@ -337,10 +342,12 @@
             workspace=request.workspace,
             rank=request.order.rank,
             route_rank=request.order.route_rank,
-            position=arrival.position if arrival else 0,
-            waited_ms=int((now - request.arrived_at) * 1000),
+            waiting_at_arrival=arrival.waiting,
+            waited_ms=int(waited_s * 1000),
             slack_ms=int((request.start_by - now) * 1000),
+            forecast_s=round(service.starts.get(request.request_id, now) - now, 3),
             free_tokens=free_tokens,
+            report_age_ms=int(self.ledger.oldest_report_s(now) * 1000),
             waiting=len(service.queue),
         )
         self._answer(request.sender, answer)
@@ -361,6 +368,7 @@
             forecast_s=round(refused.forecast_s, 3),
             gives_up_s=round(request.gives_up_at - now, 3),
             retry_after_s=round(refused.retry_after_s, 3),
+            report_age_ms=int(self.ledger.oldest_report_s(now) * 1000),
         )
         answer = QueueAnswered(
             self._state.settings.instance_id,
--- a/features/gateway/memory_queue.feature
+++ b/features/gateway/memory_queue.feature
@@ -128,6 +128,14 @@
     When a run of the member has started and ended
     Then both placers are told that nothing runs
 
+  Scenario: each decision is logged with its inputs
+    Given two placers and a member, and an engine for one generation
+    And a generation of another instance holds the engine
+    When the member asks for memory for "r1"
+    And the clock advances by 0.2 s
+    And the generation of the other instance ends
+    Then the log line of "r1" has its wait, its forecast and the age of the oldest report
+
   Scenario: a stream is placed by itself where no placer answers
     Given a gateway before two plain upstreams and three engines, whose streams wait in a queue
     And the gateway's fleet is large and has no placer
--- a/features/steps/memory_queue_steps.py
+++ b/features/steps/memory_queue_steps.py
@@ -12,7 +12,7 @@
 from driftstall.gateway.collectors import FleetRoles
 from driftstall.gateway.loads import FLEET_KEY, Use
 from driftstall.gateway.routes import RouteTable
-from driftstall.gateway.scheduling import queue_client
+from driftstall.gateway.scheduling import queue_client, queue_service
 from driftstall.gateway.scheduling.memory_queue import MemoryQueue
 from driftstall.gateway.scheduling.queue_messages import (
     MemoryGranted,
@@ -37,6 +37,7 @@
 )
 from features.worlds.queue_world import (
     ENGINE,
+    ENGINE_TOKENS,
     FIRST,
     MEMBER,
     OTHER,
@@ -70,8 +71,11 @@
 
 @given("two placers and a member, and an engine for one generation")
 def two_placers(context: Any) -> None:
-    """Start the instances."""
+    """Start the instances, and record the service's log lines."""
     run_for_scenario(context)
+    context.logged = []
+    context.add_cleanup(setattr, queue_service, "log_event", queue_service.log_event)
+    queue_service.log_event = lambda _, text, **fields: context.logged.append(fields)
     context.queues = QueueWorld()
 
 
@@ -383,6 +387,17 @@
     assert isinstance(granted, MemoryGranted), granted
 
 
+@then('the log line of "{request_id}" has its wait, its forecast and the age of the oldest report')
+def logged_with_inputs(context: Any, request_id: str) -> None:
+    """Check the fields of the grant: the forecast and the reports are as old as the clock says."""
+    queues = queues_of(context)
+    assert isinstance(queues.outcome(request_id), MemoryGranted)
+    (line,) = [fields for fields in context.logged if fields["request"] == request_id]
+    assert line["waited_ms"] >= 200 and line["report_age_ms"] >= 200, line
+    assert line["forecast_s"] > 10.0 and line["free_tokens"] == ENGINE_TOKENS, line
+    assert line["waiting_at_arrival"] == 0, line
+
+
 @given("the first placer has no configuration")
 def no_configuration(context: Any) -> None:
     """Remove the configuration."""
--- a/features/worlds/queue_world.py
+++ b/features/worlds/queue_world.py
@@ -99,6 +99,7 @@
         self.report()
         self.pass_time(1.0)
         self.report()
+        self.report(sender=MEMBER)
 
     def now(self) -> float:
         """Return the time of all instances."""
