Give placers more time to answer in tests of the queue

Cause: the tests ran beside other work at a load of 19 on 12 processors. An answer that takes 50 ms there would make a placer seem silent, which some scenarios rule out. None has failed so far.

Change: 0.3 s in these tests, also for repeated questions.

Run: behave features/gateway/memory_queue.feature: 27 scenarios pass.

--- a/features/worlds/queue_world.py
+++ b/features/worlds/queue_world.py
@@ -39,6 +39,9 @@
 RUN_TOKENS: Final = 6_000
 """Size of a generation of which one fits on an engine."""
 
+TIMEOUTS_S: Final = {"PLACEMENT_TIMEOUT_S": 0.3, "REPEAT_TIMEOUT_S": 0.3}
+"""Longer than in operation: a busy machine must not make a placer seem silent that is not."""
+
 
 @dataclass(frozen=True, slots=True)
 class Sent:
@@ -65,7 +68,7 @@
 
 
 def run_for_scenario(context: Any) -> None:
-    """Let background tasks of queues end with the scenario."""
+    """Let background tasks of queues end with the scenario, and set the timeouts of answers."""
     tasks: list[gevent.Greenlet] = []
 
     def keep_running(_: str, work: Callable[[], None]) -> gevent.Greenlet:
@@ -75,6 +78,9 @@
     for module in (queue_client, queue_service):
         context.add_cleanup(setattr, module, "keep_running", tasks_module.keep_running)
         setattr(module, "keep_running", keep_running)  # noqa: B010
+    for name, timeout_s in TIMEOUTS_S.items():
+        context.add_cleanup(setattr, queue_client, name, getattr(queue_client, name))
+        setattr(queue_client, name, timeout_s)
     context.add_cleanup(gevent.killall, tasks)
 
 
