--- a/driftstall/decisions/room_forecast.py
+++ b/driftstall/decisions/room_forecast.py
@@ -9,7 +9,7 @@
 
 import heapq
 import math
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -36,6 +36,14 @@
     tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class ExpectedReturn:
+    """Describe a refused request whose caller is expected to return."""
+
+    at: float
+    request: QueuedRequest
+
+
 @dataclass(frozen=True, slots=True)
 class RoomForecast:
     """Hold the free memory of a service's engines, and when more is released."""
@@ -44,34 +52,81 @@
     """Tokens free below the fill limit, on engines that take requests."""
     total_tokens: int
     releases: tuple[Release, ...]
+    used_tokens: int
+    """Tokens of runs and replicas; what is kept free above the fill limit is not in use."""
 
     @property
-    def free_share(self) -> float:
-        """Return the free share of the memory, from 0 to 1."""
-        return self.free_tokens / max(1, self.total_tokens)
-
-    def starts(self, requests: Sequence[QueuedRequest], now: float) -> dict[str, float]:
+    def used_share(self) -> float:
+        """Return the share of the memory that is in use."""
+        return self.used_tokens / max(1, self.total_tokens)
+
+    def starts(
+        self,
+        requests: Sequence[QueuedRequest],
+        now: float,
+        returns: Iterable[ExpectedReturn] = (),
+    ) -> dict[str, float]:
         """Return when each request is expected to start; infinity if never.
 
-        The requests are given in the order in which they are granted.
+        The requests are given in the order in which they are granted. A returning caller comes
+        before requests of its rank and later ones that would start after its return.
         """
-        releases = [(max(now, release.at), release.tokens) for release in self.releases]
-        heapq.heapify(releases)
-        free, at = self.free_tokens, now
+        room = _FutureRoom(self, now)
+        expected = sorted(returns, key=lambda item: item.at)
         starts: dict[str, float] = {}
         for request in requests:
-            while free < request.tokens and releases:
-                at, tokens = heapq.heappop(releases)
-                free += tokens
-            if free < request.tokens:
-                at = math.inf
-            else:
-                free -= request.tokens
-                heapq.heappush(releases, (at + request.hold_s, request.tokens))
-            starts[request.request_id] = at
+            tokens = request.tokens
+            if tokens > room.capacity:
+                starts[request.request_id] = math.inf
+                continue
+            room.wait_for(tokens)
+            while (first := _first_due(expected, request, room.at)) is not None:
+                expected.remove(first)
+                room.take(first.request.tokens, first.request.hold_s)
+                room.wait_for(tokens)
+            room.take(tokens, request.hold_s)
+            starts[request.request_id] = room.at
         return starts
 
 
+class _FutureRoom:
+    """Play the future of the free memory."""
+
+    def __init__(self, forecast: RoomForecast, now: float) -> None:
+        """Initialize with the free memory and the releases of running requests."""
+        self.at = now
+        self._free = forecast.free_tokens
+        self._releases = [(max(now, release.at), release.tokens) for release in forecast.releases]
+        self.capacity = self._free + sum(tokens for _, tokens in self._releases)
+        """Tokens that are free once everything is released."""
+        heapq.heapify(self._releases)
+
+    def wait_for(self, tokens: int) -> None:
+        """Advance the time until this memory is free; it must be within the capacity."""
+        while self._free < tokens:
+            self.at, released = heapq.heappop(self._releases)
+            self._free += released
+
+    def take(self, tokens: int, hold_s: float) -> None:
+        """Take memory as soon as it is free, if it ever is, and release it after some time."""
+        if tokens <= self.capacity:
+            self.wait_for(tokens)
+            self._free -= tokens
+            heapq.heappush(self._releases, (self.at + hold_s, tokens))
+
+
+def _first_due(
+    expected: Sequence[ExpectedReturn], request: QueuedRequest, at: float
+) -> ExpectedReturn | None:
+    """Return the first expected return that comes before a request; None if there is none."""
+    for item in expected:
+        if item.at > at:
+            return None
+        if item.request.order <= request.order:
+            return item
+    return None
+
+
 class _ArrivalRate:
     """Estimate the memory that arriving requests of one order hold on average."""
 
--- a/driftstall/gateway/scheduling/queue_service.py
+++ b/driftstall/gateway/scheduling/queue_service.py
@@ -59,6 +59,9 @@
 second."""
 ANSWER_VALID_S: Final = 3.0
 """How long the grant of a request is kept, to answer a repeated question the same."""
+REPEAT_DELAY_S: Final = 0.1
+"""Network delay up to which a question counts as a repeated one: its request seems to have arrived
+later by this delay."""
 TAKEOVER_S: Final = 1.2
 """Time after the first report within which all instances with runs have reported them."""
 ASSUMED_HOLD_S: Final = 3.0
@@ -72,10 +75,34 @@
 class _Arrival:
     """Record of a waiting request, for its answers and log lines."""
 
-    position: int
+    waiting: int
+    """Number of requests that waited when it arrived."""
+    arrived_at: float
+    """When it arrived at its instance; a returned request has a place of an earlier time."""
     asked_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Grant:
+    """Hold a grant, to answer a repeated question the same."""
+
+    answer: QueueAnswered
+    sender: str
+    """The instance that has asked."""
+    at: float
+
+    def answers(self, asked: QueueAsked, now: float) -> bool:
+        """Return True if a question repeats the one that was granted.
+
+        A request that arrived after the grant is another one: callers use an id again to retry.
+        """
+        return (
+            asked.sender == self.sender
+            and now - asked.waited_s <= self.at + REPEAT_DELAY_S
+            and self.answer.upstream_id not in asked.avoid
+        )
+
+
 @dataclass(slots=True)
 class _ServiceQueue:
     """State of one service's queue."""
@@ -84,7 +111,7 @@
     queue: EngineQueue = field(default_factory=EngineQueue)
     demand: DemandForecast = field(default_factory=DemandForecast)
     arrivals: dict[str, _Arrival] = field(default_factory=dict)
-    grants: dict[str, tuple[QueueAnswered, float]] = field(default_factory=dict)
+    grants: dict[str, _Grant] = field(default_factory=dict)
     positions: dict[str, int] = field(default_factory=dict)
     starts: dict[str, float] = field(default_factory=dict)
     checked_at: float = float("-inf")
@@ -120,25 +147,34 @@
         keep_running(PREFIX_ROUTING, self._run)
 
     def handle_asked(self, asked: QueueAsked) -> None:
-        """Queue a request, or answer a repeated question."""
+        """Queue a request, or answer a repeated question.
+
+        Without the service's configuration there is no answer, and another placer is asked.
+        """
+        if self._engine(asked.service) is None:
+            return
         now = self._state.now()
+        self.ledger.expire(now)
         service = self._service_queue(asked.service)
-        granted = service.grants.get(asked.request_id)
-        if granted is not None:
-            if granted[0].upstream_id not in asked.avoid:
-                self._answer(asked.sender, granted[0])
+        grant = service.grants.get(asked.request_id)
+        if grant is not None:
+            if grant.answers(asked, now):
+                self._answer(asked.sender, grant.answer)
                 return
             self._forget_grant(service, asked.request_id)
         request = _request_from(asked, now)
         arrival = service.arrivals.get(asked.request_id)
         if arrival is None:
-            checked = service.overload.check_return(request, now)
+            arrived_at = request.arrived_at
+            checked = service.overload.check_return(
+                request, now, others_wait=len(service.queue) > 0
+            )
             if isinstance(checked, RefusedRequest):
                 self._refuse(checked, now)
                 return
             request = checked
             service.demand.record(request, now)
-            arrival = _Arrival(len(service.queue), now)
+            arrival = _Arrival(len(service.queue), arrived_at, now)
             service.arrivals[asked.request_id] = arrival
         arrival.asked_at = now
         was_empty = not len(service.queue)
@@ -179,15 +215,14 @@
 
     def _run_pass(self, name: str, service: _ServiceQueue, now: float) -> None:
         """Grant memory in order, and refuse what can't start in time."""
-        table = self._state.route_table
-        config = table.service(name) if table else None
-        if config is None or config.engine is None:
+        engine = self._engine(name)
+        if engine is None:
             return
-        room = _Room(self._options(name), config.engine)
+        room = _Room(self._options(name), engine)
         limits = service.demand.limits(room.total_tokens, now)
 
-        def place(request: QueuedRequest, limit: float) -> bool:
-            option = room.choose(request, limit, self._cold_gate(), self._state)
+        def place(request: QueuedRequest, limit: float, only: frozenset[str] | None) -> bool:
+            option = room.choose(request, limit, only, self._cold_gate(), self._state)
             if option is None:
                 return False
             self._grant(service, request, option, room, now)
@@ -198,6 +233,12 @@
             service.checked_at = now
             self._check_overload(service, room, limits, now)
 
+    def _engine(self, name: str) -> Engine | None:
+        """Return the engine configuration of a service; None if it has none here."""
+        table = self._state.route_table
+        config = table.service(name) if table else None
+        return config.engine if config else None
+
     def _check_overload(
         self, service: _ServiceQueue, room: _Room, limits: ReservingLimits, now: float
     ) -> None:
@@ -227,7 +268,12 @@
         releases = self.ledger.releases(room.upstream_ids)
         if not self._uses_ledger(now):
             releases = room.assumed_releases(now)
-        return RoomForecast(room.free_tokens(limit, least_tokens), room.total_tokens, releases)
+        return RoomForecast(
+            room.free_tokens(limit, least_tokens),
+            room.total_tokens,
+            releases,
+            room.used_tokens,
+        )
 
     def _uses_ledger(self, now: float) -> bool:
         """Return True if the ledger holds the runs of all instances."""
@@ -237,10 +283,11 @@
     def _options(self, service: str) -> list[Option]:
         """Return the engines that take requests, with the loads known here."""
         now = self._state.now()
-        uses = self.ledger.uses()
-        if not self._uses_ledger(now):
-            # Only grants are in the ledger, or not yet all runs: the exchanged sums hold the rest.
-            uses = _sum(self._state.loads.totals(now), uses)
+        if self._uses_ledger(now):
+            uses = self.ledger.uses()
+        else:
+            # The exchanged sums hold all runs, but not what was granted a moment ago.
+            uses = _sum(self._state.loads.totals(now), self.ledger.granted_uses())
         return self._state.options(service, max_options=None, respects_backoff=False, totals=uses)
 
     def _grant(
@@ -281,11 +328,12 @@
             upstream_id=upstream.upstream_id,
             backup_id=backup_id,
         )
-        service.grants[request.request_id] = (answer, now)
-        arrival = service.arrivals.pop(request.request_id, None)
+        service.grants[request.request_id] = _Grant(answer, request.sender, now)
+        arrival = service.arrivals.pop(request.request_id)
+        waited_s = now - arrival.arrived_at
         stats = self._state.stats
         stats.queue_granted += 1
-        stats.queue_wait_s.observe({"rank": str(request.order.rank)}, now - request.arrived_at)
+        stats.queue_wait_s.observe({"rank": str(request.order.rank)}, waited_s)
         log_event(
             PREFIX_ROUTING,
             f"Engine memory on {upstream.upstream_id} is granted",
@@ -294,10 +342,12 @@
             workspace=request.workspace,
             rank=request.order.rank,
             route_rank=request.order.route_rank,
-            position=arrival.position if arrival else 0,
-            waited_ms=int((now - request.arrived_at) * 1000),
+            waiting_at_arrival=arrival.waiting,
+            waited_ms=int(waited_s * 1000),
             slack_ms=int((request.start_by - now) * 1000),
+            forecast_s=round(service.starts.get(request.request_id, now) - now, 3),
             free_tokens=free_tokens,
+            report_age_ms=int(self.ledger.oldest_report_s(now) * 1000),
             waiting=len(service.queue),
         )
         self._answer(request.sender, answer)
@@ -318,6 +368,7 @@
             forecast_s=round(refused.forecast_s, 3),
             gives_up_s=round(request.gives_up_at - now, 3),
             retry_after_s=round(refused.retry_after_s, 3),
+            report_age_ms=int(self.ledger.oldest_report_s(now) * 1000),
         )
         answer = QueueAnswered(
             self._state.settings.instance_id,
@@ -352,8 +403,8 @@
             if now - arrival.asked_at > ASK_VALID_S:
                 del service.arrivals[request_id]
                 service.queue.remove(request_id)
-        for request_id, (_, granted_at) in list(service.grants.items()):
-            if now - granted_at > ANSWER_VALID_S:
+        for request_id, grant in list(service.grants.items()):
+            if now - grant.at > ANSWER_VALID_S:
                 del service.grants[request_id]
 
     def _service_queue(self, name: str) -> _ServiceQueue:
@@ -382,6 +433,11 @@
         """Return the memory of all engines."""
         return self.engine.memory_tokens * len(self.options)
 
+    @property
+    def used_tokens(self) -> int:
+        """Return the memory of runs and replicas on all engines."""
+        return sum(option.use.tokens + option.use.copies for option in self.options)
+
     def free_on(self, option: Option) -> int:
         """Return the free memory of one engine."""
         return self.engine.memory_tokens - option.use.tokens - option.use.copies
@@ -403,16 +459,28 @@
         return tuple(releases)
 
     def choose(
-        self, request: QueuedRequest, limit: float, gate: ColdGate, state: GatewayState
+        self,
+        request: QueuedRequest,
+        limit: float,
+        only: frozenset[str] | None,
+        gate: ColdGate,
+        state: GatewayState,
     ) -> Option | None:
         """Return the engine for a request, of those that have room up to a fill limit."""
         requirement = _requirement(request)
+        # An ejected engine is idle because it fails; full healthy ones do not make it better.
+        healthy = [option for option in self.options if not option.is_ejected] or self.options
         fitting = [
             option
-            for option in self.options
+            for option in healthy
             if option.upstream.upstream_id not in request.avoid
+            and (only is None or option.upstream.upstream_id in only)
             and option.use.running < self.engine.slots
-            and has_room(option, self.engine, requirement, limit)
+            and (
+                has_room(option, self.engine, requirement, limit)
+                # A prompt above the limit would block the queue for ever.
+                or not (option.use.running or option.use.copies)
+            )
         ]
         sampler = Sampler(state.rng, cross_zone_penalty=CROSS_ZONE_STREAM_PENALTY)
         return choose_stream(
