--- a/driftstall/peers/gateway_messages.py
+++ b/driftstall/peers/gateway_messages.py
@@ -15,6 +15,11 @@
 from driftstall.gateway.cordons import Cordons
 from driftstall.gateway.loads import Use
 from driftstall.gateway.model import Upstream
+from driftstall.gateway.scheduling.evacuation_messages import (
+    CopyEnded,
+    CopyOrdered,
+    EvacuationRequested,
+)
 from driftstall.gateway.scheduling.queue_messages import (
     QueueAnswered,
     QueueAsked,
@@ -208,4 +213,7 @@
     | QueueAnswered
     | QueueLeft
     | RunsReported
+    | EvacuationRequested
+    | CopyOrdered
+    | CopyEnded
 )
