Count copies off leaving engines in the ledger of engine memory

Cause: the queue would grant the memory that a copy is about to fill; its instance reports the copy's target some 30 ms after the first step has begun. Change: EngineLedger.add_copy counts a copy on its target until a report shows it there, it ends or its time passes. QueueService.options and MemoryQueue.options return the engines with the ledger's loads.

--- a/driftstall/gateway/scheduling/engine_ledger.py
+++ b/driftstall/gateway/scheduling/engine_ledger.py
@@ -52,13 +52,23 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Copy:
+    """Hold the memory of a copy that is being made."""
+
+    upstream_id: str
+    tokens: int
+    until: float
+
+
 class EngineLedger:
-    """Hold the reported and the granted runs."""
+    """Hold the reported and the granted runs, and the copies ordered off leaving engines."""
 
     def __init__(self) -> None:
         """Initialize without runs."""
         self._reports: dict[str, _Report] = {}
         self._grants: dict[str, _Grant] = {}
+        self._copies: dict[str, _Copy] = {}
         self._first_report_at: float | None = None
 
     @property
@@ -83,8 +93,19 @@
         """Remove a granted run that is not started, or that is counted otherwise."""
         self._grants.pop(request_id, None)
 
+    def add_copy(self, request_id: str, upstream_id: str, tokens: int, until: float) -> None:
+        """Count the copy of a run on its target, at most until some time."""
+        self._copies[request_id] = _Copy(upstream_id, tokens, until)
+
+    def remove_copy(self, request_id: str) -> None:
+        """Remove a copy that has ended; from then on reports show the run."""
+        self._copies.pop(request_id, None)
+
     def expire(self, now: float) -> None:
-        """Remove the reports of instances that fell silent, and grants that nobody reports."""
+        """Remove the reports of silent instances, grants that nobody reports, and old copies."""
+        for request_id, copy in list(self._copies.items()):
+            if now >= copy.until:
+                del self._copies[request_id]
         for sender, report in list(self._reports.items()):
             if now - report.at > REPORT_VALID_S:
                 del self._reports[sender]
@@ -107,6 +128,7 @@
     def uses(self) -> dict[str, Use]:
         """Return the loads of all engines by upstream id, without idle ones."""
         sums: dict[str, list[int]] = {}
+        copies = dict(self._copies)
         for ledger_run, _ in self.runs():
             run, tokens = ledger_run.run, ledger_run.tokens
             total = sums.setdefault(run.upstream_id, [0, 0, 0, 0])
@@ -115,6 +137,12 @@
             total[3] += run.prefill_tokens
             if run.backup_id:
                 sums.setdefault(run.backup_id, [0, 0, 0, 0])[2] += tokens
+            copy = copies.get(run.request_id)
+            if copy is not None and copy.upstream_id in (run.upstream_id, run.backup_id):
+                # The instance reports the copy itself by now.
+                del copies[run.request_id]
+        for copy in copies.values():
+            sums.setdefault(copy.upstream_id, [0, 0, 0, 0])[2] += copy.tokens
         return {
             upstream_id: Use(upstream_id, running, tokens, copies, prefill)
             for upstream_id, (running, tokens, copies, prefill) in sums.items()
--- a/driftstall/gateway/scheduling/memory_queue.py
+++ b/driftstall/gateway/scheduling/memory_queue.py
@@ -16,6 +16,7 @@
     RunsReported,
 )
 from driftstall.gateway.scheduling.queue_service import QueueService
+from driftstall.gateway.scheduling.selection import Option
 from driftstall.gateway.state import GatewayState
 from driftstall.peers.gateway_messages import GatewayMessage
 
@@ -62,6 +63,10 @@
         """Return the instance that holds the queue; None if no placer answers."""
         return self._client.placer
 
+    def options(self, service: str) -> list[Option]:
+        """Return the engines of a service that take requests, with the loads known here."""
+        return self._service.options(service)
+
     def start(self) -> None:
         """Start the passes over the queue and the reports."""
         self._service.start()
--- a/driftstall/gateway/scheduling/queue_service.py
+++ b/driftstall/gateway/scheduling/queue_service.py
@@ -183,7 +183,7 @@
         config = table.service(name) if table else None
         if config is None or config.engine is None:
             return
-        room = _Room(self._options(name), config.engine)
+        room = _Room(self.options(name), config.engine)
         limits = service.demand.limits(room.total_tokens, now)
 
         def place(request: QueuedRequest, limit: float) -> bool:
@@ -234,7 +234,7 @@
         first = self.ledger.first_report_at
         return self._is_large() and first is not None and now - first >= TAKEOVER_S
 
-    def _options(self, service: str) -> list[Option]:
+    def options(self, service: str) -> list[Option]:
         """Return the engines that take requests, with the loads known here."""
         now = self._state.now()
         uses = self.ledger.uses()
