--- a/driftstall/gateway/evacuation.py
+++ b/driftstall/gateway/evacuation.py
@@ -15,19 +15,20 @@
 import gevent
 
 from driftstall.const import PREFIX_RELAY
+from driftstall.decisions.evacuation_order import REPLICA_HEAD_START_S
 from driftstall.gateway.dialect import MoveFailed
 from driftstall.gateway.loads import POOLED_PREFIX
 from driftstall.gateway.model import Upstream
 from driftstall.gateway.moves import Mover
 from driftstall.gateway.runs import StreamRun
+from driftstall.gateway.scheduling.evacuation_messages import CopyOrdered
+from driftstall.gateway.scheduling.evacuation_orders import EvacuationOrders
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import log_event
 
 RECOPY_THRESHOLD_S: Final = 0.06
 """A copy that took longer than this is followed by another, so that the final copy is short."""
 MAX_COPIES: Final = 3
-REPLICA_HEAD_START_S: Final = 0.1
-"""Head start of the runs that have a replica: copying what it lacks takes some milliseconds."""
 MAX_MEMORY_SHARE: Final = 1.0
 """Memory share up to which an engine accepts a run that must leave; the sums are a forecast."""
 MAX_TARGETS: Final = 3
@@ -42,6 +43,8 @@
 TIMEOUT_S: Final = 10.0
 """Time after its notice for which streams are moved off a leaving upstream; an upstream that still
 runs then keeps the remaining ones."""
+MAX_STEP_WAIT_S: Final = 1.0
+"""How long an ordered copy waits for a step of the same run that is in progress already."""
 
 
 class Evacuation:
@@ -51,6 +54,12 @@
         """Initialize with the shared state and the mover."""
         self._state = state
         self._mover = mover
+        self._orders: EvacuationOrders | None = None
+
+    def use_orders(self, orders: EvacuationOrders) -> None:
+        """Connect the orders of copies off the engines of queued services."""
+        self._orders = orders
+        orders.performer.move = self.move_as_ordered
 
     def start(self, upstream: Upstream) -> None:
         """Start to move the streams off an upstream, in the background."""
@@ -72,7 +81,10 @@
         for run in self._state.runs.running_on(upstream.upstream_id):
             if self._is_movable(run) and self._mover.find_replica(run) is not None:
                 gevent.spawn(self._move, run)
-        gevent.sleep(REPLICA_HEAD_START_S)
+        if self._orders is not None and self._orders.applies_to(upstream):
+            self._follow_orders(upstream, self._orders)
+        else:
+            gevent.sleep(REPLICA_HEAD_START_S)
         self._await_turn(upstream)
         tried: set[str] = set()
         engine_id, fleet = upstream.upstream_id, self._state.fleet
@@ -86,6 +98,58 @@
             if not self._move(run):
                 tried.add(run.request_id)
 
+    def _follow_orders(self, upstream: Upstream, orders: EvacuationOrders) -> None:
+        """Leave the order of copies to the placer; return when this instance has to go on alone.
+
+        That is when it has a run to move and no orders are given. They are requested when it first
+        has a run without a replica there: some arrive after the notice.
+        """
+        engine_id, fleet = upstream.upstream_id, self._state.fleet
+        started_at = self._state.now()
+        has_requested = False
+        orders.handle_notice(upstream)
+        while self._state.now() < started_at + TIMEOUT_S and not fleet.is_staying(engine_id):
+            runs = [run for run in self._state.runs.running_on(engine_id) if self._is_exposed(run)]
+            if runs and not has_requested:
+                has_requested = True
+                orders.request(upstream)
+            waiting = [run for run in runs if self._is_movable(run)]
+            may_go_on = self._state.now() >= started_at + REPLICA_HEAD_START_S
+            if waiting and may_go_on and not orders.performer.waits_for_orders(engine_id):
+                self._state.stats.evacuations_alone += 1
+                log_event(
+                    PREFIX_RELAY,
+                    f"No orders for copies off {engine_id}: this instance continues alone",
+                    streams=len(waiting),
+                    ms=int((self._state.now() - started_at) * 1000),
+                )
+                return
+            gevent.sleep(TURN_POLL_INTERVAL_S)
+
+    def move_as_ordered(self, order: CopyOrdered) -> bool:
+        """Copy a run to the engine that the placer names; return True if it continues elsewhere.
+
+        A replica that the run has meanwhile is brought up to date instead.
+        """
+        request_id = order.request_id
+        runs = [run for run in self._state.runs.all if run.request_id == request_id]
+        if not runs or runs[0].upstream.upstream_id != order.upstream_id:
+            return bool(runs)
+        run = runs[0]
+        waits_until = self._state.now() + MAX_STEP_WAIT_S
+        while (run.is_copying or run.pending_final_copy is not None) and not run.has_ended:
+            if self._state.now() >= waits_until:
+                return False
+            gevent.sleep(TURN_POLL_INTERVAL_S)
+        target = self._state.fleet.find(order.target_id)
+        replica = self._mover.find_replica(run)
+        if replica is not None:
+            target = replica.ref.upstream
+        if target is None or self._state.backoff_s(target) or not self._is_movable(run):
+            return run.is_resumed_elsewhere
+        result = self._move_to(run, target)
+        return run.is_resumed_elsewhere or (result is True and not run.has_ended)
+
     def _await_turn(self, upstream: Upstream) -> None:
         """Wait until the instances before this one have moved their streams.
 
@@ -111,12 +175,22 @@
                 gevent.sleep(TURN_POLL_INTERVAL_S)
             turn_ends = min(turn_ends, self._state.now())
 
+    def _is_exposed(self, run: StreamRun) -> bool:
+        """Return True if a run would be lost with its engine."""
+        return not (run.has_ended or self._has_usable_backup(run)) and (
+            self._mover.find_replica(run) is None
+        )
+
+    def _has_usable_backup(self, run: StreamRun) -> bool:
+        """Return True if a run can resume at a backup."""
+        backup = run.backup
+        return backup is not None and self._state.fleet.accepts_requests(backup.upstream_id)
+
     def _is_movable(self, run: StreamRun) -> bool:
         """Return True if a run is free to be moved and has no usable backup."""
         if not run.events or run.has_ended or run.is_copying or run.pending_final_copy is not None:
             return False
-        backup = run.backup
-        return backup is None or not self._state.fleet.accepts_requests(backup.upstream_id)
+        return not self._has_usable_backup(run)
 
     def _uncopied_tokens(self, run: StreamRun) -> int:
         """Return the number of tokens that are not copied yet."""
@@ -125,7 +199,6 @@
 
     def _move(self, run: StreamRun) -> bool:
         """Copy a run, then make its final copy; return whether it was moved."""
-        source = run.upstream
         avoid: set[str] = set()
         for _ in range(MAX_TARGETS):
             target = self._mover.choose_target(
@@ -133,16 +206,27 @@
             )
             if target is None:
                 return False
-            failure = self._copy(run, target)
-            if failure is None:
-                if run.has_ended or run.upstream.upstream_id != source.upstream_id:
-                    return True
-                return self._mover.make_final_copy(run, target)
-            if failure.no_such_run:
+            result = self._move_to(run, target)
+            if isinstance(result, bool):
+                return result
+            if result.no_such_run:
                 return False
             avoid.add(target.upstream_id)
         return False
 
+    def _move_to(self, run: StreamRun, target: Upstream) -> bool | MoveFailed:
+        """Copy a run to one engine, then make its final copy.
+
+        Return whether it was moved or has ended, or the failure of a copy while it continued.
+        """
+        source = run.upstream
+        failure = self._copy(run, target)
+        if failure is not None:
+            return failure
+        if run.has_ended or run.upstream.upstream_id != source.upstream_id:
+            return True
+        return self._mover.make_final_copy(run, target)
+
     def _copy(self, run: StreamRun, target: Upstream) -> MoveFailed | None:
         """Copy while the run continues, until a copy is quick; return a failure, if any."""
         for _ in range(MAX_COPIES):
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -106,11 +106,12 @@
         self.state = GatewayState(settings, access.dialect, policy)
         self._routing = RoutingSource(self.state, self._publish_routing)
         mover = Mover(self.state)
+        evacuation = Evacuation(self.state, mover)
         self._protection = RunProtection(self.state, mover)
         self._policies = PolicySource(self.state)
         self._upstreams = UpstreamSource(
             self.state,
-            on_leaving=Evacuation(self.state, mover).start,
+            on_leaving=evacuation.start,
             publish_change=self._publish_change,
             publish_action=self._publish_action,
             announce=self._announce,
@@ -134,6 +135,7 @@
         self._peering = Peering(
             self.state, handlers, platform_status=self._platform_status, delegation=delegation
         )
+        evacuation.use_orders(self._peering.evacuation_orders)
         self._delegation = delegation
         self._upstream_prober = UpstreamProber(
             self.state,
--- a/driftstall/gateway/peering.py
+++ b/driftstall/gateway/peering.py
@@ -33,6 +33,12 @@
 from driftstall.gateway.fleet_events import FleetAction
 from driftstall.gateway.model import Upstream
 from driftstall.gateway.reports import MS_PER_S, PlatformStatus, Reporting
+from driftstall.gateway.scheduling.evacuation_messages import (
+    CopyEnded,
+    CopyOrdered,
+    EvacuationRequested,
+)
+from driftstall.gateway.scheduling.evacuation_orders import EvacuationMessage, EvacuationOrders
 from driftstall.gateway.scheduling.memory_queue import MemoryQueue, QueueMessage
 from driftstall.gateway.scheduling.queue_messages import (
     QueueAnswered,
@@ -136,6 +142,9 @@
             send=self._send,
             placer_gate=self._placer.cold_gate,
         )
+        self.evacuation_orders = EvacuationOrders(
+            state, self.queue, roles=lambda: self._roles, send=self._send
+        )
         self._permits = PermitCoordinator(
             self.own.instance_id,
             state.rate_limiting,
@@ -334,6 +343,12 @@
     def _(self, message: QueueMessage) -> None:
         self.queue.handle(message)
 
+    @_handle.register(EvacuationRequested)
+    @_handle.register(CopyOrdered)
+    @_handle.register(CopyEnded)
+    def _(self, message: EvacuationMessage) -> None:
+        self.evacuation_orders.handle(message)
+
     @_handle.register
     def _(self, message: PermitAsked) -> None:
         self._permits.handle_request(message)
--- /dev/null
+++ b/driftstall/gateway/scheduling/evacuation_orders.py
@@ -0,0 +1,508 @@
+"""Order the copies of streams off a leaving engine, one at a time, for the whole fleet.
+
+The placer knows all runs on the engine from the queue's ledger and orders their copies. Each
+instance performs those of its own streams. Instances that hear no orders continue alone.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from functools import singledispatchmethod
+from typing import Final
+
+import gevent
+
+from driftstall.const import PREFIX_RELAY
+from driftstall.decisions.evacuation_order import (
+    MAX_ATTEMPTS,
+    NOTICE_S,
+    OVERDUE_FACTOR,
+    REPLICA_HEAD_START_S,
+    CopyCandidate,
+    choose_next,
+    copy_duration_s,
+)
+from driftstall.gateway.collectors import FleetRoles
+from driftstall.gateway.model import Engine, Upstream
+from driftstall.gateway.scheduling.engine_ledger import LedgerRun
+from driftstall.gateway.scheduling.evacuation_messages import (
+    CopyEnded,
+    CopyOrdered,
+    EvacuationRequested,
+)
+from driftstall.gateway.scheduling.memory_queue import MemoryQueue
+from driftstall.gateway.scheduling.selection import (
+    Option,
+    Sampler,
+    TokenRequirement,
+    choose_migration_target,
+)
+from driftstall.gateway.state import GatewayState
+from driftstall.helpers.log import log_event
+from driftstall.peers.gateway_messages import GatewayMessage
+
+FIRST_ORDER_TIMEOUT_S: Final = 0.15
+"""How long an instance waits for an order after its request: the head start of runs with a replica,
+a hop each way, and 0.05 s for the placer to answer."""
+ORDERS_TIMEOUT_S: Final = 0.5
+"""Time without orders after which an instance continues alone; the placer repeats them sooner."""
+REPEAT_INTERVAL_S: Final = 0.15
+"""Interval at which an order is repeated: two of three repeats may be lost or late."""
+CHECK_INTERVAL_S: Final = 0.02
+"""Interval at which the placer checks for overdue copies and for streams that have appeared."""
+TIMEOUT_S: Final = 10.0
+"""Time after its notice for which copies off an engine are ordered, as long as it has streams."""
+MAX_MEMORY_SHARE: Final = 1.0
+"""Memory share up to which an engine accepts a stream that must leave, by the ledger."""
+MAX_KEPT_RESULTS: Final = 64
+"""Ended copies that an instance remembers to answer a repeated order."""
+
+EvacuationMessage = EvacuationRequested | CopyOrdered | CopyEnded
+
+
+@dataclass(frozen=True, slots=True)
+class _Planned:
+    """Hold a stream that may be copied, with its target."""
+
+    candidate: CopyCandidate
+    run: LedgerRun
+    target: Upstream
+    report_age_s: float
+
+
+@dataclass(slots=True)
+class _OrderedCopy:
+    """Hold the copy that is under way."""
+
+    number: int
+    planned: _Planned
+    ordered_at: float
+    overdue_at: float
+
+
+@dataclass(slots=True)
+class _Evacuation:
+    """Hold the state of one leaving engine at the placer."""
+
+    upstream: Upstream
+    noticed_at: float
+    requesters: set[str] = field(default_factory=set)
+    copy: _OrderedCopy | None = None
+    tried: dict[str, set[str]] = field(default_factory=dict)
+    """Targets ordered so far, by request."""
+    moved: set[str] = field(default_factory=set)
+    """Requests whose copies have ended; reports may show them on the engine a moment longer."""
+    silent: set[str] = field(default_factory=set)
+    """Instances that let an order time out."""
+    sent_at: float = float("-inf")
+
+
+class CopyOrderer:
+    """Order the copies off leaving engines; the placer's side."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        queue: MemoryQueue,
+        *,
+        send: Callable[[str, CopyOrdered], None],
+    ) -> None:
+        """Initialize with the shared state, the queue with its ledger, and a sender."""
+        self._state = state
+        self._own_id = state.settings.instance_id
+        self._queue = queue
+        self._send = send
+        self._evacuations: dict[str, _Evacuation] = {}
+        self._last_number = 0
+
+    def start(self, upstream: Upstream, notice_age_s: float) -> None:
+        """Start to order the copies off an engine, or learn that its notice is older."""
+        noticed_at = self._state.now() - notice_age_s
+        evacuation = self._evacuations.get(upstream.upstream_id)
+        if evacuation is not None:
+            evacuation.noticed_at = min(evacuation.noticed_at, noticed_at)
+            return
+        evacuation = self._evacuations[upstream.upstream_id] = _Evacuation(upstream, noticed_at)
+        gevent.spawn(self._run, evacuation)
+
+    def handle_request(self, request: EvacuationRequested) -> None:
+        """Start for an instance that has streams on a leaving engine, and answer it at once."""
+        upstream_id = request.upstream_id
+        upstream = next(
+            (each for each in self._state.fleet.upstreams if each.upstream_id == upstream_id), None
+        )
+        evacuation = self._evacuations.get(upstream_id)
+        if evacuation is not None:
+            upstream = evacuation.upstream
+        if upstream is None:
+            return
+        self.start(upstream, request.notice_age_s)
+        evacuation = self._evacuations[upstream_id]
+        evacuation.requesters.add(request.sender)
+        if evacuation.copy is not None:
+            self._send_to(request.sender, evacuation, evacuation.copy)
+
+    def handle_ended(self, ended: CopyEnded) -> None:
+        """Record the end of a copy and order the next one; a late report is recorded alone."""
+        now = self._state.now()
+        for evacuation in self._evacuations.values():
+            copy = evacuation.copy
+            if copy is not None and copy.number == ended.number:
+                evacuation.silent.discard(ended.sender)
+                self._end(evacuation, copy, "moved" if ended.moved else "not moved", now)
+                self.advance(evacuation.upstream.upstream_id)
+                return
+            if ended.request_id in evacuation.tried:
+                evacuation.silent.discard(ended.sender)
+                if ended.moved:
+                    evacuation.moved.add(ended.request_id)
+
+    def advance(self, upstream_id: str) -> None:
+        """Order the next copy if none is under way, and repeat the order otherwise."""
+        now, evacuation = self._state.now(), self._evacuations.get(upstream_id)
+        if evacuation is None:
+            return
+        copy = evacuation.copy
+        if copy is not None and now >= copy.overdue_at:
+            evacuation.silent.add(copy.planned.run.sender)
+            self._end(evacuation, copy, "overdue", now)
+        if evacuation.copy is None:
+            self._order_next(evacuation, now)
+        elif now - evacuation.sent_at >= REPEAT_INTERVAL_S:
+            self._send_orders(evacuation, now)
+
+    def _run(self, evacuation: _Evacuation) -> None:
+        """Order copies for as long as the engine may run, unless its notice is taken back."""
+        upstream_id, fleet = evacuation.upstream.upstream_id, self._state.fleet
+        try:
+            while self._state.now() < evacuation.noticed_at + TIMEOUT_S:
+                self.advance(upstream_id)
+                gevent.sleep(CHECK_INTERVAL_S)
+                age_s = self._state.now() - evacuation.noticed_at
+                # A requester may hear of the notice first; later, the notice was taken back.
+                if age_s > NOTICE_S and fleet.accepts_requests(upstream_id):
+                    break
+        finally:
+            del self._evacuations[upstream_id]
+
+    def _order_next(self, evacuation: _Evacuation, now: float) -> None:
+        """Order the most valuable copy, or tell instances that one may follow."""
+        self._queue.ledger.expire(now)
+        runs = self._runs_on(evacuation)
+        if any(run.run.has_replica for run, _ in runs):
+            may_start_at = evacuation.noticed_at + REPLICA_HEAD_START_S
+        else:
+            may_start_at = evacuation.noticed_at
+        if now < may_start_at:
+            return
+        time_left_s = evacuation.noticed_at + NOTICE_S - now
+        planned = {plan.candidate.request_id: plan for plan in self._plan(evacuation, runs, now)}
+        chosen = choose_next([plan.candidate for plan in planned.values()], time_left_s)
+        if chosen is None:
+            self._announce_more(evacuation, runs, now)
+            return
+        plan = planned[chosen.request_id]
+        self._last_number += 1
+        overdue_at = now + OVERDUE_FACTOR * chosen.copy_s
+        copy = evacuation.copy = _OrderedCopy(self._last_number, plan, now, overdue_at)
+        evacuation.tried.setdefault(chosen.request_id, set()).add(plan.target.upstream_id)
+        self._queue.ledger.add_copy(
+            chosen.request_id, plan.target.upstream_id, plan.run.tokens, overdue_at
+        )
+        self._state.stats.copies_ordered += 1
+        log_event(
+            PREFIX_RELAY,
+            f"A copy off {evacuation.upstream.upstream_id} is ordered",
+            request=chosen.request_id,
+            number=copy.number,
+            instance=plan.run.sender,
+            target=plan.target.upstream_id,
+            attempt=len(evacuation.tried[chosen.request_id]),
+            candidates=len(planned),
+            held_tokens=chosen.held_tokens,
+            rank=chosen.rank,
+            ends_in_ms=int(chosen.ends_in_s * 1000),
+            copy_ms=int(chosen.copy_s * 1000),
+            time_left_ms=int(time_left_s * 1000),
+            report_age_ms=int(plan.report_age_s * 1000),
+        )
+        self._send_orders(evacuation, now)
+
+    def _announce_more(
+        self, evacuation: _Evacuation, runs: list[tuple[LedgerRun, float]], now: float
+    ) -> None:
+        """Tell instances that copies will be ordered, while streams may still produce events.
+
+        Streams that are left only for lack of a target are left to their instances.
+        """
+        open_runs = [
+            ledger_run.run
+            for ledger_run, _ in runs
+            if not ledger_run.run.has_replica and ledger_run.run.request_id not in evacuation.moved
+        ]
+        is_expecting = bool(open_runs) and all(run.prefill_tokens for run in open_runs)
+        if is_expecting and now - evacuation.sent_at >= REPEAT_INTERVAL_S:
+            self._send_orders(evacuation, now)
+
+    def _runs_on(self, evacuation: _Evacuation) -> list[tuple[LedgerRun, float]]:
+        """Return the runs on the engine, with the time of their report or grant."""
+        upstream_id = evacuation.upstream.upstream_id
+        return [
+            (ledger_run, at)
+            for ledger_run, at in self._queue.ledger.runs()
+            if ledger_run.run.upstream_id == upstream_id
+        ]
+
+    def _plan(
+        self, evacuation: _Evacuation, runs: list[tuple[LedgerRun, float]], now: float
+    ) -> Iterable[_Planned]:
+        """Yield the streams that may be ordered, each with its best target."""
+        upstream = evacuation.upstream
+        table = self._state.route_table
+        service = table.service(upstream.service) if table else None
+        engine = service.engine if service else None
+        if engine is None or not engine.can_move:
+            return
+        runs = [(each, at) for each, at in runs if not each.run.has_replica]
+        if not runs:
+            return
+        options = [
+            option
+            for option in self._queue.options(upstream.service)
+            if option.upstream.upstream_id not in self._evacuations
+            and option.use.running < engine.slots
+        ]
+        for ledger_run, at in runs:
+            run = ledger_run.run
+            tried = evacuation.tried.get(run.request_id, set())
+            if run.request_id in evacuation.moved or len(tried) >= MAX_ATTEMPTS:
+                continue
+            target = self._choose_target(options, engine, ledger_run, upstream, frozenset(tried))
+            if target is None:
+                continue
+            candidate = CopyCandidate(
+                request_id=run.request_id,
+                held_tokens=run.held_tokens,
+                rank=run.rank,
+                ends_in_s=at + run.ends_in_s - now,
+                copy_s=copy_duration_s(
+                    run.held_tokens,
+                    engine.token_bytes,
+                    engine.link_bytes_per_s,
+                    crosses_zones=target.zone != upstream.zone,
+                ),
+                has_events=not run.prefill_tokens,
+                has_replica=run.has_replica,
+                is_doubtful=ledger_run.sender in evacuation.silent,
+            )
+            yield _Planned(candidate, ledger_run, target, now - at)
+
+    def _choose_target(
+        self,
+        options: list[Option],
+        engine: Engine,
+        ledger_run: LedgerRun,
+        source: Upstream,
+        tried: frozenset[str],
+    ) -> Upstream | None:
+        """Return the engine to copy a stream to: one with room, of the same zone if possible.
+
+        Of these, one that receives no other ordered copy is preferred.
+        """
+        receiving = {
+            evacuation.copy.planned.target.upstream_id
+            for evacuation in self._evacuations.values()
+            if evacuation.copy is not None
+        }
+        untried = [option for option in options if option.upstream.upstream_id not in tried]
+        local = [option for option in untried if option.upstream.zone == source.zone]
+        requirement = TokenRequirement(ledger_run.tokens, 0)
+        for group in (local, untried):
+            free = [option for option in group if option.upstream.upstream_id not in receiving]
+            for choices in (free, group):
+                chosen = choose_migration_target(
+                    choices,
+                    engine,
+                    requirement,
+                    source,
+                    Sampler(self._state.rng),
+                    max_memory_share=MAX_MEMORY_SHARE,
+                )
+                if chosen is not None:
+                    return chosen.upstream
+        return None
+
+    def _end(self, evacuation: _Evacuation, copy: _OrderedCopy, outcome: str, now: float) -> None:
+        """Record how a copy ended, and release the memory counted for it."""
+        evacuation.copy = None
+        candidate = copy.planned.candidate
+        self._queue.ledger.remove_copy(candidate.request_id)
+        if outcome == "moved":
+            evacuation.moved.add(candidate.request_id)
+            self._state.stats.copies_ended_moved += 1
+        log_event(
+            PREFIX_RELAY,
+            f"An ordered copy off {evacuation.upstream.upstream_id} has ended: {outcome}",
+            request=candidate.request_id,
+            number=copy.number,
+            instance=copy.planned.run.sender,
+            target=copy.planned.target.upstream_id,
+            ms=int((now - copy.ordered_at) * 1000),
+            expected_ms=int(candidate.copy_s * 1000),
+        )
+
+    def _send_orders(self, evacuation: _Evacuation, now: float) -> None:
+        """Send the order to its instance, and tell the others that orders are being given."""
+        evacuation.sent_at = now
+        holders = {ledger_run.sender for ledger_run, _ in self._runs_on(evacuation)}
+        if evacuation.copy is not None:
+            holders.add(evacuation.copy.planned.run.sender)
+        for recipient in sorted(holders | evacuation.requesters):
+            self._send_to(recipient, evacuation, evacuation.copy)
+
+    def _send_to(self, recipient: str, evacuation: _Evacuation, copy: _OrderedCopy | None) -> None:
+        """Send an order to its instance, or an empty one to another instance."""
+        upstream_id = evacuation.upstream.upstream_id
+        if copy is None or copy.planned.run.sender != recipient:
+            number = copy.number if copy is not None else 0
+            self._send(recipient, CopyOrdered(self._own_id, number, "", upstream_id, ""))
+            return
+        request_id, target = copy.planned.candidate.request_id, copy.planned.target
+        self._send(
+            recipient,
+            CopyOrdered(self._own_id, copy.number, request_id, upstream_id, target.upstream_id),
+        )
+
+
+class CopyPerformer:
+    """Request orders, perform those for this instance's streams, and notice when they stop."""
+
+    def __init__(self, state: GatewayState, *, send: Callable[[str, CopyEnded], None]) -> None:
+        """Initialize with the shared state and a sender."""
+        self._state = state
+        self._own_id = state.settings.instance_id
+        self._send = send
+        self._requested_at: dict[str, float] = {}
+        self._heard_at: dict[str, float] = {}
+        self._under_way: dict[str, list[tuple[str, int]]] = {}
+        """Placers and numbers of the orders for each copy that is under way, by request."""
+        self._results: dict[tuple[str, int, str], CopyEnded] = {}
+        self.move: Callable[[CopyOrdered], bool] = _move_nothing
+        """Performs an ordered copy; returns whether the stream moved."""
+
+    def record_request(self, upstream_id: str) -> None:
+        """Record that the orders for an engine were requested just now."""
+        self._requested_at[upstream_id] = self._state.now()
+
+    def waits_for_orders(self, upstream_id: str) -> bool:
+        """Return True while orders for an engine are being given, or may still come."""
+        until = self._heard_at.get(upstream_id, float("-inf")) + ORDERS_TIMEOUT_S
+        if upstream_id in self._requested_at:
+            until = max(until, self._requested_at[upstream_id] + FIRST_ORDER_TIMEOUT_S)
+        return self._state.now() < until
+
+    def handle_order(self, order: CopyOrdered) -> None:
+        """Perform an order; one copy of a stream at a time, whoever orders it."""
+        self._heard_at[order.upstream_id] = self._state.now()
+        if not order.request_id:
+            return
+        result = self._results.get((order.sender, order.number, order.request_id))
+        if result is not None:
+            self._send(order.sender, result)
+            return
+        key = (order.sender, order.number)
+        under_way = self._under_way.get(order.request_id)
+        if under_way is None:
+            self._under_way[order.request_id] = [key]
+            gevent.spawn(self._perform, order)
+        elif key not in under_way:
+            under_way.append(key)
+
+    def _perform(self, order: CopyOrdered) -> None:
+        """Perform a copy, and report its end to all who ordered it."""
+        moved = False
+        try:
+            moved = self.move(order)
+        finally:
+            for sender, number in self._under_way.pop(order.request_id):
+                ended = CopyEnded(self._own_id, number, order.request_id, moved)
+                self._results[sender, number, order.request_id] = ended
+                self._send(sender, ended)
+            while len(self._results) > MAX_KEPT_RESULTS:
+                del self._results[next(iter(self._results))]
+
+
+class EvacuationOrders:
+    """Assemble both sides of one instance, and dispatch their messages."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        queue: MemoryQueue,
+        *,
+        roles: Callable[[], FleetRoles],
+        send: Callable[[str, GatewayMessage], None],
+    ) -> None:
+        """Initialize with the shared state, the queue, the roles and a sender."""
+        self._state = state
+        self._own_id = state.settings.instance_id
+        self._queue = queue
+        self._roles = roles
+        self._send = send
+        self.orderer = CopyOrderer(state, queue, send=self._deliver)
+        self.performer = CopyPerformer(state, send=self._deliver)
+
+    def applies_to(self, upstream: Upstream) -> bool:
+        """Return True if the copies off an engine are ordered by the placer."""
+        table = self._state.route_table
+        return self._roles().is_large and table is not None and table.queues(upstream.service)
+
+    def handle_notice(self, upstream: Upstream) -> None:
+        """Start to order copies if this instance is the placer."""
+        if self._queue.placer == self._own_id:
+            self.orderer.start(upstream, self._notice_age_s(upstream))
+
+    def request(self, upstream: Upstream) -> None:
+        """Request orders for this instance's streams on a leaving engine."""
+        placer = self._queue.placer
+        if placer is None:
+            return
+        self.performer.record_request(upstream.upstream_id)
+        age_s = self._notice_age_s(upstream)
+        self._deliver(placer, EvacuationRequested(self._own_id, upstream.upstream_id, age_s))
+
+    @singledispatchmethod
+    def handle(self, message: EvacuationMessage) -> None:
+        """Handle one message of a peer."""
+        raise TypeError(f"no handler for {type(message).__name__}")
+
+    @handle.register
+    def _(self, message: EvacuationRequested) -> None:
+        self.orderer.handle_request(message)
+
+    @handle.register
+    def _(self, message: CopyOrdered) -> None:
+        self.performer.handle_order(message)
+
+    @handle.register
+    def _(self, message: CopyEnded) -> None:
+        self.orderer.handle_ended(message)
+
+    def _deliver(self, recipient: str, message: EvacuationMessage) -> None:
+        """Send a message, which may be for this instance itself."""
+        if recipient == self._own_id:
+            self.handle(message)
+        else:
+            self._send(recipient, message)
+
+    def _notice_age_s(self, upstream: Upstream) -> float:
+        """Return the time since an engine's notice, in seconds."""
+        now = self._state.now()
+        since = self._state.fleet.leaving_since(upstream.upstream_id)
+        return max(0.0, now - since) if since is not None else 0.0
+
+
+def _move_nothing(_: CopyOrdered) -> bool:
+    """Return False until an evacuation is connected."""
+    return False
--- a/driftstall/gateway/stats.py
+++ b/driftstall/gateway/stats.py
@@ -41,6 +41,9 @@
     queue_granted: int = 0
     queue_refused: int = 0
     queue_placer_changes: int = 0
+    copies_ordered: int = 0
+    copies_ended_moved: int = 0
+    evacuations_alone: int = 0
     registry: Registry = field(default_factory=Registry)
     answer_s: Histogram = field(init=False)
     first_event_s: Histogram = field(init=False)
@@ -97,6 +100,9 @@
     "queue_granted": "Generations granted engine memory by this instance's queue.",
     "queue_refused": "Generations refused by this instance's queue, with a time to come back.",
     "queue_placer_changes": "Times that this instance asked another placer, as one gave no answer.",
+    "copies_ordered": "Copies off leaving engines that this instance has ordered.",
+    "copies_ended_moved": "Ordered copies after which the stream continues on another engine.",
+    "evacuations_alone": "Evacuations that this instance continued alone, as no orders came.",
 }
 
 
--- a/driftstall/gateway/upstream_registry.py
+++ b/driftstall/gateway/upstream_registry.py
@@ -122,6 +122,16 @@
         entry = self._find_entry(upstream_id)
         return entry is not None and entry.leaving_since is None
 
+    def leaving_since(self, upstream_id: str) -> float | None:
+        """Return the time of an upstream's notice; None if it is staying or unknown."""
+        entry = self._find_entry(upstream_id)
+        if entry is not None:
+            return entry.leaving_since
+        tombstone = self._tombstones.get(self._names.get(upstream_id, ""))
+        if tombstone is None or tombstone.upstream.upstream_id != upstream_id:
+            return None
+        return tombstone.leaving_since
+
     def is_departure_announced(self, upstream_id: str) -> bool:
         """Return True if an upstream's end was announced, or its entry was removed."""
         entry = self._find_entry(upstream_id)
--- /dev/null
+++ b/features/gateway/evacuation_orders.feature
@@ -0,0 +1,143 @@
+Feature: One instance orders the copies of streams off an engine that is leaving
+  An engine gives 1.5 to 2.1 s of notice and has some seven streams, of which one takes 0.2 s to copy
+  alone. Where each instance of a large fleet copies its own after a random delay, copies overlap on
+  the engine's link and the engine ends before they are complete: in this simulation 2 or 3 of 7 were.
+
+  Scenario Outline: nearly all streams are whole before the engine ends
+    Given a large fleet with 7 streams of 7 instances on one engine, seed <seed>
+    When the engine gives 1.6 s of notice
+    Then at least 6 streams are whole when it ends
+    And no two copies overlapped on its link
+    And the counters tell of as many copies ordered and moved, and of no instance alone
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+
+  # Guards against instances that start alone, or twice, because the notice reaches them late.
+  Scenario: the notice reaches the instances at different times
+    Given a large fleet with 7 streams of 7 instances on one engine, seed 4
+    When the engine gives 1.6 s of notice, which reaches instances up to 0.4 s late
+    Then at least 6 streams are whole when it ends
+    And no two copies overlapped on its link
+
+  Scenario: the placer starts before the instances with the streams have heard of the notice
+    Given a large fleet with 7 streams of 7 instances on one engine, seed 5
+    When the engine gives 1.6 s of notice, of which only the placer hears in the first second
+    Then at least 6 streams are whole when it ends
+
+  Scenario: the placer starts for a requester though it has not heard of the notice itself
+    Given a large fleet with 7 streams of 7 instances on one engine, seed 6
+    When the engine gives 1.6 s of notice, of which the placers do not hear
+    Then at least 6 streams are whole when it ends
+    And no two copies overlapped on its link
+
+  # Guards against orders for engines without room, and against endless tries.
+  Scenario: a target without room rejects, and another one is tried once
+    Given a large fleet with 7 streams of 7 instances on one engine, seed 7
+    And 4 of the 5 engines in its zone reject all copies
+    When the engine gives 1.6 s of notice
+    Then each stream was ordered to at most 2 targets, never twice to the same
+    And at least one stream was whole at its second target
+
+  Scenario: a lost order is repeated
+    Given a large fleet with 7 streams of 7 instances on one engine, seed 8
+    And the first message of each order is lost
+    When the engine gives 2.1 s of notice
+    Then at least 5 streams are whole when it ends
+
+  Scenario: the time of an order that never arrives passes, and the next one is ordered
+    Given a large fleet with 7 streams of 7 instances on one engine, seed 9
+    And all orders to "member-3" are lost
+    When the engine gives 2.1 s of notice
+    Then at least 6 streams are whole when it ends
+
+  Scenario: the time of a copy whose end is not reported passes, and the next one is ordered
+    Given a large fleet with 7 streams of 7 instances on one engine, seed 10
+    And no end of a copy is reported by "member-2"
+    When the engine gives 2.1 s of notice
+    Then at least 6 streams are whole when it ends
+    And each stream was moved at most once
+
+  Scenario: the time of an instance that has failed passes, and its other streams come last
+    Given a large fleet with 7 streams of 7 instances on one engine, seed 11
+    And "member-4" fails just before the notice, with 3 streams more
+    When the engine gives 2.1 s of notice
+    Then the streams of all other instances are whole when it ends
+
+  Scenario: no placer answers, and each instance goes on alone after 0.15 s
+    Given a large fleet with 7 streams of 7 instances on one engine, seed 12
+    And the placers have failed
+    When the engine gives 3.5 s of notice
+    Then no copy began earlier than 0.15 s after the notice was known, and each instance went on alone
+    And at least 3 streams are whole when it ends
+
+  Scenario: the placer fails midway, and each instance with a stream left goes on alone
+    Given a large fleet with 7 streams of 7 instances on one engine, seed 13
+    When the engine gives 5 s of notice, and the placers fail 0.5 s after it
+    Then instances that still had a stream went on alone 0.5 s after their last order
+    And at least 4 streams are whole when it ends
+
+  Scenario: two instances order copies for a moment
+    Given a large fleet with 7 streams of 7 instances on one engine, seed 14
+    And half of the instances take the second placer for the first
+    When the engine gives 2.1 s of notice
+    Then no stream was copied twice at once, and each stream was moved at most once
+    And at least 5 streams are whole when it ends
+
+  # Guards against streams that were granted the engine just before its notice and are overlooked.
+  Scenario: a stream whose first event comes after the notice is copied too
+    Given a large fleet with 7 streams of 7 instances on one engine, seed 15
+    And the stream of "member-5" produces its first event 0.9 s after the notice
+    When the engine gives 2.0 s of notice
+    Then the stream of "member-5" is whole when it ends
+    And no two copies overlapped on its link
+
+  Scenario: all streams produce their first event after the notice, and no instance goes on alone
+    Given a large fleet with 7 streams of 7 instances on one engine, seed 16
+    And all streams produce their first event 0.6 s after the notice
+    When the engine gives 2.1 s of notice
+    Then at least 5 streams are whole when it ends
+    And the counters tell of as many copies ordered and moved, and of no instance alone
+
+  Scenario: a stream with a replica is finished first by its own instance
+    Given a large fleet with 7 streams of 7 instances on one engine, seed 17
+    And the stream of "member-6" has a replica that lacks 100 tokens
+    When the engine gives 1.6 s of notice
+    Then the stream of "member-6" is whole first, and its copy was not ordered
+    And no two copies overlapped on its link
+
+  Scenario Outline: elsewhere each instance evacuates as before
+    Given a large fleet with 7 streams of 7 instances on one engine, seed 18
+    And <case>
+    When the engine gives 1.6 s of notice
+    Then no message about its evacuation was sent
+
+    Examples:
+      | case                                        |
+      | the fleet counts as a small one             |
+      | the service has no queue for engine memory  |
+
+  # Guards against memory that the queue grants while a copy is made into it.
+  Scenario: the memory of a copy counts in the ledger while it is made, and once
+    Given a ledger that knows a stream of 3400 tokens on "engine-0"
+    When its copy to "engine-1" is ordered
+    Then 3400 tokens count on "engine-1"
+    When its instance reports the copy to "engine-1"
+    Then 3400 tokens count on "engine-1"
+    When it is reported to run on "engine-1"
+    Then 3400 tokens count on "engine-1"
+    When its copy to "engine-2" is ordered
+    Then 3400 tokens count on "engine-2"
+    And none count on "engine-2" once the copy has ended, or its time has passed
+
+  Scenario: streams are copied by their value for the copy time, of those that can be completed
+    Then with 1.0 s left a stream of rank 0 comes before one of rank 5
+    And with 1.0 s left a stream that runs 4 s more comes before one that ends in 0.6 s
+    And with 1.0 s left a copy of 0.2 s in the zone comes before one of 0.4 s to another zone
+    And with 0.3 s left a copy of 0.2 s comes before a more valuable one of 0.4 s
+    And with 0.1 s left the shortest copy comes first, whatever its value
+    And with 1.0 s left a stream of an instance that let an order time out comes last
+    And a stream with a replica, without an event, or that ends before its copy would is left out
--- /dev/null
+++ b/features/steps/evacuation_order_steps.py
@@ -0,0 +1,444 @@
+"""Test the order of copies off a leaving engine, in a simulated fleet and part by part."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import replace
+from typing import Any
+
+from behave import given, then, when
+
+from driftstall.decisions.evacuation_order import MAX_ATTEMPTS, CopyCandidate, choose_next
+from driftstall.gateway.collectors import FleetRoles
+from driftstall.gateway.loads import Use
+from driftstall.gateway.routes import RouteTable
+from driftstall.gateway.runs import Replica, ReplicaRef
+from driftstall.gateway.scheduling.engine_ledger import EngineLedger
+from driftstall.gateway.scheduling.evacuation_messages import CopyEnded, CopyOrdered
+from driftstall.gateway.scheduling.evacuation_orders import (
+    FIRST_ORDER_TIMEOUT_S,
+    ORDERS_TIMEOUT_S,
+)
+from driftstall.gateway.scheduling.queue_messages import HeldRun, RunsReported
+from driftstall.platform.documents import read_routing
+from features.worlds.evacuation_world import LEAVING, EvacuationWorld, Instance, routing
+
+LENGTHS = [600, 400, 700, 500, 300, 650, 450]
+"""Output tokens of the streams so far."""
+HEARD_S = 0.05
+"""Time after the notice at which instances learn of it."""
+CANDIDATE = CopyCandidate("usual", 3_500, 5, 4.0, 0.2, has_events=True, has_replica=False)
+
+
+def fleet_of(context: Any) -> EvacuationWorld:
+    """Return the scenario's fleet."""
+    fleet: EvacuationWorld = context.evacuating
+    return fleet
+
+
+def give_notice(context: Any, seconds: float, delays_s: dict[str, float]) -> None:
+    """Give notice, and let the engine end."""
+    fleet = fleet_of(context)
+    context.notice_at = fleet.time.now
+    fleet.give_notice(seconds, delays_s)
+    fleet.pass_time(seconds)
+
+
+@given("a large fleet with 7 streams of 7 instances on one engine, seed {seed:d}")
+def large_fleet(context: Any, seed: int) -> None:
+    """Create the fleet on virtual time."""
+    fleet = context.evacuating = EvacuationWorld(seed)
+    fleet.patch(context)
+    fleet.add_streams(LENGTHS)
+
+
+@given("{count:d} of the 5 engines in its zone reject all copies")
+def engines_reject(context: Any, count: int) -> None:
+    """Let the emptiest engines by the ledger have no room."""
+    fleet = fleet_of(context)
+    fleet.links.rejecting = {f"engine-{number}" for number in range(1, count + 1)}
+
+
+@given("the first message of each order is lost")
+def first_lost(context: Any) -> None:
+    """Lose each order once."""
+    seen: set[Any] = set()
+
+    def loses(_: str, __: str, message: Any) -> bool:
+        if not isinstance(message, CopyOrdered) or not message.request_id or message in seen:
+            return False
+        seen.add(message)
+        return True
+
+    fleet_of(context).loses = loses
+
+
+@given('all orders to "{name}" are lost')
+def orders_lost(context: Any, name: str) -> None:
+    """Lose the orders to one instance."""
+    fleet_of(context).loses = lambda _, recipient, message: (
+        recipient == name and isinstance(message, CopyOrdered)
+    )
+
+
+@given('no end of a copy is reported by "{name}"')
+def ends_lost(context: Any, name: str) -> None:
+    """Lose the reports of one instance about ended copies."""
+    fleet_of(context).loses = lambda sender, _, message: (
+        sender == name and isinstance(message, CopyEnded)
+    )
+
+
+@given('"{name}" fails just before the notice, with 3 streams more')
+def fails_before(context: Any, name: str) -> None:
+    """Let an instance report three streams more, then stop it."""
+    fleet = fleet_of(context)
+    member = fleet.instances[name]
+    context.lost_streams = ["s4", *(f"more-{number}" for number in range(3))]
+    for request_id in context.lost_streams[1:]:
+        member.add_run(request_id, 500, fleet.engines[0], events=100)
+    fleet.pass_time(0.1)
+    member.is_alive = False
+
+
+@given("the placers have failed")
+def placers_failed(context: Any) -> None:
+    """Stop the placers; the others do not know yet."""
+    for placer in fleet_of(context).placers:
+        fleet_of(context).instances[placer].is_alive = False
+
+
+@given("half of the instances take the second placer for the first")
+def two_placers(context: Any) -> None:
+    """Let instances see different roles for a moment."""
+    fleet = fleet_of(context)
+    swapped = FleetRoles(is_large=True, placers=fleet.placers[::-1])
+    for name in ("placer-2", "member-2", "member-4", "member-6"):
+        fleet.instances[name].roles = swapped
+
+
+@given('the stream of "{name}" produces its first event {seconds:g} s after the notice')
+def late_event(context: Any, name: str, seconds: float) -> None:
+    """Let the engine prefill the stream's prompt until then."""
+    prefill(context, fleet_of(context).instances[name], seconds)
+
+
+@given("all streams produce their first event {seconds:g} s after the notice")
+def late_events(context: Any, seconds: float) -> None:
+    """Let the engine prefill all prompts until then."""
+    for member in fleet_of(context).members:
+        prefill(context, member, seconds)
+
+
+def prefill(context: Any, member: Instance, seconds: float) -> None:
+    """Take back a stream's events, and let the first one come some seconds later."""
+    fleet = fleet_of(context)
+    (run,) = member.state.runs.all
+    run.events = run.tokens = 0
+    fleet.pass_time(0.05)
+
+    def produce() -> None:
+        run.events, run.tokens = 1, 4
+        member.state.record_run_load(run)
+
+    fleet.time.spawn_later(seconds, produce)
+
+
+@given('the stream of "{name}" has a replica that lacks {tokens:d} tokens')
+def has_replica(context: Any, name: str, tokens: int) -> None:
+    """Give the stream a recent replica on another engine."""
+    fleet = fleet_of(context)
+    (run,) = fleet.instances[name].state.runs.all
+    holder, copied = fleet.engines[2], run.held_tokens - tokens
+    run.replica_target = holder
+    ref = ReplicaRef(holder, "copy", named_by=LEAVING)
+    run.replica = Replica(ref, fleet.time.now, copied)
+    fleet.links.copied[run.request_id, holder.upstream_id] = copied
+    fleet.pass_time(0.05)
+
+
+@given("the fleet counts as a small one")
+def small_fleet(context: Any) -> None:
+    """Give all instances the roles of a small fleet."""
+    for instance in fleet_of(context).instances.values():
+        instance.roles = FleetRoles()
+
+
+@given("the service has no queue for engine memory")
+def no_queue(context: Any) -> None:
+    """Rank long streams before short ones."""
+    raw = routing()
+    raw["routes"][0]["priority"], raw["routes"][1]["priority"] = 5, 0
+    table = RouteTable.from_document(read_routing(raw))
+    for instance in fleet_of(context).instances.values():
+        instance.state.route_table = table
+
+
+@when("the engine gives {seconds:g} s of notice")
+def gives_notice(context: Any, seconds: float) -> None:
+    """Give notice; all instances learn of it soon."""
+    give_notice(context, seconds, {})
+
+
+@when("the engine gives {seconds:g} s of notice, which reaches instances up to {late:g} s late")
+def reaches_late(context: Any, seconds: float, late: float) -> None:
+    """Let the notice reach each member a little later than the one before."""
+    members = fleet_of(context).members
+    delays = {member.name: late * n / len(members) for n, member in enumerate(members, 1)}
+    give_notice(context, seconds, delays)
+
+
+@when(
+    "the engine gives {seconds:g} s of notice, of which only the placer hears in the first second"
+)
+def only_placer_hears(context: Any, seconds: float) -> None:
+    """Let the notice reach the members late."""
+    give_notice(context, seconds, {member.name: 1.0 for member in fleet_of(context).members})
+
+
+@when("the engine gives {seconds:g} s of notice, of which the placers do not hear")
+def placers_do_not_hear(context: Any, seconds: float) -> None:
+    """Let the notice reach the placers after the engine's end."""
+    give_notice(context, seconds, dict.fromkeys(fleet_of(context).placers, seconds + 1.0))
+
+
+@when("the engine gives {seconds:g} s of notice, and the placers fail {after:g} s after it")
+def placers_fail(context: Any, seconds: float, after: float) -> None:
+    """Stop the placers during the evacuation."""
+    fleet = fleet_of(context)
+    context.failed_at = fleet.time.now + after
+
+    def stop() -> None:
+        for placer in fleet.placers:
+            fleet.instances[placer].is_alive = False
+
+    fleet.time.spawn_later(after, stop)
+    give_notice(context, seconds, {})
+
+
+@then("at least {least:d} streams are whole when it ends")
+def streams_whole(context: Any, least: int) -> None:
+    """Count the completed final copies."""
+    whole = fleet_of(context).links.whole
+    assert len(whole) >= least, whole
+
+
+@then("no two copies overlapped on its link")
+def none_overlapped(context: Any) -> None:
+    """Check the largest number of copies at the same time."""
+    assert fleet_of(context).links.most_active == {LEAVING: 1}
+
+
+@then("the counters tell of as many copies ordered and moved, and of no instance alone")
+def counters_tell(context: Any) -> None:
+    """Compare the counters; the last copy may be cut off by the engine's end."""
+    fleet = fleet_of(context)
+    ordered, moved = fleet.counted("copies_ordered"), fleet.counted("copies_ended_moved")
+    whole = len(fleet.links.whole)
+    assert moved in (whole, whole - 1) and moved <= ordered <= 7, (ordered, moved, whole)
+    assert fleet.counted("evacuations_alone") == 0
+
+
+@then("each stream was ordered to at most 2 targets, never twice to the same")
+def targets_tried(context: Any) -> None:
+    """Check the orders."""
+    orders = fleet_of(context).orders()
+    by_request = Counter(order.request_id for order in orders)
+    assert max(by_request.values()) == MAX_ATTEMPTS, by_request
+    by_target = Counter((order.request_id, order.target_id) for order in orders)
+    assert max(by_target.values()) == 1, by_target
+
+
+@then("at least one stream was whole at its second target")
+def whole_at_second(context: Any) -> None:
+    """Check that a stream was rejected and then moved by an order."""
+    fleet = fleet_of(context)
+    by_request = Counter(order.request_id for order in fleet.orders())
+    assert any(by_request[request_id] == MAX_ATTEMPTS for request_id in fleet.links.whole)
+
+
+@then("each stream was moved at most once")
+def moved_once(context: Any) -> None:
+    """Check that no final copy was repeated."""
+    whole = fleet_of(context).links.whole
+    assert len(whole) == len(set(whole)), whole
+
+
+@then("the streams of all other instances are whole when it ends")
+def others_whole(context: Any) -> None:
+    """Check the streams of the instances that are alive."""
+    whole = set(fleet_of(context).links.whole)
+    assert whole == {f"s{number}" for number in range(1, 8)} - set(context.lost_streams), whole
+
+
+@then(
+    "no copy began earlier than {seconds:g} s after the notice was known,"
+    " and each instance went on alone"
+)
+def alone_after(context: Any, seconds: float) -> None:
+    """Check the start of the first copy."""
+    fleet = fleet_of(context)
+    assert seconds == FIRST_ORDER_TIMEOUT_S
+    began = min(fleet.links.began_at.values()) - context.notice_at - HEARD_S
+    assert began >= seconds, began
+    assert fleet.counted("evacuations_alone") == len(fleet.members)
+
+
+@then("instances that still had a stream went on alone {seconds:g} s after their last order")
+def alone_midway(context: Any, seconds: float) -> None:
+    """Check the copies after the placers' failure."""
+    fleet = fleet_of(context)
+    assert seconds == ORDERS_TIMEOUT_S
+    last_order = max(at for at, _, message in fleet.sent if isinstance(message, CopyOrdered))
+    later = [at for at in fleet.links.began_at.values() if at > context.failed_at]
+    assert later and min(later) >= last_order + seconds, (later, last_order)
+    ordered = {order.request_id for order in fleet.orders()}
+    assert fleet.counted("evacuations_alone") == len(fleet.members) - len(ordered)
+
+
+@then("no stream was copied twice at once, and each stream was moved at most once")
+def not_twice(context: Any) -> None:
+    """Check overlapping steps of one stream; both placers must have ordered some."""
+    fleet = fleet_of(context)
+    assert {order.sender for order in fleet.orders()} == set(fleet.placers)
+    assert not fleet.links.copied_twice_at_once, fleet.links.copied_twice_at_once
+    moved_once(context)
+
+
+@then('the stream of "{name}" is whole when it ends')
+def is_whole(context: Any, name: str) -> None:
+    """Check one stream."""
+    assert name.replace("member-", "s") in fleet_of(context).links.whole
+
+
+@then('the stream of "{name}" is whole first, and its copy was not ordered')
+def whole_first(context: Any, name: str) -> None:
+    """Check that the stream's own instance has moved it."""
+    fleet, request_id = fleet_of(context), name.replace("member-", "s")
+    assert fleet.links.whole[0] == request_id, fleet.links.whole
+    assert request_id not in {order.request_id for order in fleet.orders()}
+
+
+@then("no message about its evacuation was sent")
+def nothing_sent(context: Any) -> None:
+    """Check that each instance decides alone, and still copies."""
+    fleet = fleet_of(context)
+    assert not fleet.sent and fleet.links.steps
+
+
+@given('a ledger that knows a stream of {tokens:d} tokens on "{engine}"')
+def ledger(context: Any, tokens: int, engine: str) -> None:
+    """Report one stream without further growth."""
+    context.ledger, context.tokens = EngineLedger(), tokens
+    report(context, engine, "")
+
+
+@when('its copy to "{engine}" is ordered')
+def copy_ordered(context: Any, engine: str) -> None:
+    """Count the copy on its target for a while."""
+    context.ledger.add_copy("s1", engine, context.tokens, 10.5)
+
+
+@when('its instance reports the copy to "{engine}"')
+def copy_reported(context: Any, engine: str) -> None:
+    """Report the copy's target as the holder of a replica."""
+    report(context, LEAVING, engine)
+
+
+@when('it is reported to run on "{engine}"')
+def run_reported(context: Any, engine: str) -> None:
+    """Report the stream after its move."""
+    report(context, engine, "")
+
+
+def report(context: Any, upstream_id: str, backup_id: str) -> None:
+    """Report the stream's engine and the holder of its replica."""
+    run = HeldRun("s1", upstream_id, context.tokens, 0, 0, backup_id, 5, 4.0, bool(backup_id))
+    context.ledger.record_report(RunsReported("member-1", "a", (run,)), 10.0)
+
+
+@then('{tokens:d} tokens count on "{engine}"')
+def tokens_count(context: Any, tokens: int, engine: str) -> None:
+    """Check the engine's load."""
+    use = context.ledger.uses()[engine]
+    assert use.tokens + use.copies == tokens, use
+
+
+@then('none count on "{engine}" once the copy has ended, or its time has passed')
+def none_count(context: Any, engine: str) -> None:
+    """Release the copy in both ways."""
+    context.ledger.expire(10.4)
+    assert engine in context.ledger.uses()
+    context.ledger.expire(10.5)
+    assert engine not in context.ledger.uses()
+    context.ledger.add_copy("s1", engine, context.tokens, 11.0)
+    assert context.ledger.uses()[engine] == Use(engine, copies=context.tokens)
+    context.ledger.remove_copy("s1")
+    assert engine not in context.ledger.uses()
+
+
+def first_of(time_left_s: float, *others: CopyCandidate) -> str:
+    """Return the request id that is copied first, whatever the order of the candidates."""
+    candidates = [CANDIDATE, *others]
+    chosen = {choose_next(each, time_left_s) for each in (candidates, candidates[::-1])}
+    (first,) = chosen
+    assert first is not None
+    return first.request_id
+
+
+@then("with {left:g} s left a stream of rank 0 comes before one of rank 5")
+def rank_first(context: Any, left: float) -> None:
+    """Compare equal streams of two ranks."""
+    assert first_of(left, replace(CANDIDATE, request_id="urgent", rank=0)) == "urgent"
+
+
+@then(
+    "with {left:g} s left a stream that runs {long:g} s more comes before one that ends in {s:g} s"
+)
+def longer_first(context: Any, left: float, long: float, s: float) -> None:
+    """Compare with a stream that probably ends before its engine does."""
+    assert CANDIDATE.ends_in_s == long
+    assert first_of(left, replace(CANDIDATE, request_id="ending", ends_in_s=s)) == "usual"
+
+
+@then(
+    "with {left:g} s left a copy of {near:g} s in the zone comes before one of {far:g} s"
+    " to another zone"
+)
+def near_first(context: Any, left: float, near: float, far: float) -> None:
+    """Compare equal streams of which one has a target in another zone."""
+    assert CANDIDATE.copy_s == near
+    assert first_of(left, replace(CANDIDATE, request_id="far", copy_s=far)) == "usual"
+
+
+@then("with {left:g} s left a copy of {short:g} s comes before a more valuable one of {long:g} s")
+def completable_first(context: Any, left: float, short: float, long: float) -> None:
+    """Compare with a copy that can't be completed."""
+    valuable = replace(CANDIDATE, request_id="valuable", rank=0, copy_s=long)
+    assert first_of(1.0, valuable) == "valuable" and CANDIDATE.copy_s == short
+    assert first_of(left, valuable) == "usual"
+
+
+@then("with {left:g} s left the shortest copy comes first, whatever its value")
+def shortest_first(context: Any, left: float) -> None:
+    """Compare with a more valuable stream when no copy can be completed for certain."""
+    assert first_of(left, replace(CANDIDATE, request_id="v", rank=0, copy_s=0.21)) == "usual"
+
+
+@then("with {left:g} s left a stream of an instance that let an order time out comes last")
+def doubtful_last(context: Any, left: float) -> None:
+    """Compare with a more valuable stream, then choose without an alternative."""
+    doubtful = replace(CANDIDATE, request_id="doubtful", rank=0, is_doubtful=True)
+    assert first_of(left, doubtful) == "usual"
+    assert choose_next([doubtful], left) == doubtful
+
+
+@then("a stream with a replica, without an event, or that ends before its copy would is left out")
+def left_out(context: Any) -> None:
+    """Choose from streams that need no copy."""
+    needless = [
+        replace(CANDIDATE, has_replica=True),
+        replace(CANDIDATE, has_events=False),
+        replace(CANDIDATE, ends_in_s=CANDIDATE.copy_s),
+    ]
+    assert choose_next(needless, 1.0) is None
