Test ordered copies with engines' stand-ins, and pause periodic copies from the first order on

Cause: an order may come before the notice, and a periodic copy would then share the engine's link; the loads of all engines were summed up in each check although no stream was to be copied. Change: an order pauses periodic copies like a notice; targets are looked for only if needed; late reports of ended copies are left to the reports of runs.

--- a/driftstall/gateway/scheduling/evacuation_orders.py
+++ b/driftstall/gateway/scheduling/evacuation_orders.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import singledispatchmethod
 from typing import Final
 
@@ -22,6 +22,7 @@
     CopyCandidate,
     choose_next,
     copy_duration_s,
+    needs_copy,
 )
 from driftstall.gateway.collectors import FleetRoles
 from driftstall.gateway.model import Engine, Upstream
@@ -149,19 +150,15 @@
             self._send_to(request.sender, evacuation, evacuation.copy)
 
     def handle_ended(self, ended: CopyEnded) -> None:
-        """Record the end of a copy and order the next one; a late report is recorded alone."""
-        now = self._state.now()
-        for evacuation in self._evacuations.values():
+        """Record the end of the copy that is under way, and order the next one."""
+        for upstream_id, evacuation in self._evacuations.items():
             copy = evacuation.copy
             if copy is not None and copy.number == ended.number:
                 evacuation.silent.discard(ended.sender)
-                self._end(evacuation, copy, MOVED if ended.moved else NOT_MOVED, now)
-                self.advance(evacuation.upstream.upstream_id)
+                outcome = MOVED if ended.moved else NOT_MOVED
+                self._end(evacuation, copy, outcome, self._state.now())
+                self.advance(upstream_id)
                 return
-            if ended.request_id in evacuation.tried:
-                evacuation.silent.discard(ended.sender)
-                if ended.moved:
-                    evacuation.moved.add(ended.request_id)
 
     def advance(self, upstream_id: str) -> None:
         """Order the next copy if none is under way, and repeat the order otherwise."""
@@ -269,40 +266,43 @@
         engine = service.engine if service else None
         if engine is None or not engine.can_move:
             return
-        runs = [(each, at) for each, at in runs if not each.run.has_replica]
-        if not runs:
-            return
-        options = [
-            option
-            for option in self._queue.options(upstream.service)
-            if option.upstream.upstream_id not in self._evacuations
-            and option.use.running < engine.slots
-        ]
+        plans: list[_Planned] = []
         for ledger_run, at in runs:
             run = ledger_run.run
             tried = evacuation.tried.get(run.request_id, set())
             if run.request_id in evacuation.moved or len(tried) >= MAX_ATTEMPTS:
                 continue
-            untried = [option for option in options if option.upstream.upstream_id not in tried]
-            target = self._choose_target(evacuation, untried, engine, ledger_run)
-            if target is None:
-                continue
             candidate = CopyCandidate(
                 request_id=run.request_id,
                 held_tokens=run.held_tokens,
                 rank=run.rank,
                 ends_in_s=at + run.ends_in_s - now,
-                copy_s=copy_duration_s(
-                    run.held_tokens,
-                    engine.token_bytes,
-                    engine.link_bytes_per_s,
-                    crosses_zones=target.zone != upstream.zone,
-                ),
+                copy_s=_copy_s(run.held_tokens, engine, crosses_zones=False),
                 has_events=not run.prefill_tokens,
                 has_replica=run.has_replica,
                 is_doubtful=ledger_run.sender in evacuation.silent,
             )
-            yield _Planned(candidate, ledger_run, target, now - at)
+            if needs_copy(candidate):
+                plans.append(_Planned(candidate, ledger_run, upstream, now - at))
+        if not plans:
+            # The loads of all engines are summed up only if there is a stream to copy.
+            return
+        options = [
+            option
+            for option in self._queue.options(upstream.service)
+            if option.upstream.upstream_id not in self._evacuations
+            and option.use.running < engine.slots
+        ]
+        for plan in plans:
+            tried = evacuation.tried.get(plan.candidate.request_id, set())
+            untried = [option for option in options if option.upstream.upstream_id not in tried]
+            target = self._choose_target(evacuation, untried, engine, plan.run)
+            if target is None:
+                continue
+            copy_s = _copy_s(
+                plan.candidate.held_tokens, engine, crosses_zones=target.zone != upstream.zone
+            )
+            yield replace(plan, candidate=replace(plan.candidate, copy_s=copy_s), target=target)
 
     def _choose_target(
         self,
@@ -418,8 +418,13 @@
         return self._state.now() < until
 
     def handle_order(self, order: CopyOrdered) -> None:
-        """Perform an order; one copy of a stream at a time, whoever orders it."""
-        self._heard_at[order.upstream_id] = self._state.now()
+        """Perform an order; one copy of a stream at a time, whoever orders it.
+
+        The order may come before the notice, which pauses periodic copies to keep the link free.
+        """
+        now = self._state.now()
+        self._heard_at[order.upstream_id] = now
+        self._state.notice_at = max(self._state.notice_at, now)
         if not order.request_id:
             return
         result = self._results.get((order.sender, order.number, order.request_id))
@@ -518,6 +523,13 @@
         return max(0.0, now - since) if since is not None else 0.0
 
 
+def _copy_s(tokens: int, engine: Engine, *, crosses_zones: bool) -> float:
+    """Return the expected time of a copy between engines of a service, in seconds."""
+    return copy_duration_s(
+        tokens, engine.token_bytes, engine.link_bytes_per_s, crosses_zones=crosses_zones
+    )
+
+
 def _move_nothing(_: CopyOrdered) -> bool:
     """Return False until an evacuation is connected."""
     return False
--- a/features/gateway/evacuation_orders.feature
+++ b/features/gateway/evacuation_orders.feature
@@ -27,6 +27,8 @@
     Given a large fleet with 7 streams of 7 instances on one engine, seed 5
     When the engine gives 1.6 s of notice, of which only the placer hears in the first second
     Then at least 6 streams are whole when it ends
+    And 3 streams were whole before their instances heard of the notice
+    And the instances pause their periodic copies from the first order on
 
   Scenario: the placer starts for a requester though it has not heard of the notice itself
     Given a large fleet with 7 streams of 7 instances on one engine, seed 6
@@ -70,6 +72,7 @@
   Scenario: two engines leave at once
     Given a large fleet with 7 streams of 7 instances on one engine, seed 21
     And another engine with 5 streams leaves at the same time
+    And "engine-3" is emptier than the others
     When the engine gives 1.6 s of notice, of which the placers do not hear
     Then at least 10 streams are whole when it ends
     And no stream is copied to a leaving engine, and the first two targets differ
@@ -88,6 +91,7 @@
     When the engine gives 5 s of notice, which reaches instances up to 0.4 s late
     Then at least 6 streams that the placer knows are whole when it ends
     And the instance that the placer does not know did not copy before the others were whole
+    And it heard at once that orders are being given
 
   Scenario: a stream is not ordered again while reports still show it on the engine
     Given a large fleet with 7 streams of 7 instances on one engine, seed 24
@@ -96,13 +100,22 @@
     Then at least 7 streams are whole when it ends
     And no stream was ordered there twice
 
-  Scenario: a stream of which a periodic copy is under way is finished at that copy
+  # Guards against a second copy beside a periodic one that the placer has not heard of.
+  Scenario: a stream of which a periodic copy has just begun is finished at that copy
     Given a large fleet with 7 streams of 7 instances on one engine, seed 25
-    And a periodic copy of the stream of "member-3" begins as the notice arrives
+    And a periodic copy of the stream of "member-3" begins 0.001 s before the notice arrives
     When the engine gives 1.6 s of notice
     Then at least 6 streams are whole when it ends
-    And the stream of "member-3" is whole when it ends
-    And no stream was copied twice at once
+    And the stream of "member-3" is whole and was copied to one engine only
+    And no two copies overlapped on its link
+
+  # Guards against streams that neither the placer nor their instance moves.
+  Scenario: a stream of which the placer knows a periodic copy is finished by its own instance
+    Given a large fleet with 7 streams of 7 instances on one engine, seed 25
+    And a periodic copy of the stream of "member-3" begins 0.04 s before the notice arrives
+    When the engine gives 1.6 s of notice
+    Then at least 6 streams are whole when it ends
+    And the stream of "member-3" is whole and was copied to one engine only
 
   Scenario: a lost order is repeated
     Given a large fleet with 7 streams of 7 instances on one engine, seed 8
@@ -142,6 +155,12 @@
     Then no copy began earlier than 0.15 s after the notice was known, and each instance went on alone
     And at least 3 streams are whole when it ends
 
+  Scenario: no placer is known, and runs with a replica still have their head start
+    Given a large fleet with 7 streams of 7 instances on one engine, seed 29
+    And no placer answers any instance
+    When the engine gives 1.6 s of notice
+    Then no copy began earlier than 0.1 s after the notice was known, and each instance went on alone
+
   Scenario: the placer fails midway, and each instance with a stream left goes on alone
     Given a large fleet with 7 streams of 7 instances on one engine, seed 13
     When the engine gives 5 s of notice, and the placers fail 0.5 s after it
@@ -179,6 +198,15 @@
     Then the stream of "member-6" is whole first, and its copy was not ordered
     And no two copies overlapped on its link
 
+  Scenario: an instance performs an ordered copy, and the stream continues at its target
+    Given a gateway before two plain upstreams and three engines
+    And stream "s1" waits after event 2 and has no backup
+    And the copies off its engine are ordered by another instance
+    When its engine gives notice, and the copy of "s1" is ordered at once and again
+    Then all 5 events of "s1" came once, in order, and the end
+    And "s1" went on from its moved memory after event 2
+    And the placer was told once that "s1" moved, to the engine that it named
+
   Scenario Outline: elsewhere each instance evacuates as before
     Given a large fleet with 7 streams of 7 instances on one engine, seed 18
     And <case>
