Check the log lines of ordered copies, and use gevent's greenlets in the simulation

Cause: no test counted the log lines, and the simulation imported a package that is not declared. Change: one line per order and end is compared with the counters.

--- a/features/gateway/evacuation_orders.feature
+++ b/features/gateway/evacuation_orders.feature
@@ -9,6 +9,7 @@
     Then at least 6 streams are whole when it ends
     And no two copies overlapped on its link
     And the counters tell of as many copies ordered and moved, and of no instance alone
+    And each order and each end has one log line, with what decided and its age
 
     Examples:
       | seed |
--- a/features/steps/evacuation_order_steps.py
+++ b/features/steps/evacuation_order_steps.py
@@ -9,6 +9,7 @@
 
 from behave import given, then, when
 
+from driftstall.const import PREFIX_RELAY
 from driftstall.decisions.evacuation_order import (
     MAX_ATTEMPTS,
     REPLICA_HEAD_START_S,
@@ -516,6 +517,19 @@
     assert name not in {order.target_id for order in orders[1:]}, orders
 
 
+@then("each order and each end has one log line, with what decided and its age")
+def logged_once(context: Any) -> None:
+    """Compare the lines with the counters."""
+    fleet = fleet_of(context)
+    lines = [(text, more) for prefix, text, more in fleet.logged if prefix == PREFIX_RELAY]
+    ordered = [more for text, more in lines if text == f"A copy off {LEAVING} is ordered"]
+    assert len(ordered) == fleet.counted("copies_ordered") == len(fleet.orders())
+    asked = {"request", "target", "held_tokens", "rank", "ends_in_ms", "time_left_ms"}
+    assert all(asked | {"report_age_ms"} <= more.keys() for more in ordered), ordered
+    moved = [more for text, more in lines if text.endswith("has ended: moved")]
+    assert len(moved) == fleet.counted("copies_ended_moved"), moved
+
+
 @then("each stream was ordered to 2 targets")
 def two_targets(context: Any) -> None:
     """Check that no order was given a third time, or to the same target."""
--- a/features/worlds/evacuation_world.py
+++ b/features/worlds/evacuation_world.py
@@ -13,7 +13,8 @@
 from dataclasses import dataclass, field, replace
 from typing import Any, Final
 
-from greenlet import getcurrent, greenlet
+from gevent import getcurrent
+from gevent.hub import RawGreenlet
 
 from driftstall.core import Request, Verdict
 from driftstall.decisions.store_versions import StoreVersion
@@ -82,7 +83,7 @@
         """Start at an arbitrary time."""
         self.now = 100.0
         self._numbers = itertools.count()
-        self._wakes: list[tuple[float, int, greenlet]] = []
+        self._wakes: list[tuple[float, int, RawGreenlet]] = []
 
     def spawn(self, work: Callable[..., Any], *args: Any) -> None:
         """Start a greenlet at the current time."""
@@ -90,7 +91,7 @@
 
     def spawn_later(self, seconds: float, work: Callable[..., Any], *args: Any) -> None:
         """Start a greenlet some seconds later."""
-        self._wake(self.now + seconds, greenlet(lambda: work(*args), parent=getcurrent()))
+        self._wake(self.now + seconds, RawGreenlet(lambda: work(*args), parent=getcurrent()))
 
     def sleep(self, seconds: float = 0.0) -> None:
         """Let the current greenlet wait."""
@@ -108,7 +109,7 @@
                 woken.switch()
         self.now = until
 
-    def _wake(self, at: float, sleeper: greenlet) -> None:
+    def _wake(self, at: float, sleeper: RawGreenlet) -> None:
         """Schedule a greenlet."""
         heapq.heappush(self._wakes, (at, next(self._numbers), sleeper))
 
@@ -351,6 +352,8 @@
         self.leaving = [self.engines[0]]
         self.sent: list[tuple[float, str, Any]] = []
         """Times, recipients and contents of the messages about evacuations."""
+        self.logged: list[tuple[str, str, dict[str, Any]]] = []
+        """Log lines of the orders."""
         self.loses: Callable[[str, str, Any], bool] = lambda sender, recipient, message: False
         names = ("placer-1", "placer-2", *(f"member-{number}" for number in range(1, 8)))
         # This one is not among the members: its streams fill the other engines.
@@ -363,6 +366,14 @@
         for module in (evacuation_module, orders_module):
             context.add_cleanup(setattr, module, "gevent", module.gevent)
             module.gevent = self.time  # type: ignore[attr-defined]
+        log_event = orders_module.log_event
+        context.add_cleanup(setattr, orders_module, "log_event", log_event)
+
+        def record(prefix: str, sentence: str, **fields: Any) -> None:
+            self.logged.append((prefix, sentence, fields))
+            log_event(prefix, sentence, **fields)
+
+        orders_module.log_event = record
 
     def add_streams(self, lengths: list[int]) -> None:
         """Give each member a stream that has produced some tokens, and let all report."""
