--- a/driftstall/gateway/scheduling/engine_ledger.py
+++ b/driftstall/gateway/scheduling/engine_ledger.py
@@ -52,13 +52,23 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Copy:
+    """Hold the memory of a copy that is being made."""
+
+    upstream_id: str
+    tokens: int
+    until: float
+
+
 class EngineLedger:
-    """Hold the reported and the granted runs."""
+    """Hold the reported and the granted runs, and the copies ordered off leaving engines."""
 
     def __init__(self) -> None:
         """Initialize without runs."""
         self._reports: dict[str, _Report] = {}
         self._grants: dict[str, _Grant] = {}
+        self._copies: dict[str, _Copy] = {}
         self._first_report_at: float | None = None
 
     @property
@@ -84,8 +94,19 @@
         """Remove a granted run that is not started, or that is counted otherwise."""
         self._grants.pop(request_id, None)
 
+    def add_copy(self, request_id: str, upstream_id: str, tokens: int, until: float) -> None:
+        """Count the copy of a run on its target, at most until some time."""
+        self._copies[request_id] = _Copy(upstream_id, tokens, until)
+
+    def remove_copy(self, request_id: str) -> None:
+        """Remove a copy that has ended; from then on reports show the run."""
+        self._copies.pop(request_id, None)
+
     def expire(self, now: float) -> None:
-        """Remove the reports of instances that fell silent, and grants that nobody reports."""
+        """Remove the reports of silent instances, grants that nobody reports, and old copies."""
+        for request_id, copy in list(self._copies.items()):
+            if now >= copy.until:
+                del self._copies[request_id]
         for sender, report in list(self._reports.items()):
             if now - report.at > REPORT_VALID_S:
                 del self._reports[sender]
@@ -114,12 +135,29 @@
 
     def uses(self) -> dict[str, Use]:
         """Return the loads of all engines by upstream id, without idle ones."""
-        return _sum_uses(run for run, _ in self.runs())
+        uses = _sum_uses(run for run, _ in self.runs())
+        for copy in self._unreported_copies():
+            known = uses.get(copy.upstream_id, Use(copy.upstream_id))
+            uses[copy.upstream_id] = known.plus(Use(copy.upstream_id, copies=copy.tokens))
+        return uses
 
     def granted_uses(self) -> dict[str, Use]:
         """Return the loads of the granted runs alone, by upstream id."""
         return _sum_uses(grant.run for grant in self._grants.values())
 
+    def _unreported_copies(self) -> Iterable[_Copy]:
+        """Yield the ordered copies that no report of their instances shows yet."""
+        if not self._copies:
+            return
+        reported = {
+            (run.run.request_id, upstream_id)
+            for run, _ in self.runs()
+            for upstream_id in (run.run.upstream_id, run.run.backup_id)
+        }
+        for request_id, copy in self._copies.items():
+            if (request_id, copy.upstream_id) not in reported:
+                yield copy
+
     def releases(self, upstream_ids: frozenset[str]) -> tuple[Release, ...]:
         """Return when the runs on some engines are expected to release their memory."""
         return tuple(
--- a/driftstall/gateway/scheduling/queue_service.py
+++ b/driftstall/gateway/scheduling/queue_service.py
@@ -218,7 +218,7 @@
         engine = self._engine(name)
         if engine is None:
             return
-        room = _Room(self._options(name), engine)
+        room = _Room(self.options(name), engine)
         limits = service.demand.limits(room.total_tokens, now)
 
         def place(request: QueuedRequest, limit: float, only: frozenset[str] | None) -> bool:
@@ -280,7 +280,7 @@
         first = self.ledger.first_report_at
         return self._is_large() and first is not None and now - first >= TAKEOVER_S
 
-    def _options(self, service: str) -> list[Option]:
+    def options(self, service: str) -> list[Option]:
         """Return the engines that take requests, with the loads known here."""
         now = self._state.now()
         if self._uses_ledger(now):
