Select the upstreams of calls by the load and the pace that they report

Cause: upstreams on shared machines report their load with a fourth figure, how long work takes there now. Such loads were dropped as invalid, and no load reached the selection. Work takes 2.5 times as long in periods of about 0.6 s, and outlier detection notices that too late and for too long.

Change: loads of three and four figures are decoded into LoadSignal; any other value is a malformed signal, logged and counted. The newest load of each upstream is kept with its age and fades. Where an upstream states its pace, a call goes where it is expected to finish first; the pace multiplies the expected delay of streams, and durations are divided by it before upstreams are compared. While a fresh load says that slots and queue are taken, nothing is sent: the call waits, and is refused when it can wait no longer. The gauge upstream_pace shows the largest pace.

--- a/driftstall/decisions/upstream_signals.py
+++ b/driftstall/decisions/upstream_signals.py
@@ -30,6 +30,19 @@
     """None where the response states no limit: an earlier one has ended."""
 
 
+@dataclass(frozen=True, slots=True)
+class LoadSignal:
+    """Signal how much work the upstream has, and how long work takes there now."""
+
+    running: int
+    waiting: int
+    slots: int
+    pace: float = 1.0
+    """Duration of work now as a multiple of the normal one; 1 where it is not sent."""
+    reports_pace: bool = False
+    """Whether the upstream has sent its pace, so that its load is shared and compared by it."""
+
+
 @dataclass(frozen=True, slots=True)
 class UnreadableSignal:
     """Hold a signal whose value can't be decoded; it is only logged."""
@@ -45,13 +58,20 @@
     name: str
 
 
-Signal = LeavingSignal | BackoffSignal | RateLimitSignal | UnreadableSignal | UnknownSignal
+Signal = (
+    LeavingSignal | BackoffSignal | RateLimitSignal | LoadSignal | UnreadableSignal | UnknownSignal
+)
 
 
 def parse_seconds(value: str) -> float | None:
     """Return a time in seconds; None unless it is finite and not negative."""
+    return parse_number(value)
+
+
+def parse_number(value: str) -> float | None:
+    """Return a number; None unless it is finite and not negative."""
     try:
-        seconds = float(value)
+        number = float(value)
     except ValueError:
         return None
-    return seconds if math.isfinite(seconds) and seconds >= 0 else None
+    return number if math.isfinite(number) and number >= 0 else None
--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -1,4 +1,4 @@
-"""Serve plain calls: one whole response, from the upstream with the most free slots.
+"""Serve plain calls: one whole response, from the upstream expected to finish first.
 
 A call that may run only once is retried only if the upstream states that it did not run the
 call, or if no byte was sent. A safe call is retried at another upstream after any failure, within
@@ -31,7 +31,7 @@
 from driftstall.gateway.model import Headers, Repeat, SendMetadata, Upstream
 from driftstall.gateway.outcomes import Outcome
 from driftstall.gateway.runs import BrokenRun
-from driftstall.gateway.scheduling.selection import Option, choose_call
+from driftstall.gateway.scheduling.selection import Option, are_all_full, choose_call
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import log_event
 
@@ -47,6 +47,8 @@
 WAIT_FOR_COLD_SHARE: Final = 0.4
 """Share of a call's latency target for which it waits for its turn at a cold upstream; the call
 itself takes about a fifth of the target."""
+FULL_CHECK_S: Final = 0.02
+"""Interval at which a call that waits for a free place looks at the loads; a call takes longer."""
 FIRST_SERVER_ERROR: Final = 500
 MAX_RESPONSE_BYTES: Final = 16_000_000
 
@@ -125,9 +127,10 @@
         """
         gate, service = self._state.cold_gate, self._admitted.service.name
         avoid = frozenset(attempts.avoid)
-        options = self._state.options(service, avoid) or self._state.draining_options(
-            service, avoid
-        )
+        options = self._wait_for_place(avoid)
+        if are_all_full(options):
+            return self._refuse_full(options, attempts)
+        options = [option for option in options if not option.is_full]
         option = self._choose_open(options)
         if option is not None:
             gate.record_send(option.upstream)
@@ -150,6 +153,39 @@
         gevent.sleep(wait_s)
         return first
 
+    def _wait_for_place(self, avoid: frozenset[str]) -> list[Option]:
+        """Return the upstreams that may be tried; wait while all are known to be full.
+
+        The wait ends at the latest when their loads are no longer fresh, or when the call can wait
+        no longer.
+        """
+        service = self._admitted.service.name
+        while True:
+            options = self._state.options(service, avoid) or self._state.draining_options(
+                service, avoid
+            )
+            wait_s = min(self._max_wait_s(), self._remaining_s())
+            if not are_all_full(options) or wait_s <= 0 or self._is_caller_disconnected:
+                return options
+            gevent.sleep(FULL_CHECK_S)
+
+    def _refuse_full(self, options: list[Option], attempts: _Attempts) -> Problem:
+        """Refuse a call that no upstream has a place for, and log the loads that decided it."""
+        loads = {
+            option.upstream.upstream_id: (option.load.busy, option.load.limit)
+            for option in options
+            if option.load is not None
+        }
+        log_event(
+            PREFIX_ROUTING,
+            "Call refused: all upstreams are full by the loads that they report",
+            request=self._admitted.metadata.request_id,
+            service=self._admitted.service.name,
+            loads=loads,
+            sends=attempts.history.sends,
+        )
+        return self._build_problem(attempts)
+
     def _choose_open(self, options: list[Option]) -> Option | None:
         """Return an upstream to which the call may be sent now, or None."""
         return self._state.rate_limiting.choose_permitted(
--- a/driftstall/gateway/model.py
+++ b/driftstall/gateway/model.py
@@ -217,15 +217,6 @@
     last_event_id: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamLoad:
-    """Hold the load that an upstream reports with a response."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 @dataclass(frozen=True, slots=True)
 class ResponseMetadata:
     """Hold the metadata in the headers of an upstream's response."""
@@ -233,7 +224,6 @@
     request_id: str
     is_not_executed: bool
     """Whether the upstream reports that it did not execute the request."""
-    load: UpstreamLoad | None
     signals: tuple[Signal, ...]
     """Signals of the upstream about its own state."""
     keep_alive_s: float | None
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -283,6 +283,7 @@
             "upstreams_with_rate_limit": len(self.state.rate_limiting.limited),
             "upstreams_leaving_by_signal": len(self.state.fleet.leaving_records(self.state.now())),
             "upstreams_in_backoff": len(self.state.backoff.active(self.state.now())),
+            "upstream_pace": self.state.upstream_loads.max_pace(self.state.now()),
             "cordoned_zones": len(self.state.cordons.zones),
             "upstreams_age_seconds": min(MAX_AGE_S, self._upstream_pacing.age_s),
             "routing_age_seconds": min(MAX_AGE_S, self._routing_pacing.age_s),
--- a/driftstall/gateway/outcomes.py
+++ b/driftstall/gateway/outcomes.py
@@ -65,16 +65,27 @@
         self._service_latency_s: dict[str, float] = {}
 
     def record_outcome(
-        self, upstream_id: str, service: str, outcome: Outcome, now: float, seconds: float
+        self,
+        upstream_id: str,
+        service: str,
+        outcome: Outcome,
+        now: float,
+        seconds: float,
+        pace: float = 1.0,
     ) -> None:
-        """Record one outcome and its duration in seconds."""
+        """Record one outcome, its duration in seconds, and the pace of the upstream.
+
+        Durations are compared after division by the pace: an upstream on a shared machine that is
+        slow for less than a second is passed over for its pace, and would otherwise get a penalty
+        that lasts beyond that time.
+        """
         record = self._records.setdefault(upstream_id, _Record())
         record.last_outcome_at = now
         failed = outcome in (Outcome.FAILED, Outcome.BROKEN, Outcome.UNREACHABLE)
         record.failures += SMOOTHING * (float(failed) - record.failures)
         if outcome is Outcome.GOOD:
             record.ejection_s = FIRST_EJECTION_S
-            self._record_latency(record, service, seconds)
+            self._record_latency(record, service, seconds / pace)
         elif outcome in (Outcome.UNREACHABLE, Outcome.FULL, Outcome.BROKEN):
             record.ejected_until = now + record.ejection_s
             record.ejection_s = min(MAX_EJECTION_S, record.ejection_s * 2)
--- a/driftstall/gateway/scheduling/selection.py
+++ b/driftstall/gateway/scheduling/selection.py
@@ -16,6 +16,7 @@
 
 from driftstall.decisions.generation_times import PREFILL_TOKENS_PER_S
 from driftstall.decisions.replica_limits import backup_fill_limit
+from driftstall.decisions.upstream_load import LoadEstimate, expected_completion
 from driftstall.gateway.loads import Use
 from driftstall.gateway.model import Engine, Upstream
 
@@ -58,6 +59,13 @@
     """Remaining cold time in seconds; 0 if the upstream is warm."""
     is_limited: bool = False
     """Whether the upstream signals a rate limit."""
+    load: LoadEstimate | None = None
+    """The load that the upstream reports; None if it has reported none lately."""
+
+    @property
+    def is_full(self) -> bool:
+        """Return True if a further call is known to be beyond the upstream's slots and queue."""
+        return self.load is not None and self.load.is_full
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,13 +103,28 @@
 
 
 def choose_call(options: Iterable[Option], sampler: Sampler) -> Option | None:
-    """Select the upstream of a plain call: the one with the largest share of free slots."""
+    """Select the upstream of a plain call; return None if all are known to be full.
+
+    If an upstream reports its pace, the one where the call is expected to finish first is selected,
+    otherwise the one with the largest share of free slots.
+    """
+    candidates = _without_ejected(options)
+    compares_pace = any(option.load and option.load.reports_pace for option in candidates)
 
     def cost(option: Option) -> float:
         busy = (option.use.running + 1) / max(1, option.upstream.slots)
+        if compares_pace:
+            busy = _expected_completion(option)
         return busy * (1 + option.penalty) + option.penalty + sampler.jitter()
 
-    return _select_cheapest(options, cost, sampler)
+    open_options = [option for option in candidates if not option.is_full]
+    return _select_cheapest(open_options, cost, sampler)
+
+
+def are_all_full(options: Iterable[Option]) -> bool:
+    """Return True if no upstream is known to take a further call, and there are upstreams."""
+    candidates = _without_ejected(options)
+    return bool(candidates) and all(option.is_full for option in candidates)
 
 
 def choose_stream(
@@ -229,7 +252,16 @@
     cost += MEMORY_PENALTY * memory * memory
     if memory > MEMORY_FULL_SHARE:
         cost += OVERFULL_PENALTY * (memory - MEMORY_FULL_SHARE)
-    return cost + option.penalty
+    pace = option.load.pace if option.load is not None else 1.0
+    return cost * pace + option.penalty
+
+
+def _expected_completion(option: Option) -> float:
+    """Return when a call is expected to finish on an upstream, in mean work times."""
+    load = option.load
+    if load is None:
+        return expected_completion(option.use.running, max(1, option.upstream.slots), 1.0)
+    return expected_completion(load.busy, load.slots, load.pace)
 
 
 def _memory_share(use: Use, engine: Engine, added: int) -> float:
@@ -256,6 +288,10 @@
     options: Iterable[Option], cost: Callable[[Option], float], sampler: Sampler
 ) -> Option | None:
     """Return the sampled option of least cost; an ejected one only if all are ejected."""
+    return min(sampler.sample(_without_ejected(options)), key=cost, default=None)
+
+
+def _without_ejected(options: Iterable[Option]) -> list[Option]:
+    """Return the options that are not ejected, or all options if each one is."""
     candidates = list(options)
-    healthy = [option for option in candidates if not option.is_ejected]
-    return min(sampler.sample(healthy or candidates), key=cost, default=None)
+    return [option for option in candidates if not option.is_ejected] or candidates
--- a/driftstall/gateway/sources.py
+++ b/driftstall/gateway/sources.py
@@ -245,6 +245,7 @@
         self._state.notify_if_configured()
         known = {upstream.upstream_id for upstream in self._state.fleet.upstreams}
         self._state.outcomes.keep_only(known)
+        self._state.upstream_loads.keep_only(known)
         self._state.cold_gate.keep_only(known)
 
     def handle_change(self, change: ItemChange[Upstream]) -> None:
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -4,7 +4,7 @@
 
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 import gevent
@@ -19,6 +19,7 @@
 from driftstall.decisions.poison_detection import PoisonTracker
 from driftstall.decisions.store_versions import StoreEras
 from driftstall.decisions.upstream_backoff import StaggeredRetries, UpstreamBackoff
+from driftstall.decisions.upstream_load import LoadSource, ReportedLoad, UpstreamLoads
 from driftstall.gateway.cordons import CordonRegistry
 from driftstall.gateway.dialect import Dialect
 from driftstall.gateway.exchange import OpenExchanges, ResponseHead, UpstreamExchange
@@ -89,8 +90,15 @@
         self.backoff = UpstreamBackoff()
         self.retry_schedule = StaggeredRetries()
         """Spreads the Retry-After times of refused callers, per service."""
+        self.upstream_loads = UpstreamLoads()
         self.signals = UpstreamSignals(
-            self.stats, self.rate_limiting, self.fleet, self.backoff, lambda: self.now()
+            self.stats,
+            self.rate_limiting,
+            self.fleet,
+            self.backoff,
+            self.upstream_loads,
+            lambda: self.now(),
+            known_running=self._known_running,
         )
         dialect.on_signals = self.signals.handle_own_call
         self.fleet_changed = Event()
@@ -254,8 +262,17 @@
             self.outcomes.is_ejected(upstream_id, now),
             self.cold.remaining_s(upstream_id, now),
             self.rate_limiting.is_limited(upstream_id),
+            self.upstream_loads.estimate(upstream_id, use.running, now),
         )
 
+    def _known_running(self, upstream_id: str) -> int:
+        """Return the requests in progress at an upstream by the instances' sums."""
+        return self.loads.use(upstream_id, self.now()).running
+
+    def record_peer_loads(self, loads: Iterable[ReportedLoad], source: LoadSource) -> None:
+        """Record the loads of upstreams that a peer reports."""
+        self.upstream_loads.record_peer(loads, source, self._known_running, self.now())
+
     def connect(self, upstream: Upstream, timeout_s: float) -> UpstreamExchange:
         """Open a connection to an upstream; raise UpstreamError if it can't be opened.
 
@@ -386,7 +403,11 @@
         if outcome is Outcome.UNREACHABLE:
             # The upstream may be restarting, and is then cold before it can report so.
             self.cold.assume(upstream_id, ASSUMED_COLD_S, self.now())
-        self.outcomes.record_outcome(upstream_id, service, outcome, self.now(), seconds)
+        now = self.now()
+        if outcome is Outcome.FULL:
+            self.upstream_loads.record_rejection(upstream_id, self._known_running(upstream_id), now)
+        pace = self.upstream_loads.pace(upstream_id, now)
+        self.outcomes.record_outcome(upstream_id, service, outcome, now, seconds, pace)
 
 
 def _acquire_nothing(_: QueueAsked, __: Callable[[], bool]) -> MemoryGranted | MemoryRefused | None:
--- a/driftstall/gateway/upstream_signals.py
+++ b/driftstall/gateway/upstream_signals.py
@@ -8,9 +8,11 @@
 
 from driftstall.const import PREFIX_ROUTING
 from driftstall.decisions.upstream_backoff import UpstreamBackoff
+from driftstall.decisions.upstream_load import UpstreamLoads
 from driftstall.decisions.upstream_signals import (
     BackoffSignal,
     LeavingSignal,
+    LoadSignal,
     RateLimitSignal,
     Signal,
     UnknownSignal,
@@ -35,14 +37,22 @@
         rate_limiting: RateLimiter,
         fleet: UpstreamRegistry,
         backoff: UpstreamBackoff,
+        loads: UpstreamLoads,
         now: Callable[[], float],
+        *,
+        known_running: Callable[[str], int],
     ) -> None:
-        """Initialize with the counters, rate limiter, registry, back-offs and monotonic clock."""
+        """Initialize with the counters, the components that use signals, and the monotonic clock.
+
+        `known_running` returns the requests in progress at an upstream by the instances' sums.
+        """
         self._stats = stats
         self._rate_limiting = rate_limiting
         self._fleet = fleet
         self._backoff = backoff
+        self._loads = loads
         self._now = now
+        self._known_running = known_running
         self.on_leaving: Callable[[str], None] = _ignore
         """Called with the id of an upstream that signals that it leaves."""
         self._unknown: set[str] = set()
@@ -114,6 +124,22 @@
             revision=upstream.revision,
         )
 
+    @_handle.register
+    def _(self, signal: LoadSignal, upstream: Upstream, sent_at: float) -> None:
+        upstream_id = upstream.upstream_id
+        known_running = self._known_running(upstream_id)
+        if not self._loads.record_response(upstream_id, signal, known_running, self._now()):
+            return
+        log_event(
+            PREFIX_ROUTING,
+            f"The pace of upstream {upstream_id} has changed",
+            pace=round(signal.pace, 2),
+            running=signal.running,
+            waiting=signal.waiting,
+            slots=signal.slots,
+            known_running=known_running,
+        )
+
     @_handle.register
     def _(self, signal: UnreadableSignal, upstream: Upstream, sent_at: float) -> None:
         self._stats.unreadable_signals += 1
--- a/driftstall/platform/headers.py
+++ b/driftstall/platform/headers.py
@@ -10,10 +10,12 @@
 from driftstall.decisions.upstream_signals import (
     BackoffSignal,
     LeavingSignal,
+    LoadSignal,
     RateLimitSignal,
     Signal,
     UnknownSignal,
     UnreadableSignal,
+    parse_number,
     parse_seconds,
 )
 from driftstall.gateway.dialect import BadHeaders
@@ -24,7 +26,6 @@
     PromptPart,
     ResponseMetadata,
     SendMetadata,
-    UpstreamLoad,
 )
 from driftstall.platform import names
 
@@ -38,6 +39,12 @@
     {names.HEADER_LOAD, names.HEADER_NOT_EXECUTED, names.HEADER_RATE_LIMIT}
 )
 """Headers of an upstream's response that are not forwarded to the caller."""
+MAX_COUNT_DIGITS: Final = 6
+"""Longest figure of a load; larger ones would not fit the messages in which loads are shared."""
+MIN_PACE_PERCENT: Final = 1.0
+MAX_PACE_PERCENT: Final = 10_000.0
+"""Bounds of the pace in a load. A pace of zero could not be divided by, and one beyond a hundred
+times the normal duration is a fault of the upstream's measurement."""
 
 
 def read_request(headers: Headers) -> CallerMetadata:
@@ -93,7 +100,6 @@
         request_id=_decode_text(first.get(names.HEADER_REQUEST_ID, b"")),
         is_not_executed=names.HEADER_NOT_EXECUTED in first
         or status == HTTPStatus.MISDIRECTED_REQUEST,
-        load=_parse_load(first.get(names.HEADER_LOAD, b"")),
         signals=read_signals(status, first),
         keep_alive_s=None
         if CONNECTION_CLOSE in listed
@@ -112,6 +118,9 @@
         return ()
     limit = parse_seconds(_decode_text(first.get(names.HEADER_RATE_LIMIT, b"")))
     signals: list[Signal] = [RateLimitSignal(limit)]
+    load = first.get(names.HEADER_LOAD)
+    if load is not None:
+        signals.append(_parse_load(load) or _build_unreadable_signal(names.HEADER_LOAD, load))
     leaving = first.get(names.HEADER_LEAVING)
     if leaving == SET:
         signals.append(LeavingSignal())
@@ -195,13 +204,24 @@
     return tuple(parts)
 
 
-def _parse_load(value: bytes) -> UpstreamLoad | None:
-    """Decode the load that an upstream reports as `running,waiting,slots`; None if invalid."""
-    parts = value.split(b",")
-    if len(parts) != 3:
+def _parse_load(value: bytes) -> LoadSignal | None:
+    """Decode a load, `running,waiting,slots` or `running,waiting,slots,pace`; None if malformed.
+
+    The pace is in percent of the normal duration of work.
+    """
+    parts = [part.strip() for part in value.split(b",")]
+    counts, pace = parts[:3], parts[3:]
+    if len(parts) not in (3, 4) or not all(
+        part.isdigit() and len(part) <= MAX_COUNT_DIGITS for part in counts
+    ):
+        return None
+    running, waiting, slots = (int(part) for part in counts)
+    if not pace:
+        return LoadSignal(running, waiting, slots)
+    percent = parse_number(_decode_text(pace[0]))
+    if percent is None or not MIN_PACE_PERCENT <= percent <= MAX_PACE_PERCENT:
         return None
-    running, waiting, slots = (_parse_integer(part.strip()) for part in parts)
-    return UpstreamLoad(running, waiting, slots)
+    return LoadSignal(running, waiting, slots, percent / 100, reports_pace=True)
 
 
 def _parse_keep_alive_s(value: bytes) -> float:
--- a/features/worlds/gateway_world.py
+++ b/features/worlds/gateway_world.py
@@ -149,6 +149,11 @@
         """Advance the gateway's clock."""
         self._ahead_s += seconds
 
+    def stop_clock(self) -> None:
+        """Stop the gateway's clock, which then only advances by pass_time."""
+        stopped_at = clock.now()
+        self.state.now = lambda: stopped_at + self._ahead_s  # type: ignore[method-assign]
+
     def use(self, raw: dict[str, Any]) -> None:
         """Apply a routing document."""
         self.state.route_table = RouteTable.from_document(read_routing(raw))
