Share the loads of upstreams that state a pace, in reports and summaries

Cause: an instance of a large fleet gets about two responses of a plain service a second, so its own loads are mostly older than a slow period.

Change: reports carry the loads from responses to the sender, zone summaries also those of the zone's reports, fleet summaries all, each with its age. No further messages are sent.

--- a/driftstall/gateway/reports.py
+++ b/driftstall/gateway/reports.py
@@ -16,6 +16,7 @@
 from driftstall.const import PREFIX_MEMBERSHIP
 from driftstall.core import Instance
 from driftstall.decisions.store_versions import StoreVersion
+from driftstall.decisions.upstream_load import LoadSource
 from driftstall.gateway.collectors import FleetRoles, OwnReportHistory, sum_by_service
 from driftstall.gateway.loads import FLEET_KEY, POOLED_PREFIX
 from driftstall.gateway.shared_budget import RepeatCount
@@ -153,6 +154,9 @@
             self._state.rate_limiting.reports,
             self._state.eras.era,
             self._state.fleet.leaving_records(self._state.now()),
+            upstream_loads=self._state.upstream_loads.reported(
+                self._state.now(), LoadSource.RESPONSE
+            ),
         )
         roles = self._roles()
         self._broadcast(roles.own_collectors if roles.is_large else self._live(), report)
@@ -168,6 +172,7 @@
         before = self._peers.get(report.sender)
         self._peers[report.sender] = _ReceivedReport(report, now)
         self._state.loads.record_peer(report.sender, report.uses, now)
+        self._state.record_peer_loads(report.upstream_loads, LoadSource.REPORT)
         for count in report.repeats:
             self._state.retry_budget(count.service).record_peer(report.sender, count, now)
         return not report.platform_ok and (before is None or before.report.platform_ok)
@@ -178,6 +183,7 @@
         name = f"{POOLED_PREFIX}{summary.zone}"
         self._zones[summary.zone] = _ReceivedZoneSummary(summary, now)
         self._state.loads.record_peer(name, summary.uses, now)
+        self._state.record_peer_loads(summary.upstream_loads, LoadSource.SUMMARY)
         for count in summary.repeats:
             budget = self._state.retry_budget(count.service)
             budget.record_peer(name, count, now, instances=summary.instances)
@@ -194,6 +200,7 @@
         number = next((ack.number for ack in summary.acks if ack.instance_id == own_id), 0)
         uses, repeats = self._own_reports.subtract_own(number, summary.uses, summary.repeats)
         self._state.loads.record_peer(FLEET_KEY, uses, now)
+        self._state.record_peer_loads(summary.upstream_loads, LoadSource.SUMMARY)
         others = max(1, summary.instances - 1)
         for count in repeats:
             budget = self._state.retry_budget(count.service)
@@ -232,6 +239,9 @@
             self._state.rate_limiting.reports,
             self._state.eras.era,
             self._state.fleet.leaving_records(self._state.now()),
+            upstream_loads=self._state.upstream_loads.reported(
+                self._state.now(), LoadSource.REPORT
+            ),
         )
 
     def _fleet_summary(self) -> FleetSummary:
@@ -256,6 +266,9 @@
             self._state.rate_limiting.reports,
             self._state.eras.era,
             self._state.fleet.leaving_records(self._state.now()),
+            upstream_loads=self._state.upstream_loads.reported(
+                self._state.now(), LoadSource.SUMMARY
+            ),
         )
 
     def _min_platform_age_s(self, platform_status: PlatformStatus) -> float:
--- a/driftstall/peers/gateway_messages.py
+++ b/driftstall/peers/gateway_messages.py
@@ -12,6 +12,7 @@
 from driftstall.decisions.leaving_signals import LeavingRecord
 from driftstall.decisions.rate_limits import RateLimit
 from driftstall.decisions.store_versions import StoreVersion
+from driftstall.decisions.upstream_load import ReportedLoad
 from driftstall.gateway.cordons import Cordons
 from driftstall.gateway.loads import Use
 from driftstall.gateway.model import Upstream
@@ -46,6 +47,8 @@
     """The newest era of the platform's store that is known to the sender."""
     leaving: tuple[LeavingRecord, ...]
     """Upstreams that have signalled that they are leaving, as known to the sender."""
+    upstream_loads: tuple[ReportedLoad, ...] = ()
+    """Newest loads that upstreams which state their pace have reported to the sender."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +79,7 @@
     rate_limits: tuple[RateLimit, ...]
     store_era: int
     leaving: tuple[LeavingRecord, ...]
+    upstream_loads: tuple[ReportedLoad, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +102,7 @@
     rate_limits: tuple[RateLimit, ...]
     store_era: int
     leaving: tuple[LeavingRecord, ...]
+    upstream_loads: tuple[ReportedLoad, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
