Divide a call's duration by the pace over its whole time

Cause: durations were divided by the pace at the end of a call only. A call during which a slow period ended took up to 2.5 times as long at a pace of 1, and its upstream got a penalty that outlasted the period.

Change: the pace when the call was sent counts as well, as a harmonic mean.

--- a/driftstall/decisions/upstream_load.py
+++ b/driftstall/decisions/upstream_load.py
@@ -236,6 +236,14 @@
     return pace * (1 + ahead / slots) + BUSY_WEIGHT * min(1.0, (busy + 1) / slots)
 
 
+def mean_pace(first: float, last: float) -> float:
+    """Return the pace of work during which it has changed, on average halfway.
+
+    This is the harmonic mean: the work done in each half is inversely proportional to its pace.
+    """
+    return 2 / (1 / first + 1 / last)
+
+
 def _weight(record: _Record, now: float) -> float:
     """Return the weight of a load by its age, from 0 to 1."""
     return float(0.5 ** (max(0.0, now - record.at - FRESH_S) / HALF_LIFE_S))
--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -221,11 +221,14 @@
         is_first = not attempts.history.has_arrived
         attempts.history.begin(upstream.upstream_id)
         started = self._state.now()
+        started_pace = self._state.upstream_loads.pace(upstream.upstream_id, started)
         result = self._exchange_with(upstream, attempts, is_first=is_first)
         seconds = self._state.now() - started
         outcome = result.outcome if isinstance(result, SendFailure) else _outcome_of(result)
         if not self._is_caller_disconnected:
-            self._state.record_outcome(upstream.upstream_id, upstream.service, outcome, seconds)
+            self._state.record_outcome(
+                upstream.upstream_id, upstream.service, outcome, seconds, started_pace
+            )
         self._log_send(upstream, outcome, seconds, attempts)
         if isinstance(result, SendFailure):
             attempts.history.end(result.send_outcome)
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -19,7 +19,7 @@
 from driftstall.decisions.poison_detection import PoisonTracker
 from driftstall.decisions.store_versions import StoreEras
 from driftstall.decisions.upstream_backoff import StaggeredRetries, UpstreamBackoff
-from driftstall.decisions.upstream_load import LoadSource, ReportedLoad, UpstreamLoads
+from driftstall.decisions.upstream_load import LoadSource, ReportedLoad, UpstreamLoads, mean_pace
 from driftstall.gateway.cordons import CordonRegistry
 from driftstall.gateway.dialect import Dialect
 from driftstall.gateway.exchange import OpenExchanges, ResponseHead, UpstreamExchange
@@ -397,9 +397,17 @@
             self.on_quarantine_cleared(fingerprint)
 
     def record_outcome(
-        self, upstream_id: str, service: str, outcome: Outcome, seconds: float
+        self,
+        upstream_id: str,
+        service: str,
+        outcome: Outcome,
+        seconds: float,
+        started_pace: float | None = None,
     ) -> None:
-        """Record the outcome of a request to an upstream and its duration in seconds."""
+        """Record the outcome of a request to an upstream and its duration in seconds.
+
+        `started_pace` is the pace of the upstream when the request was sent; None if not known.
+        """
         if outcome is Outcome.UNREACHABLE:
             # The upstream may be restarting, and is then cold before it can report so.
             self.cold.assume(upstream_id, ASSUMED_COLD_S, self.now())
@@ -407,6 +415,8 @@
         if outcome is Outcome.FULL:
             self.upstream_loads.record_rejection(upstream_id, self._known_running(upstream_id), now)
         pace = self.upstream_loads.pace(upstream_id, now)
+        if started_pace is not None:
+            pace = mean_pace(started_pace, pace)
         self.outcomes.record_outcome(upstream_id, service, outcome, now, seconds, pace)
 
 
--- a/features/gateway/uneven_upstreams.feature
+++ b/features/gateway/uneven_upstreams.feature
@@ -72,6 +72,13 @@
     When the plain upstreams answer 30 calls in 0.25 s and 0.1 s
     Then no plain upstream has a penalty
 
+  # Guards against a penalty for the calls that a slow period has prolonged in part.
+  Scenario: a call during which a slow period ends makes its upstream no outlier
+    Given the plain upstreams report "0,0,8,100" and "0,0,8,100"
+    And the plain upstreams answer 30 calls in 0.1 s and 0.1 s
+    When the first plain upstream alone answers 30 calls in 0.143 s, and its pace of 2.5 ends meanwhile
+    Then no plain upstream has a penalty
+
   # Guards against an upstream that hides behind its report: one that is slow beyond its pace.
   Scenario: an upstream that is slower than its pace is an outlier
     Given the plain upstreams report "0,0,8,100" and "0,0,8,100"
--- a/features/steps/uneven_upstream_steps.py
+++ b/features/steps/uneven_upstream_steps.py
@@ -21,11 +21,12 @@
 from driftstall.util import clock
 from features.worlds.gateway_world import (
     GatewayWorld,
+    script_upstreams,
     wait_for,
     world_of,
 )
 from features.worlds.upstream_samples import ENGINE, NEED
-from stand_ins.routed import RoutedUpstream
+from stand_ins.routed import RoutedUpstream, Script
 
 LOAD_HEADER: Final = b"X-Driftstall-Server-Load"
 NOTHING: Final = "-"
@@ -177,6 +178,7 @@
         world.state.loads.set_load(f"running-{number}", load)
 
 
+@given("the plain upstreams answer {count:d} calls in {first:g} s and {second:g} s")
 @when("the plain upstreams answer {count:d} calls in {first:g} s and {second:g} s")
 def answer_calls(context: Any, count: int, first: float, second: float) -> None:
     """Record responses of both upstreams with their loads and durations."""
@@ -189,6 +191,33 @@
         world.pass_time(0.05)
 
 
+@when(
+    "the first plain upstream alone answers {count:d} calls in {seconds:g} s, and its pace of"
+    " {pace:g} ends meanwhile"
+)
+def answer_mixed_calls(context: Any, count: int, seconds: float, pace: float) -> None:
+    """Send calls with work of 0.1 s, half of whose time is slow; the other upstream has no calls.
+
+    The other upstream's outcomes are recorded directly, as it is leaving.
+    """
+    world = world_of(context)
+    first, second = world.plain
+    world.pass_time(-count * seconds)
+    world.give_notice(second)
+    for number in range(count):
+        set_load(first, f"0,0,8,{100 * pace:g}")
+        respond(world, first)
+        request_id = f"mixed-{number}"
+        script = script_upstreams(world, request_id, [Script(hold=True)])[0]
+        asked = world.ask_later("/safe/a", request_id)
+        wait_for("the call runs", lambda: bool(first.seen))
+        first.extra_headers = ((LOAD_HEADER, b"0,0,8,100"),)
+        world.pass_time(seconds)
+        script.gate.set()
+        assert asked.get(timeout=5.0).status == 200
+        world.state.record_outcome(second.upstream_id, "portal", Outcome.GOOD, 0.1)
+
+
 def penalties_of(world: GatewayWorld) -> list[float]:
     """Return the penalties of the plain upstreams."""
     now = world.state.now()
--- a/stand_ins/routed.py
+++ b/stand_ins/routed.py
@@ -71,6 +71,8 @@
     """Pause before each event."""
     work_s: float = 0.0
     """Time before the response to a plain call."""
+    hold: bool = False
+    """Answer a plain call only once the script's gate is open."""
     paused: Event = field(default_factory=Event)
     """Set when a stream is waiting for the gate."""
     gate: Event = field(default_factory=Event)
@@ -287,6 +289,8 @@
             other_headers = (*other, *self._signal_headers())
             connection.write(encode_head(200, other_headers, (b"Content-Length: 5",)) + b"other")
         gevent.sleep(script.work_s)
+        if script.hold:
+            script.gate.wait()
         headers = (_id(request_id), SEAL, *self._signal_headers())
         length = () if script.unframed else (b"Content-Length: %d" % len(script.body),)
         connection.write(encode_head(script.status, headers, length))
