Compare the expected completion of calls without a preference for free slots

Cause: the expected completion had a small cost for taken slots, chosen and not measured.

Change: it is gone; slots count only where a call would have to wait. The model that decided this, 3 upstreams on shared machines, 27 instances and the product's own choice, is measures/ uneven_upstreams.py.

--- a/driftstall/decisions/upstream_load.py
+++ b/driftstall/decisions/upstream_load.py
@@ -31,9 +31,6 @@
 QUEUE_LIMIT_VALID_S: Final = 10.0
 """How long the length of an upstream's queue is used, as learned from a rejection: it may be
 configured anew, and each upstream costs one more rejection in this time to find out."""
-BUSY_WEIGHT: Final = 0.2
-"""Cost of a full upstream against an empty one, in mean work times, where both have a free slot.
-Loads are out of date, so the one with more free slots is less likely to be full on arrival."""
 NORMAL_PACE: Final = 1.0
 MS_PER_S: Final = 1000
 
@@ -229,11 +226,13 @@
     """Return when a further call is expected to finish, in mean work times of its service.
 
     It starts at once in a free slot, and otherwise after those that are ahead of it, which `slots`
-    of them at a time finish. All upstreams of a service have the same mean work time, so it need
-    not be known to compare them.
+    of them at a time finish. The number of free slots does not count otherwise: preferring more of
+    them sent the calls of many instances to the same upstream, by loads that were out of date
+    (`measures/uneven_upstreams.py`). All upstreams of a service have the same mean work time, so
+    it need not be known to compare them.
     """
     ahead = max(0.0, busy + 1 - slots)
-    return pace * (1 + ahead / slots) + BUSY_WEIGHT * min(1.0, (busy + 1) / slots)
+    return pace * (1 + ahead / slots)
 
 
 def mean_pace(first: float, last: float) -> float:
