Let stand-ins report their true load, and count a call in progress once

Cause: the tests of loads used fixed figures, which could not show a call that counts twice, in the upstream's own figure and in the instance's sums.

The metrics page of a real instance is checked for the gauge.

--- a/features/gateway/uneven_upstreams.feature
+++ b/features/gateway/uneven_upstreams.feature
@@ -56,6 +56,13 @@
     Then 0.1 s later the first plain upstream is taken to have 6 requests
     And 0.4 s later the first plain upstream is taken to have 4 requests
 
+  # Guards against requests that count twice: in the upstream's load and in the instance's sums.
+  Scenario: a call in progress counts once
+    Given the plain upstreams report their true load of 8 slots and a pace of 100
+    When 7 calls are in progress
+    And 40 calls are asked
+    Then each plain upstream is taken to have the calls that are in progress there
+
   # Guards against a slow period that moves no call, or keeps the calls away when it is over.
   Scenario: calls move off an upstream in a slow period and return afterwards
     Given the plain upstreams report "0,0,8,250" and "0,0,8,100"
--- a/features/steps/gateway_node_steps.py
+++ b/features/steps/gateway_node_steps.py
@@ -190,6 +190,7 @@
         assert (answer.status, answer.body) == (200, b"whole"), answer
         status, body = node.get("metrics", "/metrics")
         assert status == 200 and b"driftstall_gateway_requests_total" in body, body
+        assert b"driftstall_gateway_upstream_pace" in body, body
 
 
 @when("a newer routing configuration is stored")
--- a/features/steps/uneven_upstream_steps.py
+++ b/features/steps/uneven_upstream_steps.py
@@ -98,6 +98,40 @@
         upstream.arrivals.clear()
 
 
+@given("the plain upstreams report their true load of {slots:d} slots and a pace of {percent:d}")
+def report_true_loads(context: Any, slots: int, percent: int) -> None:
+    """Let the upstreams report what they are running."""
+    for upstream in world_of(context).plain:
+        upstream.load_slots, upstream.pace_percent = slots, percent
+
+
+@when("{count:d} calls are in progress")
+def calls_in_progress(context: Any, count: int) -> None:
+    """Send calls that are answered at the end of the scenario."""
+    world = world_of(context)
+    for number in range(count):
+        request_id = f"held-{number}"
+        script = script_upstreams(world, request_id, [Script(hold=True)])[0]
+        context.add_cleanup(script.gate.set)
+        world.ask_later("/once/a", request_id)
+    context.held = count
+    wait_for("they run", lambda: sum(each.in_progress for each in world.plain) == count)
+
+
+@then("each plain upstream is taken to have the calls that are in progress there")
+def taken_to_have_calls(context: Any) -> None:
+    """Compare the estimates that selection gets with what the upstreams run."""
+    world = world_of(context)
+    estimates = {
+        option.upstream.upstream_id: option.load.busy
+        for option in world.state.options("portal")
+        if option.load is not None
+    }
+    held = context.held
+    wait_for("the others end", lambda: sum(each.in_progress for each in world.plain) == held)
+    assert estimates == {each.upstream_id: each.in_progress for each in world.plain}, estimates
+
+
 @then("the first plain upstream has run at most {most:d} of them")
 def first_has_run_at_most(context: Any, most: int) -> None:
     """Check the number of requests that the first upstream ran."""
--- a/stand_ins/routed.py
+++ b/stand_ins/routed.py
@@ -131,6 +131,13 @@
         """Rate limit (requests per second) in its response headers; None to send none."""
         self.leaves = False
         """Whether it signals in all responses that it leaves."""
+        self.load_slots = 0
+        """Slots in the load that its responses report; zero to report no load."""
+        self.pace_percent: int | None = None
+        """How long work takes, also reported as fourth figure of the load; None for 100 and three
+        figures."""
+        self.in_progress = 0
+        """Callers' requests that it is running."""
         self.extra_headers: tuple[tuple[bytes, bytes], ...] = ()
         """Further headers of all responses."""
         self.backoff = ""
@@ -225,17 +232,25 @@
             self.stop()
             reset(raw)
             return
+        self.in_progress += 1
         try:
             if call.path.startswith("/stream/"):
                 self._stream(raw, connection, request_id, headers, script)
             else:
                 self._whole(raw, connection, request_id, script)
         finally:
+            self.in_progress -= 1
             script.ended.set()
 
     def _signal_headers(self) -> tuple[tuple[bytes, bytes], ...]:
-        """Return the headers with which it signals its leaving and its rate limit."""
+        """Return the headers with which it signals its leaving, its rate limit and its load."""
         signals = [(b"Server-Leaving", b"1")] if self.leaves else []
+        if self.load_slots:
+            waiting = max(0, self.in_progress - self.load_slots)
+            figures = [self.in_progress - waiting, waiting, self.load_slots]
+            figures += [] if self.pace_percent is None else [self.pace_percent]
+            value = ",".join(map(str, figures)).encode()
+            signals.append((b"X-Driftstall-Server-Load", value))
         if self.rate_limit is not None:
             signals.append((b"Server-Limit", f"{self.rate_limit:g}".encode()))
         return (*signals, *self.extra_headers)
@@ -288,7 +303,7 @@
             other = (_id("another"), SEAL)
             other_headers = (*other, *self._signal_headers())
             connection.write(encode_head(200, other_headers, (b"Content-Length: 5",)) + b"other")
-        gevent.sleep(script.work_s)
+        gevent.sleep(script.work_s * (self.pace_percent or 100) / 100)
         if script.hold:
             script.gate.wait()
         headers = (_id(request_id), SEAL, *self._signal_headers())
