Tell a request's way through the queue for engine memory, and show who waits

Cause: operators could not see who waits for engine memory and for how long. The line of a grant had no forecast, and the place logged for a request was the length of the whole queue, whatever its rank. `policy explain` at an instance printed queue_rank None where a rule has no `queue`.

Change: `driftstall explain` sums up the lines about engine memory. The metrics listener serves /queue, read by `driftstall status queue`: waiting by rank, free and total memory, forecast wait of a new request. A grant is logged with the first forecast; the place on arrival counts requests of the same or a more urgent order. `policy explain` prints the rank that counts.

--- a/driftstall/cli/crashes.py
+++ b/driftstall/cli/crashes.py
@@ -22,7 +22,7 @@
     """Run the command at one instance, which forwards a cleared request to the others."""
     if options["clear"]:
         return _clear(options["--metrics"], options["FINGERPRINT"])
-    _, raw = _call(options["--metrics"], "GET", PATH)
+    _, raw = call_metrics(options["--metrics"], "GET", PATH)
     if options["--json"]:
         print(raw.decode())
         return EXIT_OK
@@ -33,7 +33,7 @@
 
 def _clear(address: str, fingerprint: str) -> int:
     """Lift the quarantine of a request."""
-    status, _ = _call(address, "DELETE", f"{PATH}/{fingerprint}")
+    status, _ = call_metrics(address, "DELETE", f"{PATH}/{fingerprint}")
     if status == HTTPStatus.OK:
         print(f"request {fingerprint} may be sent again")
         return EXIT_OK
@@ -41,8 +41,8 @@
     return EXIT_REFUSED
 
 
-def _call(address: str, method: str, path: str) -> tuple[int, bytes]:
-    """Send a request and return status and body; raise UpstreamError if there is no answer."""
+def call_metrics(address: str, method: str, path: str) -> tuple[int, bytes]:
+    """Call the metrics listener; raise UpstreamError if there is no answer."""
     exchange = Exchange.open(address, method, path, {}, b"", CALL_TIMEOUT_S)
     body = exchange.read()
     return exchange.status, body
--- a/driftstall/cli/explain.py
+++ b/driftstall/cli/explain.py
@@ -10,6 +10,8 @@
 
 import orjson
 
+from driftstall.cli.explain_queue import summarize_queue
+
 HIDDEN: Final = frozenset(
     {"timestamp", "message", "message_type", "request", "task_level", "task_uuid"}
 )
@@ -39,6 +41,8 @@
 def explain_request(request_id: str, files: list[str]) -> int:
     """Print a request's log lines and those about its upstreams and crashes, ordered by time.
 
+    Then the request's way through the queue for engine memory is summarized.
+
     Returns the exit code: 1 if no line names the request.
     """
     lines = list(_read_all(files))
@@ -62,6 +66,9 @@
     ]
     for line in sorted([*own, *context, *crashes], key=lambda line: line.at):
         print(_format_line(line, begin))
+    ordered = sorted(own, key=lambda line: line.at)
+    for sentence in summarize_queue((line.origin, line.fields) for line in ordered):
+        print(f"engine memory: {sentence}")
     return 0
 
 
--- a/driftstall/cli/main.py
+++ b/driftstall/cli/main.py
@@ -10,6 +10,7 @@
   driftstall config show [options]
   driftstall config submit FILE [--base=GEN] [--id=ID] [options]
   driftstall config settle ID [options]
+  driftstall status queue [--metrics=ADDR] [--json]
   driftstall status [options]
   driftstall drain [options]
   driftstall locate [options]
@@ -47,6 +48,7 @@
   driftstall chat "When is the deadline?" --key=KEY
   driftstall policy submit examples/enrolment.policy --store=10.200.1.7:8742
   driftstall explain 9c41d07be2a35f68 logs/*.log
+  driftstall status queue --metrics=10.1.0.19:9464
   driftstall crashes clear 5f1c0a9be2a35f68d0417be2 --metrics=10.1.0.19:9464
 
 Exit codes:
@@ -69,6 +71,7 @@
 from driftstall.cli.client import Answer, Caller, ChatEnd, ChatPart, call_json
 from driftstall.cli.crashes import run_crashes
 from driftstall.cli.explain import explain_request
+from driftstall.cli.queue_status import print_queue_status
 from driftstall.cli.store_commands import run_on_store
 from driftstall.cli.tables import print_status
 from driftstall.cli.try_policy import try_policy
@@ -111,6 +114,8 @@
         return explain_request(options["ID"], options["FILE"])
     if options["crashes"]:
         return run_crashes(options)
+    if options["queue"]:
+        return print_queue_status(options)
     options["FILE"] = options["FILE"][0] if options["FILE"] else None
     if options["--store"] and not options["check"]:
         return run_on_store(options)
@@ -165,7 +170,10 @@
     for check in answer.value["checks"]:
         result = "holds" if check["held"] else "does not hold"
         print(f"line {check['line']}, rule {check['rule']}: {check['condition']} {result}")
-    for name, value in answer.value["verdict"].items():
+    verdict = answer.value["verdict"]
+    if verdict["queue_rank"] is None:
+        verdict["queue_rank"] = verdict["rank"]
+    for name, value in verdict.items():
         print(f"  {name} = {value}")
     return EXIT_OK
 
--- a/driftstall/gateway/listeners.py
+++ b/driftstall/gateway/listeners.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import replace
-from typing import Final
+from typing import Any, Final
 
 import orjson
 from gevent import socket
@@ -32,6 +32,7 @@
 from driftstall.gateway.model import Limits, Repeat
 from driftstall.gateway.moves import Mover
 from driftstall.gateway.responses import encode_problem, encode_response
+from driftstall.gateway.scheduling.queue_status import QueueStatus
 from driftstall.gateway.state import GatewayState
 from driftstall.gateway.stats import render
 from driftstall.gateway.streams import StreamRelay
@@ -51,6 +52,7 @@
 """How long a request waits for the first configuration of a new instance; reading it takes
 less."""
 CRASHES_PATH: Final = "/crashes"
+QUEUE_PATH: Final = "/queue"
 AUXILIARY_LIMITS: Final = Limits(header_bytes=8_192, body_bytes=1_024)
 """Limits of the listeners that take no generation requests."""
 
@@ -272,19 +274,33 @@
         return encode_response(status, (), b"", keep_alive=call.keep_alive)
 
 
+def encode_json(value: Any, call: CallerRequest) -> bytes:
+    """Return the response to a request with a value as JSON; data classes become objects."""
+    headers = ((b"Content-Type", JSON_TYPE.encode()),)
+    return encode_response(200, headers, orjson.dumps(value), keep_alive=call.keep_alive)
+
+
 class MetricsHandler:
-    """Handler of metrics and of the requests that are quarantined for crashes.
+    """Handler of metrics, the queue for engine memory and the quarantined requests.
 
     An operator clears a quarantined request with a DELETE of CRASHES_PATH/<fingerprint>.
     """
 
-    def __init__(self, state: GatewayState, gauges: Callable[[], dict[str, float]]) -> None:
-        """Initialize with the shared state and a reader of the current gauges."""
+    def __init__(
+        self,
+        state: GatewayState,
+        gauges: Callable[[], dict[str, float]],
+        queue_status: Callable[[], QueueStatus],
+    ) -> None:
+        """Initialize with the shared state and readers of the current gauges and the queues."""
         self._state = state
         self._gauges = gauges
+        self._queue_status = queue_status
 
     def __call__(self, call: CallerRequest) -> bytes:
-        """Return the response to one request: metrics, quarantined requests or clearing one."""
+        """Return the response to one request: metrics, queues, quarantine or clearing one."""
+        if call.path == QUEUE_PATH:
+            return encode_json(self._queue_status(), call)
         if call.path == CRASHES_PATH:
             return self._list_quarantined(call)
         if call.path.startswith(f"{CRASHES_PATH}/") and call.method == b"DELETE":
@@ -305,8 +321,7 @@
             }
             for fingerprint, verdict in sorted(quarantined.items())
         ]
-        headers = ((b"Content-Type", JSON_TYPE.encode()),)
-        return encode_response(200, headers, orjson.dumps(rows), keep_alive=call.keep_alive)
+        return encode_json(rows, call)
 
     def _clear_quarantined(self, call: CallerRequest) -> bytes:
         """Clear a quarantined request, here and at the other instances."""
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -207,7 +207,7 @@
         self._ready = AuxiliaryListener(settings.ready_listen, ReadinessHandler(self.state))
         locate = LocateHandler(self.state, self._peering.locatable_instances)
         self._locate = AuxiliaryListener(settings.locate_listen, locate)
-        metrics = MetricsHandler(self.state, self._gauges)
+        metrics = MetricsHandler(self.state, self._gauges, self._peering.queue.status)
         self._metrics = AuxiliaryListener(settings.metrics_listen, metrics)
         self._settings_signature = self._read_settings_signature()
 
--- a/driftstall/gateway/scheduling/memory_queue.py
+++ b/driftstall/gateway/scheduling/memory_queue.py
@@ -16,6 +16,7 @@
     RunsReported,
 )
 from driftstall.gateway.scheduling.queue_service import QueueService
+from driftstall.gateway.scheduling.queue_status import QueueStatus
 from driftstall.gateway.state import GatewayState
 from driftstall.peers.gateway_messages import GatewayMessage
 
@@ -34,6 +35,7 @@
         placer_gate: ColdGate,
     ) -> None:
         """Initialize with the shared state, the roles, a sender, and the placer's cold gate."""
+        self._state = state
         self._own_id = state.settings.instance_id
         self._send = send
         self._service = QueueService(
@@ -62,6 +64,15 @@
         """Return the instance that holds the queue; None if no placer answers."""
         return self._client.placer
 
+    def status(self) -> QueueStatus:
+        """Return the state of the queues, if this instance holds them."""
+        placer, table = self.placer, self._state.route_table
+        queued = sorted(table.queued_services) if table and placer == self._own_id else ()
+        services = [self._service.status(name) for name in queued]
+        return QueueStatus(
+            self._own_id, placer, tuple([service for service in services if service is not None])
+        )
+
     def start(self) -> None:
         """Start the passes over the queue and the reports."""
         self._service.start()
--- a/driftstall/gateway/scheduling/queue_service.py
+++ b/driftstall/gateway/scheduling/queue_service.py
@@ -35,6 +35,11 @@
     QueueOutcome,
     RunsReported,
 )
+from driftstall.gateway.scheduling.queue_status import (
+    ServiceStatus,
+    new_request,
+    service_status,
+)
 from driftstall.gateway.scheduling.selection import (
     CROSS_ZONE_STREAM_PENALTY,
     Option,
@@ -73,7 +78,10 @@
     """Record of a waiting request, for its answers and log lines."""
 
     position: int
+    """Number of waiting requests of the same or a more urgent order when it arrived."""
     asked_at: float
+    forecast_s: float | None = None
+    """Its whole wait by the first forecast; None before that."""
 
 
 @dataclass(slots=True)
@@ -119,6 +127,19 @@
         """Start the passes over the queues."""
         keep_running(PREFIX_ROUTING, self._run)
 
+    def status(self, name: str) -> ServiceStatus | None:
+        """Return the state of a service's queue; None if the service has no engines."""
+        table, now = self._state.route_table, self._state.now()
+        config = table.service(name) if table else None
+        if config is None or config.engine is None:
+            return None
+        service, room = self._service_queue(name), _Room(self._options(name), config.engine)
+        waiting = service.queue.in_order(now)
+        newcomer = new_request(name, waiting, [option.use for option in room.options], now)
+        limits = service.demand.limits(room.total_tokens, now)
+        forecast = self._forecast(room, limits, [*waiting, newcomer], now)
+        return service_status(waiting, newcomer, forecast, room.free_tokens(1.0, 0), now)
+
     def handle_asked(self, asked: QueueAsked) -> None:
         """Queue a request, or answer a repeated question."""
         now = self._state.now()
@@ -138,7 +159,8 @@
                 return
             request = checked
             service.demand.record(request, now)
-            arrival = _Arrival(len(service.queue), now)
+            before = sum(other.order <= request.order for other in service.queue.requests)
+            arrival = _Arrival(before, now)
             service.arrivals[asked.request_id] = arrival
         arrival.asked_at = now
         was_empty = not len(service.queue)
@@ -147,7 +169,7 @@
             self._run_pass(asked.service, service, now)
         self._changed.set()
         if asked.request_id in service.queue:
-            self._answer(asked.sender, self._queued_answer(service, request, now))
+            self._answer(asked.sender, self._queued_answer(service, request, arrival, now))
 
     def handle_left(self, left: QueueLeft) -> None:
         """Remove requests that no longer wait, and grants that are not used."""
@@ -213,6 +235,10 @@
             request.request_id: position for position, request in enumerate(waiting)
         }
         service.starts = forecast.starts(waiting, now)
+        for request in waiting:
+            arrival = service.arrivals[request.request_id]
+            if arrival.forecast_s is None:
+                arrival.forecast_s = service.starts[request.request_id] - request.arrived_at
 
     def _forecast(
         self,
@@ -296,6 +322,7 @@
             route_rank=request.order.route_rank,
             position=arrival.position if arrival else 0,
             waited_ms=int((now - request.arrived_at) * 1000),
+            forecast_s=arrival.forecast_s if arrival else None,
             slack_ms=int((request.start_by - now) * 1000),
             free_tokens=free_tokens,
             waiting=len(service.queue),
@@ -329,7 +356,7 @@
         self._answer(request.sender, answer)
 
     def _queued_answer(
-        self, service: _ServiceQueue, request: QueuedRequest, now: float
+        self, service: _ServiceQueue, request: QueuedRequest, arrival: _Arrival, now: float
     ) -> QueueAnswered:
         """Return the place of a waiting request, as of the latest forecast."""
         request_id = request.request_id
@@ -337,7 +364,7 @@
             self._state.settings.instance_id,
             request_id,
             QueueOutcome.QUEUED,
-            position=service.positions.get(request_id, len(service.queue) - 1),
+            position=service.positions.get(request_id, arrival.position),
             forecast_s=max(0.0, service.starts.get(request_id, now) - now),
         )
 
--- a/features/parts/policy.feature
+++ b/features/parts/policy.feature
@@ -13,6 +13,7 @@
       | kinds mixed | policy "x" { rule a when kind < 5 {} rule b {} } | 1 | 26 | compare values of one kind |
       | no truth | policy "x" { rule a when kind {} rule b {} } | 1 | 14 | compare it with a value |
       | rank too high | policy "x" { rule a { rank 12; } } | 1 | 23 | choose a whole number |
+      | queue rank too high | policy "x" { rule a { queue 12; } } | 1 | 23 | choose a whole number |
       | twice | policy "x" { rule a { share 1; share 2; } } | 1 | 32 | keep one of them |
       | name twice | policy "x" { rule a when load > 1 {} rule a {} } | 1 | 38 | a name of its own |
       | zero share | policy "x" { rule a { share 0; } } | 1 | 23 | above 0 |
--- a/features/steps/crash_refusal_steps.py
+++ b/features/steps/crash_refusal_steps.py
@@ -17,6 +17,7 @@
 from driftstall.gateway.crash_detector import CrashDetector
 from driftstall.gateway.ingress import CallerRequest
 from driftstall.gateway.listeners import AuxiliaryListener, MetricsHandler, request_fingerprint
+from driftstall.gateway.scheduling.queue_status import QueueStatus
 from driftstall.helpers.poison_sharing import PeerTransport, PoisonSharing
 from driftstall.peers.blame_messages import BlamesTold
 from driftstall.peers.codec import HEADER, decode, encode, message_types_of
@@ -247,6 +248,7 @@
         lambda: {
             "requests_refused_for_crashes": len(state.poison_tracker.quarantined(state.now()))
         },
+        lambda: QueueStatus(state.settings.instance_id, None, ()),
     )
     listener = AuxiliaryListener(state.settings.metrics_listen, page)
     listener.start()
