Soak streams that queue for engine memory

Cause: no plan of the soak had a service that queues, so that kills, bursts and leaving engines were never met by streams that wait. Its callers closed their connections after each response: the parser was asked whether to keep them after it had reset.

Change: the plan `contended`: short streams rank before long ones, bursts fill small engines, instances are killed and engines leave; refused callers return once in time; callers keep a connection to each instance until it is closed. The checks know short streams, and a run in which nothing has waited fails. Connections are kept where the response allows it.

--- a/features/parts/soak.feature
+++ b/features/parts/soak.feature
@@ -20,6 +20,12 @@
       | a stream lacks an event                                | events out of order or missing           |
       | a stream repeats an event                              | events out of order or missing           |
       | a stream ends as complete too early                    | ended as complete after 2 events         |
+      | a short stream ends as complete too early              | ended as complete after 1 events         |
+      | a short stream has run twice                           | ran 2 times                              |
+      | a short stream is denied                               | denied though every configuration allows |
+      | a refused short stream has run                         | said not to have run, but ran            |
+      | a short stream has no answer for 4 s                   | no final answer for 4.0 s                |
+      | streams should have waited for memory and none has     | no stream has waited for engine memory   |
       | a known route is denied                                | denied though every configuration allows |
       | an upstream has run what nobody asked                  | nobody asked for this                    |
       | an upstream has run another path                       | nobody asked for this                    |
@@ -51,6 +57,7 @@
       | an added route is denied by a calm instance  |
       | a dropped route is served by a calm instance |
       | a calm instance gives no answer for 4 s      |
+      | a short stream has no answer for 4 s         |
 
   Scenario: a disturbance that is long over explains no request after a notice
     Given the record of a run in which all was well
@@ -76,6 +83,19 @@
   Scenario: upstreams that leave are what one plan is about
     Then seed 7 gives that plan notices, removals and connections that fall silent
 
+  Scenario: bursts, killed instances and engines that leave are what one plan is about
+    Then seed 7 gives that plan bursts, kills and notices, and always the same
+
+  Scenario: the configuration of that plan makes its streams queue
+    Then streams of the plan "contended" queue and those of the plan "mixed" do not
+
+  Scenario: a caller keeps its connections until the process is gone
+    Given a caller with open connections to "instance-1" and "instance-2"
+    When only "instance-2" is located any more
+    Then it still sends to "instance-1"
+    When "instance-1" closes the connection
+    Then it sends to "instance-2" alone
+
   Scenario: a seed always gives the same plan, and leaves the end calm
     Then seed 7 gives one plan of overlapping faults, seed 8 another, both end early
 
--- a/features/processes/soak.feature
+++ b/features/processes/soak.feature
@@ -17,6 +17,10 @@
     Given a soak of the plan "unseen", seed 801, with 4 instances and 8 callers for 18 s
     Then it breaks no promise
 
+  Scenario: streams that queue for memory start once and are answered in time, or have not run
+    Given a soak of the plan "contended", seed 1101, with 4 instances and 12 callers for 20 s
+    Then it breaks no promise
+
   Scenario: upstreams that name a limit get no more than it allows
     Given a soak of the plan "limited", seed 21, with 4 instances and 12 callers for 24 s
     Then it breaks no promise
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -5,6 +5,7 @@
 import random
 import subprocess
 import sys
+import time
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import replace
@@ -17,10 +18,13 @@
 from gevent.server import StreamServer
 
 from driftstall.decisions.store_versions import StoreVersion
+from driftstall.gateway.routes import RouteTable
+from driftstall.platform.documents import read_routing
 from driftstall.platform.store import Store, StoredObject
 from driftstall.util.addresses import split_address
 from measures.bench import FIRST_PORT, SLICE_PORTS, free_port
 from measures.gateway_process import GatewayProcess
+from soak.caller import CallerConnections
 from soak.checks import (
     COLD_KNOWN_S,
     COLD_RATE,
@@ -37,6 +41,7 @@
 )
 from soak.fleet import UpstreamSlot
 from soak.ledger import (
+    SHORT_EVENTS,
     Arrival,
     FatalCrash,
     Ledger,
@@ -49,7 +54,7 @@
 )
 from soak.plan import CALM_LAST_S, Kind, Plan, draw_steps
 from soak.proxy import Proxy
-from soak.run import Size, Soak
+from soak.run import Size, Soak, routing_document
 
 EVENTS = 3
 START = 1000.0
@@ -195,6 +200,20 @@
         context.ledger.arrivals.pop()
 
 
+def short_stream(context: Any, body: bytes = b"") -> SentRequest:
+    """Record a short stream, by default a complete one."""
+    numbers = range(1, SHORT_EVENTS + 1)
+    asked = good(context.ledger, "short", RequestKind.SHORT, LATER)
+    asked.body = body or stream_body(*numbers)
+    return asked
+
+
+def refused_short(context: Any) -> None:
+    """Record a short stream that is refused, though it has run."""
+    asked = short_stream(context)
+    asked.status, asked.body, asked.sealed = 503, b'{"retry_after_s": 0.4}', False
+
+
 def probe(context: Any, kind: RequestKind, status: int) -> None:
     """Record a probe of the configuration."""
     asked = good(context.ledger, "probe", kind, LATER, "/added3/x")
@@ -231,6 +250,18 @@
     "a stream lacks an event": lambda c: break_off(c, stream_body(1, 3)),
     "a stream repeats an event": lambda c: break_off(c, stream_body(1, 2, 2)),
     "a stream ends as complete too early": lambda c: setattr(c.stream, "body", stream_body(1, 2)),
+    "a short stream ends as complete too early": lambda c: short_stream(c, stream_body(1)),
+    "a short stream has run twice": lambda c: arrive(
+        c, short_stream(c).request_id, "u2", "/stream/short/x", LATER
+    ),
+    "a short stream is denied": lambda c: setattr(short_stream(c), "status", 404),
+    "a refused short stream has run": refused_short,
+    "a short stream has no answer for 4 s": lambda c: setattr(
+        short_stream(c), "ended_at", LATER + 4.0
+    ),
+    "streams should have waited for memory and none has": lambda c: setattr(
+        c.ledger, "queue_waits", 0
+    ),
     "a known route is denied": lambda c: setattr(c.once, "status", 404),
     "an upstream has run what nobody asked": lambda c: arrive(c, "x", "u1", "/safe/x", LATER),
     "an upstream has run another path": lambda c: setattr(c.once, "path", "/once/y"),
@@ -304,6 +335,77 @@
     assert all(step.at_s + step.for_s <= 60.0 - CALM_LAST_S + 0.5 for step in steps)
 
 
+@then("seed 7 gives that plan bursts, kills and notices, and always the same")
+def contended_plan(context: Any) -> None:
+    """Check the kinds of steps in a plan of one minute."""
+    steps, same = (
+        draw_steps(7, instances=4, upstreams=5, seconds=60.0, plan=Plan.CONTENDED) for _ in range(2)
+    )
+    kinds = {step.kind for step in steps}
+    assert steps == same
+    assert {Kind.BURST, Kind.KILL, Kind.LEAVE} <= kinds, kinds
+    assert all(step.at_s + step.for_s <= 60.0 - CALM_LAST_S + 0.5 for step in steps)
+
+
+@then('streams of the plan "contended" queue and those of the plan "mixed" do not')
+def plan_queues(context: Any) -> None:
+    """Check the switch by the plans' configurations."""
+    for plan, queues in ((Plan.CONTENDED, True), (Plan.MIXED, False)):
+        table = RouteTable.from_document(read_routing(routing_document(plan, 1)))
+        assert table.queues("engines") is queues, plan
+
+
+@given('a caller with open connections to "{first}" and "{second}"')
+def open_caller(context: Any, first: str, second: str) -> None:
+    """Open connections to two listeners, which stand for instances."""
+    context.servers = {}
+    context.caller = CallerConnections()
+    for name in (first, second):
+        server = StreamServer(("127.0.0.1", 0), answer_once_open)
+        server.start()
+        context.add_cleanup(server.stop, timeout=0)
+        context.servers[name] = server
+        send_to(context, name)
+
+
+def answer_once_open(connection: socket.socket, _: tuple[str, int]) -> None:
+    """Answer requests until a connection ends; a request to /close is answered by closing it."""
+    while data := connection.recv(65_536):
+        if b"/close" in data:
+            return
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
+
+
+def send_to(context: Any, name: str, path: str = "/safe/x") -> None:
+    """Send a request."""
+    asked = SentRequest("r", RequestKind.SAFE, path, name, time.monotonic(), 2.0)
+    context.caller.to(name).send(f"127.0.0.1:{context.servers[name].server_port}", asked)
+
+
+@when('only "{name}" is located any more')
+def located_only(context: Any, name: str) -> None:
+    """Set the located instances."""
+    context.located = {name}
+
+
+@when('"{name}" closes the connection')
+def closes(context: Any, name: str) -> None:
+    """Have a request answered by the end of the connection."""
+    send_to(context, name, "/close")
+
+
+@then('it still sends to "{name}"')
+def still_sends(context: Any, name: str) -> None:
+    """Check the instances to which the caller may send."""
+    assert name in context.located | context.caller.open_names, context.caller.open_names
+
+
+@then('it sends to "{name}" alone')
+def sends_alone(context: Any, name: str) -> None:
+    """Check the instances to which the caller may send."""
+    assert context.located | context.caller.open_names == {name}, context.caller.open_names
+
+
 class RacedStore(Store):
     """A store where a concurrent step creates an entry right after its replacement has failed."""
 
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -7,6 +7,7 @@
 
 import httptools
 from gevent import socket
+from gevent.select import select
 
 from features.worlds.gateway_world import request_bytes
 from soak.ledger import SentRequest
@@ -25,6 +26,7 @@
         self.parser: Any = httptools.HttpResponseParser(self)
         self.sealed = False
         self.has_head = False
+        self.keeps_alive = False
         self.complete = False
         self.body = b""
 
@@ -41,8 +43,12 @@
         self.body += data
 
     def on_message_complete(self) -> None:
-        """Record that the response is complete."""
+        """Record that the response is complete, and whether the connection may be reused.
+
+        The parser answers that only before it returns: afterwards it expects a new response.
+        """
         self.complete = True
+        self.keeps_alive = self.parser.should_keep_alive()
 
 
 class CallerConnection:
@@ -53,8 +59,12 @@
         self._connection: socket.socket | None = None
         self._address = ""
 
-    def send(self, address: str, request: SentRequest) -> None:
-        """Send one request and record its result in it."""
+    def send(self, address: str, request: SentRequest, token_count: str = "") -> None:
+        """Send one request, and record its result in it.
+
+        The token count names prompt and output tokens; empty for those of an ordinary request.
+        """
+        more = {"X_Driftstall_Token_Count": token_count} if token_count else {}
         try:
             self._open(address)
             assert self._connection is not None
@@ -64,6 +74,7 @@
                     request.request_id,
                     Connection="keep-alive",
                     X_Driftstall_Deadline_Ms=str(int(request.timeout_s * 1000)),
+                    **more,
                 )
             )
             self._read(request)
@@ -71,6 +82,13 @@
             self.close()
         request.ended_at = time.monotonic()
 
+    @property
+    def is_open(self) -> bool:
+        """Return True if the connection is open; one that the other side has closed is not."""
+        if self._connection is not None and select([self._connection], [], [], 0)[0]:
+            self.close()
+        return self._connection is not None
+
     def close(self) -> None:
         """Close the connection."""
         if self._connection is not None:
@@ -79,7 +97,7 @@
 
     def _open(self, address: str) -> None:
         """Open a connection to the address unless one is open already."""
-        if self._connection is not None and self._address == address:
+        if self.is_open and self._address == address:
             return
         self.close()
         host, port = address.split(":")
@@ -102,5 +120,27 @@
             request.status = response.parser.get_status_code() if response.has_head else 0
             request.sealed, request.complete = response.sealed, response.complete
             request.body = response.body
-        if not response.complete or not response.parser.should_keep_alive():
+        if not response.keeps_alive:
             self.close()
+
+
+class CallerConnections:
+    """A caller's connections to several instances, each kept until the instance closes it."""
+
+    def __init__(self) -> None:
+        """Initialize without connections."""
+        self._connections: dict[str, CallerConnection] = {}
+
+    @property
+    def open_names(self) -> set[str]:
+        """Return the names of the instances to which connections are open."""
+        return {name for name, connection in self._connections.items() if connection.is_open}
+
+    def to(self, name: str) -> CallerConnection:
+        """Return the connection to an instance."""
+        return self._connections.setdefault(name, CallerConnection())
+
+    def close(self) -> None:
+        """Close all connections."""
+        for connection in self._connections.values():
+            connection.close()
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -9,7 +9,15 @@
 from collections.abc import Iterator
 from typing import Final
 
-from soak.ledger import STORE, Arrival, Ledger, RequestKind, SentRequest
+from soak.ledger import (
+    SHORT_EVENTS,
+    STORE,
+    STREAMS,
+    Arrival,
+    Ledger,
+    RequestKind,
+    SentRequest,
+)
 
 NOT_RUN: Final = frozenset({408, 421, 429, 503})
 """Statuses that guarantee that the request has not run and never will."""
@@ -67,6 +75,10 @@
     for arrival in ledger.arrivals:
         runs[arrival.request_id].append(arrival)
     found = [*ledger.unexpected_exits, *ledger.not_ready]
+    if ledger.queue_waits == 0:
+        found.append(
+            "no stream has waited for engine memory, so the run shows nothing of the queue"
+        )
     for request in ledger.requests.values():
         found += [f"{line}: {_describe(request)}" for line in _check_request(ledger, request, runs)]
     found += list(_check_unsent(ledger))
@@ -88,7 +100,7 @@
 ) -> Iterator[str]:
     """Check a single request: its number of runs, response, configuration and duration."""
     ran = [arrival for arrival in runs[request.request_id] if not arrival.is_resumed]
-    if request.kind in (RequestKind.ONCE, RequestKind.STREAM) and len(ran) > 1:
+    if request.kind in (RequestKind.ONCE, *STREAMS) and len(ran) > 1:
         yield f"ran {len(ran)} times"
     if request.status in NOT_RUN and ran:
         yield "said not to have run, but ran"
@@ -96,14 +108,11 @@
         yield "refused without a time to come back"
     if request.status == 200 and not request.sealed:
         yield "a success that no upstream gave"
-    if request.kind is RequestKind.STREAM and request.status == 200:
+    if request.kind in STREAMS and request.status == 200:
         yield from _check_stream(ledger, request)
     elif request.status == 200 and request.complete and request.body != b"whole":
         yield "a success with another body"
-    if (
-        request.kind in (RequestKind.SAFE, RequestKind.ONCE, RequestKind.STREAM)
-        and request.status in DENIED
-    ):
+    if request.kind in (RequestKind.SAFE, RequestKind.ONCE, *STREAMS) and request.status in DENIED:
         yield "denied though every configuration allows it"
     yield from _check_configuration(ledger, request)
     yield from _check_duration(ledger, request)
@@ -114,7 +123,8 @@
     events = request.events
     if events != list(range(1, len(events) + 1)):
         yield f"events out of order or missing: {events}"
-    if request.complete and len(events) != ledger.events:
+    expected = SHORT_EVENTS if request.kind is RequestKind.SHORT else ledger.events
+    if request.complete and len(events) != expected:
         yield f"ended as complete after {len(events)} events"
 
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -15,7 +15,17 @@
 from driftstall.platform.names import KIND_UPSTREAMS
 from driftstall.platform.store import Store
 from features.worlds.upstream_samples import entry_spec
-from soak.ledger import Arrival, FatalCrash, Ledger, LimitPeriod, Notice, UpstreamPeriod, Window
+from soak.ledger import (
+    SHORT_EVENTS,
+    Arrival,
+    FatalCrash,
+    Ledger,
+    LimitPeriod,
+    Notice,
+    RequestKind,
+    UpstreamPeriod,
+    Window,
+)
 from soak.plan import Plan
 from soak.proxy import Proxy
 from stand_ins.routed import ReceivedRequest, RoutedUpstream, Script
@@ -32,6 +42,7 @@
     Plan.LIMITED: (2.5, 6.0),
     Plan.RETURNING: (3.0, 10.0),
     Plan.UNSEEN: (4.5, 6.5),
+    Plan.CONTENDED: (1.5, 3.0),
     Plan.SIGNALLING: (3.0, 10.0),
 }
 """Range of the time for which a leaving upstream continues to serve: drainMs and a little longer,
@@ -84,7 +95,7 @@
         on_fatal: Callable[[RecordingUpstream, str], None],
     ) -> None:
         """Start to listen; on_fatal is called with the path of a request that crashes it."""
-        super().__init__(upstream_id, self._script)
+        super().__init__(upstream_id)
         self.arrival_records = ledger.received[upstream_id]
         self.signalled_leaving = ledger.signalled_leaving[upstream_id]
         self.rejections = ledger.rejections[upstream_id]
@@ -97,12 +108,15 @@
         """Interrupt INTERRUPTED_SHARE of the requests for some seconds."""
         self._interrupts_until = time.monotonic() + for_s
 
-    def _script(self) -> Script:
+    def script_for(self, path: str) -> Script:
         """Return the script of a request that arrives now."""
+        script = default_script()
+        if path.startswith(f"/{RequestKind.SHORT}/"):
+            script.events = SHORT_EVENTS
         is_interrupting = time.monotonic() < self._interrupts_until
         if is_interrupting and self._source.random() < INTERRUPTED_SHARE:
-            return replace(default_script(), **self._source.choice(BREAKS))
-        return default_script()
+            return replace(script, **self._source.choice(BREAKS))
+        return script
 
     def record_request(self, seen: ReceivedRequest) -> None:
         """Record the arrival of a request, and schedule the crash if the request is fatal."""
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -9,6 +9,8 @@
 from stand_ins.routed import SignalRecord
 
 STORE = "store"
+SHORT_EVENTS = 3
+"""Number of events in a complete short stream."""
 
 
 class RequestKind(StrEnum):
@@ -17,12 +19,17 @@
     SAFE = "safe"
     ONCE = "once"
     STREAM = "stream"
+    SHORT = "stream/short"
+    """A stream that ranks before others and has few events."""
     ADDED = "added"
     """A request to the route that the newest configuration has added."""
     DROPPED = "dropped"
     """A request to a route that the newest configuration has removed."""
 
 
+STREAMS = (RequestKind.STREAM, RequestKind.SHORT)
+
+
 @dataclass(slots=True)
 class SentRequest:
     """A request of a caller, with its result."""
@@ -136,6 +143,8 @@
     """Processes that exited without being stopped by the plan."""
     not_ready: list[str] = field(default_factory=list)
     """Instances that were not ready at the end."""
+    queue_waits: int | None = None
+    """Streams that waited for engine memory; None in plans in which no service queues."""
 
     def disturb(self, name: str, begins: float, ends: float) -> None:
         """Record a disturbance of an instance, an upstream or the store."""
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -53,6 +53,7 @@
     REJECT_ALL = "all upstreams of a service do"
     LIMIT = "upstream names a limit"
     """Its responses announce a rate limit in requests a second, later a lower one."""
+    BURST = "callers send many streams at once"
 
 
 class Plan(StrEnum):
@@ -77,6 +78,9 @@
     with kills, pauses and a silent store."""
     LIMITED = "limited"
     """Upstreams that announce a rate limit for a while, with few other faults."""
+    CONTENDED = "contended"
+    """Bursts of short and long streams that queue for engine memory, while instances are killed and
+    engines leave."""
 
 
 class Fault(StrEnum):
@@ -175,6 +179,17 @@
     Kind.STORE_LINK: 0.5,
     Kind.STORE_DOWN: 0.5,
 }
+CONTENDED_WEIGHTS: Final[dict[Kind, float]] = {
+    Kind.BURST: 5.0,
+    Kind.KILL: 1.5,
+    Kind.LEAVE: 2.5,
+    Kind.STOP: 0.5,
+    Kind.PAUSE: 0.5,
+    Kind.CRASH: 0.5,
+    Kind.REMOVE: 0.5,
+    Kind.CONFIGURE: 0.5,
+    Kind.STORE_DOWN: 0.3,
+}
 UNSEEN_WEIGHTS: Final[dict[Kind, float]] = {
     Kind.LEAVE_UNSEEN: 3.0,
     Kind.LEAVE: 1.0,
@@ -209,6 +224,7 @@
 PLAN_WEIGHTS: Final = {
     Plan.RETURNING: RETURNING_WEIGHTS,
     Plan.UNSEEN: UNSEEN_WEIGHTS,
+    Plan.CONTENDED: CONTENDED_WEIGHTS,
     Plan.LIMITED: LIMITED_WEIGHTS,
     Plan.SIGNALLING: SIGNALLING_WEIGHTS,
     Plan.LEAVING: LEAVING_WEIGHTS,
--- a/soak/run.py
+++ b/soak/run.py
@@ -23,19 +23,27 @@
 from driftstall.exceptions import PlatformUnavailable, UpstreamError
 from driftstall.platform.names import KIND_CONFIG, KIND_CORDONS, KIND_INSTANCES, NAME_CONFIG
 from driftstall.platform.store import Store
-from features.worlds.gateway_world import HOST, document, route
+from features.worlds.gateway_world import ENGINE, HOST, document, route
 from measures.bench import Bench, BenchError
 from measures.gateway_process import GatewayProcess
-from soak.caller import CallerConnection
+from soak.caller import CallerConnection, CallerConnections
 from soak.checks import APPLY_S, COLD_RATE, CONTACT_S, CORDON_S, DRAIN_S, find_violations
 from soak.fleet import EVENTS, FATAL, ZONES, UpstreamSlot
-from soak.ledger import STORE, Ledger, RequestKind, SentRequest, UpstreamPeriod, Window
+from soak.ledger import (
+    STORE,
+    STREAMS,
+    Ledger,
+    RequestKind,
+    SentRequest,
+    UpstreamPeriod,
+    Window,
+)
 from soak.plan import Kind, Plan, Step, draw_steps
 from soak.proxy import Proxy
 
 GRACE_S: Final = 3.0
 """Time from SIGTERM to SIGKILL (graceS)."""
-TIMEOUTS_S: Final = {RequestKind.STREAM: 6.0}
+TIMEOUTS_S: Final = {RequestKind.STREAM: 6.0, RequestKind.SHORT: 3.0}
 CALL_TIMEOUT_S: Final = 2.0
 LOCATION_TTL_S: Final = 1.0
 """Time for which a caller keeps located addresses."""
@@ -62,6 +70,19 @@
 """Some ordinary streams have ended by then: they are all alike, and a success shows that they are
 not poison."""
 FATAL_PAUSE_S: Final = (0.2, 1.2)
+BURST_STREAMS: Final = 60
+"""Streams of a burst: several times as many as the contended engines hold."""
+SHORT_SHARE: Final = 0.6
+"""Share of short streams in a burst."""
+CONTENDED_TOKENS: Final = 6_000
+"""Memory of an engine in the contended plan: room for a few streams."""
+TOKEN_COUNTS: Final = {RequestKind.STREAM: "1000,400", RequestKind.SHORT: "1000,40"}
+"""Prompt and output tokens that callers of the contended plan announce."""
+MAX_RETRY_SHARE: Final = 1 / 3
+"""Share of a request's time up to which a refused caller waits to send it once more."""
+
+
+QUEUED: Final = b"A stream waits for engine memory"
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +109,7 @@
         """The newest configuration that the store has acknowledged, and when."""
         self._cordons: set[str] = set()
         self._has_traffic = True
+        self._bursts: list[gevent.Greenlet] = []
         self.folder = Path(tempfile.mkdtemp(prefix=f"driftstall-soak-{seed}-"))
         self.ledger = Ledger(EVENTS)
         self._bench = Bench(self.folder)
@@ -139,7 +161,7 @@
             self._apply(step)
         gevent.sleep(max(0.0, began + self._size.seconds - time.monotonic()))
         self._has_traffic = False
-        gevent.joinall(jobs, timeout=CALLERS_END_TIMEOUT_S)
+        gevent.joinall([*jobs, *self._bursts], timeout=CALLERS_END_TIMEOUT_S)
         self._record_final_state()
         return find_violations(self.ledger)
 
@@ -202,6 +224,7 @@
             ),
             Kind.REJECT: lambda step: self._spawn(self._fleet[step.target].reject, step.for_s),
             Kind.REJECT_ALL: self._reject_all,
+            Kind.BURST: lambda step: self._spawn(self._burst, step),
             Kind.SILENCE: lambda _: self._silence(range(len(self._instances))),
             Kind.SILENCE_ONE: lambda step: self._silence([step.target]),
         }
@@ -385,26 +408,14 @@
 
     def _document(self) -> dict[str, Any]:
         """Return the configuration of the newest version."""
-        config = document(self._version)
-        for entry in config["routes"]:
-            is_stream = entry["kind"] == "streaming"
-            entry["timeoutMs"] = (
-                TIMEOUTS_S[RequestKind.STREAM] if is_stream else CALL_TIMEOUT_S
-            ) * 1000
-        if self._size.plan is Plan.ZONES:
-            config["services"] = [
-                service | {"coldPerS": COLD_RATE} for service in config["services"]
-            ]
-        added = route("added", f"/added{self._version}/", "safe", "portal")
-        config["routes"].append(added | {"timeoutMs": CALL_TIMEOUT_S * 1000})
-        return config
+        return routing_document(self._size.plan, self._version)
 
     # Traffic.
 
     def _call(self, number: int) -> None:
         """Send ordinary requests as one caller until the traffic ends."""
         source = random.Random(f"{self._seed}-{number}")
-        connection = CallerConnection()
+        connections = CallerConnections()
         located: list[GatewayProcess] = []
         located_at = float("-inf")
         while self._has_traffic:
@@ -414,11 +425,40 @@
             if not located:
                 gevent.sleep(RETRY_DELAY_S)
                 continue
-            kind = source.choice(
-                (RequestKind.SAFE, RequestKind.ONCE, RequestKind.ONCE, RequestKind.STREAM)
-            )
-            request = self._send(connection, source.choice(located), kind, f"/{kind}/x")
+            if self._size.plan is Plan.CONTENDED:
+                kind = source.choice((RequestKind.SAFE, RequestKind.ONCE, *STREAMS))
+                kept = [each for each in self._instances if each.name in connections.open_names]
+                instance = source.choice([*located, *kept])
+                connection = connections.to(instance.name)
+            else:
+                kind = source.choice(
+                    (RequestKind.SAFE, RequestKind.ONCE, RequestKind.ONCE, RequestKind.STREAM)
+                )
+                instance, connection = source.choice(located), connections.to("")
+            request = self._send(connection, instance, kind, f"/{kind}/x")
             gevent.sleep(source.uniform(0.0, 0.2) + (request.status != 200) * RETRY_DELAY_S)
+        connections.close()
+
+    def _burst(self, step: Step) -> None:
+        """Send many streams within the duration of a step, each on a connection of its own."""
+        source = random.Random(f"{self._seed}-burst-{step.at_s}")
+        for number in range(BURST_STREAMS):
+            kind = RequestKind.SHORT if source.random() < SHORT_SHARE else RequestKind.STREAM
+            # A path of its own: a refused request's place is kept for one of the same content.
+            path = f"/{kind}/{step.at_s:.3f}-{number}"
+            instance = source.choice(self._instances)
+            self._bursts.append(gevent.spawn(self._send_with_retry, instance, kind, path))
+            gevent.sleep(step.for_s / BURST_STREAMS)
+
+    def _send_with_retry(self, instance: GatewayProcess, kind: RequestKind, path: str) -> None:
+        """Send a stream, and once more if it is refused and may return in time."""
+        connection = CallerConnection()
+        request = self._send(connection, instance, kind, path)
+        if request.status == 503 and request.complete:
+            retry_after_s = orjson.loads(request.body).get("retry_after_s", 0.0)
+            if retry_after_s <= TIMEOUTS_S[kind] * MAX_RETRY_SHARE:
+                gevent.sleep(retry_after_s)
+                self._send(connection, instance, kind, path)
         connection.close()
 
     def _call_fatal(self, number: int) -> None:
@@ -457,7 +497,9 @@
         request_id = f"s{self._seed}-{next(self._numbers)}"
         request = SentRequest(request_id, kind, path, instance.name, time.monotonic(), timeout_s)
         self.ledger.requests[request_id] = request
-        connection.send(instance.listen["front"], request)
+        is_contended = self._size.plan is Plan.CONTENDED
+        token_count = TOKEN_COUNTS.get(kind, "") if is_contended else ""
+        connection.send(instance.listen["front"], request, token_count)
         return request
 
     def _probe_configuration(self) -> None:
@@ -485,6 +527,10 @@
 
     def _record_final_state(self) -> None:
         """Record which processes have exited unexpectedly, or are not ready or not listed."""
+        if self._size.plan is Plan.CONTENDED:
+            self.ledger.queue_waits = sum(
+                instance.log.read_bytes().count(QUEUED) for instance in self._instances
+            )
         listed = {entry.name for entry in self._store.list(KIND_INSTANCES).objects}
         for instance in self._instances:
             code = instance.process.poll()
@@ -495,3 +541,27 @@
                 self.ledger.not_ready.append(f"{instance.name} is not ready at the end")
             elif code is None and instance.name not in listed:
                 self.ledger.not_ready.append(f"{instance.name} is not listed at the end")
+
+
+def routing_document(plan: Plan, version: int) -> dict[str, Any]:
+    """Return the configuration of a plan, with a route that only this version has."""
+    config = document(version)
+    for entry in config["routes"]:
+        is_stream = entry["kind"] == "streaming"
+        entry["timeoutMs"] = (
+            TIMEOUTS_S[RequestKind.STREAM] if is_stream else CALL_TIMEOUT_S
+        ) * 1000
+    if plan is Plan.ZONES:
+        config["services"] = [service | {"coldPerS": COLD_RATE} for service in config["services"]]
+    if plan is Plan.CONTENDED:
+        config["services"][1] = {
+            "name": ENGINE_SERVICE,
+            "engine": ENGINE | {"kvCacheTokens": CONTENDED_TOKENS},
+        }
+        timeout_ms = TIMEOUTS_S[RequestKind.SHORT] * 1000
+        prefix = f"/{RequestKind.SHORT}/"
+        short = route("short", prefix, "streaming", ENGINE_SERVICE, priority=0, gap_aim_ms=180)
+        config["routes"].append(short | {"timeoutMs": timeout_ms})
+    added = route("added", f"/added{version}/", "safe", "portal")
+    config["routes"].append(added | {"timeoutMs": CALL_TIMEOUT_S * 1000})
+    return config
--- a/stand_ins/routed.py
+++ b/stand_ins/routed.py
@@ -159,6 +159,10 @@
         """Record a request that is run here."""
         self.seen.append(seen)
 
+    def script_for(self, path: str) -> Script:
+        """Return the script of a request that has none of its own."""
+        return self._default_script()
+
     def runs(self, request_id: str) -> int:
         """Return the number of times that a request was run here."""
         return sum(request.request_id == request_id for request in self.seen)
@@ -203,7 +207,7 @@
             self._reject(connection, request_id)
             return
         scripts = self.scripts[request_id]
-        script = scripts.pop(0) if scripts else self._default_script()
+        script = scripts.pop(0) if scripts else self.script_for(call.path)
         copy_of = headers.get("kv-from", "").rpartition("/")[2]
         if script.misdirected:
             misdirected = (_id(request_id), *self._signal_headers())
