Log no forecast for a waiting stream before one has been made

Cause: in the soak's logs each line "A stream waits for engine memory" had forecast_s 0.0, which reads as if the stream were to start at once: the first answer precedes the first forecast.

Change: the field is empty until there is a forecast; the grant's forecast is rounded.

--- a/driftstall/gateway/scheduling/queue_client.py
+++ b/driftstall/gateway/scheduling/queue_client.py
@@ -186,7 +186,8 @@
             workspace=asked.workspace,
             rank=asked.rank,
             position=answer.position,
-            forecast_s=round(answer.forecast_s, 3),
+            # Zero where no forecast has been made yet, which is so for most first answers.
+            forecast_s=round(answer.forecast_s, 3) or None,
             placer=answer.sender,
         )
 
--- a/driftstall/gateway/scheduling/queue_service.py
+++ b/driftstall/gateway/scheduling/queue_service.py
@@ -322,7 +322,9 @@
             route_rank=request.order.route_rank,
             position=arrival.position if arrival else 0,
             waited_ms=int((now - request.arrived_at) * 1000),
-            forecast_s=arrival.forecast_s if arrival else None,
+            forecast_s=(
+                round(arrival.forecast_s, 3) if arrival and arrival.forecast_s is not None else None
+            ),
             slack_ms=int((request.start_by - now) * 1000),
             free_tokens=free_tokens,
             waiting=len(service.queue),
--- a/features/gateway/queue_status.feature
+++ b/features/gateway/queue_status.feature
@@ -8,6 +8,7 @@
     And after 0.4 s the memory of "e2" is released
     Then explaining "r1" tells "2 requests were before it" and "granted on e2 by instance-0 after 0.4"
     And it tells a forecast of 3 to 5 s
+    And no line tells a forecast that was not made yet
 
   Scenario: a request that was refused is told why and when to return
     Given the holder of the queue of 2 engines, whose memory is full for 4 s
--- a/features/steps/queue_status_steps.py
+++ b/features/steps/queue_status_steps.py
@@ -216,6 +216,13 @@
     assert match and low <= float(match[1]) <= high, context.told
 
 
+@then("no line tells a forecast that was not made yet")
+def tells_no_zero(context: Any) -> None:
+    """Check the line on arrival: it would read as if the request were to start at once."""
+    assert "A stream waits" in context.told, context.told
+    assert "forecast_s=0.0" not in context.told, context.told
+
+
 @then("it tells the time to return that the caller got")
 def tells_return(context: Any) -> None:
     """Compare the times to return."""
