--- a/driftstall/decisions/overload.py
+++ b/driftstall/decisions/overload.py
@@ -3,7 +3,7 @@
 The load: for some seconds more memory is asked for than the engines have. Requests that can't
 start before their callers give up would only make others late, so they are refused at once, with
 the time at which the forecast has room for them. A refused caller that returns in time keeps its
-place; one that returns early, or repeats at once, gains nothing over the others.
+place; one that returns early, or repeats at once, waits like a new one.
 """
 
 from __future__ import annotations
@@ -107,18 +107,20 @@
 
     def check_return(
         self, request: QueuedRequest, now: float, *, others_wait: bool
-    ) -> QueuedRequest | RefusedRequest:
+    ) -> QueuedRequest:
         """Return a request to be queued, with the place reserved for it if there is one.
 
-        A caller that returns before its time is refused for the time that is left if others wait.
+        A caller that returns before its time while others wait is queued like a new one, and its
+        place stays reserved. It is not refused for that, because other callers may send the same
+        content.
         """
         self._expire(now)
         reservation = self._reservations.get(request.ticket)
         if reservation is None:
             return request
-        remaining_s = reservation.due_at - now
-        if remaining_s > EARLY_TOLERANCE_S and request.may_refuse and others_wait:
-            return RefusedRequest(request, remaining_s, remaining_s)
+        is_early = reservation.due_at - now > EARLY_TOLERANCE_S
+        if is_early and others_wait:
+            return request
         del self._reservations[request.ticket]
         waited_s = max(0.0, now - reservation.first_arrived_at)
         return replace(
@@ -130,6 +132,10 @@
     def _refuse(self, request: QueuedRequest, starts_at: float, now: float) -> RefusedRequest:
         """Refuse a request and reserve its place."""
         forecast_s = starts_at - now
+        reservation = self._reservations.get(request.ticket)
+        if reservation is not None and reservation.due_at > now:
+            # It was refused before and has returned early: its place and its time stay.
+            return RefusedRequest(request, reservation.due_at - now, forecast_s)
         retry_s = retry_after(forecast_s, self._source)
         if request.ticket:
             self._reservations[request.ticket] = _Reservation(
--- a/driftstall/gateway/scheduling/queue_service.py
+++ b/driftstall/gateway/scheduling/queue_service.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from typing import Final
@@ -35,6 +36,11 @@
     QueueOutcome,
     RunsReported,
 )
+from driftstall.gateway.scheduling.queue_status import (
+    ServiceStatus,
+    new_request,
+    service_status,
+)
 from driftstall.gateway.scheduling.selection import (
     CROSS_ZONE_STREAM_PENALTY,
     Option,
@@ -75,11 +81,13 @@
 class _Arrival:
     """Record of a waiting request, for its answers and log lines."""
 
-    waiting: int
-    """Number of requests that waited when it arrived."""
+    position: int
+    """Number of waiting requests of the same or a more urgent order when it arrived."""
     arrived_at: float
     """When it arrived at its instance; a returned request has a place of an earlier time."""
     asked_at: float
+    forecast_s: float | None = None
+    """Its whole wait by the first forecast; None before that."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -146,6 +154,19 @@
         """Start the passes over the queues."""
         keep_running(PREFIX_ROUTING, self._run)
 
+    def status(self, name: str) -> ServiceStatus | None:
+        """Return the state of a service's queue; None if the service has no engines."""
+        table, now = self._state.route_table, self._state.now()
+        config = table.service(name) if table else None
+        if config is None or config.engine is None:
+            return None
+        service, room = self._service_queue(name), _Room(self.options(name), config.engine)
+        waiting = service.queue.in_order(now)
+        newcomer = new_request(name, waiting, [option.use for option in room.options], now)
+        limits = service.demand.limits(room.total_tokens, now)
+        forecast = self._forecast(room, limits, [*waiting, newcomer], now)
+        return service_status(waiting, newcomer, forecast, room.free_tokens(1.0, 0), now)
+
     def handle_asked(self, asked: QueueAsked) -> None:
         """Queue a request, or answer a repeated question.
 
@@ -166,15 +187,12 @@
         arrival = service.arrivals.get(asked.request_id)
         if arrival is None:
             arrived_at = request.arrived_at
-            checked = service.overload.check_return(
+            request = service.overload.check_return(
                 request, now, others_wait=len(service.queue) > 0
             )
-            if isinstance(checked, RefusedRequest):
-                self._refuse(checked, now)
-                return
-            request = checked
             service.demand.record(request, now)
-            arrival = _Arrival(len(service.queue), arrived_at, now)
+            before = sum(other.order <= request.order for other in service.queue.requests)
+            arrival = _Arrival(before, arrived_at, now)
             service.arrivals[asked.request_id] = arrival
         arrival.asked_at = now
         was_empty = not len(service.queue)
@@ -183,7 +201,7 @@
             self._run_pass(asked.service, service, now)
         self._changed.set()
         if asked.request_id in service.queue:
-            self._answer(asked.sender, self._queued_answer(service, request, now))
+            self._answer(asked.sender, self._queued_answer(service, request, arrival, now))
 
     def handle_left(self, left: QueueLeft) -> None:
         """Remove requests that no longer wait, and grants that are not used."""
@@ -254,6 +272,11 @@
             request.request_id: position for position, request in enumerate(waiting)
         }
         service.starts = forecast.starts(waiting, now)
+        for request in waiting:
+            arrival = service.arrivals[request.request_id]
+            if arrival.forecast_s is None:
+                forecast_s = service.starts[request.request_id] - request.arrived_at
+                arrival.forecast_s = forecast_s if math.isfinite(forecast_s) else None
 
     def _forecast(
         self,
@@ -342,10 +365,10 @@
             workspace=request.workspace,
             rank=request.order.rank,
             route_rank=request.order.route_rank,
-            waiting_at_arrival=arrival.waiting,
+            position=arrival.position,
             waited_ms=int(waited_s * 1000),
+            forecast_s=None if arrival.forecast_s is None else round(arrival.forecast_s, 3),
             slack_ms=int((request.start_by - now) * 1000),
-            forecast_s=round(service.starts.get(request.request_id, now) - now, 3),
             free_tokens=free_tokens,
             report_age_ms=int(self.ledger.oldest_report_s(now) * 1000),
             waiting=len(service.queue),
@@ -380,7 +403,7 @@
         self._answer(request.sender, answer)
 
     def _queued_answer(
-        self, service: _ServiceQueue, request: QueuedRequest, now: float
+        self, service: _ServiceQueue, request: QueuedRequest, arrival: _Arrival, now: float
     ) -> QueueAnswered:
         """Return the place of a waiting request, as of the latest forecast."""
         request_id = request.request_id
@@ -388,7 +411,7 @@
             self._state.settings.instance_id,
             request_id,
             QueueOutcome.QUEUED,
-            position=service.positions.get(request_id, len(service.queue) - 1),
+            position=service.positions.get(request_id, arrival.position),
             forecast_s=max(0.0, service.starts.get(request_id, now) - now),
         )
 
--- a/features/parts/engine_queue.feature
+++ b/features/parts/engine_queue.feature
@@ -191,7 +191,8 @@
     Load: a refused caller repeats its request without waiting.
     Given a request that was refused at 100 s until about 110 s
     And others that have arrived at 105 s and can still start in time
-    Then coming back at once or after 5 s is refused for the time that is left, and the place stays
+    Then coming back at once or after 5 s it waits like a new one, and the place stays
+    And if it is refused again then, it is told the time that is left
 
   Scenario: one that comes back early is served if nothing waits
     Load: the overload has ended sooner than forecast.
