Let another instance follow the store at once when followers are rejected

Change: a follower whose call fails asks other instances to follow, and they publish what they read to all collectors. Candidates probe the store by one call. Tests run real gateway nodes with simulated time, network and store.

--- a/driftstall/gateway/collectors.py
+++ b/driftstall/gateway/collectors.py
@@ -16,6 +16,7 @@
 
 from driftstall.core import Instance
 from driftstall.decisions.locate import weight
+from driftstall.decisions.store_following import order_candidates
 from driftstall.gateway.loads import Use
 from driftstall.gateway.shared_budget import RepeatCount
 
@@ -55,6 +56,10 @@
     """The other instances of this zone that aren't collectors."""
     placers: tuple[str, ...] = ()
     """Ids of the instances that may place streams, best first: first collectors of some zones."""
+    followers: tuple[str, ...] = ()
+    """Ids of the instances that follow the platform regardless of the collectors."""
+    standbys: tuple[str, ...] = ()
+    """Ids of the other collectors, in the order in which they replace silent followers."""
 
     @classmethod
     def from_fleet(cls, own: Instance, live: Iterable[Instance]) -> FleetRoles:
@@ -69,7 +74,8 @@
         local = by_zone.get(own.zone, ())
         ids = {collector.instance_id for collector in local} | {own.instance_id}
         firsts = sorted((collectors[0] for collectors in by_zone.values() if collectors), key=_rank)
-        followers = {first.instance_id for first in firsts[:MAX_FOLLOWERS]}
+        followers = tuple(first.instance_id for first in firsts[:MAX_FOLLOWERS])
+        collectors = [one.instance_id for members in by_zone.values() for one in members]
         return cls(
             is_large=True,
             is_collector=any(collector.instance_id == own.instance_id for collector in local),
@@ -87,8 +93,18 @@
                 member for member in zones.get(own.zone, ()) if member.instance_id not in ids
             ),
             placers=tuple(first.instance_id for first in firsts[:MAX_PLACERS]),
+            followers=followers,
+            standbys=order_candidates([[one for one in collectors if one not in followers]]),
         )
 
+    def forward_recipients(self, live: tuple[Instance, ...]) -> tuple[Instance, ...]:
+        """Return the recipients of news that collectors forward to the others."""
+        if not self.is_large:
+            return live
+        if self.is_collector:
+            return (*self.zone_members, *self.own_collectors, *self.remote_collectors)
+        return self.own_collectors
+
 
 def is_large(live: Iterable[Instance]) -> bool:
     """Return True if a fleet needs collectors."""
--- a/driftstall/gateway/feeds.py
+++ b/driftstall/gateway/feeds.py
@@ -99,6 +99,9 @@
     def record_answer(self, *, after_failure: bool) -> None:
         """Record that a call was answered, and whether the call before it had failed."""
 
+    def record_failure(self) -> None:
+        """Record that a call failed."""
+
 
 class Follower(Generic[Item]):
     """Lists once, then watches as the pacing allows; lists again if the history is discarded."""
@@ -193,6 +196,7 @@
     def _handle_failure(self, cause: str) -> None:
         """Record a failed call, and pause with exponential backoff and jitter."""
         self._failures += 1
+        self._pacing.record_failure()
         if self._failures == 1:
             log_event(PREFIX_CONFIGURATION, f"A call to the platform failed: {cause}", at=self._at)
         if self._failures == MAX_FAILED_CALLS:
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -50,7 +50,10 @@
 from driftstall.gateway.store_recovery import StoreRecovery
 from driftstall.gateway.upstream_prober import UpstreamProber
 from driftstall.gateway.watch_delegation import (
+    CORDON_FEED,
+    ROUTING_FEED,
     STARTUP_SETTLE_S,
+    UPSTREAM_FEED,
     DelegatedWatchPacing,
     RevisionWatchPacing,
     WatchDelegation,
@@ -62,7 +65,6 @@
 
 PERIOD_S: Final = 0.2
 """Interval of the periodic checks for timeouts; each check wakes up the process."""
-CORDON_FEED: Final = "cordons"
 MIN_LOGGED_SUSPENSION_S: Final = 0.1
 """Shorter differences are no suspension: the two clocks are read microseconds apart."""
 SETTINGS_CHECK_S: Final = 0.5
@@ -157,19 +159,25 @@
         self.state.on_quarantine_cleared = self._crash_persistence.handle_cleared
         self.state.on_run_broken = crash_detector.handle_broken_run
         self.state.on_poison_evidence_changed = self._peering.publish_poison_evidence
-        self._routing_pacing = self._delegated_pacing()
-        self._upstream_pacing = self._delegated_pacing()
+        self._routing_pacing = self._delegated_pacing(ROUTING_FEED)
+        self._upstream_pacing = self._delegated_pacing(UPSTREAM_FEED)
         policy_pacing = RevisionWatchPacing(
             self._roles, lambda: self._peering.policy_revision > self._policies.revision
         )
-        rng = self.state.rng
-        self._routing_follower = Follower(access.routing, self._routing, rng, self._routing_pacing)
+        rng, sleeper = self.state.rng, self._peering.following.sleeper
+        self._routing_follower = Follower(
+            access.routing, self._routing, rng, self._routing_pacing, sleeper(ROUTING_FEED)
+        )
         self._upstream_follower = Follower(
-            access.upstreams, self._upstreams, rng, self._upstream_pacing
+            access.upstreams, self._upstreams, rng, self._upstream_pacing, sleeper(UPSTREAM_FEED)
         )
         self._policy_follower = Follower(access.policies, self._policies, rng, policy_pacing)
         self._cordon_follower = Follower(
-            access.cordons, self._cordons, rng, self._cordon_pacing(settings)
+            access.cordons,
+            self._cordons,
+            rng,
+            self._cordon_pacing(settings),
+            sleeper(CORDON_FEED),
         )
         self._routing_reachability = FeedReachability(self._routing_follower, self._routing_pacing)
         self._upstream_reachability = FeedReachability(
@@ -294,10 +302,11 @@
             "store_era": self.state.eras.era,
             "store_returns": self.state.eras.returns,
             "collects": float(self._roles().is_collector),
+            "follows_store": float(self._peering.following.follows),
             "log_lines_dropped": self._log.total_dropped,
         }
 
-    def _delegated_pacing(self, feed: str = "") -> DelegatedWatchPacing:
+    def _delegated_pacing(self, name: str, feed: str = "") -> DelegatedWatchPacing:
         """Return the pacing of a feed that decides which upstreams get requests."""
         return DelegatedWatchPacing(
             self._delegation,
@@ -306,6 +315,8 @@
             max_watch_s=self._max_watch_s,
             settle_s=STARTUP_SETTLE_S,
             feed=feed,
+            name=name,
+            following=self._peering.following,
         )
 
     def _cordon_pacing(self, settings: GatewaySettings) -> WatchPacing:
@@ -317,7 +328,7 @@
         if settings.bounds.cordon_s:
             # A feed name of its own gives this feed a separate retry schedule in an outage: three
             # feeds that take turns in one schedule would each wait too long.
-            return self._delegated_pacing(CORDON_FEED)
+            return self._delegated_pacing(CORDON_FEED, CORDON_FEED)
         return RevisionWatchPacing(self._roles, lambda: False)
 
     def _max_watch_s(self) -> float:
--- a/driftstall/gateway/peering.py
+++ b/driftstall/gateway/peering.py
@@ -31,18 +31,19 @@
 from driftstall.gateway.collectors import FleetRoles
 from driftstall.gateway.feeds import ItemChange
 from driftstall.gateway.fleet_events import FleetAction
+from driftstall.gateway.follow_messages import FollowMessage
 from driftstall.gateway.model import Upstream
 from driftstall.gateway.reports import MS_PER_S, PlatformStatus, Reporting
 from driftstall.gateway.scheduling.memory_queue import MemoryQueue, QueueMessage
-from driftstall.gateway.scheduling.queue_messages import (
-    QueueAnswered,
-    QueueAsked,
-    QueueLeft,
-    RunsReported,
-)
 from driftstall.gateway.scheduling.stream_placer import StreamPlacer
-from driftstall.gateway.sharing import PeerUpdateHandlers, PlatformDataSharing, RoutingNotice
+from driftstall.gateway.sharing import (
+    DataMessage,
+    PeerUpdateHandlers,
+    PlatformDataSharing,
+    RoutingNotice,
+)
 from driftstall.gateway.state import GatewayState
+from driftstall.gateway.store_following import StoreFollowing
 from driftstall.gateway.watch_delegation import MAX_ANSWER_AGE_S, WatchDelegation
 from driftstall.helpers.log import log_event
 from driftstall.helpers.permits import PermitCoordinator
@@ -51,17 +52,12 @@
 from driftstall.peers.codec import message_types_of
 from driftstall.peers.gateway_messages import (
     BlamesTold,
-    FleetAsked,
-    FleetOffered,
     FleetSummary,
     GatewayMessage,
     GatewayReport,
     PlacementAsked,
     PlacementGiven,
-    RoutingAsked,
-    RoutingOffered,
     UpstreamDoubted,
-    UpstreamNews,
     ZoneSummary,
 )
 from driftstall.peers.link import ANY_RECIPIENT, PeerLinks
@@ -109,6 +105,18 @@
             live=lambda: self._members.live,
             platform_status=platform_status,
             broadcast=self._broadcast,
+            follows=lambda: self.following.follows,
+        )
+        self.following = StoreFollowing(
+            settings.instance_id,
+            state.stats,
+            self._reporting.answers,
+            now=state.now,
+            roles=lambda: self._roles,
+            live=lambda: self._members.live,
+            send=self._send,
+            publish_age=self._reporting.publish_platform_age,
+            is_stopping=lambda: state.stopping_since is not None,
         )
         self._sharing = PlatformDataSharing(
             state,
@@ -117,10 +125,11 @@
             live=lambda: self._members.live,
             send=self._send,
             broadcast=self._broadcast,
+            follows_for_others=lambda: self.following.follows_for_others,
         )
         transport = PeerTransport(
             live=lambda: self._members.live,
-            recipients=self._poison_evidence_recipients,
+            recipients=lambda: self._roles.forward_recipients(self._members.live),
             forwards=lambda: self._roles.is_collector,
             send=self._send,
             broadcast=self._broadcast,
@@ -177,6 +186,7 @@
         self._reporting.start()
         self._poison_sharing.start()
         self.queue.start()
+        self.following.start()
         for address in self._state.settings.seeds:
             if address != self.own.peer_address:
                 ping = Ping(self.own.instance_id, 0, "", self._members.changes)
@@ -238,15 +248,6 @@
         """Publish the cordoned zones at once; each report and summary repeats them."""
         self._reporting.publish_now()
 
-    def _poison_evidence_recipients(self) -> tuple[Instance, ...]:
-        """Return the recipients of new crash evidence; collectors forward it to the others."""
-        roles = self._roles
-        if not roles.is_large:
-            return self._members.live
-        if roles.is_collector:
-            return (*roles.zone_members, *roles.own_collectors, *roles.remote_collectors)
-        return roles.own_collectors
-
     def _run_timeouts(self) -> None:
         """Run the timeouts of the membership and the permits, and follow member changes."""
         last_live: tuple[Instance, ...] = ()
@@ -296,28 +297,12 @@
         self._apply(message)
 
     @_handle.register
-    def _(self, message: RoutingAsked) -> None:
-        self._sharing.handle_routing_request(message)
+    def _(self, message: DataMessage) -> None:
+        self._sharing.handle(message)
 
     @_handle.register
-    def _(self, message: RoutingOffered) -> None:
-        self._sharing.handle_routing_offer(message)
-
-    @_handle.register
-    def _(self, message: FleetAsked) -> None:
-        self._sharing.handle_fleet_request(message)
-
-    @_handle.register
-    def _(self, message: FleetOffered) -> None:
-        self._sharing.handle_fleet_offer(message)
-
-    @_handle.register
-    def _(self, message: UpstreamNews) -> None:
-        self._sharing.handle_upstream_update(message)
-
-    @_handle.register
-    def _(self, message: UpstreamDoubted) -> None:
-        self._sharing.handle_suspicion(message)
+    def _(self, message: FollowMessage) -> None:
+        self.following.handle(message)
 
     @_handle.register
     def _(self, message: PlacementAsked) -> None:
@@ -327,10 +312,7 @@
     def _(self, message: PlacementGiven) -> None:
         self._placer.handle_placement(message)
 
-    @_handle.register(QueueAsked)
-    @_handle.register(QueueAnswered)
-    @_handle.register(QueueLeft)
-    @_handle.register(RunsReported)
+    @_handle.register
     def _(self, message: QueueMessage) -> None:
         self.queue.handle(message)
 
@@ -356,6 +338,9 @@
         self._handle_signals(report.rate_limits, report.leaving)
         self._sharing.handle_cordons(report.cordons)
         self._placer.handle_report(report.sender)
+        if self._roles.is_collector and report.platform_age_ms:
+            age_s = report.platform_age_ms / MS_PER_S
+            self._delegation.record_collector_report(age_s, self._state.now())
         if self._reporting.record_report(report):
             self._sharing.resend_changes(report.sender)
         self._sharing.request_newer_routing(RoutingNotice(report.sender, report.routing_version))
--- a/driftstall/gateway/reports.py
+++ b/driftstall/gateway/reports.py
@@ -15,6 +15,7 @@
 
 from driftstall.const import PREFIX_MEMBERSHIP
 from driftstall.core import Instance
+from driftstall.decisions.store_following import StoreAnswers
 from driftstall.decisions.store_versions import StoreVersion
 from driftstall.gateway.collectors import FleetRoles, OwnReportHistory, sum_by_service
 from driftstall.gateway.loads import FLEET_KEY, POOLED_PREFIX
@@ -36,6 +37,9 @@
 """REPORT_PAUSE_S of a large fleet, where sums are sent only a few times a second anyway."""
 SUMMARY_INTERVAL_S: Final = 0.5
 """Interval at which a collector sends sums; a zone with two collectors gets four a second."""
+MIN_ZONE_SUMMARY_GAP_S: Final = 0.25
+"""A periodic zone summary is left out if one was sent within this time, as the platform answered:
+bytes between zones cost."""
 REPORT_VALID_S: Final = 2.3
 """Callers aren't directed to a peer whose report is older, that is after two missed reports."""
 MAX_AGE_S: Final = 60.0
@@ -84,14 +88,22 @@
         live: Callable[[], tuple[Instance, ...]],
         platform_status: Callable[[], PlatformStatus],
         broadcast: Broadcast,
+        follows: Callable[[], bool] = lambda: False,
     ) -> None:
-        """Initialize with the shared state, getters of fleet and platform state, and a sender."""
+        """Initialize with the shared state, getters of fleet and platform state, and a sender.
+
+        The callable follows returns whether this instance follows the platform for the fleet.
+        """
         self._state = state
         self._own = own
         self._roles = roles
         self._live = live
         self._platform_status = platform_status
         self._broadcast = broadcast
+        self._follows = follows
+        self.answers = StoreAnswers()
+        """When the platform last answered the instances that follow it."""
+        self._zone_summary_at = float("-inf")
         self._peers: dict[str, _ReceivedReport] = {}
         self._zones: dict[str, _ReceivedZoneSummary] = {}
         self._summary: FleetSummary | None = None
@@ -153,6 +165,8 @@
             self._state.rate_limiting.reports,
             self._state.eras.era,
             self._state.fleet.leaving_records(self._state.now()),
+            # At least 1: zero means that this instance does not follow the platform.
+            max(1, _milliseconds(platform_status.platform_age_s)) if self._follows() else 0,
         )
         roles = self._roles()
         self._broadcast(roles.own_collectors if roles.is_large else self._live(), report)
@@ -162,12 +176,20 @@
         self.report_now()
         self._send_summaries()
 
+    def publish_platform_age(self) -> None:
+        """Report at once how long ago the platform answered; standby collectors rely on it."""
+        self.report_now()
+        if self._roles().is_collector:
+            self._send_zone_summary()
+
     def record_report(self, report: GatewayReport) -> bool:
         """Record a peer's report; return True if the platform has just become unreachable to it."""
         now = self._state.now()
         before = self._peers.get(report.sender)
         self._peers[report.sender] = _ReceivedReport(report, now)
         self._state.loads.record_peer(report.sender, report.uses, now)
+        if report.platform_age_ms:
+            self.answers.record(report.sender, report.platform_age_ms / MS_PER_S, now)
         for count in report.repeats:
             self._state.retry_budget(count.service).record_peer(report.sender, count, now)
         return not report.platform_ok and (before is None or before.report.platform_ok)
@@ -177,6 +199,7 @@
         now = self._state.now()
         name = f"{POOLED_PREFIX}{summary.zone}"
         self._zones[summary.zone] = _ReceivedZoneSummary(summary, now)
+        self.answers.record(summary.sender, summary.platform_age_ms / MS_PER_S, now)
         self._state.loads.record_peer(name, summary.uses, now)
         for count in summary.repeats:
             budget = self._state.retry_budget(count.service)
@@ -205,14 +228,20 @@
         self._zones.clear()
         self._state.forget_peers()
 
-    def _send_summaries(self) -> None:
+    def _send_summaries(self, *, min_gap_s: float = 0.0) -> None:
         """Send the zone's summary to other zones' collectors, and the fleet's to this zone."""
         roles = self._roles()
         if not roles.is_collector:
             return
-        self._broadcast(roles.remote_collectors, self._zone_summary())
+        if self._state.now() - self._zone_summary_at >= min_gap_s:
+            self._send_zone_summary()
         self._broadcast(roles.zone_members, self._fleet_summary())
 
+    def _send_zone_summary(self) -> None:
+        """Send the zone's summary to other zones' collectors."""
+        self._zone_summary_at = self._state.now()
+        self._broadcast(self._roles().remote_collectors, self._zone_summary())
+
     def _zone_summary(self) -> ZoneSummary:
         """Aggregate the reports of this zone's instances, including this one."""
         fresh = self._fresh_reports()
@@ -221,7 +250,7 @@
             self._own.instance_id,
             self._own.zone,
             platform_status.routing_version,
-            _milliseconds(platform_status.platform_age_s),
+            _milliseconds(self._zone_platform_age_s(fresh, platform_status)),
             self._state.fleet.digest,
             len(fresh) + 1,
             self._own_id_if_ready()
@@ -259,11 +288,23 @@
         )
 
     def _min_platform_age_s(self, platform_status: PlatformStatus) -> float:
-        """Return how long ago the platform last answered any collector, in seconds."""
+        """Return how long ago the platform last answered any instance that follows it."""
+        return min(platform_status.platform_age_s, self.answers.youngest_age_s(self._state.now()))
+
+    def _zone_platform_age_s(
+        self, fresh: Iterable[_ReceivedReport], platform_status: PlatformStatus
+    ) -> float:
+        """Return how long ago the platform last answered this instance or a zone's member.
+
+        The other collector of the zone reports its own answers to all collectors: a standby tells
+        answers to earlier standbys from those to later ones by the sender.
+        """
         now = self._state.now()
+        collectors = {one.instance_id for one in self._roles().own_collectors}
         ages = [
-            now - received.at + received.summary.platform_age_ms / MS_PER_S
-            for received in self._zones.values()
+            now - received.at + received.report.platform_age_ms / MS_PER_S
+            for received in fresh
+            if received.report.platform_age_ms and received.report.sender not in collectors
         ]
         return min([platform_status.platform_age_s, *ages])
 
@@ -293,7 +334,7 @@
         """Send summaries periodically."""
         while True:
             gevent.sleep(SUMMARY_INTERVAL_S)
-            self._send_summaries()
+            self._send_summaries(min_gap_s=MIN_ZONE_SUMMARY_GAP_S)
 
     def _run_reports(self) -> None:
         """Send a report after each change, and at least once per interval."""
--- a/driftstall/gateway/sharing.py
+++ b/driftstall/gateway/sharing.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from functools import singledispatchmethod
 from typing import Final
 
 import gevent
@@ -42,6 +43,10 @@
     ZoneSummary,
 )
 
+DataMessage = (
+    RoutingAsked | RoutingOffered | FleetAsked | FleetOffered | UpstreamNews | UpstreamDoubted
+)
+"""Messages that request or forward data from the platform."""
 RECENT_S: Final = 6.0
 """How long changes are kept to be sent again.
 
@@ -95,14 +100,20 @@
         live: Callable[[], tuple[Instance, ...]],
         send: Callable[[str, GatewayMessage], None],
         broadcast: Callable[[Iterable[Instance], GatewayMessage], None],
+        follows_for_others: Callable[[], bool] = lambda: False,
     ) -> None:
-        """Initialize with the shared state, the update handlers, the fleet and the senders."""
+        """Initialize with the shared state, the update handlers, the fleet and the senders.
+
+        The callable follows_for_others returns whether this instance follows the platform in
+        place of a follower whose calls fail.
+        """
         self._state = state
         self._handlers = handlers
         self._roles = roles
         self._live = live
         self._send = send
         self._broadcast = broadcast
+        self._follows_for_others = follows_for_others
         self._own_id = state.settings.instance_id
         self._requested_at: dict[str, float] = {}
         self._recent_changes: list[tuple[float, ItemChange[Upstream]]] = []
@@ -157,9 +168,10 @@
             # If its last entry still says READY, it leaves because that entry is missing.
             is_removed = action.upstream.state is UpstreamState.READY
             self._broadcast(self._live(), UpstreamNews(self._own_id, action.upstream, is_removed))
+        update = UpstreamNews(self._own_id, action.upstream, is_leaving)
         if not roles.is_collector:
+            self._send_to_collectors(roles, update, from_peer=from_peer)
             return
-        update = UpstreamNews(self._own_id, action.upstream, is_leaving)
         self._broadcast((*roles.zone_members, *roles.own_collectors), update)
         if not from_peer:
             self._broadcast(roles.remote_collectors, update)
@@ -167,18 +179,59 @@
     def publish_routing(self, *, from_peer: bool) -> None:
         """As a collector, send the routing document in force to the zone.
 
-        A document that did not come from a peer is also sent to all other collectors.
+        A document that did not come from a peer is also sent to all other collectors. Who follows
+        the platform in place of another instance sends it to the collectors.
         """
         roles = self._roles()
+        version, text = self._handlers.read_routing()
+        offer = RoutingOffered(self._own_id, version, text)
         if not roles.is_collector:
+            self._send_to_collectors(roles, offer, from_peer=from_peer)
             return
-        version, text = self._handlers.read_routing()
         others = () if from_peer else (*roles.own_collectors, *roles.remote_collectors)
-        offer = RoutingOffered(self._own_id, version, text)
         self._broadcast((*roles.zone_members, *others), offer)
 
+    def _send_to_collectors(
+        self, roles: FleetRoles, update: GatewayMessage, *, from_peer: bool
+    ) -> None:
+        """Send what was read from the platform in place of a follower to all collectors.
+
+        Each collector passes it on to its zone.
+        """
+        if not from_peer and self._follows_for_others():
+            self._broadcast((*roles.own_collectors, *roles.remote_collectors), update)
+
     # Incoming updates and requests
 
+    @singledispatchmethod
+    def handle(self, message: DataMessage) -> None:
+        """Handle one message of a peer."""
+        raise TypeError(f"no handler for {type(message).__name__}")
+
+    @handle.register
+    def _(self, message: RoutingAsked) -> None:
+        self.handle_routing_request(message)
+
+    @handle.register
+    def _(self, message: RoutingOffered) -> None:
+        self.handle_routing_offer(message)
+
+    @handle.register
+    def _(self, message: FleetAsked) -> None:
+        self.handle_fleet_request(message)
+
+    @handle.register
+    def _(self, message: FleetOffered) -> None:
+        self.handle_fleet_offer(message)
+
+    @handle.register
+    def _(self, message: UpstreamNews) -> None:
+        self.handle_upstream_update(message)
+
+    @handle.register
+    def _(self, message: UpstreamDoubted) -> None:
+        self.handle_suspicion(message)
+
     def request_newer_routing(self, notice: RoutingNotice) -> None:
         """Request a peer's newer routing document after a delay, unless it arrives meanwhile."""
         if notice.version > self._handlers.read_routing()[0]:
--- a/driftstall/gateway/stats.py
+++ b/driftstall/gateway/stats.py
@@ -41,6 +41,12 @@
     queue_granted: int = 0
     queue_refused: int = 0
     queue_placer_changes: int = 0
+    follow_requests: int = 0
+    follow_accepted: int = 0
+    follow_declined: int = 0
+    follow_unanswered: int = 0
+    follow_pauses: int = 0
+    standby_starts: int = 0
     registry: Registry = field(default_factory=Registry)
     answer_s: Histogram = field(init=False)
     first_event_s: Histogram = field(init=False)
@@ -97,6 +103,12 @@
     "queue_granted": "Generations granted engine memory by this instance's queue.",
     "queue_refused": "Generations refused by this instance's queue, with a time to come back.",
     "queue_placer_changes": "Times that this instance asked another placer, as one gave no answer.",
+    "follow_requests": "Requests to other instances to follow the store, without repeats.",
+    "follow_accepted": "Requests to follow the store that this instance accepted.",
+    "follow_declined": "Requests to follow the store that this instance declined.",
+    "follow_unanswered": "Requests to follow the store that got no answer in time.",
+    "follow_pauses": "Pauses after no instance had accepted to follow the store.",
+    "standby_starts": "Times that this collector followed the store in place of silent followers.",
 }
 
 
--- a/driftstall/gateway/watch_delegation.py
+++ b/driftstall/gateway/watch_delegation.py
@@ -11,7 +11,7 @@
 
 import random
 from collections.abc import Callable
-from typing import Final
+from typing import Final, Protocol
 
 from driftstall.gateway.collectors import FleetRoles
 
@@ -41,10 +41,48 @@
 collectors; an instance has at least three seconds to catch up after a cut."""
 OUTAGE_POLL_INTERVAL_S: Final = 4.0
 """Mean pause between further calls of an instance during an outage, to avoid a call storm."""
+ROUTING_FEED: Final = "routing"
+UPSTREAM_FEED: Final = "upstreams"
+CORDON_FEED: Final = "cordons"
+"""Names of the feeds that an instance follows in place of others."""
 WATCH_JITTER: Final = 0.5
 """Share of an idle watch's timeout that is randomized."""
 
 
+class FollowingRole(Protocol):
+    """Whether this instance follows the platform in place of followers whose calls fail."""
+
+    def is_acting(self, feed: str) -> bool:
+        """Return True if a feed must be followed though the role of this instance is not to."""
+
+    def needs_answer_at_once(self, feed: str) -> bool:
+        """Return True if the next watch of a feed must not wait for a change."""
+
+    def record_answer(self, feed: str) -> None:
+        """Record that the platform answered a call."""
+
+    def record_failure(self, feed: str) -> None:
+        """Record that a call to the platform failed."""
+
+
+class NoFollowingRole:
+    """Follows the platform in place of no other instance."""
+
+    def is_acting(self, feed: str) -> bool:
+        """Return False."""
+        return False
+
+    def needs_answer_at_once(self, feed: str) -> bool:
+        """Return False."""
+        return False
+
+    def record_answer(self, feed: str) -> None:
+        """Ignore answers."""
+
+    def record_failure(self, feed: str) -> None:
+        """Ignore failures."""
+
+
 class WatchDelegation:
     """Records collectors' reports, and decides when an instance calls the platform itself."""
 
@@ -102,14 +140,18 @@
         max_watch_s: Callable[[], float],
         settle_s: float = 0.0,
         feed: str = "",
+        name: str = "",
+        following: FollowingRole | None = None,
     ) -> None:
         """Initialize with the collectors' reports, a reader of the roles and the monotonic clock.
 
         The callable max_watch_s returns the longest timeout of an idle watch, in seconds; the first
-        watch starts settle_s after the initialization. Feeds of the same name share the calls of an
-        outage.
+        watch starts settle_s after the initialization. Pacings with the same feed share the calls
+        of an outage. The name is the feed's name for the following role.
         """
         self._feed = feed
+        self._name = name
+        self._following = following or NoFollowingRole()
         self._delegation = delegation
         self._source = delegation.source
         self._roles = roles
@@ -139,6 +181,8 @@
 
     def delay_s(self) -> float:
         """Return the time in seconds until the next call may be made; zero to call now."""
+        if self._following.is_acting(self._name):
+            return 0.0
         remaining_s = self._settled_at - self._now()
         if remaining_s > 0:
             return remaining_s
@@ -148,6 +192,8 @@
 
     def watch_timeout_s(self) -> float:
         """Return the timeout of an idle watch, in seconds."""
+        if self._following.needs_answer_at_once(self._name):
+            return 0.0
         max_watch_s = self._max_watch_s()
         if self._roles().is_large:
             return min(LARGE_FLEET_WATCH_S, max_watch_s)
@@ -165,11 +211,16 @@
         answered_before = self._answered_at > float("-inf")
         self._silence_s = now - self._answered_at if after_failure and answered_before else 0.0
         self._answered_at = now
+        self._following.record_answer(self._name)
+
+    def record_failure(self) -> None:
+        """Record a failed call."""
+        self._following.record_failure(self._name)
 
     @property
     def _is_follower(self) -> bool:
         """Return True if this instance follows the platform regardless of the collectors."""
-        return self._roles().is_follower
+        return self._roles().is_follower or self._following.is_acting(self._name)
 
 
 class RevisionWatchPacing:
@@ -195,3 +246,6 @@
 
     def record_answer(self, *, after_failure: bool) -> None:
         """Ignore answers: this pacing doesn't depend on them."""
+
+    def record_failure(self) -> None:
+        """Ignore failures: peers follow rarely changed feeds in no other's place."""
--- a/driftstall/peers/gateway_messages.py
+++ b/driftstall/peers/gateway_messages.py
@@ -13,6 +13,7 @@
 from driftstall.decisions.rate_limits import RateLimit
 from driftstall.decisions.store_versions import StoreVersion
 from driftstall.gateway.cordons import Cordons
+from driftstall.gateway.follow_messages import FollowAnswered, FollowRequested
 from driftstall.gateway.loads import Use
 from driftstall.gateway.model import Upstream
 from driftstall.gateway.scheduling.queue_messages import (
@@ -46,6 +47,8 @@
     """The newest era of the platform's store that is known to the sender."""
     leaving: tuple[LeavingRecord, ...]
     """Upstreams that have signalled that they are leaving, as known to the sender."""
+    platform_age_ms: int = 0
+    """Time since the platform last answered the sender; zero if the sender does not follow it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -208,4 +211,6 @@
     | QueueAnswered
     | QueueLeft
     | RunsReported
+    | FollowRequested
+    | FollowAnswered
 )
