--- a/driftstall/gateway/store_following.py
+++ b/driftstall/gateway/store_following.py
@@ -29,7 +29,12 @@
 from driftstall.gateway.collectors import FleetRoles
 from driftstall.gateway.follow_messages import FollowAnswered, FollowMessage, FollowRequested
 from driftstall.gateway.stats import GatewayStats
-from driftstall.gateway.watch_delegation import CORDON_FEED, ROUTING_FEED, UPSTREAM_FEED
+from driftstall.gateway.watch_delegation import (
+    CORDON_FEED,
+    ROUTING_FEED,
+    STARTUP_SETTLE_S,
+    UPSTREAM_FEED,
+)
 from driftstall.helpers.log import log_event
 from driftstall.helpers.tasks import keep_running
 
@@ -80,6 +85,8 @@
         self._acting = ActingRole(self._results)
         self._standby = StandbyRule()
         self._was_acting = False
+        self._settled_at = now() + STARTUP_SETTLE_S
+        """Until then the followers of a fleet that starts do not call either."""
         self._answered_at = float("-inf")
         self._unprobed: set[str] = set()
         """Feeds whose next call must be answered at once, without waiting for a change."""
@@ -239,7 +246,7 @@
 
     def _standby_place(self, roles: FleetRoles, now: float) -> tuple[int | None, float]:
         """Return the place among the standbys, and the age of the youngest answer to others."""
-        if self._own_id not in roles.standbys:
+        if self._own_id not in roles.standbys or now < self._settled_at:
             return None, 0.0
         index = roles.standbys.index(self._own_id)
         ignored = frozenset(roles.standbys[index:])
--- a/driftstall/gateway/watch_delegation.py
+++ b/driftstall/gateway/watch_delegation.py
@@ -177,7 +177,7 @@
     @property
     def is_delegated(self) -> bool:
         """Return True if a collector follows the feed for this instance."""
-        return not self._is_follower and self._delegation.is_delegated(self._now())
+        return not self._roles().is_follower and self._delegation.is_delegated(self._now())
 
     def delay_s(self) -> float:
         """Return the time in seconds until the next call may be made; zero to call now."""
--- a/features/gateway/large_fleet_following.feature
+++ b/features/gateway/large_fleet_following.feature
@@ -19,6 +19,18 @@
       | 0.5   |
       | 3     |
 
+  Scenario: the store rejects new calls of all followers and lets their watches end
+    When the store rejects new calls of the followers
+    And a change is stored 0.9 s later
+    Then it is in force at all instances within 0.5 s
+
+  Scenario: a single rejected follower needs no calls of others
+    When the store rejects one follower
+    Then in 5 s only the followers call the store
+
+  Scenario: a fleet that starts needs no calls of others than followers after the first lists
+    Then no collector has followed the store in place of silent followers
+
   Scenario Outline: all followers get no answer any more
     When the store does not answer the followers
     And a change is stored <after> s later
--- a/features/steps/store_following_steps.py
+++ b/features/steps/store_following_steps.py
@@ -53,6 +53,32 @@
         fleet.store.set_access(fleet.followers, Access.REJECTED)
 
 
+@when("the store rejects new calls of the followers")
+def rejects_new_calls(context: Any) -> None:
+    """Reject the followers' new calls, and let their watches end as usual."""
+    for fleet in each_fleet(context):
+        fleet.store.set_access(fleet.followers, Access.REJECTED, resets=False)
+
+
+@when("the store rejects one follower")
+def rejects_one(context: Any) -> None:
+    """Reject the first follower."""
+    for fleet in each_fleet(context):
+        fleet.store.set_access(fleet.followers[:1], Access.REJECTED)
+
+
+@then("no collector has followed the store in place of silent followers")
+def no_standby(context: Any) -> None:
+    """Check the counters since the start."""
+    for fleet in each_fleet(context):
+        starts = {
+            name: node.state.stats.standby_starts
+            for name, node in fleet.nodes.items()
+            if node.state.stats.standby_starts
+        }
+        assert not starts, starts
+
+
 @when("the store does not answer the followers")
 def ignores_followers(context: Any) -> None:
     """Leave the followers' calls and watches without an answer."""
--- a/features/worlds/store_following_world.py
+++ b/features/worlds/store_following_world.py
@@ -60,6 +60,7 @@
     instance_id: str
     kind: str
     waiter: Waiter
+    is_reset: bool = False
 
 
 @dataclass(frozen=True)
@@ -87,12 +88,17 @@
             CORDONS: [],
         }
 
-    def set_access(self, instance_ids: Iterable[str], access: Access) -> None:
-        """Set how calls are treated from now on; held watches of rejected instances are reset."""
+    def set_access(
+        self, instance_ids: Iterable[str], access: Access, *, resets: bool = True
+    ) -> None:
+        """Set how calls are treated from now on, and reset held watches of rejected instances."""
         ids = set(instance_ids)
         self._access |= dict.fromkeys(ids, access)
-        if access is Access.REJECTED:
-            self._end_watches(lambda held: held.instance_id in ids)
+        if access is Access.REJECTED and resets:
+            reset = [held for held in self._held if held.instance_id in ids]
+            for held in reset:
+                held.is_reset = True
+            self._end_watches(reset)
 
     def change(self) -> int:
         """Store a newer configuration, a further upstream and a cordon; return their number."""
@@ -101,7 +107,9 @@
         self._items[ROUTING] = [(number, _routing_text(number))]
         self._items[UPSTREAMS].append((number, upstream_of(f"u{number}", number)))
         self._items[CORDONS].append((number, Cordon(f"zone-{number}", StoreVersion(number))))
-        self._end_watches(lambda held: self._access_of(held.instance_id) is Access.ANSWERED)
+        self._end_watches(
+            [held for held in self._held if self._access_of(held.instance_id) is not Access.SILENT]
+        )
         return number
 
     def list(self, instance_id: str, kind: str) -> Snapshot[Any]:
@@ -117,7 +125,7 @@
             self._held.append(held)
             self.time.block(held.waiter, wait_s)
             self._held = [other for other in self._held if other is not held]
-            if self._access_of(instance_id) is Access.REJECTED:
+            if held.is_reset:
                 raise PlatformUnavailable("the connection was reset")
             if self._access_of(instance_id) is Access.SILENT:
                 self.time.sleep(ANSWER_MARGIN_S)
@@ -144,11 +152,10 @@
         """Return how the calls of an instance are treated."""
         return self._access.get(instance_id, Access.ANSWERED)
 
-    def _end_watches(self, ends: Callable[[HeldWatch], bool]) -> None:
+    def _end_watches(self, watches: Iterable[HeldWatch]) -> None:
         """End held watches."""
-        for held in self._held:
-            if ends(held):
-                self.time.call_later(STORE_LATENCY_S, partial(self.time.resume, held.waiter, True))
+        for held in watches:
+            self.time.call_later(STORE_LATENCY_S, partial(self.time.resume, held.waiter, True))
 
 
 class StoreFeed:
