--- a/driftstall/gateway/stats.py
+++ b/driftstall/gateway/stats.py
@@ -44,6 +44,12 @@
     copies_ordered: int = 0
     copies_ended_moved: int = 0
     evacuations_alone: int = 0
+    follow_requests: int = 0
+    follow_accepted: int = 0
+    follow_declined: int = 0
+    follow_unanswered: int = 0
+    follow_pauses: int = 0
+    standby_starts: int = 0
     registry: Registry = field(default_factory=Registry)
     answer_s: Histogram = field(init=False)
     first_event_s: Histogram = field(init=False)
@@ -103,6 +109,12 @@
     "copies_ordered": "Copies off leaving engines that this instance has ordered.",
     "copies_ended_moved": "Ordered copies after which the stream continues on another engine.",
     "evacuations_alone": "Evacuations that this instance continued alone, as no orders came.",
+    "follow_requests": "Requests to other instances to follow the store, without repeats.",
+    "follow_accepted": "Requests to follow the store that this instance accepted.",
+    "follow_declined": "Requests to follow the store that this instance declined.",
+    "follow_unanswered": "Requests to follow the store that got no answer in time.",
+    "follow_pauses": "Pauses after no instance had accepted to follow the store.",
+    "standby_starts": "Times that this collector followed the store in place of silent followers.",
 }
 
 
--- a/driftstall/peers/gateway_messages.py
+++ b/driftstall/peers/gateway_messages.py
@@ -14,6 +14,7 @@
 from driftstall.decisions.store_versions import StoreVersion
 from driftstall.decisions.upstream_load import ReportedLoad
 from driftstall.gateway.cordons import Cordons
+from driftstall.gateway.follow_messages import FollowAnswered, FollowRequested
 from driftstall.gateway.loads import Use
 from driftstall.gateway.model import Upstream
 from driftstall.gateway.scheduling.evacuation_messages import (
@@ -52,6 +53,8 @@
     """The newest era of the platform's store that is known to the sender."""
     leaving: tuple[LeavingRecord, ...]
     """Upstreams that have signalled that they are leaving, as known to the sender."""
+    platform_age_ms: int = 0
+    """Time since the platform last answered the sender; zero if the sender does not follow it."""
     upstream_loads: tuple[ReportedLoad, ...] = ()
     """Newest loads that upstreams which state their pace have reported to the sender."""
 
@@ -218,6 +221,8 @@
     | QueueAnswered
     | QueueLeft
     | RunsReported
+    | FollowRequested
+    | FollowAnswered
     | EvacuationRequested
     | CopyOrdered
     | CopyEnded
