Split the orders of copies into the placer's and the instance's module

CopyOrderer moves to copy_orderer.py, CopyPerformer to copy_performer.py; the assembly stays. The performer gets a constant of its own for the time after which requests are forgotten. No change of behaviour; tests change in their imports and in the modules that they patch.

--- a/features/steps/evacuation_order_steps.py
+++ b/features/steps/evacuation_order_steps.py
@@ -21,17 +21,14 @@
 from driftstall.gateway.moves import Mover
 from driftstall.gateway.routes import RouteTable
 from driftstall.gateway.runs import Replica, ReplicaRef
+from driftstall.gateway.scheduling.copy_performer import FIRST_ORDER_TIMEOUT_S, ORDERS_TIMEOUT_S
 from driftstall.gateway.scheduling.engine_ledger import REPORT_VALID_S, EngineLedger
 from driftstall.gateway.scheduling.evacuation_messages import (
     CopyEnded,
     CopyOrdered,
     EvacuationRequested,
 )
-from driftstall.gateway.scheduling.evacuation_orders import (
-    FIRST_ORDER_TIMEOUT_S,
-    ORDERS_TIMEOUT_S,
-    EvacuationOrders,
-)
+from driftstall.gateway.scheduling.evacuation_orders import EvacuationOrders
 from driftstall.gateway.scheduling.memory_queue import MemoryQueue
 from driftstall.gateway.scheduling.queue_messages import (
     HeldRun,
--- a/features/worlds/evacuation_world.py
+++ b/features/worlds/evacuation_world.py
@@ -35,7 +35,7 @@
 from driftstall.gateway.moves import Mover
 from driftstall.gateway.routes import RouteTable
 from driftstall.gateway.runs import StreamRun
-from driftstall.gateway.scheduling import evacuation_orders as orders_module
+from driftstall.gateway.scheduling import copy_orderer, copy_performer
 from driftstall.gateway.scheduling.evacuation_messages import (
     CopyEnded,
     CopyOrdered,
@@ -363,17 +363,17 @@
 
     def patch(self, context: Any) -> None:
         """Replace gevent in the modules under test until the scenario ends."""
-        for module in (evacuation_module, orders_module):
+        for module in (evacuation_module, copy_orderer, copy_performer):
             context.add_cleanup(setattr, module, "gevent", module.gevent)
             module.gevent = self.time  # type: ignore[attr-defined]
-        log_event = orders_module.log_event
-        context.add_cleanup(setattr, orders_module, "log_event", log_event)
+        log_event = copy_orderer.log_event
+        context.add_cleanup(setattr, copy_orderer, "log_event", log_event)
 
         def record(prefix: str, sentence: str, **fields: Any) -> None:
             self.logged.append((prefix, sentence, fields))
             log_event(prefix, sentence, **fields)
 
-        orders_module.log_event = record
+        copy_orderer.log_event = record
 
     def add_streams(self, lengths: list[int]) -> None:
         """Give each member a stream that has produced some tokens, and let all report."""
