Move the records and the free memory of a queue out of its service

QueueRoom, the free memory during one pass, moves to queue_room.py; records of waiting and granted requests and their conversion from a question move to queue_records.py. No change of behaviour and none of tests.

evacuation_orders, memory_queue, queue_status and engine_queue: 98 scenarios passed, 1 failed. "A request that waited, and on which forecast" fails only after memory_queue.feature in the same run; it does so without this change too (twice of two runs), and passes alone.

--- a/driftstall/gateway/scheduling/queue_service.py
+++ b/driftstall/gateway/scheduling/queue_service.py
@@ -9,18 +9,15 @@
 
 import math
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
 from typing import Final
 
 import gevent
 from gevent.event import Event
 
 from driftstall.const import PREFIX_ROUTING
-from driftstall.decisions.engine_queue import EngineQueue, QueuedRequest, QueueOrder, schedule
+from driftstall.decisions.engine_queue import QueuedRequest, schedule
 from driftstall.decisions.overload import OverloadControl, RefusedRequest
 from driftstall.decisions.room_forecast import (
-    DemandForecast,
-    Release,
     ReservingLimits,
     RoomForecast,
 )
@@ -36,19 +33,16 @@
     QueueOutcome,
     RunsReported,
 )
+from driftstall.gateway.scheduling.queue_records import Arrival, Grant, ServiceQueue, request_from
+from driftstall.gateway.scheduling.queue_room import QueueRoom, requirement_of
 from driftstall.gateway.scheduling.queue_status import (
     ServiceStatus,
     new_request,
     service_status,
 )
 from driftstall.gateway.scheduling.selection import (
-    CROSS_ZONE_STREAM_PENALTY,
     Option,
-    Sampler,
-    TokenRequirement,
     choose_backup,
-    choose_stream,
-    has_room,
 )
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import log_event
@@ -65,66 +59,13 @@
 second."""
 ANSWER_VALID_S: Final = 3.0
 """How long the grant of a request is kept, to answer a repeated question the same."""
-REPEAT_DELAY_S: Final = 0.1
-"""Network delay up to which a question counts as a repeated one: its request seems to have arrived
-later by this delay."""
 TAKEOVER_S: Final = 1.2
 """Time after the first report within which all instances with runs have reported them."""
-ASSUMED_HOLD_S: Final = 3.0
-"""Assumed remaining time of runs of which only the sums are known."""
 
 Answer = Callable[[str, QueueAnswered], None]
 """Send an answer to an instance, given by its id."""
 
 
-@dataclass(slots=True)
-class _Arrival:
-    """Record of a waiting request, for its answers and log lines."""
-
-    position: int
-    """Number of waiting requests of the same or a more urgent order when it arrived."""
-    arrived_at: float
-    """When it arrived at its instance; a returned request has a place of an earlier time."""
-    asked_at: float
-    forecast_s: float | None = None
-    """Its whole wait by the first forecast; None before that."""
-
-
-@dataclass(frozen=True, slots=True)
-class _Grant:
-    """Hold a grant, to answer a repeated question the same."""
-
-    answer: QueueAnswered
-    sender: str
-    """The instance that has asked."""
-    at: float
-
-    def answers(self, asked: QueueAsked, now: float) -> bool:
-        """Return True if a question repeats the one that was granted.
-
-        A request that arrived after the grant is another one: callers use an id again to retry.
-        """
-        return (
-            asked.sender == self.sender
-            and now - asked.waited_s <= self.at + REPEAT_DELAY_S
-            and self.answer.upstream_id not in asked.avoid
-        )
-
-
-@dataclass(slots=True)
-class _ServiceQueue:
-    """State of one service's queue."""
-
-    overload: OverloadControl
-    queue: EngineQueue = field(default_factory=EngineQueue)
-    demand: DemandForecast = field(default_factory=DemandForecast)
-    arrivals: dict[str, _Arrival] = field(default_factory=dict)
-    grants: dict[str, _Grant] = field(default_factory=dict)
-    positions: dict[str, int] = field(default_factory=dict)
-    starts: dict[str, float] = field(default_factory=dict)
-    checked_at: float = float("-inf")
-
-
 class QueueService:
     """Answer questions for engine memory in the order of the queue."""
 
@@ -142,7 +83,7 @@
         self._is_large = is_large
         self._answer = answer
         self.ledger = EngineLedger()
-        self._queues: dict[str, _ServiceQueue] = {}
+        self._queues: dict[str, ServiceQueue] = {}
         self._changed = Event()
 
     @property
@@ -160,7 +101,7 @@
         config = table.service(name) if table else None
         if config is None or config.engine is None:
             return None
-        service, room = self._service_queue(name), _Room(self.options(name), config.engine)
+        service, room = self._service_queue(name), QueueRoom(self.options(name), config.engine)
         waiting = service.queue.in_order(now)
         newcomer = new_request(name, waiting, [option.use for option in room.options], now)
         limits = service.demand.limits(room.total_tokens, now)
@@ -183,7 +124,7 @@
                 self._answer(asked.sender, grant.answer)
                 return
             self._forget_grant(service, asked.request_id)
-        request = _request_from(asked, now)
+        request = request_from(asked, now)
         arrival = service.arrivals.get(asked.request_id)
         if arrival is None:
             arrived_at = request.arrived_at
@@ -192,7 +133,7 @@
             )
             service.demand.record(request, now)
             before = sum(other.order <= request.order for other in service.queue.requests)
-            arrival = _Arrival(before, arrived_at, now)
+            arrival = Arrival(before, arrived_at, now)
             service.arrivals[asked.request_id] = arrival
         arrival.asked_at = now
         was_empty = not len(service.queue)
@@ -231,12 +172,12 @@
                     self._run_pass(name, service, now)
             gevent.sleep(PASS_INTERVAL_S)
 
-    def _run_pass(self, name: str, service: _ServiceQueue, now: float) -> None:
+    def _run_pass(self, name: str, service: ServiceQueue, now: float) -> None:
         """Grant memory in order, and refuse what can't start in time."""
         engine = self._engine(name)
         if engine is None:
             return
-        room = _Room(self.options(name), engine)
+        room = QueueRoom(self.options(name), engine)
         limits = service.demand.limits(room.total_tokens, now)
 
         def place(request: QueuedRequest, limit: float, only: frozenset[str] | None) -> bool:
@@ -258,7 +199,7 @@
         return config.engine if config else None
 
     def _check_overload(
-        self, service: _ServiceQueue, room: _Room, limits: ReservingLimits, now: float
+        self, service: ServiceQueue, room: QueueRoom, limits: ReservingLimits, now: float
     ) -> None:
         """Refuse the requests that can't start in time."""
         waiting = service.queue.in_order(now)
@@ -280,7 +221,7 @@
 
     def _forecast(
         self,
-        room: _Room,
+        room: QueueRoom,
         limits: ReservingLimits,
         waiting: list[QueuedRequest],
         now: float,
@@ -315,10 +256,10 @@
 
     def _grant(
         self,
-        service: _ServiceQueue,
+        service: ServiceQueue,
         request: QueuedRequest,
         option: Option,
-        room: _Room,
+        room: QueueRoom,
         now: float,
     ) -> None:
         """Grant a request an engine, and count its memory there."""
@@ -326,7 +267,7 @@
         backup_id = ""
         if request.wants_backup:
             backup = choose_backup(
-                room.options, room.engine, _requirement(request), upstream, self._state.sampler
+                room.options, room.engine, requirement_of(request), upstream, self._state.sampler
             )
             backup_id = backup.upstream.upstream_id if backup else ""
         run = HeldRun(
@@ -351,7 +292,7 @@
             upstream_id=upstream.upstream_id,
             backup_id=backup_id,
         )
-        service.grants[request.request_id] = _Grant(answer, request.sender, now)
+        service.grants[request.request_id] = Grant(answer, request.sender, now)
         arrival = service.arrivals.pop(request.request_id)
         waited_s = now - arrival.arrived_at
         stats = self._state.stats
@@ -403,7 +344,7 @@
         self._answer(request.sender, answer)
 
     def _queued_answer(
-        self, service: _ServiceQueue, request: QueuedRequest, arrival: _Arrival, now: float
+        self, service: ServiceQueue, request: QueuedRequest, arrival: Arrival, now: float
     ) -> QueueAnswered:
         """Return the place of a waiting request, as of the latest forecast."""
         request_id = request.request_id
@@ -415,12 +356,12 @@
             forecast_s=max(0.0, service.starts.get(request_id, now) - now),
         )
 
-    def _forget_grant(self, service: _ServiceQueue, request_id: str) -> None:
+    def _forget_grant(self, service: ServiceQueue, request_id: str) -> None:
         """Remove a grant that is not used."""
         if service.grants.pop(request_id, None) is not None:
             self.ledger.remove_grant(request_id)
 
-    def _expire(self, service: _ServiceQueue, now: float) -> None:
+    def _expire(self, service: ServiceQueue, now: float) -> None:
         """Drop requests that their instances no longer repeat, and old grants."""
         for request_id, arrival in list(service.arrivals.items()):
             if now - arrival.asked_at > ASK_VALID_S:
@@ -430,106 +371,14 @@
             if now - grant.at > ANSWER_VALID_S:
                 del service.grants[request_id]
 
-    def _service_queue(self, name: str) -> _ServiceQueue:
+    def _service_queue(self, name: str) -> ServiceQueue:
         """Return the queue of a service."""
         service = self._queues.get(name)
         if service is None:
-            service = self._queues[name] = _ServiceQueue(OverloadControl(self._state.rng))
+            service = self._queues[name] = ServiceQueue(OverloadControl(self._state.rng))
         return service
 
 
-class _Room:
-    """Track the free memory of a service's engines during one pass."""
-
-    def __init__(self, options: list[Option], engine: Engine) -> None:
-        """Initialize with the engines that take requests."""
-        self.options = options
-        self.engine = engine
-
-    @property
-    def upstream_ids(self) -> frozenset[str]:
-        """Return the ids of the engines."""
-        return frozenset(option.upstream.upstream_id for option in self.options)
-
-    @property
-    def total_tokens(self) -> int:
-        """Return the memory of all engines."""
-        return self.engine.memory_tokens * len(self.options)
-
-    @property
-    def used_tokens(self) -> int:
-        """Return the memory of runs and replicas on all engines."""
-        return sum(option.use.tokens + option.use.copies for option in self.options)
-
-    def free_on(self, option: Option) -> int:
-        """Return the free memory of one engine."""
-        return self.engine.memory_tokens - option.use.tokens - option.use.copies
-
-    def free_tokens(self, limit: float, least_tokens: int) -> int:
-        """Return the memory below a fill limit, without gaps smaller than least_tokens."""
-        kept = int((1.0 - limit) * self.engine.memory_tokens)
-        free = [self.free_on(option) - kept for option in self.options]
-        return sum(tokens for tokens in free if tokens >= least_tokens)
-
-    def assumed_releases(self, now: float) -> tuple[Release, ...]:
-        """Return the releases of engines of which only the sums are known, spread over time."""
-        releases: list[Release] = []
-        for option in self.options:
-            runs = option.use.running
-            for number in range(runs):
-                at = now + ASSUMED_HOLD_S * (number + 1) / runs
-                releases.append(Release(at, option.use.tokens // runs))
-        return tuple(releases)
-
-    def choose(
-        self,
-        request: QueuedRequest,
-        limit: float,
-        only: frozenset[str] | None,
-        gate: ColdGate,
-        state: GatewayState,
-    ) -> Option | None:
-        """Return the engine for a request, of those that have room up to a fill limit."""
-        requirement = _requirement(request)
-        # An ejected engine is idle because it fails; full healthy ones do not make it better.
-        healthy = [option for option in self.options if not option.is_ejected] or self.options
-        fitting = [
-            option
-            for option in healthy
-            if option.upstream.upstream_id not in request.avoid
-            and (only is None or option.upstream.upstream_id in only)
-            and option.use.running < self.engine.slots
-            and (
-                has_room(option, self.engine, requirement, limit)
-                # A prompt above the limit would block the queue for ever.
-                or not (option.use.running or option.use.copies)
-            )
-        ]
-        sampler = Sampler(state.rng, cross_zone_penalty=CROSS_ZONE_STREAM_PENALTY)
-        return choose_stream(
-            gate.select_open(fitting), self.engine, requirement, request.zone, sampler
-        )
-
-    def add(self, option: Option, request: QueuedRequest, backup_id: str) -> None:
-        """Count a granted request on its engine, and its replica on the backup."""
-        for index, known in enumerate(self.options):
-            use = known.use
-            if known.upstream.upstream_id == option.upstream.upstream_id:
-                use = use.plus(
-                    Use(use.upstream_id, 1, request.tokens, prefill=request.prompt_tokens)
-                )
-            elif known.upstream.upstream_id == backup_id:
-                use = use.plus(Use(use.upstream_id, copies=request.tokens))
-            else:
-                continue
-            self.options[index] = replace(known, use=use)
-
-
-def _requirement(request: QueuedRequest) -> TokenRequirement:
-    """Return the tokens that a request needs."""
-    return TokenRequirement(request.prompt_tokens, request.output_tokens)
-
-
 def _sum(first: dict[str, Use], second: dict[str, Use]) -> dict[str, Use]:
     """Return the sums of two tables of loads."""
     totals = dict(first)
@@ -537,26 +386,3 @@
         known = totals.get(upstream_id)
         totals[upstream_id] = use if known is None else known.plus(use)
     return totals
-
-
-def _request_from(asked: QueueAsked, now: float) -> QueuedRequest:
-    """Return the queued form of a question; durations become times on this clock."""
-    return QueuedRequest(
-        request_id=asked.request_id,
-        sender=asked.sender,
-        service=asked.service,
-        workspace=asked.workspace,
-        order=QueueOrder(asked.rank, asked.route_rank),
-        share=asked.share,
-        prompt_tokens=asked.prompt_tokens,
-        output_tokens=asked.output_tokens,
-        hold_s=asked.hold_s,
-        zone=asked.zone,
-        avoid=frozenset(asked.avoid),
-        wants_backup=asked.wants_backup,
-        arrived_at=now - asked.waited_s,
-        start_by=now + asked.start_by_s,
-        gives_up_at=now + asked.gives_up_s,
-        may_refuse=asked.may_refuse,
-        ticket=asked.ticket,
-    )
