Add a fault soak that rejects the followers while a configuration changes

Cause: the tests of store following use simulated time; real processes were covered only where collectors are killed. The new plan also showed that a collector that follows by request started to follow as a standby too, 1.1 s later, with three needless calls and a misleading log line.

Change: the plan following (17 instances or more) resets the calls of all instances that follow the store, stores a configuration at once, and probes all others after 1.5 s. A standby does not start while it follows by request.

--- a/driftstall/gateway/store_following.py
+++ b/driftstall/gateway/store_following.py
@@ -228,7 +228,9 @@
             self._search.end()
             return IDLE_CHECK_S
         position, youngest_age_s = self._standby_place(roles, now)
-        if self._standby.update(position, youngest_age_s, now):
+        # While it follows by request a collector needs no second reason to.
+        follows_by_request = self._acting.is_acting(now) and not self._standby.is_following
+        if not follows_by_request and self._standby.update(position, youngest_age_s, now):
             self._handle_standby_change(position, youngest_age_s, now)
         if self._was_acting and not self._acting.is_acting(now):
             self._was_acting = False
--- a/features/gateway/large_fleet_following.feature
+++ b/features/gateway/large_fleet_following.feature
@@ -11,6 +11,7 @@
     And a change is stored <after> s later
     Then it is in force at all instances within 0.5 s
     And one instance follows in place of the followers
+    And 3 s later it has not started to follow for a second reason
 
     Examples:
       | after |
--- a/features/steps/store_following_steps.py
+++ b/features/steps/store_following_steps.py
@@ -67,6 +67,14 @@
         fleet.store.set_access(fleet.followers[:1], Access.REJECTED)
 
 
+@then("{seconds:g} s later it has not started to follow for a second reason")
+def no_second_reason(context: Any, seconds: float) -> None:
+    """Check the counters of standbys, which would make further calls."""
+    for fleet in each_fleet(context):
+        fleet.time.run(seconds)
+    no_standby(context)
+
+
 @then("no collector has followed the store in place of silent followers")
 def no_standby(context: Any) -> None:
     """Check the counters since the start."""
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,7 +14,8 @@
                  engine that runs them, and come again) or limited (upstreams that name how many
                  requests they take) or returning (the store comes back from an older copy) or
                  signalling (upstreams that signal that they leave, or request a back-off) or
-                 unseen (engines that leave in series while the store is silent)
+                 unseen (engines that leave in series while the store is silent) or following (the
+                 store rejects all instances that follow it; needs 17 instances or more)
                  [default: mixed].
 
 Each seed that breaks a promise is printed with its lines and the folder of its logs.
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -38,6 +38,8 @@
 """Time after a rejection within which requests that were already in flight may still arrive."""
 APPLY_S: Final = 2.0
 """Time after which a configuration is in force (configApplyMs)."""
+FOLLOWED_APPLY_S: Final = 1.5
+"""The same in the plan that rejects followers, whose faults do not reach all instances."""
 LIMIT_WINDOW_S: Final = 4.0
 LIMIT_RATE_FACTOR: Final = 1.5
 LIMIT_SLACK: Final = 5
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -30,6 +30,7 @@
     Plan.ZONES: (3.0, 6.0),
     Plan.CRASHING: (2.5, 6.0),
     Plan.LIMITED: (2.5, 6.0),
+    Plan.FOLLOWING: (2.5, 6.0),
     Plan.RETURNING: (3.0, 10.0),
     Plan.UNSEEN: (4.5, 6.5),
     Plan.SIGNALLING: (3.0, 10.0),
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -51,6 +51,7 @@
     """The upstream's entry in the store stays ready until the upstream ends."""
     REJECT = "upstream rejects requests with a back-off"
     REJECT_ALL = "all upstreams of a service do"
+    REJECT_FOLLOWERS = "the store rejects its followers while the configuration changes"
     LIMIT = "upstream names a limit"
     """Its responses announce a rate limit in requests a second, later a lower one."""
 
@@ -77,6 +78,8 @@
     with kills, pauses and a silent store."""
     LIMITED = "limited"
     """Upstreams that announce a rate limit for a while, with few other faults."""
+    FOLLOWING = "following"
+    """Rejections of all instances that follow the store, with few other faults; a large fleet."""
 
 
 class Fault(StrEnum):
@@ -175,6 +178,14 @@
     Kind.STORE_LINK: 0.5,
     Kind.STORE_DOWN: 0.5,
 }
+FOLLOWING_WEIGHTS: Final[dict[Kind, float]] = {
+    Kind.REJECT_FOLLOWERS: 4.0,
+    Kind.CONFIGURE: 2.0,
+    Kind.LEAVE: 1.0,
+    Kind.REMOVE: 0.5,
+    Kind.KILL: 0.5,
+    Kind.SILENCE_ONE: 0.5,
+}
 UNSEEN_WEIGHTS: Final[dict[Kind, float]] = {
     Kind.LEAVE_UNSEEN: 3.0,
     Kind.LEAVE: 1.0,
@@ -214,12 +225,15 @@
     Plan.LEAVING: LEAVING_WEIGHTS,
     Plan.ZONES: ZONES_WEIGHTS,
     Plan.CRASHING: CRASHING_WEIGHTS,
+    Plan.FOLLOWING: FOLLOWING_WEIGHTS,
 }
 LIMIT_FOR_S: Final = (8.0, 14.0)
 """Duration of a rate limit: longer than the bound within which all instances must know of it."""
 CORDON_FOR_S: Final = (4.0, 9.0)
 """Duration of a cordon: longer than the bound within which all instances must know of it."""
 
+REJECT_FOLLOWERS_FOR_S: Final = (2.0, 6.0)
+"""Duration of the rejection: longer than the bound within which a change must be in force."""
 UNSEEN_FOR_S: Final = (6.0, 9.0)
 """Duration of the store's silence while engines leave: longer than the bound within which all
 instances must know of it."""
@@ -228,6 +242,7 @@
     Kind.CORDON: CORDON_FOR_S,
     Kind.LIMIT: LIMIT_FOR_S,
     Kind.LEAVE_UNSEEN: UNSEEN_FOR_S,
+    Kind.REJECT_FOLLOWERS: REJECT_FOLLOWERS_FOR_S,
 }
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -27,10 +27,18 @@
 from measures.bench import Bench, BenchError
 from measures.gateway_process import GatewayProcess
 from soak.caller import CallerConnection
-from soak.checks import APPLY_S, COLD_RATE, CONTACT_S, CORDON_S, DRAIN_S, find_violations
+from soak.checks import (
+    APPLY_S,
+    COLD_RATE,
+    CONTACT_S,
+    CORDON_S,
+    DRAIN_S,
+    FOLLOWED_APPLY_S,
+    find_violations,
+)
 from soak.fleet import EVENTS, FATAL, ZONES, UpstreamSlot
 from soak.ledger import STORE, Ledger, RequestKind, SentRequest, UpstreamPeriod, Window
-from soak.plan import Kind, Plan, Step, draw_steps
+from soak.plan import Fault, Kind, Plan, Step, draw_steps
 from soak.proxy import Proxy
 
 GRACE_S: Final = 3.0
@@ -202,6 +210,7 @@
             ),
             Kind.REJECT: lambda step: self._spawn(self._fleet[step.target].reject, step.for_s),
             Kind.REJECT_ALL: self._reject_all,
+            Kind.REJECT_FOLLOWERS: lambda step: self._spawn(self._reject_followers, step),
             Kind.SILENCE: lambda _: self._silence(range(len(self._instances))),
             Kind.SILENCE_ONE: lambda step: self._silence([step.target]),
         }
@@ -212,6 +221,24 @@
         for slot in self._fleet[step.target].all:
             self._spawn(slot.reject, step.for_s)
 
+    def _reject_followers(self, step: Step) -> None:
+        """Reset the calls of all instances that follow the store, and change the configuration."""
+        with_links = list(zip(self._instances, self._links, strict=True))
+        jobs = [gevent.spawn(_follows_store, instance) for instance, _ in with_links]
+        gevent.joinall(jobs)
+        rejected = [pair for pair, job in zip(with_links, jobs, strict=True) if job.value]
+        if len(rejected) > len(with_links) // 2:
+            # Soon after the start each instance takes itself for a follower, until it knows the
+            # others' links. An outage of the whole store is in other plans.
+            return
+        for instance, link in rejected:
+            self._disturb(instance.name, step.for_s)
+            link.inject(Fault.RESET)
+        self._configure()
+        gevent.sleep(step.for_s)
+        for _, link in rejected:
+            link.end_fault()
+
     @staticmethod
     def _spawn(work: Callable[..., None], *values: Any) -> None:
         """Run a function in the background."""
@@ -465,7 +492,9 @@
         while self._has_traffic:
             gevent.sleep(PROBE_INTERVAL_S)
             version, acked_at = self._acked
-            is_due = time.monotonic() - acked_at > APPLY_S and version == self._version
+            is_following = self._size.plan is Plan.FOLLOWING
+            apply_s = FOLLOWED_APPLY_S if is_following else APPLY_S
+            is_due = time.monotonic() - acked_at > apply_s and version == self._version
             if not is_due or version == 1:
                 continue
             jobs = [
@@ -495,3 +524,11 @@
                 self.ledger.not_ready.append(f"{instance.name} is not ready at the end")
             elif code is None and instance.name not in listed:
                 self.ledger.not_ready.append(f"{instance.name} is not listed at the end")
+
+
+def _follows_store(instance: GatewayProcess) -> bool:
+    """Return True if an instance's metrics state that it follows the store."""
+    try:
+        return b"driftstall_gateway_follows_store 1" in instance.get("metrics", "/metrics")[1]
+    except UpstreamError:
+        return False
