Test that messages about following arrive as sent

Cause: the simulated fleet passes messages on without encoding them.

Change: a scenario that encodes and decodes them, and that only followers report an age.

--- a/features/gateway/large_fleet_following.feature
+++ b/features/gateway/large_fleet_following.feature
@@ -109,6 +109,10 @@
     When the store rejects all instances
     Then in 10 s the store gets at most 400 calls
 
+  Scenario: messages about following arrive as they were sent
+    Then requests, answers and the age in a follower's report are decoded as they were encoded
+    And only reports of instances that follow the store carry an age
+
   Scenario: quiet times need no more calls
     Then in 20 s only the followers call the store
     And they make no more calls than watches of 0.8 s need
--- a/features/steps/store_following_steps.py
+++ b/features/steps/store_following_steps.py
@@ -10,6 +10,9 @@
 from driftstall.decisions.store_following import order_candidates
 from driftstall.gateway.follow_messages import FollowAnswered, FollowRequested
 from driftstall.gateway.watch_delegation import LARGE_FLEET_WATCH_S
+from driftstall.peers.codec import HEADER, decode, encode, message_types_of
+from driftstall.peers.envelope import Envelope
+from driftstall.peers.gateway_messages import GatewayMessage, GatewayReport
 from features.worlds.store_following_world import Access, SimulatedFleet
 
 SEEDS = (1, 2, 3)
@@ -17,6 +20,7 @@
 SETTLE_S = 8.0
 FEEDS = 3
 MAX_LAG_S = 8.0
+KEY = b"peer key for tests only"
 
 
 @given("a fleet of {count:d} instances in {zones:d} zones, {following:d} of which follow the store")
@@ -264,3 +268,36 @@
         since = fleet.time.now()
         fleet.time.run(seconds)
         assert len(fleet.calls(since)) <= most, len(fleet.calls(since))
+
+
+@then("requests, answers and the age in a follower's report are decoded as they were encoded")
+def decoded(context: Any) -> None:
+    """Encode and decode one message of each kind."""
+    kinds = message_types_of(GatewayMessage)
+    for fleet in each_fleet(context):
+        report = next(
+            message
+            for _, sender, _, message in reversed(fleet.sent)
+            if isinstance(message, GatewayReport) and sender in fleet.followers
+        )
+        assert report.platform_age_ms > 0, report
+        for message in (
+            report,
+            FollowRequested("instance-1", 7, ("instance-1", "instance-2")),
+            FollowAnswered("instance-2", 7, False, ("instance-2",)),
+        ):
+            frame = encode(Envelope("instance-1", "instance-2", 1, message), KEY)
+            assert decode(frame[HEADER.size :], KEY, kinds).message == message
+
+
+@then("only reports of instances that follow the store carry an age")
+def only_followers_report(context: Any) -> None:
+    """Check the latest report of each instance."""
+    for fleet in each_fleet(context):
+        latest = {
+            sender: message
+            for _, sender, _, message in fleet.sent
+            if isinstance(message, GatewayReport)
+        }
+        reporting = {name for name, report in latest.items() if report.platform_age_ms}
+        assert reporting == set(fleet.followers), reporting
