Move the member list and its links out of the dispatch of messages

MemberMessenger holds the member list and sends messages to members. The messages of ordered copies are registered by their union type. No change of behaviour. The simulated fleet of store following replaces the links of the messenger, and delivers to the handler.

--- a/driftstall/gateway/peering.py
+++ b/driftstall/gateway/peering.py
@@ -1,4 +1,4 @@
-"""Maintain the membership of the fleet and dispatch peers' messages to their handlers.
+"""Dispatch the messages of peers to their handlers, and follow the member list.
 
 Reports (reports.py) carry the load of each instance; sharing (sharing.py) distributes data
 from the platform. The collectors of each zone follow from the member list (collectors.py).
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from functools import singledispatchmethod
 from typing import Final
 
@@ -16,13 +16,10 @@
 from driftstall.controllers.membership import (
     Ack,
     Leave,
-    MembershipController,
-    MembershipEvent,
     Period,
     Ping,
     PingRequest,
     Seeds,
-    SendTo,
 )
 from driftstall.core import Instance
 from driftstall.decisions.leaving_signals import LeavingRecord
@@ -32,13 +29,9 @@
 from driftstall.gateway.feeds import ItemChange
 from driftstall.gateway.fleet_events import FleetAction
 from driftstall.gateway.follow_messages import FollowMessage
+from driftstall.gateway.member_messenger import MemberMessenger
 from driftstall.gateway.model import Upstream
 from driftstall.gateway.reports import MS_PER_S, PlatformStatus, Reporting
-from driftstall.gateway.scheduling.evacuation_messages import (
-    CopyEnded,
-    CopyOrdered,
-    EvacuationRequested,
-)
 from driftstall.gateway.scheduling.evacuation_orders import EvacuationMessage, EvacuationOrders
 from driftstall.gateway.scheduling.memory_queue import MemoryQueue, QueueMessage
 from driftstall.gateway.scheduling.stream_placer import StreamPlacer
@@ -55,7 +48,6 @@
 from driftstall.helpers.permits import PermitCoordinator
 from driftstall.helpers.poison_sharing import PeerTransport, PoisonSharing
 from driftstall.helpers.tasks import keep_running
-from driftstall.peers.codec import message_types_of
 from driftstall.peers.gateway_messages import (
     BlamesTold,
     FleetSummary,
@@ -66,7 +58,6 @@
     UpstreamDoubted,
     ZoneSummary,
 )
-from driftstall.peers.link import ANY_RECIPIENT, PeerLinks
 from driftstall.peers.permit_messages import PermitAsked, PermitCharged, PermitGiven
 
 PERIOD_S: Final = 0.15
@@ -96,21 +87,15 @@
             settings.zone,
             link_mbps=settings.link_mbps,
         )
-        incarnation = int(state.wall_time_s() * MS_PER_S)
-        self._members = MembershipController(self.own, incarnation, state.rng)
-        key = settings.peer_key.encode()
-        kinds = message_types_of(GatewayMessage)
-        self._links = PeerLinks(
-            settings.instance_id, settings.peer_listen, key, kinds, self._receive
-        )
+        self._messenger = MemberMessenger(state, self.own, receive=self._handle)
         self._roles = FleetRoles()
         self._reporting = Reporting(
             state,
             self.own,
             roles=lambda: self._roles,
-            live=lambda: self._members.live,
+            live=lambda: self._messenger.live,
             platform_status=platform_status,
-            broadcast=self._broadcast,
+            broadcast=self._messenger.broadcast,
             follows=lambda: self.following.follows,
         )
         self.following = StoreFollowing(
@@ -119,8 +104,8 @@
             self._reporting.answers,
             now=state.now,
             roles=lambda: self._roles,
-            live=lambda: self._members.live,
-            send=self._send,
+            live=lambda: self._messenger.live,
+            send=self._messenger.send,
             publish_age=self._reporting.publish_platform_age,
             is_stopping=lambda: state.stopping_since is not None,
         )
@@ -128,39 +113,39 @@
             state,
             handlers,
             roles=lambda: self._roles,
-            live=lambda: self._members.live,
-            send=self._send,
-            broadcast=self._broadcast,
+            live=lambda: self._messenger.live,
+            send=self._messenger.send,
+            broadcast=self._messenger.broadcast,
             follows_for_others=lambda: self.following.follows_for_others,
         )
         transport = PeerTransport(
-            live=lambda: self._members.live,
-            recipients=lambda: self._roles.forward_recipients(self._members.live),
+            live=lambda: self._messenger.live,
+            recipients=lambda: self._roles.forward_recipients(self._messenger.live),
             forwards=lambda: self._roles.is_collector,
-            send=self._send,
-            broadcast=self._broadcast,
+            send=self._messenger.send,
+            broadcast=self._messenger.broadcast,
         )
         self._poison_sharing = PoisonSharing(
             state.poison_tracker, self.own.instance_id, transport, now=state.now, source=state.rng
         )
-        self._placer = StreamPlacer(state, roles=lambda: self._roles, send=self._send)
+        self._placer = StreamPlacer(state, roles=lambda: self._roles, send=self._messenger.send)
         state.request_placement = self._placer.place
         self.queue = MemoryQueue(
             state,
             roles=lambda: self._roles,
-            send=self._send,
+            send=self._messenger.send,
             placer_gate=self._placer.cold_gate,
         )
         self.evacuation_orders = EvacuationOrders(
-            state, self.queue, roles=lambda: self._roles, send=self._send
+            state, self.queue, roles=lambda: self._roles, send=self._messenger.send
         )
         self._permits = PermitCoordinator(
             self.own.instance_id,
             state.rate_limiting,
             now=state.now,
-            live=lambda: self._members.live,
+            live=lambda: self._messenger.live,
             upstreams=lambda: {upstream.upstream_id for upstream in state.fleet.upstreams},
-            send=self._send,
+            send=self._messenger.send,
         )
         state.rate_limiting.ask_permit = self._permits.ask
         state.rate_limiting.charge_permit = self._permits.charge
@@ -176,7 +161,7 @@
     @property
     def live(self) -> tuple[Instance, ...]:
         """Return the live instances by the member list."""
-        return self._members.live
+        return self._messenger.live
 
     @property
     def newest_version(self) -> int:
@@ -190,25 +175,22 @@
 
     def start(self) -> None:
         """Start listening, failure detection and reporting, and ping the seeds."""
-        self._links.start()
+        self._messenger.start()
         keep_running(PREFIX_MEMBERSHIP, self._run_timeouts)
         self._reporting.start()
         self._poison_sharing.start()
         self.queue.start()
         self.following.start()
-        for address in self._state.settings.seeds:
-            if address != self.own.peer_address:
-                ping = Ping(self.own.instance_id, 0, "", self._members.changes)
-                self._links.send(ANY_RECIPIENT, address, ping)
+        self._messenger.ping_seeds()
 
     def add_listed_instances(self, instances: tuple[Instance, ...]) -> None:
         """Add the instances that the platform lists to the member list."""
-        self._apply(Seeds(instances))
+        self._messenger.apply(Seeds(instances))
         self._state.loads_changed.set()
 
     def locatable_instances(self) -> tuple[Instance, ...]:
         """Return the live and ready instances that callers may connect to."""
-        live = self._members.live
+        live = self._messenger.live
         ready = self._reporting.ready_peers()
         if ready is None:
             # A large fleet without a fresh summary of a collector: live instances that are not
@@ -226,7 +208,7 @@
         """
         self._reporting.report_now()
         if self._roles.is_collector:
-            self._apply(Leave())
+            self._messenger.apply(Leave())
 
     def publish_change(self, change: ItemChange[Upstream]) -> None:
         """Forward a change read from the platform to peers that can't reach the platform."""
@@ -238,7 +220,9 @@
 
     def publish_suspicion(self, upstream_id: str) -> None:
         """Publish that a probed upstream has reported to be leaving or has terminated."""
-        self._broadcast(self._members.live, UpstreamDoubted(self.own.instance_id, upstream_id))
+        self._messenger.broadcast(
+            self._messenger.live, UpstreamDoubted(self.own.instance_id, upstream_id)
+        )
 
     def publish_signals(self) -> None:
         """Publish upstreams' signals at once; each report and summary repeats them."""
@@ -261,9 +245,9 @@
         """Run the timeouts of the membership and the permits, and follow member changes."""
         last_live: tuple[Instance, ...] = ()
         while True:
-            self._apply(Period())
+            self._messenger.apply(Period())
             self._permits.update_ownership()
-            live = self._members.live
+            live = self._messenger.live
             self._state.instances.record(len(live), self._state.now())
             if live is not last_live:
                 last_live = live
@@ -290,10 +274,6 @@
         self._state.set_load_pooling(roles.is_large)
         self._state.loads_changed.set()
 
-    def _receive(self, _: str, message: GatewayMessage) -> None:
-        """Dispatch a peer's message to its handler."""
-        self._handle(message)
-
     @singledispatchmethod
     def _handle(self, message: GatewayMessage) -> None:
         """Handle one kind of message; raise TypeError if it has no handler."""
@@ -303,7 +283,7 @@
     @_handle.register(Ack)
     @_handle.register(PingRequest)
     def _(self, message: Ping | Ack | PingRequest) -> None:
-        self._apply(message)
+        self._messenger.apply(message)
 
     @_handle.register
     def _(self, message: DataMessage) -> None:
@@ -325,9 +305,7 @@
     def _(self, message: QueueMessage) -> None:
         self.queue.handle(message)
 
-    @_handle.register(EvacuationRequested)
-    @_handle.register(CopyOrdered)
-    @_handle.register(CopyEnded)
+    @_handle.register
     def _(self, message: EvacuationMessage) -> None:
         self.evacuation_orders.handle(message)
 
@@ -401,26 +379,3 @@
             has_new_signal |= self._handlers.record_leaving(record)
         if has_new_signal and self._roles.is_collector:
             self._reporting.publish_now()
-
-    def _apply(self, event: MembershipEvent) -> None:
-        """Apply an event to the membership; send its messages and log health changes."""
-        for action in self._members.handle(event, self._state.now()):
-            if isinstance(action, SendTo):
-                self._send(action.recipient, action.message)
-            elif action.instance_id != self.own.instance_id:
-                log_event(PREFIX_MEMBERSHIP, f"Instance {action.instance_id} is {action.health}")
-
-    def _send(self, recipient: str, message: GatewayMessage) -> None:
-        """Send a message to an instance if its address is known."""
-        address = self._members.address_of(recipient)
-        if address is not None:
-            self._links.send(recipient, address, message)
-
-    def _broadcast(self, recipients: Iterable[Instance], message: GatewayMessage) -> None:
-        """Send one message to several instances except this one."""
-        own_id = self.own.instance_id
-        addresses = [
-            recipient.peer_address for recipient in recipients if recipient.instance_id != own_id
-        ]
-        if addresses:
-            self._links.broadcast(addresses, message)
--- a/features/worlds/store_following_world.py
+++ b/features/worlds/store_following_world.py
@@ -281,7 +281,7 @@
         if {sender, recipient} & self.cut or self.is_lost(sender, recipient, message):
             return
         node = self.nodes[recipient]
-        self.time.call_later(PEER_LATENCY_S, lambda: node._peering._receive(sender, message))
+        self.time.call_later(PEER_LATENCY_S, lambda: node._peering._handle(message))
 
     def lag_s(self, number: int, longest_s: float, among: Iterable[str] | None = None) -> float:
         """Return how long it takes until a change just stored is in force at all instances."""
@@ -348,7 +348,7 @@
         following = node._peering.following
         following._changed = SimulatedEvent(time)
         following._wake_ups = {feed: SimulatedEvent(time) for feed in following._wake_ups}
-        node._peering._links = FleetLinks(self, name)
+        node._peering._messenger._links = FleetLinks(self, name)
         node._peering.add_listed_instances(self.instances)
         node._peering._update_roles(FleetRoles.from_fleet(node._peering.own, self.instances))
         self.nodes[name] = node
