Drop earlier scenarios' log lines in the test of the queue's status

"A request that waited, and on which forecast" failed whenever memory_queue.feature ran before it: eliot gives the first destination of a process the lines that were logged before, so the step took a line of another "r1" for its own and went on before the request was queued.

--- a/features/steps/queue_status_steps.py
+++ b/features/steps/queue_status_steps.py
@@ -115,6 +115,8 @@
     )
     context.sent, context.lines = [], []
     add_destinations(context.lines.append)
+    # The first destination of a process also gets the lines of the scenarios before.
+    context.lines.clear()
     context.add_cleanup(remove_destination, context.lines.append)
     context.jobs = []
     context.add_cleanup(lambda: gevent.killall(context.jobs))
