Keep an instance's own load when a summary repeats it

A fleet summary carries all loads back to the instances of its zone. As ages do not count the time of transfer, the repeated load seemed newer than the instance's own record, replaced it, and was compared with the requests in progress at the time of arrival: with 3 requests ended since, the estimate was 4 requests instead of 1. Loads within 10 ms of the known one now count as the same.

--- a/driftstall/decisions/upstream_load.py
+++ b/driftstall/decisions/upstream_load.py
@@ -31,6 +31,9 @@
 QUEUE_LIMIT_VALID_S: Final = 10.0
 """How long the length of an upstream's queue is used, as learned from a rejection: it may be
 configured anew, and each upstream costs one more rejection in this time to find out."""
+TRANSFER_TOLERANCE_S: Final = 0.01
+"""A peer's load that seems newer by less than this may be the one known here: ages in messages are
+rounded and do not count the time of transfer, up to 1.4 ms a hop between zones."""
 NORMAL_PACE: Final = 1.0
 MS_PER_S: Final = 1000
 
@@ -141,11 +144,15 @@
         known_running: Callable[[str], int],
         now: float,
     ) -> None:
-        """Record the loads in a peer's message that are newer than those known here."""
+        """Record the loads in a peer's message that are newer than those known here.
+
+        A collector's summary also repeats what this instance has reported. That load stays as it
+        was recorded, since `known_running` returns the requests in progress now, not at its time.
+        """
         for load in loads:
             at = now - load.age_ms / MS_PER_S
             known = self._records.get(load.upstream_id)
-            if known is not None and known.at >= at:
+            if known is not None and known.at > at - TRANSFER_TOLERANCE_S:
                 continue
             signal = LoadSignal(load.running, load.waiting, load.slots, load.pace, True)
             running = known_running(load.upstream_id)
--- a/features/gateway/shared_loads.feature
+++ b/features/gateway/shared_loads.feature
@@ -26,6 +26,15 @@
       | zone    |
       | fleet   |
 
+  # Guards against an own load that seems newer by the time of transfer when a collector repeats it,
+  # and is then compared with the requests in progress at a later time.
+  Scenario: a summary that repeats an instance's own load does not replace it
+    Given an instance with reports of its peers
+    And 3 requests in progress at "u1"
+    When "u1" responds with a pace of 2.5
+    And 0.1 s later, when they have ended, a fleet summary holds that load, 2 ms less old
+    Then "u1" is taken to have 1 request
+
   # Guards against loads that circulate between instances, a little younger after each transfer.
   Scenario: each message carries the loads that its receivers have not sent
     Given an instance of a large fleet that collects for its zone
--- a/features/steps/shared_load_steps.py
+++ b/features/steps/shared_load_steps.py
@@ -12,6 +12,7 @@
 from driftstall.decisions.upstream_signals import LoadSignal
 from driftstall.gateway.collectors import FleetRoles
 from driftstall.gateway.cordons import Cordons
+from driftstall.gateway.loads import RequestLoad
 from driftstall.gateway.reports import PlatformStatus, Reporting
 from driftstall.peers.codec import HEADER, decode, encode, message_types_of
 from driftstall.peers.envelope import Envelope
@@ -125,6 +126,32 @@
     works_as_long(context, upstream_id, pace)
 
 
+@given('{count:d} requests in progress at "{upstream_id}"')
+def requests_in_progress(context: Any, count: int, upstream_id: str) -> None:
+    """Count requests of this instance."""
+    context.own_requests = [f"own-{number}" for number in range(count)]
+    for request_id in context.own_requests:
+        world_of(context).state.loads.set_load(request_id, RequestLoad(upstream_id))
+
+
+@when("{seconds:g} s later, when they have ended, a fleet summary holds that load, 2 ms less old")
+def summary_repeats_load(context: Any, seconds: float) -> None:
+    """End the requests, and record a summary whose transfer took 2 ms."""
+    for request_id in context.own_requests:
+        world_of(context).state.loads.remove_load(request_id)
+    world_of(context).pass_time(seconds)
+    fleet_summary(context, 2.5, "u1", round(seconds * 1000) - 2)
+
+
+@then('"{upstream_id}" is taken to have {count:d} request')
+def has_requests(context: Any, upstream_id: str, count: int) -> None:
+    """Check the load that selection uses now."""
+    state = world_of(context).state
+    estimate = state.upstream_loads.estimate(upstream_id, 0, state.now())
+    assert estimate is not None
+    assert abs(estimate.busy - count) < 0.01, estimate
+
+
 @when("it sends its report and its summaries")
 def sends(context: Any) -> None:
     """Send all messages of a collector."""
