Use the vocabulary's terms in the queue and the order of copies

The wait of callers is max_wait_s as in the vocabulary, not patience; times of received orders, streams whose instance timed out and some comments no longer speak of hearing, doubt or hope. No change of behaviour; two tests change the names that they import or set.

--- a/driftstall/decisions/evacuation_order.py
+++ b/driftstall/decisions/evacuation_order.py
@@ -45,7 +45,7 @@
     """Whether the stream has produced an event; an engine copies no stream before that."""
     has_replica: bool
     """Whether the stream can resume at a backup or a replica."""
-    is_doubtful: bool = False
+    has_timed_out: bool = False
     """Whether its instance has let an order time out; such streams come last."""
 
 
@@ -72,7 +72,7 @@
     run a while longer (notices vary by 0.6 s), and the shortest copy has the best chance.
     """
     needed = [candidate for candidate in candidates if needs_copy(candidate)]
-    trusted = [candidate for candidate in needed if not candidate.is_doubtful] or needed
+    trusted = [candidate for candidate in needed if not candidate.has_timed_out] or needed
     in_time = [candidate for candidate in trusted if candidate.copy_s <= time_left_s]
     if not in_time:
         return min(trusted, key=lambda candidate: candidate.copy_s, default=None)
--- a/driftstall/decisions/overload.py
+++ b/driftstall/decisions/overload.py
@@ -18,10 +18,11 @@
 from driftstall.decisions.retry_schedule import retry_after
 from driftstall.decisions.room_forecast import ExpectedReturn, RoomForecast
 
-MIN_PATIENCE_S: Final = 2.0
-PATIENCE_TARGETS: Final = 4.0
-"""Multiple of its target for which a caller waits for the first event of a stream."""
-PATIENCE_PAUSES: Final = 8.0
+MIN_CALLER_WAIT_S: Final = 2.0
+"""Shortest time for which a caller waits for the first event of a stream."""
+CALLER_WAIT_TARGETS: Final = 4.0
+"""The same as a multiple of its latency target."""
+CALLER_WAIT_PAUSES: Final = 8.0
 """The same as a multiple of the longest pause that the route allows."""
 RESERVATION_GRACE_S: Final = 5.0
 """Time after its retry time for which a place is reserved."""
@@ -84,16 +85,16 @@
         backlog = _backlog_by_workspace(waiting)
         while len(refused) < MAX_REFUSALS:
             starts = forecast.starts(waiting, now, self._expected_returns())
-            hopeless = [
+            too_late = [
                 request
                 for request in waiting
                 if request.may_refuse
                 and request.gives_up_at < starts[request.request_id] < math.inf
             ]
-            if not hopeless:
+            if not too_late:
                 break
             request = max(
-                hopeless,
+                too_late,
                 key=lambda item: (
                     item.order,
                     backlog[item.order, item.workspace],
@@ -147,7 +148,7 @@
         """Return the refused requests whose places are reserved.
 
         They need memory from their time on: counted as waiting now, each refusal would make the
-        next request hopeless.
+        next request start too late.
         """
         return [
             ExpectedReturn(reservation.due_at, reservation.request)
@@ -161,9 +162,9 @@
                 del self._reservations[ticket]
 
 
-def caller_patience_s(target_s: float, gap_s: float) -> float:
+def caller_max_wait_s(target_s: float, gap_s: float) -> float:
     """Return how long a caller waits for the first event of a stream, in seconds."""
-    return max(MIN_PATIENCE_S, PATIENCE_TARGETS * target_s, PATIENCE_PAUSES * gap_s)
+    return max(MIN_CALLER_WAIT_S, CALLER_WAIT_TARGETS * target_s, CALLER_WAIT_PAUSES * gap_s)
 
 
 def _backlog_by_workspace(
--- a/driftstall/gateway/evacuation.py
+++ b/driftstall/gateway/evacuation.py
@@ -100,7 +100,7 @@
     def _follow_orders(
         self, upstream: Upstream, orders: EvacuationOrders, finished: set[str]
     ) -> None:
-        """Leave the order of copies to the placer; return when this instance has to go on alone.
+        """Leave the order of copies to the placer; return when this instance has to continue alone.
 
         That is when it has a run to move and no orders are given. They are requested when it first
         has a run without a replica there: some arrive after the notice. Runs that get a replica
@@ -117,8 +117,8 @@
                 has_requested = True
                 orders.request(upstream)
             waiting = [run for run in runs if self._is_movable(run)]
-            may_go_on = self._state.now() >= started_at + REPLICA_HEAD_START_S
-            if waiting and may_go_on and not orders.performer.waits_for_orders(engine_id):
+            may_continue = self._state.now() >= started_at + REPLICA_HEAD_START_S
+            if waiting and may_continue and not orders.performer.waits_for_orders(engine_id):
                 self._state.stats.evacuations_alone += 1
                 log_event(
                     PREFIX_RELAY,
--- a/driftstall/gateway/scheduling/copy_orderer.py
+++ b/driftstall/gateway/scheduling/copy_orderer.py
@@ -1,6 +1,6 @@
 """Order the copies off leaving engines, one at a time for each engine: the side of the placer.
 
-The placer knows all runs on an engine from the queue's ledger, so it chooses without questions.
+The placer knows all runs on an engine from the queue's ledger, so it needs no messages to choose.
 """
 
 from __future__ import annotations
@@ -56,7 +56,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Planned:
+class _PlannedCopy:
     """Hold a stream that may be copied, with its target."""
 
     candidate: CopyCandidate
@@ -70,7 +70,7 @@
     """Hold the copy that is under way."""
 
     number: int
-    planned: _Planned
+    planned: _PlannedCopy
     ordered_at: float
     overdue_at: float
 
@@ -115,7 +115,7 @@
         self._last_number = 0
 
     def start(self, upstream: Upstream, notice_age_s: float) -> None:
-        """Start to order the copies off an engine, or learn that its notice is older."""
+        """Start to order the copies off an engine, or record that its notice is older."""
         noticed_at = self._state.now() - notice_age_s
         evacuation = self._evacuations.get(upstream.upstream_id)
         if evacuation is not None:
@@ -175,14 +175,14 @@
                 self.advance(upstream_id)
                 gevent.sleep(CHECK_INTERVAL_S)
                 age_s = self._state.now() - evacuation.noticed_at
-                # A requester may hear of the notice first; later, the notice was taken back.
+                # A requester may receive the notice first; after this time, it was withdrawn.
                 if age_s > NOTICE_S and fleet.accepts_requests(upstream_id):
                     break
         finally:
             del self._evacuations[upstream_id]
 
     def _order_next(self, evacuation: _Evacuation, now: float) -> None:
-        """Order the most valuable copy, or tell instances that one may follow."""
+        """Order the most valuable copy, or announce to instances that one may follow."""
         self._queue.ledger.expire(now)
         runs = self._runs_on(evacuation)
         if any(run.run.has_replica for run, _ in runs):
@@ -252,7 +252,7 @@
 
     def _plan(
         self, evacuation: _Evacuation, runs: list[tuple[LedgerRun, float]], now: float
-    ) -> Iterable[_Planned]:
+    ) -> Iterable[_PlannedCopy]:
         """Yield the streams that may be ordered, each with its best target."""
         upstream = evacuation.upstream
         table = self._state.route_table
@@ -260,7 +260,7 @@
         engine = service.engine if service else None
         if engine is None or not engine.can_move:
             return
-        plans: list[_Planned] = []
+        plans: list[_PlannedCopy] = []
         for ledger_run, at in runs:
             run = ledger_run.run
             tried = evacuation.tried.get(run.request_id, set())
@@ -274,10 +274,10 @@
                 copy_s=_copy_s(run.held_tokens, engine, crosses_zones=False),
                 has_events=not run.prefill_tokens,
                 has_replica=run.has_replica,
-                is_doubtful=ledger_run.sender in evacuation.silent,
+                has_timed_out=ledger_run.sender in evacuation.silent,
             )
             if needs_copy(candidate):
-                plans.append(_Planned(candidate, ledger_run, upstream, now - at))
+                plans.append(_PlannedCopy(candidate, ledger_run, upstream, now - at))
         if not plans:
             # The loads of all engines are summed up only if there is a stream to copy.
             return
--- a/driftstall/gateway/scheduling/copy_performer.py
+++ b/driftstall/gateway/scheduling/copy_performer.py
@@ -30,7 +30,7 @@
         self._own_id = state.settings.instance_id
         self._send = send
         self._requested_at: dict[str, float] = {}
-        self._heard_at: dict[str, float] = {}
+        self._last_order_at: dict[str, float] = {}
         self._under_way: dict[str, list[tuple[str, int]]] = {}
         """Placers and numbers of the orders for each copy that is under way, by request."""
         self._results: dict[tuple[str, int, str], CopyEnded] = {}
@@ -41,13 +41,13 @@
         """Record that the orders for an engine were requested just now."""
         now = self._state.now()
         self._requested_at[upstream_id] = now
-        for times in (self._requested_at, self._heard_at):
+        for times in (self._requested_at, self._last_order_at):
             for key in [key for key, at in times.items() if now - at > REQUEST_VALID_S]:
                 del times[key]
 
     def waits_for_orders(self, upstream_id: str) -> bool:
         """Return True while orders for an engine are being given, or may still come."""
-        until = self._heard_at.get(upstream_id, float("-inf")) + ORDERS_TIMEOUT_S
+        until = self._last_order_at.get(upstream_id, float("-inf")) + ORDERS_TIMEOUT_S
         if upstream_id in self._requested_at:
             until = max(until, self._requested_at[upstream_id] + FIRST_ORDER_TIMEOUT_S)
         return self._state.now() < until
@@ -58,7 +58,7 @@
         The order may come before the notice, which pauses periodic copies to keep the link free.
         """
         now = self._state.now()
-        self._heard_at[order.upstream_id] = now
+        self._last_order_at[order.upstream_id] = now
         self._state.notice_at = max(self._state.notice_at, now)
         if not order.request_id:
             return
--- a/driftstall/gateway/scheduling/evacuation_orders.py
+++ b/driftstall/gateway/scheduling/evacuation_orders.py
@@ -1,7 +1,7 @@
 """Order the copies of streams off a leaving engine, one at a time, for the whole fleet.
 
 The placer orders the copies (`copy_orderer.py`). Each instance performs those of its own streams
-(`copy_performer.py`); instances that hear no orders continue alone.
+(`copy_performer.py`); instances that receive no orders continue alone.
 """
 
 from __future__ import annotations
--- a/driftstall/gateway/scheduling/placement.py
+++ b/driftstall/gateway/scheduling/placement.py
@@ -14,7 +14,7 @@
 from driftstall.const import PREFIX_ROUTING
 from driftstall.core import Request
 from driftstall.decisions.generation_times import expected_hold_s, first_event_s
-from driftstall.decisions.overload import caller_patience_s
+from driftstall.decisions.overload import caller_max_wait_s
 from driftstall.gateway.admission import AdmittedRequest
 from driftstall.gateway.drain import EXPECTED_FIRST_EVENT_S, EXPECTED_TOKEN_S
 from driftstall.gateway.ingress import CallerRequest
@@ -190,21 +190,21 @@
             wants_backup=self.engine.can_backup and self._wants_backup(),
             waited_s=waited_s,
             start_by_s=admitted.route.target_s - starts_in_s - waited_s,
-            gives_up_s=self._patience_left_s() - starts_in_s,
+            gives_up_s=self._remaining_wait_s() - starts_in_s,
             may_refuse=admitted.verdict.may_refuse,
             ticket=f"{admitted.workspace}/{admitted.fingerprint}" if admitted.fingerprint else "",
         )
 
-    def _patience_left_s(self) -> float:
+    def _remaining_wait_s(self) -> float:
         """Return how long the stream may still wait for its first event, in seconds.
 
         That is until its caller gives up, its deadline, or the policy's longest wait.
         """
         admitted = self._admitted
-        patience_s = caller_patience_s(admitted.route.target_s, admitted.route.gap_s)
+        max_wait_s = caller_max_wait_s(admitted.route.target_s, admitted.route.gap_s)
         if admitted.verdict.may_refuse:
-            patience_s = min(patience_s, admitted.verdict.wait_s)
-        until = min(admitted.ends_at, admitted.started_at + patience_s)
+            max_wait_s = min(max_wait_s, admitted.verdict.wait_s)
+        until = min(admitted.ends_at, admitted.started_at + max_wait_s)
         return until - self._state.now()
 
     def _has_given_up(self, requirement: TokenRequirement) -> bool:
@@ -215,7 +215,7 @@
         margin_s = 0.0
         if self._admitted.verdict.may_refuse:
             margin_s = first_event_s(requirement.prompt_tokens)
-        return self._patience_left_s() <= margin_s
+        return self._remaining_wait_s() <= margin_s
 
     def _wait_for_room(
         self, requirement: TokenRequirement, avoid: frozenset[str], is_canceled: Callable[[], bool]
--- a/driftstall/gateway/scheduling/queue_room.py
+++ b/driftstall/gateway/scheduling/queue_room.py
@@ -77,7 +77,7 @@
     ) -> Option | None:
         """Return the engine for a request, of those that have room up to a fill limit."""
         requirement = requirement_of(request)
-        # An ejected engine is idle because it fails; full healthy ones do not make it better.
+        # An ejected engine is idle because it fails, so full healthy ones are no reason to use it.
         healthy = [option for option in self.options if not option.is_ejected] or self.options
         fitting = [
             option
@@ -87,7 +87,7 @@
             and option.use.running < self.engine.slots
             and (
                 has_room(option, self.engine, requirement, limit)
-                # A prompt above the limit would block the queue for ever.
+                # A prompt above the limit would otherwise block the queue.
                 or not (option.use.running or option.use.copies)
             )
         ]
--- a/features/steps/engine_queue_steps.py
+++ b/features/steps/engine_queue_steps.py
@@ -22,7 +22,7 @@
 from driftstall.decisions.overload import (
     RESERVATION_GRACE_S,
     OverloadControl,
-    caller_patience_s,
+    caller_max_wait_s,
 )
 from driftstall.decisions.room_forecast import (
     DemandForecast,
@@ -552,7 +552,7 @@
     for at, target_s, workspace in sorted(rows):
         is_short = target_s == SHORT_TARGET_S
         prompt, output = (2200, 8) if is_short else (3000, 752)
-        patience_s = min(LONGEST_WAIT_S, caller_patience_s(target_s, 0.18))
+        max_wait_s = min(LONGEST_WAIT_S, caller_max_wait_s(target_s, 0.18))
         requests.append(
             waiting(
                 f"{workspace}-{at:.6f}-{target_s:g}",
@@ -563,7 +563,7 @@
                 hold_s=expected_hold_s(prompt, output),
                 arrived_at=at,
                 start_by=at + target_s - first_event_s(prompt),
-                gives_up_at=at + patience_s - first_event_s(prompt),
+                gives_up_at=at + max_wait_s - first_event_s(prompt),
             )
         )
     return requests
--- a/features/steps/evacuation_order_steps.py
+++ b/features/steps/evacuation_order_steps.py
@@ -724,9 +724,9 @@
 @then("with {left:g} s left a stream of an instance that let an order time out comes last")
 def doubtful_last(context: Any, left: float) -> None:
     """Compare with a more valuable stream, then choose without an alternative."""
-    doubtful = replace(CANDIDATE, request_id="doubtful", rank=0, is_doubtful=True)
-    assert first_of(left, doubtful) == "usual"
-    assert choose_next([doubtful], left) == doubtful
+    timed_out = replace(CANDIDATE, request_id="timed out", rank=0, has_timed_out=True)
+    assert first_of(left, timed_out) == "usual"
+    assert choose_next([timed_out], left) == timed_out
 
 
 @then("a stream with a replica, without an event, or that ends before its copy would is left out")
