Discard the times of old orders at instances that request none

The time of the last order for each engine was discarded only when the instance requested orders. One whose streams all have replicas requests none, but gets signs, so it kept an entry for each engine that had ever left.

Before: the new scenario failed with 50 entries. After: features/gateway/evacuation_orders.feature, 36 scenarios passed.

--- a/driftstall/gateway/scheduling/copy_performer.py
+++ b/driftstall/gateway/scheduling/copy_performer.py
@@ -16,7 +16,7 @@
 ORDERS_TIMEOUT_S: Final = 0.5
 """Time without orders after which an instance continues alone; the placer repeats them sooner."""
 REQUEST_VALID_S: Final = 10.0
-"""Age at which a request for orders is forgotten; orders for an engine are given no longer."""
+"""Age from which a request or an order is disregarded; orders for an engine end by then."""
 MAX_KEPT_RESULTS: Final = 64
 """Ended copies that an instance remembers to answer a repeated order."""
 
@@ -39,11 +39,8 @@
 
     def record_request(self, upstream_id: str) -> None:
         """Record that the orders for an engine were requested just now."""
-        now = self._state.now()
-        self._requested_at[upstream_id] = now
-        for times in (self._requested_at, self._last_order_at):
-            for key in [key for key, at in times.items() if now - at > REQUEST_VALID_S]:
-                del times[key]
+        self._requested_at[upstream_id] = self._state.now()
+        self._expire()
 
     def waits_for_orders(self, upstream_id: str) -> bool:
         """Return True while orders for an engine are being given, or may still come."""
@@ -59,6 +56,7 @@
         """
         now = self._state.now()
         self._last_order_at[order.upstream_id] = now
+        self._expire()
         self._state.notice_at = max(self._state.notice_at, now)
         if not order.request_id:
             return
@@ -74,6 +72,13 @@
         elif key not in under_way:
             under_way.append(key)
 
+    def _expire(self) -> None:
+        """Discard old times; an instance may receive orders without requesting any."""
+        now = self._state.now()
+        for times in (self._requested_at, self._last_order_at):
+            for key in [key for key, at in times.items() if now - at > REQUEST_VALID_S]:
+                del times[key]
+
     def _perform(self, order: CopyOrdered) -> None:
         """Perform a copy, and report its end to all who ordered it."""
         moved = False
--- a/features/gateway/evacuation_orders.feature
+++ b/features/gateway/evacuation_orders.feature
@@ -245,3 +245,7 @@
     And with 0.1 s left the shortest copy comes first, whatever its value
     And with 1.0 s left a stream of an instance that let an order time out comes last
     And a stream with a replica, without an event, or that ends before its copy would is left out
+
+  # Guards against a record of each engine that has ever left, at an instance that requests no orders.
+  Scenario: an instance forgets the orders for engines that have left long ago
+    Then an instance that receives a sign for another engine each 20 s remembers one of them
--- a/features/steps/evacuation_order_steps.py
+++ b/features/steps/evacuation_order_steps.py
@@ -21,7 +21,11 @@
 from driftstall.gateway.moves import Mover
 from driftstall.gateway.routes import RouteTable
 from driftstall.gateway.runs import Replica, ReplicaRef
-from driftstall.gateway.scheduling.copy_performer import FIRST_ORDER_TIMEOUT_S, ORDERS_TIMEOUT_S
+from driftstall.gateway.scheduling.copy_performer import (
+    FIRST_ORDER_TIMEOUT_S,
+    ORDERS_TIMEOUT_S,
+    CopyPerformer,
+)
 from driftstall.gateway.scheduling.engine_ledger import REPORT_VALID_S, EngineLedger
 from driftstall.gateway.scheduling.evacuation_messages import (
     CopyEnded,
@@ -39,7 +43,11 @@
     RunsReported,
 )
 from driftstall.gateway.scheduling.queue_service import TAKEOVER_S
+from driftstall.gateway.state import GatewayState
+from driftstall.platform.dialect import PlatformDialect
 from driftstall.platform.documents import read_routing
+from driftstall.policy.default import default_policy
+from features.steps.placer_steps import settings_of
 from features.worlds.evacuation_world import HOP_S, LEAVING, EvacuationWorld, Instance, routing
 from features.worlds.gateway_world import document, route, wait_for, world_of
 
@@ -788,3 +796,17 @@
     _, ended = context.to_placer
     assert ended == CopyEnded("instance-1", 7, request_id, moved=True), ended
     assert f"copy-{request_id}" in context.target.copies or context.target.runs(request_id)
+
+
+@then("an instance that receives a sign for another engine each 20 s remembers one of them")
+def forgets_orders(_: Any) -> None:
+    """Count what is kept after signs for 50 engines."""
+    at = 100.0
+    state = GatewayState(settings_of("member"), PlatformDialect(), default_policy())
+    state.now = lambda: at  # type: ignore[method-assign]
+    performer = CopyPerformer(state, send=lambda recipient, message: None)
+    for number in range(50):
+        at += 20.0
+        performer.handle_order(CopyOrdered("placer", 0, "", f"engine-{number}", ""))
+    assert list(performer._last_order_at) == ["engine-49"], performer._last_order_at
+    assert performer.waits_for_orders("engine-49")
