--- a/driftstall/gateway/scheduling/copy_performer.py
+++ b/driftstall/gateway/scheduling/copy_performer.py
@@ -16,7 +16,7 @@
 ORDERS_TIMEOUT_S: Final = 0.5
 """Time without orders after which an instance continues alone; the placer repeats them sooner."""
 REQUEST_VALID_S: Final = 10.0
-"""Age at which a request for orders is forgotten; orders for an engine are given no longer."""
+"""Age from which a request or an order is disregarded; orders for an engine end by then."""
 MAX_KEPT_RESULTS: Final = 64
 """Ended copies that an instance remembers to answer a repeated order."""
 
@@ -30,7 +30,7 @@
         self._own_id = state.settings.instance_id
         self._send = send
         self._requested_at: dict[str, float] = {}
-        self._heard_at: dict[str, float] = {}
+        self._last_order_at: dict[str, float] = {}
         self._under_way: dict[str, list[tuple[str, int]]] = {}
         """Placers and numbers of the orders for each copy that is under way, by request."""
         self._results: dict[tuple[str, int, str], CopyEnded] = {}
@@ -39,15 +39,12 @@
 
     def record_request(self, upstream_id: str) -> None:
         """Record that the orders for an engine were requested just now."""
-        now = self._state.now()
-        self._requested_at[upstream_id] = now
-        for times in (self._requested_at, self._heard_at):
-            for key in [key for key, at in times.items() if now - at > REQUEST_VALID_S]:
-                del times[key]
+        self._requested_at[upstream_id] = self._state.now()
+        self._expire()
 
     def waits_for_orders(self, upstream_id: str) -> bool:
         """Return True while orders for an engine are being given, or may still come."""
-        until = self._heard_at.get(upstream_id, float("-inf")) + ORDERS_TIMEOUT_S
+        until = self._last_order_at.get(upstream_id, float("-inf")) + ORDERS_TIMEOUT_S
         if upstream_id in self._requested_at:
             until = max(until, self._requested_at[upstream_id] + FIRST_ORDER_TIMEOUT_S)
         return self._state.now() < until
@@ -58,7 +55,8 @@
         The order may come before the notice, which pauses periodic copies to keep the link free.
         """
         now = self._state.now()
-        self._heard_at[order.upstream_id] = now
+        self._last_order_at[order.upstream_id] = now
+        self._expire()
         self._state.notice_at = max(self._state.notice_at, now)
         if not order.request_id:
             return
@@ -74,6 +72,13 @@
         elif key not in under_way:
             under_way.append(key)
 
+    def _expire(self) -> None:
+        """Discard old times; an instance may receive orders without requesting any."""
+        now = self._state.now()
+        for times in (self._requested_at, self._last_order_at):
+            for key in [key for key, at in times.items() if now - at > REQUEST_VALID_S]:
+                del times[key]
+
     def _perform(self, order: CopyOrdered) -> None:
         """Perform a copy, and report its end to all who ordered it."""
         moved = False
