Learn the length of an upstream's queue from rejections with a load alone

A rejection without a load, or one that another upstream answered (421), was taken together with the load of an earlier response, up to 0.1 s old: its waiting requests counted as all that the queue holds, and fresh loads then kept calls away for up to 10 s. The limit is now learned where the response's headers are read; the count of requests in progress is without the rejected one for streams too.

Before: the new scenario of uneven_upstreams failed. After: uneven_upstreams, shared_loads, response_signals, upstream_signals, upstream_backoff, calls and admission, 114 scenarios passed.

--- a/driftstall/decisions/upstream_load.py
+++ b/driftstall/decisions/upstream_load.py
@@ -124,10 +124,10 @@
         return (signal.pace >= SLOW_PACE) != was_slow
 
     def record_rejection(self, upstream_id: str, known_running: int, now: float) -> None:
-        """Record that an upstream has rejected a request for lack of capacity.
+        """Record that an upstream has rejected a request, in the response with its newest load.
 
-        If its slots were taken by the load in that response, the number of those that waited is
-        what its queue holds. `known_running` no longer counts the rejected request, which is not
+        If its slots were taken by that load, the number of requests that waited is what its queue
+        holds. `known_running` no longer counts the rejected request, which is not
         in the upstream's figures either.
         """
         record = self._records.get(upstream_id)
--- a/driftstall/gateway/model.py
+++ b/driftstall/gateway/model.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from driftstall.decisions.store_versions import StoreVersion
-from driftstall.decisions.upstream_signals import Signal
+from driftstall.decisions.upstream_signals import LoadSignal, Signal
 
 Header = tuple[bytes, bytes]
 Headers = tuple[Header, ...]
@@ -231,6 +231,11 @@
     forwarded_headers: Headers
     """Headers that are forwarded to the caller."""
 
+    @property
+    def states_load(self) -> bool:
+        """Return True if the response states a load that could be decoded."""
+        return any(isinstance(signal, LoadSignal) for signal in self.signals)
+
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -282,8 +282,14 @@
         exchange = UpstreamExchange.connect(upstream.address, timeout_s)
 
         def observe(head: ResponseHead) -> None:
-            signals = self.dialect.read_response(head.status, head.headers).signals
-            self.signals.handle_response(upstream, signals, exchange.sent_at)
+            metadata = self.dialect.read_response(head.status, head.headers)
+            self.signals.handle_response(upstream, metadata.signals, exchange.sent_at)
+            if metadata.is_not_executed and metadata.states_load:
+                # The rejected request still counts here, but not in the upstream's figures.
+                known_running = max(0, self._known_running(upstream.upstream_id) - 1)
+                self.upstream_loads.record_rejection(
+                    upstream.upstream_id, known_running, self.now()
+                )
 
         exchange.observe = observe
         return exchange
@@ -413,8 +419,6 @@
             # The upstream may be restarting, and is then cold before it can report so.
             self.cold.assume(upstream_id, ASSUMED_COLD_S, self.now())
         now = self.now()
-        if outcome is Outcome.FULL:
-            self.upstream_loads.record_rejection(upstream_id, self._known_running(upstream_id), now)
         pace = self.upstream_loads.pace(upstream_id, now)
         if started_pace is not None:
             pace = mean_pace(started_pace, pace)
--- a/features/gateway/uneven_upstreams.feature
+++ b/features/gateway/uneven_upstreams.feature
@@ -131,6 +131,15 @@
     And 20 calls are asked
     Then the first plain upstream has received some of them
 
+  # Guards against a queue that is taken to be full by a load of an earlier response: a rejection
+  # without a load, or one that came from another upstream (421), tells nothing about it.
+  Scenario: a rejection without a load does not limit an upstream
+    Given the first plain upstream has rejected a call without a load, after reporting "8,4,8"
+    And its ejection is over
+    When its next response reports "8,4,8"
+    And 20 calls are asked
+    Then the first plain upstream has received some of them
+
   # Guards against calls that are sent, or wait beyond their time, while all upstreams are full.
   Scenario: a call that no upstream has a place for is refused
     Given all plain upstreams have rejected a call with "8,4,8"
--- a/features/steps/uneven_upstream_steps.py
+++ b/features/steps/uneven_upstream_steps.py
@@ -323,6 +323,16 @@
     reject(world_of(context), world_of(context).plain[0], load)
 
 
+@given('the first plain upstream has rejected a call without a load, after reporting "{load}"')
+def has_rejected_without_load(context: Any, load: str) -> None:
+    """Let the first plain upstream reject a call just after a response with a load."""
+    world = world_of(context)
+    upstream = world.plain[0]
+    set_load(upstream, load)
+    respond(world, upstream)
+    reject(world, upstream, NOTHING)
+
+
 @given('all plain upstreams have rejected a call with "{load}"')
 def all_have_rejected(context: Any, load: str) -> None:
     """Let each plain upstream reject a call, some seconds ago, and wait for their ejections."""
