Let plain upstreams of the contended soak plan report changing loads

They report two slots and a pace that is 250 for 0.6 s on average in every 4 s, and reject calls beyond a queue of two. A run in which no instance notices a change of pace breaks a promise, as it would show nothing of loads.

--- a/features/parts/soak.feature
+++ b/features/parts/soak.feature
@@ -26,6 +26,7 @@
       | a refused short stream has run                         | said not to have run, but ran            |
       | a short stream has no answer for 4 s                   | no final answer for 4.0 s                |
       | streams should have waited for memory and none has     | no stream has waited for engine memory   |
+      | a pace should have changed and no instance noticed     | no instance has noticed a change of pace |
       | a known route is denied                                | denied though every configuration allows |
       | an upstream has run what nobody asked                  | nobody asked for this                    |
       | an upstream has run another path                       | nobody asked for this                    |
@@ -89,6 +90,11 @@
   Scenario: the configuration of that plan makes its streams queue
     Then streams of the plan "contended" queue and those of the plan "mixed" do not
 
+  Scenario: plain upstreams of that plan report slots and a changing pace
+    Given an upstream of the plan "contended" for plain calls
+    Then it reports its slots, and both a normal and a slow pace
+    And it rejects a call beyond its queue
+
   Scenario: a caller keeps its connections until the process is gone
     Given a caller with open connections to "instance-1" and "instance-2"
     When only "instance-2" is located any more
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -39,7 +39,7 @@
     MAX_FATAL_SENDS,
     find_violations,
 )
-from soak.fleet import UpstreamSlot
+from soak.fleet import LOAD_QUEUE, LOAD_SLOTS, PLAIN_SERVICE, UpstreamSlot
 from soak.ledger import (
     SHORT_EVENTS,
     Arrival,
@@ -262,6 +262,9 @@
     "streams should have waited for memory and none has": lambda c: setattr(
         c.ledger, "queue_waits", 0
     ),
+    "a pace should have changed and no instance noticed": lambda c: setattr(
+        c.ledger, "pace_changes", 0
+    ),
     "a known route is denied": lambda c: setattr(c.once, "status", 404),
     "an upstream has run what nobody asked": lambda c: arrive(c, "x", "u1", "/safe/x", LATER),
     "an upstream has run another path": lambda c: setattr(c.once, "path", "/once/y"),
@@ -445,6 +448,39 @@
     context.raced.races = True
 
 
+@given('an upstream of the plan "{plan}" for plain calls')
+def plain_upstream(context: Any, plan: str) -> None:
+    """Start an upstream of the plain service."""
+    store = RacedStore()
+    slot = UpstreamSlot(1, PLAIN_SERVICE, store, Ledger(EVENTS), random.Random(1), Plan(plan))
+    context.add_cleanup(slot.upstream.stop)
+    context.add_cleanup(slot.proxy.stop)
+    context.loaded = slot.upstream
+
+
+@then("it reports its slots, and both a normal and a slow pace")
+def reports_both_paces(context: Any) -> None:
+    """Send reports until both paces were seen; slow periods begin every 4 s on average."""
+    seen: set[bytes] = set()
+    with gevent.Timeout(30.0):
+        while seen != {b"0,0,2,100", b"0,0,2,250"}:
+            with socket.create_connection(split_address(context.loaded.address)) as connection:
+                connection.sendall(b"GET /api/report HTTP/1.1\r\nHost: a\r\n\r\n")
+                answer = connection.makefile("rb").read()
+            header = answer.partition(b"X-Driftstall-Server-Load: ")[2]
+            seen.add(header.partition(b"\r\n")[0])
+            gevent.sleep(0.05)
+
+
+@then("it rejects a call beyond its queue")
+def rejects_beyond_queue(context: Any) -> None:
+    """Compare the scripts of the last call that fits and of the next one."""
+    rejected = []
+    for context.loaded.in_progress in (LOAD_SLOTS + LOAD_QUEUE - 1, LOAD_SLOTS + LOAD_QUEUE):
+        rejected.append(context.loaded.script_for("/once/x").not_run)
+    assert rejected == [False, True], rejected
+
+
 @when("it leaves")
 def leaves(context: Any) -> None:
     """Give notice."""
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,7 +15,8 @@
                  requests they take) or returning (the store comes back from an older copy) or
                  signalling (upstreams that signal that they leave, or request a back-off) or
                  unseen (engines that leave in series while the store is silent) or
-                 contended (bursts of streams that queue for engine memory)
+                 contended (bursts of streams that queue for engine memory, and plain upstreams
+                 that report few slots and a changing pace)
                  [default: mixed].
 
 Each seed that breaks a promise is printed with its lines and the folder of its logs.
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -79,6 +79,8 @@
         found.append(
             "no stream has waited for engine memory, so the run shows nothing of the queue"
         )
+    if ledger.pace_changes == 0:
+        found.append("no instance has noticed a change of pace, so the run shows nothing of loads")
     for request in ledger.requests.values():
         found += [f"{line}: {_describe(request)}" for line in _check_request(ledger, request, runs)]
     found += list(_check_unsent(ledger))
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -31,6 +31,7 @@
 from stand_ins.routed import ReceivedRequest, RoutedUpstream, Script
 
 ZONES: Final = "abc"
+PLAIN_SERVICE: Final = "portal"
 EVENTS: Final = 25
 EVENT_PAUSE_S: Final = 0.03
 WORK_S: Final = 0.02
@@ -61,6 +62,15 @@
 LAPSE_S: Final = 1.5
 """Time after which the entry of a crashed upstream is deleted."""
 STORE_RETRY_S: Final = 0.1
+LOAD_SLOTS: Final = 2
+LOAD_QUEUE: Final = 2
+"""Calls that run and wait at a plain upstream that reports loads; it rejects further ones. The
+contended plan's callers fill one upstream, but hardly both: with one each (seed 7200), 12 callers
+and the probes overloaded both, and 5 of the last 26 calls were rejected."""
+LOADED_WORK_S: Final = 0.1
+"""Work of a call at such an upstream: longer than others', so that calls overlap."""
+PACES: Final = ((100, 3.4), (250, 0.6))
+"""Pace in percent and mean duration of normal and slow periods, as on shared machines."""
 
 
 FATAL: Final = "/stream/fatal"
@@ -108,9 +118,25 @@
         """Interrupt INTERRUPTED_SHARE of the requests for some seconds."""
         self._interrupts_until = time.monotonic() + for_s
 
+    def report_loads(self) -> None:
+        """Report loads of four figures from now on, with a pace that changes."""
+        self.load_slots = LOAD_SLOTS
+        gevent.spawn(self._vary_pace)
+
+    def _vary_pace(self) -> None:
+        """Alternate normal and slow periods until the upstream stops."""
+        for percent, mean_s in itertools.cycle(PACES):
+            self.pace_percent = percent
+            gevent.sleep(self.source.expovariate(1 / mean_s))
+            if not self._server.started:
+                return
+
     def script_for(self, path: str) -> Script:
         """Return the script of a request that arrives now."""
         script = default_script()
+        if self.load_slots:
+            script.work_s = LOADED_WORK_S
+            script.not_run = self.in_progress >= LOAD_SLOTS + LOAD_QUEUE
         if path.startswith(f"/{RequestKind.SHORT}/"):
             script.events = SHORT_EVENTS
         is_interrupting = time.monotonic() < self._interrupts_until
@@ -144,6 +170,7 @@
         """Start the first upstream; source is the generator for its faults."""
         self._source = source
         self._draining_s = DRAINING_S[plan]
+        self._reports_loads = plan is Plan.CONTENDED and service == PLAIN_SERVICE
         self.place = place
         self.service = service
         self._store = store
@@ -169,6 +196,8 @@
     def _listen(self, name: str) -> None:
         """Start an upstream that listens behind a proxy of its own."""
         self.upstream = RecordingUpstream(name, self._ledger, self._source, self._crash_under)
+        if self._reports_loads:
+            self.upstream.report_loads()
         self.proxy = Proxy(self.upstream.address)
         self._proxies[name] = self.proxy
         for slot in self.all:
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -145,6 +145,8 @@
     """Instances that were not ready at the end."""
     queue_waits: int | None = None
     """Streams that waited for engine memory; None in plans in which no service queues."""
+    pace_changes: int | None = None
+    """Changes of an upstream's pace that instances noticed; None in plans without paces."""
 
     def disturb(self, name: str, begins: float, ends: float) -> None:
         """Record a disturbance of an instance, an upstream or the store."""
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -80,7 +80,7 @@
     """Upstreams that announce a rate limit for a while, with few other faults."""
     CONTENDED = "contended"
     """Bursts of short and long streams that queue for engine memory, while instances are killed and
-    engines leave."""
+    engines leave, beside plain upstreams that report few slots and a changing pace."""
 
 
 class Fault(StrEnum):
--- a/soak/run.py
+++ b/soak/run.py
@@ -28,7 +28,7 @@
 from measures.gateway_process import GatewayProcess
 from soak.caller import CallerConnection, CallerConnections
 from soak.checks import APPLY_S, COLD_RATE, CONTACT_S, CORDON_S, DRAIN_S, find_violations
-from soak.fleet import EVENTS, FATAL, ZONES, UpstreamSlot
+from soak.fleet import EVENTS, FATAL, PLAIN_SERVICE, ZONES, UpstreamSlot
 from soak.ledger import (
     STORE,
     STREAMS,
@@ -83,6 +83,7 @@
 
 
 QUEUED: Final = b"A stream waits for engine memory"
+PACE_CHANGED: Final = b"The pace of upstream"
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,7 +117,7 @@
         address = self._bench.start_platform().address
         self._store = Store(address)
         self._store.create(KIND_CONFIG, NAME_CONFIG, self._document())
-        services = ["portal"] * PORTALS + ["engines"] * ENGINES
+        services = [PLAIN_SERVICE] * PORTALS + ["engines"] * ENGINES
         self._fleet = [
             UpstreamSlot(place, service, self._store, self.ledger, self._source, size.plan)
             for place, service in enumerate(services, start=1)
@@ -528,9 +529,9 @@
     def _record_final_state(self) -> None:
         """Record which processes have exited unexpectedly, or are not ready or not listed."""
         if self._size.plan is Plan.CONTENDED:
-            self.ledger.queue_waits = sum(
-                instance.log.read_bytes().count(QUEUED) for instance in self._instances
-            )
+            logs = b"".join(instance.log.read_bytes() for instance in self._instances)
+            self.ledger.queue_waits = logs.count(QUEUED)
+            self.ledger.pace_changes = logs.count(PACE_CHANGED)
         listed = {entry.name for entry in self._store.list(KIND_INSTANCES).objects}
         for instance in self._instances:
             code = instance.process.poll()
@@ -562,6 +563,6 @@
         prefix = f"/{RequestKind.SHORT}/"
         short = route("short", prefix, "streaming", ENGINE_SERVICE, priority=0, gap_aim_ms=180)
         config["routes"].append(short | {"timeoutMs": timeout_ms})
-    added = route("added", f"/added{version}/", "safe", "portal")
+    added = route("added", f"/added{version}/", "safe", PLAIN_SERVICE)
     config["routes"].append(added | {"timeoutMs": CALL_TIMEOUT_S * 1000})
     return config
