--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -65,8 +65,8 @@
 LOAD_SLOTS: Final = 2
 LOAD_QUEUE: Final = 2
 """Calls that run and wait at a plain upstream that reports loads; it rejects further ones. The
-contended plan's callers fill one upstream, but hardly both: with one each (seed 7200), 12 callers
-and the probes overloaded both, and 5 of the last 26 calls were rejected."""
+contended plan's callers fill one upstream, but hardly both: with one each (seed 7200), 5 of the
+last 26 calls were not served, as a call that both have rejected is refused without a wait."""
 LOADED_WORK_S: Final = 0.1
 """Work of a call at such an upstream: longer than others', so that calls overlap."""
 PACES: Final = ((100, 3.4), (250, 0.6))
