Bound the prompts that wait for their prefill at an engine; merge the soak of uneven upstreams

Cause: when engines become free at once, up to 16,000 prompt tokens were granted to one of them, and short urgent generations waited for their prefill for more than a second.

Change: an engine gets no prompt beyond what it prefills within 0.5 s, unless it prefills nothing.

--- a/driftstall/gateway/scheduling/queue_room.py
+++ b/driftstall/gateway/scheduling/queue_room.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from driftstall.decisions.engine_queue import QueuedRequest
+from driftstall.decisions.generation_times import may_prefill
 from driftstall.decisions.room_forecast import Release
 from driftstall.gateway.loads import Use
 from driftstall.gateway.model import Engine
@@ -85,6 +86,7 @@
             if option.upstream.upstream_id not in request.avoid
             and (only is None or option.upstream.upstream_id in only)
             and option.use.running < self.engine.slots
+            and may_prefill(option.use.prefill, request.prompt_tokens)
             and (
                 has_room(option, self.engine, requirement, limit)
                 # A prompt above the limit would otherwise block the queue.
--- a/features/parts/engine_queue.feature
+++ b/features/parts/engine_queue.feature
@@ -96,6 +96,11 @@
     Given 50 short urgent requests of 2000 tokens and 0.5 s a second for 10 s, beside a long one
     Then after 30 s, on 1000000 tokens long requests may fill 0.98 and urgent ones 1.02
 
+  Scenario: an engine gets no more prompts than it prefills within half a second
+    Load: many engines become free at once, and long prompts would fill their prefill before a short one.
+    Then an engine that has 4000 tokens to prefill may get a prompt of 3000, and not one of 3100
+    And an engine that prefills nothing may get a prompt of 20000
+
   Scenario: starts are forecast from what is released
     Load: requests wait, and runs with known ends hold the memory.
     Given 1000 tokens are free, and 3000 more at 102 s and 3000 more at 105 s
--- a/features/steps/engine_queue_steps.py
+++ b/features/steps/engine_queue_steps.py
@@ -18,7 +18,7 @@
     QueueOrder,
     schedule,
 )
-from driftstall.decisions.generation_times import expected_hold_s, first_event_s
+from driftstall.decisions.generation_times import expected_hold_s, first_event_s, may_prefill
 from driftstall.decisions.overload import (
     RESERVATION_GRACE_S,
     OverloadControl,
@@ -627,3 +627,19 @@
     refused = {request.workspace for request in context.refusals}
     late = {request.workspace for request, at in context.started if at > request.start_by}
     assert refused == late == {"flood"}, (refused, late)
+
+
+@then(
+    "an engine that has {waiting_tokens:d} tokens to prefill may get a prompt of {fitting:d},"
+    " and not one of {larger:d}"
+)
+def bounded_prefill(context: Any, waiting_tokens: int, fitting: int, larger: int) -> None:
+    """Check the bound: beyond it a more urgent prompt could not come first any more."""
+    assert may_prefill(waiting_tokens, fitting)
+    assert not may_prefill(waiting_tokens, larger)
+
+
+@then("an engine that prefills nothing may get a prompt of {tokens:d}")
+def any_prompt(context: Any, tokens: int) -> None:
+    """Check that a prompt above the bound is not blocked for ever."""
+    assert may_prefill(0, tokens)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,7 +15,8 @@
                  requests they take) or returning (the store comes back from an older copy) or
                  signalling (upstreams that signal that they leave, or request a back-off) or
                  unseen (engines that leave in series while the store is silent) or
-                 contended (bursts of streams that queue for engine memory) or following (the
+                 contended (bursts of streams that queue for engine memory, and plain upstreams
+                 that report few slots and a changing pace) or following (the
                  store rejects all instances that follow it; needs 17 instances or more)
                  [default: mixed].
 
