--- a/driftstall/platform/feeds.py
+++ b/driftstall/platform/feeds.py
@@ -12,6 +12,7 @@
 from driftstall.const import PREFIX_CONFIGURATION
 from driftstall.core import Instance
 from driftstall.decisions.store_versions import StoreVersion
+from driftstall.exceptions import HistoryUnavailable
 from driftstall.gateway.cordons import Cordon
 from driftstall.gateway.feeds import Changes, ItemChange, Snapshot
 from driftstall.gateway.model import PolicyText, RoutingText, Upstream
@@ -56,18 +57,26 @@
         self._decode_removed = decode_removed
         self._name = name
         self._stale = stale
+        self._needs_current_list = False
+        """Whether the next list must not be stale: the latest watch found its history discarded."""
         self._logged_reasons: dict[str, str] = {}
         """Logged decoding errors by object name; an invalid object appears in every list."""
 
     def list(self) -> Snapshot[Item]:
         """Return all items of the kind that can be decoded."""
-        listing = self._store.list(self._kind, stale=self._stale)
+        listing = self._store.list(self._kind, stale=self._stale and not self._needs_current_list)
+        self._needs_current_list = False
         items = [self._item(stored) for stored in listing.objects if self._is_selected(stored)]
         return Snapshot(tuple(item for item in items if item is not None), listing.at)
 
     def watch(self, at: StoreVersion, wait_s: float) -> Changes[Item]:
         """Wait up to `wait_s` seconds for changes after a version."""
-        answer = self._store.watch(self._kind, at, wait_s)
+        try:
+            answer = self._store.watch(self._kind, at, wait_s)
+        except HistoryUnavailable:
+            # A stale list may be from before the discarded history as well.
+            self._needs_current_list = True
+            raise
         selected = (event for event in answer.events if self._is_selected(event.changed))
         changes = (self._change(event) for event in selected)
         return Changes(tuple(change for change in changes if change is not None), answer.at)
--- a/features/gateway/parts.feature
+++ b/features/gateway/parts.feature
@@ -129,6 +129,13 @@
     Given a feed whose history is gone
     Then it is listed twice and no outage is told
 
+  Scenario: a list that may be old is not read again where its history is gone
+    An old list and a watch from its version, which the store has forgotten, would follow each other
+    without a pause.
+    Given a store that forgets its history, whose lists on demand are older than that
+    When a feed of policies, which accepts old lists, is followed for 6 calls
+    Then the old list was read once, a new one once, and all later calls are watches
+
   Scenario: an outage is told once, and its end before what it brings
     Given a feed that fails 5 times and answers again
     Then the outage is told once and its end before the next change
--- a/features/steps/gateway_feed_steps.py
+++ b/features/steps/gateway_feed_steps.py
@@ -23,7 +23,7 @@
 from driftstall.gateway.watch_delegation import DelegatedWatchPacing, WatchDelegation
 from driftstall.platform.dialect import PlatformDialect
 from driftstall.platform.documents import read_routing
-from driftstall.platform.feeds import upstream_feed
+from driftstall.platform.feeds import policy_feed, upstream_feed
 from driftstall.platform.settings import read_settings
 from driftstall.platform.store import (
     Listing,
@@ -195,6 +195,51 @@
     assert context.recorder.events == ["listed", "listed"], context.recorder.events
 
 
+class ForgettingStore:
+    """A store whose history begins at its newest version, and whose stale lists are older."""
+
+    def __init__(self) -> None:
+        """Start without calls."""
+        self.calls: list[str] = []
+
+    def list(self, kind: str, *, stale: bool = False) -> Listing:
+        """Return an empty list, as of version 5 if it may be stale."""
+        self.calls.append("stale list" if stale else "list")
+        return Listing((), StoreVersion(5 if stale else 9))
+
+    def watch(self, kind: str, at: StoreVersion, wait_s: float) -> WatchAnswer:
+        """Return no change from the newest version on; the history before is gone."""
+        self.calls.append("watch")
+        if at < StoreVersion(9):
+            raise HistoryUnavailable
+        return WatchAnswer((), at)
+
+
+@given("a store that forgets its history, whose lists on demand are older than that")
+def forgetting_store(context: Any) -> None:
+    """Create the store."""
+    context.store = ForgettingStore()
+
+
+@when("a feed of policies, which accepts old lists, is followed for {calls:d} calls")
+def follows_policies(context: Any, calls: int) -> None:
+    """Follow the feed without pauses."""
+    pace = DelegatedWatchPacing(
+        WatchDelegation(random.Random(1)), FleetRoles, lambda: 0.0, max_watch_s=lambda: 1.6
+    )
+    feed: Any = policy_feed(context.store)
+    follower = Follower(feed, Recorder(), random.Random(1), pace, sleep=lambda _: None)
+    while len(context.store.calls) < calls:
+        follower.step()
+
+
+@then("the old list was read once, a new one once, and all later calls are watches")
+def listed_anew_once(context: Any) -> None:
+    """Check the calls."""
+    expected = ["stale list", "watch", "list", "watch", "watch", "watch"]
+    assert context.store.calls == expected, context.store.calls
+
+
 @given("a feed that fails 5 times and answers again")
 def fails_and_answers(context: Any) -> None:
     """Follow a feed through an outage and its end."""
