Count failed connections to upstreams, and log which of them are unreachable from here

The tracker records the outcome of the latest connection to each upstream, logs each change, and feeds the gauge upstreams_unreachable and the counter connections_failed. No decision uses it yet.

--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -290,6 +290,7 @@
             "routing_version": self._routing.version,
             "instances": self.state.instances.value,
             "upstreams": len(self.state.fleet.upstreams),
+            "upstreams_unreachable": len(self.state.connector.reachability.unreachable),
             "upstreams_with_rate_limit": len(self.state.rate_limiting.limited),
             "upstreams_leaving_by_signal": len(self.state.fleet.leaving_records(self.state.now())),
             "upstreams_in_backoff": len(self.state.backoff.active(self.state.now())),
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -24,6 +24,7 @@
 from driftstall.gateway.dialect import Dialect
 from driftstall.gateway.exchange import OpenExchanges, ResponseHead, UpstreamExchange
 from driftstall.gateway.fleet import FleetController
+from driftstall.gateway.forwarding.connector import UpstreamConnector
 from driftstall.gateway.loads import LoadTable, RequestLoad, Use
 from driftstall.gateway.model import GatewaySettings, Service, Upstream
 from driftstall.gateway.outcomes import Outcome, OutlierDetector
@@ -79,6 +80,7 @@
         self.runs = RunRegistry()
         self.poison_tracker = PoisonTracker()
         self.stats = GatewayStats()
+        self.connector = UpstreamConnector(self.stats, lambda: self.now())
         self.rng = random.Random()
         self.instances = InstanceCount()
         self.rate_limiting = RateLimiter(
@@ -279,7 +281,7 @@
 
         The upstream's signals are handled as its response headers arrive.
         """
-        exchange = UpstreamExchange.connect(upstream.address, timeout_s)
+        exchange = self.connector.open(upstream, timeout_s)
 
         def observe(head: ResponseHead) -> None:
             metadata = self.dialect.read_response(head.status, head.headers)
--- a/driftstall/gateway/stats.py
+++ b/driftstall/gateway/stats.py
@@ -50,6 +50,7 @@
     follow_unanswered: int = 0
     follow_pauses: int = 0
     standby_starts: int = 0
+    connections_failed: int = 0
     registry: Registry = field(default_factory=Registry)
     answer_s: Histogram = field(init=False)
     first_event_s: Histogram = field(init=False)
@@ -115,6 +116,7 @@
     "follow_unanswered": "Requests to follow the store that got no answer in time.",
     "follow_pauses": "Pauses after no instance had accepted to follow the store.",
     "standby_starts": "Times that this collector followed the store in place of silent followers.",
+    "connections_failed": "Connections to upstreams that could not be opened.",
 }
 
 
