Soak: partition instances from all upstreams, and check that their callers are served

Each instance reaches the upstreams through proxies of its own: its store link replaces the host of the addresses in the store by a loopback address of the instance. Connections hang, are reset, or live on while new ones are refused, as seen from outside the processes.

--- a/features/parts/soak.feature
+++ b/features/parts/soak.feature
@@ -39,6 +39,7 @@
       | an added route is denied by a calm instance            | an added route is not known              |
       | a dropped route is served by a calm instance           | a dropped route is still served          |
       | a calm instance gives no answer for 4 s                | no final answer for 4.0 s                |
+      | callers of a partitioned instance are not served       | partitioned instances served 0 of 15     |
       | the last calls were not served                         | of the last                              |
       | a process has ended by itself                          | ended by itself                          |
 
@@ -71,6 +72,22 @@
     When it leaves
     Then the store holds its notice
 
+  Scenario: a partition that hangs establishes no connection until it ends
+    Given a proxy with an open connection
+    When it partitions by "hang"
+    Then nothing passes on the open connection, which is not closed either
+    And a new connection is not established
+    When the partition ends
+    Then a new connection passes everything
+
+  Scenario: a partition that refuses new connections leaves the open ones alone
+    Given a proxy with an open connection
+    When it partitions by "refuse new"
+    Then the open connection passes everything
+    And a new connection is refused
+    When the partition ends
+    Then a new connection passes everything
+
   Scenario: connections that have fallen silent pass nothing on, and new ones do
     Given a proxy with an open connection
     When its open connections fall silent
--- a/features/processes/soak.feature
+++ b/features/processes/soak.feature
@@ -28,3 +28,8 @@
   Scenario: nothing is sent to upstreams that signal that they leave, or that they want no requests
     Given a soak of the plan "signalling", seed 901, with 4 instances and 8 callers for 18 s
     Then it breaks no promise
+
+  # Guards against callers of instances that reach no upstream being served by nobody.
+  Scenario: callers of instances that are partitioned from all upstreams are served
+    Given a soak of the plan "partitioned", seed 301, with 6 instances and 14 callers for 24 s
+    Then it breaks no promise
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -37,6 +37,7 @@
     LIMIT_WINDOW_S,
     MAX_FALSE_REFUSALS,
     MAX_FATAL_SENDS,
+    PARTITIONED_FAILURES,
     find_violations,
 )
 from soak.fleet import LOAD_QUEUE, LOAD_SLOTS, PLAIN_SERVICE, UpstreamSlot
@@ -233,6 +234,16 @@
     context.stream.body, context.stream.complete = body, False
 
 
+def partitioned_callers_unserved(context: Any) -> None:
+    """Record requests that fail at a partitioned instance and are served at another one."""
+    context.ledger.partitioned["instance-2"].append(Window(LATER - CONTACT_S, LATER + 10.0))
+    for index in range(PARTITIONED_FAILURES + 5):
+        good(context.ledger, f"others-{index}", RequestKind.SAFE, LATER + 1.0)
+        failed = good(context.ledger, f"partitioned-{index}", RequestKind.SAFE, LATER + 1.0)
+        failed.instance, failed.status, failed.body = "instance-2", 503, b'{"retry_after_s": 0.4}'
+        context.ledger.arrivals.pop()
+
+
 def last_unserved(context: Any) -> None:
     """Mark the last calls as broken off."""
     for index in range(97, 100):
@@ -277,6 +288,7 @@
     "an added route is denied by a calm instance": lambda c: probe(c, RequestKind.ADDED, 404),
     "a dropped route is served by a calm instance": lambda c: probe(c, RequestKind.DROPPED, 200),
     "a calm instance gives no answer for 4 s": unanswered,
+    "callers of a partitioned instance are not served": partitioned_callers_unserved,
     "the last calls were not served": last_unserved,
     "a process has ended by itself": lambda c: c.ledger.unexpected_exits.append(
         "x ended by itself with 139"
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -66,6 +66,11 @@
 RECOVERED_SHARE: Final = 0.9
 """Share of the requests of the last LAST_S seconds that must be served."""
 LAST_S: Final = 2.0
+PARTITIONED_SHARE: Final = 2 / 3
+"""At partitioned instances, requests must be served at least this often as at the others."""
+PARTITIONED_FAILURES: Final = 10
+PARTITIONED_FAILED_SHARE: Final = 1 / 50
+"""Requests that may fail at partitioned instances in any case: a number and a share of them."""
 MACHINE_SLACK_S: Final = 0.5
 """Added to all bounds in time, as many processes share few cores in a run."""
 CALM_AFTER_S: Final = CONTACT_S + MACHINE_SLACK_S
@@ -95,6 +100,7 @@
     found += list(_check_limits(ledger))
     found += list(_check_fatal_requests(ledger))
     found += list(_check_false_refusals(ledger))
+    found += list(_check_partitioned(ledger))
     found += list(_check_recovery(ledger))
     return found
 
@@ -358,6 +364,42 @@
         yield f"{len(refused)} requests refused that end nothing: {_describe(refused[0])}"
 
 
+def _check_partitioned(ledger: Ledger) -> Iterator[str]:
+    """Check that callers of partitioned instances are served nearly as often as the others.
+
+    A request counts if its instance has been partitioned for CONTACT_S, and another instance that
+    reaches the upstreams was undisturbed.
+    """
+    counts = {True: [0, 0], False: [0, 0]}
+    instances = {request.instance for request in ledger.requests.values()}
+    for request in ledger.requests.values():
+        if request.kind not in (RequestKind.SAFE, RequestKind.ONCE, *STREAMS):
+            continue
+        name, at = request.instance, request.sent_at
+        since = ledger.partitioned_since(name, at)
+        is_settled = since is None or since <= at - CONTACT_S
+        if not is_settled or not ledger.is_undisturbed(name, at - CALM_AFTER_S, request.ended_at):
+            continue
+        partitioned = {each for each in instances if ledger.partitioned_since(each, at) is not None}
+        has_peer = any(
+            ledger.is_undisturbed(each, at - CALM_AFTER_S, request.ended_at)
+            for each in instances - partitioned
+        )
+        if not partitioned or not has_peer:
+            continue
+        count = counts[since is not None]
+        count[0] += request.status == 200 and request.complete
+        count[1] += 1
+    (served, sent), (others_served, others_sent) = counts[True], counts[False]
+    allowed = PARTITIONED_FAILURES + PARTITIONED_FAILED_SHARE * sent
+    share = PARTITIONED_SHARE * others_served / max(1, others_sent)
+    if served < share * sent and sent - served > allowed:
+        yield (
+            f"partitioned instances served {served} of {sent} requests, "
+            f"the others {others_served} of {others_sent}"
+        )
+
+
 def _check_recovery(ledger: Ledger) -> Iterator[str]:
     """Check that at least RECOVERED_SHARE is served once all faults have ended."""
     calls = [
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -26,6 +26,7 @@
     UpstreamPeriod,
     Window,
 )
+from soak.partition import InstanceProxies, Partitions
 from soak.plan import Plan
 from soak.proxy import Proxy
 from stand_ins.routed import ReceivedRequest, RoutedUpstream, Script
@@ -46,6 +47,7 @@
     Plan.UNSEEN: (4.5, 6.5),
     Plan.CONTENDED: (1.5, 3.0),
     Plan.SIGNALLING: (3.0, 10.0),
+    Plan.PARTITIONED: (2.5, 6.0),
 }
 """Range of the time for which a leaving upstream continues to serve: drainMs and a little longer,
 in some plans many seconds. Only an upstream that still serves shows which instances send to it."""
@@ -167,8 +169,13 @@
         ledger: Ledger,
         source: random.Random,
         plan: Plan = Plan.MIXED,
+        partitions: Partitions | None = None,
     ) -> None:
-        """Start the first upstream; source is the generator for its faults."""
+        """Start the first upstream; source is the generator for its faults.
+
+        With partitions, each instance has a link of its own to the upstreams.
+        """
+        self._partitions = partitions
         self._source = source
         self._draining_s = DRAINING_S[plan]
         self._reports_loads = plan is Plan.CONTENDED and service == PLAIN_SERVICE
@@ -183,7 +190,7 @@
         """Specs of the entries that the store should have, by name."""
         self._unlisted: set[str] = set()
         """Names of the entries that the store should not have."""
-        self._proxies: dict[str, Proxy] = {}
+        self._proxies: dict[str, Proxy | InstanceProxies] = {}
         """Proxies of all running upstreams, including leaving ones, by upstream id."""
         self._start_new()
 
@@ -199,10 +206,21 @@
         self.upstream = RecordingUpstream(name, self._ledger, self._source, self._crash_under)
         if self._reports_loads:
             self.upstream.report_loads()
-        self.proxy = Proxy(self.upstream.address)
+        self.proxy: Proxy | InstanceProxies = (
+            InstanceProxies(self.upstream.address, self._partitions)
+            if self._partitions
+            else Proxy(self.upstream.address)
+        )
         self._proxies[name] = self.proxy
+        self.connect_peers()
+
+    def connect_peers(self) -> None:
+        """Tell all upstreams of the service the addresses at which they reach each other."""
+        peers: dict[str, RoutedUpstream] = {
+            address: slot.upstream for slot in self.all for address in slot.proxy.addresses
+        }
         for slot in self.all:
-            slot.upstream.peers = {other.proxy.address: other.upstream for other in self.all}
+            slot.upstream.peers = peers
 
     def break_off(self, for_s: float) -> None:
         """Let all upstreams of the service interrupt some requests for some seconds."""
@@ -321,7 +339,7 @@
         else:
             old.stop()
 
-    def _end(self, old: RecordingUpstream, proxy: Proxy) -> None:
+    def _end(self, old: RecordingUpstream, proxy: Proxy | InstanceProxies) -> None:
         """End an upstream after its draining time, and delete its entry."""
         self._proxies.pop(old.upstream_id, None)
         proxy.stop()
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -139,6 +139,8 @@
     fatal_crashes: list[FatalCrash] = field(default_factory=list)
     disturbed: dict[str, list[Window]] = field(default_factory=lambda: defaultdict(list))
     """Times of disturbances, by name of an instance or an upstream, or STORE."""
+    partitioned: dict[str, list[Window]] = field(default_factory=lambda: defaultdict(list))
+    """Times in which an instance was partitioned from all upstreams, by instance name."""
     unexpected_exits: list[str] = field(default_factory=list)
     """Processes that exited without being stopped by the plan."""
     not_ready: list[str] = field(default_factory=list)
@@ -156,6 +158,14 @@
         """Return True if an instance was never stopped during a span of time."""
         return all(stop.ends < begins or stop.begins > ends for stop in self.stopped[name])
 
+    def partitioned_since(self, name: str, at: float) -> float | None:
+        """Return since when an instance has been partitioned at a time; None if it was not."""
+        since = None
+        for window in sorted(self.partitioned[name], key=lambda window: window.ends, reverse=True):
+            if window.begins <= (at if since is None else since) <= window.ends:
+                since = window.begins
+        return since
+
     def is_undisturbed(self, name: str, begins: float, ends: float) -> bool:
         """Return True if no disturbance of the named part overlaps a span of time."""
         return all(window.ends < begins or window.begins > ends for window in self.disturbed[name])
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -55,6 +55,8 @@
     LIMIT = "upstream names a limit"
     """Its responses announce a rate limit in requests a second, later a lower one."""
     BURST = "callers send many streams at once"
+    PARTITION = "instances are partitioned from all upstreams"
+    """Callers, the store and their peers still reach them."""
 
 
 class Plan(StrEnum):
@@ -84,6 +86,20 @@
     engines leave, beside plain upstreams that report few slots and a changing pace."""
     FOLLOWING = "following"
     """Rejections of all instances that follow the store, with few other faults; a large fleet."""
+    PARTITIONED = "partitioned"
+    """Instances, often most of them, that are partitioned from all upstreams, while instances are
+    killed and stopped and upstreams leave."""
+
+
+class PartitionFault(StrEnum):
+    """Faults of the links between an instance and all upstreams."""
+
+    HANG = "hang"
+    """Open connections fall silent, and new ones are not established."""
+    RESET = "reset"
+    """Open connections are reset, and new ones are refused."""
+    REFUSE_NEW = "refuse new"
+    """Open connections go on; new ones are refused."""
 
 
 class Fault(StrEnum):
@@ -108,6 +124,9 @@
     """Index of the instance or upstream, for kinds that have one."""
     for_s: float
     fault: Fault = Fault.DELAY
+    targets: tuple[int, ...] = ()
+    """Indices of the partitioned instances."""
+    partition_fault: PartitionFault = PartitionFault.HANG
 
 
 WEIGHTS: Final[dict[Kind, float]] = {
@@ -232,7 +251,18 @@
     Kind.STORE_LINK: 0.5,
     Kind.STORE_SLOW: 0.5,
 }
+PARTITIONED_WEIGHTS: Final[dict[Kind, float]] = {
+    Kind.PARTITION: 3.0,
+    Kind.KILL: 1.0,
+    Kind.STOP: 0.5,
+    Kind.PAUSE: 0.5,
+    Kind.LEAVE: 1.0,
+    Kind.CRASH: 1.0,
+    Kind.REMOVE: 0.5,
+    Kind.CONFIGURE: 1.0,
+}
 PLAN_WEIGHTS: Final = {
+    Plan.PARTITIONED: PARTITIONED_WEIGHTS,
     Plan.RETURNING: RETURNING_WEIGHTS,
     Plan.UNSEEN: UNSEEN_WEIGHTS,
     Plan.CONTENDED: CONTENDED_WEIGHTS,
@@ -250,6 +280,8 @@
 
 REJECT_FOLLOWERS_FOR_S: Final = (2.0, 6.0)
 """Duration of the rejection: longer than the bound within which a change must be in force."""
+PARTITION_FOR_S: Final = (5.0, 10.0)
+"""Duration of a partition: longer than the bound within which its callers must be served."""
 UNSEEN_FOR_S: Final = (6.0, 9.0)
 """Duration of the store's silence while engines leave: longer than the bound within which all
 instances must know of it."""
@@ -258,6 +290,7 @@
     Kind.CORDON: CORDON_FOR_S,
     Kind.LIMIT: LIMIT_FOR_S,
     Kind.LEAVE_UNSEEN: UNSEEN_FOR_S,
+    Kind.PARTITION: PARTITION_FOR_S,
     Kind.REJECT_FOLLOWERS: REJECT_FOLLOWERS_FOR_S,
 }
 
@@ -329,4 +362,8 @@
     target = pick(upstreams if has_upstream_target else instances)
     duration_s = DURATIONS_S.get(kind, (0.2, 3.0))
     for_s = min(source.uniform(*duration_s), max(0.1, last - at))
+    if kind is Kind.PARTITION:
+        targets = source.sample(range(instances), source.randint(1, instances - 1))
+        fault = source.choice(list(PartitionFault))
+        return Step(at, kind, target, for_s, targets=tuple(targets), partition_fault=fault)
     return Step(at, kind, target, for_s, source.choice(list(Fault)))
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -8,7 +8,7 @@
 from gevent import socket
 from gevent.server import StreamServer
 
-from soak.plan import Fault
+from soak.plan import Fault, PartitionFault
 
 DELAY_S: Final = 0.15
 RESET: Final = b"\x01\x00\x00\x00\x00\x00\x00\x00"
@@ -16,25 +16,78 @@
 PIECE_BYTES: Final = 65_536
 CHECK_S: Final = 0.02
 CONNECT_S: Final = 2.0
+FILL_TIMEOUT_S: Final = 0.05
+"""Time after which a connection counts as not established: the queue of the listener is full."""
 
 
 class Proxy:
     """Proxy between a process and one address that it connects to."""
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, listen: tuple[str, int] = ("127.0.0.1", 0)) -> None:
         """Start to listen; target is the address to forward to."""
         self.target = target
+        self._blocked: list[socket.socket] = []
+        """While new connections hang: a listener that accepts none, and those that fill it."""
+        self._is_stopped = False
         self._fault: Fault | None = None
         self._open: set[socket.socket] = set()
         self._silent: set[socket.socket] = set()
         """Connections that are kept open but no longer forward data."""
-        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server = StreamServer(listen, self._serve)
         self._server.start()
+        self._listen: tuple[str, int] = (listen[0], self._server.server_port)
 
     @property
     def address(self) -> str:
         """Return the address that the proxy listens on."""
-        return f"127.0.0.1:{self._server.server_port}"
+        return f"{self._listen[0]}:{self._listen[1]}"
+
+    @property
+    def addresses(self) -> tuple[str, ...]:
+        """Return all addresses at which the target is reached through this proxy."""
+        return (self.address,)
+
+    @property
+    def port(self) -> int:
+        """Return the port that the proxy listens on."""
+        return self._listen[1]
+
+    def partition(self, fault: PartitionFault) -> None:
+        """Cut the links to the target until heal is called."""
+        self._server.close()
+        if fault is PartitionFault.RESET:
+            self.reset_all()
+        if fault is PartitionFault.HANG:
+            self.silence_open()
+            self._block()
+
+    def heal(self) -> None:
+        """End a partition; silent connections are reset."""
+        for connection in self._blocked:
+            connection.close()
+        self._blocked.clear()
+        for connection in list(self._silent):
+            _reset(connection)
+        if self._is_stopped or self._server.started:
+            return
+        self._server = StreamServer(self._listen, self._serve)
+        self._server.start()
+
+    def _block(self) -> None:
+        """Listen without accepting, and fill the queue so that no connection is established."""
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(self._listen)
+        listener.listen(0)
+        self._blocked = [listener]
+        while True:
+            filler = socket.socket()
+            filler.settimeout(FILL_TIMEOUT_S)
+            self._blocked.append(filler)
+            try:
+                filler.connect(self._listen)
+            except TimeoutError:
+                return
 
     def inject(self, fault: Fault) -> None:
         """Start a fault; a reset also closes the open connections."""
@@ -64,7 +117,11 @@
 
     def stop(self) -> None:
         """Stop listening and reset all open connections."""
+        self._is_stopped = True
         self._server.stop(timeout=0)
+        for connection in self._blocked:
+            connection.close()
+        self._blocked.clear()
         self.reset_all()
 
     def _serve(self, client: socket.socket, _: tuple[str, int]) -> None:
@@ -99,13 +156,17 @@
                 while self._fault in (cut, Fault.SILENT):
                     gevent.sleep(CHECK_S)
                 if source not in self._silent:
-                    sink.sendall(data)
+                    sink.sendall(self._translate(data, cut))
             if source not in self._silent:
                 sink.shutdown(socket.SHUT_WR)
         except OSError:
             # One end has closed its connection, so the other one is reset.
             _reset(sink)
 
+    def _translate(self, data: bytes, direction: Fault) -> bytes:
+        """Return the bytes to forward; the direction is named by the fault that cuts it."""
+        return data
+
 
 def _reset(connection: socket.socket) -> None:
     """Close a connection with a reset."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -46,6 +46,7 @@
     UpstreamPeriod,
     Window,
 )
+from soak.partition import InstanceProxies, InstanceStoreLink, Partitions
 from soak.plan import Fault, Kind, Plan, Step, draw_steps
 from soak.proxy import Proxy
 
@@ -125,15 +126,21 @@
         address = self._bench.start_platform().address
         self._store = Store(address)
         self._store.create(KIND_CONFIG, NAME_CONFIG, self._document())
+        self._partitions = Partitions(size.instances) if size.plan is Plan.PARTITIONED else None
         services = [PLAIN_SERVICE] * PORTALS + ["engines"] * ENGINES
         self._fleet = [
-            UpstreamSlot(place, service, self._store, self.ledger, self._source, size.plan)
+            UpstreamSlot(
+                place, service, self._store, self.ledger, self._source, size.plan, self._partitions
+            )
             for place, service in enumerate(services, start=1)
         ]
         for slot in self._fleet:
             slot.all = [other for other in self._fleet if other.service == slot.service]
-            slot.upstream.peers = {other.proxy.address: other.upstream for other in slot.all}
-        self._links = [Proxy(address) for _ in range(size.instances)]
+            slot.connect_peers()
+        self._links = [
+            InstanceStoreLink(address, place) if self._partitions else Proxy(address)
+            for place in range(size.instances)
+        ]
         self._instances = [self._start(number) for number in range(1, size.instances + 1)]
 
     def close(self) -> None:
@@ -233,6 +240,7 @@
             ),
             Kind.REJECT: lambda step: self._spawn(self._fleet[step.target].reject, step.for_s),
             Kind.REJECT_ALL: self._reject_all,
+            Kind.PARTITION: lambda step: self._spawn(self._partition, step),
             Kind.BURST: lambda step: self._spawn(self._burst, step),
             Kind.REJECT_FOLLOWERS: lambda step: self._spawn(self._reject_followers, step),
             Kind.SILENCE: lambda _: self._silence(range(len(self._instances))),
@@ -240,6 +248,17 @@
         }
         handlers[step.kind](step)
 
+    def _partition(self, step: Step) -> None:
+        """Partition instances from all upstreams for the duration of a step."""
+        assert self._partitions is not None
+        names = [self._instances[target].name for target in step.targets]
+        began = time.monotonic()
+        self._partitions.begin(step.targets, step.partition_fault)
+        gevent.sleep(step.for_s)
+        for name in names:
+            self.ledger.partitioned[name].append(Window(began, time.monotonic()))
+        self._partitions.end(step.targets, step.partition_fault)
+
     def _reject_all(self, step: Step) -> None:
         """Let all upstreams of a service reject requests."""
         for slot in self._fleet[step.target].all:
@@ -340,7 +359,7 @@
         self._inject_into_proxy(slot.proxy, step)
 
     @staticmethod
-    def _inject_into_proxy(proxy: Proxy, step: Step) -> None:
+    def _inject_into_proxy(proxy: Proxy | InstanceProxies, step: Step) -> None:
         """Inject a fault into a proxy for the duration of a step."""
         proxy.inject(step.fault)
         gevent.spawn_later(step.for_s, proxy.end_fault)
@@ -462,7 +481,9 @@
                 kind = source.choice(
                     (RequestKind.SAFE, RequestKind.ONCE, RequestKind.ONCE, RequestKind.STREAM)
                 )
-                instance, connection = source.choice(located), connections.to("")
+                # Callers that keep an address longer still use partitioned instances.
+                candidates = self._instances if self._partitions else located
+                instance, connection = source.choice(candidates), connections.to("")
             request = self._send(connection, instance, kind, f"/{kind}/x")
             gevent.sleep(source.uniform(0.0, 0.2) + (request.status != 200) * RETRY_DELAY_S)
         connections.close()
