Serve callers of instances that are partitioned from upstreams through tunnels of peers

Callers of partitioned instances got 503 after up to three connections that timed out, or at once where they were refused, while other instances reached idle upstreams.

Cause: reachability was taken for a property of the upstream. It is one of a pair (instance, upstream); there was no way from one instance to an upstream through another, and no instance knew that it was partitioned.

After a failed connection, control connections to other upstreams tell a partition from a crash; the instance reports the services that it can't reach, and its connections go through a peer that reaches them. It still decides everything itself, so one record of a request's sends holds.

--- a/driftstall/exceptions.py
+++ b/driftstall/exceptions.py
@@ -46,6 +46,14 @@
         self.refused = refused
 
 
+class NoPeerError(UpstreamError):
+    """Raised when no peer can open a connection to an upstream in place of this instance."""
+
+    def __init__(self, detail: str) -> None:
+        """Initialize the error; nothing was sent."""
+        super().__init__(detail, sent=False)
+
+
 class PlatformUnavailable(DriftstallError):
     """Raised when the platform did not answer; a write may have taken effect."""
 
--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -26,6 +26,7 @@
 from driftstall.gateway.backoff_refusal import backoff_refusal
 from driftstall.gateway.crash_refusal import crash_refusal
 from driftstall.gateway.exchange import BodyChunk, ResponseEnd, ResponseHead, UpstreamExchange
+from driftstall.gateway.forwarding.connector import CONNECT_TIMEOUT_S
 from driftstall.gateway.ingress import CallerRequest
 from driftstall.gateway.loads import RequestLoad
 from driftstall.gateway.model import Headers, Repeat, SendMetadata, Upstream
@@ -35,8 +36,6 @@
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import log_event
 
-CONNECT_TIMEOUT_S: Final = 0.35
-"""Connecting takes milliseconds; TCP resends a lost SYN packet only after a second."""
 MAX_SENDS: Final = 4
 """Maximum sends of one request, including those to upstreams that did not run it."""
 FULL_RETRY_S: Final = 0.4
@@ -259,7 +258,7 @@
         self._state.notify_call_load_changed()
         try:
             timeout_s = min(CONNECT_TIMEOUT_S, max(0.001, self._remaining_s()))
-            exchange = self._state.connect(upstream, timeout_s)
+            exchange = self._state.connect(upstream, timeout_s, request_id)
         except UpstreamError as error:
             self._state.loads.remove_load(request_id)
             return SendFailure(Outcome.UNREACHABLE, SendOutcome.UNSENT, str(error))
--- a/driftstall/gateway/dialect.py
+++ b/driftstall/gateway/dialect.py
@@ -8,6 +8,7 @@
 
 from driftstall.decisions.upstream_probes import ReportedState
 from driftstall.decisions.upstream_signals import Signal
+from driftstall.gateway.exchange import Connection
 from driftstall.gateway.model import (
     CallerMetadata,
     Headers,
@@ -16,6 +17,7 @@
     SendMetadata,
     Upstream,
 )
+from driftstall.util.http import CONNECT_TIMEOUT_S, connect
 
 
 class BadHeaders(ValueError):
@@ -49,6 +51,14 @@
 SignalObserver = Callable[[Upstream, tuple[Signal, ...], float], None]
 """Called with an upstream, the signals of a response, and the time its request was sent."""
 
+ConnectUpstream = Callable[[Upstream], Connection]
+"""Opens a connection to an upstream; raises UpstreamError if that is not possible."""
+
+
+def connect_directly(upstream: Upstream) -> Connection:
+    """Open a connection without a peer; the default."""
+    return connect(upstream.address, CONNECT_TIMEOUT_S)
+
 
 def ignore_signals(_: Upstream, __: tuple[Signal, ...], ___: float) -> None:
     """Ignore signals; the default observer."""
@@ -59,6 +69,10 @@
 
     on_signals: SignalObserver
     """Called with the signals in the engines' responses to the calls below."""
+    connect: ConnectUpstream
+    """Opens the connections of these calls."""
+    connect_to_probe: ConnectUpstream
+    """Opens the connection of a probe."""
 
     def read_request(self, raw_headers: Headers) -> CallerMetadata:
         """Decode a caller's headers, or raise BadHeaders."""
--- a/driftstall/gateway/exchange.py
+++ b/driftstall/gateway/exchange.py
@@ -10,17 +10,15 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
-from typing import Any, Final
+from typing import Any, Final, Protocol
 from weakref import WeakSet
 
 import httptools
-from gevent import select, socket
+from gevent import select
 
 from driftstall.exceptions import UpstreamError
 from driftstall.gateway.model import Header, Headers
 from driftstall.util import clock
-from driftstall.util.addresses import split_address
-from driftstall.util.http import configure_socket
 
 RECEIVE_BYTES: Final = 65_536
 SEND_PIECE_BYTES: Final = 16_384
@@ -94,10 +92,32 @@
         self._in_body = False
 
 
+class Connection(Protocol):
+    """An open connection to an upstream: a socket, or a tunnel through a peer."""
+
+    def fileno(self) -> int:
+        """Return the file descriptor, to wait until the connection can be read or written."""
+
+    def settimeout(self, timeout_s: float | None) -> None:
+        """Set the timeout of the following calls."""
+
+    def sendall(self, data: bytes) -> None:
+        """Send all bytes."""
+
+    def send(self, data: memoryview) -> int:
+        """Send some bytes; return their number."""
+
+    def recv(self, size: int) -> bytes:
+        """Receive some bytes; empty at the end of the connection."""
+
+    def close(self) -> None:
+        """Close the connection."""
+
+
 class UpstreamExchange:
     """One request to an upstream; reading raises UpstreamError if the connection breaks."""
 
-    def __init__(self, connection: socket.socket) -> None:
+    def __init__(self, connection: Connection) -> None:
         """Initialize with the open connection."""
         self._connection = connection
         self._builder = _ResponseBuilder()
@@ -115,17 +135,6 @@
         """Return True if the response is framed; otherwise it ends with its connection."""
         return self._is_framed
 
-    @classmethod
-    def connect(cls, address: str, timeout_s: float) -> UpstreamExchange:
-        """Open a connection; raise UpstreamError if it cannot be established in time."""
-        try:
-            connection = socket.create_connection(split_address(address), timeout_s)
-            configure_socket(connection)
-            return cls(connection)
-        except OSError as error:
-            detail = f"no connection to {address}: {type(error).__name__}"
-            raise UpstreamError(detail, sent=False) from error
-
     def send(
         self, method: bytes, target: bytes, headers: Headers, body: bytes, timeout_s: float
     ) -> None:
--- a/driftstall/gateway/forwarding/connector.py
+++ b/driftstall/gateway/forwarding/connector.py
@@ -1,48 +1,135 @@
-"""Open exchanges with upstreams, and record which upstreams this instance reaches."""
+"""Open connections to upstreams: directly, or through a peer while none is reachable from here."""
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
+from typing import Final
+
+from gevent import socket
 
 from driftstall.const import PREFIX_ROUTING
-from driftstall.decisions.reachability import ReachabilityTracker
-from driftstall.exceptions import UpstreamError
-from driftstall.gateway.exchange import UpstreamExchange
+from driftstall.decisions.reachability import ReachabilityTracker, ServiceReach
+from driftstall.exceptions import NoPeerError, UpstreamError
+from driftstall.gateway.exchange import Connection
+from driftstall.gateway.forwarding.partition_detector import PartitionDetector
 from driftstall.gateway.model import Upstream
 from driftstall.gateway.stats import GatewayStats
 from driftstall.helpers.log import log_event
+from driftstall.peers.tunnel_messages import TunnelOutcome
+from driftstall.util import http
+
+CONNECT_TIMEOUT_S: Final = 0.35
+"""Connecting takes milliseconds; TCP resends a lost SYN packet only after a second."""
+
+OpenTunnel = Callable[[Upstream, str], Connection]
+"""Opens a tunnel to an upstream for a request id; raises UpstreamError."""
 
 
 class UpstreamConnector:
-    """Open connections to upstreams."""
+    """Open connections to upstreams, and record which of them are reachable from here."""
 
-    def __init__(self, stats: GatewayStats, now: Callable[[], float]) -> None:
-        """Initialize with the counters and the monotonic clock."""
-        self.reachability = ReachabilityTracker()
+    def __init__(
+        self,
+        stats: GatewayStats,
+        now: Callable[[], float],
+        *,
+        upstreams: Callable[[], tuple[Upstream, ...]],
+        source: random.Random,
+    ) -> None:
+        """Initialize with the counters, the clock, the known upstreams and a random source."""
         self._stats = stats
         self._now = now
+        self.reachability = ReachabilityTracker()
+        self.detector = PartitionDetector(
+            self.reachability,
+            now,
+            upstreams=upstreams,
+            connect=self._try_directly,
+            source=source,
+        )
+        self.dial: Callable[[str, float], socket.socket] = http.connect
+        self.open_tunnel: OpenTunnel = _refuse_tunnel
+
+    def connect(
+        self, upstream: Upstream, timeout_s: float = CONNECT_TIMEOUT_S, request_id: str = ""
+    ) -> Connection:
+        """Open a connection to an upstream; raise UpstreamError if that is not possible.
+
+        The error has `refused` set only if that shows that the upstream has ended.
+        """
+        if self.reachability.is_unreachable(upstream.service):
+            return self.open_tunnel(upstream, request_id)
+        return self._connect_or_tunnel(upstream, timeout_s, request_id)
+
+    def connect_to_probe(self, upstream: Upstream) -> Connection:
+        """Open a connection to find out whether an upstream has ended, directly if possible."""
+        return self._connect_or_tunnel(upstream, CONNECT_TIMEOUT_S, "")
+
+    def _connect_or_tunnel(
+        self, upstream: Upstream, timeout_s: float, request_id: str
+    ) -> Connection:
+        """Open a direct connection, or a tunnel if the service is found to be unreachable."""
+        started_at = self._now()
+        try:
+            return self.connect_directly(upstream, timeout_s)
+        except UpstreamError as error:
+            reach = self.detector.check(upstream, started_at)
+            if reach is ServiceReach.REACHABLE:
+                raise
+            try:
+                return self.open_tunnel(upstream, request_id)
+            except NoPeerError as no_peer:
+                # Without a second opinion, an upstream has ended if others can be reached.
+                is_ended = error.refused and reach is not ServiceReach.PARTITIONED
+                raise UpstreamError(str(no_peer), sent=False, refused=is_ended) from no_peer
+
+    def find_outcome(self, upstream: Upstream, timeout_s: float) -> socket.socket | TunnelOutcome:
+        """Connect directly for a peer; return the connection, or what the failure shows."""
+        if self.reachability.is_unreachable(upstream.service):
+            return TunnelOutcome.UNREACHABLE
+        started_at = self._now()
+        try:
+            return self.connect_directly(upstream, timeout_s)
+        except UpstreamError as error:
+            if error.refused and (
+                self.detector.check(upstream, started_at) is not ServiceReach.PARTITIONED
+            ):
+                return TunnelOutcome.REFUSED
+            return TunnelOutcome.UNREACHABLE
 
-    def open(self, upstream: Upstream, timeout_s: float) -> UpstreamExchange:
-        """Open an exchange with an upstream; raise UpstreamError if it can't be opened."""
+    def connect_directly(self, upstream: Upstream, timeout_s: float) -> socket.socket:
+        """Open a connection without a peer, and record whether that was possible."""
         try:
-            exchange = UpstreamExchange.connect(upstream.address, timeout_s)
+            connection = self.dial(upstream.address, timeout_s)
         except UpstreamError as error:
             self._record_failure(upstream, error)
             raise
         self._record_success(upstream)
-        return exchange
+        return connection
+
+    def _try_directly(self, upstream: Upstream) -> bool:
+        """Return True if a connection can be opened, which is closed at once."""
+        try:
+            self.connect_directly(upstream, CONNECT_TIMEOUT_S).close()
+        except UpstreamError:
+            return False
+        return True
 
     def _record_success(self, upstream: Upstream) -> None:
         """Record an opened connection."""
         upstream_id = upstream.upstream_id
+        was_partitioned = self.reachability.is_unreachable(upstream.service)
         if self.reachability.record_success(upstream_id, upstream.service, self._now()):
             log_event(PREFIX_ROUTING, f"Upstream {upstream_id} is reachable again from here")
+        if was_partitioned:
+            self.detector.handle_reachable(upstream.service)
 
     def _record_failure(self, upstream: Upstream, error: UpstreamError) -> None:
         """Record a connection that could not be opened."""
         self._stats.connections_failed += 1
         upstream_id = upstream.upstream_id
-        if self.reachability.record_failure(upstream_id, upstream.service, self._now()):
+        if self.reachability.record_failure(upstream_id, upstream.service):
             log_event(
                 PREFIX_ROUTING,
                 f"Upstream {upstream_id} is unreachable from here",
@@ -50,3 +137,8 @@
                 cause=str(error),
                 unreachable=len(self.reachability.unreachable),
             )
+
+
+def _refuse_tunnel(upstream: Upstream, _: str) -> Connection:
+    """Raise an error: no peers are connected."""
+    raise NoPeerError(f"no connection to {upstream.address}, and there are no peers")
--- a/driftstall/gateway/loads.py
+++ b/driftstall/gateway/loads.py
@@ -143,6 +143,11 @@
             _add_all(totals, sums.uses)
         return totals
 
+    def running_at(self, peer: str) -> int:
+        """Return the requests that a peer has reported to have in progress; 0 if it has not."""
+        sums = self._peers.get(peer)
+        return sum(use.running for use in sums.uses.values()) if sums is not None else 0
+
     def exposed_at_peers(self, upstream_id: str, now: float) -> dict[str, int]:
         """Return the exposed tokens of each peer's streams on an upstream, by peer."""
         exposed_tokens: dict[str, int] = {}
--- a/driftstall/gateway/member_messenger.py
+++ b/driftstall/gateway/member_messenger.py
@@ -38,6 +38,11 @@
             lambda _, message: receive(message),
         )
 
+    @property
+    def links(self) -> PeerLinks:
+        """Return the links to the other instances."""
+        return self._links
+
     @property
     def live(self) -> tuple[Instance, ...]:
         """Return the live instances by the member list."""
--- a/driftstall/gateway/reports.py
+++ b/driftstall/gateway/reports.py
@@ -19,6 +19,7 @@
 from driftstall.decisions.store_versions import StoreVersion
 from driftstall.decisions.upstream_load import LoadSource
 from driftstall.gateway.collectors import FleetRoles, OwnReportHistory, sum_by_service
+from driftstall.gateway.forwarding.partition_records import instances_without, records_of
 from driftstall.gateway.loads import FLEET_KEY, POOLED_PREFIX
 from driftstall.gateway.shared_budget import RepeatCount
 from driftstall.gateway.state import GatewayState
@@ -27,6 +28,7 @@
     FleetSummary,
     GatewayMessage,
     GatewayReport,
+    PartitionRecord,
     ReportAck,
     ZoneSummary,
 )
@@ -148,6 +150,22 @@
             ready |= {name for zone in self._fresh_zones() for name in zone.ready}
         return ready
 
+    @property
+    def partitioned_instances(self) -> set[str]:
+        """Return the instances that can't reach some service."""
+        return {record.instance_id for record in self._known_partitions()}
+
+    def instances_without(self, service: str) -> set[str]:
+        """Return the instances that can't reach a service."""
+        return instances_without(self._known_partitions(), service)
+
+    def _known_partitions(self) -> tuple[PartitionRecord, ...]:
+        """Return which services instances can't reach, as far as this instance knows."""
+        roles = self._roles()
+        if roles.is_large and not roles.is_collector:
+            return self._summary.partitions if self._summary else ()
+        return self._partitions()
+
     def report_now(self) -> None:
         """Send a report at once, to all instances or to the zone's collectors."""
         self._reported_at = self._state.now()
@@ -173,6 +191,7 @@
             platform_age_ms=(
                 max(1, _milliseconds(platform_status.platform_age_s)) if self._follows() else 0
             ),
+            unreachable_services=self._state.connector.reachability.unreachable_services,
         )
         roles = self._roles()
         self._broadcast(roles.own_collectors if roles.is_large else self._live(), report)
@@ -273,6 +292,7 @@
             upstream_loads=self._state.upstream_loads.reported(
                 self._state.now(), LoadSource.REPORT
             ),
+            partitions=self._zone_partitions(fresh),
         )
 
     def _fleet_summary(self) -> FleetSummary:
@@ -300,7 +320,21 @@
             upstream_loads=self._state.upstream_loads.reported(
                 self._state.now(), LoadSource.SUMMARY
             ),
+            partitions=self._partitions(),
+        )
+
+    def _zone_partitions(self, fresh: Iterable[_ReceivedReport]) -> tuple[PartitionRecord, ...]:
+        """Return which services this instance and others of its zone can't reach."""
+        own = PartitionRecord(
+            self._own.instance_id, self._state.connector.reachability.unreachable_services
         )
+        records = records_of(received.report for received in fresh)
+        return (*records, own) if own.services else records
+
+    def _partitions(self) -> tuple[PartitionRecord, ...]:
+        """Return which services instances can't reach, as far as they report to this one."""
+        zones = [record for zone in self._fresh_zones() for record in zone.partitions]
+        return (*self._zone_partitions(self._fresh_reports()), *zones)
 
     def _min_platform_age_s(self, platform_status: PlatformStatus) -> float:
         """Return how long ago the platform last answered any instance that follows it."""
--- a/driftstall/gateway/sending.py
+++ b/driftstall/gateway/sending.py
@@ -8,8 +8,8 @@
 from driftstall.decisions.sends import SendHistory, SendOutcome
 from driftstall.exceptions import UpstreamError
 from driftstall.gateway.admission import AdmittedRequest
-from driftstall.gateway.calls import CONNECT_TIMEOUT_S
 from driftstall.gateway.exchange import ResponseHead, UpstreamExchange
+from driftstall.gateway.forwarding.connector import CONNECT_TIMEOUT_S
 from driftstall.gateway.ingress import CallerRequest
 from driftstall.gateway.model import ResponseMetadata, SendMetadata, Upstream
 from driftstall.gateway.runs import StreamRun
@@ -72,7 +72,7 @@
         )
         try:
             timeout_s = min(CONNECT_TIMEOUT_S, max(0.001, self._remaining_s()))
-            run.exchange = self._state.connect(run.upstream, timeout_s)
+            run.exchange = self._state.connect(run.upstream, timeout_s, run.request_id)
             if self._is_caller_disconnected():
                 return UpstreamError("the caller has left", sent=False)
             if not self._may_send(run.upstream, copy_of):
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -80,8 +80,16 @@
         self.runs = RunRegistry()
         self.poison_tracker = PoisonTracker()
         self.stats = GatewayStats()
-        self.connector = UpstreamConnector(self.stats, lambda: self.now())
         self.rng = random.Random()
+        self.connector = UpstreamConnector(
+            self.stats,
+            lambda: self.now(),
+            upstreams=lambda: self.fleet.accepting,
+            source=self.rng,
+        )
+        self.connector.detector.on_changed = self._handle_reachability_changed
+        dialect.connect = self.connector.connect
+        dialect.connect_to_probe = self.connector.connect_to_probe
         self.instances = InstanceCount()
         self.rate_limiting = RateLimiter(
             self.stats,
@@ -126,6 +134,8 @@
         """Called with a run that broke off although its upstream had not announced to leave."""
         self.on_poison_evidence_changed: Callable[[], None] = _do_nothing
         """Called when the evidence of which requests were running during crashes has changed."""
+        self.on_reachability_changed: Callable[[], None] = _do_nothing
+        """Called when a service has become unreachable from here, or reachable again."""
         self.on_store_era: Callable[[int], None] = _ignore_era
         """Called with the era of the platform's store that a peer reports."""
         self.on_quarantine_cleared: Callable[[str], None] = _ignore_fingerprint
@@ -276,12 +286,14 @@
         """Record the loads of upstreams that a peer reports."""
         self.upstream_loads.record_peer(loads, source, self._known_running, self.now())
 
-    def connect(self, upstream: Upstream, timeout_s: float) -> UpstreamExchange:
-        """Open a connection to an upstream; raise UpstreamError if it can't be opened.
+    def connect(
+        self, upstream: Upstream, timeout_s: float, request_id: str = ""
+    ) -> UpstreamExchange:
+        """Open an exchange with an upstream; raise UpstreamError if it can't be opened.
 
         The upstream's signals are handled as its response headers arrive.
         """
-        exchange = self.connector.open(upstream, timeout_s)
+        exchange = UpstreamExchange(self.connector.connect(upstream, timeout_s, request_id))
 
         def observe(head: ResponseHead) -> None:
             metadata = self.dialect.read_response(head.status, head.headers)
@@ -396,6 +408,10 @@
             return NO_LOAD
         return min(1.0, sum(option.use.tokens + option.use.copies for option in options) / total)
 
+    def _handle_reachability_changed(self, service: str, failed: frozenset[str]) -> None:
+        """Handle a service that has become unreachable from here, or reachable again."""
+        self.on_reachability_changed()
+
     def record_success(self, fingerprint: str) -> None:
         """Record that a request has succeeded, which exonerates it from earlier crashes."""
         now = self.now()
--- a/driftstall/gateway/stats.py
+++ b/driftstall/gateway/stats.py
@@ -51,6 +51,11 @@
     follow_pauses: int = 0
     standby_starts: int = 0
     connections_failed: int = 0
+    tunnels_opened: int = 0
+    tunnels_failed: int = 0
+    tunnels_served: int = 0
+    tunnels_declined: int = 0
+    tunnel_bytes: int = 0
     registry: Registry = field(default_factory=Registry)
     answer_s: Histogram = field(init=False)
     first_event_s: Histogram = field(init=False)
@@ -117,6 +122,11 @@
     "follow_pauses": "Pauses after no instance had accepted to follow the store.",
     "standby_starts": "Times that this collector followed the store in place of silent followers.",
     "connections_failed": "Connections to upstreams that could not be opened.",
+    "tunnels_opened": "Connections to upstreams that this instance opened through peers.",
+    "tunnels_failed": "Tunnels to upstreams that a peer did not open.",
+    "tunnels_served": "Tunnels to upstreams that this instance opened for peers.",
+    "tunnel_bytes": "Bytes of upstreams that this instance passed to peers.",
+    "tunnels_declined": "Tunnels that peers requested and this instance did not open.",
 }
 
 
--- a/driftstall/peers/gateway_messages.py
+++ b/driftstall/peers/gateway_messages.py
@@ -31,6 +31,7 @@
 from driftstall.gateway.shared_budget import RepeatCount
 from driftstall.peers.blame_messages import BlamesTold
 from driftstall.peers.permit_messages import PermitAsked, PermitCharged, PermitGiven
+from driftstall.peers.tunnel_messages import TunnelAnswered, TunnelRequested
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +58,16 @@
     """Time since the platform last answered the sender; zero if the sender does not follow it."""
     upstream_loads: tuple[ReportedLoad, ...] = ()
     """Newest loads that upstreams which state their pace have reported to the sender."""
+    unreachable_services: tuple[str, ...] = ()
+    """Services of which the sender reaches no upstream."""
+
+
+@dataclass(frozen=True, slots=True)
+class PartitionRecord:
+    """Name the services that an instance can't reach."""
+
+    instance_id: str
+    services: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +99,8 @@
     store_era: int
     leaving: tuple[LeavingRecord, ...]
     upstream_loads: tuple[ReportedLoad, ...] = ()
+    partitions: tuple[PartitionRecord, ...] = ()
+    """Instances that can't reach some services."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,6 +124,8 @@
     store_era: int
     leaving: tuple[LeavingRecord, ...]
     upstream_loads: tuple[ReportedLoad, ...] = ()
+    partitions: tuple[PartitionRecord, ...] = ()
+    """Instances that can't reach some services."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -226,4 +241,6 @@
     | EvacuationRequested
     | CopyOrdered
     | CopyEnded
+    | TunnelRequested
+    | TunnelAnswered
 )
--- a/driftstall/peers/link.py
+++ b/driftstall/peers/link.py
@@ -22,9 +22,11 @@
 from driftstall.helpers.log import log_event
 from driftstall.peers.codec import HEADER, MAX_FRAME_BYTES, MessageTypes, decode, encode
 from driftstall.peers.envelope import Envelope
+from driftstall.peers.replay_window import ReplayWindow
+from driftstall.peers.tunnel_messages import TunnelAnswered, TunnelOutcome, TunnelRequested
 from driftstall.util import clock
 from driftstall.util.addresses import split_address
-from driftstall.util.http import configure_socket
+from driftstall.util.http import configure_socket, configure_tunnel_socket
 
 MAX_QUEUED_MESSAGES: Final = 4_096
 CONNECT_TIMEOUT_S: Final = 1.0
@@ -41,6 +43,8 @@
 """Addresses a message to any instance that listens at an address, as for the first peers."""
 
 Receiver = Callable[[str, Any], None]
+TunnelHandler = Callable[[socket.socket, TunnelRequested], None]
+"""Takes over a connection on which a peer requests a tunnel, until the tunnel ends."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +78,8 @@
         self._queues: dict[str, Queue] = {}
         self._sequence = time.time_ns()
         self._last_seen: dict[str, int] = {}
+        self._tunnel_requests: dict[str, ReplayWindow] = {}
+        self.serve_tunnel: TunnelHandler = _close
         self.sent_bytes = 0
         self.received_bytes = 0
         self.dropped = 0
@@ -171,7 +177,11 @@
                 if len(frame) < length:
                     return
                 self.received_bytes += HEADER.size + length
-                self._receive(frame)
+                request = self._receive(frame)
+                if request is not None:
+                    connection.settimeout(None)
+                    self.serve_tunnel(connection, request)
+                    return
         except MessageError as fault:
             self.rejected += 1
             log_event(PREFIX_MEMBERSHIP, f"Peer message rejected: {fault}")
@@ -180,18 +190,82 @@
         finally:
             connection.close()
 
-    def _receive(self, frame: bytes) -> None:
-        """Verify a frame and deliver its message; reject wrong recipients and replays."""
+    def _receive(self, frame: bytes) -> TunnelRequested | None:
+        """Verify a frame and deliver its message; reject wrong recipients and replays.
+
+        A request for a tunnel is returned: it uses the connection on which it arrived.
+        """
         envelope = decode(frame, self._key, self._message_types)
         if envelope.recipient not in (self._own_id, ANY_RECIPIENT):
             # This address was reassigned: the message is meant for its previous instance.
             self.rejected += 1
-            return
+            return None
+        if isinstance(envelope.message, TunnelRequested):
+            # Each request has a connection of its own, so they arrive in any order.
+            window = self._tunnel_requests.setdefault(envelope.sender, ReplayWindow())
+            if window.accept(envelope.sequence):
+                return envelope.message
+            raise MessageError("a request for a tunnel is repeated")
         if envelope.sequence <= self._last_seen.get(envelope.sender, 0):
             self.rejected += 1
-            return
+            return None
         self._last_seen[envelope.sender] = envelope.sequence
         self._receiver(envelope.sender, envelope.message)
+        return None
+
+    def open_tunnel(
+        self, recipient: str, address: str, request: TunnelRequested, timeout_s: float
+    ) -> tuple[socket.socket, TunnelOutcome]:
+        """Request a tunnel on a new connection; return the connection and the peer's outcome.
+
+        Raises OSError or MessageError if the peer gives no valid answer in time.
+        """
+        until = clock.now() + timeout_s
+        connection = socket.create_connection(split_address(address), timeout_s)
+        try:
+            configure_tunnel_socket(connection)
+            connection.sendall(self._frame(recipient, request))
+            connection.settimeout(max(0.001, until - clock.now()))
+            (length,) = HEADER.unpack(_receive_exactly(connection, HEADER.size))
+            if length > MAX_FRAME_BYTES:
+                raise MessageError("the message is too long")
+            frame = _receive_exactly(connection, length)
+            envelope = decode(frame, self._key, self._message_types)
+            answer = envelope.message
+            if (
+                not isinstance(answer, TunnelAnswered)
+                or (envelope.sender, envelope.recipient) != (recipient, self._own_id)
+                or answer.upstream_id != request.upstream_id
+            ):
+                raise MessageError("another answer than to the request for a tunnel")
+            return connection, answer.outcome
+        except BaseException:
+            connection.close()
+            raise
+
+    def answer_tunnel(
+        self, connection: socket.socket, request: TunnelRequested, outcome: TunnelOutcome
+    ) -> None:
+        """Answer a request for a tunnel; raises OSError."""
+        configure_tunnel_socket(connection)
+        answer = TunnelAnswered(self._own_id, request.upstream_id, outcome)
+        connection.sendall(self._frame(request.sender, answer))
+
+
+def _close(connection: socket.socket, _: TunnelRequested) -> None:
+    """Close a connection on which a tunnel is requested: this process serves none."""
+    connection.close()
+
+
+def _receive_exactly(connection: socket.socket, size: int) -> bytes:
+    """Receive a number of bytes; raises OSError if the connection ends before."""
+    data = b""
+    while len(data) < size:
+        piece = connection.recv(size - len(data))
+        if not piece:
+            raise ConnectionResetError("the connection ended early")
+        data += piece
+    return data
 
 
 def _dial(address: str) -> _Link:
--- a/driftstall/peers/schema.capnp
+++ b/driftstall/peers/schema.capnp
@@ -82,14 +82,16 @@
   uses @4 :List(Use); repeats @5 :List(RepeatCount); number @6 :UInt32; cordons @7 :Cordons;
   rateLimits @8 :List(RateLimit); storeEra @9 :UInt32; leaving @10 :List(LeavingRecord);
   platformAgeMs @11 :UInt32; upstreamLoads @12 :List(ReportedLoad);
+  unreachableServices @13 :List(Text);
 }
+struct PartitionRecord { instanceId @0 :Text; services @1 :List(Text); }
 struct ReportAck { instanceId @0 :Text; number @1 :UInt32; }
 struct ZoneSummary {
   sender @0 :Text; zone @1 :Text; routingVersion @2 :UInt64; platformAgeMs @3 :UInt32;
   fleetDigest @4 :UInt64; instances @5 :UInt32; ready @6 :List(Text); uses @7 :List(Use);
   repeats @8 :List(RepeatCount); cordons @9 :Cordons;
   rateLimits @10 :List(RateLimit); storeEra @11 :UInt32; leaving @12 :List(LeavingRecord);
-  upstreamLoads @13 :List(ReportedLoad);
+  upstreamLoads @13 :List(ReportedLoad); partitions @14 :List(PartitionRecord);
 }
 struct FleetSummary {
   sender @0 :Text; routingVersion @1 :UInt64; policyRevision @2 :UInt64;
@@ -97,7 +99,7 @@
   ready @6 :List(Text); uses @7 :List(Use); repeats @8 :List(RepeatCount);
   acks @9 :List(ReportAck); cordons @10 :Cordons;
   rateLimits @11 :List(RateLimit); storeEra @12 :UInt32; leaving @13 :List(LeavingRecord);
-  upstreamLoads @14 :List(ReportedLoad);
+  upstreamLoads @14 :List(ReportedLoad); partitions @15 :List(PartitionRecord);
 }
 struct Upstream {
   name @0 :Text; service @1 :Text; address @2 :Text; zone @3 :Text; slots @4 :UInt64;
@@ -163,6 +165,11 @@
 struct PermitCharged { sender @0 :Text; limit @1 :RateLimit; }
 struct UpstreamDoubted { sender @0 :Text; upstreamId @1 :Text; }
 
+struct TunnelRequested {
+  sender @0 :Text; upstreamId @1 :Text; timeoutMs @2 :UInt32; requestId @3 :Text;
+}
+struct TunnelAnswered { sender @0 :Text; upstreamId @1 :Text; outcome @2 :Text; }
+
 struct Envelope {
   sender @0 :Text;
   recipient @1 :Text;
@@ -210,5 +217,7 @@
     copyEnded @42 :CopyEnded;
     followRequested @43 :FollowRequested;
     followAnswered @44 :FollowAnswered;
+    tunnelRequested @45 :TunnelRequested;
+    tunnelAnswered @46 :TunnelAnswered;
   }
 }
--- /dev/null
+++ b/driftstall/peers/tunnel_messages.py
@@ -0,0 +1,39 @@
+"""Messages with which an instance opens a tunnel to an upstream through a peer."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class TunnelOutcome(StrEnum):
+    """Outcome of a request to open a tunnel."""
+
+    OPENED = "opened"
+    UNREACHABLE = "unreachable"
+    """The peer can't connect to the upstream either."""
+    REFUSED = "refused"
+    """The upstream refuses the peer's connection, while the peer reaches others: it has ended."""
+    DECLINED = "declined"
+    """The peer is stopping or has too many tunnels, or doesn't know the upstream."""
+
+
+@dataclass(frozen=True, slots=True)
+class TunnelRequested:
+    """Request a connection to an upstream; the first message on a connection of its own."""
+
+    sender: str
+    upstream_id: str
+    timeout_ms: int
+    """Time within which the connection must be established."""
+    request_id: str
+    """The caller's request, for the logs; empty for calls of the sender's own."""
+
+
+@dataclass(frozen=True, slots=True)
+class TunnelAnswered:
+    """Report the outcome; if the tunnel is open, the upstream's bytes follow in frames."""
+
+    sender: str
+    upstream_id: str
+    outcome: TunnelOutcome
--- a/driftstall/platform/dialect.py
+++ b/driftstall/platform/dialect.py
@@ -8,7 +8,13 @@
 import orjson
 
 from driftstall.decisions.upstream_probes import ReportedState
-from driftstall.gateway.dialect import MoveResult, SignalObserver, ignore_signals
+from driftstall.gateway.dialect import (
+    ConnectUpstream,
+    MoveResult,
+    SignalObserver,
+    connect_directly,
+    ignore_signals,
+)
 from driftstall.gateway.model import (
     CallerMetadata,
     Headers,
@@ -26,6 +32,8 @@
     def __init__(self) -> None:
         """Initialize without an observer: signals are ignored until one is set."""
         self.on_signals: SignalObserver = ignore_signals
+        self.connect: ConnectUpstream = connect_directly
+        self.connect_to_probe: ConnectUpstream = connect_directly
 
     def read_request(self, raw_headers: Headers) -> CallerMetadata:
         """Decode a caller's headers; raise BadHeaders if they are contradictory."""
@@ -51,15 +59,17 @@
         self, source: Upstream, request_id: str, target: Upstream, *, last: bool
     ) -> MoveResult:
         """Copy a run's KV cache to another engine; with `last`, the run stops first."""
-        return engine_calls.move(source, request_id, target, self.on_signals, last=last)
+        return engine_calls.move(
+            source, request_id, target, self.on_signals, self.connect, last=last
+        )
 
     def probe_state(self, engine: Upstream) -> ReportedState:
         """Ask an engine for its state."""
-        return engine_calls.probe_state(engine, self.on_signals)
+        return engine_calls.probe_state(engine, self.on_signals, self.connect_to_probe)
 
     def drop_replica(self, holder: Upstream, copy_of: str) -> None:
         """Free a replica's memory; if the holder is its source, at both engines."""
-        engine_calls.drop_replica(holder, copy_of, self.on_signals)
+        engine_calls.drop_replica(holder, copy_of, self.on_signals, self.connect)
 
     def is_readiness_check(self, target: str) -> bool:
         """Return True if a request target is the instance's readiness check."""
--- a/driftstall/platform/engine_calls.py
+++ b/driftstall/platform/engine_calls.py
@@ -11,10 +11,12 @@
 from driftstall.decisions.upstream_probes import ReportedState
 from driftstall.exceptions import UpstreamError
 from driftstall.gateway.dialect import (
+    ConnectUpstream,
     MoveDone,
     MoveFailed,
     MoveResult,
     SignalObserver,
+    connect_directly,
     ignore_signals,
 )
 from driftstall.gateway.model import Upstream
@@ -46,6 +48,7 @@
     request_id: str,
     target: Upstream,
     observe: SignalObserver = ignore_signals,
+    connect: ConnectUpstream = connect_directly,
     *,
     last: bool,
 ) -> MoveResult:
@@ -60,8 +63,14 @@
     sent_at = clock.now()
     try:
         body = orjson.dumps(payload)
-        exchange = Exchange.open(
-            source.address, "POST", names.PATH_KV_MOVE, headers, body, MOVE_TIMEOUT_S
+        exchange = Exchange.open_on(
+            connect(source),
+            source.address,
+            "POST",
+            names.PATH_KV_MOVE,
+            headers,
+            body,
+            MOVE_TIMEOUT_S,
         )
         observe(source, read_signals(exchange.status, exchange.headers), sent_at)
         raw = exchange.read()
@@ -86,11 +95,17 @@
     )
 
 
-def probe_state(engine: Upstream, observe: SignalObserver = ignore_signals) -> ReportedState:
+def probe_state(
+    engine: Upstream,
+    observe: SignalObserver = ignore_signals,
+    connect: ConnectUpstream = connect_directly,
+) -> ReportedState:
     """Ask an engine for its state; the answer may be some hundred milliseconds old."""
     sent_at = clock.now()
     try:
-        exchange = Exchange.open(engine.address, "GET", names.PATH_REPORT, {}, b"", PROBE_TIMEOUT_S)
+        exchange = Exchange.open_on(
+            connect(engine), engine.address, "GET", names.PATH_REPORT, {}, b"", PROBE_TIMEOUT_S
+        )
         report = orjson.loads(exchange.read())
     except UpstreamError as fault:
         return ReportedState.TERMINATED if fault.refused else ReportedState.UNKNOWN
@@ -113,13 +128,20 @@
     return f"{backup.address}/{request_id}"
 
 
-def drop_replica(holder: Upstream, copy_of: str, observe: SignalObserver = ignore_signals) -> None:
+def drop_replica(
+    holder: Upstream,
+    copy_of: str,
+    observe: SignalObserver = ignore_signals,
+    connect: ConnectUpstream = connect_directly,
+) -> None:
     """Free a replica's memory; a call to the source engine frees it at both engines."""
     handle = copy_of.rpartition("/")[2]
     path = f"{names.PATH_KV_HANDLE}/{handle}"
     sent_at = clock.now()
     try:
-        exchange = Exchange.open(holder.address, "DELETE", path, {}, b"", DROP_TIMEOUT_S)
+        exchange = Exchange.open_on(
+            connect(holder), holder.address, "DELETE", path, {}, b"", DROP_TIMEOUT_S
+        )
         observe(holder, read_signals(exchange.status, exchange.headers), sent_at)
         exchange.read()
     except UpstreamError as fault:
--- a/driftstall/util/http.py
+++ b/driftstall/util/http.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from typing import Final
+from typing import Any, Final
 
 from gevent import socket
 from geventhttpclient.response import HTTPConnectionClosed, HTTPParseError, HTTPSocketResponse
@@ -48,14 +48,22 @@
 
         Raises UpstreamError, whose `sent` is false only if no byte was sent.
         """
+        connection = connect(address, CONNECT_TIMEOUT_S)
+        return cls.open_on(connection, address, method, path, headers, body, timeout_s)
+
+    @classmethod
+    def open_on(
+        cls,
+        connection: Any,
+        address: str,
+        method: str,
+        path: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        timeout_s: float,
+    ) -> Exchange:
+        """Send a request on an open connection, and read the response's headers."""
         try:
-            connection = socket.create_connection(split_address(address), CONNECT_TIMEOUT_S)
-        except OSError as fault:
-            detail = f"no connection to {address}: {type(fault).__name__}"
-            refused = isinstance(fault, ConnectionRefusedError)
-            raise UpstreamError(detail, sent=False, refused=refused) from fault
-        try:
-            configure_socket(connection)
             connection.settimeout(timeout_s)
             connection.sendall(_head(address, method, path, headers, len(body)) + body)
             return cls(connection, HTTPSocketResponse(connection, method=method))
@@ -118,14 +126,34 @@
         self._connection.close()
 
 
+def connect(address: str, timeout_s: float) -> socket.socket:
+    """Open a connection; raise UpstreamError, with whether the address refused it."""
+    try:
+        connection = socket.create_connection(split_address(address), timeout_s)
+    except OSError as fault:
+        detail = f"no connection to {address}: {type(fault).__name__}"
+        refused = isinstance(fault, ConnectionRefusedError)
+        raise UpstreamError(detail, sent=False, refused=refused) from fault
+    configure_socket(connection)
+    return connection
+
+
 def configure_socket(connection: socket.socket) -> None:
-    """Disable Nagle's algorithm, and detect a cut link within seconds by keep-alive probes."""
+    """Disable Nagle's algorithm, and detect a cut link within seconds."""
+    configure_tunnel_socket(connection)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS)
+
+
+def configure_tunnel_socket(connection: socket.socket) -> None:
+    """Configure a connection whose reader may stall: a full receive window is no cut link.
+
+    TCP_USER_TIMEOUT would end it, although the reader acknowledges the probes of its window.
+    """
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_INTERVAL_S)
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS)
 
 
 def _head(address: str, method: str, path: str, headers: Mapping[str, str], length: int) -> bytes:
--- a/features/steps/cordon_steps.py
+++ b/features/steps/cordon_steps.py
@@ -9,6 +9,7 @@
 
 import gevent
 from behave import given, then, when
+from gevent import socket
 from hypothesis import given as for_all
 from hypothesis import seed, settings
 from hypothesis import strategies as st
@@ -16,7 +17,6 @@
 from driftstall.decisions.store_versions import StoreVersion
 from driftstall.gateway.cordon_source import CordonSource
 from driftstall.gateway.cordons import Cordon, CordonRegistry, Cordons
-from driftstall.gateway.exchange import UpstreamExchange
 from driftstall.gateway.fleet_events import CordonedZonesChanged, UpstreamsListed
 from driftstall.platform.feeds import cordon_feed
 from driftstall.platform.names import KIND_CORDONS, KIND_UPSTREAMS
@@ -206,15 +206,15 @@
 @when('zone "a" is cordoned while its connection is being opened')
 def cordoned_while_opened(context: Any) -> None:
     """Cordon the zone after the upstream is chosen and before the request is sent."""
-    world, original = world_of(context), UpstreamExchange.connect.__func__  # type: ignore[attr-defined]
+    world = world_of(context)
+    original = world.state.connector.dial
 
-    def connect(kind: type[UpstreamExchange], address: str, timeout_s: float) -> UpstreamExchange:
-        opened: UpstreamExchange = original(kind, address, timeout_s)
+    def dial(address: str, timeout_s: float) -> socket.socket:
+        opened = original(address, timeout_s)
         cordon(world, "a")
         return opened
 
-    UpstreamExchange.connect = classmethod(connect)  # type: ignore[method-assign, assignment]
-    context.add_cleanup(setattr, UpstreamExchange, "connect", classmethod(original))
+    world.state.connector.dial = dial
     # The engine in zone "b" is so full that zone "a" is chosen.
     world.state.loads.set_load("load", _share(world.engines[2].upstream_id))
 
--- a/stand_ins/routed.py
+++ b/stand_ins/routed.py
@@ -73,6 +73,10 @@
     """Time before the response to a plain call."""
     hold: bool = False
     """Answer a plain call only once the script's gate is open."""
+    hold_body: bool = False
+    """Send half of a plain call's body, and the rest once the script's gate is open."""
+    filler: bytes = b""
+    """More data of each event of a stream."""
     paused: Event = field(default_factory=Event)
     """Set when a stream is waiting for the gate."""
     gate: Event = field(default_factory=Event)
@@ -318,6 +322,12 @@
             connection.write(script.body[: script.cut_after])
             reset(raw)
             return
+        if script.hold_body:
+            connection.write(script.body[: len(script.body) // 2])
+            script.paused.set()
+            script.gate.wait()
+            connection.write(script.body[len(script.body) // 2 :])
+            return
         connection.write(script.body + (b"HTTP/1.1 200 OK\r\n" if script.surplus_after else b""))
 
     def _stream(
@@ -355,7 +365,7 @@
                 remaining = [n for n in range(number, script.events + 1) if n != script.skip_event]
                 connection.write(framed(b"".join(event_bytes(n) for n in remaining)))
                 break
-            if not connection.write(framed(event_bytes(number))):
+            if not connection.write(framed(event_bytes(number, script.filler))):
                 return
             if number == script.repeat_event:
                 connection.write(framed(event_bytes(number)))
@@ -400,9 +410,9 @@
         return 200, {"handle": handle, "made": made}
 
 
-def event_bytes(number: int) -> bytes:
+def event_bytes(number: int, filler: bytes = b"") -> bytes:
     """Encode an event of a stream."""
-    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+    return b"id: %d\ndata: piece %d%b\n\n" % (number, number, filler)
 
 
 def _unframed(data: bytes) -> bytes:
