Hold failures of a partitioned instance against no upstream and no request

A partitioned instance whose connections were reset reported sound engines as crashed, published suspicions of them to all peers, and counted the crash against the requests that ran there: a refused connection from one instance was proof. Now probes use the connector, whose errors count as refused only if other upstreams can be reached, or a peer is refused as well. Ejections and assumed cold starts from before the partition was known are taken back.

--- a/driftstall/decisions/cold_starts.py
+++ b/driftstall/decisions/cold_starts.py
@@ -17,6 +17,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Final
 
@@ -74,6 +75,11 @@
         before = self._assumed_until.get(upstream_id, now)
         self._assumed_until[upstream_id] = max(before, now + for_s)
 
+    def discard_assumed(self, upstream_ids: Iterable[str]) -> None:
+        """Discard what was assumed of upstreams; what they report themselves stays."""
+        for upstream_id in upstream_ids:
+            self._assumed_until.pop(upstream_id, None)
+
     def remaining_s(self, upstream_id: str, now: float) -> float:
         """Return for how long an upstream is still cold; zero if it is not."""
         reported = self._until.get(upstream_id, now)
--- a/driftstall/gateway/crash_detector.py
+++ b/driftstall/gateway/crash_detector.py
@@ -12,18 +12,16 @@
 from typing import Final
 
 import gevent
-from gevent import socket
 
 from driftstall.const import PREFIX_ROUTING
 from driftstall.decisions.poison_detection import CRASH_RETENTION_S, Crash
 from driftstall.decisions.upstream_probes import ReportedState
-from driftstall.gateway.calls import CONNECT_TIMEOUT_S
+from driftstall.exceptions import UpstreamError
 from driftstall.gateway.model import Upstream
 from driftstall.gateway.runs import BrokenRun
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import log_event
 from driftstall.helpers.poison_sharing import log_quarantine
-from driftstall.util.addresses import split_address
 
 RECHECK_DELAY_S: Final = 0.15
 """Pause before an upstream that still listened is probed once more: an ending process may close its
@@ -107,12 +105,9 @@
         if is_engine and not self._state.backoff_s(upstream):
             return self._state.dialect.probe_state(upstream)
         try:
-            address = split_address(upstream.address)
-            socket.create_connection(address, CONNECT_TIMEOUT_S).close()
-        except ConnectionRefusedError:
-            return ReportedState.TERMINATED
-        except OSError:
-            return ReportedState.UNKNOWN
+            self._state.connector.connect_to_probe(upstream).close()
+        except UpstreamError as error:
+            return ReportedState.TERMINATED if error.refused else ReportedState.UNKNOWN
         return ReportedState.SERVING
 
     def _attribute_crash(self, suspicion: _Suspicion) -> None:
--- a/driftstall/gateway/outcomes.py
+++ b/driftstall/gateway/outcomes.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Final
@@ -90,6 +91,14 @@
             record.ejected_until = now + record.ejection_s
             record.ejection_s = min(MAX_EJECTION_S, record.ejection_s * 2)
 
+    def readmit(self, upstream_ids: Iterable[str]) -> None:
+        """End the ejection of upstreams, as what it rests on was no failure of theirs."""
+        for upstream_id in upstream_ids:
+            record = self._records.get(upstream_id)
+            if record is not None:
+                record.ejected_until, record.ejection_s = NEVER, FIRST_EJECTION_S
+                record.failures = 0.0
+
     def is_ejected(self, upstream_id: str, now: float) -> bool:
         """Return True if an upstream is currently ejected for its failures."""
         record = self._records.get(upstream_id)
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -409,7 +409,9 @@
         return min(1.0, sum(option.use.tokens + option.use.copies for option in options) / total)
 
     def _handle_reachability_changed(self, service: str, failed: frozenset[str]) -> None:
-        """Handle a service that has become unreachable from here, or reachable again."""
+        """Take back what connections that failed in a partition have said about upstreams."""
+        self.outcomes.readmit(failed)
+        self.cold.discard_assumed(failed)
         self.on_reachability_changed()
 
     def record_success(self, fingerprint: str) -> None:
@@ -434,6 +436,9 @@
         `started_pace` is the pace of the upstream when the request was sent; None if not known.
         """
         if outcome is Outcome.UNREACHABLE:
+            if self.connector.reachability.is_unreachable(service):
+                # Failures of a partitioned instance say nothing about the upstream.
+                return
             # The upstream may be restarting, and is then cold before it can report so.
             self.cold.assume(upstream_id, ASSUMED_COLD_S, self.now())
         now = self.now()
--- a/features/gateway/partitions.feature
+++ b/features/gateway/partitions.feature
@@ -132,6 +132,23 @@
     And "/once/a" is asked as "r2"
     Then the answer is 200 "whole" with the upstream's seal
 
+  # Guards against sound upstreams being taken for crashed, and requests for poison, by a partitioned instance.
+  Scenario Outline: a partition is no evidence against upstreams
+    Given its connections to upstreams <fault>
+    When a run at each upstream breaks off
+    Then no upstream is found to have crashed
+    And an upstream that has crashed while others are reachable still is
+
+    Examples:
+      | fault |
+      | reset |
+      | hang  |
+
+  Scenario: what failed connections have said before the partition was known is taken back
+    Given its connections to upstreams reset
+    And a call has been served
+    Then no upstream is ejected or assumed to be cold
+
   # Guards against connections to upstreams for anyone who is not an instance.
   Scenario Outline: a request for a tunnel is accepted from an instance alone, and once
     When a tunnel is requested <how>
