--- a/driftstall/gateway/peering.py
+++ b/driftstall/gateway/peering.py
@@ -213,8 +213,14 @@
         self._state.loads_changed.set()
 
     def locatable_instances(self) -> tuple[Instance, ...]:
-        """Return the ready instances that callers may connect to."""
-        return self.ready_instances()
+        """Return the ready instances that callers should use: those that reach all services.
+
+        Partitioned instances are left out while others are ready; they still serve callers that
+        keep an earlier answer.
+        """
+        ready = self.ready_instances()
+        partitioned = self._reporting.partitioned_instances
+        return tuple(each for each in ready if each.instance_id not in partitioned) or ready
 
     def ready_instances(self) -> tuple[Instance, ...]:
         """Return the live and ready instances."""
