Let connections survive a silence of a second or two

TCP_USER_TIMEOUT decides when keep-alive probes give up, whatever their count: with 1.5 s, an idle connection whose other end was silent for 1.7 s was ended by the second probe, at 2 s, and with it a stream of a sound upstream. With 2.5 s the third probe ends it, at 3 s, as the probes alone had done. Tunnels set no such timeout, as it also ends a connection whose reader is slow.

The tests drop packets at one end by a socket filter. With 1.5 s, 'ends 3 s after' and 'survives a silence' fail for connections to upstreams, and 'ends a connection to an upstream after 2.5 s'.

--- a/driftstall/util/http.py
+++ b/driftstall/util/http.py
@@ -17,12 +17,14 @@
 from driftstall.util.addresses import split_address
 
 CONNECT_TIMEOUT_S: Final = 1.0
-UNACKNOWLEDGED_TIMEOUT_MS: Final = 1_500
-"""A connection is closed if the peer acknowledges no data for this long: a cut link sends no
-error."""
+UNACKNOWLEDGED_TIMEOUT_MS: Final = 2_500
+"""A connection is closed if the peer acknowledges nothing for this long: a cut link sends no error.
+While the connection is idle this also decides when keep-alive probes give up, whatever their
+number: at the first probe that is due later. A peer that is silent for a second or two goes on."""
 KEEPALIVE_INTERVAL_S: Final = 1
 """An idle connection is probed at this interval, so that a cut link is detected while waiting."""
 KEEPALIVE_PROBES: Final = 2
+"""Probes without an answer after which an idle connection without TCP_USER_TIMEOUT is closed."""
 READ_FAULTS: Final = (OSError, HTTPConnectionClosed, HTTPParseError, ValueError)
 
 
--- /dev/null
+++ b/features/gateway/silent_links.feature
@@ -0,0 +1,35 @@
+Feature: Connections whose other end falls silent
+  The packets of one end are dropped by a socket filter, as by a link that is cut without a reset.
+
+  # Guards against a silent connection that is ended too soon, or too late, by TCP_USER_TIMEOUT or keep-alive probes.
+  Scenario Outline: a connection <kind> that waits for data ends 3 s after its other end fell silent
+    Given a connection <kind>
+    When its other end falls silent
+    Then it ends between 2.5 s and 3.8 s later
+
+    Examples:
+      | kind          |
+      | to an upstream |
+      | of a tunnel    |
+
+  # Guards against a sound upstream that is silent for a moment being taken for gone.
+  Scenario Outline: a connection <kind> survives a silence of 1.7 s
+    Given a connection <kind>
+    When its other end falls silent for 1.7 s
+    Then a byte passes afterwards
+
+    Examples:
+      | kind          |
+      | to an upstream |
+      | of a tunnel    |
+
+  # Guards against TCP_USER_TIMEOUT ending a connection whose reader is alive and slow.
+  Scenario: a tunnel whose reader takes nothing for 3 s stays open
+    Given a connection of a tunnel
+    When its other end reads nothing for 3 s while it is written to
+    Then it has not ended
+
+  Scenario: data that is not acknowledged ends a connection to an upstream after 2.5 s
+    Given a connection to an upstream
+    When its other end falls silent and a byte is sent
+    Then it ends between 2.3 s and 3.5 s later
