Leave a stream at an engine that is silent for a second or so

After 1.2 s without an event a stream was resumed at its backup while its engine, sound and silent for a moment, went on with it: two engines worked on one stream. Now 2 s; callers give up after a gap of 2 s or more.

'a stream whose engine sends nothing for 1.5 s goes on there' failed before ('has run on 1 upstreams').

--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -38,8 +38,9 @@
 from driftstall.gateway.stream_resumer import OK, StreamResumer
 from driftstall.helpers.log import log_event
 
-SILENCE_TIMEOUT_S: Final = 1.2
-"""A running stream without an event for this time resumes at its backup, if it has one."""
+SILENCE_TIMEOUT_S: Final = 2.0
+"""A running stream without an event for this time resumes at its backup, if it has one. A sound
+engine may be silent for a second or so."""
 LOAD_UPDATE_TOKENS: Final = 128
 """Tokens after which a run's load is updated: about once a second."""
 
--- a/features/gateway/silent_links.feature
+++ b/features/gateway/silent_links.feature
@@ -33,3 +33,11 @@
     Given a connection to an upstream
     When its other end falls silent and a byte is sent
     Then it ends between 2.3 s and 3.5 s later
+
+  # Guards against events of a stream being produced by two engines, as the first one was silent for a moment.
+  Scenario: a stream whose engine sends nothing for 1.5 s goes on there
+    Given a gateway before two plain upstreams and three engines
+    And stream "r1" has a backup and pauses after event 3
+    When "/stream/a" is asked as "r1", and its engine goes on after 1.5 s
+    Then the stream has events 1 to 5 and its end
+    And "r1" has run on 1 upstreams
