Eject an upstream once for requests that fail together

Each failed connection doubled the ejection, also those under way when it began: an upstream that was silent for half a second under a dozen requests was avoided for 4 s. Failures within an ejection no longer lengthen it.

'requests that fail together eject an upstream once' failed before.

--- a/features/gateway/silent_links.feature
+++ b/features/gateway/silent_links.feature
@@ -41,3 +41,9 @@
     When "/stream/a" is asked as "r1", and its engine goes on after 1.5 s
     Then the stream has events 1 to 5 and its end
     And "r1" has run on 1 upstreams
+
+  # Guards against an upstream being avoided for seconds after a moment of silence.
+  Scenario: requests that fail together eject an upstream once
+    Given an upstream to which 12 connections fail within 0.1 s
+    Then it is ejected for 0.4 s at most
+    And a failure after that ejects it for longer
