Send brittle upstreams no more than fits, by all instances together

What upstreams signal with Server-Brittle was decoded nowhere, and its header went on to callers. Instances that learn of a free place at the same moment all send to it, and such an upstream falls over if it has to reject more than a few requests a second. Now each slot of a brittle upstream belongs to one instance while fewer places are free than there are instances, and an instance to which it rejects a request sends it nothing for a second.

--- a/driftstall/decisions/upstream_signals.py
+++ b/driftstall/decisions/upstream_signals.py
@@ -22,6 +22,13 @@
     for_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class BrittleSignal:
+    """Signal that the upstream falls over if it has to reject more requests a second than this."""
+
+    rejections_per_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class RateLimitSignal:
     """Signal how many requests a second the upstream accepts from all instances together."""
@@ -59,7 +66,13 @@
 
 
 Signal = (
-    LeavingSignal | BackoffSignal | RateLimitSignal | LoadSignal | UnreadableSignal | UnknownSignal
+    LeavingSignal
+    | BackoffSignal
+    | BrittleSignal
+    | RateLimitSignal
+    | LoadSignal
+    | UnreadableSignal
+    | UnknownSignal
 )
 
 
--- a/driftstall/gateway/loads.py
+++ b/driftstall/gateway/loads.py
@@ -143,6 +143,11 @@
             _add_all(totals, sums.uses)
         return totals
 
+    def own_running(self, upstream_id: str) -> int:
+        """Return the requests that this instance has in progress at an upstream."""
+        use = self._own.get(upstream_id)
+        return use.running if use is not None else 0
+
     def running_at(self, peer: str) -> int:
         """Return the requests that a peer has reported to have in progress; 0 if it has not."""
         sums = self._peers.get(peer)
--- a/driftstall/gateway/peering.py
+++ b/driftstall/gateway/peering.py
@@ -170,6 +170,7 @@
             accepts=lambda: state.is_ready,
             answer=self._messenger.links.answer_tunnel,
         )
+        state.live_instance_ids = lambda: tuple(each.instance_id for each in self._messenger.live)
         state.connector.open_tunnel = self.tunnels.open
         state.on_reachability_changed = self._reporting.publish_now
         self._messenger.links.serve_tunnel = self._serve_tunnel
--- a/driftstall/gateway/scheduling/selection.py
+++ b/driftstall/gateway/scheduling/selection.py
@@ -61,11 +61,13 @@
     """Whether the upstream signals a rate limit."""
     load: LoadEstimate | None = None
     """The load that the upstream reports; None if it has reported none lately."""
+    is_brittle_and_full: bool = False
+    """Whether the upstream is brittle and may have to reject a further call of this instance."""
 
     @property
     def is_full(self) -> bool:
         """Return True if a further call is known to be beyond the upstream's slots and queue."""
-        return self.load is not None and self.load.is_full
+        return self.is_brittle_and_full or (self.load is not None and self.load.is_full)
 
 
 @dataclass(frozen=True, slots=True)
--- a/driftstall/gateway/sources.py
+++ b/driftstall/gateway/sources.py
@@ -247,6 +247,7 @@
         self._state.outcomes.keep_only(known)
         self._state.upstream_loads.keep_only(known)
         self._state.cold_gate.keep_only(known)
+        self._state.brittle.keep_only(known)
         self._state.connector.reachability.keep_only(known)
 
     def handle_change(self, change: ItemChange[Upstream]) -> None:
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -12,6 +12,7 @@
 
 from driftstall.const import PREFIX_ROUTING
 from driftstall.core import Request
+from driftstall.decisions.brittle_upstreams import REJECTION_BACKOFF_S, BrittleUpstreams
 from driftstall.decisions.cold_starts import ASSUMED_COLD_S, QUIET_START_S, ColdPart, ColdStarts
 from driftstall.decisions.instance_count import InstanceCount
 from driftstall.decisions.lengths import LearnedLengths
@@ -101,12 +102,16 @@
         self.retry_schedule = StaggeredRetries()
         """Spreads the Retry-After times of refused callers, per service."""
         self.upstream_loads = UpstreamLoads()
+        self.live_instance_ids: Callable[[], tuple[str, ...]] = tuple
+        """Returns the ids of all live instances; empty until peers are connected."""
+        self.brittle = BrittleUpstreams(settings.instance_id, lambda: self.live_instance_ids())
         self.signals = UpstreamSignals(
             self.stats,
             self.rate_limiting,
             self.fleet,
             self.backoff,
             self.upstream_loads,
+            self.brittle,
             lambda: self.now(),
             known_running=self._known_running,
         )
@@ -268,6 +273,7 @@
     def _option(self, upstream: Upstream, use: Use, now: float) -> Option:
         """Return an upstream with the state that selection compares."""
         upstream_id = upstream.upstream_id
+        load = self.upstream_loads.estimate(upstream_id, use.running, now)
         return Option(
             upstream,
             use,
@@ -275,7 +281,14 @@
             self.outcomes.is_ejected(upstream_id, now),
             self.cold.remaining_s(upstream_id, now),
             self.rate_limiting.is_limited(upstream_id),
-            self.upstream_loads.estimate(upstream_id, use.running, now),
+            load,
+            self.brittle.is_full(
+                upstream_id,
+                upstream.slots,
+                load.busy if load is not None else use.running,
+                self.loads.own_running(upstream_id),
+                now,
+            ),
         )
 
     def _known_running(self, upstream_id: str) -> int:
@@ -298,6 +311,9 @@
         def observe(head: ResponseHead) -> None:
             metadata = self.dialect.read_response(head.status, head.headers)
             self.signals.handle_response(upstream, metadata.signals, exchange.sent_at)
+            now = self.now()
+            if metadata.is_not_executed and self.brittle.is_brittle(upstream.upstream_id, now):
+                self.backoff.request(upstream.upstream_id, REJECTION_BACKOFF_S, now)
             if metadata.is_not_executed and metadata.states_load:
                 # The rejected request still counts here, but not in the upstream's figures.
                 known_running = max(0, self._known_running(upstream.upstream_id) - 1)
--- a/driftstall/gateway/upstream_signals.py
+++ b/driftstall/gateway/upstream_signals.py
@@ -7,10 +7,12 @@
 from typing import Final
 
 from driftstall.const import PREFIX_ROUTING
+from driftstall.decisions.brittle_upstreams import BrittleUpstreams
 from driftstall.decisions.upstream_backoff import UpstreamBackoff
 from driftstall.decisions.upstream_load import UpstreamLoads
 from driftstall.decisions.upstream_signals import (
     BackoffSignal,
+    BrittleSignal,
     LeavingSignal,
     LoadSignal,
     RateLimitSignal,
@@ -38,6 +40,7 @@
         fleet: UpstreamRegistry,
         backoff: UpstreamBackoff,
         loads: UpstreamLoads,
+        brittle: BrittleUpstreams,
         now: Callable[[], float],
         *,
         known_running: Callable[[str], int],
@@ -51,6 +54,7 @@
         self._fleet = fleet
         self._backoff = backoff
         self._loads = loads
+        self._brittle = brittle
         self._now = now
         self._known_running = known_running
         self.on_leaving: Callable[[str], None] = _ignore
@@ -124,6 +128,16 @@
             revision=upstream.revision,
         )
 
+    @_handle.register
+    def _(self, signal: BrittleSignal, upstream: Upstream, sent_at: float) -> None:
+        upstream_id = upstream.upstream_id
+        if self._brittle.record_signal(upstream_id, self._now()):
+            log_event(
+                PREFIX_ROUTING,
+                f"Upstream {upstream_id} signals that it is brittle",
+                rejections_per_s=signal.rejections_per_s,
+            )
+
     @_handle.register
     def _(self, signal: LoadSignal, upstream: Upstream, sent_at: float) -> None:
         upstream_id = upstream.upstream_id
--- a/driftstall/platform/headers.py
+++ b/driftstall/platform/headers.py
@@ -9,6 +9,7 @@
 
 from driftstall.decisions.upstream_signals import (
     BackoffSignal,
+    BrittleSignal,
     LeavingSignal,
     LoadSignal,
     RateLimitSignal,
@@ -36,7 +37,12 @@
 NOT_SET: Final = b"0"
 BACKOFF_STATUSES: Final = frozenset({HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE})
 INTERNAL_RESPONSE_HEADERS: Final = frozenset(
-    {names.HEADER_LOAD, names.HEADER_NOT_EXECUTED, names.HEADER_RATE_LIMIT}
+    {
+        names.HEADER_LOAD,
+        names.HEADER_NOT_EXECUTED,
+        names.HEADER_RATE_LIMIT,
+        names.HEADER_BRITTLE,
+    }
 )
 """Headers of an upstream's response that are not forwarded to the caller."""
 MAX_COUNT_DIGITS: Final = 6
@@ -126,6 +132,11 @@
         signals.append(LeavingSignal())
     elif leaving not in (None, NOT_SET):
         signals.append(_build_unreadable_signal(names.HEADER_LEAVING, leaving))
+    brittle = first.get(names.HEADER_BRITTLE)
+    if brittle is not None:
+        per_s = parse_number(_decode_text(brittle))
+        unreadable_value = _build_unreadable_signal(names.HEADER_BRITTLE, brittle)
+        signals.append(unreadable_value if per_s is None else BrittleSignal(per_s))
     backoff = first.get(names.HEADER_RETRY_AFTER)
     if backoff is not None and status in BACKOFF_STATUSES:
         for_s = parse_seconds(_decode_text(backoff))
--- a/driftstall/platform/names.py
+++ b/driftstall/platform/names.py
@@ -16,6 +16,8 @@
 """Requests per second that an upstream accepts from all instances together."""
 HEADER_LEAVING: Final = b"server-leaving"
 """Set to 1 in all responses of a leaving upstream."""
+HEADER_BRITTLE: Final = b"server-brittle"
+"""Rejections for want of room in a second beyond which an upstream falls over."""
 HEADER_RETRY_AFTER: Final = b"retry-after"
 """With 429 and 503: seconds for which this instance should send the upstream no requests."""
 HEADER_NOT_EXECUTED: Final = b"x-driftstall-not-executed"
@@ -50,6 +52,7 @@
         HEADER_LOAD,
         HEADER_RATE_LIMIT,
         HEADER_LEAVING,
+        HEADER_BRITTLE,
         HEADER_NOT_EXECUTED,
         b"x-driftstall-response-seal",
         b"x-driftstall-instance-id",
@@ -79,6 +82,7 @@
         HEADER_LOAD,
         HEADER_RATE_LIMIT,
         HEADER_LEAVING,
+        HEADER_BRITTLE,
         b"x-driftstall-response-seal",
         b"x-driftstall-instance-id",
     }
