--- a/driftstall/gateway/peering.py
+++ b/driftstall/gateway/peering.py
@@ -11,7 +11,6 @@
 from typing import Final
 
 import gevent
-from gevent import socket
 
 from driftstall.const import PREFIX_MEMBERSHIP
 from driftstall.controllers.membership import (
@@ -30,8 +29,7 @@
 from driftstall.gateway.feeds import ItemChange
 from driftstall.gateway.fleet_events import FleetAction
 from driftstall.gateway.follow_messages import FollowMessage
-from driftstall.gateway.forwarding.tunnel_dialer import TunnelDialer
-from driftstall.gateway.forwarding.tunnel_server import TunnelServer
+from driftstall.gateway.forwarding.peer_tunnels import PeerTunnels
 from driftstall.gateway.member_messenger import MemberMessenger
 from driftstall.gateway.model import Upstream
 from driftstall.gateway.reports import MS_PER_S, PlatformStatus, Reporting
@@ -62,7 +60,6 @@
     ZoneSummary,
 )
 from driftstall.peers.permit_messages import PermitAsked, PermitCharged, PermitGiven
-from driftstall.peers.tunnel_messages import TunnelRequested
 
 PERIOD_S: Final = 0.15
 """Interval at which timeouts of the failure detection are checked: twice per ping timeout."""
@@ -154,26 +151,15 @@
         state.rate_limiting.ask_permit = self._permits.ask
         state.rate_limiting.charge_permit = self._permits.charge
         state.rate_limiting.publish = self._reporting.publish_now
-        self.tunnels = TunnelDialer(
+        self.tunnels = PeerTunnels(
+            state,
             self.own,
-            state.stats,
-            state.now,
-            state.rng,
-            peers=self._peers_reaching,
-            running=state.loads.running_at,
-            request=self._messenger.links.open_tunnel,
-        )
-        self.tunnel_server = TunnelServer(
-            state.connector,
-            state.stats,
-            find=self._find_tunnel_target,
-            accepts=lambda: state.is_ready,
-            answer=self._messenger.links.answer_tunnel,
+            self._messenger.links,
+            ready=self.ready_instances,
+            instances_without=self._reporting.instances_without,
         )
         state.live_instance_ids = lambda: tuple(each.instance_id for each in self._messenger.live)
-        state.connector.open_tunnel = self.tunnels.open
         state.on_reachability_changed = self._reporting.publish_now
-        self._messenger.links.serve_tunnel = self._serve_tunnel
         self.policy_revision = NO_VERSION
         """The newest revision of the policy that a collector has reported."""
 
@@ -236,34 +222,6 @@
             ready.add(self.own.instance_id)
         return tuple(instance for instance in live if instance.instance_id in ready)
 
-    def _peers_reaching(self, service: str) -> list[Instance]:
-        """Return the ready peers that do not report to be unable to reach a service."""
-        unable = self._reporting.instances_without(service)
-        return [
-            instance
-            for instance in self.ready_instances()
-            if instance.instance_id not in unable and instance.instance_id != self.own.instance_id
-        ]
-
-    def _serve_tunnel(self, connection: socket.socket, request: TunnelRequested) -> None:
-        """Serve a tunnel of a peer; a planned stop waits for it as for requests."""
-        self._state.open_requests += 1
-        try:
-            self.tunnel_server.serve(connection, request)
-        finally:
-            self._state.open_requests -= 1
-
-    def _find_tunnel_target(self, upstream_id: str) -> Upstream | None:
-        """Return an upstream that may still be sent requests, also one that is leaving."""
-        return next(
-            (
-                upstream
-                for upstream in self._state.fleet.upstreams
-                if upstream.upstream_id == upstream_id and self._state.can_send(upstream)
-            ),
-            None,
-        )
-
     def leave(self) -> None:
         """Announce to peers that this instance stops.
 
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -21,6 +21,7 @@
 from driftstall.decisions.store_versions import StoreEras
 from driftstall.decisions.upstream_backoff import StaggeredRetries, UpstreamBackoff
 from driftstall.decisions.upstream_load import LoadSource, ReportedLoad, UpstreamLoads, mean_pace
+from driftstall.gateway import unconnected
 from driftstall.gateway.cordons import CordonRegistry
 from driftstall.gateway.dialect import Dialect
 from driftstall.gateway.exchange import OpenExchanges, ResponseHead, UpstreamExchange
@@ -126,24 +127,26 @@
         self.notice_at = float("-inf")
         """When an upstream was last reported as leaving, on the monotonic clock."""
         self.open_requests = 0
-        self.request_placement: Callable[[PlacementAsked], PlacementGiven | None] = _place_locally
+        self.request_placement: Callable[[PlacementAsked], PlacementGiven | None] = (
+            unconnected.place_locally
+        )
         """Asks the zone's placer for an upstream; returns None if this instance is to choose."""
-        self.acquire_memory: AcquireMemory = _acquire_nothing
+        self.acquire_memory: AcquireMemory = unconnected.acquire_nothing
         """Waits for engine memory in the fleet's queue; returns None if no placer answers."""
-        self.leave_queue: Callable[[str, str], None] = _ignore_request
+        self.leave_queue: Callable[[str, str], None] = unconnected.ignore_request
         """Called with a request that does not use the engine memory that was granted to it, and
         the placer that granted it."""
-        self.on_upstream_suspected: Callable[[Upstream], None] = _ignore_upstream
+        self.on_upstream_suspected: Callable[[Upstream], None] = unconnected.ignore_upstream
         """Called with an upstream at which a stream broke off unexpectedly."""
-        self.on_run_broken: Callable[[Upstream, BrokenRun], None] = _ignore_run
+        self.on_run_broken: Callable[[Upstream, BrokenRun], None] = unconnected.ignore_run
         """Called with a run that broke off although its upstream had not announced to leave."""
-        self.on_poison_evidence_changed: Callable[[], None] = _do_nothing
+        self.on_poison_evidence_changed: Callable[[], None] = unconnected.do_nothing
         """Called when the evidence of which requests were running during crashes has changed."""
-        self.on_reachability_changed: Callable[[], None] = _do_nothing
+        self.on_reachability_changed: Callable[[], None] = unconnected.do_nothing
         """Called when a service has become unreachable from here, or reachable again."""
-        self.on_store_era: Callable[[int], None] = _ignore_era
+        self.on_store_era: Callable[[int], None] = unconnected.ignore_era
         """Called with the era of the platform's store that a peer reports."""
-        self.on_quarantine_cleared: Callable[[str], None] = _ignore_fingerprint
+        self.on_quarantine_cleared: Callable[[str], None] = unconnected.ignore_fingerprint
         """Called with the fingerprint of a request that is no longer quarantined."""
         self.sampler = Sampler(self.rng)
         self._started_at = self.now()
@@ -462,37 +465,3 @@
         if started_pace is not None:
             pace = mean_pace(started_pace, pace)
         self.outcomes.record_outcome(upstream_id, service, outcome, now, seconds, pace)
-
-
-def _acquire_nothing(_: QueueAsked, __: Callable[[], bool]) -> MemoryGranted | MemoryRefused | None:
-    """Return None: this instance chooses by itself."""
-    return None
-
-
-def _ignore_request(_: str, __: str) -> None:
-    """Ignore a request that leaves the queue until peers are connected."""
-
-
-def _ignore_upstream(_: Upstream) -> None:
-    """Ignore a suspected upstream until a prober is connected."""
-
-
-def _ignore_run(_: Upstream, __: BrokenRun) -> None:
-    """Ignore a broken run until a crash detector is connected."""
-
-
-def _ignore_fingerprint(_: str) -> None:
-    """Ignore a cleared request until its persistence is connected."""
-
-
-def _ignore_era(_: int) -> None:
-    """Ignore an era until the handling of store recoveries is connected."""
-
-
-def _do_nothing() -> None:
-    """Do nothing until peers are connected."""
-
-
-def _place_locally(_: PlacementAsked) -> PlacementGiven | None:
-    """Return None: this instance chooses by itself."""
-    return None
