--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -63,9 +63,7 @@
 
     def heal(self) -> None:
         """End a partition; silent connections are reset."""
-        for connection in self._blocked:
-            connection.close()
-        self._blocked.clear()
+        self._unblock()
         for connection in list(self._silent):
             _reset(connection)
         if self._is_stopped or self._server.started:
@@ -79,16 +77,23 @@
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind(self._listen)
         listener.listen(0)
-        self._blocked = [listener]
-        while True:
+        blocked = self._blocked = [listener]
+        while self._blocked is blocked:
             filler = socket.socket()
             filler.settimeout(FILL_TIMEOUT_S)
-            self._blocked.append(filler)
+            blocked.append(filler)
             try:
                 filler.connect(self._listen)
-            except TimeoutError:
+            except OSError:
+                # Not established any more, or closed by the end of the partition.
                 return
 
+    def _unblock(self) -> None:
+        """Close what blocks new connections."""
+        blocked, self._blocked = self._blocked, []
+        for connection in blocked:
+            connection.close()
+
     def inject(self, fault: Fault) -> None:
         """Start a fault; a reset also closes the open connections."""
         self._fault = fault
@@ -119,9 +124,7 @@
         """Stop listening and reset all open connections."""
         self._is_stopped = True
         self._server.stop(timeout=0)
-        for connection in self._blocked:
-            connection.close()
-        self._blocked.clear()
+        self._unblock()
         self.reset_all()
 
     def _serve(self, client: socket.socket, _: tuple[str, int]) -> None:
