--- a/driftstall/gateway/forwarding/connector.py
+++ b/driftstall/gateway/forwarding/connector.py
@@ -84,8 +84,10 @@
                 is_ended = error.refused and reach is not ServiceReach.PARTITIONED
                 raise UpstreamError(str(no_peer), sent=False, refused=is_ended) from no_peer
 
-    def find_outcome(self, upstream: Upstream, timeout_s: float) -> socket.socket | TunnelOutcome:
-        """Connect directly for a peer; return the connection, or what the failure shows."""
+    def connect_for_peer(
+        self, upstream: Upstream, timeout_s: float
+    ) -> socket.socket | TunnelOutcome:
+        """Connect directly for a tunnel; return the connection, or what the failure shows."""
         if self.reachability.is_unreachable(upstream.service):
             return TunnelOutcome.UNREACHABLE
         started_at = self._now()
--- a/driftstall/gateway/forwarding/tunnel.py
+++ b/driftstall/gateway/forwarding/tunnel.py
@@ -33,10 +33,9 @@
         self._is_closed = False
         self._has_ended = False
         self._buffer = bytearray()
-        """Bytes received but not returned yet: frames, the first without its header if the rest of
-        that frame is counted in frame_bytes."""
+        """Received bytes that were not returned yet, from the rest of the current frame on."""
         self._frame_bytes = 0
-        """Bytes of the current frame that were not returned yet."""
+        """Bytes of the current frame that were not returned yet; zero before a frame's header."""
 
     def fileno(self) -> int:
         """Return the file descriptor of the connection to the peer."""
--- a/driftstall/gateway/forwarding/tunnel_server.py
+++ b/driftstall/gateway/forwarding/tunnel_server.py
@@ -84,7 +84,7 @@
         upstream = self._find(request.upstream_id)
         if upstream is None or not self._accepts() or self.open_tunnels > MAX_TUNNELS:
             return TunnelOutcome.DECLINED
-        opened = self._connector.find_outcome(upstream, request.timeout_ms / 1000)
+        opened = self._connector.connect_for_peer(upstream, request.timeout_ms / 1000)
         if isinstance(opened, TunnelOutcome):
             log_event(
                 PREFIX_RELAY,
