--- a/soak/run.py
+++ b/soak/run.py
@@ -259,6 +259,16 @@
             self.ledger.partitioned[name].append(Window(began, time.monotonic()))
         self._partitions.end(step.targets, step.partition_fault)
 
+    def _partitioned_instances(self) -> list[GatewayProcess]:
+        """Return the partitioned instances, which callers with an earlier answer still use."""
+        if self._partitions is None:
+            return []
+        return [
+            instance
+            for place, instance in enumerate(self._instances)
+            if self._partitions.fault_of(place) is not None
+        ]
+
     def _reject_all(self, step: Step) -> None:
         """Let all upstreams of a service reject requests."""
         for slot in self._fleet[step.target].all:
@@ -481,8 +491,7 @@
                 kind = source.choice(
                     (RequestKind.SAFE, RequestKind.ONCE, RequestKind.ONCE, RequestKind.STREAM)
                 )
-                # Callers that keep an address longer still use partitioned instances.
-                candidates = self._instances if self._partitions else located
+                candidates = [*located, *self._partitioned_instances()]
                 instance, connection = source.choice(candidates), connections.to("")
             request = self._send(connection, instance, kind, f"/{kind}/x")
             gevent.sleep(source.uniform(0.0, 0.2) + (request.status != 200) * RETRY_DELAY_S)
