Avoid no peer because it can't open a tunnel to one upstream

A peer that did not know the upstream any more, or could not connect to this one alone, was avoided for half a second like one that is partitioned. Now the outcome tells the upstream from the service.

'an upstream that is gone is no reason to avoid the peer that says so' failed before.

--- a/driftstall/gateway/forwarding/connector.py
+++ b/driftstall/gateway/forwarding/connector.py
@@ -94,10 +94,11 @@
         try:
             return self.connect_directly(upstream, timeout_s)
         except UpstreamError as error:
-            if error.refused and (
-                self.detector.check(upstream, started_at) is not ServiceReach.PARTITIONED
-            ):
+            reach = self.detector.check(upstream, started_at)
+            if error.refused and reach is not ServiceReach.PARTITIONED:
                 return TunnelOutcome.REFUSED
+            if reach is ServiceReach.REACHABLE:
+                return TunnelOutcome.UNAVAILABLE
             return TunnelOutcome.UNREACHABLE
 
     def connect_directly(self, upstream: Upstream, timeout_s: float) -> socket.socket:
--- a/driftstall/gateway/forwarding/tunnel_dialer.py
+++ b/driftstall/gateway/forwarding/tunnel_dialer.py
@@ -80,6 +80,9 @@
             if opened is TunnelOutcome.REFUSED:
                 detail = f"{option.instance.instance_id} is refused by the upstream"
                 raise UpstreamError(detail, sent=False, refused=True)
+            if opened is TunnelOutcome.UNAVAILABLE:
+                detail = f"the upstream is not available to {option.instance.instance_id}"
+                raise UpstreamError(detail, sent=False)
             self._avoid_until[option.instance.instance_id] = self._now() + AVOID_PEER_S
             if opened is TunnelOutcome.UNREACHABLE:
                 detail = f"{option.instance.instance_id} can't reach the upstream either"
--- a/driftstall/gateway/forwarding/tunnel_server.py
+++ b/driftstall/gateway/forwarding/tunnel_server.py
@@ -82,8 +82,10 @@
     def _connect(self, request: TunnelRequested) -> socket.socket | TunnelOutcome:
         """Connect to the requested upstream, directly and never through another peer."""
         upstream = self._find(request.upstream_id)
-        if upstream is None or not self._accepts() or self.open_tunnels > MAX_TUNNELS:
+        if not self._accepts() or self.open_tunnels > MAX_TUNNELS:
             return TunnelOutcome.DECLINED
+        if upstream is None:
+            return TunnelOutcome.UNAVAILABLE
         opened = self._connector.connect_for_peer(upstream, request.timeout_ms / 1000)
         if isinstance(opened, TunnelOutcome):
             log_event(
--- a/driftstall/peers/tunnel_messages.py
+++ b/driftstall/peers/tunnel_messages.py
@@ -11,11 +11,13 @@
 
     OPENED = "opened"
     UNREACHABLE = "unreachable"
-    """The peer can't connect to the upstream either."""
+    """The peer reaches no upstream of the service either."""
+    UNAVAILABLE = "unavailable"
+    """The peer reaches others of the service, but not this upstream, or would not send to it."""
     REFUSED = "refused"
     """The upstream refuses the peer's connection, while the peer reaches others: it has ended."""
     DECLINED = "declined"
-    """The peer is stopping or has too many tunnels, or doesn't know the upstream."""
+    """The peer is stopping, or has too many tunnels."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/features/gateway/partitions.feature
+++ b/features/gateway/partitions.feature
@@ -113,6 +113,14 @@
     When 6 calls are asked one after the other
     Then all of them are served
 
+  # Guards against calls being refused since the only peer that reaches the upstreams was asked for one that is gone.
+  Scenario: an upstream that is gone is no reason to avoid the peer that says so
+    Given its connections to upstreams reset
+    And one plain upstream has crashed
+    And only one peer reaches the upstreams
+    When 6 calls are asked one after the other
+    Then all of them are served
+
   Scenario: a peer that stops opens no tunnel
     Given its connections to upstreams reset
     And one peer is stopping
--- a/features/steps/partition_steps.py
+++ b/features/steps/partition_steps.py
@@ -124,6 +124,18 @@
     world_of(context).peers[0].dialer.fault = PartitionFault.RESET
 
 
+@given("only one peer reaches the upstreams")
+def one_reaching_peer(context: Any) -> None:
+    """Let the other peer report that it can't reach them; the crashed upstream is not listed."""
+    world = world_of(context)
+    world.without = {world.peers[0].settings.instance_id}
+    gone = world.plain[0].upstream_id
+    world.peers[1].server._find = lambda upstream_id: next(
+        (each for each in world.state.fleet.upstreams if each.upstream_id == upstream_id != gone),
+        None,
+    )
+
+
 @given("one peer is stopping")
 def peer_stopping(context: Any) -> None:
     """Begin the planned stop of a peer."""
