Let a request that meets an ended upstream wait for no more control connections than needed

The check after a failed connection waited for all control connections, up to a connection timeout when one of them went to another ended upstream, and was made for each failure. Now the first success ends it, and a busy instance that reached the service within the last 0.1 s makes none for the first upstream that fails.

--- a/driftstall/decisions/reachability.py
+++ b/driftstall/decisions/reachability.py
@@ -87,6 +87,11 @@
         record = self._services.get(service)
         return record is not None and record.reached_at >= since
 
+    def has_failures(self, service: str) -> bool:
+        """Return True if the latest connection to any upstream of a service has failed."""
+        record = self._services.get(service)
+        return record is not None and bool(record.failed)
+
     def record_success(self, upstream_id: str, service: str, now: float) -> bool:
         """Record an opened connection; return True if the upstream was unreachable before.
 
--- a/driftstall/gateway/forwarding/connector.py
+++ b/driftstall/gateway/forwarding/connector.py
@@ -22,6 +22,10 @@
 CONNECT_TIMEOUT_S: Final = 0.35
 """Connecting takes milliseconds; TCP resends a lost SYN packet only after a second."""
 
+RECENTLY_REACHED_S: Final = 0.1
+"""A service that was reached this shortly before a connection failed counts as reachable. Busy
+instances thereby need no control connections when an upstream ends."""
+
 OpenTunnel = Callable[[Upstream, str], Connection]
 """Opens a tunnel to an upstream for a request id; raises UpstreamError."""
 
@@ -60,21 +64,26 @@
         """
         if self.reachability.is_unreachable(upstream.service):
             return self.open_tunnel(upstream, request_id)
-        return self._connect_or_tunnel(upstream, timeout_s, request_id)
+        since = self._now()
+        if not self.reachability.has_failures(upstream.service):
+            since -= RECENTLY_REACHED_S
+        return self._connect_or_tunnel(upstream, timeout_s, request_id, since)
 
     def connect_to_probe(self, upstream: Upstream) -> Connection:
         """Open a connection to find out whether an upstream has ended, directly if possible."""
-        return self._connect_or_tunnel(upstream, CONNECT_TIMEOUT_S, "")
+        return self._connect_or_tunnel(upstream, CONNECT_TIMEOUT_S, "", self._now())
 
     def _connect_or_tunnel(
-        self, upstream: Upstream, timeout_s: float, request_id: str
+        self, upstream: Upstream, timeout_s: float, request_id: str, since: float
     ) -> Connection:
-        """Open a direct connection, or a tunnel if the service is found to be unreachable."""
-        started_at = self._now()
+        """Open a direct connection, or a tunnel if the service is found to be unreachable.
+
+        A connection to the service that was opened at or after `since` shows that it is reachable.
+        """
         try:
             return self.connect_directly(upstream, timeout_s)
         except UpstreamError as error:
-            reach = self.detector.check(upstream, started_at)
+            reach = self.detector.check(upstream, since)
             if reach is ServiceReach.REACHABLE:
                 raise
             try:
--- a/driftstall/gateway/forwarding/partition_detector.py
+++ b/driftstall/gateway/forwarding/partition_detector.py
@@ -56,14 +56,14 @@
         """Start to look for the end of partitions."""
         keep_running(PREFIX_ROUTING, self._run)
 
-    def check(self, failed: Upstream, started_at: float) -> ServiceReach:
+    def check(self, failed: Upstream, since: float) -> ServiceReach:
         """Return whether a service is reachable, after a connection to it has failed.
 
-        `started_at` is when that connection was begun. Requests that fail at the same time share
-        one check.
+        A connection to the service that was opened at or after `since` shows that it is. Requests
+        that fail at the same time share one check.
         """
         service = failed.service
-        if self._reachability.has_reached_since(service, started_at):
+        if self._reachability.has_reached_since(service, since):
             return ServiceReach.REACHABLE
         check = self._checks.get(service)
         if check is None:
@@ -107,9 +107,11 @@
         """Try all control connections at once."""
         same = [gevent.spawn(self._connect, upstream) for upstream in controls.same_service]
         foreign = [gevent.spawn(self._connect, upstream) for upstream in controls.other_service]
-        gevent.joinall([*same, *foreign])
-        if any(connect.value for connect in same):
-            return ServiceReach.REACHABLE
+        # The request waits for this, so the first success of the service ends it.
+        for connect in gevent.iwait(same):
+            if connect.value:
+                return ServiceReach.REACHABLE
+        gevent.joinall(foreign)
         if any(connect.value for connect in foreign):
             return ServiceReach.UNREACHABLE
         return ServiceReach.PARTITIONED
