Let rejections lengthen an ejection again, also while it lasts

Only connections that fail together were meant not to count again; rejections and broken answers of an upstream that sheds requests had ceased to lengthen its ejection as well.

--- a/driftstall/gateway/outcomes.py
+++ b/driftstall/gateway/outcomes.py
@@ -87,10 +87,10 @@
         if outcome is Outcome.GOOD:
             record.ejection_s = FIRST_EJECTION_S
             self._record_latency(record, service, seconds / pace)
-        elif outcome in (Outcome.UNREACHABLE, Outcome.FULL, Outcome.BROKEN) and (
-            # Requests that were under way at the ejection fail together with the first one.
-            now >= record.ejected_until
-        ):
+        elif outcome is Outcome.UNREACHABLE and now < record.ejected_until:
+            # Connections that were under way at the ejection fail together with the first one.
+            return
+        elif outcome in (Outcome.UNREACHABLE, Outcome.FULL, Outcome.BROKEN):
             record.ejected_until = now + record.ejection_s
             record.ejection_s = min(MAX_EJECTION_S, record.ejection_s * 2)
 
