--- a/soak/partition.py
+++ b/soak/partition.py
@@ -9,6 +9,8 @@
 from collections.abc import Iterable
 from typing import Final
 
+import gevent
+
 from soak.plan import Fault, PartitionFault
 from soak.proxy import Proxy
 
@@ -41,11 +43,13 @@
 
     def begin(self, places: Iterable[int], fault: PartitionFault) -> None:
         """Partition instances from all upstreams."""
+        cuts = []
         for place in places:
             self._faults[place].append(fault)
             for group in self._groups:
-                group.links[place].heal()
-                group.links[place].partition(fault)
+                cuts.append(gevent.spawn(_cut, group.links[place], fault))
+        # Filling the queues of the listeners takes a while for each link.
+        gevent.joinall(cuts)
 
     def end(self, places: Iterable[int], fault: PartitionFault) -> None:
         """End a partition; one that overlaps goes on."""
@@ -57,6 +61,12 @@
                 group.links[place].heal()
 
 
+def _cut(link: Proxy, fault: PartitionFault) -> None:
+    """Cut a link, which may be cut in another way already."""
+    link.heal()
+    link.partition(fault)
+
+
 class InstanceProxies:
     """Proxies between all instances and one upstream, at one port of different hosts."""
 
