Log the prompt parts of a request where it is placed, breaks off or is refused

Cause: the record of the incident can't tell which piece of the requests the ten crashes share: prompt parts are decoded and logged nowhere. Change: lines of placements, sends, breaks, resumes, refusals and crashes have a field parts. PoisonSubjects names what evidence can be held against; no decision uses the parts yet.

--- a/driftstall/gateway/admission.py
+++ b/driftstall/gateway/admission.py
@@ -13,6 +13,7 @@
     CODE_UNAUTHENTICATED,
 )
 from driftstall.core import PrefixMark, Problem, Ran, Request, Verdict
+from driftstall.decisions.poison_subjects import PoisonSubjects
 from driftstall.filters.chain import run_chain
 from driftstall.gateway.model import CallerMetadata, Route, Service
 from driftstall.gateway.routes import RouteTable, pick_service
@@ -52,8 +53,13 @@
     started_at: float
     ends_at: float
     """Deadline of the caller or the route, on the monotonic clock."""
-    fingerprint: str = ""
-    """Identifies the content of the request; identical for each retry by the caller."""
+    subjects: PoisonSubjects = PoisonSubjects()
+    """What crashes under the request may be attributed to."""
+
+    @property
+    def fingerprint(self) -> str:
+        """Return the hash of the request's content; identical for each retry by the caller."""
+        return self.subjects.request
 
 
 class Admission:
--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -233,7 +233,7 @@
             attempts.history.end(result.send_outcome)
             if result.is_broken_off and not self._is_caller_disconnected:
                 run = BrokenRun(
-                    self._admitted.metadata.request_id, self._admitted.fingerprint, under_way=False
+                    self._admitted.metadata.request_id, self._admitted.subjects, under_way=False
                 )
                 self._state.on_run_broken(upstream, run)
             attempts.failure = result
@@ -353,6 +353,7 @@
             f"Upstream {upstream.upstream_id} was {outcome.value} for a call",
             request=self._admitted.metadata.request_id,
             fingerprint=self._admitted.fingerprint,
+            parts=self._admitted.subjects.parts,
             route=self._admitted.route.name,
             seconds=round(seconds, 3),
             sends=attempts.history.sends,
--- a/driftstall/gateway/crash_detector.py
+++ b/driftstall/gateway/crash_detector.py
@@ -117,14 +117,15 @@
         log_event(
             PREFIX_ROUTING,
             f"Upstream {upstream_id} has crashed with {len(suspicion.runs)} runs of this instance",
-            fingerprints=[run.fingerprint for run in suspicion.runs[:MAX_LOGGED_RUNS]],
+            fingerprints=[run.subjects.request for run in suspicion.runs[:MAX_LOGGED_RUNS]],
+            parts=[run.subjects.parts for run in suspicion.runs[:MAX_LOGGED_RUNS]],
             requests=[run.request_id for run in suspicion.runs[:MAX_LOGGED_RUNS]],
             revision=suspicion.upstream.revision,
         )
         for run in suspicion.runs:
-            if run.fingerprint:
+            if run.subjects.request:
                 tracker.record_crash(
-                    run.fingerprint, Crash(upstream_id, suspicion.at, run.under_way)
+                    run.subjects.request, Crash(upstream_id, suspicion.at, run.under_way)
                 )
                 self._log_verdict(run)
         self._publish_evidence()
@@ -132,10 +133,11 @@
 
     def _log_verdict(self, run: BrokenRun) -> None:
         """Log the verdict on a request if it is quarantined."""
-        verdict = self._state.poison_tracker.verdict(run.fingerprint, self._state.now())
+        fingerprint = run.subjects.request
+        verdict = self._state.poison_tracker.verdict(fingerprint, self._state.now())
         if verdict.wait_s:
-            self._on_quarantined(run.fingerprint)
-            log_quarantine(run.fingerprint, verdict, request=run.request_id)
+            self._on_quarantined(fingerprint)
+            log_quarantine(fingerprint, verdict, request=run.request_id)
 
     def _remove_expired(self) -> None:
         """Remove crashes that have no effect any more."""
--- a/driftstall/gateway/crash_refusal.py
+++ b/driftstall/gateway/crash_refusal.py
@@ -24,6 +24,7 @@
         "A request is not sent on: upstreams have crashed under it",
         request=admitted.metadata.request_id,
         fingerprint=admitted.fingerprint,
+        parts=admitted.subjects.parts,
         route=admitted.route.name,
         workspace=admitted.workspace,
         upstreams=list(verdict.upstream_ids),
--- a/driftstall/gateway/listeners.py
+++ b/driftstall/gateway/listeners.py
@@ -19,6 +19,7 @@
 )
 from driftstall.core import Instance, Problem, Ran
 from driftstall.daemon.http_responses import JSON_TYPE
+from driftstall.decisions.poison_subjects import PoisonSubjects
 from driftstall.gateway.admission import Admission, AdmittedRequest, RequestProgress
 from driftstall.gateway.calls import CallRelay, UpstreamResponse
 from driftstall.gateway.dialect import BadHeaders
@@ -152,7 +153,10 @@
         admitted = admission.admit(progress, self._state.wall_time_s())
         if isinstance(admitted, Problem):
             return admitted
-        return replace(admitted, fingerprint=request_fingerprint(call, admitted.workspace))
+        subjects = PoisonSubjects.from_prompt(
+            request_fingerprint(call, admitted.workspace), [part.digest for part in metadata.prompt]
+        )
+        return replace(admitted, subjects=subjects)
 
     def _serve_admitted(
         self,
--- a/driftstall/gateway/runs.py
+++ b/driftstall/gateway/runs.py
@@ -7,6 +7,7 @@
 from gevent.event import AsyncResult
 
 from driftstall.core import Request
+from driftstall.decisions.poison_subjects import PoisonSubjects
 from driftstall.decisions.sends import ReplicaKind
 from driftstall.gateway.admission import AdmittedRequest
 from driftstall.gateway.exchange import UpstreamExchange
@@ -50,7 +51,7 @@
     """Describe a run that was broken off neither by its caller nor by this instance."""
 
     request_id: str
-    fingerprint: str
+    subjects: PoisonSubjects
     under_way: bool
     """Whether the run had produced events at this upstream for some time."""
 
--- a/driftstall/gateway/scheduling/placement.py
+++ b/driftstall/gateway/scheduling/placement.py
@@ -327,6 +327,7 @@
             f"A stream is placed on {run.upstream.upstream_id}",
             request=run.request_id,
             fingerprint=self._admitted.fingerprint,
+            parts=self._admitted.subjects.parts,
             route=self._admitted.route.name,
             rule=self._admitted.verdict.rule,
             rank=self._admitted.verdict.rank,
--- a/driftstall/gateway/stream_context.py
+++ b/driftstall/gateway/stream_context.py
@@ -84,7 +84,7 @@
             self.state.on_upstream_suspected(run.upstream)
             return
         under_way = run.generating_s is not None and run.generating_s >= UNDER_WAY_S
-        broken = BrokenRun(run.request_id, self.admitted.fingerprint, under_way)
+        broken = BrokenRun(run.request_id, self.admitted.subjects, under_way)
         self.state.on_run_broken(run.upstream, broken)
 
     def record_outcome(self, run: StreamRun, outcome: Outcome) -> None:
--- a/driftstall/gateway/stream_resumer.py
+++ b/driftstall/gateway/stream_resumer.py
@@ -130,6 +130,7 @@
             f"Stream resumed at {next_run.upstream.upstream_id}: {outcome}",
             request=run.request_id,
             fingerprint=self._context.admitted.fingerprint,
+            parts=self._context.admitted.subjects.parts,
             cause=cause,
             left=run.upstream.upstream_id,
             copy_of=next_run.resumed_from.copy_of if next_run.resumed_from else "",
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -256,6 +256,7 @@
             f"Stream broke off and cannot resume: {cause}",
             request=run.request_id,
             fingerprint=self._admitted.fingerprint,
+            parts=self._admitted.subjects.parts,
             upstream=run.upstream.upstream_id,
             events=run.events,
             moves=run.moves,
@@ -276,6 +277,7 @@
             f"Stream request answered with {problem.status}: {problem.detail}",
             request=self._admitted.metadata.request_id,
             fingerprint=self._admitted.fingerprint,
+            parts=self._admitted.subjects.parts,
             route=self._admitted.route.name,
             ran=problem.ran.value,
         )
--- a/features/steps/partition_steps.py
+++ b/features/steps/partition_steps.py
@@ -11,6 +11,7 @@
 from behave import given, then, when
 from gevent import socket
 
+from driftstall.decisions.poison_subjects import PoisonSubjects
 from driftstall.gateway.crash_detector import CrashDetector
 from driftstall.gateway.runs import BrokenRun
 from driftstall.peers.tunnel_messages import TunnelRequested
@@ -342,7 +343,7 @@
         on_quarantined=lambda _: None,
     )
     for number, upstream in enumerate(state.fleet.upstreams):
-        run = BrokenRun(f"broken-{number}", "fingerprint", under_way=True)
+        run = BrokenRun(f"broken-{number}", PoisonSubjects("fingerprint"), under_way=True)
         context.detector.handle_broken_run(upstream, run)
     wait_for("all are investigated", lambda: not context.detector._suspicions)
 
@@ -367,7 +368,9 @@
         for upstream in world.state.fleet.upstreams
         if upstream.upstream_id == world.plain[0].upstream_id
     )
-    context.detector.handle_broken_run(crashed, BrokenRun("last", "other", under_way=True))
+    context.detector.handle_broken_run(
+        crashed, BrokenRun("last", PoisonSubjects("other"), under_way=True)
+    )
     wait_for("found", lambda: context.crashed == [crashed.upstream_id])
 
 
