--- a/features/steps/crashing_request_steps.py
+++ b/features/steps/crashing_request_steps.py
@@ -5,6 +5,7 @@
 import itertools
 import signal
 import time
+from collections.abc import Callable
 from contextlib import suppress
 from typing import Any, Final
 
@@ -39,13 +40,15 @@
 class TimedFleet(CrashingFleet):
     """A fleet of crashing engines that records the times of arrivals and crashes."""
 
-    def __init__(self, count: int, store: Store) -> None:
+    def __init__(
+        self, count: int, store: Store, script: Callable[[], Script] = ordinary_stream
+    ) -> None:
         """Start the engines and list them in the store."""
         self.arrivals: list[tuple[float, str]] = []
         self.crashes: list[float] = []
         self._store = store
         super().__init__(
-            count, ordinary_stream, self._is_fatal, on_joined=self._list, on_removed=self._unlist
+            count, script, self._is_fatal, on_joined=self._list, on_removed=self._unlist
         )
 
     def sends_of(self, target: str) -> list[float]:
@@ -77,15 +80,20 @@
     "the store's stand-in with a routing configuration and {count:d} engines that some requests"
     " crash"
 )
-def start_store(context: Any, count: int) -> None:
+def start_store_and_engines(context: Any, count: int) -> None:
     """Start the store and the engines."""
+    start_store(context)
+    context.engines = TimedFleet(count, context.store)
+    context.add_cleanup(context.engines.stop)
+
+
+def start_store(context: Any) -> None:
+    """Start the store with a routing configuration."""
     bench = context.store_bench = Bench()
     context.add_cleanup(bench.close)
     context.store_address = bench.start_platform().address
     context.store = Store(context.store_address)
     context.store.create(KIND_CONFIG, NAME_CONFIG, document(3))
-    context.engines = TimedFleet(count, context.store)
-    context.add_cleanup(context.engines.stop)
     context.nodes = []
 
 
--- a/features/steps/gateway_node_steps.py
+++ b/features/steps/gateway_node_steps.py
@@ -96,11 +96,11 @@
         settings = {"bounds": bounds} | (more or {})
         super().__init__(f"node-{number}", number, store, folder, settings)
 
-    def ask(self, path: str, request_id: str) -> Received:
+    def ask(self, path: str, request_id: str, **more: str) -> Received:
         """Send a request as a caller and return the response."""
         host, port = self.listen["front"].split(":")
         connection = socket.create_connection((host, int(port)), 3.0)
-        connection.sendall(request_bytes(path, request_id))
+        connection.sendall(request_bytes(path, request_id, **more))
         answer = read_response(connection)
         connection.close()
         return answer
--- a/stand_ins/crashing.py
+++ b/stand_ins/crashing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 from typing import Final
 
 import gevent
@@ -12,6 +13,7 @@
 
 CRASH_DELAY_S: Final = 0.1
 """Time from the start of a fatal request until its upstream crashes."""
+HALF_EVENT: Final = b"id: 1\ndat"
 REPLACEMENT_DELAY_S: Final = 1.2
 """Time until a crashed upstream is replaced by another one."""
 
@@ -32,6 +34,9 @@
         self._on_crashed = on_crashed
         self._connections: set[socket.socket] = set()
         self.is_down = False
+        self.ends_inside_event = False
+        """Whether a crash closes connections in the middle of an event; otherwise it resets them.
+        """
 
     def record_request(self, seen: ReceivedRequest) -> None:
         """Record a request that is run here, and schedule a crash if it is fatal."""
@@ -40,13 +45,16 @@
             gevent.spawn_later(CRASH_DELAY_S, self.crash)
 
     def crash(self) -> None:
-        """Stop listening and reset all connections."""
+        """Stop listening and end all connections."""
         if self.is_down:
             return
         self.is_down = True
         self.stop()
         for connection in self._connections:
-            reset(connection)
+            if self.ends_inside_event:
+                _end_inside_event(connection)
+            else:
+                reset(connection)
         self._on_crashed(self)
 
     def _serve(self, raw: socket.socket, address: tuple[str, int]) -> None:
@@ -58,6 +66,13 @@
             self._connections.discard(raw)
 
 
+def _end_inside_event(connection: socket.socket) -> None:
+    """Send the first half of an event, and close the connection without a reset."""
+    with suppress(OSError):
+        connection.sendall(HALF_EVENT)
+        connection.shutdown(socket.SHUT_RDWR)
+
+
 class CrashingFleet:
     """Upstreams of a service, in which each crashed one is replaced by another."""
 
