Move what handles poison requests at a gateway to a package, and split the evidence from its tracking

Change: gateway/poison/ holds crash_detector, crash_persistence and crash_refusal; decisions/poison_evidence.py holds crashes, reports and records. No behaviour changes.

--- a/driftstall/daemon/poison_service.py
+++ b/driftstall/daemon/poison_service.py
@@ -11,7 +11,8 @@
 from driftstall.core import Instance, Problem, Ran, Runner
 from driftstall.daemon.hub import Hub
 from driftstall.daemon.membership_service import MembershipService
-from driftstall.decisions.poison_detection import Crash, PoisonTracker
+from driftstall.decisions.poison_detection import PoisonTracker
+from driftstall.decisions.poison_evidence import Crash
 from driftstall.exceptions import UpstreamError
 from driftstall.filters.context import RequestContext
 from driftstall.helpers.log import log_event
--- a/driftstall/daemon/relay_service.py
+++ b/driftstall/daemon/relay_service.py
@@ -40,7 +40,7 @@
 from driftstall.daemon.hub import Hub
 from driftstall.daemon.poison_service import PoisonService
 from driftstall.daemon.signal_service import SignalService
-from driftstall.decisions.poison_detection import UNDER_WAY_S
+from driftstall.decisions.poison_evidence import UNDER_WAY_S
 from driftstall.decisions.retry import RetryBudget
 from driftstall.decisions.upstream_signals import Signal
 from driftstall.exceptions import UpstreamError
--- a/driftstall/decisions/poison_detection.py
+++ b/driftstall/decisions/poison_detection.py
@@ -21,84 +21,38 @@
 
 from __future__ import annotations
 
-from collections import Counter, OrderedDict
+from collections import OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Final
 
+from driftstall.decisions.poison_evidence import (
+    CRASH_RETENTION_S,
+    MAX_CRASHES_PER_REQUEST,
+    NEVER,
+    SUCCESS_GRACE_S,
+    Crash,
+    PoisonReport,
+    SubjectRecord,
+    build_report,
+    find_unknown_crashes,
+)
+
 QUARANTINE_WEIGHT: Final = 2.0
 """Weight of crashes from which a request is not sent to any upstream."""
-EARLY_CRASH_WEIGHT: Final = 1.0
-LATE_CRASH_WEIGHT: Final = 0.5
-"""Weight of a crash of a run that was under way at the upstream."""
-UNDER_WAY_S: Final = 1.0
-"""Time for which a run must have produced events to be under way; time in an engine's queue does
-not count."""
 QUARANTINE_DURATIONS_S: Final = (30.0, 600.0, 3600.0)
 """Quarantine after the latest crash, for two, three and more crashes."""
-SUCCESS_GRACE_S: Final = 10.0
-"""A crash this soon after a success of the same request is not attributed to it."""
-SAME_CRASH_WINDOW_S: Final = 2.0
-"""Runs that one instance sees end with one upstream within this time belong to one crash. Reports
-of peers are merged by the number of crashes alone: a report that was delayed by a network
-partition or a frozen instance makes crashes look more recent than they are."""
-CRASH_RETENTION_S: Final = 7200.0
-"""How long a crash is kept: twice the longest quarantine."""
 CHANGE_PUBLISH_S: Final = 10.0
 """How long a change that quarantines no request is published to peers."""
 MIN_SUCCESS_ADVANCE_S: Final = 1.0
 """A reported success counts as new only if it is later than the known one by more than this."""
 MAX_RECORDS: Final = 1_000
 """Maximum number of requests tracked with crashes, at some 400 bytes each."""
-MAX_CRASHES_PER_REQUEST: Final = 8
-"""Maximum number of crashes kept for one request."""
 MAX_SUCCESSES: Final = 2_000
 """Maximum number of requests tracked for their success alone, at some 150 bytes each: a hundred
 seconds of traffic of the enrolment desk."""
 MAX_REPORTS_PER_MESSAGE: Final = 64
 """Maximum number of requests reported to peers at once."""
-NEVER: Final = float("-inf")
-
-
-@dataclass(frozen=True, slots=True)
-class Crash:
-    """Describe the crash of an upstream while a request was running there."""
-
-    upstream_id: str
-    at: float
-    """When the crash was noticed, in seconds of the monotonic clock."""
-    under_way: bool
-    """Whether the run had produced events there for at least UNDER_WAY_S."""
-
-    @property
-    def weight(self) -> float:
-        """Return the weight of this crash as evidence against the request."""
-        return LATE_CRASH_WEIGHT if self.under_way else EARLY_CRASH_WEIGHT
-
-    def is_same(self, other: Crash) -> bool:
-        """Return True if two observations of one instance are the same crash."""
-        return (
-            self.upstream_id == other.upstream_id and abs(self.at - other.at) <= SAME_CRASH_WINDOW_S
-        )
-
-
-@dataclass(frozen=True, slots=True)
-class CrashReport:
-    """Report one crash to a peer, by its age as instances share no clock."""
-
-    upstream_id: str
-    ago_ms: int
-    under_way: bool
-
-
-@dataclass(frozen=True, slots=True)
-class PoisonReport:
-    """Report to a peer the crashes and the latest success of one request."""
-
-    fingerprint: str
-    crashes: tuple[CrashReport, ...]
-    well_ago_ms: int | None
-    """Age of its latest success; None if none is known."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,31 +71,12 @@
         return self.weight >= QUARANTINE_WEIGHT
 
 
-@dataclass(slots=True)
-class _Record:
-    """Hold the crashes and the latest success of one request."""
-
-    crashes: list[Crash] = field(default_factory=list)
-    succeeded_at: float = NEVER
-    changed_at: float = NEVER
-
-    @property
-    def counted(self) -> list[Crash]:
-        """Return the crashes of which no success has cleared the request."""
-        return [crash for crash in self.crashes if crash.at > self.succeeded_at + SUCCESS_GRACE_S]
-
-    @property
-    def weight(self) -> float:
-        """Return the weight of the counted crashes, regardless of other requests."""
-        return sum(crash.weight for crash in self.counted)
-
-
 class PoisonTracker:
     """Track crashes and successes of requests, as seen by this instance and its peers."""
 
     def __init__(self) -> None:
         """Initialize an empty tracker."""
-        self._records: dict[str, _Record] = {}
+        self._records: dict[str, SubjectRecord] = {}
         self._running_during: dict[str, set[str]] = {}
         """The requests that were running on each upstream when it crashed."""
         self._success_at: OrderedDict[str, float] = OrderedDict()
@@ -154,7 +89,7 @@
         """Record a crash during which a request was running; return True if it is new."""
         record = self._records.get(fingerprint)
         if record is None:
-            record = self._records[fingerprint] = _Record(
+            record = self._records[fingerprint] = SubjectRecord(
                 succeeded_at=self._find_success_at(fingerprint)
             )
         for index, known in enumerate(record.crashes):
@@ -212,12 +147,12 @@
             or sum(crash.weight for crash in record.crashes) >= QUARANTINE_WEIGHT
         ]
         known.sort(key=lambda item: (-item[1].weight, -item[1].changed_at))
-        return tuple(_build_report(*item, now) for item in known[:MAX_REPORTS_PER_MESSAGE])
+        return tuple(build_report(*item, now) for item in known[:MAX_REPORTS_PER_MESSAGE])
 
     def report_for(self, fingerprint: str, now: float) -> PoisonReport | None:
         """Return the report on one request; None if it is not tracked."""
         record = self._records.get(fingerprint)
-        return _build_report(fingerprint, record, now) if record is not None else None
+        return build_report(fingerprint, record, now) if record is not None else None
 
     def merge(self, reports: Iterable[PoisonReport], now: float) -> bool:
         """Merge the reports of a peer; return True if any of them is new."""
@@ -240,7 +175,7 @@
             # A success also clears crashes up to SUCCESS_GRACE_S after it.
             clears = newest_crash_age_s > success_age_s - SUCCESS_GRACE_S
             if clears and peer_success_age_s - success_age_s > MIN_SUCCESS_ADVANCE_S:
-                exonerations.append(_build_report(report.fingerprint, record, now))
+                exonerations.append(build_report(report.fingerprint, record, now))
         return tuple(exonerations)
 
     def forget_expired(self, now: float) -> None:
@@ -261,14 +196,14 @@
         record = self._records.get(report.fingerprint)
         is_new = record is None
         if record is None:
-            record = _Record(succeeded_at=self._find_success_at(report.fingerprint))
+            record = SubjectRecord(succeeded_at=self._find_success_at(report.fingerprint))
         succeeded_at = NEVER if report.well_ago_ms is None else now - report.well_ago_ms / 1000
         # Each hop makes a success look more recent by its delay. Without a minimum advance, a
         # success passed between peers would clear the request of later and later crashes.
         changed = succeeded_at > record.succeeded_at + MIN_SUCCESS_ADVANCE_S
         if changed:
             record.succeeded_at = succeeded_at
-        for crash in _find_unknown_crashes(record.crashes, report.crashes, now):
+        for crash in find_unknown_crashes(record.crashes, report.crashes, now):
             changed = self._add(report.fingerprint, record, crash) or changed
         if not record.crashes:
             return False
@@ -279,7 +214,7 @@
             self._enforce_limit()
         return changed
 
-    def _add(self, fingerprint: str, record: _Record, crash: Crash) -> bool:
+    def _add(self, fingerprint: str, record: SubjectRecord, crash: Crash) -> bool:
         """Add an unknown crash; return True if it is among those kept.
 
         A crash older than all kept ones is not a change: two instances would otherwise exchange it
@@ -297,7 +232,7 @@
         """Return when a request last succeeded at this instance."""
         return self._success_at.get(fingerprint, NEVER)
 
-    def _is_explained(self, crash: Crash, record: _Record) -> bool:
+    def _is_explained(self, crash: Crash, record: SubjectRecord) -> bool:
         """Return True if a request with a higher weight was running during the crash."""
         weight = record.weight
         for fingerprint in self._running_during.get(crash.upstream_id, ()):
@@ -326,33 +261,3 @@
                 fingerprints.discard(fingerprint)
                 if not fingerprints:
                     del self._running_during[crash.upstream_id]
-
-
-def _find_unknown_crashes(
-    known: list[Crash], reported: Iterable[CrashReport], now: float
-) -> list[Crash]:
-    """Return the crashes that a peer reports beyond those known for each upstream."""
-    missing = Counter(report.upstream_id for report in reported)
-    missing.subtract(Counter(report.upstream_id for report in known))
-    crashes = []
-    # The newest crashes are the unknown ones: known crashes were seen or reported earlier.
-    for report in sorted(reported, key=lambda report: report.ago_ms):
-        if missing[report.upstream_id] > 0 and report.ago_ms <= CRASH_RETENTION_S * 1000:
-            missing[report.upstream_id] -= 1
-            crashes.append(Crash(report.upstream_id, now - report.ago_ms / 1000, report.under_way))
-    return crashes
-
-
-def _build_report(fingerprint: str, record: _Record, now: float) -> PoisonReport:
-    """Return the report on one request, with ages in place of times."""
-    crashes = tuple(
-        CrashReport(crash.upstream_id, _ago_ms(crash.at, now), crash.under_way)
-        for crash in record.crashes
-    )
-    well_ago_ms = None if record.succeeded_at == NEVER else _ago_ms(record.succeeded_at, now)
-    return PoisonReport(fingerprint, crashes, well_ago_ms)
-
-
-def _ago_ms(at: float, now: float) -> int:
-    """Return the age of a time in milliseconds."""
-    return max(0, int((now - at) * 1000))
--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -24,13 +24,13 @@
 from driftstall.exceptions import UpstreamError
 from driftstall.gateway.admission import AdmittedRequest
 from driftstall.gateway.backoff_refusal import backoff_refusal
-from driftstall.gateway.crash_refusal import crash_refusal
 from driftstall.gateway.exchange import BodyChunk, ResponseEnd, ResponseHead, UpstreamExchange
 from driftstall.gateway.forwarding.connector import CONNECT_TIMEOUT_S
 from driftstall.gateway.ingress import CallerRequest
 from driftstall.gateway.loads import RequestLoad
 from driftstall.gateway.model import Headers, Repeat, SendMetadata, Upstream
 from driftstall.gateway.outcomes import Outcome
+from driftstall.gateway.poison.crash_refusal import crash_refusal
 from driftstall.gateway.runs import BrokenRun
 from driftstall.gateway.scheduling.selection import Option, are_all_full, choose_call
 from driftstall.gateway.state import GatewayState
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -18,8 +18,6 @@
 from driftstall.gateway.collectors import FleetRoles
 from driftstall.gateway.cordon_source import CordonSource
 from driftstall.gateway.cordons import Cordon
-from driftstall.gateway.crash_detector import CrashDetector
-from driftstall.gateway.crash_persistence import CrashPersistence, CrashStore
 from driftstall.gateway.dialect import Dialect
 from driftstall.gateway.drain import Drain
 from driftstall.gateway.evacuation import Evacuation
@@ -35,6 +33,8 @@
 from driftstall.gateway.model import GatewaySettings, PolicyText, RoutingText, Upstream
 from driftstall.gateway.moves import Mover
 from driftstall.gateway.peering import Peering
+from driftstall.gateway.poison.crash_detector import CrashDetector
+from driftstall.gateway.poison.crash_persistence import CrashPersistence, CrashStore
 from driftstall.gateway.policy_persistence import PolicyPersistence, StoredPolicyAccess
 from driftstall.gateway.protection import RunProtection
 from driftstall.gateway.registration import InstanceEntries, Registration
--- a/driftstall/gateway/crash_detector.py
+++ b/driftstall/gateway/poison/crash_detector.py
@@ -14,7 +14,7 @@
 import gevent
 
 from driftstall.const import PREFIX_ROUTING
-from driftstall.decisions.poison_detection import CRASH_RETENTION_S, Crash
+from driftstall.decisions.poison_evidence import CRASH_RETENTION_S, Crash
 from driftstall.decisions.upstream_probes import ReportedState
 from driftstall.exceptions import UpstreamError
 from driftstall.gateway.model import Upstream
--- a/driftstall/gateway/crash_persistence.py
+++ b/driftstall/gateway/poison/crash_persistence.py
@@ -12,7 +12,7 @@
 import gevent
 
 from driftstall.const import PREFIX_ROUTING
-from driftstall.decisions.poison_detection import PoisonReport
+from driftstall.decisions.poison_evidence import PoisonReport
 from driftstall.exceptions import PlatformUnavailable
 from driftstall.gateway.collectors import FleetRoles
 from driftstall.gateway.state import GatewayState
--- a/driftstall/gateway/stream_context.py
+++ b/driftstall/gateway/stream_context.py
@@ -4,15 +4,15 @@
 
 from driftstall.core import Problem
 from driftstall.decisions.permits import SendNeed
-from driftstall.decisions.poison_detection import UNDER_WAY_S
+from driftstall.decisions.poison_evidence import UNDER_WAY_S
 from driftstall.decisions.sends import SendHistory
 from driftstall.exceptions import UpstreamError
 from driftstall.gateway.admission import AdmittedRequest, build_request
-from driftstall.gateway.crash_refusal import crash_refusal
 from driftstall.gateway.ingress import CallerRequest
 from driftstall.gateway.model import Upstream
 from driftstall.gateway.moves import Mover
 from driftstall.gateway.outcomes import Outcome
+from driftstall.gateway.poison.crash_refusal import crash_refusal
 from driftstall.gateway.replica_finder import ReplicaFinder
 from driftstall.gateway.runs import BrokenRun, StreamRun
 from driftstall.gateway.scheduling.placement import PlacementChooser
--- a/driftstall/helpers/poison_sharing.py
+++ b/driftstall/helpers/poison_sharing.py
@@ -17,7 +17,8 @@
 
 from driftstall.const import PREFIX_ROUTING
 from driftstall.core import Instance
-from driftstall.decisions.poison_detection import PoisonReport, PoisonTracker, Verdict
+from driftstall.decisions.poison_detection import PoisonTracker, Verdict
+from driftstall.decisions.poison_evidence import PoisonReport
 from driftstall.helpers.log import log_event
 from driftstall.helpers.tasks import keep_running
 from driftstall.peers.blame_messages import BlamesTold
--- a/driftstall/peers/blame_messages.py
+++ b/driftstall/peers/blame_messages.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from driftstall.decisions.poison_detection import PoisonReport
+from driftstall.decisions.poison_evidence import PoisonReport
 
 
 @dataclass(frozen=True, slots=True)
--- a/driftstall/platform/crashes.py
+++ b/driftstall/platform/crashes.py
@@ -12,7 +12,7 @@
 import voluptuous as vol
 
 from driftstall.const import PREFIX_CONFIGURATION
-from driftstall.decisions.poison_detection import CRASH_RETENTION_S, CrashReport, PoisonReport
+from driftstall.decisions.poison_evidence import CRASH_RETENTION_S, CrashReport, PoisonReport
 from driftstall.helpers.log import log_event
 from driftstall.platform import checks, names
 from driftstall.platform.store import Store, StoredObject
--- a/features/steps/crash_blame_steps.py
+++ b/features/steps/crash_blame_steps.py
@@ -8,14 +8,8 @@
 
 from behave import given, then, when
 
-from driftstall.decisions.poison_detection import (
-    CRASH_RETENTION_S,
-    Crash,
-    CrashReport,
-    PoisonReport,
-    PoisonTracker,
-    Verdict,
-)
+from driftstall.decisions.poison_detection import PoisonTracker, Verdict
+from driftstall.decisions.poison_evidence import CRASH_RETENTION_S, Crash, CrashReport, PoisonReport
 from features.worlds.poison_world import Load, Outcome, PoisonWorld
 
 ONE: Final = "one"
--- a/features/steps/crash_refusal_steps.py
+++ b/features/steps/crash_refusal_steps.py
@@ -12,11 +12,12 @@
 
 from driftstall.cli.main import main as command
 from driftstall.core import Instance
-from driftstall.decisions.poison_detection import QUARANTINE_DURATIONS_S, CrashReport, PoisonReport
-from driftstall.gateway import crash_detector
-from driftstall.gateway.crash_detector import CrashDetector
+from driftstall.decisions.poison_detection import QUARANTINE_DURATIONS_S
+from driftstall.decisions.poison_evidence import CrashReport, PoisonReport
 from driftstall.gateway.ingress import CallerRequest
 from driftstall.gateway.listeners import AuxiliaryListener, MetricsHandler, request_fingerprint
+from driftstall.gateway.poison import crash_detector
+from driftstall.gateway.poison.crash_detector import CrashDetector
 from driftstall.gateway.scheduling.queue_status import QueueStatus
 from driftstall.helpers.poison_sharing import PeerTransport, PoisonSharing
 from driftstall.peers.blame_messages import BlamesTold
--- a/features/steps/engine_word_steps.py
+++ b/features/steps/engine_word_steps.py
@@ -12,7 +12,6 @@
 from driftstall.core import Instance
 from driftstall.decisions.upstream_probes import PROBERS_PER_UPSTREAM, ReportedState, should_probe
 from driftstall.gateway.collectors import FleetRoles
-from driftstall.gateway.crash_detector import CrashDetector
 from driftstall.gateway.dialect import MoveFailed
 from driftstall.gateway.fleet_events import (
     TimerFired,
@@ -21,6 +20,7 @@
     UpstreamSuspected,
 )
 from driftstall.gateway.model import Upstream
+from driftstall.gateway.poison.crash_detector import CrashDetector
 from driftstall.gateway.store_reachability import FeedReachability, StoreReachability
 from driftstall.gateway.upstream_prober import UpstreamProber
 from driftstall.gateway.watch_delegation import (
--- a/features/steps/partition_steps.py
+++ b/features/steps/partition_steps.py
@@ -12,7 +12,7 @@
 from gevent import socket
 
 from driftstall.decisions.poison_subjects import PoisonSubjects
-from driftstall.gateway.crash_detector import CrashDetector
+from driftstall.gateway.poison.crash_detector import CrashDetector
 from driftstall.gateway.runs import BrokenRun
 from driftstall.peers.tunnel_messages import TunnelRequested
 from driftstall.util.addresses import split_address
--- a/features/worlds/poison_world.py
+++ b/features/worlds/poison_world.py
@@ -13,7 +13,8 @@
 from functools import partial
 from typing import Final
 
-from driftstall.decisions.poison_detection import UNDER_WAY_S, Crash, PoisonReport, PoisonTracker
+from driftstall.decisions.poison_detection import PoisonTracker
+from driftstall.decisions.poison_evidence import UNDER_WAY_S, Crash, PoisonReport
 
 END_S: Final = 60.0
 FATAL_FROM_S: Final = 2.0
