Let responses without a length exonerate, once their upstream is known to live

What callers saw: in a fleet whose responses have neither a length nor chunks, sound prompts that share a part with fatal ones were refused for 30 s and longer.

Cause: a success counted only if its response was framed, as an unframed one ends with its connection, exactly as a crash does. Where no response is framed nothing was ever cleared. The other way round, an upstream that crashed after whole events, or after the body of a call, was never noticed: its last response looked whole.

Change: gateway/poison/unframed_ends.py holds such ends. One counts as a success, at the time when it ended, once the upstream answers a request that was sent later, or a probe; probes are sent only while crashes count against the request or a part of it. If the upstream has ended instead, which the next refused connection shows, the end was its crash.

The scenario "an answer that ends with its connection is no good end" was wrong in one of three cases: an end at an upstream that lives on is a success. It is replaced by an outline that holds the old outcome for an upstream that ends with its answer and for one that can't be probed, and the new one for an upstream that lives.

A modelled fleet without framed responses keeps to the bounds.

--- a/driftstall/decisions/poison_detection.py
+++ b/driftstall/decisions/poison_detection.py
@@ -112,6 +112,12 @@
         """Return the number of subjects tracked with crashes."""
         return len(self._records)
 
+    def is_suspect(self, subjects: PoisonSubjects) -> bool:
+        """Return True if crashes count against a request or one of its parts."""
+        return bool(self._records) and any(
+            subject in self._records and self._records[subject].counted for subject in subjects.all
+        )
+
     def record_run_crash(self, subjects: PoisonSubjects, crash: Crash) -> None:
         """Record a crash during which a run with some subjects was there."""
         if subjects.request:
@@ -147,7 +153,7 @@
         """Record a success of a subject; return True if peers have to be informed."""
         kind = is_part(subject)
         success_at = self._success_at[kind]
-        success_at[subject] = now
+        success_at[subject] = max(now, success_at.get(subject, NEVER))
         success_at.move_to_end(subject)
         if len(success_at) > _limits(subject).successes:
             success_at.popitem(last=False)
@@ -155,7 +161,7 @@
         if record is None:
             return False
         was_suspect = bool(record.counted)
-        record.succeeded_at = now
+        record.succeeded_at = max(record.succeeded_at, now)
         if was_suspect:
             record.changed_at = now
         return was_suspect
--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -59,6 +59,8 @@
     status: int
     headers: Headers
     body: bytes
+    is_framed: bool = True
+    """Whether the response was framed by its headers; otherwise it ended with its connection."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -239,12 +241,21 @@
             attempts.failure = result
             return None
         if outcome is Outcome.GOOD:
-            self._state.poison.record_success(self._admitted.subjects)
+            self._record_success(upstream, result)
         if outcome is Outcome.GOOD or self._admitted.route.repeat is not Repeat.SAFE:
             return result
         attempts.response = result
         return None
 
+    def _record_success(self, upstream: Upstream, response: UpstreamResponse) -> None:
+        """Record a success, at once only if the end of the response can't be a crash."""
+        subjects = self._admitted.subjects
+        if response.is_framed:
+            self._state.poison.record_success(subjects)
+            return
+        ended = BrokenRun(self._admitted.metadata.request_id, subjects, under_way=False)
+        self._state.poison.unframed_ends.add(upstream, ended)
+
     def _exchange_with(
         self, upstream: Upstream, attempts: _Attempts, *, is_first: bool
     ) -> UpstreamResponse | SendFailure:
@@ -321,7 +332,10 @@
                 if metadata.is_not_executed:
                     detail = f"turned away with {head.status}"
                     return SendFailure(Outcome.FULL, SendOutcome.TURNED_AWAY, detail)
-                return UpstreamResponse(head.status, metadata.forwarded_headers, b"".join(parts))
+                body = b"".join(parts)
+                return UpstreamResponse(
+                    head.status, metadata.forwarded_headers, body, head.is_framed
+                )
 
     def _remaining_s(self) -> float:
         """Return the seconds that remain until the request's deadline."""
--- a/driftstall/gateway/poison/guard.py
+++ b/driftstall/gateway/poison/guard.py
@@ -10,6 +10,7 @@
 from driftstall.decisions.poison_detection import PoisonTracker, Verdict
 from driftstall.decisions.poison_subjects import PoisonSubjects
 from driftstall.gateway import unconnected
+from driftstall.gateway.poison.unframed_ends import UnframedEnds
 
 MAX_REFUSED_SUBJECTS: Final = 256
 """Maximum number of subjects for which refusals are counted."""
@@ -33,6 +34,7 @@
         self._now = now
         self._refusals: OrderedDict[str, Refusals] = OrderedDict()
         self.tracker = PoisonTracker()
+        self.unframed_ends = UnframedEnds(self, now)
         self.on_evidence_changed: Callable[[], None] = unconnected.do_nothing
         """Called when the evidence has changed and peers have to be informed."""
         self.on_quarantined: Callable[[str], None] = unconnected.ignore_subject
@@ -44,19 +46,23 @@
         """Return whether a request with some subjects may be sent now."""
         return self.tracker.request_verdict(subjects, self._now())
 
-    def record_success(self, subjects: PoisonSubjects) -> None:
-        """Record that a request has succeeded."""
-        self._exonerate(subjects.all)
+    def is_suspect(self, subjects: PoisonSubjects) -> bool:
+        """Return True if crashes count against a request or a part of it."""
+        return self.tracker.is_suspect(subjects)
+
+    def record_success(self, subjects: PoisonSubjects, at: float | None = None) -> None:
+        """Record that a request has succeeded, now or at an earlier time."""
+        self._exonerate(subjects.all, self._now() if at is None else at)
 
     def record_progress(self, subjects: PoisonSubjects) -> None:
         """Record that a run is producing events: its prompt crashes nothing when they begin."""
-        self._exonerate(subjects.parts)
+        self._exonerate(subjects.parts, self._now())
 
     def clear(self, subject: str) -> bool:
         """Clear a subject by an operator's order; return False if nothing is held against it."""
         if not self.tracker.verdict(subject, self._now()).is_poison:
             return False
-        self._exonerate((subject,))
+        self._exonerate((subject,), self._now())
         return True
 
     def count_refusal(self, verdict: Verdict, workspace: str) -> None:
@@ -74,12 +80,12 @@
         """Return the refusals counted for a subject."""
         return self._refusals.get(subject, Refusals())
 
-    def _exonerate(self, subjects: tuple[str, ...]) -> None:
+    def _exonerate(self, subjects: tuple[str, ...], at: float) -> None:
         """Record a success of some subjects, and publish it if crashes count against one."""
         now, has_changed = self._now(), False
         for subject in subjects:
             was_quarantined = self.tracker.verdict(subject, now).is_poison
-            has_changed = self.tracker.record_success(subject, now) or has_changed
+            has_changed = self.tracker.record_success(subject, at) or has_changed
             if was_quarantined and not self.tracker.verdict(subject, now).is_poison:
                 self.on_cleared(subject)
         if has_changed:
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -5,6 +5,7 @@
 import random
 import time
 from collections.abc import Callable, Iterable
+from http import HTTPStatus
 from typing import Final
 
 import gevent
@@ -20,6 +21,7 @@
 from driftstall.decisions.store_versions import StoreEras
 from driftstall.decisions.upstream_backoff import StaggeredRetries, UpstreamBackoff
 from driftstall.decisions.upstream_load import LoadSource, ReportedLoad, UpstreamLoads, mean_pace
+from driftstall.exceptions import UpstreamError
 from driftstall.gateway import unconnected
 from driftstall.gateway.cordons import CordonRegistry
 from driftstall.gateway.dialect import Dialect
@@ -305,11 +307,20 @@
 
         The upstream's signals are handled as its response headers arrive.
         """
-        exchange = UpstreamExchange(self.connector.connect(upstream, timeout_s, request_id))
+        try:
+            connection = self.connector.connect(upstream, timeout_s, request_id)
+        except UpstreamError as error:
+            if error.refused:
+                for run in self.poison.unframed_ends.take_crashed(upstream.upstream_id):
+                    self.on_run_broken(upstream, run)
+            raise
+        exchange = UpstreamExchange(connection)
 
         def observe(head: ResponseHead) -> None:
             metadata = self.dialect.read_response(head.status, head.headers)
             self.signals.handle_response(upstream, metadata.signals, exchange.sent_at)
+            if head.status != HTTPStatus.MISDIRECTED_REQUEST:
+                self.poison.unframed_ends.confirm(upstream.upstream_id, exchange.sent_at)
             now = self.now()
             if metadata.is_not_executed and self.brittle.is_brittle(upstream.upstream_id, now):
                 self.backoff.request(upstream.upstream_id, REJECTION_BACKOFF_S, now)
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -30,7 +30,7 @@
     encode_problem,
     encode_response,
 )
-from driftstall.gateway.runs import StreamRun
+from driftstall.gateway.runs import BrokenRun, StreamRun
 from driftstall.gateway.sending import OpenedResponse
 from driftstall.gateway.state import GatewayState
 from driftstall.gateway.stream_context import StreamContext
@@ -231,10 +231,7 @@
     def _complete(self, run: StreamRun) -> bool:
         """Finish a stream that is complete."""
         self._context.record_outcome(run, Outcome.GOOD)
-        if run.exchange is not None and run.exchange.is_framed:
-            # A response without framing ends with its connection, exactly as a crash does, so its
-            # end is no evidence against a crash.
-            self._state.poison.record_success(self._admitted.subjects)
+        self._record_success(run)
         self._state.lengths.record_finish(self._context.request, run.tokens)
         self._state.stats.completed += 1
         self._state.stats.gap_s.observe({}, self._longest_gap_s)
@@ -249,6 +246,14 @@
         )
         return self._connection.write(LAST_CHUNK) and self._keep_alive
 
+    def _record_success(self, run: StreamRun) -> None:
+        """Record the success, at once only if the end of the response can't be a crash."""
+        if run.exchange is not None and run.exchange.is_framed:
+            self._state.poison.record_success(self._admitted.subjects)
+            return
+        ended = BrokenRun(run.request_id, self._admitted.subjects, self._context.is_under_way(run))
+        self._state.poison.unframed_ends.add(run.upstream, ended)
+
     def _break_off(self, run: StreamRun, cause: str) -> bool:
         """End a stream that cannot resume; the caller sees that the last chunk is missing."""
         self._context.record_outcome(run, Outcome.BROKEN)
--- a/driftstall/helpers/poison_sharing.py
+++ b/driftstall/helpers/poison_sharing.py
@@ -50,6 +50,10 @@
     broadcast: Callable[[Iterable[Instance], BlamesTold], None]
 
 
+def _do_nothing() -> None:
+    """Do nothing after evidence was merged."""
+
+
 class PoisonSharing:
     """Exchange poison evidence with peers."""
 
@@ -61,13 +65,18 @@
         *,
         now: Callable[[], float],
         source: random.Random,
+        on_merged: Callable[[], None] = _do_nothing,
     ) -> None:
-        """Initialize with the evidence, this instance's id, the peers and a monotonic clock."""
+        """Initialize with the evidence, this instance's id, the peers and a monotonic clock.
+
+        The callable on_merged is called after new evidence was merged.
+        """
         self._tracker = tracker
         self._own_id = own_id
         self._transport = transport
         self._now = now
         self._source = source
+        self._on_merged = on_merged
         self._has_changes = Event()
         self._started_at = now()
 
@@ -88,6 +97,7 @@
         if tracker.merge(message.records, now):
             for subject in set(tracker.quarantined(now)) - quarantined:
                 log_quarantine(subject, tracker.verdict(subject, now), peer=message.sender)
+            self._on_merged()
             if self._transport.forwards():
                 self.publish_soon()
         if message.asks and _lacks(message.records, known):
--- a/features/gateway/crash_blame.feature
+++ b/features/gateway/crash_blame.feature
@@ -84,6 +84,7 @@
       | a fatal part beside a rare one             | 8     | 5    | 10      |
       | a fatal part, one first part               | 8     | 5    | 10      |
       | a fatal part, many first parts             | 8     | 5    | 10      |
+      | a fatal part, unframed responses           | 8     | 5    | 10      |
       | a fatal part, an instance killed each 4 s  | 8     | 5    | 10      |
       | a fatal part, an instance cut off each 5 s | 8     | 5    | 10      |
       | two fatal parts                            | 4     | 5    | 100     |
--- a/features/gateway/crash_refusals.feature
+++ b/features/gateway/crash_refusals.feature
@@ -44,11 +44,17 @@
     When "/stream/x" is asked once, as "r1"
     Then it ends broken, and no second engine got it
 
-  Scenario: an answer that ends with its connection is no good end
+  Scenario Outline: an answer that ends with its connection is no good end until its upstream is known to live
     Given a peer tells of two crashes under "/stream/x", so long ago that it may be tried again
-    And the upstream of "r1" answers without a length and ends
+    And the upstream of "r1" answers without a length and <ends>
     When "/stream/x" is asked once, as "r1"
-    Then the crashes still count
+    Then the crashes <count>
+
+    Examples:
+      | ends             | count          |
+      | ends with it     | still count    |
+      | can't be probed  | still count    |
+      | lives on         | count no more  |
 
   Scenario: an operator finds the request and clears it
     Given the upstreams of "r1" and "r2" will crash as they run them
--- a/features/gateway/prompt_parts.feature
+++ b/features/gateway/prompt_parts.feature
@@ -34,6 +34,32 @@
     When streams with prompts of 300 parts and then "dead" crash their engines
     Then at most 17 subjects are tracked for each of them
 
+  # An answer without a length ends as a crash does, so nothing was ever cleared where none has one.
+  Scenario: answers without a length exonerate a part once its upstream answers a later request
+    Given all engines but one have left
+    When a stream with prompt "f1,a0" is answered without a length
+    Then nothing is known of the part "f1"
+    When a stream with prompt "f1,a1" is answered without a length
+    Then the part "f1" has succeeded
+
+  # Two sound runs that ended by chance on crashed engines must not ban their part for long.
+  Scenario: a run under way exonerates its parts, and answers without a length are probed for it
+    Given a peer reports crashes under the part "f1" alone, 31 s ago
+    When a stream with prompt "f1,a0" is answered without a length
+    Then the part "f1" has no crashes that count
+
+  # The end of a crashed upstream's answer looked like the end of a whole one.
+  Scenario Outline: an answer without a length that ends with its upstream is a crash
+    Given <path> with prompt "f1,dead,a0" and "f2,dead,a1" are answered without a length and end their upstreams <how>
+    And other <path> find that both have ended
+    Then <request> with prompt "f3,dead,a2" is refused
+
+    Examples:
+      | path    | request  | how              |
+      | streams | a stream | after an event   |
+      | streams | a stream | inside an event  |
+      | calls   | a call   | after the answer |
+
   # Several peers reported one crash each; a third instance refused a part that is served all the time.
   Scenario: evidence of several peers against a part that has just succeeded is answered to all
     Given a stream with prompt "f1,a0" is served whole
--- a/features/steps/crash_blame_steps.py
+++ b/features/steps/crash_blame_steps.py
@@ -27,6 +27,7 @@
     "a fatal part beside a rare one": Load(first_parts=6, rare_share=0.01),
     "a fatal part, one first part": Load(first_parts=1),
     "a fatal part, many first parts": Load(first_parts=200),
+    "a fatal part, unframed responses": Load(first_parts=6, are_unframed=True),
     "a fatal part, an instance killed each 4 s": Load(first_parts=6, kill_every_s=4),
     "a fatal part, an instance cut off each 5 s": Load(first_parts=6, cut_every_s=5),
     "two fatal parts": Load(first_parts=6, fatal=2),
--- a/features/steps/crash_refusal_steps.py
+++ b/features/steps/crash_refusal_steps.py
@@ -14,6 +14,7 @@
 from driftstall.core import Instance
 from driftstall.decisions.poison_detection import QUARANTINE_DURATIONS_S
 from driftstall.decisions.poison_evidence import CrashReport, PoisonReport
+from driftstall.decisions.upstream_probes import ReportedState
 from driftstall.gateway.ingress import CallerRequest
 from driftstall.gateway.listeners import AuxiliaryListener, MetricsHandler, request_fingerprint
 from driftstall.gateway.poison import crash_detector
@@ -67,6 +68,7 @@
         publish_evidence=lambda: None,
     )
     world.state.poison.on_quarantined = context.quarantined.append
+    world.state.poison.unframed_ends.probe = detector.check
     context.detector = detector
     world.state.on_run_broken = detector.handle_broken_run
     context.answers = {}
@@ -226,10 +228,14 @@
     merge_crashes(context, QUARANTINE_DURATIONS_S[0] + 1)
 
 
-@given('the upstream of "{request_id}" answers without a length and ends')
-def unframed(context: Any, request_id: str) -> None:
+@given('the upstream of "{request_id}" answers without a length and {ends}')
+def unframed(context: Any, request_id: str, ends: str) -> None:
     """Script a response that ends with its connection."""
-    stream_script(context, request_id, Script(unframed=True, events=2))
+    ends_upstream = ends == "ends with it"
+    script = Script(unframed=True, events=2, ends_upstream=ends_upstream)
+    stream_script(context, request_id, script)
+    if ends == "can't be probed":
+        context.detector._probe = lambda _: ReportedState.UNKNOWN
 
 
 @then("the crashes still count")
@@ -240,6 +246,14 @@
     assert state.poison.tracker.verdict(at_path("/stream/x"), state.now()).is_poison
 
 
+@then("the crashes count no more")
+def count_no_more(context: Any) -> None:
+    """Check that the success has exonerated the request."""
+    state = world_of(context).state
+    assert context.answers["r1"].status == 200, context.answers["r1"]
+    assert not state.poison.tracker.verdict(at_path("/stream/x"), state.now()).is_poison
+
+
 @then("the metrics page counts one request that is refused")
 def metrics_count(context: Any) -> None:
     """Serve and read the metrics page."""
--- a/features/steps/prompt_part_steps.py
+++ b/features/steps/prompt_part_steps.py
@@ -29,12 +29,19 @@
     Received,
     runs,
     script_upstreams,
+    wait_for,
     world_of,
 )
 from stand_ins.routed import RoutedUpstream, Script
 
 NUMBERS: Final = itertools.count(1)
 AT_ONCE_S: Final = 0.2
+MAX_OTHERS: Final = 40
+ENDS: Final[dict[str, dict[str, Any]]] = {
+    "after an event": {"events": 1},
+    "inside an event": {"break_after": 1, "half_event": True},
+    "after the answer": {},
+}
 PATHS: Final = {"streams": "/stream", "calls": "/once", "a stream": "/stream", "a call": "/once"}
 
 
@@ -124,6 +131,86 @@
     assert answer.status == 200 and answer.whole, answer
 
 
+@given("all engines but one have left")
+def one_engine(context: Any) -> None:
+    """Leave one engine in the list."""
+    world = world_of(context)
+    for engine in world.engines[1:]:
+        engine.stop()
+    world.engines = world.engines[:1]
+    world.list_upstreams()
+
+
+@when('a stream with prompt "{prompt}" is answered without a length')
+def answered_unframed(context: Any, prompt: str) -> None:
+    """Send a stream whose response ends with its connection."""
+    answer = send(context, prompt, Script(unframed=True))
+    assert answer.status == 200 and answer.whole, answer
+
+
+@then('nothing is known of the part "{part}"')
+def nothing_known(context: Any, part: str) -> None:
+    """Check that no success is recorded yet."""
+    assert part_subject(part) not in world_of(context).state.poison.tracker._success_at[True]
+
+
+@then('the part "{part}" has succeeded')
+def has_succeeded(context: Any, part: str) -> None:
+    """Check that a success is recorded."""
+    assert part_subject(part) in world_of(context).state.poison.tracker._success_at[True]
+
+
+def report_crashes(context: Any, part: str, upstream_ids: str, ago_s: float) -> None:
+    """Merge a peer's report of crashes under one part that always ran alone."""
+    state = world_of(context).state
+    crashes = tuple(
+        CrashReport(name, int(ago_s * 1000), under_way=False) for name in upstream_ids.split()
+    )
+    state.poison.tracker.merge([PoisonReport(part_subject(part), crashes, None)], state.now())
+
+
+@given('a peer reports crashes under the part "{part}" alone, {ago_s:g} s ago')
+def peer_reports(context: Any, part: str, ago_s: float) -> None:
+    """Merge a report of two crashes."""
+    report_crashes(context, part, "e-8 e-9", ago_s)
+
+
+@then('the part "{part}" has no crashes that count')
+def no_crashes_count(context: Any, part: str) -> None:
+    """Check that the crashes were cleared."""
+    tracker, now = world_of(context).state.poison.tracker, world_of(context).state.now()
+    wait_for("the part is cleared", lambda: not tracker.verdict(part_subject(part), now).is_poison)
+
+
+@given(
+    '{requests} with prompt "{first}" and "{second}" are answered without a length and end their'
+    " upstreams {how}"
+)
+def unframed_crashes(context: Any, requests: str, first: str, second: str, how: str) -> None:
+    """Send two requests whose upstreams end together with the unframed response."""
+    for prompt in (first, second):
+        script = Script(unframed=True, ends_upstream=True, **ENDS[how])
+        send(context, prompt, script, PATHS[requests])
+
+
+@given("other {requests} find that both have ended")
+def others_find(context: Any, requests: str) -> None:
+    """Send requests, each of which may be the first to find that an upstream has ended."""
+    stats = world_of(context).state.stats
+    for _ in range(MAX_OTHERS):
+        if stats.crashes_seen == 2:
+            return
+        send(context, "b0,b1", None, PATHS[requests])
+    raise AssertionError(f"{stats.crashes_seen} crashes seen")
+
+
+@then('{request} with prompt "{prompt}" is refused')
+def request_refused(context: Any, request: str, prompt: str) -> None:
+    """Check the refusal, and that no upstream received the request."""
+    assert is_refused(send(context, prompt, None, PATHS[request])), context.answer
+    assert not runs(world_of(context), context.request_id)
+
+
 def share(context: Any) -> PoisonSharing:
     """Return the exchange of evidence of the world's gateway, and record what it sends to all."""
     context.broadcasts = []
--- a/features/worlds/poison_world.py
+++ b/features/worlds/poison_world.py
@@ -28,6 +28,8 @@
 SUMMARY_S: Final = (0.3, 0.8)
 CHAT_SHARE: Final = 0.4
 UNDER_WAY_AFTER_S: Final = FIRST_EVENT_S + UNDER_WAY_S
+KNOWN_ALIVE_S: Final = 0.5
+"""Time until an engine is known to live after an unframed end: its next answer, or a probe."""
 RARE_PART: Final = f"{PART_PREFIX}rare"
 HOP_S: Final = (0.035, 0.08)
 EXCHANGE_S: Final = 2.0
@@ -55,6 +57,8 @@
     fatal request is then new each time, and only has a part in common with others."""
     rare_share: float = 0.0
     """Share of ordinary requests that have the part that stands beside the fatal one."""
+    are_unframed: bool = False
+    """Whether an upstream must be known to live before a success at it counts."""
 
 
 @dataclass(slots=True)
@@ -237,17 +241,26 @@
             return
         run.is_over = True
         self._runs[run.engine].discard(run.number)
-        self._exonerate(run.instance, run.subjects.all)
+        if self._load.are_unframed:
+            ended_at, starts = self._now, self._starts[run.engine]
+            self._at(self._now + KNOWN_ALIVE_S, lambda: self._confirm(run, ended_at, starts))
+        else:
+            self._exonerate(run.instance, run.subjects.all, self._now)
+
+    def _confirm(self, run: _Run, ended_at: float, starts: int) -> None:
+        """Count an unframed end as a success if its engine has not crashed since."""
+        if self._starts[run.engine] == starts:
+            self._exonerate(run.instance, run.subjects.all, ended_at)
 
     def _progress(self, run: _Run) -> None:
         """Count a run that has produced events for a while as a success of its parts."""
         if not run.is_over:
-            self._exonerate(run.instance, run.subjects.parts)
+            self._exonerate(run.instance, run.subjects.parts, self._now)
 
-    def _exonerate(self, instance: int, subjects: tuple[str, ...]) -> None:
+    def _exonerate(self, instance: int, subjects: tuple[str, ...], at: float) -> None:
         """Record successes at an instance, and publish them if that is news."""
         tracker = self._trackers[instance]
-        if any([tracker.record_success(subject, self._now) for subject in subjects]):
+        if any([tracker.record_success(subject, at) for subject in subjects]):
             self._publish(instance)
 
     def _crash(self, fatal: _Run) -> None:
--- a/stand_ins/routed.py
+++ b/stand_ins/routed.py
@@ -45,6 +45,8 @@
     """Reset a stream's connection after the response head, before any event."""
     crash: bool = False
     """Stop listening, and reset the connection without an answer."""
+    ends_upstream: bool = False
+    """Stop listening just before the connection of the response is closed."""
     hang: bool = False
     unframed: bool = False
     """Answer without a length; the response ends when the connection is closed."""
@@ -248,6 +250,8 @@
                 self._whole(raw, connection, request_id, script)
         finally:
             self.in_progress -= 1
+            if script.ends_upstream:
+                self.stop()
             script.ended.set()
 
     def _signal_headers(self) -> tuple[tuple[bytes, bytes], ...]:
