Break off a stream without a length that ends before any event

What callers saw: where an engine crashed as it began an answer without a length, they got a whole stream without an event. Cause: the end of the connection ends such a response; only one inside an event was taken for a break. Change: an unframed stream that has had no event is broken off. Result: "a stream without a length that ends early is broken off" failed before for an end after the head (status 200, whole) and passes; inside an event it held already.

--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -170,6 +170,9 @@
             elif isinstance(item, ResponseEnd):
                 if splitter.is_inside_event:
                     return UpstreamError("the stream ended inside an event", sent=True)
+                if not run.exchange.is_framed and not run.events and not run.moves:
+                    # A crashed upstream closes its connections in the same way.
+                    return UpstreamError("the stream ended without an event", sent=True)
                 if not run.exchange.is_framed and self._context.replicas.may_have_stopped(
                     run, self._context.remaining_s()
                 ):
--- a/features/gateway/prompt_parts.feature
+++ b/features/gateway/prompt_parts.feature
@@ -56,10 +56,21 @@
 
     Examples:
       | path    | request  | how              |
+      | streams | a stream | after the head   |
       | streams | a stream | after an event   |
       | streams | a stream | inside an event  |
       | calls   | a call   | after the answer |
 
+  # A stream that had no event yet was passed on as a whole one.
+  Scenario Outline: a stream without a length that ends early is broken off
+    When a stream with prompt "f1,a0" is answered without a length and ends <how>
+    Then it is not whole
+
+    Examples:
+      | how             |
+      | after the head  |
+      | inside an event |
+
   # Several peers reported one crash each; a third instance refused a part that is served all the time.
   Scenario: evidence of several peers against a part that has just succeeded is answered to all
     Given a stream with prompt "f1,a0" is served whole
--- a/features/steps/prompt_part_steps.py
+++ b/features/steps/prompt_part_steps.py
@@ -38,6 +38,7 @@
 AT_ONCE_S: Final = 0.2
 MAX_OTHERS: Final = 40
 ENDS: Final[dict[str, dict[str, Any]]] = {
+    "after the head": {"events": 0},
     "after an event": {"events": 1},
     "inside an event": {"break_after": 1, "half_event": True},
     "after the answer": {},
@@ -211,6 +212,18 @@
     assert not runs(world_of(context), context.request_id)
 
 
+@when('a stream with prompt "{prompt}" is answered without a length and ends {how}')
+def ends_early(context: Any, prompt: str, how: str) -> None:
+    """Send a stream whose response ends early, at an engine that lives on."""
+    send(context, prompt, Script(unframed=True, **ENDS[how]))
+
+
+@then("it is not whole")
+def not_whole(context: Any) -> None:
+    """Check that the caller sees that the stream is incomplete."""
+    assert not context.answer.whole, context.answer
+
+
 def share(context: Any) -> PoisonSharing:
     """Return the exchange of evidence of the world's gateway, and record what it sends to all."""
     context.broadcasts = []
