Count only responses that were written as successes

Cause: any response below 500 cleared a call of its crashes, also a 404 or 400, and so did a stream without an event; neither shows that an answer can be written. Change: a call needs a 2xx status, a stream at least one event.

--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from typing import Final
 
 import gevent
@@ -240,8 +241,7 @@
                 self._state.on_run_broken(upstream, run)
             attempts.failure = result
             return None
-        if outcome is Outcome.GOOD:
-            self._record_success(upstream, result)
+        self._record_success(upstream, result)
         if outcome is Outcome.GOOD or self._admitted.route.repeat is not Repeat.SAFE:
             return result
         attempts.response = result
@@ -249,6 +249,8 @@
 
     def _record_success(self, upstream: Upstream, response: UpstreamResponse) -> None:
         """Record a success, at once only if the end of the response can't be a crash."""
+        if not HTTPStatus.OK <= response.status < HTTPStatus.MULTIPLE_CHOICES:
+            return
         subjects = self._admitted.subjects
         if response.is_framed:
             self._state.poison.record_success(subjects)
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -234,7 +234,8 @@
     def _complete(self, run: StreamRun) -> bool:
         """Finish a stream that is complete."""
         self._context.record_outcome(run, Outcome.GOOD)
-        self._record_success(run)
+        if run.events:
+            self._record_success(run)
         self._state.lengths.record_finish(self._context.request, run.tokens)
         self._state.stats.completed += 1
         self._state.stats.gap_s.observe({}, self._longest_gap_s)
--- a/features/gateway/prompt_parts.feature
+++ b/features/gateway/prompt_parts.feature
@@ -71,6 +71,20 @@
       | after the head  |
       | inside an event |
 
+  # A rejection by the upstream's application says nothing about writing an answer.
+  Scenario Outline: only a response that was written exonerates a part
+    Given a peer reports crashes under the part "f1" alone, 31 s ago
+    When <request> with prompt "f1,a0" is answered <how>
+    Then the part "f1" <counts>
+
+    Examples:
+      | request  | how                | counts                        |
+      | a call   | with 404           | has crashes that count        |
+      | a call   | with 500           | has crashes that count        |
+      | a call   | with 200           | has no crashes that count     |
+      | a stream | without any event  | has crashes that count        |
+      | a stream | with events        | has no crashes that count     |
+
   # Several peers reported one crash each; a third instance refused a part that is served all the time.
   Scenario: evidence of several peers against a part that has just succeeded is answered to all
     Given a stream with prompt "f1,a0" is served whole
--- a/features/steps/prompt_part_steps.py
+++ b/features/steps/prompt_part_steps.py
@@ -43,6 +43,13 @@
     "inside an event": {"break_after": 1, "half_event": True},
     "after the answer": {},
 }
+ANSWERS: Final[dict[str, Script]] = {
+    "with 404": Script(status=404),
+    "with 500": Script(status=500),
+    "with 200": Script(),
+    "without any event": Script(events=0),
+    "with events": Script(),
+}
 PATHS: Final = {"streams": "/stream", "calls": "/once", "a stream": "/stream", "a call": "/once"}
 
 
@@ -183,6 +190,13 @@
     wait_for("the part is cleared", lambda: not tracker.verdict(part_subject(part), now).is_poison)
 
 
+@then('the part "{part}" has crashes that count')
+def crashes_count(context: Any, part: str) -> None:
+    """Check that the crashes were not cleared."""
+    state = world_of(context).state
+    assert state.poison.tracker.verdict(part_subject(part), state.now()).is_poison
+
+
 @given(
     '{requests} with prompt "{first}" and "{second}" are answered without a length and end their'
     " upstreams {how}"
@@ -224,6 +238,12 @@
     assert not context.answer.whole, context.answer
 
 
+@when('{request} with prompt "{prompt}" is answered {how}')
+def answered(context: Any, request: str, prompt: str, how: str) -> None:
+    """Send a request with a scripted answer."""
+    send(context, prompt, ANSWERS[how].with_new_events(), PATHS[request])
+
+
 def share(context: Any) -> PoisonSharing:
     """Return the exchange of evidence of the world's gateway, and record what it sends to all."""
     context.broadcasts = []
