Ask for the evidence just before a request is sent

Cause: a call asked before it waited for a place, a turn or its connection, a stream before it waited for a permit and its connection. A request that was quarantined meanwhile was sent. Change: both ask once more when the connection is open, just before the first byte; what was not sent is refused as quarantined. Result: both examples of "a request that is quarantined while its connection is opened is not sent" failed before and pass.

--- a/driftstall/exceptions.py
+++ b/driftstall/exceptions.py
@@ -54,6 +54,14 @@
         super().__init__(detail, sent=False)
 
 
+class RequestQuarantined(UpstreamError):
+    """Raised when a request was quarantined as poison while its connection was opened."""
+
+    def __init__(self) -> None:
+        """Initialize the error; nothing was sent."""
+        super().__init__("the request was quarantined while it waited", sent=False)
+
+
 class PlatformUnavailable(DriftstallError):
     """Raised when the platform did not answer; a write may have taken effect."""
 
--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -282,6 +282,9 @@
             if not self._state.can_start_on(upstream, attempts.history.sent_to):
                 detail = "the upstream takes no more requests"
                 return SendFailure(Outcome.NOT_SENT, SendOutcome.UNSENT, detail)
+            if self._state.poison.verdict(self._admitted.subjects).wait_s:
+                detail = "the request was quarantined while it waited"
+                return SendFailure(Outcome.NOT_SENT, SendOutcome.UNSENT, detail)
             self._state.exchanges.add(upstream.upstream_id, exchange)
             if is_first:
                 self._state.retry_budget(upstream.service).record_request(self._state.now())
--- a/driftstall/gateway/sending.py
+++ b/driftstall/gateway/sending.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from driftstall.decisions.sends import SendHistory, SendOutcome
-from driftstall.exceptions import UpstreamError
+from driftstall.exceptions import RequestQuarantined, UpstreamError
 from driftstall.gateway.admission import AdmittedRequest
 from driftstall.gateway.exchange import ResponseHead, UpstreamExchange
 from driftstall.gateway.forwarding.connector import CONNECT_TIMEOUT_S
@@ -77,6 +77,8 @@
                 return UpstreamError("the caller has left", sent=False)
             if not self._may_send(run.upstream, copy_of):
                 return UpstreamError("the upstream takes no more requests", sent=False)
+            if self._state.poison.verdict(self._admitted.subjects).wait_s:
+                return RequestQuarantined()
             self._state.exchanges.add(run.upstream.upstream_id, run.exchange)
             headers = self._state.dialect.write_request(
                 self._admitted.metadata.forwarded_headers, metadata
--- a/driftstall/gateway/stream_opener.py
+++ b/driftstall/gateway/stream_opener.py
@@ -6,6 +6,7 @@
 
 from driftstall.const import CODE_DEADLINE, CODE_NO_RUNNER, CODE_RUNNER_FAILED
 from driftstall.core import Problem, Ran
+from driftstall.exceptions import RequestQuarantined
 from driftstall.gateway.backoff_refusal import backoff_refusal
 from driftstall.gateway.calls import FULL_RETRY_S, MAX_SENDS
 from driftstall.gateway.outcomes import Outcome
@@ -97,6 +98,9 @@
             context.record_outcome(run, Outcome.FULL)
         elif result.sent:
             return self._resume_after_break(run, str(result))
+        elif isinstance(result, RequestQuarantined):
+            context.remove_run(run)
+            return context.refusal()
         else:
             attempts.detail = str(result)
             if context.state.can_start_on(run.upstream, context.history.sent_to):
--- a/features/gateway/prompt_parts.feature
+++ b/features/gateway/prompt_parts.feature
@@ -85,6 +85,16 @@
       | a stream | without any event  | has crashes that count        |
       | a stream | with events        | has no crashes that count     |
 
+  # A request was sent on that had been quarantined while its connection was opened.
+  Scenario Outline: a request that is quarantined while its connection is opened is not sent
+    When <request> with prompt "f1,a0" opens its connection as a peer reports crashes under "f1"
+    Then it is refused, and no upstream got it
+
+    Examples:
+      | request  |
+      | a call   |
+      | a stream |
+
   # Several peers reported one crash each; a third instance refused a part that is served all the time.
   Scenario: evidence of several peers against a part that has just succeeded is answered to all
     Given a stream with prompt "f1,a0" is served whole
--- a/features/steps/prompt_part_steps.py
+++ b/features/steps/prompt_part_steps.py
@@ -244,6 +244,29 @@
     send(context, prompt, ANSWERS[how].with_new_events(), PATHS[request])
 
 
+@when(
+    '{request} with prompt "{prompt}" opens its connection as a peer reports crashes under "{part}"'
+)
+def quarantined_while_connecting(context: Any, request: str, prompt: str, part: str) -> None:
+    """Merge a peer's report while the connection is opened."""
+    state = world_of(context).state
+    connect = state.connect
+
+    def connect_and_merge(*values: Any, **more: Any) -> Any:
+        report_crashes(context, part, "e-8 e-9", 0.0)
+        return connect(*values, **more)
+
+    state.connect = connect_and_merge  # type: ignore[method-assign]
+    send(context, prompt, None, PATHS[request])
+
+
+@then("it is refused, and no upstream got it")
+def refused_unsent(context: Any) -> None:
+    """Check that the request was not sent."""
+    assert is_refused(context.answer), context.answer
+    assert not runs(world_of(context), context.request_id)
+
+
 def share(context: Any) -> PoisonSharing:
     """Return the exchange of evidence of the world's gateway, and record what it sends to all."""
     context.broadcasts = []
