Let instances try a subject again one after another

Cause: a quarantine ended at all instances in the same moment. Where requests with a fatal part come at all of them, each could lose an engine before it knew of the others' crashes. Change: after its end the instances wait a second each, in an order that the subject decides (rendezvous hashing over the live ones); Retry-After says so. Result: eight instances send a part again 30, 31, ... 37 s after its second crash (new scenario); before, each did after 30 s.

--- a/driftstall/decisions/poison_detection.py
+++ b/driftstall/decisions/poison_detection.py
@@ -28,7 +28,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from typing import Final
 
@@ -94,11 +94,21 @@
 NO_VERDICT: Final = Verdict()
 
 
+def _try_at_once(_: str) -> float:
+    """Return no delay: a single instance tries a subject as soon as its quarantine ends."""
+    return 0.0
+
+
 class PoisonTracker:
     """Track crashes and successes of subjects, as seen by this instance and its peers."""
 
-    def __init__(self) -> None:
-        """Initialize an empty tracker."""
+    def __init__(self, trial_delay_s: Callable[[str], float] = _try_at_once) -> None:
+        """Initialize an empty tracker.
+
+        The callable trial_delay_s returns how long after the end of a quarantine this instance
+        sends the subject again. If all instances did so at once, each would lose an upstream.
+        """
+        self._trial_delay_s = trial_delay_s
         self._records: dict[str, SubjectRecord] = {}
         self._running_during: dict[str, set[str]] = {}
         """The subjects that were running on each upstream when it crashed."""
@@ -189,7 +199,7 @@
         duration_s = QUARANTINE_DURATIONS_S[
             min(int(weight - QUARANTINE_WEIGHT), len(QUARANTINE_DURATIONS_S) - 1)
         ]
-        ends_at = max(crash.at for crash in counted) + duration_s
+        ends_at = max(crash.at for crash in counted) + duration_s + self._trial_delay_s(subject)
         return Verdict(
             max(0.0, ends_at - now),
             weight,
--- a/driftstall/gateway/poison/guard.py
+++ b/driftstall/gateway/poison/guard.py
@@ -9,6 +9,7 @@
 
 from driftstall.decisions.poison_detection import PoisonTracker, Verdict
 from driftstall.decisions.poison_subjects import PoisonSubjects
+from driftstall.decisions.poison_trials import trial_delay_s
 from driftstall.gateway import unconnected
 from driftstall.gateway.poison.unframed_ends import UnframedEnds
 
@@ -29,11 +30,18 @@
 class PoisonGuard:
     """Keep the evidence, and publish what changes it."""
 
-    def __init__(self, now: Callable[[], float]) -> None:
-        """Initialize without evidence, with a getter of the time."""
+    def __init__(
+        self,
+        instance_id: str,
+        live_instance_ids: Callable[[], tuple[str, ...]],
+        now: Callable[[], float],
+    ) -> None:
+        """Initialize without evidence, with the instance's id and getters of peers and time."""
         self._now = now
         self._refusals: OrderedDict[str, Refusals] = OrderedDict()
-        self.tracker = PoisonTracker()
+        self.tracker = PoisonTracker(
+            lambda subject: trial_delay_s(subject, instance_id, live_instance_ids())
+        )
         self.unframed_ends = UnframedEnds(self, now)
         self.on_evidence_changed: Callable[[], None] = unconnected.do_nothing
         """Called when the evidence has changed and peers have to be informed."""
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -106,7 +106,9 @@
         self.upstream_loads = UpstreamLoads()
         self.live_instance_ids: Callable[[], tuple[str, ...]] = tuple
         """Returns the ids of all live instances; empty until peers are connected."""
-        self.poison = PoisonGuard(lambda: self.now())
+        self.poison = PoisonGuard(
+            settings.instance_id, lambda: self.live_instance_ids(), lambda: self.now()
+        )
         self.brittle = BrittleUpstreams(settings.instance_id, lambda: self.live_instance_ids())
         self.signals = UpstreamSignals(
             self.stats,
--- a/features/gateway/crash_blame.feature
+++ b/features/gateway/crash_blame.feature
@@ -95,3 +95,8 @@
     Given a request with two crashes, and 5000 parts that callers have made up, with one each
     Then at most 3000 subjects are remembered, and the one with two crashes is still refused
     And at most 192 are told, it among them
+
+  # Each instance tried a part again in the same moment, and each lost an engine.
+  Scenario: instances try a part again one after another
+    Given 8 instances that know of two crashes under a part
+    Then the first tries it again after 30 s, and each other one 1 s after the one before it
--- a/features/steps/crash_blame_steps.py
+++ b/features/steps/crash_blame_steps.py
@@ -11,6 +11,7 @@
 from driftstall.decisions.poison_detection import PoisonTracker, Verdict
 from driftstall.decisions.poison_evidence import CRASH_RETENTION_S, Crash, CrashReport, PoisonReport
 from driftstall.decisions.poison_subjects import PoisonSubjects, part_subject
+from driftstall.decisions.poison_trials import trial_delay_s
 from features.worlds.poison_world import Load, Outcome, PoisonWorld
 
 ONE: Final = "one"
@@ -137,6 +138,29 @@
     bounded(context, most)
 
 
+@given("{count:d} instances that know of two crashes under a part")
+def trial_order(context: Any, count: int) -> None:
+    """Record two crashes at each of some instances."""
+    ids = [f"instance-{number}" for number in range(count)]
+    part = part_subject("dead")
+    context.waits = []
+    for own in ids:
+        tracker = PoisonTracker(lambda subject, own=own: trial_delay_s(subject, own, ids))  # type: ignore[misc]
+        for upstream_id in "ab":
+            tracker.record_crash(part, Crash(upstream_id, 0.0, under_way=False))
+        context.waits.append(tracker.verdict(part, 0.0).wait_s)
+
+
+@then(
+    "the first tries it again after {first:g} s, and each other one {gap:g} s after the one before"
+    " it"
+)
+def tried_in_order(context: Any, first: float, gap: float) -> None:
+    """Compare the times at which the instances send the part again."""
+    expected = [first + gap * place for place in range(len(context.waits))]
+    assert sorted(context.waits) == expected, context.waits
+
+
 @then("two hours later nothing is remembered")
 def forgotten(context: Any) -> None:
     """Let all crashes expire."""
