Store a quarantine also where a peer's crash completes the evidence

Cause: only an instance that noticed the deciding crash stored the quarantine. If two instances noticed one crash each before they heard of the other's, both refused the subject and none stored it; after the end of all instances it was sent again. Change: an instance that noticed one of the crashes stores the quarantine when a peer's report completes it. Result: "who has noticed one of two crashes stores the quarantine" (with the companions as they are written and read) passes; on the code before, nothing is called then.

--- a/driftstall/decisions/poison_detection.py
+++ b/driftstall/decisions/poison_detection.py
@@ -128,6 +128,11 @@
             subject in self._records and self._records[subject].counted for subject in subjects.all
         )
 
+    def is_observed(self, subject: str) -> bool:
+        """Return True if this instance has noticed a crash under a subject itself."""
+        record = self._records.get(subject)
+        return record is not None and record.is_observed
+
     def record_run_crash(self, subjects: PoisonSubjects, crash: Crash) -> None:
         """Record a crash during which a run with some subjects was there."""
         if subjects.request:
@@ -146,6 +151,7 @@
             record = self._records[subject] = SubjectRecord(
                 succeeded_at=self._find_success_at(subject)
             )
+        record.is_observed = True
         for index, known in enumerate(record.crashes):
             if known.is_same(crash):
                 merged = known.merge(crash)
--- a/driftstall/decisions/poison_evidence.py
+++ b/driftstall/decisions/poison_evidence.py
@@ -87,6 +87,8 @@
     crashes: list[Crash] = field(default_factory=list)
     succeeded_at: float = NEVER
     changed_at: float = NEVER
+    is_observed: bool = False
+    """Whether this instance has noticed one of the crashes itself."""
 
     @property
     def counted(self) -> list[Crash]:
--- a/driftstall/gateway/peering.py
+++ b/driftstall/gateway/peering.py
@@ -132,6 +132,7 @@
             transport,
             now=state.now,
             source=state.rng,
+            on_quarantined=lambda subject: state.poison.on_quarantined(subject),
             on_merged=state.poison.unframed_ends.review,
         )
         self._placer = StreamPlacer(state, roles=lambda: self._roles, send=self._messenger.send)
--- a/driftstall/gateway/poison/crash_persistence.py
+++ b/driftstall/gateway/poison/crash_persistence.py
@@ -1,7 +1,7 @@
 """Persistence of quarantined requests and prompt parts in the platform, read at each start.
 
 Peers send their evidence to a new instance. If all instances end at once that evidence is lost, and
-a poison request may be sent again: so the instance that quarantines one
+a poison request may be sent again: so an instance that has noticed a crash of what is quarantined
 stores the evidence.
 """
 
--- a/driftstall/helpers/poison_sharing.py
+++ b/driftstall/helpers/poison_sharing.py
@@ -50,6 +50,10 @@
     broadcast: Callable[[Iterable[Instance], BlamesTold], None]
 
 
+def _ignore(_: str) -> None:
+    """Ignore a quarantined subject."""
+
+
 def _do_nothing() -> None:
     """Do nothing after evidence was merged."""
 
@@ -65,17 +69,20 @@
         *,
         now: Callable[[], float],
         source: random.Random,
+        on_quarantined: Callable[[str], None] = _ignore,
         on_merged: Callable[[], None] = _do_nothing,
     ) -> None:
         """Initialize with the evidence, this instance's id, the peers and a monotonic clock.
 
-        The callable on_merged is called after new evidence was merged.
+        The callable on_quarantined takes a subject that a peer's evidence has quarantined together
+        with a crash noticed here; on_merged is called after new evidence was merged.
         """
         self._tracker = tracker
         self._own_id = own_id
         self._transport = transport
         self._now = now
         self._source = source
+        self._on_quarantined = on_quarantined
         self._on_merged = on_merged
         self._has_changes = Event()
         self._started_at = now()
@@ -97,6 +104,8 @@
         if tracker.merge(message.records, now):
             for subject in set(tracker.quarantined(now)) - quarantined:
                 log_quarantine(subject, tracker.verdict(subject, now), peer=message.sender)
+                if tracker.is_observed(subject):
+                    self._on_quarantined(subject)
             self._on_merged()
             if self._transport.forwards():
                 self.publish_soon()
--- a/features/gateway/prompt_parts.feature
+++ b/features/gateway/prompt_parts.feature
@@ -95,6 +95,13 @@
       | a call   |
       | a stream |
 
+  # Each instance knew of two crashes, and none of them had noticed both.
+  Scenario: who has noticed one of two crashes stores the quarantine
+    When a stream with prompt "f1,dead,a0" crashes its engine
+    And a peer reports one other crash under the part "dead"
+    Then the quarantine of the part "dead" is stored
+    And it is stored and read again with its companions
+
   # Several peers reported one crash each; a third instance refused a part that is served all the time.
   Scenario: evidence of several peers against a part that has just succeeded is answered to all
     Given a stream with prompt "f1,a0" is served whole
--- a/features/steps/prompt_part_steps.py
+++ b/features/steps/prompt_part_steps.py
@@ -24,6 +24,8 @@
 from driftstall.gateway.scheduling.queue_status import QueueStatus
 from driftstall.helpers.poison_sharing import PeerTransport, PoisonSharing
 from driftstall.peers.blame_messages import BlamesTold
+from driftstall.platform.crashes import PlatformCrashStore
+from driftstall.platform.store import Store
 from features.steps.crash_refusal_steps import settle
 from features.worlds.gateway_world import (
     Received,
@@ -32,6 +34,7 @@
     wait_for,
     world_of,
 )
+from measures.bench import Bench
 from stand_ins.routed import RoutedUpstream, Script
 
 NUMBERS: Final = itertools.count(1)
@@ -285,6 +288,7 @@
         transport,
         now=state.now,
         source=state.rng,
+        on_quarantined=state.poison.on_quarantined,
     )
 
 
@@ -295,6 +299,36 @@
     sharing.handle_message(BlamesTold(sender, (report,), asks=False))
 
 
+@when('a peer reports one other crash under the part "{part}"')
+def peer_reports_one(context: Any, part: str) -> None:
+    """Handle a peer's message about a crash that was not noticed here."""
+    report_crash(share(context), "peer", part, "e-9")
+
+
+@then('the quarantine of the part "{part}" is stored')
+def quarantine_stored(context: Any, part: str) -> None:
+    """Check that the persistence was informed."""
+    context.part = part
+    assert part_subject(part) in context.quarantined, context.quarantined
+
+
+@then("it is stored and read again with its companions")
+def stored_and_read(context: Any) -> None:
+    """Write the evidence to the store's stand-in and read it."""
+    bench = Bench()
+    context.add_cleanup(bench.close)
+    store = PlatformCrashStore(Store(bench.start_platform().address))
+    state = world_of(context).state
+    report = state.poison.tracker.report_for(part_subject(context.part), state.now())
+    assert report is not None and all(crash.companions for crash in report.crashes), report
+    store.write(report)
+    (read,) = store.read()
+    assert read.fingerprint == report.fingerprint
+    assert [crash.companions for crash in read.crashes] == [
+        crash.companions for crash in report.crashes
+    ]
+
+
 @when('two peers report one crash each under the part "{part}"')
 def two_peers_report(context: Any, part: str) -> None:
     """Handle a message of each of two peers."""
