Hold crashes against messages of a prompt at the own interface too

The same cause elsewhere: the own interface kept evidence under a hash of the whole request. Prompts that share one fatal message, of which no two are alike, crashed one engine each (6 of 6 in the new scenario, 3 allowed).

Change: each message but the last is a subject; companions, trials one after another and exoneration by tokens for a second or a 2xx response are as at the gateway. A generation that is quarantined while it waits for its grant gives the grant back and is refused. GET /operator/crashes names kind and companions. What relay_service.py only used for resumed requests stands in relay_requests.py.

The engine's stand-in crashes by a tag in any message.

--- a/driftstall/daemon/callers.py
+++ b/driftstall/daemon/callers.py
@@ -31,15 +31,14 @@
 )
 from driftstall.daemon.http_server import ENVIRON_SOCKET, is_peer_connected
 from driftstall.daemon.node import Node
-from driftstall.daemon.poison_service import request_fingerprint
+from driftstall.daemon.poison_service import request_subjects
+from driftstall.daemon.relay_requests import resumed_request, with_earlier_asked_at
 from driftstall.daemon.relay_service import (
     Completed,
     Failed,
     Relay,
     RelayItem,
     Tokens,
-    resumed_request,
-    with_earlier_asked_at,
 )
 from driftstall.decisions.locate import locate
 from driftstall.filters.apply_policy import ApplyPolicy
@@ -119,7 +118,7 @@
         result = run_chain(self._get_filter_chain(), context)
         if isinstance(result, Problem):
             return self._respond_problem(start, result)
-        refusal = self._node.poison.build_refusal(request_fingerprint(result), Ran.NOT_RUN)
+        refusal = self._node.poison.build_refusal(request_subjects(result), Ran.NOT_RUN)
         if refusal is not None:
             return self._respond_problem(start, refusal)
         if result.request is not None:
@@ -228,7 +227,7 @@
             ticket,
             _build_disconnect_check(environ[ENVIRON_SOCKET]),
         )
-        relay.fingerprint = request_fingerprint(context)
+        relay.subjects = request_subjects(context)
         if payload.get("stream"):
             return self._respond_stream(relay, request, start)
         return self._respond_whole(relay, request, start)
--- a/driftstall/daemon/operators.py
+++ b/driftstall/daemon/operators.py
@@ -22,6 +22,7 @@
 from driftstall.daemon.node import Node
 from driftstall.daemon.stats import COUNTERS, render
 from driftstall.daemon.wire import config_to_json
+from driftstall.decisions.poison_subjects import is_part
 from driftstall.exceptions import PolicyError
 from driftstall.policy.evaluate import explain
 from driftstall.policy.model import Facts
@@ -118,7 +119,7 @@
         if route == "GET /operator/crashes":
             return send_json(start, 200, {"crashes": self._list_crashes()})
         if route.startswith("DELETE /operator/crashes/"):
-            self._node.poison.record_success(route.rpartition("/")[2])
+            self._node.poison.clear(route.rpartition("/")[2])
             return send_json(start, 200, {"crashes": self._list_crashes()})
         if route == "POST /operator/drain":
             self._node.request_stop()
@@ -126,15 +127,17 @@
         return send_problem(start, Problem(CODE_NOT_FOUND, 404, f"no {route}", Ran.NOT_RUN))
 
     def _list_crashes(self) -> list[dict[str, Any]]:
-        """Return the quarantined requests, which have crashed runners."""
+        """Return the quarantined requests and messages, which have crashed runners."""
         quarantined = self._node.poison.tracker.quarantined(self._node.hub.now())
         return [
             {
-                "fingerprint": fingerprint,
+                "fingerprint": subject,
+                "kind": "prompt part" if is_part(subject) else "request",
                 "upstreams": verdict.upstream_ids,
                 "wait_s": round(verdict.wait_s, 1),
+                "companions": sorted(verdict.companions),
             }
-            for fingerprint, verdict in sorted(quarantined.items())
+            for subject, verdict in sorted(quarantined.items())
         ]
 
     def _submit(self, raw: Any, start: StartResponse) -> Iterable[bytes]:
--- a/driftstall/daemon/poison_service.py
+++ b/driftstall/daemon/poison_service.py
@@ -13,6 +13,8 @@
 from driftstall.daemon.membership_service import MembershipService
 from driftstall.decisions.poison_detection import PoisonTracker
 from driftstall.decisions.poison_evidence import Crash
+from driftstall.decisions.poison_subjects import PoisonSubjects, is_part
+from driftstall.decisions.poison_trials import trial_delay_s
 from driftstall.exceptions import UpstreamError
 from driftstall.filters.context import RequestContext
 from driftstall.helpers.log import log_event
@@ -32,7 +34,12 @@
         """Initialize without evidence."""
         self._hub = hub
         self._members = members
-        self.tracker = PoisonTracker()
+        own_id = hub.own.instance_id
+        self.tracker = PoisonTracker(
+            lambda subject: trial_delay_s(
+                subject, own_id, [peer.instance_id for peer in members.live]
+            )
+        )
         transport = PeerTransport(
             live=lambda: members.live,
             recipients=lambda: members.live,
@@ -40,7 +47,6 @@
             send=self._send,
             broadcast=self._broadcast,
         )
-        own_id = hub.own.instance_id
         self._sharing = PoisonSharing(self.tracker, own_id, transport, now=hub.now, source=hub.rng)
         hub.on_message(BlamesTold, self._handle_peer_reports)
 
@@ -48,57 +54,77 @@
         """Start the exchange of evidence with peers."""
         self._sharing.start()
 
-    def build_refusal(self, fingerprint: str, ran: Ran) -> Problem | None:
+    def build_refusal(self, subjects: PoisonSubjects, ran: Ran) -> Problem | None:
         """Return the refusal of a quarantined request, or None if it can be sent."""
-        verdict = self.tracker.verdict(fingerprint, self._hub.now())
+        verdict = self.tracker.request_verdict(subjects, self._hub.now())
         if not verdict.wait_s:
             return None
         log_event(
             PREFIX_ROUTING,
             "Request refused: runners have crashed while running it",
-            fingerprint=fingerprint,
+            fingerprint=subjects.request,
+            subject=verdict.subject,
             upstreams=list(verdict.upstream_ids),
             wait_s=round(verdict.wait_s, 1),
             ran=ran.value,
         )
-        detail = f"{len(verdict.upstream_ids)} runners have crashed under this request"
+        piece = "a part of this prompt" if is_part(verdict.subject) else "this request"
+        detail = f"{len(verdict.upstream_ids)} runners have crashed under {piece}"
         return Problem(CODE_CRASHES_RUNNERS, 503, detail, ran, verdict.wait_s)
 
-    def handle_broken_run(self, runner: Runner, fingerprint: str, *, under_way: bool) -> None:
+    def handle_broken_run(
+        self, runner: Runner, subjects: PoisonSubjects, *, under_way: bool
+    ) -> None:
         """Probe the runner of a broken run, and record a crash if its process has terminated.
 
         The first probe is synchronous so that its result is known before the request is sent to
         another runner. It takes a millisecond if nothing listens at the address any more.
         """
-        at = self._hub.now()
+        crash = Crash(runner.runner_id, self._hub.now(), under_way)
         if _is_terminated(runner):
-            self._record_crash(runner, fingerprint, Crash(runner.runner_id, at, under_way))
+            self._record_crash(subjects, crash)
         else:
-            gevent.spawn_later(RECHECK_DELAY_S, self._recheck, runner, fingerprint, at, under_way)
+            gevent.spawn_later(RECHECK_DELAY_S, self._recheck, runner, subjects, crash)
+
+    def record_success(self, subjects: PoisonSubjects) -> None:
+        """Record that a request has succeeded."""
+        self._exonerate(subjects.all)
 
-    def record_success(self, fingerprint: str) -> None:
-        """Record that a request has succeeded, or that an operator has cleared it."""
-        if self.tracker.record_success(fingerprint, self._hub.now()):
+    def record_progress(self, subjects: PoisonSubjects) -> None:
+        """Record that a run is producing tokens: its messages crash nothing when they begin."""
+        self._exonerate(subjects.parts)
+
+    def clear(self, subject: str) -> None:
+        """Clear a subject by an operator's order."""
+        self._exonerate((subject,))
+
+    def _exonerate(self, subjects: Iterable[str]) -> None:
+        """Record a success of some subjects, and publish it if crashes count against one."""
+        now = self._hub.now()
+        if any([self.tracker.record_success(subject, now) for subject in subjects]):
             self._sharing.publish_soon()
 
-    def _recheck(self, runner: Runner, fingerprint: str, at: float, under_way: bool) -> None:
+    def _recheck(self, runner: Runner, subjects: PoisonSubjects, crash: Crash) -> None:
         """Probe a runner again that still accepted connections at the first probe."""
         if _is_terminated(runner):
-            self._record_crash(runner, fingerprint, Crash(runner.runner_id, at, under_way))
+            self._record_crash(subjects, crash)
 
-    def _record_crash(self, runner: Runner, fingerprint: str, crash: Crash) -> None:
-        """Record a crash as evidence against a request, and publish it to peers."""
+    def _record_crash(self, subjects: PoisonSubjects, crash: Crash) -> None:
+        """Record a crash as evidence against a request and its parts, and publish it to peers."""
         log_event(
             PREFIX_ROUTING,
-            f"Runner {runner.runner_id} has crashed during a run of this instance",
-            fingerprint=fingerprint,
+            f"Runner {crash.upstream_id} has crashed during a run of this instance",
+            fingerprint=subjects.request,
+            parts=subjects.parts,
         )
-        if self.tracker.record_crash(fingerprint, crash):
-            verdict = self.tracker.verdict(fingerprint, self._hub.now())
+        now = self._hub.now()
+        self.tracker.record_run_crash(subjects, crash)
+        for subject in subjects.all:
+            verdict = self.tracker.verdict(subject, now)
             if verdict.wait_s:
-                log_quarantine(fingerprint, verdict)
-            self.tracker.forget_expired(self._hub.now())
-            self._sharing.publish_soon()
+                log_quarantine(subject, verdict)
+        self.tracker.forget_expired(now)
+        self._sharing.publish_soon()
 
     def _handle_peer_reports(self, _: str, message: BlamesTold) -> None:
         """Merge a peer's evidence."""
@@ -115,10 +141,15 @@
                 self._hub.send(instance.instance_id, message)
 
 
-def request_fingerprint(context: RequestContext) -> str:
-    """Return a hash of a request's method, path, workspace and body, in hexadecimal."""
+def request_subjects(context: RequestContext) -> PoisonSubjects:
+    """Return the subjects of a request: itself, and the messages of its prompt."""
     head = (context.method, context.path, context.workspace)
-    return fingerprint(*(part.encode() for part in head), context.body)
+    request = fingerprint(*(part.encode() for part in head), context.body)
+    messages = context.payload["messages"] if context.payload else ()
+    ids = [
+        fingerprint(message["role"].encode(), message["content"].encode()) for message in messages
+    ]
+    return PoisonSubjects.from_prompt(request, ids)
 
 
 def _is_terminated(runner: Runner) -> bool:
--- a/driftstall/daemon/relay_service.py
+++ b/driftstall/daemon/relay_service.py
@@ -4,11 +4,10 @@
 
 import time
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Any, Final, NamedTuple
 
 import gevent
-import orjson
 
 from driftstall.const import CODE_NO_RUNNER, PREFIX_RELAY
 from driftstall.controllers.grant_messages import Granted
@@ -39,8 +38,10 @@
 from driftstall.daemon.grant_client import GrantClient, with_request_id
 from driftstall.daemon.hub import Hub
 from driftstall.daemon.poison_service import PoisonService
+from driftstall.daemon.relay_requests import parse_cached_prefix
 from driftstall.daemon.signal_service import SignalService
 from driftstall.decisions.poison_evidence import UNDER_WAY_S
+from driftstall.decisions.poison_subjects import PoisonSubjects
 from driftstall.decisions.retry import RetryBudget
 from driftstall.decisions.upstream_signals import Signal
 from driftstall.exceptions import UpstreamError
@@ -171,8 +172,10 @@
         self._opened_at = 0.0
         """When the generation was last started on a runner."""
         self.ticket = ""
-        self.fingerprint = ""
-        """Hash of the request's content; empty if unknown, as with a resume token."""
+        self._producing_since: float | None = None
+        """When the runner's current stream produced its first token; None before it."""
+        self.subjects = PoisonSubjects()
+        """What crashes may be attributed to; empty if unknown, as with a resume token."""
         self.first_event: RelayEvent = Started()
 
     def __iter__(self) -> Iterator[RelayItem]:
@@ -226,7 +229,7 @@
                         # The remaining events belong to an abandoned stream.
                         return
                 if tokens:
-                    self._last_progress_at = self._hub.now()
+                    self._record_progress()
                     grant_client.record_progress(request_id, machine.produced)
                     stats.tokens += len(tokens)
                     yield Tokens(tuple(tokens))
@@ -245,7 +248,7 @@
         elif isinstance(event, EngineToken):
             self._feed(TokenArrived(event.generation, event.position, event.data))
         elif isinstance(event, EngineEnd):
-            self._cached_prefix = _parse_cached_prefix(event.data)
+            self._cached_prefix = parse_cached_prefix(event.data)
             self._feed(StreamEnded(event.generation, event.total, event.data))
         elif not self._is_caller_waiting():
             self._handle_disconnect()
@@ -270,15 +273,25 @@
         quarantined = fault.sent and self._check_quarantine()
         self._feed(StreamFailed(generation, fault.sent, unknown, str(fault), quarantined))
 
+    def _record_progress(self) -> None:
+        """Note the arrival of tokens; a run that goes on for a while exonerates its messages."""
+        now = self._hub.now()
+        self._last_progress_at = now
+        if self._producing_since is None:
+            self._producing_since = now
+        elif now - self._producing_since >= UNDER_WAY_S:
+            self._producing_since = now
+            self._service.poison.record_progress(self.subjects)
+
     def _check_quarantine(self) -> bool:
         """Check the runner for a crash; return whether the request is now quarantined."""
         runner = self._service.fleet.runners.get(self._machine.runner_id)
-        if runner is None or not self.fingerprint:
+        if runner is None or not self.subjects.request:
             return False
         generating_s = self._hub.now() - self._opened_at
         under_way = self._machine.produced > 0 and generating_s >= UNDER_WAY_S
-        self._service.poison.handle_broken_run(runner, self.fingerprint, under_way=under_way)
-        return self._service.poison.build_refusal(self.fingerprint, Ran.UNKNOWN) is not None
+        self._service.poison.handle_broken_run(runner, self.subjects, under_way=under_way)
+        return self._service.poison.build_refusal(self.subjects, Ran.UNKNOWN) is not None
 
     def _drop_stream(self) -> None:
         """Close the runner's stream."""
@@ -314,8 +327,8 @@
                 self._output.append(Tokens((token,)))
             case Complete():
                 self._drop_stream()
-                if self.fingerprint:
-                    self._service.poison.record_success(self.fingerprint)
+                if self._machine.produced:
+                    self._service.poison.record_success(self.subjects)
                 self._output.append(Completed(action.data))
             case Fail():
                 self._drop_stream()
@@ -341,6 +354,12 @@
             self._should_keep_waiting,
         )
         if isinstance(answer, Granted):
+            refusal = self._service.poison.build_refusal(self.subjects, Ran.NOT_RUN)
+            if refusal is not None:
+                # The request was quarantined while it waited for its grant.
+                self._service.grant_client.close(action.grant_id, 0, False, None)
+                self._feed(GrantRefused(refusal))
+                return
             self._feed(GrantReceived(answer.runner_id, answer.rank))
         elif isinstance(answer, Problem):
             self._feed(GrantRefused(answer))
@@ -366,6 +385,7 @@
                 )
                 return
             self._last_progress_at = self._opened_at = self._hub.now()
+            self._producing_since = None
             self._stream = open_stream(runner, action.generation, self._payload, action.rank)
         except UpstreamError as fault:
             self._service.fleet.record_failure(action.runner_id)
@@ -394,22 +414,3 @@
         except UpstreamError as fault:
             gevent.sleep(RESUME_RETRY_DELAY_S)
             self._handle_stream_failure(fault)
-
-
-def resumed_request(workspace: str, request_id: str, now: float, deadline: float) -> Request:
-    """Return the request that resumes a generation which any instance may have started."""
-    return Request(request_id, workspace, "resume", "", 0, 1, (), now, deadline)
-
-
-def with_earlier_asked_at(request: Request, asked_at: float) -> Request:
-    """Return the request with the time of its first attempt if that is earlier."""
-    return replace(request, asked_at=min(request.asked_at, asked_at))
-
-
-def _parse_cached_prefix(data: bytes) -> PrefixMark | None:
-    """Return the cached prefix named in a stream's last event, which a follow-up can reuse."""
-    try:
-        mark = orjson.loads(data).get("cached_prefix")
-        return PrefixMark(int(mark[0]), int(mark[1])) if mark else None
-    except (ValueError, TypeError, AttributeError, IndexError):
-        return None
--- a/driftstall/daemon/service_calls.py
+++ b/driftstall/daemon/service_calls.py
@@ -5,6 +5,7 @@
 import hashlib
 from collections.abc import Mapping
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Final
 
 import gevent
@@ -21,7 +22,7 @@
 from driftstall.daemon.claims_service import ClaimsService
 from driftstall.daemon.fleet_service import FleetService
 from driftstall.daemon.hub import Hub
-from driftstall.daemon.poison_service import PoisonService, request_fingerprint
+from driftstall.daemon.poison_service import PoisonService, request_subjects
 from driftstall.daemon.signal_service import SignalService
 from driftstall.decisions.permits import SendNeed
 from driftstall.decisions.retry import RetryBudget
@@ -33,7 +34,6 @@
 
 FORWARDED_HEADERS: Final = ("content-type", "accept", "x-call-id")
 HTTP_NOT_RUN: Final = 503
-HTTP_FAILED: Final = 500
 MAX_ATTEMPTS: Final = 3
 MAX_PERMIT_WAIT_S: Final = 0.3
 """Maximum wait for a permit if all runners have rate limits; beyond it a refusal with a
@@ -143,8 +143,8 @@
                 continue
             result = self._send(runner, context)
             if result.response is not None and result.response.status != HTTP_NOT_RUN:
-                if result.response.status < HTTP_FAILED:
-                    self._poison.record_success(request_fingerprint(context))
+                if HTTPStatus.OK <= result.response.status < HTTPStatus.MULTIPLE_CHOICES:
+                    self._poison.record_success(request_subjects(context))
                 return result.response
             # By the contract of plain services, a 503 response means that the call was not run.
             maybe_ran = maybe_ran or (result.sent and result.response is None)
@@ -154,8 +154,7 @@
                 break
             if (
                 result.is_unanswered
-                and self._poison.build_refusal(request_fingerprint(context), Ran.UNKNOWN)
-                is not None
+                and self._poison.build_refusal(request_subjects(context), Ran.UNKNOWN) is not None
             ):
                 break
         ran = Ran.UNKNOWN if maybe_ran else Ran.NOT_RUN
@@ -215,9 +214,7 @@
             return _SendResult(response, True, f"the runner answered {response.status}")
         except UpstreamError as fault:
             if fault.sent:
-                self._poison.handle_broken_run(
-                    runner, request_fingerprint(context), under_way=False
-                )
+                self._poison.handle_broken_run(runner, request_subjects(context), under_way=False)
             else:
                 self._fleet.record_failure(runner_id)
             return _SendResult(None, fault.sent, str(fault), is_unanswered=fault.sent)
--- a/features/steps/process_crash_steps.py
+++ b/features/steps/process_crash_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from dataclasses import dataclass
 from typing import Any
 
@@ -16,6 +17,8 @@
 WORKSPACES = ("north", "plains")
 CALL_S = 20.0
 CALL_PAUSE_S = 0.1
+NUMBERS = itertools.count(1)
+SYSTEM = "Answer students of the enrolment desk"
 PROMPT = {
     "model": "base",
     "max_tokens": 100,
@@ -64,6 +67,33 @@
     ]
 
 
+def prompt_with(*messages: str) -> dict[str, Any]:
+    """Return a prompt with some messages, and one of its own."""
+    own = f"question {next(NUMBERS)} [length=20]"
+    turns = [{"role": "user", "content": content} for content in (*messages, own)]
+    return PROMPT | {"messages": [{"role": "system", "content": SYSTEM}, *turns]}
+
+
+@when("prompts with the same fatal message are asked {count:d} times, at the instances by turns")
+def ask_fatal_messages(context: Any, count: int) -> None:
+    """Send prompts that share the instructions and a fatal message."""
+    instances = context.own.instances
+    context.replies = []
+    for index in range(count):
+        prompt = prompt_with("a document that crashes [crash]")
+        instance = instances[index % len(instances)]
+        context.replies.append(post(instance, "/v1/chat/completions", prompt))
+        gevent.sleep(CALL_PAUSE_S)
+
+
+@then("prompts with their other messages are answered whole")
+def others_whole(context: Any) -> None:
+    """Send a prompt with the same instructions to each instance."""
+    for instance in context.own.instances:
+        reply = post(instance, "/v1/chat/completions", prompt_with("a document"))
+        assert reply.status == 200 and b"[DONE]" in reply.body, reply
+
+
 @when("the same fatal call is made {count:d} times, at the instances by turns")
 def call_fatal(context: Any, count: int) -> None:
     """Send the calls one after the other."""
--- a/stand_ins/engine.py
+++ b/stand_ins/engine.py
@@ -246,7 +246,7 @@
         self._streams[generation_id] = stream
         self._engine.add(generation)
         self._work.set()
-        if CRASH_TAG in messages[-1][1]:
+        if any(CRASH_TAG in content for _, content in messages):
             gevent.spawn_later(CRASH_S, os._exit, 1)
         return self._stream(stream, 0, start)
 
