Hold each crash of a part only against requests that have its rivals in that crash

Cause: the rare part stood beside two fatal parts at once, so it was in more crashes than either, and no subject was beside it in all of them: it had no companion, and was convicted alone. Once refused it could not succeed. Change: each crash has rivals of its own, the companions there that may be its cause (two crashes, and at least half of the part's); a crash is held against a request only if the request has them. A request that comes again as it is, is a rival only if it alone was running each time. Verdicts stand in a module of their own.

--- a/driftstall/decisions/poison_detection.py
+++ b/driftstall/decisions/poison_detection.py
@@ -14,9 +14,9 @@
   while counts half against the whole request, and not against its parts.
 - A poison subject is running at each crash that it causes. A crash that is explained by a subject
   with a higher weight is not attributed to any other subject.
-- Parts that were always running together can't be told apart by their crashes. A part is held
-  against a request only if the request also has the part's companions: the subjects that stood
-  beside it in each of its crashes and have the same weight. Requests with some of them tell them
+- Parts that were running together can't be told apart by their crashes. A part is held against a
+  request only by crashes whose rivals the request has as well: the subjects beside the part in
+  that crash that may be the cause instead. Requests without them tell the part and its rivals
   apart.
 
 Two crashes of runs that had just started quarantine a subject: waiting for a third would cost one
@@ -41,15 +41,15 @@
     PoisonReport,
     SubjectRecord,
     build_report,
-    common_companions,
     find_unknown_crashes,
 )
 from driftstall.decisions.poison_subjects import PoisonSubjects, is_part
+from driftstall.decisions.poison_verdict import NO_VERDICT, QUARANTINE_WEIGHT, Verdict
 
-QUARANTINE_WEIGHT: Final = 2.0
-"""Weight of crashes from which a subject is not sent to any upstream."""
 QUARANTINE_DURATIONS_S: Final = (30.0, 600.0, 3600.0)
 """Quarantine after the latest crash, for two, three and more crashes."""
+RIVAL_SHARE: Final = 0.5
+"""A part may be the cause instead of another one if it has at least this share of its weight."""
 CHANGE_PUBLISH_S: Final = 10.0
 """How long a change that quarantines no subject is published to peers."""
 MIN_SUCCESS_ADVANCE_S: Final = 1.0
@@ -72,28 +72,6 @@
 PART_LIMITS: Final = _Limits(records=2_000, successes=2_000, reports=128)
 
 
-@dataclass(frozen=True, slots=True)
-class Verdict:
-    """State whether a subject may be sent."""
-
-    wait_s: float = 0.0
-    """Remaining quarantine in seconds; zero if the subject may be sent now."""
-    weight: float = 0.0
-    upstream_ids: tuple[str, ...] = ()
-    """The upstreams whose crashes are attributed to the subject."""
-    subject: str = ""
-    companions: frozenset[str] = frozenset()
-    """The quarantine applies only to requests that have all these subjects as well."""
-
-    @property
-    def is_poison(self) -> bool:
-        """Return True if crashes are attributed to the subject, even if it may be tried again."""
-        return self.weight >= QUARANTINE_WEIGHT
-
-
-NO_VERDICT: Final = Verdict()
-
-
 def _try_at_once(_: str) -> float:
     """Return no delay: a single instance tries a subject as soon as its quarantine ends."""
     return 0.0
@@ -190,7 +168,7 @@
         verdicts = [
             self.verdict(subject, now) for subject in subjects.all if subject in self._records
         ]
-        applying = [verdict for verdict in verdicts if verdict.companions <= names]
+        applying = [verdict for verdict in verdicts if verdict.applies_to(names)]
         return max(applying, key=lambda verdict: verdict.wait_s, default=NO_VERDICT)
 
     def verdict(self, subject: str, now: float) -> Verdict:
@@ -211,11 +189,21 @@
             weight,
             tuple(crash.upstream_id for crash in counted),
             subject,
-            frozenset(
-                name
-                for name in common_companions(counted)
-                if name in self._records and self._records[name].weight >= weight
-            ),
+            tuple([(crash.weight, self._find_rivals(crash, weight)) for crash in counted]),
+        )
+
+    def _find_rivals(self, crash: Crash, weight: float) -> frozenset[str]:
+        """Return the companions in a crash that may be its cause, instead of a part with a weight.
+
+        A request whose part has crashed upstreams in other requests too is no rival of that part.
+        Parts may each be the cause of some of the crashes of a part between them.
+        """
+        needed = max(QUARANTINE_WEIGHT, RIVAL_SHARE * weight)
+        return frozenset(
+            name
+            for name in crash.companions
+            if name in self._records
+            and self._records[name].weight >= (needed if is_part(name) else weight)
         )
 
     def quarantined(self, now: float) -> dict[str, Verdict]:
@@ -332,6 +320,9 @@
             other = self._records.get(subject)
             if other is None or other is record or other.weight <= weight:
                 continue
+            if subject in crash.companions:
+                # It was beside this one in the same run, so it is a rival.
+                continue
             if any(other_crash.upstream_id == crash.upstream_id for other_crash in other.counted):
                 return True
         return False
--- a/driftstall/decisions/poison_evidence.py
+++ b/driftstall/decisions/poison_evidence.py
@@ -101,12 +101,6 @@
         return sum(crash.weight for crash in self.counted)
 
 
-def common_companions(crashes: Iterable[Crash]) -> frozenset[str]:
-    """Return the subjects that stood beside a prompt part in each of its crashes."""
-    sets = [crash.companions for crash in crashes]
-    return frozenset.intersection(*sets) if sets else frozenset()
-
-
 def find_unknown_crashes(
     known: list[Crash], reported: Iterable[CrashReport], now: float
 ) -> list[Crash]:
--- a/driftstall/gateway/poison/guard.py
+++ b/driftstall/gateway/poison/guard.py
@@ -7,9 +7,10 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from driftstall.decisions.poison_detection import PoisonTracker, Verdict
+from driftstall.decisions.poison_detection import PoisonTracker
 from driftstall.decisions.poison_subjects import PoisonSubjects
 from driftstall.decisions.poison_trials import trial_delay_s
+from driftstall.decisions.poison_verdict import Verdict
 from driftstall.gateway import unconnected
 from driftstall.gateway.poison.unframed_ends import UnframedEnds
 
--- a/driftstall/gateway/poison/status.py
+++ b/driftstall/gateway/poison/status.py
@@ -4,8 +4,8 @@
 
 from typing import Any
 
-from driftstall.decisions.poison_detection import Verdict
 from driftstall.decisions.poison_subjects import is_part
+from driftstall.decisions.poison_verdict import Verdict
 from driftstall.gateway.poison.guard import Refusals
 
 
--- a/driftstall/helpers/poison_sharing.py
+++ b/driftstall/helpers/poison_sharing.py
@@ -17,9 +17,10 @@
 
 from driftstall.const import PREFIX_ROUTING
 from driftstall.core import Instance
-from driftstall.decisions.poison_detection import PoisonTracker, Verdict
+from driftstall.decisions.poison_detection import PoisonTracker
 from driftstall.decisions.poison_evidence import PoisonReport
 from driftstall.decisions.poison_subjects import is_part
+from driftstall.decisions.poison_verdict import Verdict
 from driftstall.helpers.log import log_event
 from driftstall.helpers.tasks import keep_running
 from driftstall.peers.blame_messages import BlamesTold
--- a/features/gateway/crash_blame.feature
+++ b/features/gateway/crash_blame.feature
@@ -90,6 +90,31 @@
       | two fatal parts                            | 4     | 5    | 100     |
       | a fatal part in a fleet of 60              | 2     | 5    | 10      |
 
+  # Parts beside a fatal one are in the same crashes, and a rare one beside two fatal ones is in more.
+  Scenario Outline: which prompts are refused after others have crashed
+    Given requests with prompts "<crashed>" have crashed an upstream each
+    Then a request with prompt "<asked>" <may>
+
+    Examples:
+      | crashed                                        | asked   | may         |
+      | f1 dead, f1 dead                               | f1 dead | is refused  |
+      | f1 dead, f1 dead                               | f1      | may be sent |
+      | f1 dead, f1 dead                               | dead    | may be sent |
+      | f1 dead, f1 dead, dead                         | f2 dead | may be sent |
+      | f1 dead, f1 dead, dead, f3 dead                | f2 dead | is refused  |
+      | f1 dead, f1 dead, dead                         | f1      | may be sent |
+      | c3 dead, c3 dead, c3 beef                      | c3      | may be sent |
+      | c3 dead, c3 dead, c3 beef, c3 beef             | c3      | may be sent |
+      | c3 dead, c3 dead, c3 beef, c3 beef             | c3 beef | is refused  |
+      | c3 dead, c3 dead, c4 dead, c5 dead             | c6 dead | is refused  |
+      | c3 dead, c3 dead, c4 dead, c4 dead, c5 dead    | c6 dead | is refused  |
+      | c3 dead, c4 dead                               | c6 dead | is refused  |
+      | c3 dead and again, c4 dead                     | c6 dead | may be sent |
+      | c3 dead and again, c4 dead, c5 dead            | c6 dead | is refused  |
+      | c3 dead and again, c4 dead and again, c5 dead  | c6 dead | is refused  |
+      | c3 dead and again                              | c3 dead | may be sent |
+      | c3 dead and again                              | c4 dead | may be sent |
+
   # Callers choose the parts, and could push out what is known of whole requests.
   Scenario: made up parts take bounded memory, and push out no whole request
     Given a request with two crashes, and 5000 parts that callers have made up, with one each
--- a/features/steps/crash_blame_steps.py
+++ b/features/steps/crash_blame_steps.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
+import itertools
 import re
 from collections.abc import Callable
 from typing import Any, Final
 
 from behave import given, then, when
 
-from driftstall.decisions.poison_detection import PoisonTracker, Verdict
+from driftstall.decisions.poison_detection import PoisonTracker
 from driftstall.decisions.poison_evidence import CRASH_RETENTION_S, Crash, CrashReport, PoisonReport
 from driftstall.decisions.poison_subjects import PoisonSubjects, part_subject
 from driftstall.decisions.poison_trials import trial_delay_s
+from driftstall.decisions.poison_verdict import Verdict
 from features.worlds.poison_world import Load, Outcome, PoisonWorld
 
 ONE: Final = "one"
@@ -119,6 +121,38 @@
     assert len(reports) <= most and reports[0].fingerprint == ONE, reports[:2]
 
 
+@given('requests with prompts "{crashed}" have crashed an upstream each')
+def prompts_crashed(context: Any, crashed: str) -> None:
+    """Record a crash a second for each prompt; "and again" repeats the request as it is."""
+    context.tracker = PoisonTracker()
+    upstreams = itertools.count(1)
+    for number, text in enumerate(crashed.split(", ")):
+        prompt, _, again = text.partition(" and ")
+        for _ in range(2 if again else 1):
+            place = next(upstreams)
+            crash = Crash(f"u{place}", float(place), under_way=False)
+            context.tracker.record_run_crash(prompt_subjects(f"r{number}", prompt), crash)
+
+
+def prompt_subjects(request: str, prompt: str) -> PoisonSubjects:
+    """Return the subjects of a request with a prompt and a last part of its own."""
+    return PoisonSubjects.from_prompt(request, [*prompt.split(), "0"])
+
+
+@then('a request with prompt "{prompt}" may be sent')
+def prompt_may_be_sent(context: Any, prompt: str) -> None:
+    """Check the verdict on a new request."""
+    verdict = context.tracker.request_verdict(prompt_subjects("new", prompt), 10.0)
+    assert not verdict.wait_s, verdict
+
+
+@then('a request with prompt "{prompt}" is refused')
+def prompt_is_refused(context: Any, prompt: str) -> None:
+    """Check the verdict on a new request."""
+    verdict = context.tracker.request_verdict(prompt_subjects("new", prompt), 10.0)
+    assert verdict.wait_s, verdict
+
+
 @given("a request with two crashes, and {count:d} parts that callers have made up, with one each")
 def many_parts(context: Any, count: int) -> None:
     """Fill a tracker with parts."""
