Soak: prompt parts that crash engines, beside sound prompts that share the others

The plan crashing has three more callers, whose requests are new each time and have one of two fatal parts at any place but the last; sound streams share the first parts and, seldom, the part that stands beside a fatal one. Every second engine answers without a length. Two new checks: a part that has crashed five engines is sent on no more than three times by undisturbed instances, and sound streams are served at least half as often as before. Both are shown to find a violation. The checks of poison requests, and what counts as undisturbed, stand in modules of their own.

--- a/features/parts/soak.feature
+++ b/features/parts/soak.feature
@@ -35,6 +35,8 @@
       | a cold upstream got more calls than it bears           | requests within a second                 |
       | an upstream got more calls than its limit allows       | takes 2 a second and got 18 requests     |
       | a request was sent on after three upstreams had ended under it | was sent on 4 times              |
+      | a prompt part was sent on after five upstreams had ended under it | was sent on 4 times           |
+      | streams beside a fatal prompt part are seldom served   | of sound streams served beside fatal     |
       | calls that end nothing are refused for it              | 4 requests refused that end nothing      |
       | an added route is denied by a calm instance            | an added route is not known              |
       | a dropped route is served by a calm instance           | a dropped route is still served          |
@@ -55,6 +57,7 @@
       | an upstream got a call 3.5 s after its zone was cordoned |
       | an upstream got more calls than its limit allows |
       | a request was sent on after three upstreams had ended under it |
+      | a prompt part was sent on after five upstreams had ended under it |
       | calls that end nothing are refused for it    |
       | an added route is denied by a calm instance  |
       | a dropped route is served by a calm instance |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -35,8 +35,6 @@
     LIMIT_RATE_FACTOR,
     LIMIT_SLACK,
     LIMIT_WINDOW_S,
-    MAX_FALSE_REFUSALS,
-    MAX_FATAL_SENDS,
     PARTITIONED_FAILURES,
     find_violations,
 )
@@ -54,6 +52,8 @@
     Window,
 )
 from soak.plan import CALM_LAST_S, Kind, Plan, draw_steps
+from soak.poison_checks import MAX_FALSE_REFUSALS, MAX_FATAL_SENDS, MIN_SOUND
+from soak.prompts import FATAL_PARTS, fatal_prompt, sound_prompt
 from soak.proxy import Proxy
 from soak.run import Size, Soak, routing_document
 
@@ -193,6 +193,31 @@
         asked.status = 502
 
 
+def part_sent_on(context: Any) -> None:
+    """Record more sends of prompts with a fatal part than are allowed after five crashes."""
+    part = FATAL_PARTS[0]
+    context.ledger.fatal_crashes += [FatalCrash(f"u{n}", part, LATER - 9.0 + n) for n in range(5)]
+    source = random.Random(1)
+    for index in range(MAX_FATAL_SENDS + 1):
+        at = LATER + index * 0.1
+        asked = good(context.ledger, f"part-{index}", RequestKind.STREAM, at, f"/stream/{index}")
+        asked.status, asked.prompt = 502, fatal_prompt(source, part)
+
+
+def sound_refused(context: Any) -> None:
+    """Record sound streams that are served before the first crash, and seldom after it."""
+    source = random.Random(1)
+    crash = FatalCrash("u1", FATAL_PARTS[0], LATER)
+    context.ledger.fatal_crashes.append(crash)
+    for index in range(2 * MIN_SOUND):
+        is_before = index < MIN_SOUND
+        at = LATER - 9.0 if is_before else LATER + 9.0
+        asked = good(context.ledger, f"sound-{index}", RequestKind.STREAM, at)
+        asked.prompt = sound_prompt(source)
+        if not is_before and index % 3:
+            asked.status, asked.complete = 502, False
+
+
 def refused_wrongly(context: Any) -> None:
     """Record more false refusals of ordinary calls as poison than are allowed."""
     for index in range(MAX_FALSE_REFUSALS + 1):
@@ -284,6 +309,8 @@
     "a cold upstream got more calls than it bears": cold_burst,
     "an upstream got more calls than its limit allows": over_limit,
     "a request was sent on after three upstreams had ended under it": sent_on,
+    "a prompt part was sent on after five upstreams had ended under it": part_sent_on,
+    "streams beside a fatal prompt part are seldom served": sound_refused,
     "calls that end nothing are refused for it": refused_wrongly,
     "an added route is denied by a calm instance": lambda c: probe(c, RequestKind.ADDED, 404),
     "a dropped route is served by a calm instance": lambda c: probe(c, RequestKind.DROPPED, 200),
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -65,6 +65,8 @@
         The token count names prompt and output tokens; empty for those of an ordinary request.
         """
         more = {"X_Driftstall_Token_Count": token_count} if token_count else {}
+        if request.prompt:
+            more["X_Driftstall_Prompt_Prefix"] = request.prompt
         try:
             self._open(address)
             assert self._connection is not None
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -9,6 +9,14 @@
 from collections.abc import Iterator
 from typing import Final
 
+from soak.disturbances import (
+    CALM_AFTER_S,
+    CONTACT_S,
+    MACHINE_SLACK_S,
+    describe,
+    is_instance_undisturbed,
+    is_undisturbed,
+)
 from soak.ledger import (
     SHORT_EVENTS,
     STORE,
@@ -18,12 +26,11 @@
     RequestKind,
     SentRequest,
 )
+from soak.poison_checks import check_poison
 
 NOT_RUN: Final = frozenset({408, 421, 429, 503})
 """Statuses that guarantee that the request has not run and never will."""
 DENIED: Final = frozenset({400, 401, 403, 404, 413, 431})
-CONTACT_S: Final = 3.0
-"""Time after a disturbance until its target counts as undisturbed again (contactMs)."""
 LATE_S: Final = 0.5
 """Maximum time that a response may arrive after the timeout of its request."""
 DRAIN_S: Final = 2.0
@@ -55,14 +62,6 @@
 LIMIT_WINDOW_S."""
 LOWER_LIMIT_KNOWN_S: Final = 0.5
 """Time after which a lowered limit applies to all instances; a response soon announces it."""
-FATAL_CRASH_THRESHOLD: Final = 3
-MAX_FATAL_SENDS: Final = 3
-"""A request that has crashed FATAL_CRASH_THRESHOLD upstreams may be sent this often again, once
-all instances can know of the crashes."""
-CRASHES: Final = b'"crashes_runners"'
-MAX_FALSE_REFUSALS: Final = 3
-"""Harmless requests may be refused that were running during two crashes, until the report of a
-success has arrived."""
 RECOVERED_SHARE: Final = 0.9
 """Share of the requests of the last LAST_S seconds that must be served."""
 LAST_S: Final = 2.0
@@ -71,9 +70,6 @@
 PARTITIONED_FAILURES: Final = 10
 PARTITIONED_FAILED_SHARE: Final = 1 / 50
 """Requests that may fail at partitioned instances in any case: a number and a share of them."""
-MACHINE_SLACK_S: Final = 0.5
-"""Added to all bounds in time, as many processes share few cores in a run."""
-CALM_AFTER_S: Final = CONTACT_S + MACHINE_SLACK_S
 
 
 def find_violations(ledger: Ledger) -> list[str]:
@@ -89,7 +85,7 @@
     if ledger.pace_changes == 0:
         found.append("no instance has noticed a change of pace, so the run shows nothing of loads")
     for request in ledger.requests.values():
-        found += [f"{line}: {_describe(request)}" for line in _check_request(ledger, request, runs)]
+        found += [f"{line}: {describe(request)}" for line in _check_request(ledger, request, runs)]
     found += list(_check_unsent(ledger))
     found += list(_check_after_notice(ledger))
     found += list(_check_after_own_report(ledger))
@@ -98,8 +94,7 @@
     found += list(_check_cordons(ledger))
     found += list(_check_cold(ledger))
     found += list(_check_limits(ledger))
-    found += list(_check_fatal_requests(ledger))
-    found += list(_check_false_refusals(ledger))
+    found += list(check_poison(ledger))
     found += list(_check_partitioned(ledger))
     found += list(_check_recovery(ledger))
     return found
@@ -140,7 +135,7 @@
 
 def _check_configuration(ledger: Ledger, request: SentRequest) -> Iterator[str]:
     """Check that undisturbed instances apply the added and removed routes."""
-    if request.kind not in (RequestKind.ADDED, RequestKind.DROPPED) or not _is_undisturbed(
+    if request.kind not in (RequestKind.ADDED, RequestKind.DROPPED) or not is_undisturbed(
         ledger, request
     ):
         return
@@ -153,19 +148,10 @@
 def _check_duration(ledger: Ledger, request: SentRequest) -> Iterator[str]:
     """Check that an undisturbed instance sent its final response in time."""
     took_s = request.ended_at - request.sent_at
-    if took_s > request.timeout_s + LATE_S + MACHINE_SLACK_S and _is_undisturbed(ledger, request):
+    if took_s > request.timeout_s + LATE_S + MACHINE_SLACK_S and is_undisturbed(ledger, request):
         yield f"no final answer for {took_s:.1f} s"
 
 
-def _is_undisturbed(ledger: Ledger, request: SentRequest, until: float | None = None) -> bool:
-    """Return True if a request's instance and the store were undisturbed around it.
-
-    The time begins CALM_AFTER_S before the request and ends at until, or with the request.
-    """
-    begins, ends = request.sent_at - CALM_AFTER_S, request.ended_at if until is None else until
-    return all(ledger.is_undisturbed(name, begins, ends) for name in (request.instance, STORE))
-
-
 def _check_unsent(ledger: Ledger) -> Iterator[str]:
     """Check that upstreams received only requests that callers have sent."""
     for arrival in ledger.arrivals:
@@ -187,10 +173,10 @@
             continue
         request = ledger.requests[arrival.request_id]
         is_store_stable = ledger.is_undisturbed(STORE, notice.at - CALM_AFTER_S, notice.at)
-        if is_store_stable and _is_undisturbed(ledger, request, arrival.at):
+        if is_store_stable and is_undisturbed(ledger, request, arrival.at):
             late = arrival.at - notice.at
             yield (
-                f"sent to {arrival.upstream_id} {late:.1f} s after its notice: {_describe(request)}"
+                f"sent to {arrival.upstream_id} {late:.1f} s after its notice: {describe(request)}"
             )
 
 
@@ -211,7 +197,7 @@
         )
         if late > OWN_REPORT_KNOWN_S + MACHINE_SLACK_S and is_undisturbed:
             yield (
-                f"sent to {arrival.upstream_id} {late:.1f} s after its report: {_describe(request)}"
+                f"sent to {arrival.upstream_id} {late:.1f} s after its report: {describe(request)}"
             )
 
 
@@ -234,12 +220,12 @@
                 request.instance, known_at - CONTACT_S, received.at
             ):
                 late = received.at - known_at + CONTACT_S
-                yield f"sent to {upstream_id} {late:.1f} s after any signal: {_describe(request)}"
+                yield f"sent to {upstream_id} {late:.1f} s after any signal: {describe(request)}"
             if since is None or received.at <= since + DRAIN_S + MACHINE_SLACK_S:
                 continue
             if ledger.ran_throughout(request.instance, since, received.at):
                 late = received.at - since
-                yield f"sent to {upstream_id} {late:.1f} s after its signal: {_describe(request)}"
+                yield f"sent to {upstream_id} {late:.1f} s after its signal: {describe(request)}"
 
 
 def _check_backoff(ledger: Ledger) -> Iterator[str]:
@@ -259,7 +245,7 @@
                 if ledger.is_undisturbed(instance, rejection.at, received.at):
                     after = received.at - rejection.at
                     violation = f"sent to {upstream_id} {after:.1f} s after a back-off"
-                    yield f"{violation} of {rejection.for_s:g} s: {_describe(request)}"
+                    yield f"{violation} of {rejection.for_s:g} s: {describe(request)}"
 
 
 def _check_cordons(ledger: Ledger) -> Iterator[str]:
@@ -274,9 +260,9 @@
             if arrival.upstream_id != period.upstream_id or not is_late:
                 continue
             request = ledger.requests[arrival.request_id]
-            if _is_undisturbed(ledger, request, arrival.at):
+            if is_undisturbed(ledger, request, arrival.at):
                 violation = f"sent to {period.upstream_id} {late:.1f} s after its zone was cordoned"
-                yield f"{violation}: {_describe(request)}"
+                yield f"{violation}: {describe(request)}"
 
 
 def _check_cold(ledger: Ledger) -> Iterator[str]:
@@ -310,7 +296,7 @@
             for arrival in ledger.arrivals
             if arrival.upstream_id == period.upstream_id
             and since <= arrival.at <= period.window.ends
-            and _is_instance_undisturbed(
+            and is_instance_undisturbed(
                 ledger, ledger.requests[arrival.request_id].instance, arrival.at
             )
         )
@@ -324,46 +310,6 @@
                 break
 
 
-def _is_instance_undisturbed(ledger: Ledger, instance: str, at: float) -> bool:
-    """Return True if an instance was undisturbed for CALM_AFTER_S before a time."""
-    return ledger.is_undisturbed(instance, at - CALM_AFTER_S, at)
-
-
-def _check_fatal_requests(ledger: Ledger) -> Iterator[str]:
-    """Check that undisturbed instances stop sending requests that crashed three upstreams."""
-    for target in sorted({crash.target for crash in ledger.fatal_crashes}):
-        times = sorted(crash.at for crash in ledger.fatal_crashes if crash.target == target)
-        if len(times) < FATAL_CRASH_THRESHOLD:
-            continue
-        due = times[FATAL_CRASH_THRESHOLD - 1] + CONTACT_S + MACHINE_SLACK_S
-        late = [
-            arrival
-            for arrival in ledger.arrivals
-            if arrival.target == target
-            and arrival.at > due
-            and _is_undisturbed(ledger, ledger.requests[arrival.request_id], arrival.at)
-        ]
-        if len(late) > MAX_FATAL_SENDS:
-            yield (
-                f"{target} was sent on {len(late)} times after three upstreams had ended under it; "
-                f"{len(times)} ended in all"
-            )
-
-
-def _check_false_refusals(ledger: Ledger) -> Iterator[str]:
-    """Check that harmless requests are not refused as poison, apart from a few at first."""
-    fatal = {crash.target for crash in ledger.fatal_crashes}
-    refused = [
-        request
-        for request in ledger.requests.values()
-        if CRASHES in request.body
-        and request.path not in fatal
-        and _is_undisturbed(ledger, request)
-    ]
-    if len(refused) > MAX_FALSE_REFUSALS:
-        yield f"{len(refused)} requests refused that end nothing: {_describe(refused[0])}"
-
-
 def _check_partitioned(ledger: Ledger) -> Iterator[str]:
     """Check that callers of partitioned instances are served nearly as often as the others.
 
@@ -412,12 +358,3 @@
     served = sum(call.status == 200 and call.complete for call in last)
     if served < RECOVERED_SHARE * len(last):
         yield f"only {served} of the last {len(last)} calls were served"
-
-
-def _describe(request: SentRequest) -> str:
-    """Return a description with which a request can be found in the logs."""
-    return (
-        f"request {request.request_id} ({request.kind}) to {request.instance} "
-        f"at {request.sent_at:.2f} s, status {request.status}, complete {request.complete}, "
-        f"took {request.ended_at - request.sent_at:.2f} s"
-    )
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -28,6 +28,7 @@
 )
 from soak.partition import InstanceProxies, Partitions
 from soak.plan import Plan
+from soak.prompts import fatal_part
 from soak.proxy import Proxy
 from stand_ins.routed import ReceivedRequest, RoutedUpstream, Script
 
@@ -90,6 +91,8 @@
     {"break_after": EVENTS - 2, "half_event": True, "cut_after": 4},
 )
 """Points at which a stream, or the response to a plain call, is interrupted."""
+UNFRAMED_BREAKS: Final = [each for each in BREAKS if "reset" in each or "half_event" in each]
+"""Those that can be told from the end of a response without a length."""
 
 
 def default_script() -> Script:
@@ -116,6 +119,8 @@
         self._ledger = ledger
         self._source = source
         self._interrupts_until = float("-inf")
+        self.is_unframed = False
+        """Whether responses have neither a length nor chunks."""
 
     def break_off(self, for_s: float) -> None:
         """Interrupt INTERRUPTED_SHARE of the requests for some seconds."""
@@ -137,6 +142,7 @@
     def script_for(self, path: str) -> Script:
         """Return the script of a request that arrives now."""
         script = default_script()
+        script.unframed = self.is_unframed
         if self.load_slots:
             script.work_s = LOADED_WORK_S
             script.not_run = self.in_progress >= LOAD_SLOTS + LOAD_QUEUE
@@ -144,7 +150,9 @@
             script.events = SHORT_EVENTS
         is_interrupting = time.monotonic() < self._interrupts_until
         if is_interrupting and self._source.random() < INTERRUPTED_SHARE:
-            return replace(script, **self._source.choice(BREAKS))
+            return replace(
+                script, **self._source.choice(UNFRAMED_BREAKS if self.is_unframed else BREAKS)
+            )
         return script
 
     def record_request(self, seen: ReceivedRequest) -> None:
@@ -153,9 +161,10 @@
         self._ledger.arrivals.append(
             Arrival(seen.request_id, self.upstream_id, seen.target, now, seen.is_resumed)
         )
-        if seen.target.startswith(FATAL):
+        part = fatal_part(seen.headers.get("x-driftstall-prompt-prefix", ""))
+        if part or seen.target.startswith(FATAL):
             after_s = self._source.uniform(*FATAL_AFTER_S)
-            gevent.spawn_later(after_s, self._on_fatal, self, seen.target)
+            gevent.spawn_later(after_s, self._on_fatal, self, part or seen.target)
 
 
 class UpstreamSlot:
@@ -178,6 +187,7 @@
         self._partitions = partitions
         self._source = source
         self._draining_s = DRAINING_S[plan]
+        self._is_unframed = plan is Plan.CRASHING and service != PLAIN_SERVICE and place % 2 == 1
         self._reports_loads = plan is Plan.CONTENDED and service == PLAIN_SERVICE
         self.place = place
         self.service = service
@@ -206,6 +216,7 @@
         self.upstream = RecordingUpstream(name, self._ledger, self._source, self._crash_under)
         if self._reports_loads:
             self.upstream.report_loads()
+        self.upstream.is_unframed = self._is_unframed
         self.proxy: Proxy | InstanceProxies = (
             InstanceProxies(self.upstream.address, self._partitions)
             if self._partitions
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -47,6 +47,8 @@
     """Whether the response carries the seal header of an upstream."""
     complete: bool = False
     body: bytes = b""
+    prompt: str = ""
+    """The parts of its prompt, as the header names them."""
 
     @property
     def events(self) -> list[int]:
@@ -104,7 +106,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FatalCrash:
-    """The crash of an upstream caused by a request that crashes every upstream running it."""
+    """The crash of an upstream under a path or a prompt part that crashes all that run it."""
 
     upstream_id: str
     target: str
--- a/soak/run.py
+++ b/soak/run.py
@@ -48,6 +48,7 @@
 )
 from soak.partition import InstanceProxies, InstanceStoreLink, Partitions
 from soak.plan import Fault, Kind, Plan, Step, draw_steps
+from soak.prompts import FATAL_PARTS, fatal_prompt, sound_prompt
 from soak.proxy import Proxy
 
 GRACE_S: Final = 3.0
@@ -75,6 +76,8 @@
 ENGINE_SERVICE: Final = "engines"
 FATAL_CALLERS: Final = 2
 """Callers of fatal requests; each repeats a request of its own."""
+FATAL_PART_CALLERS: Final = (FATAL_PARTS[0], *FATAL_PARTS)
+"""The fatal parts in the prompts of further callers, whose requests are new each time."""
 FATAL_FROM_S: Final = 3.0
 """Some ordinary streams have ended by then: they are all alike, and a success shows that they are
 not poison."""
@@ -164,6 +167,7 @@
             gevent.spawn(self._take_snapshots)
         if self._size.plan is Plan.CRASHING:
             jobs += [gevent.spawn(self._call_fatal, number) for number in range(FATAL_CALLERS)]
+            jobs += [gevent.spawn(self._call_fatal_part, part) for part in FATAL_PART_CALLERS]
         began = time.monotonic()
         steps = draw_steps(
             self._seed,
@@ -472,6 +476,7 @@
     def _call(self, number: int) -> None:
         """Send ordinary requests as one caller until the traffic ends."""
         source = random.Random(f"{self._seed}-{number}")
+        prompts = random.Random(f"{self._seed}-{number}-prompts")
         connections = CallerConnections()
         located: list[GatewayProcess] = []
         located_at = float("-inf")
@@ -493,7 +498,9 @@
                 )
                 candidates = [*located, *self._partitioned_instances()]
                 instance, connection = source.choice(candidates), connections.to("")
-            request = self._send(connection, instance, kind, f"/{kind}/x")
+            has_prompt = self._size.plan is Plan.CRASHING and kind in STREAMS
+            prompt = sound_prompt(prompts) if has_prompt else ""
+            request = self._send(connection, instance, kind, f"/{kind}/x", prompt)
             gevent.sleep(source.uniform(0.0, 0.2) + (request.status != 200) * RETRY_DELAY_S)
         connections.close()
 
@@ -530,6 +537,18 @@
             connection.close()
             gevent.sleep(source.uniform(*FATAL_PAUSE_S))
 
+    def _call_fatal_part(self, part: str) -> None:
+        """Send prompts with a fatal part to random instances, on connections that are kept."""
+        source = random.Random(f"{self._seed}-{part}-{next(self._numbers)}")
+        connections = CallerConnections()
+        gevent.sleep(FATAL_FROM_S + source.uniform(*FATAL_PAUSE_S))
+        while self._has_traffic:
+            instance = source.choice(self._instances)
+            path, prompt = f"/stream/p-{next(self._numbers)}", fatal_prompt(source, part)
+            self._send(connections.to(instance.name), instance, RequestKind.STREAM, path, prompt)
+            gevent.sleep(source.uniform(*FATAL_PAUSE_S))
+        connections.close()
+
     def _locate(self, source: random.Random) -> list[GatewayProcess]:
         """Ask up to three instances which instances to use, and return those."""
         for instance in source.sample(self._instances, min(3, len(self._instances))):
@@ -548,12 +567,19 @@
         return []
 
     def _send(
-        self, connection: CallerConnection, instance: GatewayProcess, kind: RequestKind, path: str
+        self,
+        connection: CallerConnection,
+        instance: GatewayProcess,
+        kind: RequestKind,
+        path: str,
+        prompt: str = "",
     ) -> SentRequest:
         """Send one request, and return it with its result."""
         timeout_s = TIMEOUTS_S.get(kind, CALL_TIMEOUT_S)
         request_id = f"s{self._seed}-{next(self._numbers)}"
-        request = SentRequest(request_id, kind, path, instance.name, time.monotonic(), timeout_s)
+        request = SentRequest(
+            request_id, kind, path, instance.name, time.monotonic(), timeout_s, prompt=prompt
+        )
         self.ledger.requests[request_id] = request
         is_contended = self._size.plan is Plan.CONTENDED
         token_count = TOKEN_COUNTS.get(kind, "") if is_contended else ""
