Write log lines without a switch and without a wait, whatever else writes

What operators saw: nothing; a scenario of the log ended with an error once. By its code: where the reader of standard output stalls, an instance stands still, and each log line is a point where other greenlets run, in the middle of decisions that look atomic.

Cause: the writer asked select.select, gevent's under the patch, whether a line fits, and then wrote to a blocking descriptor. The question switches greenlets even with a time-out of zero; two that ask at once find the same room, and the second write blocks the whole process. select takes no descriptor of 1024 or more: ValueError out of the log call. Class: a call that looks atomic and yields under gevent.

Change: no question. A pipe or terminal is opened once more with a description of its own that does not block, as O_NONBLOCK on the shared one would make other processes' writes fail; a socket is told with each send; where neither is to be had the shared description is set. What is not written is counted, in one step. A line that was cut is ended before the next one.

Evidence: on the code before, "a log line lets no other greenlet run" (three of three had run), "greenlets that log at once never wait for the reader" (2.0 s, until a thread emptied the pipe) and "a log with a high descriptor is written" (ValueError) failed; all pass, 59 scenarios of the feature.

--- a/driftstall/helpers/log.py
+++ b/driftstall/helpers/log.py
@@ -1,14 +1,12 @@
 """Structured logging: a short sentence with the component's prefix, and typed fields.
 
-The volume is bounded and a write never blocks. Lines above the rate limit, and lines
-that standard output does not accept at once, are dropped and counted; the next line
-written reports their number.
+The volume is bounded, and a write neither blocks nor lets another greenlet run. Lines above the
+rate limit, and lines that standard output does not accept at once, are dropped and counted; the
+next line written reports their number.
 """
 
 from __future__ import annotations
 
-import os
-import select
 import sys
 from collections.abc import Callable
 from typing import Any, Final
@@ -18,6 +16,7 @@
 
 from driftstall.decisions.store_versions import StoreVersion
 from driftstall.util import clock
+from driftstall.util.nonblocking import open_nonblocking
 
 MAX_LINES_PER_S: Final = 300
 """Far above the rate of normal operation; a flood of refusals stays readable."""
@@ -37,7 +36,7 @@
         max_lines_per_s: int = MAX_LINES_PER_S,
     ) -> None:
         """Initialize with the descriptor, a clock in seconds and the maximum lines a second."""
-        self._descriptor = descriptor
+        self._writer = open_nonblocking(descriptor)
         self._clock = clock
         self._max_lines_per_s = max_lines_per_s
         self._second = 0
@@ -45,6 +44,8 @@
         self.dropped = 0
         """Lines dropped since the last written line."""
         self.total_dropped = 0
+        self._is_line_cut = False
+        """Whether the last bytes written are a part of a line."""
 
     def __call__(self, message: dict[str, Any]) -> None:
         """Write one message, or drop it."""
@@ -74,12 +75,14 @@
     def _write(self, line: bytes) -> bool:
         """Write a line if that does not block; return False if it was not written in full."""
         try:
-            if not select.select([], [self._descriptor], [], 0)[1]:
-                return False
-            return os.write(self._descriptor, line) == len(line)
+            written = self._writer.write(b"\n" + line if self._is_line_cut else line)
         except OSError:
-            # The reader of the log has closed the pipe, so the error cannot be reported.
+            # There is no room, or the reader of the log has closed the pipe, so the error cannot
+            # be reported.
             return False
+        is_whole = written == len(line) + self._is_line_cut
+        self._is_line_cut = not is_whole
+        return is_whole
 
     def _count_dropped(self) -> None:
         """Count a dropped line."""
--- a/features/gateway/parts.feature
+++ b/features/gateway/parts.feature
@@ -218,6 +218,40 @@
     Then none has waited and the loss is counted
     And once the reader takes lines again the next one tells of the loss
 
+  Scenario Outline: a log never waits, whatever standard output is
+    Given a log whose reader takes nothing, on <output>
+    When 50 lines are written
+    Then none has waited and the loss is counted
+    And once the reader takes lines again the next one tells of the loss
+
+    Examples:
+      | output                          |
+      | a socket                        |
+      | a pipe that can't be opened anew |
+
+  # The log asked gevent's select, which lets other greenlets run even with a time-out of zero.
+  Scenario: a log line lets no other greenlet run
+    Given a log whose reader takes lines
+    When 50 lines are written while 3 greenlets are ready
+    Then none of them has run before the last line
+
+  # Two greenlets found the same room, and the second write blocked the whole process.
+  Scenario: greenlets that log at once never wait for the reader
+    Given a log whose reader has room for one line
+    When 3 greenlets write a line each
+    Then none has waited, and 2 lines are counted as dropped once
+
+  # select can't take descriptors of 1024 and more; the error came out of the log call.
+  Scenario: a log with a high descriptor is written
+    Given a log whose reader takes lines, with a descriptor above 1024
+    When a line is written
+    Then the reader gets it
+
+  # Other processes share standard output, and may not expect that it refuses a write.
+  Scenario: the log leaves the mode of a shared descriptor as it is
+    Given a log whose reader takes lines
+    Then another process that shares its descriptor still waits for the reader
+
   Scenario: one request's story is told from many logs
     Given logs of two instances that name request "r1"
     Then explaining "r1" shows its lines in order, and the notice of its upstream
