Bound the ends of unframed responses that wait for their upstreams

Cause: ends at an upstream that left without a crash seen here were kept for ever, and each start of an upstream has an id of its own. Change: 256 upstreams are kept, those with the newest ends. Result: 300 upstreams with 100 ends each leave 256 with 64.

--- a/driftstall/gateway/poison/unframed_ends.py
+++ b/driftstall/gateway/poison/unframed_ends.py
@@ -17,6 +17,8 @@
 from driftstall.gateway.runs import BrokenRun
 
 MAX_PENDING_PER_UPSTREAM: Final = 64
+MAX_UPSTREAMS: Final = 256
+"""Maximum number of upstreams with ends; those that have left answer no more."""
 CRASH_WINDOW_S: Final = 3.0
 """Ends this long before an upstream was found crashed may have been its crash."""
 
@@ -53,10 +55,11 @@
 
     def add(self, upstream: Upstream, run: BrokenRun) -> None:
         """Add a response that has just ended with its connection."""
-        ends = self._pending.setdefault(
-            upstream.upstream_id, deque(maxlen=MAX_PENDING_PER_UPSTREAM)
-        )
+        ends = self._pending.pop(upstream.upstream_id, deque(maxlen=MAX_PENDING_PER_UPSTREAM))
         ends.append(_PendingEnd(upstream, run, self._now()))
+        self._pending[upstream.upstream_id] = ends
+        if len(self._pending) > MAX_UPSTREAMS:
+            self._pending.pop(next(iter(self._pending)))
         if self._recorder.is_suspect(run.subjects):
             self._request_probe(upstream)
 
--- a/features/gateway/prompt_parts.feature
+++ b/features/gateway/prompt_parts.feature
@@ -42,6 +42,11 @@
     When a stream with prompt "f1,a1" is answered without a length
     Then the part "f1" has succeeded
 
+  # Each start of an upstream has an id of its own, and one that has left answers no more.
+  Scenario: ends of answers without a length take bounded memory
+    When 100 answers without a length have ended at each of 300 upstreams
+    Then at most 256 times 64 ends are kept, the newest among them
+
   # Two sound runs that ended by chance on crashed engines must not ban their part for long.
   Scenario: a run under way exonerates its parts, and answers without a length are probed for it
     Given a peer reports crashes under the part "f1" alone, 31 s ago
--- a/features/steps/prompt_part_steps.py
+++ b/features/steps/prompt_part_steps.py
@@ -8,6 +8,7 @@
 import tempfile
 import time
 from collections.abc import Iterator
+from dataclasses import replace
 from pathlib import Path
 from typing import Any, Final
 
@@ -19,8 +20,10 @@
 from driftstall.cli.main import main as command
 from driftstall.core import Instance
 from driftstall.decisions.poison_evidence import CrashReport, PoisonReport
-from driftstall.decisions.poison_subjects import MAX_PARTS, part_subject
+from driftstall.decisions.poison_subjects import MAX_PARTS, PoisonSubjects, part_subject
 from driftstall.gateway.listeners import AuxiliaryListener, MetricsHandler
+from driftstall.gateway.poison.unframed_ends import UnframedEnds
+from driftstall.gateway.runs import BrokenRun
 from driftstall.gateway.scheduling.queue_status import QueueStatus
 from driftstall.helpers.poison_sharing import PeerTransport, PoisonSharing
 from driftstall.peers.blame_messages import BlamesTold
@@ -171,6 +174,27 @@
     assert part_subject(part) in world_of(context).state.poison.tracker._success_at[True]
 
 
+@when("{count:d} answers without a length have ended at each of {upstreams:d} upstreams")
+def many_ends(context: Any, count: int, upstreams: int) -> None:
+    """Record ends at upstreams that answer no more."""
+    world = world_of(context)
+    entry = world.entry(world.engines[0])
+    context.newest = replace(entry, name=f"ended-{upstreams - 1}").upstream_id
+    context.ends = UnframedEnds(world.state.poison, world.state.now)
+    for number in range(upstreams):
+        upstream = replace(entry, name=f"ended-{number}")
+        for _ in range(count):
+            context.ends.add(upstream, BrokenRun("r1", PoisonSubjects("f"), under_way=False))
+
+
+@then("at most {upstreams:d} times {count:d} ends are kept, the newest among them")
+def ends_bounded(context: Any, upstreams: int, count: int) -> None:
+    """Check the number of ends."""
+    pending = context.ends._pending
+    assert len(pending) == upstreams and context.newest in pending, len(pending)
+    assert max(len(ends) for ends in pending.values()) == count
+
+
 def report_crashes(context: Any, part: str, upstream_ids: str, ago_s: float) -> None:
     """Merge a peer's report of crashes under one part that always ran alone."""
     state = world_of(context).state
