--- a/features/steps/crashing_prompt_part_steps.py
+++ b/features/steps/crashing_prompt_part_steps.py
@@ -25,6 +25,7 @@
 from features.steps.gateway_node_steps import wait_for_processes
 from features.worlds.gateway_world import Received
 from stand_ins.crashing import CrashingUpstream
+from stand_ins.prompts import part_ids
 from stand_ins.routed import ReceivedRequest, Script
 
 OWN: Final = "own"
@@ -102,11 +103,6 @@
         super()._replace(crashed)
 
 
-def part_ids(prompt: str) -> list[str]:
-    """Return the ids of a prompt's parts, in order."""
-    return [piece.partition(":")[0] for piece in prompt.split(",") if piece]
-
-
 def build_prompt(parts: str) -> str:
     """Return the header value of a prompt, with a part of its own for each OWN."""
     ids = [f"{next(NUMBERS):08x}" if part == OWN else part for part in parts.split(",")]
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -53,9 +53,9 @@
 )
 from soak.plan import CALM_LAST_S, Kind, Plan, draw_steps
 from soak.poison_checks import MAX_FALSE_REFUSALS, MAX_FATAL_SENDS, MIN_SOUND
-from soak.prompts import FATAL_PARTS, fatal_prompt, sound_prompt
 from soak.proxy import Proxy
 from soak.run import Size, Soak, routing_document
+from stand_ins.prompts import FATAL_PARTS, fatal_prompt, sound_prompt
 
 EVENTS = 3
 START = 1000.0
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -28,8 +28,8 @@
 )
 from soak.partition import InstanceProxies, Partitions
 from soak.plan import Plan
-from soak.prompts import fatal_part
 from soak.proxy import Proxy
+from stand_ins.prompts import fatal_part
 from stand_ins.routed import ReceivedRequest, RoutedUpstream, Script
 
 ZONES: Final = "abc"
--- a/soak/poison_checks.py
+++ b/soak/poison_checks.py
@@ -7,7 +7,7 @@
 
 from soak.disturbances import CONTACT_S, MACHINE_SLACK_S, describe, is_undisturbed
 from soak.ledger import STREAMS, Ledger, SentRequest
-from soak.prompts import fatal_part
+from stand_ins.prompts import fatal_part
 
 FATAL_CRASH_THRESHOLD: Final = 3
 MAX_FATAL_SENDS: Final = 3
--- a/soak/run.py
+++ b/soak/run.py
@@ -48,8 +48,8 @@
 )
 from soak.partition import InstanceProxies, InstanceStoreLink, Partitions
 from soak.plan import Fault, Kind, Plan, Step, draw_steps
-from soak.prompts import FATAL_PARTS, fatal_prompt, sound_prompt
 from soak.proxy import Proxy
+from stand_ins.prompts import FATAL_PARTS, fatal_prompt, sound_prompt
 
 GRACE_S: Final = 3.0
 """Time from SIGTERM to SIGKILL (graceS)."""
--- a/soak/prompts.py
+++ b/stand_ins/prompts.py
@@ -1,4 +1,4 @@
-"""Prompts of the crashing plan: their parts, and those that crash each engine."""
+"""Prompts of fake callers, and the parts under which fake engines crash."""
 
 from __future__ import annotations
 
@@ -29,8 +29,12 @@
 
 def fatal_part(prompt: str) -> str:
     """Return the fatal part of a prompt; empty if it has none."""
-    ids = [piece.partition(":")[0] for piece in prompt.split(",")][:-1]
-    return next((part for part in ids if part in FATAL_PARTS), "")
+    return next((part for part in part_ids(prompt)[:-1] if part in FATAL_PARTS), "")
+
+
+def part_ids(prompt: str) -> list[str]:
+    """Return the ids of a prompt's parts, in order."""
+    return [piece.partition(":")[0] for piece in prompt.split(",") if piece]
 
 
 def _encode(parts: list[str]) -> str:
