Log on which view of the others the retry budget refuses

The line names what peers have reported, how old the oldest report is, and for how long this instance has run, which tells late views, lost counts and new starts apart. No logic changes.

--- a/driftstall/gateway/shared_budget.py
+++ b/driftstall/gateway/shared_budget.py
@@ -44,6 +44,15 @@
     """Number of instances whose counts are summed."""
 
 
+@dataclass(frozen=True, slots=True)
+class PeerTotals:
+    """Sum the valid counts of peers, and state how old the oldest of them is."""
+
+    requests: int
+    repeats: int
+    oldest_s: float
+
+
 class SharedRetryBudget:
     """Limit the retries of one service by its requests, over a sliding window."""
 
@@ -65,6 +74,15 @@
         """Record the count of a peer, or the sum of several peers."""
         self._peers[peer] = _PeerCount(count, now, instances)
 
+    def peer_totals(self, now: float) -> PeerTotals:
+        """Return what peers have reported lately, for the log."""
+        valid = [peer for peer in self._peers.values() if now - peer.at <= REPORT_VALID_S]
+        return PeerTotals(
+            sum(peer.count.requests for peer in valid),
+            sum(peer.count.repeats for peer in valid),
+            max((now - peer.at for peer in valid), default=0.0),
+        )
+
     def forget_peers(self) -> None:
         """Discard peers' counts: they will arrive in other sums and must not count twice."""
         self._peers.clear()
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -216,7 +216,7 @@
         if budget.try_take(now):
             self.stats.repeats += 1
             return True
-        own = budget.count(now)
+        own, peers = budget.count(now), budget.peer_totals(now)
         log_event(
             PREFIX_ROUTING,
             "The retry budget allows no further send",
@@ -224,6 +224,10 @@
             service=service,
             own_requests=own.requests,
             own_repeats=own.repeats,
+            peer_requests=peers.requests,
+            peer_repeats=peers.repeats,
+            view_age_s=round(peers.oldest_s, 2),
+            up_s=round(now - self._started_at, 1),
             allowed=round(budget.max_retries(now), 1),
             instances=self.instances.value,
         )
