--- /dev/null
+++ b/features/gateway/retry_budget.feature
@@ -0,0 +1,39 @@
+Feature: The retry budget that all instances share
+
+  # Guards against instances that take the same remainder of the budget from old views of each other.
+  Scenario Outline: the retry budget holds whatever instances know of each other
+    Given fleets of <instances> instances that share <extra> retries and a fifth of <per_s> requests a second
+    When <seeds> of them play <disturbance>
+    Then no window of 10 s holds more than 0.95 of the allowed retries
+
+    Examples:
+      | instances | extra | per_s | seeds | disturbance                                |
+      | 8         | 56    | 30    | 12    | a burst at all instances                   |
+      | 62        | 190   | 85    | 3     | a burst at all instances                   |
+      | 195       | 190   | 260   | 1     | a burst at all instances                   |
+      | 8         | 56    | 30    | 12    | steady demand at all instances             |
+      | 62        | 190   | 85    | 3     | steady demand at all instances             |
+      | 195       | 190   | 260   | 1     | steady demand at all instances             |
+      | 8         | 56    | 30    | 12    | half of the instances killed each 4 s      |
+      | 62        | 190   | 85    | 3     | half of the instances killed each 4 s      |
+      | 195       | 190   | 260   | 1     | half of the instances killed each 4 s      |
+      | 62        | 190   | 85    | 3     | all instances killed twice                 |
+      | 8         | 56    | 30    | 12    | halves that do not reach each other        |
+      | 62        | 190   | 85    | 3     | halves that do not reach each other        |
+      | 8         | 56    | 30    | 12    | a third of the instances frozen by turns   |
+      | 62        | 190   | 85    | 3     | a third of the instances frozen by turns   |
+      | 62        | 190   | 85    | 3     | a fifth of the instances starting meanwhile |
+
+  # Guards against parts of the budget that nobody can use.
+  Scenario Outline: the retry budget can be used by one instance alone and by all
+    Given fleets of <instances> instances that share <extra> retries and a fifth of <per_s> requests a second
+    When <seeds> of them play <disturbance>
+    Then some window of 10 s holds at least <usable> of the allowed retries
+
+    Examples:
+      | instances | extra | per_s | seeds | disturbance                    | usable |
+      | 8         | 56    | 30    | 12    | steady demand at one instance  | 0.6    |
+      | 62        | 190   | 85    | 3     | steady demand at one instance  | 0.6    |
+      | 8         | 56    | 30    | 12    | steady demand at all instances | 0.75   |
+      | 62        | 190   | 85    | 3     | steady demand at all instances | 0.75   |
+      | 195       | 190   | 260   | 1     | steady demand at all instances | 0.75   |
