Count each request once in the retry budget, at its first send

Cause: a stream counted at each send as long as none had arrived, so refused connections raised the budget in an outage; a call counted only once a connection was open. The rule counts the requests that callers sent, arrived or not.

Tests: both examples failed before (3 requests counted for a stream at three stopped engines, 0 for a call) and pass. calls and streams pass.

--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -220,11 +220,12 @@
     def _send(self, upstream: Upstream, attempts: _Attempts) -> UpstreamResponse | None:
         """Try one upstream; return the final response, or None to continue with another."""
         attempts.avoid.add(upstream.upstream_id)
-        is_first = not attempts.history.has_arrived
+        if not attempts.history.sends:
+            self._state.retries.record_request(upstream.service)
         attempts.history.begin(upstream.upstream_id)
         started = self._state.now()
         started_pace = self._state.upstream_loads.pace(upstream.upstream_id, started)
-        result = self._exchange_with(upstream, attempts, is_first=is_first)
+        result = self._exchange_with(upstream, attempts)
         seconds = self._state.now() - started
         outcome = result.outcome if isinstance(result, SendFailure) else _outcome_of(result)
         if not self._is_caller_disconnected:
@@ -259,12 +260,9 @@
         self._state.poison.unframed_ends.add(upstream, ended)
 
     def _exchange_with(
-        self, upstream: Upstream, attempts: _Attempts, *, is_first: bool
+        self, upstream: Upstream, attempts: _Attempts
     ) -> UpstreamResponse | SendFailure:
-        """Send the request to one upstream and read its response.
-
-        With is_first, no upstream has received the request yet, so it is counted in the budget.
-        """
+        """Send the request to one upstream and read its response."""
         request_id = self._admitted.metadata.request_id
         load = RequestLoad(upstream.upstream_id)
         self._state.loads.set_load(request_id, load)
@@ -286,8 +284,6 @@
                 detail = "the request was quarantined while it waited"
                 return SendFailure(Outcome.NOT_SENT, SendOutcome.UNSENT, detail)
             self._state.exchanges.add(upstream.upstream_id, exchange)
-            if is_first:
-                self._state.retries.record_request(upstream.service)
             return self._read_response(upstream, exchange)
         except UpstreamError as error:
             return SendFailure(
--- a/driftstall/gateway/sending.py
+++ b/driftstall/gateway/sending.py
@@ -47,7 +47,7 @@
 
         Errors are returned, not raised.
         """
-        if not self._history.has_arrived:
+        if not self._history.sends:
             self._state.retries.record_request(run.upstream.service)
         copy_of = run.resumed_from.copy_of if run.resumed_from else ""
         self._history.begin(run.upstream.upstream_id, copy_of)
--- a/features/gateway/retry_budget.feature
+++ b/features/gateway/retry_budget.feature
@@ -37,3 +37,15 @@
       | 8         | 56    | 30    | 12    | steady demand at all instances | 0.75   |
       | 62        | 190   | 85    | 3     | steady demand at all instances | 0.75   |
       | 195       | 190   | 260   | 1     | steady demand at all instances | 0.75   |
+
+  # Guards against a budget that grows with connections that fail during an outage.
+  Scenario Outline: a <what> whose connections all fail counts as one request in the retry budget
+    Given a gateway before two plain upstreams and three engines
+    And all upstreams have stopped listening
+    When "<path>" is asked as "r1"
+    Then the budget of "<service>" has counted 1 request
+
+    Examples:
+      | what   | path      | service |
+      | stream | /stream/a | engines |
+      | call   | /safe/a   | portal  |
--- a/features/steps/retry_budget_steps.py
+++ b/features/steps/retry_budget_steps.py
@@ -6,6 +6,7 @@
 
 from behave import given, then, when
 
+from features.worlds.gateway_world import world_of
 from features.worlds.retry_budget_world import Disturbance, FleetSize, RetryBudgetWorld
 
 MESSAGES = {"some messages are late or lost": True, "all messages arrive": False}
@@ -44,3 +45,19 @@
     """Check in each run that the budget can be used."""
     unused = {seed: found for seed, found in context.worst.items() if found.used_share < least}
     assert not unused, unused
+
+
+@given("all upstreams have stopped listening")
+def all_stopped(context: Any) -> None:
+    """Let every connection to an upstream fail."""
+    world = world_of(context)
+    for upstream in (*world.plain, *world.engines):
+        upstream.stop()
+
+
+@then('the budget of "{service}" has counted {requests:d} request')
+def counted(context: Any, service: str, requests: int) -> None:
+    """Check the requests that the budget rests on."""
+    state = world_of(context).state
+    count = state.retries.of(service).count(state.now())
+    assert count.requests == requests, count
