Reserve a retry before it is sent, count it from when it is sent, and give it back otherwise

Cause: a retry was taken before its permit and its connection, and stayed taken where neither came; and its window began when it was taken, up to half a second or more before it arrived.

Tests, on the code before: after one rejection and two refused connections 2 retries of a stream and 1 of a call were counted, none had been sent. Now 0, with the whole share left.

--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -32,6 +32,7 @@
 from driftstall.gateway.model import Headers, Repeat, SendMetadata, Upstream
 from driftstall.gateway.outcomes import Outcome
 from driftstall.gateway.poison.crash_refusal import crash_refusal
+from driftstall.gateway.retry_budget.pending_retry import PendingRetry
 from driftstall.gateway.runs import BrokenRun
 from driftstall.gateway.scheduling.selection import Option, are_all_full, choose_call
 from driftstall.gateway.state import GatewayState
@@ -94,6 +95,7 @@
         self._state = state
         self._call = call
         self._admitted = admitted
+        self._retry = PendingRetry(state.retries, admitted.metadata.request_id)
         self._exchange: UpstreamExchange | None = None
         self._is_caller_disconnected = False
 
@@ -116,7 +118,9 @@
             option = self._choose(attempts)
             if isinstance(option, Problem):
                 return attempts.response or option
-            if attempts.history.has_arrived and not self._try_take_retry():
+            if attempts.history.has_arrived and not self._retry.try_reserve(
+                self._admitted.service.name
+            ):
                 return attempts.response or self._build_problem(attempts)
             result = self._send(option.upstream, attempts)
             if result is not None:
@@ -212,11 +216,6 @@
             return self._build_problem(attempts)
         return None
 
-    def _try_take_retry(self) -> bool:
-        """Take one retry from the shared budget; return False if it is used up."""
-        metadata = self._admitted.metadata
-        return self._state.retries.try_take(self._admitted.service.name, metadata.request_id)
-
     def _send(self, upstream: Upstream, attempts: _Attempts) -> UpstreamResponse | None:
         """Try one upstream; return the final response, or None to continue with another."""
         attempts.avoid.add(upstream.upstream_id)
@@ -225,7 +224,10 @@
         attempts.history.begin(upstream.upstream_id)
         started = self._state.now()
         started_pace = self._state.upstream_loads.pace(upstream.upstream_id, started)
-        result = self._exchange_with(upstream, attempts)
+        try:
+            result = self._exchange_with(upstream, attempts)
+        finally:
+            self._retry.release()
         seconds = self._state.now() - started
         outcome = result.outcome if isinstance(result, SendFailure) else _outcome_of(result)
         if not self._is_caller_disconnected:
@@ -308,6 +310,7 @@
             rank=self._admitted.verdict.rank if self._admitted.service.engine else None,
         )
         headers = self._state.dialect.write_request(self._admitted.metadata.forwarded_headers, send)
+        self._retry.confirm()
         self._state.signals.log_send(upstream, self._admitted.metadata.request_id)
         exchange.send(
             self._call.method, self._call.target, headers, self._call.body, self._remaining_s()
--- a/driftstall/gateway/retry_budget/budgets.py
+++ b/driftstall/gateway/retry_budget/budgets.py
@@ -21,6 +21,7 @@
 from driftstall.gateway.retry_budget.shared_budget import (
     LOAN_CHARGED_S,
     RepeatCount,
+    RetryReservation,
     SharedRetryBudget,
 )
 from driftstall.gateway.stats import GatewayStats
@@ -93,20 +94,29 @@
         for budget in self._budgets.values():
             budget.forget_peers()
 
-    def try_take(self, service: str, request_id: str) -> bool:
-        """Take one retry, borrowed if need be; return False and log why if there is none."""
+    def try_reserve(self, service: str, request_id: str) -> RetryReservation | None:
+        """Reserve one retry, borrowed if need be; return None and log why if there is none."""
         budget, gives_up_at = self.of(service), self._now() + LOAN_WAIT_S
         self._waiting[service] += 1
         try:
-            while not budget.try_take(self._now()):
+            while (reservation := budget.try_reserve(self._now())) is None:
                 if self._now() >= gives_up_at or not self._borrow(service):
                     self._log_refused(service, request_id)
-                    return False
+                    return None
                 self._await_answer(service, gives_up_at)
         finally:
             self._waiting[service] -= 1
         self._stats.repeats += 1
-        return True
+        return reservation
+
+    def confirm(self, reservation: RetryReservation) -> None:
+        """Count a reserved retry that is sent now."""
+        self.of(reservation.service).confirm(reservation, self._now())
+
+    def release(self, reservation: RetryReservation) -> None:
+        """Give back a reserved retry that is not sent."""
+        self._stats.repeats_released += 1
+        self.of(reservation.service).release(reservation, self._now())
 
     def handle_request(self, asked: RetryLoanAsked) -> None:
         """Answer a peer's request for a loan."""
--- a/driftstall/gateway/retry_budget/shared_budget.py
+++ b/driftstall/gateway/retry_budget/shared_budget.py
@@ -9,7 +9,9 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Final
 
@@ -25,9 +27,10 @@
 just before; the two shares together stay below one."""
 LOAN_VALID_S: Final = 1.0
 """Time after its request within which a loan may be used."""
-LOAN_CHARGED_S: Final = LOAN_VALID_S + 1.0
-"""How much longer than the window a loan counts at its lender: it may be used late, and sent later
-still."""
+SEND_DELAY_S: Final = 1.0
+"""Time after its loan has expired within which a reserved retry may be sent."""
+LOAN_CHARGED_S: Final = LOAN_VALID_S + SEND_DELAY_S
+"""How much longer than the window a loan counts at its lender."""
 DEMAND_S: Final = 1.0
 """Time after a retry for which an instance keeps one more for itself."""
 MIN_LOAN: Final = 0.25
@@ -72,6 +75,22 @@
     until: float
 
 
+@dataclass(frozen=True, slots=True)
+class RetryReservation:
+    """A retry that is taken from a budget before it is sent."""
+
+    service: str
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class _Payment:
+    """What a reservation is paid with."""
+
+    own: float
+    loans: tuple[_Charge, ...]
+
+
 class SharedRetryBudget:
     """Hold this instance's share of the retries of one service, over a sliding window."""
 
@@ -97,6 +116,9 @@
         self._charges: list[_Charge] = []
         self._loans: list[_Charge] = []
         """Loans of others, valid until their time; the first one expires first."""
+        self._numbers = itertools.count(1)
+        self._reserved: dict[int, _Payment] = {}
+        """Reservations of retries that have not been sent yet."""
         self._wanted_at = float("-inf")
         self._peers: dict[str, _PeerCount] = {}
 
@@ -127,17 +149,33 @@
         self._requests.append(now)
         self._drop_expired(now)
 
-    def try_take(self, now: float) -> bool:
-        """Count one retry and return True if the share or a loan allows it, else return False."""
+    def try_reserve(self, now: float) -> RetryReservation | None:
+        """Reserve one retry from loans and the share; return None if they do not allow it.
+
+        The reservation counts until it is confirmed or released.
+        """
         self._drop_expired(now)
         self._wanted_at = now
         if self.available(now) < 1 - ROUNDING:
-            return False
+            return None
+        loans = self._use_loans(1.0)
+        own = max(0.0, 1.0 - sum(loan.retries for loan in loans))
+        reservation = RetryReservation(self._service, next(self._numbers))
+        self._reserved[reservation.number] = _Payment(own, loans)
+        return reservation
+
+    def confirm(self, reservation: RetryReservation, now: float) -> None:
+        """Count a reserved retry that is sent now."""
+        payment = self._reserved.pop(reservation.number)
+        late = sum(loan.retries for loan in payment.loans if now > loan.until + SEND_DELAY_S)
+        self._charges.append(_Charge(payment.own + late, now + self._bounds.retry_window_s))
         self._repeats.append(now)
-        unpaid = self._use_loans(1.0)
-        if unpaid > 0:
-            self._charges.append(_Charge(unpaid, now + self._bounds.retry_window_s))
-        return True
+
+    def release(self, reservation: RetryReservation, now: float) -> None:
+        """Give back a reserved retry that is not sent; do nothing once it is confirmed."""
+        payment = self._reserved.pop(reservation.number, None)
+        if payment is not None:
+            self._add_loans(payment.loans, now)
 
     def share(self, now: float) -> float:
         """Return how many retries this instance may send or lend within the window."""
@@ -166,24 +204,30 @@
 
     def add_loan(self, retries: float, asked_at: float, now: float) -> None:
         """Add a loan that was requested at a time; one that arrives too late is dropped."""
-        self._loans.append(_Charge(retries, asked_at + LOAN_VALID_S))
-        self._loans.sort(key=lambda loan: loan.until)
-        self._drop_expired(now)
+        self._add_loans((_Charge(retries, asked_at + LOAN_VALID_S),), now)
 
     def _left(self, now: float) -> float:
         """Return what is left of the share; never negative, as the share shrinks with time."""
         used = sum(charge.retries for charge in self._charges if charge.until > now)
-        return max(0.0, self.share(now) - used)
+        reserved = sum(payment.own for payment in self._reserved.values())
+        return max(0.0, self.share(now) - used - reserved)
+
+    def _add_loans(self, loans: Iterable[_Charge], now: float) -> None:
+        """Add loans, in the order in which they expire."""
+        self._loans = sorted([*self._loans, *loans], key=lambda loan: loan.until)
+        self._drop_expired(now)
 
-    def _use_loans(self, retries: float) -> float:
-        """Use up loans for a number of retries; return how many remain to be paid."""
-        while retries > 0 and self._loans:
+    def _use_loans(self, retries: float) -> tuple[_Charge, ...]:
+        """Take loans for up to a number of retries; return the parts taken."""
+        used = []
+        while retries > ROUNDING and self._loans:
             loan = self._loans.pop(0)
-            used = min(retries, loan.retries)
-            retries -= used
-            if loan.retries > used:
-                self._loans.insert(0, _Charge(loan.retries - used, loan.until))
-        return retries
+            part = min(retries, loan.retries)
+            retries -= part
+            used.append(_Charge(part, loan.until))
+            if loan.retries > part:
+                self._loans.insert(0, _Charge(loan.retries - part, loan.until))
+        return tuple(used)
 
     def _drop_expired(self, now: float) -> None:
         """Remove what lies before the window, and loans that have expired."""
--- a/driftstall/gateway/sending.py
+++ b/driftstall/gateway/sending.py
@@ -12,6 +12,7 @@
 from driftstall.gateway.forwarding.connector import CONNECT_TIMEOUT_S
 from driftstall.gateway.ingress import CallerRequest
 from driftstall.gateway.model import ResponseMetadata, SendMetadata, Upstream
+from driftstall.gateway.retry_budget.pending_retry import PendingRetry
 from driftstall.gateway.runs import StreamRun
 from driftstall.gateway.state import GatewayState
 
@@ -33,6 +34,7 @@
         call: CallerRequest,
         admitted: AdmittedRequest,
         history: SendHistory,
+        retry: PendingRetry,
         is_caller_disconnected: Callable[[], bool],
     ) -> None:
         """Initialize with the request and the history that records the outcome of each send."""
@@ -40,6 +42,7 @@
         self._call = call
         self._admitted = admitted
         self._history = history
+        self._retry = retry
         self._is_caller_disconnected = is_caller_disconnected
 
     def send(self, run: StreamRun) -> OpenedResponse | UpstreamError:
@@ -84,6 +87,7 @@
                 self._admitted.metadata.forwarded_headers, metadata
             )
             call = self._call
+            self._retry.confirm()
             self._state.signals.log_send(run.upstream, run.request_id)
             run.exchange.send(call.method, call.target, headers, call.body, self._remaining_s())
             return self._read_head(run.exchange)
--- a/driftstall/gateway/stats.py
+++ b/driftstall/gateway/stats.py
@@ -23,6 +23,7 @@
     callers_gone: int = 0
     malformed: int = 0
     repeats: int = 0
+    repeats_released: int = 0
     retry_loans_asked: int = 0
     retries_borrowed: float = 0.0
     retries_lent: float = 0.0
@@ -97,6 +98,7 @@
     "callers_gone": "Callers that left before the end.",
     "malformed": "Requests that could not be read.",
     "repeats": "Sends beyond a request's first.",
+    "repeats_released": "Retries taken from the budget and given back, as they were not sent.",
     "retry_loans_asked": "Requests to other instances for a loan of retries.",
     "retries_borrowed": "Retries that other instances have lent to this one.",
     "retries_lent": "Retries that this instance has lent to others.",
--- a/driftstall/gateway/stream_context.py
+++ b/driftstall/gateway/stream_context.py
@@ -9,11 +9,11 @@
 from driftstall.exceptions import UpstreamError
 from driftstall.gateway.admission import AdmittedRequest, build_request
 from driftstall.gateway.ingress import CallerRequest
-from driftstall.gateway.model import Upstream
 from driftstall.gateway.moves import Mover
 from driftstall.gateway.outcomes import Outcome
 from driftstall.gateway.poison.crash_refusal import crash_refusal
 from driftstall.gateway.replica_finder import ReplicaFinder
+from driftstall.gateway.retry_budget.pending_retry import PendingRetry
 from driftstall.gateway.runs import BrokenRun, StreamRun
 from driftstall.gateway.scheduling.placement import PlacementChooser
 from driftstall.gateway.sending import OpenedResponse, StreamSender
@@ -34,8 +34,9 @@
         self.request_id = admitted.metadata.request_id
         self.placement = PlacementChooser(state, call, admitted, self.request)
         self.history = SendHistory(admitted.route.max_runs)
+        self.retry = PendingRetry(state.retries, self.request_id)
         self.sender = StreamSender(
-            state, call, admitted, self.history, lambda: self.is_caller_disconnected
+            state, call, admitted, self.history, self.retry, lambda: self.is_caller_disconnected
         )
         self.replicas = ReplicaFinder(state, mover, self.history)
         self.is_caller_disconnected = False
@@ -54,7 +55,10 @@
         A disconnect of the caller closes the exchange of the current run.
         """
         self.run = run
-        return self.sender.send(run)
+        try:
+            return self.sender.send(run)
+        finally:
+            self.retry.release()
 
     def remaining_s(self) -> float:
         """Return the seconds that remain until the request's deadline."""
@@ -68,10 +72,6 @@
         """Return the requirements of a send to an upstream that signals a rate limit."""
         return SendNeed(max_wait_s, self.admitted.verdict.rank, under_way)
 
-    def try_take_retry(self, upstream: Upstream) -> bool:
-        """Take one retry from the shared budget; return False if it is used up."""
-        return self.state.retries.try_take(upstream.service, self.admitted.metadata.request_id)
-
     def handle_break(self, run: StreamRun, error: Exception | None = None) -> None:
         """Report a broken run, so that the crash detector checks its upstream.
 
@@ -105,7 +105,8 @@
         self.state.runs_changed.set()
 
     def finish(self) -> None:
-        """Release everything that the stream holds: exchange, replica and load."""
+        """Release everything that the stream holds: reservation, exchange, replica and load."""
+        self.retry.release()
         run = self.run
         if run is None:
             return
--- a/driftstall/gateway/stream_opener.py
+++ b/driftstall/gateway/stream_opener.py
@@ -75,12 +75,13 @@
             # The request was quarantined while the stream waited for its placement.
             context.remove_run(run)
             return refusal
-        if context.history.has_arrived and not context.try_take_retry(run.upstream):
+        if context.history.has_arrived and not context.retry.try_reserve(run.upstream.service):
             return self._build_problem(attempts)
         engine_id = run.upstream.upstream_id
         if not limits.acquire_permit(
             engine_id, context.send_need(permit_wait_s), context.request_id
         ):
+            context.retry.release()
             context.remove_run(run)
             attempts.avoid.add(engine_id)
             attempts.denied_ids.append(engine_id)
--- a/driftstall/gateway/stream_resumer.py
+++ b/driftstall/gateway/stream_resumer.py
@@ -53,8 +53,8 @@
             limits, engine_id = self._context.state.rate_limiting, replica.upstream.upstream_id
             if not limits.acquire_permit(engine_id, need, self._context.request_id):
                 continue
-            if self._context.refusal() is not None or not self._context.try_take_retry(
-                replica.upstream
+            if self._context.refusal() is not None or not self._context.retry.try_reserve(
+                replica.upstream.service
             ):
                 return None
             self._context.state.runs.remove(run)
--- a/features/gateway/retry_budget.feature
+++ b/features/gateway/retry_budget.feature
@@ -49,3 +49,21 @@
       | what   | path      | service |
       | stream | /stream/a | engines |
       | call   | /safe/a   | portal  |
+
+  # Guards against retries that are paid for and never sent, while others are refused.
+  Scenario Outline: a retry of a <what> that is not sent is given back to the retry budget
+    Given a gateway before two plain upstreams and three engines
+    And the first upstream of "r1" turns it away, and all others stop listening by then
+    When "<path>" is asked as "r1"
+    Then the budget of "<service>" has counted no retry and has its whole share left
+
+    Examples:
+      | what   | path      | service |
+      | stream | /stream/a | engines |
+      | call   | /safe/a   | portal  |
+
+  # Guards against a window that ends before the retries that it holds have arrived.
+  Scenario: a retry counts from when it is sent
+    Given a retry budget of 4 retries for one instance
+    When a retry is reserved at 100 s and sent at 103 s
+    Then 2 retries are left from 100 s to 112.9 s, and 3 at 113.1 s
--- a/features/steps/gateway_budget_steps.py
+++ b/features/steps/gateway_budget_steps.py
@@ -11,7 +11,7 @@
     Bounds,
 )
 from driftstall.gateway.retry_budget.shared_budget import SharedRetryBudget
-from features.worlds.retry_budget_world import connect, take_or_borrow
+from features.worlds.retry_budget_world import connect, take, take_or_borrow
 
 
 @given("8 instances that share a budget of 50 repeats and a fifth of the requests")
@@ -38,7 +38,7 @@
     send_requests(context)
     context.made = 0
     for budget in context.budgets:
-        context.made += sum(budget.try_take(5.0 + index / 25) for index in range(100))
+        context.made += sum(take(budget, 5.0 + index / 25) for index in range(100))
 
 
 @when("each has 10 requests and hears of the others, and one wants 100 repeats")
--- a/features/steps/gateway_collector_steps.py
+++ b/features/steps/gateway_collector_steps.py
@@ -13,7 +13,7 @@
 from driftstall.gateway.loads import Use
 from driftstall.gateway.model import Bounds
 from driftstall.gateway.retry_budget.shared_budget import RepeatCount, SharedRetryBudget
-from features.worlds.retry_budget_world import connect, take_or_borrow
+from features.worlds.retry_budget_world import connect, take, take_or_borrow
 
 
 def instance_of(index: int, link_mbps: int = 100, zone: str = "a") -> Instance:
@@ -133,7 +133,7 @@
     count.record(78, 0.0)
     bounds = Bounds(retry_extra=196.0)
     context.budgets = [SharedRetryBudget("s", bounds, count) for _ in range(78)]
-    assert sum(budget.try_take(1.0) for budget in context.budgets[1:21]) == 20
+    assert sum(take(budget, 1.0) for budget in context.budgets[1:21]) == 20
 
 
 @then("this instance may make more than its even part, and not all that is left")
--- a/features/worlds/retry_budget_world.py
+++ b/features/worlds/retry_budget_world.py
@@ -16,7 +16,11 @@
 from driftstall.gateway.retry_budget.budgets import LOAN_WAIT_S
 from driftstall.gateway.retry_budget.lending import LoanBroker
 from driftstall.gateway.retry_budget.messages import RetryLoanAsked, RetryLoanGiven
-from driftstall.gateway.retry_budget.shared_budget import LOAN_CHARGED_S, SharedRetryBudget
+from driftstall.gateway.retry_budget.shared_budget import (
+    LOAN_CHARGED_S,
+    RetryReservation,
+    SharedRetryBudget,
+)
 from soak.budget_checks import BudgetWindow, find_worst_window
 
 WARM_UP_S: Final = 14.0
@@ -28,6 +32,9 @@
 BURST_S: Final = 0.05
 LOST_SHARE: Final = 0.1
 LATE_SHARE: Final = 0.2
+MAX_SEND_S: Final = 0.5
+"""Longest time from the reservation of a retry until it is sent."""
+UNSENT_SHARE: Final = 0.1
 
 
 class Disturbance(StrEnum):
@@ -65,12 +72,20 @@
     ]
 
 
+def take(budget: SharedRetryBudget, now: float) -> bool:
+    """Reserve a retry and send it at once."""
+    reservation = budget.try_reserve(now)
+    if reservation is not None:
+        budget.confirm(reservation, now)
+    return reservation is not None
+
+
 def take_or_borrow(
     group: list[SharedRetryBudget], brokers: list[LoanBroker], place: int, now: float
 ) -> bool:
     """Take a retry at one instance, with loans of the others of its group if need be."""
     others = [str(index) for index in range(len(group)) if index != place]
-    while not group[place].try_take(now):
+    while not take(group[place], now):
         requests = brokers[place].ask("s", 1 - group[place].available(now), others, now)
         if not requests:
             return False
@@ -220,9 +235,10 @@
         if self._live.get(life.place) is not life or life.frozen_until > self._now:
             return
         life.waiting = [until for until in life.waiting if until >= self._now]
-        while life.waiting and life.budget.try_take(self._now):
+        while life.waiting and (reservation := life.budget.try_reserve(self._now)) is not None:
             life.waiting.pop(0)
-            self._retries.append(self._now)
+            sent_at = self._now + self._source.uniform(0.0, MAX_SEND_S)
+            self._at(sent_at, self._send_retry, life, reservation)
         if not life.waiting:
             return
         wanted = len(life.waiting) - life.budget.available(self._now)
@@ -233,6 +249,16 @@
         if not life.broker.is_waiting("s", self._now):
             life.waiting.clear()
 
+    def _send_retry(self, life: ModelInstance, reservation: RetryReservation) -> None:
+        """Send a reserved retry once its connection is open, unless it can't be opened."""
+        if self._live.get(life.place) is not life:
+            return
+        if self._source.random() < UNSENT_SHARE:
+            life.budget.release(reservation, self._now)
+            return
+        life.budget.confirm(reservation, self._now)
+        self._retries.append(self._now)
+
     # Messages.
 
     def _send(
