Soak: check the retry budget in every plan from what upstreams receive; plan rejecting

Each run compares the arrivals past the first of each request, rejected ones too, with the budget over all windows of 10 s. The new plan turns bursts of streams away at all upstreams of a service while instances are killed, with a scarce budget.

The check is shown to fail on a record with retries beyond the budget. With bursts of 150 streams a process of the soak ran out of the descriptors that select takes; hence 80.

--- a/features/parts/soak.feature
+++ b/features/parts/soak.feature
@@ -44,6 +44,7 @@
       | callers of a partitioned instance are not served       | partitioned instances served 0 of 15     |
       | the last calls were not served                         | of the last                              |
       | a process has ended by itself                          | ended by itself                          |
+      | calls have been sent again too often                   | retries within 10 s at portal            |
 
   Scenario Outline: what a disturbance explains is not held against it
     Given the record of a run in which all was well
--- a/features/processes/soak.feature
+++ b/features/processes/soak.feature
@@ -33,3 +33,8 @@
   Scenario: callers of instances that are partitioned from all upstreams are served
     Given a soak of the plan "partitioned", seed 301, with 6 instances and 14 callers for 24 s
     Then it breaks no promise
+
+  # Guards against retries of all instances together that exceed the budget they share.
+  Scenario: retries stay within the shared budget while upstreams turn bursts of streams away
+    Given a soak of the plan "rejecting", seed 6102, with 6 instances and 10 callers for 16 s
+    Then it breaks no promise
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -38,8 +38,9 @@
     PARTITIONED_FAILURES,
     find_violations,
 )
-from soak.fleet import LOAD_QUEUE, LOAD_SLOTS, PLAIN_SERVICE, UpstreamSlot
+from soak.fleet import LOAD_QUEUE, LOAD_SLOTS, UpstreamSlot
 from soak.ledger import (
+    PLAIN_SERVICE,
     SHORT_EVENTS,
     Arrival,
     FatalCrash,
@@ -56,6 +57,7 @@
 from soak.proxy import Proxy
 from soak.run import Size, Soak, routing_document
 from stand_ins.prompts import FATAL_PARTS, fatal_prompt, sound_prompt
+from stand_ins.routed import SignalRecord
 
 EVENTS = 3
 START = 1000.0
@@ -122,7 +124,7 @@
 @given("the record of a run in which all was well")
 def all_well(context: Any) -> None:
     """Record successful requests of each kind and one refusal."""
-    ledger = context.ledger = Ledger(EVENTS)
+    ledger = context.ledger = Ledger(EVENTS, services={"u1": PLAIN_SERVICE, "u2": PLAIN_SERVICE})
     for index in range(100):
         kind = (RequestKind.SAFE, RequestKind.ONCE, RequestKind.STREAM)[index % 3]
         good(ledger, f"r{index}", kind, START + index)
@@ -275,7 +277,15 @@
         context.ledger.requests[f"r{index}"].status = 0
 
 
+def sent_again_too_often(context: Any) -> None:
+    """Record two arrivals of each of the last calls, more than the retry budget allows."""
+    for index in range(100):
+        for name in ("u1", "u2"):
+            context.ledger.received[name].append(SignalRecord(LATER, f"r{index}"))
+
+
 CHANGES: dict[str, Callable[[Any], Any]] = {
+    "calls have been sent again too often": sent_again_too_often,
     "a call that may run once has run twice": lambda c: arrive(
         c, "once", "u2", "/once/x", LATER + 0.2
     ),
--- a/measures/gateway_process.py
+++ b/measures/gateway_process.py
@@ -47,6 +47,7 @@
         self.log = folder / f"{name}.log"
         self.write(self.settings)
         self._starting = Semaphore()
+        self._has_started = False
         self.process = self._spawn()
 
     def write(self, settings: dict[str, Any]) -> None:
@@ -61,7 +62,6 @@
         with self._starting:
             ended.wait()
             if self.process is ended:
-                self.write(orjson.loads(self.path.read_bytes()) | {"bootstrap": False})
                 self.process = self._spawn()
 
     def signal(self, number: signal.Signals) -> None:
@@ -93,6 +93,9 @@
 
     def _spawn(self) -> subprocess.Popen[bytes]:
         """Start the process, with its output in the log file."""
+        if self._has_started:
+            self.write(orjson.loads(self.path.read_bytes()) | {"bootstrap": False})
+        self._has_started = True
         with self.log.open("ab") as output:
             return subprocess.Popen(
                 [sys.executable, "-m", "driftstall.platform"],
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,7 +18,8 @@
                  contended (bursts of streams that queue for engine memory, and plain upstreams
                  that report few slots and a changing pace) or following (the
                  store rejects all instances that follow it; needs 17 instances or more) or
-                 partitioned (instances that are cut from all upstreams)
+                 partitioned (instances that are cut from all upstreams) or
+                 rejecting (bursts of streams while upstreams turn requests away)
                  [default: mixed].
 
 Each seed that breaks a promise is printed with its lines and the folder of its logs.
--- a/soak/budget_checks.py
+++ b/soak/budget_checks.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from driftstall.gateway.model import Bounds
-from soak.ledger import Ledger
+from soak.ledger import ENGINE_SERVICE, PLAIN_SERVICE, STREAMS, Ledger
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,31 +48,27 @@
     return max(map(window, again), key=lambda found: found.used_share, default=none)
 
 
-def check_retry_budget(
-    ledger: Ledger, service_of: dict[str, str], service_of_kind: dict[str, str], bounds: Bounds
-) -> Iterator[str]:
-    """Check each service's retries: arrivals past the first of each request, rejected ones too.
-
-    service_of: names the service of each upstream. service_of_kind: that of each kind of request.
-    """
+def check_retry_budget(ledger: Ledger) -> Iterator[str]:
+    """Check each service's retries: arrivals past the first of each request, rejected ones too."""
     requests: dict[str, list[float]] = defaultdict(list)
     for request in ledger.requests.values():
-        requests[service_of_kind[request.kind.value]].append(request.sent_at)
-    for service, retries in _retries_by_service(ledger, service_of).items():
-        found = find_worst_window(requests[service], retries, bounds)
+        service = ENGINE_SERVICE if request.kind in STREAMS else PLAIN_SERVICE
+        requests[service].append(request.sent_at)
+    for service, retries in _retries_by_service(ledger).items():
+        found = find_worst_window(requests[service], retries, ledger.bounds)
         if found.used_share > 1.0:
             yield (
-                f"{found.retries} retries within {bounds.retry_window_s:g} s at {service} for "
-                f"{found.requests} requests, {found.allowed:.1f} are allowed"
+                f"{found.retries} retries within {ledger.bounds.retry_window_s:g} s at {service} "
+                f"for {found.requests} requests, {found.allowed:.1f} are allowed"
             )
 
 
-def _retries_by_service(ledger: Ledger, service_of: dict[str, str]) -> dict[str, list[float]]:
+def _retries_by_service(ledger: Ledger) -> dict[str, list[float]]:
     """Return the times of all arrivals past the first of their request, by service."""
     arrivals: dict[str, dict[str, list[float]]] = defaultdict(lambda: defaultdict(list))
     for upstream_id, records in ledger.received.items():
         for record in records:
-            arrivals[service_of[upstream_id]][record.request_id].append(record.at)
+            arrivals[ledger.services[upstream_id]][record.request_id].append(record.at)
     return {
         service: [at for times in by_id.values() for at in sorted(times)[1:]]
         for service, by_id in arrivals.items()
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 from typing import Final
 
+from soak.budget_checks import check_retry_budget
 from soak.disturbances import (
     CALM_AFTER_S,
     CONTACT_S,
@@ -95,6 +96,7 @@
     found += list(_check_cold(ledger))
     found += list(_check_limits(ledger))
     found += list(check_poison(ledger))
+    found += list(check_retry_budget(ledger))
     found += list(_check_partitioned(ledger))
     found += list(_check_recovery(ledger))
     return found
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -16,6 +16,7 @@
 from driftstall.platform.store import Store
 from features.worlds.upstream_samples import entry_spec
 from soak.ledger import (
+    PLAIN_SERVICE,
     SHORT_EVENTS,
     Arrival,
     FatalCrash,
@@ -33,7 +34,6 @@
 from stand_ins.routed import ReceivedRequest, RoutedUpstream, Script
 
 ZONES: Final = "abc"
-PLAIN_SERVICE: Final = "portal"
 EVENTS: Final = 25
 EVENT_PAUSE_S: Final = 0.03
 WORK_S: Final = 0.02
@@ -49,6 +49,7 @@
     Plan.CONTENDED: (1.5, 3.0),
     Plan.SIGNALLING: (3.0, 10.0),
     Plan.PARTITIONED: (2.5, 6.0),
+    Plan.REJECTING: (2.5, 6.0),
 }
 """Range of the time for which a leaving upstream continues to serve: drainMs and a little longer,
 in some plans many seconds. Only an upstream that still serves shows which instances send to it."""
@@ -59,6 +60,8 @@
 BACKOFFS: Final = ("0.8", "2", "3")
 """Back-offs that upstreams request, in seconds."""
 REJECTED_SHARES: Final = (0.5, 1.0)
+TURNED_AWAY_SHARE: Final = 0.9
+"""Share of the requests that upstreams turn away without a back-off."""
 LEAVING_REPORT: Final = {"state": "draining", "leaves_ms": 4_000}
 """The state that a leaving engine reports to probes."""
 COLD_S: Final = 2.5
@@ -213,6 +216,7 @@
 
     def _listen(self, name: str) -> None:
         """Start an upstream that listens behind a proxy of its own."""
+        self._ledger.services[name] = self.service
         self.upstream = RecordingUpstream(name, self._ledger, self._source, self._crash_under)
         if self._reports_loads:
             self.upstream.report_loads()
@@ -303,6 +307,14 @@
         gevent.sleep(for_s)
         upstream.rejected_share = 0.0
 
+    def turn_away(self, for_s: float) -> None:
+        """Reject most requests without a back-off for some seconds."""
+        upstream = self.upstream
+        upstream.backoff = ""
+        upstream.rejected_share = TURNED_AWAY_SHARE
+        gevent.sleep(for_s)
+        upstream.rejected_share = 0.0
+
     def restart(self) -> None:
         """Restart the upstream at once under the same id; its entry says that it is cold."""
         old, proxy = self.upstream, self.proxy
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -6,9 +6,12 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from driftstall.gateway.model import Bounds
 from stand_ins.routed import SignalRecord
 
 STORE = "store"
+PLAIN_SERVICE = "portal"
+ENGINE_SERVICE = "engines"
 SHORT_EVENTS = 3
 """Number of events in a complete short stream."""
 
@@ -128,6 +131,10 @@
     """From the store's acknowledgement of a cordon until the request to lift it."""
     cold: list[UpstreamPeriod] = field(default_factory=list)
     limited: list[LimitPeriod] = field(default_factory=list)
+    bounds: Bounds = field(default_factory=Bounds)
+    """The retry budget that the instances share."""
+    services: dict[str, str] = field(default_factory=dict)
+    """The service of each upstream, by upstream id."""
     received: dict[str, list[SignalRecord]] = field(default_factory=lambda: defaultdict(list))
     """All requests that reached an upstream, including rejected ones, by upstream id."""
     signalled_leaving: dict[str, list[SignalRecord]] = field(
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -51,6 +51,8 @@
     """The upstream's entry in the store stays ready until the upstream ends."""
     REJECT = "upstream rejects requests with a back-off"
     REJECT_ALL = "all upstreams of a service do"
+    TURN_AWAY = "upstreams of a service turn requests away"
+    """All of them, for a moment, and they request no back-off."""
     REJECT_FOLLOWERS = "the store rejects its followers while the configuration changes"
     LIMIT = "upstream names a limit"
     """Its responses announce a rate limit in requests a second, later a lower one."""
@@ -89,6 +91,9 @@
     PARTITIONED = "partitioned"
     """Instances, often most of them, that are partitioned from all upstreams, while instances are
     killed and stopped and upstreams leave."""
+    REJECTING = "rejecting"
+    """Bursts of streams while all upstreams of a service turn requests away, and instances are
+    killed: many requests need a retry at once."""
 
 
 class PartitionFault(StrEnum):
@@ -261,7 +266,15 @@
     Kind.REMOVE: 0.5,
     Kind.CONFIGURE: 1.0,
 }
+REJECTING_WEIGHTS: Final[dict[Kind, float]] = {
+    Kind.TURN_AWAY: 4.0,
+    Kind.KILL: 2.0,
+    Kind.PAUSE: 0.5,
+    Kind.STOP: 0.5,
+    Kind.CRASH: 0.3,
+}
 PLAN_WEIGHTS: Final = {
+    Plan.REJECTING: REJECTING_WEIGHTS,
     Plan.PARTITIONED: PARTITIONED_WEIGHTS,
     Plan.RETURNING: RETURNING_WEIGHTS,
     Plan.UNSEEN: UNSEEN_WEIGHTS,
@@ -282,6 +295,8 @@
 """Duration of the rejection: longer than the bound within which a change must be in force."""
 PARTITION_FOR_S: Final = (5.0, 10.0)
 """Duration of a partition: longer than the bound within which its callers must be served."""
+TURN_AWAY_FOR_S: Final = (0.5, 2.0)
+"""Duration of a spell in which upstreams turn requests away: shorter than the budget's window."""
 UNSEEN_FOR_S: Final = (6.0, 9.0)
 """Duration of the store's silence while engines leave: longer than the bound within which all
 instances must know of it."""
@@ -291,6 +306,7 @@
     Kind.LIMIT: LIMIT_FOR_S,
     Kind.LEAVE_UNSEEN: UNSEEN_FOR_S,
     Kind.PARTITION: PARTITION_FOR_S,
+    Kind.TURN_AWAY: TURN_AWAY_FOR_S,
     Kind.REJECT_FOLLOWERS: REJECT_FOLLOWERS_FOR_S,
 }
 
@@ -358,6 +374,7 @@
         Kind.LEAVE_SIGNALLED,
         Kind.REJECT,
         Kind.REJECT_ALL,
+        Kind.TURN_AWAY,
     )
     target = pick(upstreams if has_upstream_target else instances)
     duration_s = DURATIONS_S.get(kind, (0.2, 3.0))
--- a/soak/run.py
+++ b/soak/run.py
@@ -21,6 +21,7 @@
 import orjson
 
 from driftstall.exceptions import PlatformUnavailable, UpstreamError
+from driftstall.gateway.model import Bounds
 from driftstall.platform.names import KIND_CONFIG, KIND_CORDONS, KIND_INSTANCES, NAME_CONFIG
 from driftstall.platform.store import Store
 from features.worlds.gateway_world import ENGINE, HOST, document, route
@@ -36,8 +37,10 @@
     FOLLOWED_APPLY_S,
     find_violations,
 )
-from soak.fleet import EVENTS, FATAL, PLAIN_SERVICE, ZONES, UpstreamSlot
+from soak.fleet import EVENTS, FATAL, ZONES, UpstreamSlot
 from soak.ledger import (
+    ENGINE_SERVICE,
+    PLAIN_SERVICE,
     STORE,
     STREAMS,
     Ledger,
@@ -73,7 +76,6 @@
 REWRITE_S: Final = 1.0
 """Time within which operators and upstreams have written their entries again after a restore."""
 UNSEEN_GAP_S: Final = 0.5
-ENGINE_SERVICE: Final = "engines"
 FATAL_CALLERS: Final = 2
 """Callers of fatal requests; each repeats a request of its own."""
 FATAL_PART_CALLERS: Final = (FATAL_PARTS[0], *FATAL_PARTS)
@@ -82,14 +84,17 @@
 """Some ordinary streams have ended by then: they are all alike, and a success shows that they are
 not poison."""
 FATAL_PAUSE_S: Final = (0.2, 1.2)
-BURST_STREAMS: Final = 60
-"""Streams of a burst: several times as many as the contended engines hold."""
+BURST_STREAMS: Final = {Plan.CONTENDED: 60, Plan.REJECTING: 80}
+"""Streams of a burst: several times as many as the contended engines hold, or more retries wanted
+at once than the retry budget allows."""
 SHORT_SHARE: Final = 0.6
 """Share of short streams in a burst."""
 CONTENDED_TOKENS: Final = 6_000
 """Memory of an engine in the contended plan: room for a few streams."""
 TOKEN_COUNTS: Final = {RequestKind.STREAM: "1000,400", RequestKind.SHORT: "1000,40"}
 """Prompt and output tokens that callers of the contended plan announce."""
+SCARCE_RETRIES: Final = Bounds(retry_ratio=0.1, retry_extra=24.0)
+"""The retry budget of the rejecting plan, which bursts exceed many times."""
 MAX_RETRY_SHARE: Final = 1 / 3
 """Share of a request's time up to which a refused caller waits to send it once more."""
 
@@ -125,12 +130,14 @@
         self._bursts: list[gevent.Greenlet] = []
         self.folder = Path(tempfile.mkdtemp(prefix=f"driftstall-soak-{seed}-"))
         self.ledger = Ledger(EVENTS)
+        if size.plan is Plan.REJECTING:
+            self.ledger.bounds = SCARCE_RETRIES
         self._bench = Bench(self.folder)
         address = self._bench.start_platform().address
         self._store = Store(address)
         self._store.create(KIND_CONFIG, NAME_CONFIG, self._document())
         self._partitions = Partitions(size.instances) if size.plan is Plan.PARTITIONED else None
-        services = [PLAIN_SERVICE] * PORTALS + ["engines"] * ENGINES
+        services = [PLAIN_SERVICE] * PORTALS + [ENGINE_SERVICE] * ENGINES
         self._fleet = [
             UpstreamSlot(
                 place, service, self._store, self.ledger, self._source, size.plan, self._partitions
@@ -202,6 +209,9 @@
         }
         if self._size.plan is Plan.ZONES:
             bounds["evacuateMs"] = CORDON_S * 1000
+        if self._size.plan is Plan.REJECTING:
+            bounds["retryBudgetRatio"] = SCARCE_RETRIES.retry_ratio
+            bounds["budgetExtra"] = SCARCE_RETRIES.retry_extra
         settings: dict[str, Any] = {
             "bounds": bounds,
             "seeds": seeds,
@@ -244,6 +254,7 @@
             ),
             Kind.REJECT: lambda step: self._spawn(self._fleet[step.target].reject, step.for_s),
             Kind.REJECT_ALL: self._reject_all,
+            Kind.TURN_AWAY: self._turn_away,
             Kind.PARTITION: lambda step: self._spawn(self._partition, step),
             Kind.BURST: lambda step: self._spawn(self._burst, step),
             Kind.REJECT_FOLLOWERS: lambda step: self._spawn(self._reject_followers, step),
@@ -278,6 +289,12 @@
         for slot in self._fleet[step.target].all:
             self._spawn(slot.reject, step.for_s)
 
+    def _turn_away(self, step: Step) -> None:
+        """Let all upstreams of a service turn requests away, in a burst of streams."""
+        self._spawn(self._burst, step)
+        for slot in self._fleet[step.target].all:
+            self._spawn(slot.turn_away, step.for_s)
+
     def _reject_followers(self, step: Step) -> None:
         """Reset the calls of all instances that follow the store, and change the configuration."""
         with_links = list(zip(self._instances, self._links, strict=True))
@@ -507,13 +524,15 @@
     def _burst(self, step: Step) -> None:
         """Send many streams within the duration of a step, each on a connection of its own."""
         source = random.Random(f"{self._seed}-burst-{step.at_s}")
-        for number in range(BURST_STREAMS):
-            kind = RequestKind.SHORT if source.random() < SHORT_SHARE else RequestKind.STREAM
+        streams = BURST_STREAMS[self._size.plan]
+        for number in range(streams):
+            is_short = self._size.plan is Plan.CONTENDED and source.random() < SHORT_SHARE
+            kind = RequestKind.SHORT if is_short else RequestKind.STREAM
             # A path of its own: a refused request's place is kept for one of the same content.
             path = f"/{kind}/{step.at_s:.3f}-{number}"
             instance = source.choice(self._instances)
             self._bursts.append(gevent.spawn(self._send_with_retry, instance, kind, path))
-            gevent.sleep(step.for_s / BURST_STREAMS)
+            gevent.sleep(step.for_s / streams)
 
     def _send_with_retry(self, instance: GatewayProcess, kind: RequestKind, path: str) -> None:
         """Send a stream, and once more if it is refused and may return in time."""
