--- a/driftstall/gateway/retry_budget/lending.py
+++ b/driftstall/gateway/retry_budget/lending.py
@@ -18,7 +18,7 @@
 MAX_ASKED_AT_ONCE: Final = 16
 MAX_EMPTY_ANSWERS: Final = 4
 """Answers without a loan in a row after which the budget of the fleet counts as used up."""
-PAUSE_S: Final = 1.0
+PAUSE_S: Final = 2.0
 """Pause after that, so that a fleet whose budget is used up exchanges few messages."""
 
 
