--- a/driftstall/gateway/retry_budget/budgets.py
+++ b/driftstall/gateway/retry_budget/budgets.py
@@ -71,6 +71,22 @@
         now = self._now()
         return tuple(budget.count(now) for budget in self._budgets.values())
 
+    @property
+    def sent(self) -> int:
+        """Return the retries that this instance has sent within the window, to all services."""
+        return sum(count.repeats for count in self.counts)
+
+    @property
+    def least_available(self) -> float:
+        """Return what is left of the share that is used most, with loans; zero without a budget."""
+        now = self._now()
+        return min((budget.available(now) for budget in self._budgets.values()), default=0.0)
+
+    @property
+    def is_share_full(self) -> bool:
+        """Return False as long as a predecessor may have used this instance's share."""
+        return self._now() >= self._full_share_from()
+
     def of(self, service: str) -> SharedRetryBudget:
         """Return the budget of a service."""
         budget = self._budgets.get(service)
