Soak: take a request for fatal by its path, also before it has ended an upstream itself

The check of false refusals knew a fatal request only by its own crashes. Sound requests are checked as before.

Tests: the new scenario failed before and passes.

--- a/features/parts/soak.feature
+++ b/features/parts/soak.feature
@@ -65,6 +65,12 @@
       | a calm instance gives no answer for 4 s      |
       | a short stream has no answer for 4 s         |
 
+  # Guards against a check that takes a fatal request for a sound one, as others ended its upstreams.
+  Scenario: a fatal request may be refused before it has ended an upstream itself
+    Given the record of a run in which all was well
+    When in the record a fatal request that has ended nothing yet is refused
+    Then no promise is broken
+
   Scenario: a disturbance that is long over explains no request after a notice
     Given the record of a run in which all was well
     When in the record an upstream got a call 3 s after its notice
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -38,7 +38,7 @@
     PARTITIONED_FAILURES,
     find_violations,
 )
-from soak.fleet import LOAD_QUEUE, LOAD_SLOTS, UpstreamSlot
+from soak.fleet import FATAL, LOAD_QUEUE, LOAD_SLOTS, UpstreamSlot
 from soak.ledger import (
     PLAIN_SERVICE,
     SHORT_EVENTS,
@@ -228,6 +228,14 @@
         context.ledger.arrivals.pop()
 
 
+def fatal_refused(context: Any) -> None:
+    """Record refusals of a fatal request that has not ended an upstream itself."""
+    for index in range(MAX_FALSE_REFUSALS + 1):
+        asked = good(context.ledger, f"fatal-{index}", RequestKind.STREAM, LATER, f"{FATAL}-1")
+        asked.status, asked.body = 503, b'{"code":"crashes_runners","retry_after_s":30}'
+        context.ledger.arrivals.pop()
+
+
 def short_stream(context: Any, body: bytes = b"") -> SentRequest:
     """Record a short stream, by default a complete one."""
     numbers = range(1, SHORT_EVENTS + 1)
@@ -322,6 +330,7 @@
     "a prompt part was sent on after five upstreams had ended under it": part_sent_on,
     "streams beside a fatal prompt part are seldom served": sound_refused,
     "calls that end nothing are refused for it": refused_wrongly,
+    "a fatal request that has ended nothing yet is refused": fatal_refused,
     "an added route is denied by a calm instance": lambda c: probe(c, RequestKind.ADDED, 404),
     "a dropped route is served by a calm instance": lambda c: probe(c, RequestKind.DROPPED, 200),
     "a calm instance gives no answer for 4 s": unanswered,
--- a/soak/poison_checks.py
+++ b/soak/poison_checks.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from soak.disturbances import CONTACT_S, MACHINE_SLACK_S, describe, is_undisturbed
+from soak.fleet import FATAL
 from soak.ledger import STREAMS, Ledger, SentRequest
 from stand_ins.prompts import fatal_part
 
@@ -57,12 +58,11 @@
 
 def _check_false_refusals(ledger: Ledger) -> Iterator[str]:
     """Check that harmless requests are not refused as poison, apart from a few at first."""
-    fatal = {crash.target for crash in ledger.fatal_crashes}
     refused = [
         request
         for request in ledger.requests.values()
         if CRASHES in request.body
-        and request.path not in fatal
+        and not request.path.startswith(FATAL)
         and not fatal_part(request.prompt)
         and is_undisturbed(ledger, request)
     ]
