--- a/driftstall/gateway/retry_budget/budgets.py
+++ b/driftstall/gateway/retry_budget/budgets.py
@@ -142,8 +142,11 @@
 
     def handle_answer(self, given: RetryLoanGiven) -> None:
         """Add a peer's loan, and wake the requests that wait for it."""
+        service = self._broker.handle_answer(given, self._now())
+        if not service:
+            return
         self._stats.retries_borrowed += given.retries
-        answered = self._answered.pop(self._broker.handle_answer(given, self._now()), None)
+        answered = self._answered.pop(service, None)
         if answered is not None:
             answered.set()
 
