End restarted processes with their scenario

The cleanup of a scenario ended the process that a node had started first, so one that replaced it stayed, with its metrics port, which is fixed for each number of a run.

--- a/features/steps/gateway_node_steps.py
+++ b/features/steps/gateway_node_steps.py
@@ -135,8 +135,9 @@
     folder = Path(tempfile.mkdtemp(prefix="driftstall-"))
     node = Node(len(context.nodes) + 1, store, folder, more)
     context.nodes.append(node)
-    context.add_cleanup(node.process.wait)
-    context.add_cleanup(node.process.kill)
+    # A restart replaces the process, and the one that runs at the end has to be ended.
+    context.add_cleanup(lambda: node.process.wait())
+    context.add_cleanup(lambda: node.process.kill())
 
 
 @given("2 gateway processes")
