--- a/review/1/run.py
+++ b/review/1/run.py
@@ -1,8 +1,9 @@
-"""One request that states a prompt larger than any runner's memory ends a gateway process.
+"""A silent runner's stream goes on at another runner while the silent one still works on it.
 
-Clients send plain calls to two gateways on connections that they keep. Then one client sends one
-stream request whose X-Driftstall-Token-Count states a prompt of 2,147,483,647 tokens. The runner
-rejects it as though it were full, as PROTOCOL.md says of a request larger than its memory.
+Runners are crowded: each preempts its newest stream once, in the middle, and reads it anew, which
+takes 3.5 s. Clients of this route wait for a pause four times the objective, 7.2 s. The runners
+keep the backups that the gateway asks for. As pages say "most drop a request when its connection
+closes", two of the three drop such requests and one goes on.
 """
 
 from __future__ import annotations
@@ -15,114 +16,147 @@
 
 from world import (
     REQUEST_ID,
-    SECRET,
-    Answer,
+    SEAL,
     Arrival,
     Case,
-    Gateway,
-    KeptConnection,
     Message,
     Runner,
     attempt,
     config,
     encode,
     engine_service,
-    new_id,
-    plain_service,
-    plain_work,
     route,
     run_case,
-    stream_work,
 )
 
-MEMORY_TOKENS = 34_545
-LARGE_PROMPT = 2_147_483_647
-REJECTED_AFTER_S = 0.25
-"""Time for which such a request is in the runner's queue before it is rejected."""
-CLIENTS = 8
-"""Clients of each gateway that keep their connection for many calls."""
-WORK_S = 0.3
-PLAY_S = 6.0
-TIMEOUT_MS = 3000
-
-
-async def engine_work(
-    runner: Runner, call: Message, arrival: Arrival, writer: asyncio.StreamWriter
-) -> None:
-    """Stream events, or reject a request that is larger than the memory."""
-    if int(call.headers["x-driftstall-token-count"].split(",")[0]) > MEMORY_TOKENS:
-        await asyncio.sleep(REJECTED_AFTER_S)
-        headers = {REQUEST_ID: arrival.request_id, "X-Driftstall-Not-Executed": "1"}
-        writer.write(encode("HTTP/1.1 503 Service Unavailable", headers))
-        return
-    await stream_work(0.3, 12, 0.1)(runner, call, arrival, writer)
+EVENTS, FIRST_EVENT_S, PAUSE_S = 60, 0.3, 0.1
+PREEMPTED_AFTER = 15
+"""Event after which a stream is preempted."""
+SILENCE_S = 3.5
+STREAMS = 6
+TIMEOUT_MS = 39_000
+BOUND_S = 0.4
+PROMPT = {
+    "X-Driftstall-Model": "m",
+    "X-Driftstall-Token-Count": "3079,944",
+    "X-Driftstall-Prompt-Prefix": "5c1e07a2:79,91bd3f06:3000",
+}
+
+
+class Run:
+    """One run of a request at a runner: when it began and ended there."""
+
+    def __init__(self, runner: str, request_id: str, began_at: float) -> None:
+        """Initialize a run that has just begun."""
+        self.runner, self.request_id, self.began_at = runner, request_id, began_at
+        self.ended_at = float("inf")
+        self.events: list[tuple[float, int]] = []
+        """Times and numbers of the events that were made."""
+
+
+class Engine(Runner):
+    """A runner with a memory for runs, which keeps backups of runs at others."""
+
+    all: dict[str, Engine] = {}
+    runs: list[Run] = []
+
+    def __init__(self, name: str, case: Case, *, drops: bool) -> None:
+        """Initialize; drops: whether it drops a request when its connection closes."""
+        super().__init__(name, "models", case.record, self._stream)
+        self._case, self._drops = case, drops
+        self.copies: dict[str, int] = {}
+        """Events in the copies held here, by the id of the request."""
+        self._has_preempted = False
+
+    async def _stream(
+        self, runner: Runner, call: Message, arrival: Arrival, writer: asyncio.StreamWriter
+    ) -> None:
+        """Stream events; a request that goes on at a copy continues after its last event."""
+        request_id, first = arrival.request_id, 1
+        if "kv-from" in call.headers:
+            made = self.copies.pop(request_id, None)
+            if made is None:
+                headers = {REQUEST_ID: request_id, "X-Driftstall-Not-Executed": "1"}
+                writer.write(encode("HTTP/1.1 503 Service Unavailable", headers))
+                return
+            first = int(call.headers.get("last-event-id", "0")) + 1
+            self._case.record.add(f"{self.name} goes on with {request_id} at its copy")
+        run = Run(self.name, request_id, self._case.record.now)
+        Engine.runs.append(run)
+        work = asyncio.ensure_future(self._make_events(run, call, first, writer))
+        try:
+            await (work if self._drops else asyncio.shield(work))
+        except asyncio.CancelledError:
+            if self._drops:
+                run.ended_at = self._case.record.now
+            raise
+
+    async def _make_events(
+        self, run: Run, call: Message, first: int, writer: asyncio.StreamWriter
+    ) -> None:
+        """Make the events of a run, and write them as long as the connection is open."""
+        record, backup = self._case.record, Engine.all.get(call.headers.get("kv-backup", ""))
+        headers = {REQUEST_ID: run.request_id, SEAL: f"seal.{run.request_id}"}
+        headers |= {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
+        writer.write(encode("HTTP/1.1 200 OK", headers, None))
+        for number in range(first, EVENTS + 1):
+            await asyncio.sleep(FIRST_EVENT_S if number == first else PAUSE_S)
+            is_due = number == PREEMPTED_AFTER + 1 and not self._has_preempted
+            if is_due and self._case.has_trouble:
+                self._has_preempted = True
+                record.add(f"{self.name} preempts {run.request_id} and reads it anew")
+                await asyncio.sleep(SILENCE_S)
+                record.add(f"{self.name} goes on with {run.request_id} by itself")
+            run.events.append((record.now, number))
+            event = f"id: {number}\ndata: piece {number} of {run.request_id}\n\n".encode()
+            if not writer.is_closing():
+                writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            if backup is not None:
+                backup.copies[run.request_id] = number
+        if not writer.is_closing():
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+        run.ended_at = record.now
 
 
 async def play(case: Case) -> bool:
-    """Return True if the rule LOST was broken."""
+    """Return True if the rule TWICE was broken."""
     record = case.record
-    engine = Runner("i-engine", "models", record, engine_work)
-    portal = Runner("i-portal", "portal", record, plain_work(lambda _: WORK_S))
-    for runner in (engine, portal):
-        await runner.start()
-    case.store.put("servers", engine.name, engine.spec(slots=64))
-    case.store.put("servers", portal.name, portal.spec(slots=32))
-    chat = route("chat", "streaming", "models", 6000, maxAttempts=1)
-    chat |= {"targetLatencyMs": 1500, "gap_aim_ms": 180}
-    routes = [chat, route("status", "unsafe", "portal", TIMEOUT_MS, maxAttempts=1)]
-    services = [engine_service("models"), plain_service("portal")]
-    case.store.put("config", "main", config(9, routes, services))
-    for name in ("front-1", "front-2"):
-        await case.add_gateway(name).wait_ready()
+    for number in range(3):
+        engine = Engine(f"i-{number + 1}", case, drops=number > 0)
+        await engine.start()
+        Engine.all[engine.address] = engine
+        case.store.put("servers", engine.name, engine.spec(slots=64))
+    chat = route("chat", "streaming", "models", TIMEOUT_MS, maxAttempts=1)
+    chat |= {"targetLatencyMs": 1800, "gap_aim_ms": 180, "priority": 0}
+    case.store.put("config", "main", config(9, [chat], [engine_service("models")]))
+    gateway = case.add_gateway("front-1")
+    await gateway.wait_ready()
+    await asyncio.sleep(1.0)
+    sends = []
+    for _ in range(STREAMS):
+        sending = attempt(record, gateway.front, "POST", "/chat/1", TIMEOUT_MS, PROMPT)
+        sends.append(asyncio.ensure_future(sending))
+        await asyncio.sleep(0.15)
+    await asyncio.gather(*sends)
     await asyncio.sleep(1.0)
 
-    calls: list[tuple[str, Gateway, bool, Answer]] = []
-    until = record.now + PLAY_S
-
-    async def keep_calling(gateway: Gateway) -> None:
-        connection = KeptConnection(gateway.front)
-        while record.now < until:
-            request_id, is_kept = new_id(), connection.served > 0
-            headers = {REQUEST_ID: request_id, "X-Driftstall-Deadline-Ms": str(TIMEOUT_MS)}
-            headers["Authorization"] = f"Bearer {SECRET}"
-            answer = await connection.send("POST", "/status/1", headers, TIMEOUT_MS / 1000)
-            calls.append((request_id, gateway, is_kept, answer))
-            if not answer.is_whole:
-                record.add(f"client gets for call {request_id}: {answer.end}")
-                await asyncio.sleep(0.5)
-
-    clients = [
-        asyncio.ensure_future(keep_calling(gateway))
-        for gateway in case.gateways
-        for _ in range(CLIENTS)
-    ]
-    await asyncio.sleep(2.0)
-    prompt = LARGE_PROMPT if case.has_trouble else 2_550
-    headers = {
-        "X-Driftstall-Model": "m",
-        "X-Driftstall-Token-Count": f"{prompt},62",
-        "X-Driftstall-Prompt-Prefix": f"5c1e07a2:350,91bd3f06:{prompt - 350}",
-    }
-    record.add(f"a client sends one request that states a prompt of {prompt} tokens")
-    await attempt(record, case.gateways[0].front, "POST", "/chat/1", 6000, headers)
-    await asyncio.gather(*clients)
-
-    for gateway in case.gateways:
-        record.add(f"{gateway.name}: exit code {gateway.exit_code} (None: it still runs)")
-    ran = {arrival.request_id for arrival in portal.arrivals}
-    lost = [
-        request_id
-        for request_id, _, is_kept, answer in calls
-        if is_kept and request_id in ran and answer.end == "closed without an answer"
-    ]
-    record.add(
-        f"{sum(answer.is_whole for *_, answer in calls)} of {len(calls)} calls were answered"
-    )
-    record.add(
-        f"{len(lost)} requests from kept connections were passed on to a sound runner, and their"
-        " connections were closed without an answer (the rule allows 3)"
-    )
-    return len(lost) > 3
+    twice = 0
+    for later in Engine.runs:
+        for earlier in Engine.runs:
+            is_same = earlier.request_id == later.request_id and earlier is not later
+            if not is_same or earlier.began_at > later.began_at:
+                continue
+            until = later.began_at + BOUND_S
+            if earlier.ended_at > until:
+                made = [number for at, number in earlier.events if at > later.began_at]
+                twice += 1
+                record.add(
+                    f"TWICE: {later.request_id} goes on at {later.runner}, and {earlier.runner}"
+                    f" still works on it {BOUND_S} s later; it made {len(made)} more events there"
+                )
+    record.add(f"{twice} requests ran at two runners")
+    return twice > 0
 
 
 if __name__ == "__main__":
