--- a/review/1/run.py
+++ b/review/1/run.py
@@ -58,7 +58,7 @@
     for runner in (engine, portal):
         await runner.start()
     case.store.put("servers", engine.name, engine.spec(slots=64))
-    case.store.put("servers", portal.name, portal.spec(coldRemainingMs=30_000))
+    case.store.put("servers", portal.name, portal.spec(coldRemainingMs=15_000))
     summary = route("summary", "streaming", "models", STREAM_TIMEOUT_MS, maxAttempts=1)
     summary |= {"targetLatencyMs": 1500, "gap_aim_ms": 180, "priority": 1}
     routes = [summary, route("status", "unsafe", "portal", CALL_TIMEOUT_MS, maxAttempts=1)]
--- a/review/3/run.py
+++ b/review/3/run.py
@@ -1,122 +1,80 @@
-"""A stopping gateway takes requests that it cannot finish within graceS, and cuts them off.
+"""A gateway passes on spoiled answers, which lack the runner's signature, as successes.
 
-Two kinds of requests are sent to it on new connections, by clients that resolved the host just
-before the SIGTERM and still keep that answer (three times its ttlS):
-
-- short streams on a crowded engine: the first event comes after 1.4 s and the others every 170 ms,
-  so that each event is in time by the aims of the site's sheet (1,500 ms, pauses 180 ms);
-- plain calls at a runner that has just started and is slow: answered within their timeoutMs.
+Two runners of four spoil one answer in 50: they answer 200 with the id of the request, but without
+their signature and with other bytes than their answer.
 """
 
 from __future__ import annotations
 
 import asyncio
-import json
-import signal
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from world import (
-    BOUNDS,
-    HOST,
-    ZONE,
-    Answer,
+    REQUEST_ID,
+    SEAL,
+    Arrival,
     Case,
-    CaseFault,
+    Message,
     Runner,
     attempt,
-    call,
     config,
-    engine_service,
+    encode,
     plain_service,
-    plain_work,
     route,
     run_case,
-    stream_work,
 )
 
-FIRST_EVENT_S, EVENTS, PAUSE_S = 1.4, 9, 0.17
-STREAM_TIMEOUT_MS = 6000
-STREAM_HEADERS = {
-    "X-Driftstall-Model": "m",
-    "X-Driftstall-Token-Count": "2550,62",
-    "X-Driftstall-Prompt-Prefix": "5c1e07a2:350,91bd3f06:2200",
-}
-CALL_S = 2.6
-CALL_TIMEOUT_MS = 3000
-SENT_AFTER_S = (3.2, 4.0, 4.8, 5.6, 5.8)
-"""Times after the SIGTERM at which clients send; all below three times the ttlS of 2 s."""
+SPOILED_EVERY = 50
+"""Of each spoiling runner, one answer in 50 is spoiled."""
+SPOILING = ("i-1", "i-2")
+CALLS = 800
+TIMEOUT_MS = 3000
 
 
 async def play(case: Case) -> bool:
-    """Return True if the rule LOST was broken."""
+    """Return True if the rule MIXED was broken."""
     record = case.record
-    engine = Runner("i-engine", "models", record, stream_work(FIRST_EVENT_S, EVENTS, PAUSE_S))
-    portal = Runner("i-portal", "portal", record, plain_work(lambda _: CALL_S))
-    for runner in (engine, portal):
-        await runner.start()
-    case.store.put("servers", engine.name, engine.spec(slots=64))
-    case.store.put("servers", portal.name, portal.spec(coldRemainingMs=30_000))
-    summary = route("summary", "streaming", "models", STREAM_TIMEOUT_MS, maxAttempts=1)
-    summary |= {"targetLatencyMs": 1500, "gap_aim_ms": 180, "priority": 1}
-    routes = [summary, route("status", "unsafe", "portal", CALL_TIMEOUT_MS, maxAttempts=1)]
-    services = [engine_service("models"), plain_service("portal")]
-    case.store.put("config", "main", config(9, routes, services))
-    stopping = case.add_gateway("front-1")
-    await stopping.wait_ready()
-    other = case.add_gateway("front-2")
-    await other.wait_ready()
-    await asyncio.sleep(2.0)
-
-    target = f"/api/resolve?name={HOST}&region=prairie-west&zone={ZONE}"
-    located = json.loads((await call(stopping.directory, "GET", target, {})).body)
-    record.add(f"the directory answers {located}")
-    if stopping.front not in located["addresses"]:
-        raise CaseFault("the directory does not name front-1")
-    if max(SENT_AFTER_S) >= 3 * min(located["ttlS"], BOUNDS["ttl_max_s"]):
-        raise CaseFault("clients keep the directory's answer for too short a time")
-
-    stopped_at = record.now
-    if case.has_trouble:
-        stopping.signal(signal.SIGTERM)
-        record.add("SIGTERM to front-1")
-
-    async def send(
-        after_s: float, path: str, timeout_ms: int, headers: dict[str, str]
-    ) -> tuple[float, str, Answer, int]:
-        await asyncio.sleep(max(0.0, stopped_at + after_s - record.now))
-        request_id, answer = await attempt(
-            record, stopping.front, "POST", path, timeout_ms, headers
-        )
-        return after_s, request_id, answer, timeout_ms
-
-    async def kill_after_grace() -> None:
-        await asyncio.sleep(max(0.0, stopped_at + BOUNDS["graceS"] - record.now))
-        if case.has_trouble and stopping.is_running:
-            stopping.signal(signal.SIGKILL)
-            record.add("SIGKILL to front-1, as graceS is over")
 
+    async def work(
+        runner: Runner, call: Message, arrival: Arrival, writer: asyncio.StreamWriter
+    ) -> None:
+        await asyncio.sleep(0.02)
+        headers = {REQUEST_ID: arrival.request_id, SEAL: f"seal.{arrival.request_id}"}
+        body = b"whole " + arrival.request_id.encode()
+        is_due = runner.name in SPOILING and len(runner.arrivals) % SPOILED_EVERY == 0
+        if is_due and case.has_trouble:
+            del headers[SEAL]
+            body = b"<html>starting</html>"
+            record.add(f"{runner.name} spoils its answer to {arrival.request_id}")
+        writer.write(encode("HTTP/1.1 200 OK", headers, body))
+        await writer.drain()
+
+    for number in (1, 2, 3, 4):
+        runner = Runner(f"i-{number}", "portal", record, work)
+        await runner.start()
+        case.store.put("servers", runner.name, runner.spec())
+    kinds = {"status": "unsafe", "post": "safe"}
+    routes = [route(name, kind, "portal", TIMEOUT_MS) for name, kind in kinds.items()]
+    case.store.put("config", "main", config(9, routes, [plain_service("portal")]))
+    gateway = case.add_gateway("front-1")
+    await gateway.wait_ready()
+    await asyncio.sleep(1.0)
     sends = []
-    for after_s in SENT_AFTER_S:
-        stream = send(after_s, "/summary/1", STREAM_TIMEOUT_MS, STREAM_HEADERS)
-        sends.append(asyncio.ensure_future(stream))
-        sends.append(asyncio.ensure_future(send(after_s, "/status/1", CALL_TIMEOUT_MS, {})))
-    await kill_after_grace()
-    lost = 0
-    for after_s, request_id, answer, timeout_ms in await asyncio.gather(*sends):
-        at = [arrival for arrival in (*engine.arrivals, *portal.arrivals)]
-        ran = any(arrival.request_id == request_id for arrival in at)
-        took_s = answer.ended_at - answer.sent_at
-        if ran and answer.end.startswith("closed") and took_s < timeout_ms / 1000:
-            lost += 1
-            record.add(
-                f"LOST: {request_id}, sent {after_s} s after the SIGTERM and passed on to a runner,"
-                f" was cut after {took_s:.2f} s of its {timeout_ms / 1000} s"
-            )
-    record.add(f"{lost} requests were passed on to a runner and cut by the planned stop")
-    return lost > 0
+    for number in range(CALLS):
+        path, method = ("/status/1", "POST") if number % 2 else ("/post/1", "GET")
+        sending = attempt(record, gateway.front, method, path, TIMEOUT_MS)
+        sends.append(asyncio.ensure_future(sending))
+        await asyncio.sleep(0.02)
+    mixed = 0
+    for request_id, answer in await asyncio.gather(*sends):
+        if 200 <= answer.status < 300 and SEAL.lower() not in answer.headers:
+            mixed += 1
+            record.add(f"MIXED: {request_id} got {answer.status}, unsigned: {answer.body!r}")
+    record.add(f"{mixed} of {CALLS} calls got a success that lacks the signature")
+    return mixed > 0
 
 
 if __name__ == "__main__":
