A stopping instance accepts late requests only if they must end in time

Cause: a stopping instance accepted by an average duration (2 s for a call, 1 s and 0.02 s a token for a stream). The deadline was not looked at, the check was made at arrival only, and nothing answered what was still open before the kill.

Change: - PlannedStop fixes the end of a stop when it begins. Settings that change or a second signal do not move it. - A request whose deadline ends before the last responses are written is always accepted. Any other must be expected to end in time, and after 2.5 s, when callers know of another instance, only safe calls are: an early end gives them a whole error response and they may be sent again. Without a ready peer calls that may run once are accepted too, as nobody else could serve them. - The check is made again while a request waits, and just before it is sent. - The time of a request without a response ends before the kill: upstreams get the shorter deadline of a call, and callers a whole 504, or a 503 with a true "not run". A stream that has begun continues until the kill. - Retry-After is 0.02 s with a ready peer, else the time until a new process may have replaced this one. - Log lines and the counters stop_refused and stop_expired tell what was decided.

The scenario "a stopping instance finishes calls and hands streams on" asked for a refusal of a stream with 3 s left, which must end in time and is served now. It asks with 20 s left instead, and knows another instance to be told of.

--- a/driftstall/exceptions.py
+++ b/driftstall/exceptions.py
@@ -62,6 +62,14 @@
         super().__init__("the request was quarantined while it waited", sent=False)
 
 
+class InstanceStopping(UpstreamError):
+    """Raised when a planned stop began while a request waited, and it could not end in time."""
+
+    def __init__(self) -> None:
+        """Initialize the error; nothing was sent."""
+        super().__init__("this instance began to stop while the request waited", sent=False)
+
+
 class PlatformUnavailable(DriftstallError):
     """Raised when the platform did not answer; a write may have taken effect."""
 
--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -25,6 +25,7 @@
 from driftstall.exceptions import UpstreamError
 from driftstall.gateway.admission import AdmittedRequest
 from driftstall.gateway.backoff_refusal import backoff_refusal
+from driftstall.gateway.drain import can_finish, stop_refusal, timeout_problem
 from driftstall.gateway.exchange import BodyChunk, ResponseEnd, ResponseHead, UpstreamExchange
 from driftstall.gateway.forwarding.connector import CONNECT_TIMEOUT_S
 from driftstall.gateway.ingress import CallerRequest
@@ -115,6 +116,10 @@
             refusal = crash_refusal(self._state, self._admitted, attempts.history.ran)
             if refusal is not None:
                 return attempts.response or self._refuse(attempts, refusal)
+            if attempts.history.ran is Ran.NOT_RUN:
+                refusal = stop_refusal(self._state, self._admitted)
+                if refusal is not None:
+                    return refusal
             option = self._choose(attempts)
             if isinstance(option, Problem):
                 return attempts.response or option
@@ -210,8 +215,10 @@
     def _check_limits(self, attempts: _Attempts) -> Problem | None:
         """Return a problem if no further upstream may be tried, else None."""
         if self._is_caller_disconnected or self._remaining_s() <= 0:
-            detail = "the time for this request is over"
-            return Problem(CODE_DEADLINE, 504, detail, attempts.history.ran)
+            detail, ran = "the time for this request is over", attempts.history.ran
+            return timeout_problem(self._state, self._admitted, ran) or Problem(
+                CODE_DEADLINE, 504, detail, ran
+            )
         if not attempts.history.can_restart or attempts.history.sends >= MAX_SENDS:
             return self._build_problem(attempts)
         return None
@@ -221,11 +228,12 @@
         attempts.avoid.add(upstream.upstream_id)
         if not attempts.history.sends:
             self._state.retries.record_request(upstream.service)
+        can_refuse = attempts.history.ran is Ran.NOT_RUN
         attempts.history.begin(upstream.upstream_id)
         started = self._state.now()
         started_pace = self._state.upstream_loads.pace(upstream.upstream_id, started)
         try:
-            result = self._exchange_with(upstream, attempts)
+            result = self._exchange_with(upstream, attempts, can_refuse=can_refuse)
         finally:
             self._retry.release()
         seconds = self._state.now() - started
@@ -262,9 +270,12 @@
         self._state.poison.unframed_ends.add(upstream, ended)
 
     def _exchange_with(
-        self, upstream: Upstream, attempts: _Attempts
+        self, upstream: Upstream, attempts: _Attempts, *, can_refuse: bool
     ) -> UpstreamResponse | SendFailure:
-        """Send the request to one upstream and read its response."""
+        """Send the request to one upstream and read its response.
+
+        With can_refuse, no part of the request can have run yet.
+        """
         request_id = self._admitted.metadata.request_id
         load = RequestLoad(upstream.upstream_id)
         self._state.loads.set_load(request_id, load)
@@ -282,6 +293,9 @@
             if not self._state.can_start_on(upstream, attempts.history.sent_to):
                 detail = "the upstream takes no more requests"
                 return SendFailure(Outcome.NOT_SENT, SendOutcome.UNSENT, detail)
+            if can_refuse and not can_finish(self._state, self._admitted):
+                detail = "this instance began to stop while the request waited"
+                return SendFailure(Outcome.NOT_SENT, SendOutcome.UNSENT, detail)
             if self._state.poison.verdict(self._admitted.subjects).wait_s:
                 detail = "the request was quarantined while it waited"
                 return SendFailure(Outcome.NOT_SENT, SendOutcome.UNSENT, detail)
@@ -319,7 +333,7 @@
         parts: list[bytes] = []
         size = 0
         while True:
-            item = exchange.next(max(0.0, self._remaining_s()))
+            item = exchange.next(self._remaining_s)
             if isinstance(item, ResponseHead):
                 head, parts, size = item, [], 0
             elif isinstance(item, BodyChunk):
@@ -342,8 +356,8 @@
                 )
 
     def _remaining_s(self) -> float:
-        """Return the seconds that remain until the request's deadline."""
-        return self._admitted.ends_at - self._state.now()
+        """Return the seconds that remain until the request's deadline, or a planned stop."""
+        return self._state.unanswered_remaining_s(self._admitted.ends_at)
 
     def _refuse(self, attempts: _Attempts, refusal: Problem) -> Problem:
         """Return the refusal, unless an earlier send of the request may have run."""
--- a/driftstall/gateway/drain.py
+++ b/driftstall/gateway/drain.py
@@ -1,7 +1,8 @@
 """Drain an instance for a planned stop.
 
-Requests in progress are completed, and new ones are accepted only if they are expected to end
-within the grace time.
+Requests in progress are completed, and new ones are accepted only if they can end within the grace
+time. This is checked again until a request is sent, as it may wait. Whatever has no response when
+the grace time is nearly over gets a whole error response, unless its response has begun.
 """
 
 from __future__ import annotations
@@ -10,61 +11,120 @@
 
 from driftstall.const import CODE_LEAVING, PREFIX_DRAIN
 from driftstall.core import Problem, Ran
+from driftstall.decisions.planned_stop import Interruption, PendingRequest, PlannedStop
 from driftstall.gateway.admission import AdmittedRequest, build_request
 from driftstall.gateway.model import Repeat
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import log_event
 
 EXPECTED_CALL_S: Final = 2.0
-"""Expected time of a plain call; routes' timeouts are shorter."""
+"""Expected time of a plain call."""
 EXPECTED_FIRST_EVENT_S: Final = 1.0
 """Expected time to the first event of a stream."""
 EXPECTED_TOKEN_S: Final = 0.02
 """Expected time per token: twice the usual, so that few accepted streams are cut off."""
-LOCATE_GRACE_SHARE: Final = 0.8
-"""Share of the grace time during which callers with a cached address may still arrive."""
-RETRY_ELSEWHERE_S: Final = 0.02
-"""Retry-After of a refused request: the caller may ask another instance at once."""
+INTERRUPTIONS: Final = {
+    Repeat.SAFE: Interruption.RETRYABLE,
+    Repeat.ONCE: Interruption.UNKNOWN_OUTCOME,
+    Repeat.STREAM: Interruption.CUT_OFF,
+}
 
 
 class Drain:
-    """Decide which requests a stopping instance still accepts, and when it may exit."""
+    """Begin the planned stop of an instance, and decide when it may exit."""
 
     def __init__(self, state: GatewayState) -> None:
         """Initialize with the shared state."""
         self._state = state
 
+    @property
+    def is_finished(self) -> bool:
+        """Return True if no request is open and no more callers are expected to arrive."""
+        stop = self._state.planned_stop
+        if stop is None or self._state.open_requests:
+            return False
+        return self._state.now() >= stop.exit_from
+
     def begin(self) -> None:
         """Start draining; later calls have no effect."""
-        if self._state.stopping_since is None:
-            self._state.stopping_since = self._state.now()
+        if self._state.planned_stop is None:
+            # Settings that change during the stop do not move the kill.
+            grace_s = self._state.settings.bounds.grace_s
+            self._state.planned_stop = PlannedStop.from_grace(self._state.now(), grace_s)
             log_event(PREFIX_DRAIN, "Stop requested", open=self._state.open_requests)
 
-    def refusal(self, admitted: AdmittedRequest) -> Problem | None:
-        """Return the problem with which a request is refused, or None if it is accepted."""
-        since = self._state.stopping_since
-        if since is None:
-            return None
-        grace_s = self._state.settings.bounds.grace_s
-        if self._state.now() - since + self._expected_s(admitted) < grace_s:
-            return None
-        detail = "this instance is stopping; ask another one"
-        return Problem(CODE_LEAVING, 503, detail, Ran.NOT_RUN, RETRY_ELSEWHERE_S)
-
-    def _expected_s(self, admitted: AdmittedRequest) -> float:
-        """Return the expected duration of a request, in seconds."""
-        if admitted.route.repeat is not Repeat.STREAM:
-            return EXPECTED_CALL_S
-        metadata = admitted.metadata
-        tokens = self._state.expected_tokens(build_request(admitted), metadata.length_hint)
-        return EXPECTED_FIRST_EVENT_S + EXPECTED_TOKEN_S * tokens
 
-    @property
-    def is_finished(self) -> bool:
-        """Return True if no request is open and no more callers are expected to arrive."""
-        since = self._state.stopping_since
-        if since is None:
-            return False
-        elapsed_s = self._state.now() - since
-        callers_arrive_s = LOCATE_GRACE_SHARE * self._state.settings.bounds.grace_s
-        return elapsed_s >= callers_arrive_s and self._state.open_requests == 0
+def can_finish(state: GatewayState, admitted: AdmittedRequest) -> bool:
+    """Return True if a request that has not been sent can still end before a planned stop does."""
+    stop = state.planned_stop
+    if stop is None:
+        return True
+    return stop.can_accept(
+        _pending_request(state, admitted), state.now(), has_ready_peer=state.has_ready_peer()
+    )
+
+
+def stop_refusal(state: GatewayState, admitted: AdmittedRequest) -> Problem | None:
+    """Return the refusal of a request that cannot end before a planned stop does, else None.
+
+    Call this function only if no part of the request can have run.
+    """
+    stop, now = state.planned_stop, state.now()
+    if stop is None or can_finish(state, admitted):
+        return None
+    has_ready_peer = state.has_ready_peer()
+    retry_s = stop.retry_after_s(now, has_ready_peer=has_ready_peer)
+    state.stats.stop_refused += 1
+    log_event(
+        PREFIX_DRAIN,
+        "Request refused: it may not end before this instance stops",
+        request=admitted.metadata.request_id,
+        route=admitted.route.name,
+        stopping_for_s=round(now - stop.began_at, 2),
+        waited_s=round(now - admitted.started_at, 2),
+        expected_s=round(_expected_s(state, admitted), 2),
+        left_s=round(admitted.ends_at - now, 2),
+        has_ready_peer=has_ready_peer,
+        retry_s=round(retry_s, 2),
+    )
+    detail = "this instance is stopping; ask another one"
+    return Problem(CODE_LEAVING, 503, detail, Ran.NOT_RUN, retry_s)
+
+
+def timeout_problem(state: GatewayState, admitted: AdmittedRequest, ran: Ran) -> Problem | None:
+    """Return the problem of a request that a planned stop ends before its deadline, else None."""
+    stop, now = state.planned_stop, state.now()
+    if stop is None or now < stop.answer_by or now >= admitted.ends_at:
+        return None
+    state.stats.stop_expired += 1
+    log_event(
+        PREFIX_DRAIN,
+        "Request ended by the stop of this instance",
+        request=admitted.metadata.request_id,
+        route=admitted.route.name,
+        served_s=round(now - admitted.started_at, 2),
+        left_s=round(admitted.ends_at - now, 2),
+        ran=ran.value,
+    )
+    if ran is Ran.NOT_RUN:
+        retry_s = stop.retry_after_s(now, has_ready_peer=state.has_ready_peer())
+        return Problem(CODE_LEAVING, 503, "this instance is stopping", ran, retry_s)
+    return Problem(CODE_LEAVING, 504, "this instance stopped before the response came", ran)
+
+
+def _pending_request(state: GatewayState, admitted: AdmittedRequest) -> PendingRequest:
+    """Return a request in the form that the decision compares."""
+    return PendingRequest(
+        admitted.started_at,
+        admitted.ends_at,
+        _expected_s(state, admitted),
+        INTERRUPTIONS[admitted.route.repeat],
+    )
+
+
+def _expected_s(state: GatewayState, admitted: AdmittedRequest) -> float:
+    """Return the expected duration of a request, in seconds."""
+    if admitted.route.repeat is not Repeat.STREAM:
+        return EXPECTED_CALL_S
+    tokens = state.expected_tokens(build_request(admitted), admitted.metadata.length_hint)
+    return EXPECTED_FIRST_EVENT_S + EXPECTED_TOKEN_S * tokens
--- a/driftstall/gateway/exchange.py
+++ b/driftstall/gateway/exchange.py
@@ -174,17 +174,18 @@
                 continue
             view = view[self._connection.send(view[:SEND_PIECE_BYTES]) :]
 
-    def next(self, timeout_s: float) -> ResponsePart:
+    def next(self, remaining_s: Callable[[], float]) -> ResponsePart:
         """Return the next part of the response; raise UpstreamError if the connection breaks.
 
-        A timeout raises TimeoutError; the exchange can still be read afterwards.
+        The function returns the seconds left to wait; it is called repeatedly, since a planned
+        stop shortens the wait. A timeout raises TimeoutError; the exchange can still be read
+        afterwards.
         """
-        until = clock.now() + timeout_s
         while not self._builder.items:
-            remaining_s = until - clock.now()
-            if remaining_s <= 0:
+            wait_s = remaining_s()
+            if wait_s <= 0:
                 raise TimeoutError("the response timed out")
-            self._connection.settimeout(min(remaining_s, clock.MAX_WAIT_SLICE_S))
+            self._connection.settimeout(min(wait_s, clock.MAX_WAIT_SLICE_S))
             self._receive()
         item = self._builder.items.popleft()
         if isinstance(item, ResponseHead):
--- a/driftstall/gateway/listeners.py
+++ b/driftstall/gateway/listeners.py
@@ -23,7 +23,7 @@
 from driftstall.gateway.admission import Admission, AdmittedRequest, RequestProgress
 from driftstall.gateway.calls import CallRelay, UpstreamResponse
 from driftstall.gateway.dialect import BadHeaders
-from driftstall.gateway.drain import Drain
+from driftstall.gateway.drain import stop_refusal
 from driftstall.gateway.ingress import (
     CallerConnection,
     CallerRequest,
@@ -62,13 +62,10 @@
 class CallerListener:
     """Listener that serves callers' requests."""
 
-    def __init__(
-        self, state: GatewayState, mover: Mover, drain: Drain, is_current: Callable[[], bool]
-    ) -> None:
+    def __init__(self, state: GatewayState, mover: Mover, is_current: Callable[[], bool]) -> None:
         """Initialize with the shared state; is_current returns whether the routing is current."""
         self._state = state
         self._mover = mover
-        self._drain = drain
         self._is_current = is_current
         address = split_address(state.settings.caller_listen)
         self._server = StreamServer(address, self._serve, backlog=BACKLOG)
@@ -121,10 +118,10 @@
 
     def _admit_and_serve(self, connection: CallerConnection, call: CallerRequest) -> bool:
         """Admit one request and serve it."""
-        keep_alive = call.keep_alive and self._state.stopping_since is None
+        keep_alive = call.keep_alive and not self._state.is_stopping
         admitted = self._admit(call)
         if isinstance(admitted, AdmittedRequest):
-            refusal = self._drain.refusal(admitted)
+            refusal = stop_refusal(self._state, admitted)
             if refusal is None:
                 return self._serve_admitted(connection, call, admitted, keep_alive=keep_alive)
             admitted = refusal
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -214,7 +214,8 @@
         )
         self._store_recovery.register_shared_write("crashes", self._crash_persistence.rewrite_all)
         self._drain = Drain(self.state)
-        self._callers = CallerListener(self.state, mover, self._drain, self._is_current)
+        self.state.has_ready_peer = self._has_ready_peer
+        self._callers = CallerListener(self.state, mover, self._is_current)
         self._ready = AuxiliaryListener(settings.ready_listen, ReadinessHandler(self.state))
         locate = LocateHandler(self.state, self._peering.locatable_instances)
         self._locate = AuxiliaryListener(settings.locate_listen, locate)
@@ -260,7 +261,7 @@
             self._upstreams.handle_timer()
             suspended_s = _log_suspension(suspended_s)
             self.state.stats.platform_calls = self._access.call_count()
-            if self.state.stopping_since is not None and not has_announced_stop:
+            if self.state.is_stopping and not has_announced_stop:
                 has_announced_stop = True
                 self._announce_stop()
             if self.state.now() - checked_at >= SETTINGS_CHECK_S:
@@ -273,6 +274,11 @@
         self._peering.leave()
         gevent.spawn(self._registration.withdraw)
 
+    def _has_ready_peer(self) -> bool:
+        """Return True if another instance is ready to take callers."""
+        own_id = self.state.settings.instance_id
+        return any(each.instance_id != own_id for each in self._peering.ready_instances())
+
     def _relist_all(self) -> None:
         """List all feeds again; objects that the store no longer has count as removed."""
         for follower in (
--- a/driftstall/gateway/peering.py
+++ b/driftstall/gateway/peering.py
@@ -109,7 +109,7 @@
             live=lambda: self._messenger.live,
             send=self._messenger.send,
             publish_age=self._reporting.publish_platform_age,
-            is_stopping=lambda: state.stopping_since is not None,
+            is_stopping=lambda: state.is_stopping,
         )
         self._sharing = PlatformDataSharing(
             state,
--- a/driftstall/gateway/registration.py
+++ b/driftstall/gateway/registration.py
@@ -63,7 +63,7 @@
         don't know each other.
         """
         is_registered = False
-        while self._state.stopping_since is None:
+        while not self._state.is_stopping:
             try:
                 if not is_registered:
                     self.write()
--- a/driftstall/gateway/sending.py
+++ b/driftstall/gateway/sending.py
@@ -6,8 +6,9 @@
 from dataclasses import dataclass
 
 from driftstall.decisions.sends import SendHistory, SendOutcome
-from driftstall.exceptions import RequestQuarantined, UpstreamError
+from driftstall.exceptions import InstanceStopping, RequestQuarantined, UpstreamError
 from driftstall.gateway.admission import AdmittedRequest
+from driftstall.gateway.drain import can_finish
 from driftstall.gateway.exchange import ResponseHead, UpstreamExchange
 from driftstall.gateway.forwarding.connector import CONNECT_TIMEOUT_S
 from driftstall.gateway.ingress import CallerRequest
@@ -35,15 +36,21 @@
         admitted: AdmittedRequest,
         history: SendHistory,
         retry: PendingRetry,
+        *,
         is_caller_disconnected: Callable[[], bool],
+        remaining_s: Callable[[], float],
     ) -> None:
-        """Initialize with the request and the history that records the outcome of each send."""
+        """Initialize with the request and the history that records the outcome of each send.
+
+        The function remaining_s returns how long the caller's response may still take to begin.
+        """
         self._state = state
         self._call = call
         self._admitted = admitted
         self._history = history
         self._retry = retry
         self._is_caller_disconnected = is_caller_disconnected
+        self._remaining_s = remaining_s
 
     def send(self, run: StreamRun) -> OpenedResponse | UpstreamError:
         """Send the request to the run's upstream, read the response head, record the outcome.
@@ -66,7 +73,7 @@
         """Open a connection, send the request and read the response head."""
         metadata = SendMetadata(
             upstream_name=run.upstream.name,
-            remaining_s=self._remaining_s(),
+            remaining_s=self._admitted.ends_at - self._state.now(),
             workspace=self._admitted.workspace,
             rank=self._admitted.verdict.rank,
             backup_address=run.backup.address if run.backup else "",
@@ -80,6 +87,8 @@
                 return UpstreamError("the caller has left", sent=False)
             if not self._may_send(run.upstream, copy_of):
                 return UpstreamError("the upstream takes no more requests", sent=False)
+            if not copy_of and not can_finish(self._state, self._admitted):
+                return InstanceStopping()
             if self._state.poison.verdict(self._admitted.subjects).wait_s:
                 return RequestQuarantined()
             self._state.exchanges.add(run.upstream.upstream_id, run.exchange)
@@ -111,13 +120,9 @@
     def _read_head(self, exchange: UpstreamExchange) -> OpenedResponse:
         """Read heads until one carries the request's id."""
         while True:
-            item = exchange.next(max(0.0, self._remaining_s()))
+            item = exchange.next(self._remaining_s)
             if not isinstance(item, ResponseHead):
                 continue
             metadata = self._state.dialect.read_response(item.status, item.headers)
             if metadata.request_id == self._admitted.metadata.request_id:
                 return OpenedResponse(item, metadata)
-
-    def _remaining_s(self) -> float:
-        """Return the seconds that remain until the request's deadline."""
-        return self._admitted.ends_at - self._state.now()
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -17,6 +17,7 @@
 from driftstall.decisions.instance_count import InstanceCount
 from driftstall.decisions.lengths import LearnedLengths
 from driftstall.decisions.placers import MAX_COMPARED_UPSTREAMS
+from driftstall.decisions.planned_stop import PlannedStop
 from driftstall.decisions.store_versions import StoreEras
 from driftstall.decisions.upstream_backoff import StaggeredRetries, UpstreamBackoff
 from driftstall.decisions.upstream_load import LoadSource, ReportedLoad, UpstreamLoads, mean_pace
@@ -125,7 +126,10 @@
         self.loads_changed = Event()
         self.runs_changed = Event()
         """Set when a stream starts, ends, moves or produces its first event."""
-        self.stopping_since: float | None = None
+        self.planned_stop: PlannedStop | None = None
+        """Set once this instance is stopping."""
+        self.has_ready_peer: Callable[[], bool] = unconnected.has_no_peer
+        """Returns whether another instance is ready to take callers."""
         self.notice_at = float("-inf")
         """When an upstream was last reported as leaving, on the monotonic clock."""
         self.open_requests = 0
@@ -171,7 +175,7 @@
     @property
     def is_ready(self) -> bool:
         """Return True if this instance accepts requests."""
-        return self.is_configured and self.stopping_since is None
+        return self.is_configured and not self.is_stopping
 
     @property
     def is_configured(self) -> bool:
@@ -179,6 +183,19 @@
         knows_cordons = self.cordons.is_loaded or not self.settings.bounds.cordon_s
         return self.route_table is not None and self.fleet.is_loaded and knows_cordons
 
+    @property
+    def is_stopping(self) -> bool:
+        """Return True if a planned stop has begun."""
+        return self.planned_stop is not None
+
+    def unanswered_remaining_s(self, ends_at: float) -> float:
+        """Return how long a request without a response may wait for one, in seconds.
+
+        That is until its deadline, or until a planned stop writes the last responses.
+        """
+        until = ends_at if self.planned_stop is None else min(ends_at, self.planned_stop.answer_by)
+        return until - self.now()
+
     def notify_if_configured(self) -> None:
         """Wake up waiting requests once this instance is configured."""
         if self.is_configured:
--- a/driftstall/gateway/stats.py
+++ b/driftstall/gateway/stats.py
@@ -21,6 +21,8 @@
     refused: int = 0
     failed: int = 0
     callers_gone: int = 0
+    stop_refused: int = 0
+    stop_expired: int = 0
     malformed: int = 0
     repeats: int = 0
     repeats_released: int = 0
@@ -96,6 +98,8 @@
     "refused": "Requests refused with a time to come back.",
     "failed": "Requests that ended with a problem.",
     "callers_gone": "Callers that left before the end.",
+    "stop_refused": "Requests refused as they may not end before this instance stops.",
+    "stop_expired": "Requests that a planned stop has ended before their deadlines.",
     "malformed": "Requests that could not be read.",
     "repeats": "Sends beyond a request's first.",
     "repeats_released": "Retries taken from the budget and given back, as they were not sent.",
--- a/driftstall/gateway/store_recovery.py
+++ b/driftstall/gateway/store_recovery.py
@@ -109,7 +109,7 @@
     def _write_with_retries(self, name: str, write: Callable[[], None]) -> None:
         """Write, and retry while the store is unavailable."""
         for _ in range(MAX_ATTEMPTS):
-            if self._state.stopping_since is not None:
+            if self._state.is_stopping:
                 return
             try:
                 write()
--- a/driftstall/gateway/stream_context.py
+++ b/driftstall/gateway/stream_context.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from driftstall.const import CODE_DEADLINE
 from driftstall.core import Problem
 from driftstall.decisions.permits import SendNeed
 from driftstall.decisions.poison_evidence import UNDER_WAY_S
 from driftstall.decisions.sends import SendHistory
 from driftstall.exceptions import UpstreamError
 from driftstall.gateway.admission import AdmittedRequest, build_request
+from driftstall.gateway.drain import can_finish, stop_refusal, timeout_problem
 from driftstall.gateway.ingress import CallerRequest
 from driftstall.gateway.moves import Mover
 from driftstall.gateway.outcomes import Outcome
@@ -36,10 +38,18 @@
         self.history = SendHistory(admitted.route.max_runs)
         self.retry = PendingRetry(state.retries, self.request_id)
         self.sender = StreamSender(
-            state, call, admitted, self.history, self.retry, lambda: self.is_caller_disconnected
+            state,
+            call,
+            admitted,
+            self.history,
+            self.retry,
+            is_caller_disconnected=lambda: self.is_caller_disconnected,
+            remaining_s=self.remaining_s,
         )
         self.replicas = ReplicaFinder(state, mover, self.history)
         self.is_caller_disconnected = False
+        self.has_responded = False
+        """Whether the head of the response has been sent to the caller."""
         self.run: StreamRun | None = None
 
     def handle_disconnect(self) -> None:
@@ -61,8 +71,29 @@
             self.retry.release()
 
     def remaining_s(self) -> float:
-        """Return the seconds that remain until the request's deadline."""
-        return self.admitted.ends_at - self.state.now()
+        """Return the seconds that remain until the request's deadline.
+
+        Until the response has begun, a planned stop ends the request earlier. Afterwards a whole
+        error response is no longer possible, so the stream continues until the process is killed.
+        """
+        if self.has_responded:
+            return self.admitted.ends_at - self.state.now()
+        return self.state.unanswered_remaining_s(self.admitted.ends_at)
+
+    def start_refusal(self) -> Problem | None:
+        """Return a problem if the request must not be sent to start a run, else None."""
+        return stop_refusal(self.state, self.admitted) or self.refusal()
+
+    def is_start_canceled(self) -> bool:
+        """Return True if a request that waits to be sent would no longer be served."""
+        return self.is_caller_disconnected or not can_finish(self.state, self.admitted)
+
+    def timeout_problem(self) -> Problem:
+        """Return the problem of a request whose time is over."""
+        ran = self.history.ran
+        return timeout_problem(self.state, self.admitted, ran) or Problem(
+            CODE_DEADLINE, 504, "the time is over", ran
+        )
 
     def refusal(self) -> Problem | None:
         """Return a problem if the request is quarantined as poison, else None."""
--- a/driftstall/gateway/stream_opener.py
+++ b/driftstall/gateway/stream_opener.py
@@ -4,9 +4,9 @@
 
 from dataclasses import dataclass, field
 
-from driftstall.const import CODE_DEADLINE, CODE_NO_RUNNER, CODE_RUNNER_FAILED
+from driftstall.const import CODE_NO_RUNNER, CODE_RUNNER_FAILED
 from driftstall.core import Problem, Ran
-from driftstall.exceptions import RequestQuarantined
+from driftstall.exceptions import InstanceStopping, RequestQuarantined
 from driftstall.gateway.backoff_refusal import backoff_refusal
 from driftstall.gateway.calls import FULL_RETRY_S, MAX_SENDS
 from driftstall.gateway.outcomes import Outcome
@@ -49,8 +49,8 @@
         """Place the request and send it; return None if another upstream may be tried."""
         context = self._context
         if context.remaining_s() <= 0 or context.is_caller_disconnected:
-            return Problem(CODE_DEADLINE, 504, "the time is over", context.history.ran)
-        refusal = context.refusal()
+            return context.timeout_problem()
+        refusal = context.start_refusal()
         if refusal is not None:
             return refusal
         refusal = self._backoff_refusal()
@@ -63,18 +63,17 @@
         if len(denied_ids) == len(ready) and (ready or attempts.denied_ids):
             service = context.admitted.service.name
             return limits.build_refusal(service, ready or attempts.denied_ids, context.request_id)
-        run = context.placement.place(
-            denied_ids.union(attempts.avoid), lambda: context.is_caller_disconnected
-        )
-        if run is None:
-            return self._build_problem(attempts)
+        run = context.placement.place(denied_ids.union(attempts.avoid), context.is_start_canceled)
         if isinstance(run, MemoryRefused):
             return self._build_memory_refusal(run)
-        refusal = context.refusal()
+        refusal = context.start_refusal()
         if refusal is not None:
-            # The request was quarantined while the stream waited for its placement.
-            context.remove_run(run)
+            # The stream waited for its placement, and may have become poison or too late meanwhile.
+            if run is not None:
+                context.remove_run(run)
             return refusal
+        if run is None:
+            return self._build_problem(attempts)
         if context.history.has_arrived and not context.retry.try_reserve(run.upstream.service):
             return self._build_problem(attempts)
         engine_id = run.upstream.upstream_id
@@ -99,9 +98,9 @@
             context.record_outcome(run, Outcome.FULL)
         elif result.sent:
             return self._resume_after_break(run, str(result))
-        elif isinstance(result, RequestQuarantined):
+        elif isinstance(result, (InstanceStopping, RequestQuarantined)):
             context.remove_run(run)
-            return context.refusal()
+            return context.start_refusal()
         else:
             attempts.detail = str(result)
             if context.state.can_start_on(run.upstream, context.history.sent_to):
@@ -154,6 +153,6 @@
         if resumed is not None:
             return resumed
         if self._context.remaining_s() <= 0:
-            return Problem(CODE_DEADLINE, 504, "the time is over", self._context.history.ran)
+            return self._context.timeout_problem()
         detail = "the upstream broke off; the request may have run"
         return Problem(CODE_RUNNER_FAILED, 502, detail, self._context.history.ran)
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import Final
 
 from driftstall.const import CODE_RUNNER_FAILED, PREFIX_RELAY
@@ -69,7 +70,6 @@
         self._resumer = StreamResumer(self._context)
         self._opener = StreamOpener(self._context, self._resumer)
         self._sequence = EventSequence()
-        self._head_sent = False
         self._longest_gap_s = 0.0
         self._keep_alive = keep_alive
 
@@ -93,7 +93,7 @@
         assert run is not None
         if opened.head.status != OK:
             return self._relay_failure(run, opened)
-        if not self._head_sent and not self._send_head(opened):
+        if not self._context.has_responded and not self._send_head(opened):
             return False
         while True:
             error = self._relay_events(run)
@@ -114,7 +114,7 @@
         parts: list[bytes] = []
         try:
             while True:
-                item = run.exchange.next(max(0.0, self._context.remaining_s()))
+                item = run.exchange.next(self._context.remaining_s)
                 if isinstance(item, ResponseEnd):
                     break
                 if isinstance(item, BodyChunk):
@@ -138,7 +138,7 @@
             b"Transfer-Encoding: chunked",
             KEEP_ALIVE_HEADER if self._keep_alive else CLOSE_HEADER,
         )
-        self._head_sent = True
+        self._context.has_responded = True
         return self._connection.write(
             encode_head(opened.head.status, opened.metadata.forwarded_headers, extra)
         )
@@ -150,7 +150,8 @@
         while True:
             wait_began_at = self._state.now()
             try:
-                item = run.exchange.next(self._max_wait_s(run))
+                wait_until = wait_began_at + self._max_wait_s(run)
+                item = run.exchange.next(partial(self._seconds_to, wait_until))
             except UpstreamError as error:
                 return error
             except TimeoutError as error:
@@ -180,6 +181,10 @@
                     return UpstreamError("the stream ended during its migration", sent=True)
                 return None
 
+    def _seconds_to(self, until: float) -> float:
+        """Return the seconds from now to a time on the monotonic clock."""
+        return until - self._state.now()
+
     def _max_wait_s(self, run: StreamRun) -> float:
         """Return how long to wait for the next event, in seconds."""
         remaining_s = max(0.0, self._context.remaining_s())
@@ -277,7 +282,7 @@
 
     def _answer_problem(self, problem: Problem) -> bool:
         """Send a problem response; return whether the connection can be kept."""
-        if self._head_sent or self._context.is_caller_disconnected:
+        if self._context.has_responded or self._context.is_caller_disconnected:
             return False
         if problem.ran is Ran.NOT_RUN and problem.retry_after_s is not None:
             self._state.stats.refused += 1
--- a/driftstall/gateway/unconnected.py
+++ b/driftstall/gateway/unconnected.py
@@ -35,6 +35,11 @@
     """Ignore an era until the handling of store recoveries is connected."""
 
 
+def has_no_peer() -> bool:
+    """Return False: no other instance is known."""
+    return False
+
+
 def do_nothing() -> None:
     """Do nothing until peers are connected."""
 
--- a/features/gateway/admission.feature
+++ b/features/gateway/admission.feature
@@ -71,7 +71,8 @@
     Then both are answered in order on the same connection
 
   Scenario: a stopping instance finishes calls and hands streams on
-    Given an open stream and a stop that was asked for
+    Given another instance that is ready
+    And an open stream and a stop that was asked for
     Then a new long stream is told to come back elsewhere
     And a new short stream is still served
     And a new call is still served
--- a/features/steps/gateway_stream_steps.py
+++ b/features/steps/gateway_stream_steps.py
@@ -345,7 +345,7 @@
 @then("a new long stream is told to come back elsewhere")
 def new_stream_refused(context: Any) -> None:
     """Request a stream that would outlast the grace time."""
-    answer = world_of(context).ask("/stream/a", "s2")
+    answer = world_of(context).ask("/stream/patient/a", "s2", X_Driftstall_Deadline_Ms="20000")
     assert_refused_with_retry_after(answer)
 
 
--- a/features/steps/partition_steps.py
+++ b/features/steps/partition_steps.py
@@ -12,6 +12,7 @@
 from gevent import socket
 
 from driftstall.decisions.poison_subjects import PoisonSubjects
+from driftstall.gateway.drain import Drain
 from driftstall.gateway.poison.crash_detector import CrashDetector
 from driftstall.gateway.runs import BrokenRun
 from driftstall.peers.tunnel_messages import TunnelRequested
@@ -141,7 +142,7 @@
 def peer_stopping(context: Any) -> None:
     """Begin the planned stop of a peer."""
     state = world_of(context).peers[0].state
-    state.stopping_since = state.now()
+    Drain(state).begin()
 
 
 @when("{count:d} calls are asked one after the other")
--- a/features/worlds/gateway_world.py
+++ b/features/worlds/gateway_world.py
@@ -137,7 +137,7 @@
         self.revision = 0
         self.list_upstreams()
         self.state.notify_if_configured()
-        self.listener = CallerListener(self.state, self.mover, self.drain, lambda: self.current)
+        self.listener = CallerListener(self.state, self.mover, lambda: self.current)
         self.listener.start()
 
     def close(self) -> None:
--- a/stand_ins/routed.py
+++ b/stand_ins/routed.py
@@ -244,7 +244,10 @@
             return
         self.in_progress += 1
         try:
-            if call.path.startswith("/stream/"):
+            if script.hang:
+                raw.settimeout(None)
+                raw.recv(1)
+            elif call.path.startswith("/stream/"):
                 self._stream(raw, connection, request_id, headers, script)
             else:
                 self._whole(raw, connection, request_id, script)
@@ -303,10 +306,6 @@
         if script.reset:
             reset(raw)
             return
-        if script.hang:
-            raw.settimeout(None)
-            raw.recv(1)
-            return
         if script.only_another:
             another = (_id("another"), SEAL, *self._signal_headers())
             connection.write(encode_head(200, another, ()) + b"other")
