Validate that a response is signed by its upstream before it is passed on

A safe call was not sent to another upstream. The same happened at every other status: a caller stopped after an unsigned 404, and an unsigned 429 or 503 promised that a call had not run.

Cause: a response was recognized by the request's id alone, in the relay of calls and in the reading of a stream's head. The signature was a header like any other.

Change: the adapter of the platform decodes the signature into ResponseMetadata.defect, and a response with a defect raises InvalidResponse. - The request may have run: a call that may run once is answered with 502, a safe one is sent to another upstream within its route and the retry budget, and a stream whose resumed response is unsigned is broken off. - A rejection that states that the request was not executed needs no signature. - A body with a content coding is not the upstream's, as callers request none. - A signature that Connection names as hop-by-hop is passed on all the same. - Signals in such a response are ignored: a back-off, a limit, leaving, loads. - The upstream is not ejected and no crash is suspected, but its failures count; two spoiled responses in a hundred leave it in use. - A log line and the counter invalid_responses tell of each.

--- a/driftstall/exceptions.py
+++ b/driftstall/exceptions.py
@@ -62,6 +62,14 @@
         super().__init__("the request was quarantined while it waited", sent=False)
 
 
+class InvalidResponse(UpstreamError):
+    """Raised for a response that is not its upstream's, so the request may have run."""
+
+    def __init__(self, defect: str) -> None:
+        """Initialize the error with the defect of the response."""
+        super().__init__(f"the response is invalid: {defect}", sent=True)
+
+
 class InstanceStopping(UpstreamError):
     """Raised when a planned stop began while a request waited, and it could not end in time."""
 
--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -22,7 +22,7 @@
 from driftstall.core import Problem, Ran
 from driftstall.decisions.permits import SendNeed
 from driftstall.decisions.sends import SendHistory, SendOutcome
-from driftstall.exceptions import UpstreamError
+from driftstall.exceptions import InvalidResponse, UpstreamError
 from driftstall.gateway.admission import AdmittedRequest
 from driftstall.gateway.backoff_refusal import backoff_refusal
 from driftstall.gateway.drain import can_finish, stop_refusal, timeout_problem
@@ -301,6 +301,8 @@
                 return SendFailure(Outcome.NOT_SENT, SendOutcome.UNSENT, detail)
             self._state.exchanges.add(upstream.upstream_id, exchange)
             return self._read_response(upstream, exchange)
+        except InvalidResponse as error:
+            return SendFailure(Outcome.INVALID, SendOutcome.MAY_HAVE_RUN, str(error))
         except UpstreamError as error:
             return SendFailure(
                 Outcome.BROKEN, SendOutcome.MAY_HAVE_RUN, str(error), is_broken_off=True
@@ -336,17 +338,19 @@
             item = exchange.next(self._remaining_s)
             if isinstance(item, ResponseHead):
                 head, parts, size = item, [], 0
+                metadata = self._state.dialect.read_response(item.status, item.headers)
+                if metadata.request_id != self._admitted.metadata.request_id:
+                    # A surplus response to another request; the expected one may still follow.
+                    head = None
+                elif metadata.defect is not None:
+                    self._state.record_invalid(upstream, item, metadata)
+                    raise InvalidResponse(metadata.defect)
             elif isinstance(item, BodyChunk):
                 parts.append(item.data)
                 size += len(item.data)
                 if size > MAX_RESPONSE_BYTES:
                     raise UpstreamError("the response is too large", sent=True)
             elif isinstance(item, ResponseEnd) and head is not None:
-                metadata = self._state.dialect.read_response(head.status, head.headers)
-                if metadata.request_id != self._admitted.metadata.request_id:
-                    # A surplus response to another request; the expected one may still follow.
-                    head = None
-                    continue
                 if metadata.is_not_executed:
                     detail = f"turned away with {head.status}"
                     return SendFailure(Outcome.FULL, SendOutcome.TURNED_AWAY, detail)
--- a/driftstall/gateway/model.py
+++ b/driftstall/gateway/model.py
@@ -217,11 +217,21 @@
     last_event_id: str = ""
 
 
+class ResponseDefect(StrEnum):
+    """Why a response that carries a request's id is not its upstream's response."""
+
+    UNSIGNED = "it lacks the upstream's signature"
+    ENCODED = "its body has a content coding that callers do not request"
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseMetadata:
     """Hold the metadata in the headers of an upstream's response."""
 
     request_id: str
+    defect: ResponseDefect | None
+    """Set for a response that must not reach the caller. A rejection that states that the request
+    was not executed needs no signature."""
     is_not_executed: bool
     """Whether the upstream reports that it did not execute the request."""
     signals: tuple[Signal, ...]
--- a/driftstall/gateway/outcomes.py
+++ b/driftstall/gateway/outcomes.py
@@ -35,6 +35,9 @@
     """The upstream responded with an error of its own."""
     BROKEN = "broken"
     """The response was incomplete or violated the protocol."""
+    INVALID = "invalid"
+    """The response was not the upstream's own, such as one without its signature. The upstream is
+    avoided only if that happens often, as its other responses are sound."""
     UNREACHABLE = "unreachable"
     """No connection could be opened."""
     FULL = "full"
@@ -43,6 +46,9 @@
     """The request was not sent after all."""
 
 
+FAILURES: Final = frozenset({Outcome.FAILED, Outcome.BROKEN, Outcome.INVALID, Outcome.UNREACHABLE})
+
+
 @dataclass(slots=True)
 class _Record:
     """Hold the moving averages and the ejection of one upstream."""
@@ -82,7 +88,7 @@
         """
         record = self._records.setdefault(upstream_id, _Record())
         record.last_outcome_at = now
-        failed = outcome in (Outcome.FAILED, Outcome.BROKEN, Outcome.UNREACHABLE)
+        failed = outcome in FAILURES
         record.failures += SMOOTHING * (float(failed) - record.failures)
         if outcome is Outcome.GOOD:
             record.ejection_s = FIRST_EJECTION_S
--- a/driftstall/gateway/sending.py
+++ b/driftstall/gateway/sending.py
@@ -6,7 +6,12 @@
 from dataclasses import dataclass
 
 from driftstall.decisions.sends import SendHistory, SendOutcome
-from driftstall.exceptions import InstanceStopping, RequestQuarantined, UpstreamError
+from driftstall.exceptions import (
+    InstanceStopping,
+    InvalidResponse,
+    RequestQuarantined,
+    UpstreamError,
+)
 from driftstall.gateway.admission import AdmittedRequest
 from driftstall.gateway.drain import can_finish
 from driftstall.gateway.exchange import ResponseHead, UpstreamExchange
@@ -99,7 +104,7 @@
             self._retry.confirm()
             self._state.signals.log_send(run.upstream, run.request_id)
             run.exchange.send(call.method, call.target, headers, call.body, self._remaining_s())
-            return self._read_head(run.exchange)
+            return self._read_head(run.upstream, run.exchange)
         except UpstreamError as error:
             return error
         except TimeoutError:
@@ -117,12 +122,17 @@
             return run.last_event_id
         return self._admitted.metadata.last_event_id if self._admitted.route.is_resumable else ""
 
-    def _read_head(self, exchange: UpstreamExchange) -> OpenedResponse:
-        """Read heads until one carries the request's id."""
+    def _read_head(self, upstream: Upstream, exchange: UpstreamExchange) -> OpenedResponse:
+        """Read heads until one carries the request's id; raise InvalidResponse if it is invalid."""
         while True:
             item = exchange.next(self._remaining_s)
             if not isinstance(item, ResponseHead):
                 continue
             metadata = self._state.dialect.read_response(item.status, item.headers)
-            if metadata.request_id == self._admitted.metadata.request_id:
-                return OpenedResponse(item, metadata)
+            if metadata.request_id != self._admitted.metadata.request_id:
+                # A surplus response to another request; the expected one may still follow.
+                continue
+            if metadata.defect is not None:
+                self._state.record_invalid(upstream, item, metadata)
+                raise InvalidResponse(metadata.defect)
+            return OpenedResponse(item, metadata)
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -11,6 +11,7 @@
 import gevent
 from gevent.event import Event
 
+from driftstall.const import PREFIX_RELAY
 from driftstall.core import Request
 from driftstall.decisions.brittle_upstreams import REJECTION_BACKOFF_S, BrittleUpstreams
 from driftstall.decisions.cold_starts import ASSUMED_COLD_S, QUIET_START_S, ColdPart, ColdStarts
@@ -29,7 +30,7 @@
 from driftstall.gateway.fleet import FleetController
 from driftstall.gateway.forwarding.connector import UpstreamConnector
 from driftstall.gateway.loads import LoadTable, RequestLoad, Use
-from driftstall.gateway.model import GatewaySettings, Service, Upstream
+from driftstall.gateway.model import GatewaySettings, ResponseMetadata, Service, Upstream
 from driftstall.gateway.outcomes import Outcome, OutlierDetector
 from driftstall.gateway.poison.guard import PoisonGuard
 from driftstall.gateway.retry_budget.budgets import RetryBudgets
@@ -44,6 +45,7 @@
 from driftstall.gateway.scheduling.selection import SAMPLE_SIZE, Option, Sampler
 from driftstall.gateway.stats import GatewayStats
 from driftstall.gateway.upstream_signals import UpstreamSignals
+from driftstall.helpers.log import log_event
 from driftstall.helpers.rate_limiting import RateLimiter
 from driftstall.peers.gateway_messages import PlacementAsked, PlacementGiven
 from driftstall.policy.model import Policy
@@ -313,7 +315,8 @@
 
         def observe(head: ResponseHead) -> None:
             metadata = self.dialect.read_response(head.status, head.headers)
-            self.signals.handle_response(upstream, metadata.signals, exchange.sent_at)
+            if metadata.defect is None:
+                self.signals.handle_response(upstream, metadata.signals, exchange.sent_at)
             if head.status != HTTPStatus.MISDIRECTED_REQUEST:
                 self.poison.unframed_ends.confirm(upstream.upstream_id, exchange.sent_at)
             now = self.now()
@@ -329,6 +332,20 @@
         exchange.observe = observe
         return exchange
 
+    def record_invalid(
+        self, upstream: Upstream, head: ResponseHead, metadata: ResponseMetadata
+    ) -> None:
+        """Count and log a response that is not passed on to the caller."""
+        self.stats.invalid_responses += 1
+        log_event(
+            PREFIX_RELAY,
+            f"Invalid response of {upstream.upstream_id}: {metadata.defect}",
+            request=metadata.request_id,
+            upstream=upstream.upstream_id,
+            status=head.status,
+            revision=upstream.revision,
+        )
+
     def draining_options(
         self, service: str, avoid: frozenset[str], for_s: float = 0.0
     ) -> list[Option]:
--- a/driftstall/gateway/stream_context.py
+++ b/driftstall/gateway/stream_context.py
@@ -7,7 +7,7 @@
 from driftstall.decisions.permits import SendNeed
 from driftstall.decisions.poison_evidence import UNDER_WAY_S
 from driftstall.decisions.sends import SendHistory
-from driftstall.exceptions import UpstreamError
+from driftstall.exceptions import InvalidResponse, UpstreamError
 from driftstall.gateway.admission import AdmittedRequest, build_request
 from driftstall.gateway.drain import can_finish, stop_refusal, timeout_problem
 from driftstall.gateway.ingress import CallerRequest
@@ -66,9 +66,12 @@
         """
         self.run = run
         try:
-            return self.sender.send(run)
+            result = self.sender.send(run)
         finally:
             self.retry.release()
+        if isinstance(result, InvalidResponse):
+            self.record_outcome(run, Outcome.INVALID)
+        return result
 
     def remaining_s(self) -> float:
         """Return the seconds that remain until the request's deadline.
@@ -110,6 +113,9 @@
         """
         if self.is_caller_disconnected or run.pending_final_copy is not None:
             return
+        if isinstance(error, InvalidResponse):
+            # Its upstream has not crashed: it sent a whole response head.
+            return
         if isinstance(error, TimeoutError):
             # A silent upstream has not crashed; it may be leaving, or cut off by a partition.
             self.state.on_upstream_suspected(run.upstream)
--- a/driftstall/gateway/stream_opener.py
+++ b/driftstall/gateway/stream_opener.py
@@ -6,7 +6,7 @@
 
 from driftstall.const import CODE_NO_RUNNER, CODE_RUNNER_FAILED
 from driftstall.core import Problem, Ran
-from driftstall.exceptions import InstanceStopping, RequestQuarantined
+from driftstall.exceptions import InstanceStopping, RequestQuarantined, UpstreamError
 from driftstall.gateway.backoff_refusal import backoff_refusal
 from driftstall.gateway.calls import FULL_RETRY_S, MAX_SENDS
 from driftstall.gateway.outcomes import Outcome
@@ -97,7 +97,7 @@
             attempts.detail = f"turned away with {result.head.status}"
             context.record_outcome(run, Outcome.FULL)
         elif result.sent:
-            return self._resume_after_break(run, str(result))
+            return self._resume_after_break(run, result)
         elif isinstance(result, (InstanceStopping, RequestQuarantined)):
             context.remove_run(run)
             return context.start_refusal()
@@ -146,13 +146,13 @@
         )
         return until - self._context.state.now()
 
-    def _resume_after_break(self, run: StreamRun, detail: str) -> OpenedResponse | Problem:
-        """Resume at a replica after the connection broke before the response head."""
-        self._context.handle_break(run)
-        resumed = self._resumer.resume(run, detail)
+    def _resume_after_break(self, run: StreamRun, error: UpstreamError) -> OpenedResponse | Problem:
+        """Resume at a replica after a send without a valid response head."""
+        self._context.handle_break(run, error)
+        resumed = self._resumer.resume(run, str(error))
         if resumed is not None:
             return resumed
         if self._context.remaining_s() <= 0:
             return self._context.timeout_problem()
-        detail = "the upstream broke off; the request may have run"
+        detail = "no valid response came; the request may have run"
         return Problem(CODE_RUNNER_FAILED, 502, detail, self._context.history.ran)
--- a/driftstall/platform/headers.py
+++ b/driftstall/platform/headers.py
@@ -25,6 +25,7 @@
     Header,
     Headers,
     PromptPart,
+    ResponseDefect,
     ResponseMetadata,
     SendMetadata,
 )
@@ -33,6 +34,8 @@
 BEARER: Final = b"bearer "
 SINGLE_VALUE_HEADERS: Final = (names.HEADER_REQUEST_ID, names.HEADER_DEADLINE_MS, names.HEADER_KEY)
 CONNECTION_CLOSE: Final = b"close"
+HEADER_CONTENT_ENCODING: Final = b"content-encoding"
+IDENTITY: Final = b"identity"
 SET: Final = b"1"
 NOT_SET: Final = b"0"
 BACKOFF_STATUSES: Final = frozenset({HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE})
@@ -102,10 +105,12 @@
     first = {name.lower(): value.strip() for name, value in reversed(headers)}
     listed = _parse_connection_header(first.get(b"connection", b""))
     dropped = names.HOP_BY_HOP_HEADERS | listed | INTERNAL_RESPONSE_HEADERS
+    dropped -= {names.HEADER_SIGNATURE}
+    is_not_executed = names.HEADER_NOT_EXECUTED in first or status == HTTPStatus.MISDIRECTED_REQUEST
     return ResponseMetadata(
         request_id=_decode_text(first.get(names.HEADER_REQUEST_ID, b"")),
-        is_not_executed=names.HEADER_NOT_EXECUTED in first
-        or status == HTTPStatus.MISDIRECTED_REQUEST,
+        defect=None if is_not_executed else _find_defect(first),
+        is_not_executed=is_not_executed,
         signals=read_signals(status, first),
         keep_alive_s=None
         if CONNECTION_CLOSE in listed
@@ -114,6 +119,15 @@
     )
 
 
+def _find_defect(first: Mapping[bytes, bytes]) -> ResponseDefect | None:
+    """Return the defect of a response to a request that may have run, else None."""
+    if not first.get(names.HEADER_SIGNATURE):
+        return ResponseDefect.UNSIGNED
+    if first.get(HEADER_CONTENT_ENCODING, IDENTITY).lower() != IDENTITY:
+        return ResponseDefect.ENCODED
+    return None
+
+
 def read_signals(status: int, first: Mapping[bytes, bytes]) -> tuple[Signal, ...]:
     """Return the signals in an upstream's response headers, given by their lower-case names.
 
--- a/driftstall/platform/names.py
+++ b/driftstall/platform/names.py
@@ -21,6 +21,8 @@
 HEADER_RETRY_AFTER: Final = b"retry-after"
 """With 429 and 503: seconds for which this instance should send the upstream no requests."""
 HEADER_NOT_EXECUTED: Final = b"x-driftstall-not-executed"
+HEADER_SIGNATURE: Final = b"x-driftstall-response-seal"
+"""Signature of an upstream; a response without it may have been spoiled on the way."""
 HEADER_LAST_EVENT_ID: Final = b"last-event-id"
 HEADER_KEY: Final = b"authorization"
 HEADER_RANK: Final = b"priority"
@@ -54,7 +56,7 @@
         HEADER_LEAVING,
         HEADER_BRITTLE,
         HEADER_NOT_EXECUTED,
-        b"x-driftstall-response-seal",
+        HEADER_SIGNATURE,
         b"x-driftstall-instance-id",
         b"server-timing",
     }
@@ -83,7 +85,7 @@
         HEADER_RATE_LIMIT,
         HEADER_LEAVING,
         HEADER_BRITTLE,
-        b"x-driftstall-response-seal",
+        HEADER_SIGNATURE,
         b"x-driftstall-instance-id",
     }
 )
--- a/stand_ins/routed.py
+++ b/stand_ins/routed.py
@@ -48,6 +48,8 @@
     ends_upstream: bool = False
     """Stop listening just before the connection of the response is closed."""
     hang: bool = False
+    spoiled: tuple[tuple[bytes, bytes], ...] | None = None
+    """Headers that replace the signature; None for a response with the signature alone."""
     unframed: bool = False
     """Answer without a length; the response ends when the connection is closed."""
     cut_after: int | None = None
@@ -87,6 +89,11 @@
     ended: Event = field(default_factory=Event)
     """Set when the fake upstream has finished with the request."""
 
+    @property
+    def signature(self) -> tuple[tuple[bytes, bytes], ...]:
+        """Return the headers in the place of the signature."""
+        return (SEAL,) if self.spoiled is None else self.spoiled
+
     def with_new_events(self) -> Script:
         """Return a copy of the script with its own gevent events."""
         return replace(self, gate=Event(), paused=Event(), late=Event(), ended=Event())
@@ -317,7 +324,7 @@
         gevent.sleep(script.work_s * (self.pace_percent or 100) / 100)
         if script.hold:
             script.gate.wait()
-        headers = (_id(request_id), SEAL, *self._signal_headers())
+        headers = (_id(request_id), *script.signature, *self._signal_headers())
         length = () if script.unframed else (b"Content-Length: %d" % len(script.body),)
         connection.write(encode_head(script.status, headers, length))
         self._record_leaving_signal(request_id)
@@ -348,7 +355,8 @@
         first = int(headers.get("last-event-id") or 0) + 1
         extra = () if script.unframed else (b"Transfer-Encoding: chunked",)
         framed = _unframed if script.unframed else encode_chunk
-        answer = (_id(request_id), SEAL, STREAM_TYPE, *self._signal_headers())
+        signature = script.signature
+        answer = (_id(request_id), *signature, STREAM_TYPE, *self._signal_headers())
         if not connection.write(encode_head(script.status, answer, extra)):
             return
         self._record_leaving_signal(request_id)
