Bound the figures that callers state, and those that messages hold

Cause: the figure went into the load report to the peers, whose fields have 32 bits. The exception of the Cap'n Proto library ends the process in a greenlet. Sums of smaller figures overflow such a field as well, and so do the integers that upstreams, settings and other writers of the store state.

Change: - Token counts, length hints, prompt parts and Keep-Alive times count as ten million at most. Before, a figure of twelve digits or more counted as none. The headers are forwarded as they came, so no request is refused for it. - The codec of messages knows the range of each integer field from the schema and sends the nearest figure inside, with a log line.

The codecs of nested structures are built with their message, from the schema.

--- a/driftstall/peers/codec.py
+++ b/driftstall/peers/codec.py
@@ -22,14 +22,16 @@
 import zlib
 from collections.abc import Callable, Mapping
 from enum import StrEnum
-from functools import cache
+from functools import cache, partial
 from pathlib import Path
 from typing import Any, Final
 
 import capnp
 
+from driftstall.const import PREFIX_MEMBERSHIP
 from driftstall.decisions.store_versions import StoreVersion
 from driftstall.exceptions import MessageError
+from driftstall.helpers.log import log_event
 from driftstall.peers.envelope import Envelope
 from driftstall.util.signing import MAC_BYTES, mac
 
@@ -45,6 +47,15 @@
 """The protocol and its version."""
 FAR_FUTURE: Final = 1e300
 """Represents an infinite time on the wire."""
+INTEGER_RANGES: Final = {
+    f"{prefix}int{bits}": bounds
+    for bits in (8, 16, 32, 64)
+    for prefix, bounds in (
+        ("u", (0, 2**bits - 1)),
+        ("", (-(2 ** (bits - 1)), 2 ** (bits - 1) - 1)),
+    )
+}
+"""Smallest and largest value of the schema's integer types."""
 
 _schema: Any = capnp.load(str(Path(__file__).with_name("schema.capnp")))
 
@@ -81,42 +92,80 @@
 
 
 @cache
-def _field_codecs(kind: Any) -> tuple[_FieldCodec, ...]:
-    """Return the codecs of a dataclass's fields."""
+def _message_codecs(kind: type) -> tuple[_FieldCodec, ...]:
+    """Return the codecs of the fields of a message type."""
+    return _struct_codecs(kind, _schema.Envelope.schema.fields[_union_field(kind)].schema)
+
+
+def _struct_codecs(kind: Any, struct_schema: Any) -> tuple[_FieldCodec, ...]:
+    """Return the codecs of the fields of a dataclass, which has the given struct in the schema."""
     hints = typing.get_type_hints(kind)
-    return tuple(_field_codec(item.name, hints[item.name]) for item in dataclasses.fields(kind))
+    return tuple(
+        _field_codec(item.name, hints[item.name], struct_schema)
+        for item in dataclasses.fields(kind)
+    )
 
 
-def _field_codec(name: str, hint: Any) -> _FieldCodec:
-    """Return the codec of a field, by its type hint."""
+def _field_codec(name: str, hint: Any, struct_schema: Any) -> _FieldCodec:
+    """Return the codec of a field, by its type hint and its type in the schema."""
     wire = _to_camel_case(name)
     if typing.get_origin(hint) in (types.UnionType, typing.Union):
         inner = next(arg for arg in typing.get_args(hint) if arg is not types.NoneType)
-        if not dataclasses.is_dataclass(inner):
-            return _FieldCodec(name, wire, _identity, _identity, True)
-        return _FieldCodec(name, wire, _to_wire, lambda value: _from_wire(inner, value), True)
+        codec = _field_codec(name, inner, struct_schema)
+        return dataclasses.replace(codec, optional=True)
+    field = struct_schema.fields[wire]
     if typing.get_origin(hint) is tuple:
         item = typing.get_args(hint)[0]
         if dataclasses.is_dataclass(item):
+            encode_item, decode_item = _struct_coders(item, field.schema.elementType)
             return _FieldCodec(
                 name,
                 wire,
-                lambda values: [_to_wire(value) for value in values],
-                lambda values: tuple([_from_wire(item, value) for value in values]),
+                lambda values: [encode_item(value) for value in values],
+                lambda values: tuple([decode_item(value) for value in values]),
                 False,
             )
         return _FieldCodec(name, wire, list, tuple, False)
     if dataclasses.is_dataclass(hint):
-        return _FieldCodec(name, wire, _to_wire, lambda value: _from_wire(hint, value), False)
+        return _FieldCodec(name, wire, *_struct_coders(hint, field.schema), False)
     if isinstance(hint, type) and issubclass(hint, StrEnum):
         return _FieldCodec(name, wire, str, hint, False)
-    if hint is StoreVersion:
-        return _FieldCodec(name, wire, int, StoreVersion, False)
     if hint is float:
         return _FieldCodec(name, wire, _encode_float, _decode_float, False)
+    wire_type = str(field.proto.slot.type.which())
+    if wire_type in INTEGER_RANGES:
+        decode = StoreVersion if hint is StoreVersion else _identity
+        encode = _saturating(f"{struct_schema.node.displayName}.{wire}", INTEGER_RANGES[wire_type])
+        return _FieldCodec(name, wire, encode, decode, False)
     return _FieldCodec(name, wire, _identity, _identity, False)
 
 
+def _struct_coders(
+    kind: Any, struct_schema: Any
+) -> tuple[Callable[[Any], dict[str, Any]], Callable[[Any], Any]]:
+    """Return the functions that encode and decode a nested dataclass."""
+    codecs = _struct_codecs(kind, struct_schema)
+    return partial(_to_wire, codecs), partial(_from_wire, kind, codecs)
+
+
+def _saturating(field: str, bounds: tuple[int, int]) -> Callable[[Any], int]:
+    """Return an encoder that replaces integers outside the bounds by the nearest one inside.
+
+    Sums of figures that callers and upstreams state may exceed any field, and the exception of the
+    Cap'n Proto library would end the process.
+    """
+    low, high = bounds
+
+    def encode_integer(value: Any) -> int:
+        number = int(value)
+        if low <= number <= high:
+            return number
+        log_event(PREFIX_MEMBERSHIP, f"A figure exceeds its field {field}", value=str(number))
+        return max(low, min(high, number))
+
+    return encode_integer
+
+
 def _identity(value: Any) -> Any:
     """Return a value unchanged."""
     return value
@@ -132,11 +181,10 @@
     return math.inf if value >= FAR_FUTURE else value
 
 
-def _to_wire(value: Any) -> dict[str, Any]:
+def _to_wire(codecs: tuple[_FieldCodec, ...], value: Any) -> dict[str, Any]:
     """Return the schema's fields of a dataclass instance."""
     out: dict[str, Any] = {}
-    kind: Any = type(value)
-    for codec in _field_codecs(kind):
+    for codec in codecs:
         part = getattr(value, codec.name)
         if codec.optional:
             out["has" + codec.wire[0].upper() + codec.wire[1:]] = part is not None
@@ -146,10 +194,10 @@
     return out
 
 
-def _from_wire(kind: Any, reader: Any) -> Any:
+def _from_wire(kind: Any, codecs: tuple[_FieldCodec, ...], reader: Any) -> Any:
     """Return a dataclass instance built from the schema's fields."""
     values: list[Any] = []
-    for codec in _field_codecs(kind):
+    for codec in codecs:
         if codec.optional and not getattr(reader, "has" + codec.wire[0].upper() + codec.wire[1:]):
             values.append(None)
         else:
@@ -164,7 +212,8 @@
     builder.sender = envelope.sender
     builder.recipient = envelope.recipient
     builder.sequence = envelope.sequence
-    builder.init(_union_field(type(message))).from_dict(_to_wire(message))
+    kind: Any = type(message)
+    builder.init(_union_field(kind)).from_dict(_to_wire(_message_codecs(kind), message))
     body = PROTOCOL + zlib.compress(builder.to_bytes(), COMPRESSION)
     return HEADER.pack(len(body) + MAC_BYTES) + mac(key, body) + body
 
@@ -184,7 +233,8 @@
         plain = zlib.decompressobj().decompress(body[len(PROTOCOL) :], MAX_PLAIN_BYTES)
         with _schema.Envelope.from_bytes(plain, traversal_limit_in_words=TRAVERSAL_WORDS) as reader:
             name = str(reader.which())
-            message = _from_wire(message_types[name], getattr(reader, name))
+            kind: Any = message_types[name]
+            message = _from_wire(kind, _message_codecs(kind), getattr(reader, name))
             return Envelope(reader.sender, reader.recipient, reader.sequence, message)
     except (capnp.KjException, zlib.error, KeyError, ValueError) as fault:
         raise MessageError(f"the message is malformed: {type(fault).__name__}") from fault
--- a/driftstall/platform/headers.py
+++ b/driftstall/platform/headers.py
@@ -48,6 +48,10 @@
     }
 )
 """Headers of an upstream's response that are not forwarded to the caller."""
+MAX_FIGURE: Final = 10_000_000
+"""Largest figure that a caller or an upstream may state, in tokens or seconds; larger ones count as
+this. Sums of figures are shared between instances in fields of 32 bits."""
+MAX_FIGURE_DIGITS: Final = len(str(MAX_FIGURE))
 MAX_COUNT_DIGITS: Final = 6
 """Longest figure of a load; larger ones would not fit the messages in which loads are shared."""
 MIN_PACE_PERCENT: Final = 1.0
@@ -192,8 +196,11 @@
 
 
 def _parse_integer(value: bytes) -> int:
-    """Decode an integer of up to 11 digits; return zero for anything else."""
-    return int(value) if value.isdigit() and len(value) < 12 else 0
+    """Decode an integer, at most MAX_FIGURE; return zero for anything else."""
+    if not value.isdigit():
+        return 0
+    digits = value.lstrip(b"0") or b"0"
+    return MAX_FIGURE if len(digits) > MAX_FIGURE_DIGITS else min(int(digits), MAX_FIGURE)
 
 
 def _parse_deadline_s(value: bytes | None) -> float | None:
