Break off a stream whose event grows without an end

Cause: the splitter copied and searched the whole unfinished event with each piece, MAX_EVENT_BYTES was used nowhere, and reading data that has already arrived gives no other greenlet a turn.

Change: - New data is searched once. - A stream with an event beyond MAX_EVENT_BYTES is broken off as an invalid response, or resumed at its replica; no crash of the upstream is suspected. - An exchange gives other greenlets a turn after each 256 KB, calls included.

Measured: on the code before, "a stream whose event grows without an end" fails; the drawn pieces hold on both.

--- a/driftstall/gateway/events.py
+++ b/driftstall/gateway/events.py
@@ -9,6 +9,7 @@
 EVENT_END: Final = b"\n\n"
 ID_FIELD: Final = b"id:"
 MAX_EVENT_BYTES: Final = 4_000_000
+"""A stream with a larger event is broken off: its upstream sends something else than events."""
 
 
 class EventContinuity(StrEnum):
@@ -33,7 +34,14 @@
 
     def __init__(self) -> None:
         """Start with an empty buffer."""
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._searched_bytes = 0
+        """Bytes at the start of the buffer that hold no end of an event."""
+
+    @property
+    def is_event_too_large(self) -> bool:
+        """Return True if the buffered part of an event exceeds MAX_EVENT_BYTES."""
+        return len(self._buffer) > MAX_EVENT_BYTES
 
     @property
     def is_inside_event(self) -> bool:
@@ -42,8 +50,17 @@
 
     def feed(self, data: bytes) -> list[Event]:
         """Add bytes, and return the events that are now whole."""
-        *complete, self._buffer = (self._buffer + data).split(EVENT_END)
-        return [Event(part + EVENT_END, _event_id(part)) for part in complete]
+        self._buffer += data
+        events: list[Event] = []
+        # The first byte of an end may have been the last one of the earlier data.
+        start, search_from = 0, max(0, self._searched_bytes - len(EVENT_END) + 1)
+        while (end := self._buffer.find(EVENT_END, search_from)) >= 0:
+            part = bytes(self._buffer[start:end])
+            events.append(Event(part + EVENT_END, _event_id(part)))
+            start = search_from = end + len(EVENT_END)
+        del self._buffer[:start]
+        self._searched_bytes = len(self._buffer)
+        return events
 
 
 class EventSequence:
--- a/driftstall/gateway/exchange.py
+++ b/driftstall/gateway/exchange.py
@@ -13,6 +13,7 @@
 from typing import Any, Final, Protocol
 from weakref import WeakSet
 
+import gevent
 import httptools
 from gevent import select
 
@@ -22,6 +23,9 @@
 
 RECEIVE_BYTES: Final = 65_536
 SEND_PIECE_BYTES: Final = 16_384
+YIELD_BYTES: Final = 262_144
+"""Bytes after which other greenlets get a turn. Reading what has already arrived does not wait, so
+a fast upstream would otherwise hold up all other requests."""
 BODYLESS: Final = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
 FIRST_FINAL_STATUS: Final = 200
 
@@ -125,6 +129,8 @@
         self._builder.parser = self._parser
         self._is_framed = True
         self._has_ended = False
+        self._unyielded_bytes = 0
+        """Bytes received since other greenlets were last given a turn."""
         self.sent_at = 0.0
         """Time when sending the request began, in seconds."""
         self.observe: Callable[[ResponseHead], None] = _ignore
@@ -207,6 +213,10 @@
         if not data:
             self._handle_connection_end()
             return
+        self._unyielded_bytes += len(data)
+        if self._unyielded_bytes >= YIELD_BYTES:
+            self._unyielded_bytes = 0
+            gevent.sleep(0)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -12,7 +12,7 @@
 
 from driftstall.const import CODE_RUNNER_FAILED, PREFIX_RELAY
 from driftstall.core import Problem, Ran
-from driftstall.exceptions import UpstreamError
+from driftstall.exceptions import InvalidResponse, UpstreamError
 from driftstall.gateway.admission import AdmittedRequest
 from driftstall.gateway.events import Event, EventContinuity, EventSequence, EventSplitter
 from driftstall.gateway.exchange import BodyChunk, ResponseEnd
@@ -168,6 +168,8 @@
                 relay_error = self._forward(run, splitter.feed(item.data))
                 if relay_error is not None:
                     return relay_error
+                if splitter.is_event_too_large:
+                    return InvalidResponse("an event is too large")
             elif isinstance(item, ResponseEnd):
                 if splitter.is_inside_event:
                     return UpstreamError("the stream ended inside an event", sent=True)
--- a/features/gateway/invalid_responses.feature
+++ b/features/gateway/invalid_responses.feature
@@ -87,3 +87,15 @@
     When "/once/a" is asked as "r1"
     Then the unsigned response of "r1" is logged and counted
     And no upstream is ejected, suspected or held against "r1"
+
+  # Guards against streams without an end of an event, which occupy the process and its memory.
+  Scenario: a stream whose event grows without an end is broken off
+    Given the engine of "s1" will send an event of 12 MB
+    When "/stream/a" is asked as "s1"
+    Then the stream has 0 events and does not look complete
+    And the engine of "s1" could not send all of it
+
+  # Guards against ends of events that are missed between two pieces.
+  Scenario: events are found however the pieces of a stream are cut
+    When streams of drawn bytes arrive in drawn pieces
+    Then the events are those of the whole streams
--- a/features/steps/invalid_response_steps.py
+++ b/features/steps/invalid_response_steps.py
@@ -4,10 +4,14 @@
 
 from typing import Any
 
-from behave import given, then
+from behave import given, then, when
 from eliot import add_destinations, remove_destination
+from hypothesis import given as drawn
+from hypothesis import settings
+from hypothesis import strategies as st
 
-from features.worlds.gateway_world import runs, script_upstreams, world_of
+from driftstall.gateway.events import EVENT_END, EventSplitter
+from features.worlds.gateway_world import runs, script_upstreams, wait_for, world_of
 from stand_ins.routed import SEAL, Script
 
 SPOILED = {
@@ -100,3 +104,43 @@
     (upstream,) = runs(world_of(context), request_id)
     assert not state.outcomes.is_ejected(upstream.upstream_id, state.now())
     assert not context.broken, context.broken
+
+
+@given('the engine of "{request_id}" will send an event of {megabytes:d} MB')
+def large_event(context: Any, request_id: str, megabytes: int) -> None:
+    """Script a stream with one large event."""
+    context.script = Script(events=1, filler=b"x" * (megabytes * 1_000_000))
+    _spoil(context, request_id, context.script)
+
+
+@then('the engine of "{request_id}" could not send all of it')
+def not_all_sent(context: Any, request_id: str) -> None:
+    """Check that the connection was closed before the end of the event."""
+    (engine,) = runs(world_of(context), request_id)
+    wait_for("the engine has finished", context.script.ended.is_set)
+    assert engine.running[request_id] == 0
+
+
+@when("streams of drawn bytes arrive in drawn pieces")
+def draw_pieces(context: Any) -> None:
+    """Split streams of event ends and other bytes, in pieces of any size."""
+    context.pairs = []
+    pieces = st.lists(st.text("\na", max_size=6).map(str.encode), max_size=12)
+
+    @settings(max_examples=300, deadline=None, database=None, derandomize=True)
+    @drawn(pieces)
+    def split(pieces: list[bytes]) -> None:
+        splitter = EventSplitter()
+        events = [event.data for piece in pieces for event in splitter.feed(piece)]
+        context.pairs.append((b"".join(pieces), events, splitter.is_inside_event))
+
+    split()
+
+
+@then("the events are those of the whole streams")
+def same_events(context: Any) -> None:
+    """Compare the events with those of the undivided bytes."""
+    for whole, events, is_inside_event in context.pairs:
+        *complete, remaining = whole.split(EVENT_END)
+        assert events == [part + EVENT_END for part in complete], whole
+        assert is_inside_event == bool(remaining), whole
