Take only decimal event ids of a sane length as numbers

What callers saw: a stream was closed without its end when its upstream sent an event id such as "²" or one of 5,000 digits.

Cause: str.isdigit() accepts digits that int() rejects, and int() raises for more than 4,300 digits. The exception ended the request.

Found while looking for integers that upstreams set. Such an event is relayed, as one with any other id that is not a number.

Measured: two scenarios of invalid_responses.feature fail with a ValueError on the code before, and pass on this code.

--- a/driftstall/gateway/events.py
+++ b/driftstall/gateway/events.py
@@ -10,6 +10,8 @@
 ID_FIELD: Final = b"id:"
 MAX_EVENT_BYTES: Final = 4_000_000
 """A stream with a larger event is broken off: its upstream sends something else than events."""
+MAX_ID_DIGITS: Final = 18
+"""Longer ids are not taken as numbers."""
 
 
 class EventContinuity(StrEnum):
@@ -72,9 +74,10 @@
 
     def check(self, event: Event) -> EventContinuity:
         """Return how an event follows the last relayed one; NEXT if its id is not a number."""
-        if not event.event_id.isdigit():
+        event_id = event.event_id
+        if not event_id.isdecimal() or len(event_id) > MAX_ID_DIGITS:
             return EventContinuity.NEXT
-        number = int(event.event_id)
+        number = int(event_id)
         if self._last is not None and number <= self._last:
             return EventContinuity.REPEATED
         if self._last is not None and number > self._last + 1:
--- a/features/gateway/invalid_responses.feature
+++ b/features/gateway/invalid_responses.feature
@@ -99,3 +99,13 @@
   Scenario: events are found however the pieces of a stream are cut
     When streams of drawn bytes arrive in drawn pieces
     Then the events are those of the whole streams
+
+  # Guards against ids that can't be converted to numbers.
+  Scenario Outline: an event with the id <id> is relayed
+    When an event with the id <id> arrives
+    Then it is relayed as the next one
+
+    Examples:
+      | id                    |
+      | ²                     |
+      | 9 repeated 5000 times |
--- a/features/steps/invalid_response_steps.py
+++ b/features/steps/invalid_response_steps.py
@@ -10,7 +10,13 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from driftstall.gateway.events import EVENT_END, EventSplitter
+from driftstall.gateway.events import (
+    EVENT_END,
+    Event,
+    EventContinuity,
+    EventSequence,
+    EventSplitter,
+)
 from features.worlds.gateway_world import runs, script_upstreams, wait_for, world_of
 from stand_ins.routed import SEAL, Script
 
@@ -144,3 +150,17 @@
         *complete, remaining = whole.split(EVENT_END)
         assert events == [part + EVENT_END for part in complete], whole
         assert is_inside_event == bool(remaining), whole
+
+
+@when("an event with the id {event_id} arrives")
+def event_arrives(context: Any, event_id: str) -> None:
+    """Check the continuity of an event."""
+    figure, _, times = event_id.partition(" repeated ")
+    event = Event(b"", figure * int(times.split()[0] if times else 1))
+    context.continuity = EventSequence().check(event)
+
+
+@then("it is relayed as the next one")
+def relayed_next(context: Any) -> None:
+    """Check that the event counts as the next one."""
+    assert context.continuity is EventContinuity.NEXT
