Promise callers that a request has not run only where its upstream states it

What callers saw: a signed 408, 429 or 503 to a request that may run once was passed on as it came. These statuses promise that the request has not run, while an upstream says so by its statement alone; its status may mean a failed run.

Cause: after a response was found whole, only its status class was looked at. Found by reading the paths of the unsigned responses.

Such a call or stream gets a 502, which promises nothing. Safe calls get the status as before: they may be sent again in any case.

Measured: five scenarios of invalid_responses.feature fail on the code before and pass on this code.

--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -30,7 +30,7 @@
 from driftstall.gateway.forwarding.connector import CONNECT_TIMEOUT_S
 from driftstall.gateway.ingress import CallerRequest
 from driftstall.gateway.loads import RequestLoad
-from driftstall.gateway.model import Headers, Repeat, SendMetadata, Upstream
+from driftstall.gateway.model import PROMISING_STATUSES, Headers, Repeat, SendMetadata, Upstream
 from driftstall.gateway.outcomes import Outcome
 from driftstall.gateway.poison.crash_refusal import crash_refusal
 from driftstall.gateway.retry_budget.pending_retry import PendingRetry
@@ -224,7 +224,10 @@
         return None
 
     def _send(self, upstream: Upstream, attempts: _Attempts) -> UpstreamResponse | None:
-        """Try one upstream; return the final response, or None to continue with another."""
+        """Try one upstream; return the final response, or None if there is none yet.
+
+        A call that may run once then gets a problem, unless it has not run.
+        """
         attempts.avoid.add(upstream.upstream_id)
         if not attempts.history.sends:
             self._state.retries.record_request(upstream.service)
@@ -253,7 +256,9 @@
             attempts.failure = result
             return None
         self._record_success(upstream, result)
-        if outcome is Outcome.GOOD or self._admitted.route.repeat is not Repeat.SAFE:
+        if self._admitted.route.repeat is not Repeat.SAFE:
+            return None if result.status in PROMISING_STATUSES else result
+        if outcome is Outcome.GOOD:
             return result
         attempts.response = result
         return None
--- a/driftstall/gateway/model.py
+++ b/driftstall/gateway/model.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
+from http import HTTPStatus
 from typing import Final
 
 from driftstall.decisions.store_versions import StoreVersion
@@ -224,6 +225,13 @@
     ENCODED = "its body has a content coding that callers do not request"
 
 
+PROMISING_STATUSES: Final = frozenset(
+    {HTTPStatus.REQUEST_TIMEOUT, HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE}
+)
+"""Statuses by which callers are promised that a request has not run and never will. An upstream
+makes this promise by its statement that it did not execute the request, not by the status."""
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseMetadata:
     """Hold the metadata in the headers of an upstream's response."""
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -23,6 +23,7 @@
     encode_chunk,
     encode_head,
 )
+from driftstall.gateway.model import PROMISING_STATUSES
 from driftstall.gateway.moves import Mover
 from driftstall.gateway.outcomes import Outcome
 from driftstall.gateway.responses import (
@@ -111,6 +112,10 @@
     def _relay_failure(self, run: StreamRun, opened: OpenedResponse) -> bool:
         """Relay an error response, which is not a stream."""
         assert run.exchange is not None
+        if opened.head.status in PROMISING_STATUSES:
+            self._context.record_outcome(run, Outcome.FAILED)
+            detail = "the upstream failed; the request may have run"
+            return self._answer_problem(Problem(CODE_RUNNER_FAILED, 502, detail, Ran.UNKNOWN))
         parts: list[bytes] = []
         try:
             while True:
--- a/features/gateway/invalid_responses.feature
+++ b/features/gateway/invalid_responses.feature
@@ -88,6 +88,21 @@
     Then the unsigned response of "r1" is logged and counted
     And no upstream is ejected, suspected or held against "r1"
 
+  # Guards against a status that promises callers what the upstream did not state.
+  Scenario Outline: a status alone does not promise that a request has not run
+    Given the first upstream of "r1" will answer <status> without a statement
+    When "<path>" is asked as "r1"
+    Then the answer is 502 and promises nothing
+    And "r1" has run on 1 upstreams
+
+    Examples:
+      | path      | status |
+      | /once/a   | 408    |
+      | /once/a   | 429    |
+      | /once/a   | 503    |
+      | /stream/a | 429    |
+      | /stream/a | 503    |
+
   # Guards against streams without an end of an event, which occupy the process and its memory.
   Scenario: a stream whose event grows without an end is broken off
     Given the engine of "s1" will send an event of 12 MB
--- a/features/steps/invalid_response_steps.py
+++ b/features/steps/invalid_response_steps.py
@@ -46,6 +46,12 @@
     _spoil(context, request_id, Script(status=status, body=body, spoiled=()))
 
 
+@given('the first upstream of "{request_id}" will answer {status:d} without a statement')
+def signed_failure(context: Any, request_id: str, status: int) -> None:
+    """Script a signed response without the statement that the request was not executed."""
+    _spoil(context, request_id, Script(status=status))
+
+
 for description, headers in SPOILED.items():
 
     @given(f'the first upstream of "{{request_id}}" will answer {description}')
