Soak: upstreams spoil some responses, and each success must be signed

While an upstream breaks requests off it now also answers some others without its signature and with another body, at seven statuses. The source of these draws is its own, so the other faults of a seed stay the same.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -113,7 +113,7 @@
         yield "said not to have run, but ran"
     if request.status in NOT_RUN and b"retry" not in request.body and request.status == 503:
         yield "refused without a time to come back"
-    if request.status == 200 and not request.sealed:
+    if 200 <= request.status < 300 and not request.sealed:
         yield "a success that no upstream gave"
     if request.kind in STREAMS and request.status == 200:
         yield from _check_stream(ledger, request)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -94,6 +94,9 @@
     {"break_after": EVENTS - 2, "half_event": True, "cut_after": 4},
 )
 """Points at which a stream, or the response to a plain call, is interrupted."""
+SPOILED_SHARE: Final = 0.3
+SPOILED_STATUSES: Final = (200, 200, 206, 404, 429, 500, 503)
+"""Statuses of responses without a signature and with another body than the upstream's."""
 UNFRAMED_BREAKS: Final = [each for each in BREAKS if "reset" in each or "half_event" in each]
 """Those that can be told from the end of a response without a length."""
 
@@ -122,11 +125,13 @@
         self._ledger = ledger
         self._source = source
         self._interrupts_until = float("-inf")
+        self._spoil_source = random.Random(upstream_id)
+        """A source of its own, so that the other faults of a seed stay the same."""
         self.is_unframed = False
         """Whether responses have neither a length nor chunks."""
 
     def break_off(self, for_s: float) -> None:
-        """Interrupt INTERRUPTED_SHARE of the requests for some seconds."""
+        """Interrupt INTERRUPTED_SHARE of the requests for some seconds, and spoil some others."""
         self._interrupts_until = time.monotonic() + for_s
 
     def report_loads(self) -> None:
@@ -156,6 +161,9 @@
             return replace(
                 script, **self._source.choice(UNFRAMED_BREAKS if self.is_unframed else BREAKS)
             )
+        if is_interrupting and self._spoil_source.random() < SPOILED_SHARE:
+            status = self._spoil_source.choice(SPOILED_STATUSES)
+            return replace(script, status=status, body=b"<html>starting</html>", spoiled=())
         return script
 
     def record_request(self, seen: ReceivedRequest) -> None:
