--- a/features/gateway/silent_links.feature
+++ b/features/gateway/silent_links.feature
@@ -42,6 +42,24 @@
     Then the stream has events 1 to 5 and its end
     And "r1" has run on 1 upstreams
 
+  # Guards against a preempted stream that is run by a second engine while the first one goes on with it.
+  Scenario: a silent stream stays at its engine as long as that answers probes
+    Given a gateway before two plain upstreams and three engines
+    And another instance that is ready
+    And stream "r1" has a backup and pauses after event 3
+    When "/stream/patient/a" is asked as "r1", and its engine answers 2 probes before it goes on
+    Then the stream has events 1 to 5 and its end
+    And "r1" has run on 1 upstreams
+
+  # Guards against a stream that stays at an engine which is gone without a word.
+  Scenario: a silent stream goes on at its backup if its engine answers no probe
+    Given a gateway before two plain upstreams and three engines
+    And another instance that is ready
+    And stream "r1" has a backup and pauses after event 3
+    When "/stream/patient/a" is asked as "r1", and its engine answers no probe
+    Then the stream has events 1 to 5 and its end
+    And "r1" has run on 2 upstreams
+
   # Guards against an upstream being avoided for seconds after a moment of silence.
   Scenario: requests that fail together eject an upstream once
     Given an upstream to which 12 connections fail within 0.1 s
--- a/features/steps/silent_link_steps.py
+++ b/features/steps/silent_link_steps.py
@@ -16,6 +16,7 @@
 from driftstall.util import http
 from driftstall.util.addresses import split_address
 from features.steps.partition_steps import ask_and
+from features.worlds.gateway_world import runs, wait_for, world_of
 
 SO_ATTACH_FILTER: Final = 26
 SO_DETACH_FILTER: Final = 27
@@ -130,6 +131,31 @@
     ask_and(context, path, request_id, lambda: gevent.sleep(seconds))
 
 
+@when(
+    '"{path}" is asked as "{request_id}", and its engine answers {count:d} probes before it goes on'
+)
+def goes_on_after_probes(context: Any, path: str, request_id: str, count: int) -> None:
+    """Let the engine of a stream be silent until it has been probed."""
+
+    def await_probes() -> None:
+        (engine,) = runs(world_of(context), request_id)
+        wait_for("the engine is probed", lambda: engine.probes == count)
+
+    ask_and(context, path, request_id, await_probes)
+
+
+@when('"{path}" is asked as "{request_id}", and its engine answers no probe')
+def answers_no_probe(context: Any, path: str, request_id: str) -> None:
+    """Let the engine of a stream be silent, also to probes, until another one runs it."""
+
+    def fall_silent() -> None:
+        (engine,) = runs(world_of(context), request_id)
+        engine.answers_probes = False
+        wait_for("it goes on elsewhere", lambda: len(runs(world_of(context), request_id)) == 2)
+
+    ask_and(context, path, request_id, fall_silent)
+
+
 @given("an upstream to which {count:d} connections fail within {seconds:g} s")
 def connections_fail(context: Any, count: int, seconds: float) -> None:
     """Record the failures."""
--- a/stand_ins/routed.py
+++ b/stand_ins/routed.py
@@ -140,6 +140,9 @@
         self.peers: dict[str, RoutedUpstream] = {}
         self.report: dict[str, Any] = {"state": "ready"}
         """Report that it answers probes with."""
+        self.answers_probes = True
+        self.probes = 0
+        """Probes that it has received."""
         self.rate_limit: float | None = None
         """Rate limit (requests per second) in its response headers; None to send none."""
         self.leaves = False
@@ -211,6 +214,11 @@
             request_id = headers["x-driftstall-request-id"]
             self.arrival_records.append(SignalRecord(self.arrivals[-1], request_id))
         if call.path == "/api/report":
+            self.probes += 1
+            if not self.answers_probes:
+                raw.settimeout(None)
+                raw.recv(1)
+                return
             self._write_json(connection, 200, self.report)
             return
         if call.path == "/api/kv-move":
