Let the paused stream of a scenario run long enough to have a backup

Its premise is a stream that has run long enough to have a backup: 0.5 s. Three tenths make the premise true; what is checked is unchanged.

--- a/features/steps/partition_steps.py
+++ b/features/steps/partition_steps.py
@@ -102,7 +102,7 @@
 @given('stream "{request_id}" has a backup and pauses after event {number:d}')
 def pauses(context: Any, request_id: str, number: int) -> None:
     """Script a stream that has run long enough to have a backup, and then pauses."""
-    context.script = Script(pause_after=number, event_pause_s=0.25)
+    context.script = Script(pause_after=number, event_pause_s=0.3)
     script_upstreams(world_of(context), request_id, [context.script])
 
 
