Expect streams of a stopping instance to take as long as their targets allow

Cause: the expectation is the usual time of an engine that is not busy. One that just meets the targets of the route takes longer, and such a stream is in time.

The expected duration is the longer of the two now. Plain calls and streams of services without engines are as before.

Measured: the scenario of an engine near its targets fails on the code before and passes on this code.

--- a/driftstall/gateway/drain.py
+++ b/driftstall/gateway/drain.py
@@ -121,8 +121,15 @@
 
 
 def _expected_s(state: GatewayState, admitted: AdmittedRequest) -> float:
-    """Return the expected duration of a request, in seconds."""
-    if admitted.route.repeat is not Repeat.STREAM:
+    """Return the expected duration of a request, in seconds.
+
+    An engine that just meets the targets of the route takes longer for a stream than usual.
+    """
+    route, engine = admitted.route, admitted.service.engine
+    if route.repeat is not Repeat.STREAM:
         return EXPECTED_CALL_S
     tokens = state.expected_tokens(build_request(admitted), admitted.metadata.length_hint)
-    return EXPECTED_FIRST_EVENT_S + EXPECTED_TOKEN_S * tokens
+    usual_s = EXPECTED_FIRST_EVENT_S + EXPECTED_TOKEN_S * tokens
+    if engine is None:
+        return usual_s
+    return max(usual_s, route.target_s + route.gap_s * tokens / engine.event_tokens)
--- a/features/gateway/planned_stops.feature
+++ b/features/gateway/planned_stops.feature
@@ -19,6 +19,13 @@
       | /once/a    | 5.2   | 3        |
       | /safe/a    | 6.5   | 3        |
 
+  # Guards against streams that are accepted as engines are usually faster than their targets.
+  Scenario: a stream that an engine near its targets cannot end in time is refused at once
+    Given a stop that was requested 1.5 s ago
+    When "/stream/patient/a" is asked as "r1" for 400 tokens with a deadline of 20 s
+    Then it is refused with a time to come back of at most 0.05 s
+    And no upstream has received "r1"
+
   # Guards against refusing callers that can be served.
   Scenario Outline: a request that must end within the grace time is served
     Given a stop that was requested <since> s ago
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -47,6 +47,12 @@
     world_of(context).pass_time(since)
 
 
+@when('"{path}" is asked as "{request_id}" for {tokens:d} tokens with a deadline of {deadline:g} s')
+def ask_for_tokens(context: Any, path: str, request_id: str, tokens: int, deadline: float) -> None:
+    """Send a request of known length, and keep its response."""
+    context.answer = _ask_later(context, path, request_id, deadline, tokens).get()
+
+
 @when('"{path}" is asked as "{request_id}" with a deadline of {deadline:g} s')
 def ask_with_deadline(context: Any, path: str, request_id: str, deadline: float) -> None:
     """Send a request of a few tokens, and keep its response."""
@@ -139,11 +145,13 @@
     assert sent_ms and sent_ms[0] <= most * 1000, sent_ms
 
 
-def _ask_later(context: Any, path: str, request_id: str, deadline_s: float) -> gevent.Greenlet:
-    """Send a request for a short output from another greenlet."""
+def _ask_later(
+    context: Any, path: str, request_id: str, deadline_s: float, tokens: int = 40
+) -> gevent.Greenlet:
+    """Send a request for a number of output tokens from another greenlet."""
     return world_of(context).ask_later(
         path,
         request_id,
         X_Driftstall_Deadline_Ms=str(int(deadline_s * 1000)),
-        X_Driftstall_Token_Count="1000,40",
+        X_Driftstall_Token_Count=f"1000,{tokens}",
     )
