--- a/features/gateway/silent_links.feature
+++ b/features/gateway/silent_links.feature
@@ -37,8 +37,9 @@
   # Guards against events of a stream being produced by two engines, as the first one was silent for a moment.
   Scenario: a stream whose engine sends nothing for 1.5 s goes on there
     Given a gateway before two plain upstreams and three engines
+    And another instance that is ready
     And stream "r1" has a backup and pauses after event 3
-    When "/stream/a" is asked as "r1", and its engine goes on after 1.5 s
+    When "/stream/patient/a" is asked as "r1", and its engine goes on after 1.5 s
     Then the stream has events 1 to 5 and its end
     And "r1" has run on 1 upstreams
 
