Resume a silent stream whose run a final copy may have stopped

An engine answers probes while it holds the memory of a run that it has stopped, so the stream would have waited there until its caller left.

stop_timeout_problem was timeout_problem, which two modules defined.

--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -25,7 +25,7 @@
 from driftstall.exceptions import InvalidResponse, UpstreamError
 from driftstall.gateway.admission import AdmittedRequest
 from driftstall.gateway.backoff_refusal import backoff_refusal
-from driftstall.gateway.drain import can_finish, stop_refusal, timeout_problem
+from driftstall.gateway.drain import can_finish, stop_refusal, stop_timeout_problem
 from driftstall.gateway.exchange import BodyChunk, ResponseEnd, ResponseHead, UpstreamExchange
 from driftstall.gateway.forwarding.connector import CONNECT_TIMEOUT_S
 from driftstall.gateway.ingress import CallerRequest
@@ -216,7 +216,7 @@
         """Return a problem if no further upstream may be tried, else None."""
         if self._is_caller_disconnected or self._remaining_s() <= 0:
             detail, ran = "the time for this request is over", attempts.history.ran
-            return timeout_problem(self._state, self._admitted, ran) or Problem(
+            return stop_timeout_problem(self._state, self._admitted, ran) or Problem(
                 CODE_DEADLINE, 504, detail, ran
             )
         if not attempts.history.can_restart or attempts.history.sends >= MAX_SENDS:
--- a/driftstall/gateway/drain.py
+++ b/driftstall/gateway/drain.py
@@ -89,7 +89,9 @@
     return Problem(CODE_LEAVING, 503, detail, Ran.NOT_RUN, retry_s)
 
 
-def timeout_problem(state: GatewayState, admitted: AdmittedRequest, ran: Ran) -> Problem | None:
+def stop_timeout_problem(
+    state: GatewayState, admitted: AdmittedRequest, ran: Ran
+) -> Problem | None:
     """Return the problem of a request that a planned stop ends before its deadline, else None."""
     stop, now = state.planned_stop, state.now()
     if stop is None or now < stop.answer_by or now >= admitted.ends_at:
--- a/driftstall/gateway/stream_context.py
+++ b/driftstall/gateway/stream_context.py
@@ -9,7 +9,7 @@
 from driftstall.decisions.sends import SendHistory
 from driftstall.exceptions import InvalidResponse, UpstreamError
 from driftstall.gateway.admission import AdmittedRequest, build_request
-from driftstall.gateway.drain import can_finish, stop_refusal, timeout_problem
+from driftstall.gateway.drain import can_finish, stop_refusal, stop_timeout_problem
 from driftstall.gateway.ingress import CallerRequest
 from driftstall.gateway.moves import Mover
 from driftstall.gateway.outcomes import Outcome
@@ -94,7 +94,7 @@
     def timeout_problem(self) -> Problem:
         """Return the problem of a request whose time is over."""
         ran = self.history.ran
-        return timeout_problem(self.state, self.admitted, ran) or Problem(
+        return stop_timeout_problem(self.state, self.admitted, ran) or Problem(
             CODE_DEADLINE, 504, "the time is over", ran
         )
 
@@ -114,7 +114,7 @@
         if self.is_caller_disconnected or run.pending_final_copy is not None:
             return
         if isinstance(error, InvalidResponse):
-            # Its upstream has not crashed: it sent a whole response head.
+            # Its upstream has not crashed: it has sent more than a broken connection does.
             return
         if isinstance(error, TimeoutError):
             # A silent upstream has not crashed; it may be leaving, or cut off by a partition.
--- a/driftstall/gateway/stream_opener.py
+++ b/driftstall/gateway/stream_opener.py
@@ -68,7 +68,7 @@
             return self._build_memory_refusal(run)
         refusal = context.start_refusal()
         if refusal is not None:
-            # The stream waited for its placement, and may have become poison or too late meanwhile.
+            # The stream waited for its placement, and may be quarantined or too late by now.
             if run is not None:
                 context.remove_run(run)
             return refusal
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -215,6 +215,9 @@
         if not self._context.replicas.has_current_backup(run):
             # The backup engine has left meanwhile, so waiting is the only option.
             return True
+        if run.pending_final_copy is not None:
+            # Its engine may have stopped the run for the copy, and answers all the same.
+            return False
         if self._probe is None:
             self._probe = gevent.spawn(self._is_answering, run.upstream)
             return True
