Record signals from the first statement of the program on

Callers saw instances that ended by a signal while they started. The platform changes settings at any moment, also in the starts that follow kills and stops.

The entry point installs a recorder before its other imports, and the instance takes over what was recorded: a reload is made, a stop ends the start with 0 before anything listens. At the exit both signals are ignored, as the interpreter restores their default actions.

--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -59,6 +59,7 @@
     WatchDelegation,
 )
 from driftstall.helpers.log import BoundedWriter, log_event
+from driftstall.helpers.start_signals import StartSignals
 from driftstall.helpers.tasks import keep_running
 from driftstall.policy.model import Policy
 from driftstall.util import clock
@@ -223,11 +224,18 @@
         self._metrics = AuxiliaryListener(settings.metrics_listen, metrics)
         self._settings_signature = self._read_settings_signature()
 
-    def run(self) -> None:
+    def run(self, start_signals: StartSignals) -> None:
         """Run until a planned stop is complete."""
         gevent.signal_handler(signal.SIGTERM, self._drain.begin)
         gevent.signal_handler(signal.SIGINT, self._drain.begin)
         gevent.signal_handler(signal.SIGHUP, self._reload)
+        if start_signals.is_reload_requested:
+            self._reload()
+        if start_signals.is_stop_requested:
+            self._drain.begin()
+        if self.state.is_stopping:
+            log_event(PREFIX_DRAIN, "Stopped before the start was complete")
+            return
         for component in (
             self._callers,
             self._ready,
--- a/driftstall/platform/__main__.py
+++ b/driftstall/platform/__main__.py
@@ -9,21 +9,28 @@
 
 from __future__ import annotations
 
-import os
-import sys
-from typing import Final
-
-from driftstall.exceptions import SettingsError
-from driftstall.gateway.model import GatewaySettings
-from driftstall.gateway.node import GatewayNode, PlatformAccess
-from driftstall.gateway.registration import InstanceEntries
-from driftstall.helpers.log import start_log
-from driftstall.platform import feeds
-from driftstall.platform.crashes import PlatformCrashStore
-from driftstall.platform.dialect import PlatformDialect
-from driftstall.platform.settings import read_settings, settings_path
-from driftstall.platform.store import Store
-from driftstall.policy.default import default_policy
+from driftstall.helpers.start_signals import StartSignals
+
+START_SIGNALS = StartSignals()
+if __name__ == "__main__":
+    # Before the imports below, which take most of a start.
+    START_SIGNALS.install()
+
+import os  # noqa: E402
+import sys  # noqa: E402
+from typing import Final  # noqa: E402
+
+from driftstall.exceptions import SettingsError  # noqa: E402
+from driftstall.gateway.model import GatewaySettings  # noqa: E402
+from driftstall.gateway.node import GatewayNode, PlatformAccess  # noqa: E402
+from driftstall.gateway.registration import InstanceEntries  # noqa: E402
+from driftstall.helpers.log import start_log  # noqa: E402
+from driftstall.platform import feeds  # noqa: E402
+from driftstall.platform.crashes import PlatformCrashStore  # noqa: E402
+from driftstall.platform.dialect import PlatformDialect  # noqa: E402
+from driftstall.platform.settings import read_settings, settings_path  # noqa: E402
+from driftstall.platform.store import Store  # noqa: E402
+from driftstall.policy.default import default_policy  # noqa: E402
 
 EXIT_SETTINGS: Final = 2
 
@@ -31,14 +38,22 @@
 def main() -> int:
     """Read the settings and run; print all faults of invalid settings together."""
     try:
-        path = settings_path(os.environ)
-        settings = read_settings(path)
+        return _run_instance()
     except SettingsError as error:
         for fault in error.faults:
             print(f"driftstall: {fault}", file=sys.stderr)
         return EXIT_SETTINGS
+    finally:
+        START_SIGNALS.ignore()
+
+
+def _run_instance() -> int:
+    """Run an instance until its planned stop; raise SettingsError."""
     log = start_log()
-    GatewayNode(settings, path, platform_access(settings), default_policy(), log).run()
+    path = settings_path(os.environ)
+    settings = read_settings(path)
+    node = GatewayNode(settings, path, platform_access(settings), default_policy(), log)
+    node.run(START_SIGNALS)
     return 0
 
 
--- a/measures/gateway_process.py
+++ b/measures/gateway_process.py
@@ -92,10 +92,14 @@
         return set(orjson.loads(body)["addresses"]) if status == 200 else set()
 
     def _spawn(self) -> subprocess.Popen[bytes]:
-        """Start the process, with its output in the log file."""
+        """Start the process; a restart is no first start of the system."""
         if self._has_started:
             self.write(orjson.loads(self.path.read_bytes()) | {"bootstrap": False})
         self._has_started = True
+        return self.launch()
+
+    def launch(self) -> subprocess.Popen[bytes]:
+        """Start the process with the settings file as it is, and its output in the log file."""
         with self.log.open("ab") as output:
             return subprocess.Popen(
                 [sys.executable, "-m", "driftstall.platform"],
