Wait for an address that is still in use at the start

An instance whose callers', readiness, locate, peers' or metrics port was still in use ended with a traceback and status 1. A process that is being replaced may hold its ports until it has ended.

The callers' listener comes last and a stop is noticed meanwhile, so an instance that never got all its addresses has accepted nothing.

--- a/driftstall/exceptions.py
+++ b/driftstall/exceptions.py
@@ -20,6 +20,10 @@
         self.faults = faults
 
 
+class ListenError(DriftstallError):
+    """Raised if an instance cannot listen on one of its addresses."""
+
+
 class PolicyError(DriftstallError):
     """Raised for a fault in the text of a policy, with its position and its fix."""
 
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -58,6 +58,7 @@
     RevisionWatchPacing,
     WatchDelegation,
 )
+from driftstall.helpers.listening import start_when_free
 from driftstall.helpers.log import BoundedWriter, log_event
 from driftstall.helpers.start_signals import StartSignals
 from driftstall.helpers.tasks import keep_running
@@ -225,7 +226,7 @@
         self._settings_signature = self._read_settings_signature()
 
     def run(self, start_signals: StartSignals) -> None:
-        """Run until a planned stop is complete."""
+        """Run until a planned stop is complete; raise ListenError if an address stays in use."""
         gevent.signal_handler(signal.SIGTERM, self._drain.begin)
         gevent.signal_handler(signal.SIGINT, self._drain.begin)
         gevent.signal_handler(signal.SIGHUP, self._reload)
@@ -233,19 +234,13 @@
             self._reload()
         if start_signals.is_stop_requested:
             self._drain.begin()
+        # Callers come last: an instance that stops while an address is in use has accepted nothing.
+        for listener in (self._ready, self._locate, self._metrics, self._peering, self._callers):
+            start_when_free(listener.start, lambda: self.state.is_stopping)
         if self.state.is_stopping:
             log_event(PREFIX_DRAIN, "Stopped before the start was complete")
             return
-        for component in (
-            self._callers,
-            self._ready,
-            self._locate,
-            self._metrics,
-            self._peering,
-            self._protection,
-            self._upstream_prober,
-            self._crash_persistence,
-        ):
+        for component in (self._protection, self._upstream_prober, self._crash_persistence):
             component.start()
         for follower in (
             self._routing_follower,
--- a/driftstall/platform/__main__.py
+++ b/driftstall/platform/__main__.py
@@ -20,7 +20,7 @@
 import sys  # noqa: E402
 from typing import Final  # noqa: E402
 
-from driftstall.exceptions import SettingsError  # noqa: E402
+from driftstall.exceptions import ListenError, SettingsError  # noqa: E402
 from driftstall.gateway.model import GatewaySettings  # noqa: E402
 from driftstall.gateway.node import GatewayNode, PlatformAccess  # noqa: E402
 from driftstall.gateway.registration import InstanceEntries  # noqa: E402
@@ -33,6 +33,7 @@
 from driftstall.policy.default import default_policy  # noqa: E402
 
 EXIT_SETTINGS: Final = 2
+EXIT_LISTEN: Final = 3
 
 
 def main() -> int:
@@ -43,12 +44,15 @@
         for fault in error.faults:
             print(f"driftstall: {fault}", file=sys.stderr)
         return EXIT_SETTINGS
+    except ListenError as error:
+        print(f"driftstall: cannot listen: {error}", file=sys.stderr)
+        return EXIT_LISTEN
     finally:
         START_SIGNALS.ignore()
 
 
 def _run_instance() -> int:
-    """Run an instance until its planned stop; raise SettingsError."""
+    """Run an instance until its planned stop; raise SettingsError or ListenError."""
     log = start_log()
     path = settings_path(os.environ)
     settings = read_settings(path)
--- a/features/gateway/disturbed_starts.feature
+++ b/features/gateway/disturbed_starts.feature
@@ -28,3 +28,24 @@
     Given a gateway process
     When it gets SIGTERM, and SIGHUP and SIGTERM in turn until it has ended
     Then it ends by itself with 0
+
+  # Guards against a start that fails as the process before it has not ended yet.
+  Scenario Outline: an instance starts once another process releases its <listener> address
+    Given a gateway process whose "<listener>" address is in use
+    When it waits for the address, which then becomes free
+    Then it becomes ready and serves a call
+
+    Examples:
+      | listener  |
+      | front     |
+      | ready     |
+      | directory |
+      | control   |
+      | metrics   |
+
+  # Guards against a stop that is not noticed while an address is in use.
+  Scenario: an instance that is stopped while its address is in use ends with 0
+    Given a gateway process whose "front" address is in use
+    When it waits for the address, and gets SIGTERM
+    Then it ends by itself with 0
+    And the store holds no instance
