--- a/driftstall/exceptions.py
+++ b/driftstall/exceptions.py
@@ -20,6 +20,10 @@
         self.faults = faults
 
 
+class SettingsUnreadable(SettingsError):
+    """Raised if the settings file is missing or incomplete, as while it is being replaced."""
+
+
 class ListenError(DriftstallError):
     """Raised if an instance cannot listen on one of its addresses."""
 
--- a/driftstall/platform/settings.py
+++ b/driftstall/platform/settings.py
@@ -10,7 +10,7 @@
 import orjson
 import voluptuous as vol
 
-from driftstall.exceptions import SettingsError
+from driftstall.exceptions import SettingsError, SettingsUnreadable
 from driftstall.gateway.model import Bounds, GatewaySettings
 from driftstall.util.addresses import split_address
 
@@ -87,9 +87,9 @@
     try:
         raw = _SCHEMA(orjson.loads(path.read_bytes()))
     except OSError as fault:
-        raise SettingsError((f"{path}: {fault.strerror}",)) from fault
+        raise SettingsUnreadable((f"{path}: {fault.strerror}",)) from fault
     except orjson.JSONDecodeError as fault:
-        raise SettingsError((f"{path}: not JSON: {fault}",)) from fault
+        raise SettingsUnreadable((f"{path}: not JSON: {fault}",)) from fault
     except vol.MultipleInvalid as invalid:
         faults = sorted(
             f"{'.'.join(map(str, error.path)) or path}: {error.msg}" for error in invalid.errors
--- a/features/gateway/disturbed_starts.feature
+++ b/features/gateway/disturbed_starts.feature
@@ -49,3 +49,27 @@
     When it waits for the address, and gets SIGTERM
     Then it ends by itself with 0
     And the store holds no instance
+
+  # Guards against a start that fails while the settings file is being replaced.
+  Scenario Outline: an instance starts once its settings are whole
+    Given a gateway process whose settings file is <state>
+    When it waits for the settings, which are then written
+    Then it becomes ready and serves a call
+
+    Examples:
+      | state   |
+      | missing |
+      | empty   |
+      | cut     |
+
+  # Guards against settings that end a running instance.
+  Scenario Outline: a running instance keeps its settings while the file is <state>
+    Given a gateway process
+    When its settings file becomes <state>, without a signal
+    Then it says so and serves on
+
+    Examples:
+      | state      |
+      | missing    |
+      | empty      |
+      | cut        |
