Keep an instance running when a periodic step fails

An unexpected error in the main loop ended the process: a settings file whose link speed was "inf" did so when it changed without a signal, and any error of the timer of the upstream source would have. Each step of the loop is guarded and its error logged, as background tasks are already. Settings must be finite numbers.

The new scenario failed before: the process had ended.

--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -61,7 +61,7 @@
 from driftstall.helpers.listening import start_when_free
 from driftstall.helpers.log import BoundedWriter, log_event
 from driftstall.helpers.start_signals import StartSignals
-from driftstall.helpers.tasks import keep_running
+from driftstall.helpers.tasks import keep_running, run_guarded
 from driftstall.policy.model import Policy
 from driftstall.util import clock
 
@@ -261,16 +261,16 @@
         has_announced_stop = False
         while not self._drain.is_finished:
             gevent.sleep(PERIOD_S)
-            self._upstreams.handle_timer()
+            run_guarded(PREFIX_MEMBERSHIP, self._upstreams.handle_timer)
             suspended_s = _log_suspension(suspended_s)
             self.state.stats.platform_calls = self._access.call_count()
             if self.state.is_stopping and not has_announced_stop:
                 has_announced_stop = True
-                self._announce_stop()
+                run_guarded(PREFIX_DRAIN, self._announce_stop)
             if self.state.now() - checked_at >= SETTINGS_CHECK_S:
                 checked_at = self.state.now()
                 if self._read_settings_signature() != self._settings_signature:
-                    self._reload()
+                    run_guarded(PREFIX_CONFIGURATION, self._reload)
 
     def _announce_stop(self) -> None:
         """Announce to peers and the platform that this instance accepts no more requests."""
--- a/driftstall/helpers/tasks.py
+++ b/driftstall/helpers/tasks.py
@@ -22,6 +22,15 @@
     return gevent.spawn(_run, prefix, work)
 
 
+def run_guarded(prefix: str, step: Callable[[], None]) -> None:
+    """Run one step of the main loop; an unexpected error is logged and must not end the process."""
+    try:
+        step()
+    except Exception as defect:
+        detail = f"{type(defect).__name__}: {defect}"
+        log_event(prefix, f"A periodic step failed: {detail}")
+
+
 def _run(prefix: str, work: Callable[[], None]) -> None:
     """Run a task until it returns."""
     while True:
--- a/driftstall/platform/settings.py
+++ b/driftstall/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 from collections.abc import Mapping
 from pathlib import Path
@@ -31,7 +32,14 @@
     return str(value)
 
 
-_FRACTION: Final = vol.All(vol.Coerce(float), vol.Range(min=0))
+def _finite(value: float) -> float:
+    """Return the value if it is a finite number."""
+    if not math.isfinite(value):
+        raise vol.Invalid("must be a finite number")
+    return value
+
+
+_FRACTION: Final = vol.All(vol.Coerce(float), _finite, vol.Range(min=0))
 
 _SCHEMA: Final = vol.Schema(
     {
--- a/features/gateway/disturbed_starts.feature
+++ b/features/gateway/disturbed_starts.feature
@@ -73,3 +73,4 @@
       | missing    |
       | empty      |
       | cut        |
+      | not finite |
