Decode the store's answers row by row if they cannot be decoded as a whole

An entry of an upstream with a number of 5,000 digits or a nesting of 5,000 made the whole list undecodable: a new instance never became ready, and running ones stopped following the store until the entry was gone. The watch returned the same event again and again.

The answer was decoded as one value, and both decoders give up a value whole. Now what cannot be decoded is split at its commas, down to the fields of an object, and only the part itself is given up, so that an object whose spec cannot be decoded keeps its name and counts as changed into an invalid one.

--- a/driftstall/platform/store.py
+++ b/driftstall/platform/store.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from functools import partial
@@ -23,6 +22,7 @@
 from driftstall.exceptions import HistoryUnavailable, PlatformUnavailable, UpstreamError
 from driftstall.helpers.log import log_event
 from driftstall.platform import names
+from driftstall.platform.json_rows import decode_answer
 from driftstall.util.http import Exchange
 
 CALL_TIMEOUT_S: Final = 1.5
@@ -216,10 +216,11 @@
             with gevent.Timeout(BODY_TIMEOUT_S, UpstreamError("incomplete answer", sent=True)):
                 raw = exchange.read()
             era = self._update_era(exchange.header(names.HEADER_ERA))
-            return _Answer(exchange.status, _decode_json(raw) if raw else None, era)
+            body = decode_answer(raw, lambda: gevent.sleep(0)) if raw else None
+            return _Answer(exchange.status, body, era)
         except UpstreamError as fault:
             raise PlatformUnavailable(f"no answer: {fault}", sent=fault.sent) from fault
-        except (ValueError, RecursionError) as fault:
+        except ValueError as fault:
             raise PlatformUnavailable("the answer is not JSON") from fault
 
     def _update_era(self, header: str) -> int:
@@ -243,17 +244,6 @@
         return era
 
 
-def _decode_json(raw: bytes) -> Any:
-    """Decode the JSON of an answer; raise ValueError or RecursionError if it is invalid.
-
-    Invalid UTF-8 is replaced, so that one such object does not hide all others of a list.
-    """
-    try:
-        return orjson.loads(raw)
-    except orjson.JSONDecodeError:
-        return json.loads(raw.decode("utf-8", "replace"))
-
-
 def _build_path(kind: str, name: str = "", query: dict[str, str] | None = None) -> str:
     """Return the request path of a kind or of one of its objects."""
     parts: Iterable[str] = (names.PATH_OBJECTS, quote(kind, safe=""), quote(name, safe=""))
--- /dev/null
+++ b/features/gateway/odd_entries.feature
@@ -0,0 +1,45 @@
+Feature: An odd entry in the platform's store costs nothing but itself
+  Other writers may store any JSON, also what common decoders reject. Real processes with the store's
+  stand-in.
+
+  Background:
+    Given the store's stand-in with a routing configuration and 2 upstreams
+
+  # Guards against one undecodable entry that keeps new instances from becoming ready.
+  Scenario Outline: an instance starts although an entry of an upstream has <content>
+    Given the store holds an upstream's entry with <content>
+    And a gateway process
+    Then it becomes ready and serves a call
+
+    Examples:
+      | content                  |
+      | a number of 5,000 digits |
+      | an infinite number       |
+      | a nesting of 950         |
+      | a nesting of 5,000       |
+      | a port of 99,999         |
+      | a port of 5,000 digits   |
+      | a name of a megabyte     |
+      | a key that stands twice  |
+      | half a surrogate pair    |
+
+  # Guards against one undecodable entry that keeps running instances from following the store.
+  Scenario Outline: running instances follow the store although an entry of <kind> has <content>
+    Given a gateway process
+    When an entry of <kind> with <content> is stored, and another upstream joins
+    Then the instance uses the upstream that joined
+
+    Examples:
+      | kind              | content                  |
+      | an upstream       | a number of 5,000 digits |
+      | an upstream       | an infinite number       |
+      | an upstream       | a nesting of 950         |
+      | an upstream       | a nesting of 5,000       |
+      | an upstream       | half a surrogate pair    |
+      | an instance       | a number of 5,000 digits |
+      | an instance       | a nesting of 5,000       |
+      | a cordon          | a nesting of 5,000       |
+      | a policy          | a nesting of 5,000       |
+      | a routing version | a nesting of 5,000       |
+      | recorded crashes  | a number of 5,000 digits |
+      | recorded crashes  | a nesting of 5,000       |
--- /dev/null
+++ b/features/steps/odd_entry_steps.py
@@ -0,0 +1,219 @@
+"""Store entries that common decoders reject, and check that all others stay in force."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Final
+from unittest.mock import patch
+
+import orjson
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import seed, settings
+from hypothesis import strategies as st
+
+from driftstall.platform import feeds, names
+from driftstall.platform.client import PlatformClient
+from driftstall.platform.crashes import PlatformCrashStore
+from driftstall.platform.store import Store
+from features.steps.foreign_entry_steps import SAMPLES
+from features.steps.gateway_node_steps import wait_for_processes
+from features.worlds.upstream_samples import entry_spec
+from stand_ins.routed import RoutedUpstream
+
+ROWS: Final = 400
+"""Drawn rows for each feed."""
+NUMBERS: Final = itertools.count(1)
+CONTENTS: Final = {
+    "a number of 400 digits": ("coldRemainingMs", "9" * 400),
+    "a number of 5,000 digits": ("coldRemainingMs", "9" * 5_000),
+    "an infinite number": ("coldRemainingMs", "1e999"),
+    "a nesting of 950": ("zone", "[" * 950 + "]" * 950),
+    "a nesting of 5,000": ("zone", "[" * 5_000 + "]" * 5_000),
+    "a port of 99,999": ("address", '"127.0.0.1:99999"'),
+    "a port of 5,000 digits": ("address", '"127.0.0.1:' + "9" * 5_000 + '"'),
+    "a name of a megabyte": ("zone", '"' + "z" * 1_000_000 + '"'),
+    "a key that stands twice": ("seq", '1, "seq": {"seq": []}'),
+    "half a surrogate pair": ("zone", '"\\ud800"'),
+}
+"""The field of an upstream's entry, and the JSON text of its value."""
+KINDS: Final = {
+    "an upstream": names.KIND_UPSTREAMS,
+    "an instance": names.KIND_INSTANCES,
+    "a cordon": names.KIND_CORDONS,
+    "a policy": names.KIND_POLICY,
+    "a routing version": names.KIND_CONFIG,
+    "recorded crashes": names.KIND_CRASHES,
+}
+
+
+def store_entry(context: Any, kind: str, content: str) -> None:
+    """Store an entry of which one field has the given content."""
+    field, text = CONTENTS[content]
+    marker = f"raw-{next(NUMBERS)}"
+    context.store_bench.platform.control({"raw": {marker: text}})
+    spec = entry_spec("127.0.0.1:9", "portal", slots=6) | {"peer_address": "127.0.0.1:9"}
+    assert context.store.create(kind, f"a-{marker}", spec | {field: marker}) is not None
+
+
+@given("the store holds an upstream's entry with {content}")
+def holds_entry(context: Any, content: str) -> None:
+    """Store the entry before any process starts."""
+    store_entry(context, names.KIND_UPSTREAMS, content)
+
+
+@when("an entry of {kind} with {content} is stored, and another upstream joins")
+def store_and_join(context: Any, kind: str, content: str) -> None:
+    """Store the entry, and one of an upstream that has just started."""
+    store_entry(context, KINDS[kind], content)
+    context.joined = RoutedUpstream("i-9")
+    context.add_cleanup(context.joined.stop)
+    spec = entry_spec(context.joined.address, "portal", slots=6)
+    assert context.store.create(names.KIND_UPSTREAMS, "i-9", spec) is not None
+
+
+@then("the instance uses the upstream that joined")
+def uses_joined(context: Any) -> None:
+    """Send calls until one has reached it."""
+    node = context.nodes[0]
+
+    def is_used() -> bool:
+        node.ask("/safe/a", f"joined-{next(NUMBERS)}")
+        return bool(context.joined.seen)
+
+    wait_for_processes("a call at the upstream that joined", is_used)
+    assert node.process.poll() is None, node.process.returncode
+
+
+# Drawn rows.
+
+
+@dataclass(frozen=True, slots=True)
+class Reader:
+    """How the rows of a kind are read, and a valid spec of that kind."""
+
+    kind: str
+    sample: Any
+    read: Callable[[Store], list[str]]
+    """Returns the names of the rows that were decoded."""
+
+
+def feed_reader(kind: str, sample: str, feed: Callable[[Store], Any], name: str) -> Reader:
+    """Return the reader of a feed; `name` is the attribute that holds a decoded row's name."""
+    return Reader(
+        kind, SAMPLES[sample], lambda store: [getattr(i, name) for i in feed(store).list().items]
+    )
+
+
+CRASHES: Final = {"crashes": [{"upstream": "u", "atMs": 2**53, "underWay": True}]}
+READERS: Final = (
+    feed_reader(names.KIND_UPSTREAMS, "an upstream", feeds.upstream_feed, "name"),
+    feed_reader(names.KIND_INSTANCES, "an instance", feeds.instance_feed, "instance_id"),
+    feed_reader(names.KIND_CORDONS, "a cordon", feeds.cordon_feed, "zone"),
+    Reader(
+        names.KIND_CRASHES,
+        CRASHES,
+        lambda store: [report.fingerprint for report in PlatformCrashStore(store).read()],
+    ),
+    Reader(
+        names.KIND_UPSTREAMS,
+        SAMPLES["an upstream"],
+        lambda store: [member.member_id for member in client_of(store).members()],
+    ),
+)
+
+
+def client_of(store: Store) -> PlatformClient:
+    """Return the own interface's client of a store."""
+    client = PlatformClient("127.0.0.1:1")
+    client._store = store
+    return client
+
+
+texts = st.recursive(
+    st.sampled_from(
+        ["null", "true", "-0", "1e999", "-1e999", "NaN", '"\\ud800"', '"\xff"', '"\\u0000"']
+        + ["9" * 400, "-" + "9" * 400, "9" * 5_000, "0." + "9" * 5_000, "{}", "[]", '"x"']
+        + ["[" * depth + "]" * depth for depth in (500, 950, 1_100, 100_000)]
+        + ['{"a":' * 5_000 + "1" + "}" * 5_000]
+    ),
+    lambda inner: (
+        st.lists(inner, max_size=3).map(lambda items: f"[{','.join(items)}]")
+        | st.lists(inner, max_size=3).map(
+            lambda items: "{" + ",".join(f'"k":{item}' for item in items) + "}"
+        )
+    ),
+    max_leaves=4,
+)
+"""JSON texts, also such as common decoders reject."""
+
+
+def draw_row(kind: Reader, text: str, source: Any) -> str:
+    """Return a valid row with one part of it replaced by a text."""
+    spec = dict(kind.sample) if isinstance(kind.sample, dict) else {}
+    row = {"metadata": {"name": "odd", "revision": 5}, "spec": spec | {"more": 1}}
+    place = source.choice([row, row["metadata"], row["spec"]])
+    place[source.choice(sorted(place))] = "@"
+    return orjson.dumps(row).decode().replace('"@"', text)
+
+
+@then("drawn rows of each feed leave their neighbours in force, from seed {number:d}")
+def rows_alone(context: Any, number: int) -> None:
+    """Read a list in which a drawn row stands between two valid ones."""
+    for reader in READERS:
+        check_reader(reader, number)
+
+
+def check_reader(reader: Reader, number: int) -> None:
+    """Check one reader with drawn rows."""
+
+    @seed(number)
+    @settings(max_examples=ROWS, deadline=None, database=None)
+    @for_all(texts, st.randoms(use_true_random=False))
+    def check(text: str, source: Any) -> None:
+        odd = draw_row(reader, text, source)
+        spec = orjson.dumps(reader.sample).decode()
+        valid = [
+            f'{{"metadata":{{"name":"{name}","revision":{at}}},"spec":{spec}}}'
+            for at, name in ((1, "first"), (9, "last"))
+        ]
+        body = f'{{"items":[{valid[0]},{odd},{valid[1]}],"more":false,"at":9}}'
+        found = reader.read(StoreOf(body.encode("utf-8", "surrogatepass")))
+        assert {"first", "last"} <= set(found), (found, odd[:300])
+
+    check()
+
+
+class StoreOf(Store):
+    """A store whose lists have a given body."""
+
+    def __init__(self, body: bytes) -> None:
+        """Initialize with the body of all answers."""
+        super().__init__("127.0.0.1:1")
+        self._body = body
+
+    def list(self, kind: str, *, stale: bool = False) -> Any:
+        """Decode the body as if it had arrived."""
+        with patch("driftstall.platform.store.Exchange.open", lambda *_: AnswerOf(self._body)):
+            return super().list(kind, stale=stale)
+
+    def delete(self, kind: str, name: str) -> None:
+        """Delete nothing."""
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerOf:
+    """An exchange that has a whole answer."""
+
+    body: bytes
+    status: int = 200
+
+    def header(self, _: str) -> str:
+        """Return no header."""
+        return ""
+
+    def read(self) -> bytes:
+        """Return the body."""
+        return self.body
--- a/stand_ins/http.py
+++ b/stand_ins/http.py
@@ -72,7 +72,13 @@
     start: StartResponse, status: int, value: Any, more: Iterable[tuple[str, str]] = ()
 ) -> Iterable[bytes]:
     """Send a JSON response."""
-    body = orjson.dumps(value)
+    return answer_bytes(start, status, orjson.dumps(value), more)
+
+
+def answer_bytes(
+    start: StartResponse, status: int, body: bytes, more: Iterable[tuple[str, str]] = ()
+) -> Iterable[bytes]:
+    """Send a response with encoded JSON."""
     headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
     headers += more
     start(f"{status} {REASONS.get(status, 'Status')}", headers)
--- a/stand_ins/platform.py
+++ b/stand_ins/platform.py
@@ -22,10 +22,19 @@
 from typing import Any  # noqa: E402
 
 import gevent  # noqa: E402
+import orjson  # noqa: E402
 from docopt import docopt  # noqa: E402
 from gevent.event import Event  # noqa: E402
 
-from stand_ins.http import StartResponse, answer, close_unanswered, query, read_json, serve  # noqa: E402
+from stand_ins.http import (  # noqa: E402
+    StartResponse,
+    answer,
+    answer_bytes,
+    close_unanswered,
+    query,
+    read_json,
+    serve,
+)
 
 PREFIX = "/api/objects/"
 MAX_VALUE_BYTES = 1_048_576
@@ -100,6 +109,9 @@
     """Rises by one each time that the store is restored from a snapshot."""
     snapshot: Snapshot | None = None
     faults: Faults = field(default_factory=Faults)
+    raw: dict[str, str] = field(default_factory=dict)
+    """JSON text that replaces a string of this value in answers, as of a writer with another
+    encoder."""
     changed: Event = field(default_factory=Event)
 
     def __call__(self, environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
@@ -159,7 +171,7 @@
             found = self.objects.get((kind, name))
             if found is None:
                 return answer(start, 404, {"error": "no such object"})
-            return answer(start, 200, found)
+            return self._answer_raw(start, found)
         parameters = query(environ)
         if "watch" in parameters:
             return self._watch(
@@ -171,7 +183,14 @@
         names = [listed for listed in names if listed > parameters.get("after", "")]
         items = [self.objects[(kind, listed)] for listed in names[: self.page]]
         more = len(names) > self.page
-        return answer(start, 200, {"items": items, "more": more, "at": self.revision})
+        return self._answer_raw(start, {"items": items, "more": more, "at": self.revision})
+
+    def _answer_raw(self, start: StartResponse, value: Any) -> Iterable[bytes]:
+        """Answer with a value in which the raw texts replace their markers."""
+        body = orjson.dumps(value)
+        for marker, text in self.raw.items():
+            body = body.replace(orjson.dumps(marker), text.encode())
+        return answer_bytes(start, 200, body)
 
     def _watch(self, start: StartResponse, kind: str, at: int, wait_s: float) -> Iterable[bytes]:
         """Answer when an object of the kind has changed after a revision, or after `wait_s`."""
@@ -188,7 +207,7 @@
             ]
             remaining_s = deadline - time.monotonic()
             if events or remaining_s <= 0:
-                return answer(start, 200, {"events": events, "at": self.revision})
+                return self._answer_raw(start, {"events": events, "at": self.revision})
             self.changed.wait(min(remaining_s, WATCH_CHECK_S))
 
     def _write(
@@ -249,6 +268,7 @@
             self.faults.down_until = time.monotonic() + script["down_s"]
         if script.get("copy"):
             self._take_snapshot(script.get("without", ""))
+        self.raw |= script.get("raw", {})
         self.revision += int(script.get("changed_elsewhere", 0))
         if script.get("come_back"):
             self._restore_snapshot(script.get("written_at_once", []))
