Reject numbers beyond 64 bits in stored documents

An entry of an upstream with a number of 400 digits raised OverflowError in the check for finite numbers. That is no fault of the document to the feed, so it ended the reading of the whole list: new instances did not become ready, running ones read it again without end.

Numbers are compared with both ends of their range, which also rejects what is not finite.

2 of these 2 scenarios failed before, with real processes.

--- a/driftstall/platform/checks.py
+++ b/driftstall/platform/checks.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable
 from typing import Any, Final
 
@@ -53,10 +52,10 @@
 
 
 def number(minimum: float = 0.0) -> Callable[[Any], float]:
-    """Return a validator for finite numbers of at least a minimum."""
+    """Return a validator for numbers of at least a minimum and at most MAX_INTEGER."""
 
     def check(value: Any) -> float:
-        if type(value) not in (int, float) or not math.isfinite(value) or value < minimum:
+        if type(value) not in (int, float) or not minimum <= value <= MAX_INTEGER:
             raise vol.Invalid(f"expected a number of at least {minimum:g}")
         return float(value)
 
--- a/features/gateway/odd_entries.feature
+++ b/features/gateway/odd_entries.feature
@@ -13,6 +13,7 @@
 
     Examples:
       | content                  |
+      | a number of 400 digits   |
       | a number of 5,000 digits |
       | an infinite number       |
       | a nesting of 950         |
@@ -31,6 +32,7 @@
 
     Examples:
       | kind              | content                  |
+      | an upstream       | a number of 400 digits   |
       | an upstream       | a number of 5,000 digits |
       | an upstream       | an infinite number       |
       | an upstream       | a nesting of 950         |
