Pass on stored documents and names only in a form that every peer decodes

A routing configuration with a number beyond 64 bits, a nesting of 255 levels or half a surrogate pair in a field that nobody reads was decoded, but could not be encoded for the other instances: TypeError, which ended each reading of the configuration. Such a part now becomes null in what is passed on. Instances and crash records under names that cannot be sent are skipped, and any exception of a decoder costs its object alone and is logged.

--- a/driftstall/platform/crashes.py
+++ b/driftstall/platform/crashes.py
@@ -87,8 +87,11 @@
     """Decode an object, without its expired crashes; None if it is invalid."""
     try:
         spec: dict[str, Any] = _SPEC(stored.spec)
+        fingerprint = checks.name(stored.name)
     except vol.Invalid as fault:
-        log_event(PREFIX_CONFIGURATION, f"Stored crashes of request {stored.name} ignored: {fault}")
+        log_event(
+            PREFIX_CONFIGURATION, f"Stored crashes of request {stored.name!r} ignored: {fault}"
+        )
         return None
     crashes = (
         CrashReport(
@@ -100,7 +103,7 @@
         for crash in spec["crashes"]
     )
     recent = tuple(crash for crash in crashes if crash.ago_ms <= CRASH_RETENTION_S * MS_PER_S)
-    return PoisonReport(stored.name, recent, None)
+    return PoisonReport(fingerprint, recent, None)
 
 
 def _now_ms() -> int:
--- a/driftstall/platform/feeds.py
+++ b/driftstall/platform/feeds.py
@@ -6,7 +6,6 @@
 from typing import Final, Generic, TypeVar
 
 import gevent
-import orjson
 import voluptuous as vol
 
 from driftstall.const import PREFIX_CONFIGURATION
@@ -19,6 +18,7 @@
 from driftstall.helpers.log import log_event
 from driftstall.platform import checks, documents, names
 from driftstall.platform.documents import DocumentFault
+from driftstall.platform.json_rows import encode_value
 from driftstall.platform.store import Store, StoredObject, WatchEvent
 
 Item = TypeVar("Item")
@@ -103,6 +103,11 @@
         except DocumentFault as fault:
             self._log_unreadable(stored.name, str(fault))
             return None
+        except Exception as defect:
+            # A decoder must not keep the other objects from being read, whatever another writer
+            # has stored.
+            self._log_unreadable(stored.name, f"{type(defect).__name__}: {defect}")
+            return None
         self._logged_reasons.pop(stored.name, None)
         return item
 
@@ -211,7 +216,7 @@
 def _decode_routing_text(stored: StoredObject) -> RoutingText:
     """Decode a routing configuration, with its text, which is sent to other instances."""
     document = documents.read_routing(stored.spec, lambda: gevent.sleep(0))
-    return RoutingText(document, orjson.dumps(stored.spec).decode())
+    return RoutingText(document, encode_value(stored.spec))
 
 
 def _decode_policy_text(stored: StoredObject) -> PolicyText:
@@ -225,6 +230,7 @@
     """Decode an instance's entry."""
     try:
         spec = _INSTANCE(stored.spec)
+        instance_id = checks.name(stored.name)
     except vol.Invalid as fault:
-        raise DocumentFault(f"invalid entry of instance {stored.name}: {fault}") from fault
-    return Instance(stored.name, spec["address"], spec["peer_address"], spec["zone"])
+        raise DocumentFault(f"invalid entry of instance {stored.name!r}: {fault}") from fault
+    return Instance(instance_id, spec["address"], spec["peer_address"], spec["zone"])
--- a/driftstall/platform/json_rows.py
+++ b/driftstall/platform/json_rows.py
@@ -10,6 +10,7 @@
 import json
 import re
 from collections.abc import Callable, Iterator
+from functools import singledispatch
 from typing import Any, Final
 
 import orjson
@@ -27,6 +28,8 @@
 SPLIT_LEVELS: Final = 5
 """Levels at which an answer is split: the answer, its rows, a row, a changed object, and its
 metadata or spec. A row whose spec cannot be decoded keeps its name."""
+MAX_DEPTH: Final = 64
+"""Nesting of a value that is encoded; encoders give up at a few hundred levels."""
 STRING: Final = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"', re.DOTALL)
 TOKEN: Final = re.compile(STRING.pattern + rb"|[\[{]+|[\]}]+|,", re.DOTALL)
 """A string, a run of opening or of closing brackets, or a comma."""
@@ -45,6 +48,35 @@
     return _decode(raw.strip(), SPLIT_LEVELS, pause)
 
 
+def encode_value(value: Any) -> str:
+    """Encode a decoded value; what no encoder or peer accepts in it becomes null."""
+    try:
+        return orjson.dumps(value).decode()
+    except TypeError:
+        return orjson.dumps(_prune(value, MAX_DEPTH)).decode()
+
+
+@singledispatch
+def _prune(value: Any, depth: int) -> Any:
+    """Return a value without the parts that cannot be encoded."""
+    try:
+        orjson.dumps(value)
+    except TypeError:
+        return None
+    return value
+
+
+@_prune.register
+def _(value: list, depth: int) -> Any:  # type: ignore[type-arg]
+    return [_prune(item, depth - 1) for item in value] if depth else None
+
+
+@_prune.register
+def _(value: dict, depth: int) -> Any:  # type: ignore[type-arg]
+    kept = {key: item for key, item in value.items() if _prune(key, depth) is not None}
+    return {key: _prune(item, depth - 1) for key, item in kept.items()} if depth else None
+
+
 def _decode(raw: bytes, levels: int, pause: Callable[[], None]) -> Any:
     """Decode a value, part by part if it cannot be decoded as a whole."""
     try:
--- a/features/gateway/odd_entries.feature
+++ b/features/gateway/odd_entries.feature
@@ -49,3 +49,19 @@
   # Guards against a row that takes its neighbours along when an answer is decoded.
   Scenario: any row of any feed is decoded or skipped alone
     Then drawn rows of each feed leave their neighbours in force, from seed 70
+
+  # Guards against a configuration that is ignored for an unknown field.
+  Scenario Outline: a configuration is in force although a field that nobody knows has <content>
+    Then a configuration with <content> in an unknown field is decoded, here and at a peer
+
+    Examples:
+      | content                  |
+      | a number of 400 digits   |
+      | a number of 5,000 digits |
+      | a nesting of 950         |
+      | a nesting of 5,000       |
+      | half a surrogate pair    |
+
+  # Guards against names of objects that cannot be sent to other instances.
+  Scenario: an object whose name is not printable is skipped
+    Then an object named "\ud800" in any list of instances, cordons or crashes is skipped
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -14,13 +14,17 @@
 from hypothesis import seed, settings
 from hypothesis import strategies as st
 
+from driftstall.gateway.dialect import MoveFailed
 from driftstall.platform import feeds, names
 from driftstall.platform.client import PlatformClient
 from driftstall.platform.crashes import PlatformCrashStore
+from driftstall.platform.dialect import PlatformDialect
+from driftstall.platform.engine_calls import move
 from driftstall.platform.store import Store
 from features.steps.foreign_entry_steps import SAMPLES
 from features.steps.gateway_node_steps import wait_for_processes
-from features.worlds.upstream_samples import entry_spec
+from features.worlds.gateway_world import document
+from features.worlds.upstream_samples import entry_spec, upstream_of
 from stand_ins.routed import RoutedUpstream
 
 ROWS: Final = 400
@@ -210,6 +214,11 @@
     body: bytes
     status: int = 200
 
+    @property
+    def headers(self) -> dict[bytes, bytes]:
+        """Return no headers."""
+        return {}
+
     def header(self, _: str) -> str:
         """Return no header."""
         return ""
@@ -217,3 +226,38 @@
     def read(self) -> bytes:
         """Return the body."""
         return self.body
+
+
+# Values that are passed on.
+
+
+@then("a configuration with {content} in an unknown field is decoded, here and at a peer")
+def unknown_field(context: Any, content: str) -> None:
+    """Read the configuration from the store, and its text as a peer does."""
+    spec = orjson.dumps(document(3) | {"more": "@"}).decode()
+    odd = spec.replace('"@"', CONTENTS[content][1])
+    row = f'{{"metadata":{{"name":"{names.NAME_CONFIG}","revision":1}},"spec":{odd}}}'
+    feed = feeds.routing_feed(StoreOf(f'{{"items":[{row}],"more":false,"at":9}}'.encode()))
+    (found,) = feed.list().items
+    assert found.document.version == 3
+    assert PlatformDialect().read_routing(found.text) == found.document
+
+
+@then('an object named "\\ud800" in any list of instances, cordons or crashes is skipped')
+def unprintable_name(context: Any) -> None:
+    """Read a list that has a valid object under such a name."""
+    for reader in READERS[1:4]:
+        spec = orjson.dumps(reader.sample).decode()
+        row = f'{{"metadata":{{"name":"\\ud800","revision":1}},"spec":{spec}}}'
+        found = reader.read(StoreOf(f'{{"items":[{row}],"more":false,"at":9}}'.encode()))
+        assert not found, found
+
+
+@then("a copy whose engine answers with the handle {handle} has failed")
+def odd_handle(context: Any, handle: str) -> None:
+    """Order a copy from an engine that answers with the handle."""
+    body = b'{"handle":%b}' % handle.replace("LONG", "h" * 5_000).encode()
+    source, target = upstream_of("u1"), upstream_of("u2")
+    with patch("driftstall.platform.engine_calls.Exchange.open_on", lambda *_: AnswerOf(body)):
+        found = move(source, "r1", target, connect=lambda _: None, last=False)  # type: ignore[arg-type, return-value]
+    assert isinstance(found, MoveFailed), found
