Accept only a printable name as the handle of a replica

An engine that answered a copy with a list, a line break or thousands of characters as its handle had this taken for the name of a replica, which later calls and headers name.

--- a/driftstall/platform/engine_calls.py
+++ b/driftstall/platform/engine_calls.py
@@ -6,6 +6,7 @@
 from typing import Any, Final
 
 import orjson
+import voluptuous as vol
 
 from driftstall.const import PREFIX_RELAY
 from driftstall.decisions.upstream_probes import ReportedState
@@ -21,7 +22,7 @@
 )
 from driftstall.gateway.model import Upstream
 from driftstall.helpers.log import log_event
-from driftstall.platform import names
+from driftstall.platform import checks, names
 from driftstall.platform.headers import read_signals
 from driftstall.util import clock
 from driftstall.util.http import Exchange
@@ -151,4 +152,8 @@
 def _replica_name(source: Upstream, answer: Any) -> str:
     """Return a replica's name: the source's address and the handle in its answer, or empty."""
     handle = answer.get("handle") if isinstance(answer, dict) else None
-    return f"{source.address}/{handle}" if handle else ""
+    try:
+        name = checks.name(str(handle) if type(handle) is int else handle)
+    except vol.Invalid:
+        return ""
+    return f"{source.address}/{name}"
--- a/features/gateway/odd_entries.feature
+++ b/features/gateway/odd_entries.feature
@@ -65,3 +65,13 @@
   # Guards against names of objects that cannot be sent to other instances.
   Scenario: an object whose name is not printable is skipped
     Then an object named "\ud800" in any list of instances, cordons or crashes is skipped
+
+  # Guards against a replica's handle that breaks the calls that name it.
+  Scenario Outline: a handle that is <content> names no replica
+    Then a copy whose engine answers with the handle <handle> has failed
+
+    Examples:
+      | content      | handle           |
+      | a list       | [1]              |
+      | a line break | "h\r\nPriority:0" |
+      | too long     | "LONG"           |
