Start driftstalld like the gateway: signals recorded, addresses awaited

The same causes on the own interface: SIGHUP ended driftstalld in its start and, as it had no handler, at any time; SIGTERM in its start ended it by the signal; a port in use ended it. SIGHUP is logged now, as flags and variables cannot change.

--- a/driftstall/__main__.py
+++ b/driftstall/__main__.py
@@ -2,7 +2,14 @@
 
 from __future__ import annotations
 
-from gevent import monkey
+from driftstall.helpers.start_signals import StartSignals
+
+START_SIGNALS = StartSignals()
+if __name__ == "__main__":
+    # Before the imports below, which take most of a start.
+    START_SIGNALS.install()
+
+from gevent import monkey  # noqa: E402
 
 monkey.patch_all()
 
@@ -11,9 +18,10 @@
 
 from driftstall.bootstrap import run_instance  # noqa: E402
 from driftstall.daemon.settings import Settings  # noqa: E402
-from driftstall.exceptions import SettingsError  # noqa: E402
+from driftstall.exceptions import ListenError, SettingsError  # noqa: E402
 
 EXIT_SETTINGS = 2
+EXIT_LISTEN = 3
 
 
 def main() -> int:
@@ -25,10 +33,12 @@
             print(f"driftstalld: {fault}", file=sys.stderr)
         return EXIT_SETTINGS
     try:
-        run_instance(settings)
-    except OSError as fault:
+        run_instance(settings, START_SIGNALS)
+    except ListenError as fault:
         print(f"driftstalld: cannot listen: {fault}", file=sys.stderr)
-        return EXIT_SETTINGS
+        return EXIT_LISTEN
+    finally:
+        START_SIGNALS.ignore()
     return 0
 
 
--- a/driftstall/bootstrap.py
+++ b/driftstall/bootstrap.py
@@ -6,29 +6,42 @@
 from typing import Final
 
 import gevent
+from gevent.event import Event
 
-from driftstall.const import PREFIX_DRAIN, PREFIX_MEMBERSHIP
+from driftstall.const import PREFIX_CONFIGURATION, PREFIX_DRAIN, PREFIX_MEMBERSHIP
 from driftstall.daemon.callers import CallersApp
 from driftstall.daemon.http_server import build_server
 from driftstall.daemon.node import Node
 from driftstall.daemon.operators import OperatorsApp
 from driftstall.daemon.settings import Settings
+from driftstall.helpers.listening import start_when_free
 from driftstall.helpers.log import log_event, start_log
+from driftstall.helpers.start_signals import StartSignals
 
 STOP_CHECK_S: Final = 0.1
 
 
-def run_instance(settings: Settings) -> None:
-    """Run an instance until it has drained its requests and stopped, after SIGTERM or SIGINT."""
+def run_instance(settings: Settings, start_signals: StartSignals) -> None:
+    """Run an instance until it has drained its requests and stopped, after SIGTERM or SIGINT.
+
+    Raises ListenError if an address stays in use.
+    """
     start_log()
     node = Node(settings)
     callers = build_server(settings, settings.listen, CallersApp(node))
     operators = build_server(settings, settings.operator_listen, OperatorsApp(node))
-    node.start()
-    operators.start()
-    callers.start()
-    gevent.signal_handler(signal.SIGTERM, node.request_stop)
-    gevent.signal_handler(signal.SIGINT, node.request_stop)
+    stop_requested = Event()
+    if start_signals.is_stop_requested:
+        stop_requested.set()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, stop_requested.set)
+    gevent.signal_handler(signal.SIGHUP, _log_reload)
+    for start in (node.start, operators.start, callers.start):
+        start_when_free(start, stop_requested.is_set)
+    if stop_requested.is_set():
+        log_event(PREFIX_DRAIN, "Stopped before the start was complete")
+        return
+    gevent.spawn(_stop_when_requested, stop_requested, node)
     log_event(PREFIX_MEMBERSHIP, f"Instance {settings.instance_id} listens on {settings.listen}")
     while not node.is_stopped:
         gevent.sleep(STOP_CHECK_S)
@@ -36,3 +49,14 @@
     operators.stop(timeout=1)
     node.hub.links.stop()
     log_event(PREFIX_DRAIN, f"Instance {settings.instance_id} has stopped")
+
+
+def _stop_when_requested(stop_requested: Event, node: Node) -> None:
+    """Begin the planned stop once it is requested."""
+    stop_requested.wait()
+    node.request_stop()
+
+
+def _log_reload() -> None:
+    """Log a request to reload; settings are flags and variables, which cannot change."""
+    log_event(PREFIX_CONFIGURATION, "There are no settings to reload")
--- a/measures/bench.py
+++ b/measures/bench.py
@@ -167,6 +167,16 @@
             popen = subprocess.Popen(command, stdout=output, stderr=output, env=environment)
         return Process(name, address, popen, log)
 
+    def command_of(self, process: Process) -> tuple[str, ...]:
+        """Return the command line of a process."""
+        assert isinstance(process.popen.args, list)
+        return tuple(str(part) for part in process.popen.args)
+
+    def restart(self, process: Process) -> None:
+        """Start a process that has ended again, with the same flags."""
+        with process.log.open("ab") as output:
+            process.popen = subprocess.Popen(self.command_of(process), stdout=output, stderr=output)
+
     def start_platform(self) -> Process:
         """Start the platform stand-in and wait until it listens."""
         port = free_port()
