--- a/driftstall/cli/store_commands.py
+++ b/driftstall/cli/store_commands.py
@@ -13,6 +13,7 @@
 from driftstall.cli.tables import print_table
 from driftstall.decisions.store_versions import StoreVersion
 from driftstall.exceptions import PlatformUnavailable
+from driftstall.platform.documents import DocumentFault
 from driftstall.platform.policies import PolicyStore
 from driftstall.policy.default import default_policy
 from driftstall.policy.evaluate import explain
@@ -45,6 +46,9 @@
     except PlatformUnavailable as fault:
         print(f"driftstall: the store: {fault}", file=sys.stderr)
         return EXIT_UNKNOWN if fault.sent else EXIT_UNREACHABLE
+    except DocumentFault as fault:
+        print(f"driftstall: the store: {fault}", file=sys.stderr)
+        return EXIT_REFUSED
     print("driftstall: this command needs an instance, not --store", file=sys.stderr)
     return EXIT_REFUSED
 
--- a/driftstall/platform/feeds.py
+++ b/driftstall/platform/feeds.py
@@ -156,7 +156,7 @@
 def policy_feed(store: Store) -> KindFeed[PolicyText]:
     """Return the feed of submitted policies."""
     return KindFeed(
-        store, names.KIND_POLICY, _decode_policy_text, name=names.NAME_POLICY, stale=True
+        store, names.KIND_POLICY, decode_policy_text, name=names.NAME_POLICY, stale=True
     )
 
 
@@ -176,7 +176,7 @@
         """Return the stored policy; None if there is none or it is invalid."""
         stored = self._store.get(names.KIND_POLICY, names.NAME_POLICY)
         try:
-            return _decode_policy_text(stored) if stored else None
+            return decode_policy_text(stored) if stored else None
         except DocumentFault:
             return None
 
@@ -219,7 +219,7 @@
     return RoutingText(document, encode_value(stored.spec))
 
 
-def _decode_policy_text(stored: StoredObject) -> PolicyText:
+def decode_policy_text(stored: StoredObject) -> PolicyText:
     """Decode a submitted policy."""
     if not isinstance(stored.spec, dict) or not isinstance(stored.spec.get("text"), str):
         raise DocumentFault(f"policy {stored.name!r} has no text")
--- a/driftstall/platform/policies.py
+++ b/driftstall/platform/policies.py
@@ -4,9 +4,13 @@
 
 from typing import Any
 
+import orjson
+
 from driftstall.decisions.store_versions import NO_VERSION, StoreVersion
 from driftstall.platform import names
-from driftstall.platform.feeds import instance_feed, upstream_feed
+from driftstall.platform.documents import read_routing
+from driftstall.platform.feeds import decode_policy_text, instance_feed, upstream_feed
+from driftstall.platform.json_rows import encode_value
 from driftstall.platform.store import Store
 
 TEXT = "text"
@@ -22,7 +26,7 @@
     def text(self) -> str:
         """Return the submitted policy's text; empty if there is none."""
         stored = self._store.get(names.KIND_POLICY, names.NAME_POLICY)
-        return str(stored.spec[TEXT]) if stored else ""
+        return decode_policy_text(stored).text if stored else ""
 
     def revision(self) -> StoreVersion:
         """Return the submitted policy's version; zero if there is none."""
@@ -47,7 +51,8 @@
         stored = self._store.get(names.KIND_CONFIG, names.NAME_CONFIG)
         if stored is None:
             return {}
-        shown = dict(stored.spec)
+        read_routing(stored.spec)
+        shown: dict[str, Any] = orjson.loads(encode_value(stored.spec))
         workspaces = shown.get("tenants") or ()
         shown["tenants"] = [
             workspace | {"apiKeys": len(workspace.get("apiKeys") or ())} for workspace in workspaces
--- a/features/gateway/odd_entries.feature
+++ b/features/gateway/odd_entries.feature
@@ -75,3 +75,15 @@
       | a list       | [1]              |
       | a line break | "h\r\nPriority:0" |
       | too long     | "LONG"           |
+
+  # Guards against a command that ends with a traceback.
+  Scenario Outline: the command names an odd <kind> in the store
+    Given the store holds an odd <kind>
+    When the command "<arguments>" runs on the store
+    Then it ends with 1 and names "<words>"
+
+    Examples:
+      | kind          | arguments   | words         |
+      | policy        | policy show | no text       |
+      | configuration | config show | configuration |
+      | configuration | status      | configuration |
--- a/features/steps/command_steps.py
+++ b/features/steps/command_steps.py
@@ -13,16 +13,16 @@
 @when('the daemon is started with "{flags}"')
 def start_daemon(context: Any, flags: str) -> None:
     """Start the daemon with invalid settings."""
-    context.done = _run("driftstall", flags)
+    context.done = run_module("driftstall", flags)
 
 
 @when('the command runs "{arguments}"')
 def run_command(context: Any, arguments: str) -> None:
     """Run the command."""
-    context.done = _run("driftstall.cli.main", arguments)
+    context.done = run_module("driftstall.cli.main", arguments)
 
 
-def _run(module: str, arguments: str) -> subprocess.CompletedProcess[str]:
+def run_module(module: str, arguments: str) -> subprocess.CompletedProcess[str]:
     """Run a module and collect its output."""
     command = [sys.executable, "-m", module, *shlex.split(arguments)]
     return subprocess.run(command, capture_output=True, text=True, timeout=30, check=False)
--- a/features/steps/foreign_entry_steps.py
+++ b/features/steps/foreign_entry_steps.py
@@ -77,7 +77,7 @@
     decoders: dict[str, Any] = {
         "an upstream": lambda: read_upstream("i-1", StoreVersion(1), spec),
         "routes": lambda: read_routing(spec),
-        "a policy": lambda: feeds._decode_policy_text(stored),
+        "a policy": lambda: feeds.decode_policy_text(stored),
         "an instance": lambda: feeds._decode_instance(stored),
         "a cordon": lambda: feeds._decode_cordon(stored),
     }
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -21,6 +21,7 @@
 from driftstall.platform.dialect import PlatformDialect
 from driftstall.platform.engine_calls import move
 from driftstall.platform.store import Store
+from features.steps.command_steps import run_module
 from features.steps.foreign_entry_steps import SAMPLES
 from features.steps.gateway_node_steps import wait_for_processes
 from features.worlds.gateway_world import document
@@ -261,3 +262,20 @@
     with patch("driftstall.platform.engine_calls.Exchange.open_on", lambda *_: AnswerOf(body)):
         found = move(source, "r1", target, connect=lambda _: None, last=False)  # type: ignore[arg-type, return-value]
     assert isinstance(found, MoveFailed), found
+
+
+@given("the store holds an odd {kind}")
+def holds_odd_document(context: Any, kind: str) -> None:
+    """Replace the policy or the configuration by an object of another writer."""
+    at = (
+        (names.KIND_POLICY, names.NAME_POLICY)
+        if kind == "policy"
+        else (names.KIND_CONFIG, names.NAME_CONFIG)
+    )
+    assert context.store.replace(*at, ["odd"]) or context.store.create(*at, ["odd"])
+
+
+@when('the command "{arguments}" runs on the store')
+def run_on_store(context: Any, arguments: str) -> None:
+    """Run the operators' command."""
+    context.done = run_module("driftstall.cli.main", f"{arguments} --store={context.store_address}")
