Answer a request that an unexpected error ends, if its response has not begun

What callers saw: their connection ended without a response, although an upstream may have run the request. They could not tell this from a lost machine.

Cause: CallerListener._handle_request logged the error and closed the connection.

Fix: a ResponseWriter records for each request whether a part of its response may have been sent. A response that has begun is still broken off, so that it does not look complete.

--- a/driftstall/gateway/listeners.py
+++ b/driftstall/gateway/listeners.py
@@ -12,6 +12,7 @@
 
 from driftstall.const import (
     CODE_BAD_REQUEST,
+    CODE_INTERNAL,
     CODE_LEAVING,
     PREFIX_LOCATE,
     PREFIX_RELAY,
@@ -33,6 +34,7 @@
 from driftstall.gateway.model import Limits, Repeat
 from driftstall.gateway.moves import Mover
 from driftstall.gateway.poison.status import describe_quarantine
+from driftstall.gateway.response_writer import ResponseWriter
 from driftstall.gateway.responses import encode_problem, encode_response
 from driftstall.gateway.scheduling.queue_status import QueueStatus
 from driftstall.gateway.state import GatewayState
@@ -106,28 +108,33 @@
         """Answer one request; return whether the connection is kept open."""
         self._state.stats.requests += 1
         self._state.open_requests += 1
+        writer = ResponseWriter(connection)
         try:
-            return self._admit_and_serve(connection, call)
+            return self._admit_and_serve(writer, call)
         except Exception as error:
             # A defect closes the connection, which also holds further requests, so it is logged.
             log_event(PREFIX_RELAY, f"Request failed with {type(error).__name__}: {error}")
             self._state.stats.failed += 1
+            if not writer.has_begun:
+                detail = "an unexpected error; the request may have run"
+                problem = Problem(CODE_INTERNAL, 500, detail, Ran.UNKNOWN)
+                writer.write(encode_problem(problem, keep_alive=False))
             return False
         finally:
             self._state.open_requests -= 1
 
-    def _admit_and_serve(self, connection: CallerConnection, call: CallerRequest) -> bool:
+    def _admit_and_serve(self, writer: ResponseWriter, call: CallerRequest) -> bool:
         """Admit one request and serve it."""
         keep_alive = call.keep_alive and not self._state.is_stopping
         admitted = self._admit(call)
         if isinstance(admitted, AdmittedRequest):
             refusal = stop_refusal(self._state, admitted)
             if refusal is None:
-                return self._serve_admitted(connection, call, admitted, keep_alive=keep_alive)
+                return self._serve_admitted(writer, call, admitted, keep_alive=keep_alive)
             admitted = refusal
         # After contradictory headers, the bytes that follow cannot be trusted either.
         keep_alive = keep_alive and admitted.code != CODE_BAD_REQUEST
-        return self._answer_problem(connection, admitted, keep_alive=keep_alive)
+        return self._answer_problem(writer, admitted, keep_alive=keep_alive)
 
     def _admit(self, call: CallerRequest) -> AdmittedRequest | Problem:
         """Decode the request's headers and run the admission filters."""
@@ -158,7 +165,7 @@
 
     def _serve_admitted(
         self,
-        connection: CallerConnection,
+        writer: ResponseWriter,
         call: CallerRequest,
         admitted: AdmittedRequest,
         *,
@@ -167,23 +174,21 @@
         """Serve an admitted request, and cancel it if its caller disconnects."""
         if admitted.route.repeat is Repeat.STREAM:
             relay = StreamRelay(
-                self._state, self._mover, connection, call, admitted, keep_alive=keep_alive
+                self._state, self._mover, writer, call, admitted, keep_alive=keep_alive
             )
-            return self._serve_watched(connection, relay.handle_disconnect, relay.serve)
+            return self._serve_watched(writer, relay.handle_disconnect, relay.serve)
         call_relay = CallRelay(self._state, call, admitted)
         return self._serve_watched(
-            connection,
+            writer,
             call_relay.handle_disconnect,
-            lambda: self._answer_call(
-                connection, call_relay.serve(), admitted, keep_alive=keep_alive
-            ),
+            lambda: self._answer_call(writer, call_relay.serve(), admitted, keep_alive=keep_alive),
         )
 
     def _serve_watched(
-        self, connection: CallerConnection, cancel: Callable[[], None], serve: Callable[[], bool]
+        self, writer: ResponseWriter, cancel: Callable[[], None], serve: Callable[[], bool]
     ) -> bool:
         """Serve a request, and call the cancel function if its caller disconnects."""
-        watch = connection.watch_disconnect()
+        watch = writer.watch_disconnect()
 
         def on_disconnect() -> None:
             self._state.stats.callers_gone += 1
@@ -197,7 +202,7 @@
 
     def _answer_call(
         self,
-        connection: CallerConnection,
+        writer: ResponseWriter,
         result: UpstreamResponse | Problem,
         admitted: AdmittedRequest,
         *,
@@ -212,21 +217,21 @@
                 route=admitted.route.name,
                 ran=result.ran.value,
             )
-            return self._answer_problem(connection, result, keep_alive=keep_alive)
+            return self._answer_problem(writer, result, keep_alive=keep_alive)
         self._state.stats.completed += 1
         self._state.stats.answer_s.observe({}, self._state.now() - admitted.started_at)
         data = encode_response(result.status, result.headers, result.body, keep_alive=keep_alive)
-        return connection.write(data) and keep_alive
+        return writer.write(data) and keep_alive
 
     def _answer_problem(
-        self, connection: CallerConnection, problem: Problem, *, keep_alive: bool
+        self, writer: ResponseWriter, problem: Problem, *, keep_alive: bool
     ) -> bool:
         """Write a problem response, and count it."""
         if problem.retry_after_s is not None:
             self._state.stats.refused += 1
         else:
             self._state.stats.failed += 1
-        return connection.write(encode_problem(problem, keep_alive=keep_alive)) and keep_alive
+        return writer.write(encode_problem(problem, keep_alive=keep_alive)) and keep_alive
 
 
 def request_fingerprint(call: CallerRequest, workspace: str) -> str:
--- /dev/null
+++ b/driftstall/gateway/response_writer.py
@@ -0,0 +1,28 @@
+"""Write the response to one request of a caller."""
+
+from __future__ import annotations
+
+from driftstall.gateway.ingress import CallerConnection, DisconnectWatch
+
+
+class ResponseWriter:
+    """Write the response to one request, and record whether any of it may have been sent."""
+
+    def __init__(self, connection: CallerConnection) -> None:
+        """Initialize with the connection that the request came on."""
+        self._connection = connection
+        self._has_begun = False
+
+    @property
+    def has_begun(self) -> bool:
+        """Return True if a part of the response may have been sent."""
+        return self._has_begun
+
+    def write(self, data: bytes) -> bool:
+        """Write to the caller; return False if it has disconnected."""
+        self._has_begun = True
+        return self._connection.write(data)
+
+    def watch_disconnect(self) -> DisconnectWatch:
+        """Return a watch that detects a disconnect of the caller."""
+        return self._connection.watch_disconnect()
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -21,7 +21,6 @@
 from driftstall.gateway.exchange import BodyChunk, ResponseEnd
 from driftstall.gateway.ingress import (
     LAST_CHUNK,
-    CallerConnection,
     CallerRequest,
     encode_chunk,
     encode_head,
@@ -29,6 +28,7 @@
 from driftstall.gateway.model import PROMISING_STATUSES, Upstream
 from driftstall.gateway.moves import Mover
 from driftstall.gateway.outcomes import Outcome
+from driftstall.gateway.response_writer import ResponseWriter
 from driftstall.gateway.responses import (
     CLOSE_HEADER,
     KEEP_ALIVE_HEADER,
@@ -62,18 +62,18 @@
         self,
         state: GatewayState,
         mover: Mover,
-        connection: CallerConnection,
+        writer: ResponseWriter,
         call: CallerRequest,
         admitted: AdmittedRequest,
         *,
         keep_alive: bool,
     ) -> None:
-        """Initialize with the caller's connection and request.
+        """Initialize with the writer of the response and the request.
 
         With keep_alive, the connection may serve further requests afterwards.
         """
         self._state = state
-        self._connection = connection
+        self._writer = writer
         self._admitted = admitted
         self._context = StreamContext(state, mover, call, admitted)
         self._resumer = StreamResumer(self._context)
@@ -145,7 +145,7 @@
         data = encode_response(
             opened.head.status, opened.metadata.forwarded_headers, body, keep_alive=self._keep_alive
         )
-        return self._connection.write(data) and self._keep_alive
+        return self._writer.write(data) and self._keep_alive
 
     def _send_head(self, opened: OpenedResponse) -> bool:
         """Send the response head to the caller."""
@@ -154,7 +154,7 @@
             KEEP_ALIVE_HEADER if self._keep_alive else CLOSE_HEADER,
         )
         self._context.has_responded = True
-        return self._connection.write(
+        return self._writer.write(
             encode_head(opened.head.status, opened.metadata.forwarded_headers, extra)
         )
 
@@ -258,7 +258,7 @@
         # stream would lack them.
         if next_events:
             self._record_progress(run, len(next_events))
-            if not self._connection.write(encode_chunk(b"".join(next_events))):
+            if not self._writer.write(encode_chunk(b"".join(next_events))):
                 self._context.is_caller_disconnected = True
                 return UpstreamError("the caller has disconnected", sent=True)
         return error
@@ -300,7 +300,7 @@
             moves=run.moves,
             longest_gap_ms=int(self._longest_gap_s * 1000),
         )
-        return self._connection.write(LAST_CHUNK) and self._keep_alive
+        return self._writer.write(LAST_CHUNK) and self._keep_alive
 
     def _record_success(self, run: StreamRun) -> None:
         """Record the success, at once only if the end of the response can't be a crash."""
@@ -345,6 +345,6 @@
             ran=problem.ran.value,
         )
         return (
-            self._connection.write(encode_problem(problem, keep_alive=self._keep_alive))
+            self._writer.write(encode_problem(problem, keep_alive=self._keep_alive))
             and self._keep_alive
         )
