Count the grace time of a stop from the earliest arrival of its signal

What callers saw: an instance that was suspended, or too busy, around its SIGTERM accepted streams and calls that the kill at the end of the grace time cut off.

Cause: Drain.begin counted the grace time from the handling of the signal. The platform counts from its arrival, and the kernel does not tell when that was.

Fix: the periodic task of the main loop bounds how long a signal may have waited (LoopStalls). The stop, and with it the time of the last responses and of the kill, is counted from the earliest possible arrival. Too early an end costs a refusal, too late an end a response. An instance keeps its listeners open as long as before, as callers learn of the stop when it is handled.

--- /dev/null
+++ b/driftstall/decisions/loop_stalls.py
@@ -0,0 +1,46 @@
+"""Bound how long a signal may have waited for the event loop to handle it.
+
+A process that is stopped, or whose machine is suspended or busy, handles a signal late, and the
+kernel does not tell when the signal arrived. All times are in seconds on the clock that advances in
+suspensions.
+"""
+
+from __future__ import annotations
+
+
+class LoopStalls:
+    """Track the stalls of an event loop by the turns of a periodic task."""
+
+    def __init__(self, period_s: float) -> None:
+        """Initialize with the period of the task."""
+        self._period_s = period_s
+        self._turned_at: float | None = None
+        self._stalled_from = 0.0
+        self._stalled_until: float | None = None
+
+    def record_turn(self, now: float) -> None:
+        """Record that the periodic task runs."""
+        if self._is_overdue(now):
+            self._stalled_from = self._due_at()
+            self._stalled_until = now
+        self._turned_at = now
+
+    def max_delay_s(self, now: float) -> float:
+        """Return the longest time for which a signal that is handled now may have waited.
+
+        After a stall, the task may run before the handlers of the signals.
+        """
+        if self._is_overdue(now):
+            return now - self._due_at()
+        if self._stalled_until is not None and now - self._stalled_until < self._period_s:
+            return now - self._stalled_from
+        return 0.0
+
+    def _is_overdue(self, now: float) -> bool:
+        """Return True if the task should have run again."""
+        return self._turned_at is not None and now > self._due_at()
+
+    def _due_at(self) -> float:
+        """Return when the task was to run again; it has run before."""
+        assert self._turned_at is not None
+        return self._turned_at + self._period_s
--- a/driftstall/decisions/planned_stop.py
+++ b/driftstall/decisions/planned_stop.py
@@ -55,6 +55,7 @@
     """Hold the times of a planned stop, on the monotonic clock."""
 
     began_at: float
+    """When the signal arrived, or may have arrived at the earliest."""
     answer_by: float
     """When the last responses are written, shortly before the process is killed."""
     exit_from: float
@@ -62,11 +63,16 @@
     killed_at: float
 
     @classmethod
-    def from_grace(cls, now: float, grace_s: float) -> PlannedStop:
-        """Return a stop that begins now; the process is killed after the grace time."""
+    def from_grace(cls, now: float, grace_s: float, delay_s: float = 0.0) -> PlannedStop:
+        """Return a stop whose signal is handled now and arrived at most delay_s seconds ago.
+
+        The process is killed the grace time after the arrival. Callers learn of the stop now.
+        """
+        began_at = now - delay_s
+        killed_at = began_at + grace_s
         margin_s = min(ANSWER_MARGIN_S, MAX_MARGIN_SHARE * grace_s)
         exit_from = now + CALLERS_ARRIVE_SHARE * grace_s
-        return cls(now, now + grace_s - margin_s, exit_from, now + grace_s)
+        return cls(began_at, killed_at - margin_s, exit_from, killed_at)
 
     def can_accept(
         self, request: PendingRequest, now: float, has_ready_peer: Callable[[], bool]
--- a/driftstall/gateway/drain.py
+++ b/driftstall/gateway/drain.py
@@ -45,13 +45,21 @@
             return False
         return self._state.now() >= stop.exit_from
 
-    def begin(self) -> None:
-        """Start draining; later calls have no effect."""
+    def begin(self, delay_s: float = 0.0) -> None:
+        """Start draining on a signal that arrived at most delay_s ago; later calls have no effect.
+
+        The platform counts the grace time from the arrival of the signal.
+        """
         if self._state.planned_stop is None:
             # Settings that change during the stop do not move the kill.
             grace_s = self._state.settings.bounds.grace_s
-            self._state.planned_stop = PlannedStop.from_grace(self._state.now(), grace_s)
-            log_event(PREFIX_DRAIN, "Stop requested", open=self._state.open_requests)
+            self._state.planned_stop = PlannedStop.from_grace(self._state.now(), grace_s, delay_s)
+            log_event(
+                PREFIX_DRAIN,
+                "Stop requested",
+                open=self._state.open_requests,
+                delay_s=round(delay_s, 2),
+            )
 
 
 def can_finish(state: GatewayState, admitted: AdmittedRequest) -> bool:
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -12,6 +12,7 @@
 
 from driftstall.const import PREFIX_CONFIGURATION, PREFIX_DRAIN, PREFIX_MEMBERSHIP
 from driftstall.decisions.leaving_signals import LeavingRecord
+from driftstall.decisions.loop_stalls import LoopStalls
 from driftstall.decisions.upstream_probes import ReportedState
 from driftstall.decisions.watch_timeouts import max_watch_wait_s
 from driftstall.exceptions import SettingsError
@@ -216,6 +217,7 @@
         )
         self._store_recovery.register_shared_write("crashes", self._crash_persistence.rewrite_all)
         self._drain = Drain(self.state)
+        self._stalls = LoopStalls(PERIOD_S)
         self.state.has_ready_peer = self._has_ready_peer
         self._callers = CallerListener(self.state, mover, self._is_current)
         self._ready = AuxiliaryListener(settings.ready_listen, ReadinessHandler(self.state))
@@ -227,8 +229,8 @@
 
     def run(self, start_signals: StartSignals) -> None:
         """Run until a planned stop is complete; raise ListenError if an address stays in use."""
-        gevent.signal_handler(signal.SIGTERM, self._drain.begin)
-        gevent.signal_handler(signal.SIGINT, self._drain.begin)
+        gevent.signal_handler(signal.SIGTERM, self._begin_stop)
+        gevent.signal_handler(signal.SIGINT, self._begin_stop)
         gevent.signal_handler(signal.SIGHUP, self._reload)
         if start_signals.is_reload_requested:
             self._reload()
@@ -256,11 +258,13 @@
 
     def _run_periodic_checks(self) -> None:
         """Run the periodic checks until the stop is complete."""
+        self._stalls.record_turn(self.state.now())
         checked_at = self.state.now()
         suspended_s = clock.suspended_s()
         has_announced_stop = False
         while not self._drain.is_finished:
             gevent.sleep(PERIOD_S)
+            self._stalls.record_turn(self.state.now())
             run_guarded(PREFIX_MEMBERSHIP, self._upstreams.handle_timer)
             suspended_s = _log_suspension(suspended_s)
             self.state.stats.platform_calls = self._access.call_count()
@@ -272,6 +276,10 @@
                 if self._read_settings_signature() != self._settings_signature:
                     run_guarded(PREFIX_CONFIGURATION, self._reload)
 
+    def _begin_stop(self) -> None:
+        """Begin a planned stop; its signal may have arrived while the event loop was stalled."""
+        self._drain.begin(self._stalls.max_delay_s(self.state.now()))
+
     def _announce_stop(self) -> None:
         """Announce to peers and the platform that this instance accepts no more requests."""
         self._peering.leave()
--- a/features/gateway/planned_stops.feature
+++ b/features/gateway/planned_stops.feature
@@ -60,6 +60,19 @@
       | 6.2   | 0.1   | 0.2  |
       | 6.6   | 0.5   | 0.5  |
 
+  # Guards against a grace time that is counted from the handling of a signal that arrived before.
+  Scenario Outline: a stop whose signal is handled late ends with the grace time from its arrival
+    Given a stop whose signal arrived up to <late> s before it was handled
+    When "<path>" is asked as "r1" with a deadline of <deadline> s
+    Then it is refused with a time to come back of at most 0.05 s
+    And no upstream has received "r1"
+
+    Examples:
+      | path              | late | deadline |
+      | /stream/patient/a | 5.6  | 6        |
+      | /once/a           | 5.7  | 3        |
+      | /safe/a           | 7.9  | 3        |
+
   # Guards against calls that are cut off by the kill without a response.
   Scenario Outline: a call without a response gets an error response before the kill
     Given the upstream of "r1" will hang
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -47,6 +47,12 @@
     world_of(context).pass_time(since)
 
 
+@given("a stop whose signal arrived up to {late:g} s before it was handled")
+def stop_handled_late(context: Any, late: float) -> None:
+    """Begin a stop after a stall of the event loop."""
+    world_of(context).drain.begin(late)
+
+
 @when('"{path}" is asked as "{request_id}" for {tokens:d} tokens with a deadline of {deadline:g} s')
 def ask_for_tokens(context: Any, path: str, request_id: str, tokens: int, deadline: float) -> None:
     """Send a request of known length, and keep its response."""
