--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -25,25 +25,13 @@
 from features.steps.foreign_entry_steps import SAMPLES
 from features.steps.gateway_node_steps import wait_for_processes
 from features.worlds.gateway_world import document
+from features.worlds.odd_contents import CONTENTS
 from features.worlds.upstream_samples import entry_spec, upstream_of
 from stand_ins.routed import RoutedUpstream
 
 ROWS: Final = 400
 """Drawn rows for each feed."""
 NUMBERS: Final = itertools.count(1)
-CONTENTS: Final = {
-    "a number of 400 digits": ("coldRemainingMs", "9" * 400),
-    "a number of 5,000 digits": ("coldRemainingMs", "9" * 5_000),
-    "an infinite number": ("coldRemainingMs", "1e999"),
-    "a nesting of 950": ("zone", "[" * 950 + "]" * 950),
-    "a nesting of 5,000": ("zone", "[" * 5_000 + "]" * 5_000),
-    "a port of 99,999": ("address", '"127.0.0.1:99999"'),
-    "a port of 5,000 digits": ("address", '"127.0.0.1:' + "9" * 5_000 + '"'),
-    "a name of a megabyte": ("zone", '"' + "z" * 1_000_000 + '"'),
-    "a key that stands twice": ("seq", '1, "seq": {"seq": []}'),
-    "half a surrogate pair": ("zone", '"\\ud800"'),
-}
-"""The field of an upstream's entry, and the JSON text of its value."""
 KINDS: Final = {
     "an upstream": names.KIND_UPSTREAMS,
     "an instance": names.KIND_INSTANCES,
--- a/measures/gateway_process.py
+++ b/measures/gateway_process.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -64,6 +65,10 @@
             if self.process is ended:
                 self.process = self._spawn()
 
+    def start_beside(self) -> None:
+        """Start the next process while the current one may still run."""
+        self.process = self._spawn()
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process if it is still running."""
         if self.process.poll() is None:
@@ -94,10 +99,16 @@
     def _spawn(self) -> subprocess.Popen[bytes]:
         """Start the process; a restart is no first start of the system."""
         if self._has_started:
-            self.write(orjson.loads(self.path.read_bytes()) | {"bootstrap": False})
+            self._clear_bootstrap()
         self._has_started = True
         return self.launch()
 
+    def _clear_bootstrap(self) -> None:
+        """Write that the system has started before, unless the settings file is spoiled."""
+        self.settings["bootstrap"] = False
+        with suppress(FileNotFoundError, orjson.JSONDecodeError):
+            self.write(orjson.loads(self.path.read_bytes()) | {"bootstrap": False})
+
     def launch(self) -> subprocess.Popen[bytes]:
         """Start the process with the settings file as it is, and its output in the log file."""
         with self.log.open("ab") as output:
