Soak: disturb starts, settings and stored entries, and judge each process

Cause: the soak restarted killed instances without a signal inside the start, a held address, a spoiled settings file or an odd entry, and looked at the last process of an instance only. Change: the plan `disturbed`; each process must run until the plan ends it, become ready, and end with 0 when stopped; upstreams that join are used, also beside odd entries.

--- a/features/parts/soak.feature
+++ b/features/parts/soak.feature
@@ -44,6 +44,8 @@
       | callers of a partitioned instance are not served       | partitioned instances served 0 of 15     |
       | the last calls were not served                         | of the last                              |
       | a process has ended by itself                          | ended by itself                          |
+      | a process was not ready after its start                | not ready 8 s after its start            |
+      | an upstream that joined got none of 40 requests        | got none of 40 requests                  |
       | calls have been sent again too often                   | retries within 10 s at portal            |
 
   Scenario Outline: what a disturbance explains is not held against it
@@ -59,6 +61,7 @@
       | an upstream got more calls than its limit allows |
       | a request was sent on after three upstreams had ended under it |
       | a prompt part was sent on after five upstreams had ended under it |
+      | an upstream that joined got none of 40 requests |
       | calls that end nothing are refused for it    |
       | an added route is denied by a calm instance  |
       | a dropped route is served by a calm instance |
@@ -111,6 +114,22 @@
   Scenario: upstreams that leave are what one plan is about
     Then seed 7 gives that plan notices, removals and connections that fall silent
 
+  Scenario: disturbed starts and odd entries are what one plan is about
+    Then seed 7 gives that plan signals in starts, addresses in use, spoiled settings and odd entries
+
+  # Guards against a process that ends unnoticed since its successor runs.
+  Scenario Outline: what ends a process decides whether it may end
+    Given a watched process that <what> before its successor started
+    Then the recorded exits are "<line>"
+
+    Examples:
+      | what                             | line                           |
+      | ended by itself with 0           | x ended by itself with 0       |
+      | was stopped and ended with 0     |                                |
+      | was stopped and ended with 3     | x was stopped and ended with 3 |
+      | was killed                       |                                |
+      | was stopped, and killed later on |                                |
+
   Scenario: bursts, killed instances and engines that leave are what one plan is about
     Then seed 7 gives that plan bursts, kills and notices, and always the same
 
--- a/features/processes/soak.feature
+++ b/features/processes/soak.feature
@@ -38,3 +38,8 @@
   Scenario: retries stay within the shared budget while upstreams turn bursts of streams away
     Given a soak of the plan "rejecting", seed 6102, with 6 instances and 10 callers for 16 s
     Then it breaks no promise
+
+  # Guards against starts that fail, instances that end by themselves, and odd entries that hide others.
+  Scenario: starts that are disturbed succeed, and odd entries hide nothing
+    Given a soak of the plan "disturbed", seed 2, with 4 instances and 12 callers for 24 s
+    Then it breaks no promise
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -38,7 +38,9 @@
     PARTITIONED_FAILURES,
     find_violations,
 )
+from soak.disturbances import CALM_AFTER_S
 from soak.fleet import FATAL, LOAD_QUEUE, LOAD_SLOTS, UpstreamSlot
+from soak.instance_faults import InstanceFaults
 from soak.ledger import (
     PLAIN_SERVICE,
     SHORT_EVENTS,
@@ -52,6 +54,7 @@
     UpstreamPeriod,
     Window,
 )
+from soak.membership_checks import MIN_REQUESTS
 from soak.plan import CALM_LAST_S, Kind, Plan, draw_steps
 from soak.poison_checks import MAX_FALSE_REFUSALS, MAX_FATAL_SENDS, MIN_SOUND
 from soak.proxy import Proxy
@@ -292,8 +295,22 @@
             context.ledger.received[name].append(SignalRecord(LATER, f"r{index}"))
 
 
+def joined_unused(context: Any) -> None:
+    """Record requests for a service of which one upstream, which joined long before, gets none."""
+    context.ledger.services["u9"] = PLAIN_SERVICE
+    context.ledger.joined["u9"] = LATER - CALM_AFTER_S - 0.5
+    context.ledger.replaced["u9"] = LATER + 0.5
+    # Two of the ordinary requests arrive within this time as well.
+    for index in range(MIN_REQUESTS - 3):
+        good(context.ledger, f"joined-{index}", RequestKind.SAFE, LATER)
+
+
 CHANGES: dict[str, Callable[[Any], Any]] = {
     "calls have been sent again too often": sent_again_too_often,
+    "an upstream that joined got none of 40 requests": joined_unused,
+    "a process was not ready after its start": lambda c: c.ledger.not_ready.append(
+        "x was not ready 8 s after its start"
+    ),
     "a call that may run once has run twice": lambda c: arrive(
         c, "once", "u2", "/once/x", LATER + 0.2
     ),
@@ -396,6 +413,73 @@
     assert all(step.at_s + step.for_s <= 60.0 - CALM_LAST_S + 0.5 for step in steps)
 
 
+@then(
+    "seed 7 gives that plan signals in starts, addresses in use, spoiled settings and odd entries"
+)
+def disturbed_plan(context: Any) -> None:
+    """Check the kinds of steps in a plan of one minute, and that all end before the calm period."""
+    steps = draw_steps(7, instances=4, upstreams=5, seconds=60.0, plan=Plan.DISTURBED)
+    kinds = {step.kind for step in steps}
+    expected = {Kind.SIGNAL_START, Kind.HOLD_ADDRESS, Kind.RESTART_BESIDE, Kind.ODD_ENTRY}
+    assert expected <= kinds, kinds
+    assert kinds & {Kind.SPOIL_START, Kind.SPOIL_SETTINGS}, kinds
+    assert all(step.at_s + step.for_s <= 60.0 - CALM_LAST_S + 0.5 for step in steps)
+
+
+class Shell(GatewayProcess):
+    """An instance whose processes are shells that end at once."""
+
+    def __init__(self, code: int) -> None:
+        """Start a process that waits for its input to end, and exits with a code."""
+        self.name = "x"
+        self._code = code
+        self._starting = Semaphore()
+        self.process = self._spawn()
+
+    def _spawn(self) -> subprocess.Popen[bytes]:
+        """Start a shell."""
+        script = f"trap 'exit {self._code}' TERM; echo; read line; exit {self._code}"
+        process = subprocess.Popen(
+            ["sh", "-c", script], stdin=subprocess.PIPE, stdout=subprocess.PIPE
+        )
+        assert process.stdout is not None
+        process.stdout.readline()
+        return process
+
+    def end(self) -> None:
+        """End the process's input, and wait for its end."""
+        self.process.communicate()
+
+    def is_ready(self) -> bool:
+        """Return False: a shell serves nothing."""
+        return False
+
+
+@given("a watched process that {what} before its successor started")
+def watched_process(context: Any, what: str) -> None:
+    """End a process in the given way, and start its successor."""
+    instance = Shell(int(what[-1]) if what[-1].isdigit() else 0)
+    context.ledger = Ledger(EVENTS)
+    context.faults = InstanceFaults([instance], context.ledger, lambda: True)
+    context.add_cleanup(context.faults.close)
+    process = instance.process
+    if "stopped" in what:
+        context.faults.terminate(process)
+    if "killed" in what:
+        context.faults.kill(process)
+    else:
+        instance.end()
+    assert context.faults.restart(instance, process)
+
+
+@then('the recorded exits are "{line}"')
+@then('the recorded exits are ""')
+def recorded_exits(context: Any, line: str = "") -> None:
+    """Compare the lines."""
+    context.faults.record_exits()
+    assert context.ledger.unexpected_exits == ([line] if line else [])
+
+
 @then("seed 7 gives that plan bursts, kills and notices, and always the same")
 def contended_plan(context: Any) -> None:
     """Check the kinds of steps in a plan of one minute."""
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,7 +19,9 @@
                  that report few slots and a changing pace) or following (the
                  store rejects all instances that follow it; needs 17 instances or more) or
                  partitioned (instances that are cut from all upstreams) or
-                 rejecting (bursts of streams while upstreams turn requests away)
+                 rejecting (bursts of streams while upstreams turn requests away) or
+                 disturbed (starts with signals, addresses in use, spoiled settings or a late
+                 store, and odd entries of other writers)
                  [default: mixed].
 
 Each seed that breaks a promise is printed with its lines and the folder of its logs.
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -27,6 +27,7 @@
     RequestKind,
     SentRequest,
 )
+from soak.membership_checks import check_joined
 from soak.poison_checks import check_poison
 
 NOT_RUN: Final = frozenset({408, 421, 429, 503})
@@ -95,6 +96,7 @@
     found += list(_check_cordons(ledger))
     found += list(_check_cold(ledger))
     found += list(_check_limits(ledger))
+    found += list(check_joined(ledger))
     found += list(check_poison(ledger))
     found += list(check_retry_budget(ledger))
     found += list(_check_partitioned(ledger))
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -50,6 +50,7 @@
     Plan.SIGNALLING: (3.0, 10.0),
     Plan.PARTITIONED: (2.5, 6.0),
     Plan.REJECTING: (2.5, 6.0),
+    Plan.DISTURBED: (2.5, 6.0),
 }
 """Range of the time for which a leaving upstream continues to serve: drainMs and a little longer,
 in some plans many seconds. Only an upstream that still serves shows which instances send to it."""
@@ -200,6 +201,9 @@
         self._draining_s = DRAINING_S[plan]
         self._is_unframed = plan is Plan.CRASHING and service != PLAIN_SERVICE and place % 2 == 1
         self._reports_loads = plan is Plan.CONTENDED and service == PLAIN_SERVICE
+        self._records_joins = plan is Plan.DISTURBED
+        self._joined: str | None = None
+        """The upstream of this slot whose entry the store has taken."""
         self.place = place
         self.service = service
         self._store = store
@@ -219,8 +223,13 @@
         """Start an upstream with a new id, and create its entry."""
         name = f"{self.service}-{self.place}-{next(self._starts)}"
         self._born += 1
+        if self._joined is not None:
+            self._ledger.replaced[self._joined] = time.monotonic()
         self._listen(name)
         self._write(name, self._spec("ready"))
+        self._joined = name if self._records_joins else None
+        if self._joined is not None:
+            self._ledger.joined[name] = time.monotonic()
 
     def _listen(self, name: str) -> None:
         """Start an upstream that listens behind a proxy of its own."""
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -127,6 +127,10 @@
     notices: dict[str, Notice] = field(default_factory=dict)
     leaving_reports: dict[str, Notice] = field(default_factory=dict)
     """When upstreams began to report themselves as leaving, before the store knew of it."""
+    joined: dict[str, float] = field(default_factory=dict)
+    """When the store took the entries of new upstreams, in the plan of disturbed starts."""
+    replaced: dict[str, float] = field(default_factory=dict)
+    """When these upstreams began to leave, or crashed."""
     cordoned: list[UpstreamPeriod] = field(default_factory=list)
     """From the store's acknowledgement of a cordon until the request to lift it."""
     cold: list[UpstreamPeriod] = field(default_factory=list)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -59,6 +59,15 @@
     BURST = "callers send many streams at once"
     PARTITION = "instances are partitioned from all upstreams"
     """Callers, the store and their peers still reach them."""
+    SIGNAL_START = "signals reach an instance that starts"
+    """Reloads and stops, in series; several steps may overlap."""
+    HOLD_ADDRESS = "an instance starts while an address of it is in use"
+    RESTART_BESIDE = "an instance is stopped and its successor starts beside it"
+    SPOIL_START = "an instance starts while its settings file is missing, empty or cut"
+    SPOIL_SETTINGS = "the settings file of a running instance is missing, empty or cut"
+    LATE_STORE = "an instance starts while the store is down"
+    ODD_ENTRY = "another writer stores an entry that decoders reject"
+    """An upstream leaves meanwhile, and its successor joins."""
 
 
 class Plan(StrEnum):
@@ -94,6 +103,9 @@
     REJECTING = "rejecting"
     """Bursts of streams while all upstreams of a service turn requests away, and instances are
     killed: many requests need a retry at once."""
+    DISTURBED = "disturbed"
+    """Starts with signals inside them, addresses in use, spoiled settings or a late store, and odd
+    entries of other writers, while upstreams leave and join."""
 
 
 class PartitionFault(StrEnum):
@@ -273,7 +285,23 @@
     Kind.STOP: 0.5,
     Kind.CRASH: 0.3,
 }
+DISTURBED_WEIGHTS: Final[dict[Kind, float]] = {
+    Kind.SIGNAL_START: 4.0,
+    Kind.HOLD_ADDRESS: 1.5,
+    Kind.RESTART_BESIDE: 2.0,
+    Kind.SPOIL_START: 1.5,
+    Kind.SPOIL_SETTINGS: 1.0,
+    Kind.LATE_STORE: 1.0,
+    Kind.ODD_ENTRY: 4.0,
+    Kind.LEAVE: 2.0,
+    Kind.REMOVE: 0.5,
+    Kind.CRASH: 0.5,
+    Kind.STOP: 0.5,
+    Kind.KILL: 0.5,
+    Kind.CONFIGURE: 1.0,
+}
 PLAN_WEIGHTS: Final = {
+    Plan.DISTURBED: DISTURBED_WEIGHTS,
     Plan.REJECTING: REJECTING_WEIGHTS,
     Plan.PARTITIONED: PARTITIONED_WEIGHTS,
     Plan.RETURNING: RETURNING_WEIGHTS,
@@ -297,6 +325,8 @@
 """Duration of a partition: longer than the bound within which its callers must be served."""
 TURN_AWAY_FOR_S: Final = (0.5, 2.0)
 """Duration of a spell in which upstreams turn requests away: shorter than the budget's window."""
+ODD_ENTRY_FOR_S: Final = (6.0, 11.0)
+"""Lifetime of an odd entry: longer than the bound within which an upstream that joins is used."""
 UNSEEN_FOR_S: Final = (6.0, 9.0)
 """Duration of the store's silence while engines leave: longer than the bound within which all
 instances must know of it."""
@@ -308,6 +338,7 @@
     Kind.PARTITION: PARTITION_FOR_S,
     Kind.TURN_AWAY: TURN_AWAY_FOR_S,
     Kind.REJECT_FOLLOWERS: REJECT_FOLLOWERS_FOR_S,
+    Kind.ODD_ENTRY: ODD_ENTRY_FOR_S,
 }
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -8,8 +8,6 @@
 
 import itertools
 import random
-import signal
-import subprocess
 import tempfile
 import time
 from collections.abc import Callable, Iterable
@@ -37,7 +35,9 @@
     FOLLOWED_APPLY_S,
     find_violations,
 )
+from soak.disturbed import DisturbedStarts
 from soak.fleet import EVENTS, FATAL, ZONES, UpstreamSlot
+from soak.instance_faults import GRACE_S, InstanceFaults
 from soak.ledger import (
     ENGINE_SERVICE,
     PLAIN_SERVICE,
@@ -54,8 +54,6 @@
 from soak.proxy import Proxy
 from stand_ins.prompts import FATAL_PARTS, fatal_prompt, sound_prompt
 
-GRACE_S: Final = 3.0
-"""Time from SIGTERM to SIGKILL (graceS)."""
 TIMEOUTS_S: Final = {RequestKind.STREAM: 6.0, RequestKind.SHORT: 3.0}
 CALL_TIMEOUT_S: Final = 2.0
 LOCATION_TTL_S: Final = 1.0
@@ -152,13 +150,16 @@
             for place in range(size.instances)
         ]
         self._instances = [self._start(number) for number in range(1, size.instances + 1)]
+        self._faults = InstanceFaults(self._instances, self.ledger, lambda: self._has_traffic)
+        assert self._bench.platform is not None
+        control = self._bench.platform.control
+        self._disturbed_starts = DisturbedStarts(
+            self._instances, self._faults, self.ledger, self._store, control, self._fleet, seed
+        )
 
     def close(self) -> None:
         """Kill all processes that this run has started."""
-        for instance in self._instances:
-            instance.signal(signal.SIGCONT)
-            instance.signal(signal.SIGKILL)
-            instance.process.wait()
+        self._faults.close()
         self._bench.close()
         for proxy in (*self._links, *(slot.proxy for slot in self._fleet)):
             proxy.stop()
@@ -226,10 +227,8 @@
     def _apply(self, step: Step) -> None:
         """Start one step of the plan; it ends by itself."""
         handlers: dict[Kind, Callable[[Step], None]] = {
-            Kind.KILL: self._kill,
-            Kind.STOP: self._stop,
-            Kind.PAUSE: self._pause,
-            Kind.RELOAD: self._reload,
+            **self._faults.handlers,
+            **self._disturbed_starts.handlers,
             Kind.STORE_LINK: self._inject_into_store_link,
             Kind.UPSTREAM_LINK: self._inject_into_upstream_link,
             Kind.STORE_DOWN: lambda step: self._inject_into_store(step, {"down_s": step.for_s}),
@@ -323,54 +322,6 @@
         now = time.monotonic()
         self.ledger.disturb(name, now, now + for_s)
 
-    def _record_stop(self, name: str, for_s: float) -> None:
-        """Record that an instance is stopped from now on."""
-        self._disturb(name, for_s)
-        now = time.monotonic()
-        self.ledger.stopped[name].append(Window(now, now + for_s))
-
-    def _kill(self, step: Step) -> None:
-        """Kill an instance and restart it later."""
-        instance = self._instances[step.target]
-        self._record_stop(instance.name, step.for_s + READY_TIMEOUT_S / 10)
-        process = instance.process
-        instance.signal(signal.SIGKILL)
-        gevent.spawn_later(step.for_s, self._restart, instance, process)
-
-    def _stop(self, step: Step) -> None:
-        """Stop an instance with SIGTERM, kill it after the grace time, and restart it."""
-        instance = self._instances[step.target]
-        self._record_stop(instance.name, GRACE_S + READY_TIMEOUT_S / 10)
-        process = instance.process
-        instance.signal(signal.SIGTERM)
-
-        gevent.spawn_later(GRACE_S, self._restart, instance, process)
-
-    def _restart(self, instance: GatewayProcess, process: subprocess.Popen[bytes]) -> None:
-        """Kill an instance's process if it still runs, and restart the instance.
-
-        Nothing is done if an overlapping step has restarted it already.
-        """
-        if instance.process is not process or not self._has_traffic:
-            return
-        if process.poll() is None:
-            process.kill()
-        instance.restart()
-
-    def _pause(self, step: Step) -> None:
-        """Pause an instance with SIGSTOP, and resume it later."""
-        instance = self._instances[step.target]
-        self._record_stop(instance.name, step.for_s)
-        instance.signal(signal.SIGSTOP)
-        gevent.spawn_later(step.for_s, instance.signal, signal.SIGCONT)
-
-    def _reload(self, step: Step) -> None:
-        """Change an instance's settings file and have it reload the file."""
-        instance = self._instances[step.target]
-        changed = instance.settings | {"unknown": step.at_s}
-        instance.write(changed)
-        instance.signal(signal.SIGHUP)
-
     def _inject_into_store_link(self, step: Step) -> None:
         """Inject a fault into the link between an instance and the store."""
         self._disturb(self._instances[step.target].name, step.for_s)
@@ -637,14 +588,11 @@
             self.ledger.queue_waits = logs.count(QUEUED)
             self.ledger.pace_changes = logs.count(PACE_CHANGED)
         listed = {entry.name for entry in self._store.list(KIND_INSTANCES).objects}
+        self._faults.record_exits()
         for instance in self._instances:
-            code = instance.process.poll()
-            expected = (None, 0, -signal.SIGKILL)
-            if code not in expected:
-                self.ledger.unexpected_exits.append(f"{instance.name} ended by itself with {code}")
-            elif not instance.is_ready():
+            if not instance.is_ready():
                 self.ledger.not_ready.append(f"{instance.name} is not ready at the end")
-            elif code is None and instance.name not in listed:
+            elif instance.name not in listed:
                 self.ledger.not_ready.append(f"{instance.name} is not listed at the end")
 
 
