Soak: check that planned stops cut no request, with callers that keep addresses and connections

Cause: no check looked at requests whose connection ends around a SIGTERM, and callers followed the located addresses within one time to live and reopened their only connection. Change: a check of cut requests by the rule for planned stops and its excuses, in all plans; callers keep addresses for one to three times the time to live, and open connections until they end; an upstream that joined must be among the receivers of the first 80 requests.

--- a/features/parts/soak.feature
+++ b/features/parts/soak.feature
@@ -44,8 +44,11 @@
       | callers of a partitioned instance are not served       | partitioned instances served 0 of 15     |
       | the last calls were not served                         | of the last                              |
       | a process has ended by itself                          | ended by itself                          |
+      | a stopping instance cuts a call that it has sent on    | lost 1.00 s after SIGTERM                |
+      | a stopping instance cuts a call 1 s after it was sent  | lost 1.00 s after SIGTERM                |
+      | a stopping instance cuts a call late that was sent late | lost 3.90 s after SIGTERM               |
       | a process was not ready after its start                | not ready 8 s after its start            |
-      | an upstream that joined got none of 40 requests        | got none of 40 requests                  |
+      | an upstream that joined got none of 80 requests        | got none of 80 requests                  |
       | calls have been sent again too often                   | retries within 10 s at portal            |
 
   Scenario Outline: what a disturbance explains is not held against it
@@ -61,13 +64,27 @@
       | an upstream got more calls than its limit allows |
       | a request was sent on after three upstreams had ended under it |
       | a prompt part was sent on after five upstreams had ended under it |
-      | an upstream that joined got none of 40 requests |
+      | an upstream that joined got none of 80 requests |
       | calls that end nothing are refused for it    |
       | an added route is denied by a calm instance  |
       | a dropped route is served by a calm instance |
       | a calm instance gives no answer for 4 s      |
       | a short stream has no answer for 4 s         |
 
+  Scenario Outline: what is no fault of a stopping instance is not held against it
+    Given the record of a run in which all was well
+    When in the record <what>
+    Then no promise is broken
+
+    Examples:
+      | what                                                              |
+      | a stopping instance cuts a call that its upstream broke off       |
+      | a stopping instance cuts a call that was killed 0.3 s before      |
+      | a stopping instance cuts a call that has used its time            |
+      | a stopping instance cuts a call that crosses the close            |
+      | a stopping instance cuts a call that still runs at the end        |
+      | another instance cuts a call                                      |
+
   # Guards against a check that takes a fatal request for a sound one, as others ended its upstreams.
   Scenario: a fatal request may be refused before it has ended an upstream itself
     Given the record of a run in which all was well
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -305,9 +305,53 @@
         good(context.ledger, f"joined-{index}", RequestKind.SAFE, LATER)
 
 
+def cut(context: Any, *, sent_s: float, cut_s: float, is_run: bool = True) -> Window:
+    """Record a call that is cut; times are counted from a planned stop, which is returned."""
+    stop = Window(LATER, LATER + 7.0)
+    context.ledger.disturbed["instance-1"].append(stop)
+    context.ledger.planned_stops["instance-1"].append(stop)
+    asked = good(context.ledger, "cut", RequestKind.ONCE, LATER + sent_s)
+    asked.status, asked.sealed, asked.complete, asked.is_cut = 0, False, False, True
+    asked.ended_at, asked.body = LATER + cut_s, b""
+    if not is_run:
+        context.ledger.arrivals.pop()
+    return stop
+
+
+def cut_by(context: Any, name: str) -> None:
+    """Record a call that is cut in a planned stop, and a disturbance just before."""
+    cut(context, sent_s=0.5, cut_s=1.0)
+    context.ledger.disturb(name, LATER + 0.7, LATER + 0.8)
+
+
 CHANGES: dict[str, Callable[[Any], Any]] = {
     "calls have been sent again too often": sent_again_too_often,
-    "an upstream that joined got none of 40 requests": joined_unused,
+    "an upstream that joined got none of 80 requests": joined_unused,
+    "a stopping instance cuts a call that it has sent on": lambda c: cut(c, sent_s=0.5, cut_s=1.0),
+    "a stopping instance cuts a call 1 s after it was sent": lambda c: cut(
+        c, sent_s=0.0, cut_s=1.0, is_run=False
+    ),
+    "a stopping instance cuts a call late that was sent late": lambda c: cut(
+        c, sent_s=3.1, cut_s=3.9
+    ),
+    "a stopping instance cuts a call that its upstream broke off": lambda c: cut_by(c, "u1"),
+    "a stopping instance cuts a call that was killed 0.3 s before": lambda c: cut_by(
+        c, "instance-1"
+    ),
+    "a stopping instance cuts a call that has used its time": lambda c: cut(
+        c, sent_s=0.0, cut_s=2.1
+    ),
+    "a stopping instance cuts a call that crosses the close": lambda c: cut(
+        c, sent_s=0.5, cut_s=0.6, is_run=False
+    ),
+    "a stopping instance cuts a call that still runs at the end": lambda c: cut(
+        c, sent_s=2.0, cut_s=3.0
+    ),
+    "another instance cuts a call": lambda c: (
+        setattr(c.ledger.requests["cut"], "instance", "instance-2")
+        if cut(c, sent_s=0.5, cut_s=1.0)
+        else None
+    ),
     "a process was not ready after its start": lambda c: c.ledger.not_ready.append(
         "x was not ready 8 s after its start"
     ),
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -116,8 +116,12 @@
                 self._connection.settimeout(max(0.001, until - time.monotonic()))
                 data = self._connection.recv(PIECE_BYTES)
                 if not data:
+                    request.is_cut = True
                     break
                 response.parser.feed_data(data)
+        except ConnectionError:
+            request.is_cut = True
+            raise
         finally:
             request.status = response.parser.get_status_code() if response.has_head else 0
             request.sealed, request.complete = response.sealed, response.complete
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -29,6 +29,7 @@
 )
 from soak.membership_checks import check_joined
 from soak.poison_checks import check_poison
+from soak.stop_checks import check_stops
 
 NOT_RUN: Final = frozenset({408, 421, 429, 503})
 """Statuses that guarantee that the request has not run and never will."""
@@ -97,6 +98,7 @@
     found += list(_check_cold(ledger))
     found += list(_check_limits(ledger))
     found += list(check_joined(ledger))
+    found += list(check_stops(ledger, runs))
     found += list(check_poison(ledger))
     found += list(check_retry_budget(ledger))
     found += list(_check_partitioned(ledger))
--- a/soak/disturbed.py
+++ b/soak/disturbed.py
@@ -29,9 +29,10 @@
 from features.worlds.upstream_samples import entry_spec
 from measures.gateway_process import GatewayProcess
 from soak.fleet import UpstreamSlot
-from soak.instance_faults import GRACE_S, RESTORED_S, InstanceFaults
+from soak.instance_faults import RESTORED_S, InstanceFaults
 from soak.ledger import STORE, Ledger
 from soak.plan import Kind, Step
+from soak.stop_checks import GRACE_S
 
 SIGNALS_IN_START_S: Final = 1.2
 """Range of the signals after the interpreter's own start; most starts have ended by then."""
@@ -140,11 +141,9 @@
     def _restart_beside(self, step: Step, _: random.Random) -> None:
         """Stop an instance, and start its successor while it still ends."""
         instance = self._instances[step.target]
-        process = instance.process
-        if process.poll() is not None:
+        if instance.process.poll() is not None:
             return
-        self._faults.record_stop(instance.name, GRACE_S + RESTORED_S)
-        self._faults.terminate(process)
+        process = self._faults.stop(instance)
         self._faults.start_beside(instance, GRACE_S)
         self._faults.await_end(instance.name, process)
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -133,7 +133,9 @@
 
     def break_off(self, for_s: float) -> None:
         """Interrupt INTERRUPTED_SHARE of the requests for some seconds, and spoil some others."""
-        self._interrupts_until = time.monotonic() + for_s
+        now = time.monotonic()
+        self._interrupts_until = now + for_s
+        self._ledger.disturb(self.upstream_id, now, now + for_s + EVENTS * EVENT_PAUSE_S)
 
     def report_loads(self) -> None:
         """Report loads of four figures from now on, with a pace that changes."""
@@ -335,6 +337,7 @@
     def restart(self) -> None:
         """Restart the upstream at once under the same id; its entry says that it is cold."""
         old, proxy = self.upstream, self.proxy
+        self._record_end(old.upstream_id)
         proxy.stop()
         old.stop()
         self._born += 1
@@ -361,6 +364,7 @@
         old, proxy = self.upstream, self.proxy
         self._proxies.pop(old.upstream_id, None)
         self._start_new()
+        self._record_end(old.upstream_id)
         proxy.stop()
         gevent.spawn_later(LAPSE_S, self._delete, old.upstream_id)
         gevent.spawn_later(LAPSE_S, old.stop)
@@ -372,6 +376,7 @@
             return
         now = time.monotonic()
         self._ledger.fatal_crashes.append(FatalCrash(old.upstream_id, target, now))
+        self._record_end(old.upstream_id)
         # The proxy is stopped first: writing the successor's entry may have to wait for the store.
         proxy.stop()
         if self.upstream is old:
@@ -382,6 +387,7 @@
     def _end(self, old: RecordingUpstream, proxy: Proxy | InstanceProxies) -> None:
         """End an upstream after its draining time, and delete its entry."""
         self._proxies.pop(old.upstream_id, None)
+        self._record_end(old.upstream_id)
         proxy.stop()
         old.stop()
         self._delete(old.upstream_id)
@@ -402,6 +408,11 @@
             coldRemainingMs=cold_s * 1000,
         )
 
+    def _record_end(self, upstream_id: str) -> None:
+        """Record that an upstream breaks off all its requests now."""
+        now = time.monotonic()
+        self._ledger.disturb(upstream_id, now, now)
+
     def _record_notice(self, upstream_id: str) -> None:
         """Record the time at which the store first acknowledged a notice."""
         self._ledger.notices.setdefault(upstream_id, Notice(upstream_id, time.monotonic()))
--- a/soak/instance_faults.py
+++ b/soak/instance_faults.py
@@ -14,9 +14,8 @@
 from measures.gateway_process import GatewayProcess
 from soak.ledger import STORE, Ledger, Window
 from soak.plan import Kind, Step
+from soak.stop_checks import GRACE_S
 
-GRACE_S: Final = 3.0
-"""Time from SIGTERM to SIGKILL (graceS)."""
 RESTORED_S: Final = 4.0
 """Time after a start for which the instance counts as disturbed."""
 START_S: Final = 8.0
@@ -114,11 +113,22 @@
         """Return the record of a process."""
         return next(watched for watched in self._watched if watched.process is process)
 
-    def record_stop(self, name: str, for_s: float) -> None:
-        """Record that an instance does not run from now on."""
+    def record_stop(self, name: str, for_s: float) -> Window:
+        """Record that an instance does not run from now on, and return the time."""
         now = time.monotonic()
-        self._ledger.disturb(name, now, now + for_s)
-        self._ledger.stopped[name].append(Window(now, now + for_s))
+        window = Window(now, now + for_s)
+        self._ledger.disturbed[name].append(window)
+        self._ledger.stopped[name].append(window)
+        return window
+
+    def stop(self, instance: GatewayProcess) -> subprocess.Popen[bytes]:
+        """Stop an instance as planned, and return the process that ends."""
+        process = instance.process
+        window = self.record_stop(instance.name, GRACE_S + RESTORED_S)
+        if process.poll() is None and not self.is_stopped(process):
+            self._ledger.planned_stops[instance.name].append(window)
+        self.terminate(process)
+        return process
 
     def kill(self, process: subprocess.Popen[bytes]) -> None:
         """Kill a process and wait for its end."""
@@ -178,9 +188,7 @@
     def _stop(self, step: Step) -> None:
         """Stop an instance with SIGTERM, kill it after the grace time, and restart it."""
         instance = self._instances[step.target]
-        process = instance.process
-        self.record_stop(instance.name, GRACE_S + RESTORED_S)
-        self.terminate(process)
+        process = self.stop(instance)
         gevent.spawn_later(GRACE_S, self.restart, instance, process)
 
     def _pause(self, step: Step) -> None:
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -52,6 +52,8 @@
     body: bytes = b""
     prompt: str = ""
     """The parts of its prompt, as the header names them."""
+    is_cut: bool = False
+    """Whether the connection ended after the request was sent, before the response was complete."""
 
     @property
     def events(self) -> list[int]:
@@ -149,9 +151,12 @@
     """Responses with which an upstream rejected a request and requested a back-off."""
     stopped: dict[str, list[Window]] = field(default_factory=lambda: defaultdict(list))
     """Times in which an instance was killed, stopped or paused, by instance name."""
+    planned_stops: dict[str, list[Window]] = field(default_factory=lambda: defaultdict(list))
+    """Disturbances that begin with SIGTERM to a running instance, by instance name."""
     fatal_crashes: list[FatalCrash] = field(default_factory=list)
     disturbed: dict[str, list[Window]] = field(default_factory=lambda: defaultdict(list))
-    """Times of disturbances, by name of an instance or an upstream, or STORE."""
+    """Times of disturbances, by name of an instance or an upstream, or STORE. Those of an upstream
+    are times in which it breaks requests off."""
     partitioned: dict[str, list[Window]] = field(default_factory=lambda: defaultdict(list))
     """Times in which an instance was partitioned from all upstreams, by instance name."""
     unexpected_exits: list[str] = field(default_factory=list)
--- a/soak/membership_checks.py
+++ b/soak/membership_checks.py
@@ -8,7 +8,7 @@
 from soak.disturbances import CALM_AFTER_S, CONTACT_S, is_undisturbed
 from soak.ledger import STORE, Ledger
 
-MIN_REQUESTS: Final = 40
+MIN_REQUESTS: Final = 80
 """Requests to a service of which each of its upstreams gets one. It counts all instances together:
 a single instance may prefer some upstreams to others for long."""
 
@@ -27,8 +27,8 @@
             and ledger.services[arrival.upstream_id] == ledger.services[upstream_id]
             and is_undisturbed(ledger, ledger.requests[arrival.request_id], arrival.at)
         ]
-        if len(receivers) >= MIN_REQUESTS and upstream_id not in receivers:
+        if len(receivers) >= MIN_REQUESTS and upstream_id not in receivers[:MIN_REQUESTS]:
             yield (
-                f"{upstream_id} got none of {len(receivers)} requests "
+                f"{upstream_id} got none of {MIN_REQUESTS} requests "
                 f"later than {CONTACT_S:g} s after it joined"
             )
--- a/soak/run.py
+++ b/soak/run.py
@@ -37,7 +37,7 @@
 )
 from soak.disturbed import DisturbedStarts
 from soak.fleet import EVENTS, FATAL, ZONES, UpstreamSlot
-from soak.instance_faults import GRACE_S, InstanceFaults
+from soak.instance_faults import InstanceFaults
 from soak.ledger import (
     ENGINE_SERVICE,
     PLAIN_SERVICE,
@@ -52,12 +52,15 @@
 from soak.partition import InstanceProxies, InstanceStoreLink, Partitions
 from soak.plan import Fault, Kind, Plan, Step, draw_steps
 from soak.proxy import Proxy
+from soak.stop_checks import GRACE_S
 from stand_ins.prompts import FATAL_PARTS, fatal_prompt, sound_prompt
 
 TIMEOUTS_S: Final = {RequestKind.STREAM: 6.0, RequestKind.SHORT: 3.0}
 CALL_TIMEOUT_S: Final = 2.0
 LOCATION_TTL_S: Final = 1.0
-"""Time for which a caller keeps located addresses."""
+"""Time for which instances say that located addresses may be kept (ttl_max_s)."""
+MAX_KEPT_TTLS: Final = 3.0
+"""Times the above for which some callers keep them."""
 PROBE_INTERVAL_S: Final = 0.4
 READY_TIMEOUT_S: Final = 40.0
 """Time until all instances are ready; they share few cores when they start at once."""
@@ -97,6 +100,15 @@
 """Share of a request's time up to which a refused caller waits to send it once more."""
 
 
+ORDINARY_KINDS: Final = (
+    RequestKind.SAFE,
+    RequestKind.ONCE,
+    RequestKind.ONCE,
+    RequestKind.STREAM,
+)
+CONTENDED_KINDS: Final = (RequestKind.SAFE, RequestKind.ONCE, *STREAMS)
+
+
 QUEUED: Final = b"A stream waits for engine memory"
 PACE_CHANGED: Final = b"The pace of upstream"
 
@@ -447,25 +459,20 @@
         prompts = random.Random(f"{self._seed}-{number}-prompts")
         connections = CallerConnections()
         located: list[GatewayProcess] = []
-        located_at = float("-inf")
+        keep_until = float("-inf")
         while self._has_traffic:
-            if time.monotonic() - located_at > LOCATION_TTL_S or not located:
+            if time.monotonic() > keep_until or not located:
                 located = self._locate(source) or located
-                located_at = time.monotonic()
+                kept_s = LOCATION_TTL_S * source.uniform(1.0, MAX_KEPT_TTLS)
+                keep_until = time.monotonic() + kept_s
             if not located:
                 gevent.sleep(RETRY_DELAY_S)
                 continue
-            if self._size.plan is Plan.CONTENDED:
-                kind = source.choice((RequestKind.SAFE, RequestKind.ONCE, *STREAMS))
-                kept = [each for each in self._instances if each.name in connections.open_names]
-                instance = source.choice([*located, *kept])
-                connection = connections.to(instance.name)
-            else:
-                kind = source.choice(
-                    (RequestKind.SAFE, RequestKind.ONCE, RequestKind.ONCE, RequestKind.STREAM)
-                )
-                candidates = [*located, *self._partitioned_instances()]
-                instance, connection = source.choice(candidates), connections.to("")
+            is_contended = self._size.plan is Plan.CONTENDED
+            kind = source.choice(CONTENDED_KINDS if is_contended else ORDINARY_KINDS)
+            kept = [each for each in self._instances if each.name in connections.open_names]
+            instance = source.choice([*located, *kept, *self._partitioned_instances()])
+            connection = connections.to(instance.name)
             has_prompt = self._size.plan is Plan.CRASHING and kind in STREAMS
             prompt = sound_prompt(prompts) if has_prompt else ""
             request = self._send(connection, instance, kind, f"/{kind}/x", prompt)
