Bound what connections to the peers' port hold before and after they authenticate

Seen: 60 frames held open short of their end took 282 MB; a frame whose bytes trickle kept its connection; with 256 descriptors, 400 silent connections left an instance that answered no call. Cause: no bound on partly received frames together, none on the time of a frame, and up to 2,000 connections whatever the descriptors.

--- a/driftstall/exceptions.py
+++ b/driftstall/exceptions.py
@@ -44,6 +44,14 @@
     """Raised for a peer message that is malformed or not authentic."""
 
 
+class InboundTooLongError(DriftstallError, OSError):
+    """Raised for a message of a connection that is longer than its limit."""
+
+
+class InboundOverloadError(DriftstallError):
+    """Raised when open connections hold as many bytes as they may together."""
+
+
 class UpstreamError(DriftstallError):
     """Raised when an exchange with an external system failed."""
 
--- a/driftstall/peers/link.py
+++ b/driftstall/peers/link.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import io
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -14,11 +15,19 @@
 
 import gevent
 from gevent import socket
+from gevent.pool import Pool
 from gevent.queue import Empty, Full, Queue
 from gevent.server import StreamServer
 
 from driftstall.const import PREFIX_MEMBERSHIP
-from driftstall.exceptions import MessageError
+from driftstall.exceptions import InboundOverloadError, MessageError
+from driftstall.helpers.inbound import (
+    MAX_ACCEPTED_AT_ONCE,
+    Inbound,
+    InboundLimits,
+    connections_within_descriptors,
+    open_stream,
+)
 from driftstall.helpers.log import log_event
 from driftstall.peers.codec import HEADER, MAX_FRAME_BYTES, MessageTypes, decode, encode
 from driftstall.peers.envelope import Envelope
@@ -38,6 +47,17 @@
 delivers cannot be detected, and everything sent on it is lost: loads, members, notices. A new
 connection costs one round trip, every three seconds for each peer."""
 MAX_CONNECTIONS: Final = 2_000
+DESCRIPTOR_SHARE: Final = 0.25
+"""Share of the process's descriptors that peers' connections may use."""
+FIRST_FRAME_TIMEOUT_S: Final = 5.0
+"""A peer sends as soon as it has connected."""
+FRAME_TIMEOUT_S: Final = 5.0
+"""How long a frame may take to arrive. The sender gives up after SEND_TIMEOUT_S."""
+PEER_IDLE_S: Final = IDLE_CLOSE_S + SEND_TIMEOUT_S
+"""A live peer sends within this time, on this connection or on a new one."""
+FRAME_PIECE_BYTES: Final = 16_384
+MAX_HELD_BYTES: Final = 32_000_000
+"""Bytes of partly received frames of all connections."""
 
 ANY_RECIPIENT: Final = ""
 """Addresses a message to any instance that listens at an address, as for the first peers."""
@@ -84,7 +104,10 @@
         self.received_bytes = 0
         self.dropped = 0
         self.rejected = 0
-        self._server = StreamServer(split_address(listen), self._serve, spawn=MAX_CONNECTIONS)
+        most = min(MAX_CONNECTIONS, connections_within_descriptors(DESCRIPTOR_SHARE))
+        self._limits = InboundLimits(most, MAX_HELD_BYTES)
+        self._server = StreamServer(split_address(listen), self._serve, spawn=Pool())
+        self._server.max_accept = MAX_ACCEPTED_AT_ONCE
 
     def start(self) -> None:
         """Start listening."""
@@ -162,34 +185,37 @@
 
     def _serve(self, connection: socket.socket, _: tuple[str, int]) -> None:
         """Receive frames from one peer."""
-        # A live peer sends within this time, on this connection or on a new one.
-        connection.settimeout(IDLE_CLOSE_S + SEND_TIMEOUT_S)
-        stream = connection.makefile("rb")
+        inbound = Inbound(connection, self._limits)
         try:
-            while True:
-                header = stream.read(HEADER.size)
-                if len(header) < HEADER.size:
-                    return
-                (length,) = HEADER.unpack(header)
-                if length > MAX_FRAME_BYTES:
-                    raise MessageError("the message is too long")
-                frame = stream.read(length)
-                if len(frame) < length:
-                    return
-                self.received_bytes += HEADER.size + length
-                request = self._receive(frame)
-                if request is not None:
-                    connection.settimeout(None)
-                    self.serve_tunnel(connection, request)
-                    return
-        except MessageError as fault:
+            if self._limits.admit(inbound):
+                self._serve_frames(connection, inbound)
+        except (MessageError, InboundOverloadError) as fault:
             self.rejected += 1
             log_event(PREFIX_MEMBERSHIP, f"Peer message rejected: {fault}")
         except OSError:
             return
         finally:
+            self._limits.remove(inbound)
             connection.close()
 
+    def _serve_frames(self, connection: socket.socket, inbound: Inbound) -> None:
+        """Receive frames until the connection ends or is a tunnel's."""
+        stream = open_stream(inbound)
+        while True:
+            idle_s = PEER_IDLE_S if inbound.is_trusted else FIRST_FRAME_TIMEOUT_S
+            inbound.expect(idle_s, FRAME_TIMEOUT_S)
+            frame = _read_frame(stream, inbound)
+            if frame is None:
+                return
+            self.received_bytes += HEADER.size + len(frame)
+            request = self._receive(frame)
+            inbound.is_trusted = True
+            inbound.release()
+            if request is not None:
+                connection.settimeout(None)
+                self.serve_tunnel(connection, request)
+                return
+
     def _receive(self, frame: bytes) -> TunnelRequested | None:
         """Verify a frame and deliver its message; reject wrong recipients and replays.
 
@@ -257,6 +283,24 @@
     connection.close()
 
 
+def _read_frame(stream: io.BufferedReader, inbound: Inbound) -> bytes | None:
+    """Read one frame without its length; return None if the connection ends before."""
+    header = stream.read(HEADER.size)
+    if len(header) < HEADER.size:
+        return None
+    (length,) = HEADER.unpack(header)
+    if length > MAX_FRAME_BYTES:
+        raise MessageError("the message is too long")
+    frame = bytearray()
+    while len(frame) < length:
+        piece = stream.read(min(FRAME_PIECE_BYTES, length - len(frame)))
+        if not piece:
+            return None
+        inbound.hold(len(piece))
+        frame += piece
+    return bytes(frame)
+
+
 def _receive_exactly(connection: socket.socket, size: int) -> bytes:
     """Receive a number of bytes; raises OSError if the connection ends before."""
     data = b""
--- a/features/steps/rough_peer_steps.py
+++ b/features/steps/rough_peer_steps.py
@@ -53,15 +53,7 @@
     """Announce frames, and send a byte of each now and then."""
     start_crowd(context, count, HEADER.pack(MAX_FRAME_BYTES), 0)
     context.crowd.join(SEND_WAIT_S)
-    context.trickling = gevent.spawn(keep_trickling, context.crowd)
-    context.add_cleanup(context.trickling.kill)
-
-
-def keep_trickling(crowd: Crowd) -> None:
-    """Send a byte on each connection again and again."""
-    while True:
-        crowd.send_to_all(b"x")
-        gevent.sleep(TRICKLE_PAUSE_S)
+    context.crowd.keep_sending(b"x", TRICKLE_PAUSE_S)
 
 
 @when("{count:d} connections to the peers' port each send {frames:d} false frames of 100 kB")
--- a/features/worlds/crowd.py
+++ b/features/worlds/crowd.py
@@ -46,7 +46,17 @@
         """Return the number of connections that the process has not closed."""
         return sum(1 for connection in self._connections if _is_open(connection))
 
-    def send_to_all(self, data: bytes) -> None:
+    def keep_sending(self, data: bytes, pause_s: float) -> None:
+        """Send more on all connections again and again, until the crowd is closed."""
+        self._jobs.append(gevent.spawn(self._keep_sending, data, pause_s))
+
+    def _keep_sending(self, data: bytes, pause_s: float) -> None:
+        """Send again and again."""
+        while True:
+            self._send_to_all(data)
+            gevent.sleep(pause_s)
+
+    def _send_to_all(self, data: bytes) -> None:
         """Send more on all connections; those that are closed are skipped."""
         for connection in self._connections:
             with suppress(OSError):
@@ -69,9 +79,11 @@
 
 
 def _is_open(connection: socket.socket) -> bool:
-    """Return True if the other end has not closed a connection."""
+    """Return True if the other end has not closed a connection; what it has sent is discarded."""
     try:
-        return bool(connection.recv(1, socket.MSG_DONTWAIT | socket.MSG_PEEK))
+        while connection.recv(BLOCK_BYTES, socket.MSG_DONTWAIT):
+            pass
+        return False
     except BlockingIOError:
         return True
     except OSError:
