Log an exception from a peer's message, and close only its link

Seen: a message whose decoding or handler raised anything but MessageError or OSError left a traceback on standard error and no log line. Change: the exception's type is logged, the message counted as rejected and the link closed; the listener and other links go on. Measured: "a message whose handler raises" failed before and passes now.

--- a/driftstall/peers/link.py
+++ b/driftstall/peers/link.py
@@ -194,6 +194,10 @@
             log_event(PREFIX_MEMBERSHIP, f"Peer message rejected: {fault}")
         except OSError:
             return
+        except Exception as fault:
+            self.rejected += 1
+            cause = f"{type(fault).__name__}: {fault}"
+            log_event(PREFIX_MEMBERSHIP, f"Peer message failed with {cause}")
         finally:
             self._limits.remove(inbound)
             connection.close()
