--- /dev/null
+++ b/stand_ins/endless.py
@@ -0,0 +1,104 @@
+"""Fake upstreams of a gateway that send without end."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final
+
+import gevent
+from gevent import socket
+
+from driftstall.gateway.ingress import CallerConnection, CallerRequest
+from stand_ins.routed import SEAL, RoutedUpstream, Script
+
+PIECE_BYTES: Final = 65_536
+MAX_SENT_BYTES: Final = 96_000_000
+"""Bytes after which a peer falls silent, so that a gateway without bounds spares the machine."""
+REPORT_PATH: Final = "/api/report"
+CHUNKED: Final = b"Transfer-Encoding: chunked\r\n"
+HTTP: Final = b"HTTP/1.1 200 OK\r\n"
+
+OTHER_RESPONSE: Final = (
+    HTTP
+    + b"X-Driftstall-Request-Id: other\r\n%b: %b\r\n" % SEAL
+    + b"Content-Length: 200\r\n\r\n"
+    + b"x" * 200
+)
+
+
+@dataclass(frozen=True, slots=True)
+class EndlessData:
+    """The bytes of a response that never ends."""
+
+    before: bytes
+    """Bytes after the first headers of the response."""
+    repeated: bytes
+    has_head: bool = True
+    """Whether the status line and the request's id and signature are sent first."""
+    status_line: bytes = HTTP
+
+
+ENDLESS: Final = {
+    "a header's value": EndlessData(b"X-Filler: ", b"x"),
+    "a header's name": EndlessData(b"", b"x"),
+    "header lines": EndlessData(b"", b"X-Filler: x\r\n"),
+    "chunks of one byte": EndlessData(CHUNKED + b"\r\n", b"1\r\nx\r\n"),
+    "chunks of two bytes": EndlessData(CHUNKED + b"\r\n", b"2\r\nxx\r\n"),
+    "interim responses": EndlessData(b"", b"HTTP/1.1 100 Continue\r\n\r\n", has_head=False),
+    "a chunk extension": EndlessData(CHUNKED + b"\r\n1;", b"x"),
+    "a trailer": EndlessData(CHUNKED + b"\r\n0\r\nX-Filler: ", b"x"),
+    "trailer lines": EndlessData(CHUNKED + b"\r\n0\r\n", b"X-Filler: x\r\n"),
+    "a status line": EndlessData(b"HTTP/1.1 200 ", b"x", has_head=False),
+    "a body without length": EndlessData(b"\r\n", b"x"),
+    "responses to another": EndlessData(b"", OTHER_RESPONSE, has_head=False),
+    "an error": EndlessData(b"\r\n", b"x", status_line=b"HTTP/1.1 500 Fault\r\n"),
+    "bytes that are no HTTP": EndlessData(b"", b"\x16\x03\x00", has_head=False),
+}
+
+
+@dataclass(slots=True)
+class EndlessSender:
+    """Send without end, and count the connections that the gateway has closed meanwhile."""
+
+    data: EndlessData
+    started: int = 0
+    closed: int = 0
+
+    def send(self, connection: socket.socket, head: bytes) -> None:
+        """Send until the connection is closed."""
+        self.started += 1
+        connection.settimeout(None)
+        repeated = self.data.repeated * (PIECE_BYTES // len(self.data.repeated))
+        try:
+            connection.sendall((head if self.data.has_head else b"") + self.data.before)
+            for _ in range(MAX_SENT_BYTES // len(repeated)):
+                connection.sendall(repeated)
+                # Writing to a connection that is read fast does not wait.
+                gevent.sleep(0)
+            connection.recv(1)
+        except OSError:
+            pass
+        self.closed += 1
+
+
+class EndlessUpstream(RoutedUpstream):
+    """A fake upstream that answers callers' requests, or probes, without end."""
+
+    def __init__(self, upstream_id: str, data: EndlessData, *, in_reports: bool = False) -> None:
+        """Start listening; with `in_reports` probes are answered so, and streams break off."""
+        super().__init__(upstream_id, lambda: Script(reset_after_head=in_reports))
+        self.sender = EndlessSender(data)
+        self._in_reports = in_reports
+
+    def _answer(
+        self, raw: socket.socket, connection: CallerConnection, call: CallerRequest
+    ) -> None:
+        """Answer without end, unless the request is to be answered as by other upstreams."""
+        if self._in_reports != (call.path == REPORT_PATH):
+            super()._answer(raw, connection, call)
+            return
+        ids = [value for name, value in call.headers if name.lower() == b"x-driftstall-request-id"]
+        request_id = ids[0] if ids else b""
+        seal = b"%b: %b\r\n" % SEAL
+        line = self.sender.data.status_line
+        self.sender.send(raw, line + b"X-Driftstall-Request-Id: %b\r\n" % request_id + seal)
