Bound what upstreams send besides the body of a response

Callers of an upstream that sent a header, interim responses, an extension or a trailer without end had no answer, and others waited: the parser calls back with a header only when it is whole, and nothing bounded the bytes before; tiny chunks were held as an object each.

An exchange counts raw bytes as they arrive, less those of the body and as much framing, and ends at 256 KiB more; it takes at most 16 responses, parses 16 KiB at a time, gives others a turn after 64 KiB and passes on the body's bytes of a read as one chunk. Such a response is invalid, which is no evidence of a crash, and so is a body beyond 16 MB, also that of an engine's error, which had no bound. oversized_responses_total and a log line.

--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -33,6 +33,7 @@
 from driftstall.gateway.model import PROMISING_STATUSES, Headers, Repeat, SendMetadata, Upstream
 from driftstall.gateway.outcomes import Outcome
 from driftstall.gateway.poison.crash_refusal import crash_refusal
+from driftstall.gateway.response_body import ResponseBody
 from driftstall.gateway.retry_budget.pending_retry import PendingRetry
 from driftstall.gateway.runs import BrokenRun
 from driftstall.gateway.scheduling.selection import Option, are_all_full, choose_call
@@ -52,7 +53,6 @@
 FULL_CHECK_S: Final = 0.02
 """Interval at which a call that waits for a free place looks at the loads; a call takes longer."""
 FIRST_SERVER_ERROR: Final = 500
-MAX_RESPONSE_BYTES: Final = 16_000_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -337,12 +337,12 @@
             self._call.method, self._call.target, headers, self._call.body, self._remaining_s()
         )
         head: ResponseHead | None = None
-        parts: list[bytes] = []
-        size = 0
+        body = ResponseBody(exchange)
         while True:
             item = exchange.next(self._remaining_s)
             if isinstance(item, ResponseHead):
-                head, parts, size = item, [], 0
+                head = item
+                body.clear()
                 metadata = self._state.dialect.read_response(item.status, item.headers)
                 if metadata.request_id != self._admitted.metadata.request_id:
                     # A surplus response to another request; the expected one may still follow.
@@ -351,17 +351,13 @@
                     self._state.record_invalid(upstream, item, metadata)
                     raise InvalidResponse(metadata.defect)
             elif isinstance(item, BodyChunk):
-                parts.append(item.data)
-                size += len(item.data)
-                if size > MAX_RESPONSE_BYTES:
-                    raise UpstreamError("the response is too large", sent=True)
+                body.add(item.data)
             elif isinstance(item, ResponseEnd) and head is not None:
                 if metadata.is_not_executed:
                     detail = f"turned away with {head.status}"
                     return SendFailure(Outcome.FULL, SendOutcome.TURNED_AWAY, detail)
-                body = b"".join(parts)
                 return UpstreamResponse(
-                    head.status, metadata.forwarded_headers, body, head.is_framed
+                    head.status, metadata.forwarded_headers, body.take(), head.is_framed
                 )
 
     def _remaining_s(self) -> float:
--- a/driftstall/gateway/exchange.py
+++ b/driftstall/gateway/exchange.py
@@ -17,13 +17,14 @@
 import httptools
 from gevent import select
 
-from driftstall.exceptions import UpstreamError
+from driftstall.exceptions import InvalidResponse, UpstreamError
 from driftstall.gateway.model import Header, Headers
 from driftstall.util import clock
+from driftstall.util.response_overhead import PARSE_BYTES, ResponseOverhead
 
 RECEIVE_BYTES: Final = 65_536
 SEND_PIECE_BYTES: Final = 16_384
-YIELD_BYTES: Final = 262_144
+YIELD_BYTES: Final = 65_536
 """Bytes after which other greenlets get a turn. Reading what has already arrived does not wait, so
 a fast upstream would otherwise hold up all other requests."""
 BODYLESS: Final = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
@@ -64,11 +65,15 @@
         self.new_heads: list[ResponseHead] = []
         """Heads that the observer has not received yet."""
         self.parser: Any = None
+        self.overhead = ResponseOverhead()
+        self._body = bytearray()
+        """Bytes of the body that are not among the items yet."""
         self._headers: list[Header] = []
         self._in_body = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; trailers after the body are dropped."""
+        self.overhead.record_header()
         if not self._in_body:
             self._headers.append((name, value))
 
@@ -77,6 +82,7 @@
         status = self.parser.get_status_code()
         if status < FIRST_FINAL_STATUS:
             return
+        self.overhead.record_response()
         names = {name.lower() for name, _ in self._headers}
         is_framed = bool(names & {b"content-length", b"transfer-encoding"}) or status in BODYLESS
         head = ResponseHead(status, tuple(self._headers), is_framed)
@@ -85,11 +91,19 @@
         self._in_body = True
 
     def on_body(self, data: bytes) -> None:
-        """Add a chunk of the body."""
-        self.items.append(BodyChunk(data))
+        """Collect bytes of the body; an upstream may send them in very small chunks."""
+        self.overhead.record_body(len(data))
+        self._body += data
+
+    def flush_body(self) -> None:
+        """Add the collected bytes of the body as one chunk."""
+        if self._body:
+            self.items.append(BodyChunk(bytes(self._body)))
+            self._body.clear()
 
     def on_message_complete(self) -> None:
         """Add the end, unless the message was an interim response."""
+        self.flush_body()
         if self._in_body:
             self.items.append(ResponseEnd())
         self._headers = []
@@ -135,6 +149,8 @@
         """Time when sending the request began, in seconds."""
         self.observe: Callable[[ResponseHead], None] = _ignore
         """Called with each head as it arrives, even if no reader takes the response."""
+        self.on_oversized: Callable[[str], None] = _ignore
+        """Called with the defect of a response that exceeds a limit."""
 
     @property
     def is_framed(self) -> bool:
@@ -198,12 +214,19 @@
             self._is_framed = item.is_framed
         return item
 
+    def reject(self, defect: str) -> InvalidResponse:
+        """Report that the response exceeds a limit, and return the error to raise."""
+        self.on_oversized(defect)
+        return InvalidResponse(defect)
+
     def close(self) -> None:
         """Close the connection; most upstreams then abort the request."""
         self._connection.close()
 
     def _receive(self) -> None:
         """Read once and parse the data; return without data after a timeout."""
+        if self._builder.overhead.is_excessive:
+            raise self.reject("there are too many bytes besides its body")
         try:
             data = self._connection.recv(RECEIVE_BYTES)
         except TimeoutError:
@@ -218,7 +241,7 @@
             self._unyielded_bytes = 0
             gevent.sleep(0)
         try:
-            self._parser.feed_data(data)
+            self._parse(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if not self._builder.items:
                 detail = f"invalid HTTP response: {type(error).__name__}"
@@ -228,6 +251,19 @@
             for head in heads:
                 self.observe(head)
 
+    def _parse(self, data: bytes) -> None:
+        """Parse received data until its overhead is excessive."""
+        overhead, view = self._builder.overhead, memoryview(data)
+        try:
+            for start in range(0, len(data), PARSE_BYTES):
+                piece = view[start : start + PARSE_BYTES]
+                overhead.record_received(len(piece))
+                self._parser.feed_data(piece)
+                if overhead.check():
+                    return
+        finally:
+            self._builder.flush_body()
+
     def _handle_connection_end(self) -> None:
         """Handle the end of the connection: it ends an unframed response, and breaks a framed one.
 
@@ -239,8 +275,8 @@
         self._builder.items.append(ResponseEnd())
 
 
-def _ignore(_: ResponseHead) -> None:
-    """Ignore a head; the default observer."""
+def _ignore(_: object) -> None:
+    """Ignore a head or a defect; the default of the callbacks."""
 
 
 class OpenExchanges:
--- a/driftstall/gateway/sending.py
+++ b/driftstall/gateway/sending.py
@@ -14,10 +14,11 @@
 )
 from driftstall.gateway.admission import AdmittedRequest
 from driftstall.gateway.drain import can_finish
-from driftstall.gateway.exchange import ResponseHead, UpstreamExchange
+from driftstall.gateway.exchange import BodyChunk, ResponseHead, UpstreamExchange
 from driftstall.gateway.forwarding.connector import CONNECT_TIMEOUT_S
 from driftstall.gateway.ingress import CallerRequest
 from driftstall.gateway.model import ResponseMetadata, SendMetadata, Upstream
+from driftstall.gateway.response_body import ResponseBody
 from driftstall.gateway.retry_budget.pending_retry import PendingRetry
 from driftstall.gateway.runs import StreamRun
 from driftstall.gateway.state import GatewayState
@@ -124,13 +125,17 @@
 
     def _read_head(self, upstream: Upstream, exchange: UpstreamExchange) -> OpenedResponse:
         """Read heads until one carries the request's id; raise InvalidResponse if it is invalid."""
+        surplus = ResponseBody(exchange)
         while True:
             item = exchange.next(self._remaining_s)
+            if isinstance(item, BodyChunk):
+                surplus.add(item.data)
             if not isinstance(item, ResponseHead):
                 continue
             metadata = self._state.dialect.read_response(item.status, item.headers)
             if metadata.request_id != self._admitted.metadata.request_id:
                 # A surplus response to another request; the expected one may still follow.
+                surplus.clear()
                 continue
             if metadata.defect is not None:
                 self._state.record_invalid(upstream, item, metadata)
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -5,6 +5,7 @@
 import random
 import time
 from collections.abc import Callable, Iterable
+from functools import partial
 from http import HTTPStatus
 from typing import Final
 
@@ -33,6 +34,7 @@
 from driftstall.gateway.model import GatewaySettings, ResponseMetadata, Service, Upstream
 from driftstall.gateway.outcomes import Outcome, OutlierDetector
 from driftstall.gateway.poison.guard import PoisonGuard
+from driftstall.gateway.response_limits import record_oversized
 from driftstall.gateway.retry_budget.budgets import RetryBudgets
 from driftstall.gateway.routes import RouteTable
 from driftstall.gateway.runs import BrokenRun, RunRegistry, StreamRun
@@ -330,6 +332,7 @@
                 )
 
         exchange.observe = observe
+        exchange.on_oversized = partial(record_oversized, self.stats, upstream, request_id)
         return exchange
 
     def record_invalid(
--- a/driftstall/gateway/stats.py
+++ b/driftstall/gateway/stats.py
@@ -42,6 +42,7 @@
     backoff_refused: int = 0
     unreadable_signals: int = 0
     invalid_responses: int = 0
+    oversized_responses: int = 0
     unknown_signals: int = 0
     moves_failed: int = 0
     platform_calls: int = 0
@@ -120,6 +121,7 @@
     "backoff_refused": "Requests refused as all upstreams have requested a back-off.",
     "unreadable_signals": "Signals of upstreams that can't be decoded.",
     "invalid_responses": "Responses that were not the upstream's own, such as unsigned ones.",
+    "oversized_responses": "Responses that exceed a limit and were not read any further.",
     "unknown_signals": "Headers of upstreams that look like signals and are not known.",
     "moves_failed": "Copies between engines that failed.",
     "platform_calls": "Calls to the platform's store.",
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -15,7 +15,7 @@
 from driftstall.const import CODE_RUNNER_FAILED, PREFIX_RELAY
 from driftstall.core import Problem, Ran
 from driftstall.decisions.upstream_probes import ReportedState
-from driftstall.exceptions import InvalidResponse, UpstreamError
+from driftstall.exceptions import UpstreamError
 from driftstall.gateway.admission import AdmittedRequest
 from driftstall.gateway.events import Event, EventContinuity, EventSequence, EventSplitter
 from driftstall.gateway.exchange import BodyChunk, ResponseEnd
@@ -28,6 +28,7 @@
 from driftstall.gateway.model import PROMISING_STATUSES, Upstream
 from driftstall.gateway.moves import Mover
 from driftstall.gateway.outcomes import Outcome
+from driftstall.gateway.response_body import ResponseBody
 from driftstall.gateway.response_writer import ResponseWriter
 from driftstall.gateway.responses import (
     CLOSE_HEADER,
@@ -126,14 +127,14 @@
             self._context.record_outcome(run, Outcome.FAILED)
             detail = "the upstream failed; the request may have run"
             return self._answer_problem(Problem(CODE_RUNNER_FAILED, 502, detail, Ran.UNKNOWN))
-        parts: list[bytes] = []
+        body = ResponseBody(run.exchange)
         try:
             while True:
                 item = run.exchange.next(self._context.remaining_s)
                 if isinstance(item, ResponseEnd):
                     break
                 if isinstance(item, BodyChunk):
-                    parts.append(item.data)
+                    body.add(item.data)
         except (UpstreamError, TimeoutError) as error:
             log_event(PREFIX_RELAY, f"Error response broke off: {error}", request=run.request_id)
             self._context.handle_break(run, error)
@@ -141,9 +142,11 @@
             return self._answer_problem(problem)
         self._context.record_outcome(run, Outcome.FAILED)
         self._state.stats.failed += 1
-        body = b"".join(parts)
         data = encode_response(
-            opened.head.status, opened.metadata.forwarded_headers, body, keep_alive=self._keep_alive
+            opened.head.status,
+            opened.metadata.forwarded_headers,
+            body.take(),
+            keep_alive=self._keep_alive,
         )
         return self._writer.write(data) and self._keep_alive
 
@@ -182,7 +185,7 @@
                 if relay_error is not None:
                     return relay_error
                 if splitter.is_event_too_large:
-                    return InvalidResponse("an event is too large")
+                    return run.exchange.reject("an event is too large")
             elif isinstance(item, ResponseEnd):
                 if splitter.is_inside_event:
                     return UpstreamError("the stream ended inside an event", sent=True)
