--- a/driftstall/gateway/model.py
+++ b/driftstall/gateway/model.py
@@ -296,5 +296,9 @@
     bounds: Bounds
     peer_key: str
     """Key shared by all instances, which authenticates their messages."""
+    memory_mb: float = 0.0
+    """Memory of the machine; zero if not known."""
+    max_fds: int = 0
+    """Open descriptors that the process may have; zero if not known."""
     is_first_start: bool = False
     """Whether the whole fleet starts for the first time, so that no instance had a predecessor."""
--- a/driftstall/platform/settings.py
+++ b/driftstall/platform/settings.py
@@ -59,7 +59,12 @@
             {vol.Required("address"): _address}, extra=vol.ALLOW_EXTRA
         ),
         vol.Optional("limits"): vol.Schema(
-            {vol.Optional("linkMbps"): _FRACTION}, extra=vol.ALLOW_EXTRA
+            {
+                vol.Optional("linkMbps"): _FRACTION,
+                vol.Optional("memoryMb"): _FRACTION,
+                vol.Optional("maxFds"): _FRACTION,
+            },
+            extra=vol.ALLOW_EXTRA,
         ),
         vol.Optional("seeds"): vol.Any(None, [_address]),
         vol.Optional("bootstrap"): vol.Any(None, bool),
@@ -103,7 +108,7 @@
             f"{'.'.join(map(str, error.path)) or path}: {error.msg}" for error in invalid.errors
         )
         raise SettingsError(tuple(faults)) from invalid
-    listen = raw["listen"]
+    listen, limits = raw["listen"], raw.get("limits") or {}
     return GatewaySettings(
         instance_id=raw["nodeName"],
         zone=raw["zone"],
@@ -112,7 +117,9 @@
         locate_listen=listen["directory"],
         peer_listen=listen["control"],
         metrics_listen=f"{raw['ip']}:{METRICS_PORT}",
-        link_mbps=int((raw.get("limits") or {}).get("linkMbps") or 0),
+        link_mbps=int(limits.get("linkMbps") or 0),
+        memory_mb=limits.get("memoryMb", 0.0),
+        max_fds=int(limits.get("maxFds", 0)),
         platform_address=raw["platform"]["address"],
         seeds=tuple(raw.get("seeds") or ()),
         bounds=_bounds(raw.get("bounds") or {}),
--- a/features/steps/placer_steps.py
+++ b/features/steps/placer_steps.py
@@ -35,7 +35,7 @@
 def settings_of(name: str) -> GatewaySettings:
     """Return the settings of an instance in zone "a" that opens no sockets."""
     nowhere = "127.0.0.1:1"
-    listen = dict.fromkeys(
+    listen: dict[str, Any] = dict.fromkeys(
         ("caller_listen", "ready_listen", "locate_listen", "peer_listen", "metrics_listen"), nowhere
     )
     return GatewaySettings(
--- a/features/worlds/queue_world.py
+++ b/features/worlds/queue_world.py
@@ -164,7 +164,9 @@
     def _add_instance(self, name: str) -> None:
         """Start one instance."""
         nowhere = "127.0.0.1:1"
-        listens = ("caller_listen", "ready_listen", "locate_listen", "peer_listen")
+        listens: dict[str, Any] = dict.fromkeys(
+            ("caller_listen", "ready_listen", "locate_listen", "peer_listen"), nowhere
+        )
         settings = GatewaySettings(
             instance_id=name,
             zone="a",
@@ -175,7 +177,7 @@
             peer_key="peer key for tests only",
             is_first_start=True,
             metrics_listen=nowhere,
-            **dict.fromkeys(listens, nowhere),
+            **listens,
         )
         state = self.states[name] = GatewayState(settings, PlatformDialect(), default_policy())
         state.now = self.now  # type: ignore[method-assign]
