Bound the framing of a request, its memory and its share of processor time

Callers saw no answer beside connections with a header, trailer, chunk extension or empty lines without end: the parser reports none of them until they are whole and collects headers by copying them again and again, 64 KiB were parsed at once, and reading what has already arrived gave no other greenlet a turn. Tiny chunks took an object each. Now all bytes without progress count, and are refused with 431 or 400 beyond the limit of a head and 8 KiB; a request's time runs from its first byte, also of an empty line; 8 KiB are parsed at once, others get a turn after 16 KiB and after each pipelined request; connections whose input is costly to parse rest in turn for twice the time they took; a body is one buffer; the memory of a request is charged to a budget, and freed when its connection is closed without waiting for the garbage collector. Large answers that are not read are charged while they are written. A refusal is read to its end before the connection is closed.

--- a/driftstall/gateway/ingress.py
+++ b/driftstall/gateway/ingress.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+import contextlib
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any, Final
@@ -16,11 +16,33 @@
 import httptools
 from gevent import socket
 
-from driftstall.gateway.model import Header, Headers, Limits
+from driftstall.const import PREFIX_RELAY
+from driftstall.decisions.buffer_budget import BufferBudget
+from driftstall.gateway.callers.pacing import DenseInputPacer
+from driftstall.gateway.callers.requests import CallerRequest, MalformedRequest, RequestBuilder
+from driftstall.gateway.model import Headers, Limits
+from driftstall.helpers.log import log_event
 from driftstall.util import clock
 
-RECEIVE_BYTES: Final = 65_536
-CHUNKED: Final = b"chunked"
+__all__ = [
+    "CallerConnection",
+    "CallerRequest",
+    "ConnectionClosed",
+    "DisconnectWatch",
+    "MalformedRequest",
+    "OverloadRefusal",
+    "encode_chunk",
+    "encode_head",
+]
+
+RECEIVE_BYTES: Final = 8_192
+"""Bytes that are parsed at once: a chunk of one byte costs as much time as a large one."""
+YIELD_BYTES: Final = 16_384
+SMALL_WRITE_BYTES: Final = 65_536
+"""Outputs up to this size are not counted: the kernel takes most of them at once."""
+LINGER_S: Final = 0.1
+LINGER_READS: Final = 32
+OVERLOAD_RETRY_S: Final = 1.0
 CONTINUE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
 LAST_CHUNK: Final = b"0\r\n\r\n"
 MIN_BODY_BYTES_PER_S: Final = 10_000.0
@@ -30,139 +52,53 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CallerRequest:
-    """Hold one whole request from a caller."""
-
-    method: bytes
-    target: bytes
-    headers: Headers
-    host: str
-    body: bytes
-    keep_alive: bool
-    read_at: float
-    """Time when the last byte was read, in seconds on the monotonic clock."""
-
-    @property
-    def path(self) -> str:
-        """Return the path without the query string."""
-        return self.target.partition(b"?")[0].decode("latin-1")
+class ConnectionClosed:
+    """The connection has been closed or has been idle for too long."""
 
 
 @dataclass(frozen=True, slots=True)
-class MalformedRequest:
-    """Describe malformed input: it is answered with an error and the connection is closed."""
-
-    status: HTTPStatus
-    detail: str
+class OverloadRefusal:
+    """The request was discarded unfinished, as the instance needs its memory for others."""
 
+    detail: str = "the instance has no memory for the request"
+    retry_after_s: float = OVERLOAD_RETRY_S
 
-@dataclass(frozen=True, slots=True)
-class ConnectionClosed:
-    """The connection has been closed or has been idle for too long."""
 
-
-class _RequestBuilder:
-    """Build requests from the parser's callbacks; httptools calls the on_ methods."""
-
-    def __init__(self, limits: Limits) -> None:
-        """Start before the first request."""
-        self._limits = limits
-        self.requests: deque[CallerRequest] = deque()
-        self.error: MalformedRequest | None = None
-        self.parser: Any = None
-        self.wants_continue = False
-        self.begun_at: float | None = None
-        self.is_head_complete = False
-        self._reset()
-
-    def _reset(self) -> None:
-        """Start the next request."""
-        self._target = b""
-        self._headers: list[Header] = []
-        self._head_bytes = 0
-        self._body: list[bytes] = []
-        self.body_bytes = 0
-        self.is_head_complete = False
-        self.begun_at = None
-
-    def on_message_begin(self) -> None:
-        """Record when a request began."""
-        self.begun_at = clock.now()
-
-    def on_url(self, url: bytes) -> None:
-        """Collect a part of the request target."""
-        self._target += url
-        self._count_head(len(url))
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header; trailers are dropped."""
-        self._count_head(len(name) + len(value) + 4)
-        if not self.is_head_complete:
-            self._headers.append((name, value))
-
-    def on_headers_complete(self) -> None:
-        """Validate the head: Host, transfer coding and length."""
-        self.is_head_complete = True
-        values: dict[bytes, list[bytes]] = {}
-        for name, value in self._headers:
-            values.setdefault(name.lower(), []).append(value.strip())
-        if len(values.get(b"host", ())) != 1:
-            self._set_error(HTTPStatus.BAD_REQUEST, "one Host header is needed")
-        codings = values.get(b"transfer-encoding", [CHUNKED])
-        if [coding.lower() for coding in codings] != [CHUNKED]:
-            self._set_error(HTTPStatus.BAD_REQUEST, "only the chunked transfer coding is known")
-        length = values.get(b"content-length", [b"0"])[0]
-        if not length.isdigit() or int(length) > self._limits.body_bytes:
-            self._set_error(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
-        self.wants_continue = [v.lower() for v in values.get(b"expect", ())] == [b"100-continue"]
-
-    def on_body(self, data: bytes) -> None:
-        """Collect a chunk of the body."""
-        self.body_bytes += len(data)
-        if self.body_bytes > self._limits.body_bytes:
-            self._set_error(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
-            return
-        self._body.append(data)
-
-    def on_message_complete(self) -> None:
-        """Queue a whole request."""
-        if self.error is None:
-            host = next(value for name, value in self._headers if name.lower() == b"host")
-            request = CallerRequest(
-                method=self.parser.get_method(),
-                target=self._target,
-                headers=tuple(self._headers),
-                host=host.strip().decode("latin-1"),
-                body=b"".join(self._body),
-                keep_alive=self.parser.should_keep_alive(),
-                read_at=clock.now(),
-            )
-            self.requests.append(request)
-        self.wants_continue = False
-        self._reset()
-
-    def _count_head(self, size: int) -> None:
-        """Enforce the size limit of the head."""
-        self._head_bytes += size
-        if self._head_bytes > self._limits.header_bytes:
-            self._set_error(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the header is too large")
-
-    def _set_error(self, status: HTTPStatus, detail: str) -> None:
-        """Record the first error; later ones are ignored."""
-        self.error = self.error or MalformedRequest(status, detail)
+ReadResult = CallerRequest | MalformedRequest | OverloadRefusal | ConnectionClosed
 
 
 class CallerConnection:
     """Read requests from one caller's connection, and write responses to it."""
 
-    def __init__(self, connection: socket.socket, limits: Limits) -> None:
-        """Initialize with the accepted connection and the limits of its requests."""
+    def __init__(
+        self,
+        connection: socket.socket,
+        limits: Limits,
+        buffers: BufferBudget | None = None,
+        pacer: DenseInputPacer | None = None,
+    ) -> None:
+        """Initialize with the accepted connection, the limits of requests, and what is shared.
+
+        Connections share the budget of memory and the pacer of input that is costly to parse.
+        """
         self._connection = connection
         self._limits = limits
-        self._builder = _RequestBuilder(limits)
-        self._parser = httptools.HttpRequestParser(self._builder)
-        self._builder.parser = self._parser
+        self._builder = RequestBuilder(limits)
+        self._builder.parser = httptools.HttpRequestParser(self._builder)
+        self._buffers = buffers or BufferBudget.from_memory(0)
+        self._pacer = pacer or DenseInputPacer()
+        self._account = self._buffers.open(self._handle_evicted)
+        self._unfinished_bytes = 0
+        """Bytes of the account for the request that is not complete."""
+        self._served_bytes = 0
+        """Bytes of the account for the request that is served."""
+        self._unyielded_bytes = 0
+        """Bytes read since other greenlets were last given a turn."""
         self._is_input_ended = False
+        self._is_evicted = False
+        self._is_served = False
+        self._has_sent = False
+        self._waits_since = clock.now()
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     @property
@@ -170,14 +106,40 @@
         """Return True if no byte of a further request has arrived."""
         return self._builder.begun_at is None and not self._builder.requests
 
-    def next(self) -> CallerRequest | MalformedRequest | ConnectionClosed:
+    @property
+    def is_served(self) -> bool:
+        """Return True while a request of the connection is in progress."""
+        return self._is_served
+
+    @property
+    def eviction_order(self) -> tuple[bool, bool, float]:
+        """Return a key that is least for a caller that has sent nothing or rested longest."""
+        return (self._has_sent, not self.is_idle, self._waits_since)
+
+    def evict(self) -> None:
+        """End the connection at once, so that its descriptor can be used for another one."""
+        self._is_input_ended = True
+        self._account.close()
+        self._builder.discard()
+        self._abort()
+
+    def next(self) -> ReadResult:
         """Wait for and return the next request, an error, or the end of the connection."""
+        self._account.shrink(self._served_bytes)
+        self._served_bytes = 0
+        self._is_served = False
+        self._waits_since = clock.now()
+        if self._builder.requests:
+            # A pipelined request has already arrived, so reading it does not wait.
+            self._yield_turn(YIELD_BYTES)
         idle_until = clock.now() + self._limits.idle_timeout_s
         while True:
             if self._builder.requests:
-                return self._builder.requests.popleft()
+                return self._take_request()
             if self._builder.error is not None:
                 return self._builder.error
+            if self._is_evicted:
+                return OverloadRefusal()
             if self._is_input_ended:
                 return ConnectionClosed()
             self._send_continue()
@@ -185,12 +147,21 @@
             if end is not None:
                 return end
 
+    def _take_request(self) -> CallerRequest:
+        """Return the next whole request, whose memory is protected while it is served."""
+        built = self._builder.requests.popleft()
+        self._served_bytes = built.held_bytes
+        self._is_served = True
+        self._account.protect()
+        return built.request
+
     def _receive(self, idle_until: float) -> MalformedRequest | ConnectionClosed | None:
         """Read once; return an error or the end of the connection, or None to continue."""
         until = self._read_deadline(idle_until)
         remaining_s = until - clock.now()
         if remaining_s <= 0:
             return self._timeout_result()
+        self._account.expose()
         self._connection.settimeout(remaining_s)
         try:
             data = self._connection.recv(RECEIVE_BYTES)
@@ -198,16 +169,25 @@
             return self._timeout_result()
         except OSError:
             return ConnectionClosed()
+        if self._is_evicted or self._is_input_ended:
+            return None
         if not data:
             return ConnectionClosed()
+        self._has_sent = True
+        begun_at, events = clock.now(), self._builder.progress
         self._feed(data)
+        self._charge()
+        if not self._builder.requests:
+            self._pacer.rest(self._builder.progress - events, clock.now() - begun_at)
+        self._yield_turn(len(data))
         return None
 
     def _read_deadline(self, idle_until: float) -> float:
         """Return the time by which the next bytes must arrive."""
         begun_at = self._builder.begun_at
         if begun_at is None:
-            return idle_until
+            input_at = self._builder.input_at
+            return idle_until if input_at is None else input_at + self._limits.header_timeout_s
         until = begun_at + self._limits.header_timeout_s
         if self._builder.is_head_complete:
             until += self._builder.body_bytes / MIN_BODY_BYTES_PER_S + WRITE_TIMEOUT_S
@@ -222,7 +202,7 @@
     def _feed(self, data: bytes) -> None:
         """Parse some bytes; an error is reported after the whole requests before it."""
         try:
-            self._parser.feed_data(data)
+            self._builder.feed(data)
         except httptools.HttpParserUpgrade:
             # Upgrades are not supported: the request is answered, and nothing more is read.
             self._is_input_ended = True
@@ -231,6 +211,35 @@
             detail = f"the request is malformed: {error}"
             self._builder.error = known or MalformedRequest(HTTPStatus.BAD_REQUEST, detail)
 
+    def _charge(self) -> None:
+        """Take the memory of what has been read from the budget; without room, drop the request."""
+        queued = sum(built.held_bytes for built in self._builder.requests)
+        held = queued + self._builder.held_bytes
+        change = held - self._unfinished_bytes
+        self._unfinished_bytes = self._builder.held_bytes
+        if change <= 0:
+            self._account.shrink(-change)
+        elif not self._account.grow(change):
+            self._account.close()
+            self._builder.discard()
+            self._is_evicted = True
+        if self._builder.requests:
+            self._account.protect()
+
+    def _handle_evicted(self) -> None:
+        """Free the unfinished request, and wake up the greenlet that waits for its next bytes."""
+        self._is_evicted = True
+        self._builder.discard()
+        with contextlib.suppress(OSError):
+            self._connection.shutdown(socket.SHUT_RD)
+
+    def _yield_turn(self, size: int) -> None:
+        """Give other greenlets a turn: reading what has already arrived does not wait."""
+        self._unyielded_bytes += size
+        if self._unyielded_bytes >= YIELD_BYTES:
+            self._unyielded_bytes = 0
+            gevent.sleep(0)
+
     def _send_continue(self) -> None:
         """Send 100 Continue if the caller waits for it."""
         if self._builder.wants_continue and self._builder.is_head_complete:
@@ -238,7 +247,22 @@
             self.write(CONTINUE)
 
     def write(self, data: bytes) -> bool:
-        """Write to the caller; return False if it has disconnected."""
+        """Write to the caller; return False if it has disconnected or reads too slowly."""
+        if len(data) <= SMALL_WRITE_BYTES:
+            return self._send(data)
+        account = self._buffers.open(self._cut_output)
+        # A new output displaces those whose callers have not read them so far.
+        account.protect()
+        try:
+            if not account.grow(len(data)):
+                return False
+            account.expose()
+            return self._send(data)
+        finally:
+            account.close()
+
+    def _send(self, data: bytes) -> bool:
+        """Send all data; return False if that fails."""
         try:
             self._connection.settimeout(WRITE_TIMEOUT_S)
             self._connection.sendall(data)
@@ -246,8 +270,34 @@
         except OSError:
             return False
 
+    def _cut_output(self) -> None:
+        """End a connection whose caller does not read what the instance holds for it."""
+        log_event(
+            PREFIX_RELAY, "Response cut off: its memory is needed and its caller reads slowly"
+        )
+        self._abort()
+
+    def _abort(self) -> None:
+        """End input and output, which wakes up the greenlet that waits for the connection."""
+        with contextlib.suppress(OSError):
+            self._connection.shutdown(socket.SHUT_RDWR)
+
+    def finish_writing(self) -> None:
+        """End the output and discard the input that has arrived, which else resets the connection.
+
+        A reset would discard what the caller has not read yet.
+        """
+        with contextlib.suppress(OSError):
+            self._connection.shutdown(socket.SHUT_WR)
+            self._connection.settimeout(LINGER_S)
+            for _ in range(LINGER_READS):
+                if not self._connection.recv(RECEIVE_BYTES):
+                    return
+
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection, and give back its memory."""
+        self._account.close()
+        self._builder.close()
         self._connection.close()
 
     def watch_disconnect(self) -> DisconnectWatch:
--- a/driftstall/gateway/listeners.py
+++ b/driftstall/gateway/listeners.py
@@ -30,6 +30,7 @@
     CallerRequest,
     ConnectionClosed,
     MalformedRequest,
+    OverloadRefusal,
 )
 from driftstall.gateway.model import Limits, Repeat
 from driftstall.gateway.moves import Mover
@@ -87,7 +88,7 @@
         try:
             while True:
                 call = connection.next()
-                if isinstance(call, ConnectionClosed):
+                if isinstance(call, (ConnectionClosed, OverloadRefusal)):
                     return
                 if isinstance(call, MalformedRequest):
                     self._refuse_malformed(connection, call)
