Share one memory budget among callers and keep descriptors for all else

Callers could take every descriptor, and the gateway then reached neither store nor upstreams: no listener bounded its connections. Half of the descriptors (of maxFds and of the process's own limit, the smaller one) is for callers, as each request takes one more for its upstream, and a 32nd for each of the other listeners. At the limit the connection that has sent nothing for longest is closed, then the one idle for longest, never one that is served. All connections share the budget of memory and the pacing of costly input. An unfinished request that is evicted gets a 503 with Retry-After and has not run. A defect of a handler of the auxiliary listeners is logged and ends its connection alone. Metrics overload_refused, connections_evicted, buffered_bytes and buffer_evictions, and log lines.

--- /dev/null
+++ b/driftstall/gateway/callers/auxiliary.py
@@ -0,0 +1,93 @@
+"""Listener for small requests outside the callers' interface."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+
+from gevent import socket
+
+from driftstall.const import CODE_BAD_REQUEST, CODE_LEAVING, PREFIX_RELAY
+from driftstall.core import Problem, Ran
+from driftstall.gateway.callers.connections import (
+    ConnectionLimits,
+    ConnectionTable,
+    make_server,
+)
+from driftstall.gateway.ingress import (
+    CallerConnection,
+    CallerRequest,
+    ConnectionClosed,
+    MalformedRequest,
+    OverloadRefusal,
+)
+from driftstall.gateway.model import Limits
+from driftstall.gateway.responses import encode_problem
+from driftstall.gateway.state import GatewayState
+from driftstall.helpers.log import log_event
+
+AUXILIARY_LIMITS: Final = Limits(header_bytes=8_192, body_bytes=1_024)
+"""Limits of the listeners that take no generation requests."""
+
+
+def refusal_of(result: MalformedRequest | OverloadRefusal) -> Problem:
+    """Return the problem that a request is refused with before it is run."""
+    if isinstance(result, OverloadRefusal):
+        return Problem(CODE_LEAVING, 503, result.detail, Ran.NOT_RUN, result.retry_after_s)
+    return Problem(CODE_BAD_REQUEST, int(result.status), result.detail, Ran.NOT_RUN)
+
+
+class AuxiliaryListener:
+    """Listener for small requests outside the callers' interface."""
+
+    def __init__(
+        self, address: str, answer: Callable[[CallerRequest], bytes], state: GatewayState
+    ) -> None:
+        """Initialize with the address, the handler that answers a request and the shared state."""
+        self._answer = answer
+        self._state = state
+        limits = ConnectionLimits.from_max_fds(state.settings.max_fds)
+        self._connections = ConnectionTable(limits.auxiliary, self._count_eviction)
+        self._server = make_server(address, self._serve)
+
+    def start(self) -> None:
+        """Start listening."""
+        self._server.start()
+
+    def _serve(self, raw: socket.socket, _: object) -> None:
+        """Serve one connection until it ends."""
+        connection = CallerConnection(raw, AUXILIARY_LIMITS, self._state.buffers, self._state.pacer)
+        try:
+            if self._connections.add(connection):
+                self._serve_requests(connection)
+        except Exception as error:
+            # A defect ends this connection alone, and is logged as no caller reports it.
+            log_event(PREFIX_RELAY, f"Request failed with {type(error).__name__}: {error}")
+        finally:
+            self._connections.remove(connection)
+            connection.close()
+
+    def _serve_requests(self, connection: CallerConnection) -> None:
+        """Answer the requests of one connection."""
+        while True:
+            call = connection.next()
+            if isinstance(call, ConnectionClosed):
+                return
+            if not isinstance(call, CallerRequest):
+                self._refuse(connection, call)
+                return
+            if not connection.write(self._answer(call)) or not call.keep_alive:
+                return
+
+    def _refuse(
+        self, connection: CallerConnection, result: MalformedRequest | OverloadRefusal
+    ) -> None:
+        """Refuse a request that was not read whole."""
+        problem = refusal_of(result)
+        log_event(PREFIX_RELAY, f"Request answered with {problem.status}: {problem.detail}")
+        connection.write(encode_problem(problem, keep_alive=False))
+        connection.finish_writing()
+
+    def _count_eviction(self) -> None:
+        """Count a connection that is closed for a new one."""
+        self._state.stats.connections_evicted += 1
--- a/driftstall/gateway/listeners.py
+++ b/driftstall/gateway/listeners.py
@@ -8,7 +8,6 @@
 
 import orjson
 from gevent import socket
-from gevent.server import StreamServer
 
 from driftstall.const import (
     CODE_BAD_REQUEST,
@@ -22,6 +21,12 @@
 from driftstall.daemon.http_responses import JSON_TYPE
 from driftstall.decisions.poison_subjects import PoisonSubjects, is_part
 from driftstall.gateway.admission import Admission, AdmittedRequest, RequestProgress
+from driftstall.gateway.callers.auxiliary import refusal_of
+from driftstall.gateway.callers.connections import (
+    ConnectionLimits,
+    ConnectionTable,
+    make_server,
+)
 from driftstall.gateway.calls import CallRelay, UpstreamResponse
 from driftstall.gateway.dialect import BadHeaders
 from driftstall.gateway.drain import stop_refusal
@@ -42,11 +47,8 @@
 from driftstall.gateway.stats import render
 from driftstall.gateway.streams import StreamRelay
 from driftstall.helpers.log import log_event
-from driftstall.util.addresses import split_address
 from driftstall.util.fingerprint import fingerprint
 
-BACKLOG: Final = 512
-"""Connections that may wait to be accepted; a full queue delays callers by seconds."""
 LOCATE_KEEP_S: Final = 2.0
 """How long callers keep a located address; some keep it three times as long."""
 MIN_ZONE_INSTANCES: Final = 2
@@ -58,8 +60,6 @@
 less."""
 CRASHES_PATH: Final = "/crashes"
 QUEUE_PATH: Final = "/queue"
-AUXILIARY_LIMITS: Final = Limits(header_bytes=8_192, body_bytes=1_024)
-"""Limits of the listeners that take no generation requests."""
 
 
 class CallerListener:
@@ -70,8 +70,10 @@
         self._state = state
         self._mover = mover
         self._is_current = is_current
-        address = split_address(state.settings.caller_listen)
-        self._server = StreamServer(address, self._serve, backlog=BACKLOG)
+        settings = state.settings
+        limits = ConnectionLimits.from_max_fds(settings.max_fds)
+        self._connections = ConnectionTable(limits.callers, self._count_eviction)
+        self._server = make_server(settings.caller_listen, self._serve)
 
     def start(self) -> None:
         """Start listening."""
@@ -81,30 +83,50 @@
         """Stop accepting connections."""
         self._server.close()
 
-    def _serve(self, raw: socket.socket, _: tuple[str, int]) -> None:
+    def _serve(self, raw: socket.socket, _: object) -> None:
         """Serve one connection until it ends."""
         table = self._state.route_table
-        connection = CallerConnection(raw, table.document.limits if table else Limits())
+        limits = table.document.limits if table else Limits()
+        connection = CallerConnection(raw, limits, self._state.buffers, self._state.pacer)
         try:
-            while True:
-                call = connection.next()
-                if isinstance(call, (ConnectionClosed, OverloadRefusal)):
-                    return
-                if isinstance(call, MalformedRequest):
-                    self._refuse_malformed(connection, call)
-                    return
-                if not self._handle_request(connection, call):
-                    return
+            if self._connections.add(connection):
+                self._serve_requests(connection)
+            else:
+                self._refuse(connection, OverloadRefusal("all connections are in use"))
         finally:
+            self._connections.remove(connection)
             connection.close()
 
-    def _refuse_malformed(self, connection: CallerConnection, error: MalformedRequest) -> None:
-        """Refuse malformed input with a problem response."""
-        self._state.stats.malformed += 1
-        problem = Problem(CODE_BAD_REQUEST, int(error.status), error.detail, Ran.NOT_RUN)
+    def _serve_requests(self, connection: CallerConnection) -> None:
+        """Serve the requests of one connection."""
+        while True:
+            call = connection.next()
+            if isinstance(call, ConnectionClosed):
+                return
+            if not isinstance(call, CallerRequest):
+                self._refuse(connection, call)
+                connection.finish_writing()
+                return
+            if not self._handle_request(connection, call):
+                return
+
+    def _refuse(
+        self, connection: CallerConnection, result: MalformedRequest | OverloadRefusal
+    ) -> None:
+        """Refuse a request that was not read whole with a problem response."""
+        if isinstance(result, OverloadRefusal):
+            self._state.stats.overload_refused += 1
+        else:
+            self._state.stats.malformed += 1
+        problem = refusal_of(result)
         log_event(PREFIX_RELAY, f"Request answered with {problem.status}: {problem.detail}")
         connection.write(encode_problem(problem, keep_alive=False))
 
+    def _count_eviction(self) -> None:
+        """Count a connection that is closed for a new one."""
+        self._state.stats.connections_evicted += 1
+        log_event(PREFIX_RELAY, "Connection of a caller closed: the limit is reached")
+
     def _handle_request(self, connection: CallerConnection, call: CallerRequest) -> bool:
         """Answer one request; return whether the connection is kept open."""
         self._state.stats.requests += 1
@@ -240,32 +262,6 @@
     return fingerprint(call.method, call.host.encode(), call.target, workspace.encode(), call.body)
 
 
-class AuxiliaryListener:
-    """Listener for small requests outside the callers' interface."""
-
-    def __init__(self, address: str, answer: Callable[[CallerRequest], bytes]) -> None:
-        """Initialize with the address and the handler that answers a request."""
-        self._answer = answer
-        self._server = StreamServer(split_address(address), self._serve, backlog=BACKLOG)
-
-    def start(self) -> None:
-        """Start listening."""
-        self._server.start()
-
-    def _serve(self, raw: socket.socket, _: tuple[str, int]) -> None:
-        """Serve one connection until it ends."""
-        connection = CallerConnection(raw, AUXILIARY_LIMITS)
-        try:
-            while True:
-                call = connection.next()
-                if not isinstance(call, CallerRequest):
-                    return
-                if not connection.write(self._answer(call)) or not call.keep_alive:
-                    return
-        finally:
-            connection.close()
-
-
 class ReadinessHandler:
     """Handler of the platform's readiness checks."""
 
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -16,6 +16,7 @@
 from driftstall.decisions.upstream_probes import ReportedState
 from driftstall.decisions.watch_timeouts import max_watch_wait_s
 from driftstall.exceptions import SettingsError
+from driftstall.gateway.callers.auxiliary import AuxiliaryListener
 from driftstall.gateway.collectors import FleetRoles
 from driftstall.gateway.cordon_source import CordonSource
 from driftstall.gateway.cordons import Cordon
@@ -25,7 +26,6 @@
 from driftstall.gateway.feeds import Feed, Follower, ItemChange, WatchPacing
 from driftstall.gateway.fleet_events import FleetAction
 from driftstall.gateway.listeners import (
-    AuxiliaryListener,
     CallerListener,
     LocateHandler,
     MetricsHandler,
@@ -220,11 +220,13 @@
         self._stalls = LoopStalls(PERIOD_S)
         self.state.has_ready_peer = self._has_ready_peer
         self._callers = CallerListener(self.state, mover, self._is_current)
-        self._ready = AuxiliaryListener(settings.ready_listen, ReadinessHandler(self.state))
+        self._ready = AuxiliaryListener(
+            settings.ready_listen, ReadinessHandler(self.state), self.state
+        )
         locate = LocateHandler(self.state, self._peering.locatable_instances)
-        self._locate = AuxiliaryListener(settings.locate_listen, locate)
+        self._locate = AuxiliaryListener(settings.locate_listen, locate, self.state)
         metrics = MetricsHandler(self.state, self._gauges, self._peering.queue.status)
-        self._metrics = AuxiliaryListener(settings.metrics_listen, metrics)
+        self._metrics = AuxiliaryListener(settings.metrics_listen, metrics, self.state)
         self._settings_signature = self._read_settings_signature()
 
     def run(self, start_signals: StartSignals) -> None:
@@ -331,6 +333,8 @@
             "store_returns": self.state.eras.returns,
             "collects": float(self._roles().is_collector),
             "follows_store": float(self._peering.following.follows),
+            "buffered_bytes": self.state.buffers.used_bytes,
+            "buffer_evictions": self.state.buffers.evictions,
             "log_lines_dropped": self._log.total_dropped,
         }
 
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -15,6 +15,7 @@
 from driftstall.const import PREFIX_RELAY
 from driftstall.core import Request
 from driftstall.decisions.brittle_upstreams import REJECTION_BACKOFF_S, BrittleUpstreams
+from driftstall.decisions.buffer_budget import BufferBudget
 from driftstall.decisions.cold_starts import ASSUMED_COLD_S, QUIET_START_S, ColdPart, ColdStarts
 from driftstall.decisions.instance_count import InstanceCount
 from driftstall.decisions.lengths import LearnedLengths
@@ -25,6 +26,7 @@
 from driftstall.decisions.upstream_load import LoadSource, ReportedLoad, UpstreamLoads, mean_pace
 from driftstall.exceptions import UpstreamError
 from driftstall.gateway import unconnected
+from driftstall.gateway.callers.pacing import DenseInputPacer
 from driftstall.gateway.cordons import CordonRegistry
 from driftstall.gateway.dialect import Dialect
 from driftstall.gateway.exchange import OpenExchanges, ResponseHead, UpstreamExchange
@@ -86,6 +88,8 @@
         self.lengths = LearnedLengths()
         self.runs = RunRegistry()
         self.stats = GatewayStats()
+        self.pacer = DenseInputPacer()
+        self.buffers = BufferBudget.from_memory(settings.memory_mb)
         self.rng = random.Random()
         self.connector = UpstreamConnector(
             self.stats,
--- a/driftstall/gateway/stats.py
+++ b/driftstall/gateway/stats.py
@@ -24,6 +24,8 @@
     stop_refused: int = 0
     stop_expired: int = 0
     malformed: int = 0
+    overload_refused: int = 0
+    connections_evicted: int = 0
     repeats: int = 0
     repeats_released: int = 0
     retry_loans_asked: int = 0
@@ -103,6 +105,8 @@
     "stop_refused": "Requests refused as they may not end before this instance stops.",
     "stop_expired": "Requests that a planned stop has ended before their deadlines.",
     "malformed": "Requests that could not be read.",
+    "overload_refused": "Requests refused unfinished for want of memory or connections.",
+    "connections_evicted": "Connections of callers closed for new ones at the limit.",
     "repeats": "Sends beyond a request's first.",
     "repeats_released": "Retries taken from the budget and given back, as they were not sent.",
     "retry_loans_asked": "Requests to other instances for a loan of retries.",
--- a/features/steps/crash_refusal_steps.py
+++ b/features/steps/crash_refusal_steps.py
@@ -15,8 +15,9 @@
 from driftstall.decisions.poison_detection import QUARANTINE_DURATIONS_S
 from driftstall.decisions.poison_evidence import CrashReport, PoisonReport
 from driftstall.decisions.upstream_probes import ReportedState
+from driftstall.gateway.callers.auxiliary import AuxiliaryListener
 from driftstall.gateway.ingress import CallerRequest
-from driftstall.gateway.listeners import AuxiliaryListener, MetricsHandler, request_fingerprint
+from driftstall.gateway.listeners import MetricsHandler, request_fingerprint
 from driftstall.gateway.poison import crash_detector
 from driftstall.gateway.poison.crash_detector import CrashDetector
 from driftstall.gateway.scheduling.queue_status import QueueStatus
@@ -265,7 +266,7 @@
         },
         lambda: QueueStatus(state.settings.instance_id, None, ()),
     )
-    listener = AuxiliaryListener(state.settings.metrics_listen, page)
+    listener = AuxiliaryListener(state.settings.metrics_listen, page, state)
     listener.start()
     call = CallerRequest(b"GET", b"/metrics", (), HOST, b"", keep_alive=False, read_at=0.0)
     assert b"requests_refused_for_crashes 1" in page(call)
--- a/features/steps/prompt_part_steps.py
+++ b/features/steps/prompt_part_steps.py
@@ -21,7 +21,8 @@
 from driftstall.core import Instance
 from driftstall.decisions.poison_evidence import CrashReport, PoisonReport
 from driftstall.decisions.poison_subjects import MAX_PARTS, PoisonSubjects, part_subject
-from driftstall.gateway.listeners import AuxiliaryListener, MetricsHandler
+from driftstall.gateway.callers.auxiliary import AuxiliaryListener
+from driftstall.gateway.listeners import MetricsHandler
 from driftstall.gateway.poison.unframed_ends import UnframedEnds
 from driftstall.gateway.runs import BrokenRun
 from driftstall.gateway.scheduling.queue_status import QueueStatus
@@ -374,7 +375,7 @@
     """Serve the operators' page for a while."""
     state = world_of(context).state
     page = MetricsHandler(state, dict, lambda: QueueStatus(state.settings.instance_id, None, ()))
-    listener = AuxiliaryListener(state.settings.metrics_listen, page)
+    listener = AuxiliaryListener(state.settings.metrics_listen, page, state)
     listener.start()
     try:
         yield
--- a/features/steps/queue_status_steps.py
+++ b/features/steps/queue_status_steps.py
@@ -19,9 +19,10 @@
 from driftstall.cli import main as commands
 from driftstall.cli.client import Answer
 from driftstall.cli.explain import explain_request
+from driftstall.gateway.callers.auxiliary import AuxiliaryListener
 from driftstall.gateway.collectors import FleetRoles
 from driftstall.gateway.fleet_events import UpstreamsListed
-from driftstall.gateway.listeners import AuxiliaryListener, MetricsHandler
+from driftstall.gateway.listeners import MetricsHandler
 from driftstall.gateway.model import GatewaySettings
 from driftstall.gateway.routes import RouteTable
 from driftstall.gateway.scheduling.cold_gate import ColdGate
@@ -243,7 +244,7 @@
     """Return the page of the queue as JSON, by the listener that serves it."""
     if not hasattr(context, "listener"):
         handler = MetricsHandler(context.state, dict, context.queue.status)
-        listener = AuxiliaryListener(context.state.settings.metrics_listen, handler)
+        listener = AuxiliaryListener(context.state.settings.metrics_listen, handler, context.state)
         context.listener = listener
         listener.start()
     return orjson.loads(run_status(context, "--json"))
