--- a/driftstall/gateway/callers/connections.py
+++ b/driftstall/gateway/callers/connections.py
@@ -17,8 +17,9 @@
 """Connections that may wait to be accepted; a full queue delays callers by seconds."""
 ACCEPT_BATCH: Final = 8
 """Connections accepted before others are closed for them."""
-CALLER_SHARE: Final = 0.5
-"""Share of the descriptors for callers: each request also takes one for its upstream."""
+CALLER_SHARE: Final = 3 / 8
+"""Share of the descriptors for callers: each request takes one more for its upstream, and a quarter
+remains for the other listeners, peers and the store."""
 AUXILIARY_SHARE: Final = 1 / 32
 MIN_AUXILIARY_CONNECTIONS: Final = 16
 
--- a/driftstall/gateway/ingress.py
+++ b/driftstall/gateway/ingress.py
@@ -38,9 +38,11 @@
 RECEIVE_BYTES: Final = 8_192
 """Bytes that are parsed at once: a chunk of one byte costs as much time as a large one."""
 YIELD_BYTES: Final = 16_384
+"""Bytes after which other greenlets get a turn."""
 SMALL_WRITE_BYTES: Final = 65_536
 """Outputs up to this size are not counted: the kernel takes most of them at once."""
 LINGER_S: Final = 0.1
+"""How long a refused caller may pause before its connection is closed."""
 LINGER_READS: Final = 32
 OVERLOAD_RETRY_S: Final = 1.0
 CONTINUE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
