--- a/features/processes/soak.feature
+++ b/features/processes/soak.feature
@@ -41,5 +41,5 @@
 
   # Guards against starts that fail, instances that end by themselves, and odd entries that hide others.
   Scenario: starts that are disturbed succeed, and odd entries hide nothing
-    Given a soak of the plan "disturbed", seed 2, with 4 instances and 12 callers for 24 s
+    Given a soak of the plan "disturbed", seed 349, with 4 instances and 12 callers for 24 s
     Then it breaks no promise
