--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -39,6 +39,7 @@
     find_violations,
 )
 from soak.disturbances import CALM_AFTER_S
+from soak.draw import CALM_LAST_S, draw_steps
 from soak.fleet import FATAL, LOAD_QUEUE, LOAD_SLOTS, UpstreamSlot
 from soak.instance_faults import InstanceFaults
 from soak.ledger import (
@@ -55,7 +56,7 @@
     Window,
 )
 from soak.membership_checks import MIN_REQUESTS
-from soak.plan import CALM_LAST_S, Kind, Plan, draw_steps
+from soak.plan import Kind, Plan
 from soak.poison_checks import MAX_FALSE_REFUSALS, MAX_FATAL_SENDS, MIN_SOUND
 from soak.proxy import Proxy
 from soak.run import Size, Soak, routing_document
--- a/soak/run.py
+++ b/soak/run.py
@@ -36,6 +36,7 @@
     find_violations,
 )
 from soak.disturbed import DisturbedStarts
+from soak.draw import draw_steps
 from soak.fleet import EVENTS, FATAL, ZONES, UpstreamSlot
 from soak.instance_faults import InstanceFaults
 from soak.ledger import (
@@ -50,7 +51,7 @@
     Window,
 )
 from soak.partition import InstanceProxies, InstanceStoreLink, Partitions
-from soak.plan import Fault, Kind, Plan, Step, draw_steps
+from soak.plan import Fault, Kind, Plan, Step
 from soak.proxy import Proxy
 from soak.stop_checks import GRACE_S
 from stand_ins.prompts import FATAL_PARTS, fatal_prompt, sound_prompt
