Bound what callers of the own interface hold, and the time of a head and a body

Cause: pywsgi bounds a line and not a head, keeps each chunk as an object until the body is whole, gives no turn while bytes are at hand, and its timeout begins anew with every byte; a full pool accepts nobody.

--- a/driftstall/bootstrap.py
+++ b/driftstall/bootstrap.py
@@ -10,9 +10,13 @@
 
 from driftstall.const import PREFIX_CONFIGURATION, PREFIX_DRAIN, PREFIX_MEMBERSHIP
 from driftstall.daemon.callers import CallersApp
-from driftstall.daemon.http_server import build_server
+from driftstall.daemon.http_server import (
+    CALLERS_DESCRIPTOR_SHARE,
+    OPERATORS_DESCRIPTOR_SHARE,
+    build_server,
+)
 from driftstall.daemon.node import Node
-from driftstall.daemon.operators import OperatorsApp
+from driftstall.daemon.operators import MAX_BODY_BYTES, OperatorsApp
 from driftstall.daemon.settings import Settings
 from driftstall.helpers.listening import start_when_free
 from driftstall.helpers.log import log_event, start_log
@@ -28,8 +32,20 @@
     """
     start_log()
     node = Node(settings)
-    callers = build_server(settings, settings.listen, CallersApp(node))
-    operators = build_server(settings, settings.operator_listen, OperatorsApp(node))
+    callers = build_server(
+        settings,
+        settings.listen,
+        CallersApp(node),
+        max_body=settings.max_body,
+        descriptor_share=CALLERS_DESCRIPTOR_SHARE,
+    )
+    operators = build_server(
+        settings,
+        settings.operator_listen,
+        OperatorsApp(node),
+        max_body=MAX_BODY_BYTES,
+        descriptor_share=OPERATORS_DESCRIPTOR_SHARE,
+    )
     stop_requested = Event()
     if start_signals.is_stop_requested:
         stop_requested.set()
--- a/driftstall/daemon/callers.py
+++ b/driftstall/daemon/callers.py
@@ -13,7 +13,6 @@
     CODE_BAD_REQUEST,
     CODE_INTERNAL,
     CODE_LEAVING,
-    CODE_TOO_LARGE,
     HEADER_LAST_EVENT_ID,
     HEADER_TICKET,
     PREFIX_LOCATE,
@@ -40,6 +39,7 @@
     RelayItem,
     Tokens,
 )
+from driftstall.daemon.request_body import read_checked_body
 from driftstall.decisions.locate import locate
 from driftstall.filters.apply_policy import ApplyPolicy
 from driftstall.filters.authenticate import Authenticate
@@ -127,20 +127,9 @@
 
     def _read_context(self, environ: dict[str, Any]) -> RequestContext | Problem:
         """Read the request; return a problem if its body is malformed or too large."""
-        limit = self._hub.settings.max_body
-        length = environ.get("CONTENT_LENGTH") or "0"
-        if not length.isdigit():
-            return Problem(CODE_BAD_REQUEST, 400, "Content-Length is not a number", Ran.NOT_RUN)
-        if int(length) > limit:
-            return _build_too_large_problem(limit)
-        try:
-            body = environ["wsgi.input"].read(limit + 1)
-        except OSError:
-            return Problem(CODE_BAD_REQUEST, 400, "the body did not arrive", Ran.NOT_RUN)
-        if len(body) > limit:
-            return _build_too_large_problem(limit)
-        if len(body) < int(length):
-            return Problem(CODE_BAD_REQUEST, 400, "the body ended early", Ran.NOT_RUN)
+        body = read_checked_body(environ, self._hub.settings.max_body)
+        if isinstance(body, Problem):
+            return body
         return RequestContext(
             uuid.uuid4().hex[:16],
             environ["REQUEST_METHOD"],
@@ -327,11 +316,6 @@
     return parts[0], float(parts[2])
 
 
-def _build_too_large_problem(limit: int) -> Problem:
-    """Return the problem for a body over the limit."""
-    return Problem(CODE_TOO_LARGE, 413, f"the body is over {limit} bytes", Ran.NOT_RUN)
-
-
 def _read_headers(environ: dict[str, Any]) -> dict[str, str]:
     """Return the request's headers with lowercase names."""
     headers = {
--- a/driftstall/daemon/http_responses.py
+++ b/driftstall/daemon/http_responses.py
@@ -21,6 +21,7 @@
     401: "Unauthorized",
     404: "Not Found",
     405: "Method Not Allowed",
+    408: "Request Timeout",
     409: "Conflict",
     413: "Content Too Large",
     422: "Unprocessable Content",
--- a/driftstall/daemon/operators.py
+++ b/driftstall/daemon/operators.py
@@ -10,7 +10,13 @@
 import orjson
 import voluptuous as vol
 
-from driftstall.const import CODE_BAD_REQUEST, CODE_NOT_FOUND, CODE_UNAUTHENTICATED, VERSION
+from driftstall.const import (
+    CODE_BAD_REQUEST,
+    CODE_LEAVING,
+    CODE_NOT_FOUND,
+    CODE_UNAUTHENTICATED,
+    VERSION,
+)
 from driftstall.controllers.configuration import (
     ConfigChange,
     RunnerConfig,
@@ -20,10 +26,11 @@
 from driftstall.core import Problem, Ran
 from driftstall.daemon.http_responses import StartResponse, send_body, send_json, send_problem
 from driftstall.daemon.node import Node
+from driftstall.daemon.request_body import read_body
 from driftstall.daemon.stats import COUNTERS, render
 from driftstall.daemon.wire import config_to_json
 from driftstall.decisions.poison_subjects import is_part
-from driftstall.exceptions import PolicyError
+from driftstall.exceptions import InboundOverloadError, PolicyError
 from driftstall.policy.evaluate import explain
 from driftstall.policy.model import Facts
 from driftstall.policy.parse import parse_policy
@@ -102,6 +109,8 @@
             return send_problem(start, _build_bad_request(str(fault)))
         except orjson.JSONDecodeError:
             return send_problem(start, _build_bad_request("the body is not JSON"))
+        except InboundOverloadError as fault:
+            return send_problem(start, Problem(CODE_LEAVING, 503, str(fault), Ran.NOT_RUN, 1.0))
 
     def _route(self, route: str, environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
         """Serve one authenticated request by its method and path."""
@@ -242,8 +251,8 @@
 
 def _read_body(environ: dict[str, Any]) -> Any:
     """Read a JSON body; raise vol.Invalid if it is over MAX_BODY_BYTES."""
-    raw = environ["wsgi.input"].read(MAX_BODY_BYTES + 1)
-    if len(raw) > MAX_BODY_BYTES:
+    raw = read_body(environ, MAX_BODY_BYTES)
+    if raw is None:
         raise vol.Invalid(f"the body is over {MAX_BODY_BYTES} bytes")
     return orjson.loads(raw)
 
--- a/driftstall/daemon/settings.py
+++ b/driftstall/daemon/settings.py
@@ -21,6 +21,8 @@
   --max-body=BYTES        Largest request body [default: 2000000].
   --max-connections=N     Most open callers' connections [default: 2000].
   --max-requests=N        Most requests served at once [default: 1000].
+  --max-held-bytes=BYTES  Most bytes of open requests' bodies [default: 64000000].
+  --read-timeout=SECONDS  Longest time for a head, or a body, to arrive [default: 120].
   --idle-timeout=SECONDS  How long a connection may be silent [default: 60].
   --default-deadline=SECONDS  Deadline of a request that names none [default: 600].
   --tls-cert=FILE         Certificate for the callers' and operators' listeners.
@@ -117,6 +119,8 @@
         vol.Required("max_body"): _integer(1_000, 100_000_000),
         vol.Required("max_connections"): _integer(1, 100_000),
         vol.Required("max_requests"): _integer(1, 100_000),
+        vol.Required("max_held_bytes"): _integer(1_000, 100_000_000_000),
+        vol.Required("read_timeout"): _bounded_number(1, 3600),
         vol.Required("idle_timeout"): _bounded_number(1, 3600),
         vol.Required("default_deadline"): _bounded_number(1, 86_400),
         vol.Required("tls_cert"): _text,
@@ -143,6 +147,8 @@
     max_body: int
     max_connections: int
     max_requests: int
+    max_held_bytes: int
+    read_timeout: float
     idle_timeout: float
     default_deadline: float
     tls_cert: str
--- a/features/processes/rough_callers.feature
+++ b/features/processes/rough_callers.feature
@@ -53,6 +53,19 @@
     Then the own interface answers an ordinary call beside the crowd and after it
     And the own interface has used at most 160 MB and 120 descriptors
 
+  # Guards against requests that never end, as a byte arrives now and then.
+  Scenario Outline: <part> that trickles at the own interface
+    Given the own interface is restarted with "--read-timeout=2"
+    When 20 callers of the own interface each trickle <part>
+    Then the own interface closes the connections of the crowd
+    And the own interface answers an ordinary call beside the crowd and after it
+    And the own interface has used at most 160 MB and 60 descriptors
+
+    Examples:
+      | part   |
+      | a head |
+      | a body |
+
   # Guards against limits that reject what one caller may send.
   Scenario Outline: a body in chunks of <size> is served by the own interface in calm
     When a caller of the own interface sends a whole body in <count> chunks of <size>
--- a/features/steps/rough_own_caller_steps.py
+++ b/features/steps/rough_own_caller_steps.py
@@ -17,7 +17,7 @@
     repeated,
 )
 from features.worlds.process_world import KEY
-from measures.bench import Bench
+from measures.bench import Bench, wait_until
 
 MB: Final = 1_000_000
 SEND_WAIT_S: Final = 15.0
@@ -40,6 +40,9 @@
     "trailers": (CHUNKED + b"0\r\n", b"X-Trailer: value\r\n"),
 }
 
+TRICKLED: Final = {"a head": LINE, "a body": CHUNKED + b"ffff\r\n"}
+TRICKLE_PAUSE_S: Final = 0.2
+
 
 @given("the own interface before a plain service")
 def own_interface(context: Any) -> None:
@@ -107,6 +110,20 @@
     context.crowd.join(SEND_WAIT_S)
 
 
+@when("{count:d} callers of the own interface each trickle {part}")
+def trickle(context: Any, count: int, part: str) -> None:
+    """Send a byte of a head or of a body now and then."""
+    start_crowd(context, count, TRICKLED[part], b"", 0)
+    context.crowd.join(SEND_WAIT_S)
+    context.crowd.keep_sending(b"x", TRICKLE_PAUSE_S)
+
+
+@then("the own interface closes the connections of the crowd")
+def closes_crowd(context: Any) -> None:
+    """Wait until each connection has been closed by the process."""
+    wait_until("all are closed", lambda: context.crowd.open_count == 0)
+
+
 def chunk_of(size: int) -> bytes:
     """Return a chunk of so many bytes."""
     return b"%x\r\n%b\r\n" % (size, b"x" * size)
