Bound answers of the store, of engines and of the own interface's runners

An answer of the store without end stopped the whole instance: reading what has arrived gives no other greenlet a turn, so no timeout was noticed, and the body grew (a peak of 430 MB). A timeout of a probe started anew with each byte.

An event is searched for once.

The store's and reports' scenarios of endless_upstreams.feature still have to be run on this code.

--- a/driftstall/exceptions.py
+++ b/driftstall/exceptions.py
@@ -62,6 +62,14 @@
         self.refused = refused
 
 
+class OversizedAnswer(UpstreamError):
+    """Raised for an answer that exceeds a limit and was not read any further."""
+
+    def __init__(self, defect: str) -> None:
+        """Initialize the error; the request may have been executed."""
+        super().__init__(f"the answer exceeds a limit: {defect}", sent=True)
+
+
 class NoPeerError(UpstreamError):
     """Raised when no peer can open a connection to an upstream in place of this instance."""
 
--- a/driftstall/platform/engine_calls.py
+++ b/driftstall/platform/engine_calls.py
@@ -10,7 +10,7 @@
 
 from driftstall.const import PREFIX_RELAY
 from driftstall.decisions.upstream_probes import ReportedState
-from driftstall.exceptions import UpstreamError
+from driftstall.exceptions import OversizedAnswer, UpstreamError
 from driftstall.gateway.dialect import (
     ConnectUpstream,
     MoveDone,
@@ -26,6 +26,7 @@
 from driftstall.platform.headers import read_signals
 from driftstall.util import clock
 from driftstall.util.http import Exchange
+from driftstall.util.limited_response import ResponseLimits
 
 MOVE_TIMEOUT_S: Final = 4.0
 """Copies queue behind each other on a link. An engine seldom lives longer than this after its
@@ -36,6 +37,9 @@
 PROBE_TIMEOUT_S: Final = 0.5
 """Engines answer within a few milliseconds; one that does not is probed again soon."""
 
+ANSWER_LIMITS: Final = ResponseLimits(held_bytes=1_000_000)
+"""Limits of the body of an engine's answer, which has a few fields."""
+
 STATES: Final = frozenset({"ready", "draining"})
 """Values of the state in an engine's report."""
 
@@ -72,6 +76,7 @@
             headers,
             body,
             MOVE_TIMEOUT_S,
+            ANSWER_LIMITS,
         )
         observe(source, read_signals(exchange.status, exchange.headers), sent_at)
         raw = exchange.read()
@@ -105,9 +110,19 @@
     sent_at = clock.now()
     try:
         exchange = Exchange.open_on(
-            connect(engine), engine.address, "GET", names.PATH_REPORT, {}, b"", PROBE_TIMEOUT_S
+            connect(engine),
+            engine.address,
+            "GET",
+            names.PATH_REPORT,
+            {},
+            b"",
+            PROBE_TIMEOUT_S,
+            ANSWER_LIMITS,
         )
         report = orjson.loads(exchange.read())
+    except OversizedAnswer as fault:
+        log_event(PREFIX_RELAY, f"Report not read: {fault}", upstream=engine.upstream_id)
+        return ReportedState.UNKNOWN
     except UpstreamError as fault:
         return ReportedState.TERMINATED if fault.refused else ReportedState.UNKNOWN
     except orjson.JSONDecodeError:
@@ -141,7 +156,14 @@
     sent_at = clock.now()
     try:
         exchange = Exchange.open_on(
-            connect(holder), holder.address, "DELETE", path, {}, b"", DROP_TIMEOUT_S
+            connect(holder),
+            holder.address,
+            "DELETE",
+            path,
+            {},
+            b"",
+            DROP_TIMEOUT_S,
+            ANSWER_LIMITS,
         )
         observe(holder, read_signals(exchange.status, exchange.headers), sent_at)
         exchange.read()
--- a/driftstall/platform/store.py
+++ b/driftstall/platform/store.py
@@ -24,6 +24,7 @@
 from driftstall.platform import names
 from driftstall.platform.json_rows import decode_answer
 from driftstall.util.http import Exchange
+from driftstall.util.limited_response import ResponseLimits
 
 CALL_TIMEOUT_S: Final = 1.5
 """Time for the headers of an answer. Calls take milliseconds; a store that takes longer than this
@@ -31,6 +32,8 @@
 BODY_TIMEOUT_S: Final = 10.0
 """Time for the whole body of an answer. The largest body, one megabyte, takes two seconds on the
 slowest links (5 Mbit/s), and shares the link with all streams."""
+ANSWER_LIMITS: Final = ResponseLimits(4_000_000, BODY_TIMEOUT_S)
+"""Limits of an answer's body: pages of lists and answers of watches are a quarter as large."""
 MAX_LOGGED_CHARS: Final = 200
 """Logged characters of an object that cannot be decoded."""
 NO_ERA: Final = 0
@@ -210,11 +213,12 @@
         if data:
             headers["Content-Type"] = "application/json"
         try:
-            # The exchange's own timeout bounds each read only, and the answer may trickle in.
+            # Opening the connection counts as well.
             with gevent.Timeout(timeout_s, UpstreamError("no answer in time", sent=True)):
-                exchange = Exchange.open(self._address, method, path, headers, data, timeout_s)
-            with gevent.Timeout(BODY_TIMEOUT_S, UpstreamError("incomplete answer", sent=True)):
-                raw = exchange.read()
+                exchange = Exchange.open(
+                    self._address, method, path, headers, data, timeout_s, ANSWER_LIMITS
+                )
+            raw = exchange.read()
             era = self._update_era(exchange.header(names.HEADER_ERA))
             body = decode_answer(raw, lambda: gevent.sleep(0)) if raw else None
             return _Answer(exchange.status, body, era)
--- a/driftstall/runners/engine.py
+++ b/driftstall/runners/engine.py
@@ -14,12 +14,15 @@
 from driftstall.exceptions import UpstreamError
 from driftstall.runners.signals import read_signals
 from driftstall.util.http import Exchange
+from driftstall.util.limited_response import ResponseLimits
 
 STREAM_TIMEOUT_S: Final = 3.0
 """An engine sends at least a comment this often; a longer silence is a broken stream."""
 CONTROL_TIMEOUT_S: Final = 1.0
 HTTP_GONE: Final = (404, 410)
 CLIENT_ERRORS: Final = range(400, 500)
+STREAM_LIMITS: Final = ResponseLimits(held_bytes=4_000_000)
+"""Limits of a stream: a larger event is none of an engine."""
 IDLE_COMMENT: Final = b":"
 
 
@@ -95,6 +98,7 @@
         headers,
         orjson.dumps(payload),
         STREAM_TIMEOUT_S,
+        STREAM_LIMITS,
     )
     return _read_events(exchange)
 
@@ -102,7 +106,7 @@
 def resume_stream(runner: Runner, generation: str, next_index: int) -> Iterator[list[EngineEvent]]:
     """Resume the stream of a generation from an index."""
     path = f"/v1/generations/{generation}/stream?from={next_index}"
-    exchange = Exchange.open(runner.address, "GET", path, {}, b"", STREAM_TIMEOUT_S)
+    exchange = Exchange.open(runner.address, "GET", path, {}, b"", STREAM_TIMEOUT_S, STREAM_LIMITS)
     return _read_events(exchange)
 
 
--- a/driftstall/util/http.py
+++ b/driftstall/util/http.py
@@ -10,11 +10,13 @@
 from collections.abc import Mapping
 from typing import Any, Final
 
+import gevent
 from gevent import socket
-from geventhttpclient.response import HTTPConnectionClosed, HTTPParseError, HTTPSocketResponse
+from geventhttpclient.response import HTTPConnectionClosed, HTTPParseError
 
 from driftstall.exceptions import UpstreamError
 from driftstall.util.addresses import split_address
+from driftstall.util.limited_response import DEFAULT_LIMITS, LimitedResponse, ResponseLimits
 
 CONNECT_TIMEOUT_S: Final = 1.0
 UNACKNOWLEDGED_TIMEOUT_MS: Final = 2_500
@@ -31,10 +33,16 @@
 class Exchange:
     """A sent request and its response."""
 
-    def __init__(self, connection: socket.socket, response: HTTPSocketResponse) -> None:
-        """Initialize with the connection and the response, whose headers have been read."""
+    def __init__(
+        self, connection: socket.socket, response: LimitedResponse, timeout_s: float
+    ) -> None:
+        """Initialize with the connection and the response, whose headers have been read.
+
+        The timeout is that of the body, and of each event of a stream.
+        """
         self._connection = connection
         self._response = response
+        self._timeout_s = timeout_s
 
     @classmethod
     def open(
@@ -45,13 +53,14 @@
         headers: Mapping[str, str],
         body: bytes,
         timeout_s: float,
+        limits: ResponseLimits = DEFAULT_LIMITS,
     ) -> Exchange:
         """Send a request once and read the response's headers.
 
         Raises UpstreamError, whose `sent` is false only if no byte was sent.
         """
         connection = connect(address, CONNECT_TIMEOUT_S)
-        return cls.open_on(connection, address, method, path, headers, body, timeout_s)
+        return cls.open_on(connection, address, method, path, headers, body, timeout_s, limits)
 
     @classmethod
     def open_on(
@@ -63,12 +72,16 @@
         headers: Mapping[str, str],
         body: bytes,
         timeout_s: float,
+        limits: ResponseLimits = DEFAULT_LIMITS,
     ) -> Exchange:
         """Send a request on an open connection, and read the response's headers."""
         try:
             connection.settimeout(timeout_s)
-            connection.sendall(_head(address, method, path, headers, len(body)) + body)
-            return cls(connection, HTTPSocketResponse(connection, method=method))
+            # The connection's timeout starts anew with each read, and the answer may trickle in.
+            with gevent.Timeout(timeout_s, UpstreamError("no answer in time", sent=True)):
+                connection.sendall(_head(address, method, path, headers, len(body)) + body)
+                response = LimitedResponse(connection, method, limits)
+            return cls(connection, response, limits.body_timeout_s or timeout_s)
         except READ_FAULTS as fault:
             connection.close()
             detail = f"no answer from {address}: {type(fault).__name__}"
@@ -103,7 +116,8 @@
     def read(self) -> bytes:
         """Return the whole body and close the connection; raise UpstreamError if it is cut off."""
         try:
-            body = bytes(self._response.read())
+            with gevent.Timeout(self._timeout_s, UpstreamError("the answer is late", sent=True)):
+                body = bytes(self._response.read())
             if not self._response.message_complete:
                 raise UpstreamError("the answer ended early", sent=True)
             return body
@@ -114,14 +128,17 @@
 
     def read_event(self) -> bytes:
         """Return the next server-sent event; empty at the end of the stream."""
+        if self.has_event():
+            return self._response.read_event()
         try:
-            return bytes(self._response.readline(b"\n\n"))
+            with gevent.Timeout(self._timeout_s, UpstreamError("the stream is late", sent=True)):
+                return self._response.read_event()
         except READ_FAULTS as fault:
             raise UpstreamError(f"the stream broke: {type(fault).__name__}", sent=True) from fault
 
     def has_event(self) -> bool:
         """Return True if a whole server-sent event has been received but not read."""
-        return b"\n\n" in self._response._body_buffer
+        return self._response.has_event()
 
     def close(self) -> None:
         """Close the connection."""
