End the largest unfinished response when all of them hold too much memory

Each body was bounded at 16 MB and each event at 4 MB, but nothing bounded all of them together, so some ten endless bodies left the memory of a small machine.

Unfinished bodies and events hold 32 MB together; beyond that the largest one ends as an invalid response. The others, ordinary ones among them, are read on.

The new scenarios of endless_upstreams.feature still have to be run.

--- a/driftstall/gateway/events.py
+++ b/driftstall/gateway/events.py
@@ -40,6 +40,11 @@
         self._searched_bytes = 0
         """Bytes at the start of the buffer that hold no end of an event."""
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the bytes of the buffered part of an event."""
+        return len(self._buffer)
+
     @property
     def is_event_too_large(self) -> bool:
         """Return True if the buffered part of an event exceeds MAX_EVENT_BYTES."""
--- a/driftstall/gateway/exchange.py
+++ b/driftstall/gateway/exchange.py
@@ -19,6 +19,7 @@
 
 from driftstall.exceptions import InvalidResponse, UpstreamError
 from driftstall.gateway.model import Header, Headers
+from driftstall.gateway.response_buffers import ResponseBuffers
 from driftstall.util import clock
 from driftstall.util.response_overhead import PARSE_BYTES, ResponseOverhead
 
@@ -135,9 +136,12 @@
 class UpstreamExchange:
     """One request to an upstream; reading raises UpstreamError if the connection breaks."""
 
-    def __init__(self, connection: Connection) -> None:
-        """Initialize with the open connection."""
+    def __init__(self, connection: Connection, buffers: ResponseBuffers[UpstreamExchange]) -> None:
+        """Initialize with the open connection, and the buffers of all unfinished responses."""
         self._connection = connection
+        self._buffers = buffers
+        self._is_closed = False
+        self._is_evicted = False
         self._builder = _ResponseBuilder()
         self._parser = httptools.HttpResponseParser(self._builder)
         self._builder.parser = self._parser
@@ -203,6 +207,8 @@
         stop shortens the wait. A timeout raises TimeoutError; the exchange can still be read
         afterwards.
         """
+        if self._is_evicted:
+            self._check_limits()
         while not self._builder.items:
             wait_s = remaining_s()
             if wait_s <= 0:
@@ -214,6 +220,28 @@
             self._is_framed = item.is_framed
         return item
 
+    def hold(self, size: int) -> None:
+        """Record how many bytes the reader holds; raise InvalidResponse if it has to end.
+
+        If all unfinished responses hold too much, the largest one ends.
+        """
+        largest = None if self._is_closed else self._buffers.resize(self, size)
+        if largest is not None:
+            largest.evict()
+        self._check_limits()
+
+    def evict(self) -> None:
+        """Close the connection; the reader, which may be waiting, gets an InvalidResponse."""
+        self._is_evicted = True
+        self.close()
+
+    def _check_limits(self) -> None:
+        """Raise InvalidResponse if the response has exceeded a limit."""
+        if self._is_evicted:
+            raise self.reject("unfinished responses hold too much memory")
+        if self._builder.overhead.is_excessive:
+            raise self.reject("there are too many bytes besides its body")
+
     def reject(self, defect: str) -> InvalidResponse:
         """Report that the response exceeds a limit, and return the error to raise."""
         self.on_oversized(defect)
@@ -221,19 +249,22 @@
 
     def close(self) -> None:
         """Close the connection; most upstreams then abort the request."""
+        self._is_closed = True
+        self._buffers.release(self)
         self._connection.close()
 
     def _receive(self) -> None:
         """Read once and parse the data; return without data after a timeout."""
-        if self._builder.overhead.is_excessive:
-            raise self.reject("there are too many bytes besides its body")
+        self._check_limits()
         try:
             data = self._connection.recv(RECEIVE_BYTES)
         except TimeoutError:
             return
         except OSError as error:
+            self._check_limits()
             raise UpstreamError(f"receiving failed: {type(error).__name__}", sent=True) from error
         if not data:
+            self._check_limits()
             self._handle_connection_end()
             return
         self._unyielded_bytes += len(data)
--- a/driftstall/gateway/response_body.py
+++ b/driftstall/gateway/response_body.py
@@ -26,6 +26,7 @@
         self._received_bytes += len(data)
         if self._received_bytes > MAX_RESPONSE_BYTES:
             raise self._exchange.reject("its body is too large")
+        self._exchange.hold(len(self._buffer))
 
     def clear(self) -> None:
         """Drop the bytes: another response follows."""
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -36,6 +36,7 @@
 from driftstall.gateway.model import GatewaySettings, ResponseMetadata, Service, Upstream
 from driftstall.gateway.outcomes import Outcome, OutlierDetector
 from driftstall.gateway.poison.guard import PoisonGuard
+from driftstall.gateway.response_buffers import ResponseBuffers
 from driftstall.gateway.response_limits import record_oversized
 from driftstall.gateway.retry_budget.budgets import RetryBudgets
 from driftstall.gateway.routes import RouteTable
@@ -83,6 +84,7 @@
         self.eras = StoreEras()
         self.cold = ColdStarts()
         self.exchanges = OpenExchanges()
+        self.response_buffers: ResponseBuffers[UpstreamExchange] = ResponseBuffers()
         self.loads = LoadTable()
         self.outcomes = OutlierDetector()
         self.lengths = LearnedLengths()
@@ -317,7 +319,7 @@
                 for run in self.poison.unframed_ends.take_crashed(upstream.upstream_id):
                     self.on_run_broken(upstream, run)
             raise
-        exchange = UpstreamExchange(connection)
+        exchange = UpstreamExchange(connection, self.response_buffers)
 
         def observe(head: ResponseHead) -> None:
             metadata = self.dialect.read_response(head.status, head.headers)
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -15,10 +15,10 @@
 from driftstall.const import CODE_RUNNER_FAILED, PREFIX_RELAY
 from driftstall.core import Problem, Ran
 from driftstall.decisions.upstream_probes import ReportedState
-from driftstall.exceptions import UpstreamError
+from driftstall.exceptions import InvalidResponse, UpstreamError
 from driftstall.gateway.admission import AdmittedRequest
 from driftstall.gateway.events import Event, EventContinuity, EventSequence, EventSplitter
-from driftstall.gateway.exchange import BodyChunk, ResponseEnd
+from driftstall.gateway.exchange import BodyChunk, ResponseEnd, UpstreamExchange
 from driftstall.gateway.ingress import (
     LAST_CHUNK,
     CallerRequest,
@@ -184,8 +184,9 @@
                 relay_error = self._forward(run, splitter.feed(item.data))
                 if relay_error is not None:
                     return relay_error
-                if splitter.is_event_too_large:
-                    return run.exchange.reject("an event is too large")
+                excess = self._check_event(run.exchange, splitter)
+                if excess is not None:
+                    return excess
             elif isinstance(item, ResponseEnd):
                 if splitter.is_inside_event:
                     return UpstreamError("the stream ended inside an event", sent=True)
@@ -199,6 +200,18 @@
                     return UpstreamError("the stream ended during its migration", sent=True)
                 return None
 
+    def _check_event(
+        self, exchange: UpstreamExchange, splitter: EventSplitter
+    ) -> InvalidResponse | None:
+        """Return an error if the unfinished event exceeds a limit, else None."""
+        if splitter.is_event_too_large:
+            return exchange.reject("an event is too large")
+        try:
+            exchange.hold(splitter.buffered_bytes)
+        except InvalidResponse as error:
+            return error
+        return None
+
     def _seconds_to(self, until: float) -> float:
         """Return the seconds from now to a time on the monotonic clock."""
         return until - self._state.now()
--- a/features/gateway/endless_upstreams.feature
+++ b/features/gateway/endless_upstreams.feature
@@ -28,6 +28,7 @@
       | a status line          |
       | a body without length  |
       | bytes that are no HTTP |
+      | responses to another   |
 
   # Guards against the same with the response head of a stream.
   Scenario Outline: streams from an engine that sends <data> without end are answered
@@ -48,6 +49,7 @@
       | interim responses      |
       | a status line          |
       | bytes that are no HTTP |
+      | responses to another   |
 
   # Guards against error responses of engines that are held in memory without a bound.
   Scenario: a stream whose engine sends an error without end is answered
@@ -60,6 +62,17 @@
     And another call is served afterwards
     And the process has kept within its memory and 100 descriptors
 
+  # Guards against bodies that are each within their limit, and exceed the memory together.
+  Scenario: many calls to an upstream that sends bodies without end are answered
+    Given the store's stand-in with a routing configuration and 2 upstreams
+    And an upstream that answers calls with a body without length without end
+    And a gateway process with 150 MB of memory
+    When 40 calls to that upstream and 4 to others are sent
+    Then another call is served meanwhile
+    And each call to that upstream is answered before its caller gives up
+    And another call is served afterwards
+    And the process has kept within its memory and 200 descriptors
+
   # Guards against a store whose answer ends no wait, as its bytes never stop.
   Scenario Outline: a gateway serves on while the store answers with <data> without end
     Given the store's stand-in with a routing configuration and 2 upstreams
