--- a/driftstall/gateway/callers/auxiliary.py
+++ b/driftstall/gateway/callers/auxiliary.py
@@ -7,22 +7,19 @@
 
 from gevent import socket
 
-from driftstall.const import CODE_BAD_REQUEST, CODE_LEAVING, PREFIX_RELAY
-from driftstall.core import Problem, Ran
+from driftstall.const import PREFIX_RELAY
 from driftstall.gateway.callers.connections import (
     ConnectionLimits,
     ConnectionTable,
     make_server,
 )
+from driftstall.gateway.callers.refusals import refuse
 from driftstall.gateway.ingress import (
     CallerConnection,
     CallerRequest,
     ConnectionClosed,
-    MalformedRequest,
-    OverloadRefusal,
 )
 from driftstall.gateway.model import Limits
-from driftstall.gateway.responses import encode_problem
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import log_event
 
@@ -30,13 +27,6 @@
 """Limits of the listeners that take no generation requests."""
 
 
-def refusal_of(result: MalformedRequest | OverloadRefusal) -> Problem:
-    """Return the problem that a request is refused with before it is run."""
-    if isinstance(result, OverloadRefusal):
-        return Problem(CODE_LEAVING, 503, result.detail, Ran.NOT_RUN, result.retry_after_s)
-    return Problem(CODE_BAD_REQUEST, int(result.status), result.detail, Ran.NOT_RUN)
-
-
 class AuxiliaryListener:
     """Listener for small requests outside the callers' interface."""
 
@@ -74,20 +64,12 @@
             if isinstance(call, ConnectionClosed):
                 return
             if not isinstance(call, CallerRequest):
-                self._refuse(connection, call)
+                refuse(connection, call, self._state.stats)
+                connection.finish_writing()
                 return
             if not connection.write(self._answer(call)) or not call.keep_alive:
                 return
 
-    def _refuse(
-        self, connection: CallerConnection, result: MalformedRequest | OverloadRefusal
-    ) -> None:
-        """Refuse a request that was not read whole."""
-        problem = refusal_of(result)
-        log_event(PREFIX_RELAY, f"Request answered with {problem.status}: {problem.detail}")
-        connection.write(encode_problem(problem, keep_alive=False))
-        connection.finish_writing()
-
     def _count_eviction(self) -> None:
         """Count a connection that is closed for a new one."""
         self._state.stats.connections_evicted += 1
--- a/driftstall/gateway/listeners.py
+++ b/driftstall/gateway/listeners.py
@@ -21,12 +21,12 @@
 from driftstall.daemon.http_responses import JSON_TYPE
 from driftstall.decisions.poison_subjects import PoisonSubjects, is_part
 from driftstall.gateway.admission import Admission, AdmittedRequest, RequestProgress
-from driftstall.gateway.callers.auxiliary import refusal_of
 from driftstall.gateway.callers.connections import (
     ConnectionLimits,
     ConnectionTable,
     make_server,
 )
+from driftstall.gateway.callers.refusals import refuse
 from driftstall.gateway.calls import CallRelay, UpstreamResponse
 from driftstall.gateway.dialect import BadHeaders
 from driftstall.gateway.drain import stop_refusal
@@ -34,7 +34,6 @@
     CallerConnection,
     CallerRequest,
     ConnectionClosed,
-    MalformedRequest,
     OverloadRefusal,
 )
 from driftstall.gateway.model import Limits, Repeat
@@ -92,7 +91,8 @@
             if self._connections.add(connection):
                 self._serve_requests(connection)
             else:
-                self._refuse(connection, OverloadRefusal("all connections are in use"))
+                refusal = OverloadRefusal("all connections are in use")
+                refuse(connection, refusal, self._state.stats)
         finally:
             self._connections.remove(connection)
             connection.close()
@@ -104,24 +104,12 @@
             if isinstance(call, ConnectionClosed):
                 return
             if not isinstance(call, CallerRequest):
-                self._refuse(connection, call)
+                refuse(connection, call, self._state.stats)
                 connection.finish_writing()
                 return
             if not self._handle_request(connection, call):
                 return
 
-    def _refuse(
-        self, connection: CallerConnection, result: MalformedRequest | OverloadRefusal
-    ) -> None:
-        """Refuse a request that was not read whole with a problem response."""
-        if isinstance(result, OverloadRefusal):
-            self._state.stats.overload_refused += 1
-        else:
-            self._state.stats.malformed += 1
-        problem = refusal_of(result)
-        log_event(PREFIX_RELAY, f"Request answered with {problem.status}: {problem.detail}")
-        connection.write(encode_problem(problem, keep_alive=False))
-
     def _count_eviction(self) -> None:
         """Count a connection that is closed for a new one."""
         self._state.stats.connections_evicted += 1
