Derive the bounds of peers' messages and of responses from the settings' memory and descriptors

Both were 32 MB whatever the machine, and peers' connections a quarter of the process's own descriptors. Together with the base, callers' buffers and a twofold body, a machine of 128 MB had no room for all of them at once. Peers' messages hold a tenth of memoryMb and unfinished responses 0.15 of it, at most 32 MB each; peers' connections an eighth of maxFds.

--- a/driftstall/gateway/member_messenger.py
+++ b/driftstall/gateway/member_messenger.py
@@ -12,7 +12,7 @@
 from driftstall.helpers.log import log_event
 from driftstall.peers.codec import message_types_of
 from driftstall.peers.gateway_messages import GatewayMessage
-from driftstall.peers.link import ANY_RECIPIENT, PeerLinks
+from driftstall.peers.link import ANY_RECIPIENT, PeerLinks, build_limits
 
 
 class MemberMessenger:
@@ -36,6 +36,7 @@
             state.settings.peer_key.encode(),
             message_types_of(GatewayMessage),
             lambda _, message: receive(message),
+            build_limits(state.settings.memory_mb, state.settings.max_fds),
         )
 
     @property
--- a/driftstall/gateway/response_buffers.py
+++ b/driftstall/gateway/response_buffers.py
@@ -7,6 +7,10 @@
 MAX_HELD_BYTES: Final = 32_000_000
 """Limit of the bytes of all unfinished responses: beyond it the largest one is ended."""
 
+HELD_SHARE: Final = 0.15
+"""Share of the machine's memory for these bytes, where it is known."""
+BYTES_PER_MB: Final = 1 << 20
+
 Holder = TypeVar("Holder")
 
 
@@ -19,6 +23,13 @@
         self._held: dict[Holder, int] = {}
         self._total = 0
 
+    @classmethod
+    def from_memory(cls, memory_mb: float) -> ResponseBuffers[Holder]:
+        """Return the buffers of a machine with this memory in MB; zero if it is not known."""
+        if not memory_mb:
+            return cls()
+        return cls(min(MAX_HELD_BYTES, int(memory_mb * BYTES_PER_MB * HELD_SHARE)))
+
     @property
     def total(self) -> int:
         """Return the bytes that all responses hold."""
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -84,7 +84,9 @@
         self.eras = StoreEras()
         self.cold = ColdStarts()
         self.exchanges = OpenExchanges()
-        self.response_buffers: ResponseBuffers[UpstreamExchange] = ResponseBuffers()
+        self.response_buffers: ResponseBuffers[UpstreamExchange] = ResponseBuffers.from_memory(
+            settings.memory_mb
+        )
         self.loads = LoadTable()
         self.outcomes = OutlierDetector()
         self.lengths = LearnedLengths()
--- a/driftstall/helpers/inbound.py
+++ b/driftstall/helpers/inbound.py
@@ -19,10 +19,15 @@
 """Connections that a listener accepts before the limit of connections applies to them."""
 
 
-def connections_within_descriptors(share: float) -> float:
-    """Return how many connections use at most a share of the process's descriptors."""
+def connections_within_descriptors(share: float, max_fds: int = 0) -> float:
+    """Return how many connections use at most a share of the descriptors.
+
+    These are those of the process, or of the settings if they name fewer; zero for none named.
+    """
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    return math.inf if soft == resource.RLIM_INFINITY else max(1, int(soft * share))
+    own = math.inf if soft == resource.RLIM_INFINITY else soft
+    usable = min(own, max_fds or math.inf)
+    return usable if usable == math.inf else max(1, int(usable * share))
 
 
 class InboundLimits:
--- a/driftstall/peers/link.py
+++ b/driftstall/peers/link.py
@@ -47,8 +47,8 @@
 delivers cannot be detected, and everything sent on it is lost: loads, members, notices. A new
 connection costs one round trip, every three seconds for each peer."""
 MAX_CONNECTIONS: Final = 2_000
-DESCRIPTOR_SHARE: Final = 0.25
-"""Share of the process's descriptors that peers' connections may use."""
+DESCRIPTOR_SHARE: Final = 1 / 8
+"""Share of the descriptors that peers' connections may use."""
 FIRST_FRAME_TIMEOUT_S: Final = 5.0
 """A peer sends as soon as it has connected."""
 FRAME_TIMEOUT_S: Final = 5.0
@@ -58,6 +58,9 @@
 FRAME_PIECE_BYTES: Final = 16_384
 MAX_HELD_BYTES: Final = 32_000_000
 """Bytes of partly received frames of all connections."""
+HELD_SHARE: Final = 0.1
+"""Share of the machine's memory for these bytes, where it is known."""
+BYTES_PER_MB: Final = 1 << 20
 
 ANY_RECIPIENT: Final = ""
 """Addresses a message to any instance that listens at an address, as for the first peers."""
@@ -84,12 +87,18 @@
     """Send messages to peers and receive theirs."""
 
     def __init__(
-        self, own_id: str, listen: str, key: bytes, message_types: MessageTypes, receiver: Receiver
+        self,
+        own_id: str,
+        listen: str,
+        key: bytes,
+        message_types: MessageTypes,
+        receiver: Receiver,
+        limits: InboundLimits | None = None,
     ) -> None:
         """Initialize the links.
 
         listen: address to listen on. key: shared key of the MAC. receiver: called with the
-        sender's id and the message.
+        sender's id and the message. limits: of what peers' connections hold.
         """
         self._own_id = own_id
         self._message_types = message_types
@@ -104,8 +113,7 @@
         self.received_bytes = 0
         self.dropped = 0
         self.rejected = 0
-        most = min(MAX_CONNECTIONS, connections_within_descriptors(DESCRIPTOR_SHARE))
-        self._limits = InboundLimits(most, MAX_HELD_BYTES)
+        self._limits = limits or build_limits()
         self._server = StreamServer(split_address(listen), self._serve, spawn=Pool())
         self._server.max_accept = MAX_ACCEPTED_AT_ONCE
 
@@ -282,6 +290,15 @@
         connection.sendall(self._frame(request.sender, answer))
 
 
+def build_limits(memory_mb: float = 0.0, max_fds: int = 0) -> InboundLimits:
+    """Return the limits of the peers' port; zeros stand for a machine that is not known."""
+    most = connections_within_descriptors(DESCRIPTOR_SHARE, max_fds)
+    held = MAX_HELD_BYTES
+    if memory_mb:
+        held = min(held, int(memory_mb * BYTES_PER_MB * HELD_SHARE))
+    return InboundLimits(min(MAX_CONNECTIONS, most), held)
+
+
 def _close(connection: socket.socket, _: TunnelRequested) -> None:
     """Close a connection on which a tunnel is requested: this process serves none."""
     connection.close()
