Bind all addresses before any of them is served

A stop in the wait left peers with a live member for 1.7 s.

All sockets are bound first, with the retries, and only then served, so that an instance that gives up its start has been seen by nobody. driftstalld likewise.

--- a/driftstall/bootstrap.py
+++ b/driftstall/bootstrap.py
@@ -18,7 +18,7 @@
 from driftstall.daemon.node import Node
 from driftstall.daemon.operators import MAX_BODY_BYTES, OperatorsApp
 from driftstall.daemon.settings import Settings
-from driftstall.helpers.listening import start_when_free
+from driftstall.helpers.listening import bind_when_free
 from driftstall.helpers.log import log_event, start_log
 from driftstall.helpers.start_signals import StartSignals
 
@@ -52,11 +52,14 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stop_requested.set)
     gevent.signal_handler(signal.SIGHUP, _log_reload)
-    for start in (node.start, operators.start, callers.start):
-        start_when_free(start, stop_requested.is_set)
+    for bind in (node.hub.links.bind, operators.init_socket, callers.init_socket):
+        bind_when_free(bind, stop_requested.is_set)
     if stop_requested.is_set():
         log_event(PREFIX_DRAIN, "Stopped before the start was complete")
         return
+    node.start()
+    operators.start()
+    callers.start()
     gevent.spawn(_stop_when_requested, stop_requested, node)
     log_event(PREFIX_MEMBERSHIP, f"Instance {settings.instance_id} listens on {settings.listen}")
     while not node.is_stopped:
--- a/driftstall/gateway/callers/auxiliary.py
+++ b/driftstall/gateway/callers/auxiliary.py
@@ -40,6 +40,10 @@
         self._connections = ConnectionTable(limits.auxiliary, self._count_eviction)
         self._server = make_server(address, self._serve)
 
+    def bind(self) -> None:
+        """Bind the address; raises OSError. Connections wait until the start."""
+        self._server.init_socket()
+
     def start(self) -> None:
         """Start listening."""
         self._server.start()
--- a/driftstall/gateway/listeners.py
+++ b/driftstall/gateway/listeners.py
@@ -74,6 +74,10 @@
         self._connections = ConnectionTable(limits.callers, self._count_eviction)
         self._server = make_server(settings.caller_listen, self._serve)
 
+    def bind(self) -> None:
+        """Bind the address; raises OSError. Connections wait until the start."""
+        self._server.init_socket()
+
     def start(self) -> None:
         """Start listening."""
         self._server.start()
--- a/driftstall/gateway/member_messenger.py
+++ b/driftstall/gateway/member_messenger.py
@@ -49,6 +49,10 @@
         """Return the live instances by the member list."""
         return self._members.live
 
+    def bind(self) -> None:
+        """Bind the address; raises OSError."""
+        self._links.bind()
+
     def start(self) -> None:
         """Start to listen."""
         self._links.start()
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -59,7 +59,7 @@
     RevisionWatchPacing,
     WatchDelegation,
 )
-from driftstall.helpers.listening import start_when_free
+from driftstall.helpers.listening import bind_when_free
 from driftstall.helpers.log import BoundedWriter, log_event
 from driftstall.helpers.start_signals import StartSignals
 from driftstall.helpers.tasks import keep_running, run_guarded
@@ -238,13 +238,20 @@
             self._reload()
         if start_signals.is_stop_requested:
             self._drain.begin()
-        # Callers come last: an instance that stops while an address is in use has accepted nothing.
-        for listener in (self._ready, self._locate, self._metrics, self._peering, self._callers):
-            start_when_free(listener.start, lambda: self.state.is_stopping)
+        # All addresses are bound before any is served, so that an instance that gives up its start
+        # has accepted nothing, and neither peers nor callers have heard of it.
+        listeners = (self._callers, self._ready, self._locate, self._metrics, self._peering)
+        for listener in listeners:
+            bind_when_free(listener.bind, lambda: self.state.is_stopping)
         if self.state.is_stopping:
             log_event(PREFIX_DRAIN, "Stopped before the start was complete")
             return
-        for component in (self._protection, self._upstream_prober, self._crash_persistence):
+        for component in (
+            *listeners,
+            self._protection,
+            self._upstream_prober,
+            self._crash_persistence,
+        ):
             component.start()
         for follower in (
             self._routing_follower,
--- a/driftstall/gateway/peering.py
+++ b/driftstall/gateway/peering.py
@@ -191,6 +191,10 @@
         """Return the peers that report that they can't reach the platform."""
         return self._reporting.peers_without_platform
 
+    def bind(self) -> None:
+        """Bind the address; raises OSError."""
+        self._messenger.bind()
+
     def start(self) -> None:
         """Start listening, failure detection and reporting, and ping the seeds."""
         self._messenger.start()
--- a/driftstall/helpers/listening.py
+++ b/driftstall/helpers/listening.py
@@ -1,4 +1,4 @@
-"""Start listeners whose addresses may still be in use by a process that is about to end."""
+"""Bind listeners whose addresses may still be in use by a process that is about to end."""
 
 from __future__ import annotations
 
@@ -20,13 +20,13 @@
 """An address may also appear on the machine after the start of the process."""
 
 
-def start_when_free(
-    start: Callable[[], None],
+def bind_when_free(
+    bind: Callable[[], None],
     should_stop: Callable[[], bool],
     *,
     wait_s: float = ADDRESS_WAIT_S,
 ) -> None:
-    """Call a function that starts a listener until its address is free, or the start is abandoned.
+    """Call a function that binds an address until that is free, or the start is abandoned.
 
     The function must have no effect if it fails. Raises ListenError after `wait_s` seconds, and at
     once if the address can never be used.
@@ -35,7 +35,7 @@
     has_logged = False
     while not should_stop():
         try:
-            start()
+            bind()
             return
         except OSError as error:
             if error.errno not in TEMPORARY_ERRORS or clock.now() >= until:
--- a/driftstall/peers/link.py
+++ b/driftstall/peers/link.py
@@ -117,6 +117,10 @@
         self._server = StreamServer(split_address(listen), self._serve, spawn=Pool())
         self._server.max_accept = MAX_ACCEPTED_AT_ONCE
 
+    def bind(self) -> None:
+        """Bind the address; raises OSError. Connections wait until the start."""
+        self._server.init_socket()
+
     def start(self) -> None:
         """Start listening."""
         self._server.start()
--- a/features/gateway/disturbed_starts.feature
+++ b/features/gateway/disturbed_starts.feature
@@ -74,3 +74,18 @@
       | empty      |
       | cut        |
       | not finite |
+
+  # Guards against an instance that peers direct callers to while another process has its address.
+  Scenario Outline: an instance whose <listener> address is in use is neither ready nor located
+    Given a gateway process
+    And one more whose "<listener>" address is in use
+    When the second one waits for the address
+    Then the second one is not ready, and the first does not locate it for 2 s
+    When the second one gets SIGTERM
+    Then it has ended with 0, and the first has never heard of it
+
+    Examples:
+      | listener |
+      | front    |
+      | control  |
+      | metrics  |
--- a/features/steps/disturbed_start_steps.py
+++ b/features/steps/disturbed_start_steps.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import signal
+import time
 from pathlib import Path
 from typing import Any, Final
 
+import gevent
 import orjson
 from behave import given, then, when
 from gevent import socket
 
 from driftstall.platform.names import KIND_INSTANCES
-from features.steps.gateway_node_steps import start_node, wait_for_processes
+from features.steps.gateway_node_steps import PROCESS_WAIT_S, start_node, wait_for_processes
+from features.worlds.gateway_world import HOST
 
 SIGNALS: Final = {"SIGHUP": signal.SIGHUP, "SIGTERM": signal.SIGTERM}
 
@@ -35,7 +38,26 @@
 def address_in_use(context: Any, listener: str) -> None:
     """Start a process after another socket has bound one of its addresses."""
     start_node(context, context.store_address)
-    node = context.nodes[0]
+    hold_address(context, context.nodes[0], listener)
+
+
+@given('one more whose "{listener}" address is in use')
+def second_address_in_use(context: Any, listener: str) -> None:
+    """Start a second process that knows the first one, after a socket has bound its address."""
+    seeds = [context.nodes[0].listen["control"]]
+    start_node(context, context.store_address, seeds=seeds)
+    end_node(context.nodes[1])
+    context.store.delete(KIND_INSTANCES, context.nodes[1].name)
+    wait_for_processes(
+        "the first one locates itself alone",
+        lambda: context.nodes[0].locate(HOST) == {context.nodes[0].listen["front"]},
+    )
+    context.nodes[0].log.write_bytes(b"")
+    hold_address(context, context.nodes[1], listener)
+
+
+def hold_address(context: Any, node: Any, listener: str) -> None:
+    """Bind an address of a process, and start that process again."""
     end_node(node)
     host, port = (node.listen.get(listener) or f"{node.settings['ip']}:9464").split(":")
     context.holder = socket.socket()
@@ -99,9 +121,9 @@
         node.signal(signal.SIGHUP)
 
 
-def wait_for_log(context: Any, sentence: str) -> None:
-    """Wait for a log line of the first process."""
-    node = context.nodes[0]
+def wait_for_log(context: Any, sentence: str, at: int = 0) -> None:
+    """Wait for a log line of a process."""
+    node = context.nodes[at]
     wait_for_processes(f"logged: {sentence}", lambda: sentence in node.log.read_text())
 
 
@@ -140,3 +162,34 @@
     """Check that the process has left no entry of its own."""
     listed = context.store.list(KIND_INSTANCES).objects
     assert not listed, listed
+
+
+@when("the second one waits for the address")
+def second_waits(context: Any) -> None:
+    """Wait for its log line."""
+    wait_for_log(context, "Waiting for an address to become free", at=1)
+
+
+@then("the second one is not ready, and the first does not locate it for {seconds:g} s")
+def not_located(context: Any, seconds: float) -> None:
+    """Look again and again."""
+    first, second = context.nodes
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        assert not second.is_ready()
+        assert first.locate(HOST) == {first.listen["front"]}
+        gevent.sleep(0.1)
+
+
+@when("the second one gets SIGTERM")
+def stop_second(context: Any) -> None:
+    """Stop the process that waits."""
+    context.nodes[1].signal(signal.SIGTERM)
+
+
+@then("it has ended with 0, and the first has never heard of it")
+def never_heard(context: Any) -> None:
+    """Check the exit code, and the log of the first process."""
+    first, second = context.nodes
+    assert second.process.wait(timeout=PROCESS_WAIT_S) == 0
+    assert f"Instance {second.name} is" not in first.log.read_text(), first.log.read_text()
