Read crash records although one of them cannot be deleted

A record under a name that cannot be sent raised while it was deleted, which hid all records. All rows are decoded first, then obsolete ones are deleted one by one. Found in review; the test had a store whose delete did nothing, and builds the path now (in 'an object whose name is not printable is skipped alone', which failed before).

--- a/driftstall/platform/crashes.py
+++ b/driftstall/platform/crashes.py
@@ -13,6 +13,7 @@
 
 from driftstall.const import PREFIX_CONFIGURATION
 from driftstall.decisions.poison_evidence import CRASH_RETENTION_S, CrashReport, PoisonReport
+from driftstall.exceptions import PlatformUnavailable
 from driftstall.helpers.log import log_event
 from driftstall.platform import checks, names
 from driftstall.platform.store import Store, StoredObject
@@ -46,20 +47,29 @@
         self._store = store
 
     def read(self) -> tuple[PoisonReport, ...]:
-        """Return the stored reports and delete expired or invalid objects.
+        """Return the stored reports, and try to delete expired or invalid objects.
 
-        Raises PlatformUnavailable.
+        Raises PlatformUnavailable if there is no list.
         """
         now_ms = _now_ms()
-        reports = []
+        reports, obsolete = [], []
         for stored in self._store.list(names.KIND_CRASHES).objects:
             report = _decode_report(stored, now_ms)
             if report is not None and report.crashes:
                 reports.append(report)
             else:
-                self._store.delete(names.KIND_CRASHES, stored.name)
+                obsolete.append(stored.name)
+        for name in obsolete:
+            self._try_delete(name)
         return tuple(reports)
 
+    def _try_delete(self, name: str) -> None:
+        """Delete an object; one that stays is read, and deleted, again."""
+        try:
+            self._store.delete(names.KIND_CRASHES, name)
+        except (PlatformUnavailable, UnicodeEncodeError) as fault:
+            log_event(PREFIX_CONFIGURATION, f"Stored crashes of {name!r} not deleted: {fault}")
+
     def write(self, report: PoisonReport) -> None:
         """Store the crashes of a request, or raise PlatformUnavailable."""
         now_ms = _now_ms()
