Take a report whose state is no string for unknown

A report of an engine with a list or an object as its state raised TypeError out of the probe, and the greenlet that waited for it saw no answer. Found in review; 'any report of an engine gives a state' failed before.

--- a/driftstall/platform/engine_calls.py
+++ b/driftstall/platform/engine_calls.py
@@ -132,7 +132,8 @@
         # A later start of the process answers at this address: the probed one has terminated.
         return ReportedState.TERMINATED
     observe(engine, read_signals(exchange.status, exchange.headers), sent_at)
-    if not isinstance(report, dict) or report.get("state") not in STATES:
+    state = report.get("state") if isinstance(report, dict) else None
+    if not isinstance(state, str) or state not in STATES:
         return ReportedState.UNKNOWN
     # Only an engine whose end is fixed reports its remaining time. Others drain until the platform
     # has accepted their notice.
