Reject a string without an end at its first quote

Each quote of an answer with an endless string was taken for the begin of one, which took 1.6 s for 8,000 escaped quotes and grows with their square, without a pause.

--- a/driftstall/platform/json_rows.py
+++ b/driftstall/platform/json_rows.py
@@ -31,8 +31,9 @@
 MAX_DEPTH: Final = 64
 """Nesting of a value that is encoded; encoders give up at a few hundred levels."""
 STRING: Final = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"', re.DOTALL)
-TOKEN: Final = re.compile(STRING.pattern + rb"|[\[{]+|[\]}]+|,", re.DOTALL)
-"""A string, a run of opening or of closing brackets, or a comma."""
+TOKEN: Final = re.compile(STRING.pattern + rb"|[\[{]+|[\]}]+|[,\"]", re.DOTALL)
+"""A string, a run of opening or of closing brackets, a comma, or the quote of an endless string."""
+QUOTE: Final = b'"'
 OPENING: Final = b"[{"
 CLOSING: Final = b"]}"
 TOKENS_PER_PAUSE: Final = 5_000
@@ -124,6 +125,8 @@
             depth -= token.end() - token.start()
             if depth <= 0 and token.end() != len(raw):
                 raise ValueError("the brackets do not match")
+        elif kind == QUOTE and token.end() - token.start() == 1:
+            raise ValueError("a string has no end")
         elif kind == b"," and depth == 1:
             yield raw[start : token.start()].strip()
             start = token.end()
