Name an invalid IP and figures beyond all sense in the settings

An ip that is no IP address ended the start with a traceback and status 1, a link speed of 1e300 was taken. Both are faults of the settings now (status 2). Found in review.

--- a/driftstall/platform/settings.py
+++ b/driftstall/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import math
 import os
 from collections.abc import Mapping
@@ -23,6 +24,9 @@
 """Used if the deploy file sets no key. Such a key only distinguishes versions of the program."""
 
 
+MAX_NUMBER: Final = 1e12
+
+
 def _address(value: Any) -> str:
     """Return the value if it is an address of the form IP:port."""
     try:
@@ -32,6 +36,15 @@
     return str(value)
 
 
+def _ip(value: Any) -> str:
+    """Return the value if it is an IP address."""
+    try:
+        ipaddress.ip_address(str(value))
+    except ValueError as fault:
+        raise vol.Invalid("must be an IP address, such as 127.0.0.1") from fault
+    return str(value)
+
+
 def _finite(value: float) -> float:
     """Return the value if it is a finite number."""
     if not math.isfinite(value):
@@ -39,13 +52,13 @@
     return value
 
 
-_FRACTION: Final = vol.All(vol.Coerce(float), _finite, vol.Range(min=0))
+_FRACTION: Final = vol.All(vol.Coerce(float), _finite, vol.Range(min=0, max=MAX_NUMBER))
 
 _SCHEMA: Final = vol.Schema(
     {
         vol.Required("nodeName"): vol.All(str, vol.Length(min=1)),
         vol.Required("zone"): str,
-        vol.Required("ip"): str,
+        vol.Required("ip"): _ip,
         vol.Required("listen"): vol.Schema(
             {
                 vol.Required("front"): _address,
