Page lists past names that cannot be sent, and check the store's own figures

Half a surrogate pair as the last name of a page raised UnicodeEncodeError at every list, so that a lone instance did not become ready; a store that repeats a page was read without end; rows nested about 1,000 deep took their neighbours along; a revision of 1e999 left the decoder, and booleans, negative and endless ones were accepted. Found in review.

--- a/driftstall/platform/store.py
+++ b/driftstall/platform/store.py
@@ -15,13 +15,14 @@
 
 import gevent
 import orjson
+import voluptuous as vol
 
 from driftstall.const import PREFIX_CONFIGURATION
 from driftstall.decisions.store_versions import StoreVersion
 from driftstall.decisions.watch_timeouts import ANSWER_MARGIN_S
 from driftstall.exceptions import HistoryUnavailable, PlatformUnavailable, UpstreamError
 from driftstall.helpers.log import log_event
-from driftstall.platform import names
+from driftstall.platform import checks, names
 from driftstall.platform.json_rows import decode_answer
 from driftstall.util.http import Exchange
 from driftstall.util.limited_response import ResponseLimits
@@ -36,6 +37,7 @@
 """Limits of an answer's body: pages of lists and answers of watches are a quarter as large."""
 MAX_LOGGED_CHARS: Final = 200
 """Logged characters of an object that cannot be decoded."""
+_REVISION: Final = checks.integer()
 NO_ERA: Final = 0
 """Era of a store whose answers name none."""
 NOT_EXECUTED_STATUSES: Final = frozenset(
@@ -141,9 +143,11 @@
             objects += readable
             # Later pages may be newer; a watch from the first page's version misses no change.
             at = _decode_version(body, era) if at is None else at
-            last = _find_last_name(body)
-            if not body.get("more") or not last:
+            if not body.get("more"):
                 return Listing(tuple(objects), at)
+            last = _find_last_name(body)
+            if last in ("", query.get("after")):
+                raise PlatformUnavailable("no name to continue a list after")
             query = base_query | {"after": last}
 
     def get(self, kind: str, name: str) -> StoredObject | None:
@@ -290,18 +294,33 @@
             items.append(decode(row))
         except PlatformUnavailable as fault:
             log_event(PREFIX_CONFIGURATION, f"Invalid row of a store answer skipped: {fault}")
+        except Exception as defect:
+            detail = type(defect).__name__
+            log_event(PREFIX_CONFIGURATION, f"Invalid row of a store answer skipped: {detail}")
     return items
 
 
 def _find_last_name(body: dict[str, Any]) -> str:
-    """Return the last object name of a page, after which the next page starts; empty if none."""
+    """Return the last object name of a page, after which the next page starts; empty if none.
+
+    Names that cannot be sent are passed over.
+    """
     for row in reversed(body["items"]):
         name = _get_name(row)
-        if name:
+        if name and _is_encodable(name):
             return name
     return ""
 
 
+def _is_encodable(name: str) -> bool:
+    """Return True if a name can be part of a path."""
+    try:
+        name.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _get_name(row: Any) -> str:
     """Return an object's name, even if the object is otherwise invalid; empty without a name."""
     metadata = row.get("metadata") if isinstance(row, dict) else None
@@ -312,9 +331,9 @@
 def _decode_version(body: dict[str, Any], era: int) -> StoreVersion:
     """Return the version of an answer, or raise PlatformUnavailable."""
     try:
-        return StoreVersion.of(era, int(body["at"]))
-    except (KeyError, TypeError, ValueError) as fault:
-        raise PlatformUnavailable(f"invalid revision in an answer: {fault!r}") from fault
+        return StoreVersion.of(era, _REVISION(body.get("at")))
+    except vol.Invalid as fault:
+        raise PlatformUnavailable(f"invalid revision in an answer: {fault}") from fault
 
 
 def _decode_event(raw: Any, era: int) -> WatchEvent:
@@ -327,7 +346,11 @@
 def _decode_object(raw: Any, era: int) -> StoredObject:
     """Decode an object, or raise PlatformUnavailable."""
     name = _get_name(raw)
-    revision = raw["metadata"].get("revision") if name else None
-    if type(revision) is not int or revision < 0:
-        raise PlatformUnavailable(f"invalid object: {str(raw)[:MAX_LOGGED_CHARS]}")
+    if not name:
+        raise PlatformUnavailable("an object has no name")
+    try:
+        revision = _REVISION(raw["metadata"].get("revision"))
+    except vol.Invalid as fault:
+        detail = f"object {name[:MAX_LOGGED_CHARS]!r} has no valid revision"
+        raise PlatformUnavailable(detail) from fault
     return StoredObject(name, StoreVersion.of(era, revision), raw.get("spec"))
--- a/features/gateway/odd_entries.feature
+++ b/features/gateway/odd_entries.feature
@@ -62,10 +62,41 @@
       | a nesting of 5,000       |
       | half a surrogate pair    |
 
-  # Guards against names of objects that cannot be sent to other instances.
-  Scenario: an object whose name is not printable is skipped
+  # Guards against names of objects that cannot be sent to other instances, and against records of
+  # crashes that are lost as the one beside them cannot be deleted.
+  Scenario: an object whose name is not printable is skipped alone
     Then an object named "\ud800" in any list of instances, cordons or crashes is skipped
 
+  # Guards against a list that fails, or never ends, as its next page cannot be asked for.
+  Scenario Outline: a list goes on after a page whose last name is <name>
+    Given a store that pages its list after a name that is <name>
+    Then the list ends with all valid rows, or with an error, after <pages> pages at most
+
+    Examples:
+      | name                      | pages |
+      | half a surrogate pair     | 2     |
+      | not UTF-8, and sent again | 2     |
+
+  # Guards against figures of the store itself that leave the decoder.
+  Scenario Outline: an answer whose revision is <revision> is reported as unavailable
+    Then a list at revision <revision> is reported as unavailable
+
+    Examples:
+      | revision |
+      | 1e999    |
+      | LONG     |
+      | true     |
+      | -1       |
+      | "9"      |
+
+  # Guards against a probe that fails as the engine's report holds another type.
+  Scenario: any report of an engine gives a state
+    Then drawn reports of an engine give a state, from seed 70
+
+  # Guards against decoding that takes time beyond all bounds and holds up the instance.
+  Scenario: a string without an end is rejected at its first quote
+    Then an answer with 100,000 escaped quotes and no end is rejected
+
   # Guards against a replica's handle that breaks the calls that name it.
   Scenario Outline: a handle that is <content> names no replica
     Then a copy whose engine answers with the handle <handle> has failed
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -8,19 +8,23 @@
 from typing import Any, Final
 from unittest.mock import patch
 
+import gevent
 import orjson
 from behave import given, then, when
 from hypothesis import given as for_all
 from hypothesis import seed, settings
 from hypothesis import strategies as st
 
+from driftstall.decisions.upstream_probes import ReportedState
+from driftstall.exceptions import PlatformUnavailable
 from driftstall.gateway.dialect import MoveFailed
 from driftstall.platform import feeds, names
 from driftstall.platform.client import PlatformClient
 from driftstall.platform.crashes import PlatformCrashStore
 from driftstall.platform.dialect import PlatformDialect
-from driftstall.platform.engine_calls import move
-from driftstall.platform.store import Store
+from driftstall.platform.engine_calls import move, probe_state
+from driftstall.platform.json_rows import decode_answer
+from driftstall.platform.store import Store, _build_path
 from features.steps.command_steps import run_module
 from features.steps.foreign_entry_steps import SAMPLES
 from features.steps.gateway_node_steps import wait_for_processes
@@ -29,6 +33,7 @@
 from features.worlds.upstream_samples import entry_spec, upstream_of
 from stand_ins.routed import RoutedUpstream
 
+ENDLESS_WAIT_S: Final = 30.0
 ROWS: Final = 400
 """Drawn rows for each feed."""
 NUMBERS: Final = itertools.count(1)
@@ -129,7 +134,7 @@
     st.sampled_from(
         ["null", "true", "-0", "1e999", "-1e999", "NaN", '"\\ud800"', '"\xff"', '"\\u0000"']
         + ["9" * 400, "-" + "9" * 400, "9" * 5_000, "0." + "9" * 5_000, "{}", "[]", '"x"']
-        + ["[" * depth + "]" * depth for depth in (500, 950, 1_100, 100_000)]
+        + ["[" * depth + "]" * depth for depth in (500, 950, 990, 1_010, 1_020, 1_100, 100_000)]
         + ['{"a":' * 5_000 + "1" + "}" * 5_000]
     ),
     lambda inner: (
@@ -193,7 +198,8 @@
             return super().list(kind, stale=stale)
 
     def delete(self, kind: str, name: str) -> None:
-        """Delete nothing."""
+        """Delete nothing, but build the path as a call does."""
+        _build_path(kind, name)
 
 
 @dataclass(frozen=True, slots=True)
@@ -234,12 +240,15 @@
 
 @then('an object named "\\ud800" in any list of instances, cordons or crashes is skipped')
 def unprintable_name(context: Any) -> None:
-    """Read a list that has a valid object under such a name."""
+    """Read a list that has a valid object under such a name between others."""
     for reader in READERS[1:4]:
         spec = orjson.dumps(reader.sample).decode()
-        row = f'{{"metadata":{{"name":"\\ud800","revision":1}},"spec":{spec}}}'
-        found = reader.read(StoreOf(f'{{"items":[{row}],"more":false,"at":9}}'.encode()))
-        assert not found, found
+        rows = ",".join(
+            f'{{"metadata":{{"name":"{name}","revision":1}},"spec":{spec}}}'
+            for name in ("first", "\\ud800", "last")
+        )
+        found = reader.read(StoreOf(f'{{"items":[{rows}],"more":false,"at":9}}'.encode()))
+        assert found == ["first", "last"], found
 
 
 @then("a copy whose engine answers with the handle {handle} has failed")
@@ -267,3 +276,71 @@
 def run_on_store(context: Any, arguments: str) -> None:
     """Run the operators' command."""
     context.done = run_module("driftstall.cli.main", f"{arguments} --store={context.store_address}")
+
+
+@given("a store that pages its list after a name that is {name}")
+def paged_store(context: Any, name: str) -> None:
+    """Prepare the pages; a store that replaces invalid names answers with the same page again."""
+    is_repeated = "again" in name
+    odd = b"\xff" if is_repeated else b"\\ud800"
+    spec = orjson.dumps(SAMPLES["an upstream"])
+    rows = [
+        b'{"metadata":{"name":"%b","revision":1},"spec":%b}' % (text, spec)
+        for text in (b"first", odd, b"last")
+    ]
+    first = b'{"items":[%b,%b],"more":true,"at":9}' % (rows[0], rows[1])
+    second = b'{"items":[%b],"more":false,"at":9}' % rows[2]
+    context.pages = [first, first] if is_repeated else [first, second]
+
+
+@then("the list ends with all valid rows, or with an error, after {pages:d} pages at most")
+def list_ends(context: Any, pages: int) -> None:
+    """Read the list; a further page than those prepared would raise IndexError."""
+    answers = iter(context.pages)
+    with patch("driftstall.platform.store.Exchange.open", lambda *_: AnswerOf(next(answers))):
+        try:
+            found = feeds.upstream_feed(Store("127.0.0.1:1")).list()
+        except PlatformUnavailable:
+            return
+    assert [item.name for item in found.items] == ["first", "last"], found
+
+
+@then("a list at revision {revision} is reported as unavailable")
+def odd_revision(context: Any, revision: str) -> None:
+    """Read a list with that revision."""
+    text = revision.replace("LONG", "9" * 400)
+    try:
+        StoreOf(f'{{"items":[],"more":false,"at":{text}}}'.encode()).list("kind")
+    except PlatformUnavailable:
+        return
+    raise AssertionError("the list was read")
+
+
+@then("drawn reports of an engine give a state, from seed {number:d}")
+def any_report(context: Any, number: int) -> None:
+    """Probe an engine with drawn reports."""
+
+    @seed(number)
+    @settings(max_examples=ROWS, deadline=None, database=None)
+    @for_all(texts, st.sampled_from(["state", "born", "leaves_ms", "more"]))
+    def check(text: str, field: str) -> None:
+        whole = {"state": "ready", "born": 5, "leaves_ms": 3}
+        body = orjson.dumps(whole | {field: "@"}).decode().replace('"@"', text)
+        answer = AnswerOf(body.encode("utf-8", "surrogatepass"))
+        with patch("driftstall.platform.engine_calls.Exchange.open_on", lambda *_: answer):
+            found = probe_state(upstream_of("u1"), connect=lambda _: None)  # type: ignore[arg-type, return-value]
+        assert isinstance(found, ReportedState)
+
+    check()
+
+
+@then("an answer with {count} escaped quotes and no end is rejected")
+def endless_string(context: Any, count: str) -> None:
+    """Decode a text in which each quote could begin a string."""
+    raw = b'{"a":"' + b'\\"' * int(count.replace(",", "")) + b"}"
+    with gevent.Timeout(ENDLESS_WAIT_S, AssertionError("not decided")):
+        try:
+            decode_answer(raw, lambda: gevent.sleep(0))
+        except ValueError:
+            return
+    raise AssertionError("decoded")
