Record signals before the installed command loads the program

Found in review: the console script imports the module that loads the daemon, so its recorder was never installed: SIGHUP 0.1, 0.2 and 0.3 s after a start by that way ended the process in 3 of 3 runs. The entry point loads the daemon only after it has installed the recorder.

--- a/driftstall/__main__.py
+++ b/driftstall/__main__.py
@@ -2,44 +2,19 @@
 
 from __future__ import annotations
 
-from driftstall.helpers.start_signals import StartSignals
-
-START_SIGNALS = StartSignals()
-if __name__ == "__main__":
-    # Before the imports below, which take most of a start.
-    START_SIGNALS.install()
-
-from gevent import monkey  # noqa: E402
-
-monkey.patch_all()
+import sys
 
-import os  # noqa: E402
-import sys  # noqa: E402
-
-from driftstall.bootstrap import run_instance  # noqa: E402
-from driftstall.daemon.settings import Settings  # noqa: E402
-from driftstall.exceptions import ListenError, SettingsError  # noqa: E402
-
-EXIT_SETTINGS = 2
-EXIT_LISTEN = 3
+from driftstall.helpers.start_signals import StartSignals
 
 
 def main() -> int:
-    """Read the settings and run; print all faults of invalid settings together."""
-    try:
-        settings = Settings.from_args(sys.argv[1:], os.environ)
-    except SettingsError as error:
-        for fault in error.faults:
-            print(f"driftstalld: {fault}", file=sys.stderr)
-        return EXIT_SETTINGS
-    try:
-        run_instance(settings, START_SIGNALS)
-    except ListenError as fault:
-        print(f"driftstalld: cannot listen: {fault}", file=sys.stderr)
-        return EXIT_LISTEN
-    finally:
-        START_SIGNALS.ignore()
-    return 0
+    """Record signals, then load and run the daemon."""
+    start_signals = StartSignals()
+    start_signals.install()
+    # Loading the program takes most of a start.
+    from driftstall.daemon.main import main as run
+
+    return run(start_signals)
 
 
 if __name__ == "__main__":
--- a/features/processes/disturbed_starts.feature
+++ b/features/processes/disturbed_starts.feature
@@ -17,3 +17,8 @@
     Given an instance of the own interface whose addresses are in use
     When the addresses become free
     Then the instance is alive
+
+  # Guards against an installed command that loads the program before it records signals.
+  Scenario: the installed command records signals before it loads the program
+    When the entry point of the package is imported and called with no flags
+    Then the signals were recorded before any other module was loaded
--- a/features/steps/process_start_steps.py
+++ b/features/steps/process_start_steps.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import signal
+import subprocess
+import sys
 from pathlib import Path
-from typing import Any
+from typing import Any, Final
 
 from behave import given, then, when
 from gevent import socket
@@ -97,3 +99,30 @@
 def ends_with_zero(context: Any) -> None:
     """Wait for the process and check its exit code."""
     assert context.instance.popen.wait(timeout=END_WAIT_S) == 0
+
+
+ENTRY_PROBE: Final = """
+import signal, sys
+from driftstall.__main__ import main
+is_loaded_early = "gevent" in sys.modules
+try:
+    main()
+except SystemExit:
+    pass
+print(is_loaded_early, "gevent" in sys.modules, signal.getsignal(signal.SIGHUP))
+"""
+
+
+@when("the entry point of the package is imported and called with no flags")
+def call_entry_point(context: Any) -> None:
+    """Call the function that the installed command calls; it ends with an error of usage."""
+    command = [sys.executable, "-c", ENTRY_PROBE]
+    context.probe = subprocess.run(command, capture_output=True, text=True, check=True)
+
+
+@then("the signals were recorded before any other module was loaded")
+def recorded_first(context: Any) -> None:
+    """Check that nothing was loaded with the entry point, and that SIGHUP has a handler."""
+    words = context.probe.stdout.split(maxsplit=2)
+    assert words[:2] == ["False", "True"], context.probe.stdout
+    assert "SIG_DFL" not in words[2], context.probe.stdout
