Give the listeners of checks, metrics and locate requests a budget of their own

Found in review: they shared the callers' budget, so requests in progress that held it had readiness checks refused, and the platform took a busy instance for one that is not ready.

--- a/driftstall/gateway/callers/auxiliary.py
+++ b/driftstall/gateway/callers/auxiliary.py
@@ -8,11 +8,13 @@
 from gevent import socket
 
 from driftstall.const import PREFIX_RELAY
+from driftstall.decisions.buffer_budget import BufferBudget
 from driftstall.gateway.callers.connections import (
     ConnectionLimits,
     ConnectionTable,
     make_server,
 )
+from driftstall.gateway.callers.pacing import DenseInputPacer
 from driftstall.gateway.callers.refusals import refuse
 from driftstall.gateway.ingress import (
     CallerConnection,
@@ -26,6 +28,8 @@
 AUXILIARY_LIMITS: Final = Limits(header_bytes=8_192, body_bytes=1_024)
 """Limits of the listeners that take no generation requests."""
 
+AUXILIARY_BUFFER_BYTES: Final = 1 << 20
+
 
 class AuxiliaryListener:
     """Listener for small requests outside the callers' interface."""
@@ -38,6 +42,9 @@
         self._state = state
         limits = ConnectionLimits.from_max_fds(state.settings.max_fds)
         self._connections = ConnectionTable(limits.auxiliary, self._count_eviction)
+        # Of its own: callers' requests must not keep the platform from checking the instance.
+        self._buffers = BufferBudget(AUXILIARY_BUFFER_BYTES)
+        self._pacer = DenseInputPacer()
         self._server = make_server(address, self._serve)
 
     def bind(self) -> None:
@@ -50,7 +57,7 @@
 
     def _serve(self, raw: socket.socket, _: object) -> None:
         """Serve one connection until it ends."""
-        connection = CallerConnection(raw, AUXILIARY_LIMITS, self._state.buffers, self._state.pacer)
+        connection = CallerConnection(raw, AUXILIARY_LIMITS, self._buffers, self._pacer)
         try:
             if self._connections.add(connection):
                 self._serve_requests(connection)
