Count tunnels by their own limit, not as connections of the peers' port

Found in review: a tunnel kept its place for its whole life, so tunnels could fill the limit and no peer could connect. The server of tunnels has a limit of its own (512).

--- a/driftstall/peers/link.py
+++ b/driftstall/peers/link.py
@@ -228,6 +228,8 @@
             inbound.is_trusted = True
             inbound.release()
             if request is not None:
+                # A tunnel lasts as long as its requests, and its server bounds the number.
+                self._limits.remove(inbound)
                 connection.settimeout(None)
                 self.serve_tunnel(connection, request)
                 return
