--- a/driftstall/decisions/buffer_budget.py
+++ b/driftstall/decisions/buffer_budget.py
@@ -65,6 +65,10 @@
         self._used_bytes += size
         return True
 
+    def _overdraw(self, size: int) -> None:
+        """Take bytes beyond the capacity."""
+        self._used_bytes += size
+
     def _find_largest(self, growing: BufferAccount, size: int) -> BufferAccount | None:
         """Return the oldest of the largest accounts to evict; None for the growing one itself."""
         others = (account for account in self._evictable if account is not growing)
@@ -109,6 +113,12 @@
         self._held_bytes += size
         return True
 
+    def overdraw(self, size: int) -> None:
+        """Take bytes that exist already, even if there is no room for them."""
+        if not self._is_closed:
+            self._budget._overdraw(size)
+            self._held_bytes += size
+
     def shrink(self, size: int) -> None:
         """Give back some bytes."""
         size = min(size, self._held_bytes)
--- a/driftstall/gateway/callers/requests.py
+++ b/driftstall/gateway/callers/requests.py
@@ -123,9 +123,19 @@
         else:
             self._refuse_head()
 
+    def restart_clock(self) -> None:
+        """Count the time of an unfinished request from now."""
+        now = clock.now()
+        self.begun_at = None if self.begun_at is None else now
+        self.input_at = None if self.input_at is None else now
+
     def discard(self) -> None:
         """Free the memory of the requests that are not served yet."""
         self.requests.clear()
+        self.discard_unfinished()
+
+    def discard_unfinished(self) -> None:
+        """Free the memory of the request that is not complete."""
         self._headers = []
         self._body = bytearray()
 
--- a/driftstall/gateway/ingress.py
+++ b/driftstall/gateway/ingress.py
@@ -41,6 +41,8 @@
 """Bytes after which other greenlets get a turn."""
 SMALL_WRITE_BYTES: Final = 65_536
 """Outputs up to this size are not counted: the kernel takes most of them at once."""
+SILENT_S: Final = 1.0
+"""Time without a byte after which a new connection counts as silent."""
 LINGER_S: Final = 0.1
 """How long a refused caller may pause before its connection is closed."""
 LINGER_READS: Final = 32
@@ -66,6 +68,8 @@
     retry_after_s: float = OVERLOAD_RETRY_S
 
 
+EVICTED: Final = OSError("the unfinished request was discarded")
+"""Wakes up the greenlet that waits for more of a request."""
 ReadResult = CallerRequest | MalformedRequest | OverloadRefusal | ConnectionClosed
 
 
@@ -110,13 +114,17 @@
 
     @property
     def is_served(self) -> bool:
-        """Return True while a request of the connection is in progress."""
-        return self._is_served
+        """Return True while a request of the connection is in progress or about to be."""
+        return self._is_served or bool(self._builder.requests)
 
     @property
     def eviction_order(self) -> tuple[bool, bool, float]:
-        """Return a key that is least for a caller that has sent nothing or rested longest."""
-        return (self._has_sent, not self.is_idle, self._waits_since)
+        """Return a key that is least for a caller that is silent or has rested longest.
+
+        A caller that has just connected is about to send, and no silent one.
+        """
+        is_silent = not self._has_sent and clock.now() - self._waits_since > SILENT_S
+        return (not is_silent, not self.is_idle, self._waits_since)
 
     def evict(self) -> None:
         """End the connection at once, so that its descriptor can be used for another one."""
@@ -124,6 +132,7 @@
         self._account.close()
         self._builder.discard()
         self._abort()
+        self._connection.close()
 
     def next(self) -> ReadResult:
         """Wait for and return the next request, an error, or the end of the connection."""
@@ -131,6 +140,8 @@
         self._served_bytes = 0
         self._is_served = False
         self._waits_since = clock.now()
+        # Nothing was read while the request before was served.
+        self._builder.restart_clock()
         if self._builder.requests:
             # A pipelined request has already arrived, so reading it does not wait.
             self._yield_turn(YIELD_BYTES)
@@ -170,7 +181,7 @@
         except TimeoutError:
             return self._timeout_result()
         except OSError:
-            return ConnectionClosed()
+            return None if self._is_evicted else ConnectionClosed()
         if self._is_evicted or self._is_input_ended:
             return None
         if not data:
@@ -223,7 +234,7 @@
             self._account.shrink(-change)
         elif not self._account.grow(change):
             self._account.close()
-            self._builder.discard()
+            self._builder.discard_unfinished()
             self._is_evicted = True
         if self._builder.requests:
             self._account.protect()
@@ -231,9 +242,8 @@
     def _handle_evicted(self) -> None:
         """Free the unfinished request, and wake up the greenlet that waits for its next bytes."""
         self._is_evicted = True
-        self._builder.discard()
-        with contextlib.suppress(OSError):
-            self._connection.shutdown(socket.SHUT_RD)
+        self._builder.discard_unfinished()
+        socket.cancel_wait(self._connection._read_event, EVICTED)
 
     def _yield_turn(self, size: int) -> None:
         """Give other greenlets a turn: reading what has already arrived does not wait."""
@@ -253,11 +263,12 @@
         if len(data) <= SMALL_WRITE_BYTES:
             return self._send(data)
         account = self._buffers.open(self._cut_output)
-        # A new output displaces those whose callers have not read them so far.
+        # A new output displaces those whose callers have not read them so far. It is sent in any
+        # case: its memory is taken already, and its request may have run.
         account.protect()
         try:
             if not account.grow(len(data)):
-                return False
+                account.overdraw(len(data))
             account.expose()
             return self._send(data)
         finally:
--- a/driftstall/gateway/listeners.py
+++ b/driftstall/gateway/listeners.py
@@ -97,6 +97,7 @@
             else:
                 refusal = OverloadRefusal("all connections are in use")
                 refuse(connection, refusal, self._state.stats)
+                connection.finish_writing()
         finally:
             self._connections.remove(connection)
             connection.close()
