--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -245,7 +245,7 @@
             self._state.record_outcome(
                 upstream.upstream_id, upstream.service, outcome, seconds, started_pace
             )
-        self._log_send(upstream, outcome, seconds, attempts)
+        self._log_send(upstream, result, outcome, seconds, attempts)
         if isinstance(result, SendFailure):
             attempts.history.end(result.send_outcome)
             if result.is_broken_off and not self._is_caller_disconnected:
@@ -380,7 +380,12 @@
         return Problem(CODE_NO_RUNNER, 503, detail, Ran.NOT_RUN, FULL_RETRY_S)
 
     def _log_send(
-        self, upstream: Upstream, outcome: Outcome, seconds: float, attempts: _Attempts
+        self,
+        upstream: Upstream,
+        result: UpstreamResponse | SendFailure,
+        outcome: Outcome,
+        seconds: float,
+        attempts: _Attempts,
     ) -> None:
         """Log the result of a send, except for a successful first one, which is only counted."""
         if outcome is Outcome.GOOD and attempts.history.sends == 1:
@@ -394,6 +399,7 @@
             route=self._admitted.route.name,
             seconds=round(seconds, 3),
             sends=attempts.history.sends,
+            cause=result.detail if isinstance(result, SendFailure) else str(result.status),
             revision=upstream.revision,
         )
 
--- a/driftstall/gateway/exchange.py
+++ b/driftstall/gateway/exchange.py
@@ -9,7 +9,6 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
-from http import HTTPStatus
 from typing import Any, Final, Protocol
 from weakref import WeakSet
 
@@ -20,6 +19,7 @@
 from driftstall.exceptions import InvalidResponse, UpstreamError
 from driftstall.gateway.model import Header, Headers
 from driftstall.gateway.response_buffers import ResponseBuffers
+from driftstall.gateway.response_ends.framing import ResponseEndCause, ResponseFraming
 from driftstall.util import clock
 from driftstall.util.response_overhead import PARSE_BYTES, ResponseOverhead
 
@@ -28,7 +28,6 @@
 YIELD_BYTES: Final = 65_536
 """Bytes after which other greenlets get a turn. Reading what has already arrived does not wait, so
 a fast upstream would otherwise hold up all other requests."""
-BODYLESS: Final = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
 FIRST_FINAL_STATUS: Final = 200
 
 
@@ -38,8 +37,12 @@
 
     status: int
     headers: Headers
-    is_framed: bool
-    """Whether the response is framed by its headers; otherwise it ends with its connection."""
+    framing: ResponseFraming
+
+    @property
+    def is_framed(self) -> bool:
+        """Return True if the response is framed; otherwise it ends with its connection."""
+        return self.framing is not ResponseFraming.CLOSE
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,9 +87,8 @@
         if status < FIRST_FINAL_STATUS:
             return
         self.overhead.record_response()
-        names = {name.lower() for name, _ in self._headers}
-        is_framed = bool(names & {b"content-length", b"transfer-encoding"}) or status in BODYLESS
-        head = ResponseHead(status, tuple(self._headers), is_framed)
+        framing = ResponseFraming.from_head(status, (name.lower() for name, _ in self._headers))
+        head = ResponseHead(status, tuple(self._headers), framing)
         self.items.append(head)
         self.new_heads.append(head)
         self._in_body = True
@@ -145,8 +147,10 @@
         self._builder = _ResponseBuilder()
         self._parser = httptools.HttpResponseParser(self._builder)
         self._builder.parser = self._parser
-        self._is_framed = True
+        self._framing = ResponseFraming.UNKNOWN
         self._has_ended = False
+        self._end_cause: ResponseEndCause | None = None
+        """How the response ended; None until then."""
         self._unyielded_bytes = 0
         """Bytes received since other greenlets were last given a turn."""
         self.sent_at = 0.0
@@ -155,11 +159,18 @@
         """Called with each head as it arrives, even if no reader takes the response."""
         self.on_oversized: Callable[[str], None] = _ignore
         """Called with the defect of a response that exceeds a limit."""
+        self.on_ended: Callable[[ResponseFraming, ResponseEndCause], None] = _ignore_end
+        """Called once, with how the latest response on the connection was framed and ended."""
+
+    @property
+    def framing(self) -> ResponseFraming:
+        """Return how the latest response that was read is framed."""
+        return self._framing
 
     @property
     def is_framed(self) -> bool:
         """Return True if the response is framed; otherwise it ends with its connection."""
-        return self._is_framed
+        return self._framing is not ResponseFraming.CLOSE
 
     def send(
         self, method: bytes, target: bytes, headers: Headers, body: bytes, timeout_s: float
@@ -217,7 +228,9 @@
             self._receive()
         item = self._builder.items.popleft()
         if isinstance(item, ResponseHead):
-            self._is_framed = item.is_framed
+            self._framing, self._end_cause = item.framing, None
+        elif isinstance(item, ResponseEnd) and self._end_cause is None:
+            self._end_cause = ResponseEndCause.COMPLETE
         return item
 
     def hold(self, size: int) -> None:
@@ -249,6 +262,8 @@
 
     def close(self) -> None:
         """Close the connection; most upstreams then abort the request."""
+        if not self._is_closed and self.sent_at:
+            self.on_ended(self._framing, self._end_cause or ResponseEndCause.ABANDONED)
         self._is_closed = True
         self._buffers.release(self)
         self._connection.close()
@@ -262,6 +277,7 @@
             return
         except OSError as error:
             self._check_limits()
+            self._end_cause = ResponseEndCause.RESET
             raise UpstreamError(f"receiving failed: {type(error).__name__}", sent=True) from error
         if not data:
             self._check_limits()
@@ -275,6 +291,7 @@
             self._parse(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if not self._builder.items:
+                self._end_cause = ResponseEndCause.MALFORMED
                 detail = f"invalid HTTP response: {type(error).__name__}"
                 raise UpstreamError(detail, sent=True) from error
         finally:
@@ -300,7 +317,8 @@
 
         A closed connection returns empty reads forever, so it ends only one response.
         """
-        if self._is_framed or self._has_ended:
+        self._end_cause = ResponseEndCause.CLOSED
+        if self.is_framed or self._has_ended:
             raise UpstreamError("the response ended early", sent=True)
         self._has_ended = True
         self._builder.items.append(ResponseEnd())
@@ -310,6 +328,10 @@
     """Ignore a head or a defect; the default of the callbacks."""
 
 
+def _ignore_end(_: ResponseFraming, __: ResponseEndCause) -> None:
+    """Ignore the end of a response; the default of the callback."""
+
+
 class OpenExchanges:
     """Registry of open exchanges by upstream, so that all with one upstream can be closed."""
 
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -37,6 +37,7 @@
 from driftstall.gateway.outcomes import Outcome, OutlierDetector
 from driftstall.gateway.poison.guard import PoisonGuard
 from driftstall.gateway.response_buffers import ResponseBuffers
+from driftstall.gateway.response_ends.records import record_response_end
 from driftstall.gateway.response_limits import record_oversized
 from driftstall.gateway.retry_budget.budgets import RetryBudgets
 from driftstall.gateway.routes import RouteTable
@@ -341,6 +342,7 @@
 
         exchange.observe = observe
         exchange.on_oversized = partial(record_oversized, self.stats, upstream, request_id)
+        exchange.on_ended = partial(record_response_end, self.stats, upstream, request_id)
         return exchange
 
     def record_invalid(
--- a/driftstall/gateway/stats.py
+++ b/driftstall/gateway/stats.py
@@ -71,9 +71,10 @@
     first_event_s: Histogram = field(init=False)
     gap_s: Histogram = field(init=False)
     queue_wait_s: Histogram = field(init=False)
+    response_ends: Counter = field(init=False)
 
     def __post_init__(self) -> None:
-        """Register the histograms, which are observed during requests."""
+        """Register the metrics with labels, which are updated during requests."""
         self.answer_s = self._histogram("answer", "Seconds to the answer of a plain call.")
         self.first_event_s = self._histogram("first_event", "Seconds to a stream's first event.")
         self.queue_wait_s = self._histogram(
@@ -85,6 +86,11 @@
             registry=self.registry,
             buckets=GAP_BUCKETS_S,
         )
+        self.response_ends = Counter(
+            "driftstall_gateway_response_ends_total",
+            "Ends of upstreams' responses, by their framing and how they ended.",
+            registry=self.registry,
+        )
 
     def _histogram(self, name: str, doc: str) -> Histogram:
         """Return a newly registered histogram of seconds."""
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -314,6 +314,7 @@
             upstream=run.upstream.upstream_id,
             events=run.events,
             moves=run.moves,
+            framing=run.exchange.framing.value if run.exchange is not None else "",
             longest_gap_ms=int(self._longest_gap_s * 1000),
         )
         return self._writer.write(LAST_CHUNK) and self._keep_alive
