Stand-in of upstreams that frame and end responses in each way

Length, chunks or neither; whole, closed, reset, process gone (its port first or its connections first), restarted, silent; after the head, after whole events, inside an event.

--- /dev/null
+++ b/stand_ins/endings.py
@@ -0,0 +1,195 @@
+"""Fake upstreams that frame a response in each way, and end it in each way."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Final
+
+import gevent
+from gevent import socket
+
+from driftstall.gateway.ingress import CallerConnection, encode_chunk, encode_head
+from stand_ins.routed import (
+    SEAL,
+    STREAM_TYPE,
+    ReceivedRequest,
+    RoutedUpstream,
+    Script,
+    event_bytes,
+    reset,
+)
+
+EVENTS: Final = 20
+BODY: Final = bytes(range(97, 117)) * 25
+"""Body of a whole response to a call."""
+CALL_PIECES: Final = 20
+LATE_STOP_S: Final = 0.03
+"""Time for which a process that closes its connections first still listens."""
+LAST_CHUNK: Final = b"0\r\n\r\n"
+
+
+class Framing(StrEnum):
+    """How a response is framed."""
+
+    LENGTH = "a length"
+    CHUNKED = "chunks"
+    CLOSE = "neither"
+
+
+class Ending(StrEnum):
+    """How a response ends."""
+
+    WHOLE = "whole"
+    CLOSED = "closed"
+    """The connection is closed in order, and the process lives on."""
+    RESET = "reset"
+    GONE = "process gone"
+    """The process ends: its port refuses connections, and its connections are closed in order."""
+    GONE_LATE = "process gone, connections first"
+    RESTARTED = "process restarted"
+    """The connections are closed in order, and another process answers at the address."""
+    SILENT = "silent"
+    """The connection stays open without another byte."""
+
+
+class Place(StrEnum):
+    """Where a response that is not whole ends."""
+
+    HEAD = "right after its head"
+    EVENT = "after whole events"
+    INSIDE = "inside an event"
+
+
+@dataclass(frozen=True, slots=True)
+class EndingPlan:
+    """How a response is framed, and how and where it ends."""
+
+    framing: Framing = Framing.CHUNKED
+    ending: Ending = Ending.WHOLE
+    place: Place = Place.EVENT
+    pieces: int = 7
+    """Events, or pieces of a body, that are sent of a response that is not whole."""
+    pause_s: float = 0.0
+    """Pause before each piece."""
+
+
+class EndingUpstream(RoutedUpstream):
+    """A fake upstream whose responses are framed and end by plans."""
+
+    def __init__(
+        self,
+        upstream_id: str,
+        plan_for: Callable[[ReceivedRequest], EndingPlan],
+        default_script: Callable[[], Script] = Script,
+    ) -> None:
+        """Start listening; plan_for returns the plan of a request that is run here."""
+        super().__init__(upstream_id, default_script)
+        self._plan_for = plan_for
+        self._plans: dict[str, EndingPlan] = {}
+        self.is_gone = False
+        self.sent: dict[str, list[int]] = {}
+        """Numbers of the events, or pieces of a body, sent for each request id."""
+
+    def record_request(self, seen: ReceivedRequest) -> None:
+        """Record a request that is run here, and choose its plan."""
+        super().record_request(seen)
+        self._plans[seen.request_id] = self._plan_for(seen)
+
+    def _whole(
+        self, raw: socket.socket, connection: CallerConnection, request_id: str, script: Script
+    ) -> None:
+        """Answer a plain call by its plan."""
+        size = len(BODY) // CALL_PIECES
+        pieces = {n + 1: BODY[n * size : (n + 1) * size] for n in range(CALL_PIECES)}
+        self._answer_pieces(raw, connection, request_id, pieces, ())
+
+    def _stream(
+        self,
+        raw: socket.socket,
+        connection: CallerConnection,
+        request_id: str,
+        headers: dict[str, str],
+        script: Script,
+    ) -> None:
+        """Answer with a stream by its plan, starting after the caller's last event."""
+        first = int(headers.get("last-event-id") or 0) + 1
+        pieces = {number: event_bytes(number) for number in range(first, EVENTS + 1)}
+        self.running[request_id] = first - 1
+        backup = self.peers.get(headers.get("kv-backup", ""))
+        self._answer_pieces(raw, connection, request_id, pieces, (STREAM_TYPE,), backup)
+
+    def _answer_pieces(
+        self,
+        raw: socket.socket,
+        connection: CallerConnection,
+        request_id: str,
+        pieces: dict[int, bytes],
+        more: tuple[tuple[bytes, bytes], ...],
+        backup: RoutedUpstream | None = None,
+    ) -> None:
+        """Send a head and the pieces that the plan allows, and end the response."""
+        plan = self._plans[request_id]
+        headers = ((b"X-Driftstall-Request-Id", request_id.encode()), SEAL, *more)
+        connection.write(encode_head(200, headers, _framing_headers(plan.framing, pieces)))
+        sent = self.sent.setdefault(request_id, [])
+        for number, piece in _sent_pieces(plan, pieces):
+            gevent.sleep(plan.pause_s)
+            if request_id in self.stopped:
+                return
+            connection.write(_frame(plan.framing, piece))
+            sent.append(number)
+            self.running[request_id] = number
+            if backup is not None:
+                backup.copies[request_id] = number
+        if plan.ending is not Ending.WHOLE and plan.place is Place.INSIDE:
+            # A chunk that promises a whole piece, and a part of the piece.
+            piece = pieces[max(sent, default=min(pieces) - 1) + 1]
+            framed = _frame(plan.framing, piece)
+            connection.write(framed[: len(framed) // 2])
+        self._end(raw, connection, plan)
+
+    def _end(self, raw: socket.socket, connection: CallerConnection, plan: EndingPlan) -> None:
+        """End a response by its plan; the caller of this closes the connection."""
+        if plan.ending is Ending.WHOLE and plan.framing is Framing.CHUNKED:
+            connection.write(LAST_CHUNK)
+        elif plan.ending is Ending.RESET:
+            reset(raw)
+        elif plan.ending is Ending.GONE:
+            self._stop_process()
+        elif plan.ending is Ending.GONE_LATE:
+            gevent.spawn_later(LATE_STOP_S, self._stop_process)
+        elif plan.ending is Ending.RESTARTED:
+            self.upstream_id += "-restarted"
+            self.report = self.report | {"born": self.report.get("born", 1) + 1}
+        elif plan.ending is Ending.SILENT:
+            raw.settimeout(None)
+            raw.recv(1)
+
+    def _stop_process(self) -> None:
+        """Stop listening, as a process that has ended."""
+        self.is_gone = True
+        self.stop()
+
+
+def _framing_headers(framing: Framing, pieces: dict[int, bytes]) -> tuple[bytes, ...]:
+    """Return the header lines that frame a body of some pieces."""
+    if framing is Framing.CHUNKED:
+        return (b"Transfer-Encoding: chunked",)
+    if framing is Framing.LENGTH:
+        return (b"Content-Length: %d" % sum(map(len, pieces.values())),)
+    return ()
+
+
+def _frame(framing: Framing, piece: bytes) -> bytes:
+    """Return a piece as it is sent."""
+    return encode_chunk(piece) if framing is Framing.CHUNKED else piece
+
+
+def _sent_pieces(plan: EndingPlan, pieces: dict[int, bytes]) -> Iterator[tuple[int, bytes]]:
+    """Yield the numbered pieces that are sent whole."""
+    if plan.ending is Ending.WHOLE:
+        yield from pieces.items()
+    elif plan.place is not Place.HEAD:
+        yield from list(pieces.items())[: plan.pieces]
