Verify the end of close-delimited responses by the upstream's process

The verifier tells whether the process that sent a response lived after its connection had ended: by an answer to a later request, or by a probe that names the process it expects, shared by ends that wait at the same time. Nothing uses it yet.

--- a/driftstall/exceptions.py
+++ b/driftstall/exceptions.py
@@ -62,6 +62,14 @@
         self.refused = refused
 
 
+class UpstreamTimeout(UpstreamError):
+    """Raised when a request was sent and no answer came in time, on an open connection."""
+
+    def __init__(self, detail: str) -> None:
+        """Initialize the error; the request may have been executed."""
+        super().__init__(detail, sent=True)
+
+
 class OversizedAnswer(UpstreamError):
     """Raised for an answer that exceeds a limit and was not read any further."""
 
--- a/driftstall/gateway/dialect.py
+++ b/driftstall/gateway/dialect.py
@@ -17,6 +17,7 @@
     SendMetadata,
     Upstream,
 )
+from driftstall.gateway.response_ends.verification import ProcessState
 from driftstall.util.http import CONNECT_TIMEOUT_S, connect
 
 
@@ -97,6 +98,14 @@
     def probe_state(self, engine: Upstream) -> ReportedState:
         """Probe an engine and return the state that it reports."""
 
+    def probe_process(
+        self, upstream: Upstream, health_path: str, *, is_engine: bool
+    ) -> ProcessState:
+        """Return the state of the upstream's process: of the one with its id, not of a later one.
+
+        The health path is that of the upstream's service; empty if it has none.
+        """
+
     def drop_replica(self, holder: Upstream, copy_of: str) -> None:
         """Free a replica's memory, at both engines if the holder is the source of the copy."""
 
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -38,6 +38,7 @@
 from driftstall.gateway.poison.guard import PoisonGuard
 from driftstall.gateway.response_buffers import ResponseBuffers
 from driftstall.gateway.response_ends.records import record_response_end
+from driftstall.gateway.response_ends.verification import EndVerifier, ProcessState
 from driftstall.gateway.response_limits import record_oversized
 from driftstall.gateway.retry_budget.budgets import RetryBudgets
 from driftstall.gateway.routes import RouteTable
@@ -121,6 +122,7 @@
         self.poison = PoisonGuard(
             settings.instance_id, lambda: self.live_instance_ids(), lambda: self.now()
         )
+        self.end_verifier = EndVerifier(self._probe_process, lambda: self.now(), self.stats)
         self.brittle = BrittleUpstreams(settings.instance_id, lambda: self.live_instance_ids())
         self.signals = UpstreamSignals(
             self.stats,
@@ -330,6 +332,7 @@
                 self.signals.handle_response(upstream, metadata.signals, exchange.sent_at)
             if head.status != HTTPStatus.MISDIRECTED_REQUEST:
                 self.poison.unframed_ends.confirm(upstream.upstream_id, exchange.sent_at)
+                self.end_verifier.record_answer(upstream.upstream_id, exchange.sent_at)
             now = self.now()
             if metadata.is_not_executed and self.brittle.is_brittle(upstream.upstream_id, now):
                 self.backoff.request(upstream.upstream_id, REJECTION_BACKOFF_S, now)
@@ -345,6 +348,16 @@
         exchange.on_ended = partial(record_response_end, self.stats, upstream, request_id)
         return exchange
 
+    def _probe_process(self, upstream: Upstream) -> ProcessState:
+        """Probe the process of an upstream; one in back-off only for whether it listens."""
+        service = self.route_table.service(upstream.service) if self.route_table else None
+        if service is None or self.backoff_s(upstream):
+            return self.dialect.probe_process(upstream, "", is_engine=False)
+        self.rate_limiting.charge(upstream.upstream_id)
+        return self.dialect.probe_process(
+            upstream, service.health_path, is_engine=service.engine is not None
+        )
+
     def record_invalid(
         self, upstream: Upstream, head: ResponseHead, metadata: ResponseMetadata
     ) -> None:
--- a/driftstall/gateway/stats.py
+++ b/driftstall/gateway/stats.py
@@ -72,6 +72,7 @@
     gap_s: Histogram = field(init=False)
     queue_wait_s: Histogram = field(init=False)
     response_ends: Counter = field(init=False)
+    end_checks: Counter = field(init=False)
 
     def __post_init__(self) -> None:
         """Register the metrics with labels, which are updated during requests."""
@@ -91,6 +92,11 @@
             "Ends of upstreams' responses, by their framing and how they ended.",
             registry=self.registry,
         )
+        self.end_checks = Counter(
+            "driftstall_gateway_end_checks_total",
+            "Checks of responses that ended with their connection, by the process's state.",
+            registry=self.registry,
+        )
 
     def _histogram(self, name: str, doc: str) -> Histogram:
         """Return a newly registered histogram of seconds."""
--- a/driftstall/platform/dialect.py
+++ b/driftstall/platform/dialect.py
@@ -23,7 +23,8 @@
     SendMetadata,
     Upstream,
 )
-from driftstall.platform import documents, engine_calls, headers, names
+from driftstall.gateway.response_ends.verification import ProcessState
+from driftstall.platform import documents, engine_calls, headers, names, process_probe
 
 
 class PlatformDialect:
@@ -67,6 +68,13 @@
         """Ask an engine for its state."""
         return engine_calls.probe_state(engine, self.on_signals, self.connect_to_probe)
 
+    def probe_process(
+        self, upstream: Upstream, health_path: str, *, is_engine: bool
+    ) -> ProcessState:
+        """Ask an engine for its report, another upstream for its health; return the state."""
+        path = names.PATH_REPORT if is_engine else health_path
+        return process_probe.probe_process(upstream, path, self.on_signals, self.connect_to_probe)
+
     def drop_replica(self, holder: Upstream, copy_of: str) -> None:
         """Free a replica's memory; if the holder is its source, at both engines."""
         engine_calls.drop_replica(holder, copy_of, self.on_signals, self.connect)
--- /dev/null
+++ b/driftstall/platform/process_probe.py
@@ -0,0 +1,82 @@
+"""Probe of an upstream's process: whether the one that an upstream stands for still runs."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import Any, Final
+
+import orjson
+
+from driftstall.exceptions import OversizedAnswer, UpstreamError, UpstreamTimeout
+from driftstall.gateway.dialect import ConnectUpstream, SignalObserver
+from driftstall.gateway.model import Upstream
+from driftstall.gateway.response_ends.verification import ProcessState
+from driftstall.platform import names
+from driftstall.platform.headers import read_signals
+from driftstall.util import clock
+from driftstall.util.http import Exchange
+from driftstall.util.limited_response import ResponseLimits
+
+PROBE_TIMEOUT_S: Final = 0.5
+ANSWER_LIMITS: Final = ResponseLimits(held_bytes=1_000_000)
+"""Limits of the body of an answer, which has a few fields."""
+HEADER_EXPECTED: Final = names.HEADER_UPSTREAM_ID.decode()
+HEADER_INSTANCE: Final = "x-driftstall-instance-id"
+
+
+def probe_process(
+    upstream: Upstream,
+    path: str,
+    observe: SignalObserver,
+    connect: ConnectUpstream,
+) -> ProcessState:
+    """Request a path of an upstream and return the state of its process.
+
+    Without a path, a connection that is accepted counts as an answer.
+    """
+    sent_at = clock.now()
+    try:
+        connection = connect(upstream)
+        if not path:
+            connection.close()
+            return ProcessState.ALIVE
+        exchange = Exchange.open_on(
+            connection,
+            upstream.address,
+            "GET",
+            path,
+            {HEADER_EXPECTED: upstream.name},
+            b"",
+            PROBE_TIMEOUT_S,
+            ANSWER_LIMITS,
+        )
+        if exchange.status == HTTPStatus.MISDIRECTED_REQUEST:
+            exchange.close()
+            return ProcessState.ENDED
+        body = exchange.read()
+    except UpstreamTimeout:
+        # A health check waits for a slot, and a process that ends resets its connections.
+        return ProcessState.ALIVE
+    except OversizedAnswer:
+        return ProcessState.UNKNOWN
+    except UpstreamError as fault:
+        return ProcessState.ENDED if fault.refused else ProcessState.UNKNOWN
+    if _is_other_process(upstream, exchange, body):
+        return ProcessState.ENDED
+    observe(upstream, read_signals(exchange.status, exchange.headers), sent_at)
+    return ProcessState.ALIVE
+
+
+def _is_other_process(upstream: Upstream, exchange: Exchange, body: bytes) -> bool:
+    """Return True if an answer names a process other than the upstream's."""
+    name = exchange.header(HEADER_INSTANCE)
+    if name and name != upstream.name:
+        return True
+    if not upstream.born or not body:
+        return False
+    try:
+        report: Any = orjson.loads(body)
+    except orjson.JSONDecodeError:
+        return False
+    born = report.get("born") if isinstance(report, dict) else None
+    return type(born) is int and born != upstream.born
--- a/driftstall/util/http.py
+++ b/driftstall/util/http.py
@@ -14,7 +14,7 @@
 from gevent import socket
 from geventhttpclient.response import HTTPConnectionClosed, HTTPParseError
 
-from driftstall.exceptions import UpstreamError
+from driftstall.exceptions import UpstreamError, UpstreamTimeout
 from driftstall.util.addresses import split_address
 from driftstall.util.limited_response import DEFAULT_LIMITS, LimitedResponse, ResponseLimits
 
@@ -78,10 +78,13 @@
         try:
             connection.settimeout(timeout_s)
             # The connection's timeout starts anew with each read, and the answer may trickle in.
-            with gevent.Timeout(timeout_s, UpstreamError("no answer in time", sent=True)):
+            with gevent.Timeout(timeout_s, UpstreamTimeout("no answer in time")):
                 connection.sendall(_head(address, method, path, headers, len(body)) + body)
                 response = LimitedResponse(connection, method, limits)
             return cls(connection, response, limits.body_timeout_s or timeout_s)
+        except TimeoutError as fault:
+            connection.close()
+            raise UpstreamTimeout(f"no answer from {address} in time") from fault
         except READ_FAULTS as fault:
             connection.close()
             detail = f"no answer from {address}: {type(fault).__name__}"
