End responses to HEAD requests with their head

What callers saw: a HEAD request to a sound upstream got no answer of the upstream: 502 as soon as the upstream closed the connection, and 504 at the deadline if it kept the connection open. A response to HEAD may name the length or the transfer coding that a GET would have, and the gateway waited for that body.

Evidence: before, four of four framings (a length, chunks, neither, a length after a response to another request) ended in 504 after 3 s at an upstream that keeps its connections open. Each is now passed on within a second: a response to HEAD ends with its head (RFC 9112, 6.3).

--- a/driftstall/gateway/exchange.py
+++ b/driftstall/gateway/exchange.py
@@ -70,6 +70,8 @@
         """Heads that the observer has not received yet."""
         self.parser: Any = None
         self.overhead = ResponseOverhead()
+        self.is_for_head = False
+        """Whether the responses are to a HEAD request: they have no body."""
         self._body = bytearray()
         """Bytes of the body that are not among the items yet."""
         self._headers: list[Header] = []
@@ -87,10 +89,14 @@
         if status < FIRST_FINAL_STATUS:
             return
         self.overhead.record_response()
-        framing = ResponseFraming.from_head(status, (name.lower() for name, _ in self._headers))
+        framing = ResponseFraming.EMPTY
+        if not self.is_for_head:
+            framing = ResponseFraming.from_head(status, (name.lower() for name, _ in self._headers))
         head = ResponseHead(status, tuple(self._headers), framing)
         self.items.append(head)
         self.new_heads.append(head)
+        if self.is_for_head:
+            self.items.append(ResponseEnd())
         self._in_body = True
 
     def on_body(self, data: bytes) -> None:
@@ -107,7 +113,7 @@
     def on_message_complete(self) -> None:
         """Add the end, unless the message was an interim response."""
         self.flush_body()
-        if self._in_body:
+        if self._in_body and not self.is_for_head:
             self.items.append(ResponseEnd())
         self._headers = []
         self._in_body = False
@@ -185,6 +191,7 @@
         if body or method not in (b"GET", b"HEAD", b"DELETE"):
             lines.append(b"Content-Length: %d" % len(body))
         data = b"\r\n".join(lines) + b"\r\n\r\n" + body
+        self._builder.is_for_head = method == b"HEAD"
         until = clock.now() + timeout_s
         self.sent_at = clock.now()
         try:
--- a/features/gateway/kept_connections.feature
+++ b/features/gateway/kept_connections.feature
@@ -40,6 +40,21 @@
       | an interim response before it             | 200    | whole |
       | a keep-alive time                         | 200    | whole |
 
+  # Guards against HEAD requests that wait for a body, and get a 502 or 504 from a sound upstream.
+  Scenario Outline: a response to HEAD with <framing> is passed on without a body
+    Given a gateway before two plain upstreams and three engines
+    And upstreams that send the head of <framing> and keep the connection open
+    When HEAD "/once/a" is asked of them as "r1"
+    Then the answer is 200 "", within a second
+    And the connection was closed without another byte
+
+    Examples:
+      | framing                                     |
+      | a length                                    |
+      | chunks                                      |
+      | neither                                     |
+      | a length, after the response to another     |
+
   # Guards against streams that wait for the end of an upstream's connection.
   Scenario: a stream is passed on while its connection stays open
     Given a gateway before two plain upstreams and three engines
--- a/features/steps/kept_connection_steps.py
+++ b/features/steps/kept_connection_steps.py
@@ -94,6 +94,31 @@
 }
 
 
+HEADS: Final[dict[str, Callable[[str], bytes]]] = {
+    "a length": lambda name: head_bytes(name, "Content-Length: 5"),
+    "chunks": lambda name: head_bytes(name, CHUNKED),
+    "neither": lambda name: head_bytes(name),
+    "a length, after the response to another": lambda name: (
+        head_bytes("another", CHUNKED) + WHOLE + head_bytes(name, "Content-Length: 5")
+    ),
+}
+
+
+@given("upstreams that send the head of {framing} and keep the connection open")
+def keeping_open_after_head(context: Any, framing: str) -> None:
+    """Use upstreams that respond with a head alone, as to a HEAD request."""
+    build = HEADS[framing]
+    use_raw_upstreams(context, lambda seen: RawResponse(build(seen.request_id)))
+
+
+@when('HEAD "{path}" is asked of them as "{request_id}"')
+def ask_head(context: Any, path: str, request_id: str) -> None:
+    """Send a HEAD request and measure the time to the end of its answer."""
+    begun_at = time.monotonic()
+    context.answer = world_of(context).ask(path, request_id, method="HEAD")
+    context.answer_s = time.monotonic() - begun_at
+
+
 @given("upstreams that frame responses only if their connection stays open, and break off")
 def framing_on_open_connections(context: Any) -> None:
     """Use upstreams that send one event or piece, and then close the connection."""
