A resumed run that ends before the stream's last event does not complete it

What callers saw: a stream with 3 events relayed resumes at its backup, which sends events 1 and 2 (or 1 alone) and the last chunk. The caller got the 3 events and the last chunk. The same where the backup numbers the rest of the stream anew: its events count as repeated and are dropped, and the end is relayed.

Cause: events whose id was relayed before are dropped, and the end of a run was the end of the stream, however far the run had come.

Evidence: features/gateway/stream_continuity.feature.

Fix: the end of a run whose ids have not reached the last relayed event is an error, so that the stream resumes at another replica or is broken off. A run without a single event is not judged by this: a replica of a run that had ended has nothing more to send.

--- a/driftstall/gateway/events.py
+++ b/driftstall/gateway/events.py
@@ -76,6 +76,19 @@
     def __init__(self) -> None:
         """Start before the first event."""
         self._last: int | None = None
+        self._run_last: int | None = None
+        """Largest id of the current run; None before its first numbered event."""
+
+    @property
+    def is_run_behind(self) -> bool:
+        """Return True if the current run has not reached the last relayed event."""
+        if self._run_last is None or self._last is None:
+            return False
+        return self._run_last < self._last
+
+    def begin_run(self) -> None:
+        """Start before the first event of a run, which may repeat events of the previous one."""
+        self._run_last = None
 
     def check(self, event: Event) -> EventContinuity:
         """Return how an event follows the last relayed one; NEXT if its id is not a number."""
@@ -83,6 +96,7 @@
         if not event_id.isdecimal() or len(event_id) > MAX_ID_DIGITS:
             return EventContinuity.NEXT
         number = int(event_id)
+        self._run_last = max(number, self._run_last or 0)
         if self._last is not None and number <= self._last:
             return EventContinuity.REPEATED
         if self._last is not None and number > self._last + 1:
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -165,6 +165,7 @@
         """Relay events; return None at the end of the stream, or the error that broke it."""
         assert run.exchange is not None
         splitter = EventSplitter()
+        self._sequence.begin_run()
         self._probe = None
         while True:
             wait_began_at = self._state.now()
@@ -190,6 +191,9 @@
             elif isinstance(item, ResponseEnd):
                 if splitter.is_inside_event:
                     return UpstreamError("the stream ended inside an event", sent=True)
+                if self._sequence.is_run_behind:
+                    # Another run, or one that numbers the rest of the stream anew.
+                    return UpstreamError("the stream ended before its last event", sent=True)
                 if not run.exchange.is_framed and not run.events and not run.moves:
                     # A crashed upstream closes its connections in the same way.
                     return UpstreamError("the stream ended without an event", sent=True)
--- a/stand_ins/routed.py
+++ b/stand_ins/routed.py
@@ -81,6 +81,11 @@
     """Send half of a plain call's body, and the rest once the script's gate is open."""
     filler: bytes = b""
     """More data of each event of a stream."""
+    before_head: bytes = b""
+    """Bytes before the head of a stream."""
+    raw_body: tuple[bytes, ...] | None = None
+    """Pieces that follow the head of a stream as they are, instead of events; then its connection
+    is closed."""
     paused: Event = field(default_factory=Event)
     """Set when a stream is waiting for the gate."""
     gate: Event = field(default_factory=Event)
@@ -365,12 +370,18 @@
         framed = _unframed if script.unframed else encode_chunk
         signature = script.signature
         answer = (_id(request_id), *signature, STREAM_TYPE, *self._signal_headers())
-        if not connection.write(encode_head(script.status, answer, extra)):
+        head = script.before_head + encode_head(script.status, answer, extra)
+        if not connection.write(head):
             return
         self._record_leaving_signal(request_id)
         if script.reset_after_head:
             reset(raw)
             return
+        if script.raw_body is not None:
+            for piece in script.raw_body:
+                gevent.sleep(script.event_pause_s)
+                connection.write(piece)
+            return
         self.running[request_id] = first - 1
         self.stopped.discard(request_id)
         backup = self.peers.get(headers.get("kv-backup", ""))
