Streams are not joined with events of another run that have known ids

What callers saw: after events 1 to 3 of one run, events 4 and 5 of another one, and the last chunk. The other run's first events were dropped as repeated, since their ids were known. A backup that numbers the rest of the stream anew was joined as well: events with the ids 4 and 5 whose data are those of events 7 and 8, so that three events were missing. The same within one response that begins anew.

Cause: an event counted as repeated by its id alone.

Evidence: features/gateway/stream_continuity.feature.

Fix: a repeated event must have the data and type of the one that was relayed. Else the run is another one: it ends with an error, and the stream resumes at another replica or is broken off. Checksums of the latest 8,192 to 16,384 events are kept, 64 kB at most.

--- a/driftstall/gateway/events.py
+++ b/driftstall/gateway/events.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import zlib
+from array import array
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Final
@@ -12,6 +14,10 @@
 """A stream with a larger event is broken off: its upstream sends something else than events."""
 MAX_ID_DIGITS: Final = 18
 """Longer ids are not taken as numbers."""
+CONTENT_FIELDS: Final = (b"data", b"event")
+"""Fields that are the same when a run sends an event again; an engine's metadata may differ."""
+MAX_CHECKSUMS: Final = 8_192
+"""Events whose checksums are kept; a run that repeats older ones can't be verified."""
 
 
 class EventContinuity(StrEnum):
@@ -20,6 +26,8 @@
     NEXT = "next"
     REPEATED = "repeated"
     GAP = "gap"
+    CONFLICT = "conflict"
+    """Its id was relayed with other content, so that it belongs to another run."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +86,8 @@
         self._last: int | None = None
         self._run_last: int | None = None
         """Largest id of the current run; None before its first numbered event."""
+        self._checksums = array("I")
+        """Checksums of the latest relayed events, up to the last one."""
 
     @property
     def is_run_behind(self) -> bool:
@@ -97,13 +107,28 @@
             return EventContinuity.NEXT
         number = int(event_id)
         self._run_last = max(number, self._run_last or 0)
+        checksum = _content_checksum(event.data)
         if self._last is not None and number <= self._last:
-            return EventContinuity.REPEATED
+            is_same = self._relayed_checksum(self._last - number) == checksum
+            return EventContinuity.REPEATED if is_same else EventContinuity.CONFLICT
         if self._last is not None and number > self._last + 1:
             return EventContinuity.GAP
         self._last = number
+        self._checksums.append(checksum)
+        if len(self._checksums) >= 2 * MAX_CHECKSUMS:
+            del self._checksums[:MAX_CHECKSUMS]
         return EventContinuity.NEXT
 
+    def _relayed_checksum(self, offset: int) -> int | None:
+        """Return the checksum of the event at an offset before the last one, if it is kept."""
+        return self._checksums[-1 - offset] if offset < len(self._checksums) else None
+
+
+def _content_checksum(data: bytes) -> int:
+    """Return a checksum of the fields that identify an event's content."""
+    lines = (line for line in data.split(b"\n") if line.startswith(CONTENT_FIELDS))
+    return zlib.crc32(b"\n".join(lines))
+
 
 def _event_id(part: bytes) -> str:
     """Return the id of an event, or an empty string."""
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -52,6 +52,10 @@
 """Silence after which the engine is probed. A sound engine may be silent for a second or so, and
 the probe takes half a second at most."""
 ANSWERING_STATES: Final = frozenset({ReportedState.SERVING, ReportedState.LEAVING})
+CONTINUITY_DEFECTS: Final = {
+    EventContinuity.GAP: "an event of the stream is missing",
+    EventContinuity.CONFLICT: "an event differs from the one that was relayed with its id",
+}
 LOAD_UPDATE_TOKENS: Final = 128
 """Tokens after which a run's load is updated: about once a second."""
 
@@ -262,14 +266,14 @@
     def _forward(self, run: StreamRun, events: list[Event]) -> Exception | None:
         """Write events to the caller.
 
-        Return an error if an event is missing or the caller has disconnected, else None.
+        Return an error if an event is missing or of another run, or the caller has disconnected.
         """
         next_events: list[bytes] = []
         error: UpstreamError | None = None
         for event in events:
             continuity = self._sequence.check(event)
-            if continuity is EventContinuity.GAP:
-                error = UpstreamError("an event of the stream is missing", sent=True)
+            if continuity in CONTINUITY_DEFECTS:
+                error = UpstreamError(CONTINUITY_DEFECTS[continuity], sent=True)
                 break
             if continuity is EventContinuity.NEXT:
                 next_events.append(event.data)
--- a/features/gateway/stream_continuity.feature
+++ b/features/gateway/stream_continuity.feature
@@ -1,6 +1,7 @@
 Feature: Streams that continue at another engine
   One gateway with stand-ins of its upstreams, inside the test process. An event N has the id N, an event
-  N=M the id N and the data of event M. An "end" is the last chunk.
+  N=M the id N and the data of event M, an event N* the id N and the data of another run. An "end" is the
+  last chunk.
 
   Background:
     Given a gateway before two plain upstreams and three engines
@@ -22,3 +23,40 @@
       | 1 2 end         | 3       | no end  | is broken off if the backup ends before it            |
       | 1 end           | 3       | no end  | is broken off if the backup ends long before it       |
       | 1=4 2=5 end     | 3       | no end  | is broken off if the backup numbers its rest anew     |
+
+  # Guards against pieces of two runs that are joined in one stream.
+  Scenario Outline: a stream is not joined with another run, as its backup sends <events>
+    Given the engine of "s1" will break off after 3 events, and the next one sends <events>
+    When stream "s1" is asked
+    Then <relayed> events of "s1" came, in order, and no end
+
+    Examples:
+      | events                  | relayed |
+      | 1* 2* 3* 4* end         | 3       |
+      | 3* 4* 5* end            | 3       |
+      | 1=4 2=5 3=6 4=7 5=8 end | 3       |
+      | 4 3* 5 end              | 4       |
+
+  # Guards against a run that begins anew within one response.
+  Scenario Outline: a stream whose only run sends <events>, <result>
+    Given the engine of "s1" will send <events>
+    When stream "s1" is asked
+    Then <relayed> events of "s1" came, in order, and <end>
+
+    Examples:
+      | events             | relayed | end     | result                                     |
+      | 1 2 2 3 end        | 3       | the end | is whole if an event comes twice           |
+      | 1 2 3 1 2 3 4 end  | 4       | the end | is whole if its events come twice          |
+      | 1 2 1 end          | 2       | the end | is whole if an event comes late again      |
+      | 1 2 3 1* 2* 3* end | 3       | no end  | is broken off if another run follows       |
+      | 1 2 3 1* 4* end    | 3       | no end  | is not joined with the rest of another run |
+      | 1 3 end            | 1       | no end  | is broken off at a missing event           |
+
+  # Guards against conflicts in sound streams, and against memory that grows with the length of a stream.
+  Scenario: the continuity of drawn streams is that of their ids and data
+    When streams of drawn events are checked
+    Then each event counts as next, repeated, missing or in conflict as its id and data say
+
+  Scenario: a long stream keeps a bounded number of checksums
+    When a stream of 100000 events is checked
+    Then its last 1000 events can be verified, and less than 200 kB are kept
--- a/features/steps/stream_continuity_steps.py
+++ b/features/steps/stream_continuity_steps.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import pickle
 from typing import Any, Final
 
-from behave import given, then
+from behave import given, then, when
+from hypothesis import given as given_drawn
+from hypothesis import settings
+from hypothesis import strategies as st
 
+from driftstall.gateway.events import Event, EventContinuity, EventSequence
 from driftstall.gateway.ingress import LAST_CHUNK, encode_chunk
 from features.steps.gateway_stream_steps import await_copy
 from features.worlds.gateway_world import script_upstreams, world_of
@@ -18,6 +23,9 @@
     """Return an event, or the last chunk, as a chunked response sends it."""
     if word == END:
         return LAST_CHUNK
+    if word.endswith("*"):
+        number = int(word[:-1])
+        return encode_chunk(b"id: %d\ndata: another piece %d\n\n" % (number, number))
     event_id, _, data = word.partition("=")
     return encode_chunk(b"id: %d\ndata: piece %d\n\n" % (int(event_id), int(data or event_id)))
 
@@ -36,9 +44,78 @@
     await_copy(context, 3)
 
 
+@given('the engine of "{request_id}" will send {words}')
+def sends(context: Any, request_id: str, words: str) -> None:
+    """Script the only run of a stream; no engine keeps a backup."""
+    world = world_of(context)
+    for engine in world.engines:
+        engine.peers = {}
+    script_upstreams(world, request_id, [_raw_script(words)])
+
+
 @then('{count:d} events of "{request_id}" came, in order, and the end')
 def all_events(context: Any, count: int, request_id: str) -> None:
     """Check the events of a complete stream."""
     expected = b"".join(event_bytes(number) for number in range(1, count + 1))
     answer = context.answer
     assert (answer.status, answer.body, answer.whole) == (200, expected, True), answer
+
+
+@when("streams of drawn events are checked")
+def check_drawn(context: Any) -> None:
+    """Check streams of ids with the data of one of two runs."""
+    context.pairs = []
+    drawn = st.lists(st.tuples(st.integers(0, 6), st.booleans()), max_size=12)
+
+    @settings(max_examples=300, derandomize=True, database=None)
+    @given_drawn(drawn)
+    def check(events: list[tuple[int, bool]]) -> None:
+        sequence = EventSequence()
+        context.pairs.append((events, [sequence.check(_event(*each)) for each in events]))
+
+    check()
+
+
+@then("each event counts as next, repeated, missing or in conflict as its id and data say")
+def as_ids_say(context: Any) -> None:
+    """Compare the results with those of a model that keeps all relayed events."""
+    for events, results in context.pairs:
+        relayed: dict[int, bool] = {}
+        for (number, is_other), result in zip(events, results, strict=True):
+            assert result is _expected(relayed, number, is_other=is_other), (events, results)
+            if result is EventContinuity.NEXT:
+                relayed[number] = is_other
+
+
+def _event(number: int, is_other: bool) -> Event:
+    """Return an event with the data of one of two runs."""
+    return Event(b"id: %d\ndata: %d %d\n\n" % (number, is_other, number), str(number))
+
+
+def _expected(relayed: dict[int, bool], number: int, *, is_other: bool) -> EventContinuity:
+    """Return how an event follows the relayed ones."""
+    if not relayed or number == max(relayed) + 1:
+        return EventContinuity.NEXT
+    if number > max(relayed):
+        return EventContinuity.GAP
+    is_same = relayed.get(number) is is_other
+    return EventContinuity.REPEATED if is_same else EventContinuity.CONFLICT
+
+
+@when("a stream of {count:d} events is checked")
+def check_long(context: Any, count: int) -> None:
+    """Check a long stream."""
+    context.sequence, context.count = EventSequence(), count
+    for number in range(1, count + 1):
+        assert context.sequence.check(_event(number, False)) is EventContinuity.NEXT
+
+
+@then("its last {count:d} events can be verified, and less than {kilobytes:d} kB are kept")
+def verified(context: Any, count: int, kilobytes: int) -> None:
+    """Repeat events at the end of the stream, and one whose checksum is no longer kept."""
+    last = context.count
+    for number in range(last - count + 1, last + 1):
+        assert context.sequence.check(_event(number, False)) is EventContinuity.REPEATED
+        assert context.sequence.check(_event(number, True)) is EventContinuity.CONFLICT
+    assert context.sequence.check(_event(1, False)) is EventContinuity.CONFLICT
+    assert len(pickle.dumps(context.sequence)) < kilobytes * 1000
