A stream does not resume after an event without an id

What callers saw: events 1 and 2 and one without an id, then the connection broke, and the resumed run sent the event without an id once more: the caller got it twice, and the last chunk. The same where a backup that is behind repeats such an event between known ones.

Cause: Last-Event-Id names the last event that has an id, so that an upstream repeats what follows it; and an event without an id always counted as the next one.

Evidence: features/gateway/stream_continuity.feature.

Fix: a stream whose last event has data but no id is broken off instead of resumed, and events without an id are dropped while a run repeats known events. Comments don't count.

--- a/driftstall/gateway/events.py
+++ b/driftstall/gateway/events.py
@@ -86,6 +86,8 @@
         self._last: int | None = None
         self._run_last: int | None = None
         """Largest id of the current run; None before its first numbered event."""
+        self._has_position = True
+        """Whether no event without an id was relayed after the last one with an id."""
         self._checksums = array("I")
         """Checksums of the latest relayed events, up to the last one."""
 
@@ -96,6 +98,11 @@
             return False
         return self._run_last < self._last
 
+    @property
+    def can_resume(self) -> bool:
+        """Return True if the last id names the place where another run would have to continue."""
+        return self._has_position
+
     def begin_run(self) -> None:
         """Start before the first event of a run, which may repeat events of the previous one."""
         self._run_last = None
@@ -103,31 +110,42 @@
     def check(self, event: Event) -> EventContinuity:
         """Return how an event follows the last relayed one; NEXT if its id is not a number."""
         event_id = event.event_id
+        if not event_id:
+            return self._check_without_id(event)
         if not event_id.isdecimal() or len(event_id) > MAX_ID_DIGITS:
+            self._has_position = True
             return EventContinuity.NEXT
         number = int(event_id)
         self._run_last = max(number, self._run_last or 0)
-        checksum = _content_checksum(event.data)
+        checksum = zlib.crc32(_content(event.data))
         if self._last is not None and number <= self._last:
             is_same = self._relayed_checksum(self._last - number) == checksum
             return EventContinuity.REPEATED if is_same else EventContinuity.CONFLICT
         if self._last is not None and number > self._last + 1:
             return EventContinuity.GAP
         self._last = number
+        self._has_position = True
         self._checksums.append(checksum)
         if len(self._checksums) >= 2 * MAX_CHECKSUMS:
             del self._checksums[:MAX_CHECKSUMS]
         return EventContinuity.NEXT
 
+    def _check_without_id(self, event: Event) -> EventContinuity:
+        """Return how an event without an id follows; a run that is behind repeats it."""
+        if self.is_run_behind:
+            return EventContinuity.REPEATED
+        if _content(event.data):
+            self._has_position = False
+        return EventContinuity.NEXT
+
     def _relayed_checksum(self, offset: int) -> int | None:
         """Return the checksum of the event at an offset before the last one, if it is kept."""
         return self._checksums[-1 - offset] if offset < len(self._checksums) else None
 
 
-def _content_checksum(data: bytes) -> int:
-    """Return a checksum of the fields that identify an event's content."""
-    lines = (line for line in data.split(b"\n") if line.startswith(CONTENT_FIELDS))
-    return zlib.crc32(b"\n".join(lines))
+def _content(data: bytes) -> bytes:
+    """Return the fields that identify an event's content; empty for a comment."""
+    return b"\n".join(line for line in data.split(b"\n") if line.startswith(CONTENT_FIELDS))
 
 
 def _event_id(part: bytes) -> str:
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -118,6 +118,8 @@
             if self._context.is_caller_disconnected:
                 return False
             self._context.handle_break(run, error)
+            if not self._sequence.can_resume:
+                return self._break_off(run, f"{error}; its last event has no id")
             resumed = self._resumer.resume(run, str(error))
             if resumed is None:
                 return self._break_off(run, str(error))
--- a/features/gateway/stream_continuity.feature
+++ b/features/gateway/stream_continuity.feature
@@ -1,7 +1,7 @@
 Feature: Streams that continue at another engine
   One gateway with stand-ins of its upstreams, inside the test process. An event N has the id N, an event
-  N=M the id N and the data of event M, an event N* the id N and the data of another run. An "end" is the
-  last chunk.
+  N=M the id N and the data of event M, an event N* the id N and the data of another run, an event X no id,
+  and ":" is a comment. An "end" is the last chunk.
 
   Background:
     Given a gateway before two plain upstreams and three engines
@@ -52,6 +52,20 @@
       | 1 2 3 1* 4* end    | 3       | no end  | is not joined with the rest of another run |
       | 1 3 end            | 1       | no end  | is broken off at a missing event           |
 
+  # Guards against events without an id that a resumed run repeats: its upstream can't know of them.
+  Scenario Outline: a stream that sends <first> resumes only from a known event, with <next>
+    Given the engine of "s1" will break off after events <first>, and the next one sends <next>
+    When stream "s1" is asked
+    Then events <relayed> of "s1" came and <end>
+
+    Examples:
+      | first | next       | relayed   | end     |
+      | 1 2 X | X 3 end    | 1 2 X     | no end  |
+      | 1 2 X | 3 end      | 1 2 X     | no end  |
+      | 1 X 2 | 3 end      | 1 X 2 3   | the end |
+      | 1 X 2 | 1 X 2 3 end | 1 X 2 3  | the end |
+      | 1 2 : | : 3 end    | 1 2 : : 3 | the end |
+
   # Guards against conflicts in sound streams, and against memory that grows with the length of a stream.
   Scenario: the continuity of drawn streams is that of their ids and data
     When streams of drawn events are checked
--- a/features/steps/stream_continuity_steps.py
+++ b/features/steps/stream_continuity_steps.py
@@ -5,29 +5,38 @@
 import pickle
 from typing import Any, Final
 
+import gevent
 from behave import given, then, when
 from hypothesis import given as given_drawn
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from driftstall.decisions.sends import BACKUP_READY_AFTER_S
 from driftstall.gateway.events import Event, EventContinuity, EventSequence
 from driftstall.gateway.ingress import LAST_CHUNK, encode_chunk
 from features.steps.gateway_stream_steps import await_copy
-from features.worlds.gateway_world import script_upstreams, world_of
+from features.worlds.gateway_world import script_upstreams, wait_for, world_of
 from stand_ins.routed import Script, event_bytes
 
 END: Final = "end"
 
 
-def _piece(word: str) -> bytes:
-    """Return an event, or the last chunk, as a chunked response sends it."""
-    if word == END:
-        return LAST_CHUNK
+def _event_data(word: str) -> bytes:
+    """Return the bytes of an event."""
+    if word == "X":
+        return b"data: piece without id\n\n"
+    if word == ":":
+        return b": alive\n\n"
     if word.endswith("*"):
         number = int(word[:-1])
-        return encode_chunk(b"id: %d\ndata: another piece %d\n\n" % (number, number))
+        return b"id: %d\ndata: another piece %d\n\n" % (number, number)
     event_id, _, data = word.partition("=")
-    return encode_chunk(b"id: %d\ndata: piece %d\n\n" % (int(event_id), int(data or event_id)))
+    return b"id: %d\ndata: piece %d\n\n" % (int(event_id), int(data or event_id))
+
+
+def _piece(word: str) -> bytes:
+    """Return an event, or the last chunk, as a chunked response sends it."""
+    return LAST_CHUNK if word == END else encode_chunk(_event_data(word))
 
 
 def _raw_script(words: str) -> Script:
@@ -44,6 +53,25 @@
     await_copy(context, 3)
 
 
+@given(
+    'the engine of "{request_id}" will break off after events {first}, and the next one sends'
+    " {following}"
+)
+def breaks_after_events(context: Any, request_id: str, first: str, following: str) -> None:
+    """Script a run that breaks off, and the resumed one; the gateway's clock passes meanwhile."""
+    world = world_of(context)
+    script = _raw_script(first)
+    script.raw_gate_before = len(first.split()) - 1
+    script_upstreams(world, request_id, [script, _raw_script(following)])
+
+    def pass_time() -> None:
+        wait_for("an event", lambda: any(run.events for run in world.state.runs.all))
+        world.pass_time(BACKUP_READY_AFTER_S)
+        script.gate.set()
+
+    gevent.spawn(pass_time)
+
+
 @given('the engine of "{request_id}" will send {words}')
 def sends(context: Any, request_id: str, words: str) -> None:
     """Script the only run of a stream; no engine keeps a backup."""
@@ -119,3 +147,11 @@
         assert context.sequence.check(_event(number, True)) is EventContinuity.CONFLICT
     assert context.sequence.check(_event(1, False)) is EventContinuity.CONFLICT
     assert len(pickle.dumps(context.sequence)) < kilobytes * 1000
+
+
+@then('events {words} of "{request_id}" came and {end}')
+def events_came(context: Any, words: str, request_id: str, end: str) -> None:
+    """Check the events, and whether the stream is complete."""
+    expected = b"".join(map(_event_data, words.split()))
+    answer = context.answer
+    assert (answer.status, answer.body, answer.whole) == (200, expected, end == "the end"), answer
--- a/stand_ins/routed.py
+++ b/stand_ins/routed.py
@@ -86,6 +86,8 @@
     raw_body: tuple[bytes, ...] | None = None
     """Pieces that follow the head of a stream as they are, instead of events; then its connection
     is closed."""
+    raw_gate_before: int | None = None
+    """Wait for the script's gate before the piece with this index."""
     paused: Event = field(default_factory=Event)
     """Set when a stream is waiting for the gate."""
     gate: Event = field(default_factory=Event)
@@ -377,14 +379,12 @@
         if script.reset_after_head:
             reset(raw)
             return
-        if script.raw_body is not None:
-            for piece in script.raw_body:
-                gevent.sleep(script.event_pause_s)
-                connection.write(piece)
-            return
         self.running[request_id] = first - 1
         self.stopped.discard(request_id)
         backup = self.peers.get(headers.get("kv-backup", ""))
+        if script.raw_body is not None:
+            self._send_raw(connection, request_id, script, backup)
+            return
         for number in range(first, script.events + 1):
             if number == script.skip_event:
                 continue
@@ -413,6 +413,22 @@
                 return
         connection.write(b"" if script.unframed else b"0\r\n\r\n")
 
+    def _send_raw(
+        self,
+        connection: CallerConnection,
+        request_id: str,
+        script: Script,
+        backup: RoutedUpstream | None,
+    ) -> None:
+        """Send the pieces of a script's raw body, of which a backup holds as many."""
+        for index, piece in enumerate(script.raw_body or ()):
+            gevent.sleep(script.event_pause_s)
+            if index == script.raw_gate_before:
+                script.gate.wait()
+            connection.write(piece)
+            if backup is not None:
+                backup.copies[request_id] = index + 1
+
     def _write_json(self, connection: CallerConnection, status: int, body: dict[str, Any]) -> None:
         """Answer an internal call of the system with JSON."""
         data = orjson.dumps(body)
