--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -52,6 +52,10 @@
 """Silence after which the engine is probed. A sound engine may be silent for a second or so, and
 the probe takes half a second at most."""
 ANSWERING_STATES: Final = frozenset({ReportedState.SERVING, ReportedState.LEAVING})
+CONTINUITY_DEFECTS: Final = {
+    EventContinuity.GAP: "an event of the stream is missing",
+    EventContinuity.CONFLICT: "an event differs from the one that was relayed with its id",
+}
 LOAD_UPDATE_TOKENS: Final = 128
 """Tokens after which a run's load is updated: about once a second."""
 
@@ -114,6 +118,8 @@
             if self._context.is_caller_disconnected:
                 return False
             self._context.handle_break(run, error)
+            if not self._sequence.can_resume:
+                return self._break_off(run, f"{error}; its last event has no id")
             resumed = self._resumer.resume(run, str(error))
             if resumed is None:
                 return self._break_off(run, str(error))
@@ -165,6 +171,7 @@
         """Relay events; return None at the end of the stream, or the error that broke it."""
         assert run.exchange is not None
         splitter = EventSplitter()
+        self._sequence.begin_run()
         self._probe = None
         while True:
             wait_began_at = self._state.now()
@@ -190,6 +197,9 @@
             elif isinstance(item, ResponseEnd):
                 if splitter.is_inside_event:
                     return UpstreamError("the stream ended inside an event", sent=True)
+                if self._sequence.is_run_behind:
+                    # Another run, or one that numbers the rest of the stream anew.
+                    return UpstreamError("the stream ended before its last event", sent=True)
                 if not run.exchange.is_framed and not run.events and not run.moves:
                     # A crashed upstream closes its connections in the same way.
                     return UpstreamError("the stream ended without an event", sent=True)
@@ -258,14 +268,14 @@
     def _forward(self, run: StreamRun, events: list[Event]) -> Exception | None:
         """Write events to the caller.
 
-        Return an error if an event is missing or the caller has disconnected, else None.
+        Return an error if an event is missing or of another run, or the caller has disconnected.
         """
         next_events: list[bytes] = []
         error: UpstreamError | None = None
         for event in events:
             continuity = self._sequence.check(event)
-            if continuity is EventContinuity.GAP:
-                error = UpstreamError("an event of the stream is missing", sent=True)
+            if continuity in CONTINUITY_DEFECTS:
+                error = UpstreamError(CONTINUITY_DEFECTS[continuity], sent=True)
                 break
             if continuity is EventContinuity.NEXT:
                 next_events.append(event.data)
