A truncated response of a plain service is not answered, or recorded by a claim, as a whole one

What callers saw: a call of the own interface got 200 and a part of the service's body; with an idempotency key the part was recorded, and every repeat of the key got it again.

Cause: a body with neither a length nor chunks ends with its connection. The client's parser marks such a message complete at the end of the connection (`message_complete`), whether its sender had finished or its process had ended, and `Exchange.read` asked for nothing else.

Why this fixes it: the response records whether the end of the connection ended its message, and `read` rejects that. A generation's stream is whole by its end event, whose count is compared with the tokens.

A close-delimited response of a plain service is not verified by its runner's process: the own interface gives a process no id, so a restarted one could not be told from the one that answered.

--- a/driftstall/platform/engine_calls.py
+++ b/driftstall/platform/engine_calls.py
@@ -79,7 +79,7 @@
             ANSWER_LIMITS,
         )
         observe(source, read_signals(exchange.status, exchange.headers), sent_at)
-        raw = exchange.read()
+        raw = exchange.read_document()
         answer = orjson.loads(raw) if raw else {}
     except (UpstreamError, orjson.JSONDecodeError) as fault:
         return MoveFailed(
@@ -119,7 +119,7 @@
             PROBE_TIMEOUT_S,
             ANSWER_LIMITS,
         )
-        report = orjson.loads(exchange.read())
+        report = orjson.loads(exchange.read_document())
     except OversizedAnswer as fault:
         log_event(PREFIX_RELAY, f"Report not read: {fault}", upstream=engine.upstream_id)
         return ReportedState.UNKNOWN
@@ -167,7 +167,7 @@
             ANSWER_LIMITS,
         )
         observe(holder, read_signals(exchange.status, exchange.headers), sent_at)
-        exchange.read()
+        exchange.read_document()
     except UpstreamError as fault:
         log_event(PREFIX_RELAY, f"Replica not freed, it expires by timeout: {fault}")
 
--- a/driftstall/platform/store.py
+++ b/driftstall/platform/store.py
@@ -222,7 +222,7 @@
                 exchange = Exchange.open(
                     self._address, method, path, headers, data, timeout_s, ANSWER_LIMITS
                 )
-            raw = exchange.read()
+            raw = exchange.read_document()
             era = self._update_era(exchange.header(names.HEADER_ERA))
             body = decode_answer(raw, lambda: gevent.sleep(0)) if raw else None
             return _Answer(exchange.status, body, era)
--- a/driftstall/runners/engine.py
+++ b/driftstall/runners/engine.py
@@ -211,7 +211,7 @@
 def _get_json(runner: Runner, path: str) -> Any:
     """Return a JSON document of the runner."""
     exchange = Exchange.open(runner.address, "GET", path, {}, b"", CONTROL_TIMEOUT_S)
-    body = exchange.read()
+    body = exchange.read_document()
     try:
         return orjson.loads(body)
     except ValueError as fault:
--- a/driftstall/util/http.py
+++ b/driftstall/util/http.py
@@ -114,7 +114,20 @@
         return str(self._response.get(name, ""))
 
     def read(self) -> bytes:
-        """Return the whole body and close the connection; raise UpstreamError if it is cut off."""
+        """Return the whole body and close the connection; raise UpstreamError if it is truncated.
+
+        A close-delimited body counts as truncated: it ends in the same way if its sender ends.
+        """
+        body = self.read_document()
+        if self._response.is_close_delimited:
+            raise UpstreamError("the answer ended with its connection", sent=True)
+        return body
+
+    def read_document(self) -> bytes:
+        """Return a body that shows its own end, as a JSON object does, and close the connection.
+
+        Unlike read() it accepts a close-delimited body, which may be truncated, also to nothing.
+        """
         try:
             with gevent.Timeout(self._timeout_s, UpstreamError("the answer is late", sent=True)):
                 body = bytes(self._response.read())
--- a/driftstall/util/limited_response.py
+++ b/driftstall/util/limited_response.py
@@ -38,12 +38,25 @@
         self._limits = limits
         self._overhead = ResponseOverhead()
         self._unyielded_bytes = 0
+        self._is_close_delimited = False
         super().__init__(connection, block_size=PARSE_BYTES, method=method)
 
+    @property
+    def is_close_delimited(self) -> bool:
+        """Return True if the message has ended with its connection, as its framing allows.
+
+        A truncated body ends in the same way.
+        """
+        return self._is_close_delimited
+
     def feed(self, data: str | bytes) -> None:
-        """Parse received bytes; raise OversizedAnswer if they exceed a limit."""
+        """Parse received bytes, or the end of the connection if there are none.
+
+        Raises OversizedAnswer if they exceed a limit.
+        """
         self._overhead.record_received(len(data))
         super().feed(data)
+        self._is_close_delimited |= self.message_complete and not data
         if self._overhead.check():
             raise OversizedAnswer("too many bytes besides the body")
         if len(self._body_buffer) > self._limits.held_bytes:
--- a/features/processes/calls.feature
+++ b/features/processes/calls.feature
@@ -8,6 +8,14 @@
     Then the answer is 409 and says "unknown"
     And call "lost-1" has run 1 times
 
+  # Guards against half of an answer that a claim records, and repeats, as the whole one.
+  Scenario: a claimed call whose unframed answer is truncated is not answered with the part
+    When a call with key "truncated-1" is made while unframed answers are truncated
+    Then the answer is 502 and says "unknown"
+    When a call with key "truncated-1" is made
+    Then the answer is 409 and says "unknown"
+    And call "truncated-1" has run 1 times
+
   Scenario: a repeated key gets the recorded outcome
     When a call with key "twice-1" is made
     And a call with key "twice-1" is made
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -218,7 +218,7 @@
         """Return no header."""
         return ""
 
-    def read(self) -> bytes:
+    def read_document(self) -> bytes:
         """Return the body."""
         return self.body
 
--- a/features/steps/process_call_steps.py
+++ b/features/steps/process_call_steps.py
@@ -39,6 +39,16 @@
         service.control({"drop_answers": 0})
 
 
+@when('a call with key "{key}" is made while unframed answers are truncated')
+def call_truncated(context: Any, key: str) -> None:
+    """Let the service run the call and end its close-delimited response early."""
+    for service in context.bench.services:
+        service.control({"truncate_answers": 1})
+    context.reply = service_call(context, "POST", key)
+    for service in context.bench.services:
+        service.control({"truncate_answers": 0})
+
+
 @when('a call with key "{key}" is made')
 def call_with_key(context: Any, key: str) -> None:
     """Send one call with a claim."""
--- a/stand_ins/http.py
+++ b/stand_ins/http.py
@@ -35,6 +35,14 @@
     return answer(start, 200, {})
 
 
+def truncate_answer(environ: dict[str, Any], start: StartResponse, value: Any) -> Iterable[bytes]:
+    """Send half of an answer that has neither a length nor chunks, and close the connection."""
+    body = orjson.dumps(value)
+    head = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n"
+    environ[ENVIRON_SOCKET].sendall(head + body[: len(body) // 2])
+    return close_unanswered(environ, start)
+
+
 @dataclass(slots=True)
 class Signals:
     """What a fake upstream signals about itself with its responses."""
--- a/stand_ins/service.py
+++ b/stand_ins/service.py
@@ -31,6 +31,7 @@
     close_unanswered,
     read_json,
     serve,
+    truncate_answer,
 )
 
 CRASH_PATH = "/crash"
@@ -46,6 +47,8 @@
     late_s: float = 0.0
     drop_answers: int = 0
     """Number of calls to run without sending an answer."""
+    truncate_answers: int = 0
+    """Number of calls to run with an answer that is close-delimited and truncated."""
     refuse: int = 0
     """Number of calls to answer with 503 before they run."""
     signals: Signals = field(default_factory=Signals)
@@ -59,6 +62,7 @@
             script = read_json(environ)
             self.late_s = script.get("late_s", self.late_s)
             self.drop_answers = script.get("drop_answers", self.drop_answers)
+            self.truncate_answers = script.get("truncate_answers", self.truncate_answers)
             self.refuse = script.get("refuse", self.refuse)
             self.signals.script(script)
             return answer(start, 200, {})
@@ -85,6 +89,9 @@
             return close_unanswered(environ, start)
         echo = body.decode("utf-8", "replace")[:200]
         value = {"service": self.name, "call": call_id, "echo": echo}
+        if self.truncate_answers > 0:
+            self.truncate_answers -= 1
+            return truncate_answer(environ, start, value)
         return answer(start, 200, value, self.signals.headers())
 
 
