Read health answers and reports of probed processes also without framing

A process that frames no response frames no answer to a probe either; read() rejects such answers since truncated ones of services are not taken for whole. The answer of a probe shows that the process lives, whatever its body.

--- a/driftstall/platform/process_probe.py
+++ b/driftstall/platform/process_probe.py
@@ -53,7 +53,7 @@
         if exchange.status == HTTPStatus.MISDIRECTED_REQUEST:
             exchange.close()
             return ProcessState.ENDED
-        body = exchange.read()
+        body = exchange.read_document()
     except UpstreamTimeout:
         # A health check waits for a slot, and a process that ends resets its connections.
         return ProcessState.ALIVE
