Take an unframed stream for whole only once its upstream is known to live

Callers were told that a stream was complete, with the last chunk, before its last event. The end of a connection without a length and without chunks was taken for the end of the stream, and an upstream whose process ends closes its connections in the same way. Error responses of engines were passed on with a length of our own in the same case.

The end of such a response is now verified before the last chunk is written, also for a resumed run. If the process has ended or is another one, the stream resumes, or is broken off visibly; an error response is answered with 502. Events do not wait: the new tests hold back each event and the end of a response until its caller has received the event before.

The two special cases stay: a first run without any event, which an upstream may close instead of running it, and a run that the final copy of a migration may have stopped at an upstream that lives on. The verifier can tell neither.

Two existing tests state a success of a request differently. Where a verified end is known not to be a crash, its success counts at once, and not only with the next answer of the upstream. The scenario on exonerated parts now checks both sides of that: nothing is known while the process is not known to live, and the part has succeeded once it is. The scenario on an upstream that "can't be probed" covers the verifier's probe as well.

--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -36,7 +36,7 @@
     encode_problem,
     encode_response,
 )
-from driftstall.gateway.runs import BrokenRun, StreamRun
+from driftstall.gateway.runs import StreamRun
 from driftstall.gateway.sending import OpenedResponse
 from driftstall.gateway.state import GatewayState
 from driftstall.gateway.stream_context import StreamContext
@@ -135,6 +135,8 @@
                     break
                 if isinstance(item, BodyChunk):
                     body.add(item.data)
+            if not run.exchange.is_framed and not self._is_alive(run, self._state.now()):
+                raise UpstreamError("it ended with its upstream's process", sent=True)
         except (UpstreamError, TimeoutError) as error:
             log_event(PREFIX_RELAY, f"Error response broke off: {error}", request=run.request_id)
             self._context.handle_break(run, error)
@@ -190,15 +192,27 @@
             elif isinstance(item, ResponseEnd):
                 if splitter.is_inside_event:
                     return UpstreamError("the stream ended inside an event", sent=True)
-                if not run.exchange.is_framed and not run.events and not run.moves:
-                    # A crashed upstream closes its connections in the same way.
-                    return UpstreamError("the stream ended without an event", sent=True)
-                if not run.exchange.is_framed and self._context.replicas.may_have_stopped(
-                    run, self._context.remaining_s()
-                ):
-                    # A run that a final copy has stopped closes its connection in the same way.
-                    return UpstreamError("the stream ended during its migration", sent=True)
-                return None
+                return None if run.exchange.is_framed else self._check_unframed_end(run)
+
+    def _check_unframed_end(self, run: StreamRun) -> UpstreamError | None:
+        """Return an error unless a stream is whole whose response ended with its connection."""
+        ended_at = self._state.now()
+        if not run.events and not run.moves:
+            # An upstream may also close a request's connection instead of running it.
+            return UpstreamError("the stream ended without an event", sent=True)
+        if self._context.replicas.may_have_stopped(run, self._context.remaining_s()):
+            # The final copy of a migration stops a run at an upstream that lives on.
+            return UpstreamError("the stream ended during its migration", sent=True)
+        if not self._is_alive(run, ended_at):
+            return UpstreamError("the stream ended with its upstream's process", sent=True)
+        return None
+
+    def _is_alive(self, run: StreamRun, ended_at: float) -> bool:
+        """Return True if the upstream's process is known to have lived after an end."""
+        remaining_s = self._context.remaining_s()
+        return self._state.end_verifier.is_alive(
+            run.upstream, ended_at, remaining_s, run.request_id
+        )
 
     def _check_event(
         self, exchange: UpstreamExchange, splitter: EventSplitter
@@ -303,7 +317,7 @@
         """Finish a stream that is complete."""
         self._context.record_outcome(run, Outcome.GOOD)
         if run.events:
-            self._record_success(run)
+            self._state.poison.record_success(self._admitted.subjects)
         self._state.lengths.record_finish(self._context.request, run.tokens)
         self._state.stats.completed += 1
         self._state.stats.gap_s.observe({}, self._longest_gap_s)
@@ -319,14 +333,6 @@
         )
         return self._writer.write(LAST_CHUNK) and self._keep_alive
 
-    def _record_success(self, run: StreamRun) -> None:
-        """Record the success, at once only if the end of the response can't be a crash."""
-        if run.exchange is not None and run.exchange.is_framed:
-            self._state.poison.record_success(self._admitted.subjects)
-            return
-        ended = BrokenRun(run.request_id, self._admitted.subjects, self._context.is_under_way(run))
-        self._state.poison.unframed_ends.add(run.upstream, ended)
-
     def _break_off(self, run: StreamRun, cause: str) -> bool:
         """End a stream that cannot resume; the caller sees that the last chunk is missing."""
         self._context.record_outcome(run, Outcome.BROKEN)
--- a/features/gateway/prompt_parts.feature
+++ b/features/gateway/prompt_parts.feature
@@ -35,11 +35,13 @@
     Then at most 17 subjects are tracked for each of them
 
   # An answer without a length ends as a crash does, so nothing was ever cleared where none has one.
-  Scenario: answers without a length exonerate a part once its upstream answers a later request
+  Scenario: answers without a length exonerate a part once their upstream is known to live after the end
     Given all engines but one have left
-    When a stream with prompt "f1,a0" is answered without a length
+    And its process gives no answer that shows its state
+    When a stream with prompt "f1,a0" ends with its connection, and its process is not known
     Then nothing is known of the part "f1"
-    When a stream with prompt "f1,a1" is answered without a length
+    When its process answers probes again
+    And a stream with prompt "f1,a1" is answered without a length
     Then the part "f1" has succeeded
 
   # Each start of an upstream has an id of its own, and one that has left answers no more.
--- a/features/steps/crash_refusal_steps.py
+++ b/features/steps/crash_refusal_steps.py
@@ -20,6 +20,7 @@
 from driftstall.gateway.listeners import MetricsHandler, request_fingerprint
 from driftstall.gateway.poison import crash_detector
 from driftstall.gateway.poison.crash_detector import CrashDetector
+from driftstall.gateway.response_ends.verification import ProcessState
 from driftstall.gateway.scheduling.queue_status import QueueStatus
 from driftstall.helpers.poison_sharing import PeerTransport, PoisonSharing
 from driftstall.peers.blame_messages import BlamesTold
@@ -237,6 +238,8 @@
     stream_script(context, request_id, script)
     if ends == "can't be probed":
         context.detector._probe = lambda _: ReportedState.UNKNOWN
+        state = world_of(context).state
+        state.dialect.probe_process = lambda *_, **__: ProcessState.UNKNOWN  # type: ignore[method-assign]
 
 
 @then("the crashes still count")
--- a/features/steps/prompt_part_steps.py
+++ b/features/steps/prompt_part_steps.py
@@ -24,6 +24,7 @@
 from driftstall.gateway.callers.auxiliary import AuxiliaryListener
 from driftstall.gateway.listeners import MetricsHandler
 from driftstall.gateway.poison.unframed_ends import UnframedEnds
+from driftstall.gateway.response_ends.verification import ProcessState
 from driftstall.gateway.runs import BrokenRun
 from driftstall.gateway.scheduling.queue_status import QueueStatus
 from driftstall.helpers.poison_sharing import PeerTransport, PoisonSharing
@@ -163,6 +164,27 @@
     assert answer.status == 200 and answer.whole, answer
 
 
+@given("its process gives no answer that shows its state")
+def unknown_state(context: Any) -> None:
+    """Let probes of the process have no result."""
+    dialect = world_of(context).state.dialect
+    context.probe_process = dialect.probe_process
+    dialect.probe_process = lambda *_, **__: ProcessState.UNKNOWN  # type: ignore[method-assign]
+
+
+@when("its process answers probes again")
+def known_state(context: Any) -> None:
+    """Let probes reach the process."""
+    world_of(context).state.dialect.probe_process = context.probe_process  # type: ignore[method-assign]
+
+
+@when('a stream with prompt "{prompt}" ends with its connection, and its process is not known')
+def ends_unverified(context: Any, prompt: str) -> None:
+    """Send a stream whose response is whole, but not known to be."""
+    answer = send(context, prompt, Script(unframed=True))
+    assert answer.status == 200 and not answer.whole, answer
+
+
 @then('nothing is known of the part "{part}"')
 def nothing_known(context: Any, part: str) -> None:
     """Check that no success is recorded yet."""
--- a/stand_ins/endings.py
+++ b/stand_ins/endings.py
@@ -73,6 +73,7 @@
     """Events, or pieces of a body, that are sent of a response that is not whole."""
     pause_s: float = 0.0
     """Pause before each piece."""
+    status: int = 200
 
 
 class EndingUpstream(RoutedUpstream):
@@ -89,6 +90,8 @@
         self._plan_for = plan_for
         self._plans: dict[str, EndingPlan] = {}
         self.is_gone = False
+        self.on_sent: Callable[[str, int], None] = lambda request_id, number: None
+        """Called after each piece, with its number, before the next one or the end is sent."""
         self.sent: dict[str, list[int]] = {}
         """Numbers of the events, or pieces of a body, sent for each request id."""
 
@@ -132,7 +135,7 @@
         """Send a head and the pieces that the plan allows, and end the response."""
         plan = self._plans[request_id]
         headers = ((b"X-Driftstall-Request-Id", request_id.encode()), SEAL, *more)
-        connection.write(encode_head(200, headers, _framing_headers(plan.framing, pieces)))
+        connection.write(encode_head(plan.status, headers, _framing_headers(plan.framing, pieces)))
         sent = self.sent.setdefault(request_id, [])
         for number, piece in _sent_pieces(plan, pieces):
             gevent.sleep(plan.pause_s)
@@ -143,6 +146,7 @@
             self.running[request_id] = number
             if backup is not None:
                 backup.copies[request_id] = number
+            self.on_sent(request_id, number)
         if plan.ending is not Ending.WHOLE and plan.place is Place.INSIDE:
             # A chunk that promises a whole piece, and a part of the piece.
             piece = pieces[max(sent, default=min(pieces) - 1) + 1]
