Reject a response head that contains the start of another response

What callers saw: a 200 with an empty or short body, framed as whole, or the body of another request's response under their own id. An upstream had stopped in the middle of the head of its response, and sent another response on the same connection.

Cause: a head that is cut inside a header value and followed by a second head parses as one head. It has the status and first headers of the first response, and the framing and body of the second one.

The new scenarios of heads that are only cut passed before and guard this: a head with a length, with chunks, with neither and of a rejection, cut at each byte and then closed, reset or silent, for safe calls, calls that may run once and streams, and after interim and surplus responses.

--- a/driftstall/gateway/exchange.py
+++ b/driftstall/gateway/exchange.py
@@ -20,6 +20,7 @@
 from driftstall.gateway.model import Header, Headers
 from driftstall.gateway.response_buffers import ResponseBuffers
 from driftstall.gateway.response_ends.framing import ResponseEndCause, ResponseFraming
+from driftstall.gateway.response_ends.heads import contains_status_line
 from driftstall.util import clock
 from driftstall.util.response_overhead import PARSE_BYTES, ResponseOverhead
 
@@ -74,9 +75,14 @@
         """Whether the responses are to a HEAD request: they have no body."""
         self._body = bytearray()
         """Bytes of the body that are not among the items yet."""
+        self._reason = b""
         self._headers: list[Header] = []
         self._in_body = False
 
+    def on_status(self, reason: bytes) -> None:
+        """Collect the reason phrase, which may arrive in pieces."""
+        self._reason += reason
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; trailers after the body are dropped."""
         self.overhead.record_header()
@@ -84,7 +90,9 @@
             self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Add the head, unless it is an interim (1xx) response."""
+        """Add the head, unless it is an interim (1xx) response; the parser wraps errors."""
+        if contains_status_line(self._reason, (value for _, value in self._headers)):
+            raise InvalidResponse("a head contains another one")
         status = self.parser.get_status_code()
         if status < FIRST_FINAL_STATUS:
             return
@@ -115,6 +123,7 @@
         self.flush_body()
         if self._in_body and not self.is_for_head:
             self.items.append(ResponseEnd())
+        self._reason = b""
         self._headers = []
         self._in_body = False
 
--- /dev/null
+++ b/driftstall/gateway/response_ends/heads.py
@@ -0,0 +1,18 @@
+"""Detect response heads that are not the head of one response.
+
+An upstream that stops inside a head and then sends another response leaves bytes that parse as one
+head: the status and first headers of one response with the framing and body of another.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable
+from typing import Final
+
+STATUS_LINE: Final = re.compile(rb"HTTP/\d\.\d [1-9]\d\d(?: |\Z)")
+
+
+def contains_status_line(reason: bytes, values: Iterable[bytes]) -> bool:
+    """Return True if a reason phrase or a header value contains the start of another response."""
+    return any(STATUS_LINE.search(text) is not None for text in (reason, *values))
--- /dev/null
+++ b/features/steps/response_head_steps.py
@@ -0,0 +1,199 @@
+"""Test response heads that are cut short or malformed."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from functools import partial
+from typing import Any, Final
+
+from behave import then, when
+from gevent.pool import Pool
+from hypothesis import given as drawn
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from driftstall.exceptions import UpstreamError
+from driftstall.gateway.exchange import ResponseHead, ResponsePart, UpstreamExchange
+from driftstall.gateway.ingress import encode_chunk
+from driftstall.gateway.response_buffers import ResponseBuffers
+from features.steps.kept_connection_steps import CHUNKED, LAST_CHUNK, head_bytes, use_raw_upstreams
+from features.worlds.gateway_world import Received, world_of
+from stand_ins.raw import RawEnding, RawResponse
+from stand_ins.routed import event_bytes
+
+CALLERS: Final = 50
+SHORT_DEADLINE_MS: Final = "150"
+PATHS: Final = {
+    "a safe call": "/safe/a",
+    "a call that may run only once": "/once/a",
+    "a stream": "/stream/a",
+}
+TYPE: Final = "Content-Type: text/event-stream"
+DATE: Final = "Date: Sun, 06 Nov 1994"
+LENGTH: Final = "Content-Length: 500"
+NOT_EXECUTED: Final = "X-Driftstall-Not-Executed: 1"
+UNAVAILABLE: Final = "503 Service Unavailable"
+OTHER: Final = "another"
+OWN: Final = "own"
+
+
+def _heads(name: str) -> tuple[bytes, ...]:
+    """Return heads of each framing, and of a rejection."""
+    return (
+        head_bytes(name, DATE, LENGTH),
+        head_bytes(name, DATE, CHUNKED, TYPE),
+        head_bytes(name, DATE),
+        head_bytes(name, NOT_EXECUTED, "Content-Length: 0", status=UNAVAILABLE),
+    )
+
+
+BEFORE: Final = {
+    "nothing": b"",
+    "an interim response": b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n",
+    "a response with a length": head_bytes(OTHER, "Content-Length: 5") + b"other",
+    "a response in chunks": head_bytes(OTHER, CHUNKED) + encode_chunk(b"other") + LAST_CHUNK,
+}
+SECOND: Final = {
+    "a server error without a body": b"HTTP/1.1 500 Internal Server Error\r\n"
+    b"Content-Length: 0\r\n\r\n",
+    "a server error with a body": b"HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain"
+    b"\r\nContent-Length: 5\r\n\r\nerror",
+    "a response to another request": head_bytes(OTHER, CHUNKED, TYPE)
+    + encode_chunk(event_bytes(1))
+    + LAST_CHUNK,
+}
+
+
+class ScriptedConnection:
+    """A connection that returns pieces of given bytes, and is then closed in order."""
+
+    def __init__(self, data: bytes, sizes: list[int]) -> None:
+        """Initialize with the bytes, and the sizes of the pieces, which are repeated."""
+        self._data = data
+        self._sizes = sizes
+        self._reads = 0
+
+    def fileno(self) -> int:
+        """Return a descriptor that is not used."""
+        return -1
+
+    def settimeout(self, timeout_s: float | None) -> None:
+        """Ignore the timeout: no read waits."""
+
+    def sendall(self, data: bytes) -> None:
+        """Ignore the request."""
+
+    def send(self, data: memoryview) -> int:
+        """Ignore the request."""
+        return len(data)
+
+    def recv(self, size: int) -> bytes:
+        """Return the next piece; empty after the last one."""
+        piece = min(size, self._sizes[self._reads % len(self._sizes)]) if self._sizes else size
+        self._reads += 1
+        data, self._data = self._data[:piece], self._data[piece:]
+        return data
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+def read_parts(data: bytes, sizes: list[int]) -> Iterator[ResponsePart]:
+    """Yield the parts of responses that are read from some bytes, until an error."""
+    connection = ScriptedConnection(data, sizes)
+    exchange = UpstreamExchange(connection, ResponseBuffers.from_memory(0))
+    try:
+        while True:
+            yield exchange.next(lambda: 1.0)
+    except UpstreamError:
+        return
+
+
+def is_own_head(part: ResponsePart) -> bool:
+    """Return True if a part is a head with the request's id."""
+    if not isinstance(part, ResponseHead):
+        return False
+    ids = [value for name, value in part.headers if name == b"X-Driftstall-Request-Id"]
+    return ids[:1] == [OWN.encode()]
+
+
+def ask_cases(context: Any, request: str, cases: list[Callable[[str], RawResponse]]) -> None:
+    """Make a request for each case, whose upstream responds as the case states."""
+    by_id = {f"r{number:04}": case for number, case in enumerate(cases)}
+    use_raw_upstreams(context, lambda seen: by_id[seen.request_id](seen.request_id))
+    world = world_of(context)
+
+    def ask(name: str) -> Received:
+        return world.ask(PATHS[request], name, X_Driftstall_Deadline_Ms=deadline)
+
+    is_silent = by_id["r0000"]("r0000").ending is RawEnding.KEPT
+    deadline = SHORT_DEADLINE_MS if is_silent else "3000"
+    context.answers = dict(zip(by_id, Pool(CALLERS).map(ask, by_id), strict=True))
+    context.cases = {name: case(name) for name, case in by_id.items()}
+
+
+def _cut_head(variant: int, size: int, second: bytes, ending: RawEnding, name: str) -> RawResponse:
+    """Return the response that is the first bytes of a head, and what follows them."""
+    return RawResponse(_heads(name)[variant][:size] + second, ending)
+
+
+def _cut_cases(
+    ending: RawEnding, second: bytes = b"", variants: int = 4
+) -> list[Callable[[str], RawResponse]]:
+    """Return a case for each head and each byte at which it can be cut."""
+    return [
+        partial(_cut_head, variant, size, second, ending)
+        for variant in range(variants)
+        for size in range(len(_heads("r0000")[variant]))
+    ]
+
+
+@when("heads cut at each byte, then {ending}, answer {request}")
+def cut_at_each_byte(context: Any, request: str, ending: str) -> None:
+    """Cut heads of each framing and of a rejection."""
+    ask_cases(context, request, _cut_cases(RawEnding(ending)))
+
+
+@when("heads cut at each byte and followed by {second} answer {request}")
+def followed_by(context: Any, request: str, second: str) -> None:
+    """Cut heads of a success, and send another response where the rest is due."""
+    ask_cases(context, request, _cut_cases(RawEnding.CLOSED, SECOND[second], 3))
+
+
+@then("all are answered with an error, and may have run")
+def all_errors(context: Any) -> None:
+    """Check each answer, and that each request reached an upstream."""
+    asked = {seen.request_id for upstream in context.raw for seen in upstream.seen}
+    assert asked == set(context.answers), len(asked)
+    wrong = {
+        name: (context.cases[name].data, answer)
+        for name, answer in context.answers.items()
+        if answer.status not in (502, 504) or b'"ran":"unknown"' not in answer.body
+    }
+    assert not wrong, f"{len(wrong)} of {len(asked)}, such as {list(wrong.values())[:2]}"
+
+
+@when("heads after {before} are cut at each byte and arrive in drawn pieces")
+def read_cut_heads(context: Any, before: str) -> None:
+    """Read every prefix of the bytes, in pieces of drawn sizes."""
+    context.own = []
+    whole = [BEFORE[before] + head for head in _heads(OWN)]
+
+    @settings(max_examples=4, deadline=None, database=None, derandomize=True)
+    @drawn(st.lists(st.integers(1, 64), max_size=8))
+    def read(sizes: list[int]) -> None:
+        for data in whole:
+            assert any(map(is_own_head, read_parts(data, sizes))), data
+            context.own += [
+                data[:size]
+                for size in range(len(data))
+                if any(map(is_own_head, read_parts(data[:size], sizes)))
+            ]
+
+    read()
+
+
+@then("none of them was read as a response to the request")
+def none_own(context: Any) -> None:
+    """Check that only whole heads were read."""
+    assert not context.own, context.own[:3]
