Reject a response head whose framing field became part of another field

What callers saw: a 200 with a truncated body (200 of 500 bytes), or with the framing of chunks inside the body. A line of the response head had lost its end, so that the Content-Length or Transfer-Encoding after it became part of its value.

Cause: such a head parses as one without framing, and the end of the connection was then taken for the end of the response. That the upstream's process lives does not help: it had truncated the response itself.

All end in an error or, for a stream that had begun, in a visible break now: a response without framing is malformed if a reason phrase or a header value contains a field that would frame it.

A status line without a reason phrase, values that name a protocol or framing fields, an upgrade that is not made and HTTP/1.0 are served.

--- a/driftstall/gateway/exchange.py
+++ b/driftstall/gateway/exchange.py
@@ -20,7 +20,7 @@
 from driftstall.gateway.model import Header, Headers
 from driftstall.gateway.response_buffers import ResponseBuffers
 from driftstall.gateway.response_ends.framing import ResponseEndCause, ResponseFraming
-from driftstall.gateway.response_ends.heads import contains_status_line
+from driftstall.gateway.response_ends.heads import contains_framing_field, contains_status_line
 from driftstall.util import clock
 from driftstall.util.response_overhead import PARSE_BYTES, ResponseOverhead
 
@@ -91,7 +91,8 @@
 
     def on_headers_complete(self) -> None:
         """Add the head, unless it is an interim (1xx) response; the parser wraps errors."""
-        if contains_status_line(self._reason, (value for _, value in self._headers)):
+        values = [value for _, value in self._headers]
+        if contains_status_line(self._reason, values):
             raise InvalidResponse("a head contains another one")
         status = self.parser.get_status_code()
         if status < FIRST_FINAL_STATUS:
@@ -100,6 +101,8 @@
         framing = ResponseFraming.EMPTY
         if not self.is_for_head:
             framing = ResponseFraming.from_head(status, (name.lower() for name, _ in self._headers))
+        if framing is ResponseFraming.CLOSE and contains_framing_field(self._reason, values):
+            raise InvalidResponse("a line of a head lost its end")
         head = ResponseHead(status, tuple(self._headers), framing)
         self.items.append(head)
         self.new_heads.append(head)
--- a/features/gateway/response_heads.feature
+++ b/features/gateway/response_heads.feature
@@ -48,3 +48,46 @@
       | a stream                      | a server error without a body   |
       | a stream                      | a server error with a body      |
       | a stream                      | a response to another request   |
+
+  # Guards against truncated responses that look complete because a line of the head lost its end,
+  # and the framing became part of another field.
+  Scenario Outline: <request> whose head has <framing> and a line without its end is no success
+    Given a gateway before two plain upstreams and three engines
+    When heads with <framing>, in each of which a line lost its end, answer <request>
+    Then none of the answers looks complete or promises anything
+
+    Examples:
+      | request                       | framing  |
+      | a safe call                   | a length |
+      | a safe call                   | chunks   |
+      | a call that may run only once | a length |
+      | a call that may run only once | chunks   |
+      | a stream                      | a length |
+      | a stream                      | chunks   |
+
+  # Guards against truncated responses that look complete because their head is ambiguous.
+  Scenario Outline: <request> whose truncated response has a malformed head is no success
+    Given a gateway before two plain upstreams and three engines
+    When malformed heads of truncated responses answer <request>
+    Then none of the answers looks complete or promises anything
+
+    Examples:
+      | request                       |
+      | a safe call                   |
+      | a call that may run only once |
+      | a stream                      |
+
+  # Guards against sound responses that are rejected for an unusual head.
+  Scenario Outline: a response whose head <is unusual> is served
+    Given a gateway before two plain upstreams and three engines
+    And upstreams whose head <is unusual>
+    When "/once/a" is asked of them as "r1"
+    Then the answer is 200 "whole", within a second
+
+    Examples:
+      | is unusual                         |
+      | has no reason phrase               |
+      | names a protocol in a value        |
+      | names framing fields in a value    |
+      | has an upgrade that is not made    |
+      | has no framing, and HTTP/1.0       |
--- a/features/steps/response_head_steps.py
+++ b/features/steps/response_head_steps.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from functools import partial
 from typing import Any, Final
 
-from behave import then, when
+from behave import given, then, when
 from gevent.pool import Pool
 from hypothesis import given as drawn
 from hypothesis import settings
@@ -35,6 +35,8 @@
 UNAVAILABLE: Final = "503 Service Unavailable"
 OTHER: Final = "another"
 OWN: Final = "own"
+Case = Callable[[str], RawResponse]
+"""Returns the response to a request with an id."""
 
 
 def _heads(name: str) -> tuple[bytes, ...]:
@@ -64,6 +66,72 @@
 }
 
 
+CUT_BODY: Final = {LENGTH: b"x" * 200, CHUNKED: encode_chunk(event_bytes(1))}
+FRAMINGS: Final = {"a length": LENGTH, "chunks": CHUNKED}
+CUT_AT_LENGTH: Final = b"x" * 200
+MALFORMED: Final[tuple[tuple[str, ...], ...]] = (
+    (LENGTH, "Content-Length: 200"),
+    ("Content-Length: 200", LENGTH),
+    (LENGTH, LENGTH),
+    ("Content-Length: 500, 200",),
+    ("Content-Length: 200", CHUNKED),
+    (CHUNKED, "Content-Length: 200"),
+    (CHUNKED, CHUNKED),
+    ("Transfer-Encoding: chunked, chunked",),
+    ("Transfer-Encoding: gzip",),
+    ("Transfer-Encoding: gzip", "Content-Length: 200"),
+    ("Transfer-Encoding: identity",),
+    ("Transfer-Encoding: gzip, chunked",),
+    ("Transfer-Encoding: chunked, gzip",),
+    ("Transfer-Encoding: ",),
+    ("Transfer-Encoding: chunke",),
+    ("Transfer-Encoding: xchunked",),
+    (CHUNKED, "Transfer-Encoding: gzip"),
+    ("Content-Length: 2\r\n 00",),
+    ("Content-Length:\r\n 200",),
+    ("Transfer-Encoding: chun\r\n ked",),
+    ("Date: today\r\n Content-Length: 500",),
+    ("Date: today\r\n\tContent-Length: 500",),
+    ("Date: to\0day", LENGTH),
+    ("Da\0te: today", LENGTH),
+    ("Date: today\nContent-Length: 500",),
+    ("Date: today\rContent-Length: 500",),
+    ("Content-Length : 500",),
+    ("Content-Length: ",),
+    ("Content-Length: +200",),
+    ("Content-Length: 0xc8",),
+    ("Content-Length: 20 0",),
+    ("Content-Length: 18446744073709551816",),
+    ("Content-Length 500",),
+    ("ContentLength500",),
+)
+"""Header lines that frame the response ambiguously, or not at all."""
+FIRST_LINES: Final = (
+    "HTTP/1.1 20",
+    "HTTP/1.1 2000 OK",
+    "HTTP/1.1 000 OK",
+    "HTTP/1.2 200 OK",
+    "HTTP/1.1200 OK",
+    "http/1.1 200 OK",
+    "<html>200 OK</html>",
+    "200 OK",
+)
+"""First lines that are no status line."""
+UNUSUAL: Final[dict[str, Callable[[str], bytes]]] = {
+    "has no reason phrase": lambda name: head_bytes(name, "Content-Length: 5", status="200"),
+    "names a protocol in a value": lambda name: head_bytes(
+        name, "Via: HTTP/1.1 edge", "Server: HTTP/1.1 engine", "Content-Length: 5"
+    ),
+    "names framing fields in a value": lambda name: head_bytes(
+        name, "Access-Control-Expose-Headers: Content-Length, Transfer-Encoding"
+    ),
+    "has an upgrade that is not made": lambda name: head_bytes(
+        name, "Connection: Upgrade", "Upgrade: h2c", "Content-Length: 5"
+    ),
+    "has no framing, and HTTP/1.0": lambda name: head_bytes(name, version="HTTP/1.0"),
+}
+
+
 class ScriptedConnection:
     """A connection that returns pieces of given bytes, and is then closed in order."""
 
@@ -117,7 +185,7 @@
     return ids[:1] == [OWN.encode()]
 
 
-def ask_cases(context: Any, request: str, cases: list[Callable[[str], RawResponse]]) -> None:
+def ask_cases(context: Any, request: str, cases: Sequence[Case]) -> None:
     """Make a request for each case, whose upstream responds as the case states."""
     by_id = {f"r{number:04}": case for number, case in enumerate(cases)}
     use_raw_upstreams(context, lambda seen: by_id[seen.request_id](seen.request_id))
@@ -137,9 +205,7 @@
     return RawResponse(_heads(name)[variant][:size] + second, ending)
 
 
-def _cut_cases(
-    ending: RawEnding, second: bytes = b"", variants: int = 4
-) -> list[Callable[[str], RawResponse]]:
+def _cut_cases(ending: RawEnding, second: bytes = b"", variants: int = 4) -> list[Case]:
     """Return a case for each head and each byte at which it can be cut."""
     return [
         partial(_cut_head, variant, size, second, ending)
@@ -160,19 +226,35 @@
     ask_cases(context, request, _cut_cases(RawEnding.CLOSED, SECOND[second], 3))
 
 
-@then("all are answered with an error, and may have run")
-def all_errors(context: Any) -> None:
+def _check_answers(context: Any, is_right: Callable[[Received], bool]) -> None:
     """Check each answer, and that each request reached an upstream."""
     asked = {seen.request_id for upstream in context.raw for seen in upstream.seen}
     assert asked == set(context.answers), len(asked)
     wrong = {
         name: (context.cases[name].data, answer)
         for name, answer in context.answers.items()
-        if answer.status not in (502, 504) or b'"ran":"unknown"' not in answer.body
+        if not is_right(answer)
     }
     assert not wrong, f"{len(wrong)} of {len(asked)}, such as {list(wrong.values())[:2]}"
 
 
+def _is_error(answer: Received) -> bool:
+    """Return True if an answer is an error and states that the request may have run."""
+    return answer.status in (502, 504) and b'"ran":"unknown"' in answer.body
+
+
+@then("all are answered with an error, and may have run")
+def all_errors(context: Any) -> None:
+    """Check that no answer is a success or promises anything."""
+    _check_answers(context, _is_error)
+
+
+@then("none of the answers looks complete or promises anything")
+def none_complete(context: Any) -> None:
+    """Check for errors, and for streams that had begun, for a visible break."""
+    _check_answers(context, lambda each: _is_error(each) or (each.status == 200 and not each.whole))
+
+
 @when("heads after {before} are cut at each byte and arrive in drawn pieces")
 def read_cut_heads(context: Any, before: str) -> None:
     """Read every prefix of the bytes, in pieces of drawn sizes."""
@@ -197,3 +279,45 @@
 def none_own(context: Any) -> None:
     """Check that only whole heads were read."""
     assert not context.own, context.own[:3]
+
+
+def _lose_line_end(framing: str, line: int, name: str) -> RawResponse:
+    """Return a truncated response in whose head a line lost its end."""
+    lines = head_bytes(name, DATE, framing, TYPE).split(b"\r\n")
+    lines[line : line + 2] = [lines[line] + lines[line + 1]]
+    return RawResponse(b"\r\n".join(lines) + CUT_BODY[framing], RawEnding.CLOSED)
+
+
+@when("heads with {framing}, in each of which a line lost its end, answer {request}")
+def lost_line_ends(context: Any, framing: str, request: str) -> None:
+    """Respond with a head for each of its lines, but the empty one."""
+    line = FRAMINGS[framing]
+    count = head_bytes("", DATE, line, TYPE).count(b"\r\n") - 1
+    cases = [partial(_lose_line_end, line, number) for number in range(count)]
+    ask_cases(context, request, cases)
+
+
+def _respond_malformed(lines: tuple[str, ...], first: str, name: str) -> RawResponse:
+    """Return a truncated response with a malformed head."""
+    head = head_bytes(name, *lines, TYPE)
+    if first:
+        head = first.encode() + head[head.index(b"\r\n") :]
+    return RawResponse(head + CUT_AT_LENGTH, RawEnding.CLOSED)
+
+
+@when("malformed heads of truncated responses answer {request}")
+def malformed_heads(context: Any, request: str) -> None:
+    """Respond with malformed framing fields and first lines, and 200 bytes of a body."""
+    cases: list[Case] = [partial(_respond_malformed, lines, "") for lines in MALFORMED]
+    cases += [partial(_respond_malformed, (LENGTH,), first) for first in FIRST_LINES]
+    cases += [lambda _: RawResponse(b"<html>HTTP/0.9</html>", RawEnding.CLOSED)]
+    ask_cases(context, request, cases)
+
+
+@given("upstreams whose head {is_unusual}")
+def unusual_head(context: Any, is_unusual: str) -> None:
+    """Use upstreams that send a whole response with an unusual head."""
+    build = UNUSUAL[is_unusual]
+    use_raw_upstreams(
+        context, lambda seen: RawResponse(build(seen.request_id) + b"whole", RawEnding.CLOSED)
+    )
