A tunnel with bytes after its end mark is not taken for whole

What callers could see: an unframed response through a peer that ends as complete although the tunnel carried more of it. Only a faulty peer sends that, or one whose frame length is wrong so that zeros of the response read as an end mark; none has been seen.

Cause: the near end read nothing after the end mark.

Evidence: features/gateway/tunnel_ends.feature.

Fix: the end of the tunnel itself has to follow the mark, as it does at once. A wrong length whose remainder happens to parse as frames can't be told from a right one.

--- a/driftstall/gateway/forwarding/tunnel.py
+++ b/driftstall/gateway/forwarding/tunnel.py
@@ -1,8 +1,8 @@
 """A connection to an upstream through a peer.
 
 Bytes to the upstream pass unchanged. Bytes from it are framed, each frame with its length in front;
-an empty frame marks the end of the upstream's connection. A response may be framed by the end of
-its connection alone, so the end of a tunnel without that mark is an error.
+an empty frame marks the end of the upstream's connection, and nothing follows it. A response may be
+framed by the end of its connection alone, so any other end of a tunnel is an error.
 """
 
 from __future__ import annotations
@@ -31,6 +31,8 @@
         self._connection = connection
         self._on_close = on_close
         self._is_closed = False
+        self._is_end_marked = False
+        """Whether the end mark has arrived; the end of the tunnel has to follow."""
         self._has_ended = False
         self._buffer = bytearray()
         """Received bytes that were not returned yet, from the rest of the current frame on."""
@@ -59,12 +61,13 @@
         Raises ConnectionResetError if the tunnel ends before the upstream's connection.
         """
         while not self._has_ended:
-            if not self._frame_bytes:
+            if not self._frame_bytes and not self._is_end_marked:
                 self._read_header()
+            if self._is_end_marked and self._buffer:
+                raise ConnectionResetError("bytes follow the end mark of the tunnel")
             if self._frame_bytes and self._buffer:
                 return self._take(min(size, self._frame_bytes))
-            if not self._has_ended:
-                self._fill()
+            self._fill()
         return b""
 
     def close(self) -> None:
@@ -82,7 +85,7 @@
         del self._buffer[: FRAME_HEADER.size]
         if self._frame_bytes > MAX_FRAME_BYTES:
             raise ConnectionResetError("a frame of the tunnel is too long")
-        self._has_ended = self._frame_bytes == 0
+        self._is_end_marked = self._frame_bytes == 0
 
     def _take(self, size: int) -> bytes:
         """Remove and return up to `size` bytes of the current frame."""
@@ -92,8 +95,9 @@
         return data
 
     def _fill(self) -> None:
-        """Receive more bytes from the peer."""
+        """Receive more bytes from the peer, or the end of the tunnel."""
         data = self._connection.recv(MAX_FRAME_BYTES)
-        if not data:
+        if not data and not self._is_end_marked:
             raise ConnectionResetError("the tunnel ended early")
+        self._has_ended = not data
         self._buffer += data
--- /dev/null
+++ b/features/gateway/tunnel_ends.feature
@@ -0,0 +1,48 @@
+Feature: Ends of tunnels
+  A gateway process serves a tunnel to an upstream. The near end, and the upstream, are inside the test
+  process.
+
+  # Guards against tunnels whose end says more than that of the upstream's connection.
+  Scenario Outline: a response with <framing> whose upstream ends "<ending>" is <result> at the near end
+    Given the store's stand-in with a routing configuration and 2 upstreams
+    And an upstream that frames with <framing> and ends "<ending>" after 7 of 20 events
+    And a gateway process that serves a tunnel to it
+    When a stream is read through the tunnel to its end
+    Then it has <events> events and is <result>
+
+    Examples:
+      | framing | ending                          | events | result     |
+      | chunks  | whole                           | 20     | whole      |
+      | chunks  | closed                          | 7      | broken off |
+      | chunks  | reset                           | 7      | broken off |
+      | chunks  | process gone                    | 7      | broken off |
+      | a length | closed                         | 7      | broken off |
+      | neither | reset                           | 7      | broken off |
+      | neither | whole                           | 20     | whole      |
+
+  # Guards against an end of the tunnel that is taken for the end of the upstream's connection.
+  Scenario Outline: a response with <framing> whose peer gets <signal> is not taken for whole
+    Given the store's stand-in with a routing configuration and 2 upstreams
+    And an upstream that frames with <framing> and ends "silent" after 7 of 20 events
+    And a gateway process that serves a tunnel to it
+    When a stream is read through the tunnel until event 7, and the process gets <signal>
+    Then it has 7 events and is broken off
+
+    Examples:
+      | framing | signal  |
+      | chunks  | SIGKILL |
+      | chunks  | SIGTERM |
+      | chunks  | SIGSTOP |
+      | neither | SIGKILL |
+      | neither | SIGTERM |
+      | neither | SIGSTOP |
+
+  # Guards against partial frames that are taken for the end of the upstream's connection.
+  Scenario: a tunnel that ends anywhere but after its end mark is broken off
+    When tunnels of drawn bytes are cut at each byte, in drawn pieces
+    Then only the whole ones end, and the others return what came before
+
+  # Guards against an end mark inside the upstream's bytes, as a wrong frame length makes one.
+  Scenario: a tunnel with bytes after its end mark is not taken for whole
+    When tunnels of drawn bytes with an end mark before their last frame are read, in drawn pieces
+    Then none of them ends in order
