--- a/features/gateway/stream_continuity.feature
+++ b/features/gateway/stream_continuity.feature
@@ -39,7 +39,7 @@
 
   # Guards against a run that begins anew within one response.
   Scenario Outline: a stream whose only run sends <events>, <result>
-    Given the engine of "s1" will send <events>
+    Given the only run of "s1" sends <events>
     When stream "s1" is asked
     Then <relayed> events of "s1" came, in order, and <end>
 
--- a/features/steps/stream_continuity_steps.py
+++ b/features/steps/stream_continuity_steps.py
@@ -72,7 +72,7 @@
     gevent.spawn(pass_time)
 
 
-@given('the engine of "{request_id}" will send {words}')
+@given('the only run of "{request_id}" sends {words}')
 def sends(context: Any, request_id: str, words: str) -> None:
     """Script the only run of a stream; no engine keeps a backup."""
     world = world_of(context)
