A stream does not pass on the head of another response

What callers saw: an unframed stream in whose middle an interim response, a surplus one or a second head came. Its bytes were passed on as a part of the next event, and for four of the six forms the stream ended with the last chunk. A surplus stream would have been joined so.

Cause: the body of an unframed response is whatever follows its head, and an event was not looked at beyond its id.

Evidence: features/gateway/stream_disturbances.feature, rows with no framing. Before: 6 of 6 failed, 4 of them with `whole=True`. After: 41 of 41, with stream_continuity, streams and invalid_responses.feature 137 of 137.

Fix: an event that begins with a status line ends its run with an error. Other stray bytes in an unframed body, such as a chunk size or an empty line, can't be told from the upstream's events and are still passed on.

--- a/driftstall/gateway/events.py
+++ b/driftstall/gateway/events.py
@@ -14,6 +14,8 @@
 """A stream with a larger event is broken off: its upstream sends something else than events."""
 MAX_ID_DIGITS: Final = 18
 """Longer ids are not taken as numbers."""
+STATUS_LINE: Final = b"HTTP/1."
+"""Start of a response, which is no field of an event."""
 CONTENT_FIELDS: Final = (b"data", b"event")
 """Fields that are the same when a run sends an event again; an engine's metadata may differ."""
 MAX_CHECKSUMS: Final = 8_192
@@ -28,6 +30,8 @@
     GAP = "gap"
     CONFLICT = "conflict"
     """Its id was relayed with other content, so that it belongs to another run."""
+    FOREIGN = "foreign"
+    """It begins with the head of another response, in the body of an unframed one."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,6 +113,8 @@
 
     def check(self, event: Event) -> EventContinuity:
         """Return how an event follows the last relayed one; NEXT if its id is not a number."""
+        if event.data.startswith(STATUS_LINE):
+            return EventContinuity.FOREIGN
         event_id = event.event_id
         if not event_id:
             return self._check_without_id(event)
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -55,6 +55,7 @@
 CONTINUITY_DEFECTS: Final = {
     EventContinuity.GAP: "an event of the stream is missing",
     EventContinuity.CONFLICT: "an event differs from the one that was relayed with its id",
+    EventContinuity.FOREIGN: "another response begins inside the stream",
 }
 LOAD_UPDATE_TOKENS: Final = 128
 """Tokens after which a run's load is updated: about once a second."""
--- a/features/gateway/stream_disturbances.feature
+++ b/features/gateway/stream_disturbances.feature
@@ -73,3 +73,9 @@
       | chunks at once | a zero and a line feed               |
       | chunks at once | a negative size                      |
       | chunks at once | an empty line                        |
+      | no framing     | an interim response                  |
+      | no framing     | early hints                          |
+      | no framing     | a surplus response with a length     |
+      | no framing     | a surplus response in chunks         |
+      | no framing     | a surplus response without framing   |
+      | no framing     | its own head                         |
