A stream that its caller resumes may not skip events

What callers saw: a caller that has received event 5 resumes the stream, its upstream goes on with event 7, and the stream ends as complete.

Cause: any first event was accepted, as ids need not begin at one.

Evidence: features/gateway/stream_continuity.feature.

Fix: on routes whose streams callers may resume, the first event may not be beyond the one after the caller's last event. An upstream may still begin anew, which the ids show to the caller.

--- a/driftstall/gateway/events.py
+++ b/driftstall/gateway/events.py
@@ -85,8 +85,12 @@
 class EventSequence:
     """Check that the event ids of a stream are consecutive, also across upstreams."""
 
-    def __init__(self) -> None:
-        """Start before the first event."""
+    def __init__(self, last_event_id: str = "") -> None:
+        """Start before the first event; a caller that resumes a stream has received last_event_id.
+
+        Its upstream may begin anew all the same, but may not skip events.
+        """
+        self._caller_last = _number(last_event_id)
         self._last: int | None = None
         self._run_last: int | None = None
         """Largest id of the current run; None before its first numbered event."""
@@ -118,16 +122,17 @@
         event_id = event.event_id
         if not event_id:
             return self._check_without_id(event)
-        if not event_id.isdecimal() or len(event_id) > MAX_ID_DIGITS:
+        number = _number(event_id)
+        if number is None:
             self._has_position = True
             return EventContinuity.NEXT
-        number = int(event_id)
         self._run_last = max(number, self._run_last or 0)
         checksum = zlib.crc32(_content(event.data))
         if self._last is not None and number <= self._last:
             is_same = self._relayed_checksum(self._last - number) == checksum
             return EventContinuity.REPEATED if is_same else EventContinuity.CONFLICT
-        if self._last is not None and number > self._last + 1:
+        previous = self._caller_last if self._last is None else self._last
+        if previous is not None and number > previous + 1:
             return EventContinuity.GAP
         self._last = number
         self._has_position = True
@@ -149,6 +154,13 @@
         return self._checksums[-1 - offset] if offset < len(self._checksums) else None
 
 
+def _number(event_id: str) -> int | None:
+    """Return an id as a number; None if it is none."""
+    if not event_id.isdecimal() or len(event_id) > MAX_ID_DIGITS:
+        return None
+    return int(event_id)
+
+
 def _content(data: bytes) -> bytes:
     """Return the fields that identify an event's content; empty for a comment."""
     return b"\n".join(line for line in data.split(b"\n") if line.startswith(CONTENT_FIELDS))
--- a/driftstall/gateway/stream_context.py
+++ b/driftstall/gateway/stream_context.py
@@ -52,6 +52,11 @@
         """Whether the head of the response has been sent to the caller."""
         self.run: StreamRun | None = None
 
+    @property
+    def caller_last_event_id(self) -> str:
+        """Return the event after which the caller resumes a stream; empty for a new one."""
+        return self.admitted.metadata.last_event_id if self.admitted.route.is_resumable else ""
+
     def handle_disconnect(self) -> None:
         """Abandon the stream: closing the connection makes its upstream stop."""
         self.is_caller_disconnected = True
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -84,7 +84,7 @@
         self._context = StreamContext(state, mover, call, admitted)
         self._resumer = StreamResumer(self._context)
         self._opener = StreamOpener(self._context, self._resumer)
-        self._sequence = EventSequence()
+        self._sequence = EventSequence(self._context.caller_last_event_id)
         self._longest_gap_s = 0.0
         self._probe: gevent.Greenlet | None = None
         """The probe of the engine of a silent stream; None while events arrive."""
--- a/features/gateway/stream_continuity.feature
+++ b/features/gateway/stream_continuity.feature
@@ -66,6 +66,21 @@
       | 1 X 2 | 1 X 2 3 end | 1 X 2 3  | the end |
       | 1 2 : | : 3 end    | 1 2 : : 3 | the end |
 
+  # Guards against a stream that a caller resumes, and that lacks events.
+  Scenario Outline: a stream resumed by its caller after event 5, whose run sends <events>, <result>
+    Given callers may resume streams
+    And the only run of "s1" sends <events>
+    When stream "s1" is asked by a caller that has received event 5
+    Then the upstream was told of event 5
+    And events <relayed> of "s1" came and <end>
+
+    Examples:
+      | events          | relayed     | end     | result                           |
+      | 6 7 end         | 6 7         | the end | is whole                         |
+      | end             | none        | the end | is whole if nothing follows      |
+      | 7 8 end         | none        | no end  | is broken off at a missing event |
+      | 1 2 3 4 5 6 end | 1 2 3 4 5 6 | the end | is whole if its run begins anew  |
+
   # Guards against conflicts in sound streams, and against memory that grows with the length of a stream.
   Scenario: the continuity of drawn streams is that of their ids and data
     When streams of drawn events are checked
--- a/features/steps/stream_continuity_steps.py
+++ b/features/steps/stream_continuity_steps.py
@@ -15,10 +15,11 @@
 from driftstall.gateway.events import Event, EventContinuity, EventSequence
 from driftstall.gateway.ingress import LAST_CHUNK, encode_chunk
 from features.steps.gateway_stream_steps import await_copy
-from features.worlds.gateway_world import script_upstreams, wait_for, world_of
+from features.worlds.gateway_world import document, script_upstreams, wait_for, world_of
 from stand_ins.routed import Script, event_bytes
 
 END: Final = "end"
+NONE: Final = "none"
 
 
 def _event_data(word: str) -> bytes:
@@ -152,6 +153,26 @@
 @then('events {words} of "{request_id}" came and {end}')
 def events_came(context: Any, words: str, request_id: str, end: str) -> None:
     """Check the events, and whether the stream is complete."""
-    expected = b"".join(map(_event_data, words.split()))
+    expected = b"".join(_event_data(word) for word in words.split() if word != NONE)
     answer = context.answer
     assert (answer.status, answer.body, answer.whole) == (200, expected, end == "the end"), answer
+
+
+@given("callers may resume streams")
+def resumable(context: Any) -> None:
+    """Apply a routing document whose streams callers may resume."""
+    routes = [each | {"streamResume": True} for each in document()["routes"]]
+    world_of(context).use(document(routes=routes))
+
+
+@when('stream "{request_id}" is asked by a caller that has received event {number:d}')
+def ask_after(context: Any, request_id: str, number: int) -> None:
+    """Request the rest of a stream."""
+    context.answer = world_of(context).ask("/stream/a", request_id, Last_Event_Id=str(number))
+
+
+@then("the upstream was told of event {number:d}")
+def was_told(context: Any, number: int) -> None:
+    """Check the header of the only run."""
+    (seen,) = [each for engine in world_of(context).engines for each in engine.seen]
+    assert seen.headers["last-event-id"] == str(number), seen.headers
