Tests: streams whose run a final copy stops, with each answer to it

A stream stopped after event 2 resumes or is broken off, in chunks and without framing, where the final copy is answered 200, 200 without a handle, 500, 503 with and without a handle, too late or not at all, and with 404 or 409 in chunks. A stream that ends whole before its final copy is whole at once.

Not covered, since the engine itself states the contrary: an engine that stops a run and writes the last chunk all the same, and one that stops an unframed run and answers 404 or 409.

--- /dev/null
+++ b/features/gateway/final_copies.feature
@@ -0,0 +1,67 @@
+Feature: Streams whose run a final copy stops
+  One gateway with stand-ins of its upstreams, inside the test process. The engine leaves, copies the run
+  once while it continues, and is asked for the final copy.
+
+  Background:
+    Given a gateway before two plain upstreams and three engines
+
+  # Guards against a stopped run that is taken for a whole stream, whatever becomes of its final copy.
+  Scenario Outline: a stream of <framing> stopped after event 2, whose final copy is answered <answer>, <result>
+    Given stream "s1" of <framing> waits after event 2
+    When its engine leaves, stops the run at the final copy, and answers <answer>
+    Then <events> events of "s1" came, in order, and <end>
+
+    Examples:
+      | framing    | answer                | events | end     | result                    |
+      | chunks     | 200 with the copy     | 5      | the end | resumes at the copy       |
+      | chunks     | 503 with a kept run   | 5      | the end | resumes at its engine     |
+      | chunks     | 503                   | 5      | the end | resumes at the first copy |
+      | chunks     | 500                   | 5      | the end | resumes at the first copy |
+      | chunks     | 200 without the copy  | 5      | the end | resumes at the first copy |
+      | chunks     | with nothing          | 5      | the end | resumes at the first copy |
+      | chunks     | too late              | 5      | the end | resumes at the first copy |
+      | chunks     | 409                   | 5      | the end | resumes at the first copy |
+      | chunks     | 404                   | 5      | the end | resumes at the first copy |
+      | no framing | 200 with the copy     | 5      | the end | resumes at the copy       |
+      | no framing | 503 with a kept run   | 5      | the end | resumes at its engine     |
+      | no framing | 503                   | 5      | the end | resumes at the first copy |
+      | no framing | 500                   | 5      | the end | resumes at the first copy |
+      | no framing | 200 without the copy  | 5      | the end | resumes at the first copy |
+      | no framing | with nothing          | 5      | the end | resumes at the first copy |
+      | no framing | too late              | 5      | the end | resumes at the first copy |
+
+  Scenario Outline: a stream of <framing> stopped after event 2 without any copy left, answered <answer>, is broken off
+    Given stream "s1" of <framing> waits after event 2
+    And no engine holds a copy at the end
+    When its engine leaves, stops the run at the final copy, and answers <answer>
+    Then 2 events of "s1" came, in order, and no end
+
+    Examples:
+      | framing    | answer                |
+      | chunks     | 200 with the copy     |
+      | chunks     | 503 with a kept run   |
+      | chunks     | 503                   |
+      | chunks     | with nothing          |
+      | chunks     | too late              |
+      | chunks     | 404                   |
+      | no framing | 200 with the copy     |
+      | no framing | 503 with a kept run   |
+      | no framing | 503                   |
+      | no framing | with nothing          |
+      | no framing | too late              |
+
+  # Guards against a stream that waits for a final copy although its run has ended whole.
+  Scenario Outline: a stream of <framing> that ends whole before its final copy, answered <answer>, is whole
+    Given stream "s1" of <framing> waits after event 2
+    When its engine leaves, ends the run whole before the final copy, and answers <answer>
+    Then 5 events of "s1" came, in order, and the end
+    And "s1" has run on 1 upstreams
+
+    Examples:
+      | framing    | answer |
+      | chunks     | 404    |
+      | chunks     | 409    |
+      | chunks     | with nothing |
+      | chunks     | too late |
+      | no framing | 404    |
+      | no framing | 409    |
