--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -55,6 +55,7 @@
 CONTINUITY_DEFECTS: Final = {
     EventContinuity.GAP: "an event of the stream is missing",
     EventContinuity.CONFLICT: "an event differs from the one that was relayed with its id",
+    EventContinuity.FOREIGN: "another response begins inside the stream",
 }
 LOAD_UPDATE_TOKENS: Final = 128
 """Tokens after which a run's load is updated: about once a second."""
@@ -83,7 +84,7 @@
         self._context = StreamContext(state, mover, call, admitted)
         self._resumer = StreamResumer(self._context)
         self._opener = StreamOpener(self._context, self._resumer)
-        self._sequence = EventSequence()
+        self._sequence = EventSequence(self._context.caller_last_event_id)
         self._longest_gap_s = 0.0
         self._probe: gevent.Greenlet | None = None
         """The probe of the engine of a silent stream; None while events arrive."""
