Free the bytes of a response that is ended for want of memory at once

Callers of an engine whose streams held one event without end lost their instance: 40 such streams at an instance with 150 MB took it beyond its memory, with the requests of all others.

All unfinished responses may hold 0.15 of the memory together, and the largest one is ended beyond that. But its bytes were only taken from the sum: its reader, which waits for more or for its turn, kept the buffer until it ran, and the error that it returned referred to the buffer while the stream tried to resume. Other responses grew into the room meanwhile.

An ended response now frees its buffer and its parsed parts at once, and its reader gets an error in place of any part that had arrived before, also of its end. The buffer of a stream is dropped when the relay leaves its run.

--- a/driftstall/gateway/events.py
+++ b/driftstall/gateway/events.py
@@ -55,6 +55,11 @@
         """Return True if part of an event is buffered."""
         return bool(self._buffer)
 
+    def discard(self) -> None:
+        """Drop the buffered part of an event: its stream is ended."""
+        self._buffer = bytearray()
+        self._searched_bytes = 0
+
     def feed(self, data: bytes) -> list[Event]:
         """Add bytes, and return the events that are now whole."""
         self._buffer += data
--- a/driftstall/gateway/exchange.py
+++ b/driftstall/gateway/exchange.py
@@ -157,6 +157,8 @@
         """Time when sending the request began, in seconds."""
         self.observe: Callable[[ResponseHead], None] = _ignore
         """Called with each head as it arrives, even if no reader takes the response."""
+        self.on_evicted: Callable[[], None] = _do_nothing
+        """Called when the response ends for want of memory: its reader frees what it holds."""
         self.on_oversized: Callable[[str], None] = _ignore
         """Called with the defect of a response that exceeds a limit."""
         self.on_ended: Callable[[ResponseFraming, ResponseEndCause], None] = _ignore_end
@@ -226,6 +228,9 @@
                 raise TimeoutError("the response timed out")
             self._connection.settimeout(min(wait_s, clock.MAX_WAIT_SLICE_S))
             self._receive()
+        if self._is_evicted:
+            # It was evicted while it was read, and bytes before this part are lost.
+            self._check_limits()
         item = self._builder.items.popleft()
         if isinstance(item, ResponseHead):
             self._framing, self._end_cause = item.framing, None
@@ -244,8 +249,13 @@
         self._check_limits()
 
     def evict(self) -> None:
-        """Close the connection; the reader, which may be waiting, gets an InvalidResponse."""
+        """Free what is held and close the connection; the reader gets an InvalidResponse.
+
+        The reader may be waiting, and so would free its memory only after others have taken more.
+        """
         self._is_evicted = True
+        self._builder.items.clear()
+        self.on_evicted()
         self.close()
 
     def _check_limits(self) -> None:
@@ -328,6 +338,10 @@
     """Ignore a head or a defect; the default of the callbacks."""
 
 
+def _do_nothing() -> None:
+    """Do nothing; the default of the callback."""
+
+
 def _ignore_end(_: ResponseFraming, __: ResponseEndCause) -> None:
     """Ignore the end of a response; the default of the callback."""
 
--- a/driftstall/gateway/response_body.py
+++ b/driftstall/gateway/response_body.py
@@ -16,6 +16,7 @@
     def __init__(self, exchange: UpstreamExchange) -> None:
         """Initialize with the exchange that the response is read from."""
         self._exchange = exchange
+        exchange.on_evicted = self.clear
         self._buffer = bytearray()
         self._received_bytes = 0
         """Bytes of this response and of surplus ones before it."""
@@ -29,8 +30,8 @@
         self._exchange.hold(len(self._buffer))
 
     def clear(self) -> None:
-        """Drop the bytes: another response follows."""
-        self._buffer.clear()
+        """Drop the bytes: another response follows, or the response is ended."""
+        self._buffer = bytearray()
 
     def take(self) -> bytes:
         """Return the whole body and release the buffer."""
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -165,6 +165,16 @@
         """Relay events; return None at the end of the stream, or the error that broke it."""
         assert run.exchange is not None
         splitter = EventSplitter()
+        run.exchange.on_evicted = splitter.discard
+        try:
+            return self._relay_parts(run, splitter)
+        finally:
+            # The error keeps the buffer alive while the stream resumes elsewhere.
+            splitter.discard()
+
+    def _relay_parts(self, run: StreamRun, splitter: EventSplitter) -> Exception | None:
+        """Relay the events of the response's parts until its end."""
+        assert run.exchange is not None
         self._probe = None
         while True:
             wait_began_at = self._state.now()
--- a/features/gateway/response_buffers.feature
+++ b/features/gateway/response_buffers.feature
@@ -4,3 +4,11 @@
   Scenario: unfinished responses hold no more than their limit together, whatever their sizes
     When responses of drawn sizes grow and end in a drawn order
     Then they never hold more than the limit, and only the largest ones were ended
+
+  # Guards against ended responses that keep their memory until their readers run, and against parts
+  # that are relayed after others were dropped.
+  Scenario: a response that is ended for want of memory is freed at once
+    Given two responses whose bodies are held
+    When both together exceed the memory for responses
+    Then the larger one is freed before its reader runs
+    And its reader gets an error in place of its end
--- a/features/steps/endless_upstream_steps.py
+++ b/features/steps/endless_upstream_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import tempfile
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any, Final
 
@@ -50,7 +51,7 @@
         near.close()
 
 
-def _add_upstream(context: Any, service: str, upstream: EndlessUpstream) -> None:
+def add_upstream(context: Any, service: str, upstream: EndlessUpstream) -> None:
     """Configure routes to a service, and register its only upstream."""
     context.endless = upstream
     context.add_cleanup(upstream.stop)
@@ -95,20 +96,20 @@
 @given("an upstream that answers calls with {data} without end")
 def endless_upstream(context: Any, data: str) -> None:
     """Register an upstream for plain calls."""
-    _add_upstream(context, "endless", EndlessUpstream("endless-1", ENDLESS[data]))
+    add_upstream(context, "endless", EndlessUpstream("endless-1", ENDLESS[data]))
 
 
 @given("an engine that answers streams with {data} without end")
 def endless_engine(context: Any, data: str) -> None:
     """Register an engine."""
-    _add_upstream(context, "endless-engines", EndlessUpstream("endless-1", ENDLESS[data]))
+    add_upstream(context, "endless-engines", EndlessUpstream("endless-1", ENDLESS[data]))
 
 
 @given("an engine that breaks streams off and answers probes with {data} without end")
 def endless_report(context: Any, data: str) -> None:
     """Register an engine whose reports never end."""
     engine = EndlessUpstream("endless-1", ENDLESS[data], in_reports=True)
-    _add_upstream(context, "endless-engines", engine)
+    add_upstream(context, "endless-engines", engine)
 
 
 @given("a gateway process with {megabytes:d} MB of memory")
@@ -125,10 +126,18 @@
     _start_node(context, megabytes, context.proxy.address)
 
 
-def _send_crowd(context: Any, paths: list[str], others: int) -> None:
-    """Send calls to the endless upstream and to others, and wait until it has begun to answer."""
+def send_crowd(
+    context: Any,
+    paths: list[str],
+    others: int,
+    ask: Callable[[Any, str, str], Any] = _ask,
+) -> None:
+    """Send calls to the endless upstream and to others, and wait until it has begun to answer.
+
+    The callable ask sends a request with a path and an id, and returns its answer.
+    """
     context.calls = [
-        gevent.spawn(_ask, context, path, f"endless-{number}") for number, path in enumerate(paths)
+        gevent.spawn(ask, context, path, f"endless-{number}") for number, path in enumerate(paths)
     ]
     for number in range(others):
         gevent.spawn(_ask, context, "/once/a", f"other-{number}")
@@ -138,13 +147,13 @@
 @when("{count:d} calls to that upstream and {others:d} to others are sent")
 def send_calls(context: Any, count: int, others: int) -> None:
     """Send safe calls and calls that may run only once."""
-    _send_crowd(context, [PATHS[number % len(PATHS)] for number in range(count)], others)
+    send_crowd(context, [PATHS[number % len(PATHS)] for number in range(count)], others)
 
 
 @when("{count:d} streams from that engine and {others:d} calls to others are sent")
 def send_streams(context: Any, count: int, others: int) -> None:
     """Send streams."""
-    _send_crowd(context, ["/stream/endless/a"] * count, others)
+    send_crowd(context, ["/stream/endless/a"] * count, others)
 
 
 @when("the store begins to answer with {data} without end")
@@ -194,5 +203,7 @@
     status = (folder / "status").read_text()
     peak = int(status.partition("VmHWM:")[2].split()[0]) * 1024
     context.peak_mb = peak / MEGABYTE
+    if context.config.userdata.getbool("peaks"):
+        print(f"PEAK {context.scenario.name}: {context.peak_mb:.0f} MB")
     assert peak < context.megabytes * MEGABYTE, f"{context.peak_mb:.0f} MB"
     assert len(list((folder / "fd").iterdir())) < descriptors
--- a/features/steps/response_buffer_steps.py
+++ b/features/steps/response_buffer_steps.py
@@ -4,11 +4,15 @@
 
 from typing import Any, Final
 
-from behave import then, when
+from behave import given, then, when
+from gevent import socket
 from hypothesis import given as drawn
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from driftstall.exceptions import InvalidResponse
+from driftstall.gateway.exchange import BodyChunk, UpstreamExchange
+from driftstall.gateway.response_body import ResponseBody
 from driftstall.gateway.response_buffers import ResponseBuffers
 
 LIMIT: Final = 100
@@ -49,3 +53,49 @@
     for size, others in context.ended:
         assert size >= max(others.values(), default=0)
         assert size + sum(others.values()) > LIMIT
+
+
+def _open_body(context: Any, size: int) -> tuple[UpstreamExchange, ResponseBody]:
+    """Read a response up to its end, which has arrived as well, and hold its body."""
+    near, far = socket.socketpair()
+    context.add_cleanup(far.close)
+    far.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size + b"x" * size)
+    exchange = UpstreamExchange(near, context.buffers)
+    context.add_cleanup(exchange.close)
+    body = ResponseBody(exchange)
+    while not isinstance(item := exchange.next(lambda: 1.0), BodyChunk):
+        pass
+    body.add(item.data)
+    return exchange, body
+
+
+@given("two responses whose bodies are held")
+def hold_two(context: Any) -> None:
+    """Hold bodies that have room together."""
+    context.buffers = ResponseBuffers(LIMIT)
+    context.larger = _open_body(context, LIMIT * 6 // 10)
+    context.smaller = _open_body(context, LIMIT * 3 // 10)
+
+
+@when("both together exceed the memory for responses")
+def exceed(context: Any) -> None:
+    """Let the smaller one grow, without a turn for the reader of the larger one."""
+    _, body = context.smaller
+    body.add(b"x" * (LIMIT * 2 // 10))
+
+
+@then("the larger one is freed before its reader runs")
+def freed(context: Any) -> None:
+    """Check what is held."""
+    assert context.larger[1].take() == b""
+    assert len(context.smaller[1].take()) == context.buffers.total == LIMIT * 5 // 10
+
+
+@then("its reader gets an error in place of its end")
+def gets_error(context: Any) -> None:
+    """Read on."""
+    try:
+        item = context.larger[0].next(lambda: 1.0)
+    except InvalidResponse:
+        return
+    raise AssertionError(item)
--- a/stand_ins/endless.py
+++ b/stand_ins/endless.py
@@ -55,6 +55,44 @@
     "bytes that are no HTTP": EndlessData(b"", b"\x16\x03\x00", has_head=False),
 }
 
+STREAM: Final = b"Content-Type: text/event-stream\r\n"
+CHUNKED_STREAM: Final = STREAM + CHUNKED + b"\r\n"
+EVENT: Final = b"data: x\n\n"
+LARGE_EVENT: Final = b"data: " + b"x" * 3_000_000 + b"\n\n"
+INTERIM: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+def as_chunk(data: bytes) -> bytes:
+    """Return data as a chunk of a body."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+ENDLESS_STREAMS: Final = {
+    "an event": EndlessData(CHUNKED_STREAM, as_chunk(b"x" * 16_384)),
+    "an event without framing": EndlessData(STREAM + b"\r\n", b"x"),
+    "an event in chunks of one byte": EndlessData(CHUNKED_STREAM, as_chunk(b"x")),
+    "an event in chunks of two bytes": EndlessData(CHUNKED_STREAM, as_chunk(b"xx")),
+    "an event of lines": EndlessData(CHUNKED_STREAM, as_chunk(b"data: x\n" * 2_048)),
+    "comment lines": EndlessData(CHUNKED_STREAM, as_chunk(b":\n" * 8_192)),
+    "comments": EndlessData(CHUNKED_STREAM, as_chunk(b":\n\n" * 4_096)),
+    "events": EndlessData(CHUNKED_STREAM, as_chunk(EVENT)),
+    "many events in each chunk": EndlessData(CHUNKED_STREAM, as_chunk(EVENT * 2_048)),
+    "events without framing": EndlessData(STREAM + b"\r\n", EVENT),
+    "large events": EndlessData(CHUNKED_STREAM, as_chunk(LARGE_EVENT)),
+    "large events without framing": EndlessData(STREAM + b"\r\n", LARGE_EVENT),
+    "repeated events": EndlessData(CHUNKED_STREAM, as_chunk(b"id: 1\n" + EVENT)),
+    "a chunk extension after an event": EndlessData(CHUNKED_STREAM + as_chunk(EVENT) + b"1;", b"x"),
+    "a trailer after an event": EndlessData(
+        CHUNKED_STREAM + as_chunk(EVENT) + b"0\r\nX-Filler: ", b"x"
+    ),
+    "interim responses after an event": EndlessData(CHUNKED_STREAM + as_chunk(EVENT), INTERIM),
+    "bytes after its end": EndlessData(CHUNKED_STREAM + as_chunk(EVENT) + b"0\r\n\r\n", b"x"),
+    "interim responses after its end": EndlessData(
+        CHUNKED_STREAM + as_chunk(EVENT) + b"0\r\n\r\n", INTERIM
+    ),
+}
+"""Streams whose head is complete."""
+
 
 @dataclass(slots=True)
 class EndlessSender:
@@ -68,7 +106,7 @@
         """Send until the connection is closed."""
         self.started += 1
         connection.settimeout(None)
-        repeated = self.data.repeated * (PIECE_BYTES // len(self.data.repeated))
+        repeated = self.data.repeated * max(1, PIECE_BYTES // len(self.data.repeated))
         try:
             connection.sendall((head if self.data.has_head else b"") + self.data.before)
             for _ in range(MAX_SENT_BYTES // len(repeated)):
