Requests of the own interface, to the store and to engines no longer ask servers to close

What callers saw: a sound call of a service that frames its responses only on connections that it keeps would end as broken, since its close-delimited response has no sign of its end.

Cause: `util/http.py` sent `Connection: close` with each request. A server that closes the connection after its response needs no chunks, and some leave them out then.

Evidence: a peer that frames its response only if the request doesn't ask it to close: "a service that closes only if asked to frames its answers" failed before (no answer read) and passes after.

Why this fixes it: such servers now frame their responses. Nothing relied on the server's close: `read` and `read_document` end with the message and close the connection, the readers of streams and of a status alone close it themselves; the test sees the close at the peer.

--- a/driftstall/util/http.py
+++ b/driftstall/util/http.py
@@ -193,7 +193,7 @@
 
 def _head(address: str, method: str, path: str, headers: Mapping[str, str], length: int) -> bytes:
     """Encode the request line and headers; raise UpstreamError if one contains a line break."""
-    lines = [f"{method} {path} HTTP/1.1", f"Host: {address}", "Connection: close"]
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {address}"]
     if length or method not in ("GET", "HEAD"):
         lines.append(f"Content-Length: {length}")
     lines += [f"{name}: {value}" for name, value in headers.items()]
--- a/features/gateway/truncated_answers.feature
+++ b/features/gateway/truncated_answers.feature
@@ -58,6 +58,14 @@
     When a service call is read whose answer ends whole, framed by "neither"
     Then it is broken
 
+  # Guards against sound answers without a sign of their end, as servers that are asked to close the
+  # connection leave out chunks.
+  Scenario: a service that closes only if asked to frames its answers
+    Given a peer that frames its answers only if it is to keep the connection
+    When a service call is sent to it
+    Then it is read
+    And the connection is closed by the caller
+
   Scenario: a service call that falls silent is broken
     Given a peer that cuts its answers
     When a service call is read whose answer ends early by "silent"
--- a/features/steps/truncated_answer_steps.py
+++ b/features/steps/truncated_answer_steps.py
@@ -11,6 +11,7 @@
 import orjson
 from behave import given, then, when
 from gevent import socket
+from gevent.event import Event
 from gevent.server import StreamServer
 from hypothesis import given as given_values
 from hypothesis import settings
@@ -228,6 +229,36 @@
     context.add_cleanup(context.peer.stop)
 
 
+@given("a peer that frames its answers only if it is to keep the connection")
+def framing_peer(context: Any) -> None:
+    """Start a peer that closes the connection after an answer only if it is asked to."""
+    context.is_closed = Event()
+
+    def serve(connection: socket.socket, _: tuple[str, int]) -> None:
+        asks_to_close = b"\r\nconnection: close\r\n" in connection.recv(65_536).lower()
+        framing = Framing.CLOSE if asks_to_close else Framing.CHUNKED
+        connection.sendall(_encode(framing, READERS["a service call"].body))
+        if not asks_to_close and connection.recv(1) == b"":
+            context.is_closed.set()
+
+    server = StreamServer(("127.0.0.1", 0), serve)
+    server.start()
+    context.add_cleanup(server.stop, 0)
+    context.address = f"127.0.0.1:{server.server_port}"
+
+
+@when("a service call is sent to it")
+def call_framing_peer(context: Any) -> None:
+    """Make a call and keep what was read."""
+    context.value = _read(READERS["a service call"], context.address)
+
+
+@then("the connection is closed by the caller")
+def closed_by_caller(context: Any) -> None:
+    """Wait for the end of the connection at the peer."""
+    assert context.is_closed.wait(WHOLE_READ_S)
+
+
 @when('{name} is read whose answer ends early by "{ending}"')
 def read_cut(context: Any, name: str, ending: str) -> None:
     """Read cut answers of each framing, and keep those that were taken for whole."""
