Verify the ends of responses with one probe at a time and checked evidence

- Ends that came while a probe waited started one more each, so a slow health check meant many probes.
They share the next one now.
- A waiting end took no notice of answers to later requests.
- One probe that was reset, as by an upstream beyond its limit of connections, made a sound response count as cut.
Up to three are sent.
- An end without time left was checked all the same.
- Any response but 421 was evidence that the process lived, also one without the request's id, which another process at the address may give.
- A probe that raised an error was not logged as other faults are.

Only checks that do not find the process alive are logged; a histogram holds the time that ends wait.

--- a/driftstall/gateway/response_ends/verification.py
+++ b/driftstall/gateway/response_ends/verification.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Final
 
@@ -21,10 +21,14 @@
 from driftstall.helpers.log import log_event
 
 SETTLE_S: Final = 0.05
-"""Time after an end from which an answer of the process counts: an ending process may close its
-connections before it stops listening."""
+"""Time after an end from which evidence counts: an ending process may close its connections before
+it stops listening."""
 MAX_CHECK_S: Final = 1.5
 """Longest time that an end waits for evidence."""
+MAX_TRIES: Final = 3
+"""Probes that are sent until one has a result: an upstream with too many connections resets some,
+and a process that has just ended may reset the first."""
+RETRY_PAUSE_S: Final = 0.1
 MAX_ANSWERS: Final = 1_024
 """Upstreams whose latest answer is remembered."""
 
@@ -42,19 +46,23 @@
 ProbeProcess = Callable[[Upstream], ProcessState]
 
 
-@dataclass(frozen=True, slots=True)
-class _Probe:
-    """A probe that is under way."""
+@dataclass(slots=True)
+class _Check:
+    """A check of one process, which all ends share whose evidence may be as old."""
 
-    sent_at: float
-    state: AsyncResult
+    counts_from: float
+    """Time from which evidence counts for all ends that share this check."""
+    started_at: float | None = None
+    """When the probe was started; None before that."""
+    state: AsyncResult = field(default_factory=AsyncResult)
 
 
 class EndVerifier:
     """Tell whether upstreams lived after their responses had ended with their connections.
 
-    Requests that arrive anyway are evidence as well; a probe is sent only without them, and ends
-    that wait at the same time share it.
+    Requests that arrive anyway are evidence as well; a probe is sent only without them. Each
+    upstream gets one probe at a time, which all ends share that came before it; those that come
+    meanwhile share the next one.
     """
 
     def __init__(self, probe: ProbeProcess, now: Callable[[], float], stats: GatewayStats) -> None:
@@ -64,7 +72,8 @@
         self._stats = stats
         self._answers: dict[str, float] = {}
         """When the latest request was sent that an upstream's process has answered."""
-        self._probes: dict[str, _Probe] = {}
+        self._running: dict[str, _Check] = {}
+        self._next: dict[str, _Check] = {}
 
     def record_answer(self, upstream_id: str, sent_at: float) -> None:
         """Record that an upstream's process has answered a request that was sent at a time."""
@@ -72,6 +81,10 @@
         self._answers[upstream_id] = latest
         if len(self._answers) > MAX_ANSWERS:
             del self._answers[next(iter(self._answers))]
+        for checks in (self._running, self._next):
+            check = checks.get(upstream_id)
+            if check is not None and sent_at >= check.counts_from and not check.state.ready():
+                check.state.set(ProcessState.ALIVE)
 
     def is_alive(
         self, upstream: Upstream, ended_at: float, remaining_s: float, request_id: str = ""
@@ -79,44 +92,82 @@
         """Return True if the process lived after a response of it had ended; wait for evidence."""
         started_at = self._now()
         state = self._find_state(upstream, ended_at, min(remaining_s, MAX_CHECK_S))
+        waited_s = self._now() - started_at
         self._stats.end_checks.inc({"state": state.value})
-        log_event(
-            PREFIX_RELAY,
-            f"Process of {upstream.upstream_id} found {state.value} after the end of a connection",
-            request=request_id,
-            upstream=upstream.upstream_id,
-            service=upstream.service,
-            check_ms=int((self._now() - started_at) * 1000),
-            revision=upstream.revision,
-        )
+        self._stats.end_check_s.observe({}, waited_s)
+        if state is not ProcessState.ALIVE:
+            log_event(
+                PREFIX_RELAY,
+                f"Process of {upstream.upstream_id} is {state.value} after a response's end",
+                request=request_id,
+                upstream=upstream.upstream_id,
+                service=upstream.service,
+                check_ms=int(waited_s * 1000),
+                revision=upstream.revision,
+            )
         return state is ProcessState.ALIVE
 
     def _find_state(self, upstream: Upstream, ended_at: float, max_wait_s: float) -> ProcessState:
         """Return the state of the process after an end, from evidence that is newer."""
         counts_from = ended_at + SETTLE_S
+        settle_s = max(0.0, counts_from - self._now())
+        if settle_s >= max_wait_s:
+            return ProcessState.UNKNOWN
         until = self._now() + max_wait_s
-        gevent.sleep(max(0.0, min(counts_from, until) - self._now()))
+        gevent.sleep(settle_s)
         if self._answers.get(upstream.upstream_id, float("-inf")) >= counts_from:
             return ProcessState.ALIVE
-        probe = self._probes.get(upstream.upstream_id)
-        if probe is None or probe.sent_at < counts_from:
-            probe = self._start_probe(upstream)
-        state: ProcessState | None = probe.state.wait(max(0.0, until - self._now()))
+        check = self._join_check(upstream, counts_from)
+        state: ProcessState | None = check.state.wait(max(0.0, until - self._now()))
         return state or ProcessState.UNKNOWN
 
-    def _start_probe(self, upstream: Upstream) -> _Probe:
-        """Start a probe, which later ends at the upstream may share while it is under way."""
-        probe = _Probe(self._now(), AsyncResult())
-        self._probes[upstream.upstream_id] = probe
-        gevent.spawn(self._run_probe, upstream, probe)
-        return probe
-
-    def _run_probe(self, upstream: Upstream, probe: _Probe) -> None:
-        """Probe a process, and pass its state to all who wait for it."""
+    def _join_check(self, upstream: Upstream, counts_from: float) -> _Check:
+        """Return a check whose evidence counts for an end; start it if none is under way."""
+        upstream_id = upstream.upstream_id
+        running = self._running.get(upstream_id)
+        if running is None:
+            return self._start_check(upstream, _Check(counts_from))
+        assert running.started_at is not None
+        if running.started_at >= counts_from and not running.state.ready():
+            running.counts_from = max(running.counts_from, counts_from)
+            return running
+        following = self._next.get(upstream_id)
+        if following is None or following.state.ready():
+            following = self._next[upstream_id] = _Check(counts_from)
+        following.counts_from = max(following.counts_from, counts_from)
+        return following
+
+    def _start_check(self, upstream: Upstream, check: _Check) -> _Check:
+        """Start the probe of a check."""
+        check.started_at = self._now()
+        self._running[upstream.upstream_id] = check
+        gevent.spawn(self._run_check, upstream, check)
+        return check
+
+    def _run_check(self, upstream: Upstream, check: _Check) -> None:
+        """Probe a process for all who wait, then for those who have come meanwhile."""
         state = ProcessState.UNKNOWN
         try:
-            state = self._probe(upstream)
+            state = self._probe_until_known(upstream, check)
+        except Exception as defect:
+            detail = f"{type(defect).__name__}: {defect}"
+            log_event(PREFIX_RELAY, f"Probe of {upstream.upstream_id} failed: {detail}")
         finally:
-            if self._probes.get(upstream.upstream_id) is probe:
-                del self._probes[upstream.upstream_id]
-            probe.state.set(state)
+            if not check.state.ready():
+                check.state.set(state)
+            del self._running[upstream.upstream_id]
+            following = self._next.pop(upstream.upstream_id, None)
+            if following is not None and not following.state.ready():
+                self._start_check(upstream, following)
+
+    def _probe_until_known(self, upstream: Upstream, check: _Check) -> ProcessState:
+        """Return the state that a probe shows; try again while it shows none."""
+        for attempt in range(MAX_TRIES):
+            if attempt:
+                gevent.sleep(RETRY_PAUSE_S)
+            if check.state.ready():
+                break
+            state = self._probe(upstream)
+            if state is not ProcessState.UNKNOWN:
+                return state
+        return ProcessState.UNKNOWN
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -332,7 +332,8 @@
                 self.signals.handle_response(upstream, metadata.signals, exchange.sent_at)
             if head.status != HTTPStatus.MISDIRECTED_REQUEST:
                 self.poison.unframed_ends.confirm(upstream.upstream_id, exchange.sent_at)
-                self.end_verifier.record_answer(upstream.upstream_id, exchange.sent_at)
+                if metadata.request_id == request_id:
+                    self.end_verifier.record_answer(upstream.upstream_id, exchange.sent_at)
             now = self.now()
             if metadata.is_not_executed and self.brittle.is_brittle(upstream.upstream_id, now):
                 self.backoff.request(upstream.upstream_id, REJECTION_BACKOFF_S, now)
--- a/driftstall/gateway/stats.py
+++ b/driftstall/gateway/stats.py
@@ -73,6 +73,7 @@
     queue_wait_s: Histogram = field(init=False)
     response_ends: Counter = field(init=False)
     end_checks: Counter = field(init=False)
+    end_check_s: Histogram = field(init=False)
 
     def __post_init__(self) -> None:
         """Register the metrics with labels, which are updated during requests."""
@@ -97,6 +98,9 @@
             "Checks of responses that ended with their connection, by the process's state.",
             registry=self.registry,
         )
+        self.end_check_s = self._histogram(
+            "end_check", "Seconds that the end of a response waited for such a check."
+        )
 
     def _histogram(self, name: str, doc: str) -> Histogram:
         """Return a newly registered histogram of seconds."""
--- /dev/null
+++ b/stand_ins/probed.py
@@ -0,0 +1,55 @@
+"""Fake upstream whose process is probed."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from gevent import socket
+from gevent.server import StreamServer
+
+from stand_ins.routed import reset
+
+REQUEST_BYTES = 65_536
+
+
+class ProbeReply(Enum):
+    """How a process replies to a probe other than with an answer."""
+
+    RESET = "resets its connections"
+    CLOSE = "closes its connections"
+    NOTHING = "does not answer"
+
+
+class ProbedUpstream:
+    """A listener that gives the same reply to each probe."""
+
+    def __init__(self, reply: bytes | ProbeReply) -> None:
+        """Start listening."""
+        self._reply = reply
+        self.requests: list[bytes] = []
+        self.connections = 0
+        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+
+    @property
+    def address(self) -> str:
+        """Return the address it listens at."""
+        return f"127.0.0.1:{self._server.server_port}"
+
+    def stop(self) -> None:
+        """Stop listening."""
+        self._server.stop(timeout=0)
+
+    def _serve(self, raw: socket.socket, _: tuple[str, int]) -> None:
+        """Reply to one probe."""
+        self.connections += 1
+        request = raw.recv(REQUEST_BYTES)
+        if not request:
+            return
+        self.requests.append(request)
+        if isinstance(self._reply, bytes):
+            raw.sendall(self._reply)
+        elif self._reply is ProbeReply.RESET:
+            reset(raw)
+        elif self._reply is ProbeReply.NOTHING:
+            raw.recv(1)
