Verify ends from a partitioned instance without trying direct connections

While no upstream of a service can be reached from here, the probe after a stream's end first tried a direct connection, and went through a peer only after its timeout: a sound stream without framing ended 0.46 s later than need be where connections hang. A process's probe now opens its connection as requests do, through a peer at once while a partition is known. A refusal still decides as for requests.

--- a/driftstall/platform/dialect.py
+++ b/driftstall/platform/dialect.py
@@ -73,7 +73,7 @@
     ) -> ProcessState:
         """Ask an engine for its report, another upstream for its health; return the state."""
         path = names.PATH_REPORT if is_engine else health_path
-        return process_probe.probe_process(upstream, path, self.on_signals, self.connect_to_probe)
+        return process_probe.probe_process(upstream, path, self.on_signals, self.connect)
 
     def drop_replica(self, holder: Upstream, copy_of: str) -> None:
         """Free a replica's memory; if the holder is its source, at both engines."""
--- a/features/gateway/partitions.feature
+++ b/features/gateway/partitions.feature
@@ -61,6 +61,33 @@
     And "r1" has run on 1 upstreams
     And peers have opened 1 tunnels
 
+  # Guards against ends of sound streams that wait for connections which a partition keeps from opening.
+  Scenario Outline: a stream without a length is whole through a peer as its upstream lives
+    Given its connections to upstreams <fault>
+    And a stream has been served
+    And the answer to "r1" will come "without a length"
+    When "/stream/a" is asked as "r1"
+    Then the stream has events 1 to 5 and its end
+    And it came within 0.3 s
+
+    Examples:
+      | fault |
+      | reset |
+      | hang  |
+
+  # Guards against a stream that is taken for whole as its upstream ends behind a peer.
+  Scenario Outline: a stream without a length that ends with its upstream behind a peer is not whole
+    Given its connections to upstreams <fault>
+    And a stream has been served
+    And the answer to "r1" will come "without a length, as its upstream ends"
+    When "/stream/a" is asked as "r1"
+    Then the stream has events 1 to 5, and no end
+
+    Examples:
+      | fault |
+      | reset |
+      | hang  |
+
   # Guards against an engine that works on for a caller who has left, two hops away.
   Scenario: a caller who leaves ends the run within half a second
     Given its connections to upstreams reset
--- a/features/steps/partition_steps.py
+++ b/features/steps/partition_steps.py
@@ -37,6 +37,7 @@
     "without an end": lambda: Script(unframed=True, hold_body=True),
     "only when told": lambda: Script(hold=True),
     "without a length": lambda: Script(unframed=True),
+    "without a length, as its upstream ends": lambda: Script(unframed=True, ends_upstream=True),
 }
 
 
@@ -77,6 +78,12 @@
     assert world_of(context).ask("/once/first", "first").status == 200
 
 
+@given("a stream has been served")
+def stream_served(context: Any) -> None:
+    """Send a stream, so that the partition from the engines is known."""
+    assert world_of(context).ask("/stream/first", "first").whole
+
+
 @given("one plain upstream has crashed")
 def plain_crashed(context: Any) -> None:
     """Stop an upstream that is still listed."""
@@ -199,6 +206,13 @@
     assert (context.answer.body, context.answer.whole) == (expected, True), context.answer
 
 
+@then("the stream has events 1 to {last:d}, and no end")
+def broken_stream(context: Any, last: int) -> None:
+    """Check that each event came once, in order, and that the last chunk is missing."""
+    expected = b"".join(event_bytes(number) for number in range(1, last + 1))
+    assert (context.answer.body, context.answer.whole) == (expected, False), context.answer
+
+
 @when('"{path}" is asked as "{request_id}" and its caller leaves')
 def caller_leaves(context: Any, path: str, request_id: str) -> None:
     """Close the caller's connection while the upstream works."""
