--- a/features/gateway/stream_ends.feature
+++ b/features/gateway/stream_ends.feature
@@ -87,6 +87,27 @@
     Then each caller gets the whole stream
     And each stream has run on 2 engines
 
+  # Guards against the same with a stream that has lost two runs.
+  Scenario Outline: a stream that has resumed twice, framed with <framing>, that is "<ending>" is not taken for whole
+    Given engines that frame streams with <framing>
+    When a stream that has resumed twice is "<ending>" at its third engine
+    Then no caller gets a stream as whole that is not
+    And each stream has begun on 3 engines
+
+    Examples:
+      | framing                     | ending                          |
+      | a length or chunks          | closed                          |
+      | any framing                 | reset                           |
+      | neither a length nor chunks | process gone                    |
+      | neither a length nor chunks | process gone, connections first |
+      | neither a length nor chunks | process restarted               |
+
+  Scenario: a stream that has resumed twice is whole with its third run
+    Given engines that frame streams with any framing
+    When a stream that has resumed twice is "whole" at its third engine
+    Then each caller gets the whole stream
+    And each stream has begun on 3 engines
+
   # Guards against a truncated error response that is passed on with a length of its own.
   Scenario Outline: an error response without framing that is "<ending>" is answered in its place
     When an error response without framing is "<ending>" at an engine
--- a/features/steps/stream_end_steps.py
+++ b/features/steps/stream_end_steps.py
@@ -80,6 +80,14 @@
     _stream(context, [BROKEN_RUN, plan], "with")
 
 
+@when('a stream that has resumed twice is "{ending}" at its third engine')
+def ends_at_third(context: Any, ending: str) -> None:
+    """Break off the first two runs after some events, and end the third."""
+    second = EndingPlan(ending=Ending.RESET, pieces=RESUMED_PIECES)
+    plan = EndingPlan(ending=Ending(ending), pieces=RESUMED_PIECES)
+    _stream(context, [BROKEN_RUN, second, plan], "with")
+
+
 @when('an error response without framing is "{ending}" at an engine')
 def error_ends(context: Any, ending: str) -> None:
     """End an error response, which is no stream."""
@@ -127,6 +135,14 @@
         assert not answer.whole, (plan, answer)
 
 
+@then("each stream has begun on {count:d} engines")
+def begun_on(context: Any, count: int) -> None:
+    """Count the engines that got the request."""
+    for plan, answer, world in context.streams:
+        engines = sum(bool(engine.runs("s1")) for engine in world.ending_engines)
+        assert engines == count, (plan, answer, engines)
+
+
 @then("each stream has run on {count:d} engines")
 def run_on(context: Any, count: int) -> None:
     """Count the runs at the engines."""
--- a/features/worlds/ending_world.py
+++ b/features/worlds/ending_world.py
@@ -75,6 +75,7 @@
         self.whole_framing = Framing.CHUNKED
         """Framing of the runs without a plan."""
         self.has_backups = True
+        self._sent_by_run = 0
         self.reads_events = True
         self.caller: StreamCaller | None = None
         self.ending_engines = [
@@ -107,6 +108,7 @@
 
     def _take_plan(self, _: ReceivedRequest) -> EndingPlan:
         """Return the plan of the next run."""
+        self._sent_by_run = 0
         return self.plans.pop(0) if self.plans else EndingPlan(self.whole_framing)
 
     def _handle_sent(self, request_id: str, number: int) -> None:
@@ -116,6 +118,6 @@
             return
         assert caller is not None
         wait_for(f"event {number} has arrived", lambda: caller.has_event(number))
-        events = [run.events for run in self.state.runs.all]
-        if self.has_backups and events == [COPIED_EVENTS]:
+        self._sent_by_run += 1
+        if self.has_backups and self._sent_by_run == COPIED_EVENTS:
             self.pass_time(BACKUP_READY_AFTER_S)
