End a response at malformed bytes that follow whole parts of it

What callers saw: a call waited until its deadline, and a stream in silence, for an upstream that had sent bytes that are no HTTP and kept its connection open. Streams that could have resumed did not, as long as the connection stayed open.

Cause: a parse error was dropped if the same read had also brought a part of the response, or a surplus response. The error came up again only with the next bytes or the end of the connection, and then as an early end. It could not make a truncated response look whole, as the parser accepts nothing after an error.

Each answer comes within a second now: the error is kept and raised after the parts before it. The end is counted and logged as malformed, no longer as closed.

--- a/driftstall/gateway/exchange.py
+++ b/driftstall/gateway/exchange.py
@@ -167,6 +167,8 @@
         self._builder.parser = self._parser
         self._framing = ResponseFraming.UNKNOWN
         self._has_ended = False
+        self._malformation: UpstreamError | None = None
+        """Raised once the parts before the malformed bytes have been read."""
         self._end_cause: ResponseEndCause | None = None
         """How the response ended; None until then."""
         self._unyielded_bytes = 0
@@ -303,6 +305,9 @@
     def _receive(self) -> None:
         """Read once and parse the data; return without data after a timeout."""
         self._check_limits()
+        if self._malformation is not None:
+            self._end_cause = ResponseEndCause.MALFORMED
+            raise self._malformation
         try:
             data = self._connection.recv(RECEIVE_BYTES)
         except TimeoutError:
@@ -322,10 +327,8 @@
         try:
             self._parse(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            if not self._builder.items:
-                self._end_cause = ResponseEndCause.MALFORMED
-                detail = f"invalid HTTP response: {type(error).__name__}"
-                raise UpstreamError(detail, sent=True) from error
+            detail = f"invalid HTTP response: {type(error).__name__}"
+            self._malformation = UpstreamError(detail, sent=True)
         finally:
             heads, self._builder.new_heads = self._builder.new_heads, []
             for head in heads:
--- a/features/gateway/response_heads.feature
+++ b/features/gateway/response_heads.feature
@@ -91,3 +91,19 @@
       | names framing fields in a value    |
       | has an upgrade that is not made    |
       | has no framing, and HTTP/1.0       |
+
+  # Guards against callers that wait for an upstream which has sent what is no response, after what is
+  # one, and keeps the connection open.
+  Scenario Outline: <request> fails at once if an upstream sends <bytes> and keeps the connection open
+    Given a gateway before two plain upstreams and three engines
+    And upstreams that send <bytes> and are silent
+    When "<path>" is asked of them as "r1"
+    Then no success was received that looks complete
+    And the answer came within a second
+
+    Examples:
+      | request                       | path      | bytes                              |
+      | a call that may run only once | /once/a   | another response, then no HTTP     |
+      | a call that may run only once | /once/a   | a piece of a body, then no chunk   |
+      | a stream                      | /stream/a | an event, then no chunk            |
+      | a stream                      | /stream/a | another response, then no HTTP     |
--- a/features/steps/response_head_steps.py
+++ b/features/steps/response_head_steps.py
@@ -131,6 +131,18 @@
     "has no framing, and HTTP/1.0": lambda name: head_bytes(name, version="HTTP/1.0"),
 }
 
+THEN_MALFORMED: Final[dict[str, Callable[[str], bytes]]] = {
+    "another response, then no HTTP": lambda _: (
+        BEFORE["a response with a length"] + b"no status line\r\n\r\n"
+    ),
+    "a piece of a body, then no chunk": lambda name: (
+        head_bytes(name, CHUNKED) + encode_chunk(b"piece") + b"no chunk\r\n"
+    ),
+    "an event, then no chunk": lambda name: (
+        head_bytes(name, CHUNKED, TYPE) + encode_chunk(event_bytes(1)) + b"no chunk\r\n"
+    ),
+}
+
 
 class ScriptedConnection:
     """A connection that returns pieces of given bytes, and is then closed in order."""
@@ -321,3 +333,16 @@
     use_raw_upstreams(
         context, lambda seen: RawResponse(build(seen.request_id) + b"whole", RawEnding.CLOSED)
     )
+
+
+@given("upstreams that send {what} and are silent")
+def malformed_and_silent(context: Any, what: str) -> None:
+    """Use upstreams that keep the connection open after malformed bytes."""
+    build = THEN_MALFORMED[what]
+    use_raw_upstreams(context, lambda seen: RawResponse(build(seen.request_id)))
+
+
+@then("the answer came within a second")
+def came_soon(context: Any) -> None:
+    """Check the time to the end of the answer."""
+    assert context.answer_s < 1.0, context.answer_s
