Tests: streams that resume three times, and an engine that goes on after a resume

Without the check of the content of repeated events, the one whose copies belong to another run fails.

Two forms failed at first by their own fault: fake engines name all their copies of a run alike, so that a third resume at the same name is refused; and the silent engine's backup was not old enough.

--- a/features/gateway/stream_continuity.feature
+++ b/features/gateway/stream_continuity.feature
@@ -89,3 +89,30 @@
   Scenario: a long stream keeps a bounded number of checksums
     When a stream of 100000 events is checked
     Then its last 1000 events can be verified, and less than 200 kB are kept
+
+  # Guards against events that are lost, repeated or taken for the end when a stream resumes again and again.
+  Scenario Outline: a stream that resumes three times, at copies that send <again> before, is whole
+    Given stream "s1" waits after event 2 and has no backup
+    And its next runs send events up to 4, 6 and 9, and before them <again>
+    When each of its runs but the last is copied, and then breaks off
+    Then 9 events of "s1" came, in order, and the end
+    And "s1" has resumed 3 times, after events 2, 4 and 6
+
+    Examples:
+      | again          |
+      | nothing        |
+      | the last event |
+      | all events     |
+
+  Scenario: a stream whose copies belong to another run is broken off
+    Given stream "s1" waits after event 2 and has no backup
+    And its next runs send events up to 4, 6 and 9, and before them another run
+    When each of its runs but the last is copied, and then breaks off
+    Then 2 events of "s1" came, in order, and no end
+
+  # Guards against events of a run that goes on after its stream has resumed elsewhere.
+  Scenario: a silent engine that goes on once its stream has resumed sends nothing to the caller
+    Given the engine of "s1" falls silent after event 3 with a backup, and answers no probes
+    When stream "s1" is asked, and the silent engine goes on after the resume
+    Then 5 events of "s1" came, in order, and the end
+    And "s1" went on from its backup after event 3
--- a/features/steps/stream_continuity_steps.py
+++ b/features/steps/stream_continuity_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pickle
+from collections.abc import Callable
 from typing import Any, Final
 
 import gevent
@@ -12,14 +13,28 @@
 from hypothesis import strategies as st
 
 from driftstall.decisions.sends import BACKUP_READY_AFTER_S
+from driftstall.gateway import streams
 from driftstall.gateway.events import Event, EventContinuity, EventSequence
 from driftstall.gateway.ingress import LAST_CHUNK, encode_chunk
 from features.steps.gateway_stream_steps import await_copy
-from features.worlds.gateway_world import document, script_upstreams, wait_for, world_of
+from features.worlds.gateway_world import (
+    document,
+    runs,
+    script_upstreams,
+    wait_for,
+    world_of,
+)
 from stand_ins.routed import Script, event_bytes
 
 END: Final = "end"
 NONE: Final = "none"
+BEFORE_RESUMED: Final[dict[str, Callable[[int], list[str]]]] = {
+    "nothing": lambda _: [],
+    "the last event": lambda after: [str(after)],
+    "all events": lambda after: [str(number) for number in range(1, after + 1)],
+    "another run": lambda after: [f"{number}*" for number in range(1, after + 1)],
+}
+"""Events that a resumed run sends before the first one that its caller lacks."""
 
 
 def _event_data(word: str) -> bytes:
@@ -176,3 +191,77 @@
     """Check the header of the only run."""
     (seen,) = [each for engine in world_of(context).engines for each in engine.seen]
     assert seen.headers["last-event-id"] == str(number), seen.headers
+
+
+@given("its next runs send events up to 4, 6 and 9, and before them {again}")
+def next_runs(context: Any, again: str) -> None:
+    """Script the runs that resume after events 2, 4 and 6; the last one ends the stream."""
+    context.later = []
+    for after, until in ((2, 4), (4, 6), (6, 9)):
+        before = BEFORE_RESUMED[again](after)
+        words = [*before, *map(str, range(after + 1, until + 1))]
+        script = _raw_script(" ".join([*words, END] if until == 9 else words))
+        if until != 9:
+            script.raw_gate_before = len(words) - 1
+        context.later.append(script)
+    script_upstreams(world_of(context), "s1", list(context.later))
+
+
+def _wait_for_events(context: Any, events: int) -> None:
+    """Wait until some events have come, or the stream has ended."""
+    all_runs = world_of(context).state.runs
+    wait_for(
+        "the events",
+        lambda: context.asked.ready() or any(run.events >= events for run in all_runs.all),
+    )
+
+
+@when("each of its runs but the last is copied, and then breaks off")
+def copy_and_break(context: Any) -> None:
+    """Copy each run to another engine before its last event."""
+    world = world_of(context)
+    context.script.break_after = 2
+    for script, events in zip((context.script, *context.later[:2]), (2, 3, 5), strict=True):
+        _wait_for_events(context, events)
+        for run in world.state.runs.all:
+            # Fake engines name their copies of a run alike, so that each one may copy it only once.
+            run_at = {each.upstream_id for each in runs(world, "s1")}
+            avoid = frozenset(run_at if len(run_at) < len(world.engines) else ())
+            target = world.mover.choose_target(run, avoid, max_memory_share=1.0)
+            assert target is not None
+            world.mover.copy(run, target)
+        script.gate.set()
+    context.answer = context.asked.get(timeout=5.0)
+
+
+@then('"{request_id}" has resumed {count:d} times, after events 2, 4 and 6')
+def resumed_after(context: Any, request_id: str, count: int) -> None:
+    """Check the resume headers."""
+    seen = [each for engine in world_of(context).engines for each in engine.seen]
+    told = [each.headers.get("last-event-id", "") for each in seen if each.request_id == request_id]
+    assert sorted(told) == ["", "2", "4", "6"] and count == 3, told
+
+
+@given(
+    'the engine of "{request_id}" falls silent after event 3 with a backup, and answers no probes'
+)
+def falls_silent(context: Any, request_id: str) -> None:
+    """Pause the stream after event 3 for longer than it waits at a silent engine."""
+    for name, value in (("SILENCE_TIMEOUT_S", 0.5), ("PROBE_AFTER_S", 0.4)):
+        context.add_cleanup(setattr, streams, name, getattr(streams, name))
+        setattr(streams, name, value)
+    context.script = Script(pause_after=3, event_pause_s=0.26)
+    script_upstreams(world_of(context), request_id, [context.script])
+    for engine in world_of(context).engines:
+        engine.answers_probes = False
+
+
+@when('stream "{request_id}" is asked, and the silent engine goes on after the resume')
+def goes_on_after(context: Any, request_id: str) -> None:
+    """Let the first engine send the rest once the second one has the request."""
+    world = world_of(context)
+    asked = world.ask_later("/stream/a", request_id)
+    wait_for("it has resumed", lambda: len(runs(world, request_id)) == 2)
+    context.script.gate.set()
+    context.answer = asked.get(timeout=5.0)
+    assert context.script.ended.wait(5.0)
