--- a/features/gateway/tunnel_ends.feature
+++ b/features/gateway/tunnel_ends.feature
@@ -37,6 +37,19 @@
       | neither | SIGTERM |
       | neither | SIGSTOP |
 
+  # Guards against a tunnel that its peer closes, and that is taken for the end of the upstream's connection.
+  Scenario Outline: a stream <framing> whose peer closes the tunnel as nothing is read is broken off
+    Given a gateway with two peers that reach its upstreams
+    And its connections to upstreams reset
+    And stream "r1" will bring 16 MB <framing>, through peers that wait for 0.3 s
+    When "/stream/a" is asked as "r1", and nothing is read until its peer has closed the tunnel
+    Then its first events came in order, and no end
+
+    Examples:
+      | framing         |
+      | in chunks       |
+      | without framing |
+
   # Guards against partial frames that are taken for the end of the upstream's connection.
   Scenario: a tunnel that ends anywhere but after its end mark is broken off
     When tunnels of drawn bytes are cut at each byte, in drawn pieces
--- a/features/steps/tunnel_end_steps.py
+++ b/features/steps/tunnel_end_steps.py
@@ -13,6 +13,7 @@
 
 from driftstall.exceptions import UpstreamError
 from driftstall.gateway.exchange import BodyChunk, ResponseEnd, UpstreamExchange
+from driftstall.gateway.forwarding import tunnel_server
 from driftstall.gateway.forwarding.tunnel import (
     END_FRAME,
     TunnelConnection,
@@ -27,9 +28,18 @@
 from driftstall.platform.settings import DEFAULT_PEER_KEY
 from driftstall.util import clock
 from features.steps.gateway_node_steps import start_one, wait_for_processes
+from features.steps.partition_steps import (
+    BIG_EVENT_BYTES,
+    BIG_EVENTS,
+    send,
+    wait_until_running,
+    will_send_much,
+)
+from features.worlds.gateway_world import read_response, script_upstreams, wait_for
 from features.worlds.upstream_samples import entry_spec
 from measures.bench import free_port
 from stand_ins.endings import Ending, EndingPlan, EndingUpstream, Framing
+from stand_ins.routed import Script, event_bytes
 
 READ_WAIT_S: Final = 3.0
 BUFFER_BYTES: Final = 1_000_000
@@ -110,6 +120,44 @@
     assert seen == (count, result), seen
 
 
+@given(
+    'stream "{request_id}" will bring 16 MB {framing}, through peers that wait for {seconds:g} s'
+)
+def much_with_stalls(context: Any, request_id: str, framing: str, seconds: float) -> None:
+    """Script a stream larger than all buffers, and shorten the peers' wait for a reader."""
+    will_send_much(context, request_id)
+    script = Script(
+        events=BIG_EVENTS,
+        filler=b"x" * BIG_EVENT_BYTES,
+        unframed=framing == "without framing",
+    )
+    script_upstreams(context.world, request_id, [script])
+    context.add_cleanup(setattr, tunnel_server, "STALL_TIMEOUT_S", tunnel_server.STALL_TIMEOUT_S)
+    tunnel_server.STALL_TIMEOUT_S = seconds  # type: ignore[misc]
+
+
+@when(
+    '"{path}" is asked as "{request_id}", and nothing is read until its peer has closed the tunnel'
+)
+def closed_while_unread(context: Any, path: str, request_id: str) -> None:
+    """Wait until the peer has served and closed the tunnel, then read all."""
+    world = context.world
+    connection = send(context, path, request_id)
+    wait_until_running(context, request_id)
+    wait_for("the tunnel is open", lambda: any(p.server.open_tunnels for p in world.peers))
+    wait_for("it is closed", lambda: not any(p.server.open_tunnels for p in world.peers))
+    context.answer = read_response(connection)
+
+
+@then("its first events came in order, and no end")
+def first_events_came(context: Any) -> None:
+    """Check that the events are the first ones of the stream, and not all."""
+    whole = b"".join(event_bytes(n, b"x" * BIG_EVENT_BYTES) for n in range(1, BIG_EVENTS + 1))
+    answer = context.answer
+    assert answer.status == 200 and not answer.whole, (answer.status, answer.whole)
+    assert whole.startswith(answer.body) and len(answer.body) < len(whole), len(answer.body)
+
+
 class PiecesConnection:
     """A connection that returns given pieces, and then its end."""
 
