Tests: responses cut at each byte, in drawn pieces, are whole only with their last byte

Each draws 40 bodies that look like chunks, last chunks and heads, in chunks, with extensions and a trailer, with a length, after an interim and a surplus one.

--- a/features/gateway/stream_disturbances.feature
+++ b/features/gateway/stream_disturbances.feature
@@ -79,3 +79,16 @@
       | no framing     | a surplus response in chunks         |
       | no framing     | a surplus response without framing   |
       | no framing     | its own head                         |
+
+  # Guards against truncated responses that are taken for whole, wherever they are cut and however they arrive.
+  Scenario Outline: a response <form> is whole only with its last byte
+    When responses <form> of drawn bodies are cut at each byte, and arrive in drawn pieces
+    Then only those with all bytes have an end, and all others break off
+
+    Examples:
+      | form                                    |
+      | in chunks                               |
+      | in chunks with extensions and a trailer |
+      | with a length                           |
+      | in chunks after an interim response     |
+      | in chunks after a surplus response      |
--- a/features/steps/stream_disturbance_steps.py
+++ b/features/steps/stream_disturbance_steps.py
@@ -7,10 +7,16 @@
 
 from behave import given, then, when
 from gevent import socket
+from hypothesis import given as given_drawn
+from hypothesis import settings
+from hypothesis import strategies as st
 
+from driftstall.exceptions import UpstreamError
 from driftstall.gateway import ingress, streams
 from driftstall.gateway.events import EventSequence
+from driftstall.gateway.exchange import ResponseEnd, UpstreamExchange
 from driftstall.gateway.ingress import LAST_CHUNK, encode_chunk
+from driftstall.gateway.response_buffers import ResponseBuffers
 from features.steps.gateway_stream_steps import stream_script
 from features.worlds.gateway_world import (
     GatewayWorld,
@@ -24,6 +30,7 @@
 
 READ_WAIT_S: Final = 5.0
 DEADLINE_S: Final = 30.0
+BUFFER_BYTES: Final = 1_000_000
 BIG_EVENTS: Final = 250
 BIG_EVENT_BYTES: Final = 64_000
 OTHER_HEAD: Final = b"HTTP/1.1 200 OK\r\nX-Driftstall-Request-Id: other\r\n"
@@ -238,3 +245,91 @@
     expected = b"".join(event_bytes(number) for number in range(1, 4))
     answer = context.answer
     assert (answer.status, answer.body, answer.whole) == (200, expected, False), answer
+
+
+def _chunked(pieces: list[bytes], extension: bytes = b"", trailer: bytes = b"") -> bytes:
+    """Return a chunked body."""
+    chunks = [b"%x%b\r\n%b\r\n" % (len(piece), extension, piece) for piece in pieces]
+    return b"".join(chunks) + b"0%b\r\n%b\r\n" % (extension, trailer)
+
+
+CHUNKED_HEAD: Final = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+FORMS: Final[dict[str, Callable[[list[bytes]], bytes]]] = {
+    "in chunks": lambda pieces: CHUNKED_HEAD + _chunked(pieces),
+    "in chunks with extensions and a trailer": lambda pieces: (
+        CHUNKED_HEAD + _chunked(pieces, b";a=b", b"X-Sum: 1\r\n")
+    ),
+    "with a length": lambda pieces: (
+        b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % sum(map(len, pieces)) + b"".join(pieces)
+    ),
+    "in chunks after an interim response": lambda pieces: (
+        INSERTS["an interim response"] + CHUNKED_HEAD + _chunked(pieces)
+    ),
+    "in chunks after a surplus response": lambda pieces: (
+        INSERTS["a surplus response in chunks"] + CHUNKED_HEAD + _chunked(pieces)
+    ),
+}
+"""Responses with a body of some pieces."""
+
+
+class CutConnection:
+    """A connection that returns pieces of some bytes, and then its end."""
+
+    def __init__(self, data: bytes, size: int) -> None:
+        """Initialize with the bytes and the size of the pieces."""
+        self._data = data
+        self._size = size
+
+    def recv(self, _: int) -> bytes:
+        """Return the next piece."""
+        piece, self._data = self._data[: self._size], self._data[self._size :]
+        return piece
+
+    def settimeout(self, _: float) -> None:
+        """Ignore the timeout: all bytes have arrived."""
+
+    def close(self) -> None:
+        """Ignore the end."""
+
+
+def _read_cut(data: bytes, size: int, responses: int) -> bool:
+    """Return whether a number of responses have all ended."""
+    connection: Any = CutConnection(data, size)
+    exchange = UpstreamExchange(connection, ResponseBuffers(BUFFER_BYTES))
+    try:
+        while responses:
+            responses -= isinstance(exchange.next(lambda: READ_WAIT_S), ResponseEnd)
+    except UpstreamError:
+        return False
+    return True
+
+
+@when("responses {form} of drawn bodies are cut at each byte, and arrive in drawn pieces")
+def cut_responses(context: Any, form: str) -> None:
+    """Read every prefix of responses; the bodies look like the framing itself."""
+    context.cuts = []
+    responses = 2 if "surplus" in form else 1
+    bodies = st.lists(
+        st.sampled_from([b"0\r\n\r\n", b"\r\n0\r\n\r\n", b"HTTP/1.1 200 OK\r\n\r\n", b"\n\n"])
+        | st.binary(min_size=1, max_size=20),
+        min_size=1,
+        max_size=4,
+    )
+
+    @settings(max_examples=40, derandomize=True, database=None, deadline=None)
+    @given_drawn(bodies, st.integers(1, 60))
+    def cut(pieces: list[bytes], size: int) -> None:
+        data = FORMS[form](pieces)
+        for end in range(len(data) + 1):
+            has_ended = _read_cut(data[:end], size, responses)
+            context.cuts.append((data, end, size, has_ended))
+
+    cut()
+
+
+@then("only those with all bytes have an end, and all others break off")
+def whole_only(context: Any) -> None:
+    """Check the ends."""
+    assert context.cuts
+    for data, end, size, has_ended in context.cuts:
+        assert has_ended == (end == len(data)), (data, end, size)
