Let streams of tiny events rest in turn, so that others are served in time

While an engine sent tiny events without end, other callers waited seconds for an answer, or got a 504: 24 such streams took all the processor time. A read of 64 KiB holds up to 21,000 events, and was split and relayed without a turn for others; each other request needs several turns, and waited for all 24 streams in each.

Bytes of a stream are now split 16 KiB at a time. A piece with more than 256 events, or a read with as many parser callbacks (tiny chunks), makes its response rest in turn for twice the time that it took, as the input of callers does. Ordinary streams have a few events in a read and never rest.

--- a/driftstall/gateway/exchange.py
+++ b/driftstall/gateway/exchange.py
@@ -17,6 +17,7 @@
 from gevent import select
 
 from driftstall.exceptions import InvalidResponse, UpstreamError
+from driftstall.gateway.callers.pacing import DenseInputPacer
 from driftstall.gateway.model import Header, Headers
 from driftstall.gateway.response_buffers import ResponseBuffers
 from driftstall.gateway.response_ends.framing import ResponseEndCause, ResponseFraming
@@ -73,6 +74,8 @@
         self.overhead = ResponseOverhead()
         self.is_for_head = False
         """Whether the responses are to a HEAD request: they have no body."""
+        self.callbacks = 0
+        """Calls of the parser so far; tiny chunks cause many."""
         self._body = bytearray()
         """Bytes of the body that are not among the items yet."""
         self._reason = b""
@@ -81,10 +84,12 @@
 
     def on_status(self, reason: bytes) -> None:
         """Collect the reason phrase, which may arrive in pieces."""
+        self.callbacks += 1
         self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; trailers after the body are dropped."""
+        self.callbacks += 1
         self.overhead.record_header()
         if not self._in_body:
             self._headers.append((name, value))
@@ -112,6 +117,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Collect bytes of the body; an upstream may send them in very small chunks."""
+        self.callbacks += 1
         self.overhead.record_body(len(data))
         self._body += data
 
@@ -156,10 +162,19 @@
 class UpstreamExchange:
     """One request to an upstream; reading raises UpstreamError if the connection breaks."""
 
-    def __init__(self, connection: Connection, buffers: ResponseBuffers[UpstreamExchange]) -> None:
-        """Initialize with the open connection, and the buffers of all unfinished responses."""
+    def __init__(
+        self,
+        connection: Connection,
+        buffers: ResponseBuffers[UpstreamExchange],
+        pacer: DenseInputPacer,
+    ) -> None:
+        """Initialize with the open connection, and what all responses share.
+
+        These are the buffers of unfinished ones, and the pacer of those that are costly to read.
+        """
         self._connection = connection
         self._buffers = buffers
+        self._pacer = pacer
         self._is_closed = False
         self._is_evicted = False
         self._builder = _ResponseBuilder()
@@ -270,6 +285,10 @@
             largest.evict()
         self._check_limits()
 
+    def rest(self, events: int, spent_s: float) -> None:
+        """Let other requests go first, if the response has taken much time for its size."""
+        self._pacer.rest(events, spent_s)
+
     def evict(self) -> None:
         """Free what is held and close the connection; the reader gets an InvalidResponse.
 
@@ -319,6 +338,7 @@
         if self._unyielded_bytes >= YIELD_BYTES:
             self._unyielded_bytes = 0
             gevent.sleep(0)
+        callbacks, began_at = self._builder.callbacks, clock.now()
         try:
             self._parse(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -330,6 +350,7 @@
             heads, self._builder.new_heads = self._builder.new_heads, []
             for head in heads:
                 self.observe(head)
+        self.rest(self._builder.callbacks - callbacks, clock.now() - began_at)
 
     def _parse(self, data: bytes) -> None:
         """Parse received data until its overhead is excessive."""
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -95,6 +95,7 @@
         self.runs = RunRegistry()
         self.stats = GatewayStats()
         self.pacer = DenseInputPacer()
+        self.response_pacer = DenseInputPacer()
         self.buffers = BufferBudget.from_memory(settings.memory_mb)
         self.rng = random.Random()
         self.connector = UpstreamConnector(
@@ -324,7 +325,7 @@
                 for run in self.poison.unframed_ends.take_crashed(upstream.upstream_id):
                     self.on_run_broken(upstream, run)
             raise
-        exchange = UpstreamExchange(connection, self.response_buffers)
+        exchange = UpstreamExchange(connection, self.response_buffers, self.response_pacer)
 
         def observe(head: ResponseHead) -> None:
             metadata = self.dialect.read_response(head.status, head.headers)
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -43,6 +43,7 @@
 from driftstall.gateway.stream_opener import StreamOpener
 from driftstall.gateway.stream_resumer import OK, StreamResumer
 from driftstall.helpers.log import log_event
+from driftstall.util import clock
 
 SILENCE_TIMEOUT_S: Final = 2.0
 """A running stream without an event for this time resumes at its backup, if it has one and its
@@ -57,6 +58,8 @@
     EventContinuity.CONFLICT: "an event differs from the one that was relayed with its id",
     EventContinuity.FOREIGN: "another response begins inside the stream",
 }
+FORWARD_BYTES: Final = 16_384
+"""Bytes that are split into events at a time. In tiny events they take some milliseconds."""
 LOAD_UPDATE_TOKENS: Final = 128
 """Tokens after which a run's load is updated: about once a second."""
 
@@ -201,12 +204,9 @@
                 run.waited_s += self._state.now() - wait_began_at
             self._probe = None
             if isinstance(item, BodyChunk):
-                relay_error = self._forward(run, splitter.feed(item.data))
+                relay_error = self._forward(run, splitter, item.data)
                 if relay_error is not None:
                     return relay_error
-                excess = self._check_event(run.exchange, splitter)
-                if excess is not None:
-                    return excess
             elif isinstance(item, ResponseEnd):
                 if splitter.is_inside_event:
                     return UpstreamError("the stream ended inside an event", sent=True)
@@ -290,29 +290,48 @@
             return True
         return self._state.dialect.probe_state(upstream) in ANSWERING_STATES
 
-    def _forward(self, run: StreamRun, events: list[Event]) -> Exception | None:
-        """Write events to the caller.
+    def _forward(
+        self, run: StreamRun, splitter: EventSplitter, data: bytes
+    ) -> UpstreamError | None:
+        """Write the events that some bytes complete to the caller.
 
         Return an error if an event is missing or of another run, or the caller has disconnected.
         """
+        assert run.exchange is not None
+        for start in range(0, len(data), FORWARD_BYTES):
+            began_at = clock.now()
+            events = splitter.feed(data[start : start + FORWARD_BYTES])
+            next_events, error = self._select_next(run, events)
+            spent_s = clock.now() - began_at
+            # Events before a gap are already counted as relayed: if they were not written, a
+            # resumed stream would lack them.
+            if next_events:
+                self._record_progress(run, len(next_events))
+                if not self._writer.write(encode_chunk(b"".join(next_events))):
+                    self._context.is_caller_disconnected = True
+                    return UpstreamError("the caller has disconnected", sent=True)
+            if error is not None:
+                return error
+            run.exchange.rest(len(events), spent_s)
+            # The response may have been evicted meanwhile, and the bytes of the splitter dropped.
+            excess = self._check_event(run.exchange, splitter)
+            if excess is not None:
+                return excess
+        return None
+
+    def _select_next(
+        self, run: StreamRun, events: list[Event]
+    ) -> tuple[list[bytes], UpstreamError | None]:
+        """Return the events that the caller has not received, and an error if one does not fit."""
         next_events: list[bytes] = []
-        error: UpstreamError | None = None
         for event in events:
             continuity = self._sequence.check(event)
             if continuity in CONTINUITY_DEFECTS:
-                error = UpstreamError(CONTINUITY_DEFECTS[continuity], sent=True)
-                break
+                return next_events, UpstreamError(CONTINUITY_DEFECTS[continuity], sent=True)
             if continuity is EventContinuity.NEXT:
                 next_events.append(event.data)
                 run.last_event_id = event.event_id or run.last_event_id
-        # Events before a gap are already counted as relayed: if they were not written, a resumed
-        # stream would lack them.
-        if next_events:
-            self._record_progress(run, len(next_events))
-            if not self._writer.write(encode_chunk(b"".join(next_events))):
-                self._context.is_caller_disconnected = True
-                return UpstreamError("the caller has disconnected", sent=True)
-        return error
+        return next_events, None
 
     def _record_progress(self, run: StreamRun, events: int) -> None:
         """Update progress, times and load after the arrival of events."""
--- a/features/gateway/endless_streams.feature
+++ b/features/gateway/endless_streams.feature
@@ -9,6 +9,7 @@
     And a gateway process with 150 MB of memory
     When <count> callers read its streams, and 4 call others
     Then another call is served meanwhile
+    And it has waited less than 1 s
     And the streams <end>
     And another call is served afterwards
     And the process has kept within its memory and 200 descriptors
@@ -29,6 +30,7 @@
       | events                           | 24    | go on until their callers leave |
       | many events in each chunk        | 24    | go on until their callers leave |
       | events without framing           | 24    | go on until their callers leave |
+      | comments                         | 24    | go on until their callers leave |
       | repeated events                  | 24    | go on until their callers leave |
       | large events                     | 4     | go on until their callers leave |
       | large events without framing     | 4     | go on until their callers leave |
--- a/features/steps/endless_upstream_steps.py
+++ b/features/steps/endless_upstream_steps.py
@@ -12,6 +12,7 @@
 from gevent import socket
 
 from driftstall.platform.names import KIND_CONFIG, KIND_UPSTREAMS, NAME_CONFIG
+from driftstall.util import clock
 from features.steps.gateway_node_steps import Node, StoreProxy, wait_for_processes
 from features.worlds.gateway_world import (
     ENGINE,
@@ -175,10 +176,20 @@
 @then("another call is served {when}")
 def another_served(context: Any, when: str) -> None:
     """Send an ordinary call."""
+    began_at = clock.now()
     answer = _ask(context, "/safe/a", f"another-{when}")
+    context.waited_s = clock.now() - began_at
+    if context.config.userdata.getbool("peaks"):
+        print(f"PEAK {context.scenario.name} {when}: {context.waited_s:.2f} s")
     assert (answer.status, answer.body) == (200, b"whole"), answer
 
 
+@then("it has waited less than {seconds:g} s")
+def has_waited(context: Any, seconds: float) -> None:
+    """Check the time of the last other call."""
+    assert context.waited_s < seconds, f"{context.waited_s:.2f} s"
+
+
 @then("each call to that upstream is answered before its caller gives up")
 def all_answered(context: Any) -> None:
     """Check for whole answers that promise no more than is true: the requests have run."""
--- a/features/steps/response_buffer_steps.py
+++ b/features/steps/response_buffer_steps.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from driftstall.exceptions import InvalidResponse
+from driftstall.gateway.callers.pacing import DenseInputPacer
 from driftstall.gateway.exchange import BodyChunk, UpstreamExchange
 from driftstall.gateway.response_body import ResponseBody
 from driftstall.gateway.response_buffers import ResponseBuffers
@@ -60,7 +61,7 @@
     near, far = socket.socketpair()
     context.add_cleanup(far.close)
     far.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size + b"x" * size)
-    exchange = UpstreamExchange(near, context.buffers)
+    exchange = UpstreamExchange(near, context.buffers, DenseInputPacer())
     context.add_cleanup(exchange.close)
     body = ResponseBody(exchange)
     while not isinstance(item := exchange.next(lambda: 1.0), BodyChunk):
--- a/features/steps/response_head_steps.py
+++ b/features/steps/response_head_steps.py
@@ -13,6 +13,7 @@
 from hypothesis import strategies as st
 
 from driftstall.exceptions import UpstreamError
+from driftstall.gateway.callers.pacing import DenseInputPacer
 from driftstall.gateway.exchange import ResponseHead, ResponsePart, UpstreamExchange
 from driftstall.gateway.ingress import encode_chunk
 from driftstall.gateway.response_buffers import ResponseBuffers
@@ -169,7 +170,7 @@
 def read_parts(data: bytes, sizes: list[int]) -> Iterator[ResponsePart]:
     """Yield the parts of responses that are read from some bytes, until an error."""
     connection = ScriptedConnection(data, sizes)
-    exchange = UpstreamExchange(connection, ResponseBuffers.from_memory(0))
+    exchange = UpstreamExchange(connection, ResponseBuffers.from_memory(0), DenseInputPacer())
     try:
         while True:
             yield exchange.next(lambda: 1.0)
--- a/features/steps/tunnel_end_steps.py
+++ b/features/steps/tunnel_end_steps.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 
 from driftstall.exceptions import UpstreamError
+from driftstall.gateway.callers.pacing import DenseInputPacer
 from driftstall.gateway.exchange import BodyChunk, ResponseEnd, UpstreamExchange
 from driftstall.gateway.forwarding.tunnel import (
     END_FRAME,
@@ -63,7 +64,9 @@
             connection.close()
             return False
         tunnel = TunnelConnection(connection, lambda: None)
-        context.exchange = UpstreamExchange(tunnel, ResponseBuffers(BUFFER_BYTES))
+        context.exchange = UpstreamExchange(
+            tunnel, ResponseBuffers(BUFFER_BYTES), DenseInputPacer()
+        )
         return True
 
     wait_for_processes("a tunnel is open", is_open)
