--- a/features/steps/stream_disturbance_steps.py
+++ b/features/steps/stream_disturbance_steps.py
@@ -13,6 +13,7 @@
 
 from driftstall.exceptions import UpstreamError
 from driftstall.gateway import ingress, streams
+from driftstall.gateway.callers.pacing import DenseInputPacer
 from driftstall.gateway.events import EventSequence
 from driftstall.gateway.exchange import ResponseEnd, UpstreamExchange
 from driftstall.gateway.ingress import LAST_CHUNK, encode_chunk
@@ -295,7 +296,7 @@
 def _read_cut(data: bytes, size: int, responses: int) -> bool:
     """Return whether a number of responses have all ended."""
     connection: Any = CutConnection(data, size)
-    exchange = UpstreamExchange(connection, ResponseBuffers(BUFFER_BYTES))
+    exchange = UpstreamExchange(connection, ResponseBuffers(BUFFER_BYTES), DenseInputPacer())
     try:
         while responses:
             responses -= isinstance(exchange.next(lambda: READ_WAIT_S), ResponseEnd)
