Read the body of a request that offers an upgrade of the protocol

Callers that offered an upgrade with a body (as HTTP clients do that prefer HTTP/2: POST with "Connection: Upgrade", "Upgrade: h2c") had their request run with an empty body: the upstream got "Content-Length: 0", and the caller its success. The same happened while the body was still being sent, or was cut.

Cause: the HTTP parser takes such a request for complete at the end of its head, since the rest would be of the new protocol. The gateway accepts no upgrade, but took that end for the request's.

Evidence: request_ends.feature cuts requests at each byte after the head. Bodies with a length or in chunks, without an offer, never reached an upstream when cut; the feature keeps that.

Fix: if the head frames a body, a second parser reads it, after a substitute head with the same framing.

--- a/driftstall/gateway/callers/requests.py
+++ b/driftstall/gateway/callers/requests.py
@@ -7,6 +7,9 @@
 from http import HTTPStatus
 from typing import Any, Final
 
+import httptools
+
+from driftstall.gateway.callers.body_parser import BodyParser
 from driftstall.gateway.model import Header, Headers, Limits
 from driftstall.util import clock
 
@@ -82,6 +85,8 @@
         self._head_bytes = 0
         self._body = bytearray()
         self._framing_bytes = 0
+        self._skipped_framing: tuple[bytes, bytes] | None = None
+        """Header that frames a body which the parser skips, as its request offers an upgrade."""
         self.is_head_complete = False
         self.begun_at = None
         self.input_at = None
@@ -109,7 +114,7 @@
         extensions. So all bytes without another event count.
         """
         before = self._progress
-        self.parser.feed_data(data)
+        self._parse(data)
         if self._progress != before:
             self._framing_bytes = 0
             return
@@ -123,6 +128,17 @@
         else:
             self._refuse_head()
 
+    def _parse(self, data: bytes) -> None:
+        """Parse some bytes; read a body that the parser has skipped with another one."""
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade as offer:
+            if self._skipped_framing is None or self.error is not None:
+                raise
+            framing, self._skipped_framing = self._skipped_framing, None
+            self.parser = BodyParser(self, self.parser.get_method(), framing)
+            self.parser.feed_data(data[offer.args[0] :])
+
     def restart_clock(self) -> None:
         """Count the time of an unfinished request from now."""
         now = clock.now()
@@ -175,6 +191,8 @@
         length = values.get(b"content-length", [b"0"])[0]
         if not length.isdigit() or int(length) > self._limits.body_bytes:
             self._set_error(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
+        if self.parser.should_upgrade():
+            self._skipped_framing = _body_framing(values)
         self.wants_continue = [v.lower() for v in values.get(b"expect", ())] == [b"100-continue"]
 
     def on_body(self, data: bytes) -> None:
@@ -186,8 +204,10 @@
             self._body += data
 
     def on_message_complete(self) -> None:
-        """Queue a whole request."""
+        """Queue a whole request, unless its body has been skipped."""
         self._progress += 1
+        if self._skipped_framing is not None:
+            return
         if self.error is None:
             held_bytes = self.held_bytes + REQUEST_OBJECT_BYTES
             self.requests.append(BuiltRequest(self._build(), held_bytes))
@@ -220,3 +240,11 @@
     def _set_error(self, status: HTTPStatus, detail: str) -> None:
         """Record the first error; later ones are ignored."""
         self.error = self.error or MalformedRequest(status, detail)
+
+
+def _body_framing(values: dict[bytes, list[bytes]]) -> tuple[bytes, bytes] | None:
+    """Return the header that frames a request's body, or None if it has no body."""
+    if b"transfer-encoding" in values:
+        return b"Transfer-Encoding", CHUNKED
+    length = values.get(b"content-length", [b"0"])[0]
+    return (b"Content-Length", length) if length.strip(b"0") else None
