Do not serve a request of the own interface whose head is cut

A caller whose connection ended inside a request's head had the request run all the same: with the headers that had arrived, and with an empty body, as its framing was missing. A call could so lose the key that lets it run only once.

Cause: the server's header parser takes the end of the connection for the empty line at the end of the head.

Evidence: own_request_ends.feature cuts requests at each byte. Before, all 6 of its scenarios with cut requests failed ("/svc, b''" once for each cut within the headers); now its 10 scenarios pass. Bodies that are cut were rejected before as well, with a length and in chunks.

Fix: the lines of the head are read through a reader that raises an error for a line without an end; such a request gets 400.

--- a/driftstall/daemon/http_server.py
+++ b/driftstall/daemon/http_server.py
@@ -10,8 +10,9 @@
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from driftstall.const import PREFIX_RELAY
+from driftstall.daemon.request_head import HeadReader
 from driftstall.daemon.settings import Settings
-from driftstall.exceptions import InboundTooLongError
+from driftstall.exceptions import InboundTooLongError, TruncatedHeadError
 from driftstall.helpers.inbound import (
     MAX_ACCEPTED_AT_ONCE,
     Inbound,
@@ -79,6 +80,16 @@
         self._inbound.expect(limits.idle_s, limits.read_s, MAX_HEAD_BYTES)
         return str(super().read_requestline())
 
+    def read_request(self, raw_requestline: str) -> bool:
+        """Read the head of a request; raise TruncatedHeadError if it is cut."""
+        if not raw_requestline.endswith("\n"):
+            raise TruncatedHeadError("the request line ended early")
+        return bool(super().read_request(raw_requestline))
+
+    def MessageClass(self, source: Any, *args: Any) -> Any:  # noqa: N802
+        """Parse the headers of a request; raise TruncatedHeadError if they are cut."""
+        return super().MessageClass(HeadReader(source), *args)
+
     def get_environ(self) -> dict[str, Any]:
         """Add the socket, and what counts the body's bytes, to the WSGI environment."""
         limits = self.receive_limits
--- a/driftstall/exceptions.py
+++ b/driftstall/exceptions.py
@@ -48,6 +48,10 @@
     """Raised for a message of a connection that is longer than its limit."""
 
 
+class TruncatedHeadError(DriftstallError, OSError):
+    """Raised when a connection ends before the head of a request."""
+
+
 class InboundOverloadError(DriftstallError):
     """Raised when open connections hold as many bytes as they may together."""
 
--- /dev/null
+++ b/features/gateway/own_request_ends.feature
@@ -0,0 +1,30 @@
+Feature: How requests to the own interface end
+  The own interface's server in the test process, before an application that records the bodies that it takes for whole.
+
+  # Guards against a request that its caller has cut, and that is run with a part of its head or body.
+  Scenario Outline: a request with <body> that is cut and then <ending> is not served
+    Given the own interface's server before an application that records requests
+    When an own request with <body> is cut at each byte, and its connection is <ending>
+    Then the application has taken no request for whole
+
+    Examples:
+      | body                                    | ending      |
+      | a length                                | half-closed |
+      | a length                                | closed      |
+      | chunks                                  | half-closed |
+      | chunks                                  | closed      |
+      | chunks and a trailer                    | half-closed |
+      | no body                                 | half-closed |
+
+  # Guards against sound requests that are rejected with the cut ones, or change their body.
+  Scenario Outline: a request with <body> is served with its whole body
+    Given the own interface's server before an application that records requests
+    When an own request with <body> is sent
+    Then the application has taken it for whole, and nothing else
+
+    Examples:
+      | body                                    |
+      | a length                                |
+      | chunks                                  |
+      | chunks and a trailer                    |
+      | no body                                 |
