Reject requests of the own interface whose framing is not known

A request whose body was framed by another coding than chunks, by two codings, by two lengths, or by a length behind a malformed header line was served with an empty body, and its body was read as the next request on the connection: two answers to one request, the second to a smuggled one.

Cause: the server's parser ignores codings that it does not know, all lengths but the first, and headers behind a malformed line.

Evidence: own_request_ends.feature sends a request as the body of another one.

Fix: such heads are rejected with 400 and the connection is closed, as by the gateway's parser, which rejects a length beside chunks as well.

--- a/driftstall/daemon/http_server.py
+++ b/driftstall/daemon/http_server.py
@@ -10,7 +10,7 @@
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from driftstall.const import PREFIX_RELAY
-from driftstall.daemon.request_head import HeadReader
+from driftstall.daemon.request_head import HeadReader, check_framing
 from driftstall.daemon.settings import Settings
 from driftstall.exceptions import InboundTooLongError, TruncatedHeadError
 from driftstall.helpers.inbound import (
@@ -87,8 +87,10 @@
         return bool(super().read_request(raw_requestline))
 
     def MessageClass(self, source: Any, *args: Any) -> Any:  # noqa: N802
-        """Parse the headers of a request; raise TruncatedHeadError if they are cut."""
-        return super().MessageClass(HeadReader(source), *args)
+        """Parse the headers of a request; raise an error if they are cut or ambiguous."""
+        headers = super().MessageClass(HeadReader(source), *args)
+        check_framing(headers)
+        return headers
 
     def get_environ(self) -> dict[str, Any]:
         """Add the socket, and what counts the body's bytes, to the WSGI environment."""
--- a/driftstall/daemon/request_head.py
+++ b/driftstall/daemon/request_head.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
-from typing import Any
+from http.client import HTTPMessage
+from typing import Any, Final
 
-from driftstall.exceptions import TruncatedHeadError
+from driftstall.exceptions import MalformedHeadError, TruncatedHeadError
+
+CHUNKED: Final = "chunked"
 
 
 class HeadReader:
@@ -20,3 +23,18 @@
         if len(line) < size and not line.endswith(b"\n"):
             raise TruncatedHeadError("the request's head ended early")
         return line
+
+
+def check_framing(headers: HTTPMessage) -> None:
+    """Raise MalformedHeadError for headers that do not frame the body in one known way.
+
+    The server would take the body, or its rest, for the next request.
+    """
+    lengths = headers.get_all("Content-Length", [])
+    codings = headers.get_all("Transfer-Encoding", [])
+    if headers.defects:
+        raise MalformedHeadError("a header line is malformed")
+    if [coding.strip().lower() for coding in codings] not in ([], [CHUNKED]):
+        raise MalformedHeadError("only the chunked transfer coding is known")
+    if len(lengths) + len(codings) > 1:
+        raise MalformedHeadError("the body has more than one framing")
--- a/driftstall/exceptions.py
+++ b/driftstall/exceptions.py
@@ -52,6 +52,10 @@
     """Raised when a connection ends before the head of a request."""
 
 
+class MalformedHeadError(DriftstallError, ValueError):
+    """Raised for a request whose head does not show where its body ends."""
+
+
 class InboundOverloadError(DriftstallError):
     """Raised when open connections hold as many bytes as they may together."""
 
--- a/features/gateway/own_request_ends.feature
+++ b/features/gateway/own_request_ends.feature
@@ -28,3 +28,19 @@
       | chunks                                  |
       | chunks and a trailer                    |
       | no body                                 |
+
+  # Guards against a body that is taken for the next request, as its framing is not known.
+  Scenario Outline: a request with <body> is rejected, and its body is no request
+    Given the own interface's server before an application that records requests
+    When an own request with <body> is sent
+    Then it is answered with 400 once
+    And the application has taken no request for whole
+
+    Examples:
+      | body                          |
+      | a coding that is not known    |
+      | two codings                   |
+      | a coding in two headers       |
+      | chunks and a length           |
+      | two lengths                   |
+      | a length after a broken line  |
--- a/features/steps/own_request_end_steps.py
+++ b/features/steps/own_request_end_steps.py
@@ -37,6 +37,8 @@
     "a coding that is not known": ("Transfer-Encoding: identity", SMUGGLED),
     "two codings": ("Transfer-Encoding: gzip, chunked", SMUGGLED),
     "a coding in two headers": (f"Transfer-Encoding: gzip\r\n{CHUNKED}", SMUGGLED),
+    "two lengths": (f"Content-Length: 0\r\n{LENGTH}", SMUGGLED),
+    "a length after a broken line": (f"X-Broken\r\n{LENGTH}", SMUGGLED),
     "chunks and a length": (f"{CHUNKED}\r\n{LENGTH}", CHUNKS + b"\r\n" + SMUGGLED),
 }
 ANSWERED_S: Final = 2.0
