A resumed run without framing that sends no event does not complete its stream

What callers saw: 7 of 20 events and the last chunk, after the second run's connection was closed right after its head while its process lived on. A first run that ends so was broken off before, as an upstream may close a request's connection instead of running it; a resumed one was believed, since the stream had events of the earlier run.

Evidence: the new scenario of stream_ends.feature failed before (whole=True after event 7) and passes now, with stream_continuity, streams and final_copies.feature.

Fix: an unframed response in which its own run has sent no event is no end of a stream. A chunked one still states that nothing follows.

--- a/driftstall/gateway/events.py
+++ b/driftstall/gateway/events.py
@@ -99,6 +99,7 @@
         self._last: int | None = None
         self._run_last: int | None = None
         """Largest id of the current run; None before its first numbered event."""
+        self._has_run_begun = False
         self._has_position = True
         """Whether no event without an id was relayed after the last one with an id."""
         self._checksums = array("I")
@@ -111,6 +112,11 @@
             return False
         return self._run_last < self._last
 
+    @property
+    def has_run_begun(self) -> bool:
+        """Return True if the current run has sent an event."""
+        return self._has_run_begun
+
     @property
     def can_resume(self) -> bool:
         """Return True if the last id names the place where another run would have to continue."""
@@ -119,11 +125,13 @@
     def begin_run(self) -> None:
         """Start before the first event of a run, which may repeat events of the previous one."""
         self._run_last = None
+        self._has_run_begun = False
 
     def check(self, event: Event) -> EventContinuity:
         """Return how an event follows the last relayed one; NEXT if its id is not a number."""
         if event.data.startswith(STATUS_LINE):
             return EventContinuity.FOREIGN
+        self._has_run_begun = True
         event_id = event.event_id
         if not event_id:
             return self._check_without_id(event)
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -218,7 +218,7 @@
     def _check_unframed_end(self, run: StreamRun) -> UpstreamError | None:
         """Return an error unless a stream is whole whose response ended with its connection."""
         ended_at = self._state.now()
-        if not run.events and not run.moves:
+        if not self._sequence.has_run_begun:
             # An upstream may also close a request's connection instead of running it.
             return UpstreamError("the stream ended without an event", sent=True)
         if self._context.replicas.may_have_stopped(run, self._context.remaining_s()):
--- a/features/gateway/stream_ends.feature
+++ b/features/gateway/stream_ends.feature
@@ -80,6 +80,13 @@
       | neither a length nor chunks | process gone, connections first |
       | neither a length nor chunks | process restarted               |
 
+  # Guards against a connection that is closed in place of a resumed run and taken for its end.
+  Scenario: a resumed run without framing that closes right after its head is not taken for whole
+    Given engines that frame streams with neither a length nor chunks
+    And streams that end right after its head
+    When a stream that has resumed is "closed" at its second engine
+    Then no caller gets a stream as whole that is not
+
   # Guards against a resumed stream that is broken off although its second run is sound.
   Scenario: a resumed stream is whole with its second run
     Given engines that frame streams with any framing
