Bound what all answers to the own requests of a process hold together

A plain service that answered without end took an instance of the own interface out of memory, with all other callers: each answer may have 16 MB, and nothing bounded their number. Probes of engines and orders to them had the same gap in the gateway, with 1 MB each.

All unfinished answers that the HTTP client reads now share one budget: 32 MB, or a twentieth of the gateway's memory where that is less. Beyond it the largest one is given up: it frees its bytes at once, its connection is closed, and its reader gets an error, also where it would have read buffered events on. The bytes of an answer that failed are dropped with the error, which refers to it while it is handled.

The stand-in of endless upstreams takes the path of the answers without end in place of a flag for probes, as moves are answered so as well.

--- a/driftstall/decisions/buffer_budget.py
+++ b/driftstall/decisions/buffer_budget.py
@@ -48,6 +48,10 @@
         """Return the number of accounts that were evicted or refused more bytes."""
         return self._evictions
 
+    def set_capacity(self, capacity_bytes: int) -> None:
+        """Change the capacity; accounts beyond it are evicted when one grows."""
+        self._capacity_bytes = capacity_bytes
+
     def open(self, on_evicted: Callable[[], None]) -> BufferAccount:
         """Return a new account; the function is called if it is evicted while others grow."""
         account = BufferAccount(self, on_evicted)
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -65,6 +65,7 @@
 from driftstall.helpers.tasks import keep_running, run_guarded
 from driftstall.policy.model import Policy
 from driftstall.util import clock
+from driftstall.util.limited_response import limit_held_bytes
 
 PERIOD_S: Final = 0.2
 """Interval of the periodic checks for timeouts; each check wakes up the process."""
@@ -109,6 +110,7 @@
         self._path = path
         self._access = access
         self.state = GatewayState(settings, access.dialect, policy)
+        limit_held_bytes(settings.memory_mb)
         self._routing = RoutingSource(self.state, self._publish_routing)
         mover = Mover(self.state)
         evacuation = Evacuation(self.state, mover)
--- a/driftstall/util/http.py
+++ b/driftstall/util/http.py
@@ -157,8 +157,9 @@
         return self._response.has_event()
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection, and drop what is held of the response."""
         self._connection.close()
+        self._response.discard()
 
 
 def connect(address: str, timeout_s: float) -> socket.socket:
--- a/features/steps/endless_stream_steps.py
+++ b/features/steps/endless_stream_steps.py
@@ -43,7 +43,7 @@
         self.received_bytes += len(data)
 
 
-def _read_stream(context: Any, path: str, request_id: str) -> DiscardedStream:
+def read_stream(context: Any, path: str, request_id: str) -> DiscardedStream:
     """Read a stream until its end, or until the caller has enough."""
     stream = DiscardedStream()
     host, port = context.node.listen["front"].split(":")
@@ -68,9 +68,9 @@
 
 
 @when("{count:d} callers read its streams, and {others:d} call others")
-def read_streams(context: Any, count: int, others: int) -> None:
+def read_streams_of(context: Any, count: int, others: int) -> None:
     """Send streams whose callers discard what they read."""
-    send_crowd(context, ["/stream/endless/a"] * count, others, _read_stream)
+    send_crowd(context, ["/stream/endless/a"] * count, others, read_stream)
 
 
 @then("the streams are broken off visibly")
--- a/features/steps/endless_upstream_steps.py
+++ b/features/steps/endless_upstream_steps.py
@@ -23,7 +23,8 @@
     route,
 )
 from features.worlds.upstream_samples import entry_spec
-from stand_ins.endless import ENDLESS, HTTP, EndlessSender, EndlessUpstream
+from stand_ins.endless import ENDLESS, HTTP, REPORT_PATH, EndlessSender, EndlessUpstream
+from stand_ins.routed import RoutedUpstream, Script
 
 ROUTE_TIMEOUT_MS: Final = 30_000
 CALLER_PATIENCE_S: Final = 12.0
@@ -52,10 +53,27 @@
         near.close()
 
 
+def broken_stream() -> Script:
+    """Return the script of a stream that breaks off before its first event."""
+    return Script(reset_after_head=True)
+
+
 def add_upstream(context: Any, service: str, upstream: EndlessUpstream) -> None:
     """Configure routes to a service, and register its only upstream."""
     context.endless = upstream
+    configure_endless(context)
+    register(context, service, upstream)
+
+
+def register(context: Any, service: str, upstream: RoutedUpstream, **more: Any) -> None:
+    """Store the entry of an upstream, and stop it at the end."""
     context.add_cleanup(upstream.stop)
+    spec = entry_spec(upstream.address, service, **more)
+    context.store.create(KIND_UPSTREAMS, upstream.upstream_id, spec)
+
+
+def configure_endless(context: Any) -> None:
+    """Configure routes to upstreams that send without end."""
     newer = document(4)
     newer["services"] += [{"name": "endless"}, {"name": "endless-engines", "engine": ENGINE}]
     timeout = {"timeoutMs": ROUTE_TIMEOUT_MS}
@@ -65,8 +83,6 @@
         route("endless-chat", "/stream/endless/", "streaming", "endless-engines", **timeout),
     ]
     assert context.store.replace(KIND_CONFIG, NAME_CONFIG, newer) is not None
-    spec = entry_spec(upstream.address, service)
-    context.store.create(KIND_UPSTREAMS, upstream.upstream_id, spec)
 
 
 def _start_node(context: Any, megabytes: int, store: str) -> None:
@@ -109,7 +125,7 @@
 @given("an engine that breaks streams off and answers probes with {data} without end")
 def endless_report(context: Any, data: str) -> None:
     """Register an engine whose reports never end."""
-    engine = EndlessUpstream("endless-1", ENDLESS[data], in_reports=True)
+    engine = EndlessUpstream("endless-1", ENDLESS[data], REPORT_PATH, broken_stream)
     add_upstream(context, "endless-engines", engine)
 
 
--- a/stand_ins/endless.py
+++ b/stand_ins/endless.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
 
@@ -15,6 +16,8 @@
 MAX_SENT_BYTES: Final = 96_000_000
 """Bytes after which a peer falls silent, so that a gateway without bounds spares the machine."""
 REPORT_PATH: Final = "/api/report"
+MOVE_PATH: Final = "/api/kv-move"
+CALLER_PATHS: Final = ("/endless/", "/stream/")
 CHUNKED: Final = b"Transfer-Encoding: chunked\r\n"
 HTTP: Final = b"HTTP/1.1 200 OK\r\n"
 
@@ -120,19 +123,29 @@
 
 
 class EndlessUpstream(RoutedUpstream):
-    """A fake upstream that answers callers' requests, or probes, without end."""
+    """A fake upstream that answers callers' requests, or an instance's own, without end."""
+
+    def __init__(
+        self,
+        upstream_id: str,
+        data: EndlessData,
+        own_path: str = "",
+        script: Callable[[], Script] = Script,
+    ) -> None:
+        """Start listening.
 
-    def __init__(self, upstream_id: str, data: EndlessData, *, in_reports: bool = False) -> None:
-        """Start listening; with `in_reports` probes are answered so, and streams break off."""
-        super().__init__(upstream_id, lambda: Script(reset_after_head=in_reports))
+        With own_path, requests for paths that start with it are answered without end, and callers'
+        requests by the script; otherwise callers' requests are answered without end.
+        """
+        super().__init__(upstream_id, script)
         self.sender = EndlessSender(data)
-        self._in_reports = in_reports
+        self._own_path = own_path
 
     def _answer(
         self, raw: socket.socket, connection: CallerConnection, call: CallerRequest
     ) -> None:
         """Answer without end, unless the request is to be answered as by other upstreams."""
-        if self._in_reports != (call.path == REPORT_PATH):
+        if not call.path.startswith(self._own_path or CALLER_PATHS):
             super()._answer(raw, connection, call)
             return
         ids = [value for name, value in call.headers if name.lower() == b"x-driftstall-request-id"]
