Soak: a plan of responses that end early, in each framing

What it covers: upstreams frame their responses by a length, by chunks or by neither (drawn for each upstream), and end some of them early (drawn for each request): the connection is closed or reset or falls silent, or the process ends or restarts at its address under another id, right after the head, after whole events or inside one, in calls, streams and resumed streams, beside kills, stops, pauses, links and a silent store. When a process ends, all its connections are closed in order at one moment, as the kernel does. A record of what upstreams have sent is compared with what callers got.

Left out: a close-delimited response that is closed early while its process lives on, which nothing tells from a whole one (the plan's docstring says so), and a process that closes its connections before it stops listening, as the soak shares its processor with many and can't keep to that time.

A malformed event in a caller's stream ended the soak with a ValueError; it now counts as an event out of order. The stand-in ends a response inside the event after the last one of its own run, whatever earlier runs sent.

--- a/features/parts/soak.feature
+++ b/features/parts/soak.feature
@@ -131,6 +131,51 @@
   Scenario: upstreams that leave are what one plan is about
     Then seed 7 gives that plan notices, removals and connections that fall silent
 
+  Scenario: truncated responses are what one plan is about
+    Then seed 7 gives that plan early ends of responses, kills and notices, and always the same
+
+  Scenario: upstreams of that plan end responses in each way
+    Given an upstream of the soak that truncates responses
+    Then its plans end responses in each way that shows that they are not whole
+
+  Scenario: a process that ends closes all its connections in order
+    Given an upstream of the soak that truncates responses
+    And two open connections to it
+    When its process ends there
+    Then both connections are closed in order
+    And its address refuses connections
+
+  Scenario: a process that restarts closes all its connections in order and has another id
+    Given an upstream of the soak that truncates responses
+    And two open connections to it
+    When its process restarts there
+    Then both connections are closed in order
+    And another process answers at its address, and its entry names the address
+
+  Scenario: a link to a replaced process closes its connections in order and passes new ones
+    Given a proxy with an open connection
+    When its target is replaced by another one
+    Then the open connection is closed in order
+
+  Scenario Outline: a truncated response that looks whole is found
+    Given the record of a run of truncated responses in which all was well
+    When in that record <what>
+    Then it shows "<line>", and a whole record shows nothing
+
+    Examples:
+      | what                                                       | line                                         |
+      | a stream is complete after 7 events                        | ended as complete after 7 events             |
+      | a stream is complete without an event                      | ended as complete after 0 events             |
+      | a stream is complete though its last event was not sent    | complete though no upstream has sent the last |
+      | a stream has an event that was not sent                    | events that no upstream has sent: [7]        |
+      | a stream has an event with other bytes                     | a stream with other bytes than its upstreams |
+      | a stream was joined inside an event                        | a stream with other bytes than its upstreams |
+      | a call is complete after half of its body                  | a success with another body                  |
+      | a call is complete with an empty body                      | a success with another body                  |
+      | a call is complete though its body was not sent to the end | upstreams have sent 19 pieces of 20          |
+      | a part of a call has other bytes                           | a response with other bytes                  |
+      | no close-delimited response has ended early                | so the run shows nothing of them             |
+
   Scenario: disturbed starts and odd entries are what one plan is about
     Then seed 7 gives that plan signals in starts, addresses in use, spoiled settings and odd entries
 
--- a/features/processes/soak.feature
+++ b/features/processes/soak.feature
@@ -39,6 +39,11 @@
     Given a soak of the plan "rejecting", seed 6102, with 6 instances and 10 callers for 16 s
     Then it breaks no promise
 
+  # Guards against truncated responses that are told to callers as whole ones.
+  Scenario: no response that ends early looks whole
+    Given a soak of the plan "truncated", seed 2, with 4 instances and 12 callers for 16 s
+    Then it breaks no promise
+
   # Guards against starts that fail, instances that end by themselves, and odd entries that hide others.
   Scenario: starts that are disturbed succeed, and odd entries hide nothing
     Given a soak of the plan "disturbed", seed 349, with 4 instances and 12 callers for 24 s
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,6 +20,7 @@
                  store rejects all instances that follow it; needs 17 instances or more) or
                  partitioned (instances that are cut from all upstreams) or
                  rejecting (bursts of streams while upstreams turn requests away) or
+                 truncated (responses framed in each way, of which some end early) or
                  disturbed (starts with signals, addresses in use, spoiled settings or a late
                  store, and odd entries of other writers)
                  [default: mixed].
@@ -53,6 +54,8 @@
     served = sum(
         request.status == 200 and request.complete for request in run.ledger.requests.values()
     )
+    if run.ledger.truncations:
+        print(f"  ended early: {dict(run.ledger.truncations)}")
     print(f"seed {seed}: {len(violations)} broken, {served} of {sent} requests served", flush=True)
     for line in violations:
         print(f"  {line}")
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -30,6 +30,7 @@
 from soak.membership_checks import check_joined
 from soak.poison_checks import check_poison
 from soak.stop_checks import check_stops
+from soak.truncation_checks import check_truncation
 
 NOT_RUN: Final = frozenset({408, 421, 429, 503})
 """Statuses that guarantee that the request has not run and never will."""
@@ -101,6 +102,7 @@
     found += list(check_stops(ledger, runs))
     found += list(check_poison(ledger))
     found += list(check_retry_budget(ledger))
+    found += list(check_truncation(ledger))
     found += list(_check_partitioned(ledger))
     found += list(_check_recovery(ledger))
     return found
@@ -121,7 +123,7 @@
         yield "a success that no upstream gave"
     if request.kind in STREAMS and request.status == 200:
         yield from _check_stream(ledger, request)
-    elif request.status == 200 and request.complete and request.body != b"whole":
+    elif request.status == 200 and request.complete and request.body != ledger.body:
         yield "a success with another body"
     if request.kind in (RequestKind.SAFE, RequestKind.ONCE, *STREAMS) and request.status in DENIED:
         yield "denied though every configuration allows it"
--- a/soak/draw.py
+++ b/soak/draw.py
@@ -170,7 +170,19 @@
     Kind.KILL: 0.5,
     Kind.CONFIGURE: 1.0,
 }
+TRUNCATED_WEIGHTS: Final[dict[Kind, float]] = {
+    Kind.TRUNCATE: 5.0,
+    Kind.KILL: 0.7,
+    Kind.STOP: 0.5,
+    Kind.PAUSE: 0.5,
+    Kind.LEAVE: 1.0,
+    Kind.CRASH: 0.5,
+    Kind.UPSTREAM_LINK: 0.5,
+    Kind.STORE_LINK: 0.5,
+    Kind.STORE_SILENT: 0.3,
+}
 PLAN_WEIGHTS: Final = {
+    Plan.TRUNCATED: TRUNCATED_WEIGHTS,
     Plan.DISTURBED: DISTURBED_WEIGHTS,
     Plan.REJECTING: REJECTING_WEIGHTS,
     Plan.PARTITIONED: PARTITIONED_WEIGHTS,
@@ -201,7 +213,11 @@
 """Duration of the store's silence while engines leave: longer than the bound within which all
 instances must know of it."""
 
+TRUNCATE_FOR_S: Final = (1.0, 4.0)
+"""Duration in which upstreams end responses early: several responses of each kind."""
+
 DURATIONS_S: Final = {
+    Kind.TRUNCATE: TRUNCATE_FOR_S,
     Kind.CORDON: CORDON_FOR_S,
     Kind.LIMIT: LIMIT_FOR_S,
     Kind.LEAVE_UNSEEN: UNSEEN_FOR_S,
@@ -276,6 +292,7 @@
         Kind.REJECT,
         Kind.REJECT_ALL,
         Kind.TURN_AWAY,
+        Kind.TRUNCATE,
     )
     target = pick(upstreams if has_upstream_target else instances)
     duration_s = DURATIONS_S.get(kind, (0.2, 3.0))
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -51,6 +51,7 @@
     Plan.PARTITIONED: (2.5, 6.0),
     Plan.REJECTING: (2.5, 6.0),
     Plan.DISTURBED: (2.5, 6.0),
+    Plan.TRUNCATED: (2.5, 6.0),
 }
 """Range of the time for which a leaving upstream continues to serve: drainMs and a little longer,
 in some plans many seconds. Only an upstream that still serves shows which instances send to it."""
@@ -236,10 +237,7 @@
     def _listen(self, name: str) -> None:
         """Start an upstream that listens behind a proxy of its own."""
         self._ledger.services[name] = self.service
-        self.upstream = RecordingUpstream(name, self._ledger, self._source, self._crash_under)
-        if self._reports_loads:
-            self.upstream.report_loads()
-        self.upstream.is_unframed = self._is_unframed
+        self.upstream = self._create_upstream(name)
         self.proxy: Proxy | InstanceProxies = (
             InstanceProxies(self.upstream.address, self._partitions)
             if self._partitions
@@ -248,6 +246,14 @@
         self._proxies[name] = self.proxy
         self.connect_peers()
 
+    def _create_upstream(self, name: str) -> RecordingUpstream:
+        """Create an upstream."""
+        upstream = RecordingUpstream(name, self._ledger, self._source, self._crash_under)
+        if self._reports_loads:
+            upstream.report_loads()
+        upstream.is_unframed = self._is_unframed
+        return upstream
+
     def connect_peers(self) -> None:
         """Tell all upstreams of the service the addresses at which they reach each other."""
         peers: dict[str, RoutedUpstream] = {
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -57,9 +57,10 @@
 
     @property
     def events(self) -> list[int]:
-        """Return the numbers of the events that arrived completely."""
+        """Return the numbers of the events that arrived completely; zero for a malformed one."""
         complete = self.body.split(b"\n\n")[:-1]
-        return [int(event.split(b"\n")[0].removeprefix(b"id: ")) for event in complete]
+        ids = [event.split(b"\n")[0].removeprefix(b"id: ") for event in complete]
+        return [int(event_id) if event_id.isdigit() else 0 for event_id in ids]
 
 
 @dataclass(frozen=True, slots=True)
@@ -163,6 +164,13 @@
     """Processes that exited without being stopped by the plan."""
     not_ready: list[str] = field(default_factory=list)
     """Instances that were not ready at the end."""
+    body: bytes = b"whole"
+    """Body of a whole response to a call."""
+    sent_pieces: dict[str, list[int]] | None = None
+    """Numbers of the events, or pieces of a body, that upstreams have sent for each request; None
+    in plans whose upstreams do not record them."""
+    truncations: Counter[str] = field(default_factory=Counter)
+    """Responses that upstreams have ended early, by framing and ending."""
     queue_waits: int | None = None
     """Streams that waited for engine memory; None in plans in which no service queues."""
     pace_changes: int | None = None
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -45,6 +45,9 @@
     REJECT_FOLLOWERS = "the store rejects its followers while the configuration changes"
     LIMIT = "upstream names a limit"
     """Its responses announce a rate limit in requests a second, later a lower one."""
+    TRUNCATE = "upstreams of a service end responses early"
+    """Some responses, in each way: within the connection's order or by a reset, a silence, the end
+    or a restart of the process."""
     BURST = "callers send many streams at once"
     PARTITION = "instances are partitioned from all upstreams"
     """Callers, the store and their peers still reach them."""
@@ -95,6 +98,11 @@
     DISTURBED = "disturbed"
     """Starts with signals inside them, addresses in use, spoiled settings or a late store, and odd
     entries of other writers, while upstreams leave and join."""
+    TRUNCATED = "truncated"
+    """Upstreams that frame responses by a length, by chunks or by neither, and end some of them
+    early: they close or reset the connection or fall silent, or their process ends or restarts at
+    its address. A close-delimited response that is closed early while its process lives on is left
+    out, as nothing tells it from a whole one."""
 
 
 class PartitionFault(StrEnum):
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from typing import Final
 
 import gevent
@@ -31,6 +32,8 @@
         self._is_stopped = False
         self._fault: Fault | None = None
         self._open: set[socket.socket] = set()
+        self._clients: set[socket.socket] = set()
+        """Those of the open connections that lead to the process."""
         self._silent: set[socket.socket] = set()
         """Connections that are kept open but no longer forward data."""
         self._server = StreamServer(listen, self._serve)
@@ -120,6 +123,24 @@
         self._open.clear()
         self._silent.clear()
 
+    def close_in_order(self) -> None:
+        """Close all connections of the process in order, as when the target's process ends."""
+        self._silent |= self._open
+        for client in list(self._clients):
+            with suppress(OSError):
+                client.shutdown(socket.SHUT_WR)
+
+    def end_target(self) -> None:
+        """Stop listening and close all connections in order, as the target's process has ended."""
+        self._is_stopped = True
+        self._server.close()
+        self.close_in_order()
+
+    def replace_target(self, target: str) -> None:
+        """Forward new connections to another process, and close those to the old one in order."""
+        self.target = target
+        self.close_in_order()
+
     def stop(self) -> None:
         """Stop listening and reset all open connections."""
         self._is_stopped = True
@@ -142,9 +163,11 @@
             _reset(client)
             return
         self._open |= {client, server}
+        self._clients.add(client)
         responses = gevent.spawn(self._forward, server, client, Fault.CUT_BACK)
         self._forward(client, server, Fault.CUT_OUT)
         responses.join()
+        self._clients.discard(client)
         for connection in (client, server):
             self._open.discard(connection)
             self._silent.discard(connection)
--- a/soak/run.py
+++ b/soak/run.py
@@ -54,6 +54,8 @@
 from soak.plan import Fault, Kind, Plan, Step
 from soak.proxy import Proxy
 from soak.stop_checks import GRACE_S
+from soak.truncation import TruncatingSlot, with_health_path
+from stand_ins import endings
 from stand_ins.prompts import FATAL_PARTS, fatal_prompt, sound_prompt
 
 TIMEOUTS_S: Final = {RequestKind.STREAM: 6.0, RequestKind.SHORT: 3.0}
@@ -143,14 +145,18 @@
         self.ledger = Ledger(EVENTS)
         if size.plan is Plan.REJECTING:
             self.ledger.bounds = SCARCE_RETRIES
+        if size.plan is Plan.TRUNCATED:
+            self.ledger.events, self.ledger.body = endings.EVENTS, endings.BODY
+            self.ledger.sent_pieces = {}
         self._bench = Bench(self.folder)
         address = self._bench.start_platform().address
         self._store = Store(address)
         self._store.create(KIND_CONFIG, NAME_CONFIG, self._document())
         self._partitions = Partitions(size.instances) if size.plan is Plan.PARTITIONED else None
         services = [PLAIN_SERVICE] * PORTALS + [ENGINE_SERVICE] * ENGINES
+        slot_class = TruncatingSlot if size.plan is Plan.TRUNCATED else UpstreamSlot
         self._fleet = [
-            UpstreamSlot(
+            slot_class(
                 place, service, self._store, self.ledger, self._source, size.plan, self._partitions
             )
             for place, service in enumerate(services, start=1)
@@ -267,6 +273,7 @@
             Kind.REJECT: lambda step: self._spawn(self._fleet[step.target].reject, step.for_s),
             Kind.REJECT_ALL: self._reject_all,
             Kind.TURN_AWAY: self._turn_away,
+            Kind.TRUNCATE: lambda step: self._change_fleet(step, "truncate", step.for_s),
             Kind.PARTITION: lambda step: self._spawn(self._partition, step),
             Kind.BURST: lambda step: self._spawn(self._burst, step),
             Kind.REJECT_FOLLOWERS: lambda step: self._spawn(self._reject_followers, step),
@@ -394,9 +401,9 @@
             self._spawn(slot.restore_entries)
         self._retry_write(lambda: self._store.replace(KIND_CONFIG, NAME_CONFIG, self._document()))
 
-    def _change_fleet(self, step: Step, method: str) -> None:
+    def _change_fleet(self, step: Step, method: str, *values: Any) -> None:
         """Call a method of an upstream's slot; all of them may interrupt its requests."""
-        self._spawn(getattr(self._fleet[step.target], method))
+        self._spawn(getattr(self._fleet[step.target], method), *values)
 
     def _leave_unseen(self, step: Step) -> None:
         """Silence the store, and let all engines but one leave, one after another."""
@@ -623,6 +630,8 @@
         prefix = f"/{RequestKind.SHORT}/"
         short = route("short", prefix, "streaming", ENGINE_SERVICE, priority=0, gap_aim_ms=180)
         config["routes"].append(short | {"timeoutMs": timeout_ms})
+    if plan is Plan.TRUNCATED:
+        config = with_health_path(config)
     added = route("added", f"/added{version}/", "safe", PLAIN_SERVICE)
     config["routes"].append(added | {"timeoutMs": CALL_TIMEOUT_S * 1000})
     return config
--- /dev/null
+++ b/soak/truncation.py
@@ -0,0 +1,182 @@
+"""Upstreams that frame responses in each way, and end some of them early."""
+
+from __future__ import annotations
+
+import random
+import time
+from dataclasses import replace
+from typing import Any, Final
+
+import gevent
+from gevent import socket
+
+from driftstall.gateway.ingress import CallerConnection, CallerRequest, encode_head
+from soak.fleet import EVENT_PAUSE_S, LAPSE_S, RecordingUpstream, UpstreamSlot
+from soak.ledger import PLAIN_SERVICE, Arrival, Ledger
+from soak.proxy import Proxy
+from stand_ins.endings import (
+    CALL_PIECES,
+    EVENTS,
+    Ending,
+    EndingPlan,
+    EndingUpstream,
+    Framing,
+    Place,
+)
+from stand_ins.routed import ReceivedRequest
+
+HEALTH_PATH: Final = "/health"
+TRUNCATED_SHARE: Final = 0.3
+"""Share of the responses that end early while upstreams truncate responses."""
+FRAMINGS: Final = (Framing.LENGTH, Framing.CHUNKED, Framing.CLOSE, Framing.CLOSE)
+ENDINGS: Final = (
+    Ending.CLOSED,
+    Ending.CLOSED,
+    Ending.RESET,
+    Ending.RESET,
+    Ending.SILENT,
+    Ending.GONE,
+    Ending.RESTARTED,
+)
+PIECE_PAUSE_S: Final = 0.001
+"""Pause before each piece of a response to a call."""
+FLUSH_S: Final = 0.01
+"""Time for the proxy to forward what was sent before the process ends."""
+
+
+class TruncatingUpstream(EndingUpstream):
+    """A stand-in whose framing and early ends are drawn at random."""
+
+    def __init__(self, upstream_id: str, slot: TruncatingSlot, born: int) -> None:
+        """Start to listen."""
+        ledger = slot.ledger
+        super().__init__(upstream_id, self._draw_plan)
+        self.arrival_records = ledger.received[upstream_id]
+        self.report = {"state": "ready", "born": born}
+        assert ledger.sent_pieces is not None
+        self.sent = ledger.sent_pieces
+        self._ledger = ledger
+        self._slot = slot
+        self._draw = random.Random(upstream_id)
+        self._framing = self._draw.choice(FRAMINGS)
+
+    def record_request(self, seen: ReceivedRequest) -> None:
+        """Record the arrival of a request, and draw how its response ends."""
+        now = time.monotonic()
+        self._ledger.arrivals.append(
+            Arrival(seen.request_id, self.upstream_id, seen.target, now, seen.is_resumed)
+        )
+        super().record_request(seen)
+
+    def _draw_plan(self, seen: ReceivedRequest) -> EndingPlan:
+        """Draw how the response to a request ends."""
+        is_stream = seen.target.startswith("/stream/")
+        pause_s = EVENT_PAUSE_S if is_stream else PIECE_PAUSE_S
+        whole = EndingPlan(self._framing, pause_s=pause_s)
+        last = int(seen.headers.get("last-event-id") or 0)
+        pieces = EVENTS - last if is_stream else CALL_PIECES
+        is_truncating = self._slot.is_truncating and pieces > 1
+        if not is_truncating or self._draw.random() >= TRUNCATED_SHARE:
+            return whole
+        ending, place = self._draw.choice(ENDINGS), self._draw.choice(list(Place))
+        if self._framing is Framing.CLOSE and ending is Ending.CLOSED:
+            if not is_stream:
+                return whole
+            # Only the end inside an event shows that the response is not whole.
+            place = Place.INSIDE
+        self._ledger.truncations[f"{self._framing}, {ending}"] += 1
+        sent = self._draw.randrange(1, pieces)
+        return replace(whole, ending=ending, place=place, pieces=sent)
+
+    def _answer(
+        self, raw: socket.socket, connection: CallerConnection, call: CallerRequest
+    ) -> None:
+        """Answer a health check with the id of this process, and other requests by their plans."""
+        if call.path != HEALTH_PATH:
+            super()._answer(raw, connection, call)
+            return
+        name = (b"X-Driftstall-Instance-Id", self.upstream_id.encode())
+        connection.write(encode_head(200, (name,), (b"Content-Length: 0",)))
+
+    def _end(self, raw: socket.socket, connection: CallerConnection, plan: EndingPlan) -> None:
+        """End a response by its plan."""
+        if plan.ending is not Ending.WHOLE:
+            now = time.monotonic()
+            self._ledger.disturb(self.upstream_id, now, now)
+        if plan.ending is Ending.RESTARTED:
+            gevent.sleep(FLUSH_S)
+            self._slot.restart_process(self)
+            return
+        super()._end(raw, connection, plan)
+
+    def _stop_process(self) -> None:
+        """End the process."""
+        gevent.sleep(FLUSH_S)
+        self._slot.end_process(self)
+        super()._stop_process()
+
+
+class TruncatingSlot(UpstreamSlot):
+    """A place in a fleet whose upstreams end responses early."""
+
+    truncates_until = float("-inf")
+    """Time until which TRUNCATED_SHARE of the responses end early, by the monotonic clock."""
+
+    @property
+    def ledger(self) -> Ledger:
+        """Return the record of the run."""
+        return self._ledger
+
+    @property
+    def is_truncating(self) -> bool:
+        """Return True if some responses end early now."""
+        return time.monotonic() < self.truncates_until
+
+    def _create_upstream(self, name: str) -> RecordingUpstream:
+        """Create an upstream."""
+        upstream: Any = TruncatingUpstream(name, self, self._born)
+        return upstream  # type: ignore[no-any-return]
+
+    def truncate(self, for_s: float) -> None:
+        """Let all upstreams of the service end some responses early for some seconds."""
+        for slot in self.all:
+            assert isinstance(slot, TruncatingSlot)
+            slot.truncates_until = time.monotonic() + for_s
+
+    def end_process(self, old: TruncatingUpstream) -> None:
+        """End an upstream's process: its port refuses, and its connections close in order."""
+        proxy = self._proxies.pop(old.upstream_id, None)
+        if not isinstance(proxy, Proxy):
+            return
+        self._record_end(old.upstream_id)
+        proxy.end_target()
+        if self.upstream is old:
+            gevent.spawn(self._start_new)
+            gevent.spawn_later(LAPSE_S, self._delete, old.upstream_id)
+
+    def restart_process(self, old: TruncatingUpstream) -> None:
+        """Replace an upstream's process by another one at its address, with another id."""
+        proxy = self._proxies.get(old.upstream_id)
+        if self.upstream is not old or not isinstance(proxy, Proxy):
+            self.end_process(old)
+            return
+        del self._proxies[old.upstream_id]
+        self._record_end(old.upstream_id)
+        self._born += 1
+        name = f"{self.service}-{self.place}-{next(self._starts)}"
+        self._ledger.services[name] = self.service
+        self.upstream = self._create_upstream(name)
+        self._proxies[name] = proxy
+        proxy.replace_target(self.upstream.address)
+        self.connect_peers()
+        gevent.spawn(self._write, name, self._spec("ready"))
+        gevent.spawn_later(LAPSE_S, self._delete, old.upstream_id)
+
+
+def with_health_path(config: dict[str, Any]) -> dict[str, Any]:
+    """Return a configuration with the path at which plain upstreams name their process."""
+    services = [
+        service | {"healthPath": HEALTH_PATH} if service["name"] == PLAIN_SERVICE else service
+        for service in config["services"]
+    ]
+    return config | {"services": services}
--- a/stand_ins/endings.py
+++ b/stand_ins/endings.py
@@ -137,20 +137,21 @@
         headers = ((b"X-Driftstall-Request-Id", request_id.encode()), SEAL, *more)
         connection.write(encode_head(plan.status, headers, _framing_headers(plan.framing, pieces)))
         sent = self.sent.setdefault(request_id, [])
+        last = min(pieces, default=1) - 1
         for number, piece in _sent_pieces(plan, pieces):
             gevent.sleep(plan.pause_s)
             if request_id in self.stopped:
                 return
             connection.write(_frame(plan.framing, piece))
             sent.append(number)
+            last = number
             self.running[request_id] = number
             if backup is not None:
                 backup.copies[request_id] = number
             self.on_sent(request_id, number)
         if plan.ending is not Ending.WHOLE and plan.place is Place.INSIDE:
             # A chunk that promises a whole piece, and a part of the piece.
-            piece = pieces[max(sent, default=min(pieces) - 1) + 1]
-            framed = _frame(plan.framing, piece)
+            framed = _frame(plan.framing, pieces[last + 1])
             connection.write(framed[: len(framed) // 2])
         self._end(raw, connection, plan)
 
