Draw early ends of responses in the stand-in of endings

The choice of framings, endings and places that show that a response is not whole belongs to the stand-in that carries them out; the soak only says when to draw. A replaced process of the soak stops listening once its entry has lapsed, as a crashed one does.

--- a/soak/run.py
+++ b/soak/run.py
@@ -54,7 +54,7 @@
 from soak.plan import Fault, Kind, Plan, Step
 from soak.proxy import Proxy
 from soak.stop_checks import GRACE_S
-from soak.truncation import TruncatingSlot, with_health_path
+from soak.truncation import HEALTH_PATH, TruncatingSlot
 from stand_ins import endings
 from stand_ins.prompts import FATAL_PARTS, fatal_prompt, sound_prompt
 
@@ -631,7 +631,8 @@
         short = route("short", prefix, "streaming", ENGINE_SERVICE, priority=0, gap_aim_ms=180)
         config["routes"].append(short | {"timeoutMs": timeout_ms})
     if plan is Plan.TRUNCATED:
-        config = with_health_path(config)
+        # Plain upstreams name their process there, as engines do in their reports.
+        config["services"] = [{"healthPath": HEALTH_PATH} | each for each in config["services"]]
     added = route("added", f"/added{version}/", "safe", PLAIN_SERVICE)
     config["routes"].append(added | {"timeoutMs": CALL_TIMEOUT_S * 1000})
     return config
--- a/soak/truncation.py
+++ b/soak/truncation.py
@@ -4,7 +4,6 @@
 
 import random
 import time
-from dataclasses import replace
 from typing import Any, Final
 
 import gevent
@@ -12,7 +11,7 @@
 
 from driftstall.gateway.ingress import CallerConnection, CallerRequest, encode_head
 from soak.fleet import EVENT_PAUSE_S, LAPSE_S, RecordingUpstream, UpstreamSlot
-from soak.ledger import PLAIN_SERVICE, Arrival, Ledger
+from soak.ledger import Arrival, Ledger
 from soak.proxy import Proxy
 from stand_ins.endings import (
     CALL_PIECES,
@@ -21,7 +20,6 @@
     EndingPlan,
     EndingUpstream,
     Framing,
-    Place,
 )
 from stand_ins.routed import ReceivedRequest
 
@@ -29,15 +27,6 @@
 TRUNCATED_SHARE: Final = 0.3
 """Share of the responses that end early while upstreams truncate responses."""
 FRAMINGS: Final = (Framing.LENGTH, Framing.CHUNKED, Framing.CLOSE, Framing.CLOSE)
-ENDINGS: Final = (
-    Ending.CLOSED,
-    Ending.CLOSED,
-    Ending.RESET,
-    Ending.RESET,
-    Ending.SILENT,
-    Ending.GONE,
-    Ending.RESTARTED,
-)
 PIECE_PAUSE_S: Final = 0.001
 """Pause before each piece of a response to a call."""
 FLUSH_S: Final = 0.01
@@ -72,21 +61,16 @@
         """Draw how the response to a request ends."""
         is_stream = seen.target.startswith("/stream/")
         pause_s = EVENT_PAUSE_S if is_stream else PIECE_PAUSE_S
-        whole = EndingPlan(self._framing, pause_s=pause_s)
         last = int(seen.headers.get("last-event-id") or 0)
         pieces = EVENTS - last if is_stream else CALL_PIECES
         is_truncating = self._slot.is_truncating and pieces > 1
         if not is_truncating or self._draw.random() >= TRUNCATED_SHARE:
-            return whole
-        ending, place = self._draw.choice(ENDINGS), self._draw.choice(list(Place))
-        if self._framing is Framing.CLOSE and ending is Ending.CLOSED:
-            if not is_stream:
-                return whole
-            # Only the end inside an event shows that the response is not whole.
-            place = Place.INSIDE
-        self._ledger.truncations[f"{self._framing}, {ending}"] += 1
-        sent = self._draw.randrange(1, pieces)
-        return replace(whole, ending=ending, place=place, pieces=sent)
+            return EndingPlan(self._framing, pause_s=pause_s)
+        plan = EndingPlan.draw(
+            self._draw, self._framing, pieces, is_stream=is_stream, pause_s=pause_s
+        )
+        self._ledger.truncations[f"{plan.framing}, {plan.ending}"] += 1
+        return plan
 
     def _answer(
         self, raw: socket.socket, connection: CallerConnection, call: CallerRequest
@@ -171,12 +155,4 @@
         self.connect_peers()
         gevent.spawn(self._write, name, self._spec("ready"))
         gevent.spawn_later(LAPSE_S, self._delete, old.upstream_id)
-
-
-def with_health_path(config: dict[str, Any]) -> dict[str, Any]:
-    """Return a configuration with the path at which plain upstreams name their process."""
-    services = [
-        service | {"healthPath": HEALTH_PATH} if service["name"] == PLAIN_SERVICE else service
-        for service in config["services"]
-    ]
-    return config | {"services": services}
+        gevent.spawn_later(LAPSE_S, old.stop)
--- a/stand_ins/endings.py
+++ b/stand_ins/endings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from enum import StrEnum
@@ -54,6 +55,19 @@
     """The connection stays open without another byte."""
 
 
+DRAWN_ENDINGS: Final = (
+    Ending.CLOSED,
+    Ending.CLOSED,
+    Ending.RESET,
+    Ending.RESET,
+    Ending.SILENT,
+    Ending.GONE,
+    Ending.RESTARTED,
+)
+"""Endings that are drawn, each as often as it is listed. One that differs from another only in its
+time is left out."""
+
+
 class Place(StrEnum):
     """Where a response that is not whole ends."""
 
@@ -75,6 +89,28 @@
     """Pause before each piece."""
     status: int = 200
 
+    @classmethod
+    def draw(
+        cls,
+        source: random.Random,
+        framing: Framing,
+        pieces: int,
+        *,
+        is_stream: bool,
+        pause_s: float = 0.0,
+    ) -> EndingPlan:
+        """Draw the plan of a response of some pieces that shows that it is not whole.
+
+        A close-delimited response that is closed while its process lives on shows that only inside
+        an event.
+        """
+        is_hidden = framing is Framing.CLOSE and not is_stream
+        endings = [e for e in DRAWN_ENDINGS if e is not Ending.CLOSED or not is_hidden]
+        ending, place = source.choice(endings), source.choice(list(Place))
+        if framing is Framing.CLOSE and ending is Ending.CLOSED:
+            place = Place.INSIDE
+        return cls(framing, ending, place, source.randrange(1, pieces), pause_s)
+
 
 class EndingUpstream(RoutedUpstream):
     """A fake upstream whose responses are framed and end by plans."""
