Probe without a request whether a connection stays open

The process of an upstream without a health path, or in back-off, counted as alive once it had accepted a connection. A proxy accepts connections for a process that has ended, and so does the queue of a listener that is about to close; both close them at once. A truncated response was then told to its caller as whole.

Evidence: end_verification.feature with an upstream that closes, or resets, each connection at once, probed without a path: both were found alive, and are unknown now; one that keeps the connection open is alive as before.

Fix: the probe waits for 50 ms for the end of the connection. Sound responses without framing of such upstreams wait so much longer for their end.

--- a/driftstall/platform/process_probe.py
+++ b/driftstall/platform/process_probe.py
@@ -9,6 +9,7 @@
 
 from driftstall.exceptions import OversizedAnswer, UpstreamError, UpstreamTimeout
 from driftstall.gateway.dialect import ConnectUpstream, SignalObserver
+from driftstall.gateway.exchange import Connection
 from driftstall.gateway.model import Upstream
 from driftstall.gateway.response_ends.verification import ProcessState
 from driftstall.platform import names
@@ -18,6 +19,8 @@
 from driftstall.util.limited_response import ResponseLimits
 
 PROBE_TIMEOUT_S: Final = 0.5
+STAYS_OPEN_S: Final = 0.05
+"""Time for which a connection without a request stays open at a process that lives."""
 ANSWER_LIMITS: Final = ResponseLimits(held_bytes=1_000_000)
 """Limits of the body of an answer, which has a few fields."""
 HEADER_EXPECTED: Final = names.HEADER_UPSTREAM_ID.decode()
@@ -32,14 +35,13 @@
 ) -> ProcessState:
     """Request a path of an upstream and return the state of its process.
 
-    Without a path, a connection that is accepted counts as an answer.
+    Without a path, a connection that is accepted and stays open counts as an answer.
     """
     sent_at = clock.now()
     try:
         connection = connect(upstream)
         if not path:
-            connection.close()
-            return ProcessState.ALIVE
+            return _probe_connection(connection)
         exchange = Exchange.open_on(
             connection,
             upstream.address,
@@ -67,6 +69,23 @@
     return ProcessState.ALIVE
 
 
+def _probe_connection(connection: Connection) -> ProcessState:
+    """Return the state that a connection shows, and close it.
+
+    A proxy, or the queue of a listener, also accepts connections for a process that has ended.
+    """
+    try:
+        connection.settimeout(STAYS_OPEN_S)
+        is_open = bool(connection.recv(1))
+    except TimeoutError:
+        is_open = True
+    except OSError:
+        is_open = False
+    finally:
+        connection.close()
+    return ProcessState.ALIVE if is_open else ProcessState.UNKNOWN
+
+
 def _is_other_process(upstream: Upstream, exchange: Exchange, body: bytes) -> bool:
     """Return True if an answer names a process other than the upstream's."""
     name = exchange.header(HEADER_INSTANCE)
--- a/features/gateway/end_verification.feature
+++ b/features/gateway/end_verification.feature
@@ -107,6 +107,20 @@
       | answers with bytes that are no HTTP   | unknown |
       | answers with a part of its body       | unknown |
 
+  # Guards against a connection that was accepted for a process that has ended: by a proxy, or by its listener's queue.
+  Scenario Outline: an upstream without a health path that <replies> is <state>
+    Given an upstream that <replies> to probes
+    When its process is probed without a health path
+    Then it is found <state>
+
+    Examples:
+      | replies                        | state   |
+      | does not answer                | alive   |
+      | answers                        | alive   |
+      | refuses connections            | ended   |
+      | resets its connections at once | unknown |
+      | closes its connections at once | unknown |
+
   # Guards against probes that add to the load of an upstream that asks for a pause.
   Scenario: an upstream in back-off is only connected to
     Given a gateway before two plain upstreams and three engines
--- a/features/steps/end_verification_steps.py
+++ b/features/steps/end_verification_steps.py
@@ -235,6 +235,12 @@
     context.state = probe_process(context.upstream, "/health", ignore_signals, connect_directly)
 
 
+@when("its process is probed without a health path")
+def probe_connection(context: Any) -> None:
+    """Probe the process once; it gets no request."""
+    context.state = probe_process(context.upstream, "", ignore_signals, connect_directly)
+
+
 @then("it is found {state:w}")
 def found(context: Any, state: str) -> None:
     """Check the state."""
--- a/stand_ins/probed.py
+++ b/stand_ins/probed.py
@@ -18,6 +18,9 @@
     RESET = "resets its connections"
     CLOSE = "closes its connections"
     NOTHING = "does not answer"
+    RESET_AT_ONCE = "resets its connections at once"
+    CLOSE_AT_ONCE = "closes its connections at once"
+    """A proxy does so before a process that has ended."""
 
 
 class ProbedUpstream:
@@ -43,6 +46,11 @@
     def _serve(self, raw: socket.socket, _: tuple[str, int]) -> None:
         """Reply to one probe."""
         self.connections += 1
+        if self._reply is ProbeReply.CLOSE_AT_ONCE:
+            return
+        if self._reply is ProbeReply.RESET_AT_ONCE:
+            reset(raw)
+            return
         request = raw.recv(REQUEST_BYTES)
         if not request:
             return
