End a stream of the own interface without its last chunk after an unexpected error

A stream in which an unexpected error occurred ended as complete: its caller got a problem as bytes inside the stream, and the last chunk.

Cause: the error was turned into a problem response also when a response had begun; the server accepts a second start of a response, and writes the rest as part of the first.

Evidence: own_response_ends.feature, "raises an error after 2 tokens": before, the whole stream with "status":500 behind its tokens; now its tokens, no last chunk, and the connection ends. Before the first token it is a whole response with status 500, as before. 4 of 4 scenarios pass.

Fix: an error after the start of the response ends the connection.

--- a/driftstall/daemon/callers.py
+++ b/driftstall/daemon/callers.py
@@ -83,14 +83,26 @@
         return self._serve_counted(environ, start)
 
     def _serve_counted(self, environ: dict[str, Any], start: StartResponse) -> Iterator[bytes]:
-        """Serve one request, counted as open meanwhile; turn an exception into a problem."""
+        """Serve one request, counted as open meanwhile; turn an exception into a problem.
+
+        A response that has begun can't become a problem: it ends without its last chunk.
+        """
+        has_begun = False
+
+        def begin(status: str, headers: list[tuple[str, str]]) -> Any:
+            nonlocal has_begun
+            has_begun = True
+            return start(status, headers)
+
         try:
-            yield from self._serve(environ, start)
+            yield from self._serve(environ, begin)
         except (GeneratorExit, OSError):
             raise
         except Exception as fault:
             log_event(PREFIX_RELAY, f"A request failed with {type(fault).__name__}: {fault}")
             self._hub.stats.failed += 1
+            if has_begun:
+                raise
             detail = "an unforeseen fault; see the instance's log"
             problem = Problem(CODE_INTERNAL, 500, detail, Ran.UNKNOWN)
             yield from send_problem(start, problem)
