End a stream of the own interface without its last chunk if its relay has no end

A stream whose relay stopped without an end, as it does for a caller that seems to have disconnected, ended with its last chunk. A caller that had only ended its own output got so a stream that looks complete by its framing, though not by its last event.

Fix: the connection ends without the last chunk unless the relay has given an end.

--- a/driftstall/daemon/callers.py
+++ b/driftstall/daemon/callers.py
@@ -251,8 +251,13 @@
     def _generate_events(
         self, first: RelayItem, items: Iterator[RelayItem], workspace: str
     ) -> Iterator[bytes]:
-        """Yield the events of a stream; each token's event id is its resume token."""
+        """Yield the events of a stream; each token's event id is its resume token.
+
+        Raises ConnectionAbortedError if the relay stops without an end, as for a caller that has
+        disconnected: one that has only ended its output would get the last chunk.
+        """
         item: RelayItem | None = first
+        has_ended = False
         prefix, prefix_for = b"", ""
         try:
             while item is not None:
@@ -269,12 +274,16 @@
                     )
                 elif isinstance(item, Completed):
                     self._hub.stats.completed += 1
+                    has_ended = True
                     yield b"data: " + item.data + b"\n\n" + STREAM_END
                 elif isinstance(item, Failed):
                     self._hub.stats.failed += 1
+                    has_ended = True
                     fields = orjson.dumps(problem_fields(item.problem))
                     yield b"event: error\ndata: " + fields + b"\n\n"
                 item = next(items, None)
+            if not has_ended:
+                raise ConnectionAbortedError("the stream has no end")
         finally:
             items.close()  # type: ignore[attr-defined]
 
--- a/features/gateway/own_response_ends.feature
+++ b/features/gateway/own_response_ends.feature
@@ -13,6 +13,7 @@
       | is complete after 2 tokens       | is     | its end          | there      |
       | fails after 2 tokens             | is     | the failure      | there      |
       | raises an error after 2 tokens   | is not | the tokens       | missing    |
+      | stops without an end after 2     | is not | the tokens       | missing    |
 
   Scenario: an unexpected error before the first token is a whole response of its own
     Given the own interface before a relay that raises an error at once
