--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -29,7 +29,7 @@
 from driftstall.gateway.callers.pacing import DenseInputPacer
 from driftstall.gateway.cordons import CordonRegistry
 from driftstall.gateway.dialect import Dialect
-from driftstall.gateway.exchange import OpenExchanges, ResponseHead, UpstreamExchange
+from driftstall.gateway.exchange import ResponseHead, UpstreamExchange
 from driftstall.gateway.fleet import FleetController
 from driftstall.gateway.forwarding.connector import UpstreamConnector
 from driftstall.gateway.loads import LoadTable, RequestLoad, Use
@@ -37,6 +37,7 @@
 from driftstall.gateway.outcomes import Outcome, OutlierDetector
 from driftstall.gateway.poison.guard import PoisonGuard
 from driftstall.gateway.response_buffers import ResponseBuffers
+from driftstall.gateway.response_ends.open_exchanges import OpenExchanges
 from driftstall.gateway.response_ends.records import record_response_end
 from driftstall.gateway.response_ends.verification import EndVerifier, ProcessState
 from driftstall.gateway.response_limits import record_oversized
