Let answers in tiny chunks to a process's own requests rest in turn

While 40 probed engines answered in chunks of two bytes without end, another caller of the gateway waited over a second: each block of 16 KiB calls the parser's callbacks thousands of times, and others got a turn after 64 KiB.

A block with more than 256 callbacks now makes its reader rest in turn, as the input of callers and the responses of upstreams do; the pacer moves from the callers' package to util, where the HTTP client can use it.

--- a/driftstall/gateway/callers/auxiliary.py
+++ b/driftstall/gateway/callers/auxiliary.py
@@ -14,7 +14,6 @@
     ConnectionTable,
     make_server,
 )
-from driftstall.gateway.callers.pacing import DenseInputPacer
 from driftstall.gateway.callers.refusals import refuse
 from driftstall.gateway.ingress import (
     CallerConnection,
@@ -24,6 +23,7 @@
 from driftstall.gateway.model import Limits
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import log_event
+from driftstall.util.pacing import DenseInputPacer
 
 AUXILIARY_LIMITS: Final = Limits(header_bytes=8_192, body_bytes=1_024)
 """Limits of the listeners that take no generation requests."""
--- a/driftstall/gateway/exchange.py
+++ b/driftstall/gateway/exchange.py
@@ -17,12 +17,12 @@
 from gevent import select
 
 from driftstall.exceptions import InvalidResponse, UpstreamError
-from driftstall.gateway.callers.pacing import DenseInputPacer
 from driftstall.gateway.model import Header, Headers
 from driftstall.gateway.response_buffers import ResponseBuffers
 from driftstall.gateway.response_ends.framing import ResponseEndCause, ResponseFraming
 from driftstall.gateway.response_ends.heads import contains_framing_field, contains_status_line
 from driftstall.util import clock
+from driftstall.util.pacing import DenseInputPacer
 from driftstall.util.response_overhead import PARSE_BYTES, ResponseOverhead
 
 RECEIVE_BYTES: Final = 65_536
--- a/driftstall/gateway/ingress.py
+++ b/driftstall/gateway/ingress.py
@@ -18,11 +18,11 @@
 
 from driftstall.const import PREFIX_RELAY
 from driftstall.decisions.buffer_budget import BufferBudget
-from driftstall.gateway.callers.pacing import DenseInputPacer
 from driftstall.gateway.callers.requests import CallerRequest, MalformedRequest, RequestBuilder
 from driftstall.gateway.model import Headers, Limits
 from driftstall.helpers.log import log_event
 from driftstall.util import clock
+from driftstall.util.pacing import DenseInputPacer
 
 __all__ = [
     "CallerConnection",
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -26,7 +26,6 @@
 from driftstall.decisions.upstream_load import LoadSource, ReportedLoad, UpstreamLoads, mean_pace
 from driftstall.exceptions import UpstreamError
 from driftstall.gateway import unconnected
-from driftstall.gateway.callers.pacing import DenseInputPacer
 from driftstall.gateway.cordons import CordonRegistry
 from driftstall.gateway.dialect import Dialect
 from driftstall.gateway.exchange import OpenExchanges, ResponseHead, UpstreamExchange
@@ -57,6 +56,7 @@
 from driftstall.peers.gateway_messages import PlacementAsked, PlacementGiven
 from driftstall.policy.model import Policy
 from driftstall.util import clock
+from driftstall.util.pacing import DenseInputPacer
 
 AcquireMemory = Callable[[QueueAsked, Callable[[], bool]], MemoryGranted | MemoryRefused | None]
 """Waits for engine memory until it is granted or refused, or the given function returns True."""
--- a/driftstall/util/limited_response.py
+++ b/driftstall/util/limited_response.py
@@ -12,6 +12,8 @@
 
 from driftstall.decisions.buffer_budget import BYTES_PER_MB, BufferAccount, BufferBudget
 from driftstall.exceptions import OversizedAnswer
+from driftstall.util import clock
+from driftstall.util.pacing import DenseInputPacer
 from driftstall.util.response_overhead import PARSE_BYTES, ResponseOverhead
 
 EVENT_END: Final = b"\n\n"
@@ -25,6 +27,7 @@
 """Share of the machine's memory for these bytes, where it is known."""
 
 _held: Final = BufferBudget(MAX_HELD_BYTES)
+_pacer: Final = DenseInputPacer()
 
 
 def limit_held_bytes(memory_mb: float) -> None:
@@ -54,6 +57,8 @@
         self._limits = limits
         self._overhead = ResponseOverhead()
         self._unyielded_bytes = 0
+        self._callbacks = 0
+        """Calls of the parser so far; tiny chunks cause many."""
         self._is_close_delimited = False
         self._account: BufferAccount | None = None
         """Account of the bytes held; None before the first byte of the body."""
@@ -83,6 +88,7 @@
     def _feed(self, data: str | bytes) -> None:
         """Parse received bytes and give other greenlets a turn."""
         self._check_discarded()
+        callbacks, began_at = self._callbacks, clock.now()
         self._overhead.record_received(len(data))
         super().feed(data)
         self._is_close_delimited |= self.message_complete and not data
@@ -91,11 +97,14 @@
         if len(self._body_buffer) > self._limits.held_bytes:
             raise OversizedAnswer("the body is too large")
         self._charge()
+        spent_s = clock.now() - began_at
         self._unyielded_bytes += len(data)
         if self._unyielded_bytes >= YIELD_BYTES:
             self._unyielded_bytes = 0
             gevent.sleep(0)
-            self._check_discarded()
+        if not self.message_complete:
+            _pacer.rest(self._callbacks - callbacks, spent_s)
+        self._check_discarded()
 
     def discard(self) -> None:
         """Drop what is held of the body; it can't be read any further."""
@@ -153,11 +162,13 @@
 
     def _on_body(self, buf: bytearray) -> None:
         """Count bytes of the body."""
+        self._callbacks += 1
         self._overhead.record_body(len(buf))
         super()._on_body(buf)
 
     def _flush_header(self) -> None:
         """Count a header."""
+        self._callbacks += 1
         self._overhead.record_header()
         super()._flush_header()
 
--- a/features/gateway/endless_engines.feature
+++ b/features/gateway/endless_engines.feature
@@ -18,6 +18,7 @@
       | count | data                  |
       | 40    | a body without length |
       | 40    | a header's value      |
+      | 40    | chunks of two bytes   |
 
   # Guards against the same with answers to orders to copy runs.
   Scenario Outline: a gateway serves on while <count> engines answer moves with <data> without end
--- a/features/steps/response_buffer_steps.py
+++ b/features/steps/response_buffer_steps.py
@@ -11,10 +11,10 @@
 from hypothesis import strategies as st
 
 from driftstall.exceptions import InvalidResponse
-from driftstall.gateway.callers.pacing import DenseInputPacer
 from driftstall.gateway.exchange import BodyChunk, UpstreamExchange
 from driftstall.gateway.response_body import ResponseBody
 from driftstall.gateway.response_buffers import ResponseBuffers
+from driftstall.util.pacing import DenseInputPacer
 
 LIMIT: Final = 100
 STEPS: Final = st.lists(st.tuples(st.integers(0, 9), st.integers(0, 60)), max_size=60)
--- a/features/steps/response_head_steps.py
+++ b/features/steps/response_head_steps.py
@@ -13,10 +13,10 @@
 from hypothesis import strategies as st
 
 from driftstall.exceptions import UpstreamError
-from driftstall.gateway.callers.pacing import DenseInputPacer
 from driftstall.gateway.exchange import ResponseHead, ResponsePart, UpstreamExchange
 from driftstall.gateway.ingress import encode_chunk
 from driftstall.gateway.response_buffers import ResponseBuffers
+from driftstall.util.pacing import DenseInputPacer
 from features.steps.kept_connection_steps import CHUNKED, LAST_CHUNK, head_bytes, use_raw_upstreams
 from features.worlds.gateway_world import Received, world_of
 from stand_ins.raw import RawEnding, RawResponse
--- a/features/steps/stream_disturbance_steps.py
+++ b/features/steps/stream_disturbance_steps.py
@@ -13,11 +13,11 @@
 
 from driftstall.exceptions import UpstreamError
 from driftstall.gateway import ingress, streams
-from driftstall.gateway.callers.pacing import DenseInputPacer
 from driftstall.gateway.events import EventSequence
 from driftstall.gateway.exchange import ResponseEnd, UpstreamExchange
 from driftstall.gateway.ingress import LAST_CHUNK, encode_chunk
 from driftstall.gateway.response_buffers import ResponseBuffers
+from driftstall.util.pacing import DenseInputPacer
 from features.steps.gateway_stream_steps import stream_script
 from features.worlds.gateway_world import (
     GatewayWorld,
--- a/features/steps/tunnel_end_steps.py
+++ b/features/steps/tunnel_end_steps.py
@@ -12,7 +12,6 @@
 from hypothesis import strategies as st
 
 from driftstall.exceptions import UpstreamError
-from driftstall.gateway.callers.pacing import DenseInputPacer
 from driftstall.gateway.exchange import BodyChunk, ResponseEnd, UpstreamExchange
 from driftstall.gateway.forwarding import tunnel_server
 from driftstall.gateway.forwarding.tunnel import (
@@ -28,6 +27,7 @@
 from driftstall.platform.names import KIND_UPSTREAMS
 from driftstall.platform.settings import DEFAULT_PEER_KEY
 from driftstall.util import clock
+from driftstall.util.pacing import DenseInputPacer
 from features.steps.gateway_node_steps import start_one, wait_for_processes
 from features.steps.partition_steps import (
     BIG_EVENT_BYTES,
