--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -26,10 +26,9 @@
 from driftstall.decisions.upstream_load import LoadSource, ReportedLoad, UpstreamLoads, mean_pace
 from driftstall.exceptions import UpstreamError
 from driftstall.gateway import unconnected
-from driftstall.gateway.callers.pacing import DenseInputPacer
 from driftstall.gateway.cordons import CordonRegistry
 from driftstall.gateway.dialect import Dialect
-from driftstall.gateway.exchange import OpenExchanges, ResponseHead, UpstreamExchange
+from driftstall.gateway.exchange import ResponseHead, UpstreamExchange
 from driftstall.gateway.fleet import FleetController
 from driftstall.gateway.forwarding.connector import UpstreamConnector
 from driftstall.gateway.loads import LoadTable, RequestLoad, Use
@@ -37,6 +36,7 @@
 from driftstall.gateway.outcomes import Outcome, OutlierDetector
 from driftstall.gateway.poison.guard import PoisonGuard
 from driftstall.gateway.response_buffers import ResponseBuffers
+from driftstall.gateway.response_ends.open_exchanges import OpenExchanges
 from driftstall.gateway.response_ends.records import record_response_end
 from driftstall.gateway.response_ends.verification import EndVerifier, ProcessState
 from driftstall.gateway.response_limits import record_oversized
@@ -57,6 +57,7 @@
 from driftstall.peers.gateway_messages import PlacementAsked, PlacementGiven
 from driftstall.policy.model import Policy
 from driftstall.util import clock
+from driftstall.util.pacing import DenseInputPacer
 
 AcquireMemory = Callable[[QueueAsked, Callable[[], bool]], MemoryGranted | MemoryRefused | None]
 """Waits for engine memory until it is granted or refused, or the given function returns True."""
