Ask an engine for its health if its report names no process

Fix: without a known start the probe is the health check of the service, if it has one: its answer names the process. With a known start it is the report, which answers without a slot.

--- a/driftstall/platform/dialect.py
+++ b/driftstall/platform/dialect.py
@@ -71,8 +71,12 @@
     def probe_process(
         self, upstream: Upstream, health_path: str, *, is_engine: bool
     ) -> ProcessState:
-        """Ask an engine for its report, another upstream for its health; return the state."""
-        path = names.PATH_REPORT if is_engine else health_path
+        """Return the state of the process that a health check, or an engine's report, shows.
+
+        A health check names its process; a report does so only by a start that is known.
+        """
+        asks_report = is_engine and (upstream.born or not health_path)
+        path = names.PATH_REPORT if asks_report else health_path
         return process_probe.probe_process(upstream, path, self.on_signals, self.connect)
 
     def drop_replica(self, holder: Upstream, copy_of: str) -> None:
--- a/features/gateway/end_verification.feature
+++ b/features/gateway/end_verification.feature
@@ -121,6 +121,20 @@
       | resets its connections at once | unknown |
       | closes its connections at once | unknown |
 
+  # Guards against a restarted engine that is taken for the one before it, as its report names no process.
+  Scenario Outline: an engine whose report <report> and whose health check <replies> is <state>
+    Given an engine whose entry <entry>, whose report <report> and that <replies> to other probes
+    When its process is probed as that of an engine
+    Then it is found <state>
+
+    Examples:
+      | entry          | report                      | replies                 | state |
+      | names no start | answers                     | answers with its id     | alive |
+      | names no start | answers                     | answers with another id | ended |
+      | names no start | answers                     | answers 421             | ended |
+      | names a start  | answers with another start  | answers with its id     | ended |
+      | names a start  | answers with the same start | does not answer         | alive |
+
   # Guards against probes that add to the load of an upstream that asks for a pause.
   Scenario: an upstream in back-off is only connected to
     Given a gateway before two plain upstreams and three engines
--- a/features/steps/end_verification_steps.py
+++ b/features/steps/end_verification_steps.py
@@ -21,6 +21,7 @@
     ProcessState,
 )
 from driftstall.gateway.stats import GatewayStats
+from driftstall.platform.dialect import PlatformDialect
 from driftstall.platform.process_probe import probe_process
 from driftstall.util import clock
 from features.worlds.gateway_world import wait_for, world_of
@@ -229,6 +230,25 @@
     context.upstream = replace(upstream_of("p-1"), address=address, born=BORN)
 
 
+@given("an engine whose entry {entry}, whose report {report} and that {replies} to other probes")
+def engine_replies_so(context: Any, entry: str, report: str, replies: str) -> None:
+    """Start an engine with a report."""
+    answer = REPLIES[report]
+    reply = REPLIES[replies]
+    assert isinstance(answer, bytes) and reply is not None
+    probed = ProbedUpstream(reply, answer)
+    context.add_cleanup(probed.stop)
+    born = BORN if entry == "names a start" else 0
+    context.upstream = replace(upstream_of("p-1"), address=probed.address, born=born)
+
+
+@when("its process is probed as that of an engine")
+def probe_engine(context: Any) -> None:
+    """Probe the process of an engine whose service has a health path."""
+    dialect = PlatformDialect()
+    context.state = dialect.probe_process(context.upstream, "/health", is_engine=True)
+
+
 @when("its process is probed")
 def probe(context: Any) -> None:
     """Probe the process once."""
--- a/stand_ins/probed.py
+++ b/stand_ins/probed.py
@@ -10,6 +10,7 @@
 from stand_ins.routed import reset
 
 REQUEST_BYTES = 65_536
+REPORT_PATH = b" /api/report "
 
 
 class ProbeReply(Enum):
@@ -26,9 +27,10 @@
 class ProbedUpstream:
     """A listener that gives the same reply to each probe."""
 
-    def __init__(self, reply: bytes | ProbeReply) -> None:
-        """Start listening."""
+    def __init__(self, reply: bytes | ProbeReply, report: bytes | None = None) -> None:
+        """Start listening; the report is the answer to requests for it, else the reply."""
         self._reply = reply
+        self._report = report
         self.requests: list[bytes] = []
         self.connections = 0
         self._server = StreamServer(("127.0.0.1", 0), self._serve)
@@ -55,7 +57,9 @@
         if not request:
             return
         self.requests.append(request)
-        if isinstance(self._reply, bytes):
+        if self._report is not None and REPORT_PATH in request:
+            raw.sendall(self._report)
+        elif isinstance(self._reply, bytes):
             raw.sendall(self._reply)
         elif self._reply is ProbeReply.RESET:
             reset(raw)
