Verify the end of a response also after the instance was frozen

Sound responses without framing counted as cut if the instance was frozen for 1.5 s or more within the 50 ms before their probe: their time for evidence was over before the probe was sent.

Fix: the time for evidence counts from when the probe may be sent.

--- a/driftstall/gateway/response_ends/verification.py
+++ b/driftstall/gateway/response_ends/verification.py
@@ -113,8 +113,9 @@
         settle_s = max(0.0, counts_from - self._now())
         if settle_s >= max_wait_s:
             return ProcessState.UNKNOWN
-        until = self._now() + max_wait_s
         gevent.sleep(settle_s)
+        # The rest of the time counts from here: the process may have been frozen meanwhile.
+        until = self._now() + max_wait_s - settle_s
         if self._answers.get(upstream.upstream_id, float("-inf")) >= counts_from:
             return ProcessState.ALIVE
         check = self._join_check(upstream, counts_from)
--- a/features/gateway/end_verification.feature
+++ b/features/gateway/end_verification.feature
@@ -79,6 +79,14 @@
     Then the process is known to live after 0 of them within 0.4 s
     And 1 probe was sent
 
+  # Guards against sound responses that count as cut as their instance was frozen for some seconds.
+  Scenario: an instance that is frozen before it sends a probe sends it afterwards
+    Given a verifier whose probes wait
+    When 5 responses end at once, and the instance is frozen for 2 s before it sends a probe
+    And the probe finds the process alive
+    Then the process is known to live after 5 of them
+    And 1 probe was sent
+
   # Guards against memory that grows with the upstreams that have come and gone.
   Scenario: the evidence takes bounded memory
     Given a verifier whose probes find the process alive
--- a/features/steps/end_verification_steps.py
+++ b/features/steps/end_verification_steps.py
@@ -164,6 +164,22 @@
     context.waiting.pop(0).kill()
 
 
+@when(
+    "{count:d} responses end at once, and the instance is frozen for {frozen_s:g} s before it"
+    " sends a probe"
+)
+def end_before_freeze(context: Any, count: int, frozen_s: float) -> None:
+    """Let responses end, and the clock go on before their greenlets do."""
+    ahead_s = 0.0
+    context.verifier._now = lambda: clock.now() + ahead_s
+    _end(context, count)
+    gevent.sleep(0)
+    assert context.probe.sent == 0
+    ahead_s = frozen_s
+    wait_for("a probe is sent", lambda: context.probe.sent == 1)
+    gevent.idle()
+
+
 @when("the probe finds the process alive")
 def probe_ends(context: Any) -> None:
     """Let the probe end."""
