Send no bytes behind the head of a response to HEAD

A caller that sent HEAD got the body of the gateway's own refusals behind the head, and a last chunk on routes of streams. On a kept connection it would take these bytes for the response to its next request.

Evidence: head_requests.feature sends HEAD and then POST on one connection. Before, 2 of 4 scenarios failed ("0\r\n\r\nHTTP/1.1 200 OK", "{...}HTTP/1.1 200 OK"); now 4 of 4 pass.

Fix: the writer of a response to HEAD ends with the head.

--- a/driftstall/gateway/listeners.py
+++ b/driftstall/gateway/listeners.py
@@ -125,7 +125,7 @@
         """Answer one request; return whether the connection is kept open."""
         self._state.stats.requests += 1
         self._state.open_requests += 1
-        writer = ResponseWriter(connection)
+        writer = ResponseWriter(connection, is_for_head=call.method == b"HEAD")
         try:
             return self._admit_and_serve(writer, call)
         except Exception as error:
--- a/driftstall/gateway/response_writer.py
+++ b/driftstall/gateway/response_writer.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 from driftstall.gateway.ingress import CallerConnection, DisconnectWatch
 
+HEAD_END: Final = b"\r\n\r\n"
+
 
 class ResponseWriter:
     """Write the response to one request, and record whether any of it may have been sent."""
 
-    def __init__(self, connection: CallerConnection) -> None:
-        """Initialize with the connection that the request came on."""
+    def __init__(self, connection: CallerConnection, *, is_for_head: bool = False) -> None:
+        """Initialize with the connection that the request came on, and whether that is HEAD."""
         self._connection = connection
+        self._is_for_head = is_for_head
         self._has_begun = False
 
     @property
@@ -19,7 +24,14 @@
         return self._has_begun
 
     def write(self, data: bytes) -> bool:
-        """Write to the caller; return False if it has disconnected."""
+        """Write to the caller; return False if it has disconnected.
+
+        The first write has the whole head. A response to HEAD ends with it.
+        """
+        if self._is_for_head:
+            if self._has_begun:
+                return True
+            data = data[: data.index(HEAD_END) + len(HEAD_END)]
         self._has_begun = True
         return self._connection.write(data)
 
