Send no body in responses of the other listeners to HEAD

A HEAD request for the readiness check, the directory or the metrics, or at the own interface, got the body behind the head; on a kept connection it stood in the place of the next response.

Fix: the auxiliary listeners write with the writer of the callers' listener, and the own interface's server ends such a response with its head.

--- a/driftstall/daemon/http_server.py
+++ b/driftstall/daemon/http_server.py
@@ -108,6 +108,15 @@
         self._inbound.begin_response()
         return super().start_response(status, headers, exc_info)
 
+    def write(self, data: bytes) -> None:
+        """Write a part of the response; one to HEAD ends with its head."""
+        if self.command != "HEAD":
+            super().write(data)
+            return
+        if not self.headers_sent:
+            super().write(b"")
+        self.response_use_chunked = False
+
     def handle_error(self, kind: Any, value: Any, trace: Any) -> None:
         """Log an exception; a broken connection is none of the application's."""
         self.close_connection = True
--- a/driftstall/gateway/callers/auxiliary.py
+++ b/driftstall/gateway/callers/auxiliary.py
@@ -21,6 +21,7 @@
     ConnectionClosed,
 )
 from driftstall.gateway.model import Limits
+from driftstall.gateway.response_writer import ResponseWriter
 from driftstall.gateway.state import GatewayState
 from driftstall.helpers.log import log_event
 from driftstall.util.pacing import DenseInputPacer
@@ -78,7 +79,8 @@
                 refuse(connection, call, self._state.stats)
                 connection.finish_writing()
                 return
-            if not connection.write(self._answer(call)) or not call.keep_alive:
+            writer = ResponseWriter(connection, is_for_head=call.method == b"HEAD")
+            if not writer.write(self._answer(call)) or not call.keep_alive:
                 return
 
     def _count_eviction(self) -> None:
