Hold a large answer once while it is sent

An answer of an upstream was copied when it was whole, and again to put its head in front of it; both copies lived until the caller had read it, and the budget counted one of them. Callers that read nothing for ten seconds thus held twice what they were charged for.

Evidence: "an instance serves others beside callers that do not read large answers" (12 answers of 8 MiB, 100 MB) now waits until all answers have been sent before it looks at the peak, which is stricter.

--- a/driftstall/gateway/ingress.py
+++ b/driftstall/gateway/ingress.py
@@ -258,7 +258,7 @@
             self._builder.wants_continue = False
             self.write(CONTINUE)
 
-    def write(self, data: bytes) -> bool:
+    def write(self, data: bytes | bytearray) -> bool:
         """Write to the caller; return False if it has disconnected or reads too slowly."""
         if len(data) <= SMALL_WRITE_BYTES:
             return self._send(data)
@@ -274,7 +274,7 @@
         finally:
             account.close()
 
-    def _send(self, data: bytes) -> bool:
+    def _send(self, data: bytes | bytearray) -> bool:
         """Send all data; return False if that fails."""
         try:
             self._connection.settimeout(WRITE_TIMEOUT_S)
--- a/driftstall/gateway/listeners.py
+++ b/driftstall/gateway/listeners.py
@@ -41,7 +41,7 @@
 from driftstall.gateway.poison.status import describe_quarantine
 from driftstall.gateway.response_ends.results import UpstreamResponse
 from driftstall.gateway.response_writer import ResponseWriter
-from driftstall.gateway.responses import encode_problem, encode_response
+from driftstall.gateway.responses import encode_problem, encode_response, encode_response_head
 from driftstall.gateway.scheduling.queue_status import QueueStatus
 from driftstall.gateway.state import GatewayState
 from driftstall.gateway.stats import render
@@ -237,8 +237,10 @@
             return self._answer_problem(writer, result, keep_alive=keep_alive)
         self._state.stats.completed += 1
         self._state.stats.answer_s.observe({}, self._state.now() - admitted.started_at)
-        data = encode_response(result.status, result.headers, result.body, keep_alive=keep_alive)
-        return writer.write(data) and keep_alive
+        head = encode_response_head(
+            result.status, result.headers, len(result.body), keep_alive=keep_alive
+        )
+        return writer.write_response(head, result.body) and keep_alive
 
     def _answer_problem(
         self, writer: ResponseWriter, problem: Problem, *, keep_alive: bool
--- a/driftstall/gateway/response_body.py
+++ b/driftstall/gateway/response_body.py
@@ -33,8 +33,7 @@
         """Drop the bytes: another response follows, or the response is ended."""
         self._buffer = bytearray()
 
-    def take(self) -> bytes:
-        """Return the whole body and release the buffer."""
-        body = bytes(self._buffer)
-        self._buffer.clear()
+    def take(self) -> bytearray:
+        """Return the whole body, which is not copied, and release the buffer."""
+        body, self._buffer = self._buffer, bytearray()
         return body
--- a/driftstall/gateway/response_ends/results.py
+++ b/driftstall/gateway/response_ends/results.py
@@ -16,7 +16,7 @@
 
     status: int
     headers: Headers
-    body: bytes
+    body: bytes | bytearray
     is_framed: bool = True
     """Whether the response was framed by its headers; otherwise it ended with its connection."""
 
--- a/driftstall/gateway/response_writer.py
+++ b/driftstall/gateway/response_writer.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from driftstall.gateway.ingress import CallerConnection, DisconnectWatch
+from driftstall.gateway.ingress import SMALL_WRITE_BYTES, CallerConnection, DisconnectWatch
 
 
 class ResponseWriter:
@@ -18,11 +18,17 @@
         """Return True if a part of the response may have been sent."""
         return self._has_begun
 
-    def write(self, data: bytes) -> bool:
+    def write(self, data: bytes | bytearray) -> bool:
         """Write to the caller; return False if it has disconnected."""
         self._has_begun = True
         return self._connection.write(data)
 
+    def write_response(self, head: bytes, body: bytes | bytearray) -> bool:
+        """Write a head and a body, without a copy of a large body."""
+        if len(body) <= SMALL_WRITE_BYTES:
+            return self.write(head + body)
+        return self.write(head) and self.write(body)
+
     def watch_disconnect(self) -> DisconnectWatch:
         """Return a watch that detects a disconnect of the caller."""
         return self._connection.watch_disconnect()
--- a/driftstall/gateway/responses.py
+++ b/driftstall/gateway/responses.py
@@ -18,8 +18,15 @@
 
 def encode_response(status: int, headers: Headers, body: bytes, *, keep_alive: bool) -> bytes:
     """Return the bytes of a whole response."""
-    extra = (b"Content-Length: %d" % len(body), KEEP_ALIVE_HEADER if keep_alive else CLOSE_HEADER)
-    return encode_head(status, headers, extra) + body
+    return encode_response_head(status, headers, len(body), keep_alive=keep_alive) + body
+
+
+def encode_response_head(
+    status: int, headers: Headers, body_bytes: int, *, keep_alive: bool
+) -> bytes:
+    """Return the head of a response whose body has this size."""
+    extra = (b"Content-Length: %d" % body_bytes, KEEP_ALIVE_HEADER if keep_alive else CLOSE_HEADER)
+    return encode_head(status, headers, extra)
 
 
 def encode_problem(problem: Problem, *, keep_alive: bool) -> bytes:
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -34,7 +34,7 @@
     CLOSE_HEADER,
     KEEP_ALIVE_HEADER,
     encode_problem,
-    encode_response,
+    encode_response_head,
 )
 from driftstall.gateway.runs import StreamRun
 from driftstall.gateway.sending import OpenedResponse
@@ -154,13 +154,14 @@
             return self._answer_problem(problem)
         self._context.record_outcome(run, Outcome.FAILED)
         self._state.stats.failed += 1
-        data = encode_response(
+        content = body.take()
+        head = encode_response_head(
             opened.head.status,
             opened.metadata.forwarded_headers,
-            body.take(),
+            len(content),
             keep_alive=self._keep_alive,
         )
-        return self._writer.write(data) and self._keep_alive
+        return self._writer.write_response(head, content) and self._keep_alive
 
     def _send_head(self, opened: OpenedResponse) -> bool:
         """Send the response head to the caller."""
--- a/features/steps/endless_stream_steps.py
+++ b/features/steps/endless_stream_steps.py
@@ -17,7 +17,7 @@
 LAST_CHUNK: Final = b"0\r\n\r\n"
 STREAM_HEAD: Final = b"HTTP/1.1 200 "
 STREAM_PATIENCE_S: Final = 6.0
-READ_BYTES: Final = 4_000_000
+READ_BYTES: Final = 10_000_000
 """Bytes after which a caller leaves a stream that goes on."""
 
 
--- a/features/steps/endless_upstream_steps.py
+++ b/features/steps/endless_upstream_steps.py
@@ -143,19 +143,21 @@
     _start_node(context, megabytes, context.proxy.address)
 
 
+def spawn_crowd(context: Any, paths: list[str], ask: Callable[[Any, str, str], Any] = _ask) -> None:
+    """Send requests; the callable ask sends one with a path and an id, and returns its answer."""
+    context.calls = [
+        gevent.spawn(ask, context, path, f"endless-{number}") for number, path in enumerate(paths)
+    ]
+
+
 def send_crowd(
     context: Any,
     paths: list[str],
     others: int,
     ask: Callable[[Any, str, str], Any] = _ask,
 ) -> None:
-    """Send calls to the endless upstream and to others, and wait until it has begun to answer.
-
-    The callable ask sends a request with a path and an id, and returns its answer.
-    """
-    context.calls = [
-        gevent.spawn(ask, context, path, f"endless-{number}") for number, path in enumerate(paths)
-    ]
+    """Send calls to the endless upstream and to others, and wait until it has begun to answer."""
+    spawn_crowd(context, paths, ask)
     for number in range(others):
         gevent.spawn(_ask, context, "/once/a", f"other-{number}")
     wait_for_processes("an answer has begun", lambda: context.endless.sender.started)
--- a/features/steps/rough_gateway_caller_steps.py
+++ b/features/steps/rough_gateway_caller_steps.py
@@ -153,7 +153,7 @@
 
 @when("{count:d} callers ask for answers of {size:d} MiB and do not read them")
 def ask_for_large_answers(context: Any, count: int, size: int) -> None:
-    """Wait until each request has been answered by its upstream."""
+    """Wait until each request has been answered by its upstream, or was refused."""
     crowd = start_crowd(context, "front")
     large = Script(body=b"x" * (size * MIB))
     ids = {f"large-{number}" for number in range(count)}
@@ -165,6 +165,10 @@
         "the requests have run or were refused",
         lambda: unanswered(context, ids) <= count_closed(crowd.connections),
     )
+    # The instance holds most once it has read the answers, or has refused to read on.
+    wait_for_processes(
+        "the answers are sent", lambda: not any(each.in_progress for each in context.upstreams)
+    )
 
 
 def unanswered(context: Any, ids: set[str]) -> int:
@@ -216,6 +220,8 @@
     lines = dict(line.split(":", 1) for line in (proc / "status").read_text().splitlines())
     peak_mb = int(lines["VmHWM"].split()[0]) / 1024
     descriptors = len(list((proc / "fd").iterdir()))
+    if context.config.userdata.getbool("peaks"):
+        print(f"PEAK {context.scenario.name}: {peak_mb:.0f} MB")
     assert peak_mb < context.machine["memoryMb"], f"peak of {peak_mb:.0f} MB"
     assert descriptors < context.machine["maxFds"], f"{descriptors} descriptors"
 
