Do not hold a verified response responsible for a later crash

A call whose response had ended with its connection was kept until its upstream answered again. If the upstream was found to refuse connections within 3 s, the call counted as one of the requests that had crashed it, although the process had been verified to live after the response.

Whole responses are verified by now, so their success is recorded at once, for calls as for streams; one that is not verified is reported as a broken run.

The scenario on bounded memory tested the list; it now verifies as many ends (100 at each of 300 upstreams without an answer), none of which may be whole or leave anything behind.

--- a/driftstall/decisions/poison_detection.py
+++ b/driftstall/decisions/poison_detection.py
@@ -100,12 +100,6 @@
         """Return the number of subjects tracked with crashes."""
         return len(self._records)
 
-    def is_suspect(self, subjects: PoisonSubjects) -> bool:
-        """Return True if crashes count against a request or one of its parts."""
-        return bool(self._records) and any(
-            subject in self._records and self._records[subject].counted for subject in subjects.all
-        )
-
     def is_observed(self, subject: str) -> bool:
         """Return True if this instance has noticed a crash under a subject itself."""
         record = self._records.get(subject)
--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -236,7 +236,7 @@
                 self._state.on_run_broken(upstream, run)
             attempts.failure = result
             return None
-        self._record_success(upstream, result)
+        self._record_success(result)
         if self._admitted.route.repeat is not Repeat.SAFE:
             return None if result.status in PROMISING_STATUSES else result
         if outcome is Outcome.GOOD:
@@ -258,16 +258,10 @@
             return result
         return SendFailure.from_unverified_end()
 
-    def _record_success(self, upstream: Upstream, response: UpstreamResponse) -> None:
-        """Record a success, at once only if the end of the response can't be a crash."""
-        if not HTTPStatus.OK <= response.status < HTTPStatus.MULTIPLE_CHOICES:
-            return
-        subjects = self._admitted.subjects
-        if response.is_framed:
-            self._state.poison.record_success(subjects)
-            return
-        ended = BrokenRun(self._admitted.metadata.request_id, subjects, under_way=False)
-        self._state.poison.unframed_ends.add(upstream, ended)
+    def _record_success(self, response: UpstreamResponse) -> None:
+        """Record a success; the end of a response that is whole is no crash."""
+        if HTTPStatus.OK <= response.status < HTTPStatus.MULTIPLE_CHOICES:
+            self._state.poison.record_success(self._admitted.subjects)
 
     def _exchange_with(
         self, upstream: Upstream, attempts: _Attempts, *, can_refuse: bool
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -163,7 +163,6 @@
             publish_evidence=self._peering.publish_poison_evidence,
         )
         self.state.on_run_broken = crash_detector.handle_broken_run
-        self.state.poison.unframed_ends.probe = crash_detector.check
         self.state.poison.on_evidence_changed = self._peering.publish_poison_evidence
         self.state.poison.on_quarantined = self._crash_persistence.handle_quarantined
         self.state.poison.on_cleared = self._crash_persistence.handle_cleared
--- a/driftstall/gateway/peering.py
+++ b/driftstall/gateway/peering.py
@@ -134,7 +134,6 @@
             now=state.now,
             source=state.rng,
             on_quarantined=lambda subject: state.poison.on_quarantined(subject),
-            on_merged=state.poison.unframed_ends.review,
         )
         self._placer = StreamPlacer(state, roles=lambda: self._roles, send=self._messenger.send)
         state.request_placement = self._placer.place
--- a/driftstall/gateway/poison/crash_detector.py
+++ b/driftstall/gateway/poison/crash_detector.py
@@ -74,36 +74,26 @@
         if suspicion is not None:
             suspicion.runs.append(run)
             return
-        self._suspect(upstream, [run])
+        self._suspect(upstream, run)
 
-    def check(self, upstream: Upstream) -> None:
-        """Check whether an upstream is alive where responses ended with their connections."""
-        if upstream.upstream_id not in self._suspicions:
-            self._suspect(upstream, [])
-
-    def _suspect(self, upstream: Upstream, runs: list[BrokenRun]) -> None:
+    def _suspect(self, upstream: Upstream, run: BrokenRun) -> None:
         """Investigate an upstream, unless it has announced its end."""
         if self._state.fleet.is_departure_announced(upstream.upstream_id):
             return
-        self._suspicions[upstream.upstream_id] = _Suspicion(upstream, self._state.now(), runs)
+        self._suspicions[upstream.upstream_id] = _Suspicion(upstream, self._state.now(), [run])
         gevent.spawn(self._investigate, upstream)
 
     def _investigate(self, upstream: Upstream) -> None:
         """Probe an upstream, once more if it answers, and record a crash."""
-        unframed_ends = self._state.poison.unframed_ends
         try:
             reported = self._probe(upstream)
             if reported is not ReportedState.TERMINATED:
                 gevent.sleep(RECHECK_DELAY_S)
-                probed_at = self._state.now()
                 reported = self._probe(upstream)
         finally:
             suspicion = self._suspicions.pop(upstream.upstream_id)
         if reported is not ReportedState.TERMINATED:
-            if reported is not ReportedState.UNKNOWN:
-                unframed_ends.confirm(upstream.upstream_id, probed_at)
             return
-        suspicion.runs += unframed_ends.take_crashed(upstream.upstream_id)
         self._crashed_at[upstream.upstream_id] = self._state.now()
         self._attribute_crash(suspicion)
         self._on_crash(upstream)
@@ -142,7 +132,6 @@
         for subject, request_id in requests.items():
             self._log_verdict(subject, request_id)
         self._publish_evidence()
-        self._state.poison.unframed_ends.review()
         self._remove_expired()
 
     def _log_verdict(self, subject: str, request_id: str) -> None:
--- a/driftstall/gateway/poison/guard.py
+++ b/driftstall/gateway/poison/guard.py
@@ -12,7 +12,6 @@
 from driftstall.decisions.poison_trials import trial_delay_s
 from driftstall.decisions.poison_verdict import Verdict
 from driftstall.gateway import unconnected
-from driftstall.gateway.poison.unframed_ends import UnframedEnds
 
 MAX_REFUSED_SUBJECTS: Final = 256
 """Maximum number of subjects for which refusals are counted."""
@@ -43,7 +42,6 @@
         self.tracker = PoisonTracker(
             lambda subject: trial_delay_s(subject, instance_id, live_instance_ids())
         )
-        self.unframed_ends = UnframedEnds(self, now)
         self.on_evidence_changed: Callable[[], None] = unconnected.do_nothing
         """Called when the evidence has changed and peers have to be informed."""
         self.on_quarantined: Callable[[str], None] = unconnected.ignore_subject
@@ -55,13 +53,9 @@
         """Return whether a request with some subjects may be sent now."""
         return self.tracker.request_verdict(subjects, self._now())
 
-    def is_suspect(self, subjects: PoisonSubjects) -> bool:
-        """Return True if crashes count against a request or a part of it."""
-        return self.tracker.is_suspect(subjects)
-
-    def record_success(self, subjects: PoisonSubjects, at: float | None = None) -> None:
-        """Record that a request has succeeded, now or at an earlier time."""
-        self._exonerate(subjects.all, self._now() if at is None else at)
+    def record_success(self, subjects: PoisonSubjects) -> None:
+        """Record that a request has succeeded."""
+        self._exonerate(subjects.all, self._now())
 
     def record_progress(self, subjects: PoisonSubjects) -> None:
         """Record that a run is producing events: its prompt crashes nothing when they begin."""
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -24,7 +24,6 @@
 from driftstall.decisions.store_versions import StoreEras
 from driftstall.decisions.upstream_backoff import StaggeredRetries, UpstreamBackoff
 from driftstall.decisions.upstream_load import LoadSource, ReportedLoad, UpstreamLoads, mean_pace
-from driftstall.exceptions import UpstreamError
 from driftstall.gateway import unconnected
 from driftstall.gateway.cordons import CordonRegistry
 from driftstall.gateway.dialect import Dialect
@@ -319,23 +318,16 @@
 
         The upstream's signals are handled as its response headers arrive.
         """
-        try:
-            connection = self.connector.connect(upstream, timeout_s, request_id)
-        except UpstreamError as error:
-            if error.refused:
-                for run in self.poison.unframed_ends.take_crashed(upstream.upstream_id):
-                    self.on_run_broken(upstream, run)
-            raise
+        connection = self.connector.connect(upstream, timeout_s, request_id)
         exchange = UpstreamExchange(connection, self.response_buffers, self.response_pacer)
 
         def observe(head: ResponseHead) -> None:
             metadata = self.dialect.read_response(head.status, head.headers)
             if metadata.defect is None:
                 self.signals.handle_response(upstream, metadata.signals, exchange.sent_at)
-            if head.status != HTTPStatus.MISDIRECTED_REQUEST:
-                self.poison.unframed_ends.confirm(upstream.upstream_id, exchange.sent_at)
-                if metadata.request_id == request_id:
-                    self.end_verifier.record_answer(upstream.upstream_id, exchange.sent_at)
+            is_misdirected = head.status == HTTPStatus.MISDIRECTED_REQUEST
+            if metadata.request_id == request_id and not is_misdirected:
+                self.end_verifier.record_answer(upstream.upstream_id, exchange.sent_at)
             now = self.now()
             if metadata.is_not_executed and self.brittle.is_brittle(upstream.upstream_id, now):
                 self.backoff.request(upstream.upstream_id, REJECTION_BACKOFF_S, now)
--- a/driftstall/helpers/poison_sharing.py
+++ b/driftstall/helpers/poison_sharing.py
@@ -55,10 +55,6 @@
     """Ignore a quarantined subject."""
 
 
-def _do_nothing() -> None:
-    """Do nothing after evidence was merged."""
-
-
 class PoisonSharing:
     """Exchange poison evidence with peers."""
 
@@ -71,12 +67,11 @@
         now: Callable[[], float],
         source: random.Random,
         on_quarantined: Callable[[str], None] = _ignore,
-        on_merged: Callable[[], None] = _do_nothing,
     ) -> None:
         """Initialize with the evidence, this instance's id, the peers and a monotonic clock.
 
         The callable on_quarantined takes a subject that a peer's evidence has quarantined together
-        with a crash noticed here; on_merged is called after new evidence was merged.
+        with a crash noticed here.
         """
         self._tracker = tracker
         self._own_id = own_id
@@ -84,7 +79,6 @@
         self._now = now
         self._source = source
         self._on_quarantined = on_quarantined
-        self._on_merged = on_merged
         self._has_changes = Event()
         self._started_at = now()
 
@@ -107,7 +101,6 @@
                 log_quarantine(subject, tracker.verdict(subject, now), peer=message.sender)
                 if tracker.is_observed(subject):
                     self._on_quarantined(subject)
-            self._on_merged()
             if self._transport.forwards():
                 self.publish_soon()
         if message.asks and _lacks(message.records, known):
--- a/features/gateway/prompt_parts.feature
+++ b/features/gateway/prompt_parts.feature
@@ -47,7 +47,7 @@
   # Each start of an upstream has an id of its own, and one that has left answers no more.
   Scenario: ends of answers without a length take bounded memory
     When 100 answers without a length have ended at each of 300 upstreams
-    Then at most 256 times 64 ends are kept, the newest among them
+    Then none of them is known to be whole, and none is kept
 
   # Two sound runs that ended by chance on crashed engines must not ban their part for long.
   Scenario: a run under way exonerates its parts, and answers without a length are probed for it
@@ -55,6 +55,16 @@
     When a stream with prompt "f1,a0" is answered without a length
     Then the part "f1" has no crashes that count
 
+  # Guards against a crash that counts against a request whose upstream lived after the response.
+  Scenario Outline: an answer without a length is not held responsible for a later crash
+    When <request> with prompt "f1,a0" is answered without a length, and its upstream crashes later
+    Then no run counts as broken by the crash, and the part "f1" has succeeded
+
+    Examples:
+      | request  |
+      | a call   |
+      | a stream |
+
   # The end of a crashed upstream's answer looked like the end of a whole one.
   Scenario Outline: an answer without a length that ends with its upstream is a crash
     Given <path> with prompt "f1,dead,a0" and "f2,dead,a1" are answered without a length and end their upstreams <how>
--- a/features/steps/crash_refusal_steps.py
+++ b/features/steps/crash_refusal_steps.py
@@ -70,7 +70,6 @@
         publish_evidence=lambda: None,
     )
     world.state.poison.on_quarantined = context.quarantined.append
-    world.state.poison.unframed_ends.probe = detector.check
     context.detector = detector
     world.state.on_run_broken = detector.handle_broken_run
     context.answers = {}
--- a/features/steps/prompt_part_steps.py
+++ b/features/steps/prompt_part_steps.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 from typing import Any, Final
 
+import gevent
 import orjson
 from behave import given, then, when
 from eliot import add_destinations, remove_destination
@@ -20,12 +21,12 @@
 from driftstall.cli.main import main as command
 from driftstall.core import Instance
 from driftstall.decisions.poison_evidence import CrashReport, PoisonReport
-from driftstall.decisions.poison_subjects import MAX_PARTS, PoisonSubjects, part_subject
+from driftstall.decisions.poison_subjects import MAX_PARTS, part_subject
+from driftstall.exceptions import UpstreamError
 from driftstall.gateway.callers.auxiliary import AuxiliaryListener
+from driftstall.gateway.forwarding.connector import CONNECT_TIMEOUT_S
 from driftstall.gateway.listeners import MetricsHandler
-from driftstall.gateway.poison.unframed_ends import UnframedEnds
 from driftstall.gateway.response_ends.verification import ProcessState
-from driftstall.gateway.runs import BrokenRun
 from driftstall.gateway.scheduling.queue_status import QueueStatus
 from driftstall.helpers.poison_sharing import PeerTransport, PoisonSharing
 from driftstall.peers.blame_messages import BlamesTold
@@ -45,6 +46,7 @@
 NUMBERS: Final = itertools.count(1)
 AT_ONCE_S: Final = 0.2
 MAX_OTHERS: Final = 40
+PATIENCE_S: Final = 5.0
 ENDS: Final[dict[str, dict[str, Any]]] = {
     "after the head": {"events": 0},
     "after an event": {"events": 1},
@@ -199,23 +201,28 @@
 
 @when("{count:d} answers without a length have ended at each of {upstreams:d} upstreams")
 def many_ends(context: Any, count: int, upstreams: int) -> None:
-    """Record ends at upstreams that answer no more."""
+    """Verify ends at upstreams that answer no more."""
     world = world_of(context)
-    entry = world.entry(world.engines[0])
-    context.newest = replace(entry, name=f"ended-{upstreams - 1}").upstream_id
-    context.ends = UnframedEnds(world.state.poison, world.state.now)
-    for number in range(upstreams):
-        upstream = replace(entry, name=f"ended-{number}")
-        for _ in range(count):
-            context.ends.add(upstream, BrokenRun("r1", PoisonSubjects("f"), under_way=False))
+    entry, verifier = world.entry(world.engines[0]), world.state.end_verifier
+    unknown_state(context)
+    ended_at = world.state.now()
+    context.checks = [
+        gevent.spawn(
+            verifier.is_alive, replace(entry, name=f"ended-{number}"), ended_at, PATIENCE_S
+        )
+        for number in range(upstreams)
+        for _ in range(count)
+    ]
 
 
-@then("at most {upstreams:d} times {count:d} ends are kept, the newest among them")
-def ends_bounded(context: Any, upstreams: int, count: int) -> None:
-    """Check the number of ends."""
-    pending = context.ends._pending
-    assert len(pending) == upstreams and context.newest in pending, len(pending)
-    assert max(len(ends) for ends in pending.values()) == count
+@then("none of them is known to be whole, and none is kept")
+def none_kept(context: Any) -> None:
+    """Check the results, and that nothing is held afterwards."""
+    gevent.joinall(context.checks, raise_error=True)
+    assert not any(check.value for check in context.checks)
+    verifier = world_of(context).state.end_verifier
+    wait_for("no check is left", lambda: not verifier._running and not verifier._next)
+    assert not verifier._answers, verifier._answers
 
 
 def report_crashes(context: Any, part: str, upstream_ids: str, ago_s: float) -> None:
@@ -282,6 +289,33 @@
     send(context, prompt, Script(unframed=True, **ENDS[how]))
 
 
+@when(
+    '{request} with prompt "{prompt}" is answered without a length, and its upstream crashes later'
+)
+def crashes_later(context: Any, request: str, prompt: str) -> None:
+    """Stop an upstream after the verified end of its response, and find that it refuses."""
+    world = world_of(context)
+    answer = send(context, prompt, Script(unframed=True), PATHS[request])
+    assert answer.status == 200 and answer.whole, answer
+    (upstream,) = runs(world, context.request_id)
+    upstream.stop()
+    context.broken_runs = []
+    world.state.on_run_broken = lambda _, run: context.broken_runs.append(run)
+    try:
+        world.state.connect(world.entry(upstream), CONNECT_TIMEOUT_S)
+    except UpstreamError as error:
+        assert error.refused, error
+    else:
+        raise AssertionError("the upstream still listens")
+
+
+@then('no run counts as broken by the crash, and the part "{part}" has succeeded')
+def not_responsible(context: Any, part: str) -> None:
+    """Check that the crash has no request, and that the success counts."""
+    assert not context.broken_runs, context.broken_runs
+    has_succeeded(context, part)
+
+
 @then("it is not whole")
 def not_whole(context: Any) -> None:
     """Check that the caller sees that the stream is incomplete."""
