--- a/features/processes/endless_services.feature
+++ b/features/processes/endless_runners.feature
@@ -1,5 +1,5 @@
-Feature: Plain services that answer the own interface without end
-  Real processes on loopback, and a service in the test process.
+Feature: Runners that answer the own interface without end
+  Real processes on loopback, and such runners in the test process.
 
   # Guards against answers that are each within their limit, and exceed the memory together.
   Scenario Outline: answers with <data> without end at the own interface stay within its memory
@@ -17,3 +17,17 @@
       | chunks of two bytes   |
       | a header's value      |
       | a trailer             |
+
+  # Guards against reports of engines that exceed the memory together.
+  Scenario Outline: engines that answer with <data> without end leave the own interface its memory
+    Given the own interface before a plain service
+    And 16 engines whose answers have <data> without end
+    When the instance has given up 32 of their answers
+    Then the own interface answers an ordinary call beside them
+    And the own interface has used at most 160 MB and 300 descriptors
+
+    Examples:
+      | data                  |
+      | a body without length |
+      | chunks of two bytes   |
+      | a header's value      |
--- a/features/steps/endless_runner_steps.py
+++ b/features/steps/endless_runner_steps.py
@@ -22,10 +22,9 @@
 RECEIVE_BYTES: Final = 65_536
 
 
-@given("a plain service that answers with {data} without end")
-def endless_service(context: Any, data: str) -> None:
-    """Listen, and list the service beside the sound one."""
-    sender = context.sender = EndlessSender(ENDLESS[data])
+def _start_runner(context: Any, data: str) -> str:
+    """Listen and answer each request without end; return the address."""
+    sender = context.sender
 
     def serve(connection: socket.socket, _: tuple[str, int]) -> None:
         connection.recv(RECEIVE_BYTES)
@@ -35,13 +34,49 @@
     server = StreamServer(("127.0.0.1", 0), serve)
     server.start()
     context.add_cleanup(server.stop, 0)
-    address = f"127.0.0.1:{server.server_port}"
-    row = {"runner_id": "endless-1", "address": address, "zone": "zone-a", "service": "endless"}
+    return f"127.0.0.1:{server.server_port}"
+
+
+def _submit(context: Any, rows: list[dict[str, Any]]) -> None:
+    """Submit a configuration with more runners."""
     bench = context.crowd_bench
-    bench.runners.append(row)
+    bench.runners += rows
     assert bench.submit(Path("examples/both.policy").read_text(), ("north",)).status == 200
 
 
+@given("a plain service that answers with {data} without end")
+def endless_service(context: Any, data: str) -> None:
+    """Add the service beside the sound one."""
+    context.sender = EndlessSender(ENDLESS[data])
+    row = {"runner_id": "endless-1", "zone": "zone-a", "service": "endless"}
+    _submit(context, [row | {"address": _start_runner(context, data)}])
+
+
+@given("{count:d} engines whose answers have {data} without end")
+def endless_engines(context: Any, count: int, data: str) -> None:
+    """Add engines, whose reports the instance reads."""
+    context.sender = EndlessSender(ENDLESS[data])
+    rows = [
+        {
+            "runner_id": f"endless-{number}",
+            "address": _start_runner(context, data),
+            "zone": "zone-a",
+            "model": "small",
+            "memory_tokens": 10_000,
+            "checks_fences": True,
+        }
+        for number in range(count)
+    ]
+    _submit(context, rows)
+
+
+@when("the instance has given up {count:d} of their answers")
+def has_given_up(context: Any, count: int) -> None:
+    """Wait until so many connections were closed while bytes came."""
+    wait_until("answers are given up", lambda: context.sender.closed >= count)
+    context.peak_descriptors = count_descriptors(context.crowd_bench.instances[0].popen.pid)
+
+
 def _call_endless(context: Any, number: int) -> int:
     """Call the service, and return the status."""
     address = context.crowd_bench.instances[0].address
