Tests: responses that trickle in end with their deadlines

A byte or a part every 0.1 s without end, in each part of a response to a call or a stream, whose callers allow 1.2 s.

--- a/stand_ins/endless.py
+++ b/stand_ins/endless.py
@@ -39,6 +39,8 @@
     has_head: bool = True
     """Whether the status line and the request's id and signature are sent first."""
     status_line: bytes = HTTP
+    pause_s: float = 0.0
+    """Pause after each repetition; without one, many are sent at once."""
 
 
 ENDLESS: Final = {
@@ -96,6 +98,20 @@
 }
 """Streams whose head is complete."""
 
+DRIP_PAUSE_S: Final = 0.1
+DRIPS: Final = {
+    "a header's value": EndlessData(b"X-Filler: ", b"x", pause_s=DRIP_PAUSE_S),
+    "a body without length": EndlessData(b"\r\n", b"x", pause_s=DRIP_PAUSE_S),
+    "a body in chunks": EndlessData(CHUNKED + b"\r\n", as_chunk(b"x"), pause_s=DRIP_PAUSE_S),
+    "interim responses": EndlessData(b"", INTERIM, has_head=False, pause_s=DRIP_PAUSE_S),
+    "an event": EndlessData(CHUNKED_STREAM, as_chunk(b"x"), pause_s=DRIP_PAUSE_S),
+    "a trailer": EndlessData(
+        CHUNKED_STREAM + as_chunk(EVENT) + b"0\r\nX-Filler: ", b"x", pause_s=DRIP_PAUSE_S
+    ),
+    "comments": EndlessData(CHUNKED_STREAM, as_chunk(b":\n\n"), pause_s=DRIP_PAUSE_S),
+}
+"""Responses that trickle in."""
+
 
 @dataclass(slots=True)
 class EndlessSender:
@@ -109,13 +125,15 @@
         """Send until the connection is closed."""
         self.started += 1
         connection.settimeout(None)
-        repeated = self.data.repeated * max(1, PIECE_BYTES // len(self.data.repeated))
+        pause_s = self.data.pause_s
+        times = 1 if pause_s else max(1, PIECE_BYTES // len(self.data.repeated))
+        repeated = self.data.repeated * times
         try:
             connection.sendall((head if self.data.has_head else b"") + self.data.before)
             for _ in range(MAX_SENT_BYTES // len(repeated)):
                 connection.sendall(repeated)
                 # Writing to a connection that is read fast does not wait.
-                gevent.sleep(0)
+                gevent.sleep(pause_s)
             connection.recv(1)
         except OSError:
             pass
