Test that a stream whose bytes were dropped relays no further event

A response may be ended for want of memory while its stream rests between two pieces of 16 KiB, and its unfinished event is dropped then.

--- a/features/gateway/response_buffers.feature
+++ b/features/gateway/response_buffers.feature
@@ -12,3 +12,9 @@
     When both together exceed the memory for responses
     Then the larger one is freed before its reader runs
     And its reader gets an error in place of its end
+
+  # Guards against a stream that goes on after some of its bytes were dropped.
+  Scenario: a stream that is ended for want of memory between two pieces gives no further event
+    Given a gateway whose streams are ended for want of memory after a piece of many events
+    When a stream of many events is read
+    Then its caller has got its first events unchanged, and no end
--- a/features/steps/response_buffer_steps.py
+++ b/features/steps/response_buffer_steps.py
@@ -15,8 +15,12 @@
 from driftstall.gateway.response_body import ResponseBody
 from driftstall.gateway.response_buffers import ResponseBuffers
 from driftstall.util.pacing import DenseInputPacer
+from features.worlds.gateway_world import GatewayWorld, script_upstreams
+from stand_ins.routed import Script, event_bytes
 
 LIMIT: Final = 100
+EVENTS: Final = 4_000
+MANY_EVENTS: Final = 100
 STEPS: Final = st.lists(st.tuples(st.integers(0, 9), st.integers(0, 60)), max_size=60)
 """Responses by number, and the bytes by which they grow; they end with zero bytes."""
 
@@ -100,3 +104,45 @@
     except InvalidResponse:
         return
     raise AssertionError(item)
+
+
+class EvictingPacer(DenseInputPacer):
+    """A pacer in whose rests all open responses are ended for want of memory."""
+
+    def __init__(self, world: GatewayWorld) -> None:
+        """Initialize with the gateway whose responses are ended."""
+        super().__init__()
+        self._world = world
+
+    def rest(self, events: int, spent_s: float) -> None:
+        """End the open responses, if there were many events."""
+        if events > MANY_EVENTS:
+            for exchanges in self._world.state.exchanges._open.values():
+                for exchange in list(exchanges):
+                    exchange.evict()
+
+
+@given("a gateway whose streams are ended for want of memory after a piece of many events")
+def evicting_gateway(context: Any) -> None:
+    """Start a gateway."""
+    world = context.world = GatewayWorld()
+    context.add_cleanup(world.close)
+    world.state.response_pacer = EvictingPacer(world)
+
+
+@when("a stream of many events is read")
+def read_many(context: Any) -> None:
+    """Read a stream whose events are sent at once."""
+    script = Script(events=EVENTS, coalesce_from=1)
+    script_upstreams(context.world, "many", [script])
+    context.answer = context.world.ask("/stream/a", "many")
+
+
+@then("its caller has got its first events unchanged, and no end")
+def first_unchanged(context: Any) -> None:
+    """Compare with the whole stream."""
+    whole = b"".join(event_bytes(number) for number in range(1, EVENTS + 1))
+    answer = context.answer
+    assert answer.status == 200 and not answer.whole, (answer.status, answer.whole)
+    assert answer.body and len(answer.body) < len(whole)
+    assert whole.startswith(answer.body), answer.body[-200:]
