--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -10,11 +10,8 @@
 from functools import partial
 from typing import Final
 
-import gevent
-
 from driftstall.const import CODE_RUNNER_FAILED, PREFIX_RELAY
 from driftstall.core import Problem, Ran
-from driftstall.decisions.upstream_probes import ReportedState
 from driftstall.exceptions import InvalidResponse, UpstreamError
 from driftstall.gateway.admission import AdmittedRequest
 from driftstall.gateway.events import Event, EventContinuity, EventSequence, EventSplitter
@@ -25,10 +22,11 @@
     encode_chunk,
     encode_head,
 )
-from driftstall.gateway.model import PROMISING_STATUSES, Upstream
+from driftstall.gateway.model import PROMISING_STATUSES
 from driftstall.gateway.moves import Mover
 from driftstall.gateway.outcomes import Outcome
 from driftstall.gateway.response_body import ResponseBody
+from driftstall.gateway.response_ends.silence import SilenceWatch
 from driftstall.gateway.response_writer import ResponseWriter
 from driftstall.gateway.responses import (
     CLOSE_HEADER,
@@ -45,14 +43,6 @@
 from driftstall.helpers.log import log_event
 from driftstall.util import clock
 
-SILENCE_TIMEOUT_S: Final = 2.0
-"""A running stream without an event for this time resumes at its backup, if it has one and its
-engine does not answer a probe. An engine that answers may have preempted the run: it goes on with
-it by itself, so that a second engine would run the request as well."""
-PROBE_AFTER_S: Final = 1.4
-"""Silence after which the engine is probed. A sound engine may be silent for a second or so, and
-the probe takes half a second at most."""
-ANSWERING_STATES: Final = frozenset({ReportedState.SERVING, ReportedState.LEAVING})
 CONTINUITY_DEFECTS: Final = {
     EventContinuity.GAP: "an event of the stream is missing",
     EventContinuity.CONFLICT: "an event differs from the one that was relayed with its id",
@@ -89,8 +79,7 @@
         self._opener = StreamOpener(self._context, self._resumer)
         self._sequence = EventSequence(self._context.caller_last_event_id)
         self._longest_gap_s = 0.0
-        self._probe: gevent.Greenlet | None = None
-        """The probe of the engine of a silent stream; None while events arrive."""
+        self._silence = SilenceWatch(state, self._context)
         self._keep_alive = keep_alive
 
     def handle_disconnect(self) -> None:
@@ -189,21 +178,21 @@
         """Relay the events of the response's parts until its end."""
         assert run.exchange is not None
         self._sequence.begin_run()
-        self._probe = None
+        self._silence.end_silence()
         while True:
             wait_began_at = self._state.now()
             try:
-                wait_until = wait_began_at + self._max_wait_s(run)
+                wait_until = wait_began_at + self._silence.max_wait_s(run)
                 item = run.exchange.next(partial(self._seconds_to, wait_until))
             except UpstreamError as error:
                 return error
             except TimeoutError as error:
-                if self._may_wait_longer(run):
+                if self._silence.may_wait_longer(run):
                     continue
                 return error
             finally:
                 run.waited_s += self._state.now() - wait_began_at
-            self._probe = None
+            self._silence.end_silence()
             if isinstance(item, BodyChunk):
                 relay_error = self._forward(run, splitter, item.data)
                 if relay_error is not None:
@@ -252,45 +241,6 @@
         """Return the seconds from now to a time on the monotonic clock."""
         return until - self._state.now()
 
-    def _max_wait_s(self, run: StreamRun) -> float:
-        """Return how long to wait for the next event, in seconds."""
-        remaining_s = max(0.0, self._context.remaining_s())
-        if not self._context.replicas.has_current_backup(run):
-            return remaining_s
-        is_probed = self._probe is not None
-        return min(remaining_s, SILENCE_TIMEOUT_S - PROBE_AFTER_S if is_probed else PROBE_AFTER_S)
-
-    def _may_wait_longer(self, run: StreamRun) -> bool:
-        """Return True if a silent stream is to stay at its engine; probe the engine."""
-        if self._context.remaining_s() <= 0:
-            return False
-        if not self._context.replicas.has_current_backup(run):
-            # The backup engine has left meanwhile, so waiting is the only option.
-            return True
-        if run.pending_final_copy is not None:
-            # Its engine may have stopped the run for the copy, and answers all the same.
-            return False
-        if self._probe is None:
-            self._probe = gevent.spawn(self._is_answering, run.upstream)
-            return True
-        probe, self._probe = self._probe, None
-        is_answering = bool(probe.ready() and probe.value)
-        log_event(
-            PREFIX_RELAY,
-            f"Stream is silent and its upstream {'answers' if is_answering else 'does not answer'}",
-            request=run.request_id,
-            upstream=run.upstream.upstream_id,
-            events=run.events,
-            silent_ms=int((self._state.now() - run.last_event_at) * 1000),
-        )
-        return is_answering
-
-    def _is_answering(self, upstream: Upstream) -> bool:
-        """Return True if an engine answers a probe, or has just answered with a back-off."""
-        if self._state.backoff_s(upstream):
-            return True
-        return self._state.dialect.probe_state(upstream) in ANSWERING_STATES
-
     def _forward(
         self, run: StreamRun, splitter: EventSplitter, data: bytes
     ) -> UpstreamError | None:
--- a/features/steps/gateway_stream_steps.py
+++ b/features/steps/gateway_stream_steps.py
@@ -9,9 +9,9 @@
 from behave import given, then, when
 
 from driftstall.decisions.sends import BACKUP_READY_AFTER_S
-from driftstall.gateway import streams
 from driftstall.gateway.ingress import CallerConnection
 from driftstall.gateway.loads import Use
+from driftstall.gateway.response_ends import silence
 from features.worlds.gateway_world import (
     GatewayWorld,
     assert_refused_with_retry_after,
@@ -100,9 +100,9 @@
 @given('the engine of "{request_id}" pauses between events for longer than a copy is waited with')
 def pauses(context: Any, request_id: str) -> None:
     """Let an engine pause for longer than the gateway's silence timeout."""
-    original = streams.SILENCE_TIMEOUT_S
-    streams.SILENCE_TIMEOUT_S = PAUSE_S / 4  # type: ignore[misc]
-    context.add_cleanup(setattr, streams, "SILENCE_TIMEOUT_S", original)
+    original = silence.SILENCE_TIMEOUT_S
+    silence.SILENCE_TIMEOUT_S = PAUSE_S / 4  # type: ignore[misc]
+    context.add_cleanup(setattr, silence, "SILENCE_TIMEOUT_S", original)
     stream_script(context, request_id, Script(event_pause_s=PAUSE_S))
 
 
--- a/features/steps/stream_continuity_steps.py
+++ b/features/steps/stream_continuity_steps.py
@@ -13,9 +13,9 @@
 from hypothesis import strategies as st
 
 from driftstall.decisions.sends import BACKUP_READY_AFTER_S
-from driftstall.gateway import streams
 from driftstall.gateway.events import Event, EventContinuity, EventSequence
 from driftstall.gateway.ingress import LAST_CHUNK, encode_chunk
+from driftstall.gateway.response_ends import silence
 from features.steps.gateway_stream_steps import await_copy
 from features.worlds.gateway_world import (
     document,
@@ -248,8 +248,8 @@
 def falls_silent(context: Any, request_id: str) -> None:
     """Pause the stream after event 3 for longer than it waits at a silent engine."""
     for name, value in (("SILENCE_TIMEOUT_S", 0.5), ("PROBE_AFTER_S", 0.4)):
-        context.add_cleanup(setattr, streams, name, getattr(streams, name))
-        setattr(streams, name, value)
+        context.add_cleanup(setattr, silence, name, getattr(silence, name))
+        setattr(silence, name, value)
     context.script = Script(pause_after=3, event_pause_s=0.26)
     script_upstreams(world_of(context), request_id, [context.script])
     for engine in world_of(context).engines:
