A probe without an answer shows that the process lives until it gives up

Where a health check waits for a slot, the end of a sound response without framing waited for the probe under way and then for one of its own, up to 1.05 s. The connection of a probe that times out was open until then, so it is evidence also for the ends that came while it waited. Such a probe has a state of its own, "silent", in end_checks_total.

The new scenario needs the second probe without the change. end_verification, stream_ends and stream_end_processes pass.

--- a/driftstall/gateway/response_ends/verification.py
+++ b/driftstall/gateway/response_ends/verification.py
@@ -37,12 +37,15 @@
     """State of an upstream's process."""
 
     ALIVE = "alive"
+    SILENT = "silent"
+    """It gave no answer in time, but kept the connection open until then, so it lives."""
     ENDED = "ended"
     """It refuses or resets connections, or another process answers at its address."""
     UNKNOWN = "unknown"
     """It gave no answer that shows its state."""
 
 
+LIVING_STATES: Final = frozenset({ProcessState.ALIVE, ProcessState.SILENT})
 ProbeProcess = Callable[[Upstream], ProcessState]
 
 
@@ -95,7 +98,8 @@
         waited_s = self._now() - started_at
         self._stats.end_checks.inc({"state": state.value})
         self._stats.end_check_s.observe({}, waited_s)
-        if state is not ProcessState.ALIVE:
+        is_alive = state in LIVING_STATES
+        if not is_alive:
             log_event(
                 PREFIX_RELAY,
                 f"Process of {upstream.upstream_id} is {state.value} after a response's end",
@@ -105,7 +109,7 @@
                 check_ms=int(waited_s * 1000),
                 revision=upstream.revision,
             )
-        return state is ProcessState.ALIVE
+        return is_alive
 
     def _find_state(self, upstream: Upstream, ended_at: float, max_wait_s: float) -> ProcessState:
         """Return the state of the process after an end, from evidence that is newer."""
@@ -159,7 +163,11 @@
             del self._running[upstream.upstream_id]
             following = self._next.pop(upstream.upstream_id, None)
             if following is not None and not following.state.ready():
-                self._start_check(upstream, following)
+                if state is ProcessState.SILENT:
+                    # The connection was open until now, which is after all these ends.
+                    following.state.set(state)
+                else:
+                    self._start_check(upstream, following)
 
     def _probe_until_known(self, upstream: Upstream, check: _Check) -> ProcessState:
         """Return the state that a probe shows; try again while it shows none."""
--- a/driftstall/platform/process_probe.py
+++ b/driftstall/platform/process_probe.py
@@ -58,7 +58,7 @@
         body = exchange.read_document()
     except UpstreamTimeout:
         # A health check waits for a slot, and a process that ends resets its connections.
-        return ProcessState.ALIVE
+        return ProcessState.SILENT
     except OversizedAnswer:
         return ProcessState.UNKNOWN
     except UpstreamError as fault:
--- a/features/gateway/end_verification.feature
+++ b/features/gateway/end_verification.feature
@@ -16,6 +16,14 @@
     Then the process is known to live after 20 of them
     And 2 probes were sent
 
+  # Guards against ends that wait for a second probe while the process has no place for a health check.
+  Scenario: ends that come while a probe waits in vain share its result, as the connection stays open
+    Given a verifier whose probes wait, and find the process silent
+    When 20 responses end at once
+    And 20 more end while their probe is under way, and the process ends after it
+    Then the process is known to live after 40 of them
+    And 1 probe was sent
+
   # Guards against an answer that a process gave before it ended.
   Scenario Outline: an answer to a request that was sent <sent_s> s after the end <counts>
     Given a verifier whose probes find the process <state>
@@ -105,7 +113,7 @@
       | answers with its id                   | alive   |
       | answers that it is full               | alive   |
       | answers with the same start           | alive   |
-      | does not answer                       | alive   |
+      | does not answer                       | silent  |
       | answers 421                           | ended   |
       | answers with another id               | ended   |
       | answers with another start            | ended   |
--- a/features/steps/end_verification_steps.py
+++ b/features/steps/end_verification_steps.py
@@ -111,6 +111,13 @@
     context.add_cleanup(context.probe.gate.set)
 
 
+@given("a verifier whose probes wait, and find the process silent")
+def probes_silent(context: Any) -> None:
+    """Use a probe without an answer; a second one would find the process ended."""
+    _use(context, ProcessState.SILENT, ProcessState.ENDED, waits=True)
+    context.add_cleanup(context.probe.gate.set)
+
+
 @given("a verifier whose first {count:d} probes find the process unknown, and the next one alive")
 def probes_unknown(context: Any, count: int) -> None:
     """Use a probe that has no result at first."""
