--- a/features/steps/soak_truncation_steps.py
+++ b/features/steps/soak_truncation_steps.py
@@ -100,10 +100,13 @@
 
 @then("seed 7 gives that plan early ends of responses, kills and notices, and always the same")
 def truncated_plan(context: Any) -> None:
-    """Check the kinds of steps in a plan of one minute."""
+    """Check the kinds of steps in a plan of one minute, and that no short plan lacks the first."""
     steps, same = (
         draw_steps(7, instances=4, upstreams=5, seconds=60.0, plan=Plan.TRUNCATED) for _ in range(2)
     )
+    for seed in range(300):
+        short = draw_steps(seed, instances=4, upstreams=5, seconds=12.0, plan=Plan.TRUNCATED)
+        assert {step.target for step in short if step.kind is Kind.TRUNCATE} >= {0, 4}, seed
     kinds = {step.kind for step in steps}
     assert steps == same
     assert {Kind.TRUNCATE, Kind.KILL, Kind.LEAVE} <= kinds, kinds
--- a/soak/draw.py
+++ b/soak/draw.py
@@ -258,6 +258,10 @@
     source = random.Random(f"{seed} {plan.value}")
     weights = PLAN_WEIGHTS[plan]
     last = seconds - CALM_LAST_S
+    if plan is Plan.TRUNCATED:
+        # Each run shows something of them, at the first and the last service.
+        for target in (0, upstreams - 1):
+            yield Step(CALM_FIRST_S, Kind.TRUNCATE, target, min(TRUNCATE_FOR_S))
     at = CALM_FIRST_S + source.expovariate(1 / LEAVING_GAP_S)
     while at < last:
         kind = source.choices(list(weights), list(weights.values()))[0]
--- a/soak/truncation.py
+++ b/soak/truncation.py
@@ -26,7 +26,6 @@
 HEALTH_PATH: Final = "/health"
 TRUNCATED_SHARE: Final = 0.3
 """Share of the responses that end early while upstreams truncate responses."""
-FRAMINGS: Final = (Framing.LENGTH, Framing.CHUNKED, Framing.CLOSE, Framing.CLOSE)
 PIECE_PAUSE_S: Final = 0.001
 """Pause before each piece of a response to a call."""
 FLUSH_S: Final = 0.01
@@ -47,7 +46,7 @@
         self._ledger = ledger
         self._slot = slot
         self._draw = random.Random(upstream_id)
-        self._framing = self._draw.choice(FRAMINGS)
+        self._framing = self._draw.choice(list(Framing)) if slot.place % 2 else Framing.CLOSE
 
     def record_request(self, seen: ReceivedRequest) -> None:
         """Record the arrival of a request, and draw how its response ends."""
