A silent probe shows that its process lives only if a new connection is accepted

A probe that got no answer in time counted as a sign of life, as a health check may wait for a slot. If this instance stalls for the probe's time-out, that fires before the reset of a process that has ended is read, and a truncated response would be told to its caller as whole (found by reading; the new row of end_verification.feature, a process that does not answer and stops listening, was "silent" before and is "ended" now; 144 scenarios of this feature and of the ends of streams and calls pass).

--- a/driftstall/platform/process_probe.py
+++ b/driftstall/platform/process_probe.py
@@ -39,11 +39,10 @@
     """
     sent_at = clock.now()
     try:
-        connection = connect(upstream)
         if not path:
-            return _probe_connection(connection)
+            return _probe_connection(connect(upstream))
         exchange = Exchange.open_on(
-            connection,
+            connect(upstream),
             upstream.address,
             "GET",
             path,
@@ -57,8 +56,7 @@
             return ProcessState.ENDED
         body = exchange.read_document()
     except UpstreamTimeout:
-        # A health check waits for a slot, and a process that ends resets its connections.
-        return ProcessState.SILENT
+        return _probe_silent_process(upstream, connect)
     except OversizedAnswer:
         return ProcessState.UNKNOWN
     except UpstreamError as fault:
@@ -69,6 +67,19 @@
     return ProcessState.ALIVE
 
 
+def _probe_silent_process(upstream: Upstream, connect: ConnectUpstream) -> ProcessState:
+    """Return the state of a process that has not answered: a health check waits for a slot.
+
+    A process that ends resets its connections, but the time-out of a stalled instance may come
+    before the reset is read. So a new connection has to be accepted as well.
+    """
+    try:
+        state = _probe_connection(connect(upstream))
+    except UpstreamError as fault:
+        return ProcessState.ENDED if fault.refused else ProcessState.UNKNOWN
+    return ProcessState.SILENT if state is ProcessState.ALIVE else state
+
+
 def _probe_connection(connection: Connection) -> ProcessState:
     """Return the state that a connection shows, and close it.
 
--- a/features/gateway/end_verification.feature
+++ b/features/gateway/end_verification.feature
@@ -114,6 +114,7 @@
       | answers that it is full               | alive   |
       | answers with the same start           | alive   |
       | does not answer                       | silent  |
+      | does not answer and stops listening   | ended   |
       | answers 421                           | ended   |
       | answers with another id               | ended   |
       | answers with another start            | ended   |
--- a/stand_ins/probed.py
+++ b/stand_ins/probed.py
@@ -19,6 +19,8 @@
     RESET = "resets its connections"
     CLOSE = "closes its connections"
     NOTHING = "does not answer"
+    NOTHING_AND_STOP = "does not answer and stops listening"
+    """The connection of the probe stays open, as while its reset has not been read."""
     RESET_AT_ONCE = "resets its connections at once"
     CLOSE_AT_ONCE = "closes its connections at once"
     """A proxy does so before a process that has ended."""
@@ -65,3 +67,6 @@
             reset(raw)
         elif self._reply is ProbeReply.NOTHING:
             raw.recv(1)
+        elif self._reply is ProbeReply.NOTHING_AND_STOP:
+            self.stop()
+            raw.recv(1)
