Soak: callers go on in runs of many processes

Cause: callers ask with select() whether a kept connection was closed, and select() takes descriptors below 1,024 only.

--- a/features/parts/soak.feature
+++ b/features/parts/soak.feature
@@ -210,6 +210,13 @@
     When "instance-1" closes the connection
     Then it sends to "instance-2" alone
 
+  # Guards against callers that end unnoticed in runs of many processes.
+  Scenario: a caller uses connections whose descriptors are beyond those of select
+    Given a caller with open connections to "instance-1" and "instance-2"
+    When its connection to "instance-1" has a descriptor of 1,100 or more
+    And only "instance-2" is located any more
+    Then it still sends to "instance-1"
+
   Scenario: a seed always gives the same plan, and leaves the end calm
     Then seed 7 gives one plan of overlapping faults, seed 8 another, both end early
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import fcntl
 import random
 import subprocess
 import sys
@@ -578,6 +579,15 @@
     context.located = {name}
 
 
+@when('its connection to "{name}" has a descriptor of 1,100 or more')
+def high_descriptor(context: Any, name: str) -> None:
+    """Replace the descriptor of the connection by a duplicate."""
+    caller = context.caller.to(name)
+    descriptor = fcntl.fcntl(caller._connection.fileno(), fcntl.F_DUPFD, 1_100)
+    caller._connection.close()
+    caller._connection = socket.socket(fileno=descriptor)
+
+
 @when('"{name}" closes the connection')
 def closes(context: Any, name: str) -> None:
     """Have a request answered by the end of the connection."""
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import time
+from select import POLLIN
 from typing import Any, Final
 
 import httptools
 from gevent import socket
-from gevent.select import select
+from gevent.select import poll
 
 from features.worlds.gateway_world import request_bytes
 from soak.ledger import SentRequest
@@ -87,8 +88,11 @@
     @property
     def is_open(self) -> bool:
         """Return True if the connection is open; one that the other side has closed is not."""
-        if self._connection is not None and select([self._connection], [], [], 0)[0]:
-            self.close()
+        if self._connection is not None:
+            poller = poll()
+            poller.register(self._connection, POLLIN)
+            if poller.poll(0):
+                self.close()
         return self._connection is not None
 
     def close(self) -> None:
