The answer of a probe counts for ends that are checked after it

Trace: their checks wake up one after another; the first one's probe was answered before the last ones looked for a check to share, and an answer counted for those alone who waited for it. No response was misjudged; each such end cost a probe more and its time.

The answer is now kept as evidence from when its probe was sent, as answers to requests are.

--- a/driftstall/gateway/response_ends/verification.py
+++ b/driftstall/gateway/response_ends/verification.py
@@ -74,7 +74,7 @@
         self._now = now
         self._stats = stats
         self._answers: dict[str, float] = {}
-        """When the latest request was sent that an upstream's process has answered."""
+        """When the latest request or probe was sent that an upstream's process has answered."""
         self._running: dict[str, _Check] = {}
         self._next: dict[str, _Check] = {}
 
@@ -154,6 +154,8 @@
         state = ProcessState.UNKNOWN
         try:
             state = self._probe_until_known(upstream, check)
+            if state is ProcessState.ALIVE and check.started_at is not None:
+                self.record_answer(upstream.upstream_id, check.started_at)
         except Exception as defect:
             detail = f"{type(defect).__name__}: {defect}"
             log_event(PREFIX_RELAY, f"Probe of {upstream.upstream_id} failed: {detail}")
--- a/features/gateway/end_verification.feature
+++ b/features/gateway/end_verification.feature
@@ -8,6 +8,14 @@
     Then the process is known to live after 50 of them
     And 1 probe was sent
 
+  # Guards against a second probe for an end that is looked at only after the probe of the same moment has its answer.
+  Scenario: an end that is checked after a later probe was answered needs no other
+    Given a verifier whose probes find the process alive
+    When a response ends, and its process is found alive
+    And the check of another response that ended at the same time comes late
+    Then the process is known to live after 2 of them
+    And 1 probe was sent
+
   # Guards against a probe that is believed although it was sent before the end.
   Scenario: ends that come while a probe is under way share the next one
     Given a verifier whose probes wait
--- a/features/steps/end_verification_steps.py
+++ b/features/steps/end_verification_steps.py
@@ -136,6 +136,21 @@
     _end(context, count)
 
 
+@when("a response ends, and its process is found alive")
+def end_and_find(context: Any) -> None:
+    """Let one response end, and wait until its check is over."""
+    _end(context, 1)
+    gevent.joinall(context.waiting, raise_error=True)
+
+
+@when("the check of another response that ended at the same time comes late")
+def late_check(context: Any) -> None:
+    """Check the end of another response, as an instance does that was held up."""
+    check: Callable[..., bool] = context.verifier.is_alive
+    ended_at = context.ended_at
+    context.waiting.append(gevent.spawn(check, context.upstream, ended_at, PATIENCE_S))
+
+
 @when("{count:d} more end while their probe is under way, and the process ends after it")
 @when("{count:d} more ends while their probe is under way, and the process ends after it")
 def end_during_probe(context: Any, count: int) -> None:
