--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,13 +1,13 @@
-"""Requests with longer headers on kept connections after a configuration allows them."""
+"""A runner leaves while a machine is partitioned from the store."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
+import socket
 import sys
 import time
-from collections import Counter
-from dataclasses import dataclass
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -17,154 +17,230 @@
     BOUNDS,
     EXIT_BROKEN,
     EXIT_HELD,
-    HOST,
     REQUEST_ID,
     SEAL,
     CouldNotRun,
     Gateway,
+    Message,
     Record,
     Runner,
     Store,
     configuration,
-    encode,
+    fetch,
     new_request_id,
-    open_connection,
-    read_message,
     route,
     run_case,
     wait_until,
 )
 
-CLIENTS = 60
-PERIOD_S = 3.0
+DEPLOYMENTS, ROUNDS = 4, 4
+"""Deployments of one machine each, which know nothing of each other, and cuts of each."""
+CUT_S = 5.5
+LEAVES_BEFORE_END_S = 2.0
+SERVES_ON_S = 8.0
+"""A leaving runner serves on for drainMs and a little longer, at times many seconds."""
+CALM_S = 3.5
+DRAIN_S = BOUNDS["drainMs"] / 1000
+CONTACT_S = BOUNDS["contactMs"] / 1000
+REQUESTS_PER_S = 25.0
 DEADLINE_S = 3.0
-BEFORE_S, AFTER_S = 8.0, 12.0
-APPLY_S = BOUNDS["configApplyMs"] / 1000
-OLD_HEADER_BYTES, NEW_HEADER_BYTES = 16_384, 65_536
-PARTS = 2_000
-"""Parts of a long prompt: about 22 KB of headers."""
-NOT_COUNTED = frozenset({408, 421, 429})
-OWN_ALLOWED, OWN_SHARE = 5, 1 / 500
 
 
-@dataclass(slots=True)
-class Phase:
-    """What the clients send now."""
-
-    parts: int = 3
-    is_long: bool = False
-
-
-class Client:
-    """A client that keeps its connection for many requests."""
-
-    def __init__(self, number: int, addresses: list[str], phase: Phase, record: Record) -> None:
-        self._number, self._addresses, self._phase = number, addresses, phase
-        self._record = record
-        self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
-        self.results: list[tuple[bool, str]] = []
-        """For each request whether its prompt was long, and its result."""
+class Link:
+    """The link between the machine and the store, which can be cut without a sign."""
+
+    def __init__(self, target: str) -> None:
+        ip, _, port = target.rpartition(":")
+        self._target = (ip, int(port))
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=1)
+        self._listener.setblocking(False)
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self._is_up = asyncio.Event()
+        self._is_up.set()
+        self._fillers: list[socket.socket] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._accepting = asyncio.create_task(self._accept())
+
+    def cut(self) -> None:
+        """Pass nothing on; packets that open connections are lost, as the queue is full."""
+        self._is_up.clear()
+        self._accepting.cancel()
+        for _ in range(4):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self._listener.getsockname())
+            self._fillers.append(filler)
+
+    def heal(self) -> None:
+        """Pass everything on again."""
+        for filler in self._fillers:
+            filler.close()
+        self._fillers.clear()
+        self._is_up.set()
+        self._accepting = asyncio.create_task(self._accept())
+
+    async def _accept(self) -> None:
+        """Accept connections while the link is up."""
+        loop = asyncio.get_running_loop()
+        while True:
+            connection, _ = await loop.sock_accept(self._listener)
+            task = asyncio.create_task(self._pass_on(connection))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _pass_on(self, connection: socket.socket) -> None:
+        """Pass the bytes of one connection on, both ways."""
+        with contextlib.suppress(OSError):
+            near = await asyncio.open_connection(sock=connection)
+            far = await asyncio.open_connection(*self._target)
+            await asyncio.gather(self._copy(near[0], far[1]), self._copy(far[0], near[1]))
+
+    async def _copy(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Copy bytes one way; hold them while the link is cut."""
+        with contextlib.suppress(OSError):
+            while data := await reader.read(65_536):
+                await self._is_up.wait()
+                writer.write(data)
+                await writer.drain()
+        await self._is_up.wait()
+        writer.close()
+
+
+class TimedRunner(Runner):
+    """A runner that records when each request reaches it."""
+
+    def __init__(self, name: str, service: str, record: Record) -> None:
+        super().__init__(name, service, record)
+        self.arrived: dict[str, float] = {}
+
+    async def _respond(self, call: Message) -> bytes:
+        """Run one request and return its response."""
+        request_id = call.headers.get(REQUEST_ID.lower(), "")
+        if request_id:
+            self.arrived[request_id] = time.monotonic()
+        return await super()._respond(call)
+
+
+class Traffic:
+    """Clients of a route; each request has a connection of its own."""
+
+    def __init__(self, address: str, record: Record) -> None:
+        self._address, self._record = address, record
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.sent: dict[str, float] = {}
+        self.served = 0
 
     async def run(self) -> None:
-        """Send a request each period."""
-        await asyncio.sleep(PERIOD_S * random.random())
+        """Send requests at a steady rate."""
         while True:
-            is_long = self._phase.is_long
-            self.results.append((is_long, await self._send()))
-            await asyncio.sleep(PERIOD_S * random.uniform(0.8, 1.2))
-
-    async def _send(self) -> str:
-        """Send one request and return its result."""
-        is_kept = self._streams is not None
-        if self._streams is None:
-            self._streams = await open_connection(random.choice(self._addresses))
-        reader, writer = self._streams
+            task = asyncio.create_task(self._send())
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            await asyncio.sleep(random.expovariate(REQUESTS_PER_S))
+
+    async def _send(self) -> None:
+        """Send one request."""
         request_id = new_request_id()
-        prompt = ",".join(f"{number:08x}:4" for number in range(self._phase.parts))
-        headers = {
-            "Host": HOST,
-            REQUEST_ID: request_id,
-            "X-Driftstall-Deadline-Ms": "3000",
-            "X-Driftstall-Model": "m",
-            "X-Driftstall-Token-Count": f"{4 * self._phase.parts},80",
-            "X-Driftstall-Prompt-Prefix": prompt,
-        }
-        data = encode("POST /read/1 HTTP/1.1", headers, b"x" * 600)
-        self._record(f"client {self._number} {request_id}: {len(data) - 600} bytes of headers")
+        headers = {REQUEST_ID: request_id, "X-Driftstall-Deadline-Ms": "3000"}
+        self.sent[request_id] = time.monotonic()
         try:
-            writer.write(data)
-            response = await asyncio.wait_for(read_message(reader), DEADLINE_S)
+            response = await fetch(self._address, "POST", "/post/1", headers, b"x", DEADLINE_S)
+            answer = f"status {response.status}"
+            self.served += response.status == 200 and SEAL.lower() in response.headers
         except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
-            writer.close()
-            self._streams = None
-            self._record(f"client {self._number} {request_id}: {type(error).__name__}")
-            return "no answer"
-        kept = "a kept" if is_kept else "a new"
-        status = response.status
-        self._record(f"client {self._number} {request_id} on {kept} connection: {status}")
-        if response.headers.get("connection", "").lower() == "close":
-            writer.close()
-            self._streams = None
-        if SEAL.lower() in response.headers:
-            return "served" if status == 200 else f"runner's {status}"
-        return f"own {status}"
+            answer = f"no answer ({type(error).__name__})"
+        self._record(f"{request_id}: {answer}")
+
+
+class Deployment:
+    """A machine with a store, runners and clients of its own."""
+
+    def __init__(self, number: int, record: Record, folder: Path) -> None:
+        self.number, self._record = number, record
+        self.store = Store()
+        self.gateway = Gateway(f"front-{number}", number, "", folder)
+        self._link: Link | None = None
+        self.clients: Traffic | None = None
+        self._traffic: asyncio.Task[None] | None = None
+        self.late = 0
+
+    async def start(self) -> None:
+        """Start everything, and the requests."""
+        await self.store.start()
+        self._link = Link(self.store.address)
+        for number in range(2):
+            await TimedRunner(f"i-stays-{number}", "portal", self._record).start(self.store)
+        routes = [route("/post/", "unsafe", "portal")]
+        self.store.put("config", "main", configuration(1, routes))
+        self.gateway.store = self._link.address
+        self.gateway.start()
+        await wait_until(self.gateway.is_ready, 20.0, f"the start of {self.gateway.name}")
+        self.clients = Traffic(self.gateway.listen["front"], self._record)
+        self._traffic = asyncio.create_task(self.clients.run())
+
+    def stop(self) -> None:
+        """Stop the requests and the process."""
+        if self._traffic is not None:
+            self._traffic.cancel()
+        self.gateway.kill()
+
+    async def run(self, is_troubled: bool) -> None:
+        """Let a runner leave in each round, with the partition around it."""
+        assert self._link is not None and self.clients is not None
+        await asyncio.sleep(CALM_S * self.number / DEPLOYMENTS)
+        for number in range(ROUNDS):
+            name = f"i-{self.number}-leaves-{number}"
+            where = f"machine {self.number}, round {number}"
+            leaver = TimedRunner(name, "portal", self._record)
+            await leaver.start(self.store)
+            await asyncio.sleep(CALM_S)
+            if is_troubled:
+                self._link.cut()
+                self._record(f"{where}: the machine is partitioned from the store")
+            await asyncio.sleep(CUT_S - LEAVES_BEFORE_END_S)
+            self.store.remove("servers", name)
+            removed_at = time.monotonic()
+            self._record(f"{where}: the store has accepted the removal of {name}")
+            await asyncio.sleep(LEAVES_BEFORE_END_S)
+            healed_at = time.monotonic()
+            if is_troubled:
+                self._link.heal()
+                self._record(f"{where}: the partition ends")
+            await asyncio.sleep(SERVES_ON_S - LEAVES_BEFORE_END_S)
+            in_touch_from = healed_at + CONTACT_S if is_troubled else removed_at
+            late = [
+                arrived_at
+                for request_id, arrived_at in leaver.arrived.items()
+                if arrived_at > removed_at + DRAIN_S
+                and self.clients.sent.get(request_id, 0.0) >= in_touch_from
+            ]
+            last_s = max(leaver.arrived.values(), default=removed_at) - healed_at
+            self.late += len(late)
+            self._record.say(
+                f"{where}: the last request reached {name} {last_s:+.2f} s from the partition's"
+                f" end; {len(late)} came later than drainMs after its removal and taken in touch"
+            )
 
 
 async def play(record: Record, folder: Path, is_troubled: bool) -> int:
     """Play the case."""
-    store = Store()
-    await store.start()
-    runners = [Runner(f"i-{number}", "portal", record) for number in range(3)]
-    for runner in runners:
-        await runner.start(store)
-    routes = [route("/read/", "safe", "portal")]
-    first = OLD_HEADER_BYTES if is_troubled else NEW_HEADER_BYTES
-    store.put("config", "main", configuration(1, routes, {"maxHeaderBytes": first}))
-    gateways = [Gateway(f"front-{number}", number, store.address, folder) for number in range(2)]
-    seeds = [gateway.listen["control"] for gateway in gateways]
-    tasks: list[asyncio.Task[None]] = []
+    deployments = [Deployment(number, record, folder) for number in range(DEPLOYMENTS)]
     try:
-        for gateway in gateways:
-            gateway.seeds = seeds
-            gateway.start()
-        for gateway in gateways:
-            await wait_until(gateway.is_ready, 15.0, f"the start of {gateway.name}")
-        phase = Phase()
-        addresses = [gateway.listen["front"] for gateway in gateways]
-        clients = [Client(number, addresses, phase, record) for number in range(CLIENTS)]
-        tasks = [asyncio.create_task(client.run()) for client in clients]
-        await asyncio.sleep(BEFORE_S)
-        if is_troubled:
-            store.put(
-                "config", "main", configuration(4, routes, {"maxHeaderBytes": NEW_HEADER_BYTES})
-            )
-            record.say(f"version 4 is acknowledged: maxHeaderBytes {NEW_HEADER_BYTES}")
-        await asyncio.sleep(APPLY_S + 0.5)
-        record.say(f"{APPLY_S + 0.5} s later clients begin to send about 22 KB of headers")
-        phase.parts, phase.is_long = PARTS, True
-        began_at = time.monotonic()
-        await asyncio.sleep(AFTER_S)
-        record(f"ended {time.monotonic() - began_at:.1f} s later")
-        results = [result for client in clients for result in client.results]
-        short = Counter(what for is_long, what in results if not is_long)
-        long = Counter(what for is_long, what in results if is_long)
-        record.say(f"short headers: {dict(short)}")
-        record.say(f"long headers: {dict(long)}")
-        if short["served"] < short.total() / 2:
-            raise CouldNotRun("the system did not serve before")
-        denied = sum(
-            count
-            for what, count in long.items()
-            if what.startswith(("own 3", "own 4")) and int(what[4:]) not in NOT_COUNTED
-        )
-        allowed = OWN_ALLOWED + len(results) * OWN_SHARE
-        record.say(f"{denied} of {len(results)} requests were denied; {allowed:.1f} are allowed")
-        return EXIT_BROKEN if denied > allowed else EXIT_HELD
+        for deployment in deployments:
+            await deployment.start()
+        await asyncio.gather(*(deployment.run(is_troubled) for deployment in deployments))
+        clients = [each.clients for each in deployments if each.clients is not None]
+        sent = sum(len(each.sent) for each in clients)
+        served = sum(each.served for each in clients)
+        record.say(f"{served} of {sent} requests were served")
+        if served < sent / 2:
+            raise CouldNotRun("the system did not serve")
+        late = sum(deployment.late for deployment in deployments)
+        record.say(f"{late} requests reached a runner too late")
+        return EXIT_BROKEN if late else EXIT_HELD
     finally:
-        for task in tasks:
-            task.cancel()
-        for gateway in gateways:
-            gateway.kill()
+        for deployment in deployments:
+            deployment.stop()
 
 
 run_case(FOLDER, play)
