Tests: ends of close-delimited responses, as callers are told of them (known failures)

Servers that stop close their connections first, and their processes end later or never. A response of the test world that has no framing counts as ended if its connection was closed in order, and resets are told from that.

--- a/features/steps/stream_end_process_steps.py
+++ b/features/steps/stream_end_process_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import subprocess
 import sys
@@ -39,6 +40,8 @@
     data: bytes = b""
     last_event_at: float = 0.0
     ended_at: float = 0.0
+    is_closed: bool = False
+    """Whether the connection was closed in order."""
     reading: gevent.Greenlet = field(init=False)
 
     def __post_init__(self) -> None:
@@ -49,7 +52,7 @@
     def received(self) -> Received:
         """Return the response, once it has ended."""
         self.reading.get(timeout=DEADLINE_MS / 1000 + 1)
-        return parse_answer(self.data)
+        return parse_answer(self.data, is_closed=self.is_closed)
 
     def has_event(self, number: int) -> bool:
         """Return True if an event has arrived."""
@@ -61,10 +64,12 @@
         with socket.create_connection((host, int(port)), DEADLINE_MS / 1000) as connection:
             more = {"X_Driftstall_Deadline_Ms": str(DEADLINE_MS)}
             connection.sendall(request_bytes("/stream/a", self.request_id, **more))
-            while piece := connection.recv(65_536):
-                self.data += piece
-                if not self.last_event_at and self.has_event(EVENTS):
-                    self.last_event_at = time.monotonic()
+            with contextlib.suppress(ConnectionResetError):
+                while piece := connection.recv(65_536):
+                    self.data += piece
+                    if not self.last_event_at and self.has_event(EVENTS):
+                        self.last_event_at = time.monotonic()
+                self.is_closed = True
         self.ended_at = time.monotonic()
 
 
--- a/features/worlds/ending_world.py
+++ b/features/worlds/ending_world.py
@@ -40,10 +40,13 @@
     received: AsyncResult = field(default_factory=AsyncResult)
 
     @classmethod
-    def send(cls, connection: socket.socket, request_id: str, deadline_ms: int) -> StreamCaller:
+    def send(
+        cls, connection: socket.socket, request_id: str, deadline_ms: int, version: str = "1.1"
+    ) -> StreamCaller:
         """Send the request of a stream, and read its response from another greenlet."""
         more = {"X_Driftstall_Deadline_Ms": str(deadline_ms)}
-        connection.sendall(request_bytes("/stream/a", request_id, **more))
+        request = request_bytes("/stream/a", request_id, **more)
+        connection.sendall(request.replace(b"HTTP/1.1", b"HTTP/" + version.encode(), 1))
         caller = cls(connection)
         gevent.spawn(caller._read)
         return caller
@@ -55,13 +58,14 @@
     def _read(self) -> None:
         """Read until the connection is closed."""
         self.connection.settimeout(None)
+        is_closed = True
         try:
             while piece := self.connection.recv(65_536):
                 self.data += piece
         except ConnectionError:
-            pass
+            is_closed = False
         self.connection.close()
-        self.received.set(parse_answer(self.data))
+        self.received.set(parse_answer(self.data, is_closed=is_closed))
 
 
 class EndingWorld(GatewayWorld):
@@ -77,6 +81,8 @@
         self.has_backups = True
         self._sent_by_run = 0
         self.reads_events = True
+        self.http_version = "1.1"
+        """Version of HTTP of the callers."""
         self.caller: StreamCaller | None = None
         self.ending_engines = [
             EndingUpstream(engine.upstream_id, self._take_plan) for engine in self.engines
@@ -102,7 +108,7 @@
             self.state.loads.record_peer("peer", full, self.state.now())
         is_silent = any(plan.ending is Ending.SILENT for plan in self.plans)
         deadline_ms = SILENT_DEADLINE_MS if is_silent else DEADLINE_MS
-        self.caller = StreamCaller.send(self.connect(), request_id, deadline_ms)
+        self.caller = StreamCaller.send(self.connect(), request_id, deadline_ms, self.http_version)
         received: Received = self.caller.received.get(timeout=WAIT_S)
         return received
 
--- a/features/worlds/gateway_world.py
+++ b/features/worlds/gateway_world.py
@@ -95,7 +95,13 @@
     headers: dict[str, str]
     body: bytes
     whole: bool
-    """Whether the response is complete by its length or its final chunk."""
+    """Whether its end has arrived: by its length, by its final chunk, or without either by its
+    connection, which was closed in order."""
+
+    @property
+    def is_framed(self) -> bool:
+        """Return True if its end states that it is complete; the end of a connection does not."""
+        return "content-length" in self.headers or "transfer-encoding" in self.headers
 
 
 class GatewayWorld:
@@ -232,18 +238,21 @@
 
 def read_response(connection: socket.socket) -> Received:
     """Read one response until the connection is closed."""
-    data = b""
+    data, is_closed = b"", True
     connection.settimeout(WAIT_S)
     try:
         while piece := connection.recv(65_536):
             data += piece
     except ConnectionError:
-        pass
-    return parse_answer(data)
+        is_closed = False
+    return parse_answer(data, is_closed=is_closed)
+
 
+def parse_answer(data: bytes, *, is_closed: bool = False) -> Received:
+    """Parse an HTTP response; an empty one has status 0.
 
-def parse_answer(data: bytes) -> Received:
-    """Parse an HTTP response; an empty one has status 0."""
+    With is_closed, its connection was closed in order after it.
+    """
     head, _, body = data.partition(b"\r\n\r\n")
     first, *lines = head.decode("latin-1").split("\r\n")
     if not first:
@@ -255,8 +264,9 @@
     status = int(first.split(" ")[1])
     if headers.get("transfer-encoding") == "chunked":
         return Received(status, headers, *_unchunked(body))
-    whole = len(body) == int(headers.get("content-length", "-1"))
-    return Received(status, headers, body, whole)
+    if "content-length" not in headers:
+        return Received(status, headers, body, is_closed)
+    return Received(status, headers, body, len(body) == int(headers["content-length"]))
 
 
 def _unchunked(body: bytes) -> tuple[bytes, bool]:
--- a/stand_ins/endings.py
+++ b/stand_ins/endings.py
@@ -27,7 +27,7 @@
 """Body of a whole response to a call."""
 CALL_PIECES: Final = 20
 LATE_STOP_S: Final = 0.03
-"""Time for which a process that closes its connections first still listens."""
+"""Usual time for which a process that closes its connections first still listens."""
 LAST_CHUNK: Final = b"0\r\n\r\n"
 
 
@@ -88,6 +88,8 @@
     pause_s: float = 0.0
     """Pause before each piece."""
     status: int = 200
+    stop_after_s: float = LATE_STOP_S
+    """Time from the close of the connection to the end of a process that closes it first."""
 
     @classmethod
     def draw(
@@ -200,7 +202,7 @@
         elif plan.ending is Ending.GONE:
             self._stop_process()
         elif plan.ending is Ending.GONE_LATE:
-            gevent.spawn_later(LATE_STOP_S, self._stop_process)
+            gevent.spawn_later(plan.stop_after_s, self._stop_process)
         elif plan.ending is Ending.RESTARTED:
             self.upstream_id += "-restarted"
             self.report = self.report | {"born": self.report.get("born", 1) + 1}
