Streams end in no stronger terms than their upstreams' responses

Callers saw streams that ended as complete, in chunks, before their last event. Cause: a response with neither a length nor chunks ends with its connection, and the end was told with a last chunk once the upstream's process was found alive 50 ms later. Servers that stop close their connections first, and their processes end later.

The response to the caller now has the framing of the first run's: chunks if that was framed, else the connection. What is known of the process only weakens an end: a process that has ended or is not known makes it a truncated response, which resumes, lacks its last chunk, or is reset. A run without framing cannot complete a response in chunks; the stream resumes once more or is broken off. While a response ends with its connection, any other end of that connection resets it, the death of the process included (SO_LINGER of zero until the end is stated). Error responses of streams keep their framing too.

Test world: runs before a whole run have its framing, as a whole run without framing cannot complete a response in chunks any more (that and its reverse are scenarios of their own); runs before one that is not whole have both.

--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -21,6 +21,7 @@
 )
 from driftstall.core import Problem, Ran
 from driftstall.decisions.permits import SendNeed
+from driftstall.decisions.response_ends import LIVING_STATES
 from driftstall.decisions.sends import SendHistory, SendOutcome
 from driftstall.exceptions import InvalidResponse, UpstreamError
 from driftstall.gateway.admission import AdmittedRequest
@@ -37,7 +38,6 @@
 from driftstall.gateway.response_ends.framing import ResponseFraming
 from driftstall.gateway.response_ends.records import RelayedEnd, StatedEnd, record_relayed_end
 from driftstall.gateway.response_ends.results import SendFailure, UpstreamResponse
-from driftstall.gateway.response_ends.verification import LIVING_STATES
 from driftstall.gateway.retry_budget.pending_retry import PendingRetry
 from driftstall.gateway.runs import BrokenRun
 from driftstall.gateway.scheduling.selection import Option, are_all_full, choose_call
--- a/driftstall/gateway/dialect.py
+++ b/driftstall/gateway/dialect.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from driftstall.decisions.response_ends import ProcessState
 from driftstall.decisions.upstream_probes import ReportedState
 from driftstall.decisions.upstream_signals import Signal
 from driftstall.gateway.exchange import Connection
@@ -17,7 +18,6 @@
     SendMetadata,
     Upstream,
 )
-from driftstall.gateway.response_ends.verification import ProcessState
 from driftstall.util.http import CONNECT_TIMEOUT_S, connect
 
 
--- a/driftstall/gateway/ingress.py
+++ b/driftstall/gateway/ingress.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import contextlib
+import struct
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any, Final
@@ -46,6 +47,9 @@
 LINGER_S: Final = 0.1
 """How long a refused caller may pause before its connection is closed."""
 LINGER_READS: Final = 32
+RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
+CLOSE_IN_ORDER: Final = struct.pack("ii", 0, 0)
+"""Values of SO_LINGER."""
 OVERLOAD_RETRY_S: Final = 1.0
 CONTINUE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
 LAST_CHUNK: Final = b"0\r\n\r\n"
@@ -70,6 +74,8 @@
 
 EVICTED: Final = OSError("the unfinished request was discarded")
 """Wakes up the greenlet that waits for more of a request."""
+ABORTED: Final = OSError("the connection was aborted")
+"""Wakes up the greenlet that waits until more of a response can be written."""
 ReadResult = CallerRequest | MalformedRequest | OverloadRefusal | ConnectionClosed
 
 
@@ -104,6 +110,8 @@
         self._is_evicted = False
         self._is_served = False
         self._has_sent = False
+        self._is_reset_when_closed = False
+        self._is_output_ended = False
         self._waits_since = clock.now()
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
@@ -292,16 +300,52 @@
 
     def _abort(self) -> None:
         """End input and output, which wakes up the greenlet that waits for the connection."""
+        if self._is_reset_when_closed:
+            # Shutting the output down would close the connection in order.
+            socket.cancel_wait(self._connection._write_event, ABORTED)
+            return
         with contextlib.suppress(OSError):
             self._connection.shutdown(socket.SHUT_RDWR)
 
-    def finish_writing(self) -> None:
-        """End the output and discard the input that has arrived, which else resets the connection.
+    def reset_when_closed(self) -> None:
+        """Let any close reset the connection, until close_in_order() is called.
 
-        A reset would discard what the caller has not read yet.
+        While a response ends with the connection, closing it in order would state its end. The
+        kernel closes it in order when the process is killed.
         """
+        self._set_reset_when_closed(True)
+
+    def close_in_order(self) -> None:
+        """State the end of a response that ends with the connection."""
+        self._set_reset_when_closed(False)
+        self._end_output()
+
+    def _set_reset_when_closed(self, is_reset: bool) -> None:
+        """Set whether a close discards the output and resets the connection."""
+        self._is_reset_when_closed = is_reset
+        with contextlib.suppress(OSError):
+            linger = RESET_ON_CLOSE if is_reset else CLOSE_IN_ORDER
+            self._connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+    def finish_writing(self) -> None:
+        """End the output, and discard the input that has arrived."""
+        self._end_output()
+        self.discard_input()
+
+    def _end_output(self) -> None:
+        """Close the connection in order, for this direction."""
+        self._is_output_ended = True
         with contextlib.suppress(OSError):
             self._connection.shutdown(socket.SHUT_WR)
+
+    def discard_input(self) -> None:
+        """Discard the input that has arrived after the output has ended, until the caller closes.
+
+        Unread input resets the connection, which would discard what the caller has not read yet.
+        """
+        if not self._is_output_ended:
+            return
+        with contextlib.suppress(OSError):
             self._connection.settimeout(LINGER_S)
             for _ in range(LINGER_READS):
                 if not self._connection.recv(RECEIVE_BYTES):
--- a/driftstall/gateway/listeners.py
+++ b/driftstall/gateway/listeners.py
@@ -26,6 +26,7 @@
     ConnectionTable,
     make_server,
 )
+from driftstall.gateway.callers.framing import LengthFraming
 from driftstall.gateway.callers.refusals import refuse
 from driftstall.gateway.calls import CallRelay
 from driftstall.gateway.dialect import BadHeaders
@@ -41,7 +42,7 @@
 from driftstall.gateway.poison.status import describe_quarantine
 from driftstall.gateway.response_ends.results import UpstreamResponse
 from driftstall.gateway.response_writer import ResponseWriter
-from driftstall.gateway.responses import encode_problem, encode_response, encode_response_head
+from driftstall.gateway.responses import encode_problem, encode_response
 from driftstall.gateway.scheduling.queue_status import QueueStatus
 from driftstall.gateway.state import GatewayState
 from driftstall.gateway.stats import render
@@ -114,6 +115,7 @@
                 connection.finish_writing()
                 return
             if not self._handle_request(connection, call):
+                connection.discard_input()
                 return
 
     def _count_eviction(self) -> None:
@@ -237,10 +239,8 @@
             return self._answer_problem(writer, result, keep_alive=keep_alive)
         self._state.stats.completed += 1
         self._state.stats.answer_s.observe({}, self._state.now() - admitted.started_at)
-        head = encode_response_head(
-            result.status, result.headers, len(result.body), keep_alive=keep_alive
-        )
-        return writer.write_response(head, result.body) and keep_alive
+        framing = LengthFraming(len(result.body), keep_alive)
+        return writer.write_whole(result.status, result.headers, framing, result.body)
 
     def _answer_problem(
         self, writer: ResponseWriter, problem: Problem, *, keep_alive: bool
--- a/driftstall/gateway/response_ends/records.py
+++ b/driftstall/gateway/response_ends/records.py
@@ -4,11 +4,13 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
+from functools import singledispatch
 
 from driftstall.const import PREFIX_RELAY
+from driftstall.decisions.response_ends import ProcessState
+from driftstall.gateway.callers.framing import ChunkedFraming, CloseFraming, LengthFraming
 from driftstall.gateway.model import Upstream
 from driftstall.gateway.response_ends.framing import ResponseEndCause, ResponseFraming
-from driftstall.gateway.response_ends.verification import ProcessState
 from driftstall.gateway.stats import GatewayStats
 from driftstall.helpers.log import log_event
 
@@ -26,6 +28,30 @@
     """Its connection was closed before the end that the framing requires."""
 
 
+@singledispatch
+def stated_end(framing: object) -> StatedEnd:
+    """Return how the end of a response with a framing is stated."""
+    raise TypeError(f"no framing: {framing!r}")
+
+
+@stated_end.register
+def _(framing: LengthFraming) -> StatedEnd:
+    """Return that its length was stated."""
+    return StatedEnd.LENGTH
+
+
+@stated_end.register
+def _(framing: ChunkedFraming) -> StatedEnd:
+    """Return that its last chunk was sent."""
+    return StatedEnd.LAST_CHUNK
+
+
+@stated_end.register
+def _(framing: CloseFraming) -> StatedEnd:
+    """Return that its connection was closed in order."""
+    return StatedEnd.CLOSED
+
+
 @dataclass(frozen=True, slots=True)
 class RelayedEnd:
     """Describe the end of a response: how it arrived, and how it was passed on."""
--- a/driftstall/gateway/response_ends/results.py
+++ b/driftstall/gateway/response_ends/results.py
@@ -6,6 +6,7 @@
 from typing import Self
 
 from driftstall.decisions.sends import SendOutcome
+from driftstall.gateway.callers.framing import CallerFraming, CloseFraming, LengthFraming
 from driftstall.gateway.model import Headers
 from driftstall.gateway.outcomes import Outcome
 
@@ -20,6 +21,10 @@
     is_framed: bool = True
     """Whether the response was framed by its headers; otherwise it ended with its connection."""
 
+    def caller_framing(self, *, keep_alive: bool) -> CallerFraming:
+        """Return how the response to the caller is framed: by a length only if this one was."""
+        return LengthFraming(len(self.body), keep_alive) if self.is_framed else CloseFraming()
+
 
 @dataclass(frozen=True, slots=True)
 class SendFailure:
--- /dev/null
+++ b/driftstall/gateway/response_ends/stream_ends.py
@@ -0,0 +1,95 @@
+"""Determine how the responses to a stream's runs end, and record how callers are told."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+
+from driftstall.decisions.response_ends import (
+    BrokenEnd,
+    ClosedEnd,
+    CompleteEnd,
+    ProcessState,
+    RunEnd,
+)
+from driftstall.exceptions import UpstreamError
+from driftstall.gateway.events import EventSequence, EventSplitter
+from driftstall.gateway.response_ends.framing import ResponseFraming
+from driftstall.gateway.response_ends.records import RelayedEnd, StatedEnd, record_relayed_end
+from driftstall.gateway.runs import StreamRun
+from driftstall.gateway.state import GatewayState
+from driftstall.gateway.stream_context import StreamContext
+
+
+class StreamEnds:
+    """Check the ends of one stream's runs."""
+
+    def __init__(
+        self, state: GatewayState, context: StreamContext, sequence: EventSequence
+    ) -> None:
+        """Initialize with the shared state, the stream's context and its events."""
+        self._state = state
+        self._context = context
+        self._sequence = sequence
+        self._process: ProcessState | None = None
+        """State of the upstream's process after the end of its response, if that was checked."""
+
+    def begin_run(self) -> None:
+        """Forget the state of the previous run's upstream."""
+        self._process = None
+
+    def check(self, run: StreamRun, splitter: EventSplitter) -> RunEnd:
+        """Return how a run's response ended whose connection did not break."""
+        assert run.exchange is not None
+        if splitter.is_inside_event:
+            return _broken("the stream ended inside an event")
+        if self._sequence.is_run_behind:
+            # Another run, or one that numbers the rest of the stream anew.
+            return _broken("the stream ended before its last event")
+        if run.exchange.is_framed:
+            return CompleteEnd()
+        ended_at = self._state.now()
+        if not self._sequence.has_run_begun:
+            # An upstream may also close a request's connection instead of running it.
+            return _broken("the stream ended without an event")
+        if self._context.replicas.may_have_stopped(run, self._context.remaining_s()):
+            # The final copy of a migration stops a run at an upstream that lives on.
+            return _broken("the stream ended during its migration")
+        return ClosedEnd(self.check_process(run, ended_at))
+
+    def check_process(self, run: StreamRun, ended_at: float) -> ProcessState:
+        """Return the state of the upstream's process after an end."""
+        self._process = self._state.end_verifier.check(
+            run.upstream, ended_at, self._context.remaining_s(), run.request_id
+        )
+        return self._process
+
+    def record(self, run: StreamRun, stated: StatedEnd) -> None:
+        """Record how the end of the stream, or of an error response, is told to the caller."""
+        framing = ResponseFraming.UNKNOWN if run.exchange is None else run.exchange.framing
+        end = RelayedEnd(
+            run.upstream, run.request_id, framing, self._process, stated, run.events, run.moves
+        )
+        record_relayed_end(self._state.stats, end)
+
+
+@singledispatch
+def describe_end(end: object) -> str:
+    """Return why a stream does not end with a run's response, for the log."""
+    raise TypeError(f"no end of a run: {end!r}")
+
+
+@describe_end.register
+def _(end: BrokenEnd) -> str:
+    """Return the error."""
+    return str(end.error)
+
+
+@describe_end.register
+def _(end: ClosedEnd) -> str:
+    """Return the state of the process."""
+    return f"the stream ended with its connection, and its process is {end.process.value}"
+
+
+def _broken(detail: str) -> BrokenEnd:
+    """Return the end of a response whose upstream sent less than the whole stream."""
+    return BrokenEnd(UpstreamError(detail, sent=True))
--- a/driftstall/gateway/response_ends/verification.py
+++ b/driftstall/gateway/response_ends/verification.py
@@ -9,13 +9,13 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from enum import StrEnum
 from typing import Final
 
 import gevent
 from gevent.event import AsyncResult
 
 from driftstall.const import PREFIX_RELAY
+from driftstall.decisions.response_ends import LIVING_STATES, ProcessState
 from driftstall.gateway.model import Upstream
 from driftstall.gateway.stats import GatewayStats
 from driftstall.helpers.log import log_event
@@ -35,19 +35,6 @@
 """A process that refuses connections this soon after an end was probably stopping at that end."""
 
 
-class ProcessState(StrEnum):
-    """State of an upstream's process."""
-
-    ALIVE = "alive"
-    SILENT = "silent"
-    """It gave no answer in time, but kept the connection open until then, so it lives."""
-    ENDED = "ended"
-    """It refuses or resets connections, or another process answers at its address."""
-    UNKNOWN = "unknown"
-    """It gave no answer that shows its state."""
-
-
-LIVING_STATES: Final = frozenset({ProcessState.ALIVE, ProcessState.SILENT})
 ProbeProcess = Callable[[Upstream], ProcessState]
 
 
--- a/driftstall/gateway/responses.py
+++ b/driftstall/gateway/responses.py
@@ -8,25 +8,17 @@
 
 from driftstall.core import Problem
 from driftstall.daemon.http_responses import PROBLEM_TYPE, problem_fields
+from driftstall.gateway.callers.framing import LengthFraming, framing_headers
 from driftstall.gateway.ingress import encode_head
 from driftstall.gateway.model import Headers
 
 MIN_RETRY_S: Final = 0.01
-CLOSE_HEADER: Final = b"Connection: close"
-KEEP_ALIVE_HEADER: Final = b"Connection: keep-alive"
 
 
 def encode_response(status: int, headers: Headers, body: bytes, *, keep_alive: bool) -> bytes:
     """Return the bytes of a whole response."""
-    return encode_response_head(status, headers, len(body), keep_alive=keep_alive) + body
-
-
-def encode_response_head(
-    status: int, headers: Headers, body_bytes: int, *, keep_alive: bool
-) -> bytes:
-    """Return the head of a response whose body has this size."""
-    extra = (b"Content-Length: %d" % body_bytes, KEEP_ALIVE_HEADER if keep_alive else CLOSE_HEADER)
-    return encode_head(status, headers, extra)
+    framing = LengthFraming(len(body), keep_alive)
+    return encode_head(status, headers, framing_headers(framing)) + body
 
 
 def encode_problem(problem: Problem, *, keep_alive: bool) -> bytes:
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -21,6 +21,7 @@
 from driftstall.decisions.lengths import LearnedLengths
 from driftstall.decisions.placers import MAX_COMPARED_UPSTREAMS
 from driftstall.decisions.planned_stop import PlannedStop
+from driftstall.decisions.response_ends import ProcessState
 from driftstall.decisions.store_versions import StoreEras
 from driftstall.decisions.upstream_backoff import StaggeredRetries, UpstreamBackoff
 from driftstall.decisions.upstream_load import LoadSource, ReportedLoad, UpstreamLoads, mean_pace
@@ -37,7 +38,7 @@
 from driftstall.gateway.response_buffers import ResponseBuffers
 from driftstall.gateway.response_ends.open_exchanges import OpenExchanges
 from driftstall.gateway.response_ends.records import record_response_end
-from driftstall.gateway.response_ends.verification import EndVerifier, ProcessState
+from driftstall.gateway.response_ends.verification import EndVerifier
 from driftstall.gateway.response_limits import record_oversized
 from driftstall.gateway.retry_budget.budgets import RetryBudgets
 from driftstall.gateway.routes import RouteTable
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -2,7 +2,8 @@
 
 A stream runs at most once. When its upstream fails or leaves, the stream resumes at a replica of
 its memory, from the last event that the caller received. Without a replica it is broken off
-visibly: the last chunk is missing. Events are relayed whole, in order and exactly once.
+visibly: the last chunk is missing, or the connection is reset if the response ends with it. Events
+are relayed whole, in order and exactly once.
 """
 
 from __future__ import annotations
@@ -12,31 +13,33 @@
 
 from driftstall.const import CODE_RUNNER_FAILED, PREFIX_RELAY
 from driftstall.core import Problem, Ran
+from driftstall.decisions.response_ends import (
+    LIVING_STATES,
+    BrokenEnd,
+    ClosedEnd,
+    EndAction,
+    RunEnd,
+    decide_stream_end,
+)
 from driftstall.exceptions import InvalidResponse, UpstreamError
 from driftstall.gateway.admission import AdmittedRequest
+from driftstall.gateway.callers.framing import CallerFraming, ChunkedFraming, CloseFraming
 from driftstall.gateway.events import Event, EventContinuity, EventSequence, EventSplitter
 from driftstall.gateway.exchange import BodyChunk, ResponseEnd, UpstreamExchange
-from driftstall.gateway.ingress import (
-    LAST_CHUNK,
-    CallerRequest,
-    encode_chunk,
-    encode_head,
-)
+from driftstall.gateway.ingress import CallerRequest
 from driftstall.gateway.model import PROMISING_STATUSES
 from driftstall.gateway.moves import Mover
 from driftstall.gateway.outcomes import Outcome
 from driftstall.gateway.response_body import ResponseBody
-from driftstall.gateway.response_ends.framing import ResponseFraming
-from driftstall.gateway.response_ends.records import RelayedEnd, StatedEnd, record_relayed_end
+from driftstall.gateway.response_ends.records import (
+    StatedEnd,
+    stated_end,
+)
+from driftstall.gateway.response_ends.results import UpstreamResponse
 from driftstall.gateway.response_ends.silence import SilenceWatch
-from driftstall.gateway.response_ends.verification import LIVING_STATES, ProcessState
+from driftstall.gateway.response_ends.stream_ends import StreamEnds, describe_end
 from driftstall.gateway.response_writer import ResponseWriter
-from driftstall.gateway.responses import (
-    CLOSE_HEADER,
-    KEEP_ALIVE_HEADER,
-    encode_problem,
-    encode_response_head,
-)
+from driftstall.gateway.responses import encode_problem
 from driftstall.gateway.runs import StreamRun
 from driftstall.gateway.sending import OpenedResponse
 from driftstall.gateway.state import GatewayState
@@ -84,8 +87,9 @@
         self._longest_gap_s = 0.0
         self._silence = SilenceWatch(state, self._context)
         self._keep_alive = keep_alive
-        self._process: ProcessState | None = None
-        """State of the upstream's process after the end of its response, if that was checked."""
+        self._framing: CallerFraming = ChunkedFraming(keep_alive)
+        """Framing of the response to the caller; final once its head has been sent."""
+        self._ends = StreamEnds(state, self._context, self._sequence)
 
     def handle_disconnect(self) -> None:
         """Abandon the stream: closing the connection makes its upstream stop."""
@@ -110,20 +114,27 @@
         if not self._context.has_responded and not self._send_head(opened):
             return False
         while True:
-            error = self._relay_events(run)
-            if error is None:
+            end = self._relay_events(run)
+            states_completeness = isinstance(self._framing, ChunkedFraming)
+            action = decide_stream_end(end, states_completeness=states_completeness)
+            if action is EndAction.FINISH:
                 return self._complete(run)
             if self._context.is_caller_disconnected:
                 return False
-            self._context.handle_break(run, error)
-            if not self._sequence.can_resume:
-                return self._break_off(run, f"{error}; its last event has no id")
-            resumed = self._resumer.resume(run, str(error))
-            if resumed is None:
-                return self._break_off(run, str(error))
-            assert self._context.run is not None
-            run = self._context.run
-            self._process = None
+            next_run = self._resume(run, end)
+            if next_run is None:
+                return self._break_off(run, describe_end(end))
+            run = next_run
+
+    def _resume(self, run: StreamRun, end: RunEnd) -> StreamRun | None:
+        """Resume the stream at a replica after the end of a run; return its next run, or None."""
+        if isinstance(end, BrokenEnd):
+            self._context.handle_break(run, end.error)
+        elif isinstance(end, ClosedEnd) and end.process not in LIVING_STATES:
+            self._context.handle_break(run)
+        if not self._sequence.can_resume or not self._resumer.resume(run, describe_end(end)):
+            return None
+        return self._context.run
 
     def _relay_failure(self, run: StreamRun, opened: OpenedResponse) -> bool:
         """Relay an error response, which is not a stream."""
@@ -140,7 +151,10 @@
                     break
                 if isinstance(item, BodyChunk):
                     body.add(item.data)
-            if not run.exchange.is_framed and not self._is_alive(run, self._state.now()):
+            if (
+                not run.exchange.is_framed
+                and self._ends.check_process(run, self._state.now()) not in LIVING_STATES
+            ):
                 raise UpstreamError("it ended with its upstream's process", sent=True)
         except (UpstreamError, TimeoutError) as error:
             log_event(PREFIX_RELAY, f"Error response broke off: {error}", request=run.request_id)
@@ -149,29 +163,32 @@
             return self._answer_problem(problem)
         self._context.record_outcome(run, Outcome.FAILED)
         self._state.stats.failed += 1
-        content = body.take()
-        self._record_end(run, StatedEnd.LENGTH)
-        head = encode_response_head(
+        response = UpstreamResponse(
             opened.head.status,
             opened.metadata.forwarded_headers,
-            len(content),
-            keep_alive=self._keep_alive,
+            body.take(),
+            opened.head.is_framed,
+        )
+        self._framing = response.caller_framing(keep_alive=self._keep_alive)
+        self._ends.record(run, stated_end(self._framing))
+        return self._writer.write_whole(
+            response.status, response.headers, self._framing, response.body
         )
-        return self._writer.write_response(head, content) and self._keep_alive
 
     def _send_head(self, opened: OpenedResponse) -> bool:
-        """Send the response head to the caller."""
-        extra = (
-            b"Transfer-Encoding: chunked",
-            KEEP_ALIVE_HEADER if self._keep_alive else CLOSE_HEADER,
-        )
+        """Send the response head to the caller.
+
+        The response is framed by chunks only if that of the first run is framed.
+        """
+        if not opened.head.is_framed:
+            self._framing = CloseFraming()
         self._context.has_responded = True
-        return self._writer.write(
-            encode_head(opened.head.status, opened.metadata.forwarded_headers, extra)
+        return self._writer.begin(
+            opened.head.status, opened.metadata.forwarded_headers, self._framing
         )
 
-    def _relay_events(self, run: StreamRun) -> Exception | None:
-        """Relay events; return None at the end of the stream, or the error that broke it."""
+    def _relay_events(self, run: StreamRun) -> RunEnd:
+        """Relay the events of a run; return how its response ended."""
         assert run.exchange is not None
         splitter = EventSplitter()
         run.exchange.on_evicted = splitter.discard
@@ -181,10 +198,11 @@
             # The error keeps the buffer alive while the stream resumes elsewhere.
             splitter.discard()
 
-    def _relay_parts(self, run: StreamRun, splitter: EventSplitter) -> Exception | None:
+    def _relay_parts(self, run: StreamRun, splitter: EventSplitter) -> RunEnd:
         """Relay the events of the response's parts until its end."""
         assert run.exchange is not None
         self._sequence.begin_run()
+        self._ends.begin_run()
         self._silence.end_silence()
         while True:
             wait_began_at = self._state.now()
@@ -192,46 +210,20 @@
                 wait_until = wait_began_at + self._silence.max_wait_s(run)
                 item = run.exchange.next(partial(self._seconds_to, wait_until))
             except UpstreamError as error:
-                return error
+                return BrokenEnd(error)
             except TimeoutError as error:
                 if self._silence.may_wait_longer(run):
                     continue
-                return error
+                return BrokenEnd(error)
             finally:
                 run.waited_s += self._state.now() - wait_began_at
             self._silence.end_silence()
             if isinstance(item, BodyChunk):
                 relay_error = self._forward(run, splitter, item.data)
                 if relay_error is not None:
-                    return relay_error
+                    return BrokenEnd(relay_error)
             elif isinstance(item, ResponseEnd):
-                if splitter.is_inside_event:
-                    return UpstreamError("the stream ended inside an event", sent=True)
-                if self._sequence.is_run_behind:
-                    # Another run, or one that numbers the rest of the stream anew.
-                    return UpstreamError("the stream ended before its last event", sent=True)
-                return None if run.exchange.is_framed else self._check_unframed_end(run)
-
-    def _check_unframed_end(self, run: StreamRun) -> UpstreamError | None:
-        """Return an error unless a stream is whole whose response ended with its connection."""
-        ended_at = self._state.now()
-        if not self._sequence.has_run_begun:
-            # An upstream may also close a request's connection instead of running it.
-            return UpstreamError("the stream ended without an event", sent=True)
-        if self._context.replicas.may_have_stopped(run, self._context.remaining_s()):
-            # The final copy of a migration stops a run at an upstream that lives on.
-            return UpstreamError("the stream ended during its migration", sent=True)
-        if not self._is_alive(run, ended_at):
-            return UpstreamError("the stream ended with its upstream's process", sent=True)
-        return None
-
-    def _is_alive(self, run: StreamRun, ended_at: float) -> bool:
-        """Return True if the upstream's process is known to have lived after an end."""
-        remaining_s = self._context.remaining_s()
-        self._process = self._state.end_verifier.check(
-            run.upstream, ended_at, remaining_s, run.request_id
-        )
-        return self._process in LIVING_STATES
+                return self._ends.check(run, splitter)
 
     def _check_event(
         self, exchange: UpstreamExchange, splitter: EventSplitter
@@ -266,7 +258,7 @@
             # resumed stream would lack them.
             if next_events:
                 self._record_progress(run, len(next_events))
-                if not self._writer.write(encode_chunk(b"".join(next_events))):
+                if not self._writer.write_piece(self._framing, b"".join(next_events)):
                     self._context.is_caller_disconnected = True
                     return UpstreamError("the caller has disconnected", sent=True)
             if error is not None:
@@ -330,22 +322,15 @@
             framing=run.exchange.framing.value if run.exchange is not None else "",
             longest_gap_ms=int(self._longest_gap_s * 1000),
         )
-        self._record_end(run, StatedEnd.LAST_CHUNK)
-        return self._writer.write(LAST_CHUNK) and self._keep_alive
-
-    def _record_end(self, run: StreamRun, stated: StatedEnd) -> None:
-        """Record how the end of a run's response is told to the caller."""
-        framing = ResponseFraming.UNKNOWN if run.exchange is None else run.exchange.framing
-        end = RelayedEnd(
-            run.upstream, run.request_id, framing, self._process, stated, run.events, run.moves
-        )
-        record_relayed_end(self._state.stats, end)
+        self._ends.record(run, stated_end(self._framing))
+        return self._writer.finish(self._framing)
 
     def _break_off(self, run: StreamRun, cause: str) -> bool:
-        """End a stream that cannot resume; the caller sees that the last chunk is missing."""
+        """End a stream that cannot resume, without the end that its framing requires."""
         self._context.record_outcome(run, Outcome.BROKEN)
         self._state.stats.streams_broken += 1
-        self._record_end(run, StatedEnd.MISSING)
+        is_chunked = isinstance(self._framing, ChunkedFraming)
+        self._ends.record(run, StatedEnd.MISSING if is_chunked else StatedEnd.RESET)
         log_event(
             PREFIX_RELAY,
             f"Stream broke off and cannot resume: {cause}",
--- a/driftstall/platform/dialect.py
+++ b/driftstall/platform/dialect.py
@@ -7,6 +7,7 @@
 import gevent
 import orjson
 
+from driftstall.decisions.response_ends import ProcessState
 from driftstall.decisions.upstream_probes import ReportedState
 from driftstall.gateway.dialect import (
     ConnectUpstream,
@@ -23,7 +24,6 @@
     SendMetadata,
     Upstream,
 )
-from driftstall.gateway.response_ends.verification import ProcessState
 from driftstall.platform import documents, engine_calls, headers, names, process_probe
 
 
--- a/driftstall/platform/process_probe.py
+++ b/driftstall/platform/process_probe.py
@@ -7,11 +7,11 @@
 
 import orjson
 
+from driftstall.decisions.response_ends import ProcessState
 from driftstall.exceptions import OversizedAnswer, UpstreamError, UpstreamTimeout
 from driftstall.gateway.dialect import ConnectUpstream, SignalObserver
 from driftstall.gateway.exchange import Connection
 from driftstall.gateway.model import Upstream
-from driftstall.gateway.response_ends.verification import ProcessState
 from driftstall.platform import names
 from driftstall.platform.headers import read_signals
 from driftstall.util import clock
--- a/features/steps/close_delimited_end_steps.py
+++ b/features/steps/close_delimited_end_steps.py
@@ -163,7 +163,7 @@
             raise RuntimeError("defect")
         original(request, before, tokens)
 
-    world.state.lengths.record_progress = fail_later  # type: ignore[method-assign]
+    world.state.lengths.record_progress = fail_later  # type: ignore[assignment,method-assign]
     context.answer = world.stream("s1", reads_events=False)
 
 
--- a/features/steps/crash_refusal_steps.py
+++ b/features/steps/crash_refusal_steps.py
@@ -14,13 +14,13 @@
 from driftstall.core import Instance
 from driftstall.decisions.poison_detection import QUARANTINE_DURATIONS_S
 from driftstall.decisions.poison_evidence import CrashReport, PoisonReport
+from driftstall.decisions.response_ends import ProcessState
 from driftstall.decisions.upstream_probes import ReportedState
 from driftstall.gateway.callers.auxiliary import AuxiliaryListener
 from driftstall.gateway.ingress import CallerRequest
 from driftstall.gateway.listeners import MetricsHandler, request_fingerprint
 from driftstall.gateway.poison import crash_detector
 from driftstall.gateway.poison.crash_detector import CrashDetector
-from driftstall.gateway.response_ends.verification import ProcessState
 from driftstall.gateway.scheduling.queue_status import QueueStatus
 from driftstall.helpers.poison_sharing import PeerTransport, PoisonSharing
 from driftstall.peers.blame_messages import BlamesTold
--- a/features/steps/end_verification_steps.py
+++ b/features/steps/end_verification_steps.py
@@ -11,16 +11,12 @@
 from behave import given, then, when
 from gevent.event import Event
 
+from driftstall.decisions.response_ends import LIVING_STATES, ProcessState
 from driftstall.gateway.dialect import connect_directly, ignore_signals
 from driftstall.gateway.exchange import ResponseHead
 from driftstall.gateway.model import Upstream
 from driftstall.gateway.response_ends.framing import ResponseFraming
-from driftstall.gateway.response_ends.verification import (
-    LIVING_STATES,
-    SETTLE_S,
-    EndVerifier,
-    ProcessState,
-)
+from driftstall.gateway.response_ends.verification import SETTLE_S, EndVerifier
 from driftstall.gateway.stats import GatewayStats
 from driftstall.platform.dialect import PlatformDialect
 from driftstall.platform.process_probe import probe_process
--- a/features/steps/prompt_part_steps.py
+++ b/features/steps/prompt_part_steps.py
@@ -22,11 +22,11 @@
 from driftstall.core import Instance
 from driftstall.decisions.poison_evidence import CrashReport, PoisonReport
 from driftstall.decisions.poison_subjects import MAX_PARTS, part_subject
+from driftstall.decisions.response_ends import LIVING_STATES, ProcessState
 from driftstall.exceptions import UpstreamError
 from driftstall.gateway.callers.auxiliary import AuxiliaryListener
 from driftstall.gateway.forwarding.connector import CONNECT_TIMEOUT_S
 from driftstall.gateway.listeners import MetricsHandler
-from driftstall.gateway.response_ends.verification import LIVING_STATES, ProcessState
 from driftstall.gateway.scheduling.queue_status import QueueStatus
 from driftstall.helpers.poison_sharing import PeerTransport, PoisonSharing
 from driftstall.peers.blame_messages import BlamesTold
--- a/features/steps/stream_end_steps.py
+++ b/features/steps/stream_end_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from http import HTTPStatus
 from typing import Any
 
@@ -34,17 +35,23 @@
 
 
 def _stream(context: Any, plans: list[EndingPlan], backups: str) -> None:
-    """Request a stream once for each place that its last plan ends at, of a gateway of its own."""
+    """Request a stream once for each place that its last plan ends at, of a gateway of its own.
+
+    Its earlier runs have the same framing, and chunks as well if the last run is not whole: a whole
+    run without framing does not state the end of a response in chunks.
+    """
     context.streams = []
     last = plans[-1]
-    places = (Place.EVENT,) if last.ending is Ending.WHOLE else context.places
+    is_whole = last.ending is Ending.WHOLE
     for framing in context.framings:
-        for place in places:
-            plan = EndingPlan(framing, last.ending, place, last.pieces)
-            world = _world(context, framing, with_backups=backups == "with")
-            world.plans = [*plans[:-1], plan]
-            context.streams.append((plan, world.stream("s1"), world))
-            world.close()
+        earlier_framings = {framing} if is_whole else {framing, Framing.CHUNKED}
+        for place in (Place.EVENT,) if is_whole else context.places:
+            for earlier in earlier_framings if plans[:-1] else {framing}:
+                plan = EndingPlan(framing, last.ending, place, last.pieces)
+                world = _world(context, framing, with_backups=backups == "with")
+                world.plans = [*(replace(each, framing=earlier) for each in plans[:-1]), plan]
+                context.streams.append((plan, world.stream("s1"), world))
+                world.close()
 
 
 def _assert_honest(plan: EndingPlan, answer: Received) -> None:
