Responses to calls without framing end with their connection

Callers saw responses with a computed Content-Length whose upstream had sent a part of the body: the length was computed from what had arrived when the connection closed, also a length of zero for a body that was closed before its first byte. Such a response now goes on without a length and closes the caller's connection in order; one whose process has ended or is not known is a failed send as before.

--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -261,7 +261,7 @@
         if process not in LIVING_STATES:
             return SendFailure.from_unverified_end()
         if isinstance(result, UpstreamResponse):
-            end = RelayedEnd(upstream, request_id, ResponseFraming.CLOSE, process, StatedEnd.LENGTH)
+            end = RelayedEnd(upstream, request_id, ResponseFraming.CLOSE, process, StatedEnd.CLOSED)
             record_relayed_end(self._state.stats, end)
         return result
 
--- a/driftstall/gateway/listeners.py
+++ b/driftstall/gateway/listeners.py
@@ -26,7 +26,6 @@
     ConnectionTable,
     make_server,
 )
-from driftstall.gateway.callers.framing import LengthFraming
 from driftstall.gateway.callers.refusals import refuse
 from driftstall.gateway.calls import CallRelay
 from driftstall.gateway.dialect import BadHeaders
@@ -239,7 +238,7 @@
             return self._answer_problem(writer, result, keep_alive=keep_alive)
         self._state.stats.completed += 1
         self._state.stats.answer_s.observe({}, self._state.now() - admitted.started_at)
-        framing = LengthFraming(len(result.body), keep_alive)
+        framing = result.caller_framing(keep_alive=keep_alive)
         return writer.write_whole(result.status, result.headers, framing, result.body)
 
     def _answer_problem(
