Streams of callers of HTTP/1.0 have no chunks

A caller of HTTP/1.0 got a stream in chunks, which it takes for parts of the events, with the last chunk as more of them. Such a stream ends with its connection now: closed in order if it is whole, reset if it is truncated.

--- a/driftstall/gateway/callers/body_parser.py
+++ b/driftstall/gateway/callers/body_parser.py
@@ -56,9 +56,12 @@
 class BodyParser:
     """Parse what follows the head of one request; the connection takes no further one."""
 
-    def __init__(self, observer: BodyObserver, method: bytes, framing: tuple[bytes, bytes]) -> None:
-        """Initialize with the request's method, and the header that frames its body."""
+    def __init__(
+        self, observer: BodyObserver, method: bytes, version: str, framing: tuple[bytes, bytes]
+    ) -> None:
+        """Initialize with the request's method and version, and the header that frames its body."""
         self._method = method
+        self._version = version
         self._parser = httptools.HttpRequestParser(_BodyEvents(observer))
         self._parser.feed_data(SUBSTITUTE_HEAD % framing)
 
@@ -71,6 +74,10 @@
         """Return the method of the request."""
         return self._method
 
+    def get_http_version(self) -> str:
+        """Return the version of HTTP of the request."""
+        return self._version
+
     def should_keep_alive(self) -> bool:
         """Return False: what the caller sends next may be meant for another protocol."""
         return False
--- a/driftstall/gateway/callers/requests.py
+++ b/driftstall/gateway/callers/requests.py
@@ -14,6 +14,7 @@
 from driftstall.util import clock
 
 CHUNKED: Final = b"chunked"
+HTTP_1_0: Final = "1.0"
 LINE_END: Final = b"\r\n"
 """Some callers send one after a body; it begins no request."""
 HEADER_OBJECT_BYTES: Final = 200
@@ -37,6 +38,8 @@
     keep_alive: bool
     read_at: float
     """Time when the last byte was read, in seconds on the monotonic clock."""
+    accepts_chunks: bool = True
+    """Whether the caller's version of HTTP has the chunked transfer coding."""
 
     @property
     def path(self) -> str:
@@ -136,7 +139,9 @@
             if self._skipped_framing is None or self.error is not None:
                 raise
             framing, self._skipped_framing = self._skipped_framing, None
-            self.parser = BodyParser(self, self.parser.get_method(), framing)
+            parser = self.parser
+            version = parser.get_http_version()
+            self.parser = BodyParser(self, parser.get_method(), version, framing)
             self.parser.feed_data(data[offer.args[0] :])
 
     def restart_clock(self) -> None:
@@ -225,6 +230,7 @@
             body=bytes(self._body),
             keep_alive=self.parser.should_keep_alive(),
             read_at=clock.now(),
+            accepts_chunks=self.parser.get_http_version() != HTTP_1_0,
         )
 
     def _count_head(self, size: int) -> None:
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -79,6 +79,7 @@
         """
         self._state = state
         self._writer = writer
+        self._call = call
         self._admitted = admitted
         self._context = StreamContext(state, mover, call, admitted)
         self._resumer = StreamResumer(self._context)
@@ -178,9 +179,10 @@
     def _send_head(self, opened: OpenedResponse) -> bool:
         """Send the response head to the caller.
 
-        The response is framed by chunks only if that of the first run is framed.
+        The response is framed by chunks only if that of the first run is framed, and the
+        caller knows that coding.
         """
-        if not opened.head.is_framed:
+        if not opened.head.is_framed or not self._call.accepts_chunks:
             self._framing = CloseFraming()
         self._context.has_responded = True
         return self._writer.begin(
