Streams that end unframed at an upstream that leaves resume at their backup

A close-delimited stream of an upstream that states that it is leaving, fails its health check or was announced to leave may have been closed early, and its backup has the rest. It was told as ended. It now resumes where a replica may be used, and else its connection is closed in order as before: engines drop a backup once the run has ended well, so a whole stream costs one send that is not run. An upstream whose answer to a final copy shows that the run had ended is not doubted. The health check's 503 counts unless it is a rejection for want of a slot.

--- a/driftstall/decisions/response_ends.py
+++ b/driftstall/decisions/response_ends.py
@@ -18,6 +18,8 @@
     """State of an upstream's process."""
 
     ALIVE = "alive"
+    LEAVING = "leaving"
+    """It answers, and states that it is leaving or unwell."""
     SILENT = "silent"
     """It gave no answer in time, but kept the connection open until then, so it lives."""
     ENDED = "ended"
@@ -26,7 +28,7 @@
     """It gave no answer that shows its state."""
 
 
-LIVING_STATES: Final = frozenset({ProcessState.ALIVE, ProcessState.SILENT})
+LIVING_STATES: Final = frozenset({ProcessState.ALIVE, ProcessState.LEAVING, ProcessState.SILENT})
 
 
 class EndAction(StrEnum):
@@ -34,6 +36,7 @@
 
     FINISH = "finish"
     """State the end as the framing of the caller's response does."""
+    RESUME_OR_FINISH = "resume or finish"
     RESUME_OR_BREAK_OFF = "resume or break off"
     """Resume at a replica; without one, let the caller see that the stream is truncated."""
 
@@ -88,4 +91,6 @@
     """Finish only if the process lives and the caller is told no more than the instance was."""
     if end.process not in LIVING_STATES or states_completeness:
         return EndAction.RESUME_OR_BREAK_OFF
-    return EndAction.FINISH
+    if end.process is ProcessState.ALIVE:
+        return EndAction.FINISH
+    return EndAction.RESUME_OR_FINISH
--- a/driftstall/gateway/response_ends/stream_ends.py
+++ b/driftstall/gateway/response_ends/stream_ends.py
@@ -54,14 +54,23 @@
         if self._context.replicas.may_have_stopped(run, self._context.remaining_s()):
             # The final copy of a migration stops a run at an upstream that lives on.
             return _broken("the stream ended during its migration")
-        return ClosedEnd(self.check_process(run, ended_at))
+        process = self.check_process(run, ended_at)
+        if process is ProcessState.LEAVING and run.pending_final_copy is not None:
+            # It has answered that the final copy did not stop the run, so the run had ended.
+            process = ProcessState.ALIVE
+        return ClosedEnd(process)
 
     def check_process(self, run: StreamRun, ended_at: float) -> ProcessState:
         """Return the state of the upstream's process after an end."""
-        self._process = self._state.end_verifier.check(
-            run.upstream, ended_at, self._context.remaining_s(), run.request_id
+        upstream = run.upstream
+        process = self._state.end_verifier.check(
+            upstream, ended_at, self._context.remaining_s(), run.request_id
         )
-        return self._process
+        is_announced = self._state.fleet.is_departure_announced(upstream.upstream_id)
+        if process is ProcessState.ALIVE and is_announced:
+            process = ProcessState.LEAVING
+        self._process = process
+        return process
 
     def record(self, run: StreamRun, stated: StatedEnd) -> None:
         """Record how the end of the stream, or of an error response, is told to the caller."""
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -124,6 +124,8 @@
                 return False
             next_run = self._resume(run, end)
             if next_run is None:
+                if action is EndAction.RESUME_OR_FINISH:
+                    return self._complete(run)
                 return self._break_off(run, describe_end(end))
             run = next_run
 
--- a/driftstall/platform/process_probe.py
+++ b/driftstall/platform/process_probe.py
@@ -8,6 +8,7 @@
 import orjson
 
 from driftstall.decisions.response_ends import ProcessState
+from driftstall.decisions.upstream_signals import LeavingSignal
 from driftstall.exceptions import OversizedAnswer, UpstreamError, UpstreamTimeout
 from driftstall.gateway.dialect import ConnectUpstream, SignalObserver
 from driftstall.gateway.exchange import Connection
@@ -25,6 +26,7 @@
 """Limits of the body of an answer, which has a few fields."""
 HEADER_EXPECTED: Final = names.HEADER_UPSTREAM_ID.decode()
 HEADER_INSTANCE: Final = "x-driftstall-instance-id"
+STATE_DRAINING: Final = "draining"
 
 
 def probe_process(
@@ -61,10 +63,13 @@
         return ProcessState.UNKNOWN
     except UpstreamError as fault:
         return ProcessState.ENDED if fault.refused else ProcessState.UNKNOWN
-    if _is_other_process(upstream, exchange, body):
+    report = _decode(body)
+    if _is_other_process(upstream, exchange, report):
         return ProcessState.ENDED
-    observe(upstream, read_signals(exchange.status, exchange.headers), sent_at)
-    return ProcessState.ALIVE
+    signals = read_signals(exchange.status, exchange.headers)
+    observe(upstream, signals, sent_at)
+    is_leaving = LeavingSignal() in signals or _is_unwell(exchange) or _is_draining(report)
+    return ProcessState.LEAVING if is_leaving else ProcessState.ALIVE
 
 
 def _probe_silent_process(upstream: Upstream, connect: ConnectUpstream) -> ProcessState:
@@ -97,16 +102,30 @@
     return ProcessState.ALIVE if is_open else ProcessState.UNKNOWN
 
 
-def _is_other_process(upstream: Upstream, exchange: Exchange, body: bytes) -> bool:
+def _decode(body: bytes) -> dict[str, Any]:
+    """Return the fields of an engine's report; empty for a body that is none."""
+    try:
+        report: Any = orjson.loads(body)
+    except orjson.JSONDecodeError:
+        return {}
+    return report if isinstance(report, dict) else {}
+
+
+def _is_unwell(exchange: Exchange) -> bool:
+    """Return True if a health check has failed; a full upstream rejects it without running it."""
+    is_rejected = names.HEADER_NOT_EXECUTED in exchange.headers
+    return exchange.status == HTTPStatus.SERVICE_UNAVAILABLE and not is_rejected
+
+
+def _is_draining(report: dict[str, Any]) -> bool:
+    """Return True if an engine reports that it is leaving."""
+    return report.get("state") == STATE_DRAINING or report.get("leaves_ms") is not None
+
+
+def _is_other_process(upstream: Upstream, exchange: Exchange, report: dict[str, Any]) -> bool:
     """Return True if an answer names a process other than the upstream's."""
     name = exchange.header(HEADER_INSTANCE)
     if name and name != upstream.name:
         return True
-    if not upstream.born or not body:
-        return False
-    try:
-        report: Any = orjson.loads(body)
-    except orjson.JSONDecodeError:
-        return False
-    born = report.get("born") if isinstance(report, dict) else None
-    return type(born) is int and born != upstream.born
+    born = report.get("born")
+    return bool(upstream.born) and type(born) is int and born != upstream.born
--- a/features/gateway/end_verification.feature
+++ b/features/gateway/end_verification.feature
@@ -120,6 +120,10 @@
       | answers                               | alive   |
       | answers with its id                   | alive   |
       | answers that it is full               | alive   |
+      | answers that it is unwell             | leaving |
+      | answers that it is draining           | leaving |
+      | answers when it ends                  | leaving |
+      | signals that it leaves                | leaving |
       | answers with the same start           | alive   |
       | does not answer                       | silent  |
       | does not answer and stops listening   | ended   |
--- a/features/steps/end_verification_steps.py
+++ b/features/steps/end_verification_steps.py
@@ -40,7 +40,11 @@
 REPLIES: Final[dict[str, bytes | ProbeReply | None]] = {
     "answers": _answer(b"{}"),
     "answers with its id": OK + b"X-Driftstall-Instance-Id: p-1\r\n" + EMPTY,
-    "answers that it is full": b"HTTP/1.1 503 Full\r\n" + EMPTY,
+    "answers that it is full": b"HTTP/1.1 503 Full\r\nX-Driftstall-Not-Executed: 1\r\n" + EMPTY,
+    "answers that it is unwell": b"HTTP/1.1 503 Draining\r\n" + EMPTY,
+    "answers that it is draining": _answer(b'{"state":"draining"}'),
+    "answers when it ends": _answer(b'{"state":"ready","leaves_ms":900}'),
+    "signals that it leaves": OK + b"Server-Leaving: 1\r\n" + EMPTY,
     "answers with the same start": _answer(b'{"born":7}'),
     "answers 421": b"HTTP/1.1 421 Misdirected\r\n" + EMPTY,
     "answers with another id": OK + b"X-Driftstall-Instance-Id: p-2\r\n" + EMPTY,
