A last chunk that a server writes as a final copy stops its run is not the stream's end

Servers whose library writes the last chunk when a handler is cancelled state an end all the same, and the stream was told as complete after a part of its events: a framed end was taken for whole before the final copy was looked at. Now a framed end waits for the result of a final copy that is under way, 1.5 s at most, and does not count if the copy has named a replica (200 with a handle, or 503 with one). The stream then resumes there, or is broken off. After 404, 409, another failure, a lost or a late answer a framed end stays an end: nothing shows that the run was stopped.

A whole stream whose final copy is not answered ends up to 1.5 s later than before; a comment said that it would not wait, which no step checked.

--- a/driftstall/gateway/replica_finder.py
+++ b/driftstall/gateway/replica_finder.py
@@ -15,6 +15,9 @@
 
 FINAL_COPY_TIMEOUT_S: Final = 2.0
 """How long the stream of a stopped run waits for the result of the final copy."""
+MOVED_TIMEOUT_S: Final = 1.5
+"""How long a stream that is whole by its framing waits for that result. Callers abandon a stream
+after a pause of two seconds."""
 
 
 class ReplicaFinder:
@@ -60,6 +63,14 @@
         final_copy = self._await_final_copy(run, run.pending_final_copy, remaining_s)
         return final_copy is None or final_copy.may_have_stopped
 
+    def has_moved(self, run: StreamRun, remaining_s: float) -> bool:
+        """Return True if the final copy of a migration has stopped a run, and named a replica."""
+        if run.pending_final_copy is None:
+            return False
+        wait_s = min(MOVED_TIMEOUT_S, remaining_s)
+        final_copy = self._await_final_copy(run, run.pending_final_copy, wait_s)
+        return final_copy is not None and final_copy.replica is not None
+
     def has_current_backup(self, run: StreamRun) -> bool:
         """Return True if the run has a backup that must be complete by now."""
         return self._find_backup(run) is not None
--- a/driftstall/gateway/response_ends/stream_ends.py
+++ b/driftstall/gateway/response_ends/stream_ends.py
@@ -46,6 +46,9 @@
             # Another run, or one that numbers the rest of the stream anew.
             return _broken("the stream ended before its last event")
         if run.exchange.is_framed:
+            if self._context.replicas.has_moved(run, self._context.remaining_s()):
+                # Some servers write the last chunk of a response that they cancel.
+                return _broken("the stream ended as the final copy stopped its run")
             return CompleteEnd()
         ended_at = self._state.now()
         if not self._sequence.has_run_begun:
--- a/features/gateway/final_copies.feature
+++ b/features/gateway/final_copies.feature
@@ -50,7 +50,36 @@
       | no framing | with nothing          |
       | no framing | too late              |
 
-  # Guards against a stream that waits for a final copy although its run has ended whole.
+  # Guards against a run that a final copy has stopped, and that is taken for whole as its server wrote the last chunk.
+  Scenario Outline: a stream whose last chunk is false as a final copy stopped it after event 2, answered <answer>, <result>
+    Given stream "s1" of chunks, the last one false waits after event 2
+    When its engine leaves, stops the run at the final copy, and answers <answer>
+    Then 5 events of "s1" came, in order, and the end
+
+    Examples:
+      | answer              | result               |
+      | 200 with the copy   | resumes at the copy  |
+      | 503 with a kept run | resumes at its engine |
+
+  # Guards against the same where the run can resume nowhere.
+  Scenario Outline: a stream whose last chunk is false, without any copy left, answered <answer>, is broken off
+    Given stream "s1" of chunks, the last one false waits after event 2
+    And no engine holds a copy at the end
+    When its engine leaves, stops the run at the final copy, and answers <answer>
+    Then 2 events of "s1" came, in order, and no end
+
+    Examples:
+      | answer              |
+      | 200 with the copy   |
+      | 503 with a kept run |
+
+  # Guards against a whole stream that is broken off as its engine copied the run after its last event.
+  Scenario: a stream of chunks that ends whole before its final copy, answered 200 with the copy, is whole
+    Given stream "s1" of chunks waits after event 2
+    When its engine leaves, ends the run whole before the final copy, and answers 200 with the copy
+    Then 5 events of "s1" came, in order, and the end
+
+  # Guards against a run that is taken for stopped by a final copy although it has ended whole.
   Scenario Outline: a stream of <framing> that ends whole before its final copy, answered <answer>, is whole
     Given stream "s1" of <framing> waits after event 2
     When its engine leaves, ends the run whole before the final copy, and answers <answer>
--- a/features/steps/final_copy_steps.py
+++ b/features/steps/final_copy_steps.py
@@ -12,6 +12,7 @@
 from stand_ins.routed import RoutedUpstream, Script
 
 ANSWER_TIMEOUT_S = 0.3
+FALSE_END = "chunks, the last one false"
 Answer = tuple[int, dict[str, Any]]
 
 
@@ -19,9 +20,10 @@
 def stream_waits(context: Any, request_id: str, framing: str, number: int) -> None:
     """Start a stream without a backup, and shorten the wait for the final copy."""
     waiting_stream(context, request_id, number, unframed=framing == "no framing")
-    original = replica_finder.FINAL_COPY_TIMEOUT_S
-    replica_finder.FINAL_COPY_TIMEOUT_S = ANSWER_TIMEOUT_S  # type: ignore[misc]
-    context.add_cleanup(setattr, replica_finder, "FINAL_COPY_TIMEOUT_S", original)
+    context.script.is_end_false = framing == FALSE_END
+    for name in ("FINAL_COPY_TIMEOUT_S", "MOVED_TIMEOUT_S"):
+        context.add_cleanup(setattr, replica_finder, name, getattr(replica_finder, name))
+        setattr(replica_finder, name, ANSWER_TIMEOUT_S)
     context.add_cleanup(context.script.late.set)
     context.holds_copies = True
 
--- a/stand_ins/routed.py
+++ b/stand_ins/routed.py
@@ -21,7 +21,13 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
-from driftstall.gateway.ingress import CallerConnection, CallerRequest, encode_chunk, encode_head
+from driftstall.gateway.ingress import (
+    LAST_CHUNK,
+    CallerConnection,
+    CallerRequest,
+    encode_chunk,
+    encode_head,
+)
 from driftstall.gateway.model import Limits
 
 STREAM_TYPE: Final = (b"Content-Type", b"text/event-stream")
@@ -67,6 +73,8 @@
     skip_event: int | None = None
     coalesce_from: int | None = None
     """Send all events of a stream from this one on in a single write."""
+    is_end_false: bool = False
+    """Send the last chunk of a stream whose run a final copy stops."""
     half_event: bool = False
     """With `break_after`: close the stream in the middle of the next event."""
     pause_after: int | None = None
@@ -101,6 +109,11 @@
         """Return the headers in the place of the signature."""
         return (SEAL,) if self.spoiled is None else self.spoiled
 
+    @property
+    def stopped_end(self) -> bytes:
+        """Return the end of a stream whose run has been stopped."""
+        return LAST_CHUNK if self.is_end_false else b""
+
     def with_new_events(self) -> Script:
         """Return a copy of the script with its own gevent events."""
         return replace(self, gate=Event(), paused=Event(), late=Event(), ended=Event())
@@ -390,6 +403,7 @@
                 continue
             gevent.sleep(script.event_pause_s)
             if request_id in self.stopped:
+                connection.write(script.stopped_end)
                 return
             if number == script.coalesce_from:
                 remaining = [n for n in range(number, script.events + 1) if n != script.skip_event]
@@ -406,12 +420,13 @@
                 script.paused.set()
                 script.gate.wait()
             if request_id in self.stopped:
+                connection.write(script.stopped_end)
                 return
             if number == script.break_after:
                 if script.half_event:
                     connection.write(framed(event_bytes(number + 1)[:4]))
                 return
-        connection.write(b"" if script.unframed else b"0\r\n\r\n")
+        connection.write(b"" if script.unframed else LAST_CHUNK)
 
     def _send_raw(
         self,
