Responses that can have no body state no length

A response to HEAD, and one with status 204 or 304, was given a computed Content-Length of zero, which no upstream had stated: RFC 9110 (8.6) forbids it with 204, and with HEAD and 304 it is the length of another response, so that a cache may take the stored one for truncated or empty. A stream's response to HEAD was given a transfer coding. They have an empty framing now, which states neither; the connection is kept as before. A status without a body decides before any header, so that a 304 with the length of another response is not framed by it.

--- a/driftstall/gateway/callers/framing.py
+++ b/driftstall/gateway/callers/framing.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from driftstall.gateway.ingress import encode_chunk
+from driftstall.gateway.response_ends.framing import ResponseFraming
 
 CLOSE_HEADER: Final = b"Connection: close"
 KEEP_ALIVE_HEADER: Final = b"Connection: keep-alive"
@@ -20,6 +21,16 @@
     keep_alive: bool
 
 
+@dataclass(frozen=True, slots=True)
+class EmptyFraming:
+    """There is no body, and its length is not stated: RFC 9110 (8.6) forbids that with status 204.
+
+    In a response to HEAD or with status 304 it would be the length of another response.
+    """
+
+    keep_alive: bool
+
+
 @dataclass(frozen=True, slots=True)
 class ChunkedFraming:
     """The body is sent in chunks, and the last one states that it is whole."""
@@ -32,7 +43,7 @@
     """The body ends with the connection, which states nothing about whether it is whole."""
 
 
-CallerFraming = LengthFraming | ChunkedFraming | CloseFraming
+CallerFraming = LengthFraming | EmptyFraming | ChunkedFraming | CloseFraming
 
 
 @singledispatch
@@ -47,6 +58,12 @@
     return b"Content-Length: %d" % framing.body_bytes, _connection_header(framing.keep_alive)
 
 
+@framing_headers.register
+def _(framing: EmptyFraming) -> tuple[bytes, ...]:
+    """Return only what becomes of the connection."""
+    return (_connection_header(framing.keep_alive),)
+
+
 @framing_headers.register
 def _(framing: ChunkedFraming) -> tuple[bytes, ...]:
     """Return the transfer coding."""
@@ -71,6 +88,20 @@
     return encode_chunk(data)
 
 
+def stream_framing(
+    received: ResponseFraming, *, accepts_chunks: bool, keep_alive: bool
+) -> CallerFraming:
+    """Return the framing of a stream, by that of its first run's response.
+
+    It is in chunks only if that response is framed, and the caller knows that coding.
+    """
+    if received is ResponseFraming.EMPTY:
+        return EmptyFraming(keep_alive)
+    if received is ResponseFraming.CLOSE or not accepts_chunks:
+        return CloseFraming()
+    return ChunkedFraming(keep_alive)
+
+
 def _connection_header(keep_alive: bool) -> bytes:
     """Return the header that states whether the connection is kept."""
     return KEEP_ALIVE_HEADER if keep_alive else CLOSE_HEADER
--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -358,7 +358,7 @@
                         is_framed=head.is_framed,
                     )
                 return UpstreamResponse(
-                    head.status, metadata.forwarded_headers, body.take(), head.is_framed
+                    head.status, metadata.forwarded_headers, body.take(), head.framing
                 )
 
     def _remaining_s(self) -> float:
--- a/driftstall/gateway/response_ends/framing.py
+++ b/driftstall/gateway/response_ends/framing.py
@@ -19,19 +19,19 @@
     CHUNKED = "chunked"
     """Framed by its transfer coding."""
     EMPTY = "empty"
-    """The status allows no body."""
+    """The status or the method of the request allows no body, whatever the headers say."""
     CLOSE = "close"
     """Neither a length nor a transfer coding: the body ends with its connection."""
 
     @classmethod
     def from_head(cls, status: int, names: Iterable[bytes]) -> ResponseFraming:
         """Return the framing of a response with a status and header names in lower case."""
+        if status in BODYLESS:
+            return cls.EMPTY
         present = frozenset(names)
         if b"transfer-encoding" in present:
             return cls.CHUNKED
-        if b"content-length" in present:
-            return cls.LENGTH
-        return cls.EMPTY if status in BODYLESS else cls.CLOSE
+        return cls.LENGTH if b"content-length" in present else cls.CLOSE
 
 
 class ResponseEndCause(StrEnum):
--- a/driftstall/gateway/response_ends/records.py
+++ b/driftstall/gateway/response_ends/records.py
@@ -8,7 +8,12 @@
 
 from driftstall.const import PREFIX_RELAY
 from driftstall.decisions.response_ends import ProcessState
-from driftstall.gateway.callers.framing import ChunkedFraming, CloseFraming, LengthFraming
+from driftstall.gateway.callers.framing import (
+    ChunkedFraming,
+    CloseFraming,
+    EmptyFraming,
+    LengthFraming,
+)
 from driftstall.gateway.model import Upstream
 from driftstall.gateway.response_ends.framing import ResponseEndCause, ResponseFraming
 from driftstall.gateway.stats import GatewayStats
@@ -19,6 +24,8 @@
     """How a caller was told that a response has ended."""
 
     LENGTH = "length"
+    HEAD = "head"
+    """The response ends with its head, as it can have no body."""
     LAST_CHUNK = "last chunk"
     CLOSED = "closed"
     """Its connection was closed in order, and nothing else frames the response."""
@@ -40,6 +47,12 @@
     return StatedEnd.LENGTH
 
 
+@stated_end.register
+def _(framing: EmptyFraming) -> StatedEnd:
+    """Return that the head is all."""
+    return StatedEnd.HEAD
+
+
 @stated_end.register
 def _(framing: ChunkedFraming) -> StatedEnd:
     """Return that its last chunk was sent."""
--- a/driftstall/gateway/response_ends/results.py
+++ b/driftstall/gateway/response_ends/results.py
@@ -6,9 +6,15 @@
 from typing import Self
 
 from driftstall.decisions.sends import SendOutcome
-from driftstall.gateway.callers.framing import CallerFraming, CloseFraming, LengthFraming
+from driftstall.gateway.callers.framing import (
+    CallerFraming,
+    CloseFraming,
+    EmptyFraming,
+    LengthFraming,
+)
 from driftstall.gateway.model import Headers
 from driftstall.gateway.outcomes import Outcome
+from driftstall.gateway.response_ends.framing import ResponseFraming
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,11 +24,17 @@
     status: int
     headers: Headers
     body: bytes | bytearray
-    is_framed: bool = True
-    """Whether the response was framed by its headers; otherwise it ended with its connection."""
+    framing: ResponseFraming
+
+    @property
+    def is_framed(self) -> bool:
+        """Return True if the response was framed; otherwise it ended with its connection."""
+        return self.framing is not ResponseFraming.CLOSE
 
     def caller_framing(self, *, keep_alive: bool) -> CallerFraming:
         """Return how the response to the caller is framed: by a length only if this one was."""
+        if self.framing is ResponseFraming.EMPTY:
+            return EmptyFraming(keep_alive)
         return LengthFraming(len(self.body), keep_alive) if self.is_framed else CloseFraming()
 
 
--- a/driftstall/gateway/response_writer.py
+++ b/driftstall/gateway/response_writer.py
@@ -9,6 +9,7 @@
     CallerFraming,
     ChunkedFraming,
     CloseFraming,
+    EmptyFraming,
     LengthFraming,
     encode_piece,
     framing_headers,
@@ -87,6 +88,11 @@
         """State nothing more: the length was stated before the body."""
         return framing.keep_alive
 
+    @finish.register
+    def _(self, framing: EmptyFraming) -> bool:
+        """State nothing more: there is no body."""
+        return framing.keep_alive
+
     @finish.register
     def _(self, framing: ChunkedFraming) -> bool:
         """Write the last chunk."""
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -23,7 +23,7 @@
 )
 from driftstall.exceptions import InvalidResponse, UpstreamError
 from driftstall.gateway.admission import AdmittedRequest
-from driftstall.gateway.callers.framing import CallerFraming, ChunkedFraming, CloseFraming
+from driftstall.gateway.callers.framing import CallerFraming, ChunkedFraming, stream_framing
 from driftstall.gateway.events import Event, EventContinuity, EventSequence, EventSplitter
 from driftstall.gateway.exchange import BodyChunk, ResponseEnd, UpstreamExchange
 from driftstall.gateway.ingress import CallerRequest
@@ -170,7 +170,7 @@
             opened.head.status,
             opened.metadata.forwarded_headers,
             body.take(),
-            opened.head.is_framed,
+            opened.head.framing,
         )
         self._framing = response.caller_framing(keep_alive=self._keep_alive)
         self._ends.record(run, stated_end(self._framing))
@@ -179,13 +179,12 @@
         )
 
     def _send_head(self, opened: OpenedResponse) -> bool:
-        """Send the response head to the caller.
-
-        The response is framed by chunks only if that of the first run is framed, and the
-        caller knows that coding.
-        """
-        if not opened.head.is_framed or not self._call.accepts_chunks:
-            self._framing = CloseFraming()
+        """Send the response head to the caller."""
+        self._framing = stream_framing(
+            opened.head.framing,
+            accepts_chunks=self._call.accepts_chunks,
+            keep_alive=self._keep_alive,
+        )
         self._context.has_responded = True
         return self._writer.begin(
             opened.head.status, opened.metadata.forwarded_headers, self._framing
--- a/stand_ins/routed.py
+++ b/stand_ins/routed.py
@@ -66,6 +66,8 @@
     """Send only the response of another request, without a length, and close."""
     surplus_after: bool = False
     """Send more bytes after the complete response."""
+    more_headers: tuple[tuple[bytes, bytes], ...] = ()
+    """Further headers of the response, as they are."""
     events: int = 5
     break_after: int | None = None
     """Close a stream after this event."""
@@ -352,7 +354,12 @@
         gevent.sleep(script.work_s * (self.pace_percent or 100) / 100)
         if script.hold:
             script.gate.wait()
-        headers = (_id(request_id), *script.signature, *self._signal_headers())
+        headers = (
+            _id(request_id),
+            *script.signature,
+            *self._signal_headers(),
+            *script.more_headers,
+        )
         length = () if script.unframed else (b"Content-Length: %d" % len(script.body),)
         connection.write(encode_head(script.status, headers, length))
         self._record_leaving_signal(request_id)
@@ -385,6 +392,7 @@
         framed = _unframed if script.unframed else encode_chunk
         signature = script.signature
         answer = (_id(request_id), *signature, STREAM_TYPE, *self._signal_headers())
+        answer = (*answer, *script.more_headers)
         head = script.before_head + encode_head(script.status, answer, extra)
         if not connection.write(head):
             return
