--- a/features/gateway/stream_signals.feature
+++ b/features/gateway/stream_signals.feature
@@ -27,3 +27,30 @@
       | a SIGHUP of wrong settings |
       | an outage of the store    |
       | a stop of the process for 1 s |
+
+  # Guards against the same ends of streams that end with their connection: a truncated one must not be closed in order.
+  Scenario: a stream without framing whose process is killed is reset
+    Given its response ends with its connection
+    When the stream pauses, and the process gets SIGKILL and ends
+    Then 3 events came, and no end
+    And no framing states the end
+
+  Scenario: a stream without framing that outlasts the grace time is open until the process is killed, and then reset
+    Given its response ends with its connection
+    When the stream pauses, the process gets SIGTERM, its grace time passes, and it is killed
+    Then 3 events came, and no end
+    And no framing states the end
+
+  Scenario Outline: a stream without framing that goes on after <disturbance> is closed in order
+    Given its response ends with its connection
+    When the stream pauses, there is <disturbance>, and the stream goes on
+    Then 5 events came, and the end
+    And no framing states the end
+
+    Examples:
+      | disturbance               |
+      | a SIGTERM                 |
+      | a SIGHUP                  |
+      | a SIGHUP of wrong settings |
+      | an outage of the store    |
+      | a stop of the process for 1 s |
--- a/features/steps/stream_signal_steps.py
+++ b/features/steps/stream_signal_steps.py
@@ -35,6 +35,12 @@
     context.store.create(KIND_UPSTREAMS, "engine-1", entry_spec(engine.address, "engines"))
 
 
+@given("its response ends with its connection")
+def close_delimited(context: Any) -> None:
+    """Let the engine frame nothing."""
+    context.script.unframed = True
+
+
 def _ask(context: Any) -> None:
     """Request the stream, and read until its pause."""
     context.node = context.nodes[0]
@@ -55,12 +61,13 @@
 
 def _read_rest(context: Any) -> None:
     """Read until the end of the connection."""
+    is_closed = True
     try:
         while piece := context.connection.recv(65_536):
             context.data += piece
     except ConnectionError:
-        pass
-    context.answer = parse_answer(context.data)
+        is_closed = False
+    context.answer = parse_answer(context.data, is_closed=is_closed)
 
 
 @when("the stream pauses, and the process gets {name} and ends")
@@ -137,6 +144,12 @@
     _read_rest(context)
 
 
+@then("no framing states the end")
+def states_no_end(context: Any) -> None:
+    """Check that the end of the connection is all that the caller was told."""
+    assert not context.answer.is_framed, context.answer
+
+
 @then("{count:d} events came, and {end}")
 def events_and_end(context: Any, count: int, end: str) -> None:
     """Check the events, and whether the stream is complete."""
