Whole streams of upstreams that leave are no longer reset by an empty resumed run

Cause: a close-delimited stream whose upstream is leaving resumes at its backup. If the backup had not been dropped yet and answered without framing and without an event, its response counted as broken, which replaced the end in order that the first run had: the caller of a whole stream was reset.

Change: a resumed run without any event that ends in order, at a process that lives, adds nothing to the end before it. That end is stated as it was received.

A backup that is reset or whose process ends before its first event still resets the caller.

--- a/driftstall/decisions/response_ends.py
+++ b/driftstall/decisions/response_ends.py
@@ -54,6 +54,14 @@
     """State of the upstream's process after that."""
 
 
+@dataclass(frozen=True, slots=True)
+class EmptyEnd:
+    """A close-delimited response without any event, whose connection was closed in order.
+
+    An upstream may also close the connection of a request instead of running it.
+    """
+
+
 @dataclass(frozen=True, slots=True)
 class BrokenEnd:
     """A response that is truncated, or not the one that was expected."""
@@ -61,7 +69,7 @@
     error: Exception
 
 
-RunEnd = CompleteEnd | ClosedEnd | BrokenEnd
+RunEnd = CompleteEnd | ClosedEnd | EmptyEnd | BrokenEnd
 
 
 @singledispatch
@@ -80,6 +88,12 @@
     return EndAction.FINISH
 
 
+@decide_stream_end.register
+def _(end: EmptyEnd, *, states_completeness: bool) -> EndAction:
+    """Never finish by a response that may stand for no run."""
+    return EndAction.RESUME_OR_BREAK_OFF
+
+
 @decide_stream_end.register
 def _(end: BrokenEnd, *, states_completeness: bool) -> EndAction:
     """Never finish a truncated response."""
--- a/driftstall/gateway/response_ends/stream_ends.py
+++ b/driftstall/gateway/response_ends/stream_ends.py
@@ -5,9 +5,11 @@
 from functools import singledispatch
 
 from driftstall.decisions.response_ends import (
+    LIVING_STATES,
     BrokenEnd,
     ClosedEnd,
     CompleteEnd,
+    EmptyEnd,
     ProcessState,
     RunEnd,
 )
@@ -52,8 +54,7 @@
             return CompleteEnd()
         ended_at = self._state.now()
         if not self._sequence.has_run_begun:
-            # An upstream may also close a request's connection instead of running it.
-            return _broken("the stream ended without an event")
+            return EmptyEnd()
         if self._context.replicas.may_have_stopped(run, self._context.remaining_s()):
             # The final copy of a migration stops a run at an upstream that lives on.
             return _broken("the stream ended during its migration")
@@ -75,6 +76,13 @@
         self._process = process
         return process
 
+    def adds_nothing(self, run: StreamRun, end: RunEnd) -> bool:
+        """Return True if a resumed run ended in order without any event, and its process lives."""
+        return (
+            isinstance(end, EmptyEnd)
+            and self.check_process(run, self._state.now()) in LIVING_STATES
+        )
+
     def record(self, run: StreamRun, stated: StatedEnd) -> None:
         """Record how the end of the stream, or of an error response, is told to the caller."""
         framing = ResponseFraming.UNKNOWN if run.exchange is None else run.exchange.framing
@@ -96,6 +104,12 @@
     return str(end.error)
 
 
+@describe_end.register
+def _(end: EmptyEnd) -> str:
+    """Return that nothing was sent."""
+    return "the stream ended without an event"
+
+
 @describe_end.register
 def _(end: ClosedEnd) -> str:
     """Return the state of the process."""
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -17,6 +17,7 @@
     LIVING_STATES,
     BrokenEnd,
     ClosedEnd,
+    EmptyEnd,
     EndAction,
     RunEnd,
     decide_stream_end,
@@ -114,6 +115,7 @@
             return self._relay_failure(run, opened)
         if not self._context.has_responded and not self._send_head(opened):
             return False
+        finishable: StreamRun | None = None
         while True:
             end = self._relay_events(run)
             states_completeness = isinstance(self._framing, ChunkedFraming)
@@ -122,10 +124,14 @@
                 return self._complete(run)
             if self._context.is_caller_disconnected:
                 return False
+            if action is EndAction.RESUME_OR_FINISH:
+                finishable = run
+            elif finishable is not None and not self._ends.adds_nothing(run, end):
+                finishable = None
             next_run = self._resume(run, end)
             if next_run is None:
-                if action is EndAction.RESUME_OR_FINISH:
-                    return self._complete(run)
+                if finishable is not None:
+                    return self._complete(finishable)
                 return self._break_off(run, describe_end(end))
             run = next_run
 
@@ -133,7 +139,9 @@
         """Resume the stream at a replica after the end of a run; return its next run, or None."""
         if isinstance(end, BrokenEnd):
             self._context.handle_break(run, end.error)
-        elif isinstance(end, ClosedEnd) and end.process not in LIVING_STATES:
+        elif isinstance(end, EmptyEnd) or (
+            isinstance(end, ClosedEnd) and end.process not in LIVING_STATES
+        ):
             self._context.handle_break(run)
         if not self._sequence.can_resume or not self._resumer.resume(run, describe_end(end)):
             return None
--- /dev/null
+++ b/features/gateway/close_delimited_review.feature
@@ -0,0 +1,45 @@
+Feature: Ends of close-delimited streams whose upstream is leaving, and what follows an end
+  A gateway in the test process with upstreams that frame responses with neither a length nor chunks.
+
+  # Guards against whole streams that are reset as a backup that was not dropped yet has nothing to add.
+  Scenario Outline: a sound stream of an upstream that is draining, whose backup has nothing to add <framing>, arrives whole
+    When a sound stream of a draining upstream resumes at a backup that has nothing to add, <framing>
+    Then its caller gets the whole stream, which ends with its connection
+
+    Examples:
+      | framing         |
+      | without framing |
+      | in chunks       |
+
+  # Guards against a truncated stream that ends in order as its backup broke before its first event.
+  Scenario Outline: a stream that is closed early by an upstream that is draining, and "<ending>" at its backup before any event, is reset
+    When a stream that a draining upstream closes early is "<ending>" at its backup before any event
+    Then its caller got what was sent, and its connection was reset
+
+    Examples:
+      | ending       |
+      | reset        |
+      | process gone |
+
+  # Guards against a response that looks whole as its time was over.
+  Scenario: a stream without framing that is silent until its deadline is reset
+    When a stream without framing and without a backup is "silent" early
+    Then its caller got what was sent, and its connection was reset
+
+  # Guards against a whole response that is reset as further requests of its caller were not read.
+  Scenario: a caller that sends further requests at once gets a whole response without framing
+    When a sound call without framing is made, followed by 200 further requests
+    Then its caller got the whole body, which ends with its connection
+
+  # Guards against a part of a large response that is lost as its caller reads it late.
+  Scenario: a caller that reads late gets a whole response without framing
+    When a large call without framing is made, and its response is read 1 s later
+    Then its caller got the large body, which ends with its connection
+
+  # Guards against whole streams that are reset as their instance exits.
+  Scenario: streams without framing arrive whole when their gateway process is asked to stop
+    Given the store's stand-in with a routing configuration and 2 upstreams
+    And 3 engine processes whose streams end with their connection
+    And a gateway process
+    When 6 streams are under way, and the gateway process is asked to stop
+    Then all of them arrive whole, and end within 1.6 s after the last event
--- /dev/null
+++ b/features/steps/close_delimited_review_steps.py
@@ -0,0 +1,116 @@
+"""Test what follows the end of a close-delimited response."""
+
+from __future__ import annotations
+
+import signal
+from typing import Any, Final
+
+import gevent
+from behave import then, when
+
+from driftstall.util import clock
+from features.steps.call_ending_steps import WHOLE, _use_plans
+from features.steps.close_delimited_end_steps import SENT_EVENTS, _leave, _start
+from features.steps.gateway_node_steps import wait_for_processes
+from features.steps.stream_end_process_steps import EVENT_BEFORE_KILL, send_streams
+from features.worlds.ending_world import EndingWorld
+from features.worlds.gateway_world import (
+    GatewayWorld,
+    read_response,
+    request_bytes,
+    world_of,
+)
+from stand_ins.endings import EVENTS, Ending, EndingPlan, Framing, Place
+from stand_ins.routed import Script
+
+FRAMINGS: Final = {"without framing": Framing.CLOSE, "in chunks": Framing.CHUNKED}
+LARGE_BYTES: Final = 3_000_000
+
+
+def _start_draining(context: Any) -> EndingWorld:
+    """Start a gateway whose first engine reports that it is draining before the end of a run."""
+    world = _start(context, [EndingPlan(Framing.CLOSE)], has_backups=True)
+    original = world._handle_sent
+
+    def handle_sent(request_id: str, number: int) -> None:
+        original(request_id, number)
+        if number == SENT_EVENTS:
+            _leave(world, "reports that it is draining")
+        if number == EVENTS:
+            context.last_event_at = clock.now()
+
+    for engine in world.ending_engines:
+        engine.on_sent = handle_sent
+    return world
+
+
+@when(
+    "a sound stream of a draining upstream resumes at a backup that has nothing to add, {framing}"
+)
+def nothing_to_add(context: Any, framing: str) -> None:
+    """Keep the backup of a run that is whole."""
+    world = _start_draining(context)
+    world.whole_framing = FRAMINGS[framing]
+    context.answer = world.stream("s1")
+
+
+@when('a stream that a draining upstream closes early is "{ending}" at its backup before any event')
+def broken_at_backup(context: Any, ending: str) -> None:
+    """Resume a truncated stream at a backup that fails at once."""
+    world = _start_draining(context)
+    first = EndingPlan(Framing.CLOSE, Ending.CLOSED)
+    world.plans = [first, EndingPlan(Framing.CLOSE, Ending(ending), Place.HEAD)]
+    context.answer = world.stream("s1")
+
+
+def _call_world(context: Any) -> GatewayWorld:
+    """Start a gateway whose plain upstreams frame nothing."""
+    context.world = GatewayWorld()
+    context.add_cleanup(context.world.close)
+    _use_plans(context, EndingPlan(Framing.CLOSE), WHOLE)
+    return world_of(context)
+
+
+@when("a sound call without framing is made, followed by {count:d} further requests")
+def pipelined_call(context: Any, count: int) -> None:
+    """Send further requests behind the first one, on a connection that is meant to be kept."""
+    world = _call_world(context)
+    connection = world.connect()
+    kept = {"Connection": ""}
+    later = b"".join(request_bytes("/once/a", f"l{n}", **kept) for n in range(count))
+    connection.sendall(request_bytes("/once/a", "r1", **kept) + later)
+    context.answer = read_response(connection)
+    connection.close()
+
+
+@when("a large call without framing is made, and its response is read {later_s:g} s later")
+def read_late(context: Any, later_s: float) -> None:
+    """Read nothing until the gateway has closed the connection."""
+    context.world = world = GatewayWorld()
+    context.add_cleanup(world.close)
+    for upstream in world.plain:
+        upstream.scripts["r1"] = [Script(body=b"x" * LARGE_BYTES, unframed=True)]
+    connection = world.connect()
+    connection.sendall(request_bytes("/once/a", "r1"))
+    gevent.sleep(later_s)
+    context.answer = read_response(connection)
+    connection.close()
+
+
+@then("its caller got the large body, which ends with its connection")
+def large_body(context: Any) -> None:
+    """Check the size of the body, and that the connection was closed in order."""
+    answer = context.answer
+    found = (answer.status, len(answer.body), answer.whole, answer.is_framed)
+    assert found == (200, LARGE_BYTES, True, False), found
+
+
+@when("{count:d} streams are under way, and the gateway process is asked to stop")
+def stop_gateway(context: Any, count: int) -> None:
+    """Ask the gateway to stop once each stream has some events."""
+    send_streams(context, count)
+    wait_for_processes(
+        "all streams have events",
+        lambda: all(caller.has_event(EVENT_BEFORE_KILL) for caller in context.callers),
+    )
+    context.nodes[0].signal(signal.SIGTERM)
