Callers that leave while their streams resume do not count as served

Cause: a close-delimited stream that may also finish resumes first. A caller that left meanwhile ended the resuming, which then counted as the refusal of a backup: the stream counted as completed, its upstream's outcome as good, and an end as stated.

Change: a stream whose caller has left while it resumed ends without an outcome, as while its events are relayed.

Measured: the new scenario failed before (1 completed) and holds now.

--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -129,6 +129,8 @@
             elif finishable is not None and not self._ends.adds_nothing(run, end):
                 finishable = None
             next_run = self._resume(run, end)
+            if self._context.is_caller_disconnected:
+                return False
             if next_run is None:
                 if finishable is not None:
                     return self._complete(finishable)
--- a/features/gateway/close_delimited_review.feature
+++ b/features/gateway/close_delimited_review.feature
@@ -43,3 +43,8 @@
     And a gateway process
     When 6 streams are under way, and the gateway process is asked to stop
     Then all of them arrive whole, and end within 1.6 s after the last event
+
+  # Guards against streams that count as completed although their callers left before the end.
+  Scenario: a caller that leaves while a sound stream of an upstream that is draining resumes gets no end
+    When the caller of a sound stream of a draining upstream leaves while it resumes
+    Then no stream counts as completed
--- a/features/steps/close_delimited_review_steps.py
+++ b/features/steps/close_delimited_review_steps.py
@@ -7,6 +7,7 @@
 
 import gevent
 from behave import then, when
+from gevent import socket
 
 from driftstall.util import clock
 from features.steps.call_ending_steps import WHOLE, _use_plans
@@ -18,6 +19,7 @@
     GatewayWorld,
     read_response,
     request_bytes,
+    wait_for,
     world_of,
 )
 from stand_ins.endings import EVENTS, Ending, EndingPlan, Framing, Place
@@ -44,6 +46,13 @@
     return world
 
 
+def _hang_when_resumed(world: EndingWorld) -> None:
+    """Let the second run of a stream wait without an answer."""
+    scripts = [Script(), Script(hang=True)]
+    for engine in world.ending_engines:
+        engine.scripts["s1"] = scripts
+
+
 @when(
     "a sound stream of a draining upstream resumes at a backup that has nothing to add, {framing}"
 )
@@ -63,6 +72,26 @@
     context.answer = world.stream("s1")
 
 
+@when("the caller of a sound stream of a draining upstream leaves while it resumes")
+def leave_while_resuming(context: Any) -> None:
+    """Close the caller's connection once the stream is sent to its backup."""
+    world = _start_draining(context)
+    _hang_when_resumed(world)
+    sending = gevent.spawn(world.stream, "s1")
+    wait_for("the stream resumes", lambda: sum(e.runs("s1") for e in world.ending_engines) == 2)
+    assert world.caller is not None
+    world.caller.connection.shutdown(socket.SHUT_WR)
+    sending.join()
+    wait_for("the request is over", lambda: not world.state.open_requests)
+
+
+@then("no stream counts as completed")
+def none_completed(context: Any) -> None:
+    """Check the counter of completed requests."""
+    stats = context.ending_world.state.stats
+    assert stats.completed == 0, stats.completed
+
+
 def _call_world(context: Any) -> GatewayWorld:
     """Start a gateway whose plain upstreams frame nothing."""
     context.world = GatewayWorld()
