Heads with a status that HTTP does not know are no responses

Callers waited until their deadline (504) for an upstream that answered with status 000 or 099, without a body that ended, or with one, on a connection that it left open; they got the response behind such a head as if it were an interim one; and they got signed responses of status 600 and 999 as sent. Readers of answers to an instance's own requests waited for their time-outs likewise, and took load reports, cache events, engines' states, health checks and service calls of status 600 for sound.

Cause: both readers of a status took each one below 200 for that of an interim response, and had no upper bound.

A status is now valid from 100 to 599, except 101: no request here asks for an upgrade. The rule is in util/http_status.py. The gateway's parser and the client of an instance's own requests check it as a head ends, and reject the response at that byte, before anything waits for a body or for another head. The error is an UpstreamError of a request that was sent, so a safe call is repeated, a call that may run only once and a stream that has not begun get 502, and a resumed stream is broken off visibly.

Sound interim responses (100, 102, 103, 199) are skipped, and 299, 499 and 599 passed on, before and after it.

--- a/driftstall/gateway/exchange.py
+++ b/driftstall/gateway/exchange.py
@@ -21,6 +21,7 @@
 from driftstall.gateway.response_ends.framing import ResponseEndCause, ResponseFraming
 from driftstall.gateway.response_ends.heads import contains_framing_field, contains_status_line
 from driftstall.util import clock
+from driftstall.util.http_status import check_status, is_interim_status
 from driftstall.util.pacing import DenseInputPacer
 from driftstall.util.response_overhead import PARSE_BYTES, ResponseOverhead
 
@@ -29,7 +30,6 @@
 YIELD_BYTES: Final = 65_536
 """Bytes after which other greenlets get a turn. Reading what has already arrived does not wait, so
 a fast upstream would otherwise hold up all other requests."""
-FIRST_FINAL_STATUS: Final = 200
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,7 +99,8 @@
         if contains_status_line(self._reason, values):
             raise InvalidResponse("a head contains another one")
         status = self.parser.get_status_code()
-        if status < FIRST_FINAL_STATUS:
+        check_status(status)
+        if is_interim_status(status):
             return
         self.overhead.record_response()
         framing = ResponseFraming.EMPTY
--- a/driftstall/util/limited_response.py
+++ b/driftstall/util/limited_response.py
@@ -13,6 +13,7 @@
 from driftstall.decisions.buffer_budget import BYTES_PER_MB, BufferAccount, BufferBudget
 from driftstall.exceptions import OversizedAnswer
 from driftstall.util import clock
+from driftstall.util.http_status import check_status
 from driftstall.util.pacing import DenseInputPacer
 from driftstall.util.response_overhead import PARSE_BYTES, ResponseOverhead
 
@@ -76,7 +77,7 @@
     def feed(self, data: str | bytes) -> None:
         """Parse received bytes, or the end of the connection if there are none.
 
-        Raises OversizedAnswer if they exceed a limit.
+        Raises OversizedAnswer if they exceed a limit, and InvalidResponse for an unknown status.
         """
         try:
             self._feed(data)
@@ -160,6 +161,11 @@
         del self._body_buffer[:length]
         return event
 
+    def _on_headers_complete(self) -> int | bool | None:
+        """Reject a status that HTTP does not know; one below 100 would pass for an interim one."""
+        check_status(self.get_code())
+        return super()._on_headers_complete()
+
     def _on_body(self, buf: bytearray) -> None:
         """Count bytes of the body."""
         self._callbacks += 1
--- a/stand_ins/endings.py
+++ b/stand_ins/endings.py
@@ -12,6 +12,7 @@
 from gevent import socket
 
 from driftstall.gateway.ingress import CallerConnection, encode_chunk, encode_head
+from stand_ins.raw import RawEnding, RawResponse
 from stand_ins.routed import (
     SEAL,
     STREAM_TYPE,
@@ -90,6 +91,8 @@
     status: int = 200
     stop_after_s: float = LATE_STOP_S
     """Time from the close of the connection to the end of a process that closes it first."""
+    build_raw: Callable[[str], RawResponse] | None = None
+    """Returns the bytes of the response to a request id, in place of a framed one."""
 
     @classmethod
     def draw(
@@ -172,6 +175,9 @@
     ) -> None:
         """Send a head and the pieces that the plan allows, and end the response."""
         plan = self._plans[request_id]
+        if plan.build_raw is not None:
+            _send_raw(raw, plan.build_raw(request_id))
+            return
         headers = ((b"X-Driftstall-Request-Id", request_id.encode()), SEAL, *more)
         connection.write(encode_head(plan.status, headers, _framing_headers(plan.framing, pieces)))
         sent = self.sent.setdefault(request_id, [])
@@ -216,6 +222,14 @@
         self.stop()
 
 
+def _send_raw(raw: socket.socket, response: RawResponse) -> None:
+    """Send the bytes of a response; the caller of this closes the connection."""
+    raw.sendall(response.data)
+    if response.ending is RawEnding.KEPT:
+        raw.settimeout(None)
+        raw.recv(1)
+
+
 def _framing_headers(framing: Framing, pieces: dict[int, bytes]) -> tuple[bytes, ...]:
     """Return the header lines that frame a body of some pieces."""
     if framing is Framing.CHUNKED:
