Ends of whole streams no longer wait until their deadline for a silent backup

Cause: a close-delimited stream of an upstream that leaves resumes before it may finish. A backup that took the request and did not answer held up the end until the request's deadline, when its caller has given up.

Change: the resumed run of a stream that may also end without it has to begin within 1.5 s. A truncated stream whose backup takes longer is closed in order instead, as it was received.

--- a/driftstall/gateway/stream_context.py
+++ b/driftstall/gateway/stream_context.py
@@ -50,6 +50,8 @@
         self.is_caller_disconnected = False
         self.has_responded = False
         """Whether the head of the response has been sent to the caller."""
+        self.resume_until = float("inf")
+        """Time by which a resumed run has to begin, if the stream may also end without it."""
         self.run: StreamRun | None = None
 
     @property
@@ -85,7 +87,7 @@
         error response is no longer possible, so the stream continues until the process is killed.
         """
         if self.has_responded:
-            return self.admitted.ends_at - self.state.now()
+            return min(self.admitted.ends_at, self.resume_until) - self.state.now()
         return self.state.unanswered_remaining_s(self.admitted.ends_at)
 
     def start_refusal(self) -> Problem | None:
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -59,6 +59,9 @@
 """Bytes that are split into events at a time. In tiny events they take some milliseconds."""
 LOAD_UPDATE_TOKENS: Final = 128
 """Tokens after which a run's load is updated: about once a second."""
+MAX_OPTIONAL_RESUME_S: Final = 1.5
+"""Longest time that the end of a stream, which may be whole, waits for a resumed run to begin.
+Callers abandon a stream after a pause of two seconds or more."""
 
 
 class StreamRelay:
@@ -128,7 +131,10 @@
                 finishable = run
             elif finishable is not None and not self._ends.adds_nothing(run, end):
                 finishable = None
+            if finishable is not None:
+                self._context.resume_until = self._state.now() + MAX_OPTIONAL_RESUME_S
             next_run = self._resume(run, end)
+            self._context.resume_until = float("inf")
             if self._context.is_caller_disconnected:
                 return False
             if next_run is None:
--- a/features/gateway/close_delimited_review.feature
+++ b/features/gateway/close_delimited_review.feature
@@ -48,3 +48,9 @@
   Scenario: a caller that leaves while a sound stream of an upstream that is draining resumes gets no end
     When the caller of a sound stream of a draining upstream leaves while it resumes
     Then no stream counts as completed
+
+  # Guards against whole streams whose end waits until their deadline for a backup that does not answer.
+  Scenario: the end of a sound stream of an upstream that is draining does not wait long for a silent backup
+    When a sound stream of a draining upstream resumes at a backup that does not answer
+    Then its caller gets the whole stream, which ends with its connection
+    And the end came at most 2 s after the last event
--- a/features/steps/close_delimited_review_steps.py
+++ b/features/steps/close_delimited_review_steps.py
@@ -72,6 +72,22 @@
     context.answer = world.stream("s1")
 
 
+@when("a sound stream of a draining upstream resumes at a backup that does not answer")
+def silent_backup(context: Any) -> None:
+    """Resume a whole stream at a backup that takes the request and is silent."""
+    world = _start_draining(context)
+    _hang_when_resumed(world)
+    context.answer = world.stream("s1")
+    context.ended_at = clock.now()
+
+
+@then("the end came at most {max_s:g} s after the last event")
+def end_in_time(context: Any, max_s: float) -> None:
+    """Check the time from the last event to the end."""
+    waited_s = context.ended_at - context.last_event_at
+    assert waited_s <= max_s, waited_s
+
+
 @when("the caller of a sound stream of a draining upstream leaves while it resumes")
 def leave_while_resuming(context: Any) -> None:
     """Close the caller's connection once the stream is sent to its backup."""
