Failed health checks other than 503 count as those of an upstream that leaves

Cause: only a 503 of the probe counted as a failed health check. An upstream whose check failed with 500, or a proxy that answers 502 or 504 for it, counted as sound: a close-delimited stream that it had closed early was closed in order in place of resumed at its backup.

Change: each status from 500 on does, unless the upstream states that it was full.

Measured: two new examples failed before (found alive) and hold now.

--- a/driftstall/platform/process_probe.py
+++ b/driftstall/platform/process_probe.py
@@ -114,7 +114,7 @@
 def _is_unwell(exchange: Exchange) -> bool:
     """Return True if a health check has failed; a full upstream rejects it without running it."""
     is_rejected = names.HEADER_NOT_EXECUTED in exchange.headers
-    return exchange.status == HTTPStatus.SERVICE_UNAVAILABLE and not is_rejected
+    return exchange.status >= HTTPStatus.INTERNAL_SERVER_ERROR and not is_rejected
 
 
 def _is_draining(report: dict[str, Any]) -> bool:
--- a/features/gateway/end_verification.feature
+++ b/features/gateway/end_verification.feature
@@ -121,6 +121,8 @@
       | answers with its id                   | alive   |
       | answers that it is full               | alive   |
       | answers that it is unwell             | leaving |
+      | answers that its check failed         | leaving |
+      | answers through a proxy that can't reach it | leaving |
       | answers that it is draining           | leaving |
       | answers when it ends                  | leaving |
       | signals that it leaves                | leaving |
--- a/features/steps/end_verification_steps.py
+++ b/features/steps/end_verification_steps.py
@@ -42,6 +42,8 @@
     "answers with its id": OK + b"X-Driftstall-Instance-Id: p-1\r\n" + EMPTY,
     "answers that it is full": b"HTTP/1.1 503 Full\r\nX-Driftstall-Not-Executed: 1\r\n" + EMPTY,
     "answers that it is unwell": b"HTTP/1.1 503 Draining\r\n" + EMPTY,
+    "answers that its check failed": b"HTTP/1.1 500 Failed\r\n" + EMPTY,
+    "answers through a proxy that can't reach it": b"HTTP/1.1 502 Bad Gateway\r\n" + EMPTY,
     "answers that it is draining": _answer(b'{"state":"draining"}'),
     "answers when it ends": _answer(b'{"state":"ready","leaves_ms":900}'),
     "signals that it leaves": OK + b"Server-Leaving: 1\r\n" + EMPTY,
