--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from http import HTTPStatus
 from typing import Final
 
@@ -36,7 +36,7 @@
 from driftstall.gateway.poison.crash_refusal import crash_refusal
 from driftstall.gateway.response_body import ResponseBody
 from driftstall.gateway.response_ends.framing import ResponseFraming
-from driftstall.gateway.response_ends.records import RelayedEnd, StatedEnd, record_relayed_end
+from driftstall.gateway.response_ends.records import RelayedEnd, StatedEnd
 from driftstall.gateway.response_ends.results import SendFailure, UpstreamResponse
 from driftstall.gateway.retry_budget.pending_retry import PendingRetry
 from driftstall.gateway.runs import BrokenRun
@@ -262,7 +262,7 @@
             return SendFailure.from_unverified_end()
         if isinstance(result, UpstreamResponse):
             end = RelayedEnd(upstream, request_id, ResponseFraming.CLOSE, process, StatedEnd.CLOSED)
-            record_relayed_end(self._state.stats, end)
+            return replace(result, end=end)
         return result
 
     def _record_success(self, response: UpstreamResponse) -> None:
--- a/driftstall/gateway/listeners.py
+++ b/driftstall/gateway/listeners.py
@@ -39,6 +39,7 @@
 from driftstall.gateway.model import Limits, Repeat
 from driftstall.gateway.moves import Mover
 from driftstall.gateway.poison.status import describe_quarantine
+from driftstall.gateway.response_ends.records import record_relayed_end
 from driftstall.gateway.response_ends.results import UpstreamResponse
 from driftstall.gateway.response_writer import ResponseWriter
 from driftstall.gateway.responses import encode_problem, encode_response
@@ -238,6 +239,8 @@
             return self._answer_problem(writer, result, keep_alive=keep_alive)
         self._state.stats.completed += 1
         self._state.stats.answer_s.observe({}, self._state.now() - admitted.started_at)
+        if result.end is not None:
+            record_relayed_end(self._state.stats, result.end)
         framing = result.caller_framing(keep_alive=keep_alive)
         return writer.write_whole(result.status, result.headers, framing, result.body)
 
--- a/driftstall/gateway/response_ends/results.py
+++ b/driftstall/gateway/response_ends/results.py
@@ -15,6 +15,7 @@
 from driftstall.gateway.model import Headers
 from driftstall.gateway.outcomes import Outcome
 from driftstall.gateway.response_ends.framing import ResponseFraming
+from driftstall.gateway.response_ends.records import RelayedEnd
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +26,8 @@
     headers: Headers
     body: bytes | bytearray
     framing: ResponseFraming
+    end: RelayedEnd | None = None
+    """How a response that ended with its connection is passed on."""
 
     @property
     def is_framed(self) -> bool:
--- a/features/gateway/close_delimited_review.feature
+++ b/features/gateway/close_delimited_review.feature
@@ -54,3 +54,9 @@
     When a sound stream of a draining upstream resumes at a backup that does not answer
     Then its caller gets the whole stream, which ends with its connection
     And the end came at most 2 s after the last event
+
+  # Guards against counters and logs of ends that no caller was told.
+  Scenario: an error response without framing in whose place another one is relayed does not count as relayed
+    When a safe call gets an error without framing, and then a response with a length
+    Then its caller got the whole body with a length
+    And no close-delimited end counts as relayed
--- a/features/steps/close_delimited_review_steps.py
+++ b/features/steps/close_delimited_review_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+from http import HTTPStatus
 from typing import Any, Final
 
 import gevent
@@ -22,7 +23,7 @@
     wait_for,
     world_of,
 )
-from stand_ins.endings import EVENTS, Ending, EndingPlan, Framing, Place
+from stand_ins.endings import BODY, EVENTS, Ending, EndingPlan, Framing, Place
 from stand_ins.routed import Script
 
 FRAMINGS: Final = {"without framing": Framing.CLOSE, "in chunks": Framing.CHUNKED}
@@ -108,6 +109,30 @@
     assert stats.completed == 0, stats.completed
 
 
+@when("a safe call gets an error without framing, and then a response with a length")
+def error_then_whole(context: Any) -> None:
+    """Repeat a call after an error response."""
+    context.world = GatewayWorld()
+    context.add_cleanup(context.world.close)
+    error = EndingPlan(Framing.CLOSE, status=HTTPStatus.INTERNAL_SERVER_ERROR)
+    _use_plans(context, error, EndingPlan(Framing.LENGTH))
+    context.answer = context.world.ask("/safe/a", "r1")
+
+
+@then("its caller got the whole body with a length")
+def whole_with_length(context: Any) -> None:
+    """Check the body and its framing."""
+    answer = context.answer
+    assert (answer.status, answer.body, answer.is_framed) == (200, BODY, True), answer
+
+
+@then("no close-delimited end counts as relayed")
+def none_relayed(context: Any) -> None:
+    """Check the counter of relayed ends."""
+    counts = world_of(context).state.stats.relayed_ends.get_all()
+    assert not [labels for labels, _ in counts if labels["framing"] == "close"], counts
+
+
 def _call_world(context: Any) -> GatewayWorld:
     """Start a gateway whose plain upstreams frame nothing."""
     context.world = GatewayWorld()
