Unknown keys get 401 on routes that allow anonymous requests

Cause: on such a route a request whose key no workspace holds was handled like one without a key, so keys that were taken away, and keys that never existed, went on being run, without a workspace.

Change: only a request without a key is anonymous. An unknown key gets 401, or 503 while the configuration here may be old, as on other routes.

Result: the new scenario "an open route refuses a key that is not known" was run on the code before and failed.

--- a/driftstall/gateway/admission.py
+++ b/driftstall/gateway/admission.py
@@ -121,14 +121,18 @@
         return replace(progress, route=route, service=service, rank=route.rank)
 
     def _authenticate(self, progress: RequestProgress) -> RequestProgress | Problem:
-        """Set the workspace that the key belongs to."""
+        """Set the workspace that the key belongs to.
+
+        A request with an unknown key is not anonymous: its key may have been revoked.
+        """
         assert progress.route is not None
         if not self._table.has_workspaces:
             return progress
-        workspace = self._table.workspace(progress.metadata.key)
+        key = progress.metadata.key
+        if not key and progress.route.allows_anonymous:
+            return progress
+        workspace = self._table.workspace(key)
         if workspace is None:
-            if progress.route.allows_anonymous:
-                return progress
             detail = "the workspace key is not known"
             return self._make_retryable_if_outdated(
                 Problem(CODE_UNAUTHENTICATED, 401, detail, Ran.NOT_RUN)
--- a/features/gateway/admission.feature
+++ b/features/gateway/admission.feature
@@ -14,6 +14,18 @@
       | /safe/a  | wrong | 401    |
       | /safe/a  | none  | 401    |
 
+  # Guards against requests that run on a route for anonymous requests with a key that was revoked.
+  Scenario: an open route refuses a key that is not known
+    When a request for "/open/a" with key "wrong" is asked as "r1"
+    Then the answer is 401 and tells that nothing ran
+    And "r1" has run on 0 upstreams
+
+  # Guards against a known key that is ignored on a route for anonymous requests.
+  Scenario: an open route knows the workspace of a key
+    When a request for "/open/a" with key "right" is asked as "r1"
+    Then the answer is 200 "whole" with the upstream's seal
+    And the upstream of "r1" was told workspace "north" and its own id, and no key
+
   Scenario: an open route needs no key
     When a request for "/open/a" with key "none" is asked as "r1"
     Then the answer is 200 "whole" with the upstream's seal
