An empty list of workspaces knows no key

Cause: an empty list was not told from a configuration without the list, so that keys were not looked at any more once the last workspace had been removed, also on routes that need one.

Change: the routing document keeps whether its configuration lists workspaces. An empty list asks for keys and knows none; without the list, or with null in its place, no keys are asked for, as before. Instances exchange the stored text, which keeps the difference. The routing document that is shown to operators no longer has an empty list where none was written. The evacuation tests' configuration, whose requests have no keys, now leaves its list out.

--- a/driftstall/gateway/admission.py
+++ b/driftstall/gateway/admission.py
@@ -126,7 +126,7 @@
         A request with an unknown key is not anonymous: its key may have been revoked.
         """
         assert progress.route is not None
-        if not self._table.has_workspaces:
+        if not self._table.requires_keys:
             return progress
         key = progress.metadata.key
         if not key and progress.route.allows_anonymous:
--- a/driftstall/gateway/model.py
+++ b/driftstall/gateway/model.py
@@ -120,7 +120,9 @@
     version: int
     routes: tuple[Route, ...]
     services: tuple[Service, ...]
-    workspaces: tuple[Workspace, ...]
+    workspaces: tuple[Workspace, ...] | None
+    """The workspaces whose keys are known; None if the configuration asks for no keys. Without any
+    workspace in the list, no key is known."""
     limits: Limits = field(default_factory=Limits)
 
 
--- a/driftstall/gateway/routes.py
+++ b/driftstall/gateway/routes.py
@@ -30,7 +30,7 @@
             for host, routes in by_host.items()
         }
         services = {service.name: service for service in document.services}
-        keys = {key: workspace for workspace in document.workspaces for key in workspace.keys}
+        keys = {key: workspace for workspace in document.workspaces or () for key in workspace.keys}
         queued = frozenset(
             service.name
             for service in document.services
@@ -39,9 +39,9 @@
         return cls(document.version, document, ordered, services, keys, queued)
 
     @property
-    def has_workspaces(self) -> bool:
-        """Return True if workspaces are configured, so that requests may need a key."""
-        return bool(self.document.workspaces)
+    def requires_keys(self) -> bool:
+        """Return True if the document lists workspaces, even none, so that requests need a key."""
+        return self.document.workspaces is not None
 
     def route(self, host: str, path: str) -> Route | None:
         """Return the route whose prefix is the longest match; None if no prefix matches.
--- a/driftstall/gateway/sources.py
+++ b/driftstall/gateway/sources.py
@@ -117,13 +117,14 @@
         self._state.route_table = RouteTable.from_document(item.document)
         self._text = item.text
         self._state.notify_if_configured()
+        workspaces = item.document.workspaces
         log_event(
             PREFIX_CONFIGURATION,
             f"Routing version {item.document.version} is in force",
             before=before,
             source=source,
             routes=len(item.document.routes),
-            workspaces=len(item.document.workspaces),
+            workspaces=None if workspaces is None else len(workspaces),
             queued=sorted(self._state.route_table.queued_services),
         )
         self._announce(from_peer=source == PEER)
--- a/driftstall/platform/documents.py
+++ b/driftstall/platform/documents.py
@@ -155,9 +155,7 @@
             version=validated["version"],
             routes=tuple(_decode_routes(validated["routes"], pause)),
             services=tuple(_decode_service(service) for service in validated.get("services") or ()),
-            workspaces=tuple(
-                _decode_workspace(workspace) for workspace in validated.get("tenants") or ()
-            ),
+            workspaces=_decode_workspaces(validated.get("tenants")),
             limits=_decode_limits(validated.get("limits") or {}),
         )
     except (vol.Invalid, KeyError) as fault:
@@ -219,6 +217,11 @@
     )
 
 
+def _decode_workspaces(raw: list[dict[str, Any]] | None) -> tuple[Workspace, ...] | None:
+    """Decode the workspaces; None if the configuration has no such field, or null in it."""
+    return None if raw is None else tuple(_decode_workspace(workspace) for workspace in raw)
+
+
 def _decode_workspace(raw: dict[str, Any]) -> Workspace:
     """Decode a validated workspace."""
     rank = raw.get("priority")
--- a/driftstall/platform/policies.py
+++ b/driftstall/platform/policies.py
@@ -53,10 +53,11 @@
             return {}
         read_routing(stored.spec)
         shown: dict[str, Any] = orjson.loads(encode_value(stored.spec))
-        workspaces = shown.get("tenants") or ()
-        shown["tenants"] = [
-            workspace | {"apiKeys": len(workspace.get("apiKeys") or ())} for workspace in workspaces
-        ]
+        if shown.get("tenants") is not None:
+            shown["tenants"] = [
+                workspace | {"apiKeys": len(workspace.get("apiKeys") or ())}
+                for workspace in shown["tenants"]
+            ]
         return shown
 
     def instance_rows(self) -> list[dict[str, Any]]:
--- a/features/gateway/admission.feature
+++ b/features/gateway/admission.feature
@@ -26,6 +26,34 @@
     Then the answer is 200 "whole" with the upstream's seal
     And the upstream of "r1" was told workspace "north" and its own id, and no key
 
+  # Guards against requests without a check of their keys once the last workspace was removed.
+  Scenario Outline: a configuration whose list of workspaces is empty knows no key
+    Given the list of workspaces is now <workspaces>
+    When a request for "<path>" with key "<key>" is asked as "r1"
+    Then the answer has the status <status>
+    And "r1" has run on <runs> upstreams
+
+    Examples:
+      | workspaces | path    | key   | status | runs |
+      | empty      | /safe/a | right | 401    | 0    |
+      | empty      | /safe/a | none  | 401    | 0    |
+      | empty      | /open/a | right | 401    | 0    |
+      | empty      | /open/a | none  | 200    | 1    |
+      | missing    | /safe/a | right | 200    | 1    |
+      | missing    | /safe/a | none  | 200    | 1    |
+      | null       | /safe/a | none  | 200    | 1    |
+
+  # Guards against instances that ask for other keys than the peer that sent them the configuration.
+  Scenario Outline: a peer's configuration asks for the same keys
+    When a peer sends a configuration whose list of workspaces is <workspaces>
+    And a request for "/safe/a" with key "right" is asked as "r1"
+    Then the answer has the status <status>
+
+    Examples:
+      | workspaces | status |
+      | empty      | 401    |
+      | missing    | 200    |
+
   Scenario: an open route needs no key
     When a request for "/open/a" with key "none" is asked as "r1"
     Then the answer is 200 "whole" with the upstream's seal
--- a/features/steps/gateway_admission_steps.py
+++ b/features/steps/gateway_admission_steps.py
@@ -9,7 +9,9 @@
 
 from driftstall.gateway.model import Route, SplitPart
 from driftstall.gateway.routes import pick_service
+from driftstall.gateway.sources import RoutingSource
 from driftstall.platform.documents import read_routing
+from driftstall.platform.json_rows import encode_value
 from features.worlds.gateway_world import (
     HOST,
     document,
@@ -28,6 +30,36 @@
     world_of(context).current = False
 
 
+def document_with_workspaces(version: int, workspaces: str) -> dict[str, Any]:
+    """Return a configuration whose list of workspaces is empty, null or missing."""
+    raw = document(version)
+    raw["tenants"] = [] if workspaces == "empty" else None
+    if workspaces == "missing":
+        del raw["tenants"]
+    return raw
+
+
+@given("the list of workspaces is now {workspaces}")
+def change_workspaces(context: Any, workspaces: str) -> None:
+    """Apply a newer configuration with another list of workspaces."""
+    world_of(context).use(document_with_workspaces(2, workspaces))
+
+
+@when("a peer sends a configuration whose list of workspaces is {workspaces}")
+def peer_sends(context: Any, workspaces: str) -> None:
+    """Encode a configuration as an instance that has read it from the store, and apply it."""
+    raw = document_with_workspaces(2, workspaces)
+    source = RoutingSource(world_of(context).state, lambda *, from_peer: None)
+    source.handle_peer_document(encode_value(raw))
+    assert source.version == 2
+
+
+@then("the answer has the status {status:d}")
+def has_status(context: Any, status: int) -> None:
+    """Check the status alone."""
+    assert context.answer.status == status, context.answer
+
+
 @given("no configuration has been read")
 def no_configuration(context: Any) -> None:
     """Remove the configuration."""
--- a/features/worlds/evacuation_world.py
+++ b/features/worlds/evacuation_world.py
@@ -193,7 +193,7 @@
         route("short", "/short/", "streaming", "engines", timeoutMs=6_000, priority=0),
         route("long", "/long/", "streaming", "engines", timeoutMs=16_000, priority=5),
     ]
-    return document(routes=routes, services=[{"name": "engines", "engine": ENGINE}], tenants=[])
+    return document(routes=routes, services=[{"name": "engines", "engine": ENGINE}], tenants=None)
 
 
 def engine_of(number: int, zone: str) -> Upstream:
