Fault soak: upstreams close responses early, and their processes live on

Cause: the plan `truncated` left out close-delimited responses that are closed early by a process that lives on or ends later, and its callers took no note of how a response was framed. So the soak could not see that such responses are told to callers as complete.

Change: upstreams close responses in order at any place; their process lives on or ends 0 to 1.5 s later, and answers probes with 200 or 503 or not at all meanwhile. Callers record whether a response was framed, and whether a close-delimited one was closed in order or reset. Checks: a response is complete only if an upstream's framing has stated that; it is closed early only if the upstream of its last run did so and lived on for 40 ms, after all that was sent; no status is outside 100 to 599; a run without an early close by a living process counts as broken. In other plans a response that is closed in order must be whole, as one told to be complete. Whole ones count as served.

The draw is changed: the first early ends of a run last 4 s, and 40 % of the responses end early. The stand-in's rule that some early closes are never drawn is gone, and its scenario now wants each ending at each place.

--- a/features/parts/soak.feature
+++ b/features/parts/soak.feature
@@ -136,7 +136,42 @@
 
   Scenario: upstreams of that plan end responses in each way
     Given an upstream of the soak that truncates responses
-    Then its plans end responses in each way that shows that they are not whole
+    Then its plans end responses in each way
+
+  Scenario Outline: an upstream that closes a response early lives on and answers probes or not
+    Given an upstream of the soak that truncates responses
+    When it closes a close-delimited response early, and answers probes with <health> then
+    Then the response is closed in order after its pieces, and probes are answered "<health>"
+
+    Examples:
+      | health |
+      | 200    |
+      | 503    |
+      | none   |
+
+  Scenario Outline: an upstream of that plan sends statuses that HTTP does not know
+    Given an upstream of the soak that truncates responses
+    When it sends a head with the status <status>
+    Then its status line begins with "HTTP/1.1 <line> "
+
+    Examples:
+      | status | line |
+      | 0      | 000  |
+      | 99     | 099  |
+      | 600    | 600  |
+
+  # Guards against a caller of the soak that takes the end of a connection for a statement.
+  Scenario Outline: callers record what a response stated, and how it ended
+    Given a caller of the soak, and a server whose response <what>
+    Then the caller records "<states>"
+
+    Examples:
+      | what                             | states             |
+      | has a length and is whole        | is_framed complete |
+      | has a length and is closed early | is_framed is_cut   |
+      | has chunks and is closed early   | is_framed is_cut   |
+      | is close-delimited and closed    | is_closed          |
+      | is close-delimited and reset     | is_cut             |
 
   Scenario: a process that ends closes all its connections in order
     Given an upstream of the soak that truncates responses
@@ -175,6 +210,26 @@
       | a call is complete though its body was not sent to the end | upstreams have sent 19 pieces of 20          |
       | a part of a call has other bytes                           | a response with other bytes                  |
       | no close-delimited response has ended early                | so the run shows nothing of them             |
+      | no living process has closed a response early              | so the run shows nothing of that             |
+      | a call is complete though its upstream framed nothing      | no upstream's framing has stated that        |
+      | a stream is complete though its upstream framed nothing    | no upstream's framing has stated that        |
+      | a call is complete though its framed response was cut      | no upstream's framing has stated that        |
+      | a call is complete though its upstream's status was odd    | no upstream's framing has stated that        |
+      | a call is closed early though its upstream reset it        | not by an upstream whose process lived on    |
+      | a call is closed early though its process was gone         | not by an upstream whose process lived on    |
+      | a call is closed early though its process restarted        | not by an upstream whose process lived on    |
+      | a call is closed early though its upstream ended nothing   | not by an upstream whose process lived on    |
+      | a call is closed early though its upstream framed it       | not by an upstream whose process lived on    |
+      | a stream is closed early though its process ended at once  | not by an upstream whose process lived on    |
+      | a stream is closed early though it was resumed since       | not by an upstream whose process lived on    |
+      | a call is closed before what its upstream sent             | closed before all that was sent              |
+      | a stream is closed before what its upstream sent           | closed before all that was sent              |
+      | the last calls are closed early                            | only 0 of the last 2 calls were served       |
+      | calls and streams are closed early in another plan         | ended as complete after 7 events             |
+      | calls and streams are closed early in another plan         | a success with another body                  |
+      | an answer has the status 600                               | a status that HTTP does not know             |
+      | an answer has the status 99                                | a status that HTTP does not know             |
+      | an answer has the status 0                                 | a status that HTTP does not know             |
 
   Scenario: disturbed starts and odd entries are what one plan is about
     Then seed 7 gives that plan signals in starts, addresses in use, spoiled settings and odd entries
--- a/features/steps/soak_truncation_steps.py
+++ b/features/steps/soak_truncation_steps.py
@@ -2,100 +2,64 @@
 
 from __future__ import annotations
 
+import itertools
 import random
-from collections.abc import Callable
+import time
 from typing import Any, Final
 
 import gevent
 from behave import given, then, when
 from gevent import socket
+from gevent.server import StreamServer
 
 from driftstall.util.addresses import split_address
-from features.steps.soak_steps import LATER, RacedStore, good, passes
-from soak.checks import find_violations
+from features.steps.soak_steps import RacedStore, passes
+from soak.caller import CallerConnection
 from soak.draw import CALM_LAST_S, draw_steps
-from soak.ledger import ENGINE_SERVICE, Ledger, RequestKind
+from soak.ledger import ENGINE_SERVICE, Ledger, RequestKind, SentRequest
 from soak.plan import Kind, Plan
-from soak.truncation import HEALTH_PATH, TruncatingSlot
-from stand_ins.endings import BODY, CALL_PIECES, EVENTS, Ending, EndingPlan, Framing, Place
-from stand_ins.routed import ReceivedRequest, event_bytes
-
-DRAWN_PLANS: Final = 2_000
+from soak.truncation import HEALTH_PATH, PROBE_PATHS, HealthAnswer, TruncatingSlot
+from stand_ins.endings import (
+    BODY,
+    CALL_PIECES,
+    DRAWN_STOPS_S,
+    EVENTS,
+    Ending,
+    EndingPlan,
+    Framing,
+    Place,
+)
+from stand_ins.routed import ReceivedRequest, reset
+
+DRAWN_PLANS: Final = 8_000
 CLOSE_S: Final = 2.0
 """Time within which a link passes the end of a connection on."""
+SILENT_S: Final = 0.3
+"""Time for which a probe stays without an answer."""
 
 
-def whole_stream(events: int = EVENTS) -> bytes:
-    """Return the body of a stream with its first events."""
-    return b"".join(event_bytes(number) for number in range(1, events + 1))
-
-
-@given("the record of a run of truncated responses in which all was well")
-def truncated_record(context: Any) -> None:
-    """Record requests of each kind that were served whole, and one stream that was broken off."""
-    pieces: dict[str, list[int]] = {}
-    ledger = context.ledger = Ledger(EVENTS, body=BODY, sent_pieces=pieces)
-    ledger.truncations["neither, process gone"] = 1
-    for index in range(60):
-        kind = (RequestKind.SAFE, RequestKind.ONCE, RequestKind.STREAM)[index % 3]
-        asked = good(ledger, f"r{index}", kind, LATER - 60.0 + index)
-        is_stream = kind is RequestKind.STREAM
-        asked.body = whole_stream() if is_stream else BODY
-        pieces[asked.request_id] = list(range(1, (EVENTS if is_stream else CALL_PIECES) + 1))
-    context.call, context.stream = ledger.requests["r0"], ledger.requests["r2"]
-    broken = ledger.requests["r5"]
-    broken.complete, broken.body = False, whole_stream(7) + event_bytes(8)[:4]
-    pieces["r5"] = list(range(1, 8))
-
-
-def change_stream(context: Any, body: bytes) -> None:
-    """Replace the body of the whole stream."""
-    context.stream.body = body
-
-
-def cut_call(context: Any, body: bytes) -> None:
-    """Replace the body of the call and mark it as broken off."""
-    context.call.body, context.call.complete = body, False
-
-
-CHANGES: Final[dict[str, Callable[[Any], Any]]] = {
-    "a stream is complete after 7 events": lambda c: change_stream(c, whole_stream(7)),
-    "a stream is complete without an event": lambda c: change_stream(c, b""),
-    "a stream is complete though its last event was not sent": lambda c: c.ledger.sent_pieces[
-        "r2"
-    ].remove(EVENTS),
-    "a stream has an event that was not sent": lambda c: c.ledger.sent_pieces["r2"].remove(7),
-    "a stream has an event with other bytes": lambda c: change_stream(
-        c, whole_stream().replace(b"piece 7\n", b"piece 8\n")
-    ),
-    "a stream was joined inside an event": lambda c: change_stream(
-        c, whole_stream(7) + event_bytes(8)[:4] + whole_stream()[len(whole_stream(7)) :]
-    ),
-    "a call is complete after half of its body": lambda c: setattr(
-        c.call, "body", BODY[: len(BODY) // 2]
-    ),
-    "a call is complete with an empty body": lambda c: setattr(c.call, "body", b""),
-    "a call is complete though its body was not sent to the end": lambda c: c.ledger.sent_pieces[
-        "r0"
-    ].remove(CALL_PIECES),
-    "a part of a call has other bytes": lambda c: cut_call(c, b"other"),
-    "no close-delimited response has ended early": lambda c: c.ledger.truncations.clear(),
+RESPONSES: Final = {
+    "has a length and is whole": (b"Content-Length: 3\r\n\r\n", False),
+    "has a length and is closed early": (b"Content-Length: 4\r\n\r\n", False),
+    "has chunks and is closed early": (b"Transfer-Encoding: chunked\r\n\r\n3\r\n", False),
+    "is close-delimited and closed": (b"Connection: close\r\n\r\n", False),
+    "is close-delimited and reset": (b"Connection: close\r\n\r\n", True),
 }
+"""Headers of responses, and whether their connection is reset, by what they are."""
 
 
-@when("in that record {what}")
-def change_record(context: Any, what: str) -> None:
-    """Apply the change that the step names."""
-    CHANGES[what](context)
+class PresetChoice(random.Random):
+    """A source that makes one choice."""
 
+    def __init__(self, value: Any) -> None:
+        """Initialize with the choice."""
+        super().__init__(0)
+        self._value = value
 
-@then('it shows "{line}", and a whole record shows nothing')
-def shows(context: Any, line: str) -> None:
-    """Compare the violations of the changed record with those of a new one."""
-    found = find_violations(context.ledger)
-    assert any(line in each for each in found), found
-    truncated_record(context)
-    assert not find_violations(context.ledger)
+    def choice(self, seq: Any) -> Any:
+        """Return the preset choice."""
+        assert self._value in seq
+        return self._value
 
 
 @then("seed 7 gives that plan early ends of responses, kills and notices, and always the same")
@@ -133,7 +97,7 @@
     return {upstream._draw_plan(seen) for _ in range(DRAWN_PLANS)}
 
 
-@then("its plans end responses in each way that shows that they are not whole")
+@then("its plans end responses in each way")
 def drawn_plans(context: Any) -> None:
     """Draw plans of each framing, for calls, streams and resumed streams."""
     for framing in Framing:
@@ -143,14 +107,11 @@
             early = {plan for plan in plans if plan.ending is not Ending.WHOLE}
             assert {plan.framing for plan in plans} == {framing}
             assert len(early) < len(plans)
-            wanted = {*Ending} - {Ending.WHOLE, Ending.GONE_LATE}
-            hidden = {plan.place for plan in early if plan.ending is Ending.CLOSED}
-            if framing is Framing.CLOSE:
-                is_stream = target.startswith("/stream/")
-                assert hidden == ({Place.INSIDE} if is_stream else set()), hidden
-                wanted -= set() if is_stream else {Ending.CLOSED}
-            assert {plan.ending for plan in early} == wanted, (framing, target)
-            assert {plan.place for plan in early} == {*Place}
+            ways = {(plan.ending, plan.place) for plan in early}
+            wanted = itertools.product({*Ending} - {Ending.WHOLE}, Place)
+            assert ways == {*wanted}, (framing, target)
+            stops = {plan.stop_after_s for plan in early if plan.ending is Ending.GONE_LATE}
+            assert stops == {*DRAWN_STOPS_S}, stops
             assert max(plan.pieces for plan in early) < EVENTS - last, (framing, target, last)
         assert not any(
             plan.ending is not Ending.WHOLE
@@ -174,6 +135,86 @@
         context.open.append(connection)
 
 
+def ask(context: Any, path: str, timeout_s: float = CLOSE_S) -> bytes:
+    """Send a request to the upstream, and return all of its answer."""
+    with socket.create_connection(split_address(context.address), CLOSE_S) as connection:
+        connection.settimeout(timeout_s)
+        head = f"POST {path} HTTP/1.1\r\nHost: a\r\nX-Driftstall-Request-Id: a\r\n"
+        connection.sendall(f"{head}Content-Length: 0\r\n\r\n".encode())
+        answer: bytes = connection.makefile("rb").read()
+        return answer
+
+
+@when("it closes a close-delimited response early, and answers probes with {health} then")
+def close_and_live(context: Any, health: str) -> None:
+    """Send a request whose response is closed early by a process that lives on."""
+    plan = EndingPlan(Framing.CLOSE, Ending.CLOSED, Place.EVENT, 3)
+    context.upstream._plan_for = lambda _: plan
+    context.upstream._draw = PresetChoice(HealthAnswer(health))
+    context.answer = ask(context, "/safe/x")
+
+
+@then('the response is closed in order after its pieces, and probes are answered "{status}"')
+def closed_and_probed(context: Any, status: str) -> None:
+    """Compare the response, its record and the answers to both kinds of probes."""
+    body = context.answer.partition(b"\r\n\r\n")[2]
+    assert body == BODY[: 3 * len(BODY) // CALL_PIECES], body
+    [end] = context.slot.ledger.response_ends["a"]
+    assert context.slot.ledger.living_close(end)
+    context.upstream._closed_at += 60.0
+    for path in PROBE_PATHS:
+        timeout_s = SILENT_S if status == "none" else CLOSE_S
+        try:
+            answer = ask(context, path, timeout_s).split(b" ")[1].decode()
+        except TimeoutError:
+            answer = "none"
+        assert answer == status, (path, answer)
+
+
+@when("it sends a head with the status {status:d}")
+def send_odd_status(context: Any, status: int) -> None:
+    """Send a request whose response has an odd status."""
+    plan = EndingPlan(Framing.LENGTH, status=status)
+    context.upstream._plan_for = lambda _: plan
+    context.answer = ask(context, "/safe/x")
+
+
+@then('its status line begins with "{line}"')
+def begins_with(context: Any, line: str) -> None:
+    """Compare the begin of the response."""
+    assert context.answer.startswith(line.encode()), context.answer[:40]
+
+
+@given("a caller of the soak, and a server whose response {what}")
+def caller_and_server(context: Any, what: str) -> None:
+    """Start a server that sends a response and ends the connection."""
+    head, ends_by_reset = RESPONSES[what]
+
+    def serve(connection: socket.socket, _: Any) -> None:
+        connection.recv(65_536)
+        connection.sendall(b"HTTP/1.1 200 OK\r\n" + head + b"abc")
+        if ends_by_reset:
+            gevent.sleep(0.05)
+            reset(connection)
+        connection.close()
+
+    server = StreamServer(("127.0.0.1", 0), serve)
+    server.start()
+    context.add_cleanup(server.stop)
+    request = context.request = SentRequest("r", RequestKind.SAFE, "/safe/x", "i", 0.0, CLOSE_S)
+    request.sent_at = time.monotonic()
+    CallerConnection().send(f"127.0.0.1:{server.server_port}", request)
+
+
+@then('the caller records "{states}"')
+def caller_records(context: Any, states: str) -> None:
+    """Compare what the caller recorded of the response."""
+    names = ("is_framed", "complete", "is_closed", "is_cut")
+    found = [name for name in names if getattr(context.request, name)]
+    assert found == states.split(), found
+    assert (context.request.status, context.request.body) == (200, b"abc")
+
+
 @when("its process {what} there")
 def process_ends(context: Any, what: str) -> None:
     """End the process, or replace it by another one at its address."""
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -41,6 +41,7 @@
 
 from soak.plan import Plan  # noqa: E402
 from soak.run import Size, Soak  # noqa: E402
+from soak.truncation_checks import describe_closes  # noqa: E402
 
 
 def play(seed: int, size: Size) -> bool:
@@ -51,11 +52,10 @@
     finally:
         run.close()
     sent = len(run.ledger.requests)
-    served = sum(
-        request.status == 200 and request.complete for request in run.ledger.requests.values()
-    )
+    served = sum(map(run.ledger.is_served, run.ledger.requests.values()))
     if run.ledger.truncations:
         print(f"  ended early: {dict(run.ledger.truncations)}")
+        print(f"  {describe_closes(run.ledger)}")
     print(f"seed {seed}: {len(violations)} broken, {served} of {sent} requests served", flush=True)
     for line in violations:
         print(f"  {line}")
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -17,6 +17,7 @@
 SPARE_S: Final = 2.0
 """Wait beyond a request's timeout, so that late responses are recorded."""
 PIECE_BYTES: Final = 65_536
+FRAMING_HEADERS: Final = frozenset({b"content-length", b"transfer-encoding"})
 
 
 class _Response:
@@ -27,13 +28,15 @@
         self.parser: Any = httptools.HttpResponseParser(self)
         self.sealed = False
         self.has_head = False
+        self.is_framed = False
         self.keeps_alive = False
         self.complete = False
         self.body = b""
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Look for the seal header of an upstream."""
+        """Look for the seal header of an upstream, and for headers that frame the body."""
         self.sealed |= name.lower() == b"x-driftstall-response-seal"
+        self.is_framed |= name.lower() in FRAMING_HEADERS
 
     def on_headers_complete(self) -> None:
         """Record that the head of the response has arrived."""
@@ -120,7 +123,8 @@
                 self._connection.settimeout(max(0.001, until - time.monotonic()))
                 data = self._connection.recv(PIECE_BYTES)
                 if not data:
-                    request.is_cut = True
+                    request.is_closed = response.has_head and not response.is_framed
+                    request.is_cut = not request.is_closed
                     break
                 response.parser.feed_data(data)
         except ConnectionError:
@@ -128,6 +132,7 @@
             raise
         finally:
             request.status = response.parser.get_status_code() if response.has_head else 0
+            request.has_head, request.is_framed = response.has_head, response.is_framed
             request.sealed, request.complete = response.sealed, response.complete
             request.body = response.body
         if not response.keeps_alive:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -123,7 +123,7 @@
         yield "a success that no upstream gave"
     if request.kind in STREAMS and request.status == 200:
         yield from _check_stream(ledger, request)
-    elif request.status == 200 and request.complete and request.body != ledger.body:
+    elif request.status == 200 and _is_ended(ledger, request) and request.body != ledger.body:
         yield "a success with another body"
     if request.kind in (RequestKind.SAFE, RequestKind.ONCE, *STREAMS) and request.status in DENIED:
         yield "denied though every configuration allows it"
@@ -137,10 +137,19 @@
     if events != list(range(1, len(events) + 1)):
         yield f"events out of order or missing: {events}"
     expected = SHORT_EVENTS if request.kind is RequestKind.SHORT else ledger.events
-    if request.complete and len(events) != expected:
+    if _is_ended(ledger, request) and len(events) != expected:
         yield f"ended as complete after {len(events)} events"
 
 
+def _is_ended(ledger: Ledger, request: SentRequest) -> bool:
+    """Return True if a response ended in a way that no truncated response may have.
+
+    Where upstreams themselves close responses early and in order, that says nothing: what they did
+    is compared in check_truncation.
+    """
+    return request.complete or (request.is_closed and ledger.sent_pieces is None)
+
+
 def _check_configuration(ledger: Ledger, request: SentRequest) -> Iterator[str]:
     """Check that undisturbed instances apply the added and removed routes."""
     if request.kind not in (RequestKind.ADDED, RequestKind.DROPPED) or not is_undisturbed(
@@ -342,7 +351,7 @@
         if not partitioned or not has_peer:
             continue
         count = counts[since is not None]
-        count[0] += request.status == 200 and request.complete
+        count[0] += ledger.is_served(request)
         count[1] += 1
     (served, sent), (others_served, others_sent) = counts[True], counts[False]
     allowed = PARTITIONED_FAILURES + PARTITIONED_FAILED_SHARE * sent
@@ -363,6 +372,6 @@
     ]
     end = max((call.sent_at for call in calls), default=0.0)
     last = [call for call in calls if call.sent_at >= end - LAST_S]
-    served = sum(call.status == 200 and call.complete for call in last)
+    served = sum(ledger.is_served(call) for call in last)
     if served < RECOVERED_SHARE * len(last):
         yield f"only {served} of the last {len(last)} calls were served"
--- a/soak/disturbances.py
+++ b/soak/disturbances.py
@@ -32,5 +32,6 @@
     return (
         f"request {request.request_id} ({request.kind}) to {request.instance} "
         f"at {request.sent_at:.2f} s, status {request.status}, complete {request.complete}, "
+        f"closed {request.is_closed}, "
         f"took {request.ended_at - request.sent_at:.2f} s"
     )
--- a/soak/draw.py
+++ b/soak/draw.py
@@ -215,6 +215,8 @@
 
 TRUNCATE_FOR_S: Final = (1.0, 4.0)
 """Duration in which upstreams end responses early: several responses of each kind."""
+FIRST_TRUNCATE_FOR_S: Final = 4.0
+"""The first duration, which each run has: long enough for a few early closes."""
 
 DURATIONS_S: Final = {
     Kind.TRUNCATE: TRUNCATE_FOR_S,
@@ -261,7 +263,7 @@
     if plan is Plan.TRUNCATED:
         # Each run shows something of them, at the first and the last service.
         for target in (0, upstreams - 1):
-            yield Step(CALM_FIRST_S, Kind.TRUNCATE, target, min(TRUNCATE_FOR_S))
+            yield Step(CALM_FIRST_S, Kind.TRUNCATE, target, FIRST_TRUNCATE_FOR_S)
     at = CALM_FIRST_S + source.expovariate(1 / LEAVING_GAP_S)
     while at < last:
         kind = source.choices(list(weights), list(weights.values()))[0]
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -7,11 +7,15 @@
 from enum import StrEnum
 
 from driftstall.gateway.model import Bounds
+from stand_ins.endings import Ending, EndingPlan, Framing
 from stand_ins.routed import SignalRecord
 
 STORE = "store"
 PLAIN_SERVICE = "portal"
 ENGINE_SERVICE = "engines"
+KNOWN_END_S = 0.04
+"""An instance that verifies the end of a connection knows of a process that ended within this time
+after it. The instance waits a little longer; this leaves room for inexact timers."""
 SHORT_EVENTS = 3
 """Number of events in a complete short stream."""
 
@@ -53,7 +57,13 @@
     prompt: str = ""
     """The parts of its prompt, as the header names them."""
     is_cut: bool = False
-    """Whether the connection ended after the request was sent, before the response was complete."""
+    """Whether the connection ended after the request was sent, before the response was complete.
+    Not so if it was closed in order and the response was close-delimited."""
+    has_head: bool = False
+    is_framed: bool = False
+    """Whether the response had a length or a transfer coding."""
+    is_closed: bool = False
+    """Whether the response was close-delimited and its connection was closed in order."""
 
     @property
     def events(self) -> list[int]:
@@ -75,6 +85,27 @@
     """Whether the run is resumed from a replica."""
 
 
+@dataclass(frozen=True, slots=True)
+class ResponseEnd:
+    """The end of a response of an upstream, as the upstream planned it."""
+
+    upstream_id: str
+    plan: EndingPlan
+    at: float
+
+    @property
+    def states_whole(self) -> bool:
+        """Return True if the framing stated that the response is whole."""
+        is_framed = self.plan.framing is not Framing.CLOSE
+        return is_framed and self.plan.ending is Ending.WHOLE and self.plan.status == 200
+
+    @property
+    def is_early_close(self) -> bool:
+        """Return True if a close-delimited response was closed early, before its process ended."""
+        is_close = self.plan.framing is Framing.CLOSE
+        return is_close and self.plan.ending in (Ending.CLOSED, Ending.GONE_LATE)
+
+
 @dataclass(frozen=True, slots=True)
 class Notice:
     """The time at which the store acknowledged that an upstream is leaving or removed."""
@@ -170,12 +201,33 @@
     """Numbers of the events, or pieces of a body, that upstreams have sent for each request; None
     in plans whose upstreams do not record them."""
     truncations: Counter[str] = field(default_factory=Counter)
-    """Responses that upstreams have ended early, by framing and ending."""
+    """Responses that upstreams have ended early, by framing and ending, or had an odd status."""
+    response_ends: dict[str, list[ResponseEnd]] = field(default_factory=lambda: defaultdict(list))
+    """Ends of upstreams' responses by request id, in plans whose upstreams record them."""
+    process_ends: dict[str, float] = field(default_factory=dict)
+    """When the process of an upstream ended, by upstream id, in the same plans."""
     queue_waits: int | None = None
     """Streams that waited for engine memory; None in plans in which no service queues."""
     pace_changes: int | None = None
     """Changes of an upstream's pace that instances noticed; None in plans without paces."""
 
+    def is_whole(self, request: SentRequest) -> bool:
+        """Return True if a body has all that a whole response to its request has."""
+        if request.kind not in STREAMS:
+            return request.body == self.body
+        events = SHORT_EVENTS if request.kind is RequestKind.SHORT else self.events
+        return request.events == list(range(1, events + 1))
+
+    def is_served(self, request: SentRequest) -> bool:
+        """Return True if a request got a response that is whole by its framing or its contents."""
+        is_ended = request.complete or (request.is_closed and self.is_whole(request))
+        return request.status == 200 and is_ended
+
+    def living_close(self, end: ResponseEnd) -> bool:
+        """Return True if a response was closed early by a process that lived on for a while."""
+        ended_at = self.process_ends.get(end.upstream_id, float("inf"))
+        return end.is_early_close and ended_at >= end.at + KNOWN_END_S
+
     def disturb(self, name: str, begins: float, ends: float) -> None:
         """Record a disturbance of an instance, an upstream or the store."""
         self.disturbed[name].append(Window(begins, ends))
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -100,9 +100,8 @@
     entries of other writers, while upstreams leave and join."""
     TRUNCATED = "truncated"
     """Upstreams that frame responses by a length, by chunks or by neither, and end some of them
-    early: they close or reset the connection or fall silent, or their process ends or restarts at
-    its address. A close-delimited response that is closed early while its process lives on is left
-    out, as nothing tells it from a whole one."""
+    early: they close or reset the connection or fall silent, or their process ends, at once or
+    later, or restarts at its address."""
 
 
 class PartitionFault(StrEnum):
--- a/soak/truncation.py
+++ b/soak/truncation.py
@@ -4,6 +4,7 @@
 
 import random
 import time
+from enum import StrEnum
 from typing import Any, Final
 
 import gevent
@@ -11,7 +12,7 @@
 
 from driftstall.gateway.ingress import CallerConnection, CallerRequest, encode_head
 from soak.fleet import EVENT_PAUSE_S, LAPSE_S, RecordingUpstream, UpstreamSlot
-from soak.ledger import Arrival, Ledger
+from soak.ledger import Arrival, Ledger, ResponseEnd
 from soak.proxy import Proxy
 from stand_ins.endings import (
     CALL_PIECES,
@@ -24,12 +25,24 @@
 from stand_ins.routed import ReceivedRequest
 
 HEALTH_PATH: Final = "/health"
-TRUNCATED_SHARE: Final = 0.3
+TRUNCATED_SHARE: Final = 0.4
 """Share of the responses that end early while upstreams truncate responses."""
 PIECE_PAUSE_S: Final = 0.001
 """Pause before each piece of a response to a call."""
 FLUSH_S: Final = 0.01
 """Time for the proxy to forward what was sent before the process ends."""
+AFTER_CLOSE_S: Final = 1.0
+"""Time for which a process that closed a response early answers health checks as drawn."""
+PROBE_PATHS: Final = (HEALTH_PATH, "/api/report")
+
+
+class HealthAnswer(StrEnum):
+    """How a process answers probes after it has closed a response early."""
+
+    WELL = "200"
+    UNWELL = "503"
+    NONE = "none"
+    """The connection stays open."""
 
 
 class TruncatingUpstream(EndingUpstream):
@@ -47,6 +60,14 @@
         self._slot = slot
         self._draw = random.Random(upstream_id)
         self._framing = self._draw.choice(list(Framing)) if slot.place % 2 else Framing.CLOSE
+        self._after_close = HealthAnswer.WELL
+        self._closed_at = float("-inf")
+
+    @property
+    def _health(self) -> HealthAnswer:
+        """Return how probes are answered now."""
+        is_after = time.monotonic() < self._closed_at + AFTER_CLOSE_S
+        return self._after_close if is_after else HealthAnswer.WELL
 
     def record_request(self, seen: ReceivedRequest) -> None:
         """Record the arrival of a request, and draw how its response ends."""
@@ -65,9 +86,7 @@
         is_truncating = self._slot.is_truncating and pieces > 1
         if not is_truncating or self._draw.random() >= TRUNCATED_SHARE:
             return EndingPlan(self._framing, pause_s=pause_s)
-        plan = EndingPlan.draw(
-            self._draw, self._framing, pieces, is_stream=is_stream, pause_s=pause_s
-        )
+        plan = EndingPlan.draw(self._draw, self._framing, pieces, pause_s=pause_s)
         self._ledger.truncations[f"{plan.framing}, {plan.ending}"] += 1
         return plan
 
@@ -75,22 +94,35 @@
         self, raw: socket.socket, connection: CallerConnection, call: CallerRequest
     ) -> None:
         """Answer a health check with the id of this process, and other requests by their plans."""
-        if call.path != HEALTH_PATH:
+        health = self._health
+        if call.path in PROBE_PATHS and health is HealthAnswer.NONE:
+            raw.settimeout(None)
+            raw.recv(1)
+            return
+        if call.path != HEALTH_PATH and (
+            call.path not in PROBE_PATHS or health is HealthAnswer.WELL
+        ):
             super()._answer(raw, connection, call)
             return
         name = (b"X-Driftstall-Instance-Id", self.upstream_id.encode())
-        connection.write(encode_head(200, (name,), (b"Content-Length: 0",)))
+        connection.write(encode_head(int(health), (name,), (b"Content-Length: 0",)))
 
-    def _end(self, raw: socket.socket, connection: CallerConnection, plan: EndingPlan) -> None:
-        """End a response by its plan."""
+    def _end(
+        self, raw: socket.socket, connection: CallerConnection, plan: EndingPlan, request_id: str
+    ) -> None:
+        """End a response by its plan, and record it."""
+        now = time.monotonic()
+        end = ResponseEnd(self.upstream_id, plan, now)
+        self._ledger.response_ends[request_id].append(end)
         if plan.ending is not Ending.WHOLE:
-            now = time.monotonic()
             self._ledger.disturb(self.upstream_id, now, now)
+        if end.is_early_close:
+            self._after_close, self._closed_at = self._draw.choice(list(HealthAnswer)), now
         if plan.ending is Ending.RESTARTED:
             gevent.sleep(FLUSH_S)
             self._slot.restart_process(self)
             return
-        super()._end(raw, connection, plan)
+        super()._end(raw, connection, plan, request_id)
 
     def _stop_process(self) -> None:
         """End the process."""
@@ -126,6 +158,11 @@
             assert isinstance(slot, TruncatingSlot)
             slot.truncates_until = time.monotonic() + for_s
 
+    def _record_end(self, upstream_id: str) -> None:
+        """Record that the process of an upstream ends now."""
+        super()._record_end(upstream_id)
+        self._ledger.process_ends.setdefault(upstream_id, time.monotonic())
+
     def end_process(self, old: TruncatingUpstream) -> None:
         """End an upstream's process: its port refuses, and its connections close in order."""
         proxy = self._proxies.pop(old.upstream_id, None)
--- a/soak/truncation_checks.py
+++ b/soak/truncation_checks.py
@@ -1,21 +1,38 @@
-"""Check that no truncated response was told to a caller as a whole one."""
+"""Check that no truncated response was told to a caller as a whole one.
+
+What states that a response is whole is its framing. The end of a connection states nothing, and may
+only be passed on to a caller where an upstream has ended its response in that way.
+"""
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Iterator
+from typing import Final
 
 from soak.disturbances import describe
-from soak.ledger import STREAMS, Ledger, SentRequest
-from stand_ins.endings import CALL_PIECES, Framing
+from soak.ledger import STREAMS, Ledger, ResponseEnd, SentRequest
+from stand_ins.endings import BODY, CALL_PIECES, Framing
 from stand_ins.routed import event_bytes
 
+STATUSES: Final = range(100, 600)
+
 
 def check_truncation(ledger: Ledger) -> Iterator[str]:
     """Compare what callers got with what upstreams have sent of it."""
+    for request in ledger.requests.values():
+        if (request.has_head or request.status) and request.status not in STATUSES:
+            yield f"an answer with a status that HTTP does not know: {describe(request)}"
     if ledger.sent_pieces is None:
         return
     if not any(name.startswith(f"{Framing.CLOSE},") for name in ledger.truncations):
         yield "no close-delimited response has ended early, so the run shows nothing of them"
+    ends = [end for each in ledger.response_ends.values() for end in each]
+    if not any(map(ledger.living_close, ends)):
+        yield "no living process has closed a response early, so the run shows nothing of that"
+    runs: dict[str, float] = defaultdict(float)
+    for arrival in ledger.arrivals:
+        runs[arrival.request_id] = max(arrival.at, runs[arrival.request_id])
     for request in ledger.requests.values():
         if request.status != 200:
             continue
@@ -23,6 +40,8 @@
         check = _check_stream if request.kind in STREAMS else _check_call
         for line in check(ledger, request, sent):
             yield f"{line}: {describe(request)}"
+        for line in _check_end(ledger, request, sent, runs[request.request_id]):
+            yield f"{line}: {describe(request)}"
 
 
 def _check_stream(ledger: Ledger, request: SentRequest, sent: set[int]) -> Iterator[str]:
@@ -42,3 +61,36 @@
         yield "a response with other bytes than its upstream's"
     if request.complete and len(sent) < CALL_PIECES:
         yield f"complete though upstreams have sent {len(sent)} pieces of {CALL_PIECES}"
+
+
+def _check_end(
+    ledger: Ledger, request: SentRequest, sent: set[int], last_run_at: float
+) -> Iterator[str]:
+    """Check that the end of a response was stated in no stronger terms than an upstream's."""
+    ends = ledger.response_ends.get(request.request_id, [])
+    if request.complete and not any(end.states_whole for end in ends):
+        yield "complete though no upstream's framing has stated that"
+    if not request.is_closed or ledger.is_whole(request):
+        return
+    if not ends or ends[-1].at < last_run_at or not ledger.living_close(ends[-1]):
+        yield "closed early, and not by an upstream whose process lived on"
+    elif _is_short(request, sent, ends[-1]):
+        yield "closed before all that was sent"
+
+
+def _is_short(request: SentRequest, sent: set[int], end: ResponseEnd) -> bool:
+    """Return True if a caller got less than its upstreams had sent when the last one closed."""
+    if request.kind in STREAMS:
+        return len(request.events) < max(sent, default=0)
+    return len(request.body) < (end.plan.sent_pieces or 0) * (len(BODY) // CALL_PIECES)
+
+
+def describe_closes(ledger: Ledger) -> str:
+    """Return how many responses living processes closed early, and how callers saw ends."""
+    ends = [end for each in ledger.response_ends.values() for end in each]
+    closed = [request for request in ledger.requests.values() if request.is_closed]
+    whole = sum(map(ledger.is_whole, closed))
+    return (
+        f"closed early by living processes: {sum(map(ledger.living_close, ends))}; callers saw "
+        f"{len(closed)} closed in order, {whole} of them whole"
+    )
--- a/stand_ins/endings.py
+++ b/stand_ins/endings.py
@@ -29,6 +29,8 @@
 CALL_PIECES: Final = 20
 LATE_STOP_S: Final = 0.03
 """Usual time for which a process that closes its connections first still listens."""
+DRAWN_STOPS_S: Final = (0.0, 0.01, 0.03, 0.06, 0.15, 0.5, 1.5)
+"""Drawn ones: before and after the end of the connection is verified."""
 LAST_CHUNK: Final = b"0\r\n\r\n"
 
 
@@ -57,16 +59,19 @@
 
 
 DRAWN_ENDINGS: Final = (
+    Ending.CLOSED,
     Ending.CLOSED,
     Ending.CLOSED,
     Ending.RESET,
     Ending.RESET,
     Ending.SILENT,
     Ending.GONE,
+    Ending.GONE_LATE,
+    Ending.GONE_LATE,
+    Ending.GONE_LATE,
     Ending.RESTARTED,
 )
-"""Endings that are drawn, each as often as it is listed. One that differs from another only in its
-time is left out."""
+"""Endings that are drawn, each as often as it is listed."""
 
 
 class Place(StrEnum):
@@ -101,20 +106,24 @@
         framing: Framing,
         pieces: int,
         *,
-        is_stream: bool,
         pause_s: float = 0.0,
     ) -> EndingPlan:
-        """Draw the plan of a response of some pieces that shows that it is not whole.
-
-        A close-delimited response that is closed while its process lives on shows that only inside
-        an event.
-        """
-        is_hidden = framing is Framing.CLOSE and not is_stream
-        endings = [e for e in DRAWN_ENDINGS if e is not Ending.CLOSED or not is_hidden]
-        ending, place = source.choice(endings), source.choice(list(Place))
-        if framing is Framing.CLOSE and ending is Ending.CLOSED:
-            place = Place.INSIDE
-        return cls(framing, ending, place, source.randrange(1, pieces), pause_s)
+        """Draw the plan of a response of some pieces that is not whole."""
+        return cls(
+            framing,
+            source.choice(DRAWN_ENDINGS),
+            source.choice(list(Place)),
+            source.randrange(1, pieces),
+            pause_s,
+            stop_after_s=source.choice(DRAWN_STOPS_S),
+        )
+
+    @property
+    def sent_pieces(self) -> int | None:
+        """Return how many pieces are sent whole; None for all."""
+        if self.ending is Ending.WHOLE:
+            return None
+        return 0 if self.place is Place.HEAD else self.pieces
 
 
 class EndingUpstream(RoutedUpstream):
@@ -179,7 +188,7 @@
             _send_raw(raw, plan.build_raw(request_id))
             return
         headers = ((b"X-Driftstall-Request-Id", request_id.encode()), SEAL, *more)
-        connection.write(encode_head(plan.status, headers, _framing_headers(plan.framing, pieces)))
+        connection.write(_encode_head(plan, headers, pieces))
         sent = self.sent.setdefault(request_id, [])
         last = min(pieces, default=1) - 1
         for number, piece in _sent_pieces(plan, pieces):
@@ -197,9 +206,11 @@
             # A chunk that promises a whole piece, and a part of the piece.
             framed = _frame(plan.framing, pieces[last + 1])
             connection.write(framed[: len(framed) // 2])
-        self._end(raw, connection, plan)
+        self._end(raw, connection, plan, request_id)
 
-    def _end(self, raw: socket.socket, connection: CallerConnection, plan: EndingPlan) -> None:
+    def _end(
+        self, raw: socket.socket, connection: CallerConnection, plan: EndingPlan, request_id: str
+    ) -> None:
         """End a response by its plan; the caller of this closes the connection."""
         if plan.ending is Ending.WHOLE and plan.framing is Framing.CHUNKED:
             connection.write(LAST_CHUNK)
@@ -230,6 +241,15 @@
         raw.recv(1)
 
 
+def _encode_head(
+    plan: EndingPlan, headers: tuple[tuple[bytes, bytes], ...], pieces: dict[int, bytes]
+) -> bytes:
+    """Return the bytes of a head; a status that HTTP does not know has three digits as well."""
+    head = encode_head(plan.status, headers, _framing_headers(plan.framing, pieces))
+    version, _, rest = head.split(b" ", 2)
+    return b"%b %03d %b" % (version, plan.status, rest)
+
+
 def _framing_headers(framing: Framing, pieces: dict[int, bytes]) -> tuple[bytes, ...]:
     """Return the header lines that frame a body of some pieces."""
     if framing is Framing.CHUNKED:
@@ -246,7 +266,4 @@
 
 def _sent_pieces(plan: EndingPlan, pieces: dict[int, bytes]) -> Iterator[tuple[int, bytes]]:
     """Yield the numbered pieces that are sent whole."""
-    if plan.ending is Ending.WHOLE:
-        yield from pieces.items()
-    elif plan.place is not Place.HEAD:
-        yield from list(pieces.items())[: plan.pieces]
+    yield from list(pieces.items())[: plan.sent_pieces]
