Callers of HTTP/0.9 get no chunks either

Cause: only HTTP/1.0 counted as a version without the chunked transfer coding; the parser also accepts requests that state HTTP/0.9.

Change: responses to both end with the connection.

Measured: the new example failed before and holds now.

--- a/driftstall/gateway/callers/requests.py
+++ b/driftstall/gateway/callers/requests.py
@@ -14,7 +14,7 @@
 from driftstall.util import clock
 
 CHUNKED: Final = b"chunked"
-HTTP_1_0: Final = "1.0"
+VERSIONS_WITHOUT_CHUNKS: Final = frozenset({"0.9", "1.0"})
 LINE_END: Final = b"\r\n"
 """Some callers send one after a body; it begins no request."""
 HEADER_OBJECT_BYTES: Final = 200
@@ -230,7 +230,7 @@
             body=bytes(self._body),
             keep_alive=self.parser.should_keep_alive(),
             read_at=clock.now(),
-            accepts_chunks=self.parser.get_http_version() != HTTP_1_0,
+            accepts_chunks=self.parser.get_http_version() not in VERSIONS_WITHOUT_CHUNKS,
         )
 
     def _count_head(self, size: int) -> None:
--- a/features/gateway/close_delimited_review.feature
+++ b/features/gateway/close_delimited_review.feature
@@ -60,3 +60,14 @@
     When a safe call gets an error without framing, and then a response with a length
     Then its caller got the whole body with a length
     And no close-delimited end counts as relayed
+
+  # Guards against chunks that a caller takes for parts of events, as its version of HTTP has none.
+  Scenario Outline: a caller of HTTP/<version> <accepts> chunks
+    When a request of HTTP/<version> is read
+    Then its caller <accepts> chunks
+
+    Examples:
+      | version | accepts         |
+      | 1.1     | accepts         |
+      | 1.0     | does not accept |
+      | 0.9     | does not accept |
--- a/features/steps/close_delimited_review_steps.py
+++ b/features/steps/close_delimited_review_steps.py
@@ -10,10 +10,12 @@
 from behave import then, when
 from gevent import socket
 
+from driftstall.gateway.ingress import CallerRequest
 from driftstall.util import clock
 from features.steps.call_ending_steps import WHOLE, _use_plans
 from features.steps.close_delimited_end_steps import SENT_EVENTS, _leave, _start
 from features.steps.gateway_node_steps import wait_for_processes
+from features.steps.overload_fairness_steps import open_caller
 from features.steps.stream_end_process_steps import EVENT_BEFORE_KILL, send_streams
 from features.worlds.ending_world import EndingWorld
 from features.worlds.gateway_world import (
@@ -175,6 +177,21 @@
     assert found == (200, LARGE_BYTES, True, False), found
 
 
+@when("a request of HTTP/{version} is read")
+def read_version(context: Any, version: str) -> None:
+    """Read a request with a version of HTTP."""
+    near, connection = open_caller(context)
+    near.sendall(f"GET / HTTP/{version}\r\nHost: a\r\n\r\n".encode())
+    context.read = connection.next()
+
+
+@then("its caller {accepts} chunks")
+def check_version(context: Any, accepts: str) -> None:
+    """Check whether the response may have chunks."""
+    assert isinstance(context.read, CallerRequest), context.read
+    assert context.read.accepts_chunks == (accepts == "accepts"), context.read
+
+
 @when("{count:d} streams are under way, and the gateway process is asked to stop")
 def stop_gateway(context: Any, count: int) -> None:
     """Ask the gateway to stop once each stream has some events."""
