Events that end with CRLF or CR are split and relayed

Cause: only two LFs ended an event, though text/event-stream allows LF, CRLF and CR. A stream with other line ends had no event, and its end counted as one inside an event, so that it was broken off.

Change: an event ends with any empty line. Pieces may cut the line ends anywhere; each byte is searched once, and the last two of a piece again. A CR after LF waits for the byte that decides whether it is half of CRLF; two CRs end an event at once, and an LF after them begins no further one. Ids and contents are compared without line ends, so that a run with other line ends can continue a stream. The bytes that are relayed stay as they are. The drawn test of LF alone keeps its check; its constant moved into the steps, as the product has no single end any more.

The own interface still takes LF alone: its engines' events are parsed by LF as well.

--- a/driftstall/gateway/events.py
+++ b/driftstall/gateway/events.py
@@ -8,7 +8,8 @@
 from enum import StrEnum
 from typing import Final
 
-EVENT_END: Final = b"\n\n"
+from driftstall.util.event_ends import CR, LF, find_event_end
+
 ID_FIELD: Final = b"id:"
 MAX_EVENT_BYTES: Final = 4_000_000
 """A stream with a larger event is broken off: its upstream sends something else than events."""
@@ -51,6 +52,8 @@
         self._buffer = bytearray()
         self._searched_bytes = 0
         """Bytes at the start of the buffer that hold no end of an event."""
+        self._has_ended_with_cr = False
+        """Whether the event before the buffer ended with CR, which an LF may still complete."""
 
     @property
     def buffered_bytes(self) -> int:
@@ -64,7 +67,9 @@
 
     @property
     def is_inside_event(self) -> bool:
-        """Return True if part of an event is buffered."""
+        """Return True if part of an event is buffered, more than the last line end's LF."""
+        if self._has_ended_with_cr and self._buffer == LF:
+            return False
         return bool(self._buffer)
 
     def discard(self) -> None:
@@ -76,12 +81,12 @@
         """Add bytes, and return the events that are now whole."""
         self._buffer += data
         events: list[Event] = []
-        # The first byte of an end may have been the last one of the earlier data.
-        start, search_from = 0, max(0, self._searched_bytes - len(EVENT_END) + 1)
-        while (end := self._buffer.find(EVENT_END, search_from)) >= 0:
+        start, searched_to = 0, self._searched_bytes
+        while (end := find_event_end(self._buffer, start, searched_to)) is not None:
             part = bytes(self._buffer[start:end])
-            events.append(Event(part + EVENT_END, _event_id(part)))
-            start = search_from = end + len(EVENT_END)
+            events.append(Event(part, _event_id(part)))
+            self._has_ended_with_cr = part.endswith(CR)
+            start = searched_to = end
         del self._buffer[:start]
         self._searched_bytes = len(self._buffer)
         return events
@@ -176,12 +181,12 @@
 
 def _content(data: bytes) -> bytes:
     """Return the fields that identify an event's content; empty for a comment."""
-    return b"\n".join(line for line in data.split(b"\n") if line.startswith(CONTENT_FIELDS))
+    return LF.join(line for line in data.splitlines() if line.startswith(CONTENT_FIELDS))
 
 
 def _event_id(part: bytes) -> str:
     """Return the id of an event, or an empty string."""
-    for line in part.split(b"\n"):
+    for line in part.splitlines():
         if line.startswith(ID_FIELD):
             return line[len(ID_FIELD) :].strip().decode("latin-1")
     return ""
--- a/features/steps/invalid_response_steps.py
+++ b/features/steps/invalid_response_steps.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Any, Final
 
 from behave import given, then, when
 from eliot import add_destinations, remove_destination
@@ -11,7 +11,6 @@
 from hypothesis import strategies as st
 
 from driftstall.gateway.events import (
-    EVENT_END,
     Event,
     EventContinuity,
     EventSequence,
@@ -20,6 +19,7 @@
 from features.worlds.gateway_world import runs, script_upstreams, wait_for, world_of
 from stand_ins.routed import SEAL, Script
 
+EVENT_END: Final = b"\n\n"
 SPOILED = {
     "with an empty signature": ((SEAL[0], b" "),),
     "with a content coding": (SEAL, (b"Content-Encoding", b"gzip")),
