Limits of requests are those in force when each request begins

Cause: the limits were read when a connection was accepted and held for its life, so that requests within raised limits got 431 or 413 on connections that were open before.

Change: a connection has a reader of the limits instead of the limits. Each request keeps those that were in force when its first byte was parsed, whatever changes while it arrives. The time that an idle connection has is that of the current configuration.

--- a/driftstall/gateway/callers/auxiliary.py
+++ b/driftstall/gateway/callers/auxiliary.py
@@ -58,7 +58,7 @@
 
     def _serve(self, raw: socket.socket, _: object) -> None:
         """Serve one connection until it ends."""
-        connection = CallerConnection(raw, AUXILIARY_LIMITS, self._buffers, self._pacer)
+        connection = CallerConnection(raw, lambda: AUXILIARY_LIMITS, self._buffers, self._pacer)
         try:
             if self._connections.add(connection):
                 self._serve_requests(connection)
--- a/driftstall/gateway/callers/requests.py
+++ b/driftstall/gateway/callers/requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any, Final
@@ -66,9 +67,10 @@
 class RequestBuilder:
     """Build requests from the parser's callbacks; httptools calls the on_ methods."""
 
-    def __init__(self, limits: Limits) -> None:
-        """Start before the first request."""
-        self._limits = limits
+    def __init__(self, read_limits: Callable[[], Limits]) -> None:
+        """Start before the first request; read_limits returns the limits now in force."""
+        self._read_limits = read_limits
+        self._limits = read_limits()
         self.requests: deque[BuiltRequest] = deque()
         self.error: MalformedRequest | None = None
         self.parser: Any = None
@@ -94,6 +96,11 @@
         self.begun_at = None
         self.input_at = None
 
+    @property
+    def limits(self) -> Limits:
+        """Return the limits of the request in progress: those that were in force when it began."""
+        return self._limits
+
     @property
     def body_bytes(self) -> int:
         """Return the size of the body so far."""
@@ -166,8 +173,9 @@
         self.parser = None
 
     def on_message_begin(self) -> None:
-        """Record when a request began."""
+        """Record when a request began, and the limits that hold for it."""
         self.begun_at = self.begun_at or clock.now()
+        self._limits = self._read_limits()
 
     def on_url(self, url: bytes) -> None:
         """Collect a part of the request target."""
--- a/driftstall/gateway/ingress.py
+++ b/driftstall/gateway/ingress.py
@@ -9,6 +9,7 @@
 
 import contextlib
 import struct
+from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any, Final
@@ -85,17 +86,18 @@
     def __init__(
         self,
         connection: socket.socket,
-        limits: Limits,
+        read_limits: Callable[[], Limits],
         buffers: BufferBudget | None = None,
         pacer: DenseInputPacer | None = None,
     ) -> None:
         """Initialize with the accepted connection, the limits of requests, and what is shared.
 
+        The limits are read for each request, since a connection may outlast a configuration.
         Connections share the budget of memory and the pacer of input that is costly to parse.
         """
         self._connection = connection
-        self._limits = limits
-        self._builder = RequestBuilder(limits)
+        self._read_limits = read_limits
+        self._builder = RequestBuilder(read_limits)
         self._builder.parser = httptools.HttpRequestParser(self._builder)
         self._buffers = buffers or BufferBudget.from_memory(0)
         self._pacer = pacer or DenseInputPacer()
@@ -153,7 +155,6 @@
         if self._builder.requests:
             # A pipelined request has already arrived, so reading it does not wait.
             self._yield_turn(YIELD_BYTES)
-        idle_until = clock.now() + self._limits.idle_timeout_s
         while True:
             if self._builder.requests:
                 return self._take_request()
@@ -164,7 +165,7 @@
             if self._is_input_ended:
                 return ConnectionClosed()
             self._send_continue()
-            end = self._receive(idle_until)
+            end = self._receive()
             if end is not None:
                 return end
 
@@ -176,10 +177,9 @@
         self._account.protect()
         return built.request
 
-    def _receive(self, idle_until: float) -> MalformedRequest | ConnectionClosed | None:
+    def _receive(self) -> MalformedRequest | ConnectionClosed | None:
         """Read once; return an error or the end of the connection, or None to continue."""
-        until = self._read_deadline(idle_until)
-        remaining_s = until - clock.now()
+        remaining_s = self._read_deadline() - clock.now()
         if remaining_s <= 0:
             return self._timeout_result()
         self._account.expose()
@@ -187,7 +187,8 @@
         try:
             data = self._connection.recv(RECEIVE_BYTES)
         except TimeoutError:
-            return self._timeout_result()
+            # The limits may have changed meanwhile, so the deadline is determined again.
+            return None
         except OSError:
             return None if self._is_evicted else ConnectionClosed()
         if self._is_evicted or self._is_input_ended:
@@ -203,13 +204,15 @@
         self._yield_turn(len(data))
         return None
 
-    def _read_deadline(self, idle_until: float) -> float:
+    def _read_deadline(self) -> float:
         """Return the time by which the next bytes must arrive."""
         begun_at = self._builder.begun_at
         if begun_at is None:
-            input_at = self._builder.input_at
-            return idle_until if input_at is None else input_at + self._limits.header_timeout_s
-        until = begun_at + self._limits.header_timeout_s
+            limits, input_at = self._read_limits(), self._builder.input_at
+            if input_at is None:
+                return self._waits_since + limits.idle_timeout_s
+            return input_at + limits.header_timeout_s
+        until = begun_at + self._builder.limits.header_timeout_s
         if self._builder.is_head_complete:
             until += self._builder.body_bytes / MIN_BODY_BYTES_PER_S + WRITE_TIMEOUT_S
         return until
--- a/driftstall/gateway/listeners.py
+++ b/driftstall/gateway/listeners.py
@@ -90,9 +90,9 @@
 
     def _serve(self, raw: socket.socket, _: object) -> None:
         """Serve one connection until it ends."""
-        table = self._state.route_table
-        limits = table.document.limits if table else Limits()
-        connection = CallerConnection(raw, limits, self._state.buffers, self._state.pacer)
+        connection = CallerConnection(
+            raw, self._read_limits, self._state.buffers, self._state.pacer
+        )
         try:
             if self._connections.add(connection):
                 self._serve_requests(connection)
@@ -104,6 +104,11 @@
             self._connections.remove(connection)
             connection.close()
 
+    def _read_limits(self) -> Limits:
+        """Return the limits of the configuration in force, or the defaults before the first."""
+        table = self._state.route_table
+        return table.document.limits if table else Limits()
+
     def _serve_requests(self, connection: CallerConnection) -> None:
         """Serve the requests of one connection."""
         while True:
--- a/features/steps/overload_fairness_steps.py
+++ b/features/steps/overload_fairness_steps.py
@@ -45,7 +45,7 @@
 ) -> tuple[socket.socket, CallerConnection]:
     """Return a caller's socket and the instance's connection."""
     near, far = connect(context)
-    connection = CallerConnection(far, limits or Limits(), budget)
+    connection = CallerConnection(far, lambda: limits or Limits(), budget)
     context.add_cleanup(connection.close)
     return near, connection
 
--- a/stand_ins/routed.py
+++ b/stand_ins/routed.py
@@ -216,7 +216,7 @@
 
     def _serve(self, raw: socket.socket, _: tuple[str, int]) -> None:
         """Serve one connection."""
-        connection = CallerConnection(raw, Limits())
+        connection = CallerConnection(raw, Limits)
         try:
             call = connection.next()
             if isinstance(call, CallerRequest):
