An empty list of workspaces asks for no keys at a site without workspaces

Cause: with an empty list no key is known, so that a site which has no workspaces, and whose configuration still holds the empty list, would refuse every request. Change: the settings' contracts name whether the site has workspaces; where they do not, an empty list is none. Without named contracts it asks for keys.

--- a/driftstall/gateway/model.py
+++ b/driftstall/gateway/model.py
@@ -304,3 +304,5 @@
     """Open descriptors that the process may have; zero if not known."""
     is_first_start: bool = False
     """Whether the whole fleet starts for the first time, so that no instance had a predecessor."""
+    uses_workspaces: bool = True
+    """Whether the site has workspaces; without them, an empty list of them asks for no keys."""
--- a/driftstall/gateway/sources.py
+++ b/driftstall/gateway/sources.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 from functools import singledispatchmethod
 from typing import Final, Protocol
 
@@ -113,18 +114,19 @@
         """Put a document in force if it is newer."""
         if item.document.version <= self.version:
             return
-        before = self.version
-        self._state.route_table = RouteTable.from_document(item.document)
+        before, document = self.version, item.document
+        if not document.workspaces and not self._state.settings.uses_workspaces:
+            document = replace(document, workspaces=None)
+        self._state.route_table = RouteTable.from_document(document)
         self._text = item.text
         self._state.notify_if_configured()
-        workspaces = item.document.workspaces
         log_event(
             PREFIX_CONFIGURATION,
             f"Routing version {item.document.version} is in force",
             before=before,
             source=source,
-            routes=len(item.document.routes),
-            workspaces=None if workspaces is None else len(workspaces),
+            routes=len(document.routes),
+            workspaces=len(document.workspaces or ()),
             queued=sorted(self._state.route_table.queued_services),
         )
         self._announce(from_peer=source == PEER)
--- a/driftstall/platform/settings.py
+++ b/driftstall/platform/settings.py
@@ -24,6 +24,8 @@
 """Used if the deploy file sets no key. Such a key only distinguishes versions of the program."""
 
 
+CONTRACT_WORKSPACES: Final = "tenants"
+"""Named in the contracts of a site that has workspaces."""
 MAX_NUMBER: Final = 1e12
 
 
@@ -81,6 +83,7 @@
         ),
         vol.Optional("seeds"): vol.Any(None, [_address]),
         vol.Optional("bootstrap"): vol.Any(None, bool),
+        vol.Optional("contracts"): vol.Any(None, [str]),
         vol.Optional("bounds"): vol.Schema(
             {
                 vol.Optional("retryBudgetRatio"): _FRACTION,
@@ -122,6 +125,7 @@
         )
         raise SettingsError(tuple(faults)) from invalid
     listen, limits = raw["listen"], raw.get("limits") or {}
+    contracts = raw.get("contracts")
     return GatewaySettings(
         instance_id=raw["nodeName"],
         zone=raw["zone"],
@@ -138,6 +142,7 @@
         bounds=_bounds(raw.get("bounds") or {}),
         peer_key=os.environ.get(PEER_KEY_VARIABLE, DEFAULT_PEER_KEY),
         is_first_start=bool(raw.get("bootstrap")),
+        uses_workspaces=contracts is None or CONTRACT_WORKSPACES in contracts,
     )
 
 
--- a/features/gateway/admission.feature
+++ b/features/gateway/admission.feature
@@ -54,6 +54,19 @@
       | empty      | 401    |
       | missing    | 200    |
 
+  # Guards against a site without workspaces whose empty list of them refuses all requests.
+  Scenario Outline: an empty list of workspaces, at a site whose contracts are <contracts>
+    Given settings whose contracts are <contracts>
+    When a peer sends a configuration whose list of workspaces is empty
+    And a request for "/safe/a" with key "none" is asked as "r1"
+    Then the answer has the status <status>
+
+    Examples:
+      | contracts     | status |
+      | not named     | 401    |
+      | base, tenants | 401    |
+      | base, config  | 200    |
+
   Scenario: an open route needs no key
     When a request for "/open/a" with key "none" is asked as "r1"
     Then the answer is 200 "whole" with the upstream's seal
--- a/features/steps/gateway_admission_steps.py
+++ b/features/steps/gateway_admission_steps.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import json
+import tempfile
+from dataclasses import replace
+from pathlib import Path
 from typing import Any
 
 import gevent
@@ -12,6 +16,7 @@
 from driftstall.gateway.sources import RoutingSource
 from driftstall.platform.documents import read_routing
 from driftstall.platform.json_rows import encode_value
+from driftstall.platform.settings import read_settings
 from features.worlds.gateway_world import (
     HOST,
     document,
@@ -45,6 +50,25 @@
     world_of(context).use(document_with_workspaces(2, workspaces))
 
 
+@given("settings whose contracts are {contracts}")
+def read_contracts(context: Any, contracts: str) -> None:
+    """Read a settings file with these contracts, and use what it says of workspaces."""
+    raw: dict[str, Any] = {
+        "nodeName": "n",
+        "zone": "a",
+        "ip": "127.0.0.1",
+        "listen": dict.fromkeys(("front", "ready", "directory", "control"), "127.0.0.1:80"),
+        "platform": {"address": "127.0.0.1:80"},
+    }
+    if contracts != "not named":
+        raw["contracts"] = contracts.split(", ")
+    with tempfile.NamedTemporaryFile() as file:
+        Path(file.name).write_text(json.dumps(raw))
+        uses_workspaces = read_settings(Path(file.name)).uses_workspaces
+    state = world_of(context).state
+    state.settings = replace(state.settings, uses_workspaces=uses_workspaces)
+
+
 @when("a peer sends a configuration whose list of workspaces is {workspaces}")
 def peer_sends(context: Any, workspaces: str) -> None:
     """Encode a configuration as an instance that has read it from the store, and apply it."""
