Upstreams missing after an outage are avoided while most others are listed

Cause: after an outage an upstream whose entry is missing counts as staying for 2.2 s from this instance's first answer, as its entry may only have lapsed. Where only this instance was cut off, the store was there all the time and the upstream had left; it got new requests until the grace ended. Neither the list nor its revisions tell the two apart (a heartbeat alone changes no entry), and the first answer may come seconds after the path has returned.

Change: the grace and what it protects stay: such an upstream is not leaving, its streams go on, and it serves requests that have tried the others. But new requests avoid it while more than half of its service's staying upstreams are listed. Where half or more are missing, as after a long outage of the store, nothing is avoided, since the others could not serve for them; nor after a restore, whose lost entries are known to be missing for that reason.

What it leaves open: where half or more of a service left during the cut, the grace holds for them as before.

--- /dev/null
+++ b/features/gateway/missing_entries.feature
@@ -0,0 +1,34 @@
+Feature: Upstreams whose entries are missing once the platform answers again
+  An entry that lapsed is written again within about two seconds. One that was removed meanwhile is
+  not, and its upstream may end at any time.
+
+  Background:
+    Given a gateway before two plain upstreams and three engines
+
+  # Guards against requests to upstreams that left while only this instance was cut off.
+  Scenario: an upstream whose entry is missing gets nothing while most others are listed
+    Given the platform was away, and on its return 1 of 3 engines is missing
+    When 30 streams are asked for
+    Then all of them are served, and none by an engine that is missing
+
+  # Guards against an upstream that is avoided although its entry had only lapsed.
+  Scenario: an upstream whose entry is back gets requests again
+    Given the platform was away, and on its return 1 of 3 engines is missing
+    When its entry is written again
+    Then all 3 engines may be chosen
+
+  # Guards against services that are overloaded because many entries lapsed in an outage.
+  Scenario: upstreams are not avoided if most entries are missing
+    Given the platform was away, and on its return 2 of 3 engines are missing
+    Then all 3 engines may be chosen
+
+  # Guards against requests without an upstream that are lost, though one may still serve.
+  Scenario: an upstream whose entry is missing is chosen once all others were tried
+    Given the platform was away, and on its return 1 of 3 engines is missing
+    Then it may be chosen by a request that avoids the others
+
+  # Guards against upstreams that are avoided because a restored store lacks their entries.
+  Scenario: upstreams that a restored store lacks are not avoided
+    Given the platform was away, and on its return 1 of 3 engines is missing
+    When the store turns out to be restored from an older copy
+    Then all 3 engines may be chosen
