Fault soak: what closes a response early is the end of its last run

Cause: the check of early closes took the end that was recorded last.

Change: the end must be one of the upstream of the last run, after that run's arrival; the ends of others neither accuse nor excuse. Responses of a process that has ended stop in the stand-in, and record nothing more.

--- a/features/parts/soak.feature
+++ b/features/parts/soak.feature
@@ -222,6 +222,7 @@
       | a call is closed early though its upstream framed it       | not by an upstream whose process lived on    |
       | a stream is closed early though its process ended at once  | not by an upstream whose process lived on    |
       | a stream is closed early though it was resumed since       | not by an upstream whose process lived on    |
+      | a stream is closed early though another upstream did so    | not by an upstream whose process lived on    |
       | a call is closed before what its upstream sent             | closed before all that was sent              |
       | a stream is closed before what its upstream sent           | closed before all that was sent              |
       | the last calls are closed early                            | only 0 of the last 2 calls were served       |
--- a/features/steps/soak_truncation_check_steps.py
+++ b/features/steps/soak_truncation_check_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any, Final
 
 from behave import given, then, when
@@ -25,7 +26,7 @@
     pieces: dict[str, list[int]] = {}
     ledger = context.ledger = Ledger(EVENTS, body=BODY, sent_pieces=pieces)
     ledger.truncations["neither, process gone"] = 1
-    ended = context.ended = EndingPlan(Framing.CHUNKED)
+    ended = EndingPlan(Framing.CHUNKED)
     for index in range(60):
         kind = (RequestKind.SAFE, RequestKind.ONCE, RequestKind.STREAM)[index % 3]
         asked = good(ledger, f"r{index}", kind, LATER - 60.0 + index)
@@ -42,6 +43,8 @@
     for name, ending in (("r6", Ending.CLOSED), ("r8", Ending.GONE_LATE)):
         close_early(context, name, ending)
     ledger.process_ends["u2"] = ledger.response_ends["r8"][0].at + KNOWN_END_S
+    unseen = EndingPlan(Framing.CLOSE, Ending.GONE)
+    ledger.response_ends["r6"].append(ResponseEnd("u9", unseen, LATER))
     for name in ("r9", "r57", "r58"):
         close_early(context, name, Ending.WHOLE)
         ledger.requests[name].body, pieces[name] = BODY, list(range(1, CALL_PIECES + 1))
@@ -56,6 +59,10 @@
     request.body = whole_stream(7) if is_stream else BODY[: 7 * len(BODY) // CALL_PIECES]
     ledger.sent_pieces[name] = list(range(1, 8))
     upstream_id = "u2" if ending is Ending.GONE_LATE else "u1"
+    ledger.arrivals = [
+        replace(arrival, upstream_id=upstream_id) if arrival.request_id == name else arrival
+        for arrival in ledger.arrivals
+    ]
     plan = EndingPlan(Framing.CLOSE, ending)
     ledger.response_ends[name] = [ResponseEnd(upstream_id, plan, request.ended_at)]
 
@@ -87,6 +94,12 @@
     context.ledger.response_ends[name] = [ResponseEnd("u1", plan, at) for plan in plans]
 
 
+def set_other_upstream(context: Any, name: str) -> None:
+    """Let another upstream than that of the last run have closed a response."""
+    [end] = context.ledger.response_ends[name]
+    context.ledger.response_ends[name] = [replace(end, upstream_id="u9")]
+
+
 def run_again(context: Any, name: str) -> None:
     """Record another run of a request, which began after the end of the first one."""
     request = context.ledger.requests[name]
@@ -162,6 +175,9 @@
         c, KNOWN_END_S - 0.01
     ),
     "a stream is closed early though it was resumed since": lambda c: run_again(c, "r8"),
+    "a stream is closed early though another upstream did so": lambda c: set_other_upstream(
+        c, "r8"
+    ),
     "a call is closed before what its upstream sent": lambda c: shorten(c, "r6"),
     "a stream is closed before what its upstream sent": lambda c: shorten(c, "r8"),
     "the last calls are closed early": close_last_calls,
--- a/soak/truncation.py
+++ b/soak/truncation.py
@@ -124,6 +124,10 @@
             return
         super()._end(raw, connection, plan, request_id)
 
+    def stop_responses(self) -> None:
+        """Send and record nothing more of the open responses: the process has ended."""
+        self.stopped.update(self._plans)
+
     def _stop_process(self) -> None:
         """End the process."""
         gevent.sleep(FLUSH_S)
@@ -169,6 +173,7 @@
         if not isinstance(proxy, Proxy):
             return
         self._record_end(old.upstream_id)
+        old.stop_responses()
         proxy.end_target()
         if self.upstream is old:
             gevent.spawn(self._start_new)
@@ -182,6 +187,7 @@
             return
         del self._proxies[old.upstream_id]
         self._record_end(old.upstream_id)
+        old.stop_responses()
         self._born += 1
         name = f"{self.service}-{self.place}-{next(self._starts)}"
         self._ledger.services[name] = self.service
--- a/soak/truncation_checks.py
+++ b/soak/truncation_checks.py
@@ -6,12 +6,11 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
 from collections.abc import Iterator
 from typing import Final
 
 from soak.disturbances import describe
-from soak.ledger import STREAMS, Ledger, ResponseEnd, SentRequest
+from soak.ledger import STREAMS, Arrival, Ledger, ResponseEnd, SentRequest
 from stand_ins.endings import BODY, CALL_PIECES, Framing
 from stand_ins.routed import event_bytes
 
@@ -30,9 +29,7 @@
     ends = [end for each in ledger.response_ends.values() for end in each]
     if not any(map(ledger.living_close, ends)):
         yield "no living process has closed a response early, so the run shows nothing of that"
-    runs: dict[str, float] = defaultdict(float)
-    for arrival in ledger.arrivals:
-        runs[arrival.request_id] = max(arrival.at, runs[arrival.request_id])
+    last_runs = {arrival.request_id: arrival for arrival in ledger.arrivals}
     for request in ledger.requests.values():
         if request.status != 200:
             continue
@@ -40,7 +37,7 @@
         check = _check_stream if request.kind in STREAMS else _check_call
         for line in check(ledger, request, sent):
             yield f"{line}: {describe(request)}"
-        for line in _check_end(ledger, request, sent, runs[request.request_id]):
+        for line in _check_end(ledger, request, sent, last_runs.get(request.request_id)):
             yield f"{line}: {describe(request)}"
 
 
@@ -64,17 +61,26 @@
 
 
 def _check_end(
-    ledger: Ledger, request: SentRequest, sent: set[int], last_run_at: float
+    ledger: Ledger, request: SentRequest, sent: set[int], run: Arrival | None
 ) -> Iterator[str]:
-    """Check that the end of a response was stated in no stronger terms than an upstream's."""
+    """Check that the end of a response was stated in no stronger terms than an upstream's.
+
+    What closes it early is the end of its last run: earlier runs may end later, unseen.
+    """
     ends = ledger.response_ends.get(request.request_id, [])
     if request.complete and not any(end.states_whole for end in ends):
         yield "complete though no upstream's framing has stated that"
     if not request.is_closed or ledger.is_whole(request):
         return
-    if not ends or ends[-1].at < last_run_at or not ledger.living_close(ends[-1]):
-        yield "closed early, and not by an upstream whose process lived on"
-    elif _is_short(request, sent, ends[-1]):
+    last = [end for end in ends if run and end.upstream_id == run.upstream_id and end.at >= run.at]
+    if not last or not ledger.living_close(last[-1]):
+        upstream_id = run.upstream_id if run else "no upstream"
+        plans = [f"{end.upstream_id} {end.plan.framing}, {end.plan.ending}" for end in ends]
+        yield (
+            "closed early, and not by an upstream whose process lived on "
+            f"(last run at {upstream_id}, ends {plans})"
+        )
+    elif _is_short(request, sent, last[-1]):
         yield "closed before all that was sent"
 
 
