Fault soak: some upstreams send statuses that HTTP does not know

Change: while responses end early in the plan `truncated`, 8 % of the others have the status 000, 099, 600 or 999, in each framing, for calls, streams and resumed streams. A caller of the soak that sees no valid status counts it as an answer all the same.

--- a/features/parts/soak.feature
+++ b/features/parts/soak.feature
@@ -134,9 +134,9 @@
   Scenario: truncated responses are what one plan is about
     Then seed 7 gives that plan early ends of responses, kills and notices, and always the same
 
-  Scenario: upstreams of that plan end responses in each way
+  Scenario: upstreams of that plan end responses in each way, and some have odd statuses
     Given an upstream of the soak that truncates responses
-    Then its plans end responses in each way
+    Then its plans end responses in each way, and some have odd statuses
 
   Scenario Outline: an upstream that closes a response early lives on and answers probes or not
     Given an upstream of the soak that truncates responses
--- a/features/steps/soak_truncation_steps.py
+++ b/features/steps/soak_truncation_steps.py
@@ -18,7 +18,7 @@
 from soak.draw import CALM_LAST_S, draw_steps
 from soak.ledger import ENGINE_SERVICE, Ledger, RequestKind, SentRequest
 from soak.plan import Kind, Plan
-from soak.truncation import HEALTH_PATH, PROBE_PATHS, HealthAnswer, TruncatingSlot
+from soak.truncation import HEALTH_PATH, ODD_STATUSES, PROBE_PATHS, HealthAnswer, TruncatingSlot
 from stand_ins.endings import (
     BODY,
     CALL_PIECES,
@@ -97,7 +97,7 @@
     return {upstream._draw_plan(seen) for _ in range(DRAWN_PLANS)}
 
 
-@then("its plans end responses in each way")
+@then("its plans end responses in each way, and some have odd statuses")
 def drawn_plans(context: Any) -> None:
     """Draw plans of each framing, for calls, streams and resumed streams."""
     for framing in Framing:
@@ -107,6 +107,7 @@
             early = {plan for plan in plans if plan.ending is not Ending.WHOLE}
             assert {plan.framing for plan in plans} == {framing}
             assert len(early) < len(plans)
+            assert {plan.status for plan in plans} == {200, *ODD_STATUSES}
             ways = {(plan.ending, plan.place) for plan in early}
             wanted = itertools.product({*Ending} - {Ending.WHOLE}, Place)
             assert ways == {*wanted}, (framing, target)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -101,7 +101,7 @@
     TRUNCATED = "truncated"
     """Upstreams that frame responses by a length, by chunks or by neither, and end some of them
     early: they close or reset the connection or fall silent, or their process ends, at once or
-    later, or restarts at its address."""
+    later, or restarts at its address. Some heads have a status that HTTP does not know."""
 
 
 class PartitionFault(StrEnum):
--- a/soak/truncation.py
+++ b/soak/truncation.py
@@ -31,6 +31,9 @@
 """Pause before each piece of a response to a call."""
 FLUSH_S: Final = 0.01
 """Time for the proxy to forward what was sent before the process ends."""
+ODD_STATUSES: Final = (0, 99, 600, 999)
+ODD_STATUS_SHARE: Final = 0.08
+"""Share of the other responses that have one of these statuses meanwhile."""
 AFTER_CLOSE_S: Final = 1.0
 """Time for which a process that closed a response early answers health checks as drawn."""
 PROBE_PATHS: Final = (HEALTH_PATH, "/api/report")
@@ -84,6 +87,10 @@
         last = int(seen.headers.get("last-event-id") or 0)
         pieces = EVENTS - last if is_stream else CALL_PIECES
         is_truncating = self._slot.is_truncating and pieces > 1
+        if is_truncating and self._draw.random() < ODD_STATUS_SHARE:
+            status = self._draw.choice(ODD_STATUSES)
+            self._ledger.truncations[f"status {status:03}"] += 1
+            return EndingPlan(self._framing, pause_s=pause_s, status=status)
         if not is_truncating or self._draw.random() >= TRUNCATED_SHARE:
             return EndingPlan(self._framing, pause_s=pause_s)
         plan = EndingPlan.draw(self._draw, self._framing, pieces, pause_s=pause_s)
