One log line for the end of a close-delimited response

Cause: each such response wrote two lines, one as it ended and one as it was passed on, so that about 150 of them a second would displace other lines.

--- a/driftstall/gateway/response_ends/records.py
+++ b/driftstall/gateway/response_ends/records.py
@@ -87,10 +87,15 @@
     framing: ResponseFraming,
     cause: ResponseEndCause,
 ) -> None:
-    """Count the end of a response, and log it unless its framing states that it is whole."""
+    """Count the end of a response, and log it unless it is the one that its framing requires.
+
+    The end of a close-delimited response is logged when it is passed on.
+    """
     stats.response_ends.inc({"framing": framing.value, "end": cause.value})
     if cause in (ResponseEndCause.COMPLETE, ResponseEndCause.ABANDONED):
         return
+    if framing is ResponseFraming.CLOSE and cause is ResponseEndCause.CLOSED:
+        return
     log_event(
         PREFIX_RELAY,
         f"Response of {upstream.upstream_id} ended: {cause.value}",
