Observability: log and count upstreams whose entries are missing after an outage

Which hypothesis holds for requests to upstreams that left during a cut could not be told from the log: it lacked when the platform answered again and after how long a silence, which entries were awaited, and for how long until they counted as removed.

Now the end of an outage is logged with the silence before it, each awaited entry with its upstream and service, and the removal with the time for which the entry was missing; the gauge upstreams_missing counts the awaited ones. The answer is recorded before the end of the outage is handled, so that the silence is known there. Decisions are unchanged.

--- a/driftstall/gateway/feeds.py
+++ b/driftstall/gateway/feeds.py
@@ -188,9 +188,9 @@
 
     def _record_answer(self) -> None:
         """Record an answered call."""
+        self._pacing.record_answer(after_failure=self._failures > 0)
         if self._failures >= MAX_FAILED_CALLS:
             self._listener.handle_platform_reachable()
-        self._pacing.record_answer(after_failure=self._failures > 0)
         self._failures = 0
 
     def _handle_failure(self, cause: str) -> None:
--- a/driftstall/gateway/fleet.py
+++ b/driftstall/gateway/fleet.py
@@ -35,6 +35,7 @@
     UpstreamCold,
     UpstreamJoined,
     UpstreamLeaving,
+    UpstreamMissing,
     UpstreamReplaced,
     UpstreamsListed,
     UpstreamsListedByPeer,
@@ -183,7 +184,7 @@
             if missing is not None and not (
                 self._is_in_lapse_grace(now) or self._may_store_lack_entries(now)
             ):
-                self._mark_leaving(entry, now)
+                self._mark_leaving(entry, now, missing_s=now - missing)
                 self._add_tombstone(entry.upstream, entry.upstream.revision, now)
             elif entry.suspected_until is not None and now >= entry.suspected_until:
                 self._rejoin(entry)
@@ -302,7 +303,9 @@
             return
         is_uncertain = may_be_lost or (self._is_in_lapse_grace(now) and not is_certain)
         if is_uncertain and entry.leaving_since is None:
-            entry.missing_since = entry.missing_since or now
+            if entry.missing_since is None:
+                entry.missing_since = now
+                self._actions.append(UpstreamMissing(entry.upstream))
             return
         self._mark_leaving(entry, since)
         self._add_tombstone(entry.upstream, revision, now)
@@ -336,7 +339,7 @@
             and upstream.revision.revision <= known.revision.revision
         )
 
-    def _mark_leaving(self, entry: RegistryEntry, since: float) -> None:
+    def _mark_leaving(self, entry: RegistryEntry, since: float, *, missing_s: float = 0.0) -> None:
         """Mark an upstream as leaving and report that once.
 
         The time to drain runs from the notice, not from when this instance learned of it: after a
@@ -346,7 +349,7 @@
         entry.is_listed = False
         if entry.leaving_since is None:
             entry.leaving_since = since
-            self._actions.append(UpstreamLeaving(entry.upstream))
+            self._actions.append(UpstreamLeaving(entry.upstream, missing_s=missing_s))
 
     def _mark_signalled_leaving(self, entry: RegistryEntry, since: float) -> None:
         """Mark an upstream as leaving by its own signal, whatever the platform's list says."""
--- a/driftstall/gateway/fleet_events.py
+++ b/driftstall/gateway/fleet_events.py
@@ -115,6 +115,15 @@
     """Whether only a probe reports it, and not the platform."""
     has_signalled: bool = False
     """Whether the upstream has signalled it in a response."""
+    missing_s: float = 0.0
+    """Seconds for which its entry has been missing after an outage; zero if that is not why."""
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamMissing:
+    """The entry of an upstream is missing after an outage, and may be written again."""
+
+    upstream: Upstream
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,4 +144,4 @@
     """Whether this is assumed and not reported by the upstream."""
 
 
-FleetAction = UpstreamJoined | UpstreamLeaving | UpstreamReplaced | UpstreamCold
+FleetAction = UpstreamJoined | UpstreamLeaving | UpstreamMissing | UpstreamReplaced | UpstreamCold
--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -321,6 +321,7 @@
             "retries_available": self.state.retries.least_available,
             "retry_share_full": float(self.state.retries.is_share_full),
             "upstreams": len(self.state.fleet.upstreams),
+            "upstreams_missing": len(self.state.fleet.missing_ids),
             "upstreams_unreachable": len(self.state.connector.reachability.unreachable),
             "services_unreachable": len(self.state.connector.reachability.unreachable_services),
             "tunnels_open": self._peering.tunnels.opened,
--- a/driftstall/gateway/sharing.py
+++ b/driftstall/gateway/sharing.py
@@ -26,6 +26,7 @@
     FleetAction,
     UpstreamCold,
     UpstreamLeaving,
+    UpstreamMissing,
     UpstreamReplaced,
 )
 from driftstall.gateway.model import Upstream, UpstreamState
@@ -158,10 +159,11 @@
         if isinstance(action, UpstreamLeaving) and (action.is_suspected or action.has_signalled):
             # The platform has not reported this: the instance that the upstream told publishes it.
             return
-        if isinstance(action, UpstreamReplaced) or (
+        if isinstance(action, UpstreamReplaced | UpstreamMissing) or (
             isinstance(action, UpstreamCold) and action.is_assumed
         ):
-            # Peers derive the action from other updates: a later start, or the end of a cordon.
+            # Peers derive the action from other updates: a later start, the end of a cordon, or
+            # the removal if the entry stays missing.
             return
         if not roles.is_large and is_leaving and not from_peer:
             # Peers watch the platform too, and learn of the upstream's removal there later.
--- a/driftstall/gateway/sources.py
+++ b/driftstall/gateway/sources.py
@@ -27,6 +27,7 @@
     UpstreamCold,
     UpstreamJoined,
     UpstreamLeaving,
+    UpstreamMissing,
     UpstreamReplaced,
     UpstreamsListed,
     UpstreamsListedByPeer,
@@ -296,7 +297,11 @@
 
     def handle_platform_reachable(self) -> None:
         """Log that the platform answers again, and notify the fleet and the peers."""
-        log_event(PREFIX_ROUTING, "The platform's list of upstreams is reachable again")
+        log_event(
+            PREFIX_ROUTING,
+            "The platform's list of upstreams is reachable again",
+            platform_silence_ms=int(self._store_silence_s() * 1000),
+        )
         self._apply(PlatformReachable())
         self._announce()
 
@@ -336,10 +341,22 @@
             source=_source_of(action, from_peer=from_peer),
             # The notice may be that old; requests were sent to the upstream meanwhile.
             platform_silence_ms=int(self._store_silence_s() * 1000),
+            missing_ms=int(action.missing_s * 1000),
             revision=upstream.revision,
         )
         self._on_leaving(upstream)
 
+    @_perform.register
+    def _(self, action: UpstreamMissing, *, from_peer: bool) -> None:
+        upstream = action.upstream
+        log_event(
+            PREFIX_ROUTING,
+            f"The entry of upstream {upstream.upstream_id} is missing after an outage, and awaited",
+            service=upstream.service,
+            platform_silence_ms=int(self._store_silence_s() * 1000),
+            revision=upstream.revision,
+        )
+
     @_perform.register
     def _(self, action: UpstreamJoined, *, from_peer: bool) -> None:
         upstream = action.upstream
--- a/driftstall/gateway/upstream_registry.py
+++ b/driftstall/gateway/upstream_registry.py
@@ -91,6 +91,15 @@
         """Return True if a probe reports an upstream as leaving that the platform still lists."""
         return any(entry.suspected_until is not None for entry in self._entries.values())
 
+    @property
+    def missing_ids(self) -> tuple[str, ...]:
+        """Return the ids of upstreams whose entries are missing after an outage, and awaited."""
+        return tuple(
+            entry.upstream.upstream_id
+            for entry in self._entries.values()
+            if entry.missing_since is not None
+        )
+
     def ready(self, service: str) -> tuple[Upstream, ...]:
         """Return the upstreams of a service that accept requests."""
         return tuple(
