The return of the store is noticed within half a second

Callers saw: after a cut of one instance from the store, requests went on to upstreams that had been removed meanwhile, up to 4 s after the path's return, where half or more of a service was removed.

Cause: missing entries are awaited for 2.2 s from the first answer, and that came 0 to 1.6 s after the return: a connection that was begun during the cut hangs for 1 s, since the kernel sends a lost opening packet again only then; pauses of up to 0.9 s were added; and the first watch after a failure waited for a change like any other.

Change: after a failed call a watch doesn't wait, so its answer shows that the store is back. While calls fail, reads of upstreams are repeated each 0.3 s on another connection, and the earlier ones go on, so that no timeout is shorter than before; the pause is counted from the start of a call. The other feeds are read as soon as that of the upstreams is answered.

--- a/driftstall/decisions/store_following.py
+++ b/driftstall/decisions/store_following.py
@@ -250,6 +250,11 @@
         """Return when a call was last answered."""
         return self._answered_at
 
+    @property
+    def failing_feeds(self) -> tuple[str, ...]:
+        """Return the feeds whose latest call failed."""
+        return tuple(self._failed_at)
+
     @property
     def is_failing(self) -> bool:
         """Return True if the latest call of some feed failed."""
--- a/driftstall/gateway/feeds.py
+++ b/driftstall/gateway/feeds.py
@@ -17,11 +17,12 @@
 from driftstall.decisions.store_versions import StoreVersion
 from driftstall.exceptions import HistoryUnavailable, PlatformUnavailable
 from driftstall.helpers.log import log_event
+from driftstall.util import clock
 
 HOLD_CHECK_S: Final = 0.2
 """Interval at which an idle follower checks whether it should call again."""
 INITIAL_BACKOFF_S: Final = 0.05
-"""Base of the pause after failed calls; it doubles up to the maximum of the pacing."""
+"""Base of the time between failing calls; it doubles up to the maximum of the pacing."""
 MAX_FAILED_CALLS: Final = 2
 """Failed calls in a row until the platform counts as unreachable; one cut watch is usual."""
 
@@ -94,7 +95,7 @@
         """Return the timeout of an idle watch, in seconds."""
 
     def max_backoff_s(self) -> float:
-        """Return the longest pause after failed calls, in seconds."""
+        """Return the longest mean time from the start of a failing call to the next, in seconds."""
 
     def record_answer(self, *, after_failure: bool) -> None:
         """Record that a call was answered, and whether the call before it had failed."""
@@ -161,6 +162,7 @@
         if delay_s > 0:
             self._sleep(min(delay_s, HOLD_CHECK_S))
             return
+        began_at = clock.now()
         try:
             if self._at is None:
                 self._list()
@@ -169,7 +171,7 @@
         except HistoryUnavailable:
             self._at = None
         except PlatformUnavailable as error:
-            self._handle_failure(str(error))
+            self._handle_failure(str(error), began_at)
 
     def _list(self) -> None:
         """Read the whole list and pass it to the listener."""
@@ -179,8 +181,12 @@
         self._listener.handle_list(snapshot.items, snapshot.at)
 
     def _watch(self, at: StoreVersion) -> None:
-        """Wait for changes and pass them to the listener."""
-        answer = self._feed.watch(at, self._pacing.watch_timeout_s())
+        """Wait for changes and pass them to the listener.
+
+        After a failed call the watch does not wait: its answer shows that the platform is back.
+        """
+        wait_s = 0.0 if self._failures else self._pacing.watch_timeout_s()
+        answer = self._feed.watch(at, wait_s)
         self._record_answer()
         self._at = answer.at
         for change in answer.changes:
@@ -193,8 +199,11 @@
             self._listener.handle_platform_reachable()
         self._failures = 0
 
-    def _handle_failure(self, cause: str) -> None:
-        """Record a failed call, and pause with exponential backoff and jitter."""
+    def _handle_failure(self, cause: str, began_at: float) -> None:
+        """Record a failed call, and pause with exponential backoff and jitter.
+
+        The pause is counted from the start of the call, which may have taken long itself.
+        """
         self._failures += 1
         self._pacing.record_failure()
         if self._failures == 1:
@@ -202,4 +211,5 @@
         if self._failures == MAX_FAILED_CALLS:
             self._listener.handle_platform_unreachable(cause)
         pause_s = min(self._pacing.max_backoff_s(), INITIAL_BACKOFF_S * 2**self._failures)
-        self._sleep(pause_s * (0.5 + self._source.random()))
+        until = began_at + pause_s * (0.5 + self._source.random())
+        self._sleep(max(0.0, until - clock.now()))
--- a/driftstall/gateway/store_following.py
+++ b/driftstall/gateway/store_following.py
@@ -142,6 +142,10 @@
         """Record that the store answered a call."""
         now = self._now()
         self._results.record_answer(feed, now)
+        if feed == PROBE_FEED:
+            # It is called most often while calls fail; the others need not wait for their turn.
+            for failing in self._results.failing_feeds:
+                self._wake_ups[failing].set()
         self._unprobed.discard(feed)
         self._standby.record_answer()
         if not self._roles().is_large:
--- a/driftstall/gateway/watch_delegation.py
+++ b/driftstall/gateway/watch_delegation.py
@@ -35,7 +35,10 @@
 the platform for it. Otherwise, in a fleet that starts all at once while engines join, each engine
 would wake each instance."""
 FOLLOWER_MAX_BACKOFF_S: Final = 0.6
-"""Longest pause of a follower after failed calls; limits the calls made during an outage."""
+"""Longest mean time between a follower's failing calls; limits the calls during an outage."""
+UPSTREAM_MAX_BACKOFF_S: Final = 0.3
+"""The same for a follower's feed of upstreams. The time for which missing entries may be written
+again runs from its first answer, so that must follow the return of the platform at once."""
 MAX_BACKOFF_S: Final = 1.5
 """The same for the other instances of a large fleet, which call while they are cut off from their
 collectors; an instance has at least three seconds to catch up after a cut."""
@@ -202,8 +205,10 @@
         return max_watch_s * (1.0 - WATCH_JITTER * self._source.random())
 
     def max_backoff_s(self) -> float:
-        """Return the longest pause after failed calls, in seconds."""
-        return FOLLOWER_MAX_BACKOFF_S if self._is_follower else MAX_BACKOFF_S
+        """Return the longest mean time from the start of a failing call to the next, in seconds."""
+        if not self._is_follower:
+            return MAX_BACKOFF_S
+        return UPSTREAM_MAX_BACKOFF_S if self._name == UPSTREAM_FEED else FOLLOWER_MAX_BACKOFF_S
 
     def record_answer(self, *, after_failure: bool) -> None:
         """Record an answer of the platform, and whether the call before it had failed."""
@@ -241,7 +246,7 @@
         return RARE_CHANGE_WATCH_S
 
     def max_backoff_s(self) -> float:
-        """Return the longest pause after failed calls, in seconds."""
+        """Return the longest mean time from the start of a failing call to the next, in seconds."""
         return MAX_BACKOFF_S
 
     def record_answer(self, *, after_failure: bool) -> None:
--- a/driftstall/platform/store.py
+++ b/driftstall/platform/store.py
@@ -26,10 +26,15 @@
 from driftstall.platform.json_rows import decode_answer
 from driftstall.util.http import Exchange
 from driftstall.util.limited_response import ResponseLimits
+from driftstall.util.staggered_calls import call_staggered
 
 CALL_TIMEOUT_S: Final = 1.5
 """Time for the headers of an answer. Calls take milliseconds; a store that takes longer than this
 is treated as unavailable."""
+ATTEMPT_DELAY_S: Final = 0.3
+"""While calls fail, time without an answer after which an urgent read is repeated."""
+URGENT_KINDS: Final = frozenset({names.KIND_UPSTREAMS})
+"""Kinds whose first answer after an outage must follow the return of the store at once."""
 BODY_TIMEOUT_S: Final = 10.0
 """Time for the whole body of an answer. The largest body, one megabyte, takes two seconds on the
 slowest links (5 Mbit/s), and shares the link with all streams."""
@@ -103,6 +108,8 @@
         self._address = address
         self._headers = {"Authorization": f"Bearer {token}"} if token else {}
         self._calls = 0
+        self._is_failing = False
+        """Whether the latest call was not answered."""
 
     @property
     def calls(self) -> int:
@@ -132,7 +139,8 @@
         query = dict(base_query)
         at: StoreVersion | None = None
         while True:
-            body, era = self._read(_build_path(kind, query=query))
+            path = _build_path(kind, query=query)
+            body, era = self._read(path, is_urgent=kind in URGENT_KINDS)
             if at is not None and era != at.era:
                 # The pages belong to two eras, so a watch from the first page could miss changes.
                 raise HistoryUnavailable
@@ -165,7 +173,11 @@
         revision may then name another change, and earlier changes are not reported.
         """
         query = {"watch": str(at.revision), "waitMs": str(int(wait_s * 1000))}
-        body, era = self._read(_build_path(kind, query=query), wait_s + ANSWER_MARGIN_S)
+        path = _build_path(kind, query=query)
+        if wait_s > 0:
+            body, era = self._read(path, wait_s + ANSWER_MARGIN_S)
+        else:
+            body, era = self._read(path, is_urgent=kind in URGENT_KINDS)
         if era != at.era:
             raise HistoryUnavailable
         rows, until = _get_rows(body, "events"), _decode_version(body, era)
@@ -202,31 +214,56 @@
         if answer.status != HTTPStatus.NOT_FOUND:
             _check_answer(answer)
 
-    def _read(self, path: str, timeout_s: float = CALL_TIMEOUT_S) -> tuple[Any, int]:
-        """Send a GET request and return the answer's body and era."""
-        answer = self._call("GET", path, timeout_s=timeout_s)
+    def _read(
+        self, path: str, timeout_s: float = CALL_TIMEOUT_S, *, is_urgent: bool = False
+    ) -> tuple[Any, int]:
+        """Send a GET request and return the answer's body and era.
+
+        While calls fail, an urgent one is repeated on further connections until one is answered.
+        """
+        is_staggered = is_urgent and self._is_failing
+        answer = self._call("GET", path, timeout_s=timeout_s, is_staggered=is_staggered)
         return _check_answer(answer), answer.era
 
     def _call(
-        self, method: str, path: str, body: Any = None, timeout_s: float = CALL_TIMEOUT_S
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+        *,
+        is_staggered: bool = False,
     ) -> _Answer:
-        """Send a request; raise PlatformUnavailable if there is no valid answer."""
-        self._calls += 1
+        """Send a request; raise PlatformUnavailable if there is no valid answer.
+
+        A staggered request is repeated on further connections until one of them is answered.
+        """
         data = b"" if body is None else orjson.dumps(body)
         headers = dict(self._headers)
         if data:
             headers["Content-Type"] = "application/json"
+
+        def open_exchange() -> Exchange:
+            self._calls += 1
+            return Exchange.open(
+                self._address, method, path, headers, data, timeout_s, ANSWER_LIMITS
+            )
+
         try:
             # Opening the connection counts as well.
             with gevent.Timeout(timeout_s, UpstreamError("no answer in time", sent=True)):
-                exchange = Exchange.open(
-                    self._address, method, path, headers, data, timeout_s, ANSWER_LIMITS
+                exchange = (
+                    call_staggered(open_exchange, ATTEMPT_DELAY_S)
+                    if is_staggered
+                    else open_exchange()
                 )
+            self._is_failing = False
             raw = exchange.read_document()
             era = self._update_era(exchange.header(names.HEADER_ERA))
             body = decode_answer(raw, lambda: gevent.sleep(0)) if raw else None
             return _Answer(exchange.status, body, era)
         except UpstreamError as fault:
+            self._is_failing = True
             raise PlatformUnavailable(f"no answer: {fault}", sent=fault.sent) from fault
         except ValueError as fault:
             raise PlatformUnavailable("the answer is not JSON") from fault
--- a/features/steps/gateway_feed_steps.py
+++ b/features/steps/gateway_feed_steps.py
@@ -147,7 +147,7 @@
         super().__init__("127.0.0.1:1")
         self._body = body
 
-    def _call(self, method: str, path: str, body: Any = None, timeout_s: float = 1.0) -> _Answer:
+    def _call(self, *_: Any, **__: Any) -> _Answer:
         return _Answer(200, self._body, 0)
 
 
