The time to drain of an upstream that left during an outage runs from its removal

Callers saw: streams resumed at upstreams that had left during an outage of the store, up to 2 s after their entries had been awaited in vain, where they may have ended.

Cause: when the wait for a missing entry was over, the upstream counted as leaving from that moment, so that requests for its replicas were allowed for the whole time to drain again. It was removed at some time before the store's first answer, as other notices after a silence take into account.

Change: the entry keeps the earliest time at which it can have been removed, and the time to drain runs from then.

--- a/driftstall/gateway/fleet.py
+++ b/driftstall/gateway/fleet.py
@@ -42,7 +42,12 @@
     UpstreamSuspected,
 )
 from driftstall.gateway.model import Upstream, UpstreamState
-from driftstall.gateway.upstream_registry import RegistryEntry, Tombstone, UpstreamRegistry
+from driftstall.gateway.upstream_registry import (
+    MissingEntry,
+    RegistryEntry,
+    Tombstone,
+    UpstreamRegistry,
+)
 
 LAPSE_GRACE_S: Final = 2.2
 """Entries that lapsed during an outage of the platform are written again within two seconds of its
@@ -180,11 +185,12 @@
     @_handle.register
     def _(self, event: TimerFired, now: float) -> None:
         for entry in list(self._entries.values()):
-            missing = entry.missing_since
+            missing = entry.missing
             if missing is not None and not (
                 self._is_in_lapse_grace(now) or self._may_store_lack_entries(now)
             ):
-                self._mark_leaving(entry, now, missing_s=now - missing)
+                missing_s = now - missing.found_at
+                self._mark_leaving(entry, missing.removed_since, missing_s=missing_s)
                 self._add_tombstone(entry.upstream, entry.upstream.revision, now)
             elif entry.suspected_until is not None and now >= entry.suspected_until:
                 self._rejoin(entry)
@@ -205,7 +211,7 @@
             for entry in self._entries.values()
             if entry.upstream.service == service and self._can_accept(entry)
         ]
-        missing = [entry for entry in ready if entry.missing_since is not None]
+        missing = [entry for entry in ready if entry.missing is not None]
         if 2 * len(missing) >= len(ready):
             return frozenset()
         return frozenset(entry.upstream.upstream_id for entry in missing)
@@ -242,7 +248,7 @@
             return
         if self._is_from_restored_copy(upstream, now):
             if upstream.name in self._entries:
-                self._entries[upstream.name].missing_since = None
+                self._entries[upstream.name].missing = None
             return
         if upstream.born < self._latest_start(upstream.name):
             # A late heartbeat of the previous start can arrive after the first of this one.
@@ -269,7 +275,7 @@
         if is_newer and (upstream.cold_s > 0 or entry.upstream.cold_s > 0):
             self._actions.append(UpstreamCold(upstream, upstream.cold_s))
         entry.upstream = upstream
-        entry.missing_since = None
+        entry.missing = None
         if upstream.state is UpstreamState.LEAVING:
             self._mark_leaving(entry, since)
         elif not entry.is_listed:
@@ -303,8 +309,8 @@
             return
         is_uncertain = may_be_lost or (self._is_in_lapse_grace(now) and not is_certain)
         if is_uncertain and entry.leaving_since is None:
-            if entry.missing_since is None:
-                entry.missing_since = now
+            if entry.missing is None:
+                entry.missing = MissingEntry(now, since)
                 self._actions.append(UpstreamMissing(entry.upstream))
             return
         self._mark_leaving(entry, since)
--- a/driftstall/gateway/upstream_registry.py
+++ b/driftstall/gateway/upstream_registry.py
@@ -15,13 +15,22 @@
 """How long the tombstone of a removed upstream is kept, so that a stale update cannot revive it."""
 
 
+@dataclass(frozen=True, slots=True)
+class MissingEntry:
+    """A store entry that is missing after an outage; it may have lapsed or been removed."""
+
+    found_at: float
+    removed_since: float
+    """Earliest time at which it can have been removed: the store had not answered since then."""
+
+
 @dataclass(slots=True)
 class RegistryEntry:
     """State of one registered upstream."""
 
     upstream: Upstream
     leaving_since: float | None = None
-    missing_since: float | None = None
+    missing: MissingEntry | None = None
     """Set while the missing store entry may only have lapsed during an outage."""
     suspected_until: float | None = None
     """Set while only a probe reports the upstream as leaving; the suspicion ends at this time."""
@@ -97,7 +106,7 @@
         return tuple(
             entry.upstream.upstream_id
             for entry in self._entries.values()
-            if entry.missing_since is not None
+            if entry.missing is not None
         )
 
     def ready(self, service: str) -> tuple[Upstream, ...]:
--- a/features/gateway/missing_entries.feature
+++ b/features/gateway/missing_entries.feature
@@ -32,3 +32,9 @@
     Given the platform was away, and on its return 1 of 3 engines is missing
     When the store turns out to be restored from an older copy
     Then all 3 engines may be chosen
+
+  # Guards against resumed streams at an upstream that left during an outage, as its time to drain ran from the end of the wait for its entry.
+  Scenario: the time to drain of an upstream runs from before the outage if its entry stays missing
+    Given the platform was away for 6 s, and on its return 1 of 3 engines is missing
+    When its entry stays missing for 2.3 s
+    Then a stream may not be resumed there
--- a/features/steps/missing_entry_steps.py
+++ b/features/steps/missing_entry_steps.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any
 
+import gevent
 from behave import given, then, when
 
 from driftstall.decisions.store_versions import StoreVersion
@@ -12,10 +14,13 @@
     PlatformReachable,
     PlatformUnreachable,
     StoreRestored,
+    TimerFired,
     UpstreamChanged,
     UpstreamsListed,
 )
+from features.steps.known_upstream_steps import LISTED_AT
 from features.worlds.gateway_world import GatewayWorld, world_of
+from features.worlds.upstream_samples import upstream_of
 
 
 def apply_event(world: GatewayWorld, event: FleetEvent) -> None:
@@ -27,13 +32,22 @@
 @given("the platform was away, and on its return {missing:d} of 3 engines are missing")
 def return_without(context: Any, missing: int) -> None:
     """End an outage with a list that lacks some engines."""
+    return_after(context, 0.0, missing)
+
+
+@given(
+    "the platform was away for {seconds:g} s, and on its return {missing:d} of 3 engines is missing"
+)
+def return_after(context: Any, seconds: float, missing: int) -> None:
+    """End an outage that lasted some seconds with a list that lacks some engines."""
     world = world_of(context)
     context.missing = world.engines[:missing]
     listed = (*world.plain, *world.engines[missing:])
     entries = tuple(world.entry(upstream) for upstream in listed)
     apply_event(world, PlatformUnreachable())
     apply_event(world, PlatformReachable())
-    apply_event(world, UpstreamsListed(entries, StoreVersion(world.revision)))
+    listing = UpstreamsListed(entries, StoreVersion(world.revision), seconds)
+    apply_event(world, listing)
 
 
 @when("its entry is written again")
@@ -78,3 +92,39 @@
     avoid = frozenset(engine.upstream_id for engine in world.engines[1:])
     (option,) = world.state.options("engines", avoid)
     assert option.upstream.upstream_id == context.missing[0].upstream_id
+
+
+@when("its entry stays missing for {seconds:g} s")
+def stays_missing(context: Any, seconds: float) -> None:
+    """Let time pass, and check for timeouts."""
+    world = world_of(context)
+    context.now = world.state.now() + seconds
+    world.state.fleet.handle(TimerFired(), context.now)
+
+
+@then("a stream may not be resumed there")
+def not_resumed(context: Any) -> None:
+    """Check that the missing engine is sent nothing, not even for the replicas that it holds."""
+    world = world_of(context)
+    drain_s = world.state.settings.bounds.drain_s
+    upstream_id = context.missing[0].upstream_id
+    assert not world.state.fleet.can_still_serve(upstream_id, context.now, drain_s)
+
+
+@when('the platform fails, and its list lacks "u1" on its return')
+def list_lacks(context: Any) -> None:
+    """End an outage with a list that lacks one upstream."""
+    context.source.handle_platform_unreachable("no answer")
+    context.source.handle_platform_reachable()
+    context.returned_at = time.monotonic()
+    context.source.handle_list((upstream_of("u2", 5),), StoreVersion(LISTED_AT + 1))
+
+
+@then('{least:g} to {most:g} s after the return "u1" takes no requests, without a periodic check')
+def removed_in_time(context: Any, least: float, most: float) -> None:
+    """Wait until the upstream is excluded."""
+    with gevent.Timeout(2 * most):
+        while context.fleet.accepts_requests("u1"):
+            gevent.sleep(0.01)
+    took_s = time.monotonic() - context.returned_at
+    assert least <= took_s <= most, took_s
