Entries that stay missing count as removed at the end of the wait

Callers saw: requests to upstreams that left during an outage of the store, for up to 0.2 s after the wait for their entries was over.

Cause: the wait was ended by the periodic check, every 0.2 s, or later while the event loop is busy; the log shows waits of 2.20 to 2.40 s.

Change: a timer ends the wait 2.2 s after the first answer.

--- a/driftstall/gateway/sources.py
+++ b/driftstall/gateway/sources.py
@@ -8,12 +8,15 @@
 from functools import singledispatchmethod
 from typing import Final, Protocol
 
+import gevent
+
 from driftstall.const import PREFIX_CONFIGURATION, PREFIX_MEMBERSHIP, PREFIX_ROUTING
 from driftstall.core import Instance
 from driftstall.decisions.store_versions import NO_VERSION, StoreVersion
 from driftstall.exceptions import DriftstallError, PolicyError
 from driftstall.gateway.cordons import CordonsChanged
 from driftstall.gateway.feeds import ItemChange
+from driftstall.gateway.fleet import LAPSE_GRACE_S
 from driftstall.gateway.fleet_events import (
     CordonedZonesChanged,
     FleetAction,
@@ -41,6 +44,8 @@
 MAX_SUPERSEDED_POLICIES: Final = 8
 """Superseded policies that are remembered: a restored copy of the store is some seconds old and may
 hold one of them."""
+TIMER_MARGIN_S: Final = 0.01
+"""A timer of the event loop may fire early by the age of the loop's cached time."""
 PLATFORM: Final = "platform"
 PEER: Final = "peer"
 UPSTREAM: Final = "upstream"
@@ -304,6 +309,8 @@
         )
         self._apply(PlatformReachable())
         self._announce()
+        # Entries that stay missing count as removed at once then, not at the next periodic check.
+        gevent.spawn_later(LAPSE_GRACE_S + TIMER_MARGIN_S, self.handle_timer)
 
     def handle_store_restored(self) -> None:
         """Handle that the store was restored from an older copy."""
--- a/features/gateway/missing_entries.feature
+++ b/features/gateway/missing_entries.feature
@@ -38,3 +38,10 @@
     Given the platform was away for 6 s, and on its return 1 of 3 engines is missing
     When its entry stays missing for 2.3 s
     Then a stream may not be resumed there
+
+  # Guards against entries that are awaited longer than the wait, until the next periodic check.
+  Scenario: an entry that stays missing counts as removed at the end of the wait
+    Given an instance that follows the platform, which lists "u1" and "u2"
+    When the platform fails, and its list lacks "u1" on its return
+    Then "u1" takes requests
+    And 2.2 to 2.3 s after the return "u1" takes no requests, without a periodic check
