Removals read after an outage are not published while the entry may only have lapsed

Cause: an instance of a small fleet sends each change that it reads to the peers that the store does not answer. After an outage it awaits a missing entry itself, as that may have lapsed, but had sent its removal on. A peer takes a removal as certain, so it did without a live upstream until the entry was written again; without any if all entries had lapsed.

Change: such a removal is not published. If the entry stays missing, that the upstream leaves is published at the end of the wait, as before.

Result: the new scenario failed before (the removal was published besides) and holds now.

--- a/driftstall/gateway/sources.py
+++ b/driftstall/gateway/sources.py
@@ -264,6 +264,10 @@
         self._apply(
             UpstreamChanged(change.item, change.removed, store_silence_s=self._store_silence_s())
         )
+        if change.removed and self._state.fleet.is_awaited(change.item.name):
+            # Peers take a removal as certain, and this entry may only have lapsed. If it stays
+            # missing, that the upstream leaves is published at the end of the wait.
+            return
         self._publish_change(change)
 
     def handle_peer_change(self, change: ItemChange[Upstream]) -> None:
--- a/driftstall/gateway/upstream_registry.py
+++ b/driftstall/gateway/upstream_registry.py
@@ -109,6 +109,11 @@
             if entry.missing is not None
         )
 
+    def is_awaited(self, name: str) -> bool:
+        """Return True if the entry of an upstream is missing after an outage, and awaited."""
+        entry = self._entries.get(name)
+        return entry is not None and entry.missing is not None
+
     def ready(self, service: str) -> tuple[Upstream, ...]:
         """Return the upstreams of a service that accept requests."""
         return tuple(
--- a/features/gateway/missing_entries.feature
+++ b/features/gateway/missing_entries.feature
@@ -45,3 +45,11 @@
     When the platform fails, and its list lacks "u1" on its return
     Then "u1" takes requests
     And 2.2 to 2.3 s after the return "u1" takes no requests, without a periodic check
+
+  # Guards against live upstreams that peers do without, as an instance that is back first reports lapsed entries as removed.
+  Scenario: a removal is not published while the entry may only have lapsed
+    Given an instance that follows the platform, which lists "u1" and "u2"
+    When the platform fails, and tells on its return that the entry of "u1" is gone
+    Then no peer is told that "u1" is gone
+    And 2.2 to 2.3 s after the return "u1" takes no requests, without a periodic check
+    And the peers are told that "u1" leaves
--- a/features/steps/known_upstream_steps.py
+++ b/features/steps/known_upstream_steps.py
@@ -78,11 +78,12 @@
     world = context.world = GatewayWorld()
     context.add_cleanup(world.close)
     context.fleet = world.state.fleet
+    context.published = []
     context.source = UpstreamSource(
         world.state,
         on_leaving=lambda _: None,
-        publish_change=lambda _: None,
-        publish_action=lambda action, *, from_peer: None,
+        publish_change=context.published.append,
+        publish_action=lambda action, *, from_peer: context.published.append(action),
         announce=lambda: None,
         store_silence_s=lambda: context.pace.silence_s,
     )
--- a/features/steps/missing_entry_steps.py
+++ b/features/steps/missing_entry_steps.py
@@ -9,6 +9,7 @@
 from behave import given, then, when
 
 from driftstall.decisions.store_versions import StoreVersion
+from driftstall.gateway.feeds import ItemChange
 from driftstall.gateway.fleet_events import (
     FleetEvent,
     PlatformReachable,
@@ -16,6 +17,8 @@
     StoreRestored,
     TimerFired,
     UpstreamChanged,
+    UpstreamLeaving,
+    UpstreamMissing,
     UpstreamsListed,
 )
 from features.steps.known_upstream_steps import LISTED_AT
@@ -128,3 +131,27 @@
             gevent.sleep(0.01)
     took_s = time.monotonic() - context.returned_at
     assert least <= took_s <= most, took_s
+
+
+@when('the platform fails, and tells on its return that the entry of "u1" is gone')
+def tells_gone(context: Any) -> None:
+    """End an outage with a change that removes an entry."""
+    context.source.handle_platform_unreachable("no answer")
+    context.source.handle_platform_reachable()
+    context.returned_at = time.monotonic()
+    context.published.clear()
+    context.source.handle_change(ItemChange(upstream_of("u1", 6), True))
+
+
+@then('no peer is told that "u1" is gone')
+def not_told(context: Any) -> None:
+    """Check that no change and no action for peers tells of the removal."""
+    (action,) = context.published
+    assert isinstance(action, UpstreamMissing), action
+
+
+@then('the peers are told that "u1" leaves')
+def told(context: Any) -> None:
+    """Check that the action for peers names the upstream."""
+    action = context.published[-1]
+    assert isinstance(action, UpstreamLeaving) and action.upstream.name == "u1", action
