Missing upstreams are no longer avoided after an outage: the wait for them is bounded instead

The preference for listed upstreams avoided the effect and not its cause: it didn't apply where half or more of a service was removed, nor to second tries. Since the return of the store is noticed within half a second, the wait for missing entries ends within 3 s of it for all of them, and the preference is needless. It also kept requests from live upstreams whose entries had lapsed.

The scenario of the preference is replaced by one that is as strict for what callers need: however many entries are missing, nothing goes to their upstreams once the wait is over. That upstreams are used until then now holds for one, two and all three of three.

--- a/driftstall/gateway/fleet.py
+++ b/driftstall/gateway/fleet.py
@@ -52,8 +52,6 @@
 LAPSE_GRACE_S: Final = 2.2
 """Entries that lapsed during an outage of the platform are written again within two seconds of its
 return; until then a missing entry doesn't mean that its upstream has left."""
-MISSING_KNOWN_S: Final = 2 * LAPSE_GRACE_S
-"""By then the timer has removed all entries that were missing in the grace time."""
 
 
 class FleetController(UpstreamRegistry):
@@ -196,26 +194,6 @@
                 self._rejoin(entry)
         self._remove_expired(now)
 
-    def missing(self, service: str, now: float) -> frozenset[str]:
-        """Return the upstreams of a service to avoid, as their entries are missing after an outage.
-
-        An entry that has lapsed is written again shortly; one that was removed is not, and its
-        upstream may end. The result is empty if as many are missing as are listed, since others
-        could not serve for them, or if the store was restored and lacks entries for that reason.
-        """
-        is_over = now - self._reachable_since > MISSING_KNOWN_S
-        if is_over or self._may_store_lack_entries(now):
-            return frozenset()
-        ready = [
-            entry
-            for entry in self._entries.values()
-            if entry.upstream.service == service and self._can_accept(entry)
-        ]
-        missing = [entry for entry in ready if entry.missing is not None]
-        if 2 * len(missing) >= len(ready):
-            return frozenset()
-        return frozenset(entry.upstream.upstream_id for entry in missing)
-
     def _apply_peer_entry(self, upstream: Upstream, now: float) -> None:
         """Apply an entry sent by a peer, unless the platform itself has reported its removal.
 
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -268,9 +268,6 @@
             for upstream in self.fleet.ready(service)
             if upstream.upstream_id not in excluded
         ]
-        missing = self.fleet.missing(service, now)
-        if missing:
-            ready = [each for each in ready if each.upstream_id not in missing] or ready
         if max_options is not None and len(ready) > max_options:
             sampled = self.rng.sample(ready, max_options)
             return [
--- a/features/gateway/missing_entries.feature
+++ b/features/gateway/missing_entries.feature
@@ -5,25 +5,37 @@
   Background:
     Given a gateway before two plain upstreams and three engines
 
-  # Guards against requests to upstreams that left while only this instance was cut off.
-  Scenario: an upstream whose entry is missing gets nothing while most others are listed
-    Given the platform was away, and on its return 1 of 3 engines is missing
-    When 30 streams are asked for
+  # Guards against requests to upstreams that left during an outage, however many of a service did.
+  Scenario Outline: upstreams whose entries stay missing get nothing once the wait is over
+    Given the platform was away, and on its return <missing> of 3 engines are missing
+    When their entries stay missing for 2.21 s
+    And 30 streams are asked for
     Then all of them are served, and none by an engine that is missing
 
+    Examples:
+      | missing |
+      | 1       |
+      | 2       |
+
   # Guards against an upstream that is avoided although its entry had only lapsed.
   Scenario: an upstream whose entry is back gets requests again
     Given the platform was away, and on its return 1 of 3 engines is missing
     When its entry is written again
     Then all 3 engines may be chosen
 
-  # Guards against services that are overloaded because many entries lapsed in an outage.
-  Scenario: upstreams are not avoided if most entries are missing
-    Given the platform was away, and on its return 2 of 3 engines are missing
+  # Guards against services that are overloaded, or without an upstream, because entries lapsed in an outage.
+  Scenario Outline: upstreams are used while their entries may be written again
+    Given the platform was away, and on its return <missing> of 3 engines are missing
     Then all 3 engines may be chosen
 
+    Examples:
+      | missing |
+      | 1       |
+      | 2       |
+      | 3       |
+
   # Guards against requests without an upstream that are lost, though one may still serve.
-  Scenario: an upstream whose entry is missing is chosen once all others were tried
+  Scenario: an upstream whose entry is missing may be chosen once all others were tried
     Given the platform was away, and on its return 1 of 3 engines is missing
     Then it may be chosen by a request that avoids the others
 
@@ -36,7 +48,7 @@
   # Guards against resumed streams at an upstream that left during an outage, as its time to drain ran from the end of the wait for its entry.
   Scenario: the time to drain of an upstream runs from before the outage if its entry stays missing
     Given the platform was away for 6 s, and on its return 1 of 3 engines is missing
-    When its entry stays missing for 2.3 s
+    When its entry stays missing for 2.21 s
     Then a stream may not be resumed there
 
   # Guards against entries that are awaited longer than the wait, until the next periodic check.
--- a/features/steps/missing_entry_steps.py
+++ b/features/steps/missing_entry_steps.py
@@ -98,6 +98,7 @@
 
 
 @when("its entry stays missing for {seconds:g} s")
+@when("their entries stay missing for {seconds:g} s")
 def stays_missing(context: Any, seconds: float) -> None:
     """Let time pass, and check for timeouts."""
     world = world_of(context)
