Requests with credentials of another scheme are not anonymous

Callers saw: on a route that allows anonymous requests, one with 'Authorization: Token KEY' was run without a workspace: at another rank and in other shares than its caller expects, and also with a key that had been taken away. Routes that need a key answered 401.

Cause: only a bearer token was read, and all else counted as no credentials. It is the cause of unknown keys that were run as anonymous, in another form.

Change: a request is anonymous only without credentials; others that name no known key get 401, or 503 while the configuration here may be old. An empty bearer token still counts as none. The users' page names only 'Bearer KEY', so this asks more than it: a caller that sends credentials expects to be known by them, and learns of a wrong scheme by the 401.

--- a/driftstall/gateway/admission.py
+++ b/driftstall/gateway/admission.py
@@ -123,15 +123,15 @@
     def _authenticate(self, progress: RequestProgress) -> RequestProgress | Problem:
         """Set the workspace that the key belongs to.
 
-        A request with an unknown key is not anonymous: its key may have been revoked.
+        A request with an unknown key is not anonymous: its key may have been revoked. Neither is
+        one with credentials of another scheme, whose caller expects to be known by them.
         """
         assert progress.route is not None
         if not self._table.requires_keys:
             return progress
-        key = progress.metadata.key
-        if not key and progress.route.allows_anonymous:
+        if progress.metadata.is_anonymous and progress.route.allows_anonymous:
             return progress
-        workspace = self._table.workspace(key)
+        workspace = self._table.workspace(progress.metadata.key)
         if workspace is None:
             detail = "the workspace key is not known"
             return self._make_retryable_if_outdated(
--- a/driftstall/gateway/model.py
+++ b/driftstall/gateway/model.py
@@ -203,6 +203,13 @@
     last_event_id: str
     forwarded_headers: Headers
     """Headers that are forwarded to the upstream unchanged."""
+    has_other_credentials: bool = False
+    """Whether the request has credentials of a scheme in which no key can be given."""
+
+    @property
+    def is_anonymous(self) -> bool:
+        """Return True if the request has no credentials."""
+        return not self.key and not self.has_other_credentials
 
 
 @dataclass(frozen=True, slots=True)
--- a/driftstall/platform/headers.py
+++ b/driftstall/platform/headers.py
@@ -78,6 +78,7 @@
         prompt=_parse_prompt(first.get(names.HEADER_PROMPT, b"")),
         last_event_id=_decode_text(first.get(names.HEADER_LAST_EVENT_ID, b"")),
         forwarded_headers=_select_forwarded_headers(headers, first),
+        has_other_credentials=_has_other_scheme(first.get(names.HEADER_KEY, b"")),
     )
 
 
@@ -220,6 +221,11 @@
     return _decode_text(value[len(BEARER) :].strip())
 
 
+def _has_other_scheme(value: bytes) -> bool:
+    """Return True if an Authorization header has credentials of another scheme than bearer."""
+    return bool(value) and (value + b" ")[: len(BEARER)].lower() != BEARER
+
+
 def _parse_token_counts(value: bytes) -> tuple[int, int]:
     """Return the number of prompt tokens and the maximum number of output tokens."""
     first, _, second = value.partition(b",")
--- a/features/gateway/admission.feature
+++ b/features/gateway/admission.feature
@@ -20,6 +20,27 @@
     Then the answer is 401 and tells that nothing ran
     And "r1" has run on 0 upstreams
 
+  # Guards against requests that run without their workspace, as their credentials cannot be read as a key.
+  Scenario Outline: an open route takes only requests without credentials as anonymous
+    When a request for "/open/a" with the credentials "<credentials>" is asked as "r1"
+    Then the answer has the status <status>
+    And "r1" has run on <runs> upstreams
+
+    Examples:
+      | credentials          | status | runs |
+      | Token key-of-north   | 401    | 0    |
+      | Basic bm9ydGg6a2V5   | 401    | 0    |
+      | key-of-north         | 401    | 0    |
+      | Bearer\tkey-of-north | 401    | 0    |
+      | Bearer               | 200    | 1    |
+      | bearer key-of-north  | 200    | 1    |
+
+  # Guards against a key that is still taken for the workspace that held it before.
+  Scenario: a key that was moved to another workspace counts for that one at once
+    Given the key of "north" is now one of "plains"
+    When a request for "/open/a" with key "right" is asked as "r1"
+    Then the upstream of "r1" was told workspace "plains" and its own id, and no key
+
   # Guards against a known key that is ignored on a route for anonymous requests.
   Scenario: an open route knows the workspace of a key
     When a request for "/open/a" with key "right" is asked as "r1"
--- a/features/steps/gateway_admission_steps.py
+++ b/features/steps/gateway_admission_steps.py
@@ -19,6 +19,7 @@
 from driftstall.platform.settings import read_settings
 from features.worlds.gateway_world import (
     HOST,
+    KEY,
     document,
     parse_answer,
     read_response,
@@ -69,6 +70,22 @@
     state.settings = replace(state.settings, uses_workspaces=uses_workspaces)
 
 
+@given('the key of "north" is now one of "plains"')
+def move_key(context: Any) -> None:
+    """Apply a newer configuration in which another workspace holds the key."""
+    raw = document(2)
+    for workspace in raw["tenants"]:
+        workspace["apiKeys"] = [KEY] if workspace["name"] == "plains" else []
+    world_of(context).use(raw)
+
+
+@when('a request for "{path}" with the credentials "{credentials}" is asked as "{request_id}"')
+def ask_with(context: Any, path: str, credentials: str, request_id: str) -> None:
+    """Send a request with an Authorization header as it is."""
+    header = credentials.replace("\\t", "\t")
+    context.answer = world_of(context).ask(path, request_id, Authorization=header)
+
+
 @when("a peer sends a configuration whose list of workspaces is {workspaces}")
 def peer_sends(context: Any, workspaces: str) -> None:
     """Encode a configuration as an instance that has read it from the store, and apply it."""
