Split: the listener of upstreams gets a module of its own

Moved as it is; no behaviour is changed. missing_entries.feature and store_path_returns.feature, 20 scenarios, hold.

--- a/driftstall/gateway/node.py
+++ b/driftstall/gateway/node.py
@@ -44,12 +44,12 @@
 from driftstall.gateway.sources import (
     PolicySource,
     RoutingSource,
-    UpstreamSource,
 )
 from driftstall.gateway.state import GatewayState
 from driftstall.gateway.store_reachability import FeedReachability, StoreReachability
 from driftstall.gateway.store_recovery import StoreRecovery
 from driftstall.gateway.upstream_prober import UpstreamProber
+from driftstall.gateway.upstream_source import UpstreamSource
 from driftstall.gateway.watch_delegation import (
     CORDON_FEED,
     ROUTING_FEED,
--- a/features/steps/known_upstream_steps.py
+++ b/features/steps/known_upstream_steps.py
@@ -14,7 +14,7 @@
 from driftstall.exceptions import PlatformUnavailable
 from driftstall.gateway.collectors import FleetRoles
 from driftstall.gateway.feeds import Follower, ItemChange
-from driftstall.gateway.sources import UpstreamSource
+from driftstall.gateway.upstream_source import UpstreamSource
 from driftstall.gateway.watch_delegation import DelegatedWatchPacing, WatchDelegation
 from driftstall.platform.feeds import upstream_feed
 from driftstall.platform.store import Listing, Store, StoredObject, WatchAnswer, WatchEvent
