Calls to the store that fail late keep a shortest pause

If the store restarts and resets all connections, all instances would have called it in the same moment. The pause keeps its shortest length, 0.025 to 0.075 s.

--- a/driftstall/gateway/feeds.py
+++ b/driftstall/gateway/feeds.py
@@ -202,7 +202,8 @@
     def _handle_failure(self, cause: str, began_at: float) -> None:
         """Record a failed call, and pause with exponential backoff and jitter.
 
-        The pause is counted from the start of the call, which may have taken long itself.
+        The pause is counted from the start of the call, which may have taken long itself. The rest
+        keeps a shortest length, as all instances fail at once where the platform restarts.
         """
         self._failures += 1
         self._pacing.record_failure()
@@ -211,5 +212,6 @@
         if self._failures == MAX_FAILED_CALLS:
             self._listener.handle_platform_unreachable(cause)
         pause_s = min(self._pacing.max_backoff_s(), INITIAL_BACKOFF_S * 2**self._failures)
-        until = began_at + pause_s * (0.5 + self._source.random())
-        self._sleep(max(0.0, until - clock.now()))
+        jitter = 0.5 + self._source.random()
+        until = began_at + pause_s * jitter
+        self._sleep(max(INITIAL_BACKOFF_S * jitter, until - clock.now()))
--- a/features/gateway/store_path_returns.feature
+++ b/features/gateway/store_path_returns.feature
@@ -32,9 +32,9 @@
     Then its watches wait for a change, but the one after the failure
 
   # Guards against a pause that is added to a call that has taken long itself.
-  Scenario: calls that fail late are repeated without a further pause
+  Scenario: calls that fail late are repeated after the shortest pause
     Given a feed whose calls fail after 0.7 s
-    Then it pauses for 0 s after them
+    Then it pauses for 0.025 to 0.075 s after them
 
   # Guards against a configuration that comes into force later than the upstreams are known.
   Scenario: other feeds are read again as soon as that of the upstreams is answered
