Observability: what shows that a relayed response is whole, and failed sends of tunnels

The hypotheses differ in what an instance relies on when it ends a response in order, and no log or counter told that. relayed_ends_total has the label evidence (framing, process, none); the log line of an end names the time from the stream's last event and to its deadline, and whether it had a backup; tunnel_send_errors_total counts tunnels whose upstream failed while the request was passed to it, which was dropped unlogged. No logic is changed.

--- a/driftstall/decisions/response_ends.py
+++ b/driftstall/decisions/response_ends.py
@@ -31,6 +31,17 @@
 LIVING_STATES: Final = frozenset({ProcessState.ALIVE, ProcessState.LEAVING, ProcessState.SILENT})
 
 
+class EndEvidence(StrEnum):
+    """What shows that a response which a caller gets as complete is whole."""
+
+    FRAMING = "framing"
+    """A length, a last chunk, or a status without a body."""
+    PROCESS = "process"
+    """Nothing but that the upstream's process lived after an orderly close."""
+    NONE = "none"
+    """Nothing: the caller sees that the response is truncated."""
+
+
 class EndAction(StrEnum):
     """How a stream goes on after the end of a run's response."""
 
--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -21,7 +21,7 @@
 )
 from driftstall.core import Problem, Ran
 from driftstall.decisions.permits import SendNeed
-from driftstall.decisions.response_ends import LIVING_STATES
+from driftstall.decisions.response_ends import LIVING_STATES, EndEvidence
 from driftstall.decisions.sends import SendHistory, SendOutcome
 from driftstall.exceptions import InvalidResponse, UpstreamError
 from driftstall.gateway.admission import AdmittedRequest
@@ -261,7 +261,14 @@
         if process not in LIVING_STATES:
             return SendFailure.from_unverified_end()
         if isinstance(result, UpstreamResponse):
-            end = RelayedEnd(upstream, request_id, ResponseFraming.CLOSE, process, StatedEnd.CLOSED)
+            end = RelayedEnd(
+                upstream,
+                request_id,
+                ResponseFraming.CLOSE,
+                process,
+                StatedEnd.CLOSED,
+                EndEvidence.PROCESS,
+            )
             return replace(result, end=end)
         return result
 
--- a/driftstall/gateway/forwarding/tunnel_server.py
+++ b/driftstall/gateway/forwarding/tunnel_server.py
@@ -100,7 +100,7 @@
         """Pass bytes both ways until either end closes; raises OSError if the peer does."""
         tunnel.settimeout(STALL_TIMEOUT_S)
         upstream.settimeout(None)
-        requests = gevent.spawn(_pass_request, tunnel, upstream)
+        requests = gevent.spawn(self._pass_request, tunnel, upstream)
         try:
             while data := upstream.recv(MAX_FRAME_BYTES):
                 tunnel.sendall(encode_frame(data))
@@ -113,21 +113,23 @@
         finally:
             requests.kill()
 
-
-def _pass_request(tunnel: socket.socket, upstream: socket.socket) -> None:
-    """Pass the request's bytes to the upstream, and close it when the peer closes the tunnel."""
-    is_upstream_open = True
-    try:
-        while data := _receive(tunnel):
-            if is_upstream_open:
-                try:
-                    upstream.sendall(data)
-                except OSError:
-                    # Its response may still be complete.
-                    is_upstream_open = False
-    except OSError:
-        pass
-    upstream.close()
+    def _pass_request(self, tunnel: socket.socket, upstream: socket.socket) -> None:
+        """Pass the request to the upstream, and close that when the peer closes the tunnel."""
+        is_upstream_open = True
+        try:
+            while data := _receive(tunnel):
+                if is_upstream_open:
+                    try:
+                        upstream.sendall(data)
+                    except OSError as error:
+                        # Its response may still be complete.
+                        is_upstream_open = False
+                        self._stats.tunnel_send_errors += 1
+                        detail = type(error).__name__
+                        log_event(PREFIX_RELAY, f"Sending through a tunnel failed: {detail}")
+        except OSError:
+            pass
+        upstream.close()
 
 
 def _receive(tunnel: socket.socket) -> bytes:
--- a/driftstall/gateway/response_ends/records.py
+++ b/driftstall/gateway/response_ends/records.py
@@ -7,7 +7,7 @@
 from functools import singledispatch
 
 from driftstall.const import PREFIX_RELAY
-from driftstall.decisions.response_ends import ProcessState
+from driftstall.decisions.response_ends import EndEvidence, ProcessState
 from driftstall.gateway.callers.framing import (
     ChunkedFraming,
     CloseFraming,
@@ -65,6 +65,16 @@
     return StatedEnd.CLOSED
 
 
+@dataclass(frozen=True, slots=True)
+class EndTiming:
+    """Describe when a run's response ended, in seconds."""
+
+    after_last_event_s: float
+    before_deadline_s: float
+    had_backup: bool
+    """Whether the run could have resumed at a backup."""
+
+
 @dataclass(frozen=True, slots=True)
 class RelayedEnd:
     """Describe the end of a response: how it arrived, and how it was passed on."""
@@ -75,9 +85,12 @@
     process: ProcessState | None
     """State of the upstream's process after the end; None if it was not checked."""
     stated: StatedEnd
+    evidence: EndEvidence
     events: int = 0
     """Events that the caller received; zero for a call."""
     moves: int = 0
+    timing: EndTiming | None = None
+    """When the response of a stream's last run ended; None for a call."""
 
 
 def record_response_end(
@@ -110,7 +123,12 @@
 def record_relayed_end(stats: GatewayStats, end: RelayedEnd) -> None:
     """Count how an end was passed on, and log it unless the response was framed and complete."""
     process = "" if end.process is None else end.process.value
-    labels = {"framing": end.framing.value, "process": process, "stated": end.stated.value}
+    labels = {
+        "framing": end.framing.value,
+        "process": process,
+        "stated": end.stated.value,
+        "evidence": end.evidence.value,
+    }
     stats.relayed_ends.inc(labels)
     if end.framing is not ResponseFraming.CLOSE and end.stated is not StatedEnd.MISSING:
         return
@@ -122,7 +140,20 @@
         service=end.upstream.service,
         framing=end.framing.value,
         process=process,
+        evidence=end.evidence.value,
         events=end.events,
         moves=end.moves,
         revision=end.upstream.revision,
+        **_describe_timing(end.timing),
     )
+
+
+def _describe_timing(timing: EndTiming | None) -> dict[str, int | bool]:
+    """Return the log fields of an end's timing."""
+    if timing is None:
+        return {}
+    return {
+        "after_last_event_ms": int(timing.after_last_event_s * 1000),
+        "before_deadline_ms": int(timing.before_deadline_s * 1000),
+        "had_backup": timing.had_backup,
+    }
--- a/driftstall/gateway/response_ends/stream_ends.py
+++ b/driftstall/gateway/response_ends/stream_ends.py
@@ -10,13 +10,19 @@
     ClosedEnd,
     CompleteEnd,
     EmptyEnd,
+    EndEvidence,
     ProcessState,
     RunEnd,
 )
 from driftstall.exceptions import UpstreamError
 from driftstall.gateway.events import EventSequence, EventSplitter
 from driftstall.gateway.response_ends.framing import ResponseFraming
-from driftstall.gateway.response_ends.records import RelayedEnd, StatedEnd, record_relayed_end
+from driftstall.gateway.response_ends.records import (
+    EndTiming,
+    RelayedEnd,
+    StatedEnd,
+    record_relayed_end,
+)
 from driftstall.gateway.runs import StreamRun
 from driftstall.gateway.state import GatewayState
 from driftstall.gateway.stream_context import StreamContext
@@ -34,14 +40,23 @@
         self._sequence = sequence
         self._process: ProcessState | None = None
         """State of the upstream's process after the end of its response, if that was checked."""
+        self._timing: EndTiming | None = None
+        """When the response of the latest run ended that has ended in order."""
 
     def begin_run(self) -> None:
         """Forget the state of the previous run's upstream."""
         self._process = None
+        self._timing = None
 
     def check(self, run: StreamRun, splitter: EventSplitter) -> RunEnd:
         """Return how a run's response ended whose connection did not break."""
         assert run.exchange is not None
+        ended_at = self._state.now()
+        self._timing = EndTiming(
+            ended_at - run.last_event_at if run.last_event_at else 0.0,
+            self._context.admitted.ends_at - ended_at,
+            self._context.replicas.has_current_backup(run),
+        )
         if splitter.is_inside_event:
             return _broken("the stream ended inside an event")
         if self._sequence.is_run_behind:
@@ -52,7 +67,6 @@
                 # Some servers write the last chunk of a response that they cancel.
                 return _broken("the stream ended as the final copy stopped its run")
             return CompleteEnd()
-        ended_at = self._state.now()
         if not self._sequence.has_run_begun:
             return EmptyEnd()
         if self._context.replicas.may_have_stopped(run, self._context.remaining_s()):
@@ -87,11 +101,26 @@
         """Record how the end of the stream, or of an error response, is told to the caller."""
         framing = ResponseFraming.UNKNOWN if run.exchange is None else run.exchange.framing
         end = RelayedEnd(
-            run.upstream, run.request_id, framing, self._process, stated, run.events, run.moves
+            run.upstream,
+            run.request_id,
+            framing,
+            self._process,
+            stated,
+            _find_evidence(framing, stated),
+            run.events,
+            run.moves,
+            self._timing,
         )
         record_relayed_end(self._state.stats, end)
 
 
+def _find_evidence(framing: ResponseFraming, stated: StatedEnd) -> EndEvidence:
+    """Return what shows that a response is whole whose end is told to its caller."""
+    if stated in (StatedEnd.MISSING, StatedEnd.RESET):
+        return EndEvidence.NONE
+    return EndEvidence.PROCESS if framing is ResponseFraming.CLOSE else EndEvidence.FRAMING
+
+
 @singledispatch
 def describe_end(end: object) -> str:
     """Return why a stream does not end with a run's response, for the log."""
--- a/driftstall/gateway/stats.py
+++ b/driftstall/gateway/stats.py
@@ -66,6 +66,7 @@
     tunnels_served: int = 0
     tunnels_declined: int = 0
     tunnel_bytes: int = 0
+    tunnel_send_errors: int = 0
     registry: Registry = field(default_factory=Registry)
     answer_s: Histogram = field(init=False)
     first_event_s: Histogram = field(init=False)
@@ -174,6 +175,7 @@
     "tunnels_failed": "Tunnels to upstreams that a peer did not open.",
     "tunnels_served": "Tunnels to upstreams that this instance opened for peers.",
     "tunnel_bytes": "Bytes of upstreams that this instance passed to peers.",
+    "tunnel_send_errors": "Tunnels of peers whose upstream failed while it was sent to.",
     "tunnels_declined": "Tunnels that peers requested and this instance did not open.",
 }
 
