--- /dev/null
+++ b/features/gateway/unframed_stream_ends.feature
@@ -0,0 +1,105 @@
+Feature: Evidence that streams without framing are whole
+  A gateway in the test process with upstreams that frame streams with neither a length nor chunks. Callers take the orderly end of a
+  connection for the end of the stream, so it needs evidence that the stream is whole; else the stream resumes, or is reset.
+
+  # Guards against a truncated stream that ends in order as the process of its upstream lives on.
+  Scenario Outline: a stream without framing and without a backup that nothing shows whole is reset
+    When a stream without framing and without a backup is <sent>
+    Then its caller got what was sent, and its connection was reset
+
+    Examples:
+      | sent                                             |
+      | closed early                                     |
+      | closed early, by a process that ends 0.02 s later |
+      | closed early, by a process that ends 0.08 s later |
+      | closed early, by a process that ends 0.3 s later |
+      | closed early, by a process that ends 1.5 s later |
+      | closed early, by a silent process                |
+      | closed early, beside upstreams that use chunks   |
+      | closed early, 0.15 s before its deadline         |
+
+  # Guards against a truncated stream that ends in order after bytes that show a defect.
+  Scenario: a stream without framing that is closed early after bytes that are no event is reset
+    When a stream without framing and without a backup is closed early, after bytes that are no event
+    Then its caller got these bytes after event 7, and its connection was reset
+
+  # Guards against an orderly end without evidence: nothing tells this stream from a truncated one.
+  Scenario: a whole stream without framing and without a backup is reset after its last event
+    When a stream without framing and without a backup is whole
+    Then its caller got every event, and its connection was reset
+
+  # Guards against a stream that ends in order although its backup would resume it.
+  Scenario Outline: a stream without framing that is closed early resumes at its backup
+    When a stream without framing is closed early at <runs> engines, and the next one sends the rest in chunks
+    Then its caller gets the whole stream, which ends with its connection
+    And it has run on <all> engines
+
+    Examples:
+      | runs | all |
+      | 1    | 2   |
+      | 2    | 3   |
+
+  # Guards against the orderly end of a resumed run that may be truncated as well.
+  Scenario Outline: a stream without framing that resumes at a backup without framing is reset
+    When a stream without framing is closed early, and its backup sends <rest> without framing
+    Then its caller got events 1 to <last>, and its connection was reset
+
+    Examples:
+      | rest                 | last |
+      | the rest             | 20   |
+      | a part of the rest   | 9    |
+      | nothing              | 7    |
+
+  # Guards against whole streams that are reset although their backup shows that they are whole.
+  Scenario: a whole stream without framing whose backup has dropped its copy ends in order
+    When a whole stream without framing ends, and its backup refuses it
+    Then its caller gets the whole stream, which ends with its connection
+    And it has run on 1 engines
+
+  # Guards against a last chunk for a run whose response has lost the framing that its service uses.
+  Scenario: a stream in chunks that resumes without framing, whose backup has dropped its copy, is broken off
+    When a stream in chunks resumes without framing and is whole, and its backup refuses it
+    Then its caller got every event, without the end of its framing
+
+  # Guards against a refusal that is taken for evidence although the backup may have had another reason.
+  Scenario Outline: a stream without framing whose backup refuses it for a reason that may be another one is reset
+    When a stream without framing ends, and its backup refuses it, but <objection>
+    Then its caller got every event, and its connection was reset
+
+    Examples:
+      | objection                                    |
+      | its report has no memory                     |
+      | its report can't be read                     |
+      | it has no room for a copy                    |
+      | its slots are taken                          |
+      | requests wait there                          |
+      | it is draining                               |
+      | it requests a back-off                       |
+      | the run produced events for 0.7 s only       |
+      | the run ended 0.8 s after its last event     |
+      | a pause of the run was longer than copies are kept |
+      | the run ended 0.5 s before its deadline      |
+      | the process of the run is silent             |
+      | the process of the run has ended             |
+      | other streams of the service are framed      |
+      | it is not known how long copies are kept     |
+
+  # Guards against an orderly end as the budget of retries allowed no question to the backup.
+  Scenario: a whole stream without framing is reset if no retry is left to ask its backup
+    When a whole stream without framing ends, and no retry is left
+    Then its caller got every event, and its connection was reset
+
+  # Guards against whole streams that are reset although they can have no further event.
+  Scenario Outline: a stream without framing that has as many events as its request allows tokens ends in order
+    When a stream without framing of 20 events is sent for a request of at most <tokens> tokens
+    Then its caller got every event, and its connection was <told>
+
+    Examples:
+      | tokens | told            |
+      | 20     | closed in order |
+      | 21     | reset           |
+
+  # Guards against a resumed run without framing that ends the stream of a caller without chunks in order.
+  Scenario: a stream that a caller of HTTP/1.0 gets, and that resumes without framing, is reset
+    When a caller of HTTP/1.0 gets a stream that breaks off in chunks, and that resumes without framing up to event 18
+    Then its caller got events 1 to 18, and its connection was reset
--- /dev/null
+++ b/features/steps/unframed_end_steps.py
@@ -0,0 +1,327 @@
+"""Test which evidence lets a stream without framing end in order."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Final
+
+from behave import then, when
+
+from features.steps.close_delimited_end_steps import SENT_EVENTS, closed_early
+from features.worlds.ending_world import ALL_EVENTS, EndingWorld
+from features.worlds.gateway_world import ENGINE, document, route
+from stand_ins.endings import EVENTS, Ending, EndingPlan, EndingUpstream, Framing, Place
+from stand_ins.raw import RawEnding, RawResponse
+from stand_ins.routed import SEAL, event_bytes
+
+DEADLINE_MS: Final = 12_000
+CLOSED: Final = EndingPlan(Framing.CLOSE, Ending.CLOSED)
+WHOLE: Final = EndingPlan(Framing.CLOSE)
+NO_EVENT: Final = b"no event\n\n"
+MEMORY: Final = {"kvUsed": 10_000, "kvTotal": 34_545, "running": 1, "queued": 0}
+"""Memory and load in the reports of engines with room."""
+PRODUCED_S: Final = {3: 0.5, 4: 0.5}
+"""Seconds that pass after events, beside those until the backup is ready."""
+KEPT_S: Final = 5.0
+Act = Callable[["UnframedWorld"], None]
+
+
+class UnframedWorld(EndingWorld):
+    """A gateway whose engines report their memory, and drop copies of runs that have ended."""
+
+    def __init__(self) -> None:
+        """Start the gateway."""
+        super().__init__()
+        self.deadline_ms = DEADLINE_MS
+        self.pauses = dict(PRODUCED_S)
+        self.drops_copies_after = 0
+        """Event after which engines hold no copy; zero to keep all."""
+        self.at_end: Act = lambda _: None
+        """Called before the last event of a run is relayed."""
+        self.use_engine(handleS=KEPT_S)
+        for engine in self.ending_engines:
+            engine.report = engine.report | MEMORY
+
+    def use_engine(self, **more: Any) -> None:
+        """Apply a configuration with properties of engines."""
+        chat = route("chat", "/stream/", "streaming", "engines", timeoutMs=DEADLINE_MS)
+        engines = {"name": "engines", "engine": ENGINE | more}
+        self.use(document(routes=[chat], services=[{"name": "portal"}, engines]))
+
+    def runner(self) -> EndingUpstream:
+        """Return the engine that has run the stream first."""
+        return next(engine for engine in self.ending_engines if engine.runs("s1"))
+
+    def others(self) -> list[EndingUpstream]:
+        """Return the engines that have not run the stream."""
+        return [engine for engine in self.ending_engines if not engine.runs("s1")]
+
+    def _handle_sent(self, request_id: str, number: int) -> None:
+        """Let time pass, and drop copies, after an event."""
+        super()._handle_sent(request_id, number)
+        if request_id != "s1":
+            return
+        self.pass_time(self.pauses.get(number, 0.0))
+        if number == self.drops_copies_after:
+            for engine in self.ending_engines:
+                engine.copies.clear()
+            self.at_end(self)
+
+
+def _start(context: Any, *plans: EndingPlan, has_backups: bool = False) -> UnframedWorld:
+    """Start a gateway whose engines answer by plans, and stop it after the scenario."""
+    world = UnframedWorld()
+    context.add_cleanup(world.close)
+    world.plans, world.has_backups = list(plans), has_backups
+    context.ending_world = world
+    return world
+
+
+def _silent(world: UnframedWorld) -> None:
+    """Let no engine answer checks."""
+    for engine in world.ending_engines:
+        engine.answers_probes = False
+
+
+def _framed_before(world: UnframedWorld) -> None:
+    """Send a stream in chunks first."""
+    plans, world.plans = world.plans, []
+    assert world.stream("framed").whole
+    world.plans = plans
+
+
+def _raw(request_id: str) -> RawResponse:
+    """Return the head and some events of a stream, and bytes that are none."""
+    lines = [b"X-Driftstall-Request-Id: " + request_id.encode(), b": ".join(SEAL)]
+    head = b"\r\n".join([b"HTTP/1.1 200 OK", *lines, b"", b""])
+    events = b"".join(event_bytes(number) for number in range(1, SENT_EVENTS + 1))
+    return RawResponse(head + events + NO_EVENT, RawEnding.CLOSED)
+
+
+@when("a stream without framing and without a backup is closed early, by a process that {ends}")
+def closed_by_ending(context: Any, ends: str) -> None:
+    """Close a stream early; its process ends later."""
+    world = _start(context, closed_early(ends.removeprefix("ends ")))
+    context.answer = world.stream("s1")
+
+
+@when("a stream without framing and without a backup is closed early")
+def closed_alone(context: Any) -> None:
+    """Close a stream early; its process lives on."""
+    context.answer = _start(context, CLOSED).stream("s1")
+
+
+@when("a stream without framing and without a backup is closed early, by a silent process")
+def closed_by_silent(context: Any) -> None:
+    """Close a stream early; checks are not answered."""
+    world = _start(context, CLOSED)
+    _silent(world)
+    context.answer = world.stream("s1")
+
+
+@when("a stream without framing and without a backup is closed early, beside upstreams that {use}")
+def closed_beside_framed(context: Any, use: str) -> None:
+    """Close a stream early after one in chunks."""
+    world = _start(context, CLOSED)
+    _framed_before(world)
+    context.answer = world.stream("s1")
+
+
+@when("a stream without framing and without a backup is closed early, after bytes that {are}")
+def closed_after_bytes(context: Any, are: str) -> None:
+    """Close a stream early after a part that is no event."""
+    world = _start(context, EndingPlan(Framing.CLOSE, build_raw=_raw))
+    context.answer = world.stream("s1", reads_events=False)
+
+
+@when("a stream without framing and without a backup is closed early, {left} before its deadline")
+def closed_at_deadline(context: Any, left: str) -> None:
+    """Close a stream just before its deadline."""
+    world = _start(context, CLOSED)
+    left_s = float(left.removesuffix(" s"))
+    world.pauses = {SENT_EVENTS: DEADLINE_MS / 1000 - 0.5 - left_s}
+    context.answer = world.stream("s1")
+
+
+@when("a stream without framing and without a backup is whole")
+def whole_alone(context: Any) -> None:
+    """Send a whole stream."""
+    context.answer = _start(context, WHOLE).stream("s1")
+
+
+@when(
+    "a stream without framing is closed early at {count:d} engines, and the next one sends the rest"
+    " in chunks"
+)
+def closed_at_engines(context: Any, count: int) -> None:
+    """Close some runs early; the last one is whole."""
+    world = _start(context, *[CLOSED] * count, has_backups=True)
+    context.answer = world.stream("s1")
+
+
+RESTS: Final = {
+    "the rest": WHOLE,
+    "a part of the rest": EndingPlan(Framing.CLOSE, Ending.CLOSED, pieces=2),
+    "nothing": EndingPlan(Framing.CLOSE, Ending.CLOSED, pieces=0),
+}
+
+
+@when("a stream without framing is closed early, and its backup sends {rest} without framing")
+def resumes_unframed(context: Any, rest: str) -> None:
+    """Resume a stream without framing; the resumed run has no backup that would know it."""
+    world = _start(context, CLOSED, RESTS[rest], has_backups=True)
+    world.whole_framing = Framing.CLOSE
+    context.answer = world.stream("s1")
+
+
+def _end_whole(context: Any, act: Act, plan: EndingPlan = WHOLE) -> UnframedWorld:
+    """Send a whole stream whose backup drops its copy with the last event."""
+    world = _start(context, plan, has_backups=True)
+    world.drops_copies_after = EVENTS
+    world.at_end = act
+    return world
+
+
+@when("a whole stream without framing ends, and its backup refuses it")
+def refused(context: Any) -> None:
+    """Send a whole stream."""
+    context.answer = _end_whole(context, lambda _: None).stream("s1")
+
+
+@when("a stream in chunks resumes without framing and is whole, and its backup refuses it")
+def resumed_and_refused(context: Any) -> None:
+    """Break off a run in chunks; the resumed one is whole, and long enough for its backup."""
+    world = _end_whole(context, lambda _: None, EndingPlan(ending=Ending.RESET))
+    world.whole_framing = Framing.CLOSE
+    world.pauses = {number: 0.5 for number in (3, 4, 10, 11, 12)}
+    context.answer = world.stream("s1")
+
+
+@when("a whole stream without framing ends, and no retry is left")
+def no_retry(context: Any) -> None:
+    """Send a whole stream, and allow no retry."""
+    world = _end_whole(context, lambda _: None)
+    world.state.retries.try_reserve = lambda *_: None  # type: ignore[method-assign]
+    context.answer = world.stream("s1")
+
+
+def _report(world: UnframedWorld, **fields: Any) -> None:
+    """Change the reports of the engines that have not run the stream."""
+    for engine in world.others():
+        engine.report = engine.report | fields
+
+
+def _without_memory(world: UnframedWorld) -> None:
+    """Let reports state no memory."""
+    for engine in world.others():
+        engine.report = {"state": "ready", "born": 1}
+
+
+def _no_answer(world: UnframedWorld) -> None:
+    """Let the engines that have not run the stream answer no report."""
+    for engine in world.others():
+        engine.answers_probes = False
+
+
+def _back_off(world: UnframedWorld) -> None:
+    """Let the engines that have not run the stream reject all requests with a back-off."""
+    for engine in world.others():
+        engine.rejected_share, engine.backoff = 1.0, "0.2"
+
+
+def _end_process(world: UnframedWorld) -> None:
+    """End the process of the run."""
+    world.runner().stop()
+
+
+def _silence(world: UnframedWorld) -> None:
+    """Let the process of the run answer no checks."""
+    world.runner().answers_probes = False
+
+
+OBJECTIONS: Final[dict[str, Act]] = {
+    "its report has no memory": _without_memory,
+    "its report can't be read": _no_answer,
+    "it has no room for a copy": lambda world: _report(world, kvUsed=34_000),
+    "its slots are taken": lambda world: _report(world, running=64),
+    "requests wait there": lambda world: _report(world, queued=1),
+    "it is draining": lambda world: _report(world, state="draining"),
+    "it requests a back-off": _back_off,
+    "the run ended 0.8 s after its last event": lambda world: world.pass_time(0.8),
+    "the process of the run is silent": _silence,
+    "the process of the run has ended": _end_process,
+}
+PAUSES: Final[dict[str, dict[int, float]]] = {
+    "the run produced events for 0.7 s only": {3: 0.2},
+    "a pause of the run was longer than copies are kept": {3: KEPT_S + 0.5, 4: 0.5},
+    "the run ended 0.5 s before its deadline": {
+        number: (DEADLINE_MS / 1000 - 1.0) / 10 for number in range(3, 13)
+    },
+}
+
+
+@when("a stream without framing ends, and its backup refuses it, but {objection}")
+def refused_with_objection(context: Any, objection: str) -> None:
+    """Send a whole stream whose backup may have refused it for another reason."""
+    world = _end_whole(context, OBJECTIONS.get(objection, lambda _: None))
+    world.pauses = PAUSES.get(objection, world.pauses)
+    if objection == "other streams of the service are framed":
+        _framed_before(world)
+    if objection == "it is not known how long copies are kept":
+        world.use_engine(handleS=0)
+    context.answer = world.stream("s1")
+
+
+@when("a stream without framing of 20 events is sent for a request of at most {tokens:d} tokens")
+def limited_tokens(context: Any, tokens: int) -> None:
+    """Send a whole stream for a request with a limit."""
+    world = _start(context, WHOLE)
+    world.reads_events, world.pauses = False, {}
+    context.answer = world.ask("/stream/a", "s1", X_Driftstall_Token_Count=f"1000,{tokens}")
+
+
+@when(
+    "a caller of HTTP/1.0 gets a stream that breaks off in chunks, and that resumes without"
+    " framing up to event 18"
+)
+def old_caller_resumed(context: Any) -> None:
+    """Break off a run in chunks; the resumed one is closed early, without framing."""
+    rest = EndingPlan(Framing.CLOSE, Ending.CLOSED, pieces=11)
+    nothing = EndingPlan(Framing.CLOSE, Ending.CLOSED, Place.HEAD)
+    world = _start(context, EndingPlan(ending=Ending.RESET), rest, nothing, has_backups=True)
+    world.http_version = "1.0"
+    world.pauses = {}
+    context.answer = world.stream("s1")
+
+
+@then("its caller got every event, and its connection was {told}")
+def every_event(context: Any, told: str) -> None:
+    """Check the events, and how the connection ended."""
+    answer = context.answer
+    assert (answer.status, answer.body, answer.is_framed) == (200, ALL_EVENTS, False), answer
+    assert answer.whole == (told == "closed in order"), answer
+
+
+@then("its caller got every event, without the end of its framing")
+def every_event_unfinished(context: Any) -> None:
+    """Check the events, and that the last chunk is missing."""
+    answer = context.answer
+    found = (answer.status, answer.body, answer.is_framed, answer.whole)
+    assert found == (200, ALL_EVENTS, True, False), answer
+
+
+@then("its caller got these bytes after event 7, and its connection was reset")
+def bytes_after_events(context: Any) -> None:
+    """Check the bytes, and that the connection was reset."""
+    answer = context.answer
+    sent = b"".join(event_bytes(number) for number in range(1, SENT_EVENTS + 1)) + NO_EVENT
+    assert (answer.status, answer.body, answer.whole) == (200, sent, False), answer
+
+
+@then("its caller got events 1 to {last:d}, and its connection was reset")
+def some_events(context: Any, last: int) -> None:
+    """Check the events, and that the connection was reset."""
+    answer = context.answer
+    expected = b"".join(event_bytes(number) for number in range(1, last + 1))
+    assert (answer.status, answer.body, answer.is_framed) == (200, expected, False), answer
+    assert not answer.whole, answer
--- a/features/worlds/ending_world.py
+++ b/features/worlds/ending_world.py
@@ -81,6 +81,7 @@
         self.has_backups = True
         self._sent_by_run = 0
         self.reads_events = True
+        self.deadline_ms = DEADLINE_MS
         self.http_version = "1.1"
         """Version of HTTP of the callers."""
         self.caller: StreamCaller | None = None
@@ -107,7 +108,7 @@
             full = [Use(self.entry(each).upstream_id, copies=30_000) for each in self.engines]
             self.state.loads.record_peer("peer", full, self.state.now())
         is_silent = any(plan.ending is Ending.SILENT for plan in self.plans)
-        deadline_ms = SILENT_DEADLINE_MS if is_silent else DEADLINE_MS
+        deadline_ms = SILENT_DEADLINE_MS if is_silent else self.deadline_ms
         self.caller = StreamCaller.send(self.connect(), request_id, deadline_ms, self.http_version)
         received: Received = self.caller.received.get(timeout=WAIT_S)
         return received
