Streams without framing end in order only on evidence that they are whole

Callers saw: streams whose upstream sends neither a length nor chunks ended in order after a part of their events, which such a caller takes for the whole stream (ORDER, "to the close").

Cause: an orderly close counted as the end of the stream if the upstream's process lived 50 ms later. That is a question about the process, and the run is what was cut: upstreams that break off a response, cease work at a deadline, drain or end later live at that moment.

Why this works: without framing a stream ends in order only if it has as many events as its request allows tokens, if a framed run that resumes it adds nothing, or if its backup refuses it as it holds no copy and every other reason for that is ruled out (the copy was never made, had no room, has expired; the engine is full, leaves or limits requests; the run ended late, near its deadline, behind a slow caller, at a process that is not known to live, or in a service that frames its streams). Whatever is not known counts against it. Else the stream resumes, and without a replica its connection is reset. A run that may be whole does not count as a failure of its upstream.

Scenarios that asked for an orderly end of whole streams without any evidence now ask for every event and a reset, which is as strict; the soak's and the calls' rules are unchanged here.

--- a/driftstall/decisions/response_ends.py
+++ b/driftstall/decisions/response_ends.py
@@ -1,9 +1,9 @@
 """Decide how the end of a stream is passed on to its caller.
 
-An end is never stated in stronger terms than it arrived in. A last chunk states that a response is
-whole; the end of a connection states nothing, as servers that stop close their connections in the
-same way. What is known of the upstream's process only weakens such an end: it is then a truncated
-response, and the stream resumes or its caller sees that it broke off.
+A stream ends in order only on evidence that it is whole. A last chunk is evidence; the end of a
+connection is none, as servers close their connections in the same way when they break a response
+off, stop, or cease work at a deadline. That the upstream's process lives says nothing about the
+run. Without evidence the stream resumes, or its caller sees that it broke off.
 """
 
 from __future__ import annotations
@@ -36,8 +36,12 @@
 
     FRAMING = "framing"
     """A length, a last chunk, or a status without a body."""
+    TOKEN_LIMIT = "token limit"
+    """The stream has as many events as its request allows tokens."""
+    BACKUP = "backup"
+    """The backup of its run has dropped its copy, as that has ended well."""
     PROCESS = "process"
-    """Nothing but that the upstream's process lived after an orderly close."""
+    """Nothing but that the upstream's process lived after an orderly close; never for a stream."""
     NONE = "none"
     """Nothing: the caller sees that the response is truncated."""
 
@@ -47,7 +51,8 @@
 
     FINISH = "finish"
     """State the end as the framing of the caller's response does."""
-    RESUME_OR_FINISH = "resume or finish"
+    RESUME_OR_VERIFY = "resume or verify"
+    """Resume at a replica; finish only if the refusal of a backup shows that the run was whole."""
     RESUME_OR_BREAK_OFF = "resume or break off"
     """Resume at a replica; without one, let the caller see that the stream is truncated."""
 
@@ -63,6 +68,8 @@
 
     process: ProcessState
     """State of the upstream's process after that."""
+    has_all_tokens: bool = False
+    """Whether the stream has as many events as its request allows tokens."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,38 +91,34 @@
 
 
 @singledispatch
-def decide_stream_end(end: object, *, states_completeness: bool) -> EndAction:
-    """Return how a stream goes on after the end of a run.
-
-    With states_completeness, the end of the response to the caller states that it is whole, as a
-    last chunk does.
-    """
+def decide_stream_end(end: object) -> EndAction:
+    """Return how a stream goes on after the end of a run."""
     raise TypeError(f"no end of a run: {end!r}")
 
 
 @decide_stream_end.register
-def _(end: CompleteEnd, *, states_completeness: bool) -> EndAction:
+def _(end: CompleteEnd) -> EndAction:
     """Finish: the upstream has stated that the response is whole."""
     return EndAction.FINISH
 
 
 @decide_stream_end.register
-def _(end: EmptyEnd, *, states_completeness: bool) -> EndAction:
+def _(end: EmptyEnd) -> EndAction:
     """Never finish by a response that may stand for no run."""
     return EndAction.RESUME_OR_BREAK_OFF
 
 
 @decide_stream_end.register
-def _(end: BrokenEnd, *, states_completeness: bool) -> EndAction:
+def _(end: BrokenEnd) -> EndAction:
     """Never finish a truncated response."""
     return EndAction.RESUME_OR_BREAK_OFF
 
 
 @decide_stream_end.register
-def _(end: ClosedEnd, *, states_completeness: bool) -> EndAction:
-    """Finish only if the process lives and the caller is told no more than the instance was."""
-    if end.process not in LIVING_STATES or states_completeness:
-        return EndAction.RESUME_OR_BREAK_OFF
-    if end.process is ProcessState.ALIVE:
+def _(end: ClosedEnd) -> EndAction:
+    """Finish only if no event can be missing; a process that has ended may have truncated it."""
+    if end.has_all_tokens:
         return EndAction.FINISH
-    return EndAction.RESUME_OR_FINISH
+    if end.process in LIVING_STATES:
+        return EndAction.RESUME_OR_VERIFY
+    return EndAction.RESUME_OR_BREAK_OFF
--- a/driftstall/gateway/events.py
+++ b/driftstall/gateway/events.py
@@ -107,9 +107,15 @@
         self._has_run_begun = False
         self._has_position = True
         """Whether no event without an id was relayed after the last one with an id."""
+        self._content_events = 0
         self._checksums = array("I")
         """Checksums of the latest relayed events, up to the last one."""
 
+    @property
+    def content_events(self) -> int:
+        """Return how many events with content were new; comments are none."""
+        return self._content_events
+
     @property
     def is_run_behind(self) -> bool:
         """Return True if the current run has not reached the last relayed event."""
@@ -143,6 +149,7 @@
         number = _number(event_id)
         if number is None:
             self._has_position = True
+            self._content_events += bool(_content(event.data))
             return EventContinuity.NEXT
         self._run_last = max(number, self._run_last or 0)
         checksum = zlib.crc32(_content(event.data))
@@ -154,6 +161,7 @@
             return EventContinuity.GAP
         self._last = number
         self._has_position = True
+        self._content_events += bool(_content(event.data))
         self._checksums.append(checksum)
         if len(self._checksums) >= 2 * MAX_CHECKSUMS:
             del self._checksums[:MAX_CHECKSUMS]
@@ -165,6 +173,7 @@
             return EventContinuity.REPEATED
         if _content(event.data):
             self._has_position = False
+            self._content_events += 1
         return EventContinuity.NEXT
 
     def _relayed_checksum(self, offset: int) -> int | None:
--- a/driftstall/gateway/response_ends/stream_ends.py
+++ b/driftstall/gateway/response_ends/stream_ends.py
@@ -4,8 +4,8 @@
 
 from functools import singledispatch
 
+from driftstall.decisions.end_evidence import Objection
 from driftstall.decisions.response_ends import (
-    LIVING_STATES,
     BrokenEnd,
     ClosedEnd,
     CompleteEnd,
@@ -16,6 +16,7 @@
 )
 from driftstall.exceptions import UpstreamError
 from driftstall.gateway.events import EventSequence, EventSplitter
+from driftstall.gateway.response_ends.evidence import EndedRun, find_objection
 from driftstall.gateway.response_ends.framing import ResponseFraming
 from driftstall.gateway.response_ends.records import (
     EndTiming,
@@ -23,7 +24,7 @@
     StatedEnd,
     record_relayed_end,
 )
-from driftstall.gateway.runs import StreamRun
+from driftstall.gateway.runs import ReplicaRefusal, StreamRun
 from driftstall.gateway.state import GatewayState
 from driftstall.gateway.stream_context import StreamContext
 
@@ -42,11 +43,24 @@
         """State of the upstream's process after the end of its response, if that was checked."""
         self._timing: EndTiming | None = None
         """When the response of the latest run ended that has ended in order."""
+        self._evidence = EndEvidence.NONE
+        self._objection: Objection | None = None
+        """Why the refusal of a backup shows nothing, if one has refused the stream."""
 
-    def begin_run(self) -> None:
-        """Forget the state of the previous run's upstream."""
+    @property
+    def evidence(self) -> EndEvidence:
+        """Return what shows that the stream is whole."""
+        return self._evidence
+
+    def begin_run(self, run: StreamRun) -> None:
+        """Forget the end of the previous run, and note how this one's response is framed."""
+        assert run.exchange is not None
         self._process = None
         self._timing = None
+        self._evidence, self._objection = EndEvidence.NONE, None
+        self._state.framed_services.record(
+            run.upstream.service, run.exchange.framing, self._state.now()
+        )
 
     def check(self, run: StreamRun, splitter: EventSplitter) -> RunEnd:
         """Return how a run's response ended whose connection did not break."""
@@ -66,6 +80,7 @@
             if self._context.replicas.has_moved(run, self._context.remaining_s()):
                 # Some servers write the last chunk of a response that they cancel.
                 return _broken("the stream ended as the final copy stopped its run")
+            self._evidence = EndEvidence.FRAMING
             return CompleteEnd()
         if not self._sequence.has_run_begun:
             return EmptyEnd()
@@ -73,10 +88,22 @@
             # The final copy of a migration stops a run at an upstream that lives on.
             return _broken("the stream ended during its migration")
         process = self.check_process(run, ended_at)
-        if process is ProcessState.LEAVING and run.pending_final_copy is not None:
-            # It has answered that the final copy did not stop the run, so the run had ended.
-            process = ProcessState.ALIVE
-        return ClosedEnd(process)
+        max_tokens = self._context.admitted.metadata.max_tokens
+        # An event holds a token at least.
+        has_all_tokens = 0 < max_tokens <= self._sequence.content_events
+        if has_all_tokens:
+            self._evidence = EndEvidence.TOKEN_LIMIT
+        return ClosedEnd(process, has_all_tokens)
+
+    def is_shown_whole(self, run: StreamRun, refusal: ReplicaRefusal | None) -> bool:
+        """Return True if the refusal of its backup shows that a run without framing is whole."""
+        if refusal is None or self._process is None or self._timing is None:
+            return False
+        ended = EndedRun(run, self._process, self._timing)
+        self._objection = find_objection(self._state, ended, refusal)
+        if self._objection is None:
+            self._evidence = EndEvidence.BACKUP
+        return self._objection is None
 
     def check_process(self, run: StreamRun, ended_at: float) -> ProcessState:
         """Return the state of the upstream's process after an end."""
@@ -90,14 +117,13 @@
         self._process = process
         return process
 
-    def adds_nothing(self, run: StreamRun, end: RunEnd) -> bool:
-        """Return True if a resumed run ended in order without any event, and its process lives."""
-        return (
-            isinstance(end, EmptyEnd)
-            and self.check_process(run, self._state.now()) in LIVING_STATES
-        )
+    def describe(self, end: RunEnd) -> str:
+        """Return why a stream does not end with a run's response, for the log."""
+        if self._objection is not None:
+            return f"{describe_end(end)}; its backup refused it, but {self._objection.value}"
+        return describe_end(end)
 
-    def record(self, run: StreamRun, stated: StatedEnd) -> None:
+    def record(self, run: StreamRun, stated: StatedEnd, evidence: EndEvidence) -> None:
         """Record how the end of the stream, or of an error response, is told to the caller."""
         framing = ResponseFraming.UNKNOWN if run.exchange is None else run.exchange.framing
         end = RelayedEnd(
@@ -106,7 +132,7 @@
             framing,
             self._process,
             stated,
-            _find_evidence(framing, stated),
+            evidence,
             run.events,
             run.moves,
             self._timing,
@@ -114,13 +140,6 @@
         record_relayed_end(self._state.stats, end)
 
 
-def _find_evidence(framing: ResponseFraming, stated: StatedEnd) -> EndEvidence:
-    """Return what shows that a response is whole whose end is told to its caller."""
-    if stated in (StatedEnd.MISSING, StatedEnd.RESET):
-        return EndEvidence.NONE
-    return EndEvidence.PROCESS if framing is ResponseFraming.CLOSE else EndEvidence.FRAMING
-
-
 @singledispatch
 def describe_end(end: object) -> str:
     """Return why a stream does not end with a run's response, for the log."""
@@ -142,7 +161,10 @@
 @describe_end.register
 def _(end: ClosedEnd) -> str:
     """Return the state of the process."""
-    return f"the stream ended with its connection, and its process is {end.process.value}"
+    return (
+        "the stream ended with its connection, which does not show that it is whole, and its"
+        f" process is {end.process.value}"
+    )
 
 
 def _broken(detail: str) -> BrokenEnd:
--- a/driftstall/gateway/runs.py
+++ b/driftstall/gateway/runs.py
@@ -9,6 +9,7 @@
 from driftstall.core import Request
 from driftstall.decisions.poison_subjects import PoisonSubjects
 from driftstall.decisions.sends import ReplicaKind
+from driftstall.decisions.upstream_signals import Signal
 from driftstall.gateway.admission import AdmittedRequest
 from driftstall.gateway.exchange import UpstreamExchange
 from driftstall.gateway.ingress import CallerRequest
@@ -36,6 +37,15 @@
     """Tokens of the run that the replica contains."""
 
 
+@dataclass(frozen=True, slots=True)
+class ReplicaRefusal:
+    """Describe how an engine refused to resume a run, without running the request."""
+
+    replica: ReplicaRef
+    signals: tuple[Signal, ...]
+    at: float
+
+
 @dataclass(frozen=True, slots=True)
 class FinalCopy:
     """Hold the result of the final copy (stop-and-copy) of a migration."""
@@ -94,6 +104,10 @@
     slow caller is not counted, because all its events may have been produced within a moment
     before."""
     last_event_at: float = 0.0
+    longest_gap_s: float = 0.0
+    """Longest pause between two events of this run."""
+    blocked_s: float = 0.0
+    """Time that writing to the caller took."""
 
     @property
     def request_id(self) -> str:
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -1,9 +1,10 @@
 """Relay event streams from upstreams to callers.
 
-A stream runs at most once. When its upstream fails or leaves, the stream resumes at a replica of
-its memory, from the last event that the caller received. Without a replica it is broken off
-visibly: the last chunk is missing, or the connection is reset if the response ends with it. Events
-are relayed whole, in order and exactly once.
+A stream runs at most once. When its upstream fails or leaves, or closes a response without framing,
+which may be truncated, the stream resumes at a replica of its memory, from the last event that the
+caller received. Without a replica it is broken off visibly: the last chunk is missing, or the
+connection is reset if the response ends with it. Events are relayed whole, in order and exactly
+once.
 """
 
 from __future__ import annotations
@@ -19,6 +20,7 @@
     ClosedEnd,
     EmptyEnd,
     EndAction,
+    EndEvidence,
     RunEnd,
     decide_stream_end,
 )
@@ -38,7 +40,7 @@
 )
 from driftstall.gateway.response_ends.results import UpstreamResponse
 from driftstall.gateway.response_ends.silence import SilenceWatch
-from driftstall.gateway.response_ends.stream_ends import StreamEnds, describe_end
+from driftstall.gateway.response_ends.stream_ends import StreamEnds
 from driftstall.gateway.response_writer import ResponseWriter
 from driftstall.gateway.responses import encode_problem
 from driftstall.gateway.runs import StreamRun
@@ -60,7 +62,7 @@
 LOAD_UPDATE_TOKENS: Final = 128
 """Tokens after which a run's load is updated: about once a second."""
 MAX_OPTIONAL_RESUME_S: Final = 1.5
-"""Longest time that the end of a stream, which may be whole, waits for a resumed run to begin.
+"""Longest time that the end of a stream that may be whole waits for a resumed run to begin.
 Callers abandon a stream after a pause of two seconds or more."""
 
 
@@ -118,29 +120,29 @@
             return self._relay_failure(run, opened)
         if not self._context.has_responded and not self._send_head(opened):
             return False
-        finishable: StreamRun | None = None
         while True:
             end = self._relay_events(run)
-            states_completeness = isinstance(self._framing, ChunkedFraming)
-            action = decide_stream_end(end, states_completeness=states_completeness)
+            action = decide_stream_end(end)
             if action is EndAction.FINISH:
                 return self._complete(run)
             if self._context.is_caller_disconnected:
                 return False
-            if action is EndAction.RESUME_OR_FINISH:
-                finishable = run
-            elif finishable is not None and not self._ends.adds_nothing(run, end):
-                finishable = None
-            if finishable is not None:
+            can_verify = action is EndAction.RESUME_OR_VERIFY
+            if can_verify:
                 self._context.resume_until = self._state.now() + MAX_OPTIONAL_RESUME_S
             next_run = self._resume(run, end)
             self._context.resume_until = float("inf")
+            is_whole = (
+                can_verify
+                and next_run is None
+                and self._ends.is_shown_whole(run, self._resumer.refusal)
+            )
             if self._context.is_caller_disconnected:
                 return False
+            if is_whole:
+                return self._complete(run)
             if next_run is None:
-                if finishable is not None:
-                    return self._complete(finishable)
-                return self._break_off(run, describe_end(end))
+                return self._break_off(run, end)
             run = next_run
 
     def _resume(self, run: StreamRun, end: RunEnd) -> StreamRun | None:
@@ -151,7 +153,7 @@
             isinstance(end, ClosedEnd) and end.process not in LIVING_STATES
         ):
             self._context.handle_break(run)
-        if not self._sequence.can_resume or not self._resumer.resume(run, describe_end(end)):
+        if not self._sequence.can_resume or not self._resumer.resume(run, self._ends.describe(end)):
             return None
         return self._context.run
 
@@ -189,7 +191,8 @@
             opened.head.framing,
         )
         self._framing = response.caller_framing(keep_alive=self._keep_alive)
-        self._ends.record(run, stated_end(self._framing))
+        evidence = EndEvidence.FRAMING if run.exchange.is_framed else EndEvidence.PROCESS
+        self._ends.record(run, stated_end(self._framing), evidence)
         return self._writer.write_whole(
             response.status, response.headers, self._framing, response.body
         )
@@ -221,7 +224,7 @@
         """Relay the events of the response's parts until its end."""
         assert run.exchange is not None
         self._sequence.begin_run()
-        self._ends.begin_run()
+        self._ends.begin_run(run)
         self._silence.end_silence()
         while True:
             wait_began_at = self._state.now()
@@ -277,7 +280,10 @@
             # resumed stream would lack them.
             if next_events:
                 self._record_progress(run, len(next_events))
-                if not self._writer.write_piece(self._framing, b"".join(next_events)):
+                writing_since = self._state.now()
+                is_written = self._writer.write_piece(self._framing, b"".join(next_events))
+                run.blocked_s += self._state.now() - writing_since
+                if not is_written:
                     self._context.is_caller_disconnected = True
                     return UpstreamError("the caller has disconnected", sent=True)
             if error is not None:
@@ -308,6 +314,8 @@
         now = self._state.now()
         if run.generating_s is None:
             run.waited_s = 0.0
+        else:
+            run.longest_gap_s = max(run.longest_gap_s, now - run.last_event_at)
         run.generating_s = run.waited_s
         if not run.events and run.moves == 0:
             self._state.stats.first_event_s.observe({}, now - self._admitted.started_at)
@@ -339,20 +347,26 @@
             events=run.events,
             moves=run.moves,
             framing=run.exchange.framing.value if run.exchange is not None else "",
+            evidence=self._ends.evidence.value,
             longest_gap_ms=int(self._longest_gap_s * 1000),
         )
-        self._ends.record(run, stated_end(self._framing))
+        self._ends.record(run, stated_end(self._framing), self._ends.evidence)
         return self._writer.finish(self._framing)
 
-    def _break_off(self, run: StreamRun, cause: str) -> bool:
-        """End a stream that cannot resume, without the end that its framing requires."""
-        self._context.record_outcome(run, Outcome.BROKEN)
+    def _break_off(self, run: StreamRun, end: RunEnd) -> bool:
+        """End a stream that cannot resume, without the end that its framing requires.
+
+        A run that may be whole is no failure of its upstream.
+        """
+        if decide_stream_end(end) is not EndAction.RESUME_OR_VERIFY:
+            self._context.record_outcome(run, Outcome.BROKEN)
         self._state.stats.streams_broken += 1
         is_chunked = isinstance(self._framing, ChunkedFraming)
-        self._ends.record(run, StatedEnd.MISSING if is_chunked else StatedEnd.RESET)
+        stated = StatedEnd.MISSING if is_chunked else StatedEnd.RESET
+        self._ends.record(run, stated, EndEvidence.NONE)
         log_event(
             PREFIX_RELAY,
-            f"Stream broke off and cannot resume: {cause}",
+            f"Stream broke off and cannot resume: {self._ends.describe(end)}",
             request=run.request_id,
             fingerprint=self._admitted.fingerprint,
             parts=self._admitted.subjects.parts,
--- a/features/gateway/close_delimited_ends.feature
+++ b/features/gateway/close_delimited_ends.feature
@@ -40,10 +40,10 @@
     When a stream without framing resumes at an upstream with chunks, which is whole
     Then its caller gets the whole stream, which ends with its connection
 
-  # Guards against sound streams that are stated to be complete in stronger terms than their upstreams' or broken off.
-  Scenario: a sound stream without framing ends with its connection
+  # Guards against sound streams that lose events, or that end in order although nothing shows that they are whole.
+  Scenario: a sound stream without framing arrives with every event, and is reset
     When a sound stream is sent without framing
-    Then its caller gets the whole stream, which ends with its connection
+    Then its caller got every event, and its connection was reset
 
   # Guards against a truncated stream that ends in the same way as a whole one.
   Scenario Outline: a stream without framing and without a backup that is "<ending>" early is reset
@@ -68,7 +68,7 @@
       | reports when it ends              |
       | was announced to leave            |
 
-  # Guards against whole streams that are reset as their upstream is leaving, or that run twice.
+  # Guards against whole streams that are reset as their upstream is leaving although their backup shows that they are whole.
   Scenario: a sound stream without framing of an upstream that reports that it is draining arrives whole
     When a sound stream is sent without framing, by an upstream that reports that it is draining
     Then its caller gets the whole stream, which ends with its connection
--- a/features/gateway/close_delimited_paths.feature
+++ b/features/gateway/close_delimited_paths.feature
@@ -10,8 +10,8 @@
 
     Examples:
       | fault                                   | last | told            |
-      | its upstream goes on                    | 5    | closed in order |
-      | its upstream closes it                  | 3    | closed in order |
+      | its upstream goes on                    | 5    | reset           |
+      | its upstream closes it                  | 3    | reset           |
       | its upstream closes it and ends         | 3    | reset           |
       | its peer dies                           | 3    | reset           |
       | all peers die as its upstream closes it | 3    | reset           |
@@ -25,7 +25,7 @@
 
     Examples:
       | ends                           | last | told            |
-      | sends the rest up to event 8   | 8    | closed in order |
-      | closes it after event 6        | 6    | closed in order |
+      | sends the rest up to event 8   | 8    | reset           |
+      | closes it after event 6        | 6    | reset           |
       | closes it after event 6, and ends | 6 | reset           |
       | closes it after its head       | 5    | reset           |
--- a/features/gateway/close_delimited_review.feature
+++ b/features/gateway/close_delimited_review.feature
@@ -2,14 +2,14 @@
   A gateway in the test process with upstreams that frame responses with neither a length nor chunks.
 
   # Guards against whole streams that are reset as a backup that was not dropped yet has nothing to add.
-  Scenario Outline: a sound stream of an upstream that is draining, whose backup has nothing to add <framing>, arrives whole
-    When a sound stream of a draining upstream resumes at a backup that has nothing to add, <framing>
+  Scenario: a sound stream of an upstream that is draining, whose backup has nothing to add in chunks, arrives whole
+    When a sound stream of a draining upstream resumes at a backup that has nothing to add, in chunks
     Then its caller gets the whole stream, which ends with its connection
 
-    Examples:
-      | framing         |
-      | without framing |
-      | in chunks       |
+  # Guards against an empty response that is taken for evidence: its connection may have been closed in place of the run.
+  Scenario: a sound stream of an upstream that is draining, whose backup has nothing to add without framing, is reset
+    When a sound stream of a draining upstream resumes at a backup that has nothing to add, without framing
+    Then its caller got every event, and its connection was reset
 
   # Guards against a truncated stream that ends in order as its backup broke before its first event.
   Scenario Outline: a stream that is closed early by an upstream that is draining, and "<ending>" at its backup before any event, is reset
@@ -36,23 +36,23 @@
     When a large call without framing is made, and its response is read 1 s later
     Then its caller got the large body, which ends with its connection
 
-  # Guards against whole streams that are reset as their instance exits.
-  Scenario: streams without framing arrive whole when their gateway process is asked to stop
+  # Guards against streams that lose events as their instance exits.
+  Scenario: streams without framing arrive with every event when their gateway process is asked to stop
     Given the store's stand-in with a routing configuration and 2 upstreams
     And 3 engine processes whose streams end with their connection
     And a gateway process
     When 6 streams are under way, and the gateway process is asked to stop
-    Then all of them arrive whole, and end within 1.6 s after the last event
+    Then all of them arrive with every event, and are reset within 1.6 s after the last one
 
   # Guards against streams that count as completed although their callers left before the end.
   Scenario: a caller that leaves while a sound stream of an upstream that is draining resumes gets no end
     When the caller of a sound stream of a draining upstream leaves while it resumes
     Then no stream counts as completed
 
-  # Guards against whole streams whose end waits until their deadline for a backup that does not answer.
+  # Guards against streams whose end waits until their deadline for a backup that does not answer.
   Scenario: the end of a sound stream of an upstream that is draining does not wait long for a silent backup
     When a sound stream of a draining upstream resumes at a backup that does not answer
-    Then its caller gets the whole stream, which ends with its connection
+    Then its caller got every event, and its connection was reset
     And the end came at most 2 s after the last event
 
   # Guards against counters and logs of ends that no caller was told.
--- a/features/gateway/final_copies.feature
+++ b/features/gateway/final_copies.feature
@@ -92,5 +92,28 @@
       | chunks     | 409    |
       | chunks     | with nothing |
       | chunks     | too late |
-      | no framing | 404    |
-      | no framing | 409    |
+
+  # Guards against an orderly end that rests on the answer of a final copy: an engine has no such run either once it has broken it off.
+  Scenario Outline: a stream without framing that ends before its final copy, answered <answer>, ends in order only as its first copy adds nothing
+    Given stream "s1" of no framing waits after event 2
+    When its engine leaves, ends the run whole before the final copy, and answers <answer>
+    Then 5 events of "s1" came, in order, and the end
+    And "s1" has run on 2 upstreams
+
+    Examples:
+      | answer |
+      | 404    |
+      | 409    |
+
+  # Guards against the same where no copy is left that could show that the stream is whole.
+  Scenario Outline: a stream without framing that ends before its final copy, answered <answer> without any copy left, is reset
+    Given stream "s1" of no framing waits after event 2
+    And no engine holds a copy at the end
+    When its engine leaves, ends the run whole before the final copy, and answers <answer>
+    Then 5 events of "s1" came, in order, and no end
+    And "s1" has run on 1 upstreams
+
+    Examples:
+      | answer |
+      | 404    |
+      | 409    |
--- a/features/gateway/stream_ends.feature
+++ b/features/gateway/stream_ends.feature
@@ -2,7 +2,7 @@
   A gateway in the test process with engines that frame their streams in each way, and end them in each way and place. Each
   event must reach its caller before the engine sends the next one, or ends the stream.
 
-  # Guards against sound streams that are broken off because their framing states no end.
+  # Guards against sound streams that are broken off.
   Scenario Outline: a sound stream framed with <framing> arrives whole
     Given engines that frame streams with <framing>
     When a stream <backups> a backup is "whole" at its first engine
@@ -13,8 +13,20 @@
       | framing                     | backups |
       | a length                    | without |
       | chunks                      | without |
-      | neither a length nor chunks | without |
-      | neither a length nor chunks | with    |
+
+  # Guards against sound streams without framing that lose events, or end in order without evidence.
+  Scenario: a sound stream framed with neither a length nor chunks, without a backup, arrives with every event and no end
+    Given engines that frame streams with neither a length nor chunks
+    When a stream without a backup is "whole" at its first engine
+    Then each caller gets every event, and no end
+    And each stream has run on 1 engines
+
+  # Guards against sound streams without framing that are broken off although a further run shows that they are whole.
+  Scenario: a sound stream framed with neither a length nor chunks, with a backup that adds nothing in chunks, arrives whole
+    Given engines that frame streams with neither a length nor chunks
+    When a stream with a backup is "whole" at its first engine
+    Then each caller gets the whole stream
+    And each stream has run on 2 engines
 
   # Guards against the end of a connection that is taken for the end of the stream.
   Scenario Outline: a stream without a backup, framed with <framing>, that is "<ending>" ends visibly early
@@ -88,11 +100,16 @@
     Then no caller gets a stream as whole that is not
 
   # Guards against a resumed stream that is broken off although its second run is sound.
-  Scenario: a resumed stream is whole with its second run
-    Given engines that frame streams with any framing
+  Scenario Outline: a resumed stream, framed with <framing>, is whole with its second run
+    Given engines that frame streams with <framing>
     When a stream that has resumed is "whole" at its second engine
     Then each caller gets the whole stream
-    And each stream has run on 2 engines
+    And each stream has run on <count> engines
+
+    Examples:
+      | framing                     | count |
+      | a length or chunks          | 2     |
+      | neither a length nor chunks | 3     |
 
   # Guards against the same with a stream that has lost two runs.
   Scenario Outline: a stream that has resumed twice, framed with <framing>, that is "<ending>" is not taken for whole
@@ -109,12 +126,17 @@
       | neither a length nor chunks | process gone, connections first |
       | neither a length nor chunks | process restarted               |
 
-  Scenario: a stream that has resumed twice is whole with its third run
-    Given engines that frame streams with any framing
+  Scenario Outline: a stream that has resumed twice, framed with <framing>, gets <what> with its third run
+    Given engines that frame streams with <framing>
     When a stream that has resumed twice is "whole" at its third engine
-    Then each caller gets the whole stream
+    Then each caller gets <what>
     And each stream has begun on 3 engines
 
+    Examples:
+      | framing                     | what                    |
+      | a length or chunks          | the whole stream        |
+      | neither a length nor chunks | every event, and no end |
+
   # Guards against a truncated error response that is passed on with a length of its own.
   Scenario Outline: an error response without framing that is "<ending>" is answered in its place
     When an error response without framing is "<ending>" at an engine
--- a/features/gateway/stream_signals.feature
+++ b/features/gateway/stream_signals.feature
@@ -41,10 +41,11 @@
     Then 3 events came, and no end
     And no framing states the end
 
-  Scenario Outline: a stream without framing that goes on after <disturbance> is closed in order
+  # Guards against streams without framing that lose events to a disturbance, or that end in order without evidence.
+  Scenario Outline: a stream without framing that goes on after <disturbance> arrives with every event, and is reset
     Given its response ends with its connection
     When the stream pauses, there is <disturbance>, and the stream goes on
-    Then 5 events came, and the end
+    Then 5 events came, and no end
     And no framing states the end
 
     Examples:
--- a/features/steps/close_delimited_end_steps.py
+++ b/features/steps/close_delimited_end_steps.py
@@ -17,6 +17,7 @@
 from features.steps.overload_fairness_steps import hold, open_caller
 from features.worlds.ending_world import ALL_EVENTS, EndingWorld
 from features.worlds.gateway_world import WAIT_S, GatewayWorld, Received, wait_for
+from features.worlds.unframed_world import UnframedWorld
 from stand_ins.endings import BODY, CALL_PIECES, EVENTS, Ending, EndingPlan, Framing, Place
 from stand_ins.routed import event_bytes
 
@@ -127,16 +128,16 @@
 @when("a sound stream is sent without framing, by an upstream that {states}")
 def leaving_is_sound(context: Any, states: str) -> None:
     """Send a whole stream by an upstream that leaves; its backup is dropped with its end."""
-    world = _start(context, [EndingPlan(Framing.CLOSE)], has_backups=True)
+    world = UnframedWorld()
+    context.add_cleanup(world.close)
+    world.plans, world.drops_copies_after = [EndingPlan(Framing.CLOSE)], EVENTS
+    context.ending_world = world
     original = world._handle_sent
 
     def handle_sent(request_id: str, number: int) -> None:
         original(request_id, number)
         if number == SENT_EVENTS:
             _leave(world, states)
-        if number == EVENTS:
-            for engine in world.ending_engines:
-                engine.copies.clear()
 
     for engine in world.ending_engines:
         engine.on_sent = handle_sent
--- a/features/steps/close_delimited_process_steps.py
+++ b/features/steps/close_delimited_process_steps.py
@@ -64,14 +64,14 @@
     context.answers = [caller.received for caller in context.callers]
 
 
-@then("none of them is stated to be complete, and each has only what was sent")
-def none_stated(context: Any) -> None:
-    """Check that no framing states the end of a stream, and that there are streams."""
+@then("none of them ends in order, and each has only what was sent")
+def none_in_order(context: Any) -> None:
+    """Check that no stream ends in order, and that there are streams."""
     streams = [answer for answer in context.answers if answer.status == 200]
     assert streams, context.answers
     for answer in streams:
         assert ALL_EVENTS.startswith(answer.body) and answer.body != ALL_EVENTS, answer
-        assert not (answer.is_framed and answer.whole), answer
+        assert not answer.whole, answer
 
 
 @then("the connection of each caller is reset")
--- a/features/steps/stream_end_process_steps.py
+++ b/features/steps/stream_end_process_steps.py
@@ -135,9 +135,20 @@
 @then("all of them arrive whole, and end within {limit_s:g} s after the last event")
 def whole_soon(context: Any, limit_s: float) -> None:
     """Check all events, and the time from the last one to the end."""
+    _check_ends(context, limit_s, is_whole=True)
+
+
+@then("all of them arrive with every event, and are reset within {limit_s:g} s after the last one")
+def reset_soon(context: Any, limit_s: float) -> None:
+    """Check all events, that no stream ends in order, and the time from the last event to that."""
+    _check_ends(context, limit_s, is_whole=False)
+
+
+def _check_ends(context: Any, limit_s: float, *, is_whole: bool) -> None:
+    """Check the events and the ends of all streams, and the time from their last events to them."""
     for caller in context.callers:
         answer = caller.received
-        assert (answer.status, answer.body, answer.whole) == (200, ALL_EVENTS, True), answer
+        assert (answer.status, answer.body, answer.whole) == (200, ALL_EVENTS, is_whole), answer
     waits = sorted(caller.ended_at - caller.last_event_at for caller in context.callers)
     assert waits[-1] <= limit_s, waits
     context.end_waits = waits
--- a/features/steps/stream_end_steps.py
+++ b/features/steps/stream_end_steps.py
@@ -38,7 +38,8 @@
     """Request a stream once for each place that its last plan ends at, of a gateway of its own.
 
     Its earlier runs have the same framing, and chunks as well if the last run is not whole: a whole
-    run without framing does not state the end of a response in chunks.
+    run without framing does not state the end of a response in chunks. Runs after the last plan are
+    framed, so that they show that the stream is whole.
     """
     context.streams = []
     last = plans[-1]
@@ -48,7 +49,8 @@
         for place in (Place.EVENT,) if is_whole else context.places:
             for earlier in earlier_framings if plans[:-1] else {framing}:
                 plan = EndingPlan(framing, last.ending, place, last.pieces)
-                world = _world(context, framing, with_backups=backups == "with")
+                later = Framing.CHUNKED if framing is Framing.CLOSE else framing
+                world = _world(context, later, with_backups=backups == "with")
                 world.plans = [*(replace(each, framing=earlier) for each in plans[:-1]), plan]
                 context.streams.append((plan, world.stream("s1"), world))
                 world.close()
@@ -125,6 +127,14 @@
         assert answer.whole, (plan, answer)
 
 
+@then("each caller gets every event, and no end")
+def all_without_end(context: Any) -> None:
+    """Check all events, and that no stream ends in order."""
+    for plan, answer, _ in context.streams:
+        expected = (200, ALL_EVENTS, False)
+        assert (answer.status, answer.body, answer.whole) == expected, (plan, answer)
+
+
 @then("no caller gets a stream as whole that is not")
 def none_taken_for_whole(context: Any) -> None:
     """Check the events, and that the last chunk came only after all of them."""
--- a/features/steps/unframed_end_steps.py
+++ b/features/steps/unframed_end_steps.py
@@ -2,70 +2,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import Any, Final
 
 from behave import then, when
 
 from features.steps.close_delimited_end_steps import SENT_EVENTS, closed_early
-from features.worlds.ending_world import ALL_EVENTS, EndingWorld
-from features.worlds.gateway_world import ENGINE, document, route
-from stand_ins.endings import EVENTS, Ending, EndingPlan, EndingUpstream, Framing, Place
+from features.worlds.ending_world import ALL_EVENTS
+from features.worlds.unframed_world import DEADLINE_MS, KEPT_S, Act, UnframedWorld
+from stand_ins.endings import EVENTS, Ending, EndingPlan, Framing, Place
 from stand_ins.raw import RawEnding, RawResponse
 from stand_ins.routed import SEAL, event_bytes
 
-DEADLINE_MS: Final = 12_000
 CLOSED: Final = EndingPlan(Framing.CLOSE, Ending.CLOSED)
 WHOLE: Final = EndingPlan(Framing.CLOSE)
 NO_EVENT: Final = b"no event\n\n"
-MEMORY: Final = {"kvUsed": 10_000, "kvTotal": 34_545, "running": 1, "queued": 0}
-"""Memory and load in the reports of engines with room."""
-PRODUCED_S: Final = {3: 0.5, 4: 0.5}
-"""Seconds that pass after events, beside those until the backup is ready."""
-KEPT_S: Final = 5.0
-Act = Callable[["UnframedWorld"], None]
-
-
-class UnframedWorld(EndingWorld):
-    """A gateway whose engines report their memory, and drop copies of runs that have ended."""
-
-    def __init__(self) -> None:
-        """Start the gateway."""
-        super().__init__()
-        self.deadline_ms = DEADLINE_MS
-        self.pauses = dict(PRODUCED_S)
-        self.drops_copies_after = 0
-        """Event after which engines hold no copy; zero to keep all."""
-        self.at_end: Act = lambda _: None
-        """Called before the last event of a run is relayed."""
-        self.use_engine(handleS=KEPT_S)
-        for engine in self.ending_engines:
-            engine.report = engine.report | MEMORY
-
-    def use_engine(self, **more: Any) -> None:
-        """Apply a configuration with properties of engines."""
-        chat = route("chat", "/stream/", "streaming", "engines", timeoutMs=DEADLINE_MS)
-        engines = {"name": "engines", "engine": ENGINE | more}
-        self.use(document(routes=[chat], services=[{"name": "portal"}, engines]))
-
-    def runner(self) -> EndingUpstream:
-        """Return the engine that has run the stream first."""
-        return next(engine for engine in self.ending_engines if engine.runs("s1"))
-
-    def others(self) -> list[EndingUpstream]:
-        """Return the engines that have not run the stream."""
-        return [engine for engine in self.ending_engines if not engine.runs("s1")]
-
-    def _handle_sent(self, request_id: str, number: int) -> None:
-        """Let time pass, and drop copies, after an event."""
-        super()._handle_sent(request_id, number)
-        if request_id != "s1":
-            return
-        self.pass_time(self.pauses.get(number, 0.0))
-        if number == self.drops_copies_after:
-            for engine in self.ending_engines:
-                engine.copies.clear()
-            self.at_end(self)
 
 
 def _start(context: Any, *plans: EndingPlan, has_backups: bool = False) -> UnframedWorld:
