Tunnels do not mark the end of an upstream's connection after sending to it has failed

Callers could see: a response without framing, through a peer, that ended in order although its upstream had reset the connection; calls ended as whole answers (MIXED), streams as whole ones.

Cause: one greenlet of the peer sends the request and another one reads the response. A socket reports a reset once, to the call that comes first. Where that was the sender's, the error was dropped, the reader got an empty read, and the tunnel's end mark stated an end in order.

Why this works: after a failed send, the end that is read proves nothing, so the tunnel ends without its mark, which the other instance takes for a connection that broke. A response that is whole by its framing needs no mark.

--- a/driftstall/gateway/forwarding/tunnel_server.py
+++ b/driftstall/gateway/forwarding/tunnel_server.py
@@ -7,6 +7,7 @@
 
 import gevent
 from gevent import socket
+from gevent.event import Event
 
 from driftstall.const import PREFIX_RELAY
 from driftstall.gateway.forwarding.connector import UpstreamConnector
@@ -73,7 +74,8 @@
             finally:
                 opened.close()
         except OSError:
-            # The peer has closed the tunnel.
+            # The peer has closed the tunnel, or the upstream's connection broke: the tunnel ends
+            # without its end mark.
             return
         finally:
             self.open_tunnels -= 1
@@ -97,14 +99,18 @@
         return opened
 
     def _pass_bytes(self, tunnel: socket.socket, upstream: socket.socket) -> None:
-        """Pass bytes both ways until either end closes; raises OSError if the peer does."""
+        """Pass bytes both ways until either end closes; raise OSError if one breaks off."""
         tunnel.settimeout(STALL_TIMEOUT_S)
         upstream.settimeout(None)
-        requests = gevent.spawn(self._pass_request, tunnel, upstream)
+        send_failed = Event()
+        requests = gevent.spawn(self._pass_request, tunnel, upstream, send_failed)
         try:
             while data := upstream.recv(MAX_FRAME_BYTES):
                 tunnel.sendall(encode_frame(data))
                 self._stats.tunnel_bytes += len(data)
+            if send_failed.is_set():
+                # A socket reports a reset once. Here the sender got it, so this end proves nothing.
+                raise ConnectionResetError("the upstream's connection failed")
             tunnel.sendall(END_FRAME)
             # Closing while bytes of the peer are unread would reset the tunnel before its end is
             # read.
@@ -113,7 +119,9 @@
         finally:
             requests.kill()
 
-    def _pass_request(self, tunnel: socket.socket, upstream: socket.socket) -> None:
+    def _pass_request(
+        self, tunnel: socket.socket, upstream: socket.socket, send_failed: Event
+    ) -> None:
         """Pass the request to the upstream, and close that when the peer closes the tunnel."""
         is_upstream_open = True
         try:
@@ -122,8 +130,9 @@
                     try:
                         upstream.sendall(data)
                     except OSError as error:
-                        # Its response may still be complete.
+                        # Its response may still be complete, if it is framed.
                         is_upstream_open = False
+                        send_failed.set()
                         self._stats.tunnel_send_errors += 1
                         detail = type(error).__name__
                         log_event(PREFIX_RELAY, f"Sending through a tunnel failed: {detail}")
--- a/features/gateway/tunnel_ends.feature
+++ b/features/gateway/tunnel_ends.feature
@@ -59,3 +59,15 @@
   Scenario: a tunnel with bytes after its end mark is not taken for whole
     When tunnels of drawn bytes with an end mark before their last frame are read, in drawn pieces
     Then none of them ends in order
+
+  # Guards against a reset that the sending of the request takes, so that the response behind it is read as if it had ended in order.
+  Scenario: a response whose upstream resets its connection while more of the request is passed to it is broken off
+    Given a tunnel to an upstream that resets its connection after a part of its response
+    When more of the request is sent through the tunnel, and then its response is read
+    Then the part of the response has come, and the tunnel has not ended in order
+
+  # Guards against a sound response that is broken off as its upstream does not read the whole request.
+  Scenario: a response with a length whose upstream does not read the whole request is whole
+    Given a tunnel to an upstream that answers with a length and resets its connection
+    When more of the request is sent through the tunnel, and then its response is read
+    Then the response is whole by its length
