Soak: an orderly close states that a stream is whole, and backups refuse runs that have ended well

The soak's callers recorded the end of a connection without framing and took it for no statement, so a truncated stream that ended in order broke no promise. The users' callers take it for the end. Every stream that ends in order must now have its last event sent and received.

Rows of the scenario of checks that were about closed streams are about closed calls, whose rule is unchanged; streams have rows of their own, which are stricter.

--- a/features/parts/soak.feature
+++ b/features/parts/soak.feature
@@ -220,11 +220,14 @@
       | a call is closed early though its process restarted        | not by an upstream whose process lived on    |
       | a call is closed early though its upstream ended nothing   | not by an upstream whose process lived on    |
       | a call is closed early though its upstream framed it       | not by an upstream whose process lived on    |
-      | a stream is closed early though its process ended at once  | not by an upstream whose process lived on    |
-      | a stream is closed early though it was resumed since       | not by an upstream whose process lived on    |
-      | a stream is closed early though another upstream did so    | not by an upstream whose process lived on    |
+      | a call is closed early though its process ended at once    | not by an upstream whose process lived on    |
+      | a call is closed early though it ran again since           | not by an upstream whose process lived on    |
+      | a call is closed early though another upstream did so      | not by an upstream whose process lived on    |
       | a call is closed before what its upstream sent             | closed before all that was sent              |
-      | a stream is closed before what its upstream sent           | closed before all that was sent              |
+      | a stream is closed in order after 7 events                 | a stream closed in order before its end      |
+      | a stream is closed in order after 7 events                 | ended as complete after 7 events             |
+      | a stream is closed in order after 7 events                 | complete though no upstream has sent the last |
+      | a whole stream is closed in order though its last event was not sent | complete though no upstream has sent the last |
       | the last calls are closed early                            | only 0 of the last 2 calls were served       |
       | calls and streams are closed early in another plan         | ended as complete after 7 events             |
       | calls and streams are closed early in another plan         | a success with another body                  |
--- a/features/steps/soak_truncation_check_steps.py
+++ b/features/steps/soak_truncation_check_steps.py
@@ -40,9 +40,11 @@
     broken = ledger.requests["r5"]
     broken.complete, broken.body = False, whole_stream(7) + event_bytes(8)[:4]
     pieces["r5"] = list(range(1, 8))
-    for name, ending in (("r6", Ending.CLOSED), ("r8", Ending.GONE_LATE)):
+    for name, ending in (("r6", Ending.CLOSED), ("r7", Ending.GONE_LATE)):
         close_early(context, name, ending)
-    ledger.process_ends["u2"] = ledger.response_ends["r8"][0].at + KNOWN_END_S
+    close_early(context, "r8", Ending.CLOSED)
+    ledger.requests["r8"].is_closed, ledger.requests["r8"].is_cut = False, True
+    ledger.process_ends["u2"] = ledger.response_ends["r7"][0].at + KNOWN_END_S
     unseen = EndingPlan(Framing.CLOSE, Ending.GONE)
     ledger.response_ends["r6"].append(ResponseEnd("u9", unseen, LATER))
     for name in ("r9", "r57", "r58"):
@@ -79,7 +81,7 @@
 
 def end_process(context: Any, after_s: float) -> None:
     """Record that a process ended some time after it closed a response early."""
-    context.ledger.process_ends["u2"] = context.ledger.response_ends["r8"][0].at + after_s
+    context.ledger.process_ends["u2"] = context.ledger.response_ends["r7"][0].at + after_s
 
 
 def shorten(context: Any, name: str) -> None:
@@ -107,6 +109,12 @@
     context.ledger.arrivals.append(arrival)
 
 
+def close_whole(context: Any) -> None:
+    """Let a whole stream end in order without framing, and no upstream have sent its last event."""
+    context.stream.complete, context.stream.is_framed, context.stream.is_closed = False, False, True
+    context.ledger.sent_pieces["r2"].remove(EVENTS)
+
+
 def close_last_calls(context: Any) -> None:
     """Let living processes close the last calls early."""
     for name in ("r57", "r58"):
@@ -116,6 +124,7 @@
 def set_other_plan(context: Any) -> None:
     """Make the record that of a plan whose upstreams close no response early."""
     context.ledger.sent_pieces = None
+    context.ledger.requests["r8"].is_closed = True
 
 
 def set_status(context: Any, status: int) -> None:
@@ -171,15 +180,16 @@
     "a call is closed early though its upstream framed it": lambda c: set_ends(
         c, "r6", EndingPlan(Framing.CHUNKED, Ending.CLOSED)
     ),
-    "a stream is closed early though its process ended at once": lambda c: end_process(
+    "a call is closed early though its process ended at once": lambda c: end_process(
         c, KNOWN_END_S - 0.01
     ),
-    "a stream is closed early though it was resumed since": lambda c: run_again(c, "r8"),
-    "a stream is closed early though another upstream did so": lambda c: set_other_upstream(
-        c, "r8"
-    ),
+    "a call is closed early though it ran again since": lambda c: run_again(c, "r7"),
+    "a call is closed early though another upstream did so": lambda c: set_other_upstream(c, "r7"),
     "a call is closed before what its upstream sent": lambda c: shorten(c, "r6"),
-    "a stream is closed before what its upstream sent": lambda c: shorten(c, "r8"),
+    "a stream is closed in order after 7 events": lambda c: setattr(
+        c.ledger.requests["r8"], "is_closed", True
+    ),
+    "a whole stream is closed in order though its last event was not sent": close_whole,
     "the last calls are closed early": close_last_calls,
     "calls and streams are closed early in another plan": set_other_plan,
     "an answer has the status 600": lambda c: set_status(c, 600),
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -144,10 +144,12 @@
 def _is_ended(ledger: Ledger, request: SentRequest) -> bool:
     """Return True if a response ended in a way that no truncated response may have.
 
-    Where upstreams themselves close responses early and in order, that says nothing: what they did
-    is compared in check_truncation.
+    Callers take the orderly end of a connection for the end of a stream without framing. For a call
+    it says nothing where upstreams themselves close responses early and in order: what they did is
+    compared in check_truncation.
     """
-    return request.complete or (request.is_closed and ledger.sent_pieces is None)
+    is_statement = request.kind in STREAMS or ledger.sent_pieces is None
+    return request.complete or (request.is_closed and is_statement)
 
 
 def _check_configuration(ledger: Ledger, request: SentRequest) -> Iterator[str]:
--- a/soak/truncation.py
+++ b/soak/truncation.py
@@ -11,7 +11,8 @@
 from gevent import socket
 
 from driftstall.gateway.ingress import CallerConnection, CallerRequest, encode_head
-from soak.fleet import EVENT_PAUSE_S, LAPSE_S, RecordingUpstream, UpstreamSlot
+from features.worlds.gateway_world import ENGINE
+from soak.fleet import LAPSE_S, RecordingUpstream, UpstreamSlot
 from soak.ledger import Arrival, Ledger, ResponseEnd
 from soak.proxy import Proxy
 from stand_ins.endings import (
@@ -27,6 +28,8 @@
 HEALTH_PATH: Final = "/health"
 TRUNCATED_SHARE: Final = 0.4
 """Share of the responses that end early while upstreams truncate responses."""
+STREAM_PAUSE_S: Final = 0.07
+"""Pause before each event of a stream, so that a whole one lasts longer than its backup takes."""
 PIECE_PAUSE_S: Final = 0.001
 """Pause before each piece of a response to a call."""
 FLUSH_S: Final = 0.01
@@ -39,6 +42,24 @@
 PROBE_PATHS: Final = (HEALTH_PATH, "/api/report")
 
 
+FULL_SHARE: Final = 0.3
+"""Share of the processes that have no room for copies, and report so."""
+ROOM_TOKENS: Final = 10_000
+REPORT: Final = {
+    "state": "ready",
+    "running": 1,
+    "queued": 0,
+    "kvTotal": ENGINE["kvCacheTokens"],
+}
+
+
+class NoCopies(dict[str, int]):
+    """The copies of an engine that has no room for any."""
+
+    def __setitem__(self, _: str, __: int) -> None:
+        """Keep nothing."""
+
+
 class HealthAnswer(StrEnum):
     """How a process answers probes after it has closed a response early."""
 
@@ -56,12 +77,17 @@
         ledger = slot.ledger
         super().__init__(upstream_id, self._draw_plan)
         self.arrival_records = ledger.received[upstream_id]
-        self.report = {"state": "ready", "born": born}
+        self._draw = random.Random(upstream_id)
+        has_room = self._draw.random() >= FULL_SHARE
+        if not has_room:
+            self.copies = NoCopies()
+        self.drops_copies = True
+        used = ROOM_TOKENS if has_room else ENGINE["kvCacheTokens"]
+        self.report = REPORT | {"born": born, "kvUsed": used}
         assert ledger.sent_pieces is not None
         self.sent = ledger.sent_pieces
         self._ledger = ledger
         self._slot = slot
-        self._draw = random.Random(upstream_id)
         self._framing = self._draw.choice(list(Framing)) if slot.place % 2 else Framing.CLOSE
         self._after_close = HealthAnswer.WELL
         self._closed_at = float("-inf")
@@ -83,7 +109,7 @@
     def _draw_plan(self, seen: ReceivedRequest) -> EndingPlan:
         """Draw how the response to a request ends."""
         is_stream = seen.target.startswith("/stream/")
-        pause_s = EVENT_PAUSE_S if is_stream else PIECE_PAUSE_S
+        pause_s = STREAM_PAUSE_S if is_stream else PIECE_PAUSE_S
         last = int(seen.headers.get("last-event-id") or 0)
         pieces = EVENTS - last if is_stream else CALL_PIECES
         is_truncating = self._slot.is_truncating and pieces > 1
--- a/soak/truncation_checks.py
+++ b/soak/truncation_checks.py
@@ -1,7 +1,8 @@
 """Check that no truncated response was told to a caller as a whole one.
 
-What states that a response is whole is its framing. The end of a connection states nothing, and may
-only be passed on to a caller where an upstream has ended its response in that way.
+What states that a response is whole is its framing. Without framing, callers take the orderly end
+of a connection for the end of a stream, so a stream may only end so if its last event was sent. For
+a call such an end states nothing, and may be passed on where an upstream has ended its response so.
 """
 
 from __future__ import annotations
@@ -10,7 +11,7 @@
 from typing import Final
 
 from soak.disturbances import describe
-from soak.ledger import STREAMS, Arrival, Ledger, ResponseEnd, SentRequest
+from soak.ledger import STREAMS, Arrival, Ledger, SentRequest
 from stand_ins.endings import BODY, CALL_PIECES, Framing
 from stand_ins.routed import event_bytes
 
@@ -37,7 +38,7 @@
         check = _check_stream if request.kind in STREAMS else _check_call
         for line in check(ledger, request, sent):
             yield f"{line}: {describe(request)}"
-        for line in _check_end(ledger, request, sent, last_runs.get(request.request_id)):
+        for line in _check_end(ledger, request, last_runs.get(request.request_id)):
             yield f"{line}: {describe(request)}"
 
 
@@ -48,7 +49,7 @@
     whole = b"".join(event_bytes(number) for number in range(1, ledger.events + 1))
     if not whole.startswith(request.body):
         yield "a stream with other bytes than its upstreams'"
-    if request.complete and ledger.events not in sent:
+    if (request.complete or request.is_closed) and ledger.events not in sent:
         yield "complete though no upstream has sent the last event"
 
 
@@ -60,18 +61,19 @@
         yield f"complete though upstreams have sent {len(sent)} pieces of {CALL_PIECES}"
 
 
-def _check_end(
-    ledger: Ledger, request: SentRequest, sent: set[int], run: Arrival | None
-) -> Iterator[str]:
+def _check_end(ledger: Ledger, request: SentRequest, run: Arrival | None) -> Iterator[str]:
     """Check that the end of a response was stated in no stronger terms than an upstream's.
 
-    What closes it early is the end of its last run: earlier runs may end later, unseen.
+    What closes a call early is the end of its last run: earlier runs may end later, unseen.
     """
     ends = ledger.response_ends.get(request.request_id, [])
     if request.complete and not any(end.states_whole for end in ends):
         yield "complete though no upstream's framing has stated that"
     if not request.is_closed or ledger.is_whole(request):
         return
+    if request.kind in STREAMS:
+        yield "a stream closed in order before its end"
+        return
     last = [end for end in ends if run and end.upstream_id == run.upstream_id and end.at >= run.at]
     if not last or not ledger.living_close(last[-1]):
         upstream_id = run.upstream_id if run else "no upstream"
@@ -80,17 +82,10 @@
             "closed early, and not by an upstream whose process lived on "
             f"(last run at {upstream_id}, ends {plans})"
         )
-    elif _is_short(request, sent, last[-1]):
+    elif len(request.body) < (last[-1].plan.sent_pieces or 0) * (len(BODY) // CALL_PIECES):
         yield "closed before all that was sent"
 
 
-def _is_short(request: SentRequest, sent: set[int], end: ResponseEnd) -> bool:
-    """Return True if a caller got less than its upstreams had sent when the last one closed."""
-    if request.kind in STREAMS:
-        return len(request.events) < max(sent, default=0)
-    return len(request.body) < (end.plan.sent_pieces or 0) * (len(BODY) // CALL_PIECES)
-
-
 def describe_closes(ledger: Ledger) -> str:
     """Return how many responses living processes closed early, and how callers saw ends."""
     ends = [end for each in ledger.response_ends.values() for end in each]
--- a/stand_ins/endings.py
+++ b/stand_ins/endings.py
@@ -140,6 +140,8 @@
         self._plan_for = plan_for
         self._plans: dict[str, EndingPlan] = {}
         self.is_gone = False
+        self.drops_copies = False
+        """Whether the backup of a run drops its copy once the run has ended whole."""
         self.on_sent: Callable[[str, int], None] = lambda request_id, number: None
         """Called after each piece, with its number, before the next one or the end is sent."""
         self.sent: dict[str, list[int]] = {}
@@ -206,6 +208,8 @@
             # A chunk that promises a whole piece, and a part of the piece.
             framed = _frame(plan.framing, pieces[last + 1])
             connection.write(framed[: len(framed) // 2])
+        if self.drops_copies and backup is not None and plan.ending is Ending.WHOLE:
+            backup.copies.pop(request_id, None)
         self._end(raw, connection, plan, request_id)
 
     def _end(
