--- a/driftstall/gateway/response_ends/stream_ends.py
+++ b/driftstall/gateway/response_ends/stream_ends.py
@@ -4,20 +4,27 @@
 
 from functools import singledispatch
 
+from driftstall.decisions.end_evidence import Objection
 from driftstall.decisions.response_ends import (
-    LIVING_STATES,
     BrokenEnd,
     ClosedEnd,
     CompleteEnd,
     EmptyEnd,
+    EndEvidence,
     ProcessState,
     RunEnd,
 )
 from driftstall.exceptions import UpstreamError
 from driftstall.gateway.events import EventSequence, EventSplitter
+from driftstall.gateway.response_ends.evidence import EndedRun, find_objection
 from driftstall.gateway.response_ends.framing import ResponseFraming
-from driftstall.gateway.response_ends.records import RelayedEnd, StatedEnd, record_relayed_end
-from driftstall.gateway.runs import StreamRun
+from driftstall.gateway.response_ends.records import (
+    EndTiming,
+    RelayedEnd,
+    StatedEnd,
+    record_relayed_end,
+)
+from driftstall.gateway.runs import ReplicaRefusal, StreamRun
 from driftstall.gateway.state import GatewayState
 from driftstall.gateway.stream_context import StreamContext
 
@@ -34,14 +41,36 @@
         self._sequence = sequence
         self._process: ProcessState | None = None
         """State of the upstream's process after the end of its response, if that was checked."""
-
-    def begin_run(self) -> None:
-        """Forget the state of the previous run's upstream."""
+        self._timing: EndTiming | None = None
+        """When the response of the latest run ended that has ended in order."""
+        self._evidence = EndEvidence.NONE
+        self._objection: Objection | None = None
+        """Why the refusal of a backup shows nothing, if one has refused the stream."""
+
+    @property
+    def evidence(self) -> EndEvidence:
+        """Return what shows that the stream is whole."""
+        return self._evidence
+
+    def begin_run(self, run: StreamRun) -> None:
+        """Forget the end of the previous run, and note how this one's response is framed."""
+        assert run.exchange is not None
         self._process = None
+        self._timing = None
+        self._evidence, self._objection = EndEvidence.NONE, None
+        self._state.framed_services.record(
+            run.upstream.service, run.exchange.framing, self._state.now()
+        )
 
     def check(self, run: StreamRun, splitter: EventSplitter) -> RunEnd:
         """Return how a run's response ended whose connection did not break."""
         assert run.exchange is not None
+        ended_at = self._state.now()
+        self._timing = EndTiming(
+            ended_at - run.last_event_at if run.last_event_at else 0.0,
+            self._context.admitted.ends_at - ended_at,
+            self._context.replicas.has_current_backup(run),
+        )
         if splitter.is_inside_event:
             return _broken("the stream ended inside an event")
         if self._sequence.is_run_behind:
@@ -51,18 +80,30 @@
             if self._context.replicas.has_moved(run, self._context.remaining_s()):
                 # Some servers write the last chunk of a response that they cancel.
                 return _broken("the stream ended as the final copy stopped its run")
+            self._evidence = EndEvidence.FRAMING
             return CompleteEnd()
-        ended_at = self._state.now()
         if not self._sequence.has_run_begun:
             return EmptyEnd()
         if self._context.replicas.may_have_stopped(run, self._context.remaining_s()):
             # The final copy of a migration stops a run at an upstream that lives on.
             return _broken("the stream ended during its migration")
         process = self.check_process(run, ended_at)
-        if process is ProcessState.LEAVING and run.pending_final_copy is not None:
-            # It has answered that the final copy did not stop the run, so the run had ended.
-            process = ProcessState.ALIVE
-        return ClosedEnd(process)
+        max_tokens = self._context.admitted.metadata.max_tokens
+        # An event holds a token at least.
+        has_all_tokens = 0 < max_tokens <= self._sequence.content_events
+        if has_all_tokens:
+            self._evidence = EndEvidence.TOKEN_LIMIT
+        return ClosedEnd(process, has_all_tokens)
+
+    def is_shown_whole(self, run: StreamRun, refusal: ReplicaRefusal | None) -> bool:
+        """Return True if the refusal of its backup shows that a run without framing is whole."""
+        if refusal is None or self._process is None or self._timing is None:
+            return False
+        ended = EndedRun(run, self._process, self._timing)
+        self._objection = find_objection(self._state, ended, refusal)
+        if self._objection is None:
+            self._evidence = EndEvidence.BACKUP
+        return self._objection is None
 
     def check_process(self, run: StreamRun, ended_at: float) -> ProcessState:
         """Return the state of the upstream's process after an end."""
@@ -76,18 +117,25 @@
         self._process = process
         return process
 
-    def adds_nothing(self, run: StreamRun, end: RunEnd) -> bool:
-        """Return True if a resumed run ended in order without any event, and its process lives."""
-        return (
-            isinstance(end, EmptyEnd)
-            and self.check_process(run, self._state.now()) in LIVING_STATES
-        )
+    def describe(self, end: RunEnd) -> str:
+        """Return why a stream does not end with a run's response, for the log."""
+        if self._objection is not None:
+            return f"{describe_end(end)}; its backup refused it, but {self._objection.value}"
+        return describe_end(end)
 
-    def record(self, run: StreamRun, stated: StatedEnd) -> None:
+    def record(self, run: StreamRun, stated: StatedEnd, evidence: EndEvidence) -> None:
         """Record how the end of the stream, or of an error response, is told to the caller."""
         framing = ResponseFraming.UNKNOWN if run.exchange is None else run.exchange.framing
         end = RelayedEnd(
-            run.upstream, run.request_id, framing, self._process, stated, run.events, run.moves
+            run.upstream,
+            run.request_id,
+            framing,
+            self._process,
+            stated,
+            evidence,
+            run.events,
+            run.moves,
+            self._timing,
         )
         record_relayed_end(self._state.stats, end)
 
@@ -113,7 +161,10 @@
 @describe_end.register
 def _(end: ClosedEnd) -> str:
     """Return the state of the process."""
-    return f"the stream ended with its connection, and its process is {end.process.value}"
+    return (
+        "the stream ended with its connection, which does not show that it is whole, and its"
+        f" process is {end.process.value}"
+    )
 
 
 def _broken(detail: str) -> BrokenEnd:
