Soak: a whole stream without framing that is reset is not held against a planned stop

Such a stream is reset at its end with a stop or without, as the rule of streams asks. Excused is only a stream with every event whose last response had no framing; one that lacks an event, and one in chunks, still count as lost.

--- a/features/parts/soak.feature
+++ b/features/parts/soak.feature
@@ -228,6 +228,8 @@
       | a stream is closed in order after 7 events                 | ended as complete after 7 events             |
       | a stream is closed in order after 7 events                 | complete though no upstream has sent the last |
       | a whole stream is closed in order though its last event was not sent | complete though no upstream has sent the last |
+      | a stopping instance resets a stream without framing before its last event | lost 1.00 s after SIGTERM     |
+      | a stopping instance cuts a stream in chunks after its last event | lost 1.00 s after SIGTERM              |
       | the last calls are closed early                            | only 0 of the last 2 calls were served       |
       | calls and streams are closed early in another plan         | ended as complete after 7 events             |
       | calls and streams are closed early in another plan         | a success with another body                  |
@@ -235,6 +237,12 @@
       | an answer has the status 99                                | a status that HTTP does not know             |
       | an answer has the status 0                                 | a status that HTTP does not know             |
 
+  # Guards against a reset that is held against a stop although nothing shows that the stream is whole.
+  Scenario: a whole stream without framing that is reset in a planned stop is not held against the stop
+    Given the record of a run of truncated responses in which all was well
+    When in that record a stopping instance resets a whole stream without framing
+    Then no promise is broken
+
   Scenario: disturbed starts and odd entries are what one plan is about
     Then seed 7 gives that plan signals in starts, addresses in use, spoiled settings and odd entries
 
--- a/features/steps/soak_truncation_check_steps.py
+++ b/features/steps/soak_truncation_check_steps.py
@@ -10,7 +10,7 @@
 
 from features.steps.soak_steps import LATER, good
 from soak.checks import find_violations
-from soak.ledger import KNOWN_END_S, Arrival, Ledger, RequestKind, ResponseEnd
+from soak.ledger import KNOWN_END_S, Arrival, Ledger, RequestKind, ResponseEnd, Window
 from stand_ins.endings import BODY, CALL_PIECES, EVENTS, Ending, EndingPlan, Framing
 from stand_ins.routed import event_bytes
 
@@ -115,6 +115,17 @@
     context.ledger.sent_pieces["r2"].remove(EVENTS)
 
 
+def cut_in_stop(context: Any, framing: Framing, events: int = EVENTS) -> None:
+    """Cut a stream whose upstream has sent all of it, in a planned stop."""
+    stream = context.stream
+    set_ends(context, "r2", EndingPlan(framing))
+    stream.body, stream.complete, stream.is_cut = whole_stream(events), False, True
+    stream.is_framed = framing is not Framing.CLOSE
+    stop = Window(stream.ended_at - 1.0, stream.ended_at + 1.0)
+    context.ledger.planned_stops[stream.instance].append(stop)
+    context.ledger.disturbed[stream.instance].append(stop)
+
+
 def close_last_calls(context: Any) -> None:
     """Let living processes close the last calls early."""
     for name in ("r57", "r58"):
@@ -190,6 +201,15 @@
         c.ledger.requests["r8"], "is_closed", True
     ),
     "a whole stream is closed in order though its last event was not sent": close_whole,
+    "a stopping instance resets a whole stream without framing": lambda c: cut_in_stop(
+        c, Framing.CLOSE
+    ),
+    "a stopping instance resets a stream without framing before its last event": lambda c: (
+        cut_in_stop(c, Framing.CLOSE, EVENTS - 1)
+    ),
+    "a stopping instance cuts a stream in chunks after its last event": lambda c: cut_in_stop(
+        c, Framing.CHUNKED
+    ),
     "the last calls are closed early": close_last_calls,
     "calls and streams are closed early in another plan": set_other_plan,
     "an answer has the status 600": lambda c: set_status(c, 600),
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -197,6 +197,8 @@
     """Instances that were not ready at the end."""
     body: bytes = b"whole"
     """Body of a whole response to a call."""
+    max_run_s: float = 1.0
+    """Longest run of a request at an upstream."""
     sent_pieces: dict[str, list[int]] | None = None
     """Numbers of the events, or pieces of a body, that upstreams have sent for each request; None
     in plans whose upstreams do not record them."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -54,7 +54,7 @@
 from soak.plan import Fault, Kind, Plan, Step
 from soak.proxy import Proxy
 from soak.stop_checks import GRACE_S
-from soak.truncation import HEALTH_PATH, TruncatingSlot
+from soak.truncation import HEALTH_PATH, STREAM_PAUSE_S, TruncatingSlot
 from stand_ins import endings
 from stand_ins.prompts import FATAL_PARTS, fatal_prompt, sound_prompt
 
@@ -148,7 +148,7 @@
             self.ledger.bounds = SCARCE_RETRIES
         if size.plan is Plan.TRUNCATED:
             self.ledger.events, self.ledger.body = endings.EVENTS, endings.BODY
-            self.ledger.sent_pieces = {}
+            self.ledger.sent_pieces, self.ledger.max_run_s = {}, STREAM_PAUSE_S * endings.EVENTS
         self._bench = Bench(self.folder)
         address = self._bench.start_platform().address
         self._store = Store(address)
--- a/soak/stop_checks.py
+++ b/soak/stop_checks.py
@@ -6,7 +6,8 @@
 from typing import Final
 
 from soak.disturbances import CONTACT_S, MACHINE_SLACK_S, describe
-from soak.ledger import Arrival, Ledger, SentRequest, Window
+from soak.ledger import STREAMS, Arrival, Ledger, SentRequest, Window
+from stand_ins.endings import Framing
 
 GRACE_S: Final = 3.0
 """Time from SIGTERM to SIGKILL (graceS)."""
@@ -18,8 +19,6 @@
 """Requests sent later than this after SIGTERM are never excused by a long run."""
 LAST_SHARE: Final = 1 / 6
 """Last part of the grace time: what an upstream still runs then may be cut."""
-MAX_RUN_S: Final = 1.0
-"""Longest run of a request at an upstream of the soak."""
 
 
 def check_stops(ledger: Ledger, runs: dict[str, list[Arrival]]) -> Iterator[str]:
@@ -42,6 +41,8 @@
     ledger: Ledger, request: SentRequest, arrivals: Sequence[Arrival], stop: Window
 ) -> bool:
     """Return True if something else than the stop explains why a request was cut."""
+    if _is_unproven(ledger, request):
+        return True
     name, begins, ends = request.instance, request.sent_at - CONTACT_S, request.ended_at
     others = [window for window in ledger.disturbed[name] if window is not stop]
     if any(_overlaps(window, begins, ends) for window in (*others, *ledger.partitioned[name])):
@@ -51,11 +52,22 @@
     ):
         return True
     last_part_at = stop.begins + GRACE_S * (1 - LAST_SHARE)
-    was_at_work = any(arrival.at + MAX_RUN_S >= last_part_at for arrival in arrivals)
+    was_at_work = any(arrival.at + ledger.max_run_s >= last_part_at for arrival in arrivals)
     is_early = request.sent_at <= stop.begins + LATE_SENT_S
     return was_at_work and is_early and ends >= last_part_at
 
 
+def _is_unproven(ledger: Ledger, request: SentRequest) -> bool:
+    """Return True if a stream has every event, and its last run ended without framing.
+
+    Nothing shows that such a stream is whole, so it is reset at its end, with a stop or without.
+    """
+    if request.kind not in STREAMS or not ledger.is_whole(request):
+        return False
+    ends = ledger.response_ends.get(request.request_id, [])
+    return bool(ends) and ends[-1].plan.framing is Framing.CLOSE
+
+
 def _overlaps(window: Window, begins: float, ends: float) -> bool:
     """Return True if a window overlaps a span of time."""
     return window.ends >= begins and window.begins <= ends
