--- a/features/gateway/stream_disturbances.feature
+++ b/features/gateway/stream_disturbances.feature
@@ -30,6 +30,13 @@
     When "/stream/a" is asked as "s1", and nothing is read until the stream has ended
     Then the events that came are the first ones, in order, and there is no end
 
+  # Guards against the same for a stream that ends with its connection: closing it in order would state that it is whole.
+  Scenario: a stream without framing whose caller reads nothing until the time-out of a write is reset
+    Given the time-out of writes is 0.3 s
+    And the engine of "s1" sends 250 events of 64 kB without framing
+    When "/stream/a" is asked as "s1", and nothing is read until the stream has ended
+    Then the events that came are the first ones, and the connection was reset
+
   # Guards against other responses that are taken for a part of the stream, or for its end.
   Scenario Outline: a stream with <what> before its head is <result>
     Given the engine of "s1" sends <what> before its head
--- a/features/steps/stream_disturbance_steps.py
+++ b/features/steps/stream_disturbance_steps.py
@@ -142,16 +142,21 @@
     assert context.data.count(b"HTTP/1.1") == 1, context.data
 
 
-def _read_all(connection: socket.socket) -> bytes:
-    """Read until the end of a connection."""
+def _read_to_end(connection: socket.socket) -> tuple[bytes, bool]:
+    """Read until the end of a connection; return what came, and whether it was reset."""
     data = b""
     connection.settimeout(READ_WAIT_S)
     try:
         while piece := connection.recv(1_000_000):
             data += piece
     except ConnectionError:
-        pass
-    return data
+        return data, True
+    return data, False
+
+
+def _read_all(connection: socket.socket) -> bytes:
+    """Read until the end of a connection."""
+    return _read_to_end(connection)[0]
 
 
 @given("the time-out of writes is {seconds:g} s")
@@ -167,6 +172,25 @@
     stream_script(context, request_id, Script(events=count, filler=b"x" * BIG_EVENT_BYTES))
 
 
+@given('the engine of "{request_id}" sends {count:d} events of 64 kB without framing')
+def sends_much_unframed(context: Any, request_id: str, count: int) -> None:
+    """Script a stream that is larger than all buffers on its way, and ends with its connection."""
+    assert count == BIG_EVENTS
+    script = Script(events=count, filler=b"x" * BIG_EVENT_BYTES, unframed=True)
+    stream_script(context, request_id, script)
+
+
+@then("the events that came are the first ones, and the connection was reset")
+def first_events_and_reset(context: Any) -> None:
+    """Check what was received, and that the connection was not closed in order."""
+    _, _, body = context.data.partition(b"\r\n\r\n")
+    whole = b"".join(
+        event_bytes(number, b"x" * BIG_EVENT_BYTES) for number in range(1, BIG_EVENTS + 1)
+    )
+    assert whole.startswith(body) and len(body) < len(whole), len(body)
+    assert context.is_reset
+
+
 @when('"{path}" is asked as "{request_id}", and nothing is read until the stream has ended')
 def read_nothing(context: Any, path: str, request_id: str) -> None:
     """Wait until the gateway has given the stream up, then read what is left."""
@@ -175,7 +199,7 @@
     connection.sendall(request_bytes(path, request_id))
     wait_for("it runs", lambda: bool(world.state.runs.all))
     wait_for("it has ended", lambda: not world.state.open_requests)
-    context.data = _read_all(connection)
+    context.data, context.is_reset = _read_to_end(connection)
 
 
 @then("the events that came are the first ones, in order, and there is no end")
