The refusal of a backup counts only where backups were seen to keep the copies of closed runs

A refusal ("no copy") shows that a run has ended well only if the service's engines make copies as their configuration says, and keep those of runs that they break off. Where they do not, each cut stream of a second or more would have been told as whole.

Each row of the scenario of objections now checks the one reason that it is about.

--- a/driftstall/decisions/end_evidence.py
+++ b/driftstall/decisions/end_evidence.py
@@ -3,7 +3,9 @@
 An engine keeps its copy of a run until that has ended well, and refuses to resume a run of which it
 holds no copy. So its refusal is evidence that the run had ended well, unless the copy may be
 missing for another reason: it was never made, there was no room for it, or it has expired. The
-facts here rule these reasons out one by one; whatever is not known counts as a reason.
+facts here rule these reasons out one by one; whatever is not known counts as a reason. That the
+engines of a service make and keep copies as described is not taken on trust either: one of them has
+to have resumed a run whose response was closed early.
 """
 
 from __future__ import annotations
@@ -40,6 +42,7 @@
     """Why a backup's refusal does not show that a run is whole."""
 
     PROCESS = "its process is not known to live"
+    UNSEEN_COPIES = "no backup of its service was seen to keep the copy of a closed run"
     FRAMED_SERVICE = "other streams of its service are framed"
     SHORT = "the backup may not have been made"
     PAUSE = "the backup may have expired during a pause"
@@ -71,6 +74,8 @@
     """State of the run's upstream after the end."""
     is_service_framed: bool
     """Whether upstreams of the service frame other streams."""
+    are_copies_seen: bool
+    """Whether a backup of the service has resumed a run whose response was closed early."""
     produced_s: float
     """Time for which the run has produced events."""
     longest_gap_s: float
@@ -94,6 +99,7 @@
     checks = (
         (run.process in (ProcessState.ALIVE, ProcessState.LEAVING), Objection.PROCESS),
         (not run.is_service_framed, Objection.FRAMED_SERVICE),
+        (run.are_copies_seen, Objection.UNSEEN_COPIES),
         (run.produced_s >= COPY_MADE_AFTER_S, Objection.SHORT),
         (run.end_delay_s <= MAX_END_DELAY_S, Objection.LATE_END),
         (run.before_deadline_s >= MIN_BEFORE_DEADLINE_S, Objection.DEADLINE),
--- a/driftstall/gateway/response_ends/evidence.py
+++ b/driftstall/gateway/response_ends/evidence.py
@@ -30,10 +30,12 @@
         """Return the facts about the run that decide what a refusal shows."""
         run, timing = self.run, self.timing
         engine = run.admitted.service.engine
+        history, service, now = state.service_history, run.upstream.service, state.now()
         refused_after_s = refusal.at - run.last_event_at
         return RefusedRun(
             process=self.process,
-            is_service_framed=state.framed_services.is_framed(run.upstream.service, state.now()),
+            is_service_framed=history.framed.has(service, now),
+            are_copies_seen=history.copying.has(service, now),
             produced_s=run.generating_s or 0.0,
             longest_gap_s=run.longest_gap_s,
             blocked_s=run.blocked_s,
--- a/driftstall/gateway/response_ends/stream_ends.py
+++ b/driftstall/gateway/response_ends/stream_ends.py
@@ -58,9 +58,13 @@
         self._process = None
         self._timing = None
         self._evidence, self._objection = EndEvidence.NONE, None
-        self._state.framed_services.record(
-            run.upstream.service, run.exchange.framing, self._state.now()
-        )
+        if run.exchange.framing in (ResponseFraming.LENGTH, ResponseFraming.CHUNKED):
+            self._state.service_history.framed.record(run.upstream.service, self._state.now())
+
+    def record_events(self, run: StreamRun) -> None:
+        """Note what new events of a run show about the backups of its service."""
+        if run.shows_kept_copy:
+            self._state.service_history.copying.record(run.upstream.service, self._state.now())
 
     def check(self, run: StreamRun, splitter: EventSplitter) -> RunEnd:
         """Return how a run's response ended whose connection did not break."""
--- a/driftstall/gateway/runs.py
+++ b/driftstall/gateway/runs.py
@@ -87,6 +87,8 @@
     """Deadline of the wait for the final copy's result; None until the wait begins."""
     resumed_from: ReplicaRef | None = None
     """The replica from which this run was resumed."""
+    follows_closed_run: bool = False
+    """Whether it was resumed as the response of the run before was closed without framing."""
     is_copying: bool = False
     """Whether a copy is in progress; an engine accepts one at a time per run."""
     replica_target: Upstream | None = None
@@ -114,6 +116,14 @@
         """Return the request id given by the caller."""
         return self.admitted.metadata.request_id
 
+    @property
+    def shows_kept_copy(self) -> bool:
+        """Return True if an event of this run shows that backups keep copies of closed runs."""
+        replica = self.resumed_from
+        return (
+            self.follows_closed_run and replica is not None and replica.kind is ReplicaKind.BACKUP
+        )
+
     @property
     def held_tokens(self) -> int:
         """Return the engine memory that the run uses now, in tokens."""
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -36,9 +36,9 @@
 from driftstall.gateway.outcomes import Outcome, OutlierDetector
 from driftstall.gateway.poison.guard import PoisonGuard
 from driftstall.gateway.response_buffers import ResponseBuffers
-from driftstall.gateway.response_ends.framed_services import FramedServices
 from driftstall.gateway.response_ends.open_exchanges import OpenExchanges
 from driftstall.gateway.response_ends.records import record_response_end
+from driftstall.gateway.response_ends.service_history import ServiceHistory
 from driftstall.gateway.response_ends.verification import EndVerifier
 from driftstall.gateway.response_limits import record_oversized
 from driftstall.gateway.retry_budget.budgets import RetryBudgets
@@ -127,7 +127,7 @@
         )
         self.end_verifier = EndVerifier(self._probe_process, lambda: self.now(), self.stats)
         self.connector.on_refused = self.end_verifier.record_refusal
-        self.framed_services = FramedServices()
+        self.service_history = ServiceHistory()
         self.brittle = BrittleUpstreams(settings.instance_id, lambda: self.live_instance_ids())
         self.signals = UpstreamSignals(
             self.stats,
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -143,6 +143,7 @@
                 return self._complete(run)
             if next_run is None:
                 return self._break_off(run, end)
+            next_run.follows_closed_run = can_verify
             run = next_run
 
     def _resume(self, run: StreamRun, end: RunEnd) -> StreamRun | None:
@@ -280,6 +281,7 @@
             # resumed stream would lack them.
             if next_events:
                 self._record_progress(run, len(next_events))
+                self._ends.record_events(run)
                 writing_since = self._state.now()
                 is_written = self._writer.write_piece(self._framing, b"".join(next_events))
                 run.blocked_s += self._state.now() - writing_since
--- a/features/gateway/unframed_stream_ends.feature
+++ b/features/gateway/unframed_stream_ends.feature
@@ -65,24 +65,31 @@
   Scenario Outline: a stream without framing whose backup refuses it for a reason that may be another one is reset
     When a stream without framing ends, and its backup refuses it, but <objection>
     Then its caller got every event, and its connection was reset
+    And the refusal shows nothing because of <name>
 
     Examples:
-      | objection                                    |
-      | its report has no memory                     |
-      | its report can't be read                     |
-      | it has no room for a copy                    |
-      | its slots are taken                          |
-      | requests wait there                          |
-      | it is draining                               |
-      | it requests a back-off                       |
-      | the run produced events for 0.7 s only       |
-      | the run ended 0.8 s after its last event     |
-      | a pause of the run was longer than copies are kept |
-      | the run ended 0.5 s before its deadline      |
-      | the process of the run is silent             |
-      | the process of the run has ended             |
-      | other streams of the service are framed      |
-      | it is not known how long copies are kept     |
+      | objection                                          | name           |
+      | no backup was seen to keep a copy                  | UNSEEN_COPIES  |
+      | its report has no memory                           | UNKNOWN_MEMORY |
+      | its report can't be read                           | UNKNOWN_MEMORY |
+      | it has no room for a copy                          | NO_ROOM        |
+      | its slots are taken                                | SIGNALS        |
+      | requests wait there                                | SIGNALS        |
+      | it is draining                                     | SIGNALS        |
+      | it requests a back-off                             | SIGNALS        |
+      | the run produced events for 0.7 s only             | SHORT          |
+      | the run ended 0.8 s after its last event           | LATE_END       |
+      | a pause of the run was longer than copies are kept | PAUSE          |
+      | the run ended less than 1 s before its deadline    | DEADLINE       |
+      | its caller reads slowly                            | SLOW_CALLER    |
+      | the process of the run is silent                   | PROCESS        |
+      | other streams of the service are framed            | FRAMED_SERVICE |
+      | it is not known how long copies are kept           | PAUSE          |
+
+  # Guards against a refusal that is taken for evidence although the process of the run has ended.
+  Scenario: a stream without framing whose process has ended is reset, though its backup refuses it
+    When a stream without framing ends, and its backup refuses it, but the process of the run has ended
+    Then its caller got every event, and its connection was reset
 
   # Guards against an orderly end as the budget of retries allowed no question to the backup.
   Scenario: a whole stream without framing is reset if no retry is left to ask its backup
--- a/features/steps/unframed_end_steps.py
+++ b/features/steps/unframed_end_steps.py
@@ -6,6 +6,10 @@
 
 from behave import then, when
 
+from driftstall.decisions.end_evidence import Objection
+from driftstall.gateway.callers.framing import CallerFraming
+from driftstall.gateway.response_ends import stream_ends
+from driftstall.gateway.response_writer import ResponseWriter
 from features.steps.close_delimited_end_steps import SENT_EVENTS, closed_early
 from features.worlds.ending_world import ALL_EVENTS
 from features.worlds.unframed_world import DEADLINE_MS, KEPT_S, Act, UnframedWorld
@@ -15,6 +19,8 @@
 
 CLOSED: Final = EndingPlan(Framing.CLOSE, Ending.CLOSED)
 WHOLE: Final = EndingPlan(Framing.CLOSE)
+SHORT_DEADLINE_MS: Final = 3_300
+"""Deadline of a stream that is whole 2.5 s after it was sent, by the clock of its gateway."""
 NO_EVENT: Final = b"no event\n\n"
 
 
@@ -124,9 +130,21 @@
     context.answer = world.stream("s1")
 
 
-def _end_whole(context: Any, act: Act, plan: EndingPlan = WHOLE) -> UnframedWorld:
+def _show_copies(world: UnframedWorld) -> None:
+    """Send a stream that is closed early, and that its backup resumes without framing."""
+    plans, world.plans = world.plans, [CLOSED, WHOLE, RESTS["nothing"]]
+    answer = world.stream("first")
+    assert (answer.body, answer.whole) == (ALL_EVENTS, False), answer
+    world.plans = plans
+
+
+def _end_whole(
+    context: Any, act: Act, plan: EndingPlan = WHOLE, *, shows_copies: bool = True
+) -> UnframedWorld:
     """Send a whole stream whose backup drops its copy with the last event."""
     world = _start(context, plan, has_backups=True)
+    if shows_copies:
+        _show_copies(world)
     world.drops_copies_after = EVENTS
     world.at_end = act
     return world
@@ -204,24 +222,60 @@
 PAUSES: Final[dict[str, dict[int, float]]] = {
     "the run produced events for 0.7 s only": {3: 0.2},
     "a pause of the run was longer than copies are kept": {3: KEPT_S + 0.5, 4: 0.5},
-    "the run ended 0.5 s before its deadline": {
-        number: (DEADLINE_MS / 1000 - 1.0) / 10 for number in range(3, 13)
-    },
 }
 
 
 @when("a stream without framing ends, and its backup refuses it, but {objection}")
 def refused_with_objection(context: Any, objection: str) -> None:
     """Send a whole stream whose backup may have refused it for another reason."""
-    world = _end_whole(context, OBJECTIONS.get(objection, lambda _: None))
+    unseen = "no backup was seen to keep a copy"
+    act = OBJECTIONS.get(objection, lambda _: None)
+    world = _end_whole(context, act, shows_copies=objection != unseen)
     world.pauses = PAUSES.get(objection, world.pauses)
+    if objection == "the run ended less than 1 s before its deadline":
+        world.deadline_ms = SHORT_DEADLINE_MS
     if objection == "other streams of the service are framed":
         _framed_before(world)
     if objection == "it is not known how long copies are kept":
         world.use_engine(handleS=0)
+    if objection == "its caller reads slowly":
+        _write_slowly(context, world)
+    _record_objections(context)
     context.answer = world.stream("s1")
 
 
+def _write_slowly(context: Any, world: UnframedWorld) -> None:
+    """Let each write of a piece take a tenth of a second on the gateway's clock."""
+    write_piece = ResponseWriter.write_piece
+
+    def write(self: ResponseWriter, framing: CallerFraming, data: bytes) -> bool:
+        world.pass_time(0.1)
+        return write_piece(self, framing, data)
+
+    context.add_cleanup(setattr, ResponseWriter, "write_piece", write_piece)
+    ResponseWriter.write_piece = write  # type: ignore[method-assign]
+
+
+def _record_objections(context: Any) -> None:
+    """Record what is found against the refusals of backups."""
+    context.objections = []
+    find_objection = stream_ends.find_objection
+
+    def find(*args: Any) -> Objection | None:
+        objection = find_objection(*args)
+        context.objections.append(objection)
+        return objection
+
+    context.add_cleanup(setattr, stream_ends, "find_objection", find_objection)
+    stream_ends.find_objection = find  # type: ignore[assignment]
+
+
+@then("the refusal shows nothing because of {name}")
+def shows_nothing(context: Any, name: str) -> None:
+    """Check the only objection."""
+    assert context.objections == [Objection[name]], context.objections
+
+
 @when("a stream without framing of 20 events is sent for a request of at most {tokens:d} tokens")
 def limited_tokens(context: Any, tokens: int) -> None:
     """Send a whole stream for a request with a limit."""
--- a/features/steps/unframed_process_steps.py
+++ b/features/steps/unframed_process_steps.py
@@ -26,9 +26,12 @@
     Framing.CLOSE, Ending.GONE_LATE, pieces=17, pause_s=PAUSE_S, stop_after_s=0.3
 )
 CHUNKS: Final = EndingPlan(pause_s=PAUSE_S)
+FIRST: Final = "first"
+"""Id of the stream that is sent before those that are counted."""
 PLANS: Final[dict[str, tuple[EndingPlan, EndingPlan]]] = {
     "send whole streams in chunks": (CHUNKS, CHUNKS),
     "send whole streams without framing": (WHOLE, WHOLE),
+    "close a first stream early and send whole ones without framing": (WHOLE, WHOLE),
     "close streams after event 7": (CLOSED, CHUNKS),
     "close streams after event 17": (CLOSED_LATE, CHUNKS),
     "close streams after event 17 and end": (GONE_LATE, CHUNKS),
@@ -43,7 +46,11 @@
     """Register engines that answer by plans, and configure their backups."""
     first, resumed = PLANS[act]
 
+    closes_first = act.startswith("close a first stream early")
+
     def plan_for(seen: ReceivedRequest) -> EndingPlan:
+        if closes_first and seen.request_id == FIRST and not seen.is_resumed:
+            return CLOSED_LATE
         return resumed if seen.is_resumed else first
 
     raw = document(4)
@@ -70,7 +77,7 @@
     address = context.nodes[0].listen["front"]
 
     def is_serving() -> bool:
-        return TimedCaller(address, "first").received.status == 200
+        return TimedCaller(address, FIRST).received.status == 200
 
     wait_for_processes("it serves streams", is_serving)
     context.ids = [f"s-{number}" for number in range(count)]
