Soak: streams are closed early by living processes more often, and no engine frames in every second run

Seven in ten streams that end early are now closed after whole events, and a run in which no living process did that counts as broken.

--- a/features/parts/soak.feature
+++ b/features/parts/soak.feature
@@ -211,6 +211,7 @@
       | a part of a call has other bytes                           | a response with other bytes                  |
       | no close-delimited response has ended early                | so the run shows nothing of them             |
       | no living process has closed a response early              | so the run shows nothing of that             |
+      | no living process has closed a stream early                | so the run shows nothing of streams          |
       | a call is complete though its upstream framed nothing      | no upstream's framing has stated that        |
       | a stream is complete though its upstream framed nothing    | no upstream's framing has stated that        |
       | a call is complete though its framed response was cut      | no upstream's framing has stated that        |
--- a/features/steps/soak_truncation_check_steps.py
+++ b/features/steps/soak_truncation_check_steps.py
@@ -166,6 +166,9 @@
     "a part of a call has other bytes": lambda c: cut_call(c, b"other"),
     "no close-delimited response has ended early": lambda c: c.ledger.truncations.clear(),
     "no living process has closed a response early": lambda c: c.ledger.response_ends.clear(),
+    "no living process has closed a stream early": lambda c: set_ends(
+        c, "r8", EndingPlan(Framing.CLOSE, Ending.RESET)
+    ),
     "a call is complete though its upstream framed nothing": lambda c: set_ends(
         c, "r0", EndingPlan(Framing.CLOSE)
     ),
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -199,6 +199,8 @@
     """Body of a whole response to a call."""
     max_run_s: float = 1.0
     """Longest run of a request at an upstream."""
+    is_engine_unframed: bool = False
+    """Whether no engine frames a response, in the plan that truncates them; else some do."""
     sent_pieces: dict[str, list[int]] | None = None
     """Numbers of the events, or pieces of a body, that upstreams have sent for each request; None
     in plans whose upstreams do not record them."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -148,6 +148,7 @@
             self.ledger.bounds = SCARCE_RETRIES
         if size.plan is Plan.TRUNCATED:
             self.ledger.events, self.ledger.body = endings.EVENTS, endings.BODY
+            self.ledger.is_engine_unframed = seed % 2 == 0
             self.ledger.sent_pieces, self.ledger.max_run_s = {}, STREAM_PAUSE_S * endings.EVENTS
         self._bench = Bench(self.folder)
         address = self._bench.start_platform().address
--- a/soak/truncation.py
+++ b/soak/truncation.py
@@ -4,6 +4,7 @@
 
 import random
 import time
+from dataclasses import replace
 from enum import StrEnum
 from typing import Any, Final
 
@@ -13,7 +14,7 @@
 from driftstall.gateway.ingress import CallerConnection, CallerRequest, encode_head
 from features.worlds.gateway_world import ENGINE
 from soak.fleet import LAPSE_S, RecordingUpstream, UpstreamSlot
-from soak.ledger import Arrival, Ledger, ResponseEnd
+from soak.ledger import ENGINE_SERVICE, Arrival, Ledger, ResponseEnd
 from soak.proxy import Proxy
 from stand_ins.endings import (
     CALL_PIECES,
@@ -22,14 +23,18 @@
     EndingPlan,
     EndingUpstream,
     Framing,
+    Place,
 )
 from stand_ins.routed import ReceivedRequest
 
 HEALTH_PATH: Final = "/health"
 TRUNCATED_SHARE: Final = 0.4
 """Share of the responses that end early while upstreams truncate responses."""
-STREAM_PAUSE_S: Final = 0.07
+STREAM_PAUSE_S: Final = 0.055
 """Pause before each event of a stream, so that a whole one lasts longer than its backup takes."""
+CLOSED_STREAM_SHARE: Final = 0.7
+"""Share of the streams that end early after whole events, by the close of the connection: nothing
+tells such an end from that of a whole stream without framing."""
 PIECE_PAUSE_S: Final = 0.001
 """Pause before each piece of a response to a call."""
 FLUSH_S: Final = 0.01
@@ -88,7 +93,10 @@
         self.sent = ledger.sent_pieces
         self._ledger = ledger
         self._slot = slot
-        self._framing = self._draw.choice(list(Framing)) if slot.place % 2 else Framing.CLOSE
+        is_unframed = slot.place % 2 == 0
+        if slot.service == ENGINE_SERVICE:
+            is_unframed = is_unframed or ledger.is_engine_unframed
+        self._framing = Framing.CLOSE if is_unframed else self._draw.choice(list(Framing))
         self._after_close = HealthAnswer.WELL
         self._closed_at = float("-inf")
 
@@ -120,6 +128,9 @@
         if not is_truncating or self._draw.random() >= TRUNCATED_SHARE:
             return EndingPlan(self._framing, pause_s=pause_s)
         plan = EndingPlan.draw(self._draw, self._framing, pieces, pause_s=pause_s)
+        if is_stream and self._draw.random() < CLOSED_STREAM_SHARE:
+            ending = self._draw.choice((Ending.CLOSED, Ending.GONE_LATE))
+            plan = replace(plan, ending=ending, place=Place.EVENT)
         self._ledger.truncations[f"{plan.framing}, {plan.ending}"] += 1
         return plan
 
--- a/soak/truncation_checks.py
+++ b/soak/truncation_checks.py
@@ -11,7 +11,7 @@
 from typing import Final
 
 from soak.disturbances import describe
-from soak.ledger import STREAMS, Arrival, Ledger, SentRequest
+from soak.ledger import STREAMS, Arrival, Ledger, ResponseEnd, SentRequest
 from stand_ins.endings import BODY, CALL_PIECES, Framing
 from stand_ins.routed import event_bytes
 
@@ -30,6 +30,8 @@
     ends = [end for each in ledger.response_ends.values() for end in each]
     if not any(map(ledger.living_close, ends)):
         yield "no living process has closed a response early, so the run shows nothing of that"
+    if not any(map(ledger.living_close, _stream_ends(ledger))):
+        yield "no living process has closed a stream early, so the run shows nothing of streams"
     last_runs = {arrival.request_id: arrival for arrival in ledger.arrivals}
     for request in ledger.requests.values():
         if request.status != 200:
@@ -42,6 +44,12 @@
             yield f"{line}: {describe(request)}"
 
 
+def _stream_ends(ledger: Ledger) -> list[ResponseEnd]:
+    """Return the ends of the responses to streams."""
+    names = [name for name, request in ledger.requests.items() if request.kind in STREAMS]
+    return [end for name in names for end in ledger.response_ends.get(name, [])]
+
+
 def _check_stream(ledger: Ledger, request: SentRequest, sent: set[int]) -> Iterator[str]:
     """Check that a stream has only what was sent, and is complete only if its last event was."""
     if not set(request.events) <= sent:
@@ -91,7 +99,9 @@
     ends = [end for each in ledger.response_ends.values() for end in each]
     closed = [request for request in ledger.requests.values() if request.is_closed]
     whole = sum(map(ledger.is_whole, closed))
+    streams = [request for request in closed if request.kind in STREAMS]
     return (
-        f"closed early by living processes: {sum(map(ledger.living_close, ends))}; callers saw "
-        f"{len(closed)} closed in order, {whole} of them whole"
+        f"closed early by living processes: {sum(map(ledger.living_close, ends))}, "
+        f"{sum(map(ledger.living_close, _stream_ends(ledger)))} of them streams; callers saw "
+        f"{len(closed)} closed in order, {whole} of them whole, {len(streams)} of them streams"
     )
