Runs without framing whose process lives count as runs without a crash, also if they may be truncated

Callers saw: in a service that never frames, sound streams refused with 503 after a crash. Since such streams are reset, none of them counted as a success, and a success is what clears a request's parts of a crash that they were bystanders of.

Why this works: what clears a request is that its upstream lives after its run, which the check of the process shows; whether the response was whole is another question. A silent process shows nothing.

--- a/driftstall/decisions/end_evidence.py
+++ b/driftstall/decisions/end_evidence.py
@@ -16,7 +16,7 @@
 from functools import singledispatch
 from typing import Final
 
-from driftstall.decisions.response_ends import ProcessState
+from driftstall.decisions.response_ends import ANSWERING_STATES, ProcessState
 from driftstall.decisions.upstream_signals import (
     BackoffSignal,
     LeavingSignal,
@@ -97,7 +97,7 @@
     """Return why a refusal does not show that a run is whole, by the run itself, or None."""
     max_age_s = run.copy_kept_s * MAX_COPY_AGE_SHARE
     checks = (
-        (run.process in (ProcessState.ALIVE, ProcessState.LEAVING), Objection.PROCESS),
+        (run.process in ANSWERING_STATES, Objection.PROCESS),
         (not run.is_service_framed, Objection.FRAMED_SERVICE),
         (run.are_copies_seen, Objection.UNSEEN_COPIES),
         (run.produced_s >= COPY_MADE_AFTER_S, Objection.SHORT),
--- a/driftstall/decisions/response_ends.py
+++ b/driftstall/decisions/response_ends.py
@@ -29,6 +29,8 @@
 
 
 LIVING_STATES: Final = frozenset({ProcessState.ALIVE, ProcessState.LEAVING, ProcessState.SILENT})
+ANSWERING_STATES: Final = frozenset({ProcessState.ALIVE, ProcessState.LEAVING})
+"""States of a process that is known to live."""
 
 
 class EndEvidence(StrEnum):
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -15,6 +15,7 @@
 from driftstall.const import CODE_RUNNER_FAILED, PREFIX_RELAY
 from driftstall.core import Problem, Ran
 from driftstall.decisions.response_ends import (
+    ANSWERING_STATES,
     LIVING_STATES,
     BrokenEnd,
     ClosedEnd,
@@ -358,10 +359,12 @@
     def _break_off(self, run: StreamRun, end: RunEnd) -> bool:
         """End a stream that cannot resume, without the end that its framing requires.
 
-        A run that may be whole is no failure of its upstream.
+        A run that may be whole is no failure of its upstream; if that lives, it crashed nothing.
         """
         if decide_stream_end(end) is not EndAction.RESUME_OR_VERIFY:
             self._context.record_outcome(run, Outcome.BROKEN)
+        elif run.events and isinstance(end, ClosedEnd) and end.process in ANSWERING_STATES:
+            self._state.poison.record_success(self._admitted.subjects)
         self._state.stats.streams_broken += 1
         is_chunked = isinstance(self._framing, ChunkedFraming)
         stated = StatedEnd.MISSING if is_chunked else StatedEnd.RESET
--- a/features/gateway/unframed_stream_ends.feature
+++ b/features/gateway/unframed_stream_ends.feature
@@ -28,6 +28,18 @@
     When a stream without framing and without a backup is whole
     Then its caller got every event, and its connection was reset
 
+  # Guards against sound requests that are quarantined as no run of theirs counts as sound where a service never frames.
+  Scenario Outline: a stream without framing that is reset counts as a run without a crash <if>
+    When a stream without framing and without a backup is <sent>
+    Then it counts as <count> run without a crash
+
+    Examples:
+      | sent                                              | count | if                                |
+      | whole                                             | 1     | if its process lives              |
+      | closed early                                      | 1     | also if it was closed early       |
+      | closed early, by a silent process                 | 0     | but not if its process is silent  |
+      | closed early, by a process that ends 0.02 s later | 0     | but not if its process has ended  |
+
   # Guards against a stream that ends in order although its backup would resume it.
   Scenario Outline: a stream without framing that is closed early resumes at its backup
     When a stream without framing is closed early at <runs> engines, and the next one sends the rest in chunks
--- a/features/steps/unframed_end_steps.py
+++ b/features/steps/unframed_end_steps.py
@@ -270,6 +270,12 @@
     stream_ends.find_objection = find  # type: ignore[assignment]
 
 
+@then("it counts as {count:d} run without a crash")
+def count_sound(context: Any, count: int) -> None:
+    """Check what the poison detection was told."""
+    assert context.ending_world.sound_runs == count, context.ending_world.sound_runs
+
+
 @then("the refusal shows nothing because of {name}")
 def shows_nothing(context: Any, name: str) -> None:
     """Check the only objection."""
--- a/features/worlds/unframed_world.py
+++ b/features/worlds/unframed_world.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Any, Final
 
+from driftstall.decisions.poison_subjects import PoisonSubjects
 from features.worlds.ending_world import EndingWorld
 from features.worlds.gateway_world import ENGINE, document, route
 from stand_ins.endings import EndingUpstream
@@ -30,10 +31,17 @@
         """Event after which engines hold no copy; zero to keep all."""
         self.at_end: Act = lambda _: None
         """Called before the last event of a run is relayed."""
+        self.sound_runs = 0
+        """Runs that were recorded to have crashed nothing."""
+        self.state.poison.record_success = self._count_sound  # type: ignore[method-assign]
         self.use_engine(handleS=KEPT_S)
         for engine in self.ending_engines:
             engine.report = engine.report | MEMORY
 
+    def _count_sound(self, subjects: PoisonSubjects) -> None:
+        """Count a run that has crashed nothing."""
+        self.sound_runs += 1
+
     def use_engine(self, **more: Any) -> None:
         """Apply a configuration with properties of engines."""
         chat = route("chat", "/stream/", "streaming", "engines", timeoutMs=DEADLINE_MS)
