The lengths of runs without framing are learned, also if they may be truncated

Callers would have seen: in a service that never frames, streams that wait or are refused for engine memory that is free. Streams there are reset at their end, and only whole ones counted as finished, while each event counted as growth: the forecast was that every output runs to its limit of tokens.

Why this works: the run has ended at an upstream that lives, as before the rule of streams changed; truncated ones among them make the forecast a little short, as they did then.

--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -337,9 +337,7 @@
     def _complete(self, run: StreamRun) -> bool:
         """Finish a stream that is complete."""
         self._context.record_outcome(run, Outcome.GOOD)
-        if run.events:
-            self._state.poison.record_success(self._admitted.subjects)
-        self._state.lengths.record_finish(self._context.request, run.tokens)
+        self._record_ended_run(run)
         self._state.stats.completed += 1
         self._state.stats.gap_s.observe({}, self._longest_gap_s)
         log_event(
@@ -356,6 +354,12 @@
         self._ends.record(run, stated_end(self._framing), self._ends.evidence)
         return self._writer.finish(self._framing)
 
+    def _record_ended_run(self, run: StreamRun) -> None:
+        """Record a run that has ended by itself, at an upstream that lives."""
+        if run.events:
+            self._state.poison.record_success(self._admitted.subjects)
+        self._state.lengths.record_finish(self._context.request, run.tokens)
+
     def _break_off(self, run: StreamRun, end: RunEnd) -> bool:
         """End a stream that cannot resume, without the end that its framing requires.
 
@@ -363,8 +367,8 @@
         """
         if decide_stream_end(end) is not EndAction.RESUME_OR_VERIFY:
             self._context.record_outcome(run, Outcome.BROKEN)
-        elif run.events and isinstance(end, ClosedEnd) and end.process in ANSWERING_STATES:
-            self._state.poison.record_success(self._admitted.subjects)
+        elif isinstance(end, ClosedEnd) and end.process in ANSWERING_STATES:
+            self._record_ended_run(run)
         self._state.stats.streams_broken += 1
         is_chunked = isinstance(self._framing, ChunkedFraming)
         stated = StatedEnd.MISSING if is_chunked else StatedEnd.RESET
--- a/features/gateway/unframed_stream_ends.feature
+++ b/features/gateway/unframed_stream_ends.feature
@@ -28,10 +28,12 @@
     When a stream without framing and without a backup is whole
     Then its caller got every event, and its connection was reset
 
-  # Guards against sound requests that are quarantined as no run of theirs counts as sound where a service never frames.
+  # Guards against sound requests that are quarantined as no run of theirs counts as sound where a service never frames, and against
+  # forecasts that no run there ends before its limit of tokens.
   Scenario Outline: a stream without framing that is reset counts as a run without a crash <if>
     When a stream without framing and without a backup is <sent>
     Then it counts as <count> run without a crash
+    And the lengths of <count> runs are learned
 
     Examples:
       | sent                                              | count | if                                |
--- a/features/steps/unframed_end_steps.py
+++ b/features/steps/unframed_end_steps.py
@@ -276,6 +276,13 @@
     assert context.ending_world.sound_runs == count, context.ending_world.sound_runs
 
 
+@then("the lengths of {count:d} runs are learned")
+def count_lengths(context: Any, count: int) -> None:
+    """Check what the forecasts of lengths were told."""
+    found = context.ending_world.learned_lengths
+    assert found == count, found
+
+
 @then("the refusal shows nothing because of {name}")
 def shows_nothing(context: Any, name: str) -> None:
     """Check the only objection."""
--- a/features/worlds/unframed_world.py
+++ b/features/worlds/unframed_world.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Any, Final
 
+from driftstall.core import Request
 from driftstall.decisions.poison_subjects import PoisonSubjects
 from features.worlds.ending_world import EndingWorld
 from features.worlds.gateway_world import ENGINE, document, route
@@ -33,6 +34,9 @@
         """Called before the last event of a run is relayed."""
         self.sound_runs = 0
         """Runs that were recorded to have crashed nothing."""
+        self.learned_lengths = 0
+        """Runs whose length was recorded."""
+        self.state.lengths.record_finish = self._count_length  # type: ignore[method-assign]
         self.state.poison.record_success = self._count_sound  # type: ignore[method-assign]
         self.use_engine(handleS=KEPT_S)
         for engine in self.ending_engines:
@@ -42,6 +46,10 @@
         """Count a run that has crashed nothing."""
         self.sound_runs += 1
 
+    def _count_length(self, request: Request, tokens: int) -> None:
+        """Count a run whose length is learned."""
+        self.learned_lengths += 1
+
     def use_engine(self, **more: Any) -> None:
         """Apply a configuration with properties of engines."""
         chat = route("chat", "/stream/", "streaming", "engines", timeoutMs=DEADLINE_MS)
