A process that answers no probe is not known to live: calls without framing count as truncated there

Cause: "no sign of trouble" taken for "shown well", as with streams: a probe without an answer on a connection that stays open counted as a sign of life.

Evidence: two rows of the scenario of calls failed before.

Why this works: silence is probed again, up to three times in 1.5 s, and any later answer of the process ends the wait; without one the call is repeated if it is safe, else it gets 502. The scenario of ends that share a silent probe counted silence as life; it now counts none of them, and two new ones check that a later probe decides.

--- a/driftstall/decisions/response_ends.py
+++ b/driftstall/decisions/response_ends.py
@@ -21,7 +21,8 @@
     LEAVING = "leaving"
     """It answers, and states that it is leaving or unwell."""
     SILENT = "silent"
-    """It gave no answer in time, but kept the connection open until then, so it lives."""
+    """It gave no answer in time, but kept the connection open: it may live, or have restarted
+    behind a link that has fallen silent."""
     ENDED = "ended"
     """It refuses or resets connections, or another process answers at its address."""
     UNKNOWN = "unknown"
@@ -29,6 +30,7 @@
 
 
 LIVING_STATES: Final = frozenset({ProcessState.ALIVE, ProcessState.LEAVING, ProcessState.SILENT})
+"""States of a process that is not known to have ended."""
 ANSWERING_STATES: Final = frozenset({ProcessState.ALIVE, ProcessState.LEAVING})
 """States of a process that is known to live."""
 
--- a/driftstall/gateway/calls.py
+++ b/driftstall/gateway/calls.py
@@ -21,7 +21,7 @@
 )
 from driftstall.core import Problem, Ran
 from driftstall.decisions.permits import SendNeed
-from driftstall.decisions.response_ends import LIVING_STATES, EndEvidence
+from driftstall.decisions.response_ends import ANSWERING_STATES, EndEvidence
 from driftstall.decisions.sends import SendHistory, SendOutcome
 from driftstall.exceptions import InvalidResponse, UpstreamError
 from driftstall.gateway.admission import AdmittedRequest
@@ -258,7 +258,7 @@
             return result
         request_id = self._admitted.metadata.request_id
         process = self._state.end_verifier.check(upstream, ended, self._remaining_s(), request_id)
-        if process not in LIVING_STATES:
+        if process not in ANSWERING_STATES:
             return SendFailure.from_unverified_end()
         if isinstance(result, UpstreamResponse):
             end = RelayedEnd(
--- a/driftstall/gateway/response_ends/verification.py
+++ b/driftstall/gateway/response_ends/verification.py
@@ -26,8 +26,8 @@
 MAX_CHECK_S: Final = 1.5
 """Longest time that an end waits for evidence."""
 MAX_TRIES: Final = 3
-"""Probes that are sent until one has a result: an upstream with too many connections resets some,
-and a process that has just ended may reset the first."""
+"""Probes that are sent until one is answered: an upstream with too many connections resets some, a
+process that has just ended may reset the first, and a health check may wait for a slot."""
 RETRY_PAUSE_S: Final = 0.1
 MAX_ANSWERS: Final = 1_024
 """Upstreams whose latest answer, or latest end of a living process, is remembered."""
@@ -180,16 +180,17 @@
                     self._start_check(upstream, following)
 
     def _probe_until_known(self, upstream: Upstream, check: _Check) -> ProcessState:
-        """Return the state that a probe shows; try again while it shows none."""
+        """Return the state that a probe shows; try again while the process does not answer."""
+        state = ProcessState.UNKNOWN
         for attempt in range(MAX_TRIES):
             if attempt:
                 gevent.sleep(RETRY_PAUSE_S)
             if check.state.ready():
                 break
             state = self._probe(upstream)
-            if state is not ProcessState.UNKNOWN:
-                return state
-        return ProcessState.UNKNOWN
+            if state not in (ProcessState.UNKNOWN, ProcessState.SILENT):
+                break
+        return state
 
 
 def _remember_latest(times: dict[str, float], upstream_id: str, at: float) -> None:
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -176,7 +176,7 @@
                     body.add(item.data)
             if (
                 not run.exchange.is_framed
-                and self._ends.check_process(run, self._state.now()) not in LIVING_STATES
+                and self._ends.check_process(run, self._state.now()) not in ANSWERING_STATES
             ):
                 raise UpstreamError("it ended with its upstream's process", sent=True)
         except (UpstreamError, TimeoutError) as error:
--- a/features/gateway/call_endings.feature
+++ b/features/gateway/call_endings.feature
@@ -110,7 +110,8 @@
     When a safe call is made
     Then it was answered 502 and has run once
 
-  # Guards against promises and errors of upstreams that rest on a truncated response.
+  # Guards against promises, errors and successes of upstreams that rest on a truncated response, also behind a link that has fallen
+  # silent: the process may have restarted there.
   Scenario Outline: <response> without framing is passed on only if its upstream lives
     Given an upstream that sends <response> without framing, and whose process <process>
     When a call that may run only once is made
@@ -124,3 +125,7 @@
       | a server error      | ends    | 502    |
       | a client error      | lives   | 404    |
       | a client error      | ends    | 502    |
+      | a client error      | answers no checks | 502 |
+      | a success           | lives   | 200    |
+      | a success           | ends    | 502    |
+      | a success           | answers no checks | 502 |
--- a/features/gateway/end_verification.feature
+++ b/features/gateway/end_verification.feature
@@ -24,13 +24,28 @@
     Then the process is known to live after 20 of them
     And 2 probes were sent
 
-  # Guards against ends that wait for a second probe while the process has no place for a health check.
-  Scenario: ends that come while a probe waits in vain share its result, as the connection stays open
+  # Guards against a process that is taken for alive as its link is silent: it may have restarted behind that.
+  Scenario: a process that does not answer is probed again, and its silence shows nothing
+    Given a verifier whose first probe finds the process silent, and later ones find it ended
+    When 20 responses end at once
+    And 20 more end while their probe is under way, and the process ends after it
+    Then the process is known to live after 0 of them
+    And 3 probes were sent
+
+  # Guards against ends that wait for further probes while the process has no place for a health check.
+  Scenario: ends that come while probes wait in vain share their result
     Given a verifier whose probes wait, and find the process silent
     When 20 responses end at once
     And 20 more end while their probe is under way, and the process ends after it
+    Then the process is known to live after 0 of them
+    And 3 probes were sent
+
+  # Guards against sound responses that count as cut as a health check had to wait for a slot.
+  Scenario: a process that answers a further probe lives
+    Given a verifier whose first probe finds the process silent, and later ones find it alive
+    When 20 responses end at once
+    And 20 more end while their probe is under way, and the process ends after it
     Then the process is known to live after 40 of them
-    And 1 probe was sent
 
   # Guards against an answer that a process gave before it ended.
   Scenario Outline: an answer to a request that was sent <sent_s> s after the end <counts>
--- a/features/steps/call_ending_steps.py
+++ b/features/steps/call_ending_steps.py
@@ -17,7 +17,7 @@
     world_of,
 )
 from stand_ins.endings import BODY, Ending, EndingPlan, EndingUpstream, Framing, Place
-from stand_ins.raw import HEALTH_PATH, RawEnding, RawResponse
+from stand_ins.raw import HEALTH_PATH, RawEnding, RawResponse, RawUpstream
 from stand_ins.routed import ReceivedRequest
 
 WHOLE: Final = EndingPlan(Framing.LENGTH)
@@ -26,8 +26,14 @@
     "a rejection": ("503 Service Unavailable", (NOT_EXECUTED,)),
     "a server error": ("500 Internal Server Error", ()),
     "a client error": ("404 Not Found", ()),
+    "a success": ("200 OK", ()),
+}
+SILENT: Final = "answers no checks"
+PROCESSES: Final = {
+    "lives": RawEnding.CLOSED,
+    "ends": RawEnding.GONE,
+    SILENT: RawEnding.CLOSED,
 }
-PROCESSES: Final = {"lives": RawEnding.CLOSED, "ends": RawEnding.GONE}
 
 
 def use_health_checks(world: GatewayWorld) -> None:
@@ -82,6 +88,9 @@
             head_bytes(seen.request_id, *lines, status=status) + b"words", ending
         ),
     )
+    for upstream in world_of(context).plain:
+        assert isinstance(upstream, RawUpstream)
+        upstream.answers_health = process != SILENT
     use_health_checks(world_of(context))
 
 
--- a/features/steps/end_verification_steps.py
+++ b/features/steps/end_verification_steps.py
@@ -11,7 +11,7 @@
 from behave import given, then, when
 from gevent.event import Event
 
-from driftstall.decisions.response_ends import LIVING_STATES, ProcessState
+from driftstall.decisions.response_ends import ANSWERING_STATES, ProcessState
 from driftstall.gateway.dialect import connect_directly, ignore_signals
 from driftstall.gateway.exchange import ResponseHead
 from driftstall.gateway.model import Upstream
@@ -116,8 +116,15 @@
 
 @given("a verifier whose probes wait, and find the process silent")
 def probes_silent(context: Any) -> None:
-    """Use a probe without an answer; a second one would find the process ended."""
-    _use(context, ProcessState.SILENT, ProcessState.ENDED, waits=True)
+    """Use a probe without an answer, as often as it is sent."""
+    _use(context, ProcessState.SILENT, waits=True)
+    context.add_cleanup(context.probe.gate.set)
+
+
+@given("a verifier whose first probe finds the process silent, and later ones find it {state:w}")
+def probe_silent(context: Any, state: str) -> None:
+    """Use a probe that is answered when it is sent again."""
+    _use(context, ProcessState.SILENT, ProcessState(state), waits=True)
     context.add_cleanup(context.probe.gate.set)
 
 
@@ -177,7 +184,7 @@
     _end(context, 1)
     wait_for("a probe is sent", lambda: context.probe.sent == 1)
     context.verifier.record_answer("u-1", context.ended_at + SETTLE_S)
-    assert context.waiting[0].get(timeout=PATIENCE_S) in LIVING_STATES
+    assert context.waiting[0].get(timeout=PATIENCE_S) in ANSWERING_STATES
     assert not context.probe.gate.is_set()
 
 
@@ -241,7 +248,7 @@
 def known_to_live(context: Any, count: int) -> None:
     """Count the responses after whose ends the process lived."""
     results = [each.get(timeout=PATIENCE_S) for each in context.waiting]
-    assert sum(state in LIVING_STATES for state in results) == count, results
+    assert sum(state in ANSWERING_STATES for state in results) == count, results
     context.waiting = []
 
 
@@ -327,7 +334,8 @@
 @then("its process is known to live, and no request has come")
 def connected_only(context: Any) -> None:
     """Check the result, and that no request was sent."""
-    assert context.process in LIVING_STATES and not context.plain.probes and not context.plain.seen
+    plain = context.plain
+    assert context.process in ANSWERING_STATES and not plain.probes and not plain.seen
 
 
 @when("the head of a response {head} arrives")
--- a/stand_ins/raw.py
+++ b/stand_ins/raw.py
@@ -45,6 +45,7 @@
         super().__init__(upstream_id)
         self._respond = respond
         self._responses: dict[str, RawResponse] = {}
+        self.answers_health = True
         self.kept = 0
         """Connections that were kept open after a response."""
         self.released = 0
@@ -55,7 +56,8 @@
     def record_request(self, seen: ReceivedRequest) -> None:
         """Record a request that is run here, and build its response."""
         if seen.target == HEALTH_PATH:
-            self._responses[seen.request_id] = RawResponse(HEALTHY, RawEnding.CLOSED)
+            healthy = RawResponse(HEALTHY, RawEnding.CLOSED)
+            self._responses[seen.request_id] = healthy if self.answers_health else RawResponse(b"")
             return
         super().record_request(seen)
         self._responses[seen.request_id] = self._respond(seen)
