Soak: a later write of an upstream's entry replaces one that the store has not taken yet

Cause: a write of the start that had waited in the store's silence was retried after the later write of the end had been taken. A runner writes its newest state only. The scenario, which takes the states from a store that was silent, failed before ("draining, ready").

--- a/features/parts/soak.feature
+++ b/features/parts/soak.feature
@@ -173,6 +173,12 @@
       | is close-delimited and closed    | is_closed          |
       | is close-delimited and reset     | is_cut             |
 
+  # Guards against an entry that takes an older state after a newer one, as both were written while the store was silent.
+  Scenario: an entry that an upstream writes twice while the store is silent keeps the newer state
+    Given an upstream of the soak that truncates responses
+    When it writes that it is ready to a silent store, and that it is draining once the store answers
+    Then its entry stays draining
+
   Scenario: a process that ends closes all its connections in order
     Given an upstream of the soak that truncates responses
     And two open connections to it
--- a/features/steps/soak_truncation_steps.py
+++ b/features/steps/soak_truncation_steps.py
@@ -12,6 +12,7 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from driftstall.exceptions import PlatformUnavailable
 from driftstall.util.addresses import split_address
 from features.steps.soak_steps import RacedStore, passes
 from soak.caller import CallerConnection
@@ -91,6 +92,35 @@
     context.add_cleanup(slot.proxy.stop)
 
 
+@when(
+    "it writes that it is ready to a silent store, and that it is draining once the store answers"
+)
+def write_twice(context: Any) -> None:
+    """Begin the first write while the store is silent, and the second one when it answers."""
+    slot, states, is_silent = context.slot, [], True
+
+    def replace(_: str, __: str, spec: dict[str, Any]) -> bool:
+        if is_silent:
+            raise PlatformUnavailable("silent")
+        states.append(spec["state"])
+        return True
+
+    context.store.replace = replace
+    name = slot.upstream.upstream_id
+    first = gevent.spawn(slot._write, name, slot._spec("ready"))
+    gevent.sleep(0)
+    is_silent = False
+    slot._write(name, slot._spec("draining"))
+    first.join()
+    context.states = states
+
+
+@then("its entry stays draining")
+def stays_draining(context: Any) -> None:
+    """Check the states that the entry has had."""
+    assert context.states == ["draining"], context.states
+
+
 def draw_plans(upstream: Any, target: str, last: int) -> set[EndingPlan]:
     """Return drawn plans of the responses to a request."""
     seen = ReceivedRequest("r", {"last-event-id": str(last)}, "POST", target, b"")
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -426,12 +426,13 @@
     def _write(self, name: str, spec: dict[str, Any]) -> None:
         """Write an entry, and retry until the store has taken it or the entry is unlisted.
 
-        Two steps may write an entry at once: if the other step creates it between a failed replace
-        and the create here, both fail and the write is retried.
+        A later write of the same entry replaces one that has not been taken yet. Two steps may
+        write an entry at once: if the other step creates it between a failed replace and the create
+        here, both fail and the write is retried.
         """
         kind = KIND_UPSTREAMS
         self._listed[name] = spec
-        while name not in self._unlisted:
+        while name not in self._unlisted and self._listed.get(name) is spec:
             try:
                 if self._store.replace(kind, name, spec) or self._store.create(kind, name, spec):
                     return
