--- a/driftstall/decisions/end_evidence.py
+++ b/driftstall/decisions/end_evidence.py
@@ -49,7 +49,8 @@
     SLOW_CALLER = "its caller reads slowly, so the backup may have expired"
     LATE_END = "it ended some time after its last event"
     DEADLINE = "it ended close to its deadline"
-    SIGNALS = "the backup's engine may have refused it for another reason"
+    SIGNALS = "the backup's engine signals another reason to refuse it"
+    BUSY = "the backup's engine may be full, or is leaving"
     UNKNOWN_MEMORY = "the memory of the backup's engine is not known"
     NO_ROOM = "there may have been no room for the backup"
 
@@ -93,8 +94,8 @@
     """Memory of the run."""
 
 
-def find_run_objection(run: RefusedRun) -> Objection | None:
-    """Return why a refusal does not show that a run is whole, by the run itself, or None."""
+def find_refusal_objection(run: RefusedRun, signals: Iterable[Signal]) -> Objection | None:
+    """Return why a refusal does not show that a run is whole, by itself and the run, or None."""
     max_age_s = run.copy_kept_s * MAX_COPY_AGE_SHARE
     checks = (
         (run.process in ANSWERING_STATES, Objection.PROCESS),
@@ -105,23 +106,22 @@
         (run.before_deadline_s >= MIN_BEFORE_DEADLINE_S, Objection.DEADLINE),
         (run.blocked_s <= MAX_BLOCKED_S, Objection.SLOW_CALLER),
         (max(run.longest_gap_s, run.refused_after_s) < max_age_s, Objection.PAUSE),
+        (not any(map(may_explain_refusal, signals)), Objection.SIGNALS),
     )
     return next((objection for holds, objection in checks if not holds), None)
 
 
-def find_backup_objection(
-    run: RefusedRun, signals: Iterable[Signal], report: EngineReport | None, slots: int
+def find_report_objection(
+    run: RefusedRun, report: EngineReport | None, slots: int
 ) -> Objection | None:
-    """Return why a refusal does not show that a run is whole, by the backup's engine, or None.
+    """Return why a refusal does not show that a run is whole, by the engine's report, or None.
 
     The report includes the copy, if there was one: so there has to be room for a second one.
     """
-    if any(may_explain_refusal(signal) for signal in signals):
-        return Objection.SIGNALS
     if report is None:
         return Objection.UNKNOWN_MEMORY
     if report.is_leaving or report.waiting or report.running >= slots:
-        return Objection.SIGNALS
+        return Objection.BUSY
     if report.used_tokens + run.held_tokens > report.total_tokens:
         return Objection.NO_ROOM
     return None
--- a/driftstall/gateway/response_ends/evidence.py
+++ b/driftstall/gateway/response_ends/evidence.py
@@ -8,8 +8,8 @@
 from driftstall.decisions.end_evidence import (
     Objection,
     RefusedRun,
-    find_backup_objection,
-    find_run_objection,
+    find_refusal_objection,
+    find_report_objection,
 )
 from driftstall.decisions.response_ends import ProcessState
 from driftstall.gateway.response_ends.records import EndTiming
@@ -55,11 +55,12 @@
     The backup's engine is asked for a report only if nothing else speaks against the evidence.
     """
     refused = ended.to_refused(state, refusal)
-    objection = find_run_objection(refused)
+    objection = find_refusal_objection(refused, refusal.signals)
     backup = refusal.replica.upstream
     if objection is None:
+        state.rate_limiting.charge(backup.upstream_id)
         report = state.dialect.read_report(backup)
-        objection = find_backup_objection(refused, refusal.signals, report, backup.slots)
+        objection = find_report_objection(refused, report, backup.slots)
     log_event(
         PREFIX_RELAY,
         "Backup refused a stream that has ended without framing",
--- a/features/gateway/unframed_stream_ends.feature
+++ b/features/gateway/unframed_stream_ends.feature
@@ -87,9 +87,9 @@
       | its report has no memory                           | UNKNOWN_MEMORY |
       | its report can't be read                           | UNKNOWN_MEMORY |
       | it has no room for a copy                          | NO_ROOM        |
-      | its slots are taken                                | SIGNALS        |
-      | requests wait there                                | SIGNALS        |
-      | it is draining                                     | SIGNALS        |
+      | its slots are taken                                | BUSY           |
+      | requests wait there                                | BUSY           |
+      | it is draining                                     | BUSY           |
       | it requests a back-off                             | SIGNALS        |
       | the run produced events for 0.7 s only             | SHORT          |
       | the run ended 0.8 s after its last event           | LATE_END       |
