Streams wait 0.7 s at most for the state of a process, which is no evidence for them

A stream that has waited for one probe without an answer finds the process silent, as before, and not unknown, so that no crash is suspected.

--- a/driftstall/gateway/response_ends/stream_ends.py
+++ b/driftstall/gateway/response_ends/stream_ends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from functools import singledispatch
+from typing import Final
 
 from driftstall.decisions.end_evidence import Objection
 from driftstall.decisions.response_ends import (
@@ -24,10 +25,15 @@
     StatedEnd,
     record_relayed_end,
 )
+from driftstall.gateway.response_ends.verification import MAX_CHECK_S
 from driftstall.gateway.runs import ReplicaRefusal, StreamRun
 from driftstall.gateway.state import GatewayState
 from driftstall.gateway.stream_context import StreamContext
 
+MAX_STREAM_CHECK_S: Final = 0.7
+"""Longest time that a stream waits for the state of the process, which is no evidence that it is
+whole: enough for one probe without an answer."""
+
 
 class StreamEnds:
     """Check the ends of one stream's runs."""
@@ -91,7 +97,7 @@
         if self._context.replicas.may_have_stopped(run, self._context.remaining_s()):
             # The final copy of a migration stops a run at an upstream that lives on.
             return _broken("the stream ended during its migration")
-        process = self.check_process(run, ended_at)
+        process = self.check_process(run, ended_at, MAX_STREAM_CHECK_S)
         max_tokens = self._context.admitted.metadata.max_tokens
         # An event holds a token at least.
         has_all_tokens = 0 < max_tokens <= self._sequence.content_events
@@ -109,11 +115,17 @@
             self._evidence = EndEvidence.BACKUP
         return self._objection is None
 
-    def check_process(self, run: StreamRun, ended_at: float) -> ProcessState:
+    def check_process(
+        self, run: StreamRun, ended_at: float, max_wait_s: float = MAX_CHECK_S
+    ) -> ProcessState:
         """Return the state of the upstream's process after an end."""
         upstream = run.upstream
         process = self._state.end_verifier.check(
-            upstream, ended_at, self._context.remaining_s(), run.request_id
+            upstream,
+            ended_at,
+            self._context.remaining_s(),
+            run.request_id,
+            max_wait_s=max_wait_s,
         )
         is_announced = self._state.fleet.is_departure_announced(upstream.upstream_id)
         if process is ProcessState.ALIVE and is_announced:
--- a/driftstall/gateway/response_ends/verification.py
+++ b/driftstall/gateway/response_ends/verification.py
@@ -46,6 +46,8 @@
     """Time from which evidence counts for all ends that share this check."""
     started_at: float | None = None
     """When the probe was started; None before that."""
+    is_silent: bool = False
+    """Whether a probe of this check had no answer, although its connection stayed open."""
     state: AsyncResult = field(default_factory=AsyncResult)
 
 
@@ -97,11 +99,17 @@
         )
 
     def check(
-        self, upstream: Upstream, ended_at: float, remaining_s: float, request_id: str = ""
+        self,
+        upstream: Upstream,
+        ended_at: float,
+        remaining_s: float,
+        request_id: str = "",
+        *,
+        max_wait_s: float = MAX_CHECK_S,
     ) -> ProcessState:
         """Return the state of the process after a response of it had ended; wait for evidence."""
         started_at = self._now()
-        state = self._find_state(upstream, ended_at, min(remaining_s, MAX_CHECK_S))
+        state = self._find_state(upstream, ended_at, min(remaining_s, max_wait_s))
         waited_s = self._now() - started_at
         self._stats.end_checks.inc({"state": state.value})
         self._stats.end_check_s.observe({}, waited_s)
@@ -132,7 +140,10 @@
             return ProcessState.ALIVE
         check = self._join_check(upstream, counts_from)
         state: ProcessState | None = check.state.wait(max(0.0, until - self._now()))
-        return state or ProcessState.UNKNOWN
+        if state is not None:
+            return state
+        running = self._running.get(upstream.upstream_id, check)
+        return ProcessState.SILENT if running.is_silent else ProcessState.UNKNOWN
 
     def _join_check(self, upstream: Upstream, counts_from: float) -> _Check:
         """Return a check whose evidence counts for an end; start it if none is under way."""
@@ -188,6 +199,7 @@
             if check.state.ready():
                 break
             state = self._probe(upstream)
+            check.is_silent = check.is_silent or state is ProcessState.SILENT
             if state not in (ProcessState.UNKNOWN, ProcessState.SILENT):
                 break
         return state
--- a/features/gateway/unframed_stream_ends.feature
+++ b/features/gateway/unframed_stream_ends.feature
@@ -53,6 +53,12 @@
       | 1    | 2   |
       | 2    | 3   |
 
+  # Guards against a pause of a stream that waits for further probes of a silent process, whose state is no evidence for it.
+  Scenario: a stream without framing that a silent process closes early resumes soon
+    When a stream without framing is closed early by a silent process, and its backup sends the rest in chunks
+    Then its caller gets the whole stream, which ends with its connection
+    And it took at most 1.2 s
+
   # Guards against the orderly end of a resumed run that may be truncated as well.
   Scenario Outline: a stream without framing that resumes at a backup without framing is reset
     When a stream without framing is closed early, and its backup sends <rest> without framing
--- a/features/steps/unframed_end_steps.py
+++ b/features/steps/unframed_end_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any, Final
 
 from behave import then, when
@@ -115,6 +116,25 @@
     context.answer = world.stream("s1")
 
 
+@when(
+    "a stream without framing is closed early by a silent process, and its backup sends the rest in"
+    " chunks"
+)
+def closed_by_silent_resumes(context: Any) -> None:
+    """Close a stream early at engines that answer no checks, and measure its time."""
+    world = _start(context, CLOSED, has_backups=True)
+    _silent(world)
+    began_at = time.monotonic()
+    context.answer = world.stream("s1")
+    context.took_s = time.monotonic() - began_at
+
+
+@then("it took at most {seconds:g} s")
+def took(context: Any, seconds: float) -> None:
+    """Check the time of a stream."""
+    assert context.took_s <= seconds, context.took_s
+
+
 RESTS: Final = {
     "the rest": WHOLE,
     "a part of the rest": EndingPlan(Framing.CLOSE, Ending.CLOSED, pieces=2),
