The refusal of a backup is no evidence that a stream without framing is whole

Callers could see: streams that end in order after event 12 of 20, by a refusal that had another reason.

Cause: the reasons for a refusal were ruled out by what the instance can see: arrival times in place of production times, and one report, which is some hundred ms old, in place of the whole run. More conditions would not change that. So a refusal is evidence no more, and the reports, the history of services and the conditions are taken out; the stream is reset.

The soak's excuse of an unproven stream goes by the end of the last run, as its calls do.

--- a/driftstall/decisions/response_ends.py
+++ b/driftstall/decisions/response_ends.py
@@ -42,8 +42,6 @@
     """A length, a last chunk, or a status without a body."""
     TOKEN_LIMIT = "token limit"
     """The stream has as many events as its request allows tokens."""
-    BACKUP = "backup"
-    """The backup of its run has dropped its copy, as that has ended well."""
     PROCESS = "process"
     """Nothing but that the upstream's process lived after an orderly close; never for a stream."""
     NONE = "none"
@@ -55,8 +53,6 @@
 
     FINISH = "finish"
     """State the end as the framing of the caller's response does."""
-    RESUME_OR_VERIFY = "resume or verify"
-    """Resume at a replica; finish only if the refusal of a backup shows that the run was whole."""
     RESUME_OR_BREAK_OFF = "resume or break off"
     """Resume at a replica; without one, let the caller see that the stream is truncated."""
 
@@ -120,9 +116,17 @@
 
 @decide_stream_end.register
 def _(end: ClosedEnd) -> EndAction:
-    """Finish only if no event can be missing; a process that has ended may have truncated it."""
-    if end.has_all_tokens:
-        return EndAction.FINISH
-    if end.process in LIVING_STATES:
-        return EndAction.RESUME_OR_VERIFY
-    return EndAction.RESUME_OR_BREAK_OFF
+    """Finish only if no event can be missing, whatever is known of the process."""
+    return EndAction.FINISH if end.has_all_tokens else EndAction.RESUME_OR_BREAK_OFF
+
+
+@singledispatch
+def may_be_whole(end: object) -> bool:
+    """Return True if nothing shows that a run is truncated; nor that it is whole."""
+    return False
+
+
+@may_be_whole.register
+def _(end: ClosedEnd) -> bool:
+    """Return True unless the process is known to have ended, or its state is not known."""
+    return end.process in LIVING_STATES
--- a/driftstall/gateway/dialect.py
+++ b/driftstall/gateway/dialect.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from driftstall.decisions.end_evidence import EngineReport
 from driftstall.decisions.response_ends import ProcessState
 from driftstall.decisions.upstream_probes import ReportedState
 from driftstall.decisions.upstream_signals import Signal
@@ -99,9 +98,6 @@
     def probe_state(self, engine: Upstream) -> ReportedState:
         """Probe an engine and return the state that it reports."""
 
-    def read_report(self, engine: Upstream) -> EngineReport | None:
-        """Ask an engine for its load and memory; return None if it does not state them."""
-
     def probe_process(
         self, upstream: Upstream, health_path: str, *, is_engine: bool
     ) -> ProcessState:
--- a/driftstall/gateway/events.py
+++ b/driftstall/gateway/events.py
@@ -11,6 +11,7 @@
 from driftstall.util.event_ends import CR, LF, find_event_end
 
 ID_FIELD: Final = b"id:"
+DATA_FIELD: Final = b"data:"
 MAX_EVENT_BYTES: Final = 4_000_000
 """A stream with a larger event is broken off: its upstream sends something else than events."""
 MAX_ID_DIGITS: Final = 18
@@ -107,14 +108,14 @@
         self._has_run_begun = False
         self._has_position = True
         """Whether no event without an id was relayed after the last one with an id."""
-        self._content_events = 0
+        self._data_events = 0
         self._checksums = array("I")
         """Checksums of the latest relayed events, up to the last one."""
 
     @property
-    def content_events(self) -> int:
-        """Return how many events with content were new; comments are none."""
-        return self._content_events
+    def data_events(self) -> int:
+        """Return how many events with an id and data were new: others may hold no token."""
+        return self._data_events
 
     @property
     def is_run_behind(self) -> bool:
@@ -149,7 +150,7 @@
         number = _number(event_id)
         if number is None:
             self._has_position = True
-            self._content_events += bool(_content(event.data))
+            self._data_events += _has_data(event.data)
             return EventContinuity.NEXT
         self._run_last = max(number, self._run_last or 0)
         checksum = zlib.crc32(_content(event.data))
@@ -161,7 +162,7 @@
             return EventContinuity.GAP
         self._last = number
         self._has_position = True
-        self._content_events += bool(_content(event.data))
+        self._data_events += _has_data(event.data)
         self._checksums.append(checksum)
         if len(self._checksums) >= 2 * MAX_CHECKSUMS:
             del self._checksums[:MAX_CHECKSUMS]
@@ -173,7 +174,6 @@
             return EventContinuity.REPEATED
         if _content(event.data):
             self._has_position = False
-            self._content_events += 1
         return EventContinuity.NEXT
 
     def _relayed_checksum(self, offset: int) -> int | None:
@@ -193,6 +193,12 @@
     return LF.join(line for line in data.splitlines() if line.startswith(CONTENT_FIELDS))
 
 
+def _has_data(data: bytes) -> bool:
+    """Return True if an event has a line of data that is not empty."""
+    lines = (line for line in data.splitlines() if line.startswith(DATA_FIELD))
+    return any(line[len(DATA_FIELD) :].strip() for line in lines)
+
+
 def _event_id(part: bytes) -> str:
     """Return the id of an event, or an empty string."""
     for line in part.splitlines():
--- a/driftstall/gateway/model.py
+++ b/driftstall/gateway/model.py
@@ -76,8 +76,6 @@
     can_backup: bool
     event_tokens: int
     """Tokens held by one event of a stream."""
-    copy_kept_s: float = 0.0
-    """Time for which a copy of a run is kept after its last part; zero if not known."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/driftstall/gateway/response_ends/stream_ends.py
+++ b/driftstall/gateway/response_ends/stream_ends.py
@@ -5,7 +5,6 @@
 from functools import singledispatch
 from typing import Final
 
-from driftstall.decisions.end_evidence import Objection
 from driftstall.decisions.response_ends import (
     BrokenEnd,
     ClosedEnd,
@@ -17,7 +16,6 @@
 )
 from driftstall.exceptions import UpstreamError
 from driftstall.gateway.events import EventSequence, EventSplitter
-from driftstall.gateway.response_ends.evidence import EndedRun, find_objection
 from driftstall.gateway.response_ends.framing import ResponseFraming
 from driftstall.gateway.response_ends.records import (
     EndTiming,
@@ -26,7 +24,7 @@
     record_relayed_end,
 )
 from driftstall.gateway.response_ends.verification import MAX_CHECK_S
-from driftstall.gateway.runs import ReplicaRefusal, StreamRun
+from driftstall.gateway.runs import StreamRun
 from driftstall.gateway.state import GatewayState
 from driftstall.gateway.stream_context import StreamContext
 
@@ -50,27 +48,17 @@
         self._timing: EndTiming | None = None
         """When the response of the latest run ended that has ended in order."""
         self._evidence = EndEvidence.NONE
-        self._objection: Objection | None = None
-        """Why the refusal of a backup shows nothing, if one has refused the stream."""
 
     @property
     def evidence(self) -> EndEvidence:
         """Return what shows that the stream is whole."""
         return self._evidence
 
-    def begin_run(self, run: StreamRun) -> None:
-        """Forget the end of the previous run, and note how this one's response is framed."""
-        assert run.exchange is not None
+    def begin_run(self) -> None:
+        """Forget the end of the previous run."""
         self._process = None
         self._timing = None
-        self._evidence, self._objection = EndEvidence.NONE, None
-        if run.exchange.framing in (ResponseFraming.LENGTH, ResponseFraming.CHUNKED):
-            self._state.service_history.framed.record(run.upstream.service, self._state.now())
-
-    def record_events(self, run: StreamRun) -> None:
-        """Note what new events of a run show about the backups of its service."""
-        if run.shows_kept_copy:
-            self._state.service_history.copying.record(run.upstream.service, self._state.now())
+        self._evidence = EndEvidence.NONE
 
     def check(self, run: StreamRun, splitter: EventSplitter) -> RunEnd:
         """Return how a run's response ended whose connection did not break."""
@@ -90,6 +78,9 @@
             if self._context.replicas.has_moved(run, self._context.remaining_s()):
                 # Some servers write the last chunk of a response that they cancel.
                 return _broken("the stream ended as the final copy stopped its run")
+            if run.resumed_from is not None and self._is_empty_length(run):
+                # A resumed run that adds nothing is evidence, and an empty body may be no run.
+                return EmptyEnd()
             self._evidence = EndEvidence.FRAMING
             return CompleteEnd()
         if not self._sequence.has_run_begun:
@@ -99,21 +90,17 @@
             return _broken("the stream ended during its migration")
         process = self.check_process(run, ended_at, MAX_STREAM_CHECK_S)
         max_tokens = self._context.admitted.metadata.max_tokens
-        # An event holds a token at least.
-        has_all_tokens = 0 < max_tokens <= self._sequence.content_events
+        # An event with data holds a token at least.
+        has_all_tokens = 0 < max_tokens <= self._sequence.data_events
         if has_all_tokens:
             self._evidence = EndEvidence.TOKEN_LIMIT
         return ClosedEnd(process, has_all_tokens)
 
-    def is_shown_whole(self, run: StreamRun, refusal: ReplicaRefusal | None) -> bool:
-        """Return True if the refusal of its backup shows that a run without framing is whole."""
-        if refusal is None or self._process is None or self._timing is None:
-            return False
-        ended = EndedRun(run, self._process, self._timing)
-        self._objection = find_objection(self._state, ended, refusal)
-        if self._objection is None:
-            self._evidence = EndEvidence.BACKUP
-        return self._objection is None
+    def _is_empty_length(self, run: StreamRun) -> bool:
+        """Return True if a run's response has no event, and states its length."""
+        assert run.exchange is not None
+        is_length = run.exchange.framing is ResponseFraming.LENGTH
+        return is_length and not self._sequence.has_run_begun
 
     def check_process(
         self, run: StreamRun, ended_at: float, max_wait_s: float = MAX_CHECK_S
@@ -133,12 +120,6 @@
         self._process = process
         return process
 
-    def describe(self, end: RunEnd) -> str:
-        """Return why a stream does not end with a run's response, for the log."""
-        if self._objection is not None:
-            return f"{describe_end(end)}; its backup refused it, but {self._objection.value}"
-        return describe_end(end)
-
     def record(self, run: StreamRun, stated: StatedEnd, evidence: EndEvidence) -> None:
         """Record how the end of the stream, or of an error response, is told to the caller."""
         framing = ResponseFraming.UNKNOWN if run.exchange is None else run.exchange.framing
--- a/driftstall/gateway/runs.py
+++ b/driftstall/gateway/runs.py
@@ -9,7 +9,6 @@
 from driftstall.core import Request
 from driftstall.decisions.poison_subjects import PoisonSubjects
 from driftstall.decisions.sends import ReplicaKind
-from driftstall.decisions.upstream_signals import Signal
 from driftstall.gateway.admission import AdmittedRequest
 from driftstall.gateway.exchange import UpstreamExchange
 from driftstall.gateway.ingress import CallerRequest
@@ -37,15 +36,6 @@
     """Tokens of the run that the replica contains."""
 
 
-@dataclass(frozen=True, slots=True)
-class ReplicaRefusal:
-    """Describe how an engine refused to resume a run, without running the request."""
-
-    replica: ReplicaRef
-    signals: tuple[Signal, ...]
-    at: float
-
-
 @dataclass(frozen=True, slots=True)
 class FinalCopy:
     """Hold the result of the final copy (stop-and-copy) of a migration."""
@@ -87,8 +77,6 @@
     """Deadline of the wait for the final copy's result; None until the wait begins."""
     resumed_from: ReplicaRef | None = None
     """The replica from which this run was resumed."""
-    follows_closed_run: bool = False
-    """Whether it was resumed as the response of the run before was closed without framing."""
     is_copying: bool = False
     """Whether a copy is in progress; an engine accepts one at a time per run."""
     replica_target: Upstream | None = None
@@ -106,24 +94,12 @@
     slow caller is not counted, because all its events may have been produced within a moment
     before."""
     last_event_at: float = 0.0
-    longest_gap_s: float = 0.0
-    """Longest pause between two events of this run."""
-    blocked_s: float = 0.0
-    """Time that writing to the caller took."""
 
     @property
     def request_id(self) -> str:
         """Return the request id given by the caller."""
         return self.admitted.metadata.request_id
 
-    @property
-    def shows_kept_copy(self) -> bool:
-        """Return True if an event of this run shows that backups keep copies of closed runs."""
-        replica = self.resumed_from
-        return (
-            self.follows_closed_run and replica is not None and replica.kind is ReplicaKind.BACKUP
-        )
-
     @property
     def held_tokens(self) -> int:
         """Return the engine memory that the run uses now, in tokens."""
--- a/driftstall/gateway/state.py
+++ b/driftstall/gateway/state.py
@@ -38,7 +38,6 @@
 from driftstall.gateway.response_buffers import ResponseBuffers
 from driftstall.gateway.response_ends.open_exchanges import OpenExchanges
 from driftstall.gateway.response_ends.records import record_response_end
-from driftstall.gateway.response_ends.service_history import ServiceHistory
 from driftstall.gateway.response_ends.verification import EndVerifier
 from driftstall.gateway.response_limits import record_oversized
 from driftstall.gateway.retry_budget.budgets import RetryBudgets
@@ -127,7 +126,6 @@
         )
         self.end_verifier = EndVerifier(self._probe_process, lambda: self.now(), self.stats)
         self.connector.on_refused = self.end_verifier.record_refusal
-        self.service_history = ServiceHistory()
         self.brittle = BrittleUpstreams(settings.instance_id, lambda: self.live_instance_ids())
         self.signals = UpstreamSignals(
             self.stats,
--- a/driftstall/gateway/stream_resumer.py
+++ b/driftstall/gateway/stream_resumer.py
@@ -2,16 +2,14 @@
 
 from __future__ import annotations
 
-from http import HTTPStatus
 from typing import Final
 
 import gevent
 
 from driftstall.const import PREFIX_RELAY
-from driftstall.decisions.sends import ReplicaKind
 from driftstall.exceptions import UpstreamError
 from driftstall.gateway.model import Upstream
-from driftstall.gateway.runs import ReplicaRef, ReplicaRefusal, StreamRun
+from driftstall.gateway.runs import ReplicaRef, StreamRun
 from driftstall.gateway.sending import OpenedResponse
 from driftstall.gateway.stream_context import StreamContext
 from driftstall.helpers.log import log_event
@@ -33,16 +31,9 @@
     def __init__(self, context: StreamContext) -> None:
         """Initialize with the stream's context."""
         self._context = context
-        self._refusal: ReplicaRefusal | None = None
-
-    @property
-    def refusal(self) -> ReplicaRefusal | None:
-        """Return how the backup refused the latest resume, if nothing was sent elsewhere after."""
-        return self._refusal
 
     def resume(self, run: StreamRun, cause: str) -> OpenedResponse | None:
         """Resume at a replica; return the opened response, or None if there is no replica."""
-        self._refusal = None
         while (
             run.moves < MAX_RESUMES
             and self._context.remaining_s() > 0
@@ -74,7 +65,6 @@
             )
             result = self._context.send(next_run)
             self._log_resumed(run, next_run, result, cause)
-            self._refusal = self._find_refusal(replica, result)
             if isinstance(result, OpenedResponse) and result.head.status == OK:
                 self._context.state.stats.streams_resumed += 1
                 return result
@@ -85,19 +75,6 @@
             run = next_run
         return None
 
-    def _find_refusal(
-        self, replica: ReplicaRef, result: OpenedResponse | UpstreamError
-    ) -> ReplicaRefusal | None:
-        """Return how a backup refused a stream without running it; None if it did not."""
-        if (
-            replica.kind is not ReplicaKind.BACKUP
-            or isinstance(result, UpstreamError)
-            or not result.metadata.is_not_executed
-            or result.head.status != HTTPStatus.SERVICE_UNAVAILABLE
-        ):
-            return None
-        return ReplicaRefusal(replica, result.metadata.signals, self._context.state.now())
-
     def _take_replica(self, run: StreamRun) -> ReplicaRef | None:
         """Return the replica to resume at.
 
--- a/driftstall/gateway/streams.py
+++ b/driftstall/gateway/streams.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from functools import partial
+from http import HTTPStatus
 from typing import Final
 
 from driftstall.const import CODE_RUNNER_FAILED, PREFIX_RELAY
@@ -24,6 +25,7 @@
     EndEvidence,
     RunEnd,
     decide_stream_end,
+    may_be_whole,
 )
 from driftstall.exceptions import InvalidResponse, UpstreamError
 from driftstall.gateway.admission import AdmittedRequest
@@ -41,7 +43,7 @@
 )
 from driftstall.gateway.response_ends.results import UpstreamResponse
 from driftstall.gateway.response_ends.silence import SilenceWatch
-from driftstall.gateway.response_ends.stream_ends import StreamEnds
+from driftstall.gateway.response_ends.stream_ends import StreamEnds, describe_end
 from driftstall.gateway.response_writer import ResponseWriter
 from driftstall.gateway.responses import encode_problem
 from driftstall.gateway.runs import StreamRun
@@ -123,28 +125,18 @@
             return False
         while True:
             end = self._relay_events(run)
-            action = decide_stream_end(end)
-            if action is EndAction.FINISH:
+            if decide_stream_end(end) is EndAction.FINISH:
                 return self._complete(run)
             if self._context.is_caller_disconnected:
                 return False
-            can_verify = action is EndAction.RESUME_OR_VERIFY
-            if can_verify:
+            if may_be_whole(end):
                 self._context.resume_until = self._state.now() + MAX_OPTIONAL_RESUME_S
             next_run = self._resume(run, end)
             self._context.resume_until = float("inf")
-            is_whole = (
-                can_verify
-                and next_run is None
-                and self._ends.is_shown_whole(run, self._resumer.refusal)
-            )
             if self._context.is_caller_disconnected:
                 return False
-            if is_whole:
-                return self._complete(run)
             if next_run is None:
                 return self._break_off(run, end)
-            next_run.follows_closed_run = can_verify
             run = next_run
 
     def _resume(self, run: StreamRun, end: RunEnd) -> StreamRun | None:
@@ -155,7 +147,7 @@
             isinstance(end, ClosedEnd) and end.process not in LIVING_STATES
         ):
             self._context.handle_break(run)
-        if not self._sequence.can_resume or not self._resumer.resume(run, self._ends.describe(end)):
+        if not self._sequence.can_resume or not self._resumer.resume(run, describe_end(end)):
             return None
         return self._context.run
 
@@ -174,11 +166,8 @@
                     break
                 if isinstance(item, BodyChunk):
                     body.add(item.data)
-            if (
-                not run.exchange.is_framed
-                and self._ends.check_process(run, self._state.now()) not in ANSWERING_STATES
-            ):
-                raise UpstreamError("it ended with its upstream's process", sent=True)
+            if not run.exchange.is_framed:
+                self._verify_closed(run, opened)
         except (UpstreamError, TimeoutError) as error:
             log_event(PREFIX_RELAY, f"Error response broke off: {error}", request=run.request_id)
             self._context.handle_break(run, error)
@@ -199,6 +188,17 @@
             response.status, response.headers, self._framing, response.body
         )
 
+    def _verify_closed(self, run: StreamRun, opened: OpenedResponse) -> None:
+        """Raise UpstreamError if a close-delimited response may not be passed on as it came.
+
+        A success is a stream, whatever its status, and a stream needs evidence that it is whole.
+        """
+        process = self._ends.check_process(run, self._state.now())
+        is_success = HTTPStatus.OK <= opened.head.status < HTTPStatus.MULTIPLE_CHOICES
+        if is_success or process not in ANSWERING_STATES:
+            detail = f"it ended with its connection, and its process is {process.value}"
+            raise UpstreamError(detail, sent=True)
+
     def _send_head(self, opened: OpenedResponse) -> bool:
         """Send the response head to the caller."""
         self._framing = stream_framing(
@@ -226,7 +226,7 @@
         """Relay the events of the response's parts until its end."""
         assert run.exchange is not None
         self._sequence.begin_run()
-        self._ends.begin_run(run)
+        self._ends.begin_run()
         self._silence.end_silence()
         while True:
             wait_began_at = self._state.now()
@@ -282,11 +282,7 @@
             # resumed stream would lack them.
             if next_events:
                 self._record_progress(run, len(next_events))
-                self._ends.record_events(run)
-                writing_since = self._state.now()
-                is_written = self._writer.write_piece(self._framing, b"".join(next_events))
-                run.blocked_s += self._state.now() - writing_since
-                if not is_written:
+                if not self._writer.write_piece(self._framing, b"".join(next_events)):
                     self._context.is_caller_disconnected = True
                     return UpstreamError("the caller has disconnected", sent=True)
             if error is not None:
@@ -317,8 +313,6 @@
         now = self._state.now()
         if run.generating_s is None:
             run.waited_s = 0.0
-        else:
-            run.longest_gap_s = max(run.longest_gap_s, now - run.last_event_at)
         run.generating_s = run.waited_s
         if not run.events and run.moves == 0:
             self._state.stats.first_event_s.observe({}, now - self._admitted.started_at)
@@ -365,7 +359,7 @@
 
         A run that may be whole is no failure of its upstream; if that lives, it crashed nothing.
         """
-        if decide_stream_end(end) is not EndAction.RESUME_OR_VERIFY:
+        if not may_be_whole(end):
             self._context.record_outcome(run, Outcome.BROKEN)
         elif isinstance(end, ClosedEnd) and end.process in ANSWERING_STATES:
             self._record_ended_run(run)
@@ -375,7 +369,7 @@
         self._ends.record(run, stated, EndEvidence.NONE)
         log_event(
             PREFIX_RELAY,
-            f"Stream broke off and cannot resume: {self._ends.describe(end)}",
+            f"Stream broke off and cannot resume: {describe_end(end)}",
             request=run.request_id,
             fingerprint=self._admitted.fingerprint,
             parts=self._admitted.subjects.parts,
--- a/driftstall/platform/dialect.py
+++ b/driftstall/platform/dialect.py
@@ -7,7 +7,6 @@
 import gevent
 import orjson
 
-from driftstall.decisions.end_evidence import EngineReport
 from driftstall.decisions.response_ends import ProcessState
 from driftstall.decisions.upstream_probes import ReportedState
 from driftstall.gateway.dialect import (
@@ -69,10 +68,6 @@
         """Ask an engine for its state."""
         return engine_calls.probe_state(engine, self.on_signals, self.connect_to_probe)
 
-    def read_report(self, engine: Upstream) -> EngineReport | None:
-        """Ask an engine for its load and memory; return None if it does not state them."""
-        return engine_calls.read_report(engine, self.on_signals, self.connect_to_probe)
-
     def probe_process(
         self, upstream: Upstream, health_path: str, *, is_engine: bool
     ) -> ProcessState:
--- a/driftstall/platform/documents.py
+++ b/driftstall/platform/documents.py
@@ -74,7 +74,6 @@
         vol.Optional("moves"): checks.or_none(checks.flag),
         vol.Optional("backups"): checks.or_none(checks.flag),
         vol.Optional("stride"): checks.or_none(checks.number(1)),
-        vol.Optional("handleS"): checks.or_none(checks.number(0)),
     },
     extra=ALLOW_EXTRA,
 )
@@ -215,7 +214,6 @@
         can_move=bool(raw.get("moves")),
         can_backup=bool(raw.get("backups")),
         event_tokens=int(raw.get("stride") or DEFAULT_EVENT_TOKENS),
-        copy_kept_s=float(raw.get("handleS") or 0.0),
     )
 
 
--- a/driftstall/platform/engine_calls.py
+++ b/driftstall/platform/engine_calls.py
@@ -9,7 +9,6 @@
 import voluptuous as vol
 
 from driftstall.const import PREFIX_RELAY
-from driftstall.decisions.end_evidence import EngineReport
 from driftstall.decisions.upstream_probes import ReportedState
 from driftstall.exceptions import OversizedAnswer, UpstreamError
 from driftstall.gateway.dialect import (
@@ -41,15 +40,9 @@
 ANSWER_LIMITS: Final = ResponseLimits(held_bytes=1_000_000)
 """Limits of the body of an engine's answer, which has a few fields."""
 
-STATE_READY: Final = "ready"
-STATES: Final = frozenset({STATE_READY, "draining"})
+STATES: Final = frozenset({"ready", "draining"})
 """Values of the state in an engine's report."""
 
-REPORTED_FIGURES: Final = ("running", "queued", "kvUsed", "kvTotal")
-"""Load and memory in an engine's report."""
-
-_FIGURE: Final = vol.Schema(vol.All(int, vol.Range(min=0)))
-
 NOT_STOPPED_STATUSES: Final = frozenset({HTTPStatus.NOT_FOUND, HTTPStatus.CONFLICT})
 """Answers to a final copy that leave the run as it is: it does not exist, or another copy of it is
 in progress."""
@@ -114,38 +107,6 @@
     connect: ConnectUpstream = connect_directly,
 ) -> ReportedState:
     """Ask an engine for its state; the answer may be some hundred milliseconds old."""
-    report = _request_report(engine, observe, connect)
-    if isinstance(report, ReportedState):
-        return report
-    state = report.get("state")
-    if not isinstance(state, str) or state not in STATES:
-        return ReportedState.UNKNOWN
-    # Only an engine whose end is fixed reports its remaining time. Others drain until the platform
-    # has accepted their notice.
-    return ReportedState.LEAVING if report.get("leaves_ms") is not None else ReportedState.SERVING
-
-
-def read_report(
-    engine: Upstream,
-    observe: SignalObserver = ignore_signals,
-    connect: ConnectUpstream = connect_directly,
-) -> EngineReport | None:
-    """Ask an engine for its load and memory; return None if it does not state all of them."""
-    report = _request_report(engine, observe, connect)
-    if isinstance(report, ReportedState):
-        return None
-    try:
-        running, waiting, used, total = map(_FIGURE, map(report.get, REPORTED_FIGURES))
-    except vol.Invalid:
-        return None
-    is_leaving = report.get("state") != STATE_READY or report.get("leaves_ms") is not None
-    return EngineReport(is_leaving, running, waiting, used, total)
-
-
-def _request_report(
-    engine: Upstream, observe: SignalObserver, connect: ConnectUpstream
-) -> dict[str, Any] | ReportedState:
-    """Return an engine's report; without one, the state that this shows."""
     sent_at = clock.now()
     try:
         exchange = Exchange.open_on(
@@ -166,14 +127,17 @@
         return ReportedState.TERMINATED if fault.refused else ReportedState.UNKNOWN
     except orjson.JSONDecodeError:
         return ReportedState.UNKNOWN
-    if not isinstance(report, dict):
-        return ReportedState.UNKNOWN
-    born = report.get("born")
+    born = report.get("born") if isinstance(report, dict) else None
     if type(born) is int and engine.born and born != engine.born:
         # A later start of the process answers at this address: the probed one has terminated.
         return ReportedState.TERMINATED
     observe(engine, read_signals(exchange.status, exchange.headers), sent_at)
-    return report
+    state = report.get("state") if isinstance(report, dict) else None
+    if not isinstance(state, str) or state not in STATES:
+        return ReportedState.UNKNOWN
+    # Only an engine whose end is fixed reports its remaining time. Others drain until the platform
+    # has accepted their notice.
+    return ReportedState.LEAVING if report.get("leaves_ms") is not None else ReportedState.SERVING
 
 
 def backup_replica_name(backup: Upstream, request_id: str) -> str:
--- a/features/gateway/close_delimited_ends.feature
+++ b/features/gateway/close_delimited_ends.feature
@@ -68,10 +68,10 @@
       | reports when it ends              |
       | was announced to leave            |
 
-  # Guards against whole streams that are reset as their upstream is leaving although their backup shows that they are whole.
-  Scenario: a sound stream without framing of an upstream that reports that it is draining arrives whole
+  # Guards against sound streams that lose events or run twice as their upstream is leaving, or that end in order without evidence.
+  Scenario: a sound stream without framing of an upstream that reports that it is draining arrives with every event, and is reset
     When a sound stream is sent without framing, by an upstream that reports that it is draining
-    Then its caller gets the whole stream, which ends with its connection
+    Then its caller got every event, and its connection was reset
 
   # Guards against chunks that a caller of HTTP/1.0 takes for parts of events.
   Scenario Outline: a stream in chunks ends with the connection of a caller of HTTP/1.0: <ending>
--- a/features/gateway/unframed_stream_ends.feature
+++ b/features/gateway/unframed_stream_ends.feature
@@ -70,51 +70,41 @@
       | a part of the rest   | 9    |
       | nothing              | 7    |
 
-  # Guards against whole streams that are reset although their backup shows that they are whole.
-  Scenario: a whole stream without framing whose backup has dropped its copy ends in order
+  # Guards against the refusal of a backup that is taken for evidence: a copy may never have been made, have had no room, or have expired.
+  Scenario: a whole stream without framing whose backup refuses it is reset after its last event
     When a whole stream without framing ends, and its backup refuses it
-    Then its caller gets the whole stream, which ends with its connection
+    Then its caller got every event, and its connection was reset
     And it has run on 1 engines
 
-  # Guards against a last chunk for a run whose response has lost the framing that its service uses.
-  Scenario: a stream in chunks that resumes without framing, whose backup has dropped its copy, is broken off
+  Scenario: a stream without framing that is closed early and whose backup refuses it is reset
+    When a stream without framing is closed early, and its backup refuses it
+    Then its caller got events 1 to 12, and its connection was reset
+
+  # Guards against a last chunk that rests on the end of a resumed run without framing.
+  Scenario: a stream in chunks that resumes without framing, and whose backup refuses it, is broken off
     When a stream in chunks resumes without framing and is whole, and its backup refuses it
     Then its caller got every event, without the end of its framing
 
-  # Guards against a refusal that is taken for evidence although the backup may have had another reason.
-  Scenario Outline: a stream without framing whose backup refuses it for a reason that may be another one is reset
-    When a stream without framing ends, and its backup refuses it, but <objection>
-    Then its caller got every event, and its connection was reset
-    And the refusal shows nothing because of <name>
+  # Guards against an empty success that is taken for "nothing to add" by a backup that has events to add.
+  Scenario: a stream without framing that is closed early does not end in order by an empty response of its backup with a length of zero
+    When a stream without framing is closed early, and its backup answers with an empty success that is no stream
+    Then its caller got events 1 to 7, and its connection was reset
 
-    Examples:
-      | objection                                          | name           |
-      | no backup was seen to keep a copy                  | UNSEEN_COPIES  |
-      | its report has no memory                           | UNKNOWN_MEMORY |
-      | its report can't be read                           | UNKNOWN_MEMORY |
-      | it has no room for a copy                          | NO_ROOM        |
-      | its slots are taken                                | BUSY           |
-      | requests wait there                                | BUSY           |
-      | it is draining                                     | BUSY           |
-      | it requests a back-off                             | SIGNALS        |
-      | the run produced events for 0.7 s only             | SHORT          |
-      | the run ended 0.8 s after its last event           | LATE_END       |
-      | a pause of the run was longer than copies are kept | PAUSE          |
-      | the run ended less than 1 s before its deadline    | DEADLINE       |
-      | its caller reads slowly                            | SLOW_CALLER    |
-      | the process of the run is silent                   | PROCESS        |
-      | other streams of the service are framed            | FRAMED_SERVICE |
-      | it is not known how long copies are kept           | PAUSE          |
-
-  # Guards against a refusal that is taken for evidence although the process of the run has ended.
-  Scenario: a stream without framing whose process has ended is reset, though its backup refuses it
-    When a stream without framing ends, and its backup refuses it, but the process of the run has ended
-    Then its caller got every event, and its connection was reset
+  # Guards against events without a token that count toward the limit of tokens.
+  Scenario: a stream without framing whose events are half pings does not reach its limit of tokens by these
+    When a stream without framing and without a backup sends 7 of 14 events, each with a ping, and is closed
+    Then its caller got that, and its connection was reset
 
-  # Guards against an orderly end as the budget of retries allowed no question to the backup.
-  Scenario: a whole stream without framing is reset if no retry is left to ask its backup
-    When a whole stream without framing ends, and no retry is left
-    Then its caller got every event, and its connection was reset
+  # Guards against a stream with another status of success that is relayed as an error response, with the end that it arrived with.
+  Scenario Outline: a stream with another status of success that is closed early without framing does not end in order
+    When a stream with status <status> without framing is closed early
+    Then its caller gets no truncated success that ends in order
+
+    Examples:
+      | status |
+      | 200    |
+      | 201    |
+      | 206    |
 
   # Guards against whole streams that are reset although they can have no further event.
   Scenario Outline: a stream without framing that has as many events as its request allows tokens ends in order
--- a/features/gateway/unframed_stream_processes.feature
+++ b/features/gateway/unframed_stream_processes.feature
@@ -21,7 +21,6 @@
     Examples: with backups
       | engines                                                                              | whole | reset | short | runs |
       | engines with backups, that send whole streams without framing                        | 0     | 6     | 0     | 1    |
-      | engines with backups, that close a first stream early and send whole ones without framing | 6 | 0    | 0     | 1    |
       | engines with backups but no room for them, that send whole streams without framing   | 0     | 6     | 0     | 1    |
       | engines with backups, that close streams after event 17 and resume them in chunks    | 6     | 0     | 0     | 2    |
       | engines with backups, that close streams after event 17 and resume them without framing | 0  | 6     | 0     | 3    |
--- a/features/steps/close_delimited_end_steps.py
+++ b/features/steps/close_delimited_end_steps.py
@@ -132,7 +132,6 @@
     context.add_cleanup(world.close)
     world.plans, world.drops_copies_after = [EndingPlan(Framing.CLOSE)], EVENTS
     context.ending_world = world
-    world.state.service_history.copying.record("engines", world.state.now())
     original = world._handle_sent
 
     def handle_sent(request_id: str, number: int) -> None:
--- a/features/steps/unframed_end_steps.py
+++ b/features/steps/unframed_end_steps.py
@@ -3,25 +3,23 @@
 from __future__ import annotations
 
 import time
+from dataclasses import replace
+from http import HTTPStatus
 from typing import Any, Final
 
 from behave import then, when
 
-from driftstall.decisions.end_evidence import Objection
-from driftstall.gateway.callers.framing import CallerFraming
-from driftstall.gateway.response_ends import stream_ends
-from driftstall.gateway.response_writer import ResponseWriter
 from features.steps.close_delimited_end_steps import SENT_EVENTS, closed_early
 from features.worlds.ending_world import ALL_EVENTS
-from features.worlds.unframed_world import DEADLINE_MS, KEPT_S, Act, UnframedWorld
+from features.worlds.unframed_world import DEADLINE_MS, UnframedWorld
 from stand_ins.endings import EVENTS, Ending, EndingPlan, Framing, Place
 from stand_ins.raw import RawEnding, RawResponse
 from stand_ins.routed import SEAL, event_bytes
 
 CLOSED: Final = EndingPlan(Framing.CLOSE, Ending.CLOSED)
+CLOSED_LATE: Final = replace(CLOSED, pieces=12)
 WHOLE: Final = EndingPlan(Framing.CLOSE)
-SHORT_DEADLINE_MS: Final = 3_300
-"""Deadline of a stream that is whole 2.5 s after it was sent, by the clock of its gateway."""
+PING: Final = b"event: ping\ndata: {}\n\n"
 NO_EVENT: Final = b"no event\n\n"
 
 
@@ -47,12 +45,31 @@
     world.plans = plans
 
 
+def _head(request_id: str, *lines: bytes) -> bytes:
+    """Return the head of a success with further lines."""
+    own = (b"X-Driftstall-Request-Id: " + request_id.encode(), b": ".join(SEAL))
+    return b"\r\n".join([b"HTTP/1.1 200 OK", *own, *lines, b"", b""])
+
+
 def _raw(request_id: str) -> RawResponse:
     """Return the head and some events of a stream, and bytes that are none."""
-    lines = [b"X-Driftstall-Request-Id: " + request_id.encode(), b": ".join(SEAL)]
-    head = b"\r\n".join([b"HTTP/1.1 200 OK", *lines, b"", b""])
     events = b"".join(event_bytes(number) for number in range(1, SENT_EVENTS + 1))
-    return RawResponse(head + events + NO_EVENT, RawEnding.CLOSED)
+    return RawResponse(_head(request_id) + events + NO_EVENT, RawEnding.CLOSED)
+
+
+def _with_pings() -> bytes:
+    """Return events, each after a ping without an id."""
+    return b"".join(PING + event_bytes(number) for number in range(1, SENT_EVENTS + 1))
+
+
+def _pings(request_id: str) -> RawResponse:
+    """Return a head and half of the events of a stream, each with a ping."""
+    return RawResponse(_head(request_id) + _with_pings(), RawEnding.CLOSED)
+
+
+def _empty(request_id: str) -> RawResponse:
+    """Return an empty success with a length, which states no type."""
+    return RawResponse(_head(request_id, b"Content-Length: 0"), RawEnding.CLOSED)
 
 
 @when("a stream without framing and without a backup is closed early, by a process that {ends}")
@@ -150,163 +167,72 @@
     context.answer = world.stream("s1")
 
 
-def _show_copies(world: UnframedWorld) -> None:
-    """Send a stream that is closed early, and that its backup resumes without framing."""
-    plans, world.plans = world.plans, [CLOSED, WHOLE, RESTS["nothing"]]
-    answer = world.stream("first")
-    assert (answer.body, answer.whole) == (ALL_EVENTS, False), answer
-    world.plans = plans
-
-
-def _end_whole(
-    context: Any, act: Act, plan: EndingPlan = WHOLE, *, shows_copies: bool = True
-) -> UnframedWorld:
-    """Send a whole stream whose backup drops its copy with the last event."""
+def _refused(context: Any, plan: EndingPlan, last: int, framing: Framing = Framing.CLOSE) -> None:
+    """Send a stream whose backup drops its copy with the last event of a run."""
     world = _start(context, plan, has_backups=True)
-    if shows_copies:
-        _show_copies(world)
-    world.drops_copies_after = EVENTS
-    world.at_end = act
-    return world
+    world.whole_framing = framing
+    world.drops_copies_after = last
+    context.answer = world.stream("s1")
 
 
 @when("a whole stream without framing ends, and its backup refuses it")
-def refused(context: Any) -> None:
+def whole_and_refused(context: Any) -> None:
     """Send a whole stream."""
-    context.answer = _end_whole(context, lambda _: None).stream("s1")
+    _refused(context, WHOLE, EVENTS)
 
 
-@when("a stream in chunks resumes without framing and is whole, and its backup refuses it")
-def resumed_and_refused(context: Any) -> None:
-    """Break off a run in chunks; the resumed one is whole, and long enough for its backup."""
-    world = _end_whole(context, lambda _: None, EndingPlan(ending=Ending.RESET))
-    world.whole_framing = Framing.CLOSE
-    world.pauses = {number: 0.5 for number in (3, 4, 10, 11, 12)}
-    context.answer = world.stream("s1")
+@when("a stream without framing is closed early, and its backup refuses it")
+def closed_and_refused(context: Any) -> None:
+    """Close a stream early whose backup holds no copy of it."""
+    _refused(context, CLOSED_LATE, CLOSED_LATE.pieces)
 
 
-@when("a whole stream without framing ends, and no retry is left")
-def no_retry(context: Any) -> None:
-    """Send a whole stream, and allow no retry."""
-    world = _end_whole(context, lambda _: None)
-    world.state.retries.try_reserve = lambda *_: None  # type: ignore[method-assign]
-    context.answer = world.stream("s1")
-
-
-def _report(world: UnframedWorld, **fields: Any) -> None:
-    """Change the reports of the engines that have not run the stream."""
-    for engine in world.others():
-        engine.report = engine.report | fields
-
-
-def _without_memory(world: UnframedWorld) -> None:
-    """Let reports state no memory."""
-    for engine in world.others():
-        engine.report = {"state": "ready", "born": 1}
-
-
-def _no_answer(world: UnframedWorld) -> None:
-    """Let the engines that have not run the stream answer no report."""
-    for engine in world.others():
-        engine.answers_probes = False
-
-
-def _back_off(world: UnframedWorld) -> None:
-    """Let the engines that have not run the stream reject all requests with a back-off."""
-    for engine in world.others():
-        engine.rejected_share, engine.backoff = 1.0, "0.2"
-
-
-def _end_process(world: UnframedWorld) -> None:
-    """End the process of the run."""
-    world.runner().stop()
-
-
-def _silence(world: UnframedWorld) -> None:
-    """Let the process of the run answer no checks."""
-    world.runner().answers_probes = False
-
-
-OBJECTIONS: Final[dict[str, Act]] = {
-    "its report has no memory": _without_memory,
-    "its report can't be read": _no_answer,
-    "it has no room for a copy": lambda world: _report(world, kvUsed=34_000),
-    "its slots are taken": lambda world: _report(world, running=64),
-    "requests wait there": lambda world: _report(world, queued=1),
-    "it is draining": lambda world: _report(world, state="draining"),
-    "it requests a back-off": _back_off,
-    "the run ended 0.8 s after its last event": lambda world: world.pass_time(0.8),
-    "the process of the run is silent": _silence,
-    "the process of the run has ended": _end_process,
-}
-PAUSES: Final[dict[str, dict[int, float]]] = {
-    "the run produced events for 0.7 s only": {3: 0.2},
-    "a pause of the run was longer than copies are kept": {3: KEPT_S + 0.5, 4: 0.5},
-}
+@when("a stream in chunks resumes without framing and is whole, and its backup refuses it")
+def resumed_and_refused(context: Any) -> None:
+    """Break off a run in chunks; the resumed one is whole."""
+    _refused(context, EndingPlan(ending=Ending.RESET), EVENTS)
 
 
-@when("a stream without framing ends, and its backup refuses it, but {objection}")
-def refused_with_objection(context: Any, objection: str) -> None:
-    """Send a whole stream whose backup may have refused it for another reason."""
-    unseen = "no backup was seen to keep a copy"
-    act = OBJECTIONS.get(objection, lambda _: None)
-    world = _end_whole(context, act, shows_copies=objection != unseen)
-    world.pauses = PAUSES.get(objection, world.pauses)
-    if objection == "the run ended less than 1 s before its deadline":
-        world.deadline_ms = SHORT_DEADLINE_MS
-    if objection == "other streams of the service are framed":
-        _framed_before(world)
-    if objection == "it is not known how long copies are kept":
-        world.use_engine(handleS=0)
-    if objection == "its caller reads slowly":
-        _write_slowly(context, world)
-    _record_objections(context)
+@when(
+    "a stream without framing is closed early, and its backup answers with an empty success that is"
+    " no stream"
+)
+def empty_resumed(context: Any) -> None:
+    """Close a stream early; its backup sends a head with a length of zero."""
+    world = _start(context, CLOSED, EndingPlan(build_raw=_empty), has_backups=True)
     context.answer = world.stream("s1")
 
 
-def _write_slowly(context: Any, world: UnframedWorld) -> None:
-    """Let each write of a piece take a tenth of a second on the gateway's clock."""
-    write_piece = ResponseWriter.write_piece
-
-    def write(self: ResponseWriter, framing: CallerFraming, data: bytes) -> bool:
-        world.pass_time(0.1)
-        return write_piece(self, framing, data)
-
-    context.add_cleanup(setattr, ResponseWriter, "write_piece", write_piece)
-    ResponseWriter.write_piece = write  # type: ignore[method-assign]
-
-
-def _record_objections(context: Any) -> None:
-    """Record what is found against the refusals of backups."""
-    context.objections = []
-    find_objection = stream_ends.find_objection
-
-    def find(*args: Any) -> Objection | None:
-        objection = find_objection(*args)
-        context.objections.append(objection)
-        return objection
-
-    context.add_cleanup(setattr, stream_ends, "find_objection", find_objection)
-    stream_ends.find_objection = find  # type: ignore[assignment]
+@when(
+    "a stream without framing and without a backup sends 7 of 14 events, each with a ping, and is"
+    " closed"
+)
+def closed_with_pings(context: Any) -> None:
+    """Close a stream early whose pings and events are as many as its tokens."""
+    world = _start(context, EndingPlan(Framing.CLOSE, build_raw=_pings))
+    world.reads_events, world.pauses = False, {}
+    context.answer = world.ask("/stream/a", "s1", X_Driftstall_Token_Count="1000,14")
 
 
-@then("it counts as {count:d} run without a crash")
-def count_sound(context: Any, count: int) -> None:
-    """Check what the poison detection was told."""
-    assert context.ending_world.sound_runs == count, context.ending_world.sound_runs
+@then("its caller got that, and its connection was reset")
+def got_pings(context: Any) -> None:
+    """Check the bytes, and how the connection ended."""
+    answer = context.answer
+    assert (answer.status, answer.body, answer.whole) == (200, _with_pings(), False), answer
 
 
-@then("the lengths of {count:d} runs are learned")
-def count_lengths(context: Any, count: int) -> None:
-    """Check what the forecasts of lengths were told."""
-    found = context.ending_world.learned_lengths
-    assert found == count, found
+@when("a stream with status {status:d} without framing is closed early")
+def other_status(context: Any, status: int) -> None:
+    """Close a stream early whose status is another success."""
+    world = _start(context, replace(CLOSED, status=status))
+    context.answer = world.stream("s1", reads_events=False)
 
 
-@then("the refusal shows nothing because of {name}")
-def shows_nothing(context: Any, name: str) -> None:
-    """Check the only objection."""
-    assert context.objections == [Objection[name]], context.objections
+@then("its caller gets no truncated success that ends in order")
+def no_truncated_success(context: Any) -> None:
+    """Check that the response is no success, or did not end in order."""
+    answer = context.answer
+    assert answer.status >= HTTPStatus.BAD_REQUEST or not answer.whole, answer
 
 
 @when("a stream without framing of 20 events is sent for a request of at most {tokens:d} tokens")
@@ -362,3 +288,16 @@
     expected = b"".join(event_bytes(number) for number in range(1, last + 1))
     assert (answer.status, answer.body, answer.is_framed) == (200, expected, False), answer
     assert not answer.whole, answer
+
+
+@then("it counts as {count:d} run without a crash")
+def count_sound(context: Any, count: int) -> None:
+    """Check what the poison detection was told."""
+    assert context.ending_world.sound_runs == count, context.ending_world.sound_runs
+
+
+@then("the lengths of {count:d} runs are learned")
+def count_lengths(context: Any, count: int) -> None:
+    """Check what the forecasts of lengths were told."""
+    found = context.ending_world.learned_lengths
+    assert found == count, found
--- a/features/steps/unframed_process_steps.py
+++ b/features/steps/unframed_process_steps.py
@@ -12,7 +12,6 @@
 from features.steps.stream_end_process_steps import DEADLINE_MS, TimedCaller
 from features.worlds.ending_world import ALL_EVENTS
 from features.worlds.gateway_world import ENGINE, document
-from features.worlds.unframed_world import KEPT_S, MEMORY
 from features.worlds.upstream_samples import entry_spec
 from soak.truncation import NoCopies
 from stand_ins.endings import Ending, EndingPlan, EndingUpstream, Framing
@@ -26,12 +25,9 @@
     Framing.CLOSE, Ending.GONE_LATE, pieces=17, pause_s=PAUSE_S, stop_after_s=0.3
 )
 CHUNKS: Final = EndingPlan(pause_s=PAUSE_S)
-FIRST: Final = "first"
-"""Id of the stream that is sent before those that are counted."""
 PLANS: Final[dict[str, tuple[EndingPlan, EndingPlan]]] = {
     "send whole streams in chunks": (CHUNKS, CHUNKS),
     "send whole streams without framing": (WHOLE, WHOLE),
-    "close a first stream early and send whole ones without framing": (WHOLE, WHOLE),
     "close streams after event 7": (CLOSED, CHUNKS),
     "close streams after event 17": (CLOSED_LATE, CHUNKS),
     "close streams after event 17 and end": (GONE_LATE, CHUNKS),
@@ -46,16 +42,12 @@
     """Register engines that answer by plans, and configure their backups."""
     first, resumed = PLANS[act]
 
-    closes_first = act.startswith("close a first stream early")
-
     def plan_for(seen: ReceivedRequest) -> EndingPlan:
-        if closes_first and seen.request_id == FIRST and not seen.is_resumed:
-            return CLOSED_LATE
         return resumed if seen.is_resumed else first
 
     raw = document(4)
     raw["routes"] = [each | {"timeoutMs": DEADLINE_MS} for each in raw["routes"]]
-    engine = ENGINE | {"backups": backups != "without backups", "moves": False, "handleS": KEPT_S}
+    engine = ENGINE | {"backups": backups != "without backups", "moves": False}
     raw["services"] = [raw["services"][0], {"name": "engines", "engine": engine}]
     assert context.store.replace(KIND_CONFIG, NAME_CONFIG, raw) is not None
     context.engines = [EndingUpstream(f"u-{os.getpid()}-{n}", plan_for) for n in range(3)]
@@ -64,10 +56,8 @@
         context.add_cleanup(upstream.stop)
         upstream.peers = {other.address: other for other in context.engines}
         upstream.drops_copies = True
-        upstream.report = upstream.report | MEMORY
         if not has_room:
             upstream.copies = NoCopies()
-            upstream.report["kvUsed"] = upstream.report["kvTotal"]
         context.store.create(KIND_UPSTREAMS, upstream.upstream_id, entry_spec(upstream.address))
 
 
@@ -77,7 +67,7 @@
     address = context.nodes[0].listen["front"]
 
     def is_serving() -> bool:
-        return TimedCaller(address, FIRST).received.status == 200
+        return TimedCaller(address, "first").received.status == 200
 
     wait_for_processes("it serves streams", is_serving)
     context.ids = [f"s-{number}" for number in range(count)]
--- a/soak/run.py
+++ b/soak/run.py
@@ -112,7 +112,6 @@
 CONTENDED_KINDS: Final = (RequestKind.SAFE, RequestKind.ONCE, *STREAMS)
 
 
-COPY_KEPT_S: Final = 5.0
 QUEUED: Final = b"A stream waits for engine memory"
 PACE_CHANGED: Final = b"The pace of upstream"
 
@@ -635,7 +634,6 @@
     if plan is Plan.TRUNCATED:
         # Plain upstreams name their process there, as engines do in their reports.
         config["services"] = [{"healthPath": HEALTH_PATH} | each for each in config["services"]]
-        config["services"][1]["engine"] = ENGINE | {"handleS": COPY_KEPT_S}
     added = route("added", f"/added{version}/", "safe", PLAIN_SERVICE)
     config["routes"].append(added | {"timeoutMs": CALL_TIMEOUT_S * 1000})
     return config
--- a/soak/stop_checks.py
+++ b/soak/stop_checks.py
@@ -41,7 +41,7 @@
     ledger: Ledger, request: SentRequest, arrivals: Sequence[Arrival], stop: Window
 ) -> bool:
     """Return True if something else than the stop explains why a request was cut."""
-    if _is_unproven(ledger, request):
+    if _is_unproven(ledger, request, arrivals):
         return True
     name, begins, ends = request.instance, request.sent_at - CONTACT_S, request.ended_at
     others = [window for window in ledger.disturbed[name] if window is not stop]
@@ -57,15 +57,17 @@
     return was_at_work and is_early and ends >= last_part_at
 
 
-def _is_unproven(ledger: Ledger, request: SentRequest) -> bool:
+def _is_unproven(ledger: Ledger, request: SentRequest, arrivals: Sequence[Arrival]) -> bool:
     """Return True if a stream has every event, and its last run ended without framing.
 
     Nothing shows that such a stream is whole, so it is reset at its end, with a stop or without.
     """
-    if request.kind not in STREAMS or not ledger.is_whole(request):
+    if request.kind not in STREAMS or not ledger.is_whole(request) or not arrivals:
         return False
+    run = arrivals[-1]
     ends = ledger.response_ends.get(request.request_id, [])
-    return bool(ends) and ends[-1].plan.framing is Framing.CLOSE
+    last = [end for end in ends if end.upstream_id == run.upstream_id and end.at >= run.at]
+    return bool(last) and last[-1].plan.framing is Framing.CLOSE
 
 
 def _overlaps(window: Window, begins: float, ends: float) -> bool:
--- a/soak/truncation.py
+++ b/soak/truncation.py
@@ -12,7 +12,6 @@
 from gevent import socket
 
 from driftstall.gateway.ingress import CallerConnection, CallerRequest, encode_head
-from features.worlds.gateway_world import ENGINE
 from soak.fleet import LAPSE_S, RecordingUpstream, UpstreamSlot
 from soak.ledger import ENGINE_SERVICE, Arrival, Ledger, ResponseEnd
 from soak.proxy import Proxy
@@ -48,14 +47,7 @@
 
 
 FULL_SHARE: Final = 0.3
-"""Share of the processes that have no room for copies, and report so."""
-ROOM_TOKENS: Final = 10_000
-REPORT: Final = {
-    "state": "ready",
-    "running": 1,
-    "queued": 0,
-    "kvTotal": ENGINE["kvCacheTokens"],
-}
+"""Share of the processes that have no room for copies."""
 
 
 class NoCopies(dict[str, int]):
@@ -87,8 +79,7 @@
         if not has_room:
             self.copies = NoCopies()
         self.drops_copies = True
-        used = ROOM_TOKENS if has_room else ENGINE["kvCacheTokens"]
-        self.report = REPORT | {"born": born, "kvUsed": used}
+        self.report = {"state": "ready", "born": born}
         assert ledger.sent_pieces is not None
         self.sent = ledger.sent_pieces
         self._ledger = ledger
