Only events with a number count toward the limit of tokens of a stream without framing

A resumed run may send an event again whose id is no number, and each time it would have counted. By reading; no stream of a test has such ids.

--- a/driftstall/gateway/events.py
+++ b/driftstall/gateway/events.py
@@ -114,7 +114,10 @@
 
     @property
     def data_events(self) -> int:
-        """Return how many events with an id and data were new: others may hold no token."""
+        """Return how many events with a number and data were new.
+
+        Others may hold no token, or be repeated by a resumed run.
+        """
         return self._data_events
 
     @property
@@ -150,7 +153,6 @@
         number = _number(event_id)
         if number is None:
             self._has_position = True
-            self._data_events += _has_data(event.data)
             return EventContinuity.NEXT
         self._run_last = max(number, self._run_last or 0)
         checksum = zlib.crc32(_content(event.data))
